--- /dev/null
+++ b/Makefile
@@ -0,0 +1,54 @@
+# Thin goals over CMake. Everything lands in build/, programs in build/bin/.
+BUILD ?= build
+PACKAGES = build-essential cmake pkg-config clang-format clang-tidy clang \
+	libev-dev libmicrohttpd-dev libcurl4-openssl-dev libglib2.0-dev \
+	libjansson-dev libprotobuf-c-dev libinih-dev zlib1g-dev curl valgrind
+SOURCES = $(filter-out src/wire.pb-c.c src/wire.pb-c.h, \
+	$(wildcard src/*.c src/*.h test/*.c test/*.h bench/*.c bench/*.h))
+
+.PHONY: all deps build asan test check format lint tidy demo proto clean
+
+all: build
+
+# Installs what the build needs; does nothing when all of it is there.
+deps:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || { \
+	    apt-get update -q && DEBIAN_FRONTEND=noninteractive \
+	    apt-get install -y -q --no-install-recommends $(PACKAGES); }
+
+build: deps
+	cmake -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	cmake --build $(BUILD) -j
+
+# The same sources under the address and undefined-behaviour sanitizers.
+asan: deps
+	cmake -S . -B $(BUILD)/asan -DCMAKE_BUILD_TYPE=Debug -DGYP_SANITIZE=ON >/dev/null
+	cmake --build $(BUILD)/asan -j
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j4
+
+lint:
+	clang-format --dry-run -Werror $(SOURCES)
+
+# One file a run: the analyzer's va_list check misfires on several at once.
+tidy: deps
+	cmake -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	printf '%s\n' $(filter %.c,$(SOURCES)) | \
+	    xargs -P 8 -n 1 clang-tidy --quiet -p $(BUILD)
+
+check: build asan lint tidy
+	ctest --test-dir $(BUILD)/asan --output-on-failure -j4
+
+format:
+	clang-format -i $(SOURCES)
+
+demo: build
+	bash test/demo.sh $(BUILD)/bin
+
+# Needs protobuf-c-compiler; the generated files are committed.
+proto:
+	cd src && protoc-c --c_out=. wire.proto
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/src/door.h
@@ -0,0 +1,45 @@
+#ifndef GYP_DOOR_H
+#define GYP_DOOR_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "entry.h"
+#include "httpd.h"
+
+/*
+ * NAME
+ *	door - the entry's HTTP interface
+ *
+ * DESCRIPTION
+ *	Turns requests of callers, endpoints and operators into calls of the
+ *	entry's core, and answers of the core into replies. docs/API.md lists
+ *	the requests.
+ */
+
+/* Longest time that a request may wait for its job's end, in ms. */
+#define GYP_WAIT_MAX_MS 600000
+
+/* Time for a replica to answer any other call, in ms. */
+#define GYP_CALL_MS 5000
+
+struct gyp_door;
+
+/* After each request the door calls flush(arg), to move the core's output. */
+struct gyp_door *gyp_door_new(
+    struct gyp_entry_core *, void (*flush)(void *arg), void *arg);
+void gyp_door_free(struct gyp_door *);
+
+/* For gyp_httpd_new(). */
+struct gyp_httpd_owner *gyp_door_httpd_owner(struct gyp_door *);
+
+/* An answer of the core; takes over its reply. */
+void gyp_door_answer(struct gyp_door *, struct gyp_answer *);
+
+/* From now on new jobs are refused; what is held is finished. */
+void gyp_door_drain(struct gyp_door *);
+
+/* Requests that wait for an answer. */
+uint32_t gyp_door_waiting(const struct gyp_door *);
+
+#endif
--- /dev/null
+++ b/src/entry.h
@@ -0,0 +1,111 @@
+#ifndef GYP_ENTRY_H
+#define GYP_ENTRY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "wire.pb-c.h"
+
+/*
+ * NAME
+ *	entry - request table and start orders of one entry process
+ *
+ * DESCRIPTION
+ *	Deterministic like the replica: time, frames and results of exchanges
+ *	with endpoints come in as arguments; frames, exchanges to make and
+ *	replies go out through three queues that the caller empties after each
+ *	call.
+ *
+ *	A call is repeated to each new leader until it is answered or its time
+ *	is over; calls are idempotent. A start order is carried out at most
+ *	once by this entry: an exchange whose end is not known is followed by
+ *	questions, never by another start.
+ */
+
+struct gyp_entry_config {
+	uint64_t id; /* incarnation, drawn at random at each start */
+	const char *const *cells; /* "ip:port" of replicas, NULL-terminated */
+	uint32_t keepalive_ms;    /* longest pause between frames */
+	uint32_t silence_ms;      /* after which another replica is tried */
+};
+
+/* What an exchange with an endpoint told about an attempt. */
+enum gyp_fate {
+	GYP_FATE_LOST,        /* no whole answer: nothing is known */
+	GYP_FATE_NOT_STARTED, /* and never will be */
+	GYP_FATE_RUNNING,
+	GYP_FATE_DONE,
+	GYP_FATE_FAILED
+};
+
+struct gyp_exchange_result {
+	enum gyp_fate fate;
+	uint32_t http_status;
+	const char *content_type;
+	const char *reason;
+	const uint8_t *answer;
+	size_t answer_len;
+	bool answer_dropped; /* it was larger than GYP_ANSWER_MAX */
+};
+
+/* An exchange that the caller is to make with an endpoint. */
+struct gyp_exchange {
+	uint64_t id;
+	Gyp__Order *order; /* owned by the receiver */
+};
+
+/* The answer to a call. */
+struct gyp_answer {
+	uint64_t call;
+	void *owner;
+	bool final;        /* false: accepted, the end follows */
+	bool sent;         /* the call may have reached a replica */
+	uint64_t job;      /* known job, or 0 */
+	Gyp__Reply *reply; /* owned by the receiver; NULL when time is over */
+};
+
+struct gyp_entry_core;
+
+struct gyp_entry_core *gyp_entry_new(const struct gyp_entry_config *);
+void gyp_entry_free(struct gyp_entry_core *);
+
+void gyp_entry_tick(struct gyp_entry_core *, uint64_t now);
+
+/* A frame came from the replica at address. */
+void gyp_entry_receive(struct gyp_entry_core *, uint64_t now,
+    const char *address, const Gyp__Frame *);
+
+void gyp_entry_connected(
+    struct gyp_entry_core *, uint64_t now, const char *address);
+void gyp_entry_disconnected(
+    struct gyp_entry_core *, uint64_t now, const char *address);
+
+/* Makes a call; its id field is filled in. Returns the id. */
+uint64_t gyp_entry_call(struct gyp_entry_core *, uint64_t now,
+    const Gyp__Call *, uint32_t timeout_ms, void *owner);
+
+/* Drops a call; nothing more is answered to it. */
+void gyp_entry_forget(struct gyp_entry_core *, uint64_t call);
+
+void gyp_entry_exchange_done(struct gyp_entry_core *, uint64_t now,
+    uint64_t exchange, const struct gyp_exchange_result *);
+
+/* Frame for the replica at *address (not owned); false when there is none. */
+bool gyp_entry_pop_frame(
+    struct gyp_entry_core *, const char **address, GBytes **packed);
+bool gyp_entry_pop_exchange(struct gyp_entry_core *, struct gyp_exchange *);
+bool gyp_entry_pop_answer(struct gyp_entry_core *, struct gyp_answer *);
+
+/* Calls without a final answer, and attempts in progress here. */
+uint32_t gyp_entry_open_calls(const struct gyp_entry_core *);
+uint32_t gyp_entry_open_attempts(const struct gyp_entry_core *);
+
+/* Version and text of the rules in force at this entry. */
+uint64_t gyp_entry_rules(const struct gyp_entry_core *, const char **text);
+
+/* True while the leader's grant lasts; without it no start is sent. */
+bool gyp_entry_has_lease(const struct gyp_entry_core *);
+
+#endif
--- /dev/null
+++ b/src/gyp.h
@@ -0,0 +1,45 @@
+#ifndef GYP_H
+#define GYP_H
+
+/*
+ * NAME
+ *	gyp - all of gypsumbend's interfaces, in reading order
+ *
+ * DESCRIPTION
+ *	The core takes time and messages as arguments and gives messages back
+ *	through queues; it has no clock, sockets or files. The daemons put
+ *	those round it.
+ */
+
+/* ---- Small things used everywhere --------------------------------------- */
+#include "buf.h"
+#include "json.h"
+#include "msg.h"
+#include "status.h"
+#include "table.h"
+
+/* ---- Core: the cell ------------------------------------------------------ */
+#include "leases.h"  /* who may still be running */
+#include "policy.h"  /* which task goes where */
+#include "raft.h"    /* replicated log */
+#include "record.h"  /* what goes to the disk */
+#include "replica.h" /* log, tables and decisions together */
+#include "state.h"   /* tables of jobs, endpoints and rules */
+
+/* ---- Core: the entry ----------------------------------------------------- */
+#include "entry.h"   /* request table and start orders */
+#include "jobspec.h" /* job requests in JSON */
+
+/* ---- Sockets, files and timers ------------------------------------------- */
+#include "door.h"     /* HTTP interface of the entry */
+#include "exchange.h" /* orders carried out at endpoints */
+#include "httpc.h"    /* HTTP client that sends once */
+#include "httpd.h"    /* HTTP server */
+#include "link.h"     /* frames between processes */
+#include "log.h"      /* lines on standard error */
+#include "program.h"  /* command line of the daemons */
+#include "settings.h" /* INI files */
+#include "store.h"    /* records on a disk */
+#include "timer.h"    /* clock and subscriptions */
+
+#endif
--- /dev/null
+++ b/src/gyp_cell.c
@@ -0,0 +1,381 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "link.h"
+#include "log.h"
+#include "msg.h"
+#include "program.h"
+#include "replica.h"
+#include "store.h"
+#include "timer.h"
+
+/* Interval of requests for membership, in ms. */
+#define JOIN_MS 500
+
+/* Time for another replica to take over before this one stops, in ms. */
+#define HAND_OVER_MS 3000
+
+struct settings {
+	char *listen;
+	char **join;
+	char *data_folder;
+	char *data_centre;
+	char *name;
+	uint32_t voters;
+	uint32_t election_ms;
+	uint32_t heartbeat_ms;
+	uint32_t endpoint_lease_ms;
+	uint32_t entry_lease_ms;
+	uint32_t start_window_ms;
+	uint64_t compact_bytes;
+};
+
+struct app {
+	struct gyp_links_owner links_owner;
+	struct gyp_store_owner store_owner;
+	const struct settings *set;
+	struct ev_loop *loop;
+	struct gyp_timers *timers;
+	struct gyp_links *links;
+	struct gyp_store *store;
+	struct gyp_replica *replica;
+	bool was_leader;
+	bool stopping;
+	int code;
+};
+
+/* ---- Moving the replica's output --------------------------------------- */
+
+static void
+note_role(struct app *app)
+{
+	const struct gyp_raft *raft = gyp_replica_raft(app->replica);
+	bool leads = gyp_replica_serving(app->replica);
+
+	if (leads == app->was_leader)
+		return;
+	app->was_leader = leads;
+	gyp_log(GYP_LOG_NOTICE, leads ? "leading" : "following",
+	    "term=%" G_GUINT64_FORMAT " commit=%" G_GUINT64_FORMAT,
+	    gyp_raft_term(raft), gyp_raft_commit(raft));
+}
+
+static void
+flush(struct app *app)
+{
+	struct gyp_record rec;
+	struct gyp_out out;
+
+	while (gyp_replica_pop_record(app->replica, &rec)) {
+		gyp_store_append(app->store, &rec);
+		if (rec.data != NULL)
+			g_bytes_unref(rec.data);
+	}
+	while (gyp_replica_pop_out(app->replica, &out)) {
+		if (out.entry)
+			gyp_links_send_to(app->links, out.to, out.packed);
+		else if (out.address != NULL)
+			gyp_links_send(app->links, out.address, out.packed);
+		g_free(out.address);
+		g_bytes_unref(out.packed);
+	}
+	note_role(app);
+}
+
+/* ---- Events ------------------------------------------------------------ */
+
+static void
+on_received(struct gyp_links_owner *owner, uint64_t id, const Gyp__Frame *frame)
+{
+	struct app *app = (struct app *)owner;
+
+	gyp_replica_receive(app->replica, gyp_clock_ms(), id, frame);
+	flush(app);
+}
+
+static void
+on_introduced(struct gyp_links_owner *owner, const Gyp__Hello *hello)
+{
+	struct app *app = (struct app *)owner;
+
+	gyp_log(GYP_LOG_INFO, "introduced",
+	    "role=%s name=%s id=%016" G_GINT64_MODIFIER "x",
+	    hello->entry ? "entry" : "cell", hello->name, hello->id);
+	if (hello->entry)
+		gyp_replica_entry_connected(
+		    app->replica, gyp_clock_ms(), hello->id);
+	flush(app);
+}
+
+static void
+on_answered(
+    struct gyp_links_owner *owner, const char *address, const Gyp__Frame *frame)
+{
+	(void)owner;
+	(void)address;
+	(void)frame;
+}
+
+static void
+on_link_change(struct gyp_links_owner *owner, const char *address)
+{
+	(void)owner;
+	(void)address;
+}
+
+static struct app *
+app_of_store(struct gyp_store_owner *owner)
+{
+	return (
+	    struct app *)((char *)owner - offsetof(struct app, store_owner));
+}
+
+static void
+on_synced(struct gyp_store_owner *owner, uint64_t seq)
+{
+	struct app *app = app_of_store(owner);
+
+	gyp_replica_synced(app->replica, gyp_clock_ms(), seq);
+	flush(app);
+}
+
+/* What was not synced counts as lost, so this replica must not go on. */
+static void
+on_store_failed(struct gyp_store_owner *owner, const struct gyp_error *err)
+{
+	struct app *app = app_of_store(owner);
+
+	gyp_log(GYP_LOG_ERR, "store-failed", "%s", err->message);
+	app->code = EXIT_FAILURE;
+	ev_break(app->loop, EVBREAK_ALL);
+}
+
+static void
+on_tick(void *arg, uint64_t now)
+{
+	struct app *app = arg;
+
+	gyp_replica_tick(app->replica, now);
+	flush(app);
+	if (app->stopping && !gyp_replica_serving(app->replica) &&
+	    gyp_raft_role(gyp_replica_raft(app->replica)) != GYP_RAFT_LEADER)
+		ev_break(app->loop, EVBREAK_ALL);
+}
+
+static bool
+is_member(const struct app *app)
+{
+	const struct gyp_raft *raft = gyp_replica_raft(app->replica);
+	const Gyp__Config *c = gyp_raft_members(raft);
+	size_t i;
+
+	for (i = 0; i < c->n_members; i++) {
+		if (c->members[i]->id == gyp_raft_id(raft))
+			return true;
+	}
+	return false;
+}
+
+/* Asks all known replicas; the leader among them acts on it. */
+static void
+on_join(void *arg, uint64_t now)
+{
+	struct app *app = arg;
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__Join join = GYP__JOIN__INIT;
+	Gyp__Member member = GYP__MEMBER__INIT;
+	GBytes *packed;
+	char **address;
+
+	(void)now;
+	if (is_member(app) || app->set->join == NULL)
+		return;
+	member.id = gyp_store_id(app->store);
+	member.address = app->set->listen;
+	join.member = &member;
+	frame.body_case = GYP__FRAME__BODY_JOIN;
+	frame.join = &join;
+	packed = gyp_message_pack(&frame.base);
+	for (address = app->set->join; *address != NULL; address++) {
+		if (strcmp(*address, app->set->listen) != 0)
+			gyp_links_send(app->links, *address, packed);
+	}
+	g_bytes_unref(packed);
+}
+
+static void
+on_hand_over_late(void *arg, uint64_t now)
+{
+	struct app *app = arg;
+
+	(void)now;
+	gyp_log(GYP_LOG_WARNING, "no-successor", "waited_ms=%d", HAND_OVER_MS);
+	ev_break(app->loop, EVBREAK_ALL);
+}
+
+static void
+on_term(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	struct app *app = w->data;
+
+	(void)loop;
+	(void)revents;
+	if (app->stopping)
+		return;
+	app->stopping = true;
+	gyp_log(GYP_LOG_NOTICE, "stopping", "leader=%d", app->was_leader);
+	gyp_replica_hand_over(app->replica);
+	flush(app);
+	gyp_timer_once(app->timers, HAND_OVER_MS, on_hand_over_late, app);
+}
+
+/* ---- Main -------------------------------------------------------------- */
+
+static const struct gyp_links_owner_ops links_ops = {.received = on_received,
+    .answered = on_answered,
+    .introduced = on_introduced,
+    .opened = on_link_change,
+    .lost = on_link_change};
+
+static const struct gyp_store_owner_ops store_ops = {
+    .synced = on_synced, .failed = on_store_failed};
+
+static void
+load_record(void *arg, const struct gyp_record *rec)
+{
+	gyp_replica_load(arg, rec);
+}
+
+static void
+make_replica(struct app *app)
+{
+	const struct settings *set = app->set;
+	struct gyp_replica_config cfg = {.id = gyp_store_id(app->store),
+	    .address = set->listen,
+	    .seed = g_random_int(),
+	    .election_ms = set->election_ms,
+	    .heartbeat_ms = set->heartbeat_ms,
+	    .endpoint_lease_ms = set->endpoint_lease_ms,
+	    .entry_lease_ms = set->entry_lease_ms,
+	    .start_window_ms = set->start_window_ms,
+	    .voters = set->voters,
+	    .compact_bytes = set->compact_bytes};
+
+	app->replica = gyp_replica_new(&cfg);
+}
+
+static enum gyp_status
+start(struct app *app, bool init, struct gyp_error *err)
+{
+	const struct settings *set = app->set;
+	Gyp__Hello hello = GYP__HELLO__INIT;
+
+	app->store = gyp_store_open(set->data_folder, err);
+	if (app->store == NULL)
+		return err->code;
+	if (init && !gyp_store_is_new(app->store))
+		return gyp_fail(
+		    err, GYP_CONFLICT, "--init: the data folder is in use");
+	make_replica(app);
+	if (gyp_store_replay(app->store, load_record, app->replica, err) !=
+	    GYP_OK)
+		return err->code;
+	hello.id = gyp_store_id(app->store);
+	hello.address = set->listen;
+	hello.name = set->name;
+	hello.data_centre = set->data_centre;
+	app->links =
+	    gyp_links_new(app->loop, app->timers, &app->links_owner, &hello);
+	if (gyp_links_listen(app->links, set->listen, err) != GYP_OK)
+		return err->code;
+	gyp_store_start(app->store, app->loop, &app->store_owner);
+	if (init)
+		gyp_replica_bootstrap(app->replica);
+	gyp_timer_every(app->timers, GYP_TICK_MS, on_tick, app);
+	gyp_timer_every(app->timers, JOIN_MS, on_join, app);
+	return GYP_OK;
+}
+
+static int
+run(const struct settings *set, bool init)
+{
+	struct app app = {.set = set};
+	struct gyp_error err = {.code = GYP_OK};
+	ev_signal term, interrupt;
+
+	app.links_owner.ops = &links_ops;
+	app.store_owner.ops = &store_ops;
+	app.loop = ev_default_loop(EVFLAG_AUTO);
+	app.timers = gyp_timers_new(app.loop);
+	if (start(&app, init, &err) != GYP_OK) {
+		gyp_log(GYP_LOG_ERR, "start-failed", "%s", err.message);
+		app.code = EXIT_FAILURE;
+	} else {
+		ev_signal_init(&term, on_term, SIGTERM);
+		ev_signal_init(&interrupt, on_term, SIGINT);
+		term.data = interrupt.data = &app;
+		ev_signal_start(app.loop, &term);
+		ev_signal_start(app.loop, &interrupt);
+		gyp_log(GYP_LOG_NOTICE, "started",
+		    "listen=%s id=%016" G_GINT64_MODIFIER "x", set->listen,
+		    gyp_store_id(app.store));
+		flush(&app);
+		ev_run(app.loop, 0);
+	}
+	gyp_links_free(app.links);
+	if (app.store != NULL)
+		gyp_store_close(app.store);
+	gyp_replica_free(app.replica);
+	gyp_timers_free(app.timers);
+	ev_loop_destroy(app.loop);
+	return app.code;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct settings set = {.voters = 3,
+	    .election_ms = 1000,
+	    .heartbeat_ms = 100,
+	    .endpoint_lease_ms = 5000,
+	    .entry_lease_ms = 3000,
+	    .start_window_ms = 2000,
+	    .compact_bytes = 4 * 1024 * 1024};
+	const struct gyp_setting table[] = {
+	    {"cell", "listen", &set.listen, 0, 0, GYP_SETTING_ADDRESS, true},
+	    {"cell", "join", &set.join, 0, 0, GYP_SETTING_ADDRESSES, false},
+	    {"cell", "data_folder", &set.data_folder, 0, 0, GYP_SETTING_FOLDER,
+		true},
+	    {"cell", "data_centre", &set.data_centre, 0, 0, GYP_SETTING_TEXT,
+		true},
+	    {"cell", "name", &set.name, 0, 0, GYP_SETTING_TEXT, true},
+	    {"cell", "voters", &set.voters, 1, 7, GYP_SETTING_COUNT, false},
+	    {"cell", "election", &set.election_ms, 200, 60000, GYP_SETTING_MS,
+		false},
+	    {"cell", "heartbeat", &set.heartbeat_ms, 20, 10000, GYP_SETTING_MS,
+		false},
+	    {"cell", "endpoint_lease", &set.endpoint_lease_ms, 500, 600000,
+		GYP_SETTING_MS, false},
+	    {"cell", "entry_lease", &set.entry_lease_ms, 500, 600000,
+		GYP_SETTING_MS, false},
+	    {"cell", "start_window", &set.start_window_ms, 100, 600000,
+		GYP_SETTING_MS, false},
+	    {"cell", "compact", &set.compact_bytes, 4096, 1ULL << 30,
+		GYP_SETTING_BYTES, false},
+	};
+	struct gyp_program program = {.name = "gyp-cell",
+	    .summary = "Keeps a replica of the cell's state and, while "
+		       "it leads, places tasks.",
+	    .settings = table,
+	    .n_settings = G_N_ELEMENTS(table),
+	    .allow_init = true};
+	int code = gyp_program_start(&program, argc, argv);
+
+	if (code < 0)
+		code = run(&set, program.init);
+	gyp_settings_clear(table, G_N_ELEMENTS(table));
+	return code;
+}
--- /dev/null
+++ b/src/gyp_entry.c
@@ -0,0 +1,295 @@
+#include <stdlib.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "door.h"
+#include "entry.h"
+#include "exchange.h"
+#include "httpc.h"
+#include "httpd.h"
+#include "link.h"
+#include "log.h"
+#include "msg.h"
+#include "program.h"
+#include "timer.h"
+
+/* Interval of the core's clock, in ms. */
+#define TICK_MS 20
+
+/* Pauses of the core before it speaks to a replica, in ms. */
+#define KEEPALIVE_MS 300
+#define SILENCE_MS   1200
+
+struct settings {
+	char *listen;
+	char **cells;
+	char *data_centre;
+	char *name;
+};
+
+struct app {
+	struct gyp_links_owner links_owner;
+	struct ev_loop *loop;
+	struct gyp_timers *timers;
+	struct gyp_links *links;
+	struct gyp_httpd *httpd;
+	struct gyp_httpc *httpc;
+	struct gyp_exchanges *exchanges;
+	struct gyp_door *door;
+	struct gyp_entry_core *core;
+	bool draining;
+	bool flushing;
+};
+
+/* ---- Moving the core's output ------------------------------------------ */
+
+static bool
+move_frames(struct app *app)
+{
+	const char *address;
+	GBytes *packed;
+	bool moved = false;
+
+	while (gyp_entry_pop_frame(app->core, &address, &packed)) {
+		gyp_links_send(app->links, address, packed);
+		g_bytes_unref(packed);
+		moved = true;
+	}
+	return moved;
+}
+
+static bool
+move_answers(struct app *app)
+{
+	struct gyp_answer answer;
+	bool moved = false;
+
+	while (gyp_entry_pop_answer(app->core, &answer)) {
+		gyp_door_answer(app->door, &answer);
+		moved = true;
+	}
+	return moved;
+}
+
+static bool
+move_exchanges(struct app *app)
+{
+	struct gyp_exchange x;
+	bool moved = false;
+
+	while (gyp_entry_pop_exchange(app->core, &x)) {
+		gyp_exchanges_run(app->exchanges, &x);
+		moved = true;
+	}
+	return moved;
+}
+
+/* Moving one queue may fill another, but never deeper than one call. */
+static void
+flush(void *arg)
+{
+	struct app *app = arg;
+	bool more = true;
+
+	if (app->flushing)
+		return;
+	app->flushing = true;
+	while (more) {
+		more = move_frames(app);
+		more = move_answers(app) || more;
+		more = move_exchanges(app) || more;
+	}
+	app->flushing = false;
+}
+
+/* ---- Events ------------------------------------------------------------ */
+
+static void
+on_received(struct gyp_links_owner *owner, uint64_t id, const Gyp__Frame *frame)
+{
+	(void)owner;
+	(void)id;
+	(void)frame;
+}
+
+static void
+on_introduced(struct gyp_links_owner *owner, const Gyp__Hello *hello)
+{
+	(void)owner;
+	(void)hello;
+}
+
+static void
+on_answered(
+    struct gyp_links_owner *owner, const char *address, const Gyp__Frame *frame)
+{
+	struct app *app = (struct app *)owner;
+
+	gyp_entry_receive(app->core, gyp_clock_ms(), address, frame);
+	flush(app);
+}
+
+static void
+on_opened(struct gyp_links_owner *owner, const char *address)
+{
+	struct app *app = (struct app *)owner;
+
+	gyp_log(GYP_LOG_INFO, "cell-connected", "address=%s", address);
+	gyp_entry_connected(app->core, gyp_clock_ms(), address);
+	flush(app);
+}
+
+static void
+on_lost(struct gyp_links_owner *owner, const char *address)
+{
+	struct app *app = (struct app *)owner;
+
+	gyp_log(GYP_LOG_WARNING, "cell-lost", "address=%s", address);
+	gyp_entry_disconnected(app->core, gyp_clock_ms(), address);
+	flush(app);
+}
+
+static void
+on_exchange_done(void *arg, uint64_t id, const struct gyp_exchange_result *res)
+{
+	struct app *app = arg;
+
+	gyp_entry_exchange_done(app->core, gyp_clock_ms(), id, res);
+	flush(app);
+}
+
+static void
+stop_when_drained(struct app *app)
+{
+	if (!app->draining || gyp_httpd_active(app->httpd) > 0 ||
+	    gyp_entry_open_calls(app->core) > 0 ||
+	    gyp_entry_open_attempts(app->core) > 0)
+		return;
+	gyp_log(GYP_LOG_NOTICE, "drained", "open=0");
+	ev_break(app->loop, EVBREAK_ALL);
+}
+
+static void
+on_tick(void *arg, uint64_t now)
+{
+	struct app *app = arg;
+
+	gyp_entry_tick(app->core, now);
+	flush(app);
+	stop_when_drained(app);
+}
+
+static void
+on_term(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	struct app *app = w->data;
+
+	(void)loop;
+	(void)revents;
+	if (app->draining)
+		return;
+	app->draining = true;
+	gyp_log(GYP_LOG_NOTICE, "draining", "requests=%u attempts=%u",
+	    gyp_httpd_active(app->httpd), gyp_entry_open_attempts(app->core));
+	gyp_door_drain(app->door);
+	gyp_httpd_quiesce(app->httpd);
+}
+
+/* ---- Main -------------------------------------------------------------- */
+
+static const struct gyp_links_owner_ops links_ops = {.received = on_received,
+    .answered = on_answered,
+    .introduced = on_introduced,
+    .opened = on_opened,
+    .lost = on_lost};
+
+static bool
+start(struct app *app, const struct settings *set, struct gyp_error *err)
+{
+	struct gyp_entry_config cfg = {.cells = (const char *const *)set->cells,
+	    .keepalive_ms = KEEPALIVE_MS,
+	    .silence_ms = SILENCE_MS};
+	Gyp__Hello hello = GYP__HELLO__INIT;
+
+	cfg.id = ((uint64_t)g_random_int() << 32) | g_random_int() | 1;
+	hello.id = cfg.id;
+	hello.entry = true;
+	hello.name = set->name;
+	hello.data_centre = set->data_centre;
+	app->links_owner.ops = &links_ops;
+	app->loop = ev_default_loop(EVFLAG_AUTO);
+	app->timers = gyp_timers_new(app->loop);
+	app->core = gyp_entry_new(&cfg);
+	app->links =
+	    gyp_links_new(app->loop, app->timers, &app->links_owner, &hello);
+	app->httpc = gyp_httpc_new(app->loop, app->timers);
+	app->exchanges = gyp_exchanges_new(app->httpc, on_exchange_done, app);
+	app->door = gyp_door_new(app->core, flush, app);
+	app->httpd = gyp_httpd_new(app->loop, app->timers,
+	    gyp_door_httpd_owner(app->door), set->listen, err);
+	return app->httpd != NULL;
+}
+
+static void
+stop(struct app *app)
+{
+	gyp_httpd_free(app->httpd);
+	gyp_door_free(app->door);
+	gyp_httpc_free(app->httpc);
+	gyp_exchanges_free(app->exchanges);
+	gyp_links_free(app->links);
+	gyp_entry_free(app->core);
+	gyp_timers_free(app->timers);
+	ev_loop_destroy(app->loop);
+}
+
+static int
+run(const struct settings *set)
+{
+	struct app app = {.draining = false};
+	struct gyp_error err = {.code = GYP_OK};
+	ev_signal term, interrupt;
+
+	if (!start(&app, set, &err)) {
+		gyp_log(GYP_LOG_ERR, "start-failed", "%s", err.message);
+		stop(&app);
+		return EXIT_FAILURE;
+	}
+	ev_signal_init(&term, on_term, SIGTERM);
+	ev_signal_init(&interrupt, on_term, SIGINT);
+	term.data = interrupt.data = &app;
+	ev_signal_start(app.loop, &term);
+	ev_signal_start(app.loop, &interrupt);
+	gyp_timer_every(app.timers, TICK_MS, on_tick, &app);
+	gyp_log(GYP_LOG_NOTICE, "started", "listen=%s", set->listen);
+	ev_run(app.loop, 0);
+	ev_signal_stop(app.loop, &term);
+	ev_signal_stop(app.loop, &interrupt);
+	stop(&app);
+	return EXIT_SUCCESS;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct settings set = {NULL, NULL, NULL, NULL};
+	const struct gyp_setting table[] = {
+	    {"entry", "listen", &set.listen, 0, 0, GYP_SETTING_ADDRESS, true},
+	    {"entry", "cells", &set.cells, 0, 0, GYP_SETTING_ADDRESSES, true},
+	    {"entry", "data_centre", &set.data_centre, 0, 0, GYP_SETTING_TEXT,
+		true},
+	    {"entry", "name", &set.name, 0, 0, GYP_SETTING_TEXT, true},
+	};
+	struct gyp_program program = {.name = "gyp-entry",
+	    .summary = "Serves callers, endpoints and operators over "
+		       "HTTP, and starts tasks at endpoints.",
+	    .settings = table,
+	    .n_settings = G_N_ELEMENTS(table)};
+	int code = gyp_program_start(&program, argc, argv);
+
+	if (code < 0)
+		code = run(&set);
+	gyp_settings_clear(table, G_N_ELEMENTS(table));
+	return code;
+}
--- /dev/null
+++ b/src/httpc.c
@@ -0,0 +1,303 @@
+#include <string.h>
+
+#include <curl/curl.h>
+#include <ev.h>
+#include <glib.h>
+
+#include "buf.h"
+#include "httpc.h"
+#include "timer.h"
+
+struct gyp_httpc {
+	struct ev_loop *loop;
+	struct gyp_timers *timers;
+	CURLM *multi;
+	struct gyp_timer *timeout;
+	GPtrArray *exchanges; /* struct exchange */
+};
+
+/* One socket of curl's. */
+struct watch {
+	struct gyp_httpc *client;
+	ev_io io;
+	bool active;
+};
+
+struct exchange {
+	struct gyp_httpc *client;
+	CURL *easy;
+	struct curl_slist *headers;
+	struct gyp_buf request;
+	struct gyp_buf body;
+	size_t answer_max;
+	bool dropped;
+	bool framed; /* the end of the answer is announced */
+	char state[32];
+	gyp_httpc_fn done;
+	void *arg;
+};
+
+static void
+free_exchange(gpointer p)
+{
+	struct exchange *x = p;
+
+	curl_multi_remove_handle(x->client->multi, x->easy);
+	curl_easy_cleanup(x->easy);
+	curl_slist_free_all(x->headers);
+	gyp_buf_clear(&x->request);
+	gyp_buf_clear(&x->body);
+	g_free(x);
+}
+
+/* ---- Ends -------------------------------------------------------------- */
+
+static enum gyp_httpc_end
+classify(const struct exchange *x, CURLcode code)
+{
+	long sent = 0;
+
+	if (code == CURLE_OK)
+		return x->framed ? GYP_HTTPC_ANSWERED : GYP_HTTPC_LOST;
+	curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &sent);
+	if (sent == 0 &&
+	    (code == CURLE_COULDNT_CONNECT || code == CURLE_OPERATION_TIMEDOUT))
+		return GYP_HTTPC_NOT_SENT;
+	return GYP_HTTPC_LOST;
+}
+
+static void
+finish(struct exchange *x, CURLcode code)
+{
+	struct gyp_httpc_result res = {.end = classify(x, code)};
+	const char *type = NULL;
+	long status = 0;
+
+	curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_getinfo(x->easy, CURLINFO_CONTENT_TYPE, &type);
+	res.status = (uint32_t)status;
+	res.content_type = type != NULL ? type : "";
+	res.state = x->state;
+	res.body = x->body.data;
+	res.len = x->body.len;
+	res.dropped = x->dropped;
+	res.reason = code == CURLE_OK ? "" : curl_easy_strerror(code);
+	x->done(x->arg, &res);
+	g_ptr_array_remove_fast(x->client->exchanges, x);
+}
+
+static void
+collect(struct gyp_httpc *client)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(client->multi, &left)) != NULL) {
+		struct exchange *x;
+		CURLcode code = msg->data.result;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(
+		    msg->easy_handle, CURLINFO_PRIVATE, (char **)&x);
+		finish(x, code);
+	}
+}
+
+/* ---- Loop -------------------------------------------------------------- */
+
+static void
+on_io(struct ev_loop *loop, ev_io *w, int revents)
+{
+	struct watch *watch = w->data;
+	struct gyp_httpc *client = watch->client;
+	int running;
+	int mask = (revents & EV_READ ? CURL_CSELECT_IN : 0) |
+		   (revents & EV_WRITE ? CURL_CSELECT_OUT : 0);
+
+	(void)loop;
+	curl_multi_socket_action(client->multi, w->fd, mask, &running);
+	collect(client);
+}
+
+static int
+on_socket(CURL *easy, curl_socket_t fd, int what, void *user, void *assigned)
+{
+	struct gyp_httpc *client = user;
+	struct watch *watch = assigned;
+	int events = (what & CURL_POLL_IN ? EV_READ : 0) |
+		     (what & CURL_POLL_OUT ? EV_WRITE : 0);
+
+	(void)easy;
+	if (watch == NULL) {
+		watch = g_new0(struct watch, 1);
+		watch->client = client;
+		ev_init(&watch->io, on_io);
+		watch->io.data = watch;
+		curl_multi_assign(client->multi, fd, watch);
+	}
+	if (watch->active)
+		ev_io_stop(client->loop, &watch->io);
+	watch->active = false;
+	if (what == CURL_POLL_REMOVE) {
+		curl_multi_assign(client->multi, fd, NULL);
+		g_free(watch);
+		return 0;
+	}
+	ev_io_set(&watch->io, fd, events);
+	ev_io_start(client->loop, &watch->io);
+	watch->active = true;
+	return 0;
+}
+
+static void
+on_timeout(void *arg, uint64_t now)
+{
+	struct gyp_httpc *client = arg;
+	int running;
+
+	(void)now;
+	client->timeout = NULL;
+	curl_multi_socket_action(
+	    client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	collect(client);
+}
+
+static int
+on_timer(CURLM *multi, long timeout_ms, void *user)
+{
+	struct gyp_httpc *client = user;
+
+	(void)multi;
+	gyp_timer_cancel(client->timers, client->timeout);
+	client->timeout = NULL;
+	if (timeout_ms >= 0)
+		client->timeout = gyp_timer_once(
+		    client->timers, (uint32_t)timeout_ms, on_timeout, client);
+	return 0;
+}
+
+/* ---- Answers ----------------------------------------------------------- */
+
+static size_t
+on_body(char *data, size_t size, size_t n, void *user)
+{
+	struct exchange *x = user;
+	size_t len = size * n;
+
+	if (x->body.len + len > x->answer_max) {
+		x->dropped = true;
+		gyp_buf_clear(&x->body);
+	}
+	if (!x->dropped)
+		gyp_buf_append(&x->body, data, len);
+	return len;
+}
+
+static bool
+header_is(const char *line, size_t len, const char *name)
+{
+	size_t n = strlen(name);
+
+	return len > n && line[n] == ':' &&
+	       g_ascii_strncasecmp(line, name, n) == 0;
+}
+
+static size_t
+on_header(char *line, size_t size, size_t n, void *user)
+{
+	struct exchange *x = user;
+	size_t len = size * n;
+
+	if (header_is(line, len, "Content-Length") ||
+	    header_is(line, len, "Transfer-Encoding"))
+		x->framed = true;
+	if (header_is(line, len, "Gyp-State")) {
+		char *value = g_strndup(line + 10, len - 10);
+
+		g_strlcpy(x->state, g_strstrip(value), sizeof(x->state));
+		g_free(value);
+	}
+	return len;
+}
+
+/* ---- Door -------------------------------------------------------------- */
+
+static void
+set_options(struct exchange *x, const struct gyp_httpc_request *req)
+{
+	CURL *e = x->easy;
+
+	curl_easy_setopt(e, CURLOPT_URL, req->url);
+	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, req->method);
+	curl_easy_setopt(e, CURLOPT_PRIVATE, x);
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
+	curl_easy_setopt(
+	    e, CURLOPT_CONNECTTIMEOUT_MS, (long)GYP_HTTPC_CONNECT_MS);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)req->timeout_ms);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, x);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(e, CURLOPT_HEADERDATA, x);
+	curl_easy_setopt(e, CURLOPT_HTTPHEADER, x->headers);
+	if (strcmp(req->method, "GET") == 0)
+		return;
+	curl_easy_setopt(e, CURLOPT_POSTFIELDS,
+	    x->request.data != NULL ? (char *)x->request.data : "");
+	curl_easy_setopt(
+	    e, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)x->request.len);
+}
+
+void
+gyp_httpc_send(struct gyp_httpc *client, const struct gyp_httpc_request *req)
+{
+	struct exchange *x = g_new0(struct exchange, 1);
+	const char *const *h;
+
+	x->client = client;
+	x->easy = curl_easy_init();
+	x->answer_max = req->answer_max;
+	x->done = req->done;
+	x->arg = req->arg;
+	gyp_buf_append(&x->request, req->body, req->len);
+	x->headers = curl_slist_append(NULL, "Expect:");
+	for (h = req->headers; h != NULL && *h != NULL; h++)
+		x->headers = curl_slist_append(x->headers, *h);
+	set_options(x, req);
+	g_ptr_array_add(client->exchanges, x);
+	curl_multi_add_handle(client->multi, x->easy);
+}
+
+struct gyp_httpc *
+gyp_httpc_new(struct ev_loop *loop, struct gyp_timers *timers)
+{
+	struct gyp_httpc *client = g_new0(struct gyp_httpc, 1);
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	client->loop = loop;
+	client->timers = timers;
+	client->multi = curl_multi_init();
+	client->exchanges = g_ptr_array_new_with_free_func(free_exchange);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+	return client;
+}
+
+void
+gyp_httpc_free(struct gyp_httpc *client)
+{
+	if (client == NULL)
+		return;
+	g_ptr_array_free(client->exchanges, TRUE);
+	curl_multi_cleanup(client->multi);
+	gyp_timer_cancel(client->timers, client->timeout);
+	curl_global_cleanup();
+	g_free(client);
+}
--- /dev/null
+++ b/src/httpd.c
@@ -0,0 +1,295 @@
+#include <sys/socket.h>
+
+#include <string.h>
+#include <unistd.h>
+
+#include <ev.h>
+#include <microhttpd.h>
+
+#include "httpd.h"
+#include "link.h"
+#include "timer.h"
+
+/* Memory of one connection for its headers, in bytes. */
+#define CONNECTION_MEMORY (16 * 1024)
+
+struct gyp_httpd {
+	struct ev_loop *loop;
+	struct gyp_timers *timers;
+	struct gyp_httpd_owner *owner;
+	struct MHD_Daemon *daemon;
+	ev_io io;
+	struct gyp_timer *wake;
+	uint32_t active;
+};
+
+struct gyp_http_request {
+	struct gyp_httpd *httpd;
+	struct MHD_Connection *connection;
+	char *method;
+	char *path;
+	struct gyp_buf body;
+	bool too_large;
+	bool handed_over;
+	bool suspended;
+	GPtrArray *headers; /* name, value, name, value, ... */
+	struct MHD_Response *response;
+	unsigned status;
+};
+
+static void run_daemon(struct gyp_httpd *);
+
+/* ---- Loop -------------------------------------------------------------- */
+
+static void
+on_wake(void *arg, uint64_t now)
+{
+	struct gyp_httpd *h = arg;
+
+	(void)now;
+	h->wake = NULL;
+	run_daemon(h);
+}
+
+static void
+run_daemon(struct gyp_httpd *h)
+{
+	MHD_UNSIGNED_LONG_LONG timeout_ms;
+
+	MHD_run(h->daemon);
+	gyp_timer_cancel(h->timers, h->wake);
+	h->wake = NULL;
+	if (MHD_get_timeout(h->daemon, &timeout_ms) == MHD_YES)
+		h->wake =
+		    gyp_timer_once(h->timers, (uint32_t)timeout_ms, on_wake, h);
+}
+
+static void
+on_readable(struct ev_loop *loop, ev_io *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	run_daemon(w->data);
+}
+
+/* ---- Requests ---------------------------------------------------------- */
+
+static struct gyp_http_request *
+new_request(struct gyp_httpd *h, struct MHD_Connection *connection,
+    const char *method, const char *path)
+{
+	struct gyp_http_request *req = g_new0(struct gyp_http_request, 1);
+
+	req->httpd = h;
+	req->connection = connection;
+	req->method = g_strdup(method);
+	req->path = g_strdup(path);
+	req->headers = g_ptr_array_new_with_free_func(g_free);
+	h->active++;
+	return req;
+}
+
+static void
+on_completed(void *cls, struct MHD_Connection *connection, void **con_cls,
+    enum MHD_RequestTerminationCode code)
+{
+	struct gyp_http_request *req = *con_cls;
+
+	(void)cls;
+	(void)connection;
+	(void)code;
+	if (req == NULL)
+		return;
+	*con_cls = NULL;
+	req->httpd->active--;
+	if (req->response != NULL)
+		MHD_destroy_response(req->response);
+	gyp_buf_clear(&req->body);
+	g_ptr_array_free(req->headers, TRUE);
+	g_free(req->method);
+	g_free(req->path);
+	g_free(req);
+}
+
+static void
+take_body(struct gyp_http_request *req, const char *data, size_t len)
+{
+	if (req->body.len + len > GYP_HTTP_BODY_MAX) {
+		req->too_large = true;
+		gyp_buf_clear(&req->body);
+	}
+	if (!req->too_large)
+		gyp_buf_append(&req->body, data, len);
+}
+
+static void
+hand_over(struct gyp_http_request *req)
+{
+	static const char text[] = "{\"error\":\"the body is too large\"}\n";
+
+	req->handed_over = true;
+	if (req->too_large)
+		gyp_http_reply(req, MHD_HTTP_CONTENT_TOO_LARGE,
+		    "application/json", text, strlen(text));
+	else
+		req->httpd->owner->ops->request(req->httpd->owner, req);
+}
+
+static enum MHD_Result
+on_request(void *cls, struct MHD_Connection *connection, const char *url,
+    const char *method, const char *version, const char *upload_data,
+    size_t *upload_data_size, void **con_cls)
+{
+	struct gyp_http_request *req = *con_cls;
+
+	(void)version;
+	if (req == NULL) {
+		*con_cls = new_request(cls, connection, method, url);
+		return MHD_YES;
+	}
+	if (*upload_data_size > 0) {
+		take_body(req, upload_data, *upload_data_size);
+		*upload_data_size = 0;
+		return MHD_YES;
+	}
+	if (!req->handed_over)
+		hand_over(req);
+	if (req->response != NULL)
+		return MHD_queue_response(
+		    connection, req->status, req->response);
+	req->suspended = true;
+	MHD_suspend_connection(connection);
+	return MHD_YES;
+}
+
+const char *
+gyp_http_method(const struct gyp_http_request *req)
+{
+	return req->method;
+}
+
+const char *
+gyp_http_path(const struct gyp_http_request *req)
+{
+	return req->path;
+}
+
+struct gyp_slice
+gyp_http_body(const struct gyp_http_request *req)
+{
+	struct gyp_slice s = {req->body.data, req->body.len};
+
+	return s;
+}
+
+const char *
+gyp_http_header(const struct gyp_http_request *req, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    req->connection, MHD_HEADER_KIND, name);
+}
+
+const char *
+gyp_http_query(const struct gyp_http_request *req, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    req->connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+void
+gyp_http_add_header(
+    struct gyp_http_request *req, const char *name, const char *value)
+{
+	g_ptr_array_add(req->headers, g_strdup(name));
+	g_ptr_array_add(req->headers, g_strdup(value));
+}
+
+void
+gyp_http_reply(struct gyp_http_request *req, unsigned status,
+    const char *content_type, const void *body, size_t len)
+{
+	guint i;
+
+	g_assert(req->response == NULL);
+	req->response = MHD_create_response_from_buffer(
+	    len, (void *)body, MHD_RESPMEM_MUST_COPY);
+	req->status = status;
+	if (content_type != NULL && content_type[0] != '\0')
+		MHD_add_response_header(
+		    req->response, "Content-Type", content_type);
+	for (i = 0; i + 1 < req->headers->len; i += 2)
+		MHD_add_response_header(req->response, req->headers->pdata[i],
+		    req->headers->pdata[i + 1]);
+	if (!req->suspended)
+		return;
+	req->suspended = false;
+	MHD_resume_connection(req->connection);
+	ev_feed_event(req->httpd->loop, &req->httpd->io, EV_READ);
+}
+
+/* ---- Door -------------------------------------------------------------- */
+
+static struct MHD_Daemon *
+start_daemon(struct gyp_httpd *h, struct sockaddr_storage *ss)
+{
+	return MHD_start_daemon(
+	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME |
+		(ss->ss_family == AF_INET6 ? MHD_USE_IPv6 : 0),
+	    0, NULL, NULL, on_request, h, MHD_OPTION_SOCK_ADDR, ss,
+	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
+	    MHD_OPTION_CONNECTION_LIMIT, GYP_HTTP_CONNECTIONS_MAX,
+	    MHD_OPTION_CONNECTION_TIMEOUT, GYP_HTTP_IDLE_S,
+	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+}
+
+struct gyp_httpd *
+gyp_httpd_new(struct ev_loop *loop, struct gyp_timers *timers,
+    struct gyp_httpd_owner *owner, const char *address, struct gyp_error *err)
+{
+	struct gyp_httpd *h = g_new0(struct gyp_httpd, 1);
+	const union MHD_DaemonInfo *info;
+	struct sockaddr_storage ss;
+	uint32_t len;
+
+	h->loop = loop;
+	h->timers = timers;
+	h->owner = owner;
+	if (!gyp_address_parse(address, &ss, &len) ||
+	    (h->daemon = start_daemon(h, &ss)) == NULL) {
+		gyp_fail(err, GYP_IO, "can't serve HTTP on %s", address);
+		g_free(h);
+		return NULL;
+	}
+	info = MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	ev_io_init(&h->io, on_readable, info->epoll_fd, EV_READ);
+	h->io.data = h;
+	ev_io_start(loop, &h->io);
+	return h;
+}
+
+void
+gyp_httpd_quiesce(struct gyp_httpd *h)
+{
+	int fd = MHD_quiesce_daemon(h->daemon);
+
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+}
+
+uint32_t
+gyp_httpd_active(const struct gyp_httpd *h)
+{
+	return h->active;
+}
+
+void
+gyp_httpd_free(struct gyp_httpd *h)
+{
+	if (h == NULL)
+		return;
+	ev_io_stop(h->loop, &h->io);
+	gyp_timer_cancel(h->timers, h->wake);
+	MHD_stop_daemon(h->daemon);
+	g_free(h);
+}
--- /dev/null
+++ b/src/httpd.h
@@ -0,0 +1,72 @@
+#ifndef GYP_HTTPD_H
+#define GYP_HTTPD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "buf.h"
+#include "status.h"
+
+struct ev_loop;
+struct gyp_timers;
+
+/*
+ * NAME
+ *	httpd - HTTP server on the process's own loop
+ *
+ * DESCRIPTION
+ *	libmicrohttpd's epoll descriptor is one more watcher of the loop. A
+ *	request is handed over once its body is complete; it may be answered
+ *	at once or later, and is answered exactly once.
+ */
+
+/* Largest body of a request, in bytes; a larger one is answered with 413. */
+#define GYP_HTTP_BODY_MAX (160 * 1024)
+
+/* Most connections at a time. */
+#define GYP_HTTP_CONNECTIONS_MAX 2000
+
+/* Longest idle time of a connection, in seconds. */
+#define GYP_HTTP_IDLE_S 30
+
+struct gyp_httpd;
+struct gyp_httpd_owner;
+struct gyp_http_request;
+
+struct gyp_httpd_owner_ops {
+	void (*request)(struct gyp_httpd_owner *, struct gyp_http_request *);
+};
+
+struct gyp_httpd_owner {
+	const struct gyp_httpd_owner_ops *ops;
+};
+
+struct gyp_httpd *gyp_httpd_new(struct ev_loop *, struct gyp_timers *,
+    struct gyp_httpd_owner *, const char *address, struct gyp_error *);
+void gyp_httpd_free(struct gyp_httpd *);
+
+/* Takes no new connection from now on. */
+void gyp_httpd_quiesce(struct gyp_httpd *);
+
+/* Requests that are not wholly answered, slow readers included. */
+uint32_t gyp_httpd_active(const struct gyp_httpd *);
+
+const char *gyp_http_method(const struct gyp_http_request *);
+const char *gyp_http_path(const struct gyp_http_request *);
+struct gyp_slice gyp_http_body(const struct gyp_http_request *);
+
+/* A header or query argument, or NULL. */
+const char *gyp_http_header(const struct gyp_http_request *, const char *);
+const char *gyp_http_query(const struct gyp_http_request *, const char *);
+
+/* Adds a header to the coming reply. */
+void gyp_http_add_header(
+    struct gyp_http_request *, const char *name, const char *value);
+
+/* Answers; the request must not be used afterwards. Copies the body. */
+void gyp_http_reply(struct gyp_http_request *, unsigned status,
+    const char *content_type, const void *body, size_t len);
+
+#endif
--- /dev/null
+++ b/src/leases.c
@@ -0,0 +1,98 @@
+#include <glib.h>
+
+#include "leases.h"
+
+struct lease {
+	uint64_t endpoint; /* key of the table */
+	uint64_t end;      /* our clock */
+	uint64_t heard;    /* our clock */
+	uint64_t clock_ms; /* the endpoint's clock in that heartbeat */
+};
+
+struct gyp_leases {
+	uint32_t lease_ms;
+	uint64_t default_end;
+	GHashTable *table; /* endpoint -> struct lease */
+};
+
+uint64_t
+gyp_lease_end(uint64_t now, uint32_t lease_ms)
+{
+	return now + lease_ms + lease_ms / GYP_CLOCK_RATE_DIVISOR +
+	       GYP_LEASE_MARGIN_MS;
+}
+
+struct gyp_leases *
+gyp_leases_new(uint32_t lease_ms)
+{
+	struct gyp_leases *l = g_new0(struct gyp_leases, 1);
+
+	l->lease_ms = lease_ms;
+	l->table =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	return l;
+}
+
+void
+gyp_leases_free(struct gyp_leases *l)
+{
+	if (l == NULL)
+		return;
+	g_hash_table_destroy(l->table);
+	g_free(l);
+}
+
+void
+gyp_leases_reset(struct gyp_leases *l, uint64_t now)
+{
+	g_hash_table_remove_all(l->table);
+	l->default_end = gyp_lease_end(now, l->lease_ms);
+}
+
+void
+gyp_leases_renew(
+    struct gyp_leases *l, uint64_t endpoint, uint64_t now, uint64_t clock_ms)
+{
+	struct lease *lease = g_hash_table_lookup(l->table, &endpoint);
+
+	if (lease == NULL) {
+		lease = g_new0(struct lease, 1);
+		lease->endpoint = endpoint;
+		g_hash_table_insert(l->table, &lease->endpoint, lease);
+	}
+	/* Of heartbeats that overtook each other the newest counts. */
+	if (lease->heard != 0 && clock_ms < lease->clock_ms)
+		return;
+	lease->heard = now;
+	lease->clock_ms = clock_ms;
+	lease->end = gyp_lease_end(now, l->lease_ms);
+}
+
+void
+gyp_leases_remove(struct gyp_leases *l, uint64_t endpoint)
+{
+	g_hash_table_remove(l->table, &endpoint);
+}
+
+bool
+gyp_leases_expired(const struct gyp_leases *l, uint64_t endpoint, uint64_t now)
+{
+	const struct lease *lease = g_hash_table_lookup(l->table, &endpoint);
+
+	return now > (lease != NULL ? lease->end : l->default_end);
+}
+
+bool
+gyp_leases_not_after(const struct gyp_leases *l, uint64_t endpoint,
+    uint64_t now, uint32_t window_ms, uint64_t *not_after)
+{
+	const struct lease *lease = g_hash_table_lookup(l->table, &endpoint);
+	uint64_t lease_end, window_end;
+
+	if (lease == NULL || now >= lease->heard + l->lease_ms)
+		return false;
+	lease_end = lease->clock_ms + l->lease_ms;
+	window_end = lease->clock_ms + (now - lease->heard) + window_ms;
+	*not_after = MIN(lease_end, window_end);
+	return true;
+}
--- /dev/null
+++ b/src/leases.h
@@ -0,0 +1,57 @@
+#ifndef GYP_LEASES_H
+#define GYP_LEASES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * NAME
+ *	leases - the leader's view of endpoint leases
+ *
+ * DESCRIPTION
+ *	One lease per endpoint covers all attempts that run there. The
+ *	endpoint counts its lease from the sending of a heartbeat, by its own
+ *	clock; the leader counts from the receipt, by its own clock, and adds
+ *	the bound on the clocks' rates and a margin. So an endpoint always
+ *	stops its tasks before the leader takes them as over.
+ *
+ *	The table belongs to one term of leadership: a new leader starts with
+ *	gyp_leases_reset(), which takes every endpoint as just renewed.
+ */
+
+/* Largest difference between the rates of two clocks: 1 in 100. */
+#define GYP_CLOCK_RATE_DIVISOR 100
+
+/* Added to each lease for what the rate bound does not cover, in ms. */
+#define GYP_LEASE_MARGIN_MS 200
+
+struct gyp_leases;
+
+struct gyp_leases *gyp_leases_new(uint32_t lease_ms);
+void gyp_leases_free(struct gyp_leases *);
+
+/* Forgets all; endpoints that stay silent expire one full lease from now. */
+void gyp_leases_reset(struct gyp_leases *, uint64_t now);
+
+/* Renews at the receipt of a heartbeat that named the endpoint's clock. */
+void gyp_leases_renew(
+    struct gyp_leases *, uint64_t endpoint, uint64_t now, uint64_t clock_ms);
+
+void gyp_leases_remove(struct gyp_leases *, uint64_t endpoint);
+
+/* True when nothing can run at the endpoint any more. */
+bool gyp_leases_expired(
+    const struct gyp_leases *, uint64_t endpoint, uint64_t now);
+
+/*
+ * Latest time, in the endpoint's clock, at which a start sent now may take
+ * effect: window_ms from now, but never past the endpoint's own lease. False
+ * when the endpoint has not been heard in this term or its lease is over.
+ */
+bool gyp_leases_not_after(const struct gyp_leases *, uint64_t endpoint,
+    uint64_t now, uint32_t window_ms, uint64_t *not_after);
+
+/* Time after which a lease of lease_ms granted now is over for everyone. */
+uint64_t gyp_lease_end(uint64_t now, uint32_t lease_ms);
+
+#endif
--- /dev/null
+++ b/src/link.c
@@ -0,0 +1,516 @@
+#include <sys/socket.h>
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdbool.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <ev.h>
+
+#include "buf.h"
+#include "link.h"
+#include "msg.h"
+#include "timer.h"
+
+/* Bytes read from a socket in one go. */
+#define READ_BYTES (64 * 1024)
+
+/* Interval of the check for slow connections, in ms. */
+#define SWEEP_MS 500
+
+enum conn_state { CONN_IDLE, CONN_DIALLING, CONN_OPEN };
+
+struct conn {
+	struct gyp_links *links;
+	enum conn_state state;
+	int fd;
+	ev_io io;
+	int events;
+	char *address; /* dialled, or NULL */
+	uint64_t id;   /* of the process that dialled us, 0 before its hello */
+	struct gyp_buf in;
+	struct gyp_buf out;
+	uint64_t since;       /* start of the dial, or of the connection */
+	uint64_t frame_since; /* first byte of an unfinished frame, or 0 */
+	uint32_t delay_ms;
+	struct gyp_timer *redial;
+};
+
+struct gyp_links {
+	struct ev_loop *loop;
+	struct gyp_timers *timers;
+	struct gyp_links_owner *owner;
+	GBytes *hello; /* packed frame */
+	GRand *rand;
+	int listen_fd;
+	ev_io listen_io;
+	struct gyp_timer *sweep;
+	GHashTable *dialled; /* address -> struct conn */
+	GPtrArray *accepted; /* struct conn */
+	GHashTable *by_id;   /* id -> struct conn of accepted */
+};
+
+static void on_io(struct ev_loop *, ev_io *, int);
+static void dial(struct conn *);
+
+gboolean
+gyp_address_parse(
+    const char *address, struct sockaddr_storage *ss, uint32_t *len)
+{
+	struct sockaddr_in *in = (struct sockaddr_in *)ss;
+	struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)ss;
+	const char *colon = strrchr(address, ':');
+	gchar *host;
+	guint64 port;
+	gboolean ok = TRUE;
+
+	if (colon == NULL ||
+	    !g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &port, NULL))
+		return FALSE;
+	memset(ss, 0, sizeof(*ss));
+	if (address[0] == '[' && colon > address + 2 && colon[-1] == ']')
+		host = g_strndup(address + 1, (gsize)(colon - address) - 2);
+	else
+		host = g_strndup(address, (gsize)(colon - address));
+	if (inet_pton(AF_INET, host, &in->sin_addr) == 1) {
+		in->sin_family = AF_INET;
+		in->sin_port = htons((uint16_t)port);
+		*len = sizeof(*in);
+	} else if (inet_pton(AF_INET6, host, &in6->sin6_addr) == 1) {
+		in6->sin6_family = AF_INET6;
+		in6->sin6_port = htons((uint16_t)port);
+		*len = sizeof(*in6);
+	} else {
+		ok = FALSE;
+	}
+	g_free(host);
+	return ok;
+}
+
+/* ---- Sockets ----------------------------------------------------------- */
+
+static void
+watch(struct conn *c, int events)
+{
+	if (c->events == events)
+		return;
+	if (c->events != 0)
+		ev_io_stop(c->links->loop, &c->io);
+	c->events = events;
+	if (events == 0)
+		return;
+	ev_io_set(&c->io, c->fd, events);
+	ev_io_start(c->links->loop, &c->io);
+}
+
+static void
+update_watch(struct conn *c)
+{
+	if (c->state == CONN_DIALLING)
+		watch(c, EV_WRITE);
+	else if (c->state == CONN_OPEN)
+		watch(c, EV_READ | (c->out.len > 0 ? EV_WRITE : 0));
+}
+
+static void
+close_socket(struct conn *c)
+{
+	watch(c, 0);
+	if (c->fd >= 0)
+		close(c->fd);
+	c->fd = -1;
+	gyp_buf_clear(&c->in);
+	gyp_buf_clear(&c->out);
+	c->frame_since = 0;
+	c->state = CONN_IDLE;
+}
+
+static void
+free_conn(gpointer p)
+{
+	struct conn *c = p;
+
+	gyp_timer_cancel(c->links->timers, c->redial);
+	close_socket(c);
+	g_free(c->address);
+	g_free(c);
+}
+
+static struct conn *
+new_conn(struct gyp_links *links)
+{
+	struct conn *c = g_new0(struct conn, 1);
+
+	c->links = links;
+	c->fd = -1;
+	c->delay_ms = GYP_DIAL_MIN_MS;
+	ev_init(&c->io, on_io);
+	c->io.data = c;
+	return c;
+}
+
+static void
+on_redial(void *arg, uint64_t now)
+{
+	struct conn *c = arg;
+
+	(void)now;
+	c->redial = NULL;
+	dial(c);
+}
+
+static void
+dial_later(struct conn *c)
+{
+	uint32_t jitter =
+	    (uint32_t)g_rand_int_range(c->links->rand, 0, (gint32)c->delay_ms);
+
+	c->redial = gyp_timer_once(
+	    c->links->timers, c->delay_ms / 2 + jitter, on_redial, c);
+	c->delay_ms = MIN(c->delay_ms * 2, GYP_DIAL_MAX_MS);
+}
+
+/* Ends a connection. An accepted one is freed; a dialled one tries again. */
+static void
+drop(struct conn *c)
+{
+	struct gyp_links *links = c->links;
+	bool was_open = c->state == CONN_OPEN;
+
+	if (c->address == NULL) {
+		if (g_hash_table_lookup(links->by_id, &c->id) == c)
+			g_hash_table_remove(links->by_id, &c->id);
+		g_ptr_array_remove_fast(links->accepted, c);
+		return;
+	}
+	close_socket(c);
+	dial_later(c);
+	if (was_open)
+		links->owner->ops->lost(links->owner, c->address);
+}
+
+static void
+dial(struct conn *c)
+{
+	struct sockaddr_storage ss;
+	uint32_t len;
+	int on = 1;
+
+	if (!gyp_address_parse(c->address, &ss, &len))
+		return;
+	c->fd =
+	    socket(ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	c->state = CONN_DIALLING;
+	c->since = gyp_clock_ms();
+	if (c->fd < 0) {
+		drop(c);
+		return;
+	}
+	setsockopt(c->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	if (connect(c->fd, (struct sockaddr *)&ss, len) != 0 &&
+	    errno != EINPROGRESS) {
+		drop(c);
+		return;
+	}
+	update_watch(c);
+}
+
+/* ---- Frames ------------------------------------------------------------ */
+
+static void
+queue_frame(struct conn *c, GBytes *packed)
+{
+	gsize len;
+	const void *data = g_bytes_get_data(packed, &len);
+
+	if (c->out.len + len + 4 > GYP_LINK_QUEUE_MAX || len > GYP_FRAME_MAX)
+		return;
+	gyp_put_u32(gyp_buf_extend(&c->out, 4), (uint32_t)len);
+	gyp_buf_append(&c->out, data, len);
+	update_watch(c);
+}
+
+static void
+take_hello(struct conn *c, const Gyp__Hello *hello)
+{
+	struct gyp_links *links = c->links;
+	struct conn *old = g_hash_table_lookup(links->by_id, &hello->id);
+
+	c->id = hello->id;
+	if (old != NULL)
+		drop(old);
+	g_hash_table_insert(links->by_id, &c->id, c);
+	links->owner->ops->introduced(links->owner, hello);
+}
+
+/* Returns false when the connection must be dropped. */
+static bool
+take_frame(struct conn *c, const Gyp__Frame *frame)
+{
+	struct gyp_links_owner *owner = c->links->owner;
+
+	if (c->address != NULL) {
+		owner->ops->answered(owner, c->address, frame);
+		return true;
+	}
+	if (c->id != 0) {
+		owner->ops->received(owner, c->id, frame);
+		return true;
+	}
+	if (frame->body_case != GYP__FRAME__BODY_HELLO || frame->hello->id == 0)
+		return false;
+	take_hello(c, frame->hello);
+	return true;
+}
+
+/* Takes whole frames from the input; false on a malformed one. */
+static bool
+take_input(struct conn *c)
+{
+	size_t used = 0;
+	bool ok = true;
+
+	while (ok && c->in.len - used >= 4) {
+		uint32_t len = gyp_get_u32(c->in.data + used);
+		Gyp__Frame *frame;
+
+		if (len > GYP_FRAME_MAX) {
+			ok = false;
+			break;
+		}
+		if (c->in.len - used - 4 < len)
+			break;
+		frame = gyp__frame__unpack(NULL, len, c->in.data + used + 4);
+		used += 4 + (size_t)len;
+		ok = frame != NULL && take_frame(c, frame);
+		gyp_message_free(frame);
+	}
+	gyp_buf_consume(&c->in, used);
+	if (c->in.len == 0)
+		c->frame_since = 0;
+	else if (used > 0 || c->frame_since == 0)
+		c->frame_since = gyp_clock_ms();
+	return ok;
+}
+
+static bool
+read_some(struct conn *c)
+{
+	uint8_t chunk[READ_BYTES];
+	ssize_t n = read(c->fd, chunk, sizeof(chunk));
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return true;
+	if (n <= 0)
+		return false;
+	gyp_buf_append(&c->in, chunk, (size_t)n);
+	return take_input(c);
+}
+
+static bool
+write_some(struct conn *c)
+{
+	ssize_t n;
+
+	if (c->out.len == 0)
+		return true;
+	n = send(c->fd, c->out.data, c->out.len, MSG_NOSIGNAL);
+	if (n < 0)
+		return errno == EAGAIN || errno == EINTR;
+	gyp_buf_consume(&c->out, (size_t)n);
+	return true;
+}
+
+static void
+finish_dial(struct conn *c)
+{
+	int error = 0;
+	socklen_t len = sizeof(error);
+
+	getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &error, &len);
+	if (error != 0) {
+		drop(c);
+		return;
+	}
+	c->state = CONN_OPEN;
+	c->delay_ms = GYP_DIAL_MIN_MS;
+	queue_frame(c, c->links->hello);
+	update_watch(c);
+	c->links->owner->ops->opened(c->links->owner, c->address);
+}
+
+static void
+on_io(struct ev_loop *loop, ev_io *w, int revents)
+{
+	struct conn *c = w->data;
+	bool ok = true;
+
+	(void)loop;
+	if (c->state == CONN_DIALLING) {
+		finish_dial(c);
+		return;
+	}
+	if (revents & EV_READ)
+		ok = read_some(c);
+	if (ok && (revents & EV_WRITE))
+		ok = write_some(c);
+	if (ok)
+		update_watch(c);
+	else
+		drop(c);
+}
+
+static void
+on_accept(struct ev_loop *loop, ev_io *w, int revents)
+{
+	struct gyp_links *links = w->data;
+	struct conn *c;
+	int on = 1;
+	int fd =
+	    accept4(links->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	(void)loop;
+	(void)revents;
+	if (fd < 0)
+		return;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	c = new_conn(links);
+	c->fd = fd;
+	c->state = CONN_OPEN;
+	c->since = gyp_clock_ms();
+	g_ptr_array_add(links->accepted, c);
+	update_watch(c);
+}
+
+/* ---- Slow connections -------------------------------------------------- */
+
+static bool
+is_too_slow(const struct conn *c, uint64_t now)
+{
+	bool waiting =
+	    c->state == CONN_DIALLING ||
+	    (c->state == CONN_OPEN && c->address == NULL && c->id == 0);
+
+	if (waiting && now > c->since + GYP_HELLO_MS)
+		return true;
+	return c->frame_since != 0 && now > c->frame_since + GYP_FRAME_MS;
+}
+
+static void
+on_sweep(void *arg, uint64_t now)
+{
+	struct gyp_links *links = arg;
+	GPtrArray *slow = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	for (i = 0; i < links->accepted->len; i++) {
+		if (is_too_slow(links->accepted->pdata[i], now))
+			g_ptr_array_add(slow, links->accepted->pdata[i]);
+	}
+	g_hash_table_iter_init(&iter, links->dialled);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (is_too_slow(value, now))
+			g_ptr_array_add(slow, value);
+	}
+	for (i = 0; i < slow->len; i++)
+		drop(slow->pdata[i]);
+	g_ptr_array_free(slow, TRUE);
+}
+
+/* ---- Door -------------------------------------------------------------- */
+
+void
+gyp_links_send(struct gyp_links *links, const char *address, GBytes *packed)
+{
+	struct conn *c = g_hash_table_lookup(links->dialled, address);
+
+	if (c == NULL) {
+		c = new_conn(links);
+		c->address = g_strdup(address);
+		g_hash_table_insert(links->dialled, c->address, c);
+		dial(c);
+	}
+	if (c->state == CONN_OPEN)
+		queue_frame(c, packed);
+}
+
+void
+gyp_links_send_to(struct gyp_links *links, uint64_t id, GBytes *packed)
+{
+	struct conn *c = g_hash_table_lookup(links->by_id, &id);
+
+	if (c != NULL)
+		queue_frame(c, packed);
+}
+
+enum gyp_status
+gyp_links_listen(
+    struct gyp_links *links, const char *address, struct gyp_error *err)
+{
+	struct sockaddr_storage ss;
+	uint32_t len;
+	int on = 1;
+
+	if (!gyp_address_parse(address, &ss, &len))
+		return gyp_fail(
+		    err, GYP_BAD_INPUT, "%s: expected ip:port", address);
+	links->listen_fd =
+	    socket(ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (links->listen_fd < 0)
+		return gyp_fail(err, GYP_IO, "socket: %s", g_strerror(errno));
+	setsockopt(links->listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(links->listen_fd, (struct sockaddr *)&ss, len) != 0 ||
+	    listen(links->listen_fd, SOMAXCONN) != 0)
+		return gyp_fail(err, GYP_IO, "listen on %s: %s", address,
+		    g_strerror(errno));
+	ev_io_init(&links->listen_io, on_accept, links->listen_fd, EV_READ);
+	links->listen_io.data = links;
+	ev_io_start(links->loop, &links->listen_io);
+	return GYP_OK;
+}
+
+struct gyp_links *
+gyp_links_new(struct ev_loop *loop, struct gyp_timers *timers,
+    struct gyp_links_owner *owner, const Gyp__Hello *hello)
+{
+	struct gyp_links *links = g_new0(struct gyp_links, 1);
+	Gyp__Frame frame = GYP__FRAME__INIT;
+
+	frame.body_case = GYP__FRAME__BODY_HELLO;
+	frame.hello = (Gyp__Hello *)hello;
+	links->loop = loop;
+	links->timers = timers;
+	links->owner = owner;
+	links->hello = gyp_message_pack(&frame.base);
+	links->rand = g_rand_new();
+	links->listen_fd = -1;
+	links->dialled =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_conn);
+	links->accepted = g_ptr_array_new_with_free_func(free_conn);
+	links->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+	links->sweep = gyp_timer_every(timers, SWEEP_MS, on_sweep, links);
+	return links;
+}
+
+void
+gyp_links_free(struct gyp_links *links)
+{
+	if (links == NULL)
+		return;
+	gyp_timer_cancel(links->timers, links->sweep);
+	if (links->listen_fd >= 0) {
+		ev_io_stop(links->loop, &links->listen_io);
+		close(links->listen_fd);
+	}
+	g_hash_table_destroy(links->by_id);
+	g_ptr_array_free(links->accepted, TRUE);
+	g_hash_table_destroy(links->dialled);
+	g_bytes_unref(links->hello);
+	g_rand_free(links->rand);
+	g_free(links);
+}
--- /dev/null
+++ b/src/log.c
@@ -0,0 +1,33 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include "log.h"
+
+/* Longest line, in bytes. */
+#define LINE_MAX_BYTES 1024
+
+static const char *log_program = "gyp";
+static enum gyp_priority log_least = GYP_LOG_INFO;
+
+void
+gyp_log_open(const char *program, enum gyp_priority least)
+{
+	log_program = program;
+	log_least = least;
+}
+
+void
+gyp_log(enum gyp_priority priority, const char *event, const char *fmt, ...)
+{
+	char fields[LINE_MAX_BYTES];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(fields, sizeof(fields), fmt, ap);
+	va_end(ap);
+	if (priority > log_least)
+		return;
+	fprintf(stderr, "<%d> %s[%d]: %s %s\n", priority, log_program,
+	    (int)getpid(), event, fields);
+}
--- /dev/null
+++ b/src/log.h
@@ -0,0 +1,27 @@
+#ifndef GYP_LOG_H
+#define GYP_LOG_H
+
+/*
+ * NAME
+ *	log - syslog-style lines on standard error
+ *
+ * DESCRIPTION
+ *	One line per event: "<priority> program[pid]: event key=value ...".
+ *	Values with spaces are for the caller to quote.
+ */
+
+enum gyp_priority {
+	GYP_LOG_ERR = 3,
+	GYP_LOG_WARNING = 4,
+	GYP_LOG_NOTICE = 5,
+	GYP_LOG_INFO = 6,
+	GYP_LOG_DEBUG = 7
+};
+
+/* Names the program and sets the least urgent priority that is written. */
+void gyp_log_open(const char *program, enum gyp_priority least);
+
+void gyp_log(enum gyp_priority, const char *event, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+
+#endif
--- /dev/null
+++ b/src/program.h
@@ -0,0 +1,32 @@
+#ifndef GYP_PROGRAM_H
+#define GYP_PROGRAM_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "settings.h"
+
+/*
+ * NAME
+ *	program - what the daemons' main functions share
+ */
+
+#define GYP_VERSION "0.1.0"
+
+struct gyp_program {
+	const char *name;
+	const char *summary;
+	const struct gyp_setting *settings;
+	size_t n_settings;
+	bool init; /* set by --init, for programs that allow it */
+	bool allow_init;
+};
+
+/*
+ * Parses the command line and loads the settings. Returns -1 to go on, or
+ * the exit code: 0 after --help, --version and --check-config, 64 for a bad
+ * command line, GYP_EXIT_SETTINGS for refused settings.
+ */
+int gyp_program_start(struct gyp_program *, int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/src/record.h
@@ -0,0 +1,41 @@
+#ifndef GYP_RECORD_H
+#define GYP_RECORD_H
+
+#include <stdint.h>
+
+#include <glib.h>
+
+/*
+ * NAME
+ *	record - what a replica writes to its disk
+ *
+ * DESCRIPTION
+ *	The replicated log asks for records to be written in order; the store
+ *	writes them and reports each batch once it is synced. An entry record
+ *	replaces all earlier entry records of its index and above.
+ */
+
+enum gyp_record_type {
+	GYP_RECORD_VOTE = 1,    /* term and vote */
+	GYP_RECORD_ENTRY = 2,   /* one log entry */
+	GYP_RECORD_SNAPSHOT = 3 /* replaces the log up to index */
+};
+
+struct gyp_record {
+	enum gyp_record_type type;
+	uint64_t term;
+	uint64_t vote;  /* replica id, 0 for none */
+	uint64_t index; /* log index of an entry or snapshot */
+	uint32_t kind;  /* Gyp__EntryKind; of a snapshot: 1 voids all entries */
+	GBytes *data;   /* entry data, or a packed Gyp__SnapshotFile */
+};
+
+/* One entry of the log in memory; data is owned. */
+struct gyp_entry {
+	uint64_t index;
+	uint64_t term;
+	uint32_t kind;
+	GBytes *data;
+};
+
+#endif
--- /dev/null
+++ b/src/replica.c
@@ -0,0 +1,546 @@
+#include <string.h>
+
+#include "msg.h"
+#include "replica_int.h"
+
+/* Most placements in one batch. */
+#define DECISIONS_MAX 512
+
+/* ---- Output queues ----------------------------------------------------- */
+
+static const char *
+member_address(const struct gyp_replica *r, uint64_t id)
+{
+	const Gyp__Config *c = gyp_raft_members(r->raft);
+	size_t i;
+
+	for (i = 0; i < c->n_members; i++) {
+		if (c->members[i]->id == id)
+			return c->members[i]->address;
+	}
+	return NULL;
+}
+
+static struct gyp_replica *
+from_io(struct gyp_raft_io *io)
+{
+	return (struct gyp_replica *)io; /* io is the first member */
+}
+
+static void
+on_send(struct gyp_raft_io *io, uint64_t to, const Gyp__RaftMsg *msg)
+{
+	struct gyp_replica *r = from_io(io);
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	struct gyp_out *out = g_new0(struct gyp_out, 1);
+
+	frame.body_case = GYP__FRAME__BODY_RAFT;
+	frame.raft = (Gyp__RaftMsg *)msg;
+	out->to = to;
+	out->address = g_strdup(member_address(r, to));
+	out->packed = gyp_message_pack(&frame.base);
+	g_queue_push_tail(&r->out, out);
+}
+
+static void
+on_write(struct gyp_raft_io *io, const struct gyp_record *rec)
+{
+	struct gyp_replica *r = from_io(io);
+	struct gyp_record *copy = g_memdup2(rec, sizeof(*rec));
+
+	if (copy->data != NULL)
+		g_bytes_ref(copy->data);
+	g_queue_push_tail(&r->records, copy);
+}
+
+bool
+gyp_replica_pop_out(struct gyp_replica *r, struct gyp_out *out)
+{
+	struct gyp_out *head = g_queue_pop_head(&r->out);
+
+	if (head == NULL)
+		return false;
+	*out = *head;
+	g_free(head);
+	return true;
+}
+
+bool
+gyp_replica_pop_record(struct gyp_replica *r, struct gyp_record *rec)
+{
+	struct gyp_record *head = g_queue_pop_head(&r->records);
+
+	if (head == NULL)
+		return false;
+	*rec = *head;
+	g_free(head);
+	return true;
+}
+
+/* ---- Committed entries ------------------------------------------------- */
+
+static void
+on_apply(struct gyp_raft_io *io, const struct gyp_entry *e)
+{
+	struct gyp_replica *r = from_io(io);
+	Gyp__Batch *batch;
+	gsize len;
+	const uint8_t *data;
+
+	if (e->kind != GYP__ENTRY_KIND__ENTRY_BATCH)
+		return;
+	data = g_bytes_get_data(e->data, &len);
+	batch = gyp__batch__unpack(NULL, len, data);
+	g_assert(batch != NULL);
+	gyp_state_apply(r->state, batch);
+	gyp__batch__free_unpacked(batch, NULL);
+	r->undecided = true;
+	if (r->leading && r->batch_index == e->index) {
+		r->batch_index = 0;
+		gyp_replica_answer_waiting(r, e->index);
+	}
+}
+
+static void
+on_restore(struct gyp_raft_io *io, const Gyp__SnapshotFile *file)
+{
+	struct gyp_replica *r = from_io(io);
+
+	if (!gyp_state_restore(r->state, file->state.data, file->state.len))
+		g_error("snapshot at index %" G_GUINT64_FORMAT " can't be read",
+		    file->index);
+}
+
+static void
+on_placed(struct gyp_state_listener *l, struct gyp_job *job, uint32_t task)
+{
+	struct gyp_replica *r = ((struct gyp_replica_listener *)l)->replica;
+	struct gyp_task_ref ref = {.job = job->id, .task = task};
+	struct gyp_entry_peer *peer;
+
+	if (!r->leading)
+		return;
+	peer = gyp_replica_entry(r, job->tasks[task].entry);
+	g_queue_push_tail(&peer->unsent, g_memdup2(&ref, sizeof(ref)));
+}
+
+static void
+on_attempt_over(
+    struct gyp_state_listener *l, struct gyp_job *job, uint32_t task)
+{
+	(void)l;
+	(void)job;
+	(void)task;
+}
+
+static void
+on_job_finished(struct gyp_state_listener *l, struct gyp_job *job)
+{
+	struct gyp_replica *r = ((struct gyp_replica_listener *)l)->replica;
+
+	if (r->leading)
+		gyp_replica_job_finished(r, job);
+}
+
+static void
+on_job_cancelled(struct gyp_state_listener *l, struct gyp_job *job)
+{
+	struct gyp_replica *r = ((struct gyp_replica_listener *)l)->replica;
+	uint32_t i;
+
+	for (i = 0; i < job->n_tasks && r->leading; i++) {
+		if (job->tasks[i].state == GYP_TASK_PLACED)
+			gyp_replica_queue_order(
+			    r, job, i, GYP__ORDER_TYPE__ORDER_STOP);
+	}
+}
+
+/* ---- Batches ----------------------------------------------------------- */
+
+void
+gyp_replica_propose(struct gyp_replica *r, const Gyp__Cmd *cmd)
+{
+	g_ptr_array_add(r->batch, gyp_message_copy(&cmd->base));
+}
+
+static Gyp__Placement *
+make_placement(struct gyp_replica *r, const struct gyp_choice *choice)
+{
+	const struct gyp_job *job = gyp_state_job(r->state, choice->job);
+	Gyp__Placement *p = g_new(Gyp__Placement, 1);
+
+	gyp__placement__init(p);
+	p->job = choice->job;
+	p->task = choice->task;
+	p->attempt = job->tasks[choice->task].attempt + 1;
+	p->endpoint = choice->endpoint;
+	p->entry = gyp_replica_pick_entry(r, job, choice->endpoint);
+	return p;
+}
+
+/* Proposes the choices of one group; returns how many there were. */
+static guint
+propose_group(struct gyp_replica *r, const GArray *choices, guint first)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdPlace place = GYP__CMD_PLACE__INIT;
+	GPtrArray *places = g_ptr_array_new_with_free_func(g_free);
+	uint32_t group = g_array_index(choices, struct gyp_choice, first).group;
+	guint i;
+
+	for (i = first; i < choices->len; i++) {
+		const struct gyp_choice *c =
+		    &g_array_index(choices, struct gyp_choice, i);
+
+		if (c->group != group)
+			break;
+		g_ptr_array_add(places, make_placement(r, c));
+	}
+	place.n_places = places->len;
+	place.places = (Gyp__Placement **)places->pdata;
+	cmd.c_case = GYP__CMD__C_PLACE;
+	cmd.place = &place;
+	gyp_replica_propose(r, &cmd);
+	g_ptr_array_free(places, TRUE);
+	return i - first;
+}
+
+static void
+decide(struct gyp_replica *r)
+{
+	GArray *choices;
+	guint i = 0;
+
+	r->undecided = false;
+	if (gyp_replica_pick_entry(r, NULL, 0) == 0)
+		return;
+	choices = g_array_new(FALSE, FALSE, sizeof(struct gyp_choice));
+	gyp_policy_decide(r->policy, r->state, DECISIONS_MAX, choices);
+	while (i < choices->len)
+		i += propose_group(r, choices, i);
+	g_array_free(choices, TRUE);
+}
+
+static void
+propose_batch(struct gyp_replica *r)
+{
+	Gyp__Batch batch = GYP__BATCH__INIT;
+	GBytes *data;
+	guint i;
+
+	batch.time_ms = r->time_base + (r->now - r->lead_since);
+	batch.n_cmds = r->batch->len;
+	batch.cmds = (Gyp__Cmd **)r->batch->pdata;
+	data = gyp_message_pack(&batch.base);
+	r->batch_index =
+	    gyp_raft_propose(r->raft, GYP__ENTRY_KIND__ENTRY_BATCH, data);
+	g_bytes_unref(data);
+	g_ptr_array_set_size(r->batch, 0);
+	for (i = 0; i < r->waiting->len; i++) {
+		struct gyp_waiting_call *w = r->waiting->pdata[i];
+
+		if (w->index == 0)
+			w->index = r->batch_index;
+	}
+}
+
+/* ---- Leadership -------------------------------------------------------- */
+
+static void
+drop_leader_state(struct gyp_replica *r)
+{
+	r->leading = false;
+	r->batch_index = 0;
+	g_ptr_array_set_size(r->batch, 0);
+	g_ptr_array_set_size(r->waiting, 0);
+	g_hash_table_remove_all(r->subscribers);
+	g_hash_table_remove_all(r->entries);
+	gyp_message_free(r->joiner);
+	r->joiner = NULL;
+}
+
+static void
+take_over(struct gyp_replica *r)
+{
+	drop_leader_state(r);
+	r->leading = true;
+	r->handing_over = false;
+	r->lead_term = gyp_raft_term(r->raft);
+	r->lead_since = r->now;
+	r->time_base = gyp_state_time(r->state);
+	r->undecided = true;
+	gyp_leases_reset(r->leases, r->now);
+}
+
+static void
+check_role(struct gyp_replica *r)
+{
+	bool ready = gyp_raft_ready(r->raft);
+
+	if (r->leading && (!ready || r->lead_term != gyp_raft_term(r->raft)))
+		drop_leader_state(r);
+	if (ready && !r->leading)
+		take_over(r);
+}
+
+bool
+gyp_replica_serving(const struct gyp_replica *r)
+{
+	return r->leading && !r->handing_over &&
+	       gyp_raft_has_lease(r->raft, r->now);
+}
+
+static void
+compact_if_large(struct gyp_replica *r)
+{
+	GBytes *state;
+
+	if (gyp_raft_log_bytes(r->raft) < r->cfg.compact_bytes)
+		return;
+	state = gyp_state_save(r->state);
+	gyp_raft_compact(r->raft, gyp_raft_applied(r->raft), state);
+	g_bytes_unref(state);
+}
+
+/* Does what the latest input made possible. */
+static void
+settle(struct gyp_replica *r)
+{
+	check_role(r);
+	compact_if_large(r);
+	if (!gyp_replica_serving(r))
+		return;
+	if (r->now >= r->duties_at)
+		gyp_replica_duties(r);
+	if (r->batch_index == 0) {
+		if (r->undecided)
+			decide(r);
+		if (r->batch->len > 0)
+			propose_batch(r);
+	}
+	gyp_replica_flush_entries(r);
+}
+
+static void
+advance(struct gyp_replica *r, uint64_t now)
+{
+	r->now = MAX(r->now, now);
+	gyp_raft_tick(r->raft, r->now);
+	check_role(r);
+}
+
+/* ---- Door -------------------------------------------------------------- */
+
+static void
+send_to_entry(struct gyp_replica *r, uint64_t entry, Gyp__EntryDown *down)
+{
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	struct gyp_out *out = g_new0(struct gyp_out, 1);
+
+	frame.body_case = GYP__FRAME__BODY_DOWN;
+	frame.down = down;
+	out->to = entry;
+	out->entry = true;
+	out->packed = gyp_message_pack(&frame.base);
+	g_queue_push_tail(&r->out, out);
+}
+
+/* Names the leader on the refusal, so that the entry need not ask around. */
+static void
+refuse_entry(struct gyp_replica *r, uint64_t entry)
+{
+	Gyp__EntryDown down = GYP__ENTRY_DOWN__INIT;
+	uint64_t leader = gyp_raft_leader(r->raft);
+	const char *address = member_address(r, leader);
+
+	down.term = gyp_raft_term(r->raft);
+	if (address != NULL && leader != r->cfg.id)
+		down.leader_address = (char *)address;
+	send_to_entry(r, entry, &down);
+}
+
+static void
+on_up(struct gyp_replica *r, uint64_t from, const Gyp__EntryUp *up)
+{
+	struct gyp_entry_peer *peer;
+	bool first;
+	size_t i;
+
+	if (!gyp_replica_serving(r)) {
+		refuse_entry(r, from);
+		return;
+	}
+	peer = gyp_replica_entry(r, from);
+	first = peer->heard == 0;
+	peer->heard = r->now;
+	peer->round = up->round;
+	peer->rules_version = up->rules_version;
+	peer->due = true;
+	if (first)
+		gyp_replica_requeue_orders(r, peer);
+	for (i = 0; i < up->n_calls; i++)
+		gyp_replica_call(r, from, up->calls[i]);
+}
+
+static void
+on_join(struct gyp_replica *r, const Gyp__Join *join)
+{
+	if (!r->leading || join->member == NULL || join->member->id == 0 ||
+	    join->member->address[0] == '\0')
+		return;
+	gyp_message_free(r->joiner);
+	r->joiner = gyp_message_copy(&join->member->base);
+}
+
+void
+gyp_replica_receive(
+    struct gyp_replica *r, uint64_t now, uint64_t from, const Gyp__Frame *frame)
+{
+	advance(r, now);
+	switch (frame->body_case) {
+	case GYP__FRAME__BODY_RAFT:
+		if (frame->raft->from == from)
+			gyp_raft_step(r->raft, r->now, frame->raft);
+		break;
+	case GYP__FRAME__BODY_UP:
+		on_up(r, from, frame->up);
+		break;
+	case GYP__FRAME__BODY_JOIN:
+		on_join(r, frame->join);
+		break;
+	default:
+		break;
+	}
+	settle(r);
+}
+
+void
+gyp_replica_entry_connected(struct gyp_replica *r, uint64_t now, uint64_t entry)
+{
+	struct gyp_entry_peer *peer;
+
+	advance(r, now);
+	peer = g_hash_table_lookup(r->entries, &entry);
+	if (peer != NULL)
+		peer->heard = 0; /* orders may be lost: send them again */
+	settle(r);
+}
+
+void
+gyp_replica_tick(struct gyp_replica *r, uint64_t now)
+{
+	advance(r, now);
+	settle(r);
+}
+
+void
+gyp_replica_synced(struct gyp_replica *r, uint64_t now, uint64_t seq)
+{
+	advance(r, now);
+	gyp_raft_synced(r->raft, r->now, seq);
+	settle(r);
+}
+
+void
+gyp_replica_load(struct gyp_replica *r, const struct gyp_record *rec)
+{
+	gyp_raft_load(r->raft, rec);
+}
+
+void
+gyp_replica_bootstrap(struct gyp_replica *r)
+{
+	gyp_raft_bootstrap(r->raft, r->cfg.address);
+}
+
+void
+gyp_replica_hand_over(struct gyp_replica *r)
+{
+	if (r->leading && gyp_raft_hand_over(r->raft))
+		r->handing_over = true;
+}
+
+/* ---- Construction ------------------------------------------------------ */
+
+static const struct gyp_raft_io_ops io_ops = {.send = on_send,
+    .write = on_write,
+    .apply = on_apply,
+    .restore = on_restore};
+
+static const struct gyp_state_listener_ops listener_ops = {.placed = on_placed,
+    .attempt_over = on_attempt_over,
+    .job_finished = on_job_finished,
+    .job_cancelled = on_job_cancelled};
+
+static void
+free_subscribers(gpointer p)
+{
+	g_array_free(p, TRUE);
+}
+
+struct gyp_replica *
+gyp_replica_new(const struct gyp_replica_config *cfg)
+{
+	struct gyp_replica *r = g_new0(struct gyp_replica, 1);
+	struct gyp_raft_config rc = {.id = cfg->id,
+	    .election_ms = cfg->election_ms,
+	    .heartbeat_ms = cfg->heartbeat_ms,
+	    .seed = cfg->seed};
+
+	r->io.ops = &io_ops;
+	r->cfg = *cfg;
+	r->cfg.address = g_strdup(cfg->address);
+	r->listener.base.ops = &listener_ops;
+	r->listener.replica = r;
+	r->raft = gyp_raft_new(&rc, &r->io);
+	r->state = gyp_state_new(&r->listener.base);
+	r->policy = gyp_policy_best_fit();
+	r->batch = g_ptr_array_new_with_free_func(gyp_message_free);
+	r->waiting = g_ptr_array_new_with_free_func(gyp_free_waiting_call);
+	r->subscribers = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, g_free, free_subscribers);
+	r->entries = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, gyp_free_entry_peer);
+	r->leases = gyp_leases_new(cfg->endpoint_lease_ms);
+	return r;
+}
+
+void
+gyp_replica_free(struct gyp_replica *r)
+{
+	struct gyp_out out;
+	struct gyp_record rec;
+
+	if (r == NULL)
+		return;
+	while (gyp_replica_pop_out(r, &out)) {
+		g_free(out.address);
+		g_bytes_unref(out.packed);
+	}
+	while (gyp_replica_pop_record(r, &rec)) {
+		if (rec.data != NULL)
+			g_bytes_unref(rec.data);
+	}
+	drop_leader_state(r);
+	g_ptr_array_free(r->batch, TRUE);
+	g_ptr_array_free(r->waiting, TRUE);
+	g_hash_table_destroy(r->subscribers);
+	g_hash_table_destroy(r->entries);
+	gyp_leases_free(r->leases);
+	gyp_state_free(r->state);
+	gyp_raft_free(r->raft);
+	g_free((char *)r->cfg.address);
+	g_free(r);
+}
+
+const struct gyp_raft *
+gyp_replica_raft(const struct gyp_replica *r)
+{
+	return r->raft;
+}
+
+const struct gyp_state *
+gyp_replica_state(const struct gyp_replica *r)
+{
+	return r->state;
+}
--- /dev/null
+++ b/src/replica.h
@@ -0,0 +1,94 @@
+#ifndef GYP_REPLICA_H
+#define GYP_REPLICA_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "policy.h"
+#include "raft.h"
+#include "record.h"
+#include "state.h"
+#include "wire.pb-c.h"
+
+/*
+ * NAME
+ *	replica - one replica of the cell: log, tables and decisions
+ *
+ * DESCRIPTION
+ *	Deterministic: time, frames and sync notices come in as arguments;
+ *	frames and records go out through two queues that the caller empties
+ *	after each call. While it leads, it answers the entries' calls, places
+ *	queued tasks and tells entries which starts to send. A start is told
+ *	only after its placement is committed.
+ *
+ *	Commands are proposed as one batch at a time; what arrives while a
+ *	batch is under way goes into the next one.
+ *
+ *	Times are milliseconds of a monotonic clock that counts suspension.
+ */
+
+struct gyp_replica_config {
+	uint64_t id;
+	const char *address; /* "ip:port" where other processes reach it */
+	uint32_t seed;
+	uint32_t election_ms;
+	uint32_t heartbeat_ms;
+	uint32_t endpoint_lease_ms;
+	uint32_t entry_lease_ms;
+	uint32_t start_window_ms; /* life of a start order */
+	uint32_t voters;          /* replicas that get a vote */
+	uint64_t compact_bytes; /* log size that makes a snapshot worthwhile */
+};
+
+/* A frame for another process. */
+struct gyp_out {
+	uint64_t to;    /* replica id or entry incarnation */
+	bool entry;     /* which of the two */
+	char *address;  /* of a replica; NULL for entries */
+	GBytes *packed; /* Gyp__Frame */
+};
+
+struct gyp_replica;
+
+struct gyp_replica *gyp_replica_new(const struct gyp_replica_config *);
+void gyp_replica_free(struct gyp_replica *);
+
+/* Starts a new cell with this replica as its only member. */
+void gyp_replica_bootstrap(struct gyp_replica *);
+
+/* Feeds stored records, in order, before the first tick. */
+void gyp_replica_load(struct gyp_replica *, const struct gyp_record *);
+
+/* Call every GYP_TICK_MS. */
+#define GYP_TICK_MS 20
+void gyp_replica_tick(struct gyp_replica *, uint64_t now);
+
+/* A frame from the process that introduced itself by the id `from`. */
+void gyp_replica_receive(
+    struct gyp_replica *, uint64_t now, uint64_t from, const Gyp__Frame *);
+
+/* The connection of an entry was opened anew. */
+void gyp_replica_entry_connected(
+    struct gyp_replica *, uint64_t now, uint64_t entry);
+
+/* Records up to the sequence number are on the disk. */
+void gyp_replica_synced(struct gyp_replica *, uint64_t now, uint64_t seq);
+
+/* Takes the next frame to send; the caller frees address and packed. */
+bool gyp_replica_pop_out(struct gyp_replica *, struct gyp_out *);
+
+/* Takes the next record to write; the caller unrefs data when not NULL. */
+bool gyp_replica_pop_record(struct gyp_replica *, struct gyp_record *);
+
+/* Stops serving and asks another replica to lead. */
+void gyp_replica_hand_over(struct gyp_replica *);
+
+/* True while this replica leads and may answer calls. */
+bool gyp_replica_serving(const struct gyp_replica *);
+
+const struct gyp_raft *gyp_replica_raft(const struct gyp_replica *);
+const struct gyp_state *gyp_replica_state(const struct gyp_replica *);
+
+#endif
--- /dev/null
+++ b/src/replica_calls.c
@@ -0,0 +1,503 @@
+#include <string.h>
+
+#include "msg.h"
+#include "replica_int.h"
+
+void
+gyp_free_waiting_call(gpointer p)
+{
+	struct gyp_waiting_call *w = p;
+
+	gyp_message_free(w->call);
+	g_free(w);
+}
+
+/* ---- Replies ----------------------------------------------------------- */
+
+static void
+reply(struct gyp_replica *r, uint64_t entry, const Gyp__Reply *msg)
+{
+	struct gyp_entry_peer *peer = gyp_replica_entry(r, entry);
+
+	g_ptr_array_add(peer->replies, gyp_message_copy(&msg->base));
+	peer->due = true;
+}
+
+static void
+reply_code(struct gyp_replica *r, uint64_t entry, uint64_t call, Gyp__Code code,
+    const char *message)
+{
+	Gyp__Reply msg = GYP__REPLY__INIT;
+
+	msg.id = call;
+	msg.code = code;
+	msg.message = (char *)message;
+	reply(r, entry, &msg);
+}
+
+/* One task's end, with its answer only where it was asked for. */
+static Gyp__CmdFinish *
+view_finish(const struct gyp_job *job, uint32_t index, bool answer)
+{
+	const struct gyp_task *t = &job->tasks[index];
+	Gyp__CmdFinish *f = g_new(Gyp__CmdFinish, 1);
+
+	gyp__cmd_finish__init(f);
+	if (t->finish != NULL)
+		*f = *t->finish;
+	f->job = job->id;
+	f->task = index;
+	f->attempt = t->attempt;
+	if (t->state == GYP_TASK_OVER)
+		f->outcome = t->last;
+	if (!answer) {
+		f->answer.data = NULL;
+		f->answer.len = 0;
+	}
+	return f;
+}
+
+static void
+reply_job(struct gyp_replica *r, uint64_t entry, uint64_t call,
+    const struct gyp_job *job, uint32_t answer_of)
+{
+	Gyp__Reply msg = GYP__REPLY__INIT;
+	Gyp__JobView view = GYP__JOB_VIEW__INIT;
+	GPtrArray *finishes = g_ptr_array_new_with_free_func(g_free);
+	uint32_t i;
+
+	for (i = 0; i < job->n_tasks; i++)
+		g_ptr_array_add(finishes, view_finish(job, i, i == answer_of));
+	view.job = job->id;
+	view.outcome = job->outcome;
+	view.reason = job->reason != NULL ? job->reason : "";
+	view.tasks = job->n_tasks;
+	view.running = job->n_placed;
+	view.n_finishes = finishes->len;
+	view.finishes = (Gyp__CmdFinish **)finishes->pdata;
+	msg.id = call;
+	msg.code = job->outcome == GYP__OUTCOME__OUTCOME_NONE
+		       ? GYP__CODE__CODE_ACCEPTED
+		       : GYP__CODE__CODE_OK;
+	msg.job = &view;
+	reply(r, entry, &msg);
+	g_ptr_array_free(finishes, TRUE);
+}
+
+static void
+subscribe(struct gyp_replica *r, uint64_t entry, uint64_t call,
+    const struct gyp_job *job)
+{
+	GArray *list = g_hash_table_lookup(r->subscribers, &job->id);
+	struct gyp_subscriber sub = {.entry = entry, .call = call};
+	guint i;
+
+	if (list == NULL) {
+		list = g_array_new(FALSE, FALSE, sizeof(struct gyp_subscriber));
+		g_hash_table_insert(
+		    r->subscribers, g_memdup2(&job->id, sizeof(job->id)), list);
+	}
+	for (i = 0; i < list->len; i++) {
+		const struct gyp_subscriber *old =
+		    &g_array_index(list, struct gyp_subscriber, i);
+
+		if (old->entry == entry && old->call == call)
+			return;
+	}
+	g_array_append_val(list, sub);
+}
+
+static void
+reply_and_subscribe(struct gyp_replica *r, uint64_t entry, uint64_t call,
+    const struct gyp_job *job)
+{
+	if (job->outcome == GYP__OUTCOME__OUTCOME_NONE)
+		subscribe(r, entry, call, job);
+	reply_job(r, entry, call, job, 0);
+}
+
+void
+gyp_replica_job_finished(struct gyp_replica *r, struct gyp_job *job)
+{
+	GArray *list = g_hash_table_lookup(r->subscribers, &job->id);
+	guint i;
+
+	for (i = 0; list != NULL && i < list->len; i++) {
+		const struct gyp_subscriber *sub =
+		    &g_array_index(list, struct gyp_subscriber, i);
+
+		reply_job(r, sub->entry, sub->call, job, 0);
+	}
+	g_hash_table_remove(r->subscribers, &job->id);
+}
+
+/* ---- Calls that write -------------------------------------------------- */
+
+/* Puts the command of a call into the next batch; answered when applied. */
+static void
+propose_call(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call,
+    const Gyp__Cmd *cmd)
+{
+	struct gyp_waiting_call *w = g_new0(struct gyp_waiting_call, 1);
+
+	gyp_replica_propose(r, cmd);
+	w->entry = entry;
+	w->call = gyp_message_copy(&call->base);
+	g_ptr_array_add(r->waiting, w);
+}
+
+/* Answers a submit from the tables; false when they hold nothing of it. */
+static bool
+answer_submit(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	const Gyp__JobSpec *spec = call->submit->spec;
+	const struct gyp_job *job;
+
+	if (spec == NULL) {
+		reply_code(r, entry, call->id, GYP__CODE__CODE_BAD,
+		    "no job specification");
+		return true;
+	}
+	job = gyp_state_job_by_key(r->state, spec->team, spec->key);
+	if (job != NULL && job->spec->digest != spec->digest) {
+		reply_code(r, entry, call->id, GYP__CODE__CODE_CONFLICT,
+		    "the key was used for a different request");
+		return true;
+	}
+	if (job != NULL) {
+		reply_and_subscribe(r, entry, call->id, job);
+		return true;
+	}
+	if (gyp_state_key_retired(r->state, spec->team, spec->key)) {
+		reply_code(r, entry, call->id, GYP__CODE__CODE_RETIRED,
+		    "the key was refused or its job is no longer kept");
+		return true;
+	}
+	return false;
+}
+
+static void
+call_submit(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+
+	if (answer_submit(r, entry, call))
+		return;
+	cmd.c_case = GYP__CMD__C_SUBMIT;
+	cmd.submit = call->submit;
+	propose_call(r, entry, call, &cmd);
+}
+
+static void
+call_report(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	const Gyp__CmdFinish *f = call->report;
+	const struct gyp_job *job = gyp_state_job(r->state, f->job);
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+
+	if (job == NULL || f->task >= job->n_tasks ||
+	    job->tasks[f->task].state != GYP_TASK_PLACED ||
+	    job->tasks[f->task].attempt != f->attempt) {
+		reply_code(r, entry, call->id, GYP__CODE__CODE_OK, "");
+		return;
+	}
+	cmd.c_case = GYP__CMD__C_FINISH;
+	cmd.finish = call->report;
+	propose_call(r, entry, call, &cmd);
+}
+
+static void
+call_cancel(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+
+	if (call->cancel->job != 0 &&
+	    gyp_state_job(r->state, call->cancel->job) == NULL) {
+		reply_code(r, entry, call->id, GYP__CODE__CODE_NOT_FOUND,
+		    "no such job");
+		return;
+	}
+	cmd.c_case = GYP__CMD__C_CANCEL;
+	cmd.cancel = call->cancel;
+	propose_call(r, entry, call, &cmd);
+}
+
+static void
+propose_endpoint_state(
+    struct gyp_replica *r, uint64_t endpoint, enum gyp_endpoint_state state)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdEndpointState es = GYP__CMD_ENDPOINT_STATE__INIT;
+
+	es.endpoint = endpoint;
+	es.state = state;
+	cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
+	cmd.endpoint_state = &es;
+	gyp_replica_propose(r, &cmd);
+}
+
+static void
+reply_endpoint(struct gyp_replica *r, uint64_t entry, uint64_t call,
+    const struct gyp_endpoint *ep)
+{
+	Gyp__Reply msg = GYP__REPLY__INIT;
+
+	msg.id = call;
+	msg.endpoint = ep->id;
+	msg.lease_ms = r->cfg.endpoint_lease_ms;
+	reply(r, entry, &msg);
+}
+
+/* An older incarnation must be gone before its name is given out again. */
+static void
+call_announce(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	const struct gyp_endpoint *ep =
+	    gyp_state_endpoint_by_name(r->state, call->announce->name);
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+
+	if (ep != NULL &&
+	    ep->spec->incarnation == call->announce->incarnation) {
+		reply_endpoint(r, entry, call->id, ep);
+		return;
+	}
+	if (ep != NULL) {
+		if (ep->state == GYP_ENDPOINT_ACTIVE)
+			propose_endpoint_state(r, ep->id, GYP_ENDPOINT_LEAVING);
+		reply_code(r, entry, call->id, GYP__CODE__CODE_BUSY,
+		    "the name's earlier lease has not run out");
+		return;
+	}
+	cmd.c_case = GYP__CMD__C_ENDPOINT;
+	cmd.endpoint = call->announce;
+	propose_call(r, entry, call, &cmd);
+}
+
+static void
+call_leave(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdEndpointState es = GYP__CMD_ENDPOINT_STATE__INIT;
+
+	if (gyp_state_endpoint(r->state, call->leave) == NULL) {
+		reply_code(r, entry, call->id, GYP__CODE__CODE_NOT_FOUND,
+		    "no such endpoint");
+		return;
+	}
+	es.endpoint = call->leave;
+	es.state = GYP_ENDPOINT_LEAVING;
+	cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
+	cmd.endpoint_state = &es;
+	propose_call(r, entry, call, &cmd);
+}
+
+static void
+call_rules(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+
+	cmd.c_case = GYP__CMD__C_RULES;
+	cmd.rules = call->rules;
+	propose_call(r, entry, call, &cmd);
+}
+
+/* ---- Calls that read --------------------------------------------------- */
+
+static bool
+runs_here(const struct gyp_replica *r, uint64_t endpoint, const Gyp__Attempt *a)
+{
+	const struct gyp_job *job = gyp_state_job(r->state, a->job);
+	const struct gyp_task *t;
+
+	if (job == NULL || a->task >= job->n_tasks || job->cancelled)
+		return false;
+	t = &job->tasks[a->task];
+	return t->state == GYP_TASK_PLACED && t->endpoint == endpoint &&
+	       t->attempt == a->attempt;
+}
+
+static void
+call_beat(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	const Gyp__Beat *beat = call->beat;
+	const struct gyp_endpoint *ep =
+	    gyp_state_endpoint(r->state, beat->endpoint);
+	Gyp__Reply msg = GYP__REPLY__INIT;
+	size_t i;
+
+	if (ep == NULL || ep->spec->incarnation != beat->incarnation) {
+		reply_code(r, entry, call->id, GYP__CODE__CODE_NOT_FOUND,
+		    "announce again");
+		return;
+	}
+	gyp_leases_renew(r->leases, ep->id, r->now, beat->clock_ms);
+	msg.id = call->id;
+	msg.endpoint = ep->id;
+	msg.lease_ms = r->cfg.endpoint_lease_ms;
+	msg.stop = g_new(Gyp__Attempt *, beat->n_running + 1);
+	for (i = 0; i < beat->n_running; i++) {
+		if (!runs_here(r, ep->id, beat->running[i]))
+			msg.stop[msg.n_stop++] = beat->running[i];
+	}
+	reply(r, entry, &msg);
+	g_free(msg.stop);
+}
+
+static void
+call_read_job(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	const Gyp__ReadJob *read = call->read_job;
+	const struct gyp_job *job = gyp_state_job(r->state, read->job);
+
+	if (job == NULL) {
+		reply_code(r, entry, call->id, GYP__CODE__CODE_NOT_FOUND,
+		    "no such job, or it is no longer kept");
+		return;
+	}
+	if (read->subscribe && job->outcome == GYP__OUTCOME__OUTCOME_NONE)
+		subscribe(r, entry, call->id, job);
+	else
+		reply_job(r, entry, call->id, job,
+		    read->answer ? read->task : UINT32_MAX);
+}
+
+static void
+call_admin(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	Gyp__Reply msg = GYP__REPLY__INIT;
+	char *json = gyp_admin_json(r, call->admin, &msg.code);
+
+	msg.id = call->id;
+	msg.json = json;
+	reply(r, entry, &msg);
+	g_free(json);
+}
+
+void
+gyp_replica_call(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	switch (call->c_case) {
+	case GYP__CALL__C_SUBMIT:
+		call_submit(r, entry, call);
+		break;
+	case GYP__CALL__C_READ_JOB:
+		call_read_job(r, entry, call);
+		break;
+	case GYP__CALL__C_CANCEL:
+		call_cancel(r, entry, call);
+		break;
+	case GYP__CALL__C_ANNOUNCE:
+		call_announce(r, entry, call);
+		break;
+	case GYP__CALL__C_BEAT:
+		call_beat(r, entry, call);
+		break;
+	case GYP__CALL__C_LEAVE:
+		call_leave(r, entry, call);
+		break;
+	case GYP__CALL__C_RULES:
+		call_rules(r, entry, call);
+		break;
+	case GYP__CALL__C_ADMIN:
+		call_admin(r, entry, call);
+		break;
+	case GYP__CALL__C_REPORT:
+		call_report(r, entry, call);
+		break;
+	default:
+		reply_code(
+		    r, entry, call->id, GYP__CODE__CODE_BAD, "unknown call");
+		break;
+	}
+}
+
+/* ---- Answers after the commit ------------------------------------------ */
+
+static void
+answer_cancel(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	const Gyp__CmdCancel *c = call->cancel;
+	const struct gyp_job *job = gyp_state_job(r->state, c->job);
+
+	if (job == NULL && c->key[0] != '\0')
+		job = gyp_state_job_by_key(r->state, c->team, c->key);
+	if (job != NULL)
+		reply_job(r, entry, call->id, job, UINT32_MAX);
+	else
+		reply_code(r, entry, call->id, GYP__CODE__CODE_RETIRED,
+		    "the key is refused from now on");
+}
+
+static void
+answer_rules(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	const struct gyp_rules_version *v =
+	    gyp_state_rules_by_request(r->state, call->rules->request);
+	const struct gyp_rules_version *newest = gyp_state_rules(r->state);
+	Gyp__Reply msg = GYP__REPLY__INIT;
+
+	msg.id = call->id;
+	if (v != NULL) {
+		msg.version = v->version;
+	} else {
+		msg.code = GYP__CODE__CODE_CONFLICT;
+		msg.message = "the rules have another version by now";
+		msg.version = newest != NULL ? newest->version : 0;
+		msg.json = newest != NULL ? newest->cmd->text : "";
+	}
+	reply(r, entry, &msg);
+}
+
+static void
+answer_announce(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	const struct gyp_endpoint *ep =
+	    gyp_state_endpoint_by_name(r->state, call->announce->name);
+
+	if (ep != NULL && ep->spec->incarnation == call->announce->incarnation)
+		reply_endpoint(r, entry, call->id, ep);
+	else
+		reply_code(r, entry, call->id, GYP__CODE__CODE_BAD,
+		    "the announcement was refused");
+}
+
+static void
+answer(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	switch (call->c_case) {
+	case GYP__CALL__C_SUBMIT:
+		if (!answer_submit(r, entry, call))
+			reply_code(r, entry, call->id, GYP__CODE__CODE_BAD,
+			    "the job was refused");
+		break;
+	case GYP__CALL__C_CANCEL:
+		answer_cancel(r, entry, call);
+		break;
+	case GYP__CALL__C_ANNOUNCE:
+		answer_announce(r, entry, call);
+		break;
+	case GYP__CALL__C_RULES:
+		answer_rules(r, entry, call);
+		break;
+	default:
+		reply_code(r, entry, call->id, GYP__CODE__CODE_OK, "");
+		break;
+	}
+}
+
+void
+gyp_replica_answer_waiting(struct gyp_replica *r, uint64_t index)
+{
+	guint i = 0;
+
+	while (i < r->waiting->len) {
+		struct gyp_waiting_call *w = r->waiting->pdata[i];
+
+		if (w->index != index) {
+			i++;
+			continue;
+		}
+		answer(r, w->entry, w->call);
+		g_ptr_array_remove_index(r->waiting, i);
+	}
+}
--- /dev/null
+++ b/src/replica_int.h
@@ -0,0 +1,102 @@
+#ifndef GYP_REPLICA_INT_H
+#define GYP_REPLICA_INT_H
+
+#include "leases.h"
+#include "replica.h"
+
+/*
+ * NAME
+ *	replica_int - what the files of a replica share
+ *
+ * DESCRIPTION
+ *	replica.c	log, batches and queues
+ *	replica_calls.c	answers to entries' calls
+ *	replica_lead.c	a leader's periodic work: leases, orders, membership
+ *	admin.c		reports for operators, as JSON
+ */
+
+struct gyp_replica_listener {
+	struct gyp_state_listener base;
+	struct gyp_replica *replica;
+};
+
+/* An entry as the leader knows it. */
+struct gyp_entry_peer {
+	uint64_t id;
+	uint64_t heard;     /* 0 before the first frame of this term */
+	uint64_t lease_end; /* our clock, with margin */
+	uint64_t round;     /* to echo */
+	uint64_t rules_version;
+	bool due;           /* owes it a frame */
+	GPtrArray *replies; /* Gyp__Reply, owned */
+	GPtrArray *orders;  /* Gyp__Order, owned */
+	GQueue unsent;      /* struct gyp_task_ref, placed but not ordered */
+};
+
+/* A call whose command is in a batch. */
+struct gyp_waiting_call {
+	uint64_t entry;
+	uint64_t index; /* of the batch, 0 while it is being filled */
+	Gyp__Call *call;
+};
+
+/* An entry's call that is answered again when the job finishes. */
+struct gyp_subscriber {
+	uint64_t entry;
+	uint64_t call;
+};
+
+struct gyp_replica {
+	struct gyp_raft_io io;
+	struct gyp_replica_config cfg;
+	struct gyp_raft *raft;
+	struct gyp_state *state;
+	struct gyp_policy *policy;
+	struct gyp_replica_listener listener;
+	GQueue out;     /* struct gyp_out */
+	GQueue records; /* struct gyp_record */
+	uint64_t now;
+
+	/* The rest is valid while leading. */
+	bool leading;
+	bool handing_over;
+	uint64_t lead_term;
+	uint64_t lead_since;
+	uint64_t time_base; /* cell time at lead_since */
+	GPtrArray *batch;   /* Gyp__Cmd, owned */
+	uint64_t batch_index;
+	bool undecided; /* the tables changed since the last decision */
+	GPtrArray *waiting;
+	GHashTable *subscribers; /* job -> GArray of struct gyp_subscriber */
+	GHashTable *entries;     /* id -> struct gyp_entry_peer */
+	struct gyp_leases *leases;
+	uint64_t duties_at;
+	uint64_t queries_at;
+	Gyp__Member *joiner; /* asks for membership, or NULL */
+};
+
+/* Adds a copy of the command to the next batch. */
+void gyp_replica_propose(struct gyp_replica *, const Gyp__Cmd *);
+
+/* replica_calls.c */
+void gyp_replica_call(struct gyp_replica *, uint64_t entry, const Gyp__Call *);
+void gyp_replica_answer_waiting(struct gyp_replica *, uint64_t index);
+void gyp_replica_job_finished(struct gyp_replica *, struct gyp_job *);
+void gyp_free_waiting_call(gpointer);
+
+/* replica_lead.c */
+struct gyp_entry_peer *gyp_replica_entry(struct gyp_replica *, uint64_t id);
+bool gyp_replica_entry_live(const struct gyp_replica *, uint64_t id);
+uint64_t gyp_replica_pick_entry(
+    const struct gyp_replica *, const struct gyp_job *, uint64_t endpoint);
+void gyp_replica_queue_order(struct gyp_replica *, const struct gyp_job *,
+    uint32_t task, Gyp__OrderType);
+void gyp_replica_requeue_orders(struct gyp_replica *, struct gyp_entry_peer *);
+void gyp_replica_duties(struct gyp_replica *);
+void gyp_replica_flush_entries(struct gyp_replica *);
+void gyp_free_entry_peer(gpointer);
+
+/* admin.c */
+char *gyp_admin_json(struct gyp_replica *, const Gyp__Admin *, Gyp__Code *);
+
+#endif
--- /dev/null
+++ b/src/replica_lead.c
@@ -0,0 +1,504 @@
+#include <string.h>
+
+#include "buf.h"
+#include "msg.h"
+#include "replica_int.h"
+
+/* Interval of the leader's periodic work, in ms. */
+#define DUTIES_MS 100
+
+/* Interval of questions about attempts whose entry is gone, in ms. */
+#define QUERIES_MS 1000
+
+/* A learner this close to the end of the log gets its vote, in entries. */
+#define CAUGHT_UP_ENTRIES 64
+
+/* ---- Entries ----------------------------------------------------------- */
+
+void
+gyp_free_entry_peer(gpointer p)
+{
+	struct gyp_entry_peer *peer = p;
+
+	g_ptr_array_free(peer->replies, TRUE);
+	g_ptr_array_free(peer->orders, TRUE);
+	g_queue_clear_full(&peer->unsent, g_free);
+	g_free(peer);
+}
+
+/*
+ * An entry that is named by a committed placement counts as live for one
+ * lease after the change of leader: it may hold a start of the old leader.
+ */
+struct gyp_entry_peer *
+gyp_replica_entry(struct gyp_replica *r, uint64_t id)
+{
+	struct gyp_entry_peer *peer = g_hash_table_lookup(r->entries, &id);
+
+	if (peer != NULL)
+		return peer;
+	peer = g_new0(struct gyp_entry_peer, 1);
+	peer->id = id;
+	peer->lease_end = gyp_lease_end(r->lead_since, r->cfg.entry_lease_ms);
+	peer->replies = g_ptr_array_new_with_free_func(gyp_message_free);
+	peer->orders = g_ptr_array_new_with_free_func(gyp_message_free);
+	g_hash_table_insert(r->entries, &peer->id, peer);
+	return peer;
+}
+
+static bool
+peer_is_live(const struct gyp_replica *r, const struct gyp_entry_peer *peer)
+{
+	return r->now <= peer->lease_end;
+}
+
+bool
+gyp_replica_entry_live(const struct gyp_replica *r, uint64_t id)
+{
+	const struct gyp_entry_peer *peer =
+	    g_hash_table_lookup(r->entries, &id);
+
+	if (peer == NULL)
+		return r->now <=
+		       gyp_lease_end(r->lead_since, r->cfg.entry_lease_ms);
+	return peer_is_live(r, peer);
+}
+
+/* An entry gets orders only after it was heard in this term. */
+static bool
+can_take_orders(const struct gyp_replica *r, const struct gyp_entry_peer *peer)
+{
+	return peer != NULL && peer->heard != 0 &&
+	       r->now < peer->heard + r->cfg.entry_lease_ms;
+}
+
+static uint64_t
+rendezvous_weight(uint64_t entry, uint64_t endpoint)
+{
+	uint64_t pair[2] = {entry, endpoint};
+	struct gyp_slice s = {(const uint8_t *)pair, sizeof(pair)};
+
+	return ((uint64_t)gyp_crc32(s) << 32) | (uint32_t)entry;
+}
+
+static uint64_t
+subscribed_entry(const struct gyp_replica *r, const struct gyp_job *job)
+{
+	const GArray *list = g_hash_table_lookup(r->subscribers, &job->id);
+	guint i;
+
+	for (i = 0; list != NULL && i < list->len; i++) {
+		uint64_t id =
+		    g_array_index(list, struct gyp_subscriber, i).entry;
+
+		if (can_take_orders(r, g_hash_table_lookup(r->entries, &id)))
+			return id;
+	}
+	return 0;
+}
+
+/*
+ * Prefers the entry where the caller waits; else few entries speak to each
+ * endpoint, by rendezvous hashing. Returns 0 when no entry is live.
+ */
+uint64_t
+gyp_replica_pick_entry(
+    const struct gyp_replica *r, const struct gyp_job *job, uint64_t endpoint)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint64_t best = 0, best_weight = 0;
+
+	if (job != NULL && (best = subscribed_entry(r, job)) != 0)
+		return best;
+	g_hash_table_iter_init(&iter, r->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gyp_entry_peer *peer = value;
+		uint64_t weight = rendezvous_weight(peer->id, endpoint);
+
+		if (can_take_orders(r, peer) &&
+		    (best == 0 || weight > best_weight)) {
+			best = peer->id;
+			best_weight = weight;
+		}
+	}
+	return best;
+}
+
+/* ---- Orders ------------------------------------------------------------ */
+
+static void
+add_order(struct gyp_replica *r, struct gyp_entry_peer *peer,
+    const struct gyp_job *job, uint32_t task, Gyp__OrderType type,
+    uint64_t not_after)
+{
+	const struct gyp_task *t = &job->tasks[task];
+	const struct gyp_endpoint *ep =
+	    gyp_state_endpoint(r->state, t->endpoint);
+	Gyp__Order order = GYP__ORDER__INIT;
+	Gyp__Attempt attempt = GYP__ATTEMPT__INIT;
+
+	attempt.job = job->id;
+	attempt.task = task;
+	attempt.attempt = t->attempt;
+	order.type = type;
+	order.attempt = &attempt;
+	order.address = ep->spec->address;
+	order.kind = job->spec->kind;
+	if (type == GYP__ORDER_TYPE__ORDER_START) {
+		order.not_after_ms = not_after;
+		order.valid_ms = r->cfg.start_window_ms;
+		order.size = job->spec->size;
+		order.payload = job->spec->payload;
+	}
+	g_ptr_array_add(peer->orders, gyp_message_copy(&order.base));
+	peer->due = true;
+}
+
+/* Any live entry may ask or stop; only the named one may start. */
+void
+gyp_replica_queue_order(struct gyp_replica *r, const struct gyp_job *job,
+    uint32_t task, Gyp__OrderType type)
+{
+	const struct gyp_task *t = &job->tasks[task];
+	uint64_t id = t->entry;
+
+	if (!can_take_orders(r, g_hash_table_lookup(r->entries, &id)))
+		id = gyp_replica_pick_entry(r, job, t->endpoint);
+	if (id != 0)
+		add_order(r, gyp_replica_entry(r, id), job, task, type, 0);
+}
+
+/* Sends a start to its entry; false when it must be tried again later. */
+static bool
+send_start(struct gyp_replica *r, struct gyp_entry_peer *peer,
+    const struct gyp_task_ref *ref)
+{
+	const struct gyp_job *job = gyp_state_job(r->state, ref->job);
+	const struct gyp_task *t;
+	uint64_t not_after;
+
+	if (job == NULL)
+		return true;
+	t = &job->tasks[ref->task];
+	if (t->state != GYP_TASK_PLACED || t->entry != peer->id)
+		return true;
+	if (job->cancelled) {
+		add_order(
+		    r, peer, job, ref->task, GYP__ORDER_TYPE__ORDER_STOP, 0);
+		return true;
+	}
+	if (!gyp_leases_not_after(r->leases, t->endpoint, r->now,
+		r->cfg.start_window_ms, &not_after))
+		return false;
+	add_order(
+	    r, peer, job, ref->task, GYP__ORDER_TYPE__ORDER_START, not_after);
+	return true;
+}
+
+static void
+send_starts(struct gyp_replica *r, struct gyp_entry_peer *peer)
+{
+	guint left = peer->unsent.length;
+
+	if (!can_take_orders(r, peer))
+		return;
+	while (left-- > 0) {
+		struct gyp_task_ref *ref = g_queue_pop_head(&peer->unsent);
+
+		if (send_start(r, peer, ref))
+			g_free(ref);
+		else
+			g_queue_push_tail(&peer->unsent, ref);
+	}
+}
+
+typedef void (*attempt_visitor)(
+    struct gyp_replica *, const struct gyp_job *, uint32_t task, void *arg);
+
+static void
+visit_attempts(struct gyp_replica *r, attempt_visitor visit, void *arg)
+{
+	const struct gyp_table *t = gyp_state_endpoints(r->state);
+	uint32_t i;
+	guint k;
+
+	for (i = 0; i < gyp_table_size(t); i++) {
+		const struct gyp_endpoint *ep = gyp_table_at(t, i, NULL);
+
+		for (k = 0; ep != NULL && k < ep->attempts->len; k++) {
+			const struct gyp_task_ref *ref = &g_array_index(
+			    ep->attempts, struct gyp_task_ref, k);
+
+			visit(r, gyp_state_job(r->state, ref->job), ref->task,
+			    arg);
+		}
+	}
+}
+
+static void
+requeue_if_named(
+    struct gyp_replica *r, const struct gyp_job *job, uint32_t task, void *arg)
+{
+	struct gyp_entry_peer *peer = arg;
+	struct gyp_task_ref ref = {.job = job->id, .task = task};
+
+	(void)r;
+	if (job->tasks[task].entry == peer->id)
+		g_queue_push_tail(&peer->unsent, g_memdup2(&ref, sizeof(ref)));
+}
+
+/* The entry drops those that it has sent already. */
+void
+gyp_replica_requeue_orders(struct gyp_replica *r, struct gyp_entry_peer *peer)
+{
+	g_queue_clear_full(&peer->unsent, g_free);
+	visit_attempts(r, requeue_if_named, peer);
+}
+
+static void
+query_if_orphan(
+    struct gyp_replica *r, const struct gyp_job *job, uint32_t task, void *arg)
+{
+	(void)arg;
+	if (!gyp_replica_entry_live(r, job->tasks[task].entry))
+		gyp_replica_queue_order(
+		    r, job, task, GYP__ORDER_TYPE__ORDER_QUERY);
+}
+
+/* ---- Expiry ------------------------------------------------------------ */
+
+static void
+expire_endpoints(struct gyp_replica *r)
+{
+	const struct gyp_table *t = gyp_state_endpoints(r->state);
+	uint32_t i;
+
+	for (i = 0; i < gyp_table_size(t); i++) {
+		uint64_t id;
+		const struct gyp_endpoint *ep = gyp_table_at(t, i, &id);
+		Gyp__Cmd cmd = GYP__CMD__INIT;
+		Gyp__CmdEndpointState es = GYP__CMD_ENDPOINT_STATE__INIT;
+
+		if (ep == NULL || !gyp_leases_expired(r->leases, id, r->now))
+			continue;
+		gyp_leases_remove(r->leases, id);
+		es.endpoint = id;
+		es.state = GYP_ENDPOINT_GONE;
+		cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
+		cmd.endpoint_state = &es;
+		gyp_replica_propose(r, &cmd);
+	}
+}
+
+static void
+expire_entries(struct gyp_replica *r)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!peer_is_live(r, value))
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void
+expire_deadlines(struct gyp_replica *r)
+{
+	uint64_t time_ms = r->time_base + (r->now - r->lead_since);
+	const GList *l;
+
+	for (l = gyp_state_queue(r->state)->head; l != NULL; l = l->next) {
+		const struct gyp_job *job = l->data;
+		Gyp__Cmd cmd = GYP__CMD__INIT;
+		Gyp__CmdCancel cancel = GYP__CMD_CANCEL__INIT;
+
+		if (job->spec->deadline_ms == 0 || job->n_placed > 0 ||
+		    time_ms < job->submitted_ms + job->spec->deadline_ms)
+			continue;
+		cancel.job = job->id;
+		cancel.reason = "not started by its deadline";
+		cmd.c_case = GYP__CMD__C_CANCEL;
+		cmd.cancel = &cancel;
+		gyp_replica_propose(r, &cmd);
+	}
+}
+
+/* ---- Membership -------------------------------------------------------- */
+
+static size_t
+count_voters(const Gyp__Config *c)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < c->n_members; i++)
+		n += c->members[i]->voter;
+	return n;
+}
+
+/* A member of the same address whose disk was lost. */
+static Gyp__Member *
+find_predecessor(const Gyp__Config *c, const Gyp__Member *m)
+{
+	size_t i;
+
+	for (i = 0; i < c->n_members; i++) {
+		if (c->members[i]->id != m->id &&
+		    strcmp(c->members[i]->address, m->address) == 0)
+			return c->members[i];
+	}
+	return NULL;
+}
+
+static void
+add_learner(struct gyp_replica *r, const Gyp__Config *c)
+{
+	Gyp__Config next = GYP__CONFIG__INIT;
+	Gyp__Member learner = *r->joiner;
+	size_t i;
+
+	for (i = 0; i < c->n_members; i++) {
+		if (c->members[i]->id == r->joiner->id)
+			return;
+	}
+	if (find_predecessor(c, r->joiner) == NULL &&
+	    c->n_members >= r->cfg.voters)
+		return;
+	learner.voter = false;
+	next.members = g_new(Gyp__Member *, c->n_members + 1);
+	for (i = 0; i < c->n_members; i++)
+		next.members[next.n_members++] = c->members[i];
+	next.members[next.n_members++] = &learner;
+	gyp_raft_change(r->raft, &next);
+	g_free(next.members);
+}
+
+/* Gives a learner its vote and removes its predecessor in one change. */
+static void
+promote(struct gyp_replica *r, const Gyp__Config *c, Gyp__Member *learner)
+{
+	Gyp__Config next = GYP__CONFIG__INIT;
+	Gyp__Member voter = *learner;
+	const Gyp__Member *old = find_predecessor(c, learner);
+	size_t i;
+
+	if (old == NULL && count_voters(c) >= r->cfg.voters)
+		return;
+	voter.voter = true;
+	next.members = g_new(Gyp__Member *, c->n_members);
+	for (i = 0; i < c->n_members; i++) {
+		if (c->members[i] == learner)
+			next.members[next.n_members++] = &voter;
+		else if (c->members[i] != old)
+			next.members[next.n_members++] = c->members[i];
+	}
+	gyp_raft_change(r->raft, &next);
+	g_free(next.members);
+}
+
+static bool
+caught_up(const struct gyp_replica *r, const Gyp__Member *m)
+{
+	return gyp_raft_heard(r->raft, m->id) + r->cfg.election_ms > r->now &&
+	       gyp_raft_match(r->raft, m->id) + CAUGHT_UP_ENTRIES >=
+		   gyp_raft_last_index(r->raft);
+}
+
+static void
+tend_members(struct gyp_replica *r)
+{
+	const Gyp__Config *c = gyp_raft_members(r->raft);
+	size_t i;
+
+	if (gyp_raft_changing(r->raft))
+		return;
+	for (i = 0; i < c->n_members; i++) {
+		if (!c->members[i]->voter && caught_up(r, c->members[i])) {
+			promote(r, c, c->members[i]);
+			return;
+		}
+	}
+	if (r->joiner != NULL) {
+		add_learner(r, c);
+		gyp_message_free(r->joiner);
+		r->joiner = NULL;
+	}
+}
+
+/* ---- Periodic work and frames ------------------------------------------ */
+
+void
+gyp_replica_duties(struct gyp_replica *r)
+{
+	r->duties_at = r->now + DUTIES_MS;
+	r->undecided = true;
+	expire_entries(r);
+	if (r->batch_index == 0) {
+		expire_endpoints(r);
+		expire_deadlines(r);
+	}
+	if (r->now >= r->queries_at) {
+		r->queries_at = r->now + QUERIES_MS;
+		visit_attempts(r, query_if_orphan, NULL);
+	}
+	tend_members(r);
+}
+
+static void
+fill_rules(const struct gyp_replica *r, const struct gyp_entry_peer *peer,
+    Gyp__EntryDown *down)
+{
+	const struct gyp_rules_version *v = gyp_state_rules(r->state);
+
+	if (v == NULL)
+		return;
+	down->rules_version = v->version;
+	if (peer->rules_version < v->version)
+		down->rules = v->cmd->text;
+}
+
+static void
+send_down(struct gyp_replica *r, struct gyp_entry_peer *peer)
+{
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__EntryDown down = GYP__ENTRY_DOWN__INIT;
+	struct gyp_out *out = g_new0(struct gyp_out, 1);
+
+	down.term = gyp_raft_term(r->raft);
+	down.leader = true;
+	down.round = peer->round;
+	down.lease_ms = r->cfg.entry_lease_ms;
+	peer->lease_end = gyp_lease_end(peer->heard, r->cfg.entry_lease_ms);
+	down.n_replies = peer->replies->len;
+	down.replies = (Gyp__Reply **)peer->replies->pdata;
+	down.n_orders = peer->orders->len;
+	down.orders = (Gyp__Order **)peer->orders->pdata;
+	fill_rules(r, peer, &down);
+	frame.body_case = GYP__FRAME__BODY_DOWN;
+	frame.down = &down;
+	out->to = peer->id;
+	out->entry = true;
+	out->packed = gyp_message_pack(&frame.base);
+	g_queue_push_tail(&r->out, out);
+	g_ptr_array_set_size(peer->replies, 0);
+	g_ptr_array_set_size(peer->orders, 0);
+	peer->due = false;
+}
+
+void
+gyp_replica_flush_entries(struct gyp_replica *r)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct gyp_entry_peer *peer = value;
+
+		send_starts(r, peer);
+		if (peer->due && peer->heard != 0)
+			send_down(r, peer);
+	}
+}
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,287 @@
+#include <sys/socket.h>
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <ini.h>
+
+#include "link.h"
+#include "settings.h"
+
+struct parse {
+	const char *path;
+	FILE *file;
+	int line;
+	const struct gyp_setting *table;
+	size_t n;
+	bool *seen;
+	struct gyp_error *err;
+	bool failed;
+};
+
+struct unit {
+	const char *name;
+	uint64_t factor;
+};
+
+static const struct unit ms_units[] = {{"ms", 1}, {"s", 1000}, {NULL, 0}};
+static const struct unit byte_units[] = {{"KiB", 1024}, {"MiB", 1024 * 1024},
+    {"GiB", 1024 * 1024 * 1024}, {NULL, 0}};
+static const struct unit plain_units[] = {{"", 1}, {NULL, 0}};
+
+static int
+refuse(struct parse *p, const struct gyp_setting *s, const char *value,
+    const char *expected)
+{
+	gyp_fail(p->err, GYP_BAD_INPUT, "%s:%d: [%s] %s = %s: expected %s",
+	    p->path, p->line, s->section, s->key, value, expected);
+	p->failed = true;
+	return 0;
+}
+
+static const struct unit *
+units_of(enum gyp_setting_type type)
+{
+	if (type == GYP_SETTING_MS)
+		return ms_units;
+	return type == GYP_SETTING_BYTES ? byte_units : plain_units;
+}
+
+static char *
+describe_number(const struct gyp_setting *s)
+{
+	static const char *const kinds[] = {
+	    [GYP_SETTING_MS] = "a time such as 500ms or 3s",
+	    [GYP_SETTING_BYTES] = "a size such as 64KiB, 8MiB or 1GiB",
+	    [GYP_SETTING_COUNT] = "a whole number"};
+
+	if (s->max == 0)
+		return g_strdup(kinds[s->type]);
+	return g_strdup_printf("%s, from %" G_GUINT64_FORMAT
+			       " to %" G_GUINT64_FORMAT " %s",
+	    kinds[s->type], s->min, s->max,
+	    s->type == GYP_SETTING_MS      ? "ms"
+	    : s->type == GYP_SETTING_BYTES ? "bytes"
+					   : "");
+}
+
+/* Reads digits and one of the units; false on anything else. */
+static bool
+parse_number(const char *value, const struct unit *units, uint64_t *out)
+{
+	char *end;
+	uint64_t v;
+
+	if (!g_ascii_isdigit(value[0]))
+		return false;
+	errno = 0;
+	v = g_ascii_strtoull(value, &end, 10);
+	if (errno != 0)
+		return false;
+	while (*end == ' ')
+		end++;
+	for (; units->name != NULL; units++) {
+		if (strcmp(end, units->name) != 0)
+			continue;
+		if (v > UINT64_MAX / units->factor)
+			return false;
+		*out = v * units->factor;
+		return true;
+	}
+	return false;
+}
+
+static int
+set_number(struct parse *p, const struct gyp_setting *s, const char *value)
+{
+	uint64_t v = 0;
+	uint64_t max = s->max != 0                    ? s->max
+		       : s->type == GYP_SETTING_BYTES ? UINT64_MAX
+						      : UINT32_MAX;
+
+	if (!parse_number(value, units_of(s->type), &v) || v < s->min ||
+	    v > max) {
+		char *expected = describe_number(s);
+
+		refuse(p, s, value, expected);
+		g_free(expected);
+		return 0;
+	}
+	if (s->type == GYP_SETTING_BYTES)
+		*(uint64_t *)s->dest = v;
+	else
+		*(uint32_t *)s->dest = (uint32_t)v;
+	return 1;
+}
+
+static bool
+is_address(const char *value)
+{
+	struct sockaddr_storage ss;
+	uint32_t len;
+
+	return gyp_address_parse(value, &ss, &len);
+}
+
+static void
+set_text(const struct gyp_setting *s, const char *value)
+{
+	char **dest = s->dest;
+
+	g_free(*dest);
+	*dest = g_strdup(value);
+}
+
+static int
+set_addresses(struct parse *p, const struct gyp_setting *s, const char *value)
+{
+	char **list = g_strsplit(value, ",", -1);
+	char ***dest = s->dest;
+	size_t i;
+
+	for (i = 0; list[i] != NULL; i++) {
+		g_strstrip(list[i]);
+		if (!is_address(list[i])) {
+			g_strfreev(list);
+			return refuse(p, s, value,
+			    "ip:port, ip:port, ... with numeric addresses");
+		}
+	}
+	g_strfreev(*dest);
+	*dest = list;
+	return 1;
+}
+
+static int
+set_folder(struct parse *p, const struct gyp_setting *s, const char *value)
+{
+	if (value[0] == '\0' || g_mkdir_with_parents(value, 0700) != 0 ||
+	    access(value, W_OK | X_OK) != 0)
+		return refuse(p, s, value, "a folder that can be written");
+	set_text(s, value);
+	return 1;
+}
+
+static int
+set_value(struct parse *p, const struct gyp_setting *s, const char *value)
+{
+	switch (s->type) {
+	case GYP_SETTING_ADDRESS:
+		if (!is_address(value))
+			return refuse(
+			    p, s, value, "ip:port with a numeric address");
+		set_text(s, value);
+		return 1;
+	case GYP_SETTING_ADDRESSES:
+		return set_addresses(p, s, value);
+	case GYP_SETTING_FOLDER:
+		return set_folder(p, s, value);
+	case GYP_SETTING_MS:
+	case GYP_SETTING_BYTES:
+	case GYP_SETTING_COUNT:
+		return set_number(p, s, value);
+	case GYP_SETTING_TEXT:
+	default:
+		if (value[0] == '\0')
+			return refuse(p, s, value, "a text");
+		set_text(s, value);
+		return 1;
+	}
+}
+
+static int
+on_value(void *user, const char *section, const char *key, const char *value)
+{
+	struct parse *p = user;
+	size_t i;
+
+	if (p->failed)
+		return 0;
+	for (i = 0; i < p->n; i++) {
+		const struct gyp_setting *s = &p->table[i];
+
+		if (strcmp(s->section, section) != 0 ||
+		    strcmp(s->key, key) != 0)
+			continue;
+		if (p->seen[i])
+			return refuse(p, s, value, "the key only once");
+		p->seen[i] = true;
+		return set_value(p, s, value);
+	}
+	gyp_fail(p->err, GYP_BAD_INPUT, "%s:%d: [%s] %s: unknown setting",
+	    p->path, p->line, section, key);
+	p->failed = true;
+	return 0;
+}
+
+/* Counts lines for the messages; the parser reads through this. */
+static char *
+read_line(char *str, int num, void *stream)
+{
+	struct parse *p = stream;
+
+	p->line++;
+	return fgets(str, num, p->file);
+}
+
+static void
+check_required(struct parse *p)
+{
+	size_t i;
+
+	for (i = 0; i < p->n && !p->failed; i++) {
+		if (!p->table[i].required || p->seen[i])
+			continue;
+		gyp_fail(p->err, GYP_BAD_INPUT,
+		    "%s:%d: [%s] %s: missing, and it has no default", p->path,
+		    p->line, p->table[i].section, p->table[i].key);
+		p->failed = true;
+	}
+}
+
+enum gyp_status
+gyp_settings_load(const char *path, const struct gyp_setting *table, size_t n,
+    struct gyp_error *err)
+{
+	struct parse p = {.path = path, .table = table, .n = n, .err = err};
+	int rc;
+
+	p.file = fopen(path, "re");
+	if (p.file == NULL)
+		return gyp_fail(err, GYP_IO, "%s: %s", path, g_strerror(errno));
+	p.seen = g_new0(bool, n);
+	rc = ini_parse_stream(read_line, &p, on_value, &p);
+	fclose(p.file);
+	if (rc != 0 && !p.failed) {
+		gyp_fail(err, GYP_BAD_INPUT,
+		    "%s:%d: expected [section] or key = value", path, rc);
+		p.failed = true;
+	}
+	check_required(&p);
+	g_free(p.seen);
+	return p.failed ? GYP_BAD_INPUT : GYP_OK;
+}
+
+void
+gyp_settings_clear(const struct gyp_setting *table, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		switch (table[i].type) {
+		case GYP_SETTING_TEXT:
+		case GYP_SETTING_ADDRESS:
+		case GYP_SETTING_FOLDER:
+			g_clear_pointer((char **)table[i].dest, g_free);
+			break;
+		case GYP_SETTING_ADDRESSES:
+			g_clear_pointer((char ***)table[i].dest, g_strfreev);
+			break;
+		default:
+			break;
+		}
+	}
+}
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,48 @@
+#ifndef GYP_SETTINGS_H
+#define GYP_SETTINGS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "status.h"
+
+/*
+ * NAME
+ *	settings - checked INI files
+ *
+ * DESCRIPTION
+ *	A program lists its settings in a table; the file may hold these and
+ *	no others. Each error names file, line and what was expected.
+ */
+
+/* Exit code of a program whose settings are refused (EX_CONFIG). */
+#define GYP_EXIT_SETTINGS 78
+
+enum gyp_setting_type {
+	GYP_SETTING_TEXT,      /* char * */
+	GYP_SETTING_ADDRESS,   /* char *, "ip:port" */
+	GYP_SETTING_ADDRESSES, /* char **, NULL-terminated, comma-separated */
+	GYP_SETTING_FOLDER,    /* char *, made if missing, must be writable */
+	GYP_SETTING_MS,        /* uint32_t, written with "ms" or "s" */
+	GYP_SETTING_BYTES,     /* uint64_t, written with "KiB", "MiB", "GiB" */
+	GYP_SETTING_COUNT      /* uint32_t, plain */
+};
+
+struct gyp_setting {
+	const char *section;
+	const char *key;
+	void *dest;   /* keeps its value when the key is not in the file */
+	uint64_t min; /* of MS, BYTES and COUNT, when max is not 0 */
+	uint64_t max;
+	enum gyp_setting_type type;
+	bool required;
+};
+
+enum gyp_status gyp_settings_load(const char *path,
+    const struct gyp_setting *table, size_t n, struct gyp_error *);
+
+/* Releases the values of the table. */
+void gyp_settings_clear(const struct gyp_setting *table, size_t n);
+
+#endif
--- /dev/null
+++ b/src/timer.c
@@ -0,0 +1,175 @@
+#include <sys/timerfd.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "timer.h"
+
+struct gyp_timer {
+	uint64_t due;
+	uint32_t interval_ms; /* 0 for once */
+	gyp_timer_fn fn;
+	void *arg;
+	GSequenceIter *place;
+};
+
+struct gyp_timers {
+	struct ev_loop *loop;
+	ev_io io; /* readable when the first subscription is due */
+	int fd;
+	GSequence *by_due;
+};
+
+uint64_t
+gyp_clock_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+static gint
+by_due(gconstpointer a, gconstpointer b, gpointer user)
+{
+	const struct gyp_timer *x = a, *y = b;
+
+	(void)user;
+	return x->due < y->due ? -1 : x->due > y->due;
+}
+
+static void
+arm(struct gyp_timers *ts)
+{
+	GSequenceIter *first = g_sequence_get_begin_iter(ts->by_due);
+	struct itimerspec when = {{0, 0}, {0, 0}};
+
+	if (!g_sequence_iter_is_end(first)) {
+		const struct gyp_timer *t = g_sequence_get(first);
+		uint64_t due = MAX(t->due, 1);
+
+		when.it_value.tv_sec = (time_t)(due / 1000);
+		when.it_value.tv_nsec = (long)(due % 1000) * 1000000;
+	}
+	timerfd_settime(ts->fd, TFD_TIMER_ABSTIME, &when, NULL);
+}
+
+static void
+insert(struct gyp_timers *ts, struct gyp_timer *t)
+{
+	t->place = g_sequence_insert_sorted(ts->by_due, t, by_due, NULL);
+}
+
+static void
+run_first(struct gyp_timers *ts, struct gyp_timer *t, uint64_t now)
+{
+	gyp_timer_fn fn = t->fn;
+	void *arg = t->arg;
+
+	g_sequence_remove(t->place);
+	if (t->interval_ms > 0) {
+		t->due = now + t->interval_ms;
+		insert(ts, t);
+	} else {
+		g_free(t);
+	}
+	fn(arg, now);
+}
+
+static void
+on_due(struct ev_loop *loop, ev_io *w, int revents)
+{
+	struct gyp_timers *ts = w->data;
+	uint64_t expirations, now = gyp_clock_ms();
+
+	(void)loop;
+	(void)revents;
+	if (read(ts->fd, &expirations, sizeof(expirations)) < 0)
+		expirations = 0;
+	for (;;) {
+		GSequenceIter *first = g_sequence_get_begin_iter(ts->by_due);
+		struct gyp_timer *t;
+
+		if (g_sequence_iter_is_end(first))
+			break;
+		t = g_sequence_get(first);
+		if (t->due > now)
+			break;
+		run_first(ts, t, now);
+	}
+	arm(ts);
+}
+
+struct gyp_timers *
+gyp_timers_new(struct ev_loop *loop)
+{
+	struct gyp_timers *ts = g_new0(struct gyp_timers, 1);
+
+	ts->loop = loop;
+	ts->by_due = g_sequence_new(NULL);
+	ts->fd = timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
+	if (ts->fd < 0)
+		g_error("timerfd_create failed");
+	ev_io_init(&ts->io, on_due, ts->fd, EV_READ);
+	ev_set_priority(&ts->io, EV_MAXPRI);
+	ts->io.data = ts;
+	ev_io_start(loop, &ts->io);
+	return ts;
+}
+
+void
+gyp_timers_free(struct gyp_timers *ts)
+{
+	GSequenceIter *it;
+
+	if (ts == NULL)
+		return;
+	ev_io_stop(ts->loop, &ts->io);
+	close(ts->fd);
+	it = g_sequence_get_begin_iter(ts->by_due);
+	for (; !g_sequence_iter_is_end(it); it = g_sequence_iter_next(it))
+		g_free(g_sequence_get(it));
+	g_sequence_free(ts->by_due);
+	g_free(ts);
+}
+
+static struct gyp_timer *
+add(struct gyp_timers *ts, uint32_t delay_ms, uint32_t interval_ms,
+    gyp_timer_fn fn, void *arg)
+{
+	struct gyp_timer *t = g_new0(struct gyp_timer, 1);
+
+	t->due = gyp_clock_ms() + delay_ms;
+	t->interval_ms = interval_ms;
+	t->fn = fn;
+	t->arg = arg;
+	insert(ts, t);
+	arm(ts);
+	return t;
+}
+
+struct gyp_timer *
+gyp_timer_every(
+    struct gyp_timers *ts, uint32_t interval_ms, gyp_timer_fn fn, void *arg)
+{
+	return add(ts, interval_ms, interval_ms, fn, arg);
+}
+
+struct gyp_timer *
+gyp_timer_once(
+    struct gyp_timers *ts, uint32_t delay_ms, gyp_timer_fn fn, void *arg)
+{
+	return add(ts, delay_ms, 0, fn, arg);
+}
+
+void
+gyp_timer_cancel(struct gyp_timers *ts, struct gyp_timer *t)
+{
+	if (t == NULL)
+		return;
+	g_sequence_remove(t->place);
+	g_free(t);
+	arm(ts);
+}
--- /dev/null
+++ b/test/endpoint.c
@@ -0,0 +1,528 @@
+/*
+ * NAME
+ *	gyp-endpoint - a stand-in for an endpoint, for demo and tests
+ *
+ * DESCRIPTION
+ *	Announces itself, sends heartbeats to the entries in turn, and "runs"
+ *	what it is given by waiting. A payload of the form "run_ms=N ..." sets
+ *	the time of one run; "fail ..." fails, "async ..." is taken with 202.
+ *	Each start and end is a line in the journal, so that tests can count.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <ev.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "httpc.h"
+#include "httpd.h"
+#include "json.h"
+#include "log.h"
+#include "timer.h"
+
+/* Interval of heartbeats, in ms. */
+#define BEAT_MS 500
+
+/* Interval of the check of runs and lease, in ms. */
+#define STEP_MS 10
+
+enum run_state { RUN_RUNNING, RUN_DONE, RUN_FAILED, RUN_REFUSED };
+
+struct run {
+	char *attempt;
+	enum run_state state;
+	uint64_t end;
+	bool fail;
+	bool async;
+	bool delivered; /* the end of an async run */
+	bool delivering;
+	char *answer;
+	struct gyp_http_request *req; /* held until the end */
+};
+
+struct options {
+	char *name;
+	char *listen;
+	char *entries;
+	char *rack;
+	char *data_centre;
+	char *journal;
+	gint cpu_milli;
+	gint memory_mib;
+	gint slots;
+	gint connections;
+	gint run_ms;
+};
+
+struct app {
+	struct gyp_httpd_owner owner;
+	struct options o;
+	struct ev_loop *loop;
+	struct gyp_timers *timers;
+	struct gyp_httpd *httpd;
+	struct gyp_httpc *httpc;
+	char **entries;
+	guint next_entry;
+	char incarnation[GYP_HEX_MAX];
+	char id[GYP_HEX_MAX]; /* "" before the announcement */
+	uint64_t lease_end;
+	uint64_t beat_sent;
+	bool calling;
+	bool leaving;
+	GHashTable *runs; /* attempt -> struct run */
+	FILE *journal;
+};
+
+static void
+note(struct app *app, const char *what, const char *attempt)
+{
+	if (app->journal == NULL)
+		return;
+	fprintf(app->journal, "%s %s %s\n", what, attempt, app->o.name);
+	fflush(app->journal);
+}
+
+/* ---- Runs -------------------------------------------------------------- */
+
+static const char *
+state_name(enum run_state state)
+{
+	static const char *const names[] = {
+	    "running", "done", "failed", "refused"};
+
+	return names[state];
+}
+
+static void
+reply_run(struct app *app, struct gyp_http_request *req, const struct run *r)
+{
+	unsigned status = r->state == RUN_RUNNING   ? 202
+			  : r->state == RUN_DONE    ? 200
+			  : r->state == RUN_REFUSED ? 409
+						    : 500;
+	const char *text = r->answer != NULL ? r->answer : "";
+
+	(void)app;
+	gyp_http_add_header(req, "Gyp-State", state_name(r->state));
+	gyp_http_reply(req, status, "text/plain", text, strlen(text));
+}
+
+static struct run *
+new_run(struct app *app, const char *attempt)
+{
+	struct run *r = g_new0(struct run, 1);
+
+	r->attempt = g_strdup(attempt);
+	g_hash_table_insert(app->runs, r->attempt, r);
+	return r;
+}
+
+static void
+end_run(struct app *app, struct run *r, enum run_state state)
+{
+	r->state = state;
+	note(app, state_name(state), r->attempt);
+	if (r->req != NULL)
+		reply_run(app, r->req, r);
+	r->req = NULL;
+}
+
+static bool
+is_late(const struct app *app, const struct gyp_http_request *req)
+{
+	const char *text = gyp_http_header(req, "Gyp-Not-After");
+	uint64_t now = gyp_clock_ms();
+
+	return text == NULL || now > g_ascii_strtoull(text, NULL, 10) ||
+	       now > app->lease_end;
+}
+
+static void
+start_run(struct app *app, struct gyp_http_request *req, const char *attempt)
+{
+	struct gyp_slice body = gyp_http_body(req);
+	char *payload = g_strndup((const char *)body.data, body.len);
+	struct run *r = new_run(app, attempt);
+	const char *ms = strstr(payload, "run_ms=");
+
+	if (is_late(app, req)) {
+		end_run(app, r, RUN_REFUSED);
+		reply_run(app, req, r);
+		g_free(payload);
+		return;
+	}
+	note(app, "start", attempt);
+	r->end =
+	    gyp_clock_ms() + (ms != NULL ? g_ascii_strtoull(ms + 7, NULL, 10)
+					 : (uint64_t)app->o.run_ms);
+	r->fail = g_str_has_prefix(payload, "fail");
+	r->async = g_str_has_prefix(payload, "async");
+	r->answer =
+	    g_strdup_printf("%s ran %s: %s\n", app->o.name, attempt, payload);
+	if (r->async)
+		reply_run(app, req, r);
+	else
+		r->req = req;
+	g_free(payload);
+}
+
+/* A question about an attempt never seen refuses it from then on. */
+static void
+ask_run(struct app *app, struct gyp_http_request *req, const char *attempt)
+{
+	struct run *r = g_hash_table_lookup(app->runs, attempt);
+
+	if (r == NULL) {
+		r = new_run(app, attempt);
+		end_run(app, r, RUN_REFUSED);
+	}
+	reply_run(app, req, r);
+}
+
+static void
+stop_run(struct app *app, struct gyp_http_request *req, const char *attempt)
+{
+	struct run *r = g_hash_table_lookup(app->runs, attempt);
+
+	if (r != NULL && r->state == RUN_RUNNING) {
+		r->delivered = true;
+		end_run(app, r, RUN_FAILED);
+	}
+	ask_run(app, req, attempt);
+}
+
+static void
+on_attempt(struct app *app, struct gyp_http_request *req, const char *attempt,
+    const char *verb)
+{
+	bool seen = g_hash_table_contains(app->runs, attempt);
+
+	if (strcmp(verb, "stop") == 0)
+		stop_run(app, req, attempt);
+	else if (strcmp(verb, "start") == 0 && !seen)
+		start_run(app, req, attempt);
+	else
+		ask_run(app, req, attempt);
+}
+
+static void
+on_request(struct gyp_httpd_owner *owner, struct gyp_http_request *req)
+{
+	struct app *app = (struct app *)owner;
+	char **seg = g_strsplit(gyp_http_path(req), "/", 6);
+	guint n = g_strv_length(seg);
+
+	if (n >= 4 && strcmp(seg[2], "attempts") == 0)
+		on_attempt(app, req, seg[3], n >= 5 ? seg[4] : "");
+	else
+		gyp_http_reply(req, 404, "text/plain", "", 0);
+	g_strfreev(seg);
+}
+
+/* ---- Calls to the entries ---------------------------------------------- */
+
+static char *
+entry_url(struct app *app, const char *path)
+{
+	const char *entry = app->entries[app->next_entry];
+
+	app->next_entry = (app->next_entry + 1) % g_strv_length(app->entries);
+	return g_strdup_printf("http://%s%s", entry, path);
+}
+
+static void
+call(struct app *app, const char *method, const char *path, const char *body,
+    gyp_httpc_fn done, void *arg)
+{
+	static const char *const headers[] = {
+	    "Content-Type: application/json", NULL};
+	char *url = entry_url(app, path);
+	struct gyp_httpc_request req = {.method = method,
+	    .url = url,
+	    .headers = headers,
+	    .body = body,
+	    .len = strlen(body),
+	    .answer_max = 64 * 1024,
+	    .timeout_ms = 2000,
+	    .done = done,
+	    .arg = arg};
+
+	gyp_httpc_send(app->httpc, &req);
+	g_free(url);
+}
+
+static void
+stop_named(struct app *app, json_t *list)
+{
+	size_t i;
+
+	for (i = 0; i < json_array_size(list); i++) {
+		const char *attempt =
+		    json_string_value(json_array_get(list, i));
+		struct run *r = attempt != NULL
+				    ? g_hash_table_lookup(app->runs, attempt)
+				    : NULL;
+
+		if (r != NULL && r->state == RUN_RUNNING)
+			end_run(app, r, RUN_FAILED);
+	}
+}
+
+static void
+on_called(void *arg, const struct gyp_httpc_result *res)
+{
+	struct app *app = arg;
+	json_t *json;
+
+	app->calling = false;
+	if (res->end != GYP_HTTPC_ANSWERED)
+		return;
+	if (res->status == 404)
+		app->id[0] = '\0';
+	if (res->status != 200)
+		return;
+	json = json_loadb((const char *)res->body, res->len, 0, NULL);
+	if (json == NULL)
+		return;
+	g_strlcpy(
+	    app->id, gyp_json_string(json, "endpoint", ""), sizeof(app->id));
+	app->lease_end = app->beat_sent + gyp_json_u64(json, "lease_ms");
+	stop_named(app, json_object_get(json, "stop"));
+	json_decref(json);
+}
+
+static void
+announce(struct app *app)
+{
+	json_t *json = json_pack("{s:s,s:s,s:s,s:s,s:s,s:i,s:I,s:i,s:i}",
+	    "name", app->o.name, "address", app->o.listen, "rack", app->o.rack,
+	    "data_centre", app->o.data_centre, "incarnation", app->incarnation,
+	    "cpu_milli", app->o.cpu_milli, "memory_bytes",
+	    (json_int_t)app->o.memory_mib * 1024 * 1024, "slots", app->o.slots,
+	    "connections", app->o.connections);
+	char *body = json_dumps(json, JSON_COMPACT);
+
+	call(app, "POST", "/v1/endpoints", body, on_called, app);
+	free(body);
+	json_decref(json);
+}
+
+static json_t *
+list_running(struct app *app)
+{
+	json_t *list = json_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, app->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct run *r = value;
+
+		if (r->state == RUN_RUNNING)
+			json_array_append_new(list, json_string(r->attempt));
+	}
+	return list;
+}
+
+static void
+beat(struct app *app)
+{
+	json_t *json = json_pack("{s:s,s:I,s:{},s:o}", "incarnation",
+	    app->incarnation, "clock_ms", (json_int_t)gyp_clock_ms(), "used",
+	    "running", list_running(app));
+	char *body = json_dumps(json, JSON_COMPACT);
+	char *path = g_strdup_printf("/v1/endpoints/%s/heartbeat", app->id);
+
+	call(app, "POST", path, body, on_called, app);
+	g_free(path);
+	free(body);
+	json_decref(json);
+}
+
+static void
+on_beat(void *arg, uint64_t now)
+{
+	struct app *app = arg;
+
+	if (app->calling)
+		return;
+	app->calling = true;
+	app->beat_sent = now;
+	if (app->id[0] == '\0')
+		announce(app);
+	else
+		beat(app);
+}
+
+/* ---- Time -------------------------------------------------------------- */
+
+struct delivery {
+	struct app *app;
+	char *attempt;
+};
+
+static void
+on_delivered(void *arg, const struct gyp_httpc_result *res)
+{
+	struct delivery *d = arg;
+	struct run *r = g_hash_table_lookup(d->app->runs, d->attempt);
+
+	r->delivering = false;
+	r->delivered = res->end == GYP_HTTPC_ANSWERED && res->status == 200;
+	g_free(d->attempt);
+	g_free(d);
+}
+
+static void
+deliver(struct app *app, struct run *r)
+{
+	const char *headers[] = {
+	    r->state == RUN_DONE ? "Gyp-State: done" : "Gyp-State: failed",
+	    "Content-Type: text/plain", NULL};
+	char *path = g_strdup_printf("/v1/attempts/%s/finished", r->attempt);
+	char *url = entry_url(app, path);
+	struct delivery *d = g_new0(struct delivery, 1);
+	struct gyp_httpc_request req = {.method = "POST",
+	    .url = url,
+	    .headers = headers,
+	    .body = r->answer,
+	    .len = strlen(r->answer),
+	    .answer_max = 1024,
+	    .timeout_ms = 2000,
+	    .done = on_delivered,
+	    .arg = d};
+
+	d->app = app;
+	d->attempt = g_strdup(r->attempt);
+	r->delivering = true;
+	gyp_httpc_send(app->httpc, &req);
+	g_free(url);
+	g_free(path);
+}
+
+static void
+step_run(struct app *app, struct run *r, uint64_t now)
+{
+	if (r->state == RUN_RUNNING && now > app->lease_end)
+		end_run(app, r, RUN_FAILED);
+	else if (r->state == RUN_RUNNING && now >= r->end)
+		end_run(app, r, r->fail ? RUN_FAILED : RUN_DONE);
+	if (r->async && r->state != RUN_RUNNING && !r->delivered &&
+	    !r->delivering)
+		deliver(app, r);
+}
+
+static void
+on_step(void *arg, uint64_t now)
+{
+	struct app *app = arg;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, app->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		step_run(app, value, now);
+}
+
+static void
+on_term(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	(void)w;
+	(void)revents;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+/* ---- Main -------------------------------------------------------------- */
+
+static const struct gyp_httpd_owner_ops owner_ops = {.request = on_request};
+
+static void
+free_run(gpointer p)
+{
+	struct run *r = p;
+
+	g_free(r->attempt);
+	g_free(r->answer);
+	g_free(r);
+}
+
+static bool
+parse(struct options *o, int argc, char **argv)
+{
+	GOptionEntry entries[] = {
+	    {"name", 0, 0, G_OPTION_ARG_STRING, &o->name, "Name", "S"},
+	    {"listen", 0, 0, G_OPTION_ARG_STRING, &o->listen, "Address",
+		"IP:PORT"},
+	    {"entries", 0, 0, G_OPTION_ARG_STRING, &o->entries, "Entries",
+		"IP:PORT,..."},
+	    {"rack", 0, 0, G_OPTION_ARG_STRING, &o->rack, "Rack", "S"},
+	    {"data-centre", 0, 0, G_OPTION_ARG_STRING, &o->data_centre,
+		"Data centre", "S"},
+	    {"journal", 0, 0, G_OPTION_ARG_STRING, &o->journal,
+		"File of starts and ends", "FILE"},
+	    {"cpu", 0, 0, G_OPTION_ARG_INT, &o->cpu_milli,
+		"Processors, in thousandths", "N"},
+	    {"memory", 0, 0, G_OPTION_ARG_INT, &o->memory_mib, "Memory, in MiB",
+		"N"},
+	    {"slots", 0, 0, G_OPTION_ARG_INT, &o->slots, "Slots", "N"},
+	    {"run-ms", 0, 0, G_OPTION_ARG_INT, &o->run_ms,
+		"Time of a run, in ms", "N"},
+	    {NULL, 0, 0, 0, NULL, NULL, NULL}};
+	GOptionContext *ctx = g_option_context_new(NULL);
+	GError *error = NULL;
+	bool ok;
+
+	g_option_context_add_main_entries(ctx, entries, NULL);
+	ok = g_option_context_parse(ctx, &argc, &argv, &error);
+	g_option_context_free(ctx);
+	if (!ok) {
+		fprintf(stderr, "gyp-endpoint: %s\n", error->message);
+		g_error_free(error);
+	}
+	return ok && o->name != NULL && o->listen != NULL && o->entries != NULL;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct app app = {.o = {.rack = "rack-1",
+			      .data_centre = "dc-1",
+			      .cpu_milli = 32000,
+			      .memory_mib = 65536,
+			      .slots = 8,
+			      .connections = 64,
+			      .run_ms = 50}};
+	struct gyp_error err = {.code = GYP_OK};
+	ev_signal term;
+
+	gyp_log_open("gyp-endpoint", GYP_LOG_INFO);
+	if (!parse(&app.o, argc, argv))
+		return 64;
+	app.owner.ops = &owner_ops;
+	app.entries = g_strsplit(app.o.entries, ",", -1);
+	gyp_hex(
+	    ((uint64_t)g_random_int() << 32) | g_random_int(), app.incarnation);
+	app.runs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_run);
+	if (app.o.journal != NULL)
+		app.journal = fopen(app.o.journal, "ae");
+	app.loop = ev_default_loop(EVFLAG_AUTO);
+	app.timers = gyp_timers_new(app.loop);
+	app.httpc = gyp_httpc_new(app.loop, app.timers);
+	app.httpd =
+	    gyp_httpd_new(app.loop, app.timers, &app.owner, app.o.listen, &err);
+	if (app.httpd == NULL) {
+		gyp_log(GYP_LOG_ERR, "start-failed", "%s", err.message);
+		return 1;
+	}
+	ev_signal_init(&term, on_term, SIGTERM);
+	ev_signal_start(app.loop, &term);
+	gyp_timer_once(app.timers, 0, on_beat, &app);
+	gyp_timer_every(app.timers, BEAT_MS, on_beat, &app);
+	gyp_timer_every(app.timers, STEP_MS, on_step, &app);
+	ev_run(app.loop, 0);
+	gyp_httpc_free(app.httpc);
+	_Exit(0); /* held requests are cut, as when an endpoint dies */
+}
--- /dev/null
+++ b/test/test_state.c
@@ -0,0 +1,224 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "msg.h"
+#include "state.h"
+
+static void
+apply(struct gyp_state *s, Gyp__Cmd *cmd)
+{
+	Gyp__Batch batch = GYP__BATCH__INIT;
+
+	batch.time_ms = gyp_state_time(s) + 1;
+	batch.n_cmds = 1;
+	batch.cmds = &cmd;
+	gyp_state_apply(s, &batch);
+	gyp_state_check(s);
+}
+
+static void
+add_endpoint(struct gyp_state *s, const char *name, uint32_t cpu)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdEndpoint ep = GYP__CMD_ENDPOINT__INIT;
+	Gyp__Res cap = GYP__RES__INIT;
+
+	cap.cpu_milli = cpu;
+	cap.memory = 1 << 30;
+	cap.slots = 8;
+	ep.name = (char *)name;
+	ep.capacity = &cap;
+	cmd.c_case = GYP__CMD__C_ENDPOINT;
+	cmd.endpoint = &ep;
+	apply(s, &cmd);
+}
+
+static uint64_t
+submit(struct gyp_state *s, const char *key, uint32_t tasks, uint32_t cpu,
+    bool idempotent)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdSubmit sub = GYP__CMD_SUBMIT__INIT;
+	Gyp__JobSpec spec = GYP__JOB_SPEC__INIT;
+	Gyp__Res size = GYP__RES__INIT;
+
+	size.cpu_milli = cpu;
+	size.slots = 1;
+	spec.team = "t";
+	spec.key = (char *)key;
+	spec.tasks = tasks;
+	spec.size = &size;
+	spec.idempotent = idempotent;
+	sub.spec = &spec;
+	cmd.c_case = GYP__CMD__C_SUBMIT;
+	cmd.submit = &sub;
+	apply(s, &cmd);
+	return gyp_state_job_by_key(s, "t", key)->id;
+}
+
+static void
+place(struct gyp_state *s, uint64_t job, uint32_t task, uint32_t attempt,
+    const char *endpoint)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdPlace pl = GYP__CMD_PLACE__INIT;
+	Gyp__Placement p = GYP__PLACEMENT__INIT;
+	Gyp__Placement *list[] = {&p};
+
+	p.job = job;
+	p.task = task;
+	p.attempt = attempt;
+	p.endpoint = gyp_state_endpoint_by_name(s, endpoint)->id;
+	p.entry = 7;
+	pl.n_places = 1;
+	pl.places = list;
+	cmd.c_case = GYP__CMD__C_PLACE;
+	cmd.place = &pl;
+	apply(s, &cmd);
+}
+
+static void
+finish(struct gyp_state *s, uint64_t job, uint32_t task, uint32_t attempt,
+    Gyp__Outcome outcome)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdFinish f = GYP__CMD_FINISH__INIT;
+
+	f.job = job;
+	f.task = task;
+	f.attempt = attempt;
+	f.outcome = outcome;
+	cmd.c_case = GYP__CMD__C_FINISH;
+	cmd.finish = &f;
+	apply(s, &cmd);
+}
+
+static void
+cancel(struct gyp_state *s, uint64_t job)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdCancel c = GYP__CMD_CANCEL__INIT;
+
+	c.job = job;
+	c.reason = "test";
+	cmd.c_case = GYP__CMD__C_CANCEL;
+	cmd.cancel = &c;
+	apply(s, &cmd);
+}
+
+static void
+test_capacity(void)
+{
+	struct gyp_state *s = gyp_state_new(NULL);
+	uint64_t a, b;
+
+	add_endpoint(s, "e", 1000);
+	a = submit(s, "a", 1, 600, true);
+	b = submit(s, "b", 1, 600, true);
+	place(s, a, 0, 1, "e");
+	place(s, b, 0, 1, "e");
+	g_assert_cmpint(
+	    gyp_state_job(s, a)->tasks[0].state, ==, GYP_TASK_PLACED);
+	g_assert_cmpint(
+	    gyp_state_job(s, b)->tasks[0].state, ==, GYP_TASK_QUEUED);
+	gyp_state_free(s);
+}
+
+static void
+test_not_idempotent(void)
+{
+	struct gyp_state *s = gyp_state_new(NULL);
+	uint64_t a;
+
+	add_endpoint(s, "e", 1000);
+	a = submit(s, "a", 1, 100, false);
+	place(s, a, 0, 1, "e");
+	finish(s, a, 0, 1, GYP__OUTCOME__OUTCOME_UNKNOWN);
+	g_assert_cmpint(
+	    gyp_state_job(s, a)->outcome, ==, GYP__OUTCOME__OUTCOME_UNKNOWN);
+	place(s, a, 0, 2, "e");
+	g_assert_cmpuint(gyp_state_job(s, a)->tasks[0].attempt, ==, 1);
+	gyp_state_free(s);
+}
+
+/* A job whose first attempt may have run is never called not run. */
+static void
+test_not_run_is_true(void)
+{
+	struct gyp_state *s = gyp_state_new(NULL);
+	uint64_t a, b;
+
+	add_endpoint(s, "e", 1000);
+	a = submit(s, "a", 1, 100, true);
+	place(s, a, 0, 1, "e");
+	finish(s, a, 0, 1, GYP__OUTCOME__OUTCOME_UNKNOWN);
+	cancel(s, a);
+	g_assert_cmpint(
+	    gyp_state_job(s, a)->outcome, ==, GYP__OUTCOME__OUTCOME_UNKNOWN);
+	b = submit(s, "b", 1, 100, true);
+	cancel(s, b);
+	g_assert_cmpint(
+	    gyp_state_job(s, b)->outcome, ==, GYP__OUTCOME__OUTCOME_NOT_RUN);
+	gyp_state_free(s);
+}
+
+static void
+test_late_report(void)
+{
+	struct gyp_state *s = gyp_state_new(NULL);
+	uint64_t a;
+
+	add_endpoint(s, "e", 1000);
+	a = submit(s, "a", 1, 100, true);
+	place(s, a, 0, 1, "e");
+	finish(s, a, 0, 1, GYP__OUTCOME__OUTCOME_UNKNOWN);
+	place(s, a, 0, 2, "e");
+	finish(s, a, 0, 1, GYP__OUTCOME__OUTCOME_DONE);
+	g_assert_cmpint(
+	    gyp_state_job(s, a)->tasks[0].state, ==, GYP_TASK_PLACED);
+	gyp_state_free(s);
+}
+
+/* A restored copy equals the original, byte for byte. */
+static void
+test_snapshot(void)
+{
+	struct gyp_state *s = gyp_state_new(NULL);
+	struct gyp_state *copy = gyp_state_new(NULL);
+	GBytes *saved, *again;
+	gsize len;
+	const uint8_t *data;
+	uint64_t a;
+
+	add_endpoint(s, "e", 1000);
+	add_endpoint(s, "f", 1000);
+	a = submit(s, "a", 3, 300, true);
+	submit(s, "b", 1, 100, false);
+	place(s, a, 0, 1, "e");
+	place(s, a, 1, 1, "f");
+	finish(s, a, 0, 1, GYP__OUTCOME__OUTCOME_DONE);
+	saved = gyp_state_save(s);
+	data = g_bytes_get_data(saved, &len);
+	g_assert_true(gyp_state_restore(copy, data, len));
+	gyp_state_check(copy);
+	again = gyp_state_save(copy);
+	g_assert_true(g_bytes_equal(saved, again));
+	g_assert_false(gyp_state_restore(copy, (const uint8_t *)"\xff", 1));
+	g_bytes_unref(saved);
+	g_bytes_unref(again);
+	gyp_state_free(s);
+	gyp_state_free(copy);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/state/capacity", test_capacity);
+	g_test_add_func("/state/not-idempotent", test_not_idempotent);
+	g_test_add_func("/state/not-run-is-true", test_not_run_is_true);
+	g_test_add_func("/state/late-report", test_late_report);
+	g_test_add_func("/state/snapshot", test_snapshot);
+	return g_test_run();
+}
