Agree on the interface of parsed rules

Cause: the parser, the policy and the operators' tools are written side by side and meet at this header. Ruled out: handing the policy the text, which would put a second parser there.

--- /dev/null
+++ b/src/rules.h
@@ -0,0 +1,152 @@
+#ifndef GYP_RULES_H
+#define GYP_RULES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "buf.h"
+#include "state.h"
+#include "status.h"
+
+/*
+ * NAME
+ *	rules - the operators' rules, one a line
+ *
+ * DESCRIPTION
+ *	A line is a verb, a subject where the verb has one, key=value pairs
+ *	and a comment that names who asked for it:
+ *
+ *	weight CLASS waiting=N packing=N	# name: reason
+ *	quota TEAM cpu=N memory=SIZE accel=N slots=N
+ *	share TEAM N
+ *	urgent CLASS within=TIME
+ *	limit endpoint tasks=N
+ *	limit rack tasks=N			tasks of one job in one rack
+ *	spread CLASS over=rack|data-centre
+ *	reserve cpu=N% memory=N%		kept free for urgent work
+ *	retry CLASS attempts=N budget=N%
+ *	preempt CLASS by=CLASS
+ *	quarantine failures=N within=TIME for=TIME
+ *	learn CLASS margin=N%
+ *
+ *	CLASS and TEAM may be "*": the fallback for those not named. Times are
+ *	written with ms, s or m, sizes with KiB, MiB or GiB. Empty lines and
+ *	lines of comment alone are allowed. A rule without a comment, an
+ *	unknown verb or key, a wrong unit and a rule that stands twice are
+ *	refused with file, line and column.
+ *
+ *	Parsed rules are read-only and hold no pointer into the text.
+ */
+
+/* Largest rules text, in bytes. */
+#define GYP_RULES_MAX (64 * 1024)
+
+enum gyp_rule_verb {
+	GYP_RULE_WEIGHT,
+	GYP_RULE_QUOTA,
+	GYP_RULE_SHARE,
+	GYP_RULE_URGENT,
+	GYP_RULE_LIMIT,
+	GYP_RULE_SPREAD,
+	GYP_RULE_RESERVE,
+	GYP_RULE_RETRY,
+	GYP_RULE_PREEMPT,
+	GYP_RULE_QUARANTINE,
+	GYP_RULE_LEARN
+};
+
+enum gyp_spread_domain {
+	GYP_SPREAD_NONE,
+	GYP_SPREAD_RACK,
+	GYP_SPREAD_DATA_CENTRE
+};
+
+/* Amount that stands for "no limit". */
+#define GYP_UNLIMITED UINT32_MAX
+
+/* One line; `line` counts from 1 and is 0 for a built-in default. */
+struct gyp_rule {
+	enum gyp_rule_verb verb;
+	uint32_t line;
+	char *subject;  /* class, team, "endpoint", "rack", or "" */
+	char *text;     /* the line as written */
+	char *asked_by; /* its comment */
+	union {
+		struct {
+			uint32_t waiting; /* relative weights */
+			uint32_t packing;
+		} weight;
+		struct gyp_res quota; /* most booked at a time by the team */
+		uint32_t share;       /* relative */
+		uint32_t within_ms;   /* of urgent */
+		uint32_t tasks;       /* of limit */
+		enum gyp_spread_domain over;
+		struct {
+			uint32_t cpu_percent;
+			uint32_t memory_percent;
+		} reserve;
+		struct {
+			uint32_t attempts;
+			uint32_t budget_percent; /* retries per 100 starts */
+		} retry;
+		char *by; /* class that may preempt the subject */
+		struct {
+			uint32_t failures; /* of different jobs */
+			uint32_t within_ms;
+			uint32_t for_ms;
+		} quarantine;
+		uint32_t margin_percent; /* of learn */
+	} u;
+};
+
+struct gyp_rules;
+
+/* Parses a text; name is used in messages. NULL on failure. */
+struct gyp_rules *gyp_rules_parse(
+    const char *name, struct gyp_slice text, struct gyp_error *);
+
+/* No lines: every lookup gives the built-in default. */
+struct gyp_rules *gyp_rules_defaults(void);
+void gyp_rules_free(struct gyp_rules *);
+
+/*
+ * The rule for a class or team: its own line, else that of "*", else the
+ * built-in default. Never NULL, but for preempt, quarantine, learn and
+ * reserve, which have no default.
+ */
+const struct gyp_rule *gyp_rules_weight(
+    const struct gyp_rules *, const char *class_name);
+const struct gyp_rule *gyp_rules_quota(
+    const struct gyp_rules *, const char *team);
+const struct gyp_rule *gyp_rules_share(
+    const struct gyp_rules *, const char *team);
+const struct gyp_rule *gyp_rules_urgent(
+    const struct gyp_rules *, const char *class_name);
+const struct gyp_rule *gyp_rules_limit(
+    const struct gyp_rules *, const char *what);
+const struct gyp_rule *gyp_rules_spread(
+    const struct gyp_rules *, const char *class_name);
+const struct gyp_rule *gyp_rules_retry(
+    const struct gyp_rules *, const char *class_name);
+const struct gyp_rule *gyp_rules_reserve(const struct gyp_rules *);
+const struct gyp_rule *gyp_rules_quarantine(const struct gyp_rules *);
+const struct gyp_rule *gyp_rules_learn(
+    const struct gyp_rules *, const char *class_name);
+
+/* The line that lets class `by` preempt class `victim`, or NULL. */
+const struct gyp_rule *gyp_rules_preempt(
+    const struct gyp_rules *, const char *victim, const char *by);
+
+/* All lines in the order of the file. */
+uint32_t gyp_rules_count(const struct gyp_rules *);
+const struct gyp_rule *gyp_rules_at(const struct gyp_rules *, uint32_t);
+
+/*
+ * Pairs of lines that pull in opposite directions, as readable text: one
+ * paragraph a pair, with both lines and both names; "" when there is none.
+ */
+char *gyp_rules_disagreements(const struct gyp_rules *);
+
+#endif
