Entry: send open calls again in each new term; trust terms of leaders only

Cause: found by reading. A replica that lost and regained its leadership on an unbroken connection had dropped the calls it was told before, and the entry sent them again only when the connection or the replica changed: a caller would have waited to its time limit. And a refusal raised the entry's term, so that one replica with a higher term, cut off from the leader, could make the entry deaf to a good leader.

Ruled out: a time limit per call with resends (traffic without need).

Before: both cases of test_entry_terms fail (0 calls sent where 1 was expected). After: both pass; 4 of 4 tests pass under the sanitizers.

--- a/src/entry.c
+++ b/src/entry.c
@@ -436,6 +436,18 @@
 		e->rotate_at = e->now + ROTATE_MS;
 }
 
+/*
+ * A leader of a new term knows nothing of the calls that were sent before,
+ * even when it is the same process on the same connection.
+ */
+static void
+follow_term(struct gyp_entry_core *e, uint64_t term)
+{
+	e->term = term;
+	e->epoch++;
+	e->due = true;
+}
+
 static void
 on_down(
     struct gyp_entry_core *e, const char *address, const Gyp__EntryDown *down)
@@ -445,12 +457,13 @@
 	/* A deposed leader's orders must not be carried out. */
 	if (down->term < e->term)
 		return;
-	e->term = down->term;
 	if (!down->leader) {
 		if (strcmp(address, target_address(e)) == 0)
 			on_refusal(e, down);
 		return;
 	}
+	if (down->term > e->term)
+		follow_term(e, down->term);
 	e->heard = e->now;
 	e->rotate_at = 0;
 	if (down->round != 0)
--- /dev/null
+++ b/test/test_entry_terms.c
@@ -0,0 +1,104 @@
+#include <glib.h>
+
+#include "entry.h"
+#include "msg.h"
+
+#define CELL_A "127.0.0.1:1"
+#define CELL_B "127.0.0.1:2"
+
+static const char *const cells[] = {CELL_A, NULL};
+
+static struct gyp_entry_core *
+make_entry(void)
+{
+	struct gyp_entry_config cfg = {
+	    .id = 1, .cells = cells, .keepalive_ms = 300, .silence_ms = 1000};
+
+	return gyp_entry_new(&cfg);
+}
+
+static void
+receive(struct gyp_entry_core *e, uint64_t now, uint64_t term, bool leader)
+{
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__EntryDown down = GYP__ENTRY_DOWN__INIT;
+
+	down.term = term;
+	down.leader = leader;
+	frame.body_case = GYP__FRAME__BODY_DOWN;
+	frame.down = &down;
+	gyp_entry_receive(e, now, leader ? CELL_A : CELL_B, &frame);
+}
+
+/* Empties the queue of frames; returns the calls that were in them. */
+static size_t
+sent_calls(struct gyp_entry_core *e)
+{
+	const char *address;
+	GBytes *packed;
+	size_t n = 0;
+
+	while (gyp_entry_pop_frame(e, &address, &packed)) {
+		gsize len;
+		const uint8_t *data = g_bytes_get_data(packed, &len);
+		Gyp__Frame *frame = gyp__frame__unpack(NULL, len, data);
+
+		n += frame->up->n_calls;
+		gyp_message_free(frame);
+		g_bytes_unref(packed);
+	}
+	return n;
+}
+
+static void
+call(struct gyp_entry_core *e, uint64_t now)
+{
+	Gyp__Call msg = GYP__CALL__INIT;
+	Gyp__ReadJob read = GYP__READ_JOB__INIT;
+
+	msg.c_case = GYP__CALL__C_READ_JOB;
+	msg.read_job = &read;
+	gyp_entry_call(e, now, &msg, 60000, NULL);
+}
+
+/* The same replica leads again: what it was told in its old term is gone. */
+static void
+test_resend_in_new_term(void)
+{
+	struct gyp_entry_core *e = make_entry();
+
+	gyp_entry_tick(e, 1000);
+	receive(e, 1010, 3, true);
+	call(e, 1020);
+	g_assert_cmpuint(sent_calls(e), ==, 1);
+	receive(e, 1030, 3, true);
+	g_assert_cmpuint(sent_calls(e), ==, 0);
+	receive(e, 1040, 4, true);
+	g_assert_cmpuint(sent_calls(e), ==, 1);
+	gyp_entry_free(e);
+}
+
+/* A replica that does not lead must not make the entry deaf to the leader. */
+static void
+test_refusal_keeps_term(void)
+{
+	struct gyp_entry_core *e = make_entry();
+
+	gyp_entry_tick(e, 1000);
+	receive(e, 1010, 3, true);
+	receive(e, 1020, 9, false);
+	call(e, 1030);
+	g_assert_cmpuint(sent_calls(e), ==, 1);
+	receive(e, 1040, 4, true);
+	g_assert_cmpuint(sent_calls(e), ==, 1);
+	gyp_entry_free(e);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/entry/resend-in-new-term", test_resend_in_new_term);
+	g_test_add_func("/entry/refusal-keeps-term", test_refusal_keeps_term);
+	return g_test_run();
+}
