Keep reported usage and counters; add checkpoint and throttle orders

Cause: decisions need what endpoints measure, operators need counters, and neither had a place. Usage goes to volatile tables of the leader, since it lags and is repeated by each heartbeat; in the log it would cost a record a heartbeat and help no successor.

Checkpoint orders are refused for tasks that are not idempotent: these could not be started again.

--- a/src/gyp.h
+++ b/src/gyp.h
@@ -13,6 +13,7 @@
 
 /* ---- Small things used everywhere --------------------------------------- */
 #include "buf.h"
+#include "counters.h"
 #include "json.h"
 #include "msg.h"
 #include "status.h"
@@ -25,6 +26,7 @@
 #include "record.h"  /* what goes to the disk */
 #include "replica.h" /* log, tables and decisions together */
 #include "state.h"   /* tables of jobs, endpoints and rules */
+#include "usage.h"   /* measured usage, from heartbeats */
 
 /* ---- Core: the entry ----------------------------------------------------- */
 #include "entry.h"   /* request table and start orders */
--- a/src/replica.c
+++ b/src/replica.c
@@ -128,9 +128,9 @@
 on_attempt_over(
     struct gyp_state_listener *l, struct gyp_job *job, uint32_t task)
 {
-	(void)l;
-	(void)job;
-	(void)task;
+	struct gyp_replica *r = ((struct gyp_replica_listener *)l)->replica;
+
+	gyp_usage_drop_task(r->usage, job->id, task);
 }
 
 static void
@@ -270,6 +270,7 @@
 	r->time_base = gyp_state_time(r->state);
 	r->undecided = true;
 	gyp_leases_reset(r->leases, r->now);
+	gyp_usage_reset(r->usage);
 }
 
 static void
@@ -502,6 +503,8 @@
 	r->entries = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, gyp_free_entry_peer);
 	r->leases = gyp_leases_new(cfg->endpoint_lease_ms);
+	r->usage = gyp_usage_new();
+	r->counters = gyp_counters_new();
 	return r;
 }
 
@@ -527,6 +530,8 @@
 	g_hash_table_destroy(r->subscribers);
 	g_hash_table_destroy(r->entries);
 	gyp_leases_free(r->leases);
+	gyp_usage_free(r->usage);
+	gyp_counters_free(r->counters);
 	gyp_state_free(r->state);
 	gyp_raft_free(r->raft);
 	g_free((char *)r->cfg.address);
--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -316,6 +316,35 @@
 	       t->attempt == a->attempt;
 }
 
+static bool
+is_reported(const Gyp__Res *used)
+{
+	return used != NULL && (used->cpu_milli > 0 || used->memory > 0 ||
+				   used->accel > 0 || used->slots > 0);
+}
+
+static void
+note_usage(
+    struct gyp_replica *r, const struct gyp_endpoint *ep, const Gyp__Beat *beat)
+{
+	struct gyp_usage_sample s = {.at = r->now};
+	size_t i;
+
+	if (is_reported(beat->used)) {
+		s.used = gyp_res_from(beat->used);
+		gyp_usage_put_endpoint(r->usage, ep->id, &s);
+	}
+	for (i = 0; i < beat->n_running; i++) {
+		const Gyp__Attempt *a = beat->running[i];
+
+		if (!is_reported(a->used) || !runs_here(r, ep->id, a))
+			continue;
+		s.used = gyp_res_from(a->used);
+		gyp_usage_put_attempt(
+		    r->usage, a->job, a->task, a->attempt, &s);
+	}
+}
+
 static void
 call_beat(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
@@ -331,6 +360,7 @@
 		return;
 	}
 	gyp_leases_renew(r->leases, ep->id, r->now, beat->clock_ms);
+	note_usage(r, ep, beat);
 	msg.id = call->id;
 	msg.endpoint = ep->id;
 	msg.lease_ms = r->cfg.endpoint_lease_ms;
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -1,8 +1,10 @@
 #ifndef GYP_REPLICA_INT_H
 #define GYP_REPLICA_INT_H
 
+#include "counters.h"
 #include "leases.h"
 #include "replica.h"
+#include "usage.h"
 
 /*
  * NAME
@@ -70,6 +72,8 @@
 	GHashTable *subscribers; /* job -> GArray of struct gyp_subscriber */
 	GHashTable *entries;     /* id -> struct gyp_entry_peer */
 	struct gyp_leases *leases;
+	struct gyp_usage *usage;
+	struct gyp_counters *counters; /* kept while following too */
 	uint64_t duties_at;
 	uint64_t queries_at;
 	Gyp__Member *joiner; /* asks for membership, or NULL */
@@ -91,6 +95,10 @@
     const struct gyp_replica *, const struct gyp_job *, uint64_t endpoint);
 void gyp_replica_queue_order(struct gyp_replica *, const struct gyp_job *,
     uint32_t task, Gyp__OrderType);
+
+/* Lets the attempt run on with at most this many thousandths of a processor. */
+void gyp_replica_queue_throttle(struct gyp_replica *, const struct gyp_job *,
+    uint32_t task, uint32_t cpu_limit_milli);
 void gyp_replica_requeue_orders(struct gyp_replica *, struct gyp_entry_peer *);
 void gyp_replica_duties(struct gyp_replica *);
 void gyp_replica_flush_entries(struct gyp_replica *);
--- a/src/replica_lead.c
+++ b/src/replica_lead.c
@@ -130,7 +130,7 @@
 static void
 add_order(struct gyp_replica *r, struct gyp_entry_peer *peer,
     const struct gyp_job *job, uint32_t task, Gyp__OrderType type,
-    uint64_t not_after)
+    uint64_t not_after, uint32_t cpu_limit_milli)
 {
 	const struct gyp_task *t = &job->tasks[task];
 	const struct gyp_endpoint *ep =
@@ -145,6 +145,7 @@
 	order.attempt = &attempt;
 	order.address = ep->spec->address;
 	order.kind = job->spec->kind;
+	order.cpu_limit_milli = cpu_limit_milli;
 	if (type == GYP__ORDER_TYPE__ORDER_START) {
 		order.not_after_ms = not_after;
 		order.valid_ms = r->cfg.start_window_ms;
@@ -156,9 +157,9 @@
 }
 
 /* Any live entry may ask or stop; only the named one may start. */
-void
-gyp_replica_queue_order(struct gyp_replica *r, const struct gyp_job *job,
-    uint32_t task, Gyp__OrderType type)
+static void
+queue_order(struct gyp_replica *r, const struct gyp_job *job, uint32_t task,
+    Gyp__OrderType type, uint32_t cpu_limit_milli)
 {
 	const struct gyp_task *t = &job->tasks[task];
 	uint64_t id = t->entry;
@@ -166,7 +167,26 @@
 	if (!can_take_orders(r, g_hash_table_lookup(r->entries, &id)))
 		id = gyp_replica_pick_entry(r, job, t->endpoint);
 	if (id != 0)
-		add_order(r, gyp_replica_entry(r, id), job, task, type, 0);
+		add_order(r, gyp_replica_entry(r, id), job, task, type, 0,
+		    cpu_limit_milli);
+}
+
+void
+gyp_replica_queue_order(struct gyp_replica *r, const struct gyp_job *job,
+    uint32_t task, Gyp__OrderType type)
+{
+	/* What is not idempotent could not be started again. */
+	if (type == GYP__ORDER_TYPE__ORDER_CHECKPOINT && !job->spec->idempotent)
+		return;
+	queue_order(r, job, task, type, 0);
+}
+
+void
+gyp_replica_queue_throttle(struct gyp_replica *r, const struct gyp_job *job,
+    uint32_t task, uint32_t cpu_limit_milli)
+{
+	queue_order(
+	    r, job, task, GYP__ORDER_TYPE__ORDER_THROTTLE, cpu_limit_milli);
 }
 
 /* Sends a start to its entry; false when it must be tried again later. */
@@ -185,14 +205,14 @@
 		return true;
 	if (job->cancelled) {
 		add_order(
-		    r, peer, job, ref->task, GYP__ORDER_TYPE__ORDER_STOP, 0);
+		    r, peer, job, ref->task, GYP__ORDER_TYPE__ORDER_STOP, 0, 0);
 		return true;
 	}
 	if (!gyp_leases_not_after(r->leases, t->endpoint, r->now,
 		r->cfg.start_window_ms, &not_after))
 		return false;
-	add_order(
-	    r, peer, job, ref->task, GYP__ORDER_TYPE__ORDER_START, not_after);
+	add_order(r, peer, job, ref->task, GYP__ORDER_TYPE__ORDER_START,
+	    not_after, 0);
 	return true;
 }
 
@@ -283,6 +303,7 @@
 		if (ep == NULL || !gyp_leases_expired(r->leases, id, r->now))
 			continue;
 		gyp_leases_remove(r->leases, id);
+		gyp_usage_drop_endpoint(r->usage, id);
 		es.endpoint = id;
 		es.state = GYP_ENDPOINT_GONE;
 		cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
--- /dev/null
+++ b/src/usage.c
@@ -0,0 +1,138 @@
+#include <glib.h>
+
+#include "usage.h"
+
+struct endpoint_row {
+	uint64_t endpoint; /* key */
+	struct gyp_usage_sample sample;
+};
+
+struct task_key {
+	uint64_t job;
+	uint32_t task;
+};
+
+struct task_row {
+	struct task_key key;
+	uint32_t attempt;
+	struct gyp_usage_sample sample;
+};
+
+struct gyp_usage {
+	GHashTable *endpoints; /* struct endpoint_row by its endpoint */
+	GHashTable *tasks;     /* struct task_row by its key */
+};
+
+static guint
+hash_task(gconstpointer p)
+{
+	const struct task_key *k = p;
+
+	return g_int64_hash(&k->job) ^ (k->task * 2654435761U);
+}
+
+static gboolean
+equal_tasks(gconstpointer a, gconstpointer b)
+{
+	const struct task_key *x = a, *y = b;
+
+	return x->job == y->job && x->task == y->task;
+}
+
+struct gyp_usage *
+gyp_usage_new(void)
+{
+	struct gyp_usage *u = g_new0(struct gyp_usage, 1);
+
+	u->endpoints =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	u->tasks = g_hash_table_new_full(hash_task, equal_tasks, NULL, g_free);
+	return u;
+}
+
+void
+gyp_usage_free(struct gyp_usage *u)
+{
+	if (u == NULL)
+		return;
+	g_hash_table_destroy(u->endpoints);
+	g_hash_table_destroy(u->tasks);
+	g_free(u);
+}
+
+void
+gyp_usage_reset(struct gyp_usage *u)
+{
+	g_hash_table_remove_all(u->endpoints);
+	g_hash_table_remove_all(u->tasks);
+}
+
+void
+gyp_usage_put_endpoint(
+    struct gyp_usage *u, uint64_t endpoint, const struct gyp_usage_sample *s)
+{
+	struct endpoint_row *row = g_hash_table_lookup(u->endpoints, &endpoint);
+
+	if (row == NULL) {
+		row = g_new0(struct endpoint_row, 1);
+		row->endpoint = endpoint;
+		g_hash_table_insert(u->endpoints, &row->endpoint, row);
+	}
+	row->sample = *s;
+}
+
+void
+gyp_usage_put_attempt(struct gyp_usage *u, uint64_t job, uint32_t task,
+    uint32_t attempt, const struct gyp_usage_sample *s)
+{
+	struct task_key key = {.job = job, .task = task};
+	struct task_row *row = g_hash_table_lookup(u->tasks, &key);
+
+	if (row == NULL) {
+		row = g_new0(struct task_row, 1);
+		row->key = key;
+		g_hash_table_insert(u->tasks, &row->key, row);
+	}
+	row->attempt = attempt;
+	row->sample = *s;
+}
+
+void
+gyp_usage_drop_endpoint(struct gyp_usage *u, uint64_t endpoint)
+{
+	g_hash_table_remove(u->endpoints, &endpoint);
+}
+
+void
+gyp_usage_drop_task(struct gyp_usage *u, uint64_t job, uint32_t task)
+{
+	struct task_key key = {.job = job, .task = task};
+
+	g_hash_table_remove(u->tasks, &key);
+}
+
+bool
+gyp_usage_of_endpoint(
+    const struct gyp_usage *u, uint64_t endpoint, struct gyp_usage_sample *out)
+{
+	const struct endpoint_row *row =
+	    g_hash_table_lookup(u->endpoints, &endpoint);
+
+	if (row == NULL)
+		return false;
+	*out = row->sample;
+	return true;
+}
+
+bool
+gyp_usage_of_attempt(const struct gyp_usage *u, uint64_t job, uint32_t task,
+    uint32_t attempt, struct gyp_usage_sample *out)
+{
+	struct task_key key = {.job = job, .task = task};
+	const struct task_row *row = g_hash_table_lookup(u->tasks, &key);
+
+	if (row == NULL || row->attempt != attempt)
+		return false;
+	*out = row->sample;
+	return true;
+}
--- /dev/null
+++ b/src/usage.h
@@ -0,0 +1,47 @@
+#ifndef GYP_USAGE_H
+#define GYP_USAGE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "state.h"
+
+/*
+ * NAME
+ *	usage - latest measured usage of endpoints and attempts
+ *
+ * DESCRIPTION
+ *	Filled by the leader from heartbeats; never in the log, so a new
+ *	leader starts with an empty table and knows nothing of an endpoint
+ *	until its next heartbeat. Reports lag behind: each sample carries the
+ *	time of its receipt. An endpoint that leaves figures out of a report
+ *	keeps its earlier sample.
+ */
+
+struct gyp_usage_sample {
+	struct gyp_res used;
+	uint64_t at; /* receipt, in ms of the leader's clock */
+};
+
+struct gyp_usage;
+
+struct gyp_usage *gyp_usage_new(void);
+void gyp_usage_free(struct gyp_usage *);
+void gyp_usage_reset(struct gyp_usage *);
+
+void gyp_usage_put_endpoint(
+    struct gyp_usage *, uint64_t endpoint, const struct gyp_usage_sample *);
+void gyp_usage_put_attempt(struct gyp_usage *, uint64_t job, uint32_t task,
+    uint32_t attempt, const struct gyp_usage_sample *);
+
+/* Forgets the endpoint, or the task whatever its attempt. */
+void gyp_usage_drop_endpoint(struct gyp_usage *, uint64_t endpoint);
+void gyp_usage_drop_task(struct gyp_usage *, uint64_t job, uint32_t task);
+
+/* False when there was no report; of a task, none of this attempt. */
+bool gyp_usage_of_endpoint(
+    const struct gyp_usage *, uint64_t endpoint, struct gyp_usage_sample *);
+bool gyp_usage_of_attempt(const struct gyp_usage *, uint64_t job, uint32_t task,
+    uint32_t attempt, struct gyp_usage_sample *);
+
+#endif
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2469,7 +2469,7 @@
   (ProtobufCMessageInit) gyp__cmd_place__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_finish__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gyp__cmd_finish__field_descriptors[10] =
 {
   {
     "job",
@@ -2579,11 +2579,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "checkpointed",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFinish, checkpointed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd_finish__field_indices_by_name[] = {
   6,   /* field[6] = answer */
   7,   /* field[7] = answer_dropped */
   2,   /* field[2] = attempt */
+  9,   /* field[9] = checkpointed */
   5,   /* field[5] = content_type */
   4,   /* field[4] = http_status */
   0,   /* field[0] = job */
@@ -2591,10 +2604,11 @@
   8,   /* field[8] = reason */
   1,   /* field[1] = task */
 };
-static const ProtobufCIntRange gyp__cmd_finish__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__cmd_finish__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 18, 9 },
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gyp__cmd_finish__descriptor =
 {
@@ -2604,10 +2618,10 @@
   "Gyp__CmdFinish",
   "gyp",
   sizeof(Gyp__CmdFinish),
-  9,
+  10,
   gyp__cmd_finish__field_descriptors,
   gyp__cmd_finish__field_indices_by_name,
-  1,  gyp__cmd_finish__number_ranges,
+  2,  gyp__cmd_finish__number_ranges,
   (ProtobufCMessageInit) gyp__cmd_finish__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3768,7 +3782,7 @@
   (ProtobufCMessageInit) gyp__join__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__attempt__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gyp__attempt__field_descriptors[4] =
 {
   {
     "job",
@@ -3806,16 +3820,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "used",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Attempt, used),
+    &gyp__res__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__attempt__field_indices_by_name[] = {
   2,   /* field[2] = attempt */
   0,   /* field[0] = job */
   1,   /* field[1] = task */
+  3,   /* field[3] = used */
 };
-static const ProtobufCIntRange gyp__attempt__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__attempt__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 18, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gyp__attempt__descriptor =
 {
@@ -3825,14 +3853,14 @@
   "Gyp__Attempt",
   "gyp",
   sizeof(Gyp__Attempt),
-  3,
+  4,
   gyp__attempt__field_descriptors,
   gyp__attempt__field_indices_by_name,
-  1,  gyp__attempt__number_ranges,
+  2,  gyp__attempt__number_ranges,
   (ProtobufCMessageInit) gyp__attempt__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__beat__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gyp__beat__field_descriptors[7] =
 {
   {
     "incarnation",
@@ -3894,18 +3922,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unchanged",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Beat, unchanged),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Beat, list),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__beat__field_indices_by_name[] = {
   2,   /* field[2] = clock_ms */
   1,   /* field[1] = endpoint */
   0,   /* field[0] = incarnation */
+  6,   /* field[6] = list */
   4,   /* field[4] = running */
+  5,   /* field[5] = unchanged */
   3,   /* field[3] = used */
 };
-static const ProtobufCIntRange gyp__beat__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__beat__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 18, 5 },
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gyp__beat__descriptor =
 {
@@ -3915,10 +3970,10 @@
   "Gyp__Beat",
   "gyp",
   sizeof(Gyp__Beat),
-  5,
+  7,
   gyp__beat__field_descriptors,
   gyp__beat__field_indices_by_name,
-  1,  gyp__beat__number_ranges,
+  2,  gyp__beat__number_ranges,
   (ProtobufCMessageInit) gyp__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -4334,7 +4389,7 @@
   (ProtobufCMessageInit) gyp__job_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__reply__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gyp__reply__field_descriptors[10] =
 {
   {
     "id",
@@ -4444,6 +4499,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "resend",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Reply, resend),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__reply__field_indices_by_name[] = {
   1,   /* field[1] = code */
@@ -4453,13 +4520,15 @@
   6,   /* field[6] = json */
   5,   /* field[5] = lease_ms */
   2,   /* field[2] = message */
+  9,   /* field[9] = resend */
   8,   /* field[8] = stop */
   7,   /* field[7] = version */
 };
-static const ProtobufCIntRange gyp__reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__reply__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 18, 9 },
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gyp__reply__descriptor =
 {
@@ -4469,14 +4538,14 @@
   "Gyp__Reply",
   "gyp",
   sizeof(Gyp__Reply),
-  9,
+  10,
   gyp__reply__field_descriptors,
   gyp__reply__field_indices_by_name,
-  1,  gyp__reply__number_ranges,
+  2,  gyp__reply__number_ranges,
   (ProtobufCMessageInit) gyp__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__order__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gyp__order__field_descriptors[10] =
 {
   {
     "type",
@@ -4574,10 +4643,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_limit_milli",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Order, cpu_limit_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cap",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Order, cap),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__order__field_indices_by_name[] = {
   2,   /* field[2] = address */
   1,   /* field[1] = attempt */
+  9,   /* field[9] = cap */
+  8,   /* field[8] = cpu_limit_milli */
   5,   /* field[5] = kind */
   3,   /* field[3] = not_after_ms */
   7,   /* field[7] = payload */
@@ -4585,10 +4680,11 @@
   0,   /* field[0] = type */
   4,   /* field[4] = valid_ms */
 };
-static const ProtobufCIntRange gyp__order__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__order__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 18, 8 },
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gyp__order__descriptor =
 {
@@ -4598,10 +4694,10 @@
   "Gyp__Order",
   "gyp",
   sizeof(Gyp__Order),
-  8,
+  10,
   gyp__order__field_descriptors,
   gyp__order__field_indices_by_name,
-  1,  gyp__order__number_ranges,
+  2,  gyp__order__number_ranges,
   (ProtobufCMessageInit) gyp__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -5115,20 +5211,24 @@
   gyp__code__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gyp__order_type__enum_values_by_number[3] =
+static const ProtobufCEnumValue gyp__order_type__enum_values_by_number[5] =
 {
   { "ORDER_START", "GYP__ORDER_TYPE__ORDER_START", 0 },
   { "ORDER_QUERY", "GYP__ORDER_TYPE__ORDER_QUERY", 1 },
   { "ORDER_STOP", "GYP__ORDER_TYPE__ORDER_STOP", 2 },
+  { "ORDER_CHECKPOINT", "GYP__ORDER_TYPE__ORDER_CHECKPOINT", 18 },
+  { "ORDER_THROTTLE", "GYP__ORDER_TYPE__ORDER_THROTTLE", 19 },
 };
 static const ProtobufCIntRange gyp__order_type__value_ranges[] = {
-{0, 0},{0, 3}
+{0, 0},{18, 3},{0, 5}
 };
-static const ProtobufCEnumValueIndex gyp__order_type__enum_values_by_name[3] =
+static const ProtobufCEnumValueIndex gyp__order_type__enum_values_by_name[5] =
 {
+  { "ORDER_CHECKPOINT", 3 },
   { "ORDER_QUERY", 1 },
   { "ORDER_START", 0 },
   { "ORDER_STOP", 2 },
+  { "ORDER_THROTTLE", 4 },
 };
 const ProtobufCEnumDescriptor gyp__order_type__descriptor =
 {
@@ -5137,11 +5237,11 @@
   "OrderType",
   "Gyp__OrderType",
   "gyp",
-  3,
+  5,
   gyp__order_type__enum_values_by_number,
-  3,
+  5,
   gyp__order_type__enum_values_by_name,
-  1,
+  2,
   gyp__order_type__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -113,7 +113,15 @@
    * ask for the attempt's fate, never start it
    */
   GYP__ORDER_TYPE__ORDER_QUERY = 1,
-  GYP__ORDER_TYPE__ORDER_STOP = 2
+  GYP__ORDER_TYPE__ORDER_STOP = 2,
+  /*
+   * save and end the attempt
+   */
+  GYP__ORDER_TYPE__ORDER_CHECKPOINT = 18,
+  /*
+   * run on with at most cpu_limit_milli
+   */
+  GYP__ORDER_TYPE__ORDER_THROTTLE = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__ORDER_TYPE)
 } Gyp__OrderType;
 
@@ -325,10 +333,14 @@
    */
   protobuf_c_boolean answer_dropped;
   char *reason;
+  /*
+   * stopped by an order; the task is queued again
+   */
+  protobuf_c_boolean checkpointed;
 };
 #define GYP__CMD_FINISH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_finish__descriptor) \
-    , 0, 0, 0, GYP__OUTCOME__OUTCOME_NONE, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, GYP__OUTCOME__OUTCOME_NONE, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Gyp__CmdEndpoint
@@ -580,10 +592,14 @@
   uint64_t job;
   uint32_t task;
   uint32_t attempt;
+  /*
+   * in a heartbeat: measured, with a lag; may be absent
+   */
+  Gyp__Res *used;
 };
 #define GYP__ATTEMPT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__attempt__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, NULL }
 
 
 struct  Gyp__Beat
@@ -604,10 +620,18 @@
   Gyp__Res *used;
   size_t n_running;
   Gyp__Attempt **running;
+  /*
+   * the running list is that of `list`
+   */
+  protobuf_c_boolean unchanged;
+  /*
+   * number of the list, rises with each change
+   */
+  uint32_t list;
 };
 #define GYP__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__beat__descriptor) \
-    , 0, 0, 0, NULL, 0,NULL }
+    , 0, 0, 0, NULL, 0,NULL, 0, 0 }
 
 
 struct  Gyp__ReadJob
@@ -713,10 +737,14 @@
    */
   size_t n_stop;
   Gyp__Attempt **stop;
+  /*
+   * the leader lacks the beat's running list
+   */
+  protobuf_c_boolean resend;
 };
 #define GYP__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__reply__descriptor) \
-    , 0, GYP__CODE__CODE_OK, (char *)protobuf_c_empty_string, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , 0, GYP__CODE__CODE_OK, (char *)protobuf_c_empty_string, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
 
 
 /*
@@ -742,10 +770,15 @@
   Gyp__Kind kind;
   Gyp__Res *size;
   ProtobufCBinaryData payload;
+  uint32_t cpu_limit_milli;
+  /*
+   * connections to the endpoint that the entry may use
+   */
+  uint32_t cap;
 };
 #define GYP__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__order__descriptor) \
-    , GYP__ORDER_TYPE__ORDER_START, NULL, (char *)protobuf_c_empty_string, 0, 0, GYP__KIND__KIND_REQUEST, NULL, {0,NULL} }
+    , GYP__ORDER_TYPE__ORDER_START, NULL, (char *)protobuf_c_empty_string, 0, 0, GYP__KIND__KIND_REQUEST, NULL, {0,NULL}, 0, 0 }
 
 
 struct  Gyp__EntryUp
