--- a/src/entry.h
+++ b/src/entry.h
@@ -18,12 +18,25 @@
  *	replies go out through three queues that the caller empties after each
  *	call.
  *
+ *	Calls go only to a replica that said on this connection that it leads.
  *	A call is repeated to each new leader until it is answered or its time
- *	is over; calls are idempotent. A start order is carried out at most
- *	once by this entry: an exchange whose end is not known is followed by
- *	questions, never by another start.
+ *	is over; calls are idempotent, and repeating has a budget in bytes. A
+ *	start order is carried out at most once by this entry: an exchange
+ *	whose end is not known is followed by questions, never by another
+ *	start.
+ *
+ *	A submit whose time is over without acceptance is followed by the
+ *	refusal of its key for GYP_REFUSE_MS. Not run is certain only when the
+ *	submit was never sent or that refusal is committed.
  */
 
+/* Time for the refusal of a key to be committed, in ms. */
+#define GYP_REFUSE_MS 3000
+
+/* Most open calls, and most bytes of them. */
+#define GYP_ENTRY_CALLS_MAX 4000
+#define GYP_ENTRY_BYTES_MAX (8 * 1024 * 1024)
+
 struct gyp_entry_config {
 	uint64_t id; /* incarnation, drawn at random at each start */
 	const char *const *cells; /* "ip:port" of replicas, NULL-terminated */
@@ -37,7 +50,8 @@
 	GYP_FATE_NOT_STARTED, /* and never will be */
 	GYP_FATE_RUNNING,
 	GYP_FATE_DONE,
-	GYP_FATE_FAILED
+	GYP_FATE_FAILED,
+	GYP_FATE_CHECKPOINTED /* saved and ended, by order */
 };
 
 struct gyp_exchange_result {
@@ -53,6 +67,7 @@
 /* An exchange that the caller is to make with an endpoint. */
 struct gyp_exchange {
 	uint64_t id;
+	uint64_t send_by;  /* of a start: drop it from then on, our clock */
 	Gyp__Order *order; /* owned by the receiver */
 };
 
@@ -62,6 +77,7 @@
 	void *owner;
 	bool final;        /* false: accepted, the end follows */
 	bool sent;         /* the call may have reached a replica */
+	bool refused;      /* the key is refused, and no job ever had it */
 	uint64_t job;      /* known job, or 0 */
 	Gyp__Reply *reply; /* owned by the receiver; NULL when time is over */
 };
@@ -82,7 +98,7 @@
 void gyp_entry_disconnected(
     struct gyp_entry_core *, uint64_t now, const char *address);
 
-/* Makes a call; its id field is filled in. Returns the id. */
+/* Makes a call; its id field is filled in. Returns the id, 0 when full. */
 uint64_t gyp_entry_call(struct gyp_entry_core *, uint64_t now,
     const Gyp__Call *, uint32_t timeout_ms, void *owner);
 
@@ -98,7 +114,13 @@
 bool gyp_entry_pop_exchange(struct gyp_entry_core *, struct gyp_exchange *);
 bool gyp_entry_pop_answer(struct gyp_entry_core *, struct gyp_answer *);
 
-/* Calls without a final answer, and attempts in progress here. */
+/* From now on the leader is told to name this entry for no new start. */
+void gyp_entry_drain(struct gyp_entry_core *);
+
+/*
+ * Calls without a final answer, and attempts that this entry must see
+ * through. An attempt that the endpoint will report by itself is none.
+ */
 uint32_t gyp_entry_open_calls(const struct gyp_entry_core *);
 uint32_t gyp_entry_open_attempts(const struct gyp_entry_core *);
 
--- /dev/null
+++ b/src/entry_attempts.c
@@ -0,0 +1,306 @@
+#include "entry_int.h"
+#include "msg.h"
+
+/* Bounds of the pause before a question about a lost start, in ms. */
+#define ASK_MIN_MS 500
+#define ASK_MAX_MS 30000
+
+/* Interval of the search for questions that are due, in ms. */
+#define SWEEP_MS 50
+
+/* Time for a report to be committed before it is repeated, in ms. */
+#define REPORT_MS 10000
+
+void
+gyp_entry_free_attempt(gpointer p)
+{
+	struct gyp_entry_attempt *a = p;
+
+	gyp_message_free(a->order);
+	g_free(a->key);
+	g_free(a);
+}
+
+static char *
+make_key(const Gyp__Attempt *a)
+{
+	return g_strdup_printf(
+	    "%" G_GINT64_MODIFIER "x.%x.%x", a->job, a->task, a->attempt);
+}
+
+/* ---- Exchanges --------------------------------------------------------- */
+
+static void
+drop_payload(Gyp__Order *order)
+{
+	g_free(order->payload.data);
+	order->payload.data = NULL;
+	order->payload.len = 0;
+}
+
+/* Returns the id of the exchange. */
+static uint64_t
+push_exchange(struct gyp_entry_core *e, struct gyp_entry_attempt *a,
+    const Gyp__Order *order)
+{
+	struct gyp_exchange *x = g_new0(struct gyp_exchange, 1);
+
+	x->id = e->next_id++;
+	x->order = gyp_message_copy(&order->base);
+	if (order->type == GYP__ORDER_TYPE__ORDER_START)
+		x->send_by = MIN(e->now + order->valid_ms, e->lease_end);
+	g_hash_table_insert(
+	    e->exchanges, g_memdup2(&x->id, sizeof(x->id)), g_strdup(a->key));
+	g_queue_push_tail(&e->todo, x);
+	return x->id;
+}
+
+static void
+ask(struct gyp_entry_core *e, struct gyp_entry_attempt *a)
+{
+	Gyp__Order question = *a->order;
+
+	question.type = GYP__ORDER_TYPE__ORDER_QUERY;
+	a->ask_at = 0;
+	a->exchange = push_exchange(e, a, &question);
+}
+
+static struct gyp_entry_attempt *
+add_attempt(struct gyp_entry_core *e, const Gyp__Order *order)
+{
+	struct gyp_entry_attempt *a = g_new0(struct gyp_entry_attempt, 1);
+
+	a->key = make_key(order->attempt);
+	a->order = gyp_message_copy(&order->base);
+	drop_payload(a->order);
+	a->ask_delay_ms = ASK_MIN_MS;
+	g_hash_table_insert(e->attempts, a->key, a);
+	return a;
+}
+
+/* ---- Reports ----------------------------------------------------------- */
+
+static void
+report(struct gyp_entry_core *e, struct gyp_entry_attempt *a,
+    Gyp__Outcome outcome, const struct gyp_exchange_result *res)
+{
+	Gyp__Call msg = GYP__CALL__INIT;
+	Gyp__CmdFinish f = GYP__CMD_FINISH__INIT;
+	struct gyp_call *c;
+
+	f.job = a->order->attempt->job;
+	f.task = a->order->attempt->task;
+	f.attempt = a->order->attempt->attempt;
+	f.outcome = outcome;
+	f.http_status = res->http_status;
+	f.content_type =
+	    res->content_type != NULL ? (char *)res->content_type : "";
+	f.reason = res->reason != NULL ? (char *)res->reason : "";
+	f.answer.data = (uint8_t *)res->answer;
+	f.answer.len = res->answer_len;
+	f.answer_dropped = res->answer_dropped;
+	f.checkpointed = res->fate == GYP_FATE_CHECKPOINTED;
+	msg.c_case = GYP__CALL__C_REPORT;
+	msg.report = &f;
+	a->phase = GYP_PHASE_REPORTING;
+	c = gyp_entry_add_call(e, GYP_CALL_REPORT, &msg, REPORT_MS, NULL);
+	c->attempt_key = g_strdup(a->key);
+}
+
+/* ---- Orders ------------------------------------------------------------ */
+
+bool
+gyp_entry_has_lease(const struct gyp_entry_core *e)
+{
+	return e->now < e->lease_end;
+}
+
+static void
+on_start(struct gyp_entry_core *e, const Gyp__Order *order)
+{
+	struct gyp_entry_attempt *a = add_attempt(e, order);
+	struct gyp_exchange_result late = {.fate = GYP_FATE_NOT_STARTED,
+	    .reason = "the entry's lease was over"};
+
+	if (!gyp_entry_has_lease(e)) {
+		report(e, a, GYP__OUTCOME__OUTCOME_NOT_RUN, &late);
+		return;
+	}
+	a->phase = GYP_PHASE_SENDING;
+	a->started_here = true;
+	a->exchange = push_exchange(e, a, order);
+}
+
+/*
+ * A question while the start is under way leaves that exchange in charge: it
+ * may hang on a connection that was cut in silence.
+ */
+static void
+on_known(struct gyp_entry_core *e, struct gyp_entry_attempt *a,
+    const Gyp__Order *order)
+{
+	if (a->phase == GYP_PHASE_REPORTING ||
+	    order->type == GYP__ORDER_TYPE__ORDER_START)
+		return;
+	if (order->type != GYP__ORDER_TYPE__ORDER_QUERY ||
+	    a->phase == GYP_PHASE_SENDING) {
+		push_exchange(e, a, order);
+		return;
+	}
+	if (a->phase == GYP_PHASE_RUNNING || a->ask_at != 0) {
+		a->phase = GYP_PHASE_ASKING;
+		ask(e, a);
+	}
+}
+
+void
+gyp_entry_on_order(struct gyp_entry_core *e, const Gyp__Order *order)
+{
+	struct gyp_entry_attempt *a;
+	char *key;
+
+	if (order->attempt == NULL)
+		return;
+	key = make_key(order->attempt);
+	a = g_hash_table_lookup(e->attempts, key);
+	g_free(key);
+	if (a != NULL) {
+		on_known(e, a, order);
+	} else if (order->type == GYP__ORDER_TYPE__ORDER_START) {
+		on_start(e, order);
+	} else {
+		a = add_attempt(e, order);
+		a->phase = GYP_PHASE_ASKING;
+		a->exchange = push_exchange(e, a, order);
+	}
+}
+
+/* ---- Results ----------------------------------------------------------- */
+
+/* The lost answer of one start is this entry's own business. */
+static void
+forget_or_ask_again(struct gyp_entry_core *e, struct gyp_entry_attempt *a)
+{
+	if (!a->started_here) {
+		g_hash_table_remove(e->attempts, a->key);
+		return;
+	}
+	a->phase = GYP_PHASE_ASKING;
+	a->ask_at = e->now + a->ask_delay_ms;
+	a->ask_delay_ms = MIN(a->ask_delay_ms * 2, ASK_MAX_MS);
+}
+
+static void
+settle_attempt(struct gyp_entry_core *e, struct gyp_entry_attempt *a,
+    const struct gyp_exchange_result *res)
+{
+	switch (res->fate) {
+	case GYP_FATE_DONE:
+		report(e, a, GYP__OUTCOME__OUTCOME_DONE, res);
+		break;
+	case GYP_FATE_FAILED:
+	case GYP_FATE_CHECKPOINTED:
+		report(e, a, GYP__OUTCOME__OUTCOME_FAILED, res);
+		break;
+	case GYP_FATE_NOT_STARTED:
+		report(e, a, GYP__OUTCOME__OUTCOME_NOT_RUN, res);
+		break;
+	case GYP_FATE_RUNNING:
+		a->phase = GYP_PHASE_RUNNING;
+		if (!a->started_here)
+			g_hash_table_remove(e->attempts, a->key);
+		break;
+	case GYP_FATE_LOST:
+	default:
+		forget_or_ask_again(e, a);
+		break;
+	}
+}
+
+static bool
+tells_end(enum gyp_fate fate)
+{
+	return fate != GYP_FATE_LOST && fate != GYP_FATE_RUNNING;
+}
+
+/* Once one exchange told the end, the others tell nothing new. */
+void
+gyp_entry_exchange_done(struct gyp_entry_core *e, uint64_t now,
+    uint64_t exchange, const struct gyp_exchange_result *res)
+{
+	const char *key;
+	struct gyp_entry_attempt *a;
+
+	e->now = MAX(e->now, now);
+	key = g_hash_table_lookup(e->exchanges, &exchange);
+	a = key != NULL ? g_hash_table_lookup(e->attempts, key) : NULL;
+	g_hash_table_remove(e->exchanges, &exchange);
+	if (a != NULL && a->phase != GYP_PHASE_REPORTING &&
+	    (a->exchange == exchange || tells_end(res->fate)))
+		settle_attempt(e, a, res);
+	gyp_entry_tick(e, now);
+}
+
+/* ---- Time -------------------------------------------------------------- */
+
+static void
+ask_due(struct gyp_entry_core *e)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, e->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct gyp_entry_attempt *a = value;
+
+		if (a->phase == GYP_PHASE_ASKING && a->ask_at != 0 &&
+		    e->now >= a->ask_at)
+			ask(e, a);
+	}
+}
+
+/*
+ * A start is remembered as long as some leader may send it again. After that
+ * the endpoint reports the end by itself, and the leader asks where need be.
+ */
+static void
+forget_started(struct gyp_entry_core *e)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, e->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gyp_entry_attempt *a = value;
+
+		if (a->phase == GYP_PHASE_RUNNING && a->order->until_ms != 0 &&
+		    e->cell_time > a->order->until_ms)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+void
+gyp_entry_sweep_attempts(struct gyp_entry_core *e)
+{
+	if (e->now < e->sweep_at)
+		return;
+	e->sweep_at = e->now + SWEEP_MS;
+	ask_due(e);
+	forget_started(e);
+}
+
+uint32_t
+gyp_entry_open_attempts(const struct gyp_entry_core *e)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&iter, e->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gyp_entry_attempt *a = value;
+
+		n += a->phase != GYP_PHASE_RUNNING;
+	}
+	return n;
+}
--- /dev/null
+++ b/src/entry_calls.c
@@ -0,0 +1,316 @@
+#include "entry_int.h"
+#include "msg.h"
+
+/* Time for a report to be committed before it is repeated, in ms. */
+#define REPORT_MS 10000
+
+/* Most bytes of calls in one frame. */
+#define FRAME_BYTES (1024 * 1024)
+
+/* Bytes of repeated calls that a second allows, and that may be saved up. */
+#define RESEND_BYTES_PER_S (2 * 1024 * 1024)
+
+void
+gyp_entry_free_call(gpointer p)
+{
+	struct gyp_call *c = p;
+
+	gyp_message_free(c->msg);
+	g_free(c->attempt_key);
+	g_free(c);
+}
+
+/* ---- Messages ---------------------------------------------------------- */
+
+/* Replaces the message; the call is sent again as soon as that is possible. */
+static void
+set_message(struct gyp_entry_core *e, struct gyp_call *c, const Gyp__Call *msg)
+{
+	e->call_bytes -= c->bytes;
+	gyp_message_free(c->msg);
+	c->msg = gyp_message_copy(&msg->base);
+	c->msg->id = c->id;
+	c->bytes = protobuf_c_message_get_packed_size(&c->msg->base);
+	e->call_bytes += c->bytes;
+}
+
+static void
+queue_call(struct gyp_entry_core *e, struct gyp_call *c)
+{
+	c->epoch = 0;
+	g_queue_push_tail(&e->unsent, g_memdup2(&c->id, sizeof(c->id)));
+	e->due = true;
+}
+
+static void
+set_deadline(struct gyp_entry_core *e, struct gyp_call *c, uint32_t timeout_ms)
+{
+	c->deadline = e->now + timeout_ms;
+	e->expire_at = MIN(e->expire_at, c->deadline);
+}
+
+static void
+remove_call(struct gyp_entry_core *e, struct gyp_call *c)
+{
+	uint64_t id = c->id;
+
+	e->call_bytes -= c->bytes;
+	g_hash_table_remove(e->calls, &id);
+}
+
+struct gyp_call *
+gyp_entry_add_call(struct gyp_entry_core *e, enum gyp_call_kind kind,
+    const Gyp__Call *msg, uint32_t timeout_ms, void *owner)
+{
+	struct gyp_call *c = g_new0(struct gyp_call, 1);
+
+	c->id = e->next_id++;
+	c->kind = kind;
+	c->owner = owner;
+	set_message(e, c, msg);
+	set_deadline(e, c, timeout_ms);
+	g_hash_table_insert(e->calls, &c->id, c);
+	queue_call(e, c);
+	return c;
+}
+
+/* ---- Answers ----------------------------------------------------------- */
+
+static void
+push_answer(struct gyp_entry_core *e, const struct gyp_call *c, bool final,
+    const Gyp__Reply *reply)
+{
+	struct gyp_answer *a = g_new0(struct gyp_answer, 1);
+
+	a->call = c->id;
+	a->owner = c->owner;
+	a->final = final;
+	a->sent = c->sends > 0;
+	a->job = c->job;
+	if (reply != NULL && reply->code == GYP__CODE__CODE_REFUSED)
+		a->refused = true;
+	if (reply != NULL)
+		a->reply = gyp_message_copy(&reply->base);
+	g_queue_push_tail(&e->answers, a);
+}
+
+/* From now on only the job's end is of interest, not its specification. */
+static void
+wait_for_end(struct gyp_entry_core *e, struct gyp_call *c)
+{
+	Gyp__Call msg = GYP__CALL__INIT;
+	Gyp__ReadJob read = GYP__READ_JOB__INIT;
+
+	read.job = c->job;
+	read.answer = true;
+	read.subscribe = true;
+	msg.c_case = GYP__CALL__C_READ_JOB;
+	msg.read_job = &read;
+	set_message(e, c, &msg);
+}
+
+/*
+ * The submit may be on its way still. Once the refusal of its key is
+ * committed it can't take effect any more; a job that has the key by then is
+ * left alone, and its state is the answer.
+ */
+static void
+refuse_key(struct gyp_entry_core *e, struct gyp_call *c)
+{
+	Gyp__Call msg = GYP__CALL__INIT;
+	Gyp__CmdCancel cancel = GYP__CMD_CANCEL__INIT;
+	Gyp__Call *submit = c->msg;
+
+	cancel.team = submit->submit->spec->team;
+	cancel.key = submit->submit->spec->key;
+	cancel.reason = "not accepted in time";
+	cancel.unless_job = true;
+	msg.c_case = GYP__CALL__C_CANCEL;
+	msg.cancel = &cancel;
+	c->msg = NULL;
+	set_message(e, c, &msg);
+	gyp_message_free(submit);
+	c->kind = GYP_CALL_REFUSAL;
+	set_deadline(e, c, GYP_REFUSE_MS);
+	queue_call(e, c);
+}
+
+static void
+on_report_reply(struct gyp_entry_core *e, struct gyp_call *c)
+{
+	g_hash_table_remove(e->attempts, c->attempt_key);
+	remove_call(e, c);
+}
+
+void
+gyp_entry_on_reply(struct gyp_entry_core *e, const Gyp__Reply *reply)
+{
+	struct gyp_call *c = g_hash_table_lookup(e->calls, &reply->id);
+	bool final = reply->code != GYP__CODE__CODE_ACCEPTED;
+
+	if (c == NULL)
+		return;
+	if (c->kind == GYP_CALL_REPORT) {
+		on_report_reply(e, c);
+		return;
+	}
+	/* An earlier sending may have got further than this one. */
+	if (c->kind == GYP_CALL_SUBMIT && c->sends > 1 &&
+	    reply->code == GYP__CODE__CODE_BUSY) {
+		refuse_key(e, c);
+		return;
+	}
+	if (reply->job != NULL && c->job == 0) {
+		c->job = reply->job->job;
+		if (!final && c->kind == GYP_CALL_SUBMIT)
+			wait_for_end(e, c);
+	}
+	final = final || c->kind == GYP_CALL_REFUSAL;
+	push_answer(e, c, final, reply);
+	if (final)
+		remove_call(e, c);
+}
+
+/* ---- Time -------------------------------------------------------------- */
+
+/* Returns true when the call is over. */
+static bool
+expire_call(struct gyp_entry_core *e, struct gyp_call *c)
+{
+	if (c->kind == GYP_CALL_REPORT) {
+		set_deadline(e, c, REPORT_MS);
+		queue_call(e, c);
+		return false;
+	}
+	if (c->kind == GYP_CALL_SUBMIT && c->job == 0 && c->sends > 0) {
+		refuse_key(e, c);
+		return false;
+	}
+	push_answer(e, c, true, NULL);
+	e->call_bytes -= c->bytes;
+	return true;
+}
+
+void
+gyp_entry_expire_calls(struct gyp_entry_core *e)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (e->now < e->expire_at)
+		return;
+	e->expire_at = UINT64_MAX;
+	g_hash_table_iter_init(&iter, e->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct gyp_call *c = value;
+
+		if (e->now >= c->deadline && expire_call(e, c))
+			g_hash_table_iter_remove(&iter);
+		else
+			e->expire_at = MIN(e->expire_at, c->deadline);
+	}
+}
+
+/* ---- Sending ----------------------------------------------------------- */
+
+static gint
+by_id(gconstpointer a, gconstpointer b, gpointer user)
+{
+	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+	(void)user;
+	return x < y ? -1 : x > y;
+}
+
+void
+gyp_entry_requeue_calls(struct gyp_entry_core *e)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_queue_clear_full(&e->unsent, g_free);
+	g_hash_table_iter_init(&iter, e->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		queue_call(e, value);
+	g_queue_sort(&e->unsent, by_id, NULL);
+}
+
+/* Repeating calls must not double the load on a cell that is in trouble. */
+static bool
+spend_resend(struct gyp_entry_core *e, const struct gyp_call *c)
+{
+	if (c->sends == 0)
+		return true;
+	if (e->resend_bytes < c->bytes)
+		return false;
+	e->resend_bytes -= c->bytes;
+	return true;
+}
+
+static void
+refill_resends(struct gyp_entry_core *e)
+{
+	uint64_t elapsed = e->now - e->refilled_at;
+
+	e->refilled_at = e->now;
+	e->resend_bytes = MIN(RESEND_BYTES_PER_S,
+	    e->resend_bytes + MIN(elapsed, 1000) * (RESEND_BYTES_PER_S / 1000));
+}
+
+void
+gyp_entry_take_calls(struct gyp_entry_core *e, GPtrArray *list)
+{
+	size_t bytes = 0;
+	uint64_t *id;
+
+	refill_resends(e);
+	while ((id = g_queue_peek_head(&e->unsent)) != NULL) {
+		struct gyp_call *c = g_hash_table_lookup(e->calls, id);
+
+		if (c != NULL && c->epoch != e->epoch) {
+			if ((bytes > 0 && bytes + c->bytes > FRAME_BYTES) ||
+			    !spend_resend(e, c))
+				return;
+			bytes += c->bytes;
+			c->epoch = e->epoch;
+			c->sends++;
+			g_ptr_array_add(list, c->msg);
+		}
+		g_free(g_queue_pop_head(&e->unsent));
+	}
+}
+
+/* ---- Door -------------------------------------------------------------- */
+
+uint64_t
+gyp_entry_call(struct gyp_entry_core *e, uint64_t now, const Gyp__Call *msg,
+    uint32_t timeout_ms, void *owner)
+{
+	enum gyp_call_kind kind = msg->c_case == GYP__CALL__C_SUBMIT
+				      ? GYP_CALL_SUBMIT
+				      : GYP_CALL_PLAIN;
+	uint64_t id;
+
+	e->now = MAX(e->now, now);
+	if (g_hash_table_size(e->calls) >= GYP_ENTRY_CALLS_MAX ||
+	    e->call_bytes >= GYP_ENTRY_BYTES_MAX)
+		return 0;
+	id = gyp_entry_add_call(e, kind, msg, timeout_ms, owner)->id;
+	gyp_entry_tick(e, now);
+	return id;
+}
+
+void
+gyp_entry_forget(struct gyp_entry_core *e, uint64_t call)
+{
+	struct gyp_call *c = g_hash_table_lookup(e->calls, &call);
+
+	if (c != NULL)
+		remove_call(e, c);
+}
+
+uint32_t
+gyp_entry_open_calls(const struct gyp_entry_core *e)
+{
+	return g_hash_table_size(e->calls);
+}
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -11,14 +11,26 @@
 	struct gyp_httpc *client;
 	gyp_exchange_fn done;
 	void *arg;
+	GHashTable *peers; /* address -> struct peer */
+};
+
+/* One endpoint, while anything is under way there or waits for it. */
+struct peer {
+	char *address;
+	uint32_t open;   /* exchanges under way */
+	uint32_t starts; /* of these, starts */
+	GQueue waiting;  /* struct gyp_exchange */
 };
 
 struct running {
 	struct gyp_exchanges *xs;
+	struct peer *peer;
 	uint64_t id;
 	Gyp__OrderType type;
 };
 
+static void run_waiting(struct gyp_exchanges *, struct peer *);
+
 static enum gyp_fate
 fate_of_state(const char *state)
 {
@@ -30,6 +42,8 @@
 		return GYP_FATE_RUNNING;
 	if (strcmp(state, "refused") == 0)
 		return GYP_FATE_NOT_STARTED;
+	if (strcmp(state, "checkpointed") == 0)
+		return GYP_FATE_CHECKPOINTED;
 	return GYP_FATE_LOST;
 }
 
@@ -74,56 +88,204 @@
 	out.answer = res->body;
 	out.answer_len = res->len;
 	out.answer_dropped = res->dropped;
+	run->peer->open--;
+	run->peer->starts -= run->type == GYP__ORDER_TYPE__ORDER_START;
 	run->xs->done(run->xs->arg, run->id, &out);
+	run_waiting(run->xs, run->peer);
 	g_free(run);
 }
 
+static const char *
+verb_of(Gyp__OrderType type)
+{
+	switch (type) {
+	case GYP__ORDER_TYPE__ORDER_START:
+		return "/start";
+	case GYP__ORDER_TYPE__ORDER_STOP:
+		return "/stop";
+	case GYP__ORDER_TYPE__ORDER_CHECKPOINT:
+		return "/checkpoint";
+	case GYP__ORDER_TYPE__ORDER_THROTTLE:
+		return "/throttle";
+	case GYP__ORDER_TYPE__ORDER_QUERY:
+	default:
+		return "";
+	}
+}
+
 static char *
 make_url(const Gyp__Order *order)
 {
 	const Gyp__Attempt *a = order->attempt;
-	const char *verb =
-	    order->type == GYP__ORDER_TYPE__ORDER_START  ? "/start"
-	    : order->type == GYP__ORDER_TYPE__ORDER_STOP ? "/stop"
-							 : "";
 
 	return g_strdup_printf("http://%s/v1/attempts/%" G_GINT64_MODIFIER
 			       "x.%x.%x%s",
-	    order->address, a->job, a->task, a->attempt, verb);
+	    order->address, a->job, a->task, a->attempt, verb_of(order->type));
 }
 
-void
-gyp_exchanges_run(struct gyp_exchanges *xs, struct gyp_exchange *x)
+static char *
+make_size(const Gyp__Res *size)
+{
+	if (size == NULL)
+		return g_strdup("Gyp-Size:");
+	return g_strdup_printf(
+	    "Gyp-Size: cpu_milli=%u memory_bytes=%" G_GUINT64_FORMAT
+	    " accelerators=%u slots=%u",
+	    size->cpu_milli, size->memory, size->accel, size->slots);
+}
+
+/* ---- Sending ----------------------------------------------------------- */
+
+static void
+send_start(struct gyp_exchanges *xs, struct gyp_httpc_request *req,
+    const struct gyp_exchange *x)
 {
 	const Gyp__Order *order = x->order;
-	bool start = order->type == GYP__ORDER_TYPE__ORDER_START;
-	struct running *run = g_new0(struct running, 1);
-	struct gyp_httpc_request req = {.done = on_done, .arg = run};
-	char *url = make_url(order);
 	char not_after[64], kind[64];
-	const char *headers[] = {
-	    not_after, kind, "Content-Type: application/octet-stream", NULL};
+	char *size = make_size(order->size);
+	const char *headers[] = {not_after, kind, size,
+	    "Content-Type: application/octet-stream", NULL};
 
-	run->xs = xs;
-	run->id = x->id;
-	run->type = order->type;
 	g_snprintf(not_after, sizeof(not_after),
 	    "Gyp-Not-After: %" G_GUINT64_FORMAT, order->not_after_ms);
 	g_snprintf(
 	    kind, sizeof(kind), "Gyp-Kind: %s", gyp_kind_name(order->kind));
-	req.method =
-	    order->type == GYP__ORDER_TYPE__ORDER_QUERY ? "GET" : "POST";
-	req.url = url;
-	req.headers = start ? headers : NULL;
-	req.body = order->payload.data;
-	req.len = order->payload.len;
-	req.answer_max = GYP_ANSWER_MAX;
-	req.timeout_ms = start ? 0 : GYP_QUESTION_MS;
-	gyp_httpc_send(xs->client, &req);
+	req->headers = headers;
+	req->body = order->payload.data;
+	req->len = order->payload.len;
+	req->send_by = x->send_by;
+	gyp_httpc_send(xs->client, req);
+	g_free(size);
+}
+
+static void
+send_other(struct gyp_exchanges *xs, struct gyp_httpc_request *req,
+    const Gyp__Order *order)
+{
+	char limit[64];
+	const char *headers[] = {limit, NULL};
+
+	if (order->type == GYP__ORDER_TYPE__ORDER_QUERY)
+		req->method = "GET";
+	g_snprintf(
+	    limit, sizeof(limit), "Gyp-Cpu-Limit: %u", order->cpu_limit_milli);
+	if (order->type == GYP__ORDER_TYPE__ORDER_THROTTLE)
+		req->headers = headers;
+	req->timeout_ms = GYP_QUESTION_MS;
+	gyp_httpc_send(xs->client, req);
+}
+
+static void
+run_now(struct gyp_exchanges *xs, struct peer *peer, struct gyp_exchange *x)
+{
+	struct running *run = g_new0(struct running, 1);
+	char *url = make_url(x->order);
+	struct gyp_httpc_request req = {.method = "POST",
+	    .url = url,
+	    .answer_max = GYP_ANSWER_MAX,
+	    .done = on_done,
+	    .arg = run};
+
+	run->xs = xs;
+	run->peer = peer;
+	run->id = x->id;
+	run->type = x->order->type;
+	peer->open++;
+	if (run->type == GYP__ORDER_TYPE__ORDER_START) {
+		peer->starts++;
+		send_start(xs, &req, x);
+	} else {
+		send_other(xs, &req, x->order);
+	}
 	g_free(url);
 	gyp_message_free(x->order);
 }
 
+/* ---- Connections of one endpoint --------------------------------------- */
+
+static bool
+may_run(const struct peer *peer, const Gyp__Order *order)
+{
+	uint32_t cap = MAX(order->cap, 1);
+
+	if (order->type == GYP__ORDER_TYPE__ORDER_START)
+		return peer->open < cap && peer->starts < MAX(cap - 1, 1);
+	return peer->open < cap;
+}
+
+/* Starts wait for each other, but nothing else waits for a start. */
+static void
+run_waiting(struct gyp_exchanges *xs, struct peer *peer)
+{
+	GList *l = peer->waiting.head;
+
+	while (l != NULL) {
+		GList *next = l->next;
+		struct gyp_exchange *x = l->data;
+
+		if (may_run(peer, x->order)) {
+			g_queue_delete_link(&peer->waiting, l);
+			run_now(xs, peer, x);
+			g_free(x);
+		}
+		l = next;
+	}
+	if (peer->open == 0 && peer->waiting.length == 0)
+		g_hash_table_remove(xs->peers, peer->address);
+}
+
+static struct peer *
+find_peer(struct gyp_exchanges *xs, const char *address)
+{
+	struct peer *peer = g_hash_table_lookup(xs->peers, address);
+
+	if (peer != NULL)
+		return peer;
+	peer = g_new0(struct peer, 1);
+	peer->address = g_strdup(address);
+	g_hash_table_insert(xs->peers, peer->address, peer);
+	return peer;
+}
+
+static void
+refuse(struct gyp_exchanges *xs, struct gyp_exchange *x)
+{
+	struct gyp_exchange_result res = {.fate = GYP_FATE_LOST,
+	    .reason = "too many orders wait for the endpoint"};
+
+	if (x->order->type == GYP__ORDER_TYPE__ORDER_START)
+		res.fate = GYP_FATE_NOT_STARTED;
+	gyp_message_free(x->order);
+	xs->done(xs->arg, x->id, &res);
+}
+
+void
+gyp_exchanges_run(struct gyp_exchanges *xs, struct gyp_exchange *x)
+{
+	struct peer *peer = find_peer(xs, x->order->address);
+
+	if (peer->waiting.length >= GYP_EXCHANGE_QUEUE_MAX) {
+		refuse(xs, x);
+		return;
+	}
+	g_queue_push_tail(&peer->waiting, g_memdup2(x, sizeof(*x)));
+	run_waiting(xs, peer);
+}
+
+static void
+free_peer(gpointer p)
+{
+	struct peer *peer = p;
+	struct gyp_exchange *x;
+
+	while ((x = g_queue_pop_head(&peer->waiting)) != NULL) {
+		gyp_message_free(x->order);
+		g_free(x);
+	}
+	g_free(peer->address);
+	g_free(peer);
+}
+
 struct gyp_exchanges *
 gyp_exchanges_new(struct gyp_httpc *client, gyp_exchange_fn done, void *arg)
 {
@@ -132,11 +294,16 @@
 	xs->client = client;
 	xs->done = done;
 	xs->arg = arg;
+	xs->peers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
 	return xs;
 }
 
 void
 gyp_exchanges_free(struct gyp_exchanges *xs)
 {
+	if (xs == NULL)
+		return;
+	g_hash_table_destroy(xs->peers);
 	g_free(xs);
 }
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -25,6 +25,7 @@
 #include "raft.h"    /* replicated log */
 #include "record.h"  /* what goes to the disk */
 #include "replica.h" /* log, tables and decisions together */
+#include "running.h" /* what endpoints say that they run */
 #include "state.h"   /* tables of jobs, endpoints and rules */
 #include "usage.h"   /* measured usage, from heartbeats */
 
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -8,6 +8,10 @@
 #include "httpc.h"
 #include "timer.h"
 
+/* Probes of an idle connection, in seconds. */
+#define KEEPALIVE_IDLE_S     10
+#define KEEPALIVE_INTERVAL_S 5
+
 struct gyp_httpc {
 	struct ev_loop *loop;
 	struct gyp_timers *timers;
@@ -32,6 +36,7 @@
 	size_t answer_max;
 	bool dropped;
 	bool framed; /* the end of the answer is announced */
+	uint64_t send_by;
 	char state[32];
 	gyp_httpc_fn done;
 	void *arg;
@@ -60,8 +65,9 @@
 	if (code == CURLE_OK)
 		return x->framed ? GYP_HTTPC_ANSWERED : GYP_HTTPC_LOST;
 	curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &sent);
-	if (sent == 0 &&
-	    (code == CURLE_COULDNT_CONNECT || code == CURLE_OPERATION_TIMEDOUT))
+	if (sent == 0 && (code == CURLE_COULDNT_CONNECT ||
+			     code == CURLE_OPERATION_TIMEDOUT ||
+			     code == CURLE_ABORTED_BY_CALLBACK))
 		return GYP_HTTPC_NOT_SENT;
 	return GYP_HTTPC_LOST;
 }
@@ -209,6 +215,11 @@
 	struct exchange *x = user;
 	size_t len = size * n;
 
+	/* An interim answer's headers say nothing about the final one. */
+	if (len > 5 && memcmp(line, "HTTP/", 5) == 0) {
+		x->framed = false;
+		x->state[0] = '\0';
+	}
 	if (header_is(line, len, "Content-Length") ||
 	    header_is(line, len, "Transfer-Encoding"))
 		x->framed = true;
@@ -223,6 +234,37 @@
 
 /* ---- Door -------------------------------------------------------------- */
 
+/* Looks at the clock after the connection is open, before any byte leaves. */
+static int
+on_ready(void *user, char *ip, char *local_ip, int port, int local_port)
+{
+	const struct exchange *x = user;
+
+	(void)ip;
+	(void)local_ip;
+	(void)port;
+	(void)local_port;
+	if (x->send_by != 0 && gyp_clock_ms() >= x->send_by)
+		return CURL_PREREQFUNC_ABORT;
+	return CURL_PREREQFUNC_OK;
+}
+
+static void
+set_limits(struct exchange *x, const struct gyp_httpc_request *req)
+{
+	CURL *e = x->easy;
+
+	curl_easy_setopt(
+	    e, CURLOPT_CONNECTTIMEOUT_MS, (long)GYP_HTTPC_CONNECT_MS);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)req->timeout_ms);
+	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_ready);
+	curl_easy_setopt(e, CURLOPT_PREREQDATA, x);
+	/* A peer that is cut off in silence must not hold the exchange. */
+	curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(e, CURLOPT_TCP_KEEPIDLE, (long)KEEPALIVE_IDLE_S);
+	curl_easy_setopt(e, CURLOPT_TCP_KEEPINTVL, (long)KEEPALIVE_INTERVAL_S);
+}
+
 static void
 set_options(struct exchange *x, const struct gyp_httpc_request *req)
 {
@@ -237,9 +279,7 @@
 	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
 	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
-	curl_easy_setopt(
-	    e, CURLOPT_CONNECTTIMEOUT_MS, (long)GYP_HTTPC_CONNECT_MS);
-	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)req->timeout_ms);
+	set_limits(x, req);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, x);
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
@@ -262,6 +302,7 @@
 	x->client = client;
 	x->easy = curl_easy_init();
 	x->answer_max = req->answer_max;
+	x->send_by = req->send_by;
 	x->done = req->done;
 	x->arg = req->arg;
 	gyp_buf_append(&x->request, req->body, req->len);
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -50,6 +50,7 @@
 	size_t len;
 	size_t answer_max;   /* bytes of the answer that are kept */
 	uint32_t timeout_ms; /* for the whole exchange, 0 for none */
+	uint64_t send_by;    /* our clock; not sent from then on, 0 for none */
 	gyp_httpc_fn done;
 	void *arg;
 };
--- a/src/replica.c
+++ b/src/replica.c
@@ -131,6 +131,7 @@
 	struct gyp_replica *r = ((struct gyp_replica_listener *)l)->replica;
 
 	gyp_usage_drop_task(r->usage, job->id, task);
+	gyp_running_drop_task(r->running, job->id, task);
 }
 
 static void
@@ -271,6 +272,7 @@
 	r->undecided = true;
 	gyp_leases_reset(r->leases, r->now);
 	gyp_usage_reset(r->usage);
+	gyp_running_reset(r->running);
 }
 
 static void
@@ -376,6 +378,7 @@
 	peer->heard = r->now;
 	peer->round = up->round;
 	peer->rules_version = up->rules_version;
+	peer->draining = up->draining;
 	peer->due = true;
 	if (first)
 		gyp_replica_requeue_orders(r, peer);
@@ -504,6 +507,7 @@
 	    g_int64_hash, g_int64_equal, NULL, gyp_free_entry_peer);
 	r->leases = gyp_leases_new(cfg->endpoint_lease_ms);
 	r->usage = gyp_usage_new();
+	r->running = gyp_running_new();
 	r->counters = gyp_counters_new();
 	return r;
 }
@@ -531,6 +535,7 @@
 	g_hash_table_destroy(r->entries);
 	gyp_leases_free(r->leases);
 	gyp_usage_free(r->usage);
+	gyp_running_free(r->running);
 	gyp_counters_free(r->counters);
 	gyp_state_free(r->state);
 	gyp_raft_free(r->raft);
--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -146,6 +146,22 @@
 	g_ptr_array_add(r->waiting, w);
 }
 
+/* Answers a key without a job; false when nothing is known of it. */
+static bool
+answer_retired(struct gyp_replica *r, uint64_t entry, uint64_t call,
+    const char *team, const char *key)
+{
+	if (gyp_state_key_refused(r->state, team, key))
+		reply_code(r, entry, call, GYP__CODE__CODE_REFUSED,
+		    "the key is refused, and no job ever had it");
+	else if (gyp_state_key_retired(r->state, team, key))
+		reply_code(r, entry, call, GYP__CODE__CODE_RETIRED,
+		    "the key's job is no longer kept");
+	else
+		return false;
+	return true;
+}
+
 /* Answers a submit from the tables; false when they hold nothing of it. */
 static bool
 answer_submit(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
@@ -168,12 +184,7 @@
 		reply_and_subscribe(r, entry, call->id, job);
 		return true;
 	}
-	if (gyp_state_key_retired(r->state, spec->team, spec->key)) {
-		reply_code(r, entry, call->id, GYP__CODE__CODE_RETIRED,
-		    "the key was refused or its job is no longer kept");
-		return true;
-	}
-	return false;
+	return answer_retired(r, entry, call->id, spec->team, spec->key);
 }
 
 static void
@@ -309,7 +320,8 @@
 	const struct gyp_job *job = gyp_state_job(r->state, a->job);
 	const struct gyp_task *t;
 
-	if (job == NULL || a->task >= job->n_tasks || job->cancelled)
+	if (job == NULL || a->task >= job->n_tasks || job->cancelled ||
+	    job->restarting)
 		return false;
 	t = &job->tasks[a->task];
 	return t->state == GYP_TASK_PLACED && t->endpoint == endpoint &&
@@ -334,8 +346,8 @@
 		s.used = gyp_res_from(beat->used);
 		gyp_usage_put_endpoint(r->usage, ep->id, &s);
 	}
-	for (i = 0; i < beat->n_running; i++) {
-		const Gyp__Attempt *a = beat->running[i];
+	for (i = 0; i < beat->n_usage; i++) {
+		const Gyp__Attempt *a = beat->usage[i];
 
 		if (!is_reported(a->used) || !runs_here(r, ep->id, a))
 			continue;
@@ -345,14 +357,34 @@
 	}
 }
 
+/* Names what runs at the endpoint and should not. */
+static void
+reply_beat(struct gyp_replica *r, uint64_t entry, uint64_t call,
+    const struct gyp_endpoint *ep, bool resend)
+{
+	Gyp__Reply msg = GYP__REPLY__INIT;
+	uint32_t i, n;
+	const Gyp__Attempt *list = gyp_running_list(r->running, ep->id, &n);
+
+	msg.id = call;
+	msg.endpoint = ep->id;
+	msg.lease_ms = r->cfg.endpoint_lease_ms;
+	msg.resend = resend;
+	msg.stop = g_new(Gyp__Attempt *, n + 1);
+	for (i = 0; i < n; i++) {
+		if (!runs_here(r, ep->id, &list[i]))
+			msg.stop[msg.n_stop++] = (Gyp__Attempt *)&list[i];
+	}
+	reply(r, entry, &msg);
+	g_free(msg.stop);
+}
+
 static void
 call_beat(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
 	const Gyp__Beat *beat = call->beat;
 	const struct gyp_endpoint *ep =
 	    gyp_state_endpoint(r->state, beat->endpoint);
-	Gyp__Reply msg = GYP__REPLY__INIT;
-	size_t i;
 
 	if (ep == NULL || ep->spec->incarnation != beat->incarnation) {
 		reply_code(r, entry, call->id, GYP__CODE__CODE_NOT_FOUND,
@@ -361,16 +393,8 @@
 	}
 	gyp_leases_renew(r->leases, ep->id, r->now, beat->clock_ms);
 	note_usage(r, ep, beat);
-	msg.id = call->id;
-	msg.endpoint = ep->id;
-	msg.lease_ms = r->cfg.endpoint_lease_ms;
-	msg.stop = g_new(Gyp__Attempt *, beat->n_running + 1);
-	for (i = 0; i < beat->n_running; i++) {
-		if (!runs_here(r, ep->id, beat->running[i]))
-			msg.stop[msg.n_stop++] = beat->running[i];
-	}
-	reply(r, entry, &msg);
-	g_free(msg.stop);
+	reply_beat(r, entry, call->id, ep,
+	    !gyp_running_take(r->running, r->now, beat));
 }
 
 static void
@@ -452,10 +476,11 @@
 	if (job == NULL && c->key[0] != '\0')
 		job = gyp_state_job_by_key(r->state, c->team, c->key);
 	if (job != NULL)
-		reply_job(r, entry, call->id, job, UINT32_MAX);
-	else
-		reply_code(r, entry, call->id, GYP__CODE__CODE_RETIRED,
-		    "the key is refused from now on");
+		reply_job(
+		    r, entry, call->id, job, c->unless_job ? 0 : UINT32_MAX);
+	else if (!answer_retired(r, entry, call->id, c->team, c->key))
+		reply_code(r, entry, call->id, GYP__CODE__CODE_NOT_FOUND,
+		    "no such job");
 }
 
 static void
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -4,6 +4,7 @@
 #include "counters.h"
 #include "leases.h"
 #include "replica.h"
+#include "running.h"
 #include "usage.h"
 
 /*
@@ -13,7 +14,8 @@
  * DESCRIPTION
  *	replica.c	log, batches and queues
  *	replica_calls.c	answers to entries' calls
- *	replica_lead.c	a leader's periodic work: leases, orders, membership
+ *	replica_lead.c	a leader's periodic work: leases, membership, frames
+ *	replica_orders.c starts and questions that entries carry out
  *	admin.c		reports for operators, as JSON
  */
 
@@ -22,6 +24,9 @@
 	struct gyp_replica *replica;
 };
 
+/* Most entries of a cell; each uses its share of an endpoint's connections. */
+#define GYP_ENTRIES_MAX 7
+
 /* An entry as the leader knows it. */
 struct gyp_entry_peer {
 	uint64_t id;
@@ -29,6 +34,7 @@
 	uint64_t lease_end; /* our clock, with margin */
 	uint64_t round;     /* to echo */
 	uint64_t rules_version;
+	bool draining;      /* gets no new starts */
 	bool due;           /* owes it a frame */
 	GPtrArray *replies; /* Gyp__Reply, owned */
 	GPtrArray *orders;  /* Gyp__Order, owned */
@@ -73,6 +79,7 @@
 	GHashTable *entries;     /* id -> struct gyp_entry_peer */
 	struct gyp_leases *leases;
 	struct gyp_usage *usage;
+	struct gyp_running *running;
 	struct gyp_counters *counters; /* kept while following too */
 	uint64_t duties_at;
 	uint64_t queries_at;
@@ -90,9 +97,15 @@
 
 /* replica_lead.c */
 struct gyp_entry_peer *gyp_replica_entry(struct gyp_replica *, uint64_t id);
-bool gyp_replica_entry_live(const struct gyp_replica *, uint64_t id);
+bool gyp_replica_can_take_orders(
+    const struct gyp_replica *, const struct gyp_entry_peer *);
 uint64_t gyp_replica_pick_entry(
     const struct gyp_replica *, const struct gyp_job *, uint64_t endpoint);
+void gyp_replica_duties(struct gyp_replica *);
+void gyp_replica_flush_entries(struct gyp_replica *);
+void gyp_free_entry_peer(gpointer);
+
+/* replica_orders.c */
 void gyp_replica_queue_order(struct gyp_replica *, const struct gyp_job *,
     uint32_t task, Gyp__OrderType);
 
@@ -100,9 +113,8 @@
 void gyp_replica_queue_throttle(struct gyp_replica *, const struct gyp_job *,
     uint32_t task, uint32_t cpu_limit_milli);
 void gyp_replica_requeue_orders(struct gyp_replica *, struct gyp_entry_peer *);
-void gyp_replica_duties(struct gyp_replica *);
-void gyp_replica_flush_entries(struct gyp_replica *);
-void gyp_free_entry_peer(gpointer);
+void gyp_replica_send_starts(struct gyp_replica *, struct gyp_entry_peer *);
+void gyp_replica_ask_unlisted(struct gyp_replica *);
 
 /* admin.c */
 char *gyp_admin_json(struct gyp_replica *, const Gyp__Admin *, Gyp__Code *);
--- a/src/replica_lead.c
+++ b/src/replica_lead.c
@@ -7,9 +7,12 @@
 /* Interval of the leader's periodic work, in ms. */
 #define DUTIES_MS 100
 
-/* Interval of questions about attempts whose entry is gone, in ms. */
+/* Interval of the search for attempts that must be asked about, in ms. */
 #define QUERIES_MS 1000
 
+/* Most bytes of replies and orders in one frame, unless one is larger. */
+#define DOWN_BYTES (1024 * 1024)
+
 /* A learner this close to the end of the log gets its vote, in entries. */
 #define CAUGHT_UP_ENTRIES 64
 
@@ -52,24 +55,20 @@
 	return r->now <= peer->lease_end;
 }
 
+/* An entry gets orders only after it was heard in this term. */
 bool
-gyp_replica_entry_live(const struct gyp_replica *r, uint64_t id)
+gyp_replica_can_take_orders(
+    const struct gyp_replica *r, const struct gyp_entry_peer *peer)
 {
-	const struct gyp_entry_peer *peer =
-	    g_hash_table_lookup(r->entries, &id);
-
-	if (peer == NULL)
-		return r->now <=
-		       gyp_lease_end(r->lead_since, r->cfg.entry_lease_ms);
-	return peer_is_live(r, peer);
+	return peer != NULL && peer->heard != 0 &&
+	       r->now < peer->heard + r->cfg.entry_lease_ms;
 }
 
-/* An entry gets orders only after it was heard in this term. */
+/* One that is shutting down finishes what it holds and gets nothing new. */
 static bool
-can_take_orders(const struct gyp_replica *r, const struct gyp_entry_peer *peer)
+can_take_starts(const struct gyp_replica *r, const struct gyp_entry_peer *peer)
 {
-	return peer != NULL && peer->heard != 0 &&
-	       r->now < peer->heard + r->cfg.entry_lease_ms;
+	return gyp_replica_can_take_orders(r, peer) && !peer->draining;
 }
 
 static uint64_t
@@ -91,7 +90,7 @@
 		uint64_t id =
 		    g_array_index(list, struct gyp_subscriber, i).entry;
 
-		if (can_take_orders(r, g_hash_table_lookup(r->entries, &id)))
+		if (can_take_starts(r, g_hash_table_lookup(r->entries, &id)))
 			return id;
 	}
 	return 0;
@@ -116,7 +115,7 @@
 		const struct gyp_entry_peer *peer = value;
 		uint64_t weight = rendezvous_weight(peer->id, endpoint);
 
-		if (can_take_orders(r, peer) &&
+		if (can_take_starts(r, peer) &&
 		    (best == 0 || weight > best_weight)) {
 			best = peer->id;
 			best_weight = weight;
@@ -125,169 +124,15 @@
 	return best;
 }
 
-/* ---- Orders ------------------------------------------------------------ */
-
-static void
-add_order(struct gyp_replica *r, struct gyp_entry_peer *peer,
-    const struct gyp_job *job, uint32_t task, Gyp__OrderType type,
-    uint64_t not_after, uint32_t cpu_limit_milli)
-{
-	const struct gyp_task *t = &job->tasks[task];
-	const struct gyp_endpoint *ep =
-	    gyp_state_endpoint(r->state, t->endpoint);
-	Gyp__Order order = GYP__ORDER__INIT;
-	Gyp__Attempt attempt = GYP__ATTEMPT__INIT;
-
-	attempt.job = job->id;
-	attempt.task = task;
-	attempt.attempt = t->attempt;
-	order.type = type;
-	order.attempt = &attempt;
-	order.address = ep->spec->address;
-	order.kind = job->spec->kind;
-	order.cpu_limit_milli = cpu_limit_milli;
-	if (type == GYP__ORDER_TYPE__ORDER_START) {
-		order.not_after_ms = not_after;
-		order.valid_ms = r->cfg.start_window_ms;
-		order.size = job->spec->size;
-		order.payload = job->spec->payload;
-	}
-	g_ptr_array_add(peer->orders, gyp_message_copy(&order.base));
-	peer->due = true;
-}
-
-/* Any live entry may ask or stop; only the named one may start. */
-static void
-queue_order(struct gyp_replica *r, const struct gyp_job *job, uint32_t task,
-    Gyp__OrderType type, uint32_t cpu_limit_milli)
-{
-	const struct gyp_task *t = &job->tasks[task];
-	uint64_t id = t->entry;
-
-	if (!can_take_orders(r, g_hash_table_lookup(r->entries, &id)))
-		id = gyp_replica_pick_entry(r, job, t->endpoint);
-	if (id != 0)
-		add_order(r, gyp_replica_entry(r, id), job, task, type, 0,
-		    cpu_limit_milli);
-}
-
-void
-gyp_replica_queue_order(struct gyp_replica *r, const struct gyp_job *job,
-    uint32_t task, Gyp__OrderType type)
-{
-	/* What is not idempotent could not be started again. */
-	if (type == GYP__ORDER_TYPE__ORDER_CHECKPOINT && !job->spec->idempotent)
-		return;
-	queue_order(r, job, task, type, 0);
-}
-
-void
-gyp_replica_queue_throttle(struct gyp_replica *r, const struct gyp_job *job,
-    uint32_t task, uint32_t cpu_limit_milli)
-{
-	queue_order(
-	    r, job, task, GYP__ORDER_TYPE__ORDER_THROTTLE, cpu_limit_milli);
-}
+/* ---- Expiry ------------------------------------------------------------ */
 
-/* Sends a start to its entry; false when it must be tried again later. */
+/* Nothing more can arrive there, because no attempt is open. */
 static bool
-send_start(struct gyp_replica *r, struct gyp_entry_peer *peer,
-    const struct gyp_task_ref *ref)
-{
-	const struct gyp_job *job = gyp_state_job(r->state, ref->job);
-	const struct gyp_task *t;
-	uint64_t not_after;
-
-	if (job == NULL)
-		return true;
-	t = &job->tasks[ref->task];
-	if (t->state != GYP_TASK_PLACED || t->entry != peer->id)
-		return true;
-	if (job->cancelled) {
-		add_order(
-		    r, peer, job, ref->task, GYP__ORDER_TYPE__ORDER_STOP, 0, 0);
-		return true;
-	}
-	if (!gyp_leases_not_after(r->leases, t->endpoint, r->now,
-		r->cfg.start_window_ms, &not_after))
-		return false;
-	add_order(r, peer, job, ref->task, GYP__ORDER_TYPE__ORDER_START,
-	    not_after, 0);
-	return true;
-}
-
-static void
-send_starts(struct gyp_replica *r, struct gyp_entry_peer *peer)
+has_left(const struct gyp_endpoint *ep)
 {
-	guint left = peer->unsent.length;
-
-	if (!can_take_orders(r, peer))
-		return;
-	while (left-- > 0) {
-		struct gyp_task_ref *ref = g_queue_pop_head(&peer->unsent);
-
-		if (send_start(r, peer, ref))
-			g_free(ref);
-		else
-			g_queue_push_tail(&peer->unsent, ref);
-	}
+	return ep->state == GYP_ENDPOINT_LEAVING && ep->attempts->len == 0;
 }
 
-typedef void (*attempt_visitor)(
-    struct gyp_replica *, const struct gyp_job *, uint32_t task, void *arg);
-
-static void
-visit_attempts(struct gyp_replica *r, attempt_visitor visit, void *arg)
-{
-	const struct gyp_table *t = gyp_state_endpoints(r->state);
-	uint32_t i;
-	guint k;
-
-	for (i = 0; i < gyp_table_size(t); i++) {
-		const struct gyp_endpoint *ep = gyp_table_at(t, i, NULL);
-
-		for (k = 0; ep != NULL && k < ep->attempts->len; k++) {
-			const struct gyp_task_ref *ref = &g_array_index(
-			    ep->attempts, struct gyp_task_ref, k);
-
-			visit(r, gyp_state_job(r->state, ref->job), ref->task,
-			    arg);
-		}
-	}
-}
-
-static void
-requeue_if_named(
-    struct gyp_replica *r, const struct gyp_job *job, uint32_t task, void *arg)
-{
-	struct gyp_entry_peer *peer = arg;
-	struct gyp_task_ref ref = {.job = job->id, .task = task};
-
-	(void)r;
-	if (job->tasks[task].entry == peer->id)
-		g_queue_push_tail(&peer->unsent, g_memdup2(&ref, sizeof(ref)));
-}
-
-/* The entry drops those that it has sent already. */
-void
-gyp_replica_requeue_orders(struct gyp_replica *r, struct gyp_entry_peer *peer)
-{
-	g_queue_clear_full(&peer->unsent, g_free);
-	visit_attempts(r, requeue_if_named, peer);
-}
-
-static void
-query_if_orphan(
-    struct gyp_replica *r, const struct gyp_job *job, uint32_t task, void *arg)
-{
-	(void)arg;
-	if (!gyp_replica_entry_live(r, job->tasks[task].entry))
-		gyp_replica_queue_order(
-		    r, job, task, GYP__ORDER_TYPE__ORDER_QUERY);
-}
-
-/* ---- Expiry ------------------------------------------------------------ */
-
 static void
 expire_endpoints(struct gyp_replica *r)
 {
@@ -300,10 +145,12 @@
 		Gyp__Cmd cmd = GYP__CMD__INIT;
 		Gyp__CmdEndpointState es = GYP__CMD_ENDPOINT_STATE__INIT;
 
-		if (ep == NULL || !gyp_leases_expired(r->leases, id, r->now))
+		if (ep == NULL || (!gyp_leases_expired(r->leases, id, r->now) &&
+				      !has_left(ep)))
 			continue;
 		gyp_leases_remove(r->leases, id);
 		gyp_usage_drop_endpoint(r->usage, id);
+		gyp_running_drop_endpoint(r->running, id);
 		es.endpoint = id;
 		es.state = GYP_ENDPOINT_GONE;
 		cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
@@ -462,7 +309,7 @@
 	}
 	if (r->now >= r->queries_at) {
 		r->queries_at = r->now + QUERIES_MS;
-		visit_attempts(r, query_if_orphan, NULL);
+		gyp_replica_ask_unlisted(r);
 	}
 	tend_members(r);
 }
@@ -480,29 +327,63 @@
 		down->rules = v->cmd->text;
 }
 
+/* How many messages from `first` on fit in one frame; at least one. */
+static guint
+count_fitting(const GPtrArray *list, guint first, size_t *bytes)
+{
+	guint i;
+
+	for (i = first; i < list->len; i++) {
+		const ProtobufCMessage *m = list->pdata[i];
+		size_t len = protobuf_c_message_get_packed_size(m);
+
+		if (*bytes > 0 && *bytes + len > DOWN_BYTES)
+			break;
+		*bytes += len;
+	}
+	return i - first;
+}
+
 static void
-send_down(struct gyp_replica *r, struct gyp_entry_peer *peer)
+push_down(
+    struct gyp_replica *r, struct gyp_entry_peer *peer, Gyp__EntryDown *down)
 {
 	Gyp__Frame frame = GYP__FRAME__INIT;
-	Gyp__EntryDown down = GYP__ENTRY_DOWN__INIT;
 	struct gyp_out *out = g_new0(struct gyp_out, 1);
 
-	down.term = gyp_raft_term(r->raft);
-	down.leader = true;
-	down.round = peer->round;
-	down.lease_ms = r->cfg.entry_lease_ms;
-	peer->lease_end = gyp_lease_end(peer->heard, r->cfg.entry_lease_ms);
-	down.n_replies = peer->replies->len;
-	down.replies = (Gyp__Reply **)peer->replies->pdata;
-	down.n_orders = peer->orders->len;
-	down.orders = (Gyp__Order **)peer->orders->pdata;
-	fill_rules(r, peer, &down);
+	down->term = gyp_raft_term(r->raft);
+	down->leader = true;
+	down->round = peer->round;
+	down->lease_ms = r->cfg.entry_lease_ms;
+	down->time_ms = gyp_state_time(r->state);
 	frame.body_case = GYP__FRAME__BODY_DOWN;
-	frame.down = &down;
+	frame.down = down;
 	out->to = peer->id;
 	out->entry = true;
 	out->packed = gyp_message_pack(&frame.base);
 	g_queue_push_tail(&r->out, out);
+}
+
+static void
+send_down(struct gyp_replica *r, struct gyp_entry_peer *peer)
+{
+	guint replies = 0, orders = 0;
+
+	peer->lease_end = gyp_lease_end(peer->heard, r->cfg.entry_lease_ms);
+	do {
+		Gyp__EntryDown down = GYP__ENTRY_DOWN__INIT;
+		size_t bytes = 0;
+
+		down.replies = (Gyp__Reply **)peer->replies->pdata + replies;
+		down.n_replies = count_fitting(peer->replies, replies, &bytes);
+		down.orders = (Gyp__Order **)peer->orders->pdata + orders;
+		down.n_orders = count_fitting(peer->orders, orders, &bytes);
+		if (replies == 0 && orders == 0)
+			fill_rules(r, peer, &down);
+		replies += down.n_replies;
+		orders += down.n_orders;
+		push_down(r, peer, &down);
+	} while (replies < peer->replies->len || orders < peer->orders->len);
 	g_ptr_array_set_size(peer->replies, 0);
 	g_ptr_array_set_size(peer->orders, 0);
 	peer->due = false;
@@ -518,7 +399,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct gyp_entry_peer *peer = value;
 
-		send_starts(r, peer);
+		gyp_replica_send_starts(r, peer);
 		if (peer->due && peer->heard != 0)
 			send_down(r, peer);
 	}
--- /dev/null
+++ b/src/replica_orders.c
@@ -0,0 +1,247 @@
+#include "msg.h"
+#include "replica_int.h"
+
+/* ---- Orders ------------------------------------------------------------ */
+
+/*
+ * Cell time after which no leader sends the start of a placement. Cell time
+ * never falls, and a new leader goes on from the latest committed one.
+ */
+static uint64_t
+start_until(const struct gyp_replica *r, const struct gyp_task *t)
+{
+	return t->changed_ms + r->cfg.start_window_ms;
+}
+
+static uint64_t
+cell_time_at(const struct gyp_replica *r, uint64_t at)
+{
+	return r->time_base + (at - r->lead_since);
+}
+
+static void
+add_order(struct gyp_replica *r, struct gyp_entry_peer *peer,
+    const struct gyp_job *job, uint32_t task, Gyp__OrderType type,
+    uint64_t not_after, uint32_t cpu_limit_milli)
+{
+	const struct gyp_task *t = &job->tasks[task];
+	const struct gyp_endpoint *ep =
+	    gyp_state_endpoint(r->state, t->endpoint);
+	Gyp__Order order = GYP__ORDER__INIT;
+	Gyp__Attempt attempt = GYP__ATTEMPT__INIT;
+
+	attempt.job = job->id;
+	attempt.task = task;
+	attempt.attempt = t->attempt;
+	order.type = type;
+	order.attempt = &attempt;
+	order.address = ep->spec->address;
+	order.kind = job->spec->kind;
+	order.cap = MAX(ep->spec->connections / GYP_ENTRIES_MAX, 1);
+	order.cpu_limit_milli = cpu_limit_milli;
+	if (type == GYP__ORDER_TYPE__ORDER_START) {
+		order.not_after_ms = not_after;
+		order.valid_ms = r->cfg.start_window_ms;
+		order.until_ms = start_until(r, t);
+		order.size = job->spec->size;
+		order.payload = job->spec->payload;
+	}
+	g_ptr_array_add(peer->orders, gyp_message_copy(&order.base));
+	peer->due = true;
+}
+
+/* Any live entry may ask or stop; only the named one may start. */
+static void
+queue_order(struct gyp_replica *r, const struct gyp_job *job, uint32_t task,
+    Gyp__OrderType type, uint32_t cpu_limit_milli)
+{
+	const struct gyp_task *t = &job->tasks[task];
+	uint64_t id = t->entry;
+
+	if (!gyp_replica_can_take_orders(
+		r, g_hash_table_lookup(r->entries, &id)))
+		id = gyp_replica_pick_entry(r, job, t->endpoint);
+	if (id != 0)
+		add_order(r, gyp_replica_entry(r, id), job, task, type, 0,
+		    cpu_limit_milli);
+}
+
+void
+gyp_replica_queue_order(struct gyp_replica *r, const struct gyp_job *job,
+    uint32_t task, Gyp__OrderType type)
+{
+	/* What is not idempotent could not be started again. */
+	if (type == GYP__ORDER_TYPE__ORDER_CHECKPOINT && !job->spec->idempotent)
+		return;
+	queue_order(r, job, task, type, 0);
+}
+
+void
+gyp_replica_queue_throttle(struct gyp_replica *r, const struct gyp_job *job,
+    uint32_t task, uint32_t cpu_limit_milli)
+{
+	queue_order(
+	    r, job, task, GYP__ORDER_TYPE__ORDER_THROTTLE, cpu_limit_milli);
+}
+
+/*
+ * Time left to send the start, in ms, or 0. A successor sends none to an
+ * endpoint that is leaving: the time without a leader would count for the
+ * endpoint, but not for the cell.
+ */
+static uint32_t
+start_window(const struct gyp_replica *r, const struct gyp_task *t)
+{
+	const struct gyp_endpoint *ep =
+	    gyp_state_endpoint(r->state, t->endpoint);
+	uint64_t now = cell_time_at(r, r->now);
+	uint64_t until = start_until(r, t);
+
+	if (now >= until || (ep->state == GYP_ENDPOINT_LEAVING &&
+				t->changed_ms <= r->time_base))
+		return 0;
+	return (uint32_t)(until - now);
+}
+
+/* Sends a start to its entry; false when it must be tried again later. */
+static bool
+send_start(struct gyp_replica *r, struct gyp_entry_peer *peer,
+    const struct gyp_task_ref *ref)
+{
+	const struct gyp_job *job = gyp_state_job(r->state, ref->job);
+	const struct gyp_task *t;
+	uint64_t not_after;
+	uint32_t window_ms;
+
+	if (job == NULL)
+		return true;
+	t = &job->tasks[ref->task];
+	if (t->state != GYP_TASK_PLACED || t->entry != peer->id)
+		return true;
+	if (job->cancelled || job->restarting) {
+		add_order(
+		    r, peer, job, ref->task, GYP__ORDER_TYPE__ORDER_STOP, 0, 0);
+		return true;
+	}
+	window_ms = start_window(r, t);
+	if (window_ms == 0)
+		return true; /* the endpoint is asked about it later */
+	if (!gyp_leases_not_after(
+		r->leases, t->endpoint, r->now, window_ms, &not_after))
+		return false;
+	add_order(r, peer, job, ref->task, GYP__ORDER_TYPE__ORDER_START,
+	    not_after, 0);
+	return true;
+}
+
+void
+gyp_replica_send_starts(struct gyp_replica *r, struct gyp_entry_peer *peer)
+{
+	guint left = peer->unsent.length;
+
+	if (!gyp_replica_can_take_orders(r, peer))
+		return;
+	while (left-- > 0) {
+		struct gyp_task_ref *ref = g_queue_pop_head(&peer->unsent);
+
+		if (send_start(r, peer, ref))
+			g_free(ref);
+		else
+			g_queue_push_tail(&peer->unsent, ref);
+	}
+}
+
+typedef void (*attempt_visitor)(
+    struct gyp_replica *, const struct gyp_job *, uint32_t task, void *arg);
+
+static void
+visit_attempts(struct gyp_replica *r, attempt_visitor visit, void *arg)
+{
+	const struct gyp_table *t = gyp_state_endpoints(r->state);
+	uint32_t i;
+	guint k;
+
+	for (i = 0; i < gyp_table_size(t); i++) {
+		const struct gyp_endpoint *ep = gyp_table_at(t, i, NULL);
+
+		for (k = 0; ep != NULL && k < ep->attempts->len; k++) {
+			const struct gyp_task_ref *ref = &g_array_index(
+			    ep->attempts, struct gyp_task_ref, k);
+
+			visit(r, gyp_state_job(r->state, ref->job), ref->task,
+			    arg);
+		}
+	}
+}
+
+static void
+requeue_if_named(
+    struct gyp_replica *r, const struct gyp_job *job, uint32_t task, void *arg)
+{
+	struct gyp_entry_peer *peer = arg;
+	struct gyp_task_ref ref = {.job = job->id, .task = task};
+
+	(void)r;
+	if (job->tasks[task].entry == peer->id)
+		g_queue_push_tail(&peer->unsent, g_memdup2(&ref, sizeof(ref)));
+}
+
+/* The entry drops those that it has sent already. */
+void
+gyp_replica_requeue_orders(struct gyp_replica *r, struct gyp_entry_peer *peer)
+{
+	g_queue_clear_full(&peer->unsent, g_free);
+	visit_attempts(r, requeue_if_named, peer);
+}
+
+/* ---- Questions --------------------------------------------------------- */
+
+/*
+ * A list that was made after the last moment for a start must name the
+ * attempt, or the attempt is over, or it never started.
+ */
+static bool
+should_be_listed(const struct gyp_replica *r, const struct gyp_task *t)
+{
+	uint64_t heard = gyp_running_heard(r->running, t->endpoint);
+
+	return heard != 0 && heard >= r->lead_since &&
+	       cell_time_at(r, heard) >
+		   gyp_lease_end(start_until(r, t), r->cfg.start_window_ms);
+}
+
+/* The named entry is asked first, then any other: its way may be cut. */
+static void
+ask_if_unlisted(
+    struct gyp_replica *r, const struct gyp_job *job, uint32_t task, void *arg)
+{
+	const struct gyp_task *t = &job->tasks[task];
+	Gyp__Attempt a = GYP__ATTEMPT__INIT;
+	uint32_t nth;
+	uint64_t other;
+
+	(void)arg;
+	a.job = job->id;
+	a.task = task;
+	a.attempt = t->attempt;
+	if (!should_be_listed(r, t) ||
+	    gyp_running_lists(r->running, t->endpoint, &a))
+		return;
+	nth = gyp_running_question(r->running, r->now, &a);
+	if (nth == 0)
+		return;
+	gyp_count(r->counters, "gyp_questions_total", "", 1);
+	other = gyp_replica_pick_entry(r, NULL, t->endpoint + nth);
+	if (nth % 2 == 0 && other != 0)
+		add_order(r, gyp_replica_entry(r, other), job, task,
+		    GYP__ORDER_TYPE__ORDER_QUERY, 0, 0);
+	else
+		gyp_replica_queue_order(
+		    r, job, task, GYP__ORDER_TYPE__ORDER_QUERY);
+}
+
+void
+gyp_replica_ask_unlisted(struct gyp_replica *r)
+{
+	visit_attempts(r, ask_if_unlisted, NULL);
+}
--- a/src/state.h
+++ b/src/state.h
@@ -83,6 +83,7 @@
 	uint64_t finished_ms;
 	Gyp__Outcome outcome; /* NONE until every task is over */
 	bool cancelled;
+	bool restarting; /* a gang: all tasks end, then all are queued */
 	char *reason;
 	uint32_t n_tasks;
 	uint32_t n_queued;
@@ -112,6 +113,10 @@
 	uint32_t task;
 };
 
+/* For hash tables whose keys are struct gyp_task_ref. */
+guint gyp_task_ref_hash(gconstpointer);
+gboolean gyp_task_ref_equal(gconstpointer, gconstpointer);
+
 struct gyp_rules_version {
 	uint64_t version;
 	uint64_t time_ms;
@@ -129,7 +134,7 @@
 	void (*attempt_over)(
 	    struct gyp_state_listener *, struct gyp_job *, uint32_t task);
 	void (*job_finished)(struct gyp_state_listener *, struct gyp_job *);
-	/* A job with open attempts was cancelled. */
+	/* The open attempts of the job must stop. */
 	void (*job_cancelled)(struct gyp_state_listener *, struct gyp_job *);
 };
 
@@ -169,6 +174,10 @@
 bool gyp_state_key_retired(
     const struct gyp_state *, const char *team, const char *key);
 
+/* True when the key was refused before any job had it: nothing ran. */
+bool gyp_state_key_refused(
+    const struct gyp_state *, const char *team, const char *key);
+
 /* The newest rules, or NULL; and the version made by a request, or NULL. */
 const struct gyp_rules_version *gyp_state_rules(const struct gyp_state *);
 const struct gyp_rules_version *gyp_state_rules_at(
--- a/src/usage.c
+++ b/src/usage.c
@@ -7,13 +7,8 @@
 	struct gyp_usage_sample sample;
 };
 
-struct task_key {
-	uint64_t job;
-	uint32_t task;
-};
-
 struct task_row {
-	struct task_key key;
+	struct gyp_task_ref key;
 	uint32_t attempt;
 	struct gyp_usage_sample sample;
 };
@@ -23,22 +18,6 @@
 	GHashTable *tasks;     /* struct task_row by its key */
 };
 
-static guint
-hash_task(gconstpointer p)
-{
-	const struct task_key *k = p;
-
-	return g_int64_hash(&k->job) ^ (k->task * 2654435761U);
-}
-
-static gboolean
-equal_tasks(gconstpointer a, gconstpointer b)
-{
-	const struct task_key *x = a, *y = b;
-
-	return x->job == y->job && x->task == y->task;
-}
-
 struct gyp_usage *
 gyp_usage_new(void)
 {
@@ -46,7 +25,8 @@
 
 	u->endpoints =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-	u->tasks = g_hash_table_new_full(hash_task, equal_tasks, NULL, g_free);
+	u->tasks = g_hash_table_new_full(
+	    gyp_task_ref_hash, gyp_task_ref_equal, NULL, g_free);
 	return u;
 }
 
@@ -85,7 +65,7 @@
 gyp_usage_put_attempt(struct gyp_usage *u, uint64_t job, uint32_t task,
     uint32_t attempt, const struct gyp_usage_sample *s)
 {
-	struct task_key key = {.job = job, .task = task};
+	struct gyp_task_ref key = {.job = job, .task = task};
 	struct task_row *row = g_hash_table_lookup(u->tasks, &key);
 
 	if (row == NULL) {
@@ -106,7 +86,7 @@
 void
 gyp_usage_drop_task(struct gyp_usage *u, uint64_t job, uint32_t task)
 {
-	struct task_key key = {.job = job, .task = task};
+	struct gyp_task_ref key = {.job = job, .task = task};
 
 	g_hash_table_remove(u->tasks, &key);
 }
@@ -128,7 +108,7 @@
 gyp_usage_of_attempt(const struct gyp_usage *u, uint64_t job, uint32_t task,
     uint32_t attempt, struct gyp_usage_sample *out)
 {
-	struct task_key key = {.job = job, .task = task};
+	struct gyp_task_ref key = {.job = job, .task = task};
 	const struct task_row *row = g_hash_table_lookup(u->tasks, &key);
 
 	if (row == NULL || row->attempt != attempt)
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2792,7 +2792,7 @@
   (ProtobufCMessageInit) gyp__cmd_endpoint_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_cancel__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gyp__cmd_cancel__field_descriptors[5] =
 {
   {
     "job",
@@ -2842,17 +2842,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unless_job",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdCancel, unless_job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd_cancel__field_indices_by_name[] = {
   0,   /* field[0] = job */
   1,   /* field[1] = key */
   3,   /* field[3] = reason */
   2,   /* field[2] = team */
+  4,   /* field[4] = unless_job */
 };
-static const ProtobufCIntRange gyp__cmd_cancel__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__cmd_cancel__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 18, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gyp__cmd_cancel__descriptor =
 {
@@ -2862,10 +2876,10 @@
   "Gyp__CmdCancel",
   "gyp",
   sizeof(Gyp__CmdCancel),
-  4,
+  5,
   gyp__cmd_cancel__field_descriptors,
   gyp__cmd_cancel__field_indices_by_name,
-  1,  gyp__cmd_cancel__number_ranges,
+  2,  gyp__cmd_cancel__number_ranges,
   (ProtobufCMessageInit) gyp__cmd_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3242,7 +3256,7 @@
   (ProtobufCMessageInit) gyp__snap_task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__snap_job__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gyp__snap_job__field_descriptors[11] =
 {
   {
     "id",
@@ -3364,6 +3378,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "restarting",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapJob, restarting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__snap_job__field_indices_by_name[] = {
   5,   /* field[5] = cancelled */
@@ -3372,15 +3398,17 @@
   0,   /* field[0] = id */
   3,   /* field[3] = outcome */
   6,   /* field[6] = reason */
+  10,   /* field[10] = restarting */
   8,   /* field[8] = seq */
   1,   /* field[1] = spec */
   2,   /* field[2] = submitted_ms */
   7,   /* field[7] = tasks */
 };
-static const ProtobufCIntRange gyp__snap_job__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__snap_job__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 18, 10 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gyp__snap_job__descriptor =
 {
@@ -3390,10 +3418,10 @@
   "Gyp__SnapJob",
   "gyp",
   sizeof(Gyp__SnapJob),
-  10,
+  11,
   gyp__snap_job__field_descriptors,
   gyp__snap_job__field_indices_by_name,
-  1,  gyp__snap_job__number_ranges,
+  2,  gyp__snap_job__number_ranges,
   (ProtobufCMessageInit) gyp__snap_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3525,7 +3553,7 @@
   (ProtobufCMessageInit) gyp__snap_rules__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__snapshot__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gyp__snapshot__field_descriptors[9] =
 {
   {
     "time_ms",
@@ -3623,6 +3651,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retired_had_job",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Gyp__Snapshot, n_retired_had_job),
+    offsetof(Gyp__Snapshot, retired_had_job),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__snapshot__field_indices_by_name[] = {
   4,   /* field[4] = endpoint_gens */
@@ -3630,14 +3670,16 @@
   2,   /* field[2] = job_gens */
   1,   /* field[1] = jobs */
   7,   /* field[7] = next_seq */
+  8,   /* field[8] = retired_had_job */
   6,   /* field[6] = retired_keys */
   5,   /* field[5] = rules */
   0,   /* field[0] = time_ms */
 };
-static const ProtobufCIntRange gyp__snapshot__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__snapshot__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 18, 8 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gyp__snapshot__descriptor =
 {
@@ -3647,10 +3689,10 @@
   "Gyp__Snapshot",
   "gyp",
   sizeof(Gyp__Snapshot),
-  8,
+  9,
   gyp__snapshot__field_descriptors,
   gyp__snapshot__field_indices_by_name,
-  1,  gyp__snapshot__number_ranges,
+  2,  gyp__snapshot__number_ranges,
   (ProtobufCMessageInit) gyp__snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3860,7 +3902,7 @@
   (ProtobufCMessageInit) gyp__attempt__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__beat__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gyp__beat__field_descriptors[8] =
 {
   {
     "incarnation",
@@ -3946,6 +3988,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "usage",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Beat, n_usage),
+    offsetof(Gyp__Beat, usage),
+    &gyp__attempt__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__beat__field_indices_by_name[] = {
   2,   /* field[2] = clock_ms */
@@ -3954,13 +4008,14 @@
   6,   /* field[6] = list */
   4,   /* field[4] = running */
   5,   /* field[5] = unchanged */
+  7,   /* field[7] = usage */
   3,   /* field[3] = used */
 };
 static const ProtobufCIntRange gyp__beat__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 18, 5 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gyp__beat__descriptor =
 {
@@ -3970,7 +4025,7 @@
   "Gyp__Beat",
   "gyp",
   sizeof(Gyp__Beat),
-  7,
+  8,
   gyp__beat__field_descriptors,
   gyp__beat__field_indices_by_name,
   2,  gyp__beat__number_ranges,
@@ -4545,7 +4600,7 @@
   (ProtobufCMessageInit) gyp__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__order__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gyp__order__field_descriptors[11] =
 {
   {
     "type",
@@ -4667,6 +4722,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "until_ms",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Order, until_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__order__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -4678,13 +4745,14 @@
   7,   /* field[7] = payload */
   6,   /* field[6] = size */
   0,   /* field[0] = type */
+  10,   /* field[10] = until_ms */
   4,   /* field[4] = valid_ms */
 };
 static const ProtobufCIntRange gyp__order__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 18, 8 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gyp__order__descriptor =
 {
@@ -4694,14 +4762,14 @@
   "Gyp__Order",
   "gyp",
   sizeof(Gyp__Order),
-  10,
+  11,
   gyp__order__field_descriptors,
   gyp__order__field_indices_by_name,
   2,  gyp__order__number_ranges,
   (ProtobufCMessageInit) gyp__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__entry_up__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gyp__entry_up__field_descriptors[4] =
 {
   {
     "calls",
@@ -4739,16 +4807,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "draining",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__EntryUp, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__entry_up__field_indices_by_name[] = {
   0,   /* field[0] = calls */
+  3,   /* field[3] = draining */
   2,   /* field[2] = round */
   1,   /* field[1] = rules_version */
 };
-static const ProtobufCIntRange gyp__entry_up__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__entry_up__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 18, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gyp__entry_up__descriptor =
 {
@@ -4758,14 +4840,14 @@
   "Gyp__EntryUp",
   "gyp",
   sizeof(Gyp__EntryUp),
-  3,
+  4,
   gyp__entry_up__field_descriptors,
   gyp__entry_up__field_indices_by_name,
-  1,  gyp__entry_up__number_ranges,
+  2,  gyp__entry_up__number_ranges,
   (ProtobufCMessageInit) gyp__entry_up__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__entry_down__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gyp__entry_down__field_descriptors[10] =
 {
   {
     "term",
@@ -4875,6 +4957,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "time_ms",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__EntryDown, time_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__entry_down__field_indices_by_name[] = {
   1,   /* field[1] = leader */
@@ -4886,11 +4980,13 @@
   7,   /* field[7] = rules */
   6,   /* field[6] = rules_version */
   0,   /* field[0] = term */
+  9,   /* field[9] = time_ms */
 };
-static const ProtobufCIntRange gyp__entry_down__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__entry_down__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 18, 9 },
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gyp__entry_down__descriptor =
 {
@@ -4900,10 +4996,10 @@
   "Gyp__EntryDown",
   "gyp",
   sizeof(Gyp__EntryDown),
-  9,
+  10,
   gyp__entry_down__field_descriptors,
   gyp__entry_down__field_indices_by_name,
-  1,  gyp__entry_down__number_ranges,
+  2,  gyp__entry_down__number_ranges,
   (ProtobufCMessageInit) gyp__entry_down__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -5173,7 +5269,7 @@
   gyp__admin_op__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gyp__code__enum_values_by_number[7] =
+static const ProtobufCEnumValue gyp__code__enum_values_by_number[8] =
 {
   { "CODE_OK", "GYP__CODE__CODE_OK", 0 },
   { "CODE_ACCEPTED", "GYP__CODE__CODE_ACCEPTED", 1 },
@@ -5182,11 +5278,12 @@
   { "CODE_BAD", "GYP__CODE__CODE_BAD", 4 },
   { "CODE_RETIRED", "GYP__CODE__CODE_RETIRED", 5 },
   { "CODE_BUSY", "GYP__CODE__CODE_BUSY", 6 },
+  { "CODE_REFUSED", "GYP__CODE__CODE_REFUSED", 18 },
 };
 static const ProtobufCIntRange gyp__code__value_ranges[] = {
-{0, 0},{0, 7}
+{0, 0},{18, 7},{0, 8}
 };
-static const ProtobufCEnumValueIndex gyp__code__enum_values_by_name[7] =
+static const ProtobufCEnumValueIndex gyp__code__enum_values_by_name[8] =
 {
   { "CODE_ACCEPTED", 1 },
   { "CODE_BAD", 4 },
@@ -5194,6 +5291,7 @@
   { "CODE_CONFLICT", 3 },
   { "CODE_NOT_FOUND", 2 },
   { "CODE_OK", 0 },
+  { "CODE_REFUSED", 7 },
   { "CODE_RETIRED", 5 },
 };
 const ProtobufCEnumDescriptor gyp__code__descriptor =
@@ -5203,11 +5301,11 @@
   "Code",
   "Gyp__Code",
   "gyp",
-  7,
+  8,
   gyp__code__enum_values_by_number,
-  7,
+  8,
   gyp__code__enum_values_by_name,
-  1,
+  2,
   gyp__code__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -104,7 +104,11 @@
   GYP__CODE__CODE_CONFLICT = 3,
   GYP__CODE__CODE_BAD = 4,
   GYP__CODE__CODE_RETIRED = 5,
-  GYP__CODE__CODE_BUSY = 6
+  GYP__CODE__CODE_BUSY = 6,
+  /*
+   * the key is refused, and no job ever had it
+   */
+  GYP__CODE__CODE_REFUSED = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__CODE)
 } Gyp__Code;
 typedef enum _Gyp__OrderType {
@@ -383,10 +387,14 @@
   char *key;
   char *team;
   char *reason;
+  /*
+   * leave a job that has the key alone
+   */
+  protobuf_c_boolean unless_job;
 };
 #define GYP__CMD_CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_cancel__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Gyp__CmdRules
@@ -494,10 +502,11 @@
    * order of the ends
    */
   uint64_t finished_seq;
+  protobuf_c_boolean restarting;
 };
 #define GYP__SNAP_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_job__descriptor) \
-    , 0, NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0 }
+    , 0, NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0 }
 
 
 struct  Gyp__SnapEndpoint
@@ -541,10 +550,15 @@
   size_t n_retired_keys;
   uint64_t *retired_keys;
   uint64_t next_seq;
+  /*
+   * for each of retired_keys
+   */
+  size_t n_retired_had_job;
+  protobuf_c_boolean *retired_had_job;
 };
 #define GYP__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__snapshot__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -593,7 +607,7 @@
   uint32_t task;
   uint32_t attempt;
   /*
-   * in a heartbeat: measured, with a lag; may be absent
+   * in a heartbeat's usage: measured, with a lag
    */
   Gyp__Res *used;
 };
@@ -628,10 +642,15 @@
    * number of the list, rises with each change
    */
   uint32_t list;
+  /*
+   * with `used`; any subset of the running
+   */
+  size_t n_usage;
+  Gyp__Attempt **usage;
 };
 #define GYP__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__beat__descriptor) \
-    , 0, 0, 0, NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, NULL, 0,NULL, 0, 0, 0,NULL }
 
 
 struct  Gyp__ReadJob
@@ -775,10 +794,14 @@
    * connections to the endpoint that the entry may use
    */
   uint32_t cap;
+  /*
+   * cell time after which no leader sends this start
+   */
+  uint64_t until_ms;
 };
 #define GYP__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__order__descriptor) \
-    , GYP__ORDER_TYPE__ORDER_START, NULL, (char *)protobuf_c_empty_string, 0, 0, GYP__KIND__KIND_REQUEST, NULL, {0,NULL}, 0, 0 }
+    , GYP__ORDER_TYPE__ORDER_START, NULL, (char *)protobuf_c_empty_string, 0, 0, GYP__KIND__KIND_REQUEST, NULL, {0,NULL}, 0, 0, 0 }
 
 
 struct  Gyp__EntryUp
@@ -794,10 +817,14 @@
    * the entry's clock, echoed for its lease
    */
   uint64_t round;
+  /*
+   * gets no new placements
+   */
+  protobuf_c_boolean draining;
 };
 #define GYP__ENTRY_UP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__entry_up__descriptor) \
-    , 0,NULL, 0, 0 }
+    , 0,NULL, 0, 0, 0 }
 
 
 struct  Gyp__EntryDown
@@ -823,10 +850,14 @@
    */
   char *rules;
   uint64_t round;
+  /*
+   * committed cell time
+   */
+  uint64_t time_ms;
 };
 #define GYP__ENTRY_DOWN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__entry_down__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 typedef enum {
