--- a/src/replica.c
+++ b/src/replica.c
@@ -128,9 +128,10 @@
 on_attempt_over(
     struct gyp_state_listener *l, struct gyp_job *job, uint32_t task)
 {
-	(void)l;
-	(void)job;
-	(void)task;
+	struct gyp_replica *r = ((struct gyp_replica_listener *)l)->replica;
+
+	gyp_usage_drop_task(r->usage, job->id, task);
+	gyp_running_drop_task(r->running, job->id, task);
 }
 
 static void
@@ -270,6 +271,8 @@
 	r->time_base = gyp_state_time(r->state);
 	r->undecided = true;
 	gyp_leases_reset(r->leases, r->now);
+	gyp_usage_reset(r->usage);
+	gyp_running_reset(r->running);
 }
 
 static void
@@ -375,6 +378,7 @@
 	peer->heard = r->now;
 	peer->round = up->round;
 	peer->rules_version = up->rules_version;
+	peer->draining = up->draining;
 	peer->due = true;
 	if (first)
 		gyp_replica_requeue_orders(r, peer);
@@ -502,6 +506,9 @@
 	r->entries = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, gyp_free_entry_peer);
 	r->leases = gyp_leases_new(cfg->endpoint_lease_ms);
+	r->usage = gyp_usage_new();
+	r->running = gyp_running_new();
+	r->counters = gyp_counters_new();
 	return r;
 }
 
@@ -527,6 +534,9 @@
 	g_hash_table_destroy(r->subscribers);
 	g_hash_table_destroy(r->entries);
 	gyp_leases_free(r->leases);
+	gyp_usage_free(r->usage);
+	gyp_running_free(r->running);
+	gyp_counters_free(r->counters);
 	gyp_state_free(r->state);
 	gyp_raft_free(r->raft);
 	g_free((char *)r->cfg.address);
