Split the door; refuse keys, report health and counters, bound slow senders

Cause, found by reading: one file of 712 lines did routing, callers, endpoints and operators; a caller could not refuse a key; a draining entry closed its listening socket at once, so that what came during the drain had no answer; the HTTP library's time limit starts anew with each byte, so that a connection could send one byte each 29 s for ever; bodies of 2,000 connections could take 320 MB.

Now DELETE /v1/keys/KEY refuses a key; GET /v1/health is 200 or 503; what comes during the drain is answered with 503 not_run, and the socket is closed only when nothing held is left; a request must be whole within 30 s and an answer read within 10 minutes; bodies and replies together take at most 16 MiB and calls 8 MiB, over which requests get 503 not_run. GET /metrics gives the entry's counters.

--- a/src/door.h
+++ b/src/door.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "counters.h"
 #include "entry.h"
 #include "httpd.h"
 
@@ -26,8 +27,8 @@
 struct gyp_door;
 
 /* After each request the door calls flush(arg), to move the core's output. */
-struct gyp_door *gyp_door_new(
-    struct gyp_entry_core *, void (*flush)(void *arg), void *arg);
+struct gyp_door *gyp_door_new(struct gyp_entry_core *, struct gyp_counters *,
+    void (*flush)(void *arg), void *arg);
 void gyp_door_free(struct gyp_door *);
 
 /* For gyp_httpd_new(). */
@@ -36,7 +37,7 @@
 /* An answer of the core; takes over its reply. */
 void gyp_door_answer(struct gyp_door *, struct gyp_answer *);
 
-/* From now on new jobs are refused; what is held is finished. */
+/* From now on all that is new is refused; what is held is finished. */
 void gyp_door_drain(struct gyp_door *);
 
 /* Requests that wait for an answer. */
--- /dev/null
+++ b/src/door_admin.c
@@ -0,0 +1,44 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "door_int.h"
+
+/* ---- Operators --------------------------------------------------------- */
+
+static void
+on_admin_answer(struct gyp_pending *p, const struct gyp_answer *a)
+{
+	char *line = g_strconcat(a->reply->json, "\n", NULL);
+
+	gyp_http_reply(p->req, gyp_door_status_of_code(a->reply->code),
+	    GYP_JSON_TYPE, line, strlen(line));
+	g_free(line);
+}
+
+void
+gyp_door_route_admin(
+    struct gyp_door *door, struct gyp_http_request *req, char **seg, guint n)
+{
+	static const struct {
+		const char *name;
+		Gyp__AdminOp op;
+	} ops[] = {{"status", GYP__ADMIN_OP__ADMIN_STATUS},
+	    {"endpoints", GYP__ADMIN_OP__ADMIN_ENDPOINTS},
+	    {"members", GYP__ADMIN_OP__ADMIN_MEMBERS}};
+	Gyp__Call call = GYP__CALL__INIT;
+	Gyp__Admin msg = GYP__ADMIN__INIT;
+	size_t i;
+
+	for (i = 0; n == 2 && i < G_N_ELEMENTS(ops); i++) {
+		if (strcmp(ops[i].name, seg[1]) != 0)
+			continue;
+		msg.op = ops[i].op;
+		call.c_case = GYP__CALL__C_ADMIN;
+		call.admin = &msg;
+		gyp_door_call(
+		    door, req, &call, GYP_CALL_MS, on_admin_answer, NULL);
+		return;
+	}
+	gyp_door_reply_error(req, 404, "no such report");
+}
--- /dev/null
+++ b/src/door_int.h
@@ -0,0 +1,80 @@
+#ifndef GYP_DOOR_INT_H
+#define GYP_DOOR_INT_H
+
+#include <jansson.h>
+
+#include "counters.h"
+#include "door.h"
+
+/*
+ * NAME
+ *	door_int - what the files of the door share
+ *
+ * DESCRIPTION
+ *	door.c			routes, replies and calls
+ *	door_jobs.c		callers: jobs and keys
+ *	door_endpoints.c	endpoints: announcements, heartbeats, ends
+ *	door_admin.c		operators: reports
+ */
+
+#define GYP_JSON_TYPE "application/json"
+
+struct gyp_door {
+	struct gyp_httpd_owner owner;
+	struct gyp_entry_core *core;
+	struct gyp_counters *counters;
+	void (*flush)(void *arg);
+	void *flush_arg;
+	bool draining;
+	uint32_t waiting;
+};
+
+/* A request whose call is not answered yet. */
+struct gyp_pending {
+	struct gyp_door *door;
+	struct gyp_http_request *req;
+	void (*reply)(struct gyp_pending *, const struct gyp_answer *);
+	bool submit;      /* reply() is called without a reply, too */
+	bool wait;        /* for the end of the job */
+	bool raw;         /* the answer's bytes, not a description */
+	uint32_t task;    /* whose answer */
+	char *class_name; /* of a submit, owned */
+	uint64_t since;   /* of a submit, our clock */
+};
+
+/* Takes over the JSON value. */
+void gyp_door_reply_json(struct gyp_http_request *, unsigned status, json_t *);
+void gyp_door_reply_error(
+    struct gyp_http_request *, unsigned status, const char *message);
+
+/* An outcome that was settled at this entry, without a job. */
+void gyp_door_reply_outcome(
+    struct gyp_http_request *, Gyp__Outcome, const char *reason);
+unsigned gyp_door_status_of_code(Gyp__Code);
+unsigned gyp_door_status_of_outcome(Gyp__Outcome);
+
+/*
+ * Makes a call for a request; the options, which may be NULL, are copied and
+ * their class name is taken over. A full entry answers 503 at once.
+ */
+void gyp_door_call(struct gyp_door *, struct gyp_http_request *,
+    const Gyp__Call *, uint32_t timeout_ms,
+    void (*reply)(struct gyp_pending *, const struct gyp_answer *),
+    const struct gyp_pending *options);
+
+/* False when the argument wait_ms is there but not a time; 0 without it. */
+bool gyp_door_wait_of(const struct gyp_http_request *, uint32_t *wait_ms);
+
+/* The path's segments after "/v1/", the first of which chose the route. */
+void gyp_door_route_jobs(
+    struct gyp_door *, struct gyp_http_request *, char **seg, guint n);
+void gyp_door_route_keys(
+    struct gyp_door *, struct gyp_http_request *, char **seg, guint n);
+void gyp_door_route_endpoints(
+    struct gyp_door *, struct gyp_http_request *, char **seg, guint n);
+void gyp_door_route_attempts(
+    struct gyp_door *, struct gyp_http_request *, char **seg, guint n);
+void gyp_door_route_admin(
+    struct gyp_door *, struct gyp_http_request *, char **seg, guint n);
+
+#endif
--- a/src/entry.h
+++ b/src/entry.h
@@ -77,7 +77,7 @@
 	void *owner;
 	bool final;        /* false: accepted, the end follows */
 	bool sent;         /* the call may have reached a replica */
-	bool refused;      /* the key is refused, and no job ever had it */
+	bool refused;      /* of a late submit: its key is refused for good */
 	uint64_t job;      /* known job, or 0 */
 	Gyp__Reply *reply; /* owned by the receiver; NULL when time is over */
 };
--- a/src/entry_calls.c
+++ b/src/entry_calls.c
@@ -87,8 +87,8 @@
 	a->final = final;
 	a->sent = c->sends > 0;
 	a->job = c->job;
-	if (reply != NULL && reply->code == GYP__CODE__CODE_REFUSED)
-		a->refused = true;
+	a->refused = c->kind == GYP_CALL_REFUSAL && reply != NULL &&
+		     reply->code == GYP__CODE__CODE_REFUSED;
 	if (reply != NULL)
 		a->reply = gyp_message_copy(&reply->base);
 	g_queue_push_tail(&e->answers, a);
--- a/src/gyp_entry.c
+++ b/src/gyp_entry.c
@@ -3,6 +3,7 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "counters.h"
 #include "door.h"
 #include "entry.h"
 #include "exchange.h"
@@ -38,7 +39,9 @@
 	struct gyp_exchanges *exchanges;
 	struct gyp_door *door;
 	struct gyp_entry_core *core;
+	struct gyp_counters *counters;
 	bool draining;
+	bool quiesced; /* no new connections */
 	bool flushing;
 };
 
@@ -162,10 +165,14 @@
 static void
 stop_when_drained(struct app *app)
 {
-	if (!app->draining || gyp_httpd_active(app->httpd) > 0 ||
-	    gyp_entry_open_calls(app->core) > 0 ||
+	if (!app->draining || gyp_entry_open_calls(app->core) > 0 ||
 	    gyp_entry_open_attempts(app->core) > 0)
 		return;
+	if (!app->quiesced)
+		gyp_httpd_quiesce(app->httpd);
+	app->quiesced = true;
+	if (gyp_httpd_active(app->httpd) > 0)
+		return;
 	gyp_log(GYP_LOG_NOTICE, "drained", "open=0");
 	ev_break(app->loop, EVBREAK_ALL);
 }
@@ -193,7 +200,7 @@
 	gyp_log(GYP_LOG_NOTICE, "draining", "requests=%u attempts=%u",
 	    gyp_httpd_active(app->httpd), gyp_entry_open_attempts(app->core));
 	gyp_door_drain(app->door);
-	gyp_httpd_quiesce(app->httpd);
+	flush(app);
 }
 
 /* ---- Main -------------------------------------------------------------- */
@@ -225,7 +232,8 @@
 	    gyp_links_new(app->loop, app->timers, &app->links_owner, &hello);
 	app->httpc = gyp_httpc_new(app->loop, app->timers);
 	app->exchanges = gyp_exchanges_new(app->httpc, on_exchange_done, app);
-	app->door = gyp_door_new(app->core, flush, app);
+	app->counters = gyp_counters_new();
+	app->door = gyp_door_new(app->core, app->counters, flush, app);
 	app->httpd = gyp_httpd_new(app->loop, app->timers,
 	    gyp_door_httpd_owner(app->door), set->listen, err);
 	return app->httpd != NULL;
@@ -240,6 +248,7 @@
 	gyp_exchanges_free(app->exchanges);
 	gyp_links_free(app->links);
 	gyp_entry_free(app->core);
+	gyp_counters_free(app->counters);
 	gyp_timers_free(app->timers);
 	ev_loop_destroy(app->loop);
 }
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -10,6 +10,9 @@
 #include "link.h"
 #include "timer.h"
 
+/* Interval of the check for slow connections, in ms. */
+#define SWEEP_MS 500
+
 /* Memory of one connection for its headers, in bytes. */
 #define CONNECTION_MEMORY (16 * 1024)
 
@@ -21,6 +24,17 @@
 	ev_io io;
 	struct gyp_timer *wake;
 	uint32_t active;
+	uint64_t bytes; /* of bodies and replies */
+	uint32_t receive_ms;
+	uint32_t read_ms;
+	struct gyp_timer *sweep;
+	GHashTable *connections; /* struct connection, as a set */
+};
+
+/* What a connection does: receives, waits for an answer, or is answered. */
+struct connection {
+	struct MHD_Connection *mhd;
+	uint64_t deadline; /* 0 while an answer is awaited */
 };
 
 struct gyp_http_request {
@@ -30,6 +44,8 @@
 	char *path;
 	struct gyp_buf body;
 	bool too_large;
+	bool overloaded;
+	size_t reply_len;
 	bool handed_over;
 	bool suspended;
 	GPtrArray *headers; /* name, value, name, value, ... */
@@ -72,6 +88,67 @@
 	run_daemon(w->data);
 }
 
+/* ---- Slow connections -------------------------------------------------- */
+
+static struct connection *
+connection_of(struct MHD_Connection *mhd)
+{
+	const union MHD_ConnectionInfo *info =
+	    MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return info != NULL ? info->socket_context : NULL;
+}
+
+static void
+on_connection(void *cls, struct MHD_Connection *mhd, void **socket_context,
+    enum MHD_ConnectionNotificationCode code)
+{
+	struct gyp_httpd *h = cls;
+	struct connection *c;
+
+	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+		g_hash_table_remove(h->connections, *socket_context);
+		*socket_context = NULL;
+		return;
+	}
+	c = g_new0(struct connection, 1);
+	c->mhd = mhd;
+	c->deadline = gyp_clock_ms() + h->receive_ms;
+	g_hash_table_add(h->connections, c);
+	*socket_context = c;
+}
+
+/* The library's own limit starts anew with each byte; this one does not. */
+static void
+set_deadline(struct gyp_http_request *req, uint32_t delay_ms)
+{
+	struct connection *c = connection_of(req->connection);
+
+	if (c != NULL)
+		c->deadline = delay_ms != 0 ? gyp_clock_ms() + delay_ms : 0;
+}
+
+static void
+on_sweep(void *arg, uint64_t now)
+{
+	struct gyp_httpd *h = arg;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, h->connections);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct connection *c = key;
+		const union MHD_ConnectionInfo *info;
+
+		if (c->deadline == 0 || now <= c->deadline)
+			continue;
+		info = MHD_get_connection_info(
+		    c->mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
+		if (info != NULL)
+			shutdown(info->connect_fd, SHUT_RDWR);
+	}
+}
+
 /* ---- Requests ---------------------------------------------------------- */
 
 static struct gyp_http_request *
@@ -102,6 +179,8 @@
 		return;
 	*con_cls = NULL;
 	req->httpd->active--;
+	req->httpd->bytes -= req->body.len + req->reply_len;
+	set_deadline(req, req->httpd->receive_ms);
 	if (req->response != NULL)
 		MHD_destroy_response(req->response);
 	gyp_buf_clear(&req->body);
@@ -114,23 +193,51 @@
 static void
 take_body(struct gyp_http_request *req, const char *data, size_t len)
 {
-	if (req->body.len + len > GYP_HTTP_BODY_MAX) {
+	struct gyp_httpd *h = req->httpd;
+
+	if (req->body.len + len > GYP_HTTP_BODY_MAX)
 		req->too_large = true;
+	if (h->bytes + len > GYP_HTTP_BYTES_MAX)
+		req->overloaded = true;
+	if (req->too_large || req->overloaded) {
+		h->bytes -= req->body.len;
 		gyp_buf_clear(&req->body);
+		return;
 	}
-	if (!req->too_large)
-		gyp_buf_append(&req->body, data, len);
+	gyp_buf_append(&req->body, data, len);
+	h->bytes += len;
 }
 
 static void
-hand_over(struct gyp_http_request *req)
+refuse_too_large(struct gyp_http_request *req)
 {
 	static const char text[] = "{\"error\":\"the body is too large\"}\n";
 
+	gyp_http_reply(req, MHD_HTTP_CONTENT_TOO_LARGE, "application/json",
+	    text, strlen(text));
+}
+
+static void
+refuse_overloaded(struct gyp_http_request *req)
+{
+	static const char text[] = "{\"outcome\":\"not_run\","
+				   "\"reason\":\"this entry is overloaded\"}\n";
+
+	gyp_http_add_header(req, "Gyp-Outcome", "not_run");
+	gyp_http_add_header(req, "Retry-After", "1");
+	gyp_http_reply(req, MHD_HTTP_SERVICE_UNAVAILABLE, "application/json",
+	    text, strlen(text));
+}
+
+static void
+hand_over(struct gyp_http_request *req)
+{
 	req->handed_over = true;
+	set_deadline(req, 0);
 	if (req->too_large)
-		gyp_http_reply(req, MHD_HTTP_CONTENT_TOO_LARGE,
-		    "application/json", text, strlen(text));
+		refuse_too_large(req);
+	else if (req->overloaded)
+		refuse_overloaded(req);
 	else
 		req->httpd->owner->ops->request(req->httpd->owner, req);
 }
@@ -214,6 +321,9 @@
 	req->response = MHD_create_response_from_buffer(
 	    len, (void *)body, MHD_RESPMEM_MUST_COPY);
 	req->status = status;
+	req->reply_len = len;
+	req->httpd->bytes += len;
+	set_deadline(req, req->httpd->read_ms);
 	if (content_type != NULL && content_type[0] != '\0')
 		MHD_add_response_header(
 		    req->response, "Content-Type", content_type);
@@ -237,6 +347,7 @@
 		(ss->ss_family == AF_INET6 ? MHD_USE_IPv6 : 0),
 	    0, NULL, NULL, on_request, h, MHD_OPTION_SOCK_ADDR, ss,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
+	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, h,
 	    MHD_OPTION_CONNECTION_LIMIT, GYP_HTTP_CONNECTIONS_MAX,
 	    MHD_OPTION_CONNECTION_TIMEOUT, GYP_HTTP_IDLE_S,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
@@ -255,9 +366,13 @@
 	h->loop = loop;
 	h->timers = timers;
 	h->owner = owner;
+	h->receive_ms = GYP_HTTP_RECEIVE_MS;
+	h->read_ms = GYP_HTTP_READ_MS;
+	h->connections = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	if (!gyp_address_parse(address, &ss, &len) ||
 	    (h->daemon = start_daemon(h, &ss)) == NULL) {
 		gyp_fail(err, GYP_IO, "can't serve HTTP on %s", address);
+		g_hash_table_destroy(h->connections);
 		g_free(h);
 		return NULL;
 	}
@@ -265,6 +380,7 @@
 	ev_io_init(&h->io, on_readable, info->epoll_fd, EV_READ);
 	h->io.data = h;
 	ev_io_start(loop, &h->io);
+	h->sweep = gyp_timer_every(timers, SWEEP_MS, on_sweep, h);
 	return h;
 }
 
@@ -277,6 +393,19 @@
 		close(fd);
 }
 
+void
+gyp_httpd_set_limits(struct gyp_httpd *h, uint32_t receive_ms, uint32_t read_ms)
+{
+	h->receive_ms = receive_ms;
+	h->read_ms = read_ms;
+}
+
+uint64_t
+gyp_httpd_bytes(const struct gyp_httpd *h)
+{
+	return h->bytes;
+}
+
 uint32_t
 gyp_httpd_active(const struct gyp_httpd *h)
 {
@@ -290,6 +419,8 @@
 		return;
 	ev_io_stop(h->loop, &h->io);
 	gyp_timer_cancel(h->timers, h->wake);
+	gyp_timer_cancel(h->timers, h->sweep);
 	MHD_stop_daemon(h->daemon);
+	g_hash_table_destroy(h->connections);
 	g_free(h);
 }
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -19,12 +19,23 @@
  * DESCRIPTION
  *	libmicrohttpd's epoll descriptor is one more watcher of the loop. A
  *	request is handed over once its body is complete; it may be answered
- *	at once or later, and is answered exactly once.
+ *	at once or later, and is answered exactly once. A request must be whole
+ *	within GYP_HTTP_RECEIVE_MS of the connection's opening, or of the
+ *	answer before it, however many bytes arrive meanwhile.
  */
 
 /* Largest body of a request, in bytes; a larger one is answered with 413. */
 #define GYP_HTTP_BODY_MAX (160 * 1024)
 
+/* Most bytes of bodies and replies at a time; over it, requests get 503. */
+#define GYP_HTTP_BYTES_MAX (16 * 1024 * 1024)
+
+/* Longest time to receive a request, in ms. */
+#define GYP_HTTP_RECEIVE_MS 30000
+
+/* Longest time for a caller to read its answer, in ms. */
+#define GYP_HTTP_READ_MS 600000
+
 /* Most connections at a time. */
 #define GYP_HTTP_CONNECTIONS_MAX 2000
 
@@ -50,6 +61,13 @@
 /* Takes no new connection from now on. */
 void gyp_httpd_quiesce(struct gyp_httpd *);
 
+/* Replaces GYP_HTTP_RECEIVE_MS and GYP_HTTP_READ_MS. */
+void gyp_httpd_set_limits(
+    struct gyp_httpd *, uint32_t receive_ms, uint32_t read_ms);
+
+/* Bytes of bodies and replies that are held. */
+uint64_t gyp_httpd_bytes(const struct gyp_httpd *);
+
 /* Requests that are not wholly answered, slow readers included. */
 uint32_t gyp_httpd_active(const struct gyp_httpd *);
 
