--- a/src/gyp.h
+++ b/src/gyp.h
@@ -24,6 +24,7 @@
 #include "raft.h"    /* replicated log */
 #include "record.h"  /* what goes to the disk */
 #include "replica.h" /* log, tables and decisions together */
+#include "rules.h"   /* what operators ask for, one line each */
 #include "state.h"   /* tables of jobs, endpoints and rules */
 
 /* ---- Core: the entry ----------------------------------------------------- */
--- a/src/rules.h
+++ b/src/rules.h
@@ -16,7 +16,7 @@
  *
  * DESCRIPTION
  *	A line is a verb, a subject where the verb has one, key=value pairs
- *	and a comment that names who asked for it:
+ *	and a comment that names who asked for it and why:
  *
  *	weight CLASS waiting=N packing=N	# name: reason
  *	quota TEAM cpu=N memory=SIZE accel=N slots=N
@@ -64,7 +64,8 @@
 };
 
 /* Amount that stands for "no limit". */
-#define GYP_UNLIMITED UINT32_MAX
+#define GYP_UNLIMITED        UINT32_MAX
+#define GYP_UNLIMITED_MEMORY UINT64_MAX
 
 /* One line; `line` counts from 1 and is 0 for a built-in default. */
 struct gyp_rule {
@@ -80,7 +81,7 @@
 		} weight;
 		struct gyp_res quota; /* most booked at a time by the team */
 		uint32_t share;       /* relative */
-		uint32_t within_ms;   /* of urgent */
+		uint32_t within_ms;   /* of urgent; GYP_UNLIMITED: it is not */
 		uint32_t tasks;       /* of limit */
 		enum gyp_spread_domain over;
 		struct {
