Rules in the replica: refused early, parsed once a version, reported in force

Cause: the leader took any text into the log, parsed nothing, and answered a resend of another text under a used id as accepted; a request older than the kept versions was told that it had lost, which may be untrue.

A text that can't be read is refused before it enters the log; one found in the log is skipped for the version before it. On commit idle entries are told at once. A resend gets the answer of the first; another text or base under the same id is a conflict; a base older than the kept versions is refused with 410.

Also: a frame of an entry renews what the leader takes as its lease before the reply is queued; else the expiry of entries in the same step could drop a new entry together with its replies.

Ruled out: asking followers for their applied index in a message of its own (the match index is there already; a replica can't lead before it has applied what it holds).

--- a/src/replica.c
+++ b/src/replica.c
@@ -94,6 +94,7 @@
 	g_assert(batch != NULL);
 	gyp_state_apply(r->state, batch);
 	gyp__batch__free_unpacked(batch, NULL);
+	gyp_replica_refresh_rules(r, e->index);
 	r->undecided = true;
 	if (r->leading && r->batch_index == e->index) {
 		r->batch_index = 0;
@@ -109,6 +110,7 @@
 	if (!gyp_state_restore(r->state, file->state.data, file->state.len))
 		g_error("snapshot at index %" G_GUINT64_FORMAT " can't be read",
 		    file->index);
+	gyp_replica_refresh_rules(r, file->index);
 }
 
 static void
@@ -253,6 +255,7 @@
 	r->batch_index = 0;
 	g_ptr_array_set_size(r->batch, 0);
 	g_ptr_array_set_size(r->waiting, 0);
+	g_ptr_array_set_size(r->rules_waits, 0);
 	g_hash_table_remove_all(r->subscribers);
 	g_hash_table_remove_all(r->entries);
 	gyp_message_free(r->joiner);
@@ -374,7 +377,12 @@
 	first = peer->heard == 0;
 	peer->heard = r->now;
 	peer->round = up->round;
+	peer->lease_end = gyp_lease_end(r->now, r->cfg.entry_lease_ms);
 	peer->rules_version = up->rules_version;
+	if (up->name[0] != '\0') {
+		g_free(peer->name);
+		peer->name = g_strdup(up->name);
+	}
 	peer->due = true;
 	if (first)
 		gyp_replica_requeue_orders(r, peer);
@@ -494,6 +502,8 @@
 	r->listener.replica = r;
 	r->raft = gyp_raft_new(&rc, &r->io);
 	r->state = gyp_state_new(&r->listener.base);
+	r->rules = gyp_rules_defaults();
+	r->rules_waits = g_ptr_array_new_with_free_func(gyp_free_rules_wait);
 	r->policy = gyp_policy_best_fit();
 	r->batch = g_ptr_array_new_with_free_func(gyp_message_free);
 	r->waiting = g_ptr_array_new_with_free_func(gyp_free_waiting_call);
@@ -524,6 +534,8 @@
 	drop_leader_state(r);
 	g_ptr_array_free(r->batch, TRUE);
 	g_ptr_array_free(r->waiting, TRUE);
+	g_ptr_array_free(r->rules_waits, TRUE);
+	gyp_rules_free(r->rules);
 	g_hash_table_destroy(r->subscribers);
 	g_hash_table_destroy(r->entries);
 	gyp_leases_free(r->leases);
--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -14,8 +14,8 @@
 
 /* ---- Replies ----------------------------------------------------------- */
 
-static void
-reply(struct gyp_replica *r, uint64_t entry, const Gyp__Reply *msg)
+void
+gyp_replica_reply(struct gyp_replica *r, uint64_t entry, const Gyp__Reply *msg)
 {
 	struct gyp_entry_peer *peer = gyp_replica_entry(r, entry);
 
@@ -32,7 +32,7 @@
 	msg.id = call;
 	msg.code = code;
 	msg.message = (char *)message;
-	reply(r, entry, &msg);
+	gyp_replica_reply(r, entry, &msg);
 }
 
 /* One task's end, with its answer only where it was asked for. */
@@ -80,7 +80,7 @@
 		       ? GYP__CODE__CODE_ACCEPTED
 		       : GYP__CODE__CODE_OK;
 	msg.job = &view;
-	reply(r, entry, &msg);
+	gyp_replica_reply(r, entry, &msg);
 	g_ptr_array_free(finishes, TRUE);
 }
 
@@ -134,9 +134,9 @@
 /* ---- Calls that write -------------------------------------------------- */
 
 /* Puts the command of a call into the next batch; answered when applied. */
-static void
-propose_call(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call,
-    const Gyp__Cmd *cmd)
+void
+gyp_replica_propose_call(struct gyp_replica *r, uint64_t entry,
+    const Gyp__Call *call, const Gyp__Cmd *cmd)
 {
 	struct gyp_waiting_call *w = g_new0(struct gyp_waiting_call, 1);
 
@@ -185,7 +185,7 @@
 		return;
 	cmd.c_case = GYP__CMD__C_SUBMIT;
 	cmd.submit = call->submit;
-	propose_call(r, entry, call, &cmd);
+	gyp_replica_propose_call(r, entry, call, &cmd);
 }
 
 static void
@@ -203,7 +203,7 @@
 	}
 	cmd.c_case = GYP__CMD__C_FINISH;
 	cmd.finish = call->report;
-	propose_call(r, entry, call, &cmd);
+	gyp_replica_propose_call(r, entry, call, &cmd);
 }
 
 static void
@@ -219,7 +219,7 @@
 	}
 	cmd.c_case = GYP__CMD__C_CANCEL;
 	cmd.cancel = call->cancel;
-	propose_call(r, entry, call, &cmd);
+	gyp_replica_propose_call(r, entry, call, &cmd);
 }
 
 static void
@@ -245,7 +245,7 @@
 	msg.id = call;
 	msg.endpoint = ep->id;
 	msg.lease_ms = r->cfg.endpoint_lease_ms;
-	reply(r, entry, &msg);
+	gyp_replica_reply(r, entry, &msg);
 }
 
 /* An older incarnation must be gone before its name is given out again. */
@@ -270,7 +270,7 @@
 	}
 	cmd.c_case = GYP__CMD__C_ENDPOINT;
 	cmd.endpoint = call->announce;
-	propose_call(r, entry, call, &cmd);
+	gyp_replica_propose_call(r, entry, call, &cmd);
 }
 
 static void
@@ -288,17 +288,7 @@
 	es.state = GYP_ENDPOINT_LEAVING;
 	cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
 	cmd.endpoint_state = &es;
-	propose_call(r, entry, call, &cmd);
-}
-
-static void
-call_rules(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
-{
-	Gyp__Cmd cmd = GYP__CMD__INIT;
-
-	cmd.c_case = GYP__CMD__C_RULES;
-	cmd.rules = call->rules;
-	propose_call(r, entry, call, &cmd);
+	gyp_replica_propose_call(r, entry, call, &cmd);
 }
 
 /* ---- Calls that read --------------------------------------------------- */
@@ -339,7 +329,7 @@
 		if (!runs_here(r, ep->id, beat->running[i]))
 			msg.stop[msg.n_stop++] = beat->running[i];
 	}
-	reply(r, entry, &msg);
+	gyp_replica_reply(r, entry, &msg);
 	g_free(msg.stop);
 }
 
@@ -369,7 +359,7 @@
 
 	msg.id = call->id;
 	msg.json = json;
-	reply(r, entry, &msg);
+	gyp_replica_reply(r, entry, &msg);
 	g_free(json);
 }
 
@@ -396,7 +386,7 @@
 		call_leave(r, entry, call);
 		break;
 	case GYP__CALL__C_RULES:
-		call_rules(r, entry, call);
+		gyp_replica_call_rules(r, entry, call);
 		break;
 	case GYP__CALL__C_ADMIN:
 		call_admin(r, entry, call);
@@ -428,26 +418,6 @@
 		    "the key is refused from now on");
 }
 
-static void
-answer_rules(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
-{
-	const struct gyp_rules_version *v =
-	    gyp_state_rules_by_request(r->state, call->rules->request);
-	const struct gyp_rules_version *newest = gyp_state_rules(r->state);
-	Gyp__Reply msg = GYP__REPLY__INIT;
-
-	msg.id = call->id;
-	if (v != NULL) {
-		msg.version = v->version;
-	} else {
-		msg.code = GYP__CODE__CODE_CONFLICT;
-		msg.message = "the rules have another version by now";
-		msg.version = newest != NULL ? newest->version : 0;
-		msg.json = newest != NULL ? newest->cmd->text : "";
-	}
-	reply(r, entry, &msg);
-}
-
 static void
 answer_announce(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
@@ -477,7 +447,7 @@
 		answer_announce(r, entry, call);
 		break;
 	case GYP__CALL__C_RULES:
-		answer_rules(r, entry, call);
+		gyp_replica_answer_rules(r, entry, call);
 		break;
 	default:
 		reply_code(r, entry, call->id, GYP__CODE__CODE_OK, "");
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -3,6 +3,7 @@
 
 #include "leases.h"
 #include "replica.h"
+#include "rules.h"
 
 /*
  * NAME
@@ -12,6 +13,7 @@
  *	replica.c	log, batches and queues
  *	replica_calls.c	answers to entries' calls
  *	replica_lead.c	a leader's periodic work: leases, orders, membership
+ *	replica_rules.c	versions of the rules and when they are in force
  *	admin.c		reports for operators, as JSON
  */
 
@@ -27,6 +29,7 @@
 	uint64_t lease_end; /* our clock, with margin */
 	uint64_t round;     /* to echo */
 	uint64_t rules_version;
+	char *name;         /* NULL until it was told */
 	bool due;           /* owes it a frame */
 	GPtrArray *replies; /* Gyp__Reply, owned */
 	GPtrArray *orders;  /* Gyp__Order, owned */
@@ -57,6 +60,11 @@
 	GQueue records; /* struct gyp_record */
 	uint64_t now;
 
+	/* Parsed from the newest kept version that can be read. */
+	struct gyp_rules *rules;
+	uint64_t rules_version;
+	uint64_t rules_index; /* log index that holds this version */
+
 	/* The rest is valid while leading. */
 	bool leading;
 	bool handing_over;
@@ -72,7 +80,8 @@
 	struct gyp_leases *leases;
 	uint64_t duties_at;
 	uint64_t queries_at;
-	Gyp__Member *joiner; /* asks for membership, or NULL */
+	Gyp__Member *joiner;    /* asks for membership, or NULL */
+	GPtrArray *rules_waits; /* calls answered when rules are in force */
 };
 
 /* Adds a copy of the command to the next batch. */
@@ -83,6 +92,22 @@
 void gyp_replica_answer_waiting(struct gyp_replica *, uint64_t index);
 void gyp_replica_job_finished(struct gyp_replica *, struct gyp_job *);
 void gyp_free_waiting_call(gpointer);
+void gyp_replica_reply(
+    struct gyp_replica *, uint64_t entry, const Gyp__Reply *);
+void gyp_replica_propose_call(
+    struct gyp_replica *, uint64_t entry, const Gyp__Call *, const Gyp__Cmd *);
+
+/* replica_rules.c */
+void gyp_replica_refresh_rules(struct gyp_replica *, uint64_t index);
+void gyp_replica_call_rules(
+    struct gyp_replica *, uint64_t entry, const Gyp__Call *);
+void gyp_replica_answer_rules(
+    struct gyp_replica *, uint64_t entry, const Gyp__Call *);
+void gyp_replica_answer_in_force(struct gyp_replica *);
+/* Names the live processes that are behind in missing, unless NULL. */
+bool gyp_replica_rules_in_force(
+    const struct gyp_replica *, uint64_t version, GPtrArray *missing);
+void gyp_free_rules_wait(gpointer);
 
 /* replica_lead.c */
 struct gyp_entry_peer *gyp_replica_entry(struct gyp_replica *, uint64_t id);
--- a/src/replica_lead.c
+++ b/src/replica_lead.c
@@ -20,6 +20,7 @@
 {
 	struct gyp_entry_peer *peer = p;
 
+	g_free(peer->name);
 	g_ptr_array_free(peer->replies, TRUE);
 	g_ptr_array_free(peer->orders, TRUE);
 	g_queue_clear_full(&peer->unsent, g_free);
@@ -444,6 +445,7 @@
 		visit_attempts(r, query_if_orphan, NULL);
 	}
 	tend_members(r);
+	gyp_replica_answer_in_force(r);
 }
 
 static void
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2727,7 +2727,7 @@
   (ProtobufCMessageInit) gyp__cmd_endpoint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_endpoint_state__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gyp__cmd_endpoint_state__field_descriptors[3] =
 {
   {
     "endpoint",
@@ -2753,15 +2753,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "from",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdEndpointState, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd_endpoint_state__field_indices_by_name[] = {
   0,   /* field[0] = endpoint */
+  2,   /* field[2] = from */
   1,   /* field[1] = state */
 };
-static const ProtobufCIntRange gyp__cmd_endpoint_state__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__cmd_endpoint_state__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 23, 2 },
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor gyp__cmd_endpoint_state__descriptor =
 {
@@ -2771,10 +2785,10 @@
   "Gyp__CmdEndpointState",
   "gyp",
   sizeof(Gyp__CmdEndpointState),
-  2,
+  3,
   gyp__cmd_endpoint_state__field_descriptors,
   gyp__cmd_endpoint_state__field_indices_by_name,
-  1,  gyp__cmd_endpoint_state__number_ranges,
+  2,  gyp__cmd_endpoint_state__number_ranges,
   (ProtobufCMessageInit) gyp__cmd_endpoint_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3999,7 +4013,7 @@
   (ProtobufCMessageInit) gyp__read_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__call__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gyp__call__field_descriptors[11] =
 {
   {
     "id",
@@ -4121,6 +4135,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wait_ms",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Call, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__call__field_indices_by_name[] = {
   8,   /* field[8] = admin */
@@ -4133,11 +4159,13 @@
   9,   /* field[9] = report */
   7,   /* field[7] = rules */
   1,   /* field[1] = submit */
+  10,   /* field[10] = wait_ms */
 };
-static const ProtobufCIntRange gyp__call__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__call__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 23, 10 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gyp__call__descriptor =
 {
@@ -4147,14 +4175,14 @@
   "Gyp__Call",
   "gyp",
   sizeof(Gyp__Call),
-  10,
+  11,
   gyp__call__field_descriptors,
   gyp__call__field_indices_by_name,
-  1,  gyp__call__number_ranges,
+  2,  gyp__call__number_ranges,
   (ProtobufCMessageInit) gyp__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__admin__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gyp__admin__field_descriptors[5] =
 {
   {
     "op",
@@ -4204,17 +4232,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Admin, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__admin__field_indices_by_name[] = {
   3,   /* field[3] = enable */
   1,   /* field[1] = job */
   2,   /* field[2] = name */
   0,   /* field[0] = op */
+  4,   /* field[4] = version */
 };
-static const ProtobufCIntRange gyp__admin__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__admin__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 23, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gyp__admin__descriptor =
 {
@@ -4224,10 +4266,10 @@
   "Gyp__Admin",
   "gyp",
   sizeof(Gyp__Admin),
-  4,
+  5,
   gyp__admin__field_descriptors,
   gyp__admin__field_indices_by_name,
-  1,  gyp__admin__number_ranges,
+  2,  gyp__admin__number_ranges,
   (ProtobufCMessageInit) gyp__admin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -4605,7 +4647,7 @@
   (ProtobufCMessageInit) gyp__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__entry_up__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gyp__entry_up__field_descriptors[4] =
 {
   {
     "calls",
@@ -4643,16 +4685,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "name",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__EntryUp, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__entry_up__field_indices_by_name[] = {
   0,   /* field[0] = calls */
+  3,   /* field[3] = name */
   2,   /* field[2] = round */
   1,   /* field[1] = rules_version */
 };
-static const ProtobufCIntRange gyp__entry_up__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__entry_up__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 23, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gyp__entry_up__descriptor =
 {
@@ -4662,10 +4718,10 @@
   "Gyp__EntryUp",
   "gyp",
   sizeof(Gyp__EntryUp),
-  3,
+  4,
   gyp__entry_up__field_descriptors,
   gyp__entry_up__field_indices_by_name,
-  1,  gyp__entry_up__number_ranges,
+  2,  gyp__entry_up__number_ranges,
   (ProtobufCMessageInit) gyp__entry_up__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -355,10 +355,14 @@
    * enum gyp_endpoint_state
    */
   uint32_t state;
+  /*
+   * applies in this state only, when not 0
+   */
+  uint32_t from;
 };
 #define GYP__CMD_ENDPOINT_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_endpoint_state__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Gyp__CmdCancel
@@ -647,6 +651,10 @@
 {
   ProtobufCMessage base;
   uint64_t id;
+  /*
+   * of rules: for their being in force everywhere
+   */
+  uint32_t wait_ms;
   Gyp__Call__CCase c_case;
   union {
     /*
@@ -665,7 +673,7 @@
 };
 #define GYP__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__call__descriptor) \
-    , 0, GYP__CALL__C__NOT_SET, {0} }
+    , 0, 0, GYP__CALL__C__NOT_SET, {0} }
 
 
 struct  Gyp__Admin
@@ -675,10 +683,14 @@
   uint64_t job;
   char *name;
   protobuf_c_boolean enable;
+  /*
+   * of rules; 0 for the newest
+   */
+  uint64_t version;
 };
 #define GYP__ADMIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__admin__descriptor) \
-    , GYP__ADMIN_OP__ADMIN_STATUS, 0, (char *)protobuf_c_empty_string, 0 }
+    , GYP__ADMIN_OP__ADMIN_STATUS, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Gyp__JobView
@@ -761,10 +773,14 @@
    * the entry's clock, echoed for its lease
    */
   uint64_t round;
+  /*
+   * for reports; in the first frame to a replica
+   */
+  char *name;
 };
 #define GYP__ENTRY_UP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__entry_up__descriptor) \
-    , 0,NULL, 0, 0 }
+    , 0,NULL, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Gyp__EntryDown
