Operators' drain as a state of its own, which only they end

Cause: a drain that could be undone would have been the state of an endpoint that leaves by itself, so an undo could give a leaving endpoint new work; and the end of a quarantine could have ended a drain.

Change: DRAINED beside LEAVING; a change may name the state that it is made from; LEAVING is final but for GONE.

--- a/src/state.c
+++ b/src/state.c
@@ -490,13 +490,31 @@
 	g_array_free(refs, TRUE);
 }
 
+/* Only an operator's command, which names the state, ends a drain. */
+static bool
+may_change_endpoint(
+    const struct gyp_endpoint *ep, const Gyp__CmdEndpointState *cmd)
+{
+	if (cmd->state < GYP_ENDPOINT_ACTIVE ||
+	    cmd->state > GYP_ENDPOINT_DRAINED)
+		return false;
+	if (cmd->from != 0 && cmd->from != (uint32_t)ep->state)
+		return false;
+	if (cmd->state == GYP_ENDPOINT_GONE)
+		return true;
+	if (ep->state == GYP_ENDPOINT_LEAVING)
+		return false;
+	return ep->state != GYP_ENDPOINT_DRAINED ||
+	       cmd->from == GYP_ENDPOINT_DRAINED ||
+	       cmd->state == GYP_ENDPOINT_LEAVING;
+}
+
 static void
 apply_endpoint_state(struct gyp_state *s, const Gyp__CmdEndpointState *cmd)
 {
 	struct gyp_endpoint *ep = gyp_table_get(s->endpoints, cmd->endpoint);
 
-	if (ep == NULL || cmd->state < GYP_ENDPOINT_ACTIVE ||
-	    cmd->state > GYP_ENDPOINT_GONE)
+	if (ep == NULL || !may_change_endpoint(ep, cmd))
 		return;
 	if (cmd->state != GYP_ENDPOINT_GONE) {
 		ep->state = cmd->state;
--- a/src/state.h
+++ b/src/state.h
@@ -93,9 +93,10 @@
 
 enum gyp_endpoint_state {
 	GYP_ENDPOINT_ACTIVE = 1,
-	GYP_ENDPOINT_LEAVING = 2, /* gets no new work */
+	GYP_ENDPOINT_LEAVING = 2, /* gets no new work, and never will again */
 	GYP_ENDPOINT_QUARANTINED = 3,
-	GYP_ENDPOINT_GONE = 4 /* a command only: the row is removed */
+	GYP_ENDPOINT_GONE = 4,   /* a command only: the row is removed */
+	GYP_ENDPOINT_DRAINED = 5 /* by an operator, who may undo it */
 };
 
 struct gyp_endpoint {
--- a/test/test_state.c
+++ b/test/test_state.c
@@ -180,6 +180,48 @@
 	gyp_state_free(s);
 }
 
+static const struct {
+	enum gyp_endpoint_state from; /* named by the command, 0 for none */
+	enum gyp_endpoint_state to;
+	enum gyp_endpoint_state after;
+} endpoint_steps[] = {{0, GYP_ENDPOINT_QUARANTINED, GYP_ENDPOINT_QUARANTINED},
+    {0, GYP_ENDPOINT_DRAINED, GYP_ENDPOINT_DRAINED},
+    /* The end of a quarantine does not end the operator's drain. */
+    {0, GYP_ENDPOINT_ACTIVE, GYP_ENDPOINT_DRAINED},
+    {GYP_ENDPOINT_QUARANTINED, GYP_ENDPOINT_ACTIVE, GYP_ENDPOINT_DRAINED},
+    {0, GYP_ENDPOINT_QUARANTINED, GYP_ENDPOINT_DRAINED},
+    {GYP_ENDPOINT_DRAINED, GYP_ENDPOINT_ACTIVE, GYP_ENDPOINT_ACTIVE},
+    {0, GYP_ENDPOINT_DRAINED, GYP_ENDPOINT_DRAINED},
+    {0, GYP_ENDPOINT_LEAVING, GYP_ENDPOINT_LEAVING},
+    /* What leaves by itself never gets work again. */
+    {0, GYP_ENDPOINT_DRAINED, GYP_ENDPOINT_LEAVING},
+    {GYP_ENDPOINT_DRAINED, GYP_ENDPOINT_ACTIVE, GYP_ENDPOINT_LEAVING},
+    {GYP_ENDPOINT_LEAVING, GYP_ENDPOINT_ACTIVE, GYP_ENDPOINT_LEAVING}};
+
+static void
+test_drain(void)
+{
+	struct gyp_state *s = gyp_state_new(NULL);
+	const struct gyp_endpoint *ep;
+	size_t i;
+
+	add_endpoint(s, "e", 1000);
+	ep = gyp_state_endpoint_by_name(s, "e");
+	for (i = 0; i < G_N_ELEMENTS(endpoint_steps); i++) {
+		Gyp__Cmd cmd = GYP__CMD__INIT;
+		Gyp__CmdEndpointState es = GYP__CMD_ENDPOINT_STATE__INIT;
+
+		es.endpoint = ep->id;
+		es.from = endpoint_steps[i].from;
+		es.state = endpoint_steps[i].to;
+		cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
+		cmd.endpoint_state = &es;
+		apply(s, &cmd);
+		g_assert_cmpint(ep->state, ==, endpoint_steps[i].after);
+	}
+	gyp_state_free(s);
+}
+
 /* A restored copy equals the original, byte for byte. */
 static void
 test_snapshot(void)
@@ -219,6 +261,7 @@
 	g_test_add_func("/state/not-idempotent", test_not_idempotent);
 	g_test_add_func("/state/not-run-is-true", test_not_run_is_true);
 	g_test_add_func("/state/late-report", test_late_report);
+	g_test_add_func("/state/drain", test_drain);
 	g_test_add_func("/state/snapshot", test_snapshot);
 	return g_test_run();
 }
