Reports for operators: rules, history, explain, drain

Cause: operators could see status, endpoints and members only.

A drain is committed before it is answered.

Ruled out: explaining in the entry, which would need the tables there.

--- a/src/admin.c
+++ b/src/admin.c
@@ -1,9 +1,8 @@
-#include <jansson.h>
+#include "admin_int.h"
+#include "json.h"
 
-#include "replica_int.h"
-
-static json_t *
-res_json(const struct gyp_res *res)
+json_t *
+gyp_admin_res(const struct gyp_res *res)
 {
 	return json_pack("{s:I,s:I,s:I,s:I}", "cpu_milli",
 	    (json_int_t)res->cpu_milli, "memory_bytes", (json_int_t)res->memory,
@@ -14,24 +13,34 @@
 static json_t *
 status_json(const struct gyp_replica *r)
 {
-	const struct gyp_rules_version *v = gyp_state_rules(r->state);
-
-	return json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "term",
+	return json_pack("{s:I,s:I,s:s,s:I,s:I,s:I,s:I,s:I}", "term",
 	    (json_int_t)gyp_raft_term(r->raft), "commit",
-	    (json_int_t)gyp_raft_commit(r->raft), "jobs",
-	    (json_int_t)gyp_table_count(gyp_state_jobs(r->state)),
+	    (json_int_t)gyp_raft_commit(r->raft), "leader", r->cfg.address,
+	    "jobs", (json_int_t)gyp_table_count(gyp_state_jobs(r->state)),
 	    "jobs_waiting", (json_int_t)gyp_state_queue(r->state)->length,
 	    "endpoints",
 	    (json_int_t)gyp_table_count(gyp_state_endpoints(r->state)),
 	    "entries", (json_int_t)g_hash_table_size(r->entries),
-	    "rules_version", (json_int_t)(v != NULL ? v->version : 0));
+	    "rules_version", (json_int_t)r->rules_version);
+}
+
+json_t *
+gyp_admin_endpoint(const struct gyp_endpoint *ep)
+{
+	static const char *const states[] = {
+	    "none", "active", "leaving", "quarantined", "gone", "drained"};
+
+	return json_pack("{s:s,s:s,s:s,s:s,s:s,s:o,s:o,s:I}", "name",
+	    ep->spec->name, "address", ep->spec->address, "rack",
+	    ep->spec->rack, "data_centre", ep->spec->data_centre, "state",
+	    states[ep->state], "capacity", gyp_admin_res(&ep->capacity),
+	    "booked", gyp_admin_res(&ep->booked), "attempts",
+	    (json_int_t)ep->attempts->len);
 }
 
 static json_t *
 endpoints_json(const struct gyp_replica *r)
 {
-	static const char *const states[] = {
-	    "none", "active", "leaving", "quarantined"};
 	const struct gyp_table *t = gyp_state_endpoints(r->state);
 	json_t *list = json_array();
 	uint32_t i;
@@ -39,20 +48,31 @@
 	for (i = 0; i < gyp_table_size(t); i++) {
 		const struct gyp_endpoint *ep = gyp_table_at(t, i, NULL);
 
-		if (ep == NULL)
-			continue;
-		json_array_append_new(
-		    list, json_pack("{s:s,s:s,s:s,s:s,s:s,s:o,s:o,s:I}", "name",
-			      ep->spec->name, "address", ep->spec->address,
-			      "rack", ep->spec->rack, "data_centre",
-			      ep->spec->data_centre, "state", states[ep->state],
-			      "capacity", res_json(&ep->capacity), "booked",
-			      res_json(&ep->booked), "attempts",
-			      (json_int_t)ep->attempts->len));
+		if (ep != NULL)
+			json_array_append_new(list, gyp_admin_endpoint(ep));
 	}
 	return list;
 }
 
+static json_t *
+drain_json(const struct gyp_replica *r, const char *name)
+{
+	const struct gyp_endpoint *ep =
+	    gyp_state_endpoint_by_name(r->state, name);
+
+	return ep != NULL ? gyp_admin_endpoint(ep) : NULL;
+}
+
+/* How far a member is behind the end of the log, in entries. */
+static uint64_t
+lag_of(const struct gyp_replica *r, uint64_t id)
+{
+	uint64_t match = gyp_raft_match(r->raft, id);
+	uint64_t last = gyp_raft_last_index(r->raft);
+
+	return id == r->cfg.id || match >= last ? 0 : last - match;
+}
+
 static json_t *
 members_json(const struct gyp_replica *r)
 {
@@ -61,43 +81,61 @@
 	size_t i;
 
 	for (i = 0; i < c->n_members; i++) {
+		const Gyp__Member *m = c->members[i];
+		bool self = m->id == r->cfg.id;
+		bool live = self || gyp_raft_heard(r->raft, m->id) +
+					    r->cfg.election_ms >=
+					r->now;
 		char id[32];
 
-		g_snprintf(id, sizeof(id), "%016" G_GINT64_MODIFIER "x",
-		    c->members[i]->id);
-		json_array_append_new(
-		    list, json_pack("{s:s,s:s,s:b,s:b}", "id", id, "address",
-			      c->members[i]->address, "voter",
-			      c->members[i]->voter, "leader",
-			      c->members[i]->id == gyp_raft_leader(r->raft)));
+		g_snprintf(id, sizeof(id), "%016" G_GINT64_MODIFIER "x", m->id);
+		json_array_append_new(list,
+		    json_pack("{s:s,s:s,s:b,s:b,s:b,s:I}", "id", id, "address",
+			m->address, "voter", m->voter, "leader",
+			m->id == gyp_raft_leader(r->raft), "live", live,
+			"behind", (json_int_t)lag_of(r, m->id)));
 	}
 	return list;
 }
 
-char *
-gyp_admin_json(struct gyp_replica *r, const Gyp__Admin *admin, Gyp__Code *code)
+static json_t *
+report(const struct gyp_replica *r, const Gyp__Admin *admin)
 {
-	json_t *json = NULL;
-	char *dumped, *text;
-
 	switch (admin->op) {
 	case GYP__ADMIN_OP__ADMIN_STATUS:
-		json = status_json(r);
-		break;
+		return status_json(r);
 	case GYP__ADMIN_OP__ADMIN_ENDPOINTS:
-		json = endpoints_json(r);
-		break;
+		return endpoints_json(r);
 	case GYP__ADMIN_OP__ADMIN_MEMBERS:
-		json = members_json(r);
-		break;
+		return members_json(r);
+	case GYP__ADMIN_OP__ADMIN_RULES:
+		return gyp_admin_rules(r, admin->version);
+	case GYP__ADMIN_OP__ADMIN_HISTORY:
+		return gyp_admin_history(r);
+	case GYP__ADMIN_OP__ADMIN_EXPLAIN:
+		return gyp_admin_explain(r, admin->job);
+	case GYP__ADMIN_OP__ADMIN_DRAIN:
+		return drain_json(r, admin->name);
 	default:
-		*code = GYP__CODE__CODE_BAD;
-		return g_strdup("{\"error\":\"unknown operation\"}");
+		return NULL;
+	}
+}
+
+char *
+gyp_admin_json(struct gyp_replica *r, const Gyp__Admin *admin, Gyp__Code *code)
+{
+	json_t *json = report(r, admin);
+	char *dumped, *text;
+
+	*code = GYP__CODE__CODE_OK;
+	if (json == NULL) {
+		*code = GYP__CODE__CODE_NOT_FOUND;
+		json = json_pack("{s:s}", "error",
+		    "no such job, endpoint, version or report");
 	}
 	dumped = json_dumps(json, JSON_COMPACT | JSON_SORT_KEYS);
 	json_decref(json);
 	text = g_strdup(dumped);
 	free(dumped); /* jansson's allocator */
-	*code = GYP__CODE__CODE_OK;
 	return text;
 }
--- /dev/null
+++ b/src/admin_int.h
@@ -0,0 +1,27 @@
+#ifndef GYP_ADMIN_INT_H
+#define GYP_ADMIN_INT_H
+
+#include <jansson.h>
+
+#include "replica_int.h"
+
+/*
+ * NAME
+ *	admin_int - reports for operators, one function each
+ *
+ * DESCRIPTION
+ *	admin.c		status, endpoints, members
+ *	admin_rules.c	rules in force, and their history
+ *	admin_explain.c	why a job waits, or why it is where it is
+ *
+ *	Each returns a new JSON value, or NULL when what it is asked about
+ *	does not exist.
+ */
+
+json_t *gyp_admin_res(const struct gyp_res *);
+json_t *gyp_admin_endpoint(const struct gyp_endpoint *);
+json_t *gyp_admin_rules(const struct gyp_replica *, uint64_t version);
+json_t *gyp_admin_history(const struct gyp_replica *);
+json_t *gyp_admin_explain(const struct gyp_replica *, uint64_t job);
+
+#endif
--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -351,8 +351,26 @@
 		    read->answer ? read->task : UINT32_MAX);
 }
 
+/* A drain is committed first; the report then shows what it made. */
 static void
-call_admin(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+call_drain(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	const Gyp__Admin *admin = call->admin;
+	const struct gyp_endpoint *ep =
+	    gyp_state_endpoint_by_name(r->state, admin->name);
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdEndpointState es = GYP__CMD_ENDPOINT_STATE__INIT;
+
+	es.endpoint = ep != NULL ? ep->id : 0;
+	es.state = admin->enable ? GYP_ENDPOINT_DRAINED : GYP_ENDPOINT_ACTIVE;
+	es.from = admin->enable ? 0 : GYP_ENDPOINT_DRAINED;
+	cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
+	cmd.endpoint_state = &es;
+	gyp_replica_propose_call(r, entry, call, &cmd);
+}
+
+static void
+reply_admin(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
 	Gyp__Reply msg = GYP__REPLY__INIT;
 	char *json = gyp_admin_json(r, call->admin, &msg.code);
@@ -389,7 +407,10 @@
 		gyp_replica_call_rules(r, entry, call);
 		break;
 	case GYP__CALL__C_ADMIN:
-		call_admin(r, entry, call);
+		if (call->admin->op == GYP__ADMIN_OP__ADMIN_DRAIN)
+			call_drain(r, entry, call);
+		else
+			reply_admin(r, entry, call);
 		break;
 	case GYP__CALL__C_REPORT:
 		call_report(r, entry, call);
@@ -449,6 +470,9 @@
 	case GYP__CALL__C_RULES:
 		gyp_replica_answer_rules(r, entry, call);
 		break;
+	case GYP__CALL__C_ADMIN:
+		reply_admin(r, entry, call);
+		break;
 	default:
 		reply_code(r, entry, call->id, GYP__CODE__CODE_OK, "");
 		break;
--- a/src/replica_rules.c
+++ b/src/replica_rules.c
@@ -5,7 +5,7 @@
 #include "msg.h"
 #include "replica_int.h"
 
-/* Longest id of a request, in bytes. */
+/* Longest id of a request and longest author, in bytes. */
 #define REQUEST_MAX 128
 
 /* Most calls that wait for rules to be in force. */
@@ -291,6 +291,12 @@
 	return oldest;
 }
 
+static bool
+is_short_text(const char *text)
+{
+	return strlen(text) <= REQUEST_MAX && g_utf8_validate(text, -1, NULL);
+}
+
 static bool
 check_rules(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
@@ -299,9 +305,11 @@
 	struct gyp_error err = {.code = GYP_OK};
 	struct gyp_rules *rules;
 
-	if (cmd->request[0] == '\0' || strlen(cmd->request) > REQUEST_MAX) {
+	if (cmd->request[0] == '\0' || !is_short_text(cmd->request) ||
+	    !is_short_text(cmd->author)) {
 		refuse(r, entry, call->id, GYP__CODE__CODE_BAD,
-		    "expected a request id of 1 to 128 bytes");
+		    "expected a request id of 1 to 128 bytes, and an author "
+		    "of at most 128");
 		return false;
 	}
 	rules = gyp_rules_parse("rules", text, &err);
