Members: remove by operators, spares, voters spread over data centres

Cause: a lost disk is replaced by itself, but an operator had no way to take out a replica that will not come back, votes went to learners in the order of their joining, whatever their data centre, and a voter gone for good stayed a voter until somebody looked.

Interface: Admin with op ADMIN_REMOVE_MEMBER (16) and the member's id in hex, or its address, in `name`. Answers, once the change is committed: OK with {"removed":"ID"}; NOT_FOUND; CONFLICT with the reason (the leader itself, or the voters left that answer would be no majority); BUSY while another change is under way: ask again. Removed ids are kept in the configuration and are never taken in again.

Ruled out: removing a live predecessor of the same address (two replicas with one address are a mistake in settings, so the newcomer waits); dropping a silent voter altogether (it becomes a learner, for it may return with its disk).

--- a/src/admin.c
+++ b/src/admin.c
@@ -66,8 +66,9 @@
 		g_snprintf(id, sizeof(id), "%016" G_GINT64_MODIFIER "x",
 		    c->members[i]->id);
 		json_array_append_new(
-		    list, json_pack("{s:s,s:s,s:b,s:b}", "id", id, "address",
-			      c->members[i]->address, "voter",
+		    list, json_pack("{s:s,s:s,s:s,s:b,s:b}", "id", id,
+			      "address", c->members[i]->address, "data_centre",
+			      c->members[i]->data_centre, "voter",
 			      c->members[i]->voter, "leader",
 			      c->members[i]->id == gyp_raft_leader(r->raft)));
 	}
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -195,6 +195,7 @@
 		return;
 	member.id = gyp_store_id(app->store);
 	member.address = app->set->listen;
+	member.data_centre = app->set->data_centre;
 	join.member = &member;
 	frame.body_case = GYP__FRAME__BODY_JOIN;
 	frame.join = &join;
@@ -255,6 +256,7 @@
 	const struct settings *set = app->set;
 	struct gyp_replica_config cfg = {.id = gyp_store_id(app->store),
 	    .address = set->listen,
+	    .data_centre = set->data_centre,
 	    .seed = g_random_int(),
 	    .election_ms = set->election_ms,
 	    .heartbeat_ms = set->heartbeat_ms,
--- a/src/raft.c
+++ b/src/raft.c
@@ -1272,7 +1272,8 @@
 }
 
 void
-gyp_raft_bootstrap(struct gyp_raft *r, const char *address)
+gyp_raft_bootstrap(
+    struct gyp_raft *r, const char *address, const char *data_centre)
 {
 	Gyp__Config config = GYP__CONFIG__INIT;
 	Gyp__Member member = GYP__MEMBER__INIT;
@@ -1283,6 +1284,7 @@
 
 	member.id = r->cfg.id;
 	member.address = (char *)address;
+	member.data_centre = (char *)(data_centre != NULL ? data_centre : "");
 	member.voter = true;
 	config.n_members = 1;
 	config.members = members;
--- a/src/raft.h
+++ b/src/raft.h
@@ -68,7 +68,8 @@
 void gyp_raft_free(struct gyp_raft *);
 
 /* Makes a new log whose only member and voter is this replica. */
-void gyp_raft_bootstrap(struct gyp_raft *, const char *address);
+void gyp_raft_bootstrap(
+    struct gyp_raft *, const char *address, const char *data_centre);
 
 /* Feeds one stored record, in order, before the first tick. */
 void gyp_raft_load(struct gyp_raft *, const struct gyp_record *);
--- a/src/replica.c
+++ b/src/replica.c
@@ -255,8 +255,7 @@
 	g_ptr_array_set_size(r->waiting, 0);
 	g_hash_table_remove_all(r->subscribers);
 	g_hash_table_remove_all(r->entries);
-	gyp_message_free(r->joiner);
-	r->joiner = NULL;
+	gyp_replica_forget_requests(r);
 }
 
 static void
@@ -382,16 +381,6 @@
 		gyp_replica_call(r, from, up->calls[i]);
 }
 
-static void
-on_join(struct gyp_replica *r, const Gyp__Join *join)
-{
-	if (!r->leading || join->member == NULL || join->member->id == 0 ||
-	    join->member->address[0] == '\0')
-		return;
-	gyp_message_free(r->joiner);
-	r->joiner = gyp_message_copy(&join->member->base);
-}
-
 void
 gyp_replica_receive(
     struct gyp_replica *r, uint64_t now, uint64_t from, const Gyp__Frame *frame)
@@ -406,7 +395,7 @@
 		on_up(r, from, frame->up);
 		break;
 	case GYP__FRAME__BODY_JOIN:
-		on_join(r, frame->join);
+		gyp_replica_join(r, frame->join->member);
 		break;
 	default:
 		break;
@@ -450,7 +439,7 @@
 void
 gyp_replica_bootstrap(struct gyp_replica *r)
 {
-	gyp_raft_bootstrap(r->raft, r->cfg.address);
+	gyp_raft_bootstrap(r->raft, r->cfg.address, r->cfg.data_centre);
 }
 
 void
@@ -490,6 +479,7 @@
 	r->io.ops = &io_ops;
 	r->cfg = *cfg;
 	r->cfg.address = g_strdup(cfg->address);
+	r->cfg.data_centre = g_strdup(cfg->data_centre);
 	r->listener.base.ops = &listener_ops;
 	r->listener.replica = r;
 	r->raft = gyp_raft_new(&rc, &r->io);
@@ -530,6 +520,7 @@
 	gyp_state_free(r->state);
 	gyp_raft_free(r->raft);
 	g_free((char *)r->cfg.address);
+	g_free((char *)r->cfg.data_centre);
 	g_free(r);
 }
 
--- a/src/replica.h
+++ b/src/replica.h
@@ -31,14 +31,15 @@
 
 struct gyp_replica_config {
 	uint64_t id;
-	const char *address; /* "ip:port" where other processes reach it */
+	const char *address;     /* "ip:port" where other processes reach it */
+	const char *data_centre; /* NULL when unknown */
 	uint32_t seed;
 	uint32_t election_ms;
 	uint32_t heartbeat_ms;
 	uint32_t endpoint_lease_ms;
 	uint32_t entry_lease_ms;
 	uint32_t start_window_ms; /* life of a start order */
-	uint32_t voters;          /* replicas that get a vote */
+	uint32_t voters; /* members with a vote; further ones are spares */
 	uint64_t compact_bytes; /* log size that makes a snapshot worthwhile */
 };
 
--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -23,6 +23,12 @@
 	peer->due = true;
 }
 
+void
+gyp_replica_reply(struct gyp_replica *r, uint64_t entry, const Gyp__Reply *msg)
+{
+	reply(r, entry, msg);
+}
+
 static void
 reply_code(struct gyp_replica *r, uint64_t entry, uint64_t call, Gyp__Code code,
     const char *message)
@@ -365,8 +371,14 @@
 call_admin(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
 	Gyp__Reply msg = GYP__REPLY__INIT;
-	char *json = gyp_admin_json(r, call->admin, &msg.code);
+	char *json;
 
+	if (call->admin->op == GYP__ADMIN_OP__ADMIN_REMOVE_MEMBER) {
+		gyp_replica_remove_member(
+		    r, entry, call->id, call->admin->name);
+		return;
+	}
+	json = gyp_admin_json(r, call->admin, &msg.code);
 	msg.id = call->id;
 	msg.json = json;
 	reply(r, entry, &msg);
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -11,7 +11,8 @@
  * DESCRIPTION
  *	replica.c	log, batches and queues
  *	replica_calls.c	answers to entries' calls
- *	replica_lead.c	a leader's periodic work: leases, orders, membership
+ *	replica_lead.c	a leader's periodic work: leases and orders
+ *	replica_members.c	who is a member and who votes
  *	admin.c		reports for operators, as JSON
  */
 
@@ -46,6 +47,13 @@
 	uint64_t call;
 };
 
+/* An operator's removal of a member that is not committed yet. */
+struct gyp_removal {
+	uint64_t member; /* 0 for none */
+	uint64_t entry;
+	uint64_t call;
+};
+
 struct gyp_replica {
 	struct gyp_raft_io io;
 	struct gyp_replica_config cfg;
@@ -73,6 +81,7 @@
 	uint64_t duties_at;
 	uint64_t queries_at;
 	Gyp__Member *joiner; /* asks for membership, or NULL */
+	struct gyp_removal removal;
 };
 
 /* Adds a copy of the command to the next batch. */
@@ -83,6 +92,8 @@
 void gyp_replica_answer_waiting(struct gyp_replica *, uint64_t index);
 void gyp_replica_job_finished(struct gyp_replica *, struct gyp_job *);
 void gyp_free_waiting_call(gpointer);
+void gyp_replica_reply(
+    struct gyp_replica *, uint64_t entry, const Gyp__Reply *);
 
 /* replica_lead.c */
 struct gyp_entry_peer *gyp_replica_entry(struct gyp_replica *, uint64_t id);
@@ -96,6 +107,13 @@
 void gyp_replica_flush_entries(struct gyp_replica *);
 void gyp_free_entry_peer(gpointer);
 
+/* replica_members.c */
+void gyp_replica_tend_members(struct gyp_replica *);
+void gyp_replica_join(struct gyp_replica *, const Gyp__Member *);
+void gyp_replica_remove_member(
+    struct gyp_replica *, uint64_t entry, uint64_t call, const char *name);
+void gyp_replica_forget_requests(struct gyp_replica *);
+
 /* admin.c */
 char *gyp_admin_json(struct gyp_replica *, const Gyp__Admin *, Gyp__Code *);
 
--- a/src/replica_lead.c
+++ b/src/replica_lead.c
@@ -10,9 +10,6 @@
 /* Interval of questions about attempts whose entry is gone, in ms. */
 #define QUERIES_MS 1000
 
-/* A learner this close to the end of the log gets its vote, in entries. */
-#define CAUGHT_UP_ENTRIES 64
-
 /* ---- Entries ----------------------------------------------------------- */
 
 void
@@ -326,107 +323,6 @@
 	}
 }
 
-/* ---- Membership -------------------------------------------------------- */
-
-static size_t
-count_voters(const Gyp__Config *c)
-{
-	size_t i, n = 0;
-
-	for (i = 0; i < c->n_members; i++)
-		n += c->members[i]->voter;
-	return n;
-}
-
-/* A member of the same address whose disk was lost. */
-static Gyp__Member *
-find_predecessor(const Gyp__Config *c, const Gyp__Member *m)
-{
-	size_t i;
-
-	for (i = 0; i < c->n_members; i++) {
-		if (c->members[i]->id != m->id &&
-		    strcmp(c->members[i]->address, m->address) == 0)
-			return c->members[i];
-	}
-	return NULL;
-}
-
-static void
-add_learner(struct gyp_replica *r, const Gyp__Config *c)
-{
-	Gyp__Config next = GYP__CONFIG__INIT;
-	Gyp__Member learner = *r->joiner;
-	size_t i;
-
-	for (i = 0; i < c->n_members; i++) {
-		if (c->members[i]->id == r->joiner->id)
-			return;
-	}
-	if (find_predecessor(c, r->joiner) == NULL &&
-	    c->n_members >= r->cfg.voters)
-		return;
-	learner.voter = false;
-	next.members = g_new(Gyp__Member *, c->n_members + 1);
-	for (i = 0; i < c->n_members; i++)
-		next.members[next.n_members++] = c->members[i];
-	next.members[next.n_members++] = &learner;
-	gyp_raft_change(r->raft, &next);
-	g_free(next.members);
-}
-
-/* Gives a learner its vote and removes its predecessor in one change. */
-static void
-promote(struct gyp_replica *r, const Gyp__Config *c, Gyp__Member *learner)
-{
-	Gyp__Config next = GYP__CONFIG__INIT;
-	Gyp__Member voter = *learner;
-	const Gyp__Member *old = find_predecessor(c, learner);
-	size_t i;
-
-	if (old == NULL && count_voters(c) >= r->cfg.voters)
-		return;
-	voter.voter = true;
-	next.members = g_new(Gyp__Member *, c->n_members);
-	for (i = 0; i < c->n_members; i++) {
-		if (c->members[i] == learner)
-			next.members[next.n_members++] = &voter;
-		else if (c->members[i] != old)
-			next.members[next.n_members++] = c->members[i];
-	}
-	gyp_raft_change(r->raft, &next);
-	g_free(next.members);
-}
-
-static bool
-caught_up(const struct gyp_replica *r, const Gyp__Member *m)
-{
-	return gyp_raft_heard(r->raft, m->id) + r->cfg.election_ms > r->now &&
-	       gyp_raft_match(r->raft, m->id) + CAUGHT_UP_ENTRIES >=
-		   gyp_raft_last_index(r->raft);
-}
-
-static void
-tend_members(struct gyp_replica *r)
-{
-	const Gyp__Config *c = gyp_raft_members(r->raft);
-	size_t i;
-
-	if (gyp_raft_changing(r->raft))
-		return;
-	for (i = 0; i < c->n_members; i++) {
-		if (!c->members[i]->voter && caught_up(r, c->members[i])) {
-			promote(r, c, c->members[i]);
-			return;
-		}
-	}
-	if (r->joiner != NULL) {
-		add_learner(r, c);
-		gyp_message_free(r->joiner);
-		r->joiner = NULL;
-	}
-}
-
 /* ---- Periodic work and frames ------------------------------------------ */
 
 void
@@ -443,7 +339,7 @@
 		r->queries_at = r->now + QUERIES_MS;
 		visit_attempts(r, query_if_orphan, NULL);
 	}
-	tend_members(r);
+	gyp_replica_tend_members(r);
 }
 
 static void
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -1582,7 +1582,7 @@
   assert(message->base.descriptor == &gyp__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gyp__member__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gyp__member__field_descriptors[4] =
 {
   {
     "id",
@@ -1620,16 +1620,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "data_centre",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Member, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__member__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  3,   /* field[3] = data_centre */
   0,   /* field[0] = id */
   2,   /* field[2] = voter */
 };
-static const ProtobufCIntRange gyp__member__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__member__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 16, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gyp__member__descriptor =
 {
@@ -1639,14 +1653,14 @@
   "Gyp__Member",
   "gyp",
   sizeof(Gyp__Member),
-  3,
+  4,
   gyp__member__field_descriptors,
   gyp__member__field_indices_by_name,
-  1,  gyp__member__number_ranges,
+  2,  gyp__member__number_ranges,
   (ProtobufCMessageInit) gyp__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__config__field_descriptors[1] =
+static const ProtobufCFieldDescriptor gyp__config__field_descriptors[2] =
 {
   {
     "members",
@@ -1660,14 +1674,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "removed",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gyp__Config, n_removed),
+    offsetof(Gyp__Config, removed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__config__field_indices_by_name[] = {
   0,   /* field[0] = members */
+  1,   /* field[1] = removed */
 };
-static const ProtobufCIntRange gyp__config__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__config__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 16, 1 },
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor gyp__config__descriptor =
 {
@@ -1677,10 +1705,10 @@
   "Gyp__Config",
   "gyp",
   sizeof(Gyp__Config),
-  1,
+  2,
   gyp__config__field_descriptors,
   gyp__config__field_indices_by_name,
-  1,  gyp__config__number_ranges,
+  2,  gyp__config__number_ranges,
   (ProtobufCMessageInit) gyp__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -5039,7 +5067,7 @@
   gyp__outcome__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gyp__admin_op__enum_values_by_number[7] =
+static const ProtobufCEnumValue gyp__admin_op__enum_values_by_number[8] =
 {
   { "ADMIN_STATUS", "GYP__ADMIN_OP__ADMIN_STATUS", 0 },
   { "ADMIN_ENDPOINTS", "GYP__ADMIN_OP__ADMIN_ENDPOINTS", 1 },
@@ -5048,17 +5076,19 @@
   { "ADMIN_EXPLAIN", "GYP__ADMIN_OP__ADMIN_EXPLAIN", 4 },
   { "ADMIN_DRAIN", "GYP__ADMIN_OP__ADMIN_DRAIN", 5 },
   { "ADMIN_MEMBERS", "GYP__ADMIN_OP__ADMIN_MEMBERS", 6 },
+  { "ADMIN_REMOVE_MEMBER", "GYP__ADMIN_OP__ADMIN_REMOVE_MEMBER", 16 },
 };
 static const ProtobufCIntRange gyp__admin_op__value_ranges[] = {
-{0, 0},{0, 7}
+{0, 0},{16, 7},{0, 8}
 };
-static const ProtobufCEnumValueIndex gyp__admin_op__enum_values_by_name[7] =
+static const ProtobufCEnumValueIndex gyp__admin_op__enum_values_by_name[8] =
 {
   { "ADMIN_DRAIN", 5 },
   { "ADMIN_ENDPOINTS", 1 },
   { "ADMIN_EXPLAIN", 4 },
   { "ADMIN_HISTORY", 3 },
   { "ADMIN_MEMBERS", 6 },
+  { "ADMIN_REMOVE_MEMBER", 7 },
   { "ADMIN_RULES", 2 },
   { "ADMIN_STATUS", 0 },
 };
@@ -5069,11 +5099,11 @@
   "AdminOp",
   "Gyp__AdminOp",
   "gyp",
-  7,
+  8,
   gyp__admin_op__enum_values_by_number,
-  7,
+  8,
   gyp__admin_op__enum_values_by_name,
-  1,
+  2,
   gyp__admin_op__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -94,7 +94,11 @@
   GYP__ADMIN_OP__ADMIN_HISTORY = 3,
   GYP__ADMIN_OP__ADMIN_EXPLAIN = 4,
   GYP__ADMIN_OP__ADMIN_DRAIN = 5,
-  GYP__ADMIN_OP__ADMIN_MEMBERS = 6
+  GYP__ADMIN_OP__ADMIN_MEMBERS = 6,
+  /*
+   * name holds an id in hex or an address
+   */
+  GYP__ADMIN_OP__ADMIN_REMOVE_MEMBER = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__ADMIN_OP)
 } Gyp__AdminOp;
 typedef enum _Gyp__Code {
@@ -132,10 +136,11 @@
    */
   char *address;
   protobuf_c_boolean voter;
+  char *data_centre;
 };
 #define GYP__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__member__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Gyp__Config
@@ -143,10 +148,15 @@
   ProtobufCMessage base;
   size_t n_members;
   Gyp__Member **members;
+  /*
+   * ids that never become members again
+   */
+  size_t n_removed;
+  uint64_t *removed;
 };
 #define GYP__CONFIG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__config__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL }
 
 
 struct  Gyp__LogEntry
