--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -427,8 +427,14 @@
 reply_admin(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
 	Gyp__Reply msg = GYP__REPLY__INIT;
-	char *json = gyp_admin_json(r, call->admin, &msg.code);
+	char *json;
 
+	if (call->admin->op == GYP__ADMIN_OP__ADMIN_REMOVE_MEMBER) {
+		gyp_replica_remove_member(
+		    r, entry, call->id, call->admin->name);
+		return;
+	}
+	json = gyp_admin_json(r, call->admin, &msg.code);
 	msg.id = call->id;
 	msg.json = json;
 	gyp_replica_reply(r, entry, &msg);
