Grant a lease with the announcement of an endpoint

Cause: an endpoint that announces itself later than one lease after the leader took over had no row in the table of leases, so the leader's next duties, at most 100 ms later, took its lease as over and removed it unless its first heartbeat came before. Seen when 48 endpoints announced themselves to a leader that was 11 s old: the rows were gone before the first heartbeats.

Ruled out: a fault of the tables (the row was there after the commit) and of the reset at a change of leader (the default end is right for those that the new leader finds).

Now the announcement's commit grants the first lease; no start may be sent before a heartbeat tells the endpoint's clock, as before. test_leases fails without the grant.

--- a/src/leases.c
+++ b/src/leases.c
@@ -68,6 +68,19 @@
 	lease->end = gyp_lease_end(now, l->lease_ms);
 }
 
+void
+gyp_leases_grant(struct gyp_leases *l, uint64_t endpoint, uint64_t now)
+{
+	struct lease *lease;
+
+	if (g_hash_table_contains(l->table, &endpoint))
+		return;
+	lease = g_new0(struct lease, 1);
+	lease->endpoint = endpoint;
+	lease->end = gyp_lease_end(now, l->lease_ms);
+	g_hash_table_insert(l->table, &lease->endpoint, lease);
+}
+
 void
 gyp_leases_remove(struct gyp_leases *l, uint64_t endpoint)
 {
@@ -89,7 +102,8 @@
 	const struct lease *lease = g_hash_table_lookup(l->table, &endpoint);
 	uint64_t lease_end, window_end;
 
-	if (lease == NULL || now >= lease->heard + l->lease_ms)
+	if (lease == NULL || lease->heard == 0 ||
+	    now >= lease->heard + l->lease_ms)
 		return false;
 	lease_end = lease->clock_ms + l->lease_ms;
 	window_end = lease->clock_ms + (now - lease->heard) + window_ms;
--- a/src/leases.h
+++ b/src/leases.h
@@ -37,6 +37,9 @@
 void gyp_leases_renew(
     struct gyp_leases *, uint64_t endpoint, uint64_t now, uint64_t clock_ms);
 
+/* A first lease for an endpoint that has announced itself, before it beats. */
+void gyp_leases_grant(struct gyp_leases *, uint64_t endpoint, uint64_t now);
+
 void gyp_leases_remove(struct gyp_leases *, uint64_t endpoint);
 
 /* True when nothing can run at the endpoint any more. */
--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -454,11 +454,14 @@
 	const struct gyp_endpoint *ep =
 	    gyp_state_endpoint_by_name(r->state, call->announce->name);
 
-	if (ep != NULL && ep->spec->incarnation == call->announce->incarnation)
+	if (ep != NULL &&
+	    ep->spec->incarnation == call->announce->incarnation) {
+		gyp_leases_grant(r->leases, ep->id, r->now);
 		reply_endpoint(r, entry, call->id, ep);
-	else
+	} else {
 		reply_code(r, entry, call->id, GYP__CODE__CODE_BAD,
 		    "the announcement was refused");
+	}
 }
 
 static void
--- /dev/null
+++ b/test/test_leases.c
@@ -0,0 +1,33 @@
+#include <glib.h>
+
+#include "leases.h"
+
+#define LEASE_MS 5000
+
+/* An announcement long after a change of leader outlives its first moment. */
+static void
+test_announced_late(void)
+{
+	struct gyp_leases *l = gyp_leases_new(LEASE_MS);
+	uint64_t late = 10 * LEASE_MS, not_after;
+
+	gyp_leases_reset(l, 0);
+	g_assert_true(gyp_leases_expired(l, 7, late));
+	gyp_leases_grant(l, 7, late);
+	g_assert_false(gyp_leases_expired(l, 7, late + LEASE_MS));
+	g_assert_true(gyp_leases_expired(l, 7, late + 2 * LEASE_MS));
+	/* Its clock is not known before its first heartbeat. */
+	g_assert_false(gyp_leases_not_after(l, 7, late + 1, 1000, &not_after));
+	gyp_leases_renew(l, 7, late + 10, 99);
+	g_assert_true(gyp_leases_not_after(l, 7, late + 10, 1000, &not_after));
+	g_assert_cmpuint(not_after, ==, 1099);
+	gyp_leases_free(l);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/leases/announced-late", test_announced_late);
+	return g_test_run();
+}
