--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SOURCES = $(filter-out src/wire.pb-c.c src/wire.pb-c.h, \
 	$(wildcard src/*.c src/*.h test/*.c test/*.h bench/*.c bench/*.h))
 
-.PHONY: all deps build asan test check format lint tidy demo proto clean
+.PHONY: all deps build asan test check format lint tidy demo proto clean capacity
 
 all: build
 
@@ -46,6 +46,10 @@
 demo: build
 	bash test/demo.sh $(BUILD)/bin
 
+# Measures and writes the tables of docs/CAPACITY.md.
+capacity: build
+	bash bench/capacity.sh $(BUILD)/bin docs/CAPACITY.md
+
 # Needs protobuf-c-compiler; the generated files are committed.
 proto:
 	cd src && protoc-c --c_out=. wire.proto
--- /dev/null
+++ b/bench/capacity.sh
@@ -0,0 +1,146 @@
+#!/usr/bin/env bash
+# Writes the measured tables of docs/CAPACITY.md: the cores by virtual time,
+# then what HTTP and sockets add, with real processes on loopback.
+set -eu
+bin=$1
+page=$2
+dir=$(mktemp -d)
+pids=()
+repeats=2000
+
+stop_all() {
+	local pid
+	for pid in "${pids[@]}"; do
+		kill "$pid" 2>/dev/null || true
+	done
+	for pid in "${pids[@]}"; do
+		wait "$pid" 2>/dev/null || true
+	done
+	rm -rf "$dir"
+}
+trap stop_all EXIT
+
+fail() {
+	echo "capacity: $*" >&2
+	tail -n 20 "$dir"/*.log >&2
+	exit 1
+}
+
+base=$((20000 + RANDOM % 20000))
+cells=127.0.0.1:$((base + 1)),127.0.0.1:$((base + 2)),127.0.0.1:$((base + 3))
+url=http://127.0.0.1:$((base + 11))
+
+start() {
+	local log=$1
+	shift
+	"$@" >"$dir/$log.log" 2>&1 &
+	pids+=($!)
+}
+
+for n in 1 2 3; do
+	cat >"$dir/cell$n.ini" <<INI
+[cell]
+listen = 127.0.0.1:$((base + n))
+join = $cells
+data_folder = $dir/cell$n
+data_centre = dc-$n
+name = cell-$n
+INI
+	init=
+	[ "$n" -eq 1 ] && init=--init
+	start "cell$n" "$bin/gyp-cell" --config "$dir/cell$n.ini" $init
+done
+cat >"$dir/entry.ini" <<INI
+[entry]
+listen = 127.0.0.1:$((base + 11))
+cells = $cells
+data_centre = dc-1
+name = entry-1
+INI
+start entry "$bin/gyp-entry" --config "$dir/entry.ini"
+
+voters='"voter":true.*"voter":true.*"voter":true'
+for i in $(seq 1 300); do
+	curl -s --max-time 5 "$url/v1/admin/members" | grep -q "$voters" && break
+	[ "$i" -eq 300 ] && fail "no cell of three voters"
+	sleep 0.1
+done
+
+# spent PID: processor time so far, in microseconds.
+spent() {
+	awk '{ printf "%d", $1 / 1000 }' "/proc/$1/schedstat"
+}
+
+# resident PID: resident and anonymous memory, in KB.
+resident() {
+	awk '/^VmRSS/ { rss = $2 } /^RssAnon/ { anon = $2 }
+	    END { print rss " | " anon }' "/proc/$1/status"
+}
+
+# measure NAME PATH BODY [HEADER]: costs of a call over kept connections.
+measure() {
+	local name=$1 path=$2 body=$3 i before=() after=() sizes
+	for i in 0 3; do
+		before+=("$(spent "${pids[$i]}")")
+	done
+	sizes=$(curl -s -X POST --data-binary "$body" "${@:4}" \
+	    -o /dev/null -w '%{size_request} %{size_upload} %{size_header} %{size_download}\n' \
+	    "$url$path?[1-$repeats]" | tail -n 1)
+	for i in 0 3; do
+		after+=("$(spent "${pids[$i]}")")
+	done
+	echo "$sizes" | awk -v name="$name" -v n="$repeats" \
+	    -v c=$((after[0] - before[0])) -v e=$((after[1] - before[1])) '{
+		printf "| %s | %.0f | %.0f | %d | %d |\n",
+		    name, e / n, c / n, $1 + $2, $3 + $4 }'
+}
+
+# beat N: a heartbeat that names N running attempts.
+beat() {
+	local list=
+	[ "$1" -gt 0 ] && list=$(seq 1 "$1" | sed 's/.*/"100000000.&.1"/' |
+	    paste -sd,)
+	echo "{\"incarnation\":\"abc\",\"clock_ms\":5,\"used\":{},\"running\":[$list]}"
+}
+
+tables() {
+	"$bin/bench-capacity"
+	curl -s -X POST "$url/v1/endpoints" -d '{"name":"vm-1",
+"address":"127.0.0.1:1","rack":"r","data_centre":"dc-1","incarnation":"abc",
+"cpu_milli":32000,"memory_bytes":68719476736,"slots":32,"connections":64}' >"$dir/announce.txt"
+	id=$(sed -n 's/.*"endpoint":"\([0-9a-f]*\)".*/\1/p' "$dir/announce.txt")
+	[ -n "$id" ] || fail "announce: $(cat "$dir/announce.txt")"
+	echo
+	echo "Real processes on loopback, $repeats calls one after another on" \
+	    "one connection:"
+	echo
+	echo "| call | gyp-entry us | leader's gyp-cell us | HTTP bytes in |" \
+	    "HTTP bytes out |"
+	echo "|---|---:|---:|---:|---:|"
+	measure "heartbeat, nothing running" "/v1/endpoints/$id/heartbeat" \
+	    "$(beat 0)"
+	measure "heartbeat, 23 running (answered with 23 to stop)" "/v1/endpoints/$id/heartbeat" \
+	    "$(beat 23)"
+	curl -s -X POST "$url/v1/endpoints/$id/leave" >/dev/null
+	measure "submit again under a known key (no commit)" /v1/jobs \
+	    '{"class":"booking","payload":"slot"}' -H 'Idempotency-Key: k-1'
+	echo
+	echo "| process, after these calls | resident KB | anonymous KB |"
+	echo "|---|---:|---:|"
+	echo "| gyp-cell, leader | $(resident "${pids[0]}") |"
+	echo "| gyp-cell, follower | $(resident "${pids[1]}") |"
+	echo "| gyp-entry | $(resident "${pids[3]}") |"
+	echo
+}
+
+tables >"$dir/tables.md"
+awk -v file="$dir/tables.md" '
+	/<!-- end of measured tables -->/ { skip = 0 }
+	!skip { print }
+	/<!-- measured tables -->/ {
+		while ((getline line < file) > 0)
+			print line
+		skip = 1
+	}' "$page" >"$dir/page.md"
+cp "$dir/page.md" "$page"
+cat "$dir/tables.md"
--- /dev/null
+++ b/bench/cell.h
@@ -0,0 +1,69 @@
+#ifndef BENCH_CELL_H
+#define BENCH_CELL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "entry.h"
+#include "replica.h"
+
+/*
+ * NAME
+ *	cell - replicas and entries in one process, with their costs counted
+ *
+ * DESCRIPTION
+ *	Runs the real cores with packed frames between them. A frame, a sync
+ *	and an exchange with an endpoint each take one step of virtual time;
+ *	nothing is lost. Processor time covers unpacking, the core's work and
+ *	packing; sockets, files and HTTP are not part of it.
+ */
+
+#define CELL_REPLICAS 3
+#define CELL_ENTRIES  7
+
+/* Virtual time of one step, in ms. */
+#define CELL_STEP_MS 2
+
+/* What one process spent. */
+struct cell_cost {
+	uint64_t cpu_ns;
+	uint64_t frames_out;
+	uint64_t bytes_out; /* frames with their lengths */
+	uint64_t bytes_in;
+	uint64_t disk_bytes; /* data of records to sync */
+	uint64_t records;
+};
+
+struct cell;
+
+struct cell *cell_new(void);
+void cell_free(struct cell *);
+
+/* Lets ms of virtual time pass. */
+void cell_run(struct cell *, uint32_t ms);
+
+uint64_t cell_now(const struct cell *);
+
+/* Makes a call at an entry; answers are counted and dropped. */
+void cell_call(struct cell *, uint32_t entry, const Gyp__Call *);
+
+const struct gyp_replica *cell_leader(const struct cell *);
+
+/* Frees a process, for the sake of its memory; nothing may run after it. */
+void cell_drop_entry(struct cell *);
+void cell_drop_replica(struct cell *, guint index);
+
+/* Sums since the last reset: the leader, one follower, one entry. */
+struct cell_costs {
+	struct cell_cost leader;
+	struct cell_cost follower;
+	struct cell_cost entry; /* mean of all entries */
+	uint64_t starts;        /* exchanges that started an attempt */
+	uint64_t answers;
+};
+void cell_reset_costs(struct cell *);
+struct cell_costs cell_costs(const struct cell *);
+
+#endif
