--- /dev/null
+++ b/src/ctl.h
@@ -0,0 +1,108 @@
+#ifndef GYP_CTL_H
+#define GYP_CTL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+/*
+ * NAME
+ *	ctl - what the files of gypctl share
+ *
+ * DESCRIPTION
+ *	gypctl.c	command line
+ *	gypctl_rules.c	rules: check, diff, apply, history, show
+ *	gypctl_views.c	reports and orders about jobs, endpoints, members
+ *	ctl_http.c	requests to any of the entries
+ *	ctl_table.c	aligned columns
+ */
+
+enum gyp_ctl_exit {
+	GYP_CTL_OK = 0,
+	GYP_CTL_REFUSED = 1,      /* or the race was lost */
+	GYP_CTL_DISAGREE = 2,     /* lines of the rules disagree */
+	GYP_CTL_NOT_IN_FORCE = 3, /* accepted, but not yet everywhere */
+	GYP_CTL_USAGE = 64,
+	GYP_CTL_NO_INPUT = 66, /* the file can't be read */
+	GYP_CTL_UNAVAILABLE = 69
+};
+
+struct gyp_ctl {
+	char **entries; /* "ip:port", NULL-terminated */
+	char *format;
+	bool json; /* of --format=json */
+	int timeout_s;
+	gint64 base;    /* version that a text was made from, -1 for none */
+	gint64 version; /* 0 for the newest */
+	char *request;
+	char *author;
+	int wait_s;
+	gboolean undo;
+};
+
+/* ---- ctl_http.c ---------------------------------------------------------- */
+
+struct gyp_ctl_request {
+	const char *method;
+	char *path;
+	const char *const *headers; /* NULL-terminated, or NULL */
+	const char *body;           /* NULL for none */
+};
+
+/*
+ * Sends to the entries in turn until one answers; a repeated request has to be
+ * idempotent. Returns the body, which the caller frees, or NULL when none
+ * answered, which is reported on standard error.
+ */
+char *gyp_ctl_send(
+    const struct gyp_ctl *, const struct gyp_ctl_request *, unsigned *status);
+
+/* Exit code for a status; reports the error in the body when it is one. */
+int gyp_ctl_exit_of(unsigned status, const char *body);
+
+/*
+ * Sends and reads the answer. Returns NULL with the exit code when there is
+ * nothing more to show: on errors, and when the answer was printed as it is.
+ */
+json_t *gyp_ctl_ask(
+    const struct gyp_ctl *, const struct gyp_ctl_request *, int *code);
+
+/* ---- ctl_table.c --------------------------------------------------------- */
+
+struct gyp_ctl_table;
+
+/* Header cells, NULL-terminated. */
+struct gyp_ctl_table *gyp_ctl_table_new(const char *const *header);
+
+/* One row of as many cells as the header; takes the strings over. */
+void gyp_ctl_table_add(struct gyp_ctl_table *, ...) __attribute__((sentinel));
+
+/* Prints and frees. */
+void gyp_ctl_table_print(struct gyp_ctl_table *);
+
+/* "text" of a field, "" when it is missing; not owned. */
+const char *gyp_ctl_text(const json_t *, const char *field);
+
+/* A number or truth value of a field as new text. */
+char *gyp_ctl_value(const json_t *, const char *field);
+
+/* ---- Commands ------------------------------------------------------------ */
+
+int gyp_ctl_rules_check(struct gyp_ctl *, char **args);
+int gyp_ctl_rules_diff(struct gyp_ctl *, char **args);
+int gyp_ctl_rules_apply(struct gyp_ctl *, char **args);
+int gyp_ctl_rules_history(struct gyp_ctl *, char **args);
+int gyp_ctl_rules_show(struct gyp_ctl *, char **args);
+int gyp_ctl_rules_status(struct gyp_ctl *, char **args);
+int gyp_ctl_status(struct gyp_ctl *, char **args);
+int gyp_ctl_endpoints(struct gyp_ctl *, char **args);
+int gyp_ctl_drain(struct gyp_ctl *, char **args);
+int gyp_ctl_members(struct gyp_ctl *, char **args);
+int gyp_ctl_members_remove(struct gyp_ctl *, char **args);
+int gyp_ctl_job(struct gyp_ctl *, char **args);
+int gyp_ctl_explain(struct gyp_ctl *, char **args);
+int gyp_ctl_cancel(struct gyp_ctl *, char **args);
+
+#endif
--- /dev/null
+++ b/src/gypctl_views.c
@@ -0,0 +1,259 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "ctl.h"
+
+/* Sends a request without a body to a path made of a prefix and one name. */
+static json_t *
+ask(const struct gyp_ctl *ctl, const char *method, const char *prefix,
+    const char *name, const char *suffix, int *code)
+{
+	struct gyp_ctl_request req = {.method = method};
+	char *escaped = g_uri_escape_string(name, NULL, FALSE);
+	json_t *json;
+
+	req.path = g_strconcat(prefix, escaped, suffix, NULL);
+	json = gyp_ctl_ask(ctl, &req, code);
+	g_free(req.path);
+	g_free(escaped);
+	return json;
+}
+
+/* Prints "name  value" for each scalar field, in one column each. */
+static void
+print_fields(const json_t *json)
+{
+	const char *name;
+	json_t *value;
+
+	json_object_foreach((json_t *)json, name, value)
+	{
+		char *text;
+
+		if (json_is_object(value) || json_is_array(value))
+			continue;
+		text = gyp_ctl_value(json, name);
+		printf("%-16s %s\n", name, text);
+		g_free(text);
+	}
+}
+
+int
+gyp_ctl_status(struct gyp_ctl *ctl, char **args)
+{
+	int code;
+	json_t *json = ask(ctl, "GET", "/v1/admin/status", "", "", &code);
+
+	(void)args;
+	if (json != NULL)
+		print_fields(json);
+	json_decref(json);
+	return code;
+}
+
+/* ---- Endpoints --------------------------------------------------------- */
+
+/* "booked/capacity" of one resource, divided by a unit. */
+static char *
+ratio(const json_t *row, const char *field, json_int_t unit)
+{
+	json_int_t booked = json_integer_value(
+	    json_object_get(json_object_get(row, "booked"), field));
+	json_int_t capacity = json_integer_value(
+	    json_object_get(json_object_get(row, "capacity"), field));
+
+	return g_strdup_printf("%.4g/%.4g", (double)booked / (double)unit,
+	    (double)capacity / (double)unit);
+}
+
+static void
+add_endpoint(struct gyp_ctl_table *table, const json_t *row)
+{
+	gyp_ctl_table_add(table, gyp_ctl_value(row, "name"),
+	    gyp_ctl_value(row, "state"), gyp_ctl_value(row, "attempts"),
+	    ratio(row, "cpu_milli", 1000), ratio(row, "memory_bytes", 1 << 30),
+	    ratio(row, "accelerators", 1), ratio(row, "slots", 1),
+	    gyp_ctl_value(row, "rack"), gyp_ctl_value(row, "data_centre"),
+	    gyp_ctl_value(row, "address"), NULL);
+}
+
+static const char *const endpoint_header[] = {"NAME", "STATE", "TASKS", "CPU",
+    "GIB", "ACCEL", "SLOTS", "RACK", "DATA-CENTRE", "ADDRESS", NULL};
+
+int
+gyp_ctl_endpoints(struct gyp_ctl *ctl, char **args)
+{
+	int code;
+	json_t *json = ask(ctl, "GET", "/v1/admin/endpoints", "", "", &code);
+	struct gyp_ctl_table *table;
+	json_t *row;
+	size_t i;
+
+	(void)args;
+	if (json == NULL)
+		return code;
+	table = gyp_ctl_table_new(endpoint_header);
+	json_array_foreach(json, i, row) add_endpoint(table, row);
+	gyp_ctl_table_print(table);
+	json_decref(json);
+	return code;
+}
+
+int
+gyp_ctl_drain(struct gyp_ctl *ctl, char **args)
+{
+	int code;
+	json_t *json = ask(ctl, ctl->undo ? "DELETE" : "POST",
+	    "/v1/admin/endpoints/", args[0], "/drain", &code);
+	struct gyp_ctl_table *table;
+
+	if (json == NULL)
+		return code;
+	table = gyp_ctl_table_new(endpoint_header);
+	add_endpoint(table, json);
+	gyp_ctl_table_print(table);
+	json_decref(json);
+	return code;
+}
+
+/* ---- Members ----------------------------------------------------------- */
+
+int
+gyp_ctl_members(struct gyp_ctl *ctl, char **args)
+{
+	static const char *const header[] = {
+	    "ID", "ADDRESS", "VOTER", "LEADER", "LIVE", "BEHIND", NULL};
+	int code;
+	json_t *json = ask(ctl, "GET", "/v1/admin/members", "", "", &code);
+	struct gyp_ctl_table *table;
+	json_t *row;
+	size_t i;
+
+	(void)args;
+	if (json == NULL)
+		return code;
+	table = gyp_ctl_table_new(header);
+	json_array_foreach(json, i, row) gyp_ctl_table_add(table,
+	    gyp_ctl_value(row, "id"), gyp_ctl_value(row, "address"),
+	    gyp_ctl_value(row, "voter"), gyp_ctl_value(row, "leader"),
+	    gyp_ctl_value(row, "live"), gyp_ctl_value(row, "behind"), NULL);
+	gyp_ctl_table_print(table);
+	json_decref(json);
+	return code;
+}
+
+int
+gyp_ctl_members_remove(struct gyp_ctl *ctl, char **args)
+{
+	int code;
+	json_t *json =
+	    ask(ctl, "DELETE", "/v1/admin/members/", args[0], "", &code);
+
+	if (json != NULL)
+		printf("removal of %s was accepted\n", args[0]);
+	json_decref(json);
+	return code;
+}
+
+/* ---- Jobs -------------------------------------------------------------- */
+
+static void
+print_tasks(const json_t *tasks)
+{
+	static const char *const header[] = {
+	    "TASK", "OUTCOME", "ATTEMPTS", "STATUS", "REASON", NULL};
+	struct gyp_ctl_table *table = gyp_ctl_table_new(header);
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(tasks, i, row) gyp_ctl_table_add(table,
+	    gyp_ctl_value(row, "task"), gyp_ctl_value(row, "outcome"),
+	    gyp_ctl_value(row, "attempts"), gyp_ctl_value(row, "status"),
+	    gyp_ctl_value(row, "reason"), NULL);
+	gyp_ctl_table_print(table);
+}
+
+static int
+show_job(json_t *json, int code)
+{
+	if (json == NULL)
+		return code;
+	print_fields(json);
+	print_tasks(json_object_get(json, "tasks"));
+	json_decref(json);
+	return code;
+}
+
+int
+gyp_ctl_job(struct gyp_ctl *ctl, char **args)
+{
+	int code;
+	json_t *json = ask(ctl, "GET", "/v1/jobs/", args[0], "", &code);
+
+	return show_job(json, code);
+}
+
+int
+gyp_ctl_cancel(struct gyp_ctl *ctl, char **args)
+{
+	int code;
+	json_t *json = ask(ctl, "DELETE", "/v1/jobs/", args[0], "", &code);
+
+	return show_job(json, code);
+}
+
+static void
+print_places(const json_t *tasks)
+{
+	static const char *const header[] = {"TASK", "STATE", "SINCE-MS",
+	    "ENDPOINT", "RACK", "DATA-CENTRE", NULL};
+	struct gyp_ctl_table *table = gyp_ctl_table_new(header);
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(tasks, i, row)
+	    gyp_ctl_table_add(table, gyp_ctl_value(row, "task"),
+		gyp_ctl_value(row, "state"), gyp_ctl_value(row, "since_ms"),
+		gyp_ctl_value(row, "endpoint"), gyp_ctl_value(row, "rack"),
+		gyp_ctl_value(row, "data_centre"), NULL);
+	gyp_ctl_table_print(table);
+}
+
+static void
+print_rule_lines(const json_t *rules)
+{
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(rules, i, row)
+	{
+		json_int_t line =
+		    json_integer_value(json_object_get(row, "line"));
+
+		if (line == 0)
+			printf("rule: %s\n", gyp_ctl_text(row, "text"));
+		else
+			printf("rule line %d: %s\n", (int)line,
+			    gyp_ctl_text(row, "text"));
+	}
+}
+
+int
+gyp_ctl_explain(struct gyp_ctl *ctl, char **args)
+{
+	int code;
+	json_t *json =
+	    ask(ctl, "GET", "/v1/admin/jobs/", args[0], "/explain", &code);
+	json_t *reason;
+	size_t i;
+
+	if (json == NULL)
+		return code;
+	print_fields(json);
+	json_array_foreach(json_object_get(json, "reasons"), i, reason)
+	    printf("because: %s\n", json_string_value(reason));
+	print_rule_lines(json_object_get(json, "rules"));
+	print_places(json_object_get(json, "tasks"));
+	json_decref(json);
+	return code;
+}
