--- a/src/gypctl.c
+++ b/src/gypctl.c
@@ -170,8 +170,8 @@
 	return ok;
 }
 
-/* Options before the command. */
-static bool
+/* Options before the command; -1 to go on, or the exit code. */
+static int
 parse_common(struct gyp_ctl *ctl, char ***argv)
 {
 	gboolean version = FALSE;
@@ -190,19 +190,24 @@
 	g_option_context_add_main_entries(ctx, extra, NULL);
 	ok = parse(ctx, argv);
 	g_free(description);
-	if (ok && version)
+	if (!ok)
+		return GYP_CTL_USAGE;
+	if (version) {
 		printf("gypctl %s\n", GYP_VERSION);
-	if (ok && !version && (*argv)[1] == NULL)
-		fprintf(stderr, "gypctl: expected a command; see --help\n");
-	return ok && !version;
+		return GYP_CTL_OK;
+	}
+	if ((*argv)[1] != NULL)
+		return -1;
+	fprintf(stderr, "gypctl: expected a command; see --help\n");
+	return GYP_CTL_USAGE;
 }
 
 /* Options after the command's name; *argv keeps the operands. */
 static bool
 parse_command(struct gyp_ctl *ctl, const struct command *cmd, char ***argv)
 {
-	char *usage = g_strjoin(" ", "-", cmd->name, cmd->operand, NULL);
-	GOptionContext *ctx = g_option_context_new(usage + strlen("- "));
+	char *usage = g_strjoin(" ", cmd->name, cmd->operand, NULL);
+	GOptionContext *ctx = g_option_context_new(usage);
 	guint operands;
 	bool ok;
 
@@ -211,7 +216,7 @@
 	ok = parse(ctx, argv);
 	operands = g_strv_length(*argv) - 1;
 	if (ok && operands != (cmd->operand != NULL)) {
-		fprintf(stderr, "gypctl: expected %s\n", usage + strlen("- "));
+		fprintf(stderr, "gypctl: expected %s\n", usage);
 		ok = false;
 	}
 	g_free(usage);
@@ -304,14 +309,15 @@
 	    .timeout_s = DEFAULT_TIMEOUT_S,
 	    .wait_s = DEFAULT_WAIT_S};
 	char **args = g_strdupv(argv);
-	int code = GYP_CTL_USAGE;
+	int code;
 
 	(void)argc;
 	setlocale(LC_ALL, "");
 	signal(SIGPIPE, SIG_IGN);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	if (parse_common(&ctl, &args))
-		code = args[1] != NULL ? dispatch(&ctl, &args) : GYP_CTL_USAGE;
+	code = parse_common(&ctl, &args);
+	if (code < 0)
+		code = dispatch(&ctl, &args);
 	curl_global_cleanup();
 	g_strfreev(args);
 	g_strfreev(ctl.entries);
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -104,7 +104,11 @@
   GYP__CODE__CODE_CONFLICT = 3,
   GYP__CODE__CODE_BAD = 4,
   GYP__CODE__CODE_RETIRED = 5,
-  GYP__CODE__CODE_BUSY = 6
+  GYP__CODE__CODE_BUSY = 6,
+  /*
+   * the key is refused, and no job ever had it
+   */
+  GYP__CODE__CODE_REFUSED = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__CODE)
 } Gyp__Code;
 typedef enum _Gyp__OrderType {
@@ -113,7 +117,15 @@
    * ask for the attempt's fate, never start it
    */
   GYP__ORDER_TYPE__ORDER_QUERY = 1,
-  GYP__ORDER_TYPE__ORDER_STOP = 2
+  GYP__ORDER_TYPE__ORDER_STOP = 2,
+  /*
+   * save and end the attempt
+   */
+  GYP__ORDER_TYPE__ORDER_CHECKPOINT = 18,
+  /*
+   * run on with at most cpu_limit_milli
+   */
+  GYP__ORDER_TYPE__ORDER_THROTTLE = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__ORDER_TYPE)
 } Gyp__OrderType;
 
@@ -325,10 +337,14 @@
    */
   protobuf_c_boolean answer_dropped;
   char *reason;
+  /*
+   * stopped by an order; the task is queued again
+   */
+  protobuf_c_boolean checkpointed;
 };
 #define GYP__CMD_FINISH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_finish__descriptor) \
-    , 0, 0, 0, GYP__OUTCOME__OUTCOME_NONE, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, GYP__OUTCOME__OUTCOME_NONE, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Gyp__CmdEndpoint
@@ -375,10 +391,14 @@
   char *key;
   char *team;
   char *reason;
+  /*
+   * leave a job that has the key alone
+   */
+  protobuf_c_boolean unless_job;
 };
 #define GYP__CMD_CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_cancel__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Gyp__CmdRules
@@ -486,10 +506,11 @@
    * order of the ends
    */
   uint64_t finished_seq;
+  protobuf_c_boolean restarting;
 };
 #define GYP__SNAP_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_job__descriptor) \
-    , 0, NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0 }
+    , 0, NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0 }
 
 
 struct  Gyp__SnapEndpoint
@@ -533,10 +554,15 @@
   size_t n_retired_keys;
   uint64_t *retired_keys;
   uint64_t next_seq;
+  /*
+   * for each of retired_keys
+   */
+  size_t n_retired_had_job;
+  protobuf_c_boolean *retired_had_job;
 };
 #define GYP__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__snapshot__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -584,10 +610,14 @@
   uint64_t job;
   uint32_t task;
   uint32_t attempt;
+  /*
+   * in a heartbeat's usage: measured, with a lag
+   */
+  Gyp__Res *used;
 };
 #define GYP__ATTEMPT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__attempt__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, NULL }
 
 
 struct  Gyp__Beat
@@ -608,10 +638,23 @@
   Gyp__Res *used;
   size_t n_running;
   Gyp__Attempt **running;
+  /*
+   * the running list is that of `list`
+   */
+  protobuf_c_boolean unchanged;
+  /*
+   * number of the list, rises with each change
+   */
+  uint32_t list;
+  /*
+   * with `used`; any subset of the running
+   */
+  size_t n_usage;
+  Gyp__Attempt **usage;
 };
 #define GYP__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__beat__descriptor) \
-    , 0, 0, 0, NULL, 0,NULL }
+    , 0, 0, 0, NULL, 0,NULL, 0, 0, 0,NULL }
 
 
 struct  Gyp__ReadJob
@@ -725,10 +768,14 @@
    */
   size_t n_stop;
   Gyp__Attempt **stop;
+  /*
+   * the leader lacks the beat's running list
+   */
+  protobuf_c_boolean resend;
 };
 #define GYP__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__reply__descriptor) \
-    , 0, GYP__CODE__CODE_OK, (char *)protobuf_c_empty_string, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , 0, GYP__CODE__CODE_OK, (char *)protobuf_c_empty_string, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
 
 
 /*
@@ -754,10 +801,19 @@
   Gyp__Kind kind;
   Gyp__Res *size;
   ProtobufCBinaryData payload;
+  uint32_t cpu_limit_milli;
+  /*
+   * connections to the endpoint that the entry may use
+   */
+  uint32_t cap;
+  /*
+   * cell time after which no leader sends this start
+   */
+  uint64_t until_ms;
 };
 #define GYP__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__order__descriptor) \
-    , GYP__ORDER_TYPE__ORDER_START, NULL, (char *)protobuf_c_empty_string, 0, 0, GYP__KIND__KIND_REQUEST, NULL, {0,NULL} }
+    , GYP__ORDER_TYPE__ORDER_START, NULL, (char *)protobuf_c_empty_string, 0, 0, GYP__KIND__KIND_REQUEST, NULL, {0,NULL}, 0, 0, 0 }
 
 
 struct  Gyp__EntryUp
@@ -777,10 +833,14 @@
    * for reports; in the first frame to a replica
    */
   char *name;
+  /*
+   * gets no new placements
+   */
+  protobuf_c_boolean draining;
 };
 #define GYP__ENTRY_UP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__entry_up__descriptor) \
-    , 0,NULL, 0, 0, (char *)protobuf_c_empty_string }
+    , 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Gyp__EntryDown
@@ -806,10 +866,14 @@
    */
   char *rules;
   uint64_t round;
+  /*
+   * committed cell time
+   */
+  uint64_t time_ms;
 };
 #define GYP__ENTRY_DOWN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__entry_down__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 typedef enum {
