A drained endpoint's successor waits for the old row as others do

Cause: an announcement under a new incarnation asked for LEAVING only from ACTIVE, so a drained or quarantined endpoint that restarted stayed away until its old lease ran out.

--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -273,7 +273,7 @@
 		return;
 	}
 	if (ep != NULL) {
-		if (ep->state == GYP_ENDPOINT_ACTIVE)
+		if (ep->state != GYP_ENDPOINT_LEAVING)
 			propose_endpoint_state(r, ep->id, GYP_ENDPOINT_LEAVING);
 		reply_code(r, entry, call->id, GYP__CODE__CODE_BUSY,
 		    "the name's earlier lease has not run out");
