--- /dev/null
+++ b/test/sim.h
@@ -0,0 +1,243 @@
+#ifndef SIM_H
+#define SIM_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "entry.h"
+#include "leases.h"
+#include "msg.h"
+#include "replica.h"
+
+/*
+ * NAME
+ *	sim - replicas, entries and model endpoints in one process
+ *
+ * DESCRIPTION
+ *	Virtual time goes in steps. Frames between processes wait in one
+ *	ordered queue a direction; exchanges with endpoints wait in a pool.
+ *	Faults are drawn from one seeded generator, so that a seed repeats a
+ *	run. What callers were told and what truly ran is kept here, apart
+ *	from the code under test.
+ *
+ *	sim_net.c	queues, cuts, breaks
+ *	sim_proc.c	replicas with a fake disk; entries
+ *	sim_endpoint.c	model endpoints and the truth about runs
+ *	sim_caller.c	callers and operators, and what they were told
+ *	test_cell.c	faults, phases, seeds
+ */
+
+#define SIM_STEP_MS 10
+
+/* Nodes: replicas first, then entries, then endpoints. */
+#define SIM_REPLICAS  5
+#define SIM_ENTRIES   3
+#define SIM_ENDPOINTS 6
+#define SIM_ENTRY     SIM_REPLICAS
+#define SIM_ENDPOINT  (SIM_ENTRY + SIM_ENTRIES)
+#define SIM_NODES     (SIM_ENDPOINT + SIM_ENDPOINTS)
+
+/* Settings of the processes under test, in ms. */
+#define SIM_ELECTION_MS       400
+#define SIM_HEARTBEAT_MS      50
+#define SIM_ENDPOINT_LEASE_MS 2000
+#define SIM_ENTRY_LEASE_MS    1500
+#define SIM_START_WINDOW_MS   800
+#define SIM_KEEPALIVE_MS      200
+#define SIM_SILENCE_MS        800
+
+/* Half of the bound on the difference of two clocks, in parts per million. */
+#define SIM_PPM_MAX (1000000 / GYP_CLOCK_RATE_DIVISOR / 2)
+
+/*
+ * A leaving endpoint gets no start later than this after the leave was
+ * acknowledged: the window of a start sent just before, with the rate bound.
+ */
+#define SIM_LEAVE_BOUND_MS                                                     \
+	(SIM_START_WINDOW_MS + SIM_START_WINDOW_MS / 50 + SIM_STEP_MS)
+
+/*
+ * An entry with a lease has each acknowledged version of the rules after
+ * this time: one lease, and the time that a deposed leader may still grant.
+ */
+#define SIM_RULES_BOUND_MS                                                     \
+	(SIM_ENTRY_LEASE_MS + 2 * SIM_ELECTION_MS + SIM_ENTRY_LEASE_MS / 50)
+
+struct sim;
+
+struct sim_msg {
+	uint64_t due;
+	uint64_t from_id; /* replica id or incarnation of the sender */
+	uint64_t to_id;   /* incarnation it was meant for, 0 for any */
+	bool entry;       /* the sender is an entry */
+	GBytes *packed;
+};
+
+struct sim_node {
+	bool up;
+	uint64_t id;   /* replica id or incarnation */
+	uint64_t life; /* counts restarts */
+	uint64_t frozen_until;
+	bool freeze_at_send; /* at the next output, before it is sent */
+	bool thawing;
+	uint64_t restart_at;
+	uint64_t clock_offset;
+	int32_t clock_ppm;
+	char address[24];
+	GQueue stash; /* closures of output, see sim_proc.c */
+
+	/* Replicas. */
+	struct gyp_replica *replica;
+	GPtrArray *disk; /* struct gyp_record, owned */
+	guint synced;    /* records that survive a kill */
+	guint boot;      /* records on the disk at the start */
+	uint64_t sync_at;
+	uint64_t join_at;
+	uint64_t applied;
+	uint64_t rules;
+
+	/* Entries. */
+	struct gyp_entry_core *entry;
+	uint64_t link_up[SIM_REPLICAS]; /* time, or UINT64_MAX while up */
+	uint64_t entry_rules;
+};
+
+/* What a caller asked for, and the truth about it. */
+struct sim_job {
+	char *key;
+	Gyp__JobSpec spec;
+	Gyp__Res size;
+	uint64_t id; /* once known */
+	bool accepted;
+	bool cancel_by_key; /* such a cancellation was sent */
+	bool cancelled;     /* a cancellation was acknowledged */
+	uint64_t cancel_acked;
+	bool want_cancel;
+	bool told;
+	bool closed; /* the caller asks no more */
+	uint32_t resends;
+	Gyp__Outcome outcome;
+	GBytes *answer;
+	bool calling;
+	uint64_t next_at;
+	uint32_t starts[4];
+	uint32_t running[4];
+	bool not_run[4];     /* a caller was told so */
+	GHashTable *answers; /* "task answer" that an endpoint produced */
+};
+
+/* One call of a caller, endpoint or operator at an entry. */
+struct sim_call {
+	struct sim_call_ops {
+		void (*answered)(
+		    struct sim *, struct sim_call *, const struct gyp_answer *);
+	} const *ops;
+	void *subject;
+	uint64_t sent_at;
+	uint64_t tag;
+	int entry;
+	bool open;
+};
+
+struct sim_endpoint;
+
+struct sim_apply {
+	char *request;
+	char *text;
+	uint64_t base;
+	uint64_t version; /* acknowledged, 0 for none */
+	uint64_t acked_at;
+	bool refused;
+	bool calling;
+	uint64_t next_at;
+};
+
+struct sim {
+	guint32 seed;
+	GRand *rand;
+	uint64_t now;
+	bool faults;
+	bool trace;
+	int n_replicas;
+	int n_entries;
+	struct sim_node nodes[SIM_NODES];
+	bool cut[SIM_NODES][SIM_NODES];
+	uint64_t heal_at[SIM_NODES];
+	GQueue wire[SIM_NODES][SIM_NODES]; /* struct sim_msg */
+	GPtrArray *pool;                   /* struct sim_exchange, owned */
+	struct sim_endpoint *endpoints[SIM_ENDPOINTS];
+	GPtrArray *jobs;    /* struct sim_job, owned */
+	GHashTable *by_key; /* key -> struct sim_job */
+	GPtrArray *calls;   /* struct sim_call, owned */
+	GPtrArray *applies; /* struct sim_apply, owned */
+	GHashTable *hashes; /* applied index -> hash of the tables */
+	uint64_t last_id;
+	uint64_t next_job_at;
+	uint64_t next_apply_at;
+	uint64_t calm_since;
+
+	/* Counters, printed at the end. */
+	uint32_t n_starts, n_kills, n_cuts, n_freezes, n_disks, n_leaves;
+	uint32_t n_done, n_failed, n_not_run, n_unknown, n_applied;
+	uint64_t leaderless_since, leaderless_max;
+	uint64_t force_max;
+};
+
+/* Prints what was seen with the seed and the command, and aborts. */
+void sim_fail(struct sim *, const char *format, ...)
+    G_GNUC_PRINTF(2, 3) G_GNUC_NORETURN;
+
+/* Prints one event when GYP_TRACE is set. */
+void sim_trace(const struct sim *, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+/* Random numbers: from low to high - 1, and one in n. */
+int sim_pick(struct sim *, int low, int high);
+bool sim_one_in(struct sim *, int n);
+uint64_t sim_clock(const struct sim *, int node);
+uint64_t sim_new_id(struct sim *);
+bool sim_runs(const struct sim *, int node); /* up and not frozen */
+
+/* sim_net.c */
+void sim_send(struct sim *, int from, int to, uint64_t to_id, GBytes *);
+void sim_break(struct sim *, int a, int b);
+void sim_deliver(struct sim *);
+void sim_drop_node(struct sim *, int node);
+void sim_cut(struct sim *, int node, int with, uint32_t ms);
+void sim_heal(struct sim *, int node);
+void sim_reconnect(struct sim *);
+
+/* sim_proc.c */
+void sim_replica_start(struct sim *, int node);
+void sim_replica_kill(struct sim *, int node, bool lose_disk);
+void sim_entry_start(struct sim *, int node);
+void sim_entry_kill(struct sim *, int node);
+void sim_receive(struct sim *, int node, const struct sim_msg *);
+void sim_step_procs(struct sim *);
+void sim_pump(struct sim *, int node);
+int sim_leader(const struct sim *); /* a serving replica, or -1 */
+
+/* sim_endpoint.c */
+void sim_endpoints_init(struct sim *);
+void sim_endpoints_free(struct sim *);
+void sim_endpoint_start(struct sim *, int nth);
+void sim_endpoint_kill(struct sim *, int nth);
+void sim_endpoint_leave(struct sim *, int nth);
+void sim_step_endpoints(struct sim *);
+void sim_exchange(struct sim *, int entry, struct gyp_exchange *);
+void sim_step_pool(struct sim *);
+bool sim_endpoints_idle(struct sim *);
+void sim_endpoints_all_good(struct sim *);
+
+/* sim_caller.c */
+void sim_callers_init(struct sim *);
+void sim_callers_free(struct sim *);
+void sim_step_callers(struct sim *);
+bool sim_callers_done(struct sim *);
+void sim_check_records(struct sim *);
+struct sim_call *sim_call(struct sim *, int entry, const Gyp__Call *,
+    uint32_t timeout_ms, const struct sim_call_ops *, void *subject);
+int sim_any_entry(struct sim *); /* running, or -1 */
+
+#endif
--- /dev/null
+++ b/test/sim_net.c
@@ -0,0 +1,238 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "sim.h"
+
+void
+sim_fail(struct sim *s, const char *format, ...)
+{
+	va_list ap;
+
+	fprintf(stderr, "invariant: at %" G_GUINT64_FORMAT " ms: ", s->now);
+	va_start(ap, format);
+	vfprintf(stderr, format, ap);
+	va_end(ap);
+	fprintf(stderr, "\n");
+	abort();
+}
+
+void
+sim_trace(const struct sim *s, const char *format, ...)
+{
+	va_list ap;
+
+	if (!s->trace)
+		return;
+	fprintf(stderr, "%" G_GUINT64_FORMAT " ", s->now);
+	va_start(ap, format);
+	vfprintf(stderr, format, ap);
+	va_end(ap);
+	fprintf(stderr, "\n");
+}
+
+int
+sim_pick(struct sim *s, int low, int high)
+{
+	return g_rand_int_range(s->rand, low, high);
+}
+
+bool
+sim_one_in(struct sim *s, int n)
+{
+	return sim_pick(s, 0, n) == 0;
+}
+
+uint64_t
+sim_clock(const struct sim *s, int node)
+{
+	const struct sim_node *n = &s->nodes[node];
+
+	return n->clock_offset +
+	       (uint64_t)((int64_t)s->now * (1000000 + n->clock_ppm) / 1000000);
+}
+
+uint64_t
+sim_new_id(struct sim *s)
+{
+	return ++s->last_id << 32 | g_rand_int(s->rand) | 1;
+}
+
+bool
+sim_runs(const struct sim *s, int node)
+{
+	return s->nodes[node].up && s->now >= s->nodes[node].frozen_until;
+}
+
+/* ---- Queues ------------------------------------------------------------ */
+
+static void
+free_msg(gpointer p)
+{
+	struct sim_msg *m = p;
+
+	g_bytes_unref(m->packed);
+	g_free(m);
+}
+
+static bool
+link_is_up(const struct sim *s, int entry, int replica)
+{
+	return s->nodes[entry].link_up[replica] == UINT64_MAX;
+}
+
+static bool
+is_entry(int node)
+{
+	return node >= SIM_ENTRY && node < SIM_ENDPOINT;
+}
+
+/* What a replica sends to an entry goes on that entry's own connection. */
+void
+sim_send(struct sim *s, int from, int to, uint64_t to_id, GBytes *packed)
+{
+	struct sim_msg *m;
+
+	if (!s->nodes[to].up || (to_id != 0 && s->nodes[to].id != to_id) ||
+	    (is_entry(to) && !link_is_up(s, to, from)))
+		return;
+	m = g_new0(struct sim_msg, 1);
+	m->due = s->now + (uint64_t)(sim_one_in(s, 20) ? sim_pick(s, 0, 300)
+						       : sim_pick(s, 0, 20));
+	m->from_id = s->nodes[from].id;
+	m->entry = is_entry(from);
+	m->packed = g_bytes_ref(packed);
+	g_queue_push_tail(&s->wire[from][to], m);
+}
+
+static void
+lose_suffix(struct sim *s, int from, int to)
+{
+	GQueue *q = &s->wire[from][to];
+	guint keep = (guint)sim_pick(s, 0, (int)q->length + 1);
+
+	while (q->length > keep)
+		free_msg(g_queue_pop_tail(q));
+}
+
+/* The connections between two nodes break; a suffix each way is lost. */
+void
+sim_break(struct sim *s, int a, int b)
+{
+	int entry = is_entry(a) ? a : b, replica = is_entry(a) ? b : a;
+
+	lose_suffix(s, a, b);
+	lose_suffix(s, b, a);
+	if (!is_entry(entry) || replica >= SIM_REPLICAS)
+		return;
+	g_queue_clear_full(&s->wire[replica][entry], free_msg);
+	s->nodes[entry].link_up[replica] =
+	    s->now + (uint64_t)sim_pick(s, 0, 300);
+	if (sim_runs(s, entry))
+		gyp_entry_disconnected(s->nodes[entry].entry,
+		    sim_clock(s, entry), s->nodes[replica].address);
+}
+
+void
+sim_drop_node(struct sim *s, int node)
+{
+	int i;
+
+	for (i = 0; i < SIM_ENDPOINT; i++) {
+		if (i == node)
+			continue;
+		lose_suffix(s, node, i);
+		g_queue_clear_full(&s->wire[i][node], free_msg);
+		if (is_entry(i) != is_entry(node))
+			sim_break(s, node, i);
+	}
+}
+
+static void
+deliver_from(struct sim *s, int from, int to)
+{
+	GQueue *q = &s->wire[from][to];
+	struct sim_msg *m;
+
+	while ((m = g_queue_peek_head(q)) != NULL && m->due <= s->now &&
+	       !s->cut[from][to] && sim_runs(s, to)) {
+		if (is_entry(from) && !link_is_up(s, from, to))
+			return;
+		g_queue_pop_head(q);
+		sim_receive(s, to, m);
+		free_msg(m);
+	}
+}
+
+void
+sim_deliver(struct sim *s)
+{
+	int pairs = SIM_ENDPOINT * SIM_ENDPOINT;
+	int first = sim_pick(s, 0, pairs), i;
+
+	for (i = 0; i < pairs; i++) {
+		int pair = (first + i * 7) % pairs; /* 7 and 64 are coprime */
+
+		deliver_from(s, pair / SIM_ENDPOINT, pair % SIM_ENDPOINT);
+	}
+}
+
+/* Connections that were lost are opened again once both sides can. */
+void
+sim_reconnect(struct sim *s)
+{
+	int e, r;
+
+	for (e = SIM_ENTRY; e < SIM_ENTRY + s->n_entries; e++) {
+		for (r = 0; r < s->n_replicas; r++) {
+			struct sim_node *n = &s->nodes[e];
+
+			if (n->link_up[r] > s->now || s->cut[e][r] ||
+			    s->cut[r][e] || !sim_runs(s, e) || !sim_runs(s, r))
+				continue;
+			n->link_up[r] = UINT64_MAX;
+			gyp_replica_entry_connected(
+			    s->nodes[r].replica, sim_clock(s, r), n->id);
+			sim_pump(s, r);
+			gyp_entry_connected(
+			    n->entry, sim_clock(s, e), s->nodes[r].address);
+			sim_pump(s, e);
+		}
+	}
+}
+
+/* ---- Cuts -------------------------------------------------------------- */
+
+/* Cuts a node from `with` (-1 for all), both ways or one way only. */
+void
+sim_cut(struct sim *s, int node, int with, uint32_t ms)
+{
+	int i, way = sim_pick(s, 0, 4);
+
+	for (i = 0; i < SIM_NODES; i++) {
+		if (i == node || (with >= 0 && i != with))
+			continue;
+		s->cut[node][i] = way != 0;
+		s->cut[i][node] = way != 1;
+	}
+	s->heal_at[node] = s->now + ms;
+	sim_trace(s, "cut %d from %d for %u way %d", node, with, ms, way);
+	s->n_cuts++;
+}
+
+/* Held messages arrive late, or the connections turn out to be broken. */
+void
+sim_heal(struct sim *s, int node)
+{
+	int i;
+
+	for (i = 0; i < SIM_NODES; i++) {
+		bool was_cut = s->cut[node][i] || s->cut[i][node];
+
+		s->cut[node][i] = s->cut[i][node] = false;
+		if (was_cut && i < SIM_ENDPOINT && node < SIM_ENDPOINT &&
+		    sim_one_in(s, 2))
+			sim_break(s, node, i);
+	}
+	s->heal_at[node] = 0;
+}
--- /dev/null
+++ b/test/test_cell.c
@@ -0,0 +1,356 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "sim.h"
+
+/*
+ * Long randomised runs of replicas and entries against model endpoints,
+ * callers and operators. GYP_SEED=n runs one seed, GYP_SECONDS=n fresh ones
+ * for that long.
+ */
+
+/* Virtual time with faults, and the most for all to end after it, in ms. */
+#define FAULTS_MS 40000
+#define CALM_MS   180000
+
+#define SEEDS 40
+
+static guint32 current_seed;
+
+static void
+on_abort(int sig)
+{
+	char text[96];
+	int len = snprintf(text, sizeof(text),
+	    "FAILED seed %u; run: GYP_SEED=%u build/asan/bin/test_cell\n",
+	    current_seed, current_seed);
+
+	if (write(STDERR_FILENO, text, (size_t)len) < 0)
+		_exit(2);
+	signal(sig, SIG_DFL);
+	raise(sig);
+}
+
+/* ---- Faults ------------------------------------------------------------ */
+
+static int
+any_process(struct sim *s)
+{
+	int n = sim_pick(s, 0, s->n_replicas + s->n_entries);
+
+	return n < s->n_replicas ? n : SIM_ENTRY + n - s->n_replicas;
+}
+
+/* A disk may be lost only while every member is a voter under its own id. */
+static bool
+may_lose_disk(struct sim *s, int node)
+{
+	int leader = sim_leader(s), i;
+	const struct gyp_raft *raft;
+	const Gyp__Config *c;
+	size_t k;
+
+	if (leader < 0 || leader == node)
+		return false;
+	raft = gyp_replica_raft(s->nodes[leader].replica);
+	c = gyp_raft_members(raft);
+	if (gyp_raft_changing(raft) || c->n_members != (size_t)s->n_replicas)
+		return false;
+	for (k = 0; k < c->n_members; k++) {
+		for (i = 0; i < s->n_replicas; i++) {
+			if (s->nodes[i].id == c->members[k]->id)
+				break;
+		}
+		if (i == s->n_replicas || !c->members[k]->voter ||
+		    s->nodes[i].disk == NULL)
+			return false;
+	}
+	return true;
+}
+
+static void
+kill_one(struct sim *s, int node)
+{
+	if (!s->nodes[node].up)
+		return;
+	if (node >= SIM_ENTRY)
+		sim_entry_kill(s, node);
+	else
+		sim_replica_kill(
+		    s, node, sim_one_in(s, 3) && may_lose_disk(s, node));
+}
+
+static void
+freeze_one(struct sim *s, int node)
+{
+	if (sim_runs(s, node))
+		s->nodes[node].freeze_at_send = true;
+}
+
+static void
+cut_one(struct sim *s)
+{
+	int node = sim_one_in(s, 3)
+		       ? SIM_ENDPOINT + sim_pick(s, 0, SIM_ENDPOINTS)
+		       : any_process(s);
+	int with = sim_one_in(s, 2) ? -1 : any_process(s);
+
+	if (s->heal_at[node] == 0 && node != with)
+		sim_cut(s, node, with, (uint32_t)sim_pick(s, 100, 6000));
+}
+
+static void
+faults(struct sim *s)
+{
+	int leader = sim_leader(s);
+
+	if (sim_one_in(s, 600))
+		kill_one(s, any_process(s));
+	if (sim_one_in(s, 1500) && leader >= 0)
+		kill_one(s, leader);
+	if (sim_one_in(s, 400))
+		freeze_one(s, any_process(s));
+	if (sim_one_in(s, 700) && leader >= 0)
+		freeze_one(s, leader);
+	if (sim_one_in(s, 400))
+		cut_one(s);
+	if (sim_one_in(s, 100))
+		sim_break(s, any_process(s), any_process(s));
+	if (sim_one_in(s, 700)) {
+		int nth = sim_pick(s, 0, SIM_ENDPOINTS);
+
+		if (s->nodes[SIM_ENDPOINT + nth].up)
+			sim_endpoint_kill(s, nth);
+	}
+	if (sim_one_in(s, 800)) {
+		int nth = sim_pick(s, 0, SIM_ENDPOINTS);
+
+		if (s->nodes[SIM_ENDPOINT + nth].up)
+			sim_endpoint_leave(s, nth);
+	}
+}
+
+static void
+heal_due(struct sim *s, bool all)
+{
+	int i;
+
+	for (i = 0; i < SIM_NODES; i++) {
+		if (s->heal_at[i] != 0 && (all || s->now >= s->heal_at[i]))
+			sim_heal(s, i);
+	}
+}
+
+/* ---- Phases ------------------------------------------------------------ */
+
+static void
+step(struct sim *s)
+{
+	s->now += SIM_STEP_MS;
+	if (s->faults)
+		faults(s);
+	heal_due(s, false);
+	sim_reconnect(s);
+	sim_step_procs(s);
+	sim_deliver(s);
+	sim_step_pool(s);
+	sim_step_endpoints(s);
+	sim_step_callers(s);
+}
+
+static void
+calm_down(struct sim *s)
+{
+	int i;
+
+	s->faults = false;
+	heal_due(s, true);
+	for (i = 0; i < SIM_NODES; i++) {
+		s->nodes[i].freeze_at_send = false;
+		s->nodes[i].frozen_until =
+		    MIN(s->nodes[i].frozen_until, s->now);
+	}
+	sim_endpoints_all_good(s);
+	s->calm_since = s->now;
+}
+
+/* All replicas are up, members under their present ids, and level. */
+static bool
+replicas_level(struct sim *s)
+{
+	int leader = sim_leader(s), i;
+	const struct gyp_raft *raft;
+	const Gyp__Config *c;
+	size_t k;
+
+	if (leader < 0)
+		return false;
+	raft = gyp_replica_raft(s->nodes[leader].replica);
+	c = gyp_raft_members(raft);
+	if (c->n_members != (size_t)s->n_replicas)
+		return false;
+	for (i = 0; i < s->n_replicas; i++) {
+		if (!sim_runs(s, i) ||
+		    gyp_raft_applied(gyp_replica_raft(s->nodes[i].replica)) !=
+			gyp_raft_applied(raft))
+			return false;
+		for (k = 0; k < c->n_members; k++) {
+			if (c->members[k]->id == s->nodes[i].id &&
+			    c->members[k]->voter)
+				break;
+		}
+		if (k == c->n_members)
+			return false;
+	}
+	return true;
+}
+
+static void
+explain_stuck(struct sim *s)
+{
+	guint i;
+
+	for (i = 0; i < s->jobs->len; i++) {
+		const struct sim_job *job = s->jobs->pdata[i];
+
+		if (!job->closed && !job->told)
+			fprintf(stderr,
+			    "%s: kind %d calling %d accepted %d "
+			    "running %u\n",
+			    job->key, job->spec.kind, job->calling,
+			    job->accepted, job->running[0]);
+	}
+	sim_fail(s,
+	    "not all ended: replicas level %d, endpoints idle %d, "
+	    "callers done %d",
+	    replicas_level(s), sim_endpoints_idle(s), sim_callers_done(s));
+}
+
+static void
+run_calm(struct sim *s)
+{
+	uint64_t until = s->now + CALM_MS;
+
+	while (!sim_callers_done(s) || !sim_endpoints_idle(s) ||
+	       !replicas_level(s)) {
+		if (s->now >= until)
+			explain_stuck(s);
+		step(s);
+	}
+}
+
+static void
+setup(struct sim *s, guint32 seed)
+{
+	int i;
+
+	s->seed = seed;
+	s->rand = g_rand_new_with_seed(seed);
+	s->now = 1000;
+	s->n_replicas = seed % 4 == 0 ? 5 : 3;
+	s->n_entries = 2 + (int)(seed % 2);
+	s->faults = true;
+	s->trace = g_getenv("GYP_TRACE") != NULL;
+	s->hashes =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	for (i = 0; i < SIM_REPLICAS; i++)
+		g_snprintf(s->nodes[i].address, sizeof(s->nodes[i].address),
+		    "10.0.0.%d:1", i);
+	sim_callers_init(s);
+	for (i = 0; i < s->n_replicas; i++)
+		sim_replica_start(s, i);
+	for (i = 0; i < s->n_entries; i++)
+		sim_entry_start(s, SIM_ENTRY + i);
+	sim_endpoints_init(s);
+}
+
+static void
+teardown(struct sim *s)
+{
+	int i, k;
+
+	for (i = 0; i < SIM_ENDPOINT; i++) {
+		if (s->nodes[i].up && s->nodes[i].replica != NULL)
+			sim_replica_kill(s, i, true);
+		else if (s->nodes[i].up)
+			sim_entry_kill(s, i);
+	}
+	for (i = 0; i < SIM_ENDPOINT; i++) {
+		for (k = 0; k < SIM_ENDPOINT; k++)
+			g_assert(s->wire[i][k].length == 0 || i != k);
+		sim_drop_node(s, i);
+	}
+	sim_endpoints_free(s);
+	sim_callers_free(s);
+	g_hash_table_destroy(s->hashes);
+	g_rand_free(s->rand);
+}
+
+static void
+run_seed(guint32 seed)
+{
+	struct sim *s = g_new0(struct sim, 1);
+
+	current_seed = seed;
+	setup(s, seed);
+	while (s->now < FAULTS_MS)
+		step(s);
+	calm_down(s);
+	run_calm(s);
+	sim_check_records(s);
+	g_test_message("seed %u: starts %u; done %u failed %u not_run %u "
+		       "unknown %u; applies %u leaves %u; kills %u disks %u "
+		       "cuts %u freezes %u; calm after %" G_GUINT64_FORMAT
+		       " ms; longest without a leader %" G_GUINT64_FORMAT
+		       " ms; rules behind for %" G_GUINT64_FORMAT " ms",
+	    seed, s->n_starts, s->n_done, s->n_failed, s->n_not_run,
+	    s->n_unknown, s->n_applied, s->n_leaves, s->n_kills, s->n_disks,
+	    s->n_cuts, s->n_freezes, s->now - s->calm_since, s->leaderless_max,
+	    s->force_max);
+	teardown(s);
+	g_free(s);
+}
+
+static void
+run_fresh(gint64 seconds)
+{
+	gint64 until = g_get_monotonic_time() + seconds * G_USEC_PER_SEC;
+
+	while (g_get_monotonic_time() < until) {
+		guint32 seed = g_random_int();
+
+		printf("seed %u\n", seed);
+		fflush(stdout);
+		run_seed(seed);
+	}
+}
+
+static void
+test_promises(void)
+{
+	const char *one = g_getenv("GYP_SEED");
+	const char *seconds = g_getenv("GYP_SECONDS");
+	guint32 seed;
+
+	if (one != NULL) {
+		run_seed((guint32)g_ascii_strtoull(one, NULL, 10));
+		return;
+	}
+	if (seconds != NULL) {
+		run_fresh(g_ascii_strtoll(seconds, NULL, 10));
+		return;
+	}
+	for (seed = 1; seed <= SEEDS; seed++)
+		run_seed(seed);
+}
+
+int
+main(int argc, char **argv)
+{
+	signal(SIGABRT, on_abort);
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/cell/promises", test_promises);
+	return g_test_run();
+}
