Name the endpoint's incarnation in each order

Cause: an order named an attempt and an address only. A late start could also be run by the next life, as its clock starts afresh and a not-after time of the old clock is no bound there.

Ruled out: refusing questions for a while after a restart; the endpoint can't know how long an order may be under way.

Now each order carries the incarnation; another life answers a question with an unknown state and refuses a start.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -100,9 +100,10 @@
 	struct running *run = g_new0(struct running, 1);
 	struct gyp_httpc_request req = {.done = on_done, .arg = run};
 	char *url = make_url(order);
-	char not_after[64], kind[64];
-	const char *headers[] = {
-	    not_after, kind, "Content-Type: application/octet-stream", NULL};
+	char not_after[64], kind[64], incarnation[64];
+	/* A question carries only the first. */
+	const char *headers[] = {incarnation, NULL, kind,
+	    "Content-Type: application/octet-stream", NULL};
 
 	run->xs = xs;
 	run->id = x->id;
@@ -111,10 +112,14 @@
 	    "Gyp-Not-After: %" G_GUINT64_FORMAT, order->not_after_ms);
 	g_snprintf(
 	    kind, sizeof(kind), "Gyp-Kind: %s", gyp_kind_name(order->kind));
+	g_snprintf(incarnation, sizeof(incarnation),
+	    "Gyp-Incarnation: %" G_GINT64_MODIFIER "x", order->incarnation);
+	if (start)
+		headers[1] = not_after;
 	req.method =
 	    order->type == GYP__ORDER_TYPE__ORDER_QUERY ? "GET" : "POST";
 	req.url = url;
-	req.headers = start ? headers : NULL;
+	req.headers = headers;
 	req.body = order->payload.data;
 	req.len = order->payload.len;
 	req.answer_max = GYP_ANSWER_MAX;
--- a/src/replica_lead.c
+++ b/src/replica_lead.c
@@ -144,6 +144,7 @@
 	order.type = type;
 	order.attempt = &attempt;
 	order.address = ep->spec->address;
+	order.incarnation = ep->spec->incarnation;
 	order.kind = job->spec->kind;
 	if (type == GYP__ORDER_TYPE__ORDER_START) {
 		order.not_after_ms = not_after;
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -4476,7 +4476,7 @@
   (ProtobufCMessageInit) gyp__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__order__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gyp__order__field_descriptors[9] =
 {
   {
     "type",
@@ -4574,10 +4574,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnation",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Order, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__order__field_indices_by_name[] = {
   2,   /* field[2] = address */
   1,   /* field[1] = attempt */
+  8,   /* field[8] = incarnation */
   5,   /* field[5] = kind */
   3,   /* field[3] = not_after_ms */
   7,   /* field[7] = payload */
@@ -4585,10 +4598,11 @@
   0,   /* field[0] = type */
   4,   /* field[4] = valid_ms */
 };
-static const ProtobufCIntRange gyp__order__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__order__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 32, 8 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gyp__order__descriptor =
 {
@@ -4598,10 +4612,10 @@
   "Gyp__Order",
   "gyp",
   sizeof(Gyp__Order),
-  8,
+  9,
   gyp__order__field_descriptors,
   gyp__order__field_indices_by_name,
-  1,  gyp__order__number_ranges,
+  2,  gyp__order__number_ranges,
   (ProtobufCMessageInit) gyp__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -742,10 +742,14 @@
   Gyp__Kind kind;
   Gyp__Res *size;
   ProtobufCBinaryData payload;
+  /*
+   * of the endpoint that the attempt was placed on
+   */
+  uint64_t incarnation;
 };
 #define GYP__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__order__descriptor) \
-    , GYP__ORDER_TYPE__ORDER_START, NULL, (char *)protobuf_c_empty_string, 0, 0, GYP__KIND__KIND_REQUEST, NULL, {0,NULL} }
+    , GYP__ORDER_TYPE__ORDER_START, NULL, (char *)protobuf_c_empty_string, 0, 0, GYP__KIND__KIND_REQUEST, NULL, {0,NULL}, 0 }
 
 
 struct  Gyp__EntryUp
--- a/test/endpoint.c
+++ b/test/endpoint.c
@@ -193,12 +193,32 @@
 	ask_run(app, req, attempt);
 }
 
+/*
+ * An earlier process of this name may have run the attempt, so only a start
+ * can be answered for certain.
+ */
+static bool
+is_for_another(struct app *app, struct gyp_http_request *req, bool start)
+{
+	const char *text = gyp_http_header(req, "Gyp-Incarnation");
+	uint64_t meant, own;
+
+	if (text != NULL && gyp_hex_parse(text, &meant) &&
+	    gyp_hex_parse(app->incarnation, &own) && meant == own)
+		return false;
+	gyp_http_add_header(req, "Gyp-State", start ? "refused" : "unknown");
+	gyp_http_reply(req, 409, "text/plain", "", 0);
+	return true;
+}
+
 static void
 on_attempt(struct app *app, struct gyp_http_request *req, const char *attempt,
     const char *verb)
 {
 	bool seen = g_hash_table_contains(app->runs, attempt);
 
+	if (is_for_another(app, req, strcmp(verb, "start") == 0))
+		return;
 	if (strcmp(verb, "stop") == 0)
 		stop_run(app, req, attempt);
 	else if (strcmp(verb, "start") == 0 && !seen)
