--- a/test/sim_caller.c
+++ b/test/sim_caller.c
@@ -378,7 +378,8 @@
 	for (e = SIM_ENTRY; e < SIM_ENTRY + s->n_entries; e++) {
 		const struct sim_node *n = &s->nodes[e];
 
-		if (!sim_runs(s, e) || gyp_entry_rules(n->entry, NULL) >= ap->version ||
+		if (!sim_runs(s, e) ||
+		    gyp_entry_rules(n->entry, NULL) >= ap->version ||
 		    !gyp_entry_has_lease(n->entry))
 			continue;
 		s->force_max = MAX(s->force_max, s->now - ap->acked_at);
--- a/test/sim_endpoint.c
+++ b/test/sim_endpoint.c
@@ -214,8 +214,8 @@
 		r->end += 5000;
 	r->answer = draw_answer(s, ep, r);
 	r->to_deliver = ep->manner == MANNER_ANSWERS_TWICE ? 2 : 1;
-	note_start(s, ep, r);
 	sim_trace(s, "%s starts %s of %s", ep->name, r->key, key);
+	note_start(s, ep, r);
 	g_free(key);
 }
 
@@ -298,6 +298,12 @@
 		    s, x, start ? GYP_FATE_NOT_STARTED : GYP_FATE_LOST, NULL);
 		return;
 	}
+	/* An earlier life may have run it; only of a start can one be sure. */
+	if (x->order->incarnation != s->endpoints[nth]->incarnation) {
+		send_back(
+		    s, x, start ? GYP_FATE_NOT_STARTED : GYP_FATE_LOST, NULL);
+		return;
+	}
 	r = take_order(s, nth, x->order);
 	sim_trace(s, "ep-%d order type %d attempt %s state %d", nth,
 	    x->order->type, r->key, r->state);
@@ -566,9 +572,9 @@
 	f.answer.len = strlen(r->answer);
 	call.c_case = GYP__CALL__C_REPORT;
 	call.report = &f;
-	r->delivering = true;
+	r->delivering = attempt == r->at.attempt;
 	sim_call(s, entry, &call, CALL_MS, &report_ops, s->endpoints[nth])
-	    ->tag = r->nr;
+	    ->tag = r->delivering ? r->nr : 0;
 	sim_pump(s, entry);
 }
 
@@ -593,8 +599,7 @@
 	r->deliver_at = s->now + 300;
 	if (ep->manner == MANNER_ANSWERS_TWICE && r->at.attempt > 1)
 		report(s, nth, r, r->at.attempt - 1);
-	if (!r->delivering)
-		report(s, nth, r, r->at.attempt);
+	report(s, nth, r, r->at.attempt);
 }
 
 static void
--- a/test/sim_proc.c
+++ b/test/sim_proc.c
@@ -353,6 +353,26 @@
 		take_answers(s, node);
 }
 
+static void
+trace_reports(const struct sim *s, int node, const Gyp__Frame *frame)
+{
+	size_t i;
+
+	if (frame->body_case != GYP__FRAME__BODY_UP || !s->trace)
+		return;
+	for (i = 0; i < frame->up->n_calls; i++) {
+		const Gyp__Call *c = frame->up->calls[i];
+
+		if (c->c_case == GYP__CALL__C_REPORT)
+			sim_trace(s,
+			    "report at %d (serving %d): attempt "
+			    "%" G_GINT64_MODIFIER "x.%x.%x %s",
+			    node, gyp_replica_serving(s->nodes[node].replica),
+			    c->report->job, c->report->task, c->report->attempt,
+			    gyp_outcome_name(c->report->outcome));
+	}
+}
+
 void
 sim_receive(struct sim *s, int node, const struct sim_msg *m)
 {
@@ -364,6 +384,7 @@
 
 	g_assert(frame != NULL);
 	if (n->replica != NULL) {
+		trace_reports(s, node, frame);
 		gyp_replica_receive(
 		    n->replica, sim_clock(s, node), m->from_id, frame);
 	} else {
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -222,6 +222,19 @@
 			    job->key, job->spec.kind, job->calling,
 			    job->accepted, job->running[0]);
 	}
+	for (i = 0; i < (guint)s->n_replicas; i++) {
+		const struct gyp_raft *raft =
+		    gyp_replica_raft(s->nodes[i].replica);
+
+		fprintf(stderr,
+		    "replica %u: id %" G_GINT64_MODIFIER
+		    "x role %d term %" G_GUINT64_FORMAT
+		    " applied %" G_GUINT64_FORMAT " last %" G_GUINT64_FORMAT
+		    " members %zu changing %d\n",
+		    i, s->nodes[i].id, gyp_raft_role(raft), gyp_raft_term(raft),
+		    gyp_raft_applied(raft), gyp_raft_last_index(raft),
+		    gyp_raft_members(raft)->n_members, gyp_raft_changing(raft));
+	}
 	sim_fail(s,
 	    "not all ended: replicas level %d, endpoints idle %d, "
 	    "callers done %d",
