Let no heartbeat renew a lease whose end is proposed

Cause: an expired endpoint's removal was proposed and its row of the lease table dropped at once. An announcement that was answered from the tables also granted a lease that the leader did not count.

Ruled out: expiry by too small a bound (the endpoint's lease had indeed run out), a deposed leader's order (one leader sent both).

Now such a lease is ended for good: nothing renews it and no start is sent, until the removal is committed or another leader starts afresh; each announcement that is answered moves the lease that the leader counts.

--- a/src/leases.c
+++ b/src/leases.c
@@ -7,6 +7,7 @@
 	uint64_t end;      /* our clock */
 	uint64_t heard;    /* our clock */
 	uint64_t clock_ms; /* the endpoint's clock in that heartbeat */
+	bool ended;        /* for good: its row is about to go */
 };
 
 struct gyp_leases {
@@ -49,42 +50,51 @@
 	l->default_end = gyp_lease_end(now, l->lease_ms);
 }
 
-void
+static struct lease *
+get_lease(struct gyp_leases *l, uint64_t endpoint)
+{
+	struct lease *lease = g_hash_table_lookup(l->table, &endpoint);
+
+	if (lease != NULL)
+		return lease;
+	lease = g_new0(struct lease, 1);
+	lease->endpoint = endpoint;
+	g_hash_table_insert(l->table, &lease->endpoint, lease);
+	return lease;
+}
+
+bool
 gyp_leases_renew(
     struct gyp_leases *l, uint64_t endpoint, uint64_t now, uint64_t clock_ms)
 {
-	struct lease *lease = g_hash_table_lookup(l->table, &endpoint);
+	struct lease *lease = get_lease(l, endpoint);
 
-	if (lease == NULL) {
-		lease = g_new0(struct lease, 1);
-		lease->endpoint = endpoint;
-		g_hash_table_insert(l->table, &lease->endpoint, lease);
-	}
+	if (lease->ended)
+		return false;
 	/* Of heartbeats that overtook each other the newest counts. */
 	if (lease->heard != 0 && clock_ms < lease->clock_ms)
-		return;
+		return true;
 	lease->heard = now;
 	lease->clock_ms = clock_ms;
 	lease->end = gyp_lease_end(now, l->lease_ms);
+	return true;
 }
 
-void
+bool
 gyp_leases_grant(struct gyp_leases *l, uint64_t endpoint, uint64_t now)
 {
-	struct lease *lease;
+	struct lease *lease = get_lease(l, endpoint);
 
-	if (g_hash_table_contains(l->table, &endpoint))
-		return;
-	lease = g_new0(struct lease, 1);
-	lease->endpoint = endpoint;
+	if (lease->ended)
+		return false;
 	lease->end = gyp_lease_end(now, l->lease_ms);
-	g_hash_table_insert(l->table, &lease->endpoint, lease);
+	return true;
 }
 
 void
-gyp_leases_remove(struct gyp_leases *l, uint64_t endpoint)
+gyp_leases_end(struct gyp_leases *l, uint64_t endpoint)
 {
-	g_hash_table_remove(l->table, &endpoint);
+	get_lease(l, endpoint)->ended = true;
 }
 
 bool
@@ -92,6 +102,8 @@
 {
 	const struct lease *lease = g_hash_table_lookup(l->table, &endpoint);
 
+	if (lease != NULL && lease->ended)
+		return false;
 	return now > (lease != NULL ? lease->end : l->default_end);
 }
 
@@ -102,7 +114,7 @@
 	const struct lease *lease = g_hash_table_lookup(l->table, &endpoint);
 	uint64_t lease_end, window_end;
 
-	if (lease == NULL || lease->heard == 0 ||
+	if (lease == NULL || lease->ended || lease->heard == 0 ||
 	    now >= lease->heard + l->lease_ms)
 		return false;
 	lease_end = lease->clock_ms + l->lease_ms;
--- a/src/leases.h
+++ b/src/leases.h
@@ -33,16 +33,26 @@
 /* Forgets all; endpoints that stay silent expire one full lease from now. */
 void gyp_leases_reset(struct gyp_leases *, uint64_t now);
 
-/* Renews at the receipt of a heartbeat that named the endpoint's clock. */
-void gyp_leases_renew(
+/*
+ * Renews at the receipt of a heartbeat that named the endpoint's clock. False
+ * when the lease has ended: the endpoint must not be told of a new one.
+ */
+bool gyp_leases_renew(
     struct gyp_leases *, uint64_t endpoint, uint64_t now, uint64_t clock_ms);
 
-/* A first lease for an endpoint that has announced itself, before it beats. */
-void gyp_leases_grant(struct gyp_leases *, uint64_t endpoint, uint64_t now);
+/*
+ * Grants a lease to an endpoint that has announced itself, before its clock
+ * is known. False when the lease has ended.
+ */
+bool gyp_leases_grant(struct gyp_leases *, uint64_t endpoint, uint64_t now);
 
-void gyp_leases_remove(struct gyp_leases *, uint64_t endpoint);
+/*
+ * Ends an expired lease for good. From the proposal to remove the endpoint
+ * until its commit no heartbeat may renew it: the removal ends the attempts.
+ */
+void gyp_leases_end(struct gyp_leases *, uint64_t endpoint);
 
-/* True when nothing can run at the endpoint any more. */
+/* True, until the lease is ended, when nothing can run there any more. */
 bool gyp_leases_expired(
     const struct gyp_leases *, uint64_t endpoint, uint64_t now);
 
--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -242,6 +242,11 @@
 {
 	Gyp__Reply msg = GYP__REPLY__INIT;
 
+	if (!gyp_leases_grant(r->leases, ep->id, r->now)) {
+		reply_code(r, entry, call, GYP__CODE__CODE_BUSY,
+		    "the lease has run out");
+		return;
+	}
 	msg.id = call;
 	msg.endpoint = ep->id;
 	msg.lease_ms = r->cfg.endpoint_lease_ms;
@@ -359,7 +364,11 @@
 		    "announce again");
 		return;
 	}
-	gyp_leases_renew(r->leases, ep->id, r->now, beat->clock_ms);
+	if (!gyp_leases_renew(r->leases, ep->id, r->now, beat->clock_ms)) {
+		reply_code(r, entry, call->id, GYP__CODE__CODE_BUSY,
+		    "the lease has run out");
+		return;
+	}
 	note_usage(r, ep, beat);
 	msg.id = call->id;
 	msg.endpoint = ep->id;
@@ -486,7 +495,6 @@
 
 	if (ep != NULL &&
 	    ep->spec->incarnation == call->announce->incarnation) {
-		gyp_leases_grant(r->leases, ep->id, r->now);
 		reply_endpoint(r, entry, call->id, ep);
 	} else {
 		reply_code(r, entry, call->id, GYP__CODE__CODE_BAD,
--- a/src/replica_lead.c
+++ b/src/replica_lead.c
@@ -303,7 +303,7 @@
 
 		if (ep == NULL || !gyp_leases_expired(r->leases, id, r->now))
 			continue;
-		gyp_leases_remove(r->leases, id);
+		gyp_leases_end(r->leases, id);
 		gyp_usage_drop_endpoint(r->usage, id);
 		es.endpoint = id;
 		es.state = GYP_ENDPOINT_GONE;
--- a/test/test_leases.c
+++ b/test/test_leases.c
@@ -24,10 +24,31 @@
 	gyp_leases_free(l);
 }
 
+/* A heartbeat between the proposal of the removal and its commit. */
+static void
+test_ended(void)
+{
+	struct gyp_leases *l = gyp_leases_new(LEASE_MS);
+	uint64_t late = 10 * LEASE_MS, not_after;
+
+	gyp_leases_reset(l, 0);
+	g_assert_true(gyp_leases_renew(l, 7, 1, 99));
+	g_assert_true(gyp_leases_expired(l, 7, late));
+	gyp_leases_end(l, 7);
+	g_assert_false(gyp_leases_renew(l, 7, late, 99 + late));
+	g_assert_false(gyp_leases_grant(l, 7, late));
+	g_assert_false(gyp_leases_not_after(l, 7, late, 1000, &not_after));
+	g_assert_false(gyp_leases_expired(l, 7, 2 * late));
+	gyp_leases_reset(l, late);
+	g_assert_true(gyp_leases_renew(l, 7, late, 99 + late));
+	gyp_leases_free(l);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/leases/announced-late", test_announced_late);
+	g_test_add_func("/leases/ended", test_ended);
 	return g_test_run();
 }
