Let a new replica answer before it knows the members

Cause: a replica with an empty disk has no configuration, so it found no address for its answers to the leader.

Ruled out: the transfer itself (no chunk was ever asked for) and the election (a leader was there).

Now messages to a replica that has no vote carry the sender's address, and it answers there.

--- a/src/replica.c
+++ b/src/replica.c
@@ -18,7 +18,21 @@
 		if (c->members[i]->id == id)
 			return c->members[i]->address;
 	}
-	return NULL;
+	/* A new replica must answer before it knows the members. */
+	return r->contact_id == id ? r->contact : NULL;
+}
+
+static bool
+is_voter(const struct gyp_replica *r, uint64_t id)
+{
+	const Gyp__Config *c = gyp_raft_members(r->raft);
+	size_t i;
+
+	for (i = 0; i < c->n_members; i++) {
+		if (c->members[i]->id == id)
+			return c->members[i]->voter;
+	}
+	return false;
 }
 
 static struct gyp_replica *
@@ -31,11 +45,14 @@
 on_send(struct gyp_raft_io *io, uint64_t to, const Gyp__RaftMsg *msg)
 {
 	struct gyp_replica *r = from_io(io);
+	Gyp__RaftMsg copy = *msg;
 	Gyp__Frame frame = GYP__FRAME__INIT;
 	struct gyp_out *out = g_new0(struct gyp_out, 1);
 
 	frame.body_case = GYP__FRAME__BODY_RAFT;
-	frame.raft = (Gyp__RaftMsg *)msg;
+	frame.raft = &copy;
+	if (!is_voter(r, to))
+		copy.address = (char *)r->cfg.address;
 	out->to = to;
 	out->address = g_strdup(member_address(r, to));
 	out->packed = gyp_message_pack(&frame.base);
@@ -393,6 +410,19 @@
 	r->joiner = gyp_message_copy(&join->member->base);
 }
 
+static void
+on_raft(struct gyp_replica *r, uint64_t from, const Gyp__RaftMsg *msg)
+{
+	if (msg->from != from)
+		return;
+	if (msg->address[0] != '\0') {
+		g_free(r->contact);
+		r->contact = g_strdup(msg->address);
+		r->contact_id = from;
+	}
+	gyp_raft_step(r->raft, r->now, msg);
+}
+
 void
 gyp_replica_receive(
     struct gyp_replica *r, uint64_t now, uint64_t from, const Gyp__Frame *frame)
@@ -400,8 +430,7 @@
 	advance(r, now);
 	switch (frame->body_case) {
 	case GYP__FRAME__BODY_RAFT:
-		if (frame->raft->from == from)
-			gyp_raft_step(r->raft, r->now, frame->raft);
+		on_raft(r, from, frame->raft);
 		break;
 	case GYP__FRAME__BODY_UP:
 		on_up(r, from, frame->up);
@@ -534,6 +563,7 @@
 	gyp_counters_free(r->counters);
 	gyp_state_free(r->state);
 	gyp_raft_free(r->raft);
+	g_free(r->contact);
 	g_free((char *)r->cfg.address);
 	g_free(r);
 }
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -58,6 +58,8 @@
 	GQueue out;     /* struct gyp_out */
 	GQueue records; /* struct gyp_record */
 	uint64_t now;
+	uint64_t contact_id; /* replica that named its address last */
+	char *contact;
 
 	/* The rest is valid while leading. */
 	bool leading;
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -1761,7 +1761,7 @@
   (ProtobufCMessageInit) gyp__log_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__raft_msg__field_descriptors[14] =
+static const ProtobufCFieldDescriptor gyp__raft_msg__field_descriptors[15] =
 {
   {
     "type",
@@ -1931,8 +1931,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__raft_msg__field_indices_by_name[] = {
+  14,   /* field[14] = address */
   12,   /* field[12] = chunk */
   6,   /* field[6] = commit */
   8,   /* field[8] = entries */
@@ -1948,10 +1961,11 @@
   11,   /* field[11] = total */
   0,   /* field[0] = type */
 };
-static const ProtobufCIntRange gyp__raft_msg__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__raft_msg__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 32, 14 },
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor gyp__raft_msg__descriptor =
 {
@@ -1961,10 +1975,10 @@
   "Gyp__RaftMsg",
   "gyp",
   sizeof(Gyp__RaftMsg),
-  14,
+  15,
   gyp__raft_msg__field_descriptors,
   gyp__raft_msg__field_indices_by_name,
-  1,  gyp__raft_msg__number_ranges,
+  2,  gyp__raft_msg__number_ranges,
   (ProtobufCMessageInit) gyp__raft_msg__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -206,10 +206,14 @@
    * echoed by replies, for the leader's quorum check
    */
   uint64_t round;
+  /*
+   * of the sender, for a receiver that may not know it
+   */
+  char *address;
 };
 #define GYP__RAFT_MSG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__raft_msg__descriptor) \
-    , GYP__RAFT_TYPE__RAFT_PREVOTE, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, {0,NULL}, 0 }
+    , GYP__RAFT_TYPE__RAFT_PREVOTE, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, {0,NULL}, 0, (char *)protobuf_c_empty_string }
 
 
 /*
