--- a/src/replica_lead.c
+++ b/src/replica_lead.c
@@ -190,7 +190,18 @@
 	    r, job, task, GYP__ORDER_TYPE__ORDER_THROTTLE, cpu_limit_milli);
 }
 
-/* Sends a start to its entry; false when it must be tried again later. */
+static bool
+is_leaving(const struct gyp_replica *r, uint64_t endpoint)
+{
+	return gyp_state_endpoint(r->state, endpoint)->state ==
+	       GYP_ENDPOINT_LEAVING;
+}
+
+/*
+ * Sends a start to its entry; false when it must be tried again later. What
+ * was placed on an endpoint before it began to leave is asked about instead:
+ * the endpoint refuses it, unless the entry has sent the start already.
+ */
 static bool
 send_start(struct gyp_replica *r, struct gyp_entry_peer *peer,
     const struct gyp_task_ref *ref)
@@ -209,6 +220,11 @@
 		    r, peer, job, ref->task, GYP__ORDER_TYPE__ORDER_STOP, 0, 0);
 		return true;
 	}
+	if (is_leaving(r, t->endpoint)) {
+		add_order(r, peer, job, ref->task, GYP__ORDER_TYPE__ORDER_QUERY,
+		    0, 0);
+		return true;
+	}
 	if (!gyp_leases_not_after(r->leases, t->endpoint, r->now,
 		r->cfg.start_window_ms, &not_after))
 		return false;
--- a/test/sim_endpoint.c
+++ b/test/sim_endpoint.c
@@ -6,6 +6,9 @@
 #define BEAT_MS 300
 #define CALL_MS 1500
 
+/* Time that an endpoint stays after its leave was acknowledged, in ms. */
+#define LEFT_MS 6000
+
 enum run_state { RUN_RUNNING, RUN_DONE, RUN_FAILED, RUN_REFUSED };
 
 /* How an endpoint treats its work. */
@@ -50,7 +53,6 @@
 	bool calling;
 	bool leaving;
 	uint64_t left_at; /* the leave was acknowledged, 0 for not yet */
-	uint64_t lost_at;
 	uint32_t counter;
 	GHashTable *runs; /* attempt -> struct run */
 };
@@ -128,18 +130,17 @@
 }
 
 static void
-end_run(struct sim *s, struct run *r, enum run_state state)
+end_run(struct run *r, enum run_state state)
 {
 	char *produced;
 
-	if (r->state == RUN_RUNNING && r->job != NULL)
-		r->job->running[r->at.task]--;
+	g_assert(r->job != NULL && r->state == RUN_RUNNING);
+	r->job->running[r->at.task]--;
 	r->state = state;
 	if (state != RUN_DONE)
 		return;
 	produced = g_strdup_printf("%u %s", r->at.task, r->answer);
 	g_hash_table_add(r->job->answers, produced);
-	(void)s;
 }
 
 /* ---- Attempts at an endpoint ------------------------------------------- */
@@ -243,7 +244,7 @@
 		new_run(ep, order->attempt, RUN_REFUSED);
 	else if (order->type == GYP__ORDER_TYPE__ORDER_STOP &&
 		 r->state == RUN_RUNNING)
-		end_run(s, r, RUN_FAILED);
+		end_run(r, RUN_FAILED);
 	return find_run(ep, order->attempt);
 }
 
@@ -417,7 +418,7 @@
 		struct run *r = find_run(ep, reply->stop[i]);
 
 		if (r != NULL && r->state == RUN_RUNNING)
-			end_run(s, r, RUN_FAILED);
+			end_run(r, RUN_FAILED);
 	}
 }
 
@@ -519,7 +520,7 @@
 	struct sim_call *c;
 
 	ep->beat_at = s->now + BEAT_MS;
-	if (entry < 0)
+	if (entry < 0 || (ep->handle == 0 && ep->leaving))
 		return;
 	ep->calling = true;
 	c = ep->handle == 0 ? announce(s, nth, entry) : beat(s, nth, entry);
@@ -587,12 +588,11 @@
 
 	if (r->state == RUN_RUNNING &&
 	    sim_clock(s, node_of(nth)) > ep->lease_end)
-		end_run(s, r, RUN_FAILED);
+		end_run(r, RUN_FAILED);
 	else if (r->state == RUN_RUNNING && s->now >= r->end)
-		end_run(s, r,
-		    ep->manner == MANNER_FAILS_ALL || sim_one_in(s, 25)
-			? RUN_FAILED
-			: RUN_DONE);
+		end_run(r, ep->manner == MANNER_FAILS_ALL || sim_one_in(s, 25)
+			       ? RUN_FAILED
+			       : RUN_DONE);
 	if (!r->async || r->state == RUN_RUNNING || r->state == RUN_REFUSED ||
 	    r->to_deliver == 0 || r->delivering || s->now < r->deliver_at)
 		return;
@@ -616,6 +616,15 @@
 		step_run(s, nth, value);
 }
 
+/* A while after its leave it goes; its next life announces itself anew. */
+static bool
+has_left(const struct sim *s, int nth)
+{
+	const struct sim_endpoint *ep = s->endpoints[nth];
+
+	return ep->left_at != 0 && s->now > ep->left_at + LEFT_MS;
+}
+
 void
 sim_step_endpoints(struct sim *s)
 {
@@ -624,7 +633,9 @@
 	for (i = 0; i < SIM_ENDPOINTS; i++) {
 		struct sim_node *n = &s->nodes[node_of(i)];
 
-		if (n->up)
+		if (n->up && has_left(s, i))
+			sim_endpoint_kill(s, i);
+		else if (n->up)
 			step_endpoint(s, i);
 		else if (s->now >= n->restart_at)
 			sim_endpoint_start(s, i);
@@ -673,7 +684,7 @@
 	g_hash_table_iter_init(&iter, ep->runs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		if (((struct run *)value)->state == RUN_RUNNING)
-			end_run(s, value, RUN_FAILED);
+			end_run(value, RUN_FAILED);
 	}
 	g_hash_table_remove_all(ep->runs);
 	s->n_kills++;
--- a/test/sim_proc.c
+++ b/test/sim_proc.c
@@ -475,9 +475,7 @@
 
 	if (n->sync_at != 0 && s->now >= n->sync_at)
 		sync_disk(s, node);
-	if (s->now >= n->join_at && node > 0)
-		ask_to_join(s, node);
-	else if (s->now >= n->join_at && n->life > 1)
+	if (s->now >= n->join_at && (node > 0 || n->life > 1))
 		ask_to_join(s, node);
 	gyp_replica_tick(n->replica, sim_clock(s, node));
 	sim_pump(s, node);
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -1,6 +1,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "sim.h"
@@ -17,17 +18,12 @@
 
 #define SEEDS 40
 
-static guint32 current_seed;
+static char current[96]; /* how to repeat the seed that runs */
 
 static void
 on_abort(int sig)
 {
-	char text[96];
-	int len = snprintf(text, sizeof(text),
-	    "FAILED seed %u; run: GYP_SEED=%u build/asan/bin/test_cell\n",
-	    current_seed, current_seed);
-
-	if (write(STDERR_FILENO, text, (size_t)len) < 0)
+	if (write(STDERR_FILENO, current, strlen(current)) < 0)
 		_exit(2);
 	signal(sig, SIG_DFL);
 	raise(sig);
@@ -79,7 +75,7 @@
 		sim_entry_kill(s, node);
 	else
 		sim_replica_kill(
-		    s, node, sim_one_in(s, 3) && may_lose_disk(s, node));
+		    s, node, sim_one_in(s, 2) && may_lose_disk(s, node));
 }
 
 static void
@@ -306,7 +302,9 @@
 {
 	struct sim *s = g_new0(struct sim, 1);
 
-	current_seed = seed;
+	g_snprintf(current, sizeof(current),
+	    "FAILED seed %u; run: GYP_SEED=%u build/asan/bin/test_cell\n", seed,
+	    seed);
 	setup(s, seed);
 	while (s->now < FAULTS_MS)
 		step(s);
