--- a/src/replica.c
+++ b/src/replica.c
@@ -111,6 +111,7 @@
 	g_assert(batch != NULL);
 	gyp_state_apply(r->state, batch);
 	gyp__batch__free_unpacked(batch, NULL);
+	gyp_replica_refresh_rules(r, e->index);
 	r->undecided = true;
 	if (r->leading && r->batch_index == e->index) {
 		r->batch_index = 0;
@@ -126,6 +127,7 @@
 	if (!gyp_state_restore(r->state, file->state.data, file->state.len))
 		g_error("snapshot at index %" G_GUINT64_FORMAT " can't be read",
 		    file->index);
+	gyp_replica_refresh_rules(r, file->index);
 }
 
 static void
@@ -271,10 +273,10 @@
 	r->batch_index = 0;
 	g_ptr_array_set_size(r->batch, 0);
 	g_ptr_array_set_size(r->waiting, 0);
+	g_ptr_array_set_size(r->rules_waits, 0);
 	g_hash_table_remove_all(r->subscribers);
 	g_hash_table_remove_all(r->entries);
-	gyp_message_free(r->joiner);
-	r->joiner = NULL;
+	gyp_replica_forget_requests(r);
 }
 
 static void
@@ -394,8 +396,13 @@
 	first = peer->heard == 0;
 	peer->heard = r->now;
 	peer->round = up->round;
+	peer->lease_end = gyp_lease_end(r->now, r->cfg.entry_lease_ms);
 	peer->rules_version = up->rules_version;
 	peer->draining = up->draining;
+	if (up->name[0] != '\0') {
+		g_free(peer->name);
+		peer->name = g_strdup(up->name);
+	}
 	peer->due = true;
 	if (first)
 		gyp_replica_requeue_orders(r, peer);
@@ -403,16 +410,6 @@
 		gyp_replica_call(r, from, up->calls[i]);
 }
 
-static void
-on_join(struct gyp_replica *r, const Gyp__Join *join)
-{
-	if (!r->leading || join->member == NULL || join->member->id == 0 ||
-	    join->member->address[0] == '\0')
-		return;
-	gyp_message_free(r->joiner);
-	r->joiner = gyp_message_copy(&join->member->base);
-}
-
 static void
 on_raft(struct gyp_replica *r, uint64_t from, const Gyp__RaftMsg *msg)
 {
@@ -439,7 +436,7 @@
 		on_up(r, from, frame->up);
 		break;
 	case GYP__FRAME__BODY_JOIN:
-		on_join(r, frame->join);
+		gyp_replica_join(r, frame->join->member);
 		break;
 	default:
 		break;
@@ -483,7 +480,7 @@
 void
 gyp_replica_bootstrap(struct gyp_replica *r)
 {
-	gyp_raft_bootstrap(r->raft, r->cfg.address);
+	gyp_raft_bootstrap(r->raft, r->cfg.address, r->cfg.data_centre);
 }
 
 void
@@ -523,10 +520,13 @@
 	r->io.ops = &io_ops;
 	r->cfg = *cfg;
 	r->cfg.address = g_strdup(cfg->address);
+	r->cfg.data_centre = g_strdup(cfg->data_centre);
 	r->listener.base.ops = &listener_ops;
 	r->listener.replica = r;
 	r->raft = gyp_raft_new(&rc, &r->io);
 	r->state = gyp_state_new(&r->listener.base);
+	r->rules = gyp_rules_defaults();
+	r->rules_waits = g_ptr_array_new_with_free_func(gyp_free_rules_wait);
 	r->policy = gyp_policy_best_fit();
 	r->batch = g_ptr_array_new_with_free_func(gyp_message_free);
 	r->waiting = g_ptr_array_new_with_free_func(gyp_free_waiting_call);
@@ -560,6 +560,8 @@
 	drop_leader_state(r);
 	g_ptr_array_free(r->batch, TRUE);
 	g_ptr_array_free(r->waiting, TRUE);
+	g_ptr_array_free(r->rules_waits, TRUE);
+	gyp_rules_free(r->rules);
 	g_hash_table_destroy(r->subscribers);
 	g_hash_table_destroy(r->entries);
 	gyp_leases_free(r->leases);
@@ -570,6 +572,7 @@
 	gyp_raft_free(r->raft);
 	g_free(r->contact);
 	g_free((char *)r->cfg.address);
+	g_free((char *)r->cfg.data_centre);
 	g_free(r);
 }
 
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -1582,7 +1582,7 @@
   assert(message->base.descriptor == &gyp__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gyp__member__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gyp__member__field_descriptors[4] =
 {
   {
     "id",
@@ -1620,16 +1620,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "data_centre",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Member, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__member__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  3,   /* field[3] = data_centre */
   0,   /* field[0] = id */
   2,   /* field[2] = voter */
 };
-static const ProtobufCIntRange gyp__member__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__member__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 16, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gyp__member__descriptor =
 {
@@ -1639,14 +1653,14 @@
   "Gyp__Member",
   "gyp",
   sizeof(Gyp__Member),
-  3,
+  4,
   gyp__member__field_descriptors,
   gyp__member__field_indices_by_name,
-  1,  gyp__member__number_ranges,
+  2,  gyp__member__number_ranges,
   (ProtobufCMessageInit) gyp__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__config__field_descriptors[1] =
+static const ProtobufCFieldDescriptor gyp__config__field_descriptors[2] =
 {
   {
     "members",
@@ -1660,14 +1674,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "removed",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gyp__Config, n_removed),
+    offsetof(Gyp__Config, removed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__config__field_indices_by_name[] = {
   0,   /* field[0] = members */
+  1,   /* field[1] = removed */
 };
-static const ProtobufCIntRange gyp__config__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__config__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 16, 1 },
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor gyp__config__descriptor =
 {
@@ -1677,10 +1705,10 @@
   "Gyp__Config",
   "gyp",
   sizeof(Gyp__Config),
-  1,
+  2,
   gyp__config__field_descriptors,
   gyp__config__field_indices_by_name,
-  1,  gyp__config__number_ranges,
+  2,  gyp__config__number_ranges,
   (ProtobufCMessageInit) gyp__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -2755,7 +2783,7 @@
   (ProtobufCMessageInit) gyp__cmd_endpoint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_endpoint_state__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gyp__cmd_endpoint_state__field_descriptors[3] =
 {
   {
     "endpoint",
@@ -2781,15 +2809,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "from",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdEndpointState, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd_endpoint_state__field_indices_by_name[] = {
   0,   /* field[0] = endpoint */
+  2,   /* field[2] = from */
   1,   /* field[1] = state */
 };
-static const ProtobufCIntRange gyp__cmd_endpoint_state__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__cmd_endpoint_state__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 23, 2 },
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor gyp__cmd_endpoint_state__descriptor =
 {
@@ -2799,10 +2841,10 @@
   "Gyp__CmdEndpointState",
   "gyp",
   sizeof(Gyp__CmdEndpointState),
-  2,
+  3,
   gyp__cmd_endpoint_state__field_descriptors,
   gyp__cmd_endpoint_state__field_indices_by_name,
-  1,  gyp__cmd_endpoint_state__number_ranges,
+  2,  gyp__cmd_endpoint_state__number_ranges,
   (ProtobufCMessageInit) gyp__cmd_endpoint_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -4123,7 +4165,7 @@
   (ProtobufCMessageInit) gyp__read_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__call__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gyp__call__field_descriptors[11] =
 {
   {
     "id",
@@ -4245,6 +4287,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wait_ms",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Call, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__call__field_indices_by_name[] = {
   8,   /* field[8] = admin */
@@ -4257,11 +4311,13 @@
   9,   /* field[9] = report */
   7,   /* field[7] = rules */
   1,   /* field[1] = submit */
+  10,   /* field[10] = wait_ms */
 };
-static const ProtobufCIntRange gyp__call__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__call__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 23, 10 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gyp__call__descriptor =
 {
@@ -4271,14 +4327,14 @@
   "Gyp__Call",
   "gyp",
   sizeof(Gyp__Call),
-  10,
+  11,
   gyp__call__field_descriptors,
   gyp__call__field_indices_by_name,
-  1,  gyp__call__number_ranges,
+  2,  gyp__call__number_ranges,
   (ProtobufCMessageInit) gyp__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__admin__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gyp__admin__field_descriptors[5] =
 {
   {
     "op",
@@ -4328,17 +4384,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Admin, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__admin__field_indices_by_name[] = {
   3,   /* field[3] = enable */
   1,   /* field[1] = job */
   2,   /* field[2] = name */
   0,   /* field[0] = op */
+  4,   /* field[4] = version */
 };
-static const ProtobufCIntRange gyp__admin__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__admin__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 23, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gyp__admin__descriptor =
 {
@@ -4348,10 +4418,10 @@
   "Gyp__Admin",
   "gyp",
   sizeof(Gyp__Admin),
-  4,
+  5,
   gyp__admin__field_descriptors,
   gyp__admin__field_indices_by_name,
-  1,  gyp__admin__number_ranges,
+  2,  gyp__admin__number_ranges,
   (ProtobufCMessageInit) gyp__admin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -4797,7 +4867,7 @@
   (ProtobufCMessageInit) gyp__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__entry_up__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gyp__entry_up__field_descriptors[5] =
 {
   {
     "calls",
@@ -4847,18 +4917,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "name",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__EntryUp, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__entry_up__field_indices_by_name[] = {
   0,   /* field[0] = calls */
   3,   /* field[3] = draining */
+  4,   /* field[4] = name */
   2,   /* field[2] = round */
   1,   /* field[1] = rules_version */
 };
-static const ProtobufCIntRange gyp__entry_up__number_ranges[2 + 1] =
+static const ProtobufCIntRange gyp__entry_up__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 18, 3 },
-  { 0, 4 }
+  { 23, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gyp__entry_up__descriptor =
 {
@@ -4868,10 +4952,10 @@
   "Gyp__EntryUp",
   "gyp",
   sizeof(Gyp__EntryUp),
-  4,
+  5,
   gyp__entry_up__field_descriptors,
   gyp__entry_up__field_indices_by_name,
-  2,  gyp__entry_up__number_ranges,
+  3,  gyp__entry_up__number_ranges,
   (ProtobufCMessageInit) gyp__entry_up__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -5259,7 +5343,7 @@
   gyp__outcome__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gyp__admin_op__enum_values_by_number[7] =
+static const ProtobufCEnumValue gyp__admin_op__enum_values_by_number[8] =
 {
   { "ADMIN_STATUS", "GYP__ADMIN_OP__ADMIN_STATUS", 0 },
   { "ADMIN_ENDPOINTS", "GYP__ADMIN_OP__ADMIN_ENDPOINTS", 1 },
@@ -5268,17 +5352,19 @@
   { "ADMIN_EXPLAIN", "GYP__ADMIN_OP__ADMIN_EXPLAIN", 4 },
   { "ADMIN_DRAIN", "GYP__ADMIN_OP__ADMIN_DRAIN", 5 },
   { "ADMIN_MEMBERS", "GYP__ADMIN_OP__ADMIN_MEMBERS", 6 },
+  { "ADMIN_REMOVE_MEMBER", "GYP__ADMIN_OP__ADMIN_REMOVE_MEMBER", 16 },
 };
 static const ProtobufCIntRange gyp__admin_op__value_ranges[] = {
-{0, 0},{0, 7}
+{0, 0},{16, 7},{0, 8}
 };
-static const ProtobufCEnumValueIndex gyp__admin_op__enum_values_by_name[7] =
+static const ProtobufCEnumValueIndex gyp__admin_op__enum_values_by_name[8] =
 {
   { "ADMIN_DRAIN", 5 },
   { "ADMIN_ENDPOINTS", 1 },
   { "ADMIN_EXPLAIN", 4 },
   { "ADMIN_HISTORY", 3 },
   { "ADMIN_MEMBERS", 6 },
+  { "ADMIN_REMOVE_MEMBER", 7 },
   { "ADMIN_RULES", 2 },
   { "ADMIN_STATUS", 0 },
 };
@@ -5289,11 +5375,11 @@
   "AdminOp",
   "Gyp__AdminOp",
   "gyp",
-  7,
+  8,
   gyp__admin_op__enum_values_by_number,
-  7,
+  8,
   gyp__admin_op__enum_values_by_name,
-  1,
+  2,
   gyp__admin_op__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
