--- a/src/replica_orders.c
+++ b/src/replica_orders.c
@@ -36,6 +36,7 @@
 	order.type = type;
 	order.attempt = &attempt;
 	order.address = ep->spec->address;
+	order.incarnation = ep->spec->incarnation;
 	order.kind = job->spec->kind;
 	order.cap = MAX(ep->spec->connections / GYP_ENTRIES_MAX, 1);
 	order.cpu_limit_milli = cpu_limit_milli;
