--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -49,7 +49,8 @@
 	f->task = index;
 	f->attempt = t->attempt;
 	/* A task of a gang that starts again may run yet. */
-	if (t->state == GYP_TASK_OVER && !job->restarting)
+	f->outcome = GYP__OUTCOME__OUTCOME_NONE;
+	if (t->state == GYP_TASK_OVER && (!job->restarting || job->cancelled))
 		f->outcome = t->last;
 	if (!answer) {
 		f->answer.data = NULL;
