--- a/src/leases.c
+++ b/src/leases.c
@@ -22,6 +22,12 @@
 	       GYP_LEASE_MARGIN_MS;
 }
 
+uint32_t
+gyp_leave_bound_ms(uint32_t start_window_ms)
+{
+	return (uint32_t)gyp_lease_end(0, start_window_ms);
+}
+
 struct gyp_leases *
 gyp_leases_new(uint32_t lease_ms)
 {
--- a/src/leases.h
+++ b/src/leases.h
@@ -54,4 +54,12 @@
 /* Time after which a lease of lease_ms granted now is over for everyone. */
 uint64_t gyp_lease_end(uint64_t now, uint32_t lease_ms);
 
+/*
+ * Longest time, in ms, from the commit of an endpoint's leaving until nothing
+ * new can arrive there, with the given life of a start: every placement is
+ * older than that commit, and a start carries its end in the endpoint's own
+ * clock.
+ */
+uint32_t gyp_leave_bound_ms(uint32_t start_window_ms);
+
 #endif
