--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -20,18 +20,18 @@
 /* What the network does to a submit, and what may be said of it. */
 struct late_case {
 	const char *name;
+	uint32_t heal_ms; /* after the submit, 0 for never */
 	bool cut_up;      /* before the submit */
 	bool cut_down;    /* before the submit */
-	uint32_t heal_ms; /* after the submit, 0 for never */
 	bool refused;     /* the answer: certainly not run */
 	bool found;       /* the answer: accepted */
 };
 
 static const struct late_case late_cases[] = {
-    {"request lost", true, false, 1500, true, false},
-    {"answer lost", false, true, 1500, false, true},
-    {"cut for good", true, true, 0, false, false},
-    {"answer lost for good", false, true, 0, false, false},
+    {"request lost", 1500, true, false, true, false},
+    {"answer lost", 1500, false, true, false, true},
+    {"cut for good", 0, true, true, false, false},
+    {"answer lost for good", 0, false, true, false, false},
 };
 
 static void
