--- a/src/door_admin.c
+++ b/src/door_admin.c
@@ -30,6 +30,8 @@
 	Gyp__Admin msg = GYP__ADMIN__INIT;
 	size_t i;
 
+	if (gyp_door_route_operators(door, req, seg, n))
+		return;
 	for (i = 0; n == 2 && i < G_N_ELEMENTS(ops); i++) {
 		if (strcmp(ops[i].name, seg[1]) != 0)
 			continue;
--- a/src/door_int.h
+++ b/src/door_int.h
@@ -15,6 +15,7 @@
  *	door_jobs.c		callers: jobs and keys
  *	door_endpoints.c	endpoints: announcements, heartbeats, ends
  *	door_admin.c		operators: reports
+ *	door_rules.c		operators: rules, explanations, drains
  */
 
 #define GYP_JSON_TYPE "application/json"
@@ -76,5 +77,8 @@
     struct gyp_door *, struct gyp_http_request *, char **seg, guint n);
 void gyp_door_route_admin(
     struct gyp_door *, struct gyp_http_request *, char **seg, guint n);
+/* False when the path is none of its own. */
+bool gyp_door_route_operators(
+    struct gyp_door *, struct gyp_http_request *, char **seg, guint n);
 
 #endif
--- a/src/entry.c
+++ b/src/entry.c
@@ -165,6 +165,9 @@
 	up.rules_version = e->rules_version;
 	up.round = e->now;
 	up.draining = e->draining;
+	if (e->named_epoch != e->epoch && e->cfg.name != NULL)
+		up.name = (char *)e->cfg.name;
+	e->named_epoch = e->epoch;
 	frame.body_case = GYP__FRAME__BODY_UP;
 	frame.up = &up;
 	g_queue_push_tail(&e->frames, gyp_message_pack(&frame.base));
--- a/src/entry.h
+++ b/src/entry.h
@@ -38,7 +38,8 @@
 #define GYP_ENTRY_BYTES_MAX (8 * 1024 * 1024)
 
 struct gyp_entry_config {
-	uint64_t id; /* incarnation, drawn at random at each start */
+	uint64_t id;      /* incarnation, drawn at random at each start */
+	const char *name; /* for reports, or NULL */
 	const char *const *cells; /* "ip:port" of replicas, NULL-terminated */
 	uint32_t keepalive_ms;    /* longest pause between frames */
 	uint32_t silence_ms;      /* after which another replica is tried */
--- a/src/entry_int.h
+++ b/src/entry_int.h
@@ -57,9 +57,10 @@
 	uint64_t term;
 	uint64_t lease_end;
 	guint target;
-	uint64_t epoch;     /* rises with each connection or target */
-	uint64_t led_epoch; /* in which the target said that it leads */
-	uint64_t heard;     /* last frame, or start of the current target */
+	uint64_t epoch;       /* rises with each connection or target */
+	uint64_t named_epoch; /* in which the name was sent */
+	uint64_t led_epoch;   /* in which the target said that it leads */
+	uint64_t heard;       /* last frame, or start of the current target */
 	uint64_t rotate_at;
 	uint64_t sent_at;
 	uint64_t sweep_at;
--- a/src/gyp_entry.c
+++ b/src/gyp_entry.c
@@ -223,6 +223,7 @@
 	hello.id = cfg.id;
 	hello.entry = true;
 	hello.name = set->name;
+	cfg.name = set->name;
 	hello.data_centre = set->data_centre;
 	app->links_owner.ops = &links_ops;
 	app->loop = ev_default_loop(EVFLAG_AUTO);
--- /dev/null
+++ b/test/cluster.sh
@@ -0,0 +1,96 @@
+# Starts the real programs on loopback for a test script, which sources this
+# file with the folder of the programs in $bin. Everything is stopped on exit.
+# shellcheck shell=bash
+dir=$(mktemp -d)
+base=$((20000 + RANDOM % 20000))
+cells=127.0.0.1:$((base + 1)),127.0.0.1:$((base + 2)),127.0.0.1:$((base + 3))
+declare -A pids
+
+# Frozen processes are woken first, or they would not see the signal.
+stop_all() {
+	local name
+	for name in "${!pids[@]}"; do
+		kill -CONT "${pids[$name]}" 2>/dev/null || true
+		kill -KILL "${pids[$name]}" 2>/dev/null || true
+		wait "${pids[$name]}" 2>/dev/null || true
+	done
+	rm -rf "$dir"
+}
+trap stop_all EXIT
+
+fail() {
+	echo "FAIL: $*" >&2
+	tail -n 15 "$dir"/*.log >&2
+	exit 1
+}
+
+# start NAME COMMAND...: in the background, with a log of its own.
+start() {
+	local name=$1
+	shift
+	"$@" >>"$dir/$name.log" 2>&1 &
+	pids[$name]=$!
+}
+
+# kill_one NAME SIGNAL: ends it and waits for its end.
+kill_one() {
+	kill "-$2" "${pids[$1]}"
+	wait "${pids[$1]}" 2>/dev/null || true
+	unset "pids[$1]"
+}
+
+start_cell() {
+	local n=$1
+	shift
+	cat >"$dir/cell$n.ini" <<INI
+[cell]
+listen = 127.0.0.1:$((base + n))
+join = $cells
+data_folder = $dir/cell$n
+data_centre = dc-$n
+name = cell-$n
+compact = 64KiB
+INI
+	start "cell$n" "$bin/gyp-cell" --config "$dir/cell$n.ini" "$@"
+}
+
+entry_address() {
+	echo "127.0.0.1:$((base + 10 + $1))"
+}
+
+start_entry() {
+	cat >"$dir/entry$1.ini" <<INI
+[entry]
+listen = $(entry_address "$1")
+cells = $cells
+data_centre = dc-$1
+name = entry-$1
+INI
+	start "entry$1" "$bin/gyp-entry" --config "$dir/entry$1.ini"
+}
+
+# start_endpoint N ENTRIES: an endpoint that speaks to these entries.
+start_endpoint() {
+	start "endpoint$1" "$bin/gyp-endpoint" --name "vm-$1" \
+	    --listen "127.0.0.1:$((base + 20 + $1))" --entries "$2" \
+	    --rack "rack-$1" --data-centre "dc-$1"
+}
+
+# ctl N ARGUMENTS...: gypctl through entry N.
+ctl() {
+	local n=$1
+	shift
+	"$bin/gypctl" --entry "$(entry_address "$n")" "$@"
+}
+
+# until_true COMMAND...: repeats it until it succeeds, for a minute at most.
+until_true() {
+	local i
+	for i in $(seq 1 600); do
+		if "$@" >"$dir/last" 2>&1; then
+			return 0
+		fi
+		sleep 0.1
+	done
+	fail "not within a minute: $*: $(cat "$dir/last")"
+}
--- a/test/test_endpoints.c
+++ b/test/test_endpoints.c
@@ -293,8 +293,10 @@
 	g_test_add_func("/endpoints/no-question-storm", test_no_question_storm);
 	g_test_add_func(
 	    "/endpoints/forgotten-safely", test_started_is_forgotten_safely);
-	g_test_add_func("/endpoints/listed-but-over", test_stop_listed_but_over);
-	g_test_add_func("/endpoints/heartbeats", test_heartbeats_stay_out_of_log);
+	g_test_add_func(
+	    "/endpoints/listed-but-over", test_stop_listed_but_over);
+	g_test_add_func(
+	    "/endpoints/heartbeats", test_heartbeats_stay_out_of_log);
 	g_test_add_func("/endpoints/leaving", test_leaving);
 	g_test_add_func(
 	    "/endpoints/other-capacity", test_restart_with_other_capacity);
