--- /dev/null
+++ b/src/folder.c
@@ -0,0 +1,341 @@
+#include <sys/stat.h>
+
+#include <errno.h>
+#include <fcntl.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "folder.h"
+
+static const char snapshot_magic[8] = {'g', 'y', 'p', 's', 'n', 'a', 'p', '1'};
+
+/* Digits of an identity and of its checksum, and the line end. */
+#define IDENTITY_BYTES (16 + 8 + 2)
+
+#define SEGMENT_PREFIX "log."
+
+/* A file that need not exist; err is only set for true failures. */
+static enum gyp_status
+read_optional(
+    const char *path, struct gyp_buf *buf, bool *found, struct gyp_error *err)
+{
+	struct gyp_error why = {.code = GYP_OK};
+	enum gyp_status st = gyp_file_read(path, buf, &why);
+
+	*found = st != GYP_NOT_FOUND;
+	if (st == GYP_NOT_FOUND || st == GYP_OK)
+		return GYP_OK;
+	return gyp_fail(err, st, "%s", why.message);
+}
+
+/* ---- Lock --------------------------------------------------------------- */
+
+/* The folder's own entry must last, else the whole of it could vanish. */
+static enum gyp_status
+make_folder(struct gyp_files *f, const char *folder, struct gyp_error *err)
+{
+	char *parent;
+	enum gyp_status st;
+
+	if (g_file_test(folder, G_FILE_TEST_IS_DIR))
+		return GYP_OK;
+	if (g_mkdir_with_parents(folder, 0700) != 0)
+		return gyp_file_fail(err, "create", folder);
+	parent = g_path_get_dirname(folder);
+	st = gyp_file_sync_folder(f, parent, err);
+	g_free(parent);
+	return st;
+}
+
+enum gyp_status
+gyp_folder_lock(
+    struct gyp_files *f, const char *folder, int *fd, struct gyp_error *err)
+{
+	struct flock lock = {.l_type = F_WRLCK, .l_whence = SEEK_SET};
+	enum gyp_status st = make_folder(f, folder, err);
+	char *path;
+
+	if (st != GYP_OK)
+		return st;
+	path = g_build_filename(folder, "lock", NULL);
+	*fd = f->ops->open(f, path, O_RDWR | O_CREAT);
+	if (*fd < 0)
+		st = gyp_file_fail(err, "open", path);
+	else if (fcntl(*fd, F_OFD_SETLK, &lock) != 0)
+		st = gyp_fail(err, GYP_CONFLICT,
+		    "%s: another process uses this folder", path);
+	g_free(path);
+	return st;
+}
+
+/* ---- Identity ----------------------------------------------------------- */
+
+static uint64_t
+random_id(void)
+{
+	uint64_t id = 0;
+
+	while (id == 0)
+		id = ((uint64_t)g_random_int() << 32) | g_random_int();
+	return id;
+}
+
+static uint32_t
+text_checksum(const char *text, size_t len)
+{
+	struct gyp_slice s = {(const uint8_t *)text, len};
+
+	return gyp_crc32(s);
+}
+
+static char *
+identity_text(uint64_t id)
+{
+	char digits[17];
+
+	g_snprintf(digits, sizeof(digits), "%016" G_GINT64_MODIFIER "x", id);
+	return g_strdup_printf("%s %08x\n", digits, text_checksum(digits, 16));
+}
+
+static enum gyp_status
+parse_identity(const char *path, const struct gyp_buf *buf, uint64_t *id,
+    struct gyp_error *err)
+{
+	char digits[17] = "";
+	char *expected;
+	bool same;
+
+	if (buf->len == IDENTITY_BYTES)
+		memcpy(digits, buf->data, 16);
+	*id = g_ascii_strtoull(digits, NULL, 16);
+	expected = identity_text(*id);
+	same = *id != 0 && buf->len == IDENTITY_BYTES &&
+	       memcmp(expected, buf->data, buf->len) == 0;
+	g_free(expected);
+	if (!same)
+		return gyp_fail(
+		    err, GYP_CORRUPT, "%s: not a replica's id", path);
+	return GYP_OK;
+}
+
+/* Files that only a folder with an identity may hold. */
+static bool
+has_data(const char *folder)
+{
+	char *snapshot = g_build_filename(folder, "snapshot", NULL);
+	char *second = gyp_folder_segment_path(folder, 2);
+	char *first = gyp_folder_segment_path(folder, 1);
+	struct stat sb;
+	bool found =
+	    g_file_test(snapshot, G_FILE_TEST_EXISTS) ||
+	    g_file_test(second, G_FILE_TEST_EXISTS) ||
+	    (stat(first, &sb) == 0 && sb.st_size != GYP_WAL_HEADER_BYTES);
+
+	g_free(snapshot);
+	g_free(second);
+	g_free(first);
+	return found;
+}
+
+/*
+ * The first segment comes before the identity: an identity without a log is
+ * then known to have lost it, and must not vote again.
+ */
+static enum gyp_status
+make_identity(struct gyp_files *f, const char *folder, uint64_t *id,
+    struct gyp_error *err)
+{
+	struct gyp_wal_header h = {.number = 1,
+	    .salt = g_random_int(),
+	    .synced = GYP_WAL_HEADER_BYTES};
+	uint8_t header[GYP_WAL_HEADER_BYTES];
+	struct gyp_slice s = {header, sizeof(header)};
+	enum gyp_status st;
+	char *text;
+
+	if (has_data(folder))
+		return gyp_fail(err, GYP_CORRUPT,
+		    "%s: holds a log but no identity", folder);
+	gyp_wal_put_header(header, &h);
+	st = gyp_file_replace(f, folder, SEGMENT_PREFIX "1", s, err);
+	if (st != GYP_OK)
+		return st;
+	*id = random_id();
+	text = identity_text(*id);
+	s.data = (const uint8_t *)text;
+	s.len = strlen(text);
+	st = gyp_file_replace(f, folder, "identity", s, err);
+	g_free(text);
+	return st;
+}
+
+enum gyp_status
+gyp_folder_identity(struct gyp_files *f, const char *folder, uint64_t *id,
+    bool *is_new, struct gyp_error *err)
+{
+	char *path = g_build_filename(folder, "identity", NULL);
+	struct gyp_buf buf = {NULL, 0, 0};
+	bool found;
+	enum gyp_status st = read_optional(path, &buf, &found, err);
+
+	*is_new = !found;
+	if (st == GYP_OK)
+		st = found ? parse_identity(path, &buf, id, err)
+			   : make_identity(f, folder, id, err);
+	gyp_buf_clear(&buf);
+	g_free(path);
+	return st;
+}
+
+/* ---- Segments ----------------------------------------------------------- */
+
+char *
+gyp_folder_segment_path(const char *folder, uint64_t number)
+{
+	return g_strdup_printf(
+	    "%s/" SEGMENT_PREFIX "%" G_GUINT64_FORMAT, folder, number);
+}
+
+/* The number in a segment's file name, or 0. */
+static uint64_t
+segment_number(const char *name)
+{
+	guint64 number = 0;
+
+	if (!g_str_has_prefix(name, SEGMENT_PREFIX) ||
+	    !g_ascii_string_to_unsigned(name + strlen(SEGMENT_PREFIX), 10, 1,
+		G_MAXUINT64, &number, NULL))
+		return 0;
+	return number;
+}
+
+static gint
+by_number(gconstpointer a, gconstpointer b)
+{
+	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static enum gyp_status
+list_files(struct gyp_files *f, const char *folder, uint64_t first,
+    GArray *numbers, struct gyp_error *err)
+{
+	GError *error = NULL;
+	GDir *dir = g_dir_open(folder, 0, &error);
+	const char *name;
+
+	if (dir == NULL) {
+		gyp_fail(err, GYP_IO, "%s", error->message);
+		g_error_free(error);
+		return GYP_IO;
+	}
+	while ((name = g_dir_read_name(dir)) != NULL) {
+		uint64_t number = segment_number(name);
+		char *path = g_build_filename(folder, name, NULL);
+
+		if (g_str_has_suffix(name, ".tmp") ||
+		    (number > 0 && number < first))
+			f->ops->unlink(f, path);
+		else if (number > 0)
+			g_array_append_val(numbers, number);
+		g_free(path);
+	}
+	g_dir_close(dir);
+	return GYP_OK;
+}
+
+enum gyp_status
+gyp_folder_segments(struct gyp_files *f, const char *folder, uint64_t first,
+    GArray *numbers, struct gyp_error *err)
+{
+	enum gyp_status st = list_files(f, folder, first, numbers, err);
+	guint i;
+
+	if (st != GYP_OK)
+		return st;
+	g_array_sort(numbers, by_number);
+	for (i = 0; i < MAX(numbers->len, 1); i++) {
+		if (i < numbers->len &&
+		    g_array_index(numbers, uint64_t, i) == first + i)
+			continue;
+		return gyp_fail(err, GYP_CORRUPT,
+		    "%s/" SEGMENT_PREFIX "%" G_GUINT64_FORMAT " is missing",
+		    folder, first + i);
+	}
+	return GYP_OK;
+}
+
+enum gyp_status
+gyp_folder_read_segment(const char *folder, uint64_t number,
+    struct gyp_buf *buf, struct gyp_wal_header *h, struct gyp_error *err)
+{
+	char *path = gyp_folder_segment_path(folder, number);
+	enum gyp_status st = gyp_file_read(path, buf, err);
+	struct gyp_slice s = {buf->data, buf->len};
+
+	if (st == GYP_OK && (!gyp_wal_get_header(s, h) || h->number != number))
+		st = gyp_fail(
+		    err, GYP_CORRUPT, "%s: bad header at byte 0", path);
+	g_free(path);
+	return st;
+}
+
+/* ---- Snapshot ----------------------------------------------------------- */
+
+enum gyp_status
+gyp_folder_read_snapshot(
+    const char *folder, GBytes **body, uint64_t *first, struct gyp_error *err)
+{
+	char *path = g_build_filename(folder, "snapshot", NULL);
+	struct gyp_buf buf = {NULL, 0, 0};
+	struct gyp_slice rest;
+	bool found;
+	enum gyp_status st = read_optional(path, &buf, &found, err);
+
+	*body = NULL;
+	*first = 1;
+	if (!found) {
+		g_free(path);
+		return GYP_OK;
+	}
+	if (st == GYP_OK && buf.len >= GYP_SNAPSHOT_HEADER_BYTES &&
+	    memcmp(buf.data, snapshot_magic, sizeof(snapshot_magic)) == 0) {
+		rest.data = buf.data + 12;
+		rest.len = buf.len - 12;
+		if (gyp_crc32(rest) == gyp_get_u32(buf.data + 8)) {
+			*first = gyp_wal_get_u64(rest.data);
+			*body = g_bytes_new(rest.data + 8, rest.len - 8);
+		}
+	}
+	if (st == GYP_OK && *body == NULL)
+		st = gyp_fail(err, GYP_CORRUPT,
+		    "%s: wrong checksum over %zu bytes", path, buf.len);
+	gyp_buf_clear(&buf);
+	g_free(path);
+	return st;
+}
+
+enum gyp_status
+gyp_folder_write_snapshot(struct gyp_files *f, const char *folder, GBytes *body,
+    uint64_t first, struct gyp_error *err)
+{
+	struct gyp_buf buf = {NULL, 0, 0};
+	struct gyp_slice s;
+	gsize len;
+	const void *data = g_bytes_get_data(body, &len);
+	uint8_t *p = gyp_buf_extend(&buf, GYP_SNAPSHOT_HEADER_BYTES);
+	enum gyp_status st;
+
+	memcpy(p, snapshot_magic, sizeof(snapshot_magic));
+	gyp_wal_put_u64(p + 12, first);
+	gyp_buf_append(&buf, data, len);
+	s.data = buf.data + 12;
+	s.len = buf.len - 12;
+	gyp_put_u32(buf.data + 8, gyp_crc32(s));
+	s.data = buf.data;
+	s.len = buf.len;
+	st = gyp_file_replace(f, folder, "snapshot", s, err);
+	gyp_buf_clear(&buf);
+	return st;
+}
--- /dev/null
+++ b/src/folder.h
@@ -0,0 +1,54 @@
+#ifndef GYP_FOLDER_H
+#define GYP_FOLDER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "file.h"
+#include "status.h"
+#include "wal.h"
+
+/*
+ * NAME
+ *	folder - the files of a data folder
+ *
+ * DESCRIPTION
+ *	Lock, identity, snapshot and segments as store.h lists them; store.c
+ *	decides when to write what.
+ */
+
+/* First bytes of a snapshot file: magic, checksum, first segment needed. */
+#define GYP_SNAPSHOT_HEADER_BYTES 20
+
+/* Locks the folder; the lock goes with *fd. */
+enum gyp_status gyp_folder_lock(
+    struct gyp_files *, const char *folder, int *fd, struct gyp_error *);
+
+/* Loads the identity, or makes it together with the first segment. */
+enum gyp_status gyp_folder_identity(struct gyp_files *, const char *folder,
+    uint64_t *id, bool *is_new, struct gyp_error *);
+
+/* Path of a segment, to be freed. */
+char *gyp_folder_segment_path(const char *folder, uint64_t number);
+
+/*
+ * Lists the numbers of the segments from `first` on as uint64_t, in order and
+ * without a gap. Removes earlier ones and unfinished files.
+ */
+enum gyp_status gyp_folder_segments(struct gyp_files *, const char *folder,
+    uint64_t first, GArray *numbers, struct gyp_error *);
+
+/* Loads a segment with its header. */
+enum gyp_status gyp_folder_read_segment(const char *folder, uint64_t number,
+    struct gyp_buf *, struct gyp_wal_header *, struct gyp_error *);
+
+/* The body of the snapshot, or NULL when there is none; *first is set. */
+enum gyp_status gyp_folder_read_snapshot(
+    const char *folder, GBytes **body, uint64_t *first, struct gyp_error *);
+
+enum gyp_status gyp_folder_write_snapshot(struct gyp_files *,
+    const char *folder, GBytes *body, uint64_t first, struct gyp_error *);
+
+#endif
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -25,6 +25,7 @@
 #include "record.h"  /* what goes to the disk */
 #include "replica.h" /* log, tables and decisions together */
 #include "state.h"   /* tables of jobs, endpoints and rules */
+#include "wal.h"     /* bytes of a log segment */
 
 /* ---- Core: the entry ----------------------------------------------------- */
 #include "entry.h"   /* request table and start orders */
@@ -33,6 +34,8 @@
 /* ---- Sockets, files and timers ------------------------------------------- */
 #include "door.h"     /* HTTP interface of the entry */
 #include "exchange.h" /* orders carried out at endpoints */
+#include "file.h"     /* file operations that tests can make fail */
+#include "folder.h"   /* files of a data folder */
 #include "httpc.h"    /* HTTP client that sends once */
 #include "httpd.h"    /* HTTP server */
 #include "link.h"     /* frames between processes */
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -142,14 +142,31 @@
 	flush(app);
 }
 
+static int
+exit_code(enum gyp_status code)
+{
+	switch (code) {
+	case GYP_CORRUPT:
+		return GYP_EXIT_CORRUPT;
+	case GYP_IO:
+	case GYP_FULL:
+		return GYP_EXIT_DISK;
+	case GYP_CONFLICT:
+		return GYP_EXIT_BUSY;
+	default:
+		return EXIT_FAILURE;
+	}
+}
+
 /* What was not synced counts as lost, so this replica must not go on. */
 static void
 on_store_failed(struct gyp_store_owner *owner, const struct gyp_error *err)
 {
 	struct app *app = app_of_store(owner);
 
-	gyp_log(GYP_LOG_ERR, "store-failed", "%s", err->message);
-	app->code = EXIT_FAILURE;
+	gyp_log(GYP_LOG_ERR, "store-failed", "reason=\"%s\" error=\"%s\"",
+	    gyp_status_name(err->code), err->message);
+	app->code = exit_code(err->code);
 	ev_break(app->loop, EVBREAK_ALL);
 }
 
@@ -275,7 +292,7 @@
 	const struct settings *set = app->set;
 	Gyp__Hello hello = GYP__HELLO__INIT;
 
-	app->store = gyp_store_open(set->data_folder, err);
+	app->store = gyp_store_open(set->data_folder, gyp_files_system(), err);
 	if (app->store == NULL)
 		return err->code;
 	if (init && !gyp_store_is_new(app->store))
@@ -313,8 +330,10 @@
 	app.loop = ev_default_loop(EVFLAG_AUTO);
 	app.timers = gyp_timers_new(app.loop);
 	if (start(&app, init, &err) != GYP_OK) {
-		gyp_log(GYP_LOG_ERR, "start-failed", "%s", err.message);
-		app.code = EXIT_FAILURE;
+		gyp_log(GYP_LOG_ERR, "start-failed",
+		    "reason=\"%s\" error=\"%s\"", gyp_status_name(err.code),
+		    err.message);
+		app.code = exit_code(err.code);
 	} else {
 		ev_signal_init(&term, on_term, SIGTERM);
 		ev_signal_init(&interrupt, on_term, SIGINT);
--- a/src/program.h
+++ b/src/program.h
@@ -13,6 +13,11 @@
 
 #define GYP_VERSION "0.1.0"
 
+/* Exit codes of a program that keeps data. */
+#define GYP_EXIT_CORRUPT 65 /* stored data is damaged: use an empty folder */
+#define GYP_EXIT_DISK    74 /* a write or sync failed, or the disk is full */
+#define GYP_EXIT_BUSY    75 /* another process uses the data folder */
+
 struct gyp_program {
 	const char *name;
 	const char *summary;
--- a/src/status.c
+++ b/src/status.c
@@ -21,7 +21,8 @@
 gyp_status_name(enum gyp_status code)
 {
 	static const char *const names[] = {"ok", "bad input", "too large",
-	    "not found", "conflict", "unavailable", "i/o error", "corrupt"};
+	    "not found", "conflict", "unavailable", "i/o error", "corrupt",
+	    "disk full"};
 
 	return names[code];
 }
--- a/src/status.h
+++ b/src/status.h
@@ -23,7 +23,8 @@
 	GYP_CONFLICT,    /* a compare-and-set lost */
 	GYP_UNAVAILABLE, /* no leader, no connection, queue full */
 	GYP_IO,          /* the operating system refused */
-	GYP_CORRUPT      /* stored data fails its checksum */
+	GYP_CORRUPT,     /* stored data fails its checksum */
+	GYP_FULL         /* no space left on the disk */
 };
 
 struct gyp_error {
--- a/src/store.c
+++ b/src/store.c
@@ -1,29 +1,14 @@
-#include <sys/stat.h>
-
-#include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
-#include <string.h>
 #include <unistd.h>
 
 #include <ev.h>
 #include <glib.h>
 
 #include "buf.h"
+#include "folder.h"
 #include "store.h"
 
-/* Bytes before the body of a record: length, checksum. */
-#define HEADER_BYTES 8
-
-/* Fixed part of a record's body: type, kind, term, vote, index. */
-#define FIXED_BYTES 32
-
-/* Largest body of a log record, in bytes. */
-#define RECORD_MAX (8 * 1024 * 1024)
-
-/* Header of a snapshot file: checksum, first segment that goes with it. */
-#define SNAPSHOT_HEADER_BYTES 12
-
 struct segment {
 	uint64_t number;
 	uint64_t last_index; /* highest entry in it */
@@ -42,13 +27,18 @@
 
 struct gyp_store {
 	char *folder;
+	struct gyp_files *files;
+	int lock;
 	uint64_t id;
 	bool is_new;
 	GArray *segments; /* struct segment, the current one last */
-	int fd;
-	uint64_t term; /* newest vote record */
-	uint64_t vote;
-	uint64_t written; /* sequence number */
+	int fd;           /* of the current segment */
+	char *path;
+	struct gyp_wal_header header;
+	struct gyp_record vote; /* newest vote record */
+	GArray *unsynced;       /* struct gyp_record, read but not durable */
+	uint64_t written;       /* sequence number */
+	gint failed;            /* atomic */
 
 	struct ev_loop *loop;
 	ev_async wake;
@@ -58,402 +48,324 @@
 	GAsyncQueue *notices; /* struct notice */
 };
 
-/* ---- Files ------------------------------------------------------------- */
+/* ---- Opening ------------------------------------------------------------ */
 
-static enum gyp_status
-fail_errno(struct gyp_error *err, const char *what, const char *path)
-{
-	return gyp_fail(
-	    err, GYP_IO, "%s %s: %s", what, path, g_strerror(errno));
-}
-
-static enum gyp_status
-sync_folder(const char *folder, struct gyp_error *err)
+static void
+free_record(gpointer p)
 {
-	int fd = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-	enum gyp_status st = GYP_OK;
+	struct gyp_record *rec = p;
 
-	if (fd < 0)
-		return fail_errno(err, "open", folder);
-	if (fsync(fd) != 0)
-		st = fail_errno(err, "sync", folder);
-	close(fd);
-	return st;
-}
-
-static enum gyp_status
-write_all(int fd, const uint8_t *data, size_t len, struct gyp_error *err)
-{
-	while (len > 0) {
-		ssize_t n = write(fd, data, len);
-
-		if (n < 0 && errno == EINTR)
-			continue;
-		if (n <= 0)
-			return fail_errno(err, "write", "records");
-		data += n;
-		len -= (size_t)n;
-	}
-	return GYP_OK;
+	if (rec->data != NULL)
+		g_bytes_unref(rec->data);
 }
 
-/* Writes beside, syncs, renames and syncs the folder. */
-static enum gyp_status
-replace_file(const char *folder, const char *name, const struct gyp_buf *buf,
-    struct gyp_error *err)
+struct gyp_store *
+gyp_store_open(
+    const char *folder, struct gyp_files *files, struct gyp_error *err)
 {
-	char *path = g_build_filename(folder, name, NULL);
-	char *tmp = g_strconcat(path, ".tmp", NULL);
-	int fd = open(tmp, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-	enum gyp_status st;
+	struct gyp_store *s = g_new0(struct gyp_store, 1);
 
-	if (fd < 0) {
-		st = fail_errno(err, "open", tmp);
-		goto out;
+	s->folder = g_strdup(folder);
+	s->files = files;
+	s->fd = -1;
+	s->lock = -1;
+	s->vote.type = GYP_RECORD_VOTE;
+	s->segments = g_array_new(FALSE, FALSE, sizeof(struct segment));
+	s->unsynced = g_array_new(FALSE, FALSE, sizeof(struct gyp_record));
+	g_array_set_clear_func(s->unsynced, free_record);
+	s->tasks = g_async_queue_new();
+	s->notices = g_async_queue_new_full(g_free);
+	if (gyp_folder_lock(files, folder, &s->lock, err) != GYP_OK ||
+	    gyp_folder_identity(files, folder, &s->id, &s->is_new, err) !=
+		GYP_OK) {
+		gyp_store_close(s);
+		return NULL;
 	}
-	st = write_all(fd, buf->data, buf->len, err);
-	if (st == GYP_OK && fsync(fd) != 0)
-		st = fail_errno(err, "sync", tmp);
-	close(fd);
-	if (st == GYP_OK && rename(tmp, path) != 0)
-		st = fail_errno(err, "rename", tmp);
-	if (st == GYP_OK)
-		st = sync_folder(folder, err);
-out:
-	g_free(tmp);
-	g_free(path);
-	return st;
+	return s;
 }
 
-static char *
-segment_path(const struct gyp_store *s, uint64_t number)
+uint64_t
+gyp_store_id(const struct gyp_store *s)
 {
-	return g_strdup_printf("%s/log.%" G_GUINT64_FORMAT, s->folder, number);
+	return s->id;
 }
 
-/* ---- Encoding ---------------------------------------------------------- */
-
-static void
-put_u64(uint8_t *p, uint64_t v)
+bool
+gyp_store_is_new(const struct gyp_store *s)
 {
-	gyp_put_u32(p, (uint32_t)(v >> 32));
-	gyp_put_u32(p + 4, (uint32_t)v);
+	return s->is_new;
 }
 
-static uint64_t
-get_u64(const uint8_t *p)
+/* ---- Segments ----------------------------------------------------------- */
+
+static struct segment *
+current_segment(struct gyp_store *s)
 {
-	return ((uint64_t)gyp_get_u32(p) << 32) | gyp_get_u32(p + 4);
+	return &g_array_index(
+	    s->segments, struct segment, s->segments->len - 1);
 }
 
 static void
-encode_record(struct gyp_buf *buf, const struct gyp_record *rec)
+note_record(
+    struct gyp_store *s, struct segment *seg, const struct gyp_record *rec)
 {
-	gsize len = 0;
-	const void *data =
-	    rec->data != NULL ? g_bytes_get_data(rec->data, &len) : NULL;
-	uint8_t *p = gyp_buf_extend(buf, HEADER_BYTES + FIXED_BYTES);
-	size_t start = buf->len - FIXED_BYTES;
-	struct gyp_slice body;
-
-	gyp_put_u32(p + 8, rec->type);
-	gyp_put_u32(p + 12, rec->kind);
-	put_u64(p + 16, rec->term);
-	put_u64(p + 24, rec->vote);
-	put_u64(p + 32, rec->index);
-	gyp_buf_append(buf, data, len);
-	body.data = buf->data + start;
-	body.len = buf->len - start;
-	p = buf->data + start - HEADER_BYTES;
-	gyp_put_u32(p, (uint32_t)body.len);
-	gyp_put_u32(p + 4, gyp_crc32(body));
+	if (rec->type == GYP_RECORD_ENTRY)
+		seg->last_index = MAX(seg->last_index, rec->index);
+	if (rec->type == GYP_RECORD_VOTE) {
+		s->vote = *rec;
+		s->vote.data = NULL;
+	}
 }
 
-/* Size of the whole record at the start of s, or 0 when there is none. */
-static size_t
-decode_record(struct gyp_slice s, struct gyp_record *rec)
+/* Writes the header's synced length over the old one; not synced itself. */
+static enum gyp_status
+write_mark(struct gyp_store *s, struct gyp_error *err)
 {
-	struct gyp_slice body;
-	const uint8_t *p = s.data;
-
-	if (s.len < HEADER_BYTES + FIXED_BYTES)
-		return 0;
-	body.data = p + HEADER_BYTES;
-	body.len = gyp_get_u32(p);
-	if (body.len < FIXED_BYTES || body.len > s.len - HEADER_BYTES ||
-	    gyp_crc32(body) != gyp_get_u32(p + 4))
-		return 0;
-	rec->type = gyp_get_u32(p + 8);
-	rec->kind = gyp_get_u32(p + 12);
-	rec->term = get_u64(p + 16);
-	rec->vote = get_u64(p + 24);
-	rec->index = get_u64(p + 32);
-	rec->data =
-	    g_bytes_new(body.data + FIXED_BYTES, body.len - FIXED_BYTES);
-	return HEADER_BYTES + body.len;
-}
+	uint8_t mark[GYP_WAL_MARK_BYTES];
 
-/* ---- Opening ----------------------------------------------------------- */
+	gyp_wal_put_mark(mark, &s->header);
+	if (s->files->ops->pwrite(s->files, s->fd, mark, sizeof(mark),
+		GYP_WAL_MARK_OFFSET) != (ssize_t)sizeof(mark))
+		return gyp_file_fail(err, "write", s->path);
+	return GYP_OK;
+}
 
-static uint64_t
-random_id(void)
+/* After a restart the segment is not open. */
+static enum gyp_status
+open_segment(struct gyp_store *s, uint64_t number, struct gyp_error *err)
 {
-	uint64_t id = 0;
-
-	while (id == 0)
-		id = ((uint64_t)g_random_int() << 32) | g_random_int();
-	return id;
+	g_free(s->path);
+	s->path = gyp_folder_segment_path(s->folder, number);
+	s->fd = s->files->ops->open(s->files, s->path, O_WRONLY);
+	if (s->fd < 0 || lseek(s->fd, 0, SEEK_END) < 0)
+		return gyp_file_fail(err, "open", s->path);
+	return GYP_OK;
 }
 
+/* Marks the segment as followed by another, and goes on with that one. */
 static enum gyp_status
-load_identity(struct gyp_store *s, struct gyp_error *err)
+enter_segment(
+    struct gyp_store *s, const struct gyp_wal_header *h, struct gyp_error *err)
 {
-	char *path = g_build_filename(s->folder, "identity", NULL);
-	char *text = NULL;
-	struct gyp_buf buf = {NULL, 0, 0};
 	enum gyp_status st = GYP_OK;
 
-	if (g_file_get_contents(path, &text, NULL, NULL)) {
-		s->id = g_ascii_strtoull(text, NULL, 16);
-		if (s->id == 0)
-			st = gyp_fail(
-			    err, GYP_CORRUPT, "%s: not a replica id", path);
-	} else {
-		s->is_new = true;
-		s->id = random_id();
-		text = g_strdup_printf("%016" G_GINT64_MODIFIER "x\n", s->id);
-		gyp_buf_append(&buf, text, strlen(text));
-		st = replace_file(s->folder, "identity", &buf, err);
-		gyp_buf_clear(&buf);
-	}
-	g_free(text);
-	g_free(path);
-	return st;
+	if (s->fd < 0)
+		st = open_segment(s, s->header.number, err);
+	s->header.sealed = true;
+	if (st == GYP_OK)
+		st = write_mark(s, err);
+	if (s->fd >= 0)
+		close(s->fd);
+	s->fd = -1;
+	s->header = *h;
+	return st == GYP_OK ? open_segment(s, h->number, err) : st;
 }
 
-struct gyp_store *
-gyp_store_open(const char *folder, struct gyp_error *err)
+/*
+ * Each segment starts with the newest vote, after a restart also with the
+ * records that were read but not known to be synced. It appears under its
+ * name only when all of that is durable.
+ */
+static enum gyp_status
+next_segment(struct gyp_store *s, struct gyp_error *err)
 {
-	struct gyp_store *s;
+	struct gyp_wal_header h = {.number = s->header.number + 1,
+	    .previous = s->header.synced,
+	    .salt = g_random_int()};
+	struct segment seg = {.number = h.number};
+	struct gyp_buf buf = {NULL, 0, 0};
+	struct gyp_slice all;
+	char *name = g_strdup_printf("log.%" G_GUINT64_FORMAT, h.number);
+	enum gyp_status st;
+	guint i;
 
-	if (g_mkdir_with_parents(folder, 0700) != 0) {
-		fail_errno(err, "create", folder);
-		return NULL;
-	}
-	s = g_new0(struct gyp_store, 1);
-	s->folder = g_strdup(folder);
-	s->fd = -1;
-	s->segments = g_array_new(FALSE, FALSE, sizeof(struct segment));
-	s->tasks = g_async_queue_new();
-	s->notices = g_async_queue_new_full(g_free);
-	if (load_identity(s, err) != GYP_OK) {
-		gyp_store_close(s);
-		return NULL;
+	gyp_buf_extend(&buf, GYP_WAL_HEADER_BYTES);
+	gyp_wal_encode(&buf, &s->vote, h.salt, 0);
+	for (i = 0; i < s->unsynced->len; i++) {
+		const struct gyp_record *rec =
+		    &g_array_index(s->unsynced, struct gyp_record, i);
+
+		gyp_wal_encode(&buf, rec, h.salt, 0);
+		note_record(s, &seg, rec);
 	}
-	return s;
+	h.synced = buf.len;
+	gyp_wal_put_header(buf.data, &h);
+	all.data = buf.data;
+	all.len = buf.len;
+	st = gyp_file_replace(s->files, s->folder, name, all, err);
+	gyp_buf_clear(&buf);
+	g_free(name);
+	if (st != GYP_OK)
+		return st;
+	g_array_set_size(s->unsynced, 0);
+	g_array_append_val(s->segments, seg);
+	return enter_segment(s, &h, err);
 }
 
-uint64_t
-gyp_store_id(const struct gyp_store *s)
+static void
+drop_segments_before(struct gyp_store *s, uint64_t first)
 {
-	return s->id;
-}
+	while (g_array_index(s->segments, struct segment, 0).number < first) {
+		char *path = gyp_folder_segment_path(s->folder,
+		    g_array_index(s->segments, struct segment, 0).number);
 
-bool
-gyp_store_is_new(const struct gyp_store *s)
-{
-	return s->is_new;
+		s->files->ops->unlink(s->files, path);
+		g_free(path);
+		g_array_remove_index(s->segments, 0);
+	}
 }
 
-/* ---- Replay ------------------------------------------------------------ */
-
-static gint
-by_number(gconstpointer a, gconstpointer b)
-{
-	const struct segment *x = a, *y = b;
+/* ---- Replay ------------------------------------------------------------- */
 
-	return x->number < y->number ? -1 : x->number > y->number;
-}
+/* A segment in memory. */
+struct loaded {
+	struct gyp_buf buf;
+	struct gyp_wal_header header;
+};
 
-static void
-list_segments(struct gyp_store *s, uint64_t first)
+static enum gyp_status
+load_segment(
+    struct gyp_store *s, guint i, struct loaded *l, struct gyp_error *err)
 {
-	GDir *dir = g_dir_open(s->folder, 0, NULL);
-	const char *name;
-
-	while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
-		struct segment seg = {0, 0};
-
-		if (!g_str_has_prefix(name, "log."))
-			continue;
-		seg.number = g_ascii_strtoull(name + 4, NULL, 10);
-		if (seg.number >= first)
-			g_array_append_val(s->segments, seg);
-	}
-	if (dir != NULL)
-		g_dir_close(dir);
-	g_array_sort(s->segments, by_number);
+	l->buf.len = 0;
+	return gyp_folder_read_segment(s->folder,
+	    g_array_index(s->segments, struct segment, i).number, &l->buf,
+	    &l->header, err);
 }
 
+/*
+ * Finds the end of the valid records. All but the last segment must be valid
+ * up to the length that the next one tells of; what follows there was moved
+ * to the next one.
+ */
 static enum gyp_status
-replay_snapshot(struct gyp_store *s, gyp_record_fn fn, void *arg,
-    uint64_t *first, struct gyp_error *err)
+check_segment(struct gyp_store *s, struct loaded *l, const struct loaded *next,
+    size_t *end, struct gyp_error *err)
 {
-	char *path = g_build_filename(s->folder, "snapshot", NULL);
-	struct gyp_record rec = {.type = GYP_RECORD_SNAPSHOT};
-	struct gyp_slice rest;
-	char *text = NULL;
-	gsize len;
-	enum gyp_status st = GYP_OK;
+	struct gyp_slice all = {l->buf.data, l->buf.len};
+	struct gyp_error why = {.code = GYP_OK};
+	char *path = gyp_folder_segment_path(s->folder, l->header.number);
+	enum gyp_status st;
 
-	*first = 0;
-	if (!g_file_get_contents(path, &text, &len, NULL))
-		goto out;
-	rest.data = (uint8_t *)text + 4;
-	rest.len = len - 4;
-	if (len < SNAPSHOT_HEADER_BYTES ||
-	    gyp_crc32(rest) != gyp_get_u32((uint8_t *)text)) {
-		st = gyp_fail(err, GYP_CORRUPT, "%s: wrong checksum", path);
-		goto out;
+	if (next != NULL) {
+		l->header.synced = MAX(l->header.synced, next->header.previous);
+		all.len = MIN(all.len, next->header.previous);
 	}
-	*first = get_u64(rest.data);
-	rec.data = g_bytes_new(
-	    text + SNAPSHOT_HEADER_BYTES, len - SNAPSHOT_HEADER_BYTES);
-	fn(arg, &rec);
-	g_bytes_unref(rec.data);
-out:
-	g_free(text);
+	st = gyp_wal_check(all, &l->header, end, &why);
+	if (st == GYP_OK && next == NULL && l->header.sealed)
+		st = gyp_fail(&why, GYP_CORRUPT,
+		    "log.%" G_GUINT64_FORMAT " is missing after it",
+		    l->header.number + 1);
+	if (st != GYP_OK)
+		gyp_fail(err, st, "%s: %s", path, why.message);
 	g_free(path);
 	return st;
 }
 
+/* Hands over the records; those past the synced length are noted as such. */
 static void
-note_record(
-    struct gyp_store *s, struct segment *seg, const struct gyp_record *rec)
-{
-	if (rec->type == GYP_RECORD_ENTRY)
-		seg->last_index = MAX(seg->last_index, rec->index);
-	if (rec->type == GYP_RECORD_VOTE) {
-		s->term = rec->term;
-		s->vote = rec->vote;
-	}
-}
-
-static enum gyp_status
-replay_segment(struct gyp_store *s, struct segment *seg, bool last,
-    gyp_record_fn fn, void *arg, struct gyp_error *err)
+hand_over(struct gyp_store *s, struct segment *seg, const struct loaded *l,
+    size_t end, gyp_record_fn fn, void *arg)
 {
-	char *path = segment_path(s, seg->number);
-	char *text = NULL;
-	gsize len = 0;
-	struct gyp_slice rest;
-	enum gyp_status st = GYP_OK;
+	struct gyp_slice rest = {
+	    l->buf.data + GYP_WAL_HEADER_BYTES, end - GYP_WAL_HEADER_BYTES};
 
-	if (!g_file_get_contents(path, &text, &len, NULL)) {
-		st = fail_errno(err, "read", path);
-		goto out;
-	}
-	rest.data = (uint8_t *)text;
-	rest.len = len;
 	while (rest.len > 0) {
 		struct gyp_record rec = {.type = GYP_RECORD_VOTE};
-		size_t n = decode_record(rest, &rec);
+		uint64_t synced;
+		size_t n = gyp_wal_decode(rest, l->header.salt, &rec, &synced);
 
-		if (n == 0)
-			break;
+		g_assert(n > 0);
 		note_record(s, seg, &rec);
 		fn(arg, &rec);
-		g_bytes_unref(rec.data);
+		if (end - rest.len >= l->header.synced)
+			g_array_append_val(s->unsynced, rec);
+		else
+			g_bytes_unref(rec.data);
 		rest.data += n;
 		rest.len -= n;
 	}
-	if (rest.len > 0 && !last)
-		st = gyp_fail(err, GYP_CORRUPT, "%s: bad record at byte %zu",
-		    path, len - rest.len);
-	else if (rest.len > 0 && truncate(path, (off_t)(len - rest.len)) != 0)
-		st = fail_errno(err, "truncate", path);
-out:
-	g_free(text);
-	g_free(path);
-	return st;
 }
 
-enum gyp_status
-gyp_store_replay(
+static enum gyp_status
+replay_segments(
     struct gyp_store *s, gyp_record_fn fn, void *arg, struct gyp_error *err)
 {
-	uint64_t first;
+	struct loaded pair[2] = {{{NULL, 0, 0}, {0}}, {{NULL, 0, 0}, {0}}};
+	enum gyp_status st = load_segment(s, 0, &pair[0], err);
 	guint i;
-	enum gyp_status st = replay_snapshot(s, fn, arg, &first, err);
 
-	if (st != GYP_OK)
-		return st;
-	list_segments(s, first);
-	for (i = 0; i < s->segments->len; i++) {
-		st = replay_segment(s,
-		    &g_array_index(s->segments, struct segment, i),
-		    i + 1 == s->segments->len, fn, arg, err);
+	for (i = 0; st == GYP_OK && i < s->segments->len; i++) {
+		struct loaded *l = &pair[i % 2], *next = NULL;
+		size_t end = 0;
+
+		if (i + 1 < s->segments->len) {
+			next = &pair[(i + 1) % 2];
+			st = load_segment(s, i + 1, next, err);
+		}
+		if (st == GYP_OK)
+			st = check_segment(s, l, next, &end, err);
 		if (st != GYP_OK)
-			return st;
+			break;
+		hand_over(s, &g_array_index(s->segments, struct segment, i), l,
+		    end, fn, arg);
+		s->header = l->header;
 	}
-	return GYP_OK;
+	gyp_buf_clear(&pair[0].buf);
+	gyp_buf_clear(&pair[1].buf);
+	return st;
 }
 
-/* ---- Writer thread ----------------------------------------------------- */
-
-static struct segment *
-current_segment(struct gyp_store *s)
+static enum gyp_status
+replay_snapshot(struct gyp_store *s, gyp_record_fn fn, void *arg,
+    uint64_t *first, struct gyp_error *err)
 {
-	return &g_array_index(
-	    s->segments, struct segment, s->segments->len - 1);
+	struct gyp_record rec = {.type = GYP_RECORD_SNAPSHOT};
+	enum gyp_status st =
+	    gyp_folder_read_snapshot(s->folder, &rec.data, first, err);
+
+	if (st == GYP_OK && rec.data != NULL)
+		fn(arg, &rec);
+	free_record(&rec);
+	return st;
 }
 
-/* Each segment starts with the newest vote. */
 static enum gyp_status
-open_segment(struct gyp_store *s, struct gyp_error *err)
+list_segments(struct gyp_store *s, uint64_t first, struct gyp_error *err)
 {
-	struct segment seg = {.number = 1};
-	struct gyp_record vote = {
-	    .type = GYP_RECORD_VOTE, .term = s->term, .vote = s->vote};
-	struct gyp_buf buf = {NULL, 0, 0};
-	char *path;
-	enum gyp_status st;
+	GArray *numbers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	enum gyp_status st =
+	    gyp_folder_segments(s->files, s->folder, first, numbers, err);
+	guint i;
 
-	if (s->segments->len > 0)
-		seg.number = current_segment(s)->number + 1;
-	path = segment_path(s, seg.number);
-	if (s->fd >= 0)
-		close(s->fd);
-	s->fd = open(
-	    path, O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
-	if (s->fd < 0) {
-		st = fail_errno(err, "open", path);
-		g_free(path);
-		return st;
+	for (i = 0; i < numbers->len; i++) {
+		struct segment seg = {
+		    .number = g_array_index(numbers, uint64_t, i)};
+
+		g_array_append_val(s->segments, seg);
 	}
-	g_free(path);
-	g_array_append_val(s->segments, seg);
-	encode_record(&buf, &vote);
-	st = write_all(s->fd, buf.data, buf.len, err);
-	gyp_buf_clear(&buf);
-	if (st == GYP_OK && fsync(s->fd) != 0)
-		st = fail_errno(err, "sync", "segment");
-	return st == GYP_OK ? sync_folder(s->folder, err) : st;
+	g_array_free(numbers, TRUE);
+	return st;
 }
 
-static void
-drop_segments_before(struct gyp_store *s, uint64_t first)
+enum gyp_status
+gyp_store_replay(
+    struct gyp_store *s, gyp_record_fn fn, void *arg, struct gyp_error *err)
 {
-	while (g_array_index(s->segments, struct segment, 0).number < first) {
-		char *path = segment_path(
-		    s, g_array_index(s->segments, struct segment, 0).number);
+	uint64_t first;
+	enum gyp_status st = replay_snapshot(s, fn, arg, &first, err);
 
-		unlink(path);
-		g_free(path);
-		g_array_remove_index(s->segments, 0);
-	}
+	if (st == GYP_OK)
+		st = list_segments(s, first, err);
+	if (st == GYP_OK)
+		st = replay_segments(s, fn, arg, err);
+	if (st == GYP_OK)
+		st = next_segment(s, err);
+	return st;
 }
 
+/* ---- Writer thread ------------------------------------------------------ */
+
 /*
  * Segments whose entries the snapshot covers go; when it was taken over from
  * another replica (kind 1), older entries are void and all segments go.
@@ -470,33 +382,21 @@
 		if (seg->last_index > rec->index)
 			return seg->number;
 	}
-	return g_array_index(s->segments, struct segment, s->segments->len - 1)
-	    .number;
+	return s->header.number;
 }
 
 static enum gyp_status
 write_snapshot(
     struct gyp_store *s, const struct gyp_record *rec, struct gyp_error *err)
 {
-	struct gyp_buf buf = {NULL, 0, 0};
-	struct gyp_slice body;
-	uint8_t *p;
-	gsize len;
-	const void *data = g_bytes_get_data(rec->data, &len);
 	uint64_t first;
-	enum gyp_status st = open_segment(s, err);
+	enum gyp_status st = next_segment(s, err);
 
 	if (st != GYP_OK)
 		return st;
 	first = first_needed_segment(s, rec);
-	p = gyp_buf_extend(&buf, SNAPSHOT_HEADER_BYTES);
-	put_u64(p + 4, first);
-	gyp_buf_append(&buf, data, len);
-	body.data = buf.data + 4;
-	body.len = buf.len - 4;
-	gyp_put_u32(buf.data, gyp_crc32(body));
-	st = replace_file(s->folder, "snapshot", &buf, err);
-	gyp_buf_clear(&buf);
+	st = gyp_folder_write_snapshot(
+	    s->files, s->folder, rec->data, first, err);
 	if (st == GYP_OK)
 		drop_segments_before(s, first);
 	return st;
@@ -505,13 +405,18 @@
 static enum gyp_status
 flush(struct gyp_store *s, struct gyp_buf *buf, struct gyp_error *err)
 {
+	struct gyp_slice all = {buf->data, buf->len};
 	enum gyp_status st;
 
 	if (buf->len == 0)
 		return GYP_OK;
-	st = write_all(s->fd, buf->data, buf->len, err);
-	if (st == GYP_OK && fdatasync(s->fd) != 0)
-		st = fail_errno(err, "sync", "records");
+	st = gyp_file_write(s->files, s->fd, s->path, all, err);
+	if (st == GYP_OK && s->files->ops->datasync(s->files, s->fd) != 0)
+		st = gyp_file_fail(err, "sync", s->path);
+	if (st == GYP_OK) {
+		s->header.synced += buf->len;
+		st = write_mark(s, err);
+	}
 	gyp_buf_clear(buf);
 	return st;
 }
@@ -523,9 +428,9 @@
 	enum gyp_status st;
 
 	s->written++;
-	note_record(s, current_segment(s), rec);
 	if (rec->type != GYP_RECORD_SNAPSHOT) {
-		encode_record(buf, rec);
+		note_record(s, current_segment(s), rec);
+		gyp_wal_encode(buf, rec, s->header.salt, s->header.synced);
 		return GYP_OK;
 	}
 	st = flush(s, buf, err);
@@ -537,8 +442,7 @@
 {
 	struct task *t = p;
 
-	if (t->rec.data != NULL)
-		g_bytes_unref(t->rec.data);
+	free_record(&t->rec);
 	g_free(t);
 }
 
@@ -574,6 +478,8 @@
 	if (err->code == GYP_OK)
 		flush(s, &buf, err);
 	gyp_buf_clear(&buf);
+	if (err->code != GYP_OK)
+		g_atomic_int_set(&s->failed, 1);
 	notify(s, err);
 	return more;
 }
@@ -584,11 +490,8 @@
 	struct gyp_store *s = p;
 	struct gyp_error err = {.code = GYP_OK};
 
-	open_segment(s, &err);
 	while (err.code == GYP_OK && write_batch(s, &err))
 		continue;
-	if (err.code != GYP_OK)
-		notify(s, &err);
 	return NULL;
 }
 
@@ -624,8 +527,11 @@
 void
 gyp_store_append(struct gyp_store *s, const struct gyp_record *rec)
 {
-	struct task *t = g_new0(struct task, 1);
+	struct task *t;
 
+	if (g_atomic_int_get(&s->failed))
+		return;
+	t = g_new0(struct task, 1);
 	t->rec = *rec;
 	if (t->rec.data != NULL)
 		g_bytes_ref(t->rec.data);
@@ -650,7 +556,11 @@
 	g_async_queue_unref(s->notices);
 	if (s->fd >= 0)
 		close(s->fd);
+	if (s->lock >= 0)
+		close(s->lock);
 	g_array_free(s->segments, TRUE);
+	g_array_free(s->unsynced, TRUE);
+	g_free(s->path);
 	g_free(s->folder);
 	g_free(s);
 }
--- a/src/store.h
+++ b/src/store.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "file.h"
 #include "record.h"
 #include "status.h"
 
@@ -16,14 +17,25 @@
  * DESCRIPTION
  *	One data folder holds:
  *
+ *	lock		locked while a process uses the folder
  *	identity	the replica's id; made once, never copied
  *	snapshot	the newest snapshot
- *	log.N		segments of records, N rising
+ *	log.N		segments of records, N rising, see wal.h
  *
  *	A writer thread takes records from a queue, writes what has gathered
  *	as one batch, syncs it and reports the last sequence number to the
  *	loop's thread. A failed write or sync is final: the data counts as
- *	lost, nothing is retried, and the failure is reported instead.
+ *	lost, nothing is retried, the failure is reported, and later records
+ *	are dropped without being reported as synced.
+ *
+ *	At a restart, records past the synced length are kept where they are
+ *	valid, and written and synced anew before they are relied upon. The
+ *	first invalid one ends the log. Damage anywhere else is refused with
+ *	the file and the byte offset (GYP_CORRUPT): a bad byte below the
+ *	synced length, a segment that is short or missing, a bad snapshot or
+ *	identity, a log without its identity or an identity without its log.
+ *	The remedy is then an empty folder: the replica joins anew, under a
+ *	new id.
  */
 
 struct gyp_store;
@@ -31,6 +43,7 @@
 
 struct gyp_store_owner_ops {
 	void (*synced)(struct gyp_store_owner *, uint64_t seq);
+	/* At most once; nothing is reported after it. */
 	void (*failed)(struct gyp_store_owner *, const struct gyp_error *);
 };
 
@@ -40,15 +53,19 @@
 
 typedef void (*gyp_record_fn)(void *arg, const struct gyp_record *);
 
-/* Opens or creates the folder's identity. NULL on failure. */
-struct gyp_store *gyp_store_open(const char *folder, struct gyp_error *);
+/*
+ * Locks the folder and opens or creates its identity. files must outlive the
+ * store. NULL on failure; GYP_CONFLICT when another process has the lock.
+ */
+struct gyp_store *gyp_store_open(
+    const char *folder, struct gyp_files *files, struct gyp_error *);
 void gyp_store_close(struct gyp_store *);
 
 /* The replica id, and whether the folder was new. */
 uint64_t gyp_store_id(const struct gyp_store *);
 bool gyp_store_is_new(const struct gyp_store *);
 
-/* Hands over all stored records in order. A torn tail is cut. */
+/* Hands over all stored records in order and makes them durable. */
 enum gyp_status gyp_store_replay(
     struct gyp_store *, gyp_record_fn, void *arg, struct gyp_error *);
 
--- /dev/null
+++ b/test/test_store.c
@@ -0,0 +1,627 @@
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <ev.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+
+#include "store.h"
+
+/*
+ * A store on files that fail on purpose. What it reported as synced must be
+ * there after a restart; damage must be refused, never cut.
+ */
+
+enum fault { NO_FAULT, FAIL, FULL, SHORT_WRITE };
+
+/* Files whose nth operation fails; syncs that fail lose the data. */
+struct disk {
+	struct gyp_files base;
+	enum fault fault;
+	int fail_at; /* counts operations from 1 */
+	int ops;
+	int keep;           /* bytes that a short write leaves, then it fails */
+	GHashTable *synced; /* inode -> length */
+};
+
+struct run {
+	struct gyp_store_owner owner;
+	struct gyp_store *store;
+	struct ev_loop *loop;
+	uint64_t synced, appended;
+	struct gyp_error err;
+};
+
+/* What a log amounts to: the same records give the same text. */
+struct model {
+	uint64_t term, vote, snapshot, last;
+	uint32_t at[64]; /* CRC of the entry of each index */
+};
+
+static const struct gyp_record script[] = {
+    {GYP_RECORD_VOTE, 1, 7, 0, 0, NULL},
+    {GYP_RECORD_ENTRY, 1, 0, 1, 1, NULL},
+    {GYP_RECORD_ENTRY, 1, 0, 2, 1, NULL},
+    {GYP_RECORD_ENTRY, 1, 0, 3, 1, NULL},
+    {GYP_RECORD_VOTE, 2, 9, 0, 0, NULL},
+    {GYP_RECORD_ENTRY, 2, 0, 3, 1, NULL},
+    {GYP_RECORD_SNAPSHOT, 1, 0, 2, 0, NULL},
+    {GYP_RECORD_ENTRY, 2, 0, 4, 1, NULL},
+    {GYP_RECORD_SNAPSHOT, 2, 0, 9, 1, NULL},
+    {GYP_RECORD_VOTE, 3, 0, 0, 0, NULL},
+    {GYP_RECORD_ENTRY, 3, 0, 10, 1, NULL},
+    {GYP_RECORD_ENTRY, 3, 0, 11, 1, NULL},
+};
+
+/* ---- Files that fail ---------------------------------------------------- */
+
+static bool
+fails(struct gyp_files *f)
+{
+	struct disk *d = (struct disk *)f;
+
+	if (++d->ops != d->fail_at || d->fault == NO_FAULT)
+		return false;
+	errno = d->fault == FULL ? ENOSPC : EIO;
+	return true;
+}
+
+static int
+disk_open(struct gyp_files *f, const char *path, int flags)
+{
+	return fails(f) ? -1 : gyp_files_system()->ops->open(f, path, flags);
+}
+
+static ssize_t
+disk_write(struct gyp_files *f, int fd, const void *data, size_t len)
+{
+	struct disk *d = (struct disk *)f;
+
+	if (fails(f)) {
+		if (d->fault == SHORT_WRITE && d->keep > 0)
+			g_assert(
+			    write(fd, data, MIN((size_t)d->keep, len)) > 0);
+		return -1;
+	}
+	return write(fd, data, MIN(len, 100)); /* short, but no error */
+}
+
+static ssize_t
+disk_pwrite(struct gyp_files *f, int fd, const void *data, size_t len, off_t at)
+{
+	return fails(f) ? -1 : pwrite(fd, data, len, at);
+}
+
+static int
+disk_sync(struct gyp_files *f, int fd)
+{
+	struct disk *d = (struct disk *)f;
+	struct stat sb;
+	gpointer key, before;
+
+	g_assert_cmpint(fstat(fd, &sb), ==, 0);
+	key = GSIZE_TO_POINTER(sb.st_ino);
+	if (fails(f)) {
+		before = g_hash_table_lookup(d->synced, key);
+		if (S_ISREG(sb.st_mode))
+			g_assert_cmpint(
+			    ftruncate(fd, GPOINTER_TO_INT(before)), ==, 0);
+		return -1;
+	}
+	g_hash_table_insert(d->synced, key, GINT_TO_POINTER(sb.st_size));
+	return 0;
+}
+
+static int
+disk_rename(struct gyp_files *f, const char *from, const char *to)
+{
+	return fails(f) ? -1 : rename(from, to);
+}
+
+static int
+disk_unlink(struct gyp_files *f, const char *path)
+{
+	return fails(f) ? -1 : unlink(path);
+}
+
+static const struct gyp_file_ops disk_ops = {disk_open, disk_write, disk_pwrite,
+    disk_sync, disk_sync, disk_rename, disk_unlink};
+
+static void
+disk_init(struct disk *d, enum fault fault, int fail_at)
+{
+	memset(d, 0, sizeof(*d));
+	d->base.ops = &disk_ops;
+	d->fault = fault;
+	d->fail_at = fail_at;
+	d->synced = g_hash_table_new(NULL, NULL);
+}
+
+/* ---- Folders ------------------------------------------------------------ */
+
+static char *
+make_folder(void)
+{
+	GError *error = NULL;
+	char *folder = g_dir_make_tmp("gyp-store-XXXXXX", &error);
+
+	g_assert_no_error(error);
+	return folder;
+}
+
+static void
+empty_folder(const char *folder)
+{
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	while ((name = g_dir_read_name(dir)) != NULL) {
+		char *path = g_build_filename(folder, name, NULL);
+
+		g_assert_cmpint(g_unlink(path), ==, 0);
+		g_free(path);
+	}
+	g_dir_close(dir);
+}
+
+static void
+remove_folder(char *folder)
+{
+	empty_folder(folder);
+	g_assert_cmpint(g_rmdir(folder), ==, 0);
+	g_free(folder);
+}
+
+/* ---- Runs --------------------------------------------------------------- */
+
+static void
+model_add(void *arg, const struct gyp_record *rec)
+{
+	struct model *m = arg;
+	gsize len = 0;
+	struct gyp_slice s = {NULL, 0};
+
+	if (rec->data != NULL)
+		s.data = g_bytes_get_data(rec->data, &len);
+	s.len = len;
+	if (rec->type == GYP_RECORD_VOTE) {
+		m->term = rec->term;
+		m->vote = rec->vote;
+	} else if (rec->type == GYP_RECORD_SNAPSHOT) {
+		sscanf((const char *)s.data, "snapshot %" G_GUINT64_FORMAT,
+		    &m->snapshot);
+		m->last =
+		    rec->kind == 1 ? m->snapshot : MAX(m->last, m->snapshot);
+	} else if (rec->index > m->snapshot) {
+		m->last = rec->index;
+		m->at[rec->index] = gyp_crc32(s) ^ (uint32_t)rec->term;
+	}
+}
+
+static bool
+model_equal(const struct model *a, const struct model *b)
+{
+	uint64_t i;
+
+	if (a->term != b->term || a->vote != b->vote ||
+	    a->snapshot != b->snapshot || a->last != b->last)
+		return false;
+	for (i = a->snapshot + 1; i <= a->last; i++) {
+		if (a->at[i] != b->at[i])
+			return false;
+	}
+	return true;
+}
+
+/* The nth record of the script, from 1, with data that tells it apart. */
+static struct gyp_record
+script_record(guint n)
+{
+	struct gyp_record rec = script[n - 1];
+	char *text =
+	    rec.type == GYP_RECORD_SNAPSHOT
+		? g_strdup_printf("snapshot %" G_GUINT64_FORMAT, rec.index)
+		: g_strdup_printf("entry %u", n);
+
+	if (rec.type != GYP_RECORD_VOTE)
+		rec.data = g_bytes_new(text, strlen(text) + 1);
+	g_free(text);
+	return rec;
+}
+
+static void
+model_script(struct model *m, guint records)
+{
+	guint n;
+
+	memset(m, 0, sizeof(*m));
+	for (n = 1; n <= records; n++) {
+		struct gyp_record rec = script_record(n);
+
+		model_add(m, &rec);
+		if (rec.data != NULL)
+			g_bytes_unref(rec.data);
+	}
+}
+
+static void
+on_synced(struct gyp_store_owner *owner, uint64_t seq)
+{
+	struct run *r = (struct run *)owner;
+
+	g_assert_cmpint(r->err.code, ==, GYP_OK);
+	r->synced = seq;
+	ev_break(r->loop, EVBREAK_ALL);
+}
+
+static void
+on_failed(struct gyp_store_owner *owner, const struct gyp_error *err)
+{
+	struct run *r = (struct run *)owner;
+
+	g_assert_cmpint(r->err.code, ==, GYP_OK);
+	r->err = *err;
+	ev_break(r->loop, EVBREAK_ALL);
+}
+
+static const struct gyp_store_owner_ops owner_ops = {on_synced, on_failed};
+
+/* Opens and replays; false with the error set when that is refused. */
+static bool
+run_open(
+    struct run *r, const char *folder, struct gyp_files *files, struct model *m)
+{
+	memset(r, 0, sizeof(*r));
+	memset(m, 0, sizeof(*m));
+	r->owner.ops = &owner_ops;
+	r->store = gyp_store_open(folder, files, &r->err);
+	if (r->store == NULL)
+		return false;
+	if (gyp_store_replay(r->store, model_add, m, &r->err) != GYP_OK) {
+		gyp_store_close(r->store);
+		r->store = NULL;
+		return false;
+	}
+	r->loop = ev_loop_new(EVFLAG_AUTO);
+	gyp_store_start(r->store, r->loop, &r->owner);
+	return true;
+}
+
+static void
+run_close(struct run *r)
+{
+	if (r->store == NULL)
+		return;
+	gyp_store_close(r->store);
+	ev_loop_destroy(r->loop);
+}
+
+/* Appends records one by one until one fails. */
+static void
+run_append(struct run *r, guint first, guint last)
+{
+	guint n;
+
+	for (n = first; n <= last && r->err.code == GYP_OK; n++) {
+		struct gyp_record rec = script_record(n);
+
+		gyp_store_append(r->store, &rec);
+		if (rec.data != NULL)
+			g_bytes_unref(rec.data);
+		r->appended++;
+		while (r->synced < r->appended && r->err.code == GYP_OK)
+			ev_run(r->loop, 0);
+	}
+}
+
+static void
+write_script(const char *folder, guint records)
+{
+	struct disk d;
+	struct run r;
+	struct model m;
+
+	disk_init(&d, NO_FAULT, 0);
+	g_assert_true(run_open(&r, folder, &d.base, &m));
+	run_append(&r, 1, records);
+	g_assert_cmpint(r.err.code, ==, GYP_OK);
+	run_close(&r);
+	g_hash_table_destroy(d.synced);
+}
+
+/* The state after a restart lies between what was synced and appended. */
+static void
+check_recovered(const char *folder, uint64_t synced, uint64_t appended)
+{
+	struct disk d;
+	struct run r;
+	struct model found, expected;
+	uint64_t n;
+
+	disk_init(&d, NO_FAULT, 0);
+	if (!run_open(&r, folder, &d.base, &found))
+		g_error("refused after a restart: %s", r.err.message);
+	for (n = synced; n <= appended; n++) {
+		model_script(&expected, (guint)n);
+		if (model_equal(&expected, &found))
+			break;
+	}
+	g_assert_cmpuint(n, <=, appended);
+	run_close(&r);
+	g_hash_table_destroy(d.synced);
+}
+
+/* Damaged folders are refused, each time, and name the file. */
+static void
+check_refused(const char *folder, const char *name)
+{
+	struct run r;
+	struct model m;
+	struct disk d;
+
+	disk_init(&d, NO_FAULT, 0);
+	if (run_open(&r, folder, &d.base, &m))
+		g_error("damage of %s was not noticed", name);
+	g_assert_cmpint(r.err.code, ==, GYP_CORRUPT);
+	if (strstr(r.err.message, name) == NULL)
+		g_error("%s not named: %s", name, r.err.message);
+	g_hash_table_destroy(d.synced);
+}
+
+/* ---- Tests -------------------------------------------------------------- */
+
+/* Every operation of a run fails once, in each way; all later ones work. */
+static void
+test_each_fault(void)
+{
+	enum fault fault;
+	char *folder = make_folder();
+
+	for (fault = FAIL; fault <= SHORT_WRITE; fault++) {
+		bool reached = true;
+		int at;
+
+		for (at = 1; reached; at++) {
+			struct disk d;
+			struct run r;
+			struct model m;
+
+			disk_init(&d, fault, at);
+			d.keep = at % 60;
+			if (run_open(&r, folder, &d.base, &m))
+				run_append(&r, 1, G_N_ELEMENTS(script));
+			if (r.err.code != GYP_OK)
+				g_assert_cmpint(r.err.code, ==,
+				    fault == FULL ? GYP_FULL : GYP_IO);
+			run_close(&r);
+			reached = d.ops >= at;
+			check_recovered(folder, r.synced, r.appended);
+			empty_folder(folder);
+			g_hash_table_destroy(d.synced);
+		}
+		g_assert_cmpint(at, >, 60);
+	}
+	remove_folder(folder);
+}
+
+/* The same while a restart takes up a torn log. */
+static void
+test_fault_in_recovery(void)
+{
+	char *folder = make_folder();
+	bool reached = true;
+	int at;
+
+	for (at = 1; reached; at++) {
+		struct disk d;
+		struct run r;
+		struct model m;
+
+		write_script(folder, 5);
+		disk_init(&d, SHORT_WRITE, 15);
+		d.keep = 40;
+		g_assert_true(run_open(&r, folder, &d.base, &m));
+		run_append(&r, 6, G_N_ELEMENTS(script));
+		g_assert_cmpint(r.err.code, ==, GYP_IO);
+		run_close(&r);
+		d.ops = 0;
+		d.fail_at = at;
+		if (run_open(&r, folder, &d.base, &m))
+			run_close(&r);
+		reached = d.ops >= at;
+		check_recovered(folder, 5, G_N_ELEMENTS(script));
+		empty_folder(folder);
+		g_hash_table_destroy(d.synced);
+	}
+	remove_folder(folder);
+}
+
+/* The last record is torn at every byte: it goes, all before it stays. */
+static void
+test_torn_tail(void)
+{
+	char *folder = make_folder();
+	int keep;
+
+	for (keep = 0; keep < 60; keep++) {
+		struct disk d;
+		struct run r;
+		struct model m;
+		int ops;
+
+		disk_init(&d, NO_FAULT, 0);
+		g_assert_true(run_open(&r, folder, &d.base, &m));
+		run_append(&r, 1, 5);
+		ops = d.ops;
+		run_close(&r);
+		empty_folder(folder);
+		g_hash_table_destroy(d.synced);
+
+		disk_init(&d, SHORT_WRITE, ops + 1);
+		d.keep = keep;
+		g_assert_true(run_open(&r, folder, &d.base, &m));
+		run_append(&r, 1, 6);
+		g_assert_cmpuint(r.synced, ==, 5);
+		run_close(&r);
+		check_recovered(folder, 5, 5);
+		empty_folder(folder);
+		g_hash_table_destroy(d.synced);
+	}
+	remove_folder(folder);
+}
+
+/* A sync fails once and works from then on: nothing more is reported. */
+static void
+test_failed_sync_is_final(void)
+{
+	char *folder = make_folder();
+	struct disk d;
+	struct run r;
+	struct model m;
+	struct gyp_record rec = script[9];
+
+	disk_init(&d, NO_FAULT, 0);
+	g_assert_true(run_open(&r, folder, &d.base, &m));
+	run_append(&r, 1, 3);
+	d.fault = FAIL;
+	d.fail_at = d.ops + 2; /* write, then sync */
+	run_append(&r, 4, 4);
+	g_assert_cmpint(r.err.code, ==, GYP_IO);
+	g_assert_cmpuint(r.synced, ==, 3);
+	gyp_store_append(r.store, &rec);
+	gyp_store_close(r.store);
+	ev_run(r.loop, EVRUN_NOWAIT);
+	ev_loop_destroy(r.loop);
+	g_assert_cmpuint(r.synced, ==, 3);
+	check_recovered(folder, 3, 3);
+	g_hash_table_destroy(d.synced);
+	remove_folder(folder);
+}
+
+static void
+put_file(const char *path, const char *text, size_t len)
+{
+	FILE *file = fopen(path, "w");
+
+	g_assert_nonnull(file);
+	g_assert_cmpuint(fwrite(text, 1, len, file), ==, len);
+	g_assert_cmpint(fclose(file), ==, 0);
+}
+
+static void
+flip_all_bits(const char *folder, const char *name)
+{
+	char *path = g_build_filename(folder, name, NULL);
+	char *text;
+	gsize len, bit;
+
+	g_assert_true(g_file_get_contents(path, &text, &len, NULL));
+	for (bit = 0; bit < len * 8; bit++) {
+		text[bit / 8] ^= (char)(1 << bit % 8);
+		put_file(path, text, len);
+		check_refused(folder, name);
+		text[bit / 8] ^= (char)(1 << bit % 8);
+	}
+	put_file(path, text, len);
+	g_free(text);
+	g_free(path);
+}
+
+/* The file ends early, at each byte, or is gone. */
+static void
+cut_at_all_bytes(const char *folder, const char *name, const char *blamed)
+{
+	char *path = g_build_filename(folder, name, NULL);
+	char *text;
+	gsize len, left;
+
+	g_assert_true(g_file_get_contents(path, &text, &len, NULL));
+	for (left = 0; left < len; left++) {
+		put_file(path, text, left);
+		check_refused(folder, name);
+	}
+	g_assert_cmpint(g_unlink(path), ==, 0);
+	check_refused(folder, blamed);
+	put_file(path, text, len);
+	g_free(text);
+	g_free(path);
+}
+
+/* Two restarts before the snapshot make three segments with content. */
+static void
+make_segments(const char *folder)
+{
+	struct disk d;
+	struct run r;
+	struct model m;
+
+	disk_init(&d, NO_FAULT, 0);
+	write_script(folder, 2);
+	g_assert_true(run_open(&r, folder, &d.base, &m));
+	run_append(&r, 3, 5);
+	run_close(&r);
+	g_assert_true(run_open(&r, folder, &d.base, &m));
+	run_append(&r, 6, 6);
+	run_close(&r);
+	g_hash_table_destroy(d.synced);
+}
+
+static void
+test_damage(void)
+{
+	char *folder = make_folder();
+	static const char *const names[] = {
+	    "identity", "log.1", "log.2", "log.3", "log.4"};
+	guint i;
+
+	make_segments(folder);
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		flip_all_bits(folder, names[i]);
+		cut_at_all_bytes(folder, names[i], i == 0 ? folder : names[i]);
+	}
+	check_recovered(folder, 6, 6);
+	empty_folder(folder);
+	write_script(folder, 8);
+	flip_all_bits(folder, "snapshot");
+	cut_at_all_bytes(folder, "snapshot", "log.1");
+	check_recovered(folder, 8, 8);
+	remove_folder(folder);
+}
+
+static void
+test_lock(void)
+{
+	char *folder = make_folder();
+	struct gyp_error err = {.code = GYP_OK};
+	struct gyp_store *a, *b;
+
+	a = gyp_store_open(folder, gyp_files_system(), &err);
+	g_assert_nonnull(a);
+	g_assert_true(gyp_store_is_new(a));
+	b = gyp_store_open(folder, gyp_files_system(), &err);
+	g_assert_null(b);
+	g_assert_cmpint(err.code, ==, GYP_CONFLICT);
+	gyp_store_close(a);
+	a = gyp_store_open(folder, gyp_files_system(), &err);
+	g_assert_nonnull(a);
+	g_assert_false(gyp_store_is_new(a));
+	gyp_store_close(a);
+	remove_folder(folder);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/store/torn-tail", test_torn_tail);
+	g_test_add_func(
+	    "/store/failed-sync-is-final", test_failed_sync_is_final);
+	g_test_add_func("/store/each-fault", test_each_fault);
+	g_test_add_func("/store/fault-in-recovery", test_fault_in_recovery);
+	g_test_add_func("/store/damage", test_damage);
+	g_test_add_func("/store/lock", test_lock);
+	return g_test_run();
+}
