--- a/src/record.h
+++ b/src/record.h
@@ -22,12 +22,12 @@
 };
 
 struct gyp_record {
-	enum gyp_record_type type;
 	uint64_t term;
 	uint64_t vote;  /* replica id, 0 for none */
 	uint64_t index; /* log index of an entry or snapshot */
-	uint32_t kind;  /* Gyp__EntryKind; of a snapshot: 1 voids all entries */
 	GBytes *data;   /* entry data, or a packed Gyp__SnapshotFile */
+	enum gyp_record_type type;
+	uint32_t kind; /* Gyp__EntryKind; of a snapshot: 1 voids all entries */
 };
 
 /* One entry of the log in memory; data is owned. */
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 #include <glib/gstdio.h>
 
+#include "folder.h"
 #include "store.h"
 
 /*
@@ -41,19 +42,33 @@
 	uint32_t at[64]; /* CRC of the entry of each index */
 };
 
+#define VOTE(t, v)                                                             \
+	{                                                                      \
+		.type = GYP_RECORD_VOTE, .term = (t), .vote = (v)              \
+	}
+#define ENTRY(t, i)                                                            \
+	{                                                                      \
+		.type = GYP_RECORD_ENTRY, .term = (t), .index = (i)            \
+	}
+#define SNAPSHOT(t, i, k)                                                      \
+	{                                                                      \
+		.type = GYP_RECORD_SNAPSHOT, .term = (t), .index = (i),        \
+		.kind = (k)                                                    \
+	}
+
 static const struct gyp_record script[] = {
-    {GYP_RECORD_VOTE, 1, 7, 0, 0, NULL},
-    {GYP_RECORD_ENTRY, 1, 0, 1, 1, NULL},
-    {GYP_RECORD_ENTRY, 1, 0, 2, 1, NULL},
-    {GYP_RECORD_ENTRY, 1, 0, 3, 1, NULL},
-    {GYP_RECORD_VOTE, 2, 9, 0, 0, NULL},
-    {GYP_RECORD_ENTRY, 2, 0, 3, 1, NULL},
-    {GYP_RECORD_SNAPSHOT, 1, 0, 2, 0, NULL},
-    {GYP_RECORD_ENTRY, 2, 0, 4, 1, NULL},
-    {GYP_RECORD_SNAPSHOT, 2, 0, 9, 1, NULL},
-    {GYP_RECORD_VOTE, 3, 0, 0, 0, NULL},
-    {GYP_RECORD_ENTRY, 3, 0, 10, 1, NULL},
-    {GYP_RECORD_ENTRY, 3, 0, 11, 1, NULL},
+    VOTE(1, 7),
+    ENTRY(1, 1),
+    ENTRY(1, 2),
+    ENTRY(1, 3),
+    VOTE(2, 9),
+    ENTRY(2, 3),
+    SNAPSHOT(1, 2, 0),
+    ENTRY(2, 4),
+    SNAPSHOT(2, 9, 1),
+    VOTE(3, 0),
+    ENTRY(3, 10),
+    ENTRY(3, 11),
 };
 
 /* ---- Files that fail ---------------------------------------------------- */
@@ -591,6 +606,49 @@
 	remove_folder(folder);
 }
 
+/* The mark as it may be after a loss of power: older than the last syncs. */
+static void
+lag_mark(const char *path, char *text, size_t len)
+{
+	struct gyp_slice all = {(uint8_t *)text, len};
+	struct gyp_wal_header h;
+
+	g_assert_true(gyp_wal_get_header(all, &h));
+	h.synced = GYP_WAL_HEADER_BYTES;
+	gyp_wal_put_mark((uint8_t *)text + GYP_WAL_MARK_OFFSET, &h);
+	put_file(path, text, len);
+}
+
+static void
+test_lagging_mark(void)
+{
+	char *folder = make_folder();
+	char *path = gyp_folder_segment_path(folder, 2);
+	char *text;
+	gsize len, last, bit;
+
+	write_script(folder, 4);
+	g_assert_true(g_file_get_contents(path, &text, &last, NULL));
+	g_free(text);
+	empty_folder(folder);
+	write_script(folder, 5);
+	g_assert_true(g_file_get_contents(path, &text, &len, NULL));
+	g_assert_cmpuint(len, >, last);
+	lag_mark(path, text, len);
+	for (bit = GYP_WAL_HEADER_BYTES * 8; bit < last * 8; bit++) {
+		text[bit / 8] ^= (char)(1 << bit % 8);
+		put_file(path, text, len);
+		check_refused(folder, "log.2");
+		text[bit / 8] ^= (char)(1 << bit % 8);
+	}
+	put_file(path, text, len);
+	check_recovered(folder, 5, 5);
+	check_recovered(folder, 5, 5);
+	g_free(text);
+	g_free(path);
+	remove_folder(folder);
+}
+
 static void
 test_lock(void)
 {
@@ -622,6 +680,7 @@
 	g_test_add_func("/store/each-fault", test_each_fault);
 	g_test_add_func("/store/fault-in-recovery", test_fault_in_recovery);
 	g_test_add_func("/store/damage", test_damage);
+	g_test_add_func("/store/lagging-mark", test_lagging_mark);
 	g_test_add_func("/store/lock", test_lock);
 	return g_test_run();
 }
