--- a/src/gyp.h
+++ b/src/gyp.h
@@ -13,6 +13,7 @@
 
 /* ---- Small things used everywhere --------------------------------------- */
 #include "buf.h"
+#include "counters.h"
 #include "json.h"
 #include "msg.h"
 #include "status.h"
@@ -24,7 +25,10 @@
 #include "raft.h"    /* replicated log */
 #include "record.h"  /* what goes to the disk */
 #include "replica.h" /* log, tables and decisions together */
+#include "rules.h"   /* what operators ask for, one line each */
+#include "running.h" /* what endpoints say that they run */
 #include "state.h"   /* tables of jobs, endpoints and rules */
+#include "usage.h"   /* measured usage, from heartbeats */
 #include "wal.h"     /* bytes of a log segment */
 
 /* ---- Core: the entry ----------------------------------------------------- */
--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -14,8 +14,8 @@
 
 /* ---- Replies ----------------------------------------------------------- */
 
-static void
-reply(struct gyp_replica *r, uint64_t entry, const Gyp__Reply *msg)
+void
+gyp_replica_reply(struct gyp_replica *r, uint64_t entry, const Gyp__Reply *msg)
 {
 	struct gyp_entry_peer *peer = gyp_replica_entry(r, entry);
 
@@ -23,12 +23,6 @@
 	peer->due = true;
 }
 
-void
-gyp_replica_reply(struct gyp_replica *r, uint64_t entry, const Gyp__Reply *msg)
-{
-	reply(r, entry, msg);
-}
-
 static void
 reply_code(struct gyp_replica *r, uint64_t entry, uint64_t call, Gyp__Code code,
     const char *message)
@@ -38,7 +32,7 @@
 	msg.id = call;
 	msg.code = code;
 	msg.message = (char *)message;
-	reply(r, entry, &msg);
+	gyp_replica_reply(r, entry, &msg);
 }
 
 /* One task's end, with its answer only where it was asked for. */
@@ -86,7 +80,7 @@
 		       ? GYP__CODE__CODE_ACCEPTED
 		       : GYP__CODE__CODE_OK;
 	msg.job = &view;
-	reply(r, entry, &msg);
+	gyp_replica_reply(r, entry, &msg);
 	g_ptr_array_free(finishes, TRUE);
 }
 
@@ -140,9 +134,9 @@
 /* ---- Calls that write -------------------------------------------------- */
 
 /* Puts the command of a call into the next batch; answered when applied. */
-static void
-propose_call(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call,
-    const Gyp__Cmd *cmd)
+void
+gyp_replica_propose_call(struct gyp_replica *r, uint64_t entry,
+    const Gyp__Call *call, const Gyp__Cmd *cmd)
 {
 	struct gyp_waiting_call *w = g_new0(struct gyp_waiting_call, 1);
 
@@ -152,6 +146,22 @@
 	g_ptr_array_add(r->waiting, w);
 }
 
+/* Answers a key without a job; false when nothing is known of it. */
+static bool
+answer_retired(struct gyp_replica *r, uint64_t entry, uint64_t call,
+    const char *team, const char *key)
+{
+	if (gyp_state_key_refused(r->state, team, key))
+		reply_code(r, entry, call, GYP__CODE__CODE_REFUSED,
+		    "the key is refused, and no job ever had it");
+	else if (gyp_state_key_retired(r->state, team, key))
+		reply_code(r, entry, call, GYP__CODE__CODE_RETIRED,
+		    "the key's job is no longer kept");
+	else
+		return false;
+	return true;
+}
+
 /* Answers a submit from the tables; false when they hold nothing of it. */
 static bool
 answer_submit(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
@@ -174,12 +184,7 @@
 		reply_and_subscribe(r, entry, call->id, job);
 		return true;
 	}
-	if (gyp_state_key_retired(r->state, spec->team, spec->key)) {
-		reply_code(r, entry, call->id, GYP__CODE__CODE_RETIRED,
-		    "the key was refused or its job is no longer kept");
-		return true;
-	}
-	return false;
+	return answer_retired(r, entry, call->id, spec->team, spec->key);
 }
 
 static void
@@ -191,7 +196,7 @@
 		return;
 	cmd.c_case = GYP__CMD__C_SUBMIT;
 	cmd.submit = call->submit;
-	propose_call(r, entry, call, &cmd);
+	gyp_replica_propose_call(r, entry, call, &cmd);
 }
 
 static void
@@ -209,7 +214,7 @@
 	}
 	cmd.c_case = GYP__CMD__C_FINISH;
 	cmd.finish = call->report;
-	propose_call(r, entry, call, &cmd);
+	gyp_replica_propose_call(r, entry, call, &cmd);
 }
 
 static void
@@ -225,7 +230,7 @@
 	}
 	cmd.c_case = GYP__CMD__C_CANCEL;
 	cmd.cancel = call->cancel;
-	propose_call(r, entry, call, &cmd);
+	gyp_replica_propose_call(r, entry, call, &cmd);
 }
 
 static void
@@ -251,7 +256,7 @@
 	msg.id = call;
 	msg.endpoint = ep->id;
 	msg.lease_ms = r->cfg.endpoint_lease_ms;
-	reply(r, entry, &msg);
+	gyp_replica_reply(r, entry, &msg);
 }
 
 /* An older incarnation must be gone before its name is given out again. */
@@ -276,7 +281,7 @@
 	}
 	cmd.c_case = GYP__CMD__C_ENDPOINT;
 	cmd.endpoint = call->announce;
-	propose_call(r, entry, call, &cmd);
+	gyp_replica_propose_call(r, entry, call, &cmd);
 }
 
 static void
@@ -294,17 +299,7 @@
 	es.state = GYP_ENDPOINT_LEAVING;
 	cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
 	cmd.endpoint_state = &es;
-	propose_call(r, entry, call, &cmd);
-}
-
-static void
-call_rules(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
-{
-	Gyp__Cmd cmd = GYP__CMD__INIT;
-
-	cmd.c_case = GYP__CMD__C_RULES;
-	cmd.rules = call->rules;
-	propose_call(r, entry, call, &cmd);
+	gyp_replica_propose_call(r, entry, call, &cmd);
 }
 
 /* ---- Calls that read --------------------------------------------------- */
@@ -315,21 +310,71 @@
 	const struct gyp_job *job = gyp_state_job(r->state, a->job);
 	const struct gyp_task *t;
 
-	if (job == NULL || a->task >= job->n_tasks || job->cancelled)
+	if (job == NULL || a->task >= job->n_tasks || job->cancelled ||
+	    job->restarting)
 		return false;
 	t = &job->tasks[a->task];
 	return t->state == GYP_TASK_PLACED && t->endpoint == endpoint &&
 	       t->attempt == a->attempt;
 }
 
+static bool
+is_reported(const Gyp__Res *used)
+{
+	return used != NULL && (used->cpu_milli > 0 || used->memory > 0 ||
+				   used->accel > 0 || used->slots > 0);
+}
+
+static void
+note_usage(
+    struct gyp_replica *r, const struct gyp_endpoint *ep, const Gyp__Beat *beat)
+{
+	struct gyp_usage_sample s = {.at = r->now};
+	size_t i;
+
+	if (is_reported(beat->used)) {
+		s.used = gyp_res_from(beat->used);
+		gyp_usage_put_endpoint(r->usage, ep->id, &s);
+	}
+	for (i = 0; i < beat->n_usage; i++) {
+		const Gyp__Attempt *a = beat->usage[i];
+
+		if (!is_reported(a->used) || !runs_here(r, ep->id, a))
+			continue;
+		s.used = gyp_res_from(a->used);
+		gyp_usage_put_attempt(
+		    r->usage, a->job, a->task, a->attempt, &s);
+	}
+}
+
+/* Names what runs at the endpoint and should not. */
+static void
+reply_beat(struct gyp_replica *r, uint64_t entry, uint64_t call,
+    const struct gyp_endpoint *ep, bool resend)
+{
+	Gyp__Reply msg = GYP__REPLY__INIT;
+	uint32_t i, n;
+	const Gyp__Attempt *list = gyp_running_list(r->running, ep->id, &n);
+
+	msg.id = call;
+	msg.endpoint = ep->id;
+	msg.lease_ms = r->cfg.endpoint_lease_ms;
+	msg.resend = resend;
+	msg.stop = g_new(Gyp__Attempt *, n + 1);
+	for (i = 0; i < n; i++) {
+		if (!runs_here(r, ep->id, &list[i]))
+			msg.stop[msg.n_stop++] = (Gyp__Attempt *)&list[i];
+	}
+	gyp_replica_reply(r, entry, &msg);
+	g_free(msg.stop);
+}
+
 static void
 call_beat(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
 	const Gyp__Beat *beat = call->beat;
 	const struct gyp_endpoint *ep =
 	    gyp_state_endpoint(r->state, beat->endpoint);
-	Gyp__Reply msg = GYP__REPLY__INIT;
-	size_t i;
 
 	if (ep == NULL || ep->spec->incarnation != beat->incarnation) {
 		reply_code(r, entry, call->id, GYP__CODE__CODE_NOT_FOUND,
@@ -337,16 +382,9 @@
 		return;
 	}
 	gyp_leases_renew(r->leases, ep->id, r->now, beat->clock_ms);
-	msg.id = call->id;
-	msg.endpoint = ep->id;
-	msg.lease_ms = r->cfg.endpoint_lease_ms;
-	msg.stop = g_new(Gyp__Attempt *, beat->n_running + 1);
-	for (i = 0; i < beat->n_running; i++) {
-		if (!runs_here(r, ep->id, beat->running[i]))
-			msg.stop[msg.n_stop++] = beat->running[i];
-	}
-	reply(r, entry, &msg);
-	g_free(msg.stop);
+	note_usage(r, ep, beat);
+	reply_beat(r, entry, call->id, ep,
+	    !gyp_running_take(r->running, r->now, beat));
 }
 
 static void
@@ -367,8 +405,26 @@
 		    read->answer ? read->task : UINT32_MAX);
 }
 
+/* A drain is committed first; the report then shows what it made. */
 static void
-call_admin(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+call_drain(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	const Gyp__Admin *admin = call->admin;
+	const struct gyp_endpoint *ep =
+	    gyp_state_endpoint_by_name(r->state, admin->name);
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdEndpointState es = GYP__CMD_ENDPOINT_STATE__INIT;
+
+	es.endpoint = ep != NULL ? ep->id : 0;
+	es.state = admin->enable ? GYP_ENDPOINT_DRAINED : GYP_ENDPOINT_ACTIVE;
+	es.from = admin->enable ? 0 : GYP_ENDPOINT_DRAINED;
+	cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
+	cmd.endpoint_state = &es;
+	gyp_replica_propose_call(r, entry, call, &cmd);
+}
+
+static void
+reply_admin(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
 	Gyp__Reply msg = GYP__REPLY__INIT;
 	char *json;
@@ -381,7 +437,7 @@
 	json = gyp_admin_json(r, call->admin, &msg.code);
 	msg.id = call->id;
 	msg.json = json;
-	reply(r, entry, &msg);
+	gyp_replica_reply(r, entry, &msg);
 	g_free(json);
 }
 
@@ -408,10 +464,13 @@
 		call_leave(r, entry, call);
 		break;
 	case GYP__CALL__C_RULES:
-		call_rules(r, entry, call);
+		gyp_replica_call_rules(r, entry, call);
 		break;
 	case GYP__CALL__C_ADMIN:
-		call_admin(r, entry, call);
+		if (call->admin->op == GYP__ADMIN_OP__ADMIN_DRAIN)
+			call_drain(r, entry, call);
+		else
+			reply_admin(r, entry, call);
 		break;
 	case GYP__CALL__C_REPORT:
 		call_report(r, entry, call);
@@ -434,30 +493,11 @@
 	if (job == NULL && c->key[0] != '\0')
 		job = gyp_state_job_by_key(r->state, c->team, c->key);
 	if (job != NULL)
-		reply_job(r, entry, call->id, job, UINT32_MAX);
-	else
-		reply_code(r, entry, call->id, GYP__CODE__CODE_RETIRED,
-		    "the key is refused from now on");
-}
-
-static void
-answer_rules(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
-{
-	const struct gyp_rules_version *v =
-	    gyp_state_rules_by_request(r->state, call->rules->request);
-	const struct gyp_rules_version *newest = gyp_state_rules(r->state);
-	Gyp__Reply msg = GYP__REPLY__INIT;
-
-	msg.id = call->id;
-	if (v != NULL) {
-		msg.version = v->version;
-	} else {
-		msg.code = GYP__CODE__CODE_CONFLICT;
-		msg.message = "the rules have another version by now";
-		msg.version = newest != NULL ? newest->version : 0;
-		msg.json = newest != NULL ? newest->cmd->text : "";
-	}
-	reply(r, entry, &msg);
+		reply_job(
+		    r, entry, call->id, job, c->unless_job ? 0 : UINT32_MAX);
+	else if (!answer_retired(r, entry, call->id, c->team, c->key))
+		reply_code(r, entry, call->id, GYP__CODE__CODE_NOT_FOUND,
+		    "no such job");
 }
 
 static void
@@ -489,7 +529,10 @@
 		answer_announce(r, entry, call);
 		break;
 	case GYP__CALL__C_RULES:
-		answer_rules(r, entry, call);
+		gyp_replica_answer_rules(r, entry, call);
+		break;
+	case GYP__CALL__C_ADMIN:
+		reply_admin(r, entry, call);
 		break;
 	default:
 		reply_code(r, entry, call->id, GYP__CODE__CODE_OK, "");
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -108,7 +108,11 @@
   GYP__CODE__CODE_CONFLICT = 3,
   GYP__CODE__CODE_BAD = 4,
   GYP__CODE__CODE_RETIRED = 5,
-  GYP__CODE__CODE_BUSY = 6
+  GYP__CODE__CODE_BUSY = 6,
+  /*
+   * the key is refused, and no job ever had it
+   */
+  GYP__CODE__CODE_REFUSED = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__CODE)
 } Gyp__Code;
 typedef enum _Gyp__OrderType {
@@ -117,7 +121,15 @@
    * ask for the attempt's fate, never start it
    */
   GYP__ORDER_TYPE__ORDER_QUERY = 1,
-  GYP__ORDER_TYPE__ORDER_STOP = 2
+  GYP__ORDER_TYPE__ORDER_STOP = 2,
+  /*
+   * save and end the attempt
+   */
+  GYP__ORDER_TYPE__ORDER_CHECKPOINT = 18,
+  /*
+   * run on with at most cpu_limit_milli
+   */
+  GYP__ORDER_TYPE__ORDER_THROTTLE = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__ORDER_TYPE)
 } Gyp__OrderType;
 
@@ -335,10 +347,14 @@
    */
   protobuf_c_boolean answer_dropped;
   char *reason;
+  /*
+   * stopped by an order; the task is queued again
+   */
+  protobuf_c_boolean checkpointed;
 };
 #define GYP__CMD_FINISH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_finish__descriptor) \
-    , 0, 0, 0, GYP__OUTCOME__OUTCOME_NONE, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, GYP__OUTCOME__OUTCOME_NONE, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Gyp__CmdEndpoint
@@ -365,10 +381,14 @@
    * enum gyp_endpoint_state
    */
   uint32_t state;
+  /*
+   * applies in this state only, when not 0
+   */
+  uint32_t from;
 };
 #define GYP__CMD_ENDPOINT_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_endpoint_state__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Gyp__CmdCancel
@@ -381,10 +401,14 @@
   char *key;
   char *team;
   char *reason;
+  /*
+   * leave a job that has the key alone
+   */
+  protobuf_c_boolean unless_job;
 };
 #define GYP__CMD_CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_cancel__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Gyp__CmdRules
@@ -492,10 +516,11 @@
    * order of the ends
    */
   uint64_t finished_seq;
+  protobuf_c_boolean restarting;
 };
 #define GYP__SNAP_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_job__descriptor) \
-    , 0, NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0 }
+    , 0, NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0 }
 
 
 struct  Gyp__SnapEndpoint
@@ -539,10 +564,15 @@
   size_t n_retired_keys;
   uint64_t *retired_keys;
   uint64_t next_seq;
+  /*
+   * for each of retired_keys
+   */
+  size_t n_retired_had_job;
+  protobuf_c_boolean *retired_had_job;
 };
 #define GYP__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__snapshot__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -590,10 +620,14 @@
   uint64_t job;
   uint32_t task;
   uint32_t attempt;
+  /*
+   * in a heartbeat's usage: measured, with a lag
+   */
+  Gyp__Res *used;
 };
 #define GYP__ATTEMPT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__attempt__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, NULL }
 
 
 struct  Gyp__Beat
@@ -614,10 +648,23 @@
   Gyp__Res *used;
   size_t n_running;
   Gyp__Attempt **running;
+  /*
+   * the running list is that of `list`
+   */
+  protobuf_c_boolean unchanged;
+  /*
+   * number of the list, rises with each change
+   */
+  uint32_t list;
+  /*
+   * with `used`; any subset of the running
+   */
+  size_t n_usage;
+  Gyp__Attempt **usage;
 };
 #define GYP__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__beat__descriptor) \
-    , 0, 0, 0, NULL, 0,NULL }
+    , 0, 0, 0, NULL, 0,NULL, 0, 0, 0,NULL }
 
 
 struct  Gyp__ReadJob
@@ -657,6 +704,10 @@
 {
   ProtobufCMessage base;
   uint64_t id;
+  /*
+   * of rules: for their being in force everywhere
+   */
+  uint32_t wait_ms;
   Gyp__Call__CCase c_case;
   union {
     /*
@@ -675,7 +726,7 @@
 };
 #define GYP__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__call__descriptor) \
-    , 0, GYP__CALL__C__NOT_SET, {0} }
+    , 0, 0, GYP__CALL__C__NOT_SET, {0} }
 
 
 struct  Gyp__Admin
@@ -685,10 +736,14 @@
   uint64_t job;
   char *name;
   protobuf_c_boolean enable;
+  /*
+   * of rules; 0 for the newest
+   */
+  uint64_t version;
 };
 #define GYP__ADMIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__admin__descriptor) \
-    , GYP__ADMIN_OP__ADMIN_STATUS, 0, (char *)protobuf_c_empty_string, 0 }
+    , GYP__ADMIN_OP__ADMIN_STATUS, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Gyp__JobView
@@ -723,10 +778,14 @@
    */
   size_t n_stop;
   Gyp__Attempt **stop;
+  /*
+   * the leader lacks the beat's running list
+   */
+  protobuf_c_boolean resend;
 };
 #define GYP__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__reply__descriptor) \
-    , 0, GYP__CODE__CODE_OK, (char *)protobuf_c_empty_string, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , 0, GYP__CODE__CODE_OK, (char *)protobuf_c_empty_string, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
 
 
 /*
@@ -752,10 +811,19 @@
   Gyp__Kind kind;
   Gyp__Res *size;
   ProtobufCBinaryData payload;
+  uint32_t cpu_limit_milli;
+  /*
+   * connections to the endpoint that the entry may use
+   */
+  uint32_t cap;
+  /*
+   * cell time after which no leader sends this start
+   */
+  uint64_t until_ms;
 };
 #define GYP__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__order__descriptor) \
-    , GYP__ORDER_TYPE__ORDER_START, NULL, (char *)protobuf_c_empty_string, 0, 0, GYP__KIND__KIND_REQUEST, NULL, {0,NULL} }
+    , GYP__ORDER_TYPE__ORDER_START, NULL, (char *)protobuf_c_empty_string, 0, 0, GYP__KIND__KIND_REQUEST, NULL, {0,NULL}, 0, 0, 0 }
 
 
 struct  Gyp__EntryUp
@@ -771,10 +839,18 @@
    * the entry's clock, echoed for its lease
    */
   uint64_t round;
+  /*
+   * gets no new placements
+   */
+  protobuf_c_boolean draining;
+  /*
+   * for reports; in the first frame to a replica
+   */
+  char *name;
 };
 #define GYP__ENTRY_UP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__entry_up__descriptor) \
-    , 0,NULL, 0, 0 }
+    , 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Gyp__EntryDown
@@ -800,10 +876,14 @@
    */
   char *rules;
   uint64_t round;
+  /*
+   * committed cell time
+   */
+  uint64_t time_ms;
 };
 #define GYP__ENTRY_DOWN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__entry_down__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 typedef enum {
