--- /dev/null
+++ b/src/policy_score.c
@@ -0,0 +1,90 @@
+#include <string.h>
+
+#include "policy.h"
+
+/* Weight of what a task without accelerators takes from those with them. */
+#define ACCEL_PENALTY 4.0
+
+/* Weight of an uneven rest, which neither kind of task can use. */
+#define UNEVEN_PENALTY 0.5
+
+static double
+share_left(uint64_t left, uint64_t capacity)
+{
+	return capacity == 0 ? 0 : (double)left / (double)capacity;
+}
+
+static double
+rest(const struct gyp_offer *o)
+{
+	return share_left(o->left->cpu_milli, o->capacity->cpu_milli) +
+	       share_left(o->left->memory, o->capacity->memory);
+}
+
+/* Tight fits whose rest is as even as it can be. */
+static double
+weighted_score(const struct gyp_res *size, const struct gyp_offer *o)
+{
+	double cpu = share_left(o->left->cpu_milli, o->capacity->cpu_milli);
+	double memory = share_left(o->left->memory, o->capacity->memory);
+	double score = -(cpu + memory);
+
+	score -= UNEVEN_PENALTY * (cpu > memory ? cpu - memory : memory - cpu);
+	if (size->accel == 0 && o->capacity->accel > 0)
+		score -= ACCEL_PENALTY;
+	return score;
+}
+
+static double
+first_fit_score(const struct gyp_res *size, const struct gyp_offer *o)
+{
+	(void)size;
+	return -(double)o->row;
+}
+
+static double
+random_score(const struct gyp_res *size, const struct gyp_offer *o)
+{
+	(void)size;
+	return o->random;
+}
+
+static double
+least_loaded_score(const struct gyp_res *size, const struct gyp_offer *o)
+{
+	(void)size;
+	return rest(o);
+}
+
+static double
+best_fit_score(const struct gyp_res *size, const struct gyp_offer *o)
+{
+	(void)size;
+	return -rest(o);
+}
+
+const struct gyp_policy_ops gyp_policy_weighted = {
+    .name = "weighted", .weighted = true, .score = weighted_score};
+const struct gyp_policy_ops gyp_policy_first_fit = {
+    .name = "first-fit", .score = first_fit_score};
+const struct gyp_policy_ops gyp_policy_random = {
+    .name = "random", .score = random_score};
+const struct gyp_policy_ops gyp_policy_least_loaded = {
+    .name = "least-loaded", .score = least_loaded_score};
+const struct gyp_policy_ops gyp_policy_best_fit = {
+    .name = "best-fit", .score = best_fit_score};
+
+const struct gyp_policy_ops *
+gyp_policy_by_name(const char *name)
+{
+	static const struct gyp_policy_ops *const all[] = {&gyp_policy_weighted,
+	    &gyp_policy_first_fit, &gyp_policy_random, &gyp_policy_least_loaded,
+	    &gyp_policy_best_fit};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(all); i++) {
+		if (strcmp(all[i]->name, name) == 0)
+			return all[i];
+	}
+	return NULL;
+}
--- a/src/replica.c
+++ b/src/replica.c
@@ -95,7 +95,6 @@
 	gyp_state_apply(r->state, batch);
 	gyp__batch__free_unpacked(batch, NULL);
 	gyp_replica_refresh_rules(r, e->index);
-	r->undecided = true;
 	if (r->leading && r->batch_index == e->index) {
 		r->batch_index = 0;
 		gyp_replica_answer_waiting(r, e->index);
@@ -207,20 +206,62 @@
 	return i - first;
 }
 
+static void
+propose_refusals(struct gyp_replica *r, const GArray *refusals)
+{
+	guint i;
+
+	for (i = 0; i < refusals->len; i++) {
+		const struct gyp_refusal *refusal =
+		    &g_array_index(refusals, struct gyp_refusal, i);
+		Gyp__Cmd cmd = GYP__CMD__INIT;
+		Gyp__CmdCancel cancel = GYP__CMD_CANCEL__INIT;
+
+		cancel.job = refusal->job;
+		cancel.reason = refusal->reason;
+		cmd.c_case = GYP__CMD__C_CANCEL;
+		cmd.cancel = &cancel;
+		gyp_replica_propose(r, &cmd);
+	}
+}
+
+static void
+propose_verdicts(struct gyp_replica *r, const GArray *verdicts)
+{
+	guint i;
+
+	for (i = 0; i < verdicts->len; i++) {
+		const struct gyp_verdict *v =
+		    &g_array_index(verdicts, struct gyp_verdict, i);
+		Gyp__Cmd cmd = GYP__CMD__INIT;
+		Gyp__CmdEndpointState es = GYP__CMD_ENDPOINT_STATE__INIT;
+
+		es.endpoint = v->endpoint;
+		es.state = v->state;
+		es.from = v->from;
+		cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
+		cmd.endpoint_state = &es;
+		gyp_replica_propose(r, &cmd);
+	}
+}
+
 static void
 decide(struct gyp_replica *r)
 {
-	GArray *choices;
+	uint64_t cell_time = r->time_base + (r->now - r->lead_since);
+	struct gyp_decision *d;
 	guint i = 0;
 
-	r->undecided = false;
-	if (gyp_replica_pick_entry(r, NULL, 0) == 0)
+	if (!gyp_policy_is_due(r->policy, cell_time) ||
+	    gyp_replica_pick_entry(r, NULL, 0) == 0)
 		return;
-	choices = g_array_new(FALSE, FALSE, sizeof(struct gyp_choice));
-	gyp_policy_decide(r->policy, r->state, DECISIONS_MAX, choices);
-	while (i < choices->len)
-		i += propose_group(r, choices, i);
-	g_array_free(choices, TRUE);
+	d = gyp_decision_new();
+	gyp_policy_decide(r->policy, cell_time, DECISIONS_MAX, d);
+	while (i < d->choices->len)
+		i += propose_group(r, d->choices, i);
+	propose_refusals(r, d->refusals);
+	propose_verdicts(r, d->verdicts);
+	gyp_decision_free(d);
 }
 
 static void
@@ -252,6 +293,7 @@
 drop_leader_state(struct gyp_replica *r)
 {
 	r->leading = false;
+	gyp_policy_detach(r->policy);
 	r->batch_index = 0;
 	g_ptr_array_set_size(r->batch, 0);
 	g_ptr_array_set_size(r->waiting, 0);
@@ -271,7 +313,7 @@
 	r->lead_term = gyp_raft_term(r->raft);
 	r->lead_since = r->now;
 	r->time_base = gyp_state_time(r->state);
-	r->undecided = true;
+	gyp_policy_attach(r->policy, r->state, r->time_base);
 	gyp_leases_reset(r->leases, r->now);
 }
 
@@ -316,8 +358,7 @@
 	if (r->now >= r->duties_at)
 		gyp_replica_duties(r);
 	if (r->batch_index == 0) {
-		if (r->undecided)
-			decide(r);
+		decide(r);
 		if (r->batch->len > 0)
 			propose_batch(r);
 	}
@@ -503,8 +544,9 @@
 	r->raft = gyp_raft_new(&rc, &r->io);
 	r->state = gyp_state_new(&r->listener.base);
 	r->rules = gyp_rules_defaults();
+	gyp_policy_set_rules(r->policy, r->rules);
 	r->rules_waits = g_ptr_array_new_with_free_func(gyp_free_rules_wait);
-	r->policy = gyp_policy_best_fit();
+	r->policy = gyp_policy_new(&gyp_policy_weighted, cfg->seed);
 	r->batch = g_ptr_array_new_with_free_func(gyp_message_free);
 	r->waiting = g_ptr_array_new_with_free_func(gyp_free_waiting_call);
 	r->subscribers = g_hash_table_new_full(
@@ -539,6 +581,7 @@
 	g_hash_table_destroy(r->subscribers);
 	g_hash_table_destroy(r->entries);
 	gyp_leases_free(r->leases);
+	gyp_policy_free(r->policy);
 	gyp_state_free(r->state);
 	gyp_raft_free(r->raft);
 	g_free((char *)r->cfg.address);
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -73,7 +73,6 @@
 	uint64_t time_base; /* cell time at lead_since */
 	GPtrArray *batch;   /* Gyp__Cmd, owned */
 	uint64_t batch_index;
-	bool undecided; /* the tables changed since the last decision */
 	GPtrArray *waiting;
 	GHashTable *subscribers; /* job -> GArray of struct gyp_subscriber */
 	GHashTable *entries;     /* id -> struct gyp_entry_peer */
--- a/src/replica_lead.c
+++ b/src/replica_lead.c
@@ -434,7 +434,6 @@
 gyp_replica_duties(struct gyp_replica *r)
 {
 	r->duties_at = r->now + DUTIES_MS;
-	r->undecided = true;
 	expire_entries(r);
 	if (r->batch_index == 0) {
 		expire_endpoints(r);
--- a/src/replica_rules.c
+++ b/src/replica_rules.c
@@ -79,6 +79,7 @@
 		return;
 	gyp_rules_free(r->rules);
 	r->rules = parse_newest(r->state);
+	gyp_policy_set_rules(r->policy, r->rules);
 	r->rules_version = version;
 	r->rules_index = index;
 	if (r->leading)
--- a/src/state.c
+++ b/src/state.c
@@ -6,6 +6,7 @@
 
 struct gyp_state {
 	struct gyp_state_listener *listener;
+	struct gyp_state_watcher *watcher;
 	uint64_t time_ms;
 	uint64_t next_seq;
 	struct gyp_table *jobs;
@@ -67,6 +68,22 @@
 	g_free(v);
 }
 
+/* ---- Watcher ------------------------------------------------------------ */
+
+static void
+watch_endpoint(const struct gyp_state *s, const struct gyp_endpoint *ep)
+{
+	if (s->watcher != NULL)
+		s->watcher->ops->endpoint(s->watcher, ep->id, ep);
+}
+
+static void
+watch_queued(const struct gyp_state *s, const struct gyp_job *job)
+{
+	if (s->watcher != NULL)
+		s->watcher->ops->queued(s->watcher, job);
+}
+
 static void
 set_reason(struct gyp_job *job, const char *reason)
 {
@@ -187,10 +204,12 @@
 	job->n_placed += state == GYP_TASK_PLACED;
 	t->state = state;
 	t->changed_ms = s->time_ms;
-	if (queued_before == 0 && job->n_queued > 0)
+	if (queued_before == 0 && job->n_queued > 0) {
 		g_queue_push_head_link(&s->queue, &job->link);
-	else if (queued_before > 0 && job->n_queued == 0)
+		watch_queued(s, job);
+	} else if (queued_before > 0 && job->n_queued == 0) {
 		g_queue_unlink(&s->queue, &job->link);
+	}
 }
 
 /* Ends a queued task without a further attempt. */
@@ -221,14 +240,11 @@
 }
 
 static void
-release_booking(
-    struct gyp_state *s, struct gyp_job *job, const struct gyp_task *t)
+remove_attempt(struct gyp_endpoint *ep, const struct gyp_job *job,
+    const struct gyp_task *t)
 {
-	struct gyp_endpoint *ep = gyp_table_get(s->endpoints, t->endpoint);
 	guint i;
 
-	g_assert(ep != NULL);
-	gyp_res_sub(&ep->booked, &job->size);
 	for (i = 0; i < ep->attempts->len; i++) {
 		struct gyp_task_ref *ref =
 		    &g_array_index(ep->attempts, struct gyp_task_ref, i);
@@ -241,6 +257,22 @@
 	g_assert_not_reached();
 }
 
+static void
+release_booking(struct gyp_state *s, struct gyp_job *job,
+    const struct gyp_task *t, Gyp__Outcome outcome)
+{
+	struct gyp_endpoint *ep = gyp_table_get(s->endpoints, t->endpoint);
+
+	g_assert(ep != NULL);
+	gyp_res_sub(&ep->booked, &job->size);
+	remove_attempt(ep, job, t);
+	if (s->watcher == NULL)
+		return;
+	s->watcher->ops->released(
+	    s->watcher, job, (uint32_t)(t - job->tasks), outcome);
+	watch_endpoint(s, ep);
+}
+
 /* Whether a task whose attempt ended so gets another one. */
 static bool
 wants_retry(
@@ -262,7 +294,7 @@
 	bool ran_before = t->last != GYP__OUTCOME__OUTCOME_NONE &&
 			  t->last != GYP__OUTCOME__OUTCOME_NOT_RUN;
 
-	release_booking(s, job, t);
+	release_booking(s, job, t, outcome);
 	if (outcome == GYP__OUTCOME__OUTCOME_FAILED)
 		t->failures++;
 	/* An attempt that was not run takes nothing back of earlier ones. */
@@ -327,6 +359,7 @@
 	job->submitted_ms = s->time_ms;
 	job->n_queued = job->n_tasks;
 	g_queue_push_tail_link(&s->queue, &job->link);
+	watch_queued(s, job);
 }
 
 static bool
@@ -360,6 +393,9 @@
 	t->endpoint = p->endpoint;
 	t->entry = p->entry;
 	set_task_state(s, job, t, GYP_TASK_PLACED);
+	watch_endpoint(s, ep);
+	if (s->watcher != NULL)
+		s->watcher->ops->booked(s->watcher, job, p->task);
 }
 
 static void
@@ -368,7 +404,7 @@
 	struct gyp_job *job = gyp_table_get(s->jobs, p->job);
 	struct gyp_task *t = &job->tasks[p->task];
 
-	release_booking(s, job, t);
+	release_booking(s, job, t, GYP__OUTCOME__OUTCOME_NONE);
 	t->attempt--;
 	set_task_state(s, job, t, GYP_TASK_QUEUED);
 }
@@ -453,6 +489,7 @@
 		return;
 	ep = gyp_table_add(s->endpoints, &id);
 	init_endpoint(s, ep, id, cmd);
+	watch_endpoint(s, ep);
 }
 
 static gint
@@ -518,9 +555,12 @@
 		return;
 	if (cmd->state != GYP_ENDPOINT_GONE) {
 		ep->state = cmd->state;
+		watch_endpoint(s, ep);
 		return;
 	}
 	end_attempts_of(s, ep);
+	if (s->watcher != NULL)
+		s->watcher->ops->endpoint(s->watcher, ep->id, NULL);
 	g_hash_table_remove(s->endpoint_names, ep->spec->name);
 	release_endpoint(ep);
 	gyp_table_remove(s->endpoints, cmd->endpoint);
@@ -732,6 +772,12 @@
 	g_free(s);
 }
 
+void
+gyp_state_watch(struct gyp_state *s, struct gyp_state_watcher *watcher)
+{
+	s->watcher = watcher;
+}
+
 uint64_t
 gyp_state_time(const struct gyp_state *s)
 {
@@ -1135,6 +1181,7 @@
 	if (snap == NULL)
 		return false;
 	fresh = gyp_state_new(listener);
+	fresh->watcher = s->watcher;
 	clear_state(s);
 	*s = *fresh;
 	g_free(fresh);
--- a/src/state.h
+++ b/src/state.h
@@ -138,10 +138,33 @@
 	const struct gyp_state_listener_ops *ops;
 };
 
+struct gyp_state_watcher;
+
+/* Called during apply; for whoever keeps sums or an index of the tables. */
+struct gyp_state_watcher_ops {
+	/* A row was added, changed or, when NULL is given, removed. */
+	void (*endpoint)(struct gyp_state_watcher *, uint64_t id,
+	    const struct gyp_endpoint *);
+	/* A job without queued tasks got some. */
+	void (*queued)(struct gyp_state_watcher *, const struct gyp_job *);
+	/* A task was booked on its endpoint, or is no longer. */
+	void (*booked)(struct gyp_state_watcher *, const struct gyp_job *,
+	    uint32_t task);
+	void (*released)(struct gyp_state_watcher *, const struct gyp_job *,
+	    uint32_t task, Gyp__Outcome);
+};
+
+struct gyp_state_watcher {
+	const struct gyp_state_watcher_ops *ops;
+};
+
 /* The listener may be NULL. */
 struct gyp_state *gyp_state_new(struct gyp_state_listener *);
 void gyp_state_free(struct gyp_state *);
 
+/* Sets the one watcher; NULL for none. It must read the tables itself first. */
+void gyp_state_watch(struct gyp_state *, struct gyp_state_watcher *);
+
 /* Applies one committed batch. */
 void gyp_state_apply(struct gyp_state *, const Gyp__Batch *);
 
