--- a/src/health.h
+++ b/src/health.h
@@ -40,8 +40,7 @@
 struct gyp_health *gyp_health_new(void);
 void gyp_health_free(struct gyp_health *);
 
-void gyp_health_succeeded(
-    struct gyp_health *, uint64_t job, uint64_t endpoint);
+void gyp_health_succeeded(struct gyp_health *, uint64_t job, uint64_t endpoint);
 void gyp_health_failed(
     struct gyp_health *, uint64_t job, uint64_t endpoint, uint64_t now);
 void gyp_health_forget_endpoint(struct gyp_health *, uint64_t endpoint);
--- a/src/policy.c
+++ b/src/policy.c
@@ -77,8 +77,8 @@
 }
 
 static void
-on_endpoint(struct gyp_state_watcher *w, uint64_t id,
-    const struct gyp_endpoint *ep)
+on_endpoint(
+    struct gyp_state_watcher *w, uint64_t id, const struct gyp_endpoint *ep)
 {
 	struct gyp_policy *p = from_watcher(w);
 
@@ -100,8 +100,7 @@
 }
 
 static void
-on_booked(
-    struct gyp_state_watcher *w, const struct gyp_job *job, uint32_t task)
+on_booked(struct gyp_state_watcher *w, const struct gyp_job *job, uint32_t task)
 {
 	struct gyp_policy *p = from_watcher(w);
 
@@ -113,8 +112,8 @@
 learn_run_time(struct gyp_policy *p, const struct gyp_job *job, uint32_t task)
 {
 	struct lane *lane = queue_lane(p, job);
-	double ran = (double)(gyp_state_time(p->state) -
-			      job->tasks[task].changed_ms);
+	double ran =
+	    (double)(gyp_state_time(p->state) - job->tasks[task].changed_ms);
 
 	if (lane->run_ms == 0)
 		lane->run_ms = ran;
@@ -124,20 +123,22 @@
 
 static void
 on_released(struct gyp_state_watcher *w, const struct gyp_job *job,
-    uint32_t task, Gyp__Outcome outcome)
+    uint32_t task, const Gyp__CmdFinish *finish)
 {
 	struct gyp_policy *p = from_watcher(w);
 	uint64_t endpoint = job->tasks[task].endpoint;
 
 	gyp_res_sub(&queue_team(p, job->spec->team)->booked, &job->size);
-	if (!p->ops->weighted)
+	if (!p->ops->weighted || finish == NULL)
 		return;
-	if (outcome == GYP__OUTCOME__OUTCOME_DONE) {
+	if (finish->outcome == GYP__OUTCOME__OUTCOME_DONE) {
 		learn_run_time(p, job, task);
 		gyp_health_succeeded(p->health, job->id, endpoint);
-	} else if (outcome == GYP__OUTCOME__OUTCOME_FAILED) {
-		gyp_health_failed(p->health, job->id, endpoint,
-		    gyp_state_time(p->state));
+	} else if (finish->outcome == GYP__OUTCOME__OUTCOME_FAILED &&
+		   !finish->checkpointed && !job->restarting &&
+		   !job->cancelled) {
+		gyp_health_failed(
+		    p->health, job->id, endpoint, gyp_state_time(p->state));
 	}
 }
 
@@ -161,8 +162,8 @@
 		return false;
 	index_sums(round->policy->index, &capacity, &left);
 	cpu = capacity.cpu_milli * (rule->u.reserve.cpu_percent / 100.0);
-	memory = (double)capacity.memory *
-		 (rule->u.reserve.memory_percent / 100.0);
+	memory =
+	    (double)capacity.memory * (rule->u.reserve.memory_percent / 100.0);
 	return (double)left.cpu_milli < cpu + size->cpu_milli ||
 	       (double)left.memory < memory + (double)size->memory;
 }
@@ -204,8 +205,8 @@
 
 /* Books one task for the length of this round; false when nothing fits. */
 bool
-policy_choose(struct round *round, struct lane *lane,
-    const struct gyp_job *job, uint32_t task)
+policy_choose(struct round *round, struct lane *lane, const struct gyp_job *job,
+    uint32_t task)
 {
 	struct gyp_policy *p = round->policy;
 	struct gyp_choice choice = {
@@ -283,8 +284,8 @@
 
 /* Refuses what can never run, so that it stands in nobody's way. */
 static bool
-is_hopeless(struct round *round, const struct lane *lane,
-    const struct gyp_job *job)
+is_hopeless(
+    struct round *round, const struct lane *lane, const struct gyp_job *job)
 {
 	struct gyp_policy *p = round->policy;
 	uint64_t since = MAX(p->attached_ms, job->submitted_ms);
@@ -304,8 +305,8 @@
 	    p->now < since + GYP_FEASIBLE_GRACE_MS)
 		return false;
 	if (index_could_hold(p->index, &job->size) &&
-	    (!gang || index_could_hold_tasks(p->index, &job->size) >=
-			  job->n_tasks))
+	    (!gang ||
+		index_could_hold_tasks(p->index, &job->size) >= job->n_tasks))
 		return false;
 	policy_refuse(p, job->id,
 	    g_strdup(gang ? "the announced endpoints could never hold all"
@@ -316,7 +317,8 @@
 }
 
 enum fit
-policy_try_job(struct round *round, struct lane *lane, const struct gyp_job *job)
+policy_try_job(
+    struct round *round, struct lane *lane, const struct gyp_job *job)
 {
 	struct gyp_policy *p = round->policy;
 	bool urgent = queue_is_urgent(lane, job);
@@ -379,8 +381,8 @@
 }
 
 static void
-judge_endpoint(struct round *round, struct spot *s,
-    const struct gyp_health_limits *limits)
+judge_endpoint(
+    struct round *round, struct spot *s, const struct gyp_health_limits *limits)
 {
 	struct gyp_policy *p = round->policy;
 
@@ -388,13 +390,13 @@
 	if (s->usable &&
 	    gyp_health_is_bad_endpoint(p->health, s->id, limits, p->now)) {
 		gyp_health_quarantine(p->health, s->id, limits, p->now);
-		add_verdict(round, s, GYP_ENDPOINT_ACTIVE,
-		    GYP_ENDPOINT_QUARANTINED);
+		add_verdict(
+		    round, s, GYP_ENDPOINT_ACTIVE, GYP_ENDPOINT_QUARANTINED);
 		p->counters.quarantined++;
 	} else if (s->ep->state == GYP_ENDPOINT_QUARANTINED &&
 		   gyp_health_may_probe(p->health, s->id, p->now)) {
-		add_verdict(round, s, GYP_ENDPOINT_QUARANTINED,
-		    GYP_ENDPOINT_ACTIVE);
+		add_verdict(
+		    round, s, GYP_ENDPOINT_QUARANTINED, GYP_ENDPOINT_ACTIVE);
 	}
 }
 
@@ -460,8 +462,8 @@
 	g_array_set_size(p->touched, 0);
 	g_hash_table_iter_init(&iter, p->teams);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		memset(&((struct team *)value)->chosen, 0,
-		    sizeof(struct gyp_res));
+		memset(
+		    &((struct team *)value)->chosen, 0, sizeof(struct gyp_res));
 }
 
 static void
--- a/src/policy.h
+++ b/src/policy.h
@@ -122,8 +122,8 @@
  * One round: at most budget placements. What the last round proposed counts
  * only as far as the tables hold it by now.
  */
-void gyp_policy_decide(struct gyp_policy *, uint64_t now, uint32_t budget,
-    struct gyp_decision *);
+void gyp_policy_decide(
+    struct gyp_policy *, uint64_t now, uint32_t budget, struct gyp_decision *);
 
 /*
  * Why a job waits, or where it was placed, with the rule lines that decided;
--- a/src/policy_explain.c
+++ b/src/policy_explain.c
@@ -49,7 +49,8 @@
 		g_string_append(out, "no announced endpoint could hold one\n");
 	} else {
 		g_string_append_printf(out, "%s\n",
-		    lane->blocked != NULL ? lane->blocked : "not looked at yet");
+		    lane->blocked != NULL ? lane->blocked
+					  : "not looked at yet");
 		if (gyp_rules_reserve(p->rules) != NULL)
 			add_rule(out, gyp_rules_reserve(p->rules));
 	}
@@ -82,7 +83,7 @@
 	add_rule(out, lane->team->share);
 	add_rule(out, lane->spread);
 	if (lane->urgent->u.within_ms != GYP_UNLIMITED)
-		add_rule(out,
-		    gyp_rules_preempt(p->rules, "*", job->spec->class_));
+		add_rule(
+		    out, gyp_rules_preempt(p->rules, "*", job->spec->class_));
 	return g_string_free(out, FALSE);
 }
--- a/src/policy_index.c
+++ b/src/policy_index.c
@@ -27,8 +27,8 @@
  * largest capacity seen. A row without a free slot stands in no cell.
  */
 struct index {
-	GPtrArray *spots;  /* struct spot by row */
-	GPtrArray *cells;  /* GArray of row, CELLS * CELLS */
+	GPtrArray *spots;      /* struct spot by row */
+	GPtrArray *cells;      /* GArray of row, CELLS * CELLS */
 	uint32_t masks[CELLS]; /* of a processor step: steps of memory in use */
 	uint64_t max_cpu;
 	uint64_t max_memory;
@@ -466,8 +466,7 @@
 		offer.random = g_rand_int(s->policy->rand);
 	score = s->policy->ops->score(s->q->size, &offer);
 	if (s->q->over != GYP_SPREAD_NONE)
-		score -=
-		    SPREAD_PENALTY * tasks_in_domain(s, spot, s->q->over);
+		score -= SPREAD_PENALTY * tasks_in_domain(s, spot, s->q->over);
 	s->scored++;
 	if (s->best == NULL || score > s->best_score) {
 		s->best = spot;
--- a/src/policy_int.h
+++ b/src/policy_int.h
@@ -51,10 +51,10 @@
 	const struct gyp_res *size;
 	const struct gyp_job *job;
 	uint64_t now;
-	uint64_t avoid;      /* endpoint where it failed last */
-	uint64_t run_ms;     /* expected; 0 for unknown */
-	uint32_t max_tasks;  /* of an endpoint */
-	bool domains;        /* spread or rack limit: look at all */
+	uint64_t avoid;     /* endpoint where it failed last */
+	uint64_t run_ms;    /* expected; 0 for unknown */
+	uint32_t max_tasks; /* of an endpoint */
+	bool domains;       /* spread or rack limit: look at all */
 	enum gyp_spread_domain over;
 	uint32_t rack_limit;
 	const GArray *choices; /* of this round, the job's own last */
@@ -152,8 +152,8 @@
 	struct gyp_decision *out;
 	uint32_t budget;
 	uint32_t next_group;
-	uint32_t preempt_left; /* searches for victims */
-	GPtrArray *heap;       /* struct lane, the highest key first */
+	uint32_t preempt_left;   /* searches for victims */
+	GPtrArray *heap;         /* struct lane, the highest key first */
 	struct gyp_res capacity; /* of all usable endpoints */
 };
 
--- a/src/policy_preempt.c
+++ b/src/policy_preempt.c
@@ -44,9 +44,8 @@
 		    .task = ref->task};
 		const struct gyp_rule *rule = may_evict(p, job, v.job);
 
-		if (rule == NULL ||
-		    (same_team && g_strcmp0(v.job->spec->team,
-				      job->spec->team) != 0))
+		if (rule == NULL || (same_team && g_strcmp0(v.job->spec->team,
+						      job->spec->team) != 0))
 			continue;
 		v.since = v.job->tasks[ref->task].changed_ms;
 		v.line = rule->line;
@@ -65,8 +64,8 @@
 	guint i;
 
 	for (i = 0; i < victims->len; i++) {
-		gyp_res_add(&left,
-		    &g_array_index(victims, struct victim, i).job->size);
+		gyp_res_add(
+		    &left, &g_array_index(victims, struct victim, i).job->size);
 		if (gyp_res_fits(&job->size, &left))
 			return i + 1;
 	}
@@ -141,8 +140,7 @@
 }
 
 bool
-preempt_for(
-    struct round *round, struct lane *lane, const struct gyp_job *job)
+preempt_for(struct round *round, struct lane *lane, const struct gyp_job *job)
 {
 	struct gyp_policy *p = round->policy;
 	bool same_team = queue_over_quota(lane->team, &job->size) != NULL;
--- a/src/policy_queue.c
+++ b/src/policy_queue.c
@@ -410,8 +410,8 @@
 
 	round->heap = g_ptr_array_new();
 	fill_heap(round);
-	while (round->heap->len > 0 &&
-	       round->out->choices->len < round->budget) {
+	while (
+	    round->heap->len > 0 && round->out->choices->len < round->budget) {
 		struct lane *lane = heap_at(round->heap, 0);
 		const struct gyp_job *job = NULL;
 
--- a/src/replica.c
+++ b/src/replica.c
@@ -129,9 +129,10 @@
 on_attempt_over(
     struct gyp_state_listener *l, struct gyp_job *job, uint32_t task)
 {
-	(void)l;
-	(void)job;
-	(void)task;
+	struct gyp_replica *r = ((struct gyp_replica_listener *)l)->replica;
+
+	gyp_usage_drop_task(r->usage, job->id, task);
+	gyp_running_drop_task(r->running, job->id, task);
 }
 
 static void
@@ -245,6 +246,21 @@
 	}
 }
 
+/* Evicted tasks are queued again once the endpoint has ended them. */
+static void
+order_evictions(struct gyp_replica *r, const GArray *evictions)
+{
+	guint i;
+
+	for (i = 0; i < evictions->len; i++) {
+		const struct gyp_eviction *e =
+		    &g_array_index(evictions, struct gyp_eviction, i);
+
+		gyp_replica_queue_order(r, gyp_state_job(r->state, e->job),
+		    e->task, GYP__ORDER_TYPE__ORDER_CHECKPOINT);
+	}
+}
+
 static void
 decide(struct gyp_replica *r)
 {
@@ -261,6 +277,7 @@
 		i += propose_group(r, d->choices, i);
 	propose_refusals(r, d->refusals);
 	propose_verdicts(r, d->verdicts);
+	order_evictions(r, d->evictions);
 	gyp_decision_free(d);
 }
 
@@ -315,6 +332,8 @@
 	r->time_base = gyp_state_time(r->state);
 	gyp_policy_attach(r->policy, r->state, r->time_base);
 	gyp_leases_reset(r->leases, r->now);
+	gyp_usage_reset(r->usage);
+	gyp_running_reset(r->running);
 }
 
 static void
@@ -420,6 +439,7 @@
 	peer->round = up->round;
 	peer->lease_end = gyp_lease_end(r->now, r->cfg.entry_lease_ms);
 	peer->rules_version = up->rules_version;
+	peer->draining = up->draining;
 	if (up->name[0] != '\0') {
 		g_free(peer->name);
 		peer->name = g_strdup(up->name);
@@ -544,9 +564,9 @@
 	r->raft = gyp_raft_new(&rc, &r->io);
 	r->state = gyp_state_new(&r->listener.base);
 	r->rules = gyp_rules_defaults();
-	gyp_policy_set_rules(r->policy, r->rules);
 	r->rules_waits = g_ptr_array_new_with_free_func(gyp_free_rules_wait);
 	r->policy = gyp_policy_new(&gyp_policy_weighted, cfg->seed);
+	gyp_policy_set_rules(r->policy, r->rules);
 	r->batch = g_ptr_array_new_with_free_func(gyp_message_free);
 	r->waiting = g_ptr_array_new_with_free_func(gyp_free_waiting_call);
 	r->subscribers = g_hash_table_new_full(
@@ -554,6 +574,9 @@
 	r->entries = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, gyp_free_entry_peer);
 	r->leases = gyp_leases_new(cfg->endpoint_lease_ms);
+	r->usage = gyp_usage_new();
+	r->running = gyp_running_new();
+	r->counters = gyp_counters_new();
 	return r;
 }
 
@@ -582,6 +605,9 @@
 	g_hash_table_destroy(r->entries);
 	gyp_leases_free(r->leases);
 	gyp_policy_free(r->policy);
+	gyp_usage_free(r->usage);
+	gyp_running_free(r->running);
+	gyp_counters_free(r->counters);
 	gyp_state_free(r->state);
 	gyp_raft_free(r->raft);
 	g_free((char *)r->cfg.address);
--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -146,6 +146,22 @@
 	g_ptr_array_add(r->waiting, w);
 }
 
+/* Answers a key without a job; false when nothing is known of it. */
+static bool
+answer_retired(struct gyp_replica *r, uint64_t entry, uint64_t call,
+    const char *team, const char *key)
+{
+	if (gyp_state_key_refused(r->state, team, key))
+		reply_code(r, entry, call, GYP__CODE__CODE_REFUSED,
+		    "the key is refused, and no job ever had it");
+	else if (gyp_state_key_retired(r->state, team, key))
+		reply_code(r, entry, call, GYP__CODE__CODE_RETIRED,
+		    "the key's job is no longer kept");
+	else
+		return false;
+	return true;
+}
+
 /* Answers a submit from the tables; false when they hold nothing of it. */
 static bool
 answer_submit(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
@@ -168,12 +184,7 @@
 		reply_and_subscribe(r, entry, call->id, job);
 		return true;
 	}
-	if (gyp_state_key_retired(r->state, spec->team, spec->key)) {
-		reply_code(r, entry, call->id, GYP__CODE__CODE_RETIRED,
-		    "the key was refused or its job is no longer kept");
-		return true;
-	}
-	return false;
+	return answer_retired(r, entry, call->id, spec->team, spec->key);
 }
 
 static void
@@ -299,21 +310,71 @@
 	const struct gyp_job *job = gyp_state_job(r->state, a->job);
 	const struct gyp_task *t;
 
-	if (job == NULL || a->task >= job->n_tasks || job->cancelled)
+	if (job == NULL || a->task >= job->n_tasks || job->cancelled ||
+	    job->restarting)
 		return false;
 	t = &job->tasks[a->task];
 	return t->state == GYP_TASK_PLACED && t->endpoint == endpoint &&
 	       t->attempt == a->attempt;
 }
 
+static bool
+is_reported(const Gyp__Res *used)
+{
+	return used != NULL && (used->cpu_milli > 0 || used->memory > 0 ||
+				   used->accel > 0 || used->slots > 0);
+}
+
+static void
+note_usage(
+    struct gyp_replica *r, const struct gyp_endpoint *ep, const Gyp__Beat *beat)
+{
+	struct gyp_usage_sample s = {.at = r->now};
+	size_t i;
+
+	if (is_reported(beat->used)) {
+		s.used = gyp_res_from(beat->used);
+		gyp_usage_put_endpoint(r->usage, ep->id, &s);
+	}
+	for (i = 0; i < beat->n_usage; i++) {
+		const Gyp__Attempt *a = beat->usage[i];
+
+		if (!is_reported(a->used) || !runs_here(r, ep->id, a))
+			continue;
+		s.used = gyp_res_from(a->used);
+		gyp_usage_put_attempt(
+		    r->usage, a->job, a->task, a->attempt, &s);
+	}
+}
+
+/* Names what runs at the endpoint and should not. */
+static void
+reply_beat(struct gyp_replica *r, uint64_t entry, uint64_t call,
+    const struct gyp_endpoint *ep, bool resend)
+{
+	Gyp__Reply msg = GYP__REPLY__INIT;
+	uint32_t i, n;
+	const Gyp__Attempt *list = gyp_running_list(r->running, ep->id, &n);
+
+	msg.id = call;
+	msg.endpoint = ep->id;
+	msg.lease_ms = r->cfg.endpoint_lease_ms;
+	msg.resend = resend;
+	msg.stop = g_new(Gyp__Attempt *, n + 1);
+	for (i = 0; i < n; i++) {
+		if (!runs_here(r, ep->id, &list[i]))
+			msg.stop[msg.n_stop++] = (Gyp__Attempt *)&list[i];
+	}
+	gyp_replica_reply(r, entry, &msg);
+	g_free(msg.stop);
+}
+
 static void
 call_beat(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
 	const Gyp__Beat *beat = call->beat;
 	const struct gyp_endpoint *ep =
 	    gyp_state_endpoint(r->state, beat->endpoint);
-	Gyp__Reply msg = GYP__REPLY__INIT;
-	size_t i;
 
 	if (ep == NULL || ep->spec->incarnation != beat->incarnation) {
 		reply_code(r, entry, call->id, GYP__CODE__CODE_NOT_FOUND,
@@ -321,16 +382,9 @@
 		return;
 	}
 	gyp_leases_renew(r->leases, ep->id, r->now, beat->clock_ms);
-	msg.id = call->id;
-	msg.endpoint = ep->id;
-	msg.lease_ms = r->cfg.endpoint_lease_ms;
-	msg.stop = g_new(Gyp__Attempt *, beat->n_running + 1);
-	for (i = 0; i < beat->n_running; i++) {
-		if (!runs_here(r, ep->id, beat->running[i]))
-			msg.stop[msg.n_stop++] = beat->running[i];
-	}
-	gyp_replica_reply(r, entry, &msg);
-	g_free(msg.stop);
+	note_usage(r, ep, beat);
+	reply_beat(r, entry, call->id, ep,
+	    !gyp_running_take(r->running, r->now, beat));
 }
 
 static void
@@ -351,8 +405,26 @@
 		    read->answer ? read->task : UINT32_MAX);
 }
 
+/* A drain is committed first; the report then shows what it made. */
 static void
-call_admin(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+call_drain(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	const Gyp__Admin *admin = call->admin;
+	const struct gyp_endpoint *ep =
+	    gyp_state_endpoint_by_name(r->state, admin->name);
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdEndpointState es = GYP__CMD_ENDPOINT_STATE__INIT;
+
+	es.endpoint = ep != NULL ? ep->id : 0;
+	es.state = admin->enable ? GYP_ENDPOINT_DRAINED : GYP_ENDPOINT_ACTIVE;
+	es.from = admin->enable ? 0 : GYP_ENDPOINT_DRAINED;
+	cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
+	cmd.endpoint_state = &es;
+	gyp_replica_propose_call(r, entry, call, &cmd);
+}
+
+static void
+reply_admin(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
 	Gyp__Reply msg = GYP__REPLY__INIT;
 	char *json = gyp_admin_json(r, call->admin, &msg.code);
@@ -389,7 +461,10 @@
 		gyp_replica_call_rules(r, entry, call);
 		break;
 	case GYP__CALL__C_ADMIN:
-		call_admin(r, entry, call);
+		if (call->admin->op == GYP__ADMIN_OP__ADMIN_DRAIN)
+			call_drain(r, entry, call);
+		else
+			reply_admin(r, entry, call);
 		break;
 	case GYP__CALL__C_REPORT:
 		call_report(r, entry, call);
@@ -412,10 +487,11 @@
 	if (job == NULL && c->key[0] != '\0')
 		job = gyp_state_job_by_key(r->state, c->team, c->key);
 	if (job != NULL)
-		reply_job(r, entry, call->id, job, UINT32_MAX);
-	else
-		reply_code(r, entry, call->id, GYP__CODE__CODE_RETIRED,
-		    "the key is refused from now on");
+		reply_job(
+		    r, entry, call->id, job, c->unless_job ? 0 : UINT32_MAX);
+	else if (!answer_retired(r, entry, call->id, c->team, c->key))
+		reply_code(r, entry, call->id, GYP__CODE__CODE_NOT_FOUND,
+		    "no such job");
 }
 
 static void
@@ -452,6 +528,9 @@
 	case GYP__CALL__C_RULES:
 		gyp_replica_answer_rules(r, entry, call);
 		break;
+	case GYP__CALL__C_ADMIN:
+		reply_admin(r, entry, call);
+		break;
 	default:
 		reply_code(r, entry, call->id, GYP__CODE__CODE_OK, "");
 		break;
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2469,7 +2469,7 @@
   (ProtobufCMessageInit) gyp__cmd_place__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_finish__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gyp__cmd_finish__field_descriptors[10] =
 {
   {
     "job",
@@ -2579,11 +2579,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "checkpointed",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFinish, checkpointed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd_finish__field_indices_by_name[] = {
   6,   /* field[6] = answer */
   7,   /* field[7] = answer_dropped */
   2,   /* field[2] = attempt */
+  9,   /* field[9] = checkpointed */
   5,   /* field[5] = content_type */
   4,   /* field[4] = http_status */
   0,   /* field[0] = job */
@@ -2591,10 +2604,11 @@
   8,   /* field[8] = reason */
   1,   /* field[1] = task */
 };
-static const ProtobufCIntRange gyp__cmd_finish__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__cmd_finish__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 18, 9 },
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gyp__cmd_finish__descriptor =
 {
@@ -2604,10 +2618,10 @@
   "Gyp__CmdFinish",
   "gyp",
   sizeof(Gyp__CmdFinish),
-  9,
+  10,
   gyp__cmd_finish__field_descriptors,
   gyp__cmd_finish__field_indices_by_name,
-  1,  gyp__cmd_finish__number_ranges,
+  2,  gyp__cmd_finish__number_ranges,
   (ProtobufCMessageInit) gyp__cmd_finish__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -2792,7 +2806,7 @@
   (ProtobufCMessageInit) gyp__cmd_endpoint_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_cancel__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gyp__cmd_cancel__field_descriptors[5] =
 {
   {
     "job",
@@ -2842,17 +2856,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unless_job",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdCancel, unless_job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd_cancel__field_indices_by_name[] = {
   0,   /* field[0] = job */
   1,   /* field[1] = key */
   3,   /* field[3] = reason */
   2,   /* field[2] = team */
+  4,   /* field[4] = unless_job */
 };
-static const ProtobufCIntRange gyp__cmd_cancel__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__cmd_cancel__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 18, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gyp__cmd_cancel__descriptor =
 {
@@ -2862,10 +2890,10 @@
   "Gyp__CmdCancel",
   "gyp",
   sizeof(Gyp__CmdCancel),
-  4,
+  5,
   gyp__cmd_cancel__field_descriptors,
   gyp__cmd_cancel__field_indices_by_name,
-  1,  gyp__cmd_cancel__number_ranges,
+  2,  gyp__cmd_cancel__number_ranges,
   (ProtobufCMessageInit) gyp__cmd_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3242,7 +3270,7 @@
   (ProtobufCMessageInit) gyp__snap_task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__snap_job__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gyp__snap_job__field_descriptors[11] =
 {
   {
     "id",
@@ -3364,6 +3392,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "restarting",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapJob, restarting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__snap_job__field_indices_by_name[] = {
   5,   /* field[5] = cancelled */
@@ -3372,15 +3412,17 @@
   0,   /* field[0] = id */
   3,   /* field[3] = outcome */
   6,   /* field[6] = reason */
+  10,   /* field[10] = restarting */
   8,   /* field[8] = seq */
   1,   /* field[1] = spec */
   2,   /* field[2] = submitted_ms */
   7,   /* field[7] = tasks */
 };
-static const ProtobufCIntRange gyp__snap_job__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__snap_job__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 18, 10 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gyp__snap_job__descriptor =
 {
@@ -3390,10 +3432,10 @@
   "Gyp__SnapJob",
   "gyp",
   sizeof(Gyp__SnapJob),
-  10,
+  11,
   gyp__snap_job__field_descriptors,
   gyp__snap_job__field_indices_by_name,
-  1,  gyp__snap_job__number_ranges,
+  2,  gyp__snap_job__number_ranges,
   (ProtobufCMessageInit) gyp__snap_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3525,7 +3567,7 @@
   (ProtobufCMessageInit) gyp__snap_rules__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__snapshot__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gyp__snapshot__field_descriptors[9] =
 {
   {
     "time_ms",
@@ -3623,6 +3665,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retired_had_job",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Gyp__Snapshot, n_retired_had_job),
+    offsetof(Gyp__Snapshot, retired_had_job),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__snapshot__field_indices_by_name[] = {
   4,   /* field[4] = endpoint_gens */
@@ -3630,14 +3684,16 @@
   2,   /* field[2] = job_gens */
   1,   /* field[1] = jobs */
   7,   /* field[7] = next_seq */
+  8,   /* field[8] = retired_had_job */
   6,   /* field[6] = retired_keys */
   5,   /* field[5] = rules */
   0,   /* field[0] = time_ms */
 };
-static const ProtobufCIntRange gyp__snapshot__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__snapshot__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 18, 8 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gyp__snapshot__descriptor =
 {
@@ -3647,10 +3703,10 @@
   "Gyp__Snapshot",
   "gyp",
   sizeof(Gyp__Snapshot),
-  8,
+  9,
   gyp__snapshot__field_descriptors,
   gyp__snapshot__field_indices_by_name,
-  1,  gyp__snapshot__number_ranges,
+  2,  gyp__snapshot__number_ranges,
   (ProtobufCMessageInit) gyp__snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3782,7 +3838,7 @@
   (ProtobufCMessageInit) gyp__join__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__attempt__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gyp__attempt__field_descriptors[4] =
 {
   {
     "job",
@@ -3820,16 +3876,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "used",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Attempt, used),
+    &gyp__res__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__attempt__field_indices_by_name[] = {
   2,   /* field[2] = attempt */
   0,   /* field[0] = job */
   1,   /* field[1] = task */
+  3,   /* field[3] = used */
 };
-static const ProtobufCIntRange gyp__attempt__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__attempt__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 18, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gyp__attempt__descriptor =
 {
@@ -3839,14 +3909,14 @@
   "Gyp__Attempt",
   "gyp",
   sizeof(Gyp__Attempt),
-  3,
+  4,
   gyp__attempt__field_descriptors,
   gyp__attempt__field_indices_by_name,
-  1,  gyp__attempt__number_ranges,
+  2,  gyp__attempt__number_ranges,
   (ProtobufCMessageInit) gyp__attempt__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__beat__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gyp__beat__field_descriptors[8] =
 {
   {
     "incarnation",
@@ -3908,18 +3978,58 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unchanged",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Beat, unchanged),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Beat, list),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Beat, n_usage),
+    offsetof(Gyp__Beat, usage),
+    &gyp__attempt__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__beat__field_indices_by_name[] = {
   2,   /* field[2] = clock_ms */
   1,   /* field[1] = endpoint */
   0,   /* field[0] = incarnation */
+  6,   /* field[6] = list */
   4,   /* field[4] = running */
+  5,   /* field[5] = unchanged */
+  7,   /* field[7] = usage */
   3,   /* field[3] = used */
 };
-static const ProtobufCIntRange gyp__beat__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__beat__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 18, 5 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gyp__beat__descriptor =
 {
@@ -3929,10 +4039,10 @@
   "Gyp__Beat",
   "gyp",
   sizeof(Gyp__Beat),
-  5,
+  8,
   gyp__beat__field_descriptors,
   gyp__beat__field_indices_by_name,
-  1,  gyp__beat__number_ranges,
+  2,  gyp__beat__number_ranges,
   (ProtobufCMessageInit) gyp__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -4376,7 +4486,7 @@
   (ProtobufCMessageInit) gyp__job_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__reply__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gyp__reply__field_descriptors[10] =
 {
   {
     "id",
@@ -4486,6 +4596,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "resend",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Reply, resend),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__reply__field_indices_by_name[] = {
   1,   /* field[1] = code */
@@ -4495,13 +4617,15 @@
   6,   /* field[6] = json */
   5,   /* field[5] = lease_ms */
   2,   /* field[2] = message */
+  9,   /* field[9] = resend */
   8,   /* field[8] = stop */
   7,   /* field[7] = version */
 };
-static const ProtobufCIntRange gyp__reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__reply__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 18, 9 },
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gyp__reply__descriptor =
 {
@@ -4511,14 +4635,14 @@
   "Gyp__Reply",
   "gyp",
   sizeof(Gyp__Reply),
-  9,
+  10,
   gyp__reply__field_descriptors,
   gyp__reply__field_indices_by_name,
-  1,  gyp__reply__number_ranges,
+  2,  gyp__reply__number_ranges,
   (ProtobufCMessageInit) gyp__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__order__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gyp__order__field_descriptors[11] =
 {
   {
     "type",
@@ -4616,21 +4740,61 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_limit_milli",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Order, cpu_limit_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cap",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Order, cap),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "until_ms",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Order, until_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__order__field_indices_by_name[] = {
   2,   /* field[2] = address */
   1,   /* field[1] = attempt */
+  9,   /* field[9] = cap */
+  8,   /* field[8] = cpu_limit_milli */
   5,   /* field[5] = kind */
   3,   /* field[3] = not_after_ms */
   7,   /* field[7] = payload */
   6,   /* field[6] = size */
   0,   /* field[0] = type */
+  10,   /* field[10] = until_ms */
   4,   /* field[4] = valid_ms */
 };
-static const ProtobufCIntRange gyp__order__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__order__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 18, 8 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gyp__order__descriptor =
 {
@@ -4640,14 +4804,14 @@
   "Gyp__Order",
   "gyp",
   sizeof(Gyp__Order),
-  8,
+  11,
   gyp__order__field_descriptors,
   gyp__order__field_indices_by_name,
-  1,  gyp__order__number_ranges,
+  2,  gyp__order__number_ranges,
   (ProtobufCMessageInit) gyp__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__entry_up__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gyp__entry_up__field_descriptors[5] =
 {
   {
     "calls",
@@ -4685,6 +4849,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "draining",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__EntryUp, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "name",
     23,
@@ -4700,15 +4876,17 @@
 };
 static const unsigned gyp__entry_up__field_indices_by_name[] = {
   0,   /* field[0] = calls */
-  3,   /* field[3] = name */
+  3,   /* field[3] = draining */
+  4,   /* field[4] = name */
   2,   /* field[2] = round */
   1,   /* field[1] = rules_version */
 };
-static const ProtobufCIntRange gyp__entry_up__number_ranges[2 + 1] =
+static const ProtobufCIntRange gyp__entry_up__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 23, 3 },
-  { 0, 4 }
+  { 18, 3 },
+  { 23, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gyp__entry_up__descriptor =
 {
@@ -4718,14 +4896,14 @@
   "Gyp__EntryUp",
   "gyp",
   sizeof(Gyp__EntryUp),
-  4,
+  5,
   gyp__entry_up__field_descriptors,
   gyp__entry_up__field_indices_by_name,
-  2,  gyp__entry_up__number_ranges,
+  3,  gyp__entry_up__number_ranges,
   (ProtobufCMessageInit) gyp__entry_up__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__entry_down__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gyp__entry_down__field_descriptors[10] =
 {
   {
     "term",
@@ -4835,6 +5013,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "time_ms",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__EntryDown, time_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__entry_down__field_indices_by_name[] = {
   1,   /* field[1] = leader */
@@ -4846,11 +5036,13 @@
   7,   /* field[7] = rules */
   6,   /* field[6] = rules_version */
   0,   /* field[0] = term */
+  9,   /* field[9] = time_ms */
 };
-static const ProtobufCIntRange gyp__entry_down__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__entry_down__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 18, 9 },
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gyp__entry_down__descriptor =
 {
@@ -4860,10 +5052,10 @@
   "Gyp__EntryDown",
   "gyp",
   sizeof(Gyp__EntryDown),
-  9,
+  10,
   gyp__entry_down__field_descriptors,
   gyp__entry_down__field_indices_by_name,
-  1,  gyp__entry_down__number_ranges,
+  2,  gyp__entry_down__number_ranges,
   (ProtobufCMessageInit) gyp__entry_down__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -5133,7 +5325,7 @@
   gyp__admin_op__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gyp__code__enum_values_by_number[7] =
+static const ProtobufCEnumValue gyp__code__enum_values_by_number[8] =
 {
   { "CODE_OK", "GYP__CODE__CODE_OK", 0 },
   { "CODE_ACCEPTED", "GYP__CODE__CODE_ACCEPTED", 1 },
@@ -5142,11 +5334,12 @@
   { "CODE_BAD", "GYP__CODE__CODE_BAD", 4 },
   { "CODE_RETIRED", "GYP__CODE__CODE_RETIRED", 5 },
   { "CODE_BUSY", "GYP__CODE__CODE_BUSY", 6 },
+  { "CODE_REFUSED", "GYP__CODE__CODE_REFUSED", 18 },
 };
 static const ProtobufCIntRange gyp__code__value_ranges[] = {
-{0, 0},{0, 7}
+{0, 0},{18, 7},{0, 8}
 };
-static const ProtobufCEnumValueIndex gyp__code__enum_values_by_name[7] =
+static const ProtobufCEnumValueIndex gyp__code__enum_values_by_name[8] =
 {
   { "CODE_ACCEPTED", 1 },
   { "CODE_BAD", 4 },
@@ -5154,6 +5347,7 @@
   { "CODE_CONFLICT", 3 },
   { "CODE_NOT_FOUND", 2 },
   { "CODE_OK", 0 },
+  { "CODE_REFUSED", 7 },
   { "CODE_RETIRED", 5 },
 };
 const ProtobufCEnumDescriptor gyp__code__descriptor =
@@ -5163,28 +5357,32 @@
   "Code",
   "Gyp__Code",
   "gyp",
-  7,
+  8,
   gyp__code__enum_values_by_number,
-  7,
+  8,
   gyp__code__enum_values_by_name,
-  1,
+  2,
   gyp__code__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gyp__order_type__enum_values_by_number[3] =
+static const ProtobufCEnumValue gyp__order_type__enum_values_by_number[5] =
 {
   { "ORDER_START", "GYP__ORDER_TYPE__ORDER_START", 0 },
   { "ORDER_QUERY", "GYP__ORDER_TYPE__ORDER_QUERY", 1 },
   { "ORDER_STOP", "GYP__ORDER_TYPE__ORDER_STOP", 2 },
+  { "ORDER_CHECKPOINT", "GYP__ORDER_TYPE__ORDER_CHECKPOINT", 18 },
+  { "ORDER_THROTTLE", "GYP__ORDER_TYPE__ORDER_THROTTLE", 19 },
 };
 static const ProtobufCIntRange gyp__order_type__value_ranges[] = {
-{0, 0},{0, 3}
+{0, 0},{18, 3},{0, 5}
 };
-static const ProtobufCEnumValueIndex gyp__order_type__enum_values_by_name[3] =
+static const ProtobufCEnumValueIndex gyp__order_type__enum_values_by_name[5] =
 {
+  { "ORDER_CHECKPOINT", 3 },
   { "ORDER_QUERY", 1 },
   { "ORDER_START", 0 },
   { "ORDER_STOP", 2 },
+  { "ORDER_THROTTLE", 4 },
 };
 const ProtobufCEnumDescriptor gyp__order_type__descriptor =
 {
@@ -5193,11 +5391,11 @@
   "OrderType",
   "Gyp__OrderType",
   "gyp",
-  3,
+  5,
   gyp__order_type__enum_values_by_number,
-  3,
+  5,
   gyp__order_type__enum_values_by_name,
-  1,
+  2,
   gyp__order_type__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
