--- a/src/state_int.h
+++ b/src/state_int.h
@@ -16,6 +16,7 @@
 
 struct gyp_state {
 	struct gyp_state_listener *listener;
+	struct gyp_state_watcher *watcher;
 	uint64_t time_ms;
 	uint64_t next_seq;
 	struct gyp_table *jobs;
@@ -41,14 +42,18 @@
 void gyp_state_push_rules(struct gyp_state *, uint64_t version,
     uint64_t time_ms, const Gyp__CmdRules *);
 void gyp_state_clear(struct gyp_state *);
+void gyp_state_watch_endpoint(
+    const struct gyp_state *, const struct gyp_endpoint *);
+void gyp_state_watch_queued(const struct gyp_state *, const struct gyp_job *);
 
 /* state_life.c */
 void gyp_state_set_task(struct gyp_state *, struct gyp_job *, struct gyp_task *,
     enum gyp_task_state);
 void gyp_state_cancel_job(
     struct gyp_state *, struct gyp_job *, const char *reason);
-void gyp_state_release_booking(
-    struct gyp_state *, struct gyp_job *, const struct gyp_task *);
+/* The finish is NULL when a placement is undone. */
+void gyp_state_release_booking(struct gyp_state *, struct gyp_job *,
+    const struct gyp_task *, const Gyp__CmdFinish *);
 void gyp_state_end_attempt(struct gyp_state *, struct gyp_job *, uint32_t task,
     const Gyp__CmdFinish *);
 
