Keep the answer of a gang's task through a cancelled restart

Cause: a gang whose task had failed was about to start again; another of its tasks then ended well, and its report was dropped as part of a round that counts for nothing.

Ruled out: the entry and the endpoint (the report held the answer).

Now each report of a gang's task is kept until the gang is queued again.

--- a/src/state_life.c
+++ b/src/state_life.c
@@ -155,6 +155,7 @@
 
 		if (t->last == GYP__OUTCOME__OUTCOME_DONE)
 			t->last = GYP__OUTCOME__OUTCOME_FAILED;
+		g_clear_pointer(&t->finish, gyp_message_free);
 		gyp_state_set_task(s, job, t, GYP_TASK_QUEUED);
 	}
 }
@@ -205,6 +206,12 @@
 	if (s->listener != NULL)
 		s->listener->ops->attempt_over(s->listener, job, index);
 	retry = wants_retry(job, t, outcome);
+	/* Kept of a restarting gang too: a cancellation makes it the last word.
+	 */
+	if (gang || !retry) {
+		gyp_message_free(t->finish);
+		t->finish = gyp_message_copy(&finish->base);
+	}
 	if (gang && !job->cancelled && (retry || job->restarting)) {
 		restart_gang(s, job, t);
 		return;
@@ -213,8 +220,6 @@
 		gyp_state_set_task(s, job, t, GYP_TASK_QUEUED);
 		return;
 	}
-	gyp_message_free(t->finish);
-	t->finish = gyp_message_copy(&finish->base);
 	gyp_state_set_task(s, job, t, GYP_TASK_OVER);
 	if (outcome != GYP__OUTCOME__OUTCOME_DONE) {
 		if (job->reason == NULL)
--- a/test/test_state.c
+++ b/test/test_state.c
@@ -163,6 +163,31 @@
 	gyp_state_free(s);
 }
 
+/* The answer of a gang's task outlives a restart that was cancelled. */
+static void
+test_cancelled_restart(void)
+{
+	struct gyp_state *s = gyp_state_new(NULL);
+	const struct gyp_job *job;
+	uint64_t a;
+	uint32_t i;
+
+	add_endpoint(s, "e", 1000);
+	a = submit(s, "a", 3, 100, true);
+	job = gyp_state_job(s, a);
+	for (i = 0; i < 3; i++)
+		place(s, a, i, 1, "e");
+	job->spec->kind = GYP__KIND__KIND_GANG;
+	finish(s, a, 2, 1, GYP__OUTCOME__OUTCOME_FAILED);
+	finish(s, a, 0, 1, GYP__OUTCOME__OUTCOME_DONE);
+	cancel(s, a);
+	finish(s, a, 1, 1, GYP__OUTCOME__OUTCOME_NOT_RUN);
+	g_assert_cmpint(job->outcome, ==, GYP__OUTCOME__OUTCOME_FAILED);
+	g_assert_cmpint(job->tasks[0].last, ==, GYP__OUTCOME__OUTCOME_DONE);
+	g_assert_nonnull(job->tasks[0].finish);
+	gyp_state_free(s);
+}
+
 static void
 test_late_report(void)
 {
@@ -260,6 +285,7 @@
 	g_test_add_func("/state/capacity", test_capacity);
 	g_test_add_func("/state/not-idempotent", test_not_idempotent);
 	g_test_add_func("/state/not-run-is-true", test_not_run_is_true);
+	g_test_add_func("/state/cancelled-restart", test_cancelled_restart);
 	g_test_add_func("/state/late-report", test_late_report);
 	g_test_add_func("/state/drain", test_drain);
 	g_test_add_func("/state/snapshot", test_snapshot);
