Raft: hardened, with a test for each fault that was found

Found by reading and by the new test, each mended here:

Each replica now records that a configuration is committed, and a change is over only when a majority has acknowledged the entry after it. - The successor could be a voter that does not answer. - Grants of an earlier pre-vote counted in a later one. - Lost appends never left the count of messages under way, so that after 16 of them a member was served at heartbeat pace for the rest of the term. Now only progress or the answer to the latest chunk goes on, and probes are empty. - An append past the end of the log with term 0 was taken.

Ruled out: one more round of messages after each commit of a configuration (the entry after it carries the knowledge and is acknowledged anyway).

--- a/src/raft.c
+++ b/src/raft.c
@@ -54,7 +54,10 @@
 	uint64_t leader_contact; /* last time the leader was heard */
 	uint64_t election_at;
 	uint64_t heartbeat_at;
-	bool forced; /* the campaign was asked for by the leader */
+	uint64_t successor;       /* is to take over, 0 for none */
+	uint64_t successor_until; /* then the leader goes on */
+	uint64_t prevote_at;      /* when the latest pre-vote was asked for */
+	bool forced;              /* the campaign was asked for by the leader */
 
 	GArray *log; /* struct gyp_entry; index snap_index + 1 comes first */
 	uint64_t log_bytes;
@@ -71,8 +74,10 @@
 	uint64_t applied;
 	uint64_t term_start; /* index of the leader's first own entry */
 
-	Gyp__Config *config;  /* newest known to be committed */
-	Gyp__Config *pending; /* appended after it, or NULL */
+	Gyp__Config *config;   /* newest known to be committed */
+	uint64_t config_index; /* no entry up to here can be pending */
+	uint64_t settled;      /* a majority knows once this is committed */
+	Gyp__Config *pending;  /* appended after it, or NULL */
 	uint64_t pending_index;
 
 	GArray *peers; /* struct progress */
@@ -86,6 +91,7 @@
 };
 
 static void apply_committed(struct gyp_raft *);
+static void call_successor(struct gyp_raft *, const struct progress *);
 
 /* ---- Configurations ---------------------------------------------------- */
 
@@ -125,7 +131,8 @@
 bool
 gyp_raft_changing(const struct gyp_raft *r)
 {
-	return r->pending != NULL;
+	return r->pending != NULL ||
+	       (r->role == GYP_RAFT_LEADER && r->commit < r->settled);
 }
 
 static bool
@@ -170,6 +177,11 @@
 		set_config(r, r->pending);
 	r->pending = config;
 	r->pending_index = e->index;
+	if (e->index <= r->config_index) {
+		set_config(r, config);
+		r->pending = NULL;
+		r->pending_index = 0;
+	}
 }
 
 typedef bool (*member_test)(const struct gyp_raft *, uint64_t id, uint64_t arg);
@@ -234,6 +246,21 @@
 	g_bytes_unref(e->data);
 }
 
+/* Entries past last are replaced: their records no longer count. */
+static void
+forget_persisted(struct gyp_raft *r, uint64_t last)
+{
+	guint i;
+
+	r->persisted = MIN(r->persisted, last);
+	for (i = 0; i < r->unsynced->len; i++) {
+		struct unsynced *u =
+		    &g_array_index(r->unsynced, struct unsynced, i);
+
+		u->last_index = MIN(u->last_index, last);
+	}
+}
+
 static void
 truncate_from(struct gyp_raft *r, uint64_t index)
 {
@@ -245,13 +272,7 @@
 	g_array_set_size(r->log, index - r->snap_index - 1);
 	if (r->pending != NULL && r->pending_index >= index)
 		drop_pending(r);
-	r->persisted = MIN(r->persisted, index - 1);
-	for (i = 0; i < r->unsynced->len; i++) {
-		struct unsynced *u =
-		    &g_array_index(r->unsynced, struct unsynced, i);
-
-		u->last_index = MIN(u->last_index, index - 1);
-	}
+	forget_persisted(r, index - 1);
 }
 
 static void
@@ -283,8 +304,10 @@
 static void
 write_vote(struct gyp_raft *r)
 {
-	struct gyp_record rec = {
-	    .type = GYP_RECORD_VOTE, .term = r->term, .vote = r->vote};
+	struct gyp_record rec = {.type = GYP_RECORD_VOTE,
+	    .term = r->term,
+	    .vote = r->vote,
+	    .index = r->config_index};
 
 	write_record(r, &rec);
 }
@@ -419,16 +442,19 @@
 send_chunk(struct gyp_raft *r, struct progress *p)
 {
 	Gyp__RaftMsg m = make_message(r, GYP__RAFT_TYPE__RAFT_SNAPSHOT, p->id);
-	gsize len;
+	gsize len, room = r->cfg.chunk_bytes;
 	const uint8_t *data = g_bytes_get_data(r->snap_file, &len);
 
+	/* Probes with an empty chunk while the member does not answer. */
+	if (r->now > p->answered + r->cfg.election_ms)
+		room = 0;
 	p->offset = MIN(p->offset, len);
 	m.index = r->snap_index;
 	m.log_term = r->snap_term;
 	m.offset = p->offset;
 	m.total = len;
 	m.chunk.data = (uint8_t *)data + p->offset;
-	m.chunk.len = MIN(len - p->offset, r->cfg.chunk_bytes);
+	m.chunk.len = MIN(len - p->offset, room);
 	m.round = r->now;
 	p->sent = r->now;
 	r->io->ops->send(r->io, p->id, &m);
@@ -543,13 +569,22 @@
 }
 
 static void
-become_leader(struct gyp_raft *r)
+append_noop(struct gyp_raft *r)
 {
 	GBytes *empty = g_bytes_new_static("", 0);
+
+	append_entry(r, r->term, GYP__ENTRY_KIND__ENTRY_NOOP, empty);
+	g_bytes_unref(empty);
+}
+
+static void
+become_leader(struct gyp_raft *r)
+{
 	guint i;
 
 	r->role = GYP_RAFT_LEADER;
 	r->leader = r->cfg.id;
+	r->successor = 0;
 	r->heartbeat_at = r->now + r->cfg.heartbeat_ms;
 	g_array_set_size(r->peers, 0);
 	sync_peers(r);
@@ -559,9 +594,9 @@
 
 		p->heard = r->now;
 	}
-	append_entry(r, r->term, GYP__ENTRY_KIND__ENTRY_NOOP, empty);
+	append_noop(r);
 	r->term_start = gyp_raft_last_index(r);
-	g_bytes_unref(empty);
+	r->settled = r->term_start;
 	replicate_all(r, true);
 }
 
@@ -595,6 +630,7 @@
 		m.index = gyp_raft_last_index(r);
 		m.log_term = term_at(r, m.index);
 		m.force = r->forced;
+		m.round = r->prevote_at;
 		send_durable(r, &m);
 	}
 }
@@ -620,6 +656,7 @@
 	r->role = GYP_RAFT_PRECANDIDATE;
 	r->leader = 0;
 	r->forced = false;
+	r->prevote_at = r->now;
 	g_hash_table_remove_all(r->votes);
 	add_vote(r, r->cfg.id);
 	if (quorum(r, has_voted, 0)) {
@@ -658,12 +695,23 @@
 		become_follower(r, r->term, 0);
 		return;
 	}
+	if (r->now >= r->successor_until)
+		r->successor = 0;
 	if (r->now >= r->heartbeat_at) {
 		r->heartbeat_at = r->now + r->cfg.heartbeat_ms;
 		replicate_all(r, true);
 	}
 }
 
+/* After a restart: what the records tell of the commit. */
+static void
+resume_commit(struct gyp_raft *r)
+{
+	r->commit =
+	    MAX(r->commit, MIN(r->config_index, gyp_raft_last_index(r)));
+	apply_committed(r);
+}
+
 void
 gyp_raft_tick(struct gyp_raft *r, uint64_t now)
 {
@@ -671,6 +719,7 @@
 		r->now = now;
 		r->started = now;
 		reset_election(r);
+		resume_commit(r);
 	}
 	r->now = MAX(r->now, now);
 	if (r->role == GYP_RAFT_LEADER)
@@ -719,17 +768,29 @@
 	}
 }
 
+/*
+ * While a replica does not know of the commit it needs a majority of the old
+ * configuration too. If a voter were lost then, the others could be too few
+ * for that. So each replica records the commit, and a change is over only
+ * when a majority has acknowledged a later entry, which told it.
+ */
 static void
 commit_config(struct gyp_raft *r)
 {
+	r->config_index = r->pending_index;
 	set_config(r, r->pending);
 	r->pending = NULL;
 	r->pending_index = 0;
+	write_vote(r);
 	if (r->role != GYP_RAFT_LEADER)
 		return;
 	sync_peers(r);
-	if (!is_voter(r, r->cfg.id))
+	if (is_voter(r, r->cfg.id)) {
+		append_noop(r);
+		r->settled = gyp_raft_last_index(r);
+	} else {
 		become_follower(r, r->term, 0);
+	}
 }
 
 static void
@@ -740,9 +801,9 @@
 
 		g_assert(e != NULL);
 		r->applied++;
+		r->io->ops->apply(r->io, e);
 		if (r->pending != NULL && r->pending_index <= r->applied)
 			commit_config(r);
-		r->io->ops->apply(r->io, e);
 	}
 }
 
@@ -782,6 +843,7 @@
 	reply.reject =
 	    m->term <= r->term || leader_is_live(r) || !log_is_current(r, m);
 	reply.term = reply.reject ? r->term : m->term;
+	reply.round = m->round;
 	r->io->ops->send(r->io, m->from, &reply);
 }
 
@@ -816,7 +878,9 @@
 			become_follower(r, m->term, 0);
 		return;
 	}
-	if (pre && r->role == GYP_RAFT_PRECANDIDATE && m->term == r->term + 1) {
+	/* A late grant says nothing of the leader that there may be by now. */
+	if (pre && r->role == GYP_RAFT_PRECANDIDATE && m->term == r->term + 1 &&
+	    m->round == r->prevote_at) {
 		add_vote(r, m->from);
 		if (quorum(r, has_voted, 0))
 			start_election(r);
@@ -895,19 +959,20 @@
 	follow(r, m);
 	reply = make_message(r, GYP__RAFT_TYPE__RAFT_APPEND_REPLY, m->from);
 	reply.round = m->round;
-	if (m->index > r->snap_index && term_at(r, m->index) != m->log_term) {
+	if (m->index > gyp_raft_last_index(r) ||
+	    (m->index > r->snap_index && term_at(r, m->index) != m->log_term)) {
 		reply.reject = true;
 		reply.index = mismatch_hint(r, m);
 		r->io->ops->send(r->io, m->from, &reply);
 		return;
 	}
 	take_entries(r, m);
-	reply.index = MAX(last, r->snap_index);
-	send_durable(r, &reply);
 	if (MIN(m->commit, last) > r->commit) {
 		r->commit = MIN(m->commit, last);
 		apply_committed(r);
 	}
+	reply.index = MAX(last, r->snap_index);
+	send_durable(r, &reply);
 }
 
 static void
@@ -933,9 +998,14 @@
 		return;
 	p->match = MAX(p->match, m->index);
 	p->next = MAX(p->next, p->match + 1);
+	if (p->match + 1 == p->next)
+		p->inflight = 0; /* lost messages never count down */
 	advance_commit(r);
-	if (r->role == GYP_RAFT_LEADER && (p = find_peer(r, m->from)) != NULL)
-		replicate(r, p, false);
+	p = find_peer(r, m->from);
+	if (r->role != GYP_RAFT_LEADER || p == NULL)
+		return;
+	replicate(r, p, false);
+	call_successor(r, p);
 }
 
 /* ---- Snapshots --------------------------------------------------------- */
@@ -967,6 +1037,7 @@
 	r->log_bytes = 0;
 	drop_pending(r);
 	set_config(r, copy_config(file->config));
+	r->config_index = MAX(r->config_index, file->index);
 	adopt_snapshot(r, file, raw);
 	r->commit = file->index;
 	r->applied = file->index;
@@ -1003,7 +1074,7 @@
 	GBytes *raw = g_bytes_new(r->incoming.data->data, len);
 
 	if (install(r, raw)) {
-		r->persisted = 0;
+		forget_persisted(r, 0);
 		write_snapshot(r, true);
 	}
 	g_bytes_unref(raw);
@@ -1056,6 +1127,9 @@
 	p->answered = r->now;
 	if (!p->snapshot || m->index != r->snap_index)
 		return;
+	/* Only the answer to the latest chunk may take the transfer back. */
+	if (m->offset <= p->offset && m->round != p->sent)
+		return;
 	p->offset = m->offset;
 	send_chunk(r, p);
 }
@@ -1196,7 +1270,7 @@
 uint64_t
 gyp_raft_propose(struct gyp_raft *r, uint32_t kind, GBytes *data)
 {
-	if (r->role != GYP_RAFT_LEADER)
+	if (r->role != GYP_RAFT_LEADER || r->successor != 0)
 		return 0;
 	append_entry(r, r->term, kind, data);
 	replicate_all(r, false);
@@ -1211,7 +1285,7 @@
 	GBytes *data;
 	uint64_t index;
 
-	if (r->pending != NULL || !gyp_raft_ready(r))
+	if (gyp_raft_changing(r) || !gyp_raft_ready(r) || r->successor != 0)
 		return 0;
 	bytes = g_malloc(len + 1);
 	gyp__config__pack(config, bytes);
@@ -1224,30 +1298,54 @@
 	return index;
 }
 
+/* The successor must hold all entries, else it would lose the election. */
+static void
+call_successor(struct gyp_raft *r, const struct progress *p)
+{
+	Gyp__RaftMsg m =
+	    make_message(r, GYP__RAFT_TYPE__RAFT_TIMEOUT_NOW, p->id);
+
+	if (p->id == r->successor && p->match == gyp_raft_last_index(r))
+		r->io->ops->send(r->io, p->id, &m);
+}
+
 bool
 gyp_raft_hand_over(struct gyp_raft *r)
 {
-	struct progress *best = NULL;
-	Gyp__RaftMsg m;
+	uint64_t window = 2 * (uint64_t)r->cfg.heartbeat_ms;
+	uint64_t since = r->now > window ? r->now - window : 0;
+	const struct progress *best = NULL;
 	guint i;
 
 	if (r->role != GYP_RAFT_LEADER)
 		return false;
 	for (i = 0; i < r->peers->len; i++) {
-		struct progress *p =
+		const struct progress *p =
 		    &g_array_index(r->peers, struct progress, i);
 
-		if (is_voter(r, p->id) &&
+		if (is_voter(r, p->id) && heard_since(r, p->id, since) &&
 		    (best == NULL || p->match > best->match))
 			best = p;
 	}
 	if (best == NULL)
 		return false;
-	m = make_message(r, GYP__RAFT_TYPE__RAFT_TIMEOUT_NOW, best->id);
-	r->io->ops->send(r->io, best->id, &m);
+	r->successor = best->id;
+	r->successor_until = r->now + r->cfg.election_ms;
+	call_successor(r, best);
 	return true;
 }
 
+static void
+load_config_index(struct gyp_raft *r, uint64_t index)
+{
+	r->config_index = MAX(r->config_index, index);
+	if (r->pending == NULL || r->pending_index > r->config_index)
+		return;
+	set_config(r, r->pending);
+	r->pending = NULL;
+	r->pending_index = 0;
+}
+
 void
 gyp_raft_load(struct gyp_raft *r, const struct gyp_record *rec)
 {
@@ -1255,6 +1353,7 @@
 	case GYP_RECORD_VOTE:
 		r->term = rec->term;
 		r->vote = rec->vote;
+		load_config_index(r, rec->index);
 		break;
 	case GYP_RECORD_ENTRY:
 		if (rec->index <= r->snap_index)
--- a/src/raft.h
+++ b/src/raft.h
@@ -84,7 +84,7 @@
 /* All records up to sequence number seq are on the disk. */
 void gyp_raft_synced(struct gyp_raft *, uint64_t now, uint64_t seq);
 
-/* Appends an entry; returns its index, or 0 when this is not the leader. */
+/* Appends an entry; returns its index, or 0 when not (or no longer) leading. */
 uint64_t gyp_raft_propose(struct gyp_raft *, uint32_t kind, GBytes *data);
 
 /* Proposes a configuration; 0 when not possible now. */
@@ -93,7 +93,11 @@
 /* Drops the log up to index; state is the packed state at that index. */
 void gyp_raft_compact(struct gyp_raft *, uint64_t index, GBytes *state);
 
-/* Asks the most advanced voter to take over; false when there is none. */
+/*
+ * Lets the most advanced of the voters that answer take over, as soon as it
+ * holds all entries; false when there is none. Proposals are refused until
+ * then, for one election timeout at most. May be called again.
+ */
 bool gyp_raft_hand_over(struct gyp_raft *);
 
 /* True while a majority answered within the shortest election timeout. */
--- a/src/record.h
+++ b/src/record.h
@@ -23,9 +23,13 @@
 
 struct gyp_record {
 	uint64_t term;
-	uint64_t vote;  /* replica id, 0 for none */
-	uint64_t index; /* log index of an entry or snapshot */
-	GBytes *data;   /* entry data, or a packed Gyp__SnapshotFile */
+	uint64_t vote; /* replica id, 0 for none */
+	/*
+	 * Log index of an entry or snapshot; in a vote record, the newest
+	 * index up to which configurations are known to be committed.
+	 */
+	uint64_t index;
+	GBytes *data; /* entry data, or a packed Gyp__SnapshotFile */
 	enum gyp_record_type type;
 	uint32_t kind; /* Gyp__EntryKind; of a snapshot: 1 voids all entries */
 };
--- a/src/replica.c
+++ b/src/replica.c
@@ -431,6 +431,8 @@
 gyp_replica_tick(struct gyp_replica *r, uint64_t now)
 {
 	advance(r, now);
+	if (r->leading && r->handing_over)
+		gyp_raft_hand_over(r->raft); /* the order may be lost */
 	settle(r);
 }
 
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -20,6 +20,7 @@
 #define STEP_MS     10
 #define ELECTION_MS 300
 #define VOTERS      5
+#define CHUNK_BYTES 150
 
 struct net;
 
@@ -54,7 +55,15 @@
 	uint64_t now;
 	uint64_t max_term;
 	uint32_t proposed;
+	size_t state_bytes;  /* of a snapshot */
+	uint32_t chunks;     /* sent */
+	uint32_t drop_chunk; /* one in so many, 0 for none */
+	bool no_compact;
+	bool quiet; /* members are not removed by themselves */
+	uint32_t lost, changes, restored; /* how much a run went through */
 	bool cut[SLOTS][SLOTS];
+	bool hold;           /* cut links keep messages for later */
+	GPtrArray *held;     /* Gyp__RaftMsg */
 	GArray *truth;       /* struct truth, index 0 unused */
 	GHashTable *leaders; /* term -> id */
 };
@@ -76,6 +85,9 @@
 	g_assert_cmpuint(msg->from, ==, n->id);
 	if (msg->type == GYP__RAFT_TYPE__RAFT_VOTE_REPLY && !msg->reject)
 		g_assert_false(n->removed);
+	if (msg->type == GYP__RAFT_TYPE__RAFT_SNAPSHOT &&
+	    ++n->net->chunks % MAX(n->net->drop_chunk, 1) == 1)
+		return;
 	g_ptr_array_add(n->net->wire, gyp_message_copy(&msg->base));
 }
 
@@ -116,6 +128,7 @@
 	g_assert_cmpuint(file->state.len, >=, sizeof(n->hash));
 	memcpy(&n->hash, file->state.data, sizeof(n->hash));
 	n->index = file->index;
+	n->net->restored++;
 	g_assert_cmpuint(n->index, <, n->net->truth->len);
 	g_assert_cmpuint(
 	    g_array_index(n->net->truth, struct truth, n->index).hash, ==,
@@ -128,11 +141,11 @@
 static void
 compact(struct node *n)
 {
-	uint8_t state[400] = {0};
-	GBytes *data;
+	size_t len = n->net->state_bytes;
+	uint8_t *state = g_malloc0(len);
+	GBytes *data = g_bytes_new_take(state, len);
 
 	memcpy(state, &n->hash, sizeof(n->hash));
-	data = g_bytes_new(state, sizeof(state));
 	gyp_raft_compact(n->raft, n->index, data);
 	g_bytes_unref(data);
 }
@@ -199,7 +212,7 @@
 	    .election_ms = ELECTION_MS,
 	    .heartbeat_ms = 50,
 	    .append_bytes = 60,
-	    .chunk_bytes = 150,
+	    .chunk_bytes = CHUNK_BYTES,
 	    .seed = g_rand_int(n->net->rand)};
 	GArray *disk = replayed(n->disk);
 	guint i;
@@ -234,6 +247,7 @@
 	if (n->raft != NULL)
 		stop(n);
 	g_array_set_size(n->disk, 0);
+	n->net->lost++;
 	n->id += 100;
 	n->removed = false;
 }
@@ -255,6 +269,12 @@
 	return n->raft != NULL && !n->frozen;
 }
 
+static int
+slot_of(uint64_t id)
+{
+	return (int)((id - 1) % 100);
+}
+
 static struct node *
 find_node(struct net *net, uint64_t id)
 {
@@ -300,10 +320,12 @@
 	net->seed = seed;
 	net->rand = g_rand_new_with_seed(seed);
 	net->wire = g_ptr_array_new_with_free_func(gyp_message_free);
+	net->held = g_ptr_array_new_with_free_func(gyp_message_free);
 	net->truth = g_array_new(FALSE, FALSE, sizeof(struct truth));
 	g_array_append_val(net->truth, none);
 	net->leaders =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	net->state_bytes = 400;
 	net->now = 1000;
 	for (i = 0; i < SLOTS; i++) {
 		struct node *n = &net->nodes[i];
@@ -330,6 +352,7 @@
 		g_ptr_array_free(net->nodes[i].inbox, TRUE);
 	}
 	g_ptr_array_free(net->wire, TRUE);
+	g_ptr_array_free(net->held, TRUE);
 	g_array_free(net->truth, TRUE);
 	g_hash_table_destroy(net->leaders);
 	g_rand_free(net->rand);
@@ -419,9 +442,12 @@
 	int luck = faults ? g_rand_int_range(net->rand, 0, 100) : 50;
 
 	/* A lost disk's id may still be on the wire; its sender is gone. */
-	if (luck >= 5 && to != NULL && to->raft != NULL &&
-	    !net->cut[(m->from - 1) % 100][to->slot])
-		deliver(net, to, m);
+	if (luck >= 5 && to != NULL && to->raft != NULL) {
+		if (!net->cut[slot_of(m->from)][to->slot])
+			deliver(net, to, m);
+		else if (net->hold)
+			g_ptr_array_add(net->held, gyp_message_copy(&m->base));
+	}
 	if (luck < 95) /* else it is delivered once more later */
 		g_ptr_array_remove_index_fast(net->wire, i);
 }
@@ -454,12 +480,6 @@
 
 /* ---- Members ------------------------------------------------------------ */
 
-static int
-slot_of(uint64_t id)
-{
-	return (int)((id - 1) % 100);
-}
-
 /* Changes one member: adds it, or gives it the vote and drops `out`. */
 static void
 change(struct node *leader, uint64_t add, uint64_t vote, uint64_t out)
@@ -484,7 +504,8 @@
 		own[i].address = "a";
 		list[next.n_members++] = &own[i];
 	}
-	gyp_raft_change(leader->raft, &next);
+	if (gyp_raft_change(leader->raft, &next) != 0)
+		leader->net->changes++;
 }
 
 static const Gyp__Member *
@@ -554,7 +575,7 @@
 		if (old != 0 || voters < VOTERS)
 			change(leader, 0, n->id, old);
 	} else if (m->voter && voters > 3 && intact - 1 > (voters - 1) / 2 &&
-		   chance(net, 60)) {
+		   !net->quiet && chance(net, 60)) {
 		change(leader, 0, 0, n->id);
 	}
 }
@@ -595,10 +616,10 @@
 	lose_disk(n);
 }
 
+/* All links of a replica, to it, from it or both ways. */
 static void
-cut_links(struct net *net)
+cut_links(struct net *net, int a)
 {
-	int a = g_rand_int_range(net->rand, 0, SLOTS);
 	int way = g_rand_int_range(net->rand, 0, 3), i;
 
 	for (i = 0; i < SLOTS; i++) {
@@ -610,7 +631,14 @@
 static void
 heal(struct net *net)
 {
+	guint i;
+
 	memset(net->cut, 0, sizeof(net->cut));
+	for (i = 0; i < net->held->len; i++)
+		g_ptr_array_add(
+		    net->wire, gyp_message_copy(net->held->pdata[i]));
+	g_ptr_array_set_size(net->held, 0);
+	net->hold = chance(net, 2);
 }
 
 static void
@@ -627,7 +655,7 @@
 	else if (n->frozen && chance(net, 15))
 		thaw(net, n);
 	if (chance(net, 80))
-		cut_links(net);
+		cut_links(net, random_node(net)->slot);
 	if (chance(net, 40))
 		heal(net);
 	if (chance(net, 60))
@@ -648,12 +676,13 @@
 		gyp_raft_tick(n->raft, net->now);
 		sync_disk(n);
 		check_leader(net, n);
-		if (chance(net, 60))
+		if (!net->no_compact && chance(net, 60))
 			compact(n);
 	}
 	for (i = 0; i < 60 && net->wire->len > 0; i++)
 		deliver_one(net, faults);
-	propose(net);
+	for (i = 0; i < 4; i++)
+		propose(net);
 	tend_members(net);
 	wipe_removed(net);
 	if (faults)
@@ -732,6 +761,10 @@
 	g_assert_cmpuint(net.truth->len, >, before);
 	for (i = 0; i < SLOTS; i++)
 		g_assert_cmpuint(net.nodes[i].index, >=, before - 1);
+	g_test_message("seed %u: %u committed, %u terms, %u disks lost, "
+		       "%u changes of members, %u snapshots loaded",
+	    seed, net.truth->len - 1, g_hash_table_size(net.leaders), net.lost,
+	    net.changes, net.restored);
 	net_clear(&net);
 }
 
@@ -767,10 +800,265 @@
 	}
 }
 
+/* ---- Single faults ------------------------------------------------------ */
+
+static void
+run_steps(struct net *net, int steps)
+{
+	while (steps-- > 0)
+		step(net, false);
+}
+
+/* Five voters and a spare, after a quiet time. */
+static struct node *
+net_settle(struct net *net, guint32 seed)
+{
+	struct node *leader;
+	int voters = 0, intact, i;
+
+	net_init(net, seed);
+	net->quiet = true;
+	for (i = 0; i < 1000 && voters < VOTERS; i++) {
+		step(net, false);
+		leader = settled_leader(net);
+		if (leader != NULL)
+			voters = count_voters(
+			    net, gyp_raft_members(leader->raft), &intact);
+	}
+	run_steps(net, 100);
+	leader = settled_leader(net);
+	g_assert_nonnull(leader);
+	return leader;
+}
+
+/* A replica out of touch comes back: the good leader and its term stay. */
+static void
+test_return(void)
+{
+	guint32 seed;
+
+	for (seed = 1; seed <= 30; seed++) {
+		struct net net;
+		struct node *leader = net_settle(&net, seed), *n;
+		uint64_t term = net.max_term;
+		int round;
+
+		for (round = 0; round < 10; round++) {
+			while ((n = random_node(&net)) == leader)
+				continue;
+			net.hold = chance(&net, 2);
+			if (chance(&net, 3))
+				n->frozen = true;
+			else
+				cut_links(&net, n->slot);
+			run_steps(&net, g_rand_int_range(net.rand, 10, 150));
+			heal(&net);
+			if (n->frozen)
+				thaw(&net, n);
+			run_steps(&net, 60);
+			if (net.max_term != term)
+				g_error("seed %u: the term rose", seed);
+		}
+		g_assert_true(settled_leader(&net) == leader);
+		net_clear(&net);
+	}
+}
+
+/* Time until another replica is ready to lead, in ms. */
+static uint64_t
+time_without_leader(struct net *net, const struct node *old)
+{
+	uint64_t since = net->now;
+	int i;
+
+	for (i = 0; i < 500; i++) {
+		const struct node *leader = settled_leader(net);
+
+		if (leader != NULL && leader != old)
+			return net->now - since;
+		step(net, false);
+	}
+	g_error("seed %u: no new leader", net->seed);
+}
+
+/* A leader that hands over leaves the cell without one for a short time. */
+static void
+test_hand_over(void)
+{
+	uint64_t handed = 0, killed = 0, worst[2] = {0, 0}, took;
+	guint32 seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		struct net net;
+		struct node *leader = net_settle(&net, seed);
+
+		g_assert_true(gyp_raft_hand_over(leader->raft));
+		took = time_without_leader(&net, leader);
+		g_assert_cmpuint(took, <, ELECTION_MS);
+		handed += took;
+		worst[0] = MAX(worst[0], took);
+		run_steps(&net, 100);
+		leader = settled_leader(&net);
+		stop(leader);
+		took = time_without_leader(&net, leader);
+		killed += took;
+		worst[1] = MAX(worst[1], took);
+		net_clear(&net);
+	}
+	g_test_message("without a leader, in election timeouts: after a "
+		       "hand-over %.2f (worst %.2f), after a kill %.2f "
+		       "(worst %.2f)",
+	    (double)handed / 20 / ELECTION_MS, (double)worst[0] / ELECTION_MS,
+	    (double)killed / 20 / ELECTION_MS, (double)worst[1] / ELECTION_MS);
+}
+
+/* Lost chunks are sent again; the transfer does not start over. */
+static void
+test_snapshot_resumes(void)
+{
+	struct net net;
+	struct node *leader = net_settle(&net, 1), *n;
+	uint32_t chunks;
+
+	net.state_bytes = 15000;
+	compact(leader);
+	compact(leader);
+	for (n = net.nodes; n == leader; n++)
+		continue;
+	lose_disk(n);
+	net.no_compact = true;
+	net.chunks = 0;
+	net.drop_chunk = 7;
+	start(n);
+	run_steps(&net, 1000);
+	chunks = net.chunks;
+	g_test_message("%u chunks sent for %u", chunks, 15000 / CHUNK_BYTES);
+	g_assert_cmpuint(chunks, >=, 15000 / CHUNK_BYTES);
+	g_assert_cmpuint(chunks, <, 15000 / CHUNK_BYTES * 3 / 2);
+	g_assert_cmpuint(n->index, >=, net.truth->len - 10);
+	net_clear(&net);
+}
+
+/* ---- One replica, message by message ------------------------------------ */
+
+static Gyp__RaftMsg
+message(Gyp__RaftType type, uint64_t from, uint64_t term, uint64_t index,
+    uint64_t log_term)
+{
+	Gyp__RaftMsg m = GYP__RAFT_MSG__INIT;
+
+	m.type = type;
+	m.from = from;
+	m.to = 1;
+	m.term = term;
+	m.index = index;
+	m.log_term = log_term;
+	return m;
+}
+
+/* Makes the replica leader: grants all that it asks for. */
+static void
+win_election(struct net *net, struct node *n)
+{
+	while (gyp_raft_role(n->raft) != GYP_RAFT_LEADER) {
+		net->now += STEP_MS;
+		gyp_raft_tick(n->raft, net->now);
+		n->synced = n->disk->len;
+		gyp_raft_synced(n->raft, net->now, n->synced);
+		while (net->wire->len > 0) {
+			Gyp__RaftMsg *m = net->wire->pdata[0];
+			Gyp__RaftMsg reply =
+			    message(m->type + 1, m->to, m->term, 0, 0);
+
+			reply.round = m->round;
+			if (m->type == GYP__RAFT_TYPE__RAFT_PREVOTE ||
+			    m->type == GYP__RAFT_TYPE__RAFT_VOTE)
+				gyp_raft_step(n->raft, net->now, &reply);
+			g_ptr_array_remove_index(net->wire, 0);
+		}
+	}
+}
+
+/*
+ * A snapshot voids entries whose records are not synced yet. Their sync must
+ * not count for other entries of the same indexes.
+ */
+static void
+test_snapshot_over_unsynced(void)
+{
+	struct net net;
+	struct node *n = &net.nodes[0];
+	Gyp__Config config = GYP__CONFIG__INIT;
+	Gyp__Member members[3];
+	Gyp__Member *list[3];
+	Gyp__SnapshotFile file = GYP__SNAPSHOT_FILE__INIT;
+	Gyp__LogEntry entries[9];
+	Gyp__LogEntry *ptrs[9];
+	Gyp__RaftMsg m;
+	GBytes *data = g_bytes_new_static("", 0);
+	uint8_t packed[200];
+	int i;
+
+	net_init(&net, 1);
+	gyp_raft_free(n->raft);
+	n->raft = NULL;
+	g_array_set_size(n->disk, 0);
+	start(n);
+	for (i = 0; i < 3; i++) {
+		gyp__member__init(&members[i]);
+		members[i].id = (uint64_t)i + 1;
+		members[i].voter = true;
+		list[i] = &members[i];
+	}
+	config.n_members = 3;
+	config.members = list;
+	m = message(GYP__RAFT_TYPE__RAFT_APPEND, 2, 1, 0, 0);
+	for (i = 0; i < 9; i++) {
+		gyp__log_entry__init(&entries[i]);
+		entries[i].index = (uint64_t)i + 1;
+		entries[i].term = 1;
+		ptrs[i] = &entries[i];
+	}
+	m.n_entries = 9;
+	m.entries = ptrs;
+	gyp_raft_step(n->raft, net.now, &m);
+
+	g_array_set_size(net.truth, 6);
+	file.index = 5;
+	file.term = 1;
+	file.config = &config;
+	file.state.len = sizeof(n->hash);
+	file.state.data = (uint8_t *)&g_array_index(net.truth, struct truth, 5);
+	m = message(GYP__RAFT_TYPE__RAFT_SNAPSHOT, 3, 2, 5, 1);
+	m.chunk.len = gyp__snapshot_file__pack(&file, packed);
+	m.chunk.data = packed;
+	m.total = m.chunk.len;
+	gyp_raft_step(n->raft, net.now, &m);
+	g_assert_cmpuint(gyp_raft_last_index(n->raft), ==, 5);
+
+	win_election(&net, n);
+	for (i = 0; i < 5; i++)
+		gyp_raft_propose(n->raft, GYP__ENTRY_KIND__ENTRY_NOOP, data);
+	g_bytes_unref(data);
+	m = message(
+	    GYP__RAFT_TYPE__RAFT_APPEND_REPLY, 2, gyp_raft_term(n->raft), 8, 0);
+	m.round = net.now;
+	gyp_raft_step(n->raft, net.now, &m);
+	g_assert_cmpuint(gyp_raft_commit(n->raft), ==, 5);
+	gyp_raft_synced(n->raft, net.now, n->disk->len);
+	g_assert_cmpuint(gyp_raft_commit(n->raft), ==, 8);
+	net_clear(&net);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/raft/return", test_return);
+	g_test_add_func("/raft/hand-over", test_hand_over);
+	g_test_add_func("/raft/snapshot-resumes", test_snapshot_resumes);
+	g_test_add_func(
+	    "/raft/snapshot-over-unsynced", test_snapshot_over_unsynced);
 	g_test_add_func("/raft/random", test_random);
 	return g_test_run();
 }
