--- a/src/door_rules.c
+++ b/src/door_rules.c
@@ -160,6 +160,20 @@
 	return true;
 }
 
+static bool
+route_member(
+    struct gyp_door *door, struct gyp_http_request *req, char **seg, guint n)
+{
+	Gyp__Admin msg = GYP__ADMIN__INIT;
+
+	if (n != 3 || strcmp(gyp_http_method(req), "DELETE") != 0)
+		return false;
+	msg.op = GYP__ADMIN_OP__ADMIN_REMOVE_MEMBER;
+	msg.name = seg[2];
+	ask(door, req, &msg);
+	return true;
+}
+
 bool
 gyp_door_route_operators(
     struct gyp_door *door, struct gyp_http_request *req, char **seg, guint n)
@@ -170,5 +184,7 @@
 		return route_explain(door, req, seg, n);
 	if (n >= 3 && strcmp(seg[1], "endpoints") == 0)
 		return route_drain(door, req, seg, n);
+	if (n >= 3 && strcmp(seg[1], "members") == 0)
+		return route_member(door, req, seg, n);
 	return false;
 }
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -368,11 +368,16 @@
 	    {"cell", "compact", &set.compact_bytes, 4096, 1ULL << 30,
 		GYP_SETTING_BYTES, false},
 	};
+	const struct gyp_setting_order orders[] = {
+	    {&set.heartbeat_ms, &set.election_ms},
+	    {&set.start_window_ms, &set.endpoint_lease_ms}};
 	struct gyp_program program = {.name = "gyp-cell",
 	    .summary = "Keeps a replica of the cell's state and, while "
 		       "it leads, places tasks.",
 	    .settings = table,
 	    .n_settings = G_N_ELEMENTS(table),
+	    .orders = orders,
+	    .n_orders = G_N_ELEMENTS(orders),
 	    .allow_init = true};
 	int code = gyp_program_start(&program, argc, argv);
 
--- a/src/program.c
+++ b/src/program.c
@@ -58,10 +58,14 @@
 static int
 load_settings(struct gyp_program *p, const struct options *o)
 {
+	const struct gyp_settings set = {.table = p->settings,
+	    .n = p->n_settings,
+	    .orders = p->orders,
+	    .n_orders = p->n_orders,
+	    .make_folders = !o->check};
 	struct gyp_error err = {.code = GYP_OK};
 
-	if (gyp_settings_load(o->config, p->settings, p->n_settings, &err) !=
-	    GYP_OK) {
+	if (gyp_settings_load(o->config, &set, &err) != GYP_OK) {
 		fprintf(stderr, "%s: %s\n", p->name, err.message);
 		return GYP_EXIT_SETTINGS;
 	}
--- a/src/program.h
+++ b/src/program.h
@@ -18,6 +18,8 @@
 	const char *summary;
 	const struct gyp_setting *settings;
 	size_t n_settings;
+	const struct gyp_setting_order *orders;
+	size_t n_orders;
 	bool init; /* set by --init, for programs that allow it */
 	bool allow_init;
 };
--- a/src/settings.c
+++ b/src/settings.c
@@ -15,9 +15,8 @@
 	const char *path;
 	FILE *file;
 	int line;
-	const struct gyp_setting *table;
-	size_t n;
-	bool *seen;
+	const struct gyp_settings *set;
+	int *lines; /* of each setting, 0 while it was not seen */
 	struct gyp_error *err;
 	bool failed;
 };
@@ -155,11 +154,42 @@
 	return 1;
 }
 
+static bool
+is_writable_folder(const char *path)
+{
+	return g_file_test(path, G_FILE_TEST_IS_DIR) &&
+	       access(path, W_OK | X_OK) == 0;
+}
+
+/* True when the nearest of its parents that is there can be written. */
+static bool
+could_make_folder(const char *path)
+{
+	char *parent = g_strdup(path);
+	bool ok;
+
+	while (!g_file_test(parent, G_FILE_TEST_EXISTS)) {
+		char *next = g_path_get_dirname(parent);
+
+		g_free(parent);
+		parent = next;
+	}
+	ok = is_writable_folder(parent);
+	g_free(parent);
+	return ok;
+}
+
 static int
 set_folder(struct parse *p, const struct gyp_setting *s, const char *value)
 {
-	if (value[0] == '\0' || g_mkdir_with_parents(value, 0700) != 0 ||
-	    access(value, W_OK | X_OK) != 0)
+	bool ok = value[0] != '\0';
+
+	if (p->set->make_folders)
+		ok = ok && g_mkdir_with_parents(value, 0700) == 0 &&
+		     is_writable_folder(value);
+	else
+		ok = ok && could_make_folder(value);
+	if (!ok)
 		return refuse(p, s, value, "a folder that can be written");
 	set_text(s, value);
 	return 1;
@@ -200,15 +230,15 @@
 
 	if (p->failed)
 		return 0;
-	for (i = 0; i < p->n; i++) {
-		const struct gyp_setting *s = &p->table[i];
+	for (i = 0; i < p->set->n; i++) {
+		const struct gyp_setting *s = &p->set->table[i];
 
 		if (strcmp(s->section, section) != 0 ||
 		    strcmp(s->key, key) != 0)
 			continue;
-		if (p->seen[i])
+		if (p->lines[i] != 0)
 			return refuse(p, s, value, "the key only once");
-		p->seen[i] = true;
+		p->lines[i] = p->line;
 		return set_value(p, s, value);
 	}
 	gyp_fail(p->err, GYP_BAD_INPUT, "%s:%d: [%s] %s: unknown setting",
@@ -222,9 +252,19 @@
 read_line(char *str, int num, void *stream)
 {
 	struct parse *p = stream;
+	char *line = fgets(str, num, p->file);
 
 	p->line++;
-	return fgets(str, num, p->file);
+	/* The parser would take the rest for another line. */
+	if (line != NULL && strlen(line) == (size_t)num - 1 &&
+	    line[num - 2] != '\n' && !p->failed) {
+		gyp_fail(p->err, GYP_BAD_INPUT,
+		    "%s:%d: expected a line of at most %d bytes", p->path,
+		    p->line, num - 2);
+		p->failed = true;
+		return NULL;
+	}
+	return line;
 }
 
 static void
@@ -232,27 +272,61 @@
 {
 	size_t i;
 
-	for (i = 0; i < p->n && !p->failed; i++) {
-		if (!p->table[i].required || p->seen[i])
+	for (i = 0; i < p->set->n && !p->failed; i++) {
+		if (!p->set->table[i].required || p->lines[i] != 0)
 			continue;
 		gyp_fail(p->err, GYP_BAD_INPUT,
 		    "%s:%d: [%s] %s: missing, and it has no default", p->path,
-		    p->line, p->table[i].section, p->table[i].key);
+		    p->line, p->set->table[i].section, p->set->table[i].key);
 		p->failed = true;
 	}
 }
 
+static size_t
+find_setting(const struct gyp_settings *set, const uint32_t *dest)
+{
+	size_t i;
+
+	for (i = 0; i < set->n; i++) {
+		if (set->table[i].dest == (const void *)dest)
+			break;
+	}
+	g_assert(i < set->n);
+	return i;
+}
+
+static void
+check_order(struct parse *p, const struct gyp_setting_order *order)
+{
+	size_t less = find_setting(p->set, order->less);
+	size_t more = find_setting(p->set, order->more);
+	const struct gyp_setting *s = &p->set->table[less];
+
+	if (*order->less < *order->more || p->failed)
+		return;
+	gyp_fail(p->err, GYP_BAD_INPUT,
+	    "%s:%d: [%s] %s = %u: expected less than %s, which is %u%s",
+	    p->path,
+	    p->lines[less] != 0   ? p->lines[less]
+	    : p->lines[more] != 0 ? p->lines[more]
+				  : p->line,
+	    s->section, s->key, *order->less, p->set->table[more].key,
+	    *order->more, s->type == GYP_SETTING_MS ? " (in ms)" : "");
+	p->failed = true;
+}
+
 enum gyp_status
-gyp_settings_load(const char *path, const struct gyp_setting *table, size_t n,
-    struct gyp_error *err)
+gyp_settings_load(
+    const char *path, const struct gyp_settings *set, struct gyp_error *err)
 {
-	struct parse p = {.path = path, .table = table, .n = n, .err = err};
+	struct parse p = {.path = path, .set = set, .err = err};
+	size_t i;
 	int rc;
 
 	p.file = fopen(path, "re");
 	if (p.file == NULL)
 		return gyp_fail(err, GYP_IO, "%s: %s", path, g_strerror(errno));
-	p.seen = g_new0(bool, n);
+	p.lines = g_new0(int, set->n);
 	rc = ini_parse_stream(read_line, &p, on_value, &p);
 	fclose(p.file);
 	if (rc != 0 && !p.failed) {
@@ -261,7 +335,9 @@
 		p.failed = true;
 	}
 	check_required(&p);
-	g_free(p.seen);
+	for (i = 0; i < set->n_orders; i++)
+		check_order(&p, &set->orders[i]);
+	g_free(p.lines);
 	return p.failed ? GYP_BAD_INPUT : GYP_OK;
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -39,8 +39,23 @@
 	bool required;
 };
 
-enum gyp_status gyp_settings_load(const char *path,
-    const struct gyp_setting *table, size_t n, struct gyp_error *);
+/* Two times or counts of a table, the first of which has to be smaller. */
+struct gyp_setting_order {
+	const uint32_t *less;
+	const uint32_t *more;
+};
+
+struct gyp_settings {
+	const struct gyp_setting *table;
+	size_t n;
+	const struct gyp_setting_order *orders;
+	size_t n_orders;
+	/* Without it a missing folder has to be one that could be made. */
+	bool make_folders;
+};
+
+enum gyp_status gyp_settings_load(
+    const char *path, const struct gyp_settings *, struct gyp_error *);
 
 /* Releases the values of the table. */
 void gyp_settings_clear(const struct gyp_setting *table, size_t n);
