--- a/src/exchange.c
+++ b/src/exchange.c
@@ -136,20 +136,29 @@
 
 /* ---- Sending ----------------------------------------------------------- */
 
+/* Another life at the same address must not take the order as its own. */
+static void
+print_incarnation(const Gyp__Order *order, char *text, gulong size)
+{
+	g_snprintf(text, size, "Gyp-Incarnation: %" G_GINT64_MODIFIER "x",
+	    order->incarnation);
+}
+
 static void
 send_start(struct gyp_exchanges *xs, struct gyp_httpc_request *req,
     const struct gyp_exchange *x)
 {
 	const Gyp__Order *order = x->order;
-	char not_after[64], kind[64];
+	char not_after[64], kind[64], incarnation[64];
 	char *size = make_size(order->size);
-	const char *headers[] = {not_after, kind, size,
+	const char *headers[] = {not_after, kind, size, incarnation,
 	    "Content-Type: application/octet-stream", NULL};
 
 	g_snprintf(not_after, sizeof(not_after),
 	    "Gyp-Not-After: %" G_GUINT64_FORMAT, order->not_after_ms);
 	g_snprintf(
 	    kind, sizeof(kind), "Gyp-Kind: %s", gyp_kind_name(order->kind));
+	print_incarnation(order, incarnation, sizeof(incarnation));
 	req->headers = headers;
 	req->body = order->payload.data;
 	req->len = order->payload.len;
@@ -162,15 +171,17 @@
 send_other(struct gyp_exchanges *xs, struct gyp_httpc_request *req,
     const Gyp__Order *order)
 {
-	char limit[64];
-	const char *headers[] = {limit, NULL};
+	char limit[64], incarnation[64];
+	const char *headers[] = {incarnation, NULL, NULL};
 
 	if (order->type == GYP__ORDER_TYPE__ORDER_QUERY)
 		req->method = "GET";
 	g_snprintf(
 	    limit, sizeof(limit), "Gyp-Cpu-Limit: %u", order->cpu_limit_milli);
 	if (order->type == GYP__ORDER_TYPE__ORDER_THROTTLE)
-		req->headers = headers;
+		headers[1] = limit;
+	print_incarnation(order, incarnation, sizeof(incarnation));
+	req->headers = headers;
 	req->timeout_ms = GYP_QUESTION_MS;
 	gyp_httpc_send(xs->client, req);
 }
