--- /dev/null
+++ b/test/operators.sh
@@ -0,0 +1,91 @@
+#!/usr/bin/env bash
+# gypctl against the real programs: reports, explanations, drains, members.
+set -eu
+bin=$1
+# shellcheck source=test/cluster.sh
+. "$(dirname "$0")/cluster.sh"
+
+start_cell 1 --init
+start_entry 1
+start endpoint1 "$bin/gyp-endpoint" --name vm-1 --cpu 4000 --memory 4096 \
+    --listen "127.0.0.1:$((base + 21))" --entries "$(entry_address 1)" \
+    --rack rack-1 --data-centre dc-1
+
+# shows PATTERN COMMAND...: the command succeeds and prints the pattern.
+shows() {
+	local pattern=$1
+	shift
+	"$@" >"$dir/shown" 2>&1 && grep -Eq -- "$pattern" "$dir/shown"
+}
+
+# refused CODE PATTERN COMMAND...
+refused() {
+	local code=0 want=$1 pattern=$2
+	shift 2
+	"$@" >"$dir/shown" 2>&1 || code=$?
+	[ "$code" -eq "$want" ] && grep -Eq -- "$pattern" "$dir/shown" ||
+	    fail "expected $want and $pattern of $*, not $code: $(cat "$dir/shown")"
+}
+
+check() {
+	shows "$@" || fail "expected $1 of ${*:2}: $(cat "$dir/shown")"
+}
+
+# submit KEY CPU_MILLI: prints the job's id.
+submit() {
+	curl -s -X POST "http://$(entry_address 1)/v1/jobs" \
+	    -H "Idempotency-Key: $1" \
+	    -d "{\"kind\":\"batch\",\"team\":\"press\",\"class\":\"juicing\",
+\"cpu_milli\":$2,\"payload\":\"run_ms=600000\"}" |
+	    sed 's/.*"job":"\([0-9a-f]*\)".*/\1/'
+}
+
+until_true shows '^vm-1 +active' ctl 1 endpoints
+
+echo "== rules that decide"
+cat >"$dir/rules" <<'RULES'
+# what the presses agreed on
+weight juicing waiting=1 packing=2  # Ravi: full VMs
+quota press cpu=4                   # Asha: leave some for bookings
+RULES
+until_true ctl 1 rules apply "$dir/rules" --base 0 --request first --wait 30
+check '^version 1, in force everywhere' ctl 1 rules status
+check '^entry +entry-1 +yes +1$' ctl 1 rules status
+check '^1 +[^ ]+ +[0-9]+ +first' ctl 1 rules history
+check 'equal to version 1; apply with --base 1' ctl 1 rules diff "$dir/rules"
+ctl 1 rules show 2>/dev/null | cmp - "$dir/rules" || fail "rules show"
+refused 1 'no such' ctl 1 rules show --rules-version 9
+
+echo "== a placed job, and one that waits behind its team's quota"
+placed=$(submit placed 3000)
+until_true shows '^0 +placed.*vm-1' ctl 1 explain "$placed"
+check '^rule line 2: weight juicing waiting=1 packing=2' ctl 1 explain "$placed"
+waiting=$(submit waiting 3000)
+check '^because: .*quota' ctl 1 explain "$waiting"
+check '^rule line 3: quota press cpu=4 ' ctl 1 explain "$waiting"
+check '"text":"quota press cpu=4 ' ctl 1 explain "$waiting" --format=json
+check '^outcome +none' ctl 1 job "$waiting"
+check '^jobs_waiting +1$' ctl 1 status
+refused 1 'no such job' ctl 1 explain ffff
+refused 1 'no such job' ctl 1 job not-hexadecimal
+
+echo "== a drain, and its undoing"
+check '^vm-1 +drained +1 ' ctl 1 drain vm-1
+check '^outcome +not_run' ctl 1 cancel "$waiting"
+later=$(submit later 100)
+check '1 are leaving, drained' ctl 1 explain "$later"
+check '^vm-1 +active' ctl 1 drain vm-1 --undo
+until_true shows '^0 +placed.*vm-1' ctl 1 explain "$later"
+refused 1 'no such' ctl 1 drain vm-2
+
+echo "== members, and entries that do not answer"
+check '127.0.0.1:[0-9]+ .* yes +yes +yes +0$' ctl 1 members
+refused 1 'no such member' ctl 1 members remove ffff
+refused 1 'it is the leader' ctl 1 members remove "127.0.0.1:$((base + 1))"
+check '^term ' "$bin/gypctl" --entry 127.0.0.1:1 \
+    --entry "$(entry_address 1)" status
+kill_one cell1 KILL
+refused 69 'no answer' ctl 1 status
+kill_one entry1 KILL
+refused 69 'no entry answered' ctl 1 status
+echo "operators: passed"
