--- a/src/policy.c
+++ b/src/policy.c
@@ -168,9 +168,21 @@
 	       (double)left.memory < memory + (double)size->memory;
 }
 
-/* Declared or learned, whichever is longer. */
-static uint64_t
-expected_run(const struct lane *lane, const struct gyp_job *job)
+const char *
+policy_barred(const struct round *round, const struct lane *lane,
+    const struct gyp_job *job)
+{
+	if (lane == NULL)
+		return NULL;
+	if (queue_over_quota(lane->team, &job->size) != NULL)
+		return "the team's quota is used up";
+	if (!queue_is_urgent(lane, job) && in_reserve(round, &job->size))
+		return "the rest is reserved for urgent work";
+	return NULL;
+}
+
+uint64_t
+policy_expected_run(const struct lane *lane, const struct gyp_job *job)
 {
 	if (job->spec->kind == GYP__KIND__KIND_WATCHER)
 		return 0;
@@ -195,7 +207,7 @@
 		return;
 	if (t->failures > 0 && index_size(p->index) > 1)
 		q->avoid = t->endpoint;
-	q->run_ms = expected_run(lane, job);
+	q->run_ms = policy_expected_run(lane, job);
 	q->max_tasks = gyp_rules_limit(p->rules, "endpoint")->u.tasks;
 	q->rack_limit = gyp_rules_limit(p->rules, "rack")->u.tasks;
 	q->over = lane->spread->u.over;
@@ -258,12 +270,9 @@
 		if (job->tasks[i].state != GYP_TASK_QUEUED)
 			continue;
 		wanted++;
-		if (round->out->choices->len >= round->budget)
-			break;
-		if (lane != NULL &&
-		    queue_over_quota(lane->team, &job->size) != NULL)
-			break;
-		if (!policy_choose(round, lane, job, i))
+		if (round->out->choices->len >= round->budget ||
+		    policy_barred(round, lane, job) != NULL ||
+		    !policy_choose(round, lane, job, i))
 			break;
 		round->next_group++;
 	}
@@ -322,26 +331,23 @@
 {
 	struct gyp_policy *p = round->policy;
 	bool urgent = queue_is_urgent(lane, job);
+	const char *barred = policy_barred(round, lane, job);
 	enum fit fit;
 
-	if (queue_over_quota(lane->team, &job->size) != NULL) {
-		lane->blocked = "the team's quota is used up";
+	if (barred != NULL) {
+		lane->blocked = barred;
 		if (is_hopeless(round, lane, job))
 			return FIT_NONE;
 		if (urgent)
 			preempt_for(round, lane, job);
 		return FIT_BLOCKED;
 	}
-	if (!urgent && in_reserve(round, &job->size)) {
-		lane->blocked = "the rest is reserved for urgent work";
-		return FIT_BLOCKED;
-	}
 	fit = place_job(round, lane, job);
 	if (fit == FIT_ALL) {
 		g_hash_table_add(
 		    p->chosen, g_memdup2(&job->id, sizeof(job->id)));
 		if (p->reserved == job->id)
-			p->reserved = 0;
+			gang_release(p);
 		return fit;
 	}
 	if (fit == FIT_NONE && is_hopeless(round, lane, job))
@@ -350,7 +356,7 @@
 	if (urgent)
 		preempt_for(round, lane, job);
 	if (fit == FIT_NONE)
-		gang_consider(round, lane, job);
+		gang_consider(round, job);
 	return fit;
 }
 
--- a/src/policy_gang.c
+++ b/src/policy_gang.c
@@ -2,7 +2,7 @@
 
 #include "policy_int.h"
 
-/* Time for a held endpoint to become free, where nothing better is known. */
+/* Longest time that held endpoints get to become free while others backfill. */
 #define HOLD_MS 60000
 
 enum fit
@@ -13,10 +13,8 @@
 
 	/* A gang larger than the budget still goes in one piece. */
 	for (i = 0; i < job->n_tasks; i++) {
-		bool over = lane != NULL &&
-			    queue_over_quota(lane->team, &job->size) != NULL;
-
-		if (job->tasks[i].state != GYP_TASK_QUEUED || over ||
+		if (job->tasks[i].state != GYP_TASK_QUEUED ||
+		    policy_barred(round, lane, job) != NULL ||
 		    !policy_choose(round, lane, job, i)) {
 			policy_undo(round, job, before);
 			return FIT_NONE;
@@ -101,11 +99,14 @@
 	return offers;
 }
 
-static void
-release_all(struct gyp_policy *p)
+void
+gang_release(struct gyp_policy *p)
 {
 	uint32_t i;
 
+	if (p->reserved == 0)
+		return;
+
 	for (i = 0; i < index_size(p->index); i++) {
 		struct spot *s = index_at(p->index, i);
 
@@ -115,11 +116,32 @@
 	p->reserved = 0;
 }
 
+/* Longest expected time until what runs there, but for services, has ended. */
+static uint64_t
+time_to_drain(struct gyp_policy *p, const struct spot *s)
+{
+	uint64_t longest = 0;
+	guint i;
+
+	for (i = 0; i < s->ep->attempts->len; i++) {
+		const struct gyp_task_ref *ref =
+		    &g_array_index(s->ep->attempts, struct gyp_task_ref, i);
+		const struct gyp_job *job = gyp_state_job(p->state, ref->job);
+		uint64_t end = job->tasks[ref->task].changed_ms +
+			       policy_expected_run(queue_lane(p, job), job);
+
+		if (end > p->now)
+			longest = MAX(longest, end - p->now);
+	}
+	return MIN(longest, HOLD_MS);
+}
+
+/* Holds endpoints until the job could start on them. */
 static void
-hold(struct gyp_policy *p, const struct gyp_job *job, uint64_t until)
+hold(struct gyp_policy *p, const struct gyp_job *job)
 {
 	GArray *offers = list_offers(p, job);
-	uint64_t tasks = 0;
+	uint64_t tasks = 0, drain = 0;
 	guint i;
 
 	for (i = 0; i < offers->len && tasks < job->n_queued; i++) {
@@ -128,9 +150,12 @@
 		if (o->spot->held_for != 0)
 			continue;
 		o->spot->held_for = job->id;
-		o->spot->held_until = until;
+		drain = MAX(drain, time_to_drain(p, o->spot));
 		tasks += o->tasks;
 	}
+	/* Looking again later does not put the time off. */
+	if (p->reserved_until == 0)
+		p->reserved_until = p->now + drain;
 	g_array_free(offers, TRUE);
 }
 
@@ -140,18 +165,15 @@
  * to be over well before the time of the reservation, and not at all after.
  */
 void
-gang_consider(
-    struct round *round, const struct lane *lane, const struct gyp_job *job)
+gang_consider(struct round *round, const struct gyp_job *job)
 {
 	struct gyp_policy *p = round->policy;
 	uint64_t waited = p->now - job->submitted_ms;
-	uint64_t run = MAX((uint64_t)lane->run_ms, HOLD_MS);
-
 	if (p->reserved != 0 || waited < POLICY_RESERVE_AFTER_MS)
 		return;
 	p->reserved = job->id;
-	p->reserved_at = p->now + run;
-	hold(p, job, p->reserved_at);
+	p->reserved_until = 0;
+	hold(p, job);
 }
 
 void
@@ -164,7 +186,7 @@
 		return;
 	job = gyp_state_job(p->state, p->reserved);
 	if (job == NULL || job->n_queued == 0 || job->cancelled) {
-		release_all(p);
+		gang_release(p);
 		return;
 	}
 	if (policy_try_job(round, queue_lane(p, job), job) == FIT_ALL)
@@ -173,8 +195,8 @@
 	if (p->full_round == p->round) {
 		uint64_t id = p->reserved;
 
-		release_all(p);
+		gang_release(p);
 		p->reserved = id;
-		hold(p, job, p->reserved_at);
+		hold(p, job);
 	}
 }
--- a/src/policy_index.c
+++ b/src/policy_index.c
@@ -426,11 +426,15 @@
 
 /* Backfill: what is over before the holder can use the endpoint may run. */
 static bool
-may_use_held(const struct query *q, const struct spot *spot)
+may_use_held(
+    const struct gyp_policy *p, const struct query *q, const struct spot *spot)
 {
 	if (spot->held_for == 0 || spot->held_for == q->job->id)
 		return true;
-	return q->run_ms > 0 && q->now + 2 * q->run_ms <= spot->held_until;
+	if (spot->held_for != p->reserved)
+		return q->now > spot->held_until;
+	/* Run times are not to be relied on: twice the expected one counts. */
+	return q->run_ms > 0 && q->now + 2 * q->run_ms <= p->reserved_until;
 }
 
 static bool
@@ -443,7 +447,7 @@
 		return false;
 	if (spot->tasks >= q->max_tasks || (spot->probing && spot->tasks > 0))
 		return false;
-	if (!may_use_held(q, spot))
+	if (!may_use_held(s->policy, q, spot))
 		return false;
 	return q->rack_limit == GYP_UNLIMITED ||
 	       tasks_in_domain(s, spot, GYP_SPREAD_RACK) < q->rack_limit;
--- a/src/policy_int.h
+++ b/src/policy_int.h
@@ -38,9 +38,9 @@
 	bool usable;       /* active */
 	bool probing;      /* back from quarantine: one task at a time */
 	uint64_t held_for; /* job that a reservation or eviction keeps it for */
-	uint64_t held_until;
-	uint32_t cell; /* of the grid; UINT32_MAX: in none */
-	uint32_t pos;  /* in the cell */
+	uint64_t held_until; /* of an eviction; reservations have their own */
+	uint32_t cell;       /* of the grid; UINT32_MAX: in none */
+	uint32_t pos;        /* in the cell */
 	uint32_t shape;
 };
 
@@ -141,8 +141,8 @@
 	uint64_t full_round; /* last one that looked at every queue */
 	uint64_t turn_at;
 	bool due;
-	uint64_t reserved; /* job that holds endpoints, or 0 */
-	uint64_t reserved_at;
+	uint64_t reserved;       /* job that holds endpoints, or 0 */
+	uint64_t reserved_until; /* backfill must be over by then */
 	struct gyp_policy_counters counters;
 };
 
@@ -178,6 +178,12 @@
 	FIT_ALL
 };
 enum fit policy_try_job(struct round *, struct lane *, const struct gyp_job *);
+/* Declared or learned run time, whichever is longer; 0 of a service. */
+uint64_t policy_expected_run(const struct lane *, const struct gyp_job *);
+
+/* The rule that keeps one more task of the job out, as text, or NULL. */
+const char *policy_barred(
+    const struct round *, const struct lane *, const struct gyp_job *);
 bool policy_choose(
     struct round *, struct lane *, const struct gyp_job *, uint32_t task);
 void policy_undo(struct round *, const struct gyp_job *, guint len);
@@ -187,7 +193,8 @@
 enum fit gang_try(struct round *, struct lane *, const struct gyp_job *);
 void gang_try_reserved(struct round *);
 /* Keeps endpoints for a job that has waited long; one job at a time. */
-void gang_consider(struct round *, const struct lane *, const struct gyp_job *);
+void gang_consider(struct round *, const struct gyp_job *);
+void gang_release(struct gyp_policy *);
 
 /* policy_preempt.c */
 bool preempt_for(struct round *, struct lane *, const struct gyp_job *);
--- /dev/null
+++ b/test/test_policy.c
@@ -0,0 +1,719 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "health.h"
+#include "policy.h"
+
+#define GIB (1ULL << 30)
+
+/* Tables and policy, with cell time that the test moves. */
+struct world {
+	struct gyp_state *state;
+	struct gyp_policy *policy;
+	struct gyp_rules *rules;
+	struct gyp_decision *last;
+	uint64_t now;
+	uint32_t keys;
+};
+
+static void
+apply(struct world *w, Gyp__Cmd *cmd)
+{
+	Gyp__Batch batch = GYP__BATCH__INIT;
+
+	batch.time_ms = w->now;
+	batch.n_cmds = 1;
+	batch.cmds = &cmd;
+	gyp_state_apply(w->state, &batch);
+}
+
+static void
+set_rules(struct world *w, const char *text)
+{
+	struct gyp_slice slice = {(const uint8_t *)text, strlen(text)};
+	struct gyp_error err = {.code = GYP_OK};
+	struct gyp_rules *old = w->rules;
+
+	w->rules = gyp_rules_parse("test", slice, &err);
+	if (w->rules == NULL)
+		g_error("%s", err.message);
+	gyp_policy_set_rules(w->policy, w->rules);
+	gyp_rules_free(old);
+}
+
+static struct world *
+world_new(const char *rules)
+{
+	struct world *w = g_new0(struct world, 1);
+
+	w->now = 1000;
+	w->state = gyp_state_new(NULL);
+	w->policy = gyp_policy_new(&gyp_policy_weighted, 1);
+	set_rules(w, rules);
+	gyp_policy_attach(w->policy, w->state, w->now);
+	w->last = gyp_decision_new();
+	return w;
+}
+
+static void
+world_free(struct world *w)
+{
+	gyp_decision_free(w->last);
+	gyp_policy_free(w->policy);
+	gyp_rules_free(w->rules);
+	gyp_state_check(w->state);
+	gyp_state_free(w->state);
+	g_free(w);
+}
+
+/* Endpoints of 8 processors, 8 GiB and 8 slots, two to a rack. */
+static void
+add_endpoints(struct world *w, uint32_t n)
+{
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		Gyp__Cmd cmd = GYP__CMD__INIT;
+		Gyp__CmdEndpoint ep = GYP__CMD_ENDPOINT__INIT;
+		Gyp__Res cap = GYP__RES__INIT;
+		char name[16], rack[16];
+
+		g_snprintf(name, sizeof(name), "e%u", i);
+		g_snprintf(rack, sizeof(rack), "r%u", i / 2);
+		cap.cpu_milli = 8000;
+		cap.memory = 8 * GIB;
+		cap.slots = 8;
+		ep.name = name;
+		ep.rack = rack;
+		ep.data_centre = i % 2 == 0 ? "even" : "odd";
+		ep.capacity = &cap;
+		cmd.c_case = GYP__CMD__C_ENDPOINT;
+		cmd.endpoint = &ep;
+		apply(w, &cmd);
+	}
+}
+
+struct job {
+	Gyp__Kind kind;
+	const char *team;
+	const char *class_name;
+	uint32_t tasks;
+	uint32_t cpu;
+	uint64_t memory; /* 0: an eighth of a GiB */
+};
+
+static uint64_t
+submit(struct world *w, struct job j)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdSubmit sub = GYP__CMD_SUBMIT__INIT;
+	Gyp__JobSpec spec = GYP__JOB_SPEC__INIT;
+	Gyp__Res size = GYP__RES__INIT;
+	char key[16];
+
+	g_snprintf(key, sizeof(key), "k%u", w->keys++);
+	size.cpu_milli = j.cpu;
+	size.memory = j.memory != 0 ? j.memory : GIB / 8;
+	size.slots = 1;
+	spec.kind = j.kind;
+	spec.team = (char *)j.team;
+	spec.class_ = (char *)j.class_name;
+	spec.key = key;
+	spec.idempotent = true;
+	spec.tasks = j.tasks;
+	spec.size = &size;
+	spec.run_ms = 1000;
+	sub.spec = &spec;
+	cmd.c_case = GYP__CMD__C_SUBMIT;
+	cmd.submit = &sub;
+	apply(w, &cmd);
+	return gyp_state_job_by_key(w->state, j.team, key)->id;
+}
+
+static uint64_t
+batch(struct world *w, uint32_t tasks, uint32_t cpu)
+{
+	return submit(w, (struct job){GYP__KIND__KIND_BATCH, "press", "batch",
+			     tasks, cpu, 0});
+}
+
+static uint64_t
+urgent(struct world *w, const char *team, uint32_t cpu)
+{
+	return submit(w,
+	    (struct job){GYP__KIND__KIND_REQUEST, team, "booking", 1, cpu, 0});
+}
+
+static void
+end_task(struct world *w, uint64_t job, uint32_t task, Gyp__Outcome outcome,
+    bool checkpointed)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdFinish f = GYP__CMD_FINISH__INIT;
+
+	f.job = job;
+	f.task = task;
+	f.attempt = gyp_state_job(w->state, job)->tasks[task].attempt;
+	f.outcome = outcome;
+	f.checkpointed = checkpointed;
+	cmd.c_case = GYP__CMD__C_FINISH;
+	cmd.finish = &f;
+	apply(w, &cmd);
+}
+
+static void
+cancel(struct world *w, uint64_t job, const char *reason)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdCancel c = GYP__CMD_CANCEL__INIT;
+
+	c.job = job;
+	c.reason = (char *)reason;
+	cmd.c_case = GYP__CMD__C_CANCEL;
+	cmd.cancel = &c;
+	apply(w, &cmd);
+}
+
+static void
+apply_group(struct world *w, const GArray *choices, guint first, guint end)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdPlace place = GYP__CMD_PLACE__INIT;
+	Gyp__Placement *rows = g_new(Gyp__Placement, end - first);
+	Gyp__Placement **list = g_new(Gyp__Placement *, end - first);
+	guint i;
+
+	for (i = first; i < end; i++) {
+		const struct gyp_choice *c =
+		    &g_array_index(choices, struct gyp_choice, i);
+		Gyp__Placement *p = &rows[i - first];
+
+		gyp__placement__init(p);
+		p->job = c->job;
+		p->task = c->task;
+		p->endpoint = c->endpoint;
+		p->attempt =
+		    gyp_state_job(w->state, c->job)->tasks[c->task].attempt + 1;
+		list[i - first] = p;
+	}
+	place.n_places = end - first;
+	place.places = list;
+	cmd.c_case = GYP__CMD__C_PLACE;
+	cmd.place = &place;
+	apply(w, &cmd);
+	g_free(rows);
+	g_free(list);
+}
+
+static void
+apply_choices(struct world *w, const GArray *choices)
+{
+	guint first = 0, i;
+
+	for (i = 1; i <= choices->len; i++) {
+		if (i < choices->len &&
+		    g_array_index(choices, struct gyp_choice, i).group ==
+			g_array_index(choices, struct gyp_choice, first).group)
+			continue;
+		apply_group(w, choices, first, i);
+		first = i;
+	}
+}
+
+static void
+apply_verdicts(struct world *w, const GArray *verdicts)
+{
+	guint i;
+
+	for (i = 0; i < verdicts->len; i++) {
+		const struct gyp_verdict *v =
+		    &g_array_index(verdicts, struct gyp_verdict, i);
+		Gyp__Cmd cmd = GYP__CMD__INIT;
+		Gyp__CmdEndpointState es = GYP__CMD_ENDPOINT_STATE__INIT;
+
+		es.endpoint = v->endpoint;
+		es.from = v->from;
+		es.state = v->state;
+		cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
+		cmd.endpoint_state = &es;
+		apply(w, &cmd);
+	}
+}
+
+/* Decides and applies, as a leader would; evictions end at once. */
+static void
+round_(struct world *w, uint32_t ms)
+{
+	guint i;
+
+	w->now += ms;
+	gyp_decision_free(w->last);
+	w->last = gyp_decision_new();
+	gyp_policy_decide(w->policy, w->now, 512, w->last);
+	apply_choices(w, w->last->choices);
+	apply_verdicts(w, w->last->verdicts);
+	for (i = 0; i < w->last->refusals->len; i++) {
+		const struct gyp_refusal *r =
+		    &g_array_index(w->last->refusals, struct gyp_refusal, i);
+
+		cancel(w, r->job, r->reason);
+	}
+	for (i = 0; i < w->last->evictions->len; i++) {
+		const struct gyp_eviction *e =
+		    &g_array_index(w->last->evictions, struct gyp_eviction, i);
+
+		end_task(
+		    w, e->job, e->task, GYP__OUTCOME__OUTCOME_FAILED, true);
+	}
+}
+
+static uint32_t
+placed(const struct world *w, uint64_t job)
+{
+	return gyp_state_job(w->state, job)->n_placed;
+}
+
+static const char *
+endpoint_of(const struct world *w, uint64_t job, uint32_t task)
+{
+	const struct gyp_job *j = gyp_state_job(w->state, job);
+
+	return gyp_state_endpoint(w->state, j->tasks[task].endpoint)
+	    ->spec->name;
+}
+
+/* ---- Feasibility ------------------------------------------------------- */
+
+static void
+test_never_fits(void)
+{
+	struct world *w = world_new("quota small cpu=1 # asha: trial team\n");
+	uint64_t big = batch(w, 1, 9000), ok, over;
+
+	round_(w, GYP_FEASIBLE_GRACE_MS * 2);
+	g_assert_cmpuint(w->last->refusals->len, ==, 0); /* no endpoint yet */
+	add_endpoints(w, 2);
+	ok = batch(w, 1, 1000);
+	over = submit(w,
+	    (struct job){GYP__KIND__KIND_BATCH, "small", "batch", 1, 2000, 0});
+	round_(w, 1);
+	g_assert_cmpuint(placed(w, ok), ==, 1);
+	round_(w, GYP_FEASIBLE_GRACE_MS);
+	g_assert_cmpint(gyp_state_job(w->state, big)->outcome, ==,
+	    GYP__OUTCOME__OUTCOME_NOT_RUN);
+	g_assert_nonnull(
+	    strstr(gyp_state_job(w->state, big)->reason, "could ever hold"));
+	g_assert_nonnull(
+	    strstr(gyp_state_job(w->state, over)->reason, "rules line 1"));
+	world_free(w);
+}
+
+/* ---- Order ------------------------------------------------------------- */
+
+static void
+test_urgent_first(void)
+{
+	struct world *w =
+	    world_new("urgent booking within=3s # asha: growers wait\n"
+		      "weight check waiting=10 packing=1 # ravi: crews wait\n");
+	uint64_t old, check, book;
+
+	old = batch(w, 1, 8000);
+	w->now += 5000;
+	check = submit(w, (struct job){GYP__KIND__KIND_REQUEST, "press",
+			      "check", 1, 8000, 0});
+	book = urgent(w, "rota", 8000);
+	add_endpoints(w, 1);
+	round_(w, 1);
+	g_assert_cmpuint(placed(w, book), ==, 1);
+	end_task(w, book, 0, GYP__OUTCOME__OUTCOME_DONE, false);
+	round_(w, 1);
+	g_assert_cmpuint(placed(w, check), ==, 1);
+	end_task(w, check, 0, GYP__OUTCOME__OUTCOME_DONE, false);
+	round_(w, 1);
+	g_assert_cmpuint(placed(w, old), ==, 1);
+	world_free(w);
+}
+
+/* Three shares against one give three places against one. */
+static void
+test_shares(void)
+{
+	struct world *w = world_new("share a 3 # asha: bought three presses\n"
+				    "share b 1 # ravi: bought one\n");
+	uint32_t got[2] = {0, 0}, i;
+	uint64_t jobs[128];
+
+	for (i = 0; i < 128; i++)
+		jobs[i] = submit(w, (struct job){GYP__KIND__KIND_BATCH,
+					i < 64 ? "b" : "a", "x", 1, 1000, 0});
+	add_endpoints(w, 4);
+	round_(w, 1);
+	for (i = 0; i < 128; i++)
+		got[i / 64] += placed(w, jobs[i]);
+	g_assert_cmpuint(got[0], ==, 8);
+	g_assert_cmpuint(got[1], ==, 24);
+	world_free(w);
+}
+
+static void
+test_quota_blocks_its_team_only(void)
+{
+	struct world *w =
+	    world_new("quota press cpu=4 # asha: half of the presses\n"
+		      "urgent booking within=3s # asha: growers wait\n"
+		      "preempt batch by=booking # ravi: juice can wait\n");
+	uint64_t mine, other, book;
+
+	add_endpoints(w, 2);
+	mine = batch(w, 6, 1000);
+	other = submit(w,
+	    (struct job){GYP__KIND__KIND_BATCH, "crews", "batch", 6, 1000, 0});
+	round_(w, 1);
+	g_assert_cmpuint(placed(w, mine), ==, 4);
+	g_assert_cmpuint(placed(w, other), ==, 6);
+	/* Urgent work of the same team takes from its own team's batch. */
+	book = urgent(w, "press", 1000);
+	round_(w, 1);
+	g_assert_cmpuint(w->last->evictions->len, ==, 1);
+	g_assert_cmpuint(
+	    g_array_index(w->last->evictions, struct gyp_eviction, 0).job, ==,
+	    mine);
+	g_assert_cmpuint(
+	    g_array_index(w->last->evictions, struct gyp_eviction, 0).rule_line,
+	    ==, 3);
+	round_(w, 1);
+	g_assert_cmpuint(placed(w, book), ==, 1);
+	g_assert_cmpuint(placed(w, mine), ==, 3);
+	g_assert_cmpuint(
+	    gyp_state_job(w->state, mine)->tasks[0].failures, ==, 0);
+	world_free(w);
+}
+
+static void
+test_reserve(void)
+{
+	struct world *w =
+	    world_new("reserve cpu=25% memory=0% # asha: for bookings\n"
+		      "urgent booking within=3s # asha: growers wait\n");
+	uint64_t b, u;
+
+	add_endpoints(w, 2);
+	b = batch(w, 16, 1000);
+	round_(w, 1);
+	g_assert_cmpuint(placed(w, b), ==, 12);
+	u = urgent(w, "rota", 4000);
+	round_(w, 1);
+	g_assert_cmpuint(placed(w, u), ==, 1);
+	world_free(w);
+}
+
+/* ---- Places ------------------------------------------------------------ */
+
+static void
+test_spread_and_limits(void)
+{
+	struct world *w =
+	    world_new("spread watch over=rack # asha: a rack may burn\n"
+		      "limit rack tasks=2 # ravi: the same\n"
+		      "limit endpoint tasks=3 # ravi: noisy neighbours\n");
+	uint64_t job;
+	uint32_t i, k;
+
+	add_endpoints(w, 8);
+	job = submit(w,
+	    (struct job){GYP__KIND__KIND_WATCHER, "cold", "watch", 4, 100, 0});
+	round_(w, 1);
+	g_assert_cmpuint(placed(w, job), ==, 4);
+	for (i = 0; i < 4; i++) {
+		for (k = 0; k < i; k++)
+			g_assert_cmpint(endpoint_of(w, job, i)[1] / 2, !=,
+			    endpoint_of(w, job, k)[1] / 2);
+	}
+	job = batch(w, 64, 100);
+	round_(w, 1);
+	g_assert_cmpuint(placed(w, job), ==, 8); /* two in each rack */
+	world_free(w);
+}
+
+/* Each gang needs three of four endpoints; small work goes on all the time. */
+static void
+test_two_gangs(void)
+{
+	struct world *w = world_new("");
+	uint64_t gangs[2], small[4];
+	uint32_t i, rounds, started[2] = {0, 0};
+
+	add_endpoints(w, 4);
+	for (i = 0; i < 4; i++)
+		small[i] = batch(w, 1, 5000);
+	round_(w, 1);
+	for (i = 0; i < 2; i++)
+		gangs[i] =
+		    submit(w, (struct job){GYP__KIND__KIND_GANG,
+				  i == 0 ? "a" : "b", "juice", 3, 8000, 0});
+	for (rounds = 1; rounds < 400; rounds++) {
+		round_(w, 500);
+		/* A small job ends and another comes, each second. */
+		if (placed(w, small[rounds % 4]) > 0) {
+			end_task(w, small[rounds % 4], 0,
+			    GYP__OUTCOME__OUTCOME_DONE, false);
+			small[rounds % 4] = batch(w, 1, 5000);
+		}
+		for (i = 0; i < 2; i++) {
+			const struct gyp_job *job =
+			    gyp_state_job(w->state, gangs[i]);
+
+			/* All or nothing, at every moment. */
+			g_assert_true(job->n_placed == 0 || job->n_placed == 3);
+			if (job->n_placed == 3 && started[i] == 0)
+				started[i] = rounds;
+			if (job->n_placed == 3 && rounds > started[i] + 10) {
+				for (uint32_t t = 0; t < 3; t++)
+					end_task(w, gangs[i], t,
+					    GYP__OUTCOME__OUTCOME_DONE, false);
+			}
+		}
+	}
+	g_assert_cmpuint(started[0], >, 0);
+	g_assert_cmpuint(started[1], >, 0);
+	world_free(w);
+}
+
+/* ---- Blame ------------------------------------------------------------- */
+
+/* The endpoint that fails all in no time must not eat all work. */
+static void
+test_quarantine(void)
+{
+	struct world *w = world_new(
+	    "quarantine failures=3 within=60s for=30s # ravi: bad VMs\n");
+	uint64_t jobs[40];
+	uint32_t i, k, bad = 0;
+	struct gyp_endpoint *e0;
+
+	add_endpoints(w, 4);
+	e0 = gyp_state_endpoint_by_name(w->state, "e0");
+	for (i = 0; i < 40; i++)
+		jobs[i] = batch(w, 1, 2000);
+	for (k = 0; k < 60; k++) {
+		round_(w, 500);
+		for (i = 0; i < 40; i++) {
+			bool fails;
+
+			if (placed(w, jobs[i]) == 0)
+				continue;
+			fails = strcmp(endpoint_of(w, jobs[i], 0), "e0") == 0;
+			bad += fails;
+			end_task(w, jobs[i], 0,
+			    fails ? GYP__OUTCOME__OUTCOME_FAILED
+				  : GYP__OUTCOME__OUTCOME_DONE,
+			    false);
+		}
+	}
+	for (i = 0; i < 40; i++)
+		g_assert_cmpint(gyp_state_job(w->state, jobs[i])->outcome, ==,
+		    GYP__OUTCOME__OUTCOME_DONE);
+	g_assert_cmpint(e0->state, ==, GYP_ENDPOINT_QUARANTINED);
+	g_assert_cmpuint(bad, <=, 8);
+	/* A probe that does well brings it back. */
+	round_(w, 30000);
+	round_(w, 1);
+	g_assert_cmpint(e0->state, ==, GYP_ENDPOINT_ACTIVE);
+	jobs[0] = batch(w, 32, 1000);
+	round_(w, 1);
+	g_assert_cmpuint(e0->attempts->len, <=, 1);
+	world_free(w);
+}
+
+/* One job that fails everywhere blames no endpoint, and the other way round. */
+static void
+test_blame(void)
+{
+	struct gyp_health *h = gyp_health_new();
+	struct gyp_health_limits limits = {
+	    .failures = 2, .within_ms = 1000, .for_ms = 500};
+	enum { BAD_JOB = 1, OTHER = 2, THIRD = 3 };
+
+	gyp_health_failed(h, BAD_JOB, 11, 10);
+	g_assert_false(gyp_health_is_bad_job(h, BAD_JOB));
+	gyp_health_failed(h, BAD_JOB, 12, 20);
+	g_assert_true(gyp_health_is_bad_job(h, BAD_JOB));
+	gyp_health_failed(h, BAD_JOB, 13, 30);
+	gyp_health_failed(h, OTHER, 13, 40);
+	g_assert_false(gyp_health_is_bad_endpoint(h, 13, &limits, 50));
+	gyp_health_failed(h, THIRD, 13, 50);
+	g_assert_true(gyp_health_is_bad_endpoint(h, 13, &limits, 60));
+	g_assert_false(gyp_health_is_bad_endpoint(h, 13, &limits, 5000));
+	g_assert_false(gyp_health_is_bad_job(h, OTHER));
+	/* A probe that fails lengthens the quarantine. */
+	gyp_health_quarantine(h, 13, &limits, 100);
+	g_assert_false(gyp_health_may_probe(h, 13, 599));
+	g_assert_true(gyp_health_may_probe(h, 13, 600));
+	g_assert_true(gyp_health_on_probation(h, 13));
+	gyp_health_failed(h, OTHER, 13, 610);
+	g_assert_true(gyp_health_is_bad_endpoint(h, 13, &limits, 620));
+	gyp_health_quarantine(h, 13, &limits, 620);
+	g_assert_false(gyp_health_may_probe(h, 13, 1619));
+	gyp_health_succeeded(h, OTHER, 13);
+	g_assert_false(gyp_health_on_probation(h, 13));
+	gyp_health_free(h);
+}
+
+/* ---- Bounds ------------------------------------------------------------ */
+
+/* A wave of cancellations and a long queue cost a round next to nothing. */
+static void
+test_long_queue(void)
+{
+	struct world *w = world_new("");
+	GArray *jobs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	uint64_t before, id;
+	uint32_t i;
+
+	add_endpoints(w, 48);
+	for (i = 0; i < 10000; i++) {
+		id = batch(w, 1, 8000);
+		g_array_append_val(jobs, id);
+	}
+	round_(w, 1);
+	g_assert_cmpuint(w->last->choices->len, ==, 48);
+	before = gyp_policy_counters(w->policy)->looked_at;
+	end_task(w, g_array_index(jobs, uint64_t, 0), 0,
+	    GYP__OUTCOME__OUTCOME_DONE, false);
+	round_(w, 1);
+	g_assert_cmpuint(w->last->choices->len, ==, 1);
+	/* Not the queue times the endpoints. */
+	g_assert_cmpuint(
+	    gyp_policy_counters(w->policy)->looked_at - before, <, 10000);
+	for (i = 100; i < 10000; i++)
+		cancel(w, g_array_index(jobs, uint64_t, i), "wave");
+	before = gyp_policy_counters(w->policy)->looked_at;
+	round_(w, 1);
+	g_assert_cmpuint(
+	    gyp_policy_counters(w->policy)->looked_at - before, <, 10000);
+	g_assert_cmpuint(gyp_state_queue(w->state)->length, ==, 51);
+	id = batch(w, 1, 8000);
+	end_task(w, g_array_index(jobs, uint64_t, 1), 0,
+	    GYP__OUTCOME__OUTCOME_DONE, false);
+	round_(w, 1);
+	g_assert_cmpuint(w->last->choices->len, ==, 1);
+	g_array_free(jobs, TRUE);
+	world_free(w);
+}
+
+static void
+test_full_queue(void)
+{
+	struct world *w = world_new("");
+	uint64_t last = 0;
+	uint32_t i;
+
+	add_endpoints(w, 1);
+	for (i = 0; i <= GYP_LANE_MAX; i++)
+		last = batch(w, 1, 8000);
+	round_(w, 1);
+	g_assert_cmpuint(w->last->refusals->len, ==, 1);
+	g_assert_cmpint(gyp_state_job(w->state, last)->outcome, ==,
+	    GYP__OUTCOME__OUTCOME_NOT_RUN);
+	world_free(w);
+}
+
+/* What was proposed and did not take effect is proposed again. */
+static void
+test_lost_proposal(void)
+{
+	struct world *w = world_new("");
+	uint64_t job;
+	struct gyp_decision *lost = gyp_decision_new();
+
+	add_endpoints(w, 1);
+	job = batch(w, 1, 8000);
+	gyp_policy_decide(w->policy, w->now, 512, lost);
+	g_assert_cmpuint(lost->choices->len, ==, 1);
+	gyp_decision_free(lost);
+	round_(w, 1);
+	g_assert_cmpuint(placed(w, job), ==, 1);
+	world_free(w);
+}
+
+/* Random work: the grid finds a place whenever the full scan does. */
+static void
+test_index_finds_all(void)
+{
+	GRand *rand = g_rand_new_with_seed(7);
+	struct world *w = world_new("");
+	struct gyp_policy *scan = gyp_policy_new(&gyp_policy_weighted, 1);
+	uint64_t open[512] = {0};
+	uint32_t i, k, diff = 0;
+
+	gyp_policy_set_search(scan, GYP_SEARCH_LINEAR);
+	add_endpoints(w, 24);
+	for (i = 0; i < 3000; i++) {
+		struct gyp_decision *d = gyp_decision_new();
+
+		k = (uint32_t)g_rand_int_range(rand, 0, 512);
+		if (open[k] != 0 && placed(w, open[k]) > 0)
+			end_task(
+			    w, open[k], 0, GYP__OUTCOME__OUTCOME_DONE, false);
+		else if (open[k] != 0)
+			cancel(w, open[k], "test");
+		open[k] = submit(
+		    w, (struct job){GYP__KIND__KIND_BATCH, "press", "batch", 1,
+			   (uint32_t)g_rand_int_range(rand, 100, 8000),
+			   g_rand_int_range(rand, 1, 64) * GIB / 8});
+		w->now += 600; /* each round looks at all */
+		gyp_policy_attach(scan, w->state, w->now);
+		gyp_policy_decide(scan, w->now, 512, d);
+		gyp_policy_attach(w->policy, w->state, w->now);
+		round_(w, 0);
+		diff += w->last->choices->len != d->choices->len;
+		gyp_decision_free(d);
+	}
+	g_assert_cmpuint(diff, ==, 0);
+	gyp_policy_free(scan);
+	g_rand_free(rand);
+	world_free(w);
+}
+
+static void
+test_explain(void)
+{
+	struct world *w =
+	    world_new("quota press cpu=1 # asha: agreed at the merger\n");
+	uint64_t job;
+	char *text;
+
+	add_endpoints(w, 1);
+	job = batch(w, 2, 1000);
+	round_(w, 1);
+	text = gyp_policy_explain(w->policy, gyp_state_job(w->state, job));
+	g_assert_nonnull(strstr(text, "task 0: attempt 1 on e0"));
+	g_assert_nonnull(strstr(text, "1 of 2 tasks wait: team press is at its"
+				      " quota\n  rules line 1: quota press"));
+	g_free(text);
+	world_free(w);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/policy/never-fits", test_never_fits);
+	g_test_add_func("/policy/urgent-first", test_urgent_first);
+	g_test_add_func("/policy/shares", test_shares);
+	g_test_add_func("/policy/quota-blocks-its-team-only",
+	    test_quota_blocks_its_team_only);
+	g_test_add_func("/policy/reserve", test_reserve);
+	g_test_add_func("/policy/spread-and-limits", test_spread_and_limits);
+	g_test_add_func("/policy/two-gangs", test_two_gangs);
+	g_test_add_func("/policy/quarantine", test_quarantine);
+	g_test_add_func("/policy/blame", test_blame);
+	g_test_add_func("/policy/long-queue", test_long_queue);
+	g_test_add_func("/policy/full-queue", test_full_queue);
+	g_test_add_func("/policy/lost-proposal", test_lost_proposal);
+	g_test_add_func("/policy/index-finds-all", test_index_finds_all);
+	g_test_add_func("/policy/explain", test_explain);
+	return g_test_run();
+}
