--- a/src/admin.c
+++ b/src/admin.c
@@ -89,11 +89,12 @@
 		char id[32];
 
 		g_snprintf(id, sizeof(id), "%016" G_GINT64_MODIFIER "x", m->id);
-		json_array_append_new(list,
-		    json_pack("{s:s,s:s,s:b,s:b,s:b,s:I}", "id", id, "address",
-			m->address, "voter", m->voter, "leader",
-			m->id == gyp_raft_leader(r->raft), "live", live,
-			"behind", (json_int_t)lag_of(r, m->id)));
+		json_array_append_new(
+		    list, json_pack("{s:s,s:s,s:s,s:b,s:b,s:b,s:I}", "id", id,
+			      "address", m->address, "data_centre",
+			      m->data_centre, "voter", m->voter, "leader",
+			      m->id == gyp_raft_leader(r->raft), "live", live,
+			      "behind", (json_int_t)lag_of(r, m->id)));
 	}
 	return list;
 }
--- a/src/replica.c
+++ b/src/replica.c
@@ -18,7 +18,21 @@
 		if (c->members[i]->id == id)
 			return c->members[i]->address;
 	}
-	return NULL;
+	/* A new replica must answer before it knows the members. */
+	return r->contact_id == id ? r->contact : NULL;
+}
+
+static bool
+is_voter(const struct gyp_replica *r, uint64_t id)
+{
+	const Gyp__Config *c = gyp_raft_members(r->raft);
+	size_t i;
+
+	for (i = 0; i < c->n_members; i++) {
+		if (c->members[i]->id == id)
+			return c->members[i]->voter;
+	}
+	return false;
 }
 
 static struct gyp_replica *
@@ -31,11 +45,14 @@
 on_send(struct gyp_raft_io *io, uint64_t to, const Gyp__RaftMsg *msg)
 {
 	struct gyp_replica *r = from_io(io);
+	Gyp__RaftMsg copy = *msg;
 	Gyp__Frame frame = GYP__FRAME__INIT;
 	struct gyp_out *out = g_new0(struct gyp_out, 1);
 
 	frame.body_case = GYP__FRAME__BODY_RAFT;
-	frame.raft = (Gyp__RaftMsg *)msg;
+	frame.raft = &copy;
+	if (!is_voter(r, to))
+		copy.address = (char *)r->cfg.address;
 	out->to = to;
 	out->address = g_strdup(member_address(r, to));
 	out->packed = gyp_message_pack(&frame.base);
@@ -317,8 +334,7 @@
 	g_ptr_array_set_size(r->rules_waits, 0);
 	g_hash_table_remove_all(r->subscribers);
 	g_hash_table_remove_all(r->entries);
-	gyp_message_free(r->joiner);
-	r->joiner = NULL;
+	gyp_replica_forget_requests(r);
 }
 
 static void
@@ -452,13 +468,16 @@
 }
 
 static void
-on_join(struct gyp_replica *r, const Gyp__Join *join)
+on_raft(struct gyp_replica *r, uint64_t from, const Gyp__RaftMsg *msg)
 {
-	if (!r->leading || join->member == NULL || join->member->id == 0 ||
-	    join->member->address[0] == '\0')
+	if (msg->from != from)
 		return;
-	gyp_message_free(r->joiner);
-	r->joiner = gyp_message_copy(&join->member->base);
+	if (msg->address[0] != '\0') {
+		g_free(r->contact);
+		r->contact = g_strdup(msg->address);
+		r->contact_id = from;
+	}
+	gyp_raft_step(r->raft, r->now, msg);
 }
 
 void
@@ -468,14 +487,13 @@
 	advance(r, now);
 	switch (frame->body_case) {
 	case GYP__FRAME__BODY_RAFT:
-		if (frame->raft->from == from)
-			gyp_raft_step(r->raft, r->now, frame->raft);
+		on_raft(r, from, frame->raft);
 		break;
 	case GYP__FRAME__BODY_UP:
 		on_up(r, from, frame->up);
 		break;
 	case GYP__FRAME__BODY_JOIN:
-		on_join(r, frame->join);
+		gyp_replica_join(r, frame->join->member);
 		break;
 	default:
 		break;
@@ -519,7 +537,7 @@
 void
 gyp_replica_bootstrap(struct gyp_replica *r)
 {
-	gyp_raft_bootstrap(r->raft, r->cfg.address);
+	gyp_raft_bootstrap(r->raft, r->cfg.address, r->cfg.data_centre);
 }
 
 void
@@ -559,6 +577,7 @@
 	r->io.ops = &io_ops;
 	r->cfg = *cfg;
 	r->cfg.address = g_strdup(cfg->address);
+	r->cfg.data_centre = g_strdup(cfg->data_centre);
 	r->listener.base.ops = &listener_ops;
 	r->listener.replica = r;
 	r->raft = gyp_raft_new(&rc, &r->io);
@@ -610,7 +629,9 @@
 	gyp_counters_free(r->counters);
 	gyp_state_free(r->state);
 	gyp_raft_free(r->raft);
+	g_free(r->contact);
 	g_free((char *)r->cfg.address);
+	g_free((char *)r->cfg.data_centre);
 	g_free(r);
 }
 
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -15,9 +15,10 @@
  * DESCRIPTION
  *	replica.c	log, batches and queues
  *	replica_calls.c	answers to entries' calls
- *	replica_lead.c	a leader's periodic work: leases, membership, frames
  *	replica_orders.c starts and questions that entries carry out
  *	replica_rules.c	versions of the rules and when they are in force
+ *	replica_lead.c	a leader's periodic work: leases and orders
+ *	replica_members.c	who is a member and who votes
  *	admin.c		reports for operators, as JSON
  */
 
@@ -57,6 +58,13 @@
 	uint64_t call;
 };
 
+/* An operator's removal of a member that is not committed yet. */
+struct gyp_removal {
+	uint64_t member; /* 0 for none */
+	uint64_t entry;
+	uint64_t call;
+};
+
 struct gyp_replica {
 	struct gyp_raft_io io;
 	struct gyp_replica_config cfg;
@@ -67,6 +75,8 @@
 	GQueue out;     /* struct gyp_out */
 	GQueue records; /* struct gyp_record */
 	uint64_t now;
+	uint64_t contact_id; /* replica that named its address last */
+	char *contact;
 
 	/* Parsed from the newest kept version that can be read. */
 	struct gyp_rules *rules;
@@ -90,8 +100,9 @@
 	struct gyp_counters *counters; /* kept while following too */
 	uint64_t duties_at;
 	uint64_t queries_at;
-	Gyp__Member *joiner;    /* asks for membership, or NULL */
 	GPtrArray *rules_waits; /* calls answered when rules are in force */
+	Gyp__Member *joiner;    /* asks for membership, or NULL */
+	struct gyp_removal removal;
 };
 
 /* Adds a copy of the command to the next batch. */
@@ -139,6 +150,12 @@
 void gyp_replica_requeue_orders(struct gyp_replica *, struct gyp_entry_peer *);
 void gyp_replica_send_starts(struct gyp_replica *, struct gyp_entry_peer *);
 void gyp_replica_ask_unlisted(struct gyp_replica *);
+/* replica_members.c */
+void gyp_replica_tend_members(struct gyp_replica *);
+void gyp_replica_join(struct gyp_replica *, const Gyp__Member *);
+void gyp_replica_remove_member(
+    struct gyp_replica *, uint64_t entry, uint64_t call, const char *name);
+void gyp_replica_forget_requests(struct gyp_replica *);
 
 /* admin.c */
 char *gyp_admin_json(struct gyp_replica *, const Gyp__Admin *, Gyp__Code *);
