Let a task go back to where it failed when nothing else can hold it

Cause: a task that had failed at an endpoint avoided it for ever.

Ruled out: quarantine and the reservation (neither stood in the way once the avoidance was a wish), infeasibility (the same endpoints held it before).

Now the endpoint is avoided while another one fits. The check is test_cell's, that all work ends.

--- a/src/policy.c
+++ b/src/policy.c
@@ -228,6 +228,11 @@
 
 	fill_query(round, lane, job, task, &q);
 	spot = index_find(p, &q);
+	if (spot == NULL && q.avoid != 0) {
+		/* Better where it failed before than nowhere. */
+		q.avoid = 0;
+		spot = index_find(p, &q);
+	}
 	if (spot == NULL)
 		return false;
 	index_take(p->index, spot, &job->size);
