Test the HTTP client and server and the links against misbehaving peers

Cause, found by reading and by the tests: - a full queue of a link dropped frames in silence, while its connection went on: calls, answers and start orders in them were lost for good. Now that connection is closed, and both sides repeat what matters when it is back. - a batch of commands had no bound; over 4 MiB its frame could never be sent, and replication would have stopped for ever. Batches end at 1 MiB. - an accepted connection could make the process hold 4 MiB before it had said who it was, with no bound on connections. Now 4 KiB before the hello, and 256 connections. - counters: the leader counts starts, retries and the time from submit to start by class; links count frames and bytes; gyp-cell serves them when [cell] metrics is set.

--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -4,6 +4,7 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "httpd.h"
 #include "link.h"
 #include "log.h"
 #include "msg.h"
@@ -20,6 +21,7 @@
 
 struct settings {
 	char *listen;
+	char *metrics;
 	char **join;
 	char *data_folder;
 	char *data_centre;
@@ -40,6 +42,8 @@
 	struct ev_loop *loop;
 	struct gyp_timers *timers;
 	struct gyp_links *links;
+	struct gyp_httpd_owner metrics_owner;
+	struct gyp_httpd *metrics;
 	struct gyp_store *store;
 	struct gyp_replica *replica;
 	bool was_leader;
@@ -240,6 +244,28 @@
     .opened = on_link_change,
     .lost = on_link_change};
 
+static void
+on_metrics(struct gyp_httpd_owner *owner, struct gyp_http_request *req)
+{
+	struct app *app =
+	    (struct app *)((char *)owner - offsetof(struct app, metrics_owner));
+	struct gyp_counters *counters = gyp_replica_counters(app->replica);
+	char *text;
+
+	if (strcmp(gyp_http_path(req), "/metrics") != 0) {
+		gyp_http_reply(req, 404, "text/plain", "", 0);
+		return;
+	}
+	gyp_gauge(counters, "gyp_leading", "",
+	    gyp_replica_serving(app->replica) ? 1 : 0);
+	text = gyp_counters_text(counters);
+	gyp_http_reply(
+	    req, 200, "text/plain; version=0.0.4", text, strlen(text));
+	g_free(text);
+}
+
+static const struct gyp_httpd_owner_ops metrics_ops = {.request = on_metrics};
+
 static const struct gyp_store_owner_ops store_ops = {
     .synced = on_synced, .failed = on_store_failed};
 
@@ -291,6 +317,13 @@
 	    gyp_links_new(app->loop, app->timers, &app->links_owner, &hello);
 	if (gyp_links_listen(app->links, set->listen, err) != GYP_OK)
 		return err->code;
+	gyp_links_count_in(app->links, gyp_replica_counters(app->replica));
+	if (set->metrics != NULL) {
+		app->metrics = gyp_httpd_new(app->loop, app->timers,
+		    &app->metrics_owner, set->metrics, err);
+		if (app->metrics == NULL)
+			return err->code;
+	}
 	gyp_store_start(app->store, app->loop, &app->store_owner);
 	if (init)
 		gyp_replica_bootstrap(app->replica);
@@ -308,6 +341,7 @@
 
 	app.links_owner.ops = &links_ops;
 	app.store_owner.ops = &store_ops;
+	app.metrics_owner.ops = &metrics_ops;
 	app.loop = ev_default_loop(EVFLAG_AUTO);
 	app.timers = gyp_timers_new(app.loop);
 	if (start(&app, init, &err) != GYP_OK) {
@@ -325,6 +359,7 @@
 		flush(&app);
 		ev_run(app.loop, 0);
 	}
+	gyp_httpd_free(app.metrics);
 	gyp_links_free(app.links);
 	if (app.store != NULL)
 		gyp_store_close(app.store);
@@ -346,6 +381,7 @@
 	    .compact_bytes = 4 * 1024 * 1024};
 	const struct gyp_setting table[] = {
 	    {"cell", "listen", &set.listen, 0, 0, GYP_SETTING_ADDRESS, true},
+	    {"cell", "metrics", &set.metrics, 0, 0, GYP_SETTING_ADDRESS, false},
 	    {"cell", "join", &set.join, 0, 0, GYP_SETTING_ADDRESSES, false},
 	    {"cell", "data_folder", &set.data_folder, 0, 0, GYP_SETTING_FOLDER,
 		true},
--- a/src/gyp_entry.c
+++ b/src/gyp_entry.c
@@ -233,6 +233,7 @@
 	app->httpc = gyp_httpc_new(app->loop, app->timers);
 	app->exchanges = gyp_exchanges_new(app->httpc, on_exchange_done, app);
 	app->counters = gyp_counters_new();
+	gyp_links_count_in(app->links, app->counters);
 	app->door = gyp_door_new(app->core, app->counters, flush, app);
 	app->httpd = gyp_httpd_new(app->loop, app->timers,
 	    gyp_door_httpd_owner(app->door), set->listen, err);
--- a/src/link.c
+++ b/src/link.c
@@ -11,6 +11,7 @@
 #include <ev.h>
 
 #include "buf.h"
+#include "counters.h"
 #include "link.h"
 #include "msg.h"
 #include "timer.h"
@@ -23,6 +24,12 @@
 
 enum conn_state { CONN_IDLE, CONN_DIALLING, CONN_OPEN };
 
+/* Frames and bytes since they were last counted. */
+struct traffic {
+	uint64_t frames;
+	uint64_t bytes;
+};
+
 struct conn {
 	struct gyp_links *links;
 	enum conn_state state;
@@ -36,6 +43,9 @@
 	uint64_t since;       /* start of the dial, or of the connection */
 	uint64_t frame_since; /* first byte of an unfinished frame, or 0 */
 	uint32_t delay_ms;
+	bool full; /* its queue overflowed: closed by the next sweep */
+	struct traffic received;
+	struct traffic sent;
 	struct gyp_timer *redial;
 };
 
@@ -43,7 +53,8 @@
 	struct ev_loop *loop;
 	struct gyp_timers *timers;
 	struct gyp_links_owner *owner;
-	GBytes *hello; /* packed frame */
+	struct gyp_counters *counters; /* or NULL */
+	GBytes *hello;                 /* packed frame */
 	GRand *rand;
 	int listen_fd;
 	ev_io listen_io;
@@ -125,6 +136,7 @@
 	gyp_buf_clear(&c->in);
 	gyp_buf_clear(&c->out);
 	c->frame_since = 0;
+	c->full = false;
 	c->state = CONN_IDLE;
 }
 
@@ -226,8 +238,13 @@
 	gsize len;
 	const void *data = g_bytes_get_data(packed, &len);
 
-	if (c->out.len + len + 4 > GYP_LINK_QUEUE_MAX || len > GYP_FRAME_MAX)
+	g_return_if_fail(len <= GYP_FRAME_MAX);
+	/* Closed later: the caller may be handling a frame of this one. */
+	c->full = c->full || c->out.len + len + 4 > GYP_LINK_QUEUE_MAX;
+	if (c->full)
 		return;
+	c->sent.frames++;
+	c->sent.bytes += len + 4;
 	gyp_put_u32(gyp_buf_extend(&c->out, 4), (uint32_t)len);
 	gyp_buf_append(&c->out, data, len);
 	update_watch(c);
@@ -266,6 +283,13 @@
 	return true;
 }
 
+/* An accepted connection that is not introduced yet may not take memory. */
+static uint32_t
+frame_limit(const struct conn *c)
+{
+	return c->address == NULL && c->id == 0 ? GYP_HELLO_MAX : GYP_FRAME_MAX;
+}
+
 /* Takes whole frames from the input; false on a malformed one. */
 static bool
 take_input(struct conn *c)
@@ -277,7 +301,7 @@
 		uint32_t len = gyp_get_u32(c->in.data + used);
 		Gyp__Frame *frame;
 
-		if (len > GYP_FRAME_MAX) {
+		if (len > frame_limit(c)) {
 			ok = false;
 			break;
 		}
@@ -285,6 +309,8 @@
 			break;
 		frame = gyp__frame__unpack(NULL, len, c->in.data + used + 4);
 		used += 4 + (size_t)len;
+		c->received.frames++;
+		c->received.bytes += len + 4;
 		ok = frame != NULL && take_frame(c, frame);
 		gyp_message_free(frame);
 	}
@@ -376,6 +402,10 @@
 	(void)revents;
 	if (fd < 0)
 		return;
+	if (links->accepted->len >= GYP_LINK_ACCEPTED_MAX) {
+		close(fd);
+		return;
+	}
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	c = new_conn(links);
 	c->fd = fd;
@@ -394,11 +424,35 @@
 	    c->state == CONN_DIALLING ||
 	    (c->state == CONN_OPEN && c->address == NULL && c->id == 0);
 
-	if (waiting && now > c->since + GYP_HELLO_MS)
+	if (c->full || (waiting && now > c->since + GYP_HELLO_MS))
 		return true;
 	return c->frame_since != 0 && now > c->frame_since + GYP_FRAME_MS;
 }
 
+static void
+count_traffic(struct gyp_links *links, const struct conn *c,
+    struct traffic *traffic, const char *direction)
+{
+	char labels[GYP_LABELS_MAX];
+
+	if (links->counters == NULL || traffic->frames == 0)
+		return;
+	gyp_labels(labels, "link", c->address != NULL ? c->address : "accepted",
+	    "direction", direction, NULL);
+	gyp_count(
+	    links->counters, "gyp_messages_total", labels, traffic->frames);
+	gyp_count(
+	    links->counters, "gyp_link_bytes_total", labels, traffic->bytes);
+	traffic->frames = traffic->bytes = 0;
+}
+
+static void
+count_conn(struct gyp_links *links, struct conn *c)
+{
+	count_traffic(links, c, &c->received, "in");
+	count_traffic(links, c, &c->sent, "out");
+}
+
 static void
 on_sweep(void *arg, uint64_t now)
 {
@@ -409,11 +463,13 @@
 	guint i;
 
 	for (i = 0; i < links->accepted->len; i++) {
+		count_conn(links, links->accepted->pdata[i]);
 		if (is_too_slow(links->accepted->pdata[i], now))
 			g_ptr_array_add(slow, links->accepted->pdata[i]);
 	}
 	g_hash_table_iter_init(&iter, links->dialled);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		count_conn(links, value);
 		if (is_too_slow(value, now))
 			g_ptr_array_add(slow, value);
 	}
@@ -448,6 +504,12 @@
 		queue_frame(c, packed);
 }
 
+void
+gyp_links_count_in(struct gyp_links *links, struct gyp_counters *counters)
+{
+	links->counters = counters;
+}
+
 enum gyp_status
 gyp_links_listen(
     struct gyp_links *links, const char *address, struct gyp_error *err)
--- a/src/link.h
+++ b/src/link.h
@@ -9,6 +9,7 @@
 #include "wire.pb-c.h"
 
 struct ev_loop;
+struct gyp_counters;
 struct gyp_timers;
 
 /*
@@ -19,13 +20,19 @@
  *	A frame is a 32-bit big-endian length and a packed Gyp__Frame. The
  *	first frame on a connection is the dialler's Gyp__Hello. Connections
  *	to an address are dialled on demand and again after a delay that
- *	doubles up to a limit, with jitter. Queues are bounded in bytes: what
- *	does not fit is dropped, and the protocols above repeat it.
+ *	doubles up to a limit, with jitter. Queues are bounded in bytes: a
+ *	connection whose queue is full is closed, and the protocols above
+ *	repeat what was lost once it is open again. So is one that sends
+ *	anything but well-formed frames, or a frame too slowly.
  */
 
 /* Most bytes queued on one connection. */
 #define GYP_LINK_QUEUE_MAX (16 * 1024 * 1024)
 
+/* Most connections accepted at a time, and largest frame before the hello. */
+#define GYP_LINK_ACCEPTED_MAX 256
+#define GYP_HELLO_MAX         4096
+
 /* Bounds of the delay before a new dial, in ms. */
 #define GYP_DIAL_MIN_MS 50
 #define GYP_DIAL_MAX_MS 1000
@@ -62,6 +69,9 @@
     struct gyp_links_owner *, const Gyp__Hello *);
 void gyp_links_free(struct gyp_links *);
 
+/* Counts frames and bytes there from now on; NULL for nowhere. */
+void gyp_links_count_in(struct gyp_links *, struct gyp_counters *);
+
 /* Listens on "ip:port". */
 enum gyp_status gyp_links_listen(
     struct gyp_links *, const char *address, struct gyp_error *);
--- a/src/replica.c
+++ b/src/replica.c
@@ -6,6 +6,9 @@
 /* Most placements in one batch. */
 #define DECISIONS_MAX 512
 
+/* Most bytes of commands in one batch, unless one is larger. */
+#define BATCH_BYTES (1024 * 1024)
+
 /* ---- Output queues ----------------------------------------------------- */
 
 static const char *
@@ -111,6 +114,22 @@
 		    file->index);
 }
 
+/* A first start ends the waiting of its task; later ones are retries. */
+static void
+count_start(
+    struct gyp_replica *r, const struct gyp_job *job, const struct gyp_task *t)
+{
+	char labels[GYP_LABELS_MAX];
+
+	gyp_labels(labels, "class", job->spec->class_, NULL);
+	gyp_count(r->counters, "gyp_starts_total", labels, 1);
+	if (t->attempt == 1)
+		gyp_observe_ms(r->counters, "gyp_wait_seconds", labels,
+		    t->changed_ms - job->submitted_ms);
+	else
+		gyp_count(r->counters, "gyp_retries_total", labels, 1);
+}
+
 static void
 on_placed(struct gyp_state_listener *l, struct gyp_job *job, uint32_t task)
 {
@@ -120,6 +139,7 @@
 
 	if (!r->leading)
 		return;
+	count_start(r, job, &job->tasks[task]);
 	peer = gyp_replica_entry(r, job->tasks[task].entry);
 	g_queue_push_tail(&peer->unsent, g_memdup2(&ref, sizeof(ref)));
 }
@@ -222,26 +242,46 @@
 	g_array_free(choices, TRUE);
 }
 
+/* How many commands go into the next batch; the rest waits for its turn. */
+static guint
+count_batch(const struct gyp_replica *r)
+{
+	size_t bytes = 0;
+	guint n;
+
+	for (n = 0; n < r->batch->len; n++) {
+		const ProtobufCMessage *cmd = r->batch->pdata[n];
+
+		bytes += protobuf_c_message_get_packed_size(cmd);
+		if (n > 0 && bytes > BATCH_BYTES)
+			break;
+	}
+	return n;
+}
+
 static void
 propose_batch(struct gyp_replica *r)
 {
+	guint n = count_batch(r);
 	Gyp__Batch batch = GYP__BATCH__INIT;
 	GBytes *data;
 	guint i;
 
 	batch.time_ms = r->time_base + (r->now - r->lead_since);
-	batch.n_cmds = r->batch->len;
+	batch.n_cmds = n;
 	batch.cmds = (Gyp__Cmd **)r->batch->pdata;
 	data = gyp_message_pack(&batch.base);
 	r->batch_index =
 	    gyp_raft_propose(r->raft, GYP__ENTRY_KIND__ENTRY_BATCH, data);
 	g_bytes_unref(data);
-	g_ptr_array_set_size(r->batch, 0);
+	g_ptr_array_remove_range(r->batch, 0, n);
 	for (i = 0; i < r->waiting->len; i++) {
 		struct gyp_waiting_call *w = r->waiting->pdata[i];
 
-		if (w->index == 0)
+		if (w->index == 0 && w->position < n)
 			w->index = r->batch_index;
+		else if (w->index == 0)
+			w->position -= n;
 	}
 }
 
@@ -549,6 +589,12 @@
 	return r->raft;
 }
 
+struct gyp_counters *
+gyp_replica_counters(const struct gyp_replica *r)
+{
+	return r->counters;
+}
+
 const struct gyp_state *
 gyp_replica_state(const struct gyp_replica *r)
 {
--- a/src/replica.h
+++ b/src/replica.h
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#include "counters.h"
 #include "policy.h"
 #include "raft.h"
 #include "record.h"
@@ -88,6 +89,9 @@
 /* True while this replica leads and may answer calls. */
 bool gyp_replica_serving(const struct gyp_replica *);
 
+/* Counted while this replica leads; the sum over replicas is the cell's. */
+struct gyp_counters *gyp_replica_counters(const struct gyp_replica *);
+
 const struct gyp_raft *gyp_replica_raft(const struct gyp_replica *);
 const struct gyp_state *gyp_replica_state(const struct gyp_replica *);
 
--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -140,6 +140,7 @@
 {
 	struct gyp_waiting_call *w = g_new0(struct gyp_waiting_call, 1);
 
+	w->position = r->batch->len;
 	gyp_replica_propose(r, cmd);
 	w->entry = entry;
 	w->call = gyp_message_copy(&call->base);
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -45,6 +45,7 @@
 struct gyp_waiting_call {
 	uint64_t entry;
 	uint64_t index; /* of the batch, 0 while it is being filled */
+	guint position; /* of its command, among those not proposed yet */
 	Gyp__Call *call;
 };
 
--- a/test/test_endpoints.c
+++ b/test/test_endpoints.c
@@ -129,6 +129,9 @@
 
 	world_beat(w, ep, 1, 1, list, MANY);
 	beat_for(w, ep, 1, 10);
+	/* A commit tells the entry the cell's time. */
+	world_submit(w, 1, "later", GYP__KIND__KIND_BATCH, 1, true, 600000);
+	beat_for(w, ep, 1, 2);
 	gyp_replica_entry_connected(w->replica, w->now, w->ids[0]);
 	gyp_entry_connected(w->entries[0], w->now, "127.0.0.1:1");
 	beat_for(w, ep, 1, 5);
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -58,6 +58,7 @@
 	g_assert_cmpint(
 	    a->reply != NULL && a->reply->job != NULL, ==, c->found);
 	g_assert_cmpint(job_of(w, "k") != NULL, ==, !c->cut_up);
+	g_assert_true(c->cut_up || !job_of(w, "k")->cancelled);
 	world_free(w);
 }
 
--- /dev/null
+++ b/test/test_http.c
@@ -0,0 +1,571 @@
+#include <sys/resource.h>
+#include <sys/socket.h>
+
+#include <string.h>
+#include <unistd.h>
+
+#include "door.h"
+#include "httpc.h"
+#include "httpd.h"
+#include "raw.h"
+#include "timer.h"
+
+struct fixture {
+	struct ev_loop *loop;
+	struct gyp_timers *timers;
+};
+
+static void
+set_up(struct fixture *f)
+{
+	f->loop = ev_loop_new(EVFLAG_AUTO);
+	f->timers = gyp_timers_new(f->loop);
+}
+
+static void
+tear_down(struct fixture *f)
+{
+	gyp_timers_free(f->timers);
+	ev_loop_destroy(f->loop);
+}
+
+/* ---- Client: a server that misbehaves ---------------------------------- */
+
+struct server {
+	int listen_fd;
+	uint16_t port;
+	const char *answer;
+	size_t len;        /* of the answer, before the connection is closed */
+	uint32_t answered; /* requests of a connection that get the answer */
+	bool closes;       /* after the first answer */
+	gint requests;
+	GThread *thread;
+};
+
+static void
+serve_connection(struct server *s, int fd)
+{
+	uint32_t n = 0;
+
+	while (raw_read_request(fd)) {
+		g_atomic_int_inc(&s->requests);
+		if (n++ >= s->answered)
+			break;
+		raw_send(fd, s->answer, s->len);
+		if (s->closes || s->len < strlen(s->answer))
+			break;
+	}
+	close(fd);
+}
+
+static gpointer
+serve(gpointer p)
+{
+	struct server *s = p;
+	int fd;
+
+	while ((fd = accept(s->listen_fd, NULL, NULL)) >= 0)
+		serve_connection(s, fd);
+	return NULL;
+}
+
+static void
+start_server(struct server *s)
+{
+	s->listen_fd = raw_listen(&s->port);
+	s->thread = g_thread_new("server", serve, s);
+}
+
+static void
+stop_server(struct server *s)
+{
+	shutdown(s->listen_fd, SHUT_RDWR);
+	g_thread_join(s->thread);
+	close(s->listen_fd);
+}
+
+/* What is kept of a result. */
+struct got {
+	struct ev_loop *loop;
+	enum gyp_httpc_end end;
+	uint32_t status;
+	bool dropped;
+	char *body;
+};
+
+static void
+on_result(void *arg, const struct gyp_httpc_result *res)
+{
+	struct got *got = arg;
+
+	got->end = res->end;
+	got->status = res->status;
+	got->dropped = res->dropped;
+	g_free(got->body);
+	got->body = g_strndup(
+	    res->body != NULL ? (const char *)res->body : "", res->len);
+	ev_break(got->loop, EVBREAK_ALL);
+}
+
+static void
+post(struct fixture *f, struct gyp_httpc *client, const struct server *s,
+    uint64_t send_by, struct got *got)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%u/start", s->port);
+	struct gyp_httpc_request req = {.method = "POST",
+	    .url = url,
+	    .body = "work",
+	    .len = 4,
+	    .answer_max = 64,
+	    .timeout_ms = 20000,
+	    .send_by = send_by,
+	    .done = on_result,
+	    .arg = got};
+
+	got->loop = f->loop;
+	gyp_httpc_send(client, &req);
+	ev_run(f->loop, 0);
+	g_free(url);
+}
+
+#define WHOLE "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+#define CHUNKED                                                                \
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"                \
+	"3\r\nwho\r\n2\r\nle\r\n0\r\n\r\n"
+
+/* A kept-alive connection is closed under the second request. */
+static void
+test_sent_once(void)
+{
+	struct fixture f;
+	struct server s = {
+	    .answer = WHOLE, .len = strlen(WHOLE), .answered = 1};
+	struct got got = {.body = NULL};
+	struct gyp_httpc *client;
+	int i;
+
+	set_up(&f);
+	start_server(&s);
+	client = gyp_httpc_new(f.loop, f.timers);
+	for (i = 1; i <= 5; i++) {
+		post(&f, client, &s, 0, &got);
+		g_assert_cmpint(got.end, ==, GYP_HTTPC_ANSWERED);
+		g_assert_cmpint(g_atomic_int_get(&s.requests), ==, i);
+	}
+	s.answered = 0;
+	for (; i <= 10; i++) {
+		post(&f, client, &s, 0, &got);
+		g_assert_cmpint(got.end, ==, GYP_HTTPC_LOST);
+		g_assert_cmpint(g_atomic_int_get(&s.requests), ==, i);
+	}
+	g_free(got.body);
+	gyp_httpc_free(client);
+	stop_server(&s);
+	tear_down(&f);
+}
+
+/* The time of a start is over before the connection is open. */
+static void
+test_not_sent_late(void)
+{
+	struct fixture f;
+	struct server s = {
+	    .answer = WHOLE, .len = strlen(WHOLE), .answered = 1};
+	struct got got = {.body = NULL};
+	struct gyp_httpc *client;
+
+	set_up(&f);
+	start_server(&s);
+	client = gyp_httpc_new(f.loop, f.timers);
+	post(&f, client, &s, gyp_clock_ms(), &got);
+	g_assert_cmpint(got.end, ==, GYP_HTTPC_NOT_SENT);
+	g_assert_cmpint(g_atomic_int_get(&s.requests), ==, 0);
+	g_free(got.body);
+	gyp_httpc_free(client);
+	stop_server(&s);
+	tear_down(&f);
+}
+
+/* Cuts an answer at every byte; it counts only from `whole` bytes on. */
+static void
+check_cuts(const char *answer, size_t whole)
+{
+	struct fixture f;
+	struct server s = {.answer = answer, .answered = 1};
+	struct got got = {.body = NULL};
+	struct gyp_httpc *client;
+
+	set_up(&f);
+	start_server(&s);
+	client = gyp_httpc_new(f.loop, f.timers);
+	for (s.len = 0; s.len <= strlen(answer); s.len++) {
+		post(&f, client, &s, 0, &got);
+		if (s.len < whole)
+			g_assert_cmpint(got.end, ==, GYP_HTTPC_LOST);
+		else if (s.len == strlen(answer))
+			g_assert_cmpint(got.end, ==, GYP_HTTPC_ANSWERED);
+		if (got.end == GYP_HTTPC_ANSWERED)
+			g_assert_cmpstr(got.body, ==, "whole");
+	}
+	g_free(got.body);
+	gyp_httpc_free(client);
+	stop_server(&s);
+	tear_down(&f);
+}
+
+static void
+test_cut_answers(void)
+{
+	check_cuts(WHOLE, strlen(WHOLE));
+	/* The body of a chunked answer is whole with its last chunk. */
+	check_cuts(CHUNKED, strlen(CHUNKED) - strlen("0\r\n\r\n") + 1);
+}
+
+struct answer_case {
+	const char *answer;
+	enum gyp_httpc_end end;
+	bool dropped;
+};
+
+static const struct answer_case answer_cases[] = {
+    /* Its end is not announced. */
+    {"HTTP/1.1 200 OK\r\n\r\nwhole", GYP_HTTPC_LOST, false},
+    {"HTTP/1.0 200 OK\r\nConnection: close\r\n\r\nwhole", GYP_HTTPC_LOST,
+	false},
+    /* An interim answer's length is not that of the answer. */
+    {"HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n"
+     "HTTP/1.1 200 OK\r\n\r\nwhole",
+	GYP_HTTPC_LOST, false},
+    {"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nwhole", GYP_HTTPC_LOST,
+	false},
+    {"nonsense\r\n\r\n", GYP_HTTPC_LOST, false},
+    /* Larger than is kept: 70 bytes. */
+    {"HTTP/1.1 200 OK\r\nContent-Length: 70\r\n\r\n"
+     "0123456789012345678901234567890123456789012345678901234567890123456789",
+	GYP_HTTPC_ANSWERED, true},
+    /* The second answer to one request is nobody's. */
+    {WHOLE "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", GYP_HTTPC_ANSWERED,
+	false},
+};
+
+static void
+test_strange_answers(void)
+{
+	struct fixture f;
+	struct gyp_httpc *client;
+	size_t i;
+
+	set_up(&f);
+	client = gyp_httpc_new(f.loop, f.timers);
+	for (i = 0; i < G_N_ELEMENTS(answer_cases); i++) {
+		const struct answer_case *c = &answer_cases[i];
+		struct server s = {
+		    .answer = c->answer, .answered = 1, .closes = true};
+		struct got got = {.body = NULL};
+
+		s.len = strlen(c->answer);
+		start_server(&s);
+		post(&f, client, &s, 0, &got);
+		g_test_message("case %zu", i);
+		g_assert_cmpint(got.end, ==, c->end);
+		g_assert_cmpint(got.dropped, ==, c->dropped);
+		g_assert_true(!c->dropped || got.body[0] == '\0');
+		g_free(got.body);
+		stop_server(&s);
+	}
+	gyp_httpc_free(client);
+	tear_down(&f);
+}
+
+/* ---- Server: callers that misbehave ------------------------------------ */
+
+struct door_fixture {
+	struct fixture base;
+	struct gyp_entry_core *core;
+	struct gyp_counters *counters;
+	struct gyp_door *door;
+	struct gyp_httpd *httpd;
+	uint16_t port;
+};
+
+static void
+on_flush(void *arg)
+{
+	struct door_fixture *f = arg;
+	struct gyp_answer a;
+	const char *address;
+	GBytes *packed;
+
+	while (gyp_entry_pop_frame(f->core, &address, &packed))
+		g_bytes_unref(packed);
+	while (gyp_entry_pop_answer(f->core, &a))
+		gyp_door_answer(f->door, &a);
+}
+
+static void
+set_up_door(struct door_fixture *f)
+{
+	static const char *const cells[] = {"127.0.0.1:1", NULL};
+	struct gyp_entry_config cfg = {
+	    .id = 1, .cells = cells, .keepalive_ms = 300, .silence_ms = 1200};
+	char address[32];
+
+	set_up(&f->base);
+	f->core = gyp_entry_new(&cfg);
+	f->counters = gyp_counters_new();
+	f->door = gyp_door_new(f->core, f->counters, on_flush, f);
+	f->port = raw_free_port();
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u", f->port);
+	f->httpd = gyp_httpd_new(f->base.loop, f->base.timers,
+	    gyp_door_httpd_owner(f->door), address, NULL);
+	g_assert_nonnull(f->httpd);
+}
+
+static void
+tear_down_door(struct door_fixture *f)
+{
+	gyp_httpd_free(f->httpd);
+	gyp_door_free(f->door);
+	gyp_entry_free(f->core);
+	gyp_counters_free(f->counters);
+	tear_down(&f->base);
+}
+
+#define HEALTH "GET /v1/health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+#define POST(path, length)                                                     \
+	"POST " path " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"           \
+	"Content-Length: " length "\r\n\r\n"
+
+struct request_case {
+	const char *request;
+	const char *status; /* start of the answer; "" when there is none */
+};
+
+static const struct request_case request_cases[] = {
+    {HEALTH, "HTTP/1.1 200"},
+    {"", ""},
+    {"GE", ""},
+    {"GET /v1/hea", ""},
+    {POST("/v1/jobs", "100") "{\"kind\":", ""},
+    {POST("/v1/jobs", "-1"), "HTTP/1.1 400"},
+    {POST("/v1/jobs", "4") "{\"a\"", "HTTP/1.1 400"},
+    {POST("/v1/jobs", "2") "[]", "HTTP/1.1 400"},
+    {POST("/v1/jobs", "9") "{\"x\":\"y\"}", "HTTP/1.1 400"},
+    {POST("/v1/jobs", "10") "{\"kind\":1}", "HTTP/1.1 400"},
+    {POST("/v1/jobs", "14") "{\"kind\":\"nil\"}", "HTTP/1.1 400"},
+    {POST("/v1/jobs", "12") "{\"tasks\":-1}", "HTTP/1.1 400"},
+    {POST("/v1/jobs?wait_ms=-4", "2") "{}", "HTTP/1.1 400"},
+    {POST("/v1/endpoints", "2") "{}", "HTTP/1.1 400"},
+    {POST("/v1/endpoints/zz/heartbeat", "2") "{}", "HTTP/1.1 404"},
+    {POST("/v1/endpoints/7/heartbeat", "2") "{}", "HTTP/1.1 400"},
+    {POST("/v1/endpoints/7/heartbeat",
+	 "54") "{\"incarnation\":\"1\",\"clock_ms\":1,\"running\":[\"x\",\"1."
+	       "2\"]}",
+	"HTTP/1.1 400"},
+    {POST("/v1/attempts/1.2/finished", "0"), "HTTP/1.1 400"},
+    {POST("/v1/nothing", "0"), "HTTP/1.1 404"},
+    {POST("/", "0"), "HTTP/1.1 404"},
+    {"PUT /v1/jobs HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+     "Content-Length: 0\r\n\r\n",
+	"HTTP/1.1 405"},
+    {"DELETE /v1/keys/ HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+	"HTTP/1.1 400"},
+    {"\x16\x03\x01\x02\x7f\x01\xff\r\n\r\n", ""},
+};
+
+static void
+check_request(uint16_t port, const struct request_case *c)
+{
+	char *answer = raw_ask(port, c->request, strlen(c->request), TRUE);
+
+	g_test_message("%s", c->request);
+	/* The library answers what it can't parse with 4xx, or just closes. */
+	if (c->status[0] != '\0' || answer[0] == '\0')
+		g_assert_true(g_str_has_prefix(answer, c->status));
+	else
+		g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 4"));
+	g_free(answer);
+	answer = raw_ask(port, HEALTH, strlen(HEALTH), FALSE);
+	g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
+	g_free(answer);
+}
+
+static void
+send_bad_requests(void *arg)
+{
+	const struct door_fixture *f = arg;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(request_cases); i++)
+		check_request(f->port, &request_cases[i]);
+}
+
+static void
+send_oversized(void *arg)
+{
+	const struct door_fixture *f = arg;
+	GString *req = g_string_new(NULL);
+	char *answer;
+
+	g_string_printf(req, POST("/v1/jobs", "%d"), GYP_HTTP_BODY_MAX + 1);
+	while (req->len < GYP_HTTP_BODY_MAX * 2)
+		g_string_append_c(req, 'x');
+	answer = raw_ask(f->port, req->str, req->len, FALSE);
+	g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 413"));
+	g_free(answer);
+	g_string_assign(req, "GET /v1/health HTTP/1.1\r\nHost: x\r\nX: ");
+	while (req->len < 64 * 1024)
+		g_string_append_c(req, 'x');
+	answer = raw_ask(f->port, req->str, req->len, TRUE);
+	g_assert_true(
+	    answer[0] == '\0' || g_str_has_prefix(answer, "HTTP/1.1 4"));
+	g_free(answer);
+	g_string_free(req, TRUE);
+}
+
+static void
+send_random(void *arg)
+{
+	static const guint8 end[] = {'\r', '\n', '\r', '\n'};
+	const struct door_fixture *f = arg;
+	GRand *rand = g_rand_new_with_seed(7);
+	int i, k;
+
+	for (i = 0; i < 100; i++) {
+		guint8 bytes[512];
+		char *answer;
+
+		for (k = 0; k < (int)sizeof(bytes); k++)
+			bytes[k] = (guint8)g_rand_int(rand);
+		/* So that it need not wait for the rest. */
+		memcpy(bytes + sizeof(bytes) - sizeof(end), end, sizeof(end));
+		answer = raw_ask(f->port, bytes, sizeof(bytes), TRUE);
+		g_assert_false(g_str_has_prefix(answer, "HTTP/1.1 2"));
+		g_free(answer);
+	}
+	g_rand_free(rand);
+	check_request(f->port, &request_cases[0]);
+}
+
+/* Sends a byte now and then, for ever; ends when the server closes. */
+static void
+send_slowly(void *arg)
+{
+	const struct door_fixture *f = arg;
+	int fd = raw_connect(f->port);
+
+	while (raw_send(fd, "G", 1))
+		g_usleep(20000);
+	close(fd);
+	check_request(f->port, &request_cases[0]);
+}
+
+#define HALF_OPEN 1500
+
+static void
+hold_half_open(void *arg)
+{
+	const struct door_fixture *f = arg;
+	int fds[HALF_OPEN], i;
+
+	for (i = 0; i < HALF_OPEN; i++) {
+		fds[i] = raw_connect(f->port);
+		raw_send(fds[i], "GET /v1/health HTTP/1.1\r\nHo", 27);
+	}
+	for (i = 0; i < 10; i++)
+		check_request(f->port, &request_cases[0]);
+	for (i = 0; i < HALF_OPEN; i++)
+		close(fds[i]);
+	check_request(f->port, &request_cases[0]);
+}
+
+static void
+test_bad_requests(void)
+{
+	struct door_fixture f;
+
+	set_up_door(&f);
+	gyp_httpd_set_limits(f.httpd, 1000, 60000);
+	raw_run(f.base.loop, send_bad_requests, &f);
+	raw_run(f.base.loop, send_oversized, &f);
+	raw_run(f.base.loop, send_random, &f);
+	g_assert_cmpuint(gyp_httpd_bytes(f.httpd), ==, 0);
+	tear_down_door(&f);
+}
+
+static void
+test_slow_sender(void)
+{
+	struct door_fixture f;
+
+	set_up_door(&f);
+	gyp_httpd_set_limits(f.httpd, 300, 60000);
+	raw_run(f.base.loop, send_slowly, &f);
+	tear_down_door(&f);
+}
+
+static void
+test_half_open(void)
+{
+	struct door_fixture f;
+	struct rlimit limit;
+
+	getrlimit(RLIMIT_NOFILE, &limit);
+	limit.rlim_cur = MIN(limit.rlim_max, 8192);
+	g_assert_cmpint(setrlimit(RLIMIT_NOFILE, &limit), ==, 0);
+	set_up_door(&f);
+	raw_run(f.base.loop, hold_half_open, &f);
+	tear_down_door(&f);
+}
+
+/* ---- Drain ------------------------------------------------------------- */
+
+static void
+ask_draining(void *arg)
+{
+	const struct door_fixture *f = arg;
+	static const struct request_case cases[] = {
+	    {POST("/v1/jobs", "2") "{}", "HTTP/1.1 503"},
+	    {POST("/v1/endpoints", "2") "{}", "HTTP/1.1 503"},
+	};
+	char *answer;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		answer = raw_ask(
+		    f->port, cases[i].request, strlen(cases[i].request), FALSE);
+		g_assert_true(g_str_has_prefix(answer, cases[i].status));
+		g_assert_nonnull(strstr(answer, "Gyp-Outcome: not_run"));
+		g_free(answer);
+	}
+	answer = raw_ask(f->port, HEALTH, strlen(HEALTH), FALSE);
+	g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 503"));
+	g_assert_nonnull(strstr(answer, "draining"));
+	g_free(answer);
+}
+
+static void
+test_draining(void)
+{
+	struct door_fixture f;
+
+	set_up_door(&f);
+	gyp_door_drain(f.door);
+	raw_run(f.base.loop, ask_draining, &f);
+	tear_down_door(&f);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/http/sent-once", test_sent_once);
+	g_test_add_func("/http/not-sent-late", test_not_sent_late);
+	g_test_add_func("/http/cut-answers", test_cut_answers);
+	g_test_add_func("/http/strange-answers", test_strange_answers);
+	g_test_add_func("/http/bad-requests", test_bad_requests);
+	g_test_add_func("/http/slow-sender", test_slow_sender);
+	g_test_add_func("/http/half-open", test_half_open);
+	g_test_add_func("/http/draining", test_draining);
+	return g_test_run();
+}
--- /dev/null
+++ b/test/test_link.c
@@ -0,0 +1,287 @@
+#include <sys/socket.h>
+
+#include <string.h>
+#include <unistd.h>
+
+#include "buf.h"
+#include "counters.h"
+#include "link.h"
+#include "msg.h"
+#include "raw.h"
+#include "timer.h"
+
+struct fixture {
+	struct gyp_links_owner owner;
+	struct ev_loop *loop;
+	struct gyp_timers *timers;
+	struct gyp_counters *counters;
+	struct gyp_links *links;
+	uint16_t port;
+	gint introduced;
+	gint received;
+};
+
+static void
+on_received(struct gyp_links_owner *owner, uint64_t id, const Gyp__Frame *frame)
+{
+	(void)id;
+	(void)frame;
+	g_atomic_int_inc(&((struct fixture *)owner)->received);
+}
+
+static void
+on_introduced(struct gyp_links_owner *owner, const Gyp__Hello *hello)
+{
+	(void)hello;
+	g_atomic_int_inc(&((struct fixture *)owner)->introduced);
+}
+
+static const struct gyp_links_owner_ops ops = {
+    .received = on_received, .introduced = on_introduced};
+
+static void
+set_up(struct fixture *f)
+{
+	Gyp__Hello hello = GYP__HELLO__INIT;
+	char address[32];
+
+	memset(f, 0, sizeof(*f));
+	f->owner.ops = &ops;
+	f->loop = ev_loop_new(EVFLAG_AUTO);
+	f->timers = gyp_timers_new(f->loop);
+	f->counters = gyp_counters_new();
+	hello.id = 1;
+	f->links = gyp_links_new(f->loop, f->timers, &f->owner, &hello);
+	gyp_links_count_in(f->links, f->counters);
+	f->port = raw_free_port();
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u", f->port);
+	g_assert_cmpint(gyp_links_listen(f->links, address, NULL), ==, GYP_OK);
+}
+
+static void
+tear_down(struct fixture *f)
+{
+	gyp_links_free(f->links);
+	gyp_counters_free(f->counters);
+	gyp_timers_free(f->timers);
+	ev_loop_destroy(f->loop);
+}
+
+static void
+append_frame(struct gyp_buf *b, const Gyp__Frame *frame)
+{
+	GBytes *packed = gyp_message_pack(&frame->base);
+	gsize len;
+	const void *data = g_bytes_get_data(packed, &len);
+
+	gyp_put_u32(gyp_buf_extend(b, 4), (uint32_t)len);
+	gyp_buf_append(b, data, len);
+	g_bytes_unref(packed);
+}
+
+static void
+append_hello(struct gyp_buf *b, uint64_t id)
+{
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__Hello hello = GYP__HELLO__INIT;
+
+	hello.id = id;
+	frame.body_case = GYP__FRAME__BODY_HELLO;
+	frame.hello = &hello;
+	append_frame(b, &frame);
+}
+
+static void
+append_up(struct gyp_buf *b)
+{
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__EntryUp up = GYP__ENTRY_UP__INIT;
+
+	frame.body_case = GYP__FRAME__BODY_UP;
+	frame.up = &up;
+	append_frame(b, &frame);
+}
+
+/* Sends and waits until the other side has closed the connection. */
+static void
+send_and_be_closed(const struct fixture *f, const struct gyp_buf *b)
+{
+	char *answer = raw_ask(f->port, b->data, b->len, FALSE);
+
+	g_assert_cmpstr(answer, ==, "");
+	g_free(answer);
+}
+
+/* A well-formed peer is served whatever the others do. */
+static void
+check_service(struct fixture *f)
+{
+	gint before = g_atomic_int_get(&f->received);
+	struct gyp_buf b = {NULL, 0, 0};
+	int fd = raw_connect(f->port);
+
+	append_hello(&b, 77);
+	append_up(&b);
+	g_assert_true(raw_send(fd, b.data, b.len));
+	while (g_atomic_int_get(&f->received) == before)
+		g_usleep(1000);
+	close(fd);
+	gyp_buf_clear(&b);
+}
+
+static void
+send_garbage(void *arg)
+{
+	static const uint8_t huge[] = {0xff, 0xff, 0xff, 0xff, 0};
+	static const uint8_t bad[] = {0, 0, 0, 3, 0xff, 0xff, 0xff};
+	struct fixture *f = arg;
+	struct gyp_buf b = {NULL, 0, 0};
+
+	/* A length over the limit, alone and after the hello. */
+	gyp_buf_append(&b, huge, sizeof(huge));
+	send_and_be_closed(f, &b);
+	gyp_buf_clear(&b);
+	append_hello(&b, 5);
+	gyp_buf_append(&b, huge, sizeof(huge));
+	send_and_be_closed(f, &b);
+	gyp_buf_clear(&b);
+	/* No message of ours. */
+	append_hello(&b, 5);
+	gyp_buf_append(&b, bad, sizeof(bad));
+	send_and_be_closed(f, &b);
+	gyp_buf_clear(&b);
+	/* No hello, and one without an id. */
+	append_up(&b);
+	send_and_be_closed(f, &b);
+	gyp_buf_clear(&b);
+	append_hello(&b, 0);
+	send_and_be_closed(f, &b);
+	gyp_buf_clear(&b);
+	/* Before the hello not even a frame of a permitted length. */
+	gyp_put_u32(gyp_buf_extend(&b, 4), GYP_HELLO_MAX + 1);
+	send_and_be_closed(f, &b);
+	gyp_buf_clear(&b);
+	g_assert_cmpint(g_atomic_int_get(&f->received), ==, 0);
+	check_service(f);
+}
+
+/* Ends when the other side has lost its patience, well-formed or not. */
+static void
+send_slowly(void *arg)
+{
+	struct fixture *f = arg;
+	struct gyp_buf b = {NULL, 0, 0};
+	int fd = raw_connect(f->port);
+
+	append_hello(&b, 5);
+	gyp_put_u32(b.data, GYP_HELLO_MAX);
+	raw_send(fd, b.data, 4);
+	while (raw_send(fd, b.data, 1))
+		g_usleep(50000);
+	close(fd);
+	gyp_buf_clear(&b);
+	check_service(f);
+}
+
+/* The second connection of a process replaces its first. */
+static void
+reconnect(void *arg)
+{
+	struct fixture *f = arg;
+	struct gyp_buf b = {NULL, 0, 0};
+	int first = raw_connect(f->port), second = raw_connect(f->port);
+	char *rest;
+
+	append_hello(&b, 5);
+	raw_send(first, b.data, b.len);
+	while (g_atomic_int_get(&f->introduced) < 1)
+		g_usleep(1000);
+	raw_send(second, b.data, b.len);
+	rest = raw_read_all(first);
+	g_assert_cmpstr(rest, ==, "");
+	g_free(rest);
+	close(first);
+	close(second);
+	gyp_buf_clear(&b);
+	check_service(f);
+}
+
+/* A peer that does not read is cut off once its queue is full. */
+static void
+overflow(void *arg)
+{
+	struct fixture *f = arg;
+	struct gyp_buf b = {NULL, 0, 0};
+	int fd = raw_connect(f->port);
+
+	append_hello(&b, 9);
+	raw_send(fd, b.data, b.len);
+	while (g_atomic_int_get(&f->introduced) < 1)
+		g_usleep(1000);
+	while (raw_send(fd, b.data, b.len))
+		g_usleep(1000);
+	close(fd);
+	gyp_buf_clear(&b);
+}
+
+static void
+flood(void *arg, uint64_t now)
+{
+	struct fixture *f = arg;
+	guint8 *zeros = g_malloc0(1024 * 1024);
+	GBytes *bytes = g_bytes_new_take(zeros, 1024 * 1024);
+
+	(void)now;
+	gyp_links_send_to(f->links, 9, bytes);
+	g_bytes_unref(bytes);
+}
+
+static void
+run(void (*work)(void *))
+{
+	struct fixture f;
+
+	set_up(&f);
+	raw_run(f.loop, work, &f);
+	tear_down(&f);
+}
+
+static void
+test_garbage(void)
+{
+	run(send_garbage);
+}
+
+static void
+test_slow(void)
+{
+	run(send_slowly);
+}
+
+static void
+test_reconnect(void)
+{
+	run(reconnect);
+}
+
+static void
+test_overflow(void)
+{
+	struct fixture f;
+
+	set_up(&f);
+	gyp_timer_every(f.timers, 5, flood, &f);
+	raw_run(f.loop, overflow, &f);
+	tear_down(&f);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/link/garbage", test_garbage);
+	g_test_add_func("/link/slow", test_slow);
+	g_test_add_func("/link/reconnect", test_reconnect);
+	g_test_add_func("/link/overflow", test_overflow);
+	return g_test_run();
+}
