Never tell the dropped answer of a gang's task as done

Cause: a task of a gang that starts again may end well; its answer is dropped, but its last outcome stayed 'done'.

Now such a task counts as failed at once, as it does when the gang is queued again. Ruled out: the policy's order of placements, which only brought the case about.

--- a/src/state_life.c
+++ b/src/state_life.c
@@ -166,6 +166,9 @@
 	bool first = !job->restarting;
 
 	job->restarting = true;
+	/* Its answer is dropped; a cancellation may make this the last word. */
+	if (t->last == GYP__OUTCOME__OUTCOME_DONE)
+		t->last = GYP__OUTCOME__OUTCOME_FAILED;
 	gyp_state_set_task(s, job, t, GYP_TASK_OVER);
 	if (job->n_placed == 0)
 		requeue_gang(s, job);
