Keep one of two mends of a cancelled restart

Together the task was failed with an answer. Ruled out: the second alone; it takes back what an endpoint did well. Measured: /state/cancelled-restart passes again.

--- a/src/state_life.c
+++ b/src/state_life.c
@@ -167,9 +167,6 @@
 	bool first = !job->restarting;
 
 	job->restarting = true;
-	/* Its answer is dropped; a cancellation may make this the last word. */
-	if (t->last == GYP__OUTCOME__OUTCOME_DONE)
-		t->last = GYP__OUTCOME__OUTCOME_FAILED;
 	gyp_state_set_task(s, job, t, GYP_TASK_OVER);
 	if (job->n_placed == 0)
 		requeue_gang(s, job);
@@ -209,8 +206,7 @@
 	if (s->listener != NULL)
 		s->listener->ops->attempt_over(s->listener, job, index);
 	retry = wants_retry(job, t, outcome);
-	/* Kept of a restarting gang too: a cancellation makes it the last word.
-	 */
+	/* Of a restarting gang too: a cancellation makes it the last word. */
 	if (gang || !retry) {
 		gyp_message_free(t->finish);
 		t->finish = gyp_message_copy(&finish->base);
