Replay traces through tables and policy; claims that end, later preemption

The first replays showed the weighted policy far behind every plain one. Cause: each urgent task without a place evicted at once (3,284 evictions in 600 s), and the endpoint stayed claimed for 5 s after the task had started elsewhere; a reservation kept urgent work out as well.

Now a claim ends when its job no longer waits, eviction waits for half of the urgent time, urgent work may use what is reserved for other work, and a reservation for a job that is no gang holds room for one task.

--- a/src/gyp.h
+++ b/src/gyp.h
@@ -20,14 +20,17 @@
 #include "table.h"
 
 /* ---- Core: the cell ------------------------------------------------------ */
+#include "health.h"  /* who is to blame for failures */
 #include "leases.h"  /* who may still be running */
 #include "policy.h"  /* which task goes where */
 #include "raft.h"    /* replicated log */
 #include "record.h"  /* what goes to the disk */
+#include "replay.h"  /* a trace through tables and policy */
 #include "replica.h" /* log, tables and decisions together */
 #include "rules.h"   /* what operators ask for, one line each */
 #include "running.h" /* what endpoints say that they run */
 #include "state.h"   /* tables of jobs, endpoints and rules */
+#include "trace.h"   /* one event a line */
 #include "usage.h"   /* measured usage, from heartbeats */
 
 /* ---- Core: the entry ----------------------------------------------------- */
--- a/src/policy.c
+++ b/src/policy.c
@@ -207,6 +207,7 @@
 		return;
 	if (t->failures > 0 && index_size(p->index) > 1)
 		q->avoid = t->endpoint;
+	q->urgent = queue_is_urgent(lane, job);
 	q->run_ms = policy_expected_run(lane, job);
 	q->max_tasks = gyp_rules_limit(p->rules, "endpoint")->u.tasks;
 	q->rack_limit = gyp_rules_limit(p->rules, "rack")->u.tasks;
--- a/src/policy_gang.c
+++ b/src/policy_gang.c
@@ -141,10 +141,11 @@
 hold(struct gyp_policy *p, const struct gyp_job *job)
 {
 	GArray *offers = list_offers(p, job);
-	uint64_t tasks = 0, drain = 0;
+	bool gang = job->spec->kind == GYP__KIND__KIND_GANG;
+	uint64_t tasks = 0, needed = gang ? job->n_queued : 1, drain = 0;
 	guint i;
 
-	for (i = 0; i < offers->len && tasks < job->n_queued; i++) {
+	for (i = 0; i < offers->len && tasks < needed; i++) {
 		const struct offer *o = &g_array_index(offers, struct offer, i);
 
 		if (o->spot->held_for != 0)
--- a/src/policy_index.c
+++ b/src/policy_index.c
@@ -424,6 +424,15 @@
 	return n;
 }
 
+static bool
+is_waiting(const struct gyp_policy *p, uint64_t id)
+{
+	const struct gyp_job *job = gyp_state_job(p->state, id);
+
+	return job != NULL && job->n_queued > 0 &&
+	       !g_hash_table_contains(p->chosen, &id);
+}
+
 /* Backfill: what is over before the holder can use the endpoint may run. */
 static bool
 may_use_held(
@@ -432,7 +441,10 @@
 	if (spot->held_for == 0 || spot->held_for == q->job->id)
 		return true;
 	if (spot->held_for != p->reserved)
-		return q->now > spot->held_until;
+		return q->now > spot->held_until ||
+		       !is_waiting(p, spot->held_for);
+	if (q->urgent)
+		return true;
 	/* Run times are not to be relied on: twice the expected one counts. */
 	return q->run_ms > 0 && q->now + 2 * q->run_ms <= p->reserved_until;
 }
--- a/src/policy_int.h
+++ b/src/policy_int.h
@@ -54,6 +54,7 @@
 	uint64_t avoid;     /* endpoint where it failed last */
 	uint64_t run_ms;    /* expected; 0 for unknown */
 	uint32_t max_tasks; /* of an endpoint */
+	bool urgent;        /* may use what is reserved for other work */
 	bool domains;       /* spread or rack limit: look at all */
 	enum gyp_spread_domain over;
 	uint32_t rack_limit;
--- a/src/policy_preempt.c
+++ b/src/policy_preempt.c
@@ -144,10 +144,15 @@
 {
 	struct gyp_policy *p = round->policy;
 	bool same_team = queue_over_quota(lane->team, &job->size) != NULL;
+	uint64_t waited = p->now - job->submitted_ms;
+	uint64_t within = lane->urgent->u.within_ms;
 	struct spot *s;
 	GArray *victims;
 	guint needed;
 
+	/* Most of the time something ends before the time is up. */
+	if (within != GYP_UNLIMITED && waited < within / 2)
+		return false;
 	if (round->preempt_left == 0 || has_claim(p, job))
 		return false;
 	round->preempt_left--;
--- /dev/null
+++ b/src/replay.c
@@ -0,0 +1,825 @@
+#include <math.h>
+#include <string.h>
+
+#include "replay.h"
+
+/* Placements in one round, as in a replica. */
+#define BUDGET 512
+
+/* Time after which a bad endpoint fails a start, in ms. */
+#define BAD_ENDPOINT_MS 5
+
+/* Time for a checkpoint, in ms. */
+#define CHECKPOINT_MS 100
+
+/* Interval of rounds that depend on time alone, in ms. */
+#define TURN_MS 100
+
+/* End of an attempt that is under way. */
+struct ending {
+	uint64_t at;
+	uint64_t order; /* ties go by the order of starts */
+	uint64_t job;
+	uint32_t task;
+	uint32_t attempt;
+	bool checkpoint;
+};
+
+/* What the trace says of a job, and what became of it. */
+struct subject {
+	uint64_t id;
+	struct gyp_trace_event event;
+	uint64_t *left_ms;   /* true run time left of each task */
+	uint64_t *waited_ms; /* to the first start; UINT64_MAX for none */
+	char *endpoint;      /* of the first task's last attempt */
+};
+
+struct class_stats {
+	char *name;
+	GArray *waits; /* double, ms */
+	uint64_t jobs;
+	uint64_t not_started; /* tasks */
+};
+
+struct team_stats {
+	char *name;
+	double asked; /* processor time of its jobs, up to the window's end */
+	double served;
+};
+
+struct gyp_replay {
+	struct gyp_state_listener listener;
+	struct gyp_state *state;
+	struct gyp_policy *policy;
+	struct gyp_decision *decision;
+	uint64_t now;
+	uint64_t decide_at; /* UINT64_MAX: at the next event */
+	GPtrArray *heap;    /* struct ending, the earliest first */
+	uint64_t next_order;
+	GHashTable *by_id; /* job -> struct subject */
+	GPtrArray *subjects;
+	GHashTable *bad_endpoints; /* names, as a set */
+	GPtrArray *classes;
+	GPtrArray *teams;
+	bool window; /* before the last arrival */
+	uint64_t window_end;
+	double time_ms, used_cpu, used_memory, cap_cpu, cap_memory, empty;
+	uint64_t starts, evictions, retries, rounds;
+	uint64_t outcomes[5];
+	uint64_t refused, expired;
+};
+
+/* ---- Heap of endings --------------------------------------------------- */
+
+static bool
+earlier(const struct ending *a, const struct ending *b)
+{
+	return a->at != b->at ? a->at < b->at : a->order < b->order;
+}
+
+static void
+swap(GPtrArray *heap, guint a, guint b)
+{
+	gpointer tmp = heap->pdata[a];
+
+	heap->pdata[a] = heap->pdata[b];
+	heap->pdata[b] = tmp;
+}
+
+static void
+push_ending(struct gyp_replay *r, const struct ending *e)
+{
+	GPtrArray *heap = r->heap;
+	guint i = heap->len;
+	struct ending *copy = g_memdup2(e, sizeof(*e));
+
+	copy->order = r->next_order++;
+	g_ptr_array_add(heap, copy);
+	while (i > 0 && earlier(heap->pdata[i], heap->pdata[(i - 1) / 2])) {
+		swap(heap, i, (i - 1) / 2);
+		i = (i - 1) / 2;
+	}
+}
+
+static struct ending *
+pop_ending(GPtrArray *heap)
+{
+	struct ending *top = heap->pdata[0];
+	guint i = 0;
+
+	heap->pdata[0] = heap->pdata[heap->len - 1];
+	g_ptr_array_set_size(heap, (gint)heap->len - 1);
+	for (;;) {
+		guint left = 2 * i + 1, least = i;
+
+		if (left < heap->len &&
+		    earlier(heap->pdata[left], heap->pdata[least]))
+			least = left;
+		if (left + 1 < heap->len &&
+		    earlier(heap->pdata[left + 1], heap->pdata[least]))
+			least = left + 1;
+		if (least == i)
+			return top;
+		swap(heap, i, least);
+		i = least;
+	}
+}
+
+/* ---- Commands ---------------------------------------------------------- */
+
+static void
+apply(struct gyp_replay *r, Gyp__Cmd *cmd)
+{
+	Gyp__Batch batch = GYP__BATCH__INIT;
+
+	batch.time_ms = r->now;
+	batch.n_cmds = 1;
+	batch.cmds = &cmd;
+	gyp_state_apply(r->state, &batch);
+}
+
+static void
+cancel_job(struct gyp_replay *r, uint64_t job, const char *reason)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdCancel c = GYP__CMD_CANCEL__INIT;
+
+	c.job = job;
+	c.reason = (char *)reason;
+	cmd.c_case = GYP__CMD__C_CANCEL;
+	cmd.cancel = &c;
+	apply(r, &cmd);
+}
+
+static void
+set_endpoint_state(struct gyp_replay *r, uint64_t id,
+    enum gyp_endpoint_state from, enum gyp_endpoint_state state)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdEndpointState es = GYP__CMD_ENDPOINT_STATE__INIT;
+
+	es.endpoint = id;
+	es.from = from;
+	es.state = state;
+	cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
+	cmd.endpoint_state = &es;
+	apply(r, &cmd);
+}
+
+static void
+apply_places(struct gyp_replay *r, const GArray *choices, guint first, guint n)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdPlace place = GYP__CMD_PLACE__INIT;
+	Gyp__Placement *rows = g_new(Gyp__Placement, n);
+	Gyp__Placement **list = g_new(Gyp__Placement *, n);
+	guint i;
+
+	for (i = 0; i < n; i++) {
+		const struct gyp_choice *c =
+		    &g_array_index(choices, struct gyp_choice, first + i);
+		const struct gyp_job *job = gyp_state_job(r->state, c->job);
+
+		gyp__placement__init(&rows[i]);
+		rows[i].job = c->job;
+		rows[i].task = c->task;
+		rows[i].endpoint = c->endpoint;
+		rows[i].attempt = job->tasks[c->task].attempt + 1;
+		list[i] = &rows[i];
+	}
+	place.n_places = n;
+	place.places = list;
+	cmd.c_case = GYP__CMD__C_PLACE;
+	cmd.place = &place;
+	apply(r, &cmd);
+	g_free(rows);
+	g_free(list);
+}
+
+static void
+apply_choices(struct gyp_replay *r, const GArray *choices)
+{
+	guint first = 0, i;
+
+	for (i = 1; i <= choices->len; i++) {
+		if (i < choices->len &&
+		    g_array_index(choices, struct gyp_choice, i).group ==
+			g_array_index(choices, struct gyp_choice, first).group)
+			continue;
+		apply_places(r, choices, first, i - first);
+		first = i;
+	}
+}
+
+static void
+finish_task(struct gyp_replay *r, const struct ending *e, Gyp__Outcome outcome)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdFinish f = GYP__CMD_FINISH__INIT;
+
+	f.job = e->job;
+	f.task = e->task;
+	f.attempt = e->attempt;
+	f.outcome = outcome;
+	f.checkpointed = e->checkpoint;
+	cmd.c_case = GYP__CMD__C_FINISH;
+	cmd.finish = &f;
+	apply(r, &cmd);
+}
+
+/* ---- Statistics -------------------------------------------------------- */
+
+static struct class_stats *
+class_stats(struct gyp_replay *r, const char *name)
+{
+	struct class_stats *c;
+	guint i;
+
+	for (i = 0; i < r->classes->len; i++) {
+		c = r->classes->pdata[i];
+		if (strcmp(c->name, name) == 0)
+			return c;
+	}
+	c = g_new0(struct class_stats, 1);
+	c->name = g_strdup(name);
+	c->waits = g_array_new(FALSE, FALSE, sizeof(double));
+	g_ptr_array_add(r->classes, c);
+	return c;
+}
+
+static struct team_stats *
+team_stats(struct gyp_replay *r, const char *name)
+{
+	struct team_stats *t;
+	guint i;
+
+	for (i = 0; i < r->teams->len; i++) {
+		t = r->teams->pdata[i];
+		if (strcmp(t->name, name) == 0)
+			return t;
+	}
+	t = g_new0(struct team_stats, 1);
+	t->name = g_strdup(name);
+	g_ptr_array_add(r->teams, t);
+	return t;
+}
+
+/* Adds the time from now to then to the sums of packing. */
+static void
+integrate(struct gyp_replay *r, uint64_t then)
+{
+	const struct gyp_table *t = gyp_state_endpoints(r->state);
+	double ms = (double)(then - r->now);
+	uint32_t i;
+
+	if (!r->window || ms == 0)
+		return;
+	r->time_ms += ms;
+	for (i = 0; i < gyp_table_size(t); i++) {
+		const struct gyp_endpoint *ep = gyp_table_at(t, i, NULL);
+
+		if (ep == NULL)
+			continue;
+		if (ep->attempts->len == 0) {
+			r->empty += ms;
+			continue;
+		}
+		r->used_cpu += ms * ep->booked.cpu_milli;
+		r->used_memory += ms * (double)ep->booked.memory;
+		r->cap_cpu += ms * ep->capacity.cpu_milli;
+		r->cap_memory += ms * (double)ep->capacity.memory;
+	}
+}
+
+/* ---- Starts and ends --------------------------------------------------- */
+
+static struct gyp_replay *
+from_listener(struct gyp_state_listener *l)
+{
+	return (struct gyp_replay *)l; /* listener is the first member */
+}
+
+static void
+on_placed(struct gyp_state_listener *l, struct gyp_job *job, uint32_t task)
+{
+	struct gyp_replay *r = from_listener(l);
+	struct subject *s = g_hash_table_lookup(r->by_id, &job->id);
+	const struct gyp_task *t = &job->tasks[task];
+	const struct gyp_endpoint *ep =
+	    gyp_state_endpoint(r->state, t->endpoint);
+	struct ending e = {.job = job->id, .task = task, .attempt = t->attempt};
+	bool bad = g_hash_table_contains(r->bad_endpoints, ep->spec->name);
+
+	r->starts++;
+	r->retries += t->attempt > 1;
+	if (s->waited_ms[task] == UINT64_MAX) {
+		double waited = (double)(r->now - s->event.at);
+
+		s->waited_ms[task] = r->now - s->event.at;
+		g_array_append_val(
+		    class_stats(r, s->event.class_name)->waits, waited);
+	}
+	if (task == 0) {
+		g_free(s->endpoint);
+		s->endpoint = g_strdup(ep->spec->name);
+	}
+	e.at = r->now + (bad ? BAD_ENDPOINT_MS : s->left_ms[task]);
+	push_ending(r, &e);
+}
+
+static void
+on_attempt_over(
+    struct gyp_state_listener *l, struct gyp_job *job, uint32_t task)
+{
+	struct gyp_replay *r = from_listener(l);
+	const struct subject *s = g_hash_table_lookup(r->by_id, &job->id);
+
+	if (r->now <= r->window_end)
+		team_stats(r, s->event.team)->served +=
+		    (double)(r->now - job->tasks[task].changed_ms) *
+		    job->size.cpu_milli;
+}
+
+static void
+on_finished(struct gyp_state_listener *l, struct gyp_job *job)
+{
+	struct gyp_replay *r = from_listener(l);
+
+	r->outcomes[job->outcome]++;
+}
+
+/* The endpoints are told to stop, and do so at once. */
+static void
+on_cancelled(struct gyp_state_listener *l, struct gyp_job *job)
+{
+	struct gyp_replay *r = from_listener(l);
+	uint32_t i;
+
+	for (i = 0; i < job->n_tasks; i++) {
+		struct ending e = {.at = r->now,
+		    .job = job->id,
+		    .task = i,
+		    .attempt = job->tasks[i].attempt,
+		    .checkpoint = true};
+
+		if (job->tasks[i].state == GYP_TASK_PLACED)
+			push_ending(r, &e);
+	}
+}
+
+static const struct gyp_state_listener_ops listener_ops = {.placed = on_placed,
+    .attempt_over = on_attempt_over,
+    .job_finished = on_finished,
+    .job_cancelled = on_cancelled};
+
+static void
+end_attempt(struct gyp_replay *r, const struct ending *e)
+{
+	const struct gyp_job *job = gyp_state_job(r->state, e->job);
+	struct subject *s;
+	const struct gyp_task *t;
+	const struct gyp_endpoint *ep;
+	bool fails;
+
+	if (job == NULL)
+		return;
+	t = &job->tasks[e->task];
+	if (t->state != GYP_TASK_PLACED || t->attempt != e->attempt)
+		return;
+	s = g_hash_table_lookup(r->by_id, &e->job);
+	ep = gyp_state_endpoint(r->state, t->endpoint);
+	fails = s->event.bad || e->checkpoint ||
+		g_hash_table_contains(r->bad_endpoints, ep->spec->name);
+	if (e->checkpoint)
+		s->left_ms[e->task] -=
+		    MIN(s->left_ms[e->task] - 1, r->now - t->changed_ms);
+	finish_task(r, e,
+	    fails ? GYP__OUTCOME__OUTCOME_FAILED : GYP__OUTCOME__OUTCOME_DONE);
+}
+
+/* ---- Decisions --------------------------------------------------------- */
+
+static void
+apply_decision(struct gyp_replay *r)
+{
+	struct gyp_decision *d = r->decision;
+	guint i;
+
+	apply_choices(r, d->choices);
+	for (i = 0; i < d->refusals->len; i++) {
+		const struct gyp_refusal *f =
+		    &g_array_index(d->refusals, struct gyp_refusal, i);
+
+		cancel_job(r, f->job, f->reason);
+		r->refused++;
+	}
+	for (i = 0; i < d->verdicts->len; i++) {
+		const struct gyp_verdict *v =
+		    &g_array_index(d->verdicts, struct gyp_verdict, i);
+
+		set_endpoint_state(r, v->endpoint, v->from, v->state);
+	}
+	for (i = 0; i < d->evictions->len; i++) {
+		const struct gyp_eviction *v =
+		    &g_array_index(d->evictions, struct gyp_eviction, i);
+		const struct gyp_job *job = gyp_state_job(r->state, v->job);
+		struct ending e = {.at = r->now + CHECKPOINT_MS,
+		    .job = v->job,
+		    .task = v->task,
+		    .attempt = job->tasks[v->task].attempt,
+		    .checkpoint = true};
+
+		push_ending(r, &e);
+		r->evictions++;
+	}
+}
+
+static void
+expire_deadlines(struct gyp_replay *r)
+{
+	const GList *l = gyp_state_queue(r->state)->head;
+
+	while (l != NULL) {
+		const struct gyp_job *job = l->data;
+
+		l = l->next;
+		if (job->spec->deadline_ms == 0 || job->n_placed > 0 ||
+		    r->now < job->submitted_ms + job->spec->deadline_ms)
+			continue;
+		r->expired++;
+		cancel_job(r, job->id, "not started by its deadline");
+	}
+}
+
+static void
+decide(struct gyp_replay *r)
+{
+	if (r->now >= r->decide_at) {
+		r->decide_at = r->now + TURN_MS;
+		expire_deadlines(r);
+	}
+	while (gyp_policy_is_due(r->policy, r->now)) {
+		gyp_decision_free(r->decision);
+		r->decision = gyp_decision_new();
+		gyp_policy_decide(r->policy, r->now, BUDGET, r->decision);
+		r->rounds++;
+		if (r->decision->choices->len + r->decision->refusals->len +
+			r->decision->verdicts->len ==
+		    0)
+			break;
+		apply_decision(r);
+	}
+}
+
+/* Lets everything happen that is due by then. */
+static void
+run_until(struct gyp_replay *r, uint64_t then)
+{
+	for (;;) {
+		uint64_t next = then;
+		struct ending *e = NULL;
+
+		if (r->heap->len > 0)
+			next =
+			    MIN(next, ((struct ending *)r->heap->pdata[0])->at);
+		if (gyp_state_queue(r->state)->length > 0)
+			next = MIN(next, r->decide_at);
+		next = MAX(next, r->now);
+		integrate(r, next);
+		r->now = next;
+		while (r->heap->len > 0 &&
+		       ((struct ending *)r->heap->pdata[0])->at <= r->now) {
+			e = pop_ending(r->heap);
+			end_attempt(r, e);
+			g_free(e);
+		}
+		decide(r);
+		if (r->now >= then)
+			return;
+	}
+}
+
+/* ---- Events ------------------------------------------------------------ */
+
+static void
+announce(struct gyp_replay *r, const struct gyp_trace_event *e)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdEndpoint ep = GYP__CMD_ENDPOINT__INIT;
+	Gyp__Res cap = GYP__RES__INIT;
+
+	cap.cpu_milli = e->size.cpu_milli;
+	cap.memory = e->size.memory;
+	cap.accel = e->size.accel;
+	cap.slots = e->size.slots;
+	ep.name = (char *)e->name;
+	ep.rack = (char *)e->rack;
+	ep.data_centre = (char *)e->data_centre;
+	ep.capacity = &cap;
+	cmd.c_case = GYP__CMD__C_ENDPOINT;
+	cmd.endpoint = &ep;
+	if (e->bad)
+		g_hash_table_add(r->bad_endpoints, g_strdup(e->name));
+	apply(r, &cmd);
+}
+
+static void
+note_subject(struct gyp_replay *r, const struct gyp_trace_event *e,
+    const struct gyp_job *job)
+{
+	struct subject *s = g_new0(struct subject, 1);
+	uint32_t i;
+
+	s->id = job->id;
+	s->event = *e;
+	s->left_ms = g_new(uint64_t, e->tasks);
+	s->waited_ms = g_new(uint64_t, e->tasks);
+	for (i = 0; i < e->tasks; i++) {
+		s->left_ms[i] = MAX(e->true_run_ms, 1);
+		s->waited_ms[i] = UINT64_MAX;
+	}
+	g_ptr_array_add(r->subjects, s);
+	g_hash_table_insert(r->by_id, &s->id, s);
+	class_stats(r, e->class_name)->jobs++;
+	team_stats(r, e->team)->asked +=
+	    (double)e->true_run_ms * e->size.cpu_milli * e->tasks;
+}
+
+static void
+submit(struct gyp_replay *r, const struct gyp_trace_event *e)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdSubmit sub = GYP__CMD_SUBMIT__INIT;
+	Gyp__JobSpec spec = GYP__JOB_SPEC__INIT;
+	Gyp__Res size = GYP__RES__INIT;
+	const struct gyp_job *job;
+
+	size.cpu_milli = e->size.cpu_milli;
+	size.memory = e->size.memory;
+	size.accel = e->size.accel;
+	size.slots = e->size.slots;
+	spec.kind = e->kind;
+	spec.team = (char *)e->team;
+	spec.class_ = (char *)e->class_name;
+	spec.key = (char *)e->name;
+	spec.idempotent = e->idempotent;
+	spec.tasks = e->tasks;
+	spec.size = &size;
+	spec.deadline_ms = e->deadline_ms;
+	spec.run_ms = e->run_ms;
+	sub.spec = &spec;
+	cmd.c_case = GYP__CMD__C_SUBMIT;
+	cmd.submit = &sub;
+	apply(r, &cmd);
+	job = gyp_state_job_by_key(r->state, e->team, e->name);
+	if (job != NULL && g_hash_table_lookup(r->by_id, &job->id) == NULL)
+		note_subject(r, e, job);
+}
+
+static void
+take_endpoint_away(struct gyp_replay *r, const struct gyp_trace_event *e)
+{
+	const struct gyp_endpoint *ep =
+	    gyp_state_endpoint_by_name(r->state, e->name);
+
+	if (ep != NULL)
+		set_endpoint_state(r, ep->id, 0,
+		    e->type == GYP_TRACE_LOST ? GYP_ENDPOINT_GONE
+					      : GYP_ENDPOINT_LEAVING);
+}
+
+static void
+cancel_by_key(struct gyp_replay *r, const struct gyp_trace_event *e)
+{
+	const struct gyp_job *job =
+	    gyp_state_job_by_key(r->state, e->team, e->name);
+
+	if (job != NULL)
+		cancel_job(r, job->id, "cancelled by the caller");
+}
+
+void
+gyp_replay_event(struct gyp_replay *r, const struct gyp_trace_event *e)
+{
+	if (e->at > r->now)
+		run_until(r, e->at);
+	switch (e->type) {
+	case GYP_TRACE_ENDPOINT:
+		announce(r, e);
+		break;
+	case GYP_TRACE_SUBMIT:
+		submit(r, e);
+		break;
+	case GYP_TRACE_CANCEL:
+		cancel_by_key(r, e);
+		break;
+	case GYP_TRACE_LEAVE:
+	case GYP_TRACE_LOST:
+	default:
+		take_endpoint_away(r, e);
+		break;
+	}
+	r->window_end = MAX(r->window_end, e->at);
+}
+
+void
+gyp_replay_finish(struct gyp_replay *r, uint64_t ms)
+{
+	uint64_t end = r->now + ms;
+
+	run_until(r, r->now);
+	r->window = false;
+	while (r->now < end &&
+	       (r->heap->len > 0 || gyp_state_queue(r->state)->length > 0))
+		run_until(r, MIN(end, r->now + TURN_MS * 10));
+}
+
+/* ---- Reports ----------------------------------------------------------- */
+
+void
+gyp_replay_print_outcomes(const struct gyp_replay *r, FILE *out)
+{
+	guint i;
+
+	for (i = 0; i < r->subjects->len; i++) {
+		const struct subject *s = r->subjects->pdata[i];
+		const struct gyp_job *job = gyp_state_job(r->state, s->id);
+
+		fprintf(out, "%s %s", s->event.name,
+		    job != NULL ? gyp_outcome_name(job->outcome) : "forgotten");
+		if (s->waited_ms[0] != UINT64_MAX)
+			fprintf(out, " waited=%" G_GUINT64_FORMAT " on=%s",
+			    s->waited_ms[0], s->endpoint);
+		if (job != NULL && job->reason != NULL &&
+		    job->reason[0] != '\0')
+			fprintf(out, " reason=\"%s\"", job->reason);
+		fprintf(out, "\n");
+	}
+}
+
+static gint
+by_value(gconstpointer a, gconstpointer b)
+{
+	double x = *(const double *)a, y = *(const double *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static double
+quantile(const GArray *sorted, double q)
+{
+	double rank;
+
+	if (sorted->len == 0)
+		return 0;
+	rank = ceil(q * sorted->len);
+	return g_array_index(sorted, double, (guint)MAX(rank, 1) - 1);
+}
+
+/* A task that never started counts as one that still waits at the end. */
+static void
+add_unstarted(struct gyp_replay *r)
+{
+	guint i;
+	uint32_t t;
+
+	for (i = 0; i < r->subjects->len; i++) {
+		const struct subject *s = r->subjects->pdata[i];
+		struct class_stats *c = class_stats(r, s->event.class_name);
+
+		for (t = 0; t < s->event.tasks; t++)
+			c->not_started += s->waited_ms[t] == UINT64_MAX;
+	}
+}
+
+/* Jain's index of the share that each team got of what it asked for. */
+static double
+fairness(const struct gyp_replay *r)
+{
+	double sum = 0, squares = 0;
+	guint i, n = 0;
+
+	for (i = 0; i < r->teams->len; i++) {
+		const struct team_stats *t = r->teams->pdata[i];
+		double share = t->asked > 0 ? t->served / t->asked : 0;
+
+		if (t->asked <= 0)
+			continue;
+		n++;
+		sum += share;
+		squares += share * share;
+	}
+	return squares > 0 ? sum * sum / (n * squares) : 1;
+}
+
+void
+gyp_replay_print_summary(const struct gyp_replay *cr, FILE *out)
+{
+	struct gyp_replay *r = (struct gyp_replay *)cr;
+	double cpu = r->cap_cpu > 0 ? r->used_cpu / r->cap_cpu : 0;
+	double memory = r->cap_memory > 0 ? r->used_memory / r->cap_memory : 0;
+	guint i;
+
+	add_unstarted(r);
+	fprintf(out,
+	    "packing cpu=%.4f memory=%.4f empty=%.2f\n"
+	    "jobs done=%" G_GUINT64_FORMAT " failed=%" G_GUINT64_FORMAT
+	    " not_run=%" G_GUINT64_FORMAT " unknown=%" G_GUINT64_FORMAT
+	    " open=%" G_GUINT64_FORMAT "\n"
+	    "starts=%" G_GUINT64_FORMAT " retries=%" G_GUINT64_FORMAT
+	    " evictions=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
+	    " expired=%" G_GUINT64_FORMAT " fairness=%.4f\n",
+	    cpu, memory, r->time_ms > 0 ? r->empty / r->time_ms : 0,
+	    r->outcomes[1], r->outcomes[2], r->outcomes[3], r->outcomes[4],
+	    r->subjects->len - r->outcomes[1] - r->outcomes[2] -
+		r->outcomes[3] - r->outcomes[4],
+	    r->starts, r->retries, r->evictions, r->refused, r->expired,
+	    fairness(r));
+	for (i = 0; i < r->classes->len; i++) {
+		struct class_stats *c = r->classes->pdata[i];
+
+		g_array_sort(c->waits, by_value);
+		fprintf(out,
+		    "class=%s jobs=%" G_GUINT64_FORMAT
+		    " started=%u not_started=%" G_GUINT64_FORMAT
+		    " median=%.0f p99=%.0f p999=%.0f worst=%.0f\n",
+		    c->name, c->jobs, c->waits->len, c->not_started,
+		    quantile(c->waits, 0.5), quantile(c->waits, 0.99),
+		    quantile(c->waits, 0.999), quantile(c->waits, 1));
+	}
+}
+
+/* ---- Construction ------------------------------------------------------ */
+
+static void
+free_class(gpointer p)
+{
+	struct class_stats *c = p;
+
+	g_array_free(c->waits, TRUE);
+	g_free(c->name);
+	g_free(c);
+}
+
+static void
+free_team(gpointer p)
+{
+	g_free(((struct team_stats *)p)->name);
+	g_free(p);
+}
+
+static void
+free_subject(gpointer p)
+{
+	struct subject *s = p;
+
+	g_free(s->left_ms);
+	g_free(s->waited_ms);
+	g_free(s->endpoint);
+	g_free(s);
+}
+
+struct gyp_replay *
+gyp_replay_new(const struct gyp_policy_ops *ops, uint32_t seed)
+{
+	struct gyp_replay *r = g_new0(struct gyp_replay, 1);
+
+	r->listener.ops = &listener_ops;
+	r->state = gyp_state_new(&r->listener);
+	r->policy = gyp_policy_new(ops, seed);
+	gyp_policy_attach(r->policy, r->state, 0);
+	r->decision = gyp_decision_new();
+	r->heap = g_ptr_array_new();
+	r->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+	r->subjects = g_ptr_array_new_with_free_func(free_subject);
+	r->bad_endpoints =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	r->classes = g_ptr_array_new_with_free_func(free_class);
+	r->teams = g_ptr_array_new_with_free_func(free_team);
+	r->window = true;
+	return r;
+}
+
+struct gyp_policy *
+gyp_replay_policy(struct gyp_replay *r)
+{
+	return r->policy;
+}
+
+void
+gyp_replay_free(struct gyp_replay *r)
+{
+	if (r == NULL)
+		return;
+	gyp_decision_free(r->decision);
+	gyp_policy_free(r->policy);
+	gyp_state_free(r->state);
+	g_ptr_array_set_free_func(r->heap, g_free);
+	g_ptr_array_free(r->heap, TRUE);
+	g_hash_table_destroy(r->by_id);
+	g_ptr_array_free(r->subjects, TRUE);
+	g_hash_table_destroy(r->bad_endpoints);
+	g_ptr_array_free(r->classes, TRUE);
+	g_ptr_array_free(r->teams, TRUE);
+	g_free(r);
+}
