--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -48,7 +48,9 @@
 	f->job = job->id;
 	f->task = index;
 	f->attempt = t->attempt;
-	if (t->state == GYP_TASK_OVER)
+	/* A task of a gang that starts again may run yet. */
+	f->outcome = GYP__OUTCOME__OUTCOME_NONE;
+	if (t->state == GYP_TASK_OVER && (!job->restarting || job->cancelled))
 		f->outcome = t->last;
 	if (!answer) {
 		f->answer.data = NULL;
@@ -253,6 +255,11 @@
 {
 	Gyp__Reply msg = GYP__REPLY__INIT;
 
+	if (!gyp_leases_grant(r->leases, ep->id, r->now)) {
+		reply_code(r, entry, call, GYP__CODE__CODE_BUSY,
+		    "the lease has run out");
+		return;
+	}
 	msg.id = call;
 	msg.endpoint = ep->id;
 	msg.lease_ms = r->cfg.endpoint_lease_ms;
@@ -273,7 +280,7 @@
 		return;
 	}
 	if (ep != NULL) {
-		if (ep->state == GYP_ENDPOINT_ACTIVE)
+		if (ep->state != GYP_ENDPOINT_LEAVING)
 			propose_endpoint_state(r, ep->id, GYP_ENDPOINT_LEAVING);
 		reply_code(r, entry, call->id, GYP__CODE__CODE_BUSY,
 		    "the name's earlier lease has not run out");
@@ -381,7 +388,11 @@
 		    "announce again");
 		return;
 	}
-	gyp_leases_renew(r->leases, ep->id, r->now, beat->clock_ms);
+	if (!gyp_leases_renew(r->leases, ep->id, r->now, beat->clock_ms)) {
+		reply_code(r, entry, call->id, GYP__CODE__CODE_BUSY,
+		    "the lease has run out");
+		return;
+	}
 	note_usage(r, ep, beat);
 	reply_beat(r, entry, call->id, ep,
 	    !gyp_running_take(r->running, r->now, beat));
@@ -506,11 +517,13 @@
 	const struct gyp_endpoint *ep =
 	    gyp_state_endpoint_by_name(r->state, call->announce->name);
 
-	if (ep != NULL && ep->spec->incarnation == call->announce->incarnation)
+	if (ep != NULL &&
+	    ep->spec->incarnation == call->announce->incarnation) {
 		reply_endpoint(r, entry, call->id, ep);
-	else
+	} else {
 		reply_code(r, entry, call->id, GYP__CODE__CODE_BAD,
 		    "the announcement was refused");
+	}
 }
 
 static void
--- a/src/replica_lead.c
+++ b/src/replica_lead.c
@@ -146,7 +146,7 @@
 		if (ep == NULL || (!gyp_leases_expired(r->leases, id, r->now) &&
 				      !has_left(ep)))
 			continue;
-		gyp_leases_remove(r->leases, id);
+		gyp_leases_end(r->leases, id);
 		gyp_usage_drop_endpoint(r->usage, id);
 		gyp_running_drop_endpoint(r->running, id);
 		es.endpoint = id;
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -1789,7 +1789,7 @@
   (ProtobufCMessageInit) gyp__log_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__raft_msg__field_descriptors[14] =
+static const ProtobufCFieldDescriptor gyp__raft_msg__field_descriptors[15] =
 {
   {
     "type",
@@ -1959,8 +1959,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__raft_msg__field_indices_by_name[] = {
+  14,   /* field[14] = address */
   12,   /* field[12] = chunk */
   6,   /* field[6] = commit */
   8,   /* field[8] = entries */
@@ -1976,10 +1989,11 @@
   11,   /* field[11] = total */
   0,   /* field[0] = type */
 };
-static const ProtobufCIntRange gyp__raft_msg__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__raft_msg__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 32, 14 },
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor gyp__raft_msg__descriptor =
 {
@@ -1989,10 +2003,10 @@
   "Gyp__RaftMsg",
   "gyp",
   sizeof(Gyp__RaftMsg),
-  14,
+  15,
   gyp__raft_msg__field_descriptors,
   gyp__raft_msg__field_indices_by_name,
-  1,  gyp__raft_msg__number_ranges,
+  2,  gyp__raft_msg__number_ranges,
   (ProtobufCMessageInit) gyp__raft_msg__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -4670,7 +4684,7 @@
   (ProtobufCMessageInit) gyp__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__order__field_descriptors[11] =
+static const ProtobufCFieldDescriptor gyp__order__field_descriptors[12] =
 {
   {
     "type",
@@ -4804,12 +4818,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnation",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Order, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__order__field_indices_by_name[] = {
   2,   /* field[2] = address */
   1,   /* field[1] = attempt */
   9,   /* field[9] = cap */
   8,   /* field[8] = cpu_limit_milli */
+  11,   /* field[11] = incarnation */
   5,   /* field[5] = kind */
   3,   /* field[3] = not_after_ms */
   7,   /* field[7] = payload */
@@ -4818,11 +4845,12 @@
   10,   /* field[10] = until_ms */
   4,   /* field[4] = valid_ms */
 };
-static const ProtobufCIntRange gyp__order__number_ranges[2 + 1] =
+static const ProtobufCIntRange gyp__order__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 18, 8 },
-  { 0, 11 }
+  { 32, 11 },
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor gyp__order__descriptor =
 {
@@ -4832,10 +4860,10 @@
   "Gyp__Order",
   "gyp",
   sizeof(Gyp__Order),
-  11,
+  12,
   gyp__order__field_descriptors,
   gyp__order__field_indices_by_name,
-  2,  gyp__order__number_ranges,
+  3,  gyp__order__number_ranges,
   (ProtobufCMessageInit) gyp__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -220,10 +220,14 @@
    * echoed by replies, for the leader's quorum check
    */
   uint64_t round;
+  /*
+   * of the sender, for a receiver that may not know it
+   */
+  char *address;
 };
 #define GYP__RAFT_MSG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__raft_msg__descriptor) \
-    , GYP__RAFT_TYPE__RAFT_PREVOTE, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, {0,NULL}, 0 }
+    , GYP__RAFT_TYPE__RAFT_PREVOTE, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, {0,NULL}, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -811,6 +815,10 @@
   Gyp__Kind kind;
   Gyp__Res *size;
   ProtobufCBinaryData payload;
+  /*
+   * of the endpoint that the attempt was placed on
+   */
+  uint64_t incarnation;
   uint32_t cpu_limit_milli;
   /*
    * connections to the endpoint that the entry may use
@@ -823,7 +831,7 @@
 };
 #define GYP__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__order__descriptor) \
-    , GYP__ORDER_TYPE__ORDER_START, NULL, (char *)protobuf_c_empty_string, 0, 0, GYP__KIND__KIND_REQUEST, NULL, {0,NULL}, 0, 0, 0 }
+    , GYP__ORDER_TYPE__ORDER_START, NULL, (char *)protobuf_c_empty_string, 0, 0, GYP__KIND__KIND_REQUEST, NULL, {0,NULL}, 0, 0, 0, 0 }
 
 
 struct  Gyp__EntryUp
