--- a/src/replica_members.c
+++ b/src/replica_members.c
@@ -262,20 +262,55 @@
 	return NULL;
 }
 
-/* A voter that is gone becomes a learner: with its disk it may come back. */
+/* A voter, not this leader, that shares its data centre with another. */
+static const Gyp__Member *
+find_crowded_voter(const struct gyp_replica *r, const Gyp__Config *c)
+{
+	size_t i;
+
+	for (i = 0; i < c->n_members; i++) {
+		const Gyp__Member *m = c->members[i];
+
+		if (m->voter && m->id != r->cfg.id &&
+		    voters_in(c, m->data_centre) > 1)
+			return m;
+	}
+	return NULL;
+}
+
+/*
+ * Whose vote a spare should get: that of a voter that is gone, or of one in a
+ * crowded data centre when the spare's has no voter.
+ */
+static const Gyp__Member *
+find_retiring_voter(
+    const struct gyp_replica *r, const Gyp__Config *c, const Gyp__Member *spare)
+{
+	const Gyp__Member *gone = find_gone_voter(r, c);
+
+	if (gone != NULL || voters_in(c, spare->data_centre) > 0)
+		return gone;
+	return find_crowded_voter(r, c);
+}
+
+/* A voter that retires stays as a learner: with its disk it may vote again. */
 static bool
 use_spare(struct gyp_replica *r, const Gyp__Config *c)
 {
-	const Gyp__Member *spare = pick_spare(r, c);
-	const Gyp__Member *gone = find_gone_voter(r, c);
+	const Gyp__Member *spare = pick_spare(r, c), *retiring = NULL;
 	struct change ch;
 
-	if (spare == NULL || (gone == NULL && count_voters(c) >= r->cfg.voters))
+	if (spare == NULL)
 		return false;
+	if (count_voters(c) >= r->cfg.voters) {
+		retiring = find_retiring_voter(r, c, spare);
+		if (retiring == NULL)
+			return false;
+	}
 	change_init(&ch, c);
 	change_vote(&ch, spare, true);
-	if (gone != NULL && count_voters(c) >= r->cfg.voters)
-		change_vote(&ch, gone, false);
+	if (retiring != NULL)
+		change_vote(&ch, retiring, false);
 	return change_propose(r, &ch);
 }
 
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -66,6 +66,7 @@
 	GPtrArray *held;     /* Gyp__RaftMsg */
 	GArray *truth;       /* struct truth, index 0 unused */
 	GHashTable *leaders; /* term -> id */
+	GHashTable *configs; /* hashes of committed configurations */
 };
 
 /* ---- State machine and disk --------------------------------------------- */
@@ -116,6 +117,9 @@
 	t.committed = gyp_raft_term(n->raft);
 	if (n->index == n->net->truth->len)
 		g_array_append_val(n->net->truth, t);
+	if (e->kind == GYP__ENTRY_KIND__ENTRY_CONFIG)
+		g_hash_table_add(
+		    n->net->configs, GUINT_TO_POINTER(g_bytes_hash(e->data)));
 	known = &g_array_index(n->net->truth, struct truth, n->index);
 	g_assert_cmpuint(known->hash, ==, t.hash);
 }
@@ -323,6 +327,7 @@
 	net->held = g_ptr_array_new_with_free_func(gyp_message_free);
 	net->truth = g_array_new(FALSE, FALSE, sizeof(struct truth));
 	g_array_append_val(net->truth, none);
+	net->configs = g_hash_table_new(NULL, NULL);
 	net->leaders =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	net->state_bytes = 400;
@@ -355,6 +360,7 @@
 	g_ptr_array_free(net->held, TRUE);
 	g_array_free(net->truth, TRUE);
 	g_hash_table_destroy(net->leaders);
+	g_hash_table_destroy(net->configs);
 	g_rand_free(net->rand);
 }
 
@@ -387,6 +393,21 @@
 	}
 }
 
+/* A configuration that is not pending is a committed one. */
+static void
+check_config(struct net *net, const struct node *n)
+{
+	const Gyp__Config *c = gyp_raft_members(n->raft);
+	GBytes *packed;
+
+	if (gyp_raft_changing(n->raft) || c->n_members == 0)
+		return;
+	packed = gyp_message_pack(&c->base);
+	g_assert_true(g_hash_table_contains(
+	    net->configs, GUINT_TO_POINTER(g_bytes_hash(packed))));
+	g_bytes_unref(packed);
+}
+
 /* Equal terms at an index mean equal logs up to it. */
 static void
 check_matching(const struct gyp_raft *a, const struct gyp_raft *b)
@@ -411,6 +432,8 @@
 	int i, k;
 
 	for (i = 0; i < SLOTS; i++) {
+		if (net->nodes[i].raft != NULL)
+			check_config(net, &net->nodes[i]);
 		for (k = 0; k < i; k++) {
 			if (net->nodes[i].raft != NULL &&
 			    net->nodes[k].raft != NULL)
@@ -746,7 +769,7 @@
 		step(&net, false);
 	for (i = 0; i < STEPS; i++) {
 		step(&net, true);
-		if (i % 50 == 0)
+		if (i % 10 == 0)
 			check_logs(&net);
 	}
 	recover_all(&net);
@@ -881,6 +904,65 @@
 	g_error("seed %u: no new leader", net->seed);
 }
 
+/*
+ * Two disks of five are lost and one of them is replaced. As soon as that
+ * change is over the leader's disk goes too, with all that it has just sent.
+ * The three that are left go on.
+ */
+static void
+test_second_loss(void)
+{
+	guint32 seed;
+
+	for (seed = 1; seed <= 40; seed++) {
+		struct net net;
+		struct node *leader = net_settle(&net, seed), *a, *b;
+		guint before;
+		int i;
+
+		for (i = 0; i < SLOTS; i++) {
+			a = &net.nodes[i];
+			if (member(gyp_raft_members(leader->raft), a->id) ==
+				NULL ||
+			    !member(gyp_raft_members(leader->raft), a->id)
+				 ->voter)
+				lose_disk(a); /* the spare */
+		}
+		for (a = net.nodes; a == leader || a->raft == NULL; a++)
+			continue;
+		for (b = a + 1; b == leader || b->raft == NULL; b++)
+			continue;
+		lose_disk(a);
+		lose_disk(b);
+		start(a);
+		for (i = 0; i < 1000; i++) {
+			const Gyp__Member *m;
+
+			step(&net, false);
+			leader = settled_leader(&net);
+			m = leader == NULL
+				? NULL
+				: member(gyp_raft_members(leader->raft), a->id);
+			if (m != NULL && m->voter)
+				break;
+		}
+		g_assert_cmpint(i, <, 1000);
+		g_assert_true(leader != a);
+		for (i = (int)net.wire->len - 1; i >= 0; i--) {
+			Gyp__RaftMsg *m = net.wire->pdata[i];
+
+			if (m->from == leader->id)
+				g_ptr_array_remove_index(net.wire, (guint)i);
+		}
+		lose_disk(leader);
+		before = net.truth->len;
+		run_steps(&net, 300);
+		if (net.truth->len <= before + 10)
+			g_error("seed %u: no progress", seed);
+		net_clear(&net);
+	}
+}
+
 /* A leader that hands over leaves the cell without one for a short time. */
 static void
 test_hand_over(void)
@@ -1055,6 +1137,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/raft/return", test_return);
+	g_test_add_func("/raft/second-loss", test_second_loss);
 	g_test_add_func("/raft/hand-over", test_hand_over);
 	g_test_add_func("/raft/snapshot-resumes", test_snapshot_resumes);
 	g_test_add_func(
