gyp-burn: burn rates and the budget left, per class and urgent rule

Cause: nothing told whether an objective is kept.

Ruled out: counting "failed" as an error (it is the answer of the caller's own task); taking a counter's first value as its base (the first unknown outcome would not count).

--- a/src/ctl_http.c
+++ b/src/ctl_http.c
@@ -72,7 +72,7 @@
 	if (rc == CURLE_OK)
 		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
 	else
-		fprintf(stderr, "gypctl: entry %s: %s\n", entry,
+		fprintf(stderr, "%s: entry %s: %s\n", g_get_prgname(), entry,
 		    curl_easy_strerror(rc));
 	curl_slist_free_all(headers);
 	curl_easy_cleanup(curl);
@@ -100,7 +100,7 @@
 	}
 	if (*status != 0)
 		return g_string_free(body, FALSE);
-	fprintf(stderr, "gypctl: no entry answered\n");
+	fprintf(stderr, "%s: no entry answered\n", g_get_prgname());
 	g_string_free(body, TRUE);
 	return NULL;
 }
--- a/src/gypctl.c
+++ b/src/gypctl.c
@@ -313,6 +313,7 @@
 
 	(void)argc;
 	setlocale(LC_ALL, "");
+	g_set_prgname("gypctl");
 	signal(SIGPIPE, SIG_IGN);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	code = parse_common(&ctl, &args);
--- a/test/operators.sh
+++ b/test/operators.sh
@@ -78,6 +78,17 @@
 until_true shows '^0 +placed.*vm-1' ctl 1 explain "$later"
 refused 1 'no such' ctl 1 drain vm-2
 
+echo "== error budgets, from the running entry"
+goal=class=juicing,target=99
+check '^juicing +errors +99%' "$bin/gyp-burn" report --pause 0 \
+    --entry "$(entry_address 1)" --objective "$goal"
+for _ in 1 2; do
+	"$bin/gyp-burn" record --samples "$dir/samples" \
+	    --entry "$(entry_address 1)" || fail "record"
+done
+check '"class":"juicing"' "$bin/gyp-burn" report --samples "$dir/samples" \
+    --objective "$goal" --format=json
+
 echo "== members, and entries that do not answer"
 check '127.0.0.1:[0-9]+ .* yes +yes +yes +0$' ctl 1 members
 refused 1 'no such member' ctl 1 members remove ffff
