Delay a retry over its budget instead of refusing it for good

Cause: a retry cost a token of its class, and only first starts brought tokens.

Ruled out: parking, avoidance of endpoints, feasibility (six of six fit).

Now a class gets one retry each 5 s beyond its budget.

--- a/src/policy_int.h
+++ b/src/policy_int.h
@@ -116,6 +116,7 @@
 	guint live;
 	double run_ms;       /* mean of finished attempts, 0 for none yet */
 	double retry_tokens; /* in retries */
+	uint64_t retry_at;   /* when time brings the next token */
 	double key;          /* order within a round */
 	const char *blocked; /* why the last look found no place */
 };
--- a/src/policy_queue.c
+++ b/src/policy_queue.c
@@ -18,6 +18,9 @@
 /* Retries that a class may have saved up. */
 #define RETRY_TOKENS_MAX 10.0
 
+/* Time in which a class gets one retry beyond its budget, in ms. */
+#define RETRY_REFILL_MS 5000
+
 /* ---- Teams and queues -------------------------------------------------- */
 
 void
@@ -333,11 +336,21 @@
 	return true;
 }
 
-/* A retry costs a token; first starts bring them. */
+/*
+ * A retry costs a token; first starts bring them. Time brings them too, so
+ * that a retry is delayed but never refused for good.
+ */
 static bool
-may_retry(struct lane *lane, const struct gyp_job *job)
+may_retry(
+    const struct gyp_policy *p, struct lane *lane, const struct gyp_job *job)
 {
-	return most_failures(job) == 0 || lane->retry_tokens >= 1;
+	if (most_failures(job) == 0 || lane->retry_tokens >= 1)
+		return true;
+	if (p->now < lane->retry_at)
+		return false;
+	lane->retry_at = p->now + RETRY_REFILL_MS;
+	lane->retry_tokens = 1;
+	return true;
 }
 
 static void
@@ -361,7 +374,7 @@
 
 	if (!worth_trying(p, item, job) || park_if_bad(p, item, job))
 		return FIT_BLOCKED;
-	if (!may_retry(lane, job)) {
+	if (!may_retry(p, lane, job)) {
 		lane->blocked = "the retry budget of the class is used up";
 		return FIT_BLOCKED;
 	}
