--- a/src/timer.c
+++ b/src/timer.c
@@ -1,3 +1,4 @@
+#include <stdbool.h>
 #include <sys/timerfd.h>
 #include <time.h>
 #include <unistd.h>
@@ -17,7 +18,8 @@
 
 struct gyp_timers {
 	struct ev_loop *loop;
-	ev_io io; /* readable when the first subscription is due */
+	ev_io io;       /* readable when the first subscription is due */
+	ev_check check; /* runs in each turn, before any socket event */
 	int fd;
 	GSequence *by_due;
 };
@@ -78,16 +80,33 @@
 	fn(arg, now);
 }
 
+/* Ends the wait for events; on_turn() does the rest. */
 static void
-on_due(struct ev_loop *loop, ev_io *w, int revents)
+on_expired(struct ev_loop *loop, ev_io *w, int revents)
 {
 	struct gyp_timers *ts = w->data;
-	uint64_t expirations, now = gyp_clock_ms();
+	uint64_t expirations;
 
 	(void)loop;
 	(void)revents;
 	if (read(ts->fd, &expirations, sizeof(expirations)) < 0)
-		expirations = 0;
+		return;
+	arm(ts);
+}
+
+/*
+ * Reads the clock itself: after a pause the kernel may report many sockets
+ * before it comes to the timer's descriptor.
+ */
+static void
+on_turn(struct ev_loop *loop, ev_check *w, int revents)
+{
+	struct gyp_timers *ts = w->data;
+	uint64_t now = gyp_clock_ms();
+	bool ran = false;
+
+	(void)loop;
+	(void)revents;
 	for (;;) {
 		GSequenceIter *first = g_sequence_get_begin_iter(ts->by_due);
 		struct gyp_timer *t;
@@ -98,8 +117,10 @@
 		if (t->due > now)
 			break;
 		run_first(ts, t, now);
+		ran = true;
 	}
-	arm(ts);
+	if (ran)
+		arm(ts);
 }
 
 struct gyp_timers *
@@ -112,10 +133,13 @@
 	ts->fd = timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
 	if (ts->fd < 0)
 		g_error("timerfd_create failed");
-	ev_io_init(&ts->io, on_due, ts->fd, EV_READ);
-	ev_set_priority(&ts->io, EV_MAXPRI);
+	ev_io_init(&ts->io, on_expired, ts->fd, EV_READ);
 	ts->io.data = ts;
 	ev_io_start(loop, &ts->io);
+	ev_check_init(&ts->check, on_turn);
+	ev_set_priority(&ts->check, EV_MAXPRI);
+	ts->check.data = ts;
+	ev_check_start(loop, &ts->check);
 	return ts;
 }
 
@@ -127,6 +151,7 @@
 	if (ts == NULL)
 		return;
 	ev_io_stop(ts->loop, &ts->io);
+	ev_check_stop(ts->loop, &ts->check);
 	close(ts->fd);
 	it = g_sequence_get_begin_iter(ts->by_due);
 	for (; !g_sequence_iter_is_end(it); it = g_sequence_iter_next(it))
