Raft test: lose the leader at the very delivery that settles a change

Cause: /raft/second-loss looked at the end of a step, when the others had long heard of the commit: the mutant that calls a change over at its commit passed.

Change: deliveries stop at the instant when the leader calls the change over.

--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -66,6 +66,7 @@
 	GPtrArray *held;     /* Gyp__RaftMsg */
 	GArray *truth;       /* struct truth, index 0 unused */
 	GHashTable *leaders; /* term -> id */
+	uint64_t watched;    /* see vote_settled() */
 	GHashTable *configs; /* hashes of committed configurations */
 };
 
@@ -685,6 +686,19 @@
 		maybe_lose_disk(net);
 }
 
+/* The watched replica has its vote, by the word of the leader. */
+static bool
+vote_settled(struct net *net)
+{
+	const struct node *leader;
+	const Gyp__Member *m;
+
+	if (net->watched == 0 || (leader = settled_leader(net)) == NULL)
+		return false;
+	m = member(gyp_raft_members(leader->raft), net->watched);
+	return m != NULL && m->voter;
+}
+
 static void
 step(struct net *net, bool faults)
 {
@@ -702,8 +716,11 @@
 		if (!net->no_compact && chance(net, 60))
 			compact(n);
 	}
-	for (i = 0; i < 60 && net->wire->len > 0; i++)
+	for (i = 0; i < 60 && net->wire->len > 0; i++) {
+		if (vote_settled(net))
+			return;
 		deliver_one(net, faults);
+	}
 	for (i = 0; i < 4; i++)
 		propose(net);
 	tend_members(net);
@@ -935,17 +952,11 @@
 		lose_disk(a);
 		lose_disk(b);
 		start(a);
-		for (i = 0; i < 1000; i++) {
-			const Gyp__Member *m;
-
+		net.watched = a->id;
+		for (i = 0; i < 1000 && !vote_settled(&net); i++)
 			step(&net, false);
-			leader = settled_leader(&net);
-			m = leader == NULL
-				? NULL
-				: member(gyp_raft_members(leader->raft), a->id);
-			if (m != NULL && m->voter)
-				break;
-		}
+		net.watched = 0;
+		leader = settled_leader(&net);
 		g_assert_cmpint(i, <, 1000);
 		g_assert_true(leader != a);
 		for (i = (int)net.wire->len - 1; i >= 0; i--) {
