Raft test: swapped voters, faults of three paces, quiet logs

Cause: mutants passed that skip the joint quorum, commit entries of older terms by count, or grant a pre-vote beside a live leader.

Change: a spare may take the vote of a live voter; cells of three and of five voters; faults up to three times as often; half of the returns in a time without proposals, when logs are equal and do not decide a vote.

--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -58,6 +58,9 @@
 	size_t state_bytes;  /* of a snapshot */
 	uint32_t chunks;     /* sent */
 	uint32_t drop_chunk; /* one in so many, 0 for none */
+	int voters;          /* wanted */
+	int pace;            /* of faults, 1 is slowest */
+	bool no_proposals;   /* a quiet time */
 	bool no_compact;
 	bool quiet; /* members are not removed by themselves */
 	uint32_t lost, changes, restored; /* how much a run went through */
@@ -332,6 +335,8 @@
 	net->leaders =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	net->state_bytes = 400;
+	net->voters = VOTERS;
+	net->pace = 1;
 	net->now = 1000;
 	for (i = 0; i < SLOTS; i++) {
 		struct node *n = &net->nodes[i];
@@ -504,9 +509,10 @@
 
 /* ---- Members ------------------------------------------------------------ */
 
-/* Changes one member: adds it, or gives it the vote and drops `out`. */
+/* Adds a member, gives a vote, takes a vote, drops a member; 0 for none. */
 static void
-change(struct node *leader, uint64_t add, uint64_t vote, uint64_t out)
+change(struct node *leader, uint64_t add, uint64_t vote, uint64_t demote,
+    uint64_t out)
 {
 	const Gyp__Config *c = gyp_raft_members(leader->raft);
 	Gyp__Config next = GYP__CONFIG__INIT;
@@ -518,7 +524,8 @@
 	g_assert_cmpuint(c->n_members, <, SLOTS * 2);
 	for (i = 0; i < c->n_members; i++) {
 		own[i] = *c->members[i];
-		own[i].voter = own[i].voter || own[i].id == vote;
+		own[i].voter =
+		    (own[i].voter && own[i].id != demote) || own[i].id == vote;
 		if (own[i].id != out)
 			list[next.n_members++] = &own[i];
 	}
@@ -577,6 +584,18 @@
 	return 0;
 }
 
+static uint64_t
+any_voter(struct net *net, const Gyp__Config *c)
+{
+	const Gyp__Member *m;
+
+	do {
+		m = c->members[g_rand_int_range(
+		    net->rand, 0, (gint32)c->n_members)];
+	} while (!m->voter);
+	return m->id;
+}
+
 static void
 tend_members(struct net *net)
 {
@@ -592,15 +611,18 @@
 	voters = count_voters(net, c, &intact);
 	m = member(c, n->id);
 	if (m == NULL) {
-		change(leader, n->id, 0, predecessor(c, n->id, false));
+		change(leader, n->id, 0, 0, predecessor(c, n->id, false));
 	} else if (!m->voter && gyp_raft_match(leader->raft, n->id) + 20 >
 				    gyp_raft_last_index(leader->raft)) {
 		old = predecessor(c, n->id, true);
-		if (old != 0 || voters < VOTERS)
-			change(leader, 0, n->id, old);
-	} else if (m->voter && voters > 3 && intact - 1 > (voters - 1) / 2 &&
-		   !net->quiet && chance(net, 60)) {
-		change(leader, 0, 0, n->id);
+		if (old != 0 || voters < net->voters)
+			change(leader, 0, n->id, 0, old);
+		else if (!net->quiet && chance(net, 10))
+			change(leader, 0, n->id, any_voter(net, c), 0);
+	} else if (m->voter && voters > net->voters - 2 && voters > 3 &&
+		   intact - 1 > (voters - 1) / 2 && !net->quiet &&
+		   chance(net, 60)) {
+		change(leader, 0, 0, 0, n->id);
 	}
 }
 
@@ -670,17 +692,17 @@
 {
 	struct node *n = random_node(net);
 
-	if (n->raft == NULL && chance(net, 10))
+	if (n->raft == NULL && chance(net, 10 / net->pace))
 		start(n);
-	else if (n->raft != NULL && chance(net, 100))
+	else if (n->raft != NULL && chance(net, 100 / net->pace))
 		stop(n);
 	else if (runs(n) && chance(net, 100))
 		n->frozen = true;
 	else if (n->frozen && chance(net, 15))
 		thaw(net, n);
-	if (chance(net, 80))
+	if (chance(net, 80 / net->pace))
 		cut_links(net, random_node(net)->slot);
-	if (chance(net, 40))
+	if (chance(net, 40 / net->pace))
 		heal(net);
 	if (chance(net, 60))
 		maybe_lose_disk(net);
@@ -721,7 +743,7 @@
 			return;
 		deliver_one(net, faults);
 	}
-	for (i = 0; i < 4; i++)
+	for (i = 0; i < 4 && !net->no_proposals; i++)
 		propose(net);
 	tend_members(net);
 	wipe_removed(net);
@@ -782,6 +804,8 @@
 	int i;
 
 	net_init(&net, seed);
+	net.voters = seed % 2 == 0 ? 3 : 5;
+	net.pace = 1 + (int)(seed % 3);
 	for (i = 0; i < 300; i++)
 		step(&net, false);
 	for (i = 0; i < STEPS; i++) {
@@ -887,6 +911,7 @@
 			while ((n = random_node(&net)) == leader)
 				continue;
 			net.hold = chance(&net, 2);
+			net.no_proposals = chance(&net, 2);
 			if (chance(&net, 3))
 				n->frozen = true;
 			else
