--- a/src/replica.c
+++ b/src/replica.c
@@ -21,7 +21,21 @@
 		if (c->members[i]->id == id)
 			return c->members[i]->address;
 	}
-	return NULL;
+	/* A new replica must answer before it knows the members. */
+	return r->contact_id == id ? r->contact : NULL;
+}
+
+static bool
+is_voter(const struct gyp_replica *r, uint64_t id)
+{
+	const Gyp__Config *c = gyp_raft_members(r->raft);
+	size_t i;
+
+	for (i = 0; i < c->n_members; i++) {
+		if (c->members[i]->id == id)
+			return c->members[i]->voter;
+	}
+	return false;
 }
 
 static struct gyp_replica *
@@ -34,11 +48,14 @@
 on_send(struct gyp_raft_io *io, uint64_t to, const Gyp__RaftMsg *msg)
 {
 	struct gyp_replica *r = from_io(io);
+	Gyp__RaftMsg copy = *msg;
 	Gyp__Frame frame = GYP__FRAME__INIT;
 	struct gyp_out *out = g_new0(struct gyp_out, 1);
 
 	frame.body_case = GYP__FRAME__BODY_RAFT;
-	frame.raft = (Gyp__RaftMsg *)msg;
+	frame.raft = &copy;
+	if (!is_voter(r, to))
+		copy.address = (char *)r->cfg.address;
 	out->to = to;
 	out->address = g_strdup(member_address(r, to));
 	out->packed = gyp_message_pack(&frame.base);
@@ -97,6 +114,7 @@
 	g_assert(batch != NULL);
 	gyp_state_apply(r->state, batch);
 	gyp__batch__free_unpacked(batch, NULL);
+	gyp_replica_refresh_rules(r, e->index);
 	r->undecided = true;
 	if (r->leading && r->batch_index == e->index) {
 		r->batch_index = 0;
@@ -112,6 +130,7 @@
 	if (!gyp_state_restore(r->state, file->state.data, file->state.len))
 		g_error("snapshot at index %" G_GUINT64_FORMAT " can't be read",
 		    file->index);
+	gyp_replica_refresh_rules(r, file->index);
 }
 
 /* A first start ends the waiting of its task; later ones are retries. */
@@ -294,10 +313,10 @@
 	r->batch_index = 0;
 	g_ptr_array_set_size(r->batch, 0);
 	g_ptr_array_set_size(r->waiting, 0);
+	g_ptr_array_set_size(r->rules_waits, 0);
 	g_hash_table_remove_all(r->subscribers);
 	g_hash_table_remove_all(r->entries);
-	gyp_message_free(r->joiner);
-	r->joiner = NULL;
+	gyp_replica_forget_requests(r);
 }
 
 static void
@@ -417,8 +436,13 @@
 	first = peer->heard == 0;
 	peer->heard = r->now;
 	peer->round = up->round;
+	peer->lease_end = gyp_lease_end(r->now, r->cfg.entry_lease_ms);
 	peer->rules_version = up->rules_version;
 	peer->draining = up->draining;
+	if (up->name[0] != '\0') {
+		g_free(peer->name);
+		peer->name = g_strdup(up->name);
+	}
 	peer->due = true;
 	if (first)
 		gyp_replica_requeue_orders(r, peer);
@@ -427,13 +451,16 @@
 }
 
 static void
-on_join(struct gyp_replica *r, const Gyp__Join *join)
+on_raft(struct gyp_replica *r, uint64_t from, const Gyp__RaftMsg *msg)
 {
-	if (!r->leading || join->member == NULL || join->member->id == 0 ||
-	    join->member->address[0] == '\0')
+	if (msg->from != from)
 		return;
-	gyp_message_free(r->joiner);
-	r->joiner = gyp_message_copy(&join->member->base);
+	if (msg->address[0] != '\0') {
+		g_free(r->contact);
+		r->contact = g_strdup(msg->address);
+		r->contact_id = from;
+	}
+	gyp_raft_step(r->raft, r->now, msg);
 }
 
 void
@@ -443,14 +470,13 @@
 	advance(r, now);
 	switch (frame->body_case) {
 	case GYP__FRAME__BODY_RAFT:
-		if (frame->raft->from == from)
-			gyp_raft_step(r->raft, r->now, frame->raft);
+		on_raft(r, from, frame->raft);
 		break;
 	case GYP__FRAME__BODY_UP:
 		on_up(r, from, frame->up);
 		break;
 	case GYP__FRAME__BODY_JOIN:
-		on_join(r, frame->join);
+		gyp_replica_join(r, frame->join->member);
 		break;
 	default:
 		break;
@@ -494,7 +520,7 @@
 void
 gyp_replica_bootstrap(struct gyp_replica *r)
 {
-	gyp_raft_bootstrap(r->raft, r->cfg.address);
+	gyp_raft_bootstrap(r->raft, r->cfg.address, r->cfg.data_centre);
 }
 
 void
@@ -534,10 +560,13 @@
 	r->io.ops = &io_ops;
 	r->cfg = *cfg;
 	r->cfg.address = g_strdup(cfg->address);
+	r->cfg.data_centre = g_strdup(cfg->data_centre);
 	r->listener.base.ops = &listener_ops;
 	r->listener.replica = r;
 	r->raft = gyp_raft_new(&rc, &r->io);
 	r->state = gyp_state_new(&r->listener.base);
+	r->rules = gyp_rules_defaults();
+	r->rules_waits = g_ptr_array_new_with_free_func(gyp_free_rules_wait);
 	r->policy = gyp_policy_best_fit();
 	r->batch = g_ptr_array_new_with_free_func(gyp_message_free);
 	r->waiting = g_ptr_array_new_with_free_func(gyp_free_waiting_call);
@@ -571,6 +600,8 @@
 	drop_leader_state(r);
 	g_ptr_array_free(r->batch, TRUE);
 	g_ptr_array_free(r->waiting, TRUE);
+	g_ptr_array_free(r->rules_waits, TRUE);
+	gyp_rules_free(r->rules);
 	g_hash_table_destroy(r->subscribers);
 	g_hash_table_destroy(r->entries);
 	gyp_leases_free(r->leases);
@@ -579,7 +610,9 @@
 	gyp_counters_free(r->counters);
 	gyp_state_free(r->state);
 	gyp_raft_free(r->raft);
+	g_free(r->contact);
 	g_free((char *)r->cfg.address);
+	g_free((char *)r->cfg.data_centre);
 	g_free(r);
 }
 
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -4,6 +4,7 @@
 #include "counters.h"
 #include "leases.h"
 #include "replica.h"
+#include "rules.h"
 #include "running.h"
 #include "usage.h"
 
@@ -14,8 +15,10 @@
  * DESCRIPTION
  *	replica.c	log, batches and queues
  *	replica_calls.c	answers to entries' calls
- *	replica_lead.c	a leader's periodic work: leases, membership, frames
  *	replica_orders.c starts and questions that entries carry out
+ *	replica_rules.c	versions of the rules and when they are in force
+ *	replica_lead.c	a leader's periodic work: leases and orders
+ *	replica_members.c	who is a member and who votes
  *	admin.c		reports for operators, as JSON
  */
 
@@ -35,6 +38,7 @@
 	uint64_t round;     /* to echo */
 	uint64_t rules_version;
 	bool draining;      /* gets no new starts */
+	char *name;         /* NULL until it was told */
 	bool due;           /* owes it a frame */
 	GPtrArray *replies; /* Gyp__Reply, owned */
 	GPtrArray *orders;  /* Gyp__Order, owned */
@@ -55,6 +59,13 @@
 	uint64_t call;
 };
 
+/* An operator's removal of a member that is not committed yet. */
+struct gyp_removal {
+	uint64_t member; /* 0 for none */
+	uint64_t entry;
+	uint64_t call;
+};
+
 struct gyp_replica {
 	struct gyp_raft_io io;
 	struct gyp_replica_config cfg;
@@ -65,6 +76,13 @@
 	GQueue out;     /* struct gyp_out */
 	GQueue records; /* struct gyp_record */
 	uint64_t now;
+	uint64_t contact_id; /* replica that named its address last */
+	char *contact;
+
+	/* Parsed from the newest kept version that can be read. */
+	struct gyp_rules *rules;
+	uint64_t rules_version;
+	uint64_t rules_index; /* log index that holds this version */
 
 	/* The rest is valid while leading. */
 	bool leading;
@@ -84,7 +102,9 @@
 	struct gyp_counters *counters; /* kept while following too */
 	uint64_t duties_at;
 	uint64_t queries_at;
-	Gyp__Member *joiner; /* asks for membership, or NULL */
+	GPtrArray *rules_waits; /* calls answered when rules are in force */
+	Gyp__Member *joiner;    /* asks for membership, or NULL */
+	struct gyp_removal removal;
 };
 
 /* Adds a copy of the command to the next batch. */
@@ -95,6 +115,22 @@
 void gyp_replica_answer_waiting(struct gyp_replica *, uint64_t index);
 void gyp_replica_job_finished(struct gyp_replica *, struct gyp_job *);
 void gyp_free_waiting_call(gpointer);
+void gyp_replica_reply(
+    struct gyp_replica *, uint64_t entry, const Gyp__Reply *);
+void gyp_replica_propose_call(
+    struct gyp_replica *, uint64_t entry, const Gyp__Call *, const Gyp__Cmd *);
+
+/* replica_rules.c */
+void gyp_replica_refresh_rules(struct gyp_replica *, uint64_t index);
+void gyp_replica_call_rules(
+    struct gyp_replica *, uint64_t entry, const Gyp__Call *);
+void gyp_replica_answer_rules(
+    struct gyp_replica *, uint64_t entry, const Gyp__Call *);
+void gyp_replica_answer_in_force(struct gyp_replica *);
+/* Names the live processes that are behind in missing, unless NULL. */
+bool gyp_replica_rules_in_force(
+    const struct gyp_replica *, uint64_t version, GPtrArray *missing);
+void gyp_free_rules_wait(gpointer);
 
 /* replica_lead.c */
 struct gyp_entry_peer *gyp_replica_entry(struct gyp_replica *, uint64_t id);
@@ -116,6 +152,12 @@
 void gyp_replica_requeue_orders(struct gyp_replica *, struct gyp_entry_peer *);
 void gyp_replica_send_starts(struct gyp_replica *, struct gyp_entry_peer *);
 void gyp_replica_ask_unlisted(struct gyp_replica *);
+/* replica_members.c */
+void gyp_replica_tend_members(struct gyp_replica *);
+void gyp_replica_join(struct gyp_replica *, const Gyp__Member *);
+void gyp_replica_remove_member(
+    struct gyp_replica *, uint64_t entry, uint64_t call, const char *name);
+void gyp_replica_forget_requests(struct gyp_replica *);
 
 /* admin.c */
 char *gyp_admin_json(struct gyp_replica *, const Gyp__Admin *, Gyp__Code *);
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -94,7 +94,11 @@
   GYP__ADMIN_OP__ADMIN_HISTORY = 3,
   GYP__ADMIN_OP__ADMIN_EXPLAIN = 4,
   GYP__ADMIN_OP__ADMIN_DRAIN = 5,
-  GYP__ADMIN_OP__ADMIN_MEMBERS = 6
+  GYP__ADMIN_OP__ADMIN_MEMBERS = 6,
+  /*
+   * name holds an id in hex or an address
+   */
+  GYP__ADMIN_OP__ADMIN_REMOVE_MEMBER = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__ADMIN_OP)
 } Gyp__AdminOp;
 typedef enum _Gyp__Code {
@@ -144,10 +148,11 @@
    */
   char *address;
   protobuf_c_boolean voter;
+  char *data_centre;
 };
 #define GYP__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__member__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Gyp__Config
@@ -155,10 +160,15 @@
   ProtobufCMessage base;
   size_t n_members;
   Gyp__Member **members;
+  /*
+   * ids that never become members again
+   */
+  size_t n_removed;
+  uint64_t *removed;
 };
 #define GYP__CONFIG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__config__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL }
 
 
 struct  Gyp__LogEntry
@@ -210,10 +220,14 @@
    * echoed by replies, for the leader's quorum check
    */
   uint64_t round;
+  /*
+   * of the sender, for a receiver that may not know it
+   */
+  char *address;
 };
 #define GYP__RAFT_MSG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__raft_msg__descriptor) \
-    , GYP__RAFT_TYPE__RAFT_PREVOTE, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, {0,NULL}, 0 }
+    , GYP__RAFT_TYPE__RAFT_PREVOTE, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, {0,NULL}, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -371,10 +385,14 @@
    * enum gyp_endpoint_state
    */
   uint32_t state;
+  /*
+   * applies in this state only, when not 0
+   */
+  uint32_t from;
 };
 #define GYP__CMD_ENDPOINT_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_endpoint_state__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Gyp__CmdCancel
@@ -690,6 +708,10 @@
 {
   ProtobufCMessage base;
   uint64_t id;
+  /*
+   * of rules: for their being in force everywhere
+   */
+  uint32_t wait_ms;
   Gyp__Call__CCase c_case;
   union {
     /*
@@ -708,7 +730,7 @@
 };
 #define GYP__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__call__descriptor) \
-    , 0, GYP__CALL__C__NOT_SET, {0} }
+    , 0, 0, GYP__CALL__C__NOT_SET, {0} }
 
 
 struct  Gyp__Admin
@@ -718,10 +740,14 @@
   uint64_t job;
   char *name;
   protobuf_c_boolean enable;
+  /*
+   * of rules; 0 for the newest
+   */
+  uint64_t version;
 };
 #define GYP__ADMIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__admin__descriptor) \
-    , GYP__ADMIN_OP__ADMIN_STATUS, 0, (char *)protobuf_c_empty_string, 0 }
+    , GYP__ADMIN_OP__ADMIN_STATUS, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Gyp__JobView
@@ -789,6 +815,10 @@
   Gyp__Kind kind;
   Gyp__Res *size;
   ProtobufCBinaryData payload;
+  /*
+   * of the endpoint that the attempt was placed on
+   */
+  uint64_t incarnation;
   uint32_t cpu_limit_milli;
   /*
    * connections to the endpoint that the entry may use
@@ -801,7 +831,7 @@
 };
 #define GYP__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__order__descriptor) \
-    , GYP__ORDER_TYPE__ORDER_START, NULL, (char *)protobuf_c_empty_string, 0, 0, GYP__KIND__KIND_REQUEST, NULL, {0,NULL}, 0, 0, 0 }
+    , GYP__ORDER_TYPE__ORDER_START, NULL, (char *)protobuf_c_empty_string, 0, 0, GYP__KIND__KIND_REQUEST, NULL, {0,NULL}, 0, 0, 0, 0 }
 
 
 struct  Gyp__EntryUp
@@ -821,10 +851,14 @@
    * gets no new placements
    */
   protobuf_c_boolean draining;
+  /*
+   * for reports; in the first frame to a replica
+   */
+  char *name;
 };
 #define GYP__ENTRY_UP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__entry_up__descriptor) \
-    , 0,NULL, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Gyp__EntryDown
