Test scripts: take loopback ports that are free

Cause: seen twice with several runs on one machine: a script drew a base at random from 20000 to 39999, of which the upper part is also the range of outgoing connections, and a program found its port taken.

--- a/test/cluster.sh
+++ b/test/cluster.sh
@@ -2,7 +2,8 @@
 # file with the folder of the programs in $bin. Everything is stopped on exit.
 # shellcheck shell=bash
 dir=$(mktemp -d)
-base=$((20000 + RANDOM % 20000))
+# shellcheck source=test/ports.sh
+. "$(dirname "${BASH_SOURCE[0]}")/ports.sh"
 cells=127.0.0.1:$((base + 1)),127.0.0.1:$((base + 2)),127.0.0.1:$((base + 3))
 declare -A pids
 
