--- a/src/door_endpoints.c
+++ b/src/door_endpoints.c
@@ -36,6 +36,10 @@
 		    gyp_door_status_of_code(reply->code), reply->message);
 		return;
 	}
+	if (reply->endpoint == 0) {
+		gyp_door_reply_json(p->req, 200, json_object());
+		return;
+	}
 	stop = json_array();
 	for (i = 0; i < reply->n_stop; i++) {
 		const Gyp__Attempt *at = reply->stop[i];
--- a/src/replica_orders.c
+++ b/src/replica_orders.c
@@ -87,7 +87,7 @@
 
 /*
  * Time left to send the start, in ms, or 0. A successor sends none to an
- * endpoint that is leaving: the time without a leader would count for the
+ * endpoint that gets no new work: the time without a leader would count for the
  * endpoint, but not for the cell.
  */
 static uint32_t
@@ -98,8 +98,8 @@
 	uint64_t now = cell_time_at(r, r->now);
 	uint64_t until = start_until(r, t);
 
-	if (now >= until || (ep->state == GYP_ENDPOINT_LEAVING &&
-				t->changed_ms <= r->time_base))
+	if (now >= until ||
+	    (ep->state != GYP_ENDPOINT_ACTIVE && t->changed_ms <= r->time_base))
 		return 0;
 	return (uint32_t)(until - now);
 }
--- a/test/endpoint.c
+++ b/test/endpoint.c
@@ -5,8 +5,11 @@
  * DESCRIPTION
  *	Announces itself, sends heartbeats to the entries in turn, and "runs"
  *	what it is given by waiting. A payload of the form "run_ms=N ..." sets
- *	the time of one run; "fail ..." fails, "async ..." is taken with 202.
- *	Each start and end is a line in the journal, so that tests can count.
+ *	the time of one run; "fail ..." fails, "async ..." is taken with 202;
+ *	"size=N" makes an answer of N bytes; "uses=N" reports that many
+ *	thousandths of a processor. Each start, order and end is a line in the
+ *	journal, so that tests can count. SIGUSR1 makes it leave: it ends what
+ *	runs and exits. SIGTERM ends it at once.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -28,7 +31,13 @@
 /* Interval of the check of runs and lease, in ms. */
 #define STEP_MS 10
 
-enum run_state { RUN_RUNNING, RUN_DONE, RUN_FAILED, RUN_REFUSED };
+enum run_state {
+	RUN_RUNNING,
+	RUN_DONE,
+	RUN_FAILED,
+	RUN_REFUSED,
+	RUN_CHECKPOINTED
+};
 
 struct run {
 	char *attempt;
@@ -38,6 +47,7 @@
 	bool async;
 	bool delivered; /* the end of an async run */
 	bool delivering;
+	uint32_t uses; /* thousandths of a processor */
 	char *answer;
 	struct gyp_http_request *req; /* held until the end */
 };
@@ -71,7 +81,11 @@
 	uint64_t beat_sent;
 	bool calling;
 	bool leaving;
-	GHashTable *runs; /* attempt -> struct run */
+	bool told_leaving;
+	uint32_t list;       /* rises when the set of runs changes */
+	uint32_t sent_list;  /* in the heartbeat under way */
+	uint32_t known_list; /* by the leader */
+	GHashTable *runs;    /* attempt -> struct run */
 	FILE *journal;
 };
 
@@ -90,7 +104,7 @@
 state_name(enum run_state state)
 {
 	static const char *const names[] = {
-	    "running", "done", "failed", "refused"};
+	    "running", "done", "failed", "refused", "checkpointed"};
 
 	return names[state];
 }
@@ -98,10 +112,11 @@
 static void
 reply_run(struct app *app, struct gyp_http_request *req, const struct run *r)
 {
-	unsigned status = r->state == RUN_RUNNING   ? 202
-			  : r->state == RUN_DONE    ? 200
-			  : r->state == RUN_REFUSED ? 409
-						    : 500;
+	unsigned status = r->state == RUN_RUNNING        ? 202
+			  : r->state == RUN_DONE         ? 200
+			  : r->state == RUN_REFUSED      ? 409
+			  : r->state == RUN_CHECKPOINTED ? 200
+							 : 500;
 	const char *text = r->answer != NULL ? r->answer : "";
 
 	(void)app;
@@ -123,6 +138,7 @@
 end_run(struct app *app, struct run *r, enum run_state state)
 {
 	r->state = state;
+	app->list++;
 	note(app, state_name(state), r->attempt);
 	if (r->req != NULL)
 		reply_run(app, r->req, r);
@@ -139,13 +155,33 @@
 	       now > app->lease_end;
 }
 
+static uint64_t
+number_after(const char *text, const char *name, uint64_t fallback)
+{
+	const char *at = strstr(text, name);
+
+	if (at == NULL)
+		return fallback;
+	return g_ascii_strtoull(at + strlen(name), NULL, 10);
+}
+
+static char *
+make_answer(const struct app *app, const char *attempt, const char *payload)
+{
+	uint64_t size = number_after(payload, "size=", 0);
+
+	if (size > 0)
+		return g_strnfill((gsize)size, 'x');
+	return g_strdup_printf(
+	    "%s ran %s: %s\n", app->o.name, attempt, payload);
+}
+
 static void
 start_run(struct app *app, struct gyp_http_request *req, const char *attempt)
 {
 	struct gyp_slice body = gyp_http_body(req);
 	char *payload = g_strndup((const char *)body.data, body.len);
 	struct run *r = new_run(app, attempt);
-	const char *ms = strstr(payload, "run_ms=");
 
 	if (is_late(app, req)) {
 		end_run(app, r, RUN_REFUSED);
@@ -154,13 +190,13 @@
 		return;
 	}
 	note(app, "start", attempt);
-	r->end =
-	    gyp_clock_ms() + (ms != NULL ? g_ascii_strtoull(ms + 7, NULL, 10)
-					 : (uint64_t)app->o.run_ms);
+	app->list++;
+	r->end = gyp_clock_ms() +
+		 number_after(payload, "run_ms=", (uint64_t)app->o.run_ms);
 	r->fail = g_str_has_prefix(payload, "fail");
 	r->async = g_str_has_prefix(payload, "async");
-	r->answer =
-	    g_strdup_printf("%s ran %s: %s\n", app->o.name, attempt, payload);
+	r->uses = (uint32_t)number_after(payload, "uses=", 0);
+	r->answer = make_answer(app, attempt, payload);
 	if (r->async)
 		reply_run(app, req, r);
 	else
@@ -193,6 +229,32 @@
 	ask_run(app, req, attempt);
 }
 
+static void
+checkpoint_run(
+    struct app *app, struct gyp_http_request *req, const char *attempt)
+{
+	struct run *r = g_hash_table_lookup(app->runs, attempt);
+
+	if (r != NULL && r->state == RUN_RUNNING) {
+		r->delivered = true;
+		end_run(app, r, RUN_CHECKPOINTED);
+	}
+	ask_run(app, req, attempt);
+}
+
+static void
+throttle_run(struct app *app, struct gyp_http_request *req, const char *attempt)
+{
+	const char *limit = gyp_http_header(req, "Gyp-Cpu-Limit");
+	struct run *r = g_hash_table_lookup(app->runs, attempt);
+
+	if (r != NULL && limit != NULL)
+		r->uses =
+		    MIN(r->uses, (uint32_t)g_ascii_strtoull(limit, NULL, 10));
+	note(app, "throttled", attempt);
+	ask_run(app, req, attempt);
+}
+
 /*
  * An earlier process of this name may have run the attempt, so only a start
  * can be answered for certain.
@@ -221,6 +283,10 @@
 		return;
 	if (strcmp(verb, "stop") == 0)
 		stop_run(app, req, attempt);
+	else if (strcmp(verb, "checkpoint") == 0)
+		checkpoint_run(app, req, attempt);
+	else if (strcmp(verb, "throttle") == 0)
+		throttle_run(app, req, attempt);
 	else if (strcmp(verb, "start") == 0 && !seen)
 		start_run(app, req, attempt);
 	else
@@ -309,10 +375,22 @@
 	g_strlcpy(
 	    app->id, gyp_json_string(json, "endpoint", ""), sizeof(app->id));
 	app->lease_end = app->beat_sent + gyp_json_u64(json, "lease_ms");
+	app->known_list =
+	    json_is_true(json_object_get(json, "resend")) ? 0 : app->sent_list;
 	stop_named(app, json_object_get(json, "stop"));
 	json_decref(json);
 }
 
+static void
+on_left(void *arg, const struct gyp_httpc_result *res)
+{
+	struct app *app = arg;
+
+	app->calling = false;
+	app->told_leaving = res->end == GYP_HTTPC_ANSWERED &&
+			    (res->status == 200 || res->status == 404);
+}
+
 static void
 announce(struct app *app)
 {
@@ -346,21 +424,88 @@
 	return list;
 }
 
+static json_t *
+list_usage(struct app *app, uint32_t *sum)
+{
+	json_t *list = json_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	*sum = 0;
+	g_hash_table_iter_init(&iter, app->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct run *r = value;
+
+		if (r->state != RUN_RUNNING || r->uses == 0)
+			continue;
+		*sum += r->uses;
+		json_array_append_new(
+		    list, json_pack("{s:s,s:I}", "attempt", r->attempt,
+			      "cpu_milli", (json_int_t)r->uses));
+	}
+	return list;
+}
+
+/* Leaves out the list of runs when the leader has it. */
 static void
 beat(struct app *app)
 {
-	json_t *json = json_pack("{s:s,s:I,s:{},s:o}", "incarnation",
+	uint32_t sum;
+	json_t *usage = list_usage(app, &sum);
+	json_t *json = json_pack("{s:s,s:I,s:{s:I},s:o,s:I}", "incarnation",
 	    app->incarnation, "clock_ms", (json_int_t)gyp_clock_ms(), "used",
-	    "running", list_running(app));
-	char *body = json_dumps(json, JSON_COMPACT);
+	    "cpu_milli", (json_int_t)sum, "usage", usage, "list",
+	    (json_int_t)app->list);
+	char *body;
 	char *path = g_strdup_printf("/v1/endpoints/%s/heartbeat", app->id);
 
+	app->sent_list = app->list;
+	if (app->list != app->known_list)
+		json_object_set_new(json, "running", list_running(app));
+	body = json_dumps(json, JSON_COMPACT);
 	call(app, "POST", path, body, on_called, app);
 	g_free(path);
 	free(body);
 	json_decref(json);
 }
 
+static guint
+count_running(struct app *app)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint n = 0;
+
+	g_hash_table_iter_init(&iter, app->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct run *r = value;
+
+		n += r->state == RUN_RUNNING || (r->async && !r->delivered);
+	}
+	return n;
+}
+
+/* Goes on with heartbeats until the leader has removed the endpoint. */
+static void
+leave(struct app *app)
+{
+	char *path;
+
+	if (app->id[0] == '\0') {
+		if (count_running(app) == 0)
+			ev_break(app->loop, EVBREAK_ALL);
+		app->calling = false;
+		return;
+	}
+	if (app->told_leaving) {
+		beat(app);
+		return;
+	}
+	path = g_strdup_printf("/v1/endpoints/%s", app->id);
+	call(app, "DELETE", path, "", on_left, app);
+	g_free(path);
+}
+
 static void
 on_beat(void *arg, uint64_t now)
 {
@@ -370,7 +515,9 @@
 		return;
 	app->calling = true;
 	app->beat_sent = now;
-	if (app->id[0] == '\0')
+	if (app->leaving)
+		leave(app);
+	else if (app->id[0] == '\0')
 		announce(app);
 	else
 		beat(app);
@@ -454,6 +601,16 @@
 	ev_break(loop, EVBREAK_ALL);
 }
 
+static void
+on_leave(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	struct app *app = w->data;
+
+	(void)loop;
+	(void)revents;
+	app->leaving = true;
+}
+
 /* ---- Main -------------------------------------------------------------- */
 
 static const struct gyp_httpd_owner_ops owner_ops = {.request = on_request};
@@ -513,9 +670,10 @@
 			      .memory_mib = 65536,
 			      .slots = 8,
 			      .connections = 64,
-			      .run_ms = 50}};
+			      .run_ms = 50},
+	    .list = 1};
 	struct gyp_error err = {.code = GYP_OK};
-	ev_signal term;
+	ev_signal term, leaving;
 
 	gyp_log_open("gyp-endpoint", GYP_LOG_INFO);
 	if (!parse(&app.o, argc, argv))
@@ -539,6 +697,9 @@
 	}
 	ev_signal_init(&term, on_term, SIGTERM);
 	ev_signal_start(app.loop, &term);
+	ev_signal_init(&leaving, on_leave, SIGUSR1);
+	leaving.data = &app;
+	ev_signal_start(app.loop, &leaving);
 	gyp_timer_once(app.timers, 0, on_beat, &app);
 	gyp_timer_every(app.timers, BEAT_MS, on_beat, &app);
 	gyp_timer_every(app.timers, STEP_MS, on_step, &app);
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "replica_int.h"
 #include "world.h"
 
 #define START GYP__ORDER_TYPE__ORDER_START
@@ -164,6 +165,76 @@
 	world_free(w);
 }
 
+/* Answers that come twice, or when another attempt runs, change nothing. */
+static void
+test_late_and_doubled(void)
+{
+	struct world *w = world_new();
+	struct gyp_exchange_result late = {.fate = GYP_FATE_DONE,
+	    .http_status = 200,
+	    .answer = (const uint8_t *)"old",
+	    .answer_len = 3};
+	uint64_t first;
+
+	world_announce(w, "vm", 8, 1);
+	world_submit(w, 0, "k", REQUEST, 1, true, 60000);
+	world_run(w, 100);
+	first = ((struct gyp_exchange *)w->exchanges[0]->pdata[0])->id;
+	world_settle(w, 0, START, GYP_FATE_FAILED, NULL);
+	world_run(w, 100);
+	g_assert_cmpuint(job_of(w, "k")->tasks[0].attempt, ==, 2);
+	gyp_entry_exchange_done(w->entries[0], w->now, first, &late);
+	gyp_entry_exchange_done(w->entries[0], w->now, 123456, &late);
+	world_run(w, 100);
+	g_assert_cmpint(
+	    job_of(w, "k")->outcome, ==, GYP__OUTCOME__OUTCOME_NONE);
+	world_settle(w, 0, START, GYP_FATE_DONE, "new");
+	world_run(w, 100);
+	gyp_entry_exchange_done(w->entries[0], w->now, first, &late);
+	world_run(w, 100);
+	g_assert_cmpmem(
+	    world_answer(w, 0)->reply->job->finishes[0]->answer.data, 3, "new",
+	    3);
+	world_free(w);
+}
+
+/* A limit reaches the endpoint; a checkpoint costs the task no retry. */
+static void
+test_throttle_and_checkpoint(void)
+{
+	struct world *w = world_new();
+	const struct gyp_exchange *x;
+	const struct gyp_job *job;
+
+	world_announce(w, "vm", 8, 1);
+	world_submit(w, 0, "k", GYP__KIND__KIND_BATCH, 1, true, 60000);
+	world_submit(w, 0, "once", GYP__KIND__KIND_BATCH, 1, false, 60000);
+	world_run(w, 100);
+	world_settle(w, 0, START, GYP_FATE_RUNNING, NULL);
+	job = job_of(w, "k");
+	gyp_replica_queue_throttle(w->replica, job, 0, 250);
+	world_run(w, 100);
+	x = w->exchanges[0]->pdata[0];
+	g_assert_cmpint(x->order->type, ==, GYP__ORDER_TYPE__ORDER_THROTTLE);
+	g_assert_cmpuint(x->order->cpu_limit_milli, ==, 250);
+	world_settle(
+	    w, 0, GYP__ORDER_TYPE__ORDER_THROTTLE, GYP_FATE_RUNNING, NULL);
+	gyp_replica_queue_order(
+	    w->replica, job, 0, GYP__ORDER_TYPE__ORDER_CHECKPOINT);
+	/* What may run only once is not ended to run again. */
+	gyp_replica_queue_order(w->replica, job_of(w, "once"), 0,
+	    GYP__ORDER_TYPE__ORDER_CHECKPOINT);
+	world_run(w, 100);
+	g_assert_cmpuint(
+	    world_count(w, 0, GYP__ORDER_TYPE__ORDER_CHECKPOINT), ==, 1);
+	world_settle(w, 0, GYP__ORDER_TYPE__ORDER_CHECKPOINT,
+	    GYP_FATE_CHECKPOINTED, NULL);
+	world_run(w, 100);
+	g_assert_cmpuint(job->tasks[0].attempt, ==, 2);
+	g_assert_cmpuint(job->tasks[0].failures, ==, 0);
+	world_free(w);
+}
+
 /* ---- Gangs ------------------------------------------------------------- */
 
 static void
@@ -283,6 +354,9 @@
 	g_test_add_func("/entry/never-sent", test_never_sent);
 	g_test_add_func("/entry/lost-start", test_lost_start_is_asked);
 	g_test_add_func("/entry/resend-elsewhere", test_resend_elsewhere);
+	g_test_add_func("/entry/late-and-doubled", test_late_and_doubled);
+	g_test_add_func(
+	    "/entry/throttle-checkpoint", test_throttle_and_checkpoint);
 	g_test_add_func("/entry/gang-restarts", test_gang_restarts_whole);
 	g_test_add_func("/entry/gang-gives-up", test_gang_gives_up);
 	g_test_add_func("/entry/calls-bounded", test_calls_are_bounded);
