--- a/test/man.sh
+++ b/test/man.sh
@@ -11,7 +11,7 @@
 	    { echo "$1 does not name $2"; missing=1; }
 }
 while read -r command; do
-	expect gypctl.1 "$command"
+	expect gypctl.1 "^     $command"
 done < <("$bin/gypctl" --help | sed -n 's/^  \([a-z][a-z ]*[a-z]\)\( [A-Z]\|  \).*/\1/p')
 for tool in gypctl gyp-burn; do
 	while read -r option; do
