--- a/src/counters.h
+++ b/src/counters.h
@@ -17,10 +17,10 @@
  *	Names in use:
  *
  *	gyp_requests_total{class,outcome}	answered requests for jobs
- *	gyp_wait_seconds{class}			histogram: request to start
- *	gyp_starts_total			starts sent to endpoints
- *	gyp_questions_total			questions to endpoints
- *	gyp_retries_total			attempts after the first
+ *	gyp_wait_seconds{class}			histogram: submit to first
+ *placement gyp_starts_total{class}			placements, by the
+ *leader gyp_retries_total{class}		of these, later attempts
+ *	gyp_questions_total			attempts that a list left out
  *	gyp_refused_total{reason}		requests refused at the door
  *	gyp_link_bytes_total{link,direction}	frames, with their lengths
  *	gyp_messages_total{link,direction}
