--- a/src/ctl.h
+++ b/src/ctl.h
@@ -79,6 +79,9 @@
 /* One row of as many cells as the header; takes the strings over. */
 void gyp_ctl_table_add(struct gyp_ctl_table *, ...) __attribute__((sentinel));
 
+/* Sorts the rows by their cells, the first column first. */
+void gyp_ctl_table_sort(struct gyp_ctl_table *);
+
 /* Prints and frees. */
 void gyp_ctl_table_print(struct gyp_ctl_table *);
 
--- a/src/ctl_table.c
+++ b/src/ctl_table.c
@@ -35,6 +35,31 @@
 	va_end(ap);
 }
 
+static int
+compare_rows(const void *a, const void *b, void *user)
+{
+	const struct gyp_ctl_table *t = user;
+	char *const *x = a, *const *y = b;
+	guint i;
+	int order = 0;
+
+	for (i = 0; i < t->columns && order == 0; i++)
+		order = strcmp(x[i], y[i]);
+	return order;
+}
+
+void
+gyp_ctl_table_sort(struct gyp_ctl_table *t)
+{
+	guint rows = t->cells->len / t->columns;
+
+	/* The header stays in front. */
+	if (rows > 2)
+		g_qsort_with_data(t->cells->pdata + t->columns,
+		    (gint)(rows - 1), t->columns * sizeof(char *), compare_rows,
+		    t);
+}
+
 static int
 width_of(const struct gyp_ctl_table *t, guint column)
 {
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -43,6 +43,8 @@
 	struct gyp_store *store;
 	struct gyp_replica *replica;
 	bool was_leader;
+	uint64_t rules_version; /* the last that was logged */
+	char *members;          /* likewise */
 	bool stopping;
 	int code;
 };
@@ -63,6 +65,41 @@
 	    gyp_raft_term(raft), gyp_raft_commit(raft));
 }
 
+static void
+note_rules(struct app *app)
+{
+	const struct gyp_rules_version *v =
+	    gyp_state_rules(gyp_replica_state(app->replica));
+	char *author;
+
+	if (v == NULL || v->version == app->rules_version)
+		return;
+	app->rules_version = v->version;
+	author = g_strescape(v->cmd->author, NULL);
+	gyp_log(GYP_LOG_NOTICE, "rules",
+	    "version=%" G_GUINT64_FORMAT " author=\"%s\"", v->version, author);
+	g_free(author);
+}
+
+static void
+note_members(struct app *app)
+{
+	const Gyp__Config *c = gyp_raft_members(gyp_replica_raft(app->replica));
+	GString *text = g_string_new(NULL);
+	size_t i;
+
+	for (i = 0; i < c->n_members; i++)
+		g_string_append_printf(text, "%s%s/%s", i > 0 ? "," : "",
+		    c->members[i]->address,
+		    c->members[i]->voter ? "voter" : "learner");
+	if (text->len > 0 && g_strcmp0(text->str, app->members) != 0) {
+		gyp_log(GYP_LOG_NOTICE, "members", "list=%s", text->str);
+		g_free(app->members);
+		app->members = g_strdup(text->str);
+	}
+	g_string_free(text, TRUE);
+}
+
 static void
 flush(struct app *app)
 {
@@ -83,6 +120,7 @@
 		g_bytes_unref(out.packed);
 	}
 	note_role(app);
+	note_rules(app);
 }
 
 /* ---- Events ------------------------------------------------------------ */
@@ -191,6 +229,7 @@
 	char **address;
 
 	(void)now;
+	note_members(app);
 	if (is_member(app) || app->set->join == NULL)
 		return;
 	member.id = gyp_store_id(app->store);
@@ -331,6 +370,7 @@
 	if (app.store != NULL)
 		gyp_store_close(app.store);
 	gyp_replica_free(app.replica);
+	g_free(app.members);
 	gyp_timers_free(app.timers);
 	ev_loop_destroy(app.loop);
 	return app.code;
--- a/src/gypctl_rules.c
+++ b/src/gypctl_rules.c
@@ -309,6 +309,7 @@
 		    ? gyp_ctl_value(row, "has_newest")
 		    : gyp_ctl_value(row, "rules_version"),
 		NULL);
+	gyp_ctl_table_sort(table);
 	gyp_ctl_table_print(table);
 }
 
--- a/src/gypctl_views.c
+++ b/src/gypctl_views.c
@@ -94,6 +94,7 @@
 		return code;
 	table = gyp_ctl_table_new(endpoint_header);
 	json_array_foreach(json, i, row) add_endpoint(table, row);
+	gyp_ctl_table_sort(table);
 	gyp_ctl_table_print(table);
 	json_decref(json);
 	return code;
--- a/src/log.c
+++ b/src/log.c
@@ -17,6 +17,16 @@
 	log_least = least;
 }
 
+/* What came from elsewhere must not begin a line of its own. */
+static void
+hide_controls(char *text)
+{
+	for (; *text != '\0'; text++) {
+		if ((unsigned char)*text < ' ' || *text == 0x7f)
+			*text = '?';
+	}
+}
+
 void
 gyp_log(enum gyp_priority priority, const char *event, const char *fmt, ...)
 {
@@ -28,6 +38,7 @@
 	va_end(ap);
 	if (priority > log_least)
 		return;
+	hide_controls(fields);
 	fprintf(stderr, "<%d> %s[%d]: %s %s\n", priority, log_program,
 	    (int)getpid(), event, fields);
 }
--- a/src/log.h
+++ b/src/log.h
@@ -7,7 +7,8 @@
  *
  * DESCRIPTION
  *	One line per event: "<priority> program[pid]: event key=value ...".
- *	Values with spaces are for the caller to quote.
+ *	Values with spaces are for the caller to quote; control characters are
+ *	written as "?".
  */
 
 enum gyp_priority {
--- a/src/rules_pairs.c
+++ b/src/rules_pairs.c
@@ -137,12 +137,15 @@
 		return;
 	for (i = 0; i < gyp_rules_count(rules); i++) {
 		const struct gyp_rule *other = gyp_rules_at(rules, i);
+		const struct gyp_rule *others;
 		char *why;
 
 		if (other->verb != GYP_RULE_SHARE ||
-		    other->u.share >= share->u.share ||
-		    !quota_is_below(&quota->u.quota,
-			&gyp_rules_quota(rules, other->subject)->u.quota))
+		    other->u.share >= share->u.share)
+			continue;
+		others = gyp_rules_quota(rules, other->subject);
+		if (!is_written(others) ||
+		    !quota_is_below(&quota->u.quota, &others->u.quota))
 			continue;
 		why = g_strdup_printf(
 		    "one gives %s more than %s (line %u), the other lets it "
