--- a/src/gyp.h
+++ b/src/gyp.h
@@ -20,15 +20,19 @@
 #include "table.h"
 
 /* ---- Core: the cell ------------------------------------------------------ */
+#include "health.h"  /* who is to blame for failures */
 #include "leases.h"  /* who may still be running */
 #include "policy.h"  /* which task goes where */
 #include "raft.h"    /* replicated log */
 #include "record.h"  /* what goes to the disk */
+#include "replay.h"  /* a trace through tables and policy */
 #include "replica.h" /* log, tables and decisions together */
 #include "rules.h"   /* what operators ask for, one line each */
 #include "running.h" /* what endpoints say that they run */
 #include "state.h"   /* tables of jobs, endpoints and rules */
+#include "trace.h"   /* one event a line */
 #include "usage.h"   /* measured usage, from heartbeats */
+#include "wal.h"     /* bytes of a log segment */
 
 /* ---- Core: the entry ----------------------------------------------------- */
 #include "entry.h"   /* request table and start orders */
@@ -37,6 +41,8 @@
 /* ---- Sockets, files and timers ------------------------------------------- */
 #include "door.h"     /* HTTP interface of the entry */
 #include "exchange.h" /* orders carried out at endpoints */
+#include "file.h"     /* file operations that tests can make fail */
+#include "folder.h"   /* files of a data folder */
 #include "httpc.h"    /* HTTP client that sends once */
 #include "httpd.h"    /* HTTP server */
 #include "link.h"     /* frames between processes */
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -4,6 +4,7 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "httpd.h"
 #include "link.h"
 #include "log.h"
 #include "msg.h"
@@ -20,6 +21,7 @@
 
 struct settings {
 	char *listen;
+	char *metrics;
 	char **join;
 	char *data_folder;
 	char *data_centre;
@@ -40,6 +42,8 @@
 	struct ev_loop *loop;
 	struct gyp_timers *timers;
 	struct gyp_links *links;
+	struct gyp_httpd_owner metrics_owner;
+	struct gyp_httpd *metrics;
 	struct gyp_store *store;
 	struct gyp_replica *replica;
 	bool was_leader;
@@ -180,14 +184,31 @@
 	flush(app);
 }
 
+static int
+exit_code(enum gyp_status code)
+{
+	switch (code) {
+	case GYP_CORRUPT:
+		return GYP_EXIT_CORRUPT;
+	case GYP_IO:
+	case GYP_FULL:
+		return GYP_EXIT_DISK;
+	case GYP_CONFLICT:
+		return GYP_EXIT_BUSY;
+	default:
+		return EXIT_FAILURE;
+	}
+}
+
 /* What was not synced counts as lost, so this replica must not go on. */
 static void
 on_store_failed(struct gyp_store_owner *owner, const struct gyp_error *err)
 {
 	struct app *app = app_of_store(owner);
 
-	gyp_log(GYP_LOG_ERR, "store-failed", "%s", err->message);
-	app->code = EXIT_FAILURE;
+	gyp_log(GYP_LOG_ERR, "store-failed", "reason=\"%s\" error=\"%s\"",
+	    gyp_status_name(err->code), err->message);
+	app->code = exit_code(err->code);
 	ev_break(app->loop, EVBREAK_ALL);
 }
 
@@ -280,6 +301,28 @@
     .opened = on_link_change,
     .lost = on_link_change};
 
+static void
+on_metrics(struct gyp_httpd_owner *owner, struct gyp_http_request *req)
+{
+	struct app *app =
+	    (struct app *)((char *)owner - offsetof(struct app, metrics_owner));
+	struct gyp_counters *counters = gyp_replica_counters(app->replica);
+	char *text;
+
+	if (strcmp(gyp_http_path(req), "/metrics") != 0) {
+		gyp_http_reply(req, 404, "text/plain", "", 0);
+		return;
+	}
+	gyp_gauge(counters, "gyp_leading", "",
+	    gyp_replica_serving(app->replica) ? 1 : 0);
+	text = gyp_counters_text(counters);
+	gyp_http_reply(
+	    req, 200, "text/plain; version=0.0.4", text, strlen(text));
+	g_free(text);
+}
+
+static const struct gyp_httpd_owner_ops metrics_ops = {.request = on_metrics};
+
 static const struct gyp_store_owner_ops store_ops = {
     .synced = on_synced, .failed = on_store_failed};
 
@@ -314,7 +357,7 @@
 	const struct settings *set = app->set;
 	Gyp__Hello hello = GYP__HELLO__INIT;
 
-	app->store = gyp_store_open(set->data_folder, err);
+	app->store = gyp_store_open(set->data_folder, gyp_files_system(), err);
 	if (app->store == NULL)
 		return err->code;
 	if (init && !gyp_store_is_new(app->store))
@@ -332,6 +375,13 @@
 	    gyp_links_new(app->loop, app->timers, &app->links_owner, &hello);
 	if (gyp_links_listen(app->links, set->listen, err) != GYP_OK)
 		return err->code;
+	gyp_links_count_in(app->links, gyp_replica_counters(app->replica));
+	if (set->metrics != NULL) {
+		app->metrics = gyp_httpd_new(app->loop, app->timers,
+		    &app->metrics_owner, set->metrics, err);
+		if (app->metrics == NULL)
+			return err->code;
+	}
 	gyp_store_start(app->store, app->loop, &app->store_owner);
 	if (init)
 		gyp_replica_bootstrap(app->replica);
@@ -349,11 +399,14 @@
 
 	app.links_owner.ops = &links_ops;
 	app.store_owner.ops = &store_ops;
+	app.metrics_owner.ops = &metrics_ops;
 	app.loop = ev_default_loop(EVFLAG_AUTO);
 	app.timers = gyp_timers_new(app.loop);
 	if (start(&app, init, &err) != GYP_OK) {
-		gyp_log(GYP_LOG_ERR, "start-failed", "%s", err.message);
-		app.code = EXIT_FAILURE;
+		gyp_log(GYP_LOG_ERR, "start-failed",
+		    "reason=\"%s\" error=\"%s\"", gyp_status_name(err.code),
+		    err.message);
+		app.code = exit_code(err.code);
 	} else {
 		ev_signal_init(&term, on_term, SIGTERM);
 		ev_signal_init(&interrupt, on_term, SIGINT);
@@ -366,6 +419,7 @@
 		flush(&app);
 		ev_run(app.loop, 0);
 	}
+	gyp_httpd_free(app.metrics);
 	gyp_links_free(app.links);
 	if (app.store != NULL)
 		gyp_store_close(app.store);
@@ -388,6 +442,7 @@
 	    .compact_bytes = 4 * 1024 * 1024};
 	const struct gyp_setting table[] = {
 	    {"cell", "listen", &set.listen, 0, 0, GYP_SETTING_ADDRESS, true},
+	    {"cell", "metrics", &set.metrics, 0, 0, GYP_SETTING_ADDRESS, false},
 	    {"cell", "join", &set.join, 0, 0, GYP_SETTING_ADDRESSES, false},
 	    {"cell", "data_folder", &set.data_folder, 0, 0, GYP_SETTING_FOLDER,
 		true},
