--- a/src/entry.c
+++ b/src/entry.c
@@ -2,6 +2,7 @@
 
 #include "entry_int.h"
 #include "msg.h"
+#include "mutant.h"
 
 /* Pause before a replica that knows no leader is left, in ms. */
 #define ROTATE_MS 100
@@ -115,7 +116,7 @@
 	size_t i;
 
 	/* A deposed leader's orders must not be carried out. */
-	if (down->term < e->term)
+	if (down->term < e->term && !GYP_MUTANT(OLD_TERM))
 		return;
 	if (!down->leader) {
 		if (strcmp(address, target_address(e)) == 0)
--- a/src/entry_calls.c
+++ b/src/entry_calls.c
@@ -1,5 +1,6 @@
 #include "entry_int.h"
 #include "msg.h"
+#include "mutant.h"
 
 /* Time for a report to be committed before it is repeated, in ms. */
 #define REPORT_MS 10000
@@ -89,6 +90,7 @@
 	a->job = c->job;
 	a->refused = c->kind == GYP_CALL_REFUSAL && reply != NULL &&
 		     reply->code == GYP__CODE__CODE_REFUSED;
+	a->refused |= GYP_MUTANT(NOT_RUN) && reply == NULL;
 	if (reply != NULL)
 		a->reply = gyp_message_copy(&reply->base);
 	g_queue_push_tail(&e->answers, a);
@@ -182,7 +184,8 @@
 		queue_call(e, c);
 		return false;
 	}
-	if (c->kind == GYP_CALL_SUBMIT && c->job == 0 && c->sends > 0) {
+	if (c->kind == GYP_CALL_SUBMIT && c->job == 0 && c->sends > 0 &&
+	    !GYP_MUTANT(NOT_RUN)) {
 		refuse_key(e, c);
 		return false;
 	}
--- a/src/leases.c
+++ b/src/leases.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 
 #include "leases.h"
+#include "mutant.h"
 
 struct lease {
 	uint64_t endpoint; /* key of the table */
@@ -19,6 +20,8 @@
 uint64_t
 gyp_lease_end(uint64_t now, uint32_t lease_ms)
 {
+	if (GYP_MUTANT(NO_CLOCK_BOUND))
+		return now + lease_ms;
 	return now + lease_ms + lease_ms / GYP_CLOCK_RATE_DIVISOR +
 	       GYP_LEASE_MARGIN_MS;
 }
@@ -69,7 +72,7 @@
 {
 	struct lease *lease = get_lease(l, endpoint);
 
-	if (lease->ended)
+	if (lease->ended && !GYP_MUTANT(DYING_LEASE))
 		return false;
 	/* Of heartbeats that overtook each other the newest counts. */
 	if (lease->heard != 0 && clock_ms < lease->clock_ms)
@@ -114,8 +117,8 @@
 	const struct lease *lease = g_hash_table_lookup(l->table, &endpoint);
 	uint64_t lease_end, window_end;
 
-	if (lease == NULL || lease->ended || lease->heard == 0 ||
-	    now >= lease->heard + l->lease_ms)
+	if (lease == NULL || (lease->ended && !GYP_MUTANT(DYING_LEASE)) ||
+	    lease->heard == 0 || now >= lease->heard + l->lease_ms)
 		return false;
 	lease_end = lease->clock_ms + l->lease_ms;
 	window_end = lease->clock_ms + (now - lease->heard) + window_ms;
--- a/src/policy.c
+++ b/src/policy.c
@@ -1,4 +1,5 @@
 #include "policy.h"
+#include "mutant.h"
 
 /* An endpoint during one round, with what earlier choices left free. */
 struct candidate {
@@ -138,6 +139,7 @@
 			undo_choices(round, job, before);
 			return;
 		}
+		round->next_group += GYP_MUTANT(GANG_SINGLY);
 	}
 	round->next_group++;
 }
--- a/src/raft.c
+++ b/src/raft.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "mutant.h"
 #include "raft.h"
 
 /* Most bytes of entries in one append message. */
@@ -333,7 +334,7 @@
 	size_t len;
 	uint8_t *bytes;
 
-	if (r->synced_seq >= r->write_seq) {
+	if (r->synced_seq >= r->write_seq || GYP_MUTANT(EARLY_ACK)) {
 		r->io->ops->send(r->io, m->to, m);
 		return;
 	}
@@ -685,6 +686,8 @@
 {
 	const struct progress *p;
 
+	if (GYP_MUTANT(EARLY_COMMIT))
+		return true;
 	if (id == r->cfg.id)
 		return r->persisted >= index;
 	p = find_peer(r, id);
--- a/src/replica.c
+++ b/src/replica.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "msg.h"
+#include "mutant.h"
 #include "replica_int.h"
 
 /* Most placements in one batch. */
@@ -168,7 +169,8 @@
 	struct gyp_replica *r = ((struct gyp_replica_listener *)l)->replica;
 	uint32_t i;
 
-	for (i = 0; i < job->n_tasks && r->leading; i++) {
+	for (i = 0; i < job->n_tasks && r->leading && !GYP_MUTANT(NO_STOP);
+	     i++) {
 		if (job->tasks[i].state == GYP_TASK_PLACED)
 			gyp_replica_queue_order(
 			    r, job, i, GYP__ORDER_TYPE__ORDER_STOP);
--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "msg.h"
+#include "mutant.h"
 #include "replica_int.h"
 
 void
@@ -317,8 +318,8 @@
 	const struct gyp_job *job = gyp_state_job(r->state, a->job);
 	const struct gyp_task *t;
 
-	if (job == NULL || a->task >= job->n_tasks || job->cancelled ||
-	    job->restarting)
+	if (job == NULL || a->task >= job->n_tasks ||
+	    (job->cancelled && !GYP_MUTANT(NO_STOP)) || job->restarting)
 		return false;
 	t = &job->tasks[a->task];
 	return t->state == GYP_TASK_PLACED && t->endpoint == endpoint &&
--- a/src/state.c
+++ b/src/state.c
@@ -2,6 +2,7 @@
 
 #include "buf.h"
 #include "msg.h"
+#include "mutant.h"
 #include "state_int.h"
 
 /* ---- Rows -------------------------------------------------------------- */
@@ -184,7 +185,7 @@
 	t = &job->tasks[p->task];
 	if (t->state != GYP_TASK_QUEUED || p->attempt != t->attempt + 1)
 		return false;
-	return p->attempt == 1 || job->spec->idempotent;
+	return p->attempt == 1 || job->spec->idempotent || GYP_MUTANT(AGAIN);
 }
 
 static void
--- a/src/state_life.c
+++ b/src/state_life.c
@@ -1,4 +1,5 @@
 #include "msg.h"
+#include "mutant.h"
 #include "state_int.h"
 
 guint
@@ -125,7 +126,8 @@
 {
 	if (outcome == GYP__OUTCOME__OUTCOME_DONE || job->cancelled)
 		return false;
-	return job->spec->idempotent && t->failures < GYP_TASK_FAILURES_MAX;
+	return (job->spec->idempotent || GYP_MUTANT(AGAIN)) &&
+	       t->failures < GYP_TASK_FAILURES_MAX;
 }
 
 /* Nothing of the last round counts: its tasks did not end well together. */
--- a/src/state_save.c
+++ b/src/state_save.c
@@ -1,4 +1,5 @@
 #include "msg.h"
+#include "mutant.h"
 #include "state_int.h"
 
 /* ---- Snapshots --------------------------------------------------------- */
@@ -313,7 +314,7 @@
 		if (!restore_job(s, snap->jobs[i]))
 			return false;
 	}
-	for (i = 0; i < snap->n_rules; i++)
+	for (i = 0; i + GYP_MUTANT(RULES_LOST) < snap->n_rules; i++)
 		gyp_state_push_rules(s, snap->rules[i]->version,
 		    snap->rules[i]->time_ms, snap->rules[i]->cmd);
 	for (i = 0; i < snap->n_retired_keys; i++)
--- a/test/sim.h
+++ b/test/sim.h
@@ -43,6 +43,7 @@
 #define SIM_ELECTION_MS       400
 #define SIM_HEARTBEAT_MS      50
 #define SIM_ENDPOINT_LEASE_MS 2000
+#define SIM_LONG_LEASE_MS     30000
 #define SIM_ENTRY_LEASE_MS    1500
 #define SIM_START_WINDOW_MS   800
 #define SIM_KEEPALIVE_MS      200
@@ -159,6 +160,8 @@
 	uint64_t now;
 	bool faults;
 	bool trace;
+	bool slow_clocks; /* long leases, endpoints cut for longer */
+	uint32_t endpoint_lease_ms;
 	int n_replicas;
 	int n_entries;
 	struct sim_node nodes[SIM_NODES];
--- a/test/sim_caller.c
+++ b/test/sim_caller.c
@@ -283,7 +283,8 @@
 {
 	if (!s->faults)
 		check_stopped(s, job, s->calm_since);
-	if (job->want_cancel && sim_one_in(s, s->faults ? 150 : 20))
+	if (job->want_cancel && !(s->faults && s->slow_clocks) &&
+	    sim_one_in(s, s->faults ? 150 : 20))
 		cancel(s, job);
 	if (!job->closed && !job->calling && s->now >= job->next_at)
 		submit(s, job);
--- a/test/sim_endpoint.c
+++ b/test/sim_endpoint.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "mutant.h"
 #include "sim.h"
 
 /* Interval of heartbeats and time for a call of an endpoint, in ms. */
@@ -305,7 +306,8 @@
 		return;
 	}
 	/* An earlier life may have run it; only of a start can one be sure. */
-	if (x->order->incarnation != s->endpoints[nth]->incarnation) {
+	if (x->order->incarnation != s->endpoints[nth]->incarnation &&
+	    !GYP_MUTANT(NO_INCARNATION)) {
 		send_back(
 		    s, x, start ? GYP_FATE_NOT_STARTED : GYP_FATE_LOST, NULL);
 		return;
@@ -669,7 +671,9 @@
 	n->up = true;
 	n->life++;
 	n->clock_offset = (uint64_t)sim_pick(s, 1, 1000000);
-	n->clock_ppm = sim_pick(s, -SIM_PPM_MAX, SIM_PPM_MAX + 1);
+	n->clock_ppm = s->slow_clocks
+			   ? -SIM_PPM_MAX
+			   : sim_pick(s, -SIM_PPM_MAX, SIM_PPM_MAX + 1);
 	ep->incarnation = sim_new_id(s);
 	ep->handle = 0;
 	ep->list = 0;
--- a/test/sim_proc.c
+++ b/test/sim_proc.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "mutant.h"
 #include "sim.h"
 
 /* Output of a process that is not sent yet. */
@@ -142,7 +143,9 @@
 new_clock(struct sim *s, struct sim_node *n)
 {
 	n->clock_offset = (uint64_t)sim_pick(s, 1, 1000000);
-	n->clock_ppm = sim_pick(s, -SIM_PPM_MAX, SIM_PPM_MAX + 1);
+	n->clock_ppm = s->slow_clocks
+			   ? SIM_PPM_MAX
+			   : sim_pick(s, -SIM_PPM_MAX, SIM_PPM_MAX + 1);
 }
 
 void
@@ -154,7 +157,7 @@
 	    .seed = g_rand_int(s->rand),
 	    .election_ms = SIM_ELECTION_MS,
 	    .heartbeat_ms = SIM_HEARTBEAT_MS,
-	    .endpoint_lease_ms = SIM_ENDPOINT_LEASE_MS,
+	    .endpoint_lease_ms = s->endpoint_lease_ms,
 	    .entry_lease_ms = SIM_ENTRY_LEASE_MS,
 	    .start_window_ms = SIM_START_WINDOW_MS,
 	    .voters = (uint32_t)s->n_replicas,
@@ -162,7 +165,8 @@
 
 	if (n->disk == NULL) {
 		n->disk = new_disk();
-		n->id = sim_new_id(s);
+		if (n->id == 0 || !GYP_MUTANT(OLD_NAME))
+			n->id = sim_new_id(s);
 	}
 	cfg.id = n->id;
 	new_clock(s, n);
@@ -255,6 +259,15 @@
 
 /* ---- Moving output ----------------------------------------------------- */
 
+/* A disk stalls now and then. */
+static uint64_t
+sync_time(struct sim *s)
+{
+	bool stall = s->faults && sim_one_in(s, 100);
+
+	return (uint64_t)sim_pick(s, 0, stall ? 1500 : 30);
+}
+
 static void
 take_replica_output(struct sim *s, int node)
 {
@@ -265,7 +278,7 @@
 	while (gyp_replica_pop_record(n->replica, &rec)) {
 		g_ptr_array_add(n->disk, g_memdup2(&rec, sizeof(rec)));
 		if (n->sync_at == 0)
-			n->sync_at = s->now + (uint64_t)sim_pick(s, 0, 30);
+			n->sync_at = s->now + sync_time(s);
 	}
 	while (gyp_replica_pop_out(n->replica, &out)) {
 		stash_frame(n,
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "mutant.h"
 #include "sim.h"
 
 /*
@@ -18,6 +19,10 @@
 
 #define SEEDS 40
 
+#ifdef GYP_MUTANTS
+int gyp_mutant;
+#endif
+
 static char current[96]; /* how to repeat the seed that runs */
 
 static void
@@ -97,11 +102,40 @@
 		sim_cut(s, node, with, (uint32_t)sim_pick(s, 100, 6000));
 }
 
+/* All replicas lose what is not on their disks. */
+static void
+power_off(struct sim *s)
+{
+	int i;
+
+	for (i = 0; i < s->n_replicas; i++) {
+		if (s->nodes[i].up)
+			sim_replica_kill(s, i, false);
+	}
+}
+
+/* Each endpoint is cut off once, until its lease is over. */
+static void
+cut_for_a_lease(struct sim *s)
+{
+	int node = SIM_ENDPOINT + sim_pick(s, 0, SIM_ENDPOINTS);
+
+	if (s->heal_at[node] == 0)
+		sim_cut(s, node, -1, SIM_LONG_LEASE_MS + 2000);
+}
+
 static void
 faults(struct sim *s)
 {
 	int leader = sim_leader(s);
 
+	if (s->slow_clocks && sim_one_in(s, 500))
+		cut_for_a_lease(s);
+	if (s->slow_clocks) /* a new leader would wait out the long lease */
+		return;
+	if (sim_one_in(s, 3000))
+		power_off(s);
+
 	if (sim_one_in(s, 600))
 		kill_one(s, any_process(s));
 	if (sim_one_in(s, 1500) && leader >= 0)
@@ -114,7 +148,7 @@
 		cut_one(s);
 	if (sim_one_in(s, 100))
 		sim_break(s, any_process(s), any_process(s));
-	if (sim_one_in(s, 700)) {
+	if (sim_one_in(s, s->slow_clocks ? 4000 : 700)) {
 		int nth = sim_pick(s, 0, SIM_ENDPOINTS);
 
 		if (s->nodes[SIM_ENDPOINT + nth].up)
@@ -258,6 +292,9 @@
 	s->seed = seed;
 	s->rand = g_rand_new_with_seed(seed);
 	s->now = 1000;
+	s->slow_clocks = seed % 8 == 7;
+	s->endpoint_lease_ms =
+	    s->slow_clocks ? SIM_LONG_LEASE_MS : SIM_ENDPOINT_LEASE_MS;
 	s->n_replicas = seed % 4 == 0 ? 5 : 3;
 	s->n_entries = 2 + (int)(seed % 2);
 	s->faults = true;
@@ -306,7 +343,7 @@
 	    "FAILED seed %u; run: GYP_SEED=%u build/asan/bin/test_cell\n", seed,
 	    seed);
 	setup(s, seed);
-	while (s->now < FAULTS_MS)
+	while (s->now < FAULTS_MS * (s->slow_clocks ? 2 : 1))
 		step(s);
 	calm_down(s);
 	run_calm(s);
@@ -361,6 +398,10 @@
 main(int argc, char **argv)
 {
 	signal(SIGABRT, on_abort);
+#ifdef GYP_MUTANTS
+	if (g_getenv("GYP_MUTANT") != NULL)
+		gyp_mutant = atoi(g_getenv("GYP_MUTANT"));
+#endif
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/cell/promises", test_promises);
 	return g_test_run();
