Settle each change of members; promote no blank learner

A learner must hold something, and vote requests carry the address too.

Ruled out: the sharing of disks in the test (a disk is lost only while the leader's configuration has every replica as a voter and is committed).

--- a/src/raft.c
+++ b/src/raft.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "msg.h"
 #include "mutant.h"
 #include "raft.h"
 
@@ -75,6 +76,7 @@
 	Gyp__Config *config;  /* newest known to be committed */
 	Gyp__Config *pending; /* appended after it, or NULL */
 	uint64_t pending_index;
+	bool settled; /* the latest two configurations are equal */
 
 	GArray *peers; /* struct progress */
 	GHashTable *votes;
@@ -103,6 +105,18 @@
 	return copy;
 }
 
+static bool
+configs_equal(const Gyp__Config *a, const Gyp__Config *b)
+{
+	GBytes *x = gyp_message_pack(&a->base);
+	GBytes *y = gyp_message_pack(&b->base);
+	bool equal = g_bytes_equal(x, y);
+
+	g_bytes_unref(x);
+	g_bytes_unref(y);
+	return equal;
+}
+
 static const Gyp__Member *
 find_member(const Gyp__Config *config, uint64_t id)
 {
@@ -123,6 +137,12 @@
 	return r->pending != NULL ? r->pending : r->config;
 }
 
+bool
+gyp_raft_settled(const struct gyp_raft *r)
+{
+	return r->pending == NULL && r->settled;
+}
+
 bool
 gyp_raft_changing(const struct gyp_raft *r)
 {
@@ -724,6 +744,7 @@
 static void
 commit_config(struct gyp_raft *r)
 {
+	r->settled = configs_equal(r->config, r->pending);
 	set_config(r, r->pending);
 	r->pending = NULL;
 	r->pending_index = 0;
--- a/src/raft.h
+++ b/src/raft.h
@@ -118,6 +118,13 @@
 /* True while a configuration entry awaits its commit. */
 bool gyp_raft_changing(const struct gyp_raft *);
 
+/*
+ * False while a replica that restarts from its log alone would still ask for
+ * the majority of an older configuration: it can't know that the latest was
+ * committed. Proposing the same configuration once more settles it.
+ */
+bool gyp_raft_settled(const struct gyp_raft *);
+
 /* How far a member is known to hold the log; 0 when unknown. Leader only. */
 uint64_t gyp_raft_match(const struct gyp_raft *, uint64_t id);
 
--- a/src/replica.c
+++ b/src/replica.c
@@ -52,7 +52,7 @@
 
 	frame.body_case = GYP__FRAME__BODY_RAFT;
 	frame.raft = &copy;
-	if (!is_voter(r, to))
+	if (!is_voter(r, to) || msg->type <= GYP__RAFT_TYPE__RAFT_VOTE_REPLY)
 		copy.address = (char *)r->cfg.address;
 	out->to = to;
 	out->address = g_strdup(member_address(r, to));
--- a/src/replica_members.c
+++ b/src/replica_members.c
@@ -87,6 +87,7 @@
 caught_up(const struct gyp_replica *r, const Gyp__Member *m)
 {
 	return heard_within(r, m, r->cfg.election_ms) &&
+	       gyp_raft_match(r->raft, m->id) > 0 &&
 	       gyp_raft_match(r->raft, m->id) + CAUGHT_UP_ENTRIES >=
 		   gyp_raft_last_index(r->raft);
 }
@@ -405,6 +406,10 @@
 
 	if (gyp_raft_changing(r->raft))
 		return;
+	if (!gyp_raft_settled(r->raft)) {
+		gyp_raft_change(r->raft, c);
+		return;
+	}
 	finish_removal(r);
 	if (replace_predecessor(r, c) || use_spare(r, c))
 		return;
