--- a/src/leases.c
+++ b/src/leases.c
@@ -78,7 +78,7 @@
 {
 	struct lease *lease = get_lease(l, endpoint);
 
-	if (lease->ended && !GYP_MUTANT(DYING_LEASE))
+	if (lease->ended)
 		return false;
 	/* Of heartbeats that overtook each other the newest counts. */
 	if (lease->heard != 0 && clock_ms < lease->clock_ms)
@@ -123,8 +123,8 @@
 	const struct lease *lease = g_hash_table_lookup(l->table, &endpoint);
 	uint64_t lease_end, window_end;
 
-	if (lease == NULL || (lease->ended && !GYP_MUTANT(DYING_LEASE)) ||
-	    lease->heard == 0 || now >= lease->heard + l->lease_ms)
+	if (lease == NULL || lease->ended || lease->heard == 0 ||
+	    now >= lease->heard + l->lease_ms)
 		return false;
 	lease_end = lease->clock_ms + l->lease_ms;
 	window_end = lease->clock_ms + (now - lease->heard) + window_ms;
--- a/test/sim.h
+++ b/test/sim.h
@@ -103,6 +103,7 @@
 	struct gyp_entry_core *entry;
 	uint64_t link_up[SIM_REPLICAS]; /* time, or UINT64_MAX while up */
 	uint64_t entry_rules;
+	uint64_t entry_term; /* highest of the leaders heard */
 };
 
 /* What a caller asked for, and the truth about it. */
