--- a/src/raft.h
+++ b/src/raft.h
@@ -58,7 +58,9 @@
 	uint64_t id;          /* this replica, never 0 */
 	uint32_t election_ms; /* shortest election timeout; longest is twice */
 	uint32_t heartbeat_ms;
-	uint32_t seed; /* for the spread of election timeouts */
+	uint32_t seed;         /* for the spread of election timeouts */
+	uint32_t append_bytes; /* entries in one message, 0 for the default */
+	uint32_t chunk_bytes;  /* of a snapshot in one message, likewise */
 };
 
 struct gyp_raft;
@@ -82,7 +84,7 @@
 /* All records up to sequence number seq are on the disk. */
 void gyp_raft_synced(struct gyp_raft *, uint64_t now, uint64_t seq);
 
-/* Appends an entry; returns its index, or 0 when this is not the leader. */
+/* Appends an entry; returns its index, or 0 when not (or no longer) leading. */
 uint64_t gyp_raft_propose(struct gyp_raft *, uint32_t kind, GBytes *data);
 
 /* Proposes a configuration; 0 when not possible now. */
@@ -91,7 +93,11 @@
 /* Drops the log up to index; state is the packed state at that index. */
 void gyp_raft_compact(struct gyp_raft *, uint64_t index, GBytes *state);
 
-/* Asks the most advanced voter to take over; false when there is none. */
+/*
+ * Lets the most advanced of the voters that answer take over, as soon as it
+ * holds all entries; false when there is none. Proposals are refused until
+ * then, for one election timeout at most. May be called again.
+ */
 bool gyp_raft_hand_over(struct gyp_raft *);
 
 /* True while a majority answered within the shortest election timeout. */
@@ -109,6 +115,9 @@
 uint64_t gyp_raft_last_index(const struct gyp_raft *);
 uint64_t gyp_raft_snapshot_index(const struct gyp_raft *);
 
+/* Term of an entry in the log; 0 when it is not there or compacted. */
+uint64_t gyp_raft_entry_term(const struct gyp_raft *, uint64_t index);
+
 /* Bytes of entries held since the last snapshot. */
 uint64_t gyp_raft_log_bytes(const struct gyp_raft *);
 
@@ -118,13 +127,6 @@
 /* True while a configuration entry awaits its commit. */
 bool gyp_raft_changing(const struct gyp_raft *);
 
-/*
- * False while a replica that restarts from its log alone would still ask for
- * the majority of an older configuration: it can't know that the latest was
- * committed. Proposing the same configuration once more settles it.
- */
-bool gyp_raft_settled(const struct gyp_raft *);
-
 /* How far a member is known to hold the log; 0 when unknown. Leader only. */
 uint64_t gyp_raft_match(const struct gyp_raft *, uint64_t id);
 
--- a/src/replica.c
+++ b/src/replica.c
@@ -7,6 +7,9 @@
 /* Most placements in one batch. */
 #define DECISIONS_MAX 512
 
+/* Most bytes of commands in one batch, unless one is larger. */
+#define BATCH_BYTES (1024 * 1024)
+
 /* ---- Output queues ----------------------------------------------------- */
 
 static const char *
@@ -113,7 +116,6 @@
 	gyp_state_apply(r->state, batch);
 	gyp__batch__free_unpacked(batch, NULL);
 	gyp_replica_refresh_rules(r, e->index);
-	r->undecided = true;
 	if (r->leading && r->batch_index == e->index) {
 		r->batch_index = 0;
 		gyp_replica_answer_waiting(r, e->index);
@@ -131,6 +133,22 @@
 	gyp_replica_refresh_rules(r, file->index);
 }
 
+/* A first start ends the waiting of its task; later ones are retries. */
+static void
+count_start(
+    struct gyp_replica *r, const struct gyp_job *job, const struct gyp_task *t)
+{
+	char labels[GYP_LABELS_MAX];
+
+	gyp_labels(labels, "class", job->spec->class_, NULL);
+	gyp_count(r->counters, "gyp_starts_total", labels, 1);
+	if (t->attempt == 1)
+		gyp_observe_ms(r->counters, "gyp_wait_seconds", labels,
+		    t->changed_ms - job->submitted_ms);
+	else
+		gyp_count(r->counters, "gyp_retries_total", labels, 1);
+}
+
 static void
 on_placed(struct gyp_state_listener *l, struct gyp_job *job, uint32_t task)
 {
@@ -140,6 +158,7 @@
 
 	if (!r->leading)
 		return;
+	count_start(r, job, &job->tasks[task]);
 	peer = gyp_replica_entry(r, job->tasks[task].entry);
 	g_queue_push_tail(&peer->unsent, g_memdup2(&ref, sizeof(ref)));
 }
@@ -227,42 +246,120 @@
 	return i - first;
 }
 
+static void
+propose_refusals(struct gyp_replica *r, const GArray *refusals)
+{
+	guint i;
+
+	for (i = 0; i < refusals->len; i++) {
+		const struct gyp_refusal *refusal =
+		    &g_array_index(refusals, struct gyp_refusal, i);
+		Gyp__Cmd cmd = GYP__CMD__INIT;
+		Gyp__CmdCancel cancel = GYP__CMD_CANCEL__INIT;
+
+		cancel.job = refusal->job;
+		cancel.reason = refusal->reason;
+		cmd.c_case = GYP__CMD__C_CANCEL;
+		cmd.cancel = &cancel;
+		gyp_replica_propose(r, &cmd);
+	}
+}
+
+static void
+propose_verdicts(struct gyp_replica *r, const GArray *verdicts)
+{
+	guint i;
+
+	for (i = 0; i < verdicts->len; i++) {
+		const struct gyp_verdict *v =
+		    &g_array_index(verdicts, struct gyp_verdict, i);
+		Gyp__Cmd cmd = GYP__CMD__INIT;
+		Gyp__CmdEndpointState es = GYP__CMD_ENDPOINT_STATE__INIT;
+
+		es.endpoint = v->endpoint;
+		es.state = v->state;
+		es.from = v->from;
+		cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
+		cmd.endpoint_state = &es;
+		gyp_replica_propose(r, &cmd);
+	}
+}
+
+/* Evicted tasks are queued again once the endpoint has ended them. */
+static void
+order_evictions(struct gyp_replica *r, const GArray *evictions)
+{
+	guint i;
+
+	for (i = 0; i < evictions->len; i++) {
+		const struct gyp_eviction *e =
+		    &g_array_index(evictions, struct gyp_eviction, i);
+
+		gyp_replica_queue_order(r, gyp_state_job(r->state, e->job),
+		    e->task, GYP__ORDER_TYPE__ORDER_CHECKPOINT);
+	}
+}
+
 static void
 decide(struct gyp_replica *r)
 {
-	GArray *choices;
+	uint64_t cell_time = r->time_base + (r->now - r->lead_since);
+	struct gyp_decision *d;
 	guint i = 0;
 
-	r->undecided = false;
-	if (gyp_replica_pick_entry(r, NULL, 0) == 0)
+	if (!gyp_policy_is_due(r->policy, cell_time) ||
+	    gyp_replica_pick_entry(r, NULL, 0) == 0)
 		return;
-	choices = g_array_new(FALSE, FALSE, sizeof(struct gyp_choice));
-	gyp_policy_decide(r->policy, r->state, DECISIONS_MAX, choices);
-	while (i < choices->len)
-		i += propose_group(r, choices, i);
-	g_array_free(choices, TRUE);
+	d = gyp_decision_new();
+	gyp_policy_decide(r->policy, cell_time, DECISIONS_MAX, d);
+	while (i < d->choices->len)
+		i += propose_group(r, d->choices, i);
+	propose_refusals(r, d->refusals);
+	propose_verdicts(r, d->verdicts);
+	order_evictions(r, d->evictions);
+	gyp_decision_free(d);
+}
+
+/* How many commands go into the next batch; the rest waits for its turn. */
+static guint
+count_batch(const struct gyp_replica *r)
+{
+	size_t bytes = 0;
+	guint n;
+
+	for (n = 0; n < r->batch->len; n++) {
+		const ProtobufCMessage *cmd = r->batch->pdata[n];
+
+		bytes += protobuf_c_message_get_packed_size(cmd);
+		if (n > 0 && bytes > BATCH_BYTES)
+			break;
+	}
+	return n;
 }
 
 static void
 propose_batch(struct gyp_replica *r)
 {
+	guint n = count_batch(r);
 	Gyp__Batch batch = GYP__BATCH__INIT;
 	GBytes *data;
 	guint i;
 
 	batch.time_ms = r->time_base + (r->now - r->lead_since);
-	batch.n_cmds = r->batch->len;
+	batch.n_cmds = n;
 	batch.cmds = (Gyp__Cmd **)r->batch->pdata;
 	data = gyp_message_pack(&batch.base);
 	r->batch_index =
 	    gyp_raft_propose(r->raft, GYP__ENTRY_KIND__ENTRY_BATCH, data);
 	g_bytes_unref(data);
-	g_ptr_array_set_size(r->batch, 0);
+	g_ptr_array_remove_range(r->batch, 0, n);
 	for (i = 0; i < r->waiting->len; i++) {
 		struct gyp_waiting_call *w = r->waiting->pdata[i];
 
-		if (w->index == 0)
+		if (w->index == 0 && w->position < n)
 			w->index = r->batch_index;
+		else if (w->index == 0)
+			w->position -= n;
 	}
 }
 
@@ -272,6 +369,7 @@
 drop_leader_state(struct gyp_replica *r)
 {
 	r->leading = false;
+	gyp_policy_detach(r->policy);
 	r->batch_index = 0;
 	g_ptr_array_set_size(r->batch, 0);
 	g_ptr_array_set_size(r->waiting, 0);
@@ -290,7 +388,7 @@
 	r->lead_term = gyp_raft_term(r->raft);
 	r->lead_since = r->now;
 	r->time_base = gyp_state_time(r->state);
-	r->undecided = true;
+	gyp_policy_attach(r->policy, r->state, r->time_base);
 	gyp_leases_reset(r->leases, r->now);
 	gyp_usage_reset(r->usage);
 	gyp_running_reset(r->running);
@@ -337,8 +435,7 @@
 	if (r->now >= r->duties_at)
 		gyp_replica_duties(r);
 	if (r->batch_index == 0) {
-		if (r->undecided)
-			decide(r);
+		decide(r);
 		if (r->batch->len > 0)
 			propose_batch(r);
 	}
@@ -462,6 +559,8 @@
 gyp_replica_tick(struct gyp_replica *r, uint64_t now)
 {
 	advance(r, now);
+	if (r->leading && r->handing_over)
+		gyp_raft_hand_over(r->raft); /* the order may be lost */
 	settle(r);
 }
 
@@ -529,7 +628,8 @@
 	r->state = gyp_state_new(&r->listener.base);
 	r->rules = gyp_rules_defaults();
 	r->rules_waits = g_ptr_array_new_with_free_func(gyp_free_rules_wait);
-	r->policy = gyp_policy_best_fit();
+	r->policy = gyp_policy_new(&gyp_policy_weighted, cfg->seed);
+	gyp_policy_set_rules(r->policy, r->rules);
 	r->batch = g_ptr_array_new_with_free_func(gyp_message_free);
 	r->waiting = g_ptr_array_new_with_free_func(gyp_free_waiting_call);
 	r->subscribers = g_hash_table_new_full(
@@ -567,6 +667,7 @@
 	g_hash_table_destroy(r->subscribers);
 	g_hash_table_destroy(r->entries);
 	gyp_leases_free(r->leases);
+	gyp_policy_free(r->policy);
 	gyp_usage_free(r->usage);
 	gyp_running_free(r->running);
 	gyp_counters_free(r->counters);
@@ -584,6 +685,12 @@
 	return r->raft;
 }
 
+struct gyp_counters *
+gyp_replica_counters(const struct gyp_replica *r)
+{
+	return r->counters;
+}
+
 const struct gyp_state *
 gyp_replica_state(const struct gyp_replica *r)
 {
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -49,6 +49,7 @@
 struct gyp_waiting_call {
 	uint64_t entry;
 	uint64_t index; /* of the batch, 0 while it is being filled */
+	guint position; /* of its command, among those not proposed yet */
 	Gyp__Call *call;
 };
 
@@ -91,7 +92,6 @@
 	uint64_t time_base; /* cell time at lead_since */
 	GPtrArray *batch;   /* Gyp__Cmd, owned */
 	uint64_t batch_index;
-	bool undecided; /* the tables changed since the last decision */
 	GPtrArray *waiting;
 	GHashTable *subscribers; /* job -> GArray of struct gyp_subscriber */
 	GHashTable *entries;     /* id -> struct gyp_entry_peer */
--- a/src/state_life.c
+++ b/src/state_life.c
@@ -64,10 +64,12 @@
 	job->n_placed += state == GYP_TASK_PLACED;
 	t->state = state;
 	t->changed_ms = s->time_ms;
-	if (queued_before == 0 && job->n_queued > 0)
+	if (queued_before == 0 && job->n_queued > 0) {
 		g_queue_push_head_link(&s->queue, &job->link);
-	else if (queued_before > 0 && job->n_queued == 0)
+		gyp_state_watch_queued(s, job);
+	} else if (queued_before > 0 && job->n_queued == 0) {
 		g_queue_unlink(&s->queue, &job->link);
+	}
 }
 
 /* Ends a queued task without a further attempt. */
@@ -98,15 +100,12 @@
 	finish_job_if_over(s, job);
 }
 
-void
-gyp_state_release_booking(
-    struct gyp_state *s, struct gyp_job *job, const struct gyp_task *t)
+static void
+remove_attempt(struct gyp_endpoint *ep, const struct gyp_job *job,
+    const struct gyp_task *t)
 {
-	struct gyp_endpoint *ep = gyp_table_get(s->endpoints, t->endpoint);
 	guint i;
 
-	g_assert(ep != NULL);
-	gyp_res_sub(&ep->booked, &job->size);
 	for (i = 0; i < ep->attempts->len; i++) {
 		struct gyp_task_ref *ref =
 		    &g_array_index(ep->attempts, struct gyp_task_ref, i);
@@ -119,6 +118,22 @@
 	g_assert_not_reached();
 }
 
+void
+gyp_state_release_booking(struct gyp_state *s, struct gyp_job *job,
+    const struct gyp_task *t, const Gyp__CmdFinish *finish)
+{
+	struct gyp_endpoint *ep = gyp_table_get(s->endpoints, t->endpoint);
+
+	g_assert(ep != NULL);
+	gyp_res_sub(&ep->booked, &job->size);
+	remove_attempt(ep, job, t);
+	if (s->watcher == NULL)
+		return;
+	s->watcher->ops->released(
+	    s->watcher, job, (uint32_t)(t - job->tasks), finish);
+	gyp_state_watch_endpoint(s, ep);
+}
+
 /* Whether a task whose attempt ended so gets another one. */
 static bool
 wants_retry(
@@ -142,6 +157,7 @@
 
 		if (t->last == GYP__OUTCOME__OUTCOME_DONE)
 			t->last = GYP__OUTCOME__OUTCOME_FAILED;
+		g_clear_pointer(&t->finish, gyp_message_free);
 		gyp_state_set_task(s, job, t, GYP_TASK_QUEUED);
 	}
 }
@@ -182,7 +198,7 @@
 	bool ran_before = t->last != GYP__OUTCOME__OUTCOME_NONE &&
 			  t->last != GYP__OUTCOME__OUTCOME_NOT_RUN;
 
-	gyp_state_release_booking(s, job, t);
+	gyp_state_release_booking(s, job, t, finish);
 	if (outcome == GYP__OUTCOME__OUTCOME_FAILED && !finish->checkpointed &&
 	    !job->restarting && !job->cancelled)
 		t->failures++;
@@ -192,6 +208,11 @@
 	if (s->listener != NULL)
 		s->listener->ops->attempt_over(s->listener, job, index);
 	retry = wants_retry(job, t, outcome);
+	/* Of a restarting gang too: a cancellation makes it the last word. */
+	if (gang || !retry) {
+		gyp_message_free(t->finish);
+		t->finish = gyp_message_copy(&finish->base);
+	}
 	if (gang && !job->cancelled && (retry || job->restarting)) {
 		restart_gang(s, job, t);
 		return;
@@ -200,8 +221,6 @@
 		gyp_state_set_task(s, job, t, GYP_TASK_QUEUED);
 		return;
 	}
-	gyp_message_free(t->finish);
-	t->finish = gyp_message_copy(&finish->base);
 	gyp_state_set_task(s, job, t, GYP_TASK_OVER);
 	if (outcome != GYP__OUTCOME__OUTCOME_DONE) {
 		if (job->reason == NULL)
--- a/test/sim_caller.c
+++ b/test/sim_caller.c
@@ -241,6 +241,13 @@
 	job->spec.class_ = "booking";
 	job->spec.key = job->key;
 	job->spec.idempotent = !sim_one_in(s, 3);
+	/* A few that run until their endpoint is lost, and room for them. */
+	if (s->slow_clocks) {
+		job->spec.kind = s->jobs->len % 12 == 0
+				     ? GYP__KIND__KIND_WATCHER
+				     : GYP__KIND__KIND_REQUEST;
+		job->spec.idempotent = true;
+	}
 	job->spec.tasks = job->spec.kind == GYP__KIND__KIND_GANG
 			      ? (uint32_t)sim_pick(s, 2, 4)
 			      : 1;
