--- a/src/leases.c
+++ b/src/leases.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 
 #include "leases.h"
+#include "mutant.h"
 
 struct lease {
 	uint64_t endpoint; /* key of the table */
@@ -19,6 +20,8 @@
 uint64_t
 gyp_lease_end(uint64_t now, uint32_t lease_ms)
 {
+	if (GYP_MUTANT(NO_CLOCK_BOUND))
+		return now + lease_ms;
 	return now + lease_ms + lease_ms / GYP_CLOCK_RATE_DIVISOR +
 	       GYP_LEASE_MARGIN_MS;
 }
--- a/src/policy_gang.c
+++ b/src/policy_gang.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "mutant.h"
 #include "policy_int.h"
 
 /* Longest time that held endpoints get to become free while others backfill. */
@@ -19,6 +20,7 @@
 			policy_undo(round, job, before);
 			return FIT_NONE;
 		}
+		round->next_group += GYP_MUTANT(GANG_SINGLY);
 	}
 	round->next_group++;
 	return FIT_ALL;
--- a/src/replica.c
+++ b/src/replica.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "msg.h"
+#include "mutant.h"
 #include "replica_int.h"
 
 /* Most placements in one batch. */
@@ -54,7 +55,7 @@
 
 	frame.body_case = GYP__FRAME__BODY_RAFT;
 	frame.raft = &copy;
-	if (!is_voter(r, to))
+	if (!is_voter(r, to) || msg->type <= GYP__RAFT_TYPE__RAFT_VOTE_REPLY)
 		copy.address = (char *)r->cfg.address;
 	out->to = to;
 	out->address = g_strdup(member_address(r, to));
@@ -187,7 +188,8 @@
 	struct gyp_replica *r = ((struct gyp_replica_listener *)l)->replica;
 	uint32_t i;
 
-	for (i = 0; i < job->n_tasks && r->leading; i++) {
+	for (i = 0; i < job->n_tasks && r->leading && !GYP_MUTANT(NO_STOP);
+	     i++) {
 		if (job->tasks[i].state == GYP_TASK_PLACED)
 			gyp_replica_queue_order(
 			    r, job, i, GYP__ORDER_TYPE__ORDER_STOP);
--- a/src/replica_members.c
+++ b/src/replica_members.c
@@ -87,6 +87,7 @@
 caught_up(const struct gyp_replica *r, const Gyp__Member *m)
 {
 	return heard_within(r, m, r->cfg.election_ms) &&
+	       gyp_raft_match(r->raft, m->id) > 0 &&
 	       gyp_raft_match(r->raft, m->id) + CAUGHT_UP_ENTRIES >=
 		   gyp_raft_last_index(r->raft);
 }
--- a/test/endpoint.c
+++ b/test/endpoint.c
@@ -8,8 +8,8 @@
  *	the time of one run; "fail ..." fails, "async ..." is taken with 202;
  *	"size=N" makes an answer of N bytes; "uses=N" reports that many
  *	thousandths of a processor. Each start, order and end is a line in the
- *	journal, so that tests can count. SIGUSR1 makes it leave: it ends what
- *	runs and exits. SIGTERM ends it at once.
+ *	journal: what, attempt, name, time in ms and, of a start, the payload.
+ *SIGUSR1 makes it leave: it ends what runs and exits. SIGTERM ends it at once.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -90,11 +90,13 @@
 };
 
 static void
-note(struct app *app, const char *what, const char *attempt)
+note(
+    struct app *app, const char *what, const char *attempt, const char *payload)
 {
 	if (app->journal == NULL)
 		return;
-	fprintf(app->journal, "%s %s %s\n", what, attempt, app->o.name);
+	fprintf(app->journal, "%s %s %s %" G_GUINT64_FORMAT " %.64s\n", what,
+	    attempt, app->o.name, gyp_clock_ms(), payload);
 	fflush(app->journal);
 }
 
@@ -139,7 +141,7 @@
 {
 	r->state = state;
 	app->list++;
-	note(app, state_name(state), r->attempt);
+	note(app, state_name(state), r->attempt, "");
 	if (r->req != NULL)
 		reply_run(app, r->req, r);
 	r->req = NULL;
@@ -189,7 +191,7 @@
 		g_free(payload);
 		return;
 	}
-	note(app, "start", attempt);
+	note(app, "start", attempt, payload);
 	app->list++;
 	r->end = gyp_clock_ms() +
 		 number_after(payload, "run_ms=", (uint64_t)app->o.run_ms);
@@ -251,7 +253,7 @@
 	if (r != NULL && limit != NULL)
 		r->uses =
 		    MIN(r->uses, (uint32_t)g_ascii_strtoull(limit, NULL, 10));
-	note(app, "throttled", attempt);
+	note(app, "throttled", attempt, "");
 	ask_run(app, req, attempt);
 }
 
--- a/test/sim_endpoint.c
+++ b/test/sim_endpoint.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "mutant.h"
 #include "sim.h"
 
 /* Interval of heartbeats and time for a call of an endpoint, in ms. */
@@ -305,7 +306,8 @@
 		return;
 	}
 	/* An earlier life may have run it; only of a start can one be sure. */
-	if (x->order->incarnation != s->endpoints[nth]->incarnation) {
+	if (x->order->incarnation != s->endpoints[nth]->incarnation &&
+	    !GYP_MUTANT(NO_INCARNATION)) {
 		send_back(
 		    s, x, start ? GYP_FATE_NOT_STARTED : GYP_FATE_LOST, NULL);
 		return;
@@ -669,7 +671,9 @@
 	n->up = true;
 	n->life++;
 	n->clock_offset = (uint64_t)sim_pick(s, 1, 1000000);
-	n->clock_ppm = sim_pick(s, -SIM_PPM_MAX, SIM_PPM_MAX + 1);
+	n->clock_ppm = s->slow_clocks
+			   ? -SIM_PPM_MAX
+			   : sim_pick(s, -SIM_PPM_MAX, SIM_PPM_MAX + 1);
 	ep->incarnation = sim_new_id(s);
 	ep->handle = 0;
 	ep->list = 0;
@@ -682,7 +686,7 @@
 	ep->capacity.cpu_milli = 1000 * (uint32_t)sim_pick(s, 2, 5);
 	ep->capacity.memory = 1000 * (uint64_t)sim_pick(s, 2, 5);
 	ep->capacity.slots = (uint32_t)sim_pick(s, 2, 5);
-	if (s->faults)
+	if (s->faults && !s->slow_clocks)
 		ep->manner = sim_one_in(s, 8)   ? MANNER_FAILS_ALL
 			     : sim_one_in(s, 4) ? MANNER_ANSWERS_TWICE
 						: MANNER_GOOD;
