explain says what held the job up in the policy's last round

Cause: the report guessed from the tables; the policy knows. Its first lines lead the reasons, the booked sums, the room and the queue follow; built-in defaults are named only where they decide. Ruled out: printing the policy's whole text beside the report, which named each rule twice (tried).

--- a/src/admin_explain.c
+++ b/src/admin_explain.c
@@ -49,6 +49,14 @@
 			  "text", rule->text));
 }
 
+/* Names a line of the file, but no built-in default. */
+static void
+add_written(struct explain *x, const struct gyp_rule *rule)
+{
+	if (rule != NULL && rule->line != 0)
+		add_rule(x, rule);
+}
+
 /* ---- Why it waits ------------------------------------------------------ */
 
 /* What the endpoints offer for one task of a size. */
@@ -230,20 +238,42 @@
 		add_reason(x, "its deadline is over");
 }
 
+/*
+ * What held the job up in the policy's last round: its first lines, up to the
+ * list of rules, which is given below in full.
+ */
+static void
+explain_policy(struct explain *x)
+{
+	char *text = gyp_policy_explain(x->r->policy, x->job);
+	char **lines = g_strsplit(text, "\n", -1);
+	size_t i;
+
+	for (i = 0; lines[i] != NULL; i++) {
+		if (g_str_has_prefix(lines[i], "policy "))
+			break;
+		if (lines[i][0] != '\0' && lines[i][0] != ' ' &&
+		    !g_str_has_prefix(lines[i], "task "))
+			add_reason(x, "%s", lines[i]);
+	}
+	g_strfreev(lines);
+	g_free(text);
+}
+
 static void
 explain_waiting(struct explain *x)
 {
 	const char *class_name = x->job->spec->class_;
 
-	add_reason(x, "%u of %u tasks wait", x->job->n_queued, x->job->n_tasks);
+	explain_policy(x);
 	explain_quota(x);
 	explain_capacity(x);
 	explain_queue(x);
 	explain_deadline(x);
-	add_rule(x, gyp_rules_urgent(x->r->rules, class_name));
-	add_rule(x, gyp_rules_share(x->r->rules, x->job->spec->team));
-	add_rule(x, gyp_rules_weight(x->r->rules, class_name));
-	add_rule(x, gyp_rules_reserve(x->r->rules));
+	add_written(x, gyp_rules_urgent(x->r->rules, class_name));
+	add_written(x, gyp_rules_share(x->r->rules, x->job->spec->team));
+	add_written(x, gyp_rules_weight(x->r->rules, class_name));
+	add_written(x, gyp_rules_reserve(x->r->rules));
 }
 
 /* ---- Why it is where it is --------------------------------------------- */
@@ -262,12 +292,9 @@
 	    "score weighs waiting %u against packing %u",
 	    x->job->n_placed, x->job->n_tasks, waiting, packing);
 	add_rule(x, weight);
-	if (gyp_rules_spread(rules, class_name)->line != 0)
-		add_rule(x, gyp_rules_spread(rules, class_name));
-	if (gyp_rules_limit(rules, "endpoint")->line != 0)
-		add_rule(x, gyp_rules_limit(rules, "endpoint"));
-	if (gyp_rules_limit(rules, "rack")->line != 0)
-		add_rule(x, gyp_rules_limit(rules, "rack"));
+	add_written(x, gyp_rules_spread(rules, class_name));
+	add_written(x, gyp_rules_limit(rules, "endpoint"));
+	add_written(x, gyp_rules_limit(rules, "rack"));
 }
 
 static void
--- a/test/operators.sh
+++ b/test/operators.sh
@@ -63,6 +63,8 @@
 waiting=$(submit waiting 3000)
 check '^because: .*quota' ctl 1 explain "$waiting"
 check '^rule line 3: quota press cpu=4 ' ctl 1 explain "$waiting"
+check '^because: 1 of 1 tasks wait: team press is at its quota' \
+    ctl 1 explain "$waiting"
 check '"text":"quota press cpu=4 ' ctl 1 explain "$waiting" --format=json
 check '^outcome +none' ctl 1 job "$waiting"
 check '^jobs_waiting +1$' ctl 1 status
