Measure the time without a leader after a kill, in virtual time

The net also counted a replica as level while its vote was not committed, and killed the leader of two voters and a learner: a lost majority, not a fault. It now waits for the commit of the last change of members.

--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -229,7 +229,7 @@
 		return false;
 	raft = gyp_replica_raft(s->nodes[leader].replica);
 	c = gyp_raft_members(raft);
-	if (c->n_members != (size_t)s->n_replicas)
+	if (c->n_members != (size_t)s->n_replicas || gyp_raft_changing(raft))
 		return false;
 	for (i = 0; i < s->n_replicas; i++) {
 		if (!sim_runs(s, i) ||
@@ -263,9 +263,11 @@
 			    job->accepted, job->running[0]);
 	}
 	for (i = 0; i < (guint)s->n_replicas; i++) {
-		const struct gyp_raft *raft =
-		    gyp_replica_raft(s->nodes[i].replica);
+		const struct gyp_raft *raft;
 
+		if (!s->nodes[i].up)
+			continue;
+		raft = gyp_replica_raft(s->nodes[i].replica);
 		fprintf(stderr,
 		    "replica %u: id %" G_GINT64_MODIFIER
 		    "x role %d term %" G_GUINT64_FORMAT
@@ -404,6 +406,42 @@
 		run_seed(seed);
 }
 
+/* The time without a leader after a kill, against the election timeout. */
+static void
+test_leaderless(void)
+{
+	uint64_t sum = 0, worst = 0;
+	guint32 seed;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		struct sim *s = g_new0(struct sim, 1);
+		uint64_t killed;
+		int leader;
+
+		setup(s, seed);
+		s->faults = false;
+		while (!replicas_level(s))
+			step(s);
+		leader = sim_leader(s);
+		g_assert_cmpint(leader, >=, 0);
+		sim_replica_kill(s, leader, false);
+		s->nodes[leader].restart_at = UINT64_MAX;
+		killed = s->now;
+		while (sim_leader(s) < 0 && s->now < killed + CALM_MS)
+			step(s);
+		if (sim_leader(s) < 0)
+			explain_stuck(s);
+		sum += s->now - killed;
+		worst = MAX(worst, s->now - killed);
+		teardown(s);
+		g_free(s);
+	}
+	g_test_message("without a leader after a kill, in shortest election "
+		       "timeouts: mean %.2f, worst %.2f of %d seeds",
+	    (double)sum / SEEDS / SIM_ELECTION_MS,
+	    (double)worst / SIM_ELECTION_MS, SEEDS);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -414,5 +452,7 @@
 #endif
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/cell/promises", test_promises);
+	if (g_getenv("GYP_SEED") == NULL && g_getenv("GYP_SECONDS") == NULL)
+		g_test_add_func("/cell/leaderless", test_leaderless);
 	return g_test_run();
 }
