--- a/src/state.c
+++ b/src/state.c
@@ -58,6 +58,29 @@
 	job->reason = g_strdup(reason);
 }
 
+/* ---- Watcher ------------------------------------------------------------ */
+
+void
+gyp_state_watch_endpoint(
+    const struct gyp_state *s, const struct gyp_endpoint *ep)
+{
+	if (s->watcher != NULL)
+		s->watcher->ops->endpoint(s->watcher, ep->id, ep);
+}
+
+void
+gyp_state_watch_queued(const struct gyp_state *s, const struct gyp_job *job)
+{
+	if (s->watcher != NULL)
+		s->watcher->ops->queued(s->watcher, job);
+}
+
+void
+gyp_state_watch(struct gyp_state *s, struct gyp_state_watcher *watcher)
+{
+	s->watcher = watcher;
+}
+
 /* ---- Retention --------------------------------------------------------- */
 
 void
@@ -168,6 +191,7 @@
 	job->submitted_ms = s->time_ms;
 	job->n_queued = job->n_tasks;
 	g_queue_push_tail_link(&s->queue, &job->link);
+	gyp_state_watch_queued(s, job);
 }
 
 static bool
@@ -201,6 +225,9 @@
 	t->endpoint = p->endpoint;
 	t->entry = p->entry;
 	gyp_state_set_task(s, job, t, GYP_TASK_PLACED);
+	gyp_state_watch_endpoint(s, ep);
+	if (s->watcher != NULL)
+		s->watcher->ops->booked(s->watcher, job, p->task);
 }
 
 static void
@@ -209,7 +236,7 @@
 	struct gyp_job *job = gyp_table_get(s->jobs, p->job);
 	struct gyp_task *t = &job->tasks[p->task];
 
-	gyp_state_release_booking(s, job, t);
+	gyp_state_release_booking(s, job, t, NULL);
 	t->attempt--;
 	gyp_state_set_task(s, job, t, GYP_TASK_QUEUED);
 }
@@ -311,6 +338,7 @@
 		return;
 	ep = gyp_table_add(s->endpoints, &id);
 	gyp_state_init_endpoint(s, ep, id, cmd);
+	gyp_state_watch_endpoint(s, ep);
 }
 
 static gint
@@ -376,9 +404,12 @@
 		return;
 	if (cmd->state != GYP_ENDPOINT_GONE) {
 		ep->state = cmd->state;
+		gyp_state_watch_endpoint(s, ep);
 		return;
 	}
 	end_attempts_of(s, ep);
+	if (s->watcher != NULL)
+		s->watcher->ops->endpoint(s->watcher, ep->id, NULL);
 	g_hash_table_remove(s->endpoint_names, ep->spec->name);
 	release_endpoint(ep);
 	gyp_table_remove(s->endpoints, cmd->endpoint);
