--- a/src/state_save.c
+++ b/src/state_save.c
@@ -334,6 +334,7 @@
 	if (snap == NULL)
 		return false;
 	fresh = gyp_state_new(listener);
+	fresh->watcher = s->watcher;
 	gyp_state_clear(s);
 	*s = *fresh;
 	g_free(fresh);
