--- a/src/entry_int.h
+++ b/src/entry_int.h
@@ -65,8 +65,8 @@
 	uint64_t sent_at;
 	uint64_t sweep_at;
 	uint64_t cell_time; /* committed, as the leader told it */
-	bool due;           /* a frame is */
-	uint64_t due_at;    /* a frame is, then */
+	bool due;           /* for a frame */
+	uint64_t due_at;    /* time of the next frame, if not due before */
 	bool draining;
 	uint64_t next_id;
 	GHashTable *calls; /* id -> struct gyp_call */
--- a/test/cluster.sh
+++ b/test/cluster.sh
@@ -40,6 +40,10 @@
 	unset "pids[$1]"
 }
 
+metrics_address() {
+	echo "127.0.0.1:$((base + 30 + $1))"
+}
+
 start_cell() {
 	local n=$1
 	shift
@@ -51,6 +55,7 @@
 data_centre = dc-$n
 name = cell-$n
 compact = 64KiB
+metrics = $(metrics_address "$n")
 INI
 	start "cell$n" "$bin/gyp-cell" --config "$dir/cell$n.ini" "$@"
 }
--- a/test/drain.sh
+++ b/test/drain.sh
@@ -89,4 +89,11 @@
 curl -s "$url2/metrics" | tee "$dir/metrics" | grep gyp_requests_total
 grep -q 'gyp_requests_total{class="booking",outcome="done"} 2' \
     "$dir/metrics" || fail "counters"
+# 5 first starts of the class: large, larger, slow, late and last.
+curl -s "http://$(metrics_address 1)/metrics" >"$dir/metrics"
+for want in 'gyp_wait_seconds_bucket{class="booking",le="+Inf"} 5' \
+    'gyp_wait_seconds_count{class="booking"} 5' 'gyp_leading 1' \
+    'gyp_starts_total{class="booking"} 5' 'direction="out"'; do
+	grep -q "$want" "$dir/metrics" || fail "no $want at the leader"
+done
 echo "drain: done"
--- a/test/test_state.c
+++ b/test/test_state.c
@@ -107,6 +107,19 @@
 	apply(s, &cmd);
 }
 
+static void
+refuse_key(struct gyp_state *s, const char *key)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdCancel c = GYP__CMD_CANCEL__INIT;
+
+	c.team = "t";
+	c.key = (char *)key;
+	cmd.c_case = GYP__CMD__C_CANCEL;
+	cmd.cancel = &c;
+	apply(s, &cmd);
+}
+
 static void
 test_capacity(void)
 {
@@ -228,9 +241,11 @@
 {
 	struct gyp_state *s = gyp_state_new(NULL);
 	const struct gyp_endpoint *ep;
+	uint64_t job;
 	size_t i;
 
 	add_endpoint(s, "e", 1000);
+	job = submit(s, "a", 1, 100, true);
 	ep = gyp_state_endpoint_by_name(s, "e");
 	for (i = 0; i < G_N_ELEMENTS(endpoint_steps); i++) {
 		Gyp__Cmd cmd = GYP__CMD__INIT;
@@ -243,6 +258,12 @@
 		cmd.endpoint_state = &es;
 		apply(s, &cmd);
 		g_assert_cmpint(ep->state, ==, endpoint_steps[i].after);
+		if (ep->state == GYP_ENDPOINT_ACTIVE)
+			continue;
+		/* Whatever a leader proposes, it gets nothing new. */
+		place(s, job, 0, 1, "e");
+		g_assert_cmpint(
+		    gyp_state_job(s, job)->tasks[0].state, ==, GYP_TASK_QUEUED);
 	}
 	gyp_state_free(s);
 }
@@ -265,12 +286,15 @@
 	place(s, a, 0, 1, "e");
 	place(s, a, 1, 1, "f");
 	finish(s, a, 0, 1, GYP__OUTCOME__OUTCOME_DONE);
+	refuse_key(s, "never");
 	saved = gyp_state_save(s);
 	data = g_bytes_get_data(saved, &len);
 	g_assert_true(gyp_state_restore(copy, data, len));
 	gyp_state_check(copy);
 	again = gyp_state_save(copy);
 	g_assert_true(g_bytes_equal(saved, again));
+	g_assert_true(gyp_state_key_refused(copy, "t", "never"));
+	g_assert_false(gyp_state_key_refused(copy, "t", "a"));
 	g_assert_false(gyp_state_restore(copy, (const uint8_t *)"\xff", 1));
 	g_bytes_unref(saved);
 	g_bytes_unref(again);
