--- a/test/cluster.sh
+++ b/test/cluster.sh
@@ -40,6 +40,10 @@
 	unset "pids[$1]"
 }
 
+metrics_address() {
+	echo "127.0.0.1:$((base + 30 + $1))"
+}
+
 start_cell() {
 	local n=$1
 	shift
@@ -52,6 +56,7 @@
 name = cell-$n
 compact = 64KiB
 ${cell_settings:-}
+metrics = $(metrics_address "$n")
 INI
 	start "cell$n" "$bin/gyp-cell" --config "$dir/cell$n.ini" "$@"
 }
