Read waiting from the cells' counters

Cause: errors are counted at entries, waiting at the leader, whose counters have an address of their own by now.

--- a/test/operators.sh
+++ b/test/operators.sh
@@ -82,6 +82,14 @@
 
 echo "== error budgets, from the running entry"
 goal=class=juicing,target=99
+# A start between two readings counts in the report.
+waits_counted() {
+	"$bin/gyp-burn" record --samples "$dir/waits" \
+	    --entry "127.0.0.1:$((base + 31))" &&
+	    submit "wait-$RANDOM" 10 >/dev/null &&
+	    "$bin/gyp-burn" report --samples "$dir/waits" \
+		--objective "$goal,within=3s"
+}
 check '^juicing +errors +99%' "$bin/gyp-burn" report --pause 0 \
     --entry "$(entry_address 1)" --objective "$goal"
 for _ in 1 2; do
@@ -90,6 +98,7 @@
 done
 check '"class":"juicing"' "$bin/gyp-burn" report --samples "$dir/samples" \
     --objective "$goal" --format=json
+until_true shows '^juicing +waiting .* [1-9][0-9]* +[0-9]+ ' waits_counted
 
 echo "== members, and entries that do not answer"
 check '127.0.0.1:[0-9]+ .* yes +yes +yes +0$' ctl 1 members
