--- a/src/burn.c
+++ b/src/burn.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "burn.h"
+#include "units.h"
 
 #define REQUESTS "gyp_requests_total"
 #define WAITS    "gyp_wait_seconds_bucket"
@@ -342,17 +343,12 @@
 static bool
 parse_time(const char *text, uint32_t *ms)
 {
-	char *end;
-	guint64 v = g_ascii_strtoull(text, &end, 10);
-	uint64_t factor = strcmp(end, "ms") == 0  ? 1
-			  : strcmp(end, "s") == 0 ? 1000
-			  : strcmp(end, "m") == 0 ? 60000
-						  : 0;
-
-	if (!g_ascii_isdigit(text[0]) || factor == 0 || v == 0 ||
-	    v > UINT32_MAX / factor)
+	uint64_t v;
+
+	if (!gyp_units_parse(text, gyp_units_ms, &v) || v == 0 ||
+	    v > UINT32_MAX)
 		return false;
-	*ms = (uint32_t)(v * factor);
+	*ms = (uint32_t)v;
 	return true;
 }
 
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -18,6 +18,7 @@
 #include "msg.h"
 #include "status.h"
 #include "table.h"
+#include "units.h"
 
 /* ---- Core: the cell ------------------------------------------------------ */
 #include "health.h"  /* who is to blame for failures */
--- a/src/rules_parse.c
+++ b/src/rules_parse.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "rules_int.h"
+#include "units.h"
 
 /* Longest line, in bytes. */
 #define LINE_MAX_BYTES 1024
@@ -124,17 +125,11 @@
 	return i > 0 && i <= NAME_MAX_BYTES;
 }
 
-struct unit {
-	const char *name;
-	uint64_t factor;
-};
-
-static const struct unit units[][4] = {[VALUE_COUNT] = {{"", 1}},
-    [VALUE_PERCENT] = {{"%", 1}},
-    [VALUE_MS] = {{"ms", 1}, {"s", 1000}, {"m", 60000}},
-    [VALUE_BYTES] = {{"KiB", 1ULL << 10}, {"MiB", 1ULL << 20},
-	{"GiB", 1ULL << 30}},
-    [VALUE_CPU] = {{"", 1}}};
+static const struct gyp_unit *const units[] = {[VALUE_COUNT] = gyp_units_none,
+    [VALUE_PERCENT] = gyp_units_percent,
+    [VALUE_MS] = gyp_units_ms,
+    [VALUE_BYTES] = gyp_units_bytes,
+    [VALUE_CPU] = gyp_units_none};
 
 static const char *const value_help[] = {[VALUE_COUNT] = "a whole number",
     [VALUE_PERCENT] = "a percentage such as 10%",
@@ -142,38 +137,13 @@
     [VALUE_BYTES] = "a size such as 512MiB or 64GiB",
     [VALUE_CPU] = "a whole number of processors"};
 
-/* Digits and one of the type's units; false on anything else. */
-static bool
-parse_number(const char *text, enum value_type type, uint64_t *out)
-{
-	char *end;
-	uint64_t v;
-	guint i;
-
-	/* 18 digits and the largest factor stay below 2^64 in the check. */
-	if (!g_ascii_isdigit(text[0]) || strspn(text, "0123456789") > 18)
-		return false;
-	v = g_ascii_strtoull(text, &end, 10);
-	for (i = 0; i < G_N_ELEMENTS(units[type]); i++) {
-		const struct unit *u = &units[type][i];
-
-		if (u->name == NULL || strcmp(end, u->name) != 0)
-			continue;
-		if (v > UINT64_MAX / u->factor)
-			return false;
-		*out = v * u->factor;
-		return true;
-	}
-	return false;
-}
-
 static bool
 set_number(struct parse *p, const struct key_spec *key, void *dest,
     const char *text, guint col)
 {
 	uint64_t v = 0;
 
-	if (!parse_number(text, key->type, &v))
+	if (!gyp_units_parse(text, units[key->type], &v))
 		return refuse(p, col, "\"%.40s\": expected %s", text,
 		    value_help[key->type]);
 	if (v < key->min || v > key->max)
--- a/src/settings.c
+++ b/src/settings.c
@@ -10,6 +10,7 @@
 
 #include "link.h"
 #include "settings.h"
+#include "units.h"
 
 struct parse {
 	const char *path;
@@ -21,16 +22,6 @@
 	bool failed;
 };
 
-struct unit {
-	const char *name;
-	uint64_t factor;
-};
-
-static const struct unit ms_units[] = {{"ms", 1}, {"s", 1000}, {NULL, 0}};
-static const struct unit byte_units[] = {{"KiB", 1024}, {"MiB", 1024 * 1024},
-    {"GiB", 1024 * 1024 * 1024}, {NULL, 0}};
-static const struct unit plain_units[] = {{"", 1}, {NULL, 0}};
-
 static int
 refuse(struct parse *p, const struct gyp_setting *s, const char *value,
     const char *expected)
@@ -41,12 +32,12 @@
 	return 0;
 }
 
-static const struct unit *
+static const struct gyp_unit *
 units_of(enum gyp_setting_type type)
 {
 	if (type == GYP_SETTING_MS)
-		return ms_units;
-	return type == GYP_SETTING_BYTES ? byte_units : plain_units;
+		return gyp_units_ms;
+	return type == GYP_SETTING_BYTES ? gyp_units_bytes : gyp_units_none;
 }
 
 static char *
@@ -67,32 +58,6 @@
 					   : "");
 }
 
-/* Reads digits and one of the units; false on anything else. */
-static bool
-parse_number(const char *value, const struct unit *units, uint64_t *out)
-{
-	char *end;
-	uint64_t v;
-
-	if (!g_ascii_isdigit(value[0]))
-		return false;
-	errno = 0;
-	v = g_ascii_strtoull(value, &end, 10);
-	if (errno != 0)
-		return false;
-	while (*end == ' ')
-		end++;
-	for (; units->name != NULL; units++) {
-		if (strcmp(end, units->name) != 0)
-			continue;
-		if (v > UINT64_MAX / units->factor)
-			return false;
-		*out = v * units->factor;
-		return true;
-	}
-	return false;
-}
-
 static int
 set_number(struct parse *p, const struct gyp_setting *s, const char *value)
 {
@@ -101,7 +66,7 @@
 		       : s->type == GYP_SETTING_BYTES ? UINT64_MAX
 						      : UINT32_MAX;
 
-	if (!parse_number(value, units_of(s->type), &v) || v < s->min ||
+	if (!gyp_units_parse(value, units_of(s->type), &v) || v < s->min ||
 	    v > max) {
 		char *expected = describe_number(s);
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -24,7 +24,7 @@
 	GYP_SETTING_ADDRESS,   /* char *, "ip:port" */
 	GYP_SETTING_ADDRESSES, /* char **, NULL-terminated, comma-separated */
 	GYP_SETTING_FOLDER,    /* char *, made if missing, must be writable */
-	GYP_SETTING_MS,        /* uint32_t, written with "ms" or "s" */
+	GYP_SETTING_MS,        /* uint32_t, written with "ms", "s" or "m" */
 	GYP_SETTING_BYTES,     /* uint64_t, written with "KiB", "MiB", "GiB" */
 	GYP_SETTING_COUNT      /* uint32_t, plain */
 };
--- /dev/null
+++ b/src/units.h
@@ -0,0 +1,29 @@
+#ifndef GYP_UNITS_H
+#define GYP_UNITS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * NAME
+ *	units - whole numbers with a unit, in settings, rules and objectives
+ */
+
+struct gyp_unit {
+	const char *name;
+	uint64_t factor;
+};
+
+/* Each list ends with a NULL name. */
+extern const struct gyp_unit gyp_units_none[];    /* plain numbers */
+extern const struct gyp_unit gyp_units_percent[]; /* "%" */
+extern const struct gyp_unit gyp_units_ms[];      /* "ms", "s", "m" */
+extern const struct gyp_unit gyp_units_bytes[];   /* "KiB", "MiB", "GiB" */
+
+/*
+ * Reads digits, blanks and one of the units; false on anything else, and when
+ * the product is above 2^64 - 1.
+ */
+bool gyp_units_parse(const char *text, const struct gyp_unit *, uint64_t *out);
+
+#endif
