--- a/test/operators.sh
+++ b/test/operators.sh
@@ -56,6 +56,31 @@
 ctl 1 rules show 2>/dev/null | cmp - "$dir/rules" || fail "rules show"
 refused 1 'no such' ctl 1 rules show --rules-version 9
 
+# answers STATUS PATTERN CURL-ARGUMENTS...: to a POST of rules.
+answers() {
+	local want=$1 pattern=$2 got
+	shift 2
+	got=$(curl -s -o "$dir/answer" -w '%{http_code}' -X POST "$@")
+	[ "$got" = "$want" ] && grep -q -- "$pattern" "$dir/answer" ||
+	    fail "expected $want and $pattern, not $got: $(cat "$dir/answer")"
+}
+
+echo "== what is no rules file never reaches the log"
+url=http://$(entry_address 1)/v1/admin/rules
+head -c 65537 /dev/zero | tr '\0' '\n' >"$dir/long"
+printf 'share a 1 # Ravi: x\0y\n' >"$dir/nul"
+printf '\377\001\200 noise\177\n' >"$dir/noise"
+id='Gyp-Request: odd'
+answers 400 'base: expected' -H "$id" "$url" -d ''
+answers 400 'base: expected' -H "$id" "$url?base=-1" -d ''
+answers 400 'wait_ms: expected' -H "$id" "$url?base=1&wait_ms=x" -d ''
+answers 400 'expected a request id' "$url?base=1" -d ''
+answers 413 'at most 65536' -H "$id" "$url?base=1" --data-binary "@$dir/long"
+answers 400 'without NUL' -H "$id" "$url?base=1" --data-binary "@$dir/nul"
+answers 400 'rules:1:' -H "$id" "$url?base=1" --data-binary "@$dir/noise"
+answers 400 'rules:1:1: ' -H "$id" "$url?base=1" -d 'shre a 1 # Ravi: x'
+check '^version 1, in force everywhere' ctl 1 rules status
+
 echo "== a placed job, and one that waits behind its team's quota"
 placed=$(submit placed 3000)
 until_true shows '^0 +placed.*vm-1' ctl 1 explain "$placed"
