--- a/test/sim_caller.c
+++ b/test/sim_caller.c
@@ -243,10 +243,13 @@
 	job->spec.idempotent = !sim_one_in(s, 3);
 	/* A few that run until their endpoint is lost, and room for them. */
 	if (s->slow_clocks) {
-		job->spec.kind = s->jobs->len % 12 == 0
-				     ? GYP__KIND__KIND_WATCHER
-				     : GYP__KIND__KIND_REQUEST;
+		bool stays = s->jobs->len % 6 == 0;
+
+		job->spec.kind =
+		    stays ? GYP__KIND__KIND_WATCHER : GYP__KIND__KIND_REQUEST;
 		job->spec.idempotent = true;
+		job->size.cpu_milli = stays ? 400 : job->size.cpu_milli;
+		job->size.memory = stays ? 400 : job->size.memory;
 	}
 	job->spec.tasks = job->spec.kind == GYP__KIND__KIND_GANG
 			      ? (uint32_t)sim_pick(s, 2, 4)
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -135,7 +135,7 @@
 {
 	int leader = sim_leader(s);
 
-	if (s->slow_clocks && sim_one_in(s, 500))
+	if (s->slow_clocks && sim_one_in(s, 400))
 		cut_for_a_lease(s);
 	if (s->slow_clocks) /* a new leader would wait out the long lease */
 		return;
