Ask to join again when no leader speaks

Cause: the entry that made a replica a member was never committed; its next leader did not know it, and it took itself for a member and did not ask (test_cell, fresh: two members of three until the end). A replica that no leader has spoken to for four election timeouts asks too.

--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -238,7 +238,11 @@
 	return false;
 }
 
-/* Asks all known replicas; the leader among them acts on it. */
+/*
+ * Asks all known replicas; the leader among them acts on it. One that no
+ * leader speaks to asks as well: the entry that made it a member may never
+ * have been committed.
+ */
 static void
 on_join(void *arg, uint64_t now)
 {
@@ -248,10 +252,11 @@
 	Gyp__Member member = GYP__MEMBER__INIT;
 	GBytes *packed;
 	char **address;
+	bool alone = gyp_raft_is_alone(gyp_replica_raft(app->replica));
 
 	(void)now;
 	note_members(app);
-	if (is_member(app) || app->set->join == NULL)
+	if ((is_member(app) && !alone) || app->set->join == NULL)
 		return;
 	member.id = gyp_store_id(app->store);
 	member.address = app->set->listen;
--- a/src/raft.c
+++ b/src/raft.c
@@ -1476,6 +1476,14 @@
 	return r->leader;
 }
 
+bool
+gyp_raft_is_alone(const struct gyp_raft *r)
+{
+	return r->role != GYP_RAFT_LEADER &&
+	       r->now > MAX(r->leader_contact, r->started) +
+			    4 * (uint64_t)r->cfg.election_ms;
+}
+
 uint64_t
 gyp_raft_commit(const struct gyp_raft *r)
 {
--- a/src/raft.h
+++ b/src/raft.h
@@ -110,6 +110,8 @@
 uint64_t gyp_raft_id(const struct gyp_raft *);
 uint64_t gyp_raft_term(const struct gyp_raft *);
 uint64_t gyp_raft_leader(const struct gyp_raft *);
+/* True when no leader has spoken to it for four election timeouts. */
+bool gyp_raft_is_alone(const struct gyp_raft *);
 uint64_t gyp_raft_commit(const struct gyp_raft *);
 uint64_t gyp_raft_applied(const struct gyp_raft *);
 uint64_t gyp_raft_last_index(const struct gyp_raft *);
--- a/test/sim_proc.c
+++ b/test/sim_proc.c
@@ -461,7 +461,8 @@
 
 	n->join_at = s->now + 500;
 	for (i = 0; i < c->n_members; i++) {
-		if (c->members[i]->id == n->id)
+		if (c->members[i]->id == n->id &&
+		    !gyp_raft_is_alone(gyp_replica_raft(n->replica)))
 			return;
 	}
 	member.id = n->id;
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -19,6 +19,9 @@
 
 #define SEEDS 40
 
+/* Fresh seeds that once failed. */
+static const guint32 found[] = {3534436597};
+
 #ifdef GYP_MUTANTS
 int gyp_mutant;
 #endif
@@ -404,6 +407,8 @@
 	}
 	for (seed = 1; seed <= SEEDS; seed++)
 		run_seed(seed);
+	for (seed = 0; seed < G_N_ELEMENTS(found); seed++)
+		run_seed(found[seed]);
 }
 
 /* The time without a leader after a kill, against the election timeout. */
