Raft: one file a job; its test likewise

Cause: raft.c had grown to 1,545 lines and its test to 1,190.

Change: raft_config, raft_log, raft_send, raft_elect, raft_append, raft_snap and raft (the door), with raft_int.h between them; test/raft_net.[ch] holds the replicas in one process.

--- /dev/null
+++ b/src/raft_elect.c
@@ -0,0 +1,306 @@
+#include "raft_int.h"
+
+/* ---- Terms and roles ---------------------------------------------------- */
+
+void
+gyp_raft_reset_election(struct gyp_raft *r)
+{
+	r->election_at =
+	    r->now + r->cfg.election_ms +
+	    (uint64_t)g_rand_int_range(r->rand, 0, (gint32)r->cfg.election_ms);
+}
+
+void
+gyp_raft_set_term(struct gyp_raft *r, uint64_t term, uint64_t vote)
+{
+	struct gyp_raft_deferred *d;
+
+	if (term == r->term && vote == r->vote)
+		return;
+	if (term != r->term) {
+		/* Acknowledgements of an older term may no longer be true. */
+		while ((d = g_queue_pop_head(&r->deferred)) != NULL)
+			gyp_raft_free_deferred(d);
+	}
+	r->term = term;
+	r->vote = vote;
+	gyp_raft_write_vote(r);
+}
+
+void
+gyp_raft_become_follower(struct gyp_raft *r, uint64_t term, uint64_t leader)
+{
+	if (term > r->term)
+		gyp_raft_set_term(r, term, 0);
+	if (r->role != GYP_RAFT_FOLLOWER || leader != r->leader)
+		gyp_raft_reset_election(r);
+	r->role = GYP_RAFT_FOLLOWER;
+	r->leader = leader;
+}
+
+void
+gyp_raft_become_leader(struct gyp_raft *r)
+{
+	guint i;
+
+	r->role = GYP_RAFT_LEADER;
+	r->leader = r->cfg.id;
+	r->successor = 0;
+	r->heartbeat_at = r->now + r->cfg.heartbeat_ms;
+	g_array_set_size(r->peers, 0);
+	gyp_raft_sync_peers(r);
+	for (i = 0; i < r->peers->len; i++) {
+		struct gyp_raft_progress *p =
+		    &g_array_index(r->peers, struct gyp_raft_progress, i);
+
+		p->heard = r->now;
+	}
+	gyp_raft_append_noop(r);
+	r->term_start = gyp_raft_last_index(r);
+	r->settled = r->term_start;
+	gyp_raft_replicate_all(r, true);
+}
+
+bool
+gyp_raft_has_voted(const struct gyp_raft *r, uint64_t id, uint64_t arg)
+{
+	(void)arg;
+	return g_hash_table_contains(r->votes, &id);
+}
+
+void
+gyp_raft_add_vote(struct gyp_raft *r, uint64_t id)
+{
+	g_hash_table_add(r->votes, g_memdup2(&id, sizeof(id)));
+}
+
+static void
+ask_for_votes(struct gyp_raft *r, Gyp__RaftType type, uint64_t term)
+{
+	guint i;
+
+	g_array_set_size(r->peers, 0);
+	gyp_raft_sync_peers(r);
+	for (i = 0; i < r->peers->len; i++) {
+		uint64_t id =
+		    g_array_index(r->peers, struct gyp_raft_progress, i).id;
+		Gyp__RaftMsg m = gyp_raft_make_message(r, type, id);
+
+		if (!gyp_raft_is_voter(r, id))
+			continue;
+		m.term = term;
+		m.index = gyp_raft_last_index(r);
+		m.log_term = gyp_raft_term_at(r, m.index);
+		m.force = r->forced;
+		m.round = r->prevote_at;
+		gyp_raft_send_durable(r, &m);
+	}
+}
+
+static void
+start_election(struct gyp_raft *r)
+{
+	r->role = GYP_RAFT_CANDIDATE;
+	r->leader = 0;
+	gyp_raft_set_term(r, r->term + 1, r->cfg.id);
+	gyp_raft_reset_election(r);
+	g_hash_table_remove_all(r->votes);
+	ask_for_votes(r, GYP__RAFT_TYPE__RAFT_VOTE, r->term);
+	/* The own vote counts once it is synced, see gyp_raft_synced(). */
+}
+
+void
+gyp_raft_start_prevote(struct gyp_raft *r)
+{
+	gyp_raft_reset_election(r);
+	/*
+	 * Without the vote, but with the newest log: others may not know yet
+	 * that they can do without this replica, and could not win its vote.
+	 */
+	if (!gyp_raft_is_voter(r, r->cfg.id) && !r->former)
+		return;
+	r->role = GYP_RAFT_PRECANDIDATE;
+	r->leader = 0;
+	r->forced = false;
+	r->prevote_at = r->now;
+	g_hash_table_remove_all(r->votes);
+	gyp_raft_add_vote(r, r->cfg.id);
+	if (gyp_raft_quorum(r, gyp_raft_has_voted, 0)) {
+		start_election(r);
+		return;
+	}
+	ask_for_votes(r, GYP__RAFT_TYPE__RAFT_PREVOTE, r->term + 1);
+}
+
+static bool
+heard_since(const struct gyp_raft *r, uint64_t id, uint64_t since)
+{
+	const struct gyp_raft_progress *p;
+
+	if (id == r->cfg.id)
+		return true;
+	p = gyp_raft_find_peer(r, id);
+	return p != NULL && p->heard >= since;
+}
+
+bool
+gyp_raft_has_lease(const struct gyp_raft *r, uint64_t now)
+{
+	uint64_t window = r->cfg.election_ms - r->cfg.heartbeat_ms;
+
+	return r->role == GYP_RAFT_LEADER &&
+	       gyp_raft_quorum(r, heard_since, now > window ? now - window : 0);
+}
+
+void
+gyp_raft_tick_leader(struct gyp_raft *r)
+{
+	uint64_t window = r->cfg.election_ms;
+
+	if (!gyp_raft_quorum(
+		r, heard_since, r->now > window ? r->now - window : 0)) {
+		gyp_raft_become_follower(r, r->term, 0);
+		return;
+	}
+	if (r->now >= r->successor_until)
+		r->successor = 0;
+	if (r->now >= r->heartbeat_at) {
+		r->heartbeat_at = r->now + r->cfg.heartbeat_ms;
+		gyp_raft_replicate_all(r, true);
+	}
+}
+
+/* ---- Votes -------------------------------------------------------------- */
+
+static bool
+log_is_current(const struct gyp_raft *r, const Gyp__RaftMsg *m)
+{
+	uint64_t last = gyp_raft_last_index(r);
+	uint64_t last_term = gyp_raft_term_at(r, last);
+
+	return m->log_term > last_term ||
+	       (m->log_term == last_term && m->index >= last);
+}
+
+/*
+ * A live leader must not be deposed by a replica that merely lost touch. A
+ * restarted replica may have answered a leader just before it stopped.
+ */
+static bool
+leader_is_live(const struct gyp_raft *r)
+{
+	if (r->role == GYP_RAFT_LEADER)
+		return gyp_raft_has_lease(r, r->now);
+	if (r->now < r->started + r->cfg.election_ms)
+		return true;
+	return r->leader != 0 &&
+	       r->now < r->leader_contact + r->cfg.election_ms;
+}
+
+void
+gyp_raft_on_prevote(struct gyp_raft *r, const Gyp__RaftMsg *m)
+{
+	Gyp__RaftMsg reply = gyp_raft_make_message(
+	    r, GYP__RAFT_TYPE__RAFT_PREVOTE_REPLY, m->from);
+
+	reply.reject =
+	    m->term <= r->term || leader_is_live(r) || !log_is_current(r, m);
+	reply.term = reply.reject ? r->term : m->term;
+	reply.round = m->round;
+	r->io->ops->send(r->io, m->from, &reply);
+}
+
+void
+gyp_raft_on_vote(struct gyp_raft *r, const Gyp__RaftMsg *m)
+{
+	Gyp__RaftMsg reply;
+	bool grant;
+
+	if (!m->force && leader_is_live(r))
+		return;
+	if (m->term > r->term)
+		gyp_raft_become_follower(r, m->term, 0);
+	grant = m->term == r->term && (r->vote == 0 || r->vote == m->from) &&
+		log_is_current(r, m);
+	if (grant) {
+		gyp_raft_set_term(r, r->term, m->from);
+		gyp_raft_reset_election(r);
+	}
+	reply =
+	    gyp_raft_make_message(r, GYP__RAFT_TYPE__RAFT_VOTE_REPLY, m->from);
+	reply.reject = !grant;
+	gyp_raft_send_durable(r, &reply);
+}
+
+void
+gyp_raft_on_vote_reply(struct gyp_raft *r, const Gyp__RaftMsg *m)
+{
+	bool pre = m->type == GYP__RAFT_TYPE__RAFT_PREVOTE_REPLY;
+
+	if (m->reject) {
+		if (m->term > r->term)
+			gyp_raft_become_follower(r, m->term, 0);
+		return;
+	}
+	/* A late grant says nothing of the leader that there may be by now. */
+	if (pre && r->role == GYP_RAFT_PRECANDIDATE && m->term == r->term + 1 &&
+	    m->round == r->prevote_at) {
+		gyp_raft_add_vote(r, m->from);
+		if (gyp_raft_quorum(r, gyp_raft_has_voted, 0))
+			start_election(r);
+	} else if (!pre && r->role == GYP_RAFT_CANDIDATE &&
+		   m->term == r->term) {
+		gyp_raft_add_vote(r, m->from);
+		if (gyp_raft_quorum(r, gyp_raft_has_voted, 0))
+			gyp_raft_become_leader(r);
+	}
+}
+
+/* ---- Hand-over ---------------------------------------------------------- */
+
+void
+gyp_raft_on_timeout_now(struct gyp_raft *r, const Gyp__RaftMsg *m)
+{
+	if (m->term != r->term || !gyp_raft_is_voter(r, r->cfg.id))
+		return;
+	r->forced = true;
+	start_election(r);
+}
+
+/* The successor must hold all entries, else it would lose the election. */
+void
+gyp_raft_call_successor(struct gyp_raft *r, const struct gyp_raft_progress *p)
+{
+	Gyp__RaftMsg m =
+	    gyp_raft_make_message(r, GYP__RAFT_TYPE__RAFT_TIMEOUT_NOW, p->id);
+
+	if (p->id == r->successor && p->match == gyp_raft_last_index(r))
+		r->io->ops->send(r->io, p->id, &m);
+}
+
+bool
+gyp_raft_hand_over(struct gyp_raft *r)
+{
+	uint64_t window = 2 * (uint64_t)r->cfg.heartbeat_ms;
+	uint64_t since = r->now > window ? r->now - window : 0;
+	const struct gyp_raft_progress *best = NULL;
+	guint i;
+
+	if (r->role != GYP_RAFT_LEADER)
+		return false;
+	for (i = 0; i < r->peers->len; i++) {
+		const struct gyp_raft_progress *p =
+		    &g_array_index(r->peers, struct gyp_raft_progress, i);
+
+		if (gyp_raft_is_voter(r, p->id) &&
+		    heard_since(r, p->id, since) &&
+		    (best == NULL || p->match > best->match))
+			best = p;
+	}
+	if (best == NULL)
+		return false;
+	r->successor = best->id;
+	r->successor_until = r->now + r->cfg.election_ms;
+	gyp_raft_call_successor(r, best);
+	return true;
+}
--- /dev/null
+++ b/src/raft_send.c
@@ -0,0 +1,213 @@
+#include "raft_int.h"
+
+/* Appends to one member that may be under way without an answer. */
+#define INFLIGHT_MAX 16
+
+/* ---- Sending ------------------------------------------------------------ */
+
+Gyp__RaftMsg
+gyp_raft_make_message(const struct gyp_raft *r, Gyp__RaftType type, uint64_t to)
+{
+	Gyp__RaftMsg m = GYP__RAFT_MSG__INIT;
+
+	m.type = type;
+	m.from = r->cfg.id;
+	m.to = to;
+	m.term = r->term;
+	return m;
+}
+
+void
+gyp_raft_free_deferred(gpointer p)
+{
+	struct gyp_raft_deferred *d = p;
+
+	g_bytes_unref(d->packed);
+	g_free(d);
+}
+
+/* Sends m once every record written so far is synced. */
+void
+gyp_raft_send_durable(struct gyp_raft *r, const Gyp__RaftMsg *m)
+{
+	struct gyp_raft_deferred *d;
+	size_t len;
+	uint8_t *bytes;
+
+	if (r->synced_seq >= r->write_seq) {
+		r->io->ops->send(r->io, m->to, m);
+		return;
+	}
+	len = gyp__raft_msg__get_packed_size(m);
+	bytes = g_malloc(len + 1);
+	gyp__raft_msg__pack(m, bytes);
+	d = g_new0(struct gyp_raft_deferred, 1);
+	d->seq = r->write_seq;
+	d->to = m->to;
+	d->packed = g_bytes_new_take(bytes, len);
+	g_queue_push_tail(&r->deferred, d);
+}
+
+void
+gyp_raft_flush_deferred(struct gyp_raft *r)
+{
+	struct gyp_raft_deferred *d;
+
+	while ((d = g_queue_peek_head(&r->deferred)) != NULL &&
+	       d->seq <= r->synced_seq) {
+		gsize len;
+		const uint8_t *bytes = g_bytes_get_data(d->packed, &len);
+		Gyp__RaftMsg *m = gyp__raft_msg__unpack(NULL, len, bytes);
+
+		g_queue_pop_head(&r->deferred);
+		r->io->ops->send(r->io, d->to, m);
+		gyp__raft_msg__free_unpacked(m, NULL);
+		gyp_raft_free_deferred(d);
+	}
+}
+
+struct gyp_raft_progress *
+gyp_raft_find_peer(const struct gyp_raft *r, uint64_t id)
+{
+	guint i;
+
+	for (i = 0; i < r->peers->len; i++) {
+		struct gyp_raft_progress *p =
+		    &g_array_index(r->peers, struct gyp_raft_progress, i);
+
+		if (p->id == id)
+			return p;
+	}
+	return NULL;
+}
+
+static void
+add_peers(struct gyp_raft *r, const Gyp__Config *config)
+{
+	size_t i;
+
+	if (config == NULL)
+		return;
+	for (i = 0; i < config->n_members; i++) {
+		struct gyp_raft_progress p = {.id = config->members[i]->id,
+		    .next = gyp_raft_last_index(r) + 1};
+
+		if (p.id == r->cfg.id || gyp_raft_find_peer(r, p.id) != NULL)
+			continue;
+		g_array_append_val(r->peers, p);
+	}
+}
+
+void
+gyp_raft_sync_peers(struct gyp_raft *r)
+{
+	guint i = 0;
+
+	add_peers(r, r->config);
+	add_peers(r, r->pending);
+	while (i < r->peers->len) {
+		uint64_t id =
+		    g_array_index(r->peers, struct gyp_raft_progress, i).id;
+
+		if (gyp_raft_find_member(r->config, id) == NULL &&
+		    gyp_raft_find_member(r->pending, id) == NULL)
+			g_array_remove_index(r->peers, i);
+		else
+			i++;
+	}
+}
+
+void
+gyp_raft_send_chunk(struct gyp_raft *r, struct gyp_raft_progress *p)
+{
+	Gyp__RaftMsg m =
+	    gyp_raft_make_message(r, GYP__RAFT_TYPE__RAFT_SNAPSHOT, p->id);
+	gsize len, room = r->cfg.chunk_bytes;
+	const uint8_t *data = g_bytes_get_data(r->snap_file, &len);
+
+	/* Probes with an empty chunk while the member does not answer. */
+	if (r->now > p->answered + r->cfg.election_ms)
+		room = 0;
+	p->offset = MIN(p->offset, len);
+	m.index = r->snap_index;
+	m.log_term = r->snap_term;
+	m.offset = p->offset;
+	m.total = len;
+	m.chunk.data = (uint8_t *)data + p->offset;
+	m.chunk.len = MIN(len - p->offset, room);
+	m.round = r->now;
+	p->sent = r->now;
+	r->io->ops->send(r->io, p->id, &m);
+}
+
+static void
+send_entries(struct gyp_raft *r, struct gyp_raft_progress *p)
+{
+	Gyp__RaftMsg m =
+	    gyp_raft_make_message(r, GYP__RAFT_TYPE__RAFT_APPEND, p->id);
+	GPtrArray *ptrs = g_ptr_array_new_with_free_func(g_free);
+	size_t bytes = 0;
+	struct gyp_entry *e;
+
+	m.index = p->next - 1;
+	m.log_term = gyp_raft_term_at(r, m.index);
+	m.commit = r->commit;
+	m.round = r->now;
+	while (bytes < r->cfg.append_bytes &&
+	       (e = gyp_raft_entry_at(r, p->next)) != NULL) {
+		Gyp__LogEntry *le = g_new(Gyp__LogEntry, 1);
+		gsize len;
+
+		gyp__log_entry__init(le);
+		le->index = e->index;
+		le->term = e->term;
+		le->kind = e->kind;
+		le->data.data = (uint8_t *)g_bytes_get_data(e->data, &len);
+		le->data.len = len;
+		g_ptr_array_add(ptrs, le);
+		bytes += len;
+		p->next++;
+	}
+	m.n_entries = ptrs->len;
+	m.entries = (Gyp__LogEntry **)ptrs->pdata;
+	p->sent = r->now;
+	p->inflight++;
+	r->io->ops->send(r->io, p->id, &m);
+	g_ptr_array_free(ptrs, TRUE);
+}
+
+/* Sends what a member lacks; with force an empty append serves as heartbeat. */
+void
+gyp_raft_replicate(struct gyp_raft *r, struct gyp_raft_progress *p, bool force)
+{
+	if (p->next <= r->snap_index) {
+		if (!p->snapshot)
+			p->offset = 0;
+		if (!p->snapshot || force) {
+			p->snapshot = true;
+			gyp_raft_send_chunk(r, p);
+		}
+		return;
+	}
+	p->snapshot = false;
+	if (force && p->inflight >= INFLIGHT_MAX / 2 &&
+	    r->now > p->answered + 2 * r->cfg.heartbeat_ms) {
+		p->next = MAX(p->match + 1, r->snap_index + 1);
+		p->inflight = 0;
+	}
+	if (!force &&
+	    (p->inflight >= INFLIGHT_MAX || p->next > gyp_raft_last_index(r)))
+		return;
+	send_entries(r, p);
+}
+
+void
+gyp_raft_replicate_all(struct gyp_raft *r, bool force)
+{
+	guint i;
+
+	for (i = 0; i < r->peers->len; i++)
+		gyp_raft_replicate(r,
+		    &g_array_index(r->peers, struct gyp_raft_progress, i),
+		    force);
+}
--- /dev/null
+++ b/src/raft_snap.c
@@ -0,0 +1,162 @@
+#include "raft_int.h"
+
+/* Largest snapshot taken from another replica, in bytes. */
+#define SNAPSHOT_BYTES_MAX (256ULL * 1024 * 1024)
+
+/* ---- Snapshots ---------------------------------------------------------- */
+
+static void
+adopt_snapshot(struct gyp_raft *r, const Gyp__SnapshotFile *file, GBytes *raw)
+{
+	if (r->snap_file != NULL)
+		g_bytes_unref(r->snap_file);
+	r->snap_file = g_bytes_ref(raw);
+	r->snap_index = file->index;
+	r->snap_term = file->term;
+}
+
+/* Replaces log and state by a snapshot; false when it can't be read. */
+bool
+gyp_raft_install(struct gyp_raft *r, GBytes *raw)
+{
+	gsize len;
+	const uint8_t *data = g_bytes_get_data(raw, &len);
+	Gyp__SnapshotFile *file = gyp__snapshot_file__unpack(NULL, len, data);
+
+	if (file == NULL || file->config == NULL) {
+		if (file != NULL)
+			gyp__snapshot_file__free_unpacked(file, NULL);
+		return false;
+	}
+	g_array_set_size(r->log, 0);
+	r->log_bytes = 0;
+	gyp_raft_drop_pending(r);
+	gyp_raft_set_config(r, gyp_raft_copy_config(file->config));
+	r->config_index = MAX(r->config_index, file->index);
+	adopt_snapshot(r, file, raw);
+	r->commit = file->index;
+	r->applied = file->index;
+	r->io->ops->restore(r->io, file);
+	gyp__snapshot_file__free_unpacked(file, NULL);
+	return true;
+}
+
+/* With foreign, all entries written before are void. */
+static void
+write_snapshot(struct gyp_raft *r, bool foreign)
+{
+	struct gyp_record rec = {.type = GYP_RECORD_SNAPSHOT,
+	    .kind = foreign,
+	    .index = r->snap_index,
+	    .term = r->snap_term,
+	    .data = r->snap_file};
+
+	gyp_raft_write_record(r, &rec);
+}
+
+static void
+reset_incoming(struct gyp_raft *r, uint64_t index, uint64_t from)
+{
+	r->incoming.index = index;
+	r->incoming.from = from;
+	g_byte_array_set_size(r->incoming.data, 0);
+}
+
+static void
+finish_incoming(struct gyp_raft *r)
+{
+	guint len = r->incoming.data->len;
+	GBytes *raw = g_bytes_new(r->incoming.data->data, len);
+
+	if (gyp_raft_install(r, raw)) {
+		gyp_raft_forget_persisted(r, 0);
+		write_snapshot(r, true);
+	}
+	g_bytes_unref(raw);
+	reset_incoming(r, 0, 0);
+}
+
+void
+gyp_raft_on_snapshot(struct gyp_raft *r, const Gyp__RaftMsg *m)
+{
+	Gyp__RaftMsg reply;
+	uint64_t have;
+
+	gyp_raft_follow(r, m);
+	reply = gyp_raft_make_message(
+	    r, GYP__RAFT_TYPE__RAFT_SNAPSHOT_REPLY, m->from);
+	reply.round = m->round;
+	if (m->index <= r->commit) {
+		reply.type = GYP__RAFT_TYPE__RAFT_APPEND_REPLY;
+		reply.index = r->commit;
+		gyp_raft_send_durable(r, &reply);
+		return;
+	}
+	if (m->total > SNAPSHOT_BYTES_MAX)
+		return;
+	if (r->incoming.index != m->index || r->incoming.from != m->from)
+		reset_incoming(r, m->index, m->from);
+	if (m->offset == r->incoming.data->len)
+		g_byte_array_append(
+		    r->incoming.data, m->chunk.data, m->chunk.len);
+	have = r->incoming.data->len;
+	if (have >= m->total) {
+		finish_incoming(r);
+		reply.type = GYP__RAFT_TYPE__RAFT_APPEND_REPLY;
+		reply.index = r->snap_index;
+		gyp_raft_send_durable(r, &reply);
+		return;
+	}
+	reply.index = m->index;
+	reply.offset = have;
+	r->io->ops->send(r->io, m->from, &reply);
+}
+
+void
+gyp_raft_on_snapshot_reply(struct gyp_raft *r, const Gyp__RaftMsg *m)
+{
+	struct gyp_raft_progress *p = gyp_raft_find_peer(r, m->from);
+
+	if (r->role != GYP_RAFT_LEADER || m->term != r->term || p == NULL)
+		return;
+	p->heard = MAX(p->heard, MIN(m->round, r->now));
+	p->answered = r->now;
+	if (!p->snapshot || m->index != r->snap_index)
+		return;
+	/* Only the answer to the latest chunk may take the transfer back. */
+	if (m->offset <= p->offset && m->round != p->sent)
+		return;
+	p->offset = m->offset;
+	gyp_raft_send_chunk(r, p);
+}
+
+void
+gyp_raft_compact(struct gyp_raft *r, uint64_t index, GBytes *state)
+{
+	Gyp__SnapshotFile file = GYP__SNAPSHOT_FILE__INIT;
+	gsize len;
+	guint i, drop;
+	uint8_t *bytes;
+	GBytes *raw;
+
+	if (index <= r->snap_index || index > r->applied)
+		return;
+	file.index = index;
+	file.term = gyp_raft_term_at(r, index);
+	file.config = r->config;
+	file.state.data = (uint8_t *)g_bytes_get_data(state, &len);
+	file.state.len = len;
+	len = gyp__snapshot_file__get_packed_size(&file);
+	bytes = g_malloc(len);
+	gyp__snapshot_file__pack(&file, bytes);
+	raw = g_bytes_new_take(bytes, len);
+
+	drop = (guint)(index - r->snap_index);
+	for (i = 0; i < drop; i++)
+		r->log_bytes -= g_bytes_get_size(
+		    g_array_index(r->log, struct gyp_entry, i).data);
+	g_array_remove_range(r->log, 0, drop);
+	adopt_snapshot(r, &file, raw);
+	g_bytes_unref(raw);
+	write_snapshot(r, false);
+}
--- /dev/null
+++ b/test/raft_net.h
@@ -0,0 +1,99 @@
+#ifndef RAFT_NET_H
+#define RAFT_NET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "msg.h"
+#include "raft.h"
+
+/*
+ * NAME
+ *	raft_net - replicas of the log in one process
+ *
+ * DESCRIPTION
+ *	Disks keep only what was synced. A seeded random pick loses, doubles,
+ *	delays and reorders messages, cuts links one way, stops and freezes
+ *	replicas, loses disks and changes members. What must hold is checked
+ *	on the way.
+ */
+
+#define NET_SLOTS       6
+#define NET_STEP_MS     10
+#define NET_ELECTION_MS 300
+#define NET_VOTERS      5
+#define NET_CHUNK_BYTES 150
+
+struct net;
+
+struct node {
+	struct gyp_raft_io io;
+	struct net *net;
+	struct gyp_raft *raft; /* NULL while stopped */
+	uint64_t id;
+	int slot;
+	GArray *disk; /* struct gyp_record */
+	guint synced; /* records of it */
+	guint base;   /* records there when the process started */
+	bool frozen;
+	bool removed;     /* by a change; its disk must be wiped */
+	GPtrArray *inbox; /* messages that arrived while frozen */
+	uint64_t index;   /* state machine: last index and hash */
+	uint64_t hash;
+};
+
+/* What is known to be committed, by index. */
+struct truth {
+	uint64_t hash;
+	uint64_t term;      /* of the entry */
+	uint64_t committed; /* a term in which it was known as committed */
+};
+
+struct net {
+	struct node nodes[NET_SLOTS];
+	GPtrArray *wire; /* Gyp__RaftMsg */
+	GRand *rand;
+	guint32 seed;
+	uint64_t now;
+	uint64_t max_term;
+	uint32_t proposed;
+	size_t state_bytes;  /* of a snapshot */
+	uint32_t chunks;     /* sent */
+	uint32_t drop_chunk; /* one in so many, 0 for none */
+	int voters;          /* wanted */
+	int pace;            /* of faults, 1 is slowest */
+	bool no_proposals;   /* a quiet time */
+	bool no_compact;
+	bool quiet; /* members are not removed by themselves */
+	uint32_t lost, changes, restored; /* how much a run went through */
+	bool cut[NET_SLOTS][NET_SLOTS];
+	bool hold;           /* cut links keep messages for later */
+	GPtrArray *held;     /* Gyp__RaftMsg */
+	GArray *truth;       /* struct truth, index 0 unused */
+	GHashTable *leaders; /* term -> id */
+	uint64_t watched;    /* see vote_settled() */
+	GHashTable *configs; /* hashes of committed configurations */
+};
+
+bool net_chance(struct net *net, int one_in);
+void net_compact(struct node *n);
+void net_start(struct node *n);
+void net_stop(struct node *n);
+void net_lose_disk(struct node *n);
+struct node *net_random_node(struct net *net);
+struct node *net_settled_leader(struct net *net);
+void net_init(struct net *net, guint32 seed);
+void net_clear(struct net *net);
+void net_check_logs(struct net *net);
+void net_thaw(struct net *net, struct node *n);
+const Gyp__Member *net_member(const Gyp__Config *c, uint64_t id);
+int net_count_voters(struct net *net, const Gyp__Config *c, int *intact);
+void net_cut_links(struct net *net, int a);
+void net_heal(struct net *net);
+bool net_vote_settled(struct net *net);
+void net_step(struct net *net, bool faults);
+void net_print_nodes(struct net *net);
+
+#endif
