--- a/src/raft_int.h
+++ b/src/raft_int.h
@@ -26,6 +26,7 @@
 	uint64_t sent;  /* time of the latest message */
 	uint64_t answered; /* time of the latest answer */
 	uint64_t offset;   /* bytes of the snapshot it has */
+	uint64_t moved;    /* when that last changed */
 	uint32_t inflight;
 	bool snapshot; /* is being sent a snapshot */
 };
--- a/src/raft_snap.c
+++ b/src/raft_snap.c
@@ -123,9 +123,13 @@
 	p->answered = r->now;
 	if (!p->snapshot || m->index != r->snap_index)
 		return;
-	/* Only the answer to the latest chunk may take the transfer back. */
-	if (m->offset <= p->offset && m->round != p->sent)
+	/* Late answers must not take the transfer back or double it. */
+	if (m->offset < p->offset && m->round <= p->moved)
 		return;
+	if (m->offset == p->offset && m->round != p->sent)
+		return;
+	if (m->offset != p->offset)
+		p->moved = r->now;
 	p->offset = m->offset;
 	gyp_raft_send_chunk(r, p);
 }
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -84,7 +84,7 @@
 	const char *seconds = g_getenv("GYP_SECONDS");
 	/* Seeds that found a fault once. */
 	static const guint32 found[] = {
-	    3253819846, 120578944, 4244982503, 1473705378};
+	    3253819846, 120578944, 4244982503, 1473705378, 935916715};
 	gint64 end = g_get_monotonic_time();
 	guint32 i;
 
