--- a/bench/measure.sh
+++ b/bench/measure.sh
@@ -54,9 +54,10 @@
 firm_tables() {
 	local firm=$1 scale=$2 seed=$3 policy
 	"$bin/gyp-load" --firm "$firm" --scale "$scale" --seed "$seed" \
-	    --seconds 240 --bad-endpoints "$4" >"$dir/trace"
+	    --seconds $((240 / scale)) --bad-endpoints "$4" >"$dir/trace"
 	for policy in $policies; do
-		replay "$firm" "$dir/trace" "$policy" >"$dir/$policy.txt"
+		replay "$firm" "$dir/trace" "$policy" --finish-ms 600000 \
+		    >"$dir/$policy.txt"
 	done
 	echo
 	echo "### $firm, $scale times what fits, seed $seed, $4 bad endpoints"
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -33,6 +33,7 @@
 #include "state.h"   /* tables of jobs, endpoints and rules */
 #include "trace.h"   /* one event a line */
 #include "usage.h"   /* measured usage, from heartbeats */
+#include "wal.h"     /* bytes of a log segment */
 
 /* ---- Core: the entry ----------------------------------------------------- */
 #include "entry.h"   /* request table and start orders */
@@ -41,6 +42,8 @@
 /* ---- Sockets, files and timers ------------------------------------------- */
 #include "door.h"     /* HTTP interface of the entry */
 #include "exchange.h" /* orders carried out at endpoints */
+#include "file.h"     /* file operations that tests can make fail */
+#include "folder.h"   /* files of a data folder */
 #include "httpc.h"    /* HTTP client that sends once */
 #include "httpd.h"    /* HTTP server */
 #include "link.h"     /* frames between processes */
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -4,6 +4,7 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "httpd.h"
 #include "link.h"
 #include "log.h"
 #include "msg.h"
@@ -20,6 +21,7 @@
 
 struct settings {
 	char *listen;
+	char *metrics;
 	char **join;
 	char *data_folder;
 	char *data_centre;
@@ -40,9 +42,13 @@
 	struct ev_loop *loop;
 	struct gyp_timers *timers;
 	struct gyp_links *links;
+	struct gyp_httpd_owner metrics_owner;
+	struct gyp_httpd *metrics;
 	struct gyp_store *store;
 	struct gyp_replica *replica;
 	bool was_leader;
+	uint64_t rules_version; /* the last that was logged */
+	char *members;          /* likewise */
 	bool stopping;
 	int code;
 };
@@ -63,6 +69,41 @@
 	    gyp_raft_term(raft), gyp_raft_commit(raft));
 }
 
+static void
+note_rules(struct app *app)
+{
+	const struct gyp_rules_version *v =
+	    gyp_state_rules(gyp_replica_state(app->replica));
+	char *author;
+
+	if (v == NULL || v->version == app->rules_version)
+		return;
+	app->rules_version = v->version;
+	author = g_strescape(v->cmd->author, NULL);
+	gyp_log(GYP_LOG_NOTICE, "rules",
+	    "version=%" G_GUINT64_FORMAT " author=\"%s\"", v->version, author);
+	g_free(author);
+}
+
+static void
+note_members(struct app *app)
+{
+	const Gyp__Config *c = gyp_raft_members(gyp_replica_raft(app->replica));
+	GString *text = g_string_new(NULL);
+	size_t i;
+
+	for (i = 0; i < c->n_members; i++)
+		g_string_append_printf(text, "%s%s/%s", i > 0 ? "," : "",
+		    c->members[i]->address,
+		    c->members[i]->voter ? "voter" : "learner");
+	if (text->len > 0 && g_strcmp0(text->str, app->members) != 0) {
+		gyp_log(GYP_LOG_NOTICE, "members", "list=%s", text->str);
+		g_free(app->members);
+		app->members = g_strdup(text->str);
+	}
+	g_string_free(text, TRUE);
+}
+
 static void
 flush(struct app *app)
 {
@@ -83,6 +124,7 @@
 		g_bytes_unref(out.packed);
 	}
 	note_role(app);
+	note_rules(app);
 }
 
 /* ---- Events ------------------------------------------------------------ */
@@ -142,14 +184,31 @@
 	flush(app);
 }
 
+static int
+exit_code(enum gyp_status code)
+{
+	switch (code) {
+	case GYP_CORRUPT:
+		return GYP_EXIT_CORRUPT;
+	case GYP_IO:
+	case GYP_FULL:
+		return GYP_EXIT_DISK;
+	case GYP_CONFLICT:
+		return GYP_EXIT_BUSY;
+	default:
+		return EXIT_FAILURE;
+	}
+}
+
 /* What was not synced counts as lost, so this replica must not go on. */
 static void
 on_store_failed(struct gyp_store_owner *owner, const struct gyp_error *err)
 {
 	struct app *app = app_of_store(owner);
 
-	gyp_log(GYP_LOG_ERR, "store-failed", "%s", err->message);
-	app->code = EXIT_FAILURE;
+	gyp_log(GYP_LOG_ERR, "store-failed", "reason=\"%s\" error=\"%s\"",
+	    gyp_status_name(err->code), err->message);
+	app->code = exit_code(err->code);
 	ev_break(app->loop, EVBREAK_ALL);
 }
 
@@ -191,6 +250,7 @@
 	char **address;
 
 	(void)now;
+	note_members(app);
 	if (is_member(app) || app->set->join == NULL)
 		return;
 	member.id = gyp_store_id(app->store);
@@ -241,6 +301,28 @@
     .opened = on_link_change,
     .lost = on_link_change};
 
+static void
+on_metrics(struct gyp_httpd_owner *owner, struct gyp_http_request *req)
+{
+	struct app *app =
+	    (struct app *)((char *)owner - offsetof(struct app, metrics_owner));
+	struct gyp_counters *counters = gyp_replica_counters(app->replica);
+	char *text;
+
+	if (strcmp(gyp_http_path(req), "/metrics") != 0) {
+		gyp_http_reply(req, 404, "text/plain", "", 0);
+		return;
+	}
+	gyp_gauge(counters, "gyp_leading", "",
+	    gyp_replica_serving(app->replica) ? 1 : 0);
+	text = gyp_counters_text(counters);
+	gyp_http_reply(
+	    req, 200, "text/plain; version=0.0.4", text, strlen(text));
+	g_free(text);
+}
+
+static const struct gyp_httpd_owner_ops metrics_ops = {.request = on_metrics};
+
 static const struct gyp_store_owner_ops store_ops = {
     .synced = on_synced, .failed = on_store_failed};
 
@@ -275,7 +357,7 @@
 	const struct settings *set = app->set;
 	Gyp__Hello hello = GYP__HELLO__INIT;
 
-	app->store = gyp_store_open(set->data_folder, err);
+	app->store = gyp_store_open(set->data_folder, gyp_files_system(), err);
 	if (app->store == NULL)
 		return err->code;
 	if (init && !gyp_store_is_new(app->store))
@@ -293,6 +375,13 @@
 	    gyp_links_new(app->loop, app->timers, &app->links_owner, &hello);
 	if (gyp_links_listen(app->links, set->listen, err) != GYP_OK)
 		return err->code;
+	gyp_links_count_in(app->links, gyp_replica_counters(app->replica));
+	if (set->metrics != NULL) {
+		app->metrics = gyp_httpd_new(app->loop, app->timers,
+		    &app->metrics_owner, set->metrics, err);
+		if (app->metrics == NULL)
+			return err->code;
+	}
 	gyp_store_start(app->store, app->loop, &app->store_owner);
 	if (init)
 		gyp_replica_bootstrap(app->replica);
@@ -310,11 +399,14 @@
 
 	app.links_owner.ops = &links_ops;
 	app.store_owner.ops = &store_ops;
+	app.metrics_owner.ops = &metrics_ops;
 	app.loop = ev_default_loop(EVFLAG_AUTO);
 	app.timers = gyp_timers_new(app.loop);
 	if (start(&app, init, &err) != GYP_OK) {
-		gyp_log(GYP_LOG_ERR, "start-failed", "%s", err.message);
-		app.code = EXIT_FAILURE;
+		gyp_log(GYP_LOG_ERR, "start-failed",
+		    "reason=\"%s\" error=\"%s\"", gyp_status_name(err.code),
+		    err.message);
+		app.code = exit_code(err.code);
 	} else {
 		ev_signal_init(&term, on_term, SIGTERM);
 		ev_signal_init(&interrupt, on_term, SIGINT);
@@ -327,10 +419,12 @@
 		flush(&app);
 		ev_run(app.loop, 0);
 	}
+	gyp_httpd_free(app.metrics);
 	gyp_links_free(app.links);
 	if (app.store != NULL)
 		gyp_store_close(app.store);
 	gyp_replica_free(app.replica);
+	g_free(app.members);
 	gyp_timers_free(app.timers);
 	ev_loop_destroy(app.loop);
 	return app.code;
@@ -348,6 +442,7 @@
 	    .compact_bytes = 4 * 1024 * 1024};
 	const struct gyp_setting table[] = {
 	    {"cell", "listen", &set.listen, 0, 0, GYP_SETTING_ADDRESS, true},
+	    {"cell", "metrics", &set.metrics, 0, 0, GYP_SETTING_ADDRESS, false},
 	    {"cell", "join", &set.join, 0, 0, GYP_SETTING_ADDRESSES, false},
 	    {"cell", "data_folder", &set.data_folder, 0, 0, GYP_SETTING_FOLDER,
 		true},
@@ -368,11 +463,16 @@
 	    {"cell", "compact", &set.compact_bytes, 4096, 1ULL << 30,
 		GYP_SETTING_BYTES, false},
 	};
+	const struct gyp_setting_order orders[] = {
+	    {&set.heartbeat_ms, &set.election_ms},
+	    {&set.start_window_ms, &set.endpoint_lease_ms}};
 	struct gyp_program program = {.name = "gyp-cell",
 	    .summary = "Keeps a replica of the cell's state and, while "
 		       "it leads, places tasks.",
 	    .settings = table,
 	    .n_settings = G_N_ELEMENTS(table),
+	    .orders = orders,
+	    .n_orders = G_N_ELEMENTS(orders),
 	    .allow_init = true};
 	int code = gyp_program_start(&program, argc, argv);
 
--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -142,6 +142,7 @@
 {
 	struct gyp_waiting_call *w = g_new0(struct gyp_waiting_call, 1);
 
+	w->position = r->batch->len;
 	gyp_replica_propose(r, cmd);
 	w->entry = entry;
 	w->call = gyp_message_copy(&call->base);
--- a/src/state_life.c
+++ b/src/state_life.c
@@ -155,6 +155,7 @@
 
 		if (t->last == GYP__OUTCOME__OUTCOME_DONE)
 			t->last = GYP__OUTCOME__OUTCOME_FAILED;
+		g_clear_pointer(&t->finish, gyp_message_free);
 		gyp_state_set_task(s, job, t, GYP_TASK_QUEUED);
 	}
 }
@@ -166,9 +167,6 @@
 	bool first = !job->restarting;
 
 	job->restarting = true;
-	/* Its answer is dropped; a cancellation may make this the last word. */
-	if (t->last == GYP__OUTCOME__OUTCOME_DONE)
-		t->last = GYP__OUTCOME__OUTCOME_FAILED;
 	gyp_state_set_task(s, job, t, GYP_TASK_OVER);
 	if (job->n_placed == 0)
 		requeue_gang(s, job);
@@ -208,6 +206,11 @@
 	if (s->listener != NULL)
 		s->listener->ops->attempt_over(s->listener, job, index);
 	retry = wants_retry(job, t, outcome);
+	/* Of a restarting gang too: a cancellation makes it the last word. */
+	if (gang || !retry) {
+		gyp_message_free(t->finish);
+		t->finish = gyp_message_copy(&finish->base);
+	}
 	if (gang && !job->cancelled && (retry || job->restarting)) {
 		restart_gang(s, job, t);
 		return;
@@ -216,8 +219,6 @@
 		gyp_state_set_task(s, job, t, GYP_TASK_QUEUED);
 		return;
 	}
-	gyp_message_free(t->finish);
-	t->finish = gyp_message_copy(&finish->base);
 	gyp_state_set_task(s, job, t, GYP_TASK_OVER);
 	if (outcome != GYP__OUTCOME__OUTCOME_DONE) {
 		if (job->reason == NULL)
