--- a/bench/measure.sh
+++ b/bench/measure.sh
@@ -99,7 +99,7 @@
 		"$bin/gyp-load" --firm press --endpoints "$n" --watchers 48 \
 		    --seconds $((n > 100 ? 1 : 24)) \
 		    --scale "$(awk -v n="$n" \
-			'BEGIN { print n > 1000 ? 0.25 : 1 }')" >"$dir/trace"
+			'BEGIN { print (n > 1000 ? 0.25 : 1) }')" >"$dir/trace"
 		for search in index linear sample; do
 			total=$(instructions "$search")
 			awk -v n="$n" -v search="$search" -v total="$total" '
--- a/src/balance.h
+++ b/src/balance.h
@@ -26,8 +26,8 @@
 };
 
 /* Urgent work has waited this long, and has started or not. */
-void gyp_balance_note(struct gyp_balance *, uint64_t waited_ms,
-    uint64_t within_ms, bool started);
+void gyp_balance_note(
+    struct gyp_balance *, uint64_t waited_ms, uint64_t within_ms, bool started);
 
 /* Adjusts the headroom; call twice a second. */
 void gyp_balance_turn(struct gyp_balance *);
--- a/src/health.c
+++ b/src/health.c
@@ -174,6 +174,20 @@
 	return true;
 }
 
+bool
+gyp_health_failed_at(
+    const struct gyp_health *h, uint64_t job, uint64_t endpoint)
+{
+	const struct job_record *j = g_hash_table_lookup(h->jobs, &job);
+	uint32_t i;
+
+	for (i = 0; j != NULL && i < j->n_endpoints; i++) {
+		if (j->endpoints[i] == endpoint)
+			return true;
+	}
+	return false;
+}
+
 bool
 gyp_health_is_bad_job(const struct gyp_health *h, uint64_t job)
 {
--- a/src/health.h
+++ b/src/health.h
@@ -60,6 +60,10 @@
 /* True from the end of a quarantine to the next success or failure. */
 bool gyp_health_on_probation(const struct gyp_health *, uint64_t endpoint);
 
+/* True when the job failed there and has not ended well since. */
+bool gyp_health_failed_at(
+    const struct gyp_health *, uint64_t job, uint64_t endpoint);
+
 /* True when the job failed at several endpoints that others do well at. */
 bool gyp_health_is_bad_job(const struct gyp_health *, uint64_t job);
 
--- a/src/policy.c
+++ b/src/policy.c
@@ -142,6 +142,7 @@
 		   !job->cancelled) {
 		gyp_health_failed(
 		    p->health, job->id, endpoint, gyp_state_time(p->state));
+		p->turn_at = 0; /* blame at once */
 	}
 }
 
@@ -204,7 +205,6 @@
     const struct gyp_job *job, uint32_t task, struct query *q)
 {
 	const struct gyp_policy *p = round->policy;
-	const struct gyp_task *t = &job->tasks[task];
 
 	memset(q, 0, sizeof(*q));
 	q->size = &job->size;
@@ -215,8 +215,7 @@
 	q->rack_limit = GYP_UNLIMITED;
 	if (lane == NULL)
 		return;
-	if (t->failures > 0 && index_size(p->index) > 1)
-		q->avoid = t->endpoint;
+	q->avoid = job->tasks[task].attempt > 0;
 	q->urgent = queue_is_urgent(lane, job);
 	q->run_ms = policy_expected_run(lane, job);
 	q->max_tasks = gyp_rules_limit(p->rules, "endpoint")->u.tasks;
@@ -239,9 +238,9 @@
 
 	fill_query(round, lane, job, task, &q);
 	spot = index_find(p, &q);
-	if (spot == NULL && q.avoid != 0) {
+	if (spot == NULL && q.avoid) {
 		/* Better where it failed before than nowhere. */
-		q.avoid = 0;
+		q.avoid = false;
 		spot = index_find(p, &q);
 	}
 	if (spot == NULL)
--- a/src/policy_index.c
+++ b/src/policy_index.c
@@ -454,11 +454,13 @@
 {
 	const struct query *q = s->q;
 
-	if (!spot->usable || spot->id == q->avoid ||
-	    !gyp_res_fits(q->size, &spot->left))
+	if (!spot->usable || !gyp_res_fits(q->size, &spot->left))
 		return false;
 	if (spot->tasks >= q->max_tasks || (spot->probing && spot->tasks > 0))
 		return false;
+	if (q->avoid &&
+	    gyp_health_failed_at(s->policy->health, q->job->id, spot->id))
+		return false;
 	if (!may_use_held(s->policy, q, spot))
 		return false;
 	return q->rack_limit == GYP_UNLIMITED ||
--- a/src/policy_int.h
+++ b/src/policy_int.h
@@ -52,7 +52,7 @@
 	const struct gyp_res *size;
 	const struct gyp_job *job;
 	uint64_t now;
-	uint64_t avoid;     /* endpoint where it failed last */
+	bool avoid;         /* endpoints where the job failed */
 	uint64_t run_ms;    /* expected; 0 for unknown */
 	uint32_t max_tasks; /* of an endpoint */
 	bool urgent;        /* may use what is reserved for other work */
