--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -26,7 +26,8 @@
 	exit 1
 }
 
-base=$((20000 + RANDOM % 20000))
+# shellcheck source=test/ports.sh
+. "$(dirname "${BASH_SOURCE[0]}")/../test/ports.sh"
 cells=127.0.0.1:$((base + 1)),127.0.0.1:$((base + 2)),127.0.0.1:$((base + 3))
 url=http://127.0.0.1:$((base + 11))
 
