--- a/bench/measure.sh
+++ b/bench/measure.sh
@@ -54,9 +54,10 @@
 firm_tables() {
 	local firm=$1 scale=$2 seed=$3 policy
 	"$bin/gyp-load" --firm "$firm" --scale "$scale" --seed "$seed" \
-	    --seconds 240 --bad-endpoints "$4" >"$dir/trace"
+	    --seconds $((240 / scale)) --bad-endpoints "$4" >"$dir/trace"
 	for policy in $policies; do
-		replay "$firm" "$dir/trace" "$policy" >"$dir/$policy.txt"
+		replay "$firm" "$dir/trace" "$policy" --finish-ms 600000 \
+		    >"$dir/$policy.txt"
 	done
 	echo
 	echo "### $firm, $scale times what fits, seed $seed, $4 bad endpoints"
@@ -98,7 +99,7 @@
 		"$bin/gyp-load" --firm press --endpoints "$n" --watchers 48 \
 		    --seconds $((n > 100 ? 1 : 24)) \
 		    --scale "$(awk -v n="$n" \
-			'BEGIN { print n > 1000 ? 0.25 : 1 }')" >"$dir/trace"
+			'BEGIN { print (n > 1000 ? 0.25 : 1) }')" >"$dir/trace"
 		for search in index linear sample; do
 			total=$(instructions "$search")
 			awk -v n="$n" -v search="$search" -v total="$total" '
