Give each cell of the test cluster one address for its counters

Cause: a merge left the key twice in the settings, which a cell refuses, so that the scripts waited for processes that had ended.

--- a/test/cluster.sh
+++ b/test/cluster.sh
@@ -50,7 +50,6 @@
 	cat >"$dir/cell$n.ini" <<INI
 [cell]
 listen = 127.0.0.1:$((base + n))
-metrics = 127.0.0.1:$((base + 30 + n))
 join = $cells
 data_folder = $dir/cell$n
 data_centre = dc-$n
