Tell not_run only of a request that can be no resend

Cause: an entry that drained, was full or reached no replica answered not_run, which is true of that request. But a resend names work that an earlier request with its key may have run; and a read or a heartbeat refused in the same way told an outcome of nothing at all. Found by reading.

Ruled out: asking the cell first (a full or cut-off entry can't), refusing the key (it would cancel an accepted job).

Now such a request gets 503 with Retry-After: not_run without a key, unknown with one, and no outcome when it was no submit.

--- a/src/door.c
+++ b/src/door.c
@@ -83,6 +83,36 @@
 		"reason", reason));
 }
 
+static bool
+is_submit(const struct gyp_http_request *req)
+{
+	return strcmp(gyp_http_method(req), "POST") == 0 &&
+	       strcmp(gyp_http_path(req), "/v1/jobs") == 0;
+}
+
+/*
+ * Nothing is known here of what an earlier request with the same key led to
+ * elsewhere, so only a request that can be no resend was surely not run.
+ */
+Gyp__Outcome
+gyp_door_reply_not_taken(struct gyp_http_request *req, const char *reason)
+{
+	bool resend = gyp_http_header(req, "Idempotency-Key") != NULL;
+	Gyp__Outcome outcome = resend ? GYP__OUTCOME__OUTCOME_UNKNOWN
+				      : GYP__OUTCOME__OUTCOME_NOT_RUN;
+
+	gyp_http_add_header(req, "Retry-After", "1");
+	if (!is_submit(req)) {
+		gyp_door_reply_error(req, 503, reason);
+		return GYP__OUTCOME__OUTCOME_NONE;
+	}
+	gyp_http_add_header(req, "Gyp-Outcome", gyp_outcome_name(outcome));
+	gyp_door_reply_json(req, 503,
+	    json_pack("{s:s,s:s}", "outcome", gyp_outcome_name(outcome),
+		"reason", reason));
+	return outcome;
+}
+
 /* ---- Calls ------------------------------------------------------------- */
 
 static void
@@ -111,8 +141,7 @@
 	if (gyp_entry_call(door->core, p->since, call, timeout_ms, p) != 0)
 		return;
 	gyp_count(door->counters, "gyp_refused_total", "reason=\"full\"", 1);
-	gyp_door_reply_outcome(req, GYP__OUTCOME__OUTCOME_NOT_RUN,
-	    "too many requests wait at this entry");
+	gyp_door_reply_not_taken(req, "too many requests wait at this entry");
 	free_pending(p);
 }
 
@@ -180,15 +209,14 @@
     {"health", health, true},
 };
 
-/* What comes while draining was not run, and another entry takes it. */
+/* What comes while draining is left to another entry. */
 static void
 refuse_draining(struct gyp_door *door, struct gyp_http_request *req)
 {
 	gyp_count(
 	    door->counters, "gyp_refused_total", "reason=\"draining\"", 1);
 	gyp_http_add_header(req, "Connection", "close");
-	gyp_door_reply_outcome(
-	    req, GYP__OUTCOME__OUTCOME_NOT_RUN, "this entry is shutting down");
+	gyp_door_reply_not_taken(req, "this entry is shutting down");
 }
 
 static void
--- a/src/door_int.h
+++ b/src/door_int.h
@@ -48,6 +48,13 @@
 void gyp_door_reply_error(
     struct gyp_http_request *, unsigned status, const char *message);
 
+/*
+ * Refuses, with 503, a request that never left this entry; of a submit it
+ * returns the outcome that was told, else NONE.
+ */
+Gyp__Outcome gyp_door_reply_not_taken(
+    struct gyp_http_request *, const char *reason);
+
 /* An outcome that was settled at this entry, without a job. */
 void gyp_door_reply_outcome(
     struct gyp_http_request *, Gyp__Outcome, const char *reason);
--- a/src/door_jobs.c
+++ b/src/door_jobs.c
@@ -111,9 +111,8 @@
 		    "no answer from the cell; resend with the same key");
 		return GYP__OUTCOME__OUTCOME_UNKNOWN;
 	}
-	gyp_door_reply_outcome(p->req, GYP__OUTCOME__OUTCOME_NOT_RUN,
-	    "the cell could not be reached");
-	return GYP__OUTCOME__OUTCOME_NOT_RUN;
+	return gyp_door_reply_not_taken(
+	    p->req, "the cell could not be reached");
 }
 
 /* Of a submit: answers without a job, in the words of outcomes. */
