Follow the retry rule's number of attempts

Cause: the rule was parsed and shown, but the tables gave up after a constant of 3 failures whatever it said. The tables know no rules, so the leader writes the number of the rule in force into the job when it is submitted; it holds for the job's whole life on every replica.

Ruled out: refusing the job in the policy (it would cancel the other tasks of a batch), parsing rules in the tables (a policy matter there).

Before: operators.sh sees 3 attempts under attempts=1; after: 1, and 3 under the default.

--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -195,11 +195,19 @@
 call_submit(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
 	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdSubmit submit = GYP__CMD_SUBMIT__INIT;
+	const struct gyp_rule *rule;
+	Gyp__JobSpec spec;
 
 	if (answer_submit(r, entry, call))
 		return;
+	/* The rule in force now holds for the job's whole life. */
+	rule = gyp_rules_retry(r->rules, call->submit->spec->class_);
+	spec = *call->submit->spec;
+	spec.attempts = rule->line != 0 ? rule->u.retry.attempts : 0;
+	submit.spec = &spec;
 	cmd.c_case = GYP__CMD__C_SUBMIT;
-	cmd.submit = call->submit;
+	cmd.submit = &submit;
 	gyp_replica_propose_call(r, entry, call, &cmd);
 }
 
--- a/src/state.h
+++ b/src/state.h
@@ -42,7 +42,7 @@
 /* Most keys remembered after their jobs are gone. */
 #define GYP_RETIRED_MAX 262144
 
-/* Failed attempts after which an idempotent task is given up. */
+/* Failures that end an idempotent task, unless its job says otherwise. */
 #define GYP_TASK_FAILURES_MAX 3
 
 /* Versions of the rules that are kept. */
--- a/src/state_life.c
+++ b/src/state_life.c
@@ -139,10 +139,13 @@
 wants_retry(
     const struct gyp_job *job, const struct gyp_task *t, Gyp__Outcome outcome)
 {
+	uint32_t most = job->spec->attempts != 0 ? job->spec->attempts
+						 : GYP_TASK_FAILURES_MAX;
+
 	if (outcome == GYP__OUTCOME__OUTCOME_DONE || job->cancelled)
 		return false;
 	return (job->spec->idempotent || GYP_MUTANT(AGAIN)) &&
-	       t->failures < GYP_TASK_FAILURES_MAX;
+	       t->failures < most;
 }
 
 /* Nothing of the last round counts: its tasks did not end well together. */
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2164,7 +2164,7 @@
   (ProtobufCMessageInit) gyp__res__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__job_spec__field_descriptors[12] =
+static const ProtobufCFieldDescriptor gyp__job_spec__field_descriptors[13] =
 {
   {
     "kind",
@@ -2310,8 +2310,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "attempts",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__JobSpec, attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__job_spec__field_indices_by_name[] = {
+  12,   /* field[12] = attempts */
   2,   /* field[2] = class */
   7,   /* field[7] = deadline_ms */
   11,   /* field[11] = digest */
@@ -2328,7 +2341,7 @@
 static const ProtobufCIntRange gyp__job_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor gyp__job_spec__descriptor =
 {
@@ -2338,7 +2351,7 @@
   "Gyp__JobSpec",
   "gyp",
   sizeof(Gyp__JobSpec),
-  12,
+  13,
   gyp__job_spec__field_descriptors,
   gyp__job_spec__field_indices_by_name,
   1,  gyp__job_spec__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -289,10 +289,14 @@
    * CRC-32 of the request, to refuse a reused key
    */
   uint32_t digest;
+  /*
+   * failures that end a task, 0 for the default
+   */
+  uint32_t attempts;
 };
 #define GYP__JOB_SPEC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__job_spec__descriptor) \
-    , GYP__KIND__KIND_REQUEST, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0, {0,NULL}, 0, 0 }
+    , GYP__KIND__KIND_REQUEST, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0, {0,NULL}, 0, 0, 0 }
 
 
 struct  Gyp__CmdSubmit
--- a/test/operators.sh
+++ b/test/operators.sh
@@ -96,6 +96,21 @@
 refused 1 'no such job' ctl 1 explain ffff
 refused 1 'no such job' ctl 1 job not-hexadecimal
 
+echo "== a rule on retries holds for jobs that come after it"
+fails() {
+	curl -s -X POST "http://$(entry_address 1)/v1/jobs?wait_ms=60000" \
+	    -d '{"idempotent":true,"team":"rota","payload":"fail run_ms=0"}'
+}
+fails >"$dir/fails"
+grep -q '"attempts":3,' "$dir/fails" || fail "not 3: $(cat "$dir/fails")"
+{
+	cat "$dir/rules"
+	echo 'retry * attempts=1 budget=10% # Ravi: a failure is a failure'
+} >"$dir/once"
+ctl 1 rules apply "$dir/once" --base 1 --request once --wait 30 >/dev/null
+fails >"$dir/fails"
+grep -q '"attempts":1,' "$dir/fails" || fail "not 1: $(cat "$dir/fails")"
+
 echo "== a drain, and its undoing"
 check '^vm-1 +drained +1 ' ctl 1 drain vm-1
 check '^outcome +not_run' ctl 1 cancel "$waiting"
