--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -365,13 +365,14 @@
 	app->store = gyp_store_open(set->data_folder, gyp_files_system(), err);
 	if (app->store == NULL)
 		return err->code;
-	if (init && !gyp_store_is_new(app->store))
-		return gyp_fail(
-		    err, GYP_CONFLICT, "--init: the data folder is in use");
 	make_replica(app);
 	if (gyp_store_replay(app->store, load_record, app->replica, err) !=
 	    GYP_OK)
 		return err->code;
+	/* One that was killed before its first sync may begin again. */
+	if (init && gyp_raft_last_index(gyp_replica_raft(app->replica)) != 0)
+		return gyp_fail(err, GYP_CONFLICT,
+		    "--init: the data folder holds a cell already");
 	hello.id = gyp_store_id(app->store);
 	hello.address = set->listen;
 	hello.name = set->name;
--- a/test/disks.sh
+++ b/test/disks.sh
@@ -36,10 +36,20 @@
 	ls -v "$dir/cell$1"/log.* | tail -n 1
 }
 
+echo "== --init begins a cell where nothing is stored, and only there"
+start_cell 1
+until_true test -s "$dir/cell1/log.1"
+kill_one cell1 KILL
 start_cell 1 --init
+start_entry 1
+until_true ctl 1 status
+kill_one cell1 KILL
+start second "$bin/gyp-cell" --config "$dir/cell1.ini" --init
+ends_with second 75 'holds a cell already'
+
+start_cell 1
 start_cell 2
 start_cell 3
-start_entry 1
 until_true voters 3
 
 echo "== a second process is kept off the folder"
--- a/test/sim_proc.c
+++ b/test/sim_proc.c
@@ -152,7 +152,6 @@
 sim_replica_start(struct sim *s, int node)
 {
 	struct sim_node *n = &s->nodes[node];
-	bool first = n->life == 0 && node == 0;
 	struct gyp_replica_config cfg = {.address = n->address,
 	    .seed = g_rand_int(s->rand),
 	    .election_ms = SIM_ELECTION_MS,
@@ -176,7 +175,9 @@
 	n->applied = 0;
 	n->rules = 0;
 	load_disk(n);
-	if (first)
+	/* Once more, if it was killed before anything was on its disk. */
+	if (node == 0 && s->n_disks == 0 &&
+	    gyp_raft_last_index(gyp_replica_raft(n->replica)) == 0)
 		gyp_replica_bootstrap(n->replica);
 	n->up = true;
 	n->life++;
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -20,7 +20,7 @@
 #define SEEDS 50
 
 /* Fresh seeds that once failed. */
-static const guint32 found[] = {3534436597};
+static const guint32 found[] = {3534436597, 3681840878};
 
 #ifdef GYP_MUTANTS
 int gyp_mutant;
