--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	$(wildcard src/*.c src/*.h test/*.c test/*.h bench/*.c bench/*.h tools/*.c))
 
 .PHONY: all asan build capacity check clean demo deps format lint measure mutants \
-	proto soak test tidy
+	proto running soak test tidy
 
 all: build
 
@@ -62,6 +62,10 @@
 	bash bench/capacity.sh $(BUILD)/bin docs/CAPACITY.md
 
 # Measures the decisions and writes the tables of docs/MEASURES.md.
+# The real programs through HTTP on this machine; prints its figures.
+running: build
+	bash bench/running.sh $(BUILD)/bin
+
 measure: build
 	bash bench/measure.sh $(BUILD)/bin bench docs/MEASURES.md
 
