--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -138,6 +138,23 @@
 	flush(app);
 }
 
+/*
+ * A leader counts the leases that its predecessor granted with its own
+ * settings, so different ones may let a task run in two places.
+ */
+static void
+compare_leases(const struct settings *set, const Gyp__Hello *hello)
+{
+	if (hello->endpoint_lease_ms == set->endpoint_lease_ms &&
+	    hello->entry_lease_ms == set->entry_lease_ms)
+		return;
+	gyp_log(GYP_LOG_ERR, "lease-mismatch",
+	    "name=%s endpoint_lease_ms=%u entry_lease_ms=%u "
+	    "own_endpoint_lease_ms=%u own_entry_lease_ms=%u",
+	    hello->name, hello->endpoint_lease_ms, hello->entry_lease_ms,
+	    set->endpoint_lease_ms, set->entry_lease_ms);
+}
+
 static void
 on_introduced(struct gyp_links_owner *owner, const Gyp__Hello *hello)
 {
@@ -149,6 +166,8 @@
 	if (hello->entry)
 		gyp_replica_entry_connected(
 		    app->replica, gyp_clock_ms(), hello->id);
+	else
+		compare_leases(app->set, hello);
 	flush(app);
 }
 
@@ -377,6 +396,8 @@
 	hello.address = set->listen;
 	hello.name = set->name;
 	hello.data_centre = set->data_centre;
+	hello.endpoint_lease_ms = set->endpoint_lease_ms;
+	hello.entry_lease_ms = set->entry_lease_ms;
 	app->links =
 	    gyp_links_new(app->loop, app->timers, &app->links_owner, &hello);
 	if (gyp_links_listen(app->links, set->listen, err) != GYP_OK)
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -3765,7 +3765,7 @@
   (ProtobufCMessageInit) gyp__snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__hello__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gyp__hello__field_descriptors[7] =
 {
   {
     "id",
@@ -3827,18 +3827,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoint_lease_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Hello, endpoint_lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entry_lease_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Hello, entry_lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__hello__field_indices_by_name[] = {
   2,   /* field[2] = address */
   3,   /* field[3] = data_centre */
+  5,   /* field[5] = endpoint_lease_ms */
   1,   /* field[1] = entry */
+  6,   /* field[6] = entry_lease_ms */
   0,   /* field[0] = id */
   4,   /* field[4] = name */
 };
 static const ProtobufCIntRange gyp__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gyp__hello__descriptor =
 {
@@ -3848,7 +3874,7 @@
   "Gyp__Hello",
   "gyp",
   sizeof(Gyp__Hello),
-  5,
+  7,
   gyp__hello__field_descriptors,
   gyp__hello__field_indices_by_name,
   1,  gyp__hello__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -600,10 +600,15 @@
   char *address;
   char *data_centre;
   char *name;
+  /*
+   * of replicas, whose leases must be equal
+   */
+  uint32_t endpoint_lease_ms;
+  uint32_t entry_lease_ms;
 };
 #define GYP__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__hello__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/test/disks.sh
+++ b/test/disks.sh
@@ -52,6 +52,18 @@
 start_cell 3
 until_true voters 3
 
+echo "== different leases are reported by both sides"
+kill_one cell3 TERM
+cell_settings='endpoint_lease = 6s' start_cell 3
+mismatch_of() {
+	grep -q "lease-mismatch name=$2 " "$dir/$1.log"
+}
+until_true mismatch_of cell1 cell-3
+until_true mismatch_of cell3 cell-1
+kill_one cell3 TERM
+start_cell 3
+until_true voters 3
+
 echo "== a second process is kept off the folder"
 start second "$bin/gyp-cell" --config "$dir/cell3.ini"
 ends_with second 75 'another process uses this folder'
