Test three rules of the log that random runs did not put to the test

Cause: three faults put into the log on scratch copies were caught by no test: commits by the count of copies of an older term's entry, commits of a change by the new members alone, and a vote for a candidate whose log is shorter (the pre-vote stands before it).

--- /dev/null
+++ b/test/test_raft_rules.c
@@ -0,0 +1,231 @@
+#include <glib.h>
+
+#include "msg.h"
+#include "raft.h"
+
+/*
+ * The rules of the log that random runs seldom put to the test, each with
+ * messages written by hand to one replica of three.
+ */
+
+#define ELECTION_MS 300
+
+struct node {
+	struct gyp_raft_io io;
+	struct gyp_raft *raft;
+	uint64_t written;
+	uint64_t now;
+	bool granted; /* it answered a vote request with yes */
+};
+
+static void
+on_send(struct gyp_raft_io *io, uint64_t to, const Gyp__RaftMsg *msg)
+{
+	(void)to;
+	if (msg->type == GYP__RAFT_TYPE__RAFT_VOTE_REPLY && !msg->reject)
+		((struct node *)io)->granted = true;
+}
+
+static void
+on_write(struct gyp_raft_io *io, const struct gyp_record *rec)
+{
+	(void)rec;
+	((struct node *)io)->written++;
+}
+
+static void
+on_apply(struct gyp_raft_io *io, const struct gyp_entry *e)
+{
+	(void)io;
+	(void)e;
+}
+
+static void
+on_restore(struct gyp_raft_io *io, const Gyp__SnapshotFile *file)
+{
+	(void)io;
+	(void)file;
+}
+
+static const struct gyp_raft_io_ops ops = {.send = on_send,
+    .write = on_write,
+    .apply = on_apply,
+    .restore = on_restore};
+
+#define MEMBERS_MAX 5
+
+/* Members 1 to n; those with a bit in voters vote. The caller keeps arrays. */
+static void
+fill_config(Gyp__Config *config, Gyp__Member own[MEMBERS_MAX],
+    Gyp__Member *list[MEMBERS_MAX], int n, unsigned voters)
+{
+	int i;
+
+	gyp__config__init(config);
+	for (i = 0; i < n; i++) {
+		gyp__member__init(&own[i]);
+		own[i].id = (uint64_t)i + 1;
+		own[i].address = "a";
+		own[i].voter = (voters >> i & 1) != 0;
+		list[i] = &own[i];
+	}
+	config->n_members = (size_t)n;
+	config->members = list;
+}
+
+/* Replica 1 of 1, 2 and 3, with a second entry of term 2 in its log. */
+static void
+set_up(struct node *n)
+{
+	struct gyp_raft_config cfg = {
+	    .id = 1, .election_ms = ELECTION_MS, .heartbeat_ms = 50, .seed = 1};
+	struct gyp_record rec = {.type = GYP_RECORD_ENTRY,
+	    .term = 1,
+	    .index = 1,
+	    .kind = GYP__ENTRY_KIND__ENTRY_CONFIG};
+	Gyp__Config config;
+	Gyp__Member own[MEMBERS_MAX], *list[MEMBERS_MAX];
+
+	*n = (struct node){.io = {.ops = &ops}, .now = 1000};
+	n->raft = gyp_raft_new(&cfg, &n->io);
+	fill_config(&config, own, list, 3, 7);
+	rec.data = gyp_message_pack(&config.base);
+	gyp_raft_load(n->raft, &rec);
+	rec.term = rec.index = 2;
+	rec.kind = GYP__ENTRY_KIND__ENTRY_BATCH;
+	gyp_raft_load(n->raft, &rec);
+	g_bytes_unref(rec.data);
+	gyp_raft_tick(n->raft, n->now);
+}
+
+static void
+pass(struct node *n, uint64_t ms)
+{
+	n->now += ms;
+	gyp_raft_tick(n->raft, n->now);
+	gyp_raft_synced(n->raft, n->now, n->written);
+}
+
+static void
+reply(struct node *n, Gyp__RaftType type, uint64_t from, uint64_t term,
+    uint64_t index)
+{
+	Gyp__RaftMsg m = GYP__RAFT_MSG__INIT;
+
+	m.type = type;
+	m.from = from;
+	m.to = 1;
+	m.term = term;
+	m.index = index;
+	m.round = n->now;
+	gyp_raft_step(n->raft, n->now, &m);
+}
+
+static void
+elect(struct node *n)
+{
+	pass(n, 3 * ELECTION_MS);
+	reply(n, GYP__RAFT_TYPE__RAFT_PREVOTE_REPLY, 2,
+	    gyp_raft_term(n->raft) + 1, 0);
+	pass(n, 1);
+	reply(n, GYP__RAFT_TYPE__RAFT_VOTE_REPLY, 2, gyp_raft_term(n->raft), 0);
+	pass(n, 1);
+	g_assert_cmpint(gyp_raft_role(n->raft), ==, GYP_RAFT_LEADER);
+}
+
+/* An entry of an older term is committed by one of the leader's own only. */
+static void
+test_older_term(void)
+{
+	struct node n;
+
+	set_up(&n);
+	elect(&n);
+	reply(
+	    &n, GYP__RAFT_TYPE__RAFT_APPEND_REPLY, 2, gyp_raft_term(n.raft), 2);
+	g_assert_cmpuint(gyp_raft_commit(n.raft), <, 2);
+	reply(
+	    &n, GYP__RAFT_TYPE__RAFT_APPEND_REPLY, 2, gyp_raft_term(n.raft), 3);
+	g_assert_cmpuint(gyp_raft_commit(n.raft), ==, 3);
+	gyp_raft_free(n.raft);
+}
+
+/* Members 2 to last acknowledge all there is until no change is open. */
+static void
+settle(struct node *n, uint64_t last)
+{
+	uint64_t id;
+
+	while (gyp_raft_changing(n->raft) && n->now < 10000) {
+		pass(n, 1);
+		for (id = 2; id <= last; id++)
+			reply(n, GYP__RAFT_TYPE__RAFT_APPEND_REPLY, id,
+			    gyp_raft_term(n->raft),
+			    gyp_raft_last_index(n->raft));
+	}
+}
+
+/* A change needs a majority of the old voters as well as of the new. */
+static void
+test_joint_quorum(void)
+{
+	struct node n;
+	Gyp__Config config;
+	Gyp__Member own[MEMBERS_MAX], *list[MEMBERS_MAX];
+	uint64_t term, index;
+
+	set_up(&n);
+	elect(&n);
+	term = gyp_raft_term(n.raft);
+	settle(&n, 3);
+	fill_config(&config, own, list, 5, 7);
+	g_assert_cmpuint(gyp_raft_change(n.raft, &config), !=, 0);
+	settle(&n, 5);
+	fill_config(&config, own, list, 5, 1 | 8 | 16);
+	index = gyp_raft_change(n.raft, &config);
+	g_assert_cmpuint(index, !=, 0);
+	pass(&n, 1);
+	reply(&n, GYP__RAFT_TYPE__RAFT_APPEND_REPLY, 4, term, index);
+	reply(&n, GYP__RAFT_TYPE__RAFT_APPEND_REPLY, 5, term, index);
+	g_assert_cmpuint(gyp_raft_commit(n.raft), <, index);
+	reply(&n, GYP__RAFT_TYPE__RAFT_APPEND_REPLY, 2, term, index);
+	g_assert_cmpuint(gyp_raft_commit(n.raft), >=, index);
+	gyp_raft_free(n.raft);
+}
+
+/* A candidate whose log lacks something gets no vote. */
+static void
+test_shorter_log(void)
+{
+	Gyp__RaftMsg m = GYP__RAFT_MSG__INIT;
+	struct node n;
+
+	set_up(&n);
+	n.now += ELECTION_MS + 1;
+	m.type = GYP__RAFT_TYPE__RAFT_VOTE;
+	m.from = 2;
+	m.to = 1;
+	m.term = 7;
+	m.index = 9;
+	m.log_term = 1;
+	gyp_raft_step(n.raft, n.now, &m);
+	pass(&n, 0);
+	g_assert_false(n.granted);
+	m.term = 8;
+	m.index = 2;
+	m.log_term = 2;
+	gyp_raft_step(n.raft, n.now, &m);
+	pass(&n, 0);
+	g_assert_true(n.granted);
+	gyp_raft_free(n.raft);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/raft/older-term", test_older_term);
+	g_test_add_func("/raft/joint-quorum", test_joint_quorum);
+	g_test_add_func("/raft/shorter-log", test_shorter_log);
+	return g_test_run();
+}
