--- a/bench/cell.c
+++ b/bench/cell.c
@@ -313,7 +313,7 @@
 		add_replica(c, i);
 	for (i = 0; i < CELL_ENTRIES; i++)
 		add_entry(c, i);
-	gyp_replica_bootstrap(c->replicas[0].replica);
+	gyp_replica_bootstrap(c->replicas[0].replica, NULL);
 	cell_run(c, 5000);
 	for (i = 1; i < CELL_REPLICAS; i++)
 		join(c, &c->replicas[i]);
--- /dev/null
+++ b/src/admission.c
@@ -0,0 +1,338 @@
+#include <string.h>
+
+#include "admission.h"
+#include "msg.h"
+
+/* Taken off a ticket's validity for the way to the endpoint, in ms. */
+#define TICKET_MARGIN_MS 200
+
+/* What is known of one endpoint for one unit. */
+struct word {
+	bool asked;
+	bool known;
+	bool allowed;
+	uint64_t born_ms;
+	uint64_t valid_until;
+	char *ticket;
+};
+
+struct unit_key {
+	uint64_t flow;
+	uint32_t unit;
+};
+
+struct unit_words {
+	struct unit_key key;
+	uint32_t asking;   /* questions under way */
+	GHashTable *words; /* row -> struct word */
+};
+
+struct question {
+	uint64_t id;
+	struct unit_key key;
+	GArray *rows;
+};
+
+struct gyp_admission {
+	struct gyp_flows *flows;
+	GHashTable *units;     /* key -> struct unit_words */
+	GHashTable *questions; /* id -> struct question */
+	uint64_t next_id;
+};
+
+/* ---- Tables ------------------------------------------------------------- */
+
+static guint
+key_hash(gconstpointer p)
+{
+	const struct unit_key *k = p;
+
+	return (guint)(k->flow ^ (k->flow >> 32)) * 31 + k->unit;
+}
+
+static gboolean
+key_equal(gconstpointer a, gconstpointer b)
+{
+	const struct unit_key *x = a, *y = b;
+
+	return x->flow == y->flow && x->unit == y->unit;
+}
+
+static void
+free_word(gpointer p)
+{
+	struct word *w = p;
+
+	g_free(w->ticket);
+	g_free(w);
+}
+
+static void
+free_unit(gpointer p)
+{
+	struct unit_words *u = p;
+
+	g_hash_table_destroy(u->words);
+	g_free(u);
+}
+
+static void
+free_question(gpointer p)
+{
+	struct question *q = p;
+
+	g_array_free(q->rows, TRUE);
+	g_free(q);
+}
+
+static struct unit_key
+key_of(const struct gyp_flow *flow, const struct gyp_flow_unit *unit)
+{
+	struct unit_key key = {
+	    .flow = flow->id, .unit = (uint32_t)(unit - flow->units)};
+
+	return key;
+}
+
+static struct unit_words *
+find_unit(const struct gyp_admission *a, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *unit)
+{
+	struct unit_key key = key_of(flow, unit);
+
+	return g_hash_table_lookup(a->units, &key);
+}
+
+static struct word *
+find_word(const struct gyp_admission *a, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *unit, uint32_t row)
+{
+	struct unit_words *u = find_unit(a, flow, unit);
+
+	if (u == NULL)
+		return NULL;
+	return g_hash_table_lookup(u->words, GUINT_TO_POINTER(row + 1));
+}
+
+static struct word *
+need_word(struct unit_words *u, uint32_t row)
+{
+	struct word *w =
+	    g_hash_table_lookup(u->words, GUINT_TO_POINTER(row + 1));
+
+	if (w != NULL)
+		return w;
+	w = g_new0(struct word, 1);
+	g_hash_table_insert(u->words, GUINT_TO_POINTER(row + 1), w);
+	return w;
+}
+
+/* ---- Reading ------------------------------------------------------------ */
+
+static bool
+ticket_holds(const struct gyp_admission *a, const struct word *w, uint32_t row,
+    uint64_t now)
+{
+	const struct gyp_host *h = gyp_host_at(a->flows, row);
+
+	return h != NULL && w->ticket != NULL && now < w->valid_until &&
+	       h->spec->born_ms == w->born_ms;
+}
+
+enum gyp_admission_word
+gyp_admission_word(const struct gyp_admission *a, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *unit, uint32_t row, uint64_t now)
+{
+	const struct word *w = find_word(a, flow, unit, row);
+
+	if (w == NULL)
+		return GYP_ADMISSION_UNKNOWN;
+	if (w->known && w->allowed && ticket_holds(a, w, row, now))
+		return GYP_ADMISSION_YES;
+	if (w->asked)
+		return GYP_ADMISSION_ASKED;
+	if (!w->known)
+		return GYP_ADMISSION_UNKNOWN;
+	return w->allowed ? GYP_ADMISSION_STALE : GYP_ADMISSION_NO;
+}
+
+const char *
+gyp_admission_ticket(const struct gyp_admission *a, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *unit, uint32_t row, uint64_t now)
+{
+	const struct word *w = find_word(a, flow, unit, row);
+
+	return w != NULL && ticket_holds(a, w, row, now) ? w->ticket : NULL;
+}
+
+bool
+gyp_admission_is_asking(const struct gyp_admission *a,
+    const struct gyp_flow *flow, const struct gyp_flow_unit *unit)
+{
+	const struct unit_words *u = find_unit(a, flow, unit);
+
+	return u != NULL && u->asking > 0;
+}
+
+/* ---- Questions ---------------------------------------------------------- */
+
+static Gyp__Ask *
+make_ask(const struct gyp_admission *a, const struct question *q,
+    const struct gyp_flow_unit *unit)
+{
+	Gyp__Ask ask = GYP__ASK__INIT;
+	GPtrArray *names = g_ptr_array_new();
+	Gyp__Ask *copy;
+	guint i;
+
+	for (i = 0; i < q->rows->len; i++)
+		g_ptr_array_add(names,
+		    gyp_host_at(a->flows, g_array_index(q->rows, uint32_t, i))
+			->spec->id);
+	ask.id = q->id;
+	ask.flow = q->key.flow;
+	ask.time = unit->time;
+	ask.step = unit->number;
+	ask.n_endpoints = names->len;
+	ask.endpoints = (char **)names->pdata;
+	copy = gyp_message_copy(&ask.base);
+	g_ptr_array_free(names, TRUE);
+	return copy;
+}
+
+Gyp__Ask *
+gyp_admission_ask(struct gyp_admission *a, uint64_t now,
+    const struct gyp_flow *flow, const struct gyp_flow_unit *unit,
+    const uint32_t *rows, guint n)
+{
+	struct unit_words *u = find_unit(a, flow, unit);
+	struct question *q = g_new0(struct question, 1);
+	guint i;
+
+	(void)now;
+	if (u == NULL) {
+		u = g_new0(struct unit_words, 1);
+		u->key = key_of(flow, unit);
+		u->words = g_hash_table_new_full(NULL, NULL, NULL, free_word);
+		g_hash_table_insert(a->units, &u->key, u);
+	}
+	q->id = a->next_id++;
+	q->key = u->key;
+	q->rows = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	for (i = 0; i < n; i++) {
+		need_word(u, rows[i])->asked = true;
+		g_array_append_val(q->rows, rows[i]);
+	}
+	u->asking++;
+	g_hash_table_insert(a->questions, &q->id, q);
+	return make_ask(a, q, unit);
+}
+
+static void
+learn_ticket(struct gyp_admission *a, struct unit_words *u, uint64_t now,
+    uint32_t valid_ms, const Gyp__Ticket *t)
+{
+	const struct gyp_host *h = gyp_host_by_id(a->flows, t->endpoint);
+	struct word *w;
+
+	if (h == NULL)
+		return;
+	w = need_word(u, h->row);
+	w->known = true;
+	w->allowed = true;
+	w->born_ms = h->spec->born_ms;
+	w->valid_until =
+	    now +
+	    (valid_ms > TICKET_MARGIN_MS ? valid_ms - TICKET_MARGIN_MS : 0);
+	g_free(w->ticket);
+	w->ticket = g_strdup(t->ticket);
+}
+
+/* Ends a question; its endpoints are allowed only if the answer says so. */
+static void
+close_question(struct gyp_admission *a, uint64_t id, uint64_t now,
+    const Gyp__Advised *answer)
+{
+	struct question *q = g_hash_table_lookup(a->questions, &id);
+	struct unit_words *u;
+	size_t i;
+
+	if (q == NULL)
+		return;
+	u = g_hash_table_lookup(a->units, &q->key);
+	for (i = 0; u != NULL && i < q->rows->len; i++) {
+		struct word *w =
+		    need_word(u, g_array_index(q->rows, uint32_t, i));
+
+		w->asked = false;
+		if (answer == NULL)
+			continue;
+		w->known = true;
+		w->allowed = false;
+	}
+	for (i = 0; u != NULL && answer != NULL && i < answer->n_tickets; i++)
+		learn_ticket(a, u, now, answer->valid_ms, answer->tickets[i]);
+	if (u != NULL)
+		u->asking--;
+	g_hash_table_remove(a->questions, &id);
+}
+
+void
+gyp_admission_learn(
+    struct gyp_admission *a, uint64_t now, const Gyp__Advised *answer)
+{
+	close_question(a, answer->id, now, answer->ok ? answer : NULL);
+}
+
+void
+gyp_admission_lost(struct gyp_admission *a, uint64_t ask)
+{
+	close_question(a, ask, 0, NULL);
+}
+
+void
+gyp_admission_refused(struct gyp_admission *a, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *unit, uint32_t row)
+{
+	struct word *w = find_word(a, flow, unit, row);
+
+	if (w != NULL)
+		w->valid_until = 0;
+}
+
+/* ---- Construction ------------------------------------------------------- */
+
+void
+gyp_admission_forget(struct gyp_admission *a, const struct gyp_flow *flow)
+{
+	uint32_t i;
+
+	for (i = 0; i < flow->n_units; i++) {
+		struct unit_key key = {.flow = flow->id, .unit = i};
+
+		g_hash_table_remove(a->units, &key);
+	}
+}
+
+struct gyp_admission *
+gyp_admission_new(struct gyp_flows *flows, uint64_t first_id)
+{
+	struct gyp_admission *a = g_new0(struct gyp_admission, 1);
+
+	a->flows = flows;
+	a->next_id = first_id;
+	a->units = g_hash_table_new_full(key_hash, key_equal, NULL, free_unit);
+	a->questions = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, free_question);
+	return a;
+}
+
+void
+gyp_admission_free(struct gyp_admission *a)
+{
+	if (a == NULL)
+		return;
+	g_hash_table_destroy(a->units);
+	g_hash_table_destroy(a->questions);
+	g_free(a);
+}
--- /dev/null
+++ b/src/admission.h
@@ -0,0 +1,72 @@
+#ifndef GYP_ADMISSION_H
+#define GYP_ADMISSION_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "flow.h"
+
+/*
+ * NAME
+ *	admission - which endpoints a policy service allows for a step
+ *
+ * DESCRIPTION
+ *	Load pattern answered: the service takes one call at a time from each
+ *	VM, and a call takes long; so questions are spread over the entries,
+ *	name few endpoints, and what was learnt is kept. Whether an endpoint
+ *	may run a step does not change; the ticket that says so is valid for a
+ *	while only, and for one life of the endpoint.
+ *
+ *	Steps are asked about by repetition. No input or output here: the
+ *	caller hands the questions to the entries and their answers back.
+ */
+
+enum gyp_admission_word {
+	GYP_ADMISSION_UNKNOWN,
+	GYP_ADMISSION_ASKED, /* a question that names it is under way */
+	GYP_ADMISSION_NO,
+	GYP_ADMISSION_STALE, /* allowed, but the ticket ran out */
+	GYP_ADMISSION_YES
+};
+
+struct gyp_admission;
+
+/* Questions are numbered from first_id on, which no earlier leader used. */
+struct gyp_admission *gyp_admission_new(struct gyp_flows *, uint64_t first_id);
+void gyp_admission_free(struct gyp_admission *);
+
+enum gyp_admission_word gyp_admission_word(const struct gyp_admission *,
+    const struct gyp_flow *, const struct gyp_flow_unit *, uint32_t row,
+    uint64_t now);
+
+/* The valid ticket, or NULL; owned by the table until the next answer. */
+const char *gyp_admission_ticket(const struct gyp_admission *,
+    const struct gyp_flow *, const struct gyp_flow_unit *, uint32_t row,
+    uint64_t now);
+
+/* True while a question about the unit is under way. */
+bool gyp_admission_is_asking(const struct gyp_admission *,
+    const struct gyp_flow *, const struct gyp_flow_unit *);
+
+/* Notes a question about these rows; returns it for an entry. */
+Gyp__Ask *gyp_admission_ask(struct gyp_admission *, uint64_t now,
+    const struct gyp_flow *, const struct gyp_flow_unit *, const uint32_t *rows,
+    guint n);
+
+/* Takes the answer to a question; unknown ones are ignored. */
+void gyp_admission_learn(
+    struct gyp_admission *, uint64_t now, const Gyp__Advised *);
+
+/* The question got no answer: its endpoints are unknown again. */
+void gyp_admission_lost(struct gyp_admission *, uint64_t ask);
+
+/* The endpoint refused the ticket. */
+void gyp_admission_refused(struct gyp_admission *, const struct gyp_flow *,
+    const struct gyp_flow_unit *, uint32_t row);
+
+/* Forgets what is known of a flow. */
+void gyp_admission_forget(struct gyp_admission *, const struct gyp_flow *);
+
+#endif
--- a/src/entry.c
+++ b/src/entry.c
@@ -137,6 +137,9 @@
 		gyp_entry_on_reply(e, down->replies[i]);
 	for (i = 0; i < down->n_orders; i++)
 		gyp_entry_on_order(e, down->orders[i]);
+	for (i = 0; i < down->n_asks; i++)
+		g_queue_push_tail(
+		    &e->asks, gyp_message_copy(&down->asks[i]->base));
 }
 
 void
@@ -206,6 +209,12 @@
 	return *packed != NULL;
 }
 
+Gyp__Ask *
+gyp_entry_pop_ask(struct gyp_entry_core *e)
+{
+	return g_queue_pop_head(&e->asks);
+}
+
 bool
 gyp_entry_pop_exchange(struct gyp_entry_core *e, struct gyp_exchange *x)
 {
@@ -289,6 +298,7 @@
 	while (gyp_entry_pop_answer(e, &a))
 		gyp_message_free(a.reply);
 	g_queue_clear_full(&e->unsent, g_free);
+	g_queue_clear_full(&e->asks, gyp_message_free);
 	g_hash_table_destroy(e->calls);
 	g_hash_table_destroy(e->exchanges);
 	g_hash_table_destroy(e->attempts);
--- a/src/entry.h
+++ b/src/entry.h
@@ -115,6 +115,12 @@
 bool gyp_entry_pop_exchange(struct gyp_entry_core *, struct gyp_exchange *);
 bool gyp_entry_pop_answer(struct gyp_entry_core *, struct gyp_answer *);
 
+/*
+ * A question to carry to the admission service, or NULL; to be answered by a
+ * call that holds Gyp__Advised. The caller owns it.
+ */
+Gyp__Ask *gyp_entry_pop_ask(struct gyp_entry_core *);
+
 /* From now on the leader is told to name this entry for no new start. */
 void gyp_entry_drain(struct gyp_entry_core *);
 
--- a/src/entry_int.h
+++ b/src/entry_int.h
@@ -80,6 +80,7 @@
 	GQueue frames;         /* GBytes */
 	GQueue todo;           /* struct gyp_exchange */
 	GQueue answers;        /* struct gyp_answer */
+	GQueue asks;           /* Gyp__Ask */
 	uint64_t rules_version;
 	char *rules;
 };
--- /dev/null
+++ b/src/fleet_calls.c
@@ -0,0 +1,266 @@
+#include <string.h>
+
+#include "fleet_int.h"
+
+/* Time for an answer, in ms; of a look on top of its wait. */
+#define START_MS 500
+#define STOP_MS  700
+#define LOOK_MS  700
+
+/* Starts of one run without an answer, before it is stopped. */
+#define STARTS_MAX 4
+
+/* Pause before a lost stop is repeated, in ms. */
+#define STOP_RETRY_MS 250
+
+/* An answer older than this does not tell a clock well enough, in ms. */
+#define EXTEND_MS 2500
+
+/* ---- Making calls ------------------------------------------------------- */
+
+static struct gyp_fleet_call *
+new_call(struct gyp_fleet *f, const struct gyp_host *h,
+    enum gyp_fleet_call_kind kind, uint32_t timeout_ms)
+{
+	struct gyp_fleet_call *call = g_new0(struct gyp_fleet_call, 1);
+	struct gyp_fleet_pending *p = g_new0(struct gyp_fleet_pending, 1);
+
+	call->id = f->next_call++;
+	call->kind = kind;
+	call->address = g_strdup(h->spec->address);
+	call->endpoint = g_strdup(h->spec->id);
+	call->fence = f->fence;
+	call->timeout_ms = timeout_ms;
+	p->id = call->id;
+	p->kind = kind;
+	p->row = h->row;
+	p->sent_at = f->now;
+	g_hash_table_insert(f->pending, &p->id, p);
+	g_queue_push_tail(&f->calls, call);
+	return call;
+}
+
+static void
+name_run(struct gyp_fleet *f, struct gyp_fleet_call *call,
+    const struct gyp_fleet_run *run)
+{
+	const struct gyp_flow_unit *u =
+	    gyp_flow_unit_of(run->flow, run->key.task);
+	struct gyp_fleet_pending *p =
+	    g_hash_table_lookup(f->pending, &call->id);
+
+	call->flow = run->key.flow;
+	call->time = u->time;
+	call->step = u->number;
+	call->index = run->key.task - u->first;
+	call->run = run->run;
+	p->key = run->key;
+	p->run = run->run;
+}
+
+/* Extends the lease only of an endpoint that answers. */
+static uint64_t
+extend_lease(struct gyp_fleet *f, struct gyp_peer *peer)
+{
+	uint64_t elapsed = MIN(f->now - peer->clock_at, EXTEND_MS);
+	uint64_t until;
+
+	if (peer->clock_at == 0 || !peer->met)
+		return 0;
+	if (peer->failures > 0)
+		return peer->until_ms;
+	until = peer->clock_ms + elapsed - elapsed / GYP_CLOCK_SLOW +
+		f->cfg.lease_ms;
+	peer->until_ms = MAX(peer->until_ms, until);
+	return until;
+}
+
+void
+gyp_fleet_send_start(struct gyp_fleet *f, struct gyp_fleet_run *run)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, run->row);
+	const struct gyp_flow_task *t = &run->flow->tasks[run->key.task];
+	struct gyp_fleet_call *call = new_call(f, h, GYP_FLEET_START, START_MS);
+
+	name_run(f, call, run);
+	call->until_ms = extend_lease(f, gyp_fleet_peer(f, run->row));
+	call->payload = g_strdup(run->flow->spec->payload);
+	call->checkpoint = g_strdup(t->checkpoint);
+	call->ticket = g_strdup(run->ticket);
+	run->phase = GYP_RUN_STARTING;
+	run->sending = true;
+	run->sends++;
+}
+
+void
+gyp_fleet_send_stop(struct gyp_fleet *f, struct gyp_fleet_run *run)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, run->row);
+
+	name_run(f, new_call(f, h, GYP_FLEET_STOP, STOP_MS), run);
+	run->stop = GYP_STOP_SENT;
+}
+
+void
+gyp_fleet_send_look(
+    struct gyp_fleet *f, struct gyp_peer *peer, uint32_t wait_ms)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, peer->row);
+	struct gyp_fleet_call *call =
+	    new_call(f, h, GYP_FLEET_LOOK, wait_ms + LOOK_MS);
+	struct gyp_fleet_pending *p =
+	    g_hash_table_lookup(f->pending, &call->id);
+
+	call->until_ms = extend_lease(f, peer);
+	call->acked = peer->acked;
+	call->wait_ms = wait_ms;
+	p->waits = wait_ms > 0;
+	peer->looks++;
+	peer->waits = peer->waits || wait_ms > 0;
+	peer->quick = false;
+	peer->acked_sent = peer->acked;
+}
+
+struct gyp_fleet_call *
+gyp_fleet_pop_call(struct gyp_fleet *f)
+{
+	return g_queue_pop_head(&f->calls);
+}
+
+void
+gyp_fleet_call_free(struct gyp_fleet_call *call)
+{
+	g_free(call->address);
+	g_free(call->endpoint);
+	g_free(call->payload);
+	g_free(call->checkpoint);
+	g_free(call->ticket);
+	g_free(call);
+}
+
+/* ---- Answers ------------------------------------------------------------ */
+
+static void
+note_bad_ticket(struct gyp_fleet *f, const struct gyp_fleet_run *run)
+{
+	struct gyp_bad_ticket *bad = g_new0(struct gyp_bad_ticket, 1);
+
+	bad->key = run->key;
+	bad->row = run->row;
+	g_queue_push_tail(&f->bad_tickets, bad);
+}
+
+static void
+start_answered(struct gyp_fleet *f, struct gyp_fleet_run *run,
+    const struct gyp_fleet_answer *a)
+{
+	run->sending = false;
+	if (a->end == GYP_FLEET_OK) {
+		run->phase = GYP_RUN_UP;
+		run->confirmed_at = f->now;
+		run->view.up = true;
+		return;
+	}
+	if (a->reason == GYP_REASON_TICKET)
+		note_bad_ticket(f, run);
+	/* A start that was lost before may be carried out yet: ask to stop. */
+	if (a->end == GYP_FLEET_REFUSED || run->sends >= STARTS_MAX)
+		gyp_fleet_want_stop(f, run);
+	else if (a->end == GYP_FLEET_LOST)
+		run->retry_at = f->now + 1;
+}
+
+static void
+stop_answered(struct gyp_fleet *f, struct gyp_fleet_run *run,
+    const struct gyp_fleet_answer *a)
+{
+	if (a->end != GYP_FLEET_OK) {
+		run->stop = GYP_STOP_DUE;
+		run->retry_at = f->now + STOP_RETRY_MS;
+		return;
+	}
+	run->stop = GYP_STOP_OK;
+	run->stopped_at = f->now;
+	gyp_fleet_peer(f, run->row)->quick = true;
+	f->sweep_at = 0;
+}
+
+/* Another process listens where the endpoint was: that one is no more. */
+static void
+endpoint_moved(struct gyp_fleet *f, struct gyp_peer *peer)
+{
+	if (peer->gone_at == 0)
+		peer->gone_at = f->now;
+}
+
+static void
+note_contact(struct gyp_fleet *f, struct gyp_peer *peer,
+    const struct gyp_fleet_answer *a)
+{
+	if (a->end == GYP_FLEET_LOST) {
+		peer->failures++;
+		f->sweep_at = 0;
+		return;
+	}
+	if (a->end == GYP_FLEET_MOVED) {
+		endpoint_moved(f, peer);
+		return;
+	}
+	if (a->born_ms > peer->born_ms)
+		gyp_peer_reborn(f, peer, a->born_ms);
+	peer->failures = 0;
+	peer->met = true;
+	peer->heard_at = f->now;
+	if (a->has_clock)
+		gyp_peer_read_clock(f, peer, a->clock_ms);
+}
+
+static void
+answer_run(struct gyp_fleet *f, const struct gyp_fleet_pending *p,
+    const struct gyp_fleet_answer *a)
+{
+	struct gyp_fleet_run *run = gyp_fleet_find(f, &p->key);
+
+	if (run == NULL || run->run != p->run)
+		return;
+	if (p->kind == GYP_FLEET_START)
+		start_answered(f, run, a);
+	else if (p->kind == GYP_FLEET_STOP)
+		stop_answered(f, run, a);
+}
+
+static void
+answer_look(struct gyp_fleet *f, struct gyp_peer *peer,
+    const struct gyp_fleet_pending *p, const struct gyp_fleet_answer *a)
+{
+	peer->looks--;
+	if (p->waits)
+		peer->waits = false;
+	f->sweep_at = 0;
+	if (a->end == GYP_FLEET_OK && a->listed &&
+	    (a->born_ms == 0 || a->born_ms >= peer->born_ms))
+		gyp_fleet_take_lists(f, peer, p, a);
+	else if (a->end != GYP_FLEET_LOST)
+		peer->look_at = f->now + STOP_RETRY_MS;
+}
+
+void
+gyp_fleet_answered(
+    struct gyp_fleet *f, uint64_t now, const struct gyp_fleet_answer *a)
+{
+	struct gyp_fleet_pending *p = g_hash_table_lookup(f->pending, &a->call);
+	struct gyp_peer *peer;
+
+	f->now = MAX(f->now, now);
+	if (p == NULL)
+		return;
+	peer = p->row < f->peers->len ? f->peers->pdata[p->row] : NULL;
+	if (peer != NULL) {
+		note_contact(f, peer, a);
+		if (p->kind == GYP_FLEET_LOOK)
+			answer_look(f, peer, p, a);
+		else
+			answer_run(f, p, a);
+	}
+	g_hash_table_remove(f->pending, &a->call);
+}
--- /dev/null
+++ b/src/fleet_int.h
@@ -0,0 +1,142 @@
+#ifndef GYP_FLEET_INT_H
+#define GYP_FLEET_INT_H
+
+#include "fleet.h"
+
+/*
+ * NAME
+ *	fleet_int - what the files of the fleet share
+ *
+ * DESCRIPTION
+ *	fleet.c		runs, leases and what is due
+ *	fleet_calls.c	calls and their answers
+ *	fleet_look.c	lists of runs and ends
+ */
+
+/* Looks under way at one endpoint: one that waits and one that does not. */
+#define GYP_LOOKS_MAX 2
+
+struct gyp_run_key {
+	uint64_t flow;
+	uint32_t task;
+};
+
+enum gyp_run_phase {
+	GYP_RUN_DUE,      /* its start was never sent by this leader */
+	GYP_RUN_STARTING, /* a start is under way or was lost */
+	GYP_RUN_UP,       /* the endpoint confirmed it */
+	GYP_RUN_INHERITED /* an earlier leader may have sent its start */
+};
+
+enum gyp_run_stop {
+	GYP_STOP_NONE,
+	GYP_STOP_DUE,
+	GYP_STOP_SENT,
+	GYP_STOP_OK /* the endpoint will not begin this run any more */
+};
+
+struct gyp_fleet_run {
+	struct gyp_run_key key;
+	struct gyp_flow *flow;
+	uint32_t run;
+	uint32_t row;
+	enum gyp_run_phase phase;
+	enum gyp_run_stop stop;
+	uint64_t confirmed_at;
+	uint64_t stopped_at; /* when the stop was confirmed */
+	uint64_t retry_at;   /* 0: nothing to repeat */
+	uint32_t sends;
+	bool sending; /* a start is under way */
+	bool ending;  /* its end is proposed */
+	char *ticket;
+	struct gyp_run_view view;
+};
+
+/* An end that was listed and is not acknowledged yet. */
+struct gyp_seen_end {
+	uint64_t number;
+	struct gyp_run_key key;
+	uint32_t run;
+};
+
+struct gyp_peer {
+	uint32_t row;
+	uint64_t born_ms;
+	bool met;          /* it answered this leader */
+	uint64_t clock_ms; /* its clock was at least this */
+	uint64_t clock_at; /* at this time of ours; 0 when not known */
+	uint64_t until_ms; /* latest end of its lease, its clock */
+	uint64_t heard_at; /* last answer or heartbeat */
+	uint64_t gone_at;  /* it said that it ends; 0 if not */
+	bool gone_proposed;
+	uint32_t failures; /* calls without an answer in a row */
+	uint32_t looks;    /* under way */
+	bool waits;        /* one of them waits for an end */
+	bool quick;        /* a look without waiting is due */
+	uint64_t look_at;  /* no look before */
+	uint64_t acked;
+	uint64_t acked_sent;
+	GArray *seen;    /* struct gyp_seen_end, by number */
+	GPtrArray *runs; /* struct gyp_fleet_run */
+};
+
+/* A call under way. */
+struct gyp_fleet_pending {
+	uint64_t id;
+	enum gyp_fleet_call_kind kind;
+	uint32_t row;
+	struct gyp_run_key key;
+	uint32_t run;
+	uint64_t sent_at;
+	bool waits;
+};
+
+struct gyp_bad_ticket {
+	struct gyp_run_key key;
+	uint32_t row;
+};
+
+struct gyp_fleet {
+	struct gyp_fleet_config cfg;
+	struct gyp_flows *flows;
+	uint64_t fence;
+	uint64_t since;
+	uint64_t now;
+	uint64_t sweep_at;
+	uint64_t next_call;
+	GPtrArray *peers;    /* struct gyp_peer by row */
+	GHashTable *runs;    /* key -> struct gyp_fleet_run */
+	GHashTable *pending; /* id -> struct gyp_fleet_pending */
+	GQueue todo;         /* struct gyp_run_key: something to send */
+	GQueue calls;        /* struct gyp_fleet_call */
+	GQueue cmds;         /* Gyp__Cmd */
+	GQueue bad_tickets;  /* struct gyp_bad_ticket */
+};
+
+/* fleet.c */
+struct gyp_peer *gyp_fleet_peer(struct gyp_fleet *, uint32_t row);
+struct gyp_fleet_run *gyp_fleet_find(
+    const struct gyp_fleet *, const struct gyp_run_key *);
+void gyp_fleet_want_stop(struct gyp_fleet *, struct gyp_fleet_run *);
+void gyp_fleet_queue_run(struct gyp_fleet *, const struct gyp_fleet_run *);
+void gyp_fleet_propose_end(struct gyp_fleet *, struct gyp_fleet_run *,
+    Gyp__FlowHow, const char *checkpoint);
+/* Takes a reading of the endpoint's clock. */
+void gyp_peer_read_clock(
+    struct gyp_fleet *, struct gyp_peer *, uint64_t clock_ms);
+/* Its process began anew: it holds nothing of before. */
+void gyp_peer_reborn(struct gyp_fleet *, struct gyp_peer *, uint64_t born_ms);
+
+/* fleet_calls.c */
+void gyp_fleet_send_start(struct gyp_fleet *, struct gyp_fleet_run *);
+void gyp_fleet_send_stop(struct gyp_fleet *, struct gyp_fleet_run *);
+void gyp_fleet_send_look(
+    struct gyp_fleet *, struct gyp_peer *, uint32_t wait_ms);
+
+/* fleet_look.c */
+void gyp_fleet_take_lists(struct gyp_fleet *, struct gyp_peer *,
+    const struct gyp_fleet_pending *, const struct gyp_fleet_answer *);
+/* Advances the acknowledged number over ends that are committed. */
+void gyp_peer_settle_ends(struct gyp_fleet *, struct gyp_peer *);
+
+#endif
--- /dev/null
+++ b/src/fleet_look.c
@@ -0,0 +1,200 @@
+#include <string.h>
+
+#include "fleet_int.h"
+
+/* Most unknown runs that are stopped after one look. */
+#define STRAYS_MAX 50
+
+/* ---- Ends --------------------------------------------------------------- */
+
+static struct gyp_run_key
+key_of(const struct gyp_fleet *f, const struct gyp_listed_run *l)
+{
+	const struct gyp_flow *flow = gyp_flow_get(f->flows, l->flow);
+	struct gyp_run_key key = {.flow = l->flow, .task = UINT32_MAX};
+
+	if (flow != NULL)
+		key.task = gyp_flow_task_at(flow, l->time, l->step, l->index);
+	return key;
+}
+
+/* The run that an endpoint lists, if the tables hold it as open there. */
+static struct gyp_fleet_run *
+listed_run(const struct gyp_fleet *f, const struct gyp_peer *peer,
+    const struct gyp_run_key *key, uint32_t number)
+{
+	struct gyp_fleet_run *run = gyp_fleet_find(f, key);
+
+	if (run == NULL || run->run != number || run->row != peer->row)
+		return NULL;
+	return run;
+}
+
+static void
+take_end(
+    struct gyp_fleet *f, struct gyp_peer *peer, const struct gyp_listed_end *e)
+{
+	struct gyp_run_key key = key_of(f, &e->run);
+	struct gyp_fleet_run *run = listed_run(f, peer, &key, e->run.run);
+	struct gyp_seen_end seen = {
+	    .number = e->number, .key = key, .run = e->run.run};
+
+	g_array_append_val(peer->seen, seen);
+	if (run != NULL)
+		gyp_fleet_propose_end(f, run, e->how, e->run.checkpoint);
+}
+
+static uint64_t
+last_seen(const struct gyp_peer *peer)
+{
+	if (peer->seen->len == 0)
+		return peer->acked;
+	return g_array_index(
+	    peer->seen, struct gyp_seen_end, peer->seen->len - 1)
+	    .number;
+}
+
+static void
+take_ends(struct gyp_fleet *f, struct gyp_peer *peer, const GArray *ended)
+{
+	guint i;
+
+	for (i = 0; i < ended->len; i++) {
+		const struct gyp_listed_end *e =
+		    &g_array_index(ended, struct gyp_listed_end, i);
+
+		if (e->number > last_seen(peer))
+			take_end(f, peer, e);
+	}
+}
+
+void
+gyp_peer_settle_ends(struct gyp_fleet *f, struct gyp_peer *peer)
+{
+	guint done = 0;
+
+	while (done < peer->seen->len) {
+		const struct gyp_seen_end *e =
+		    &g_array_index(peer->seen, struct gyp_seen_end, done);
+
+		if (listed_run(f, peer, &e->key, e->run) != NULL)
+			break;
+		peer->acked = e->number;
+		done++;
+	}
+	if (done > 0)
+		g_array_remove_range(peer->seen, 0, done);
+}
+
+/* ---- Runs --------------------------------------------------------------- */
+
+/* Stops what no table knows; nobody waits for the answer. */
+static void
+stop_stray(struct gyp_fleet *f, const struct gyp_peer *peer,
+    const struct gyp_listed_run *l)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, peer->row);
+	struct gyp_fleet_call *call = g_new0(struct gyp_fleet_call, 1);
+
+	call->id = f->next_call++;
+	call->kind = GYP_FLEET_STOP;
+	call->address = g_strdup(h->spec->address);
+	call->endpoint = g_strdup(h->spec->id);
+	call->fence = f->fence;
+	call->timeout_ms = 1000;
+	call->flow = l->flow;
+	call->time = l->time;
+	call->step = l->step;
+	call->index = l->index;
+	call->run = l->run;
+	g_queue_push_tail(&f->calls, call);
+}
+
+static void
+confirm_run(struct gyp_fleet *f, struct gyp_fleet_run *run,
+    const struct gyp_listed_run *l, uint64_t sent_at)
+{
+	if (run->phase != GYP_RUN_UP) {
+		run->phase = GYP_RUN_UP;
+		run->confirmed_at = f->now;
+		run->retry_at = run->stop == GYP_STOP_NONE ? 0 : run->retry_at;
+	}
+	run->view.up = true;
+	run->view.percent = l->percent;
+	run->view.load = l->load;
+	(void)sent_at;
+}
+
+static GHashTable *
+take_running(struct gyp_fleet *f, struct gyp_peer *peer,
+    const struct gyp_fleet_pending *p, const GArray *running)
+{
+	GHashTable *listed = g_hash_table_new(NULL, NULL);
+	guint i, strays = 0;
+
+	for (i = 0; i < running->len; i++) {
+		const struct gyp_listed_run *l =
+		    &g_array_index(running, struct gyp_listed_run, i);
+		struct gyp_run_key key = key_of(f, l);
+		struct gyp_fleet_run *run = listed_run(f, peer, &key, l->run);
+
+		if (run != NULL) {
+			g_hash_table_add(listed, run);
+			confirm_run(f, run, l, p->sent_at);
+		} else if (strays++ < STRAYS_MAX) {
+			stop_stray(f, peer, l);
+		}
+	}
+	return listed;
+}
+
+static bool
+is_seen(const struct gyp_peer *peer, const struct gyp_fleet_run *run)
+{
+	guint i;
+
+	for (i = 0; i < peer->seen->len; i++) {
+		const struct gyp_seen_end *e =
+		    &g_array_index(peer->seen, struct gyp_seen_end, i);
+
+		if (e->key.flow == run->key.flow &&
+		    e->key.task == run->key.task && e->run == run->run)
+			return true;
+	}
+	return false;
+}
+
+/* The endpoint has neither begun the run nor told its end. */
+static void
+run_is_missing(struct gyp_fleet *f, struct gyp_fleet_run *run, uint64_t sent_at)
+{
+	bool should_be_there =
+	    run->phase == GYP_RUN_INHERITED ||
+	    (run->phase == GYP_RUN_UP && run->confirmed_at <= sent_at);
+
+	if (run->stop == GYP_STOP_OK && run->stopped_at <= sent_at &&
+	    !run->sending)
+		gyp_fleet_propose_end(f, run, GYP__FLOW_HOW__FLOW_LOST, NULL);
+	else if (run->stop == GYP_STOP_NONE && should_be_there)
+		gyp_fleet_want_stop(f, run);
+}
+
+void
+gyp_fleet_take_lists(struct gyp_fleet *f, struct gyp_peer *peer,
+    const struct gyp_fleet_pending *p, const struct gyp_fleet_answer *a)
+{
+	GHashTable *listed;
+	guint i;
+
+	take_ends(f, peer, a->ended);
+	gyp_peer_settle_ends(f, peer);
+	listed = take_running(f, peer, p, a->running);
+	for (i = 0; i < peer->runs->len; i++) {
+		struct gyp_fleet_run *run = peer->runs->pdata[i];
+
+		if (!run->ending && !g_hash_table_contains(listed, run) &&
+		    !is_seen(peer, run))
+			run_is_missing(f, run, p->sent_at);
+	}
+	g_hash_table_destroy(listed);
+}
--- /dev/null
+++ b/src/flow.c
@@ -0,0 +1,347 @@
+#include <string.h>
+
+#include "flow_int.h"
+#include "msg.h"
+
+/* ---- Flows -------------------------------------------------------------- */
+
+static uint32_t
+count_times(const Gyp__FlowSpec *spec)
+{
+	return MAX(spec->times, 1);
+}
+
+static const char *
+check_step(const Gyp__FlowStep *step, size_t number)
+{
+	size_t i;
+
+	if (step->count == 0)
+		return "a step without tasks";
+	if (step->count > GYP_FLOW_TASKS_MAX)
+		return "too many tasks";
+	for (i = 0; i < step->n_after; i++) {
+		if (step->after[i] >= number)
+			return "a step depends on itself or a later one";
+	}
+	return NULL;
+}
+
+const char *
+gyp_flow_check_spec(const Gyp__FlowSpec *spec)
+{
+	uint64_t tasks = 0;
+	size_t i;
+
+	if (spec->n_steps == 0)
+		return "no steps";
+	for (i = 0; i < spec->n_steps; i++) {
+		const char *why = check_step(spec->steps[i], i);
+
+		if (why != NULL)
+			return why;
+		tasks += spec->steps[i]->count;
+	}
+	if (tasks * count_times(spec) > GYP_FLOW_TASKS_MAX)
+		return "too many tasks";
+	return NULL;
+}
+
+static void
+make_units(struct gyp_flow *flow)
+{
+	const Gyp__FlowSpec *spec = flow->spec;
+	uint32_t time, step, first = 0;
+	struct gyp_flow_unit *u;
+
+	flow->n_units = (uint32_t)spec->n_steps * count_times(spec);
+	flow->units = g_new0(struct gyp_flow_unit, flow->n_units);
+	u = flow->units;
+	for (time = 0; time < count_times(spec); time++) {
+		for (step = 0; step < spec->n_steps; step++, u++) {
+			u->step = spec->steps[step];
+			u->time = time;
+			u->number = step;
+			u->first = first;
+			u->left = u->step->count;
+			first += u->step->count;
+		}
+	}
+	flow->left = flow->n_units;
+	flow->n_tasks = first;
+	flow->tasks = g_new0(struct gyp_flow_task, first);
+}
+
+struct gyp_flow *
+gyp_flow_make(const Gyp__FlowSpec *spec)
+{
+	struct gyp_flow *flow = g_new0(struct gyp_flow, 1);
+
+	flow->id = spec->id;
+	flow->spec = gyp_message_copy(&spec->base);
+	make_units(flow);
+	return flow;
+}
+
+void
+gyp_flow_free(gpointer p)
+{
+	struct gyp_flow *flow = p;
+	uint32_t i;
+
+	for (i = 0; i < flow->n_tasks; i++)
+		g_free(flow->tasks[i].checkpoint);
+	g_free(flow->tasks);
+	g_free(flow->units);
+	gyp_message_free(flow->spec);
+	g_free(flow);
+}
+
+struct gyp_flow_unit *
+gyp_flow_unit_of(const struct gyp_flow *flow, uint32_t task)
+{
+	uint32_t low = 0, high = flow->n_units;
+
+	while (high - low > 1) {
+		uint32_t middle = (low + high) / 2;
+
+		if (flow->units[middle].first <= task)
+			low = middle;
+		else
+			high = middle;
+	}
+	return &flow->units[low];
+}
+
+uint32_t
+gyp_flow_task_at(
+    const struct gyp_flow *flow, uint32_t time, uint32_t step, uint32_t index)
+{
+	uint64_t unit;
+
+	if (step >= flow->spec->n_steps ||
+	    index >= flow->spec->steps[step]->count)
+		return UINT32_MAX;
+	unit = (uint64_t)time * flow->spec->n_steps + step;
+	return unit < flow->n_units ? flow->units[unit].first + index
+				    : UINT32_MAX;
+}
+
+bool
+gyp_flow_unit_is_ready(
+    const struct gyp_flow *flow, const struct gyp_flow_unit *u)
+{
+	const struct gyp_flow_unit *base = u - u->number;
+	size_t i;
+
+	(void)flow;
+	for (i = 0; i < u->step->n_after; i++) {
+		if (base[u->step->after[i]].left > 0)
+			return false;
+	}
+	return true;
+}
+
+bool
+gyp_flow_is_alive(const struct gyp_flow *flow)
+{
+	return flow->state == GYP_FLOW_QUEUED ||
+	       flow->state == GYP_FLOW_RUNNING;
+}
+
+bool
+gyp_flow_run_is_unwanted(const struct gyp_flow *flow, uint32_t task)
+{
+	const struct gyp_flow_unit *u;
+
+	if (!gyp_flow_is_alive(flow))
+		return true;
+	u = gyp_flow_unit_of(flow, task);
+	return u->step->gang && u->open < u->step->count;
+}
+
+struct gyp_res
+gyp_flow_step_size(const Gyp__FlowStep *step)
+{
+	struct gyp_res size = {0, 0, 0, 0};
+
+	if (step->size != NULL)
+		size = gyp_res_from(step->size);
+	if (step->fills)
+		size.cpu_milli = 0;
+	size.slots = 0;
+	return size;
+}
+
+/* ---- Endpoints ---------------------------------------------------------- */
+
+struct gyp_host *
+gyp_host_make(uint32_t row, const Gyp__CmdHost *spec)
+{
+	struct gyp_host *h = g_new0(struct gyp_host, 1);
+
+	h->row = row;
+	h->spec = gyp_message_copy(&spec->base);
+	if (spec->capacity != NULL)
+		h->capacity = gyp_res_from(spec->capacity);
+	h->runs = g_array_new(FALSE, FALSE, sizeof(struct gyp_host_run));
+	return h;
+}
+
+void
+gyp_host_free(gpointer p)
+{
+	struct gyp_host *h = p;
+
+	if (h == NULL)
+		return;
+	gyp_message_free(h->spec);
+	g_array_free(h->runs, TRUE);
+	g_free(h);
+}
+
+struct gyp_host *
+gyp_host_at(const struct gyp_flows *f, uint32_t row)
+{
+	return row < f->hosts->len ? f->hosts->pdata[row] : NULL;
+}
+
+uint32_t
+gyp_hosts_size(const struct gyp_flows *f)
+{
+	return f->hosts->len;
+}
+
+struct gyp_host *
+gyp_host_by_id(const struct gyp_flows *f, const char *id)
+{
+	return g_hash_table_lookup(f->host_ids, id);
+}
+
+/* ---- Manifest ----------------------------------------------------------- */
+
+const Gyp__CmdManifest *
+gyp_flows_manifest(const struct gyp_flows *f)
+{
+	return f->manifest;
+}
+
+const Gyp__FlowQueue *
+gyp_manifest_queue(const Gyp__CmdManifest *m, const char *host,
+    const char *path, const char **rest)
+{
+	const Gyp__FlowQueue *best = NULL;
+	size_t best_len = 0;
+	size_t i;
+
+	for (i = 0; i < m->n_queues; i++) {
+		const Gyp__FlowQueue *q = m->queues[i];
+		size_t len = strlen(q->prefix);
+
+		if (g_ascii_strcasecmp(q->host, host) != 0 ||
+		    strncmp(path, q->prefix, len) != 0)
+			continue;
+		if (best == NULL || len > best_len) {
+			best = q;
+			best_len = len;
+		}
+	}
+	if (best != NULL)
+		*rest = path + best_len;
+	return best;
+}
+
+/* ---- Access ------------------------------------------------------------- */
+
+struct gyp_flow *
+gyp_flow_get(const struct gyp_flows *f, uint64_t id)
+{
+	return g_hash_table_lookup(f->by_id, &id);
+}
+
+const GQueue *
+gyp_flows_active(const struct gyp_flows *f)
+{
+	return &f->active;
+}
+
+uint32_t
+gyp_flows_count(const struct gyp_flows *f)
+{
+	return g_hash_table_size(f->by_id);
+}
+
+void
+gyp_flows_listen(struct gyp_flows *f, struct gyp_flows_listener *listener)
+{
+	f->listener = listener;
+}
+
+const char *
+gyp_flow_state_name(enum gyp_flow_state state)
+{
+	static const char *const names[] = {
+	    "queued", "running", "completed", "failed", "cancelled"};
+
+	return names[state];
+}
+
+const char *
+gyp_flow_how_name(Gyp__FlowHow how)
+{
+	static const char *const names[] = {
+	    "done", "failed", "stopped", "lapsed", "broken", "alone", "lost"};
+
+	return how < G_N_ELEMENTS(names) ? names[how] : "unknown";
+}
+
+/* ---- Construction ------------------------------------------------------- */
+
+static void
+init_tables(struct gyp_flows *f)
+{
+	f->next_seq = 1;
+	f->by_id = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, gyp_flow_free);
+	f->hosts = g_ptr_array_new_with_free_func(gyp_host_free);
+	f->host_ids = g_hash_table_new(g_str_hash, g_str_equal);
+	g_queue_init(&f->active);
+	g_queue_init(&f->ended);
+}
+
+static void
+free_tables(struct gyp_flows *f)
+{
+	g_queue_clear(&f->active);
+	g_queue_clear(&f->ended);
+	g_hash_table_destroy(f->host_ids);
+	g_ptr_array_free(f->hosts, TRUE);
+	g_hash_table_destroy(f->by_id);
+	gyp_message_free(f->manifest);
+	f->manifest = NULL;
+}
+
+void
+gyp_flows_clear(struct gyp_flows *f)
+{
+	free_tables(f);
+	init_tables(f);
+}
+
+struct gyp_flows *
+gyp_flows_new(void)
+{
+	struct gyp_flows *f = g_new0(struct gyp_flows, 1);
+
+	init_tables(f);
+	return f;
+}
+
+void
+gyp_flows_free(struct gyp_flows *f)
+{
+	if (f == NULL)
+		return;
+	free_tables(f);
+	g_free(f);
+}
--- /dev/null
+++ b/src/flow_int.h
@@ -0,0 +1,37 @@
+#ifndef GYP_FLOW_INT_H
+#define GYP_FLOW_INT_H
+
+#include "flow.h"
+
+/*
+ * NAME
+ *	flow_int - what the files of the flows' tables share
+ *
+ * DESCRIPTION
+ *	flow.c		rows and access
+ *	flow_life.c	commands: what begins and what ends a run
+ *	flow_save.c	snapshots
+ */
+
+struct gyp_flows {
+	struct gyp_flows_listener *listener;
+	uint64_t next_seq;
+	GHashTable *by_id;    /* id -> struct gyp_flow, owned */
+	GQueue active;        /* struct gyp_flow */
+	GQueue ended;         /* struct gyp_flow, in order of their ends */
+	GPtrArray *hosts;     /* struct gyp_host by row; NULL when gone */
+	GHashTable *host_ids; /* id -> struct gyp_host */
+	Gyp__CmdManifest *manifest;
+};
+
+/* flow.c */
+struct gyp_flow *gyp_flow_make(const Gyp__FlowSpec *);
+void gyp_flow_free(gpointer);
+struct gyp_host *gyp_host_make(uint32_t row, const Gyp__CmdHost *);
+void gyp_host_free(gpointer);
+void gyp_flows_clear(struct gyp_flows *);
+
+/* flow_life.c */
+void gyp_flow_book(struct gyp_flows *, struct gyp_flow *, uint32_t task);
+
+#endif
--- /dev/null
+++ b/src/flow_lead.c
@@ -0,0 +1,298 @@
+#include <string.h>
+
+#include "admission.h"
+#include "flow_lead.h"
+#include "msg.h"
+#include "placer.h"
+
+/* Longest time between two rounds of decisions, in ms. */
+#define ROUND_MS 50
+
+/* Time for an entry to answer a question, in ms. */
+#define ASK_MS 4000
+
+/* An entry that carries questions, one at a time. */
+struct lane {
+	uint64_t entry;
+	uint64_t offered_at;
+	uint64_t ask; /* 0 when it is free */
+	uint64_t asked_at;
+};
+
+struct gyp_flow_lead {
+	struct gyp_flows_listener listener;
+	struct gyp_flows *flows;
+	struct gyp_fleet *fleet;
+	struct gyp_admission *admission;
+	struct gyp_placer *placer;
+	GHashTable *lanes; /* entry -> struct lane */
+	GQueue cmds;       /* Gyp__Cmd */
+	GQueue asks;       /* struct sent_ask */
+	uint64_t now;
+	uint64_t round_at;
+};
+
+struct sent_ask {
+	uint64_t entry;
+	Gyp__Ask *ask;
+};
+
+/* ---- Tables ------------------------------------------------------------- */
+
+static void
+on_started(struct gyp_flows_listener *l, struct gyp_flow *flow, uint32_t task)
+{
+	struct gyp_flow_lead *lead = (struct gyp_flow_lead *)l;
+	const char *ticket = gyp_admission_ticket(lead->admission, flow,
+	    gyp_flow_unit_of(flow, task), flow->tasks[task].host, lead->now);
+
+	gyp_fleet_started(lead->fleet, flow, task, ticket);
+}
+
+static void
+on_ended(struct gyp_flows_listener *l, struct gyp_flow *flow, uint32_t task,
+    uint32_t host, Gyp__FlowHow how)
+{
+	struct gyp_flow_lead *lead = (struct gyp_flow_lead *)l;
+
+	(void)host;
+	(void)how;
+	gyp_fleet_ended(lead->fleet, flow, task);
+	lead->round_at = 0;
+}
+
+static void
+on_unwanted(struct gyp_flows_listener *l, struct gyp_flow *flow, uint32_t task)
+{
+	struct gyp_flow_lead *lead = (struct gyp_flow_lead *)l;
+
+	gyp_fleet_unwanted(lead->fleet, flow, task);
+}
+
+static void
+on_dropped(struct gyp_flows_listener *l, struct gyp_flow *flow)
+{
+	struct gyp_flow_lead *lead = (struct gyp_flow_lead *)l;
+
+	gyp_admission_forget(lead->admission, flow);
+}
+
+static const struct gyp_flows_listener_ops listener_ops = {
+    .started = on_started,
+    .ended = on_ended,
+    .unwanted = on_unwanted,
+    .dropped = on_dropped};
+
+/* ---- Questions ---------------------------------------------------------- */
+
+void
+gyp_flow_lead_offer(struct gyp_flow_lead *lead, uint64_t entry)
+{
+	struct lane *lane = g_hash_table_lookup(lead->lanes, &entry);
+
+	if (lane == NULL) {
+		lane = g_new0(struct lane, 1);
+		lane->entry = entry;
+		g_hash_table_insert(lead->lanes, &lane->entry, lane);
+	}
+	lane->offered_at = lead->now;
+}
+
+/* Frees lanes whose answer is overdue; drops those not offered lately. */
+static uint32_t
+free_lanes(struct gyp_flow_lead *lead)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&iter, lead->lanes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct lane *lane = value;
+		bool here = lead->now <= lane->offered_at + ROUND_MS;
+
+		if (lane->ask != 0 &&
+		    (!here || lead->now >= lane->asked_at + ASK_MS)) {
+			gyp_admission_lost(lead->admission, lane->ask);
+			lane->ask = 0;
+		}
+		if (!here)
+			g_hash_table_iter_remove(&iter);
+		else
+			n += lane->ask == 0;
+	}
+	return n;
+}
+
+static void
+send_asks(struct gyp_flow_lead *lead, GPtrArray *asks)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint i = 0;
+
+	g_hash_table_iter_init(&iter, lead->lanes);
+	while (i < asks->len && g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct lane *lane = value;
+		struct sent_ask *sent;
+
+		if (lane->ask != 0)
+			continue;
+		sent = g_new0(struct sent_ask, 1);
+		sent->entry = lane->entry;
+		sent->ask = asks->pdata[i++];
+		lane->ask = sent->ask->id;
+		lane->asked_at = lead->now;
+		g_queue_push_tail(&lead->asks, sent);
+	}
+	g_assert(i == asks->len);
+}
+
+void
+gyp_flow_lead_advised(struct gyp_flow_lead *lead, uint64_t now, uint64_t entry,
+    const Gyp__Advised *answer)
+{
+	struct lane *lane = g_hash_table_lookup(lead->lanes, &entry);
+
+	lead->now = MAX(lead->now, now);
+	if (lane != NULL && lane->ask == answer->id)
+		lane->ask = 0;
+	gyp_admission_learn(lead->admission, lead->now, answer);
+	lead->round_at = 0;
+}
+
+/* ---- Rounds ------------------------------------------------------------- */
+
+static void
+pass_bad_tickets(struct gyp_flow_lead *lead)
+{
+	uint64_t id;
+	uint32_t task, row;
+
+	while (gyp_fleet_pop_bad_ticket(lead->fleet, &id, &task, &row)) {
+		const struct gyp_flow *flow = gyp_flow_get(lead->flows, id);
+
+		if (flow != NULL)
+			gyp_admission_refused(lead->admission, flow,
+			    gyp_flow_unit_of(flow, task), row);
+	}
+}
+
+static void
+decide_round(struct gyp_flow_lead *lead, uint64_t wall_ms)
+{
+	GPtrArray *cmds = g_ptr_array_new();
+	GPtrArray *asks = g_ptr_array_new();
+	guint i;
+
+	lead->round_at = lead->now + ROUND_MS;
+	gyp_placer_round(
+	    lead->placer, lead->now, wall_ms, free_lanes(lead), cmds, asks);
+	for (i = 0; i < cmds->len; i++)
+		g_queue_push_tail(&lead->cmds, cmds->pdata[i]);
+	send_asks(lead, asks);
+	g_ptr_array_free(cmds, TRUE);
+	g_ptr_array_free(asks, TRUE);
+}
+
+void
+gyp_flow_lead_round(
+    struct gyp_flow_lead *lead, uint64_t now, uint64_t wall_ms, bool decide)
+{
+	Gyp__Cmd *cmd;
+
+	lead->now = MAX(lead->now, now);
+	gyp_fleet_tick(lead->fleet, lead->now);
+	pass_bad_tickets(lead);
+	while ((cmd = gyp_fleet_pop_cmd(lead->fleet)) != NULL)
+		g_queue_push_tail(&lead->cmds, cmd);
+	if (decide && lead->now >= lead->round_at)
+		decide_round(lead, wall_ms);
+}
+
+void
+gyp_flow_lead_touch(struct gyp_flow_lead *lead)
+{
+	lead->round_at = 0;
+}
+
+void
+gyp_flow_lead_answered(
+    struct gyp_flow_lead *lead, uint64_t now, const struct gyp_fleet_answer *a)
+{
+	lead->now = MAX(lead->now, now);
+	gyp_fleet_answered(lead->fleet, lead->now, a);
+}
+
+Gyp__Cmd *
+gyp_flow_lead_pop_cmd(struct gyp_flow_lead *lead)
+{
+	return g_queue_pop_head(&lead->cmds);
+}
+
+struct gyp_fleet_call *
+gyp_flow_lead_pop_call(struct gyp_flow_lead *lead)
+{
+	return gyp_fleet_pop_call(lead->fleet);
+}
+
+Gyp__Ask *
+gyp_flow_lead_pop_ask(struct gyp_flow_lead *lead, uint64_t *entry)
+{
+	struct sent_ask *sent = g_queue_pop_head(&lead->asks);
+	Gyp__Ask *ask;
+
+	if (sent == NULL)
+		return NULL;
+	ask = sent->ask;
+	*entry = sent->entry;
+	g_free(sent);
+	return ask;
+}
+
+struct gyp_fleet *
+gyp_flow_lead_fleet(struct gyp_flow_lead *lead)
+{
+	return lead->fleet;
+}
+
+/* ---- Construction ------------------------------------------------------- */
+
+struct gyp_flow_lead *
+gyp_flow_lead_new(const struct gyp_fleet_config *cfg, struct gyp_flows *flows,
+    uint64_t now, uint64_t fence)
+{
+	struct gyp_flow_lead *lead = g_new0(struct gyp_flow_lead, 1);
+
+	lead->listener.ops = &listener_ops;
+	lead->flows = flows;
+	lead->now = now;
+	lead->fleet = gyp_fleet_new(cfg, flows, now, fence);
+	lead->admission = gyp_admission_new(flows, (fence << 32) + 1);
+	lead->placer = gyp_placer_new(flows, lead->fleet, lead->admission);
+	lead->lanes =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	gyp_flows_listen(flows, &lead->listener);
+	return lead;
+}
+
+void
+gyp_flow_lead_free(struct gyp_flow_lead *lead)
+{
+	Gyp__Cmd *cmd;
+	Gyp__Ask *ask;
+	uint64_t entry;
+
+	if (lead == NULL)
+		return;
+	gyp_flows_listen(lead->flows, NULL);
+	while ((cmd = gyp_flow_lead_pop_cmd(lead)) != NULL)
+		gyp_message_free(cmd);
+	while ((ask = gyp_flow_lead_pop_ask(lead, &entry)) != NULL)
+		gyp_message_free(ask);
+	g_hash_table_destroy(lead->lanes);
+	gyp_placer_free(lead->placer);
+	gyp_admission_free(lead->admission);
+	gyp_fleet_free(lead->fleet);
+	g_free(lead);
+}
--- /dev/null
+++ b/src/flow_life.c
@@ -0,0 +1,415 @@
+#include <string.h>
+
+#include "flow_int.h"
+#include "msg.h"
+
+/* ---- Bookings ----------------------------------------------------------- */
+
+void
+gyp_flow_book(struct gyp_flows *f, struct gyp_flow *flow, uint32_t task)
+{
+	struct gyp_host *h = gyp_host_at(f, flow->tasks[task].host);
+	struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
+	struct gyp_res size = gyp_flow_step_size(u->step);
+	struct gyp_host_run run = {.flow = flow, .task = task};
+
+	u->open++;
+	flow->open++;
+	gyp_res_add(&h->booked, &size);
+	g_array_append_val(h->runs, run);
+}
+
+static void
+release(struct gyp_flows *f, struct gyp_flow *flow, uint32_t task)
+{
+	struct gyp_host *h = gyp_host_at(f, flow->tasks[task].host);
+	struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
+	struct gyp_res size = gyp_flow_step_size(u->step);
+	guint i;
+
+	u->open--;
+	flow->open--;
+	gyp_res_sub(&h->booked, &size);
+	for (i = 0; i < h->runs->len; i++) {
+		const struct gyp_host_run *run =
+		    &g_array_index(h->runs, struct gyp_host_run, i);
+
+		if (run->flow == flow && run->task == task) {
+			g_array_remove_index_fast(h->runs, i);
+			return;
+		}
+	}
+}
+
+/* ---- Rows of endpoints -------------------------------------------------- */
+
+/* A row with open runs is kept until their ends are committed. */
+static void
+drop_host(struct gyp_flows *f, uint32_t row)
+{
+	struct gyp_host *h = gyp_host_at(f, row);
+
+	if (h == NULL || !h->spec->gone || h->runs->len > 0)
+		return;
+	g_hash_table_remove(f->host_ids, h->spec->id);
+	f->hosts->pdata[row] = NULL;
+	gyp_host_free(h);
+}
+
+/* ---- Ends of flows ------------------------------------------------------ */
+
+static void
+end_flow(struct gyp_flows *f, struct gyp_flow *flow, uint64_t now,
+    enum gyp_flow_state state)
+{
+	uint32_t i;
+
+	flow->state = state;
+	flow->ended_ms = now;
+	g_queue_push_tail(&f->ended, flow);
+	for (i = 0; i < flow->n_tasks && f->listener != NULL; i++) {
+		if (flow->tasks[i].state == GYP_FLOW_TASK_OPEN)
+			f->listener->ops->unwanted(f->listener, flow, i);
+	}
+}
+
+/* The rest of a gang is of no use once a run of it ended without success. */
+static void
+break_gang(struct gyp_flows *f, struct gyp_flow *flow, uint32_t task)
+{
+	const struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
+	uint32_t i;
+
+	if (!u->step->gang || f->listener == NULL)
+		return;
+	for (i = u->first; i < u->first + u->step->count; i++) {
+		if (flow->tasks[i].state == GYP_FLOW_TASK_OPEN)
+			f->listener->ops->unwanted(f->listener, flow, i);
+	}
+}
+
+/* A flow that is over stays active while runs of it are open. */
+static void
+leave_active(struct gyp_flows *f, struct gyp_flow *flow)
+{
+	if (!gyp_flow_is_alive(flow) && flow->open == 0)
+		g_queue_remove(&f->active, flow);
+}
+
+void
+gyp_flows_forget(struct gyp_flows *f, uint64_t now)
+{
+	struct gyp_flow *flow;
+
+	while ((flow = g_queue_peek_head(&f->ended)) != NULL &&
+	       now >= flow->ended_ms + GYP_FLOW_KEEP_MS && flow->open == 0) {
+		g_queue_pop_head(&f->ended);
+		if (f->listener != NULL)
+			f->listener->ops->dropped(f->listener, flow);
+		g_hash_table_remove(f->by_id, &flow->id);
+	}
+}
+
+/* ---- Ends of runs ------------------------------------------------------- */
+
+static void
+finish_unit(struct gyp_flows *f, struct gyp_flow *flow, struct gyp_flow_unit *u,
+    uint64_t now)
+{
+	if (u->left > 0)
+		return;
+	flow->left--;
+	if (flow->left == 0 && gyp_flow_is_alive(flow))
+		end_flow(f, flow, now, GYP_FLOW_COMPLETED);
+}
+
+/* One end of a gang as done stands for all of its tasks. */
+static void
+finish_task(
+    struct gyp_flows *f, struct gyp_flow *flow, uint32_t task, uint64_t now)
+{
+	struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
+	uint32_t first = u->step->gang ? u->first : task;
+	uint32_t last = u->step->gang ? u->first + u->step->count : task + 1;
+	uint32_t i;
+
+	for (i = first; i < last; i++) {
+		struct gyp_flow_task *t = &flow->tasks[i];
+		uint32_t host = t->host;
+
+		if (t->state == GYP_FLOW_TASK_DONE)
+			continue;
+		if (t->state == GYP_FLOW_TASK_OPEN && i != task) {
+			release(f, flow, i);
+			if (f->listener != NULL)
+				f->listener->ops->ended(f->listener, flow, i,
+				    host, GYP__FLOW_HOW__FLOW_DONE);
+			drop_host(f, host);
+		}
+		t->state = GYP_FLOW_TASK_DONE;
+		t->since_ms = now;
+		u->left--;
+	}
+	finish_unit(f, flow, u, now);
+}
+
+static void
+count_failure(struct gyp_flows *f, struct gyp_flow *flow, uint32_t task,
+    uint32_t run, uint64_t now)
+{
+	struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
+	struct gyp_flow_task *t = &flow->tasks[u->step->gang ? u->first : task];
+	uint32_t most = MAX(flow->spec->queue->attempts, 1);
+
+	if (u->step->gang && u->failed_run == run)
+		return;
+	u->failed_run = run;
+	t->failures++;
+	if (!u->step->lasting && t->failures >= most && gyp_flow_is_alive(flow))
+		end_flow(f, flow, now, GYP_FLOW_FAILED);
+}
+
+/* One checkpoint holds for all tasks of a gang. */
+static void
+keep_checkpoint(struct gyp_flow *flow, uint32_t task, const char *checkpoint)
+{
+	struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
+	uint32_t first = u->step->gang ? u->first : task;
+	uint32_t last = u->step->gang ? u->first + u->step->count : task + 1;
+	uint32_t i;
+
+	if (checkpoint[0] == '\0')
+		return;
+	for (i = first; i < last; i++) {
+		g_free(flow->tasks[i].checkpoint);
+		flow->tasks[i].checkpoint = g_strdup(checkpoint);
+	}
+}
+
+static void
+apply_end(struct gyp_flows *f, uint64_t now, const Gyp__CmdFlowEnd *end)
+{
+	struct gyp_flow *flow = gyp_flow_get(f, end->flow);
+	struct gyp_flow_task *t;
+	bool lasting;
+
+	if (flow == NULL || end->task >= flow->n_tasks)
+		return;
+	t = &flow->tasks[end->task];
+	if (t->state != GYP_FLOW_TASK_OPEN || t->run != end->run ||
+	    t->host != end->host)
+		return;
+	lasting = gyp_flow_unit_of(flow, end->task)->step->lasting;
+	release(f, flow, end->task);
+	t->state = GYP_FLOW_TASK_WAITING;
+	t->since_ms = now;
+	if (end->how == GYP__FLOW_HOW__FLOW_DONE && !lasting)
+		finish_task(f, flow, end->task, now);
+	else
+		keep_checkpoint(flow, end->task, end->checkpoint);
+	if (end->how == GYP__FLOW_HOW__FLOW_FAILED)
+		count_failure(f, flow, end->task, end->run, now);
+	if (f->listener != NULL)
+		f->listener->ops->ended(
+		    f->listener, flow, end->task, end->host, end->how);
+	if (end->how != GYP__FLOW_HOW__FLOW_DONE)
+		break_gang(f, flow, end->task);
+	drop_host(f, end->host);
+	leave_active(f, flow);
+}
+
+/* ---- Starts ------------------------------------------------------------- */
+
+static bool
+task_may_start(const struct gyp_flow *flow, uint32_t task, uint32_t run)
+{
+	const struct gyp_flow_task *t;
+
+	if (task >= flow->n_tasks)
+		return false;
+	t = &flow->tasks[task];
+	return t->state == GYP_FLOW_TASK_WAITING && run > t->run &&
+	       gyp_flow_unit_is_ready(flow, gyp_flow_unit_of(flow, task));
+}
+
+static bool
+host_may_run(const struct gyp_host *h, const struct gyp_flow *flow,
+    const Gyp__FlowStep *step, const struct gyp_res *more)
+{
+	struct gyp_res left;
+
+	if (h == NULL || h->spec->draining || h->spec->gone ||
+	    strcmp(h->spec->pool, flow->spec->queue->pool) != 0)
+		return false;
+	(void)step;
+	left = h->capacity;
+	left.slots = 0;
+	if (!gyp_res_fits(&h->booked, &left))
+		return false;
+	gyp_res_sub(&left, &h->booked);
+	return gyp_res_fits(more, &left);
+}
+
+/* A gang begins with all of its tasks or not at all. */
+static bool
+start_is_whole(const struct gyp_flow *flow, const Gyp__CmdFlowStart *s)
+{
+	const struct gyp_flow_unit *u;
+
+	if (s->n_runs == 0 || s->runs[0]->task >= flow->n_tasks)
+		return false;
+	u = gyp_flow_unit_of(flow, s->runs[0]->task);
+	return !u->step->gang || (u->open == 0 && s->n_runs == u->step->count);
+}
+
+static void
+undo_starts(struct gyp_flows *f, struct gyp_flow *flow,
+    const Gyp__CmdFlowStart *s, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		release(f, flow, s->runs[i]->task);
+		flow->tasks[s->runs[i]->task].state = GYP_FLOW_TASK_WAITING;
+	}
+}
+
+static bool
+book_starts(
+    struct gyp_flows *f, struct gyp_flow *flow, const Gyp__CmdFlowStart *s)
+{
+	size_t i;
+
+	for (i = 0; i < s->n_runs; i++) {
+		uint32_t task = s->runs[i]->task;
+		struct gyp_host *h = gyp_host_at(f, s->runs[i]->host);
+		const Gyp__FlowStep *step;
+		struct gyp_res size;
+
+		if (!task_may_start(flow, task, s->run)) {
+			undo_starts(f, flow, s, i);
+			return false;
+		}
+		step = gyp_flow_unit_of(flow, task)->step;
+		size = gyp_flow_step_size(step);
+		if (!host_may_run(h, flow, step, &size)) {
+			undo_starts(f, flow, s, i);
+			return false;
+		}
+		flow->tasks[task].state = GYP_FLOW_TASK_OPEN;
+		flow->tasks[task].host = s->runs[i]->host;
+		gyp_flow_book(f, flow, task);
+	}
+	return true;
+}
+
+static void
+apply_start(struct gyp_flows *f, uint64_t now, const Gyp__CmdFlowStart *s)
+{
+	struct gyp_flow *flow = gyp_flow_get(f, s->flow);
+	size_t i;
+
+	if (flow == NULL || !gyp_flow_is_alive(flow) ||
+	    !start_is_whole(flow, s) || !book_starts(f, flow, s))
+		return;
+	flow->begun = true;
+	flow->state = GYP_FLOW_RUNNING;
+	for (i = 0; i < s->n_runs; i++) {
+		struct gyp_flow_task *t = &flow->tasks[s->runs[i]->task];
+
+		t->run = s->run;
+		t->since_ms = now;
+	}
+	for (i = 0; i < s->n_runs && f->listener != NULL; i++)
+		f->listener->ops->started(f->listener, flow, s->runs[i]->task);
+}
+
+/* ---- Flows, endpoints, manifest ----------------------------------------- */
+
+static void
+apply_flow(struct gyp_flows *f, uint64_t now, const Gyp__CmdFlow *cmd)
+{
+	struct gyp_flow *flow;
+
+	if (cmd->spec == NULL || cmd->spec->queue == NULL ||
+	    gyp_flow_get(f, cmd->spec->id) != NULL ||
+	    gyp_flow_check_spec(cmd->spec) != NULL ||
+	    g_hash_table_size(f->by_id) >= GYP_FLOWS_MAX)
+		return;
+	flow = gyp_flow_make(cmd->spec);
+	flow->seq = f->next_seq++;
+	flow->accepted_ms = now;
+	g_hash_table_insert(f->by_id, &flow->id, flow);
+	g_queue_push_tail(&f->active, flow);
+}
+
+static void
+apply_cancel(struct gyp_flows *f, uint64_t now, uint64_t id)
+{
+	struct gyp_flow *flow = gyp_flow_get(f, id);
+
+	if (flow == NULL || !gyp_flow_is_alive(flow))
+		return;
+	end_flow(f, flow, now, GYP_FLOW_CANCELLED);
+	leave_active(f, flow);
+}
+
+static void
+apply_host(struct gyp_flows *f, const Gyp__CmdHost *cmd)
+{
+	struct gyp_host *h = gyp_host_by_id(f, cmd->id);
+
+	if (h == NULL && cmd->gone)
+		return;
+	if (h == NULL) {
+		h = gyp_host_make(f->hosts->len, cmd);
+		g_ptr_array_add(f->hosts, h);
+		g_hash_table_insert(f->host_ids, h->spec->id, h);
+		return;
+	}
+	if (cmd->born_ms < h->spec->born_ms)
+		return;
+	g_hash_table_steal(f->host_ids, h->spec->id);
+	gyp_message_free(h->spec);
+	h->spec = gyp_message_copy(&cmd->base);
+	g_hash_table_insert(f->host_ids, h->spec->id, h);
+	if (cmd->capacity != NULL)
+		h->capacity = gyp_res_from(cmd->capacity);
+	drop_host(f, h->row);
+}
+
+static void
+apply_manifest(struct gyp_flows *f, const Gyp__CmdManifest *m)
+{
+	if (f->manifest != NULL && m->version <= f->manifest->version)
+		return;
+	gyp_message_free(f->manifest);
+	f->manifest = gyp_message_copy(&m->base);
+}
+
+bool
+gyp_flows_apply(struct gyp_flows *f, uint64_t now, const Gyp__Cmd *cmd)
+{
+	switch (cmd->c_case) {
+	case GYP__CMD__C_FLOW:
+		apply_flow(f, now, cmd->flow);
+		return true;
+	case GYP__CMD__C_FLOW_CANCEL:
+		apply_cancel(f, now, cmd->flow_cancel->flow);
+		return true;
+	case GYP__CMD__C_FLOW_START:
+		apply_start(f, now, cmd->flow_start);
+		return true;
+	case GYP__CMD__C_FLOW_END:
+		apply_end(f, now, cmd->flow_end);
+		return true;
+	case GYP__CMD__C_HOST:
+		apply_host(f, cmd->host);
+		return true;
+	case GYP__CMD__C_MANIFEST:
+		apply_manifest(f, cmd->manifest);
+		return true;
+	default:
+		return false;
+	}
+}
--- /dev/null
+++ b/src/flow_save.c
@@ -0,0 +1,241 @@
+#include <string.h>
+
+#include "flow_int.h"
+#include "msg.h"
+
+/* ---- Saving ------------------------------------------------------------- */
+
+static Gyp__SnapFlowTask *
+save_task(const struct gyp_flow *flow, uint32_t task)
+{
+	const struct gyp_flow_task *t = &flow->tasks[task];
+	const struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
+	Gyp__SnapFlowTask *st = g_new(Gyp__SnapFlowTask, 1);
+
+	gyp__snap_flow_task__init(st);
+	st->state = t->state;
+	st->run = t->run;
+	st->host = t->state == GYP_FLOW_TASK_OPEN ? t->host : 0;
+	st->failures = t->failures;
+	if (t->checkpoint != NULL)
+		st->checkpoint = g_strdup(t->checkpoint);
+	if (task == u->first)
+		st->failed_run = u->failed_run;
+	return st;
+}
+
+static Gyp__SnapFlow *
+save_flow(const struct gyp_flow *flow)
+{
+	Gyp__SnapFlow *sf = g_new(Gyp__SnapFlow, 1);
+	uint32_t i;
+
+	gyp__snap_flow__init(sf);
+	sf->spec = gyp_message_copy(&flow->spec->base);
+	sf->state = flow->state;
+	sf->accepted_ms = flow->accepted_ms;
+	sf->ended_ms = flow->ended_ms;
+	sf->seq = flow->seq;
+	sf->begun = flow->begun;
+	sf->n_tasks = flow->n_tasks;
+	sf->tasks = g_new(Gyp__SnapFlowTask *, flow->n_tasks);
+	for (i = 0; i < flow->n_tasks; i++)
+		sf->tasks[i] = save_task(flow, i);
+	return sf;
+}
+
+static gint
+by_seq(gconstpointer a, gconstpointer b)
+{
+	const struct gyp_flow *x = *(struct gyp_flow *const *)a;
+	const struct gyp_flow *y = *(struct gyp_flow *const *)b;
+
+	return x->seq < y->seq ? -1 : x->seq > y->seq;
+}
+
+static GPtrArray *
+sorted_flows(const struct gyp_flows *f)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, f->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(list, value);
+	g_ptr_array_sort(list, by_seq);
+	return list;
+}
+
+Gyp__SnapFlows *
+gyp_flows_save(const struct gyp_flows *f)
+{
+	Gyp__SnapFlows *snap = g_new(Gyp__SnapFlows, 1);
+	GPtrArray *list = sorted_flows(f);
+	guint i;
+
+	gyp__snap_flows__init(snap);
+	snap->next_seq = f->next_seq;
+	snap->n_flows = list->len;
+	snap->flows = g_new(Gyp__SnapFlow *, list->len + 1);
+	for (i = 0; i < list->len; i++)
+		snap->flows[i] = save_flow(list->pdata[i]);
+	g_ptr_array_free(list, TRUE);
+	snap->n_hosts = f->hosts->len;
+	snap->hosts = g_new(Gyp__CmdHost *, f->hosts->len + 1);
+	for (i = 0; i < f->hosts->len; i++) {
+		const struct gyp_host *h = f->hosts->pdata[i];
+
+		snap->hosts[i] = g_new(Gyp__CmdHost, 1);
+		gyp__cmd_host__init(snap->hosts[i]);
+		if (h != NULL) {
+			g_free(snap->hosts[i]);
+			snap->hosts[i] = gyp_message_copy(&h->spec->base);
+		}
+	}
+	if (f->manifest != NULL)
+		snap->manifest = gyp_message_copy(&f->manifest->base);
+	return snap;
+}
+
+/* ---- Restoring ---------------------------------------------------------- */
+
+static bool
+restore_tasks(
+    struct gyp_flows *f, struct gyp_flow *flow, const Gyp__SnapFlow *sf)
+{
+	uint32_t i;
+
+	for (i = 0; i < flow->n_tasks; i++) {
+		const Gyp__SnapFlowTask *st = sf->tasks[i];
+		struct gyp_flow_task *t = &flow->tasks[i];
+		struct gyp_flow_unit *u = gyp_flow_unit_of(flow, i);
+
+		t->state = st->state;
+		t->run = st->run;
+		t->failures = st->failures;
+		if (st->checkpoint[0] != '\0')
+			t->checkpoint = g_strdup(st->checkpoint);
+		if (i == u->first)
+			u->failed_run = st->failed_run;
+		if (t->state == GYP_FLOW_TASK_DONE && --u->left == 0)
+			flow->left--;
+		if (t->state != GYP_FLOW_TASK_OPEN)
+			continue;
+		t->host = st->host;
+		if (gyp_host_at(f, t->host) == NULL)
+			return false;
+		gyp_flow_book(f, flow, i);
+	}
+	return true;
+}
+
+static gint
+by_end(gconstpointer a, gconstpointer b, gpointer user)
+{
+	const struct gyp_flow *x = a, *y = b;
+
+	(void)user;
+	if (x->ended_ms != y->ended_ms)
+		return x->ended_ms < y->ended_ms ? -1 : 1;
+	return x->seq < y->seq ? -1 : x->seq > y->seq;
+}
+
+static bool
+restore_flow(struct gyp_flows *f, const Gyp__SnapFlow *sf)
+{
+	struct gyp_flow *flow;
+
+	if (sf->spec == NULL || sf->spec->queue == NULL ||
+	    gyp_flow_check_spec(sf->spec) != NULL)
+		return false;
+	flow = gyp_flow_make(sf->spec);
+	g_hash_table_insert(f->by_id, &flow->id, flow);
+	flow->seq = sf->seq;
+	flow->state = sf->state;
+	flow->begun = sf->begun;
+	flow->accepted_ms = sf->accepted_ms;
+	flow->ended_ms = sf->ended_ms;
+	if (sf->n_tasks != flow->n_tasks || !restore_tasks(f, flow, sf))
+		return false;
+	if (gyp_flow_is_alive(flow) || flow->open > 0)
+		g_queue_push_tail(&f->active, flow);
+	if (!gyp_flow_is_alive(flow))
+		g_queue_push_tail(&f->ended, flow);
+	return true;
+}
+
+bool
+gyp_flows_restore(struct gyp_flows *f, const Gyp__SnapFlows *snap)
+{
+	size_t i;
+
+	gyp_flows_clear(f);
+	if (snap == NULL)
+		return true;
+	f->next_seq = snap->next_seq;
+	for (i = 0; i < snap->n_hosts; i++) {
+		const Gyp__CmdHost *spec = snap->hosts[i];
+		struct gyp_host *h = NULL;
+
+		if (spec->id[0] != '\0') {
+			h = gyp_host_make((uint32_t)i, spec);
+			g_hash_table_insert(f->host_ids, h->spec->id, h);
+		}
+		g_ptr_array_add(f->hosts, h);
+	}
+	for (i = 0; i < snap->n_flows; i++) {
+		if (!restore_flow(f, snap->flows[i]))
+			return false;
+	}
+	g_queue_sort(&f->ended, by_end, NULL);
+	if (snap->manifest != NULL)
+		f->manifest = gyp_message_copy(&snap->manifest->base);
+	return true;
+}
+
+/* ---- Invariants --------------------------------------------------------- */
+
+static void
+check_flow(const struct gyp_flows *f, const struct gyp_flow *flow)
+{
+	uint32_t i, open = 0;
+
+	for (i = 0; i < flow->n_tasks; i++) {
+		const struct gyp_flow_task *t = &flow->tasks[i];
+
+		if (t->state != GYP_FLOW_TASK_OPEN)
+			continue;
+		open++;
+		g_assert(t->run > 0);
+		g_assert(gyp_host_at(f, t->host) != NULL);
+	}
+	g_assert(open == flow->open);
+	g_assert(flow->state != GYP_FLOW_COMPLETED || flow->left == 0);
+}
+
+void
+gyp_flows_check(const struct gyp_flows *f)
+{
+	const GList *l;
+	guint row;
+
+	for (l = f->active.head; l != NULL; l = l->next)
+		check_flow(f, l->data);
+	for (row = 0; row < f->hosts->len; row++) {
+		const struct gyp_host *h = f->hosts->pdata[row];
+		struct gyp_res sum = {0, 0, 0, 0};
+		guint i;
+
+		for (i = 0; h != NULL && i < h->runs->len; i++) {
+			const struct gyp_host_run *run =
+			    &g_array_index(h->runs, struct gyp_host_run, i);
+			struct gyp_res size = gyp_flow_step_size(
+			    gyp_flow_unit_of(run->flow, run->task)->step);
+
+			gyp_res_add(&sum, &size);
+		}
+		g_assert(h == NULL || (sum.cpu_milli == h->booked.cpu_milli &&
+					  sum.memory == h->booked.memory));
+	}
+}
--- a/src/folder.c
+++ b/src/folder.c
@@ -160,7 +160,8 @@
 	st = gyp_file_replace(f, folder, SEGMENT_PREFIX "1", s, err);
 	if (st != GYP_OK)
 		return st;
-	*id = random_id();
+	if (*id == 0)
+		*id = random_id();
 	text = identity_text(*id);
 	s.data = (const uint8_t *)text;
 	s.len = strlen(text);
--- a/src/folder.h
+++ b/src/folder.h
@@ -26,7 +26,10 @@
 enum gyp_status gyp_folder_lock(
     struct gyp_files *, const char *folder, int *fd, struct gyp_error *);
 
-/* Loads the identity, or makes it together with the first segment. */
+/*
+ * Loads the identity, or makes it together with the first segment: the one
+ * in *id, or a random one when that is 0.
+ */
 enum gyp_status gyp_folder_identity(struct gyp_files *, const char *folder,
     uint64_t *id, bool *is_new, struct gyp_error *);
 
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -4,10 +4,13 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "httpc.h"
 #include "httpd.h"
 #include "link.h"
 #include "log.h"
 #include "msg.h"
+#include "pf_client.h"
+#include "pf_control.h"
 #include "program.h"
 #include "replica.h"
 #include "store.h"
@@ -16,6 +19,12 @@
 /* Interval of requests for membership, in ms. */
 #define JOIN_MS 500
 
+/* Digits of a digest that make an id. */
+#define ID_DIGITS 16
+
+/* Largest manifest, in bytes. */
+#define CONTROL_BODY_MAX (2 * 1024 * 1024)
+
 /* Time for another replica to take over before this one stops, in ms. */
 #define HAND_OVER_MS 3000
 
@@ -23,6 +32,11 @@
 	char *listen;
 	char *metrics;
 	char **join;
+	uint32_t join_port;
+	bool init;
+	char *control;
+	uint32_t run_lease_ms;
+	uint32_t stop_grace_ms;
 	char *data_folder;
 	char *data_centre;
 	char *name;
@@ -46,6 +60,11 @@
 	struct gyp_httpd *metrics;
 	struct gyp_store *store;
 	struct gyp_replica *replica;
+	struct gyp_httpc *httpc;
+	struct gyp_pf_client *client;
+	struct gyp_pf_control *control;
+	struct gyp_httpd *control_httpd;
+	bool flushing;
 	bool was_leader;
 	uint64_t rules_version; /* the last that was logged */
 	char *members;          /* likewise */
@@ -104,12 +123,41 @@
 	g_string_free(text, TRUE);
 }
 
+static void flush(struct app *);
+
+static void
+on_call_answered(void *arg, const struct gyp_fleet_answer *a)
+{
+	struct app *app = arg;
+
+	gyp_replica_call_answered(app->replica, gyp_clock_ms(), a);
+	flush(app);
+}
+
+static void
+move_calls(struct app *app)
+{
+	struct gyp_fleet_call *call;
+
+	if (app->client == NULL)
+		return;
+	while ((call = gyp_replica_pop_call(app->replica)) != NULL) {
+		gyp_pf_client_call(app->client, call, on_call_answered);
+		gyp_fleet_call_free(call);
+	}
+	gyp_pf_control_collect(app->control);
+}
+
 static void
 flush(struct app *app)
 {
 	struct gyp_record rec;
 	struct gyp_out out;
 
+	if (app->flushing)
+		return;
+	app->flushing = true;
+	move_calls(app);
 	while (gyp_replica_pop_record(app->replica, &rec)) {
 		gyp_store_append(app->store, &rec);
 		if (rec.data != NULL)
@@ -125,6 +173,13 @@
 	}
 	note_role(app);
 	note_rules(app);
+	app->flushing = false;
+}
+
+static void
+flush_app(void *app)
+{
+	flush(app);
 }
 
 /* ---- Events ------------------------------------------------------------ */
@@ -279,6 +334,7 @@
 		return;
 	member.id = gyp_store_id(app->store);
 	member.address = app->set->listen;
+	member.voter = false;
 	member.data_centre = app->set->data_centre;
 	join.member = &member;
 	frame.body_case = GYP__FRAME__BODY_JOIN;
@@ -370,18 +426,100 @@
 	    .entry_lease_ms = set->entry_lease_ms,
 	    .start_window_ms = set->start_window_ms,
 	    .voters = set->voters,
-	    .compact_bytes = set->compact_bytes};
+	    .compact_bytes = set->compact_bytes,
+	    .run_lease_ms = set->run_lease_ms,
+	    .stop_grace_ms = set->stop_grace_ms};
 
 	app->replica = gyp_replica_new(&cfg);
 }
 
+/* ---- First start --------------------------------------------------------- */
+
+/* Equal on all replicas of a first start, which know each other's address. */
+static uint64_t
+id_of_address(const char *address)
+{
+	char *digest =
+	    g_compute_checksum_for_string(G_CHECKSUM_SHA256, address, -1);
+	uint64_t id =
+	    g_ascii_strtoull(digest + strlen(digest) - ID_DIGITS, NULL, 16);
+
+	g_free(digest);
+	return id | 1;
+}
+
+/* Number of this replica in the list of the first members, or -1. */
+static int
+place_in_list(const struct settings *set)
+{
+	int i;
+
+	for (i = 0; set->join != NULL && set->join[i] != NULL; i++) {
+		if (strcmp(set->join[i], set->listen) == 0)
+			return i;
+	}
+	return -1;
+}
+
+/*
+ * All replicas of the list begin as voters with the same first entry, so
+ * that a loss right after the first start leaves a majority.
+ */
+static void
+begin_cell(struct app *app)
+{
+	const struct settings *set = app->set;
+	guint n = g_strv_length(set->join);
+	Gyp__Config config = GYP__CONFIG__INIT;
+	Gyp__Member *members = g_new(Gyp__Member, n);
+	Gyp__Member **list = g_new(Gyp__Member *, n);
+	guint i;
+
+	for (i = 0; i < n; i++) {
+		gyp__member__init(&members[i]);
+		members[i].id = id_of_address(set->join[i]);
+		members[i].address = set->join[i];
+		members[i].voter = true;
+		list[i] = &members[i];
+	}
+	config.n_members = n;
+	config.members = list;
+	gyp_replica_bootstrap(app->replica, &config);
+	g_free(list);
+	g_free(members);
+}
+
+/* ---- Servers ------------------------------------------------------------- */
+
+static enum gyp_status
+start_control(struct app *app, struct gyp_error *err)
+{
+	const char *address = app->set->control;
+
+	if (address == NULL)
+		return GYP_OK;
+	app->httpc = gyp_httpc_new(app->loop, app->timers);
+	app->client = gyp_pf_client_new(app->httpc, NULL, app);
+	app->control = gyp_pf_control_new(
+	    app->replica, app->timers, address, flush_app, app);
+	app->control_httpd = gyp_httpd_new(app->loop, app->timers,
+	    gyp_pf_control_owner(app->control), address, err);
+	if (app->control_httpd == NULL)
+		return err->code;
+	gyp_httpd_set_body_max(app->control_httpd, CONTROL_BODY_MAX);
+	return GYP_OK;
+}
+
 static enum gyp_status
 start(struct app *app, bool init, struct gyp_error *err)
 {
 	const struct settings *set = app->set;
 	Gyp__Hello hello = GYP__HELLO__INIT;
 
-	app->store = gyp_store_open(set->data_folder, gyp_files_system(), err);
+	bool first = set->init && place_in_list(set) >= 0;
+
+	app->store = gyp_store_open_as(set->data_folder, gyp_files_system(),
+	    first ? id_of_address(set->listen) : 0, err);
 	if (app->store == NULL)
 		return err->code;
 	make_replica(app);
@@ -409,9 +547,14 @@
 		if (app->metrics == NULL)
 			return err->code;
 	}
+	if (start_control(app, err) != GYP_OK)
+		return err->code;
 	gyp_store_start(app->store, app->loop, &app->store_owner);
 	if (init)
-		gyp_replica_bootstrap(app->replica);
+		gyp_replica_bootstrap(app->replica, NULL);
+	else if (first &&
+		 gyp_raft_last_index(gyp_replica_raft(app->replica)) == 0)
+		begin_cell(app);
 	gyp_timer_every(app->timers, GYP_TICK_MS, on_tick, app);
 	gyp_timer_every(app->timers, JOIN_MS, on_join, app);
 	return GYP_OK;
@@ -447,6 +590,10 @@
 		ev_run(app.loop, 0);
 	}
 	gyp_httpd_free(app.metrics);
+	gyp_httpd_free(app.control_httpd);
+	gyp_pf_control_free(app.control);
+	gyp_httpc_free(app.httpc);
+	gyp_pf_client_free(app.client);
 	gyp_links_free(app.links);
 	if (app.store != NULL)
 		gyp_store_close(app.store);
@@ -466,11 +613,22 @@
 	    .endpoint_lease_ms = 5000,
 	    .entry_lease_ms = 3000,
 	    .start_window_ms = 2000,
+	    .run_lease_ms = 6000,
+	    .stop_grace_ms = 1000,
 	    .compact_bytes = 4 * 1024 * 1024};
 	const struct gyp_setting table[] = {
 	    {"cell", "listen", &set.listen, 0, 0, GYP_SETTING_ADDRESS, true},
 	    {"cell", "metrics", &set.metrics, 0, 0, GYP_SETTING_ADDRESS, false},
 	    {"cell", "join", &set.join, 0, 0, GYP_SETTING_ADDRESSES, false},
+	    {"cell", "join_port", &set.join_port, 1, 65535, GYP_SETTING_COUNT,
+		false},
+	    {"cell", "first_start", &set.init, 0, 0, GYP_SETTING_FLAG, false},
+	    {"platform", "control", &set.control, 0, 0, GYP_SETTING_ADDRESS,
+		false},
+	    {"platform", "run_lease", &set.run_lease_ms, 500, 600000,
+		GYP_SETTING_MS, false},
+	    {"platform", "stop_grace", &set.stop_grace_ms, 1, 60000,
+		GYP_SETTING_MS, false},
 	    {"cell", "data_folder", &set.data_folder, 0, 0, GYP_SETTING_FOLDER,
 		true},
 	    {"cell", "data_centre", &set.data_centre, 0, 0, GYP_SETTING_TEXT,
@@ -503,8 +661,10 @@
 	    .allow_init = true};
 	int code = gyp_program_start(&program, argc, argv);
 
-	if (code < 0)
+	if (code < 0) {
+		gyp_settings_replace_port(set.join, set.join_port);
 		code = run(&set, program.init);
+	}
 	gyp_settings_clear(table, G_N_ELEMENTS(table));
 	return code;
 }
--- a/src/gyp_entry.c
+++ b/src/gyp_entry.c
@@ -12,6 +12,8 @@
 #include "link.h"
 #include "log.h"
 #include "msg.h"
+#include "pf_client.h"
+#include "pf_front.h"
 #include "program.h"
 #include "timer.h"
 
@@ -22,9 +24,17 @@
 #define KEEPALIVE_MS 300
 #define SILENCE_MS   1200
 
+/* Time for the leader to take what the admission service said, in ms. */
+#define ADVISED_MS 3000
+
 struct settings {
 	char *listen;
 	char **cells;
+	uint32_t cells_port;
+	char *front;
+	char *readiness;
+	char *admission;
+	uint32_t linger_ms;
 	char *data_centre;
 	char *name;
 };
@@ -38,6 +48,12 @@
 	struct gyp_httpc *httpc;
 	struct gyp_exchanges *exchanges;
 	struct gyp_door *door;
+	struct gyp_pf_client *client;
+	struct gyp_pf_front *front;
+	struct gyp_httpd *front_httpd;
+	struct gyp_httpd *readiness_httpd;
+	uint32_t linger_ms; /* callers are served so long while draining */
+	uint64_t drain_at;
 	struct gyp_entry_core *core;
 	struct gyp_counters *counters;
 	bool draining;
@@ -47,6 +63,8 @@
 
 /* ---- Moving the core's output ------------------------------------------ */
 
+static void flush(void *);
+
 static bool
 move_frames(struct app *app)
 {
@@ -69,7 +87,9 @@
 	bool moved = false;
 
 	while (gyp_entry_pop_answer(app->core, &answer)) {
-		gyp_door_answer(app->door, &answer);
+		if (app->front == NULL ||
+		    !gyp_pf_front_answer(app->front, &answer))
+			gyp_door_answer(app->door, &answer);
 		moved = true;
 	}
 	return moved;
@@ -88,6 +108,32 @@
 	return moved;
 }
 
+static void
+on_advised(void *arg, const Gyp__Advised *advised)
+{
+	struct app *app = arg;
+	Gyp__Call call = GYP__CALL__INIT;
+
+	call.c_case = GYP__CALL__C_ADVISED;
+	call.advised = (Gyp__Advised *)advised;
+	gyp_entry_call(app->core, gyp_clock_ms(), &call, ADVISED_MS, NULL);
+	flush(app);
+}
+
+static bool
+move_asks(struct app *app)
+{
+	Gyp__Ask *ask;
+	bool moved = false;
+
+	while ((ask = gyp_entry_pop_ask(app->core)) != NULL) {
+		gyp_pf_client_ask(app->client, ask, on_advised);
+		gyp_message_free(ask);
+		moved = true;
+	}
+	return moved;
+}
+
 /* Moving one queue may fill another, but never deeper than one call. */
 static void
 flush(void *arg)
@@ -102,6 +148,7 @@
 		more = move_frames(app);
 		more = move_answers(app) || more;
 		more = move_exchanges(app) || more;
+		more = move_asks(app) || more;
 	}
 	app->flushing = false;
 }
@@ -162,16 +209,27 @@
 	flush(app);
 }
 
+static void
+quiesce(struct app *app)
+{
+	gyp_httpd_quiesce(app->httpd);
+	if (app->front_httpd != NULL)
+		gyp_httpd_quiesce(app->front_httpd);
+}
+
 static void
 stop_when_drained(struct app *app)
 {
-	if (!app->draining || gyp_entry_open_calls(app->core) > 0 ||
+	if (!app->draining || gyp_clock_ms() < app->drain_at + app->linger_ms ||
+	    gyp_entry_open_calls(app->core) > 0 ||
 	    gyp_entry_open_attempts(app->core) > 0)
 		return;
 	if (!app->quiesced)
-		gyp_httpd_quiesce(app->httpd);
+		quiesce(app);
 	app->quiesced = true;
-	if (gyp_httpd_active(app->httpd) > 0)
+	if (gyp_httpd_active(app->httpd) > 0 ||
+	    (app->front_httpd != NULL &&
+		gyp_httpd_active(app->front_httpd) > 0))
 		return;
 	gyp_log(GYP_LOG_NOTICE, "drained", "open=0");
 	ev_break(app->loop, EVBREAK_ALL);
@@ -197,6 +255,9 @@
 	if (app->draining)
 		return;
 	app->draining = true;
+	app->drain_at = gyp_clock_ms();
+	if (app->front != NULL)
+		gyp_pf_front_drain(app->front);
 	gyp_log(GYP_LOG_NOTICE, "draining", "requests=%u attempts=%u",
 	    gyp_httpd_active(app->httpd), gyp_entry_open_attempts(app->core));
 	gyp_door_drain(app->door);
@@ -211,6 +272,23 @@
     .opened = on_opened,
     .lost = on_lost};
 
+/* The platform's callers, where the settings name an address for them. */
+static bool
+start_front(struct app *app, const struct settings *set, struct gyp_error *err)
+{
+	app->client = gyp_pf_client_new(app->httpc, set->admission, app);
+	if (set->front == NULL)
+		return true;
+	app->front = gyp_pf_front_new(app->core, flush, app);
+	app->front_httpd = gyp_httpd_new(app->loop, app->timers,
+	    gyp_pf_front_callers(app->front), set->front, err);
+	if (app->front_httpd == NULL || set->readiness == NULL)
+		return app->front_httpd != NULL;
+	app->readiness_httpd = gyp_httpd_new(app->loop, app->timers,
+	    gyp_pf_front_readiness(app->front), set->readiness, err);
+	return app->readiness_httpd != NULL;
+}
+
 static bool
 start(struct app *app, const struct settings *set, struct gyp_error *err)
 {
@@ -238,15 +316,20 @@
 	app->door = gyp_door_new(app->core, app->counters, flush, app);
 	app->httpd = gyp_httpd_new(app->loop, app->timers,
 	    gyp_door_httpd_owner(app->door), set->listen, err);
-	return app->httpd != NULL;
+	app->linger_ms = set->linger_ms;
+	return app->httpd != NULL && start_front(app, set, err);
 }
 
 static void
 stop(struct app *app)
 {
 	gyp_httpd_free(app->httpd);
+	gyp_httpd_free(app->front_httpd);
+	gyp_httpd_free(app->readiness_httpd);
+	gyp_pf_front_free(app->front);
 	gyp_door_free(app->door);
 	gyp_httpc_free(app->httpc);
+	gyp_pf_client_free(app->client);
 	gyp_exchanges_free(app->exchanges);
 	gyp_links_free(app->links);
 	gyp_entry_free(app->core);
@@ -284,10 +367,19 @@
 int
 main(int argc, char **argv)
 {
-	struct settings set = {NULL, NULL, NULL, NULL};
+	struct settings set = {.linger_ms = 0};
 	const struct gyp_setting table[] = {
 	    {"entry", "listen", &set.listen, 0, 0, GYP_SETTING_ADDRESS, true},
 	    {"entry", "cells", &set.cells, 0, 0, GYP_SETTING_ADDRESSES, true},
+	    {"entry", "cells_port", &set.cells_port, 1, 65535,
+		GYP_SETTING_COUNT, false},
+	    {"platform", "front", &set.front, 0, 0, GYP_SETTING_ADDRESS, false},
+	    {"platform", "readiness", &set.readiness, 0, 0, GYP_SETTING_ADDRESS,
+		false},
+	    {"platform", "admission", &set.admission, 0, 0, GYP_SETTING_ADDRESS,
+		false},
+	    {"platform", "linger", &set.linger_ms, 0, 600000, GYP_SETTING_MS,
+		false},
 	    {"entry", "data_centre", &set.data_centre, 0, 0, GYP_SETTING_TEXT,
 		true},
 	    {"entry", "name", &set.name, 0, 0, GYP_SETTING_TEXT, true},
@@ -299,8 +391,10 @@
 	    .n_settings = G_N_ELEMENTS(table)};
 	int code = gyp_program_start(&program, argc, argv);
 
-	if (code < 0)
+	if (code < 0) {
+		gyp_settings_replace_port(set.cells, set.cells_port);
 		code = run(&set);
+	}
 	gyp_settings_clear(table, G_N_ELEMENTS(table));
 	return code;
 }
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -12,6 +12,10 @@
 #define KEEPALIVE_IDLE_S     10
 #define KEEPALIVE_INTERVAL_S 5
 
+/* Connections that are kept for later requests, and to one address. */
+#define KEPT_MAX     2000L
+#define PER_HOST_MAX 24L
+
 struct gyp_httpc {
 	struct ev_loop *loop;
 	struct gyp_timers *timers;
@@ -277,8 +281,8 @@
 	curl_easy_setopt(e, CURLOPT_PROXY, "");
 	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
-	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
+	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, req->reuse ? 0L : 1L);
+	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, req->reuse ? 0L : 1L);
 	set_limits(x, req);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, x);
@@ -328,6 +332,9 @@
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
 	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timer);
 	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, KEPT_MAX);
+	curl_multi_setopt(
+	    client->multi, CURLMOPT_MAX_HOST_CONNECTIONS, PER_HOST_MAX);
 	return client;
 }
 
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -15,7 +15,8 @@
  * DESCRIPTION
  *	libcurl repeats a request by itself when a kept-alive connection is
  *	closed without an answer. So each request has a connection of its own
- *	that is never kept. An answer counts only when it is whole: its length
+ *	that is never kept, unless the caller says that a repetition does no
+ *	harm. An answer counts only when it is whole: its length
  *	was announced and met.
  */
 
@@ -51,6 +52,7 @@
 	size_t answer_max;   /* bytes of the answer that are kept */
 	uint32_t timeout_ms; /* for the whole exchange, 0 for none */
 	uint64_t send_by;    /* our clock; not sent from then on, 0 for none */
+	bool reuse;          /* may be sent twice, so connections may be kept */
 	gyp_httpc_fn done;
 	void *arg;
 };
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -27,6 +27,7 @@
 	uint64_t bytes; /* of bodies and replies */
 	uint32_t receive_ms;
 	uint32_t read_ms;
+	size_t body_max;
 	struct gyp_timer *sweep;
 	GHashTable *connections; /* struct connection, as a set */
 };
@@ -195,7 +196,7 @@
 {
 	struct gyp_httpd *h = req->httpd;
 
-	if (req->body.len + len > GYP_HTTP_BODY_MAX)
+	if (req->body.len + len > h->body_max)
 		req->too_large = true;
 	if (h->bytes + len > GYP_HTTP_BYTES_MAX)
 		req->overloaded = true;
@@ -368,6 +369,7 @@
 	h->owner = owner;
 	h->receive_ms = GYP_HTTP_RECEIVE_MS;
 	h->read_ms = GYP_HTTP_READ_MS;
+	h->body_max = GYP_HTTP_BODY_MAX;
 	h->connections = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	if (!gyp_address_parse(address, &ss, &len) ||
 	    (h->daemon = start_daemon(h, &ss)) == NULL) {
@@ -393,6 +395,12 @@
 		close(fd);
 }
 
+void
+gyp_httpd_set_body_max(struct gyp_httpd *h, size_t bytes)
+{
+	h->body_max = bytes;
+}
+
 void
 gyp_httpd_set_limits(struct gyp_httpd *h, uint32_t receive_ms, uint32_t read_ms)
 {
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -65,6 +65,9 @@
 void gyp_httpd_set_limits(
     struct gyp_httpd *, uint32_t receive_ms, uint32_t read_ms);
 
+/* Replaces GYP_HTTP_BODY_MAX. */
+void gyp_httpd_set_body_max(struct gyp_httpd *, size_t bytes);
+
 /* Bytes of bodies and replies that are held. */
 uint64_t gyp_httpd_bytes(const struct gyp_httpd *);
 
--- a/src/link.c
+++ b/src/link.c
@@ -22,6 +22,12 @@
 /* Interval of the check for slow connections, in ms. */
 #define SWEEP_MS 500
 
+/* Silence after which a connection counts as lost, in s and ms. */
+#define PROBE_IDLE_S     1
+#define PROBE_INTERVAL_S 1
+#define PROBES           2
+#define UNACKED_MS       2000
+
 enum conn_state { CONN_IDLE, CONN_DIALLING, CONN_OPEN };
 
 /* Frames and bytes since they were last counted. */
@@ -204,12 +210,30 @@
 		links->owner->ops->lost(links->owner, c->address);
 }
 
+/* A peer that is cut off sends no reset: only the kernel's timers tell. */
+static void
+tune_socket(int fd)
+{
+	int on = 1;
+	int idle = PROBE_IDLE_S;
+	int interval = PROBE_INTERVAL_S;
+	int probes = PROBES;
+	unsigned timeout = UNACKED_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
 static void
 dial(struct conn *c)
 {
 	struct sockaddr_storage ss;
 	uint32_t len;
-	int on = 1;
 
 	if (!gyp_address_parse(c->address, &ss, &len))
 		return;
@@ -221,7 +245,7 @@
 		drop(c);
 		return;
 	}
-	setsockopt(c->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	tune_socket(c->fd);
 	if (connect(c->fd, (struct sockaddr *)&ss, len) != 0 &&
 	    errno != EINPROGRESS) {
 		drop(c);
@@ -394,7 +418,6 @@
 {
 	struct gyp_links *links = w->data;
 	struct conn *c;
-	int on = 1;
 	int fd =
 	    accept4(links->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
@@ -406,7 +429,7 @@
 		close(fd);
 		return;
 	}
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	tune_socket(fd);
 	c = new_conn(links);
 	c->fd = fd;
 	c->state = CONN_OPEN;
--- a/src/raft.c
+++ b/src/raft.c
@@ -193,25 +193,13 @@
 }
 
 void
-gyp_raft_bootstrap(
-    struct gyp_raft *r, const char *address, const char *data_centre)
+gyp_raft_bootstrap(struct gyp_raft *r, const Gyp__Config *config)
 {
-	Gyp__Config config = GYP__CONFIG__INIT;
-	Gyp__Member member = GYP__MEMBER__INIT;
-	Gyp__Member *members[] = {&member};
-	size_t len;
-	uint8_t *bytes;
+	size_t len = gyp__config__get_packed_size(config);
+	uint8_t *bytes = g_malloc(len);
 	GBytes *data;
 
-	member.id = r->cfg.id;
-	member.address = (char *)address;
-	member.data_centre = (char *)(data_centre != NULL ? data_centre : "");
-	member.voter = true;
-	config.n_members = 1;
-	config.members = members;
-	len = gyp__config__get_packed_size(&config);
-	bytes = g_malloc(len);
-	gyp__config__pack(&config, bytes);
+	gyp__config__pack(config, bytes);
 	data = g_bytes_new_take(bytes, len);
 	gyp_raft_set_term(r, 1, 0);
 	gyp_raft_append_entry(r, 1, GYP__ENTRY_KIND__ENTRY_CONFIG, data);
--- a/src/raft.h
+++ b/src/raft.h
@@ -69,9 +69,11 @@
     const struct gyp_raft_config *, struct gyp_raft_io *);
 void gyp_raft_free(struct gyp_raft *);
 
-/* Makes a new log whose only member and voter is this replica. */
-void gyp_raft_bootstrap(
-    struct gyp_raft *, const char *address, const char *data_centre);
+/*
+ * Makes a new log with these members. Where there are several, each of them
+ * must begin with the same list, so that their first entries are equal.
+ */
+void gyp_raft_bootstrap(struct gyp_raft *, const Gyp__Config *);
 
 /* Feeds one stored record, in order, before the first tick. */
 void gyp_raft_load(struct gyp_raft *, const struct gyp_record *);
--- a/src/replica.c
+++ b/src/replica.c
@@ -12,8 +12,8 @@
 
 /* ---- Output queues ----------------------------------------------------- */
 
-static const char *
-member_address(const struct gyp_replica *r, uint64_t id)
+const char *
+gyp_replica_member_address(const struct gyp_replica *r, uint64_t id)
 {
 	const Gyp__Config *c = gyp_raft_members(r->raft);
 	size_t i;
@@ -58,7 +58,7 @@
 	if (!is_voter(r, to) || msg->type <= GYP__RAFT_TYPE__RAFT_VOTE_REPLY)
 		copy.address = (char *)r->cfg.address;
 	out->to = to;
-	out->address = g_strdup(member_address(r, to));
+	out->address = g_strdup(gyp_replica_member_address(r, to));
 	out->packed = gyp_message_pack(&frame.base);
 	g_queue_push_tail(&r->out, out);
 }
@@ -127,6 +127,7 @@
 {
 	struct gyp_replica *r = from_io(io);
 
+	gyp_replica_drop_flows(r); /* its tables go away */
 	if (!gyp_state_restore(r->state, file->state.data, file->state.len))
 		g_error("snapshot at index %" G_GUINT64_FORMAT " can't be read",
 		    file->index);
@@ -369,6 +370,7 @@
 drop_leader_state(struct gyp_replica *r)
 {
 	r->leading = false;
+	gyp_replica_drop_flows(r);
 	gyp_policy_detach(r->policy);
 	r->batch_index = 0;
 	g_ptr_array_set_size(r->batch, 0);
@@ -392,6 +394,7 @@
 	gyp_leases_reset(r->leases, r->now);
 	gyp_usage_reset(r->usage);
 	gyp_running_reset(r->running);
+	gyp_replica_lead_flows(r);
 }
 
 static void
@@ -425,8 +428,8 @@
 }
 
 /* Does what the latest input made possible. */
-static void
-settle(struct gyp_replica *r)
+void
+gyp_replica_settle(struct gyp_replica *r)
 {
 	check_role(r);
 	compact_if_large(r);
@@ -434,6 +437,7 @@
 		return;
 	if (r->now >= r->duties_at)
 		gyp_replica_duties(r);
+	gyp_replica_flows_round(r, r->batch_index == 0);
 	if (r->batch_index == 0) {
 		decide(r);
 		if (r->batch->len > 0)
@@ -442,8 +446,8 @@
 	gyp_replica_flush_entries(r);
 }
 
-static void
-advance(struct gyp_replica *r, uint64_t now)
+void
+gyp_replica_advance(struct gyp_replica *r, uint64_t now)
 {
 	r->now = MAX(r->now, now);
 	gyp_raft_tick(r->raft, r->now);
@@ -472,7 +476,7 @@
 {
 	Gyp__EntryDown down = GYP__ENTRY_DOWN__INIT;
 	uint64_t leader = gyp_raft_leader(r->raft);
-	const char *address = member_address(r, leader);
+	const char *address = gyp_replica_member_address(r, leader);
 
 	down.term = gyp_raft_term(r->raft);
 	if (address != NULL && leader != r->cfg.id)
@@ -526,7 +530,7 @@
 gyp_replica_receive(
     struct gyp_replica *r, uint64_t now, uint64_t from, const Gyp__Frame *frame)
 {
-	advance(r, now);
+	gyp_replica_advance(r, now);
 	switch (frame->body_case) {
 	case GYP__FRAME__BODY_RAFT:
 		on_raft(r, from, frame->raft);
@@ -540,7 +544,7 @@
 	default:
 		break;
 	}
-	settle(r);
+	gyp_replica_settle(r);
 }
 
 void
@@ -548,28 +552,28 @@
 {
 	struct gyp_entry_peer *peer;
 
-	advance(r, now);
+	gyp_replica_advance(r, now);
 	peer = g_hash_table_lookup(r->entries, &entry);
 	if (peer != NULL)
 		peer->heard = 0; /* orders may be lost: send them again */
-	settle(r);
+	gyp_replica_settle(r);
 }
 
 void
 gyp_replica_tick(struct gyp_replica *r, uint64_t now)
 {
-	advance(r, now);
+	gyp_replica_advance(r, now);
 	if (r->leading && r->handing_over)
 		gyp_raft_hand_over(r->raft); /* the order may be lost */
-	settle(r);
+	gyp_replica_settle(r);
 }
 
 void
 gyp_replica_synced(struct gyp_replica *r, uint64_t now, uint64_t seq)
 {
-	advance(r, now);
+	gyp_replica_advance(r, now);
 	gyp_raft_synced(r->raft, r->now, seq);
-	settle(r);
+	gyp_replica_settle(r);
 }
 
 void
@@ -579,9 +583,20 @@
 }
 
 void
-gyp_replica_bootstrap(struct gyp_replica *r)
-{
-	gyp_raft_bootstrap(r->raft, r->cfg.address, r->cfg.data_centre);
+gyp_replica_bootstrap(struct gyp_replica *r, const Gyp__Config *members)
+{
+	Gyp__Config alone = GYP__CONFIG__INIT;
+	Gyp__Member self = GYP__MEMBER__INIT;
+	Gyp__Member *list[] = {&self};
+
+	self.id = r->cfg.id;
+	self.address = (char *)r->cfg.address;
+	if (r->cfg.data_centre != NULL)
+		self.data_centre = (char *)r->cfg.data_centre;
+	self.voter = true;
+	alone.n_members = 1;
+	alone.members = list;
+	gyp_raft_bootstrap(r->raft, members != NULL ? members : &alone);
 }
 
 void
--- a/src/replica.h
+++ b/src/replica.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "counters.h"
+#include "fleet.h"
 #include "policy.h"
 #include "raft.h"
 #include "record.h"
@@ -42,6 +43,8 @@
 	uint32_t start_window_ms; /* life of a start order */
 	uint32_t voters; /* members with a vote; further ones are spares */
 	uint64_t compact_bytes; /* log size that makes a snapshot worthwhile */
+	uint32_t run_lease_ms;  /* longest lease of endpoints that run flows */
+	uint32_t stop_grace_ms; /* longest time that a stop takes there */
 };
 
 /* A frame for another process. */
@@ -57,8 +60,11 @@
 struct gyp_replica *gyp_replica_new(const struct gyp_replica_config *);
 void gyp_replica_free(struct gyp_replica *);
 
-/* Starts a new cell with this replica as its only member. */
-void gyp_replica_bootstrap(struct gyp_replica *);
+/*
+ * Starts a new cell. Without members, this replica is the only one; else
+ * each of the members must start with the same list.
+ */
+void gyp_replica_bootstrap(struct gyp_replica *, const Gyp__Config *members);
 
 /* Feeds stored records, in order, before the first tick. */
 void gyp_replica_load(struct gyp_replica *, const struct gyp_record *);
@@ -90,6 +96,29 @@
 /* True while this replica leads and may answer calls. */
 bool gyp_replica_serving(const struct gyp_replica *);
 
+/*
+ * A call of this very process; false when this replica does not serve. Its
+ * reply is popped later, unless leadership is lost before.
+ */
+bool gyp_replica_local_call(
+    struct gyp_replica *, uint64_t now, const Gyp__Call *);
+Gyp__Reply *gyp_replica_pop_local_reply(struct gyp_replica *);
+
+/* A heartbeat of an endpoint that runs flows; false when it is not serving. */
+bool gyp_replica_beat(struct gyp_replica *, uint64_t now, const char *endpoint,
+    uint64_t born_ms, uint64_t clock_ms);
+
+/* Calls to make at endpoints that run flows, and their answers. */
+struct gyp_fleet_call *gyp_replica_pop_call(struct gyp_replica *);
+void gyp_replica_call_answered(
+    struct gyp_replica *, uint64_t now, const struct gyp_fleet_answer *);
+
+/* Where the leader listens, or NULL when it is not known. */
+const char *gyp_replica_leader_address(const struct gyp_replica *);
+
+/* Unix time, for due times of repeated flows. */
+void gyp_replica_set_wall(struct gyp_replica *, uint64_t wall_ms);
+
 /* Counted while this replica leads; the sum over replicas is the cell's. */
 struct gyp_counters *gyp_replica_counters(const struct gyp_replica *);
 
--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -18,8 +18,14 @@
 void
 gyp_replica_reply(struct gyp_replica *r, uint64_t entry, const Gyp__Reply *msg)
 {
-	struct gyp_entry_peer *peer = gyp_replica_entry(r, entry);
+	struct gyp_entry_peer *peer;
 
+	if (entry == GYP_LOCAL_ENTRY) {
+		g_queue_push_tail(
+		    &r->local_replies, gyp_message_copy(&msg->base));
+		return;
+	}
+	peer = gyp_replica_entry(r, entry);
 	g_ptr_array_add(peer->replies, gyp_message_copy(&msg->base));
 	peer->due = true;
 }
@@ -496,6 +502,20 @@
 	case GYP__CALL__C_REPORT:
 		call_report(r, entry, call);
 		break;
+	case GYP__CALL__C_FLOW:
+		gyp_replica_call_flow(r, entry, call);
+		break;
+	case GYP__CALL__C_ADVISED:
+		gyp_flow_lead_advised(
+		    r->flow_lead, r->now, entry, call->advised);
+		reply_code(r, entry, call->id, GYP__CODE__CODE_OK, "");
+		break;
+	case GYP__CALL__C_HOST:
+		gyp_replica_call_host(r, entry, call);
+		break;
+	case GYP__CALL__C_MANIFEST:
+		gyp_replica_call_manifest(r, entry, call);
+		break;
 	default:
 		reply_code(
 		    r, entry, call->id, GYP__CODE__CODE_BAD, "unknown call");
@@ -557,6 +577,9 @@
 	case GYP__CALL__C_ADMIN:
 		reply_admin(r, entry, call);
 		break;
+	case GYP__CALL__C_FLOW:
+		gyp_replica_answer_flow(r, entry, call);
+		break;
 	default:
 		reply_code(r, entry, call->id, GYP__CODE__CODE_OK, "");
 		break;
--- /dev/null
+++ b/src/replica_flows.c
@@ -0,0 +1,365 @@
+#include <string.h>
+
+#include "msg.h"
+#include "replica_int.h"
+
+/* When a caller should come back while no manifest is there, in ms. */
+#define NO_MANIFEST_RETRY_MS 1000
+
+/* Digits of a flow's id in a path. */
+#define ID_DIGITS 16
+
+/* ---- Replies ------------------------------------------------------------ */
+
+static void
+reply_code(struct gyp_replica *r, uint64_t entry, uint64_t call, Gyp__Code code,
+    const char *message)
+{
+	Gyp__Reply msg = GYP__REPLY__INIT;
+
+	msg.id = call;
+	msg.code = code;
+	msg.message = (char *)message;
+	if (code == GYP__CODE__CODE_BUSY)
+		msg.retry_ms = NO_MANIFEST_RETRY_MS;
+	gyp_replica_reply(r, entry, &msg);
+}
+
+static void
+reply_view(struct gyp_replica *r, uint64_t entry, uint64_t call,
+    const Gyp__FlowView *view)
+{
+	Gyp__Reply msg = GYP__REPLY__INIT;
+
+	msg.id = call;
+	msg.code = GYP__CODE__CODE_OK;
+	msg.flow = (Gyp__FlowView *)view;
+	gyp_replica_reply(r, entry, &msg);
+}
+
+static void
+reply_state(struct gyp_replica *r, uint64_t entry, uint64_t call,
+    const struct gyp_flow *flow)
+{
+	Gyp__FlowView view = GYP__FLOW_VIEW__INIT;
+
+	view.state = flow->state;
+	reply_view(r, entry, call, &view);
+}
+
+/* ---- Requests to queues ------------------------------------------------- */
+
+static bool
+parse_id(const char *text, uint64_t *id)
+{
+	return strlen(text) == ID_DIGITS &&
+	       g_ascii_string_to_unsigned(text, 16, 0, G_MAXUINT64, id, NULL);
+}
+
+/* The queue of a request; answers it and returns NULL when there is none. */
+static const Gyp__FlowQueue *
+find_queue(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call,
+    const char **rest)
+{
+	const Gyp__CmdManifest *m =
+	    gyp_flows_manifest(gyp_state_flows(r->state));
+	const Gyp__FlowQueue *q;
+
+	if (m == NULL) {
+		reply_code(r, entry, call->id, GYP__CODE__CODE_BUSY,
+		    "no manifest yet");
+		return NULL;
+	}
+	q = gyp_manifest_queue(m, call->flow->host, call->flow->path, rest);
+	if (q == NULL)
+		reply_code(r, entry, call->id, GYP__CODE__CODE_NOT_FOUND,
+		    "no such queue");
+	return q;
+}
+
+static void
+read_queue(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call,
+    const Gyp__FlowQueue *q)
+{
+	Gyp__FlowView view = GYP__FLOW_VIEW__INIT;
+	const GList *l = gyp_flows_active(gyp_state_flows(r->state))->head;
+
+	view.is_queue = true;
+	for (; l != NULL; l = l->next) {
+		const struct gyp_flow *flow = l->data;
+
+		view.pending +=
+		    flow->state == GYP_FLOW_QUEUED &&
+		    strcmp(flow->spec->queue->host, q->host) == 0 &&
+		    strcmp(flow->spec->queue->prefix, q->prefix) == 0;
+	}
+	reply_view(r, entry, call->id, &view);
+}
+
+static void
+submit_flow(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call,
+    const Gyp__FlowQueue *q, uint64_t id)
+{
+	struct gyp_flows *flows = gyp_state_flows(r->state);
+	const struct gyp_flow *flow = gyp_flow_get(flows, id);
+	const char *why = gyp_flow_check_spec(call->flow->submit);
+	Gyp__FlowSpec spec = *call->flow->submit;
+	Gyp__CmdFlow submit = GYP__CMD_FLOW__INIT;
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+
+	if (flow != NULL) {
+		reply_state(r, entry, call->id, flow);
+		return;
+	}
+	if (why != NULL) {
+		reply_code(r, entry, call->id, GYP__CODE__CODE_BAD, why);
+		return;
+	}
+	if (gyp_flows_count(flows) >= GYP_FLOWS_MAX) {
+		reply_code(r, entry, call->id, GYP__CODE__CODE_BUSY,
+		    "too many flows are known");
+		return;
+	}
+	spec.id = id;
+	spec.queue = (Gyp__FlowQueue *)q;
+	submit.spec = &spec;
+	cmd.c_case = GYP__CMD__C_FLOW;
+	cmd.flow = &submit;
+	gyp_replica_propose_call(r, entry, call, &cmd);
+}
+
+static void
+cancel_flow(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call,
+    const struct gyp_flow *flow)
+{
+	Gyp__CmdFlowCancel cancel = GYP__CMD_FLOW_CANCEL__INIT;
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+
+	if (!gyp_flow_is_alive(flow)) {
+		reply_state(r, entry, call->id, flow);
+		return;
+	}
+	cancel.flow = flow->id;
+	cmd.c_case = GYP__CMD__C_FLOW_CANCEL;
+	cmd.flow_cancel = &cancel;
+	gyp_replica_propose_call(r, entry, call, &cmd);
+}
+
+void
+gyp_replica_call_flow(
+    struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	const char *rest;
+	const Gyp__FlowQueue *q = find_queue(r, entry, call, &rest);
+	const struct gyp_flow *flow;
+	uint64_t id;
+
+	if (q == NULL)
+		return;
+	if (rest[0] == '\0' && call->flow->submit == NULL &&
+	    !call->flow->cancel) {
+		read_queue(r, entry, call, q);
+		return;
+	}
+	if (!parse_id(rest, &id)) {
+		reply_code(r, entry, call->id, GYP__CODE__CODE_BAD,
+		    "the path must end with 16 hexadecimal digits");
+		return;
+	}
+	flow = gyp_flow_get(gyp_state_flows(r->state), id);
+	if (call->flow->submit != NULL)
+		submit_flow(r, entry, call, q, id);
+	else if (flow == NULL)
+		reply_code(r, entry, call->id, GYP__CODE__CODE_RETIRED,
+		    "no such flow");
+	else if (call->flow->cancel)
+		cancel_flow(r, entry, call, flow);
+	else
+		reply_state(r, entry, call->id, flow);
+}
+
+void
+gyp_replica_answer_flow(
+    struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	const struct gyp_flow *flow = NULL;
+	const char *rest = strrchr(call->flow->path, '/');
+	uint64_t id;
+
+	if (rest != NULL && parse_id(rest + 1, &id))
+		flow = gyp_flow_get(gyp_state_flows(r->state), id);
+	if (flow != NULL)
+		reply_state(r, entry, call->id, flow);
+	else
+		reply_code(r, entry, call->id, GYP__CODE__CODE_BUSY,
+		    "too many flows are known");
+	gyp_flow_lead_touch(r->flow_lead);
+}
+
+/* ---- Endpoints and the manifest ----------------------------------------- */
+
+void
+gyp_replica_call_host(
+    struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	struct gyp_flows *flows = gyp_state_flows(r->state);
+	const struct gyp_host *h = gyp_host_by_id(flows, call->host->id);
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+
+	if (call->host->gone) {
+		if (h != NULL && (call->host->born_ms == 0 ||
+				     call->host->born_ms == h->spec->born_ms))
+			gyp_fleet_gone(
+			    gyp_flow_lead_fleet(r->flow_lead), r->now, h->row);
+		reply_code(r, entry, call->id, GYP__CODE__CODE_OK, "");
+		return;
+	}
+	cmd.c_case = GYP__CMD__C_HOST;
+	cmd.host = call->host;
+	gyp_replica_propose_call(r, entry, call, &cmd);
+}
+
+void
+gyp_replica_call_manifest(
+    struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	const Gyp__CmdManifest *m =
+	    gyp_flows_manifest(gyp_state_flows(r->state));
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+
+	if (m != NULL && call->manifest->version <= m->version) {
+		reply_code(r, entry, call->id, GYP__CODE__CODE_OK, "");
+		return;
+	}
+	cmd.c_case = GYP__CMD__C_MANIFEST;
+	cmd.manifest = call->manifest;
+	gyp_replica_propose_call(r, entry, call, &cmd);
+}
+
+/* ---- Calls of this process ---------------------------------------------- */
+
+bool
+gyp_replica_local_call(
+    struct gyp_replica *r, uint64_t now, const Gyp__Call *call)
+{
+	gyp_replica_advance(r, now);
+	if (!gyp_replica_serving(r))
+		return false;
+	gyp_replica_call(r, GYP_LOCAL_ENTRY, call);
+	gyp_replica_settle(r);
+	return true;
+}
+
+Gyp__Reply *
+gyp_replica_pop_local_reply(struct gyp_replica *r)
+{
+	return g_queue_pop_head(&r->local_replies);
+}
+
+bool
+gyp_replica_beat(struct gyp_replica *r, uint64_t now, const char *endpoint,
+    uint64_t born_ms, uint64_t clock_ms)
+{
+	const struct gyp_host *h;
+
+	gyp_replica_advance(r, now);
+	if (!gyp_replica_serving(r))
+		return false;
+	h = gyp_host_by_id(gyp_state_flows(r->state), endpoint);
+	if (h != NULL)
+		gyp_fleet_beat(gyp_flow_lead_fleet(r->flow_lead), r->now,
+		    h->row, born_ms, clock_ms);
+	return true;
+}
+
+struct gyp_fleet_call *
+gyp_replica_pop_call(struct gyp_replica *r)
+{
+	if (r->flow_lead == NULL || !gyp_replica_serving(r))
+		return NULL;
+	return gyp_flow_lead_pop_call(r->flow_lead);
+}
+
+void
+gyp_replica_call_answered(
+    struct gyp_replica *r, uint64_t now, const struct gyp_fleet_answer *a)
+{
+	gyp_replica_advance(r, now);
+	if (r->flow_lead != NULL && gyp_replica_serving(r)) {
+		gyp_flow_lead_answered(r->flow_lead, r->now, a);
+		gyp_replica_settle(r);
+	}
+}
+
+const char *
+gyp_replica_leader_address(const struct gyp_replica *r)
+{
+	return gyp_replica_member_address(r, gyp_raft_leader(r->raft));
+}
+
+void
+gyp_replica_set_wall(struct gyp_replica *r, uint64_t wall_ms)
+{
+	r->wall_ms = wall_ms;
+}
+
+/* ---- Leading ------------------------------------------------------------ */
+
+void
+gyp_replica_lead_flows(struct gyp_replica *r)
+{
+	struct gyp_fleet_config cfg = {.lease_ms = r->cfg.run_lease_ms,
+	    .stop_grace_ms = r->cfg.stop_grace_ms};
+
+	r->flow_lead = gyp_flow_lead_new(
+	    &cfg, gyp_state_flows(r->state), r->now, r->lead_term);
+}
+
+void
+gyp_replica_drop_flows(struct gyp_replica *r)
+{
+	gyp_flow_lead_free(r->flow_lead);
+	r->flow_lead = NULL;
+	g_queue_clear_full(&r->local_replies, gyp_message_free);
+}
+
+static void
+offer_lanes(struct gyp_replica *r)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gyp_entry_peer *peer = value;
+
+		if (gyp_replica_can_take_orders(r, peer) && !peer->draining)
+			gyp_flow_lead_offer(r->flow_lead, peer->id);
+	}
+}
+
+static void
+hand_out_asks(struct gyp_replica *r)
+{
+	Gyp__Ask *ask;
+	uint64_t entry;
+
+	while ((ask = gyp_flow_lead_pop_ask(r->flow_lead, &entry)) != NULL) {
+		struct gyp_entry_peer *peer = gyp_replica_entry(r, entry);
+
+		g_ptr_array_add(peer->asks, ask);
+		peer->due = true;
+	}
+}
+
+void
+gyp_replica_flows_round(struct gyp_replica *r, bool decide)
+{
+	Gyp__Cmd *cmd;
+
+	offer_lanes(r);
+	gyp_flow_lead_round(r->flow_lead, r->now, r->wall_ms, decide);
+	while ((cmd = gyp_flow_lead_pop_cmd(r->flow_lead)) != NULL)
+		g_ptr_array_add(r->batch, cmd);
+	hand_out_asks(r);
+}
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -2,6 +2,7 @@
 #define GYP_REPLICA_INT_H
 
 #include "counters.h"
+#include "flow_lead.h"
 #include "leases.h"
 #include "replica.h"
 #include "rules.h"
@@ -18,6 +19,7 @@
  *	replica_orders.c starts and questions that entries carry out
  *	replica_rules.c	versions of the rules and when they are in force
  *	replica_lead.c	a leader's periodic work: leases and orders
+ *	replica_flows.c	flows, their endpoints and the manifest
  *	replica_members.c	who is a member and who votes
  *	admin.c		reports for operators, as JSON
  */
@@ -42,6 +44,7 @@
 	bool due;           /* owes it a frame */
 	GPtrArray *replies; /* Gyp__Reply, owned */
 	GPtrArray *orders;  /* Gyp__Order, owned */
+	GPtrArray *asks;    /* Gyp__Ask, owned */
 	GQueue unsent;      /* struct gyp_task_ref, placed but not ordered */
 };
 
@@ -104,8 +107,19 @@
 	GPtrArray *rules_waits; /* calls answered when rules are in force */
 	Gyp__Member *joiner;    /* asks for membership, or NULL */
 	struct gyp_removal removal;
+	struct gyp_flow_lead *flow_lead; /* NULL while not leading */
+	GQueue local_replies;            /* Gyp__Reply */
+	uint64_t wall_ms;                /* Unix time, for due times only */
 };
 
+/* Stands for this very process among the entries. */
+#define GYP_LOCAL_ENTRY 0
+
+/* replica.c */
+void gyp_replica_advance(struct gyp_replica *, uint64_t now);
+void gyp_replica_settle(struct gyp_replica *);
+const char *gyp_replica_member_address(const struct gyp_replica *, uint64_t id);
+
 /* Adds a copy of the command to the next batch. */
 void gyp_replica_propose(struct gyp_replica *, const Gyp__Cmd *);
 
@@ -119,6 +133,19 @@
 void gyp_replica_propose_call(
     struct gyp_replica *, uint64_t entry, const Gyp__Call *, const Gyp__Cmd *);
 
+/* replica_flows.c */
+void gyp_replica_call_flow(
+    struct gyp_replica *, uint64_t entry, const Gyp__Call *);
+void gyp_replica_call_host(
+    struct gyp_replica *, uint64_t entry, const Gyp__Call *);
+void gyp_replica_call_manifest(
+    struct gyp_replica *, uint64_t entry, const Gyp__Call *);
+void gyp_replica_answer_flow(
+    struct gyp_replica *, uint64_t entry, const Gyp__Call *);
+void gyp_replica_lead_flows(struct gyp_replica *);
+void gyp_replica_drop_flows(struct gyp_replica *);
+void gyp_replica_flows_round(struct gyp_replica *, bool decide);
+
 /* replica_rules.c */
 void gyp_replica_refresh_rules(struct gyp_replica *, uint64_t index);
 void gyp_replica_call_rules(
--- a/src/replica_lead.c
+++ b/src/replica_lead.c
@@ -23,6 +23,7 @@
 	g_free(peer->name);
 	g_ptr_array_free(peer->replies, TRUE);
 	g_ptr_array_free(peer->orders, TRUE);
+	g_ptr_array_free(peer->asks, TRUE);
 	g_queue_clear_full(&peer->unsent, g_free);
 	g_free(peer);
 }
@@ -43,6 +44,7 @@
 	peer->lease_end = gyp_lease_end(r->lead_since, r->cfg.entry_lease_ms);
 	peer->replies = g_ptr_array_new_with_free_func(gyp_message_free);
 	peer->orders = g_ptr_array_new_with_free_func(gyp_message_free);
+	peer->asks = g_ptr_array_new_with_free_func(gyp_message_free);
 	g_hash_table_insert(r->entries, &peer->id, peer);
 	return peer;
 }
@@ -275,14 +277,18 @@
 		down.n_replies = count_fitting(peer->replies, replies, &bytes);
 		down.orders = (Gyp__Order **)peer->orders->pdata + orders;
 		down.n_orders = count_fitting(peer->orders, orders, &bytes);
-		if (replies == 0 && orders == 0)
+		if (replies == 0 && orders == 0) {
 			fill_rules(r, peer, &down);
+			down.n_asks = peer->asks->len;
+			down.asks = (Gyp__Ask **)peer->asks->pdata;
+		}
 		replies += down.n_replies;
 		orders += down.n_orders;
 		push_down(r, peer, &down);
 	} while (replies < peer->replies->len || orders < peer->orders->len);
 	g_ptr_array_set_size(peer->replies, 0);
 	g_ptr_array_set_size(peer->orders, 0);
+	g_ptr_array_set_size(peer->asks, 0);
 	peer->due = false;
 }
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -178,6 +178,11 @@
 	case GYP_SETTING_BYTES:
 	case GYP_SETTING_COUNT:
 		return set_number(p, s, value);
+	case GYP_SETTING_FLAG:
+		if (strcmp(value, "yes") != 0 && strcmp(value, "no") != 0)
+			return refuse(p, s, value, "yes or no");
+		*(bool *)s->dest = strcmp(value, "yes") == 0;
+		return 1;
 	case GYP_SETTING_TEXT:
 	default:
 		if (value[0] == '\0')
@@ -306,6 +311,20 @@
 	return p.failed ? GYP_BAD_INPUT : GYP_OK;
 }
 
+void
+gyp_settings_replace_port(char **addresses, uint32_t port)
+{
+	for (; port != 0 && addresses != NULL && *addresses != NULL;
+	     addresses++) {
+		char *colon = strrchr(*addresses, ':');
+		char *ip = g_strndup(*addresses, (gsize)(colon - *addresses));
+
+		g_free(*addresses);
+		*addresses = g_strdup_printf("%s:%u", ip, port);
+		g_free(ip);
+	}
+}
+
 void
 gyp_settings_clear(const struct gyp_setting *table, size_t n)
 {
--- a/src/settings.h
+++ b/src/settings.h
@@ -26,7 +26,8 @@
 	GYP_SETTING_FOLDER,    /* char *, made if missing, must be writable */
 	GYP_SETTING_MS,        /* uint32_t, written with "ms", "s" or "m" */
 	GYP_SETTING_BYTES,     /* uint64_t, written with "KiB", "MiB", "GiB" */
-	GYP_SETTING_COUNT      /* uint32_t, plain */
+	GYP_SETTING_COUNT,     /* uint32_t, plain */
+	GYP_SETTING_FLAG       /* bool, "yes" or "no" */
 };
 
 struct gyp_setting {
@@ -57,6 +58,9 @@
 enum gyp_status gyp_settings_load(
     const char *path, const struct gyp_settings *, struct gyp_error *);
 
+/* Gives all addresses of a list this port; 0 leaves them as they are. */
+void gyp_settings_replace_port(char **addresses, uint32_t port);
+
 /* Releases the values of the table. */
 void gyp_settings_clear(const struct gyp_setting *table, size_t n);
 
--- a/src/state.c
+++ b/src/state.c
@@ -483,6 +483,7 @@
 		apply_rules(s, cmd->rules);
 		break;
 	default:
+		gyp_flows_apply(s->flows, s->time_ms, cmd);
 		break;
 	}
 }
@@ -496,6 +497,7 @@
 	for (i = 0; i < batch->n_cmds; i++)
 		apply_cmd(s, batch->cmds[i]);
 	forget_old_jobs(s);
+	gyp_flows_forget(s->flows, s->time_ms);
 #ifdef GYP_CHECKED
 	gyp_state_check(s);
 #endif
@@ -517,6 +519,7 @@
 	s->retired =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	s->rules = g_ptr_array_new_with_free_func(free_rules_version);
+	s->flows = gyp_flows_new();
 	return s;
 }
 
@@ -545,6 +548,7 @@
 	g_ptr_array_free(s->rules, TRUE);
 	gyp_table_free(s->jobs);
 	gyp_table_free(s->endpoints);
+	gyp_flows_free(s->flows);
 }
 
 void
@@ -562,6 +566,12 @@
 	return s->time_ms;
 }
 
+struct gyp_flows *
+gyp_state_flows(const struct gyp_state *s)
+{
+	return s->flows;
+}
+
 const struct gyp_table *
 gyp_state_jobs(const struct gyp_state *s)
 {
--- a/src/state.h
+++ b/src/state.h
@@ -187,6 +187,10 @@
 const struct gyp_table *gyp_state_jobs(const struct gyp_state *);
 const struct gyp_table *gyp_state_endpoints(const struct gyp_state *);
 
+/* The tables of flows; never NULL, and others after a restore. */
+struct gyp_flows;
+struct gyp_flows *gyp_state_flows(const struct gyp_state *);
+
 /* Jobs with queued tasks, oldest first: list of struct gyp_job. */
 const GQueue *gyp_state_queue(const struct gyp_state *);
 
--- a/src/state_check.c
+++ b/src/state_check.c
@@ -69,4 +69,5 @@
 		if (job != NULL)
 			check_job(s, job);
 	}
+	gyp_flows_check(s->flows);
 }
--- a/src/state_int.h
+++ b/src/state_int.h
@@ -1,6 +1,7 @@
 #ifndef GYP_STATE_INT_H
 #define GYP_STATE_INT_H
 
+#include "flow.h"
 #include "state.h"
 
 /*
@@ -29,6 +30,7 @@
 	GHashTable *retired;  /* hash of a key -> whether a job had it */
 	GQueue retired_order; /* hashes, oldest first */
 	GPtrArray *rules;     /* struct gyp_rules_version, oldest first */
+	struct gyp_flows *flows;
 };
 
 /* state.c */
--- a/src/state_save.c
+++ b/src/state_save.c
@@ -194,10 +194,12 @@
 	snap.retired_keys = (uint64_t *)(void *)retired->data;
 	snap.n_retired_had_job = had_job->len;
 	snap.retired_had_job = (protobuf_c_boolean *)(void *)had_job->data;
+	snap.flows = gyp_flows_save(s->flows);
 	len = gyp__snapshot__get_packed_size(&snap);
 	bytes = g_malloc(len + 1);
 	gyp__snapshot__pack(&snap, bytes);
 
+	gyp_message_free(snap.flows);
 	for (i = 0; i < jobs->len; i++)
 		free_snap_job(jobs->pdata[i]);
 	g_ptr_array_free(jobs, TRUE);
@@ -321,7 +323,7 @@
 		gyp_state_retire_key(s, snap->retired_keys[i],
 		    i >= snap->n_retired_had_job || snap->retired_had_job[i]);
 	restore_finished(s);
-	return true;
+	return gyp_flows_restore(s->flows, snap->flows);
 }
 
 bool
--- a/src/store.c
+++ b/src/store.c
@@ -62,10 +62,18 @@
 struct gyp_store *
 gyp_store_open(
     const char *folder, struct gyp_files *files, struct gyp_error *err)
+{
+	return gyp_store_open_as(folder, files, 0, err);
+}
+
+struct gyp_store *
+gyp_store_open_as(const char *folder, struct gyp_files *files,
+    uint64_t first_id, struct gyp_error *err)
 {
 	struct gyp_store *s = g_new0(struct gyp_store, 1);
 
 	s->folder = g_strdup(folder);
+	s->id = first_id;
 	s->files = files;
 	s->fd = -1;
 	s->lock = -1;
