--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -682,2354 +682,4876 @@
   assert(message->base.descriptor == &gyp__cmd_rules__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__cmd__init
-                     (Gyp__Cmd         *message)
+void   gyp__flow_step__init
+                     (Gyp__FlowStep         *message)
 {
-  static const Gyp__Cmd init_value = GYP__CMD__INIT;
+  static const Gyp__FlowStep init_value = GYP__FLOW_STEP__INIT;
   *message = init_value;
 }
-size_t gyp__cmd__get_packed_size
-                     (const Gyp__Cmd *message)
+size_t gyp__flow_step__get_packed_size
+                     (const Gyp__FlowStep *message)
 {
-  assert(message->base.descriptor == &gyp__cmd__descriptor);
+  assert(message->base.descriptor == &gyp__flow_step__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__cmd__pack
-                     (const Gyp__Cmd *message,
+size_t gyp__flow_step__pack
+                     (const Gyp__FlowStep *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__cmd__descriptor);
+  assert(message->base.descriptor == &gyp__flow_step__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__cmd__pack_to_buffer
-                     (const Gyp__Cmd *message,
+size_t gyp__flow_step__pack_to_buffer
+                     (const Gyp__FlowStep *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__cmd__descriptor);
+  assert(message->base.descriptor == &gyp__flow_step__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__Cmd *
-       gyp__cmd__unpack
+Gyp__FlowStep *
+       gyp__flow_step__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__Cmd *)
-     protobuf_c_message_unpack (&gyp__cmd__descriptor,
+  return (Gyp__FlowStep *)
+     protobuf_c_message_unpack (&gyp__flow_step__descriptor,
                                 allocator, len, data);
 }
-void   gyp__cmd__free_unpacked
-                     (Gyp__Cmd *message,
+void   gyp__flow_step__free_unpacked
+                     (Gyp__FlowStep *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__cmd__descriptor);
+  assert(message->base.descriptor == &gyp__flow_step__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__batch__init
-                     (Gyp__Batch         *message)
+void   gyp__flow_queue__init
+                     (Gyp__FlowQueue         *message)
 {
-  static const Gyp__Batch init_value = GYP__BATCH__INIT;
+  static const Gyp__FlowQueue init_value = GYP__FLOW_QUEUE__INIT;
   *message = init_value;
 }
-size_t gyp__batch__get_packed_size
-                     (const Gyp__Batch *message)
+size_t gyp__flow_queue__get_packed_size
+                     (const Gyp__FlowQueue *message)
 {
-  assert(message->base.descriptor == &gyp__batch__descriptor);
+  assert(message->base.descriptor == &gyp__flow_queue__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__batch__pack
-                     (const Gyp__Batch *message,
+size_t gyp__flow_queue__pack
+                     (const Gyp__FlowQueue *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__batch__descriptor);
+  assert(message->base.descriptor == &gyp__flow_queue__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__batch__pack_to_buffer
-                     (const Gyp__Batch *message,
+size_t gyp__flow_queue__pack_to_buffer
+                     (const Gyp__FlowQueue *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__batch__descriptor);
+  assert(message->base.descriptor == &gyp__flow_queue__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__Batch *
-       gyp__batch__unpack
+Gyp__FlowQueue *
+       gyp__flow_queue__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__Batch *)
-     protobuf_c_message_unpack (&gyp__batch__descriptor,
+  return (Gyp__FlowQueue *)
+     protobuf_c_message_unpack (&gyp__flow_queue__descriptor,
                                 allocator, len, data);
 }
-void   gyp__batch__free_unpacked
-                     (Gyp__Batch *message,
+void   gyp__flow_queue__free_unpacked
+                     (Gyp__FlowQueue *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__batch__descriptor);
+  assert(message->base.descriptor == &gyp__flow_queue__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__snap_task__init
-                     (Gyp__SnapTask         *message)
+void   gyp__flow_spec__init
+                     (Gyp__FlowSpec         *message)
 {
-  static const Gyp__SnapTask init_value = GYP__SNAP_TASK__INIT;
+  static const Gyp__FlowSpec init_value = GYP__FLOW_SPEC__INIT;
   *message = init_value;
 }
-size_t gyp__snap_task__get_packed_size
-                     (const Gyp__SnapTask *message)
+size_t gyp__flow_spec__get_packed_size
+                     (const Gyp__FlowSpec *message)
 {
-  assert(message->base.descriptor == &gyp__snap_task__descriptor);
+  assert(message->base.descriptor == &gyp__flow_spec__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__snap_task__pack
-                     (const Gyp__SnapTask *message,
+size_t gyp__flow_spec__pack
+                     (const Gyp__FlowSpec *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__snap_task__descriptor);
+  assert(message->base.descriptor == &gyp__flow_spec__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__snap_task__pack_to_buffer
-                     (const Gyp__SnapTask *message,
+size_t gyp__flow_spec__pack_to_buffer
+                     (const Gyp__FlowSpec *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__snap_task__descriptor);
+  assert(message->base.descriptor == &gyp__flow_spec__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__SnapTask *
-       gyp__snap_task__unpack
+Gyp__FlowSpec *
+       gyp__flow_spec__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__SnapTask *)
-     protobuf_c_message_unpack (&gyp__snap_task__descriptor,
+  return (Gyp__FlowSpec *)
+     protobuf_c_message_unpack (&gyp__flow_spec__descriptor,
                                 allocator, len, data);
 }
-void   gyp__snap_task__free_unpacked
-                     (Gyp__SnapTask *message,
+void   gyp__flow_spec__free_unpacked
+                     (Gyp__FlowSpec *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__snap_task__descriptor);
+  assert(message->base.descriptor == &gyp__flow_spec__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__snap_job__init
-                     (Gyp__SnapJob         *message)
+void   gyp__cmd_flow__init
+                     (Gyp__CmdFlow         *message)
 {
-  static const Gyp__SnapJob init_value = GYP__SNAP_JOB__INIT;
+  static const Gyp__CmdFlow init_value = GYP__CMD_FLOW__INIT;
   *message = init_value;
 }
-size_t gyp__snap_job__get_packed_size
-                     (const Gyp__SnapJob *message)
+size_t gyp__cmd_flow__get_packed_size
+                     (const Gyp__CmdFlow *message)
 {
-  assert(message->base.descriptor == &gyp__snap_job__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__snap_job__pack
-                     (const Gyp__SnapJob *message,
+size_t gyp__cmd_flow__pack
+                     (const Gyp__CmdFlow *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__snap_job__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__snap_job__pack_to_buffer
-                     (const Gyp__SnapJob *message,
+size_t gyp__cmd_flow__pack_to_buffer
+                     (const Gyp__CmdFlow *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__snap_job__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__SnapJob *
-       gyp__snap_job__unpack
+Gyp__CmdFlow *
+       gyp__cmd_flow__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__SnapJob *)
-     protobuf_c_message_unpack (&gyp__snap_job__descriptor,
+  return (Gyp__CmdFlow *)
+     protobuf_c_message_unpack (&gyp__cmd_flow__descriptor,
                                 allocator, len, data);
 }
-void   gyp__snap_job__free_unpacked
-                     (Gyp__SnapJob *message,
+void   gyp__cmd_flow__free_unpacked
+                     (Gyp__CmdFlow *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__snap_job__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__snap_endpoint__init
-                     (Gyp__SnapEndpoint         *message)
+void   gyp__cmd_flow_cancel__init
+                     (Gyp__CmdFlowCancel         *message)
 {
-  static const Gyp__SnapEndpoint init_value = GYP__SNAP_ENDPOINT__INIT;
+  static const Gyp__CmdFlowCancel init_value = GYP__CMD_FLOW_CANCEL__INIT;
   *message = init_value;
 }
-size_t gyp__snap_endpoint__get_packed_size
-                     (const Gyp__SnapEndpoint *message)
+size_t gyp__cmd_flow_cancel__get_packed_size
+                     (const Gyp__CmdFlowCancel *message)
 {
-  assert(message->base.descriptor == &gyp__snap_endpoint__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow_cancel__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__snap_endpoint__pack
-                     (const Gyp__SnapEndpoint *message,
+size_t gyp__cmd_flow_cancel__pack
+                     (const Gyp__CmdFlowCancel *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__snap_endpoint__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow_cancel__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__snap_endpoint__pack_to_buffer
-                     (const Gyp__SnapEndpoint *message,
+size_t gyp__cmd_flow_cancel__pack_to_buffer
+                     (const Gyp__CmdFlowCancel *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__snap_endpoint__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow_cancel__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__SnapEndpoint *
-       gyp__snap_endpoint__unpack
+Gyp__CmdFlowCancel *
+       gyp__cmd_flow_cancel__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__SnapEndpoint *)
-     protobuf_c_message_unpack (&gyp__snap_endpoint__descriptor,
+  return (Gyp__CmdFlowCancel *)
+     protobuf_c_message_unpack (&gyp__cmd_flow_cancel__descriptor,
                                 allocator, len, data);
 }
-void   gyp__snap_endpoint__free_unpacked
-                     (Gyp__SnapEndpoint *message,
+void   gyp__cmd_flow_cancel__free_unpacked
+                     (Gyp__CmdFlowCancel *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__snap_endpoint__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow_cancel__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__snap_rules__init
-                     (Gyp__SnapRules         *message)
+void   gyp__flow_run__init
+                     (Gyp__FlowRun         *message)
 {
-  static const Gyp__SnapRules init_value = GYP__SNAP_RULES__INIT;
+  static const Gyp__FlowRun init_value = GYP__FLOW_RUN__INIT;
   *message = init_value;
 }
-size_t gyp__snap_rules__get_packed_size
-                     (const Gyp__SnapRules *message)
+size_t gyp__flow_run__get_packed_size
+                     (const Gyp__FlowRun *message)
 {
-  assert(message->base.descriptor == &gyp__snap_rules__descriptor);
+  assert(message->base.descriptor == &gyp__flow_run__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__snap_rules__pack
-                     (const Gyp__SnapRules *message,
+size_t gyp__flow_run__pack
+                     (const Gyp__FlowRun *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__snap_rules__descriptor);
+  assert(message->base.descriptor == &gyp__flow_run__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__snap_rules__pack_to_buffer
-                     (const Gyp__SnapRules *message,
+size_t gyp__flow_run__pack_to_buffer
+                     (const Gyp__FlowRun *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__snap_rules__descriptor);
+  assert(message->base.descriptor == &gyp__flow_run__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__SnapRules *
-       gyp__snap_rules__unpack
+Gyp__FlowRun *
+       gyp__flow_run__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__SnapRules *)
-     protobuf_c_message_unpack (&gyp__snap_rules__descriptor,
+  return (Gyp__FlowRun *)
+     protobuf_c_message_unpack (&gyp__flow_run__descriptor,
                                 allocator, len, data);
 }
-void   gyp__snap_rules__free_unpacked
-                     (Gyp__SnapRules *message,
+void   gyp__flow_run__free_unpacked
+                     (Gyp__FlowRun *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__snap_rules__descriptor);
+  assert(message->base.descriptor == &gyp__flow_run__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__snapshot__init
-                     (Gyp__Snapshot         *message)
+void   gyp__cmd_flow_start__init
+                     (Gyp__CmdFlowStart         *message)
 {
-  static const Gyp__Snapshot init_value = GYP__SNAPSHOT__INIT;
+  static const Gyp__CmdFlowStart init_value = GYP__CMD_FLOW_START__INIT;
   *message = init_value;
 }
-size_t gyp__snapshot__get_packed_size
-                     (const Gyp__Snapshot *message)
+size_t gyp__cmd_flow_start__get_packed_size
+                     (const Gyp__CmdFlowStart *message)
 {
-  assert(message->base.descriptor == &gyp__snapshot__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow_start__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__snapshot__pack
-                     (const Gyp__Snapshot *message,
+size_t gyp__cmd_flow_start__pack
+                     (const Gyp__CmdFlowStart *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__snapshot__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow_start__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__snapshot__pack_to_buffer
-                     (const Gyp__Snapshot *message,
+size_t gyp__cmd_flow_start__pack_to_buffer
+                     (const Gyp__CmdFlowStart *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__snapshot__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow_start__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__Snapshot *
-       gyp__snapshot__unpack
+Gyp__CmdFlowStart *
+       gyp__cmd_flow_start__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__Snapshot *)
-     protobuf_c_message_unpack (&gyp__snapshot__descriptor,
+  return (Gyp__CmdFlowStart *)
+     protobuf_c_message_unpack (&gyp__cmd_flow_start__descriptor,
                                 allocator, len, data);
 }
-void   gyp__snapshot__free_unpacked
-                     (Gyp__Snapshot *message,
+void   gyp__cmd_flow_start__free_unpacked
+                     (Gyp__CmdFlowStart *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__snapshot__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow_start__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__hello__init
-                     (Gyp__Hello         *message)
+void   gyp__cmd_flow_end__init
+                     (Gyp__CmdFlowEnd         *message)
 {
-  static const Gyp__Hello init_value = GYP__HELLO__INIT;
+  static const Gyp__CmdFlowEnd init_value = GYP__CMD_FLOW_END__INIT;
   *message = init_value;
 }
-size_t gyp__hello__get_packed_size
-                     (const Gyp__Hello *message)
+size_t gyp__cmd_flow_end__get_packed_size
+                     (const Gyp__CmdFlowEnd *message)
 {
-  assert(message->base.descriptor == &gyp__hello__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow_end__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__hello__pack
-                     (const Gyp__Hello *message,
+size_t gyp__cmd_flow_end__pack
+                     (const Gyp__CmdFlowEnd *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__hello__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow_end__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__hello__pack_to_buffer
-                     (const Gyp__Hello *message,
+size_t gyp__cmd_flow_end__pack_to_buffer
+                     (const Gyp__CmdFlowEnd *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__hello__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow_end__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__Hello *
-       gyp__hello__unpack
+Gyp__CmdFlowEnd *
+       gyp__cmd_flow_end__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__Hello *)
-     protobuf_c_message_unpack (&gyp__hello__descriptor,
+  return (Gyp__CmdFlowEnd *)
+     protobuf_c_message_unpack (&gyp__cmd_flow_end__descriptor,
                                 allocator, len, data);
 }
-void   gyp__hello__free_unpacked
-                     (Gyp__Hello *message,
+void   gyp__cmd_flow_end__free_unpacked
+                     (Gyp__CmdFlowEnd *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__hello__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_flow_end__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__join__init
-                     (Gyp__Join         *message)
+void   gyp__cmd_host__init
+                     (Gyp__CmdHost         *message)
 {
-  static const Gyp__Join init_value = GYP__JOIN__INIT;
+  static const Gyp__CmdHost init_value = GYP__CMD_HOST__INIT;
   *message = init_value;
 }
-size_t gyp__join__get_packed_size
-                     (const Gyp__Join *message)
+size_t gyp__cmd_host__get_packed_size
+                     (const Gyp__CmdHost *message)
 {
-  assert(message->base.descriptor == &gyp__join__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_host__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__join__pack
-                     (const Gyp__Join *message,
+size_t gyp__cmd_host__pack
+                     (const Gyp__CmdHost *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__join__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_host__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__join__pack_to_buffer
-                     (const Gyp__Join *message,
+size_t gyp__cmd_host__pack_to_buffer
+                     (const Gyp__CmdHost *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__join__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_host__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__Join *
-       gyp__join__unpack
+Gyp__CmdHost *
+       gyp__cmd_host__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__Join *)
-     protobuf_c_message_unpack (&gyp__join__descriptor,
+  return (Gyp__CmdHost *)
+     protobuf_c_message_unpack (&gyp__cmd_host__descriptor,
                                 allocator, len, data);
 }
-void   gyp__join__free_unpacked
-                     (Gyp__Join *message,
+void   gyp__cmd_host__free_unpacked
+                     (Gyp__CmdHost *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__join__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_host__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__attempt__init
-                     (Gyp__Attempt         *message)
+void   gyp__cmd_manifest__init
+                     (Gyp__CmdManifest         *message)
 {
-  static const Gyp__Attempt init_value = GYP__ATTEMPT__INIT;
+  static const Gyp__CmdManifest init_value = GYP__CMD_MANIFEST__INIT;
   *message = init_value;
 }
-size_t gyp__attempt__get_packed_size
-                     (const Gyp__Attempt *message)
+size_t gyp__cmd_manifest__get_packed_size
+                     (const Gyp__CmdManifest *message)
 {
-  assert(message->base.descriptor == &gyp__attempt__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_manifest__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__attempt__pack
-                     (const Gyp__Attempt *message,
+size_t gyp__cmd_manifest__pack
+                     (const Gyp__CmdManifest *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__attempt__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_manifest__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__attempt__pack_to_buffer
-                     (const Gyp__Attempt *message,
+size_t gyp__cmd_manifest__pack_to_buffer
+                     (const Gyp__CmdManifest *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__attempt__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_manifest__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__Attempt *
-       gyp__attempt__unpack
+Gyp__CmdManifest *
+       gyp__cmd_manifest__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__Attempt *)
-     protobuf_c_message_unpack (&gyp__attempt__descriptor,
+  return (Gyp__CmdManifest *)
+     protobuf_c_message_unpack (&gyp__cmd_manifest__descriptor,
                                 allocator, len, data);
 }
-void   gyp__attempt__free_unpacked
-                     (Gyp__Attempt *message,
+void   gyp__cmd_manifest__free_unpacked
+                     (Gyp__CmdManifest *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__attempt__descriptor);
+  assert(message->base.descriptor == &gyp__cmd_manifest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__beat__init
-                     (Gyp__Beat         *message)
+void   gyp__snap_flow_task__init
+                     (Gyp__SnapFlowTask         *message)
 {
-  static const Gyp__Beat init_value = GYP__BEAT__INIT;
+  static const Gyp__SnapFlowTask init_value = GYP__SNAP_FLOW_TASK__INIT;
   *message = init_value;
 }
-size_t gyp__beat__get_packed_size
-                     (const Gyp__Beat *message)
+size_t gyp__snap_flow_task__get_packed_size
+                     (const Gyp__SnapFlowTask *message)
 {
-  assert(message->base.descriptor == &gyp__beat__descriptor);
+  assert(message->base.descriptor == &gyp__snap_flow_task__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__beat__pack
-                     (const Gyp__Beat *message,
+size_t gyp__snap_flow_task__pack
+                     (const Gyp__SnapFlowTask *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__beat__descriptor);
+  assert(message->base.descriptor == &gyp__snap_flow_task__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__beat__pack_to_buffer
-                     (const Gyp__Beat *message,
+size_t gyp__snap_flow_task__pack_to_buffer
+                     (const Gyp__SnapFlowTask *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__beat__descriptor);
+  assert(message->base.descriptor == &gyp__snap_flow_task__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__Beat *
-       gyp__beat__unpack
+Gyp__SnapFlowTask *
+       gyp__snap_flow_task__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__Beat *)
-     protobuf_c_message_unpack (&gyp__beat__descriptor,
+  return (Gyp__SnapFlowTask *)
+     protobuf_c_message_unpack (&gyp__snap_flow_task__descriptor,
                                 allocator, len, data);
 }
-void   gyp__beat__free_unpacked
-                     (Gyp__Beat *message,
+void   gyp__snap_flow_task__free_unpacked
+                     (Gyp__SnapFlowTask *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__beat__descriptor);
+  assert(message->base.descriptor == &gyp__snap_flow_task__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__read_job__init
-                     (Gyp__ReadJob         *message)
+void   gyp__snap_flow__init
+                     (Gyp__SnapFlow         *message)
 {
-  static const Gyp__ReadJob init_value = GYP__READ_JOB__INIT;
+  static const Gyp__SnapFlow init_value = GYP__SNAP_FLOW__INIT;
   *message = init_value;
 }
-size_t gyp__read_job__get_packed_size
-                     (const Gyp__ReadJob *message)
+size_t gyp__snap_flow__get_packed_size
+                     (const Gyp__SnapFlow *message)
 {
-  assert(message->base.descriptor == &gyp__read_job__descriptor);
+  assert(message->base.descriptor == &gyp__snap_flow__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__read_job__pack
-                     (const Gyp__ReadJob *message,
+size_t gyp__snap_flow__pack
+                     (const Gyp__SnapFlow *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__read_job__descriptor);
+  assert(message->base.descriptor == &gyp__snap_flow__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__read_job__pack_to_buffer
-                     (const Gyp__ReadJob *message,
+size_t gyp__snap_flow__pack_to_buffer
+                     (const Gyp__SnapFlow *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__read_job__descriptor);
+  assert(message->base.descriptor == &gyp__snap_flow__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__ReadJob *
-       gyp__read_job__unpack
+Gyp__SnapFlow *
+       gyp__snap_flow__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__ReadJob *)
-     protobuf_c_message_unpack (&gyp__read_job__descriptor,
+  return (Gyp__SnapFlow *)
+     protobuf_c_message_unpack (&gyp__snap_flow__descriptor,
                                 allocator, len, data);
 }
-void   gyp__read_job__free_unpacked
-                     (Gyp__ReadJob *message,
+void   gyp__snap_flow__free_unpacked
+                     (Gyp__SnapFlow *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__read_job__descriptor);
+  assert(message->base.descriptor == &gyp__snap_flow__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__call__init
-                     (Gyp__Call         *message)
+void   gyp__snap_flows__init
+                     (Gyp__SnapFlows         *message)
 {
-  static const Gyp__Call init_value = GYP__CALL__INIT;
+  static const Gyp__SnapFlows init_value = GYP__SNAP_FLOWS__INIT;
   *message = init_value;
 }
-size_t gyp__call__get_packed_size
-                     (const Gyp__Call *message)
+size_t gyp__snap_flows__get_packed_size
+                     (const Gyp__SnapFlows *message)
 {
-  assert(message->base.descriptor == &gyp__call__descriptor);
+  assert(message->base.descriptor == &gyp__snap_flows__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__call__pack
-                     (const Gyp__Call *message,
+size_t gyp__snap_flows__pack
+                     (const Gyp__SnapFlows *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__call__descriptor);
+  assert(message->base.descriptor == &gyp__snap_flows__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__call__pack_to_buffer
-                     (const Gyp__Call *message,
+size_t gyp__snap_flows__pack_to_buffer
+                     (const Gyp__SnapFlows *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__call__descriptor);
+  assert(message->base.descriptor == &gyp__snap_flows__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__Call *
-       gyp__call__unpack
+Gyp__SnapFlows *
+       gyp__snap_flows__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__Call *)
-     protobuf_c_message_unpack (&gyp__call__descriptor,
+  return (Gyp__SnapFlows *)
+     protobuf_c_message_unpack (&gyp__snap_flows__descriptor,
                                 allocator, len, data);
 }
-void   gyp__call__free_unpacked
-                     (Gyp__Call *message,
+void   gyp__snap_flows__free_unpacked
+                     (Gyp__SnapFlows *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__call__descriptor);
+  assert(message->base.descriptor == &gyp__snap_flows__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__admin__init
-                     (Gyp__Admin         *message)
+void   gyp__ask__init
+                     (Gyp__Ask         *message)
 {
-  static const Gyp__Admin init_value = GYP__ADMIN__INIT;
+  static const Gyp__Ask init_value = GYP__ASK__INIT;
   *message = init_value;
 }
-size_t gyp__admin__get_packed_size
-                     (const Gyp__Admin *message)
+size_t gyp__ask__get_packed_size
+                     (const Gyp__Ask *message)
 {
-  assert(message->base.descriptor == &gyp__admin__descriptor);
+  assert(message->base.descriptor == &gyp__ask__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__admin__pack
-                     (const Gyp__Admin *message,
+size_t gyp__ask__pack
+                     (const Gyp__Ask *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__admin__descriptor);
+  assert(message->base.descriptor == &gyp__ask__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__admin__pack_to_buffer
-                     (const Gyp__Admin *message,
+size_t gyp__ask__pack_to_buffer
+                     (const Gyp__Ask *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__admin__descriptor);
+  assert(message->base.descriptor == &gyp__ask__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__Admin *
-       gyp__admin__unpack
+Gyp__Ask *
+       gyp__ask__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__Admin *)
-     protobuf_c_message_unpack (&gyp__admin__descriptor,
+  return (Gyp__Ask *)
+     protobuf_c_message_unpack (&gyp__ask__descriptor,
                                 allocator, len, data);
 }
-void   gyp__admin__free_unpacked
-                     (Gyp__Admin *message,
+void   gyp__ask__free_unpacked
+                     (Gyp__Ask *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__admin__descriptor);
+  assert(message->base.descriptor == &gyp__ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__job_view__init
-                     (Gyp__JobView         *message)
+void   gyp__ticket__init
+                     (Gyp__Ticket         *message)
 {
-  static const Gyp__JobView init_value = GYP__JOB_VIEW__INIT;
+  static const Gyp__Ticket init_value = GYP__TICKET__INIT;
   *message = init_value;
 }
-size_t gyp__job_view__get_packed_size
-                     (const Gyp__JobView *message)
+size_t gyp__ticket__get_packed_size
+                     (const Gyp__Ticket *message)
 {
-  assert(message->base.descriptor == &gyp__job_view__descriptor);
+  assert(message->base.descriptor == &gyp__ticket__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__job_view__pack
-                     (const Gyp__JobView *message,
+size_t gyp__ticket__pack
+                     (const Gyp__Ticket *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__job_view__descriptor);
+  assert(message->base.descriptor == &gyp__ticket__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__job_view__pack_to_buffer
-                     (const Gyp__JobView *message,
+size_t gyp__ticket__pack_to_buffer
+                     (const Gyp__Ticket *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__job_view__descriptor);
+  assert(message->base.descriptor == &gyp__ticket__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__JobView *
-       gyp__job_view__unpack
+Gyp__Ticket *
+       gyp__ticket__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__JobView *)
-     protobuf_c_message_unpack (&gyp__job_view__descriptor,
+  return (Gyp__Ticket *)
+     protobuf_c_message_unpack (&gyp__ticket__descriptor,
                                 allocator, len, data);
 }
-void   gyp__job_view__free_unpacked
-                     (Gyp__JobView *message,
+void   gyp__ticket__free_unpacked
+                     (Gyp__Ticket *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__job_view__descriptor);
+  assert(message->base.descriptor == &gyp__ticket__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__reply__init
-                     (Gyp__Reply         *message)
+void   gyp__advised__init
+                     (Gyp__Advised         *message)
 {
-  static const Gyp__Reply init_value = GYP__REPLY__INIT;
+  static const Gyp__Advised init_value = GYP__ADVISED__INIT;
   *message = init_value;
 }
-size_t gyp__reply__get_packed_size
-                     (const Gyp__Reply *message)
+size_t gyp__advised__get_packed_size
+                     (const Gyp__Advised *message)
 {
-  assert(message->base.descriptor == &gyp__reply__descriptor);
+  assert(message->base.descriptor == &gyp__advised__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__reply__pack
-                     (const Gyp__Reply *message,
+size_t gyp__advised__pack
+                     (const Gyp__Advised *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__reply__descriptor);
+  assert(message->base.descriptor == &gyp__advised__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__reply__pack_to_buffer
-                     (const Gyp__Reply *message,
+size_t gyp__advised__pack_to_buffer
+                     (const Gyp__Advised *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__reply__descriptor);
+  assert(message->base.descriptor == &gyp__advised__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__Reply *
-       gyp__reply__unpack
+Gyp__Advised *
+       gyp__advised__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__Reply *)
-     protobuf_c_message_unpack (&gyp__reply__descriptor,
+  return (Gyp__Advised *)
+     protobuf_c_message_unpack (&gyp__advised__descriptor,
                                 allocator, len, data);
 }
-void   gyp__reply__free_unpacked
-                     (Gyp__Reply *message,
+void   gyp__advised__free_unpacked
+                     (Gyp__Advised *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__reply__descriptor);
+  assert(message->base.descriptor == &gyp__advised__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__order__init
-                     (Gyp__Order         *message)
+void   gyp__flow_call__init
+                     (Gyp__FlowCall         *message)
 {
-  static const Gyp__Order init_value = GYP__ORDER__INIT;
+  static const Gyp__FlowCall init_value = GYP__FLOW_CALL__INIT;
   *message = init_value;
 }
-size_t gyp__order__get_packed_size
-                     (const Gyp__Order *message)
+size_t gyp__flow_call__get_packed_size
+                     (const Gyp__FlowCall *message)
 {
-  assert(message->base.descriptor == &gyp__order__descriptor);
+  assert(message->base.descriptor == &gyp__flow_call__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__order__pack
-                     (const Gyp__Order *message,
+size_t gyp__flow_call__pack
+                     (const Gyp__FlowCall *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__order__descriptor);
+  assert(message->base.descriptor == &gyp__flow_call__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__order__pack_to_buffer
-                     (const Gyp__Order *message,
+size_t gyp__flow_call__pack_to_buffer
+                     (const Gyp__FlowCall *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__order__descriptor);
+  assert(message->base.descriptor == &gyp__flow_call__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__Order *
-       gyp__order__unpack
+Gyp__FlowCall *
+       gyp__flow_call__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__Order *)
-     protobuf_c_message_unpack (&gyp__order__descriptor,
+  return (Gyp__FlowCall *)
+     protobuf_c_message_unpack (&gyp__flow_call__descriptor,
                                 allocator, len, data);
 }
-void   gyp__order__free_unpacked
-                     (Gyp__Order *message,
+void   gyp__flow_call__free_unpacked
+                     (Gyp__FlowCall *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__order__descriptor);
+  assert(message->base.descriptor == &gyp__flow_call__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__entry_up__init
-                     (Gyp__EntryUp         *message)
+void   gyp__flow_view__init
+                     (Gyp__FlowView         *message)
 {
-  static const Gyp__EntryUp init_value = GYP__ENTRY_UP__INIT;
+  static const Gyp__FlowView init_value = GYP__FLOW_VIEW__INIT;
   *message = init_value;
 }
-size_t gyp__entry_up__get_packed_size
-                     (const Gyp__EntryUp *message)
+size_t gyp__flow_view__get_packed_size
+                     (const Gyp__FlowView *message)
 {
-  assert(message->base.descriptor == &gyp__entry_up__descriptor);
+  assert(message->base.descriptor == &gyp__flow_view__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__entry_up__pack
-                     (const Gyp__EntryUp *message,
+size_t gyp__flow_view__pack
+                     (const Gyp__FlowView *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__entry_up__descriptor);
+  assert(message->base.descriptor == &gyp__flow_view__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__entry_up__pack_to_buffer
-                     (const Gyp__EntryUp *message,
+size_t gyp__flow_view__pack_to_buffer
+                     (const Gyp__FlowView *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__entry_up__descriptor);
+  assert(message->base.descriptor == &gyp__flow_view__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__EntryUp *
-       gyp__entry_up__unpack
+Gyp__FlowView *
+       gyp__flow_view__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__EntryUp *)
-     protobuf_c_message_unpack (&gyp__entry_up__descriptor,
+  return (Gyp__FlowView *)
+     protobuf_c_message_unpack (&gyp__flow_view__descriptor,
                                 allocator, len, data);
 }
-void   gyp__entry_up__free_unpacked
-                     (Gyp__EntryUp *message,
+void   gyp__flow_view__free_unpacked
+                     (Gyp__FlowView *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__entry_up__descriptor);
+  assert(message->base.descriptor == &gyp__flow_view__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__entry_down__init
-                     (Gyp__EntryDown         *message)
+void   gyp__cmd__init
+                     (Gyp__Cmd         *message)
 {
-  static const Gyp__EntryDown init_value = GYP__ENTRY_DOWN__INIT;
+  static const Gyp__Cmd init_value = GYP__CMD__INIT;
   *message = init_value;
 }
-size_t gyp__entry_down__get_packed_size
-                     (const Gyp__EntryDown *message)
+size_t gyp__cmd__get_packed_size
+                     (const Gyp__Cmd *message)
 {
-  assert(message->base.descriptor == &gyp__entry_down__descriptor);
+  assert(message->base.descriptor == &gyp__cmd__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__entry_down__pack
-                     (const Gyp__EntryDown *message,
+size_t gyp__cmd__pack
+                     (const Gyp__Cmd *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__entry_down__descriptor);
+  assert(message->base.descriptor == &gyp__cmd__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__entry_down__pack_to_buffer
-                     (const Gyp__EntryDown *message,
+size_t gyp__cmd__pack_to_buffer
+                     (const Gyp__Cmd *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__entry_down__descriptor);
+  assert(message->base.descriptor == &gyp__cmd__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__EntryDown *
-       gyp__entry_down__unpack
+Gyp__Cmd *
+       gyp__cmd__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__EntryDown *)
-     protobuf_c_message_unpack (&gyp__entry_down__descriptor,
+  return (Gyp__Cmd *)
+     protobuf_c_message_unpack (&gyp__cmd__descriptor,
                                 allocator, len, data);
 }
-void   gyp__entry_down__free_unpacked
-                     (Gyp__EntryDown *message,
+void   gyp__cmd__free_unpacked
+                     (Gyp__Cmd *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__entry_down__descriptor);
+  assert(message->base.descriptor == &gyp__cmd__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gyp__frame__init
-                     (Gyp__Frame         *message)
+void   gyp__batch__init
+                     (Gyp__Batch         *message)
 {
-  static const Gyp__Frame init_value = GYP__FRAME__INIT;
+  static const Gyp__Batch init_value = GYP__BATCH__INIT;
   *message = init_value;
 }
-size_t gyp__frame__get_packed_size
-                     (const Gyp__Frame *message)
+size_t gyp__batch__get_packed_size
+                     (const Gyp__Batch *message)
 {
-  assert(message->base.descriptor == &gyp__frame__descriptor);
+  assert(message->base.descriptor == &gyp__batch__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gyp__frame__pack
-                     (const Gyp__Frame *message,
+size_t gyp__batch__pack
+                     (const Gyp__Batch *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gyp__frame__descriptor);
+  assert(message->base.descriptor == &gyp__batch__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gyp__frame__pack_to_buffer
-                     (const Gyp__Frame *message,
+size_t gyp__batch__pack_to_buffer
+                     (const Gyp__Batch *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gyp__frame__descriptor);
+  assert(message->base.descriptor == &gyp__batch__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gyp__Frame *
-       gyp__frame__unpack
+Gyp__Batch *
+       gyp__batch__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gyp__Frame *)
-     protobuf_c_message_unpack (&gyp__frame__descriptor,
+  return (Gyp__Batch *)
+     protobuf_c_message_unpack (&gyp__batch__descriptor,
                                 allocator, len, data);
 }
-void   gyp__frame__free_unpacked
-                     (Gyp__Frame *message,
+void   gyp__batch__free_unpacked
+                     (Gyp__Batch *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gyp__frame__descriptor);
+  assert(message->base.descriptor == &gyp__batch__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gyp__member__field_descriptors[4] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Gyp__Member, id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gyp__Member, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "voter",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Gyp__Member, voter),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "data_centre",
-    16,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gyp__Member, data_centre),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned gyp__member__field_indices_by_name[] = {
-  1,   /* field[1] = address */
-  3,   /* field[3] = data_centre */
-  0,   /* field[0] = id */
-  2,   /* field[2] = voter */
-};
-static const ProtobufCIntRange gyp__member__number_ranges[2 + 1] =
+void   gyp__snap_task__init
+                     (Gyp__SnapTask         *message)
 {
-  { 1, 0 },
-  { 16, 3 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor gyp__member__descriptor =
+  static const Gyp__SnapTask init_value = GYP__SNAP_TASK__INIT;
+  *message = init_value;
+}
+size_t gyp__snap_task__get_packed_size
+                     (const Gyp__SnapTask *message)
 {
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gyp.Member",
-  "Member",
-  "Gyp__Member",
-  "gyp",
-  sizeof(Gyp__Member),
-  4,
-  gyp__member__field_descriptors,
-  gyp__member__field_indices_by_name,
-  2,  gyp__member__number_ranges,
-  (ProtobufCMessageInit) gyp__member__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gyp__config__field_descriptors[2] =
+  assert(message->base.descriptor == &gyp__snap_task__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__snap_task__pack
+                     (const Gyp__SnapTask *message,
+                      uint8_t       *out)
 {
-  {
-    "members",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
+  assert(message->base.descriptor == &gyp__snap_task__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__snap_task__pack_to_buffer
+                     (const Gyp__SnapTask *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__snap_task__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__SnapTask *
+       gyp__snap_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__SnapTask *)
+     protobuf_c_message_unpack (&gyp__snap_task__descriptor,
+                                allocator, len, data);
+}
+void   gyp__snap_task__free_unpacked
+                     (Gyp__SnapTask *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__snap_task__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__snap_job__init
+                     (Gyp__SnapJob         *message)
+{
+  static const Gyp__SnapJob init_value = GYP__SNAP_JOB__INIT;
+  *message = init_value;
+}
+size_t gyp__snap_job__get_packed_size
+                     (const Gyp__SnapJob *message)
+{
+  assert(message->base.descriptor == &gyp__snap_job__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__snap_job__pack
+                     (const Gyp__SnapJob *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__snap_job__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__snap_job__pack_to_buffer
+                     (const Gyp__SnapJob *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__snap_job__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__SnapJob *
+       gyp__snap_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__SnapJob *)
+     protobuf_c_message_unpack (&gyp__snap_job__descriptor,
+                                allocator, len, data);
+}
+void   gyp__snap_job__free_unpacked
+                     (Gyp__SnapJob *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__snap_job__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__snap_endpoint__init
+                     (Gyp__SnapEndpoint         *message)
+{
+  static const Gyp__SnapEndpoint init_value = GYP__SNAP_ENDPOINT__INIT;
+  *message = init_value;
+}
+size_t gyp__snap_endpoint__get_packed_size
+                     (const Gyp__SnapEndpoint *message)
+{
+  assert(message->base.descriptor == &gyp__snap_endpoint__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__snap_endpoint__pack
+                     (const Gyp__SnapEndpoint *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__snap_endpoint__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__snap_endpoint__pack_to_buffer
+                     (const Gyp__SnapEndpoint *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__snap_endpoint__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__SnapEndpoint *
+       gyp__snap_endpoint__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__SnapEndpoint *)
+     protobuf_c_message_unpack (&gyp__snap_endpoint__descriptor,
+                                allocator, len, data);
+}
+void   gyp__snap_endpoint__free_unpacked
+                     (Gyp__SnapEndpoint *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__snap_endpoint__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__snap_rules__init
+                     (Gyp__SnapRules         *message)
+{
+  static const Gyp__SnapRules init_value = GYP__SNAP_RULES__INIT;
+  *message = init_value;
+}
+size_t gyp__snap_rules__get_packed_size
+                     (const Gyp__SnapRules *message)
+{
+  assert(message->base.descriptor == &gyp__snap_rules__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__snap_rules__pack
+                     (const Gyp__SnapRules *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__snap_rules__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__snap_rules__pack_to_buffer
+                     (const Gyp__SnapRules *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__snap_rules__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__SnapRules *
+       gyp__snap_rules__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__SnapRules *)
+     protobuf_c_message_unpack (&gyp__snap_rules__descriptor,
+                                allocator, len, data);
+}
+void   gyp__snap_rules__free_unpacked
+                     (Gyp__SnapRules *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__snap_rules__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__snapshot__init
+                     (Gyp__Snapshot         *message)
+{
+  static const Gyp__Snapshot init_value = GYP__SNAPSHOT__INIT;
+  *message = init_value;
+}
+size_t gyp__snapshot__get_packed_size
+                     (const Gyp__Snapshot *message)
+{
+  assert(message->base.descriptor == &gyp__snapshot__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__snapshot__pack
+                     (const Gyp__Snapshot *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__snapshot__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__snapshot__pack_to_buffer
+                     (const Gyp__Snapshot *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__snapshot__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__Snapshot *
+       gyp__snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__Snapshot *)
+     protobuf_c_message_unpack (&gyp__snapshot__descriptor,
+                                allocator, len, data);
+}
+void   gyp__snapshot__free_unpacked
+                     (Gyp__Snapshot *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__snapshot__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__hello__init
+                     (Gyp__Hello         *message)
+{
+  static const Gyp__Hello init_value = GYP__HELLO__INIT;
+  *message = init_value;
+}
+size_t gyp__hello__get_packed_size
+                     (const Gyp__Hello *message)
+{
+  assert(message->base.descriptor == &gyp__hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__hello__pack
+                     (const Gyp__Hello *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__hello__pack_to_buffer
+                     (const Gyp__Hello *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__Hello *
+       gyp__hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__Hello *)
+     protobuf_c_message_unpack (&gyp__hello__descriptor,
+                                allocator, len, data);
+}
+void   gyp__hello__free_unpacked
+                     (Gyp__Hello *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__join__init
+                     (Gyp__Join         *message)
+{
+  static const Gyp__Join init_value = GYP__JOIN__INIT;
+  *message = init_value;
+}
+size_t gyp__join__get_packed_size
+                     (const Gyp__Join *message)
+{
+  assert(message->base.descriptor == &gyp__join__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__join__pack
+                     (const Gyp__Join *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__join__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__join__pack_to_buffer
+                     (const Gyp__Join *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__join__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__Join *
+       gyp__join__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__Join *)
+     protobuf_c_message_unpack (&gyp__join__descriptor,
+                                allocator, len, data);
+}
+void   gyp__join__free_unpacked
+                     (Gyp__Join *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__join__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__attempt__init
+                     (Gyp__Attempt         *message)
+{
+  static const Gyp__Attempt init_value = GYP__ATTEMPT__INIT;
+  *message = init_value;
+}
+size_t gyp__attempt__get_packed_size
+                     (const Gyp__Attempt *message)
+{
+  assert(message->base.descriptor == &gyp__attempt__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__attempt__pack
+                     (const Gyp__Attempt *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__attempt__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__attempt__pack_to_buffer
+                     (const Gyp__Attempt *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__attempt__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__Attempt *
+       gyp__attempt__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__Attempt *)
+     protobuf_c_message_unpack (&gyp__attempt__descriptor,
+                                allocator, len, data);
+}
+void   gyp__attempt__free_unpacked
+                     (Gyp__Attempt *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__attempt__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__beat__init
+                     (Gyp__Beat         *message)
+{
+  static const Gyp__Beat init_value = GYP__BEAT__INIT;
+  *message = init_value;
+}
+size_t gyp__beat__get_packed_size
+                     (const Gyp__Beat *message)
+{
+  assert(message->base.descriptor == &gyp__beat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__beat__pack
+                     (const Gyp__Beat *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__beat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__beat__pack_to_buffer
+                     (const Gyp__Beat *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__beat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__Beat *
+       gyp__beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__Beat *)
+     protobuf_c_message_unpack (&gyp__beat__descriptor,
+                                allocator, len, data);
+}
+void   gyp__beat__free_unpacked
+                     (Gyp__Beat *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__beat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__read_job__init
+                     (Gyp__ReadJob         *message)
+{
+  static const Gyp__ReadJob init_value = GYP__READ_JOB__INIT;
+  *message = init_value;
+}
+size_t gyp__read_job__get_packed_size
+                     (const Gyp__ReadJob *message)
+{
+  assert(message->base.descriptor == &gyp__read_job__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__read_job__pack
+                     (const Gyp__ReadJob *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__read_job__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__read_job__pack_to_buffer
+                     (const Gyp__ReadJob *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__read_job__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__ReadJob *
+       gyp__read_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__ReadJob *)
+     protobuf_c_message_unpack (&gyp__read_job__descriptor,
+                                allocator, len, data);
+}
+void   gyp__read_job__free_unpacked
+                     (Gyp__ReadJob *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__read_job__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__call__init
+                     (Gyp__Call         *message)
+{
+  static const Gyp__Call init_value = GYP__CALL__INIT;
+  *message = init_value;
+}
+size_t gyp__call__get_packed_size
+                     (const Gyp__Call *message)
+{
+  assert(message->base.descriptor == &gyp__call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__call__pack
+                     (const Gyp__Call *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__call__pack_to_buffer
+                     (const Gyp__Call *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__Call *
+       gyp__call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__Call *)
+     protobuf_c_message_unpack (&gyp__call__descriptor,
+                                allocator, len, data);
+}
+void   gyp__call__free_unpacked
+                     (Gyp__Call *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__admin__init
+                     (Gyp__Admin         *message)
+{
+  static const Gyp__Admin init_value = GYP__ADMIN__INIT;
+  *message = init_value;
+}
+size_t gyp__admin__get_packed_size
+                     (const Gyp__Admin *message)
+{
+  assert(message->base.descriptor == &gyp__admin__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__admin__pack
+                     (const Gyp__Admin *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__admin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__admin__pack_to_buffer
+                     (const Gyp__Admin *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__admin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__Admin *
+       gyp__admin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__Admin *)
+     protobuf_c_message_unpack (&gyp__admin__descriptor,
+                                allocator, len, data);
+}
+void   gyp__admin__free_unpacked
+                     (Gyp__Admin *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__admin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__job_view__init
+                     (Gyp__JobView         *message)
+{
+  static const Gyp__JobView init_value = GYP__JOB_VIEW__INIT;
+  *message = init_value;
+}
+size_t gyp__job_view__get_packed_size
+                     (const Gyp__JobView *message)
+{
+  assert(message->base.descriptor == &gyp__job_view__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__job_view__pack
+                     (const Gyp__JobView *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__job_view__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__job_view__pack_to_buffer
+                     (const Gyp__JobView *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__job_view__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__JobView *
+       gyp__job_view__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__JobView *)
+     protobuf_c_message_unpack (&gyp__job_view__descriptor,
+                                allocator, len, data);
+}
+void   gyp__job_view__free_unpacked
+                     (Gyp__JobView *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__job_view__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__reply__init
+                     (Gyp__Reply         *message)
+{
+  static const Gyp__Reply init_value = GYP__REPLY__INIT;
+  *message = init_value;
+}
+size_t gyp__reply__get_packed_size
+                     (const Gyp__Reply *message)
+{
+  assert(message->base.descriptor == &gyp__reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__reply__pack
+                     (const Gyp__Reply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__reply__pack_to_buffer
+                     (const Gyp__Reply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__Reply *
+       gyp__reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__Reply *)
+     protobuf_c_message_unpack (&gyp__reply__descriptor,
+                                allocator, len, data);
+}
+void   gyp__reply__free_unpacked
+                     (Gyp__Reply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__order__init
+                     (Gyp__Order         *message)
+{
+  static const Gyp__Order init_value = GYP__ORDER__INIT;
+  *message = init_value;
+}
+size_t gyp__order__get_packed_size
+                     (const Gyp__Order *message)
+{
+  assert(message->base.descriptor == &gyp__order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__order__pack
+                     (const Gyp__Order *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__order__pack_to_buffer
+                     (const Gyp__Order *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__Order *
+       gyp__order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__Order *)
+     protobuf_c_message_unpack (&gyp__order__descriptor,
+                                allocator, len, data);
+}
+void   gyp__order__free_unpacked
+                     (Gyp__Order *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__entry_up__init
+                     (Gyp__EntryUp         *message)
+{
+  static const Gyp__EntryUp init_value = GYP__ENTRY_UP__INIT;
+  *message = init_value;
+}
+size_t gyp__entry_up__get_packed_size
+                     (const Gyp__EntryUp *message)
+{
+  assert(message->base.descriptor == &gyp__entry_up__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__entry_up__pack
+                     (const Gyp__EntryUp *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__entry_up__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__entry_up__pack_to_buffer
+                     (const Gyp__EntryUp *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__entry_up__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__EntryUp *
+       gyp__entry_up__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__EntryUp *)
+     protobuf_c_message_unpack (&gyp__entry_up__descriptor,
+                                allocator, len, data);
+}
+void   gyp__entry_up__free_unpacked
+                     (Gyp__EntryUp *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__entry_up__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__entry_down__init
+                     (Gyp__EntryDown         *message)
+{
+  static const Gyp__EntryDown init_value = GYP__ENTRY_DOWN__INIT;
+  *message = init_value;
+}
+size_t gyp__entry_down__get_packed_size
+                     (const Gyp__EntryDown *message)
+{
+  assert(message->base.descriptor == &gyp__entry_down__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__entry_down__pack
+                     (const Gyp__EntryDown *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__entry_down__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__entry_down__pack_to_buffer
+                     (const Gyp__EntryDown *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__entry_down__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__EntryDown *
+       gyp__entry_down__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__EntryDown *)
+     protobuf_c_message_unpack (&gyp__entry_down__descriptor,
+                                allocator, len, data);
+}
+void   gyp__entry_down__free_unpacked
+                     (Gyp__EntryDown *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__entry_down__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__frame__init
+                     (Gyp__Frame         *message)
+{
+  static const Gyp__Frame init_value = GYP__FRAME__INIT;
+  *message = init_value;
+}
+size_t gyp__frame__get_packed_size
+                     (const Gyp__Frame *message)
+{
+  assert(message->base.descriptor == &gyp__frame__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__frame__pack
+                     (const Gyp__Frame *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__frame__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__frame__pack_to_buffer
+                     (const Gyp__Frame *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__frame__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__Frame *
+       gyp__frame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__Frame *)
+     protobuf_c_message_unpack (&gyp__frame__descriptor,
+                                allocator, len, data);
+}
+void   gyp__frame__free_unpacked
+                     (Gyp__Frame *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__frame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor gyp__member__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Member, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Member, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "voter",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Member, voter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Member, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__member__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  3,   /* field[3] = data_centre */
+  0,   /* field[0] = id */
+  2,   /* field[2] = voter */
+};
+static const ProtobufCIntRange gyp__member__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 16, 3 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gyp__member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.Member",
+  "Member",
+  "Gyp__Member",
+  "gyp",
+  sizeof(Gyp__Member),
+  4,
+  gyp__member__field_descriptors,
+  gyp__member__field_indices_by_name,
+  2,  gyp__member__number_ranges,
+  (ProtobufCMessageInit) gyp__member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__config__field_descriptors[2] =
+{
+  {
+    "members",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Config, n_members),
+    offsetof(Gyp__Config, members),
+    &gyp__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gyp__Config, n_removed),
+    offsetof(Gyp__Config, removed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__config__field_indices_by_name[] = {
+  0,   /* field[0] = members */
+  1,   /* field[1] = removed */
+};
+static const ProtobufCIntRange gyp__config__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 16, 1 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gyp__config__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.Config",
+  "Config",
+  "Gyp__Config",
+  "gyp",
+  sizeof(Gyp__Config),
+  2,
+  gyp__config__field_descriptors,
+  gyp__config__field_indices_by_name,
+  2,  gyp__config__number_ranges,
+  (ProtobufCMessageInit) gyp__config__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__log_entry__field_descriptors[4] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__LogEntry, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__LogEntry, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__LogEntry, kind),
+    &gyp__entry_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__LogEntry, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__log_entry__field_indices_by_name[] = {
+  3,   /* field[3] = data */
+  0,   /* field[0] = index */
+  2,   /* field[2] = kind */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange gyp__log_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gyp__log_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.LogEntry",
+  "LogEntry",
+  "Gyp__LogEntry",
+  "gyp",
+  sizeof(Gyp__LogEntry),
+  4,
+  gyp__log_entry__field_descriptors,
+  gyp__log_entry__field_indices_by_name,
+  1,  gyp__log_entry__number_ranges,
+  (ProtobufCMessageInit) gyp__log_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__raft_msg__field_descriptors[15] =
+{
+  {
+    "type",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, type),
+    &gyp__raft_type__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_term",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, log_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commit",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, commit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reject",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, reject),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__RaftMsg, n_entries),
+    offsetof(Gyp__RaftMsg, entries),
+    &gyp__log_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "force",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, force),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "total",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, total),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chunk",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, chunk),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "round",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, round),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__RaftMsg, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__raft_msg__field_indices_by_name[] = {
+  14,   /* field[14] = address */
+  12,   /* field[12] = chunk */
+  6,   /* field[6] = commit */
+  8,   /* field[8] = entries */
+  9,   /* field[9] = force */
+  1,   /* field[1] = from */
+  4,   /* field[4] = index */
+  5,   /* field[5] = log_term */
+  10,   /* field[10] = offset */
+  7,   /* field[7] = reject */
+  13,   /* field[13] = round */
+  3,   /* field[3] = term */
+  2,   /* field[2] = to */
+  11,   /* field[11] = total */
+  0,   /* field[0] = type */
+};
+static const ProtobufCIntRange gyp__raft_msg__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 32, 14 },
+  { 0, 15 }
+};
+const ProtobufCMessageDescriptor gyp__raft_msg__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.RaftMsg",
+  "RaftMsg",
+  "Gyp__RaftMsg",
+  "gyp",
+  sizeof(Gyp__RaftMsg),
+  15,
+  gyp__raft_msg__field_descriptors,
+  gyp__raft_msg__field_indices_by_name,
+  2,  gyp__raft_msg__number_ranges,
+  (ProtobufCMessageInit) gyp__raft_msg__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__snapshot_file__field_descriptors[4] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapshotFile, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapshotFile, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapshotFile, config),
+    &gyp__config__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapshotFile, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__snapshot_file__field_indices_by_name[] = {
+  2,   /* field[2] = config */
+  0,   /* field[0] = index */
+  3,   /* field[3] = state */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange gyp__snapshot_file__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gyp__snapshot_file__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.SnapshotFile",
+  "SnapshotFile",
+  "Gyp__SnapshotFile",
+  "gyp",
+  sizeof(Gyp__SnapshotFile),
+  4,
+  gyp__snapshot_file__field_descriptors,
+  gyp__snapshot_file__field_indices_by_name,
+  1,  gyp__snapshot_file__number_ranges,
+  (ProtobufCMessageInit) gyp__snapshot_file__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__res__field_descriptors[4] =
+{
+  {
+    "cpu_milli",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Res, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Res, memory),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accel",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Res, accel),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Res, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__res__field_indices_by_name[] = {
+  2,   /* field[2] = accel */
+  0,   /* field[0] = cpu_milli */
+  1,   /* field[1] = memory */
+  3,   /* field[3] = slots */
+};
+static const ProtobufCIntRange gyp__res__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gyp__res__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.Res",
+  "Res",
+  "Gyp__Res",
+  "gyp",
+  sizeof(Gyp__Res),
+  4,
+  gyp__res__field_descriptors,
+  gyp__res__field_indices_by_name,
+  1,  gyp__res__number_ranges,
+  (ProtobufCMessageInit) gyp__res__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__job_spec__field_descriptors[13] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__JobSpec, kind),
+    &gyp__kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__JobSpec, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "class",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__JobSpec, class_),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__JobSpec, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idempotent",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__JobSpec, idempotent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__JobSpec, tasks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__JobSpec, size),
+    &gyp__res__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__JobSpec, deadline_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__JobSpec, run_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__JobSpec, payload),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "urgent",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__JobSpec, urgent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__JobSpec, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempts",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__JobSpec, attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__job_spec__field_indices_by_name[] = {
+  12,   /* field[12] = attempts */
+  2,   /* field[2] = class */
+  7,   /* field[7] = deadline_ms */
+  11,   /* field[11] = digest */
+  4,   /* field[4] = idempotent */
+  3,   /* field[3] = key */
+  0,   /* field[0] = kind */
+  9,   /* field[9] = payload */
+  8,   /* field[8] = run_ms */
+  6,   /* field[6] = size */
+  5,   /* field[5] = tasks */
+  1,   /* field[1] = team */
+  10,   /* field[10] = urgent */
+};
+static const ProtobufCIntRange gyp__job_spec__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor gyp__job_spec__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.JobSpec",
+  "JobSpec",
+  "Gyp__JobSpec",
+  "gyp",
+  sizeof(Gyp__JobSpec),
+  13,
+  gyp__job_spec__field_descriptors,
+  gyp__job_spec__field_indices_by_name,
+  1,  gyp__job_spec__number_ranges,
+  (ProtobufCMessageInit) gyp__job_spec__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__cmd_submit__field_descriptors[1] =
+{
+  {
+    "spec",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdSubmit, spec),
+    &gyp__job_spec__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__cmd_submit__field_indices_by_name[] = {
+  0,   /* field[0] = spec */
+};
+static const ProtobufCIntRange gyp__cmd_submit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gyp__cmd_submit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.CmdSubmit",
+  "CmdSubmit",
+  "Gyp__CmdSubmit",
+  "gyp",
+  sizeof(Gyp__CmdSubmit),
+  1,
+  gyp__cmd_submit__field_descriptors,
+  gyp__cmd_submit__field_indices_by_name,
+  1,  gyp__cmd_submit__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_submit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__placement__field_descriptors[5] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Placement, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Placement, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Placement, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Placement, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entry",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Placement, entry),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__placement__field_indices_by_name[] = {
+  2,   /* field[2] = attempt */
+  3,   /* field[3] = endpoint */
+  4,   /* field[4] = entry */
+  0,   /* field[0] = job */
+  1,   /* field[1] = task */
+};
+static const ProtobufCIntRange gyp__placement__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gyp__placement__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.Placement",
+  "Placement",
+  "Gyp__Placement",
+  "gyp",
+  sizeof(Gyp__Placement),
+  5,
+  gyp__placement__field_descriptors,
+  gyp__placement__field_indices_by_name,
+  1,  gyp__placement__number_ranges,
+  (ProtobufCMessageInit) gyp__placement__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__cmd_place__field_descriptors[1] =
+{
+  {
+    "places",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__CmdPlace, n_places),
+    offsetof(Gyp__CmdPlace, places),
+    &gyp__placement__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__cmd_place__field_indices_by_name[] = {
+  0,   /* field[0] = places */
+};
+static const ProtobufCIntRange gyp__cmd_place__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gyp__cmd_place__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.CmdPlace",
+  "CmdPlace",
+  "Gyp__CmdPlace",
+  "gyp",
+  sizeof(Gyp__CmdPlace),
+  1,
+  gyp__cmd_place__field_descriptors,
+  gyp__cmd_place__field_indices_by_name,
+  1,  gyp__cmd_place__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_place__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__cmd_finish__field_descriptors[10] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFinish, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFinish, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFinish, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFinish, outcome),
+    &gyp__outcome__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "http_status",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFinish, http_status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFinish, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFinish, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_dropped",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFinish, answer_dropped),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFinish, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpointed",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFinish, checkpointed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__cmd_finish__field_indices_by_name[] = {
+  6,   /* field[6] = answer */
+  7,   /* field[7] = answer_dropped */
+  2,   /* field[2] = attempt */
+  9,   /* field[9] = checkpointed */
+  5,   /* field[5] = content_type */
+  4,   /* field[4] = http_status */
+  0,   /* field[0] = job */
+  3,   /* field[3] = outcome */
+  8,   /* field[8] = reason */
+  1,   /* field[1] = task */
+};
+static const ProtobufCIntRange gyp__cmd_finish__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 18, 9 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor gyp__cmd_finish__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.CmdFinish",
+  "CmdFinish",
+  "Gyp__CmdFinish",
+  "gyp",
+  sizeof(Gyp__CmdFinish),
+  10,
+  gyp__cmd_finish__field_descriptors,
+  gyp__cmd_finish__field_indices_by_name,
+  2,  gyp__cmd_finish__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_finish__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__cmd_endpoint__field_descriptors[7] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdEndpoint, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdEndpoint, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rack",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdEndpoint, rack),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdEndpoint, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    5,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gyp__Config, n_members),
-    offsetof(Gyp__Config, members),
-    &gyp__member__descriptor,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdEndpoint, capacity),
+    &gyp__res__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "connections",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdEndpoint, connections),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "removed",
-    16,
-    PROTOBUF_C_LABEL_REPEATED,
+    "incarnation",
+    7,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Gyp__Config, n_removed),
-    offsetof(Gyp__Config, removed),
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdEndpoint, incarnation),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gyp__config__field_indices_by_name[] = {
-  0,   /* field[0] = members */
-  1,   /* field[1] = removed */
+static const unsigned gyp__cmd_endpoint__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  4,   /* field[4] = capacity */
+  5,   /* field[5] = connections */
+  3,   /* field[3] = data_centre */
+  6,   /* field[6] = incarnation */
+  0,   /* field[0] = name */
+  2,   /* field[2] = rack */
+};
+static const ProtobufCIntRange gyp__cmd_endpoint__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor gyp__cmd_endpoint__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.CmdEndpoint",
+  "CmdEndpoint",
+  "Gyp__CmdEndpoint",
+  "gyp",
+  sizeof(Gyp__CmdEndpoint),
+  7,
+  gyp__cmd_endpoint__field_descriptors,
+  gyp__cmd_endpoint__field_indices_by_name,
+  1,  gyp__cmd_endpoint__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_endpoint__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__cmd_endpoint_state__field_descriptors[3] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdEndpointState, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdEndpointState, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdEndpointState, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__cmd_endpoint_state__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  2,   /* field[2] = from */
+  1,   /* field[1] = state */
+};
+static const ProtobufCIntRange gyp__cmd_endpoint_state__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 23, 2 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gyp__cmd_endpoint_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.CmdEndpointState",
+  "CmdEndpointState",
+  "Gyp__CmdEndpointState",
+  "gyp",
+  sizeof(Gyp__CmdEndpointState),
+  3,
+  gyp__cmd_endpoint_state__field_descriptors,
+  gyp__cmd_endpoint_state__field_indices_by_name,
+  2,  gyp__cmd_endpoint_state__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_endpoint_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__cmd_cancel__field_descriptors[5] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdCancel, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdCancel, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdCancel, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdCancel, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unless_job",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdCancel, unless_job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__cmd_cancel__field_indices_by_name[] = {
+  0,   /* field[0] = job */
+  1,   /* field[1] = key */
+  3,   /* field[3] = reason */
+  2,   /* field[2] = team */
+  4,   /* field[4] = unless_job */
+};
+static const ProtobufCIntRange gyp__cmd_cancel__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 18, 4 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gyp__cmd_cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.CmdCancel",
+  "CmdCancel",
+  "Gyp__CmdCancel",
+  "gyp",
+  sizeof(Gyp__CmdCancel),
+  5,
+  gyp__cmd_cancel__field_descriptors,
+  gyp__cmd_cancel__field_indices_by_name,
+  2,  gyp__cmd_cancel__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__cmd_rules__field_descriptors[4] =
+{
+  {
+    "base_version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdRules, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdRules, request),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "author",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdRules, author),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdRules, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__cmd_rules__field_indices_by_name[] = {
+  2,   /* field[2] = author */
+  0,   /* field[0] = base_version */
+  1,   /* field[1] = request */
+  3,   /* field[3] = text */
 };
-static const ProtobufCIntRange gyp__config__number_ranges[2 + 1] =
+static const ProtobufCIntRange gyp__cmd_rules__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 16, 1 },
-  { 0, 2 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor gyp__config__descriptor =
+const ProtobufCMessageDescriptor gyp__cmd_rules__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gyp.Config",
-  "Config",
-  "Gyp__Config",
+  "gyp.CmdRules",
+  "CmdRules",
+  "Gyp__CmdRules",
   "gyp",
-  sizeof(Gyp__Config),
-  2,
-  gyp__config__field_descriptors,
-  gyp__config__field_indices_by_name,
-  2,  gyp__config__number_ranges,
-  (ProtobufCMessageInit) gyp__config__init,
+  sizeof(Gyp__CmdRules),
+  4,
+  gyp__cmd_rules__field_descriptors,
+  gyp__cmd_rules__field_indices_by_name,
+  1,  gyp__cmd_rules__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_rules__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__log_entry__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gyp__flow_step__field_descriptors[16] =
 {
   {
-    "index",
+    "count",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__LogEntry, index),
+    offsetof(Gyp__FlowStep, count),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "size",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gyp__LogEntry, term),
-    NULL,
+    offsetof(Gyp__FlowStep, size),
+    &gyp__res__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kind",
+    "estimate_ms",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__LogEntry, kind),
-    &gyp__entry_kind__descriptor,
+    offsetof(Gyp__FlowStep, estimate_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data",
+    "after",
     4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gyp__FlowStep, n_after),
+    offsetof(Gyp__FlowStep, after),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoints",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gyp__LogEntry, data),
+    offsetof(Gyp__FlowStep, checkpoints),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gang",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowStep, gang),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "one_rack",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowStep, one_rack),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "label",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowStep, label),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_rack",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowStep, data_rack),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spread",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowStep, spread),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "copies",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowStep, copies),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lasting",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowStep, lasting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "image",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowStep, image),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tail_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowStep, tail_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fills",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowStep, fills),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "may_miss",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowStep, may_miss),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gyp__log_entry__field_indices_by_name[] = {
-  3,   /* field[3] = data */
-  0,   /* field[0] = index */
-  2,   /* field[2] = kind */
-  1,   /* field[1] = term */
+static const unsigned gyp__flow_step__field_indices_by_name[] = {
+  3,   /* field[3] = after */
+  4,   /* field[4] = checkpoints */
+  10,   /* field[10] = copies */
+  0,   /* field[0] = count */
+  8,   /* field[8] = data_rack */
+  2,   /* field[2] = estimate_ms */
+  14,   /* field[14] = fills */
+  5,   /* field[5] = gang */
+  12,   /* field[12] = image */
+  7,   /* field[7] = label */
+  11,   /* field[11] = lasting */
+  15,   /* field[15] = may_miss */
+  6,   /* field[6] = one_rack */
+  1,   /* field[1] = size */
+  9,   /* field[9] = spread */
+  13,   /* field[13] = tail_ms */
 };
-static const ProtobufCIntRange gyp__log_entry__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__flow_step__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 16 }
 };
-const ProtobufCMessageDescriptor gyp__log_entry__descriptor =
+const ProtobufCMessageDescriptor gyp__flow_step__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gyp.LogEntry",
-  "LogEntry",
-  "Gyp__LogEntry",
+  "gyp.FlowStep",
+  "FlowStep",
+  "Gyp__FlowStep",
   "gyp",
-  sizeof(Gyp__LogEntry),
-  4,
-  gyp__log_entry__field_descriptors,
-  gyp__log_entry__field_indices_by_name,
-  1,  gyp__log_entry__number_ranges,
-  (ProtobufCMessageInit) gyp__log_entry__init,
+  sizeof(Gyp__FlowStep),
+  16,
+  gyp__flow_step__field_descriptors,
+  gyp__flow_step__field_indices_by_name,
+  1,  gyp__flow_step__number_ranges,
+  (ProtobufCMessageInit) gyp__flow_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__raft_msg__field_descriptors[15] =
+static const ProtobufCFieldDescriptor gyp__flow_queue__field_descriptors[13] =
 {
   {
-    "type",
+    "name",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowQueue, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowQueue, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowQueue, prefix),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowQueue, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowQueue, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempts",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowQueue, attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stretch",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowQueue, stretch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__RaftMsg, type),
-    &gyp__raft_type__descriptor,
+    offsetof(Gyp__FlowQueue, target_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "from",
-    2,
+    "timeout_ms",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__RaftMsg, from),
+    offsetof(Gyp__FlowQueue, timeout_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "to",
-    3,
+    "admission",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gyp__RaftMsg, to),
+    offsetof(Gyp__FlowQueue, admission),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
-    4,
+    "admission_ms",
+    16,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
-    offsetof(Gyp__RaftMsg, term),
+    offsetof(Gyp__FlowQueue, admission_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "index",
-    5,
+    "admission_each_ms",
+    17,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
-    offsetof(Gyp__RaftMsg, index),
+    offsetof(Gyp__FlowQueue, admission_each_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "log_term",
-    6,
+    "ticket_ms",
+    18,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__RaftMsg, log_term),
+    offsetof(Gyp__FlowQueue, ticket_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gyp__flow_queue__field_indices_by_name[] = {
+  9,   /* field[9] = admission */
+  11,   /* field[11] = admission_each_ms */
+  10,   /* field[10] = admission_ms */
+  5,   /* field[5] = attempts */
+  1,   /* field[1] = host */
+  0,   /* field[0] = name */
+  3,   /* field[3] = pool */
+  2,   /* field[2] = prefix */
+  4,   /* field[4] = priority */
+  6,   /* field[6] = stretch */
+  7,   /* field[7] = target_ms */
+  12,   /* field[12] = ticket_ms */
+  8,   /* field[8] = timeout_ms */
+};
+static const ProtobufCIntRange gyp__flow_queue__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 16, 10 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor gyp__flow_queue__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.FlowQueue",
+  "FlowQueue",
+  "Gyp__FlowQueue",
+  "gyp",
+  sizeof(Gyp__FlowQueue),
+  13,
+  gyp__flow_queue__field_descriptors,
+  gyp__flow_queue__field_indices_by_name,
+  2,  gyp__flow_queue__number_ranges,
+  (ProtobufCMessageInit) gyp__flow_queue__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__flow_spec__field_descriptors[7] =
+{
   {
-    "commit",
-    7,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__RaftMsg, commit),
+    offsetof(Gyp__FlowSpec, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reject",
-    8,
+    "payload",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gyp__RaftMsg, reject),
-    NULL,
+    offsetof(Gyp__FlowSpec, payload),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "entries",
-    9,
+    "steps",
+    3,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gyp__RaftMsg, n_entries),
-    offsetof(Gyp__RaftMsg, entries),
-    &gyp__log_entry__descriptor,
+    offsetof(Gyp__FlowSpec, n_steps),
+    offsetof(Gyp__FlowSpec, steps),
+    &gyp__flow_step__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "force",
-    10,
+    "times",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__RaftMsg, force),
+    offsetof(Gyp__FlowSpec, times),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "offset",
-    11,
+    "first_ms",
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__RaftMsg, offset),
+    offsetof(Gyp__FlowSpec, first_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "total",
-    12,
+    "interval_ms",
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__RaftMsg, total),
+    offsetof(Gyp__FlowSpec, interval_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "chunk",
-    13,
+    "queue",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gyp__RaftMsg, chunk),
-    NULL,
+    offsetof(Gyp__FlowSpec, queue),
+    &gyp__flow_queue__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gyp__flow_spec__field_indices_by_name[] = {
+  4,   /* field[4] = first_ms */
+  0,   /* field[0] = id */
+  5,   /* field[5] = interval_ms */
+  1,   /* field[1] = payload */
+  6,   /* field[6] = queue */
+  2,   /* field[2] = steps */
+  3,   /* field[3] = times */
+};
+static const ProtobufCIntRange gyp__flow_spec__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor gyp__flow_spec__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.FlowSpec",
+  "FlowSpec",
+  "Gyp__FlowSpec",
+  "gyp",
+  sizeof(Gyp__FlowSpec),
+  7,
+  gyp__flow_spec__field_descriptors,
+  gyp__flow_spec__field_indices_by_name,
+  1,  gyp__flow_spec__number_ranges,
+  (ProtobufCMessageInit) gyp__flow_spec__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__cmd_flow__field_descriptors[1] =
+{
   {
-    "round",
-    14,
+    "spec",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gyp__RaftMsg, round),
-    NULL,
+    offsetof(Gyp__CmdFlow, spec),
+    &gyp__flow_spec__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gyp__cmd_flow__field_indices_by_name[] = {
+  0,   /* field[0] = spec */
+};
+static const ProtobufCIntRange gyp__cmd_flow__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gyp__cmd_flow__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.CmdFlow",
+  "CmdFlow",
+  "Gyp__CmdFlow",
+  "gyp",
+  sizeof(Gyp__CmdFlow),
+  1,
+  gyp__cmd_flow__field_descriptors,
+  gyp__cmd_flow__field_indices_by_name,
+  1,  gyp__cmd_flow__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_flow__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__cmd_flow_cancel__field_descriptors[1] =
+{
   {
-    "address",
-    32,
+    "flow",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__RaftMsg, address),
+    offsetof(Gyp__CmdFlowCancel, flow),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gyp__raft_msg__field_indices_by_name[] = {
-  14,   /* field[14] = address */
-  12,   /* field[12] = chunk */
-  6,   /* field[6] = commit */
-  8,   /* field[8] = entries */
-  9,   /* field[9] = force */
-  1,   /* field[1] = from */
-  4,   /* field[4] = index */
-  5,   /* field[5] = log_term */
-  10,   /* field[10] = offset */
-  7,   /* field[7] = reject */
-  13,   /* field[13] = round */
-  3,   /* field[3] = term */
-  2,   /* field[2] = to */
-  11,   /* field[11] = total */
-  0,   /* field[0] = type */
+static const unsigned gyp__cmd_flow_cancel__field_indices_by_name[] = {
+  0,   /* field[0] = flow */
 };
-static const ProtobufCIntRange gyp__raft_msg__number_ranges[2 + 1] =
+static const ProtobufCIntRange gyp__cmd_flow_cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 32, 14 },
-  { 0, 15 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor gyp__raft_msg__descriptor =
+const ProtobufCMessageDescriptor gyp__cmd_flow_cancel__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gyp.RaftMsg",
-  "RaftMsg",
-  "Gyp__RaftMsg",
+  "gyp.CmdFlowCancel",
+  "CmdFlowCancel",
+  "Gyp__CmdFlowCancel",
   "gyp",
-  sizeof(Gyp__RaftMsg),
-  15,
-  gyp__raft_msg__field_descriptors,
-  gyp__raft_msg__field_indices_by_name,
-  2,  gyp__raft_msg__number_ranges,
-  (ProtobufCMessageInit) gyp__raft_msg__init,
+  sizeof(Gyp__CmdFlowCancel),
+  1,
+  gyp__cmd_flow_cancel__field_descriptors,
+  gyp__cmd_flow_cancel__field_indices_by_name,
+  1,  gyp__cmd_flow_cancel__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_flow_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__snapshot_file__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gyp__flow_run__field_descriptors[2] =
 {
   {
-    "index",
+    "task",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__SnapshotFile, index),
+    offsetof(Gyp__FlowRun, task),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "host",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__SnapshotFile, term),
+    offsetof(Gyp__FlowRun, host),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gyp__flow_run__field_indices_by_name[] = {
+  1,   /* field[1] = host */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange gyp__flow_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gyp__flow_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.FlowRun",
+  "FlowRun",
+  "Gyp__FlowRun",
+  "gyp",
+  sizeof(Gyp__FlowRun),
+  2,
+  gyp__flow_run__field_descriptors,
+  gyp__flow_run__field_indices_by_name,
+  1,  gyp__flow_run__number_ranges,
+  (ProtobufCMessageInit) gyp__flow_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__cmd_flow_start__field_descriptors[3] =
+{
   {
-    "config",
-    3,
+    "flow",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__SnapshotFile, config),
-    &gyp__config__descriptor,
+    offsetof(Gyp__CmdFlowStart, flow),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state",
-    4,
+    "run",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__SnapshotFile, state),
+    offsetof(Gyp__CmdFlowStart, run),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runs",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__CmdFlowStart, n_runs),
+    offsetof(Gyp__CmdFlowStart, runs),
+    &gyp__flow_run__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gyp__snapshot_file__field_indices_by_name[] = {
-  2,   /* field[2] = config */
-  0,   /* field[0] = index */
-  3,   /* field[3] = state */
-  1,   /* field[1] = term */
+static const unsigned gyp__cmd_flow_start__field_indices_by_name[] = {
+  0,   /* field[0] = flow */
+  1,   /* field[1] = run */
+  2,   /* field[2] = runs */
 };
-static const ProtobufCIntRange gyp__snapshot_file__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__cmd_flow_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor gyp__snapshot_file__descriptor =
+const ProtobufCMessageDescriptor gyp__cmd_flow_start__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gyp.SnapshotFile",
-  "SnapshotFile",
-  "Gyp__SnapshotFile",
+  "gyp.CmdFlowStart",
+  "CmdFlowStart",
+  "Gyp__CmdFlowStart",
   "gyp",
-  sizeof(Gyp__SnapshotFile),
-  4,
-  gyp__snapshot_file__field_descriptors,
-  gyp__snapshot_file__field_indices_by_name,
-  1,  gyp__snapshot_file__number_ranges,
-  (ProtobufCMessageInit) gyp__snapshot_file__init,
+  sizeof(Gyp__CmdFlowStart),
+  3,
+  gyp__cmd_flow_start__field_descriptors,
+  gyp__cmd_flow_start__field_indices_by_name,
+  1,  gyp__cmd_flow_start__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_flow_start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__res__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gyp__cmd_flow_end__field_descriptors[6] =
 {
   {
-    "cpu_milli",
+    "flow",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__Res, cpu_milli),
+    offsetof(Gyp__CmdFlowEnd, flow),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory",
+    "task",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFlowEnd, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFlowEnd, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__Res, memory),
+    offsetof(Gyp__CmdFlowEnd, host),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accel",
-    3,
+    "how",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Gyp__Res, accel),
-    NULL,
+    offsetof(Gyp__CmdFlowEnd, how),
+    &gyp__flow_how__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slots",
-    4,
+    "checkpoint",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gyp__Res, slots),
-    NULL,
+    offsetof(Gyp__CmdFlowEnd, checkpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gyp__res__field_indices_by_name[] = {
-  2,   /* field[2] = accel */
-  0,   /* field[0] = cpu_milli */
-  1,   /* field[1] = memory */
-  3,   /* field[3] = slots */
+static const unsigned gyp__cmd_flow_end__field_indices_by_name[] = {
+  5,   /* field[5] = checkpoint */
+  0,   /* field[0] = flow */
+  3,   /* field[3] = host */
+  4,   /* field[4] = how */
+  2,   /* field[2] = run */
+  1,   /* field[1] = task */
 };
-static const ProtobufCIntRange gyp__res__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__cmd_flow_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor gyp__res__descriptor =
+const ProtobufCMessageDescriptor gyp__cmd_flow_end__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gyp.Res",
-  "Res",
-  "Gyp__Res",
+  "gyp.CmdFlowEnd",
+  "CmdFlowEnd",
+  "Gyp__CmdFlowEnd",
   "gyp",
-  sizeof(Gyp__Res),
-  4,
-  gyp__res__field_descriptors,
-  gyp__res__field_indices_by_name,
-  1,  gyp__res__number_ranges,
-  (ProtobufCMessageInit) gyp__res__init,
+  sizeof(Gyp__CmdFlowEnd),
+  6,
+  gyp__cmd_flow_end__field_descriptors,
+  gyp__cmd_flow_end__field_indices_by_name,
+  1,  gyp__cmd_flow_end__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_flow_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__job_spec__field_descriptors[13] =
+static const ProtobufCFieldDescriptor gyp__cmd_host__field_descriptors[10] =
 {
   {
-    "kind",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gyp__JobSpec, kind),
-    &gyp__kind__descriptor,
+    offsetof(Gyp__CmdHost, id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team",
+    "born_ms",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__JobSpec, team),
+    offsetof(Gyp__CmdHost, born_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "class",
+    "address",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gyp__JobSpec, class_),
+    offsetof(Gyp__CmdHost, address),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "pool",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gyp__JobSpec, key),
+    offsetof(Gyp__CmdHost, pool),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "idempotent",
+    "data_centre",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gyp__JobSpec, idempotent),
-    NULL,
+    offsetof(Gyp__CmdHost, data_centre),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tasks",
+    "rack",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gyp__JobSpec, tasks),
-    NULL,
+    offsetof(Gyp__CmdHost, rack),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "size",
+    "labels",
     7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Gyp__JobSpec, size),
-    &gyp__res__descriptor,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gyp__CmdHost, n_labels),
+    offsetof(Gyp__CmdHost, labels),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "deadline_ms",
+    "capacity",
     8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gyp__JobSpec, deadline_ms),
-    NULL,
+    offsetof(Gyp__CmdHost, capacity),
+    &gyp__res__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "run_ms",
+    "draining",
     9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gyp__JobSpec, run_ms),
+    offsetof(Gyp__CmdHost, draining),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "payload",
+    "gone",
     10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Gyp__JobSpec, payload),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "urgent",
-    11,
-    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gyp__JobSpec, urgent),
+    offsetof(Gyp__CmdHost, gone),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gyp__cmd_host__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  1,   /* field[1] = born_ms */
+  7,   /* field[7] = capacity */
+  4,   /* field[4] = data_centre */
+  8,   /* field[8] = draining */
+  9,   /* field[9] = gone */
+  0,   /* field[0] = id */
+  6,   /* field[6] = labels */
+  3,   /* field[3] = pool */
+  5,   /* field[5] = rack */
+};
+static const ProtobufCIntRange gyp__cmd_host__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor gyp__cmd_host__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.CmdHost",
+  "CmdHost",
+  "Gyp__CmdHost",
+  "gyp",
+  sizeof(Gyp__CmdHost),
+  10,
+  gyp__cmd_host__field_descriptors,
+  gyp__cmd_host__field_indices_by_name,
+  1,  gyp__cmd_host__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_host__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__cmd_manifest__field_descriptors[3] =
+{
   {
-    "digest",
-    12,
+    "version",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__JobSpec, digest),
+    offsetof(Gyp__CmdManifest, version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempts",
-    13,
+    "text",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Gyp__JobSpec, attempts),
+    offsetof(Gyp__CmdManifest, text),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned gyp__job_spec__field_indices_by_name[] = {
-  12,   /* field[12] = attempts */
-  2,   /* field[2] = class */
-  7,   /* field[7] = deadline_ms */
-  11,   /* field[11] = digest */
-  4,   /* field[4] = idempotent */
-  3,   /* field[3] = key */
-  0,   /* field[0] = kind */
-  9,   /* field[9] = payload */
-  8,   /* field[8] = run_ms */
-  6,   /* field[6] = size */
-  5,   /* field[5] = tasks */
-  1,   /* field[1] = team */
-  10,   /* field[10] = urgent */
-};
-static const ProtobufCIntRange gyp__job_spec__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 13 }
-};
-const ProtobufCMessageDescriptor gyp__job_spec__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gyp.JobSpec",
-  "JobSpec",
-  "Gyp__JobSpec",
-  "gyp",
-  sizeof(Gyp__JobSpec),
-  13,
-  gyp__job_spec__field_descriptors,
-  gyp__job_spec__field_indices_by_name,
-  1,  gyp__job_spec__number_ranges,
-  (ProtobufCMessageInit) gyp__job_spec__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gyp__cmd_submit__field_descriptors[1] =
-{
   {
-    "spec",
-    1,
-    PROTOBUF_C_LABEL_NONE,
+    "queues",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Gyp__CmdSubmit, spec),
-    &gyp__job_spec__descriptor,
+    offsetof(Gyp__CmdManifest, n_queues),
+    offsetof(Gyp__CmdManifest, queues),
+    &gyp__flow_queue__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gyp__cmd_submit__field_indices_by_name[] = {
-  0,   /* field[0] = spec */
+static const unsigned gyp__cmd_manifest__field_indices_by_name[] = {
+  2,   /* field[2] = queues */
+  1,   /* field[1] = text */
+  0,   /* field[0] = version */
 };
-static const ProtobufCIntRange gyp__cmd_submit__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__cmd_manifest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor gyp__cmd_submit__descriptor =
+const ProtobufCMessageDescriptor gyp__cmd_manifest__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gyp.CmdSubmit",
-  "CmdSubmit",
-  "Gyp__CmdSubmit",
+  "gyp.CmdManifest",
+  "CmdManifest",
+  "Gyp__CmdManifest",
   "gyp",
-  sizeof(Gyp__CmdSubmit),
-  1,
-  gyp__cmd_submit__field_descriptors,
-  gyp__cmd_submit__field_indices_by_name,
-  1,  gyp__cmd_submit__number_ranges,
-  (ProtobufCMessageInit) gyp__cmd_submit__init,
+  sizeof(Gyp__CmdManifest),
+  3,
+  gyp__cmd_manifest__field_descriptors,
+  gyp__cmd_manifest__field_indices_by_name,
+  1,  gyp__cmd_manifest__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_manifest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__placement__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gyp__snap_flow_task__field_descriptors[6] =
 {
   {
-    "job",
+    "state",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__Placement, job),
+    offsetof(Gyp__SnapFlowTask, state),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "task",
+    "run",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__Placement, task),
+    offsetof(Gyp__SnapFlowTask, run),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "host",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__Placement, attempt),
+    offsetof(Gyp__SnapFlowTask, host),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoint",
+    "failures",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__Placement, endpoint),
+    offsetof(Gyp__SnapFlowTask, failures),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "entry",
+    "checkpoint",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gyp__Placement, entry),
-    NULL,
+    offsetof(Gyp__SnapFlowTask, checkpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned gyp__placement__field_indices_by_name[] = {
-  2,   /* field[2] = attempt */
-  3,   /* field[3] = endpoint */
-  4,   /* field[4] = entry */
-  0,   /* field[0] = job */
-  1,   /* field[1] = task */
-};
-static const ProtobufCIntRange gyp__placement__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor gyp__placement__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gyp.Placement",
-  "Placement",
-  "Gyp__Placement",
-  "gyp",
-  sizeof(Gyp__Placement),
-  5,
-  gyp__placement__field_descriptors,
-  gyp__placement__field_indices_by_name,
-  1,  gyp__placement__number_ranges,
-  (ProtobufCMessageInit) gyp__placement__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gyp__cmd_place__field_descriptors[1] =
-{
   {
-    "places",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gyp__CmdPlace, n_places),
-    offsetof(Gyp__CmdPlace, places),
-    &gyp__placement__descriptor,
+    "failed_run",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapFlowTask, failed_run),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gyp__cmd_place__field_indices_by_name[] = {
-  0,   /* field[0] = places */
+static const unsigned gyp__snap_flow_task__field_indices_by_name[] = {
+  4,   /* field[4] = checkpoint */
+  5,   /* field[5] = failed_run */
+  3,   /* field[3] = failures */
+  2,   /* field[2] = host */
+  1,   /* field[1] = run */
+  0,   /* field[0] = state */
 };
-static const ProtobufCIntRange gyp__cmd_place__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__snap_flow_task__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor gyp__cmd_place__descriptor =
+const ProtobufCMessageDescriptor gyp__snap_flow_task__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gyp.CmdPlace",
-  "CmdPlace",
-  "Gyp__CmdPlace",
+  "gyp.SnapFlowTask",
+  "SnapFlowTask",
+  "Gyp__SnapFlowTask",
   "gyp",
-  sizeof(Gyp__CmdPlace),
-  1,
-  gyp__cmd_place__field_descriptors,
-  gyp__cmd_place__field_indices_by_name,
-  1,  gyp__cmd_place__number_ranges,
-  (ProtobufCMessageInit) gyp__cmd_place__init,
+  sizeof(Gyp__SnapFlowTask),
+  6,
+  gyp__snap_flow_task__field_descriptors,
+  gyp__snap_flow_task__field_indices_by_name,
+  1,  gyp__snap_flow_task__number_ranges,
+  (ProtobufCMessageInit) gyp__snap_flow_task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_finish__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gyp__snap_flow__field_descriptors[7] =
 {
   {
-    "job",
+    "spec",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdFinish, job),
-    NULL,
+    offsetof(Gyp__SnapFlow, spec),
+    &gyp__flow_spec__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "task",
+    "state",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdFinish, task),
+    offsetof(Gyp__SnapFlow, state),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "accepted_ms",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdFinish, attempt),
+    offsetof(Gyp__SnapFlow, accepted_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "outcome",
+    "ended_ms",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdFinish, outcome),
-    &gyp__outcome__descriptor,
+    offsetof(Gyp__SnapFlow, ended_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "http_status",
+    "tasks",
     5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gyp__CmdFinish, http_status),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__SnapFlow, n_tasks),
+    offsetof(Gyp__SnapFlow, tasks),
+    &gyp__snap_flow_task__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "content_type",
+    "seq",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdFinish, content_type),
+    offsetof(Gyp__SnapFlow, seq),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "answer",
+    "begun",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdFinish, answer),
+    offsetof(Gyp__SnapFlow, begun),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gyp__snap_flow__field_indices_by_name[] = {
+  2,   /* field[2] = accepted_ms */
+  6,   /* field[6] = begun */
+  3,   /* field[3] = ended_ms */
+  5,   /* field[5] = seq */
+  0,   /* field[0] = spec */
+  1,   /* field[1] = state */
+  4,   /* field[4] = tasks */
+};
+static const ProtobufCIntRange gyp__snap_flow__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor gyp__snap_flow__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.SnapFlow",
+  "SnapFlow",
+  "Gyp__SnapFlow",
+  "gyp",
+  sizeof(Gyp__SnapFlow),
+  7,
+  gyp__snap_flow__field_descriptors,
+  gyp__snap_flow__field_indices_by_name,
+  1,  gyp__snap_flow__number_ranges,
+  (ProtobufCMessageInit) gyp__snap_flow__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__snap_flows__field_descriptors[4] =
+{
   {
-    "answer_dropped",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Gyp__CmdFinish, answer_dropped),
+    "flows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__SnapFlows, n_flows),
+    offsetof(Gyp__SnapFlows, flows),
+    &gyp__snap_flow__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hosts",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__SnapFlows, n_hosts),
+    offsetof(Gyp__SnapFlows, hosts),
+    &gyp__cmd_host__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reason",
-    9,
+    "manifest",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdFinish, reason),
+    offsetof(Gyp__SnapFlows, manifest),
+    &gyp__cmd_manifest__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "checkpointed",
-    18,
+    "next_seq",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdFinish, checkpointed),
+    offsetof(Gyp__SnapFlows, next_seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gyp__cmd_finish__field_indices_by_name[] = {
-  6,   /* field[6] = answer */
-  7,   /* field[7] = answer_dropped */
-  2,   /* field[2] = attempt */
-  9,   /* field[9] = checkpointed */
-  5,   /* field[5] = content_type */
-  4,   /* field[4] = http_status */
-  0,   /* field[0] = job */
-  3,   /* field[3] = outcome */
-  8,   /* field[8] = reason */
-  1,   /* field[1] = task */
+static const unsigned gyp__snap_flows__field_indices_by_name[] = {
+  0,   /* field[0] = flows */
+  1,   /* field[1] = hosts */
+  2,   /* field[2] = manifest */
+  3,   /* field[3] = next_seq */
 };
-static const ProtobufCIntRange gyp__cmd_finish__number_ranges[2 + 1] =
+static const ProtobufCIntRange gyp__snap_flows__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 18, 9 },
-  { 0, 10 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor gyp__cmd_finish__descriptor =
+const ProtobufCMessageDescriptor gyp__snap_flows__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gyp.CmdFinish",
-  "CmdFinish",
-  "Gyp__CmdFinish",
+  "gyp.SnapFlows",
+  "SnapFlows",
+  "Gyp__SnapFlows",
   "gyp",
-  sizeof(Gyp__CmdFinish),
-  10,
-  gyp__cmd_finish__field_descriptors,
-  gyp__cmd_finish__field_indices_by_name,
-  2,  gyp__cmd_finish__number_ranges,
-  (ProtobufCMessageInit) gyp__cmd_finish__init,
+  sizeof(Gyp__SnapFlows),
+  4,
+  gyp__snap_flows__field_descriptors,
+  gyp__snap_flows__field_indices_by_name,
+  1,  gyp__snap_flows__number_ranges,
+  (ProtobufCMessageInit) gyp__snap_flows__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_endpoint__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gyp__ask__field_descriptors[5] =
 {
   {
-    "name",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdEndpoint, name),
+    offsetof(Gyp__Ask, id),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "address",
+    "flow",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdEndpoint, address),
+    offsetof(Gyp__Ask, flow),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "rack",
+    "time",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdEndpoint, rack),
+    offsetof(Gyp__Ask, time),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data_centre",
+    "step",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdEndpoint, data_centre),
+    offsetof(Gyp__Ask, step),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "capacity",
+    "endpoints",
     5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Gyp__CmdEndpoint, capacity),
-    &gyp__res__descriptor,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gyp__Ask, n_endpoints),
+    offsetof(Gyp__Ask, endpoints),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gyp__ask__field_indices_by_name[] = {
+  4,   /* field[4] = endpoints */
+  1,   /* field[1] = flow */
+  0,   /* field[0] = id */
+  3,   /* field[3] = step */
+  2,   /* field[2] = time */
+};
+static const ProtobufCIntRange gyp__ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gyp__ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.Ask",
+  "Ask",
+  "Gyp__Ask",
+  "gyp",
+  sizeof(Gyp__Ask),
+  5,
+  gyp__ask__field_descriptors,
+  gyp__ask__field_indices_by_name,
+  1,  gyp__ask__number_ranges,
+  (ProtobufCMessageInit) gyp__ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__ticket__field_descriptors[2] =
+{
   {
-    "connections",
-    6,
+    "endpoint",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdEndpoint, connections),
-    NULL,
+    offsetof(Gyp__Ticket, endpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
-    7,
+    "ticket",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdEndpoint, incarnation),
-    NULL,
+    offsetof(Gyp__Ticket, ticket),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gyp__cmd_endpoint__field_indices_by_name[] = {
-  1,   /* field[1] = address */
-  4,   /* field[4] = capacity */
-  5,   /* field[5] = connections */
-  3,   /* field[3] = data_centre */
-  6,   /* field[6] = incarnation */
-  0,   /* field[0] = name */
-  2,   /* field[2] = rack */
+static const unsigned gyp__ticket__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = ticket */
 };
-static const ProtobufCIntRange gyp__cmd_endpoint__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__ticket__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor gyp__cmd_endpoint__descriptor =
+const ProtobufCMessageDescriptor gyp__ticket__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gyp.CmdEndpoint",
-  "CmdEndpoint",
-  "Gyp__CmdEndpoint",
+  "gyp.Ticket",
+  "Ticket",
+  "Gyp__Ticket",
   "gyp",
-  sizeof(Gyp__CmdEndpoint),
-  7,
-  gyp__cmd_endpoint__field_descriptors,
-  gyp__cmd_endpoint__field_indices_by_name,
-  1,  gyp__cmd_endpoint__number_ranges,
-  (ProtobufCMessageInit) gyp__cmd_endpoint__init,
+  sizeof(Gyp__Ticket),
+  2,
+  gyp__ticket__field_descriptors,
+  gyp__ticket__field_indices_by_name,
+  1,  gyp__ticket__number_ranges,
+  (ProtobufCMessageInit) gyp__ticket__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_endpoint_state__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gyp__advised__field_descriptors[4] =
 {
   {
-    "endpoint",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdEndpointState, endpoint),
+    offsetof(Gyp__Advised, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state",
+    "ok",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdEndpointState, state),
+    offsetof(Gyp__Advised, ok),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "from",
-    23,
+    "valid_ms",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdEndpointState, from),
+    offsetof(Gyp__Advised, valid_ms),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tickets",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Advised, n_tickets),
+    offsetof(Gyp__Advised, tickets),
+    &gyp__ticket__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gyp__cmd_endpoint_state__field_indices_by_name[] = {
-  0,   /* field[0] = endpoint */
-  2,   /* field[2] = from */
-  1,   /* field[1] = state */
+static const unsigned gyp__advised__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = ok */
+  3,   /* field[3] = tickets */
+  2,   /* field[2] = valid_ms */
 };
-static const ProtobufCIntRange gyp__cmd_endpoint_state__number_ranges[2 + 1] =
+static const ProtobufCIntRange gyp__advised__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 23, 2 },
-  { 0, 3 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor gyp__cmd_endpoint_state__descriptor =
+const ProtobufCMessageDescriptor gyp__advised__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gyp.CmdEndpointState",
-  "CmdEndpointState",
-  "Gyp__CmdEndpointState",
+  "gyp.Advised",
+  "Advised",
+  "Gyp__Advised",
   "gyp",
-  sizeof(Gyp__CmdEndpointState),
-  3,
-  gyp__cmd_endpoint_state__field_descriptors,
-  gyp__cmd_endpoint_state__field_indices_by_name,
-  2,  gyp__cmd_endpoint_state__number_ranges,
-  (ProtobufCMessageInit) gyp__cmd_endpoint_state__init,
+  sizeof(Gyp__Advised),
+  4,
+  gyp__advised__field_descriptors,
+  gyp__advised__field_indices_by_name,
+  1,  gyp__advised__number_ranges,
+  (ProtobufCMessageInit) gyp__advised__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_cancel__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gyp__flow_call__field_descriptors[4] =
 {
   {
-    "job",
+    "host",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdCancel, job),
-    NULL,
+    offsetof(Gyp__FlowCall, host),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "path",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdCancel, key),
+    offsetof(Gyp__FlowCall, path),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team",
+    "submit",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdCancel, team),
+    offsetof(Gyp__FlowCall, submit),
+    &gyp__flow_spec__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reason",
+    "cancel",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gyp__CmdCancel, reason),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "unless_job",
-    18,
-    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdCancel, unless_job),
+    offsetof(Gyp__FlowCall, cancel),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gyp__cmd_cancel__field_indices_by_name[] = {
-  0,   /* field[0] = job */
-  1,   /* field[1] = key */
-  3,   /* field[3] = reason */
-  2,   /* field[2] = team */
-  4,   /* field[4] = unless_job */
+static const unsigned gyp__flow_call__field_indices_by_name[] = {
+  3,   /* field[3] = cancel */
+  0,   /* field[0] = host */
+  1,   /* field[1] = path */
+  2,   /* field[2] = submit */
 };
-static const ProtobufCIntRange gyp__cmd_cancel__number_ranges[2 + 1] =
+static const ProtobufCIntRange gyp__flow_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 18, 4 },
-  { 0, 5 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor gyp__cmd_cancel__descriptor =
+const ProtobufCMessageDescriptor gyp__flow_call__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gyp.CmdCancel",
-  "CmdCancel",
-  "Gyp__CmdCancel",
+  "gyp.FlowCall",
+  "FlowCall",
+  "Gyp__FlowCall",
   "gyp",
-  sizeof(Gyp__CmdCancel),
-  5,
-  gyp__cmd_cancel__field_descriptors,
-  gyp__cmd_cancel__field_indices_by_name,
-  2,  gyp__cmd_cancel__number_ranges,
-  (ProtobufCMessageInit) gyp__cmd_cancel__init,
+  sizeof(Gyp__FlowCall),
+  4,
+  gyp__flow_call__field_descriptors,
+  gyp__flow_call__field_indices_by_name,
+  1,  gyp__flow_call__number_ranges,
+  (ProtobufCMessageInit) gyp__flow_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_rules__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gyp__flow_view__field_descriptors[3] =
 {
   {
-    "base_version",
+    "state",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdRules, base_version),
+    offsetof(Gyp__FlowView, state),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "request",
+    "pending",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdRules, request),
+    offsetof(Gyp__FlowView, pending),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "author",
+    "is_queue",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gyp__CmdRules, author),
+    offsetof(Gyp__FlowView, is_queue),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "text",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gyp__CmdRules, text),
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gyp__cmd_rules__field_indices_by_name[] = {
-  2,   /* field[2] = author */
-  0,   /* field[0] = base_version */
-  1,   /* field[1] = request */
-  3,   /* field[3] = text */
+static const unsigned gyp__flow_view__field_indices_by_name[] = {
+  2,   /* field[2] = is_queue */
+  1,   /* field[1] = pending */
+  0,   /* field[0] = state */
 };
-static const ProtobufCIntRange gyp__cmd_rules__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__flow_view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor gyp__cmd_rules__descriptor =
+const ProtobufCMessageDescriptor gyp__flow_view__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gyp.CmdRules",
-  "CmdRules",
-  "Gyp__CmdRules",
+  "gyp.FlowView",
+  "FlowView",
+  "Gyp__FlowView",
   "gyp",
-  sizeof(Gyp__CmdRules),
-  4,
-  gyp__cmd_rules__field_descriptors,
-  gyp__cmd_rules__field_indices_by_name,
-  1,  gyp__cmd_rules__number_ranges,
-  (ProtobufCMessageInit) gyp__cmd_rules__init,
+  sizeof(Gyp__FlowView),
+  3,
+  gyp__flow_view__field_descriptors,
+  gyp__flow_view__field_indices_by_name,
+  1,  gyp__flow_view__number_ranges,
+  (ProtobufCMessageInit) gyp__flow_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gyp__cmd__field_descriptors[13] =
 {
   {
     "submit",
@@ -3115,20 +5637,99 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "flow",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Cmd, c_case),
+    offsetof(Gyp__Cmd, flow),
+    &gyp__cmd_flow__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "flow_cancel",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Cmd, c_case),
+    offsetof(Gyp__Cmd, flow_cancel),
+    &gyp__cmd_flow_cancel__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "flow_start",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Cmd, c_case),
+    offsetof(Gyp__Cmd, flow_start),
+    &gyp__cmd_flow_start__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "flow_end",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Cmd, c_case),
+    offsetof(Gyp__Cmd, flow_end),
+    &gyp__cmd_flow_end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Cmd, c_case),
+    offsetof(Gyp__Cmd, host),
+    &gyp__cmd_host__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "manifest",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Cmd, c_case),
+    offsetof(Gyp__Cmd, manifest),
+    &gyp__cmd_manifest__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd__field_indices_by_name[] = {
   5,   /* field[5] = cancel */
   3,   /* field[3] = endpoint */
   4,   /* field[4] = endpoint_state */
   2,   /* field[2] = finish */
+  7,   /* field[7] = flow */
+  8,   /* field[8] = flow_cancel */
+  10,   /* field[10] = flow_end */
+  9,   /* field[9] = flow_start */
+  11,   /* field[11] = host */
+  12,   /* field[12] = manifest */
   1,   /* field[1] = place */
   6,   /* field[6] = rules */
   0,   /* field[0] = submit */
 };
-static const ProtobufCIntRange gyp__cmd__number_ranges[1 + 1] =
+static const ProtobufCIntRange gyp__cmd__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 16, 7 },
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor gyp__cmd__descriptor =
 {
@@ -3138,10 +5739,10 @@
   "Gyp__Cmd",
   "gyp",
   sizeof(Gyp__Cmd),
-  7,
+  13,
   gyp__cmd__field_descriptors,
   gyp__cmd__field_indices_by_name,
-  1,  gyp__cmd__number_ranges,
+  2,  gyp__cmd__number_ranges,
   (ProtobufCMessageInit) gyp__cmd__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3622,7 +6223,7 @@
   (ProtobufCMessageInit) gyp__snap_rules__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__snapshot__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gyp__snapshot__field_descriptors[10] =
 {
   {
     "time_ms",
@@ -3732,10 +6333,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "flows",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Snapshot, flows),
+    &gyp__snap_flows__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__snapshot__field_indices_by_name[] = {
   4,   /* field[4] = endpoint_gens */
   3,   /* field[3] = endpoints */
+  9,   /* field[9] = flows */
   2,   /* field[2] = job_gens */
   1,   /* field[1] = jobs */
   7,   /* field[7] = next_seq */
@@ -3748,7 +6362,7 @@
 {
   { 1, 0 },
   { 18, 8 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gyp__snapshot__descriptor =
 {
@@ -3758,7 +6372,7 @@
   "Gyp__Snapshot",
   "gyp",
   sizeof(Gyp__Snapshot),
-  9,
+  10,
   gyp__snapshot__field_descriptors,
   gyp__snapshot__field_indices_by_name,
   2,  gyp__snapshot__number_ranges,
@@ -4204,7 +6818,7 @@
   (ProtobufCMessageInit) gyp__read_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__call__field_descriptors[11] =
+static const ProtobufCFieldDescriptor gyp__call__field_descriptors[15] =
 {
   {
     "id",
@@ -4338,14 +6952,66 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "flow",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Call, c_case),
+    offsetof(Gyp__Call, flow),
+    &gyp__flow_call__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advised",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Call, c_case),
+    offsetof(Gyp__Call, advised),
+    &gyp__advised__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Call, c_case),
+    offsetof(Gyp__Call, host),
+    &gyp__cmd_host__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "manifest",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Call, c_case),
+    offsetof(Gyp__Call, manifest),
+    &gyp__cmd_manifest__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__call__field_indices_by_name[] = {
   8,   /* field[8] = admin */
+  12,   /* field[12] = advised */
   4,   /* field[4] = announce */
   5,   /* field[5] = beat */
   3,   /* field[3] = cancel */
+  11,   /* field[11] = flow */
+  13,   /* field[13] = host */
   0,   /* field[0] = id */
   6,   /* field[6] = leave */
+  14,   /* field[14] = manifest */
   2,   /* field[2] = read_job */
   9,   /* field[9] = report */
   7,   /* field[7] = rules */
@@ -4356,7 +7022,7 @@
 {
   { 1, 0 },
   { 23, 10 },
-  { 0, 11 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor gyp__call__descriptor =
 {
@@ -4366,7 +7032,7 @@
   "Gyp__Call",
   "gyp",
   sizeof(Gyp__Call),
-  11,
+  15,
   gyp__call__field_descriptors,
   gyp__call__field_indices_by_name,
   2,  gyp__call__number_ranges,
@@ -4567,7 +7233,7 @@
   (ProtobufCMessageInit) gyp__job_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__reply__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gyp__reply__field_descriptors[12] =
 {
   {
     "id",
@@ -4689,24 +7355,51 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "flow",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Reply, flow),
+    &gyp__flow_view__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_ms",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Reply, retry_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__reply__field_indices_by_name[] = {
   1,   /* field[1] = code */
   4,   /* field[4] = endpoint */
+  10,   /* field[10] = flow */
   0,   /* field[0] = id */
   3,   /* field[3] = job */
   6,   /* field[6] = json */
   5,   /* field[5] = lease_ms */
   2,   /* field[2] = message */
   9,   /* field[9] = resend */
+  11,   /* field[11] = retry_ms */
   8,   /* field[8] = stop */
   7,   /* field[7] = version */
 };
-static const ProtobufCIntRange gyp__reply__number_ranges[2 + 1] =
+static const ProtobufCIntRange gyp__reply__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 18, 9 },
-  { 0, 10 }
+  { 24, 10 },
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor gyp__reply__descriptor =
 {
@@ -4716,10 +7409,10 @@
   "Gyp__Reply",
   "gyp",
   sizeof(Gyp__Reply),
-  10,
+  12,
   gyp__reply__field_descriptors,
   gyp__reply__field_indices_by_name,
-  2,  gyp__reply__number_ranges,
+  3,  gyp__reply__number_ranges,
   (ProtobufCMessageInit) gyp__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -4998,7 +7691,7 @@
   (ProtobufCMessageInit) gyp__entry_up__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__entry_down__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gyp__entry_down__field_descriptors[11] =
 {
   {
     "term",
@@ -5120,8 +7813,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asks",
+    24,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__EntryDown, n_asks),
+    offsetof(Gyp__EntryDown, asks),
+    &gyp__ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__entry_down__field_indices_by_name[] = {
+  10,   /* field[10] = asks */
   1,   /* field[1] = leader */
   2,   /* field[2] = leader_address */
   3,   /* field[3] = lease_ms */
@@ -5133,11 +7839,12 @@
   0,   /* field[0] = term */
   9,   /* field[9] = time_ms */
 };
-static const ProtobufCIntRange gyp__entry_down__number_ranges[2 + 1] =
+static const ProtobufCIntRange gyp__entry_down__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 18, 9 },
-  { 0, 10 }
+  { 24, 10 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gyp__entry_down__descriptor =
 {
@@ -5147,10 +7854,10 @@
   "Gyp__EntryDown",
   "gyp",
   sizeof(Gyp__EntryDown),
-  10,
+  11,
   gyp__entry_down__field_descriptors,
   gyp__entry_down__field_indices_by_name,
-  2,  gyp__entry_down__number_ranges,
+  3,  gyp__entry_down__number_ranges,
   (ProtobufCMessageInit) gyp__entry_down__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -5382,6 +8089,44 @@
   gyp__outcome__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue gyp__flow_how__enum_values_by_number[7] =
+{
+  { "FLOW_DONE", "GYP__FLOW_HOW__FLOW_DONE", 0 },
+  { "FLOW_FAILED", "GYP__FLOW_HOW__FLOW_FAILED", 1 },
+  { "FLOW_STOPPED", "GYP__FLOW_HOW__FLOW_STOPPED", 2 },
+  { "FLOW_LAPSED", "GYP__FLOW_HOW__FLOW_LAPSED", 3 },
+  { "FLOW_BROKEN", "GYP__FLOW_HOW__FLOW_BROKEN", 4 },
+  { "FLOW_ALONE", "GYP__FLOW_HOW__FLOW_ALONE", 5 },
+  { "FLOW_LOST", "GYP__FLOW_HOW__FLOW_LOST", 6 },
+};
+static const ProtobufCIntRange gyp__flow_how__value_ranges[] = {
+{0, 0},{0, 7}
+};
+static const ProtobufCEnumValueIndex gyp__flow_how__enum_values_by_name[7] =
+{
+  { "FLOW_ALONE", 5 },
+  { "FLOW_BROKEN", 4 },
+  { "FLOW_DONE", 0 },
+  { "FLOW_FAILED", 1 },
+  { "FLOW_LAPSED", 3 },
+  { "FLOW_LOST", 6 },
+  { "FLOW_STOPPED", 2 },
+};
+const ProtobufCEnumDescriptor gyp__flow_how__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "gyp.FlowHow",
+  "FlowHow",
+  "Gyp__FlowHow",
+  "gyp",
+  7,
+  gyp__flow_how__enum_values_by_number,
+  7,
+  gyp__flow_how__enum_values_by_name,
+  1,
+  gyp__flow_how__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue gyp__admin_op__enum_values_by_number[8] =
 {
   { "ADMIN_STATUS", "GYP__ADMIN_OP__ADMIN_STATUS", 0 },
