--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -30,6 +30,24 @@
 typedef struct Gyp__CmdEndpointState Gyp__CmdEndpointState;
 typedef struct Gyp__CmdCancel Gyp__CmdCancel;
 typedef struct Gyp__CmdRules Gyp__CmdRules;
+typedef struct Gyp__FlowStep Gyp__FlowStep;
+typedef struct Gyp__FlowQueue Gyp__FlowQueue;
+typedef struct Gyp__FlowSpec Gyp__FlowSpec;
+typedef struct Gyp__CmdFlow Gyp__CmdFlow;
+typedef struct Gyp__CmdFlowCancel Gyp__CmdFlowCancel;
+typedef struct Gyp__FlowRun Gyp__FlowRun;
+typedef struct Gyp__CmdFlowStart Gyp__CmdFlowStart;
+typedef struct Gyp__CmdFlowEnd Gyp__CmdFlowEnd;
+typedef struct Gyp__CmdHost Gyp__CmdHost;
+typedef struct Gyp__CmdManifest Gyp__CmdManifest;
+typedef struct Gyp__SnapFlowTask Gyp__SnapFlowTask;
+typedef struct Gyp__SnapFlow Gyp__SnapFlow;
+typedef struct Gyp__SnapFlows Gyp__SnapFlows;
+typedef struct Gyp__Ask Gyp__Ask;
+typedef struct Gyp__Ticket Gyp__Ticket;
+typedef struct Gyp__Advised Gyp__Advised;
+typedef struct Gyp__FlowCall Gyp__FlowCall;
+typedef struct Gyp__FlowView Gyp__FlowView;
 typedef struct Gyp__Cmd Gyp__Cmd;
 typedef struct Gyp__Batch Gyp__Batch;
 typedef struct Gyp__SnapTask Gyp__SnapTask;
@@ -87,6 +105,28 @@
   GYP__OUTCOME__OUTCOME_UNKNOWN = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__OUTCOME)
 } Gyp__Outcome;
+typedef enum _Gyp__FlowHow {
+  GYP__FLOW_HOW__FLOW_DONE = 0,
+  GYP__FLOW_HOW__FLOW_FAILED = 1,
+  GYP__FLOW_HOW__FLOW_STOPPED = 2,
+  /*
+   * its lease ran out
+   */
+  GYP__FLOW_HOW__FLOW_LAPSED = 3,
+  /*
+   * another task of its gang ended
+   */
+  GYP__FLOW_HOW__FLOW_BROKEN = 4,
+  /*
+   * it waited in vain for its gang
+   */
+  GYP__FLOW_HOW__FLOW_ALONE = 5,
+  /*
+   * it does not run there, nor ever will
+   */
+  GYP__FLOW_HOW__FLOW_LOST = 6
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__FLOW_HOW)
+} Gyp__FlowHow;
 typedef enum _Gyp__AdminOp {
   GYP__ADMIN_OP__ADMIN_STATUS = 0,
   GYP__ADMIN_OP__ADMIN_ENDPOINTS = 1,
@@ -438,6 +478,419 @@
     , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Tasks of one shape. Indices of steps count from 0.
+ */
+struct  Gyp__FlowStep
+{
+  ProtobufCMessage base;
+  uint32_t count;
+  /*
+   * of one task
+   */
+  Gyp__Res *size;
+  /*
+   * of one task, 0 for unknown
+   */
+  uint64_t estimate_ms;
+  /*
+   * earlier steps that must be done first
+   */
+  size_t n_after;
+  uint32_t *after;
+  protobuf_c_boolean checkpoints;
+  protobuf_c_boolean gang;
+  /*
+   * slower when spread over racks
+   */
+  protobuf_c_boolean one_rack;
+  /*
+   * that the endpoint must have, or ""
+   */
+  char *label;
+  /*
+   * where its data lies, or ""
+   */
+  char *data_rack;
+  /*
+   * most tasks on one endpoint, 0 for any
+   */
+  uint32_t spread;
+  /*
+   * two runs of a task do no harm
+   */
+  protobuf_c_boolean copies;
+  /*
+   * runs until the flow is cancelled
+   */
+  protobuf_c_boolean lasting;
+  /*
+   * names tasks that behave alike
+   */
+  char *image;
+  /*
+   * tasks that serve: bound of the tail, or 0
+   */
+  uint32_t tail_ms;
+  /*
+   * takes processor time that others leave
+   */
+  protobuf_c_boolean fills;
+  /*
+   * tasks that may be away by our own doing
+   */
+  uint32_t may_miss;
+};
+#define GYP__FLOW_STEP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__flow_step__descriptor) \
+    , 0, NULL, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * What a queue of the manifest says about its flows.
+ */
+struct  Gyp__FlowQueue
+{
+  ProtobufCMessage base;
+  char *name;
+  char *host;
+  /*
+   * of the path; the flow's id follows
+   */
+  char *prefix;
+  /*
+   * of endpoints that run its tasks
+   */
+  char *pool;
+  /*
+   * 0 comes first
+   */
+  uint32_t priority;
+  /*
+   * failed runs that end a task
+   */
+  uint32_t attempts;
+  /*
+   * objective, as a multiple of the work
+   */
+  double stretch;
+  /*
+   * objective on top of that
+   */
+  uint32_t target_ms;
+  /*
+   * of a request
+   */
+  uint32_t timeout_ms;
+  /*
+   * a policy service names the endpoints
+   */
+  protobuf_c_boolean admission;
+  /*
+   * of one call
+   */
+  double admission_ms;
+  /*
+   * and for each endpoint named
+   */
+  double admission_each_ms;
+  /*
+   * life of a ticket
+   */
+  uint32_t ticket_ms;
+};
+#define GYP__FLOW_QUEUE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__flow_queue__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Gyp__FlowSpec
+{
+  ProtobufCMessage base;
+  /*
+   * chosen by the caller
+   */
+  uint64_t id;
+  char *payload;
+  size_t n_steps;
+  Gyp__FlowStep **steps;
+  /*
+   * repetitions, 0 for a flow without times
+   */
+  uint32_t times;
+  /*
+   * Unix time of the first one
+   */
+  uint64_t first_ms;
+  uint64_t interval_ms;
+  /*
+   * as it was when the flow was accepted
+   */
+  Gyp__FlowQueue *queue;
+};
+#define GYP__FLOW_SPEC__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__flow_spec__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, NULL }
+
+
+struct  Gyp__CmdFlow
+{
+  ProtobufCMessage base;
+  Gyp__FlowSpec *spec;
+};
+#define GYP__CMD_FLOW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_flow__descriptor) \
+    , NULL }
+
+
+struct  Gyp__CmdFlowCancel
+{
+  ProtobufCMessage base;
+  uint64_t flow;
+};
+#define GYP__CMD_FLOW_CANCEL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_flow_cancel__descriptor) \
+    , 0 }
+
+
+/*
+ * One run of a task; tasks are counted through all repetitions and steps.
+ */
+struct  Gyp__FlowRun
+{
+  ProtobufCMessage base;
+  uint32_t task;
+  /*
+   * row of the endpoint
+   */
+  uint32_t host;
+};
+#define GYP__FLOW_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__flow_run__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * All runs of one command take effect together or not at all.
+ */
+struct  Gyp__CmdFlowStart
+{
+  ProtobufCMessage base;
+  uint64_t flow;
+  /*
+   * number of these runs
+   */
+  uint32_t run;
+  size_t n_runs;
+  Gyp__FlowRun **runs;
+};
+#define GYP__CMD_FLOW_START__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_flow_start__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+struct  Gyp__CmdFlowEnd
+{
+  ProtobufCMessage base;
+  uint64_t flow;
+  uint32_t task;
+  uint32_t run;
+  uint32_t host;
+  Gyp__FlowHow how;
+  char *checkpoint;
+};
+#define GYP__CMD_FLOW_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_flow_end__descriptor) \
+    , 0, 0, 0, 0, GYP__FLOW_HOW__FLOW_DONE, (char *)protobuf_c_empty_string }
+
+
+/*
+ * An endpoint that runs tasks of flows; one row an id.
+ */
+struct  Gyp__CmdHost
+{
+  ProtobufCMessage base;
+  char *id;
+  /*
+   * tells its lives apart
+   */
+  uint64_t born_ms;
+  char *address;
+  char *pool;
+  char *data_centre;
+  char *rack;
+  size_t n_labels;
+  char **labels;
+  Gyp__Res *capacity;
+  protobuf_c_boolean draining;
+  protobuf_c_boolean gone;
+};
+#define GYP__CMD_HOST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_host__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0 }
+
+
+struct  Gyp__CmdManifest
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  /*
+   * as the operator sent it
+   */
+  ProtobufCBinaryData text;
+  size_t n_queues;
+  Gyp__FlowQueue **queues;
+};
+#define GYP__CMD_MANIFEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_manifest__descriptor) \
+    , 0, {0,NULL}, 0,NULL }
+
+
+struct  Gyp__SnapFlowTask
+{
+  ProtobufCMessage base;
+  uint32_t state;
+  uint32_t run;
+  uint32_t host;
+  uint32_t failures;
+  char *checkpoint;
+  /*
+   * of a gang, kept with its first task
+   */
+  uint32_t failed_run;
+};
+#define GYP__SNAP_FLOW_TASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_flow_task__descriptor) \
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Gyp__SnapFlow
+{
+  ProtobufCMessage base;
+  Gyp__FlowSpec *spec;
+  uint32_t state;
+  uint64_t accepted_ms;
+  uint64_t ended_ms;
+  size_t n_tasks;
+  Gyp__SnapFlowTask **tasks;
+  uint64_t seq;
+  protobuf_c_boolean begun;
+};
+#define GYP__SNAP_FLOW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_flow__descriptor) \
+    , NULL, 0, 0, 0, 0,NULL, 0, 0 }
+
+
+struct  Gyp__SnapFlows
+{
+  ProtobufCMessage base;
+  size_t n_flows;
+  Gyp__SnapFlow **flows;
+  /*
+   * by row; removed ones are empty
+   */
+  size_t n_hosts;
+  Gyp__CmdHost **hosts;
+  Gyp__CmdManifest *manifest;
+  uint64_t next_seq;
+};
+#define GYP__SNAP_FLOWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_flows__descriptor) \
+    , 0,NULL, 0,NULL, NULL, 0 }
+
+
+struct  Gyp__Ask
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint64_t flow;
+  /*
+   * repetition
+   */
+  uint32_t time;
+  uint32_t step;
+  size_t n_endpoints;
+  char **endpoints;
+};
+#define GYP__ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__ask__descriptor) \
+    , 0, 0, 0, 0, 0,NULL }
+
+
+struct  Gyp__Ticket
+{
+  ProtobufCMessage base;
+  char *endpoint;
+  char *ticket;
+};
+#define GYP__TICKET__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__ticket__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Gyp__Advised
+{
+  ProtobufCMessage base;
+  /*
+   * of the question
+   */
+  uint64_t id;
+  /*
+   * else nothing was learnt
+   */
+  protobuf_c_boolean ok;
+  /*
+   * from the answer on
+   */
+  uint32_t valid_ms;
+  size_t n_tickets;
+  Gyp__Ticket **tickets;
+};
+#define GYP__ADVISED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__advised__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
+/*
+ * A request to a queue, found by host and path.
+ */
+struct  Gyp__FlowCall
+{
+  ProtobufCMessage base;
+  char *host;
+  char *path;
+  /*
+   * to be accepted; without id and queue
+   */
+  Gyp__FlowSpec *submit;
+  /*
+   * else the state is read
+   */
+  protobuf_c_boolean cancel;
+};
+#define GYP__FLOW_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__flow_call__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0 }
+
+
+struct  Gyp__FlowView
+{
+  ProtobufCMessage base;
+  /*
+   * enum gyp_flow_state
+   */
+  uint32_t state;
+  /*
+   * of a queue: flows that have not begun
+   */
+  uint32_t pending;
+  protobuf_c_boolean is_queue;
+};
+#define GYP__FLOW_VIEW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__flow_view__descriptor) \
+    , 0, 0, 0 }
+
+
 typedef enum {
   GYP__CMD__C__NOT_SET = 0,
   GYP__CMD__C_SUBMIT = 1,
@@ -446,7 +899,13 @@
   GYP__CMD__C_ENDPOINT = 4,
   GYP__CMD__C_ENDPOINT_STATE = 5,
   GYP__CMD__C_CANCEL = 6,
-  GYP__CMD__C_RULES = 7
+  GYP__CMD__C_RULES = 7,
+  GYP__CMD__C_FLOW = 16,
+  GYP__CMD__C_FLOW_CANCEL = 17,
+  GYP__CMD__C_FLOW_START = 18,
+  GYP__CMD__C_FLOW_END = 19,
+  GYP__CMD__C_HOST = 20,
+  GYP__CMD__C_MANIFEST = 21
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__CMD__C__CASE)
 } Gyp__Cmd__CCase;
 
@@ -462,6 +921,12 @@
     Gyp__CmdEndpointState *endpoint_state;
     Gyp__CmdCancel *cancel;
     Gyp__CmdRules *rules;
+    Gyp__CmdFlow *flow;
+    Gyp__CmdFlowCancel *flow_cancel;
+    Gyp__CmdFlowStart *flow_start;
+    Gyp__CmdFlowEnd *flow_end;
+    Gyp__CmdHost *host;
+    Gyp__CmdManifest *manifest;
   };
 };
 #define GYP__CMD__INIT \
@@ -577,10 +1042,11 @@
    */
   size_t n_retired_had_job;
   protobuf_c_boolean *retired_had_job;
+  Gyp__SnapFlows *flows;
 };
 #define GYP__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__snapshot__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, NULL }
 
 
 /*
@@ -709,7 +1175,11 @@
   GYP__CALL__C_LEAVE = 7,
   GYP__CALL__C_RULES = 8,
   GYP__CALL__C_ADMIN = 9,
-  GYP__CALL__C_REPORT = 10
+  GYP__CALL__C_REPORT = 10,
+  GYP__CALL__C_FLOW = 24,
+  GYP__CALL__C_ADVISED = 25,
+  GYP__CALL__C_HOST = 26,
+  GYP__CALL__C_MANIFEST = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__CALL__C__CASE)
 } Gyp__Call__CCase;
 
@@ -735,6 +1205,10 @@
     Gyp__CmdRules *rules;
     Gyp__Admin *admin;
     Gyp__CmdFinish *report;
+    Gyp__FlowCall *flow;
+    Gyp__Advised *advised;
+    Gyp__CmdHost *host;
+    Gyp__CmdManifest *manifest;
   };
 };
 #define GYP__CALL__INIT \
@@ -795,10 +1269,15 @@
    * the leader lacks the beat's running list
    */
   protobuf_c_boolean resend;
+  Gyp__FlowView *flow;
+  /*
+   * with CODE_BUSY: when to come back
+   */
+  uint32_t retry_ms;
 };
 #define GYP__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__reply__descriptor) \
-    , 0, GYP__CODE__CODE_OK, (char *)protobuf_c_empty_string, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
+    , 0, GYP__CODE__CODE_OK, (char *)protobuf_c_empty_string, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, NULL, 0 }
 
 
 /*
@@ -897,10 +1376,15 @@
    * committed cell time
    */
   uint64_t time_ms;
+  /*
+   * one at a time, for the admission service
+   */
+  size_t n_asks;
+  Gyp__Ask **asks;
 };
 #define GYP__ENTRY_DOWN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__entry_down__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 typedef enum {
@@ -1215,6 +1699,348 @@
 void   gyp__cmd_rules__free_unpacked
                      (Gyp__CmdRules *message,
                       ProtobufCAllocator *allocator);
+/* Gyp__FlowStep methods */
+void   gyp__flow_step__init
+                     (Gyp__FlowStep         *message);
+size_t gyp__flow_step__get_packed_size
+                     (const Gyp__FlowStep   *message);
+size_t gyp__flow_step__pack
+                     (const Gyp__FlowStep   *message,
+                      uint8_t             *out);
+size_t gyp__flow_step__pack_to_buffer
+                     (const Gyp__FlowStep   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__FlowStep *
+       gyp__flow_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__flow_step__free_unpacked
+                     (Gyp__FlowStep *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__FlowQueue methods */
+void   gyp__flow_queue__init
+                     (Gyp__FlowQueue         *message);
+size_t gyp__flow_queue__get_packed_size
+                     (const Gyp__FlowQueue   *message);
+size_t gyp__flow_queue__pack
+                     (const Gyp__FlowQueue   *message,
+                      uint8_t             *out);
+size_t gyp__flow_queue__pack_to_buffer
+                     (const Gyp__FlowQueue   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__FlowQueue *
+       gyp__flow_queue__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__flow_queue__free_unpacked
+                     (Gyp__FlowQueue *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__FlowSpec methods */
+void   gyp__flow_spec__init
+                     (Gyp__FlowSpec         *message);
+size_t gyp__flow_spec__get_packed_size
+                     (const Gyp__FlowSpec   *message);
+size_t gyp__flow_spec__pack
+                     (const Gyp__FlowSpec   *message,
+                      uint8_t             *out);
+size_t gyp__flow_spec__pack_to_buffer
+                     (const Gyp__FlowSpec   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__FlowSpec *
+       gyp__flow_spec__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__flow_spec__free_unpacked
+                     (Gyp__FlowSpec *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__CmdFlow methods */
+void   gyp__cmd_flow__init
+                     (Gyp__CmdFlow         *message);
+size_t gyp__cmd_flow__get_packed_size
+                     (const Gyp__CmdFlow   *message);
+size_t gyp__cmd_flow__pack
+                     (const Gyp__CmdFlow   *message,
+                      uint8_t             *out);
+size_t gyp__cmd_flow__pack_to_buffer
+                     (const Gyp__CmdFlow   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__CmdFlow *
+       gyp__cmd_flow__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__cmd_flow__free_unpacked
+                     (Gyp__CmdFlow *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__CmdFlowCancel methods */
+void   gyp__cmd_flow_cancel__init
+                     (Gyp__CmdFlowCancel         *message);
+size_t gyp__cmd_flow_cancel__get_packed_size
+                     (const Gyp__CmdFlowCancel   *message);
+size_t gyp__cmd_flow_cancel__pack
+                     (const Gyp__CmdFlowCancel   *message,
+                      uint8_t             *out);
+size_t gyp__cmd_flow_cancel__pack_to_buffer
+                     (const Gyp__CmdFlowCancel   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__CmdFlowCancel *
+       gyp__cmd_flow_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__cmd_flow_cancel__free_unpacked
+                     (Gyp__CmdFlowCancel *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__FlowRun methods */
+void   gyp__flow_run__init
+                     (Gyp__FlowRun         *message);
+size_t gyp__flow_run__get_packed_size
+                     (const Gyp__FlowRun   *message);
+size_t gyp__flow_run__pack
+                     (const Gyp__FlowRun   *message,
+                      uint8_t             *out);
+size_t gyp__flow_run__pack_to_buffer
+                     (const Gyp__FlowRun   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__FlowRun *
+       gyp__flow_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__flow_run__free_unpacked
+                     (Gyp__FlowRun *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__CmdFlowStart methods */
+void   gyp__cmd_flow_start__init
+                     (Gyp__CmdFlowStart         *message);
+size_t gyp__cmd_flow_start__get_packed_size
+                     (const Gyp__CmdFlowStart   *message);
+size_t gyp__cmd_flow_start__pack
+                     (const Gyp__CmdFlowStart   *message,
+                      uint8_t             *out);
+size_t gyp__cmd_flow_start__pack_to_buffer
+                     (const Gyp__CmdFlowStart   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__CmdFlowStart *
+       gyp__cmd_flow_start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__cmd_flow_start__free_unpacked
+                     (Gyp__CmdFlowStart *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__CmdFlowEnd methods */
+void   gyp__cmd_flow_end__init
+                     (Gyp__CmdFlowEnd         *message);
+size_t gyp__cmd_flow_end__get_packed_size
+                     (const Gyp__CmdFlowEnd   *message);
+size_t gyp__cmd_flow_end__pack
+                     (const Gyp__CmdFlowEnd   *message,
+                      uint8_t             *out);
+size_t gyp__cmd_flow_end__pack_to_buffer
+                     (const Gyp__CmdFlowEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__CmdFlowEnd *
+       gyp__cmd_flow_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__cmd_flow_end__free_unpacked
+                     (Gyp__CmdFlowEnd *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__CmdHost methods */
+void   gyp__cmd_host__init
+                     (Gyp__CmdHost         *message);
+size_t gyp__cmd_host__get_packed_size
+                     (const Gyp__CmdHost   *message);
+size_t gyp__cmd_host__pack
+                     (const Gyp__CmdHost   *message,
+                      uint8_t             *out);
+size_t gyp__cmd_host__pack_to_buffer
+                     (const Gyp__CmdHost   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__CmdHost *
+       gyp__cmd_host__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__cmd_host__free_unpacked
+                     (Gyp__CmdHost *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__CmdManifest methods */
+void   gyp__cmd_manifest__init
+                     (Gyp__CmdManifest         *message);
+size_t gyp__cmd_manifest__get_packed_size
+                     (const Gyp__CmdManifest   *message);
+size_t gyp__cmd_manifest__pack
+                     (const Gyp__CmdManifest   *message,
+                      uint8_t             *out);
+size_t gyp__cmd_manifest__pack_to_buffer
+                     (const Gyp__CmdManifest   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__CmdManifest *
+       gyp__cmd_manifest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__cmd_manifest__free_unpacked
+                     (Gyp__CmdManifest *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__SnapFlowTask methods */
+void   gyp__snap_flow_task__init
+                     (Gyp__SnapFlowTask         *message);
+size_t gyp__snap_flow_task__get_packed_size
+                     (const Gyp__SnapFlowTask   *message);
+size_t gyp__snap_flow_task__pack
+                     (const Gyp__SnapFlowTask   *message,
+                      uint8_t             *out);
+size_t gyp__snap_flow_task__pack_to_buffer
+                     (const Gyp__SnapFlowTask   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__SnapFlowTask *
+       gyp__snap_flow_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__snap_flow_task__free_unpacked
+                     (Gyp__SnapFlowTask *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__SnapFlow methods */
+void   gyp__snap_flow__init
+                     (Gyp__SnapFlow         *message);
+size_t gyp__snap_flow__get_packed_size
+                     (const Gyp__SnapFlow   *message);
+size_t gyp__snap_flow__pack
+                     (const Gyp__SnapFlow   *message,
+                      uint8_t             *out);
+size_t gyp__snap_flow__pack_to_buffer
+                     (const Gyp__SnapFlow   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__SnapFlow *
+       gyp__snap_flow__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__snap_flow__free_unpacked
+                     (Gyp__SnapFlow *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__SnapFlows methods */
+void   gyp__snap_flows__init
+                     (Gyp__SnapFlows         *message);
+size_t gyp__snap_flows__get_packed_size
+                     (const Gyp__SnapFlows   *message);
+size_t gyp__snap_flows__pack
+                     (const Gyp__SnapFlows   *message,
+                      uint8_t             *out);
+size_t gyp__snap_flows__pack_to_buffer
+                     (const Gyp__SnapFlows   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__SnapFlows *
+       gyp__snap_flows__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__snap_flows__free_unpacked
+                     (Gyp__SnapFlows *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__Ask methods */
+void   gyp__ask__init
+                     (Gyp__Ask         *message);
+size_t gyp__ask__get_packed_size
+                     (const Gyp__Ask   *message);
+size_t gyp__ask__pack
+                     (const Gyp__Ask   *message,
+                      uint8_t             *out);
+size_t gyp__ask__pack_to_buffer
+                     (const Gyp__Ask   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__Ask *
+       gyp__ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__ask__free_unpacked
+                     (Gyp__Ask *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__Ticket methods */
+void   gyp__ticket__init
+                     (Gyp__Ticket         *message);
+size_t gyp__ticket__get_packed_size
+                     (const Gyp__Ticket   *message);
+size_t gyp__ticket__pack
+                     (const Gyp__Ticket   *message,
+                      uint8_t             *out);
+size_t gyp__ticket__pack_to_buffer
+                     (const Gyp__Ticket   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__Ticket *
+       gyp__ticket__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__ticket__free_unpacked
+                     (Gyp__Ticket *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__Advised methods */
+void   gyp__advised__init
+                     (Gyp__Advised         *message);
+size_t gyp__advised__get_packed_size
+                     (const Gyp__Advised   *message);
+size_t gyp__advised__pack
+                     (const Gyp__Advised   *message,
+                      uint8_t             *out);
+size_t gyp__advised__pack_to_buffer
+                     (const Gyp__Advised   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__Advised *
+       gyp__advised__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__advised__free_unpacked
+                     (Gyp__Advised *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__FlowCall methods */
+void   gyp__flow_call__init
+                     (Gyp__FlowCall         *message);
+size_t gyp__flow_call__get_packed_size
+                     (const Gyp__FlowCall   *message);
+size_t gyp__flow_call__pack
+                     (const Gyp__FlowCall   *message,
+                      uint8_t             *out);
+size_t gyp__flow_call__pack_to_buffer
+                     (const Gyp__FlowCall   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__FlowCall *
+       gyp__flow_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__flow_call__free_unpacked
+                     (Gyp__FlowCall *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__FlowView methods */
+void   gyp__flow_view__init
+                     (Gyp__FlowView         *message);
+size_t gyp__flow_view__get_packed_size
+                     (const Gyp__FlowView   *message);
+size_t gyp__flow_view__pack
+                     (const Gyp__FlowView   *message,
+                      uint8_t             *out);
+size_t gyp__flow_view__pack_to_buffer
+                     (const Gyp__FlowView   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__FlowView *
+       gyp__flow_view__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__flow_view__free_unpacked
+                     (Gyp__FlowView *message,
+                      ProtobufCAllocator *allocator);
 /* Gyp__Cmd methods */
 void   gyp__cmd__init
                      (Gyp__Cmd         *message);
@@ -1642,6 +2468,60 @@
 typedef void (*Gyp__CmdRules_Closure)
                  (const Gyp__CmdRules *message,
                   void *closure_data);
+typedef void (*Gyp__FlowStep_Closure)
+                 (const Gyp__FlowStep *message,
+                  void *closure_data);
+typedef void (*Gyp__FlowQueue_Closure)
+                 (const Gyp__FlowQueue *message,
+                  void *closure_data);
+typedef void (*Gyp__FlowSpec_Closure)
+                 (const Gyp__FlowSpec *message,
+                  void *closure_data);
+typedef void (*Gyp__CmdFlow_Closure)
+                 (const Gyp__CmdFlow *message,
+                  void *closure_data);
+typedef void (*Gyp__CmdFlowCancel_Closure)
+                 (const Gyp__CmdFlowCancel *message,
+                  void *closure_data);
+typedef void (*Gyp__FlowRun_Closure)
+                 (const Gyp__FlowRun *message,
+                  void *closure_data);
+typedef void (*Gyp__CmdFlowStart_Closure)
+                 (const Gyp__CmdFlowStart *message,
+                  void *closure_data);
+typedef void (*Gyp__CmdFlowEnd_Closure)
+                 (const Gyp__CmdFlowEnd *message,
+                  void *closure_data);
+typedef void (*Gyp__CmdHost_Closure)
+                 (const Gyp__CmdHost *message,
+                  void *closure_data);
+typedef void (*Gyp__CmdManifest_Closure)
+                 (const Gyp__CmdManifest *message,
+                  void *closure_data);
+typedef void (*Gyp__SnapFlowTask_Closure)
+                 (const Gyp__SnapFlowTask *message,
+                  void *closure_data);
+typedef void (*Gyp__SnapFlow_Closure)
+                 (const Gyp__SnapFlow *message,
+                  void *closure_data);
+typedef void (*Gyp__SnapFlows_Closure)
+                 (const Gyp__SnapFlows *message,
+                  void *closure_data);
+typedef void (*Gyp__Ask_Closure)
+                 (const Gyp__Ask *message,
+                  void *closure_data);
+typedef void (*Gyp__Ticket_Closure)
+                 (const Gyp__Ticket *message,
+                  void *closure_data);
+typedef void (*Gyp__Advised_Closure)
+                 (const Gyp__Advised *message,
+                  void *closure_data);
+typedef void (*Gyp__FlowCall_Closure)
+                 (const Gyp__FlowCall *message,
+                  void *closure_data);
+typedef void (*Gyp__FlowView_Closure)
+                 (const Gyp__FlowView *message,
+                  void *closure_data);
 typedef void (*Gyp__Cmd_Closure)
                  (const Gyp__Cmd *message,
                   void *closure_data);
@@ -1712,6 +2592,7 @@
 extern const ProtobufCEnumDescriptor    gyp__raft_type__descriptor;
 extern const ProtobufCEnumDescriptor    gyp__kind__descriptor;
 extern const ProtobufCEnumDescriptor    gyp__outcome__descriptor;
+extern const ProtobufCEnumDescriptor    gyp__flow_how__descriptor;
 extern const ProtobufCEnumDescriptor    gyp__admin_op__descriptor;
 extern const ProtobufCEnumDescriptor    gyp__code__descriptor;
 extern const ProtobufCEnumDescriptor    gyp__order_type__descriptor;
@@ -1730,6 +2611,24 @@
 extern const ProtobufCMessageDescriptor gyp__cmd_endpoint_state__descriptor;
 extern const ProtobufCMessageDescriptor gyp__cmd_cancel__descriptor;
 extern const ProtobufCMessageDescriptor gyp__cmd_rules__descriptor;
+extern const ProtobufCMessageDescriptor gyp__flow_step__descriptor;
+extern const ProtobufCMessageDescriptor gyp__flow_queue__descriptor;
+extern const ProtobufCMessageDescriptor gyp__flow_spec__descriptor;
+extern const ProtobufCMessageDescriptor gyp__cmd_flow__descriptor;
+extern const ProtobufCMessageDescriptor gyp__cmd_flow_cancel__descriptor;
+extern const ProtobufCMessageDescriptor gyp__flow_run__descriptor;
+extern const ProtobufCMessageDescriptor gyp__cmd_flow_start__descriptor;
+extern const ProtobufCMessageDescriptor gyp__cmd_flow_end__descriptor;
+extern const ProtobufCMessageDescriptor gyp__cmd_host__descriptor;
+extern const ProtobufCMessageDescriptor gyp__cmd_manifest__descriptor;
+extern const ProtobufCMessageDescriptor gyp__snap_flow_task__descriptor;
+extern const ProtobufCMessageDescriptor gyp__snap_flow__descriptor;
+extern const ProtobufCMessageDescriptor gyp__snap_flows__descriptor;
+extern const ProtobufCMessageDescriptor gyp__ask__descriptor;
+extern const ProtobufCMessageDescriptor gyp__ticket__descriptor;
+extern const ProtobufCMessageDescriptor gyp__advised__descriptor;
+extern const ProtobufCMessageDescriptor gyp__flow_call__descriptor;
+extern const ProtobufCMessageDescriptor gyp__flow_view__descriptor;
 extern const ProtobufCMessageDescriptor gyp__cmd__descriptor;
 extern const ProtobufCMessageDescriptor gyp__batch__descriptor;
 extern const ProtobufCMessageDescriptor gyp__snap_task__descriptor;
--- a/test/raft_net.c
+++ b/test/raft_net.c
@@ -244,6 +244,22 @@
 	return NULL;
 }
 
+/* The first node begins as the only member. */
+static void
+bootstrap_first(struct net *net)
+{
+	Gyp__Config alone = GYP__CONFIG__INIT;
+	Gyp__Member self = GYP__MEMBER__INIT;
+	Gyp__Member *list[] = {&self};
+
+	self.id = net->nodes[0].id;
+	self.address = "0";
+	self.voter = true;
+	alone.n_members = 1;
+	alone.members = list;
+	gyp_raft_bootstrap(net->nodes[0].raft, &alone);
+}
+
 void
 net_init(struct net *net, guint32 seed)
 {
@@ -275,7 +291,7 @@
 		n->inbox = g_ptr_array_new_with_free_func(gyp_message_free);
 		net_start(n);
 	}
-	gyp_raft_bootstrap(net->nodes[0].raft, "0", "");
+	bootstrap_first(net);
 }
 
 void
--- a/test/sim_proc.c
+++ b/test/sim_proc.c
@@ -178,7 +178,7 @@
 	/* Once more, if it was killed before anything was on its disk. */
 	if (node == 0 && s->n_disks == 0 &&
 	    gyp_raft_last_index(gyp_replica_raft(n->replica)) == 0)
-		gyp_replica_bootstrap(n->replica);
+		gyp_replica_bootstrap(n->replica, NULL);
 	n->up = true;
 	n->life++;
 	sim_pump(s, node);
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -145,7 +145,7 @@
 		c->nodes[i].data_centre = names[*centre - 'a'];
 		start(c, i);
 	}
-	gyp_replica_bootstrap(c->nodes[0].replica);
+	gyp_replica_bootstrap(c->nodes[0].replica, NULL);
 }
 
 static void
--- a/test/test_versions.c
+++ b/test/test_versions.c
@@ -91,7 +91,7 @@
 	c->replies = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, gyp_message_free);
 	c->r = gyp_replica_new(&cfg);
-	gyp_replica_bootstrap(c->r);
+	gyp_replica_bootstrap(c->r, NULL);
 	while (!gyp_replica_serving(c->r))
 		run(c, GYP_TICK_MS);
 	run(c, settle_ms);
--- a/test/world.c
+++ b/test/world.c
@@ -54,7 +54,7 @@
 
 	w->now = WORLD_START;
 	w->replica = gyp_replica_new(&cfg);
-	gyp_replica_bootstrap(w->replica);
+	gyp_replica_bootstrap(w->replica, NULL);
 	for (i = 0; i < WORLD_ENTRIES; i++) {
 		w->exchanges[i] = g_ptr_array_new_with_free_func(free_exchange);
 		w->answers[i] = g_ptr_array_new_with_free_func(free_answer);
