--- a/src/entry.c
+++ b/src/entry.c
@@ -31,17 +31,31 @@
 	set_target(e, (e->target + 1) % e->cells->len);
 }
 
-static void
-go_to(struct gyp_entry_core *e, const char *address)
+/* Position of a replica's address, which is added when it is new. */
+static guint
+find_cell(struct gyp_entry_core *e, const char *address)
 {
 	guint i;
 
 	for (i = 0; i < e->cells->len; i++) {
 		if (strcmp(e->cells->pdata[i], address) == 0)
-			break;
+			return i;
 	}
-	if (i == e->cells->len)
-		g_ptr_array_add(e->cells, g_strdup(address));
+	g_ptr_array_add(e->cells, g_strdup(address));
+	return i;
+}
+
+void
+gyp_entry_learn_cell(struct gyp_entry_core *e, const char *address)
+{
+	find_cell(e, address);
+}
+
+static void
+go_to(struct gyp_entry_core *e, const char *address)
+{
+	guint i = find_cell(e, address);
+
 	if (i != e->target)
 		set_target(e, i);
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -88,6 +88,9 @@
 struct gyp_entry_core *gyp_entry_new(const struct gyp_entry_config *);
 void gyp_entry_free(struct gyp_entry_core *);
 
+/* Another address of a replica; known ones are ignored. */
+void gyp_entry_learn_cell(struct gyp_entry_core *, const char *address);
+
 void gyp_entry_tick(struct gyp_entry_core *, uint64_t now);
 
 /* A frame came from the replica at address. */
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -21,20 +21,25 @@
 #include "units.h"
 
 /* ---- Core: the cell ------------------------------------------------------ */
-#include "balance.h" /* room kept for urgent work */
-#include "health.h"  /* who is to blame for failures */
-#include "leases.h"  /* who may still be running */
-#include "policy.h"  /* which task goes where */
-#include "raft.h"    /* replicated log */
-#include "record.h"  /* what goes to the disk */
-#include "replay.h"  /* a trace through tables and policy */
-#include "replica.h" /* log, tables and decisions together */
-#include "rules.h"   /* what operators ask for, one line each */
-#include "running.h" /* what endpoints say that they run */
-#include "state.h"   /* tables of jobs, endpoints and rules */
-#include "trace.h"   /* one event a line */
-#include "usage.h"   /* measured usage, from heartbeats */
-#include "wal.h"     /* bytes of a log segment */
+#include "admission.h" /* which endpoints a policy service allows */
+#include "balance.h"   /* room kept for urgent work */
+#include "fleet.h"     /* calls at the endpoints that run them */
+#include "flow.h"      /* tables of jobs whose steps depend on each other */
+#include "flow_lead.h" /* these three under one leader */
+#include "health.h"    /* who is to blame for failures */
+#include "leases.h"    /* who may still be running */
+#include "placer.h"    /* which of their tasks goes where */
+#include "policy.h"    /* which task goes where */
+#include "raft.h"      /* replicated log */
+#include "record.h"    /* what goes to the disk */
+#include "replay.h"    /* a trace through tables and policy */
+#include "replica.h"   /* log, tables and decisions together */
+#include "rules.h"     /* what operators ask for, one line each */
+#include "running.h"   /* what endpoints say that they run */
+#include "state.h"     /* tables of jobs, endpoints and rules */
+#include "trace.h"     /* one event a line */
+#include "usage.h"     /* measured usage, from heartbeats */
+#include "wal.h"       /* bytes of a log segment */
 
 /* ---- Core: the entry ----------------------------------------------------- */
 #include "entry.h"   /* request table and start orders */
@@ -50,6 +55,7 @@
 #include "link.h"     /* frames between processes */
 #include "log.h"      /* lines on standard error */
 #include "program.h"  /* command line of the daemons */
+#include "reload.h"   /* settings that change while a program runs */
 #include "settings.h" /* INI files */
 #include "store.h"    /* records on a disk */
 #include "timer.h"    /* clock and subscriptions */
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -12,6 +12,7 @@
 #include "pf_client.h"
 #include "pf_control.h"
 #include "program.h"
+#include "reload.h"
 #include "replica.h"
 #include "store.h"
 #include "timer.h"
@@ -52,7 +53,7 @@
 struct app {
 	struct gyp_links_owner links_owner;
 	struct gyp_store_owner store_owner;
-	const struct settings *set;
+	struct settings *set;
 	struct ev_loop *loop;
 	struct gyp_timers *timers;
 	struct gyp_links *links;
@@ -560,10 +561,21 @@
 	return GYP_OK;
 }
 
+/* The addresses to join at changed. */
+static void
+on_setting(void *arg, const struct gyp_setting *s)
+{
+	struct app *app = arg;
+
+	if (s->dest == &app->set->join)
+		gyp_settings_replace_port(app->set->join, app->set->join_port);
+}
+
 static int
-run(const struct settings *set, bool init)
+run(struct settings *set, const struct gyp_program *program)
 {
 	struct app app = {.set = set};
+	struct gyp_reload *reload = NULL;
 	struct gyp_error err = {.code = GYP_OK};
 	ev_signal term, interrupt;
 
@@ -572,7 +584,7 @@
 	app.metrics_owner.ops = &metrics_ops;
 	app.loop = ev_default_loop(EVFLAG_AUTO);
 	app.timers = gyp_timers_new(app.loop);
-	if (start(&app, init, &err) != GYP_OK) {
+	if (start(&app, program->init, &err) != GYP_OK) {
 		gyp_log(GYP_LOG_ERR, "start-failed",
 		    "reason=\"%s\" error=\"%s\"", gyp_status_name(err.code),
 		    err.message);
@@ -583,12 +595,15 @@
 		term.data = interrupt.data = &app;
 		ev_signal_start(app.loop, &term);
 		ev_signal_start(app.loop, &interrupt);
+		reload = gyp_reload_new(app.loop, app.timers, program->config,
+		    program->settings, program->n_settings, on_setting, &app);
 		gyp_log(GYP_LOG_NOTICE, "started",
 		    "listen=%s id=%016" G_GINT64_MODIFIER "x", set->listen,
 		    gyp_store_id(app.store));
 		flush(&app);
 		ev_run(app.loop, 0);
 	}
+	gyp_reload_free(reload);
 	gyp_httpd_free(app.metrics);
 	gyp_httpd_free(app.control_httpd);
 	gyp_pf_control_free(app.control);
@@ -663,8 +678,9 @@
 
 	if (code < 0) {
 		gyp_settings_replace_port(set.join, set.join_port);
-		code = run(&set, program.init);
+		code = run(&set, &program);
 	}
 	gyp_settings_clear(table, G_N_ELEMENTS(table));
+	g_free(program.config);
 	return code;
 }
--- a/src/gyp_entry.c
+++ b/src/gyp_entry.c
@@ -15,6 +15,7 @@
 #include "pf_client.h"
 #include "pf_front.h"
 #include "program.h"
+#include "reload.h"
 #include "timer.h"
 
 /* Interval of the core's clock, in ms. */
@@ -41,6 +42,7 @@
 
 struct app {
 	struct gyp_links_owner links_owner;
+	struct settings *set;
 	struct ev_loop *loop;
 	struct gyp_timers *timers;
 	struct gyp_links *links;
@@ -338,10 +340,25 @@
 	ev_loop_destroy(app->loop);
 }
 
+/* The addresses of replicas in the settings file changed. */
+static void
+on_setting(void *arg, const struct gyp_setting *s)
+{
+	struct app *app = arg;
+	char **address;
+
+	if (s->dest != &app->set->cells)
+		return;
+	gyp_settings_replace_port(app->set->cells, app->set->cells_port);
+	for (address = app->set->cells; *address != NULL; address++)
+		gyp_entry_learn_cell(app->core, *address);
+}
+
 static int
-run(const struct settings *set)
+run(struct settings *set, const struct gyp_program *program)
 {
-	struct app app = {.draining = false};
+	struct app app = {.set = set};
+	struct gyp_reload *reload;
 	struct gyp_error err = {.code = GYP_OK};
 	ev_signal term, interrupt;
 
@@ -356,10 +373,13 @@
 	ev_signal_start(app.loop, &term);
 	ev_signal_start(app.loop, &interrupt);
 	gyp_timer_every(app.timers, TICK_MS, on_tick, &app);
+	reload = gyp_reload_new(app.loop, app.timers, program->config,
+	    program->settings, program->n_settings, on_setting, &app);
 	gyp_log(GYP_LOG_NOTICE, "started", "listen=%s", set->listen);
 	ev_run(app.loop, 0);
 	ev_signal_stop(app.loop, &term);
 	ev_signal_stop(app.loop, &interrupt);
+	gyp_reload_free(reload);
 	stop(&app);
 	return EXIT_SUCCESS;
 }
@@ -393,8 +413,9 @@
 
 	if (code < 0) {
 		gyp_settings_replace_port(set.cells, set.cells_port);
-		code = run(&set);
+		code = run(&set, &program);
 	}
 	gyp_settings_clear(table, G_N_ELEMENTS(table));
+	g_free(program.config);
 	return code;
 }
--- a/src/program.c
+++ b/src/program.c
@@ -92,6 +92,6 @@
 		code = load_settings(p, &o);
 		p->init = o.init;
 	}
-	g_free(o.config);
+	p->config = o.config;
 	return code;
 }
