Raft: no entries to a member that does not answer

Change: a member silent for an election timeout is probed by an append without entries; a heartbeat during a transfer carries no data.

--- a/src/raft_elect.c
+++ b/src/raft_elect.c
@@ -54,6 +54,7 @@
 		    &g_array_index(r->peers, struct gyp_raft_progress, i);
 
 		p->heard = r->now;
+		p->answered = r->now;
 	}
 	gyp_raft_append_noop(r);
 	r->term_start = gyp_raft_last_index(r);
--- a/src/raft_int.h
+++ b/src/raft_int.h
@@ -132,7 +132,8 @@
 struct gyp_raft_progress *gyp_raft_find_peer(
     const struct gyp_raft *r, uint64_t id);
 void gyp_raft_sync_peers(struct gyp_raft *r);
-void gyp_raft_send_chunk(struct gyp_raft *r, struct gyp_raft_progress *p);
+void gyp_raft_send_chunk(
+    struct gyp_raft *, struct gyp_raft_progress *, bool empty);
 void gyp_raft_replicate(
     struct gyp_raft *r, struct gyp_raft_progress *p, bool force);
 void gyp_raft_replicate_all(struct gyp_raft *r, bool force);
--- a/src/raft_send.c
+++ b/src/raft_send.c
@@ -118,8 +118,15 @@
 	}
 }
 
+/* What was sent may be lost, and a dead member must not be sent the log. */
+static bool
+is_silent(const struct gyp_raft *r, const struct gyp_raft_progress *p)
+{
+	return r->now > p->answered + r->cfg.election_ms;
+}
+
 void
-gyp_raft_send_chunk(struct gyp_raft *r, struct gyp_raft_progress *p)
+gyp_raft_send_chunk(struct gyp_raft *r, struct gyp_raft_progress *p, bool empty)
 {
 	Gyp__RaftMsg m =
 	    gyp_raft_make_message(r, GYP__RAFT_TYPE__RAFT_SNAPSHOT, p->id);
@@ -127,7 +134,7 @@
 	const uint8_t *data = g_bytes_get_data(r->snap_file, &len);
 
 	/* Probes with an empty chunk while the member does not answer. */
-	if (r->now > p->answered + r->cfg.election_ms)
+	if (is_silent(r, p) || empty)
 		room = 0;
 	p->offset = MIN(p->offset, len);
 	m.index = r->snap_index;
@@ -141,6 +148,23 @@
 	r->io->ops->send(r->io, p->id, &m);
 }
 
+/* An append without entries; its answer tells what the member holds. */
+static void
+probe(struct gyp_raft *r, struct gyp_raft_progress *p)
+{
+	Gyp__RaftMsg m =
+	    gyp_raft_make_message(r, GYP__RAFT_TYPE__RAFT_APPEND, p->id);
+
+	p->next = MAX(p->match + 1, r->snap_index + 1);
+	p->inflight = 0;
+	m.index = p->next - 1;
+	m.log_term = gyp_raft_term_at(r, m.index);
+	m.commit = r->commit;
+	m.round = r->now;
+	p->sent = r->now;
+	r->io->ops->send(r->io, p->id, &m);
+}
+
 static void
 send_entries(struct gyp_raft *r, struct gyp_raft_progress *p)
 {
@@ -184,17 +208,18 @@
 	if (p->next <= r->snap_index) {
 		if (!p->snapshot)
 			p->offset = 0;
+		/* A heartbeat during a transfer carries nothing again. */
 		if (!p->snapshot || force) {
+			gyp_raft_send_chunk(r, p, p->snapshot);
 			p->snapshot = true;
-			gyp_raft_send_chunk(r, p);
 		}
 		return;
 	}
 	p->snapshot = false;
-	if (force && p->inflight >= INFLIGHT_MAX / 2 &&
-	    r->now > p->answered + 2 * r->cfg.heartbeat_ms) {
-		p->next = MAX(p->match + 1, r->snap_index + 1);
-		p->inflight = 0;
+	if (is_silent(r, p)) {
+		if (force)
+			probe(r, p);
+		return;
 	}
 	if (!force &&
 	    (p->inflight >= INFLIGHT_MAX || p->next > gyp_raft_last_index(r)))
--- a/src/raft_snap.c
+++ b/src/raft_snap.c
@@ -131,7 +131,7 @@
 	if (m->offset != p->offset)
 		p->moved = r->now;
 	p->offset = m->offset;
-	gyp_raft_send_chunk(r, p);
+	gyp_raft_send_chunk(r, p, false);
 }
 
 void
