Entries leave a silent replica after 600 ms

Cause: an entry whose leader was frozen or lost power waited 1200 ms before it tried another. Ruled out: the election itself, which takes 200 to 400 ms.

--- a/src/gyp_entry.c
+++ b/src/gyp_entry.c
@@ -22,8 +22,8 @@
 #define TICK_MS 20
 
 /* Pauses of the core before it speaks to a replica, in ms. */
-#define KEEPALIVE_MS 300
-#define SILENCE_MS   1200
+#define KEEPALIVE_MS 200
+#define SILENCE_MS   600
 
 /* Time for the leader to take what the admission service said, in ms. */
 #define ADVISED_MS 3000
