Entries give up unsent requests in an outage of unknown length

Change: an entry that heard no leader for 1.5 s, longer than any change of leader takes, answers 503 with Retry-After at once for what never left it. Requests that may have reached a leader are still waited for. Test /entry/outage, red before.

--- a/src/entry.c
+++ b/src/entry.c
@@ -115,6 +115,7 @@
 on_leader(struct gyp_entry_core *e)
 {
 	e->heard = e->now;
+	e->led_at = e->now;
 	e->rotate_at = 0;
 	if (e->led_epoch == e->epoch)
 		return;
@@ -199,10 +200,13 @@
 void
 gyp_entry_tick(struct gyp_entry_core *e, uint64_t now)
 {
-	if (e->now == 0)
+	if (e->now == 0) {
 		e->heard = now;
+		e->led_at = now;
+	}
 	e->now = MAX(e->now, now);
 	gyp_entry_expire_calls(e);
+	gyp_entry_shed_calls(e);
 	gyp_entry_sweep_attempts(e);
 	if ((e->rotate_at != 0 && e->now >= e->rotate_at) ||
 	    e->now >= e->heard + e->cfg.silence_ms)
--- a/src/entry.h
+++ b/src/entry.h
@@ -33,6 +33,13 @@
 /* Time for the refusal of a key to be committed, in ms. */
 #define GYP_REFUSE_MS 3000
 
+/*
+ * Load pattern answered: all replicas gone at once. A change of leader is over
+ * within this time, in ms; an outage that lasts longer has no known end, so
+ * requests about flows that were not sent are given up and told to return.
+ */
+#define GYP_OUTAGE_MS 1500
+
 /* Most open calls, and most bytes of them. */
 #define GYP_ENTRY_CALLS_MAX 4000
 #define GYP_ENTRY_BYTES_MAX (8 * 1024 * 1024)
@@ -102,7 +109,10 @@
 void gyp_entry_disconnected(
     struct gyp_entry_core *, uint64_t now, const char *address);
 
-/* Makes a call; its id field is filled in. Returns the id, 0 when full. */
+/*
+ * Makes a call; its id field is filled in. Returns the id; 0 when full, and
+ * for a call about a flow in an outage longer than GYP_OUTAGE_MS.
+ */
 uint64_t gyp_entry_call(struct gyp_entry_core *, uint64_t now,
     const Gyp__Call *, uint32_t timeout_ms, void *owner);
 
--- a/src/entry_calls.c
+++ b/src/entry_calls.c
@@ -220,6 +220,33 @@
 	}
 }
 
+static bool
+in_outage(const struct gyp_entry_core *e)
+{
+	return e->led_epoch != e->epoch && e->led_at != 0 &&
+	       e->now >= e->led_at + GYP_OUTAGE_MS;
+}
+
+void
+gyp_entry_shed_calls(struct gyp_entry_core *e)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!in_outage(e))
+		return;
+	g_hash_table_iter_init(&iter, e->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct gyp_call *c = value;
+
+		if (c->msg->c_case != GYP__CALL__C_FLOW || c->sends > 0)
+			continue;
+		push_answer(e, c, true, NULL);
+		e->call_bytes -= c->bytes;
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
 /* ---- Sending ----------------------------------------------------------- */
 
 static gint
@@ -302,7 +329,8 @@
 
 	e->now = MAX(e->now, now);
 	if (g_hash_table_size(e->calls) >= GYP_ENTRY_CALLS_MAX ||
-	    e->call_bytes >= GYP_ENTRY_BYTES_MAX)
+	    e->call_bytes >= GYP_ENTRY_BYTES_MAX ||
+	    (msg->c_case == GYP__CALL__C_FLOW && in_outage(e)))
 		return 0;
 	id = gyp_entry_add_call(e, kind, msg, timeout_ms, owner)->id;
 	gyp_entry_tick(e, now);
--- a/src/entry_int.h
+++ b/src/entry_int.h
@@ -60,6 +60,7 @@
 	uint64_t epoch;       /* rises with each connection or target */
 	uint64_t named_epoch; /* in which the name was sent */
 	uint64_t led_epoch;   /* in which the target said that it leads */
+	uint64_t led_at;      /* when a leader last spoke */
 	uint64_t heard;       /* last frame, or start of the current target */
 	uint64_t rotate_at;
 	uint64_t sent_at;
@@ -90,6 +91,8 @@
     const Gyp__Call *, uint32_t timeout_ms, void *owner);
 void gyp_entry_on_reply(struct gyp_entry_core *, const Gyp__Reply *);
 void gyp_entry_expire_calls(struct gyp_entry_core *);
+/* Gives up unsent calls about flows in an outage of unknown length. */
+void gyp_entry_shed_calls(struct gyp_entry_core *);
 /* All open calls must be sent again, to a new leader or connection. */
 void gyp_entry_requeue_calls(struct gyp_entry_core *);
 /* Appends the messages of calls to send to the list, up to a frame's size. */
--- a/test/test_entry_terms.c
+++ b/test/test_entry_terms.c
@@ -94,11 +94,55 @@
 	gyp_entry_free(e);
 }
 
+static uint64_t
+call_flow(struct gyp_entry_core *e, uint64_t now)
+{
+	Gyp__Call msg = GYP__CALL__INIT;
+	Gyp__FlowCall flow = GYP__FLOW_CALL__INIT;
+
+	msg.c_case = GYP__CALL__C_FLOW;
+	msg.flow = &flow;
+	return gyp_entry_call(e, now, &msg, 60000, NULL);
+}
+
+/*
+ * All replicas are gone for long: what was not sent is given up at once, long
+ * before its time is over, and what comes meanwhile is not taken.
+ */
+static void
+test_outage(void)
+{
+	struct gyp_entry_core *e = make_entry();
+	struct gyp_answer answer;
+	uint64_t id, now;
+
+	gyp_entry_tick(e, 1000);
+	receive(e, 1010, 3, true);
+	gyp_entry_disconnected(e, 1020, CELL_A);
+	id = call_flow(e, 1030);
+	g_assert_cmpuint(id, !=, 0);
+	for (now = 1040; now < 1010 + GYP_OUTAGE_MS; now += 20) {
+		gyp_entry_tick(e, now);
+		g_assert_false(gyp_entry_pop_answer(e, &answer));
+	}
+	gyp_entry_tick(e, 1010 + GYP_OUTAGE_MS);
+	g_assert_true(gyp_entry_pop_answer(e, &answer));
+	g_assert_cmpuint(answer.call, ==, id);
+	g_assert_null(answer.reply);
+	g_assert_false(answer.sent);
+	now = 1020 + GYP_OUTAGE_MS;
+	g_assert_cmpuint(call_flow(e, now), ==, 0);
+	receive(e, now + 10, 4, true);
+	g_assert_cmpuint(call_flow(e, now + 20), !=, 0);
+	gyp_entry_free(e);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/entry/resend-in-new-term", test_resend_in_new_term);
 	g_test_add_func("/entry/refusal-keeps-term", test_refusal_keeps_term);
+	g_test_add_func("/entry/outage", test_outage);
 	return g_test_run();
 }
