--- a/src/fleet.c
+++ b/src/fleet.c
@@ -85,9 +85,16 @@
 	Gyp__Cmd cmd = GYP__CMD__INIT;
 	Gyp__CmdFlowEnd end = GYP__CMD_FLOW_END__INIT;
 
+	const struct gyp_host *h = gyp_host_at(f->flows, run->row);
+
 	if (run->ending)
 		return;
 	run->ending = true;
+	if (how != GYP__FLOW_HOW__FLOW_DONE && h != NULL)
+		gyp_events_add(f->cfg.events, "run-ended",
+		    RUN_ID " how=%s endpoint=%s starts_sent=%u confirmed=%d",
+		    RUN_ARGS(run), gyp_flow_how_name(how), h->spec->id,
+		    run->sends, run->phase == GYP_RUN_UP);
 	end.flow = run->key.flow;
 	end.task = run->key.task;
 	end.run = run->run;
@@ -177,6 +184,10 @@
 {
 	guint i;
 
+	gyp_events_add(f->cfg.events, "endpoint-reborn",
+	    "row=%u born_ms=%" G_GUINT64_FORMAT " before_ms=%" G_GUINT64_FORMAT
+	    " runs=%u",
+	    peer->row, born_ms, peer->born_ms, peer->runs->len);
 	peer->born_ms = born_ms;
 	peer->gone_at = 0;
 	peer->clock_at = 0;
@@ -306,6 +317,9 @@
 	if (h == NULL || h->spec->gone || peer->gone_proposed)
 		return;
 	peer->gone_proposed = true;
+	gyp_events_add(f->cfg.events, "endpoint-gone",
+	    "endpoint=%s runs=%u heard_ms_ago=%" G_GUINT64_FORMAT, h->spec->id,
+	    peer->runs->len, f->now - peer->heard_at);
 	host = *h->spec;
 	host.gone = true;
 	cmd.c_case = GYP__CMD__C_HOST;
@@ -396,8 +410,14 @@
 		}
 		return;
 	}
-	if (f->now >= lease_over_at(f, peer) && peer->runs->len > 0)
+	if (f->now >= lease_over_at(f, peer) && peer->runs->len > 0) {
+		gyp_events_add(f->cfg.events, "lease-over",
+		    "endpoint=%s runs=%u heard_ms_ago=%" G_GUINT64_FORMAT
+		    " failures=%u",
+		    h->spec->id, peer->runs->len, f->now - peer->heard_at,
+		    peer->failures);
 		end_all(f, peer, GYP__FLOW_HOW__FLOW_LAPSED);
+	}
 	if (peer->runs->len == 0 &&
 	    f->now >= MAX(peer->heard_at, f->since) + FORGET_MS)
 		propose_gone(f, peer);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#include "event.h"
 #include "flow.h"
 
 /*
@@ -116,6 +117,7 @@
 struct gyp_fleet_config {
 	uint32_t lease_ms;      /* longest lease that endpoints grant */
 	uint32_t stop_grace_ms; /* longest time that a stop takes */
+	struct gyp_events *events; /* or NULL */
 };
 
 /* What the leader learnt of a run from the last look. */
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -161,6 +161,10 @@
 		run->view.up = true;
 		return;
 	}
+	if (a->end == GYP_FLEET_REFUSED)
+		gyp_events_add(f->cfg.events, "start-refused",
+		    RUN_ID " reason=%d row=%u starts_sent=%u", RUN_ARGS(run),
+		    a->reason, run->row, run->sends);
 	if (a->reason == GYP_REASON_TICKET)
 		note_bad_ticket(f, run);
 	/* A start that was lost before may be carried out yet: ask to stop. */
@@ -193,12 +197,24 @@
 		peer->gone_at = f->now;
 }
 
+static void
+note_doubt(struct gyp_fleet *f, const struct gyp_peer *peer)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, peer->row);
+
+	if (peer->failures == 1 && h != NULL)
+		gyp_events_add(f->cfg.events, "endpoint-silent",
+		    "endpoint=%s runs=%u heard_ms_ago=%" G_GUINT64_FORMAT,
+		    h->spec->id, peer->runs->len, f->now - peer->heard_at);
+}
+
 static void
 note_contact(struct gyp_fleet *f, struct gyp_peer *peer,
     const struct gyp_fleet_answer *a)
 {
 	if (a->end == GYP_FLEET_LOST) {
 		peer->failures++;
+		note_doubt(f, peer);
 		f->sweep_at = 0;
 		return;
 	}
@@ -208,6 +224,9 @@
 	}
 	if (a->born_ms > peer->born_ms)
 		gyp_peer_reborn(f, peer, a->born_ms);
+	if (peer->failures > 0)
+		gyp_events_add(f->cfg.events, "endpoint-answers",
+		    "row=%u after_failures=%u", peer->row, peer->failures);
 	peer->failures = 0;
 	peer->met = true;
 	peer->heard_at = f->now;
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -13,6 +13,10 @@
  *	fleet_look.c	lists of runs and ends
  */
 
+/* How events name a run. */
+#define RUN_ID "flow=%016" G_GINT64_MODIFIER "x task=%u run=%u"
+#define RUN_ARGS(r) (r)->key.flow, (r)->key.task, (r)->run
+
 /* Looks under way at one endpoint: one that waits and one that does not. */
 #define GYP_LOOKS_MAX 2
 
--- a/src/flow_lead.c
+++ b/src/flow_lead.c
@@ -22,6 +22,7 @@
 struct gyp_flow_lead {
 	struct gyp_flows_listener listener;
 	struct gyp_flows *flows;
+	struct gyp_events *events;
 	struct gyp_fleet *fleet;
 	struct gyp_admission *admission;
 	struct gyp_placer *placer;
@@ -30,6 +31,8 @@
 	GQueue asks;       /* struct sent_ask */
 	uint64_t now;
 	uint64_t round_at;
+	uint64_t noted_flow; /* whose start was told last */
+	const struct gyp_flow_unit *noted_unit;
 };
 
 struct sent_ask {
@@ -39,6 +42,49 @@
 
 /* ---- Tables ------------------------------------------------------------- */
 
+/* One line for the tasks of a unit that one command started. */
+static void
+note_start(struct gyp_flow_lead *lead, const struct gyp_flow *flow,
+    uint32_t task)
+{
+	const struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
+	const struct gyp_host *h =
+	    gyp_host_at(lead->flows, flow->tasks[task].host);
+
+	if (lead->noted_flow == flow->id && lead->noted_unit == u)
+		return;
+	lead->noted_flow = flow->id;
+	lead->noted_unit = u;
+	gyp_events_add(lead->events, "started",
+	    "flow=%016" G_GINT64_MODIFIER "x time=%u step=%u run=%u open=%u "
+	    "left=%u priority=%u age_ms=%" G_GUINT64_FORMAT
+	    " first_endpoint=%s",
+	    flow->id, u->time, u->number, flow->tasks[task].run, u->open,
+	    u->left, flow->spec->queue->priority,
+	    flow->tasks[task].since_ms - flow->accepted_ms, h->spec->id);
+}
+
+static void
+note_end(struct gyp_flow_lead *lead, const struct gyp_flow *flow,
+    uint32_t task)
+{
+	const struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
+	uint64_t at = flow->tasks[task].since_ms;
+
+	if (u->left == 0)
+		gyp_events_add(lead->events, "step-done",
+		    "flow=%016" G_GINT64_MODIFIER
+		    "x time=%u step=%u tasks=%u age_ms=%" G_GUINT64_FORMAT,
+		    flow->id, u->time, u->number, u->step->count,
+		    at - flow->accepted_ms);
+	if (!gyp_flow_is_alive(flow) && flow->open == 0)
+		gyp_events_add(lead->events, "flow-over",
+		    "flow=%016" G_GINT64_MODIFIER
+		    "x state=%s age_ms=%" G_GUINT64_FORMAT,
+		    flow->id, gyp_flow_state_name(flow->state),
+		    at - flow->accepted_ms);
+}
+
 static void
 on_started(struct gyp_flows_listener *l, struct gyp_flow *flow, uint32_t task)
 {
@@ -47,6 +93,7 @@
 	    gyp_flow_unit_of(flow, task), flow->tasks[task].host, lead->now);
 
 	gyp_fleet_started(lead->fleet, flow, task, ticket);
+	note_start(lead, flow, task);
 }
 
 static void
@@ -57,6 +104,8 @@
 
 	(void)host;
 	(void)how;
+	lead->noted_unit = NULL;
+	note_end(lead, flow, task);
 	gyp_fleet_ended(lead->fleet, flow, task);
 	lead->round_at = 0;
 }
@@ -142,6 +191,11 @@
 		sent->entry = lane->entry;
 		sent->ask = asks->pdata[i++];
 		lane->ask = sent->ask->id;
+		gyp_events_add(lead->events, "asked",
+		    "ask=%" G_GUINT64_FORMAT " flow=%016" G_GINT64_MODIFIER
+		    "x time=%u step=%u endpoints=%zu",
+		    sent->ask->id, sent->ask->flow, sent->ask->time,
+		    sent->ask->step, sent->ask->n_endpoints);
 		lane->asked_at = lead->now;
 		g_queue_push_tail(&lead->asks, sent);
 	}
@@ -155,6 +209,11 @@
 	struct lane *lane = g_hash_table_lookup(lead->lanes, &entry);
 
 	lead->now = MAX(lead->now, now);
+	gyp_events_add(lead->events, "admitted",
+	    "ask=%" G_GUINT64_FORMAT " ok=%d endpoints=%zu valid_ms=%u "
+	    "took_ms=%" G_GUINT64_FORMAT,
+	    answer->id, answer->ok, answer->n_tickets, answer->valid_ms,
+	    lane != NULL ? lead->now - lane->asked_at : 0);
 	if (lane != NULL && lane->ask == answer->id)
 		lane->ask = 0;
 	gyp_admission_learn(lead->admission, lead->now, answer);
@@ -266,6 +325,7 @@
 
 	lead->listener.ops = &listener_ops;
 	lead->flows = flows;
+	lead->events = cfg->events;
 	lead->now = now;
 	lead->fleet = gyp_fleet_new(cfg, flows, now, fence);
 	lead->admission = gyp_admission_new(flows, (fence << 32) + 1);
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -14,6 +14,7 @@
 /* ---- Small things used everywhere --------------------------------------- */
 #include "buf.h"
 #include "counters.h"
+#include "event.h" /* what the core decided, for the log */
 #include "json.h"
 #include "msg.h"
 #include "status.h"
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -105,6 +105,17 @@
 	g_free(author);
 }
 
+static void
+note_events(struct app *app)
+{
+	struct gyp_event e;
+
+	while (gyp_replica_pop_event(app->replica, &e)) {
+		gyp_log(GYP_LOG_INFO, e.name, "%s", e.fields);
+		g_free(e.fields);
+	}
+}
+
 static void
 note_members(struct app *app)
 {
@@ -174,6 +185,7 @@
 	}
 	note_role(app);
 	note_rules(app);
+	note_events(app);
 	app->flushing = false;
 }
 
--- a/src/log.c
+++ b/src/log.c
@@ -1,7 +1,11 @@
+#include <poll.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <unistd.h>
 
+#include <glib.h>
+
 #include "log.h"
 
 /* Longest line, in bytes. */
@@ -17,6 +21,49 @@
 	log_least = least;
 }
 
+/* Lines dropped so far, and since they were last told. */
+static unsigned long log_dropped;
+static unsigned long log_untold;
+
+/* Whether a write would not block now. */
+static bool
+has_room(void)
+{
+	struct pollfd p = {.fd = STDOUT_FILENO, .events = POLLOUT};
+
+	return poll(&p, 1, 0) == 1 && (p.revents & POLLOUT) != 0;
+}
+
+/*
+ * A pipe with room takes a line of up to PIPE_BUF bytes whole; the descriptor
+ * may be shared, so that it is not made non-blocking.
+ */
+static bool
+write_line(int priority, const char *event, const char *fields)
+{
+	char line[LINE_MAX_BYTES + 256];
+	int len = snprintf(line, sizeof(line), "<%d> %s[%d]: %s %s\n",
+	    priority, log_program, (int)getpid(), event, fields);
+	size_t size = MIN((size_t)len, sizeof(line) - 1);
+
+	return has_room() && write(STDOUT_FILENO, line, size) > 0;
+}
+
+static const char *
+dropped_text(void)
+{
+	static char text[64];
+
+	snprintf(text, sizeof(text), "lines=%lu", log_untold);
+	return text;
+}
+
+unsigned long
+gyp_log_dropped(void)
+{
+	return log_dropped;
+}
+
 /* What came from elsewhere must not begin a line of its own. */
 static void
 hide_controls(char *text)
@@ -39,6 +86,11 @@
 	if (priority > log_least)
 		return;
 	hide_controls(fields);
-	fprintf(stderr, "<%d> %s[%d]: %s %s\n", priority, log_program,
-	    (int)getpid(), event, fields);
+	if (log_untold > 0 &&
+	    write_line(GYP_LOG_WARNING, "lines-dropped", dropped_text()))
+		log_untold = 0;
+	if (log_untold > 0 || !write_line(priority, event, fields)) {
+		log_untold++;
+		log_dropped++;
+	}
 }
--- a/src/log.h
+++ b/src/log.h
@@ -3,12 +3,14 @@
 
 /*
  * NAME
- *	log - syslog-style lines on standard error
+ *	log - structured lines on standard output
  *
  * DESCRIPTION
  *	One line per event: "<priority> program[pid]: event key=value ...".
  *	Values with spaces are for the caller to quote; control characters are
- *	written as "?".
+ *	written as "?". Writing never waits: a line that the reader has no room
+ *	for is dropped, and the next line that gets through is preceded by one
+ *	that tells how many were.
  */
 
 enum gyp_priority {
@@ -19,6 +21,9 @@
 	GYP_LOG_DEBUG = 7
 };
 
+/* Lines that were dropped so far. */
+unsigned long gyp_log_dropped(void);
+
 /* Names the program and sets the least urgent priority that is written. */
 void gyp_log_open(const char *program, enum gyp_priority least);
 
--- a/src/replica.c
+++ b/src/replica.c
@@ -450,6 +450,7 @@
 gyp_replica_advance(struct gyp_replica *r, uint64_t now)
 {
 	r->now = MAX(r->now, now);
+	gyp_events_set_time(r->events, r->now);
 	gyp_raft_tick(r->raft, r->now);
 	check_role(r);
 }
@@ -655,6 +656,7 @@
 	r->usage = gyp_usage_new();
 	r->running = gyp_running_new();
 	r->counters = gyp_counters_new();
+	r->events = gyp_events_new();
 	return r;
 }
 
@@ -686,6 +688,7 @@
 	gyp_usage_free(r->usage);
 	gyp_running_free(r->running);
 	gyp_counters_free(r->counters);
+	gyp_events_free(r->events);
 	gyp_state_free(r->state);
 	gyp_raft_free(r->raft);
 	g_free(r->contact);
--- a/src/replica.h
+++ b/src/replica.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "counters.h"
+#include "event.h"
 #include "fleet.h"
 #include "policy.h"
 #include "raft.h"
@@ -113,6 +114,9 @@
 void gyp_replica_call_answered(
     struct gyp_replica *, uint64_t now, const struct gyp_fleet_answer *);
 
+/* Lines for the log; the caller releases the fields. */
+bool gyp_replica_pop_event(struct gyp_replica *, struct gyp_event *);
+
 /* Where the leader listens, or NULL when it is not known. */
 const char *gyp_replica_leader_address(const struct gyp_replica *);
 
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -20,6 +20,11 @@
 	msg.id = call;
 	msg.code = code;
 	msg.message = (char *)message;
+	if (code != GYP__CODE__CODE_OK)
+		gyp_events_add(r->events, "request-refused",
+		    "entry=%016" G_GINT64_MODIFIER "x call=%" G_GUINT64_FORMAT
+		    " code=%d reason=\"%s\"",
+		    entry, call, code, message);
 	if (code == GYP__CODE__CODE_BUSY)
 		msg.retry_ms = NO_MANIFEST_RETRY_MS;
 	gyp_replica_reply(r, entry, &msg);
@@ -178,6 +183,24 @@
 		reply_state(r, entry, call->id, flow);
 }
 
+/* A submit or cancel is committed. */
+static void
+note_answer(struct gyp_replica *r, const Gyp__Call *call,
+    const struct gyp_flow *flow)
+{
+	if (call->flow->cancel)
+		gyp_events_add(r->events, "flow-cancelled",
+		    "flow=%016" G_GINT64_MODIFIER "x open=%u", flow->id,
+		    flow->open);
+	else if (call->flow->submit != NULL)
+		gyp_events_add(r->events, "flow-accepted",
+		    "flow=%016" G_GINT64_MODIFIER
+		    "x queue=%s steps=%zu tasks=%u version=%" G_GUINT64_FORMAT,
+		    flow->id, flow->spec->queue->name, flow->spec->n_steps,
+		    flow->n_tasks,
+		    gyp_flows_manifest(gyp_state_flows(r->state))->version);
+}
+
 void
 gyp_replica_answer_flow(
     struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
@@ -188,11 +211,13 @@
 
 	if (rest != NULL && parse_id(rest + 1, &id))
 		flow = gyp_flow_get(gyp_state_flows(r->state), id);
-	if (flow != NULL)
+	if (flow != NULL) {
+		note_answer(r, call, flow);
 		reply_state(r, entry, call->id, flow);
-	else
+	} else {
 		reply_code(r, entry, call->id, GYP__CODE__CODE_BUSY,
 		    "too many flows are known");
+	}
 	gyp_flow_lead_touch(r->flow_lead);
 }
 
@@ -291,6 +316,12 @@
 	}
 }
 
+bool
+gyp_replica_pop_event(struct gyp_replica *r, struct gyp_event *e)
+{
+	return gyp_events_pop(r->events, e);
+}
+
 const char *
 gyp_replica_leader_address(const struct gyp_replica *r)
 {
@@ -309,7 +340,8 @@
 gyp_replica_lead_flows(struct gyp_replica *r)
 {
 	struct gyp_fleet_config cfg = {.lease_ms = r->cfg.run_lease_ms,
-	    .stop_grace_ms = r->cfg.stop_grace_ms};
+	    .stop_grace_ms = r->cfg.stop_grace_ms,
+	    .events = r->events};
 
 	r->flow_lead = gyp_flow_lead_new(
 	    &cfg, gyp_state_flows(r->state), r->now, r->lead_term);
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -108,6 +108,7 @@
 	Gyp__Member *joiner;    /* asks for membership, or NULL */
 	struct gyp_removal removal;
 	struct gyp_flow_lead *flow_lead; /* NULL while not leading */
+	struct gyp_events *events;
 	GQueue local_replies;            /* Gyp__Reply */
 	uint64_t wall_ms;                /* Unix time, for due times only */
 };
