Look at endpoints in short waits, repeat lost starts early

Ruled out: waiting for admission or room.

Change: a look waits 400 ms at most and is given up 250 ms later; the first start after 150 ms, each further one after twice the time.

--- a/src/event.h
+++ b/src/event.h
@@ -18,7 +18,7 @@
  */
 
 /* Lines of one kind of event in one second. */
-#define GYP_EVENT_BUDGET 60
+#define GYP_EVENT_BUDGET 100
 
 struct gyp_events;
 
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -12,8 +12,11 @@
 /* An endpoint that was not heard for this long gets no new run, in ms. */
 #define SILENT_MS 4500
 
-/* Longest wait of a look for an end, in ms. */
-#define LOOK_WAIT_MS 1200
+/*
+ * Longest wait of a look for an end, in ms: an answer that is lost delays what
+ * ended meanwhile by about this much.
+ */
+#define LOOK_WAIT_MS 400
 
 /* Pause between looks at an endpoint that does not answer, in ms. */
 #define LOOK_RETRY_MS 250
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -2,10 +2,15 @@
 
 #include "fleet_int.h"
 
-/* Time for an answer, in ms; of a look on top of its wait. */
-#define START_MS 500
-#define STOP_MS  700
-#define LOOK_MS  700
+/*
+ * Time for an answer, in ms; of a look on top of its wait. Load pattern
+ * answered: endpoints that leave a share of the calls unanswered. A start that
+ * is repeated does no harm, so the first one is given up early; each further
+ * one gets twice the time.
+ */
+#define START_MS 150
+#define STOP_MS  500
+#define LOOK_MS  250
 
 /* Starts of one run without an answer, before it is stopped. */
 #define STARTS_MAX 4
@@ -80,7 +85,8 @@
 {
 	const struct gyp_host *h = gyp_host_at(f->flows, run->row);
 	const struct gyp_flow_task *t = &run->flow->tasks[run->key.task];
-	struct gyp_fleet_call *call = new_call(f, h, GYP_FLEET_START, START_MS);
+	struct gyp_fleet_call *call = new_call(
+	    f, h, GYP_FLEET_START, START_MS << MIN(run->sends, STARTS_MAX));
 
 	name_run(f, call, run);
 	call->until_ms = extend_lease(f, gyp_fleet_peer(f, run->row));
--- a/src/flow_lead.c
+++ b/src/flow_lead.c
@@ -55,7 +55,7 @@
 		return;
 	lead->noted_flow = flow->id;
 	lead->noted_unit = u;
-	gyp_events_add(lead->events, "started",
+	gyp_events_add(lead->events, "run-started",
 	    "flow=%016" G_GINT64_MODIFIER "x time=%u step=%u run=%u open=%u "
 	    "left=%u priority=%u age_ms=%" G_GUINT64_FORMAT
 	    " first_endpoint=%s",
