--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 	libev-dev libmicrohttpd-dev libcurl4-openssl-dev libglib2.0-dev \
 	libjansson-dev libprotobuf-c-dev libinih-dev zlib1g-dev curl valgrind mandoc
 SOURCES = $(filter-out src/wire.pb-c.c src/wire.pb-c.h, \
-	$(wildcard src/*.c src/*.h test/*.c test/*.h bench/*.c bench/*.h tools/*.c platform/*.c platform/*.h))
+	$(wildcard src/*.c src/*.h test/*.c test/*.h bench/*.c bench/*.h tools/*.c platform/*.c platform/*.h \
+	platform/standin/*.c platform/standin/*.h))
 
 .PHONY: all asan build capacity check clean demo deps format lint measure mutants \
 	proto running soak test tidy
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -115,8 +115,8 @@
 };
 
 struct gyp_fleet_config {
-	uint32_t lease_ms;      /* longest lease that endpoints grant */
-	uint32_t stop_grace_ms; /* longest time that a stop takes */
+	uint32_t lease_ms;         /* longest lease that endpoints grant */
+	uint32_t stop_grace_ms;    /* longest time that a stop takes */
 	struct gyp_events *events; /* or NULL */
 };
 
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -14,7 +14,7 @@
  */
 
 /* How events name a run. */
-#define RUN_ID "flow=%016" G_GINT64_MODIFIER "x task=%u run=%u"
+#define RUN_ID      "flow=%016" G_GINT64_MODIFIER "x task=%u run=%u"
 #define RUN_ARGS(r) (r)->key.flow, (r)->key.task, (r)->run
 
 /* Looks under way at one endpoint: one that waits and one that does not. */
--- a/src/flow_lead.c
+++ b/src/flow_lead.c
@@ -44,8 +44,8 @@
 
 /* One line for the tasks of a unit that one command started. */
 static void
-note_start(struct gyp_flow_lead *lead, const struct gyp_flow *flow,
-    uint32_t task)
+note_start(
+    struct gyp_flow_lead *lead, const struct gyp_flow *flow, uint32_t task)
 {
 	const struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
 	const struct gyp_host *h =
@@ -65,8 +65,7 @@
 }
 
 static void
-note_end(struct gyp_flow_lead *lead, const struct gyp_flow *flow,
-    uint32_t task)
+note_end(struct gyp_flow_lead *lead, const struct gyp_flow *flow, uint32_t task)
 {
 	const struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
 	uint64_t at = flow->tasks[task].since_ms;
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -28,8 +28,11 @@
 	uint32_t receive_ms;
 	uint32_t read_ms;
 	size_t body_max;
+	bool quiesced;
+	bool stopping;
 	struct gyp_timer *sweep;
 	GHashTable *connections; /* struct connection, as a set */
+	GHashTable *suspended;   /* struct gyp_http_request, as a set */
 };
 
 /* What a connection does: receives, waits for an answer, or is answered. */
@@ -184,6 +187,7 @@
 	set_deadline(req, req->httpd->receive_ms);
 	if (req->response != NULL)
 		MHD_destroy_response(req->response);
+	g_hash_table_remove(req->httpd->suspended, req);
 	gyp_buf_clear(&req->body);
 	g_ptr_array_free(req->headers, TRUE);
 	g_free(req->method);
@@ -255,6 +259,8 @@
 		*con_cls = new_request(cls, connection, method, url);
 		return MHD_YES;
 	}
+	if (req->httpd->stopping)
+		return MHD_NO;
 	if (*upload_data_size > 0) {
 		take_body(req, upload_data, *upload_data_size);
 		*upload_data_size = 0;
@@ -266,6 +272,7 @@
 		return MHD_queue_response(
 		    connection, req->status, req->response);
 	req->suspended = true;
+	g_hash_table_add(req->httpd->suspended, req);
 	MHD_suspend_connection(connection);
 	return MHD_YES;
 }
@@ -331,9 +338,13 @@
 	for (i = 0; i + 1 < req->headers->len; i += 2)
 		MHD_add_response_header(req->response, req->headers->pdata[i],
 		    req->headers->pdata[i + 1]);
+	/* Callers with open connections must go elsewhere before the end. */
+	if (req->httpd->quiesced)
+		MHD_add_response_header(req->response, "Connection", "close");
 	if (!req->suspended)
 		return;
 	req->suspended = false;
+	g_hash_table_remove(req->httpd->suspended, req);
 	MHD_resume_connection(req->connection);
 	ev_feed_event(req->httpd->loop, &req->httpd->io, EV_READ);
 }
@@ -371,10 +382,12 @@
 	h->read_ms = GYP_HTTP_READ_MS;
 	h->body_max = GYP_HTTP_BODY_MAX;
 	h->connections = g_hash_table_new_full(NULL, NULL, g_free, NULL);
+	h->suspended = g_hash_table_new(NULL, NULL);
 	if (!gyp_address_parse(address, &ss, &len) ||
 	    (h->daemon = start_daemon(h, &ss)) == NULL) {
 		gyp_fail(err, GYP_IO, "can't serve HTTP on %s", address);
 		g_hash_table_destroy(h->connections);
+		g_hash_table_destroy(h->suspended);
 		g_free(h);
 		return NULL;
 	}
@@ -391,6 +404,8 @@
 {
 	int fd = MHD_quiesce_daemon(h->daemon);
 
+	h->quiesced = true;
+
 	if (fd != MHD_INVALID_SOCKET)
 		close(fd);
 }
@@ -423,12 +438,24 @@
 void
 gyp_httpd_free(struct gyp_httpd *h)
 {
+	GHashTableIter iter;
+	gpointer key;
+
 	if (h == NULL)
 		return;
 	ev_io_stop(h->loop, &h->io);
 	gyp_timer_cancel(h->timers, h->wake);
 	gyp_timer_cancel(h->timers, h->sweep);
+	/* The library stops with no suspended connection only. */
+	g_hash_table_iter_init(&iter, h->suspended);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct gyp_http_request *req = key;
+
+		MHD_resume_connection(req->connection);
+	}
+	h->stopping = true;
 	MHD_stop_daemon(h->daemon);
+	g_hash_table_destroy(h->suspended);
 	g_hash_table_destroy(h->connections);
 	g_free(h);
 }
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -58,7 +58,7 @@
     struct gyp_httpd_owner *, const char *address, struct gyp_error *);
 void gyp_httpd_free(struct gyp_httpd *);
 
-/* Takes no new connection from now on. */
+/* Takes no new connection from now on; open ones end with their answer. */
 void gyp_httpd_quiesce(struct gyp_httpd *);
 
 /* Replaces GYP_HTTP_RECEIVE_MS and GYP_HTTP_READ_MS. */
--- a/src/log.c
+++ b/src/log.c
@@ -42,8 +42,8 @@
 write_line(int priority, const char *event, const char *fields)
 {
 	char line[LINE_MAX_BYTES + 256];
-	int len = snprintf(line, sizeof(line), "<%d> %s[%d]: %s %s\n",
-	    priority, log_program, (int)getpid(), event, fields);
+	int len = snprintf(line, sizeof(line), "<%d> %s[%d]: %s %s\n", priority,
+	    log_program, (int)getpid(), event, fields);
 	size_t size = MIN((size_t)len, sizeof(line) - 1);
 
 	return has_room() && write(STDOUT_FILENO, line, size) > 0;
--- a/src/program.h
+++ b/src/program.h
@@ -26,7 +26,7 @@
 	const struct gyp_setting_order *orders;
 	size_t n_orders;
 	char *config; /* set to the path of the settings file */
-	bool init; /* set by --init, for programs that allow it */
+	bool init;    /* set by --init, for programs that allow it */
 	bool allow_init;
 };
 
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -185,8 +185,8 @@
 
 /* A submit or cancel is committed. */
 static void
-note_answer(struct gyp_replica *r, const Gyp__Call *call,
-    const struct gyp_flow *flow)
+note_answer(
+    struct gyp_replica *r, const Gyp__Call *call, const struct gyp_flow *flow)
 {
 	if (call->flow->cancel)
 		gyp_events_add(r->events, "flow-cancelled",
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -109,8 +109,8 @@
 	struct gyp_removal removal;
 	struct gyp_flow_lead *flow_lead; /* NULL while not leading */
 	struct gyp_events *events;
-	GQueue local_replies;            /* Gyp__Reply */
-	uint64_t wall_ms;                /* Unix time, for due times only */
+	GQueue local_replies; /* Gyp__Reply */
+	uint64_t wall_ms;     /* Unix time, for due times only */
 };
 
 /* Stands for this very process among the entries. */
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -566,6 +566,56 @@
 	tear_down_door(&f);
 }
 
+/* ---- Server: an end while requests wait --------------------------------- */
+
+/* An owner that never answers and ends the loop at the first request. */
+struct mute {
+	struct gyp_httpd_owner owner;
+	struct ev_loop *loop;
+};
+
+static void
+on_mute_request(struct gyp_httpd_owner *owner, struct gyp_http_request *req)
+{
+	(void)req;
+	ev_break(((struct mute *)owner)->loop, EVBREAK_ALL);
+}
+
+static gpointer
+ask_mute(gpointer p)
+{
+	static const char text[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+	g_free(raw_ask(*(uint16_t *)p, text, strlen(text), FALSE));
+	return NULL;
+}
+
+/* A process that stops must not abort because a request awaits its answer. */
+static void
+test_stop_while_waiting(void)
+{
+	static const struct gyp_httpd_owner_ops ops = {
+	    .request = on_mute_request};
+	struct fixture f;
+	struct mute mute = {.owner.ops = &ops};
+	struct gyp_error err = {.code = GYP_OK};
+	uint16_t port = raw_free_port();
+	char *address = g_strdup_printf("127.0.0.1:%u", port);
+	struct gyp_httpd *httpd;
+	GThread *thread;
+
+	set_up(&f);
+	mute.loop = f.loop;
+	httpd = gyp_httpd_new(f.loop, f.timers, &mute.owner, address, &err);
+	g_assert_nonnull(httpd);
+	thread = g_thread_new("caller", ask_mute, &port);
+	ev_run(f.loop, 0);
+	gyp_httpd_free(httpd);
+	g_thread_join(thread);
+	g_free(address);
+	tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -578,5 +628,6 @@
 	g_test_add_func("/http/slow-sender", test_slow_sender);
 	g_test_add_func("/http/half-open", test_half_open);
 	g_test_add_func("/http/draining", test_draining);
+	g_test_add_func("/http/stop-while-waiting", test_stop_while_waiting);
 	return g_test_run();
 }
