Leader: fewer instructions and system calls a start

Change: sizes, pools and neighbours are kept with the rows; admissions are arrays; only endpoints that something happened to are looked after at once; handles of libcurl are kept; the timer's descriptor is only moved forward.

--- a/src/admission.c
+++ b/src/admission.c
@@ -21,10 +21,10 @@
 	uint32_t unit;
 };
 
-struct unit_words {
+struct gyp_admission_unit {
 	struct unit_key key;
-	uint32_t asking;   /* questions under way */
-	GHashTable *words; /* row -> struct word */
+	uint32_t asking; /* questions under way */
+	GArray *words;   /* struct word by row */
 };
 
 struct question {
@@ -35,7 +35,7 @@
 
 struct gyp_admission {
 	struct gyp_flows *flows;
-	GHashTable *units;     /* key -> struct unit_words */
+	GHashTable *units;     /* key -> struct gyp_admission_unit */
 	GHashTable *questions; /* id -> struct question */
 	uint64_t next_id;
 };
@@ -59,20 +59,19 @@
 }
 
 static void
-free_word(gpointer p)
+clear_word(gpointer p)
 {
 	struct word *w = p;
 
 	g_free(w->ticket);
-	g_free(w);
 }
 
 static void
 free_unit(gpointer p)
 {
-	struct unit_words *u = p;
+	struct gyp_admission_unit *u = p;
 
-	g_hash_table_destroy(u->words);
+	g_array_free(u->words, TRUE);
 	g_free(u);
 }
 
@@ -94,7 +93,7 @@
 	return key;
 }
 
-static struct unit_words *
+static struct gyp_admission_unit *
 find_unit(const struct gyp_admission *a, const struct gyp_flow *flow,
     const struct gyp_flow_unit *unit)
 {
@@ -104,27 +103,19 @@
 }
 
 static struct word *
-find_word(const struct gyp_admission *a, const struct gyp_flow *flow,
-    const struct gyp_flow_unit *unit, uint32_t row)
+word_at(const struct gyp_admission_unit *u, uint32_t row)
 {
-	struct unit_words *u = find_unit(a, flow, unit);
-
-	if (u == NULL)
+	if (u == NULL || row >= u->words->len)
 		return NULL;
-	return g_hash_table_lookup(u->words, GUINT_TO_POINTER(row + 1));
+	return &g_array_index(u->words, struct word, row);
 }
 
 static struct word *
-need_word(struct unit_words *u, uint32_t row)
+need_word(struct gyp_admission_unit *u, uint32_t row)
 {
-	struct word *w =
-	    g_hash_table_lookup(u->words, GUINT_TO_POINTER(row + 1));
-
-	if (w != NULL)
-		return w;
-	w = g_new0(struct word, 1);
-	g_hash_table_insert(u->words, GUINT_TO_POINTER(row + 1), w);
-	return w;
+	if (row >= u->words->len)
+		g_array_set_size(u->words, row + 1);
+	return word_at(u, row);
 }
 
 /* ---- Reading ------------------------------------------------------------ */
@@ -139,11 +130,18 @@
 	       h->spec->born_ms == w->born_ms;
 }
 
+const struct gyp_admission_unit *
+gyp_admission_unit(const struct gyp_admission *a, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *unit)
+{
+	return find_unit(a, flow, unit);
+}
+
 enum gyp_admission_word
-gyp_admission_word(const struct gyp_admission *a, const struct gyp_flow *flow,
-    const struct gyp_flow_unit *unit, uint32_t row, uint64_t now)
+gyp_admission_word(const struct gyp_admission *a,
+    const struct gyp_admission_unit *u, uint32_t row, uint64_t now)
 {
-	const struct word *w = find_word(a, flow, unit, row);
+	const struct word *w = word_at(u, row);
 
 	if (w == NULL)
 		return GYP_ADMISSION_UNKNOWN;
@@ -160,17 +158,14 @@
 gyp_admission_ticket(const struct gyp_admission *a, const struct gyp_flow *flow,
     const struct gyp_flow_unit *unit, uint32_t row, uint64_t now)
 {
-	const struct word *w = find_word(a, flow, unit, row);
+	const struct word *w = word_at(find_unit(a, flow, unit), row);
 
 	return w != NULL && ticket_holds(a, w, row, now) ? w->ticket : NULL;
 }
 
 bool
-gyp_admission_is_asking(const struct gyp_admission *a,
-    const struct gyp_flow *flow, const struct gyp_flow_unit *unit)
+gyp_admission_is_asking(const struct gyp_admission_unit *u)
 {
-	const struct unit_words *u = find_unit(a, flow, unit);
-
 	return u != NULL && u->asking > 0;
 }
 
@@ -205,15 +200,16 @@
     const struct gyp_flow *flow, const struct gyp_flow_unit *unit,
     const uint32_t *rows, guint n)
 {
-	struct unit_words *u = find_unit(a, flow, unit);
+	struct gyp_admission_unit *u = find_unit(a, flow, unit);
 	struct question *q = g_new0(struct question, 1);
 	guint i;
 
 	(void)now;
 	if (u == NULL) {
-		u = g_new0(struct unit_words, 1);
+		u = g_new0(struct gyp_admission_unit, 1);
 		u->key = key_of(flow, unit);
-		u->words = g_hash_table_new_full(NULL, NULL, NULL, free_word);
+		u->words = g_array_new(FALSE, TRUE, sizeof(struct word));
+		g_array_set_clear_func(u->words, clear_word);
 		g_hash_table_insert(a->units, &u->key, u);
 	}
 	q->id = a->next_id++;
@@ -229,8 +225,8 @@
 }
 
 static void
-learn_ticket(struct gyp_admission *a, struct unit_words *u, uint64_t now,
-    uint32_t valid_ms, const Gyp__Ticket *t)
+learn_ticket(struct gyp_admission *a, struct gyp_admission_unit *u,
+    uint64_t now, uint32_t valid_ms, const Gyp__Ticket *t)
 {
 	const struct gyp_host *h = gyp_host_by_id(a->flows, t->endpoint);
 	struct word *w;
@@ -254,7 +250,7 @@
     const Gyp__Advised *answer)
 {
 	struct question *q = g_hash_table_lookup(a->questions, &id);
-	struct unit_words *u;
+	struct gyp_admission_unit *u;
 	size_t i;
 
 	if (q == NULL)
@@ -294,7 +290,7 @@
 gyp_admission_refused(struct gyp_admission *a, const struct gyp_flow *flow,
     const struct gyp_flow_unit *unit, uint32_t row)
 {
-	struct word *w = find_word(a, flow, unit, row);
+	struct word *w = word_at(find_unit(a, flow, unit), row);
 
 	if (w != NULL)
 		w->valid_until = 0;
--- a/src/admission.h
+++ b/src/admission.h
@@ -33,22 +33,29 @@
 
 struct gyp_admission;
 
+/* What is known of the endpoints for one unit. */
+struct gyp_admission_unit;
+
 /* Questions are numbered from first_id on, which no earlier leader used. */
 struct gyp_admission *gyp_admission_new(struct gyp_flows *, uint64_t first_id);
 void gyp_admission_free(struct gyp_admission *);
 
+/* NULL when nothing is known; valid until the next question or answer. */
+const struct gyp_admission_unit *gyp_admission_unit(
+    const struct gyp_admission *, const struct gyp_flow *,
+    const struct gyp_flow_unit *);
+
+/* The unit may be NULL. */
 enum gyp_admission_word gyp_admission_word(const struct gyp_admission *,
-    const struct gyp_flow *, const struct gyp_flow_unit *, uint32_t row,
-    uint64_t now);
+    const struct gyp_admission_unit *, uint32_t row, uint64_t now);
 
 /* The valid ticket, or NULL; owned by the table until the next answer. */
 const char *gyp_admission_ticket(const struct gyp_admission *,
     const struct gyp_flow *, const struct gyp_flow_unit *, uint32_t row,
     uint64_t now);
 
-/* True while a question about the unit is under way. */
-bool gyp_admission_is_asking(const struct gyp_admission *,
-    const struct gyp_flow *, const struct gyp_flow_unit *);
+/* True while a question about the unit, which may be NULL, is under way. */
+bool gyp_admission_is_asking(const struct gyp_admission_unit *);
 
 /* Notes a question about these rows; returns it for an entry. */
 Gyp__Ask *gyp_admission_ask(struct gyp_admission *, uint64_t now,
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -4,7 +4,7 @@
 #include "msg.h"
 
 /* Interval of the search for what is due, in ms. */
-#define SWEEP_MS 20
+#define SWEEP_MS 50
 
 /* Added to the computed end of a lease, in ms, for our own timers. */
 #define LEASE_MARGIN_MS 60
@@ -109,6 +109,15 @@
 	g_queue_push_tail(&f->cmds, gyp_message_copy(&cmd.base));
 }
 
+void
+gyp_fleet_touch(struct gyp_fleet *f, struct gyp_peer *peer)
+{
+	if (peer->touched)
+		return;
+	peer->touched = true;
+	g_queue_push_tail(&f->touched, GUINT_TO_POINTER(peer->row));
+}
+
 void
 gyp_fleet_want_stop(struct gyp_fleet *f, struct gyp_fleet_run *run)
 {
@@ -207,7 +216,7 @@
 			run->stop = GYP_STOP_NONE;
 	}
 	peer->quick = true;
-	f->sweep_at = 0;
+	gyp_fleet_touch(f, peer);
 }
 
 /* When everything that may run there is certainly over. */
@@ -264,7 +273,7 @@
 	peer = gyp_fleet_peer(f, run->row);
 	g_ptr_array_remove_fast(peer->runs, run);
 	if (peer->seen->len > 0)
-		f->sweep_at = 0;
+		gyp_fleet_touch(f, peer);
 	g_hash_table_remove(f->runs, &key);
 }
 
@@ -294,7 +303,7 @@
 		gyp_peer_read_clock(f, peer, clock_ms);
 	if (!peer->met || peer->failures > 0) {
 		peer->quick = true;
-		f->sweep_at = 0;
+		gyp_fleet_touch(f, peer);
 	}
 }
 
@@ -446,6 +455,23 @@
 	}
 }
 
+/* Looks after the endpoints that something happened to since the last time. */
+static void
+sweep_touched(struct gyp_fleet *f)
+{
+	guint n = f->touched.length;
+
+	while (n-- > 0) {
+		guint row = GPOINTER_TO_UINT(g_queue_pop_head(&f->touched));
+		struct gyp_peer *peer = f->peers->pdata[row];
+
+		if (peer == NULL)
+			continue;
+		peer->touched = false;
+		sweep_peer(f, peer);
+	}
+}
+
 static void
 send_run(struct gyp_fleet *f, struct gyp_fleet_run *run)
 {
@@ -475,6 +501,7 @@
 	f->now = MAX(f->now, now);
 	if (f->now >= f->sweep_at)
 		sweep(f);
+	sweep_touched(f);
 	while ((key = g_queue_pop_head(&f->todo)) != NULL) {
 		struct gyp_fleet_run *run = gyp_fleet_find(f, key);
 
@@ -573,6 +600,7 @@
 	while ((cmd = gyp_fleet_pop_cmd(f)) != NULL)
 		gyp_message_free(cmd);
 	g_queue_clear_full(&f->todo, g_free);
+	g_queue_clear(&f->touched);
 	g_queue_clear_full(&f->bad_tickets, g_free);
 	g_hash_table_destroy(f->pending);
 	g_hash_table_destroy(f->runs);
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -184,6 +184,8 @@
 stop_answered(struct gyp_fleet *f, struct gyp_fleet_run *run,
     const struct gyp_fleet_answer *a)
 {
+	struct gyp_peer *peer = gyp_fleet_peer(f, run->row);
+
 	if (a->end != GYP_FLEET_OK) {
 		run->stop = GYP_STOP_DUE;
 		run->retry_at = f->now + STOP_RETRY_MS;
@@ -191,8 +193,8 @@
 	}
 	run->stop = GYP_STOP_OK;
 	run->stopped_at = f->now;
-	gyp_fleet_peer(f, run->row)->quick = true;
-	f->sweep_at = 0;
+	peer->quick = true;
+	gyp_fleet_touch(f, peer);
 }
 
 /* Another process listens where the endpoint was: that one is no more. */
@@ -221,7 +223,7 @@
 	if (a->end == GYP_FLEET_LOST) {
 		peer->failures++;
 		note_doubt(f, peer);
-		f->sweep_at = 0;
+		gyp_fleet_touch(f, peer);
 		return;
 	}
 	if (a->end == GYP_FLEET_MOVED) {
@@ -261,7 +263,7 @@
 	peer->looks--;
 	if (p->waits)
 		peer->waits = false;
-	f->sweep_at = 0;
+	gyp_fleet_touch(f, peer);
 	if (a->end == GYP_FLEET_OK && a->listed &&
 	    (a->born_ms == 0 || a->born_ms >= peer->born_ms))
 		gyp_fleet_take_lists(f, peer, p, a);
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -77,6 +77,7 @@
 	uint32_t looks;    /* under way */
 	bool waits;        /* one of them waits for an end */
 	bool quick;        /* a look without waiting is due */
+	bool touched;      /* is in the fleet's queue of that name */
 	uint64_t look_at;  /* no look before */
 	uint64_t acked;
 	uint64_t acked_sent;
@@ -112,6 +113,7 @@
 	GHashTable *runs;    /* key -> struct gyp_fleet_run */
 	GHashTable *pending; /* id -> struct gyp_fleet_pending */
 	GQueue todo;         /* struct gyp_run_key: something to send */
+	GQueue touched;      /* rows of endpoints to look after at once */
 	GQueue calls;        /* struct gyp_fleet_call */
 	GQueue cmds;         /* Gyp__Cmd */
 	GQueue bad_tickets;  /* struct gyp_bad_ticket */
@@ -121,6 +123,8 @@
 struct gyp_peer *gyp_fleet_peer(struct gyp_fleet *, uint32_t row);
 struct gyp_fleet_run *gyp_fleet_find(
     const struct gyp_fleet *, const struct gyp_run_key *);
+/* Something happened to the endpoint that the next tick must look after. */
+void gyp_fleet_touch(struct gyp_fleet *, struct gyp_peer *);
 void gyp_fleet_want_stop(struct gyp_fleet *, struct gyp_fleet_run *);
 void gyp_fleet_queue_run(struct gyp_fleet *, const struct gyp_fleet_run *);
 void gyp_fleet_propose_end(struct gyp_fleet *, struct gyp_fleet_run *,
--- a/src/flow.c
+++ b/src/flow.c
@@ -47,6 +47,20 @@
 	return NULL;
 }
 
+/* Work that fills takes no processor time of its own. */
+static struct gyp_res
+step_size(const Gyp__FlowStep *step)
+{
+	struct gyp_res size = {0, 0, 0, 0};
+
+	if (step->size != NULL)
+		size = gyp_res_from(step->size);
+	if (step->fills)
+		size.cpu_milli = 0;
+	size.slots = 0;
+	return size;
+}
+
 static void
 make_units(struct gyp_flow *flow)
 {
@@ -60,6 +74,7 @@
 	for (time = 0; time < count_times(spec); time++) {
 		for (step = 0; step < spec->n_steps; step++, u++) {
 			u->step = spec->steps[step];
+			u->size = step_size(u->step);
 			u->time = time;
 			u->number = step;
 			u->first = first;
@@ -79,6 +94,8 @@
 
 	flow->id = spec->id;
 	flow->spec = gyp_message_copy(&spec->base);
+	if (flow->spec->queue != NULL)
+		flow->pool = g_intern_string(flow->spec->queue->pool);
 	make_units(flow);
 	return flow;
 }
@@ -160,19 +177,6 @@
 	return u->step->gang && u->open < u->step->count;
 }
 
-struct gyp_res
-gyp_flow_step_size(const Gyp__FlowStep *step)
-{
-	struct gyp_res size = {0, 0, 0, 0};
-
-	if (step->size != NULL)
-		size = gyp_res_from(step->size);
-	if (step->fills)
-		size.cpu_milli = 0;
-	size.slots = 0;
-	return size;
-}
-
 /* ---- Endpoints ---------------------------------------------------------- */
 
 struct gyp_host *
@@ -182,6 +186,7 @@
 
 	h->row = row;
 	h->spec = gyp_message_copy(&spec->base);
+	h->pool = g_intern_string(h->spec->pool);
 	if (spec->capacity != NULL)
 		h->capacity = gyp_res_from(spec->capacity);
 	h->runs = g_array_new(FALSE, FALSE, sizeof(struct gyp_host_run));
--- a/src/flow.h
+++ b/src/flow.h
@@ -65,6 +65,7 @@
 
 struct gyp_flow_unit {
 	const Gyp__FlowStep *step;
+	struct gyp_res size; /* what a run of it books on an endpoint */
 	uint32_t time;       /* repetition */
 	uint32_t number;     /* of the step */
 	uint32_t first;      /* task */
@@ -77,6 +78,7 @@
 	uint64_t id;
 	uint64_t seq; /* order of acceptance */
 	Gyp__FlowSpec *spec;
+	const char *pool; /* of its endpoints, interned */
 	enum gyp_flow_state state;
 	bool begun; /* a task was started once */
 	uint64_t accepted_ms;
@@ -98,9 +100,12 @@
 struct gyp_host {
 	uint32_t row;
 	Gyp__CmdHost *spec;
+	const char *pool; /* interned */
 	struct gyp_res capacity;
 	struct gyp_res booked; /* by open runs */
 	GArray *runs;          /* struct gyp_host_run */
+	uint32_t serving;      /* runs with a bound on their tail */
+	uint32_t filling;      /* runs that take what others leave */
 };
 
 struct gyp_flows;
@@ -183,9 +188,6 @@
  */
 bool gyp_flow_run_is_unwanted(const struct gyp_flow *, uint32_t task);
 
-/* What a run of the step books on an endpoint. */
-struct gyp_res gyp_flow_step_size(const Gyp__FlowStep *);
-
 /* NULL when the specification can be accepted, else what is wrong with it. */
 const char *gyp_flow_check_spec(const Gyp__FlowSpec *);
 
--- a/src/flow_life.c
+++ b/src/flow_life.c
@@ -10,12 +10,13 @@
 {
 	struct gyp_host *h = gyp_host_at(f, flow->tasks[task].host);
 	struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
-	struct gyp_res size = gyp_flow_step_size(u->step);
 	struct gyp_host_run run = {.flow = flow, .task = task};
 
 	u->open++;
 	flow->open++;
-	gyp_res_add(&h->booked, &size);
+	gyp_res_add(&h->booked, &u->size);
+	h->serving += u->step->tail_ms > 0;
+	h->filling += u->step->fills;
 	g_array_append_val(h->runs, run);
 }
 
@@ -24,12 +25,13 @@
 {
 	struct gyp_host *h = gyp_host_at(f, flow->tasks[task].host);
 	struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
-	struct gyp_res size = gyp_flow_step_size(u->step);
 	guint i;
 
 	u->open--;
 	flow->open--;
-	gyp_res_sub(&h->booked, &size);
+	gyp_res_sub(&h->booked, &u->size);
+	h->serving -= u->step->tail_ms > 0;
+	h->filling -= u->step->fills;
 	for (i = 0; i < h->runs->len; i++) {
 		const struct gyp_host_run *run =
 		    &g_array_index(h->runs, struct gyp_host_run, i);
@@ -234,14 +236,13 @@
 
 static bool
 host_may_run(const struct gyp_host *h, const struct gyp_flow *flow,
-    const Gyp__FlowStep *step, const struct gyp_res *more)
+    const struct gyp_res *more)
 {
 	struct gyp_res left;
 
 	if (h == NULL || h->spec->draining || h->spec->gone ||
-	    strcmp(h->spec->pool, flow->spec->queue->pool) != 0)
+	    h->pool != flow->pool)
 		return false;
-	(void)step;
 	left = h->capacity;
 	left.slots = 0;
 	if (!gyp_res_fits(&h->booked, &left))
@@ -283,16 +284,13 @@
 	for (i = 0; i < s->n_runs; i++) {
 		uint32_t task = s->runs[i]->task;
 		struct gyp_host *h = gyp_host_at(f, s->runs[i]->host);
-		const Gyp__FlowStep *step;
-		struct gyp_res size;
 
 		if (!task_may_start(flow, task, s->run)) {
 			undo_starts(f, flow, s, i);
 			return false;
 		}
-		step = gyp_flow_unit_of(flow, task)->step;
-		size = gyp_flow_step_size(step);
-		if (!host_may_run(h, flow, step, &size)) {
+		if (!host_may_run(
+			h, flow, &gyp_flow_unit_of(flow, task)->size)) {
 			undo_starts(f, flow, s, i);
 			return false;
 		}
@@ -372,6 +370,7 @@
 	g_hash_table_steal(f->host_ids, h->spec->id);
 	gyp_message_free(h->spec);
 	h->spec = gyp_message_copy(&cmd->base);
+	h->pool = g_intern_string(h->spec->pool);
 	g_hash_table_insert(f->host_ids, h->spec->id, h);
 	if (cmd->capacity != NULL)
 		h->capacity = gyp_res_from(cmd->capacity);
--- a/src/flow_save.c
+++ b/src/flow_save.c
@@ -230,10 +230,10 @@
 		for (i = 0; h != NULL && i < h->runs->len; i++) {
 			const struct gyp_host_run *run =
 			    &g_array_index(h->runs, struct gyp_host_run, i);
-			struct gyp_res size = gyp_flow_step_size(
-			    gyp_flow_unit_of(run->flow, run->task)->step);
+			const struct gyp_flow_unit *u =
+			    gyp_flow_unit_of(run->flow, run->task);
 
-			gyp_res_add(&sum, &size);
+			gyp_res_add(&sum, &u->size);
 		}
 		g_assert(h == NULL || (sum.cpu_milli == h->booked.cpu_milli &&
 					  sum.memory == h->booked.memory));
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -16,12 +16,16 @@
 #define KEPT_MAX     2000L
 #define PER_HOST_MAX 24L
 
+/* Handles that are kept for later requests. */
+#define SPARE_MAX 256
+
 struct gyp_httpc {
 	struct ev_loop *loop;
 	struct gyp_timers *timers;
 	CURLM *multi;
 	struct gyp_timer *timeout;
 	GPtrArray *exchanges; /* struct exchange */
+	GPtrArray *spare;     /* CURL *, with the options of reuse set */
 };
 
 /* One socket of curl's. */
@@ -42,6 +46,7 @@
 	bool framed; /* the end of the answer is announced */
 	uint64_t send_by;
 	char state[32];
+	bool reuse;
 	gyp_httpc_fn done;
 	void *arg;
 };
@@ -52,7 +57,10 @@
 	struct exchange *x = p;
 
 	curl_multi_remove_handle(x->client->multi, x->easy);
-	curl_easy_cleanup(x->easy);
+	if (x->reuse && x->client->spare->len < SPARE_MAX)
+		g_ptr_array_add(x->client->spare, x->easy);
+	else
+		curl_easy_cleanup(x->easy);
 	curl_slist_free_all(x->headers);
 	gyp_buf_clear(&x->request);
 	gyp_buf_clear(&x->body);
@@ -253,20 +261,25 @@
 	return CURL_PREREQFUNC_OK;
 }
 
+/* Options that no request changes. */
 static void
-set_limits(struct exchange *x, const struct gyp_httpc_request *req)
+set_fixed(CURL *e, bool reuse)
 {
-	CURL *e = x->easy;
-
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, reuse ? 0L : 1L);
+	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, reuse ? 0L : 1L);
 	curl_easy_setopt(
 	    e, CURLOPT_CONNECTTIMEOUT_MS, (long)GYP_HTTPC_CONNECT_MS);
-	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)req->timeout_ms);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_ready);
-	curl_easy_setopt(e, CURLOPT_PREREQDATA, x);
 	/* A peer that is cut off in silence must not hold the exchange. */
 	curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
 	curl_easy_setopt(e, CURLOPT_TCP_KEEPIDLE, (long)KEEPALIVE_IDLE_S);
 	curl_easy_setopt(e, CURLOPT_TCP_KEEPINTVL, (long)KEEPALIVE_INTERVAL_S);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
 }
 
 static void
@@ -275,28 +288,37 @@
 	CURL *e = x->easy;
 
 	curl_easy_setopt(e, CURLOPT_URL, req->url);
-	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, req->method);
 	curl_easy_setopt(e, CURLOPT_PRIVATE, x);
-	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(e, CURLOPT_PROXY, "");
-	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
-	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, req->reuse ? 0L : 1L);
-	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, req->reuse ? 0L : 1L);
-	set_limits(x, req);
-	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)req->timeout_ms);
+	curl_easy_setopt(e, CURLOPT_PREREQDATA, x);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, x);
-	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, x);
 	curl_easy_setopt(e, CURLOPT_HTTPHEADER, x->headers);
-	if (strcmp(req->method, "GET") == 0)
+	if (strcmp(req->method, "GET") == 0) {
+		curl_easy_setopt(e, CURLOPT_HTTPGET, 1L);
+		curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, NULL);
 		return;
+	}
+	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, req->method);
 	curl_easy_setopt(e, CURLOPT_POSTFIELDS,
 	    x->request.data != NULL ? (char *)x->request.data : "");
 	curl_easy_setopt(
 	    e, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)x->request.len);
 }
 
+static CURL *
+take_handle(struct gyp_httpc *client, bool reuse)
+{
+	CURL *easy;
+
+	if (reuse && client->spare->len > 0)
+		return g_ptr_array_steal_index_fast(
+		    client->spare, client->spare->len - 1);
+	easy = curl_easy_init();
+	set_fixed(easy, reuse);
+	return easy;
+}
+
 void
 gyp_httpc_send(struct gyp_httpc *client, const struct gyp_httpc_request *req)
 {
@@ -304,7 +326,8 @@
 	const char *const *h;
 
 	x->client = client;
-	x->easy = curl_easy_init();
+	x->easy = take_handle(client, req->reuse);
+	x->reuse = req->reuse;
 	x->answer_max = req->answer_max;
 	x->send_by = req->send_by;
 	x->done = req->done;
@@ -328,6 +351,7 @@
 	client->timers = timers;
 	client->multi = curl_multi_init();
 	client->exchanges = g_ptr_array_new_with_free_func(free_exchange);
+	client->spare = g_ptr_array_new_with_free_func(curl_easy_cleanup);
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
 	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timer);
@@ -344,6 +368,7 @@
 	if (client == NULL)
 		return;
 	g_ptr_array_free(client->exchanges, TRUE);
+	g_ptr_array_free(client->spare, TRUE);
 	curl_multi_cleanup(client->multi);
 	gyp_timer_cancel(client->timers, client->timeout);
 	curl_global_cleanup();
--- a/src/placer.c
+++ b/src/placer.c
@@ -40,23 +40,6 @@
 
 /* ---- Rooms -------------------------------------------------------------- */
 
-static void
-note_neighbours(struct room *room)
-{
-	const struct gyp_host *h = room->host;
-	guint i;
-
-	for (i = 0; i < h->runs->len; i++) {
-		const struct gyp_host_run *run =
-		    &g_array_index(h->runs, struct gyp_host_run, i);
-		const Gyp__FlowStep *step =
-		    gyp_flow_unit_of(run->flow, run->task)->step;
-
-		room->serves = room->serves || step->tail_ms > 0;
-		room->filled = room->filled || step->fills;
-	}
-}
-
 static void
 measure_rooms(struct gyp_placer *p)
 {
@@ -77,7 +60,8 @@
 			continue;
 		}
 		gyp_res_sub(&room->left, &room->host->booked);
-		note_neighbours(room);
+		room->serves = room->host->serving > 0;
+		room->filled = room->host->filling > 0;
 	}
 }
 
@@ -111,10 +95,9 @@
 room_suits(const struct room *room, const struct candidate *c)
 {
 	const Gyp__FlowStep *step = c->unit->step;
-	struct gyp_res size = gyp_flow_step_size(step);
 
-	if (room->host == NULL || !gyp_res_fits(&size, &room->left) ||
-	    strcmp(room->host->spec->pool, c->flow->spec->queue->pool) != 0)
+	if (room->host == NULL || room->host->pool != c->flow->pool ||
+	    !gyp_res_fits(&c->unit->size, &room->left))
 		return false;
 	if (step->label[0] != '\0' && !has_label(room->host->spec, step->label))
 		return false;
@@ -128,7 +111,7 @@
 count_fitting(const struct room *room, const struct candidate *c)
 {
 	const Gyp__FlowStep *step = c->unit->step;
-	struct gyp_res size = gyp_flow_step_size(step);
+	struct gyp_res size = c->unit->size;
 	uint64_t n = step->count;
 
 	if (size.cpu_milli > 0)
@@ -200,14 +183,6 @@
 
 /* ---- Placing ------------------------------------------------------------ */
 
-static bool
-is_allowed(const struct gyp_placer *p, const struct candidate *c, uint32_t row)
-{
-	return !c->flow->spec->queue->admission ||
-	       gyp_admission_word(p->admission, c->flow, c->unit, row,
-		   p->now) == GYP_ADMISSION_YES;
-}
-
 static double
 score_room(const struct room *room, const struct candidate *c)
 {
@@ -242,14 +217,21 @@
 find_fits(const struct gyp_placer *p, const struct candidate *c)
 {
 	GArray *fits = g_array_new(FALSE, FALSE, sizeof(struct fit));
+	const struct gyp_admission_unit *known =
+	    gyp_admission_unit(p->admission, c->flow, c->unit);
+	bool admission = c->flow->spec->queue->admission;
 	uint32_t row;
 
+	if (admission && known == NULL)
+		return fits;
 	for (row = 0; row < p->rooms->len; row++) {
 		const struct room *room =
 		    &g_array_index(p->rooms, struct room, row);
 		struct fit fit = {.row = row};
 
-		if (!room_suits(room, c) || !is_allowed(p, c, row))
+		if (!room_suits(room, c) ||
+		    (admission && gyp_admission_word(p->admission, known, row,
+				      p->now) != GYP_ADMISSION_YES))
 			continue;
 		fit.count = count_fitting(room, c);
 		fit.score = score_room(room, c);
@@ -264,9 +246,8 @@
 take_room(struct gyp_placer *p, const struct candidate *c, uint32_t row)
 {
 	struct room *room = &g_array_index(p->rooms, struct room, row);
-	struct gyp_res size = gyp_flow_step_size(c->unit->step);
 
-	gyp_res_sub(&room->left, &size);
+	gyp_res_sub(&room->left, &c->unit->size);
 	room->serves = room->serves || c->unit->step->tail_ms > 0;
 	room->filled = room->filled || c->unit->step->fills;
 }
@@ -377,7 +358,8 @@
 
 /* Endpoints worth asking about: those with the most room come first. */
 static GArray *
-find_unasked(const struct gyp_placer *p, const struct candidate *c)
+find_unasked(const struct gyp_placer *p, const struct candidate *c,
+    const struct gyp_admission_unit *known)
 {
 	GArray *fits = g_array_new(FALSE, FALSE, sizeof(struct fit));
 	uint32_t row;
@@ -390,8 +372,7 @@
 
 		if (!room_suits(room, c))
 			continue;
-		word = gyp_admission_word(
-		    p->admission, c->flow, c->unit, row, p->now);
+		word = gyp_admission_word(p->admission, known, row, p->now);
 		if (word != GYP_ADMISSION_UNKNOWN &&
 		    word != GYP_ADMISSION_STALE)
 			continue;
@@ -425,14 +406,15 @@
 ask_unit(struct gyp_placer *p, const struct candidate *c, uint32_t waiting,
     GPtrArray *asks)
 {
+	const struct gyp_admission_unit *known =
+	    gyp_admission_unit(p->admission, c->flow, c->unit);
 	GArray *fits;
 	uint32_t rows[ASK_MAX];
 	guint i, n;
 
-	if (!c->flow->spec->queue->admission ||
-	    gyp_admission_is_asking(p->admission, c->flow, c->unit))
+	if (!c->flow->spec->queue->admission || gyp_admission_is_asking(known))
 		return false;
-	fits = find_unasked(p, c);
+	fits = find_unasked(p, c, known);
 	n = count_to_ask(fits, waiting);
 	for (i = 0; i < n; i++)
 		rows[i] = g_array_index(fits, struct fit, i).row;
--- a/src/timer.c
+++ b/src/timer.c
@@ -21,6 +21,7 @@
 	ev_io io;       /* readable when the first subscription is due */
 	ev_check check; /* runs in each turn, before any socket event */
 	int fd;
+	uint64_t armed; /* when the descriptor fires, 0 for never */
 	GSequence *by_due;
 };
 
@@ -42,19 +43,27 @@
 	return x->due < y->due ? -1 : x->due > y->due;
 }
 
+/*
+ * Most subscriptions are cancelled before they are due. So the descriptor is
+ * only ever moved forward: one that fires too early finds nothing due.
+ */
 static void
 arm(struct gyp_timers *ts)
 {
 	GSequenceIter *first = g_sequence_get_begin_iter(ts->by_due);
 	struct itimerspec when = {{0, 0}, {0, 0}};
+	const struct gyp_timer *t;
+	uint64_t due;
 
-	if (!g_sequence_iter_is_end(first)) {
-		const struct gyp_timer *t = g_sequence_get(first);
-		uint64_t due = MAX(t->due, 1);
-
-		when.it_value.tv_sec = (time_t)(due / 1000);
-		when.it_value.tv_nsec = (long)(due % 1000) * 1000000;
-	}
+	if (g_sequence_iter_is_end(first))
+		return;
+	t = g_sequence_get(first);
+	due = MAX(t->due, 1);
+	if (ts->armed != 0 && ts->armed <= due)
+		return;
+	ts->armed = due;
+	when.it_value.tv_sec = (time_t)(due / 1000);
+	when.it_value.tv_nsec = (long)(due % 1000) * 1000000;
 	timerfd_settime(ts->fd, TFD_TIMER_ABSTIME, &when, NULL);
 }
 
@@ -91,6 +100,7 @@
 	(void)revents;
 	if (read(ts->fd, &expirations, sizeof(expirations)) < 0)
 		return;
+	ts->armed = 0;
 	arm(ts);
 }
 
