Fleet: an answer counts also while the leader's lease is in doubt

Cause: a replica whose lease lapsed for a moment dropped the answers of calls at endpoints.

Change: answers always reach the fleet of the term; a call whose answer is a second overdue counts as lost. test_fleet: eight rules with calls and answers by hand; answer-that-never-comes was red before.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -6,6 +6,9 @@
 /* Interval of the search for what is due, in ms. */
 #define SWEEP_MS 50
 
+/* Interval of the search for calls that are overdue, in ms. */
+#define EXPIRE_MS 500
+
 /* Added to the computed end of a lease, in ms, for our own timers. */
 #define LEASE_MARGIN_MS 60
 
@@ -445,6 +448,10 @@
 	guint i;
 
 	f->sweep_at = f->now + SWEEP_MS;
+	if (f->now >= f->expire_at) {
+		f->expire_at = f->now + EXPIRE_MS;
+		gyp_fleet_expire_calls(f);
+	}
 	for (i = 0; i < gyp_hosts_size(f->flows); i++) {
 		if (gyp_host_at(f->flows, i) != NULL)
 			gyp_fleet_peer(f, i);
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -12,6 +12,9 @@
 #define STOP_MS  500
 #define LOOK_MS  250
 
+/* An answer that is later than its time by so much never comes, in ms. */
+#define OVERDUE_MS 1000
+
 /* Starts of one run without an answer, before it is stopped. */
 #define STARTS_MAX 4
 
@@ -40,6 +43,7 @@
 	p->kind = kind;
 	p->row = h->row;
 	p->sent_at = f->now;
+	p->give_up_at = f->now + timeout_ms + OVERDUE_MS;
 	g_hash_table_insert(f->pending, &p->id, p);
 	g_queue_push_tail(&f->calls, call);
 	return call;
@@ -291,3 +295,28 @@
 	}
 	g_hash_table_remove(f->pending, &a->call);
 }
+
+void
+gyp_fleet_expire_calls(struct gyp_fleet *f)
+{
+	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, f->pending);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gyp_fleet_pending *p = value;
+
+		if (f->now >= p->give_up_at)
+			g_array_append_val(ids, p->id);
+	}
+	for (i = 0; i < ids->len; i++) {
+		struct gyp_fleet_answer lost = {
+		    .call = g_array_index(ids, uint64_t, i),
+		    .end = GYP_FLEET_LOST};
+
+		gyp_fleet_answered(f, f->now, &lost);
+	}
+	g_array_free(ids, TRUE);
+}
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -93,6 +93,7 @@
 	struct gyp_run_key key;
 	uint32_t run;
 	uint64_t sent_at;
+	uint64_t give_up_at;
 	bool waits;
 };
 
@@ -108,6 +109,7 @@
 	uint64_t since;
 	uint64_t now;
 	uint64_t sweep_at;
+	uint64_t expire_at;
 	uint64_t next_call;
 	GPtrArray *peers;    /* struct gyp_peer by row */
 	GHashTable *runs;    /* key -> struct gyp_fleet_run */
@@ -141,6 +143,9 @@
 void gyp_fleet_send_look(
     struct gyp_fleet *, struct gyp_peer *, uint32_t wait_ms);
 
+/* Takes calls as lost whose answer is long overdue. */
+void gyp_fleet_expire_calls(struct gyp_fleet *);
+
 /* fleet_look.c */
 void gyp_fleet_take_lists(struct gyp_fleet *, struct gyp_peer *,
     const struct gyp_fleet_pending *, const struct gyp_fleet_answer *);
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -310,10 +310,11 @@
     struct gyp_replica *r, uint64_t now, const struct gyp_fleet_answer *a)
 {
 	gyp_replica_advance(r, now);
-	if (r->flow_lead != NULL && gyp_replica_serving(r)) {
-		gyp_flow_lead_answered(r->flow_lead, r->now, a);
-		gyp_replica_settle(r);
-	}
+	if (r->flow_lead == NULL)
+		return;
+	/* Also while the lease is in doubt: what is waited for must end. */
+	gyp_flow_lead_answered(r->flow_lead, r->now, a);
+	gyp_replica_settle(r);
 }
 
 bool
--- /dev/null
+++ b/test/flow_world.c
@@ -0,0 +1,279 @@
+#include "flow_world.h"
+#include "msg.h"
+
+#define GIBIBYTE (1024ULL * 1024 * 1024)
+
+/* Time between two ticks, in ms. */
+#define STEP_MS 10
+
+/* ---- Tables ------------------------------------------------------------- */
+
+static void
+on_started(struct gyp_flows_listener *l, struct gyp_flow *flow, uint32_t task)
+{
+	struct flow_world *w = (struct flow_world *)l;
+
+	gyp_fleet_started(w->fleet, flow, task, w->ticket);
+}
+
+static void
+on_ended(struct gyp_flows_listener *l, struct gyp_flow *flow, uint32_t task,
+    uint32_t host, Gyp__FlowHow how)
+{
+	(void)host;
+	(void)how;
+	gyp_fleet_ended(((struct flow_world *)l)->fleet, flow, task);
+}
+
+static void
+on_unwanted(struct gyp_flows_listener *l, struct gyp_flow *flow, uint32_t task)
+{
+	gyp_fleet_unwanted(((struct flow_world *)l)->fleet, flow, task);
+}
+
+static void
+on_dropped(struct gyp_flows_listener *l, struct gyp_flow *flow)
+{
+	(void)l;
+	(void)flow;
+}
+
+static const struct gyp_flows_listener_ops ops = {.started = on_started,
+    .ended = on_ended,
+    .unwanted = on_unwanted,
+    .dropped = on_dropped};
+
+void
+flow_world_lead(struct flow_world *w, uint64_t fence)
+{
+	struct gyp_fleet_config cfg = {
+	    .lease_ms = WORLD_LEASE_MS, .stop_grace_ms = 400};
+
+	gyp_fleet_free(w->fleet);
+	w->fleet = gyp_fleet_new(&cfg, w->flows, w->now, fence);
+}
+
+void
+flow_world_init(struct flow_world *w)
+{
+	*w = (struct flow_world){.listener.ops = &ops, .now = 100000};
+	w->flows = gyp_flows_new();
+	gyp_flows_listen(w->flows, &w->listener);
+	flow_world_lead(w, 1);
+}
+
+void
+flow_world_clear(struct flow_world *w)
+{
+	gyp_fleet_free(w->fleet);
+	gyp_flows_free(w->flows);
+}
+
+uint32_t
+flow_world_host(struct flow_world *w, const char *id, uint64_t born_ms)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdHost host = GYP__CMD_HOST__INIT;
+	Gyp__Res capacity = GYP__RES__INIT;
+
+	capacity.cpu_milli = 10000;
+	capacity.memory = 10 * GIBIBYTE;
+	host.id = (char *)id;
+	host.born_ms = born_ms;
+	host.address = "127.0.0.1:1";
+	host.pool = "pool";
+	host.rack = "r1";
+	host.capacity = &capacity;
+	cmd.c_case = GYP__CMD__C_HOST;
+	cmd.host = &host;
+	gyp_flows_apply(w->flows, w->now, &cmd);
+	return gyp_host_by_id(w->flows, id)->row;
+}
+
+Gyp__FlowStep
+flow_world_step(uint32_t count)
+{
+	static Gyp__Res size = GYP__RES__INIT;
+	Gyp__FlowStep step = GYP__FLOW_STEP__INIT;
+
+	size.cpu_milli = 1000;
+	size.memory = GIBIBYTE;
+	step.count = count;
+	step.size = &size;
+	return step;
+}
+
+struct gyp_flow *
+flow_world_flow(
+    struct flow_world *w, uint64_t id, Gyp__FlowStep *steps, size_t n)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdFlow submit = GYP__CMD_FLOW__INIT;
+	Gyp__FlowSpec spec = GYP__FLOW_SPEC__INIT;
+	Gyp__FlowQueue queue = GYP__FLOW_QUEUE__INIT;
+	Gyp__FlowStep **list = g_new(Gyp__FlowStep *, n);
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		list[i] = &steps[i];
+	queue.name = "queue";
+	queue.pool = "pool";
+	queue.attempts = 3;
+	spec.id = id;
+	spec.queue = &queue;
+	spec.n_steps = n;
+	spec.steps = list;
+	submit.spec = &spec;
+	cmd.c_case = GYP__CMD__C_FLOW;
+	cmd.flow = &submit;
+	gyp_flows_apply(w->flows, w->now, &cmd);
+	g_free(list);
+	return gyp_flow_get(w->flows, id);
+}
+
+void
+flow_world_start(struct flow_world *w, uint64_t flow, uint32_t first,
+    uint32_t last, uint32_t run, uint32_t row)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdFlowStart start = GYP__CMD_FLOW_START__INIT;
+	uint32_t n = last - first + 1, i;
+	Gyp__FlowRun *runs = g_new(Gyp__FlowRun, n);
+	Gyp__FlowRun **list = g_new(Gyp__FlowRun *, n);
+
+	for (i = 0; i < n; i++) {
+		gyp__flow_run__init(&runs[i]);
+		runs[i].task = first + i;
+		runs[i].host = row;
+		list[i] = &runs[i];
+	}
+	start.flow = flow;
+	start.run = run;
+	start.n_runs = n;
+	start.runs = list;
+	cmd.c_case = GYP__CMD__C_FLOW_START;
+	cmd.flow_start = &start;
+	gyp_flows_apply(w->flows, w->now, &cmd);
+	g_free(runs);
+	g_free(list);
+}
+
+void
+flow_world_cancel(struct flow_world *w, uint64_t flow)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdFlowCancel cancel = GYP__CMD_FLOW_CANCEL__INIT;
+
+	cancel.flow = flow;
+	cmd.c_case = GYP__CMD__C_FLOW_CANCEL;
+	cmd.flow_cancel = &cancel;
+	gyp_flows_apply(w->flows, w->now, &cmd);
+}
+
+/* ---- Time and calls ----------------------------------------------------- */
+
+static void
+tick(struct flow_world *w)
+{
+	Gyp__Cmd *cmd;
+
+	gyp_fleet_tick(w->fleet, w->now);
+	while ((cmd = gyp_fleet_pop_cmd(w->fleet)) != NULL) {
+		gyp_flows_apply(w->flows, w->now, cmd);
+		gyp_message_free(cmd);
+	}
+	gyp_flows_check(w->flows);
+}
+
+void
+flow_world_pass(struct flow_world *w, uint64_t ms)
+{
+	uint64_t end = w->now + ms;
+
+	do {
+		w->now = MIN(w->now + STEP_MS, end);
+		tick(w);
+	} while (w->now < end);
+}
+
+struct gyp_fleet_call *
+flow_world_call(struct flow_world *w, enum gyp_fleet_call_kind kind)
+{
+	struct gyp_fleet_call *call;
+
+	while ((call = gyp_fleet_pop_call(w->fleet)) != NULL) {
+		if (call->kind == kind)
+			return call;
+		gyp_fleet_call_free(call);
+	}
+	return NULL;
+}
+
+void
+flow_world_answer(
+    struct flow_world *w, struct gyp_fleet_call *call, enum gyp_fleet_end end)
+{
+	struct gyp_fleet_answer a = {.call = call->id, .end = end};
+
+	a.has_clock = end == GYP_FLEET_OK || end == GYP_FLEET_REFUSED;
+	a.clock_ms = w->now;
+	gyp_fleet_answered(w->fleet, w->now, &a);
+	gyp_fleet_call_free(call);
+	tick(w);
+}
+
+static void
+fill_run(struct gyp_listed_run *run, const struct flow_world_row *row)
+{
+	*run = (struct gyp_listed_run){
+	    .flow = row->flow, .index = row->index, .run = row->run};
+}
+
+void
+flow_world_lists(struct flow_world *w, struct gyp_fleet_call *call,
+    uint64_t born_ms, const struct flow_world_row *running, size_t n_running,
+    const struct flow_world_row *ended, size_t n_ended)
+{
+	struct gyp_fleet_answer a = {.call = call->id,
+	    .end = GYP_FLEET_OK,
+	    .has_clock = true,
+	    .clock_ms = w->now,
+	    .born_ms = born_ms,
+	    .listed = true};
+	size_t i;
+
+	a.running = g_array_new(FALSE, TRUE, sizeof(struct gyp_listed_run));
+	a.ended = g_array_new(FALSE, TRUE, sizeof(struct gyp_listed_end));
+	for (i = 0; i < n_running; i++) {
+		struct gyp_listed_run run;
+
+		fill_run(&run, &running[i]);
+		g_array_append_val(a.running, run);
+	}
+	for (i = 0; i < n_ended; i++) {
+		struct gyp_listed_end end = {
+		    .number = ended[i].number, .how = ended[i].how};
+
+		fill_run(&end.run, &ended[i]);
+		g_array_append_val(a.ended, end);
+	}
+	gyp_fleet_answered(w->fleet, w->now, &a);
+	g_array_free(a.running, TRUE);
+	g_array_free(a.ended, TRUE);
+	gyp_fleet_call_free(call);
+	tick(w);
+}
+
+void
+flow_world_meet(struct flow_world *w)
+{
+	struct gyp_fleet_call *call;
+
+	flow_world_pass(w, 100);
+	while ((call = flow_world_call(w, GYP_FLEET_LOOK)) != NULL) {
+		const struct gyp_host *h =
+		    gyp_host_by_id(w->flows, call->endpoint);
+
+		flow_world_lists(w, call, h->spec->born_ms, NULL, 0, NULL, 0);
+	}
+}
--- /dev/null
+++ b/test/test_fleet.c
@@ -0,0 +1,288 @@
+#include <glib.h>
+
+#include "flow_world.h"
+
+/*
+ * What a leader makes of committed runs and of what endpoints tell, with
+ * calls and answers written by hand. Endpoint "a" was born at 1.
+ */
+
+#define FLOW 0xf1ULL
+
+struct fixture {
+	struct flow_world w;
+	uint32_t a; /* row of the endpoint */
+};
+
+/* One endpoint that was met, and a flow of one step of n tasks. */
+static void
+set_up(struct fixture *f, uint32_t n, bool gang)
+{
+	Gyp__FlowStep step = flow_world_step(n);
+
+	step.gang = gang;
+	flow_world_init(&f->w);
+	f->a = flow_world_host(&f->w, "a", 1);
+	flow_world_meet(&f->w);
+	g_assert_true(gyp_fleet_usable(f->w.fleet, f->a));
+	flow_world_flow(&f->w, FLOW, &step, 1);
+}
+
+static const struct gyp_flow_task *
+task_of(const struct fixture *f, uint32_t task)
+{
+	return &gyp_flow_get(f->w.flows, FLOW)->tasks[task];
+}
+
+/* Answers the next start, and returns its run number. */
+static uint32_t
+answer_start(struct fixture *f, enum gyp_fleet_end end)
+{
+	struct gyp_fleet_call *call;
+	uint32_t run;
+
+	flow_world_pass(&f->w, 10);
+	call = flow_world_call(&f->w, GYP_FLEET_START);
+	g_assert_nonnull(call);
+	run = call->run;
+	flow_world_answer(&f->w, call, end);
+	return run;
+}
+
+static struct gyp_fleet_call *
+next_look(struct fixture *f, uint64_t within_ms)
+{
+	struct gyp_fleet_call *call = NULL;
+	uint64_t end = f->w.now + within_ms;
+
+	while (call == NULL && f->w.now < end) {
+		flow_world_pass(&f->w, 10);
+		call = flow_world_call(&f->w, GYP_FLEET_LOOK);
+	}
+	g_assert_nonnull(call);
+	return call;
+}
+
+/* An end is acknowledged only after it is in the tables. */
+static void
+test_acknowledged_after_commit(void)
+{
+	struct fixture f;
+	struct flow_world_row end = {FLOW, 0, 1, 7, GYP__FLOW_HOW__FLOW_DONE};
+	struct gyp_fleet_call *call;
+
+	set_up(&f, 1, false);
+	flow_world_start(&f.w, FLOW, 0, 0, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	call = next_look(&f, 500);
+	g_assert_cmpuint(call->acked, ==, 0);
+	flow_world_lists(&f.w, call, 1, NULL, 0, &end, 1);
+	g_assert_cmpint(
+	    gyp_flow_get(f.w.flows, FLOW)->state, ==, GYP_FLOW_COMPLETED);
+	call = next_look(&f, 500);
+	g_assert_cmpuint(call->acked, ==, 7);
+	gyp_fleet_call_free(call);
+	flow_world_clear(&f.w);
+}
+
+/*
+ * A call whose answer never comes back to the fleet, by whatever way, must
+ * not keep it from looking again: the lease of all that runs there would end.
+ */
+static void
+test_answer_that_never_comes(void)
+{
+	struct fixture f;
+	struct flow_world_row up = {FLOW, 0, 1, 0, 0};
+
+	set_up(&f, 1, false);
+	flow_world_start(&f.w, FLOW, 0, 0, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	gyp_fleet_call_free(next_look(&f, 500));
+	flow_world_lists(&f.w, next_look(&f, 3000), 1, &up, 1, NULL, 0);
+	g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_OPEN);
+	flow_world_clear(&f.w);
+}
+
+/*
+ * A lost start is repeated under the same number, then stopped; the task gets
+ * another run only after the stop was confirmed and a later look has no run.
+ */
+static void
+test_lost_start(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *stop = NULL;
+	int starts = 0;
+
+	set_up(&f, 1, false);
+	flow_world_start(&f.w, FLOW, 0, 0, 1, f.a);
+	while (stop == NULL && f.w.now < 200000) {
+		struct gyp_fleet_call *call;
+
+		flow_world_pass(&f.w, 10);
+		call = gyp_fleet_pop_call(f.w.fleet);
+		if (call == NULL) {
+			continue;
+		} else if (call->kind == GYP_FLEET_STOP) {
+			stop = call;
+		} else if (call->kind == GYP_FLEET_START) {
+			g_assert_cmpuint(call->run, ==, 1);
+			starts++;
+			flow_world_answer(&f.w, call, GYP_FLEET_LOST);
+		} else {
+			flow_world_lists(&f.w, call, 1, NULL, 0, NULL, 0);
+		}
+	}
+	g_assert_cmpint(starts, >, 1);
+	g_assert_nonnull(stop);
+	g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_OPEN);
+	flow_world_answer(&f.w, stop, GYP_FLEET_OK);
+	g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_OPEN);
+	flow_world_lists(&f.w, next_look(&f, 1000), 1, NULL, 0, NULL, 0);
+	g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_WAITING);
+	flow_world_clear(&f.w);
+}
+
+/*
+ * A silent endpoint's runs are over only when its lease is over on a clock
+ * that is slow by one in GYP_CLOCK_SLOW.
+ */
+static void
+test_lease_of_silent_endpoint(void)
+{
+	struct fixture f;
+	struct flow_world_row up = {FLOW, 0, 1, 0, 0};
+	uint64_t last, until = 0;
+
+	set_up(&f, 1, false);
+	flow_world_start(&f.w, FLOW, 0, 0, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	flow_world_lists(&f.w, next_look(&f, 500), 1, &up, 1, NULL, 0);
+	last = f.w.now;
+	while (task_of(&f, 0)->state == GYP_FLOW_TASK_OPEN) {
+		struct gyp_fleet_call *call;
+
+		flow_world_pass(&f.w, 10);
+		while ((call = gyp_fleet_pop_call(f.w.fleet)) != NULL) {
+			until = MAX(until, call->until_ms);
+			flow_world_answer(&f.w, call, GYP_FLEET_LOST);
+		}
+		g_assert_cmpuint(f.w.now, <, last + 3 * WORLD_LEASE_MS);
+	}
+	/* The endpoint's clock read last at that time of ours. */
+	g_assert_cmpuint(f.w.now, >=,
+	    last + (until - last) * GYP_CLOCK_SLOW / (GYP_CLOCK_SLOW - 1));
+	flow_world_clear(&f.w);
+}
+
+/* A new leader keeps what is listed, and stops what is not before it is lost.
+ */
+static void
+test_new_leader(void)
+{
+	struct fixture f;
+	struct flow_world_row up = {FLOW, 0, 1, 0, 0};
+	struct gyp_fleet_call *stop;
+
+	set_up(&f, 2, false);
+	flow_world_start(&f.w, FLOW, 0, 1, 1, f.a);
+	flow_world_lead(&f.w, 2);
+	flow_world_lists(&f.w, next_look(&f, 500), 1, &up, 1, NULL, 0);
+	stop = flow_world_call(&f.w, GYP_FLEET_STOP);
+	g_assert_nonnull(stop);
+	g_assert_cmpuint(stop->index, ==, 1);
+	g_assert_cmpuint(stop->fence, ==, 2);
+	g_assert_cmpint(task_of(&f, 1)->state, ==, GYP_FLOW_TASK_OPEN);
+	flow_world_answer(&f.w, stop, GYP_FLEET_OK);
+	flow_world_lists(&f.w, next_look(&f, 1000), 1, &up, 1, NULL, 0);
+	g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_OPEN);
+	g_assert_cmpint(task_of(&f, 1)->state, ==, GYP_FLOW_TASK_WAITING);
+	flow_world_clear(&f.w);
+}
+
+/* A reborn endpoint has lost its runs, but a late start may reach it yet. */
+static void
+test_reborn(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *stop;
+
+	set_up(&f, 1, false);
+	flow_world_start(&f.w, FLOW, 0, 0, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	flow_world_lists(&f.w, next_look(&f, 500), 2, NULL, 0, NULL, 0);
+	g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_OPEN);
+	stop = flow_world_call(&f.w, GYP_FLEET_STOP);
+	g_assert_nonnull(stop);
+	flow_world_answer(&f.w, stop, GYP_FLEET_OK);
+	flow_world_lists(&f.w, next_look(&f, 1000), 2, NULL, 0, NULL, 0);
+	g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_WAITING);
+	flow_world_clear(&f.w);
+}
+
+/* The runs of a cancelled flow are stopped, and no run is started for it. */
+static void
+test_cancelled(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *call;
+
+	set_up(&f, 2, false);
+	flow_world_start(&f.w, FLOW, 0, 0, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	flow_world_start(&f.w, FLOW, 1, 1, 2, f.a);
+	flow_world_cancel(&f.w, FLOW);
+	flow_world_pass(&f.w, 10);
+	call = gyp_fleet_pop_call(f.w.fleet);
+	while (call != NULL) {
+		g_assert_cmpint(call->kind, !=, GYP_FLEET_START);
+		if (call->kind == GYP_FLEET_STOP)
+			g_assert_cmpuint(call->index, ==, 0);
+		gyp_fleet_call_free(call);
+		call = gyp_fleet_pop_call(f.w.fleet);
+	}
+	g_assert_cmpint(task_of(&f, 1)->state, ==, GYP_FLOW_TASK_WAITING);
+	flow_world_clear(&f.w);
+}
+
+/* When one run of a gang ends without success, the others are stopped. */
+static void
+test_broken_gang(void)
+{
+	struct fixture f;
+	struct flow_world_row end = {FLOW, 0, 1, 1, GYP__FLOW_HOW__FLOW_FAILED};
+	struct flow_world_row up = {FLOW, 1, 1, 0, 0};
+	struct gyp_fleet_call *stop;
+
+	set_up(&f, 2, true);
+	flow_world_start(&f.w, FLOW, 0, 1, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	answer_start(&f, GYP_FLEET_OK);
+	flow_world_lists(&f.w, next_look(&f, 500), 1, &up, 1, &end, 1);
+	flow_world_pass(&f.w, 10);
+	stop = flow_world_call(&f.w, GYP_FLEET_STOP);
+	g_assert_nonnull(stop);
+	g_assert_cmpuint(stop->index, ==, 1);
+	gyp_fleet_call_free(stop);
+	g_assert_cmpuint(task_of(&f, 0)->failures, ==, 1);
+	flow_world_clear(&f.w);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func(
+	    "/fleet/acknowledged-after-commit", test_acknowledged_after_commit);
+	g_test_add_func(
+	    "/fleet/answer-that-never-comes", test_answer_that_never_comes);
+	g_test_add_func("/fleet/lost-start", test_lost_start);
+	g_test_add_func(
+	    "/fleet/lease-of-silent-endpoint", test_lease_of_silent_endpoint);
+	g_test_add_func("/fleet/new-leader", test_new_leader);
+	g_test_add_func("/fleet/reborn", test_reborn);
+	g_test_add_func("/fleet/cancelled", test_cancelled);
+	g_test_add_func("/fleet/broken-gang", test_broken_gang);
+	return g_test_run();
+}
