Entries reach a leader that their first addresses do not know

Ruled out: the election, the links (no connection was lost).

Change: a learner forgets a leader that it does not hear; an entry gives all replicas their turn; the leader tells entries all replicas every 2 s; a replica that does not lead passes a join on once; a connection that does not open is dialled again after 0.5 s, where the kernel would wait longer. /raft/learner-forgets-leader and /entry/wrong-names were red before.

--- a/src/entry.c
+++ b/src/entry.c
@@ -25,10 +25,17 @@
 	e->due = true;
 }
 
+/*
+ * All replicas get their turn, also when one of them keeps naming another
+ * that does not lead.
+ */
 static void
 rotate(struct gyp_entry_core *e)
 {
-	set_target(e, (e->target + 1) % e->cells->len);
+	e->turn = (e->turn + 1) % e->cells->len;
+	if (e->turn == e->target)
+		e->turn = (e->turn + 1) % e->cells->len;
+	set_target(e, e->turn);
 }
 
 /* Position of a replica's address, which is added when it is new. */
@@ -142,6 +149,8 @@
 		e->term = down->term;
 		e->epoch++;
 	}
+	for (i = 0; i < down->n_cells; i++)
+		find_cell(e, down->cells[i]);
 	if (strcmp(address, target_address(e)) == 0)
 		on_leader(e);
 	e->cell_time = MAX(e->cell_time, down->time_ms);
@@ -286,6 +295,7 @@
 		g_ptr_array_add(e->cells, g_strdup(*cell));
 	g_assert(e->cells->len > 0);
 	e->target = (guint)(cfg->id % e->cells->len);
+	e->turn = e->target;
 	e->epoch = 1;
 	e->next_id = 1;
 	e->expire_at = UINT64_MAX;
--- a/src/entry_int.h
+++ b/src/entry_int.h
@@ -57,6 +57,7 @@
 	uint64_t term;
 	uint64_t lease_end;
 	guint target;
+	guint turn;           /* the last one that had its turn */
 	uint64_t epoch;       /* rises with each connection or target */
 	uint64_t named_epoch; /* in which the name was sent */
 	uint64_t led_epoch;   /* in which the target said that it leads */
--- a/src/link.c
+++ b/src/link.c
@@ -20,7 +20,7 @@
 #define READ_BYTES (64 * 1024)
 
 /* Interval of the check for slow connections, in ms. */
-#define SWEEP_MS 500
+#define SWEEP_MS 200
 
 /* Silence after which a connection counts as lost, in s and ms. */
 #define PROBE_IDLE_S     1
@@ -444,9 +444,10 @@
 is_too_slow(const struct conn *c, uint64_t now)
 {
 	bool waiting =
-	    c->state == CONN_DIALLING ||
-	    (c->state == CONN_OPEN && c->address == NULL && c->id == 0);
+	    c->state == CONN_OPEN && c->address == NULL && c->id == 0;
 
+	if (c->state == CONN_DIALLING && now > c->since + GYP_OPEN_MS)
+		return true;
 	if (c->full || (waiting && now > c->since + GYP_HELLO_MS))
 		return true;
 	return c->frame_since != 0 && now > c->frame_since + GYP_FRAME_MS;
--- a/src/link.h
+++ b/src/link.h
@@ -35,9 +35,15 @@
 
 /* Bounds of the delay before a new dial, in ms. */
 #define GYP_DIAL_MIN_MS 50
-#define GYP_DIAL_MAX_MS 1000
+#define GYP_DIAL_MAX_MS 300
 
-/* Longest time for a connection to be opened and introduced, in ms. */
+/*
+ * Longest time for a connection to be opened, in ms. The kernel repeats an
+ * opening packet only after a second, and a VM may be back before.
+ */
+#define GYP_OPEN_MS 500
+
+/* Longest time for a connection to be introduced, in ms. */
 #define GYP_HELLO_MS 3000
 
 /* Longest time from the first to the last byte of a frame, in ms. */
--- a/src/raft_elect.c
+++ b/src/raft_elect.c
@@ -118,10 +118,10 @@
 	 * Without the vote, but with the newest log: others may not know yet
 	 * that they can do without this replica, and could not win its vote.
 	 */
+	r->leader = 0;
 	if (!gyp_raft_is_voter(r, r->cfg.id) && !r->former)
 		return;
 	r->role = GYP_RAFT_PRECANDIDATE;
-	r->leader = 0;
 	r->forced = false;
 	r->prevote_at = r->now;
 	g_hash_table_remove_all(r->votes);
--- a/src/replica.c
+++ b/src/replica.c
@@ -540,7 +540,7 @@
 		on_up(r, from, frame->up);
 		break;
 	case GYP__FRAME__BODY_JOIN:
-		gyp_replica_join(r, frame->join->member);
+		gyp_replica_join(r, frame->join);
 		break;
 	default:
 		break;
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -45,6 +45,7 @@
 	GPtrArray *replies; /* Gyp__Reply, owned */
 	GPtrArray *orders;  /* Gyp__Order, owned */
 	GPtrArray *asks;    /* Gyp__Ask, owned */
+	uint64_t cells_at;  /* when it is told all replicas again */
 	GQueue unsent;      /* struct gyp_task_ref, placed but not ordered */
 };
 
@@ -181,7 +182,7 @@
 void gyp_replica_ask_unlisted(struct gyp_replica *);
 /* replica_members.c */
 void gyp_replica_tend_members(struct gyp_replica *);
-void gyp_replica_join(struct gyp_replica *, const Gyp__Member *);
+void gyp_replica_join(struct gyp_replica *, const Gyp__Join *);
 void gyp_replica_remove_member(
     struct gyp_replica *, uint64_t entry, uint64_t call, const char *name);
 void gyp_replica_forget_requests(struct gyp_replica *);
--- a/src/replica_lead.c
+++ b/src/replica_lead.c
@@ -10,6 +10,10 @@
 /* Interval of the search for attempts that must be asked about, in ms. */
 #define QUERIES_MS 1000
 
+/* Interval at which an entry is told all replicas, in ms; and most of them. */
+#define CELLS_MS  2000
+#define CELLS_MAX 32
+
 /* Most bytes of replies and orders in one frame, unless one is larger. */
 #define DOWN_BYTES (1024 * 1024)
 
@@ -226,6 +230,23 @@
 		down->rules = v->cmd->text;
 }
 
+/* Replicas come and go; an entry is only told a few at its start. */
+static void
+fill_cells(struct gyp_replica *r, struct gyp_entry_peer *peer,
+    Gyp__EntryDown *down, char **list)
+{
+	const Gyp__Config *c = gyp_raft_members(r->raft);
+	size_t i;
+
+	if (r->now < peer->cells_at || c->n_members > CELLS_MAX)
+		return;
+	peer->cells_at = r->now + CELLS_MS;
+	for (i = 0; i < c->n_members; i++)
+		list[i] = c->members[i]->address;
+	down->n_cells = c->n_members;
+	down->cells = list;
+}
+
 /* How many messages from `first` on fit in one frame; at least one. */
 static guint
 count_fitting(const GPtrArray *list, guint first, size_t *bytes)
@@ -271,6 +292,7 @@
 	peer->lease_end = gyp_lease_end(peer->heard, r->cfg.entry_lease_ms);
 	do {
 		Gyp__EntryDown down = GYP__ENTRY_DOWN__INIT;
+		char *cells[CELLS_MAX];
 		size_t bytes = 0;
 
 		down.replies = (Gyp__Reply **)peer->replies->pdata + replies;
@@ -279,6 +301,7 @@
 		down.n_orders = count_fitting(peer->orders, orders, &bytes);
 		if (replies == 0 && orders == 0) {
 			fill_rules(r, peer, &down);
+			fill_cells(r, peer, &down, cells);
 			down.n_asks = peer->asks->len;
 			down.asks = (Gyp__Ask **)peer->asks->pdata;
 		}
--- a/src/replica_members.c
+++ b/src/replica_members.c
@@ -171,9 +171,35 @@
 
 /* ---- Joining and votes -------------------------------------------------- */
 
+/* The addresses that a joiner was told may all be followers. */
+static void
+relay_join(struct gyp_replica *r, const Gyp__Join *join)
+{
+	uint64_t leader = gyp_raft_leader(r->raft);
+	const char *address = gyp_replica_member_address(r, leader);
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__Join relayed = *join;
+	struct gyp_out *out;
+
+	if (address == NULL || leader == r->cfg.id)
+		return;
+	relayed.relayed = true;
+	frame.body_case = GYP__FRAME__BODY_JOIN;
+	frame.join = &relayed;
+	out = g_new0(struct gyp_out, 1);
+	out->to = leader;
+	out->address = g_strdup(address);
+	out->packed = gyp_message_pack(&frame.base);
+	g_queue_push_tail(&r->out, out);
+}
+
 void
-gyp_replica_join(struct gyp_replica *r, const Gyp__Member *m)
+gyp_replica_join(struct gyp_replica *r, const Gyp__Join *join)
 {
+	const Gyp__Member *m = join->member;
+
+	if (!r->leading && !join->relayed)
+		relay_join(r, join);
 	if (!r->leading || m == NULL || m->id == 0 || m->address[0] == '\0' ||
 	    was_removed(gyp_raft_members(r->raft), m->id))
 		return;
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -6495,7 +6495,7 @@
   (ProtobufCMessageInit) gyp__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__join__field_descriptors[1] =
+static const ProtobufCFieldDescriptor gyp__join__field_descriptors[2] =
 {
   {
     "member",
@@ -6509,14 +6509,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relayed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Join, relayed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__join__field_indices_by_name[] = {
   0,   /* field[0] = member */
+  1,   /* field[1] = relayed */
 };
 static const ProtobufCIntRange gyp__join__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor gyp__join__descriptor =
 {
@@ -6526,7 +6539,7 @@
   "Gyp__Join",
   "gyp",
   sizeof(Gyp__Join),
-  1,
+  2,
   gyp__join__field_descriptors,
   gyp__join__field_indices_by_name,
   1,  gyp__join__number_ranges,
@@ -7691,7 +7704,7 @@
   (ProtobufCMessageInit) gyp__entry_up__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__entry_down__field_descriptors[11] =
+static const ProtobufCFieldDescriptor gyp__entry_down__field_descriptors[12] =
 {
   {
     "term",
@@ -7825,9 +7838,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cells",
+    25,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gyp__EntryDown, n_cells),
+    offsetof(Gyp__EntryDown, cells),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__entry_down__field_indices_by_name[] = {
   10,   /* field[10] = asks */
+  11,   /* field[11] = cells */
   1,   /* field[1] = leader */
   2,   /* field[2] = leader_address */
   3,   /* field[3] = lease_ms */
@@ -7844,7 +7870,7 @@
   { 1, 0 },
   { 18, 9 },
   { 24, 10 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor gyp__entry_down__descriptor =
 {
@@ -7854,7 +7880,7 @@
   "Gyp__EntryDown",
   "gyp",
   sizeof(Gyp__EntryDown),
-  11,
+  12,
   gyp__entry_down__field_descriptors,
   gyp__entry_down__field_indices_by_name,
   3,  gyp__entry_down__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -1084,10 +1084,14 @@
 {
   ProtobufCMessage base;
   Gyp__Member *member;
+  /*
+   * by a replica that does not lead, once
+   */
+  protobuf_c_boolean relayed;
 };
 #define GYP__JOIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__join__descriptor) \
-    , NULL }
+    , NULL, 0 }
 
 
 /*
@@ -1381,10 +1385,15 @@
    */
   size_t n_asks;
   Gyp__Ask **asks;
+  /*
+   * addresses of all replicas, now and then
+   */
+  size_t n_cells;
+  char **cells;
 };
 #define GYP__ENTRY_DOWN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__entry_down__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL }
 
 
 typedef enum {
--- a/test/test_entry_terms.c
+++ b/test/test_entry_terms.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include <glib.h>
 
 #include "entry.h"
@@ -137,6 +139,68 @@
 	gyp_entry_free(e);
 }
 
+static const char *const three_cells[] = {CELL_A, CELL_B, "127.0.0.1:3", NULL};
+
+/* The address that the entry's last frame goes to. */
+static const char *
+target_of(struct gyp_entry_core *e)
+{
+	const char *address = NULL;
+	GBytes *packed;
+
+	while (gyp_entry_pop_frame(e, &address, &packed))
+		g_bytes_unref(packed);
+	return address;
+}
+
+static void
+refuse(struct gyp_entry_core *e, uint64_t now, const char *from,
+    const char *leader)
+{
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__EntryDown down = GYP__ENTRY_DOWN__INIT;
+
+	down.term = 3;
+	down.leader_address = (char *)leader;
+	frame.body_case = GYP__FRAME__BODY_DOWN;
+	frame.down = &down;
+	gyp_entry_receive(e, now, from, &frame);
+}
+
+/*
+ * One replica knows no leader, another one names the first: the third must
+ * get its turn.
+ */
+static void
+test_wrong_names(void)
+{
+	struct gyp_entry_config cfg = {.id = 3,
+	    .cells = three_cells,
+	    .keepalive_ms = 100,
+	    .silence_ms = 60000};
+	struct gyp_entry_core *e = gyp_entry_new(&cfg);
+	uint64_t now = 1000;
+	bool reached = false;
+
+	gyp_entry_tick(e, now);
+	while (!reached && now < 4000) {
+		const char *target = target_of(e);
+
+		now += 20;
+		gyp_entry_tick(e, now);
+		if (target == NULL)
+			continue;
+		if (strcmp(target, CELL_A) == 0)
+			refuse(e, now, CELL_A, "");
+		else if (strcmp(target, CELL_B) == 0)
+			refuse(e, now, CELL_B, CELL_A);
+		else
+			reached = true;
+	}
+	g_assert_true(reached);
+	gyp_entry_free(e);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -144,5 +208,6 @@
 	g_test_add_func("/entry/resend-in-new-term", test_resend_in_new_term);
 	g_test_add_func("/entry/refusal-keeps-term", test_refusal_keeps_term);
 	g_test_add_func("/entry/outage", test_outage);
+	g_test_add_func("/entry/wrong-names", test_wrong_names);
 	return g_test_run();
 }
--- a/test/test_raft_rules.c
+++ b/test/test_raft_rules.c
@@ -258,6 +258,40 @@
 	gyp_raft_free(n.raft);
 }
 
+/* A learner that lost touch with its leader must not name it for ever. */
+static void
+test_learner_forgets_leader(void)
+{
+	struct gyp_raft_config cfg = {
+	    .id = 1, .election_ms = ELECTION_MS, .heartbeat_ms = 50, .seed = 1};
+	struct node n = {.io = {.ops = &ops}, .now = 1000};
+	struct gyp_record rec = {.type = GYP_RECORD_ENTRY,
+	    .term = 1,
+	    .index = 1,
+	    .kind = GYP__ENTRY_KIND__ENTRY_CONFIG};
+	Gyp__Config config;
+	Gyp__Member own[MEMBERS_MAX], *list[MEMBERS_MAX];
+	Gyp__RaftMsg m = GYP__RAFT_MSG__INIT;
+
+	n.raft = gyp_raft_new(&cfg, &n.io);
+	fill_config(&config, own, list, 3, 2 | 4);
+	rec.data = gyp_message_pack(&config.base);
+	gyp_raft_load(n.raft, &rec);
+	g_bytes_unref(rec.data);
+	gyp_raft_tick(n.raft, n.now);
+	m.type = GYP__RAFT_TYPE__RAFT_APPEND;
+	m.from = 2;
+	m.to = 1;
+	m.term = 1;
+	m.index = 1;
+	m.log_term = 1;
+	gyp_raft_step(n.raft, n.now, &m);
+	g_assert_cmpuint(gyp_raft_leader(n.raft), ==, 2);
+	pass(&n, 3 * ELECTION_MS);
+	g_assert_cmpuint(gyp_raft_leader(n.raft), ==, 0);
+	gyp_raft_free(n.raft);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -266,5 +300,7 @@
 	g_test_add_func("/raft/joint-quorum", test_joint_quorum);
 	g_test_add_func("/raft/shorter-log", test_shorter_log);
 	g_test_add_func("/raft/silent-member", test_silent_member);
+	g_test_add_func(
+	    "/raft/learner-forgets-leader", test_learner_forgets_leader);
 	return g_test_run();
 }
