--- a/src/fleet.c
+++ b/src/fleet.c
@@ -529,6 +529,33 @@
 	return run != NULL ? &run->view : NULL;
 }
 
+void
+gyp_fleet_each_run(const struct gyp_fleet *f, gyp_fleet_run_fn fn, void *arg)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, f->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gyp_fleet_run *run = value;
+
+		if (run->phase == GYP_RUN_UP && !run->ending &&
+		    run->stop == GYP_STOP_NONE)
+			fn(arg, run->flow, run->key.task, run->row,
+			    &run->view);
+	}
+}
+
+void
+gyp_fleet_stop_run(struct gyp_fleet *f, uint64_t flow, uint32_t task)
+{
+	struct gyp_run_key key = {.flow = flow, .task = task};
+	struct gyp_fleet_run *run = gyp_fleet_find(f, &key);
+
+	if (run != NULL)
+		gyp_fleet_want_stop(f, run);
+}
+
 Gyp__Cmd *
 gyp_fleet_pop_cmd(struct gyp_fleet *f)
 {
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -123,10 +123,18 @@
 /* What the leader learnt of a run from the last look. */
 struct gyp_run_view {
 	bool up;
+	bool stopping;
+	uint64_t up_at;    /* when it was confirmed */
+	uint64_t moved_at; /* when its progress last changed */
+	uint64_t seen_at;  /* last look that listed it */
 	uint32_t percent;
 	uint32_t load;
 };
 
+/* Called for each run that the endpoints confirmed. */
+typedef void (*gyp_fleet_run_fn)(void *arg, struct gyp_flow *, uint32_t task,
+    uint32_t row, const struct gyp_run_view *);
+
 struct gyp_fleet;
 
 struct gyp_fleet *gyp_fleet_new(const struct gyp_fleet_config *,
@@ -164,6 +172,12 @@
 const struct gyp_run_view *gyp_fleet_view(
     const struct gyp_fleet *, uint64_t flow, uint32_t task);
 
+/* fn must not end runs. */
+void gyp_fleet_each_run(const struct gyp_fleet *, gyp_fleet_run_fn, void *arg);
+
+/* Stops a run, so that another may begin. */
+void gyp_fleet_stop_run(struct gyp_fleet *, uint64_t flow, uint32_t task);
+
 /* The endpoint refused the ticket of a start: true once for each. */
 bool gyp_fleet_pop_bad_ticket(
     struct gyp_fleet *, uint64_t *flow, uint32_t *task, uint32_t *row);
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -166,9 +166,7 @@
 {
 	run->sending = false;
 	if (a->end == GYP_FLEET_OK) {
-		run->phase = GYP_RUN_UP;
-		run->confirmed_at = f->now;
-		run->view.up = true;
+		gyp_fleet_confirm(f, run);
 		return;
 	}
 	if (a->end == GYP_FLEET_REFUSED)
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -147,6 +147,8 @@
 void gyp_fleet_expire_calls(struct gyp_fleet *);
 
 /* fleet_look.c */
+/* The endpoint answered that it has the run. */
+void gyp_fleet_confirm(struct gyp_fleet *, struct gyp_fleet_run *);
 void gyp_fleet_take_lists(struct gyp_fleet *, struct gyp_peer *,
     const struct gyp_fleet_pending *, const struct gyp_fleet_answer *);
 /* Advances the acknowledged number over ends that are committed. */
--- a/src/fleet_look.c
+++ b/src/fleet_look.c
@@ -110,24 +110,35 @@
 	g_queue_push_tail(&f->calls, call);
 }
 
-static void
-confirm_run(struct gyp_fleet *f, struct gyp_fleet_run *run,
-    const struct gyp_listed_run *l, uint64_t sent_at)
+void
+gyp_fleet_confirm(struct gyp_fleet *f, struct gyp_fleet_run *run)
 {
-	if (run->phase != GYP_RUN_UP) {
-		run->phase = GYP_RUN_UP;
-		run->confirmed_at = f->now;
-		run->retry_at = run->stop == GYP_STOP_NONE ? 0 : run->retry_at;
-	}
+	if (run->phase == GYP_RUN_UP)
+		return;
+	run->phase = GYP_RUN_UP;
+	run->confirmed_at = f->now;
+	if (run->stop == GYP_STOP_NONE)
+		run->retry_at = 0;
 	run->view.up = true;
+	run->view.up_at = f->now;
+	run->view.moved_at = f->now;
+}
+
+static void
+view_run(struct gyp_fleet *f, struct gyp_fleet_run *run,
+    const struct gyp_listed_run *l)
+{
+	gyp_fleet_confirm(f, run);
+	if (run->view.percent != l->percent)
+		run->view.moved_at = f->now;
 	run->view.percent = l->percent;
 	run->view.load = l->load;
-	(void)sent_at;
+	run->view.seen_at = f->now;
 }
 
 static GHashTable *
-take_running(struct gyp_fleet *f, struct gyp_peer *peer,
-    const struct gyp_fleet_pending *p, const GArray *running)
+take_running(
+    struct gyp_fleet *f, struct gyp_peer *peer, const GArray *running)
 {
 	GHashTable *listed = g_hash_table_new(NULL, NULL);
 	guint i, strays = 0;
@@ -140,7 +151,7 @@
 
 		if (run != NULL) {
 			g_hash_table_add(listed, run);
-			confirm_run(f, run, l, p->sent_at);
+			view_run(f, run, l);
 		} else if (strays++ < STRAYS_MAX) {
 			stop_stray(f, peer, l);
 		}
@@ -188,7 +199,7 @@
 
 	take_ends(f, peer, a->ended);
 	gyp_peer_settle_ends(f, peer);
-	listed = take_running(f, peer, p, a->running);
+	listed = take_running(f, peer, a->running);
 	for (i = 0; i < peer->runs->len; i++) {
 		struct gyp_fleet_run *run = peer->runs->pdata[i];
 
--- a/src/flow.h
+++ b/src/flow.h
@@ -72,6 +72,8 @@
 	uint32_t left;       /* tasks that are not done */
 	uint32_t open;       /* tasks with an open run */
 	uint32_t failed_run; /* of a gang: the last run that failed */
+	uint32_t done;       /* runs that a leader timed; not replicated */
+	uint64_t done_ms;    /* their sum */
 };
 
 struct gyp_flow {
--- a/src/flow_lead.c
+++ b/src/flow_lead.c
@@ -4,10 +4,15 @@
 #include "flow_lead.h"
 #include "msg.h"
 #include "placer.h"
+#include "straggler.h"
+#include "track.h"
 
 /* Longest time between two rounds of decisions, in ms. */
 #define ROUND_MS 50
 
+/* Interval of the search for stragglers, in ms. */
+#define JUDGE_MS 150
+
 /* Time for an entry to answer a question, in ms. */
 #define ASK_MS 4000
 
@@ -26,6 +31,9 @@
 	struct gyp_fleet *fleet;
 	struct gyp_admission *admission;
 	struct gyp_placer *placer;
+	struct gyp_track *track;
+	uint64_t judge_at;
+	GArray *stops; /* struct stop, of the current judgement */
 	GHashTable *lanes; /* entry -> struct lane */
 	GQueue cmds;       /* Gyp__Cmd */
 	GQueue asks;       /* struct sent_ask */
@@ -35,6 +43,14 @@
 	const struct gyp_flow_unit *noted_unit;
 };
 
+/* A run that the judgement wants to stop. */
+struct stop {
+	uint64_t flow;
+	uint32_t task;
+	uint32_t row;
+	enum gyp_straggler_word word;
+};
+
 struct sent_ask {
 	uint64_t entry;
 	Gyp__Ask *ask;
@@ -95,15 +111,44 @@
 	note_start(lead, flow, task);
 }
 
+/* Mean time of the tasks of the unit that are done, or the estimate. */
+static uint64_t
+usual_time(const struct gyp_flow_unit *u)
+{
+	return u->done > 0 ? u->done_ms / u->done : u->step->estimate_ms;
+}
+
+static void
+track_end(struct gyp_flow_lead *lead, struct gyp_flow *flow, uint32_t task,
+    uint32_t host, Gyp__FlowHow how)
+{
+	struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
+	const struct gyp_run_view *view =
+	    gyp_fleet_view(lead->fleet, flow->id, task);
+
+	if (how == GYP__FLOW_HOW__FLOW_DONE && view != NULL && view->up) {
+		uint64_t ran_ms = lead->now - view->up_at;
+
+		gyp_track_done(lead->track, flow->id, task, host, ran_ms,
+		    u->step->lasting ? 0 : usual_time(u));
+		u->done++;
+		u->done_ms += ran_ms;
+	} else if (how == GYP__FLOW_HOW__FLOW_FAILED &&
+		   gyp_track_failed(
+		       lead->track, flow->id, task, host, lead->now)) {
+		gyp_events_add(lead->events, "endpoint-quarantined",
+		    "row=%u for_ms=%u", host, GYP_TRACK_FOR_MS);
+	}
+}
+
 static void
 on_ended(struct gyp_flows_listener *l, struct gyp_flow *flow, uint32_t task,
     uint32_t host, Gyp__FlowHow how)
 {
 	struct gyp_flow_lead *lead = (struct gyp_flow_lead *)l;
 
-	(void)host;
-	(void)how;
 	lead->noted_unit = NULL;
+	track_end(lead, flow, task, host, how);
 	note_end(lead, flow, task);
 	gyp_fleet_ended(lead->fleet, flow, task);
 	lead->round_at = 0;
@@ -219,6 +264,52 @@
 	lead->round_at = 0;
 }
 
+/* ---- Runs that should begin anew ---------------------------------------- */
+
+static void
+judge_run(void *arg, struct gyp_flow *flow, uint32_t task, uint32_t row,
+    const struct gyp_run_view *view)
+{
+	struct gyp_flow_lead *lead = arg;
+	const struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
+	struct gyp_straggler_run r = {.up_ms = view->seen_at - view->up_at,
+	    .still_ms = view->seen_at - view->moved_at,
+	    .percent = view->percent,
+	    .usual_ms = usual_time(u),
+	    .checkpoints = u->step->checkpoints};
+	struct stop stop = {.flow = flow->id, .task = task, .row = row};
+
+	if (u->step->lasting || u->step->gang || u->step->fills ||
+	    view->seen_at <= view->up_at)
+		return;
+	stop.word = gyp_straggler_judge(&r);
+	if (stop.word != GYP_STRAGGLER_KEEP)
+		g_array_append_val(lead->stops, stop);
+}
+
+static void
+judge_runs(struct gyp_flow_lead *lead)
+{
+	guint i;
+
+	lead->judge_at = lead->now + JUDGE_MS;
+	g_array_set_size(lead->stops, 0);
+	gyp_fleet_each_run(lead->fleet, judge_run, lead);
+	for (i = 0; i < lead->stops->len; i++) {
+		const struct stop *s =
+		    &g_array_index(lead->stops, struct stop, i);
+
+		gyp_events_add(lead->events, "straggler-stopped",
+		    "flow=%016" G_GINT64_MODIFIER "x task=%u row=%u why=%s",
+		    s->flow, s->task, s->row,
+		    s->word == GYP_STRAGGLER_STILL ? "still" : "slow");
+		if (s->word == GYP_STRAGGLER_STILL)
+			gyp_track_failed(lead->track, s->flow, s->task, s->row,
+			    lead->now);
+		gyp_fleet_stop_run(lead->fleet, s->flow, s->task);
+	}
+}
+
 /* ---- Rounds ------------------------------------------------------------- */
 
 static void
@@ -260,6 +351,8 @@
 	Gyp__Cmd *cmd;
 
 	lead->now = MAX(lead->now, now);
+	if (lead->now >= lead->judge_at)
+		judge_runs(lead);
 	gyp_fleet_tick(lead->fleet, lead->now);
 	pass_bad_tickets(lead);
 	while ((cmd = gyp_fleet_pop_cmd(lead->fleet)) != NULL)
@@ -328,7 +421,10 @@
 	lead->now = now;
 	lead->fleet = gyp_fleet_new(cfg, flows, now, fence);
 	lead->admission = gyp_admission_new(flows, (fence << 32) + 1);
-	lead->placer = gyp_placer_new(flows, lead->fleet, lead->admission);
+	lead->track = gyp_track_new();
+	lead->stops = g_array_new(FALSE, FALSE, sizeof(struct stop));
+	lead->placer = gyp_placer_new(
+	    flows, lead->fleet, lead->admission, lead->track);
 	lead->lanes =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	gyp_flows_listen(flows, &lead->listener);
@@ -352,6 +448,8 @@
 	g_hash_table_destroy(lead->lanes);
 	gyp_placer_free(lead->placer);
 	gyp_admission_free(lead->admission);
+	gyp_track_free(lead->track);
+	g_array_free(lead->stops, TRUE);
 	gyp_fleet_free(lead->fleet);
 	g_free(lead);
 }
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -29,6 +29,8 @@
 #include "flow_lead.h" /* these three under one leader */
 #include "health.h"    /* who is to blame for failures */
 #include "leases.h"    /* who may still be running */
+#include "track.h" /* how well endpoints run them */
+#include "straggler.h" /* which run should begin anew elsewhere */
 #include "placer.h"    /* which of their tasks goes where */
 #include "policy.h"    /* which task goes where */
 #include "raft.h"      /* replicated log */
--- a/src/health.c
+++ b/src/health.c
@@ -231,6 +231,12 @@
 	e->n_recent = 0;
 }
 
+bool
+gyp_health_is_clear(const struct gyp_health *h, uint64_t endpoint)
+{
+	return g_hash_table_lookup(h->endpoints, &endpoint) == NULL;
+}
+
 bool
 gyp_health_may_probe(
     const struct gyp_health *h, uint64_t endpoint, uint64_t now)
--- a/src/health.h
+++ b/src/health.h
@@ -53,6 +53,9 @@
 void gyp_health_quarantine(struct gyp_health *, uint64_t endpoint,
     const struct gyp_health_limits *, uint64_t now);
 
+/* True when nothing failed there since its last success. */
+bool gyp_health_is_clear(const struct gyp_health *, uint64_t endpoint);
+
 /* True when a quarantine is over and a probe may go there. */
 bool gyp_health_may_probe(
     const struct gyp_health *, uint64_t endpoint, uint64_t now);
--- a/src/placer.c
+++ b/src/placer.c
@@ -13,12 +13,21 @@
 /* One in so many endpoints is expected to be allowed, in thousandths. */
 #define ALLOWED_PERMILLE 350
 
+/*
+ * What takes an endpoint back in the order, in shares of free processors:
+ * a failure since its last success, and a pace of twice the usual time.
+ */
+#define DOUBT_COST 0.5
+#define PACE_COST  0.4
+
 /* An endpoint during a round. */
 struct room {
 	const struct gyp_host *host; /* NULL when it takes nothing */
 	struct gyp_res left;
 	bool serves; /* runs tasks with a bound on their tail */
 	bool filled; /* runs tasks that take what is left */
+	enum gyp_track_word word;
+	double pace;
 };
 
 /* A unit with waiting tasks. */
@@ -31,6 +40,7 @@
 	struct gyp_flows *flows;
 	struct gyp_fleet *fleet;
 	struct gyp_admission *admission;
+	const struct gyp_track *track;
 	GArray *rooms;   /* struct room by row, of this round */
 	GArray *units;   /* struct candidate, of this round */
 	GPtrArray *runs; /* Gyp__FlowRun being collected */
@@ -50,8 +60,11 @@
 		struct room *room = &g_array_index(p->rooms, struct room, row);
 
 		memset(room, 0, sizeof(*room));
-		if (!gyp_fleet_usable(p->fleet, row))
+		room->word = gyp_track_word(p->track, row, p->now);
+		if (!gyp_fleet_usable(p->fleet, row) ||
+		    room->word == GYP_TRACK_BLOCKED)
 			continue;
+		room->pace = gyp_track_pace(p->track, row);
 		room->host = gyp_host_at(p->flows, row);
 		room->left = room->host->capacity;
 		room->left.slots = 0;
@@ -125,6 +138,9 @@
 
 		n = MIN(n, step->spread > there ? step->spread - there : 0);
 	}
+	/* After a quarantine, one run tells. */
+	if (room->word == GYP_TRACK_PROBE)
+		n = MIN(n, room->host->runs->len == 0 ? 1 : 0);
 	return (uint32_t)n;
 }
 
@@ -193,7 +209,9 @@
 	if (step->data_rack[0] != '\0' &&
 	    strcmp(step->data_rack, room->host->spec->rack) == 0)
 		score += 2;
-	return score;
+	if (room->word == GYP_TRACK_DOUBTFUL)
+		score -= DOUBT_COST;
+	return score - (room->pace - 1) * PACE_COST;
 }
 
 struct fit {
@@ -294,19 +312,33 @@
 	return run + 1;
 }
 
-/* The best fit with room left, round robin among equals. */
+/*
+ * The next fit with room left, in turn. A task does not go where it failed,
+ * and one that must not fail again goes where nothing failed.
+ */
 static struct fit *
-next_fit(GArray *fits, guint *at)
+next_fit(const struct gyp_placer *p, const struct candidate *c, uint32_t task,
+    GArray *fits, guint *at)
 {
+	const struct gyp_flow_task *t = &c->flow->tasks[task];
+	bool last = t->failures + 1 >= c->flow->spec->queue->attempts;
 	guint tried;
 
 	for (tried = 0; tried < fits->len; tried++) {
 		struct fit *fit =
 		    &g_array_index(fits, struct fit, *at % fits->len);
+		const struct room *room =
+		    &g_array_index(p->rooms, struct room, fit->row);
 
 		*at += 1;
-		if (fit->count > 0)
-			return fit;
+		if (fit->count == 0)
+			continue;
+		if (t->failures > 0 &&
+		    (gyp_track_failed_at(
+			 p->track, c->flow->id, task, fit->row) ||
+			(last && room->word != GYP_TRACK_GOOD)))
+			continue;
+		return fit;
 	}
 	return NULL;
 }
@@ -341,9 +373,9 @@
 
 		if (c->flow->tasks[i].state != GYP_FLOW_TASK_WAITING)
 			continue;
-		fit = next_fit(fits, &at);
+		fit = next_fit(p, c, i, fits, &at);
 		if (fit == NULL)
-			break;
+			continue;
 		fit->count--;
 		take_room(p, c, fit->row);
 		collect_run(p, i, fit->row);
@@ -452,13 +484,14 @@
 
 struct gyp_placer *
 gyp_placer_new(struct gyp_flows *flows, struct gyp_fleet *fleet,
-    struct gyp_admission *admission)
+    struct gyp_admission *admission, const struct gyp_track *track)
 {
 	struct gyp_placer *p = g_new0(struct gyp_placer, 1);
 
 	p->flows = flows;
 	p->fleet = fleet;
 	p->admission = admission;
+	p->track = track;
 	p->rooms = g_array_new(FALSE, FALSE, sizeof(struct room));
 	p->units = g_array_new(FALSE, FALSE, sizeof(struct candidate));
 	p->runs = g_ptr_array_new_with_free_func(g_free);
--- a/src/placer.h
+++ b/src/placer.h
@@ -9,6 +9,7 @@
 #include "admission.h"
 #include "fleet.h"
 #include "flow.h"
+#include "track.h"
 
 /*
  * NAME
@@ -19,7 +20,9 @@
  *	is three quarters full (order by priority, then by age); wide steps and
  *	gangs beside narrow ones (a gang is placed as a whole or not at all);
  *	a slow admission service (questions in the same order as the work, one
- *	a unit at a time, naming the endpoints with the most room).
+ *	a unit at a time, naming the endpoints with the most room); endpoints
+ *	that fail or turned slow (see track: none, one or few runs there, and
+ *	no task again where it failed).
  *
  *	A round reads the tables, the fleet and the admissions, and returns
  *	commands and questions. It changes none of the tables; what a round
@@ -28,8 +31,8 @@
 
 struct gyp_placer;
 
-struct gyp_placer *gyp_placer_new(
-    struct gyp_flows *, struct gyp_fleet *, struct gyp_admission *);
+struct gyp_placer *gyp_placer_new(struct gyp_flows *, struct gyp_fleet *,
+    struct gyp_admission *, const struct gyp_track *);
 void gyp_placer_free(struct gyp_placer *);
 
 /*
--- /dev/null
+++ b/src/straggler.h
@@ -0,0 +1,35 @@
+#ifndef GYP_STRAGGLER_H
+#define GYP_STRAGGLER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * NAME
+ *	straggler - whether a run should be stopped and begun elsewhere
+ *
+ * DESCRIPTION
+ *	Load patterns answered: tasks that stand still on an endpoint that
+ *	looks well; endpoints that turn several times slower. A run is stopped
+ *	when it made no progress for long, or when what is left of it at its
+ *	pace takes much longer than all of it usually does elsewhere. The
+ *	caller makes sure that no second run begins before the first is over.
+ */
+
+enum gyp_straggler_word {
+	GYP_STRAGGLER_KEEP,
+	GYP_STRAGGLER_STILL, /* it stands still */
+	GYP_STRAGGLER_SLOW   /* it is several times slower than usual */
+};
+
+struct gyp_straggler_run {
+	uint64_t up_ms;      /* since it began */
+	uint64_t still_ms;   /* since its progress last changed */
+	uint32_t percent;    /* done, 0 to 100 */
+	uint64_t usual_ms;   /* of the whole task; 0 when it is not known */
+	bool checkpoints;    /* another run resumes from about here */
+};
+
+enum gyp_straggler_word gyp_straggler_judge(const struct gyp_straggler_run *);
+
+#endif
--- /dev/null
+++ b/src/track.h
@@ -0,0 +1,64 @@
+#ifndef GYP_TRACK_H
+#define GYP_TRACK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "flow.h"
+
+/*
+ * NAME
+ *	track - how well and how fast endpoints run tasks of flows
+ *
+ * DESCRIPTION
+ *	Load patterns answered: endpoints that fail all they are given in no
+ *	time, and so look the least loaded; endpoints that turn slow. Blame is
+ *	shared as in health: two tasks that fail at an endpoint without a
+ *	success in between put it into quarantine, a task that fails at several
+ *	endpoints which others do well at is itself to blame. After a
+ *	quarantine one run at a time goes there until one ends well.
+ *
+ *	An endpoint's pace is the time that its tasks take against the mean of
+ *	their step, 1 for as usual, above for slower; it is a moving mean.
+ *
+ *	Kept by a leader only, by row of the endpoint; a new one begins anew.
+ */
+
+/* Quarantine after so many tasks that failed within so many ms, for so long. */
+#define GYP_TRACK_FAILURES  2
+#define GYP_TRACK_WITHIN_MS 5000
+#define GYP_TRACK_FOR_MS    1500
+
+struct gyp_track;
+
+struct gyp_track *gyp_track_new(void);
+void gyp_track_free(struct gyp_track *);
+
+/* The task's run there ended as done after ran_ms; mean_ms of its step or 0. */
+void gyp_track_done(struct gyp_track *, uint64_t flow, uint32_t task,
+    uint32_t row, uint64_t ran_ms, uint64_t mean_ms);
+
+/* It failed there, or stood still; true when a quarantine begins. */
+bool gyp_track_failed(struct gyp_track *, uint64_t flow, uint32_t task,
+    uint32_t row, uint64_t now);
+
+enum gyp_track_word {
+	GYP_TRACK_GOOD,
+	GYP_TRACK_DOUBTFUL, /* something failed there since the last success */
+	GYP_TRACK_PROBE,    /* takes one run at a time */
+	GYP_TRACK_BLOCKED
+};
+
+enum gyp_track_word gyp_track_word(
+    const struct gyp_track *, uint32_t row, uint64_t now);
+
+/* True when the task failed there and has not ended well since. */
+bool gyp_track_failed_at(
+    const struct gyp_track *, uint64_t flow, uint32_t task, uint32_t row);
+
+double gyp_track_pace(const struct gyp_track *, uint32_t row);
+
+/* The endpoint began a new life. */
+void gyp_track_forget(struct gyp_track *, uint32_t row);
+
+#endif
