Stop slow runs only at endpoints where most runs are slow

Runs of an earlier leader were timed from the change of leader and made the usual time too short.

Change: only runs that this leader saw begin are timed; the estimate is used where a queue's estimates proved good; an endpoint counts as slow when two or more of its runs, and most, are.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -541,8 +541,7 @@
 
 		if (run->phase == GYP_RUN_UP && !run->ending &&
 		    run->stop == GYP_STOP_NONE)
-			fn(arg, run->flow, run->key.task, run->row,
-			    &run->view);
+			fn(arg, run->flow, run->key.task, run->row, &run->view);
 	}
 }
 
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -123,7 +123,7 @@
 /* What the leader learnt of a run from the last look. */
 struct gyp_run_view {
 	bool up;
-	bool stopping;
+	bool timed;        /* this leader saw it begin */
 	uint64_t up_at;    /* when it was confirmed */
 	uint64_t moved_at; /* when its progress last changed */
 	uint64_t seen_at;  /* last look that listed it */
--- a/src/fleet_look.c
+++ b/src/fleet_look.c
@@ -115,6 +115,7 @@
 {
 	if (run->phase == GYP_RUN_UP)
 		return;
+	run->view.timed = run->phase == GYP_RUN_STARTING;
 	run->phase = GYP_RUN_UP;
 	run->confirmed_at = f->now;
 	if (run->stop == GYP_STOP_NONE)
@@ -137,8 +138,7 @@
 }
 
 static GHashTable *
-take_running(
-    struct gyp_fleet *f, struct gyp_peer *peer, const GArray *running)
+take_running(struct gyp_fleet *f, struct gyp_peer *peer, const GArray *running)
 {
 	GHashTable *listed = g_hash_table_new(NULL, NULL);
 	guint i, strays = 0;
--- a/src/flow_lead.c
+++ b/src/flow_lead.c
@@ -10,6 +10,9 @@
 /* Longest time between two rounds of decisions, in ms. */
 #define ROUND_MS 50
 
+/* Runs that must be slow before their endpoint counts as slow. */
+#define SLOW_RUNS 2
+
 /* Interval of the search for stragglers, in ms. */
 #define JUDGE_MS 150
 
@@ -33,7 +36,8 @@
 	struct gyp_placer *placer;
 	struct gyp_track *track;
 	uint64_t judge_at;
-	GArray *stops; /* struct stop, of the current judgement */
+	GArray *stops;     /* struct stop, of the current judgement */
+	GArray *judged;    /* struct judged by row, likewise */
 	GHashTable *lanes; /* entry -> struct lane */
 	GQueue cmds;       /* Gyp__Cmd */
 	GQueue asks;       /* struct sent_ask */
@@ -51,6 +55,12 @@
 	enum gyp_straggler_word word;
 };
 
+/* Runs at an endpoint whose pace can be told, and slow ones. */
+struct judged {
+	uint32_t runs;
+	uint32_t slow;
+};
+
 struct sent_ask {
 	uint64_t entry;
 	Gyp__Ask *ask;
@@ -111,11 +121,18 @@
 	note_start(lead, flow, task);
 }
 
-/* Mean time of the tasks of the unit that are done, or the estimate. */
+/* Tasks of a step that tell how long the others take. */
+#define TELLING_TASKS 2
+
+/* How long a task of the unit usually runs, or 0 when that is not known. */
 static uint64_t
-usual_time(const struct gyp_flow_unit *u)
+usual_time(const struct gyp_flow_lead *lead, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *u)
 {
-	return u->done > 0 ? u->done_ms / u->done : u->step->estimate_ms;
+	if (u->done >= TELLING_TASKS)
+		return u->done_ms / u->done;
+	return gyp_track_usual(
+	    lead->track, flow->spec->queue->name, u->step->estimate_ms);
 }
 
 static void
@@ -126,11 +143,13 @@
 	const struct gyp_run_view *view =
 	    gyp_fleet_view(lead->fleet, flow->id, task);
 
-	if (how == GYP__FLOW_HOW__FLOW_DONE && view != NULL && view->up) {
+	if (how == GYP__FLOW_HOW__FLOW_DONE && view != NULL && view->timed) {
 		uint64_t ran_ms = lead->now - view->up_at;
 
 		gyp_track_done(lead->track, flow->id, task, host, ran_ms,
-		    u->step->lasting ? 0 : usual_time(u));
+		    u->step->lasting ? 0 : usual_time(lead, flow, u));
+		gyp_track_estimate(lead->track, flow->spec->queue->name,
+		    u->step->estimate_ms, ran_ms);
 		u->done++;
 		u->done_ms += ran_ms;
 	} else if (how == GYP__FLOW_HOW__FLOW_FAILED &&
@@ -266,6 +285,16 @@
 
 /* ---- Runs that should begin anew ---------------------------------------- */
 
+static void
+count_judged(
+    struct gyp_flow_lead *lead, uint32_t row, enum gyp_straggler_word word)
+{
+	struct judged *j = &g_array_index(lead->judged, struct judged, row);
+
+	j->runs++;
+	j->slow += word == GYP_STRAGGLER_SLOW;
+}
+
 static void
 judge_run(void *arg, struct gyp_flow *flow, uint32_t task, uint32_t row,
     const struct gyp_run_view *view)
@@ -275,18 +304,33 @@
 	struct gyp_straggler_run r = {.up_ms = view->seen_at - view->up_at,
 	    .still_ms = view->seen_at - view->moved_at,
 	    .percent = view->percent,
-	    .usual_ms = usual_time(u),
+	    .usual_ms = usual_time(lead, flow, u),
 	    .checkpoints = u->step->checkpoints};
 	struct stop stop = {.flow = flow->id, .task = task, .row = row};
 
 	if (u->step->lasting || u->step->gang || u->step->fills ||
-	    view->seen_at <= view->up_at)
+	    !view->timed || view->seen_at <= view->up_at)
 		return;
 	stop.word = gyp_straggler_judge(&r);
+	if (r.usual_ms != 0)
+		count_judged(lead, row, stop.word);
 	if (stop.word != GYP_STRAGGLER_KEEP)
 		g_array_append_val(lead->stops, stop);
 }
 
+/*
+ * Sizes of tasks differ, so one long run tells nothing of its endpoint: most
+ * of the runs there must be slow, and more than one.
+ */
+static bool
+is_slow_endpoint(const struct gyp_flow_lead *lead, uint32_t row)
+{
+	const struct judged *j =
+	    &g_array_index(lead->judged, struct judged, row);
+
+	return j->slow >= SLOW_RUNS && j->slow * 2 > j->runs;
+}
+
 static void
 judge_runs(struct gyp_flow_lead *lead)
 {
@@ -294,18 +338,23 @@
 
 	lead->judge_at = lead->now + JUDGE_MS;
 	g_array_set_size(lead->stops, 0);
+	g_array_set_size(lead->judged, 0);
+	g_array_set_size(lead->judged, gyp_hosts_size(lead->flows));
 	gyp_fleet_each_run(lead->fleet, judge_run, lead);
 	for (i = 0; i < lead->stops->len; i++) {
 		const struct stop *s =
 		    &g_array_index(lead->stops, struct stop, i);
 
+		if (s->word == GYP_STRAGGLER_SLOW &&
+		    !is_slow_endpoint(lead, s->row))
+			continue;
 		gyp_events_add(lead->events, "straggler-stopped",
 		    "flow=%016" G_GINT64_MODIFIER "x task=%u row=%u why=%s",
 		    s->flow, s->task, s->row,
 		    s->word == GYP_STRAGGLER_STILL ? "still" : "slow");
 		if (s->word == GYP_STRAGGLER_STILL)
-			gyp_track_failed(lead->track, s->flow, s->task, s->row,
-			    lead->now);
+			gyp_track_failed(
+			    lead->track, s->flow, s->task, s->row, lead->now);
 		gyp_fleet_stop_run(lead->fleet, s->flow, s->task);
 	}
 }
@@ -423,8 +472,9 @@
 	lead->admission = gyp_admission_new(flows, (fence << 32) + 1);
 	lead->track = gyp_track_new();
 	lead->stops = g_array_new(FALSE, FALSE, sizeof(struct stop));
-	lead->placer = gyp_placer_new(
-	    flows, lead->fleet, lead->admission, lead->track);
+	lead->judged = g_array_new(FALSE, TRUE, sizeof(struct judged));
+	lead->placer =
+	    gyp_placer_new(flows, lead->fleet, lead->admission, lead->track);
 	lead->lanes =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	gyp_flows_listen(flows, &lead->listener);
@@ -450,6 +500,7 @@
 	gyp_admission_free(lead->admission);
 	gyp_track_free(lead->track);
 	g_array_free(lead->stops, TRUE);
+	g_array_free(lead->judged, TRUE);
 	gyp_fleet_free(lead->fleet);
 	g_free(lead);
 }
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -29,8 +29,6 @@
 #include "flow_lead.h" /* these three under one leader */
 #include "health.h"    /* who is to blame for failures */
 #include "leases.h"    /* who may still be running */
-#include "track.h" /* how well endpoints run them */
-#include "straggler.h" /* which run should begin anew elsewhere */
 #include "placer.h"    /* which of their tasks goes where */
 #include "policy.h"    /* which task goes where */
 #include "raft.h"      /* replicated log */
@@ -40,7 +38,9 @@
 #include "rules.h"     /* what operators ask for, one line each */
 #include "running.h"   /* what endpoints say that they run */
 #include "state.h"     /* tables of jobs, endpoints and rules */
+#include "straggler.h" /* which run should begin anew elsewhere */
 #include "trace.h"     /* one event a line */
+#include "track.h"     /* how well endpoints run them */
 #include "usage.h"     /* measured usage, from heartbeats */
 #include "wal.h"       /* bytes of a log segment */
 
--- a/src/straggler.c
+++ b/src/straggler.c
@@ -11,7 +11,10 @@
 #define RESTART_MS 250
 
 /* What is left must exceed another run by this, in percent. */
-#define GAIN_PERCENT 180
+#define GAIN_PERCENT 150
+
+/* The whole run must take so many times the usual time: sizes differ. */
+#define SLOW_TIMES 3
 
 static bool
 stands_still(const struct gyp_straggler_run *r)
@@ -29,6 +32,8 @@
 	if (r->usual_ms == 0 || r->percent == 0 || r->percent >= 100 ||
 	    r->up_ms < JUDGE_MS)
 		return false;
+	if (r->up_ms * 100 / r->percent < SLOW_TIMES * r->usual_ms)
+		return false;
 	left = r->up_ms * (100 - r->percent) / r->percent;
 	again = r->usual_ms + RESTART_MS;
 	if (r->checkpoints)
--- a/src/straggler.h
+++ b/src/straggler.h
@@ -23,11 +23,11 @@
 };
 
 struct gyp_straggler_run {
-	uint64_t up_ms;      /* since it began */
-	uint64_t still_ms;   /* since its progress last changed */
-	uint32_t percent;    /* done, 0 to 100 */
-	uint64_t usual_ms;   /* of the whole task; 0 when it is not known */
-	bool checkpoints;    /* another run resumes from about here */
+	uint64_t up_ms;    /* since it began */
+	uint64_t still_ms; /* since its progress last changed */
+	uint32_t percent;  /* done, 0 to 100 */
+	uint64_t usual_ms; /* of the whole task; 0 when it is not known */
+	bool checkpoints;  /* another run resumes from about here */
 };
 
 enum gyp_straggler_word gyp_straggler_judge(const struct gyp_straggler_run *);
--- a/src/track.c
+++ b/src/track.c
@@ -1,3 +1,5 @@
+#include <math.h>
+
 #include <glib.h>
 
 #include "health.h"
@@ -10,9 +12,24 @@
 #define PACE_MIN 0.3
 #define PACE_MAX 8.0
 
+/* Weight of one task in what is known of a queue's estimates. */
+#define ESTIMATE_WEIGHT 0.05
+
+/* Tasks before estimates are judged, and mean error that makes them good. */
+#define ESTIMATES_MIN  20
+#define ESTIMATE_ERROR 0.45
+
+/* How a queue's estimates turned out, as logarithms of real to estimated. */
+struct estimates {
+	uint32_t n;
+	double bias;
+	double error; /* mean distance from the bias */
+};
+
 struct gyp_track {
 	struct gyp_health *health;
-	GArray *paces; /* double by row */
+	GHashTable *estimates; /* name of the queue -> struct estimates */
+	GArray *paces;         /* double by row */
 };
 
 static const struct gyp_health_limits limits = {.failures = GYP_TRACK_FAILURES,
@@ -44,10 +61,9 @@
 
 	gyp_health_succeeded(t->health, key_of(flow, task), row);
 	if (mean_ms > 0)
-		*pace += PACE_WEIGHT *
-			 (CLAMP((double)ran_ms / (double)mean_ms, PACE_MIN,
-			      PACE_MAX) -
-			     *pace);
+		*pace += PACE_WEIGHT * (CLAMP((double)ran_ms / (double)mean_ms,
+					    PACE_MIN, PACE_MAX) -
+					   *pace);
 }
 
 bool
@@ -79,6 +95,37 @@
 	return gyp_health_failed_at(t->health, key_of(flow, task), row);
 }
 
+void
+gyp_track_estimate(struct gyp_track *t, const char *queue, uint64_t estimate_ms,
+    uint64_t ran_ms)
+{
+	struct estimates *e = g_hash_table_lookup(t->estimates, queue);
+	double ratio, weight;
+
+	if (estimate_ms == 0 || ran_ms == 0)
+		return;
+	if (e == NULL) {
+		e = g_new0(struct estimates, 1);
+		g_hash_table_insert(t->estimates, g_strdup(queue), e);
+	}
+	ratio = log((double)ran_ms / (double)estimate_ms);
+	e->n++;
+	weight = MAX(ESTIMATE_WEIGHT, 1.0 / e->n);
+	e->error += weight * (fabs(ratio - e->bias) - e->error);
+	e->bias += weight * (ratio - e->bias);
+}
+
+uint64_t
+gyp_track_usual(
+    const struct gyp_track *t, const char *queue, uint64_t estimate_ms)
+{
+	const struct estimates *e = g_hash_table_lookup(t->estimates, queue);
+
+	if (e == NULL || e->n < ESTIMATES_MIN || e->error > ESTIMATE_ERROR)
+		return 0;
+	return (uint64_t)((double)estimate_ms * exp(e->bias));
+}
+
 double
 gyp_track_pace(const struct gyp_track *t, uint32_t row)
 {
@@ -98,6 +145,8 @@
 	struct gyp_track *t = g_new0(struct gyp_track, 1);
 
 	t->health = gyp_health_new();
+	t->estimates =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	t->paces = g_array_new(FALSE, FALSE, sizeof(double));
 	return t;
 }
@@ -108,6 +157,7 @@
 	if (t == NULL)
 		return;
 	gyp_health_free(t->health);
+	g_hash_table_destroy(t->estimates);
 	g_array_free(t->paces, TRUE);
 	g_free(t);
 }
--- a/src/track.h
+++ b/src/track.h
@@ -56,6 +56,17 @@
 bool gyp_track_failed_at(
     const struct gyp_track *, uint64_t flow, uint32_t task, uint32_t row);
 
+/* The estimate for a task of the queue, and how long it ran. */
+void gyp_track_estimate(struct gyp_track *, const char *queue,
+    uint64_t estimate_ms, uint64_t ran_ms);
+
+/*
+ * How long a task with that estimate usually runs; 0 while the queue's
+ * estimates are not known to be good.
+ */
+uint64_t gyp_track_usual(
+    const struct gyp_track *, const char *queue, uint64_t estimate_ms);
+
 double gyp_track_pace(const struct gyp_track *, uint32_t row);
 
 /* The endpoint began a new life. */
