Placer: broad questions where naming is cheap, lanes kept for quick ones

Change: as many endpoints are named as cost a quarter of the question, full ones too where others have room; questions over 100 ms leave a fifth of the lanes to quick ones.

--- a/src/flow_lead.c
+++ b/src/flow_lead.c
@@ -381,11 +381,13 @@
 {
 	GPtrArray *cmds = g_ptr_array_new();
 	GPtrArray *asks = g_ptr_array_new();
+	uint32_t free;
 	guint i;
 
 	lead->round_at = lead->now + ROUND_MS;
-	gyp_placer_round(
-	    lead->placer, lead->now, wall_ms, free_lanes(lead), cmds, asks);
+	free = free_lanes(lead);
+	gyp_placer_round(lead->placer, lead->now, wall_ms, free,
+	    g_hash_table_size(lead->lanes), cmds, asks);
 	for (i = 0; i < cmds->len; i++)
 		g_queue_push_tail(&lead->cmds, cmds->pdata[i]);
 	send_asks(lead, asks);
--- a/src/placer.c
+++ b/src/placer.c
@@ -10,6 +10,10 @@
 #define ASK_MIN 6
 #define ASK_MAX 30
 
+/* A question that takes longer leaves one lane in so many free. */
+#define SLOW_QUESTION_MS 100
+#define KEPT_DIVISOR     5
+
 /* One in so many endpoints is expected to be allowed, in thousandths. */
 #define ALLOWED_PERMILLE 350
 
@@ -103,14 +107,16 @@
 	return n;
 }
 
-/* True when the endpoint could take a task of the unit, tickets apart. */
+/* True when an empty endpoint like this one could take tasks of the unit. */
 static bool
-room_suits(const struct room *room, const struct candidate *c)
+host_suits(const struct room *room, const struct candidate *c)
 {
 	const Gyp__FlowStep *step = c->unit->step;
 
 	if (room->host == NULL || room->host->pool != c->flow->pool ||
-	    !gyp_res_fits(&c->unit->size, &room->left))
+	    c->unit->size.cpu_milli > room->host->capacity.cpu_milli ||
+	    c->unit->size.memory > room->host->capacity.memory ||
+	    c->unit->size.accel > room->host->capacity.accel)
 		return false;
 	if (step->label[0] != '\0' && !has_label(room->host->spec, step->label))
 		return false;
@@ -119,6 +125,13 @@
 	       !(step->tail_ms > 0 && room->filled);
 }
 
+/* True when the endpoint could take a task of the unit now, tickets apart. */
+static bool
+room_suits(const struct room *room, const struct candidate *c)
+{
+	return host_suits(room, c) && gyp_res_fits(&c->unit->size, &room->left);
+}
+
 /* How many more tasks of the unit the endpoint can take. */
 static uint32_t
 count_fitting(const struct room *room, const struct candidate *c)
@@ -388,7 +401,10 @@
 
 /* ---- Questions ---------------------------------------------------------- */
 
-/* Endpoints worth asking about: those with the most room come first. */
+/*
+ * Endpoints worth asking about: those with the most room come first, then
+ * those that are full now and may have room before the ticket runs out.
+ */
 static GArray *
 find_unasked(const struct gyp_placer *p, const struct candidate *c,
     const struct gyp_admission_unit *known)
@@ -402,7 +418,7 @@
 		enum gyp_admission_word word;
 		struct fit fit = {.row = row};
 
-		if (!room_suits(room, c))
+		if (!host_suits(room, c))
 			continue;
 		word = gyp_admission_word(p->admission, known, row, p->now);
 		if (word != GYP_ADMISSION_UNKNOWN &&
@@ -410,23 +426,36 @@
 			continue;
 		fit.count = count_fitting(room, c);
 		fit.score = score_room(room, c) +
-			    (word == GYP_ADMISSION_STALE ? 10 : 0);
-		if (fit.count > 0)
-			g_array_append_val(fits, fit);
+			    (word == GYP_ADMISSION_STALE ? 10 : 0) +
+			    (fit.count > 0 ? 100 : 0);
+		g_array_append_val(fits, fit);
 	}
 	g_array_sort(fits, by_score);
 	return fits;
 }
 
+/* Naming so many endpoints costs a quarter of the question itself. */
+static guint
+cheap_to_name(const Gyp__FlowQueue *q)
+{
+	double n = q->admission_each_ms > 0
+		       ? q->admission_ms / (4 * q->admission_each_ms)
+		       : ASK_MAX;
+
+	return (guint)CLAMP(n, ASK_MIN, ASK_MAX);
+}
+
 /* Endpoints to name so that about enough of them are allowed. */
 static guint
-count_to_ask(const GArray *fits, uint32_t waiting)
+count_to_ask(const GArray *fits, uint32_t waiting, guint cheap)
 {
 	uint64_t expected = 0; /* thousandths of tasks */
 	guint n;
 
+	if (fits->len == 0 || g_array_index(fits, struct fit, 0).count == 0)
+		return 0;
 	for (n = 0; n < fits->len && n < ASK_MAX; n++) {
-		if (n >= ASK_MIN && expected >= (uint64_t)waiting * 1000)
+		if (n >= cheap && expected >= (uint64_t)waiting * 1000)
 			break;
 		expected += (uint64_t)g_array_index(fits, struct fit, n).count *
 			    ALLOWED_PERMILLE;
@@ -447,7 +476,7 @@
 	if (!c->flow->spec->queue->admission || gyp_admission_is_asking(known))
 		return false;
 	fits = find_unasked(p, c, known);
-	n = count_to_ask(fits, waiting);
+	n = count_to_ask(fits, waiting, cheap_to_name(c->flow->spec->queue));
 	for (i = 0; i < n; i++)
 		rows[i] = g_array_index(fits, struct fit, i).row;
 	g_array_free(fits, TRUE);
@@ -460,9 +489,20 @@
 
 /* ---- Round -------------------------------------------------------------- */
 
+/* Slow questions leave a part of the lanes to quick ones. */
+static uint32_t
+lanes_for(const struct candidate *c, uint32_t lanes, uint32_t all_lanes)
+{
+	uint32_t kept = (all_lanes + KEPT_DIVISOR - 1) / KEPT_DIVISOR;
+
+	if (c->flow->spec->queue->admission_ms < SLOW_QUESTION_MS)
+		return lanes;
+	return lanes > kept ? lanes - kept : 0;
+}
+
 void
 gyp_placer_round(struct gyp_placer *p, uint64_t now, uint64_t wall_ms,
-    uint32_t lanes, GPtrArray *cmds, GPtrArray *asks)
+    uint32_t lanes, uint32_t all_lanes, GPtrArray *cmds, GPtrArray *asks)
 {
 	guint i;
 
@@ -477,7 +517,7 @@
 		    &g_array_index(p->units, struct candidate, i);
 		uint32_t waiting = place_unit(p, c, cmds);
 
-		if (waiting > 0 && asks->len < lanes)
+		if (waiting > 0 && asks->len < lanes_for(c, lanes, all_lanes))
 			ask_unit(p, c, waiting, asks);
 	}
 }
--- a/src/placer.h
+++ b/src/placer.h
@@ -37,9 +37,10 @@
 
 /*
  * One round at time now, with Unix time wall_ms. Appends Gyp__Cmd to cmds
- * and at most lanes Gyp__Ask to asks; the caller owns both.
+ * and at most lanes Gyp__Ask to asks, of all_lanes that there are; the caller
+ * owns both.
  */
 void gyp_placer_round(struct gyp_placer *, uint64_t now, uint64_t wall_ms,
-    uint32_t lanes, GPtrArray *cmds, GPtrArray *asks);
+    uint32_t lanes, uint32_t all_lanes, GPtrArray *cmds, GPtrArray *asks);
 
 #endif
