A line a second about load and lanes

Cause: why steps of the slow queue wait could not be seen in the logs. Change: capacity, bookings, flows and lanes, once a second.

--- a/src/flow_lead.c
+++ b/src/flow_lead.c
@@ -13,6 +13,9 @@
 /* Runs that must be slow before their endpoint counts as slow. */
 #define SLOW_RUNS 2
 
+/* Interval of the line about load, in ms. */
+#define LOAD_MS 1000
+
 /* Interval of the search for stragglers, in ms. */
 #define JUDGE_MS 150
 
@@ -36,6 +39,7 @@
 	struct gyp_placer *placer;
 	struct gyp_track *track;
 	uint64_t judge_at;
+	uint64_t load_at;
 	GArray *stops;     /* struct stop, of the current judgement */
 	GArray *judged;    /* struct judged by row, likewise */
 	GHashTable *lanes; /* entry -> struct lane */
@@ -376,6 +380,34 @@
 	}
 }
 
+/* One line a second that tells how full everything is. */
+static void
+note_load(struct gyp_flow_lead *lead, uint32_t free)
+{
+	uint64_t capacity = 0, booked = 0;
+	uint32_t row, usable = 0, waiting = 0;
+	const GList *l;
+
+	lead->load_at = lead->now + LOAD_MS;
+	for (row = 0; row < gyp_hosts_size(lead->flows); row++) {
+		const struct gyp_host *h = gyp_host_at(lead->flows, row);
+
+		if (h == NULL || !gyp_fleet_usable(lead->fleet, row))
+			continue;
+		usable++;
+		capacity += h->capacity.cpu_milli;
+		booked += h->booked.cpu_milli;
+	}
+	for (l = gyp_flows_active(lead->flows)->head; l != NULL; l = l->next)
+		waiting += !((const struct gyp_flow *)l->data)->begun;
+	gyp_events_add(lead->events, "load",
+	    "endpoints=%u cpu_milli=%" G_GUINT64_FORMAT
+	    " booked_milli=%" G_GUINT64_FORMAT
+	    " flows=%u not_begun=%u lanes=%u free_lanes=%u",
+	    usable, capacity, booked, gyp_flows_active(lead->flows)->length,
+	    waiting, g_hash_table_size(lead->lanes), free);
+}
+
 static void
 decide_round(struct gyp_flow_lead *lead, uint64_t wall_ms)
 {
@@ -386,6 +418,8 @@
 
 	lead->round_at = lead->now + ROUND_MS;
 	free = free_lanes(lead);
+	if (lead->now >= lead->load_at)
+		note_load(lead, free);
 	gyp_placer_round(lead->placer, lead->now, wall_ms, free,
 	    g_hash_table_size(lead->lanes), cmds, asks);
 	for (i = 0; i < cmds->len; i++)
