--- /dev/null
+++ b/test/test_track.c
@@ -0,0 +1,137 @@
+#include <glib.h>
+
+#include "straggler.h"
+#include "track.h"
+
+/* ---- Blame -------------------------------------------------------------- */
+
+/* An endpoint that fails all it gets is left alone after two tasks. */
+static void
+test_fails_everything(void)
+{
+	struct gyp_track *t = gyp_track_new();
+
+	g_assert_cmpint(gyp_track_word(t, 3, 1000), ==, GYP_TRACK_GOOD);
+	g_assert_false(gyp_track_failed(t, 1, 0, 3, 1000));
+	g_assert_cmpint(gyp_track_word(t, 3, 1000), ==, GYP_TRACK_DOUBTFUL);
+	g_assert_true(gyp_track_failed(t, 1, 1, 3, 1010));
+	g_assert_cmpint(gyp_track_word(t, 3, 1010), ==, GYP_TRACK_BLOCKED);
+	g_assert_cmpint(
+	    gyp_track_word(t, 3, 1010 + GYP_TRACK_FOR_MS), ==, GYP_TRACK_PROBE);
+	/* A probe that fails needs no second one. */
+	g_assert_true(gyp_track_failed(t, 2, 0, 3, 3000));
+	g_assert_cmpint(gyp_track_word(t, 3, 3000 + GYP_TRACK_FOR_MS), ==,
+	    GYP_TRACK_BLOCKED);
+	gyp_track_done(t, 2, 1, 3, 500, 500);
+	g_assert_cmpint(gyp_track_word(t, 3, 9000), ==, GYP_TRACK_GOOD);
+	gyp_track_free(t);
+}
+
+/* One failure in twenty, as in any queue, keeps nothing out for long. */
+static void
+test_ordinary_failures(void)
+{
+	struct gyp_track *t = gyp_track_new();
+	GRand *rand = g_rand_new_with_seed(1);
+	uint64_t now = 0;
+	uint32_t task, blocked = 0;
+
+	for (task = 0; task < 2000; task++) {
+		now += 300;
+		if (g_rand_int_range(rand, 0, 20) == 0)
+			gyp_track_failed(t, 1, task, 5, now);
+		else
+			gyp_track_done(t, 1, task, 5, 500, 500);
+		blocked += gyp_track_word(t, 5, now) == GYP_TRACK_BLOCKED;
+	}
+	g_assert_cmpuint(blocked, <, 2000 / 50);
+	g_rand_free(rand);
+	gyp_track_free(t);
+}
+
+/* A task that can't be done fails everywhere: no endpoint is to blame. */
+static void
+test_hopeless_task(void)
+{
+	struct gyp_track *t = gyp_track_new();
+
+	gyp_track_failed(t, 7, 0, 1, 1000);
+	gyp_track_failed(t, 7, 0, 2, 1100);
+	gyp_track_failed(t, 7, 0, 3, 1200);
+	g_assert_true(gyp_track_failed_at(t, 7, 0, 2));
+	g_assert_false(gyp_track_failed_at(t, 7, 1, 2));
+	/* Another task's failure there is the first one that counts. */
+	g_assert_false(gyp_track_failed(t, 8, 0, 3, 1300));
+	gyp_track_free(t);
+}
+
+/* Estimates are used once they proved good, with their bias. */
+static void
+test_estimates(void)
+{
+	struct gyp_track *t = gyp_track_new();
+	int i;
+
+	for (i = 0; i < 60; i++) {
+		g_assert_true(i > 0 || gyp_track_usual(t, "good", 1000) == 0);
+		gyp_track_estimate(
+		    t, "good", 1000, i % 2 == 0 ? 1800 : 2200);
+		gyp_track_estimate(t, "bad", 1000, i % 2 == 0 ? 300 : 3000);
+	}
+	g_assert_cmpuint(gyp_track_usual(t, "good", 1000), >, 1700);
+	g_assert_cmpuint(gyp_track_usual(t, "good", 1000), <, 2300);
+	g_assert_cmpuint(gyp_track_usual(t, "bad", 1000), ==, 0);
+	gyp_track_free(t);
+}
+
+/* ---- Stragglers --------------------------------------------------------- */
+
+struct row {
+	struct gyp_straggler_run run;
+	enum gyp_straggler_word word;
+};
+
+static void
+test_straggler(void)
+{
+	static const struct row rows[] = {
+	    /* a usual run, half done */
+	    {{500, 50, 50, 1000, false}, GYP_STRAGGLER_KEEP},
+	    /* too early to tell */
+	    {{300, 50, 2, 1000, false}, GYP_STRAGGLER_KEEP},
+	    /* six times slower */
+	    {{600, 50, 10, 1000, false}, GYP_STRAGGLER_SLOW},
+	    /* as slow, but nearly done */
+	    {{5700, 50, 95, 1000, false}, GYP_STRAGGLER_KEEP},
+	    /* nearly done, and another run resumes there: no gain either */
+	    {{5700, 50, 95, 1000, true}, GYP_STRAGGLER_KEEP},
+	    /* twice as large as others */
+	    {{1000, 50, 50, 1000, false}, GYP_STRAGGLER_KEEP},
+	    /* nothing is known of how long it takes */
+	    {{4000, 50, 10, 0, false}, GYP_STRAGGLER_KEEP},
+	    /* no progress for long */
+	    {{2000, 1100, 40, 1000, false}, GYP_STRAGGLER_STILL},
+	    /* a long task shows progress seldom */
+	    {{2000, 1100, 20, 8000, false}, GYP_STRAGGLER_KEEP},
+	    /* done, the end is not told yet */
+	    {{2000, 2000, 100, 1000, false}, GYP_STRAGGLER_KEEP}};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		g_test_message("row %u", i);
+		g_assert_cmpint(gyp_straggler_judge(&rows[i].run), ==,
+		    rows[i].word);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/track/fails-everything", test_fails_everything);
+	g_test_add_func("/track/ordinary-failures", test_ordinary_failures);
+	g_test_add_func("/track/hopeless-task", test_hopeless_task);
+	g_test_add_func("/track/estimates", test_estimates);
+	g_test_add_func("/track/straggler", test_straggler);
+	return g_test_run();
+}
