--- a/src/fleet.c
+++ b/src/fleet.c
@@ -205,6 +205,7 @@
 	    peer->row, born_ms, peer->born_ms, peer->runs->len);
 	peer->born_ms = born_ms;
 	peer->gone_at = 0;
+	peer->listed_at = 0;
 	peer->clock_at = 0;
 	peer->until_ms = 0;
 	peer->acked = 0;
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -15,6 +15,9 @@
 /* An answer that is later than its time by so much never comes, in ms. */
 #define OVERDUE_MS 1000
 
+/* Shortest time in which an endpoint dies and is born again, in ms. */
+#define REBIRTH_MS 50
+
 /* Starts of one run without an answer, before it is stopped. */
 #define STARTS_MAX 4
 
@@ -111,6 +114,20 @@
 	run->stop = GYP_STOP_SENT;
 }
 
+/*
+ * Numbers of ends begin anew with each life of an endpoint. One that may have
+ * been born again since its last list must not be told to forget ends that
+ * this leader never saw; with 0 it lists again all that is not forgotten.
+ */
+static uint64_t
+proven_ack(const struct gyp_fleet *f, const struct gyp_peer *peer)
+{
+	bool same_life = peer->listed_at != 0 && peer->failures == 0 &&
+			 f->now <= peer->listed_at + REBIRTH_MS;
+
+	return same_life ? peer->acked : 0;
+}
+
 void
 gyp_fleet_send_look(
     struct gyp_fleet *f, struct gyp_peer *peer, uint32_t wait_ms)
@@ -122,13 +139,13 @@
 	    g_hash_table_lookup(f->pending, &call->id);
 
 	call->until_ms = extend_lease(f, peer);
-	call->acked = peer->acked;
+	call->acked = proven_ack(f, peer);
 	call->wait_ms = wait_ms;
 	p->waits = wait_ms > 0;
 	peer->looks++;
 	peer->waits = peer->waits || wait_ms > 0;
 	peer->quick = false;
-	peer->acked_sent = peer->acked;
+	peer->acked_sent = call->acked;
 }
 
 struct gyp_fleet_call *
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -61,6 +61,7 @@
 	uint64_t number;
 	struct gyp_run_key key;
 	uint32_t run;
+	bool late; /* done, of a run that was given up */
 };
 
 struct gyp_peer {
@@ -71,6 +72,7 @@
 	uint64_t clock_at; /* at this time of ours; 0 when not known */
 	uint64_t until_ms; /* latest end of its lease, its clock */
 	uint64_t heard_at; /* last answer or heartbeat */
+	uint64_t listed_at; /* last list, of this life; 0 for none */
 	uint64_t gone_at;  /* it said that it ends; 0 if not */
 	bool gone_proposed;
 	uint32_t failures; /* calls without an answer in a row */
--- a/src/fleet_look.c
+++ b/src/fleet_look.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "fleet_int.h"
+#include "msg.h"
 
 /* Most unknown runs that are stopped after one look. */
 #define STRAYS_MAX 50
@@ -30,6 +31,39 @@
 	return run;
 }
 
+/* The run was given up with its lease, and no other was begun since. */
+static bool
+is_late_done(const struct gyp_fleet *f, const struct gyp_peer *peer,
+    const struct gyp_run_key *key, uint32_t number)
+{
+	const struct gyp_flow *flow = gyp_flow_get(f->flows, key->flow);
+
+	return flow != NULL && key->task < flow->n_tasks &&
+	       flow->tasks[key->task].run == number &&
+	       flow->tasks[key->task].host == peer->row &&
+	       gyp_flow_takes_late_done(flow, key->task);
+}
+
+static void
+propose_late_done(struct gyp_fleet *f, const struct gyp_peer *peer,
+    const struct gyp_run_key *key, uint32_t number)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdFlowEnd end = GYP__CMD_FLOW_END__INIT;
+
+	end.flow = key->flow;
+	end.task = key->task;
+	end.run = number;
+	end.host = peer->row;
+	end.how = GYP__FLOW_HOW__FLOW_DONE;
+	cmd.c_case = GYP__CMD__C_FLOW_END;
+	cmd.flow_end = &end;
+	g_queue_push_tail(&f->cmds, gyp_message_copy(&cmd.base));
+	gyp_events_add(f->cfg.events, "late-done",
+	    "flow=%016" G_GINT64_MODIFIER "x task=%u run=%u row=%u",
+	    key->flow, key->task, number, peer->row);
+}
+
 static void
 take_end(
     struct gyp_fleet *f, struct gyp_peer *peer, const struct gyp_listed_end *e)
@@ -39,9 +73,12 @@
 	struct gyp_seen_end seen = {
 	    .number = e->number, .key = key, .run = e->run.run};
 
+	seen.late = run == NULL && e->how == GYP__FLOW_HOW__FLOW_DONE;
 	g_array_append_val(peer->seen, seen);
 	if (run != NULL)
 		gyp_fleet_propose_end(f, run, e->how, e->run.checkpoint);
+	else if (seen.late && is_late_done(f, peer, &key, e->run.run))
+		propose_late_done(f, peer, &key, e->run.run);
 }
 
 static uint64_t
@@ -77,7 +114,8 @@
 		const struct gyp_seen_end *e =
 		    &g_array_index(peer->seen, struct gyp_seen_end, done);
 
-		if (listed_run(f, peer, &e->key, e->run) != NULL)
+		if (listed_run(f, peer, &e->key, e->run) != NULL ||
+		    (e->late && is_late_done(f, peer, &e->key, e->run)))
 			break;
 		peer->acked = e->number;
 		done++;
@@ -197,6 +235,7 @@
 	GHashTable *listed;
 	guint i;
 
+	peer->listed_at = f->now;
 	take_ends(f, peer, a->ended);
 	gyp_peer_settle_ends(f, peer);
 	listed = take_running(f, peer, a->running);
--- a/src/flow.h
+++ b/src/flow.h
@@ -193,6 +193,12 @@
 /* NULL when the specification can be accepted, else what is wrong with it. */
 const char *gyp_flow_check_spec(const Gyp__FlowSpec *);
 
+/*
+ * True when the task waits for its next run, so that it may be told yet that
+ * its latest run, which was given up with its lease, had ended as done.
+ */
+bool gyp_flow_takes_late_done(const struct gyp_flow *, uint32_t task);
+
 const char *gyp_flow_state_name(enum gyp_flow_state);
 const char *gyp_flow_how_name(Gyp__FlowHow);
 
--- a/src/flow_life.c
+++ b/src/flow_life.c
@@ -188,6 +188,16 @@
 	}
 }
 
+bool
+gyp_flow_takes_late_done(const struct gyp_flow *flow, uint32_t task)
+{
+	const struct gyp_flow_task *t = &flow->tasks[task];
+	const struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
+
+	return gyp_flow_is_alive(flow) && t->state == GYP_FLOW_TASK_WAITING &&
+	       t->run > 0 && !u->step->lasting && !u->step->gang;
+}
+
 static void
 apply_end(struct gyp_flows *f, uint64_t now, const Gyp__CmdFlowEnd *end)
 {
@@ -198,8 +208,15 @@
 	if (flow == NULL || end->task >= flow->n_tasks)
 		return;
 	t = &flow->tasks[end->task];
-	if (t->state != GYP_FLOW_TASK_OPEN || t->run != end->run ||
-	    t->host != end->host)
+	if (t->run != end->run || t->host != end->host)
+		return;
+	if (gyp_flow_takes_late_done(flow, end->task) &&
+	    end->how == GYP__FLOW_HOW__FLOW_DONE) {
+		finish_task(f, flow, end->task, now);
+		leave_active(f, flow);
+		return;
+	}
+	if (t->state != GYP_FLOW_TASK_OPEN)
 		return;
 	lasting = gyp_flow_unit_of(flow, end->task)->step->lasting;
 	release(f, flow, end->task);
--- a/src/flow_save.c
+++ b/src/flow_save.c
@@ -15,7 +15,7 @@
 	gyp__snap_flow_task__init(st);
 	st->state = t->state;
 	st->run = t->run;
-	st->host = t->state == GYP_FLOW_TASK_OPEN ? t->host : 0;
+	st->host = t->host;
 	st->failures = t->failures;
 	if (t->checkpoint != NULL)
 		st->checkpoint = g_strdup(t->checkpoint);
@@ -120,9 +120,9 @@
 			u->failed_run = st->failed_run;
 		if (t->state == GYP_FLOW_TASK_DONE && --u->left == 0)
 			flow->left--;
+		t->host = st->host;
 		if (t->state != GYP_FLOW_TASK_OPEN)
 			continue;
-		t->host = st->host;
 		if (gyp_host_at(f, t->host) == NULL)
 			return false;
 		gyp_flow_book(f, flow, i);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -225,6 +225,64 @@
 	flow_world_clear(&f.w);
 }
 
+/*
+ * An endpoint that was idle may have been born again, and counts its ends
+ * anew: it must not be told to forget what this leader never saw.
+ */
+static void
+test_ack_of_an_earlier_life(void)
+{
+	struct fixture f;
+	struct flow_world_row end = {FLOW, 0, 1, 9, GYP__FLOW_HOW__FLOW_DONE};
+	struct flow_world_row again = {FLOW, 1, 2, 1, GYP__FLOW_HOW__FLOW_DONE};
+	struct gyp_fleet_call *call;
+
+	set_up(&f, 2, false);
+	flow_world_start(&f.w, FLOW, 0, 0, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	flow_world_lists(&f.w, next_look(&f, 500), 1, NULL, 0, &end, 1);
+	call = next_look(&f, 500);
+	g_assert_cmpuint(call->acked, ==, 9);
+	flow_world_lists(&f.w, call, 1, NULL, 0, NULL, 0);
+	/* It dies and is born again while nothing runs there. */
+	flow_world_pass(&f.w, 1000);
+	flow_world_start(&f.w, FLOW, 1, 1, 2, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	call = next_look(&f, 500);
+	g_assert_cmpuint(call->acked, ==, 0);
+	flow_world_lists(&f.w, call, 2, NULL, 0, &again, 1);
+	g_assert_cmpint(gyp_flow_get(f.w.flows, FLOW)->state, ==,
+	    GYP_FLOW_COMPLETED);
+	flow_world_clear(&f.w);
+}
+
+/*
+ * A run is given up with its lease; the endpoint comes back and tells that it
+ * had ended as done: the task is done and gets no other run.
+ */
+static void
+test_late_done(void)
+{
+	struct fixture f;
+	struct flow_world_row end = {FLOW, 0, 1, 1, GYP__FLOW_HOW__FLOW_DONE};
+	struct gyp_fleet_call *call;
+
+	set_up(&f, 1, false);
+	flow_world_start(&f.w, FLOW, 0, 0, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	while (task_of(&f, 0)->state == GYP_FLOW_TASK_OPEN) {
+		flow_world_pass(&f.w, 10);
+		while ((call = gyp_fleet_pop_call(f.w.fleet)) != NULL)
+			flow_world_answer(&f.w, call, GYP_FLEET_LOST);
+	}
+	g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_WAITING);
+	gyp_fleet_beat(f.w.fleet, f.w.now, f.a, 1, f.w.now);
+	flow_world_lists(&f.w, next_look(&f, 2000), 1, NULL, 0, &end, 1);
+	g_assert_cmpint(gyp_flow_get(f.w.flows, FLOW)->state, ==,
+	    GYP_FLOW_COMPLETED);
+	flow_world_clear(&f.w);
+}
+
 /* The runs of a cancelled flow are stopped, and no run is started for it. */
 static void
 test_cancelled(void)
@@ -286,6 +344,9 @@
 	    "/fleet/lease-of-silent-endpoint", test_lease_of_silent_endpoint);
 	g_test_add_func("/fleet/new-leader", test_new_leader);
 	g_test_add_func("/fleet/reborn", test_reborn);
+	g_test_add_func(
+	    "/fleet/ack-of-an-earlier-life", test_ack_of_an_earlier_life);
+	g_test_add_func("/fleet/late-done", test_late_done);
 	g_test_add_func("/fleet/cancelled", test_cancelled);
 	g_test_add_func("/fleet/broken-gang", test_broken_gang);
 	return g_test_run();
