A fault soak of the real programs

Cause: the programs as processes were tried under kills only; cuts, silence, resets and delays only in virtual time.

Change: test/soak.sh with soak-proxy: three replicas and two entries against the stand-in, behind a proxy that delays, resets, silences and cuts one way; kills, pauses, stops, restarts, reloads in series that overlap; a lost disk now and then. [cell] announce tells others an address that differs from the one listened on.

--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -31,6 +31,7 @@
 
 struct settings {
 	char *listen;
+	char *announce; /* where others reach it; NULL for listen */
 	char *metrics;
 	char **join;
 	uint32_t join_port;
@@ -75,6 +76,13 @@
 
 /* ---- Moving the replica's output --------------------------------------- */
 
+/* Where other processes reach this one. */
+static const char *
+own_address(const struct settings *set)
+{
+	return set->announce != NULL ? set->announce : set->listen;
+}
+
 static void
 note_role(struct app *app)
 {
@@ -346,7 +354,7 @@
 	if ((is_member(app) && !alone) || app->set->join == NULL)
 		return;
 	member.id = gyp_store_id(app->store);
-	member.address = app->set->listen;
+	member.address = (char *)own_address(app->set);
 	member.voter = false;
 	member.data_centre = app->set->data_centre;
 	join.member = &member;
@@ -354,7 +362,7 @@
 	frame.join = &join;
 	packed = gyp_message_pack(&frame.base);
 	for (address = app->set->join; *address != NULL; address++) {
-		if (strcmp(*address, app->set->listen) != 0)
+		if (strcmp(*address, own_address(app->set)) != 0)
 			gyp_links_send(app->links, *address, packed);
 	}
 	g_bytes_unref(packed);
@@ -430,7 +438,7 @@
 {
 	const struct settings *set = app->set;
 	struct gyp_replica_config cfg = {.id = gyp_store_id(app->store),
-	    .address = set->listen,
+	    .address = own_address(set),
 	    .data_centre = set->data_centre,
 	    .seed = g_random_int(),
 	    .election_ms = set->election_ms,
@@ -468,7 +476,7 @@
 	int i;
 
 	for (i = 0; set->join != NULL && set->join[i] != NULL; i++) {
-		if (strcmp(set->join[i], set->listen) == 0)
+		if (strcmp(set->join[i], own_address(set)) == 0)
 			return i;
 	}
 	return -1;
@@ -532,7 +540,7 @@
 	bool first = set->init && place_in_list(set) >= 0;
 
 	app->store = gyp_store_open_as(set->data_folder, gyp_files_system(),
-	    first ? id_of_address(set->listen) : 0, err);
+	    first ? id_of_address(own_address(set)) : 0, err);
 	if (app->store == NULL)
 		return err->code;
 	make_replica(app);
@@ -544,7 +552,7 @@
 		return gyp_fail(err, GYP_CONFLICT,
 		    "--init: the data folder holds a cell already");
 	hello.id = gyp_store_id(app->store);
-	hello.address = set->listen;
+	hello.address = (char *)own_address(set);
 	hello.name = set->name;
 	hello.data_centre = set->data_centre;
 	hello.endpoint_lease_ms = set->endpoint_lease_ms;
@@ -645,6 +653,8 @@
 	    .compact_bytes = 4 * 1024 * 1024};
 	const struct gyp_setting table[] = {
 	    {"cell", "listen", &set.listen, 0, 0, GYP_SETTING_ADDRESS, true},
+	    {"cell", "announce", &set.announce, 0, 0, GYP_SETTING_ADDRESS,
+		false},
 	    {"cell", "metrics", &set.metrics, 0, 0, GYP_SETTING_ADDRESS, false},
 	    {"cell", "join", &set.join, 0, 0, GYP_SETTING_ADDRESSES, false},
 	    {"cell", "join_port", &set.join_port, 1, 65535, GYP_SETTING_COUNT,
--- /dev/null
+++ b/test/soak.sh
@@ -0,0 +1,148 @@
+#!/usr/bin/env bash
+# A randomised soak of the real programs: three replicas and two entries
+# against the stand-in for the platform, behind a proxy that delays, resets,
+# silences and cuts one way; processes are killed, paused, stopped, started
+# again and told to read their settings, in series that overlap. The stand-in
+# checks what truly ran and that every job ends.
+# Usage: soak.sh BIN SEED...	(or: soak.sh BIN --seconds N, fresh seeds)
+set -u
+bin=$1
+shift
+here=$(cd "$(dirname "$0")" && pwd)
+
+# Values of one run.
+start_all() {
+	cells= control= fronts= ports=
+	for i in 0 1 2; do
+		cells+="${cells:+,}127.0.0.1:$((base + 5 + i))"
+		control+="${control:+,}127.0.0.1:$((base + 10 + i))"
+		ports+=" $((base + 5 + i)):$((base + i))"
+	done
+	fronts="127.0.0.1:$((base + 20)),127.0.0.1:$((base + 21))"
+	# shellcheck disable=SC2086
+	"$bin/soak-proxy" "$seed" $ports >"$dir/proxy.log" 2>&1 &
+	others+=($!)
+	for i in 0 1 2; do start_cell "$i" yes; done
+	for i in 0 1; do start_entry "$i"; done
+	"$bin/gyp-standin" --control "$control" --fronts "$fronts" \
+		--port $((base + 35)) --endpoints 6 --jobs 120 --rate 5 \
+		--tasks 3 --task-ms 300 --fail 30 --silent 20 --admission \
+		--seed "$seed" >"$dir/standin.out" 2>&1 &
+	standin=$!
+}
+start_cell() {
+	cat >"$dir/cell-$1.ini" <<-INI
+		[cell]
+		listen = 127.0.0.1:$((base + $1))
+		announce = 127.0.0.1:$((base + 5 + $1))
+		join = $cells
+		first_start = $2
+		data_folder = $dir/data-$1
+		data_centre = dc-$1
+		name = cell-$1
+		voters = 3
+		election = 300ms
+		heartbeat = 60ms
+		[platform]
+		control = 127.0.0.1:$((base + 10 + $1))
+		run_lease = 6000ms
+		stop_grace = 400ms
+	INI
+	"$bin/gyp-cell" --config "$dir/cell-$1.ini" >>"$dir/cell-$1.log" 2>&1 &
+	victims[$1]=$!
+}
+start_entry() {
+	cat >"$dir/entry-$1.ini" <<-INI
+		[entry]
+		listen = 127.0.0.1:$((base + 30 + $1))
+		cells = $cells
+		data_centre = dc-$1
+		name = entry-$1
+		[platform]
+		front = 127.0.0.1:$((base + 20 + $1))
+		admission = 127.0.1.1:$((base + 35))
+		linger = 300ms
+	INI
+	"$bin/gyp-entry" --config "$dir/entry-$1.ini" >>"$dir/entry-$1.log" 2>&1 &
+	victims[3 + $1]=$!
+}
+restart() {
+	if [ "$1" -lt 3 ]; then start_cell "$1" no; else start_entry $(($1 - 3)); fi
+}
+# One fault at process $1.
+strike() {
+	local pid=${victims[$1]}
+	case $((RANDOM % 5)) in
+	0) kill -KILL "$pid" 2>/dev/null ;;
+	1) kill -TERM "$pid" 2>/dev/null ;;
+	2) kill -HUP "$pid" 2>/dev/null ;;
+	*)
+		kill -STOP "$pid" 2>/dev/null
+		sleep "$((RANDOM % 4)).$((RANDOM % 10))"
+		kill -CONT "$pid" 2>/dev/null
+		;;
+	esac
+}
+# Starts again what has ended; a disk is lost now and then, one at a time.
+revive() {
+	for i in 0 1 2 3 4; do
+		kill -0 "${victims[$i]}" 2>/dev/null && continue
+		wait "${victims[$i]}" 2>/dev/null
+		code=$?
+		case $code in 0 | 137 | 143) ;; *)
+			echo "seed $seed: process $i ended with code $code"
+			failed=1
+			;;
+		esac
+		if [ "$i" -lt 3 ] && [ $((RANDOM % 4)) -eq 0 ] && [ "$wiped" -eq 0 ]; then
+			rm -rf "$dir/data-$i"
+			wiped=$(date +%s)
+		fi
+		restart "$i"
+	done
+	# Ten seconds are enough for a lost replica to be replaced.
+	if [ "$wiped" -ne 0 ] && [ $(($(date +%s) - wiped)) -gt 10 ]; then
+		wiped=0
+	fi
+}
+run_seed() {
+	seed=$1 RANDOM=$1 failed=0 wiped=0
+	dir=$(mktemp -d)
+	victims=() others=()
+	source "$here/ports.sh"
+	RANDOM=$seed
+	start_all
+	sleep 3
+	strikes=$((10 + RANDOM % 10))
+	while [ "$strikes" -gt 0 ] && kill -0 "$standin" 2>/dev/null; do
+		strikes=$((strikes - 1))
+		strike $((RANDOM % 5))
+		[ $((RANDOM % 3)) -eq 0 ] && strike $((RANDOM % 5))
+		sleep "$((RANDOM % 2)).$((RANDOM % 10))"
+		revive
+	done
+	for _ in $(seq 200); do
+		kill -0 "$standin" 2>/dev/null || break
+		revive
+		sleep 0.5
+	done
+	wait "$standin" || failed=1
+	kill -KILL "${victims[@]}" "${others[@]}" "$standin" 2>/dev/null
+	wait 2>/dev/null
+	echo "seed $seed: $(tr '\n' ' ' <"$dir/standin.out")"
+	if [ "$failed" -ne 0 ]; then
+		echo "seed $seed: FAILED, logs in $dir"
+		all=1
+	else
+		rm -rf "$dir"
+	fi
+}
+all=0
+if [ "${1:-}" = --seconds ]; then
+	end=$(($(date +%s) + $2))
+	while [ "$(date +%s)" -lt "$end" ]; do run_seed $((RANDOM * 32768 + RANDOM)); done
+else
+	for s in "$@"; do run_seed "$s"; done
+fi
+[ "$all" -eq 0 ] && echo "soak: ok"
+exit "$all"
--- /dev/null
+++ b/test/soak_proxy.c
@@ -0,0 +1,262 @@
+#include <sys/socket.h>
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <ev.h>
+#include <glib.h>
+
+/*
+ * NAME
+ *	soak-proxy - a loopback proxy that misbehaves by a seed
+ *
+ * SYNOPSIS
+ *	soak-proxy SEED LISTEN:TARGET ...
+ *
+ * DESCRIPTION
+ *	Forwards connections from port LISTEN to port TARGET of 127.0.0.1. At
+ *	random times, for random times, one of its ports delays what it
+ *	carries, resets its connections, or carries nothing in one direction
+ *	or both, new connections included, without a word to either side.
+ */
+
+#define FORWARD_MAX 65536
+
+/* Longest pause between faults, and longest fault, in s. */
+#define PAUSE_S 6.0
+#define FAULT_S 5.0
+
+enum mode {
+	MODE_GOOD,
+	MODE_DELAY,
+	MODE_SILENT_IN,
+	MODE_SILENT_OUT,
+	MODE_SILENT
+};
+
+struct port {
+	int target;
+	ev_io accept;
+	enum mode mode;
+	GPtrArray *pairs; /* struct pair */
+	ev_timer change;
+};
+
+/* One direction of a connection. */
+struct half {
+	struct pair *pair;
+	int from;
+	int to;
+	bool inward;
+	ev_io io;
+	ev_timer resume; /* after a delay */
+};
+
+struct pair {
+	struct port *port;
+	struct half in;
+	struct half out;
+};
+
+static GRand *prng;
+
+static void
+close_pair(struct ev_loop *loop, struct pair *p, bool reset)
+{
+	struct linger hard = {.l_onoff = 1, .l_linger = 0};
+
+	if (reset) {
+		setsockopt(
+		    p->in.from, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+		setsockopt(
+		    p->in.to, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+	}
+	ev_io_stop(loop, &p->in.io);
+	ev_io_stop(loop, &p->out.io);
+	ev_timer_stop(loop, &p->in.resume);
+	ev_timer_stop(loop, &p->out.resume);
+	close(p->in.from);
+	close(p->in.to);
+	g_ptr_array_remove_fast(p->port->pairs, p);
+	g_free(p);
+}
+
+static bool
+is_silent(const struct half *h)
+{
+	enum mode mode = h->pair->port->mode;
+
+	return mode == MODE_SILENT ||
+	       mode == (h->inward ? MODE_SILENT_IN : MODE_SILENT_OUT);
+}
+
+static void
+on_resume(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct half *h = w->data;
+
+	(void)revents;
+	if (is_silent(h) || h->pair->port->mode == MODE_DELAY)
+		ev_timer_again(loop, w);
+	else
+		ev_timer_stop(loop, w);
+	if (!is_silent(h))
+		ev_io_start(loop, &h->io);
+}
+
+/* What can't be carried now stays with the sender. */
+static void
+on_readable(struct ev_loop *loop, ev_io *w, int revents)
+{
+	struct half *h = w->data;
+	char bytes[FORWARD_MAX];
+	ssize_t n, done = 0;
+
+	(void)revents;
+	if (is_silent(h)) {
+		ev_io_stop(loop, w);
+		h->resume.repeat = 0.05;
+		ev_timer_again(loop, &h->resume);
+		return;
+	}
+	n = read(h->from, bytes, sizeof(bytes));
+	if (n <= 0) {
+		close_pair(loop, h->pair, n < 0);
+		return;
+	}
+	while (done < n) {
+		ssize_t sent =
+		    send(h->to, bytes + done, (size_t)(n - done), MSG_NOSIGNAL);
+
+		if (sent < 0) {
+			close_pair(loop, h->pair, true);
+			return;
+		}
+		done += sent;
+	}
+	if (h->pair->port->mode == MODE_DELAY) {
+		ev_io_stop(loop, w);
+		h->resume.repeat = g_rand_double_range(prng, 0.01, 0.3);
+		ev_timer_again(loop, &h->resume);
+	}
+}
+
+static void
+start_half(struct ev_loop *loop, struct pair *p, struct half *h, int from,
+    int to, bool inward)
+{
+	h->pair = p;
+	h->from = from;
+	h->to = to;
+	h->inward = inward;
+	ev_io_init(&h->io, on_readable, from, EV_READ);
+	h->io.data = h;
+	ev_init(&h->resume, on_resume);
+	h->resume.data = h;
+	ev_io_start(loop, &h->io);
+}
+
+static struct sockaddr_in
+loopback(int port)
+{
+	struct sockaddr_in in = {.sin_family = AF_INET,
+	    .sin_port = htons((uint16_t)port),
+	    .sin_addr = {htonl(INADDR_LOOPBACK)}};
+
+	return in;
+}
+
+static void
+on_accept(struct ev_loop *loop, ev_io *w, int revents)
+{
+	struct port *port = w->data;
+	struct sockaddr_in in = loopback(port->target);
+	int fd = accept(w->fd, NULL, NULL);
+	int to = socket(AF_INET, SOCK_STREAM, 0);
+	struct pair *p;
+
+	(void)revents;
+	if (fd < 0 || connect(to, (struct sockaddr *)&in, sizeof(in)) != 0) {
+		close(fd);
+		close(to);
+		return;
+	}
+	p = g_new0(struct pair, 1);
+	p->port = port;
+	g_ptr_array_add(port->pairs, p);
+	start_half(loop, p, &p->in, fd, to, true);
+	start_half(loop, p, &p->out, to, fd, false);
+}
+
+static void
+on_change(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct port *port = w->data;
+	int kind = g_rand_int_range(prng, 0, 5);
+
+	(void)revents;
+	if (port->mode != MODE_GOOD) {
+		port->mode = MODE_GOOD;
+		w->repeat = g_rand_double_range(prng, 0.5, PAUSE_S);
+	} else if (kind == 0) {
+		while (port->pairs->len > 0)
+			close_pair(loop, port->pairs->pdata[0], true);
+		w->repeat = g_rand_double_range(prng, 0.5, PAUSE_S);
+	} else {
+		port->mode = (enum mode)kind;
+		w->repeat = g_rand_double_range(prng, 0.2, FAULT_S);
+	}
+	ev_timer_again(loop, w);
+}
+
+static void
+open_port(struct ev_loop *loop, int from, int target)
+{
+	struct port *port = g_new0(struct port, 1);
+	struct sockaddr_in in = loopback(from);
+	int fd = socket(AF_INET, SOCK_STREAM, 0), on = 1;
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&in, sizeof(in)) != 0 ||
+	    listen(fd, 64) != 0) {
+		perror("soak-proxy");
+		exit(EXIT_FAILURE);
+	}
+	port->target = target;
+	port->pairs = g_ptr_array_new();
+	ev_io_init(&port->accept, on_accept, fd, EV_READ);
+	port->accept.data = port;
+	ev_io_start(loop, &port->accept);
+	ev_init(&port->change, on_change);
+	port->change.data = port;
+	port->change.repeat = g_rand_double_range(prng, 3.0, 3.0 + PAUSE_S);
+	ev_timer_again(loop, &port->change);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct ev_loop *loop = ev_default_loop(EVFLAG_AUTO);
+	int i, from, target;
+
+	signal(SIGPIPE, SIG_IGN);
+	if (argc < 3) {
+		fprintf(stderr, "usage: soak-proxy SEED LISTEN:TARGET ...\n");
+		return 64;
+	}
+	prng = g_rand_new_with_seed((guint32)strtoul(argv[1], NULL, 10));
+	for (i = 2; i < argc; i++) {
+		if (sscanf(argv[i], "%d:%d", &from, &target) != 2)
+			return 64;
+		open_port(loop, from, target);
+	}
+	ev_run(loop, 0);
+	return 0;
+}
