--- a/src/fleet.c
+++ b/src/fleet.c
@@ -178,6 +178,20 @@
 	return peer->clock_ms + elapsed - elapsed / GYP_CLOCK_SLOW;
 }
 
+uint64_t
+gyp_peer_silence(const struct gyp_fleet *f, const struct gyp_peer *peer)
+{
+	return f->now - MAX(peer->heard_at, f->since);
+}
+
+const char *
+gyp_peer_name(const struct gyp_fleet *f, uint32_t row)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, row);
+
+	return h != NULL ? h->spec->id : "gone";
+}
+
 void
 gyp_peer_read_clock(
     struct gyp_fleet *f, struct gyp_peer *peer, uint64_t clock_ms)
@@ -200,9 +214,10 @@
 	guint i;
 
 	gyp_events_add(f->cfg.events, "endpoint-reborn",
-	    "row=%u born_ms=%" G_GUINT64_FORMAT " before_ms=%" G_GUINT64_FORMAT
-	    " runs=%u",
-	    peer->row, born_ms, peer->born_ms, peer->runs->len);
+	    "endpoint=%s born_ms=%" G_GUINT64_FORMAT
+	    " before_ms=%" G_GUINT64_FORMAT " runs=%u",
+	    gyp_peer_name(f, peer->row), born_ms, peer->born_ms,
+	    peer->runs->len);
 	peer->born_ms = born_ms;
 	peer->gone_at = 0;
 	peer->listed_at = 0;
@@ -335,7 +350,7 @@
 	peer->gone_proposed = true;
 	gyp_events_add(f->cfg.events, "endpoint-gone",
 	    "endpoint=%s runs=%u heard_ms_ago=%" G_GUINT64_FORMAT, h->spec->id,
-	    peer->runs->len, f->now - peer->heard_at);
+	    peer->runs->len, gyp_peer_silence(f, peer));
 	host = *h->spec;
 	host.gone = true;
 	cmd.c_case = GYP__CMD__C_HOST;
@@ -430,7 +445,7 @@
 		gyp_events_add(f->cfg.events, "lease-over",
 		    "endpoint=%s runs=%u heard_ms_ago=%" G_GUINT64_FORMAT
 		    " failures=%u",
-		    h->spec->id, peer->runs->len, f->now - peer->heard_at,
+		    h->spec->id, peer->runs->len, gyp_peer_silence(f, peer),
 		    peer->failures);
 		end_all(f, peer, GYP__FLOW_HOW__FLOW_LAPSED);
 	}
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -177,6 +177,21 @@
 	g_queue_push_tail(&f->bad_tickets, bad);
 }
 
+static const char *
+reason_name(enum gyp_fleet_reason reason)
+{
+	static const char *const names[] = {[GYP_REASON_NONE] = "none",
+	    [GYP_REASON_FENCE] = "fence",
+	    [GYP_REASON_OLD_RUN] = "old-run",
+	    [GYP_REASON_LATE] = "late",
+	    [GYP_REASON_ROOM] = "room",
+	    [GYP_REASON_TICKET] = "ticket",
+	    [GYP_REASON_BUSY] = "busy",
+	    [GYP_REASON_OTHER] = "other"};
+
+	return names[reason];
+}
+
 static void
 start_answered(struct gyp_fleet *f, struct gyp_fleet_run *run,
     const struct gyp_fleet_answer *a)
@@ -188,8 +203,9 @@
 	}
 	if (a->end == GYP_FLEET_REFUSED)
 		gyp_events_add(f->cfg.events, "start-refused",
-		    RUN_ID " reason=%d row=%u starts_sent=%u", RUN_ARGS(run),
-		    a->reason, run->row, run->sends);
+		    RUN_ID " reason=%s endpoint=%s starts_sent=%u",
+		    RUN_ARGS(run), reason_name(a->reason),
+		    gyp_peer_name(f, run->row), run->sends);
 	if (a->reason == GYP_REASON_TICKET)
 		note_bad_ticket(f, run);
 	/* A start that was lost before may be carried out yet: ask to stop. */
@@ -232,7 +248,7 @@
 	if (peer->failures == 1 && h != NULL)
 		gyp_events_add(f->cfg.events, "endpoint-silent",
 		    "endpoint=%s runs=%u heard_ms_ago=%" G_GUINT64_FORMAT,
-		    h->spec->id, peer->runs->len, f->now - peer->heard_at);
+		    h->spec->id, peer->runs->len, gyp_peer_silence(f, peer));
 }
 
 static void
@@ -253,7 +269,8 @@
 		gyp_peer_reborn(f, peer, a->born_ms);
 	if (peer->failures > 0)
 		gyp_events_add(f->cfg.events, "endpoint-answers",
-		    "row=%u after_failures=%u", peer->row, peer->failures);
+		    "endpoint=%s after_failures=%u",
+		    gyp_peer_name(f, peer->row), peer->failures);
 	peer->failures = 0;
 	peer->met = true;
 	peer->heard_at = f->now;
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -67,13 +67,13 @@
 struct gyp_peer {
 	uint32_t row;
 	uint64_t born_ms;
-	bool met;          /* it answered this leader */
-	uint64_t clock_ms; /* its clock was at least this */
-	uint64_t clock_at; /* at this time of ours; 0 when not known */
-	uint64_t until_ms; /* latest end of its lease, its clock */
-	uint64_t heard_at; /* last answer or heartbeat */
+	bool met;           /* it answered this leader */
+	uint64_t clock_ms;  /* its clock was at least this */
+	uint64_t clock_at;  /* at this time of ours; 0 when not known */
+	uint64_t until_ms;  /* latest end of its lease, its clock */
+	uint64_t heard_at;  /* last answer or heartbeat */
 	uint64_t listed_at; /* last list, of this life; 0 for none */
-	uint64_t gone_at;  /* it said that it ends; 0 if not */
+	uint64_t gone_at;   /* it said that it ends; 0 if not */
 	bool gone_proposed;
 	uint32_t failures; /* calls without an answer in a row */
 	uint32_t looks;    /* under way */
@@ -133,6 +133,10 @@
 void gyp_fleet_queue_run(struct gyp_fleet *, const struct gyp_fleet_run *);
 void gyp_fleet_propose_end(struct gyp_fleet *, struct gyp_fleet_run *,
     Gyp__FlowHow, const char *checkpoint);
+/* Time since it was last heard, or since this leader began, in ms. */
+uint64_t gyp_peer_silence(const struct gyp_fleet *, const struct gyp_peer *);
+/* Id of an endpoint, for lines. */
+const char *gyp_peer_name(const struct gyp_fleet *, uint32_t row);
 /* Takes a reading of the endpoint's clock. */
 void gyp_peer_read_clock(
     struct gyp_fleet *, struct gyp_peer *, uint64_t clock_ms);
--- a/src/fleet_look.c
+++ b/src/fleet_look.c
@@ -60,8 +60,8 @@
 	cmd.flow_end = &end;
 	g_queue_push_tail(&f->cmds, gyp_message_copy(&cmd.base));
 	gyp_events_add(f->cfg.events, "late-done",
-	    "flow=%016" G_GINT64_MODIFIER "x task=%u run=%u row=%u",
-	    key->flow, key->task, number, peer->row);
+	    "flow=%016" G_GINT64_MODIFIER "x task=%u run=%u endpoint=%s",
+	    key->flow, key->task, number, gyp_peer_name(f, peer->row));
 }
 
 static void
--- a/src/flow_lead.c
+++ b/src/flow_lead.c
@@ -139,6 +139,14 @@
 	    lead->track, flow->spec->queue->name, u->step->estimate_ms);
 }
 
+static const char *
+endpoint_name(const struct gyp_flow_lead *lead, uint32_t row)
+{
+	const struct gyp_host *h = gyp_host_at(lead->flows, row);
+
+	return h != NULL ? h->spec->id : "gone";
+}
+
 static void
 track_end(struct gyp_flow_lead *lead, struct gyp_flow *flow, uint32_t task,
     uint32_t host, Gyp__FlowHow how)
@@ -160,7 +168,8 @@
 		   gyp_track_failed(
 		       lead->track, flow->id, task, host, lead->now)) {
 		gyp_events_add(lead->events, "endpoint-quarantined",
-		    "row=%u for_ms=%u", host, GYP_TRACK_FOR_MS);
+		    "endpoint=%s for_ms=%u", endpoint_name(lead, host),
+		    GYP_TRACK_FOR_MS);
 	}
 }
 
@@ -353,8 +362,9 @@
 		    !is_slow_endpoint(lead, s->row))
 			continue;
 		gyp_events_add(lead->events, "straggler-stopped",
-		    "flow=%016" G_GINT64_MODIFIER "x task=%u row=%u why=%s",
-		    s->flow, s->task, s->row,
+		    "flow=%016" G_GINT64_MODIFIER
+		    "x task=%u endpoint=%s why=%s",
+		    s->flow, s->task, endpoint_name(lead, s->row),
 		    s->word == GYP_STRAGGLER_STILL ? "still" : "slow");
 		if (s->word == GYP_STRAGGLER_STILL)
 			gyp_track_failed(
