--- a/src/fleet.c
+++ b/src/fleet.c
@@ -24,6 +24,9 @@
 /* Pause between looks at an endpoint that does not answer, in ms. */
 #define LOOK_RETRY_MS 250
 
+/* A call without an answer may be carried out so much later, in ms. */
+#define CARRIED_LATE_MS 13000
+
 /* An idle endpoint that was not heard for this long is dropped, in ms. */
 #define FORGET_MS 60000
 
@@ -204,8 +207,8 @@
 	peer->clock_at = f->now;
 	/* An earlier leader, or call, may have extended the lease so far. */
 	if (first)
-		peer->until_ms =
-		    MAX(peer->until_ms, clock_ms + f->cfg.lease_ms);
+		peer->until_ms = MAX(
+		    peer->until_ms, clock_ms + f->cfg.lease_ms + peer->late_ms);
 }
 
 void
@@ -220,6 +223,12 @@
 	    peer->runs->len);
 	peer->born_ms = born_ms;
 	peer->gone_at = 0;
+	/*
+	 * A call that was sent with a time of the earlier life's clock, and
+	 * not answered, may reach this one yet: it grants a whole lease then.
+	 */
+	peer->late_ms =
+	    f->now < peer->lost_at + CARRIED_LATE_MS ? CARRIED_LATE_MS : 0;
 	peer->listed_at = 0;
 	peer->clock_at = 0;
 	peer->until_ms = 0;
@@ -509,9 +518,9 @@
 	else if (gyp_flow_run_is_unwanted(run->flow, run->key.task))
 		gyp_fleet_want_stop(f, run);
 	else if (run->phase == GYP_RUN_DUE || run->phase == GYP_RUN_STARTING) {
-		if (peer->failures > 0 && run->phase == GYP_RUN_STARTING)
+		if (peer->failures > 0)
 			run->retry_at = f->now + LOOK_RETRY_MS;
-		else if (peer->failures == 0)
+		else
 			gyp_fleet_send_start(f, run);
 	}
 }
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -257,6 +257,7 @@
 {
 	if (a->end == GYP_FLEET_LOST) {
 		peer->failures++;
+		peer->lost_at = f->now;
 		note_doubt(f, peer);
 		gyp_fleet_touch(f, peer);
 		return;
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -71,6 +71,8 @@
 	uint64_t clock_ms;  /* its clock was at least this */
 	uint64_t clock_at;  /* at this time of ours; 0 when not known */
 	uint64_t until_ms;  /* latest end of its lease, its clock */
+	uint64_t lost_at;   /* last call without an answer; 0 for none */
+	uint64_t late_ms;   /* see gyp_peer_reborn() */
 	uint64_t heard_at;  /* last answer or heartbeat */
 	uint64_t listed_at; /* last list, of this life; 0 for none */
 	uint64_t gone_at;   /* it said that it ends; 0 if not */
--- a/src/flow_lead.c
+++ b/src/flow_lead.c
@@ -121,6 +121,7 @@
 	const char *ticket = gyp_admission_ticket(lead->admission, flow,
 	    gyp_flow_unit_of(flow, task), flow->tasks[task].host, lead->now);
 
+	gyp_track_started(lead->track, flow->tasks[task].host, lead->now);
 	gyp_fleet_started(lead->fleet, flow, task, ticket);
 	note_start(lead, flow, task);
 }
@@ -154,23 +155,31 @@
 	struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
 	const struct gyp_run_view *view =
 	    gyp_fleet_view(lead->fleet, flow->id, task);
-
-	if (how == GYP__FLOW_HOW__FLOW_DONE && view != NULL && view->timed) {
-		uint64_t ran_ms = lead->now - view->up_at;
-
-		gyp_track_done(lead->track, flow->id, task, host, ran_ms,
-		    u->step->lasting ? 0 : usual_time(lead, flow, u));
-		gyp_track_estimate(lead->track, flow->spec->queue->name,
-		    u->step->estimate_ms, ran_ms);
-		u->done++;
-		u->done_ms += ran_ms;
-	} else if (how == GYP__FLOW_HOW__FLOW_FAILED &&
-		   gyp_track_failed(
-		       lead->track, flow->id, task, host, lead->now)) {
-		gyp_events_add(lead->events, "endpoint-quarantined",
-		    "endpoint=%s for_ms=%u", endpoint_name(lead, host),
-		    GYP_TRACK_FOR_MS);
+	uint64_t ran_ms;
+
+	if (how == GYP__FLOW_HOW__FLOW_FAILED) {
+		if (gyp_track_failed(
+			lead->track, flow->id, task, host, lead->now))
+			gyp_events_add(lead->events, "endpoint-quarantined",
+			    "endpoint=%s for_ms=%u", endpoint_name(lead, host),
+			    GYP_TRACK_FOR_MS);
+		return;
+	}
+	if (how != GYP__FLOW_HOW__FLOW_DONE) {
+		gyp_track_over(lead->track, host);
+		return;
+	}
+	if (view == NULL || !view->timed) {
+		gyp_track_done(lead->track, flow->id, task, host, 0, 0);
+		return;
 	}
+	ran_ms = lead->now - view->up_at;
+	gyp_track_done(lead->track, flow->id, task, host, ran_ms,
+	    u->step->lasting ? 0 : usual_time(lead, flow, u));
+	gyp_track_estimate(
+	    lead->track, flow->spec->queue->name, u->step->estimate_ms, ran_ms);
+	u->done++;
+	u->done_ms += ran_ms;
 }
 
 static void
@@ -211,7 +220,7 @@
 /* ---- Questions ---------------------------------------------------------- */
 
 void
-gyp_flow_lead_offer(struct gyp_flow_lead *lead, uint64_t entry)
+gyp_flow_lead_offer(struct gyp_flow_lead *lead, uint64_t now, uint64_t entry)
 {
 	struct lane *lane = g_hash_table_lookup(lead->lanes, &entry);
 
@@ -220,7 +229,7 @@
 		lane->entry = entry;
 		g_hash_table_insert(lead->lanes, &lane->entry, lane);
 	}
-	lane->offered_at = lead->now;
+	lane->offered_at = now;
 }
 
 /* Frees lanes whose answer is overdue; drops those not offered lately. */
--- a/src/flow_lead.h
+++ b/src/flow_lead.h
@@ -25,7 +25,7 @@
 void gyp_flow_lead_free(struct gyp_flow_lead *);
 
 /* An entry is there to carry questions; call before each round. */
-void gyp_flow_lead_offer(struct gyp_flow_lead *, uint64_t entry);
+void gyp_flow_lead_offer(struct gyp_flow_lead *, uint64_t now, uint64_t entry);
 
 /*
  * Does what is due. Only when decide is true are tasks placed: all commands
--- a/src/placer.c
+++ b/src/placer.c
@@ -66,7 +66,7 @@
 		memset(room, 0, sizeof(*room));
 		room->word = gyp_track_word(p->track, row, p->now);
 		if (!gyp_fleet_usable(p->fleet, row) ||
-		    room->word == GYP_TRACK_BLOCKED)
+		    room->word >= GYP_TRACK_PROBING)
 			continue;
 		room->pace = gyp_track_pace(p->track, row);
 		room->host = gyp_host_at(p->flows, row);
@@ -153,7 +153,7 @@
 	}
 	/* After a quarantine, one run tells. */
 	if (room->word == GYP_TRACK_PROBE)
-		n = MIN(n, room->host->runs->len == 0 ? 1 : 0);
+		n = MIN(n, 1);
 	return (uint32_t)n;
 }
 
@@ -281,6 +281,8 @@
 	gyp_res_sub(&room->left, &c->unit->size);
 	room->serves = room->serves || c->unit->step->tail_ms > 0;
 	room->filled = room->filled || c->unit->step->fills;
+	if (room->word == GYP_TRACK_PROBE)
+		room->host = NULL;
 }
 
 static void
--- a/src/program.c
+++ b/src/program.c
@@ -83,6 +83,7 @@
 
 	gyp_log_open(p->name, GYP_LOG_INFO);
 	signal(SIGPIPE, SIG_IGN);
+	signal(SIGHUP, SIG_IGN); /* until the daemon listens to it */
 	if (!parse_options(p, &o, argc, argv)) {
 		code = EXIT_USAGE;
 	} else if (o.version) {
--- a/src/reload.c
+++ b/src/reload.c
@@ -192,6 +192,7 @@
 	if (r == NULL)
 		return;
 	ev_signal_stop(r->loop, &r->hup);
+	signal(SIGHUP, SIG_IGN); /* the process is about to end */
 	gyp_timer_cancel(r->timers, r->look);
 	g_free(r);
 }
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -367,7 +367,7 @@
 		const struct gyp_entry_peer *peer = value;
 
 		if (gyp_replica_can_take_orders(r, peer) && !peer->draining)
-			gyp_flow_lead_offer(r->flow_lead, peer->id);
+			gyp_flow_lead_offer(r->flow_lead, r->now, peer->id);
 	}
 }
 
--- a/src/track.c
+++ b/src/track.c
@@ -27,6 +27,7 @@
 };
 
 struct gyp_track {
+	GArray *probes; /* uint32_t by row: runs begun on probation */
 	struct gyp_health *health;
 	GHashTable *estimates; /* name of the queue -> struct estimates */
 	GArray *paces;         /* double by row */
@@ -53,12 +54,34 @@
 	return &g_array_index(t->paces, double, row);
 }
 
+static uint32_t *
+probes_at(struct gyp_track *t, uint32_t row)
+{
+	if (row >= t->probes->len)
+		g_array_set_size(t->probes, row + 1);
+	return &g_array_index(t->probes, uint32_t, row);
+}
+
+void
+gyp_track_started(struct gyp_track *t, uint32_t row, uint64_t now)
+{
+	if (gyp_track_word(t, row, now) == GYP_TRACK_PROBE)
+		*probes_at(t, row) += 1;
+}
+
+void
+gyp_track_over(struct gyp_track *t, uint32_t row)
+{
+	*probes_at(t, row) = 0;
+}
+
 void
 gyp_track_done(struct gyp_track *t, uint64_t flow, uint32_t task, uint32_t row,
     uint64_t ran_ms, uint64_t mean_ms)
 {
 	double *pace = pace_at(t, row);
 
+	gyp_track_over(t, row);
 	gyp_health_succeeded(t->health, key_of(flow, task), row);
 	if (mean_ms > 0)
 		*pace += PACE_WEIGHT * (CLAMP((double)ran_ms / (double)mean_ms,
@@ -70,6 +93,7 @@
 gyp_track_failed(struct gyp_track *t, uint64_t flow, uint32_t task,
     uint32_t row, uint64_t now)
 {
+	gyp_track_over(t, row);
 	gyp_health_failed(t->health, key_of(flow, task), row, now);
 	if (!gyp_health_is_bad_endpoint(t->health, row, &limits, now))
 		return false;
@@ -83,7 +107,10 @@
 	if (!gyp_health_may_probe(t->health, row, now))
 		return GYP_TRACK_BLOCKED;
 	if (gyp_health_on_probation(t->health, row))
-		return GYP_TRACK_PROBE;
+		return row < t->probes->len &&
+			       g_array_index(t->probes, uint32_t, row) > 0
+			   ? GYP_TRACK_PROBING
+			   : GYP_TRACK_PROBE;
 	return gyp_health_is_clear(t->health, row) ? GYP_TRACK_GOOD
 						   : GYP_TRACK_DOUBTFUL;
 }
@@ -148,6 +175,7 @@
 	t->estimates =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	t->paces = g_array_new(FALSE, FALSE, sizeof(double));
+	t->probes = g_array_new(FALSE, TRUE, sizeof(uint32_t));
 	return t;
 }
 
@@ -159,5 +187,6 @@
 	gyp_health_free(t->health);
 	g_hash_table_destroy(t->estimates);
 	g_array_free(t->paces, TRUE);
+	g_array_free(t->probes, TRUE);
 	g_free(t);
 }
--- a/src/track.h
+++ b/src/track.h
@@ -42,10 +42,15 @@
 bool gyp_track_failed(struct gyp_track *, uint64_t flow, uint32_t task,
     uint32_t row, uint64_t now);
 
+/* A run begins there; one that ended neither as done nor as failed is over. */
+void gyp_track_started(struct gyp_track *, uint32_t row, uint64_t now);
+void gyp_track_over(struct gyp_track *, uint32_t row);
+
 enum gyp_track_word {
 	GYP_TRACK_GOOD,
 	GYP_TRACK_DOUBTFUL, /* something failed there since the last success */
-	GYP_TRACK_PROBE,    /* takes one run at a time */
+	GYP_TRACK_PROBE,    /* takes one run, which tells */
+	GYP_TRACK_PROBING,  /* that run is under way */
 	GYP_TRACK_BLOCKED
 };
 
--- a/test/flow_sim.c
+++ b/test/flow_sim.c
@@ -3,7 +3,10 @@
 #include "flow_sim.h"
 
 #define CPU_MILLI 10000
-#define MEMORY	  (10ULL << 30)
+#define MEMORY    (10ULL << 30)
+
+/* Time for a gang to be whole, in ms. */
+#define GANG_MS 3000
 
 /* A start so long after a committed cancellation breaks the promise, in ms. */
 #define CANCEL_MS 3000
@@ -12,7 +15,8 @@
 	uint64_t flow;
 	uint32_t task;
 	uint32_t run;
-	uint64_t ends_at;
+	uint64_t ends_at;  /* 0 while its gang is not whole */
+	uint64_t alone_at; /* when it gives its gang up */
 	bool fails;
 };
 
@@ -26,16 +30,16 @@
 struct endpoint {
 	char id[8];
 	uint64_t born_ms;
-	uint64_t zero_at;  /* our time at which its clock read 0 */
-	double rate;       /* of its clock */
-	uint64_t up_at;    /* down before */
+	uint64_t zero_at; /* our time at which its clock read 0 */
+	double rate;      /* of its clock */
+	uint64_t up_at;   /* down before */
 	uint64_t cut_until;
 	uint64_t fence;
 	uint64_t lease_end; /* its clock */
 	uint64_t next_end;
-	GArray *runs;       /* struct run */
-	GArray *ends;       /* struct end */
-	GHashTable *past;   /* run key -> highest run that ended or stopped */
+	GArray *runs;     /* struct run */
+	GArray *ends;     /* struct end */
+	GHashTable *past; /* run key -> highest run that ended or stopped */
 };
 
 /* A call or answer under way. */
@@ -58,7 +62,6 @@
 	GHashTable *done;      /* key: done and acknowledged */
 	GHashTable *failed;    /* key -> failed runs acknowledged */
 	GHashTable *cancelled; /* flow -> time */
-	GHashTable *gangs;     /* run of a gang -> its end */
 	uint64_t starts;
 };
 
@@ -119,9 +122,9 @@
 	for (j = 0; j < e->runs->len; j++) {
 		const struct run *r = &g_array_index(e->runs, struct run, j);
 
-		used += gyp_flow_unit_of(gyp_flow_get(s->flows, r->flow),
-		    r->task)
-			    ->size.cpu_milli;
+		used +=
+		    gyp_flow_unit_of(gyp_flow_get(s->flows, r->flow), r->task)
+			->size.cpu_milli;
 	}
 	if (used > CPU_MILLI)
 		g_error("endpoint is over its capacity");
@@ -173,7 +176,9 @@
 	while (i < e->runs->len) {
 		const struct run *r = &g_array_index(e->runs, struct run, i);
 
-		if (s->now >= r->ends_at)
+		if (r->ends_at == 0 && s->now >= r->alone_at)
+			end_run(e, i, GYP__FLOW_HOW__FLOW_ALONE);
+		else if (r->ends_at != 0 && s->now >= r->ends_at)
 			end_run(e, i,
 			    r->fails ? GYP__FLOW_HOW__FLOW_FAILED
 				     : GYP__FLOW_HOW__FLOW_DONE);
@@ -191,39 +196,65 @@
 
 		if (end->number > acked)
 			break;
-		if (end->how == GYP__FLOW_HOW__FLOW_DONE &&
-		    !end->lapsed_since)
+		if (end->how == GYP__FLOW_HOW__FLOW_DONE && !end->lapsed_since)
 			g_hash_table_add(s->done, key);
 		if (end->how == GYP__FLOW_HOW__FLOW_FAILED &&
 		    !end->lapsed_since)
 			g_hash_table_insert(s->failed, key,
 			    GUINT_TO_POINTER(
-				GPOINTER_TO_UINT(g_hash_table_lookup(
-				    s->failed, key)) +
+				GPOINTER_TO_UINT(
+				    g_hash_table_lookup(s->failed, key)) +
 				1));
 		g_array_remove_index(e->ends, 0);
 	}
 }
 
-/* The tasks of a gang end together. */
+/* The tasks of a gang that are present; ends them all when it is whole. */
 static void
-set_end(struct sim *s, const struct gyp_flow *flow, struct run *r)
+join_gang(struct sim *s, const struct gyp_flow *flow, struct run *r)
 {
 	const struct gyp_flow_unit *u = gyp_flow_unit_of(flow, r->task);
-	gpointer key = key_of(flow->id * 100 + r->run, u->first);
-	gpointer known = g_hash_table_lookup(s->gangs, key);
-
-	r->ends_at =
+	uint64_t ends_at =
 	    s->now + (uint64_t)g_rand_int_range(s->rand, 100, 3000);
-	r->fails = g_rand_int_range(s->rand, 0, 12) == 0;
-	if (!u->step->gang)
-		return;
+	uint32_t present = 1;
+	guint i, j, pass;
+
+	r->ends_at = 0;
+	r->alone_at = s->now + GANG_MS;
 	r->fails = r->run % 4 == 1;
-	if (known != NULL)
-		r->ends_at = GPOINTER_TO_SIZE(known);
-	else
-		g_hash_table_insert(
-		    s->gangs, key, GSIZE_TO_POINTER((gsize)r->ends_at));
+	for (pass = 0; pass < 2; pass++) {
+		for (i = 0; i < SIM_ENDPOINTS; i++) {
+			GArray *runs = s->endpoints[i].runs;
+
+			for (j = 0; j < runs->len; j++) {
+				struct run *other =
+				    &g_array_index(runs, struct run, j);
+
+				if (other->flow != r->flow ||
+				    other->run != r->run ||
+				    gyp_flow_unit_of(flow, other->task) != u)
+					continue;
+				if (pass == 0)
+					present++;
+				else
+					other->ends_at = ends_at;
+			}
+		}
+		if (present < u->step->count)
+			return;
+	}
+	r->ends_at = ends_at;
+}
+
+static void
+set_end(struct sim *s, const struct gyp_flow *flow, struct run *r)
+{
+	if (gyp_flow_unit_of(flow, r->task)->step->gang) {
+		join_gang(s, flow, r);
+		return;
+	}
+	r->ends_at = s->now + (uint64_t)g_rand_int_range(s->rand, 100, 3000);
+	r->fails = g_rand_int_range(s->rand, 0, 12) == 0;
 }
 
 static enum gyp_fleet_end
@@ -231,8 +262,7 @@
     enum gyp_fleet_reason *reason)
 {
 	const struct gyp_flow *flow = gyp_flow_get(s->flows, c->flow);
-	uint32_t task =
-	    gyp_flow_task_at(flow, c->time, c->step, c->index);
+	uint32_t task = gyp_flow_task_at(flow, c->time, c->step, c->index);
 	gpointer key = key_of(c->flow, task);
 	struct run r = {.flow = c->flow, .task = task, .run = c->run};
 	guint i;
@@ -241,8 +271,8 @@
 		*reason = GYP_REASON_LATE;
 		return GYP_FLEET_REFUSED;
 	}
-	e->lease_end = MAX(e->lease_end,
-	    MIN(c->until_ms, clock_of(e, s->now) + SIM_LEASE_MS));
+	e->lease_end = MAX(
+	    e->lease_end, MIN(c->until_ms, clock_of(e, s->now) + SIM_LEASE_MS));
 	for (i = 0; i < e->runs->len; i++) {
 		const struct run *old = &g_array_index(e->runs, struct run, i);
 
@@ -254,8 +284,8 @@
 		*reason = GYP_REASON_OLD_RUN;
 		return GYP_FLEET_REFUSED;
 	}
-	check_start(s, e, flow, task,
-	    gyp_flow_unit_of(flow, task)->size.cpu_milli);
+	check_start(
+	    s, e, flow, task, gyp_flow_unit_of(flow, task)->size.cpu_milli);
 	set_end(s, flow, &r);
 	g_array_append_val(e->runs, r);
 	s->starts++;
@@ -266,16 +296,14 @@
 take_stop(struct sim *s, struct endpoint *e, const struct gyp_fleet_call *c)
 {
 	const struct gyp_flow *flow = gyp_flow_get(s->flows, c->flow);
-	uint32_t task =
-	    gyp_flow_task_at(flow, c->time, c->step, c->index);
+	uint32_t task = gyp_flow_task_at(flow, c->time, c->step, c->index);
 	gpointer key = key_of(c->flow, task);
 	guint i;
 
 	for (i = 0; i < e->runs->len; i++) {
 		const struct run *r = &g_array_index(e->runs, struct run, i);
 
-		if (r->flow == c->flow && r->task == task &&
-		    r->run <= c->run) {
+		if (r->flow == c->flow && r->task == task && r->run <= c->run) {
 			end_run(e, i, GYP__FLOW_HOW__FLOW_STOPPED);
 			break;
 		}
@@ -394,8 +422,7 @@
 	struct endpoint *e = find(s, call->endpoint);
 
 	s->now = now;
-	g_hash_table_insert(s->waiting,
-	    GSIZE_TO_POINTER((gsize)call->id),
+	g_hash_table_insert(s->waiting, GSIZE_TO_POINTER((gsize)call->id),
 	    GSIZE_TO_POINTER((gsize)(now + call->timeout_ms)));
 	if (now < e->cut_until || !is_up(s, e)) {
 		gyp_fleet_call_free(call);
@@ -451,11 +478,10 @@
 }
 
 static void
-deliver_answer(struct sim *s, struct gyp_flow_lead *lead,
-    const struct gyp_fleet_answer *a)
+deliver_answer(
+    struct sim *s, struct gyp_flow_lead *lead, const struct gyp_fleet_answer *a)
 {
-	if (!g_hash_table_remove(
-		s->waiting, GSIZE_TO_POINTER((gsize)a->call)))
+	if (!g_hash_table_remove(s->waiting, GSIZE_TO_POINTER((gsize)a->call)))
 		return; /* it came after its time */
 	if (lead != NULL)
 		gyp_flow_lead_answered(lead, s->now, a);
@@ -493,8 +519,7 @@
 		return;
 	switch (g_rand_int_range(s->rand, 0, 3)) {
 	case 0: /* it crashes and comes back under its id */
-		be_born(s, e,
-		    (uint64_t)g_rand_int_range(s->rand, 100, 4000));
+		be_born(s, e, (uint64_t)g_rand_int_range(s->rand, 100, 4000));
 		break;
 	case 1: /* it runs on, cut off */
 		e->cut_until =
@@ -567,10 +592,8 @@
 void
 sim_cancelled(struct sim *s, uint64_t now, uint64_t flow)
 {
-	if (!g_hash_table_contains(
-		s->cancelled, GSIZE_TO_POINTER((gsize)flow)))
-		g_hash_table_insert(s->cancelled,
-		    GSIZE_TO_POINTER((gsize)flow),
+	if (!g_hash_table_contains(s->cancelled, GSIZE_TO_POINTER((gsize)flow)))
+		g_hash_table_insert(s->cancelled, GSIZE_TO_POINTER((gsize)flow),
 		    GSIZE_TO_POINTER((gsize)now));
 }
 
@@ -603,7 +626,6 @@
 	s->done = g_hash_table_new(NULL, NULL);
 	s->failed = g_hash_table_new(NULL, NULL);
 	s->cancelled = g_hash_table_new(NULL, NULL);
-	s->gangs = g_hash_table_new(NULL, NULL);
 	for (i = 0; i < SIM_ENDPOINTS; i++) {
 		struct endpoint *e = &s->endpoints[i];
 
@@ -632,7 +654,6 @@
 	g_hash_table_destroy(s->done);
 	g_hash_table_destroy(s->failed);
 	g_hash_table_destroy(s->cancelled);
-	g_hash_table_destroy(s->gangs);
 	g_rand_free(s->rand);
 	g_free(s);
 }
--- a/test/soak.sh
+++ b/test/soak.sh
@@ -99,6 +99,7 @@
 			wiped=$(date +%s)
 		fi
 		restart "$i"
+		sleep 0.3 # until its first line of code has run
 	done
 	# Ten seconds are enough for a lost replica to be replaced.
 	if [ "$wiped" -ne 0 ] && [ $(($(date +%s) - wiped)) -gt 10 ]; then
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -251,8 +251,8 @@
 	call = next_look(&f, 500);
 	g_assert_cmpuint(call->acked, ==, 0);
 	flow_world_lists(&f.w, call, 2, NULL, 0, &again, 1);
-	g_assert_cmpint(gyp_flow_get(f.w.flows, FLOW)->state, ==,
-	    GYP_FLOW_COMPLETED);
+	g_assert_cmpint(
+	    gyp_flow_get(f.w.flows, FLOW)->state, ==, GYP_FLOW_COMPLETED);
 	flow_world_clear(&f.w);
 }
 
@@ -278,8 +278,44 @@
 	g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_WAITING);
 	gyp_fleet_beat(f.w.fleet, f.w.now, f.a, 1, f.w.now);
 	flow_world_lists(&f.w, next_look(&f, 2000), 1, NULL, 0, &end, 1);
-	g_assert_cmpint(gyp_flow_get(f.w.flows, FLOW)->state, ==,
-	    GYP_FLOW_COMPLETED);
+	g_assert_cmpint(
+	    gyp_flow_get(f.w.flows, FLOW)->state, ==, GYP_FLOW_COMPLETED);
+	flow_world_clear(&f.w);
+}
+
+/*
+ * A run is committed just when a call at its endpoint was lost, and the next
+ * one is answered: the start must be sent, or the run given up.
+ */
+static void
+test_start_in_doubt(void)
+{
+	struct fixture f;
+	struct flow_world_row up = {FLOW, 0, 1, 0, 0};
+	struct gyp_fleet_call *call;
+	bool started = false;
+	int i;
+
+	set_up(&f, 2, false);
+	flow_world_start(&f.w, FLOW, 0, 0, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	call = next_look(&f, 500);
+	flow_world_answer(&f.w, call, GYP_FLEET_LOST);
+	flow_world_start(&f.w, FLOW, 1, 1, 2, f.a);
+	flow_world_pass(&f.w, 1);
+	for (i = 0; i < 200 && !started; i++) {
+		flow_world_pass(&f.w, 10);
+		call = gyp_fleet_pop_call(f.w.fleet);
+		if (call == NULL)
+			continue;
+		started = call->kind == GYP_FLEET_START;
+		if (call->kind == GYP_FLEET_LOOK)
+			flow_world_lists(&f.w, call, 1, &up, 1, NULL, 0);
+		else
+			flow_world_answer(&f.w, call, GYP_FLEET_OK);
+	}
+	g_assert_true(
+	    started || task_of(&f, 1)->state == GYP_FLOW_TASK_WAITING);
 	flow_world_clear(&f.w);
 }
 
@@ -347,6 +383,7 @@
 	g_test_add_func(
 	    "/fleet/ack-of-an-earlier-life", test_ack_of_an_earlier_life);
 	g_test_add_func("/fleet/late-done", test_late_done);
+	g_test_add_func("/fleet/start-in-doubt", test_start_in_doubt);
 	g_test_add_func("/fleet/cancelled", test_cancelled);
 	g_test_add_func("/fleet/broken-gang", test_broken_gang);
 	return g_test_run();
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -13,12 +13,12 @@
 
 /* Length of a run with faults, and of the time after it, in ms. */
 #define FAULTS_MS 60000
-#define CALM_MS	  120000
+#define CALM_MS   120000
 
-#define STEP_MS	   5
-#define COMMIT_MS  15
-#define SEEDS	   30
-#define FLOWS_MAX  60
+#define STEP_MS      5
+#define COMMIT_MS    15
+#define SEEDS        30
+#define FLOWS_MAX    60
 #define HEARTBEAT_MS 1500
 
 struct pending {
@@ -68,8 +68,8 @@
 {
 	struct pending *p;
 
-	while ((p = g_queue_peek_head(&w->pending)) != NULL &&
-	       w->now >= p->at) {
+	while (
+	    (p = g_queue_peek_head(&w->pending)) != NULL && w->now >= p->at) {
 		g_queue_pop_head(&w->pending);
 		apply(w, p->cmd);
 		gyp_message_free(p->cmd);
@@ -91,8 +91,8 @@
 static void
 lose_leader(struct world *w)
 {
-	guint kept = (guint)g_rand_int_range(
-	    w->rand, 0, (gint32)w->pending.length + 1);
+	guint kept =
+	    (guint)g_rand_int_range(w->rand, 0, (gint32)w->pending.length + 1);
 	struct pending *p;
 
 	gyp_flow_lead_free(w->lead);
@@ -205,16 +205,14 @@
 				beat(w, i);
 		}
 	}
-	if (w->faults && w->now >= w->submit_at &&
-	    w->next_flow < FLOWS_MAX) {
+	if (w->faults && w->now >= w->submit_at && w->next_flow < FLOWS_MAX) {
 		w->submit_at =
 		    w->now + (uint64_t)g_rand_int_range(w->rand, 100, 1500);
 		submit(w);
 		if (g_rand_int_range(w->rand, 0, 8) == 0)
 			cancel_some(w);
 	}
-	gyp_flow_lead_round(
-	    w->lead, w->now, 0, g_queue_is_empty(&w->pending));
+	gyp_flow_lead_round(w->lead, w->now, 0, g_queue_is_empty(&w->pending));
 	while ((cmd = gyp_flow_lead_pop_cmd(w->lead)) != NULL)
 		propose(w, cmd);
 	while ((call = gyp_flow_lead_pop_call(w->lead)) != NULL)
@@ -261,7 +259,8 @@
 	if (gyp_flows_active(w.flows)->length > 0)
 		g_error("seed %u: %u flows do not end", seed,
 		    gyp_flows_active(w.flows)->length);
-	g_test_message("seed %u: %" G_GUINT64_FORMAT " flows, %" G_GUINT64_FORMAT
+	g_test_message("seed %u: %" G_GUINT64_FORMAT
+		       " flows, %" G_GUINT64_FORMAT
 		       " starts, %" G_GUINT64_FORMAT " leaders",
 	    seed, w.next_flow, sim_starts(w.sim), w.fence);
 	gyp_flow_lead_free(w.lead);
@@ -288,9 +287,9 @@
 		return;
 	}
 	if (seconds != NULL) {
-		gint64 end = g_get_monotonic_time() +
-			     (gint64)strtoul(seconds, NULL, 10) *
-				 G_USEC_PER_SEC;
+		gint64 end =
+		    g_get_monotonic_time() +
+		    (gint64)strtoul(seconds, NULL, 10) * G_USEC_PER_SEC;
 
 		while (g_get_monotonic_time() < end) {
 			seed = g_random_int();
--- a/test/test_placer.c
+++ b/test/test_placer.c
@@ -30,8 +30,8 @@
 	flow_world_init(&f->w);
 	f->admission = gyp_admission_new(f->w.flows, 1);
 	f->track = gyp_track_new();
-	f->placer = gyp_placer_new(
-	    f->w.flows, f->w.fleet, f->admission, f->track);
+	f->placer =
+	    gyp_placer_new(f->w.flows, f->w.fleet, f->admission, f->track);
 	f->cmds = g_ptr_array_new_with_free_func(gyp_message_free);
 	f->asks = g_ptr_array_new_with_free_func(gyp_message_free);
 	for (i = 0; i < endpoints; i++) {
@@ -78,8 +78,8 @@
 {
 	g_ptr_array_set_size(f->cmds, 0);
 	g_ptr_array_set_size(f->asks, 0);
-	gyp_placer_round(f->placer, f->w.now, 0, lanes, LANES, f->cmds,
-	    f->asks);
+	gyp_placer_round(
+	    f->placer, f->w.now, 0, lanes, LANES, f->cmds, f->asks);
 }
 
 static const Gyp__CmdFlowStart *
@@ -200,6 +200,41 @@
 	tear_down(&f);
 }
 
+/*
+ * After a quarantine one run goes to an endpoint as a probe, also when tasks
+ * that last run there; else it would never be used again.
+ */
+static void
+test_probe(void)
+{
+	struct fixture f;
+	Gyp__FlowStep lasting = flow_world_step(2);
+
+	lasting.lasting = true;
+	set_up(&f, 1);
+	submit(&f, 1, 1, lasting);
+	decide(&f, LANES);
+	apply(&f);
+	gyp_track_failed(f.track, 9, 0, 0, f.w.now);
+	gyp_track_failed(f.track, 9, 1, 0, f.w.now);
+	submit(&f, 2, 0, flow_world_step(3));
+	decide(&f, LANES);
+	g_assert_cmpuint(f.cmds->len, ==, 0);
+	f.w.now += GYP_TRACK_FOR_MS;
+	gyp_fleet_beat(f.w.fleet, f.w.now, 0, 1, f.w.now);
+	decide(&f, LANES);
+	g_assert_cmpuint(f.cmds->len, ==, 1);
+	g_assert_cmpuint(start_of(&f, 0)->n_runs, ==, 1);
+	apply(&f);
+	gyp_track_started(f.track, 0, f.w.now);
+	decide(&f, LANES);
+	g_assert_cmpuint(f.cmds->len, ==, 0);
+	gyp_track_done(f.track, 2, 0, 0, 500, 0);
+	decide(&f, LANES);
+	g_assert_cmpuint(start_of(&f, 0)->n_runs, ==, 2);
+	tear_down(&f);
+}
+
 /* An endpoint that turned slow is taken last. */
 static void
 test_slow_endpoint(void)
@@ -248,8 +283,7 @@
 	set_queue(&f, 100, 0, true, 24, 0.34);
 	decide(&f, 1); /* one lane is left */
 	g_assert_cmpuint(f.asks->len, ==, 1);
-	g_assert_cmpuint(
-	    ((const Gyp__Ask *)f.asks->pdata[0])->flow, ==, 100);
+	g_assert_cmpuint(((const Gyp__Ask *)f.asks->pdata[0])->flow, ==, 100);
 	tear_down(&f);
 }
 
@@ -302,6 +336,7 @@
 	g_test_add_func("/placer/spread", test_spread);
 	g_test_add_func("/placer/serving-apart", test_serving_apart);
 	g_test_add_func("/placer/failing-endpoint", test_failing_endpoint);
+	g_test_add_func("/placer/probe", test_probe);
 	g_test_add_func("/placer/slow-endpoint", test_slow_endpoint);
 	g_test_add_func("/placer/slow-questions", test_slow_questions);
 	g_test_add_func("/placer/tickets", test_tickets);
