--- a/src/gyp.h
+++ b/src/gyp.h
@@ -49,18 +49,19 @@
 #include "jobspec.h" /* job requests in JSON */
 
 /* ---- Sockets, files and timers ------------------------------------------- */
-#include "door.h"     /* HTTP interface of the entry */
-#include "exchange.h" /* orders carried out at endpoints */
-#include "file.h"     /* file operations that tests can make fail */
-#include "folder.h"   /* files of a data folder */
-#include "httpc.h"    /* HTTP client that sends once */
-#include "httpd.h"    /* HTTP server */
-#include "link.h"     /* frames between processes */
-#include "log.h"      /* lines on standard error */
-#include "program.h"  /* command line of the daemons */
-#include "reload.h"   /* settings that change while a program runs */
-#include "settings.h" /* INI files */
-#include "store.h"    /* records on a disk */
-#include "timer.h"    /* clock and subscriptions */
+#include "door.h"        /* HTTP interface of the entry */
+#include "exchange.h"    /* orders carried out at endpoints */
+#include "file.h"        /* file operations that tests can make fail */
+#include "first_start.h" /* replicas that begin together */
+#include "folder.h"      /* files of a data folder */
+#include "httpc.h"       /* HTTP client that sends once */
+#include "httpd.h"       /* HTTP server */
+#include "link.h"        /* frames between processes */
+#include "log.h"         /* lines on standard error */
+#include "program.h"     /* command line of the daemons */
+#include "reload.h"      /* settings that change while a program runs */
+#include "settings.h"    /* INI files */
+#include "store.h"       /* records on a disk */
+#include "timer.h"       /* clock and subscriptions */
 
 #endif
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -4,6 +4,7 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "first_start.h"
 #include "httpc.h"
 #include "httpd.h"
 #include "link.h"
@@ -20,9 +21,6 @@
 /* Interval of requests for membership, in ms. */
 #define JOIN_MS 500
 
-/* Digits of a digest that make an id. */
-#define ID_DIGITS 16
-
 /* Largest manifest, in bytes. */
 #define CONTROL_BODY_MAX (2 * 1024 * 1024)
 
@@ -454,62 +452,6 @@
 	app->replica = gyp_replica_new(&cfg);
 }
 
-/* ---- First start --------------------------------------------------------- */
-
-/* Equal on all replicas of a first start, which know each other's address. */
-static uint64_t
-id_of_address(const char *address)
-{
-	char *digest =
-	    g_compute_checksum_for_string(G_CHECKSUM_SHA256, address, -1);
-	uint64_t id =
-	    g_ascii_strtoull(digest + strlen(digest) - ID_DIGITS, NULL, 16);
-
-	g_free(digest);
-	return id | 1;
-}
-
-/* Number of this replica in the list of the first members, or -1. */
-static int
-place_in_list(const struct settings *set)
-{
-	int i;
-
-	for (i = 0; set->join != NULL && set->join[i] != NULL; i++) {
-		if (strcmp(set->join[i], own_address(set)) == 0)
-			return i;
-	}
-	return -1;
-}
-
-/*
- * All replicas of the list begin as voters with the same first entry, so
- * that a loss right after the first start leaves a majority.
- */
-static void
-begin_cell(struct app *app)
-{
-	const struct settings *set = app->set;
-	guint n = g_strv_length(set->join);
-	Gyp__Config config = GYP__CONFIG__INIT;
-	Gyp__Member *members = g_new(Gyp__Member, n);
-	Gyp__Member **list = g_new(Gyp__Member *, n);
-	guint i;
-
-	for (i = 0; i < n; i++) {
-		gyp__member__init(&members[i]);
-		members[i].id = id_of_address(set->join[i]);
-		members[i].address = set->join[i];
-		members[i].voter = true;
-		list[i] = &members[i];
-	}
-	config.n_members = n;
-	config.members = list;
-	gyp_replica_bootstrap(app->replica, &config);
-	g_free(list);
-	g_free(members);
-}
-
 /* ---- Servers ------------------------------------------------------------- */
 
 static enum gyp_status
@@ -537,10 +479,11 @@
 	const struct settings *set = app->set;
 	Gyp__Hello hello = GYP__HELLO__INIT;
 
-	bool first = set->init && place_in_list(set) >= 0;
+	bool first =
+	    set->init && gyp_first_start_names(set->join, own_address(set));
 
 	app->store = gyp_store_open_as(set->data_folder, gyp_files_system(),
-	    first ? id_of_address(own_address(set)) : 0, err);
+	    first ? gyp_first_start_id(own_address(set)) : 0, err);
 	if (app->store == NULL)
 		return err->code;
 	make_replica(app);
@@ -575,7 +518,7 @@
 		gyp_replica_bootstrap(app->replica, NULL);
 	else if (first &&
 		 gyp_raft_last_index(gyp_replica_raft(app->replica)) == 0)
-		begin_cell(app);
+		gyp_first_start(app->replica, set->join);
 	gyp_timer_every(app->timers, GYP_TICK_MS, on_tick, app);
 	gyp_timer_every(app->timers, JOIN_MS, on_join, app);
 	return GYP_OK;
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -14,7 +14,8 @@
  *	replica_int - what the files of a replica share
  *
  * DESCRIPTION
- *	replica.c	log, batches and queues
+ *	replica.c	log and queues
+ *	replica_batch.c	decisions and batches of commands
  *	replica_calls.c	answers to entries' calls
  *	replica_orders.c starts and questions that entries carry out
  *	replica_rules.c	versions of the rules and when they are in force
@@ -122,6 +123,11 @@
 void gyp_replica_settle(struct gyp_replica *);
 const char *gyp_replica_member_address(const struct gyp_replica *, uint64_t id);
 
+/* replica_batch.c */
+/* One round of decisions on jobs, into the next batch. */
+void gyp_replica_decide(struct gyp_replica *);
+/* Proposes what has gathered. */
+void gyp_replica_propose_batch(struct gyp_replica *);
 /* Adds a copy of the command to the next batch. */
 void gyp_replica_propose(struct gyp_replica *, const Gyp__Cmd *);
 
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -4022,12 +4022,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "may_miss",
+    "away_max",
     16,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gyp__FlowStep, may_miss),
+    offsetof(Gyp__FlowStep, away_max),
     NULL,
     NULL,
     0,             /* flags */
@@ -4036,6 +4036,7 @@
 };
 static const unsigned gyp__flow_step__field_indices_by_name[] = {
   3,   /* field[3] = after */
+  15,   /* field[15] = away_max */
   4,   /* field[4] = checkpoints */
   10,   /* field[10] = copies */
   0,   /* field[0] = count */
@@ -4046,7 +4047,6 @@
   12,   /* field[12] = image */
   7,   /* field[7] = label */
   11,   /* field[11] = lasting */
-  15,   /* field[15] = may_miss */
   6,   /* field[6] = one_rack */
   1,   /* field[1] = size */
   9,   /* field[9] = spread */
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -539,7 +539,7 @@
   /*
    * tasks that may be away by our own doing
    */
-  uint32_t may_miss;
+  uint32_t away_max;
 };
 #define GYP__FLOW_STEP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__flow_step__descriptor) \
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -17,7 +17,7 @@
 
 #define STEP_MS      5
 #define COMMIT_MS    15
-#define SEEDS        30
+#define SEEDS        100
 #define FLOWS_MAX    60
 #define HEARTBEAT_MS 1500
 
