--- a/test/soak_proxy.c
+++ b/test/soak_proxy.c
@@ -195,6 +195,17 @@
 	start_half(loop, p, &p->out, to, fd, false);
 }
 
+static void
+reset_all(struct ev_loop *loop, const struct port *port)
+{
+	GPtrArray *all = g_ptr_array_copy(port->pairs, NULL, NULL);
+	guint i;
+
+	for (i = 0; i < all->len; i++)
+		close_pair(loop, all->pdata[i], true);
+	g_ptr_array_free(all, TRUE);
+}
+
 static void
 on_change(struct ev_loop *loop, ev_timer *w, int revents)
 {
@@ -206,8 +217,7 @@
 		port->mode = MODE_GOOD;
 		w->repeat = g_rand_double_range(prng, 0.5, PAUSE_S);
 	} else if (kind == 0) {
-		while (port->pairs->len > 0)
-			close_pair(loop, port->pairs->pdata[0], true);
+		reset_all(loop, port);
 		w->repeat = g_rand_double_range(prng, 0.5, PAUSE_S);
 	} else {
 		port->mode = (enum mode)kind;
