--- /dev/null
+++ b/test/test_pf_client.c
@@ -0,0 +1,59 @@
+/* The client for the platform's endpoints, against sockets of this test. */
+#include <unistd.h>
+
+#include "pf_client.h"
+#include "raw.h"
+#include "timer.h"
+
+static void
+on_call(void *arg, const struct gyp_fleet_answer *a)
+{
+	(void)arg;
+	(void)a;
+	g_assert_not_reached();
+}
+
+static void
+on_advised(void *arg, const Gyp__Advised *a)
+{
+	(void)arg;
+	(void)a;
+	g_assert_not_reached();
+}
+
+/* A process stops while its calls are under way: nothing of them is kept. */
+static void
+test_stop_under_way(void)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct gyp_timers *timers = gyp_timers_new(loop);
+	struct gyp_httpc *httpc = gyp_httpc_new(loop, timers);
+	uint16_t port;
+	int fd = raw_listen(&port);
+	char *address = g_strdup_printf("127.0.0.1:%u", port);
+	struct gyp_pf_client *client = gyp_pf_client_new(httpc, address, NULL);
+	struct gyp_fleet_call call = {.id = 1,
+	    .kind = GYP_FLEET_LOOK,
+	    .address = address,
+	    .endpoint = address,
+	    .timeout_ms = 20000};
+	Gyp__Ask ask = GYP__ASK__INIT;
+
+	gyp_pf_client_call(client, &call, on_call);
+	gyp_pf_client_ask(client, &ask, on_advised);
+	ev_run(loop, EVRUN_NOWAIT);
+	gyp_httpc_free(httpc);
+	gyp_pf_client_free(client);
+	gyp_timers_free(timers);
+	ev_loop_destroy(loop);
+	close(fd);
+	g_free(address);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/pf-client/stop-under-way", test_stop_under_way);
+	return g_test_run();
+}
