--- a/test/test_http.c
+++ b/test/test_http.c
@@ -5,8 +5,10 @@
 #include <unistd.h>
 
 #include "door.h"
+#include "exchange.h"
 #include "httpc.h"
 #include "httpd.h"
+#include "msg.h"
 #include "raw.h"
 #include "timer.h"
 
@@ -616,6 +618,46 @@
 	tear_down(&f);
 }
 
+/* ---- Orders under way -------------------------------------------------- */
+
+static void
+on_late_answer(void *arg, uint64_t id, const struct gyp_exchange_result *res)
+{
+	(void)arg;
+	(void)id;
+	(void)res;
+	g_assert_not_reached();
+}
+
+/* A process stops while an order is under way: nothing of it is kept. */
+static void
+test_stop_under_way(void)
+{
+	struct fixture f;
+	struct gyp_httpc *client;
+	struct gyp_exchanges *xs;
+	struct gyp_exchange x = {.id = 1};
+	Gyp__Attempt attempt = GYP__ATTEMPT__INIT;
+	Gyp__Order order = GYP__ORDER__INIT;
+	uint16_t port;
+	int fd = raw_listen(&port);
+
+	set_up(&f);
+	client = gyp_httpc_new(f.loop, f.timers);
+	xs = gyp_exchanges_new(client, on_late_answer, NULL);
+	order.type = GYP__ORDER_TYPE__ORDER_STOP;
+	order.attempt = &attempt;
+	order.address = g_strdup_printf("127.0.0.1:%u", port);
+	x.order = gyp_message_copy(&order.base);
+	gyp_exchanges_run(xs, &x);
+	ev_run(f.loop, EVRUN_NOWAIT);
+	gyp_httpc_free(client);
+	gyp_exchanges_free(xs);
+	g_free(order.address);
+	close(fd);
+	tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -629,5 +671,6 @@
 	g_test_add_func("/http/half-open", test_half_open);
 	g_test_add_func("/http/draining", test_draining);
 	g_test_add_func("/http/stop-while-waiting", test_stop_while_waiting);
+	g_test_add_func("/http/stop-under-way", test_stop_under_way);
 	return g_test_run();
 }
