--- a/src/replay.c
+++ b/src/replay.c
@@ -1,7 +1,6 @@
-#include <math.h>
 #include <string.h>
 
-#include "replay.h"
+#include "replay_int.h"
 
 /* Placements in one round, as in a replica. */
 #define BUDGET 512
@@ -15,60 +14,6 @@
 /* Interval of rounds that depend on time alone, in ms. */
 #define TURN_MS 100
 
-/* End of an attempt that is under way. */
-struct ending {
-	uint64_t at;
-	uint64_t order; /* ties go by the order of starts */
-	uint64_t job;
-	uint32_t task;
-	uint32_t attempt;
-	bool checkpoint;
-};
-
-/* What the trace says of a job, and what became of it. */
-struct subject {
-	uint64_t id;
-	struct gyp_trace_event event;
-	uint64_t *left_ms;   /* true run time left of each task */
-	uint64_t *waited_ms; /* to the first start; UINT64_MAX for none */
-	char *endpoint;      /* of the first task's last attempt */
-};
-
-struct class_stats {
-	char *name;
-	GArray *waits; /* double, ms */
-	uint64_t jobs;
-	uint64_t not_started; /* tasks */
-};
-
-struct team_stats {
-	char *name;
-	double asked; /* processor time of its jobs, up to the window's end */
-	double served;
-};
-
-struct gyp_replay {
-	struct gyp_state_listener listener;
-	struct gyp_state *state;
-	struct gyp_policy *policy;
-	struct gyp_decision *decision;
-	uint64_t now;
-	uint64_t decide_at; /* UINT64_MAX: at the next event */
-	GPtrArray *heap;    /* struct ending, the earliest first */
-	uint64_t next_order;
-	GHashTable *by_id; /* job -> struct subject */
-	GPtrArray *subjects;
-	GHashTable *bad_endpoints; /* names, as a set */
-	GPtrArray *classes;
-	GPtrArray *teams;
-	bool window; /* before the last arrival */
-	uint64_t window_end;
-	double time_ms, used_cpu, used_memory, cap_cpu, cap_memory, empty;
-	uint64_t starts, evictions, retries, rounds;
-	uint64_t outcomes[5];
-	uint64_t refused, expired;
-};
-
 /* ---- Heap of endings --------------------------------------------------- */
 
 static bool
@@ -227,42 +172,7 @@
 	apply(r, &cmd);
 }
 
-/* ---- Statistics -------------------------------------------------------- */
-
-static struct class_stats *
-class_stats(struct gyp_replay *r, const char *name)
-{
-	struct class_stats *c;
-	guint i;
-
-	for (i = 0; i < r->classes->len; i++) {
-		c = r->classes->pdata[i];
-		if (strcmp(c->name, name) == 0)
-			return c;
-	}
-	c = g_new0(struct class_stats, 1);
-	c->name = g_strdup(name);
-	c->waits = g_array_new(FALSE, FALSE, sizeof(double));
-	g_ptr_array_add(r->classes, c);
-	return c;
-}
-
-static struct team_stats *
-team_stats(struct gyp_replay *r, const char *name)
-{
-	struct team_stats *t;
-	guint i;
-
-	for (i = 0; i < r->teams->len; i++) {
-		t = r->teams->pdata[i];
-		if (strcmp(t->name, name) == 0)
-			return t;
-	}
-	t = g_new0(struct team_stats, 1);
-	t->name = g_strdup(name);
-	g_ptr_array_add(r->teams, t);
-	return t;
-}
+/* ---- Packing ----------------------------------------------------------- */
 
 /* Adds the time from now to then to the sums of packing. */
 static void
@@ -317,7 +227,8 @@
 
 		s->waited_ms[task] = r->now - s->event.at;
 		g_array_append_val(
-		    class_stats(r, s->event.class_name)->waits, waited);
+		    gyp_replay_class_stats(r, s->event.class_name)->waits,
+		    waited);
 	}
 	if (task == 0) {
 		g_free(s->endpoint);
@@ -335,7 +246,7 @@
 	const struct subject *s = g_hash_table_lookup(r->by_id, &job->id);
 
 	if (r->now <= r->window_end)
-		team_stats(r, s->event.team)->served +=
+		gyp_replay_team_stats(r, s->event.team)->served +=
 		    (double)(r->now - job->tasks[task].changed_ms) *
 		    job->size.cpu_milli;
 }
@@ -540,8 +451,8 @@
 	}
 	g_ptr_array_add(r->subjects, s);
 	g_hash_table_insert(r->by_id, &s->id, s);
-	class_stats(r, e->class_name)->jobs++;
-	team_stats(r, e->team)->asked +=
+	gyp_replay_class_stats(r, e->class_name)->jobs++;
+	gyp_replay_team_stats(r, e->team)->asked +=
 	    (double)e->true_run_ms * e->size.cpu_milli * e->tasks;
 }
 
@@ -634,121 +545,6 @@
 		run_until(r, MIN(end, r->now + TURN_MS * 10));
 }
 
-/* ---- Reports ----------------------------------------------------------- */
-
-void
-gyp_replay_print_outcomes(const struct gyp_replay *r, FILE *out)
-{
-	guint i;
-
-	for (i = 0; i < r->subjects->len; i++) {
-		const struct subject *s = r->subjects->pdata[i];
-		const struct gyp_job *job = gyp_state_job(r->state, s->id);
-
-		fprintf(out, "%s %s", s->event.name,
-		    job != NULL ? gyp_outcome_name(job->outcome) : "forgotten");
-		if (s->waited_ms[0] != UINT64_MAX)
-			fprintf(out, " waited=%" G_GUINT64_FORMAT " on=%s",
-			    s->waited_ms[0], s->endpoint);
-		if (job != NULL && job->reason != NULL &&
-		    job->reason[0] != '\0')
-			fprintf(out, " reason=\"%s\"", job->reason);
-		fprintf(out, "\n");
-	}
-}
-
-static gint
-by_value(gconstpointer a, gconstpointer b)
-{
-	double x = *(const double *)a, y = *(const double *)b;
-
-	return x < y ? -1 : x > y;
-}
-
-static double
-quantile(const GArray *sorted, double q)
-{
-	double rank;
-
-	if (sorted->len == 0)
-		return 0;
-	rank = ceil(q * sorted->len);
-	return g_array_index(sorted, double, (guint)MAX(rank, 1) - 1);
-}
-
-/* A task that never started counts as one that still waits at the end. */
-static void
-add_unstarted(struct gyp_replay *r)
-{
-	guint i;
-	uint32_t t;
-
-	for (i = 0; i < r->subjects->len; i++) {
-		const struct subject *s = r->subjects->pdata[i];
-		struct class_stats *c = class_stats(r, s->event.class_name);
-
-		for (t = 0; t < s->event.tasks; t++)
-			c->not_started += s->waited_ms[t] == UINT64_MAX;
-	}
-}
-
-/* Jain's index of the share that each team got of what it asked for. */
-static double
-fairness(const struct gyp_replay *r)
-{
-	double sum = 0, squares = 0;
-	guint i, n = 0;
-
-	for (i = 0; i < r->teams->len; i++) {
-		const struct team_stats *t = r->teams->pdata[i];
-		double share = t->asked > 0 ? t->served / t->asked : 0;
-
-		if (t->asked <= 0)
-			continue;
-		n++;
-		sum += share;
-		squares += share * share;
-	}
-	return squares > 0 ? sum * sum / (n * squares) : 1;
-}
-
-void
-gyp_replay_print_summary(const struct gyp_replay *cr, FILE *out)
-{
-	struct gyp_replay *r = (struct gyp_replay *)cr;
-	double cpu = r->cap_cpu > 0 ? r->used_cpu / r->cap_cpu : 0;
-	double memory = r->cap_memory > 0 ? r->used_memory / r->cap_memory : 0;
-	guint i;
-
-	add_unstarted(r);
-	fprintf(out,
-	    "packing cpu=%.4f memory=%.4f empty=%.2f\n"
-	    "jobs done=%" G_GUINT64_FORMAT " failed=%" G_GUINT64_FORMAT
-	    " not_run=%" G_GUINT64_FORMAT " unknown=%" G_GUINT64_FORMAT
-	    " open=%" G_GUINT64_FORMAT "\n"
-	    "starts=%" G_GUINT64_FORMAT " retries=%" G_GUINT64_FORMAT
-	    " evictions=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
-	    " expired=%" G_GUINT64_FORMAT " fairness=%.4f\n",
-	    cpu, memory, r->time_ms > 0 ? r->empty / r->time_ms : 0,
-	    r->outcomes[1], r->outcomes[2], r->outcomes[3], r->outcomes[4],
-	    r->subjects->len - r->outcomes[1] - r->outcomes[2] -
-		r->outcomes[3] - r->outcomes[4],
-	    r->starts, r->retries, r->evictions, r->refused, r->expired,
-	    fairness(r));
-	for (i = 0; i < r->classes->len; i++) {
-		struct class_stats *c = r->classes->pdata[i];
-
-		g_array_sort(c->waits, by_value);
-		fprintf(out,
-		    "class=%s jobs=%" G_GUINT64_FORMAT
-		    " started=%u not_started=%" G_GUINT64_FORMAT
-		    " median=%.0f p99=%.0f p999=%.0f worst=%.0f\n",
-		    c->name, c->jobs, c->waits->len, c->not_started,
-		    quantile(c->waits, 0.5), quantile(c->waits, 0.99),
-		    quantile(c->waits, 0.999), quantile(c->waits, 1));
-	}
-}
-
 /* ---- Construction ------------------------------------------------------ */
 
 static void
