--- /dev/null
+++ b/src/decision_cmds.c
@@ -0,0 +1,97 @@
+#include "decision_cmds.h"
+
+static Gyp__Placement *
+make_placement(struct gyp_state *state, const struct gyp_decision_sink *sink,
+    const struct gyp_choice *choice)
+{
+	const struct gyp_job *job = gyp_state_job(state, choice->job);
+	Gyp__Placement *p = g_new(Gyp__Placement, 1);
+
+	gyp__placement__init(p);
+	p->job = choice->job;
+	p->task = choice->task;
+	p->attempt = job->tasks[choice->task].attempt + 1;
+	p->endpoint = choice->endpoint;
+	if (sink->pick_entry != NULL)
+		p->entry = sink->pick_entry(sink->arg, job, choice->endpoint);
+	return p;
+}
+
+/* The choices of one group; returns how many there were. */
+static guint
+place_group(const GArray *choices, guint first, struct gyp_state *state,
+    const struct gyp_decision_sink *sink)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdPlace place = GYP__CMD_PLACE__INIT;
+	GPtrArray *places = g_ptr_array_new_with_free_func(g_free);
+	uint32_t group = g_array_index(choices, struct gyp_choice, first).group;
+	guint i;
+
+	for (i = first; i < choices->len; i++) {
+		const struct gyp_choice *c =
+		    &g_array_index(choices, struct gyp_choice, i);
+
+		if (c->group != group)
+			break;
+		g_ptr_array_add(places, make_placement(state, sink, c));
+	}
+	place.n_places = places->len;
+	place.places = (Gyp__Placement **)places->pdata;
+	cmd.c_case = GYP__CMD__C_PLACE;
+	cmd.place = &place;
+	sink->cmd(sink->arg, &cmd);
+	g_ptr_array_free(places, TRUE);
+	return i - first;
+}
+
+static void
+refuse_jobs(const GArray *refusals, const struct gyp_decision_sink *sink)
+{
+	guint i;
+
+	for (i = 0; i < refusals->len; i++) {
+		const struct gyp_refusal *refusal =
+		    &g_array_index(refusals, struct gyp_refusal, i);
+		Gyp__Cmd cmd = GYP__CMD__INIT;
+		Gyp__CmdCancel cancel = GYP__CMD_CANCEL__INIT;
+
+		cancel.job = refusal->job;
+		cancel.reason = refusal->reason;
+		cmd.c_case = GYP__CMD__C_CANCEL;
+		cmd.cancel = &cancel;
+		sink->cmd(sink->arg, &cmd);
+	}
+}
+
+static void
+blame_endpoints(const GArray *verdicts, const struct gyp_decision_sink *sink)
+{
+	guint i;
+
+	for (i = 0; i < verdicts->len; i++) {
+		const struct gyp_verdict *v =
+		    &g_array_index(verdicts, struct gyp_verdict, i);
+		Gyp__Cmd cmd = GYP__CMD__INIT;
+		Gyp__CmdEndpointState es = GYP__CMD_ENDPOINT_STATE__INIT;
+
+		es.endpoint = v->endpoint;
+		es.from = v->from;
+		es.state = v->state;
+		cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
+		cmd.endpoint_state = &es;
+		sink->cmd(sink->arg, &cmd);
+	}
+}
+
+void
+gyp_decision_cmds(const struct gyp_decision *d, struct gyp_state *state,
+    const struct gyp_decision_sink *sink)
+{
+	guint i = 0;
+
+	while (i < d->choices->len)
+		i += place_group(d->choices, i, state, sink);
+	refuse_jobs(d->refusals, sink);
+	blame_endpoints(d->verdicts, sink);
+}
--- a/src/replay.c
+++ b/src/replay.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "decision_cmds.h"
 #include "replay_int.h"
 
 /* Placements in one round, as in a replica. */
@@ -83,6 +84,12 @@
 	gyp_state_apply(r->state, &batch);
 }
 
+static void
+apply_cmd(void *arg, Gyp__Cmd *cmd)
+{
+	apply(arg, cmd);
+}
+
 static void
 cancel_job(struct gyp_replay *r, uint64_t job, const char *reason)
 {
@@ -111,51 +118,6 @@
 	apply(r, &cmd);
 }
 
-static void
-apply_places(struct gyp_replay *r, const GArray *choices, guint first, guint n)
-{
-	Gyp__Cmd cmd = GYP__CMD__INIT;
-	Gyp__CmdPlace place = GYP__CMD_PLACE__INIT;
-	Gyp__Placement *rows = g_new(Gyp__Placement, n);
-	Gyp__Placement **list = g_new(Gyp__Placement *, n);
-	guint i;
-
-	for (i = 0; i < n; i++) {
-		const struct gyp_choice *c =
-		    &g_array_index(choices, struct gyp_choice, first + i);
-		const struct gyp_job *job = gyp_state_job(r->state, c->job);
-
-		gyp__placement__init(&rows[i]);
-		rows[i].job = c->job;
-		rows[i].task = c->task;
-		rows[i].endpoint = c->endpoint;
-		rows[i].attempt = job->tasks[c->task].attempt + 1;
-		list[i] = &rows[i];
-	}
-	place.n_places = n;
-	place.places = list;
-	cmd.c_case = GYP__CMD__C_PLACE;
-	cmd.place = &place;
-	apply(r, &cmd);
-	g_free(rows);
-	g_free(list);
-}
-
-static void
-apply_choices(struct gyp_replay *r, const GArray *choices)
-{
-	guint first = 0, i;
-
-	for (i = 1; i <= choices->len; i++) {
-		if (i < choices->len &&
-		    g_array_index(choices, struct gyp_choice, i).group ==
-			g_array_index(choices, struct gyp_choice, first).group)
-			continue;
-		apply_places(r, choices, first, i - first);
-		first = i;
-	}
-}
-
 static void
 finish_task(struct gyp_replay *r, const struct ending *e, Gyp__Outcome outcome)
 {
@@ -313,23 +275,12 @@
 static void
 apply_decision(struct gyp_replay *r)
 {
+	const struct gyp_decision_sink sink = {.cmd = apply_cmd, .arg = r};
 	struct gyp_decision *d = r->decision;
 	guint i;
 
-	apply_choices(r, d->choices);
-	for (i = 0; i < d->refusals->len; i++) {
-		const struct gyp_refusal *f =
-		    &g_array_index(d->refusals, struct gyp_refusal, i);
-
-		cancel_job(r, f->job, f->reason);
-		r->refused++;
-	}
-	for (i = 0; i < d->verdicts->len; i++) {
-		const struct gyp_verdict *v =
-		    &g_array_index(d->verdicts, struct gyp_verdict, i);
-
-		set_endpoint_state(r, v->endpoint, v->from, v->state);
-	}
+	gyp_decision_cmds(d, r->state, &sink);
+	r->refused += d->refusals->len;
 	for (i = 0; i < d->evictions->len; i++) {
 		const struct gyp_eviction *v =
 		    &g_array_index(d->evictions, struct gyp_eviction, i);
--- a/test/test_policy.c
+++ b/test/test_policy.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include "decision_cmds.h"
 #include "health.h"
 #include "policy.h"
 
@@ -176,89 +177,23 @@
 }
 
 static void
-apply_group(struct world *w, const GArray *choices, guint first, guint end)
+apply_cmd(void *arg, Gyp__Cmd *cmd)
 {
-	Gyp__Cmd cmd = GYP__CMD__INIT;
-	Gyp__CmdPlace place = GYP__CMD_PLACE__INIT;
-	Gyp__Placement *rows = g_new(Gyp__Placement, end - first);
-	Gyp__Placement **list = g_new(Gyp__Placement *, end - first);
-	guint i;
-
-	for (i = first; i < end; i++) {
-		const struct gyp_choice *c =
-		    &g_array_index(choices, struct gyp_choice, i);
-		Gyp__Placement *p = &rows[i - first];
-
-		gyp__placement__init(p);
-		p->job = c->job;
-		p->task = c->task;
-		p->endpoint = c->endpoint;
-		p->attempt =
-		    gyp_state_job(w->state, c->job)->tasks[c->task].attempt + 1;
-		list[i - first] = p;
-	}
-	place.n_places = end - first;
-	place.places = list;
-	cmd.c_case = GYP__CMD__C_PLACE;
-	cmd.place = &place;
-	apply(w, &cmd);
-	g_free(rows);
-	g_free(list);
-}
-
-static void
-apply_choices(struct world *w, const GArray *choices)
-{
-	guint first = 0, i;
-
-	for (i = 1; i <= choices->len; i++) {
-		if (i < choices->len &&
-		    g_array_index(choices, struct gyp_choice, i).group ==
-			g_array_index(choices, struct gyp_choice, first).group)
-			continue;
-		apply_group(w, choices, first, i);
-		first = i;
-	}
-}
-
-static void
-apply_verdicts(struct world *w, const GArray *verdicts)
-{
-	guint i;
-
-	for (i = 0; i < verdicts->len; i++) {
-		const struct gyp_verdict *v =
-		    &g_array_index(verdicts, struct gyp_verdict, i);
-		Gyp__Cmd cmd = GYP__CMD__INIT;
-		Gyp__CmdEndpointState es = GYP__CMD_ENDPOINT_STATE__INIT;
-
-		es.endpoint = v->endpoint;
-		es.from = v->from;
-		es.state = v->state;
-		cmd.c_case = GYP__CMD__C_ENDPOINT_STATE;
-		cmd.endpoint_state = &es;
-		apply(w, &cmd);
-	}
+	apply(arg, cmd);
 }
 
 /* Decides and applies, as a leader would; evictions end at once. */
 static void
 round_(struct world *w, uint32_t ms)
 {
+	const struct gyp_decision_sink sink = {.cmd = apply_cmd, .arg = w};
 	guint i;
 
 	w->now += ms;
 	gyp_decision_free(w->last);
 	w->last = gyp_decision_new();
 	gyp_policy_decide(w->policy, w->now, 512, w->last);
-	apply_choices(w, w->last->choices);
-	apply_verdicts(w, w->last->verdicts);
-	for (i = 0; i < w->last->refusals->len; i++) {
-		const struct gyp_refusal *r =
-		    &g_array_index(w->last->refusals, struct gyp_refusal, i);
-
-		cancel(w, r->job, r->reason);
-	}
+	gyp_decision_cmds(w->last, w->state, &sink);
 	for (i = 0; i < w->last->evictions->len; i++) {
 		const struct gyp_eviction *e =
 		    &g_array_index(w->last->evictions, struct gyp_eviction, i);
