Placer: endpoints in order of free processors, words of admission kept small

Cause: under a backlog nearly all of the leader's time was the round (perf on the stand-in, 500 jobs at 40 a second of 20 tasks, 350 endpoints, full: 73 %). Each waiting unit was compared with every endpoint, twice. Ruled out: the number of rounds (one a commit already). Change: rooms.c measures once a round and keeps the order of free processors; a unit is compared with those that have enough, or with the endpoints that are allowed. fits.c and question.c are split off. Test: /placer/long-queue, 200 units before 50 full endpoints.

--- a/src/admission.c
+++ b/src/admission.c
@@ -6,11 +6,19 @@
 /* Taken off a ticket's validity for the way to the endpoint, in ms. */
 #define TICKET_MARGIN_MS 200
 
-/* What is known of one endpoint for one unit. */
+/*
+ * What is known of one endpoint for one unit. Small, since a round looks at
+ * many of them.
+ */
 struct word {
 	bool asked;
 	bool known;
-	bool allowed;
+	bool allowed;   /* by the latest answer */
+	uint16_t grant; /* index in grants plus one, 0 without one */
+};
+
+/* An endpoint that may run the unit, and its latest ticket. */
+struct grant {
 	uint64_t born_ms;
 	uint64_t valid_until;
 	char *ticket;
@@ -25,6 +33,8 @@
 	struct unit_key key;
 	uint32_t asking; /* questions under way */
 	GArray *words;   /* struct word by row */
+	GArray *grants;  /* struct grant */
+	GArray *allowed; /* uint32_t, the row of each grant */
 };
 
 struct question {
@@ -59,11 +69,11 @@
 }
 
 static void
-clear_word(gpointer p)
+clear_grant(gpointer p)
 {
-	struct word *w = p;
+	struct grant *g = p;
 
-	g_free(w->ticket);
+	g_free(g->ticket);
 }
 
 static void
@@ -72,6 +82,8 @@
 	struct gyp_admission_unit *u = p;
 
 	g_array_free(u->words, TRUE);
+	g_array_free(u->grants, TRUE);
+	g_array_free(u->allowed, TRUE);
 	g_free(u);
 }
 
@@ -120,14 +132,23 @@
 
 /* ---- Reading ------------------------------------------------------------ */
 
+/* The grant of an endpoint that is allowed, or NULL. */
+static struct grant *
+grant_of(const struct gyp_admission_unit *u, const struct word *w)
+{
+	if (w == NULL || !w->allowed)
+		return NULL;
+	return &g_array_index(u->grants, struct grant, w->grant - 1);
+}
+
 static bool
-ticket_holds(const struct gyp_admission *a, const struct word *w, uint32_t row,
+ticket_holds(const struct gyp_admission *a, const struct grant *g, uint32_t row,
     uint64_t now)
 {
 	const struct gyp_host *h = gyp_host_at(a->flows, row);
 
-	return h != NULL && w->ticket != NULL && now < w->valid_until &&
-	       h->spec->born_ms == w->born_ms;
+	return h != NULL && now < g->valid_until &&
+	       h->spec->born_ms == g->born_ms;
 }
 
 const struct gyp_admission_unit *
@@ -142,25 +163,34 @@
     const struct gyp_admission_unit *u, uint32_t row, uint64_t now)
 {
 	const struct word *w = word_at(u, row);
+	const struct grant *g = grant_of(u, w);
 
 	if (w == NULL)
 		return GYP_ADMISSION_UNKNOWN;
-	if (w->known && w->allowed && ticket_holds(a, w, row, now))
+	if (g != NULL && ticket_holds(a, g, row, now))
 		return GYP_ADMISSION_YES;
 	if (w->asked)
 		return GYP_ADMISSION_ASKED;
 	if (!w->known)
 		return GYP_ADMISSION_UNKNOWN;
-	return w->allowed ? GYP_ADMISSION_STALE : GYP_ADMISSION_NO;
+	return g != NULL ? GYP_ADMISSION_STALE : GYP_ADMISSION_NO;
+}
+
+const uint32_t *
+gyp_admission_allowed(const struct gyp_admission_unit *u, guint *n)
+{
+	*n = u != NULL ? u->allowed->len : 0;
+	return u != NULL ? (const uint32_t *)u->allowed->data : NULL;
 }
 
 const char *
 gyp_admission_ticket(const struct gyp_admission *a, const struct gyp_flow *flow,
     const struct gyp_flow_unit *unit, uint32_t row, uint64_t now)
 {
-	const struct word *w = word_at(find_unit(a, flow, unit), row);
+	const struct gyp_admission_unit *u = find_unit(a, flow, unit);
+	const struct grant *g = grant_of(u, word_at(u, row));
 
-	return w != NULL && ticket_holds(a, w, row, now) ? w->ticket : NULL;
+	return g != NULL && ticket_holds(a, g, row, now) ? g->ticket : NULL;
 }
 
 bool
@@ -209,7 +239,9 @@
 		u = g_new0(struct gyp_admission_unit, 1);
 		u->key = key_of(flow, unit);
 		u->words = g_array_new(FALSE, TRUE, sizeof(struct word));
-		g_array_set_clear_func(u->words, clear_word);
+		u->grants = g_array_new(FALSE, TRUE, sizeof(struct grant));
+		g_array_set_clear_func(u->grants, clear_grant);
+		u->allowed = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 		g_hash_table_insert(a->units, &u->key, u);
 	}
 	q->id = a->next_id++;
@@ -224,24 +256,38 @@
 	return make_ask(a, q, unit);
 }
 
+static struct grant *
+need_grant(struct gyp_admission_unit *u, uint32_t row)
+{
+	struct word *w = need_word(u, row);
+	struct grant none = {.ticket = NULL};
+
+	w->known = true;
+	w->allowed = true;
+	if (w->grant == 0) {
+		g_array_append_val(u->grants, none);
+		g_array_append_val(u->allowed, row);
+		w->grant = (uint16_t)u->grants->len;
+	}
+	return grant_of(u, w);
+}
+
 static void
 learn_ticket(struct gyp_admission *a, struct gyp_admission_unit *u,
     uint64_t now, uint32_t valid_ms, const Gyp__Ticket *t)
 {
 	const struct gyp_host *h = gyp_host_by_id(a->flows, t->endpoint);
-	struct word *w;
+	struct grant *g;
 
 	if (h == NULL)
 		return;
-	w = need_word(u, h->row);
-	w->known = true;
-	w->allowed = true;
-	w->born_ms = h->spec->born_ms;
-	w->valid_until =
+	g = need_grant(u, h->row);
+	g->born_ms = h->spec->born_ms;
+	g->valid_until =
 	    now +
 	    (valid_ms > TICKET_MARGIN_MS ? valid_ms - TICKET_MARGIN_MS : 0);
-	g_free(w->ticket);
-	w->ticket = g_strdup(t->ticket);
+	g_free(g->ticket);
+	g->ticket = g_strdup(t->ticket);
 }
 
 /* Ends a question; its endpoints are allowed only if the answer says so. */
@@ -290,10 +336,11 @@
 gyp_admission_refused(struct gyp_admission *a, const struct gyp_flow *flow,
     const struct gyp_flow_unit *unit, uint32_t row)
 {
-	struct word *w = word_at(find_unit(a, flow, unit), row);
+	const struct gyp_admission_unit *u = find_unit(a, flow, unit);
+	struct grant *g = grant_of(u, word_at(u, row));
 
-	if (w != NULL)
-		w->valid_until = 0;
+	if (g != NULL)
+		g->valid_until = 0;
 }
 
 /* ---- Construction ------------------------------------------------------- */
--- a/src/admission.h
+++ b/src/admission.h
@@ -49,6 +49,13 @@
 enum gyp_admission_word gyp_admission_word(const struct gyp_admission *,
     const struct gyp_admission_unit *, uint32_t row, uint64_t now);
 
+/*
+ * Rows that were ever allowed for the unit, which may be NULL; the word says
+ * whether they are still. Valid until the next answer.
+ */
+const uint32_t *gyp_admission_allowed(
+    const struct gyp_admission_unit *, guint *n);
+
 /* The valid ticket, or NULL; owned by the table until the next answer. */
 const char *gyp_admission_ticket(const struct gyp_admission *,
     const struct gyp_flow *, const struct gyp_flow_unit *, uint32_t row,
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -24,6 +24,7 @@
 /* ---- Core: the cell ------------------------------------------------------ */
 #include "admission.h" /* which endpoints a policy service allows */
 #include "balance.h"   /* room kept for urgent work */
+#include "fits.h"      /* endpoints by how good they are for a task */
 #include "fleet.h"     /* calls at the endpoints that run them */
 #include "flow.h"      /* tables of jobs whose steps depend on each other */
 #include "flow_lead.h" /* these three under one leader */
@@ -31,10 +32,12 @@
 #include "leases.h"    /* who may still be running */
 #include "placer.h"    /* which of their tasks goes where */
 #include "policy.h"    /* which task goes where */
+#include "question.h"  /* whom to ask the policy service about */
 #include "raft.h"      /* replicated log */
 #include "record.h"    /* what goes to the disk */
 #include "replay.h"    /* a trace through tables and policy */
 #include "replica.h"   /* log, tables and decisions together */
+#include "rooms.h"     /* what endpoints have left during a round */
 #include "rules.h"     /* what operators ask for, one line each */
 #include "running.h"   /* what endpoints say that they run */
 #include "state.h"     /* tables of jobs, endpoints and rules */
--- a/src/placer.h
+++ b/src/placer.h
@@ -43,4 +43,7 @@
 void gyp_placer_round(struct gyp_placer *, uint64_t now, uint64_t wall_ms,
     uint32_t lanes, uint32_t all_lanes, GPtrArray *cmds, GPtrArray *asks);
 
+/* How often the latest round compared a unit with an endpoint. */
+uint64_t gyp_placer_compared(const struct gyp_placer *);
+
 #endif
--- /dev/null
+++ b/src/question.c
@@ -0,0 +1,110 @@
+#include "question.h"
+#include "fits.h"
+
+/* Fewest and most endpoints named in one question. */
+#define ASK_MIN 6
+#define ASK_MAX 30
+
+/* One in so many endpoints is expected to be allowed, in thousandths. */
+#define ALLOWED_PERMILLE 350
+
+/* Added to the score of an endpoint with room, and of one known as allowed. */
+#define ROOM_WORTH    100
+#define ALLOWED_WORTH 10
+
+/* Naming so many endpoints costs a quarter of the question itself. */
+static guint
+cheap_to_name(const Gyp__FlowQueue *q)
+{
+	double n = q->admission_each_ms > 0
+		       ? q->admission_ms / (4 * q->admission_each_ms)
+		       : ASK_MAX;
+
+	return (guint)CLAMP(n, ASK_MIN, ASK_MAX);
+}
+
+/*
+ * Adds the endpoint unless it does not suit or its answer is known; true when
+ * it has room.
+ */
+static bool
+consider(GArray *fits, const struct gyp_room *room, uint32_t row,
+    enum gyp_admission_word word, const struct gyp_candidate *c)
+{
+	struct gyp_fit fit = {.row = row};
+
+	if ((word != GYP_ADMISSION_UNKNOWN && word != GYP_ADMISSION_STALE) ||
+	    !gyp_room_suits(room, c))
+		return false;
+	fit.count = gyp_room_count(room, c);
+	fit.score = gyp_room_score(room, c) +
+		    (word == GYP_ADMISSION_STALE ? ALLOWED_WORTH : 0) +
+		    (fit.count > 0 ? ROOM_WORTH : 0);
+	g_array_append_val(fits, fit);
+	return fit.count > 0;
+}
+
+/* Endpoints worth asking about, best first; none unless one has room. */
+static GArray *
+find_unasked(const struct gyp_admission *a, struct gyp_rooms *rooms,
+    const struct gyp_candidate *c, uint64_t now, guint cheap)
+{
+	GArray *fits = gyp_fits_new();
+	const struct gyp_admission_unit *known =
+	    gyp_admission_unit(a, c->flow, c->unit);
+	bool any = false;
+	uint32_t row;
+	guint i;
+
+	for (i = 0; i < gyp_rooms_size(rooms); i++) {
+		bool fits_cpu =
+		    gyp_rooms_nth(rooms, i, c->unit->size.cpu_milli, &row);
+
+		if (!fits_cpu && (!any || fits->len >= cheap))
+			break;
+		any |= consider(fits, gyp_rooms_at(rooms, row), row,
+		    gyp_admission_word(a, known, row, now), c);
+	}
+	gyp_rooms_count(rooms, i);
+	gyp_fits_keep_best(fits, any ? ASK_MAX : 0);
+	return fits;
+}
+
+/* Endpoints to name so that about enough of them are allowed. */
+static guint
+count_to_ask(const GArray *fits, uint32_t waiting, guint cheap)
+{
+	uint64_t expected = 0; /* thousandths of tasks */
+	guint n;
+
+	for (n = 0; n < fits->len && n < ASK_MAX; n++) {
+		if (n >= cheap && expected >= (uint64_t)waiting * 1000)
+			break;
+		expected +=
+		    (uint64_t)g_array_index(fits, struct gyp_fit, n).count *
+		    ALLOWED_PERMILLE;
+	}
+	return n;
+}
+
+Gyp__Ask *
+gyp_question_for(struct gyp_admission *a, struct gyp_rooms *rooms,
+    const struct gyp_candidate *c, uint32_t waiting, uint64_t now)
+{
+	guint cheap = cheap_to_name(c->flow->spec->queue);
+	uint32_t rows[ASK_MAX];
+	GArray *fits;
+	guint i, n;
+
+	if (!c->flow->spec->queue->admission ||
+	    gyp_admission_is_asking(gyp_admission_unit(a, c->flow, c->unit)))
+		return NULL;
+	fits = find_unasked(a, rooms, c, now, cheap);
+	n = count_to_ask(fits, waiting, cheap);
+	for (i = 0; i < n; i++)
+		rows[i] = g_array_index(fits, struct gyp_fit, i).row;
+	g_array_free(fits, TRUE);
+	if (n == 0)
+		return NULL;
+	return gyp_admission_ask(a, now, c->flow, c->unit, rows, n);
+}
--- /dev/null
+++ b/src/rooms.h
@@ -0,0 +1,78 @@
+#ifndef GYP_ROOMS_H
+#define GYP_ROOMS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "fleet.h"
+#include "flow.h"
+#include "track.h"
+
+/*
+ * NAME
+ *	rooms - what endpoints have left during a round of placing
+ *
+ * DESCRIPTION
+ *	Load pattern answered: a long queue before a full service. Hundreds of
+ *	units wait, each round looks at all of them, and nearly every endpoint
+ *	is full. Endpoints are therefore measured once a round and kept in the
+ *	order of their free processors, so that a unit is compared only with
+ *	those that might take one of its tasks.
+ *
+ *	Valid for one round; what the round places is taken off as it goes.
+ */
+
+/* An endpoint during a round. */
+struct gyp_room {
+	const struct gyp_host *host; /* NULL when it takes nothing */
+	struct gyp_res left;
+	bool serves; /* runs tasks with a bound on their tail */
+	bool filled; /* runs tasks that take what is left */
+	enum gyp_track_word word;
+	double pace;
+};
+
+/* A unit with waiting tasks. */
+struct gyp_candidate {
+	struct gyp_flow *flow;
+	struct gyp_flow_unit *unit;
+};
+
+struct gyp_rooms;
+
+struct gyp_rooms *gyp_rooms_new(void);
+void gyp_rooms_free(struct gyp_rooms *);
+
+/* Begins a round at time now. */
+void gyp_rooms_measure(struct gyp_rooms *, const struct gyp_flows *,
+    const struct gyp_fleet *, const struct gyp_track *, uint64_t now);
+
+struct gyp_room *gyp_rooms_at(const struct gyp_rooms *, uint32_t row);
+uint32_t gyp_rooms_size(const struct gyp_rooms *);
+
+/*
+ * The i-th row in the order of free processors at the start of the round, the
+ * most first; false from the first one on that had fewer than cpu_milli.
+ */
+bool gyp_rooms_nth(
+    const struct gyp_rooms *, guint i, uint64_t cpu_milli, uint32_t *row);
+
+/* Comparisons of an endpoint with a unit in this round; adds n to them. */
+uint64_t gyp_rooms_compared(const struct gyp_rooms *);
+void gyp_rooms_count(struct gyp_rooms *, guint n);
+
+/* True when an empty endpoint like this one could take tasks of the unit. */
+bool gyp_room_suits(const struct gyp_room *, const struct gyp_candidate *);
+
+/* How many more tasks of the unit the endpoint can take; it must suit. */
+uint32_t gyp_room_count(const struct gyp_room *, const struct gyp_candidate *);
+
+/* How good the endpoint is for the unit; higher is better. */
+double gyp_room_score(const struct gyp_room *, const struct gyp_candidate *);
+
+/* Books one task of the unit there. */
+void gyp_room_take(struct gyp_room *, const struct gyp_candidate *);
+
+#endif
--- a/test/test_placer.c
+++ b/test/test_placer.c
@@ -336,6 +336,33 @@
 	tear_down(&f);
 }
 
+/*
+ * A burst on a service that is full: 200 units wait for 50 endpoints, of which
+ * one has room. A round compares each unit with that one, not with all.
+ */
+static void
+test_long_queue(void)
+{
+	struct fixture f;
+	Gyp__FlowStep big = flow_world_step(10);
+	guint i;
+
+	set_up(&f, 50);
+	for (i = 0; i < 49; i++) {
+		submit(&f, 1000 + i, 0, big);
+		decide(&f, 0);
+		apply(&f);
+	}
+	for (i = 0; i < 200; i++) {
+		submit(&f, 1 + i, 1, flow_world_step(20));
+		set_queue(&f, 1 + i, 1, true, 30, 0.5);
+	}
+	decide(&f, LANES);
+	g_assert_cmpuint(f.asks->len, ==, LANES);
+	g_assert_cmpuint(gyp_placer_compared(f.placer), <=, 200 + 50 * LANES);
+	tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -349,5 +376,6 @@
 	g_test_add_func("/placer/slow-endpoint", test_slow_endpoint);
 	g_test_add_func("/placer/slow-questions", test_slow_questions);
 	g_test_add_func("/placer/tickets", test_tickets);
+	g_test_add_func("/placer/long-queue", test_long_queue);
 	return g_test_run();
 }
