Links: the frame that opens a connection is sent, not dropped

Cause: a replica had no link to the others but the leader, and a frame for an address that was only being dialled was dropped. Change: the latest frame given while a connection is being opened is sent when it is open. Test: /link/first-frame, seen to fail before.

--- a/src/link.c
+++ b/src/link.c
@@ -46,6 +46,7 @@
 	uint64_t id;   /* of the process that dialled us, 0 before its hello */
 	struct gyp_buf in;
 	struct gyp_buf out;
+	GBytes *first;        /* to send once it is open, or NULL */
 	uint64_t since;       /* start of the dial, or of the connection */
 	uint64_t frame_since; /* first byte of an unfinished frame, or 0 */
 	uint32_t delay_ms;
@@ -132,6 +133,14 @@
 		watch(c, EV_READ | (c->out.len > 0 ? EV_WRITE : 0));
 }
 
+static void
+keep_first(struct conn *c, GBytes *packed)
+{
+	if (c->first != NULL)
+		g_bytes_unref(c->first);
+	c->first = packed != NULL ? g_bytes_ref(packed) : NULL;
+}
+
 static void
 close_socket(struct conn *c)
 {
@@ -141,6 +150,7 @@
 	c->fd = -1;
 	gyp_buf_clear(&c->in);
 	gyp_buf_clear(&c->out);
+	keep_first(c, NULL);
 	c->frame_since = 0;
 	c->full = false;
 	c->state = CONN_IDLE;
@@ -388,6 +398,9 @@
 	c->state = CONN_OPEN;
 	c->delay_ms = GYP_DIAL_MIN_MS;
 	queue_frame(c, c->links->hello);
+	if (c->first != NULL)
+		queue_frame(c, c->first);
+	keep_first(c, NULL);
 	update_watch(c);
 	c->links->owner->ops->opened(c->links->owner, c->address);
 }
@@ -517,6 +530,8 @@
 	}
 	if (c->state == CONN_OPEN)
 		queue_frame(c, packed);
+	else if (c->state == CONN_DIALLING)
+		keep_first(c, packed);
 }
 
 void
--- a/src/link.h
+++ b/src/link.h
@@ -82,7 +82,11 @@
 enum gyp_status gyp_links_listen(
     struct gyp_links *, const char *address, struct gyp_error *);
 
-/* Queues a frame for an address, dialling it when need be. */
+/*
+ * Queues a frame for an address, dialling it when need be. Of the frames that
+ * are given while the connection is being opened the latest is sent then: a
+ * request for a vote that is lost costs a whole election timeout.
+ */
 void gyp_links_send(struct gyp_links *, const char *address, GBytes *packed);
 
 /* Queues a frame for a process that dialled us; dropped when it is gone. */
--- a/test/test_link.c
+++ b/test/test_link.c
@@ -36,8 +36,17 @@
 	g_atomic_int_inc(&((struct fixture *)owner)->introduced);
 }
 
-static const struct gyp_links_owner_ops ops = {
-    .received = on_received, .introduced = on_introduced};
+static void
+on_change(struct gyp_links_owner *owner, const char *address)
+{
+	(void)owner;
+	(void)address;
+}
+
+static const struct gyp_links_owner_ops ops = {.received = on_received,
+    .introduced = on_introduced,
+    .opened = on_change,
+    .lost = on_change};
 
 static void
 set_up(struct fixture *f)
@@ -275,6 +284,32 @@
 	tear_down(&f);
 }
 
+/* The frame that opens a connection arrives, and of several the latest. */
+static void
+test_first_frame(void)
+{
+	struct fixture f;
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__EntryUp up = GYP__ENTRY_UP__INIT;
+	GBytes *packed;
+	char address[32];
+	int i;
+
+	set_up(&f);
+	frame.body_case = GYP__FRAME__BODY_UP;
+	frame.up = &up;
+	packed = gyp_message_pack(&frame.base);
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u", f.port);
+	gyp_links_send(f.links, address, packed);
+	gyp_links_send(f.links, address, packed);
+	/* The sweep ends each wait for events. */
+	for (i = 0; i < 100 && f.received == 0; i++)
+		ev_run(f.loop, EVRUN_ONCE);
+	g_assert_cmpint(f.received, ==, 1);
+	g_bytes_unref(packed);
+	tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -283,5 +318,6 @@
 	g_test_add_func("/link/slow", test_slow);
 	g_test_add_func("/link/reconnect", test_reconnect);
 	g_test_add_func("/link/overflow", test_overflow);
+	g_test_add_func("/link/first-frame", test_first_frame);
 	return g_test_run();
 }
