--- a/src/admission.c
+++ b/src/admission.c
@@ -3,6 +3,13 @@
 #include "admission.h"
 #include "msg.h"
 
+/* Share of endpoints that is expected to be allowed before any answer. */
+#define SHARE_FIRST 0.35
+
+/* Weight of one answer in that share, and its lower bound. */
+#define SHARE_WEIGHT 0.1
+#define SHARE_MIN    0.1
+
 /* Taken off a ticket's validity for the way to the endpoint, in ms. */
 #define TICKET_MARGIN_MS 200
 
@@ -47,6 +54,7 @@
 	struct gyp_flows *flows;
 	GHashTable *units;     /* key -> struct gyp_admission_unit */
 	GHashTable *questions; /* id -> struct question */
+	GHashTable *shares;    /* name of a queue -> double */
 	uint64_t next_id;
 };
 
@@ -193,6 +201,14 @@
 	return g != NULL && ticket_holds(a, g, row, now) ? g->ticket : NULL;
 }
 
+double
+gyp_admission_share(const struct gyp_admission *a, const char *queue)
+{
+	const double *share = g_hash_table_lookup(a->shares, queue);
+
+	return share != NULL ? MAX(*share, SHARE_MIN) : SHARE_FIRST;
+}
+
 bool
 gyp_admission_is_asking(const struct gyp_admission_unit *u)
 {
@@ -290,6 +306,27 @@
 	g->ticket = g_strdup(t->ticket);
 }
 
+/* Of n endpoints that nothing was known of so many are allowed. */
+static void
+learn_share(
+    struct gyp_admission *a, const struct question *q, guint n, guint allowed)
+{
+	const struct gyp_flow *flow = gyp_flow_get(a->flows, q->key.flow);
+	const char *queue;
+	double *share;
+
+	if (flow == NULL || n == 0)
+		return;
+	queue = flow->spec->queue->name;
+	share = g_hash_table_lookup(a->shares, queue);
+	if (share == NULL) {
+		share = g_new(double, 1);
+		*share = SHARE_FIRST;
+		g_hash_table_insert(a->shares, g_strdup(queue), share);
+	}
+	*share += SHARE_WEIGHT * ((double)allowed / n - *share);
+}
+
 /* Ends a question; its endpoints are allowed only if the answer says so. */
 static void
 close_question(struct gyp_admission *a, uint64_t id, uint64_t now,
@@ -297,6 +334,7 @@
 {
 	struct question *q = g_hash_table_lookup(a->questions, &id);
 	struct gyp_admission_unit *u;
+	guint unknown = 0, granted;
 	size_t i;
 
 	if (q == NULL)
@@ -309,13 +347,17 @@
 		w->asked = false;
 		if (answer == NULL)
 			continue;
+		unknown += !w->known;
 		w->known = true;
 		w->allowed = false;
 	}
+	granted = u != NULL ? u->grants->len : 0;
 	for (i = 0; u != NULL && answer != NULL && i < answer->n_tickets; i++)
 		learn_ticket(a, u, now, answer->valid_ms, answer->tickets[i]);
-	if (u != NULL)
+	if (u != NULL) {
 		u->asking--;
+		learn_share(a, q, unknown, u->grants->len - granted);
+	}
 	g_hash_table_remove(a->questions, &id);
 }
 
@@ -365,6 +407,8 @@
 	a->flows = flows;
 	a->next_id = first_id;
 	a->units = g_hash_table_new_full(key_hash, key_equal, NULL, free_unit);
+	a->shares =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	a->questions = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_question);
 	return a;
@@ -377,5 +421,6 @@
 		return;
 	g_hash_table_destroy(a->units);
 	g_hash_table_destroy(a->questions);
+	g_hash_table_destroy(a->shares);
 	g_free(a);
 }
--- a/src/admission.h
+++ b/src/admission.h
@@ -56,6 +56,9 @@
 const uint32_t *gyp_admission_allowed(
     const struct gyp_admission_unit *, guint *n);
 
+/* Share of the endpoints that the service allows for steps of a queue. */
+double gyp_admission_share(const struct gyp_admission *, const char *queue);
+
 /* The valid ticket, or NULL; owned by the table until the next answer. */
 const char *gyp_admission_ticket(const struct gyp_admission *,
     const struct gyp_flow *, const struct gyp_flow_unit *, uint32_t row,
--- a/src/fits.h
+++ b/src/fits.h
@@ -1,6 +1,7 @@
 #ifndef GYP_FITS_H
 #define GYP_FITS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <glib.h>
@@ -17,6 +18,7 @@
 struct gyp_fit {
 	uint32_t row;
 	uint32_t count; /* tasks that the endpoint can take now */
+	bool known;     /* it was allowed before */
 	double score;
 };
 
--- a/src/question.c
+++ b/src/question.c
@@ -1,12 +1,9 @@
 #include "question.h"
 #include "fits.h"
 
-/* Fewest and most endpoints named in one question. */
+/* Fewest and most endpoints named in one question; the service takes 100. */
 #define ASK_MIN 6
-#define ASK_MAX 30
-
-/* One in so many endpoints is expected to be allowed, in thousandths. */
-#define ALLOWED_PERMILLE 350
+#define ASK_MAX 100
 
 /* Added to the score of an endpoint with room, and of one known as allowed. */
 #define ROOM_WORTH    100
@@ -37,8 +34,8 @@
 	    !gyp_room_suits(room, c))
 		return false;
 	fit.count = gyp_room_count(room, c);
-	fit.score = gyp_room_score(room, c) +
-		    (word == GYP_ADMISSION_STALE ? ALLOWED_WORTH : 0) +
+	fit.known = word == GYP_ADMISSION_STALE;
+	fit.score = gyp_room_score(room, c) + (fit.known ? ALLOWED_WORTH : 0) +
 		    (fit.count > 0 ? ROOM_WORTH : 0);
 	g_array_append_val(fits, fit);
 	return fit.count > 0;
@@ -70,19 +67,23 @@
 	return fits;
 }
 
-/* Endpoints to name so that about enough of them are allowed. */
+/*
+ * Endpoints to name so that about enough of them are allowed, when a share of
+ * those that are not known is.
+ */
 static guint
-count_to_ask(const GArray *fits, uint32_t waiting, guint cheap)
+count_to_ask(const GArray *fits, uint32_t waiting, guint cheap, double share)
 {
-	uint64_t expected = 0; /* thousandths of tasks */
+	double expected = 0; /* tasks */
 	guint n;
 
 	for (n = 0; n < fits->len && n < ASK_MAX; n++) {
-		if (n >= cheap && expected >= (uint64_t)waiting * 1000)
+		const struct gyp_fit *fit =
+		    &g_array_index(fits, struct gyp_fit, n);
+
+		if (n >= cheap && expected >= waiting)
 			break;
-		expected +=
-		    (uint64_t)g_array_index(fits, struct gyp_fit, n).count *
-		    ALLOWED_PERMILLE;
+		expected += fit->count * (fit->known ? 1 : share);
 	}
 	return n;
 }
@@ -100,7 +101,8 @@
 	    gyp_admission_is_asking(gyp_admission_unit(a, c->flow, c->unit)))
 		return NULL;
 	fits = find_unasked(a, rooms, c, now, cheap);
-	n = count_to_ask(fits, waiting, cheap);
+	n = count_to_ask(fits, waiting, cheap,
+	    gyp_admission_share(a, c->flow->spec->queue->name));
 	for (i = 0; i < n; i++)
 		rows[i] = g_array_index(fits, struct gyp_fit, i).row;
 	g_array_free(fits, TRUE);
--- a/src/question.h
+++ b/src/question.h
@@ -15,10 +15,11 @@
  *	Load pattern answered: a question takes 30 to 700 ms, more with each
  *	endpoint named, and each VM has one under way at a time. So it names
  *	the endpoints with the most room first, and so many that about enough
- *	of them are expected to be allowed. Where naming one is cheap against
- *	the question itself, it also names some that are full now and may have
- *	room before the ticket runs out. No question is asked while no endpoint
- *	has room for a single task of the unit.
+ *	of them are expected to be allowed, by what earlier answers for the
+ *	queue told: two questions take longer than one that names as many.
+ *	Where naming one is cheap against the question itself, it also names
+ *	some that are full now and may have room before the ticket runs out. No
+ *question is asked while no endpoint has room for a single task of the unit.
  */
 
 /* Returns the question about the unit, noted as under way, or NULL. */
--- a/test/test_placer.c
+++ b/test/test_placer.c
@@ -403,6 +403,65 @@
 	tear_down(&f);
 }
 
+/* Answers a question: all that it names are allowed. */
+static void
+allow_all(struct fixture *f, const Gyp__Ask *ask)
+{
+	Gyp__Advised answer = GYP__ADVISED__INIT;
+	Gyp__Ticket *tickets = g_new(Gyp__Ticket, ask->n_endpoints);
+	Gyp__Ticket **list = g_new(Gyp__Ticket *, ask->n_endpoints);
+	size_t i;
+
+	for (i = 0; i < ask->n_endpoints; i++) {
+		gyp__ticket__init(&tickets[i]);
+		tickets[i].endpoint = ask->endpoints[i];
+		tickets[i].ticket = "t";
+		list[i] = &tickets[i];
+	}
+	answer.id = ask->id;
+	answer.ok = true;
+	answer.valid_ms = 2500;
+	answer.n_tickets = ask->n_endpoints;
+	answer.tickets = list;
+	gyp_admission_learn(f->admission, f->w.now, &answer);
+	g_free(tickets);
+	g_free(list);
+}
+
+/*
+ * A wide step of large tasks, one to an endpoint, and questions of half a
+ * second each: one question names enough for all of it, and fewer once answers
+ * show that most endpoints are allowed.
+ */
+static void
+test_wide_step(void)
+{
+	struct fixture f;
+	Gyp__FlowStep step = flow_world_step(21);
+	Gyp__Res size = GYP__RES__INIT;
+	size_t first = 0;
+	uint64_t id;
+
+	set_up(&f, 100);
+	size.cpu_milli = 8000;
+	step.size = &size;
+	for (id = 1; id <= 20; id++) {
+		submit(&f, id, 0, step);
+		set_queue(&f, id, 0, true, 494, 7.15);
+		decide(&f, LANES);
+		g_assert_cmpuint(f.asks->len, ==, 1);
+		if (id == 1)
+			first =
+			    ((const Gyp__Ask *)f.asks->pdata[0])->n_endpoints;
+		allow_all(&f, f.asks->pdata[0]);
+		gyp_flow_get(f.w.flows, id)->state = GYP_FLOW_CANCELLED;
+	}
+	g_assert_cmpuint(first, >=, 60);
+	g_assert_cmpuint(
+	    ((const Gyp__Ask *)f.asks->pdata[0])->n_endpoints, <, 35);
+	tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -417,6 +476,7 @@
 	g_test_add_func("/placer/slow-questions", test_slow_questions);
 	g_test_add_func("/placer/tickets", test_tickets);
 	g_test_add_func("/placer/long-queue", test_long_queue);
+	g_test_add_func("/placer/wide-step", test_wide_step);
 	g_test_add_func("/placer/last-attempt-goes-somewhere",
 	    test_last_attempt_goes_somewhere);
 	g_test_add_func(
