--- a/src/carriers.c
+++ b/src/carriers.c
@@ -10,6 +10,13 @@
 	uint64_t id;
 	uint64_t heard_at;
 	uint64_t doubt_until;
+	bool told; /* as live */
+};
+
+/* A carrier that was lost or is back. */
+struct change {
+	uint64_t entry;
+	bool live;
 };
 
 struct carried {
@@ -29,6 +36,7 @@
 	GHashTable *calls;    /* id -> struct carried */
 	GArray *picks;        /* struct pick by row */
 	GArray *lost;         /* uint64_t, ids of calls */
+	GQueue changes;       /* struct change */
 	uint64_t round;       /* rises when one comes or comes back */
 	uint64_t search_at;
 };
@@ -40,6 +48,20 @@
 	       now >= c->doubt_until;
 }
 
+static void
+tell(struct gyp_carriers *cs, struct carrier *c, bool live)
+{
+	struct change *change;
+
+	if (c->told == live)
+		return;
+	c->told = live;
+	change = g_new(struct change, 1);
+	change->entry = c->id;
+	change->live = live;
+	g_queue_push_tail(&cs->changes, change);
+}
+
 void
 gyp_carriers_heard(struct gyp_carriers *cs, uint64_t now, uint64_t entry)
 {
@@ -53,6 +75,8 @@
 	if (!is_live(c, now))
 		cs->round++;
 	c->heard_at = now;
+	if (is_live(c, now))
+		tell(cs, c, true);
 }
 
 static void
@@ -140,8 +164,10 @@
 {
 	struct carrier *c = g_hash_table_lookup(cs->carriers, &entry);
 
-	if (c != NULL)
-		c->doubt_until = now + GYP_CARRIER_DOUBT_MS;
+	if (c == NULL)
+		return;
+	c->doubt_until = now + GYP_CARRIER_DOUBT_MS;
+	tell(cs, c, false);
 }
 
 /* True when the call will get no answer in time to be of use. */
@@ -186,6 +212,19 @@
 	return true;
 }
 
+bool
+gyp_carriers_pop_change(struct gyp_carriers *cs, uint64_t *entry, bool *live)
+{
+	struct change *change = g_queue_pop_head(&cs->changes);
+
+	if (change == NULL)
+		return false;
+	*entry = change->entry;
+	*live = change->live;
+	g_free(change);
+	return true;
+}
+
 /* ---- Construction ------------------------------------------------------- */
 
 struct gyp_carriers *
@@ -211,5 +250,6 @@
 	g_hash_table_destroy(cs->calls);
 	g_array_free(cs->picks, TRUE);
 	g_array_free(cs->lost, TRUE);
+	g_queue_clear_full(&cs->changes, g_free);
 	g_free(cs);
 }
--- a/src/carriers.h
+++ b/src/carriers.h
@@ -56,4 +56,8 @@
 /* The next call that was lost with its carrier; false when there is none. */
 bool gyp_carriers_pop_lost(struct gyp_carriers *, uint64_t now, uint64_t *call);
 
+/* The next carrier that was lost or is back, once; false for none. */
+bool gyp_carriers_pop_change(
+    struct gyp_carriers *, uint64_t *entry, bool *live);
+
 #endif
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -116,10 +116,12 @@
 {
 	struct gyp_event e;
 
+	gyp_log_hold();
 	while (gyp_replica_pop_event(app->replica, &e)) {
 		gyp_log(GYP_LOG_INFO, e.name, "%s", e.fields);
 		g_free(e.fields);
 	}
+	gyp_log_release();
 }
 
 static void
--- a/src/log.c
+++ b/src/log.c
@@ -1,7 +1,9 @@
+#include <limits.h>
 #include <poll.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
 #include <unistd.h>
 
 #include <glib.h>
@@ -13,12 +15,20 @@
 
 static const char *log_program = "gyp";
 static enum gyp_priority log_least = GYP_LOG_INFO;
+static int log_pid;
+
+/* Lines that were gathered and are not written yet. */
+static char log_held[PIPE_BUF];
+static size_t log_held_len;
+static unsigned long log_held_lines;
+static bool log_holds;
 
 void
 gyp_log_open(const char *program, enum gyp_priority least)
 {
 	log_program = program;
 	log_least = least;
+	log_pid = (int)getpid();
 }
 
 /* Lines dropped so far, and since they were last told. */
@@ -35,18 +45,62 @@
 }
 
 /*
- * A pipe with room takes a line of up to PIPE_BUF bytes whole; the descriptor
- * may be shared, so that it is not made non-blocking.
+ * A pipe with room takes up to PIPE_BUF bytes whole; the descriptor may be
+ * shared, so that it is not made non-blocking.
  */
 static bool
+write_bytes(const char *bytes, size_t size)
+{
+	return has_room() && write(STDOUT_FILENO, bytes, size) > 0;
+}
+
+static void
+write_held(void)
+{
+	if (log_held_len > 0 && !write_bytes(log_held, log_held_len)) {
+		log_untold += log_held_lines;
+		log_dropped += log_held_lines;
+	}
+	log_held_len = 0;
+	log_held_lines = 0;
+}
+
+static void
+hold_line(const char *line, size_t size)
+{
+	if (log_held_len + size > sizeof(log_held))
+		write_held();
+	memcpy(log_held + log_held_len, line, size);
+	log_held_len += size;
+	log_held_lines++;
+}
+
+/* False when the line was dropped; one that is gathered may be, later. */
+static bool
 write_line(int priority, const char *event, const char *fields)
 {
 	char line[LINE_MAX_BYTES + 256];
 	int len = snprintf(line, sizeof(line), "<%d> %s[%d]: %s %s\n", priority,
-	    log_program, (int)getpid(), event, fields);
+	    log_program, log_pid, event, fields);
 	size_t size = MIN((size_t)len, sizeof(line) - 1);
 
-	return has_room() && write(STDOUT_FILENO, line, size) > 0;
+	if (!log_holds)
+		return write_bytes(line, size);
+	hold_line(line, size);
+	return true;
+}
+
+void
+gyp_log_hold(void)
+{
+	log_holds = true;
+}
+
+void
+gyp_log_release(void)
+{
+	write_held();
+	log_holds = false;
 }
 
 static const char *
--- a/src/log.h
+++ b/src/log.h
@@ -10,7 +10,8 @@
  *	Values with spaces are for the caller to quote; control characters are
  *	written as "?". Writing never waits: a line that the reader has no room
  *	for is dropped, and the next line that gets through is preceded by one
- *	that tells how many were.
+ *	that tells how many were. Lines of one turn of a loop may be gathered
+ *	and written together, up to the size that a pipe takes whole.
  */
 
 enum gyp_priority {
@@ -30,4 +31,8 @@
 void gyp_log(enum gyp_priority, const char *event, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 
+/* Gathers lines from here on, and writes them; the two come in pairs. */
+void gyp_log_hold(void);
+void gyp_log_release(void);
+
 #endif
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -429,13 +429,37 @@
 	}
 }
 
+static void
+note_carriers(struct gyp_replica *r, uint32_t lost)
+{
+	uint64_t entry;
+	bool live;
+
+	while (gyp_carriers_pop_change(r->carriers, &entry, &live)) {
+		const struct gyp_entry_peer *peer =
+		    g_hash_table_lookup(r->entries, &entry);
+
+		gyp_events_add(r->events,
+		    live ? "carrier-live" : "carrier-lost",
+		    "entry=%016" G_GINT64_MODIFIER
+		    "x name=%s lost_calls=%u heard_ms_ago=%" G_GUINT64_FORMAT,
+		    entry,
+		    peer != NULL && peer->name != NULL ? peer->name : "-", lost,
+		    peer != NULL ? r->now - peer->heard : 0);
+	}
+}
+
 static void
 take_lost_calls(struct gyp_replica *r)
 {
 	struct gyp_fleet_answer a = {.end = GYP_FLEET_UNCARRIED};
+	uint32_t lost = 0;
 
-	while (gyp_carriers_pop_lost(r->carriers, r->now, &a.call))
+	while (gyp_carriers_pop_lost(r->carriers, r->now, &a.call)) {
 		gyp_flow_lead_answered(r->flow_lead, r->now, &a);
+		lost++;
+	}
+	note_carriers(r, lost);
 }
 
 static void
--- a/test/test_carriers.c
+++ b/test/test_carriers.c
@@ -93,7 +93,9 @@
 test_frozen(void)
 {
 	struct fixture f;
-	uint64_t entry;
+	uint64_t entry, told;
+	bool live;
+	int i;
 
 	set_up(&f, 3);
 	entry = gyp_carriers_pick(f.cs, f.now, 0);
@@ -108,6 +110,13 @@
 	f.now += GYP_CARRIER_DOUBT_MS;
 	hear_all_but(&f, 3, 0);
 	g_assert_cmpuint(gyp_carriers_pick(f.cs, f.now, 0), ==, entry);
+	/* Three came, one was lost, and is back. */
+	for (i = 0; i < 5; i++) {
+		g_assert_true(gyp_carriers_pop_change(f.cs, &told, &live));
+		g_assert_cmpint(live, ==, i != 3);
+		g_assert_true(i < 3 || told == entry);
+	}
+	g_assert_false(gyp_carriers_pop_change(f.cs, &told, &live));
 	gyp_carriers_free(f.cs);
 }
 
