A new leader makes its own calls at a bounded rate

Change: 16 calls of its own at once and one a millisecond then; what waits goes to the carriers that come, and what is too old is dropped. Test: /carriers/own-calls.

--- a/src/carriers.c
+++ b/src/carriers.c
@@ -39,6 +39,8 @@
 	GQueue changes;       /* struct change */
 	uint64_t round;       /* rises when one comes or comes back */
 	uint64_t search_at;
+	uint32_t own_left; /* calls that the leader may make itself */
+	uint64_t own_at;   /* when that was counted */
 };
 
 static bool
@@ -212,6 +214,19 @@
 	return true;
 }
 
+bool
+gyp_carriers_may_call(struct gyp_carriers *cs, uint64_t now)
+{
+	uint64_t more = (now - cs->own_at) * GYP_OWN_CALLS_PER_MS;
+
+	cs->own_left = (uint32_t)MIN(cs->own_left + more, GYP_OWN_CALLS_MAX);
+	cs->own_at = now;
+	if (cs->own_left == 0)
+		return false;
+	cs->own_left--;
+	return true;
+}
+
 bool
 gyp_carriers_pop_change(struct gyp_carriers *cs, uint64_t *entry, bool *live)
 {
--- a/src/carriers.h
+++ b/src/carriers.h
@@ -20,6 +20,12 @@
  *	a while, and its open calls are lost: each may be carried out yet.
  *	Where no carrier is left, the leader makes the calls itself.
  *
+ *	Load pattern answered: all replicas come back at once, and the new
+ *leader has to look at all endpoints before any carrier has found it. Opening
+ *	hundreds of connections at once would keep it from its followers until
+ *	they elect another. So it makes its own calls at a bounded rate, and
+ *	those that still wait go to the carriers that come.
+ *
  *	Kept by a leader only.
  */
 
@@ -32,6 +38,10 @@
 /* Pause after a carrier left a call without an answer, in ms. */
 #define GYP_CARRIER_DOUBT_MS 1000
 
+/* Calls that the leader makes itself, in a ms, and at once after a pause. */
+#define GYP_OWN_CALLS_PER_MS 1
+#define GYP_OWN_CALLS_MAX    16
+
 struct gyp_carriers;
 
 struct gyp_carriers *gyp_carriers_new(void);
@@ -56,6 +66,9 @@
 /* The next call that was lost with its carrier; false when there is none. */
 bool gyp_carriers_pop_lost(struct gyp_carriers *, uint64_t now, uint64_t *call);
 
+/* True when the leader may make a call itself now, which is counted. */
+bool gyp_carriers_may_call(struct gyp_carriers *, uint64_t now);
+
 /* The next carrier that was lost or is back, once; false for none. */
 bool gyp_carriers_pop_change(
     struct gyp_carriers *, uint64_t *entry, bool *live);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -52,6 +52,7 @@
 	char *endpoint; /* id of the endpoint that is meant */
 	uint64_t fence;
 	uint32_t timeout_ms;
+	uint64_t give_up_at; /* of no use any more from then on */
 	/* All but looks: */
 	uint64_t flow;
 	uint32_t time, step, index;
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -45,6 +45,7 @@
 	p->row = h->row;
 	p->sent_at = f->now;
 	p->give_up_at = f->now + timeout_ms + OVERDUE_MS;
+	call->give_up_at = p->give_up_at;
 	g_hash_table_insert(f->pending, &p->id, p);
 	g_queue_push_tail(&f->calls, call);
 	return call;
--- a/src/fleet_look.c
+++ b/src/fleet_look.c
@@ -141,6 +141,7 @@
 	call->endpoint = g_strdup(h->spec->id);
 	call->fence = f->fence;
 	call->timeout_ms = 1000;
+	call->give_up_at = f->now + 1000;
 	call->flow = l->flow;
 	call->time = l->time;
 	call->step = l->step;
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -299,11 +299,26 @@
 	return true;
 }
 
+/* What waited for its turn until nobody expects an answer. */
+static void
+drop_old_calls(struct gyp_replica *r)
+{
+	struct gyp_fleet_call *call;
+
+	while ((call = g_queue_peek_head(&r->local_calls)) != NULL &&
+	       r->now >= call->give_up_at)
+		gyp_fleet_call_free(g_queue_pop_head(&r->local_calls));
+}
+
 struct gyp_fleet_call *
 gyp_replica_pop_call(struct gyp_replica *r)
 {
 	if (r->flow_lead == NULL || !gyp_replica_serving(r))
 		return NULL;
+	drop_old_calls(r);
+	if (g_queue_is_empty(&r->local_calls) ||
+	    !gyp_carriers_may_call(r->carriers, r->now))
+		return NULL;
 	return g_queue_pop_head(&r->local_calls);
 }
 
@@ -462,26 +477,39 @@
 	note_carriers(r, lost);
 }
 
+/* Hands the call to its carrier; false when there is none. */
+static bool
+hand_to_carrier(struct gyp_replica *r, struct gyp_fleet_call *call)
+{
+	uint64_t entry = gyp_carriers_pick(r->carriers, r->now, call->row);
+	struct gyp_entry_peer *peer;
+
+	if (entry == 0)
+		return false;
+	peer = gyp_replica_entry(r, entry);
+	gyp_carriers_sent(
+	    r->carriers, r->now, call->id, call->timeout_ms, entry);
+	g_ptr_array_add(peer->host_calls, gyp_host_msg_from_call(call));
+	peer->due = true;
+	gyp_fleet_call_free(call);
+	return true;
+}
+
+/* Those that waited for their turn at this process go first. */
 static void
 hand_out_calls(struct gyp_replica *r)
 {
+	guint waiting = r->local_calls.length;
 	struct gyp_fleet_call *call;
 
+	while (waiting-- > 0) {
+		call = g_queue_pop_head(&r->local_calls);
+		if (!hand_to_carrier(r, call))
+			g_queue_push_tail(&r->local_calls, call);
+	}
 	while ((call = gyp_flow_lead_pop_call(r->flow_lead)) != NULL) {
-		uint64_t entry =
-		    gyp_carriers_pick(r->carriers, r->now, call->row);
-		struct gyp_entry_peer *peer;
-
-		if (entry == 0) {
+		if (!hand_to_carrier(r, call))
 			g_queue_push_tail(&r->local_calls, call);
-			continue;
-		}
-		peer = gyp_replica_entry(r, entry);
-		gyp_carriers_sent(
-		    r->carriers, r->now, call->id, call->timeout_ms, entry);
-		g_ptr_array_add(peer->host_calls, gyp_host_msg_from_call(call));
-		peer->due = true;
-		gyp_fleet_call_free(call);
 	}
 }
 
--- a/test/test_carriers.c
+++ b/test/test_carriers.c
@@ -140,6 +140,27 @@
 	gyp_carriers_free(f.cs);
 }
 
+/* A new leader of hundreds of endpoints does not call them all at once. */
+static void
+test_own_calls(void)
+{
+	struct fixture f;
+	guint i, n = 0;
+
+	set_up(&f, 0);
+	while (n < ROWS && gyp_carriers_may_call(f.cs, f.now))
+		n++;
+	g_assert_cmpuint(n, ==, GYP_OWN_CALLS_MAX);
+	for (i = 0; i < 100; i++) {
+		f.now += 10;
+		while (gyp_carriers_may_call(f.cs, f.now))
+			n++;
+	}
+	g_assert_cmpuint(
+	    n, ==, GYP_OWN_CALLS_MAX + 1000 * GYP_OWN_CALLS_PER_MS);
+	gyp_carriers_free(f.cs);
+}
+
 /* ---- The carrier -------------------------------------------------------- */
 
 #define CELL "127.0.0.1:1"
@@ -269,6 +290,7 @@
 	g_test_add_func("/carriers/none", test_none);
 	g_test_add_func("/carriers/frozen", test_frozen);
 	g_test_add_func("/carriers/without-answer", test_without_answer);
+	g_test_add_func("/carriers/own-calls", test_own_calls);
 	g_test_add_func("/carriers/stale-call", test_stale_call);
 	g_test_add_func("/carriers/messages", test_messages);
 	return g_test_run();
