--- a/src/admission.c
+++ b/src/admission.c
@@ -31,13 +31,8 @@
 	char *ticket;
 };
 
-struct unit_key {
-	uint64_t flow;
-	uint32_t unit;
-};
-
 struct gyp_admission_unit {
-	struct unit_key key;
+	struct gyp_flow_item key;
 	uint32_t asking; /* questions under way */
 	GArray *words;   /* struct word by row */
 	GArray *grants;  /* struct grant */
@@ -46,7 +41,7 @@
 
 struct question {
 	uint64_t id;
-	struct unit_key key;
+	struct gyp_flow_item key;
 	GArray *rows;
 };
 
@@ -60,22 +55,6 @@
 
 /* ---- Tables ------------------------------------------------------------- */
 
-static guint
-key_hash(gconstpointer p)
-{
-	const struct unit_key *k = p;
-
-	return (guint)(k->flow ^ (k->flow >> 32)) * 31 + k->unit;
-}
-
-static gboolean
-key_equal(gconstpointer a, gconstpointer b)
-{
-	const struct unit_key *x = a, *y = b;
-
-	return x->flow == y->flow && x->unit == y->unit;
-}
-
 static void
 clear_grant(gpointer p)
 {
@@ -104,11 +83,11 @@
 	g_free(q);
 }
 
-static struct unit_key
+static struct gyp_flow_item
 key_of(const struct gyp_flow *flow, const struct gyp_flow_unit *unit)
 {
-	struct unit_key key = {
-	    .flow = flow->id, .unit = (uint32_t)(unit - flow->units)};
+	struct gyp_flow_item key = {
+	    .flow = flow->id, .index = (uint32_t)(unit - flow->units)};
 
 	return key;
 }
@@ -117,7 +96,7 @@
 find_unit(const struct gyp_admission *a, const struct gyp_flow *flow,
     const struct gyp_flow_unit *unit)
 {
-	struct unit_key key = key_of(flow, unit);
+	struct gyp_flow_item key = key_of(flow, unit);
 
 	return g_hash_table_lookup(a->units, &key);
 }
@@ -393,7 +372,7 @@
 	uint32_t i;
 
 	for (i = 0; i < flow->n_units; i++) {
-		struct unit_key key = {.flow = flow->id, .unit = i};
+		struct gyp_flow_item key = {.flow = flow->id, .index = i};
 
 		g_hash_table_remove(a->units, &key);
 	}
@@ -406,7 +385,8 @@
 
 	a->flows = flows;
 	a->next_id = first_id;
-	a->units = g_hash_table_new_full(key_hash, key_equal, NULL, free_unit);
+	a->units = g_hash_table_new_full(
+	    gyp_flow_item_hash, gyp_flow_item_equal, NULL, free_unit);
 	a->shares =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	a->questions = g_hash_table_new_full(
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -9,9 +9,6 @@
 /* Interval of the search for calls that are overdue, in ms. */
 #define EXPIRE_MS 500
 
-/* Added to the computed end of a lease, in ms, for our own timers. */
-#define LEASE_MARGIN_MS 60
-
 /* An endpoint that was not heard for this long gets no new run, in ms. */
 #define SILENT_MS 4500
 
@@ -24,12 +21,6 @@
 /* Pause between looks at an endpoint that does not answer, in ms. */
 #define LOOK_RETRY_MS 250
 
-/*
- * A call without an answer may be carried out so much later, in ms: 12 s by
- * the endpoint, and what it may have lain with the process that made it.
- */
-#define CARRIED_LATE_MS 15000
-
 /* An idle endpoint that was not heard for this long is dropped, in ms. */
 #define FORGET_MS 60000
 
@@ -38,22 +29,6 @@
 
 /* ---- Runs --------------------------------------------------------------- */
 
-static guint
-key_hash(gconstpointer p)
-{
-	const struct gyp_run_key *k = p;
-
-	return (guint)(k->flow ^ (k->flow >> 32)) * 31 + k->task;
-}
-
-static gboolean
-key_equal(gconstpointer a, gconstpointer b)
-{
-	const struct gyp_run_key *x = a, *y = b;
-
-	return x->flow == y->flow && x->task == y->task;
-}
-
 static void
 free_run(gpointer p)
 {
@@ -64,7 +39,7 @@
 }
 
 struct gyp_fleet_run *
-gyp_fleet_find(const struct gyp_fleet *f, const struct gyp_run_key *key)
+gyp_fleet_find(const struct gyp_fleet *f, const struct gyp_flow_item *key)
 {
 	return g_hash_table_lookup(f->runs, key);
 }
@@ -81,7 +56,7 @@
 	struct gyp_fleet_run *run = g_new0(struct gyp_fleet_run, 1);
 
 	run->key.flow = flow->id;
-	run->key.task = task;
+	run->key.index = task;
 	run->flow = flow;
 	run->run = flow->tasks[task].run;
 	run->row = flow->tasks[task].host;
@@ -108,7 +83,7 @@
 		    RUN_ARGS(run), gyp_flow_how_name(how), h->spec->id,
 		    run->sends, run->phase == GYP_RUN_UP);
 	end.flow = run->key.flow;
-	end.task = run->key.task;
+	end.task = run->key.index;
 	end.run = run->run;
 	end.host = run->row;
 	end.how = how;
@@ -189,117 +164,6 @@
 	return peer;
 }
 
-static uint64_t
-clock_guess(const struct gyp_peer *peer, uint64_t now)
-{
-	uint64_t elapsed = now - peer->clock_at;
-
-	return peer->clock_ms + elapsed - elapsed / GYP_CLOCK_SLOW;
-}
-
-uint64_t
-gyp_peer_silence(const struct gyp_fleet *f, const struct gyp_peer *peer)
-{
-	return f->now - MAX(peer->heard_at, f->since);
-}
-
-const char *
-gyp_peer_name(const struct gyp_fleet *f, uint32_t row)
-{
-	const struct gyp_host *h = gyp_host_at(f->flows, row);
-
-	return h != NULL ? h->spec->id : "gone";
-}
-
-void
-gyp_peer_read_clock(
-    struct gyp_fleet *f, struct gyp_peer *peer, uint64_t clock_ms)
-{
-	bool first = peer->clock_at == 0;
-
-	if (!first && clock_ms < clock_guess(peer, f->now))
-		return;
-	peer->clock_ms = clock_ms;
-	peer->clock_at = f->now;
-	/* An earlier leader, or call, may have extended the lease so far. */
-	if (first)
-		peer->until_ms = MAX(
-		    peer->until_ms, clock_ms + f->cfg.lease_ms + peer->late_ms);
-}
-
-/* The next leader must know too that late calls may grant a lease there. */
-static void
-propose_reborn(struct gyp_fleet *f, const struct gyp_peer *peer)
-{
-	const struct gyp_host *h = gyp_host_at(f->flows, peer->row);
-	Gyp__Cmd cmd = GYP__CMD__INIT;
-	Gyp__CmdHostReborn reborn = GYP__CMD_HOST_REBORN__INIT;
-
-	if (h == NULL || peer->born_ms <= h->spec->born_ms)
-		return;
-	reborn.id = h->spec->id;
-	reborn.born_ms = peer->born_ms;
-	cmd.c_case = GYP__CMD__C_HOST_REBORN;
-	cmd.host_reborn = &reborn;
-	g_queue_push_tail(&f->cmds, gyp_message_copy(&cmd.base));
-}
-
-void
-gyp_peer_reborn(struct gyp_fleet *f, struct gyp_peer *peer, uint64_t born_ms)
-{
-	guint i;
-
-	gyp_events_add(f->cfg.events, "endpoint-reborn",
-	    "endpoint=%s born_ms=%" G_GUINT64_FORMAT
-	    " before_ms=%" G_GUINT64_FORMAT " runs=%u",
-	    gyp_peer_name(f, peer->row), born_ms, peer->born_ms,
-	    peer->runs->len);
-	peer->born_ms = born_ms;
-	peer->gone_at = 0;
-	peer->reborn_at = f->now;
-	peer->reborn_call = f->next_call;
-	/*
-	 * A call that was sent with a time of the earlier life's clock, and
-	 * not answered, may reach this one yet: it grants a whole lease then.
-	 */
-	peer->late_ms = CARRIED_LATE_MS;
-	peer->listed_at = 0;
-	peer->clock_at = 0;
-	peer->until_ms = 0;
-	peer->acked = 0;
-	peer->acked_sent = 0;
-	g_array_set_size(peer->seen, 0);
-	for (i = 0; i < peer->runs->len; i++) {
-		struct gyp_fleet_run *run = peer->runs->pdata[i];
-
-		if (run->phase == GYP_RUN_UP)
-			run->phase = GYP_RUN_INHERITED;
-		/* A start that arrives late may begin it in this life. */
-		if (run->stop == GYP_STOP_OK || run->stop == GYP_STOP_SENT) {
-			run->stop = GYP_STOP_DUE;
-			gyp_fleet_queue_run(f, run);
-		}
-	}
-	peer->quick = true;
-	gyp_fleet_touch(f, peer);
-	propose_reborn(f, peer);
-}
-
-/* When everything that may run there is certainly over. */
-static uint64_t
-lease_over_at(const struct gyp_fleet *f, const struct gyp_peer *peer)
-{
-	uint64_t from = peer->clock_at != 0 ? peer->clock_at
-					    : MAX(f->since, peer->reborn_at);
-	uint64_t left = f->cfg.lease_ms + peer->late_ms;
-
-	if (peer->clock_at != 0)
-		left = peer->until_ms > peer->clock_ms
-			   ? peer->until_ms - peer->clock_ms
-			   : 0;
-	return from + left + left / (GYP_CLOCK_SLOW - 1) + 1 + LEASE_MARGIN_MS;
-}
-
 bool
 gyp_fleet_usable(const struct gyp_fleet *f, uint32_t row)
 {
@@ -332,7 +196,7 @@
 void
 gyp_fleet_ended(struct gyp_fleet *f, struct gyp_flow *flow, uint32_t task)
 {
-	struct gyp_run_key key = {.flow = flow->id, .task = task};
+	struct gyp_flow_item key = {.flow = flow->id, .index = task};
 	struct gyp_fleet_run *run = gyp_fleet_find(f, &key);
 	struct gyp_peer *peer;
 
@@ -348,7 +212,7 @@
 void
 gyp_fleet_unwanted(struct gyp_fleet *f, struct gyp_flow *flow, uint32_t task)
 {
-	struct gyp_run_key key = {.flow = flow->id, .task = task};
+	struct gyp_flow_item key = {.flow = flow->id, .index = task};
 	struct gyp_fleet_run *run = gyp_fleet_find(f, &key);
 
 	if (run != NULL)
@@ -490,7 +354,7 @@
 		}
 		return;
 	}
-	if (f->now >= lease_over_at(f, peer) && peer->runs->len > 0) {
+	if (f->now >= gyp_peer_lease_over_at(f, peer) && peer->runs->len > 0) {
 		gyp_events_add(f->cfg.events, "lease-over",
 		    "endpoint=%s runs=%u heard_ms_ago=%" G_GUINT64_FORMAT
 		    " failures=%u",
@@ -555,7 +419,7 @@
 		gyp_fleet_send_stop(f, run);
 	else if (run->stop != GYP_STOP_NONE || run->sending)
 		return;
-	else if (gyp_flow_run_is_unwanted(run->flow, run->key.task))
+	else if (gyp_flow_run_is_unwanted(run->flow, run->key.index))
 		gyp_fleet_want_stop(f, run);
 	else if (run->phase == GYP_RUN_DUE || run->phase == GYP_RUN_STARTING) {
 		if (peer->failures > 0)
@@ -568,7 +432,7 @@
 void
 gyp_fleet_tick(struct gyp_fleet *f, uint64_t now)
 {
-	struct gyp_run_key *key;
+	struct gyp_flow_item *key;
 
 	gyp_fleet_advance(f, now);
 	if (f->now >= f->sweep_at)
@@ -588,7 +452,7 @@
 const struct gyp_run_view *
 gyp_fleet_view(const struct gyp_fleet *f, uint64_t flow, uint32_t task)
 {
-	struct gyp_run_key key = {.flow = flow, .task = task};
+	struct gyp_flow_item key = {.flow = flow, .index = task};
 	const struct gyp_fleet_run *run = gyp_fleet_find(f, &key);
 
 	return run != NULL ? &run->view : NULL;
@@ -606,14 +470,15 @@
 
 		if (run->phase == GYP_RUN_UP && !run->ending &&
 		    run->stop == GYP_STOP_NONE)
-			fn(arg, run->flow, run->key.task, run->row, &run->view);
+			fn(arg, run->flow, run->key.index, run->row,
+			    &run->view);
 	}
 }
 
 void
 gyp_fleet_stop_run(struct gyp_fleet *f, uint64_t flow, uint32_t task)
 {
-	struct gyp_run_key key = {.flow = flow, .task = task};
+	struct gyp_flow_item key = {.flow = flow, .index = task};
 	struct gyp_fleet_run *run = gyp_fleet_find(f, &key);
 
 	if (run != NULL)
@@ -635,7 +500,7 @@
 	if (bad == NULL)
 		return false;
 	*flow = bad->key.flow;
-	*task = bad->key.task;
+	*task = bad->key.index;
 	*row = bad->row;
 	g_free(bad);
 	return true;
@@ -678,7 +543,8 @@
 	f->now = now;
 	f->next_call = (fence << 32) + 1; /* no earlier term used these */
 	f->peers = g_ptr_array_new();
-	f->runs = g_hash_table_new_full(key_hash, key_equal, NULL, free_run);
+	f->runs = g_hash_table_new_full(
+	    gyp_flow_item_hash, gyp_flow_item_equal, NULL, free_run);
 	f->pending =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	inherit_runs(f);
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -56,14 +56,14 @@
     const struct gyp_fleet_run *run)
 {
 	const struct gyp_flow_unit *u =
-	    gyp_flow_unit_of(run->flow, run->key.task);
+	    gyp_flow_unit_of(run->flow, run->key.index);
 	struct gyp_fleet_pending *p =
 	    g_hash_table_lookup(f->pending, &call->id);
 
 	call->flow = run->key.flow;
 	call->time = u->time;
 	call->step = u->number;
-	call->index = run->key.task - u->first;
+	call->index = run->key.index - u->first;
 	call->run = run->run;
 	p->key = run->key;
 	p->run = run->run;
@@ -90,7 +90,7 @@
 gyp_fleet_send_start(struct gyp_fleet *f, struct gyp_fleet_run *run)
 {
 	const struct gyp_host *h = gyp_host_at(f->flows, run->row);
-	const struct gyp_flow_task *t = &run->flow->tasks[run->key.task];
+	const struct gyp_flow_task *t = &run->flow->tasks[run->key.index];
 	struct gyp_fleet_call *call = new_call(
 	    f, h, GYP_FLEET_START, START_MS << MIN(run->sends, STARTS_MAX));
 
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -10,21 +10,17 @@
  * DESCRIPTION
  *	fleet.c		runs, leases and what is due
  *	fleet_calls.c	calls and their answers
+ *	fleet_life.c	clocks, leases and lives of endpoints
  *	fleet_look.c	lists of runs and ends
  */
 
 /* How events name a run. */
 #define RUN_ID      "flow=%016" G_GINT64_MODIFIER "x task=%u run=%u"
-#define RUN_ARGS(r) (r)->key.flow, (r)->key.task, (r)->run
+#define RUN_ARGS(r) (r)->key.flow, (r)->key.index, (r)->run
 
 /* Looks under way at one endpoint: one that waits and one that does not. */
 #define GYP_LOOKS_MAX 2
 
-struct gyp_run_key {
-	uint64_t flow;
-	uint32_t task;
-};
-
 enum gyp_run_phase {
 	GYP_RUN_DUE,      /* its start was never sent by this leader */
 	GYP_RUN_STARTING, /* a start is under way or was lost */
@@ -40,7 +36,7 @@
 };
 
 struct gyp_fleet_run {
-	struct gyp_run_key key;
+	struct gyp_flow_item key;
 	struct gyp_flow *flow;
 	uint32_t run;
 	uint32_t row;
@@ -59,7 +55,7 @@
 /* An end that was listed and is not acknowledged yet. */
 struct gyp_seen_end {
 	uint64_t number;
-	struct gyp_run_key key;
+	struct gyp_flow_item key;
 	uint32_t run;
 	bool late; /* done, of a run that was given up */
 };
@@ -95,7 +91,7 @@
 	uint64_t id;
 	enum gyp_fleet_call_kind kind;
 	uint32_t row;
-	struct gyp_run_key key;
+	struct gyp_flow_item key;
 	uint32_t run;
 	uint64_t sent_at;
 	uint64_t give_up_at;
@@ -103,7 +99,7 @@
 };
 
 struct gyp_bad_ticket {
-	struct gyp_run_key key;
+	struct gyp_flow_item key;
 	uint32_t row;
 };
 
@@ -120,13 +116,19 @@
 	GPtrArray *peers;    /* struct gyp_peer by row */
 	GHashTable *runs;    /* key -> struct gyp_fleet_run */
 	GHashTable *pending; /* id -> struct gyp_fleet_pending */
-	GQueue todo;         /* struct gyp_run_key: something to send */
+	GQueue todo;         /* struct gyp_flow_item: something to send */
 	GQueue touched;      /* rows of endpoints to look after at once */
 	GQueue calls;        /* struct gyp_fleet_call */
 	GQueue cmds;         /* Gyp__Cmd */
 	GQueue bad_tickets;  /* struct gyp_bad_ticket */
 };
 
+/*
+ * A call without an answer may be carried out so much later, in ms: 12 s by
+ * the endpoint, and what it may have lain with the process that made it.
+ */
+#define CARRIED_LATE_MS 15000
+
 /* Shortest time in which an endpoint dies and is born again, in ms. */
 #define REBIRTH_MS 50
 
@@ -135,13 +137,15 @@
 void gyp_fleet_advance(struct gyp_fleet *, uint64_t now);
 struct gyp_peer *gyp_fleet_peer(struct gyp_fleet *, uint32_t row);
 struct gyp_fleet_run *gyp_fleet_find(
-    const struct gyp_fleet *, const struct gyp_run_key *);
+    const struct gyp_fleet *, const struct gyp_flow_item *);
 /* Something happened to the endpoint that the next tick must look after. */
 void gyp_fleet_touch(struct gyp_fleet *, struct gyp_peer *);
 void gyp_fleet_want_stop(struct gyp_fleet *, struct gyp_fleet_run *);
 void gyp_fleet_queue_run(struct gyp_fleet *, const struct gyp_fleet_run *);
 void gyp_fleet_propose_end(struct gyp_fleet *, struct gyp_fleet_run *,
     Gyp__FlowHow, const char *checkpoint);
+
+/* fleet_life.c */
 /* Time since it was last heard, or since this leader began, in ms. */
 uint64_t gyp_peer_silence(const struct gyp_fleet *, const struct gyp_peer *);
 /* Id of an endpoint, for lines. */
@@ -151,6 +155,9 @@
     struct gyp_fleet *, struct gyp_peer *, uint64_t clock_ms);
 /* Its process began anew: it holds nothing of before. */
 void gyp_peer_reborn(struct gyp_fleet *, struct gyp_peer *, uint64_t born_ms);
+/* When everything that may run there is certainly over. */
+uint64_t gyp_peer_lease_over_at(
+    const struct gyp_fleet *, const struct gyp_peer *);
 
 /* fleet_calls.c */
 void gyp_fleet_send_start(struct gyp_fleet *, struct gyp_fleet_run *);
--- a/src/fleet_look.c
+++ b/src/fleet_look.c
@@ -8,21 +8,21 @@
 
 /* ---- Ends --------------------------------------------------------------- */
 
-static struct gyp_run_key
+static struct gyp_flow_item
 key_of(const struct gyp_fleet *f, const struct gyp_listed_run *l)
 {
 	const struct gyp_flow *flow = gyp_flow_get(f->flows, l->flow);
-	struct gyp_run_key key = {.flow = l->flow, .task = UINT32_MAX};
+	struct gyp_flow_item key = {.flow = l->flow, .index = UINT32_MAX};
 
 	if (flow != NULL)
-		key.task = gyp_flow_task_at(flow, l->time, l->step, l->index);
+		key.index = gyp_flow_task_at(flow, l->time, l->step, l->index);
 	return key;
 }
 
 /* The run that an endpoint lists, if the tables hold it as open there. */
 static struct gyp_fleet_run *
 listed_run(const struct gyp_fleet *f, const struct gyp_peer *peer,
-    const struct gyp_run_key *key, uint32_t number)
+    const struct gyp_flow_item *key, uint32_t number)
 {
 	struct gyp_fleet_run *run = gyp_fleet_find(f, key);
 
@@ -34,25 +34,25 @@
 /* The run was given up with its lease, and no other was begun since. */
 static bool
 is_late_done(const struct gyp_fleet *f, const struct gyp_peer *peer,
-    const struct gyp_run_key *key, uint32_t number)
+    const struct gyp_flow_item *key, uint32_t number)
 {
 	const struct gyp_flow *flow = gyp_flow_get(f->flows, key->flow);
 
-	return flow != NULL && key->task < flow->n_tasks &&
-	       flow->tasks[key->task].run == number &&
-	       flow->tasks[key->task].host == peer->row &&
-	       gyp_flow_takes_late_done(flow, key->task);
+	return flow != NULL && key->index < flow->n_tasks &&
+	       flow->tasks[key->index].run == number &&
+	       flow->tasks[key->index].host == peer->row &&
+	       gyp_flow_takes_late_done(flow, key->index);
 }
 
 static void
 propose_late_done(struct gyp_fleet *f, const struct gyp_peer *peer,
-    const struct gyp_run_key *key, uint32_t number)
+    const struct gyp_flow_item *key, uint32_t number)
 {
 	Gyp__Cmd cmd = GYP__CMD__INIT;
 	Gyp__CmdFlowEnd end = GYP__CMD_FLOW_END__INIT;
 
 	end.flow = key->flow;
-	end.task = key->task;
+	end.task = key->index;
 	end.run = number;
 	end.host = peer->row;
 	end.how = GYP__FLOW_HOW__FLOW_DONE;
@@ -61,14 +61,14 @@
 	g_queue_push_tail(&f->cmds, gyp_message_copy(&cmd.base));
 	gyp_events_add(f->cfg.events, "late-done",
 	    "flow=%016" G_GINT64_MODIFIER "x task=%u run=%u endpoint=%s",
-	    key->flow, key->task, number, gyp_peer_name(f, peer->row));
+	    key->flow, key->index, number, gyp_peer_name(f, peer->row));
 }
 
 static void
 take_end(
     struct gyp_fleet *f, struct gyp_peer *peer, const struct gyp_listed_end *e)
 {
-	struct gyp_run_key key = key_of(f, &e->run);
+	struct gyp_flow_item key = key_of(f, &e->run);
 	struct gyp_fleet_run *run = listed_run(f, peer, &key, e->run.run);
 	struct gyp_seen_end seen = {
 	    .number = e->number, .key = key, .run = e->run.run};
@@ -186,7 +186,7 @@
 	for (i = 0; i < running->len; i++) {
 		const struct gyp_listed_run *l =
 		    &g_array_index(running, struct gyp_listed_run, i);
-		struct gyp_run_key key = key_of(f, l);
+		struct gyp_flow_item key = key_of(f, l);
 		struct gyp_fleet_run *run = listed_run(f, peer, &key, l->run);
 
 		if (run != NULL) {
@@ -209,7 +209,7 @@
 		    &g_array_index(peer->seen, struct gyp_seen_end, i);
 
 		if (e->key.flow == run->key.flow &&
-		    e->key.task == run->key.task && e->run == run->run)
+		    e->key.index == run->key.index && e->run == run->run)
 			return true;
 	}
 	return false;
--- a/src/flow.c
+++ b/src/flow.c
@@ -3,6 +3,24 @@
 #include "flow_int.h"
 #include "msg.h"
 
+/* ---- Names of tasks and units ------------------------------------------- */
+
+guint
+gyp_flow_item_hash(gconstpointer p)
+{
+	const struct gyp_flow_item *item = p;
+
+	return (guint)(item->flow ^ (item->flow >> 32)) * 31 + item->index;
+}
+
+gboolean
+gyp_flow_item_equal(gconstpointer a, gconstpointer b)
+{
+	const struct gyp_flow_item *x = a, *y = b;
+
+	return x->flow == y->flow && x->index == y->index;
+}
+
 /* ---- Flows -------------------------------------------------------------- */
 
 static uint32_t
--- a/src/flow.h
+++ b/src/flow.h
@@ -54,6 +54,15 @@
 	GYP_FLOW_TASK_DONE
 };
 
+/* Names a task, or a unit, of a flow: a key of hash tables. */
+struct gyp_flow_item {
+	uint64_t flow;
+	uint32_t index;
+};
+
+guint gyp_flow_item_hash(gconstpointer);
+gboolean gyp_flow_item_equal(gconstpointer, gconstpointer);
+
 struct gyp_flow_task {
 	enum gyp_flow_task_state state;
 	uint32_t run;      /* number of the latest run, 0 for none */
