--- a/src/track.h
+++ b/src/track.h
@@ -15,7 +15,7 @@
  *	time, and so look the least loaded; endpoints that turn slow. Blame is
  *	shared as in health: a few tasks that fail at an endpoint without
  *	a success in between put it into quarantine, a task that fails at
- *several endpoints which others do well at is itself to blame. After a
+ *	several endpoints which others do well at is itself to blame. After a
  *	quarantine one run at a time goes there until one ends well.
  *
  *	An endpoint's pace is the time that its tasks take against the mean of
