HTTP client: what a request carries is released when the client ends first

A heartbeat was under way when the run ended, and its record was freed by its answer only. Ruled out: a fault of the programs under test; the record is the stand-in's. Change: gyp_httpc_request has free_arg, which the client calls with the exchange's end, whichever comes first. Conclusion: mended at the cause; a new caller of the client can't forget it.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -11,8 +11,7 @@
 	struct gyp_httpc *client;
 	gyp_exchange_fn done;
 	void *arg;
-	GHashTable *peers;     /* address -> struct peer */
-	GHashTable *under_way; /* set of struct running */
+	GHashTable *peers; /* address -> struct peer */
 };
 
 /* One endpoint, while anything is under way there or waits for it. */
@@ -93,7 +92,6 @@
 	run->peer->starts -= run->type == GYP__ORDER_TYPE__ORDER_START;
 	run->xs->done(run->xs->arg, run->id, &out);
 	run_waiting(run->xs, run->peer);
-	g_hash_table_remove(run->xs->under_way, run);
 }
 
 static const char *
@@ -196,13 +194,13 @@
 	    .url = url,
 	    .answer_max = GYP_ANSWER_MAX,
 	    .done = on_done,
-	    .arg = run};
+	    .arg = run,
+	    .free_arg = g_free};
 
 	run->xs = xs;
 	run->peer = peer;
 	run->id = x->id;
 	run->type = x->order->type;
-	g_hash_table_add(xs->under_way, run);
 	peer->open++;
 	if (run->type == GYP__ORDER_TYPE__ORDER_START) {
 		peer->starts++;
@@ -309,7 +307,6 @@
 	xs->arg = arg;
 	xs->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
-	xs->under_way = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	return xs;
 }
 
@@ -319,6 +316,5 @@
 	if (xs == NULL)
 		return;
 	g_hash_table_destroy(xs->peers);
-	g_hash_table_destroy(xs->under_way);
 	g_free(xs);
 }
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -49,6 +49,7 @@
 	bool reuse;
 	gyp_httpc_fn done;
 	void *arg;
+	void (*free_arg)(void *arg); /* or NULL */
 };
 
 static void
@@ -64,6 +65,8 @@
 	curl_slist_free_all(x->headers);
 	gyp_buf_clear(&x->request);
 	gyp_buf_clear(&x->body);
+	if (x->free_arg != NULL)
+		x->free_arg(x->arg);
 	g_free(x);
 }
 
@@ -332,6 +335,7 @@
 	x->send_by = req->send_by;
 	x->done = req->done;
 	x->arg = req->arg;
+	x->free_arg = req->free_arg;
 	gyp_buf_append(&x->request, req->body, req->len);
 	x->headers = curl_slist_append(NULL, "Expect:");
 	for (h = req->headers; h != NULL && *h != NULL; h++)
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -55,13 +55,16 @@
 	bool reuse;          /* may be sent twice, so connections may be kept */
 	gyp_httpc_fn done;
 	void *arg;
+	/* Releases arg after done, or when the client ends first; may be NULL.
+	 */
+	void (*free_arg)(void *arg);
 };
 
 struct gyp_httpc;
 
 struct gyp_httpc *gyp_httpc_new(struct ev_loop *, struct gyp_timers *);
 
-/* Ends all exchanges without calling back. */
+/* Ends all exchanges; releases their args and calls no done. */
 void gyp_httpc_free(struct gyp_httpc *);
 
 /* Copies what it needs of the request. */
--- a/tools/endpoint.c
+++ b/tools/endpoint.c
@@ -532,6 +532,15 @@
 	char *attempt;
 };
 
+static void
+free_delivery(void *arg)
+{
+	struct delivery *d = arg;
+
+	g_free(d->attempt);
+	g_free(d);
+}
+
 static void
 on_delivered(void *arg, const struct gyp_httpc_result *res)
 {
@@ -540,8 +549,6 @@
 
 	r->delivering = false;
 	r->delivered = res->end == GYP_HTTPC_ANSWERED && res->status == 200;
-	g_free(d->attempt);
-	g_free(d);
 }
 
 static void
@@ -561,7 +568,8 @@
 	    .answer_max = 1024,
 	    .timeout_ms = 2000,
 	    .done = on_delivered,
-	    .arg = d};
+	    .arg = d,
+	    .free_arg = free_delivery};
 
 	d->app = app;
 	d->attempt = g_strdup(r->attempt);
