A flow's repeated failures at one endpoint count against the endpoint

Change: only a flow's first failure at a further endpoint is left out, once it has failed at two and ended well nowhere since.

--- a/src/health.c
+++ b/src/health.c
@@ -199,6 +199,14 @@
 	return j != NULL && now < j->at + ms;
 }
 
+uint32_t
+gyp_health_endpoints_of(const struct gyp_health *h, uint64_t job)
+{
+	const struct job_record *j = g_hash_table_lookup(h->jobs, &job);
+
+	return j != NULL ? j->n_endpoints : 0;
+}
+
 bool
 gyp_health_is_bad_job(const struct gyp_health *h, uint64_t job)
 {
--- a/src/health.h
+++ b/src/health.h
@@ -71,6 +71,9 @@
 bool gyp_health_failed_at(
     const struct gyp_health *, uint64_t job, uint64_t endpoint);
 
+/* At how many endpoints the job failed since it ended well; 4 at most. */
+uint32_t gyp_health_endpoints_of(const struct gyp_health *, uint64_t job);
+
 /* True when the job failed at several endpoints that others do well at. */
 bool gyp_health_is_bad_job(const struct gyp_health *, uint64_t job);
 
--- a/src/track.c
+++ b/src/track.c
@@ -16,6 +16,9 @@
 /* Weight of one task in what is known of a queue's estimates. */
 #define ESTIMATE_WEIGHT 0.05
 
+/* Endpoints at which a flow fails before it may be hopeless. */
+#define HOPELESS_ENDPOINTS 2
+
 /* Tasks before estimates are judged, and mean error that makes them good. */
 #define ESTIMATES_MIN  20
 #define ESTIMATE_ERROR 0.45
@@ -97,16 +100,25 @@
 }
 
 /*
- * Counts it against the endpoint, unless the whole flow fails wherever others
- * do well. True when the endpoint counts as bad from now on.
+ * A flow that has failed at some endpoints, and nowhere ended well since, may
+ * be hopeless: its first failure at a further one says nothing of that one.
  */
 static bool
+tells_nothing(const struct gyp_track *t, uint64_t flow, uint32_t row)
+{
+	return gyp_health_endpoints_of(t->flows, flow) >= HOPELESS_ENDPOINTS &&
+	       !gyp_health_failed_at(t->flows, flow, row);
+}
+
+/* True when the endpoint counts as bad from now on. */
+static bool
 add_failure(struct gyp_track *t, uint64_t flow, uint32_t row, uint64_t now)
 {
 	double before = gyp_cusum_at(t->sums, row, now);
+	bool counts = !tells_nothing(t, flow, row);
 
 	gyp_health_failed(t->flows, flow, row, now);
-	if (gyp_health_is_bad_job(t->flows, flow))
+	if (!counts)
 		return false;
 	return gyp_cusum_add(t->sums, row, true, now) >= GYP_CUSUM_BAD &&
 	       before < GYP_CUSUM_BAD;
