Lines of an entry for requests that get no answer of a leader

Cause: why callers are refused in an outage could not be told from logs: the replicas write request-refused, an entry wrote nothing. Change: request-refused and request-unanswered at the entry, with method, path, how long the request waited and how long no leader spoke; bounded like all events. Writing of queued events stands once now (gyp_log_events).

--- a/src/entry.h
+++ b/src/entry.h
@@ -165,6 +165,9 @@
 /* Version and text of the rules in force at this entry. */
 uint64_t gyp_entry_rules(const struct gyp_entry_core *, const char **text);
 
+/* How long no leader has spoken to this entry, in ms; 0 while one does. */
+uint64_t gyp_entry_outage_ms(const struct gyp_entry_core *, uint64_t now);
+
 /* True while the leader's grant lasts; without it no start is sent. */
 bool gyp_entry_has_lease(const struct gyp_entry_core *);
 
--- a/src/entry_calls.c
+++ b/src/entry_calls.c
@@ -220,11 +220,18 @@
 	}
 }
 
+uint64_t
+gyp_entry_outage_ms(const struct gyp_entry_core *e, uint64_t now)
+{
+	if (e->led_epoch == e->epoch || e->led_at == 0 || now <= e->led_at)
+		return 0;
+	return now - e->led_at;
+}
+
 static bool
 in_outage(const struct gyp_entry_core *e)
 {
-	return e->led_epoch != e->epoch && e->led_at != 0 &&
-	       e->now >= e->led_at + GYP_OUTAGE_MS;
+	return gyp_entry_outage_ms(e, e->now) >= GYP_OUTAGE_MS;
 }
 
 void
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -114,14 +114,7 @@
 static void
 note_events(struct app *app)
 {
-	struct gyp_event e;
-
-	gyp_log_hold();
-	while (gyp_replica_pop_event(app->replica, &e)) {
-		gyp_log(GYP_LOG_INFO, e.name, "%s", e.fields);
-		g_free(e.fields);
-	}
-	gyp_log_release();
+	gyp_log_events(gyp_replica_events(app->replica));
 }
 
 static void
--- a/src/gyp_entry.c
+++ b/src/gyp_entry.c
@@ -6,6 +6,7 @@
 #include "counters.h"
 #include "door.h"
 #include "entry.h"
+#include "event.h"
 #include "exchange.h"
 #include "host_msg.h"
 #include "httpc.h"
@@ -53,6 +54,7 @@
 	struct gyp_exchanges *exchanges;
 	struct gyp_door *door;
 	struct gyp_pf_client *client;
+	struct gyp_events *events;
 	struct gyp_pf_front *front;
 	struct gyp_httpd *front_httpd;
 	struct gyp_httpd *readiness_httpd;
@@ -182,6 +184,7 @@
 		more = move_asks(app) || more;
 		more = move_host_calls(app) || more;
 	}
+	gyp_log_events(app->events);
 	app->flushing = false;
 }
 
@@ -311,7 +314,7 @@
 	app->client = gyp_pf_client_new(app->httpc, set->admission, app);
 	if (set->front == NULL)
 		return true;
-	app->front = gyp_pf_front_new(app->core, flush, app);
+	app->front = gyp_pf_front_new(app->core, app->events, flush, app);
 	app->front_httpd = gyp_httpd_new(app->loop, app->timers,
 	    gyp_pf_front_callers(app->front), set->front, err);
 	if (app->front_httpd == NULL || set->readiness == NULL)
@@ -346,6 +349,7 @@
 	app->httpc = gyp_httpc_new(app->loop, app->timers);
 	app->exchanges = gyp_exchanges_new(app->httpc, on_exchange_done, app);
 	app->counters = gyp_counters_new();
+	app->events = gyp_events_new();
 	gyp_links_count_in(app->links, app->counters);
 	app->door = gyp_door_new(app->core, app->counters, flush, app);
 	app->httpd = gyp_httpd_new(app->loop, app->timers,
@@ -368,6 +372,7 @@
 	gyp_links_free(app->links);
 	gyp_entry_free(app->core);
 	gyp_counters_free(app->counters);
+	gyp_events_free(app->events);
 	gyp_timers_free(app->timers);
 	ev_loop_destroy(app->loop);
 }
--- a/src/log.c
+++ b/src/log.c
@@ -8,6 +8,7 @@
 
 #include <glib.h>
 
+#include "event.h"
 #include "log.h"
 
 /* Longest line, in bytes. */
@@ -148,3 +149,16 @@
 		log_dropped++;
 	}
 }
+
+void
+gyp_log_events(struct gyp_events *events)
+{
+	struct gyp_event e;
+
+	gyp_log_hold();
+	while (gyp_events_pop(events, &e)) {
+		gyp_log(GYP_LOG_INFO, e.name, "%s", e.fields);
+		g_free(e.fields);
+	}
+	gyp_log_release();
+}
--- a/src/log.h
+++ b/src/log.h
@@ -31,6 +31,11 @@
 void gyp_log(enum gyp_priority, const char *event, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 
+struct gyp_events;
+
+/* Writes and empties the queue of events, gathered. */
+void gyp_log_events(struct gyp_events *);
+
 /* Gathers lines from here on, and writes them; the two come in pairs. */
 void gyp_log_hold(void);
 void gyp_log_release(void);
--- a/src/replica.h
+++ b/src/replica.h
@@ -115,7 +115,7 @@
     struct gyp_replica *, uint64_t now, const struct gyp_fleet_answer *);
 
 /* Lines for the log; the caller releases the fields. */
-bool gyp_replica_pop_event(struct gyp_replica *, struct gyp_event *);
+struct gyp_events *gyp_replica_events(struct gyp_replica *);
 
 /* Where the leader listens, or NULL when it is not known. */
 const char *gyp_replica_leader_address(const struct gyp_replica *);
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -334,10 +334,10 @@
 	gyp_replica_settle(r);
 }
 
-bool
-gyp_replica_pop_event(struct gyp_replica *r, struct gyp_event *e)
+struct gyp_events *
+gyp_replica_events(struct gyp_replica *r)
 {
-	return gyp_events_pop(r->events, e);
+	return r->events;
 }
 
 const char *
