A long log is applied in parts; long turns of a loop are told

The new leader's lease of 160 ms ran out before anybody answered a heartbeat, and it stepped down 42 ms after it led. Test: /raft/long-log-is-applied-in-parts (3000 entries in one call before).

--- a/src/gyp.h
+++ b/src/gyp.h
@@ -70,5 +70,6 @@
 #include "settings.h"    /* INI files */
 #include "store.h"       /* records on a disk */
 #include "timer.h"       /* clock and subscriptions */
+#include "turns.h"       /* long turns of a loop */
 
 #endif
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -17,6 +17,7 @@
 #include "replica.h"
 #include "store.h"
 #include "timer.h"
+#include "turns.h"
 
 /* Interval of requests for membership, in ms. */
 #define JOIN_MS 500
@@ -65,6 +66,7 @@
 	struct gyp_pf_control *control;
 	struct gyp_httpd *control_httpd;
 	bool flushing;
+	bool goes_on; /* a tick is due at once, see go_on_if_unapplied() */
 	bool was_leader;
 	uint64_t rules_version; /* the last that was logged */
 	char *members;          /* likewise */
@@ -161,6 +163,27 @@
 	gyp_pf_control_collect(app->control);
 }
 
+static void
+on_go_on(void *arg, uint64_t now)
+{
+	struct app *app = arg;
+
+	app->goes_on = false;
+	gyp_replica_tick(app->replica, now);
+	flush(app);
+}
+
+/* Entries are left to apply: goes on after the sockets had their turn. */
+static void
+go_on_if_unapplied(struct app *app)
+{
+	if (app->goes_on ||
+	    !gyp_raft_has_unapplied(gyp_replica_raft(app->replica)))
+		return;
+	app->goes_on = true;
+	gyp_timer_once(app->timers, 0, on_go_on, app);
+}
+
 static void
 flush(struct app *app)
 {
@@ -187,6 +210,7 @@
 	note_role(app);
 	note_rules(app);
 	note_events(app);
+	go_on_if_unapplied(app);
 	app->flushing = false;
 }
 
@@ -534,6 +558,7 @@
 {
 	struct app app = {.set = set};
 	struct gyp_reload *reload = NULL;
+	struct gyp_turns *turns = NULL;
 	struct gyp_error err = {.code = GYP_OK};
 	ev_signal term, interrupt;
 
@@ -559,8 +584,11 @@
 		    "listen=%s id=%016" G_GINT64_MODIFIER "x", set->listen,
 		    gyp_store_id(app.store));
 		flush(&app);
+		turns =
+		    gyp_turns_new(app.loop, gyp_replica_counters(app.replica));
 		ev_run(app.loop, 0);
 	}
+	gyp_turns_free(turns);
 	gyp_reload_free(reload);
 	gyp_httpd_free(app.metrics);
 	gyp_httpd_free(app.control_httpd);
--- a/src/gyp_entry.c
+++ b/src/gyp_entry.c
@@ -19,6 +19,7 @@
 #include "program.h"
 #include "reload.h"
 #include "timer.h"
+#include "turns.h"
 
 /* Interval of the core's clock, in ms. */
 #define TICK_MS 20
@@ -396,6 +397,7 @@
 {
 	struct app app = {.set = set};
 	struct gyp_reload *reload;
+	struct gyp_turns *turns;
 	struct gyp_error err = {.code = GYP_OK};
 	ev_signal term, interrupt;
 
@@ -413,7 +415,9 @@
 	reload = gyp_reload_new(app.loop, app.timers, program->config,
 	    program->settings, program->n_settings, on_setting, &app);
 	gyp_log(GYP_LOG_NOTICE, "started", "listen=%s", set->listen);
+	turns = gyp_turns_new(app.loop, app.counters);
 	ev_run(app.loop, 0);
+	gyp_turns_free(turns);
 	ev_signal_stop(app.loop, &term);
 	ev_signal_stop(app.loop, &interrupt);
 	gyp_reload_free(reload);
--- a/src/raft.c
+++ b/src/raft.c
@@ -28,6 +28,8 @@
 		resume_commit(r);
 	}
 	r->now = MAX(r->now, now);
+	if (gyp_raft_has_unapplied(r))
+		gyp_raft_apply_committed(r);
 	if (r->role == GYP_RAFT_LEADER)
 		gyp_raft_tick_leader(r);
 	else if (r->now >= r->election_at)
@@ -299,6 +301,12 @@
 	return r->commit;
 }
 
+bool
+gyp_raft_has_unapplied(const struct gyp_raft *r)
+{
+	return r->applied < r->commit;
+}
+
 uint64_t
 gyp_raft_applied(const struct gyp_raft *r)
 {
--- a/src/raft.h
+++ b/src/raft.h
@@ -115,6 +115,15 @@
 /* True when no leader has spoken to it for four election timeouts. */
 bool gyp_raft_is_alone(const struct gyp_raft *);
 uint64_t gyp_raft_commit(const struct gyp_raft *);
+
+/*
+ * Load pattern answered: all replicas are back with a long log and learn at
+ * once that it is committed. A call applies so many entries at most, so that
+ * heartbeats go on; while some are left, tick again soon.
+ */
+#define GYP_RAFT_APPLY_MAX 256
+bool gyp_raft_has_unapplied(const struct gyp_raft *);
+
 uint64_t gyp_raft_applied(const struct gyp_raft *);
 uint64_t gyp_raft_last_index(const struct gyp_raft *);
 uint64_t gyp_raft_snapshot_index(const struct gyp_raft *);
--- a/src/raft_append.c
+++ b/src/raft_append.c
@@ -76,7 +76,9 @@
 void
 gyp_raft_apply_committed(struct gyp_raft *r)
 {
-	while (r->applied < r->commit) {
+	uint64_t end = MIN(r->commit, r->applied + GYP_RAFT_APPLY_MAX);
+
+	while (r->applied < end) {
 		const struct gyp_entry *e =
 		    gyp_raft_entry_at(r, r->applied + 1);
 
--- a/test/test_raft_rules.c
+++ b/test/test_raft_rules.c
@@ -19,6 +19,7 @@
 	uint64_t sent_to_3; /* entries sent to member 3 */
 	uint64_t appends_to_3;
 	uint64_t last_to_3; /* index of the last entry sent there */
+	uint64_t applied;
 };
 
 static void
@@ -44,8 +45,8 @@
 static void
 on_apply(struct gyp_raft_io *io, const struct gyp_entry *e)
 {
-	(void)io;
 	(void)e;
+	((struct node *)io)->applied++;
 }
 
 static void
@@ -373,6 +374,47 @@
 	gyp_raft_free(n.raft);
 }
 
+/*
+ * All replicas are back with a long log, and learn at once that all of it is
+ * committed: no call applies more than a part, so that heartbeats go on.
+ */
+static void
+test_long_log_is_applied_in_parts(void)
+{
+	struct node n;
+	struct gyp_record rec = {.type = GYP_RECORD_ENTRY,
+	    .term = 2,
+	    .kind = GYP__ENTRY_KIND__ENTRY_BATCH,
+	    .data = g_bytes_new_static("", 0)};
+	Gyp__RaftMsg m = GYP__RAFT_MSG__INIT;
+	uint64_t before;
+	int calls;
+
+	set_up(&n);
+	for (rec.index = 3; rec.index <= 3000; rec.index++)
+		gyp_raft_load(n.raft, &rec);
+	g_bytes_unref(rec.data);
+	m.type = GYP__RAFT_TYPE__RAFT_APPEND;
+	m.from = 3;
+	m.to = 1;
+	m.term = 3;
+	m.index = m.commit = 3000;
+	m.log_term = 2;
+	gyp_raft_step(n.raft, n.now, &m);
+	g_assert_cmpuint(gyp_raft_commit(n.raft), ==, 3000);
+	g_assert_cmpuint(n.applied, <=, GYP_RAFT_APPLY_MAX);
+	for (calls = 0; calls < 1000 && gyp_raft_has_unapplied(n.raft);
+	     calls++) {
+		before = n.applied;
+		n.now++;
+		gyp_raft_tick(n.raft, n.now);
+		g_assert_cmpuint(n.applied, >, before);
+		g_assert_cmpuint(n.applied - before, <=, GYP_RAFT_APPLY_MAX);
+	}
+	g_assert_cmpuint(gyp_raft_applied(n.raft), ==, 3000);
+	gyp_raft_free(n.raft);
+}
+
 /* A busy leader: a learner gets the entries with the heartbeats only. */
 static void
 test_learner_gets_many_at_a_time(void)
@@ -411,6 +453,8 @@
 	g_test_add_func(
 	    "/raft/learner-forgets-leader", test_learner_forgets_leader);
 	g_test_add_func("/raft/shared-votes", test_shared_votes);
+	g_test_add_func("/raft/long-log-is-applied-in-parts",
+	    test_long_log_is_applied_in_parts);
 	g_test_add_func(
 	    "/raft/leader-asks-to-return", test_leader_asks_to_return);
 	g_test_add_func("/raft/learner-gets-many-at-a-time",
