--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -4,68 +4,15 @@
 set -eu
 bin=$1
 page=$2
-dir=$(mktemp -d)
-pids=()
 repeats=2000
-
-stop_all() {
-	local pid
-	for pid in "${pids[@]}"; do
-		kill "$pid" 2>/dev/null || true
-	done
-	for pid in "${pids[@]}"; do
-		wait "$pid" 2>/dev/null || true
-	done
-	rm -rf "$dir"
-}
-trap stop_all EXIT
-
-fail() {
-	echo "capacity: $*" >&2
-	tail -n 20 "$dir"/*.log >&2
-	exit 1
-}
-
-# shellcheck source=test/ports.sh
-. "$(dirname "${BASH_SOURCE[0]}")/../test/ports.sh"
-cells=127.0.0.1:$((base + 1)),127.0.0.1:$((base + 2)),127.0.0.1:$((base + 3))
+name=capacity
+# shellcheck source=tools/small_cell.sh
+. "$(dirname "${BASH_SOURCE[0]}")/../tools/small_cell.sh"
 url=http://127.0.0.1:$((base + 11))
 
-start() {
-	local log=$1
-	shift
-	"$@" >"$dir/$log.log" 2>&1 &
-	pids+=($!)
-}
-
-for n in 1 2 3; do
-	cat >"$dir/cell$n.ini" <<INI
-[cell]
-listen = 127.0.0.1:$((base + n))
-join = $cells
-data_folder = $dir/cell$n
-data_centre = dc-$n
-name = cell-$n
-INI
-	init=
-	[ "$n" -eq 1 ] && init=--init
-	start "cell$n" "$bin/gyp-cell" --config "$dir/cell$n.ini" $init
-done
-cat >"$dir/entry.ini" <<INI
-[entry]
-listen = 127.0.0.1:$((base + 11))
-cells = $cells
-data_centre = dc-1
-name = entry-1
-INI
-start entry "$bin/gyp-entry" --config "$dir/entry.ini"
-
-voters='"voter":true.*"voter":true.*"voter":true'
-for i in $(seq 1 300); do
-	curl -s --max-time 5 "$url/v1/admin/members" | grep -q "$voters" && break
-	[ "$i" -eq 300 ] && fail "no cell of three voters"
-	sleep 0.1
-done
+start_cells
+start_entry 1
+wait_for "$url/v1/admin/members" '"voter":true.*"voter":true.*"voter":true'
 
 # spent PID: processor time so far, in microseconds.
 spent() {
--- a/src/policy_int.h
+++ b/src/policy_int.h
@@ -16,6 +16,7 @@
  *	policy_score.c	scores
  *	policy_gang.c	all or nothing, and reservations
  *	policy_preempt.c room for urgent work
+ *	policy_blame.c	endpoints that fail, into quarantine and back
  *	policy_explain.c reasons
  */
 
@@ -193,6 +194,9 @@
 void policy_undo(struct round *, const struct gyp_job *, guint len);
 void policy_refuse(struct gyp_policy *, uint64_t job, char *reason);
 
+/* policy_blame.c: puts failing endpoints into quarantine, and out of it. */
+void blame_endpoints(struct round *);
+
 /* policy_gang.c */
 enum fit gang_try(struct round *, struct lane *, const struct gyp_job *);
 void gang_try_reserved(struct round *);
--- a/test/raft_net.h
+++ b/test/raft_net.h
@@ -85,6 +85,10 @@
 struct node *net_settled_leader(struct net *net);
 void net_init(struct net *net, guint32 seed);
 void net_clear(struct net *net);
+/* raft_net_check.c: what must hold of a new leader, a running replica, all
+ * logs. */
+void net_check_leader(struct net *net, const struct node *n);
+void net_check_node(struct net *net, const struct node *n);
 void net_check_logs(struct net *net);
 void net_thaw(struct net *net, struct node *n);
 const Gyp__Member *net_member(const Gyp__Config *c, uint64_t id);
--- /dev/null
+++ b/test/raft_net_check.c
@@ -0,0 +1,107 @@
+#include "raft_int.h"
+#include "raft_net.h"
+
+/* One leader a term, and it holds all that earlier terms committed. */
+void
+net_check_leader(struct net *net, const struct node *n)
+{
+	uint64_t term = gyp_raft_term(n->raft), i;
+	const uint64_t *known = g_hash_table_lookup(net->leaders, &term);
+
+	net->max_term = MAX(net->max_term, term);
+	if (gyp_raft_role(n->raft) != GYP_RAFT_LEADER)
+		return;
+	if (known != NULL) {
+		g_assert_cmpuint(*known, ==, n->id);
+		return;
+	}
+	g_hash_table_insert(net->leaders, g_memdup2(&term, sizeof(term)),
+	    g_memdup2(&n->id, sizeof(n->id)));
+	for (i = gyp_raft_snapshot_index(n->raft) + 1; i < net->truth->len;
+	     i++) {
+		const struct truth *t =
+		    &g_array_index(net->truth, struct truth, i);
+
+		if (t->committed < term)
+			g_assert_cmpuint(
+			    gyp_raft_entry_term(n->raft, i), ==, t->term);
+	}
+}
+
+/*
+ * A leader that trusts its lease may answer reads by itself, so nobody else
+ * may lead a later term. One that hands over answers none.
+ */
+static void
+check_lease(struct net *net, const struct node *n)
+{
+	int i;
+
+	if (!gyp_raft_has_lease(n->raft, net->now) || n->raft->successor != 0)
+		return;
+	for (i = 0; i < NET_SLOTS; i++) {
+		const struct node *other = &net->nodes[i];
+
+		if (other->raft != NULL &&
+		    gyp_raft_role(other->raft) == GYP_RAFT_LEADER)
+			g_assert_cmpuint(gyp_raft_term(other->raft), <=,
+			    gyp_raft_term(n->raft));
+	}
+}
+
+/* A configuration that is not pending is a committed one. */
+static void
+check_config(struct net *net, const struct node *n)
+{
+	const Gyp__Config *c = gyp_raft_members(n->raft);
+	GBytes *packed;
+
+	if (gyp_raft_changing(n->raft) || c->n_members == 0)
+		return;
+	packed = gyp_message_pack(&c->base);
+	g_assert_true(g_hash_table_contains(
+	    net->configs, GUINT_TO_POINTER(g_bytes_hash(packed))));
+	g_bytes_unref(packed);
+}
+
+/* Equal terms at an index mean equal logs up to it. */
+static void
+check_matching(const struct gyp_raft *a, const struct gyp_raft *b)
+{
+	uint64_t first =
+	    MAX(gyp_raft_snapshot_index(a), gyp_raft_snapshot_index(b)) + 1;
+	uint64_t i = MIN(gyp_raft_last_index(a), gyp_raft_last_index(b));
+	bool same = false;
+
+	for (; i >= first; i--) {
+		bool equal =
+		    gyp_raft_entry_term(a, i) == gyp_raft_entry_term(b, i);
+
+		g_assert_true(equal || !same);
+		same = same || equal;
+	}
+}
+
+void
+net_check_logs(struct net *net)
+{
+	int i, k;
+
+	for (i = 0; i < NET_SLOTS; i++) {
+		if (net->nodes[i].raft != NULL)
+			check_config(net, &net->nodes[i]);
+		for (k = 0; k < i; k++) {
+			if (net->nodes[i].raft != NULL &&
+			    net->nodes[k].raft != NULL)
+				check_matching(
+				    net->nodes[i].raft, net->nodes[k].raft);
+		}
+	}
+}
+
+void
+net_check_node(struct net *net, const struct node *n)
+{
+	net_check_leader(net, n);
+	check_lease(net, n);
+}
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -3,62 +3,14 @@
 # booking and one all-at-once job, prints the whole answers and stops it all.
 set -eu
 bin=$1
-dir=$(mktemp -d)
-pids=()
-
-stop_all() {
-	local pid
-	for pid in "${pids[@]}"; do
-		kill "$pid" 2>/dev/null || true
-	done
-	for pid in "${pids[@]}"; do
-		wait "$pid" 2>/dev/null || true
-	done
-	rm -rf "$dir"
-}
-trap stop_all EXIT
-
-fail() {
-	echo "demo: $*" >&2
-	tail -n 20 "$dir"/*.log >&2
-	exit 1
-}
-
-# shellcheck source=test/ports.sh
-. "$(dirname "${BASH_SOURCE[0]}")/../test/ports.sh"
-cells=127.0.0.1:$((base + 1)),127.0.0.1:$((base + 2)),127.0.0.1:$((base + 3))
+name=demo
+# shellcheck source=tools/small_cell.sh
+. "$(dirname "${BASH_SOURCE[0]}")/small_cell.sh"
 entries=127.0.0.1:$((base + 11)),127.0.0.1:$((base + 12))
 
-start() {
-	local log=$1
-	shift
-	"$@" >"$dir/$log.log" 2>&1 &
-	pids+=($!)
-}
-
-for n in 1 2 3; do
-	cat >"$dir/cell$n.ini" <<INI
-[cell]
-listen = 127.0.0.1:$((base + n))
-join = $cells
-data_folder = $dir/cell$n
-data_centre = dc-$n
-name = cell-$n
-INI
-	init=
-	[ "$n" -eq 1 ] && init=--init
-	start "cell$n" "$bin/gyp-cell" --config "$dir/cell$n.ini" $init
-done
-for n in 1 2; do
-	cat >"$dir/entry$n.ini" <<INI
-[entry]
-listen = 127.0.0.1:$((base + 10 + n))
-cells = $cells
-data_centre = dc-$n
-name = entry-$n
-INI
-	start "entry$n" "$bin/gyp-entry" --config "$dir/entry$n.ini"
-done
+start_cells
+start_entry 1
+start_entry 2
 for n in 1 2 3 4; do
 	start "endpoint$n" "$bin/gyp-endpoint" --name "vm-$n" \
 	    --listen 127.0.0.1:$((base + 20 + n)) --entries "$entries" \
@@ -68,18 +20,6 @@
 url1=http://127.0.0.1:$((base + 11))
 url2=http://127.0.0.1:$((base + 12))
 
-# wait_for URL PATTERN: polls until the answer matches.
-wait_for() {
-	local i
-	for i in $(seq 1 300); do
-		if curl -s --max-time 5 "$1" | grep -q "$2"; then
-			return 0
-		fi
-		sleep 0.1
-	done
-	fail "no $2 at $1"
-}
-
 wait_for "$url1/v1/admin/status" '"endpoints":4'
 wait_for "$url2/v1/admin/status" '"endpoints":4'
 voters='"voter":true.*"voter":true.*"voter":true'
