--- a/src/counters.h
+++ b/src/counters.h
@@ -24,8 +24,7 @@
  *	gyp_refused_total{reason}		requests refused at the door
  *	gyp_link_bytes_total{link,direction}	frames, with their lengths
  *	gyp_messages_total{link,direction}
- *	gyp_slow_turn_seconds			histogram: long turns of the
- *loop
+ *	gyp_slow_turn_seconds			histogram: long turns
  */
 
 /* Most different counters kept; those beyond it are all counted in one. */
