--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -278,6 +278,20 @@
 	    (double)worst[1] / NET_ELECTION_MS);
 }
 
+/* Kills all at once, and starts all but one again. */
+static void
+restart_all(struct net *net, const struct node *except)
+{
+	int i;
+
+	for (i = 0; i < NET_SLOTS; i++)
+		net_stop(&net->nodes[i]);
+	for (i = 0; i < NET_SLOTS; i++) {
+		if (&net->nodes[i] != except)
+			net_start(&net->nodes[i]);
+	}
+}
+
 /*
  * All are killed at once and are back at once: there is a leader soon, the
  * former one unless its disk lacks what others have synced.
@@ -291,12 +305,8 @@
 	for (seed = 1; seed <= 20; seed++) {
 		struct net net;
 		struct node *leader = net_settle(&net, seed);
-		int i;
 
-		for (i = 0; i < NET_SLOTS; i++)
-			net_stop(&net.nodes[i]);
-		for (i = 0; i < NET_SLOTS; i++)
-			net_start(&net.nodes[i]);
+		restart_all(&net, NULL);
 		g_assert_cmpuint(
 		    time_without_leader(&net, NULL), <, NET_ELECTION_MS);
 		returned += net_settled_leader(&net) == leader;
@@ -314,14 +324,8 @@
 	for (seed = 1; seed <= 20; seed++) {
 		struct net net;
 		struct node *leader = net_settle(&net, seed);
-		int i;
 
-		for (i = 0; i < NET_SLOTS; i++)
-			net_stop(&net.nodes[i]);
-		for (i = 0; i < NET_SLOTS; i++) {
-			if (&net.nodes[i] != leader)
-				net_start(&net.nodes[i]);
-		}
+		restart_all(&net, leader);
 		g_assert_cmpuint(
 		    time_without_leader(&net, leader), <, 4 * NET_ELECTION_MS);
 		net_clear(&net);
