No call grants more than a whole lease from now

Traced: after a rebirth the leader takes the end of the endpoint's lease to be up to a lease and twelve seconds ahead, since late calls of before may grant one. While the endpoint was silent that bound, clock 35142 at clock 16498, went out as the lease in looks. One was carried out ten seconds late, at clock 26111, and granted a whole lease; the next leader, which waits a whole lease from its start, gave the run up and began another elsewhere. Change: in doubt a call grants what was granted before, but a lease from now at the most.

--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -69,7 +69,11 @@
 	p->run = run->run;
 }
 
-/* Extends the lease only of an endpoint that answers. */
+/*
+ * Extends the lease only of an endpoint that answers. What is known of its end
+ * may lie far ahead, see gyp_peer_read_clock(), but no call grants more than a
+ * whole lease from now: a next leader counts on that.
+ */
 static uint64_t
 extend_lease(struct gyp_fleet *f, struct gyp_peer *peer)
 {
@@ -78,10 +82,10 @@
 
 	if (peer->clock_at == 0 || !peer->met)
 		return 0;
-	if (peer->failures > 0)
-		return peer->until_ms;
 	until = peer->clock_ms + elapsed - elapsed / GYP_CLOCK_SLOW +
 		f->cfg.lease_ms;
+	if (peer->failures > 0)
+		return MIN(peer->until_ms, until);
 	peer->until_ms = MAX(peer->until_ms, until);
 	return until;
 }
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -313,6 +313,8 @@
     695336016, 1050758850,
     /* a late call with an earlier life's clock, and a new leader */
     2336330427, 3366270582, 3681171080, 1510894980,
+    /* a lease longer than usual, granted while a reborn endpoint was silent */
+    2946799434,
     /* an answer that its endpoint did not live to send, in the simulation */
     3451910720};
 
--- a/test/test_lives.c
+++ b/test/test_lives.c
@@ -107,6 +107,35 @@
 	flow_world_clear(&f.w);
 }
 
+/*
+ * After a rebirth the leader reckons with leases that late calls of before may
+ * grant. It must not grant as much itself: carried out late, such a call would
+ * outlast what the next leader waits, and a task ran twice.
+ */
+static void
+test_no_longer_lease_in_doubt(void)
+{
+	struct fixture f;
+	struct flow_world_row up = {FLOW, 1, 1, 0, 0};
+	struct gyp_fleet_call *start, *call;
+	int i;
+
+	set_up(&f);
+	flow_world_start(&f.w, FLOW, 0, 0, 1, f.a);
+	start = next_call(&f, GYP_FLEET_START);
+	gyp_fleet_beat(f.w.fleet, f.w.now, f.a, 2, f.w.now);
+	f.a = flow_world_host(&f.w, "a", 2);
+	flow_world_answer(&f.w, start, GYP_FLEET_OK);
+	call = next_call(&f, GYP_FLEET_LOOK);
+	flow_world_lists(&f.w, call, 2, &up, 1, NULL, 0);
+	for (i = 0; i < 3; i++) {
+		call = next_call(&f, GYP_FLEET_LOOK);
+		g_assert_cmpuint(call->until_ms, <=, f.w.now + WORLD_LEASE_MS);
+		flow_world_answer(&f.w, call, GYP_FLEET_LOST);
+	}
+	flow_world_clear(&f.w);
+}
+
 /* A new life may have less room: nothing goes there before it tells. */
 static void
 test_unknown_capacity(void)
@@ -180,6 +209,8 @@
 	g_test_add_func("/lives/stop-is-repeated", test_stop_is_repeated);
 	g_test_add_func(
 	    "/lives/clock-of-an-earlier-life", test_clock_of_an_earlier_life);
+	g_test_add_func(
+	    "/lives/no-longer-lease-in-doubt", test_no_longer_lease_in_doubt);
 	g_test_add_func("/lives/unknown-capacity", test_unknown_capacity);
 	g_test_add_func("/lives/next-leader-waits", test_next_leader_waits);
 	g_test_add_func(
