Tasks that need accelerators go together, the fullest endpoint first

Cause: rooms were ordered by free processors alone and a unit's tasks were dealt out in turn, so that tasks of one accelerator lay on all endpoints and left no two, four or eight together; gangs of which half need whole endpoints waited for chance. Change: a unit that needs accelerators takes the endpoint with the fewest left and fills it before the next; others spread as before.

--- a/src/placer.c
+++ b/src/placer.c
@@ -204,13 +204,16 @@
 		    &g_array_index(fits, struct gyp_fit, *at % fits->len);
 		const struct gyp_room *room = gyp_rooms_at(p->rooms, fit->row);
 
-		*at += 1;
+		if (fit->count == 0 || !gyp_candidate_packs(c))
+			*at += 1;
 		if (fit->count == 0)
 			continue;
 		if (avoids && (gyp_track_failed_at(
 				   p->track, c->flow->id, task, fit->row) ||
-				  (last && room->word != GYP_TRACK_GOOD)))
+				  (last && room->word != GYP_TRACK_GOOD))) {
+			*at += gyp_candidate_packs(c);
 			continue;
+		}
 		return fit;
 	}
 	return NULL;
--- a/src/rooms.c
+++ b/src/rooms.c
@@ -186,11 +186,28 @@
 	return (uint32_t)n;
 }
 
+bool
+gyp_candidate_packs(const struct gyp_candidate *c)
+{
+	return c->unit->size.accel > 0;
+}
+
+/* From 0 to 1: where accelerators are free, or where processors are. */
+static double
+score_room(const struct gyp_room *room, const struct gyp_candidate *c)
+{
+	double total = room->host->capacity.cpu_milli + 1;
+
+	if (gyp_candidate_packs(c))
+		return 1 - (double)room->left.accel /
+			       (room->host->capacity.accel + 1);
+	return room->left.cpu_milli / total;
+}
+
 double
 gyp_room_score(const struct gyp_room *room, const struct gyp_candidate *c)
 {
-	double total = room->host->capacity.cpu_milli + 1;
-	double score = room->left.cpu_milli / total;
+	double score = score_room(room, c);
 	const Gyp__FlowStep *step = c->unit->step;
 
 	if (step->data_rack[0] != '\0' &&
--- a/src/rooms.h
+++ b/src/rooms.h
@@ -66,6 +66,14 @@
 /* True when an empty endpoint like this one could take tasks of the unit. */
 bool gyp_room_suits(const struct gyp_room *, const struct gyp_candidate *);
 
+/*
+ * True when the unit's tasks go together on few endpoints, the fullest first.
+ * Load pattern answered: tasks of one accelerator beside gangs of which each
+ * task needs two, four or all eight of an endpoint: spread over all endpoints,
+ * the small ones leave room for none of the large.
+ */
+bool gyp_candidate_packs(const struct gyp_candidate *);
+
 /* How many more tasks of the unit the endpoint can take; it must suit. */
 uint32_t gyp_room_count(const struct gyp_room *, const struct gyp_candidate *);
 
--- a/test/flow_world.c
+++ b/test/flow_world.c
@@ -78,6 +78,7 @@
 
 	capacity.cpu_milli = 10000;
 	capacity.memory = 10 * GIBIBYTE;
+	capacity.accel = 8;
 	host.id = (char *)id;
 	host.born_ms = born_ms;
 	host.address = "127.0.0.1:1";
--- a/test/flow_world.h
+++ b/test/flow_world.h
@@ -29,7 +29,7 @@
 /* A new leader: its fleet knows the tables only. */
 void flow_world_lead(struct flow_world *, uint64_t fence);
 
-/* An endpoint of 10 processors and 10 GiB; returns its row. */
+/* An endpoint of 10 processors, 10 GiB, 8 accelerators; returns its row. */
 uint32_t flow_world_host(struct flow_world *, const char *id, uint64_t born_ms);
 
 /* A step of tasks of one processor and 1 GiB. */
