Room is kept for gangs and bursts, and less urgent runs stop for it

Cause: a gang or burst before a full service waited until chance freed its places; each place that freed went to the next small task of any priority. Ruled out: ordering (urgent work came first already; there was nothing to give it). Tests: burst-on-full-service, who-never-yields, gang-on-full-pool in test_unlike.

--- a/src/flow_lead.c
+++ b/src/flow_lead.c
@@ -429,6 +429,23 @@
 	    waiting, g_hash_table_size(lead->lanes), free);
 }
 
+/* Runs that end for more urgent work, as the placer decided. */
+static void
+stop_preempted(struct gyp_flow_lead *lead)
+{
+	struct gyp_preempt_stop stop;
+
+	while (gyp_placer_pop_stop(lead->placer, &stop)) {
+		gyp_events_add(lead->events, "preempted",
+		    "flow=%016" G_GINT64_MODIFIER
+		    "x task=%u endpoint=%s for=%016" G_GINT64_MODIFIER
+		    "x lost_ms=%" G_GUINT64_FORMAT,
+		    stop.flow, stop.task, endpoint_name(lead, stop.row),
+		    stop.for_flow, stop.lost_ms);
+		gyp_fleet_stop_run(lead->fleet, stop.flow, stop.task);
+	}
+}
+
 static void
 decide_round(struct gyp_flow_lead *lead, uint64_t wall_ms)
 {
@@ -446,6 +463,7 @@
 	for (i = 0; i < cmds->len; i++)
 		g_queue_push_tail(&lead->cmds, cmds->pdata[i]);
 	send_asks(lead, asks);
+	stop_preempted(lead);
 	g_ptr_array_free(cmds, TRUE);
 	g_ptr_array_free(asks, TRUE);
 }
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -35,12 +35,14 @@
 #include "leases.h"     /* who may still be running */
 #include "placer.h"     /* which of their tasks goes where */
 #include "policy.h"     /* which task goes where */
+#include "preempt.h"    /* whose run ends for more urgent work */
 #include "question.h"   /* whom to ask the policy service about */
 #include "raft.h"       /* replicated log */
 #include "record.h"     /* what goes to the disk */
 #include "rendezvous.h" /* which of several looks after a thing */
 #include "replay.h"     /* a trace through tables and policy */
 #include "replica.h"    /* log, tables and decisions together */
+#include "reserve.h"    /* room kept for what finds none now */
 #include "rooms.h"      /* what endpoints have left during a round */
 #include "rules.h"      /* what operators ask for, one line each */
 #include "running.h"    /* what endpoints say that they run */
--- a/src/placer.c
+++ b/src/placer.c
@@ -4,10 +4,14 @@
 #include "msg.h"
 #include "placer.h"
 #include "question.h"
+#include "reserve.h"
 
 /* Most runs proposed in one round. */
 #define RUNS_MAX 256
 
+/* Most units for which room is kept in one round. */
+#define RESERVES_MAX 64
+
 /* A question that takes longer leaves one lane in so many free. */
 #define SLOW_QUESTION_MS 100
 #define KEPT_DIVISOR     5
@@ -17,11 +21,14 @@
 	struct gyp_fleet *fleet;
 	struct gyp_admission *admission;
 	const struct gyp_track *track;
+	struct gyp_preempt *preempt;
 	struct gyp_rooms *rooms; /* of this round */
 	GArray *units;           /* struct gyp_candidate, of this round */
 	GPtrArray *runs;         /* Gyp__FlowRun being collected */
 	uint64_t now;
 	uint32_t budget;
+	uint32_t reserves;
+	uint32_t least_urgent; /* priority of the least urgent active flow */
 };
 
 /* ---- Candidates --------------------------------------------------------- */
@@ -59,11 +66,14 @@
 	uint32_t i;
 
 	g_array_set_size(p->units, 0);
+	p->least_urgent = 0;
 	for (l = gyp_flows_active(p->flows)->head; l != NULL; l = l->next) {
 		struct gyp_flow *flow = l->data;
 
 		if (!gyp_flow_is_alive(flow))
 			continue;
+		p->least_urgent =
+		    MAX(p->least_urgent, flow->spec->queue->priority);
 		for (i = 0; i < flow->n_units; i++) {
 			struct gyp_candidate c = {flow, &flow->units[i]};
 
@@ -255,6 +265,30 @@
 
 /* ---- Round -------------------------------------------------------------- */
 
+static void
+begin_round(struct gyp_placer *p)
+{
+	uint32_t row;
+
+	gyp_rooms_measure(p->rooms, p->flows, p->fleet, p->track, p->now);
+	gyp_preempt_begin(p->preempt, p->now);
+	for (row = 0; row < gyp_rooms_size(p->rooms); row++)
+		gyp_rooms_at(p->rooms, row)->coming =
+		    gyp_preempt_coming(p->preempt, row);
+}
+
+/* Room for tasks that found none. */
+static void
+keep_room(struct gyp_placer *p, const struct gyp_candidate *c, uint32_t waiting)
+{
+	bool preempts = c->flow->spec->queue->priority < p->least_urgent;
+
+	if (p->reserves >= RESERVES_MAX || (!preempts && !c->unit->step->gang))
+		return;
+	p->reserves++;
+	gyp_reserve(p->rooms, p->preempt, p->admission, c, waiting, preempts);
+}
+
 /* Slow questions leave a part of the lanes to quick ones. */
 static uint32_t
 lanes_for(const struct gyp_candidate *c, uint32_t lanes, uint32_t all_lanes)
@@ -274,10 +308,11 @@
 
 	p->now = now;
 	p->budget = RUNS_MAX;
+	p->reserves = 0;
 	find_candidates(p, wall_ms);
 	if (p->units->len == 0)
 		return;
-	gyp_rooms_measure(p->rooms, p->flows, p->fleet, p->track, p->now);
+	begin_round(p);
 	for (i = 0; i < p->units->len && p->budget > 0; i++) {
 		const struct gyp_candidate *c =
 		    &g_array_index(p->units, struct gyp_candidate, i);
@@ -290,9 +325,17 @@
 			    p->admission, p->rooms, c, waiting, p->now);
 		if (ask != NULL)
 			g_ptr_array_add(asks, ask);
+		if (waiting > 0)
+			keep_room(p, c, waiting);
 	}
 }
 
+bool
+gyp_placer_pop_stop(struct gyp_placer *p, struct gyp_preempt_stop *stop)
+{
+	return gyp_preempt_pop(p->preempt, stop);
+}
+
 uint64_t
 gyp_placer_compared(const struct gyp_placer *p)
 {
@@ -309,6 +352,7 @@
 	p->fleet = fleet;
 	p->admission = admission;
 	p->track = track;
+	p->preempt = gyp_preempt_new(flows, fleet);
 	p->rooms = gyp_rooms_new();
 	p->units = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
 	p->runs = g_ptr_array_new_with_free_func(g_free);
@@ -320,6 +364,7 @@
 {
 	if (p == NULL)
 		return;
+	gyp_preempt_free(p->preempt);
 	gyp_rooms_free(p->rooms);
 	g_array_free(p->units, TRUE);
 	g_ptr_array_free(p->runs, TRUE);
--- a/src/placer.h
+++ b/src/placer.h
@@ -9,6 +9,7 @@
 #include "admission.h"
 #include "fleet.h"
 #include "flow.h"
+#include "preempt.h"
 #include "track.h"
 
 /*
@@ -22,7 +23,8 @@
  *	a slow admission service (questions in the same order as the work, one
  *	a unit at a time, naming the endpoints with the most room); endpoints
  *	that fail or turned slow (see track: none, one or few runs there, and
- *	no task again where it failed).
+ *	no task again where it failed). What finds no room now has room kept
+ *	for it, see reserve, and less urgent runs stopped, see preempt.
  *
  *	A round reads the tables, the fleet and the admissions, and returns
  *	commands and questions. It changes none of the tables; what a round
@@ -43,6 +45,9 @@
 void gyp_placer_round(struct gyp_placer *, uint64_t now, uint64_t wall_ms,
     uint32_t lanes, uint32_t all_lanes, GPtrArray *cmds, GPtrArray *asks);
 
+/* Takes the next run that is to be stopped for more urgent work. */
+bool gyp_placer_pop_stop(struct gyp_placer *, struct gyp_preempt_stop *);
+
 /* How often the latest round compared a unit with an endpoint. */
 uint64_t gyp_placer_compared(const struct gyp_placer *);
 
--- /dev/null
+++ b/src/preempt.c
@@ -0,0 +1,311 @@
+#include <string.h>
+
+#include "preempt.h"
+
+/* Work without checkpoints yields while it has run for less, in ms. */
+#define LOST_MAX_MS 300
+
+/* A run that has done more than this is about to end, in percent. */
+#define NEARLY_DONE_PERCENT 80
+
+/* Runs being stopped: at most one for so many endpoints, but this many. */
+#define ENDPOINTS_A_STOP 2
+#define STOPS_MIN        8
+
+/* A run of an endpoint that could be stopped. */
+struct victim {
+	struct gyp_flow_item key;
+	struct gyp_res size;
+	uint32_t run;
+	uint64_t lost_ms;
+	bool spared; /* the others are enough */
+};
+
+/* A run that is being stopped. */
+struct stopping {
+	struct gyp_flow_item key;
+	uint32_t run;
+	uint32_t row;
+	struct gyp_res size;
+};
+
+/* What an endpoint's runs would yield, as worked out in this round. */
+struct yield {
+	bool known;
+	uint32_t priority;
+	struct gyp_res res;
+};
+
+struct gyp_preempt {
+	const struct gyp_flows *flows;
+	const struct gyp_fleet *fleet;
+	uint64_t now;
+	GHashTable *stopping; /* key -> struct stopping */
+	GArray *coming;       /* struct gyp_res by row */
+	GArray *yields;       /* struct yield by row */
+	GArray *victims;      /* struct victim, of one endpoint */
+	GQueue stops;         /* struct gyp_preempt_stop */
+};
+
+/* ---- What is being stopped ---------------------------------------------- */
+
+static bool
+has_ended(const struct gyp_preempt *p, const struct stopping *s)
+{
+	const struct gyp_flow *flow = gyp_flow_get(p->flows, s->key.flow);
+	const struct gyp_flow_task *t;
+
+	if (flow == NULL)
+		return true;
+	t = &flow->tasks[s->key.index];
+	return t->state != GYP_FLOW_TASK_OPEN || t->run != s->run;
+}
+
+static void
+add_coming(struct gyp_preempt *p, uint32_t row, const struct gyp_res *size)
+{
+	if (row < p->coming->len)
+		gyp_res_add(
+		    &g_array_index(p->coming, struct gyp_res, row), size);
+}
+
+void
+gyp_preempt_begin(struct gyp_preempt *p, uint64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	p->now = now;
+	g_array_set_size(p->yields, 0);
+	g_array_set_size(p->yields, gyp_hosts_size(p->flows));
+	g_array_set_size(p->coming, 0);
+	g_array_set_size(p->coming, gyp_hosts_size(p->flows));
+	g_hash_table_iter_init(&iter, p->stopping);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct stopping *s = value;
+
+		if (has_ended(p, s))
+			g_hash_table_iter_remove(&iter);
+		else
+			add_coming(p, s->row, &s->size);
+	}
+}
+
+struct gyp_res
+gyp_preempt_coming(const struct gyp_preempt *p, uint32_t row)
+{
+	struct gyp_res none = {0, 0, 0, 0};
+
+	if (row >= p->coming->len)
+		return none;
+	return g_array_index(p->coming, struct gyp_res, row);
+}
+
+static guint
+stops_max(const struct gyp_preempt *p)
+{
+	return MAX(STOPS_MIN, gyp_hosts_size(p->flows) / ENDPOINTS_A_STOP);
+}
+
+/* ---- What could be stopped ---------------------------------------------- */
+
+/* False when the run must not yield to that priority. */
+static bool
+describe(const struct gyp_preempt *p, const struct gyp_host_run *r,
+    uint32_t priority, struct victim *v)
+{
+	const struct gyp_flow_unit *u = gyp_flow_unit_of(r->flow, r->task);
+	const struct gyp_run_view *view;
+	uint64_t up_ms;
+
+	if (r->flow->spec->queue->priority <= priority || u->step->lasting ||
+	    u->step->gang || gyp_flow_run_is_unwanted(r->flow, r->task))
+		return false;
+	v->key.flow = r->flow->id;
+	v->key.index = r->task;
+	view = gyp_fleet_view(p->fleet, r->flow->id, r->task);
+	if (view == NULL || !view->up || view->percent > NEARLY_DONE_PERCENT ||
+	    g_hash_table_contains(p->stopping, &v->key))
+		return false;
+	up_ms = p->now - MIN(p->now, view->up_at);
+	v->lost_ms = u->step->checkpoints ? 0 : up_ms;
+	v->size = u->size;
+	v->run = r->flow->tasks[r->task].run;
+	v->spared = false;
+	return v->lost_ms < LOST_MAX_MS;
+}
+
+static void
+find_victims(struct gyp_preempt *p, uint32_t row, uint32_t priority)
+{
+	const struct gyp_host *h = gyp_host_at(p->flows, row);
+	guint i;
+
+	g_array_set_size(p->victims, 0);
+	for (i = 0; h != NULL && i < h->runs->len; i++) {
+		struct victim v;
+
+		if (describe(p, &g_array_index(h->runs, struct gyp_host_run, i),
+			priority, &v))
+			g_array_append_val(p->victims, v);
+	}
+}
+
+struct gyp_res
+gyp_preempt_yield(struct gyp_preempt *p, uint32_t row, uint32_t priority)
+{
+	struct gyp_res none = {0, 0, 0, 0};
+	struct yield *y;
+	guint i;
+
+	if (row >= p->yields->len)
+		return none;
+	y = &g_array_index(p->yields, struct yield, row);
+	if (y->known && y->priority == priority)
+		return y->res;
+	y->known = true;
+	y->priority = priority;
+	y->res = none;
+	find_victims(p, row, priority);
+	for (i = 0; i < p->victims->len; i++)
+		gyp_res_add(
+		    &y->res, &g_array_index(p->victims, struct victim, i).size);
+	return y->res;
+}
+
+/* ---- Choice -------------------------------------------------------------- */
+
+/* The least work lost first; of equals the smallest, then by name. */
+static gint
+by_loss(gconstpointer a, gconstpointer b)
+{
+	const struct victim *x = a, *y = b;
+	uint64_t lost_x = x->lost_ms * x->size.cpu_milli;
+	uint64_t lost_y = y->lost_ms * y->size.cpu_milli;
+
+	if (lost_x != lost_y)
+		return lost_x < lost_y ? -1 : 1;
+	if (x->size.cpu_milli != y->size.cpu_milli)
+		return x->size.cpu_milli < y->size.cpu_milli ? -1 : 1;
+	if (x->key.flow != y->key.flow)
+		return x->key.flow < y->key.flow ? -1 : 1;
+	return x->key.index < y->key.index ? -1 : 1;
+}
+
+/*
+ * Spares all but the first victims that are enough, and of these each that the
+ * others are enough without; false when all are too few.
+ */
+static bool
+spare_others(struct gyp_preempt *p, const struct gyp_res *need)
+{
+	struct gyp_res sum = {0, 0, 0, 0};
+	guint i, n;
+
+	for (n = 0; n < p->victims->len && !gyp_res_fits(need, &sum); n++)
+		gyp_res_add(
+		    &sum, &g_array_index(p->victims, struct victim, n).size);
+	if (!gyp_res_fits(need, &sum))
+		return false;
+	g_array_set_size(p->victims, n);
+	for (i = n; i-- > 0;) {
+		struct victim *v = &g_array_index(p->victims, struct victim, i);
+		struct gyp_res without = sum;
+
+		gyp_res_sub(&without, &v->size);
+		v->spared = gyp_res_fits(need, &without);
+		if (v->spared)
+			sum = without;
+	}
+	return true;
+}
+
+static void
+stop_victim(struct gyp_preempt *p, const struct victim *v, uint32_t row,
+    uint64_t for_flow)
+{
+	struct stopping *s = g_new0(struct stopping, 1);
+	struct gyp_preempt_stop *stop = g_new0(struct gyp_preempt_stop, 1);
+
+	s->key = v->key;
+	s->run = v->run;
+	s->row = row;
+	s->size = v->size;
+	g_hash_table_insert(p->stopping, &s->key, s);
+	add_coming(p, row, &v->size);
+	g_array_index(p->yields, struct yield, row).known = false;
+	stop->flow = v->key.flow;
+	stop->task = v->key.index;
+	stop->row = row;
+	stop->for_flow = for_flow;
+	stop->lost_ms = v->lost_ms;
+	g_queue_push_tail(&p->stops, stop);
+}
+
+bool
+gyp_preempt_pick(struct gyp_preempt *p, uint32_t row, uint32_t priority,
+    const struct gyp_res *need, uint64_t for_flow, struct gyp_res *freed)
+{
+	guint i;
+
+	memset(freed, 0, sizeof(*freed));
+	if (row >= p->yields->len ||
+	    g_hash_table_size(p->stopping) >= stops_max(p))
+		return false;
+	find_victims(p, row, priority);
+	g_array_sort(p->victims, by_loss);
+	if (!spare_others(p, need))
+		return false;
+	for (i = 0; i < p->victims->len; i++) {
+		const struct victim *v =
+		    &g_array_index(p->victims, struct victim, i);
+
+		if (v->spared)
+			continue;
+		stop_victim(p, v, row, for_flow);
+		gyp_res_add(freed, &v->size);
+	}
+	return true;
+}
+
+bool
+gyp_preempt_pop(struct gyp_preempt *p, struct gyp_preempt_stop *stop)
+{
+	struct gyp_preempt_stop *next = g_queue_pop_head(&p->stops);
+
+	if (next == NULL)
+		return false;
+	*stop = *next;
+	g_free(next);
+	return true;
+}
+
+/* ---- Construction ------------------------------------------------------- */
+
+struct gyp_preempt *
+gyp_preempt_new(const struct gyp_flows *flows, const struct gyp_fleet *fleet)
+{
+	struct gyp_preempt *p = g_new0(struct gyp_preempt, 1);
+
+	p->flows = flows;
+	p->fleet = fleet;
+	p->stopping = g_hash_table_new_full(
+	    gyp_flow_item_hash, gyp_flow_item_equal, NULL, g_free);
+	p->coming = g_array_new(FALSE, TRUE, sizeof(struct gyp_res));
+	p->yields = g_array_new(FALSE, TRUE, sizeof(struct yield));
+	p->victims = g_array_new(FALSE, FALSE, sizeof(struct victim));
+	return p;
+}
+
+void
+gyp_preempt_free(struct gyp_preempt *p)
+{
+	if (p == NULL)
+		return;
+	g_hash_table_destroy(p->stopping);
+	g_array_free(p->coming, TRUE);
+	g_array_free(p->yields, TRUE);
+	g_array_free(p->victims, TRUE);
+	g_queue_clear_full(&p->stops, g_free);
+	g_free(p);
+}
--- a/src/rooms.c
+++ b/src/rooms.c
@@ -21,6 +21,7 @@
 	GArray *rooms;  /* struct gyp_room by row */
 	GArray *orders; /* struct order, the most free first */
 	uint64_t compared;
+	uint64_t now;
 };
 
 /* ---- Measuring ---------------------------------------------------------- */
@@ -63,6 +64,7 @@
 	g_array_set_size(r->rooms, gyp_hosts_size(flows));
 	g_array_set_size(r->orders, 0);
 	r->compared = 0;
+	r->now = now;
 	for (row = 0; row < r->rooms->len; row++) {
 		struct gyp_room *room = gyp_rooms_at(r, row);
 		struct order order = {.row = row};
@@ -93,6 +95,12 @@
 	return r->rooms->len;
 }
 
+uint64_t
+gyp_rooms_now(const struct gyp_rooms *r)
+{
+	return r->now;
+}
+
 bool
 gyp_rooms_nth(
     const struct gyp_rooms *r, guint i, uint64_t cpu_milli, uint32_t *row)
@@ -164,17 +172,24 @@
 
 uint32_t
 gyp_room_count(const struct gyp_room *room, const struct gyp_candidate *c)
+{
+	return gyp_room_count_of(room, c, &room->left);
+}
+
+uint32_t
+gyp_room_count_of(const struct gyp_room *room, const struct gyp_candidate *c,
+    const struct gyp_res *have)
 {
 	const Gyp__FlowStep *step = c->unit->step;
 	struct gyp_res size = c->unit->size;
 	uint64_t n = step->count;
 
 	if (size.cpu_milli > 0)
-		n = MIN(n, room->left.cpu_milli / size.cpu_milli);
+		n = MIN(n, have->cpu_milli / size.cpu_milli);
 	if (size.memory > 0)
-		n = MIN(n, room->left.memory / size.memory);
+		n = MIN(n, have->memory / size.memory);
 	if (size.accel > 0)
-		n = MIN(n, room->left.accel / size.accel);
+		n = MIN(n, have->accel / size.accel);
 	if (n > 0 && step->spread > 0) {
 		uint32_t there = count_there(c->flow, c->unit, room->host->row);
 
--- a/src/rooms.h
+++ b/src/rooms.h
@@ -28,8 +28,9 @@
 struct gyp_room {
 	const struct gyp_host *host; /* NULL when it takes nothing */
 	struct gyp_res left;
-	bool serves; /* runs tasks with a bound on their tail */
-	bool filled; /* runs tasks that take what is left */
+	struct gyp_res coming; /* when runs that are being stopped have ended */
+	bool serves;           /* runs tasks with a bound on their tail */
+	bool filled;           /* runs tasks that take what is left */
 	enum gyp_track_word word;
 	double pace;
 };
@@ -52,6 +53,9 @@
 struct gyp_room *gyp_rooms_at(const struct gyp_rooms *, uint32_t row);
 uint32_t gyp_rooms_size(const struct gyp_rooms *);
 
+/* Time of the round. */
+uint64_t gyp_rooms_now(const struct gyp_rooms *);
+
 /*
  * The i-th row in the order of free processors at the start of the round, the
  * most first; false from the first one on that had fewer than cpu_milli.
@@ -77,6 +81,10 @@
 /* How many more tasks of the unit the endpoint can take; it must suit. */
 uint32_t gyp_room_count(const struct gyp_room *, const struct gyp_candidate *);
 
+/* Likewise, if it had that much free. */
+uint32_t gyp_room_count_of(const struct gyp_room *,
+    const struct gyp_candidate *, const struct gyp_res *have);
+
 /* How good the endpoint is for the unit; higher is better. */
 double gyp_room_score(const struct gyp_room *, const struct gyp_candidate *);
 
--- a/test/placer_world.c
+++ b/test/placer_world.c
@@ -80,6 +80,35 @@
 		gyp_flows_apply(f->w.flows, f->w.now, f->cmds->pdata[i]);
 }
 
+void
+placer_world_confirm(struct placer_world *f)
+{
+	struct gyp_fleet_call *call;
+
+	gyp_fleet_tick(f->w.fleet, f->w.now);
+	while ((call = flow_world_call(&f->w, GYP_FLEET_START)) != NULL)
+		flow_world_answer(&f->w, call, GYP_FLEET_OK);
+}
+
+void
+placer_world_stopped(struct placer_world *f, uint64_t flow, uint32_t task)
+{
+	const struct gyp_flow_task *t =
+	    &gyp_flow_get(f->w.flows, flow)->tasks[task];
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdFlowEnd end = GYP__CMD_FLOW_END__INIT;
+
+	end.flow = flow;
+	end.task = task;
+	end.run = t->run;
+	end.host = t->host;
+	end.how = GYP__FLOW_HOW__FLOW_STOPPED;
+	end.checkpoint = "saved";
+	cmd.c_case = GYP__CMD__C_FLOW_END;
+	cmd.flow_end = &end;
+	gyp_flows_apply(f->w.flows, f->w.now, &cmd);
+}
+
 void
 placer_world_allow(struct placer_world *f, const Gyp__Ask *ask)
 {
--- a/test/placer_world.h
+++ b/test/placer_world.h
@@ -48,6 +48,12 @@
 /* Commits all starts of the round. */
 void placer_world_apply(struct placer_world *);
 
+/* Answers the starts that are due: the runs are up. */
+void placer_world_confirm(struct placer_world *);
+
+/* Ends a task's run as stopped, with a checkpoint. */
+void placer_world_stopped(struct placer_world *, uint64_t flow, uint32_t task);
+
 /* Answers a question: all that it names are allowed. */
 void placer_world_allow(struct placer_world *, const Gyp__Ask *);
 
--- a/test/test_unlike.c
+++ b/test/test_unlike.c
@@ -58,11 +58,165 @@
 	placer_world_clear(&f);
 }
 
+/* Fills the endpoints with flows of ten tasks of one processor. */
+static void
+fill(struct placer_world *f, guint endpoints, uint32_t priority,
+    Gyp__FlowStep step)
+{
+	uint64_t id;
+
+	for (id = 1; id <= endpoints; id++) {
+		placer_world_submit(f, id, priority, step);
+		placer_world_decide(f, PLACER_LANES);
+		placer_world_apply(f);
+		placer_world_confirm(f);
+	}
+}
+
+static Gyp__FlowStep
+batch_step(void)
+{
+	Gyp__FlowStep step = flow_world_step(10);
+
+	step.checkpoints = true;
+	return step;
+}
+
+/* Takes all stops of the round; returns how many. */
+static guint
+take_stops(struct placer_world *f, GArray *stops)
+{
+	struct gyp_preempt_stop stop;
+
+	g_array_set_size(stops, 0);
+	while (gyp_placer_pop_stop(f->placer, &stop))
+		g_array_append_val(stops, stop);
+	return stops->len;
+}
+
+/*
+ * Load pattern: a burst of urgent work on a service full of batch work. Just as
+ * many batch runs stop as the burst needs, once, and what they leave goes to
+ * the burst, also when other batch work waits.
+ */
+static void
+test_burst_on_full_service(void)
+{
+	GArray *stops =
+	    g_array_new(FALSE, FALSE, sizeof(struct gyp_preempt_stop));
+	struct placer_world f;
+	guint i;
+
+	placer_world_init(&f, 4);
+	fill(&f, 4, 2, batch_step());
+	placer_world_submit(&f, 50, 2, batch_step());
+	placer_world_submit(&f, 60, 0, flow_world_step(6));
+	placer_world_decide(&f, PLACER_LANES);
+	g_assert_cmpuint(f.cmds->len, ==, 0);
+	g_assert_cmpuint(take_stops(&f, stops), ==, 6);
+	placer_world_decide(&f, PLACER_LANES);
+	g_assert_false(gyp_placer_pop_stop(
+	    f.placer, &g_array_index(stops, struct gyp_preempt_stop, 0)));
+	for (i = 0; i < stops->len; i++) {
+		const struct gyp_preempt_stop *s =
+		    &g_array_index(stops, struct gyp_preempt_stop, i);
+
+		g_assert_cmpuint(s->for_flow, ==, 60);
+		placer_world_stopped(&f, s->flow, s->task);
+	}
+	placer_world_decide(&f, PLACER_LANES);
+	g_assert_cmpuint(f.cmds->len, ==, 1);
+	g_assert_cmpuint(placer_world_start(&f, 0)->flow, ==, 60);
+	g_assert_cmpuint(placer_world_start(&f, 0)->n_runs, ==, 6);
+	placer_world_clear(&f);
+	g_array_free(stops, TRUE);
+}
+
+/* Work that would lose more than a moment, lasts, is a gang or as urgent. */
+static void
+test_who_never_yields(void)
+{
+	Gyp__FlowStep kinds[4];
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++)
+		kinds[i] = batch_step();
+	kinds[0].checkpoints = false;
+	kinds[1].lasting = true;
+	kinds[2].gang = true;
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		struct gyp_preempt_stop stop;
+		struct placer_world f;
+
+		placer_world_init(&f, 1);
+		fill(&f, 1, i == 3 ? 0 : 1, kinds[i]);
+		f.w.now += 1000;
+		gyp_fleet_beat(f.w.fleet, f.w.now, 0, 1, f.w.now);
+		placer_world_submit(&f, 50, 2, batch_step());
+		placer_world_submit(&f, 60, 0, flow_world_step(1));
+		placer_world_decide(&f, PLACER_LANES);
+		g_assert_cmpuint(f.cmds->len, ==, 0);
+		g_assert_false(gyp_placer_pop_stop(f.placer, &stop));
+		placer_world_clear(&f);
+	}
+}
+
+/*
+ * Load pattern: a gang before a pool of accelerators full of tasks of one. It
+ * gets whole endpoints, and runs stop there only; a gang that can't have all of
+ * its places has nothing stopped.
+ */
+static void
+test_gang_on_full_pool(void)
+{
+	GArray *stops =
+	    g_array_new(FALSE, FALSE, sizeof(struct gyp_preempt_stop));
+	struct placer_world f;
+	Gyp__Res small, large;
+	Gyp__FlowStep ones = sized_step(16, &small, 100, 1);
+	Gyp__FlowStep gang = sized_step(3, &large, 1000, 8);
+	guint i;
+
+	ones.checkpoints = true;
+	gang.gang = true;
+	placer_world_init(&f, 2);
+	placer_world_submit(&f, 1, 2, ones);
+	placer_world_decide(&f, PLACER_LANES);
+	placer_world_apply(&f);
+	placer_world_confirm(&f);
+	placer_world_submit(&f, 2, 1, gang);
+	placer_world_decide(&f, PLACER_LANES);
+	g_assert_cmpuint(take_stops(&f, stops), ==, 0);
+	gyp_flow_get(f.w.flows, 2)->state = GYP_FLOW_CANCELLED;
+
+	gang.count = 1;
+	placer_world_submit(&f, 3, 1, gang);
+	placer_world_decide(&f, PLACER_LANES);
+	g_assert_cmpuint(take_stops(&f, stops), ==, 8);
+	for (i = 0; i < stops->len; i++) {
+		const struct gyp_preempt_stop *s =
+		    &g_array_index(stops, struct gyp_preempt_stop, i);
+
+		g_assert_cmpuint(s->row, ==,
+		    g_array_index(stops, struct gyp_preempt_stop, 0).row);
+		placer_world_stopped(&f, s->flow, s->task);
+		placer_world_decide(&f, PLACER_LANES);
+		g_assert_cmpuint(f.cmds->len, ==, i + 1 == stops->len);
+	}
+	g_assert_cmpuint(placer_world_start(&f, 0)->flow, ==, 3);
+	placer_world_clear(&f);
+	g_array_free(stops, TRUE);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func(
 	    "/unlike/small-tasks-leave-room", test_small_tasks_leave_room);
+	g_test_add_func(
+	    "/unlike/burst-on-full-service", test_burst_on_full_service);
+	g_test_add_func("/unlike/who-never-yields", test_who_never_yields);
+	g_test_add_func("/unlike/gang-on-full-pool", test_gang_on_full_pool);
 	return g_test_run();
 }
