What can't be in time any more goes behind within its priority

Change: slack.c tells from the queue's objective and learnt times whether a unit can be in time; late work goes behind, stops nothing, and comes first after 20 s, so that it ends. track learns by regression how far estimates tell times; runs that may have begun at a checkpoint teach nothing. Places where the fewest runs stop come first. The line about load tells accelerators. Tests: late-work, late-work-stops-nothing, expected-times.

--- a/src/flow.c
+++ b/src/flow.c
@@ -250,6 +250,12 @@
 	return h->spec->reborn_ms != 0 && f->time_ms < h->spec->reborn_ms + ms;
 }
 
+uint64_t
+gyp_flows_time(const struct gyp_flows *f)
+{
+	return f->time_ms;
+}
+
 const Gyp__CmdManifest *
 gyp_flows_manifest(const struct gyp_flows *f)
 {
--- a/src/flow.h
+++ b/src/flow.h
@@ -178,6 +178,9 @@
 bool gyp_host_is_young(
     const struct gyp_flows *, const struct gyp_host *, uint32_t ms);
 
+/* Cell time of the latest command, 0 for none. */
+uint64_t gyp_flows_time(const struct gyp_flows *);
+
 /* The newest manifest, or NULL. */
 const Gyp__CmdManifest *gyp_flows_manifest(const struct gyp_flows *);
 
--- a/src/flow_lead.c
+++ b/src/flow_lead.c
@@ -170,8 +170,10 @@
 	ran_ms = lead->now - view->up_at;
 	gyp_track_done(lead->track, flow->id, task, host, ran_ms,
 	    u->step->lasting ? 0 : usual_time(lead, flow, u), lead->now);
-	gyp_track_estimate(
-	    lead->track, flow->spec->queue->name, u->step->estimate_ms, ran_ms);
+	/* A later run may have begun at a checkpoint. */
+	if (flow->tasks[task].run == 1)
+		gyp_track_estimate(lead->track, flow->spec->queue->name,
+		    u->step->estimate_ms, ran_ms);
 	u->done++;
 	u->done_ms += ran_ms;
 }
@@ -405,7 +407,7 @@
 static void
 note_load(struct gyp_flow_lead *lead, uint32_t free)
 {
-	uint64_t capacity = 0, booked = 0;
+	struct gyp_res capacity = {0, 0, 0, 0}, booked = {0, 0, 0, 0};
 	uint32_t row, usable = 0, waiting = 0;
 	const GList *l;
 
@@ -416,17 +418,17 @@
 		if (h == NULL || !gyp_fleet_usable(lead->fleet, row))
 			continue;
 		usable++;
-		capacity += h->capacity.cpu_milli;
-		booked += h->booked.cpu_milli;
+		gyp_res_add(&capacity, &h->capacity);
+		gyp_res_add(&booked, &h->booked);
 	}
 	for (l = gyp_flows_active(lead->flows)->head; l != NULL; l = l->next)
 		waiting += !((const struct gyp_flow *)l->data)->begun;
 	gyp_events_add(lead->events, "load",
-	    "endpoints=%u cpu_milli=%" G_GUINT64_FORMAT
-	    " booked_milli=%" G_GUINT64_FORMAT
-	    " flows=%u not_begun=%u lanes=%u free_lanes=%u",
-	    usable, capacity, booked, gyp_flows_active(lead->flows)->length,
-	    waiting, g_hash_table_size(lead->lanes), free);
+	    "endpoints=%u cpu_milli=%u booked_milli=%u accel=%u "
+	    "booked_accel=%u flows=%u not_begun=%u lanes=%u free_lanes=%u",
+	    usable, capacity.cpu_milli, booked.cpu_milli, capacity.accel,
+	    booked.accel, gyp_flows_active(lead->flows)->length, waiting,
+	    g_hash_table_size(lead->lanes), free);
 }
 
 /* Runs that end for more urgent work, as the placer decided. */
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -46,6 +46,7 @@
 #include "rooms.h"      /* what endpoints have left during a round */
 #include "rules.h"      /* what operators ask for, one line each */
 #include "running.h"    /* what endpoints say that they run */
+#include "slack.h"      /* whether work can still be in time */
 #include "state.h"      /* tables of jobs, endpoints and rules */
 #include "straggler.h"  /* which run should begin anew elsewhere */
 #include "trace.h"      /* one event a line */
--- a/src/placer.c
+++ b/src/placer.c
@@ -54,6 +54,8 @@
 
 	if (px != py)
 		return px < py ? -1 : 1;
+	if (x->slack != y->slack)
+		return x->slack < y->slack ? -1 : 1;
 	if (x->flow->seq != y->flow->seq)
 		return x->flow->seq < y->flow->seq ? -1 : 1;
 	return x->unit < y->unit ? -1 : x->unit > y->unit;
@@ -75,13 +77,17 @@
 		p->least_urgent =
 		    MAX(p->least_urgent, flow->spec->queue->priority);
 		for (i = 0; i < flow->n_units; i++) {
-			struct gyp_candidate c = {flow, &flow->units[i]};
-
-			if (c.unit->left > c.unit->open &&
-			    (!c.unit->step->gang || c.unit->open == 0) &&
-			    gyp_flow_unit_is_ready(flow, c.unit) &&
-			    is_due(flow, c.unit, wall_ms))
-				g_array_append_val(p->units, c);
+			struct gyp_candidate c = {
+			    .flow = flow, .unit = &flow->units[i]};
+
+			if (c.unit->left <= c.unit->open ||
+			    (c.unit->step->gang && c.unit->open > 0) ||
+			    !gyp_flow_unit_is_ready(flow, c.unit) ||
+			    !is_due(flow, c.unit, wall_ms))
+				continue;
+			c.slack = gyp_slack_word(
+			    p->track, flow, c.unit, gyp_flows_time(p->flows));
+			g_array_append_val(p->units, c);
 		}
 	}
 	g_array_sort(p->units, by_urgency);
@@ -281,7 +287,8 @@
 static void
 keep_room(struct gyp_placer *p, const struct gyp_candidate *c, uint32_t waiting)
 {
-	bool preempts = c->flow->spec->queue->priority < p->least_urgent;
+	bool preempts = c->flow->spec->queue->priority < p->least_urgent &&
+			c->slack != GYP_SLACK_LATE;
 
 	if (p->reserves >= RESERVES_MAX || (!preempts && !c->unit->step->gang))
 		return;
--- a/src/placer.h
+++ b/src/placer.h
@@ -18,9 +18,9 @@
  *
  * DESCRIPTION
  *	Load patterns answered: bursts of urgent flows on top of a service that
- *	is three quarters full (order by priority, then by age); wide steps and
- *	gangs beside narrow ones (a gang is placed as a whole or not at all);
- *	a slow admission service (questions in the same order as the work, one
+ *	is three quarters full (order by priority, by slack, then by age); wide
+ *steps and gangs beside narrow ones (a gang is placed as a whole or not at
+ *all); a slow admission service (questions in the same order as the work, one
  *	a unit at a time, naming the endpoints with the most room); endpoints
  *	that fail or turned slow (see track: none, one or few runs there, and
  *	no task again where it failed). What finds no room now has room kept
--- a/src/reserve.c
+++ b/src/reserve.c
@@ -1,8 +1,8 @@
 #include "reserve.h"
 #include "fits.h"
 
-/* A place of which runs have to be stopped counts less than one without. */
-#define FREE_WORTH 10
+/* What a place counts less for each part of a task that stops must free. */
+#define STOP_COST 10
 
 static struct gyp_res
 sum_of(const struct gyp_res *a, const struct gyp_res *b)
@@ -55,6 +55,23 @@
 	       GYP_ADMISSION_NO;
 }
 
+/* The part of a task's size that is neither free nor coming, 0 to 1. */
+static double
+part_missing(const struct gyp_room *room, const struct gyp_res *size)
+{
+	struct gyp_res have = sum_of(&room->left, &room->coming);
+	struct gyp_res need = missing(size, &have);
+	double part = 0;
+
+	if (size->cpu_milli > 0)
+		part = MAX(part, (double)need.cpu_milli / size->cpu_milli);
+	if (size->memory > 0)
+		part = MAX(part, (double)need.memory / size->memory);
+	if (size->accel > 0)
+		part = MAX(part, (double)need.accel / size->accel);
+	return part;
+}
+
 static void
 add_place(const struct gyp_rooms *rooms, struct gyp_preempt *preempt,
     const struct gyp_candidate *c, uint32_t row, bool preempts, GArray *places)
@@ -77,8 +94,8 @@
 	}
 	if (place.count == 0)
 		return;
-	place.score =
-	    gyp_room_score(room, c) + FREE_WORTH * (double)soon / place.count;
+	place.score = gyp_room_score(room, c) -
+		      STOP_COST * part_missing(room, &c->unit->size);
 	g_array_append_val(places, place);
 }
 
--- a/src/rooms.h
+++ b/src/rooms.h
@@ -8,6 +8,7 @@
 
 #include "fleet.h"
 #include "flow.h"
+#include "slack.h"
 #include "track.h"
 
 /*
@@ -39,6 +40,7 @@
 struct gyp_candidate {
 	struct gyp_flow *flow;
 	struct gyp_flow_unit *unit;
+	enum gyp_slack_word slack;
 };
 
 struct gyp_rooms;
--- a/src/track.c
+++ b/src/track.c
@@ -23,11 +23,19 @@
 #define ESTIMATES_MIN  60
 #define ESTIMATE_ERROR 0.45
 
+/* Tasks before the relation of estimates to real times is used. */
+#define RELATION_MIN 20
+
 /* How a queue's estimates turned out, as logarithms of real to estimated. */
 struct estimates {
 	uint32_t n;
 	double bias;
 	double error; /* mean distance from the bias */
+	/* Of the logarithms of both: */
+	double mean_estimate;
+	double mean_real;
+	double variance; /* of the estimates */
+	double covariance;
 };
 
 struct gyp_track {
@@ -170,6 +178,19 @@
 	return gyp_health_failed_at(t->health, key_of(flow, task), row);
 }
 
+/* Moving sums for the regression of real times on estimates. */
+static void
+learn_relation(struct estimates *e, double estimate, double real, double weight)
+{
+	double off = estimate - e->mean_estimate;
+
+	e->mean_estimate += weight * off;
+	e->variance += weight * ((1 - weight) * off * off - e->variance);
+	e->covariance += weight * ((1 - weight) * off * (real - e->mean_real) -
+				      e->covariance);
+	e->mean_real += weight * (real - e->mean_real);
+}
+
 void
 gyp_track_estimate(struct gyp_track *t, const char *queue, uint64_t estimate_ms,
     uint64_t ran_ms)
@@ -188,6 +209,24 @@
 	weight = MAX(ESTIMATE_WEIGHT, 1.0 / e->n);
 	e->error += weight * (fabs(ratio - e->bias) - e->error);
 	e->bias += weight * (ratio - e->bias);
+	learn_relation(
+	    e, log((double)estimate_ms), log((double)ran_ms), weight);
+}
+
+uint64_t
+gyp_track_expect(
+    const struct gyp_track *t, const char *queue, uint64_t estimate_ms)
+{
+	const struct estimates *e = g_hash_table_lookup(t->estimates, queue);
+	double share;
+
+	if (e == NULL || e->n < RELATION_MIN)
+		return estimate_ms;
+	if (estimate_ms == 0 || e->variance <= 0)
+		return (uint64_t)exp(e->mean_real);
+	share = CLAMP(e->covariance / e->variance, 0, 1);
+	return (uint64_t)exp(e->mean_real + share * (log((double)estimate_ms) -
+							e->mean_estimate));
 }
 
 uint64_t
--- a/src/track.h
+++ b/src/track.h
@@ -83,6 +83,14 @@
 uint64_t gyp_track_usual(
     const struct gyp_track *, const char *queue, uint64_t estimate_ms);
 
+/*
+ * How long a task with that estimate is expected to run: the estimate as far as
+ * the queue's estimates told the differences between its tasks so far, and the
+ * usual time of its tasks for the rest. 0 when nothing is known.
+ */
+uint64_t gyp_track_expect(
+    const struct gyp_track *, const char *queue, uint64_t estimate_ms);
+
 double gyp_track_pace(const struct gyp_track *, uint32_t row);
 
 /* The endpoint began a new life. */
--- a/test/test_track.c
+++ b/test/test_track.c
@@ -179,6 +179,31 @@
  * Estimates that are off by a factor of about two either way are never taken
  * for good, however many are judged.
  */
+/* Estimates that tell half of the differences between tasks, or nothing. */
+static void
+test_expected_times(void)
+{
+	struct gyp_track *t = gyp_track_new();
+	guint i;
+
+	g_assert_cmpuint(gyp_track_expect(t, "half", 1000), ==, 1000);
+	for (i = 0; i < 400; i++) {
+		gyp_track_estimate(t, "half", i % 2 == 0 ? 500 : 8000,
+		    i % 2 == 0 ? 1000 : 4000);
+		gyp_track_estimate(t, "none", i % 2 == 0 ? 100 : 9000,
+		    i % 4 < 2 ? 1000 : 4000);
+	}
+	g_assert_cmpfloat(
+	    ABS((double)gyp_track_expect(t, "half", 500) - 1000), <, 100);
+	g_assert_cmpfloat(
+	    ABS((double)gyp_track_expect(t, "half", 8000) - 4000), <, 400);
+	g_assert_cmpfloat(
+	    ABS((double)gyp_track_expect(t, "none", 100) - 2000), <, 300);
+	g_assert_cmpfloat(
+	    ABS((double)gyp_track_expect(t, "none", 9000) - 2000), <, 300);
+	gyp_track_free(t);
+}
+
 static void
 test_bad_estimates_stay_bad(void)
 {
@@ -288,5 +313,6 @@
 	    "/track/bad-estimates-stay-bad", test_bad_estimates_stay_bad);
 	g_test_add_func("/track/straggler", test_straggler);
 	g_test_add_func("/track/blames", test_blames);
+	g_test_add_func("/track/expected-times", test_expected_times);
 	return g_test_run();
 }
--- a/test/test_unlike.c
+++ b/test/test_unlike.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 
 #include "placer_world.h"
+#include "slack.h"
 
 /*
  * Unlike work on one service at its worst load: small tasks beside wide gangs,
@@ -208,6 +209,67 @@
 	g_array_free(stops, TRUE);
 }
 
+/* A flow of ten tasks of a second, accepted so long ago, due in 2.5 s. */
+static void
+submit_aged(struct placer_world *f, uint64_t id, uint64_t age_ms)
+{
+	Gyp__FlowStep step = flow_world_step(10);
+	struct gyp_flow *flow;
+
+	step.estimate_ms = 1000;
+	placer_world_submit(f, id, 1, step);
+	flow = gyp_flow_get(f->w.flows, id);
+	flow->spec->queue->stretch = 2;
+	flow->spec->queue->target_ms = 500;
+	flow->accepted_ms = gyp_flows_time(f->w.flows) - age_ms;
+}
+
+/*
+ * Load pattern: overload for many seconds. What can't be in time any more goes
+ * behind what can, and has nothing stopped; after long it comes first.
+ */
+static void
+test_late_work(void)
+{
+	static const struct {
+		uint64_t oldest_ms;
+		uint64_t first;
+	} rows[] = {{1400, 1}, {1600, 2}, {GYP_SLACK_STARVE_MS, 2},
+	    {GYP_SLACK_STARVE_MS + 2000, 1}};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct placer_world f;
+
+		placer_world_init(&f, 1);
+		submit_aged(&f, 1, rows[i].oldest_ms);
+		submit_aged(&f, 2, 1000);
+		placer_world_decide(&f, PLACER_LANES);
+		g_assert_cmpuint(f.cmds->len, ==, 1);
+		g_assert_cmpuint(
+		    placer_world_start(&f, 0)->flow, ==, rows[i].first);
+		placer_world_clear(&f);
+	}
+}
+
+static void
+test_late_work_stops_nothing(void)
+{
+	struct gyp_preempt_stop stop;
+	struct placer_world f;
+
+	placer_world_init(&f, 1);
+	fill(&f, 1, 2, batch_step());
+	submit_aged(&f, 60, 2000);
+	placer_world_decide(&f, PLACER_LANES);
+	g_assert_false(gyp_placer_pop_stop(f.placer, &stop));
+	submit_aged(&f, 61, 1000);
+	placer_world_decide(&f, PLACER_LANES);
+	g_assert_true(gyp_placer_pop_stop(f.placer, &stop));
+	g_assert_cmpuint(stop.for_flow, ==, 61);
+	placer_world_clear(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -218,5 +280,8 @@
 	    "/unlike/burst-on-full-service", test_burst_on_full_service);
 	g_test_add_func("/unlike/who-never-yields", test_who_never_yields);
 	g_test_add_func("/unlike/gang-on-full-pool", test_gang_on_full_pool);
+	g_test_add_func("/unlike/late-work", test_late_work);
+	g_test_add_func(
+	    "/unlike/late-work-stops-nothing", test_late_work_stops_nothing);
 	return g_test_run();
 }
