Steps to come are asked about while the ones before still run

Ruled out: lanes (51 to 65 of 154 free in bursts); bookings (78 %). Change: ahead.c says when the question about a unit that isn't ready may be asked: all steps before run to their last task and should be over within half a ticket's life, or half of their tasks are; the placer asks about these last and leaves a third of the lanes free. Tests: asks-ahead (seen failing), asks-not-too-early.

--- /dev/null
+++ b/src/ahead.c
@@ -0,0 +1,40 @@
+#include "ahead.h"
+
+/* A ticket must outlive the expected end so many times. */
+#define TICKET_TIMES 2
+
+/* The part of a step's tasks that must be over when the step is a long one. */
+#define OVER_PART 2
+
+/* True when the step's unit is about to be over. */
+static bool
+ends_soon(const struct gyp_track *track, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *u)
+{
+	const Gyp__FlowQueue *q = flow->spec->queue;
+	uint64_t run_ms =
+	    gyp_track_expect(track, q->name, u->step->estimate_ms);
+
+	if (u->left == 0)
+		return true;
+	if (u->left > u->open)
+		return false;
+	return run_ms * TICKET_TIMES <= q->ticket_ms ||
+	       u->left * OVER_PART <= u->step->count;
+}
+
+bool
+gyp_ahead_should_ask(const struct gyp_track *track, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *unit)
+{
+	const struct gyp_flow_unit *base = unit - unit->number;
+	size_t i;
+
+	if (!flow->spec->queue->admission || unit->left == 0 || unit->open > 0)
+		return false;
+	for (i = 0; i < unit->step->n_after; i++) {
+		if (!ends_soon(track, flow, &base[unit->step->after[i]]))
+			return false;
+	}
+	return unit->step->n_after > 0;
+}
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -23,6 +23,7 @@
 
 /* ---- Core: the cell ------------------------------------------------------ */
 #include "admission.h"  /* which endpoints a policy service allows */
+#include "ahead.h"      /* when to ask about a step to come */
 #include "balance.h"    /* room kept for urgent work */
 #include "carriers.h"   /* which entry makes a leader's calls */
 #include "cusum.h"      /* which endpoints fail part of them */
--- a/src/placer.c
+++ b/src/placer.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "ahead.h"
 #include "fits.h"
 #include "msg.h"
 #include "placer.h"
@@ -16,6 +17,9 @@
 #define SLOW_QUESTION_MS 100
 #define KEPT_DIVISOR     5
 
+/* Questions about steps to come leave so much of all lanes free. */
+#define AHEAD_KEPT_DIVISOR 3
+
 struct gyp_placer {
 	struct gyp_flows *flows;
 	struct gyp_fleet *fleet;
@@ -24,6 +28,7 @@
 	struct gyp_preempt *preempt;
 	struct gyp_rooms *rooms; /* of this round */
 	GArray *units;           /* struct gyp_candidate, of this round */
+	GArray *ahead;           /* likewise, to ask about before their turn */
 	GPtrArray *runs;         /* Gyp__FlowRun being collected */
 	uint64_t now;
 	uint32_t budget;
@@ -61,6 +66,32 @@
 	return x->unit < y->unit ? -1 : x->unit > y->unit;
 }
 
+/* Has tasks that wait for a run, apart from whether their turn has come. */
+static bool
+has_waiting(const struct gyp_flow_unit *u)
+{
+	return u->left > u->open && !(u->step->gang && u->open > 0);
+}
+
+static void
+add_candidate(struct gyp_placer *p, struct gyp_flow *flow,
+    struct gyp_flow_unit *unit, uint64_t wall_ms)
+{
+	struct gyp_candidate c = {.flow = flow, .unit = unit};
+
+	if (!has_waiting(unit) || !is_due(flow, unit, wall_ms))
+		return;
+	if (!gyp_flow_unit_is_ready(flow, unit)) {
+		if (gyp_admission_unit(p->admission, flow, unit) == NULL &&
+		    gyp_ahead_should_ask(p->track, flow, unit))
+			g_array_append_val(p->ahead, c);
+		return;
+	}
+	c.slack =
+	    gyp_slack_word(p->track, flow, unit, gyp_flows_time(p->flows));
+	g_array_append_val(p->units, c);
+}
+
 static void
 find_candidates(struct gyp_placer *p, uint64_t wall_ms)
 {
@@ -68,6 +99,7 @@
 	uint32_t i;
 
 	g_array_set_size(p->units, 0);
+	g_array_set_size(p->ahead, 0);
 	p->least_urgent = 0;
 	for (l = gyp_flows_active(p->flows)->head; l != NULL; l = l->next) {
 		struct gyp_flow *flow = l->data;
@@ -76,21 +108,11 @@
 			continue;
 		p->least_urgent =
 		    MAX(p->least_urgent, flow->spec->queue->priority);
-		for (i = 0; i < flow->n_units; i++) {
-			struct gyp_candidate c = {
-			    .flow = flow, .unit = &flow->units[i]};
-
-			if (c.unit->left <= c.unit->open ||
-			    (c.unit->step->gang && c.unit->open > 0) ||
-			    !gyp_flow_unit_is_ready(flow, c.unit) ||
-			    !is_due(flow, c.unit, wall_ms))
-				continue;
-			c.slack = gyp_slack_word(
-			    p->track, flow, c.unit, gyp_flows_time(p->flows));
-			g_array_append_val(p->units, c);
-		}
+		for (i = 0; i < flow->n_units; i++)
+			add_candidate(p, flow, &flow->units[i], wall_ms);
 	}
 	g_array_sort(p->units, by_urgency);
+	g_array_sort(p->ahead, by_urgency);
 }
 
 /* ---- Placing ------------------------------------------------------------ */
@@ -297,6 +319,36 @@
 	return lanes > kept ? lanes - kept : 0;
 }
 
+/* Asks about the unit when a lane is free for it. */
+static void
+ask_about(struct gyp_placer *p, const struct gyp_candidate *c, uint32_t tasks,
+    uint32_t lanes, GPtrArray *asks)
+{
+	Gyp__Ask *ask;
+
+	if (asks->len >= lanes)
+		return;
+	ask = gyp_question_for(p->admission, p->rooms, c, tasks, p->now);
+	if (ask != NULL)
+		g_ptr_array_add(asks, ask);
+}
+
+/* Of the lanes that are left, most stay free for work whose turn comes. */
+static void
+ask_ahead(
+    struct gyp_placer *p, uint32_t lanes, uint32_t all_lanes, GPtrArray *asks)
+{
+	uint32_t kept = all_lanes / AHEAD_KEPT_DIVISOR;
+	guint i;
+
+	for (i = 0; i < p->ahead->len && asks->len + kept < lanes; i++) {
+		const struct gyp_candidate *c =
+		    &g_array_index(p->ahead, struct gyp_candidate, i);
+
+		ask_about(p, c, c->unit->left, lanes, asks);
+	}
+}
+
 void
 gyp_placer_round(struct gyp_placer *p, uint64_t now, uint64_t wall_ms,
     uint32_t lanes, uint32_t all_lanes, GPtrArray *cmds, GPtrArray *asks)
@@ -307,7 +359,7 @@
 	p->budget = RUNS_MAX;
 	p->reserves = 0;
 	find_candidates(p, wall_ms);
-	if (p->units->len == 0)
+	if (p->units->len == 0 && p->ahead->len == 0)
 		return;
 	gyp_preempt_begin(p->preempt, p->now);
 	gyp_rooms_begin(p->rooms, p->now);
@@ -316,16 +368,12 @@
 		    &g_array_index(p->units, struct gyp_candidate, i);
 		uint32_t waiting = place_unit(p, c, cmds);
 
-		Gyp__Ask *ask = NULL;
-
-		if (waiting > 0 && asks->len < lanes_for(c, lanes, all_lanes))
-			ask = gyp_question_for(
-			    p->admission, p->rooms, c, waiting, p->now);
-		if (ask != NULL)
-			g_ptr_array_add(asks, ask);
-		if (waiting > 0)
-			keep_room(p, c, waiting);
+		if (waiting == 0)
+			continue;
+		ask_about(p, c, waiting, lanes_for(c, lanes, all_lanes), asks);
+		keep_room(p, c, waiting);
 	}
+	ask_ahead(p, lanes, all_lanes, asks);
 }
 
 bool
@@ -353,6 +401,7 @@
 	p->preempt = gyp_preempt_new(flows, fleet);
 	p->rooms = gyp_rooms_new(flows, fleet, track, p->preempt);
 	p->units = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
+	p->ahead = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
 	p->runs = g_ptr_array_new_with_free_func(g_free);
 	return p;
 }
@@ -365,6 +414,7 @@
 	gyp_preempt_free(p->preempt);
 	gyp_rooms_free(p->rooms);
 	g_array_free(p->units, TRUE);
+	g_array_free(p->ahead, TRUE);
 	g_ptr_array_free(p->runs, TRUE);
 	g_free(p);
 }
--- a/test/placer_world.c
+++ b/test/placer_world.c
@@ -91,7 +91,8 @@
 }
 
 void
-placer_world_stopped(struct placer_world *f, uint64_t flow, uint32_t task)
+placer_world_end(
+    struct placer_world *f, uint64_t flow, uint32_t task, Gyp__FlowHow how)
 {
 	const struct gyp_flow_task *t =
 	    &gyp_flow_get(f->w.flows, flow)->tasks[task];
@@ -102,8 +103,8 @@
 	end.task = task;
 	end.run = t->run;
 	end.host = t->host;
-	end.how = GYP__FLOW_HOW__FLOW_STOPPED;
-	end.checkpoint = "saved";
+	end.how = how;
+	end.checkpoint = how == GYP__FLOW_HOW__FLOW_STOPPED ? "saved" : "";
 	cmd.c_case = GYP__CMD__C_FLOW_END;
 	cmd.flow_end = &end;
 	gyp_flows_apply(f->w.flows, f->w.now, &cmd);
--- a/test/placer_world.h
+++ b/test/placer_world.h
@@ -51,8 +51,9 @@
 /* Answers the starts that are due: the runs are up. */
 void placer_world_confirm(struct placer_world *);
 
-/* Ends a task's run as stopped, with a checkpoint. */
-void placer_world_stopped(struct placer_world *, uint64_t flow, uint32_t task);
+/* Ends a task's run; with a checkpoint when it is stopped. */
+void placer_world_end(
+    struct placer_world *, uint64_t flow, uint32_t task, Gyp__FlowHow);
 
 /* Answers a question: all that it names are allowed. */
 void placer_world_allow(struct placer_world *, const Gyp__Ask *);
--- a/test/test_placer.c
+++ b/test/test_placer.c
@@ -350,6 +350,91 @@
 	placer_world_clear(&f);
 }
 
+/* A flow of two steps whose tasks take so long, with slow questions. */
+static void
+submit_two_steps(struct placer_world *f, uint64_t id, uint64_t estimate_ms)
+{
+	static uint32_t first;
+	Gyp__FlowStep steps[] = {flow_world_step(4), flow_world_step(4)};
+
+	steps[0].estimate_ms = steps[1].estimate_ms = estimate_ms;
+	steps[1].after = &first;
+	steps[1].n_after = 1;
+	flow_world_flow(&f->w, id, steps, 2);
+	placer_world_queue(f, id, 0, true, 370, 5.3);
+	gyp_flow_get(f->w.flows, id)->spec->queue->ticket_ms = 2000;
+}
+
+/* Asks about the first step and begins it. */
+static void
+begin_first_step(struct placer_world *f)
+{
+	placer_world_decide(f, PLACER_LANES);
+	g_assert_cmpuint(f->asks->len, ==, 1);
+	g_assert_cmpuint(((const Gyp__Ask *)f->asks->pdata[0])->step, ==, 0);
+	placer_world_allow(f, f->asks->pdata[0]);
+	placer_world_decide(f, PLACER_LANES);
+	g_assert_cmpuint(f->asks->len, ==, 0);
+	placer_world_apply(f);
+}
+
+/*
+ * Load pattern: flows of several steps with little time to spare. The question
+ * about the next step is asked while the last one runs, once, and only when
+ * most lanes are free; that of a long step when half of its tasks are over, so
+ * that the ticket still holds.
+ */
+static void
+test_asks_ahead(void)
+{
+	static const struct {
+		uint64_t estimate_ms;
+		uint32_t over; /* tasks of the first step */
+		uint32_t lanes;
+		guint asks;
+	} rows[] = {{800, 0, PLACER_LANES, 1}, {800, 0, 2, 0},
+	    {6000, 1, PLACER_LANES, 0}, {6000, 2, PLACER_LANES, 1}};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct placer_world f;
+		uint32_t task;
+
+		placer_world_init(&f, 3);
+		submit_two_steps(&f, 1, rows[i].estimate_ms);
+		begin_first_step(&f);
+		for (task = 0; task < rows[i].over; task++)
+			placer_world_end(&f, 1, task, GYP__FLOW_HOW__FLOW_DONE);
+		placer_world_decide(&f, rows[i].lanes);
+		g_assert_cmpuint(f.asks->len, ==, rows[i].asks);
+		if (rows[i].asks > 0)
+			g_assert_cmpuint(
+			    ((const Gyp__Ask *)f.asks->pdata[0])->step, ==, 1);
+		placer_world_decide(&f, rows[i].lanes);
+		g_assert_cmpuint(f.asks->len, ==, 0);
+		placer_world_clear(&f);
+	}
+}
+
+/* While a task of the first step waits, nothing is asked about the second. */
+static void
+test_asks_not_too_early(void)
+{
+	struct placer_world f;
+
+	placer_world_init(&f, 3);
+	submit_two_steps(&f, 1, 800);
+	begin_first_step(&f);
+	placer_world_end(&f, 1, 0, GYP__FLOW_HOW__FLOW_FAILED);
+	gyp_track_failed(f.track, 1, 0, 0, f.w.now);
+	gyp_track_failed(f.track, 1, 0, 1, f.w.now);
+	gyp_track_failed(f.track, 1, 0, 2, f.w.now);
+	placer_world_decide(&f, PLACER_LANES);
+	g_assert_cmpuint(f.cmds->len, ==, 0);
+	g_assert_cmpuint(f.asks->len, ==, 0);
+	placer_world_clear(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -369,5 +454,7 @@
 	    test_last_attempt_goes_somewhere);
 	g_test_add_func(
 	    "/placer/gang-with-a-task-left", test_gang_with_a_task_left);
+	g_test_add_func("/placer/asks-ahead", test_asks_ahead);
+	g_test_add_func("/placer/asks-not-too-early", test_asks_not_too_early);
 	return g_test_run();
 }
--- a/test/test_unlike.c
+++ b/test/test_unlike.c
@@ -123,7 +123,8 @@
 		    &g_array_index(stops, struct gyp_preempt_stop, i);
 
 		g_assert_cmpuint(s->for_flow, ==, 60);
-		placer_world_stopped(&f, s->flow, s->task);
+		placer_world_end(
+		    &f, s->flow, s->task, GYP__FLOW_HOW__FLOW_STOPPED);
 	}
 	placer_world_decide(&f, PLACER_LANES);
 	g_assert_cmpuint(f.cmds->len, ==, 1);
@@ -200,7 +201,8 @@
 
 		g_assert_cmpuint(s->row, ==,
 		    g_array_index(stops, struct gyp_preempt_stop, 0).row);
-		placer_world_stopped(&f, s->flow, s->task);
+		placer_world_end(
+		    &f, s->flow, s->task, GYP__FLOW_HOW__FLOW_STOPPED);
 		placer_world_decide(&f, PLACER_LANES);
 		g_assert_cmpuint(f.cmds->len, ==, i + 1 == stops->len);
 	}
