--- a/src/gyp.h
+++ b/src/gyp.h
@@ -56,8 +56,9 @@
 #include "wal.h"        /* bytes of a log segment */
 
 /* ---- Core: the entry ----------------------------------------------------- */
-#include "entry.h"   /* request table and start orders */
-#include "jobspec.h" /* job requests in JSON */
+#include "comeback.h" /* when refused callers should return */
+#include "entry.h"    /* request table and start orders */
+#include "jobspec.h"  /* job requests in JSON */
 
 /* ---- Sockets, files and timers ------------------------------------------- */
 #include "door.h"        /* HTTP interface of the entry */
