--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -4,6 +4,7 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "cell_settings.h"
 #include "first_start.h"
 #include "httpc.h"
 #include "httpd.h"
@@ -28,33 +29,10 @@
 /* Time for another replica to take over before this one stops, in ms. */
 #define HAND_OVER_MS 3000
 
-struct settings {
-	char *listen;
-	char *announce; /* where others reach it; NULL for listen */
-	char *metrics;
-	char **join;
-	uint32_t join_port;
-	bool init;
-	char *control;
-	uint32_t run_lease_ms;
-	uint32_t stop_grace_ms;
-	char *data_folder;
-	char *data_centre;
-	char *name;
-	uint32_t voters;
-	uint32_t catch_up_ms;
-	uint32_t election_ms;
-	uint32_t heartbeat_ms;
-	uint32_t endpoint_lease_ms;
-	uint32_t entry_lease_ms;
-	uint32_t start_window_ms;
-	uint64_t compact_bytes;
-};
-
 struct app {
 	struct gyp_links_owner links_owner;
 	struct gyp_store_owner store_owner;
-	struct settings *set;
+	struct gyp_cell_settings *set;
 	struct ev_loop *loop;
 	struct gyp_timers *timers;
 	struct gyp_links *links;
@@ -81,7 +59,7 @@
 
 /* Where other processes reach this one. */
 static const char *
-own_address(const struct settings *set)
+own_address(const struct gyp_cell_settings *set)
 {
 	return set->announce != NULL ? set->announce : set->listen;
 }
@@ -255,7 +233,7 @@
  * settings, so different ones may let a task run in two places.
  */
 static void
-compare_leases(const struct settings *set, const Gyp__Hello *hello)
+compare_leases(const struct gyp_cell_settings *set, const Gyp__Hello *hello)
 {
 	if (hello->endpoint_lease_ms == set->endpoint_lease_ms &&
 	    hello->entry_lease_ms == set->entry_lease_ms)
@@ -472,7 +450,7 @@
 static void
 make_replica(struct app *app)
 {
-	const struct settings *set = app->set;
+	const struct gyp_cell_settings *set = app->set;
 	struct gyp_replica_config cfg = {.id = gyp_store_id(app->store),
 	    .address = own_address(set),
 	    .data_centre = set->data_centre,
@@ -515,7 +493,7 @@
 static enum gyp_status
 start(struct app *app, bool init, struct gyp_error *err)
 {
-	const struct settings *set = app->set;
+	const struct gyp_cell_settings *set = app->set;
 	Gyp__Hello hello = GYP__HELLO__INIT;
 
 	bool first =
@@ -574,7 +552,7 @@
 }
 
 static int
-run(struct settings *set, const struct gyp_program *program)
+run(struct gyp_cell_settings *set, const struct gyp_program *program)
 {
 	struct app app = {.set = set};
 	struct gyp_reload *reload = NULL;
@@ -633,70 +611,15 @@
 int
 main(int argc, char **argv)
 {
-	struct settings set = {.voters = 3,
-	    .catch_up_ms = GYP_CATCH_UP_MS,
-	    .election_ms = 1000,
-	    .heartbeat_ms = 100,
-	    .endpoint_lease_ms = 5000,
-	    .entry_lease_ms = 3000,
-	    .start_window_ms = 2000,
-	    .run_lease_ms = 6000,
-	    .stop_grace_ms = 1000,
-	    .compact_bytes = 4 * 1024 * 1024};
-	const struct gyp_setting table[] = {
-	    {"cell", "listen", &set.listen, 0, 0, GYP_SETTING_ADDRESS, true},
-	    {"cell", "announce", &set.announce, 0, 0, GYP_SETTING_ADDRESS,
-		false},
-	    {"cell", "metrics", &set.metrics, 0, 0, GYP_SETTING_ADDRESS, false},
-	    {"cell", "join", &set.join, 0, 0, GYP_SETTING_ADDRESSES, false},
-	    {"cell", "join_port", &set.join_port, 1, 65535, GYP_SETTING_COUNT,
-		false},
-	    {"cell", "first_start", &set.init, 0, 0, GYP_SETTING_FLAG, false},
-	    {"platform", "control", &set.control, 0, 0, GYP_SETTING_ADDRESS,
-		false},
-	    {"platform", "run_lease", &set.run_lease_ms, 500, 600000,
-		GYP_SETTING_MS, false},
-	    {"platform", "stop_grace", &set.stop_grace_ms, 1, 60000,
-		GYP_SETTING_MS, false},
-	    {"cell", "data_folder", &set.data_folder, 0, 0, GYP_SETTING_FOLDER,
-		true},
-	    {"cell", "data_centre", &set.data_centre, 0, 0, GYP_SETTING_TEXT,
-		true},
-	    {"cell", "name", &set.name, 0, 0, GYP_SETTING_TEXT, true},
-	    {"cell", "voters", &set.voters, 1, 7, GYP_SETTING_COUNT, false},
-	    {"cell", "catch_up", &set.catch_up_ms, 1000, 600000, GYP_SETTING_MS,
-		false},
-	    {"cell", "election", &set.election_ms, 200, 60000, GYP_SETTING_MS,
-		false},
-	    {"cell", "heartbeat", &set.heartbeat_ms, 20, 10000, GYP_SETTING_MS,
-		false},
-	    {"cell", "endpoint_lease", &set.endpoint_lease_ms, 500, 600000,
-		GYP_SETTING_MS, false},
-	    {"cell", "entry_lease", &set.entry_lease_ms, 500, 600000,
-		GYP_SETTING_MS, false},
-	    {"cell", "start_window", &set.start_window_ms, 100, 600000,
-		GYP_SETTING_MS, false},
-	    {"cell", "compact", &set.compact_bytes, 4096, 1ULL << 30,
-		GYP_SETTING_BYTES, false},
-	};
-	const struct gyp_setting_order orders[] = {
-	    {&set.heartbeat_ms, &set.election_ms},
-	    {&set.start_window_ms, &set.endpoint_lease_ms}};
-	struct gyp_program program = {.name = "gyp-cell",
-	    .summary = "Keeps a replica of the cell's state and, while "
-		       "it leads, places tasks.",
-	    .settings = table,
-	    .n_settings = G_N_ELEMENTS(table),
-	    .orders = orders,
-	    .n_orders = G_N_ELEMENTS(orders),
-	    .allow_init = true};
-	int code = gyp_program_start(&program, argc, argv);
+	struct gyp_cell_settings *set = gyp_cell_settings();
+	struct gyp_program *program = gyp_cell_program();
+	int code = gyp_program_start(program, argc, argv);
 
 	if (code < 0) {
-		gyp_settings_replace_port(set.join, set.join_port);
-		code = run(&set, &program);
+		gyp_settings_replace_port(set->join, set->join_port);
+		code = run(set, program);
 	}
-	gyp_settings_clear(table, G_N_ELEMENTS(table));
-	g_free(program.config);
+	gyp_settings_clear(program->settings, program->n_settings);
+	g_free(program->config);
 	return code;
 }
--- a/src/question.h
+++ b/src/question.h
@@ -19,7 +19,7 @@
  *	queue told: two questions take longer than one that names as many.
  *	Where naming one is cheap against the question itself, it also names
  *	some that are full now and may have room before the ticket runs out. No
- *question is asked while no endpoint has room for a single task of the unit.
+ *	question is asked while no endpoint has room for a task of the unit.
  */
 
 /* Returns the question about the unit, noted as under way, or NULL. */
