--- a/src/carriers.h
+++ b/src/carriers.h
@@ -23,8 +23,8 @@
  *	Load pattern answered: all replicas come back at once, and the new
  *	leader has to look at all endpoints before any carrier has found it.
  *	Opening hundreds of connections at once would keep it from its followers
- *	until they elect another. So it makes its own calls at a bounded rate, and
- *	those that still wait go to the carriers that come.
+ *	until they elect another. So it makes its own calls at a bounded rate,
+ *	and those that still wait go to the carriers that come.
  *
  *	Kept by a leader only.
  */
