--- /dev/null
+++ b/test/members_world.c
@@ -0,0 +1,461 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "members_world.h"
+#include "msg.h"
+
+/* ---- Replicas ----------------------------------------------------------- */
+
+static void
+free_record(gpointer p)
+{
+	struct gyp_record *rec = p;
+
+	if (rec->data != NULL)
+		g_bytes_unref(rec->data);
+	g_free(rec);
+}
+
+static void
+load(struct node *n)
+{
+	const struct gyp_record *snapshot = NULL;
+	guint i, first = 0;
+
+	for (i = 0; i < n->disk->len; i++) {
+		const struct gyp_record *rec = n->disk->pdata[i];
+
+		if (rec->type != GYP_RECORD_SNAPSHOT)
+			continue;
+		snapshot = rec;
+		first = rec->kind == 1 ? i : first;
+	}
+	if (snapshot != NULL)
+		gyp_replica_load(n->replica, snapshot);
+	for (i = 0; i < n->disk->len; i++) {
+		const struct gyp_record *rec = n->disk->pdata[i];
+
+		if (rec->type == GYP_RECORD_VOTE ||
+		    (rec->type == GYP_RECORD_ENTRY && i >= first))
+			gyp_replica_load(n->replica, rec);
+	}
+}
+
+void
+cell_start(struct cell *c, int i)
+{
+	struct node *n = &c->nodes[i];
+	struct gyp_replica_config cfg = {.address = n->address,
+	    .data_centre = n->data_centre,
+	    .seed = c->seed * 100 + (uint32_t)i,
+	    .election_ms = ELECTION_MS,
+	    .heartbeat_ms = 50,
+	    .endpoint_lease_ms = 60000,
+	    .entry_lease_ms = 1500,
+	    .start_window_ms = 800,
+	    .voters = VOTERS,
+	    .catch_up_ms = c->catch_up_ms,
+	    .compact_bytes = 8 * 1024};
+
+	if (n->id == 0) {
+		n->id = ++c->last_id;
+		n->disk = g_ptr_array_new_with_free_func(free_record);
+	}
+	cfg.id = n->id;
+	n->boot = n->disk->len;
+	n->replica = gyp_replica_new(&cfg);
+	load(n);
+}
+
+void
+cell_stop(struct cell *c, int i)
+{
+	gyp_replica_free(c->nodes[i].replica);
+	c->nodes[i].replica = NULL;
+}
+
+void
+cell_lose_disk(struct cell *c, int i)
+{
+	if (c->nodes[i].replica != NULL)
+		cell_stop(c, i);
+	if (c->nodes[i].disk != NULL)
+		g_ptr_array_free(c->nodes[i].disk, TRUE);
+	c->nodes[i].disk = NULL;
+	c->nodes[i].id = 0;
+}
+
+/* Starts one more replica, with an empty disk; returns its number. */
+int
+cell_add_node(struct cell *c, char centre)
+{
+	static const char *const names[] = {"a", "b", "c", "d"};
+	int i = c->n++;
+
+	g_assert_cmpint(c->n, <=, NODES);
+	snprintf(c->nodes[i].address, sizeof(c->nodes[i].address),
+	    "10.0.0.%d:1", i + 1);
+	c->nodes[i].data_centre = names[centre - 'a'];
+	cell_start(c, i);
+	return i;
+}
+
+/* One letter a replica names its data centre. */
+void
+cell_init(struct cell *c, uint32_t seed, const char *centres)
+{
+	const char *centre;
+
+	memset(c, 0, sizeof(*c));
+	g_queue_init(&c->wire);
+	c->seed = seed;
+	c->now = 5000;
+	for (centre = centres; *centre != '\0'; centre++)
+		cell_add_node(c, *centre);
+	gyp_replica_bootstrap(c->nodes[0].replica, NULL);
+}
+
+static void
+free_frame(gpointer p)
+{
+	struct frame *f = p;
+
+	g_bytes_unref(f->packed);
+	g_free(f);
+}
+
+void
+cell_clear(struct cell *c)
+{
+	int i;
+
+	for (i = 0; i < c->n; i++)
+		cell_lose_disk(c, i);
+	g_queue_clear_full(&c->wire, free_frame);
+	gyp_message_free(c->reply);
+}
+
+/* ---- Frames ------------------------------------------------------------- */
+
+static void
+post(struct cell *c, int to, uint64_t from, GBytes *packed)
+{
+	struct frame *f = g_new0(struct frame, 1);
+
+	f->to = to;
+	f->from = from;
+	f->packed = packed;
+	g_queue_push_tail(&c->wire, f);
+}
+
+static Gyp__Frame *
+unpack(GBytes *packed)
+{
+	gsize len;
+	const uint8_t *data = g_bytes_get_data(packed, &len);
+	Gyp__Frame *frame = gyp__frame__unpack(NULL, len, data);
+
+	g_assert_nonnull(frame);
+	return frame;
+}
+
+static void
+count_raft(struct cell *c, const Gyp__Frame *frame)
+{
+	if (frame->body_case != GYP__FRAME__BODY_RAFT)
+		return;
+	c->snapshots += frame->raft->type == GYP__RAFT_TYPE__RAFT_SNAPSHOT &&
+			frame->raft->offset == 0 && frame->raft->chunk.len > 0;
+	c->entries += (uint32_t)frame->raft->n_entries;
+}
+
+static void
+take_replies(struct cell *c, const Gyp__Frame *frame)
+{
+	size_t i;
+
+	for (i = 0; i < frame->down->n_replies; i++) {
+		gyp_message_free(c->reply);
+		c->reply = gyp_message_copy(&frame->down->replies[i]->base);
+	}
+}
+
+/* Moves what a replica put out; its records are synced at once. */
+static void
+pump(struct cell *c, int i)
+{
+	struct node *n = &c->nodes[i];
+	struct gyp_record rec;
+	struct gyp_out out;
+	bool wrote = false;
+	int to;
+
+	while (gyp_replica_pop_record(n->replica, &rec)) {
+		g_ptr_array_add(n->disk, g_memdup2(&rec, sizeof(rec)));
+		wrote = true;
+	}
+	while (gyp_replica_pop_out(n->replica, &out)) {
+		Gyp__Frame *frame = unpack(out.packed);
+
+		count_raft(c, frame);
+		if (out.entry)
+			take_replies(c, frame);
+		for (to = 0; to < c->n && !out.entry; to++) {
+			if (g_strcmp0(c->nodes[to].address, out.address) == 0)
+				post(c, to, n->id, g_bytes_ref(out.packed));
+		}
+		gyp_message_free(frame);
+		g_free(out.address);
+		g_bytes_unref(out.packed);
+	}
+	if (wrote) {
+		gyp_replica_synced(n->replica, c->now, n->disk->len - n->boot);
+		pump(c, i);
+	}
+}
+
+/*
+ * In cells of odd seeds replicas take all frames of a turn before they do what
+ * these make possible, as the daemon does; in others they do it after each.
+ */
+static void
+deliver(struct cell *c, const struct frame *f)
+{
+	struct gyp_replica *replica = c->nodes[f->to].replica;
+	Gyp__Frame *frame = unpack(f->packed);
+
+	if (c->seed % 2 == 1) {
+		gyp_replica_accept(replica, c->now, f->from, frame);
+	} else {
+		gyp_replica_receive(replica, c->now, f->from, frame);
+		pump(c, f->to);
+	}
+	gyp_message_free(frame);
+}
+
+static void
+deliver_all(struct cell *c)
+{
+	struct frame *f;
+	guint left = c->wire.length;
+	int i;
+
+	while (left-- > 0) {
+		f = g_queue_pop_head(&c->wire);
+		if (c->nodes[f->to].replica != NULL)
+			deliver(c, f);
+		free_frame(f);
+	}
+	for (i = 0; i < c->n && c->seed % 2 == 1; i++) {
+		if (c->nodes[i].replica == NULL)
+			continue;
+		gyp_replica_work(c->nodes[i].replica, c->now);
+		pump(c, i);
+	}
+}
+
+const Gyp__Member *
+cell_find_member(const Gyp__Config *config, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < config->n_members; i++) {
+		if (config->members[i]->id == id)
+			return config->members[i];
+	}
+	return NULL;
+}
+
+static void
+ask_to_join(struct cell *c, int i)
+{
+	const struct node *n = &c->nodes[i];
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__Join join = GYP__JOIN__INIT;
+	Gyp__Member m = GYP__MEMBER__INIT;
+	int to;
+
+	if (cell_find_member(
+		gyp_raft_members(gyp_replica_raft(n->replica)), n->id) != NULL)
+		return;
+	m.id = n->id;
+	m.address = (char *)n->address;
+	m.data_centre = (char *)n->data_centre;
+	join.member = &m;
+	frame.body_case = GYP__FRAME__BODY_JOIN;
+	frame.join = &join;
+	for (to = 0; to < c->n; to++) {
+		if (to != i)
+			post(c, to, n->id, gyp_message_pack(&frame.base));
+	}
+}
+
+void
+cell_run(struct cell *c, uint32_t ms)
+{
+	uint64_t end = c->now + ms;
+	int i;
+
+	while (c->now < end) {
+		c->now += 10;
+		for (i = 0; i < c->n; i++) {
+			if (c->nodes[i].replica == NULL)
+				continue;
+			gyp_replica_tick(c->nodes[i].replica, c->now);
+			if (c->now % JOIN_MS == 0)
+				ask_to_join(c, i);
+			pump(c, i);
+		}
+		deliver_all(c);
+	}
+}
+
+int
+cell_leader(const struct cell *c)
+{
+	int i;
+
+	for (i = 0; i < c->n; i++) {
+		if (c->nodes[i].replica != NULL &&
+		    gyp_replica_serving(c->nodes[i].replica))
+			return i;
+	}
+	return -1;
+}
+
+/* ---- Looking and asking ------------------------------------------------- */
+
+const Gyp__Config *
+cell_members(const struct cell *c)
+{
+	int i = cell_leader(c);
+
+	g_assert_cmpint(i, >=, 0);
+	return gyp_raft_members(gyp_replica_raft(c->nodes[i].replica));
+}
+
+bool
+cell_votes(const struct cell *c, uint64_t id)
+{
+	const Gyp__Member *m = cell_find_member(cell_members(c), id);
+
+	return m != NULL && m->voter;
+}
+
+/* The voters' data centres, sorted, as one string. */
+char *
+cell_voting_centres(const struct cell *c)
+{
+	const Gyp__Config *config = cell_members(c);
+	GString *s = g_string_new("");
+	const char *name;
+	size_t i;
+
+	for (name = "abcd"; *name != '\0'; name++) {
+		for (i = 0; i < config->n_members; i++) {
+			if (config->members[i]->voter &&
+			    config->members[i]->data_centre[0] == *name)
+				g_string_append_c(s, *name);
+		}
+	}
+	return g_string_free(s, FALSE);
+}
+
+void
+cell_assert_centres(const struct cell *c, const char *expected)
+{
+	char *found = cell_voting_centres(c);
+
+	g_assert_cmpstr(found, ==, expected);
+	g_free(found);
+}
+
+/* Sends a call to the leader as an entry would; the reply comes later. */
+static void
+call(struct cell *c, Gyp__Call *msg)
+{
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__EntryUp up = GYP__ENTRY_UP__INIT;
+	int i = cell_leader(c);
+
+	g_assert_cmpint(i, >=, 0);
+	gyp_message_free(c->reply);
+	c->reply = NULL;
+	msg->id = 1;
+	up.round = ++c->round;
+	up.n_calls = 1;
+	up.calls = &msg;
+	frame.body_case = GYP__FRAME__BODY_UP;
+	frame.up = &up;
+	gyp_replica_receive(c->nodes[i].replica, c->now, ENTRY_ID, &frame);
+	pump(c, i);
+}
+
+/* Asks until the answer is not that another change is under way. */
+Gyp__Code
+cell_remove_member(struct cell *c, const char *name)
+{
+	Gyp__Call msg = GYP__CALL__INIT;
+	Gyp__Admin admin = GYP__ADMIN__INIT;
+	int tries;
+
+	admin.op = GYP__ADMIN_OP__ADMIN_REMOVE_MEMBER;
+	admin.name = (char *)name;
+	msg.c_case = GYP__CALL__C_ADMIN;
+	msg.admin = &admin;
+	for (tries = 0; tries < 20; tries++) {
+		call(c, &msg);
+		cell_run(c, 500);
+		g_assert_nonnull(c->reply);
+		if (c->reply->code != GYP__CODE__CODE_BUSY)
+			break;
+	}
+	return c->reply->code;
+}
+
+/* Commits one command; true when it was answered. */
+bool
+cell_announce(struct cell *c, uint64_t nth)
+{
+	Gyp__Call msg = GYP__CALL__INIT;
+	Gyp__CmdEndpoint ep = GYP__CMD_ENDPOINT__INIT;
+	Gyp__Res capacity = GYP__RES__INIT;
+	char *name = g_strdup_printf("vm-%" G_GUINT64_FORMAT, nth);
+
+	capacity.cpu_milli = 1000;
+	capacity.slots = 1;
+	ep.name = name;
+	ep.address = "10.1.0.1:1";
+	ep.rack = ep.data_centre = "a";
+	ep.capacity = &capacity;
+	ep.connections = 1;
+	ep.incarnation = nth;
+	msg.c_case = GYP__CALL__C_ANNOUNCE;
+	msg.announce = &ep;
+	call(c, &msg);
+	cell_run(c, 100);
+	g_free(name);
+	return c->reply != NULL && c->reply->code == GYP__CODE__CODE_OK;
+}
+
+/* Runs until the members have stayed the same for several join intervals. */
+void
+cell_settle(struct cell *c)
+{
+	GBytes *before = g_bytes_new_static("", 0);
+	int quiet = 0, tries;
+
+	for (tries = 0; tries < 600 && quiet < 30; tries++) {
+		GBytes *now;
+
+		cell_run(c, 100);
+		if (cell_leader(c) < 0)
+			continue;
+		now = gyp_message_pack(&cell_members(c)->base);
+		quiet = g_bytes_equal(now, before) ? quiet + 1 : 0;
+		g_bytes_unref(before);
+		before = now;
+	}
+	g_bytes_unref(before);
+	g_assert_cmpint(quiet, ==, 30);
+}
--- /dev/null
+++ b/test/members_world.h
@@ -0,0 +1,89 @@
+#ifndef MEMBERS_WORLD_H
+#define MEMBERS_WORLD_H
+
+#include <glib.h>
+
+#include "replica.h"
+
+/*
+ * NAME
+ *	members_world - whole replicas in one process
+ *
+ * DESCRIPTION
+ *	Links lose nothing and disks sync at once. Tests stop replicas, take
+ *	their disks, add others, and look at who is a member and who votes.
+ */
+
+#define NODES       6
+#define VOTERS      3
+#define ELECTION_MS 400
+#define JOIN_MS     500
+#define ENTRY_ID    999999
+
+struct node {
+	struct gyp_replica *replica; /* NULL while stopped */
+	uint64_t id;
+	char address[24];
+	const char *data_centre;
+	GPtrArray *disk; /* struct gyp_record */
+	guint boot;      /* records there at the start */
+};
+
+struct frame {
+	int to;
+	uint64_t from;
+	GBytes *packed;
+};
+
+struct cell {
+	struct node nodes[NODES];
+	int n;
+	GQueue wire; /* struct frame */
+	uint64_t now;
+	uint64_t round;
+	uint64_t last_id;
+	uint32_t seed;
+	uint32_t catch_up_ms;        /* 0 for the default */
+	uint32_t snapshots, entries; /* sent to anybody */
+	Gyp__Reply *reply;           /* the newest to the entry */
+};
+
+void cell_start(struct cell *c, int i);
+
+void cell_stop(struct cell *c, int i);
+
+void cell_lose_disk(struct cell *c, int i);
+
+/* Starts one more replica, with an empty disk; returns its number. */
+int cell_add_node(struct cell *c, char centre);
+
+/* One letter a replica names its data centre. */
+void cell_init(struct cell *c, uint32_t seed, const char *centres);
+
+void cell_clear(struct cell *c);
+
+void cell_run(struct cell *c, uint32_t ms);
+
+int cell_leader(const struct cell *c);
+
+const Gyp__Config *cell_members(const struct cell *c);
+
+bool cell_votes(const struct cell *c, uint64_t id);
+
+const Gyp__Member *cell_find_member(const Gyp__Config *config, uint64_t id);
+
+/* The voters' data centres, sorted, as one string. */
+char *cell_voting_centres(const struct cell *c);
+
+void cell_assert_centres(const struct cell *c, const char *expected);
+
+/* Asks until the answer is not that another change is under way. */
+Gyp__Code cell_remove_member(struct cell *c, const char *name);
+
+/* Commits one command; true when it was answered. */
+bool cell_announce(struct cell *c, uint64_t nth);
+
+/* Runs until the members have stayed the same for several join intervals. */
+void cell_settle(struct cell *c);
+
+#endif
