The end of a loop's turn in a module of its own

Replica, entry and links each had a prepare watcher with a flag; turn_end.c holds it once, with the order of work before sending.

--- a/src/gyp.h
+++ b/src/gyp.h
@@ -75,6 +75,7 @@
 #include "settings.h"    /* INI files */
 #include "store.h"       /* records on a disk */
 #include "timer.h"       /* clock and subscriptions */
+#include "turn_end.h"    /* what a turn does once, at its end */
 #include "turns.h"       /* long turns of a loop */
 
 #endif
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -18,6 +18,7 @@
 #include "replica.h"
 #include "store.h"
 #include "timer.h"
+#include "turn_end.h"
 #include "turns.h"
 
 /* Interval of requests for membership, in ms. */
@@ -44,8 +45,7 @@
 	struct gyp_pf_client *client;
 	struct gyp_pf_control *control;
 	struct gyp_httpd *control_httpd;
-	ev_prepare turn_end;
-	bool due; /* work and output are left to the end of the loop's turn */
+	struct gyp_turn_end *turn_end;
 	bool flushing;
 	bool goes_on; /* a tick is due at once, see go_on_if_unapplied() */
 	bool was_leader;
@@ -197,15 +197,10 @@
 
 /* Before the loop waits again: once for all that came in its turn. */
 static void
-on_turn_end(struct ev_loop *loop, ev_prepare *w, int revents)
+on_turn_end(void *arg)
 {
-	struct app *app = w->data;
+	struct app *app = arg;
 
-	(void)loop;
-	(void)revents;
-	if (!app->due)
-		return;
-	app->due = false;
 	gyp_replica_work(app->replica, gyp_clock_ms());
 	flush(app);
 }
@@ -214,7 +209,7 @@
 static void
 on_told(void *arg)
 {
-	((struct app *)arg)->due = true;
+	gyp_turn_end_ask(((struct app *)arg)->turn_end);
 }
 
 /* ---- Events ------------------------------------------------------------ */
@@ -225,7 +220,7 @@
 	struct app *app = (struct app *)owner;
 
 	gyp_replica_accept(app->replica, gyp_clock_ms(), id, frame);
-	app->due = true;
+	gyp_turn_end_ask(app->turn_end);
 }
 
 /*
@@ -565,6 +560,8 @@
 	app.metrics_owner.ops = &metrics_ops;
 	app.loop = ev_default_loop(EVFLAG_AUTO);
 	app.timers = gyp_timers_new(app.loop);
+	app.turn_end =
+	    gyp_turn_end_new(app.loop, GYP_TURN_WORK, on_turn_end, &app);
 	if (start(&app, program->init, &err) != GYP_OK) {
 		gyp_log(GYP_LOG_ERR, "start-failed",
 		    "reason=\"%s\" error=\"%s\"", gyp_status_name(err.code),
@@ -582,11 +579,6 @@
 		    "listen=%s id=%016" G_GINT64_MODIFIER "x", set->listen,
 		    gyp_store_id(app.store));
 		flush(&app);
-		ev_prepare_init(&app.turn_end, on_turn_end);
-		app.turn_end.data = &app;
-		/* Counted as part of the turn, see turns.h. */
-		ev_set_priority(&app.turn_end, EV_MAXPRI);
-		ev_prepare_start(app.loop, &app.turn_end);
 		turns =
 		    gyp_turns_new(app.loop, gyp_replica_counters(app.replica));
 		ev_run(app.loop, 0);
@@ -603,6 +595,7 @@
 		gyp_store_close(app.store);
 	gyp_replica_free(app.replica);
 	g_free(app.members);
+	gyp_turn_end_free(app.turn_end);
 	gyp_timers_free(app.timers);
 	ev_loop_destroy(app.loop);
 	return app.code;
--- a/src/gyp_entry.c
+++ b/src/gyp_entry.c
@@ -19,6 +19,7 @@
 #include "program.h"
 #include "reload.h"
 #include "timer.h"
+#include "turn_end.h"
 #include "turns.h"
 
 /* Interval of the core's clock, in ms. */
@@ -65,8 +66,7 @@
 	struct gyp_counters *counters;
 	bool draining;
 	bool quiesced; /* no new connections */
-	ev_prepare turn_end;
-	bool due; /* answers wait for the end of the loop's turn */
+	struct gyp_turn_end *turn_end;
 	bool flushing;
 };
 
@@ -149,7 +149,7 @@
 	struct app *app = arg;
 
 	gyp_entry_host_answer(app->core, gyp_host_msg_from_answer(a));
-	app->due = true;
+	gyp_turn_end_ask(app->turn_end);
 }
 
 static bool
@@ -192,15 +192,10 @@
 
 /* One frame for all answers of endpoints that came in the turn. */
 static void
-on_turn_end(struct ev_loop *loop, ev_prepare *w, int revents)
+on_turn_end(void *arg)
 {
-	struct app *app = w->data;
+	struct app *app = arg;
 
-	(void)loop;
-	(void)revents;
-	if (!app->due)
-		return;
-	app->due = false;
 	gyp_entry_tick(app->core, gyp_clock_ms());
 	flush(app);
 }
@@ -360,6 +355,8 @@
 	app->links_owner.ops = &links_ops;
 	app->loop = ev_default_loop(EVFLAG_AUTO);
 	app->timers = gyp_timers_new(app->loop);
+	app->turn_end =
+	    gyp_turn_end_new(app->loop, GYP_TURN_WORK, on_turn_end, app);
 	app->core = gyp_entry_new(&cfg);
 	app->links =
 	    gyp_links_new(app->loop, app->timers, &app->links_owner, &hello);
@@ -390,6 +387,7 @@
 	gyp_entry_free(app->core);
 	gyp_counters_free(app->counters);
 	gyp_events_free(app->events);
+	gyp_turn_end_free(app->turn_end);
 	gyp_timers_free(app->timers);
 	ev_loop_destroy(app->loop);
 }
@@ -432,13 +430,7 @@
 	    program->settings, program->n_settings, on_setting, &app);
 	gyp_log(GYP_LOG_NOTICE, "started", "listen=%s", set->listen);
 	turns = gyp_turns_new(app.loop, app.counters);
-	ev_prepare_init(&app.turn_end, on_turn_end);
-	app.turn_end.data = &app;
-	/* Counted as part of the turn, see turns.h. */
-	ev_set_priority(&app.turn_end, EV_MAXPRI);
-	ev_prepare_start(app.loop, &app.turn_end);
 	ev_run(app.loop, 0);
-	ev_prepare_stop(app.loop, &app.turn_end);
 	gyp_turns_free(turns);
 	ev_signal_stop(app.loop, &term);
 	ev_signal_stop(app.loop, &interrupt);
--- a/src/link.c
+++ b/src/link.c
@@ -15,6 +15,7 @@
 #include "link.h"
 #include "msg.h"
 #include "timer.h"
+#include "turn_end.h"
 
 /* Bytes read from a socket in one go. */
 #define READ_BYTES (64 * 1024)
@@ -71,7 +72,7 @@
 	GPtrArray *accepted; /* struct conn */
 	GHashTable *by_id;   /* id -> struct conn of accepted */
 	GPtrArray *unsent;   /* struct conn, with frames of this turn */
-	ev_prepare turn_end;
+	struct gyp_turn_end *turn_end;
 };
 
 static void on_io(struct ev_loop *, ev_io *, int);
@@ -156,6 +157,7 @@
 		return;
 	c->unsent = true;
 	g_ptr_array_add(c->links->unsent, c);
+	gyp_turn_end_ask(c->links->turn_end);
 }
 
 static void
@@ -405,12 +407,10 @@
 }
 
 static void
-on_turn_end(struct ev_loop *loop, ev_prepare *w, int revents)
+on_turn_end(void *arg)
 {
-	struct gyp_links *links = w->data;
+	struct gyp_links *links = arg;
 
-	(void)loop;
-	(void)revents;
 	while (links->unsent->len > 0) {
 		struct conn *c = g_ptr_array_steal_index_fast(
 		    links->unsent, links->unsent->len - 1);
@@ -634,11 +634,8 @@
 	links->accepted = g_ptr_array_new_with_free_func(free_conn);
 	links->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	links->unsent = g_ptr_array_new();
-	ev_prepare_init(&links->turn_end, on_turn_end);
-	links->turn_end.data = links;
-	/* After all others: their frames go out in the same turn. */
-	ev_set_priority(&links->turn_end, EV_MINPRI);
-	ev_prepare_start(loop, &links->turn_end);
+	links->turn_end =
+	    gyp_turn_end_new(loop, GYP_TURN_SEND, on_turn_end, links);
 	links->sweep = gyp_timer_every(timers, SWEEP_MS, on_sweep, links);
 	return links;
 }
@@ -656,7 +653,7 @@
 	g_hash_table_destroy(links->by_id);
 	g_ptr_array_free(links->accepted, TRUE);
 	g_hash_table_destroy(links->dialled);
-	ev_prepare_stop(links->loop, &links->turn_end);
+	gyp_turn_end_free(links->turn_end);
 	g_ptr_array_free(links->unsent, TRUE);
 	g_bytes_unref(links->hello);
 	g_rand_free(links->rand);
