Nothing is stopped whose flow has no time to spare for another run

Change: preempt.c leaves runs alone whose flow has less to spare than the expected time of the run, and than 2 s; gyp_slack_spare() tells it. Test: no-stop-makes-others-late (its later age would be stopped without the rule).

--- a/src/placer.c
+++ b/src/placer.c
@@ -398,7 +398,7 @@
 	p->fleet = fleet;
 	p->admission = admission;
 	p->track = track;
-	p->preempt = gyp_preempt_new(flows, fleet);
+	p->preempt = gyp_preempt_new(flows, fleet, track);
 	p->rooms = gyp_rooms_new(flows, fleet, track, p->preempt);
 	p->units = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
 	p->ahead = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
--- a/src/preempt.c
+++ b/src/preempt.c
@@ -1,10 +1,18 @@
 #include <string.h>
 
 #include "preempt.h"
+#include "slack.h"
 
 /* Work without checkpoints yields while it has run for less, in ms. */
 #define LOST_MAX_MS 300
 
+/*
+ * Time to spare that a flow must have for one of its runs to be stopped, in ms,
+ * and in expected times of the run: it has to wait for another place.
+ */
+#define SPARE_MIN_MS   2000
+#define SPARE_MIN_RUNS 1
+
 /* A run that has done more than this is about to end, in percent. */
 #define NEARLY_DONE_PERCENT 80
 
@@ -39,6 +47,7 @@
 struct gyp_preempt {
 	const struct gyp_flows *flows;
 	const struct gyp_fleet *fleet;
+	const struct gyp_track *track;
 	uint64_t now;
 	GHashTable *stopping; /* key -> struct stopping */
 	GArray *coming;       /* struct gyp_res by row */
@@ -109,6 +118,19 @@
 
 /* ---- What could be stopped ---------------------------------------------- */
 
+/* True when the flow is in time also if this run has to begin anew. */
+static bool
+has_time(const struct gyp_preempt *p, const struct gyp_host_run *r,
+    const struct gyp_flow_unit *u)
+{
+	uint64_t run_ms = gyp_track_expect(
+	    p->track, r->flow->spec->queue->name, u->step->estimate_ms);
+	uint64_t min_ms = MAX(SPARE_MIN_MS, SPARE_MIN_RUNS * run_ms);
+
+	return gyp_slack_spare(p->track, r->flow, u,
+		   gyp_flows_time(p->flows)) >= (double)min_ms;
+}
+
 /* False when the run must not yield to that priority. */
 static bool
 describe(const struct gyp_preempt *p, const struct gyp_host_run *r,
@@ -132,7 +154,7 @@
 	v->size = u->size;
 	v->run = r->flow->tasks[r->task].run;
 	v->spared = false;
-	return v->lost_ms < LOST_MAX_MS;
+	return v->lost_ms < LOST_MAX_MS && has_time(p, r, u);
 }
 
 static void
@@ -283,12 +305,14 @@
 /* ---- Construction ------------------------------------------------------- */
 
 struct gyp_preempt *
-gyp_preempt_new(const struct gyp_flows *flows, const struct gyp_fleet *fleet)
+gyp_preempt_new(const struct gyp_flows *flows, const struct gyp_fleet *fleet,
+    const struct gyp_track *track)
 {
 	struct gyp_preempt *p = g_new0(struct gyp_preempt, 1);
 
 	p->flows = flows;
 	p->fleet = fleet;
+	p->track = track;
 	p->stopping = g_hash_table_new_full(
 	    gyp_flow_item_hash, gyp_flow_item_equal, NULL, g_free);
 	p->coming = g_array_new(FALSE, TRUE, sizeof(struct gyp_res));
--- a/src/preempt.h
+++ b/src/preempt.h
@@ -6,6 +6,7 @@
 
 #include "fleet.h"
 #include "flow.h"
+#include "track.h"
 
 /*
  * NAME
@@ -16,8 +17,9 @@
  *	service that is full of work of a lower priority which ends much later.
  *
  *	A run yields to work of a higher priority when it keeps its progress in
- *	checkpoints, or has run for a moment only, and is not about to end. Work
- *	that lasts and gangs never yield. Of an endpoint's runs those go that
+ *	checkpoints, or has run for a moment only, is not about to end, and its
+ *	flow has time to spare: a stop must not make other work late. Work that
+ *	lasts and gangs never yield. Of an endpoint's runs those go that
  *	lose the least. What they held is coming: it counts as free only when
  *	their ends are committed.
  *
@@ -35,8 +37,8 @@
 	uint64_t lost_ms; /* work that has to be done again */
 };
 
-struct gyp_preempt *gyp_preempt_new(
-    const struct gyp_flows *, const struct gyp_fleet *);
+struct gyp_preempt *gyp_preempt_new(const struct gyp_flows *,
+    const struct gyp_fleet *, const struct gyp_track *);
 void gyp_preempt_free(struct gyp_preempt *);
 
 /* Begins a round at time now; runs that ended are forgotten. */
--- a/src/slack.c
+++ b/src/slack.c
@@ -1,3 +1,5 @@
+#include <float.h>
+
 #include "slack.h"
 
 /* Steps whose chain is looked at; further ones count as short. */
@@ -32,22 +34,28 @@
 	return c;
 }
 
-enum gyp_slack_word
-gyp_slack_word(const struct gyp_track *track, const struct gyp_flow *flow,
+double
+gyp_slack_spare(const struct gyp_track *track, const struct gyp_flow *flow,
     const struct gyp_flow_unit *unit, uint64_t now_ms)
 {
 	const Gyp__FlowSpec *spec = flow->spec;
 	struct chains c;
-	double due, end;
 
 	if (spec->times > 0 || unit->step->lasting || spec->queue->stretch <= 0)
-		return GYP_SLACK_IN_TIME;
+		return DBL_MAX;
 	c = measure(track, spec, unit->number);
-	due = flow->accepted_ms + spec->queue->stretch * c.whole +
-	      spec->queue->target_ms;
-	end = now_ms + c.left;
-	if (end <= due)
+	return flow->accepted_ms + spec->queue->stretch * c.whole +
+	       spec->queue->target_ms - (now_ms + c.left);
+}
+
+enum gyp_slack_word
+gyp_slack_word(const struct gyp_track *track, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *unit, uint64_t now_ms)
+{
+	double spare = gyp_slack_spare(track, flow, unit, now_ms);
+
+	if (spare >= 0)
 		return GYP_SLACK_IN_TIME;
-	return end > due + GYP_SLACK_STARVE_MS ? GYP_SLACK_STARVING
-					       : GYP_SLACK_LATE;
+	return spare < -GYP_SLACK_STARVE_MS ? GYP_SLACK_STARVING
+					    : GYP_SLACK_LATE;
 }
--- a/src/slack.h
+++ b/src/slack.h
@@ -33,6 +33,13 @@
 	GYP_SLACK_LATE
 };
 
+/*
+ * Time that the flow has to spare when the unit begins at cell time now_ms, in
+ * ms; below 0 when it is late. Very much for work without an objective.
+ */
+double gyp_slack_spare(const struct gyp_track *, const struct gyp_flow *,
+    const struct gyp_flow_unit *, uint64_t now_ms);
+
 /* Of a unit that could begin at cell time now_ms. */
 enum gyp_slack_word gyp_slack_word(const struct gyp_track *,
     const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t now_ms);
--- a/test/test_unlike.c
+++ b/test/test_unlike.c
@@ -163,6 +163,38 @@
 	}
 }
 
+/*
+ * Load pattern: a burst before batch work that has little time to spare: a stop
+ * would make it late. The flow of ten tasks of 6 s has 6.1 s to spare when it
+ * is accepted, which is enough for another run of a task, and then less.
+ */
+static void
+test_no_stop_makes_others_late(void)
+{
+	static const uint64_t ages[] = {0, 200};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(ages); i++) {
+		struct gyp_preempt_stop stop;
+		struct placer_world f;
+		struct gyp_flow *flow;
+		Gyp__FlowStep batch = batch_step();
+
+		batch.estimate_ms = 6000;
+		placer_world_init(&f, 1);
+		fill(&f, 1, 2, batch);
+		flow = gyp_flow_get(f.w.flows, 1);
+		flow->spec->queue->stretch = 2;
+		flow->spec->queue->target_ms = 100;
+		flow->accepted_ms = gyp_flows_time(f.w.flows) - ages[i];
+		placer_world_submit(&f, 60, 0, flow_world_step(1));
+		placer_world_decide(&f, PLACER_LANES);
+		g_assert_cmpint(
+		    gyp_placer_pop_stop(f.placer, &stop), ==, ages[i] == 0);
+		placer_world_clear(&f);
+	}
+}
+
 /*
  * Load pattern: a gang before a pool of accelerators full of tasks of one. It
  * gets whole endpoints, and runs stop there only; a gang that can't have all of
@@ -281,6 +313,8 @@
 	g_test_add_func(
 	    "/unlike/burst-on-full-service", test_burst_on_full_service);
 	g_test_add_func("/unlike/who-never-yields", test_who_never_yields);
+	g_test_add_func("/unlike/no-stop-makes-others-late",
+	    test_no_stop_makes_others_late);
 	g_test_add_func("/unlike/gang-on-full-pool", test_gang_on_full_pool);
 	g_test_add_func("/unlike/late-work", test_late_work);
 	g_test_add_func(
