--- a/src/gyp.h
+++ b/src/gyp.h
@@ -40,6 +40,7 @@
 #include "placer.h"             /* which task of a flow starts where */
 #include "policy.h"             /* placements, evictions and refusals */
 #include "preempt.h"            /* runs stopped for more urgent work */
+#include "quota.h"              /* what may still start under a cap */
 #include "raft.h"               /* replicated log */
 #include "record.h"             /* records that a replica writes to its disk */
 #include "rendezvous.h"         /* rendezvous hashing of items to processes */
@@ -52,9 +53,11 @@
 #include "slack.h"              /* whether work can meet its objective */
 #include "state.h"              /* tables of jobs, endpoints and rules */
 #include "straggler.h"          /* whether to restart a run elsewhere */
+#include "token_bucket.h"       /* whether events are within a rate */
 #include "trace.h"              /* events of a cell, one per line */
 #include "usage.h"              /* latest measured usage */
 #include "wal.h"                /* segments of the write-ahead log */
+#include "workspace.h"          /* workspaces and their API keys */
 
 /* ---- Core: the entry ----------------------------------------------------- */
 #include "entry.h"       /* open calls and start orders of one entry */
--- /dev/null
+++ b/src/token_bucket.c
@@ -0,0 +1,46 @@
+#include <math.h>
+
+#include <glib.h>
+
+#include "token_bucket.h"
+
+/* Tolerance for the rounding of refills, in tokens. */
+#define ROUNDING 1e-6
+
+static double
+tokens_at(const struct gyp_token_bucket *b, double rate, uint64_t now)
+{
+	double most = MAX(rate, 1);
+	double elapsed_s = (double)(now - MIN(now, b->filled_at)) / 1000;
+
+	if (b->filled_at == 0)
+		return most;
+	return MIN(b->tokens + elapsed_s * rate, most);
+}
+
+bool
+gyp_token_bucket_take(struct gyp_token_bucket *b, double rate, uint64_t now)
+{
+	double tokens = tokens_at(b, rate, now);
+
+	b->filled_at = MAX(now, 1);
+	if (tokens < 1 - ROUNDING) {
+		b->tokens = tokens;
+		return false;
+	}
+	b->tokens = MAX(tokens - 1, 0);
+	return true;
+}
+
+uint32_t
+gyp_token_bucket_wait_ms(
+    const struct gyp_token_bucket *b, double rate, uint64_t now)
+{
+	double tokens = tokens_at(b, rate, now);
+	double wait_ms;
+
+	if (tokens >= 1 - ROUNDING)
+		return 0;
+	wait_ms = rate > 0 ? (1 - tokens) / rate * 1000 : UINT32_MAX;
+	return (uint32_t)MIN(ceil(wait_ms), UINT32_MAX);
+}
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -772,6 +772,51 @@
   assert(message->base.descriptor == &gyp__flow_queue__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gyp__workspace__init
+                     (Gyp__Workspace         *message)
+{
+  static const Gyp__Workspace init_value = GYP__WORKSPACE__INIT;
+  *message = init_value;
+}
+size_t gyp__workspace__get_packed_size
+                     (const Gyp__Workspace *message)
+{
+  assert(message->base.descriptor == &gyp__workspace__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__workspace__pack
+                     (const Gyp__Workspace *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__workspace__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__workspace__pack_to_buffer
+                     (const Gyp__Workspace *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__workspace__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__Workspace *
+       gyp__workspace__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__Workspace *)
+     protobuf_c_message_unpack (&gyp__workspace__descriptor,
+                                allocator, len, data);
+}
+void   gyp__workspace__free_unpacked
+                     (Gyp__Workspace *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__workspace__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gyp__flow_spec__init
                      (Gyp__FlowSpec         *message)
 {
@@ -4297,7 +4342,7 @@
   (ProtobufCMessageInit) gyp__flow_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__flow_queue__field_descriptors[13] =
+static const ProtobufCFieldDescriptor gyp__flow_queue__field_descriptors[14] =
 {
   {
     "name",
@@ -4455,6 +4500,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_public",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowQueue, is_public),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__flow_queue__field_indices_by_name[] = {
   9,   /* field[9] = admission */
@@ -4462,6 +4519,7 @@
   10,   /* field[10] = admission_ms */
   5,   /* field[5] = attempts */
   1,   /* field[1] = host */
+  13,   /* field[13] = is_public */
   0,   /* field[0] = name */
   3,   /* field[3] = pool */
   2,   /* field[2] = prefix */
@@ -4475,7 +4533,7 @@
 {
   { 1, 0 },
   { 16, 10 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor gyp__flow_queue__descriptor =
 {
@@ -4485,14 +4543,91 @@
   "Gyp__FlowQueue",
   "gyp",
   sizeof(Gyp__FlowQueue),
-  13,
+  14,
   gyp__flow_queue__field_descriptors,
   gyp__flow_queue__field_indices_by_name,
   2,  gyp__flow_queue__number_ranges,
   (ProtobufCMessageInit) gyp__flow_queue__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__flow_spec__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gyp__workspace__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Workspace, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key_digests",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Gyp__Workspace, n_key_digests),
+    offsetof(Gyp__Workspace, key_digests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Workspace, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cap",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Workspace, cap),
+    &gyp__res__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__workspace__field_indices_by_name[] = {
+  3,   /* field[3] = cap */
+  1,   /* field[1] = key_digests */
+  0,   /* field[0] = name */
+  2,   /* field[2] = rate */
+};
+static const ProtobufCIntRange gyp__workspace__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gyp__workspace__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.Workspace",
+  "Workspace",
+  "Gyp__Workspace",
+  "gyp",
+  sizeof(Gyp__Workspace),
+  4,
+  gyp__workspace__field_descriptors,
+  gyp__workspace__field_indices_by_name,
+  1,  gyp__workspace__number_ranges,
+  (ProtobufCMessageInit) gyp__workspace__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__flow_spec__field_descriptors[9] =
 {
   {
     "id",
@@ -4578,8 +4713,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "workspace",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowSpec, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "excess",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowSpec, excess),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__flow_spec__field_indices_by_name[] = {
+  8,   /* field[8] = excess */
   4,   /* field[4] = first_ms */
   0,   /* field[0] = id */
   5,   /* field[5] = interval_ms */
@@ -4587,11 +4747,12 @@
   6,   /* field[6] = queue */
   2,   /* field[2] = steps */
   3,   /* field[3] = times */
+  7,   /* field[7] = workspace */
 };
 static const ProtobufCIntRange gyp__flow_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gyp__flow_spec__descriptor =
 {
@@ -4601,7 +4762,7 @@
   "Gyp__FlowSpec",
   "gyp",
   sizeof(Gyp__FlowSpec),
-  7,
+  9,
   gyp__flow_spec__field_descriptors,
   gyp__flow_spec__field_indices_by_name,
   1,  gyp__flow_spec__number_ranges,
@@ -5121,7 +5282,7 @@
   (ProtobufCMessageInit) gyp__cmd_host_reborn__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_manifest__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gyp__cmd_manifest__field_descriptors[5] =
 {
   {
     "version",
@@ -5159,16 +5320,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "workspaces",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__CmdManifest, n_workspaces),
+    offsetof(Gyp__CmdManifest, workspaces),
+    &gyp__workspace__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requires_keys",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdManifest, requires_keys),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd_manifest__field_indices_by_name[] = {
   2,   /* field[2] = queues */
+  4,   /* field[4] = requires_keys */
   1,   /* field[1] = text */
   0,   /* field[0] = version */
+  3,   /* field[3] = workspaces */
 };
 static const ProtobufCIntRange gyp__cmd_manifest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gyp__cmd_manifest__descriptor =
 {
@@ -5178,7 +5365,7 @@
   "Gyp__CmdManifest",
   "gyp",
   sizeof(Gyp__CmdManifest),
-  3,
+  5,
   gyp__cmd_manifest__field_descriptors,
   gyp__cmd_manifest__field_indices_by_name,
   1,  gyp__cmd_manifest__number_ranges,
@@ -6293,7 +6480,7 @@
   (ProtobufCMessageInit) gyp__host_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__flow_call__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gyp__flow_call__field_descriptors[5] =
 {
   {
     "host",
@@ -6343,17 +6530,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "key_digest",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowCall, key_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__flow_call__field_indices_by_name[] = {
   3,   /* field[3] = cancel */
   0,   /* field[0] = host */
+  4,   /* field[4] = key_digest */
   1,   /* field[1] = path */
   2,   /* field[2] = submit */
 };
 static const ProtobufCIntRange gyp__flow_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gyp__flow_call__descriptor =
 {
@@ -6363,7 +6563,7 @@
   "Gyp__FlowCall",
   "gyp",
   sizeof(Gyp__FlowCall),
-  4,
+  5,
   gyp__flow_call__field_descriptors,
   gyp__flow_call__field_indices_by_name,
   1,  gyp__flow_call__number_ranges,
@@ -9141,7 +9341,7 @@
   gyp__admin_op__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gyp__code__enum_values_by_number[8] =
+static const ProtobufCEnumValue gyp__code__enum_values_by_number[11] =
 {
   { "CODE_OK", "GYP__CODE__CODE_OK", 0 },
   { "CODE_ACCEPTED", "GYP__CODE__CODE_ACCEPTED", 1 },
@@ -9151,20 +9351,26 @@
   { "CODE_RETIRED", "GYP__CODE__CODE_RETIRED", 5 },
   { "CODE_BUSY", "GYP__CODE__CODE_BUSY", 6 },
   { "CODE_REFUSED", "GYP__CODE__CODE_REFUSED", 18 },
+  { "CODE_UNAUTHENTICATED", "GYP__CODE__CODE_UNAUTHENTICATED", 24 },
+  { "CODE_FORBIDDEN", "GYP__CODE__CODE_FORBIDDEN", 25 },
+  { "CODE_OVER_RATE", "GYP__CODE__CODE_OVER_RATE", 26 },
 };
 static const ProtobufCIntRange gyp__code__value_ranges[] = {
-{0, 0},{18, 7},{0, 8}
+{0, 0},{18, 7},{24, 8},{0, 11}
 };
-static const ProtobufCEnumValueIndex gyp__code__enum_values_by_name[8] =
+static const ProtobufCEnumValueIndex gyp__code__enum_values_by_name[11] =
 {
   { "CODE_ACCEPTED", 1 },
   { "CODE_BAD", 4 },
   { "CODE_BUSY", 6 },
   { "CODE_CONFLICT", 3 },
+  { "CODE_FORBIDDEN", 9 },
   { "CODE_NOT_FOUND", 2 },
   { "CODE_OK", 0 },
+  { "CODE_OVER_RATE", 10 },
   { "CODE_REFUSED", 7 },
   { "CODE_RETIRED", 5 },
+  { "CODE_UNAUTHENTICATED", 8 },
 };
 const ProtobufCEnumDescriptor gyp__code__descriptor =
 {
@@ -9173,11 +9379,11 @@
   "Code",
   "Gyp__Code",
   "gyp",
-  8,
+  11,
   gyp__code__enum_values_by_number,
-  8,
+  11,
   gyp__code__enum_values_by_name,
-  2,
+  3,
   gyp__code__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -32,6 +32,7 @@
 typedef struct Gyp__CmdRules Gyp__CmdRules;
 typedef struct Gyp__FlowStep Gyp__FlowStep;
 typedef struct Gyp__FlowQueue Gyp__FlowQueue;
+typedef struct Gyp__Workspace Gyp__Workspace;
 typedef struct Gyp__FlowSpec Gyp__FlowSpec;
 typedef struct Gyp__CmdFlow Gyp__CmdFlow;
 typedef struct Gyp__CmdFlowCancel Gyp__CmdFlowCancel;
@@ -157,7 +158,19 @@
   /*
    * the key is refused, and no job ever had it
    */
-  GYP__CODE__CODE_REFUSED = 18
+  GYP__CODE__CODE_REFUSED = 18,
+  /*
+   * no API key, or one that is not in force
+   */
+  GYP__CODE__CODE_UNAUTHENTICATED = 24,
+  /*
+   * the flow belongs to another workspace
+   */
+  GYP__CODE__CODE_FORBIDDEN = 25,
+  /*
+   * beyond the workspace's rate; not accepted
+   */
+  GYP__CODE__CODE_OVER_RATE = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__CODE)
 } Gyp__Code;
 typedef enum _Gyp__OrderType {
@@ -605,10 +618,40 @@
    * validity of a ticket
    */
   uint32_t ticket_ms;
+  /*
+   * calls need no key
+   */
+  protobuf_c_boolean is_public;
 };
 #define GYP__FLOW_QUEUE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__flow_queue__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A group of callers that share keys, a rate and a cap.
+ */
+struct  Gyp__Workspace
+{
+  ProtobufCMessage base;
+  char *name;
+  /*
+   * SHA-256 of each of its API keys
+   */
+  size_t n_key_digests;
+  ProtobufCBinaryData *key_digests;
+  /*
+   * jobs a second that it is entitled to; 0: any
+   */
+  double rate;
+  /*
+   * most that its open runs book; 0: no limit
+   */
+  Gyp__Res *cap;
+};
+#define GYP__WORKSPACE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__workspace__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, NULL }
 
 
 struct  Gyp__FlowSpec
@@ -634,10 +677,18 @@
    * as it was when the flow was accepted
    */
   Gyp__FlowQueue *queue;
+  /*
+   * of the caller that submitted it, or ""
+   */
+  char *workspace;
+  /*
+   * beyond the workspace's rate when accepted
+   */
+  protobuf_c_boolean excess;
 };
 #define GYP__FLOW_SPEC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__flow_spec__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, NULL }
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Gyp__CmdFlow
@@ -765,10 +816,16 @@
   ProtobufCBinaryData text;
   size_t n_queues;
   Gyp__FlowQueue **queues;
+  size_t n_workspaces;
+  Gyp__Workspace **workspaces;
+  /*
+   * it has a list of workspaces
+   */
+  protobuf_c_boolean requires_keys;
 };
 #define GYP__CMD_MANIFEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_manifest__descriptor) \
-    , 0, {0,NULL}, 0,NULL }
+    , 0, {0,NULL}, 0,NULL, 0,NULL, 0 }
 
 
 struct  Gyp__SnapFlowTask
@@ -990,10 +1047,14 @@
    * cancels the flow; else reads its state
    */
   protobuf_c_boolean cancel;
+  /*
+   * SHA-256 of the caller's API key, or empty
+   */
+  ProtobufCBinaryData key_digest;
 };
 #define GYP__FLOW_CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__flow_call__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, {0,NULL} }
 
 
 struct  Gyp__FlowView
@@ -1401,7 +1462,7 @@
   protobuf_c_boolean resend;
   Gyp__FlowView *flow;
   /*
-   * with CODE_BUSY: delay before a retry
+   * With CODE_BUSY and CODE_OVER_RATE: delay before a retry.
    */
   uint32_t retry_ms;
 };
@@ -1891,6 +1952,25 @@
 void   gyp__flow_queue__free_unpacked
                      (Gyp__FlowQueue *message,
                       ProtobufCAllocator *allocator);
+/* Gyp__Workspace methods */
+void   gyp__workspace__init
+                     (Gyp__Workspace         *message);
+size_t gyp__workspace__get_packed_size
+                     (const Gyp__Workspace   *message);
+size_t gyp__workspace__pack
+                     (const Gyp__Workspace   *message,
+                      uint8_t             *out);
+size_t gyp__workspace__pack_to_buffer
+                     (const Gyp__Workspace   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__Workspace *
+       gyp__workspace__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__workspace__free_unpacked
+                     (Gyp__Workspace *message,
+                      ProtobufCAllocator *allocator);
 /* Gyp__FlowSpec methods */
 void   gyp__flow_spec__init
                      (Gyp__FlowSpec         *message);
@@ -2723,6 +2803,9 @@
 typedef void (*Gyp__FlowQueue_Closure)
                  (const Gyp__FlowQueue *message,
                   void *closure_data);
+typedef void (*Gyp__Workspace_Closure)
+                 (const Gyp__Workspace *message,
+                  void *closure_data);
 typedef void (*Gyp__FlowSpec_Closure)
                  (const Gyp__FlowSpec *message,
                   void *closure_data);
@@ -2877,6 +2960,7 @@
 extern const ProtobufCMessageDescriptor gyp__cmd_rules__descriptor;
 extern const ProtobufCMessageDescriptor gyp__flow_step__descriptor;
 extern const ProtobufCMessageDescriptor gyp__flow_queue__descriptor;
+extern const ProtobufCMessageDescriptor gyp__workspace__descriptor;
 extern const ProtobufCMessageDescriptor gyp__flow_spec__descriptor;
 extern const ProtobufCMessageDescriptor gyp__cmd_flow__descriptor;
 extern const ProtobufCMessageDescriptor gyp__cmd_flow_cancel__descriptor;
