Workspaces of the manifest: API keys, quotas, rates and refusals

The code read no key, kept no cap and refused nobody. Callers' keys are hashed by the entry and looked up by the leader in the manifest in force: 401 without a valid key unless the queue is public, 403 for a flow of another workspace.

The tables keep what the open runs of each workspace book and reject a start above its cap; the placer asks the same function before. Flows beyond the rate of their workspace are marked at acceptance, rank behind all others, and are refused with 429 when the work that waits would make them late. A refusal of a request that was sent before is reported as unanswered, since the earlier sending may have been accepted.

policy_queue.c uses quota.c for the teams' quotas and shares.

--- a/src/counters.h
+++ b/src/counters.h
@@ -21,6 +21,7 @@
  *	gyp_starts_total{class}			placements by the leader
  *	gyp_retries_total{class}		placements of later attempts
  *	gyp_questions_total			queries about unlisted attempts
+ *	gyp_flow_submits_total{workspace,verdict}	flows decided on
  *	gyp_refused_total{reason}		requests refused by the API
  *	gyp_link_bytes_total{link,direction}	bytes, with length prefixes
  *	gyp_messages_total{link,direction}	frames
--- a/src/entry_calls.c
+++ b/src/entry_calls.c
@@ -154,6 +154,19 @@
 	remove_call(e, c);
 }
 
+/*
+ * True if a flow is refused that was sent before: the replica does not know
+ * whether a sending that is still under way will be accepted.
+ */
+static bool
+is_uncertain_refusal(const struct gyp_call *c, const Gyp__Reply *reply)
+{
+	return c->msg->c_case == GYP__CALL__C_FLOW &&
+	       c->msg->flow->submit != NULL && c->sends > 1 &&
+	       (reply->code == GYP__CODE__CODE_BUSY ||
+		   reply->code == GYP__CODE__CODE_OVER_RATE);
+}
+
 void
 gyp_entry_on_reply(struct gyp_entry_core *e, const Gyp__Reply *reply)
 {
@@ -166,6 +179,11 @@
 		on_report_reply(e, c);
 		return;
 	}
+	if (is_uncertain_refusal(c, reply)) {
+		push_answer(e, c, true, NULL);
+		remove_call(e, c);
+		return;
+	}
 	/* An earlier sending of this submit may have been accepted. */
 	if (c->kind == GYP_CALL_SUBMIT && c->sends > 1 &&
 	    reply->code == GYP__CODE__CODE_BUSY) {
--- a/src/flow.c
+++ b/src/flow.c
@@ -2,6 +2,11 @@
 
 #include "flow_int.h"
 #include "msg.h"
+#include "quota.h"
+#include "workspace.h"
+
+/* Rank of the most urgent flow beyond its workspace's rate. */
+#define EXCESS_RANK (1U << 16)
 
 /* ---- Keys of tasks and units -------------------------------------------- */
 
@@ -287,6 +292,77 @@
 	return best;
 }
 
+/* ---- Workspaces --------------------------------------------------------- */
+
+static void
+free_workspace(gpointer p)
+{
+	struct gyp_workspace_use *use = p;
+
+	g_free(use->name);
+	g_free(use);
+}
+
+static void
+refresh_cap(const struct gyp_flows *f, struct gyp_workspace_use *use)
+{
+	const Gyp__Workspace *w = NULL;
+
+	if (f->manifest != NULL)
+		w = gyp_workspace_by_name(f->manifest, use->name);
+	use->cap = gyp_quota_from(w != NULL ? w->cap : NULL);
+	use->rate = w != NULL ? w->rate : 0;
+}
+
+void
+gyp_flows_refresh_caps(struct gyp_flows *f)
+{
+	guint i;
+
+	for (i = 0; i < f->workspaces->len; i++)
+		refresh_cap(f, f->workspaces->pdata[i]);
+}
+
+void
+gyp_flow_join_workspace(struct gyp_flows *f, struct gyp_flow *flow)
+{
+	const char *name = flow->spec->workspace;
+	struct gyp_workspace_use *use;
+
+	if (name[0] == '\0')
+		return;
+	use = g_hash_table_lookup(f->workspace_names, name);
+	if (use == NULL) {
+		use = g_new0(struct gyp_workspace_use, 1);
+		use->row = f->workspaces->len;
+		use->name = g_strdup(name);
+		refresh_cap(f, use);
+		g_ptr_array_add(f->workspaces, use);
+		g_hash_table_insert(f->workspace_names, use->name, use);
+	}
+	flow->use = use;
+}
+
+uint32_t
+gyp_workspaces_size(const struct gyp_flows *f)
+{
+	return f->workspaces->len;
+}
+
+struct gyp_workspace_use *
+gyp_workspace_at(const struct gyp_flows *f, uint32_t row)
+{
+	return row < f->workspaces->len ? f->workspaces->pdata[row] : NULL;
+}
+
+uint32_t
+gyp_flow_rank(const struct gyp_flow *flow)
+{
+	uint32_t priority = MIN(flow->spec->queue->priority, EXCESS_RANK - 1);
+
+	return flow->spec->excess ? EXCESS_RANK + priority : priority;
+}
+
 /* ---- Access ------------------------------------------------------------- */
 
 struct gyp_flow *
@@ -307,6 +383,22 @@
 	return g_hash_table_size(f->by_id);
 }
 
+void
+gyp_flows_list_recent(
+    const struct gyp_flows *f, uint64_t since_ms, GPtrArray *list)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, f->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gyp_flow *flow = value;
+
+		if (flow->accepted_ms >= since_ms)
+			g_ptr_array_add(list, value);
+	}
+}
+
 void
 gyp_flows_set_listener(struct gyp_flows *f, struct gyp_flows_listener *listener)
 {
@@ -341,6 +433,8 @@
 	    g_int64_hash, g_int64_equal, NULL, gyp_flow_free);
 	f->hosts = g_ptr_array_new_with_free_func(gyp_host_free);
 	f->host_ids = g_hash_table_new(g_str_hash, g_str_equal);
+	f->workspaces = g_ptr_array_new_with_free_func(free_workspace);
+	f->workspace_names = g_hash_table_new(g_str_hash, g_str_equal);
 	g_queue_init(&f->active);
 	g_queue_init(&f->ended);
 }
@@ -353,6 +447,8 @@
 	g_hash_table_destroy(f->host_ids);
 	g_ptr_array_free(f->hosts, TRUE);
 	g_hash_table_destroy(f->by_id);
+	g_hash_table_destroy(f->workspace_names);
+	g_ptr_array_free(f->workspaces, TRUE);
 	gyp_message_free(f->manifest);
 	f->manifest = NULL;
 }
--- a/src/flow.h
+++ b/src/flow.h
@@ -26,7 +26,8 @@
  *	next run starts only after the end of the previous one is committed; a
  *	step starts only after the steps that it depends on are done; a task
  *	gets no run after its last allowed failure; the resources booked on an
- *	endpoint never exceed its capacity; a cancelled or failed flow gets no
+ *	endpoint never exceed its capacity; no start raises what the open runs
+ *	of a workspace book above its cap; a cancelled or failed flow gets no
  *	new run.
  *
  *	Rows of endpoints are never reused, so a row number identifies one
@@ -92,7 +93,8 @@
 	uint64_t id;
 	uint64_t seq; /* order of acceptance */
 	Gyp__FlowSpec *spec;
-	const char *pool; /* pool of its endpoints, interned */
+	const char *pool;              /* pool of its endpoints, interned */
+	struct gyp_workspace_use *use; /* of its workspace, or NULL */
 	enum gyp_flow_state state;
 	bool begun; /* a task has started at least once */
 	uint64_t accepted_ms;
@@ -105,6 +107,19 @@
 	struct gyp_flow_task *tasks;
 };
 
+/*
+ * What the flows of a workspace use. Rows are never removed: there are as many
+ * as workspaces have submitted flows.
+ */
+struct gyp_workspace_use {
+	uint32_t row; /* counted from 0 */
+	char *name;
+	struct gyp_res cap;  /* of the manifest in force */
+	double rate;         /* of that manifest; 0: any */
+	struct gyp_res used; /* booked by open runs */
+	uint32_t open;       /* open runs */
+};
+
 /* An open run on an endpoint. */
 struct gyp_host_run {
 	struct gyp_flow *flow;
@@ -180,6 +195,10 @@
 const GQueue *gyp_flows_active(const struct gyp_flows *);
 uint32_t gyp_flows_count(const struct gyp_flows *);
 
+/* Appends the flows that were accepted at since_ms of cell time or later. */
+void gyp_flows_list_recent(
+    const struct gyp_flows *, uint64_t since_ms, GPtrArray *list);
+
 /* The endpoint of a row, or NULL if it was removed. */
 struct gyp_host *gyp_host_at(const struct gyp_flows *, uint32_t row);
 uint32_t gyp_hosts_size(const struct gyp_flows *);
@@ -199,6 +218,21 @@
 /* The newest manifest, or NULL. */
 const Gyp__CmdManifest *gyp_flows_manifest(const struct gyp_flows *);
 
+/*
+ * Workspaces whose flows are in the tables, by row. A workspace that the
+ * manifest does not list has no cap.
+ */
+uint32_t gyp_workspaces_size(const struct gyp_flows *);
+struct gyp_workspace_use *gyp_workspace_at(
+    const struct gyp_flows *, uint32_t row);
+
+/*
+ * Rank of a flow in the order of work, the most urgent first: 0 or more. A flow
+ * beyond the rate of its workspace ranks behind all others, whatever the
+ * priorities of their queues.
+ */
+uint32_t gyp_flow_rank(const struct gyp_flow *);
+
 /*
  * The queue for that HTTP Host header with the longest prefix of path, or NULL.
  * *rest is set to the part of path after the prefix.
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -2,6 +2,7 @@
 
 #include "flow_int.h"
 #include "msg.h"
+#include "quota.h"
 
 /* ---- Bookings ----------------------------------------------------------- */
 
@@ -15,6 +16,10 @@
 	u->open++;
 	flow->open++;
 	gyp_res_add(&h->booked, &u->size);
+	if (flow->use != NULL) {
+		flow->use->open++;
+		gyp_res_add(&flow->use->used, &u->size);
+	}
 	h->serving += u->step->tail_ms > 0;
 	h->filling += u->step->fills;
 	g_array_append_val(h->runs, run);
@@ -30,6 +35,10 @@
 	u->open--;
 	flow->open--;
 	gyp_res_sub(&h->booked, &u->size);
+	if (flow->use != NULL) {
+		flow->use->open--;
+		gyp_res_sub(&flow->use->used, &u->size);
+	}
 	h->serving -= u->step->tail_ms > 0;
 	h->filling -= u->step->fills;
 	for (i = 0; i < h->runs->len; i++) {
@@ -270,6 +279,14 @@
 	return gyp_res_fits(size, &left);
 }
 
+/* True if a run of that size stays under the cap of the flow's workspace. */
+static bool
+quota_allows(const struct gyp_flow *flow, const struct gyp_res *size)
+{
+	return flow->use == NULL ||
+	       gyp_quota_count(&flow->use->cap, &flow->use->used, size, 1) > 0;
+}
+
 /* A gang starts with all of its tasks or not at all. */
 static bool
 start_is_complete(const struct gyp_flow *flow, const Gyp__CmdFlowStart *s)
@@ -303,13 +320,14 @@
 	for (i = 0; i < s->n_runs; i++) {
 		uint32_t task = s->runs[i]->task;
 		struct gyp_host *h = gyp_host_at(f, s->runs[i]->host);
+		const struct gyp_res *size;
 
 		if (!task_may_start(flow, task, s->run)) {
 			undo_starts(f, flow, s, i);
 			return false;
 		}
-		if (!host_may_run(
-			h, flow, &gyp_flow_unit_of(flow, task)->size)) {
+		size = &gyp_flow_unit_of(flow, task)->size;
+		if (!host_may_run(h, flow, size) || !quota_allows(flow, size)) {
 			undo_starts(f, flow, s, i);
 			return false;
 		}
@@ -354,6 +372,7 @@
 	    g_hash_table_size(f->by_id) >= GYP_FLOWS_MAX)
 		return;
 	flow = gyp_flow_make(cmd->spec);
+	gyp_flow_join_workspace(f, flow);
 	flow->seq = f->next_seq++;
 	flow->accepted_ms = now;
 	g_hash_table_insert(f->by_id, &flow->id, flow);
@@ -416,6 +435,7 @@
 		return;
 	gyp_message_free(f->manifest);
 	f->manifest = gyp_message_copy(&m->base);
+	gyp_flows_refresh_caps(f);
 }
 
 bool
--- a/src/flow_int.h
+++ b/src/flow_int.h
@@ -23,6 +23,8 @@
 	GPtrArray *hosts;     /* struct gyp_host by row; NULL if removed */
 	GHashTable *host_ids; /* id -> struct gyp_host */
 	Gyp__CmdManifest *manifest;
+	GPtrArray *workspaces;       /* struct gyp_workspace_use by row */
+	GHashTable *workspace_names; /* name -> struct gyp_workspace_use */
 };
 
 /* flow.c */
@@ -31,6 +33,10 @@
 struct gyp_host *gyp_host_make(uint32_t row, const Gyp__CmdHost *);
 void gyp_host_free(gpointer);
 void gyp_flows_clear(struct gyp_flows *);
+/* Attaches a new flow to its workspace, if it has one. */
+void gyp_flow_join_workspace(struct gyp_flows *, struct gyp_flow *);
+/* Takes caps and rates from the manifest. */
+void gyp_flows_refresh_caps(struct gyp_flows *);
 
 /* flow_apply.c */
 /* Books the open run of the task on the endpoint in tasks[task].row. */
--- a/src/flow_save.c
+++ b/src/flow_save.c
@@ -150,6 +150,7 @@
 	    gyp_flow_check_spec(sf->spec) != NULL)
 		return false;
 	flow = gyp_flow_make(sf->spec);
+	gyp_flow_join_workspace(f, flow);
 	g_hash_table_insert(f->by_id, &flow->id, flow);
 	flow->seq = sf->seq;
 	flow->state = sf->state;
@@ -174,6 +175,8 @@
 	if (snap == NULL)
 		return true;
 	f->next_seq = snap->next_seq;
+	if (snap->manifest != NULL)
+		f->manifest = gyp_message_copy(&snap->manifest->base);
 	for (i = 0; i < snap->n_hosts; i++) {
 		const Gyp__CmdHost *spec = snap->hosts[i];
 		struct gyp_host *h = NULL;
@@ -189,8 +192,6 @@
 			return false;
 	}
 	g_queue_sort(&f->ended, by_end, NULL);
-	if (snap->manifest != NULL)
-		f->manifest = gyp_message_copy(&snap->manifest->base);
 	return true;
 }
 
@@ -214,12 +215,47 @@
 	g_assert(flow->state != GYP_FLOW_COMPLETED || flow->left == 0);
 }
 
+/* The use of each workspace is the sum over its open runs. */
+static void
+check_workspaces(const struct gyp_flows *f)
+{
+	guint n = f->workspaces->len, i;
+	struct gyp_res *sums = g_new0(struct gyp_res, n + 1);
+	uint32_t *open = g_new0(uint32_t, n + 1);
+	guint row;
+
+	for (row = 0; row < f->hosts->len; row++) {
+		const struct gyp_host *h = f->hosts->pdata[row];
+
+		for (i = 0; h != NULL && i < h->runs->len; i++) {
+			const struct gyp_host_run *run =
+			    &g_array_index(h->runs, struct gyp_host_run, i);
+			const struct gyp_workspace_use *use = run->flow->use;
+
+			if (use == NULL)
+				continue;
+			open[use->row]++;
+			gyp_res_add(&sums[use->row],
+			    &gyp_flow_unit_of(run->flow, run->task)->size);
+		}
+	}
+	for (i = 0; i < n; i++) {
+		const struct gyp_workspace_use *use = f->workspaces->pdata[i];
+
+		g_assert(open[i] == use->open);
+		g_assert(memcmp(&sums[i], &use->used, sizeof(sums[i])) == 0);
+	}
+	g_free(sums);
+	g_free(open);
+}
+
 void
 gyp_flows_check(const struct gyp_flows *f)
 {
 	const GList *l;
 	guint row;
 
+	check_workspaces(f);
 	for (l = f->active.head; l != NULL; l = l->next)
 		check_flow(f, l->data);
 	for (row = 0; row < f->hosts->len; row++) {
--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -41,6 +41,7 @@
 	GArray *endpoint_counts;  /* struct gyp_straggler_count by row */
 	GHashTable *queue_counts; /* name -> struct gyp_straggler_count */
 	GHashTable *slots;        /* entry -> struct query_slot */
+	GHashTable *pools;        /* interned name -> struct gyp_pool_load */
 	GQueue cmds;              /* Gyp__Cmd */
 	GQueue queries;           /* struct sent_query */
 	uint64_t now;
@@ -414,6 +415,32 @@
 	}
 }
 
+static void
+add_pool_capacity(struct gyp_flow_scheduler *fs, const struct gyp_host *h)
+{
+	struct gyp_pool_load *load = g_hash_table_lookup(fs->pools, h->pool);
+
+	if (load == NULL) {
+		load = g_new0(struct gyp_pool_load, 1);
+		g_hash_table_insert(fs->pools, (gpointer)h->pool, load);
+	}
+	load->capacity_milli += h->capacity.cpu_milli;
+	load->booked_milli += h->booked.cpu_milli;
+}
+
+struct gyp_pool_load
+gyp_flow_scheduler_load(const struct gyp_flow_scheduler *fs, const char *pool)
+{
+	const struct gyp_pool_load *known =
+	    g_hash_table_lookup(fs->pools, g_intern_string(pool));
+	struct gyp_pool_load load = {0, 0, 0};
+
+	if (known != NULL)
+		load = *known;
+	load.waiting_milli_ms = gyp_placer_waiting(fs->placer, pool);
+	return load;
+}
+
 /* Logs one line a second with the capacity and the booked resources. */
 static void
 log_load(struct gyp_flow_scheduler *fs, uint32_t free_slots)
@@ -423,6 +450,7 @@
 	const GList *l;
 
 	fs->load_log_at = fs->now + LOAD_LOG_MS;
+	g_hash_table_remove_all(fs->pools);
 	for (row = 0; row < gyp_hosts_size(fs->flows); row++) {
 		const struct gyp_host *h = gyp_host_at(fs->flows, row);
 
@@ -431,6 +459,7 @@
 		usable++;
 		gyp_res_add(&capacity, &h->capacity);
 		gyp_res_add(&booked, &h->booked);
+		add_pool_capacity(fs, h);
 	}
 	for (l = gyp_flows_active(fs->flows)->head; l != NULL; l = l->next)
 		waiting += !((const struct gyp_flow *)l->data)->begun;
@@ -544,6 +573,12 @@
 	return fs->fleet;
 }
 
+const struct gyp_run_stats *
+gyp_flow_scheduler_stats(const struct gyp_flow_scheduler *fs)
+{
+	return fs->stats;
+}
+
 /* ---- Construction ------------------------------------------------------- */
 
 struct gyp_flow_scheduler *
@@ -565,6 +600,7 @@
 	fs->queue_counts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fs->placer = gyp_placer_new(flows, fs->fleet, fs->admission, fs->stats);
+	fs->pools = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	fs->slots =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	gyp_flows_set_listener(flows, &fs->listener);
@@ -586,6 +622,7 @@
 	while ((query = gyp_flow_scheduler_pop_query(fs, &entry)) != NULL)
 		gyp_message_free(query);
 	g_hash_table_destroy(fs->slots);
+	g_hash_table_destroy(fs->pools);
 	gyp_placer_free(fs->placer);
 	gyp_admission_free(fs->admission);
 	gyp_run_stats_free(fs->stats);
--- a/src/flow_scheduler.h
+++ b/src/flow_scheduler.h
@@ -6,6 +6,8 @@
 
 #include "fleet.h"
 #include "flow.h"
+#include "load_shed.h"
+#include "run_stats.h"
 
 /*
  * NAME
@@ -58,4 +60,15 @@
 
 struct gyp_fleet *gyp_flow_scheduler_fleet(struct gyp_flow_scheduler *);
 
+/*
+ * The load of a pool of endpoints: its capacity as of the latest load line in
+ * the log, and the work that waited in the latest round.
+ */
+struct gyp_pool_load gyp_flow_scheduler_load(
+    const struct gyp_flow_scheduler *, const char *pool);
+
+/* Failures and run times of this term. */
+const struct gyp_run_stats *gyp_flow_scheduler_stats(
+    const struct gyp_flow_scheduler *);
+
 #endif
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -32,11 +32,13 @@
 #include "endpoint_ranking.h"   /* endpoints for the tasks of a unit */
 #include "fleet.h"              /* endpoints and the calls to them */
 #include "flow.h"               /* tables of flows and their endpoints */
+#include "flow_intake.h"        /* which submitted flows are accepted */
 #include "flow_scheduler.h"     /* schedules flows on a leader */
 #include "headroom.h"           /* adaptive share kept for urgent work */
 #include "health.h"             /* attributes failures to endpoints or jobs */
 #include "host_msg.h"           /* wire messages of calls at endpoints */
 #include "leases.h"             /* the leader's view of endpoint leases */
+#include "load_shed.h"          /* when work beyond a rate is refused */
 #include "placer.h"             /* which task of a flow starts where */
 #include "policy.h"             /* placements, evictions and refusals */
 #include "preempt.h"            /* runs stopped for more urgent work */
--- a/src/placer.c
+++ b/src/placer.c
@@ -5,6 +5,7 @@
 #include "endpoint_ranking.h"
 #include "msg.h"
 #include "placer.h"
+#include "quota.h"
 #include "reserve.h"
 
 /* A round places no further units after it has proposed this many runs. */
@@ -39,7 +40,9 @@
 	uint64_t now;
 	uint32_t runs_left; /* runs that this round may still propose */
 	uint32_t reservations;
-	uint32_t least_urgent; /* highest priority number of the active flows */
+	uint32_t least_urgent; /* highest rank of the active flows */
+	GArray *proposed;      /* struct gyp_res by row of workspace */
+	GHashTable *waiting;   /* interned pool -> double, see placer.h */
 };
 
 /* ---- Candidates --------------------------------------------------------- */
@@ -60,8 +63,8 @@
 by_urgency(gconstpointer a, gconstpointer b)
 {
 	const struct gyp_candidate *x = a, *y = b;
-	uint32_t px = x->flow->spec->queue->priority;
-	uint32_t py = y->flow->spec->queue->priority;
+	uint32_t px = gyp_flow_rank(x->flow);
+	uint32_t py = gyp_flow_rank(y->flow);
 
 	if (px != py)
 		return px < py ? -1 : 1;
@@ -112,8 +115,7 @@
 
 		if (!gyp_flow_is_alive(flow))
 			continue;
-		p->least_urgent =
-		    MAX(p->least_urgent, flow->spec->queue->priority);
+		p->least_urgent = MAX(p->least_urgent, gyp_flow_rank(flow));
 		for (i = 0; i < flow->n_units; i++)
 			add_candidate(p, flow, &flow->units[i], wall_ms);
 	}
@@ -121,6 +123,41 @@
 	g_array_sort(p->prefetch, by_urgency);
 }
 
+/* ---- Quotas ------------------------------------------------------------- */
+
+/*
+ * Returns how many of the waiting tasks may start under the workspace's cap,
+ * with the runs that this round has proposed; all or none of a gang.
+ */
+static uint32_t
+quota_allowance(const struct gyp_placer *p, const struct gyp_candidate *c)
+{
+	uint32_t waiting = c->unit->left - c->unit->open, n;
+	const struct gyp_workspace_use *use = c->flow->use;
+	struct gyp_res used;
+
+	if (use == NULL)
+		return waiting;
+	used = use->used;
+	gyp_res_add(
+	    &used, &g_array_index(p->proposed, struct gyp_res, use->row));
+	n = gyp_quota_count(&use->cap, &used, &c->unit->size, waiting);
+	return c->unit->step->gang && n < waiting ? 0 : n;
+}
+
+static void
+charge_quota(struct gyp_placer *p, const struct gyp_candidate *c, guint runs)
+{
+	struct gyp_res *proposed;
+
+	if (c->flow->use == NULL)
+		return;
+	proposed =
+	    &g_array_index(p->proposed, struct gyp_res, c->flow->use->row);
+	while (runs-- > 0)
+		gyp_res_add(proposed, &c->unit->size);
+}
+
 /* ---- Placement ---------------------------------------------------------- */
 
 static void
@@ -221,6 +258,7 @@
 	cmd.c_case = GYP__CMD__C_FLOW_START;
 	cmd.flow_start = &start;
 	g_ptr_array_add(cmds, gyp_message_copy(&cmd.base));
+	charge_quota(p, c, p->runs->len);
 	p->runs_left -= MIN(p->runs_left, p->runs->len);
 	g_ptr_array_set_size(p->runs, 0);
 }
@@ -274,26 +312,30 @@
 }
 
 /*
- * Proposes runs for waiting tasks of the unit. Returns the number of tasks for
- * which no endpoint was found. A gang is proposed only if that is 0; otherwise
- * the capacity found for its other tasks stays deducted for this round.
+ * Proposes runs for waiting tasks of the unit, as far as the quota allows.
+ * Returns the number of allowed tasks for which no endpoint was found. A gang
+ * is proposed only if that is 0; otherwise the capacity found for its other
+ * tasks stays deducted for this round.
  */
 static uint32_t
 place_unit(struct gyp_placer *p, const struct gyp_candidate *c, GPtrArray *cmds)
 {
 	struct gyp_flow_unit *u = c->unit;
-	uint32_t waiting = u->left - u->open;
-	GArray *ranking = rank_endpoints(p, c);
+	uint32_t waiting = quota_allowance(p, c);
+	GArray *ranking;
 	uint32_t i, number;
 	guint pos = 0;
 
+	if (waiting == 0)
+		return 0;
+	ranking = rank_endpoints(p, c);
 	if (ranking->len == 0 ||
 	    (u->step->gang && gyp_ranking_total(ranking) < waiting)) {
 		g_array_free(ranking, TRUE);
 		return waiting;
 	}
 	number = next_run(c);
-	for (i = u->first; i < u->first + u->step->count; i++) {
+	for (i = u->first; i < u->first + u->step->count && waiting > 0; i++) {
 		struct gyp_ranked_endpoint *endpoint;
 
 		if (c->flow->tasks[i].state != GYP_FLOW_TASK_WAITING)
@@ -314,6 +356,33 @@
 	return waiting;
 }
 
+/* ---- Waiting work ------------------------------------------------------- */
+
+static void
+add_waiting(struct gyp_placer *p, const struct gyp_candidate *c, uint32_t tasks)
+{
+	double *sum = g_hash_table_lookup(p->waiting, c->flow->pool);
+	uint64_t run_ms = gyp_run_stats_expected_ms(
+	    p->stats, c->flow->spec->queue->name, c->unit->step->estimate_ms);
+
+	if (c->unit->step->lasting || tasks == 0)
+		return;
+	if (sum == NULL) {
+		sum = g_new0(double, 1);
+		g_hash_table_insert(p->waiting, (gpointer)c->flow->pool, sum);
+	}
+	*sum += (double)c->unit->size.cpu_milli * tasks * (double)run_ms;
+}
+
+double
+gyp_placer_waiting(const struct gyp_placer *p, const char *pool)
+{
+	const double *sum =
+	    g_hash_table_lookup(p->waiting, g_intern_string(pool));
+
+	return sum != NULL ? *sum : 0;
+}
+
 /* ---- Round -------------------------------------------------------------- */
 
 /* Reserves capacity for tasks that could not be placed. */
@@ -321,7 +390,7 @@
 reserve_capacity(
     struct gyp_placer *p, const struct gyp_candidate *c, uint32_t waiting)
 {
-	bool may_preempt = c->flow->spec->queue->priority < p->least_urgent &&
+	bool may_preempt = gyp_flow_rank(c->flow) < p->least_urgent &&
 			   c->slack != GYP_SLACK_LATE;
 
 	if (p->reservations >= RESERVATIONS_MAX ||
@@ -394,16 +463,25 @@
 	p->now = now;
 	p->runs_left = RUNS_MAX;
 	p->reservations = 0;
+	g_hash_table_remove_all(p->waiting);
+	g_array_set_size(p->proposed, 0);
+	g_array_set_size(p->proposed, gyp_workspaces_size(p->flows));
 	find_candidates(p, wall_ms);
 	if (p->units->len == 0 && p->prefetch->len == 0)
 		return;
 	gyp_preempt_begin_round(p->preempt, p->now);
 	gyp_capacity_index_begin_round(p->capacities, p->now);
-	for (i = 0; i < p->units->len && p->runs_left > 0; i++) {
+	for (i = 0; i < p->units->len; i++) {
 		const struct gyp_candidate *c =
 		    &g_array_index(p->units, struct gyp_candidate, i);
-		uint32_t waiting = place_unit(p, c, cmds);
+		uint32_t waiting;
 
+		if (p->runs_left == 0) {
+			add_waiting(p, c, quota_allowance(p, c));
+			continue;
+		}
+		waiting = place_unit(p, c, cmds);
+		add_waiting(p, c, waiting);
 		if (waiting == 0)
 			continue;
 		query_about(p, c, waiting,
@@ -439,6 +517,8 @@
 	p->capacities = gyp_capacity_index_new(flows, fleet, stats, p->preempt);
 	p->units = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
 	p->prefetch = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
+	p->proposed = g_array_new(FALSE, TRUE, sizeof(struct gyp_res));
+	p->waiting = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	p->runs = g_ptr_array_new_with_free_func(g_free);
 	return p;
 }
@@ -452,6 +532,8 @@
 	gyp_capacity_index_free(p->capacities);
 	g_array_free(p->units, TRUE);
 	g_array_free(p->prefetch, TRUE);
+	g_array_free(p->proposed, TRUE);
+	g_hash_table_destroy(p->waiting);
 	g_ptr_array_free(p->runs, TRUE);
 	g_free(p);
 }
--- a/src/placer.h
+++ b/src/placer.h
@@ -59,6 +59,12 @@
  */
 bool gyp_placer_pop_stop(struct gyp_placer *, struct gyp_preempt_stop *);
 
+/*
+ * Work of the pool that could start and found no room in the latest round, in
+ * thousandths of a processor times ms. Work that waits for a quota is left out.
+ */
+double gyp_placer_waiting(const struct gyp_placer *, const char *pool);
+
 /* Number of comparisons of a unit with an endpoint in the latest round. */
 uint64_t gyp_placer_comparisons(const struct gyp_placer *);
 
--- a/src/policy_queue.c
+++ b/src/policy_queue.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "policy_int.h"
+#include "quota.h"
 
 /* Wait that doubles the weight of a job, in ms; the growth is linear. */
 #define AGE_DOUBLING_MS 600000.0
@@ -188,25 +189,13 @@
 	return NULL;
 }
 
-static double
-dominant_share(const struct gyp_res *used, const struct gyp_res *capacity)
-{
-	double cpu = 0, memory = 0;
-
-	if (capacity->cpu_milli > 0)
-		cpu = (double)used->cpu_milli / (double)capacity->cpu_milli;
-	if (capacity->memory > 0)
-		memory = (double)used->memory / (double)capacity->memory;
-	return MAX(cpu, memory);
-}
-
 /* Returns the use of the team relative to its fair share. */
 static double
 relative_use(const struct round *round, const struct team *team)
 {
 	double teams = g_hash_table_size(round->policy->teams);
-	double use = dominant_share(&team->booked, &round->capacity) +
-		     dominant_share(&team->proposed, &round->capacity);
+	double use = gyp_dominant_share(&team->booked, &round->capacity) +
+		     gyp_dominant_share(&team->proposed, &round->capacity);
 
 	use = use * teams / MAX(team->share->u.share, 1);
 	return CLAMP(use, RELATIVE_USE_MIN, RELATIVE_USE_MAX);
@@ -297,11 +286,10 @@
 queue_exceeded_quota(const struct team *team, const struct gyp_res *size)
 {
 	const struct gyp_res *quota = &team->quota->u.quota;
-	struct gyp_res sum = team->booked;
+	struct gyp_res used = team->booked;
 
-	gyp_res_add(&sum, &team->proposed);
-	gyp_res_add(&sum, size);
-	return gyp_res_fits(&sum, quota) ? NULL : team->quota;
+	gyp_res_add(&used, &team->proposed);
+	return gyp_quota_count(quota, &used, size, 1) > 0 ? NULL : team->quota;
 }
 
 /* Returns true if the job might be placed now. */
--- a/src/preempt.c
+++ b/src/preempt.c
@@ -46,7 +46,7 @@
 /* Resources that stops on an endpoint would free, cached for the round. */
 struct reclaimable {
 	bool valid;
-	uint32_t priority;
+	uint32_t rank;
 	struct gyp_res res;
 };
 
@@ -124,7 +124,10 @@
 
 /* ---- Runs that may be stopped ------------------------------------------- */
 
-/* True when the flow stays in time even if this run has to start again. */
+/*
+ * True when the flow stays in time even if this run has to start again. Does
+ * not protect work beyond the rate of its workspace.
+ */
 static bool
 has_slack(const struct gyp_preempt *p, const struct gyp_host_run *r,
     const struct gyp_flow_unit *u)
@@ -137,16 +140,16 @@
 	       (double)min_ms;
 }
 
-/* Fills in v; false when the run must not be stopped for that priority. */
+/* Fills in v; false when the run must not be stopped for that rank. */
 static bool
 init_victim(const struct gyp_preempt *p, const struct gyp_host_run *r,
-    uint32_t priority, struct victim *v)
+    uint32_t rank, struct victim *v)
 {
 	const struct gyp_flow_unit *u = gyp_flow_unit_of(r->flow, r->task);
 	const struct gyp_run_view *view;
 	uint64_t up_ms;
 
-	if (r->flow->spec->queue->priority <= priority || u->step->lasting ||
+	if (gyp_flow_rank(r->flow) <= rank || u->step->lasting ||
 	    u->step->gang || gyp_flow_run_is_unwanted(r->flow, r->task))
 		return false;
 	v->key.flow = r->flow->id;
@@ -161,11 +164,12 @@
 	v->size = u->size;
 	v->run = r->flow->tasks[r->task].run;
 	v->spared = false;
-	return v->lost_ms < LOST_WORK_MAX_MS && has_slack(p, r, u);
+	return v->lost_ms < LOST_WORK_MAX_MS &&
+	       (r->flow->spec->excess || has_slack(p, r, u));
 }
 
 static void
-find_victims(struct gyp_preempt *p, uint32_t row, uint32_t priority)
+find_victims(struct gyp_preempt *p, uint32_t row, uint32_t rank)
 {
 	const struct gyp_host *h = gyp_host_at(p->flows, row);
 	guint i;
@@ -175,14 +179,14 @@
 		struct victim v;
 
 		if (init_victim(p,
-			&g_array_index(h->runs, struct gyp_host_run, i),
-			priority, &v))
+			&g_array_index(h->runs, struct gyp_host_run, i), rank,
+			&v))
 			g_array_append_val(p->victims, v);
 	}
 }
 
 struct gyp_res
-gyp_preempt_reclaimable(struct gyp_preempt *p, uint32_t row, uint32_t priority)
+gyp_preempt_reclaimable(struct gyp_preempt *p, uint32_t row, uint32_t rank)
 {
 	struct gyp_res none = {0, 0, 0, 0};
 	struct reclaimable *cached;
@@ -191,12 +195,12 @@
 	if (row >= p->reclaimable->len)
 		return none;
 	cached = &g_array_index(p->reclaimable, struct reclaimable, row);
-	if (cached->valid && cached->priority == priority)
+	if (cached->valid && cached->rank == rank)
 		return cached->res;
 	cached->valid = true;
-	cached->priority = priority;
+	cached->rank = rank;
 	cached->res = none;
-	find_victims(p, row, priority);
+	find_victims(p, row, rank);
 	for (i = 0; i < p->victims->len; i++)
 		gyp_res_add(&cached->res,
 		    &g_array_index(p->victims, struct victim, i).size);
@@ -277,7 +281,7 @@
 }
 
 bool
-gyp_preempt_select(struct gyp_preempt *p, uint32_t row, uint32_t priority,
+gyp_preempt_select(struct gyp_preempt *p, uint32_t row, uint32_t rank,
     const struct gyp_res *need, uint64_t for_flow, struct gyp_res *freed)
 {
 	guint i;
@@ -286,7 +290,7 @@
 	if (row >= p->reclaimable->len ||
 	    g_hash_table_size(p->stopping) >= max_stops(p))
 		return false;
-	find_victims(p, row, priority);
+	find_victims(p, row, rank);
 	g_array_sort(p->victims, by_loss);
 	if (!select_victims(p, need))
 		return false;
--- a/src/preempt.h
+++ b/src/preempt.h
@@ -17,9 +17,10 @@
  *	pool full of lower-priority work which ends much later. Priority 0 is
  *	the most urgent; a higher priority is a lower number.
  *
- *	A run can be stopped for work of a higher priority when it saves its
+ *	A run can be stopped for work of a lower rank when it saves its
  *	progress in checkpoints or has only just started, is not about to end,
- *	and its flow has slack: a stop must not make other work late. Lasting
+ *	and its flow has slack: a stop must not make other work late. Work
+ *	beyond the rate of its workspace needs no slack. Lasting
  *	tasks and gangs are never stopped. On each endpoint, the runs that lose
  *	the least work are stopped. Their resources count as being released, and
  *	as free only after their ends are committed.
@@ -52,19 +53,20 @@
 struct gyp_res gyp_preempt_releasing(const struct gyp_preempt *, uint32_t row);
 
 /*
- * Returns the resources that stops for work of that priority could free on the
+ * Returns the resources that stops for work of that rank, see
+ * gyp_flow_rank(), could free on the
  * endpoint.
  */
 struct gyp_res gyp_preempt_reclaimable(
-    struct gyp_preempt *, uint32_t row, uint32_t priority);
+    struct gyp_preempt *, uint32_t row, uint32_t rank);
 
 /*
- * Selects runs on the endpoint to stop for a flow of that priority, so that
+ * Selects runs on the endpoint to stop for a flow of that rank, so that
  * together they free at least `need`; *freed is set to what they free. Returns
  * false, and stops nothing, when they free less or too many runs are being
  * stopped.
  */
-bool gyp_preempt_select(struct gyp_preempt *, uint32_t row, uint32_t priority,
+bool gyp_preempt_select(struct gyp_preempt *, uint32_t row, uint32_t rank,
     const struct gyp_res *need, uint64_t for_flow, struct gyp_res *freed);
 
 /* Pops the next run to stop; false when none is left. */
--- a/src/quota.c
+++ b/src/quota.c
@@ -25,9 +25,9 @@
 static uint32_t
 count_one(uint64_t cap, uint64_t used, uint64_t size, uint32_t wanted)
 {
-	if (size == 0)
-		return wanted;
-	return (uint32_t)MIN(wanted, (cap - MIN(cap, used)) / size);
+	if (used > cap)
+		return 0;
+	return size == 0 ? wanted : (uint32_t)MIN(wanted, (cap - used) / size);
 }
 
 uint32_t
@@ -53,7 +53,6 @@
 {
 	double cpu = share_of(used->cpu_milli, total->cpu_milli);
 	double memory = share_of(used->memory, total->memory);
-	double accel = share_of(used->accel, total->accel);
 
-	return MAX(MAX(cpu, memory), accel);
+	return MAX(cpu, memory);
 }
--- a/src/quota.h
+++ b/src/quota.h
@@ -24,15 +24,14 @@
 
 /*
  * Returns how many tasks of that size, at most `wanted`, can start without
- * raising the use above the cap. A resource of which the size is 0 is not
- * compared.
+ * raising the use above the cap; none while any resource is above it.
  */
 uint32_t gyp_quota_count(const struct gyp_res *cap, const struct gyp_res *used,
     const struct gyp_res *size, uint32_t wanted);
 
 /*
- * Returns the largest share of the total that is in use, over processors,
- * memory and accelerators; a resource of which there is none does not count.
+ * Returns the larger share of the total that is in use, of processors and of
+ * memory; a resource of which there is none does not count.
  */
 double gyp_dominant_share(
     const struct gyp_res *used, const struct gyp_res *total);
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -4,6 +4,8 @@
 #include "host_msg.h"
 #include "msg.h"
 #include "replica_int.h"
+#include "slack.h"
+#include "workspace.h"
 
 /*
  * Retry delay sent with "busy" replies, such as before the first manifest, in
@@ -110,9 +112,81 @@
 	reply_view(r, entry, call->id, &view);
 }
 
+/*
+ * True if the same request was received before and its command is not committed
+ * yet: the flow may be accepted, so that it must not be refused now.
+ */
+static bool
+is_being_accepted(const struct gyp_replica *r, const Gyp__Call *call)
+{
+	guint i;
+
+	for (i = 0; i < r->waiting_calls->len; i++) {
+		const struct gyp_waiting_call *w = r->waiting_calls->pdata[i];
+
+		if (w->call->c_case == GYP__CALL__C_FLOW &&
+		    w->call->flow->submit != NULL &&
+		    strcmp(w->call->flow->path, call->flow->path) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Refuses a flow beyond the workspace's rate; it leaves no trace. */
+static void
+refuse_flow(struct gyp_replica *r, uint64_t entry, uint64_t call,
+    const Gyp__FlowSpec *spec, const struct gyp_pool_load *load,
+    uint32_t retry_ms)
+{
+	Gyp__Reply msg = GYP__REPLY__INIT;
+
+	msg.id = call;
+	msg.code = GYP__CODE__CODE_OVER_RATE;
+	msg.retry_ms = retry_ms;
+	gyp_events_add(r->events, "flow-refused",
+	    "flow=%016" G_GINT64_MODIFIER
+	    "x queue=%s workspace=%s delay_ms=%u retry_ms=%u",
+	    spec->id, spec->queue->name, spec->workspace,
+	    gyp_load_shed_delay_ms(load), retry_ms);
+	gyp_replica_reply(r, entry, &msg);
+}
+
+/*
+ * Decides on a new flow and marks it when it is beyond the workspace's rate.
+ * Replies and returns false when it is refused.
+ */
+static bool
+admit_flow(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call,
+    const Gyp__Workspace *ws, Gyp__FlowSpec *spec)
+{
+	struct gyp_pool_load load =
+	    gyp_flow_scheduler_load(r->flow_scheduler, spec->queue->pool);
+	double slack_ms = gyp_slack_of_new_flow(
+	    gyp_flow_scheduler_stats(r->flow_scheduler), spec);
+	enum gyp_intake_verdict verdict;
+	char labels[GYP_LABELS_MAX];
+	uint32_t retry_ms = 0;
+
+	if (is_being_accepted(r, call))
+		return true;
+	verdict = gyp_flow_intake_decide(r->flow_intake,
+	    r->time_base + (r->now - r->lead_since), ws, slack_ms, &load,
+	    &retry_ms);
+	spec->excess = verdict == GYP_INTAKE_ACCEPT_EXCESS;
+	if (ws != NULL)
+		gyp_count(r->counters, "gyp_flow_submits_total",
+		    gyp_labels(labels, "workspace", ws->name, "verdict",
+			gyp_intake_verdict_name(verdict), NULL),
+		    1);
+	if (verdict != GYP_INTAKE_REFUSE)
+		return true;
+	refuse_flow(r, entry, call->id, spec, &load, retry_ms);
+	return false;
+}
+
 static void
 submit_flow(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call,
-    const Gyp__FlowQueue *q, uint64_t id)
+    const Gyp__FlowQueue *q, const Gyp__Workspace *ws, uint64_t id)
 {
 	struct gyp_flows *flows = gyp_state_flows(r->state);
 	const struct gyp_flow *flow = gyp_flow_get(flows, id);
@@ -136,6 +210,10 @@
 	}
 	spec.id = id;
 	spec.queue = (Gyp__FlowQueue *)q;
+	spec.workspace = ws != NULL ? ws->name : (char *)"";
+	spec.excess = false;
+	if (!admit_flow(r, entry, call, ws, &spec))
+		return;
 	submit.spec = &spec;
 	cmd.c_case = GYP__CMD__C_FLOW;
 	cmd.flow = &submit;
@@ -159,16 +237,34 @@
 	gyp_replica_propose_call(r, entry, call, &cmd);
 }
 
+/* Replies and returns false unless access is granted. */
+static bool
+check_access(struct gyp_replica *r, uint64_t entry, uint64_t call,
+    enum gyp_access access)
+{
+	if (access == GYP_ACCESS_UNAUTHENTICATED)
+		reply_and_log(r, entry, call, GYP__CODE__CODE_UNAUTHENTICATED,
+		    "no API key that is in force");
+	else if (access == GYP_ACCESS_FORBIDDEN)
+		reply_and_log(r, entry, call, GYP__CODE__CODE_FORBIDDEN,
+		    "the flow belongs to another workspace");
+	return access == GYP_ACCESS_GRANTED;
+}
+
 void
 gyp_replica_handle_flow(
     struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
 	const char *rest;
 	const Gyp__FlowQueue *q = find_queue(r, entry, call, &rest);
+	const Gyp__Workspace *ws;
 	const struct gyp_flow *flow;
 	uint64_t id;
 
-	if (q == NULL)
+	if (q == NULL || !check_access(r, entry, call->id,
+			     gyp_workspace_access(
+				 gyp_flows_manifest(gyp_state_flows(r->state)),
+				 q, &call->flow->key_digest, &ws)))
 		return;
 	if (rest[0] == '\0' && call->flow->submit == NULL &&
 	    !call->flow->cancel) {
@@ -181,8 +277,11 @@
 		return;
 	}
 	flow = gyp_flow_get(gyp_state_flows(r->state), id);
+	if (flow != NULL && !check_access(r, entry, call->id,
+				gyp_workspace_flow_access(q, ws, flow->spec)))
+		return;
 	if (call->flow->submit != NULL)
-		submit_flow(r, entry, call, q, id);
+		submit_flow(r, entry, call, q, ws, id);
 	else if (flow == NULL)
 		reply_and_log(r, entry, call->id, GYP__CODE__CODE_RETIRED,
 		    "no such flow");
@@ -204,10 +303,13 @@
 	else if (call->flow->submit != NULL)
 		gyp_events_add(r->events, "flow-accepted",
 		    "flow=%016" G_GINT64_MODIFIER
-		    "x queue=%s steps=%zu tasks=%u version=%" G_GUINT64_FORMAT,
+		    "x queue=%s steps=%zu tasks=%u version=%" G_GUINT64_FORMAT
+		    " workspace=%s excess=%d",
 		    flow->id, flow->spec->queue->name, flow->spec->n_steps,
 		    flow->n_tasks,
-		    gyp_flows_manifest(gyp_state_flows(r->state))->version);
+		    gyp_flows_manifest(gyp_state_flows(r->state))->version,
+		    flow->use != NULL ? flow->use->name : "-",
+		    flow->spec->excess);
 }
 
 void
@@ -374,6 +476,8 @@
 
 	r->flow_scheduler = gyp_flow_scheduler_new(
 	    &cfg, gyp_state_flows(r->state), r->now, r->leader_term);
+	r->flow_intake =
+	    gyp_flow_intake_new(gyp_state_flows(r->state), r->time_base);
 	r->carriers = gyp_carriers_new();
 }
 
@@ -382,6 +486,8 @@
 {
 	gyp_flow_scheduler_free(r->flow_scheduler);
 	r->flow_scheduler = NULL;
+	gyp_flow_intake_free(r->flow_intake);
+	r->flow_intake = NULL;
 	gyp_carriers_free(r->carriers);
 	r->carriers = NULL;
 	g_queue_clear_full(
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -2,6 +2,7 @@
 #define GYP_REPLICA_INT_H
 
 #include "counters.h"
+#include "flow_intake.h"
 #include "flow_scheduler.h"
 #include "leases.h"
 #include "replica.h"
@@ -114,6 +115,7 @@
 	Gyp__Member *join_request; /* member that asked to join, or NULL */
 	struct gyp_member_removal member_removal;
 	struct gyp_flow_scheduler *flow_scheduler; /* NULL while not leading */
+	struct gyp_flow_intake *flow_intake;       /* NULL while not leading */
 	struct gyp_carriers *carriers;             /* NULL while not leading */
 	GQueue own_endpoint_calls; /* struct gyp_fleet_call, not yet made */
 	struct gyp_events *events;
--- a/src/slack.c
+++ b/src/slack.c
@@ -49,6 +49,19 @@
 	       spec->queue->target_ms - (now_ms + c.remaining);
 }
 
+double
+gyp_slack_of_new_flow(
+    const struct gyp_run_stats *stats, const Gyp__FlowSpec *spec)
+{
+	const Gyp__FlowQueue *q = spec->queue;
+	bool lasting = spec->n_steps > 0 && spec->steps[0]->lasting;
+
+	if (spec->times > 0 || lasting || q->stretch <= 0)
+		return DBL_MAX;
+	return (q->stretch - 1) * measure_chains(stats, spec, 0).total +
+	       q->target_ms;
+}
+
 enum gyp_slack_state
 gyp_slack_state(const struct gyp_run_stats *stats, const struct gyp_flow *flow,
     const struct gyp_flow_unit *unit, uint64_t now_ms)
--- a/src/slack.h
+++ b/src/slack.h
@@ -41,6 +41,13 @@
 double gyp_slack_ms(const struct gyp_run_stats *, const struct gyp_flow *,
     const struct gyp_flow_unit *, uint64_t now_ms);
 
+/*
+ * Returns the time by which a flow that is accepted now can be delayed without
+ * missing its objective, in ms; DBL_MAX for work without an objective.
+ */
+double gyp_slack_of_new_flow(
+    const struct gyp_run_stats *, const Gyp__FlowSpec *);
+
 /* Returns the state of a unit that could start at cell time now_ms. */
 enum gyp_slack_state gyp_slack_state(const struct gyp_run_stats *,
     const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t now_ms);
