Slow admission queries leave claimed capacity to the queries under way

A query now claims what its unit is expected to use, and later slow queries count only what is left; the score of an endpoint falls by what is claimed. The load line tells how many units wait for a quota, for capacity, and with a query under way.

--- a/src/admission.c
+++ b/src/admission.c
@@ -49,7 +49,7 @@
 struct query {
 	uint64_t id;
 	struct gyp_flow_key key;
-	GArray *rows;
+	GArray *targets; /* struct gyp_admission_target */
 };
 
 struct gyp_admission {
@@ -57,6 +57,7 @@
 	GHashTable *units;          /* key -> struct gyp_admission_unit */
 	GHashTable *queries;        /* id -> struct query */
 	GHashTable *allowed_shares; /* queue name -> double */
+	GArray *claimed; /* struct gyp_res by row, of pending queries */
 	uint64_t next_id;
 };
 
@@ -86,7 +87,7 @@
 {
 	struct query *q = p;
 
-	g_array_free(q->rows, TRUE);
+	g_array_free(q->targets, TRUE);
 	g_free(q);
 }
 
@@ -218,6 +219,52 @@
 	return u != NULL && now < u->paused_until;
 }
 
+/* ---- Claims ------------------------------------------------------------- */
+
+struct gyp_res
+gyp_admission_claimed(const struct gyp_admission *a, uint32_t row)
+{
+	struct gyp_res none = {0, 0, 0, 0};
+
+	if (row >= a->claimed->len)
+		return none;
+	return g_array_index(a->claimed, struct gyp_res, row);
+}
+
+static const struct gyp_admission_target *
+target_at(const struct query *q, guint i)
+{
+	return &g_array_index(q->targets, struct gyp_admission_target, i);
+}
+
+static void
+add_claims(struct gyp_admission *a, const struct query *q)
+{
+	guint i;
+
+	for (i = 0; i < q->targets->len; i++) {
+		const struct gyp_admission_target *t = target_at(q, i);
+
+		if (t->row >= a->claimed->len)
+			g_array_set_size(a->claimed, t->row + 1);
+		gyp_res_add(&g_array_index(a->claimed, struct gyp_res, t->row),
+		    &t->claim);
+	}
+}
+
+static void
+remove_claims(struct gyp_admission *a, const struct query *q)
+{
+	guint i;
+
+	for (i = 0; i < q->targets->len; i++) {
+		const struct gyp_admission_target *t = target_at(q, i);
+
+		gyp_res_sub(&g_array_index(a->claimed, struct gyp_res, t->row),
+		    &t->claim);
+	}
+}
+
 /* ---- Queries ------------------------------------------------------------ */
 
 static Gyp__Ask *
@@ -229,10 +276,9 @@
 	Gyp__Ask *copy;
 	guint i;
 
-	for (i = 0; i < q->rows->len; i++)
+	for (i = 0; i < q->targets->len; i++)
 		g_ptr_array_add(names,
-		    gyp_host_at(a->flows, g_array_index(q->rows, uint32_t, i))
-			->spec->id);
+		    gyp_host_at(a->flows, target_at(q, i)->row)->spec->id);
 	query.id = q->id;
 	query.flow = q->key.flow;
 	query.time = unit->repetition;
@@ -245,15 +291,14 @@
 }
 
 Gyp__Ask *
-gyp_admission_begin_query(struct gyp_admission *a, uint64_t now,
-    const struct gyp_flow *flow, const struct gyp_flow_unit *unit,
-    const uint32_t *rows, guint n)
+gyp_admission_begin_query(struct gyp_admission *a, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *unit,
+    const struct gyp_admission_target *targets, guint n)
 {
 	struct gyp_admission_unit *u = find_unit(a, flow, unit);
 	struct query *q = g_new0(struct query, 1);
 	guint i;
 
-	(void)now;
 	if (u == NULL) {
 		u = g_new0(struct gyp_admission_unit, 1);
 		u->key = key_of(flow, unit);
@@ -266,11 +311,12 @@
 	}
 	q->id = a->next_id++;
 	q->key = u->key;
-	q->rows = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	for (i = 0; i < n; i++) {
-		ensure_answer(u, rows[i])->pending = true;
-		g_array_append_val(q->rows, rows[i]);
-	}
+	q->targets =
+	    g_array_new(FALSE, FALSE, sizeof(struct gyp_admission_target));
+	g_array_append_vals(q->targets, targets, n);
+	for (i = 0; i < n; i++)
+		ensure_answer(u, targets[i].row)->pending = true;
+	add_claims(a, q);
 	u->pending_queries++;
 	g_hash_table_insert(a->queries, &q->id, q);
 	return make_query(a, q, unit);
@@ -350,9 +396,9 @@
 	if (q == NULL)
 		return;
 	u = g_hash_table_lookup(a->units, &q->key);
-	for (i = 0; u != NULL && i < q->rows->len; i++) {
+	for (i = 0; u != NULL && i < q->targets->len; i++) {
 		struct endpoint_answer *e =
-		    ensure_answer(u, g_array_index(q->rows, uint32_t, i));
+		    ensure_answer(u, target_at(q, i)->row);
 
 		e->pending = false;
 		if (answer == NULL)
@@ -368,6 +414,7 @@
 		u->pending_queries--;
 		update_share(a, q, unanswered, u->grants->len - grants_before);
 	}
+	remove_claims(a, q);
 	g_hash_table_remove(a->queries, &id);
 }
 
@@ -420,6 +467,7 @@
 	    gyp_flow_key_hash, gyp_flow_key_equal, NULL, free_unit);
 	a->allowed_shares =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	a->claimed = g_array_new(FALSE, TRUE, sizeof(struct gyp_res));
 	a->queries = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_query);
 	return a;
@@ -433,5 +481,6 @@
 	g_hash_table_destroy(a->units);
 	g_hash_table_destroy(a->queries);
 	g_hash_table_destroy(a->allowed_shares);
+	g_array_free(a->claimed, TRUE);
 	g_free(a);
 }
--- a/src/admission.h
+++ b/src/admission.h
@@ -90,13 +90,30 @@
     const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t until);
 bool gyp_admission_is_paused(const struct gyp_admission_unit *, uint64_t now);
 
+/* An endpoint named in a query. */
+struct gyp_admission_target {
+	uint32_t row;
+	struct gyp_res claim; /* expected use by the unit once it is allowed */
+};
+
+/*
+ * Records a query about the given endpoints as pending and returns it, to be
+ * sent by an entry.
+ */
+Gyp__Ask *gyp_admission_begin_query(struct gyp_admission *,
+    const struct gyp_flow *, const struct gyp_flow_unit *,
+    const struct gyp_admission_target *, guint n);
+
 /*
- * Records a query about the given rows as pending and returns it, to be sent by
- * an entry.
+ * Sum of what the units with pending queries are expected to use on the
+ * endpoint.
+ *
+ * Handles this load: many slow queries at a time, each of which would name the
+ * same endpoints with the most free capacity. By the time of the answers the
+ * first unit has taken it, and the other queries were in vain.
  */
-Gyp__Ask *gyp_admission_begin_query(struct gyp_admission *, uint64_t now,
-    const struct gyp_flow *, const struct gyp_flow_unit *, const uint32_t *rows,
-    guint n);
+struct gyp_res gyp_admission_claimed(
+    const struct gyp_admission *, uint32_t row);
 
 /* Records the answer to a query; ignores answers to unknown queries. */
 void gyp_admission_record_answer(
--- a/src/admission_query.c
+++ b/src/admission_query.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "admission_query.h"
 #include "endpoint_ranking.h"
 
@@ -24,6 +26,13 @@
 #define AVAILABLE_BONUS 100
 #define ALLOWED_BONUS   10
 
+/*
+ * A query that takes this long or longer, in ms, names no endpoint whose free
+ * capacity is claimed by other queries under way. Quicker ones do: they are
+ * answered first.
+ */
+#define CLAIMS_COUNT_MS 100
+
 /*
  * Returns the number of endpoints whose naming costs a quarter of the query
  * itself.
@@ -38,26 +47,55 @@
 	return (guint)CLAMP(n, QUERY_ENDPOINTS_MIN, QUERY_ENDPOINTS_MAX);
 }
 
+/* Returns a - b, but at least 0, of each resource. */
+static struct gyp_res
+remaining(const struct gyp_res *a, const struct gyp_res *b)
+{
+	struct gyp_res res = {
+	    .cpu_milli = a->cpu_milli - MIN(a->cpu_milli, b->cpu_milli),
+	    .memory = a->memory - MIN(a->memory, b->memory),
+	    .accel = a->accel - MIN(a->accel, b->accel)};
+
+	return res;
+}
+
+/* Counts the tasks that the endpoint is expected to take after the answer. */
+static uint32_t
+count_unclaimed(const struct gyp_capacity *cap, const struct gyp_candidate *c,
+    const struct gyp_res *claimed)
+{
+	struct gyp_res unclaimed = remaining(&cap->available, claimed);
+
+	if (c->flow->spec->queue->admission_ms < CLAIMS_COUNT_MS)
+		return gyp_capacity_count_tasks(cap, c);
+	return gyp_capacity_count_tasks_in(cap, c, &unclaimed);
+}
+
 /*
  * Adds the endpoint to the ranking unless it is unsuitable or its answer is
  * already known or pending. Returns true when it was added and has free
  * capacity.
  */
 static bool
-add_if_unanswered(GArray *ranking, const struct gyp_capacity *cap, uint32_t row,
+add_if_unanswered(GArray *ranking, const struct gyp_admission *a,
+    const struct gyp_capacity *cap, uint32_t row,
     enum gyp_admission_state state, const struct gyp_candidate *c)
 {
 	struct gyp_ranked_endpoint endpoint = {.row = row};
+	struct gyp_res claimed;
 
 	if ((state != GYP_ADMISSION_UNKNOWN &&
 		state != GYP_ADMISSION_EXPIRED) ||
 	    !gyp_capacity_suits(cap, c))
 		return false;
-	endpoint.count = gyp_capacity_count_tasks(cap, c);
+	claimed = gyp_admission_claimed(a, row);
+	endpoint.count = count_unclaimed(cap, c, &claimed);
 	endpoint.allowed_before = state == GYP_ADMISSION_EXPIRED;
-	endpoint.score = gyp_capacity_score(cap, c) +
-			 (endpoint.allowed_before ? ALLOWED_BONUS : 0) +
-			 (endpoint.count > 0 ? AVAILABLE_BONUS : 0);
+	endpoint.score =
+	    gyp_capacity_score(cap, c) -
+	    (double)claimed.cpu_milli / (cap->host->capacity.cpu_milli + 1) +
+	    (endpoint.allowed_before ? ALLOWED_BONUS : 0) +
+	    (endpoint.count > 0 ? AVAILABLE_BONUS : 0);
 	g_array_append_val(ranking, endpoint);
 	return endpoint.count > 0;
 }
@@ -86,7 +124,7 @@
 			break;
 		if (ranking->len >= COMPARISONS_MAX && !gyp_candidate_packs(c))
 			break;
-		any_available |= add_if_unanswered(ranking,
+		any_available |= add_if_unanswered(ranking, a,
 		    gyp_capacity_index_at(capacities, row), row,
 		    gyp_admission_state(a, answers, row, now), c);
 	}
@@ -119,6 +157,37 @@
 	return n;
 }
 
+/*
+ * Fills in the endpoints of a query. Those that come first claim what the
+ * waiting tasks are expected to use, see count_endpoints().
+ */
+static void
+fill_targets(const GArray *ranking, const struct gyp_candidate *c,
+    uint32_t waiting, double allowed_share,
+    struct gyp_admission_target *targets, guint n)
+{
+	const struct gyp_res *size = &c->unit->size;
+	double left = waiting;
+	guint i;
+
+	memset(targets, 0, n * sizeof(targets[0]));
+	for (i = 0; i < n; i++) {
+		const struct gyp_ranked_endpoint *endpoint =
+		    &g_array_index(ranking, struct gyp_ranked_endpoint, i);
+		double tasks = endpoint->count *
+			       (endpoint->allowed_before ? 1 : allowed_share);
+
+		tasks = MIN(tasks, left);
+		left -= tasks;
+		targets[i].row = endpoint->row;
+		targets[i].claim.cpu_milli =
+		    (uint32_t)(tasks * size->cpu_milli);
+		targets[i].claim.memory =
+		    (uint64_t)(tasks * (double)size->memory);
+		targets[i].claim.accel = (uint32_t)(tasks * size->accel);
+	}
+}
+
 Gyp__Ask *
 gyp_admission_query_new(struct gyp_admission *a,
     struct gyp_capacity_index *capacities, const struct gyp_candidate *c,
@@ -127,25 +196,24 @@
 	const struct gyp_admission_unit *answers =
 	    gyp_admission_unit(a, c->flow, c->unit);
 	guint cheap_count = cheap_endpoint_count(c->flow->spec->queue);
-	uint32_t rows[QUERY_ENDPOINTS_MAX];
+	struct gyp_admission_target targets[QUERY_ENDPOINTS_MAX];
+	double share =
+	    gyp_admission_allowed_share(a, c->flow->spec->queue->name);
 	GArray *ranking;
-	guint i, n;
+	guint n;
 
 	if (!c->flow->spec->queue->admission ||
 	    gyp_admission_has_pending_query(answers) ||
 	    gyp_admission_is_paused(answers, now))
 		return NULL;
 	ranking = rank_unanswered(a, capacities, c, now, cheap_count);
-	n = count_endpoints(ranking, waiting, cheap_count,
-	    gyp_admission_allowed_share(a, c->flow->spec->queue->name));
-	for (i = 0; i < n; i++)
-		rows[i] =
-		    g_array_index(ranking, struct gyp_ranked_endpoint, i).row;
+	n = count_endpoints(ranking, waiting, cheap_count, share);
+	fill_targets(ranking, c, waiting, share, targets, n);
 	g_array_free(ranking, TRUE);
 	if (n == 0) {
 		gyp_admission_pause_queries(
 		    a, c->flow, c->unit, now + PAUSE_MS);
 		return NULL;
 	}
-	return gyp_admission_begin_query(a, now, c->flow, c->unit, rows, n);
+	return gyp_admission_begin_query(a, c->flow, c->unit, targets, n);
 }
--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -446,6 +446,7 @@
 log_load(struct gyp_flow_scheduler *fs, uint32_t free_slots)
 {
 	struct gyp_res capacity = {0, 0, 0, 0}, booked = {0, 0, 0, 0};
+	const struct gyp_placer_summary *last = gyp_placer_summary(fs->placer);
 	uint32_t row, usable = 0, waiting = 0;
 	const GList *l;
 
@@ -465,10 +466,12 @@
 		waiting += !((const struct gyp_flow *)l->data)->begun;
 	gyp_events_add(fs->events, "load",
 	    "endpoints=%u cpu_milli=%u booked_milli=%u accel=%u "
-	    "booked_accel=%u flows=%u not_begun=%u lanes=%u free_lanes=%u",
+	    "booked_accel=%u flows=%u not_begun=%u lanes=%u free_lanes=%u "
+	    "units=%u over_quota=%u no_capacity=%u queried=%u",
 	    usable, capacity.cpu_milli, booked.cpu_milli, capacity.accel,
 	    booked.accel, gyp_flows_active(fs->flows)->length, waiting,
-	    g_hash_table_size(fs->slots), free_slots);
+	    g_hash_table_size(fs->slots), free_slots, last->units,
+	    last->over_quota, last->no_capacity, last->queried);
 }
 
 /* Stops the runs that the placer preempts for more urgent work. */
--- a/src/placer.c
+++ b/src/placer.c
@@ -43,6 +43,7 @@
 	uint32_t least_urgent; /* highest rank of the active flows */
 	GArray *proposed;      /* struct gyp_res by row of workspace */
 	GHashTable *waiting;   /* interned pool -> double, see placer.h */
+	struct gyp_placer_summary summary;
 };
 
 /* ---- Candidates --------------------------------------------------------- */
@@ -326,8 +327,10 @@
 	uint32_t i, number;
 	guint pos = 0;
 
-	if (waiting == 0)
+	if (waiting == 0) {
+		p->summary.over_quota++;
 		return 0;
+	}
 	ranking = rank_endpoints(p, c);
 	if (ranking->len == 0 ||
 	    (u->step->gang && gyp_ranking_total(ranking) < waiting)) {
@@ -463,10 +466,12 @@
 	p->now = now;
 	p->runs_left = RUNS_MAX;
 	p->reservations = 0;
+	memset(&p->summary, 0, sizeof(p->summary));
 	g_hash_table_remove_all(p->waiting);
 	g_array_set_size(p->proposed, 0);
 	g_array_set_size(p->proposed, gyp_workspaces_size(p->flows));
 	find_candidates(p, wall_ms);
+	p->summary.units = p->units->len;
 	if (p->units->len == 0 && p->prefetch->len == 0)
 		return;
 	gyp_preempt_begin_round(p->preempt, p->now);
@@ -484,8 +489,11 @@
 		add_waiting(p, c, waiting);
 		if (waiting == 0)
 			continue;
+		p->summary.no_capacity++;
 		query_about(p, c, waiting,
 		    slots_for(c, free_slots, total_slots), queries);
+		p->summary.queried += gyp_admission_has_pending_query(
+		    gyp_admission_unit(p->admission, c->flow, c->unit));
 		reserve_capacity(p, c, waiting);
 	}
 	prefetch_queries(p, free_slots, total_slots, queries);
@@ -497,6 +505,12 @@
 	return gyp_preempt_pop(p->preempt, stop);
 }
 
+const struct gyp_placer_summary *
+gyp_placer_summary(const struct gyp_placer *p)
+{
+	return &p->summary;
+}
+
 uint64_t
 gyp_placer_comparisons(const struct gyp_placer *p)
 {
--- a/src/placer.h
+++ b/src/placer.h
@@ -59,6 +59,16 @@
  */
 bool gyp_placer_pop_stop(struct gyp_placer *, struct gyp_preempt_stop *);
 
+/* What the latest round did with the units whose tasks waited. */
+struct gyp_placer_summary {
+	uint32_t units;       /* units with waiting tasks that were due */
+	uint32_t over_quota;  /* of these, held back by a quota */
+	uint32_t no_capacity; /* of these, without an endpoint for all tasks */
+	uint32_t queried;     /* of the latter, with a query under way */
+};
+
+const struct gyp_placer_summary *gyp_placer_summary(const struct gyp_placer *);
+
 /*
  * Work of the pool that could start and found no room in the latest round, in
  * thousandths of a processor times ms. Work that waits for a quota is left out.
