Refused flows do not compete with new ones for the workspace's rate

A workspace that keeps sending too much spent its tokens on repeated submissions, so that new flows within its rate were refused. Flows beyond the rate are accepted only while the work that waits delays them by no more than the fixed time of their queue's objective, and the capacity of a pool counts all endpoints that stay, so that a new leader does not refuse everything before it has reached them.

--- a/src/flow_intake.c
+++ b/src/flow_intake.c
@@ -15,6 +15,22 @@
  */
 #define EXCESS_FLOWS_MAX (GYP_FLOWS_MAX / 2)
 
+/* Share of a bucket that must be full for a flow that was refused before. */
+#define RETRY_LEVEL_MIN 0.5
+
+/*
+ * Refused flows that are remembered, and for how long in ms: callers come back
+ * within GYP_LOAD_SHED_RETRY_MAX_MS.
+ */
+#define REFUSED_MAX     20000
+#define REFUSED_KEEP_MS (GYP_LOAD_SHED_RETRY_MAX_MS + 10000)
+
+/* A flow that was refused lately. */
+struct refused_flow {
+	uint64_t id;
+	uint64_t at;
+};
+
 struct workspace_intake {
 	struct gyp_token_bucket bucket;
 	uint64_t retry_slot_ms; /* see gyp_load_shed_retry_ms() */
@@ -24,6 +40,8 @@
 struct gyp_flow_intake {
 	const struct gyp_flows *flows;
 	GHashTable *workspaces; /* name -> struct workspace_intake */
+	GHashTable *refused;    /* id -> struct refused_flow */
+	GQueue refusals;        /* struct refused_flow, oldest first */
 };
 
 static struct workspace_intake *
@@ -38,28 +56,77 @@
 	return w;
 }
 
+/* ---- Refused flows ------------------------------------------------------ */
+
+static void
+forget_oldest(struct gyp_flow_intake *in)
+{
+	struct refused_flow *r = g_queue_pop_head(&in->refusals);
+
+	g_hash_table_remove(in->refused, &r->id);
+	g_free(r);
+}
+
+static void
+forget_old_refusals(struct gyp_flow_intake *in, uint64_t now)
+{
+	const struct refused_flow *r;
+
+	while ((r = g_queue_peek_head(&in->refusals)) != NULL &&
+	       now >= r->at + REFUSED_KEEP_MS)
+		forget_oldest(in);
+}
+
+static void
+remember_refusal(struct gyp_flow_intake *in, uint64_t flow, uint64_t now)
+{
+	struct refused_flow *r;
+
+	if (g_hash_table_contains(in->refused, &flow))
+		return;
+	if (in->refusals.length >= REFUSED_MAX)
+		forget_oldest(in);
+	r = g_new0(struct refused_flow, 1);
+	r->id = flow;
+	r->at = now;
+	g_hash_table_insert(in->refused, &r->id, r);
+	g_queue_push_tail(&in->refusals, r);
+}
+
 /* ---- Decision ----------------------------------------------------------- */
 
+static bool
+take_token(struct gyp_flow_intake *in, struct workspace_intake *w, double rate,
+    uint64_t flow, uint64_t now)
+{
+	if (g_hash_table_contains(in->refused, &flow) &&
+	    gyp_token_bucket_level(&w->bucket, rate, now) < RETRY_LEVEL_MIN)
+		return false;
+	return gyp_token_bucket_take(&w->bucket, rate, now);
+}
+
 enum gyp_intake_verdict
 gyp_flow_intake_decide(struct gyp_flow_intake *in, uint64_t now,
-    const Gyp__Workspace *ws, double slack_ms, const struct gyp_pool_load *load,
-    uint32_t *retry_ms)
+    const Gyp__Workspace *ws, uint64_t flow, double max_delay_ms,
+    const struct gyp_pool_load *load, uint32_t *retry_ms)
 {
 	struct workspace_intake *w;
 
 	if (ws == NULL)
 		return GYP_INTAKE_ACCEPT;
 	w = get_workspace(in, ws->name);
-	if (ws->rate <= 0 || gyp_token_bucket_take(&w->bucket, ws->rate, now)) {
+	forget_old_refusals(in, now);
+	if (ws->rate <= 0 || take_token(in, w, ws->rate, flow, now)) {
 		w->counts.accepted++;
 		return GYP_INTAKE_ACCEPT;
 	}
 	if (gyp_flows_count(in->flows) < EXCESS_FLOWS_MAX &&
-	    gyp_load_shed_accepts(load, slack_ms)) {
+	    gyp_load_shed_accepts(load, max_delay_ms)) {
 		w->counts.excess++;
 		return GYP_INTAKE_ACCEPT_EXCESS;
 	}
 	w->counts.refused++;
+	remember_refusal(in, flow, now);
 	*retry_ms = gyp_load_shed_retry_ms(now, &w->retry_slot_ms, ws->rate,
 	    gyp_token_bucket_wait_ms(&w->bucket, ws->rate, now));
 	return GYP_INTAKE_REFUSE;
@@ -122,6 +189,7 @@
 	in->flows = flows;
 	in->workspaces =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	in->refused = g_hash_table_new(g_int64_hash, g_int64_equal);
 	replay_recent(in, now);
 	return in;
 }
@@ -132,5 +200,7 @@
 	if (in == NULL)
 		return;
 	g_hash_table_destroy(in->workspaces);
+	g_hash_table_destroy(in->refused);
+	g_queue_clear_full(&in->refusals, g_free);
 	g_free(in);
 }
--- a/src/flow_intake.h
+++ b/src/flow_intake.h
@@ -16,6 +16,11 @@
  *	flow for which there is none is beyond the rate; whether it is accepted
  *	depends on the load, see load_shed.h.
  *
+ *	A refused flow that is submitted again does not compete with new ones:
+ *	it takes a token only when at least half of the workspace's tokens are
+ *	there. Otherwise a workspace that keeps sending too much would spend its
+ *	rate on repeated submissions, and refuse new ones that are within it.
+ *
  *	The buckets exist on a leader only. A new leader fills them from the
  *	flows that were accepted lately, which are replicated. Times are cell
  *	time in ms.
@@ -41,12 +46,12 @@
 void gyp_flow_intake_free(struct gyp_flow_intake *);
 
 /*
- * Decides on a new flow of the workspace, which can be delayed by slack_ms.
+ * Decides on a flow of the workspace, which may be delayed by max_delay_ms.
  * With GYP_INTAKE_REFUSE, *retry_ms is set to the delay before a retry. A
  * workspace without a rate is never refused; nor is NULL, for no workspace.
  */
 enum gyp_intake_verdict gyp_flow_intake_decide(struct gyp_flow_intake *,
-    uint64_t now, const Gyp__Workspace *, double slack_ms,
+    uint64_t now, const Gyp__Workspace *, uint64_t flow, double max_delay_ms,
     const struct gyp_pool_load *, uint32_t *retry_ms);
 
 /* Counts of the workspace of that name. */
--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -455,12 +455,15 @@
 	for (row = 0; row < gyp_hosts_size(fs->flows); row++) {
 		const struct gyp_host *h = gyp_host_at(fs->flows, row);
 
-		if (h == NULL || !gyp_fleet_usable(fs->fleet, row))
+		if (h == NULL)
+			continue;
+		if (!h->spec->draining && !h->spec->gone)
+			add_pool_capacity(fs, h);
+		if (!gyp_fleet_usable(fs->fleet, row))
 			continue;
 		usable++;
 		gyp_res_add(&capacity, &h->capacity);
 		gyp_res_add(&booked, &h->booked);
-		add_pool_capacity(fs, h);
 	}
 	for (l = gyp_flows_active(fs->flows)->head; l != NULL; l = l->next)
 		waiting += !((const struct gyp_flow *)l->data)->begun;
--- a/src/load_shed.c
+++ b/src/load_shed.c
@@ -14,9 +14,9 @@
 }
 
 bool
-gyp_load_shed_accepts(const struct gyp_pool_load *load, double slack_ms)
+gyp_load_shed_accepts(const struct gyp_pool_load *load, double max_delay_ms)
 {
-	return gyp_load_shed_delay_ms(load) <= MAX(slack_ms, 0);
+	return gyp_load_shed_delay_ms(load) <= max_delay_ms;
 }
 
 uint32_t
--- a/src/load_shed.h
+++ b/src/load_shed.h
@@ -18,22 +18,22 @@
 
 /* Load of a pool of endpoints. */
 struct gyp_pool_load {
-	double capacity_milli;   /* processors of usable endpoints */
+	double capacity_milli;   /* processors of endpoints that stay */
 	double booked_milli;     /* of these, booked by open runs */
 	double waiting_milli_ms; /* work that could start but has no room */
 };
 
 /*
  * Time until new work could start if it had to wait for all work that waits
- * now, in ms. A pool without usable endpoints has no such time: UINT32_MAX.
+ * now, in ms. A pool without endpoints has no such time: UINT32_MAX.
  */
 uint32_t gyp_load_shed_delay_ms(const struct gyp_pool_load *);
 
 /*
- * True if work that can be delayed by slack_ms without being late is accepted
- * although it is beyond the rate.
+ * True if work that may be delayed by max_delay_ms is accepted although it is
+ * beyond the rate.
  */
-bool gyp_load_shed_accepts(const struct gyp_pool_load *, double slack_ms);
+bool gyp_load_shed_accepts(const struct gyp_pool_load *, double max_delay_ms);
 
 /* Bounds of the delay before a refused request is sent again, in ms. */
 #define GYP_LOAD_SHED_RETRY_MIN_MS 1000
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -4,7 +4,6 @@
 #include "host_msg.h"
 #include "msg.h"
 #include "replica_int.h"
-#include "slack.h"
 #include "workspace.h"
 
 /*
@@ -135,8 +134,8 @@
 /* Refuses a flow beyond the workspace's rate; it leaves no trace. */
 static void
 refuse_flow(struct gyp_replica *r, uint64_t entry, uint64_t call,
-    const Gyp__FlowSpec *spec, const struct gyp_pool_load *load,
-    uint32_t retry_ms)
+    const Gyp__FlowSpec *spec, const Gyp__Workspace *ws,
+    const struct gyp_pool_load *load, uint32_t retry_ms)
 {
 	Gyp__Reply msg = GYP__REPLY__INIT;
 
@@ -145,8 +144,8 @@
 	msg.retry_ms = retry_ms;
 	gyp_events_add(r->events, "flow-refused",
 	    "flow=%016" G_GINT64_MODIFIER
-	    "x queue=%s workspace=%s delay_ms=%u retry_ms=%u",
-	    spec->id, spec->queue->name, spec->workspace,
+	    "x queue=%s workspace=%s rate=%.3g delay_ms=%u retry_ms=%u",
+	    spec->id, spec->queue->name, ws->name, ws->rate,
 	    gyp_load_shed_delay_ms(load), retry_ms);
 	gyp_replica_reply(r, entry, &msg);
 }
@@ -161,8 +160,8 @@
 {
 	struct gyp_pool_load load =
 	    gyp_flow_scheduler_load(r->flow_scheduler, spec->queue->pool);
-	double slack_ms = gyp_slack_of_new_flow(
-	    gyp_flow_scheduler_stats(r->flow_scheduler), spec);
+	/* Not the whole slack of the flow: others of the queue need theirs. */
+	double delay_ms = spec->queue->target_ms;
 	enum gyp_intake_verdict verdict;
 	char labels[GYP_LABELS_MAX];
 	uint32_t retry_ms = 0;
@@ -170,8 +169,8 @@
 	if (is_being_accepted(r, call))
 		return true;
 	verdict = gyp_flow_intake_decide(r->flow_intake,
-	    r->time_base + (r->now - r->lead_since), ws, slack_ms, &load,
-	    &retry_ms);
+	    r->time_base + (r->now - r->lead_since), ws, spec->id, delay_ms,
+	    &load, &retry_ms);
 	spec->excess = verdict == GYP_INTAKE_ACCEPT_EXCESS;
 	if (ws != NULL)
 		gyp_count(r->counters, "gyp_flow_submits_total",
@@ -180,7 +179,7 @@
 		    1);
 	if (verdict != GYP_INTAKE_REFUSE)
 		return true;
-	refuse_flow(r, entry, call->id, spec, &load, retry_ms);
+	refuse_flow(r, entry, call->id, spec, ws, &load, retry_ms);
 	return false;
 }
 
--- a/src/token_bucket.c
+++ b/src/token_bucket.c
@@ -32,6 +32,13 @@
 	return true;
 }
 
+double
+gyp_token_bucket_level(
+    const struct gyp_token_bucket *b, double rate, uint64_t now)
+{
+	return tokens_at(b, rate, now) / MAX(rate, 1);
+}
+
 uint32_t
 gyp_token_bucket_wait_ms(
     const struct gyp_token_bucket *b, double rate, uint64_t now)
--- a/src/token_bucket.h
+++ b/src/token_bucket.h
@@ -26,6 +26,10 @@
 bool gyp_token_bucket_take(
     struct gyp_token_bucket *, double rate, uint64_t now);
 
+/* Share of the bucket that is full, 0 to 1. */
+double gyp_token_bucket_level(
+    const struct gyp_token_bucket *, double rate, uint64_t now);
+
 /* Time until the next token is there, in ms; 0 if one is. */
 uint32_t gyp_token_bucket_wait_ms(
     const struct gyp_token_bucket *, double rate, uint64_t now);
