Learn run times from committed ends on every replica

Run times were learned by the leader only, from what it had seen itself, so a new leader knew none. run_forecast.c learns them from the ends that each replica applies and answers with quantiles; endpoint_speed.c separates the speed of the endpoint. No decision uses them yet.

test_run_forecast (10 tests), test_flows, test_placer, test_mixed_load, test_run_stats, test_versions and test_state pass, also with sanitizers.

--- a/src/flow.c
+++ b/src/flow.c
@@ -256,6 +256,12 @@
 	return f->time_ms;
 }
 
+struct gyp_run_forecast *
+gyp_flows_forecast(const struct gyp_flows *f)
+{
+	return f->forecast;
+}
+
 const Gyp__CmdManifest *
 gyp_flows_manifest(const struct gyp_flows *f)
 {
@@ -362,6 +368,7 @@
 {
 	free_tables(f);
 	init_tables(f);
+	gyp_run_forecast_clear(f->forecast);
 }
 
 struct gyp_flows *
@@ -370,6 +377,7 @@
 	struct gyp_flows *f = g_new0(struct gyp_flows, 1);
 
 	init_tables(f);
+	f->forecast = gyp_run_forecast_new();
 	return f;
 }
 
@@ -379,5 +387,6 @@
 	if (f == NULL)
 		return;
 	free_tables(f);
+	gyp_run_forecast_free(f->forecast);
 	g_free(f);
 }
--- a/src/flow.h
+++ b/src/flow.h
@@ -125,6 +125,7 @@
 
 struct gyp_flows;
 struct gyp_flows_listener;
+struct gyp_run_forecast;
 
 /*
  * Called while the tables change: dropped() by gyp_flows_drop_expired(), the
@@ -196,6 +197,9 @@
 /* Cell time of the latest command, 0 for none. */
 uint64_t gyp_flows_time(const struct gyp_flows *);
 
+/* Run times learned from the ends of runs; valid as long as the tables. */
+struct gyp_run_forecast *gyp_flows_forecast(const struct gyp_flows *);
+
 /* The newest manifest, or NULL. */
 const Gyp__CmdManifest *gyp_flows_manifest(const struct gyp_flows *);
 
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -200,11 +200,42 @@
 	       t->run > 0 && !u->step->lasting && !u->step->gang;
 }
 
+/*
+ * Returns the start of an open run whose time shows how long the task takes, or
+ * 0: a later run may have resumed from a checkpoint.
+ */
+static uint64_t
+first_run_start(const struct gyp_flow_task *t)
+{
+	return t->run == 1 && t->checkpoint == NULL ? t->changed_ms : 0;
+}
+
+/*
+ * Only a run that was done or stopped was running until its end: one that was
+ * lost, for example, may have ended long before.
+ */
+static void
+learn_run_time(struct gyp_flows *f, const struct gyp_flow *flow,
+    const Gyp__CmdFlowEnd *end, uint64_t start_ms, uint64_t now)
+{
+	const struct gyp_flow_unit *u = gyp_flow_unit_of(flow, end->task);
+
+	if (start_ms == 0 || now < start_ms)
+		return;
+	if (end->how == GYP__FLOW_HOW__FLOW_DONE)
+		gyp_run_forecast_add(
+		    f->forecast, flow, u, end->host, now - start_ms);
+	else if (end->how == GYP__FLOW_HOW__FLOW_STOPPED && !u->step->gang)
+		gyp_run_forecast_add_stopped(
+		    f->forecast, flow, u, end->host, now - start_ms);
+}
+
 static void
 apply_end(struct gyp_flows *f, uint64_t now, const Gyp__CmdFlowEnd *end)
 {
 	struct gyp_flow *flow = gyp_flow_get(f, end->flow);
 	struct gyp_flow_task *t;
+	uint64_t start_ms;
 	bool lasting;
 
 	if (flow == NULL || end->task >= flow->n_tasks)
@@ -220,6 +251,7 @@
 	}
 	if (t->state != GYP_FLOW_TASK_OPEN)
 		return;
+	start_ms = first_run_start(t);
 	lasting = gyp_flow_unit_of(flow, end->task)->step->lasting;
 	release(f, flow, end->task);
 	t->state = GYP_FLOW_TASK_WAITING;
@@ -233,6 +265,7 @@
 	if (f->listener != NULL)
 		f->listener->ops->ended(
 		    f->listener, flow, end->task, end->host, end->how);
+	learn_run_time(f, flow, end, start_ms, now);
 	if (end->how != GYP__FLOW_HOW__FLOW_DONE)
 		stop_gang(f, flow, end->task);
 	drop_host(f, end->host);
--- a/src/flow_int.h
+++ b/src/flow_int.h
@@ -2,6 +2,7 @@
 #define GYP_FLOW_INT_H
 
 #include "flow.h"
+#include "run_forecast.h"
 
 /*
  * NAME
@@ -23,6 +24,7 @@
 	GPtrArray *hosts;     /* struct gyp_host by row; NULL if removed */
 	GHashTable *host_ids; /* id -> struct gyp_host */
 	Gyp__CmdManifest *manifest;
+	struct gyp_run_forecast *forecast;
 };
 
 /* flow.c */
--- a/src/flow_save.c
+++ b/src/flow_save.c
@@ -21,6 +21,8 @@
 		st->checkpoint = g_strdup(t->checkpoint);
 	if (task == u->first)
 		st->failed_run = u->failed_run;
+	if (t->state == GYP_FLOW_TASK_OPEN)
+		st->changed_ms = t->changed_ms;
 	return st;
 }
 
@@ -95,6 +97,7 @@
 	}
 	if (f->manifest != NULL)
 		snap->manifest = gyp_message_copy(&f->manifest->base);
+	snap->forecast = gyp_run_forecast_save(f->forecast);
 	return snap;
 }
 
@@ -121,6 +124,7 @@
 		if (t->state == GYP_FLOW_TASK_DONE && --u->left == 0)
 			flow->left--;
 		t->row = st->host;
+		t->changed_ms = st->changed_ms;
 		if (t->state != GYP_FLOW_TASK_OPEN)
 			continue;
 		if (gyp_host_at(f, t->row) == NULL)
@@ -189,6 +193,7 @@
 			return false;
 	}
 	g_queue_sort(&f->ended, by_end, NULL);
+	gyp_run_forecast_restore(f->forecast, snap->forecast);
 	if (snap->manifest != NULL)
 		f->manifest = gyp_message_copy(&snap->manifest->base);
 	return true;
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -30,6 +30,7 @@
 #include "carriers.h"           /* assigns the leader's calls to entries */
 #include "cusum.h"              /* endpoints that fail part of their runs */
 #include "endpoint_ranking.h"   /* endpoints for the tasks of a unit */
+#include "endpoint_speed.h"     /* learned speed of each endpoint */
 #include "fleet.h"              /* endpoints and the calls to them */
 #include "flow.h"               /* tables of flows and their endpoints */
 #include "flow_scheduler.h"     /* schedules flows on a leader */
@@ -49,6 +50,7 @@
 #include "reported_attempts.h"  /* attempts that endpoints report as running */
 #include "reserve.h"            /* capacity kept for units that must wait */
 #include "rules.h"              /* scheduling rules of the operators */
+#include "run_forecast.h"       /* learned run times */
 #include "run_stats.h"          /* failure and run time statistics */
 #include "slack.h"              /* whether work can meet its objective */
 #include "state.h"              /* tables of jobs, endpoints and rules */
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -1312,6 +1312,141 @@
   assert(message->base.descriptor == &gyp__snap_flow__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gyp__snap_forecast_kind__init
+                     (Gyp__SnapForecastKind         *message)
+{
+  static const Gyp__SnapForecastKind init_value = GYP__SNAP_FORECAST_KIND__INIT;
+  *message = init_value;
+}
+size_t gyp__snap_forecast_kind__get_packed_size
+                     (const Gyp__SnapForecastKind *message)
+{
+  assert(message->base.descriptor == &gyp__snap_forecast_kind__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__snap_forecast_kind__pack
+                     (const Gyp__SnapForecastKind *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__snap_forecast_kind__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__snap_forecast_kind__pack_to_buffer
+                     (const Gyp__SnapForecastKind *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__snap_forecast_kind__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__SnapForecastKind *
+       gyp__snap_forecast_kind__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__SnapForecastKind *)
+     protobuf_c_message_unpack (&gyp__snap_forecast_kind__descriptor,
+                                allocator, len, data);
+}
+void   gyp__snap_forecast_kind__free_unpacked
+                     (Gyp__SnapForecastKind *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__snap_forecast_kind__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__snap_forecast_queue__init
+                     (Gyp__SnapForecastQueue         *message)
+{
+  static const Gyp__SnapForecastQueue init_value = GYP__SNAP_FORECAST_QUEUE__INIT;
+  *message = init_value;
+}
+size_t gyp__snap_forecast_queue__get_packed_size
+                     (const Gyp__SnapForecastQueue *message)
+{
+  assert(message->base.descriptor == &gyp__snap_forecast_queue__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__snap_forecast_queue__pack
+                     (const Gyp__SnapForecastQueue *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__snap_forecast_queue__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__snap_forecast_queue__pack_to_buffer
+                     (const Gyp__SnapForecastQueue *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__snap_forecast_queue__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__SnapForecastQueue *
+       gyp__snap_forecast_queue__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__SnapForecastQueue *)
+     protobuf_c_message_unpack (&gyp__snap_forecast_queue__descriptor,
+                                allocator, len, data);
+}
+void   gyp__snap_forecast_queue__free_unpacked
+                     (Gyp__SnapForecastQueue *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__snap_forecast_queue__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__snap_forecast__init
+                     (Gyp__SnapForecast         *message)
+{
+  static const Gyp__SnapForecast init_value = GYP__SNAP_FORECAST__INIT;
+  *message = init_value;
+}
+size_t gyp__snap_forecast__get_packed_size
+                     (const Gyp__SnapForecast *message)
+{
+  assert(message->base.descriptor == &gyp__snap_forecast__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__snap_forecast__pack
+                     (const Gyp__SnapForecast *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__snap_forecast__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__snap_forecast__pack_to_buffer
+                     (const Gyp__SnapForecast *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__snap_forecast__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__SnapForecast *
+       gyp__snap_forecast__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__SnapForecast *)
+     protobuf_c_message_unpack (&gyp__snap_forecast__descriptor,
+                                allocator, len, data);
+}
+void   gyp__snap_forecast__free_unpacked
+                     (Gyp__SnapForecast *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__snap_forecast__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gyp__snap_flows__init
                      (Gyp__SnapFlows         *message)
 {
@@ -5372,7 +5507,7 @@
   (ProtobufCMessageInit) gyp__cmd_manifest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__snap_flow_task__field_descriptors[6] =
+static const ProtobufCFieldDescriptor gyp__snap_flow_task__field_descriptors[7] =
 {
   {
     "state",
@@ -5446,8 +5581,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "changed_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapFlowTask, changed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__snap_flow_task__field_indices_by_name[] = {
+  6,   /* field[6] = changed_ms */
   4,   /* field[4] = checkpoint */
   5,   /* field[5] = failed_run */
   3,   /* field[3] = failures */
@@ -5458,7 +5606,7 @@
 static const ProtobufCIntRange gyp__snap_flow_task__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gyp__snap_flow_task__descriptor =
 {
@@ -5468,7 +5616,7 @@
   "Gyp__SnapFlowTask",
   "gyp",
   sizeof(Gyp__SnapFlowTask),
-  6,
+  7,
   gyp__snap_flow_task__field_descriptors,
   gyp__snap_flow_task__field_indices_by_name,
   1,  gyp__snap_flow_task__number_ranges,
@@ -5591,7 +5739,433 @@
   (ProtobufCMessageInit) gyp__snap_flow__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__snap_flows__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gyp__snap_forecast_kind__field_descriptors[8] =
+{
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastKind, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "image",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastKind, image),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size_class",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastKind, size_class),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runs",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastKind, runs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mean_run",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastKind, mean_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mean_estimate",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastKind, mean_estimate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "errors",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Gyp__SnapForecastKind, n_errors),
+    offsetof(Gyp__SnapForecastKind, errors),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastKind, queue),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__snap_forecast_kind__field_indices_by_name[] = {
+  6,   /* field[6] = errors */
+  1,   /* field[1] = image */
+  5,   /* field[5] = mean_estimate */
+  4,   /* field[4] = mean_run */
+  7,   /* field[7] = queue */
+  3,   /* field[3] = runs */
+  2,   /* field[2] = size_class */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange gyp__snap_forecast_kind__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor gyp__snap_forecast_kind__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.SnapForecastKind",
+  "SnapForecastKind",
+  "Gyp__SnapForecastKind",
+  "gyp",
+  sizeof(Gyp__SnapForecastKind),
+  8,
+  gyp__snap_forecast_kind__field_descriptors,
+  gyp__snap_forecast_kind__field_indices_by_name,
+  1,  gyp__snap_forecast_kind__number_ranges,
+  (ProtobufCMessageInit) gyp__snap_forecast_kind__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__snap_forecast_queue__field_descriptors[12] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastQueue, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runs",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastQueue, runs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mean_run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastQueue, mean_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mean_estimate",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastQueue, mean_estimate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "variance",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastQueue, variance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "covariance",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastQueue, covariance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "inner_runs",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastQueue, inner_runs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "inner_variance",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastQueue, inner_variance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "inner_covariance",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastQueue, inner_covariance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "error",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecastQueue, error),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known_errors",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Gyp__SnapForecastQueue, n_known_errors),
+    offsetof(Gyp__SnapForecastQueue, known_errors),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "new_errors",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Gyp__SnapForecastQueue, n_new_errors),
+    offsetof(Gyp__SnapForecastQueue, new_errors),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__snap_forecast_queue__field_indices_by_name[] = {
+  5,   /* field[5] = covariance */
+  9,   /* field[9] = error */
+  8,   /* field[8] = inner_covariance */
+  6,   /* field[6] = inner_runs */
+  7,   /* field[7] = inner_variance */
+  10,   /* field[10] = known_errors */
+  3,   /* field[3] = mean_estimate */
+  2,   /* field[2] = mean_run */
+  0,   /* field[0] = name */
+  11,   /* field[11] = new_errors */
+  1,   /* field[1] = runs */
+  4,   /* field[4] = variance */
+};
+static const ProtobufCIntRange gyp__snap_forecast_queue__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor gyp__snap_forecast_queue__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.SnapForecastQueue",
+  "SnapForecastQueue",
+  "Gyp__SnapForecastQueue",
+  "gyp",
+  sizeof(Gyp__SnapForecastQueue),
+  12,
+  gyp__snap_forecast_queue__field_descriptors,
+  gyp__snap_forecast_queue__field_indices_by_name,
+  1,  gyp__snap_forecast_queue__number_ranges,
+  (ProtobufCMessageInit) gyp__snap_forecast_queue__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__snap_forecast__field_descriptors[7] =
+{
+  {
+    "queues",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__SnapForecast, n_queues),
+    offsetof(Gyp__SnapForecast, queues),
+    &gyp__snap_forecast_queue__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kinds",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__SnapForecast, n_kinds),
+    offsetof(Gyp__SnapForecast, kinds),
+    &gyp__snap_forecast_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_runs",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecast, speed_runs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_mean",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapForecast, speed_mean),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_row",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gyp__SnapForecast, n_speed_row),
+    offsetof(Gyp__SnapForecast, speed_row),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_row_runs",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gyp__SnapForecast, n_speed_row_runs),
+    offsetof(Gyp__SnapForecast, speed_row_runs),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_row_mean",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Gyp__SnapForecast, n_speed_row_mean),
+    offsetof(Gyp__SnapForecast, speed_row_mean),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__snap_forecast__field_indices_by_name[] = {
+  1,   /* field[1] = kinds */
+  0,   /* field[0] = queues */
+  3,   /* field[3] = speed_mean */
+  4,   /* field[4] = speed_row */
+  6,   /* field[6] = speed_row_mean */
+  5,   /* field[5] = speed_row_runs */
+  2,   /* field[2] = speed_runs */
+};
+static const ProtobufCIntRange gyp__snap_forecast__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor gyp__snap_forecast__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.SnapForecast",
+  "SnapForecast",
+  "Gyp__SnapForecast",
+  "gyp",
+  sizeof(Gyp__SnapForecast),
+  7,
+  gyp__snap_forecast__field_descriptors,
+  gyp__snap_forecast__field_indices_by_name,
+  1,  gyp__snap_forecast__number_ranges,
+  (ProtobufCMessageInit) gyp__snap_forecast__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__snap_flows__field_descriptors[5] =
 {
   {
     "flows",
@@ -5641,9 +6215,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "forecast",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapFlows, forecast),
+    &gyp__snap_forecast__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__snap_flows__field_indices_by_name[] = {
   0,   /* field[0] = flows */
+  4,   /* field[4] = forecast */
   1,   /* field[1] = hosts */
   2,   /* field[2] = manifest */
   3,   /* field[3] = next_seq */
@@ -5651,7 +6238,7 @@
 static const ProtobufCIntRange gyp__snap_flows__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gyp__snap_flows__descriptor =
 {
@@ -5661,7 +6248,7 @@
   "Gyp__SnapFlows",
   "gyp",
   sizeof(Gyp__SnapFlows),
-  4,
+  5,
   gyp__snap_flows__field_descriptors,
   gyp__snap_flows__field_indices_by_name,
   1,  gyp__snap_flows__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -44,6 +44,9 @@
 typedef struct Gyp__CmdManifest Gyp__CmdManifest;
 typedef struct Gyp__SnapFlowTask Gyp__SnapFlowTask;
 typedef struct Gyp__SnapFlow Gyp__SnapFlow;
+typedef struct Gyp__SnapForecastKind Gyp__SnapForecastKind;
+typedef struct Gyp__SnapForecastQueue Gyp__SnapForecastQueue;
+typedef struct Gyp__SnapForecast Gyp__SnapForecast;
 typedef struct Gyp__SnapFlows Gyp__SnapFlows;
 typedef struct Gyp__Ask Gyp__Ask;
 typedef struct Gyp__Ticket Gyp__Ticket;
@@ -840,10 +843,14 @@
    * of a gang, stored with its first task
    */
   uint32_t failed_run;
+  /*
+   * cell time of the start of an open run, or 0
+   */
+  uint64_t changed_ms;
 };
 #define GYP__SNAP_FLOW_TASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_flow_task__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Gyp__SnapFlow
@@ -863,6 +870,92 @@
     , NULL, 0, 0, 0, 0,NULL, 0, 0 }
 
 
+/*
+ * Learned run times, see run_forecast.h. Times are natural logarithms of ms.
+ */
+struct  Gyp__SnapForecastKind
+{
+  ProtobufCMessage base;
+  char *workspace;
+  char *image;
+  uint32_t size_class;
+  uint64_t runs;
+  double mean_run;
+  double mean_estimate;
+  /*
+   * oldest first
+   */
+  size_t n_errors;
+  float *errors;
+  /*
+   * index in SnapForecast.queues
+   */
+  uint32_t queue;
+};
+#define GYP__SNAP_FORECAST_KIND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_forecast_kind__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0 }
+
+
+struct  Gyp__SnapForecastQueue
+{
+  ProtobufCMessage base;
+  char *name;
+  uint64_t runs;
+  double mean_run;
+  double mean_estimate;
+  /*
+   * of the estimates
+   */
+  double variance;
+  double covariance;
+  /*
+   * the same relative to the means of the kinds
+   */
+  uint64_t inner_runs;
+  double inner_variance;
+  double inner_covariance;
+  double error;
+  /*
+   * oldest first
+   */
+  size_t n_known_errors;
+  float *known_errors;
+  size_t n_new_errors;
+  float *new_errors;
+};
+#define GYP__SNAP_FORECAST_QUEUE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_forecast_queue__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+struct  Gyp__SnapForecast
+{
+  ProtobufCMessage base;
+  size_t n_queues;
+  Gyp__SnapForecastQueue **queues;
+  /*
+   * latest run last
+   */
+  size_t n_kinds;
+  Gyp__SnapForecastKind **kinds;
+  uint64_t speed_runs;
+  double speed_mean;
+  /*
+   * of endpoints, latest run last
+   */
+  size_t n_speed_row;
+  uint32_t *speed_row;
+  size_t n_speed_row_runs;
+  uint32_t *speed_row_runs;
+  size_t n_speed_row_mean;
+  double *speed_row_mean;
+};
+#define GYP__SNAP_FORECAST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_forecast__descriptor) \
+    , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+
+
 struct  Gyp__SnapFlows
 {
   ProtobufCMessage base;
@@ -875,10 +968,11 @@
   Gyp__CmdHost **hosts;
   Gyp__CmdManifest *manifest;
   uint64_t next_seq;
+  Gyp__SnapForecast *forecast;
 };
 #define GYP__SNAP_FLOWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_flows__descriptor) \
-    , 0,NULL, 0,NULL, NULL, 0 }
+    , 0,NULL, 0,NULL, NULL, 0, NULL }
 
 
 struct  Gyp__Ask
@@ -2180,6 +2274,63 @@
 void   gyp__snap_flow__free_unpacked
                      (Gyp__SnapFlow *message,
                       ProtobufCAllocator *allocator);
+/* Gyp__SnapForecastKind methods */
+void   gyp__snap_forecast_kind__init
+                     (Gyp__SnapForecastKind         *message);
+size_t gyp__snap_forecast_kind__get_packed_size
+                     (const Gyp__SnapForecastKind   *message);
+size_t gyp__snap_forecast_kind__pack
+                     (const Gyp__SnapForecastKind   *message,
+                      uint8_t             *out);
+size_t gyp__snap_forecast_kind__pack_to_buffer
+                     (const Gyp__SnapForecastKind   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__SnapForecastKind *
+       gyp__snap_forecast_kind__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__snap_forecast_kind__free_unpacked
+                     (Gyp__SnapForecastKind *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__SnapForecastQueue methods */
+void   gyp__snap_forecast_queue__init
+                     (Gyp__SnapForecastQueue         *message);
+size_t gyp__snap_forecast_queue__get_packed_size
+                     (const Gyp__SnapForecastQueue   *message);
+size_t gyp__snap_forecast_queue__pack
+                     (const Gyp__SnapForecastQueue   *message,
+                      uint8_t             *out);
+size_t gyp__snap_forecast_queue__pack_to_buffer
+                     (const Gyp__SnapForecastQueue   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__SnapForecastQueue *
+       gyp__snap_forecast_queue__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__snap_forecast_queue__free_unpacked
+                     (Gyp__SnapForecastQueue *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__SnapForecast methods */
+void   gyp__snap_forecast__init
+                     (Gyp__SnapForecast         *message);
+size_t gyp__snap_forecast__get_packed_size
+                     (const Gyp__SnapForecast   *message);
+size_t gyp__snap_forecast__pack
+                     (const Gyp__SnapForecast   *message,
+                      uint8_t             *out);
+size_t gyp__snap_forecast__pack_to_buffer
+                     (const Gyp__SnapForecast   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__SnapForecast *
+       gyp__snap_forecast__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__snap_forecast__free_unpacked
+                     (Gyp__SnapForecast *message,
+                      ProtobufCAllocator *allocator);
 /* Gyp__SnapFlows methods */
 void   gyp__snap_flows__init
                      (Gyp__SnapFlows         *message);
@@ -2839,6 +2990,15 @@
 typedef void (*Gyp__SnapFlow_Closure)
                  (const Gyp__SnapFlow *message,
                   void *closure_data);
+typedef void (*Gyp__SnapForecastKind_Closure)
+                 (const Gyp__SnapForecastKind *message,
+                  void *closure_data);
+typedef void (*Gyp__SnapForecastQueue_Closure)
+                 (const Gyp__SnapForecastQueue *message,
+                  void *closure_data);
+typedef void (*Gyp__SnapForecast_Closure)
+                 (const Gyp__SnapForecast *message,
+                  void *closure_data);
 typedef void (*Gyp__SnapFlows_Closure)
                  (const Gyp__SnapFlows *message,
                   void *closure_data);
@@ -2972,6 +3132,9 @@
 extern const ProtobufCMessageDescriptor gyp__cmd_manifest__descriptor;
 extern const ProtobufCMessageDescriptor gyp__snap_flow_task__descriptor;
 extern const ProtobufCMessageDescriptor gyp__snap_flow__descriptor;
+extern const ProtobufCMessageDescriptor gyp__snap_forecast_kind__descriptor;
+extern const ProtobufCMessageDescriptor gyp__snap_forecast_queue__descriptor;
+extern const ProtobufCMessageDescriptor gyp__snap_forecast__descriptor;
 extern const ProtobufCMessageDescriptor gyp__snap_flows__descriptor;
 extern const ProtobufCMessageDescriptor gyp__ask__descriptor;
 extern const ProtobufCMessageDescriptor gyp__ticket__descriptor;
