Use learned run times where the cell setting asks for it

slack.c, preempt.c, admission_prefetch.c and the straggler check each took run times from the leader's own statistics. They now call gyp_run_stats_time_ms(), which uses the forecast of the tables with learn_run_times = yes, at a quantile chosen for the use, and the same statistics as before otherwise. The leader logs the forecasts of the five busiest kinds every 5 s and counts their errors in gyp_run_forecast_error_seconds.

--- a/src/admission_prefetch.c
+++ b/src/admission_prefetch.c
@@ -15,7 +15,7 @@
 {
 	const Gyp__FlowQueue *q = flow->spec->queue;
 	uint64_t run_ms =
-	    gyp_run_stats_expected_ms(stats, q->name, u->step->estimate_ms);
+	    gyp_run_stats_time_ms(stats, flow, u, GYP_RUN_PREFETCH);
 
 	if (u->left == 0)
 		return true;
--- a/src/cell_settings.c
+++ b/src/cell_settings.c
@@ -26,6 +26,8 @@
 	false},
     {"platform", "stop_grace", &set.stop_grace_ms, 1, 60000, GYP_SETTING_MS,
 	false},
+    {"platform", "learn_run_times", &set.learn_run_times, 0, 0,
+	GYP_SETTING_FLAG, false},
     {"cell", "data_folder", &set.data_folder, 0, 0, GYP_SETTING_DIR, true},
     {"cell", "data_centre", &set.data_centre, 0, 0, GYP_SETTING_TEXT, true},
     {"cell", "name", &set.name, 0, 0, GYP_SETTING_TEXT, true},
--- a/src/cell_settings.h
+++ b/src/cell_settings.h
@@ -25,6 +25,7 @@
 	char *control;
 	uint32_t run_lease_ms;
 	uint32_t stop_grace_ms;
+	bool learn_run_times;
 	char *data_folder;
 	char *data_centre;
 	char *name;
--- a/src/counters.h
+++ b/src/counters.h
@@ -22,6 +22,8 @@
  *	gyp_retries_total{class}		placements of later attempts
  *	gyp_questions_total			queries about unlisted attempts
  *	gyp_refused_total{reason}		requests refused by the API
+ *	gyp_run_forecast_error_seconds{queue}	real minus forecast run time,
+ *						without its sign
  *	gyp_link_bytes_total{link,direction}	bytes, with length prefixes
  *	gyp_messages_total{link,direction}	frames
  *	gyp_slow_turn_seconds			slow iterations of the loop
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#include "counters.h"
 #include "event.h"
 #include "flow.h"
 
@@ -125,6 +126,9 @@
 	uint32_t lease_ms;         /* longest lease that endpoints grant */
 	uint32_t stop_grace_ms;    /* longest time that a stop takes */
 	struct gyp_events *events; /* or NULL */
+	/* For the scheduler of flows: */
+	struct gyp_counters *counters; /* or NULL */
+	bool learn_run_times; /* decisions use the forecast of the tables */
 };
 
 /* State of a run according to the answers of its endpoint to this leader. */
--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -13,6 +13,15 @@
 /* Interval of the load line in the log, in ms. */
 #define LOAD_LOG_MS 1000
 
+/* Interval of the forecasts in the log, in ms, and their number. */
+#define FORECAST_LOG_MS  5000
+#define FORECASTS_LOGGED 5
+
+/* Characters of names that the log shows as they are. */
+#define LOG_NAME_CHARACTERS                                                    \
+	"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789"       \
+	"-_./:@+"
+
 /* Interval of the straggler check, in ms. */
 #define STRAGGLER_CHECK_MS 150
 
@@ -31,12 +40,14 @@
 	struct gyp_flows_listener listener;
 	struct gyp_flows *flows;
 	struct gyp_events *events;
+	struct gyp_counters *counters;
 	struct gyp_fleet *fleet;
 	struct gyp_admission *admission;
 	struct gyp_placer *placer;
 	struct gyp_run_stats *stats;
 	uint64_t check_at;
 	uint64_t load_log_at;
+	uint64_t forecast_log_at;
 	GArray *stragglers;       /* struct straggler, of the current check */
 	GArray *endpoint_counts;  /* struct gyp_straggler_count by row */
 	GHashTable *queue_counts; /* name -> struct gyp_straggler_count */
@@ -120,20 +131,6 @@
 	log_start(fs, flow, task);
 }
 
-/* Timed runs of a unit before their mean is used as the usual time. */
-#define TIMED_RUNS_MIN 2
-
-/* The usual run time of a task of the unit, or 0 if unknown. */
-static uint64_t
-usual_ms_of(const struct gyp_flow_scheduler *fs, const struct gyp_flow *flow,
-    const struct gyp_flow_unit *u)
-{
-	if (u->timed_runs >= TIMED_RUNS_MIN)
-		return u->timed_ms / u->timed_runs;
-	return gyp_run_stats_usual_ms(
-	    fs->stats, flow->spec->queue->name, u->step->estimate_ms);
-}
-
 static const char *
 endpoint_name(const struct gyp_flow_scheduler *fs, uint32_t row)
 {
@@ -142,6 +139,22 @@
 	return h != NULL ? h->spec->id : "gone";
 }
 
+/* The tables learn from the run only after this. */
+static void
+count_forecast_error(struct gyp_flow_scheduler *fs, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *u, uint64_t ran_ms)
+{
+	uint64_t forecast_ms =
+	    gyp_run_forecast_ms(gyp_flows_forecast(fs->flows), flow, u, 0.5);
+	char labels[GYP_LABELS_MAX];
+
+	if (fs->counters == NULL || u->step->lasting)
+		return;
+	gyp_observe_ms(fs->counters, "gyp_run_forecast_error_seconds",
+	    gyp_labels(labels, "queue", flow->spec->queue->name, NULL),
+	    MAX(ran_ms, forecast_ms) - MIN(ran_ms, forecast_ms));
+}
+
 static void
 record_end(struct gyp_flow_scheduler *fs, struct gyp_flow *flow, uint32_t task,
     uint32_t row, Gyp__FlowHow how)
@@ -170,11 +183,16 @@
 	}
 	ran_ms = fs->now - view->confirmed_at;
 	gyp_run_stats_done(fs->stats, flow->id, task, row, ran_ms,
-	    u->step->lasting ? 0 : usual_ms_of(fs, flow, u), fs->now);
+	    u->step->lasting
+		? 0
+		: gyp_run_stats_time_ms(fs->stats, flow, u, GYP_RUN_SPEED),
+	    fs->now);
 	/* A later run may have resumed from a checkpoint. */
-	if (flow->tasks[task].run == 1)
+	if (flow->tasks[task].run == 1) {
+		count_forecast_error(fs, flow, u, ran_ms);
 		gyp_run_stats_add_estimate(fs->stats, flow->spec->queue->name,
 		    u->step->estimate_ms, ran_ms);
+	}
 	u->timed_runs++;
 	u->timed_ms += ran_ms;
 }
@@ -347,7 +365,8 @@
 	    .elapsed_ms = view->listed_at - view->confirmed_at,
 	    .stalled_ms = view->listed_at - view->progress_at,
 	    .percent = view->percent,
-	    .usual_ms = usual_ms_of(fs, flow, u),
+	    .usual_ms =
+		gyp_run_stats_time_ms(fs->stats, flow, u, GYP_RUN_STRAGGLER),
 	    .checkpoints = u->step->checkpoints};
 	struct straggler straggler = {
 	    .flow = flow->id, .task = task, .row = row};
@@ -442,6 +461,41 @@
 	    g_hash_table_size(fs->slots), free_slots);
 }
 
+/* Replaces what could be mistaken for another field or line of the log. */
+static char *
+log_name(const char *name)
+{
+	return g_strcanon(g_strdup(name), LOG_NAME_CHARACTERS, '_');
+}
+
+/* Logs the forecasts of the kinds with the most runs since the last time. */
+static void
+log_forecasts(struct gyp_flow_scheduler *fs)
+{
+	struct gyp_run_forecast_report reports[FORECASTS_LOGGED];
+	uint32_t i, n;
+
+	fs->forecast_log_at = fs->now + FORECAST_LOG_MS;
+	n = gyp_run_forecast_busiest(
+	    gyp_flows_forecast(fs->flows), reports, FORECASTS_LOGGED);
+	for (i = 0; i < n; i++) {
+		const struct gyp_run_forecast_report *r = &reports[i];
+		char *queue = log_name(r->queue);
+		char *workspace = log_name(r->workspace);
+		char *image = log_name(r->image);
+
+		gyp_events_add(fs->events, "run-forecast",
+		    "queue=%s workspace=%s image=%s runs=%" G_GUINT64_FORMAT
+		    " new_runs=%u median_ms=%" G_GUINT64_FORMAT
+		    " p90_ms=%" G_GUINT64_FORMAT " queue_error_percent=%u",
+		    queue, workspace, image, r->runs, r->new_runs, r->median_ms,
+		    r->p90_ms, r->error_percent);
+		g_free(queue);
+		g_free(workspace);
+		g_free(image);
+	}
+}
+
 /* Stops the runs that the placer preempts for more urgent work. */
 static void
 stop_preempted(struct gyp_flow_scheduler *fs)
@@ -471,6 +525,8 @@
 	free_slots = reclaim_slots(fs);
 	if (fs->now >= fs->load_log_at)
 		log_load(fs, free_slots);
+	if (fs->now >= fs->forecast_log_at)
+		log_forecasts(fs);
 	gyp_placer_round(fs->placer, fs->now, wall_ms, free_slots,
 	    g_hash_table_size(fs->slots), cmds, queries);
 	for (i = 0; i < cmds->len; i++)
@@ -555,10 +611,14 @@
 	fs->listener.ops = &listener_ops;
 	fs->flows = flows;
 	fs->events = cfg->events;
+	fs->counters = cfg->counters;
 	fs->now = now;
 	fs->fleet = gyp_fleet_new(cfg, flows, now, fence);
 	fs->admission = gyp_admission_new(flows, (fence << 32) + 1);
 	fs->stats = gyp_run_stats_new();
+	if (cfg->learn_run_times)
+		gyp_run_stats_use_forecast(
+		    fs->stats, gyp_flows_forecast(flows));
 	fs->stragglers = g_array_new(FALSE, FALSE, sizeof(struct straggler));
 	fs->endpoint_counts =
 	    g_array_new(FALSE, TRUE, sizeof(struct gyp_straggler_count));
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -463,7 +463,8 @@
 	    .catch_up_ms = set->catch_up_ms,
 	    .compact_bytes = set->compact_bytes,
 	    .run_lease_ms = set->run_lease_ms,
-	    .stop_grace_ms = set->stop_grace_ms};
+	    .stop_grace_ms = set->stop_grace_ms,
+	    .learn_run_times = set->learn_run_times};
 
 	app->replica = gyp_replica_new(&cfg);
 }
--- a/src/preempt.c
+++ b/src/preempt.c
@@ -129,8 +129,8 @@
 has_slack(const struct gyp_preempt *p, const struct gyp_host_run *r,
     const struct gyp_flow_unit *u)
 {
-	uint64_t run_ms = gyp_run_stats_expected_ms(
-	    p->stats, r->flow->spec->queue->name, u->step->estimate_ms);
+	uint64_t run_ms =
+	    gyp_run_stats_time_ms(p->stats, r->flow, u, GYP_RUN_RESTART);
 	uint64_t min_ms = MAX(SLACK_MIN_MS, SLACK_MIN_RUNS * run_ms);
 
 	return gyp_slack_ms(p->stats, r->flow, u, gyp_flows_time(p->flows)) >=
--- a/src/replica.h
+++ b/src/replica.h
@@ -48,6 +48,7 @@
 	uint64_t compact_bytes; /* mean log size that triggers a snapshot */
 	uint32_t run_lease_ms;  /* longest lease of endpoints that run flows */
 	uint32_t stop_grace_ms; /* longest time that a stop takes there */
+	bool learn_run_times;   /* decisions use learned run times */
 };
 
 /*
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -370,7 +370,9 @@
 {
 	struct gyp_fleet_config cfg = {.lease_ms = r->cfg.run_lease_ms,
 	    .stop_grace_ms = r->cfg.stop_grace_ms,
-	    .events = r->events};
+	    .events = r->events,
+	    .counters = r->counters,
+	    .learn_run_times = r->cfg.learn_run_times};
 
 	r->flow_scheduler = gyp_flow_scheduler_new(
 	    &cfg, gyp_state_flows(r->state), r->now, r->leader_term);
--- a/src/run_forecast.h
+++ b/src/run_forecast.h
@@ -80,8 +80,8 @@
 struct gyp_run_forecast_report {
 	const char *queue, *workspace, *image;
 	uint64_t runs;              /* in total */
-	uint32_t new_runs;          /* since the previous report */
 	uint64_t median_ms, p90_ms; /* of a task with the mean estimate */
+	uint32_t new_runs;          /* since the previous report */
 	uint32_t error_percent;     /* mean error of the median, in the queue */
 };
 
--- a/src/run_stats.c
+++ b/src/run_stats.c
@@ -28,6 +28,15 @@
 /* Tasks before the regression of run times on estimates is used. */
 #define REGRESSION_MIN 20
 
+/* Timed runs of a unit before their mean is used as the usual time. */
+#define TIMED_RUNS_MIN 2
+
+/*
+ * Confidence from which a forecast counts as reliable, in percent: the kind has
+ * the same number of runs.
+ */
+#define CONFIDENCE_MIN 50
+
 /* Accuracy of a queue's estimates, from the log ratio of real to estimated. */
 struct estimates {
 	uint32_t n;
@@ -47,6 +56,7 @@
 	struct gyp_cusum *cusum;
 	GHashTable *estimates; /* queue name -> struct estimates */
 	GArray *slowdowns;     /* double by row */
+	const struct gyp_run_forecast *forecast; /* or NULL */
 };
 
 static const struct gyp_health_limits limits = {
@@ -252,6 +262,69 @@
 	return (uint64_t)((double)estimate_ms * exp(e->bias));
 }
 
+/*
+ * The quantile of the forecast for each use. The order weighs flows against
+ * each other, and a median errs equally often in both directions. A restart and
+ * a prefetched ticket fail if the run takes longer, so both expect a run longer
+ * than three in four. A straggler is compared with the long runs of its kind,
+ * or each run in the tail would look like a fault of its endpoint.
+ */
+static double
+quantile_for(enum gyp_run_use use)
+{
+	switch (use) {
+	case GYP_RUN_RESTART:
+	case GYP_RUN_PREFETCH:
+		return 0.75;
+	case GYP_RUN_STRAGGLER:
+		return 0.9;
+	case GYP_RUN_ORDER:
+	case GYP_RUN_SPEED:
+	default:
+		return 0.5;
+	}
+}
+
+static bool
+is_usual_time(enum gyp_run_use use)
+{
+	return use == GYP_RUN_SPEED || use == GYP_RUN_STRAGGLER;
+}
+
+static uint64_t
+forecast_ms(const struct gyp_run_stats *rs, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *u, enum gyp_run_use use)
+{
+	if (is_usual_time(use) &&
+	    gyp_run_forecast_confidence(rs->forecast, flow, u) < CONFIDENCE_MIN)
+		return 0;
+	return gyp_run_forecast_ms(rs->forecast, flow, u, quantile_for(use));
+}
+
+uint64_t
+gyp_run_stats_time_ms(const struct gyp_run_stats *rs,
+    const struct gyp_flow *flow, const struct gyp_flow_unit *u,
+    enum gyp_run_use use)
+{
+	const char *queue = flow->spec->queue->name;
+
+	if (rs->forecast != NULL)
+		return forecast_ms(rs, flow, u, use);
+	if (!is_usual_time(use))
+		return gyp_run_stats_expected_ms(
+		    rs, queue, u->step->estimate_ms);
+	if (u->timed_runs >= TIMED_RUNS_MIN)
+		return u->timed_ms / u->timed_runs;
+	return gyp_run_stats_usual_ms(rs, queue, u->step->estimate_ms);
+}
+
+void
+gyp_run_stats_use_forecast(
+    struct gyp_run_stats *rs, const struct gyp_run_forecast *forecast)
+{
+	rs->forecast = forecast;
+}
+
 double
 gyp_run_stats_slowdown(const struct gyp_run_stats *rs, uint32_t row)
 {
--- a/src/run_stats.h
+++ b/src/run_stats.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "flow.h"
+#include "run_forecast.h"
 
 /*
  * NAME
@@ -105,6 +106,28 @@
 uint64_t gyp_run_stats_expected_ms(
     const struct gyp_run_stats *, const char *queue, uint64_t estimate_ms);
 
+/* What the run time of a task is needed for. */
+enum gyp_run_use {
+	GYP_RUN_ORDER,    /* whether the flow can still meet its objective */
+	GYP_RUN_RESTART,  /* whether it has the time to run again */
+	GYP_RUN_PREFETCH, /* whether it ends while a ticket is valid */
+	GYP_RUN_SPEED,    /* the usual time, to compare endpoints with */
+	GYP_RUN_STRAGGLER /* the usual time, to compare a run with */
+};
+
+/*
+ * The run time of a task of the unit, in ms; 0 if it is not known, for the last
+ * two uses also if it is not reliable. All decisions that need a run time call
+ * this function. It uses the forecast, if there is one, or else the statistics
+ * of this module.
+ */
+uint64_t gyp_run_stats_time_ms(const struct gyp_run_stats *,
+    const struct gyp_flow *, const struct gyp_flow_unit *, enum gyp_run_use);
+
+/* Sets the forecast to use, which must stay valid, or NULL for none. */
+void gyp_run_stats_use_forecast(
+    struct gyp_run_stats *, const struct gyp_run_forecast *);
+
 /* The slowdown of the endpoint, 1 if unknown. */
 double gyp_run_stats_slowdown(const struct gyp_run_stats *, uint32_t row);
 
--- a/src/slack.c
+++ b/src/slack.c
@@ -12,9 +12,11 @@
 };
 
 static struct chain_lengths
-measure_chains(
-    const struct gyp_run_stats *stats, const Gyp__FlowSpec *spec, uint32_t from)
+measure_chains(const struct gyp_run_stats *stats, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *from)
 {
+	const Gyp__FlowSpec *spec = flow->spec;
+	const struct gyp_flow_unit *first = from - from->step_number;
 	double chain[STEPS_MAX] = {0};
 	struct chain_lengths c = {0, 0};
 	size_t i, k;
@@ -22,8 +24,8 @@
 	for (i = MIN(spec->n_steps, STEPS_MAX); i-- > 0;) {
 		const Gyp__FlowStep *step = spec->steps[i];
 
-		chain[i] += (double)gyp_run_stats_expected_ms(
-		    stats, spec->queue->name, step->estimate_ms);
+		chain[i] += (double)gyp_run_stats_time_ms(
+		    stats, flow, &first[i], GYP_RUN_ORDER);
 		for (k = 0; k < step->n_after; k++) {
 			uint32_t predecessor = step->after[k];
 
@@ -31,7 +33,8 @@
 		}
 		c.total = MAX(c.total, chain[i]);
 	}
-	c.remaining = from < STEPS_MAX ? chain[from] : 0;
+	c.remaining =
+	    from->step_number < STEPS_MAX ? chain[from->step_number] : 0;
 	return c;
 }
 
@@ -44,7 +47,7 @@
 
 	if (spec->times > 0 || unit->step->lasting || spec->queue->stretch <= 0)
 		return DBL_MAX;
-	c = measure_chains(stats, spec, unit->step_number);
+	c = measure_chains(stats, flow, unit);
 	return flow->accepted_ms + spec->queue->stretch * c.total +
 	       spec->queue->target_ms - (now_ms + c.remaining);
 }
--- a/test/test_run_forecast.c
+++ b/test/test_run_forecast.c
@@ -377,6 +377,85 @@
 	placer_fixture_clear(&f);
 }
 
+/* ---- Decisions ---------------------------------------------------------- */
+
+/* Submits a flow that fills the endpoint and teaches the run time of its kind.
+ */
+static struct gyp_flow *
+submit_learned(struct placer_fixture *f, uint64_t id, const char *image,
+    uint64_t estimate_ms, uint64_t real_ms)
+{
+	Gyp__FlowStep step = flow_fixture_step(10);
+	struct gyp_flow *flow;
+	int i;
+
+	step.image = (char *)image;
+	step.estimate_ms = estimate_ms;
+	placer_fixture_submit(f, id, 0, step);
+	flow = gyp_flow_get(f->base.flows, id);
+	flow->spec->queue->stretch = 2;
+	flow->spec->queue->target_ms = 500;
+	for (i = 0; i < 40; i++)
+		gyp_run_forecast_add(gyp_flows_forecast(f->base.flows), flow,
+		    &flow->units[0], 0, real_ms);
+	return flow;
+}
+
+/*
+ * Of two flows that have waited for 2 s, the older one runs for 100 ms and is
+ * late already, the younger one runs for 3 s and has a slack of 1.5 s. Their
+ * estimates say the opposite. Without the forecast, the late flow would take
+ * the endpoint and make the other one late too.
+ */
+static void
+test_order(void)
+{
+	struct placer_fixture f;
+
+	placer_fixture_init(&f, 1);
+	submit_learned(&f, 1, "short", 10000, 100);
+	submit_learned(&f, 2, "long", 50, 3000);
+	f.base.now += 2000;
+	flow_fixture_add_host(&f.base, "e0", 1);
+	flow_fixture_contact_all(&f.base);
+	placer_fixture_run_round(&f, 0);
+	g_assert_cmpuint(placer_fixture_start(&f, 0)->flow, ==, 1);
+	gyp_run_stats_use_forecast(f.stats, gyp_flows_forecast(f.base.flows));
+	placer_fixture_run_round(&f, 0);
+	g_assert_cmpuint(placer_fixture_start(&f, 0)->flow, ==, 2);
+	placer_fixture_clear(&f);
+}
+
+/*
+ * Without the setting the forecast must not be used, whatever was learned; with
+ * it, an unknown kind must not have a usual time that makes runs look slow.
+ */
+static void
+test_setting(void)
+{
+	struct placer_fixture f;
+	const struct gyp_flow *known, *unknown;
+
+	placer_fixture_init(&f, 1);
+	known = submit_learned(&f, 1, "known", 700, 3000);
+	placer_fixture_submit(&f, 2, 0, flow_fixture_step(1));
+	unknown = gyp_flow_get(f.base.flows, 2);
+	g_assert_cmpuint(gyp_run_stats_time_ms(
+			     f.stats, known, &known->units[0], GYP_RUN_ORDER),
+	    ==, 700);
+	g_assert_cmpuint(gyp_run_stats_time_ms(f.stats, known, &known->units[0],
+			     GYP_RUN_STRAGGLER),
+	    ==, 0);
+	gyp_run_stats_use_forecast(f.stats, gyp_flows_forecast(f.base.flows));
+	assert_near(gyp_run_stats_time_ms(
+			f.stats, known, &known->units[0], GYP_RUN_STRAGGLER),
+	    3000, 0.1);
+	g_assert_cmpuint(gyp_run_stats_time_ms(f.stats, unknown,
+			     &unknown->units[0], GYP_RUN_STRAGGLER),
+	    ==, 0);
+	placer_fixture_clear(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -395,6 +474,8 @@
 	g_test_add_func("/run_forecast/snapshot", test_snapshot);
 	g_test_add_func("/run_forecast/committed", test_committed_ends);
 	g_test_add_func("/run_forecast/restored", test_restored_while_running);
+	g_test_add_func("/run_forecast/order", test_order);
+	g_test_add_func("/run_forecast/setting", test_setting);
 	result = g_test_run();
 	g_rand_free(random_numbers);
 	return result;
