--- a/src/counters.h
+++ b/src/counters.h
@@ -23,6 +23,8 @@
  *	gyp_questions_total			queries about unlisted attempts
  *	gyp_flow_submits_total{workspace,verdict}	flows decided on
  *	gyp_refused_total{reason}		requests refused by the API
+ *	gyp_run_forecast_error_seconds{queue}	real minus forecast run time,
+ *						without its sign
  *	gyp_link_bytes_total{link,direction}	bytes, with length prefixes
  *	gyp_messages_total{link,direction}	frames
  *	gyp_slow_turn_seconds			slow iterations of the loop
--- a/src/flow_int.h
+++ b/src/flow_int.h
@@ -2,6 +2,7 @@
 #define GYP_FLOW_INT_H
 
 #include "flow.h"
+#include "run_forecast.h"
 
 /*
  * NAME
@@ -25,6 +26,7 @@
 	Gyp__CmdManifest *manifest;
 	GPtrArray *workspaces;       /* struct gyp_workspace_use by row */
 	GHashTable *workspace_names; /* name -> struct gyp_workspace_use */
+	struct gyp_run_forecast *forecast;
 };
 
 /* flow.c */
