--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -635,12 +635,6 @@
 	return fs->fleet;
 }
 
-const struct gyp_run_stats *
-gyp_flow_scheduler_stats(const struct gyp_flow_scheduler *fs)
-{
-	return fs->stats;
-}
-
 /* ---- Construction ------------------------------------------------------- */
 
 struct gyp_flow_scheduler *
--- a/src/flow_scheduler.h
+++ b/src/flow_scheduler.h
@@ -7,7 +7,6 @@
 #include "fleet.h"
 #include "flow.h"
 #include "load_shed.h"
-#include "run_stats.h"
 
 /*
  * NAME
@@ -67,8 +66,4 @@
 struct gyp_pool_load gyp_flow_scheduler_load(
     const struct gyp_flow_scheduler *, const char *pool);
 
-/* Failures and run times of this term. */
-const struct gyp_run_stats *gyp_flow_scheduler_stats(
-    const struct gyp_flow_scheduler *);
-
 #endif
