--- a/src/placer.c
+++ b/src/placer.c
@@ -365,8 +365,8 @@
 add_waiting(struct gyp_placer *p, const struct gyp_candidate *c, uint32_t tasks)
 {
 	double *sum = g_hash_table_lookup(p->waiting, c->flow->pool);
-	uint64_t run_ms = gyp_run_stats_expected_ms(
-	    p->stats, c->flow->spec->queue->name, c->unit->step->estimate_ms);
+	uint64_t run_ms =
+	    gyp_run_stats_time_ms(p->stats, c->flow, c->unit, GYP_RUN_ORDER);
 
 	if (c->unit->step->lasting || tasks == 0)
 		return;
