Endpoint speeds: learned by kind of VM, and used for placement

The forecast divided the speed of endpoints out but nothing used it. A new endpoint now starts with the learned speed of its kind of VM.

--- a/src/endpoint_speed.c
+++ b/src/endpoint_speed.c
@@ -4,9 +4,18 @@
 
 #include "endpoint_speed.h"
 
-/* Runs after which an endpoint's mean counts as much as the prior of 0. */
+/* Runs after which an endpoint's mean counts as much as that of its class. */
 #define PRIOR_RUNS 8
 
+/* Runs after which the mean of a class counts as much as 0. */
+#define CLASS_PRIOR_RUNS 32
+
+/* Runs over which the mean of a class adapts. */
+#define CLASS_MEMORY 512
+
+/* Maximum number of classes; endpoints of further ones have none. */
+#define CLASSES_MAX 64
+
 /* Runs over which an endpoint's mean adapts; hardware speed changes rarely. */
 #define ROW_MEMORY 32
 
@@ -25,17 +34,74 @@
 	double mean; /* of the log ratio */
 };
 
+struct class_speed {
+	uint32_t id;
+	uint32_t runs;
+	double mean; /* of the log ratio */
+};
+
 struct gyp_endpoint_speed {
+	GArray *class_ids; /* uint32_t by row */
+	GArray *classes;   /* struct class_speed */
 	GHashTable *links; /* row -> GList in recent */
 	GQueue recent;     /* struct row_speed, latest run last */
 	uint64_t runs;
 	double mean; /* of the shrunk means of the endpoints of all runs */
 };
 
+/* Returns the class of that id, or NULL. */
+static struct class_speed *
+find_class(const struct gyp_endpoint_speed *s, uint32_t id)
+{
+	guint i;
+
+	for (i = 0; id != 0 && i < s->classes->len; i++) {
+		struct class_speed *c =
+		    &g_array_index(s->classes, struct class_speed, i);
+
+		if (c->id == id)
+			return c;
+	}
+	return NULL;
+}
+
+static uint32_t
+class_of(const struct gyp_endpoint_speed *s, uint32_t row)
+{
+	return row < s->class_ids->len
+		   ? g_array_index(s->class_ids, uint32_t, row)
+		   : 0;
+}
+
 static double
-shrunk_mean(const struct row_speed *r)
+class_mean(const struct gyp_endpoint_speed *s, uint32_t row)
 {
-	return r->mean * r->runs / (r->runs + PRIOR_RUNS);
+	const struct class_speed *c = find_class(s, class_of(s, row));
+
+	return c != NULL ? c->mean * c->runs / (c->runs + CLASS_PRIOR_RUNS) : 0;
+}
+
+static void
+add_to_class(struct gyp_endpoint_speed *s, uint32_t row, double log_ratio)
+{
+	struct class_speed *c = find_class(s, class_of(s, row));
+	struct class_speed none = {.id = class_of(s, row)};
+
+	if (c == NULL && none.id != 0 && s->classes->len < CLASSES_MAX) {
+		g_array_append_val(s->classes, none);
+		c = find_class(s, none.id);
+	}
+	if (c == NULL)
+		return;
+	c->runs = MIN(c->runs + 1, CLASS_MEMORY);
+	c->mean += (log_ratio - c->mean) / c->runs;
+}
+
+static double
+shrunk_mean(const struct gyp_endpoint_speed *s, const struct row_speed *r)
+{
+	return (r->mean * r->runs + class_mean(s, r->row) * PRIOR_RUNS) /
+	       (r->runs + PRIOR_RUNS);
 }
 
 static struct row_speed *
@@ -83,8 +149,9 @@
 
 	r->runs = MIN(r->runs + 1, ROW_MEMORY);
 	r->mean += (bounded - r->mean) / r->runs;
+	add_to_class(s, row, bounded);
 	s->runs = MIN(s->runs + 1, ALL_MEMORY);
-	s->mean += (shrunk_mean(r) - s->mean) / (double)s->runs;
+	s->mean += (shrunk_mean(s, r) - s->mean) / (double)s->runs;
 }
 
 double
@@ -93,11 +160,70 @@
 	const GList *link =
 	    g_hash_table_lookup(s->links, GUINT_TO_POINTER(row));
 
-	return link != NULL ? shrunk_mean(link->data) - s->mean : 0;
+	if (link != NULL)
+		return shrunk_mean(s, link->data) - s->mean;
+	return find_class(s, class_of(s, row)) != NULL
+		   ? class_mean(s, row) - s->mean
+		   : 0;
+}
+
+void
+gyp_endpoint_speed_set_class(
+    struct gyp_endpoint_speed *s, uint32_t row, uint32_t class_id)
+{
+	GList *link = g_hash_table_lookup(s->links, GUINT_TO_POINTER(row));
+
+	if (class_of(s, row) == class_id)
+		return;
+	if (row >= s->class_ids->len)
+		g_array_set_size(s->class_ids, row + 1);
+	if (link != NULL && class_of(s, row) != 0) {
+		g_hash_table_remove(s->links, GUINT_TO_POINTER(row));
+		g_free(link->data);
+		g_queue_delete_link(&s->recent, link);
+	}
+	g_array_index(s->class_ids, uint32_t, row) = class_id;
 }
 
 /* ---- Snapshots ---------------------------------------------------------- */
 
+static void
+save_classes(const struct gyp_endpoint_speed *s, Gyp__SnapForecast *snap)
+{
+	guint i, n = s->classes->len;
+
+	snap->n_speed_class = n;
+	snap->n_speed_class_runs = n;
+	snap->n_speed_class_mean = n;
+	snap->speed_class = g_new(uint32_t, n + 1);
+	snap->speed_class_runs = g_new(uint32_t, n + 1);
+	snap->speed_class_mean = g_new(double, n + 1);
+	for (i = 0; i < n; i++) {
+		const struct class_speed *c =
+		    &g_array_index(s->classes, struct class_speed, i);
+
+		snap->speed_class[i] = c->id;
+		snap->speed_class_runs[i] = c->runs;
+		snap->speed_class_mean[i] = c->mean;
+	}
+}
+
+static void
+restore_classes(struct gyp_endpoint_speed *s, const Gyp__SnapForecast *snap)
+{
+	size_t n = MIN(snap->n_speed_class,
+	    MIN(snap->n_speed_class_runs, snap->n_speed_class_mean));
+	size_t i;
+
+	for (i = 0; i < n && i < CLASSES_MAX; i++) {
+		struct class_speed c = {.id = snap->speed_class[i],
+		    .runs = snap->speed_class_runs[i],
+		    .mean = snap->speed_class_mean[i]};
+
+		g_array_append_val(s->classes, c);
+	}
+}
+
 void
 gyp_endpoint_speed_save(
     const struct gyp_endpoint_speed *s, Gyp__SnapForecast *snap)
@@ -105,6 +231,7 @@
 	const GList *l;
 	size_t i = 0;
 
+	save_classes(s, snap);
 	snap->speed_runs = s->runs;
 	snap->speed_mean = s->mean;
 	snap->n_speed_row = s->recent.length;
@@ -130,6 +257,7 @@
 	    MIN(snap->n_speed_row_runs, snap->n_speed_row_mean));
 	size_t i;
 
+	restore_classes(s, snap);
 	s->runs = snap->speed_runs;
 	s->mean = snap->speed_mean;
 	for (i = 0; i < n && i < GYP_ENDPOINT_SPEED_ROWS; i++) {
@@ -149,6 +277,8 @@
 
 	s->links = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g_queue_init(&s->recent);
+	s->class_ids = g_array_new(FALSE, TRUE, sizeof(uint32_t));
+	s->classes = g_array_new(FALSE, FALSE, sizeof(struct class_speed));
 	return s;
 }
 
@@ -159,5 +289,7 @@
 		return;
 	g_hash_table_destroy(s->links);
 	g_queue_clear_full(&s->recent, g_free);
+	g_array_free(s->class_ids, TRUE);
+	g_array_free(s->classes, TRUE);
 	g_free(s);
 }
--- a/src/endpoint_speed.h
+++ b/src/endpoint_speed.h
@@ -11,9 +11,11 @@
  *
  * DESCRIPTION
  *	Keeps, for each endpoint, a moving mean of the log ratio of real to
- *	expected run time, shrunk towards 0 while few runs are known. The mean
- *	over all runs is subtracted, so that a change of the run times
- *	themselves is not attributed to all endpoints.
+ *	expected run time, shrunk towards the mean of the endpoint's class while
+ *	few runs are known: endpoints of one kind of VM are alike, so that a new
+ *	one needs no runs of its own. The mean over all runs is subtracted, so
+ *	that a change of the run times themselves is not attributed to all
+ *	endpoints.
  *
  *	At most GYP_ENDPOINT_SPEED_ROWS endpoints are kept, in less than
  *	0.5 MB; the one without a run for longest is dropped first. The result
@@ -29,6 +31,13 @@
 struct gyp_endpoint_speed *gyp_endpoint_speed_new(void);
 void gyp_endpoint_speed_free(struct gyp_endpoint_speed *);
 
+/*
+ * Sets the class of an endpoint, any number; 0 without one. What is known about
+ * the endpoint itself is forgotten when its class changes.
+ */
+void gyp_endpoint_speed_set_class(
+    struct gyp_endpoint_speed *, uint32_t row, uint32_t class_id);
+
 /* Records a run at the endpoint: log of real divided by expected time. */
 void gyp_endpoint_speed_add(
     struct gyp_endpoint_speed *, uint32_t row, double log_ratio);
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -423,6 +423,14 @@
 	remove_if_ended(f, flow);
 }
 
+/* Endpoints whose first label is the same are of one kind of VM. */
+void
+gyp_flows_set_speed_class(struct gyp_flows *f, const struct gyp_host *h)
+{
+	gyp_run_forecast_set_class(f->forecast, h->row,
+	    h->spec->n_labels > 0 ? g_str_hash(h->spec->labels[0]) : 0);
+}
+
 static void
 apply_host(struct gyp_flows *f, uint64_t now, const Gyp__CmdHost *cmd)
 {
@@ -435,6 +443,7 @@
 		h = gyp_host_make(f->hosts->len, cmd);
 		g_ptr_array_add(f->hosts, h);
 		g_hash_table_insert(f->host_ids, h->spec->id, h);
+		gyp_flows_set_speed_class(f, h);
 		return;
 	}
 	if (cmd->born_ms < h->spec->born_ms)
@@ -448,6 +457,7 @@
 	g_hash_table_insert(f->host_ids, h->spec->id, h);
 	if (cmd->capacity != NULL)
 		h->capacity = gyp_res_from(cmd->capacity);
+	gyp_flows_set_speed_class(f, h);
 	drop_host(f, h->row);
 }
 
--- a/src/flow_int.h
+++ b/src/flow_int.h
@@ -43,5 +43,7 @@
 /* flow_apply.c */
 /* Books the open run of the task on the endpoint in tasks[task].row. */
 void gyp_flow_book(struct gyp_flows *, struct gyp_flow *, uint32_t task);
+/* Tells the forecast the class of the endpoint. */
+void gyp_flows_set_speed_class(struct gyp_flows *, const struct gyp_host *);
 
 #endif
--- a/src/flow_save.c
+++ b/src/flow_save.c
@@ -197,6 +197,10 @@
 	}
 	g_queue_sort(&f->ended, by_end, NULL);
 	gyp_run_forecast_restore(f->forecast, snap->forecast);
+	for (i = 0; i < f->hosts->len; i++) {
+		if (f->hosts->pdata[i] != NULL)
+			gyp_flows_set_speed_class(f, f->hosts->pdata[i]);
+	}
 	return true;
 }
 
--- a/src/run_forecast.c
+++ b/src/run_forecast.c
@@ -426,6 +426,19 @@
 	}
 }
 
+void
+gyp_run_forecast_set_class(
+    struct gyp_run_forecast *f, uint32_t row, uint32_t class_id)
+{
+	gyp_endpoint_speed_set_class(f->speeds, row, class_id);
+}
+
+double
+gyp_run_forecast_slowdown(const struct gyp_run_forecast *f, uint32_t row)
+{
+	return exp(gyp_endpoint_speed_log(f->speeds, row));
+}
+
 void
 gyp_run_forecast_add(struct gyp_run_forecast *f, const struct gyp_flow *flow,
     const struct gyp_flow_unit *u, uint32_t row, uint64_t ran_ms)
--- a/src/run_forecast.h
+++ b/src/run_forecast.h
@@ -67,6 +67,19 @@
 uint64_t gyp_run_forecast_ms(const struct gyp_run_forecast *,
     const struct gyp_flow *, const struct gyp_flow_unit *, double quantile);
 
+/*
+ * Sets the class of the endpoint of that row, see endpoint_speed.h. Restore
+ * forgets the classes.
+ */
+void gyp_run_forecast_set_class(
+    struct gyp_run_forecast *, uint32_t row, uint32_t class_id);
+
+/*
+ * The factor by which run times at the endpoint are longer than the mean; 1 if
+ * nothing is known about it and its class.
+ */
+double gyp_run_forecast_slowdown(const struct gyp_run_forecast *, uint32_t row);
+
 /*
  * The weight of the kind's own runs in the forecast, in percent: 0 if there are
  * none, 50 after two, and 100 in the end.
--- a/src/run_stats.c
+++ b/src/run_stats.c
@@ -107,7 +107,10 @@
     uint32_t row, uint64_t ran_ms, uint64_t usual_ms, uint64_t now)
 {
 	double *slowdown = slowdown_at(rs, row);
+	double expected_ms = (double)usual_ms;
 
+	if (rs->forecast != NULL)
+		expected_ms *= gyp_run_forecast_slowdown(rs->forecast, row);
 	gyp_run_stats_ended(rs, row);
 	if (gyp_health_on_probation(rs->task_health, row))
 		gyp_cusum_probe_passed(rs->cusum, row);
@@ -116,7 +119,7 @@
 	gyp_cusum_add(rs->cusum, row, false, now);
 	if (usual_ms > 0)
 		*slowdown +=
-		    SLOWDOWN_WEIGHT * (CLAMP((double)ran_ms / (double)usual_ms,
+		    SLOWDOWN_WEIGHT * (CLAMP((double)ran_ms / expected_ms,
 					   SLOWDOWN_MIN, SLOWDOWN_MAX) -
 					  *slowdown);
 }
@@ -325,12 +328,22 @@
 	rs->forecast = forecast;
 }
 
+bool
+gyp_run_stats_has_forecast(const struct gyp_run_stats *rs)
+{
+	return rs->forecast != NULL;
+}
+
 double
 gyp_run_stats_slowdown(const struct gyp_run_stats *rs, uint32_t row)
 {
-	return row < rs->slowdowns->len
-		   ? g_array_index(rs->slowdowns, double, row)
-		   : 1;
+	double latest = row < rs->slowdowns->len
+			    ? g_array_index(rs->slowdowns, double, row)
+			    : 1;
+
+	if (rs->forecast == NULL)
+		return latest;
+	return gyp_run_forecast_slowdown(rs->forecast, row) * MAX(latest, 1);
 }
 
 void
--- a/src/slack.c
+++ b/src/slack.c
@@ -53,11 +53,8 @@
 }
 
 enum gyp_slack_state
-gyp_slack_state(const struct gyp_run_stats *stats, const struct gyp_flow *flow,
-    const struct gyp_flow_unit *unit, uint64_t now_ms)
+gyp_slack_state(double slack_ms)
 {
-	double slack_ms = gyp_slack_ms(stats, flow, unit, now_ms);
-
 	if (slack_ms >= 0)
 		return GYP_SLACK_IN_TIME;
 	return slack_ms < -GYP_SLACK_STARVE_MS ? GYP_SLACK_STARVING
--- a/src/slack.h
+++ b/src/slack.h
@@ -41,8 +41,7 @@
 double gyp_slack_ms(const struct gyp_run_stats *, const struct gyp_flow *,
     const struct gyp_flow_unit *, uint64_t now_ms);
 
-/* Returns the state of a unit that could start at cell time now_ms. */
-enum gyp_slack_state gyp_slack_state(const struct gyp_run_stats *,
-    const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t now_ms);
+/* Returns the state of a unit with that slack. */
+enum gyp_slack_state gyp_slack_state(double slack_ms);
 
 #endif
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -6049,7 +6049,7 @@
   (ProtobufCMessageInit) gyp__snap_forecast_queue__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__snap_forecast__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gyp__snap_forecast__field_descriptors[10] =
 {
   {
     "queues",
@@ -6135,10 +6135,49 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "speed_class",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gyp__SnapForecast, n_speed_class),
+    offsetof(Gyp__SnapForecast, speed_class),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_class_runs",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gyp__SnapForecast, n_speed_class_runs),
+    offsetof(Gyp__SnapForecast, speed_class_runs),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_class_mean",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Gyp__SnapForecast, n_speed_class_mean),
+    offsetof(Gyp__SnapForecast, speed_class_mean),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__snap_forecast__field_indices_by_name[] = {
   1,   /* field[1] = kinds */
   0,   /* field[0] = queues */
+  7,   /* field[7] = speed_class */
+  9,   /* field[9] = speed_class_mean */
+  8,   /* field[8] = speed_class_runs */
   3,   /* field[3] = speed_mean */
   4,   /* field[4] = speed_row */
   6,   /* field[6] = speed_row_mean */
@@ -6148,7 +6187,7 @@
 static const ProtobufCIntRange gyp__snap_forecast__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gyp__snap_forecast__descriptor =
 {
@@ -6158,7 +6197,7 @@
   "Gyp__SnapForecast",
   "gyp",
   sizeof(Gyp__SnapForecast),
-  7,
+  10,
   gyp__snap_forecast__field_descriptors,
   gyp__snap_forecast__field_indices_by_name,
   1,  gyp__snap_forecast__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -950,10 +950,19 @@
   uint32_t *speed_row_runs;
   size_t n_speed_row_mean;
   double *speed_row_mean;
+  /*
+   * of endpoints
+   */
+  size_t n_speed_class;
+  uint32_t *speed_class;
+  size_t n_speed_class_runs;
+  uint32_t *speed_class_runs;
+  size_t n_speed_class_mean;
+  double *speed_class_mean;
 };
 #define GYP__SNAP_FORECAST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_forecast__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Gyp__SnapFlows
