Leases are extended although answers arrive more slowly than before

A leader keeps the reading of an endpoint's clock that gives the latest time and ignored all later readings that were below what it derives from that one. Once answers took 150 ms longer than the best one, no reading counted for seconds, the lease was not extended past 2.5 s after the last one that did, and the runs of an endpoint that answered every poll lapsed. A lower reading now shows that the endpoint's clock is the same one; what is derived from the better reading still holds.

Seen failing before: /fleet/answers-become-slow.

--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -27,8 +27,8 @@
 #define RETRY_MS 250
 
 /*
- * Most time that is added to the last reading of a clock, in ms: an older
- * reading is too inaccurate to extend a lease.
+ * Most time that is added to an endpoint's clock after its last reading, in ms:
+ * an endpoint that has shown no clock for longer may have restarted.
  */
 #define CLOCK_AGE_MAX_MS 2500
 
@@ -87,11 +87,12 @@
 static uint64_t
 extend_lease(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
 {
-	uint64_t elapsed = MIN(f->now - endpoint->clock_at, CLOCK_AGE_MAX_MS);
-	uint64_t until;
+	uint64_t elapsed, until;
 
 	if (endpoint->clock_at == 0 || !endpoint->contacted)
 		return 0;
+	elapsed = MIN(f->now, endpoint->clock_seen_at + CLOCK_AGE_MAX_MS) -
+		  endpoint->clock_at;
 	until = endpoint->clock_ms + elapsed - elapsed / GYP_CLOCK_SLOW +
 		f->cfg.lease_ms;
 	if (endpoint->failures > 0)
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -33,6 +33,9 @@
 {
 	bool first = endpoint->clock_at == 0;
 
+	/* A lower reading took longer to arrive; the earlier one still holds.
+	 */
+	endpoint->clock_seen_at = f->now;
 	if (!first && clock_ms < clock_lower_bound(endpoint, f->now))
 		return;
 	endpoint->clock_ms = clock_ms;
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -67,6 +67,7 @@
 	bool contacted;         /* it has answered this leader */
 	uint64_t clock_ms;      /* reading of its clock, a lower bound */
 	uint64_t clock_at;      /* leader's time of that reading; 0: none */
+	uint64_t clock_seen_at; /* leader's time of the latest reading */
 	uint64_t until_ms;      /* latest end of its lease, by its clock */
 	uint64_t late_grant_ms; /* lease that late calls may add, in ms */
 	uint64_t last_seen_at;  /* last answer or heartbeat */
--- a/test/flow_fixture.c
+++ b/test/flow_fixture.c
@@ -218,7 +218,7 @@
 	struct gyp_fleet_answer a = {.call = call->id, .end = end};
 
 	a.has_clock = end == GYP_FLEET_OK || end == GYP_FLEET_REFUSED;
-	a.clock_ms = f->now;
+	a.clock_ms = f->now - f->clock_lag_ms;
 	gyp_fleet_handle_answer(f->fleet, f->now, &a);
 	gyp_fleet_call_free(call);
 	tick(f);
@@ -239,7 +239,7 @@
 	struct gyp_fleet_answer a = {.call = call->id,
 	    .end = GYP_FLEET_OK,
 	    .has_clock = true,
-	    .clock_ms = f->now,
+	    .clock_ms = f->now - f->clock_lag_ms,
 	    .incarnation_start_ms = incarnation_start_ms,
 	    .listed = true};
 	size_t i;
--- a/test/flow_fixture.h
+++ b/test/flow_fixture.h
@@ -20,7 +20,8 @@
 	struct gyp_flows *flows;
 	struct gyp_fleet *fleet;
 	uint64_t now;
-	const char *ticket; /* ticket of runs that start */
+	const char *ticket;    /* ticket of runs that start */
+	uint64_t clock_lag_ms; /* age of the clocks in answers */
 };
 
 void flow_fixture_init(struct flow_fixture *);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -190,6 +190,32 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * Answers that take longer than the first ones show older clocks, which are
+ * below what the leader derives from its first reading. The lease is extended
+ * all the same, or the runs of an endpoint that answers every poll would lapse.
+ */
+static void
+test_answers_become_slow(void)
+{
+	struct fixture f;
+	struct flow_fixture_run running = {.flow = FLOW, .run = 1};
+	uint64_t end;
+
+	fixture_init(&f, 1, false);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	f.base.clock_lag_ms = 200;
+	end = f.base.now + 3 * FLOW_FIXTURE_LEASE_MS;
+	while (f.base.now < end) {
+		flow_fixture_answer_poll(
+		    &f.base, next_poll(&f, 1000), 1, &running, 1, NULL, 0);
+		flow_fixture_advance(&f.base, 300);
+		g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_OPEN);
+	}
+	flow_fixture_clear(&f.base);
+}
+
 /*
  * A new leader keeps the runs that an endpoint lists. It stops a run that is
  * not listed before it counts the run as lost.
@@ -426,6 +452,7 @@
 	g_test_add_func("/fleet/lost-start", test_lost_start);
 	g_test_add_func(
 	    "/fleet/lease-of-silent-endpoint", test_lease_of_silent_endpoint);
+	g_test_add_func("/fleet/answers-become-slow", test_answers_become_slow);
 	g_test_add_func("/fleet/new-leader", test_new_leader);
 	g_test_add_func("/fleet/restarted", test_restarted);
 	g_test_add_func("/fleet/ack-of-earlier-incarnation",
