Placement weighs learned speeds like measured ones

Tried: a weight of 3 and of 1 on the speed of an endpoint for units whose slack is shorter than their run time, and of -0.3 and 0 for the others. Work then gathers on few endpoints.

--- a/src/capacity_index.c
+++ b/src/capacity_index.c
@@ -9,13 +9,6 @@
 #define SUSPECT_PENALTY  0.5
 #define SLOWDOWN_PENALTY 0.4
 
-/*
- * The same for units that need a fast endpoint, so that speed outweighs free
- * CPU, and for those that leave fast endpoints to others.
- */
-#define FAST_SLOWDOWN_PENALTY 3.0
-#define SLOW_SLOWDOWN_PENALTY (-0.3)
-
 /*
  * Score bonus for the rack that holds the data of the step, also as a share of
  * free CPU.
@@ -292,20 +285,6 @@
 	return cap->available.cpu_milli / total;
 }
 
-static double
-slowdown_penalty(enum gyp_speed_need need)
-{
-	switch (need) {
-	case GYP_SPEED_FAST:
-		return FAST_SLOWDOWN_PENALTY;
-	case GYP_SPEED_SLOW:
-		return SLOW_SLOWDOWN_PENALTY;
-	case GYP_SPEED_ANY:
-	default:
-		return SLOWDOWN_PENALTY;
-	}
-}
-
 double
 gyp_capacity_score(
     const struct gyp_capacity *cap, const struct gyp_candidate *c)
@@ -318,7 +297,7 @@
 		score += DATA_RACK_BONUS;
 	if (cap->state == GYP_RUN_STATS_SUSPECT)
 		score -= SUSPECT_PENALTY;
-	return score - (cap->slowdown - 1) * slowdown_penalty(c->speed);
+	return score - (cap->slowdown - 1) * SLOWDOWN_PENALTY;
 }
 
 void
--- a/src/capacity_index.h
+++ b/src/capacity_index.h
@@ -40,26 +40,11 @@
 	double slowdown;
 };
 
-/*
- * What the speed of an endpoint means to a unit, where speeds are learned.
- *
- * Handles this load: endpoints of unlike speed, urgent work whose slack is
- * shorter than its run time, and batch work that can wait. The urgent work goes
- * where it ends soonest; the other leaves these endpoints to it while others
- * have room.
- */
-enum gyp_speed_need {
-	GYP_SPEED_ANY,  /* speeds are not learned */
-	GYP_SPEED_FAST, /* a slow endpoint would make it late */
-	GYP_SPEED_SLOW  /* has the time for a slow endpoint */
-};
-
 /* A unit with tasks that wait for a run. */
 struct gyp_candidate {
 	struct gyp_flow *flow;
 	struct gyp_flow_unit *unit;
 	enum gyp_slack_state slack;
-	enum gyp_speed_need speed;
 };
 
 struct gyp_capacity_index;
--- a/src/placer.c
+++ b/src/placer.c
@@ -83,25 +83,11 @@
 	return u->left > u->open && !(u->step->gang && u->open > 0);
 }
 
-static enum gyp_speed_need
-speed_need(
-    const struct gyp_placer *p, const struct gyp_candidate *c, double slack_ms)
-{
-	double run_ms;
-
-	if (!gyp_run_stats_has_forecast(p->stats))
-		return GYP_SPEED_ANY;
-	run_ms = (double)gyp_run_stats_time_ms(
-	    p->stats, c->flow, c->unit, GYP_RUN_ORDER);
-	return slack_ms < run_ms ? GYP_SPEED_FAST : GYP_SPEED_SLOW;
-}
-
 static void
 add_candidate(struct gyp_placer *p, struct gyp_flow *flow,
     struct gyp_flow_unit *unit, uint64_t wall_ms)
 {
 	struct gyp_candidate c = {.flow = flow, .unit = unit};
-	double slack_ms;
 
 	if (!has_waiting(unit) || !is_due(flow, unit, wall_ms))
 		return;
@@ -111,9 +97,8 @@
 			g_array_append_val(p->prefetch, c);
 		return;
 	}
-	slack_ms = gyp_slack_ms(p->stats, flow, unit, gyp_flows_time(p->flows));
-	c.slack = gyp_slack_state(slack_ms);
-	c.speed = speed_need(p, &c, slack_ms);
+	c.slack = gyp_slack_state(
+	    gyp_slack_ms(p->stats, flow, unit, gyp_flows_time(p->flows)));
 	g_array_append_val(p->units, c);
 }
 
--- a/src/run_stats.c
+++ b/src/run_stats.c
@@ -328,12 +328,6 @@
 	rs->forecast = forecast;
 }
 
-bool
-gyp_run_stats_has_forecast(const struct gyp_run_stats *rs)
-{
-	return rs->forecast != NULL;
-}
-
 double
 gyp_run_stats_slowdown(const struct gyp_run_stats *rs, uint32_t row)
 {
--- a/src/run_stats.h
+++ b/src/run_stats.h
@@ -128,8 +128,6 @@
 void gyp_run_stats_use_forecast(
     struct gyp_run_stats *, const struct gyp_run_forecast *);
 
-bool gyp_run_stats_has_forecast(const struct gyp_run_stats *);
-
 /*
  * The slowdown of the endpoint, 1 if unknown. With a forecast, it is the
  * learned one, times what the latest runs took longer than by the learned one.
