Admission queries name no full endpoints beyond the cheap ones

Tried and dropped: slow queries that also count the capacity of runs that are expected to end within 1.5 s.

--- a/src/admission_query.c
+++ b/src/admission_query.c
@@ -149,7 +149,9 @@
 		const struct gyp_ranked_endpoint *endpoint =
 		    &g_array_index(ranking, struct gyp_ranked_endpoint, n);
 
-		if (n >= cheap_count && expected >= waiting)
+		/* Those without free capacity come last. */
+		if (n >= cheap_count &&
+		    (expected >= waiting || endpoint->count == 0))
 			break;
 		expected += endpoint->count *
 			    (endpoint->allowed_before ? 1 : allowed_share);
