An overloaded entry claims no outcome that it cannot know

Cause: the HTTP server answered not_run when its buffers were full, without looking at the request. A repeated request may have run under its key, so the claim could be false; servers other than the entry's API made it too.

Change: the owner of an HTTP server may answer requests whose body was dropped. The entry's API answers as it does when it drains: unknown for a submit with a key, not_run for one without, no outcome for other calls, always with Retry-After. The default answer of the server has no outcome. The refusals are counted as gyp_refused_total{reason="buffers"}.

--- a/src/api.c
+++ b/src/api.c
@@ -273,7 +273,17 @@
 	api->flush(api->flush_arg);
 }
 
-static const struct gyp_httpd_owner_ops owner_ops = {.request = on_request};
+static void
+on_overloaded(struct gyp_httpd_owner *owner, struct gyp_http_request *req)
+{
+	struct gyp_api *api = (struct gyp_api *)owner;
+
+	gyp_count(api->counters, "gyp_refused_total", "reason=\"buffers\"", 1);
+	gyp_api_reply_unavailable(req, "this entry is overloaded");
+}
+
+static const struct gyp_httpd_owner_ops owner_ops = {
+    .request = on_request, .overloaded = on_overloaded};
 
 struct gyp_api *
 gyp_api_new(struct gyp_entry_core *core, struct gyp_counters *counters,
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -225,13 +225,17 @@
 	    text, strlen(text));
 }
 
+/* Claims no outcome: the request may repeat one that was carried out. */
 static void
 refuse_overloaded(struct gyp_http_request *req)
 {
-	static const char text[] = "{\"outcome\":\"not_run\","
-				   "\"reason\":\"this entry is overloaded\"}\n";
+	static const char text[] = "{\"error\":\"the server is overloaded\"}\n";
+	struct gyp_httpd_owner *owner = req->httpd->owner;
 
-	gyp_http_add_header(req, "Gyp-Outcome", "not_run");
+	if (owner->ops->overloaded != NULL) {
+		owner->ops->overloaded(owner, req);
+		return;
+	}
 	gyp_http_add_header(req, "Retry-After", "1");
 	gyp_http_reply(req, MHD_HTTP_SERVICE_UNAVAILABLE, "application/json",
 	    text, strlen(text));
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -51,6 +51,11 @@
 
 struct gyp_httpd_owner_ops {
 	void (*request)(struct gyp_httpd_owner *, struct gyp_http_request *);
+	/*
+	 * Answers a request whose body did not fit in the buffers and was
+	 * dropped. If NULL, it gets 503, Retry-After and {"error": "..."}.
+	 */
+	void (*overloaded)(struct gyp_httpd_owner *, struct gyp_http_request *);
 };
 
 struct gyp_httpd_owner {
