A resent removal of a member gets the first one's answer

Cause: the leader that proposed the removal steps down before the commit, the entry sends the call again, and the next leader no longer finds the member. It answered 404. A call by address that was resent after a new replica had joined at that address removed the new replica as well.

Change: the replicated configuration keeps the last 16 removals by operators with their address, entry and call id, beside the 256 removed ids that it had. A leader answers a call that it finds there, or a name that is no member but among the removed ones, with the id that was removed, once the change is complete. A removal that is committed but not yet answered no longer loses its answer to the next one. Unknown ids and addresses still get 404.

The test fixture gives each call its own id, as an entry does.

--- a/src/replica_members.c
+++ b/src/replica_members.c
@@ -23,6 +23,12 @@
 /* Maximum removed ids that are kept. */
 #define REMOVED_MAX 256
 
+/*
+ * Maximum removals by operators that are kept with their address and call.
+ * Calls are resent for seconds, and operators repeat a request for minutes.
+ */
+#define REMOVALS_MAX 16
+
 /* ---- Queries on a configuration ----------------------------------------- */
 
 static Gyp__Member *
@@ -109,6 +115,7 @@
 	Gyp__Config next;
 	Gyp__Member copies[2];
 	size_t n_copies;
+	Gyp__Removal removal;
 };
 
 static void
@@ -126,6 +133,10 @@
 	ch->next.n_removed = c->n_removed;
 	for (i = 0; i < c->n_removed; i++)
 		ch->next.removed[i] = c->removed[i];
+	ch->next.removals = g_new(Gyp__Removal *, c->n_removals + 1);
+	ch->next.n_removals = c->n_removals;
+	for (i = 0; i < c->n_removals; i++)
+		ch->next.removals[i] = c->removals[i];
 }
 
 static void
@@ -173,6 +184,22 @@
 		    --ch->next.n_removed * sizeof(*ch->next.removed));
 }
 
+/* Records who requested the removal; drops the oldest of REMOVALS_MAX. */
+static void
+change_record_removal(
+    struct change *ch, const Gyp__Member *m, uint64_t entry, uint64_t call)
+{
+	gyp__removal__init(&ch->removal);
+	ch->removal.member = m->id;
+	ch->removal.address = m->address;
+	ch->removal.entry = entry;
+	ch->removal.call = call;
+	ch->next.removals[ch->next.n_removals++] = &ch->removal;
+	if (ch->next.n_removals > REMOVALS_MAX)
+		memmove(ch->next.removals, ch->next.removals + 1,
+		    --ch->next.n_removals * sizeof(*ch->next.removals));
+}
+
 static bool
 change_propose(struct gyp_replica *r, struct change *ch)
 {
@@ -180,6 +207,7 @@
 
 	g_free(ch->next.members);
 	g_free(ch->next.removed);
+	g_free(ch->next.removals);
 	return proposed;
 }
 
@@ -433,6 +461,111 @@
 	return NULL;
 }
 
+static void
+answer_removed(
+    struct gyp_replica *r, uint64_t entry, uint64_t call, uint64_t member)
+{
+	char json[64];
+
+	g_snprintf(json, sizeof(json),
+	    "{\"removed\":\"%016" G_GINT64_MODIFIER "x\"}", member);
+	answer_removal(r, entry, call, GYP__CODE__CODE_OK, "", json);
+}
+
+/* Answers the removal; called only when no change is uncommitted. */
+static void
+finish_removal(struct gyp_replica *r)
+{
+	const struct gyp_member_removal *pending = &r->member_removal;
+
+	if (pending->member != 0)
+		answer_removed(
+		    r, pending->entry, pending->call, pending->member);
+	r->member_removal.member = 0;
+}
+
+/* Has finish_removal() answer this call. */
+static void
+set_pending_removal(
+    struct gyp_replica *r, uint64_t entry, uint64_t call, uint64_t member)
+{
+	r->member_removal.member = member;
+	r->member_removal.entry = entry;
+	r->member_removal.call = call;
+}
+
+/*
+ * Returns the member that this very call has removed, or 0. A replica may have
+ * joined at the same address since; it must not be removed in its place.
+ */
+static uint64_t
+find_removal_by_call(const Gyp__Config *c, uint64_t entry, uint64_t call)
+{
+	size_t i;
+
+	/* Call ids of the local entry are not unique across replicas. */
+	for (i = 0; i < c->n_removals && entry != GYP_LOCAL_ENTRY; i++) {
+		if (c->removals[i]->entry == entry &&
+		    c->removals[i]->call == call)
+			return c->removals[i]->member;
+	}
+	return 0;
+}
+
+/* Returns the removed member with this id in hex or this address, or 0. */
+static uint64_t
+find_removal_by_name(const Gyp__Config *c, const char *name)
+{
+	char *end;
+	uint64_t id = g_ascii_strtoull(name, &end, 16);
+	size_t i;
+
+	if (*end == '\0' && was_removed(c, id))
+		return id;
+	for (i = c->n_removals; i > 0; i--) {
+		if (strcmp(c->removals[i - 1]->address, name) == 0)
+			return c->removals[i - 1]->member;
+	}
+	return 0;
+}
+
+/*
+ * Confirms a removal that an earlier request caused, once its change is
+ * complete.
+ */
+static void
+confirm_removal(
+    struct gyp_replica *r, uint64_t entry, uint64_t call, uint64_t member)
+{
+	const struct gyp_member_removal *pending = &r->member_removal;
+
+	if (!gyp_raft_is_reconfiguring(r->raft))
+		answer_removed(r, entry, call, member);
+	else if (pending->member == 0 ||
+		 (pending->entry == entry && pending->call == call))
+		set_pending_removal(r, entry, call, member);
+	else
+		answer_removal(r, entry, call, GYP__CODE__CODE_BUSY,
+		    "the removal is in progress", "");
+}
+
+static void
+propose_removal(struct gyp_replica *r, uint64_t entry, uint64_t call,
+    const Gyp__Config *c, const Gyp__Member *m)
+{
+	uint64_t id = m->id;
+	struct change ch;
+
+	change_init(&ch, c);
+	change_remove(&ch, id);
+	change_record_removal(&ch, m, entry, call);
+	if (change_propose(r, &ch))
+		set_pending_removal(r, entry, call, id);
+	else
+		answer_removal(r, entry, call, GYP__CODE__CODE_BUSY,
+		    "the leader is not ready", "");
+}
+
 void
 gyp_replica_remove_member(
     struct gyp_replica *r, uint64_t entry, uint64_t call, const char *name)
@@ -440,9 +573,14 @@
 	const Gyp__Config *c = gyp_raft_members(r->raft);
 	const Gyp__Member *m = find_by_address_or_id(c, name);
 	const char *reason = m != NULL ? check_removal(r, c, m) : NULL;
-	uint64_t id = m != NULL ? m->id : 0;
-	struct change ch;
+	uint64_t removed = find_removal_by_call(c, entry, call);
 
+	if (removed == 0 && m == NULL)
+		removed = find_removal_by_name(c, name);
+	if (removed != 0) {
+		confirm_removal(r, entry, call, removed);
+		return;
+	}
 	if (gyp_raft_is_reconfiguring(r->raft)) {
 		answer_removal(r, entry, call, GYP__CODE__CODE_BUSY,
 		    "another change of members is in progress", "");
@@ -455,32 +593,8 @@
 		    m == NULL ? "no such member" : reason, "");
 		return;
 	}
-	change_init(&ch, c);
-	change_remove(&ch, id);
-	if (!change_propose(r, &ch)) {
-		answer_removal(r, entry, call, GYP__CODE__CODE_BUSY,
-		    "the leader is not ready", "");
-		return;
-	}
-	r->member_removal.member = id;
-	r->member_removal.entry = entry;
-	r->member_removal.call = call;
-}
-
-/* Answers the removal; called only when no change is uncommitted. */
-static void
-finish_removal(struct gyp_replica *r)
-{
-	char json[64];
-
-	if (r->member_removal.member == 0)
-		return;
-	g_snprintf(json, sizeof(json),
-	    "{\"removed\":\"%016" G_GINT64_MODIFIER "x\"}",
-	    r->member_removal.member);
-	answer_removal(r, r->member_removal.entry, r->member_removal.call,
-	    GYP__CODE__CODE_OK, "", json);
-	r->member_removal.member = 0;
+	finish_removal(r); /* else this one would take its place */
+	propose_removal(r, entry, call, c, m);
 }
 
 /* ---- Periodic work ------------------------------------------------------ */
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &gyp__config__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gyp__removal__init
+                     (Gyp__Removal         *message)
+{
+  static const Gyp__Removal init_value = GYP__REMOVAL__INIT;
+  *message = init_value;
+}
+size_t gyp__removal__get_packed_size
+                     (const Gyp__Removal *message)
+{
+  assert(message->base.descriptor == &gyp__removal__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__removal__pack
+                     (const Gyp__Removal *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__removal__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__removal__pack_to_buffer
+                     (const Gyp__Removal *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__removal__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__Removal *
+       gyp__removal__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__Removal *)
+     protobuf_c_message_unpack (&gyp__removal__descriptor,
+                                allocator, len, data);
+}
+void   gyp__removal__free_unpacked
+                     (Gyp__Removal *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__removal__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gyp__log_entry__init
                      (Gyp__LogEntry         *message)
 {
@@ -2740,7 +2785,7 @@
   (ProtobufCMessageInit) gyp__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__config__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gyp__config__field_descriptors[3] =
 {
   {
     "members",
@@ -2766,16 +2811,29 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "removals",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Config, n_removals),
+    offsetof(Gyp__Config, removals),
+    &gyp__removal__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__config__field_indices_by_name[] = {
   0,   /* field[0] = members */
+  2,   /* field[2] = removals */
   1,   /* field[1] = removed */
 };
 static const ProtobufCIntRange gyp__config__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 16, 1 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor gyp__config__descriptor =
 {
@@ -2785,13 +2843,90 @@
   "Gyp__Config",
   "gyp",
   sizeof(Gyp__Config),
-  2,
+  3,
   gyp__config__field_descriptors,
   gyp__config__field_indices_by_name,
   2,  gyp__config__number_ranges,
   (ProtobufCMessageInit) gyp__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gyp__removal__field_descriptors[4] =
+{
+  {
+    "member",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Removal, member),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Removal, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entry",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Removal, entry),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Removal, call),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__removal__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  3,   /* field[3] = call */
+  2,   /* field[2] = entry */
+  0,   /* field[0] = member */
+};
+static const ProtobufCIntRange gyp__removal__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gyp__removal__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.Removal",
+  "Removal",
+  "Gyp__Removal",
+  "gyp",
+  sizeof(Gyp__Removal),
+  4,
+  gyp__removal__field_descriptors,
+  gyp__removal__field_indices_by_name,
+  1,  gyp__removal__number_ranges,
+  (ProtobufCMessageInit) gyp__removal__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gyp__log_entry__field_descriptors[4] =
 {
   {
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Gyp__Member Gyp__Member;
 typedef struct Gyp__Config Gyp__Config;
+typedef struct Gyp__Removal Gyp__Removal;
 typedef struct Gyp__LogEntry Gyp__LogEntry;
 typedef struct Gyp__RaftMsg Gyp__RaftMsg;
 typedef struct Gyp__SnapshotFile Gyp__SnapshotFile;
@@ -224,10 +225,37 @@
    */
   size_t n_removed;
   uint64_t *removed;
+  /*
+   * the latest ones by operators, oldest first
+   */
+  size_t n_removals;
+  Gyp__Removal **removals;
 };
 #define GYP__CONFIG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__config__descriptor) \
-    , 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * A removal of a member, kept to give a resent request the first one's answer.
+ */
+struct  Gyp__Removal
+{
+  ProtobufCMessage base;
+  uint64_t member;
+  /*
+   * of the member
+   */
+  char *address;
+  /*
+   * entry and call that requested it
+   */
+  uint64_t entry;
+  uint64_t call;
+};
+#define GYP__REMOVAL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__removal__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Gyp__LogEntry
@@ -1667,6 +1695,25 @@
 void   gyp__config__free_unpacked
                      (Gyp__Config *message,
                       ProtobufCAllocator *allocator);
+/* Gyp__Removal methods */
+void   gyp__removal__init
+                     (Gyp__Removal         *message);
+size_t gyp__removal__get_packed_size
+                     (const Gyp__Removal   *message);
+size_t gyp__removal__pack
+                     (const Gyp__Removal   *message,
+                      uint8_t             *out);
+size_t gyp__removal__pack_to_buffer
+                     (const Gyp__Removal   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__Removal *
+       gyp__removal__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__removal__free_unpacked
+                     (Gyp__Removal *message,
+                      ProtobufCAllocator *allocator);
 /* Gyp__LogEntry methods */
 void   gyp__log_entry__init
                      (Gyp__LogEntry         *message);
@@ -2758,6 +2805,9 @@
 typedef void (*Gyp__Config_Closure)
                  (const Gyp__Config *message,
                   void *closure_data);
+typedef void (*Gyp__Removal_Closure)
+                 (const Gyp__Removal *message,
+                  void *closure_data);
 typedef void (*Gyp__LogEntry_Closure)
                  (const Gyp__LogEntry *message,
                   void *closure_data);
@@ -2945,6 +2995,7 @@
 extern const ProtobufCEnumDescriptor    gyp__order_type__descriptor;
 extern const ProtobufCMessageDescriptor gyp__member__descriptor;
 extern const ProtobufCMessageDescriptor gyp__config__descriptor;
+extern const ProtobufCMessageDescriptor gyp__removal__descriptor;
 extern const ProtobufCMessageDescriptor gyp__log_entry__descriptor;
 extern const ProtobufCMessageDescriptor gyp__raft_msg__descriptor;
 extern const ProtobufCMessageDescriptor gyp__snapshot_file__descriptor;
--- a/test/disks.sh
+++ b/test/disks.sh
@@ -102,10 +102,22 @@
 }
 until_true apply
 
-echo "== an operator removes the lost member"
+echo "== an operator removes the lost member; the leader steps down meanwhile"
+# Without an answer of the other voter the leader steps down before the commit,
+# and the entry sends the call again to the next one.
 removed=$(id_of 3)
+follower=$(ctl 1 members | awk '$3 == "yes" && $4 == "no" && $5 == "yes" {print $2}')
+follower=cell$((${follower##*:} - base))
+kill -STOP "${pids[$follower]}"
+(sleep 4 && kill -CONT "${pids[$follower]}") &
+resumed=$!
 until_true ctl 1 members remove "$removed"
+wait "$resumed"
+until_true voters 2
 ctl 1 members | grep -q "$removed" && fail "$removed is still a member"
+echo "== a repeated removal gets the same answer, an unknown member does not"
+ctl 1 members remove "$removed" || fail "the repeated removal was refused"
+ctl 1 members remove 00000000000000ff && fail "an unknown member was removed"
 start_cell 3
 until_true voters 3
 
--- a/test/members_fixture.c
+++ b/test/members_fixture.c
@@ -381,7 +381,6 @@
 	g_assert_cmpint(i, >=, 0);
 	gyp_message_free(c->reply);
 	c->reply = NULL;
-	msg->id = 1;
 	up.round = ++c->round;
 	up.n_calls = 1;
 	up.calls = &msg;
@@ -391,19 +390,27 @@
 	collect_output(c, i);
 }
 
-Gyp__Code
-cell_remove_member(struct cell *c, const char *name)
+void
+cell_send_removal(struct cell *c, uint64_t call, const char *name)
 {
 	Gyp__Call msg = GYP__CALL__INIT;
 	Gyp__Admin admin = GYP__ADMIN__INIT;
-	int tries;
 
 	admin.op = GYP__ADMIN_OP__ADMIN_REMOVE_MEMBER;
 	admin.name = (char *)name;
+	msg.id = call;
 	msg.c_case = GYP__CALL__C_ADMIN;
 	msg.admin = &admin;
+	send_call(c, &msg);
+}
+
+Gyp__Code
+cell_remove_member(struct cell *c, const char *name)
+{
+	int tries;
+
 	for (tries = 0; tries < 20; tries++) {
-		send_call(c, &msg);
+		cell_send_removal(c, ++c->calls, name);
 		cell_run(c, 500);
 		g_assert_nonnull(c->reply);
 		if (c->reply->code != GYP__CODE__CODE_BUSY)
@@ -428,6 +435,7 @@
 	ep.capacity = &capacity;
 	ep.connections = 1;
 	ep.incarnation = nth;
+	msg.id = ++c->calls;
 	msg.c_case = GYP__CALL__C_ANNOUNCE;
 	msg.announce = &ep;
 	send_call(c, &msg);
--- a/test/members_fixture.h
+++ b/test/members_fixture.h
@@ -41,6 +41,7 @@
 	GQueue frames; /* struct frame */
 	uint64_t now;
 	uint64_t round;
+	uint64_t calls; /* id of the latest call of the entry */
 	uint64_t last_replica_id;
 	uint32_t seed;
 	uint32_t catch_up_ms;            /* 0 for the default */
@@ -77,6 +78,9 @@
 
 void cell_assert_centres(const struct cell *c, const char *expected);
 
+/* Sends a removal to the leader; the reply arrives later. */
+void cell_send_removal(struct cell *c, uint64_t call, const char *name);
+
 /* Repeats the request while another change is uncommitted. */
 Gyp__Code cell_remove_member(struct cell *c, const char *name);
 
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -125,6 +125,164 @@
 	cell_clear(&c);
 }
 
+static void
+format_id(const struct cell *c, int node, char *id, size_t len)
+{
+	g_snprintf(id, len, "%016" G_GINT64_MODIFIER "x", c->nodes[node].id);
+}
+
+/* Runs until a replica leads; the election needs no more than this. */
+static void
+wait_for_leader(struct cell *c)
+{
+	int tries;
+
+	for (tries = 0; tries < 100 && cell_leader(c) < 0; tries++)
+		cell_run(c, 100);
+	g_assert_cmpint(cell_leader(c), >=, 0);
+}
+
+static void
+assert_removed(const struct cell *c, const char *id)
+{
+	char *json = g_strdup_printf("{\"removed\":\"%s\"}", id);
+
+	g_assert_nonnull(c->reply);
+	g_assert_cmpint(c->reply->code, ==, GYP__CODE__CODE_OK);
+	g_assert_cmpstr(c->reply->json, ==, json);
+	g_free(json);
+}
+
+/*
+ * The leader restarts some time after it was sent a removal and before it
+ * answers; the entry sends the same call to the next leader.
+ */
+static void
+check_resent_removal(uint32_t seed, int node, bool by_address, uint32_t ms)
+{
+	struct cell c;
+	char id[32];
+	const char *name;
+	int lead;
+
+	cell_init(&c, seed, "abca");
+	cell_settle(&c);
+	lead = cell_leader(&c);
+	if (node < VOTERS)
+		node = (lead + 1) % VOTERS;
+	format_id(&c, node, id, sizeof(id));
+	name = by_address ? c.nodes[node].address : id;
+	cell_stop(&c, node);
+	cell_send_removal(&c, 7, name);
+	cell_run(&c, ms);
+	if (c.reply == NULL) {
+		cell_stop(&c, lead);
+		cell_start(&c, lead);
+		wait_for_leader(&c);
+		cell_send_removal(&c, 7, name);
+		cell_run(&c, 2000);
+	}
+	assert_removed(&c, id);
+	g_assert_null(cell_find_member(cell_members(&c), c.nodes[node].id));
+
+	/* The operator repeats the request, which is another call. */
+	g_assert_cmpint(cell_remove_member(&c, name), ==, GYP__CODE__CODE_OK);
+	assert_removed(&c, id);
+	cell_clear(&c);
+}
+
+/* A resent removal that was carried out got 404 from the next leader. */
+static void
+test_resent_removal(void)
+{
+	uint32_t ms;
+
+	for (ms = 10; ms <= 300; ms += 10) {
+		check_resent_removal(ms / 10, VOTERS, false, ms);
+		check_resent_removal(ms / 10, VOTERS, true, ms);
+		check_resent_removal(ms / 10, 0, false, ms);
+	}
+}
+
+/*
+ * A resent removal by address must not remove the replica that has joined at
+ * this address since.
+ */
+static void
+test_resent_removal_of_successor(void)
+{
+	struct cell c;
+	char first[32], second[32];
+
+	cell_init(&c, 1, "abca");
+	cell_settle(&c);
+	format_id(&c, VOTERS, first, sizeof(first));
+	cell_lose_disk(&c, VOTERS);
+	cell_run(&c, 2 * ELECTION_MS);
+	cell_send_removal(&c, 7, c.nodes[VOTERS].address);
+	cell_run(&c, 1000);
+	assert_removed(&c, first);
+	cell_start(&c, VOTERS);
+	cell_settle(&c);
+	format_id(&c, VOTERS, second, sizeof(second));
+	g_assert_nonnull(
+	    cell_find_member(cell_members(&c), c.nodes[VOTERS].id));
+	cell_send_removal(&c, 7, c.nodes[VOTERS].address);
+	cell_run(&c, 1000);
+	assert_removed(&c, first);
+	g_assert_nonnull(
+	    cell_find_member(cell_members(&c), c.nodes[VOTERS].id));
+
+	/* Another call by address means the replica that is there now. */
+	g_assert_cmpint(cell_remove_member(&c, c.nodes[VOTERS].address), ==,
+	    GYP__CODE__CODE_OK);
+	assert_removed(&c, second);
+	g_assert_null(cell_find_member(cell_members(&c), c.nodes[VOTERS].id));
+	g_assert_cmpint(cell_remove_member(&c, first), ==, GYP__CODE__CODE_OK);
+	assert_removed(&c, first);
+
+	/* A name that was never a member is still reported. */
+	g_assert_cmpint(cell_remove_member(&c, "00000000000000ff"), ==,
+	    GYP__CODE__CODE_NOT_FOUND);
+	g_assert_cmpint(
+	    cell_remove_member(&c, ""), ==, GYP__CODE__CODE_NOT_FOUND);
+	cell_clear(&c);
+}
+
+/* Many removals: those that are kept are answered the same after a restart. */
+static void
+test_many_removals(void)
+{
+	struct cell c;
+	char id[20][32];
+	int i, lead;
+
+	cell_init(&c, 1, "abc");
+	cell_settle(&c);
+	cell_add_node(&c, 'a');
+	for (i = 0; i < 20; i++) {
+		cell_settle(&c);
+		format_id(&c, VOTERS, id[i], sizeof(id[i]));
+		cell_stop(&c, VOTERS);
+		g_assert_cmpint(
+		    cell_remove_member(&c, id[i]), ==, GYP__CODE__CODE_OK);
+		cell_lose_disk(&c, VOTERS);
+		cell_start(&c, VOTERS);
+	}
+	cell_settle(&c);
+	lead = cell_leader(&c);
+	cell_stop(&c, lead);
+	cell_start(&c, lead);
+	wait_for_leader(&c);
+	cell_settle(&c);
+	for (i = 0; i < 20; i++) {
+		g_assert_cmpint(
+		    cell_remove_member(&c, id[i]), ==, GYP__CODE__CODE_OK);
+		assert_removed(&c, id[i]);
+	}
+	cell_clear(&c);
+}
+
 /*
  * A voter that stays stopped loses its vote to the spare, and returns as a
  * spare.
@@ -274,6 +432,10 @@
 	g_test_add_func("/members/spread", test_spread);
 	g_test_add_func("/members/second-loss", test_second_loss);
 	g_test_add_func("/members/removal", test_removal);
+	g_test_add_func("/members/resent-removal", test_resent_removal);
+	g_test_add_func("/members/resent-removal-of-successor",
+	    test_resent_removal_of_successor);
+	g_test_add_func("/members/many-removals", test_many_removals);
 	g_test_add_func("/members/spare", test_spare);
 	g_test_add_func("/members/successor", test_successor);
 	g_test_add_func("/members/growth", test_catch_up_by_snapshot);
