A replica whose disk is full waits for space instead of ending in a loop

Cause: the store treated a lack of space as final, so gyp-cell ended, was restarted and ended again on the first temporary file.

Change: the store's writer keeps the records since the last sync, reports that the disk is full, and tries again each second. It writes them to a new segment, never after a torn end, and reports when all are durable; nothing is reported as synced meanwhile. The replica is suspended: a leader asks a successor to take over and steps down at once, held-back votes and acknowledgements are dropped, and no message is handled until there is space. A replica that starts on a full disk waits as well. Other I/O errors still end the process. One log line tells the begin (disk-full) and one the end (disk-recovered), the gauge gyp_disk_full the state.

--- a/src/counters.h
+++ b/src/counters.h
@@ -27,6 +27,7 @@
  *	gyp_slow_turn_seconds			slow iterations of the loop
  *	gyp_uncounted_total			updates beyond GYP_COUNTERS_MAX
  *	gyp_leading				gauge, 1 while serving as leader
+ *	gyp_disk_full				gauge, 1 while waiting for space
  *	gyp_open_requests			gauge, open calls of an entry
  *	gyp_open_attempts			gauge, open attempts of an entry
  *
--- a/src/data_dir.c
+++ b/src/data_dir.c
@@ -285,6 +285,24 @@
 	return st;
 }
 
+/* ---- Space -------------------------------------------------------------- */
+
+enum gyp_status
+gyp_data_dir_probe_space(
+    struct gyp_files *f, const char *dir, size_t bytes, struct gyp_error *err)
+{
+	char *path = g_build_filename(dir, "space.tmp", NULL);
+	struct gyp_buf buf = {NULL, 0, 0};
+	struct gyp_slice s = {
+	    memset(gyp_buf_extend(&buf, bytes), 0, bytes), bytes};
+	enum gyp_status st = gyp_file_create(f, path, s, err);
+
+	f->ops->unlink(f, path);
+	gyp_buf_clear(&buf);
+	g_free(path);
+	return st;
+}
+
 /* ---- Snapshot ----------------------------------------------------------- */
 
 enum gyp_status
--- a/src/file.c
+++ b/src/file.c
@@ -130,8 +130,8 @@
 	return st;
 }
 
-static enum gyp_status
-write_new_file(struct gyp_files *f, const char *path, struct gyp_slice s,
+enum gyp_status
+gyp_file_create(struct gyp_files *f, const char *path, struct gyp_slice s,
     struct gyp_error *err)
 {
 	int fd = f->ops->open(f, path, O_WRONLY | O_CREAT | O_TRUNC);
@@ -152,7 +152,7 @@
 {
 	char *path = g_build_filename(dir, name, NULL);
 	char *tmp = g_strconcat(path, ".tmp", NULL);
-	enum gyp_status st = write_new_file(f, tmp, s, err);
+	enum gyp_status st = gyp_file_create(f, tmp, s, err);
 
 	if (st == GYP_OK && f->ops->rename(f, tmp, path) != 0)
 		st = gyp_file_fail(err, "rename", tmp);
--- a/src/file.h
+++ b/src/file.h
@@ -59,6 +59,10 @@
 enum gyp_status gyp_file_sync_dir(
     struct gyp_files *, const char *dir, struct gyp_error *);
 
+/* Writes and syncs a file; removes its earlier content. */
+enum gyp_status gyp_file_create(
+    struct gyp_files *, const char *path, struct gyp_slice, struct gyp_error *);
+
 /*
  * Replaces a file atomically and durably: writes and syncs a .tmp file, renames
  * it and syncs the directory.
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -27,6 +27,9 @@
 /* Largest manifest, in bytes. */
 #define CONTROL_BODY_MAX (2 * 1024 * 1024)
 
+/* Interval of attempts to open the data directory on a full disk, in ms. */
+#define OPEN_RETRY_MS 1000
+
 /* Longest time that a stopping leader waits for a successor, in ms. */
 #define TRANSFER_TIMEOUT_MS 3000
 
@@ -52,6 +55,7 @@
 	uint64_t rules_version; /* last logged version */
 	char *members;          /* last logged list */
 	bool stopping;
+	bool disk_full;
 	int code;
 };
 
@@ -305,6 +309,30 @@
 	}
 }
 
+/* The store waits for space; nothing that it has not synced may be told. */
+static void
+on_store_full(struct gyp_store_owner *owner, const struct gyp_error *err)
+{
+	struct app *app = app_of_store(owner);
+
+	gyp_log(GYP_LOG_ERR, "disk-full", "error=\"%s\"", err->message);
+	app->disk_full = true;
+	gyp_replica_suspend(app->replica, gyp_clock_ms());
+	flush(app);
+}
+
+static void
+on_store_recovered(struct gyp_store_owner *owner)
+{
+	struct app *app = app_of_store(owner);
+
+	gyp_log(GYP_LOG_NOTICE, "disk-recovered", "folder=%s",
+	    app->set->data_folder);
+	app->disk_full = false;
+	gyp_replica_resume(app->replica, gyp_clock_ms());
+	flush(app);
+}
+
 /* Records that were not synced count as lost, so the replica must stop. */
 static void
 on_store_failed(struct gyp_store_owner *owner, const struct gyp_error *err)
@@ -362,7 +390,8 @@
 
 	(void)now;
 	log_members(app);
-	if ((is_member(app) && !leaderless) || app->set->join == NULL)
+	if ((is_member(app) && !leaderless) || app->set->join == NULL ||
+	    app->disk_full)
 		return;
 	member.id = gyp_store_id(app->store);
 	member.address = (char *)own_address(app->set);
@@ -429,6 +458,7 @@
 	}
 	gyp_gauge(counters, "gyp_leading", "",
 	    gyp_replica_serving(app->replica) ? 1 : 0);
+	gyp_gauge(counters, "gyp_disk_full", "", app->disk_full ? 1 : 0);
 	text = gyp_counters_text(counters);
 	gyp_http_reply(
 	    req, 200, "text/plain; version=0.0.4", text, strlen(text));
@@ -437,8 +467,10 @@
 
 static const struct gyp_httpd_owner_ops metrics_ops = {.request = on_metrics};
 
-static const struct gyp_store_owner_ops store_ops = {
-    .synced = on_synced, .failed = on_store_failed};
+static const struct gyp_store_owner_ops store_ops = {.synced = on_synced,
+    .failed = on_store_failed,
+    .full = on_store_full,
+    .recovered = on_store_recovered};
 
 static void
 load_record(void *arg, const struct gyp_record *rec)
@@ -468,6 +500,52 @@
 	app->replica = gyp_replica_new(&cfg);
 }
 
+/* ---- Storage ------------------------------------------------------------- */
+
+/*
+ * Opens the data directory. When there is no space for its first files, waits
+ * for it: the service manager would only restart the program again and again.
+ */
+static enum gyp_status
+open_store(struct app *app, uint64_t initial_id, struct gyp_error *err)
+{
+	const char *folder = app->set->data_folder;
+	bool waited = false;
+
+	while ((app->store = gyp_store_open_with_id(
+		    folder, gyp_files_system(), initial_id, err)) == NULL &&
+	       err->code == GYP_FULL) {
+		if (!waited)
+			gyp_log(GYP_LOG_ERR, "disk-full", "error=\"%s\"",
+			    err->message);
+		waited = true;
+		g_usleep(OPEN_RETRY_MS * G_TIME_SPAN_MILLISECOND);
+	}
+	if (app->store == NULL)
+		return err->code;
+	err->code = GYP_OK;
+	if (waited)
+		gyp_log(GYP_LOG_NOTICE, "disk-recovered", "folder=%s", folder);
+	return GYP_OK;
+}
+
+/* Loads the records; without space for the next segment starts suspended. */
+static enum gyp_status
+load_store(struct app *app, struct gyp_error *err)
+{
+	struct gyp_error full = {.code = GYP_OK};
+
+	if (gyp_store_replay(app->store, load_record, app->replica, err) !=
+	    GYP_OK)
+		return err->code;
+	if (!gyp_store_is_full(app->store))
+		return GYP_OK;
+	gyp_fail(&full, GYP_FULL, "no space for the next segment in %s",
+	    app->set->data_folder);
+	on_store_full(&app->store_owner, &full);
+	return GYP_OK;
+}
+
 /* ---- Servers ------------------------------------------------------------- */
 
 static enum gyp_status
@@ -497,14 +575,11 @@
 	bool bootstrap = set->first_start &&
 			 gyp_bootstrap_contains(set->join, own_address(set));
 
-	app->store =
-	    gyp_store_open_with_id(set->data_folder, gyp_files_system(),
-		bootstrap ? gyp_bootstrap_id(own_address(set)) : 0, err);
-	if (app->store == NULL)
+	if (open_store(app, bootstrap ? gyp_bootstrap_id(own_address(set)) : 0,
+		err) != GYP_OK)
 		return err->code;
 	make_replica(app);
-	if (gyp_store_replay(app->store, load_record, app->replica, err) !=
-	    GYP_OK)
+	if (load_store(app, err) != GYP_OK)
 		return err->code;
 	/* A replica killed before its first sync may be initialised again. */
 	if (init && gyp_raft_last_index(gyp_replica_raft(app->replica)) != 0)
--- a/src/program.h
+++ b/src/program.h
@@ -15,7 +15,7 @@
 
 /* Exit codes of a program with durable data. */
 #define GYP_EXIT_CORRUPT 65 /* damaged data: use an empty directory */
-#define GYP_EXIT_DISK    74 /* a write or sync failed, or the disk is full */
+#define GYP_EXIT_DISK    74 /* a write or sync failed */
 #define GYP_EXIT_BUSY    75 /* data directory in use, or --init on a cell */
 
 struct gyp_program {
--- a/src/raft.c
+++ b/src/raft.c
@@ -28,6 +28,8 @@
 		restore_commit(r);
 	}
 	r->now = MAX(r->now, now);
+	if (r->suspended)
+		return;
 	if (r->role == GYP_RAFT_LEADER)
 		gyp_raft_tick_leader(r);
 	else if (r->now >= r->election_at)
@@ -84,7 +86,7 @@
 gyp_raft_step(struct gyp_raft *r, uint64_t now, const Gyp__RaftMsg *m)
 {
 	gyp_raft_tick(r, now);
-	if (m->to != r->cfg.id || m->from == r->cfg.id)
+	if (m->to != r->cfg.id || m->from == r->cfg.id || r->suspended)
 		return;
 	if (!is_vote_type(m)) {
 		if (m->term > r->term)
--- a/src/raft.h
+++ b/src/raft.h
@@ -117,6 +117,17 @@
  */
 bool gyp_raft_transfer_leadership(struct gyp_raft *);
 
+/*
+ * Stops taking part while records cannot be written: a leader asks another
+ * voter to take over and steps down; messages held back for a sync are dropped.
+ * Until gyp_raft_resume() this replica handles no message, does not vote,
+ * acknowledge or campaign. Records that were written before may be reported as
+ * synced meanwhile.
+ */
+void gyp_raft_suspend(struct gyp_raft *, uint64_t now);
+void gyp_raft_resume(struct gyp_raft *, uint64_t now);
+bool gyp_raft_is_suspended(const struct gyp_raft *);
+
 /*
  * True while this replica leads and a majority has answered messages sent
  * within the last election_ms - heartbeat_ms.
--- a/src/raft_elect.c
+++ b/src/raft_elect.c
@@ -35,15 +35,11 @@
 void
 gyp_raft_set_term(struct gyp_raft *r, uint64_t term, uint64_t vote)
 {
-	struct gyp_raft_deferred *d;
-
 	if (term == r->term && vote == r->vote)
 		return;
-	if (term != r->term) {
-		/* Acknowledgements of an older term may no longer hold. */
-		while ((d = g_queue_pop_head(&r->deferred)) != NULL)
-			gyp_raft_free_deferred(d);
-	}
+	/* Acknowledgements of an older term may no longer hold. */
+	if (term != r->term)
+		gyp_raft_drop_deferred(r);
 	if (term != r->term)
 		r->was_leader = r->leader_resigned = false;
 	r->term = term;
@@ -393,3 +389,35 @@
 	gyp_raft_send_timeout_now(r, best);
 	return true;
 }
+
+/* ---- Suspension --------------------------------------------------------- */
+
+/*
+ * The message to the successor is only queued here; when it is sent, this
+ * replica no longer leads and has no lease that the election could violate.
+ */
+void
+gyp_raft_suspend(struct gyp_raft *r, uint64_t now)
+{
+	gyp_raft_tick(r, now);
+	gyp_raft_transfer_leadership(r);
+	gyp_raft_become_follower(r, r->term, 0);
+	r->transfer_target = 0;
+	gyp_raft_drop_deferred(r);
+	r->suspended = true;
+}
+
+void
+gyp_raft_resume(struct gyp_raft *r, uint64_t now)
+{
+	gyp_raft_tick(r, now);
+	r->suspended = false;
+	gyp_raft_reset_election(r);
+	gyp_raft_schedule_reelection(r);
+}
+
+bool
+gyp_raft_is_suspended(const struct gyp_raft *r)
+{
+	return r->suspended;
+}
--- a/src/raft_int.h
+++ b/src/raft_int.h
@@ -69,6 +69,7 @@
 	/* When the transfer ends and proposals are accepted again. */
 	uint64_t transfer_deadline;
 	uint64_t prevote_at; /* start of the latest pre-vote */
+	bool suspended;      /* by gyp_raft_suspend() */
 	bool forced; /* vote requests carry `force`: voters ignore the lease */
 
 	GArray *log; /* struct gyp_log_entry, from index snap_index + 1 */
@@ -152,6 +153,7 @@
 void gyp_raft_free_deferred(gpointer p);
 void gyp_raft_send_after_sync(struct gyp_raft *r, const Gyp__RaftMsg *m);
 void gyp_raft_flush_deferred(struct gyp_raft *r);
+void gyp_raft_drop_deferred(struct gyp_raft *r);
 struct gyp_raft_progress *gyp_raft_find_peer(
     const struct gyp_raft *r, uint64_t id);
 void gyp_raft_update_peers(struct gyp_raft *r);
--- a/src/raft_send.c
+++ b/src/raft_send.c
@@ -67,6 +67,12 @@
 	}
 }
 
+void
+gyp_raft_drop_deferred(struct gyp_raft *r)
+{
+	g_queue_clear_full(&r->deferred, gyp_raft_free_deferred);
+}
+
 struct gyp_raft_progress *
 gyp_raft_find_peer(const struct gyp_raft *r, uint64_t id)
 {
--- a/src/replica.c
+++ b/src/replica.c
@@ -485,6 +485,22 @@
 		r->transferring = true;
 }
 
+void
+gyp_replica_suspend(struct gyp_replica *r, uint64_t now)
+{
+	gyp_replica_advance(r, now);
+	gyp_raft_suspend(r->raft, r->now);
+	gyp_replica_process(r);
+}
+
+void
+gyp_replica_resume(struct gyp_replica *r, uint64_t now)
+{
+	gyp_replica_advance(r, now);
+	gyp_raft_resume(r->raft, r->now);
+	gyp_replica_process(r);
+}
+
 /* ---- Construction ------------------------------------------------------ */
 
 static const struct gyp_raft_io_ops io_ops = {.send = on_send,
--- a/src/replica.h
+++ b/src/replica.h
@@ -127,6 +127,13 @@
  */
 void gyp_replica_transfer_leadership(struct gyp_replica *);
 
+/*
+ * The disk is full: leadership is given up at once, and until the resumption
+ * this replica neither serves, votes nor acknowledges.
+ */
+void gyp_replica_suspend(struct gyp_replica *, uint64_t now);
+void gyp_replica_resume(struct gyp_replica *, uint64_t now);
+
 /* True while this replica leads and may answer calls. */
 bool gyp_replica_serving(const struct gyp_replica *);
 
--- a/src/store.c
+++ b/src/store.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
 #include <unistd.h>
@@ -5,49 +6,30 @@
 #include <ev.h>
 #include <glib.h>
 
-#include "buf.h"
-#include "data_dir.h"
-#include "store.h"
+#include "store_int.h"
 
-struct segment {
-	uint64_t number;
-	uint64_t last_index; /* highest log index in it */
-};
+/*
+ * When there is no space: the time until the next attempt, in ms, and the bytes
+ * that must fit beside the records. Without these spare bytes a replica would
+ * resume, lead and fail again within a second.
+ */
+#define RETRY_INTERVAL_MS 1000
+#define RETRY_SPARE_BYTES (4 * 1024 * 1024)
 
 struct write_request {
 	struct gyp_record rec;
 	bool stop;
 };
 
-/* Result of a batch, passed from the writer thread to the loop's thread. */
+enum write_event { WRITE_SYNCED, WRITE_FAILED, WRITE_FULL, WRITE_RECOVERED };
+
+/* Passed from the writer thread to the loop's thread. */
 struct write_result {
+	enum write_event event;
 	uint64_t seq;
 	struct gyp_error err;
 };
 
-struct gyp_store {
-	char *dir;
-	struct gyp_files *files;
-	int lock_fd;
-	uint64_t id;
-	bool is_new;
-	GArray *segments; /* struct segment, the current one last */
-	int fd;           /* of the current segment */
-	char *path;
-	struct gyp_wal_header header;
-	struct gyp_record vote; /* newest vote record */
-	GArray *unsynced;       /* struct gyp_record, read but not durable */
-	uint64_t last_seq;      /* sequence number of the last record taken */
-	gint failed;            /* atomic */
-
-	struct ev_loop *loop;
-	ev_async results_ready;
-	struct gyp_store_owner *owner;
-	GThread *thread;
-	GAsyncQueue *requests; /* struct write_request */
-	GAsyncQueue *results;  /* struct write_result */
-};
-
 /* ---- Opening ------------------------------------------------------------ */
 
 static void
@@ -80,6 +62,10 @@
 	s->segments = g_array_new(FALSE, FALSE, sizeof(struct segment));
 	s->unsynced = g_array_new(FALSE, FALSE, sizeof(struct gyp_record));
 	g_array_set_clear_func(s->unsynced, free_record);
+	s->retry_ms = RETRY_INTERVAL_MS;
+	s->spare_bytes = RETRY_SPARE_BYTES;
+	g_mutex_init(&s->lock);
+	g_cond_init(&s->close_requested);
 	s->requests = g_async_queue_new();
 	s->results = g_async_queue_new_full(g_free);
 	if (gyp_data_dir_lock(files, dir, &s->lock_fd, err) != GYP_OK ||
@@ -112,8 +98,8 @@
 	    s->segments, struct segment, s->segments->len - 1);
 }
 
-static void
-track_record(
+void
+gyp_store_track_record(
     struct gyp_store *s, struct segment *seg, const struct gyp_record *rec)
 {
 	if (rec->type == GYP_RECORD_ENTRY)
@@ -126,18 +112,27 @@
 
 /*
  * Overwrites the segment's sync mark. It is not synced itself: it may lag
- * behind after a power failure, see wal.h.
+ * behind after a power failure, see wal.h. It may therefore stay as it is when
+ * there is no space for a copy of its block.
  */
 static enum gyp_status
 write_sync_mark(struct gyp_store *s, struct gyp_error *err)
 {
 	uint8_t mark[GYP_WAL_SYNC_MARK_BYTES];
+	struct gyp_error cause = {.code = GYP_OK};
+	ssize_t n;
 
 	gyp_wal_put_sync_mark(mark, &s->header);
-	if (s->files->ops->pwrite(s->files, s->fd, mark, sizeof(mark),
-		GYP_WAL_SYNC_MARK_OFFSET) != (ssize_t)sizeof(mark))
-		return gyp_file_fail(err, "write", s->path);
-	return GYP_OK;
+	n = s->files->ops->pwrite(
+	    s->files, s->fd, mark, sizeof(mark), GYP_WAL_SYNC_MARK_OFFSET);
+	if (n == (ssize_t)sizeof(mark))
+		return GYP_OK;
+	if (n >= 0)
+		errno = EIO; /* torn */
+	if (gyp_file_fail(&cause, "write", s->path) == GYP_FULL)
+		return GYP_OK;
+	*err = cause;
+	return cause.code;
 }
 
 /* Opens a segment for appending. */
@@ -175,9 +170,10 @@
 }
 
 /*
- * Starts the next segment. It begins with the newest vote and, after a restart,
- * with the records that were read but are not known to be synced. It gets its
- * name only when all of these are durable.
+ * Starts the next segment. It begins with the newest vote and the records that
+ * are not known to be synced: those read after a restart, or those of a write
+ * for which there was no space. It gets its name only when all of these are
+ * durable. After GYP_FULL it can be called again.
  */
 static enum gyp_status
 rotate_segment(struct gyp_store *s, struct gyp_error *err)
@@ -199,7 +195,7 @@
 		    &g_array_index(s->unsynced, struct gyp_record, i);
 
 		gyp_wal_encode(&buf, rec, h.salt, 0);
-		track_record(s, &seg, rec);
+		gyp_store_track_record(s, &seg, rec);
 	}
 	h.synced = buf.len;
 	gyp_wal_put_header(buf.data, &h);
@@ -230,155 +226,111 @@
 
 /* ---- Replay ------------------------------------------------------------- */
 
-/* A segment read into memory. */
-struct loaded_segment {
-	struct gyp_buf buf;
-	struct gyp_wal_header header;
-};
-
-static enum gyp_status
-load_segment(struct gyp_store *s, guint i, struct loaded_segment *l,
-    struct gyp_error *err)
+enum gyp_status
+gyp_store_replay(
+    struct gyp_store *s, gyp_record_fn fn, void *arg, struct gyp_error *err)
 {
-	l->buf.len = 0;
-	return gyp_data_dir_read_segment(s->dir,
-	    g_array_index(s->segments, struct segment, i).number, &l->buf,
-	    &l->header, err);
+	enum gyp_status st = gyp_store_read(s, fn, arg, err);
+
+	if (st == GYP_OK)
+		st = rotate_segment(s, err);
+	if (st != GYP_FULL)
+		return st;
+	s->full = true; /* the writer thread tries again */
+	if (err != NULL)
+		err->code = GYP_OK;
+	return GYP_OK;
 }
 
-/*
- * Finds the end of the valid records. A segment that has a successor must be
- * valid up to the length in the successor's header; any records past that were
- * copied to the successor.
- */
-static enum gyp_status
-check_segment(struct gyp_store *s, struct loaded_segment *l,
-    const struct loaded_segment *next, size_t *end, struct gyp_error *err)
+bool
+gyp_store_is_full(const struct gyp_store *s)
 {
-	struct gyp_slice all = {l->buf.data, l->buf.len};
-	struct gyp_error cause = {.code = GYP_OK};
-	char *path = gyp_data_dir_segment_path(s->dir, l->header.number);
-	enum gyp_status st;
+	return s->full;
+}
 
-	if (next != NULL) {
-		l->header.synced =
-		    MAX(l->header.synced, next->header.previous_synced);
-		all.len = MIN(all.len, next->header.previous_synced);
-	}
-	st = gyp_wal_check(all, &l->header, end, &cause);
-	if (st == GYP_OK && next == NULL && l->header.sealed)
-		st = gyp_fail(&cause, GYP_CORRUPT,
-		    "log.%" G_GUINT64_FORMAT " is missing after it",
-		    l->header.number + 1);
-	if (st != GYP_OK)
-		gyp_fail(err, st, "%s: %s", path, cause.message);
-	g_free(path);
-	return st;
+void
+gyp_store_set_retry(
+    struct gyp_store *s, uint32_t interval_ms, size_t spare_bytes)
+{
+	s->retry_ms = interval_ms;
+	s->spare_bytes = spare_bytes;
 }
 
-/* Passes the records to fn; collects those past the synced length. */
+/* ---- Waiting for space -------------------------------------------------- */
+
 static void
-deliver_records(struct gyp_store *s, struct segment *seg,
-    const struct loaded_segment *l, size_t end, gyp_record_fn fn, void *arg)
-{
-	struct gyp_slice remaining = {
-	    l->buf.data + GYP_WAL_HEADER_BYTES, end - GYP_WAL_HEADER_BYTES};
-
-	while (remaining.len > 0) {
-		struct gyp_record rec = {.type = GYP_RECORD_VOTE};
-		uint64_t synced;
-		size_t n =
-		    gyp_wal_decode(remaining, l->header.salt, &rec, &synced);
-
-		g_assert(n > 0);
-		track_record(s, seg, &rec);
-		fn(arg, &rec);
-		if (end - remaining.len >= l->header.synced)
-			g_array_append_val(s->unsynced, rec);
-		else
-			g_bytes_unref(rec.data);
-		remaining.data += n;
-		remaining.len -= n;
-	}
+post_result(
+    struct gyp_store *s, enum write_event event, const struct gyp_error *err)
+{
+	struct write_result *result = g_new0(struct write_result, 1);
+
+	result->event = event;
+	result->seq = s->last_seq;
+	result->err = *err;
+	g_async_queue_push(s->results, result);
+	ev_async_send(s->loop, &s->results_ready);
 }
 
-static enum gyp_status
-replay_segments(
-    struct gyp_store *s, gyp_record_fn fn, void *arg, struct gyp_error *err)
+/* Waits for the next attempt; false when the store closes. */
+static bool
+wait_for_retry(struct gyp_store *s)
 {
-	struct loaded_segment pair[2] = {
-	    {{NULL, 0, 0}, {0}}, {{NULL, 0, 0}, {0}}};
-	enum gyp_status st = load_segment(s, 0, &pair[0], err);
-	guint i;
+	gint64 end = g_get_monotonic_time() +
+		     (gint64)s->retry_ms * G_TIME_SPAN_MILLISECOND;
+	bool closing;
 
-	for (i = 0; st == GYP_OK && i < s->segments->len; i++) {
-		struct loaded_segment *l = &pair[i % 2], *next = NULL;
-		size_t end = 0;
-
-		if (i + 1 < s->segments->len) {
-			next = &pair[(i + 1) % 2];
-			st = load_segment(s, i + 1, next, err);
-		}
-		if (st == GYP_OK)
-			st = check_segment(s, l, next, &end, err);
-		if (st != GYP_OK)
-			break;
-		deliver_records(s,
-		    &g_array_index(s->segments, struct segment, i), l, end, fn,
-		    arg);
-		s->header = l->header;
-	}
-	gyp_buf_clear(&pair[0].buf);
-	gyp_buf_clear(&pair[1].buf);
-	return st;
+	g_mutex_lock(&s->lock);
+	while (!s->closing &&
+	       g_cond_wait_until(&s->close_requested, &s->lock, end))
+		continue;
+	closing = s->closing;
+	g_mutex_unlock(&s->lock);
+	return !closing;
 }
 
-static enum gyp_status
-replay_snapshot(struct gyp_store *s, gyp_record_fn fn, void *arg,
-    uint64_t *first, struct gyp_error *err)
+/*
+ * After a failure for lack of space, waits until the spare bytes fit. Returns
+ * true when the operation is to be repeated; otherwise the error stands.
+ */
+static bool
+wait_for_space(struct gyp_store *s, struct gyp_error *err)
 {
-	struct gyp_record rec = {.type = GYP_RECORD_SNAPSHOT};
-	enum gyp_status st =
-	    gyp_data_dir_read_snapshot(s->dir, &rec.data, first, err);
-
-	if (st == GYP_OK && rec.data != NULL)
-		fn(arg, &rec);
-	free_record(&rec);
-	return st;
+	while (err->code == GYP_FULL) {
+		if (!s->full)
+			post_result(s, WRITE_FULL, err);
+		s->full = true;
+		if (!wait_for_retry(s))
+			return false;
+		err->code = GYP_OK;
+		if (gyp_data_dir_probe_space(
+			s->files, s->dir, s->spare_bytes, err) == GYP_OK)
+			return true;
+	}
+	return false;
 }
 
+/* Starts the next segment, and waits for space if needed. */
 static enum gyp_status
-list_segments(struct gyp_store *s, uint64_t first, struct gyp_error *err)
+rotate_when_space(struct gyp_store *s, struct gyp_error *err)
 {
-	GArray *numbers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	enum gyp_status st =
-	    gyp_data_dir_list_segments(s->files, s->dir, first, numbers, err);
-	guint i;
-
-	for (i = 0; i < numbers->len; i++) {
-		struct segment seg = {
-		    .number = g_array_index(numbers, uint64_t, i)};
+	enum gyp_status st;
 
-		g_array_append_val(s->segments, seg);
-	}
-	g_array_free(numbers, TRUE);
-	return st;
+	do {
+		st = rotate_segment(s, err);
+	} while (st != GYP_OK && wait_for_space(s, err));
+	return err->code;
 }
 
-enum gyp_status
-gyp_store_replay(
-    struct gyp_store *s, gyp_record_fn fn, void *arg, struct gyp_error *err)
+/* Reports the end of the wait; all records taken so far are durable. */
+static void
+report_recovered(struct gyp_store *s)
 {
-	uint64_t first;
-	enum gyp_status st = replay_snapshot(s, fn, arg, &first, err);
+	struct gyp_error none = {.code = GYP_OK};
 
-	if (st == GYP_OK)
-		st = list_segments(s, first, err);
-	if (st == GYP_OK)
-		st = replay_segments(s, fn, arg, err);
-	if (st == GYP_OK)
-		st = rotate_segment(s, err);
-	return st;
+	if (!s->full)
+		return;
+	s->full = false;
+	post_result(s, WRITE_RECOVERED, &none);
 }
 
 /* ---- Writer thread ------------------------------------------------------ */
@@ -408,13 +360,15 @@
     struct gyp_store *s, const struct gyp_record *rec, struct gyp_error *err)
 {
 	uint64_t first;
-	enum gyp_status st = rotate_segment(s, err);
+	enum gyp_status st = rotate_when_space(s, err);
 
 	if (st != GYP_OK)
 		return st;
 	first = first_needed_segment(s, rec);
-	st = gyp_data_dir_write_snapshot(
-	    s->files, s->dir, rec->data, first, err);
+	do {
+		st = gyp_data_dir_write_snapshot(
+		    s->files, s->dir, rec->data, first, err);
+	} while (st != GYP_OK && wait_for_space(s, err));
 	if (st == GYP_OK)
 		drop_segments_before(s, first);
 	return st;
@@ -433,7 +387,14 @@
 		st = gyp_file_fail(err, "sync", s->path);
 	if (st == GYP_OK) {
 		s->header.synced += buf->len;
+		g_array_set_size(s->unsynced, 0);
 		st = write_sync_mark(s, err);
+	} else if (wait_for_space(s, err)) {
+		/*
+		 * The bytes past the synced length may be torn, and the sync
+		 * that failed may have dropped them from the page cache.
+		 */
+		st = rotate_when_space(s, err);
 	}
 	gyp_buf_clear(buf);
 	return st;
@@ -443,12 +404,16 @@
 write_record(struct gyp_store *s, struct gyp_buf *buf,
     const struct gyp_record *rec, struct gyp_error *err)
 {
+	struct gyp_record copy = *rec;
 	enum gyp_status st;
 
 	s->last_seq++;
 	if (rec->type != GYP_RECORD_SNAPSHOT) {
-		track_record(s, current_segment(s), rec);
+		gyp_store_track_record(s, current_segment(s), rec);
 		gyp_wal_encode(buf, rec, s->header.salt, s->header.synced);
+		if (copy.data != NULL)
+			g_bytes_ref(copy.data);
+		g_array_append_val(s->unsynced, copy);
 		return GYP_OK;
 	}
 	st = flush(s, buf, err);
@@ -464,17 +429,6 @@
 	g_free(req);
 }
 
-static void
-post_result(struct gyp_store *s, const struct gyp_error *err)
-{
-	struct write_result *result = g_new0(struct write_result, 1);
-
-	result->seq = s->last_seq;
-	result->err = *err;
-	g_async_queue_push(s->results, result);
-	ev_async_send(s->loop, &s->results_ready);
-}
-
 /* Writes all queued records as one batch; false on a request to stop. */
 static bool
 write_batch(struct gyp_store *s, struct gyp_error *err)
@@ -497,8 +451,9 @@
 		flush(s, &buf, err);
 	gyp_buf_clear(&buf);
 	if (err->code != GYP_OK)
-		g_atomic_int_set(&s->failed, 1);
-	post_result(s, err);
+		return false;
+	post_result(s, WRITE_SYNCED, err);
+	report_recovered(s);
 	return more;
 }
 
@@ -506,13 +461,40 @@
 run_writer(gpointer p)
 {
 	struct gyp_store *s = p;
-	struct gyp_error err = {.code = GYP_OK};
+	struct gyp_error err = {.code = s->full ? GYP_FULL : GYP_OK};
 
+	/* There was no space for the first segment after a restart. */
+	if (s->full && wait_for_space(s, &err) &&
+	    rotate_when_space(s, &err) == GYP_OK)
+		report_recovered(s);
 	while (err.code == GYP_OK && write_batch(s, &err))
 		continue;
+	if (err.code != GYP_OK) {
+		g_atomic_int_set(&s->failed, 1);
+		post_result(s, WRITE_FAILED, &err);
+	}
 	return NULL;
 }
 
+static void
+deliver_result(struct gyp_store *s, const struct write_result *result)
+{
+	switch (result->event) {
+	case WRITE_SYNCED:
+		s->owner->ops->synced(s->owner, result->seq);
+		break;
+	case WRITE_FAILED:
+		s->owner->ops->failed(s->owner, &result->err);
+		break;
+	case WRITE_FULL:
+		s->owner->ops->full(s->owner, &result->err);
+		break;
+	case WRITE_RECOVERED:
+		s->owner->ops->recovered(s->owner);
+		break;
+	}
+}
+
 static void
 on_results_ready(struct ev_loop *loop, ev_async *w, int revents)
 {
@@ -522,10 +504,7 @@
 	(void)loop;
 	(void)revents;
 	while ((result = g_async_queue_try_pop(s->results)) != NULL) {
-		if (result->err.code == GYP_OK)
-			s->owner->ops->synced(s->owner, result->seq);
-		else
-			s->owner->ops->failed(s->owner, &result->err);
+		deliver_result(s, result);
 		g_free(result);
 	}
 }
@@ -562,6 +541,10 @@
 	struct write_request *req;
 
 	if (s->thread != NULL) {
+		g_mutex_lock(&s->lock);
+		s->closing = true;
+		g_cond_signal(&s->close_requested);
+		g_mutex_unlock(&s->lock);
 		req = g_new0(struct write_request, 1);
 		req->stop = true;
 		g_async_queue_push(s->requests, req);
@@ -576,6 +559,8 @@
 		close(s->fd);
 	if (s->lock_fd >= 0)
 		close(s->lock_fd);
+	g_mutex_clear(&s->lock);
+	g_cond_clear(&s->close_requested);
 	g_array_free(s->segments, TRUE);
 	g_array_free(s->unsynced, TRUE);
 	g_free(s->path);
--- a/src/store.h
+++ b/src/store.h
@@ -28,6 +28,13 @@
  *	lost, nothing is retried, the failure is reported, and later records
  *	are dropped without being reported as synced.
  *
+ *	When there is no space, the writer reports this, waits and tries again.
+ *	It writes no more to the current segment, whose end may be torn and
+ *	whose unsynced bytes may be lost: all records that are not known to be
+ *	synced go into the next segment, which voids them in the current one.
+ *	Nothing is reported as synced meanwhile. The wait ends when every
+ *	queued record is durable.
+ *
  *	At a restart, valid records past the synced length are kept, and are
  *	written and synced again before they are relied upon. The first
  *	invalid one ends the log. Damage anywhere else is refused with
@@ -47,6 +54,10 @@
 	void (*synced)(struct gyp_store_owner *, uint64_t seq);
 	/* At most once; nothing is reported after it. */
 	void (*failed)(struct gyp_store_owner *, const struct gyp_error *);
+	/* There is no space; records after the last sync are not durable. */
+	void (*full)(struct gyp_store_owner *, const struct gyp_error *);
+	/* There is space again; reported once after each full(). */
+	void (*recovered)(struct gyp_store_owner *);
 };
 
 struct gyp_store_owner {
@@ -72,9 +83,21 @@
 uint64_t gyp_store_id(const struct gyp_store *);
 bool gyp_store_is_new(const struct gyp_store *);
 
-/* Passes all stored records in order to fn, then makes them durable. */
+/*
+ * Passes all stored records in order to fn, then makes them durable. If there
+ * is no space for that, it succeeds, gyp_store_is_full() is true, and the
+ * records must not be relied upon until recovered() is reported.
+ */
 enum gyp_status gyp_store_replay(
     struct gyp_store *, gyp_record_fn, void *arg, struct gyp_error *);
+bool gyp_store_is_full(const struct gyp_store *);
+
+/*
+ * Sets how long to wait before writing again when there was no space, and how
+ * many bytes must then fit beside the records. Call before gyp_store_start().
+ */
+void gyp_store_set_retry(
+    struct gyp_store *, uint32_t interval_ms, size_t spare_bytes);
 
 /* Starts the writer thread; call after gyp_store_replay(). */
 void gyp_store_start(
--- a/test/disks.sh
+++ b/test/disks.sh
@@ -149,6 +149,83 @@
 start_cell 3
 until_true voters 3
 
+leader() {
+	ctl 1 members | awk '$4 == "yes" {print $2}' | sed 's/.*://'
+}
+gauge() {
+	curl -s "http://$(metrics_address "$1")/metrics" |
+	    awk '$1 == "gyp_disk_full" {print $2}'
+}
+is_full() {
+	[ "$(gauge "$1")" = 1 ]
+}
+has_space() {
+	[ "$(gauge "$1")" = 0 ]
+}
+other_leads() {
+	local port
+	port=$(leader) && [ -n "$port" ] && [ "$port" -ne $((base + $1)) ]
+}
+# Applies rules of 8 KB, so that the logs grow to the size of a snapshot.
+version=0
+grow_log() {
+	local base_version
+	base_version=$(ctl 1 rules history | awk '$1 ~ /^[0-9]+$/ {print $1}' |
+	    sort -n | tail -n 1)
+	version=$((version + 1))
+	{
+		echo 'share press 1 # Asha: test'
+		for _ in $(seq 1 100); do
+			printf '# %s %078d\n' "$version" 0
+		done
+	} >"$dir/rules"
+	ctl 1 rules apply "$dir/rules" --base "${base_version:-0}" \
+	    --request "full-$version" --author t --wait 0
+}
+
+echo "== a leader whose disk is full steps down, waits and recovers"
+full=$(($(leader) - base))
+next=$(($(newest_log "$full" | sed 's/.*\.//') + 1))
+ln -s /dev/full "$dir/cell$full/log.$next.tmp"
+for _ in $(seq 1 100); do
+	is_full "$full" && break
+	grow_log >"$dir/last" 2>&1 || true
+done
+is_full "$full" || fail "cell$full is not full"
+until_true other_leads "$full"
+# The version need not be in force yet at the entry.
+rules_accepted() {
+	grow_log 2>&1 | grep -q 'version [0-9]* accepted,'
+}
+until_true rules_accepted
+kill -0 "${pids[cell$full]}" || fail "cell$full exited"
+sleep 2
+is_full "$full" || fail "cell$full does not wait for space"
+rm "$dir/cell$full/log.$next.tmp"
+until_true has_space "$full"
+until_true voters 3
+[ "$(grep -c ' disk-full ' "$dir/cell$full.log")" -eq 1 ] ||
+	fail "cell$full did not log one line when its disk was full"
+[ "$(grep -c ' disk-recovered ' "$dir/cell$full.log")" -eq 1 ] ||
+	fail "cell$full did not log one line when there was space"
+kill_one "cell$full" KILL
+start_cell "$full"
+until_true voters 3
+
+echo "== a replica that starts on a full disk waits"
+kill_one cell3 KILL
+rm -r "$dir/cell3"
+mkdir "$dir/cell3"
+ln -s /dev/full "$dir/cell3/log.1.tmp"
+seen=$(grep -c ' disk-full ' "$dir/cell3.log" || true)
+start_cell 3
+sleep 3
+kill -0 "${pids[cell3]}" || fail "cell3 exited"
+[ "$(grep -c ' disk-full ' "$dir/cell3.log")" -eq $((seen + 1)) ] ||
+	fail "cell3 did not log one line when its disk was full"
+rm "$dir/cell3/log.1.tmp"
+until_true voters 3
+
 echo "== a stopped leader transfers its leadership"
 for n in 1 2 3; do
 	kill -TERM "${pids[cell$n]}"
--- a/test/members_fixture.c
+++ b/test/members_fixture.c
@@ -199,6 +199,7 @@
 		count_raft(c, frame);
 		if (out.entry)
 			take_replies(c, frame);
+		c->frames_while_full += n->disk_full && !out.entry;
 		for (to = 0; to < c->n && !out.entry; to++) {
 			if (g_strcmp0(c->nodes[to].address, out.address) == 0)
 				post_frame(
@@ -208,13 +209,32 @@
 		g_free(out.address);
 		g_bytes_unref(out.packed);
 	}
-	if (wrote) {
+	if (wrote && !n->disk_full) {
 		gyp_replica_synced(
 		    n->replica, c->now, n->disk->len - n->boot_records);
 		collect_output(c, i);
 	}
 }
 
+void
+cell_fill_disk(struct cell *c, int i)
+{
+	gyp_replica_suspend(c->nodes[i].replica, c->now);
+	collect_output(c, i);
+	c->nodes[i].disk_full = true;
+}
+
+void
+cell_free_disk(struct cell *c, int i)
+{
+	struct node *n = &c->nodes[i];
+
+	n->disk_full = false;
+	gyp_replica_synced(n->replica, c->now, n->disk->len - n->boot_records);
+	gyp_replica_resume(n->replica, c->now);
+	collect_output(c, i);
+}
+
 /*
  * In cells with an odd seed, replicas accept all frames of an iteration before
  * they process them, as the daemon does; with an even seed they process each.
--- a/test/members_fixture.h
+++ b/test/members_fixture.h
@@ -27,6 +27,7 @@
 	const char *data_centre;
 	GPtrArray *disk;    /* struct gyp_record */
 	guint boot_records; /* records on the disk at the start */
+	bool disk_full;     /* records are kept but not synced */
 };
 
 struct frame {
@@ -45,6 +46,7 @@
 	uint64_t last_replica_id;
 	uint32_t seed;
 	uint32_t catch_up_ms;            /* 0 for the default */
+	uint32_t frames_while_full;      /* between replicas, from a full one */
 	uint32_t snapshots, log_entries; /* sent to any replica */
 	Gyp__Reply *reply;               /* the latest to the entry */
 };
@@ -55,6 +57,10 @@
 
 void cell_lose_disk(struct cell *c, int i);
 
+/* A disk without space; the replica is told, and told when there is space. */
+void cell_fill_disk(struct cell *c, int i);
+void cell_free_disk(struct cell *c, int i);
+
 /* Adds and starts a replica with an empty disk; returns its index. */
 int cell_add_node(struct cell *c, char centre);
 
--- a/test/sim.h
+++ b/test/sim.h
@@ -100,6 +100,7 @@
 	guint synced;           /* records that survive a kill */
 	guint records_at_start; /* records on disk when it started */
 	uint64_t sync_at;
+	uint64_t full_until; /* the disk has no space; 0 for none */
 	uint64_t join_at;
 	uint64_t applied; /* applied index at the last check */
 	uint64_t rules;   /* version of the rules at the last check */
@@ -199,7 +200,7 @@
 
 	/* Statistics, printed at the end of a seed. */
 	uint32_t n_starts, n_kills, n_partitions, n_freezes, n_disks_lost,
-	    n_leaves;
+	    n_disks_full, n_leaves;
 	uint32_t n_done, n_failed, n_not_run, n_unknown, n_applied;
 	uint64_t leaderless_since, max_leaderless_ms;
 	uint64_t max_rules_lag_ms;
@@ -241,6 +242,9 @@
 /* sim_proc.c */
 void sim_replica_start(struct sim *, int node);
 void sim_replica_kill(struct sim *, int node, bool lose_disk);
+
+/* The disk has no space for a while, also after a restart. */
+void sim_fill_disk(struct sim *, int node, uint32_t ms);
 void sim_entry_start(struct sim *, int node);
 void sim_entry_kill(struct sim *, int node);
 void sim_receive(struct sim *, int node, const struct sim_msg *);
--- a/test/sim_proc.c
+++ b/test/sim_proc.c
@@ -180,6 +180,8 @@
 	n->applied = 0;
 	n->rules = 0;
 	load_disk(n);
+	if (n->full_until != 0)
+		gyp_replica_suspend(n->replica, sim_clock(s, node));
 	/*
 	 * The bootstrap is repeated if the replica was killed before its first
 	 * record was on disk.
@@ -221,6 +223,7 @@
 	g_ptr_array_free(n->disk, TRUE);
 	n->disk = NULL;
 	n->synced = 0;
+	n->full_until = 0;
 	s->n_disks_lost++;
 }
 
@@ -294,6 +297,9 @@
 			n->sync_at = s->now + sync_time(s);
 	}
 	while (gyp_replica_pop_frame(n->replica, &out)) {
+		if (n->full_until != 0 && !out.entry)
+			sim_fail(
+			    s, "replica %d sends while its disk is full", node);
 		queue_frame(n,
 		    out.entry ? node_of_entry(s, out.to)
 			      : node_of_address(s, out.address),
@@ -533,13 +539,54 @@
 		    applied, node);
 }
 
+void
+sim_fill_disk(struct sim *s, int node, uint32_t ms)
+{
+	struct sim_node *n = &s->nodes[node];
+
+	if (!sim_is_running(s, node) || n->full_until != 0)
+		return;
+	sim_trace(s, "disk of replica %d is full for %u ms", node, ms);
+	gyp_replica_suspend(n->replica, sim_clock(s, node));
+	sim_process_output(s, node);
+	n->full_until = s->now + ms;
+	s->n_disks_full++;
+}
+
 static void
-step_replica(struct sim *s, int node)
+free_disk(struct sim *s, int node)
+{
+	struct sim_node *n = &s->nodes[node];
+
+	sim_trace(s, "disk of replica %d has space", node);
+	n->full_until = 0;
+	sync_disk(s, node);
+	gyp_replica_resume(n->replica, sim_clock(s, node));
+	sim_process_output(s, node);
+}
+
+static void
+step_disk(struct sim *s, int node)
 {
 	struct sim_node *n = &s->nodes[node];
 
-	if (n->sync_at != 0 && s->now >= n->sync_at)
+	if (n->full_until != 0) {
+		if (gyp_replica_serving(n->replica))
+			sim_fail(s, "replica %d serves while its disk is full",
+			    node);
+		if (s->now >= n->full_until)
+			free_disk(s, node);
+	} else if (n->sync_at != 0 && s->now >= n->sync_at) {
 		sync_disk(s, node);
+	}
+}
+
+static void
+step_replica(struct sim *s, int node)
+{
+	struct sim_node *n = &s->nodes[node];
+
+	step_disk(s, node);
 	/* Node 0 bootstraps the cell; it does not join at its first start. */
 	if (s->now >= n->join_at && (node > 0 || n->start_count > 1))
 		request_join(s, node);
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -170,6 +170,12 @@
 		freeze_one(s, leader);
 	if (sim_one_in(s, 400))
 		partition_one(s);
+	if (sim_one_in(s, 800))
+		sim_fill_disk(s,
+		    leader >= 0 && sim_one_in(s, 2)
+			? leader
+			: sim_random(s, 0, s->n_replicas),
+		    (uint32_t)sim_random(s, 50, 8000));
 	if (sim_one_in(s, 100))
 		sim_break_connections(s, random_process(s), random_process(s));
 	if (sim_one_in(s, s->worst_clocks ? 4000 : 700)) {
@@ -225,6 +231,7 @@
 		s->nodes[i].freeze_at_send = false;
 		s->nodes[i].frozen_until =
 		    MIN(s->nodes[i].frozen_until, s->now);
+		s->nodes[i].full_until = MIN(s->nodes[i].full_until, s->now);
 	}
 	sim_endpoints_end_faults(s);
 	s->faults_ended_at = s->now;
@@ -383,12 +390,13 @@
 	g_test_message(
 	    "seed %u: starts %u; done %u failed %u not_run %u "
 	    "unknown %u; applies %u leaves %u; kills %u lost disks %u "
+	    "full disks %u "
 	    "partitions %u freezes %u; recovered after %" G_GUINT64_FORMAT
 	    " ms; longest time without a leader %" G_GUINT64_FORMAT
 	    " ms; longest lag of rules %" G_GUINT64_FORMAT " ms",
 	    seed, s->n_starts, s->n_done, s->n_failed, s->n_not_run,
 	    s->n_unknown, s->n_applied, s->n_leaves, s->n_kills,
-	    s->n_disks_lost, s->n_partitions, s->n_freezes,
+	    s->n_disks_lost, s->n_disks_full, s->n_partitions, s->n_freezes,
 	    s->now - s->faults_ended_at, s->max_leaderless_ms,
 	    s->max_rules_lag_ms);
 	teardown(s);
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -425,6 +425,96 @@
 	}
 }
 
+/*
+ * A leader whose disk is full stops serving at once, another takes over within
+ * an election timeout, and the first takes no part until there is space.
+ */
+static void
+test_full_leader(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 10; seed++) {
+		const struct gyp_raft *raft;
+		struct cell c;
+		uint64_t term;
+		int lead;
+
+		cell_init(&c, seed, "abc");
+		cell_settle(&c);
+		lead = cell_leader(&c);
+		raft = gyp_replica_raft(c.nodes[lead].replica);
+		term = gyp_raft_term(raft);
+		cell_fill_disk(&c, lead);
+		g_assert_false(gyp_replica_serving(c.nodes[lead].replica));
+		g_assert_cmpint(gyp_raft_role(raft), ==, GYP_RAFT_FOLLOWER);
+		cell_run(&c, ELECTION_MS);
+		g_assert_cmpint(cell_leader(&c), >=, 0);
+		g_assert_cmpint(cell_leader(&c), !=, lead);
+		g_assert_true(cell_announce(&c, 1));
+		cell_run(&c, 20 * ELECTION_MS);
+		g_assert_cmpuint(gyp_raft_term(raft), ==, term);
+		g_assert_cmpuint(c.frames_while_full, ==, 0);
+
+		term = gyp_raft_term(
+		    gyp_replica_raft(c.nodes[cell_leader(&c)].replica));
+		cell_free_disk(&c, lead);
+		cell_run(&c, 2 * ELECTION_MS);
+		g_assert_cmpuint(gyp_raft_term(raft), ==, term);
+		g_assert_cmpuint(gyp_raft_applied_index(raft), ==,
+		    gyp_raft_applied_index(
+			gyp_replica_raft(c.nodes[cell_leader(&c)].replica)));
+		cell_clear(&c);
+	}
+}
+
+/* Two voters whose disks are full count towards no majority. */
+static void
+test_full_majority(void)
+{
+	struct cell c;
+	uint64_t commit;
+	int lead, i;
+
+	cell_init(&c, 1, "abc");
+	cell_settle(&c);
+	lead = cell_leader(&c);
+	commit = gyp_raft_commit_index(gyp_replica_raft(c.nodes[lead].replica));
+	for (i = 0; i < c.n; i++) {
+		if (i != lead)
+			cell_fill_disk(&c, i);
+	}
+	g_assert_false(cell_announce(&c, 1));
+	cell_run(&c, 20 * ELECTION_MS);
+	g_assert_cmpint(cell_leader(&c), ==, -1);
+	g_assert_cmpuint(
+	    gyp_raft_commit_index(gyp_replica_raft(c.nodes[lead].replica)), ==,
+	    commit);
+	g_assert_cmpuint(c.frames_while_full, ==, 0);
+	cell_free_disk(&c, (lead + 1) % 3);
+	cell_run(&c, 6 * ELECTION_MS);
+	g_assert_true(cell_announce(&c, 2));
+	cell_clear(&c);
+}
+
+/* A cell of one replica goes on when there is space again. */
+static void
+test_full_single(void)
+{
+	struct cell c;
+
+	cell_init(&c, 1, "a");
+	cell_settle(&c);
+	g_assert_true(cell_announce(&c, 1));
+	cell_fill_disk(&c, 0);
+	cell_run(&c, 20 * ELECTION_MS);
+	g_assert_cmpint(cell_leader(&c), ==, -1);
+	cell_free_disk(&c, 0);
+	cell_run(&c, 4 * ELECTION_MS);
+	g_assert_true(cell_announce(&c, 2));
+	cell_clear(&c);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -440,5 +530,8 @@
 	g_test_add_func("/members/successor", test_successor);
 	g_test_add_func("/members/growth", test_catch_up_by_snapshot);
 	g_test_add_func("/members/snapshots-apart", test_snapshots_apart);
+	g_test_add_func("/members/full-leader", test_full_leader);
+	g_test_add_func("/members/full-majority", test_full_majority);
+	g_test_add_func("/members/full-single", test_full_single);
 	return g_test_run();
 }
