Tests: a full replica sends nothing when its records are synced either

Cause: the model disks told a replica that there is space before they synced its records, so that votes and acknowledgements kept over the suspension were not seen. And full disks among the faults of test_cell changed the course of its seeds, so that mutants had to search for 1, 3, 7, 8 and 11.

--- a/test/members_fixture.c
+++ b/test/members_fixture.c
@@ -229,8 +229,9 @@
 {
 	struct node *n = &c->nodes[i];
 
-	n->disk_full = false;
 	gyp_replica_synced(n->replica, c->now, n->disk->len - n->boot_records);
+	collect_output(c, i);
+	n->disk_full = false;
 	gyp_replica_resume(n->replica, c->now);
 	collect_output(c, i);
 }
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -9,17 +9,17 @@
 
 # Number in src/mutant.h, seed that detects it, fault.
 mutants="
-1 1 a start is sent before its commit
+1 4 a start is sent before its commit
 2 567 a lease expires without the bound on clock rates
-3 12 a replica with a lost disk keeps its id and its vote
+3 36 a replica with a lost disk keeps its id and its vote
 4 3 a restart loses the newest rules
 5 1 a call without an answer is reported as not_run
 6 1 the tasks of a gang are placed one by one
-7 3 an acknowledgement is sent before the sync
-8 27 an entry carries out orders of a deposed leader
+7 43 an acknowledgement is sent before the sync
+8 1 an entry carries out orders of a deposed leader
 9 1 a second attempt of a job that is not idempotent
 10 7 cancelled runs continue
-11 4 an order is valid for the next incarnation of an endpoint
+11 10 an order is valid for the next incarnation of an endpoint
 "
 
 # detected MUTANT SEED: succeeds if the run fails; prints the failed check.
--- a/test/sim_proc.c
+++ b/test/sim_proc.c
@@ -559,8 +559,8 @@
 	struct sim_node *n = &s->nodes[node];
 
 	sim_trace(s, "disk of replica %d has space", node);
+	sync_disk(s, node); /* sends nothing: see collect_replica_output() */
 	n->full_until = 0;
-	sync_disk(s, node);
 	gyp_replica_resume(n->replica, sim_clock(s, node));
 	sim_process_output(s, node);
 }
