Removals: shift the kept ones in a loop

Cause: clang-tidy refuses the size of a pointer to a structure in memmove() (bugprone-sizeof-expression).

Measured: clang-tidy of src/replica_members.c named this line before and nothing now; test_members passes, with more removals than are kept (/members/many-removals).

--- a/src/replica_members.c
+++ b/src/replica_members.c
@@ -189,15 +189,19 @@
 change_record_removal(
     struct change *ch, const Gyp__Member *m, uint64_t entry, uint64_t call)
 {
+	size_t i;
+
 	gyp__removal__init(&ch->removal);
 	ch->removal.member = m->id;
 	ch->removal.address = m->address;
 	ch->removal.entry = entry;
 	ch->removal.call = call;
 	ch->next.removals[ch->next.n_removals++] = &ch->removal;
-	if (ch->next.n_removals > REMOVALS_MAX)
-		memmove(ch->next.removals, ch->next.removals + 1,
-		    --ch->next.n_removals * sizeof(*ch->next.removals));
+	if (ch->next.n_removals <= REMOVALS_MAX)
+		return;
+	ch->next.n_removals--;
+	for (i = 0; i < ch->next.n_removals; i++)
+		ch->next.removals[i] = ch->next.removals[i + 1];
 }
 
 static bool
