--- a/test/members_fixture.c
+++ b/test/members_fixture.c
@@ -199,6 +199,7 @@
 		count_raft(c, frame);
 		if (out.entry)
 			take_replies(c, frame);
+		c->frames_while_full += n->disk_full && !out.entry;
 		for (to = 0; to < c->n && !out.entry; to++) {
 			if (g_strcmp0(c->nodes[to].address, out.address) == 0)
 				post_frame(
@@ -208,13 +209,33 @@
 		g_free(out.address);
 		g_bytes_unref(out.packed);
 	}
-	if (wrote) {
+	if (wrote && !n->disk_full) {
 		gyp_replica_synced(
 		    n->replica, c->now, n->disk->len - n->boot_records);
 		collect_output(c, i);
 	}
 }
 
+void
+cell_fill_disk(struct cell *c, int i)
+{
+	gyp_replica_suspend(c->nodes[i].replica, c->now);
+	collect_output(c, i);
+	c->nodes[i].disk_full = true;
+}
+
+void
+cell_free_disk(struct cell *c, int i)
+{
+	struct node *n = &c->nodes[i];
+
+	gyp_replica_synced(n->replica, c->now, n->disk->len - n->boot_records);
+	collect_output(c, i);
+	n->disk_full = false;
+	gyp_replica_resume(n->replica, c->now);
+	collect_output(c, i);
+}
+
 /*
  * In cells with an odd seed, replicas accept all frames of an iteration before
  * they process them, as the daemon does; with an even seed they process each.
@@ -381,7 +402,6 @@
 	g_assert_cmpint(i, >=, 0);
 	gyp_message_free(c->reply);
 	c->reply = NULL;
-	msg->id = 1;
 	up.round = ++c->round;
 	up.n_calls = 1;
 	up.calls = &msg;
@@ -391,19 +411,27 @@
 	collect_output(c, i);
 }
 
-Gyp__Code
-cell_remove_member(struct cell *c, const char *name)
+void
+cell_send_removal(struct cell *c, uint64_t call, const char *name)
 {
 	Gyp__Call msg = GYP__CALL__INIT;
 	Gyp__Admin admin = GYP__ADMIN__INIT;
-	int tries;
 
 	admin.op = GYP__ADMIN_OP__ADMIN_REMOVE_MEMBER;
 	admin.name = (char *)name;
+	msg.id = call;
 	msg.c_case = GYP__CALL__C_ADMIN;
 	msg.admin = &admin;
+	send_call(c, &msg);
+}
+
+Gyp__Code
+cell_remove_member(struct cell *c, const char *name)
+{
+	int tries;
+
 	for (tries = 0; tries < 20; tries++) {
-		send_call(c, &msg);
+		cell_send_removal(c, ++c->calls, name);
 		cell_run(c, 500);
 		g_assert_nonnull(c->reply);
 		if (c->reply->code != GYP__CODE__CODE_BUSY)
@@ -428,6 +456,7 @@
 	ep.capacity = &capacity;
 	ep.connections = 1;
 	ep.incarnation = nth;
+	msg.id = ++c->calls;
 	msg.c_case = GYP__CALL__C_ANNOUNCE;
 	msg.announce = &ep;
 	send_call(c, &msg);
--- a/test/members_fixture.h
+++ b/test/members_fixture.h
@@ -27,6 +27,7 @@
 	const char *data_centre;
 	GPtrArray *disk;    /* struct gyp_record */
 	guint boot_records; /* records on the disk at the start */
+	bool disk_full;     /* records are kept but not synced */
 };
 
 struct frame {
@@ -41,9 +42,11 @@
 	GQueue frames; /* struct frame */
 	uint64_t now;
 	uint64_t round;
+	uint64_t calls; /* id of the latest call of the entry */
 	uint64_t last_replica_id;
 	uint32_t seed;
 	uint32_t catch_up_ms;            /* 0 for the default */
+	uint32_t frames_while_full;      /* between replicas, from a full one */
 	uint32_t snapshots, log_entries; /* sent to any replica */
 	Gyp__Reply *reply;               /* the latest to the entry */
 };
@@ -54,6 +57,10 @@
 
 void cell_lose_disk(struct cell *c, int i);
 
+/* A disk without space; the replica is told, and told when there is space. */
+void cell_fill_disk(struct cell *c, int i);
+void cell_free_disk(struct cell *c, int i);
+
 /* Adds and starts a replica with an empty disk; returns its index. */
 int cell_add_node(struct cell *c, char centre);
 
@@ -77,6 +84,9 @@
 
 void cell_assert_centres(const struct cell *c, const char *expected);
 
+/* Sends a removal to the leader; the reply arrives later. */
+void cell_send_removal(struct cell *c, uint64_t call, const char *name);
+
 /* Repeats the request while another change is uncommitted. */
 Gyp__Code cell_remove_member(struct cell *c, const char *name);
 
