Operators see workspaces: report, metrics and a log line

Cause: the use, the cap and the reason why a workspace waits were known to the leader only, and gyp_flow_submits_total had one label for each workspace of the manifest, so that a large manifest could fill the table of counters.

Change: workspace_view.c gathers what the tables, the placer and the intake know of each workspace. `gypctl workspaces` and GET /v1/admin/workspaces show it (operation 17). The placer keeps the first reason in a round for which tasks of a workspace got no run; the report repeats it rather than deciding again. workspace_metrics.c gives the first 64 workspaces with flows a label of their own and sums the others as "other".

Result: test_workspaces and workspaces.sh pass with the sanitizers, as do operators, cases, man, api, names, wall_clock, platform, test_flows, test_placer and test_cell.

--- a/src/admin.c
+++ b/src/admin.c
@@ -111,6 +111,8 @@
 		return endpoints_json(r);
 	case GYP__ADMIN_OP__ADMIN_MEMBERS:
 		return members_json(r);
+	case GYP__ADMIN_OP__ADMIN_WORKSPACES:
+		return gyp_admin_workspaces(r);
 	case GYP__ADMIN_OP__ADMIN_RULES:
 		return gyp_admin_rules(r, admin->version);
 	case GYP__ADMIN_OP__ADMIN_HISTORY:
--- a/src/api_admin.c
+++ b/src/api_admin.c
@@ -26,7 +26,8 @@
 		Gyp__AdminOp op;
 	} ops[] = {{"status", GYP__ADMIN_OP__ADMIN_STATUS},
 	    {"endpoints", GYP__ADMIN_OP__ADMIN_ENDPOINTS},
-	    {"members", GYP__ADMIN_OP__ADMIN_MEMBERS}};
+	    {"members", GYP__ADMIN_OP__ADMIN_MEMBERS},
+	    {"workspaces", GYP__ADMIN_OP__ADMIN_WORKSPACES}};
 	Gyp__Call call = GYP__CALL__INIT;
 	Gyp__Admin msg = GYP__ADMIN__INIT;
 	size_t i;
--- a/src/api_int.h
+++ b/src/api_int.h
@@ -14,7 +14,8 @@
  *	api.c			routing, replies and calls to the core
  *	api_jobs.c		callers: jobs and keys
  *	api_endpoints.c	endpoints: announcements, heartbeats, finished runs
- *	api_admin.c		operators: status, endpoints, members
+ *	api_admin.c		operators: status, endpoints, members,
+ *				workspaces
  *	api_rules.c		operators: rules, explanations, drains,
  *				removal of members
  */
--- a/src/counters.h
+++ b/src/counters.h
@@ -22,6 +22,10 @@
  *	gyp_retries_total{class}		placements of later attempts
  *	gyp_questions_total			queries about unlisted attempts
  *	gyp_flow_submits_total{workspace,verdict}	flows decided on
+ *	gyp_workspace_used{workspace,resource}	gauge, booked by open runs
+ *	gyp_workspace_cap{workspace,resource}	gauge, 0 for no limit
+ *	gyp_workspace_open_runs{workspace}	gauge
+ *	gyp_workspace_waiting_tasks{workspace}	gauge, tasks that could start
  *	gyp_refused_total{reason}		requests refused by the API
  *	gyp_run_forecast_error_seconds{queue}	real minus forecast run time,
  *						without its sign
@@ -33,7 +37,8 @@
  *	gyp_open_requests			gauge, open calls of an entry
  *	gyp_open_attempts			gauge, open attempts of an entry
  *
- *	Names that end in _seconds are histograms.
+ *	Names that end in _seconds are histograms. The label workspace has a
+ *	bounded number of values, see workspace_metrics.h.
  */
 
 /* Most counters kept; all others are counted in gyp_uncounted_total. */
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -14,7 +14,8 @@
  * DESCRIPTION
  *	gypctl.c	command line
  *	gypctl_rules.c	rules: check, diff, apply, history, show
- *	gypctl_views.c	commands about jobs, endpoints and members
+ *	gypctl_views.c	commands about jobs, endpoints, workspaces
+ *			and members
  *	ctl_http.c	requests to any of the entries
  *	ctl_table.c	aligned columns
  */
@@ -103,6 +104,7 @@
 int gyp_ctl_rules_status(struct gyp_ctl *, char **args);
 int gyp_ctl_status(struct gyp_ctl *, char **args);
 int gyp_ctl_endpoints(struct gyp_ctl *, char **args);
+int gyp_ctl_workspaces(struct gyp_ctl *, char **args);
 int gyp_ctl_drain(struct gyp_ctl *, char **args);
 int gyp_ctl_members(struct gyp_ctl *, char **args);
 int gyp_ctl_members_remove(struct gyp_ctl *, char **args);
--- a/src/event.c
+++ b/src/event.c
@@ -5,6 +5,11 @@
 /* Length of a budget's window, in ms. */
 #define WINDOW_MS 1000
 
+/* Characters of names that the log shows as they are. */
+#define NAME_CHARACTERS                                                        \
+	"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789"       \
+	"-_./:@+"
+
 /* Lines of one kind of event in the current window. */
 struct line_count {
 	const char *name;
@@ -87,6 +92,12 @@
 	va_end(ap);
 }
 
+char *
+gyp_event_name(const char *name)
+{
+	return g_strcanon(g_strdup(name), NAME_CHARACTERS, '_');
+}
+
 bool
 gyp_events_pop(struct gyp_events *ev, struct gyp_event *e)
 {
--- a/src/event.h
+++ b/src/event.h
@@ -39,6 +39,12 @@
 void gyp_events_add(struct gyp_events *, const char *name, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 
+/*
+ * Returns a copy of a name that callers or operators chose, without what could
+ * be mistaken for another field or line of the log.
+ */
+char *gyp_event_name(const char *name);
+
 /* Removes the oldest event; false when there is none. */
 bool gyp_events_pop(struct gyp_events *, struct gyp_event *);
 
--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -3,7 +3,6 @@
 #include "admission.h"
 #include "flow_scheduler.h"
 #include "msg.h"
-#include "placer.h"
 #include "run_stats.h"
 #include "straggler.h"
 
@@ -17,11 +16,6 @@
 #define FORECAST_LOG_MS  5000
 #define FORECASTS_LOGGED 5
 
-/* Characters of names that the log shows as they are. */
-#define LOG_NAME_CHARACTERS                                                    \
-	"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789"       \
-	"-_./:@+"
-
 /* Interval of the straggler check, in ms. */
 #define STRAGGLER_CHECK_MS 150
 
@@ -496,13 +490,6 @@
 	    last->over_quota, last->no_capacity, last->queried);
 }
 
-/* Replaces what could be mistaken for another field or line of the log. */
-static char *
-log_name(const char *name)
-{
-	return g_strcanon(g_strdup(name), LOG_NAME_CHARACTERS, '_');
-}
-
 /* Logs the forecasts of the kinds with the most runs since the last time. */
 static void
 log_forecasts(struct gyp_flow_scheduler *fs)
@@ -515,9 +502,9 @@
 	    gyp_flows_forecast(fs->flows), reports, FORECASTS_LOGGED);
 	for (i = 0; i < n; i++) {
 		const struct gyp_run_forecast_report *r = &reports[i];
-		char *queue = log_name(r->queue);
-		char *workspace = log_name(r->workspace);
-		char *image = log_name(r->image);
+		char *queue = gyp_event_name(r->queue);
+		char *workspace = gyp_event_name(r->workspace);
+		char *image = gyp_event_name(r->image);
 
 		gyp_events_add(fs->events, "run-forecast",
 		    "queue=%s workspace=%s image=%s runs=%" G_GUINT64_FORMAT
@@ -635,6 +622,12 @@
 	return fs->fleet;
 }
 
+const struct gyp_placer *
+gyp_flow_scheduler_placer(const struct gyp_flow_scheduler *fs)
+{
+	return fs->placer;
+}
+
 /* ---- Construction ------------------------------------------------------- */
 
 struct gyp_flow_scheduler *
--- a/src/flow_scheduler.h
+++ b/src/flow_scheduler.h
@@ -7,6 +7,7 @@
 #include "fleet.h"
 #include "flow.h"
 #include "load_shed.h"
+#include "placer.h"
 
 /*
  * NAME
@@ -58,6 +59,8 @@
     uint64_t now, uint64_t entry, const Gyp__Advised *);
 
 struct gyp_fleet *gyp_flow_scheduler_fleet(struct gyp_flow_scheduler *);
+const struct gyp_placer *gyp_flow_scheduler_placer(
+    const struct gyp_flow_scheduler *);
 
 /*
  * The load of a pool of endpoints: its capacity as of the latest load line in
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -62,6 +62,8 @@
 #include "usage.h"              /* latest measured usage */
 #include "wal.h"                /* segments of the write-ahead log */
 #include "workspace.h"          /* workspaces and their API keys */
+#include "workspace_metrics.h"  /* metrics and log line of workspaces */
+#include "workspace_view.h"     /* what operators see of workspaces */
 
 /* ---- Core: the entry ----------------------------------------------------- */
 #include "entry.h"       /* open calls and start orders of one entry */
--- a/src/gypctl.c
+++ b/src/gypctl.c
@@ -54,6 +54,8 @@
     {"status", NULL, "print statistics of the cell", gyp_ctl_status, 0, false},
     {"endpoints", NULL, "list the announced endpoints", gyp_ctl_endpoints, 0,
 	false},
+    {"workspaces", NULL, "list the workspaces and what they use",
+	gyp_ctl_workspaces, 0, false},
     {"drain", "ENDPOINT", "stop giving an endpoint new work", gyp_ctl_drain,
 	TAKES_UNDO, false},
     {"members remove", "ID", "remove a replica from the cell",
--- a/src/gypctl_views.c
+++ b/src/gypctl_views.c
@@ -123,6 +123,62 @@
 	return code;
 }
 
+/* ---- Workspaces -------------------------------------------------------- */
+
+/* Returns "used/cap" of one resource as new text, in a unit; "-": no limit. */
+static char *
+format_use(const json_t *row, const char *field, json_int_t unit)
+{
+	json_int_t used = json_integer_value(
+	    json_object_get(json_object_get(row, "used"), field));
+	json_int_t cap = json_integer_value(
+	    json_object_get(json_object_get(row, "cap"), field));
+
+	if (cap == 0)
+		return g_strdup_printf("%.4g/-", (double)used / (double)unit);
+	return g_strdup_printf("%.4g/%.4g", (double)used / (double)unit,
+	    (double)cap / (double)unit);
+}
+
+static void
+add_workspace(struct gyp_ctl_table *table, const json_t *row)
+{
+	double weight = json_number_value(json_object_get(row, "weight"));
+
+	gyp_ctl_table_add(table, gyp_ctl_value(row, "name"),
+	    weight > 0 ? g_strdup_printf("%.4g", weight) : g_strdup("-"),
+	    format_use(row, "cpu_milli", 1000),
+	    format_use(row, "memory_bytes", 1 << 30),
+	    format_use(row, "accelerators", 1), gyp_ctl_value(row, "open_runs"),
+	    gyp_ctl_value(row, "waiting_tasks"),
+	    gyp_ctl_value(row, "later_tasks"), gyp_ctl_value(row, "accepted"),
+	    gyp_ctl_value(row, "excess"), gyp_ctl_value(row, "refused"),
+	    gyp_ctl_value(row, "next_waits_for"), NULL);
+}
+
+int
+gyp_ctl_workspaces(struct gyp_ctl *ctl, char **args)
+{
+	static const char *const header[] = {"WORKSPACE", "WEIGHT", "CPU",
+	    "GIB", "ACCEL", "RUNS", "WAITING", "LATER", "ACCEPTED", "EXCESS",
+	    "REFUSED", "NEXT-WAITS-FOR", NULL};
+	int code;
+	json_t *json =
+	    request_json(ctl, "GET", "/v1/admin/workspaces", "", "", &code);
+	struct gyp_ctl_table *table;
+	json_t *row;
+	size_t i;
+
+	(void)args;
+	if (json == NULL)
+		return code;
+	table = gyp_ctl_table_new(header);
+	json_array_foreach(json, i, row) add_workspace(table, row);
+	gyp_ctl_table_print(table);
+	json_decref(json);
+	return code;
+}
+
 /* ---- Members ----------------------------------------------------------- */
 
 int
--- a/src/placer.c
+++ b/src/placer.c
@@ -43,6 +43,7 @@
 	uint32_t least_urgent; /* highest rank of the active flows */
 	GArray *proposed;      /* struct gyp_res by row of workspace */
 	GHashTable *waiting;   /* interned pool -> double, see placer.h */
+	GArray *waits;         /* enum gyp_placer_wait by row of workspace */
 	struct gyp_placer_summary summary;
 };
 
@@ -83,6 +84,28 @@
 	return u->left > u->open && !(u->step->gang && u->open > 0);
 }
 
+void
+gyp_placer_count_waiting(const struct gyp_flow *flow, uint64_t wall_ms,
+    uint32_t *waiting, uint32_t *later)
+{
+	uint32_t i;
+
+	*waiting = 0;
+	*later = 0;
+	if (!gyp_flow_is_alive(flow))
+		return;
+	for (i = 0; i < flow->n_units; i++) {
+		const struct gyp_flow_unit *u = &flow->units[i];
+		uint32_t *n =
+		    is_due(flow, u, wall_ms) && gyp_flow_unit_is_ready(flow, u)
+			? waiting
+			: later;
+
+		if (has_waiting(u))
+			*n += u->left - u->open;
+	}
+}
+
 static void
 add_candidate(struct gyp_placer *p, struct gyp_flow *flow,
     struct gyp_flow_unit *unit, uint64_t wall_ms)
@@ -159,6 +182,31 @@
 		gyp_res_add(proposed, &c->unit->size);
 }
 
+/* ---- Why a workspace waits ---------------------------------------------- */
+
+/* Only the first reason in a round counts: units are in order of urgency. */
+static void
+note_wait(struct gyp_placer *p, const struct gyp_candidate *c,
+    enum gyp_placer_wait why)
+{
+	enum gyp_placer_wait *wait;
+
+	if (c->flow->use == NULL)
+		return;
+	wait =
+	    &g_array_index(p->waits, enum gyp_placer_wait, c->flow->use->row);
+	if (*wait == GYP_PLACER_WAIT_NONE)
+		*wait = why;
+}
+
+enum gyp_placer_wait
+gyp_placer_wait(const struct gyp_placer *p, const struct gyp_workspace_use *use)
+{
+	return use->row < p->waits->len
+		   ? g_array_index(p->waits, enum gyp_placer_wait, use->row)
+		   : GYP_PLACER_WAIT_NONE;
+}
+
 /* ---- Placement ---------------------------------------------------------- */
 
 static void
@@ -470,6 +518,8 @@
 	g_hash_table_remove_all(p->waiting);
 	g_array_set_size(p->proposed, 0);
 	g_array_set_size(p->proposed, gyp_workspaces_size(p->flows));
+	g_array_set_size(p->waits, 0);
+	g_array_set_size(p->waits, gyp_workspaces_size(p->flows));
 	find_candidates(p, wall_ms);
 	p->summary.units = p->units->len;
 	if (p->units->len == 0 && p->prefetch->len == 0)
@@ -480,20 +530,28 @@
 		const struct gyp_candidate *c =
 		    &g_array_index(p->units, struct gyp_candidate, i);
 		uint32_t waiting;
+		bool limited, queried;
 
 		if (p->runs_left == 0) {
 			add_waiting(p, c, quota_allowance(p, c));
 			continue;
 		}
+		limited = quota_allowance(p, c) < c->unit->left - c->unit->open;
 		waiting = place_unit(p, c, cmds);
 		add_waiting(p, c, waiting);
-		if (waiting == 0)
+		if (waiting == 0) {
+			if (limited)
+				note_wait(p, c, GYP_PLACER_WAIT_QUOTA);
 			continue;
+		}
 		p->summary.no_capacity++;
 		query_about(p, c, waiting,
 		    slots_for(c, free_slots, total_slots), queries);
-		p->summary.queried += gyp_admission_has_pending_query(
+		queried = gyp_admission_has_pending_query(
 		    gyp_admission_unit(p->admission, c->flow, c->unit));
+		p->summary.queried += queried;
+		note_wait(p, c,
+		    queried ? GYP_PLACER_WAIT_QUERY : GYP_PLACER_WAIT_CAPACITY);
 		reserve_capacity(p, c, waiting);
 	}
 	prefetch_queries(p, free_slots, total_slots, queries);
@@ -533,6 +591,7 @@
 	p->prefetch = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
 	p->proposed = g_array_new(FALSE, TRUE, sizeof(struct gyp_res));
 	p->waiting = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	p->waits = g_array_new(FALSE, TRUE, sizeof(enum gyp_placer_wait));
 	p->runs = g_ptr_array_new_with_free_func(g_free);
 	return p;
 }
@@ -547,6 +606,7 @@
 	g_array_free(p->units, TRUE);
 	g_array_free(p->prefetch, TRUE);
 	g_array_free(p->proposed, TRUE);
+	g_array_free(p->waits, TRUE);
 	g_hash_table_destroy(p->waiting);
 	g_ptr_array_free(p->runs, TRUE);
 	g_free(p);
--- a/src/placer.h
+++ b/src/placer.h
@@ -75,6 +75,28 @@
  */
 double gyp_placer_waiting(const struct gyp_placer *, const char *pool);
 
+/* Why tasks of a workspace that could start have no run. */
+enum gyp_placer_wait {
+	GYP_PLACER_WAIT_NONE,
+	GYP_PLACER_WAIT_QUOTA,
+	GYP_PLACER_WAIT_CAPACITY,
+	GYP_PLACER_WAIT_QUERY /* an admission query is under way */
+};
+
+/*
+ * Returns why the most urgent unit of the workspace that was not placed as a
+ * whole in the latest round waits.
+ */
+enum gyp_placer_wait gyp_placer_wait(
+    const struct gyp_placer *, const struct gyp_workspace_use *);
+
+/*
+ * Counts the tasks of the flow that need a run: those that could start now, and
+ * those that wait for other steps or for their time.
+ */
+void gyp_placer_count_waiting(const struct gyp_flow *, uint64_t wall_ms,
+    uint32_t *waiting, uint32_t *later);
+
 /* Number of comparisons of a unit with an endpoint in the latest round. */
 uint64_t gyp_placer_comparisons(const struct gyp_placer *);
 
--- a/src/replica.c
+++ b/src/replica.c
@@ -537,6 +537,7 @@
 	r->usage = gyp_usage_new();
 	r->reported_attempts = gyp_reported_attempts_new();
 	r->counters = gyp_counters_new();
+	r->workspace_metrics = gyp_workspace_metrics_new(r->counters);
 	r->events = gyp_events_new();
 	return r;
 }
@@ -568,6 +569,7 @@
 	gyp_policy_free(r->policy);
 	gyp_usage_free(r->usage);
 	gyp_reported_attempts_free(r->reported_attempts);
+	gyp_workspace_metrics_free(r->workspace_metrics);
 	gyp_counters_free(r->counters);
 	gyp_events_free(r->events);
 	gyp_state_free(r->state);
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -12,6 +12,9 @@
  */
 #define BUSY_RETRY_MS 1000
 
+/* Interval of the gauges and the log line of workspaces, in ms. */
+#define WORKSPACES_REPORT_MS 5000
+
 /* Hexadecimal digits of a flow's id in a path. */
 #define FLOW_ID_DIGITS 16
 
@@ -163,20 +166,16 @@
 	/* Not the whole slack of the flow: others of the queue need theirs. */
 	double delay_ms = spec->queue->target_ms;
 	enum gyp_intake_verdict verdict;
-	char labels[GYP_LABELS_MAX];
 	uint32_t retry_ms = 0;
 
-	if (is_being_accepted(r, call))
+	if (ws == NULL || is_being_accepted(r, call))
 		return true;
 	verdict = gyp_flow_intake_decide(r->flow_intake,
 	    r->time_base + (r->now - r->lead_since), ws, spec->id, delay_ms,
 	    &load, &retry_ms);
 	spec->excess = verdict == GYP_INTAKE_ACCEPT_EXCESS;
-	if (ws != NULL)
-		gyp_count(r->counters, "gyp_flow_submits_total",
-		    gyp_labels(labels, "workspace", ws->name, "verdict",
-			gyp_intake_verdict_name(verdict), NULL),
-		    1);
+	gyp_workspace_metrics_submit(
+	    r->workspace_metrics, ws->name, gyp_intake_verdict_name(verdict));
 	if (verdict != GYP_INTAKE_REFUSE)
 		return true;
 	refuse_flow(r, entry, call->id, spec, ws, &load, retry_ms);
@@ -480,6 +479,7 @@
 	r->flow_intake =
 	    gyp_flow_intake_new(gyp_state_flows(r->state), r->time_base);
 	r->carriers = gyp_carriers_new();
+	r->workspaces_at = r->now + WORKSPACES_REPORT_MS;
 }
 
 void
@@ -487,6 +487,7 @@
 {
 	gyp_flow_scheduler_free(r->flow_scheduler);
 	r->flow_scheduler = NULL;
+	gyp_workspace_metrics_clear(r->workspace_metrics);
 	gyp_flow_intake_free(r->flow_intake);
 	r->flow_intake = NULL;
 	gyp_carriers_free(r->carriers);
@@ -637,6 +638,20 @@
 	}
 }
 
+/* Updates the gauges of workspaces and logs the busiest ones. */
+static void
+report_workspaces(struct gyp_replica *r)
+{
+	GArray *views = gyp_workspace_views(gyp_state_flows(r->state),
+	    gyp_flow_scheduler_placer(r->flow_scheduler), r->flow_intake,
+	    r->wall_ms);
+
+	r->workspaces_at = r->now + WORKSPACES_REPORT_MS;
+	gyp_workspace_metrics_set(r->workspace_metrics, views);
+	gyp_workspace_metrics_log(r->workspace_metrics, views, r->events);
+	g_array_free(views, TRUE);
+}
+
 void
 gyp_replica_schedule_flows(struct gyp_replica *r, bool decide)
 {
@@ -650,4 +665,6 @@
 		g_ptr_array_add(r->pending_cmds, cmd);
 	send_admission_queries(r);
 	dispatch_calls(r);
+	if (r->now >= r->workspaces_at)
+		report_workspaces(r);
 }
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -9,6 +9,7 @@
 #include "reported_attempts.h"
 #include "rules.h"
 #include "usage.h"
+#include "workspace_metrics.h"
 
 /*
  * NAME
@@ -109,6 +110,8 @@
 	struct gyp_usage *usage;
 	struct gyp_reported_attempts *reported_attempts;
 	struct gyp_counters *counters; /* also kept while following */
+	struct gyp_workspace_metrics *workspace_metrics; /* also kept */
+	uint64_t workspaces_at; /* next report on workspaces */
 	uint64_t periodic_work_at;
 	uint64_t query_check_at;
 	GPtrArray *rules_waits;    /* struct rules_wait (replica_rules.c) */
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -9888,7 +9888,7 @@
   gyp__flow_how__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gyp__admin_op__enum_values_by_number[8] =
+static const ProtobufCEnumValue gyp__admin_op__enum_values_by_number[9] =
 {
   { "ADMIN_STATUS", "GYP__ADMIN_OP__ADMIN_STATUS", 0 },
   { "ADMIN_ENDPOINTS", "GYP__ADMIN_OP__ADMIN_ENDPOINTS", 1 },
@@ -9898,11 +9898,12 @@
   { "ADMIN_DRAIN", "GYP__ADMIN_OP__ADMIN_DRAIN", 5 },
   { "ADMIN_MEMBERS", "GYP__ADMIN_OP__ADMIN_MEMBERS", 6 },
   { "ADMIN_REMOVE_MEMBER", "GYP__ADMIN_OP__ADMIN_REMOVE_MEMBER", 16 },
+  { "ADMIN_WORKSPACES", "GYP__ADMIN_OP__ADMIN_WORKSPACES", 17 },
 };
 static const ProtobufCIntRange gyp__admin_op__value_ranges[] = {
-{0, 0},{16, 7},{0, 8}
+{0, 0},{16, 7},{0, 9}
 };
-static const ProtobufCEnumValueIndex gyp__admin_op__enum_values_by_name[8] =
+static const ProtobufCEnumValueIndex gyp__admin_op__enum_values_by_name[9] =
 {
   { "ADMIN_DRAIN", 5 },
   { "ADMIN_ENDPOINTS", 1 },
@@ -9912,6 +9913,7 @@
   { "ADMIN_REMOVE_MEMBER", 7 },
   { "ADMIN_RULES", 2 },
   { "ADMIN_STATUS", 0 },
+  { "ADMIN_WORKSPACES", 8 },
 };
 const ProtobufCEnumDescriptor gyp__admin_op__descriptor =
 {
@@ -9920,9 +9922,9 @@
   "AdminOp",
   "Gyp__AdminOp",
   "gyp",
-  8,
+  9,
   gyp__admin_op__enum_values_by_number,
-  8,
+  9,
   gyp__admin_op__enum_values_by_name,
   2,
   gyp__admin_op__value_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -147,7 +147,8 @@
   /*
    * name holds an id in hex or an address
    */
-  GYP__ADMIN_OP__ADMIN_REMOVE_MEMBER = 16
+  GYP__ADMIN_OP__ADMIN_REMOVE_MEMBER = 16,
+  GYP__ADMIN_OP__ADMIN_WORKSPACES = 17
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__ADMIN_OP)
 } Gyp__AdminOp;
 typedef enum _Gyp__Code {
--- /dev/null
+++ b/test/workspaces.sh
@@ -0,0 +1,115 @@
+#!/usr/bin/env bash
+# Tests what operators see of workspaces with the real programs: the report of
+# gypctl and of the API, metrics and the log, none of which may show a key.
+# Usage: workspaces.sh BIN
+set -eu
+bin=$1
+dir=$(mktemp -d)
+pids=()
+trap 'kill -9 "${pids[@]}" 2>/dev/null || true; wait 2>/dev/null; rm -rf "$dir"' EXIT
+# shellcheck source=test/ports.sh
+. "$(dirname "$0")/ports.sh"
+control=127.0.0.1:$((base + 1))
+entry=127.0.0.1:$((base + 2))
+front=127.0.0.1:$((base + 3))
+cat >"$dir/cell.ini" <<INI
+[cell]
+listen = 127.0.0.1:$base
+join = 127.0.0.1:$base
+data_folder = $dir/data
+data_centre = here
+name = cell-1
+voters = 1
+[platform]
+control = $control
+INI
+cat >"$dir/entry.ini" <<INI
+[entry]
+listen = $entry
+cells = 127.0.0.1:$base
+data_centre = here
+name = entry-1
+[platform]
+front = $front
+readiness = 127.0.0.1:$((base + 4))
+admission = 127.0.0.1:$((base + 5))
+INI
+cat >"$dir/manifest" <<'JSON'
+{"version":1,"backends":[{"name":"pool"}],
+ "routes":[{"name":"juicing","host":"press.example","path_prefix":"/j/",
+  "backend":"pool","timeout_ms":5000,"target_latency_ms":500,
+  "max_attempts":3}],
+ "tenants":[
+  {"name":"orchard","api_keys":["secret-1"],"weight":2,
+   "cap":{"cpu":4000,"mem_mb":2048}},
+  {"name":"rota","api_keys":["secret-2"],"weight":0}]}
+JSON
+fail() {
+	echo "FAIL: $*" >&2
+	exit 1
+}
+ctl() {
+	"$bin/gypctl" --entry "$entry" "$@"
+}
+# await PATTERN COMMAND...: waits until the output of COMMAND matches.
+await() {
+	local pattern=$1
+	shift
+	for _ in $(seq 200); do
+		"$@" >"$dir/shown" 2>&1 || true
+		grep -Eq -- "$pattern" "$dir/shown" && return 0
+		sleep 0.1
+	done
+	fail "expected $pattern of $*: $(cat "$dir/shown")"
+}
+# submit ID KEY: prints the status of the answer.
+submit() {
+	curl -s -o "$dir/answer" -w '%{http_code}' -X POST \
+	    -H 'Host: press.example' -H "Authorization: Bearer $2" \
+	    "http://$front/j/$1" -d "$job"
+}
+job='{"steps":[{"count":3,"cpu":1000,"mem_mb":256},
+	{"count":1,"cpu":1000,"mem_mb":256,"depends_on":[0]}]}'
+
+"$bin/gyp-cell" --config "$dir/cell.ini" --init >"$dir/cell.log" 2>&1 &
+pids+=($!)
+"$bin/gyp-entry" --config "$dir/entry.ini" >"$dir/entry.log" 2>&1 &
+pids+=($!)
+await '^term ' ctl status
+[ "$(ctl workspaces | wc -l)" = 1 ] || fail "workspaces without a manifest"
+[ "$(curl -s -o "$dir/answer" -w '%{http_code}' -X PUT \
+    "http://$control/api/config" --data-binary "@$dir/manifest")" = 200 ] ||
+    fail "manifest: $(cat "$dir/answer")"
+await '^orchard +2 +0/4 +0/2 +0/- .*nothing waits$' ctl workspaces
+await '^rota +- +0/- ' ctl workspaces
+
+# There are no endpoints, so jobs beyond the rate of 2 a second are refused.
+codes=
+for i in 1 2 3 4 5 6; do
+	codes="$codes $(submit "000000000000000$i" secret-1)"
+done
+refused=$(tr ' ' '\n' <<<"$codes" | grep -c 429) || true
+[ "$refused" -ge 2 ] || fail "expected refusals: $codes"
+accepted=$((6 - refused))
+await "^orchard .* 0 +$((3 * accepted)) +$accepted +$accepted +0 +$refused +capacity" \
+    ctl workspaces
+ctl workspaces --format json | grep -q '"next_waits_for":"capacity"' ||
+    fail "no reason in JSON"
+curl -s "http://$entry/v1/admin/workspaces" | grep -q '"weight":2.0' ||
+    fail "no weight in the API"
+
+label='workspace="orchard"'
+await "^gyp_flow_submits_total\{$label,verdict=\"refused\"\} $refused\$" \
+    curl -s "http://$control/metrics"
+await "^gyp_workspace_waiting_tasks\{$label\} $((3 * accepted))\$" \
+    curl -s "http://$control/metrics"
+await "^gyp_workspace_cap\{$label,resource=\"cpu_milli\"\} 4000\$" \
+    curl -s "http://$control/metrics"
+await 'workspaces known=2 .*w1=orchard,cpu_milli=0/4000,.*refused=[1-9]' \
+    cat "$dir/cell.log"
+ctl workspaces --format json >"$dir/report"
+curl -s "http://$control/metrics" >"$dir/metrics"
+if grep -l 'secret-' "$dir"/*.log "$dir/report" "$dir/metrics"; then
+	fail "a key is shown"
+fi
+echo "workspaces: ok"
