--- a/test/workspaces.sh
+++ b/test/workspaces.sh
@@ -107,6 +107,24 @@
     curl -s "http://$control/metrics"
 await 'workspaces known=2 .*w1=orchard,cpu_milli=0/4000,.*refused=[1-9]' \
     cat "$dir/cell.log"
+
+# A removed key is refused from the acknowledgement on, with the commands of
+# docs/OPERATIONS.md.
+curl -s "http://$control/api/config" | sed 's/"version":1/"version":2/
+    s/"secret-1"/"secret-3"/' >"$dir/manifest-2"
+[ "$(curl -sL -o "$dir/answer" -w '%{http_code}' -X PUT \
+    "http://$control/api/config" --data-binary "@$dir/manifest-2")" = 200 ] ||
+    fail "second manifest: $(cat "$dir/answer")"
+# read_queue KEY: prints the status of a read of the queue.
+read_queue() {
+	echo "Authorization: Bearer $1" >"$dir/key"
+	curl -s -o "$dir/answer" -w '%{http_code}' -H "@$dir/key" \
+	    -H 'Host: press.example' "http://$front/j/"
+}
+[ "$(read_queue secret-1)" = 401 ] || fail "the removed key is accepted"
+[ "$(read_queue secret-3)" = 200 ] || fail "the added key is refused"
+await 'request-refused .*code=24' cat "$dir/cell.log"
+
 ctl workspaces --format json >"$dir/report"
 curl -s "http://$control/metrics" >"$dir/metrics"
 if grep -l 'secret-' "$dir"/*.log "$dir/report" "$dir/metrics"; then
