Preview of a flow: where it would go now, and why

Cause: an operator could not tell before a submission whether a flow would be accepted, which endpoints suit it and what it would wait for.

Change: `gypctl preview FILE` and POST /v1/admin/preview (operation 18). flow_json.c parses flows in the project's own names, with errors by field; gyp_json_check() does so for nested objects. admin_preview.c makes the flow outside the tables and asks the functions that decide: the placer's ranking and quota, gyp_capacity_misfit(), from which gyp_capacity_suits() follows, and gyp_flow_intake_preview(), which runs the intake's decision on a copy of the bucket. At most 32 steps, since each is compared with all endpoints.

The example of docs/API.md needs a manifest, which api.sh has not, so that its block is marked and workspaces.sh runs it as it stands.

--- a/src/admin.c
+++ b/src/admin.c
@@ -129,10 +129,14 @@
 char *
 gyp_admin_json(struct gyp_replica *r, const Gyp__Admin *admin, Gyp__Code *code)
 {
-	json_t *json = admin_report(r, admin);
 	char *dumped, *text;
+	json_t *json;
 
 	*code = GYP__CODE__CODE_OK;
+	if (admin->op == GYP__ADMIN_OP__ADMIN_PREVIEW)
+		json = gyp_admin_preview(r, admin->text, code);
+	else
+		json = admin_report(r, admin);
 	if (json == NULL) {
 		*code = GYP__CODE__CODE_NOT_FOUND;
 		json = json_pack("{s:s}", "error",
--- a/src/api_int.h
+++ b/src/api_int.h
@@ -15,7 +15,7 @@
  *	api_jobs.c		callers: jobs and keys
  *	api_endpoints.c	endpoints: announcements, heartbeats, finished runs
  *	api_admin.c		operators: status, endpoints, members,
- *				workspaces
+ *				workspaces, previews
  *	api_rules.c		operators: rules, explanations, drains,
  *				removal of members
  */
--- a/src/capacity_index.c
+++ b/src/capacity_index.c
@@ -197,25 +197,38 @@
 	return false;
 }
 
-bool
-gyp_capacity_suits(
+enum gyp_misfit
+gyp_capacity_misfit(
     const struct gyp_capacity *cap, const struct gyp_candidate *c)
 {
 	const Gyp__FlowStep *step = c->unit->step;
 
-	if (cap->host == NULL || cap->host->pool != c->flow->pool ||
-	    c->unit->size.cpu_milli > cap->host->capacity.cpu_milli ||
+	if (cap->host == NULL)
+		return cap->state >= GYP_RUN_STATS_PROBING ? GYP_MISFIT_FAILURES
+							   : GYP_MISFIT_CONTACT;
+	if (cap->host->pool != c->flow->pool)
+		return GYP_MISFIT_POOL;
+	if (c->unit->size.cpu_milli > cap->host->capacity.cpu_milli ||
 	    c->unit->size.memory > cap->host->capacity.memory ||
 	    c->unit->size.accel > cap->host->capacity.accel)
-		return false;
+		return GYP_MISFIT_SIZE;
 	if (step->label[0] != '\0' && !has_label(cap->host->spec, step->label))
-		return false;
+		return GYP_MISFIT_LABEL;
 	/*
 	 * Tasks that use all spare capacity slow down tasks with a latency
 	 * bound, so the two never share an endpoint.
 	 */
-	return !(step->fills && cap->runs_serving) &&
-	       !(step->tail_ms > 0 && cap->runs_filling);
+	if ((step->fills && cap->runs_serving) ||
+	    (step->tail_ms > 0 && cap->runs_filling))
+		return GYP_MISFIT_SHARING;
+	return GYP_MISFIT_NONE;
+}
+
+bool
+gyp_capacity_suits(
+    const struct gyp_capacity *cap, const struct gyp_candidate *c)
+{
+	return gyp_capacity_misfit(cap, c) == GYP_MISFIT_NONE;
 }
 
 /* Counts the open runs of the unit on the endpoint. */
--- a/src/capacity_index.h
+++ b/src/capacity_index.h
@@ -80,6 +80,20 @@
 uint64_t gyp_capacity_index_comparisons(const struct gyp_capacity_index *);
 void gyp_capacity_index_add_comparisons(struct gyp_capacity_index *, guint n);
 
+/* Why an endpoint may not run tasks of a unit. */
+enum gyp_misfit {
+	GYP_MISFIT_NONE,
+	GYP_MISFIT_POOL,     /* of another pool */
+	GYP_MISFIT_CONTACT,  /* not in contact, or leaving */
+	GYP_MISFIT_FAILURES, /* quarantined, or its probe is running */
+	GYP_MISFIT_SIZE,     /* too small even when empty */
+	GYP_MISFIT_LABEL,
+	GYP_MISFIT_SHARING /* serving and filling tasks don't share one */
+};
+
+enum gyp_misfit gyp_capacity_misfit(
+    const struct gyp_capacity *, const struct gyp_candidate *);
+
 /*
  * True when the endpoint may run tasks of the unit, regardless of how much of
  * its capacity is free now.
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -14,8 +14,8 @@
  * DESCRIPTION
  *	gypctl.c	command line
  *	gypctl_rules.c	rules: check, diff, apply, history, show
- *	gypctl_views.c	commands about jobs, endpoints, workspaces
- *			and members
+ *	gypctl_views.c	commands about jobs, endpoints, workspaces,
+ *			members and previews
  *	ctl_http.c	requests to any of the entries
  *	ctl_table.c	aligned columns
  */
@@ -94,6 +94,14 @@
 /* Returns an integer, boolean or string field as new text. */
 char *gyp_ctl_value(const json_t *, const char *field);
 
+/* ---- gypctl_rules.c ------------------------------------------------------ */
+
+/*
+ * Returns the text of a file, of standard input for "-". Prints an error and
+ * returns NULL on failure.
+ */
+char *gyp_ctl_read_text(const char *path, size_t *len);
+
 /* ---- Commands ------------------------------------------------------------ */
 
 int gyp_ctl_rules_check(struct gyp_ctl *, char **args);
@@ -105,6 +113,7 @@
 int gyp_ctl_status(struct gyp_ctl *, char **args);
 int gyp_ctl_endpoints(struct gyp_ctl *, char **args);
 int gyp_ctl_workspaces(struct gyp_ctl *, char **args);
+int gyp_ctl_preview(struct gyp_ctl *, char **args);
 int gyp_ctl_drain(struct gyp_ctl *, char **args);
 int gyp_ctl_members(struct gyp_ctl *, char **args);
 int gyp_ctl_members_remove(struct gyp_ctl *, char **args);
--- a/src/flow_int.h
+++ b/src/flow_int.h
@@ -12,6 +12,7 @@
  *	flow.c		construction, lookup and the manifest
  *	flow_apply.c	application of committed commands
  *	flow_save.c	snapshots and the check of invariants
+ *	admin_preview.c	makes a flow that is not in the tables
  */
 
 struct gyp_flows {
--- a/src/flow_intake.c
+++ b/src/flow_intake.c
@@ -96,27 +96,21 @@
 /* ---- Decision ----------------------------------------------------------- */
 
 static bool
-take_token(struct gyp_flow_intake *in, struct workspace_intake *w, double rate,
-    uint64_t flow, uint64_t now)
+take_token(struct workspace_intake *w, double rate, bool again, uint64_t now)
 {
-	if (g_hash_table_contains(in->refused, &flow) &&
+	if (again &&
 	    gyp_token_bucket_level(&w->bucket, rate, now) < RETRY_LEVEL_MIN)
 		return false;
 	return gyp_token_bucket_take(&w->bucket, rate, now);
 }
 
-enum gyp_intake_verdict
-gyp_flow_intake_decide(struct gyp_flow_intake *in, uint64_t now,
-    const Gyp__Workspace *ws, uint64_t flow, double max_delay_ms,
+/* Decides on a flow, which was refused before if again is true. */
+static enum gyp_intake_verdict
+decide(const struct gyp_flow_intake *in, struct workspace_intake *w,
+    uint64_t now, const Gyp__Workspace *ws, bool again, double max_delay_ms,
     const struct gyp_pool_load *load, uint32_t *retry_ms)
 {
-	struct workspace_intake *w;
-
-	if (ws == NULL)
-		return GYP_INTAKE_ACCEPT;
-	w = get_workspace(in, ws->name);
-	forget_old_refusals(in, now);
-	if (ws->rate <= 0 || take_token(in, w, ws->rate, flow, now)) {
+	if (ws->rate <= 0 || take_token(w, ws->rate, again, now)) {
 		w->counts.accepted++;
 		return GYP_INTAKE_ACCEPT;
 	}
@@ -126,12 +120,45 @@
 		return GYP_INTAKE_ACCEPT_EXCESS;
 	}
 	w->counts.refused++;
-	remember_refusal(in, flow, now);
 	*retry_ms = gyp_load_shed_retry_ms(now, &w->retry_slot_ms, ws->rate,
 	    gyp_token_bucket_wait_ms(&w->bucket, ws->rate, now));
 	return GYP_INTAKE_REFUSE;
 }
 
+enum gyp_intake_verdict
+gyp_flow_intake_decide(struct gyp_flow_intake *in, uint64_t now,
+    const Gyp__Workspace *ws, uint64_t flow, double max_delay_ms,
+    const struct gyp_pool_load *load, uint32_t *retry_ms)
+{
+	enum gyp_intake_verdict verdict;
+
+	if (ws == NULL)
+		return GYP_INTAKE_ACCEPT;
+	forget_old_refusals(in, now);
+	verdict = decide(in, get_workspace(in, ws->name), now, ws,
+	    g_hash_table_contains(in->refused, &flow), max_delay_ms, load,
+	    retry_ms);
+	if (verdict == GYP_INTAKE_REFUSE)
+		remember_refusal(in, flow, now);
+	return verdict;
+}
+
+enum gyp_intake_verdict
+gyp_flow_intake_preview(const struct gyp_flow_intake *in, uint64_t now,
+    const Gyp__Workspace *ws, double max_delay_ms,
+    const struct gyp_pool_load *load, uint32_t *retry_ms)
+{
+	struct workspace_intake copy = {.retry_slot_ms = 0};
+	const struct workspace_intake *known;
+
+	if (ws == NULL)
+		return GYP_INTAKE_ACCEPT;
+	known = g_hash_table_lookup(in->workspaces, ws->name);
+	if (known != NULL)
+		copy = *known;
+	return decide(in, &copy, now, ws, false, max_delay_ms, load, retry_ms);
+}
+
 struct gyp_intake_counts
 gyp_flow_intake_counts(const struct gyp_flow_intake *in, const char *workspace)
 {
--- a/src/flow_intake.h
+++ b/src/flow_intake.h
@@ -54,6 +54,14 @@
     uint64_t now, const Gyp__Workspace *, uint64_t flow, double max_delay_ms,
     const struct gyp_pool_load *, uint32_t *retry_ms);
 
+/*
+ * Returns what gyp_flow_intake_decide() would return for a new flow; takes no
+ * token, and counts and remembers nothing.
+ */
+enum gyp_intake_verdict gyp_flow_intake_preview(const struct gyp_flow_intake *,
+    uint64_t now, const Gyp__Workspace *, double max_delay_ms,
+    const struct gyp_pool_load *, uint32_t *retry_ms);
+
 /* Counts of the workspace of that name. */
 struct gyp_intake_counts gyp_flow_intake_counts(
     const struct gyp_flow_intake *, const char *workspace);
--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -622,12 +622,18 @@
 	return fs->fleet;
 }
 
-const struct gyp_placer *
+struct gyp_placer *
 gyp_flow_scheduler_placer(const struct gyp_flow_scheduler *fs)
 {
 	return fs->placer;
 }
 
+const struct gyp_run_stats *
+gyp_flow_scheduler_stats(const struct gyp_flow_scheduler *fs)
+{
+	return fs->stats;
+}
+
 /* ---- Construction ------------------------------------------------------- */
 
 struct gyp_flow_scheduler *
--- a/src/flow_scheduler.h
+++ b/src/flow_scheduler.h
@@ -59,7 +59,8 @@
     uint64_t now, uint64_t entry, const Gyp__Advised *);
 
 struct gyp_fleet *gyp_flow_scheduler_fleet(struct gyp_flow_scheduler *);
-const struct gyp_placer *gyp_flow_scheduler_placer(
+struct gyp_placer *gyp_flow_scheduler_placer(const struct gyp_flow_scheduler *);
+const struct gyp_run_stats *gyp_flow_scheduler_stats(
     const struct gyp_flow_scheduler *);
 
 /*
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -34,6 +34,7 @@
 #include "fleet.h"              /* endpoints and the calls to them */
 #include "flow.h"               /* tables of flows and their endpoints */
 #include "flow_intake.h"        /* which submitted flows are accepted */
+#include "flow_json.h"          /* parser for flows in JSON */
 #include "flow_scheduler.h"     /* schedules flows on a leader */
 #include "headroom.h"           /* adaptive share kept for urgent work */
 #include "health.h"             /* attributes failures to endpoints or jobs */
--- a/src/gypctl.c
+++ b/src/gypctl.c
@@ -56,6 +56,8 @@
 	false},
     {"workspaces", NULL, "list the workspaces and what they use",
 	gyp_ctl_workspaces, 0, false},
+    {"preview", "FILE", "show where a flow would go now, and why",
+	gyp_ctl_preview, 0, false},
     {"drain", "ENDPOINT", "stop giving an endpoint new work", gyp_ctl_drain,
 	TAKES_UNDO, false},
     {"members remove", "ID", "remove a replica from the cell",
--- a/src/gypctl_rules.c
+++ b/src/gypctl_rules.c
@@ -7,9 +7,8 @@
 
 /* ---- Files ------------------------------------------------------------- */
 
-/* Returns the text of a file, of standard input for "-"; NULL on failure. */
-static char *
-read_text(const char *path, gsize *len)
+char *
+gyp_ctl_read_text(const char *path, size_t *len)
 {
 	GError *error = NULL;
 	const char *name = strcmp(path, "-") == 0 ? "/dev/stdin" : path;
@@ -28,7 +27,7 @@
 {
 	struct gyp_error err = {.code = GYP_OK};
 	gsize len;
-	char *text = read_text(path, &len);
+	char *text = gyp_ctl_read_text(path, &len);
 	struct gyp_slice slice = {(const uint8_t *)text, len};
 
 	*code = GYP_CTL_NO_INPUT;
--- a/src/gypctl_views.c
+++ b/src/gypctl_views.c
@@ -179,6 +179,78 @@
 	return code;
 }
 
+/* ---- Preview ----------------------------------------------------------- */
+
+static void
+print_candidates(const json_t *step)
+{
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(json_object_get(step, "candidates"), i, row)
+	    printf("step %d: %s, rack %s, %d tasks, score %.3f\n",
+		(int)json_integer_value(json_object_get(step, "step")),
+		gyp_ctl_text(row, "endpoint"), gyp_ctl_text(row, "rack"),
+		(int)json_integer_value(json_object_get(row, "tasks")),
+		json_real_value(json_object_get(row, "score")));
+}
+
+static void
+add_step(struct gyp_ctl_table *table, const json_t *row)
+{
+	const json_t *out = json_object_get(row, "ruled_out");
+
+	gyp_ctl_table_add(table, gyp_ctl_value(row, "step"),
+	    gyp_ctl_value(row, "tasks"), gyp_ctl_value(row, "median_ms"),
+	    json_is_null(json_object_get(row, "p90_ms"))
+		? g_strdup("-")
+		: gyp_ctl_value(row, "p90_ms"),
+	    gyp_ctl_value(row, "suit"), gyp_ctl_value(row, "full"),
+	    gyp_ctl_value(row, "free_tasks"), gyp_ctl_value(row, "quota_tasks"),
+	    gyp_ctl_value(out, "no_contact"), gyp_ctl_value(out, "failures"),
+	    gyp_ctl_value(out, "size"), gyp_ctl_value(out, "label"),
+	    gyp_ctl_value(out, "sharing"), gyp_ctl_value(row, "waits_for"),
+	    NULL);
+}
+
+static void
+print_preview(const json_t *json)
+{
+	static const char *const header[] = {"STEP", "TASKS", "MEDIAN-MS",
+	    "P90-MS", "SUIT", "FULL", "FREE", "QUOTA", "NO-CONTACT", "FAILURES",
+	    "SIZE", "LABEL", "SHARING", "WAITS-FOR", NULL};
+	const json_t *steps = json_object_get(json, "steps");
+	struct gyp_ctl_table *table = gyp_ctl_table_new(header);
+	json_t *row;
+	size_t i;
+
+	print_fields(json);
+	json_array_foreach(steps, i, row) add_step(table, row);
+	gyp_ctl_table_print(table);
+	json_array_foreach(steps, i, row) print_candidates(row);
+}
+
+int
+gyp_ctl_preview(struct gyp_ctl *ctl, char **args)
+{
+	struct gyp_ctl_request req = {
+	    .method = "POST", .path = "/v1/admin/preview"};
+	size_t len;
+	char *text = gyp_ctl_read_text(args[0], &len);
+	json_t *json;
+	int code;
+
+	if (text == NULL)
+		return GYP_CTL_NO_INPUT;
+	req.body = text;
+	json = gyp_ctl_request_json(ctl, &req, &code);
+	if (json != NULL)
+		print_preview(json);
+	json_decref(json);
+	g_free(text);
+	return code;
+}
+
 /* ---- Members ----------------------------------------------------------- */
 
 int
--- a/src/json.c
+++ b/src/json.c
@@ -12,7 +12,7 @@
 }
 
 static enum gyp_status
-check_field(const char *name, const json_t *value,
+check_field(const char *path, const char *name, const json_t *value,
     const struct gyp_json_field *fields, size_t n, struct gyp_error *err)
 {
 	static const char *const types[] = {[JSON_OBJECT] = "an object",
@@ -28,10 +28,27 @@
 			continue;
 		if (type_matches(value, fields[i].type))
 			return GYP_OK;
-		return gyp_fail(err, GYP_BAD_INPUT, "%s: expected %s", name,
-		    types[fields[i].type]);
+		return gyp_fail(err, GYP_BAD_INPUT, "%s%s: expected %s", path,
+		    name, types[fields[i].type]);
 	}
-	return gyp_fail(err, GYP_BAD_INPUT, "%s: unknown field", name);
+	return gyp_fail(err, GYP_BAD_INPUT, "%s%s: unknown field", path, name);
+}
+
+enum gyp_status
+gyp_json_check(json_t *json, const char *path,
+    const struct gyp_json_field *fields, size_t n, struct gyp_error *err)
+{
+	const char *name;
+	json_t *value;
+
+	if (!json_is_object(json))
+		return gyp_fail(err, GYP_BAD_INPUT, "expected a JSON object");
+	json_object_foreach(json, name, value)
+	{
+		if (check_field(path, name, value, fields, n, err) != GYP_OK)
+			return GYP_BAD_INPUT;
+	}
+	return GYP_OK;
 }
 
 json_t *
@@ -41,26 +58,16 @@
 	json_error_t je;
 	json_t *json = json_loadb(
 	    (const char *)text.data, text.len, JSON_REJECT_DUPLICATES, &je);
-	const char *name;
-	json_t *value;
 
 	if (json == NULL) {
 		gyp_fail(err, GYP_BAD_INPUT, "line %d, column %d: %s", je.line,
 		    je.column, je.text);
 		return NULL;
 	}
-	if (!json_is_object(json)) {
+	if (gyp_json_check(json, "", fields, n, err) != GYP_OK) {
 		json_decref(json);
-		gyp_fail(err, GYP_BAD_INPUT, "expected a JSON object");
 		return NULL;
 	}
-	json_object_foreach(json, name, value)
-	{
-		if (check_field(name, value, fields, n, err) != GYP_OK) {
-			json_decref(json);
-			return NULL;
-		}
-	}
 	return json;
 }
 
--- a/src/json.h
+++ b/src/json.h
@@ -23,6 +23,13 @@
 json_t *gyp_json_parse(struct gyp_slice, const struct gyp_json_field *,
     size_t n, struct gyp_error *);
 
+/*
+ * Checks an object and its fields; path precedes their names in messages, such
+ * as "steps[2]."
+ */
+enum gyp_status gyp_json_check(json_t *, const char *path,
+    const struct gyp_json_field *, size_t n, struct gyp_error *);
+
 /* Returns a string field, or the fallback if it is absent. */
 const char *gyp_json_string(json_t *, const char *field, const char *fallback);
 
--- a/src/placer.c
+++ b/src/placer.c
@@ -49,9 +49,9 @@
 
 /* ---- Candidates --------------------------------------------------------- */
 
-static bool
-is_due(const struct gyp_flow *flow, const struct gyp_flow_unit *u,
-    uint64_t wall_ms)
+bool
+gyp_placer_unit_is_due(const struct gyp_flow *flow,
+    const struct gyp_flow_unit *u, uint64_t wall_ms)
 {
 	const Gyp__FlowSpec *spec = flow->spec;
 
@@ -96,10 +96,10 @@
 		return;
 	for (i = 0; i < flow->n_units; i++) {
 		const struct gyp_flow_unit *u = &flow->units[i];
-		uint32_t *n =
-		    is_due(flow, u, wall_ms) && gyp_flow_unit_is_ready(flow, u)
-			? waiting
-			: later;
+		uint32_t *n = gyp_placer_unit_is_due(flow, u, wall_ms) &&
+				      gyp_flow_unit_is_ready(flow, u)
+				  ? waiting
+				  : later;
 
 		if (has_waiting(u))
 			*n += u->left - u->open;
@@ -112,7 +112,7 @@
 {
 	struct gyp_candidate c = {.flow = flow, .unit = unit};
 
-	if (!has_waiting(unit) || !is_due(flow, unit, wall_ms))
+	if (!has_waiting(unit) || !gyp_placer_unit_is_due(flow, unit, wall_ms))
 		return;
 	if (!gyp_flow_unit_is_ready(flow, unit)) {
 		if (gyp_admission_unit(p->admission, flow, unit) == NULL &&
@@ -163,8 +163,9 @@
 	if (use == NULL)
 		return waiting;
 	used = use->used;
-	gyp_res_add(
-	    &used, &g_array_index(p->proposed, struct gyp_res, use->row));
+	if (use->row < p->proposed->len)
+		gyp_res_add(&used,
+		    &g_array_index(p->proposed, struct gyp_res, use->row));
 	n = gyp_quota_count(&use->cap, &used, &c->unit->size, waiting);
 	return c->unit->step->gang && n < waiting ? 0 : n;
 }
@@ -279,6 +280,30 @@
 	return ranking;
 }
 
+GArray *
+gyp_placer_preview(
+    struct gyp_placer *p, uint64_t now, const struct gyp_candidate *c)
+{
+	GArray *ranking = gyp_ranking_new();
+
+	gyp_capacity_index_begin_round(p->capacities, now);
+	add_all_endpoints(p, c, ranking);
+	gyp_ranking_sort(ranking);
+	return ranking;
+}
+
+const struct gyp_capacity_index *
+gyp_placer_capacities(const struct gyp_placer *p)
+{
+	return p->capacities;
+}
+
+uint32_t
+gyp_placer_allowance(const struct gyp_placer *p, const struct gyp_candidate *c)
+{
+	return quota_allowance(p, c);
+}
+
 static void
 collect_run(struct gyp_placer *p, uint32_t task, uint32_t row)
 {
--- a/src/placer.h
+++ b/src/placer.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "admission.h"
+#include "capacity_index.h"
 #include "fleet.h"
 #include "flow.h"
 #include "preempt.h"
@@ -97,6 +98,26 @@
 void gyp_placer_count_waiting(const struct gyp_flow *, uint64_t wall_ms,
     uint32_t *waiting, uint32_t *later);
 
+/* True unless the unit is of a repetition that is due later. */
+bool gyp_placer_unit_is_due(
+    const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t wall_ms);
+
+/*
+ * For previews of a flow that is not in the tables; propose nothing and change
+ * no later round. The first returns the endpoints that can take tasks of the
+ * unit now, in the order of the placer and whatever the admission service
+ * allows, and the second their capacities until the next round. The third
+ * returns how many of the unit's waiting tasks may start under the cap of
+ * flow->use; of a row beyond those in the tables, only the committed use
+ * counts.
+ */
+GArray *gyp_placer_preview(
+    struct gyp_placer *, uint64_t now, const struct gyp_candidate *);
+const struct gyp_capacity_index *gyp_placer_capacities(
+    const struct gyp_placer *);
+uint32_t gyp_placer_allowance(
+    const struct gyp_placer *, const struct gyp_candidate *);
+
 /* Number of comparisons of a unit with an endpoint in the latest round. */
 uint64_t gyp_placer_comparisons(const struct gyp_placer *);
 
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -8735,7 +8735,7 @@
   (ProtobufCMessageInit) gyp__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__admin__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gyp__admin__field_descriptors[6] =
 {
   {
     "op",
@@ -8797,19 +8797,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "text",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Admin, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__admin__field_indices_by_name[] = {
   3,   /* field[3] = enable */
   1,   /* field[1] = job */
   2,   /* field[2] = name */
   0,   /* field[0] = op */
+  5,   /* field[5] = text */
   4,   /* field[4] = version */
 };
 static const ProtobufCIntRange gyp__admin__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 23, 4 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gyp__admin__descriptor =
 {
@@ -8819,7 +8832,7 @@
   "Gyp__Admin",
   "gyp",
   sizeof(Gyp__Admin),
-  5,
+  6,
   gyp__admin__field_descriptors,
   gyp__admin__field_indices_by_name,
   2,  gyp__admin__number_ranges,
@@ -9888,7 +9901,7 @@
   gyp__flow_how__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gyp__admin_op__enum_values_by_number[9] =
+static const ProtobufCEnumValue gyp__admin_op__enum_values_by_number[10] =
 {
   { "ADMIN_STATUS", "GYP__ADMIN_OP__ADMIN_STATUS", 0 },
   { "ADMIN_ENDPOINTS", "GYP__ADMIN_OP__ADMIN_ENDPOINTS", 1 },
@@ -9899,17 +9912,19 @@
   { "ADMIN_MEMBERS", "GYP__ADMIN_OP__ADMIN_MEMBERS", 6 },
   { "ADMIN_REMOVE_MEMBER", "GYP__ADMIN_OP__ADMIN_REMOVE_MEMBER", 16 },
   { "ADMIN_WORKSPACES", "GYP__ADMIN_OP__ADMIN_WORKSPACES", 17 },
+  { "ADMIN_PREVIEW", "GYP__ADMIN_OP__ADMIN_PREVIEW", 18 },
 };
 static const ProtobufCIntRange gyp__admin_op__value_ranges[] = {
-{0, 0},{16, 7},{0, 9}
+{0, 0},{16, 7},{0, 10}
 };
-static const ProtobufCEnumValueIndex gyp__admin_op__enum_values_by_name[9] =
+static const ProtobufCEnumValueIndex gyp__admin_op__enum_values_by_name[10] =
 {
   { "ADMIN_DRAIN", 5 },
   { "ADMIN_ENDPOINTS", 1 },
   { "ADMIN_EXPLAIN", 4 },
   { "ADMIN_HISTORY", 3 },
   { "ADMIN_MEMBERS", 6 },
+  { "ADMIN_PREVIEW", 9 },
   { "ADMIN_REMOVE_MEMBER", 7 },
   { "ADMIN_RULES", 2 },
   { "ADMIN_STATUS", 0 },
@@ -9922,9 +9937,9 @@
   "AdminOp",
   "Gyp__AdminOp",
   "gyp",
-  9,
+  10,
   gyp__admin_op__enum_values_by_number,
-  9,
+  10,
   gyp__admin_op__enum_values_by_name,
   2,
   gyp__admin_op__value_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -148,7 +148,11 @@
    * name holds an id in hex or an address
    */
   GYP__ADMIN_OP__ADMIN_REMOVE_MEMBER = 16,
-  GYP__ADMIN_OP__ADMIN_WORKSPACES = 17
+  GYP__ADMIN_OP__ADMIN_WORKSPACES = 17,
+  /*
+   * text holds a flow in JSON
+   */
+  GYP__ADMIN_OP__ADMIN_PREVIEW = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__ADMIN_OP)
 } Gyp__AdminOp;
 typedef enum _Gyp__Code {
@@ -1513,10 +1517,11 @@
    * of rules; 0 for the newest
    */
   uint64_t version;
+  char *text;
 };
 #define GYP__ADMIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__admin__descriptor) \
-    , GYP__ADMIN_OP__ADMIN_STATUS, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , GYP__ADMIN_OP__ADMIN_STATUS, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Gyp__JobView
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -39,6 +39,21 @@
 standin=$!
 pids+=("$standin")
 
+# A preview lists the endpoints in the order of the placer.
+echo '{"queue":"q","steps":[{"count":2,"cpu_milli":500},
+	{"label":"no such label"}]}' >"$dir/flow"
+for _ in $(seq 100); do
+	"$bin/gypctl" --entry "127.0.0.2:$((base + 30))" preview "$dir/flow" \
+		>"$dir/preview" 2>&1 || true
+	grep -q '^step 0: .* score [0-9]' "$dir/preview" && break
+	sleep 0.1
+done
+grep -Eq '^0 +2 .* admission query$' "$dir/preview" &&
+	grep -Eq '^1 +1 .* an endpoint that suits$' "$dir/preview" || {
+	cat "$dir/preview"
+	exit 1
+}
+
 # Kills the leader once it has accepted 15 flows.
 for _ in $(seq 300); do
 	leader=$(grep -l 'flow-accepted' "$dir"/cell-*.log | head -n 1 || true)
--- a/test/test_workspaces.c
+++ b/test/test_workspaces.c
@@ -4,6 +4,8 @@
 #include <jansson.h>
 
 #include "admin_int.h"
+#include "endpoint_ranking.h"
+#include "flow_int.h"
 #include "placer_fixture.h"
 #include "workspace.h"
 #include "workspace_metrics.h"
@@ -270,6 +272,75 @@
 	gyp_counters_free(c);
 }
 
+/*
+ * Guards against a preview that takes tokens, counts, or gives another verdict
+ * than the decision that follows it.
+ */
+static void
+test_intake_preview(void)
+{
+	struct placer_fixture f;
+	struct gyp_flow_intake *in;
+	struct gyp_pool_load load = {.capacity_milli = 0};
+	Gyp__Workspace ws = GYP__WORKSPACE__INIT;
+	uint32_t seen_ms = 0, retry_ms = 0;
+	uint64_t i;
+
+	placer_fixture_init(&f, 0);
+	in = gyp_flow_intake_new(f.base.flows, f.base.now);
+	ws.name = "press";
+	ws.rate = 2;
+	for (i = 1; i <= 4; i++) {
+		enum gyp_intake_verdict verdict = gyp_flow_intake_preview(
+		    in, f.base.now, &ws, 0, &load, &seen_ms);
+
+		g_assert_cmpint(verdict, ==,
+		    gyp_flow_intake_preview(
+			in, f.base.now, &ws, 0, &load, &seen_ms));
+		g_assert_cmpint(verdict, ==,
+		    gyp_flow_intake_decide(
+			in, f.base.now, &ws, i, 0, &load, &retry_ms));
+		g_assert_cmpuint(seen_ms, ==, retry_ms);
+		g_assert_cmpint(verdict, ==,
+		    i <= 2 ? GYP_INTAKE_ACCEPT : GYP_INTAKE_REFUSE);
+	}
+	g_assert_cmpuint(gyp_flow_intake_counts(in, "press").refused, ==, 2);
+	gyp_flow_intake_free(in);
+	placer_fixture_clear(&f);
+}
+
+/*
+ * Guards against a preview that ranks endpoints differently from the placer, or
+ * changes what the next round does.
+ */
+static void
+test_placement_preview(void)
+{
+	struct placer_fixture f;
+	Gyp__FlowStep step = flow_fixture_step(1);
+	struct gyp_candidate c;
+	struct gyp_flow *flow;
+	GArray *ranking;
+	uint32_t best;
+
+	placer_fixture_init(&f, 3);
+	placer_fixture_submit(&f, 1, 0, flow_fixture_step(5));
+	run_round(&f);
+	placer_fixture_submit(&f, 2, 0, step);
+	flow = gyp_flow_make(gyp_flow_get(f.base.flows, 2)->spec);
+	c = (struct gyp_candidate){.flow = flow, .unit = &flow->units[0]};
+	g_assert_cmpuint(gyp_placer_allowance(f.placer, &c), ==, 1);
+	ranking = gyp_placer_preview(f.placer, f.base.now, &c);
+	g_assert_cmpuint(ranking->len, ==, 3);
+	best = g_array_index(ranking, struct gyp_ranked_endpoint, 0).row;
+	g_array_free(ranking, TRUE);
+	gyp_flow_free(flow);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.cmds->len, ==, 1);
+	g_assert_cmpuint(placer_fixture_start(&f, 0)->runs[0]->host, ==, best);
+	placer_fixture_clear(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -277,5 +348,8 @@
 	g_test_add_func("/workspaces/report", test_report);
 	g_test_add_func("/workspaces/reasons", test_reasons);
 	g_test_add_func("/workspaces/bounds", test_bounds);
+	g_test_add_func("/workspaces/intake-preview", test_intake_preview);
+	g_test_add_func(
+	    "/workspaces/placement-preview", test_placement_preview);
 	return g_test_run();
 }
--- a/test/workspaces.sh
+++ b/test/workspaces.sh
@@ -36,7 +36,7 @@
 INI
 cat >"$dir/manifest" <<'JSON'
 {"version":1,"backends":[{"name":"pool"}],
- "routes":[{"name":"juicing","host":"press.example","path_prefix":"/j/",
+ "routes":[{"name":"r-1","host":"press.example","path_prefix":"/j/",
   "backend":"pool","timeout_ms":5000,"target_latency_ms":500,
   "max_attempts":3}],
  "tenants":[
@@ -108,6 +108,56 @@
 await 'workspaces known=2 .*w1=orchard,cpu_milli=0/4000,.*refused=[1-9]' \
     cat "$dir/cell.log"
 
+echo "== a preview names what is wrong with a flow, and submits nothing"
+# refused PATTERN JSON: the preview of a flow must be refused with a message.
+refused() {
+	local code=0
+	ctl preview - <<<"$2" >"$dir/shown" 2>&1 || code=$?
+	[ "$code" = 1 ] && grep -q -- "$1" "$dir/shown" ||
+	    fail "expected $1, not $code: $(cat "$dir/shown")"
+}
+refused 'line 2, column' '{"queue":'
+refused 'queue: expected a string' '{"queue":1}'
+refused 'queue: expected the name' '{"queue":"x","steps":[{}]}'
+refused 'workspace: the queue requires one' '{"queue":"r-1","steps":[{}]}'
+refused 'workspace: expected the name' \
+    '{"queue":"r-1","workspace":"x","steps":[{}]}'
+refused 'steps\[1\].after: expected' '{"steps":[{},{"after":[1]}]}'
+refused 'steps\[0\].cpu: unknown field' '{"steps":[{"cpu":1}]}'
+refused 'steps\[0\].count: expected 0 to 20000' '{"steps":[{"count":-1}]}'
+refused 'steps\[0\]: expected an object' '{"steps":[1]}'
+refused 'no steps' '{"queue":"r-1","workspace":"rota"}'
+refused 'at most 32' "{\"queue\":\"r-1\",\"workspace\":\"rota\",
+    \"steps\":[$(printf '{},%.0s' $(seq 32)){}]}"
+cat >"$dir/flow" <<'JSON'
+{"queue":"r-1","workspace":"rota","steps":[
+ {"count":2,"cpu_milli":1000,"memory_bytes":1048576,"estimate_ms":300},
+ {"cpu_milli":1000,"after":[0]}]}
+JSON
+ctl preview "$dir/flow" >"$dir/shown"
+grep -Eq '^verdict +accepted$' "$dir/shown" &&
+    grep -Eq '^0 +2 +300 +- +0 .* an endpoint that suits$' "$dir/shown" &&
+    grep -Eq '^1 +1 .* steps before it$' "$dir/shown" ||
+    fail "preview: $(cat "$dir/shown")"
+# The example of the page, which api.sh leaves out since it has no manifest.
+page=$(dirname "$0")/../docs/API.md
+sed -n '/^```sh with-manifest$/,/^```$/p' "$page" | grep -v '^```' >"$dir/lines"
+ENTRY=http://$entry bash -euo pipefail "$dir/lines" >"$dir/shown"
+grep -q '"steps":\[{.*"verdict":"' "$dir/shown" ||
+    fail "example of the page: $(cat "$dir/shown")"
+# The workspace spends its rate; then a preview is refused with a time.
+sed 's/rota/orchard/' "$dir/flow" >"$dir/flow-2"
+id=256
+preview_beyond_rate() {
+	for _ in 1 2 3; do
+		id=$((id + 1))
+		submit "$(printf %016x "$id")" secret-1 >/dev/null
+	done
+	ctl preview "$dir/flow-2" --format json
+}
+await '"retry_ms":[1-9][0-9]{3,}.*"verdict":"refused"' preview_beyond_rate
+await '^rota .* 0 +0 +0 +0 +0 +0 +nothing waits' ctl workspaces
+
 # A removed key is refused from the acknowledgement on, with the commands of
 # docs/OPERATIONS.md.
 curl -s "http://$control/api/config" | sed 's/"version":1/"version":2/
