Preview: capacities are computed once, and only the best endpoints sorted

Cause: each step of a preview began a round of its own and sorted all endpoints; a leader must not be busy with a report for long.

Change: gyp_placer_begin_preview() computes the capacities for all steps, and gyp_ranking_keep_best() sorts the five that are shown.

--- a/src/admin_preview.c
+++ b/src/admin_preview.c
@@ -26,6 +26,7 @@
 	const struct gyp_replica *r;
 	struct gyp_flows *flows;
 	struct gyp_placer *placer;
+	const struct gyp_capacity_index *capacities;
 	Gyp__FlowSpec *spec;
 	const Gyp__Workspace *ws;     /* or NULL */
 	struct gyp_workspace_use use; /* committed use of ws */
@@ -83,7 +84,7 @@
 
 /* ---- Flow --------------------------------------------------------------- */
 
-/* The row is of no workspace, see gyp_placer_preview(). */
+/* The row is of no workspace, see gyp_placer_allowance(). */
 static void
 copy_use(struct preview *v)
 {
@@ -123,17 +124,15 @@
 static struct suitable
 count_suitable(const struct preview *v, const struct gyp_candidate *c)
 {
-	const struct gyp_capacity_index *index =
-	    gyp_placer_capacities(v->placer);
 	struct suitable s = {.counts = {0}};
 	uint32_t row;
 
-	for (row = 0; row < gyp_capacity_index_size(index); row++) {
+	for (row = 0; row < gyp_capacity_index_size(v->capacities); row++) {
 		const struct gyp_host *h = gyp_host_at(v->flows, row);
 
 		if (h != NULL && h->pool == c->flow->pool)
 			s.counts[gyp_capacity_misfit(
-			    gyp_capacity_index_at(index, row), c)]++;
+			    gyp_capacity_index_at(v->capacities, row), c)]++;
 	}
 	return s;
 }
@@ -144,7 +143,7 @@
 	json_t *list = json_array();
 	guint i;
 
-	for (i = 0; i < MIN(ranking->len, CANDIDATES_LISTED); i++) {
+	for (i = 0; i < ranking->len; i++) {
 		const struct gyp_ranked_endpoint *e =
 		    &g_array_index(ranking, struct gyp_ranked_endpoint, i);
 		const struct gyp_host *h = gyp_host_at(v->flows, e->row);
@@ -205,24 +204,22 @@
 step_json(const struct preview *v, struct gyp_flow_unit *unit)
 {
 	struct gyp_candidate c = {.flow = v->flow, .unit = unit};
-	GArray *ranking;
-	struct suitable s;
+	GArray *ranking = gyp_placer_preview(v->placer, &c);
+	struct suitable s = count_suitable(v, &c);
 	uint32_t allowed = gyp_placer_allowance(v->placer, &c);
-	uint32_t suit;
-	uint64_t free_tasks;
+	uint32_t suit = s.counts[GYP_MISFIT_NONE];
+	uint32_t full = suit - ranking->len;
+	uint64_t free_tasks = gyp_ranking_total(ranking);
 	json_t *json;
 
-	ranking = gyp_placer_preview(v->placer, v->r->now, &c);
-	s = count_suitable(v, &c);
-	suit = s.counts[GYP_MISFIT_NONE];
-	free_tasks = gyp_ranking_total(ranking);
+	gyp_ranking_keep_best(ranking, CANDIDATES_LISTED);
 	json = json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:s,s:o}", "step",
 	    (json_int_t)unit->step_number, "tasks",
 	    (json_int_t)unit->step->count, "suit", (json_int_t)suit, "full",
-	    (json_int_t)(suit - ranking->len), "free_tasks",
-	    (json_int_t)free_tasks, "quota_tasks", (json_int_t)allowed,
-	    "waits_for", waits_for(v, &c, allowed, suit, free_tasks),
-	    "candidates", candidates_json(v, ranking));
+	    (json_int_t)full, "free_tasks", (json_int_t)free_tasks,
+	    "quota_tasks", (json_int_t)allowed, "waits_for",
+	    waits_for(v, &c, allowed, suit, free_tasks), "candidates",
+	    candidates_json(v, ranking));
 	json_object_set_new(json, "ruled_out",
 	    json_pack("{s:I,s:I,s:I,s:I,s:I}", "no_contact",
 		(json_int_t)s.counts[GYP_MISFIT_CONTACT], "failures",
@@ -281,6 +278,7 @@
 		json = json_pack("{s:s}", "error", error);
 	} else {
 		make_flow(&v);
+		v.capacities = gyp_placer_begin_preview(v.placer, r->now);
 		json = preview_json(&v);
 		gyp_flow_free(v.flow);
 	}
--- a/src/placer.c
+++ b/src/placer.c
@@ -280,24 +280,22 @@
 	return ranking;
 }
 
+const struct gyp_capacity_index *
+gyp_placer_begin_preview(struct gyp_placer *p, uint64_t now)
+{
+	gyp_capacity_index_begin_round(p->capacities, now);
+	return p->capacities;
+}
+
 GArray *
-gyp_placer_preview(
-    struct gyp_placer *p, uint64_t now, const struct gyp_candidate *c)
+gyp_placer_preview(const struct gyp_placer *p, const struct gyp_candidate *c)
 {
 	GArray *ranking = gyp_ranking_new();
 
-	gyp_capacity_index_begin_round(p->capacities, now);
 	add_all_endpoints(p, c, ranking);
-	gyp_ranking_sort(ranking);
 	return ranking;
 }
 
-const struct gyp_capacity_index *
-gyp_placer_capacities(const struct gyp_placer *p)
-{
-	return p->capacities;
-}
-
 uint32_t
 gyp_placer_allowance(const struct gyp_placer *p, const struct gyp_candidate *c)
 {
--- a/src/placer.h
+++ b/src/placer.h
@@ -103,18 +103,20 @@
     const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t wall_ms);
 
 /*
- * For previews of a flow that is not in the tables; propose nothing and change
- * no later round. The first returns the endpoints that can take tasks of the
- * unit now, in the order of the placer and whatever the admission service
- * allows, and the second their capacities until the next round. The third
- * returns how many of the unit's waiting tasks may start under the cap of
+ * For previews of flows that are not in the tables; propose nothing and change
+ * no later round.
+ *
+ * The first computes the capacities, which stay valid until the next round. The
+ * second returns the endpoints that can take tasks of the unit now, whatever
+ * the admission service allows; unsorted, see gyp_ranking_keep_best(). The
+ * third returns how many of the unit's waiting tasks may start under the cap of
  * flow->use; of a row beyond those in the tables, only the committed use
  * counts.
  */
+const struct gyp_capacity_index *gyp_placer_begin_preview(
+    struct gyp_placer *, uint64_t now);
 GArray *gyp_placer_preview(
-    struct gyp_placer *, uint64_t now, const struct gyp_candidate *);
-const struct gyp_capacity_index *gyp_placer_capacities(
-    const struct gyp_placer *);
+    const struct gyp_placer *, const struct gyp_candidate *);
 uint32_t gyp_placer_allowance(
     const struct gyp_placer *, const struct gyp_candidate *);
 
--- a/test/test_workspaces.c
+++ b/test/test_workspaces.c
@@ -330,8 +330,10 @@
 	flow = gyp_flow_make(gyp_flow_get(f.base.flows, 2)->spec);
 	c = (struct gyp_candidate){.flow = flow, .unit = &flow->units[0]};
 	g_assert_cmpuint(gyp_placer_allowance(f.placer, &c), ==, 1);
-	ranking = gyp_placer_preview(f.placer, f.base.now, &c);
+	gyp_placer_begin_preview(f.placer, f.base.now);
+	ranking = gyp_placer_preview(f.placer, &c);
 	g_assert_cmpuint(ranking->len, ==, 3);
+	gyp_ranking_keep_best(ranking, 1);
 	best = g_array_index(ranking, struct gyp_ranked_endpoint, 0).row;
 	g_array_free(ranking, TRUE);
 	gyp_flow_free(flow);
