--- a/test/workspaces.sh
+++ b/test/workspaces.sh
@@ -145,6 +145,15 @@
 ENTRY=http://$entry bash -euo pipefail "$dir/lines" >"$dir/shown"
 grep -q '"steps":\[{.*"verdict":"' "$dir/shown" ||
     fail "example of the page: $(cat "$dir/shown")"
+# Of five tasks with one processor each, the cap of the workspace allows four.
+ctl preview - --format json >"$dir/shown" <<'JSON'
+{"queue":"r-1","workspace":"orchard","steps":[{"count":5,"cpu_milli":1000},
+ {"count":2,"cpu_milli":1000,"memory_bytes":2147483649}]}
+JSON
+[ "$(grep -o '"quota_tasks":[0-9]*' "$dir/shown" | tr '\n' ' ')" = \
+    '"quota_tasks":4 "quota_tasks":0 ' ] &&
+    grep -q '"step":1,.*"waits_for":"quota"' "$dir/shown" ||
+    fail "preview with a cap: $(cat "$dir/shown")"
 # The workspace spends its rate; then a preview is refused with a time.
 sed 's/rota/orchard/' "$dir/flow" >"$dir/flow-2"
 id=256
