--- a/src/placer.h
+++ b/src/placer.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "admission.h"
+#include "capacity_index.h"
 #include "fleet.h"
 #include "flow.h"
 #include "preempt.h"
@@ -75,6 +76,50 @@
  */
 double gyp_placer_waiting(const struct gyp_placer *, const char *pool);
 
+/* Why tasks of a workspace that could start have no run. */
+enum gyp_placer_wait {
+	GYP_PLACER_WAIT_NONE,
+	GYP_PLACER_WAIT_QUOTA,
+	GYP_PLACER_WAIT_CAPACITY,
+	GYP_PLACER_WAIT_QUERY /* an admission query is under way */
+};
+
+/*
+ * Returns why the most urgent unit of the workspace that was not placed as a
+ * whole in the latest round waits.
+ */
+enum gyp_placer_wait gyp_placer_wait(
+    const struct gyp_placer *, const struct gyp_workspace_use *);
+
+/*
+ * Counts the tasks of the flow that need a run: those that could start now, and
+ * those that wait for other steps or for their time.
+ */
+void gyp_placer_count_waiting(const struct gyp_flow *, uint64_t wall_ms,
+    uint32_t *waiting, uint32_t *later);
+
+/* True unless the unit is of a repetition that is due later. */
+bool gyp_placer_unit_is_due(
+    const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t wall_ms);
+
+/*
+ * For previews of flows that are not in the tables; propose nothing and change
+ * no later round.
+ *
+ * The first computes the capacities, which stay valid until the next round. The
+ * second returns the endpoints that can take tasks of the unit now, whatever
+ * the admission service allows; unsorted, see gyp_ranking_keep_best(). The
+ * third returns how many of the unit's waiting tasks may start under the cap of
+ * flow->use; of a row beyond those in the tables, only the committed use
+ * counts.
+ */
+const struct gyp_capacity_index *gyp_placer_begin_preview(
+    struct gyp_placer *, uint64_t now);
+GArray *gyp_placer_preview(
+    const struct gyp_placer *, const struct gyp_candidate *);
+uint32_t gyp_placer_allowance(
+    const struct gyp_placer *, const struct gyp_candidate *);
+
 /* Number of comparisons of a unit with an endpoint in the latest round. */
 uint64_t gyp_placer_comparisons(const struct gyp_placer *);
 
