Followers take heartbeats of large deployments and relay them to the leader

At 3,000 endpoints 2,000 heartbeats a second reach the leader, most of them on a new connection, and after a change of leader all endpoints look for the new one at once, by way of redirects.

From relay_heartbeats_from endpoints on, a follower in contact with the leader answers a heartbeat that reports nothing new, and sends those of 50 ms to the leader in one frame. The leader names a follower for an endpoint's next heartbeats by rendezvous hashing. What must be committed still goes to the leader. Which reports are new is decided in replica_heartbeats.c, no longer in the platform's adapter. Below that number nothing changes.

--- a/src/flow.c
+++ b/src/flow.c
@@ -240,6 +240,12 @@
 	return f->hosts->len;
 }
 
+uint32_t
+gyp_hosts_count(const struct gyp_flows *f)
+{
+	return g_hash_table_size(f->host_ids);
+}
+
 struct gyp_host *
 gyp_host_by_id(const struct gyp_flows *f, const char *id)
 {
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -496,7 +496,8 @@
 	    .compact_bytes = set->compact_bytes,
 	    .run_lease_ms = set->run_lease_ms,
 	    .stop_grace_ms = set->stop_grace_ms,
-	    .learn_run_times = set->learn_run_times};
+	    .learn_run_times = set->learn_run_times,
+	    .relay_heartbeats_from = set->relay_heartbeats_from};
 
 	app->replica = gyp_replica_new(&cfg);
 }
--- a/src/raft.c
+++ b/src/raft.c
@@ -301,6 +301,14 @@
 			    4 * (uint64_t)r->cfg.election_ms;
 }
 
+bool
+gyp_raft_has_leader(const struct gyp_raft *r)
+{
+	return r->role == GYP_RAFT_FOLLOWER && r->leader != 0 &&
+	       r->leader != r->cfg.id &&
+	       r->now < r->leader_contact + r->cfg.election_ms;
+}
+
 uint64_t
 gyp_raft_commit_index(const struct gyp_raft *r)
 {
--- a/src/raft.h
+++ b/src/raft.h
@@ -152,6 +152,12 @@
  * election timeouts.
  */
 bool gyp_raft_is_leaderless(const struct gyp_raft *);
+
+/*
+ * True while another replica leads and has contacted this one within an
+ * election timeout.
+ */
+bool gyp_raft_has_leader(const struct gyp_raft *);
 uint64_t gyp_raft_commit_index(const struct gyp_raft *);
 
 /*
--- a/src/replica.c
+++ b/src/replica.c
@@ -401,6 +401,9 @@
 	case GYP__FRAME__BODY_UP:
 		on_entry_frame(r, from, frame->up);
 		break;
+	case GYP__FRAME__BODY_BEATS:
+		gyp_replica_handle_beats(r, frame->beats);
+		break;
 	case GYP__FRAME__BODY_JOIN:
 		gyp_replica_join(r, frame->join);
 		break;
@@ -441,6 +444,7 @@
 {
 	gyp_replica_advance(r, now);
 	gyp_raft_apply_more(r->raft);
+	gyp_replica_relay_heartbeats(r);
 	/* Repeats the request for a transfer, which may have been lost. */
 	if (r->leading && r->transferring)
 		gyp_raft_transfer_leadership(r->raft);
@@ -553,6 +557,7 @@
 	r->usage = gyp_usage_new();
 	r->reported_attempts = gyp_reported_attempts_new();
 	r->counters = gyp_counters_new();
+	r->relayed_beats = g_ptr_array_new_with_free_func(gyp_message_free);
 	r->workspace_metrics = gyp_workspace_metrics_new(r->counters);
 	r->events = gyp_events_new();
 	return r;
@@ -587,6 +592,7 @@
 	gyp_reported_attempts_free(r->reported_attempts);
 	gyp_workspace_metrics_free(r->workspace_metrics);
 	gyp_counters_free(r->counters);
+	g_ptr_array_free(r->relayed_beats, TRUE);
 	gyp_events_free(r->events);
 	gyp_state_free(r->state);
 	gyp_raft_free(r->raft);
--- a/src/replica.h
+++ b/src/replica.h
@@ -48,7 +48,9 @@
 	uint64_t compact_bytes; /* mean log size that triggers a snapshot */
 	uint32_t run_lease_ms;  /* longest lease of endpoints that run flows */
 	uint32_t stop_grace_ms; /* longest time that a stop takes there */
-	bool learn_run_times;   /* decisions use learned run times */
+	/* Endpoints from which followers take heartbeats; 0: never. */
+	uint32_t relay_heartbeats_from;
+	bool learn_run_times; /* decisions use learned run times */
 };
 
 /*
@@ -146,12 +148,33 @@
     struct gyp_replica *, uint64_t now, const Gyp__Call *);
 Gyp__Reply *gyp_replica_pop_local_reply(struct gyp_replica *);
 
+enum gyp_heartbeat_result {
+	GYP_HEARTBEAT_TAKEN,    /* nothing new; the leader has it or will */
+	GYP_HEARTBEAT_NEWS,     /* this leader must commit what it reports */
+	GYP_HEARTBEAT_NO_LEADER /* neither leads nor may answer for the leader
+				 */
+};
+
+/*
+ * Handles a heartbeat of an endpoint that runs flows, with the reading of its
+ * clock or 0.
+ *
+ * Handles this load: thousands of endpoints whose heartbeats would take most of
+ * the leader's CPU time, and which would all look for the new leader at once.
+ * From cfg.relay_heartbeats_from endpoints on, a follower that is in contact
+ * with the leader answers a heartbeat that reports nothing new, and passes it
+ * on with others in one frame.
+ */
+enum gyp_heartbeat_result gyp_replica_heartbeat(struct gyp_replica *,
+    uint64_t now, const Gyp__CmdHost *reported, uint64_t clock_ms);
+
 /*
- * Handles a heartbeat of an endpoint that runs flows; false when this replica
- * is not serving.
+ * Address ("ip:port") of the replica to which an endpoint is to send its next
+ * heartbeats; NULL if any will do. Spreads the endpoints over the followers
+ * that are in contact; leader only.
  */
-bool gyp_replica_heartbeat(struct gyp_replica *, uint64_t now,
-    const char *endpoint, uint64_t incarnation_start_ms, uint64_t clock_ms);
+const char *gyp_replica_heartbeat_address(
+    const struct gyp_replica *, const char *endpoint);
 
 /*
  * Pops a call to make at an endpoint that runs flows, owned by the caller; NULL
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -391,22 +391,6 @@
 	return g_queue_pop_head(&r->local_replies);
 }
 
-bool
-gyp_replica_heartbeat(struct gyp_replica *r, uint64_t now, const char *endpoint,
-    uint64_t incarnation_start_ms, uint64_t clock_ms)
-{
-	const struct gyp_host *h;
-
-	gyp_replica_advance(r, now);
-	if (!gyp_replica_serving(r))
-		return false;
-	h = gyp_host_by_id(gyp_state_flows(r->state), endpoint);
-	if (h != NULL)
-		gyp_fleet_heartbeat(gyp_flow_scheduler_fleet(r->flow_scheduler),
-		    r->now, h->row, incarnation_start_ms, clock_ms);
-	return true;
-}
-
 /* Drops calls whose give-up time has passed. */
 static void
 drop_expired_calls(struct gyp_replica *r)
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -23,6 +23,7 @@
  *	replica_rules.c	versions of the rules and when they are in force
  *	replica_lead.c	a leader's periodic work and its frames to entries
  *	replica_flows.c	flows, their endpoints and the manifest
+ *	replica_heartbeats.c heartbeats of endpoints, at leader and followers
  *	replica_members.c	membership and votes
  *	admin.c		reports for operators, as JSON
  */
@@ -122,8 +123,10 @@
 	struct gyp_carriers *carriers;             /* NULL while not leading */
 	GQueue own_endpoint_calls; /* struct gyp_fleet_call, not yet made */
 	struct gyp_events *events;
-	GQueue local_replies; /* Gyp__Reply */
-	uint64_t wall_ms;     /* Unix time, only for due times of flows */
+	GQueue local_replies;     /* Gyp__Reply */
+	GPtrArray *relayed_beats; /* Gyp__HostBeat, held back by a follower */
+	uint64_t relay_at;        /* when to send them */
+	uint64_t wall_ms;         /* Unix time, only for due times of flows */
 };
 
 /* Id that stands for this process among the entries. */
@@ -171,6 +174,11 @@
     struct gyp_replica *, const struct gyp_entry_peer *, const Gyp__EntryUp *);
 void gyp_replica_schedule_flows(struct gyp_replica *, bool decide);
 
+/* replica_heartbeats.c */
+/* Sends the heartbeats that this follower holds back, when they are due. */
+void gyp_replica_relay_heartbeats(struct gyp_replica *);
+void gyp_replica_handle_beats(struct gyp_replica *, const Gyp__HostBeats *);
+
 /* replica_rules.c */
 void gyp_replica_refresh_rules(struct gyp_replica *, uint64_t index);
 void gyp_replica_handle_rules(
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2797,6 +2797,96 @@
   assert(message->base.descriptor == &gyp__entry_down__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gyp__host_beat__init
+                     (Gyp__HostBeat         *message)
+{
+  static const Gyp__HostBeat init_value = GYP__HOST_BEAT__INIT;
+  *message = init_value;
+}
+size_t gyp__host_beat__get_packed_size
+                     (const Gyp__HostBeat *message)
+{
+  assert(message->base.descriptor == &gyp__host_beat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__host_beat__pack
+                     (const Gyp__HostBeat *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__host_beat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__host_beat__pack_to_buffer
+                     (const Gyp__HostBeat *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__host_beat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__HostBeat *
+       gyp__host_beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__HostBeat *)
+     protobuf_c_message_unpack (&gyp__host_beat__descriptor,
+                                allocator, len, data);
+}
+void   gyp__host_beat__free_unpacked
+                     (Gyp__HostBeat *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__host_beat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__host_beats__init
+                     (Gyp__HostBeats         *message)
+{
+  static const Gyp__HostBeats init_value = GYP__HOST_BEATS__INIT;
+  *message = init_value;
+}
+size_t gyp__host_beats__get_packed_size
+                     (const Gyp__HostBeats *message)
+{
+  assert(message->base.descriptor == &gyp__host_beats__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__host_beats__pack
+                     (const Gyp__HostBeats *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__host_beats__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__host_beats__pack_to_buffer
+                     (const Gyp__HostBeats *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__host_beats__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__HostBeats *
+       gyp__host_beats__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__HostBeats *)
+     protobuf_c_message_unpack (&gyp__host_beats__descriptor,
+                                allocator, len, data);
+}
+void   gyp__host_beats__free_unpacked
+                     (Gyp__HostBeats *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__host_beats__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gyp__frame__init
                      (Gyp__Frame         *message)
 {
@@ -9809,7 +9899,109 @@
   (ProtobufCMessageInit) gyp__entry_down__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__frame__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gyp__host_beat__field_descriptors[3] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__HostBeat, host),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__HostBeat, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__HostBeat, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__host_beat__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  2,   /* field[2] = clock_ms */
+  0,   /* field[0] = host */
+};
+static const ProtobufCIntRange gyp__host_beat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gyp__host_beat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.HostBeat",
+  "HostBeat",
+  "Gyp__HostBeat",
+  "gyp",
+  sizeof(Gyp__HostBeat),
+  3,
+  gyp__host_beat__field_descriptors,
+  gyp__host_beat__field_indices_by_name,
+  1,  gyp__host_beat__number_ranges,
+  (ProtobufCMessageInit) gyp__host_beat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__host_beats__field_descriptors[1] =
+{
+  {
+    "beats",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__HostBeats, n_beats),
+    offsetof(Gyp__HostBeats, beats),
+    &gyp__host_beat__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__host_beats__field_indices_by_name[] = {
+  0,   /* field[0] = beats */
+};
+static const ProtobufCIntRange gyp__host_beats__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gyp__host_beats__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.HostBeats",
+  "HostBeats",
+  "Gyp__HostBeats",
+  "gyp",
+  sizeof(Gyp__HostBeats),
+  1,
+  gyp__host_beats__field_descriptors,
+  gyp__host_beats__field_indices_by_name,
+  1,  gyp__host_beats__number_ranges,
+  (ProtobufCMessageInit) gyp__host_beats__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__frame__field_descriptors[6] =
 {
   {
     "hello",
@@ -9871,8 +10063,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "beats",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Frame, body_case),
+    offsetof(Gyp__Frame, beats),
+    &gyp__host_beats__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__frame__field_indices_by_name[] = {
+  5,   /* field[5] = beats */
   4,   /* field[4] = down */
   0,   /* field[0] = hello */
   1,   /* field[1] = join */
@@ -9882,7 +10087,7 @@
 static const ProtobufCIntRange gyp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gyp__frame__descriptor =
 {
@@ -9892,7 +10097,7 @@
   "Gyp__Frame",
   "gyp",
   sizeof(Gyp__Frame),
-  5,
+  6,
   gyp__frame__field_descriptors,
   gyp__frame__field_indices_by_name,
   1,  gyp__frame__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -77,6 +77,8 @@
 typedef struct Gyp__Order Gyp__Order;
 typedef struct Gyp__EntryUp Gyp__EntryUp;
 typedef struct Gyp__EntryDown Gyp__EntryDown;
+typedef struct Gyp__HostBeat Gyp__HostBeat;
+typedef struct Gyp__HostBeats Gyp__HostBeats;
 typedef struct Gyp__Frame Gyp__Frame;
 
 
@@ -1739,13 +1741,49 @@
     , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * A heartbeat of an endpoint that runs flows, received by a follower.
+ */
+struct  Gyp__HostBeat
+{
+  ProtobufCMessage base;
+  /*
+   * row of the endpoint
+   */
+  uint32_t host;
+  uint64_t born_ms;
+  /*
+   * the endpoint's clock, 0 when unknown
+   */
+  uint64_t clock_ms;
+};
+#define GYP__HOST_BEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__host_beat__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * From a follower to the leader.
+ */
+struct  Gyp__HostBeats
+{
+  ProtobufCMessage base;
+  size_t n_beats;
+  Gyp__HostBeat **beats;
+};
+#define GYP__HOST_BEATS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__host_beats__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   GYP__FRAME__BODY__NOT_SET = 0,
   GYP__FRAME__BODY_HELLO = 1,
   GYP__FRAME__BODY_JOIN = 2,
   GYP__FRAME__BODY_RAFT = 3,
   GYP__FRAME__BODY_UP = 4,
-  GYP__FRAME__BODY_DOWN = 5
+  GYP__FRAME__BODY_DOWN = 5,
+  GYP__FRAME__BODY_BEATS = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__FRAME__BODY__CASE)
 } Gyp__Frame__BodyCase;
 
@@ -1759,6 +1797,7 @@
     Gyp__RaftMsg *raft;
     Gyp__EntryUp *up;
     Gyp__EntryDown *down;
+    Gyp__HostBeats *beats;
   };
 };
 #define GYP__FRAME__INIT \
@@ -2944,6 +2983,44 @@
 void   gyp__entry_down__free_unpacked
                      (Gyp__EntryDown *message,
                       ProtobufCAllocator *allocator);
+/* Gyp__HostBeat methods */
+void   gyp__host_beat__init
+                     (Gyp__HostBeat         *message);
+size_t gyp__host_beat__get_packed_size
+                     (const Gyp__HostBeat   *message);
+size_t gyp__host_beat__pack
+                     (const Gyp__HostBeat   *message,
+                      uint8_t             *out);
+size_t gyp__host_beat__pack_to_buffer
+                     (const Gyp__HostBeat   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__HostBeat *
+       gyp__host_beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__host_beat__free_unpacked
+                     (Gyp__HostBeat *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__HostBeats methods */
+void   gyp__host_beats__init
+                     (Gyp__HostBeats         *message);
+size_t gyp__host_beats__get_packed_size
+                     (const Gyp__HostBeats   *message);
+size_t gyp__host_beats__pack
+                     (const Gyp__HostBeats   *message,
+                      uint8_t             *out);
+size_t gyp__host_beats__pack_to_buffer
+                     (const Gyp__HostBeats   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__HostBeats *
+       gyp__host_beats__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__host_beats__free_unpacked
+                     (Gyp__HostBeats *message,
+                      ProtobufCAllocator *allocator);
 /* Gyp__Frame methods */
 void   gyp__frame__init
                      (Gyp__Frame         *message);
@@ -3151,6 +3228,12 @@
 typedef void (*Gyp__EntryDown_Closure)
                  (const Gyp__EntryDown *message,
                   void *closure_data);
+typedef void (*Gyp__HostBeat_Closure)
+                 (const Gyp__HostBeat *message,
+                  void *closure_data);
+typedef void (*Gyp__HostBeats_Closure)
+                 (const Gyp__HostBeats *message,
+                  void *closure_data);
 typedef void (*Gyp__Frame_Closure)
                  (const Gyp__Frame *message,
                   void *closure_data);
@@ -3230,6 +3313,8 @@
 extern const ProtobufCMessageDescriptor gyp__order__descriptor;
 extern const ProtobufCMessageDescriptor gyp__entry_up__descriptor;
 extern const ProtobufCMessageDescriptor gyp__entry_down__descriptor;
+extern const ProtobufCMessageDescriptor gyp__host_beat__descriptor;
+extern const ProtobufCMessageDescriptor gyp__host_beats__descriptor;
 extern const ProtobufCMessageDescriptor gyp__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
