Replicas always find room among the connections of a leader

A process accepted 256 connections and silently closed further ones. The limit is 2,048, of which entries take at most 1,792; a refused connection is counted and logged. Entries also got no list of replicas from 33 replicas on; they get the voters first, as far as the list goes.

Ruled out: the heartbeats of endpoints.

Seen failing before: /link/many-entries.

Packed tasks also ignore the claims of other queries: they gather on the same endpoints on purpose.

--- a/src/admission_query.c
+++ b/src/admission_query.c
@@ -66,11 +66,22 @@
 {
 	struct gyp_res unclaimed = remaining(&cap->available, claimed);
 
-	if (c->flow->spec->queue->admission_ms < CLAIMS_COUNT_MS)
+	if (c->flow->spec->queue->admission_ms < CLAIMS_COUNT_MS ||
+	    gyp_candidate_packs(c))
 		return gyp_capacity_count_tasks(cap, c);
 	return gyp_capacity_count_tasks_in(cap, c, &unclaimed);
 }
 
+/* Packed tasks gather on the same endpoints on purpose. */
+static double
+claim_penalty(const struct gyp_capacity *cap, const struct gyp_candidate *c,
+    const struct gyp_res *claimed)
+{
+	if (gyp_candidate_packs(c))
+		return 0;
+	return (double)claimed->cpu_milli / (cap->host->capacity.cpu_milli + 1);
+}
+
 /*
  * Adds the endpoint to the ranking unless it is unsuitable or its answer is
  * already known or pending. Returns true when it was added and has free
@@ -91,11 +102,10 @@
 	claimed = gyp_admission_claimed(a, row);
 	endpoint.count = count_unclaimed(cap, c, &claimed);
 	endpoint.allowed_before = state == GYP_ADMISSION_EXPIRED;
-	endpoint.score =
-	    gyp_capacity_score(cap, c) -
-	    (double)claimed.cpu_milli / (cap->host->capacity.cpu_milli + 1) +
-	    (endpoint.allowed_before ? ALLOWED_BONUS : 0) +
-	    (endpoint.count > 0 ? AVAILABLE_BONUS : 0);
+	endpoint.score = gyp_capacity_score(cap, c) -
+			 claim_penalty(cap, c, &claimed) +
+			 (endpoint.allowed_before ? ALLOWED_BONUS : 0) +
+			 (endpoint.count > 0 ? AVAILABLE_BONUS : 0);
 	g_array_append_val(ranking, endpoint);
 	return endpoint.count > 0;
 }
--- a/src/counters.h
+++ b/src/counters.h
@@ -31,6 +31,7 @@
  *						without its sign
  *	gyp_link_bytes_total{link,direction}	bytes, with length prefixes
  *	gyp_messages_total{link,direction}	frames
+ *	gyp_links_refused_total			connections beyond a limit
  *	gyp_slow_turn_seconds			slow iterations of the loop
  *	gyp_uncounted_total			updates beyond GYP_COUNTERS_MAX
  *	gyp_leading				gauge, 1 while serving as leader
--- a/src/link.c
+++ b/src/link.c
@@ -13,6 +13,7 @@
 #include "buf.h"
 #include "counters.h"
 #include "link.h"
+#include "log.h"
 #include "loop_deferred.h"
 #include "msg.h"
 #include "timer.h"
@@ -32,6 +33,9 @@
 #define KEEPALIVE_PROBES     2
 #define UNACKED_TIMEOUT_MS   2000
 
+/* Shortest time between two log lines about refused connections, in ms. */
+#define REFUSAL_LOG_MS 1000
+
 enum conn_state { CONN_IDLE, CONN_DIALLING, CONN_OPEN };
 
 /* Frames and bytes not yet added to the counters. */
@@ -52,6 +56,7 @@
 	 * or if dialled.
 	 */
 	uint64_t id;
+	bool entry; /* by the hello */
 	struct gyp_buf in;
 	struct gyp_buf out;
 	/* Latest frame sent while dialling, or NULL; queued after the hello. */
@@ -78,8 +83,11 @@
 	struct gyp_timer *sweep;
 	GHashTable *dialled; /* address -> struct conn */
 	GPtrArray *accepted; /* struct conn */
-	GHashTable *by_id;   /* id -> struct conn of accepted */
-	GPtrArray *unsent;   /* struct conn, with newly queued frames */
+	guint entries;       /* of accepted: from entries */
+	guint entries_max;
+	uint64_t refusal_logged_at;
+	GHashTable *by_id; /* id -> struct conn of accepted */
+	GPtrArray *unsent; /* struct conn, with newly queued frames */
 	struct gyp_loop_deferred *deferred_send;
 };
 
@@ -242,6 +250,7 @@
 	if (c->address == NULL) {
 		if (g_hash_table_lookup(links->by_id, &c->id) == c)
 			g_hash_table_remove(links->by_id, &c->id);
+		links->entries -= c->entry;
 		g_ptr_array_remove_fast(links->accepted, c);
 		return;
 	}
@@ -316,17 +325,42 @@
 	schedule_send(c);
 }
 
+/* Counts a connection that is closed because of a limit, and logs the first. */
 static void
+count_refusal(struct gyp_links *links, const char *limit)
+{
+	uint64_t now = gyp_clock_ms();
+
+	if (links->counters != NULL)
+		gyp_count(links->counters, "gyp_links_refused_total", "", 1);
+	if (links->refusal_logged_at != 0 &&
+	    now < links->refusal_logged_at + REFUSAL_LOG_MS)
+		return;
+	links->refusal_logged_at = now;
+	gyp_log(GYP_LOG_WARNING, "link-refused",
+	    "limit=%s accepted=%u entries=%u", limit, links->accepted->len,
+	    links->entries);
+}
+
+/* Returns false when the connection must be closed. */
+static bool
 handle_hello(struct conn *c, const Gyp__Hello *hello)
 {
 	struct gyp_links *links = c->links;
 	struct conn *old = g_hash_table_lookup(links->by_id, &hello->id);
 
-	c->id = hello->id;
 	if (old != NULL)
 		drop_conn(old);
+	if (hello->entry && links->entries >= links->entries_max) {
+		count_refusal(links, "entries");
+		return false;
+	}
+	c->id = hello->id;
+	c->entry = hello->entry;
+	links->entries += c->entry;
 	g_hash_table_insert(links->by_id, &c->id, c);
 	links->owner->ops->hello_received(links->owner, hello);
+	return true;
 }
 
 /* Returns false when the connection must be closed. */
@@ -345,8 +379,7 @@
 	}
 	if (frame->body_case != GYP__FRAME__BODY_HELLO || frame->hello->id == 0)
 		return false;
-	handle_hello(c, frame->hello);
-	return true;
+	return handle_hello(c, frame->hello);
 }
 
 /* Bounds the memory of an accepted connection before its hello. */
@@ -488,6 +521,7 @@
 	if (fd < 0)
 		return;
 	if (links->accepted->len >= GYP_LINK_ACCEPTED_MAX) {
+		count_refusal(links, "accepted");
 		close(fd);
 		return;
 	}
@@ -595,6 +629,12 @@
 		queue_frame(c, packed);
 }
 
+void
+gyp_links_set_entries_max(struct gyp_links *links, guint max)
+{
+	links->entries_max = max;
+}
+
 void
 gyp_links_set_counters(struct gyp_links *links, struct gyp_counters *counters)
 {
@@ -640,6 +680,7 @@
 	links->timers = timers;
 	links->owner = owner;
 	links->hello = gyp_message_pack(&frame.base);
+	links->entries_max = GYP_LINK_ENTRIES_MAX;
 	links->rand = g_rand_new();
 	links->listen_fd = -1;
 	links->dialled =
--- a/src/link.h
+++ b/src/link.h
@@ -30,9 +30,16 @@
 /* Most bytes queued on one connection. */
 #define GYP_LINK_QUEUE_MAX (16 * 1024 * 1024)
 
-/* Most accepted connections, and largest frame before the hello, in bytes. */
-#define GYP_LINK_ACCEPTED_MAX 256
-#define GYP_HELLO_MAX         4096
+/*
+ * Most accepted connections, and how many of them may be from entries. The rest
+ * is for replicas: a leader that its followers cannot reach loses the lead, and
+ * the next one would be full of entries as well.
+ */
+#define GYP_LINK_ACCEPTED_MAX 2048
+#define GYP_LINK_ENTRIES_MAX  1792
+
+/* Largest frame before the hello, in bytes. */
+#define GYP_HELLO_MAX 4096
 
 /*
  * Bounds of the redial delay, in ms, before jitter: the wait is 0.5 to 1.5
@@ -82,6 +89,9 @@
     struct gyp_links_owner *, const Gyp__Hello *);
 void gyp_links_free(struct gyp_links *);
 
+/* Sets the limit of connections from entries, GYP_LINK_ENTRIES_MAX at first. */
+void gyp_links_set_entries_max(struct gyp_links *, guint max);
+
 /* Sets the counters for frames and bytes; NULL for none. */
 void gyp_links_set_counters(struct gyp_links *, struct gyp_counters *);
 
--- a/src/replica_lead.c
+++ b/src/replica_lead.c
@@ -238,23 +238,37 @@
 		down->rules = v->cmd->text;
 }
 
+/* Adds the voters, or the learners, as far as they fit; returns their number.
+ */
+static size_t
+add_members(const Gyp__Config *c, bool voters, char **list, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < c->n_members && n < REPLICA_LIST_MAX; i++) {
+		if (c->members[i]->voter == voters)
+			list[n++] = c->members[i]->address;
+	}
+	return n;
+}
+
 /*
- * Adds the list of replicas: it changes, and an entry starts with only a few of
- * them.
+ * Adds the list of replicas, voters first: it changes, and an entry starts with
+ * only a few of them.
  */
 static void
 fill_replicas(struct gyp_replica *r, struct gyp_entry_peer *peer,
     Gyp__EntryDown *down, char **list)
 {
 	const Gyp__Config *c = gyp_raft_members(r->raft);
-	size_t i;
+	size_t n = 0;
 
-	if (r->now < peer->replicas_due_at || c->n_members > REPLICA_LIST_MAX)
+	if (r->now < peer->replicas_due_at)
 		return;
 	peer->replicas_due_at = r->now + REPLICA_LIST_INTERVAL_MS;
-	for (i = 0; i < c->n_members; i++)
-		list[i] = c->members[i]->address;
-	down->n_cells = c->n_members;
+	n = add_members(c, true, list, n);
+	n = add_members(c, false, list, n);
+	down->n_cells = n;
 	down->cells = list;
 }
 
--- a/test/test_link.c
+++ b/test/test_link.c
@@ -255,6 +255,97 @@
 	tear_down(&f);
 }
 
+/* Number of entries of a deployment of 300 VMs. */
+#define MANY_ENTRIES 300
+
+static int
+connect_peer(const struct fixture *f, uint64_t id, gboolean entry)
+{
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__Hello hello = GYP__HELLO__INIT;
+	struct gyp_buf b = {NULL, 0, 0};
+	int fd = raw_connect(f->port);
+
+	hello.id = id;
+	hello.entry = entry;
+	frame.body_case = GYP__FRAME__BODY_HELLO;
+	frame.hello = &hello;
+	append_frame(&b, &frame);
+	append_entry_up(&b);
+	raw_send(fd, b.data, b.len);
+	gyp_buf_clear(&b);
+	return fd;
+}
+
+/* Waits until n frames were received. */
+static void
+await_received(const struct fixture *f, gint n)
+{
+	int i;
+
+	for (i = 0; i < 5000 && g_atomic_int_get(&f->received) < n; i++)
+		g_usleep(1000);
+	g_assert_cmpint(g_atomic_int_get(&f->received), ==, n);
+}
+
+/* All entries of a large deployment connect, and after them a replica. */
+static void
+connect_many(void *arg)
+{
+	struct fixture *f = arg;
+	int fds[MANY_ENTRIES + 1], i;
+
+	for (i = 0; i < MANY_ENTRIES; i++)
+		fds[i] = connect_peer(f, 1000 + (uint64_t)i, TRUE);
+	fds[i] = connect_peer(f, 2, FALSE);
+	await_received(f, MANY_ENTRIES + 1);
+	for (i = 0; i <= MANY_ENTRIES; i++)
+		close(fds[i]);
+}
+
+/* Entries beyond the limit are refused, replicas are not. */
+static void
+connect_beyond_limit(void *arg)
+{
+	struct fixture *f = arg;
+	int fds[4], i;
+	char *rest;
+
+	for (i = 0; i < 3; i++)
+		fds[i] = connect_peer(f, 1000 + (uint64_t)i, TRUE);
+	await_received(f, 2);
+	rest = raw_read_all(fds[2]);
+	g_assert_cmpstr(rest, ==, "");
+	g_free(rest);
+	fds[3] = connect_peer(f, 2, FALSE);
+	await_received(f, 3);
+	for (i = 0; i < 4; i++)
+		close(fds[i]);
+}
+
+/*
+ * A replica reaches another one beside the entries of a large deployment, or a
+ * new leader could not keep its majority.
+ */
+static void
+test_many_entries(void)
+{
+	run_in_fixture(connect_many);
+}
+
+static void
+test_entries_limit(void)
+{
+	struct fixture f;
+
+	set_up(&f);
+	gyp_links_set_entries_max(f.links, 2);
+	raw_run_thread(f.loop, connect_beyond_limit, &f);
+	g_assert_cmpuint(
+	    gyp_counter_get(f.counters, "gyp_links_refused_total", ""), ==, 1);
+	tear_down(&f);
+}
+
 static void
 test_garbage(void)
 {
@@ -319,5 +410,7 @@
 	g_test_add_func("/link/reconnect", test_reconnect);
 	g_test_add_func("/link/overflow", test_overflow);
 	g_test_add_func("/link/pending-frame", test_pending_frame);
+	g_test_add_func("/link/many-entries", test_many_entries);
+	g_test_add_func("/link/entries-limit", test_entries_limit);
 	return g_test_run();
 }
