--- a/src/flow_intake.c
+++ b/src/flow_intake.c
@@ -28,7 +28,8 @@
 /* A flow that was refused lately. */
 struct refused_flow {
 	uint64_t id;
-	uint64_t at;
+	uint64_t at; /* of its latest refusal */
+	GList link;  /* in the queue of refusals */
 };
 
 struct workspace_intake {
@@ -41,7 +42,7 @@
 	const struct gyp_flows *flows;
 	GHashTable *workspaces; /* name -> struct workspace_intake */
 	GHashTable *refused;    /* id -> struct refused_flow */
-	GQueue refusals;        /* struct refused_flow, oldest first */
+	GQueue refusals;        /* struct refused_flow, by time of refusal */
 };
 
 static struct workspace_intake *
@@ -61,7 +62,7 @@
 static void
 forget_oldest(struct gyp_flow_intake *in)
 {
-	struct refused_flow *r = g_queue_pop_head(&in->refusals);
+	struct refused_flow *r = g_queue_pop_head_link(&in->refusals)->data;
 
 	g_hash_table_remove(in->refused, &r->id);
 	g_free(r);
@@ -80,17 +81,20 @@
 static void
 remember_refusal(struct gyp_flow_intake *in, uint64_t flow, uint64_t now)
 {
-	struct refused_flow *r;
-
-	if (g_hash_table_contains(in->refused, &flow))
-		return;
-	if (in->refusals.length >= REFUSED_MAX)
-		forget_oldest(in);
-	r = g_new0(struct refused_flow, 1);
-	r->id = flow;
+	struct refused_flow *r = g_hash_table_lookup(in->refused, &flow);
+
+	if (r != NULL) {
+		g_queue_unlink(&in->refusals, &r->link);
+	} else {
+		if (in->refusals.length >= REFUSED_MAX)
+			forget_oldest(in);
+		r = g_new0(struct refused_flow, 1);
+		r->id = flow;
+		r->link.data = r;
+		g_hash_table_insert(in->refused, &r->id, r);
+	}
 	r->at = now;
-	g_hash_table_insert(in->refused, &r->id, r);
-	g_queue_push_tail(&in->refusals, r);
+	g_queue_push_tail_link(&in->refusals, &r->link);
 }
 
 /* ---- Decision ----------------------------------------------------------- */
@@ -161,22 +165,31 @@
 	return x->seq < y->seq ? -1 : x->seq > y->seq;
 }
 
-/* Takes the tokens of the flows that were accepted lately, oldest first. */
+/*
+ * Takes the tokens of the flows that were accepted lately, oldest first. Their
+ * buckets start empty: a full one would stay full while a workspace that sends
+ * too much gets its rate, which would then get a second's tokens again. As the
+ * replay covers more than a second, no work within the rate is refused.
+ */
 static void
 replay_recent(struct gyp_flow_intake *in, uint64_t now)
 {
 	GPtrArray *recent = g_ptr_array_new();
+	uint64_t since = now - MIN(now, REPLAY_MS);
 	guint i;
 
-	gyp_flows_list_recent(in->flows, now - MIN(now, REPLAY_MS), recent);
+	gyp_flows_list_recent(in->flows, since, recent);
 	g_ptr_array_sort(recent, by_seq);
 	for (i = 0; i < recent->len; i++) {
 		const struct gyp_flow *flow = recent->pdata[i];
-
-		if (flow->use != NULL && !flow->spec->excess)
-			gyp_token_bucket_take(
-			    &get_workspace(in, flow->use->name)->bucket,
-			    flow->use->rate, flow->accepted_ms);
+		struct gyp_token_bucket *bucket;
+
+		if (flow->use == NULL || flow->spec->excess)
+			continue;
+		bucket = &get_workspace(in, flow->use->name)->bucket;
+		bucket->filled_at = MAX(bucket->filled_at, MAX(since, 1));
+		gyp_token_bucket_take(
+		    bucket, flow->use->rate, flow->accepted_ms);
 	}
 	g_ptr_array_free(recent, TRUE);
 }
@@ -199,8 +212,9 @@
 {
 	if (in == NULL)
 		return;
+	while (!g_queue_is_empty(&in->refusals))
+		forget_oldest(in);
 	g_hash_table_destroy(in->workspaces);
 	g_hash_table_destroy(in->refused);
-	g_queue_clear_full(&in->refusals, g_free);
 	g_free(in);
 }
--- a/src/load_shed.c
+++ b/src/load_shed.c
@@ -1,3 +1,5 @@
+#include <math.h>
+
 #include <glib.h>
 
 #include "load_shed.h"
@@ -23,8 +25,9 @@
 gyp_load_shed_retry_ms(
     uint64_t now, uint64_t *slot_ms, double rate, uint32_t token_wait_ms)
 {
+	double token_ms = rate > 0 ? 1000 / rate : GYP_LOAD_SHED_RETRY_MAX_MS;
 	uint64_t interval_ms =
-	    rate > 0 ? (uint64_t)(1000 / rate) : GYP_LOAD_SHED_RETRY_MAX_MS;
+	    (uint64_t)ceil(MIN(token_ms, GYP_LOAD_SHED_RETRY_MAX_MS));
 	uint64_t slot = MAX(*slot_ms + interval_ms, now + token_wait_ms);
 
 	*slot_ms = MIN(slot, now + GYP_LOAD_SHED_RETRY_MAX_MS);
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -254,16 +254,17 @@
 gyp_replica_handle_flow(
     struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
+	const Gyp__CmdManifest *m =
+	    gyp_flows_manifest(gyp_state_flows(r->state));
 	const char *rest;
 	const Gyp__FlowQueue *q = find_queue(r, entry, call, &rest);
 	const Gyp__Workspace *ws;
 	const struct gyp_flow *flow;
 	uint64_t id;
 
-	if (q == NULL || !check_access(r, entry, call->id,
-			     gyp_workspace_access(
-				 gyp_flows_manifest(gyp_state_flows(r->state)),
-				 q, &call->flow->key_digest, &ws)))
+	if (q == NULL ||
+	    !check_access(r, entry, call->id,
+		gyp_workspace_access(m, q, &call->flow->key_digest, &ws)))
 		return;
 	if (rest[0] == '\0' && call->flow->submit == NULL &&
 	    !call->flow->cancel) {
@@ -276,8 +277,9 @@
 		return;
 	}
 	flow = gyp_flow_get(gyp_state_flows(r->state), id);
-	if (flow != NULL && !check_access(r, entry, call->id,
-				gyp_workspace_flow_access(q, ws, flow->spec)))
+	if (flow != NULL &&
+	    !check_access(r, entry, call->id,
+		gyp_workspace_flow_access(m, q, ws, flow->spec)))
 		return;
 	if (call->flow->submit != NULL)
 		submit_flow(r, entry, call, q, ws, id);
--- a/src/token_bucket.c
+++ b/src/token_bucket.c
@@ -23,7 +23,7 @@
 {
 	double tokens = tokens_at(b, rate, now);
 
-	b->filled_at = MAX(now, 1);
+	b->filled_at = MAX(MAX(now, 1), b->filled_at);
 	if (tokens < 1 - ROUNDING) {
 		b->tokens = tokens;
 		return false;
--- a/src/workspace.c
+++ b/src/workspace.c
@@ -127,11 +127,13 @@
 }
 
 enum gyp_access
-gyp_workspace_flow_access(
-    const Gyp__FlowQueue *q, const Gyp__Workspace *w, const Gyp__FlowSpec *spec)
+gyp_workspace_flow_access(const Gyp__CmdManifest *m, const Gyp__FlowQueue *q,
+    const Gyp__Workspace *w, const Gyp__FlowSpec *spec)
 {
-	if (q->is_public || spec->workspace[0] == '\0' ||
-	    (w != NULL && strcmp(w->name, spec->workspace) == 0))
+	if (!m->requires_keys || (q->is_public && spec->queue->is_public))
+		return GYP_ACCESS_GRANTED;
+	if (w != NULL && (spec->workspace[0] == '\0' ||
+			     strcmp(w->name, spec->workspace) == 0))
 		return GYP_ACCESS_GRANTED;
 	return GYP_ACCESS_FORBIDDEN;
 }
--- a/src/workspace.h
+++ b/src/workspace.h
@@ -59,9 +59,11 @@
 
 /*
  * Decides whether a caller of the workspace, NULL for none, may read or cancel
- * a flow with that specification through the queue.
+ * a flow with that specification through the queue. The flow may have been
+ * submitted to another queue: that the queue of the call is public gives no
+ * access to the flows of the other queues.
  */
-enum gyp_access gyp_workspace_flow_access(
+enum gyp_access gyp_workspace_flow_access(const Gyp__CmdManifest *,
     const Gyp__FlowQueue *, const Gyp__Workspace *, const Gyp__FlowSpec *);
 
 #endif
