--- a/src/placer.c
+++ b/src/placer.c
@@ -27,6 +27,13 @@
  */
 #define PREFETCH_RESERVED_DIVISOR 3
 
+/* What a round has decided for a workspace. */
+struct workspace_round {
+	struct gyp_res proposed; /* booked by the runs that it proposes */
+	struct gyp_res waiting;  /* tasks that may start but have no room */
+	bool held;               /* the rest is kept for a starving unit */
+};
+
 struct gyp_placer {
 	struct gyp_flows *flows;
 	struct gyp_fleet *fleet;
@@ -41,7 +48,7 @@
 	uint32_t runs_left; /* runs that this round may still propose */
 	uint32_t reservations;
 	uint32_t least_urgent; /* highest rank of the active flows */
-	GArray *proposed;      /* struct gyp_res by row of workspace */
+	GArray *workspaces;    /* struct workspace_round by row */
 	GHashTable *waiting;   /* interned pool -> double, see placer.h */
 	struct gyp_placer_summary summary;
 };
@@ -126,6 +133,30 @@
 
 /* ---- Quotas ------------------------------------------------------------- */
 
+static struct workspace_round *
+workspace_of(const struct gyp_placer *p, const struct gyp_candidate *c)
+{
+	return &g_array_index(
+	    p->workspaces, struct workspace_round, c->flow->use->row);
+}
+
+/*
+ * Keeps what is left of the quota for a unit that has waited too long, if the
+ * cap has room for it at all. Otherwise smaller tasks of the workspace could
+ * use up what a gang or a large task needs each time that a run ends.
+ */
+static void
+hold_quota(const struct gyp_placer *p, const struct gyp_candidate *c)
+{
+	const struct gyp_res none = {0, 0, 0, 0};
+	uint32_t needed = c->unit->step->gang ? c->unit->step->count : 1;
+
+	if (c->slack == GYP_SLACK_STARVING &&
+	    gyp_quota_count(
+		&c->flow->use->cap, &none, &c->unit->size, needed) == needed)
+		workspace_of(p, c)->held = true;
+}
+
 /*
  * Returns how many of the waiting tasks may start under the workspace's cap,
  * with the runs that this round has proposed; all or none of a gang.
@@ -139,24 +170,46 @@
 
 	if (use == NULL)
 		return waiting;
+	if (workspace_of(p, c)->held)
+		return 0;
 	used = use->used;
-	gyp_res_add(
-	    &used, &g_array_index(p->proposed, struct gyp_res, use->row));
+	gyp_res_add(&used, &workspace_of(p, c)->proposed);
 	n = gyp_quota_count(&use->cap, &used, &c->unit->size, waiting);
-	return c->unit->step->gang && n < waiting ? 0 : n;
+	if (c->unit->step->gang && n < waiting)
+		n = 0;
+	if (n == 0)
+		hold_quota(p, c);
+	return n;
 }
 
 static void
 charge_quota(struct gyp_placer *p, const struct gyp_candidate *c, guint runs)
 {
-	struct gyp_res *proposed;
+	while (c->flow->use != NULL && runs-- > 0)
+		gyp_res_add(&workspace_of(p, c)->proposed, &c->unit->size);
+}
 
-	if (c->flow->use == NULL)
-		return;
-	proposed =
-	    &g_array_index(p->proposed, struct gyp_res, c->flow->use->row);
-	while (runs-- > 0)
-		gyp_res_add(proposed, &c->unit->size);
+/*
+ * Returns how many of the waiting tasks may start at all before runs of the
+ * workspace end: several units may each be allowed the same rest of its quota.
+ */
+static uint32_t
+count_waiting_within_quota(
+    struct gyp_placer *p, const struct gyp_candidate *c, uint32_t tasks)
+{
+	const struct gyp_workspace_use *use = c->flow->use;
+	struct gyp_res used;
+	uint32_t n, i;
+
+	if (use == NULL)
+		return tasks;
+	used = use->used;
+	gyp_res_add(&used, &workspace_of(p, c)->proposed);
+	gyp_res_add(&used, &workspace_of(p, c)->waiting);
+	n = gyp_quota_count(&use->cap, &used, &c->unit->size, tasks);
+	for (i = 0; i < n; i++)
+		gyp_res_add(&workspace_of(p, c)->waiting, &c->unit->size);
+	return n;
 }
 
 /* ---- Placement ---------------------------------------------------------- */
@@ -368,7 +421,10 @@
 	uint64_t run_ms =
 	    gyp_run_stats_time_ms(p->stats, c->flow, c->unit, GYP_RUN_ORDER);
 
-	if (c->unit->step->lasting || tasks == 0)
+	if (c->unit->step->lasting)
+		return;
+	tasks = count_waiting_within_quota(p, c, tasks);
+	if (tasks == 0)
 		return;
 	if (sum == NULL) {
 		sum = g_new0(double, 1);
@@ -468,8 +524,8 @@
 	p->reservations = 0;
 	memset(&p->summary, 0, sizeof(p->summary));
 	g_hash_table_remove_all(p->waiting);
-	g_array_set_size(p->proposed, 0);
-	g_array_set_size(p->proposed, gyp_workspaces_size(p->flows));
+	g_array_set_size(p->workspaces, 0);
+	g_array_set_size(p->workspaces, gyp_workspaces_size(p->flows));
 	find_candidates(p, wall_ms);
 	p->summary.units = p->units->len;
 	if (p->units->len == 0 && p->prefetch->len == 0)
@@ -531,7 +587,8 @@
 	p->capacities = gyp_capacity_index_new(flows, fleet, stats, p->preempt);
 	p->units = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
 	p->prefetch = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
-	p->proposed = g_array_new(FALSE, TRUE, sizeof(struct gyp_res));
+	p->workspaces =
+	    g_array_new(FALSE, TRUE, sizeof(struct workspace_round));
 	p->waiting = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	p->runs = g_ptr_array_new_with_free_func(g_free);
 	return p;
@@ -546,7 +603,7 @@
 	gyp_capacity_index_free(p->capacities);
 	g_array_free(p->units, TRUE);
 	g_array_free(p->prefetch, TRUE);
-	g_array_free(p->proposed, TRUE);
+	g_array_free(p->workspaces, TRUE);
 	g_hash_table_destroy(p->waiting);
 	g_ptr_array_free(p->runs, TRUE);
 	g_free(p);
--- a/test/flow_fixture.c
+++ b/test/flow_fixture.c
@@ -125,6 +125,9 @@
 	spec.queue = &queue;
 	spec.n_steps = n;
 	spec.steps = list;
+	if (f->workspace != NULL)
+		spec.workspace = (char *)f->workspace;
+	spec.excess = f->excess;
 	submit.spec = &spec;
 	cmd.c_case = GYP__CMD__C_FLOW;
 	cmd.flow = &submit;
@@ -133,6 +136,33 @@
 	return gyp_flow_get(f->flows, id);
 }
 
+void
+flow_fixture_set_caps(
+    struct flow_fixture *f, const struct flow_fixture_cap *caps, size_t n)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdManifest m = GYP__CMD_MANIFEST__INIT;
+	Gyp__Workspace ws[4], *list[4];
+	Gyp__Res res[4];
+	size_t i;
+
+	g_assert_cmpuint(n, <=, G_N_ELEMENTS(ws));
+	for (i = 0; i < n; i++) {
+		gyp__workspace__init(&ws[i]);
+		gyp__res__init(&res[i]);
+		res[i].cpu_milli = caps[i].cpu_milli;
+		ws[i].name = (char *)caps[i].workspace;
+		ws[i].cap = &res[i];
+		list[i] = &ws[i];
+	}
+	m.version = ++f->manifest_version;
+	m.n_workspaces = n;
+	m.workspaces = list;
+	cmd.c_case = GYP__CMD__C_MANIFEST;
+	cmd.manifest = &m;
+	gyp_flows_apply(f->flows, f->now, &cmd);
+}
+
 void
 flow_fixture_start(struct flow_fixture *f, uint64_t flow, uint32_t first,
     uint32_t last, uint32_t run, uint32_t row)
--- a/test/flow_fixture.h
+++ b/test/flow_fixture.h
@@ -21,6 +21,10 @@
 	struct gyp_fleet *fleet;
 	uint64_t now;
 	const char *ticket; /* ticket of runs that start */
+	/* Workspace of flows that are submitted; NULL for none. */
+	const char *workspace;
+	bool excess; /* they are beyond its rate */
+	uint64_t manifest_version;
 };
 
 void flow_fixture_init(struct flow_fixture *);
@@ -39,6 +43,16 @@
 struct gyp_flow *flow_fixture_submit(
     struct flow_fixture *, uint64_t id, Gyp__FlowStep *steps, size_t n);
 
+/* A workspace and the CPUs of its cap, in thousandths. */
+struct flow_fixture_cap {
+	const char *workspace;
+	uint32_t cpu_milli;
+};
+
+/* Commits a manifest that lists exactly these n workspaces, at most 4. */
+void flow_fixture_set_caps(
+    struct flow_fixture *, const struct flow_fixture_cap *, size_t n);
+
 /*
  * Commits the start of tasks first to last of the flow on the endpoint, with
  * that run number.
