Randomised runs of flows with workspaces

Cause: no randomised run had workspaces. Their caps and keys change while starts are proposed, committed, lost with a leader, and carried out late.

It asserts that a committed start leaves the use at or below the cap of the manifest in the tables; that the endpoints at no time run more for a workspace than its open runs book; and that this is at most the cap at the workspace's latest start. That is stricter than the highest cap of a lease time plus a task.

Tables that ignore the cap, or ignore it at some counts of runs, and a restore that forgets workspaces are found.

--- a/test/flow_sim.c
+++ b/test/flow_sim.c
@@ -1,144 +1,15 @@
 #include <string.h>
 
-#include "flow_sim.h"
+#include "flow_sim_int.h"
 
-#define CPU_MILLI 10000
-#define MEMORY    (10ULL << 30)
+#define MEMORY (10ULL << 30)
 
 /* Time for all runs of a gang to start, in ms. */
 #define GANG_TIMEOUT_MS 3000
 
-/* A start sent this long after a committed cancellation is a fault, in ms. */
-#define CANCEL_LIMIT_MS 3000
-
 /* Upper bound of the network delay without faults, in ms. */
 #define NETWORK_DELAY_MAX_MS 4
 
-struct run {
-	uint64_t flow;
-	uint32_t task;
-	uint32_t run;
-	uint64_t ends_at;       /* 0 while its gang is incomplete */
-	uint64_t gang_deadline; /* gives up waiting for its gang */
-	bool fails;
-};
-
-struct end {
-	uint64_t number;
-	struct run run;
-	Gyp__FlowHow how;
-	bool lease_lapsed; /* before this end was acknowledged */
-};
-
-struct endpoint {
-	char id[8];
-	uint64_t incarnation_start_ms;
-	uint64_t clock_zero_at;   /* simulated time at which its clock is 0 */
-	double rate;              /* of its clock against simulated time */
-	uint64_t up_at;           /* it is down before this time */
-	uint64_t previous_end_at; /* end of the previous incarnation */
-	uint64_t disconnected_until; /* simulated time */
-	uint64_t fence;
-	uint64_t lease_end; /* by its clock */
-	uint64_t next_end;
-	GArray *runs;             /* struct run */
-	GArray *ends;             /* struct end */
-	GHashTable *highest_runs; /* task key -> highest run ended or stopped */
-};
-
-/* A call or an answer in transit. */
-struct message {
-	uint64_t at;
-	uint64_t sent_at;
-	uint64_t incarnation_start_ms;   /* incarnation of the endpoint */
-	struct gyp_fleet_call *call;     /* to the endpoint, or NULL */
-	struct gyp_fleet_answer *answer; /* from the endpoint, or NULL */
-	/* Receiver of the call or sender of the answer. */
-	const struct endpoint *endpoint;
-};
-
-struct flow_sim {
-	struct gyp_flows *flows;
-	GRand *rand;
-	bool faults;
-	uint64_t now;
-	uint64_t fault_at;
-	struct endpoint endpoints[FLOW_SIM_ENDPOINTS];
-	GPtrArray *messages;       /* struct message */
-	GHashTable *pending_calls; /* call id -> time at which it times out */
-	GHashTable *done;          /* set of task keys: acknowledged as done */
-	GHashTable *failed;        /* task key -> failures acknowledged */
-	GHashTable *cancelled;     /* flow id -> time */
-	uint64_t starts;
-	uint64_t sent_at; /* send time of the call being carried out */
-};
-
-/* ---- Invariants --------------------------------------------------------- */
-
-static gpointer
-task_key(uint64_t flow, uint32_t task)
-{
-	return GSIZE_TO_POINTER((gsize)(flow * 1000 + task + 1));
-}
-
-static bool
-is_up(const struct flow_sim *s, const struct endpoint *e)
-{
-	return s->now >= e->up_at;
-}
-
-static uint64_t
-clock_of(const struct endpoint *e, uint64_t now)
-{
-	return (uint64_t)((double)(now - e->clock_zero_at) * e->rate);
-}
-
-static void
-check_start(struct flow_sim *s, const struct endpoint *e,
-    const struct gyp_flow *flow, uint32_t task, uint32_t cpu_milli)
-{
-	const struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
-	gpointer key = task_key(flow->id, task);
-	gpointer at = g_hash_table_lookup(
-	    s->cancelled, GSIZE_TO_POINTER((gsize)flow->id));
-	uint64_t used = cpu_milli;
-	guint i, j;
-
-	if (g_hash_table_contains(s->done, key) && !u->step->lasting)
-		g_error("task %u of %" G_GUINT64_FORMAT " runs after done",
-		    task, flow->id);
-	if (GPOINTER_TO_UINT(g_hash_table_lookup(s->failed, key)) >= 3 &&
-	    !u->step->lasting)
-		g_error("task runs after its last allowed failure");
-	/* An endpoint may carry out a call late that was sent in time. */
-	if (at != NULL && s->sent_at > GPOINTER_TO_SIZE(at) + CANCEL_LIMIT_MS)
-		g_error("start sent long after the flow was cancelled");
-	if (!gyp_flow_unit_is_ready(flow, u))
-		g_error("task runs before those that it depends on");
-	for (i = 0; i < FLOW_SIM_ENDPOINTS; i++) {
-		const struct endpoint *other = &s->endpoints[i];
-
-		for (j = 0; j < other->runs->len && is_up(s, other); j++) {
-			const struct run *r =
-			    &g_array_index(other->runs, struct run, j);
-
-			if (r->flow == flow->id && r->task == task)
-				g_error("task %u of %" G_GUINT64_FORMAT
-					" runs twice, runs %u on %s and %s",
-				    task, flow->id, r->run, other->id, e->id);
-		}
-	}
-	for (j = 0; j < e->runs->len; j++) {
-		const struct run *r = &g_array_index(e->runs, struct run, j);
-
-		used +=
-		    gyp_flow_unit_of(gyp_flow_get(s->flows, r->flow), r->task)
-			->size.cpu_milli;
-	}
-	if (used > CPU_MILLI)
-		g_error("endpoint is over its capacity");
-}
-
 /* ---- Endpoints ---------------------------------------------------------- */
 
 static void
@@ -212,10 +83,7 @@
 		if (end->how == GYP__FLOW_HOW__FLOW_FAILED &&
 		    !end->lease_lapsed)
 			g_hash_table_insert(s->failed, key,
-			    GUINT_TO_POINTER(
-				GPOINTER_TO_UINT(
-				    g_hash_table_lookup(s->failed, key)) +
-				1));
+			    GUINT_TO_POINTER(lookup_uint(s->failed, key) + 1));
 		g_array_remove_index(e->ends, 0);
 	}
 }
@@ -295,12 +163,11 @@
 		    old->run == r.run)
 			return GYP_FLEET_OK;
 	}
-	if (GPOINTER_TO_UINT(g_hash_table_lookup(e->highest_runs, key)) >=
-	    r.run) {
+	if (lookup_uint(e->highest_runs, key) >= r.run) {
 		*reason = GYP_REASON_OLD_RUN;
 		return GYP_FLEET_REFUSED;
 	}
-	check_start(
+	flow_sim_check_start(
 	    s, e, flow, task, gyp_flow_unit_of(flow, task)->size.cpu_milli);
 	set_end(s, flow, &r);
 	g_array_append_val(e->runs, r);
@@ -326,8 +193,7 @@
 			break;
 		}
 	}
-	if (GPOINTER_TO_UINT(g_hash_table_lookup(e->highest_runs, key)) <
-	    c->run)
+	if (lookup_uint(e->highest_runs, key) < c->run)
 		g_hash_table_insert(
 		    e->highest_runs, key, GUINT_TO_POINTER(c->run));
 }
@@ -455,8 +321,8 @@
 	struct endpoint *e = find_endpoint(s, call->endpoint);
 
 	s->now = now;
-	g_hash_table_insert(s->pending_calls, GSIZE_TO_POINTER((gsize)call->id),
-	    GSIZE_TO_POINTER((gsize)(now + call->timeout_ms)));
+	g_hash_table_insert(s->pending_calls, GSIZE_TO_POINTER(call->id),
+	    GSIZE_TO_POINTER(now + call->timeout_ms));
 	if (now < e->disconnected_until || !is_up(s, e)) {
 		gyp_fleet_call_free(call);
 		return;
@@ -471,17 +337,12 @@
 deliver_call(struct flow_sim *s, const struct gyp_fleet_call *c)
 {
 	struct endpoint *e = find_endpoint(s, c->endpoint);
-	struct gyp_fleet_answer *a = new_answer(c->id, GYP_FLEET_OK);
+	struct gyp_fleet_answer *a;
 	uint64_t wait = 0;
 
-	if (!is_up(s, e)) {
-		struct message unsent = {.answer = a};
-
-		g_array_free(unsent.answer->running, TRUE);
-		g_array_free(unsent.answer->ended, TRUE);
-		g_free(a);
+	if (!is_up(s, e))
 		return;
-	}
+	a = new_answer(c->id, GYP_FLEET_OK);
 	advance(s, e);
 	if (c->fence < e->fence) {
 		a->end = GYP_FLEET_REFUSED;
@@ -610,7 +471,7 @@
 {
 	static Gyp__Res capacity = GYP__RES__INIT;
 
-	capacity.cpu_milli = CPU_MILLI;
+	capacity.cpu_milli = FLOW_SIM_CPU_MILLI;
 	capacity.memory = MEMORY;
 	gyp__cmd_host__init(host);
 	host->id = (char *)s->endpoints[i].id;
--- a/test/flow_sim.h
+++ b/test/flow_sim.h
@@ -42,6 +42,13 @@
 /* Records that the cancellation of the flow was committed. */
 void flow_sim_flow_cancelled(struct flow_sim *, uint64_t now, uint64_t flow);
 
+/*
+ * What the endpoints actually run for the workspace, in thousandths of a
+ * processor.
+ */
+uint64_t flow_sim_cpu(
+    const struct flow_sim *, const struct gyp_workspace_use *);
+
 /* The number of runs started so far. */
 uint64_t flow_sim_starts(const struct flow_sim *);
 
--- /dev/null
+++ b/test/flow_sim_int.h
@@ -0,0 +1,104 @@
+#ifndef FLOW_SIM_INT_H
+#define FLOW_SIM_INT_H
+
+#include "flow_sim.h"
+
+/*
+ * NAME
+ *	flow_sim_int - internals shared by the files of the simulation
+ *
+ * DESCRIPTION
+ *	flow_sim.c		endpoints, messages and faults
+ *	flow_sim_check.c	invariants of the actual runs
+ */
+
+#define FLOW_SIM_CPU_MILLI 10000
+
+struct run {
+	uint64_t flow;
+	uint32_t task;
+	uint32_t run;
+	uint64_t ends_at;       /* 0 while its gang is incomplete */
+	uint64_t gang_deadline; /* gives up waiting for its gang */
+	bool fails;
+};
+
+struct end {
+	uint64_t number;
+	struct run run;
+	Gyp__FlowHow how;
+	bool lease_lapsed; /* before this end was acknowledged */
+};
+
+struct endpoint {
+	char id[8];
+	uint64_t incarnation_start_ms;
+	uint64_t clock_zero_at;   /* simulated time at which its clock is 0 */
+	double rate;              /* of its clock against simulated time */
+	uint64_t up_at;           /* it is down before this time */
+	uint64_t previous_end_at; /* end of the previous incarnation */
+	uint64_t disconnected_until; /* simulated time */
+	uint64_t fence;
+	uint64_t lease_end; /* by its clock */
+	uint64_t next_end;
+	GArray *runs;             /* struct run */
+	GArray *ends;             /* struct end */
+	GHashTable *highest_runs; /* task key -> highest run ended or stopped */
+};
+
+/* A call or an answer in transit. */
+struct message {
+	uint64_t at;
+	uint64_t sent_at;
+	uint64_t incarnation_start_ms;   /* incarnation of the endpoint */
+	struct gyp_fleet_call *call;     /* to the endpoint, or NULL */
+	struct gyp_fleet_answer *answer; /* from the endpoint, or NULL */
+	/* Receiver of the call or sender of the answer. */
+	const struct endpoint *endpoint;
+};
+
+struct flow_sim {
+	struct gyp_flows *flows;
+	GRand *rand;
+	bool faults;
+	uint64_t now;
+	uint64_t fault_at;
+	struct endpoint endpoints[FLOW_SIM_ENDPOINTS];
+	GPtrArray *messages;       /* struct message */
+	GHashTable *pending_calls; /* call id -> time at which it times out */
+	GHashTable *done;          /* set of task keys: acknowledged as done */
+	GHashTable *failed;        /* task key -> failures acknowledged */
+	GHashTable *cancelled;     /* flow id -> time */
+	uint64_t starts;
+	uint64_t sent_at; /* send time of the call being carried out */
+};
+
+static inline gpointer
+task_key(uint64_t flow, uint32_t task)
+{
+	return GSIZE_TO_POINTER((gsize)(flow * 1000 + task + 1));
+}
+
+static inline bool
+is_up(const struct flow_sim *s, const struct endpoint *e)
+{
+	return s->now >= e->up_at;
+}
+
+static inline uint32_t
+lookup_uint(GHashTable *table, gpointer key)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(table, key));
+}
+
+static inline uint64_t
+clock_of(const struct endpoint *e, uint64_t now)
+{
+	return (uint64_t)((double)(now - e->clock_zero_at) * e->rate);
+}
+
+/* Aborts the program if the start of a run violates an invariant. */
+void flow_sim_check_start(struct flow_sim *, const struct endpoint *,
+    const struct gyp_flow *, uint32_t task, uint32_t cpu_milli);
+
+#endif
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -8,6 +8,8 @@
 /*
  * Randomised runs of the flow scheduler against simulated endpoints. Commands
  * commit after a delay; a change of leader loses a suffix of them.
+ * Half of the runs have workspaces whose caps and keys change, and whose tables
+ * come from a snapshot after each change of leader.
  * GYP_SEED=n repeats one run, GYP_SECONDS=n runs new random seeds for n
  * seconds.
  */
@@ -22,6 +24,10 @@
 #define FLOWS_MAX    60
 #define HEARTBEAT_MS 1500
 
+/* Number of workspaces, and a cap that lets any single gang start. */
+#define WORKSPACES       3
+#define SUFFICIENT_MILLI 15000
+
 struct pending {
 	uint64_t at;
 	Gyp__Cmd *cmd;
@@ -41,14 +47,62 @@
 	uint64_t heartbeat_at;
 	uint64_t next_flow;
 	bool faults;
+	GRand *workspace_rand; /* NULL in a run without workspaces */
+	uint64_t manifest_at;  /* next change of caps and keys */
+	uint64_t manifest_version;
+	/* Cap of each workspace at its latest start, by row. */
+	uint32_t start_caps[WORKSPACES];
 };
 
+static const char *const workspace_names[WORKSPACES] = {"a", "b", "c"};
+
 /* ---- Log ---------------------------------------------------------------- */
 
+/* Guards against a start that raises the use of a workspace above its cap. */
 static void
-apply(struct fixture *f, const Gyp__Cmd *cmd)
+apply_and_check_caps(struct fixture *f, const Gyp__Cmd *cmd)
 {
+	uint32_t before[WORKSPACES], i, n = gyp_workspaces_size(f->flows);
+
+	for (i = 0; i < n; i++)
+		before[i] = gyp_workspace_at(f->flows, i)->used.cpu_milli;
 	gyp_flows_apply(f->flows, f->now, cmd);
+	for (i = 0; i < n; i++) {
+		const struct gyp_workspace_use *use =
+		    gyp_workspace_at(f->flows, i);
+
+		if (use->used.cpu_milli <= before[i])
+			continue;
+		g_assert_cmpuint(use->used.cpu_milli, <=, use->cap.cpu_milli);
+		f->start_caps[i] = use->cap.cpu_milli;
+	}
+}
+
+/*
+ * Guards against runs that the use of their workspace leaves out. At any time,
+ * what the endpoints actually run for a workspace is at most what its open runs
+ * book, since a run is closed only once it is known to be over; and that is at
+ * most the cap at the workspace's latest start, since it falls until the next.
+ */
+static void
+check_actual_use(const struct fixture *f)
+{
+	uint32_t i;
+
+	for (i = 0; i < gyp_workspaces_size(f->flows); i++) {
+		const struct gyp_workspace_use *use =
+		    gyp_workspace_at(f->flows, i);
+
+		g_assert_cmpuint(
+		    flow_sim_cpu(f->sim, use), <=, use->used.cpu_milli);
+		g_assert_cmpuint(use->used.cpu_milli, <=, f->start_caps[i]);
+	}
+}
+
+static void
+apply(struct fixture *f, const Gyp__Cmd *cmd)
+{
+	apply_and_check_caps(f, cmd);
 	if (cmd->c_case == GYP__CMD__C_FLOW_CANCEL)
 		flow_sim_flow_cancelled(f->sim, f->now, cmd->flow_cancel->flow);
 	gyp_flows_check(f->flows);
@@ -80,12 +134,50 @@
 
 /* ---- Changes of leader -------------------------------------------------- */
 
+/* Index in workspace_names. */
+static uint32_t
+workspace_number(const struct gyp_workspace_use *use)
+{
+	return (uint32_t)(use->name[0] - workspace_names[0][0]);
+}
+
+/*
+ * Guards against use of workspaces that a snapshot loses. Rows are numbered in
+ * the order of the flows, so they may change.
+ */
+static void
+restore_from_snapshot(struct fixture *f)
+{
+	Gyp__SnapFlows *snap = gyp_flows_save(f->flows);
+	uint32_t caps[WORKSPACES] = {0}, used[WORKSPACES] = {0}, i, k;
+
+	for (i = 0; i < gyp_workspaces_size(f->flows); i++) {
+		k = workspace_number(gyp_workspace_at(f->flows, i));
+		caps[k] = f->start_caps[i];
+		used[k] = gyp_workspace_at(f->flows, i)->used.cpu_milli;
+	}
+	g_assert_true(gyp_flows_restore(f->flows, snap));
+	gyp_message_free(snap);
+	for (i = 0; i < gyp_workspaces_size(f->flows); i++) {
+		k = workspace_number(gyp_workspace_at(f->flows, i));
+		f->start_caps[i] = caps[k];
+		g_assert_cmpuint(
+		    gyp_workspace_at(f->flows, i)->used.cpu_milli, ==, used[k]);
+		used[k] = 0;
+	}
+	for (k = 0; k < WORKSPACES; k++)
+		g_assert_cmpuint(used[k], ==, 0);
+	gyp_flows_check(f->flows);
+}
+
 static void
 become_leader(struct fixture *f)
 {
 	struct gyp_fleet_config cfg = {
 	    .lease_ms = FLOW_SIM_LEASE_MS, .stop_grace_ms = 400};
 
+	if (f->workspace_rand != NULL)
+		restore_from_snapshot(f);
 	f->scheduler =
 	    gyp_flow_scheduler_new(&cfg, f->flows, f->now, ++f->fence);
 }
@@ -149,6 +241,11 @@
 	queue.pool = "pool";
 	queue.attempts = 3;
 	queue.priority = (uint32_t)g_rand_int_range(f->rand, 0, 3);
+	if (f->workspace_rand != NULL) {
+		spec.workspace = (char *)workspace_names[g_rand_int_range(
+		    f->workspace_rand, 0, WORKSPACES)];
+		spec.excess = g_rand_int_range(f->workspace_rand, 0, 4) == 0;
+	}
 	spec.id = ++f->next_flow;
 	spec.queue = &queue;
 	spec.n_steps = 2;
@@ -159,6 +256,45 @@
 	propose(f, gyp_message_copy(&cmd.base));
 }
 
+/*
+ * Proposes a manifest with new caps and keys that may leave workspaces out;
+ * without faults, one that lets everything end.
+ */
+static void
+change_manifest(struct fixture *f)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdManifest m = GYP__CMD_MANIFEST__INIT;
+	Gyp__Workspace ws[WORKSPACES], *list[WORKSPACES];
+	Gyp__Res caps[WORKSPACES];
+	uint32_t key = g_rand_int(f->workspace_rand), i;
+	ProtobufCBinaryData digest = {
+	    .len = sizeof(key), .data = (uint8_t *)&key};
+
+	f->manifest_at =
+	    f->now + (uint64_t)g_rand_int_range(f->workspace_rand, 20, 4000);
+	m.version = ++f->manifest_version;
+	m.requires_keys = true;
+	m.workspaces = list;
+	for (i = 0; i < WORKSPACES; i++) {
+		gyp__workspace__init(&ws[i]);
+		gyp__res__init(&caps[i]);
+		caps[i].cpu_milli = SUFFICIENT_MILLI;
+		if (f->faults)
+			caps[i].cpu_milli = (uint32_t)g_rand_int_range(
+			    f->workspace_rand, 0, SUFFICIENT_MILLI);
+		ws[i].name = (char *)workspace_names[i];
+		ws[i].cap = &caps[i];
+		ws[i].n_key_digests = 1;
+		ws[i].key_digests = &digest;
+		if (!f->faults || g_rand_int_range(f->workspace_rand, 0, 8) > 0)
+			list[m.n_workspaces++] = &ws[i];
+	}
+	cmd.c_case = GYP__CMD__C_MANIFEST;
+	cmd.manifest = &m;
+	propose(f, gyp_message_copy(&cmd.base));
+}
+
 static void
 cancel_random(struct fixture *f)
 {
@@ -200,6 +336,7 @@
 	struct gyp_fleet_call *call;
 	Gyp__Cmd *cmd;
 	uint32_t i;
+	bool idle;
 
 	if (f->now >= f->heartbeat_at) {
 		f->heartbeat_at = f->now + HEARTBEAT_MS;
@@ -215,8 +352,11 @@
 		if (g_rand_int_range(f->rand, 0, 8) == 0)
 			cancel_random(f);
 	}
-	gyp_flow_scheduler_round(
-	    f->scheduler, f->now, 0, g_queue_is_empty(&f->pending));
+	/* A round may follow a manifest that is proposed but not committed. */
+	idle = g_queue_is_empty(&f->pending);
+	if (f->workspace_rand != NULL && f->now >= f->manifest_at)
+		change_manifest(f);
+	gyp_flow_scheduler_round(f->scheduler, f->now, 0, idle);
 	while ((cmd = gyp_flow_scheduler_pop_cmd(f->scheduler)) != NULL)
 		propose(f, cmd);
 	while ((call = gyp_flow_scheduler_pop_call(f->scheduler)) != NULL)
@@ -229,6 +369,7 @@
 	f->now += STEP_MS;
 	commit_due(f);
 	flow_sim_tick(f->sim, f->now, f->scheduler);
+	check_actual_use(f);
 	if (f->scheduler == NULL && f->now >= f->leaderless_until)
 		become_leader(f);
 	if (f->scheduler != NULL)
@@ -267,12 +408,14 @@
 }
 
 static void
-run_seed(uint32_t seed)
+run_seed(uint32_t seed, bool workspaces)
 {
 	struct fixture f = {.now = 100000, .faults = true};
 	uint64_t end;
 
 	f.rand = g_rand_new_with_seed(seed);
+	if (workspaces)
+		f.workspace_rand = g_rand_new_with_seed(seed + 2);
 	f.flows = gyp_flows_new();
 	f.sim = flow_sim_new(seed + 1, f.flows);
 	f.change_at = f.now + 5000;
@@ -305,6 +448,8 @@
 	flow_sim_free(f.sim);
 	gyp_flows_free(f.flows);
 	g_rand_free(f.rand);
+	if (workspaces)
+		g_rand_free(f.workspace_rand);
 }
 
 /* Seeds that once failed, by the fault that they found. */
@@ -324,7 +469,7 @@
     3451910720};
 
 static void
-test_random(void)
+run_seeds(bool workspaces)
 {
 	const char *single_seed = g_getenv("GYP_SEED");
 	const char *seconds = g_getenv("GYP_SECONDS");
@@ -332,7 +477,7 @@
 	size_t i;
 
 	if (single_seed != NULL) {
-		run_seed((uint32_t)strtoul(single_seed, NULL, 10));
+		run_seed((uint32_t)strtoul(single_seed, NULL, 10), workspaces);
 		return;
 	}
 	if (seconds != NULL) {
@@ -343,14 +488,26 @@
 		while (g_get_monotonic_time() < end) {
 			seed = g_random_int();
 			g_printerr("seed %u\n", seed);
-			run_seed(seed);
+			run_seed(seed, workspaces);
 		}
 		return;
 	}
 	for (seed = 1; seed <= SEEDS; seed++)
-		run_seed(seed);
+		run_seed(seed, workspaces);
 	for (i = 0; i < G_N_ELEMENTS(regression_seeds); i++)
-		run_seed(regression_seeds[i]);
+		run_seed(regression_seeds[i], workspaces);
+}
+
+static void
+test_random(void)
+{
+	run_seeds(false);
+}
+
+static void
+test_workspaces(void)
+{
+	run_seeds(true);
 }
 
 int
@@ -358,5 +515,6 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/flows/random", test_random);
+	g_test_add_func("/flows/workspaces", test_workspaces);
 	return g_test_run();
 }
