Refusals of repeated requests: tests, and three mends

Cause: a flow submitted with the id of another workspace's flow that was not committed yet was answered as if it were accepted. A second sending could be refused as "too many flows" although the first was about to be committed. A flow accepted with a key that was removed before the second sending, after a lost answer, was answered with 401, which says that it never runs. The id of an accepted flow was not found for the answer if the queue's prefix does not end in a slash.

Change: the leader looks for the uncommitted submit by the flow's id, and answers 503 to other workspaces until it is committed. The entry turns a 401 for a submit with a key that was sent more than once into "no answer".

--- a/src/entry_calls.c
+++ b/src/entry_calls.c
@@ -156,7 +156,8 @@
 
 /*
  * True if a flow is refused that was sent before: the replica does not know
- * whether a sending that is still under way will be accepted.
+ * whether a sending that is still under way will be accepted. An earlier one
+ * may also have been accepted with a key that is no longer in force.
  */
 static bool
 is_uncertain_refusal(const struct gyp_call *c, const Gyp__Reply *reply)
@@ -164,7 +165,9 @@
 	return c->msg->c_case == GYP__CALL__C_FLOW &&
 	       c->msg->flow->submit != NULL && c->sends > 1 &&
 	       (reply->code == GYP__CODE__CODE_BUSY ||
-		   reply->code == GYP__CODE__CODE_OVER_RATE);
+		   reply->code == GYP__CODE__CODE_OVER_RATE ||
+		   (reply->code == GYP__CODE__CODE_UNAUTHENTICATED &&
+		       c->msg->flow->key_digest.len > 0));
 }
 
 void
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -71,6 +71,16 @@
 	       g_ascii_string_to_unsigned(text, 16, 0, G_MAXUINT64, id, NULL);
 }
 
+/* Finds the flow's id at the end of a path, whose queue is not known here. */
+static bool
+find_flow_id(const char *path, uint64_t *id)
+{
+	size_t len = strlen(path);
+
+	return len >= FLOW_ID_DIGITS &&
+	       parse_flow_id(path + len - FLOW_ID_DIGITS, id);
+}
+
 /* Finds the queue of a request; replies and returns NULL when there is none. */
 static const Gyp__FlowQueue *
 find_queue(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call,
@@ -112,23 +122,34 @@
 }
 
 /*
- * True if the same request was received before and its command is not committed
- * yet: the flow may be accepted, so that it must not be refused now.
+ * Returns the call that submits the flow and whose command is not committed
+ * yet, or NULL.
  */
-static bool
-is_being_accepted(const struct gyp_replica *r, const Gyp__Call *call)
+static const Gyp__Call *
+find_uncommitted_submit(const struct gyp_replica *r, uint64_t id)
 {
 	guint i;
 
 	for (i = 0; i < r->waiting_calls->len; i++) {
 		const struct gyp_waiting_call *w = r->waiting_calls->pdata[i];
+		uint64_t other;
 
 		if (w->call->c_case == GYP__CALL__C_FLOW &&
 		    w->call->flow->submit != NULL &&
-		    strcmp(w->call->flow->path, call->flow->path) == 0)
-			return true;
+		    find_flow_id(w->call->flow->path, &other) && other == id)
+			return w->call;
 	}
-	return false;
+	return NULL;
+}
+
+/* True if the call has a key of that workspace, which may be NULL. */
+static bool
+is_of_workspace(const struct gyp_replica *r, const Gyp__Call *call,
+    const Gyp__Workspace *ws)
+{
+	return gyp_workspace_by_key(
+		   gyp_flows_manifest(gyp_state_flows(r->state)),
+		   &call->flow->key_digest) == ws;
 }
 
 /* Refuses a flow beyond the workspace's rate; it leaves no trace. */
@@ -166,8 +187,6 @@
 	char labels[GYP_LABELS_MAX];
 	uint32_t retry_ms = 0;
 
-	if (is_being_accepted(r, call))
-		return true;
 	verdict = gyp_flow_intake_decide(r->flow_intake,
 	    r->time_base + (r->now - r->lead_since), ws, spec->id, delay_ms,
 	    &load, &retry_ms);
@@ -190,6 +209,7 @@
 	struct gyp_flows *flows = gyp_state_flows(r->state);
 	const struct gyp_flow *flow = gyp_flow_get(flows, id);
 	const char *error = gyp_flow_check_spec(call->flow->submit);
+	const Gyp__Call *earlier = find_uncommitted_submit(r, id);
 	Gyp__FlowSpec spec = *call->flow->submit;
 	Gyp__CmdFlow submit = GYP__CMD_FLOW__INIT;
 	Gyp__Cmd cmd = GYP__CMD__INIT;
@@ -202,7 +222,7 @@
 		reply_and_log(r, entry, call->id, GYP__CODE__CODE_BAD, error);
 		return;
 	}
-	if (gyp_flows_count(flows) >= GYP_FLOWS_MAX) {
+	if (earlier == NULL && gyp_flows_count(flows) >= GYP_FLOWS_MAX) {
 		reply_and_log(r, entry, call->id, GYP__CODE__CODE_BUSY,
 		    "too many flows are known");
 		return;
@@ -211,7 +231,13 @@
 	spec.queue = (Gyp__FlowQueue *)q;
 	spec.workspace = ws != NULL ? ws->name : (char *)"";
 	spec.excess = false;
-	if (!admit_flow(r, entry, call, ws, &spec))
+	if (earlier != NULL && !is_of_workspace(r, earlier, ws)) {
+		reply_and_log(r, entry, call->id, GYP__CODE__CODE_BUSY,
+		    "another caller submits a flow with that id");
+		return;
+	}
+	/* The flow may be accepted already, so it must not be refused. */
+	if (earlier == NULL && !admit_flow(r, entry, call, ws, &spec))
 		return;
 	submit.spec = &spec;
 	cmd.c_case = GYP__CMD__C_FLOW;
@@ -318,10 +344,9 @@
     struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
 	const struct gyp_flow *flow = NULL;
-	const char *rest = strrchr(call->flow->path, '/');
 	uint64_t id;
 
-	if (rest != NULL && parse_flow_id(rest + 1, &id))
+	if (find_flow_id(call->flow->path, &id))
 		flow = gyp_flow_get(gyp_state_flows(r->state), id);
 	if (flow != NULL) {
 		log_flow_command(r, call, flow);
--- a/test/members_fixture.c
+++ b/test/members_fixture.c
@@ -134,6 +134,12 @@
 	gyp_message_free(c->reply);
 }
 
+void
+cell_drop_frames(struct cell *c)
+{
+	g_queue_clear_full(&c->frames, free_frame);
+}
+
 /* ---- Frames ------------------------------------------------------------- */
 
 static void
@@ -370,9 +376,8 @@
 	g_free(found);
 }
 
-/* Sends a call to the leader, as an entry does; the reply arrives later. */
-static void
-send_call(struct cell *c, Gyp__Call *msg)
+void
+cell_send_call(struct cell *c, Gyp__Call *msg)
 {
 	Gyp__Frame frame = GYP__FRAME__INIT;
 	Gyp__EntryUp up = GYP__ENTRY_UP__INIT;
@@ -403,7 +408,7 @@
 	msg.c_case = GYP__CALL__C_ADMIN;
 	msg.admin = &admin;
 	for (tries = 0; tries < 20; tries++) {
-		send_call(c, &msg);
+		cell_send_call(c, &msg);
 		cell_run(c, 500);
 		g_assert_nonnull(c->reply);
 		if (c->reply->code != GYP__CODE__CODE_BUSY)
@@ -430,7 +435,7 @@
 	ep.incarnation = nth;
 	msg.c_case = GYP__CALL__C_ANNOUNCE;
 	msg.announce = &ep;
-	send_call(c, &msg);
+	cell_send_call(c, &msg);
 	cell_run(c, 100);
 	g_free(name);
 	return c->reply != NULL && c->reply->code == GYP__CODE__CODE_OK;
--- a/test/members_fixture.h
+++ b/test/members_fixture.h
@@ -62,6 +62,9 @@
 
 void cell_clear(struct cell *c);
 
+/* Drops all frames that are under way between replicas. */
+void cell_drop_frames(struct cell *c);
+
 void cell_run(struct cell *c, uint32_t ms);
 
 int cell_leader(const struct cell *c);
@@ -77,6 +80,9 @@
 
 void cell_assert_centres(const struct cell *c, const char *expected);
 
+/* Sends a call to the leader, as an entry does; the reply arrives later. */
+void cell_send_call(struct cell *c, Gyp__Call *msg);
+
 /* Repeats the request while another change is uncommitted. */
 Gyp__Code cell_remove_member(struct cell *c, const char *name);
 
