--- a/test/soak.sh
+++ b/test/soak.sh
@@ -4,7 +4,8 @@
 # blocks connections in one or both directions. Processes are killed, stopped
 # and continued, terminated, restarted, and made to reload their settings,
 # sometimes two of them in one round. The stand-in checks the actual runs and
-# that every job ends.
+# that every job ends. Its callers belong to two workspaces: one sends many times
+# its rate and has a small cap, and the keys of both are replaced every 8 s.
 # Usage: soak.sh BIN SEED...	(or: soak.sh BIN --seconds N for random seeds)
 set -u
 bin=$1
@@ -26,7 +27,7 @@
 	"$bin/gyp-standin" --control "$control" --fronts "$fronts" \
 		--port $((base + 35)) --endpoints 6 --jobs 120 --rate 5 \
 		--tasks 3 --task-ms 300 --fail 30 --silent 20 --admission \
-		--seed "$seed" >"$dir/standin.out" 2>&1 &
+		--workspaces --cpu 8000 --seed "$seed" >"$dir/standin.out" 2>&1 &
 	standin=$!
 }
 start_cell() {
