Workspaces: findings of clang-tidy

Cause: clang-tidy reports a possible null workspace in a refusal, and padding in a table of a test.

Change: an assertion that only calls of a workspace are refused; the fields of the table are reordered.

Result: clang-tidy reports nothing for both files; the tests of workspaces, intake, quotas, refusals, flows and entry pass in both builds.

--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -198,6 +198,7 @@
 		    1);
 	if (verdict != GYP_INTAKE_REFUSE)
 		return true;
+	g_assert(ws != NULL); /* calls without a workspace are not refused */
 	refuse_flow(r, entry, call->id, spec, ws, &load, retry_ms);
 	return false;
 }
--- a/test/test_workspaces.c
+++ b/test/test_workspaces.c
@@ -194,10 +194,10 @@
 
 /* A call through one queue for a flow of another. */
 struct flow_access_case {
-	bool call_public; /* the queue of the call */
-	bool flow_public; /* the queue that accepted the flow */
 	const char *caller;
 	const char *owner;
+	bool call_public; /* the queue of the call */
+	bool flow_public; /* the queue that accepted the flow */
 	bool granted;
 };
 
@@ -209,11 +209,11 @@
 test_flow_access(void)
 {
 	static const struct flow_access_case cases[] = {
-	    {false, false, "a", "a", true}, {false, false, "b", "a", false},
-	    {false, false, "b", "", true}, {true, false, NULL, "a", false},
-	    {true, false, "b", "a", false}, {true, false, "a", "a", true},
-	    {true, false, NULL, "", false}, {true, true, NULL, "", true},
-	    {true, true, NULL, "a", true}, {false, true, "b", "a", false}};
+	    {"a", "a", false, false, true}, {"b", "a", false, false, false},
+	    {"b", "", false, false, true}, {NULL, "a", true, false, false},
+	    {"b", "a", true, false, false}, {"a", "a", true, false, true},
+	    {NULL, "", true, false, false}, {NULL, "", true, true, true},
+	    {NULL, "a", true, true, true}, {"b", "a", false, true, false}};
 	struct manifest x;
 	size_t i;
 
