--- a/test/members_fixture.c
+++ b/test/members_fixture.c
@@ -134,6 +134,12 @@
 	gyp_message_free(c->reply);
 }
 
+void
+cell_drop_frames(struct cell *c)
+{
+	g_queue_clear_full(&c->frames, free_frame);
+}
+
 /* ---- Frames ------------------------------------------------------------- */
 
 static void
@@ -391,9 +397,8 @@
 	g_free(found);
 }
 
-/* Sends a call to the leader, as an entry does; the reply arrives later. */
-static void
-send_call(struct cell *c, Gyp__Call *msg)
+void
+cell_send_call(struct cell *c, Gyp__Call *msg)
 {
 	Gyp__Frame frame = GYP__FRAME__INIT;
 	Gyp__EntryUp up = GYP__ENTRY_UP__INIT;
@@ -422,7 +427,7 @@
 	msg.id = call;
 	msg.c_case = GYP__CALL__C_ADMIN;
 	msg.admin = &admin;
-	send_call(c, &msg);
+	cell_send_call(c, &msg);
 }
 
 Gyp__Code
@@ -459,7 +464,7 @@
 	msg.id = ++c->calls;
 	msg.c_case = GYP__CALL__C_ANNOUNCE;
 	msg.announce = &ep;
-	send_call(c, &msg);
+	cell_send_call(c, &msg);
 	cell_run(c, 100);
 	g_free(name);
 	return c->reply != NULL && c->reply->code == GYP__CODE__CODE_OK;
--- a/test/members_fixture.h
+++ b/test/members_fixture.h
@@ -69,6 +69,9 @@
 
 void cell_clear(struct cell *c);
 
+/* Drops all frames that are under way between replicas. */
+void cell_drop_frames(struct cell *c);
+
 void cell_run(struct cell *c, uint32_t ms);
 
 int cell_leader(const struct cell *c);
@@ -87,6 +90,9 @@
 /* Sends a removal to the leader; the reply arrives later. */
 void cell_send_removal(struct cell *c, uint64_t call, const char *name);
 
+/* Sends a call to the leader, as an entry does; the reply arrives later. */
+void cell_send_call(struct cell *c, Gyp__Call *msg);
+
 /* Repeats the request while another change is uncommitted. */
 Gyp__Code cell_remove_member(struct cell *c, const char *name);
 
--- a/test/workspaces.sh
+++ b/test/workspaces.sh
@@ -1,192 +1,144 @@
 #!/usr/bin/env bash
-# Tests what operators see of workspaces with the real programs: the report of
-# gypctl and of the API, metrics and the log, none of which may show a key.
+# Tests the real programs with a manifest that has workspaces: who is admitted,
+# what is refused on a pool without free capacity, removed keys on an open
+# connection, and that no key is logged or readable by others.
 # Usage: workspaces.sh BIN
 set -eu
 bin=$1
 dir=$(mktemp -d)
 pids=()
 trap 'kill -9 "${pids[@]}" 2>/dev/null || true; wait 2>/dev/null; rm -rf "$dir"' EXIT
-# shellcheck source=test/ports.sh
-. "$(dirname "$0")/ports.sh"
-control=127.0.0.1:$((base + 1))
-entry=127.0.0.1:$((base + 2))
-front=127.0.0.1:$((base + 3))
-cat >"$dir/cell.ini" <<INI
-[cell]
-listen = 127.0.0.1:$base
-join = 127.0.0.1:$base
-data_folder = $dir/data
-data_centre = here
-name = cell-1
-voters = 1
-[platform]
-control = $control
-INI
-cat >"$dir/entry.ini" <<INI
-[entry]
-listen = $entry
-cells = 127.0.0.1:$base
-data_centre = here
-name = entry-1
-[platform]
-front = $front
-readiness = 127.0.0.1:$((base + 4))
-admission = 127.0.0.1:$((base + 5))
-INI
-cat >"$dir/manifest" <<'JSON'
-{"version":1,"backends":[{"name":"pool"}],
- "routes":[{"name":"r-1","host":"press.example","path_prefix":"/j/",
-  "backend":"pool","timeout_ms":5000,"target_latency_ms":500,
-  "max_attempts":3}],
- "tenants":[
-  {"name":"orchard","api_keys":["secret-1"],"weight":2,
-   "cap":{"cpu":4000,"mem_mb":2048}},
-  {"name":"rota","api_keys":["secret-2"],"weight":0}]}
-JSON
+
+# shellcheck source=test/pf_cluster.sh
+. "$(dirname "$0")/pf_cluster.sh"
+set_addresses 0
+for i in 0 1 2; do
+	write_cell "$i" yes
+	"$bin/gyp-cell" --config "$dir/cell-$i.ini" >"$dir/cell-$i.log" 2>&1 &
+	pids+=($!)
+done
+for i in 0 1; do
+	write_entry "$i" yes
+	"$bin/gyp-entry" --config "$dir/entry-$i.ini" >"$dir/entry-$i.log" 2>&1 &
+	pids+=($!)
+done
+
 fail() {
-	echo "FAIL: $*" >&2
+	echo "$1"
+	tail -n 5 "$dir"/*.log
 	exit 1
 }
-ctl() {
-	"$bin/gypctl" --entry "$entry" "$@"
+# manifest VERSION KEYS_OF_A KEYS_OF_B: puts a manifest; prints the status.
+manifest() {
+	local pool='"host":"h","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":250,"priority":0,"backend":"pool","max_attempts":5,"stretch":1.5'
+	curl -s -o "$dir/body" -w '%{http_code}' -m 3 -X PUT \
+		"http://127.0.0.1:$((base + 10 + ${4:-0}))/api/config" -d '{"version":'"$1"',
+		"routes":[{"name":"q","path_prefix":"/q/",'"$pool"'},
+		{"name":"open","path_prefix":"/open/","public":true,'"$pool"'}],
+		"backends":[{"name":"pool"}],
+		"tenants":[{"name":"a","api_keys":['"$2"'],"weight":2},
+		{"name":"b","api_keys":['"$3"'],"weight":50,"cap":{"cpu":2000}}]}' ||
+		true
 }
-# await PATTERN COMMAND...: waits until the output of COMMAND matches.
-await() {
-	local pattern=$1
-	shift
-	for _ in $(seq 200); do
-		"$@" >"$dir/shown" 2>&1 || true
-		grep -Eq -- "$pattern" "$dir/shown" && return 0
+# put VERSION KEYS_OF_A KEYS_OF_B: until one of the replicas acknowledges it.
+put() {
+	for try in $(seq 100); do
+		[ "$(manifest "$1" "$2" "$3" $((try % 3)))" = 200 ] && return
 		sleep 0.1
 	done
-	fail "expected $pattern of $*: $(cat "$dir/shown")"
+	fail "manifest $1 is not acknowledged"
 }
-# submit ID KEY: prints the status of the answer.
-submit() {
-	curl -s -o "$dir/answer" -w '%{http_code}' -X POST \
-	    -H 'Host: press.example' -H "Authorization: Bearer $2" \
-	    "http://$front/j/$1" -d "$job"
+# call METHOD PATH [KEY] [ENTRY]: prints the status of a call.
+call() {
+	local args=(-s -D "$dir/headers" -o "$dir/body" -w '%{http_code}' -m 5
+		-X "$1" -H 'Host: h')
+	[ -z "${3:-}" ] || args+=(-H "Authorization: Bearer $3")
+	[ "$1" != POST ] || args+=(-d '{"task_spec":"t","steps":[{"count":1,"cpu":1000}]}')
+	curl "${args[@]}" "http://127.0.0.1:$((base + 20 + ${4:-0}))$2" || true
 }
-job='{"steps":[{"count":3,"cpu":1000,"mem_mb":256},
-	{"count":1,"cpu":1000,"mem_mb":256,"depends_on":[0]}]}'
-
-"$bin/gyp-cell" --config "$dir/cell.ini" --init >"$dir/cell.log" 2>&1 &
-pids+=($!)
-"$bin/gyp-entry" --config "$dir/entry.ini" >"$dir/entry.log" 2>&1 &
-pids+=($!)
-await '^term ' ctl status
-[ "$(ctl workspaces | wc -l)" = 1 ] || fail "workspaces without a manifest"
-[ "$(curl -s -o "$dir/answer" -w '%{http_code}' -X PUT \
-    "http://$control/api/config" --data-binary "@$dir/manifest")" = 200 ] ||
-    fail "manifest: $(cat "$dir/answer")"
-await '^orchard +2 +0/4 +0/2 +0/- .*nothing waits$' ctl workspaces
-await '^rota +- +0/- ' ctl workspaces
+# expect STATUS CALL...: the call is repeated while there is no leader.
+expect() {
+	local status
+	for _ in $(seq 50); do
+		status=$(call "${@:2}")
+		case $status in 000 | 503 | 504) sleep 0.1 ;; *) break ;; esac
+	done
+	[ "$status" = "$1" ] || fail "${*:2}: $status, expected $1"
+}
+id() { printf '/q/%016x' "$1"; }
 
-# There are no endpoints, so jobs beyond the rate of 2 a second are refused.
-codes=
-for i in 1 2 3 4 5 6; do
-	codes="$codes $(submit "000000000000000$i" secret-1)"
+put 1 '"secret-a1","secret-a2"' '"secret-b"'
+for _ in $(seq 100); do
+	[ "$(call GET /q/ secret-a1)" = 200 ] && [ "$(call GET /q/ secret-a1 1)" = 200 ] && break
+	sleep 0.1
 done
-refused=$(tr ' ' '\n' <<<"$codes" | grep -c 429) || true
-[ "$refused" -ge 2 ] || fail "expected refusals: $codes"
-accepted=$((6 - refused))
-await "^orchard .* 0 +$((3 * accepted)) +$accepted +$accepted +0 +$refused +capacity" \
-    ctl workspaces
-ctl workspaces --format json | grep -q '"next_waits_for":"capacity"' ||
-    fail "no reason in JSON"
-curl -s "http://$entry/v1/admin/workspaces" | grep -q '"weight":2.0' ||
-    fail "no weight in the API"
 
-label='workspace="orchard"'
-await "^gyp_flow_submits_total\{$label,verdict=\"refused\"\} $refused\$" \
-    curl -s "http://$control/metrics"
-await "^gyp_workspace_waiting_tasks\{$label\} $((3 * accepted))\$" \
-    curl -s "http://$control/metrics"
-await "^gyp_workspace_cap\{$label,resource=\"cpu_milli\"\} 4000\$" \
-    curl -s "http://$control/metrics"
-await 'workspaces known=2 .*w1=orchard,cpu_milli=0/4000,.*refused=[1-9]' \
-    cat "$dir/cell.log"
+# Without a key, with a wrong one, and the beginning of one.
+expect 401 POST "$(id 1)"
+grep -qi '^WWW-Authenticate: Bearer' "$dir/headers" || fail "no WWW-Authenticate"
+expect 401 POST "$(id 1)" wrong
+expect 401 POST "$(id 1)" secret-a
+expect 401 GET "$(id 1)"
+expect 410 GET "$(id 1)" secret-a1
 
-echo "== a preview names what is wrong with a flow, and submits nothing"
-# refused PATTERN JSON: the preview of a flow must be refused with a message.
-refused() {
-	local code=0
-	ctl preview - <<<"$2" >"$dir/shown" 2>&1 || code=$?
-	[ "$code" = 1 ] && grep -q -- "$1" "$dir/shown" ||
-	    fail "expected $1, not $code: $(cat "$dir/shown")"
-}
-refused 'line 2, column' '{"queue":'
-refused 'queue: expected a string' '{"queue":1}'
-refused 'queue: expected the name' '{"queue":"x","steps":[{}]}'
-refused 'workspace: the queue requires one' '{"queue":"r-1","steps":[{}]}'
-refused 'workspace: expected the name' \
-    '{"queue":"r-1","workspace":"x","steps":[{}]}'
-refused 'steps\[1\].after: expected' '{"steps":[{},{"after":[1]}]}'
-refused 'steps\[0\].cpu: unknown field' '{"steps":[{"cpu":1}]}'
-refused 'steps\[0\].count: expected 0 to 20000' '{"steps":[{"count":-1}]}'
-refused 'steps\[0\]: expected an object' '{"steps":[1]}'
-refused 'no steps' '{"queue":"r-1","workspace":"rota"}'
-refused 'at most 32' "{\"queue\":\"r-1\",\"workspace\":\"rota\",
-    \"steps\":[$(printf '{},%.0s' $(seq 32)){}]}"
-cat >"$dir/flow" <<'JSON'
-{"queue":"r-1","workspace":"rota","steps":[
- {"count":2,"cpu_milli":1000,"memory_bytes":1048576,"estimate_ms":300},
- {"cpu_milli":1000,"after":[0]}]}
-JSON
-ctl preview "$dir/flow" >"$dir/shown"
-grep -Eq '^verdict +accepted$' "$dir/shown" &&
-    grep -Eq '^0 +2 +300 +- +0 .* an endpoint that suits$' "$dir/shown" &&
-    grep -Eq '^1 +1 .* steps before it$' "$dir/shown" ||
-    fail "preview: $(cat "$dir/shown")"
-# The example of the page, which api.sh leaves out since it has no manifest.
-page=$(dirname "$0")/../docs/API.md
-sed -n '/^```sh with-manifest$/,/^```$/p' "$page" | grep -v '^```' >"$dir/lines"
-ENTRY=http://$entry bash -euo pipefail "$dir/lines" >"$dir/shown"
-grep -q '"steps":\[{.*"verdict":"' "$dir/shown" ||
-    fail "example of the page: $(cat "$dir/shown")"
-# Of five tasks with one processor each, the cap of the workspace allows four.
-ctl preview - --format json >"$dir/shown" <<'JSON'
-{"queue":"r-1","workspace":"orchard","steps":[{"count":5,"cpu_milli":1000},
- {"count":2,"cpu_milli":1000,"memory_bytes":2147483649}]}
-JSON
-[ "$(grep -o '"quota_tasks":[0-9]*' "$dir/shown" | tr '\n' ' ')" = \
-    '"quota_tasks":4 "quota_tasks":0 ' ] &&
-    grep -q '"step":1,.*"waits_for":"quota"' "$dir/shown" ||
-    fail "preview with a cap: $(cat "$dir/shown")"
-# The workspace spends its rate; then a preview is refused with a time.
-sed 's/rota/orchard/' "$dir/flow" >"$dir/flow-2"
-id=256
-preview_beyond_rate() {
-	for _ in 1 2 3; do
-		id=$((id + 1))
-		submit "$(printf %016x "$id")" secret-1 >/dev/null
-	done
-	ctl preview "$dir/flow-2" --format json
-}
-await '"retry_ms":[1-9][0-9]{3,}.*"verdict":"refused"' preview_beyond_rate
-await '^rota .* 0 +0 +0 +0 +0 +0 +nothing waits' ctl workspaces
+# Both keys of the workspace, the other workspace, and the public route, which
+# gives no access to jobs of the others.
+expect 200 POST "$(id 1)" secret-a1
+expect 200 GET "$(id 1)" secret-a2 1
+for method in GET POST DELETE; do expect 403 $method "$(id 1)" secret-b; done
+expect 200 POST /open/0000000000000002
+expect 200 GET /open/0000000000000002 "" 1
+expect 403 GET /open/0000000000000001
+expect 403 DELETE /open/0000000000000001
+expect 200 GET "$(id 1)" secret-a1
 
-# A removed key is refused from the acknowledgement on, with the commands of
-# docs/OPERATIONS.md.
-curl -s "http://$control/api/config" | sed 's/"version":1/"version":2/
-    s/"secret-1"/"secret-3"/' >"$dir/manifest-2"
-[ "$(curl -sL -o "$dir/answer" -w '%{http_code}' -X PUT \
-    "http://$control/api/config" --data-binary "@$dir/manifest-2")" = 200 ] ||
-    fail "second manifest: $(cat "$dir/answer")"
-# read_queue KEY: prints the status of a read of the queue.
-read_queue() {
-	echo "Authorization: Bearer $1" >"$dir/key"
-	curl -s -o "$dir/answer" -w '%{http_code}' -H "@$dir/key" \
-	    -H 'Host: press.example' "http://$front/j/"
-}
-[ "$(read_queue secret-1)" = 401 ] || fail "the removed key is accepted"
-[ "$(read_queue secret-3)" = 200 ] || fail "the added key is refused"
-await 'request-refused .*code=24' cat "$dir/cell.log"
+# The pool has no endpoint: "a" gets about its rate, "b" is not affected.
+accepted=0 refused=0 start=$(date +%s%N)
+for i in $(seq 100 160); do
+	case $(call POST "$(id "$i")" secret-a2) in
+	200) accepted=$((accepted + 1)) ;;
+	429)
+		refused=$((refused + 1)) last_refused=$i
+		grep -qiE '^Retry-After: ([1-9]|[12][0-9]|30)\s*$' "$dir/headers" ||
+			fail "429 without a valid Retry-After"
+		;;
+	503 | 504) ;; # no leader
+	*) fail "unexpected status of job $i" ;;
+	esac
+	[ $((i % 6)) -ne 0 ] || expect 200 POST "$(id $((i + 1000)))" secret-b
+done
+most=$((2 + 2 * ($(date +%s%N) - start) / 1000000000 + 1))
+[ "$accepted" -ge 1 ] && [ "$accepted" -le "$most" ] && [ "$refused" -ge 30 ] ||
+	fail "accepted=$accepted of at most $most, refused=$refused"
+expect 410 GET "$(id "$last_refused")" secret-a1
+
+# Invalid manifests leave the one in force.
+[ "$(manifest 2 '"secret-b"' '"secret-b"')" = 400 ] || fail "shared key accepted"
+grep -q 'share a key' "$dir/body" || fail "no reason: $(cat "$dir/body")"
+! grep -q secret "$dir/body" || fail "the reason contains a key"
+expect 200 GET "$(id 1)" secret-a1
+
+# A key is removed while a connection with it is open: curl sends one call every
+# 0.2 s on it, the later ones more than 5 s after the acknowledgement.
+urls=()
+for _ in $(seq 40); do urls+=("http://127.0.0.1:$((base + 21))$(id 1)"); done
+curl -s -m 30 --rate 5/s -H 'Host: h' -H 'Authorization: Bearer secret-a1' \
+	-w '\n%{http_code} %{num_connects}\n' "${urls[@]}" >"$dir/open" &
+open=$!
+sleep 1
+put 2 '"secret-a2","secret-a3"' '"secret-b"'
+expect 200 GET "$(id 1)" secret-a3 1
+wait "$open"
+grep -xE '[0-9]{3} [01]' "$dir/open" >"$dir/statuses"
+[ "$(head -n 1 "$dir/statuses")" = "200 1" ] || fail "no call on the connection"
+! tail -n +2 "$dir/statuses" | grep -q ' 1$' || fail "the connection was not kept"
+! tail -n 5 "$dir/statuses" | grep -qv '^401 ' || fail "a removed key is accepted"
+for entry in 0 1; do expect 401 GET "$(id 1)" secret-a1 "$entry"; done
 
-ctl workspaces --format json >"$dir/report"
-curl -s "http://$control/metrics" >"$dir/metrics"
-if grep -l 'secret-' "$dir"/*.log "$dir/report" "$dir/metrics"; then
-	fail "a key is shown"
-fi
-echo "workspaces: ok"
+# Keys are in no log, metrics or file that others may read.
+for port in 10 11 12; do curl -s "http://127.0.0.1:$((base + port))/metrics" >>"$dir/metrics"; done
+for i in 0 1; do curl -s "http://127.0.0.$((2 + i)):$((base + 30 + i))/metrics" >>"$dir/metrics"; done
+grep -q gyp_flow_submits_total "$dir/metrics" || fail "no metrics"
+! grep -l secret "$dir/metrics" "$dir"/*.log || fail "a key is logged"
+[ -z "$(find "$dir"/data-* -type f -perm /077)" ] || fail "files of others: $(find "$dir"/data-* -type f -perm /077)"
+echo "workspaces: ok, accepted=$accepted refused=$refused"
