--- a/src/admin_preview.c
+++ b/src/admin_preview.c
@@ -239,7 +239,10 @@
 {
 	const Gyp__FlowQueue *q = v->flow->spec->queue;
 	struct gyp_pool_load load =
-	    gyp_flow_scheduler_load(v->r->flow_scheduler, q->pool);
+	    gyp_flow_scheduler_load(v->r->flow_scheduler, q->pool,
+		v->ws != NULL ? gyp_workspace_use_by_name(
+				    gyp_state_flows(v->r->state), v->ws->name)
+			      : NULL);
 	uint32_t retry_ms = 0;
 	enum gyp_intake_verdict verdict =
 	    gyp_flow_intake_preview(v->r->flow_intake, cell_time(v->r), v->ws,
--- a/src/entry_calls.c
+++ b/src/entry_calls.c
@@ -34,6 +34,8 @@
 	gyp_message_free(c->msg);
 	c->msg = gyp_message_copy(&msg->base);
 	c->msg->id = c->id;
+	if (c->msg->c_case == GYP__CALL__C_FLOW)
+		c->msg->flow->received_ms = e->cell_time;
 	c->bytes = protobuf_c_message_get_packed_size(&c->msg->base);
 	e->call_bytes += c->bytes;
 }
--- a/src/flow.c
+++ b/src/flow.c
@@ -367,6 +367,12 @@
 	return row < f->workspaces->len ? f->workspaces->pdata[row] : NULL;
 }
 
+struct gyp_workspace_use *
+gyp_workspace_use_by_name(const struct gyp_flows *f, const char *name)
+{
+	return g_hash_table_lookup(f->workspace_names, name);
+}
+
 uint32_t
 gyp_flow_rank(const struct gyp_flow *flow)
 {
--- a/src/flow.h
+++ b/src/flow.h
@@ -230,6 +230,9 @@
 uint32_t gyp_workspaces_size(const struct gyp_flows *);
 struct gyp_workspace_use *gyp_workspace_at(
     const struct gyp_flows *, uint32_t row);
+/* The workspace of that name, or NULL if it has submitted no flow. */
+struct gyp_workspace_use *gyp_workspace_use_by_name(
+    const struct gyp_flows *, const char *name);
 
 /*
  * Rank of a flow in the order of work, the most urgent first: 0 or more. A flow
--- a/src/flow_intake.c
+++ b/src/flow_intake.c
@@ -10,7 +10,14 @@
 #define REPLAY_MS 2000
 
 /*
- * Flows beyond a rate are refused when the tables hold more flows than this, so
+ * Longest time for which a request may be delayed between an entry and the
+ * leader, in ms: callers wait a few seconds, and a broken connection is noticed
+ * in less.
+ */
+#define DELAYED_MAX_MS 15000
+
+/*
+ * Flows beyond a rate are refused when more flows than this have not ended, so
  * that those within their rate always find room.
  */
 #define EXCESS_FLOWS_MAX (GYP_FLOWS_MAX / 2)
@@ -118,7 +125,7 @@
 		w->counts.accepted++;
 		return GYP_INTAKE_ACCEPT;
 	}
-	if (gyp_flows_count(in->flows) < EXCESS_FLOWS_MAX &&
+	if (gyp_flows_active(in->flows)->length < EXCESS_FLOWS_MAX &&
 	    gyp_load_shed_accepts(load, max_delay_ms)) {
 		w->counts.excess++;
 		return GYP_INTAKE_ACCEPT_EXCESS;
@@ -147,6 +154,16 @@
 	return verdict;
 }
 
+bool
+gyp_flow_intake_is_outdated(const struct gyp_flow_intake *in, uint64_t now,
+    uint64_t flow, uint64_t received_ms)
+{
+	const struct refused_flow *r = g_hash_table_lookup(in->refused, &flow);
+
+	return r != NULL && received_ms != 0 && received_ms < r->at &&
+	       now < r->at + DELAYED_MAX_MS;
+}
+
 enum gyp_intake_verdict
 gyp_flow_intake_preview(const struct gyp_flow_intake *in, uint64_t now,
     const Gyp__Workspace *ws, double max_delay_ms,
--- a/src/flow_intake.h
+++ b/src/flow_intake.h
@@ -1,6 +1,7 @@
 #ifndef GYP_FLOW_INTAKE_H
 #define GYP_FLOW_INTAKE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "flow.h"
@@ -54,6 +55,14 @@
     uint64_t now, const Gyp__Workspace *, uint64_t flow, double max_delay_ms,
     const struct gyp_pool_load *, uint32_t *retry_ms);
 
+/*
+ * True if the flow was refused lately, and the request was received before the
+ * refusal: it was delayed on its way, and its caller has been told since that
+ * the flow will not run. received_ms is 0 when unknown.
+ */
+bool gyp_flow_intake_is_outdated(const struct gyp_flow_intake *, uint64_t now,
+    uint64_t flow, uint64_t received_ms);
+
 /*
  * Returns what gyp_flow_intake_decide() would return for a new flow; takes no
  * token, and counts and remembers nothing.
--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -442,15 +442,18 @@
 }
 
 struct gyp_pool_load
-gyp_flow_scheduler_load(const struct gyp_flow_scheduler *fs, const char *pool)
+gyp_flow_scheduler_load(const struct gyp_flow_scheduler *fs, const char *pool,
+    const struct gyp_workspace_use *use)
 {
 	const struct gyp_pool_load *known =
 	    g_hash_table_lookup(fs->pools, g_intern_string(pool));
-	struct gyp_pool_load load = {0, 0, 0};
+	struct gyp_pool_load load = {.capacity_milli = 0};
 
 	if (known != NULL)
 		load = *known;
 	load.waiting_milli_ms = gyp_placer_waiting(fs->placer, pool);
+	if (use != NULL)
+		load.quota_wait_ms = gyp_placer_quota_wait_ms(fs->placer, use);
 	return load;
 }
 
--- a/src/flow_scheduler.h
+++ b/src/flow_scheduler.h
@@ -64,10 +64,11 @@
     const struct gyp_flow_scheduler *);
 
 /*
- * The load of a pool of endpoints: its capacity as of the latest load line in
- * the log, and the work that waited in the latest round.
+ * The load of a pool of endpoints for a workspace, which may be NULL: its
+ * capacity as of the latest load line in the log, and the work that waited in
+ * the latest round.
  */
-struct gyp_pool_load gyp_flow_scheduler_load(
-    const struct gyp_flow_scheduler *, const char *pool);
+struct gyp_pool_load gyp_flow_scheduler_load(const struct gyp_flow_scheduler *,
+    const char *pool, const struct gyp_workspace_use *);
 
 #endif
--- a/src/load_shed.h
+++ b/src/load_shed.h
@@ -21,11 +21,14 @@
 	double capacity_milli;   /* processors of endpoints that stay */
 	double booked_milli;     /* of these, booked by open runs */
 	double waiting_milli_ms; /* work that could start but has no room */
+	/* Time in which the workspace does what it has waiting, by its cap. */
+	double quota_wait_ms;
 };
 
 /*
  * Time until new work could start if it had to wait for all work that waits
- * now, in ms. A pool without endpoints has no such time: UINT32_MAX.
+ * now, in the pool or under the workspace's cap, in ms. A pool without
+ * endpoints has no such time: UINT32_MAX.
  */
 uint32_t gyp_load_shed_delay_ms(const struct gyp_pool_load *);
 
--- a/src/placer.c
+++ b/src/placer.c
@@ -31,6 +31,7 @@
 struct workspace_round {
 	struct gyp_res proposed; /* booked by the runs that it proposes */
 	struct gyp_res waiting;  /* tasks that may start but have no room */
+	double wait_ms;          /* see gyp_placer_quota_wait_ms() */
 	bool held;               /* the rest is kept for a starving unit */
 };
 
@@ -503,6 +504,30 @@
 	*sum += (double)c->unit->size.cpu_milli * tasks * (double)run_ms;
 }
 
+/* Counts the tasks of the unit that this round has not started. */
+static void
+add_quota_wait(
+    struct gyp_placer *p, const struct gyp_candidate *c, uint32_t tasks)
+{
+	if (c->flow->use == NULL || c->unit->step->lasting)
+		return;
+	workspace_of(p, c)->wait_ms +=
+	    tasks * gyp_dominant_share(&c->unit->size, &c->flow->use->cap) *
+	    (double)gyp_run_stats_time_ms(
+		p->stats, c->flow, c->unit, GYP_RUN_ORDER);
+}
+
+double
+gyp_placer_quota_wait_ms(
+    const struct gyp_placer *p, const struct gyp_workspace_use *use)
+{
+	return use->row < p->workspaces->len
+		   ? g_array_index(
+			 p->workspaces, struct workspace_round, use->row)
+			 .wait_ms
+		   : 0;
+}
+
 double
 gyp_placer_waiting(const struct gyp_placer *p, const char *pool)
 {
@@ -607,16 +632,18 @@
 	for (i = 0; i < p->units->len; i++) {
 		const struct gyp_candidate *c =
 		    &g_array_index(p->units, struct gyp_candidate, i);
-		uint32_t waiting;
-		bool limited, queried;
+		uint32_t tasks = c->unit->left - c->unit->open;
+		uint32_t allowed = quota_allowance(p, c), waiting;
+		bool limited = allowed < tasks, queried;
 
 		if (p->runs_left == 0) {
-			add_waiting(p, c, quota_allowance(p, c));
+			add_waiting(p, c, allowed);
+			add_quota_wait(p, c, tasks);
 			continue;
 		}
-		limited = quota_allowance(p, c) < c->unit->left - c->unit->open;
 		waiting = place_unit(p, c, cmds);
 		add_waiting(p, c, waiting);
+		add_quota_wait(p, c, tasks - allowed + waiting);
 		if (waiting == 0) {
 			if (limited)
 				note_wait(p, c, GYP_PLACER_WAIT_QUOTA);
--- a/src/placer.h
+++ b/src/placer.h
@@ -120,6 +120,13 @@
 uint32_t gyp_placer_allowance(
     const struct gyp_placer *, const struct gyp_candidate *);
 
+/*
+ * Time in which the workspace could do the work that it had waiting in the
+ * latest round, if it used its whole cap, in ms.
+ */
+double gyp_placer_quota_wait_ms(
+    const struct gyp_placer *, const struct gyp_workspace_use *);
+
 /* Number of comparisons of a unit with an endpoint in the latest round. */
 uint64_t gyp_placer_comparisons(const struct gyp_placer *);
 
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -182,24 +182,26 @@
 admit_flow(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call,
     const Gyp__Workspace *ws, Gyp__FlowSpec *spec)
 {
-	struct gyp_pool_load load =
-	    gyp_flow_scheduler_load(r->flow_scheduler, spec->queue->pool);
-	/* Not the whole slack of the flow: others of the queue need theirs. */
-	double delay_ms = spec->queue->target_ms;
-	enum gyp_intake_verdict verdict;
-	uint32_t retry_ms = 0;
+	struct gyp_flows *flows = gyp_state_flows(r->state);
+	uint64_t now = r->time_base + (r->now - r->lead_since);
+	enum gyp_intake_verdict verdict = GYP_INTAKE_REFUSE;
+	uint32_t retry_ms = GYP_LOAD_SHED_RETRY_MIN_MS;
+	struct gyp_pool_load load;
 
 	if (ws == NULL)
 		return true;
-	verdict = gyp_flow_intake_decide(r->flow_intake,
-	    r->time_base + (r->now - r->lead_since), ws, spec->id, delay_ms,
-	    &load, &retry_ms);
+	load = gyp_flow_scheduler_load(r->flow_scheduler, spec->queue->pool,
+	    gyp_workspace_use_by_name(flows, ws->name));
+	/* Not the whole slack of the flow: others of the queue need theirs. */
+	if (!gyp_flow_intake_is_outdated(
+		r->flow_intake, now, spec->id, call->flow->received_ms))
+		verdict = gyp_flow_intake_decide(r->flow_intake, now, ws,
+		    spec->id, spec->queue->target_ms, &load, &retry_ms);
 	spec->excess = verdict == GYP_INTAKE_ACCEPT_EXCESS;
 	gyp_workspace_metrics_submit(
 	    r->workspace_metrics, ws->name, gyp_intake_verdict_name(verdict));
 	if (verdict != GYP_INTAKE_REFUSE)
 		return true;
-	g_assert(ws != NULL); /* calls without a workspace are not refused */
 	refuse_flow(r, entry, call->id, spec, ws, &load, retry_ms);
 	return false;
 }
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -7331,7 +7331,7 @@
   (ProtobufCMessageInit) gyp__host_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__flow_call__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gyp__flow_call__field_descriptors[6] =
 {
   {
     "host",
@@ -7393,18 +7393,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "received_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowCall, received_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__flow_call__field_indices_by_name[] = {
   3,   /* field[3] = cancel */
   0,   /* field[0] = host */
   4,   /* field[4] = key_digest */
   1,   /* field[1] = path */
+  5,   /* field[5] = received_ms */
   2,   /* field[2] = submit */
 };
 static const ProtobufCIntRange gyp__flow_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gyp__flow_call__descriptor =
 {
@@ -7414,7 +7427,7 @@
   "Gyp__FlowCall",
   "gyp",
   sizeof(Gyp__FlowCall),
-  5,
+  6,
   gyp__flow_call__field_descriptors,
   gyp__flow_call__field_indices_by_name,
   1,  gyp__flow_call__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -1189,10 +1189,14 @@
    * SHA-256 of the caller's API key, or empty
    */
   ProtobufCBinaryData key_digest;
+  /*
+   * Cell time that the entry knew when it received the request; 0 for none.
+   */
+  uint64_t received_ms;
 };
 #define GYP__FLOW_CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__flow_call__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, {0,NULL}, 0 }
 
 
 struct  Gyp__FlowView
--- a/test/test_quotas.c
+++ b/test/test_quotas.c
@@ -259,6 +259,34 @@
 	placer_fixture_clear(&f);
 }
 
+/*
+ * Guards against a workspace whose flows beyond its rate are accepted without
+ * limit, because only its cap holds them back and the pool has room: the time
+ * in which its cap lets it do what waits is known.
+ */
+static void
+test_quota_wait(void)
+{
+	struct placer_fixture f;
+	Gyp__FlowStep step = flow_fixture_step(4);
+	const struct gyp_workspace_use *use;
+	uint64_t id;
+
+	step.estimate_ms = 1000;
+	placer_fixture_init(&f, 10);
+	set_cap(&f.base, "a", 4000);
+	submit(&f, "a", 1, 0, step);
+	run_and_apply(&f);
+	use = gyp_workspace_use_by_name(f.base.flows, "a");
+	g_assert_cmpfloat(gyp_placer_quota_wait_ms(f.placer, use), ==, 0);
+	for (id = 2; id < 12; id++)
+		submit(&f, "a", id, 0, step);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpfloat(gyp_placer_quota_wait_ms(f.placer, use), ==, 10000);
+	g_assert_cmpfloat(gyp_placer_waiting(f.placer, "pool"), ==, 0);
+	placer_fixture_clear(&f);
+}
+
 /* ---- Admission queries -------------------------------------------------- */
 
 /* Guards against slow queries for a unit that its quota holds back. */
@@ -443,6 +471,7 @@
 	g_test_add_func("/quotas/no-stop-over-quota", test_no_stop_over_quota);
 	g_test_add_func("/quotas/gang-starves", test_gang_starves);
 	g_test_add_func("/quotas/waiting-work", test_waiting_work);
+	g_test_add_func("/quotas/quota-wait", test_quota_wait);
 	g_test_add_func(
 	    "/quotas/no-query-over-quota", test_no_query_over_quota);
 	g_test_add_func("/quotas/claims", test_claims);
--- a/test/test_refusals.c
+++ b/test/test_refusals.c
@@ -273,6 +273,60 @@
 	entry_fixture_free(fx);
 }
 
+/* ---- Delayed requests ---------------------------------------------------- */
+
+static uint64_t
+cell_time(const struct cell *c)
+{
+	return gyp_state_time(
+	    gyp_replica_state(c->nodes[cell_leader(c)].replica));
+}
+
+static Gyp__Code
+cell_submit_received(struct cell *c, uint64_t id, uint64_t received_ms)
+{
+	struct flow_call f;
+	Gyp__Call *call = make_submit(&f, id, "ka");
+
+	call->flow->received_ms = received_ms;
+	cell_send_call(c, call);
+	cell_run(c, 100);
+	g_assert_nonnull(c->reply);
+	return c->reply->code;
+}
+
+/*
+ * Guards against a flow that runs after its caller was told that it will not:
+ * the first sending of the request was delayed between an entry and the leader,
+ * the second one was refused, and the first one arrives when the rate allows
+ * it.
+ */
+static void
+test_delayed(void)
+{
+	struct keyed_manifest x;
+	struct cell c;
+	uint64_t received;
+
+	cell_init(&c, 1, "abc");
+	cell_settle(&c);
+	g_assert_true(gyp_replica_local_call(c.nodes[cell_leader(&c)].replica,
+	    c.now, make_manifest(&x, 1, KEYS)));
+	cell_run(&c, 100);
+	received = cell_time(&c);
+	g_assert_cmpint(
+	    cell_submit_received(&c, 2, received), ==, GYP__CODE__CODE_OK);
+	g_assert_cmpint(cell_submit_received(&c, 1, cell_time(&c)), ==,
+	    GYP__CODE__CODE_OVER_RATE);
+	cell_run(&c, 2000);
+	g_assert_cmpint(cell_submit_received(&c, 1, received), ==,
+	    GYP__CODE__CODE_OVER_RATE);
+	cell_run(&c, 2000);
+	g_assert_cmpint(cell_submit_received(&c, 1, received + 3000), ==,
+	    GYP__CODE__CODE_OK);
+	cell_clear(&c);
+}
+
 /* ---- Three replicas ----------------------------------------------------- */
 
 static bool
@@ -351,6 +405,7 @@
 	g_test_add_func("/refusals/sent-twice", test_sent_twice);
 	g_test_add_func("/refusals/answer-lost", test_answer_lost);
 	g_test_add_func("/refusals/key-removed", test_key_removed);
+	g_test_add_func("/refusals/delayed", test_delayed);
 	g_test_add_func("/refusals/new-leader", test_new_leader);
 	return g_test_run();
 }
