--- a/src/placer.c
+++ b/src/placer.c
@@ -539,13 +539,30 @@
 
 /* ---- Round -------------------------------------------------------------- */
 
+/*
+ * True while a query about the unit is under way that is answered sooner than a
+ * run could be stopped.
+ *
+ * Handles this load: bursts of urgent steps wider than the endpoints known to
+ * be allowed. Runs were stopped on those, while others that had not been named
+ * yet had room.
+ */
+static bool
+awaits_quick_query(const struct gyp_placer *p, const struct gyp_candidate *c)
+{
+	return c->flow->spec->queue->admission_ms < SLOW_QUERY_MS &&
+	       gyp_admission_has_pending_query(
+		   gyp_admission_unit(p->admission, c->flow, c->unit));
+}
+
 /* Reserves capacity for tasks that could not be placed. */
 static void
 reserve_capacity(
     struct gyp_placer *p, const struct gyp_candidate *c, uint32_t waiting)
 {
 	bool may_preempt = gyp_flow_rank(c->flow) < p->least_urgent &&
-			   c->slack != GYP_SLACK_LATE;
+			   c->slack != GYP_SLACK_LATE &&
+			   !awaits_quick_query(p, c);
 
 	if (p->reservations >= RESERVATIONS_MAX ||
 	    (!may_preempt && !c->unit->step->gang))
