--- a/src/capacity_index.h
+++ b/src/capacity_index.h
@@ -45,8 +45,6 @@
 	struct gyp_flow *flow;
 	struct gyp_flow_unit *unit;
 	enum gyp_slack_state slack;
-	double
-	    relative_use; /* of its workspace, see gyp_quota_relative_use() */
 };
 
 struct gyp_capacity_index;
--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -481,7 +481,6 @@
 		gyp_res_add(&capacity, &h->capacity);
 		gyp_res_add(&booked, &h->booked);
 	}
-	gyp_placer_set_capacity(fs->placer, &capacity);
 	for (l = gyp_flows_active(fs->flows)->head; l != NULL; l = l->next)
 		waiting += !((const struct gyp_flow *)l->data)->begun;
 	gyp_events_add(fs->events, "load",
--- a/src/placer.c
+++ b/src/placer.c
@@ -53,7 +53,6 @@
 	GHashTable *waiting;   /* interned pool -> double, see placer.h */
 	GArray *waits;         /* enum gyp_placer_wait by row of workspace */
 	struct gyp_placer_summary summary;
-	struct gyp_res capacity; /* of all endpoints */
 };
 
 /* ---- Candidates --------------------------------------------------------- */
@@ -81,8 +80,6 @@
 		return px < py ? -1 : 1;
 	if (x->slack != y->slack)
 		return x->slack < y->slack ? -1 : 1;
-	if (x->relative_use != y->relative_use)
-		return x->relative_use < y->relative_use ? -1 : 1;
 	if (x->flow->seq != y->flow->seq)
 		return x->flow->seq < y->flow->seq ? -1 : 1;
 	return x->unit < y->unit ? -1 : x->unit > y->unit;
@@ -123,9 +120,6 @@
 {
 	struct gyp_candidate c = {.flow = flow, .unit = unit};
 
-	if (flow->use != NULL)
-		c.relative_use = gyp_quota_relative_use(
-		    &flow->use->used, &p->capacity, flow->use->rate);
 	if (!has_waiting(unit) || !gyp_placer_unit_is_due(flow, unit, wall_ms))
 		return;
 	if (!gyp_flow_unit_is_ready(flow, unit)) {
@@ -685,12 +679,6 @@
 	prefetch_queries(p, free_slots, total_slots, queries);
 }
 
-void
-gyp_placer_set_capacity(struct gyp_placer *p, const struct gyp_res *capacity)
-{
-	p->capacity = *capacity;
-}
-
 bool
 gyp_placer_pop_stop(struct gyp_placer *p, struct gyp_preempt_stop *stop)
 {
--- a/src/placer.h
+++ b/src/placer.h
@@ -21,8 +21,7 @@
  * DESCRIPTION
  *	Handles these loads:
  *	- bursts of urgent flows on top of a pool that is three quarters full:
- *	  units are ordered by priority, then slack, then by what their
- *	  workspace uses in relation to its weight, then age;
+ *	  units are ordered by priority, then slack, then age;
  *	- wide steps and gangs next to narrow ones: a gang is placed as a whole
  *	  or not at all;
  *	- a slow admission service: queries are sent in the order of the units,
@@ -46,9 +45,6 @@
     struct gyp_admission *, const struct gyp_run_stats *);
 void gyp_placer_free(struct gyp_placer *);
 
-/* Sets the capacity of all endpoints, of which workspaces have shares. */
-void gyp_placer_set_capacity(struct gyp_placer *, const struct gyp_res *);
-
 /*
  * Runs one round at time now; wall_ms is Unix time. Appends Gyp__Cmd to cmds
  * and at most free_slots Gyp__Ask to queries; total_slots is the number of all
--- a/src/quota.c
+++ b/src/quota.c
@@ -56,10 +56,3 @@
 
 	return MAX(cpu, memory);
 }
-
-double
-gyp_quota_relative_use(
-    const struct gyp_res *used, const struct gyp_res *total, double weight)
-{
-	return weight > 0 ? gyp_dominant_share(used, total) / weight : 0;
-}
--- a/src/quota.h
+++ b/src/quota.h
@@ -36,12 +36,4 @@
 double gyp_dominant_share(
     const struct gyp_res *used, const struct gyp_res *total);
 
-/*
- * Returns the dominant share of the total that a workspace uses, divided by its
- * weight: the lower it is, the less the workspace has of what it is entitled
- * to. 0 without a weight.
- */
-double gyp_quota_relative_use(
-    const struct gyp_res *used, const struct gyp_res *total, double weight);
-
 #endif
