Leases: late readings of an endpoint's clock shorten none

The end of what earlier leaders granted was derived from the first reading alone. A heartbeat read before the term, as a relayed or queued one can be, made it too early: a run that could still go on counted as lapsed. The end is now at least one lease after the start of the term or the restart. A late reading also counted as a sign of life of the moment when it arrived, so a lease could be granted from long after its time.

No lease bounds those.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -280,13 +280,41 @@
 }
 
 static void
-end_all_runs(
-    struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint, Gyp__FlowHow how)
+end_all_runs(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
 {
 	guint i;
 
 	for (i = 0; i < endpoint->runs->len; i++)
-		gyp_fleet_propose_end(f, endpoint->runs->pdata[i], how, NULL);
+		gyp_fleet_propose_end(f, endpoint->runs->pdata[i],
+		    GYP__FLOW_HOW__FLOW_LOST, NULL);
+}
+
+/*
+ * Ends the runs whose start may have been sent: no lease bounds the others.
+ * That of an endpoint which had no run for long is over when its next start is
+ * sent.
+ */
+static void
+lapse_runs(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
+	guint i, lapsed = 0;
+
+	for (i = 0; i < endpoint->runs->len; i++) {
+		struct gyp_fleet_run *run = endpoint->runs->pdata[i];
+
+		if (run->phase == GYP_RUN_UNSENT)
+			continue;
+		gyp_fleet_propose_end(f, run, GYP__FLOW_HOW__FLOW_LAPSED, NULL);
+		lapsed++;
+	}
+	if (lapsed > 0)
+		gyp_events_add(f->cfg.events, "lease-over",
+		    "endpoint=%s runs=%u heard_ms_ago=%" G_GUINT64_FORMAT
+		    " failures=%u",
+		    h->spec->id, lapsed,
+		    gyp_fleet_endpoint_silence_ms(f, endpoint),
+		    endpoint->failures);
 }
 
 /* Ends the runs whose start was not sent: they need not wait for the lease. */
@@ -358,21 +386,13 @@
 	}
 	if (endpoint->departed_at != 0) {
 		if (f->now >= endpoint->departed_at + DEPARTURE_GRACE_MS) {
-			end_all_runs(f, endpoint, GYP__FLOW_HOW__FLOW_LOST);
+			end_all_runs(f, endpoint);
 			propose_removal(f, endpoint);
 		}
 		return;
 	}
-	if (f->now >= gyp_fleet_endpoint_lease_expiry(f, endpoint) &&
-	    endpoint->runs->len > 0) {
-		gyp_events_add(f->cfg.events, "lease-over",
-		    "endpoint=%s runs=%u heard_ms_ago=%" G_GUINT64_FORMAT
-		    " failures=%u",
-		    h->spec->id, endpoint->runs->len,
-		    gyp_fleet_endpoint_silence_ms(f, endpoint),
-		    endpoint->failures);
-		end_all_runs(f, endpoint, GYP__FLOW_HOW__FLOW_LAPSED);
-	}
+	if (f->now >= gyp_fleet_endpoint_lease_expiry(f, endpoint))
+		lapse_runs(f, endpoint);
 	if (endpoint->runs->len == 0 &&
 	    f->now >=
 		MAX(endpoint->last_seen_at, f->leader_since) + REMOVE_IDLE_MS)
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -32,12 +32,18 @@
     struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint, uint64_t clock_ms)
 {
 	bool first = endpoint->clock_at == 0;
+	uint64_t bound = first ? 0 : clock_lower_bound(endpoint, f->now);
 
-	/* A lower reading took longer to arrive; the earlier one still holds.
+	/*
+	 * A lower reading is as old as it is too low, or older: it took longer
+	 * to arrive. The earlier one still holds.
 	 */
-	endpoint->clock_seen_at = f->now;
-	if (!first && clock_ms < clock_lower_bound(endpoint, f->now))
+	if (clock_ms < bound) {
+		endpoint->clock_seen_at = MAX(endpoint->clock_seen_at,
+		    f->now - MIN(f->now, bound - clock_ms));
 		return;
+	}
+	endpoint->clock_seen_at = f->now;
 	endpoint->clock_ms = clock_ms;
 	endpoint->clock_at = f->now;
 	/* An earlier leader or a late call may have extended it this far. */
@@ -106,18 +112,29 @@
 	propose_restart(f, endpoint);
 }
 
+static uint64_t
+expiry_after(uint64_t from, uint64_t left)
+{
+	return from + left + left / (GYP_CLOCK_SLOW - 1) + 1 + LEASE_MARGIN_MS;
+}
+
+/*
+ * What earlier leaders granted, and what late calls may grant, is over a lease
+ * after the start of the term or the restart. Readings can't shorten this: the
+ * first one may have been taken before, and until_ms is derived from it.
+ */
 uint64_t
 gyp_fleet_endpoint_lease_expiry(
     const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
 {
-	uint64_t from = endpoint->clock_at != 0
-			    ? endpoint->clock_at
-			    : MAX(f->leader_since, endpoint->restarted_at);
-	uint64_t left = f->cfg.lease_ms + endpoint->late_grant_ms;
-
-	if (endpoint->clock_at != 0)
-		left = endpoint->until_ms > endpoint->clock_ms
-			   ? endpoint->until_ms - endpoint->clock_ms
-			   : 0;
-	return from + left + left / (GYP_CLOCK_SLOW - 1) + 1 + LEASE_MARGIN_MS;
+	uint64_t inherited =
+	    expiry_after(MAX(f->leader_since, endpoint->restarted_at),
+		f->cfg.lease_ms + endpoint->late_grant_ms);
+	uint64_t left = endpoint->until_ms > endpoint->clock_ms
+			    ? endpoint->until_ms - endpoint->clock_ms
+			    : 0;
+
+	if (endpoint->clock_at == 0)
+		return inherited;
+	return MAX(inherited, expiry_after(endpoint->clock_at, left));
 }
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -216,6 +216,91 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * The first reading that a new leader gets may have been taken before its term,
+ * as a heartbeat can be delayed. The lease that the earlier leader granted last
+ * must be waited out all the same.
+ */
+static void
+test_old_first_reading(void)
+{
+	struct fixture f;
+	uint64_t since;
+
+	fixture_init(&f, 1, false);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	flow_fixture_new_leader(&f.base, 2);
+	since = f.base.now;
+	gyp_fleet_heartbeat(f.base.fleet, since, f.a, 1, since - 3000);
+	flow_fixture_advance(&f.base, 10);
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 1, f.base.now);
+	while (task_of(&f, 0)->state == GYP_FLOW_TASK_OPEN) {
+		struct gyp_fleet_call *call;
+
+		flow_fixture_advance(&f.base, 10);
+		while ((call = gyp_fleet_pop_call(f.base.fleet)) != NULL)
+			flow_fixture_answer(&f.base, call, GYP_FLEET_LOST);
+		g_assert_cmpuint(
+		    f.base.now, <, since + 3 * FLOW_FIXTURE_LEASE_MS);
+	}
+	g_assert_cmpuint(f.base.now, >=,
+	    since +
+		FLOW_FIXTURE_LEASE_MS * GYP_CLOCK_SLOW / (GYP_CLOCK_SLOW - 1));
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * A heartbeat that arrives late doesn't show that the endpoint's clock goes on
+ * now: a lease counts from little after the time of its reading.
+ */
+static void
+test_late_reading(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *call;
+	uint64_t read_at;
+
+	fixture_init(&f, 1, false);
+	read_at = f.base.now + 100;
+	flow_fixture_advance(&f.base, 10000);
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 1, read_at);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	flow_fixture_advance(&f.base, 10);
+	call = flow_fixture_next_call(&f.base, GYP_FLEET_START);
+	g_assert_nonnull(call);
+	g_assert_cmpuint(
+	    call->until_ms, <=, read_at + 3000 + FLOW_FIXTURE_LEASE_MS);
+	gyp_fleet_call_free(call);
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * The lease of an endpoint without runs is over, so it bounds no run whose
+ * start was not sent: such a run must not lapse before its start is sent.
+ */
+static void
+test_start_at_idle_endpoint(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *call;
+	uint64_t ms;
+
+	for (ms = 100; ms < 200; ms += 10) {
+		fixture_init(&f, 1, false);
+		flow_fixture_advance(&f.base, 2 * FLOW_FIXTURE_LEASE_MS);
+		gyp_fleet_heartbeat(
+		    f.base.fleet, f.base.now, f.a, 1, f.base.now);
+		flow_fixture_advance(&f.base, ms);
+		flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+		flow_fixture_advance(&f.base, 10);
+		call = flow_fixture_next_call(&f.base, GYP_FLEET_START);
+		g_assert_nonnull(call);
+		gyp_fleet_call_free(call);
+		flow_fixture_clear(&f.base);
+	}
+}
+
 /*
  * A new leader keeps the runs that an endpoint lists. It stops a run that is
  * not listed before it counts the run as lost.
@@ -453,6 +538,10 @@
 	g_test_add_func(
 	    "/fleet/lease-of-silent-endpoint", test_lease_of_silent_endpoint);
 	g_test_add_func("/fleet/answers-become-slow", test_answers_become_slow);
+	g_test_add_func("/fleet/old-first-reading", test_old_first_reading);
+	g_test_add_func("/fleet/late-reading", test_late_reading);
+	g_test_add_func(
+	    "/fleet/start-at-idle-endpoint", test_start_at_idle_endpoint);
 	g_test_add_func("/fleet/new-leader", test_new_leader);
 	g_test_add_func("/fleet/restarted", test_restarted);
 	g_test_add_func("/fleet/ack-of-earlier-incarnation",
