Followers answer heartbeats only while the leader confirms the relay

A follower that hears the leader but does not reach it went on answering endpoints; the leader took them for silent, gives them no run after 4.5 s and removes them after 60 s. The leader now answers relayed heartbeats with an empty frame. When none comes for 1 s, endpoints are sent to the leader, and their heartbeats are relayed besides, until it confirms them.

A follower that was paused relayed heartbeats from before the pause as new ones; it drops them and relays none for 500 ms. One that holds back 4,096 heartbeats acknowledged further ones without passing them on. The leader took an incarnation that its tables lack from a frame, and would then ignore the present one; it takes frames from its members only, of at most 4,096 heartbeats.

--- a/src/replica.h
+++ b/src/replica.h
@@ -163,7 +163,9 @@
  * the leader's CPU time, and which would all look for the new leader at once.
  * From cfg.relay_heartbeats_from endpoints on, a follower that is in contact
  * with the leader answers a heartbeat that reports nothing new, and passes it
- * on with others in one frame.
+ * on with others in one frame. When the leader doesn't confirm these frames,
+ * endpoints are sent to it again: an endpoint that it doesn't hear of gets no
+ * runs and is removed in the end.
  */
 enum gyp_heartbeat_result gyp_replica_heartbeat(struct gyp_replica *,
     uint64_t now, const Gyp__CmdHost *reported, uint64_t clock_ms);
--- a/src/replica_heartbeats.c
+++ b/src/replica_heartbeats.c
@@ -7,9 +7,25 @@
 /* Longest time for which a follower holds heartbeats back, in ms. */
 #define RELAY_DELAY_MS 50
 
-/* Heartbeats that a follower holds back; further ones are dropped. */
+/*
+ * Most heartbeats that a follower holds back, and that a leader takes from one
+ * frame.
+ */
 #define RELAY_MAX 4096
 
+/*
+ * Time after which a leader that has not confirmed relayed heartbeats gets them
+ * from the endpoints themselves, in ms. With the time between two heartbeats it
+ * must stay below the silence after which an endpoint gets no new run.
+ */
+#define RELAY_CONFIRM_MS 1000
+
+/*
+ * A gap between two ticks that shows that this process was paused, in ms; for
+ * as long after it, what is read may be as old as the pause.
+ */
+#define PAUSE_MS 500
+
 /*
  * True when the tables hold what the endpoint reports, or a later incarnation
  * of it: there is nothing to commit.
@@ -35,6 +51,17 @@
 
 /* ---- Followers ---------------------------------------------------------- */
 
+/* Heartbeats held back during a pause are dropped. */
+static void
+check_pause(struct gyp_replica *r)
+{
+	if (r->now > r->relay.checked_at + PAUSE_MS) {
+		r->relay.paused_until = r->now + PAUSE_MS;
+		g_ptr_array_set_size(r->relay.beats, 0);
+	}
+	r->relay.checked_at = r->now;
+}
+
 /*
  * A heartbeat of an earlier incarnation, and one that reports news, goes to the
  * leader.
@@ -44,70 +71,112 @@
     const Gyp__CmdHost *reported)
 {
 	return relays_heartbeats(r) && gyp_raft_has_leader(r->raft) &&
-	       is_recorded(h, reported) &&
+	       !gyp_raft_is_suspended(r->raft) &&
+	       r->now >= r->relay.paused_until && is_recorded(h, reported) &&
 	       h->spec->born_ms == reported->born_ms;
 }
 
-static void
+/* True while the leader is known to receive what this follower relays. */
+static bool
+is_confirmed(const struct gyp_replica *r)
+{
+	return r->relay.leader != gyp_raft_leader(r->raft) ||
+	       r->relay.unconfirmed_since == 0 ||
+	       r->now < r->relay.unconfirmed_since + RELAY_CONFIRM_MS;
+}
+
+/* Returns false when too many are held back already. */
+static bool
 hold_back(struct gyp_replica *r, const struct gyp_host *h, uint64_t clock_ms)
 {
 	Gyp__HostBeat *beat;
 
-	if (r->relayed_beats->len >= RELAY_MAX)
-		return;
-	if (r->relayed_beats->len == 0)
-		r->relay_at = r->now + RELAY_DELAY_MS;
+	if (r->relay.beats->len >= RELAY_MAX)
+		return false;
+	if (r->relay.beats->len == 0)
+		r->relay.due_at = r->now + RELAY_DELAY_MS;
 	beat = g_new(Gyp__HostBeat, 1);
 	gyp__host_beat__init(beat);
 	beat->host = h->row;
 	beat->born_ms = h->spec->born_ms;
 	beat->clock_ms = clock_ms;
-	g_ptr_array_add(r->relayed_beats, beat);
+	g_ptr_array_add(r->relay.beats, beat);
+	return true;
 }
 
-void
-gyp_replica_relay_heartbeats(struct gyp_replica *r)
+/* Sends a frame of heartbeats; an empty one confirms another. */
+static void
+send_beats(struct gyp_replica *r, uint64_t to, Gyp__HostBeat **list, size_t n)
 {
-	uint64_t leader = gyp_raft_leader(r->raft);
-	const char *address = gyp_replica_member_address(r, leader);
+	const char *address = gyp_replica_member_address(r, to);
 	Gyp__Frame frame = GYP__FRAME__INIT;
 	Gyp__HostBeats beats = GYP__HOST_BEATS__INIT;
 	struct gyp_out_frame *out;
 
-	if (r->relayed_beats->len == 0 || r->now < r->relay_at)
+	if (address == NULL)
 		return;
-	if (gyp_raft_has_leader(r->raft) && address != NULL) {
-		beats.n_beats = r->relayed_beats->len;
-		beats.beats = (Gyp__HostBeat **)r->relayed_beats->pdata;
-		frame.body_case = GYP__FRAME__BODY_BEATS;
-		frame.beats = &beats;
-		out = g_new0(struct gyp_out_frame, 1);
-		out->to = leader;
-		out->address = g_strdup(address);
-		out->packed = gyp_message_pack(&frame.base);
-		g_queue_push_tail(&r->out_frames, out);
+	beats.n_beats = n;
+	beats.beats = list;
+	frame.body_case = GYP__FRAME__BODY_BEATS;
+	frame.beats = &beats;
+	out = g_new0(struct gyp_out_frame, 1);
+	out->to = to;
+	out->address = g_strdup(address);
+	out->packed = gyp_message_pack(&frame.base);
+	g_queue_push_tail(&r->out_frames, out);
+}
+
+void
+gyp_replica_relay_heartbeats(struct gyp_replica *r)
+{
+	uint64_t leader = gyp_raft_leader(r->raft);
+
+	check_pause(r);
+	if (r->relay.beats->len == 0 || r->now < r->relay.due_at)
+		return;
+	if (gyp_raft_has_leader(r->raft) && !gyp_raft_is_suspended(r->raft)) {
+		if (r->relay.leader != leader)
+			r->relay.unconfirmed_since = 0;
+		r->relay.leader = leader;
+		if (r->relay.unconfirmed_since == 0)
+			r->relay.unconfirmed_since = r->now;
+		send_beats(r, leader, (Gyp__HostBeat **)r->relay.beats->pdata,
+		    r->relay.beats->len);
 	}
-	g_ptr_array_set_size(r->relayed_beats, 0);
+	g_ptr_array_set_size(r->relay.beats, 0);
 }
 
 /* ---- Leader ------------------------------------------------------------- */
 
+/*
+ * Ignores a heartbeat of an endpoint or incarnation that the tables lack: the
+ * follower's are older.
+ */
+static void
+take_beat(struct gyp_replica *r, const Gyp__HostBeat *beat)
+{
+	const struct gyp_host *h =
+	    gyp_host_at(gyp_state_flows(r->state), beat->host);
+
+	if (h != NULL && h->spec->born_ms == beat->born_ms)
+		gyp_fleet_heartbeat(gyp_flow_scheduler_fleet(r->flow_scheduler),
+		    r->now, beat->host, beat->born_ms, beat->clock_ms);
+}
+
 void
-gyp_replica_handle_beats(struct gyp_replica *r, const Gyp__HostBeats *beats)
+gyp_replica_handle_beats(
+    struct gyp_replica *r, uint64_t from, const Gyp__HostBeats *beats)
 {
-	struct gyp_fleet *fleet;
 	size_t i;
 
-	if (!gyp_replica_serving(r))
+	if (beats->n_beats == 0 && from == r->relay.leader)
+		r->relay.unconfirmed_since = 0;
+	if (beats->n_beats == 0 || beats->n_beats > RELAY_MAX ||
+	    !gyp_replica_serving(r) || gyp_raft_last_seen(r->raft, from) == 0)
 		return;
-	fleet = gyp_flow_scheduler_fleet(r->flow_scheduler);
-	for (i = 0; i < beats->n_beats; i++) {
-		const Gyp__HostBeat *beat = beats->beats[i];
-
-		if (gyp_host_at(gyp_state_flows(r->state), beat->host) != NULL)
-			gyp_fleet_heartbeat(fleet, r->now, beat->host,
-			    beat->born_ms, beat->clock_ms);
-	}
+	for (i = 0; i < beats->n_beats; i++)
+		take_beat(r, beats->beats[i]);
+	send_beats(r, from, NULL, 0);
 }
 
 const char *
@@ -151,8 +220,9 @@
 		return is_recorded(h, reported) ? GYP_HEARTBEAT_TAKEN
 						: GYP_HEARTBEAT_NEWS;
 	}
-	if (!may_relay(r, h, reported))
+	check_pause(r);
+	if (!may_relay(r, h, reported) || !hold_back(r, h, clock_ms))
 		return GYP_HEARTBEAT_NO_LEADER;
-	hold_back(r, h, clock_ms);
-	return GYP_HEARTBEAT_TAKEN;
+	/* Relayed all the same: the leader may confirm it. */
+	return is_confirmed(r) ? GYP_HEARTBEAT_TAKEN : GYP_HEARTBEAT_NO_LEADER;
 }
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -77,6 +77,16 @@
 	uint64_t call;
 };
 
+/* What a follower keeps about the heartbeats that it relays. */
+struct gyp_heartbeat_relay {
+	GPtrArray *beats;           /* Gyp__HostBeat, held back */
+	uint64_t due_at;            /* when to send them */
+	uint64_t leader;            /* to which the latest were sent */
+	uint64_t unconfirmed_since; /* sent then, no answer yet; 0: none */
+	uint64_t checked_at;        /* to notice a pause of this process */
+	uint64_t paused_until;      /* nothing is relayed before */
+};
+
 struct gyp_replica {
 	struct gyp_raft_io io;
 	struct gyp_replica_config cfg;
@@ -123,10 +133,9 @@
 	struct gyp_carriers *carriers;             /* NULL while not leading */
 	GQueue own_endpoint_calls; /* struct gyp_fleet_call, not yet made */
 	struct gyp_events *events;
-	GQueue local_replies;     /* Gyp__Reply */
-	GPtrArray *relayed_beats; /* Gyp__HostBeat, held back by a follower */
-	uint64_t relay_at;        /* when to send them */
-	uint64_t wall_ms;         /* Unix time, only for due times of flows */
+	GQueue local_replies; /* Gyp__Reply */
+	struct gyp_heartbeat_relay relay;
+	uint64_t wall_ms; /* Unix time, only for due times of flows */
 };
 
 /* Id that stands for this process among the entries. */
@@ -177,7 +186,8 @@
 /* replica_heartbeats.c */
 /* Sends the heartbeats that this follower holds back, when they are due. */
 void gyp_replica_relay_heartbeats(struct gyp_replica *);
-void gyp_replica_handle_beats(struct gyp_replica *, const Gyp__HostBeats *);
+void gyp_replica_handle_beats(
+    struct gyp_replica *, uint64_t from, const Gyp__HostBeats *);
 
 /* replica_rules.c */
 void gyp_replica_refresh_rules(struct gyp_replica *, uint64_t index);
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -1763,7 +1763,7 @@
 
 
 /*
- * From a follower to the leader.
+ * From a follower to the leader, which confirms them by an empty one.
  */
 struct  Gyp__HostBeats
 {
--- a/test/members_fixture.c
+++ b/test/members_fixture.c
@@ -56,6 +56,7 @@
 	    .start_window_ms = 800,
 	    .voters = VOTERS,
 	    .catch_up_ms = c->catch_up_ms,
+	    .relay_heartbeats_from = c->relay_heartbeats_from,
 	    .compact_bytes = 8 * 1024};
 
 	if (n->id == 0) {
@@ -111,7 +112,8 @@
 	c->now = 5000;
 	for (centre = centres; *centre != '\0'; centre++)
 		cell_add_node(c, *centre);
-	gyp_replica_bootstrap(c->nodes[0].replica, NULL);
+	if (c->n > 0)
+		gyp_replica_bootstrap(c->nodes[0].replica, NULL);
 }
 
 static void
@@ -200,7 +202,7 @@
 		if (out.entry)
 			take_replies(c, frame);
 		c->frames_while_full += n->disk_full && !out.entry;
-		for (to = 0; to < c->n && !out.entry; to++) {
+		for (to = 0; to < c->n && !out.entry && !n->mute; to++) {
 			if (g_strcmp0(c->nodes[to].address, out.address) == 0)
 				post_frame(
 				    c, to, n->id, g_bytes_ref(out.packed));
@@ -264,18 +266,29 @@
 
 	while (left-- > 0) {
 		f = g_queue_pop_head(&c->frames);
+		if (c->nodes[f->to].paused) {
+			g_queue_push_tail(&c->frames, f);
+			continue;
+		}
 		if (c->nodes[f->to].replica != NULL)
 			deliver(c, f);
 		free_frame(f);
 	}
 	for (i = 0; i < c->n && c->seed % 2 == 1; i++) {
-		if (c->nodes[i].replica == NULL)
+		if (c->nodes[i].replica == NULL || c->nodes[i].paused)
 			continue;
 		gyp_replica_process_accepted(c->nodes[i].replica, c->now);
 		collect_output(c, i);
 	}
 }
 
+void
+cell_resume(struct cell *c, int i)
+{
+	c->nodes[i].paused = false;
+	deliver_all(c);
+}
+
 const Gyp__Member *
 cell_find_member(const Gyp__Config *config, uint64_t id)
 {
@@ -321,7 +334,7 @@
 	while (c->now < end) {
 		c->now += 10;
 		for (i = 0; i < c->n; i++) {
-			if (c->nodes[i].replica == NULL)
+			if (c->nodes[i].replica == NULL || c->nodes[i].paused)
 				continue;
 			gyp_replica_tick(c->nodes[i].replica, c->now);
 			if (c->now % JOIN_MS == 0)
--- a/test/members_fixture.h
+++ b/test/members_fixture.h
@@ -28,6 +28,8 @@
 	GPtrArray *disk;    /* struct gyp_record */
 	guint boot_records; /* records on the disk at the start */
 	bool disk_full;     /* records are kept but not synced */
+	bool mute;          /* what it sends is lost */
+	bool paused;        /* does nothing; frames to it wait */
 };
 
 struct frame {
@@ -46,6 +48,7 @@
 	uint64_t last_replica_id;
 	uint32_t seed;
 	uint32_t catch_up_ms;            /* 0 for the default */
+	uint32_t relay_heartbeats_from;  /* of replicas started from now on */
 	uint32_t frames_while_full;      /* between replicas, from a full one */
 	uint32_t snapshots, log_entries; /* sent to any replica */
 	Gyp__Reply *reply;               /* the latest to the entry */
@@ -61,6 +64,9 @@
 void cell_fill_disk(struct cell *c, int i);
 void cell_free_disk(struct cell *c, int i);
 
+/* Ends a pause: the replica reads the frames that waited, then the clock. */
+void cell_resume(struct cell *c, int i);
+
 /* Adds and starts a replica with an empty disk; returns its index. */
 int cell_add_node(struct cell *c, char centre);
 
--- /dev/null
+++ b/test/test_heartbeats.c
@@ -0,0 +1,371 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "fleet_int.h"
+#include "members_fixture.h"
+#include "msg.h"
+#include "replica_int.h"
+
+/* Heartbeats that followers answer and relay to the leader. */
+
+/* As in fleet.c: an endpoint silent for longer gets no new run, in ms. */
+#define SILENT_MS 4500
+
+/* Interval of an endpoint's heartbeats, in ms. */
+#define INTERVAL_MS 1500
+
+struct endpoint {
+	char id[8];
+	Gyp__CmdHost host;
+	Gyp__Res capacity;
+};
+
+static void
+endpoint_init(struct endpoint *e, guint nth)
+{
+	g_snprintf(e->id, sizeof(e->id), "e%u", nth);
+	gyp__cmd_host__init(&e->host);
+	gyp__res__init(&e->capacity);
+	e->capacity.cpu_milli = 1000;
+	e->host.id = e->id;
+	e->host.address = "10.1.0.1:1";
+	e->host.born_ms = 7;
+	e->host.capacity = &e->capacity;
+}
+
+static struct gyp_replica *
+leader(const struct cell *c)
+{
+	g_assert_cmpint(cell_leader(c), >=, 0);
+	return c->nodes[cell_leader(c)].replica;
+}
+
+static int
+follower(const struct cell *c)
+{
+	return (cell_leader(c) + 1) % c->n;
+}
+
+static enum gyp_heartbeat_result
+beat(const struct cell *c, int node, const struct endpoint *e)
+{
+	return gyp_replica_heartbeat(
+	    c->nodes[node].replica, c->now, &e->host, c->now);
+}
+
+/* Sends what an endpoint reports to the leader and waits for the commit. */
+static void
+commit(struct cell *c, struct endpoint *e)
+{
+	Gyp__Call call = GYP__CALL__INIT;
+	Gyp__Reply *reply;
+
+	g_assert_cmpint(beat(c, cell_leader(c), e), ==, GYP_HEARTBEAT_NEWS);
+	call.id = ++c->calls;
+	call.c_case = GYP__CALL__C_HOST;
+	call.host = &e->host;
+	g_assert_true(gyp_replica_local_call(leader(c), c->now, &call));
+	cell_run(c, 200);
+	reply = gyp_replica_pop_local_reply(leader(c));
+	g_assert_nonnull(reply);
+	gyp_message_free(reply);
+}
+
+static struct gyp_fleet *
+fleet(const struct cell *c)
+{
+	return gyp_flow_scheduler_fleet(leader(c)->flow_scheduler);
+}
+
+/* The leader's state of the endpoint that was committed first. */
+static const struct gyp_fleet_endpoint *
+first_endpoint(const struct cell *c)
+{
+	return gyp_fleet_get_endpoint(fleet(c), 0);
+}
+
+/* A cell whose followers relay from that many endpoints on, and one endpoint.
+ */
+static void
+set_up(struct cell *c, const char *centres, uint32_t from, struct endpoint *e)
+{
+	const char *centre;
+
+	cell_init(c, 1, "");
+	c->relay_heartbeats_from = from;
+	for (centre = centres; *centre != '\0'; centre++)
+		cell_add_node(c, *centre);
+	gyp_replica_bootstrap(c->nodes[0].replica, NULL);
+	cell_settle(c);
+	endpoint_init(e, 0);
+	commit(c, e);
+	g_assert_cmpint(beat(c, cell_leader(c), e), ==, GYP_HEARTBEAT_TAKEN);
+}
+
+/* What reports nothing new is relayed; the rest is left to the leader. */
+static void
+test_relay(void)
+{
+	struct cell c;
+	struct endpoint e, other;
+
+	set_up(&c, "abc", 1, &e);
+	cell_run(&c, 1000);
+	g_assert_cmpint(beat(&c, follower(&c), &e), ==, GYP_HEARTBEAT_TAKEN);
+	cell_run(&c, 100);
+	g_assert_cmpuint(first_endpoint(&c)->last_seen_at + 100, >=, c.now);
+	g_assert_cmpuint(first_endpoint(&c)->clock_ms + 100, <=, c.now);
+
+	endpoint_init(&other, 1);
+	g_assert_cmpint(
+	    beat(&c, follower(&c), &other), ==, GYP_HEARTBEAT_NO_LEADER);
+	other = e;
+	other.host.id = e.id;
+	other.host.address = "10.1.0.2:1";
+	g_assert_cmpint(
+	    beat(&c, follower(&c), &other), ==, GYP_HEARTBEAT_NO_LEADER);
+	other.host.address = e.host.address;
+	other.host.born_ms = 6;
+	g_assert_cmpint(
+	    beat(&c, follower(&c), &other), ==, GYP_HEARTBEAT_NO_LEADER);
+	other.host.born_ms = 8;
+	g_assert_cmpint(
+	    beat(&c, follower(&c), &other), ==, GYP_HEARTBEAT_NO_LEADER);
+
+	/* A drain is acknowledged after its commit only. */
+	e.host.draining = true;
+	g_assert_cmpint(
+	    beat(&c, follower(&c), &e), ==, GYP_HEARTBEAT_NO_LEADER);
+	commit(&c, &e);
+	g_assert_cmpint(beat(&c, follower(&c), &e), ==, GYP_HEARTBEAT_TAKEN);
+	cell_clear(&c);
+}
+
+/* Smaller deployments keep sending their heartbeats to the leader. */
+static void
+test_below_limit(void)
+{
+	struct cell c;
+	struct endpoint e, second;
+
+	set_up(&c, "abc", 2, &e);
+	g_assert_cmpint(
+	    beat(&c, follower(&c), &e), ==, GYP_HEARTBEAT_NO_LEADER);
+	g_assert_null(gyp_replica_heartbeat_address(leader(&c), e.id));
+	endpoint_init(&second, 1);
+	commit(&c, &second);
+	g_assert_cmpint(beat(&c, follower(&c), &e), ==, GYP_HEARTBEAT_TAKEN);
+	g_assert_nonnull(gyp_replica_heartbeat_address(leader(&c), e.id));
+	cell_clear(&c);
+}
+
+/* A follower that is cut off, or whose disk is full, answers for nobody. */
+static void
+test_no_contact(void)
+{
+	struct cell c;
+	struct endpoint e;
+	int full, last;
+
+	set_up(&c, "abc", 1, &e);
+	full = follower(&c);
+	last = (full + 1) % 3;
+	g_assert_cmpint(beat(&c, full, &e), ==, GYP_HEARTBEAT_TAKEN);
+	cell_fill_disk(&c, full);
+	cell_run(&c, 200);
+	g_assert_cmpint(beat(&c, full, &e), ==, GYP_HEARTBEAT_NO_LEADER);
+	g_assert_cmpuint(c.frames_while_full, ==, 0);
+	g_assert_cmpint(beat(&c, last, &e), ==, GYP_HEARTBEAT_TAKEN);
+	cell_stop(&c, cell_leader(&c));
+	cell_run(&c, 2 * ELECTION_MS);
+	g_assert_cmpint(beat(&c, last, &e), ==, GYP_HEARTBEAT_NO_LEADER);
+	cell_clear(&c);
+}
+
+/* Endpoints that the leader leaves to each replica, of many. */
+static void
+count_named(const struct cell *c, guint counts[NODES])
+{
+	guint i;
+	int node;
+
+	memset(counts, 0, NODES * sizeof(counts[0]));
+	for (i = 0; i < 400; i++) {
+		char *id = g_strdup_printf("e%u", i);
+		const char *address =
+		    gyp_replica_heartbeat_address(leader(c), id);
+
+		g_assert_nonnull(address);
+		for (node = 0; node < c->n; node++)
+			counts[node] +=
+			    g_str_equal(address, c->nodes[node].address);
+		g_free(id);
+	}
+}
+
+static void
+test_spread(void)
+{
+	struct cell c;
+	struct endpoint e;
+	guint counts[NODES];
+	int node, stopped;
+
+	set_up(&c, "abcab", 1, &e);
+	count_named(&c, counts);
+	for (node = 0; node < c.n; node++) {
+		if (node == cell_leader(&c))
+			g_assert_cmpuint(counts[node], ==, 0);
+		else
+			g_assert_cmpuint(counts[node], >, 50);
+	}
+	stopped = follower(&c);
+	cell_stop(&c, stopped);
+	cell_run(&c, 2 * ELECTION_MS);
+	count_named(&c, counts);
+	g_assert_cmpuint(counts[stopped], ==, 0);
+	cell_clear(&c);
+}
+
+/*
+ * A follower hears the leader but doesn't reach it. The leader would take the
+ * endpoints that it answers for silent, although they are alive.
+ */
+static void
+test_leader_not_reached(void)
+{
+	struct cell c;
+	struct endpoint e;
+	int mute, i;
+
+	set_up(&c, "abc", 1, &e);
+	mute = follower(&c);
+	c.nodes[mute].mute = true;
+	for (i = 0; i < 20; i++) {
+		if (beat(&c, mute, &e) == GYP_HEARTBEAT_NO_LEADER)
+			g_assert_cmpint(beat(&c, cell_leader(&c), &e), ==,
+			    GYP_HEARTBEAT_TAKEN);
+		cell_run(&c, INTERVAL_MS);
+		g_assert_cmpuint(gyp_fleet_endpoint_silence_ms(
+				     fleet(&c), first_endpoint(&c)),
+		    <, SILENT_MS);
+	}
+	c.nodes[mute].mute = false;
+	beat(&c, mute, &e);
+	cell_run(&c, 200);
+	g_assert_cmpint(beat(&c, mute, &e), ==, GYP_HEARTBEAT_TAKEN);
+	cell_clear(&c);
+}
+
+/*
+ * A follower is paused with a heartbeat that it has not relayed. Afterwards it
+ * reads messages of the leader that waited; what it then relayed would make an
+ * endpoint that has died meanwhile look alive.
+ */
+static void
+test_paused(void)
+{
+	struct cell c;
+	struct endpoint e;
+	int node;
+	uint64_t seen;
+
+	set_up(&c, "abc", 1, &e);
+	node = follower(&c);
+	g_assert_cmpint(beat(&c, node, &e), ==, GYP_HEARTBEAT_TAKEN);
+	seen = first_endpoint(&c)->last_seen_at;
+	c.nodes[node].paused = true;
+	cell_run(&c, 10000);
+	cell_resume(&c, node);
+	/* A heartbeat that waited in a socket is not vouched for either. */
+	g_assert_cmpint(beat(&c, node, &e), ==, GYP_HEARTBEAT_NO_LEADER);
+	cell_run(&c, 400);
+	g_assert_cmpuint(first_endpoint(&c)->last_seen_at, ==, seen);
+	cell_run(&c, 400);
+	g_assert_cmpint(beat(&c, node, &e), ==, GYP_HEARTBEAT_TAKEN);
+	cell_clear(&c);
+}
+
+/* A heartbeat that can't be held back must not be acknowledged. */
+static void
+test_too_many(void)
+{
+	struct cell c;
+	struct endpoint e;
+	int i;
+
+	set_up(&c, "abc", 1, &e);
+	for (i = 0; i < 4096; i++)
+		g_assert_cmpint(
+		    beat(&c, follower(&c), &e), ==, GYP_HEARTBEAT_TAKEN);
+	g_assert_cmpint(
+	    beat(&c, follower(&c), &e), ==, GYP_HEARTBEAT_NO_LEADER);
+	cell_clear(&c);
+}
+
+static void
+send_beats(struct cell *c, uint64_t from, Gyp__HostBeat *b, size_t n)
+{
+	Gyp__HostBeat **list = g_new(Gyp__HostBeat *, n);
+	Gyp__HostBeats beats = GYP__HOST_BEATS__INIT;
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		list[i] = b;
+	beats.n_beats = n;
+	beats.beats = list;
+	frame.body_case = GYP__FRAME__BODY_BEATS;
+	frame.beats = &beats;
+	gyp_replica_receive(leader(c), c->now, from, &frame);
+	g_free(list);
+}
+
+/*
+ * Frames that no follower sends have no effect: unknown rows, too many, another
+ * sender. An incarnation that is not in the tables would make the leader ignore
+ * the present one.
+ */
+static void
+test_malformed(void)
+{
+	struct cell c;
+	struct endpoint e;
+	Gyp__HostBeat b = GYP__HOST_BEAT__INIT;
+	uint64_t from, seen;
+
+	set_up(&c, "abc", 1, &e);
+	from = c.nodes[follower(&c)].id;
+	seen = first_endpoint(&c)->last_seen_at;
+	cell_run(&c, 100);
+	b.born_ms = 9;
+	send_beats(&c, from, &b, 1);
+	b.born_ms = 7;
+	b.host = UINT32_MAX;
+	send_beats(&c, from, &b, 1);
+	b.host = 0;
+	send_beats(&c, ENTRY_ID, &b, 1);
+	send_beats(&c, from, &b, 5000);
+	g_assert_cmpuint(first_endpoint(&c)->incarnation_start_ms, ==, 7);
+	g_assert_cmpuint(first_endpoint(&c)->last_seen_at, ==, seen);
+	send_beats(&c, from, &b, 1);
+	g_assert_cmpuint(first_endpoint(&c)->last_seen_at, ==, c.now);
+	cell_clear(&c);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/heartbeats/relay", test_relay);
+	g_test_add_func("/heartbeats/below-limit", test_below_limit);
+	g_test_add_func("/heartbeats/no-contact", test_no_contact);
+	g_test_add_func("/heartbeats/spread", test_spread);
+	g_test_add_func(
+	    "/heartbeats/leader-not-reached", test_leader_not_reached);
+	g_test_add_func("/heartbeats/paused", test_paused);
+	g_test_add_func("/heartbeats/too-many", test_too_many);
+	g_test_add_func("/heartbeats/malformed", test_malformed);
+	return g_test_run();
+}
