Claims of a query end when its flow is forgotten

A forgotten flow left its queries, and what they claim, until their answer or time-out: slow queries of other flows kept away from endpoints that nobody was going to use. Tests of how claims end, and that packed tasks ignore them.

Seen failing before: /placer/claims-end.

--- a/src/admission.c
+++ b/src/admission.c
@@ -444,16 +444,39 @@
 
 /* ---- Construction ------------------------------------------------------- */
 
+/* Ends the claims of the flow's queries; their answers are ignored. */
+static void
+forget_queries(struct gyp_admission *a, uint64_t flow)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->queries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct query *q = value;
+
+		if (q->key.flow != flow)
+			continue;
+		remove_claims(a, q);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
 void
 gyp_admission_forget_flow(struct gyp_admission *a, const struct gyp_flow *flow)
 {
+	bool pending = false;
 	uint32_t i;
 
 	for (i = 0; i < flow->n_units; i++) {
 		struct gyp_flow_key key = {.flow = flow->id, .index = i};
 
+		pending = pending || gyp_admission_has_pending_query(
+					 g_hash_table_lookup(a->units, &key));
 		g_hash_table_remove(a->units, &key);
 	}
+	if (pending)
+		forget_queries(a, flow->id);
 }
 
 struct gyp_admission *
--- a/src/admission.h
+++ b/src/admission.h
@@ -126,7 +126,7 @@
 void gyp_admission_ticket_refused(struct gyp_admission *,
     const struct gyp_flow *, const struct gyp_flow_unit *, uint32_t row);
 
-/* Removes all answers for the units of a flow. */
+/* Removes all answers and queries for the units of a flow. */
 void gyp_admission_forget_flow(struct gyp_admission *, const struct gyp_flow *);
 
 #endif
--- a/test/test_placer.c
+++ b/test/test_placer.c
@@ -216,6 +216,94 @@
 	placer_fixture_clear(&f);
 }
 
+/* CPU that queries under way are expected to use on all endpoints. */
+static uint32_t
+claimed_cpu(const struct placer_fixture *f)
+{
+	uint32_t row, sum = 0;
+
+	for (row = 0; row < gyp_hosts_size(f->base.flows); row++)
+		sum += gyp_admission_claimed(f->admission, row).cpu_milli;
+	return sum;
+}
+
+/*
+ * A claim that outlived its query would keep endpoints out of slow queries for
+ * good.
+ */
+static void
+test_claims_end(void)
+{
+	struct placer_fixture f;
+	const Gyp__Ask *query;
+	int how;
+
+	for (how = 0; how < 3; how++) {
+		placer_fixture_init(&f, 20);
+		placer_fixture_submit(&f, 1, 2, flow_fixture_step(2));
+		placer_fixture_set_queue(&f, 1, 2, true, 370, 5.3);
+		placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+		g_assert_cmpuint(f.queries->len, ==, 1);
+		g_assert_cmpuint(claimed_cpu(&f), >, 1500);
+		query = f.queries->pdata[0];
+		if (how == 0)
+			placer_fixture_allow_all(&f, query);
+		else if (how == 1)
+			gyp_admission_drop_query(f.admission, query->id);
+		else
+			gyp_admission_forget_flow(
+			    f.admission, gyp_flow_get(f.base.flows, 1));
+		g_assert_cmpuint(claimed_cpu(&f), ==, 0);
+		/* An answer that arrives afterwards is ignored. */
+		placer_fixture_allow_all(&f, query);
+		g_assert_cmpuint(claimed_cpu(&f), ==, 0);
+		placer_fixture_clear(&f);
+	}
+}
+
+/*
+ * Slow queries leave each other the endpoints that they name. Packed tasks name
+ * the same ones all the same, or they would be spread.
+ */
+static void
+check_claims(bool packed)
+{
+	struct placer_fixture f;
+	const Gyp__Ask *first, *second;
+	Gyp__FlowStep step = flow_fixture_step(10);
+	guint i, common = 0;
+	size_t k;
+
+	placer_fixture_init(&f, 60);
+	step.size->accel = packed ? 1 : 0;
+	for (i = 1; i <= 2; i++) {
+		placer_fixture_submit(&f, i, 2, step);
+		placer_fixture_set_queue(&f, i, 2, true, 370, 40);
+	}
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.queries->len, ==, 2);
+	first = f.queries->pdata[0];
+	second = f.queries->pdata[1];
+	for (i = 0; i < first->n_endpoints; i++) {
+		for (k = 0; k < second->n_endpoints; k++)
+			common += g_str_equal(
+			    first->endpoints[i], second->endpoints[k]);
+	}
+	if (packed)
+		g_assert_cmpuint(common, ==, first->n_endpoints);
+	else
+		g_assert_cmpuint(common, <, first->n_endpoints);
+	step.size->accel = 0; /* shared by all steps */
+	placer_fixture_clear(&f);
+}
+
+static void
+test_claims(void)
+{
+	check_claims(false);
+	check_claims(true);
+}
+
 /* Answers are kept; a ticket that has expired is requested again. */
 static void
 test_tickets(void)
@@ -462,6 +550,8 @@
 	g_test_add_func("/placer/probe", test_probe);
 	g_test_add_func("/placer/slow-endpoint", test_slow_endpoint);
 	g_test_add_func("/placer/slow-queries", test_slow_queries);
+	g_test_add_func("/placer/claims", test_claims);
+	g_test_add_func("/placer/claims-end", test_claims_end);
 	g_test_add_func("/placer/tickets", test_tickets);
 	g_test_add_func("/placer/long-queue", test_long_queue);
 	g_test_add_func("/placer/wide-step", test_wide_step);
