Programs raise their limit of open files

The usual soft limit is 1,024 files, half of the connections that a process is to accept: accept() fails before the room kept for replicas is reached.

--- a/src/program.c
+++ b/src/program.c
@@ -1,3 +1,5 @@
+#include <sys/resource.h>
+
 #include <signal.h>
 #include <stdio.h>
 
@@ -75,6 +77,21 @@
 	return 0;
 }
 
+/*
+ * Allows as many open files as the system permits: the usual soft limit, 1,024,
+ * is below the number of connections that a process accepts.
+ */
+static void
+raise_file_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 int
 gyp_program_start(struct gyp_program *p, int argc, char **argv)
 {
@@ -82,6 +99,7 @@
 	int code;
 
 	gyp_log_open(p->name, GYP_LOG_INFO);
+	raise_file_limit();
 	signal(SIGPIPE, SIG_IGN);
 	signal(SIGHUP, SIG_IGN); /* until gyp_reload_new() handles it */
 	if (!parse_options(p, &o, argc, argv)) {
--- a/src/program.h
+++ b/src/program.h
@@ -31,9 +31,10 @@
 };
 
 /*
- * Parses the command line and loads the settings. Returns -1 if the program
- * should run, else the exit code: 0 after --help, --version and --check-config,
- * 64 for a bad command line, GYP_EXIT_SETTINGS for refused settings.
+ * Raises the limit of open files, parses the command line and loads the
+ * settings. Returns -1 if the program should run, else the exit code: 0 after
+ * --help, --version and --check-config, 64 for a bad command line,
+ * GYP_EXIT_SETTINGS for refused settings.
  */
 int gyp_program_start(struct gyp_program *, int argc, char **argv);
 
--- a/test/test_link.c
+++ b/test/test_link.c
@@ -1,3 +1,4 @@
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <string.h>
@@ -7,6 +8,7 @@
 #include "counters.h"
 #include "link.h"
 #include "msg.h"
+#include "program.h"
 #include "raw_socket.h"
 #include "timer.h"
 
@@ -401,6 +403,27 @@
 	tear_down(&f);
 }
 
+/*
+ * With the usual limit of 1,024 open files a process accepts fewer connections
+ * than GYP_LINK_ACCEPTED_MAX, and none of a replica once entries hold them.
+ */
+static void
+test_open_files(void)
+{
+	char *argv[] = {"test", "--version", NULL};
+	struct gyp_program program = {.name = "test"};
+	struct rlimit limit;
+	rlim_t max;
+
+	g_assert_cmpint(getrlimit(RLIMIT_NOFILE, &limit), ==, 0);
+	max = limit.rlim_max;
+	limit.rlim_cur = 1024;
+	g_assert_cmpint(setrlimit(RLIMIT_NOFILE, &limit), ==, 0);
+	g_assert_cmpint(gyp_program_start(&program, 2, argv), ==, 0);
+	g_assert_cmpint(getrlimit(RLIMIT_NOFILE, &limit), ==, 0);
+	g_assert_cmpuint(limit.rlim_cur, ==, max);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -412,5 +435,6 @@
 	g_test_add_func("/link/pending-frame", test_pending_frame);
 	g_test_add_func("/link/many-entries", test_many_entries);
 	g_test_add_func("/link/entries-limit", test_entries_limit);
+	g_test_add_func("/link/open-files", test_open_files);
 	return g_test_run();
 }
