--- a/test/test_members.c
+++ b/test/test_members.c
@@ -5,6 +5,7 @@
 
 #include "bootstrap.h"
 #include "members_fixture.h"
+#include "msg.h"
 
 /* Membership, votes, and catching up after a replica was stopped. */
 
@@ -515,6 +516,90 @@
 	cell_clear(&c);
 }
 
+/* Passes the disk's and the clock's progress to a cell of one voter. */
+static void
+run_alone(struct gyp_replica *r, uint64_t *seq, uint64_t now)
+{
+	struct gyp_record rec;
+
+	gyp_replica_tick(r, now);
+	while (gyp_replica_pop_record(r, &rec)) {
+		if (rec.data != NULL)
+			g_bytes_unref(rec.data);
+		++*seq;
+	}
+	gyp_replica_synced(r, now, *seq);
+}
+
+/* Returns whether a frame to an entry lists the address. */
+static bool
+lists_replica(struct gyp_replica *r, const char *address)
+{
+	struct gyp_out_frame out;
+	bool found = false;
+	size_t i;
+
+	while (gyp_replica_pop_frame(r, &out)) {
+		gsize len;
+		const uint8_t *data = g_bytes_get_data(out.packed, &len);
+		Gyp__Frame *frame = gyp__frame__unpack(NULL, len, data);
+
+		for (i = 0; out.entry && i < frame->down->n_cells; i++)
+			found = found ||
+				g_str_equal(frame->down->cells[i], address);
+		gyp_message_free(frame);
+		g_free(out.address);
+		g_bytes_unref(out.packed);
+	}
+	return found;
+}
+
+/*
+ * Entries of a cell with more members than the list holds got no list, and
+ * could not find a leader that they did not start with.
+ */
+static void
+test_list_of_large_cell(void)
+{
+	struct gyp_replica_config cfg = {.id = 64,
+	    .address = "10.0.0.64:1",
+	    .election_ms = ELECTION_MS,
+	    .heartbeat_ms = 50,
+	    .entry_lease_ms = 1500,
+	    .voters = 1,
+	    .compact_bytes = 1 << 20};
+	struct gyp_replica *r = gyp_replica_new(&cfg);
+	Gyp__Member members[64], *list[64];
+	Gyp__Config config = GYP__CONFIG__INIT;
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__EntryUp up = GYP__ENTRY_UP__INIT;
+	uint64_t now, seq = 0;
+	bool listed = false;
+	char address[64][16];
+	guint i;
+
+	for (i = 0; i < 64; i++) {
+		g_snprintf(address[i], 16, "10.0.0.%u:1", i + 1);
+		gyp__member__init(&members[i]);
+		members[i].id = i + 1;
+		members[i].address = address[i];
+		members[i].voter = i == 63;
+		list[i] = &members[i];
+	}
+	config.n_members = 64;
+	config.members = list;
+	gyp_replica_bootstrap(r, &config);
+	frame.body_case = GYP__FRAME__BODY_UP;
+	frame.up = &up;
+	for (now = 5000; now < 9000 && !listed; now += 20) {
+		run_alone(r, &seq, now);
+		gyp_replica_receive(r, now, ENTRY_ID, &frame);
+		listed = lists_replica(r, cfg.address);
+	}
+	g_assert_true(listed);
+	gyp_replica_free(r);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -530,6 +615,7 @@
 	g_test_add_func("/members/successor", test_successor);
 	g_test_add_func("/members/growth", test_catch_up_by_snapshot);
 	g_test_add_func("/members/snapshots-apart", test_snapshots_apart);
+	g_test_add_func("/members/list-of-large-cell", test_list_of_large_cell);
 	g_test_add_func("/members/full-leader", test_full_leader);
 	g_test_add_func("/members/full-majority", test_full_majority);
 	g_test_add_func("/members/full-single", test_full_single);
