Followers ask for a confirmation of relayed heartbeats every 250 ms

One for each frame would be 20 a second from each follower to the leader's network traffic, which has a budget. /heartbeats/confirmed: a follower that reaches the leader goes on answering.

--- a/src/replica_heartbeats.c
+++ b/src/replica_heartbeats.c
@@ -20,6 +20,9 @@
  */
 #define RELAY_CONFIRM_MS 1000
 
+/* Interval at which a follower asks for a confirmation, in ms. */
+#define CONFIRM_INTERVAL_MS 250
+
 /*
  * A gap between two ticks that shows that this process was paused, in ms; for
  * as long after it, what is read may be as old as the pause.
@@ -106,19 +109,16 @@
 
 /* Sends a frame of heartbeats; an empty one confirms another. */
 static void
-send_beats(struct gyp_replica *r, uint64_t to, Gyp__HostBeat **list, size_t n)
+send_beats(struct gyp_replica *r, uint64_t to, Gyp__HostBeats *beats)
 {
 	const char *address = gyp_replica_member_address(r, to);
 	Gyp__Frame frame = GYP__FRAME__INIT;
-	Gyp__HostBeats beats = GYP__HOST_BEATS__INIT;
 	struct gyp_out_frame *out;
 
 	if (address == NULL)
 		return;
-	beats.n_beats = n;
-	beats.beats = list;
 	frame.body_case = GYP__FRAME__BODY_BEATS;
-	frame.beats = &beats;
+	frame.beats = beats;
 	out = g_new0(struct gyp_out_frame, 1);
 	out->to = to;
 	out->address = g_strdup(address);
@@ -126,22 +126,33 @@
 	g_queue_push_tail(&r->out_frames, out);
 }
 
+/* Returns whether to ask the leader for a confirmation now. */
+static bool
+is_confirmation_due(struct gyp_replica *r, uint64_t leader)
+{
+	if (r->relay.leader == leader && r->now < r->relay.confirm_at)
+		return false;
+	if (r->relay.leader != leader || r->relay.unconfirmed_since == 0)
+		r->relay.unconfirmed_since = r->now;
+	r->relay.leader = leader;
+	r->relay.confirm_at = r->now + CONFIRM_INTERVAL_MS;
+	return true;
+}
+
 void
 gyp_replica_relay_heartbeats(struct gyp_replica *r)
 {
 	uint64_t leader = gyp_raft_leader(r->raft);
+	Gyp__HostBeats beats = GYP__HOST_BEATS__INIT;
 
 	check_pause(r);
 	if (r->relay.beats->len == 0 || r->now < r->relay.due_at)
 		return;
 	if (gyp_raft_has_leader(r->raft) && !gyp_raft_is_suspended(r->raft)) {
-		if (r->relay.leader != leader)
-			r->relay.unconfirmed_since = 0;
-		r->relay.leader = leader;
-		if (r->relay.unconfirmed_since == 0)
-			r->relay.unconfirmed_since = r->now;
-		send_beats(r, leader, (Gyp__HostBeat **)r->relay.beats->pdata,
-		    r->relay.beats->len);
+		beats.n_beats = r->relay.beats->len;
+		beats.beats = (Gyp__HostBeat **)r->relay.beats->pdata;
+		beats.confirm = is_confirmation_due(r, leader);
+		send_beats(r, leader, &beats);
 	}
 	g_ptr_array_set_size(r->relay.beats, 0);
 }
@@ -167,6 +178,7 @@
 gyp_replica_handle_beats(
     struct gyp_replica *r, uint64_t from, const Gyp__HostBeats *beats)
 {
+	Gyp__HostBeats confirmation = GYP__HOST_BEATS__INIT;
 	size_t i;
 
 	if (beats->n_beats == 0 && from == r->relay.leader)
@@ -176,7 +188,8 @@
 		return;
 	for (i = 0; i < beats->n_beats; i++)
 		take_beat(r, beats->beats[i]);
-	send_beats(r, from, NULL, 0);
+	if (beats->confirm)
+		send_beats(r, from, &confirmation);
 }
 
 const char *
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -82,6 +82,7 @@
 	GPtrArray *beats;           /* Gyp__HostBeat, held back */
 	uint64_t due_at;            /* when to send them */
 	uint64_t leader;            /* to which the latest were sent */
+	uint64_t confirm_at;        /* when to ask for a confirmation again */
 	uint64_t unconfirmed_since; /* sent then, no answer yet; 0: none */
 	uint64_t checked_at;        /* to notice a pause of this process */
 	uint64_t paused_until;      /* nothing is relayed before */
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -9963,7 +9963,7 @@
   (ProtobufCMessageInit) gyp__host_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__host_beats__field_descriptors[1] =
+static const ProtobufCFieldDescriptor gyp__host_beats__field_descriptors[2] =
 {
   {
     "beats",
@@ -9977,14 +9977,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "confirm",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__HostBeats, confirm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__host_beats__field_indices_by_name[] = {
   0,   /* field[0] = beats */
+  1,   /* field[1] = confirm */
 };
 static const ProtobufCIntRange gyp__host_beats__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor gyp__host_beats__descriptor =
 {
@@ -9994,7 +10007,7 @@
   "Gyp__HostBeats",
   "gyp",
   sizeof(Gyp__HostBeats),
-  1,
+  2,
   gyp__host_beats__field_descriptors,
   gyp__host_beats__field_indices_by_name,
   1,  gyp__host_beats__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -1770,10 +1770,14 @@
   ProtobufCMessage base;
   size_t n_beats;
   Gyp__HostBeat **beats;
+  /*
+   * the follower asks for that
+   */
+  protobuf_c_boolean confirm;
 };
 #define GYP__HOST_BEATS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__host_beats__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 typedef enum {
--- a/test/test_heartbeats.c
+++ b/test/test_heartbeats.c
@@ -103,6 +103,23 @@
 	g_assert_cmpint(beat(c, cell_leader(c), e), ==, GYP_HEARTBEAT_TAKEN);
 }
 
+/* A follower that reaches the leader goes on answering. */
+static void
+test_confirmed(void)
+{
+	struct cell c;
+	struct endpoint e;
+	int i;
+
+	set_up(&c, "abc", 1, &e);
+	for (i = 0; i < 200; i++) {
+		g_assert_cmpint(
+		    beat(&c, follower(&c), &e), ==, GYP_HEARTBEAT_TAKEN);
+		cell_run(&c, i < 100 ? 20 : INTERVAL_MS);
+	}
+	cell_clear(&c);
+}
+
 /* What reports nothing new is relayed; the rest is left to the leader. */
 static void
 test_relay(void)
@@ -359,6 +376,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/heartbeats/relay", test_relay);
+	g_test_add_func("/heartbeats/confirmed", test_confirmed);
 	g_test_add_func("/heartbeats/below-limit", test_below_limit);
 	g_test_add_func("/heartbeats/no-contact", test_no_contact);
 	g_test_add_func("/heartbeats/spread", test_spread);
