--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -1767,17 +1767,21 @@
 
 
 /*
- * From a follower to the leader.
+ * From a follower to the leader, which confirms them by an empty one.
  */
 struct  Gyp__HostBeats
 {
   ProtobufCMessage base;
   size_t n_beats;
   Gyp__HostBeat **beats;
+  /*
+   * the follower asks for that
+   */
+  protobuf_c_boolean confirm;
 };
 #define GYP__HOST_BEATS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__host_beats__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 typedef enum {
