--- a/bench/measure.sh
+++ b/bench/measure.sh
@@ -2,12 +2,14 @@
 # Updates the measured tables of a page (docs/MEASURES.md): all policies on the
 # same traces, for both workloads of gyp-load (--firm press and strikeline) at
 # loads of 1, 2 and 4 times the capacity; then the cost of a decision in
-# instructions.
-# usage: measure.sh BIN RULES_DIR PAGE
+# instructions; then the decisions for workspaces. With SECTION, writes only
+# that one of the sections "tables" and "shares".
+# usage: measure.sh BIN RULES_DIR PAGE [SECTION]
 set -eu
 bin=$1
 rules=$2
 page=$3
+section=${4:-all}
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 policies="weighted best-fit first-fit least-loaded random"
@@ -127,7 +129,9 @@
 	done
 }
 
-{
+# policy_tables: prints the tables of the policies and of the cost.
+policy_tables() {
+	local firm scale
 	for firm in press strikeline; do
 		for scale in 1 2 4; do
 			firm_tables "$firm" "$scale" 1 0
@@ -135,14 +139,43 @@
 		firm_tables "$firm" 1 2 2
 	done
 	cost_table
+}
+
+# write_section NAME COMMAND...: replaces the lines between the marks of the
+# section in the page by the output of the command.
+write_section() {
+	local name=$1
+	shift
+	if [ "$section" != all ] && [ "$section" != "$name" ]; then
+		return
+	fi
+	{
+		"$@"
+		echo
+	} >"$dir/section.md"
+	awk -v file="$dir/section.md" -v name="$name" '
+		$0 == "<!-- end of measured " name " -->" { skip = 0 }
+		!skip { print }
+		$0 == "<!-- measured " name " -->" {
+			while ((getline line < file) > 0)
+				print line
+			skip = 1
+		}' "$page" >"$dir/page.md"
+	cp "$dir/page.md" "$page"
+}
+
+# shares_table: prints the table of the decisions for workspaces.
+shares_table() {
 	echo
-} >"$dir/tables.md"
-awk -v file="$dir/tables.md" '
-	/<!-- end of measured tables -->/ { skip = 0 }
-	!skip { print }
-	/<!-- measured tables -->/ {
-		while ((getline line < file) > 0)
-			print line
-		skip = 1
-	}' "$page" >"$dir/page.md"
-cp "$dir/page.md" "$page"
+	"$bin/bench-shares"
+}
+
+case $section in
+all | tables | shares) ;;
+*)
+	echo "measure.sh: no section $section" >&2
+	exit 2
+	;;
+esac
+write_section tables policy_tables
+write_section shares shares_table
