Returning refused flows need more than one unspent token

A workspace of one flow a second has a bucket of one token, which is full whenever the token is there: the rule that a refused flow needs half a bucket never applied, and refused flows took the token of the next new one.

Seen failing without the change: /intake/resubmitted-small.

--- a/bench/shares.c
+++ b/bench/shares.c
@@ -339,8 +339,10 @@
 submit_job(struct bench *b, struct job *job)
 {
 	const Gyp__CmdManifest *m = gyp_flows_manifest(b->pool.flows);
+	const struct gyp_workspace_use *use = gyp_workspace_use_by_name(
+	    b->pool.flows, m->workspaces[job->workspace]->name);
 	struct gyp_pool_load load =
-	    gyp_flow_scheduler_load(b->pool.scheduler, "pool");
+	    gyp_flow_scheduler_load(b->pool.scheduler, "pool", use);
 	double max_delay_ms =
 	    b->policy == NO_REFUSALS ? DBL_MAX : kinds[job->queue].target_ms;
 	uint32_t retry_ms = 0;
--- a/src/flow_intake.c
+++ b/src/flow_intake.c
@@ -22,8 +22,13 @@
  */
 #define EXCESS_FLOWS_MAX (GYP_FLOWS_MAX / 2)
 
-/* Share of a bucket that must be full for a flow that was refused before. */
-#define RETRY_LEVEL_MIN 0.5
+/*
+ * Share of a second's tokens, and number of tokens, that must be unspent for a
+ * flow that was refused before. A workspace of one flow a second has its token
+ * each second: a new flow is expected then.
+ */
+#define RETRY_LEVEL_MIN  0.5
+#define RETRY_TOKENS_MIN 1.5
 
 /*
  * Refused flows that are remembered, and for how long in ms: callers come back
@@ -109,8 +114,9 @@
 static bool
 take_token(struct workspace_intake *w, double rate, bool again, uint64_t now)
 {
-	if (again &&
-	    gyp_token_bucket_level(&w->bucket, rate, now) < RETRY_LEVEL_MIN)
+	double needed = MAX(RETRY_LEVEL_MIN * rate, RETRY_TOKENS_MIN);
+
+	if (again && gyp_token_bucket_unspent(&w->bucket, rate, now) < needed)
 		return false;
 	return gyp_token_bucket_take(&w->bucket, rate, now);
 }
--- a/src/flow_intake.h
+++ b/src/flow_intake.h
@@ -18,9 +18,10 @@
  *	depends on the load, see load_shed.h.
  *
  *	A refused flow that is submitted again does not compete with new ones:
- *	it takes a token only when at least half of the workspace's tokens are
- *	there. Otherwise a workspace that keeps sending too much would spend its
- *	rate on repeated submissions, and refuse new ones that are within it.
+ *	it takes a token only when half a second's tokens, and more than one,
+ *	are unspent. Otherwise a workspace that keeps sending too much would
+ *spend its rate on repeated submissions, and refuse new ones that are within
+ *it.
  *
  *	The buckets exist on a leader only. A new leader fills them from the
  *	flows that were accepted lately, which are replicated. Times are cell
--- a/src/token_bucket.c
+++ b/src/token_bucket.c
@@ -7,15 +7,19 @@
 /* Tolerance for the rounding of refills, in tokens. */
 #define ROUNDING 1e-6
 
-static double
-tokens_at(const struct gyp_token_bucket *b, double rate, uint64_t now)
+double
+gyp_token_bucket_unspent(
+    const struct gyp_token_bucket *b, double rate, uint64_t now)
 {
-	double most = MAX(rate, 1);
 	double elapsed_s = (double)(now - MIN(now, b->filled_at)) / 1000;
 
-	if (b->filled_at == 0)
-		return most;
-	return MIN(b->tokens + elapsed_s * rate, most);
+	return b->filled_at == 0 ? INFINITY : b->tokens + elapsed_s * rate;
+}
+
+static double
+tokens_at(const struct gyp_token_bucket *b, double rate, uint64_t now)
+{
+	return MIN(gyp_token_bucket_unspent(b, rate, now), MAX(rate, 1));
 }
 
 bool
@@ -32,13 +36,6 @@
 	return true;
 }
 
-double
-gyp_token_bucket_level(
-    const struct gyp_token_bucket *b, double rate, uint64_t now)
-{
-	return tokens_at(b, rate, now) / MAX(rate, 1);
-}
-
 uint32_t
 gyp_token_bucket_wait_ms(
     const struct gyp_token_bucket *b, double rate, uint64_t now)
--- a/src/token_bucket.h
+++ b/src/token_bucket.h
@@ -26,8 +26,11 @@
 bool gyp_token_bucket_take(
     struct gyp_token_bucket *, double rate, uint64_t now);
 
-/* Share of the bucket that is full, 0 to 1. */
-double gyp_token_bucket_level(
+/*
+ * Tokens that the bucket would hold if it had no bound; infinite for a bucket
+ * that was never used. It tells how long nobody has wanted a token.
+ */
+double gyp_token_bucket_unspent(
     const struct gyp_token_bucket *, double rate, uint64_t now);
 
 /* Time until the next token is there, in ms; 0 if one is. */
--- a/test/test_flow_intake.c
+++ b/test/test_flow_intake.c
@@ -307,6 +307,33 @@
 	clear_intake(&x);
 }
 
+/*
+ * Guards against refused flows that take the only token of a workspace of one
+ * flow a second, which is there for its next new flow.
+ */
+static void
+test_resubmitted_small(void)
+{
+	Gyp__Workspace ws;
+	struct intake x;
+	uint32_t second;
+
+	init_intake(&x);
+	init_workspace(&ws, "a", 1);
+	g_assert_cmpint(decide(&x, &ws, 1, x.base.now), ==, GYP_INTAKE_ACCEPT);
+	g_assert_cmpint(decide(&x, &ws, 2, x.base.now), ==, GYP_INTAKE_REFUSE);
+	for (second = 1; second <= 20; second++) {
+		uint64_t now = x.base.now + second * SECOND_MS;
+
+		g_assert_cmpint(decide(&x, &ws, 2, now), ==, GYP_INTAKE_REFUSE);
+		g_assert_cmpint(
+		    decide(&x, &ws, 2 + second, now), ==, GYP_INTAKE_ACCEPT);
+	}
+	g_assert_cmpint(decide(&x, &ws, 2, x.base.now + 22 * SECOND_MS), ==,
+	    GYP_INTAKE_ACCEPT);
+	clear_intake(&x);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -314,6 +341,7 @@
 	g_test_add_func("/intake/flood", test_flood);
 	g_test_add_func("/intake/excess-with-room", test_excess_with_room);
 	g_test_add_func("/intake/resubmitted", test_resubmitted);
+	g_test_add_func("/intake/resubmitted-small", test_resubmitted_small);
 	g_test_add_func("/intake/new-leader", test_new_leader);
 	g_test_add_func(
 	    "/intake/new-leader-within-rate", test_new_leader_within_rate);
