Tests say which failure they guard against

The tests of heartbeats, full disks, removals and overload stated what holds. /workspaces/report and the other tests of operators' views become /workspace-view/..., since test_workspaces uses the first name, and /overload/other becomes /overload/no-claim. No check is changed.

--- a/test/test_full_disk.c
+++ b/test/test_full_disk.c
@@ -64,7 +64,10 @@
 	return reached;
 }
 
-/* The disk is full from each operation of a session on, for a while. */
+/*
+ * Guards against a store that ends, hangs or loses records when the disk is
+ * full for a while, from each operation of a session on.
+ */
 static void
 test_recovers(void)
 {
@@ -86,7 +89,7 @@
 	remove_dir(dir);
 }
 
-/* Each record is replayed exactly once after a wait for space. */
+/* Guards against a record that a replay after a wait for space finds twice. */
 static void
 test_no_duplicates(void)
 {
@@ -124,9 +127,9 @@
 }
 
 /*
- * The process ends while it waits for space: nothing after the last sync was
- * reported, and a restart finds no torn record. With the disk still full, the
- * restart reads the records and waits too.
+ * Guards against records that are lost, or torn ones that are read, when the
+ * process ends while it waits for space, and against a restart that fails while
+ * the disk is still full: it reads the records and waits too.
  */
 static void
 test_killed_while_full(void)
@@ -171,7 +174,10 @@
 	remove_dir(dir);
 }
 
-/* A store that was opened on a full disk takes records once there is space. */
+/*
+ * Guards against a store that stays unusable, or has lost records, once there
+ * is space because it was opened on a full disk.
+ */
 static void
 test_full_at_start(void)
 {
@@ -197,7 +203,10 @@
 	remove_dir(dir);
 }
 
-/* Another error while the store waits for space is final. */
+/*
+ * Guards against a wait that goes on after another error: what is on the disk
+ * is then unknown.
+ */
 static void
 test_error_while_full(void)
 {
--- a/test/test_heartbeats.c
+++ b/test/test_heartbeats.c
@@ -103,7 +103,8 @@
 	g_assert_cmpint(beat(c, cell_leader(c), e), ==, GYP_HEARTBEAT_TAKEN);
 }
 
-/* A follower that reaches the leader goes on answering. */
+/* Guards against a follower that stops answering although it reaches the
+ * leader. */
 static void
 test_confirmed(void)
 {
@@ -120,7 +121,11 @@
 	cell_clear(&c);
 }
 
-/* What reports nothing new is relayed; the rest is left to the leader. */
+/*
+ * Guards against relayed heartbeats that the leader does not count, and against
+ * news (an unknown endpoint, another address or incarnation, a drain) that a
+ * follower acknowledges before its commit.
+ */
 static void
 test_relay(void)
 {
@@ -159,7 +164,10 @@
 	cell_clear(&c);
 }
 
-/* Smaller deployments keep sending their heartbeats to the leader. */
+/*
+ * Guards against followers that answer with fewer endpoints than the setting:
+ * the heartbeats go to the leader as without it.
+ */
 static void
 test_below_limit(void)
 {
@@ -177,7 +185,10 @@
 	cell_clear(&c);
 }
 
-/* A follower that is cut off, or whose disk is full, answers for nobody. */
+/*
+ * Guards against a follower that answers while it is cut off or its disk is
+ * full: the leader would not hear of the endpoint.
+ */
 static void
 test_no_contact(void)
 {
@@ -200,7 +211,7 @@
 	cell_clear(&c);
 }
 
-/* Endpoints that the leader leaves to each replica, of many. */
+/* Counts to which replica the leader sends each of many endpoints. */
 static void
 count_named(const struct cell *c, guint counts[NODES])
 {
@@ -221,6 +232,10 @@
 	}
 }
 
+/*
+ * Guards against a leader that names itself, one follower for all endpoints, or
+ * a follower that has stopped.
+ */
 static void
 test_spread(void)
 {
@@ -246,8 +261,9 @@
 }
 
 /*
- * A follower hears the leader but doesn't reach it. The leader would take the
- * endpoints that it answers for silent, although they are alive.
+ * Guards against a follower that hears the leader, doesn't reach it and goes on
+ * answering: the leader would take these endpoints for silent, although they
+ * are alive.
  */
 static void
 test_leader_not_reached(void)
@@ -304,7 +320,7 @@
 	cell_clear(&c);
 }
 
-/* A heartbeat that can't be held back must not be acknowledged. */
+/* Guards against an acknowledged heartbeat that is dropped for lack of room. */
 static void
 test_too_many(void)
 {
--- a/test/test_link.c
+++ b/test/test_link.c
@@ -335,6 +335,10 @@
 	run_in_fixture(connect_many);
 }
 
+/*
+ * Guards against entries that take the connections of replicas, and against
+ * refusals that the counter leaves out.
+ */
 static void
 test_entries_limit(void)
 {
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -192,7 +192,10 @@
 	cell_clear(&c);
 }
 
-/* A resent removal that was carried out got 404 from the next leader. */
+/*
+ * Guards against a 404 from the next leader for a resent removal that was
+ * carried out.
+ */
 static void
 test_resent_removal(void)
 {
@@ -206,8 +209,8 @@
 }
 
 /*
- * A resent removal by address must not remove the replica that has joined at
- * this address since.
+ * Guards against a resent removal by address that removes the replica which has
+ * joined at this address since.
  */
 static void
 test_resent_removal_of_successor(void)
@@ -250,7 +253,10 @@
 	cell_clear(&c);
 }
 
-/* Many removals: those that are kept are answered the same after a restart. */
+/*
+ * Guards against a 404 for a repeated removal by id once more replicas were
+ * removed than addresses are kept (16), also after a restart.
+ */
 static void
 test_many_removals(void)
 {
@@ -427,8 +433,9 @@
 }
 
 /*
- * A leader whose disk is full stops serving at once, another takes over within
- * an election timeout, and the first takes no part until there is space.
+ * Guards against a leader that serves, votes or acknowledges while its disk is
+ * full, and against a cell without a leader for longer than an election timeout
+ * because of it.
  */
 static void
 test_full_leader(void)
@@ -469,7 +476,7 @@
 	}
 }
 
-/* Two voters whose disks are full count towards no majority. */
+/* Guards against commits that rely on two voters whose disks are full. */
 static void
 test_full_majority(void)
 {
@@ -498,7 +505,7 @@
 	cell_clear(&c);
 }
 
-/* A cell of one replica goes on when there is space again. */
+/* Guards against a cell of one replica that stays down once there is space. */
 static void
 test_full_single(void)
 {
--- a/test/test_overload.c
+++ b/test/test_overload.c
@@ -122,6 +122,10 @@
 	(void)arg;
 }
 
+/*
+ * Guards against an entry that says `not_run` of a request that may have run
+ * when it was sent before, and against refusals that the metrics leave out.
+ */
 static void
 test_api(void)
 {
@@ -167,9 +171,12 @@
 	check_refusal(arg, &c);
 }
 
-/* A server whose owner has no answer of its own makes no claim either. */
+/*
+ * Guards against a default refusal that claims an outcome, from a server whose
+ * owner has no answer of its own.
+ */
 static void
-test_other(void)
+test_no_claim(void)
 {
 	static const struct gyp_httpd_owner_ops ops = {.request = on_request};
 	struct counting_owner owner = {.owner = {.ops = &ops}};
@@ -186,6 +193,6 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/overload/api", test_api);
-	g_test_add_func("/overload/other", test_other);
+	g_test_add_func("/overload/no-claim", test_no_claim);
 	return g_test_run();
 }
--- a/test/test_quotas.c
+++ b/test/test_quotas.c
@@ -92,7 +92,10 @@
 	placer_fixture_clear(&f);
 }
 
-/* Guards against a part of a gang that starts, also after others in a round. */
+/*
+ * Guards against a gang that starts in part, also when other work of the
+ * workspace starts before it in the round.
+ */
 static void
 test_gang(void)
 {
@@ -392,7 +395,7 @@
 
 /*
  * Guards against a start above the cap that is applied, whole or in part, and
- * against two commands of one batch that each fit but not together.
+ * against two commands that each fit but not together.
  */
 static void
 test_tables_cap(void)
@@ -409,7 +412,10 @@
 	flow_fixture_clear(&f);
 }
 
-/* Guards against use, marks and caps that a snapshot loses. */
+/*
+ * Guards against a snapshot that loses use, caps or the marks of flows beyond
+ * the rate.
+ */
 static void
 test_tables_restore(void)
 {
--- a/test/test_refusals.c
+++ b/test/test_refusals.c
@@ -24,7 +24,7 @@
 	Gyp__Call call;
 };
 
-/* Makes a call that sets the manifest; n leaves out the last workspaces. */
+/* Makes a call that sets a manifest with the first n workspaces. */
 static const Gyp__Call *
 make_manifest(struct keyed_manifest *x, uint64_t version, size_t n)
 {
--- a/test/test_run_forecast.c
+++ b/test/test_run_forecast.c
@@ -234,8 +234,7 @@
 	for (i = 0; i < 400; i++)
 		gyp_run_forecast_add(f, &k.flow, &k.unit, i % 8,
 		    (uint64_t)around(i % 8 == 0 ? 3000 : 1000, 0.1));
-	/* A burst at the slow endpoint alone, as fills it when others are full.
-	 */
+	/* All runs are at the slow endpoint while the others are full. */
 	for (i = 0; i < 20; i++)
 		gyp_run_forecast_add(
 		    f, &k.flow, &k.unit, 0, (uint64_t)around(3000, 0.1));
@@ -379,8 +378,7 @@
 
 /* ---- Decisions ---------------------------------------------------------- */
 
-/* Submits a flow that fills the endpoint and teaches the run time of its kind.
- */
+/* Submits a flow that fills the endpoint, and learns run times of its kind. */
 static struct gyp_flow *
 submit_learned(struct placer_fixture *f, uint64_t id, const char *image,
     uint64_t estimate_ms, uint64_t real_ms)
--- a/test/test_workspace_view.c
+++ b/test/test_workspace_view.c
@@ -347,11 +347,11 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/workspaces/report", test_report);
-	g_test_add_func("/workspaces/reasons", test_reasons);
-	g_test_add_func("/workspaces/bounds", test_bounds);
-	g_test_add_func("/workspaces/intake-preview", test_intake_preview);
+	g_test_add_func("/workspace-view/report", test_report);
+	g_test_add_func("/workspace-view/reasons", test_reasons);
+	g_test_add_func("/workspace-view/bounds", test_bounds);
+	g_test_add_func("/workspace-view/intake-preview", test_intake_preview);
 	g_test_add_func(
-	    "/workspaces/placement-preview", test_placement_preview);
+	    "/workspace-view/placement-preview", test_placement_preview);
 	return g_test_run();
 }
--- a/test/test_workspaces.c
+++ b/test/test_workspaces.c
@@ -244,7 +244,10 @@
 
 /* ---- Caps --------------------------------------------------------------- */
 
-/* Guards against starts above a cap, below it by one, and at it. */
+/*
+ * Guards against counts that are off by one: starts above the cap, or none of
+ * the last that fits.
+ */
 static void
 test_quota_count(void)
 {
@@ -374,7 +377,7 @@
 	g_assert_cmpuint(taken, <=, 3303);
 }
 
-/* Guards against tokens that times give which don't advance, or go back. */
+/* Guards against tokens that are granted while the time stands or goes back. */
 static void
 test_time_stands(void)
 {
