Tests: clearer terms in comments, a struct named for what it holds

In test_workspaces a workspace was a 'member', which elsewhere is a replica of a cell. The comments of the claims tests, workspaces_ctl.sh and the forecast bench say what they guard against or print. No check is changed.

--- a/bench/forecast.c
+++ b/bench/forecast.c
@@ -17,10 +17,11 @@
  *	error of the forecast by the declared estimate, by the regression of
  *	run_stats.c and by run_forecast.c, each made before it learned from the
  *	run; then the share of runs below the forecast 90 % quantile, and the
- *	time of one forecast and the size of full tables. Each trace has runs of
- *KINDS kinds of one queue, whose medians are log-normal. The seed is fixed.
+ *	time of one forecast and the size of full tables. A trace has one queue
+ *	with several kinds, whose medians are log-normal. The seed is fixed.
  */
 
+/* Kinds and runs of a trace, and ways to forecast a run. */
 #define KINDS 20
 #define RUNS  4000
 #define WAYS  3
@@ -34,7 +35,7 @@
 	double bias;            /* 0: the estimate does not depend on the run */
 	double spread;          /* of the runs of a kind, as a logarithm */
 	double tail;            /* share of runs that take 10 times as long */
-	bool changes;           /* all kinds change by 4 half-way */
+	bool changes;           /* half-way, runs become 4 times as long */
 };
 
 static const struct trace traces[] = {
--- a/test/test_placer.c
+++ b/test/test_placer.c
@@ -228,8 +228,8 @@
 }
 
 /*
- * A claim that outlived its query would keep endpoints out of slow queries for
- * good.
+ * Guards against a claim that outlives its query: it would keep endpoints out
+ * of slow queries for good.
  */
 static void
 test_claims_end(void)
@@ -262,8 +262,8 @@
 }
 
 /*
- * Slow queries leave each other the endpoints that they name. Packed tasks name
- * the same ones all the same, or they would be spread.
+ * Guards against slow queries that name the same endpoints, and against packed
+ * tasks that are spread because they leave each other theirs.
  */
 static void
 check_claims(bool packed)
--- a/test/test_workspaces.c
+++ b/test/test_workspaces.c
@@ -19,15 +19,15 @@
 #define KEYS_MAX 2
 
 /* A workspace with up to KEYS_MAX keys. */
-struct member {
+struct keyed_workspace {
 	Gyp__Workspace ws;
 	uint8_t digests[KEYS_MAX][GYP_KEY_DIGEST_BYTES];
 	ProtobufCBinaryData keys[KEYS_MAX];
 };
 
 static void
-init_member(struct member *m, const char *name, double rate, const char *key,
-    const char *other_key)
+init_workspace(struct keyed_workspace *m, const char *name, double rate,
+    const char *key, const char *other_key)
 {
 	const char *const keys[KEYS_MAX] = {key, other_key};
 	size_t i;
@@ -47,7 +47,7 @@
 /* A manifest with workspaces "a" (keys ka, ka2) and "b" (key kb). */
 struct manifest {
 	Gyp__CmdManifest m;
-	struct member a, b;
+	struct keyed_workspace a, b;
 	Gyp__Workspace *list[2];
 };
 
@@ -55,8 +55,8 @@
 init_manifest(struct manifest *x)
 {
 	gyp__cmd_manifest__init(&x->m);
-	init_member(&x->a, "a", 1, "ka", "ka2");
-	init_member(&x->b, "b", 1, "kb", NULL);
+	init_workspace(&x->a, "a", 1, "ka", "ka2");
+	init_workspace(&x->b, "b", 1, "kb", NULL);
 	x->list[0] = &x->a.ws;
 	x->list[1] = &x->b.ws;
 	x->m.requires_keys = true;
@@ -120,16 +120,16 @@
 
 	init_manifest(&x);
 	g_assert_null(gyp_workspaces_check(&x.m));
-	init_member(&x.b, "b", 1, "kb", "ka2");
+	init_workspace(&x.b, "b", 1, "kb", "ka2");
 	error = gyp_workspaces_check(&x.m);
 	g_assert_nonnull(strstr(error, "share a key"));
 	g_assert_null(strstr(error, "ka2"));
-	init_member(&x.b, "a", 1, "kb", NULL);
+	init_workspace(&x.b, "a", 1, "kb", NULL);
 	g_assert_nonnull(strstr(gyp_workspaces_check(&x.m), "same name"));
-	init_member(&x.b, "", 1, "kb", NULL);
+	init_workspace(&x.b, "", 1, "kb", NULL);
 	g_assert_nonnull(strstr(gyp_workspaces_check(&x.m), "no name"));
 	for (i = 0; i < G_N_ELEMENTS(invalid); i++) {
-		init_member(&x.b, "b", invalid[i], "kb", NULL);
+		init_workspace(&x.b, "b", invalid[i], "kb", NULL);
 		g_assert_nonnull(strstr(gyp_workspaces_check(&x.m), "weight"));
 	}
 }
@@ -141,7 +141,7 @@
 	struct manifest x;
 
 	init_manifest(&x);
-	init_member(&x.a, "a", 0, "ka", "ka");
+	init_workspace(&x.a, "a", 0, "ka", "ka");
 	g_assert_null(gyp_workspaces_check(&x.m));
 	g_assert_cmpstr(name_by_key(&x, "ka"), ==, "a");
 }
@@ -168,10 +168,10 @@
 {
 	const ProtobufCBinaryData none = {0};
 	struct manifest x;
-	struct member unknown;
+	struct keyed_workspace unknown;
 
 	init_manifest(&x);
-	init_member(&unknown, "u", 1, "other", NULL);
+	init_workspace(&unknown, "u", 1, "other", NULL);
 	g_assert_cmpint(
 	    access_with(&x, false, &x.a.keys[0], "a"), ==, GYP_ACCESS_GRANTED);
 	g_assert_cmpint(access_with(&x, false, &none, NULL), ==,
--- a/test/workspaces_ctl.sh
+++ b/test/workspaces_ctl.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Tests what operators see of workspaces with the real programs: the report of
-# gypctl and of the API, metrics and the log, none of which may show a key.
+# Guards, with the real programs, against reports, metrics and log lines that
+# disagree with what was decided on workspaces or show a key, against previews that
+# submit something, and against commands in docs/OPERATIONS.md that don't work.
 # Usage: workspaces_ctl.sh BIN
 set -eu
 bin=$1
@@ -189,4 +190,4 @@
 if grep -l 'secret-' "$dir"/*.log "$dir/report" "$dir/metrics"; then
 	fail "a key is shown"
 fi
-echo "workspaces: ok"
+echo "workspaces_ctl: ok"
