Call the limit of a workspace a cap throughout

The placer, the load shedding and the tables called the same limit sometimes a cap and sometimes a quota. quota.h now says how the two terms relate; names in rules, reports and the log stay.

gyp_placer_round() is split into reset_round() and schedule_unit(), the reason why a workspace waits is part of its struct workspace_round, and each function for previews in placer.h has a comment of its own.

--- a/src/flow.c
+++ b/src/flow.c
@@ -316,7 +316,7 @@
 }
 
 static void
-refresh_cap(const struct gyp_flows *f, struct gyp_workspace_use *use)
+refresh_limits(const struct gyp_flows *f, struct gyp_workspace_use *use)
 {
 	const Gyp__Workspace *w = NULL;
 
@@ -327,12 +327,12 @@
 }
 
 void
-gyp_flows_refresh_caps(struct gyp_flows *f)
+gyp_flows_refresh_limits(struct gyp_flows *f)
 {
 	guint i;
 
 	for (i = 0; i < f->workspaces->len; i++)
-		refresh_cap(f, f->workspaces->pdata[i]);
+		refresh_limits(f, f->workspaces->pdata[i]);
 }
 
 void
@@ -348,7 +348,7 @@
 		use = g_new0(struct gyp_workspace_use, 1);
 		use->row = f->workspaces->len;
 		use->name = g_strdup(name);
-		refresh_cap(f, use);
+		refresh_limits(f, use);
 		g_ptr_array_add(f->workspaces, use);
 		g_hash_table_insert(f->workspace_names, use->name, use);
 	}
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -314,7 +314,7 @@
 
 /* True if a run of that size stays under the cap of the flow's workspace. */
 static bool
-quota_allows(const struct gyp_flow *flow, const struct gyp_res *size)
+cap_allows(const struct gyp_flow *flow, const struct gyp_res *size)
 {
 	return flow->use == NULL ||
 	       gyp_quota_count(&flow->use->cap, &flow->use->used, size, 1) > 0;
@@ -360,7 +360,7 @@
 			return false;
 		}
 		size = &gyp_flow_unit_of(flow, task)->size;
-		if (!host_may_run(h, flow, size) || !quota_allows(flow, size)) {
+		if (!host_may_run(h, flow, size) || !cap_allows(flow, size)) {
 			undo_starts(f, flow, s, i);
 			return false;
 		}
@@ -478,7 +478,7 @@
 		return;
 	gyp_message_free(f->manifest);
 	f->manifest = gyp_message_copy(&m->base);
-	gyp_flows_refresh_caps(f);
+	gyp_flows_refresh_limits(f);
 }
 
 bool
--- a/src/flow_int.h
+++ b/src/flow_int.h
@@ -38,8 +38,8 @@
 void gyp_flows_clear(struct gyp_flows *);
 /* Attaches a new flow to its workspace, if it has one. */
 void gyp_flow_join_workspace(struct gyp_flows *, struct gyp_flow *);
-/* Takes caps and rates from the manifest. */
-void gyp_flows_refresh_caps(struct gyp_flows *);
+/* Takes the caps and rates of the workspaces from the manifest. */
+void gyp_flows_refresh_limits(struct gyp_flows *);
 
 /* flow_apply.c */
 /* Books the open run of the task on the endpoint in tasks[task].row. */
--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -453,7 +453,7 @@
 		load = *known;
 	load.waiting_milli_ms = gyp_placer_waiting(fs->placer, pool);
 	if (use != NULL)
-		load.quota_wait_ms = gyp_placer_quota_wait_ms(fs->placer, use);
+		load.cap_wait_ms = gyp_placer_cap_wait_ms(fs->placer, use);
 	return load;
 }
 
@@ -490,7 +490,7 @@
 	    usable, capacity.cpu_milli, booked.cpu_milli, capacity.accel,
 	    booked.accel, gyp_flows_active(fs->flows)->length, waiting,
 	    g_hash_table_size(fs->slots), free_slots, last->units,
-	    last->over_quota, last->no_capacity, last->queried);
+	    last->over_cap, last->no_capacity, last->queried);
 }
 
 /* Logs the forecasts of the kinds with the most runs since the last time. */
--- a/src/load_shed.c
+++ b/src/load_shed.c
@@ -12,7 +12,7 @@
 	if (load->capacity_milli <= 0)
 		return UINT32_MAX;
 	delay_ms = MAX(
-	    load->waiting_milli_ms / load->capacity_milli, load->quota_wait_ms);
+	    load->waiting_milli_ms / load->capacity_milli, load->cap_wait_ms);
 	return (uint32_t)MIN(delay_ms, UINT32_MAX);
 }
 
--- a/src/load_shed.h
+++ b/src/load_shed.h
@@ -21,8 +21,8 @@
 	double capacity_milli;   /* processors of endpoints that stay */
 	double booked_milli;     /* of these, booked by open runs */
 	double waiting_milli_ms; /* work that could start but has no room */
-	/* Time in which the workspace does what it has waiting, by its cap. */
-	double quota_wait_ms;
+	/* See gyp_placer_cap_wait_ms(). */
+	double cap_wait_ms;
 };
 
 /*
--- a/src/placer.c
+++ b/src/placer.c
@@ -31,8 +31,9 @@
 struct workspace_round {
 	struct gyp_res proposed; /* booked by the runs that it proposes */
 	struct gyp_res waiting;  /* tasks that may start but have no room */
-	double wait_ms;          /* see gyp_placer_quota_wait_ms() */
-	bool held;               /* the rest is kept for a starving unit */
+	double cap_wait_ms;      /* see gyp_placer_cap_wait_ms() */
+	bool held; /* what the cap leaves is for a starving unit */
+	enum gyp_placer_wait wait;
 };
 
 struct gyp_placer {
@@ -51,7 +52,6 @@
 	uint32_t least_urgent; /* highest rank of the active flows */
 	GArray *workspaces;    /* struct workspace_round by row */
 	GHashTable *waiting;   /* interned pool -> double, see placer.h */
-	GArray *waits;         /* enum gyp_placer_wait by row of workspace */
 	struct gyp_placer_summary summary;
 };
 
@@ -155,7 +155,7 @@
 	g_array_sort(p->prefetch, by_urgency);
 }
 
-/* ---- Quotas ------------------------------------------------------------- */
+/* ---- Caps --------------------------------------------------------------- */
 
 static struct workspace_round *
 workspace_of(const struct gyp_placer *p, const struct gyp_candidate *c)
@@ -165,12 +165,12 @@
 }
 
 /*
- * Keeps what is left of the quota for a unit that has waited too long, if the
- * cap has room for it at all. Otherwise smaller tasks of the workspace could
+ * Keeps what is left under the cap for a unit that has waited too long, if it
+ * fits under the cap at all. Otherwise smaller tasks of the workspace could
  * use up what a gang or a large task needs each time that a run ends.
  */
 static void
-hold_quota(const struct gyp_placer *p, const struct gyp_candidate *c)
+hold_cap(const struct gyp_placer *p, const struct gyp_candidate *c)
 {
 	const struct gyp_res none = {0, 0, 0, 0};
 	uint32_t needed = c->unit->step->gang ? c->unit->step->count : 1;
@@ -186,7 +186,7 @@
  * with the runs that this round has proposed; all or none of a gang.
  */
 static uint32_t
-quota_allowance(const struct gyp_placer *p, const struct gyp_candidate *c)
+allowed_by_cap(const struct gyp_placer *p, const struct gyp_candidate *c)
 {
 	uint32_t waiting = c->unit->left - c->unit->open, n;
 	const struct gyp_workspace_use *use = c->flow->use;
@@ -206,7 +206,7 @@
 }
 
 static void
-charge_quota(struct gyp_placer *p, const struct gyp_candidate *c, guint runs)
+add_proposed(struct gyp_placer *p, const struct gyp_candidate *c, guint runs)
 {
 	while (c->flow->use != NULL && runs-- > 0)
 		gyp_res_add(&workspace_of(p, c)->proposed, &c->unit->size);
@@ -214,10 +214,10 @@
 
 /*
  * Returns how many of the waiting tasks may start at all before runs of the
- * workspace end: several units may each be allowed the same rest of its quota.
+ * workspace end: several units may each be allowed what is left under its cap.
  */
 static uint32_t
-count_waiting_within_quota(
+count_waiting_under_cap(
     struct gyp_placer *p, const struct gyp_candidate *c, uint32_t tasks)
 {
 	const struct gyp_workspace_use *use = c->flow->use;
@@ -237,26 +237,27 @@
 
 /* ---- Why a workspace waits ---------------------------------------------- */
 
-/* Only the first reason in a round counts: units are in order of urgency. */
+/* Keeps the first reason of a round: the most urgent unit comes first. */
 static void
 note_wait(struct gyp_placer *p, const struct gyp_candidate *c,
     enum gyp_placer_wait why)
 {
-	enum gyp_placer_wait *wait;
+	struct workspace_round *w;
 
 	if (c->flow->use == NULL)
 		return;
-	wait =
-	    &g_array_index(p->waits, enum gyp_placer_wait, c->flow->use->row);
-	if (*wait == GYP_PLACER_WAIT_NONE)
-		*wait = why;
+	w = workspace_of(p, c);
+	if (w->wait == GYP_PLACER_WAIT_NONE)
+		w->wait = why;
 }
 
 enum gyp_placer_wait
 gyp_placer_wait(const struct gyp_placer *p, const struct gyp_workspace_use *use)
 {
-	return use->row < p->waits->len
-		   ? g_array_index(p->waits, enum gyp_placer_wait, use->row)
+	return use->row < p->workspaces->len
+		   ? g_array_index(
+			 p->workspaces, struct workspace_round, use->row)
+			 .wait
 		   : GYP_PLACER_WAIT_NONE;
 }
 
@@ -351,7 +352,7 @@
 uint32_t
 gyp_placer_allowance(const struct gyp_placer *p, const struct gyp_candidate *c)
 {
-	return quota_allowance(p, c);
+	return allowed_by_cap(p, c);
 }
 
 static void
@@ -382,7 +383,7 @@
 	cmd.c_case = GYP__CMD__C_FLOW_START;
 	cmd.flow_start = &start;
 	g_ptr_array_add(cmds, gyp_message_copy(&cmd.base));
-	charge_quota(p, c, p->runs->len);
+	add_proposed(p, c, p->runs->len);
 	p->runs_left -= MIN(p->runs_left, p->runs->len);
 	g_ptr_array_set_size(p->runs, 0);
 }
@@ -436,7 +437,7 @@
 }
 
 /*
- * Proposes runs for waiting tasks of the unit, as far as the quota allows.
+ * Proposes runs for waiting tasks of the unit, as far as the cap allows.
  * Returns the number of allowed tasks for which no endpoint was found. A gang
  * is proposed only if that is 0; otherwise the capacity found for its other
  * tasks stays deducted for this round.
@@ -445,14 +446,14 @@
 place_unit(struct gyp_placer *p, const struct gyp_candidate *c, GPtrArray *cmds)
 {
 	struct gyp_flow_unit *u = c->unit;
-	uint32_t waiting = quota_allowance(p, c);
+	uint32_t waiting = allowed_by_cap(p, c);
 	GArray *ranking;
 	uint32_t i, number;
 	guint pos = 0;
 
 	if (waiting == 0) {
-		p->summary.over_quota++;
-		hold_quota(p, c);
+		p->summary.over_cap++;
+		hold_cap(p, c);
 		return 0;
 	}
 	ranking = rank_endpoints(p, c);
@@ -494,7 +495,7 @@
 
 	if (c->unit->step->lasting)
 		return;
-	tasks = count_waiting_within_quota(p, c, tasks);
+	tasks = count_waiting_under_cap(p, c, tasks);
 	if (tasks == 0)
 		return;
 	if (sum == NULL) {
@@ -504,27 +505,27 @@
 	*sum += (double)c->unit->size.cpu_milli * tasks * (double)run_ms;
 }
 
-/* Counts the tasks of the unit that this round has not started. */
+/* Adds the tasks of the unit that this round has not started. */
 static void
-add_quota_wait(
+add_cap_wait(
     struct gyp_placer *p, const struct gyp_candidate *c, uint32_t tasks)
 {
 	if (c->flow->use == NULL || c->unit->step->lasting)
 		return;
-	workspace_of(p, c)->wait_ms +=
+	workspace_of(p, c)->cap_wait_ms +=
 	    tasks * gyp_dominant_share(&c->unit->size, &c->flow->use->cap) *
 	    (double)gyp_run_stats_time_ms(
 		p->stats, c->flow, c->unit, GYP_RUN_ORDER);
 }
 
 double
-gyp_placer_quota_wait_ms(
+gyp_placer_cap_wait_ms(
     const struct gyp_placer *p, const struct gyp_workspace_use *use)
 {
 	return use->row < p->workspaces->len
 		   ? g_array_index(
 			 p->workspaces, struct workspace_round, use->row)
-			 .wait_ms
+			 .cap_wait_ms
 		   : 0;
 }
 
@@ -624,13 +625,10 @@
 	}
 }
 
-void
-gyp_placer_round(struct gyp_placer *p, uint64_t now, uint64_t wall_ms,
-    uint32_t free_slots, uint32_t total_slots, GPtrArray *cmds,
-    GPtrArray *queries)
+/* Forgets what the previous round has decided. */
+static void
+reset_round(struct gyp_placer *p, uint64_t now)
 {
-	guint i;
-
 	p->now = now;
 	p->runs_left = RUNS_MAX;
 	p->reservations = 0;
@@ -638,44 +636,60 @@
 	g_hash_table_remove_all(p->waiting);
 	g_array_set_size(p->workspaces, 0);
 	g_array_set_size(p->workspaces, gyp_workspaces_size(p->flows));
-	g_array_set_size(p->waits, 0);
-	g_array_set_size(p->waits, gyp_workspaces_size(p->flows));
+}
+
+/* Places the unit, and queries about or reserves what it lacks. */
+static void
+schedule_unit(struct gyp_placer *p, const struct gyp_candidate *c,
+    uint32_t free_slots, uint32_t total_slots, GPtrArray *cmds,
+    GPtrArray *queries)
+{
+	uint32_t tasks = c->unit->left - c->unit->open;
+	uint32_t allowed = allowed_by_cap(p, c), waiting;
+	bool limited = allowed < tasks, queried;
+
+	if (p->runs_left == 0) {
+		add_waiting(p, c, allowed);
+		add_cap_wait(p, c, tasks);
+		return;
+	}
+	waiting = place_unit(p, c, cmds);
+	add_waiting(p, c, waiting);
+	add_cap_wait(p, c, tasks - allowed + waiting);
+	if (waiting == 0) {
+		if (limited)
+			note_wait(p, c, GYP_PLACER_WAIT_CAP);
+		return;
+	}
+	p->summary.no_capacity++;
+	query_about(
+	    p, c, waiting, slots_for(c, free_slots, total_slots), queries);
+	queried = gyp_admission_has_pending_query(
+	    gyp_admission_unit(p->admission, c->flow, c->unit));
+	p->summary.queried += queried;
+	note_wait(
+	    p, c, queried ? GYP_PLACER_WAIT_QUERY : GYP_PLACER_WAIT_CAPACITY);
+	reserve_capacity(p, c, waiting);
+}
+
+void
+gyp_placer_round(struct gyp_placer *p, uint64_t now, uint64_t wall_ms,
+    uint32_t free_slots, uint32_t total_slots, GPtrArray *cmds,
+    GPtrArray *queries)
+{
+	guint i;
+
+	reset_round(p, now);
 	find_candidates(p, wall_ms);
 	p->summary.units = p->units->len;
 	if (p->units->len == 0 && p->prefetch->len == 0)
 		return;
 	gyp_preempt_begin_round(p->preempt, p->now);
 	gyp_capacity_index_begin_round(p->capacities, p->now);
-	for (i = 0; i < p->units->len; i++) {
-		const struct gyp_candidate *c =
-		    &g_array_index(p->units, struct gyp_candidate, i);
-		uint32_t tasks = c->unit->left - c->unit->open;
-		uint32_t allowed = quota_allowance(p, c), waiting;
-		bool limited = allowed < tasks, queried;
-
-		if (p->runs_left == 0) {
-			add_waiting(p, c, allowed);
-			add_quota_wait(p, c, tasks);
-			continue;
-		}
-		waiting = place_unit(p, c, cmds);
-		add_waiting(p, c, waiting);
-		add_quota_wait(p, c, tasks - allowed + waiting);
-		if (waiting == 0) {
-			if (limited)
-				note_wait(p, c, GYP_PLACER_WAIT_QUOTA);
-			continue;
-		}
-		p->summary.no_capacity++;
-		query_about(p, c, waiting,
-		    slots_for(c, free_slots, total_slots), queries);
-		queried = gyp_admission_has_pending_query(
-		    gyp_admission_unit(p->admission, c->flow, c->unit));
-		p->summary.queried += queried;
-		note_wait(p, c,
-		    queried ? GYP_PLACER_WAIT_QUERY : GYP_PLACER_WAIT_CAPACITY);
-		reserve_capacity(p, c, waiting);
-	}
+	for (i = 0; i < p->units->len; i++)
+		schedule_unit(p,
+		    &g_array_index(p->units, struct gyp_candidate, i),
+		    free_slots, total_slots, cmds, queries);
 	prefetch_queries(p, free_slots, total_slots, queries);
 }
 
@@ -714,7 +728,6 @@
 	p->workspaces =
 	    g_array_new(FALSE, TRUE, sizeof(struct workspace_round));
 	p->waiting = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	p->waits = g_array_new(FALSE, TRUE, sizeof(enum gyp_placer_wait));
 	p->runs = g_ptr_array_new_with_free_func(g_free);
 	return p;
 }
@@ -729,7 +742,6 @@
 	g_array_free(p->units, TRUE);
 	g_array_free(p->prefetch, TRUE);
 	g_array_free(p->workspaces, TRUE);
-	g_array_free(p->waits, TRUE);
 	g_hash_table_destroy(p->waiting);
 	g_ptr_array_free(p->runs, TRUE);
 	g_free(p);
--- a/src/placer.h
+++ b/src/placer.h
@@ -63,7 +63,7 @@
 /* What the latest round did with the units whose tasks waited. */
 struct gyp_placer_summary {
 	uint32_t units;       /* units with waiting tasks that were due */
-	uint32_t over_quota;  /* of these, held back by a quota */
+	uint32_t over_cap;    /* of these, without room under the cap */
 	uint32_t no_capacity; /* of these, without an endpoint for all tasks */
 	uint32_t queried;     /* of the latter, with a query under way */
 };
@@ -72,16 +72,16 @@
 
 /*
  * Work of the pool that could start and found no room in the latest round, in
- * thousandths of a processor times ms. Work that waits for a quota is left out.
+ * thousandths of a processor times ms. Work that waits for a cap is left out.
  */
 double gyp_placer_waiting(const struct gyp_placer *, const char *pool);
 
 /* Why tasks of a workspace that could start have no run. */
 enum gyp_placer_wait {
 	GYP_PLACER_WAIT_NONE,
-	GYP_PLACER_WAIT_QUOTA,
-	GYP_PLACER_WAIT_CAPACITY,
-	GYP_PLACER_WAIT_QUERY /* an admission query is under way */
+	GYP_PLACER_WAIT_CAP,      /* the cap of the workspace */
+	GYP_PLACER_WAIT_CAPACITY, /* endpoints have no room */
+	GYP_PLACER_WAIT_QUERY     /* an admission query is under way */
 };
 
 /*
@@ -103,20 +103,25 @@
     const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t wall_ms);
 
 /*
- * For previews of flows that are not in the tables; propose nothing and change
+ * Previews of flows that are not in the tables. They propose nothing and change
  * no later round.
- *
- * The first computes the capacities, which stay valid until the next round. The
- * second returns the endpoints that can take tasks of the unit now, whatever
- * the admission service allows; unsorted, see gyp_ranking_keep_best(). The
- * third returns how many of the unit's waiting tasks may start under the cap of
- * flow->use; of a row beyond those in the tables, only the committed use
- * counts.
  */
+
+/* Computes the capacities, which stay valid until the next round. */
 const struct gyp_capacity_index *gyp_placer_begin_preview(
     struct gyp_placer *, uint64_t now);
+
+/*
+ * Returns the endpoints that can take tasks of the unit now, whatever the
+ * admission service allows; unsorted, see gyp_ranking_keep_best().
+ */
 GArray *gyp_placer_preview(
     const struct gyp_placer *, const struct gyp_candidate *);
+
+/*
+ * Returns how many of the unit's waiting tasks may start under the cap of
+ * flow->use. If its row is not in the tables, only the committed use counts.
+ */
 uint32_t gyp_placer_allowance(
     const struct gyp_placer *, const struct gyp_candidate *);
 
@@ -124,7 +129,7 @@
  * Time in which the workspace could do the work that it had waiting in the
  * latest round, if it used its whole cap, in ms.
  */
-double gyp_placer_quota_wait_ms(
+double gyp_placer_cap_wait_ms(
     const struct gyp_placer *, const struct gyp_workspace_use *);
 
 /* Number of comparisons of a unit with an endpoint in the latest round. */
--- a/src/quota.h
+++ b/src/quota.h
@@ -7,13 +7,16 @@
 
 /*
  * NAME
- *	quota - how much more may run under a cap, and shares of resources
+ *	quota - how much more may start under a cap, and shares of resources
  *
  * DESCRIPTION
  *	Handles these loads: a cap that is reached before the endpoints are
  *	full, and a cap that is lowered far below what runs: nothing starts
  *	until the use is below it. Takes plain amounts, so that teams of jobs
  *	and workspaces of flows are decided alike.
+ *
+ *	A cap is the most that may be in use. In the rules of teams and in
+ *	reports it is called a quota.
  */
 
 /* A cap that allows any use. */
--- a/src/workspace_view.c
+++ b/src/workspace_view.c
@@ -109,7 +109,7 @@
 		return view->later > 0 ? "dependency or due time"
 				       : "nothing waits";
 	switch (view->wait) {
-	case GYP_PLACER_WAIT_QUOTA:
+	case GYP_PLACER_WAIT_CAP:
 		return "quota";
 	case GYP_PLACER_WAIT_CAPACITY:
 		return "capacity";
--- a/test/test_quotas.c
+++ b/test/test_quotas.c
@@ -83,8 +83,7 @@
 	for (task = 0; task < 5; task++) {
 		run_and_apply(&f);
 		g_assert_cmpuint(f.cmds->len, ==, 0);
-		g_assert_cmpuint(
-		    gyp_placer_summary(f.placer)->over_quota, ==, 1);
+		g_assert_cmpuint(gyp_placer_summary(f.placer)->over_cap, ==, 1);
 		placer_fixture_end_run(&f, 1, task, GYP__FLOW_HOW__FLOW_DONE);
 		run_and_apply(&f);
 		g_assert_cmpuint(proposed(&f, 1), ==, 1);
@@ -278,11 +277,11 @@
 	submit(&f, "a", 1, 0, step);
 	run_and_apply(&f);
 	use = gyp_workspace_use_by_name(f.base.flows, "a");
-	g_assert_cmpfloat(gyp_placer_quota_wait_ms(f.placer, use), ==, 0);
+	g_assert_cmpfloat(gyp_placer_cap_wait_ms(f.placer, use), ==, 0);
 	for (id = 2; id < 12; id++)
 		submit(&f, "a", id, 0, step);
 	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
-	g_assert_cmpfloat(gyp_placer_quota_wait_ms(f.placer, use), ==, 10000);
+	g_assert_cmpfloat(gyp_placer_cap_wait_ms(f.placer, use), ==, 10000);
 	g_assert_cmpfloat(gyp_placer_waiting(f.placer, "pool"), ==, 0);
 	placer_fixture_clear(&f);
 }
--- a/test/test_workspaces.c
+++ b/test/test_workspaces.c
@@ -417,9 +417,9 @@
 	g_assert_cmpuint(gyp_load_shed_delay_ms(&load), ==, 500);
 	g_assert_true(gyp_load_shed_accepts(&load, 500));
 	g_assert_false(gyp_load_shed_accepts(&load, 499));
-	load.quota_wait_ms = 800;
+	load.cap_wait_ms = 800;
 	g_assert_cmpuint(gyp_load_shed_delay_ms(&load), ==, 800);
-	load.quota_wait_ms = 0;
+	load.cap_wait_ms = 0;
 	load.capacity_milli = 0;
 	load.waiting_milli_ms = 0;
 	g_assert_cmpuint(gyp_load_shed_delay_ms(&load), ==, UINT32_MAX);
