One function for the cell time, plainer names for relayed heartbeats

The cell time of a leader was computed in seven places; gyp_replica_cell_time() replaces them. The preview looks up the use of a workspace by name as the scheduler does, and takes the limit in its message from STEPS_MAX.

Followers buffer heartbeats and relay them; the functions and comments say so instead of "holding back", "taking" and "passing on" beats. The comments on enum gyp_heartbeat_result say what each result means.

--- a/src/admin_explain.c
+++ b/src/admin_explain.c
@@ -218,17 +218,11 @@
 	g_string_free(names, TRUE);
 }
 
-static uint64_t
-cell_time(const struct gyp_replica *r)
-{
-	return r->time_base + (r->now - r->lead_since);
-}
-
 static void
 explain_deadline(struct explain *ex)
 {
 	uint64_t end = ex->job->submitted_ms + ex->job->spec->deadline_ms;
-	uint64_t now = cell_time(ex->r);
+	uint64_t now = gyp_replica_cell_time(ex->r);
 
 	if (ex->job->spec->deadline_ms == 0 || ex->job->n_placed > 0)
 		return;
@@ -329,8 +323,8 @@
 	    json_pack("{s:I,s:s,s:I,s:I,s:I}", "task", (json_int_t)index,
 		"state", states[t->state], "attempts", (json_int_t)t->attempt,
 		"failures", (json_int_t)t->failures, "since_ms",
-		(json_int_t)(cell_time(ex->r) -
-			     MIN(t->changed_ms, cell_time(ex->r))));
+		(json_int_t)(gyp_replica_cell_time(ex->r) -
+			     MIN(t->changed_ms, gyp_replica_cell_time(ex->r))));
 
 	if (ep != NULL)
 		json_object_update_new(
--- a/src/admin_preview.c
+++ b/src/admin_preview.c
@@ -34,7 +34,7 @@
 };
 
 /* How many endpoints of the pool suit a step, and why the others do not. */
-struct suitable {
+struct endpoint_counts {
 	uint32_t counts[GYP_MISFIT_SHARING + 1]; /* by enum gyp_misfit */
 };
 
@@ -52,9 +52,12 @@
 	return NULL;
 }
 
-/* Replaces the queue's name by the queue; returns NULL or an error. */
+/*
+ * Checks the specification, sets the workspace and replaces the queue's name by
+ * the queue. Returns NULL or an error.
+ */
 static const char *
-resolve(struct preview *v)
+resolve_spec(struct preview *v)
 {
 	const Gyp__CmdManifest *m = gyp_flows_manifest(v->flows);
 	const ProtobufCBinaryData no_key = {.len = 0};
@@ -78,41 +81,31 @@
 	gyp_message_free(v->spec->queue);
 	v->spec->queue = gyp_message_copy(&q->base);
 	if (v->spec->n_steps > STEPS_MAX)
-		return "steps: at most 32 in a preview";
+		return "steps: at most " G_STRINGIFY(STEPS_MAX) " in a preview";
 	return gyp_flow_check_spec(v->spec);
 }
 
 /* ---- Flow --------------------------------------------------------------- */
 
-/* The row is of no workspace, see gyp_placer_allowance(). */
+/* Sets a row that is not in the tables, see gyp_placer_allowance(). */
 static void
 copy_use(struct preview *v)
 {
-	uint32_t i;
+	const struct gyp_workspace_use *use =
+	    gyp_workspace_use_by_name(v->flows, v->ws->name);
 
 	v->use.row = UINT32_MAX;
 	v->use.name = v->ws->name;
 	v->use.cap = gyp_quota_from(v->ws->cap);
-	for (i = 0; i < gyp_workspaces_size(v->flows); i++) {
-		const struct gyp_workspace_use *use =
-		    gyp_workspace_at(v->flows, i);
-
-		if (strcmp(use->name, v->ws->name) == 0)
-			v->use.used = use->used;
-	}
-}
-
-static uint64_t
-cell_time(const struct gyp_replica *r)
-{
-	return r->time_base + (r->now - r->lead_since);
+	if (use != NULL)
+		v->use.used = use->used;
 }
 
 static void
 make_flow(struct preview *v)
 {
 	v->flow = gyp_flow_make(v->spec);
-	v->flow->accepted_ms = cell_time(v->r);
+	v->flow->accepted_ms = gyp_replica_cell_time(v->r);
 	if (v->ws == NULL)
 		return;
 	copy_use(v);
@@ -121,10 +114,10 @@
 
 /* ---- Steps -------------------------------------------------------------- */
 
-static struct suitable
-count_suitable(const struct preview *v, const struct gyp_candidate *c)
+static struct endpoint_counts
+count_endpoints(const struct preview *v, const struct gyp_candidate *c)
 {
-	struct suitable s = {.counts = {0}};
+	struct endpoint_counts s = {.counts = {0}};
 	uint32_t row;
 
 	for (row = 0; row < gyp_capacity_index_size(v->capacities); row++) {
@@ -205,7 +198,7 @@
 {
 	struct gyp_candidate c = {.flow = v->flow, .unit = unit};
 	GArray *ranking = gyp_placer_preview(v->placer, &c);
-	struct suitable s = count_suitable(v, &c);
+	struct endpoint_counts s = count_endpoints(v, &c);
 	uint32_t allowed = gyp_placer_allowance(v->placer, &c);
 	uint32_t suit = s.counts[GYP_MISFIT_NONE];
 	uint32_t full = suit - ranking->len;
@@ -240,13 +233,12 @@
 	const Gyp__FlowQueue *q = v->flow->spec->queue;
 	struct gyp_pool_load load =
 	    gyp_flow_scheduler_load(v->r->flow_scheduler, q->pool,
-		v->ws != NULL ? gyp_workspace_use_by_name(
-				    gyp_state_flows(v->r->state), v->ws->name)
+		v->ws != NULL ? gyp_workspace_use_by_name(v->flows, v->ws->name)
 			      : NULL);
 	uint32_t retry_ms = 0;
-	enum gyp_intake_verdict verdict =
-	    gyp_flow_intake_preview(v->r->flow_intake, cell_time(v->r), v->ws,
-		q->target_ms, &load, &retry_ms);
+	enum gyp_intake_verdict verdict = gyp_flow_intake_preview(
+	    v->r->flow_intake, gyp_replica_cell_time(v->r), v->ws, q->target_ms,
+	    &load, &retry_ms);
 	json_t *steps = json_array();
 	size_t i;
 
@@ -275,7 +267,7 @@
 		return NULL;
 	v.placer = gyp_flow_scheduler_placer(r->flow_scheduler);
 	v.spec = gyp_flow_json_parse(slice, &err);
-	error = v.spec != NULL ? resolve(&v) : err.message;
+	error = v.spec != NULL ? resolve_spec(&v) : err.message;
 	if (error != NULL) {
 		*code = GYP__CODE__CODE_BAD;
 		json = json_pack("{s:s}", "error", error);
--- a/src/replica.c
+++ b/src/replica.c
@@ -308,6 +308,12 @@
 	check_role(r);
 }
 
+uint64_t
+gyp_replica_cell_time(const struct gyp_replica *r)
+{
+	return r->time_base + (r->now - r->lead_since);
+}
+
 /* ---- Incoming frames --------------------------------------------------- */
 
 static void
@@ -402,7 +408,7 @@
 		on_entry_frame(r, from, frame->up);
 		break;
 	case GYP__FRAME__BODY_BEATS:
-		gyp_replica_handle_beats(r, from, frame->beats);
+		gyp_replica_handle_heartbeats(r, from, frame->beats);
 		break;
 	case GYP__FRAME__BODY_JOIN:
 		gyp_replica_join(r, frame->join);
@@ -557,7 +563,7 @@
 	r->usage = gyp_usage_new();
 	r->reported_attempts = gyp_reported_attempts_new();
 	r->counters = gyp_counters_new();
-	r->relay.beats = g_ptr_array_new_with_free_func(gyp_message_free);
+	r->relay.heartbeats = g_ptr_array_new_with_free_func(gyp_message_free);
 	r->workspace_metrics = gyp_workspace_metrics_new(r->counters);
 	r->events = gyp_events_new();
 	return r;
@@ -592,7 +598,7 @@
 	gyp_reported_attempts_free(r->reported_attempts);
 	gyp_workspace_metrics_free(r->workspace_metrics);
 	gyp_counters_free(r->counters);
-	g_ptr_array_free(r->relay.beats, TRUE);
+	g_ptr_array_free(r->relay.heartbeats, TRUE);
 	gyp_events_free(r->events);
 	gyp_state_free(r->state);
 	gyp_raft_free(r->raft);
--- a/src/replica.h
+++ b/src/replica.h
@@ -48,9 +48,9 @@
 	uint64_t compact_bytes; /* mean log size that triggers a snapshot */
 	uint32_t run_lease_ms;  /* longest lease of endpoints that run flows */
 	uint32_t stop_grace_ms; /* longest time that a stop takes there */
-	/* Endpoints from which followers take heartbeats; 0: never. */
-	uint32_t relay_heartbeats_from;
-	bool learn_run_times; /* decisions use learned run times */
+	/* Followers relay heartbeats from this number of endpoints on. */
+	uint32_t relay_heartbeats_from; /* 0: never */
+	bool learn_run_times;           /* decisions use learned run times */
 };
 
 /*
@@ -149,10 +149,12 @@
 Gyp__Reply *gyp_replica_pop_local_reply(struct gyp_replica *);
 
 enum gyp_heartbeat_result {
-	GYP_HEARTBEAT_TAKEN,    /* nothing new; the leader has it or will */
-	GYP_HEARTBEAT_NEWS,     /* this leader must commit what it reports */
-	GYP_HEARTBEAT_NO_LEADER /* neither leads nor may answer for the leader
-				 */
+	/* Nothing new; the leader has it, or gets it from this follower. */
+	GYP_HEARTBEAT_TAKEN,
+	/* It reports a change, which this leader must commit. */
+	GYP_HEARTBEAT_NEWS,
+	/* This replica does not lead and may not answer for the leader. */
+	GYP_HEARTBEAT_NO_LEADER
 };
 
 /*
@@ -162,10 +164,10 @@
  * Handles this load: thousands of endpoints whose heartbeats would take most of
  * the leader's CPU time, and which would all look for the new leader at once.
  * From cfg.relay_heartbeats_from endpoints on, a follower that is in contact
- * with the leader answers a heartbeat that reports nothing new, and passes it
- * on with others in one frame. When the leader doesn't confirm these frames,
- * endpoints are sent to it again: an endpoint that it doesn't hear of gets no
- * runs and is removed in the end.
+ * with the leader answers a heartbeat that reports nothing new, and relays it
+ * with others in one frame. When the leader does not confirm these frames,
+ * endpoints are redirected to it: an endpoint without heartbeats at the leader
+ * gets no runs and is removed in the end.
  */
 enum gyp_heartbeat_result gyp_replica_heartbeat(struct gyp_replica *,
     uint64_t now, const Gyp__CmdHost *reported, uint64_t clock_ms);
--- a/src/replica_batch.c
+++ b/src/replica_batch.c
@@ -46,7 +46,7 @@
 void
 gyp_replica_decide(struct gyp_replica *r)
 {
-	uint64_t cell_time = r->time_base + (r->now - r->lead_since);
+	uint64_t cell_time = gyp_replica_cell_time(r);
 	const struct gyp_decision_sink sink = {
 	    .cmd = propose_cmd, .pick_entry = pick_entry, .arg = r};
 	struct gyp_decision *d;
@@ -86,7 +86,7 @@
 	GBytes *data;
 	guint i;
 
-	batch.time_ms = r->time_base + (r->now - r->lead_since);
+	batch.time_ms = gyp_replica_cell_time(r);
 	batch.n_cmds = n;
 	batch.cmds = (Gyp__Cmd **)r->pending_cmds->pdata;
 	data = gyp_message_pack(&batch.base);
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -155,7 +155,7 @@
 		   &call->flow->key_digest) == ws;
 }
 
-/* Refuses a flow beyond the workspace's rate; it leaves no trace. */
+/* Refuses a flow beyond the workspace's rate; commits nothing. */
 static void
 refuse_flow(struct gyp_replica *r, uint64_t entry, uint64_t call,
     const Gyp__FlowSpec *spec, const Gyp__Workspace *ws,
@@ -183,7 +183,7 @@
     const Gyp__Workspace *ws, Gyp__FlowSpec *spec)
 {
 	struct gyp_flows *flows = gyp_state_flows(r->state);
-	uint64_t now = r->time_base + (r->now - r->lead_since);
+	uint64_t now = gyp_replica_cell_time(r);
 	enum gyp_intake_verdict verdict = GYP_INTAKE_REFUSE;
 	uint32_t retry_ms = GYP_LOAD_SHED_RETRY_MIN_MS;
 	struct gyp_pool_load load;
@@ -192,7 +192,10 @@
 		return true;
 	load = gyp_flow_scheduler_load(r->flow_scheduler, spec->queue->pool,
 	    gyp_workspace_use_by_name(flows, ws->name));
-	/* Not the whole slack of the flow: others of the queue need theirs. */
+	/*
+	 * The delay is bounded by target_ms, not by the flow's whole slack:
+	 * the other flows of the queue need theirs.
+	 */
 	if (!gyp_flow_intake_is_outdated(
 		r->flow_intake, now, spec->id, call->flow->received_ms))
 		verdict = gyp_flow_intake_decide(r->flow_intake, now, ws,
--- a/src/replica_heartbeats.c
+++ b/src/replica_heartbeats.c
@@ -4,11 +4,11 @@
 #include "rendezvous.h"
 #include "replica_int.h"
 
-/* Longest time for which a follower holds heartbeats back, in ms. */
+/* Longest time for which a follower buffers a heartbeat, in ms. */
 #define RELAY_DELAY_MS 50
 
 /*
- * Most heartbeats that a follower holds back, and that a leader takes from one
+ * Most heartbeats that a follower buffers, and that a leader accepts in one
  * frame.
  */
 #define RELAY_MAX 4096
@@ -54,20 +54,20 @@
 
 /* ---- Followers ---------------------------------------------------------- */
 
-/* Heartbeats held back during a pause are dropped. */
+/* Drops the heartbeats that were buffered during a pause. */
 static void
 check_pause(struct gyp_replica *r)
 {
 	if (r->now > r->relay.checked_at + PAUSE_MS) {
 		r->relay.paused_until = r->now + PAUSE_MS;
-		g_ptr_array_set_size(r->relay.beats, 0);
+		g_ptr_array_set_size(r->relay.heartbeats, 0);
 	}
 	r->relay.checked_at = r->now;
 }
 
 /*
- * A heartbeat of an earlier incarnation, and one that reports news, goes to the
- * leader.
+ * Only heartbeats of the recorded incarnation that report nothing new are
+ * relayed; the endpoint must send others to the leader.
  */
 static bool
 may_relay(const struct gyp_replica *r, const struct gyp_host *h,
@@ -88,28 +88,29 @@
 	       r->now < r->relay.unconfirmed_since + RELAY_CONFIRM_MS;
 }
 
-/* Returns false when too many are held back already. */
+/* Returns false when the buffer is full. */
 static bool
-hold_back(struct gyp_replica *r, const struct gyp_host *h, uint64_t clock_ms)
+buffer_heartbeat(
+    struct gyp_replica *r, const struct gyp_host *h, uint64_t clock_ms)
 {
 	Gyp__HostBeat *beat;
 
-	if (r->relay.beats->len >= RELAY_MAX)
+	if (r->relay.heartbeats->len >= RELAY_MAX)
 		return false;
-	if (r->relay.beats->len == 0)
+	if (r->relay.heartbeats->len == 0)
 		r->relay.due_at = r->now + RELAY_DELAY_MS;
 	beat = g_new(Gyp__HostBeat, 1);
 	gyp__host_beat__init(beat);
 	beat->host = h->row;
 	beat->born_ms = h->spec->born_ms;
 	beat->clock_ms = clock_ms;
-	g_ptr_array_add(r->relay.beats, beat);
+	g_ptr_array_add(r->relay.heartbeats, beat);
 	return true;
 }
 
-/* Sends a frame of heartbeats; an empty one confirms another. */
+/* Sends a frame of heartbeats; an empty one confirms a received frame. */
 static void
-send_beats(struct gyp_replica *r, uint64_t to, Gyp__HostBeats *beats)
+send_heartbeats(struct gyp_replica *r, uint64_t to, Gyp__HostBeats *beats)
 {
 	const char *address = gyp_replica_member_address(r, to);
 	Gyp__Frame frame = GYP__FRAME__INIT;
@@ -146,25 +147,25 @@
 	Gyp__HostBeats beats = GYP__HOST_BEATS__INIT;
 
 	check_pause(r);
-	if (r->relay.beats->len == 0 || r->now < r->relay.due_at)
+	if (r->relay.heartbeats->len == 0 || r->now < r->relay.due_at)
 		return;
 	if (gyp_raft_has_leader(r->raft) && !gyp_raft_is_suspended(r->raft)) {
-		beats.n_beats = r->relay.beats->len;
-		beats.beats = (Gyp__HostBeat **)r->relay.beats->pdata;
+		beats.n_beats = r->relay.heartbeats->len;
+		beats.beats = (Gyp__HostBeat **)r->relay.heartbeats->pdata;
 		beats.confirm = is_confirmation_due(r, leader);
-		send_beats(r, leader, &beats);
+		send_heartbeats(r, leader, &beats);
 	}
-	g_ptr_array_set_size(r->relay.beats, 0);
+	g_ptr_array_set_size(r->relay.heartbeats, 0);
 }
 
 /* ---- Leader ------------------------------------------------------------- */
 
 /*
- * Ignores a heartbeat of an endpoint or incarnation that the tables lack: the
- * follower's are older.
+ * Ignores a heartbeat of an endpoint or incarnation that is not in the tables:
+ * the follower sent it by an older state of them.
  */
 static void
-take_beat(struct gyp_replica *r, const Gyp__HostBeat *beat)
+handle_heartbeat(struct gyp_replica *r, const Gyp__HostBeat *beat)
 {
 	const struct gyp_host *h =
 	    gyp_host_at(gyp_state_flows(r->state), beat->host);
@@ -175,7 +176,7 @@
 }
 
 void
-gyp_replica_handle_beats(
+gyp_replica_handle_heartbeats(
     struct gyp_replica *r, uint64_t from, const Gyp__HostBeats *beats)
 {
 	Gyp__HostBeats confirmation = GYP__HOST_BEATS__INIT;
@@ -187,9 +188,9 @@
 	    !gyp_replica_serving(r) || gyp_raft_last_seen(r->raft, from) == 0)
 		return;
 	for (i = 0; i < beats->n_beats; i++)
-		take_beat(r, beats->beats[i]);
+		handle_heartbeat(r, beats->beats[i]);
 	if (beats->confirm)
-		send_beats(r, from, &confirmation);
+		send_heartbeats(r, from, &confirmation);
 }
 
 const char *
@@ -234,8 +235,8 @@
 						: GYP_HEARTBEAT_NEWS;
 	}
 	check_pause(r);
-	if (!may_relay(r, h, reported) || !hold_back(r, h, clock_ms))
+	if (!may_relay(r, h, reported) || !buffer_heartbeat(r, h, clock_ms))
 		return GYP_HEARTBEAT_NO_LEADER;
-	/* Relayed all the same: the leader may confirm it. */
+	/* Buffered even if unconfirmed: the leader may confirm it later. */
 	return is_confirmed(r) ? GYP_HEARTBEAT_TAKEN : GYP_HEARTBEAT_NO_LEADER;
 }
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -79,12 +79,12 @@
 
 /* What a follower keeps about the heartbeats that it relays. */
 struct gyp_heartbeat_relay {
-	GPtrArray *beats;           /* Gyp__HostBeat, held back */
+	GPtrArray *heartbeats;      /* Gyp__HostBeat, buffered */
 	uint64_t due_at;            /* when to send them */
 	uint64_t leader;            /* to which the latest were sent */
 	uint64_t confirm_at;        /* when to ask for a confirmation again */
-	uint64_t unconfirmed_since; /* sent then, no answer yet; 0: none */
-	uint64_t checked_at;        /* to notice a pause of this process */
+	uint64_t unconfirmed_since; /* first unanswered request; 0: none */
+	uint64_t checked_at;        /* latest check for a pause */
 	uint64_t paused_until;      /* nothing is relayed before */
 };
 
@@ -122,7 +122,8 @@
 	struct gyp_usage *usage;
 	struct gyp_reported_attempts *reported_attempts;
 	struct gyp_counters *counters; /* also kept while following */
-	struct gyp_workspace_metrics *workspace_metrics; /* also kept */
+	/* Also kept while following. */
+	struct gyp_workspace_metrics *workspace_metrics;
 	uint64_t workspaces_at; /* next report on workspaces */
 	uint64_t periodic_work_at;
 	uint64_t query_check_at;
@@ -144,6 +145,8 @@
 
 /* replica.c */
 void gyp_replica_advance(struct gyp_replica *, uint64_t now);
+/* The cell time now; leader only. */
+uint64_t gyp_replica_cell_time(const struct gyp_replica *);
 void gyp_replica_process(struct gyp_replica *);
 const char *gyp_replica_member_address(const struct gyp_replica *, uint64_t id);
 
@@ -185,9 +188,9 @@
 void gyp_replica_schedule_flows(struct gyp_replica *, bool decide);
 
 /* replica_heartbeats.c */
-/* Sends the heartbeats that this follower holds back, when they are due. */
+/* Sends the heartbeats that this follower has buffered, when they are due. */
 void gyp_replica_relay_heartbeats(struct gyp_replica *);
-void gyp_replica_handle_beats(
+void gyp_replica_handle_heartbeats(
     struct gyp_replica *, uint64_t from, const Gyp__HostBeats *);
 
 /* replica_rules.c */
--- a/src/replica_lead.c
+++ b/src/replica_lead.c
@@ -187,7 +187,7 @@
 static void
 expire_deadlines(struct gyp_replica *r)
 {
-	uint64_t time_ms = r->time_base + (r->now - r->lead_since);
+	uint64_t time_ms = gyp_replica_cell_time(r);
 	const GList *l;
 
 	for (l = gyp_state_queue(r->state)->head; l != NULL; l = l->next) {
@@ -238,7 +238,9 @@
 		down->rules = v->cmd->text;
 }
 
-/* Adds the voters, or the learners, as far as they fit; returns their number.
+/*
+ * Adds the voters, or the learners, to the first n of the list as far as they
+ * fit; returns the new number.
  */
 static size_t
 add_members(const Gyp__Config *c, bool voters, char **list, size_t n)
--- a/src/replica_orders.c
+++ b/src/replica_orders.c
@@ -98,7 +98,7 @@
 {
 	const struct gyp_endpoint *ep =
 	    gyp_state_endpoint(r->state, t->endpoint);
-	uint64_t now = cell_time_at(r, r->now);
+	uint64_t now = gyp_replica_cell_time(r);
 	uint64_t until = start_deadline(r, t);
 
 	if (now >= until ||
