Clearer comments and names in the modules for flows

Constants that count runs end in _RUNS, the tolerance of the token bucket has a unit, and count_refusal(), which also logs, is report_refusal(). "Claim" is only used for admission queries, "pool" only for endpoints, and workspace.h says that a workspace's rate is the manifest's weight. Comments that were elliptic are whole sentences; their reasons stay.

The check of a manifest also refuses a weight that is not finite; its message now says so.

--- a/src/admission.c
+++ b/src/admission.c
@@ -444,7 +444,7 @@
 
 /* ---- Construction ------------------------------------------------------- */
 
-/* Ends the claims of the flow's queries; their answers are ignored. */
+/* Removes the flow's queries and their claims; ignores later answers. */
 static void
 forget_queries(struct gyp_admission *a, uint64_t flow)
 {
--- a/src/admission.h
+++ b/src/admission.h
@@ -110,7 +110,7 @@
  *
  * Handles this load: many slow queries at a time, each of which would name the
  * same endpoints with the most free capacity. By the time of the answers the
- * first unit has taken it, and the other queries were in vain.
+ * first unit has used it, and the other queries were useless.
  */
 struct gyp_res gyp_admission_claimed(
     const struct gyp_admission *, uint32_t row);
--- a/src/admission_query.c
+++ b/src/admission_query.c
@@ -72,7 +72,7 @@
 	return gyp_capacity_count_tasks_in(cap, c, &unclaimed);
 }
 
-/* Packed tasks gather on the same endpoints on purpose. */
+/* No penalty for packed tasks: they are to share endpoints. */
 static double
 claim_penalty(const struct gyp_capacity *cap, const struct gyp_candidate *c,
     const struct gyp_res *claimed)
--- a/src/capacity_index.h
+++ b/src/capacity_index.h
@@ -87,8 +87,8 @@
 	GYP_MISFIT_CONTACT,  /* not in contact, or leaving */
 	GYP_MISFIT_FAILURES, /* quarantined, or its probe is running */
 	GYP_MISFIT_SIZE,     /* too small even when empty */
-	GYP_MISFIT_LABEL,
-	GYP_MISFIT_SHARING /* serving and filling tasks don't share one */
+	GYP_MISFIT_LABEL,    /* lacks the label of the step */
+	GYP_MISFIT_SHARING   /* serving and filling tasks do not share one */
 };
 
 enum gyp_misfit gyp_capacity_misfit(
--- a/src/counters.h
+++ b/src/counters.h
@@ -21,9 +21,9 @@
  *	gyp_starts_total{class}			placements by the leader
  *	gyp_retries_total{class}		placements of later attempts
  *	gyp_questions_total			queries about unlisted attempts
- *	gyp_flow_submits_total{workspace,verdict}	flows decided on
- *	gyp_workspace_used{workspace,resource}	gauge, booked by open runs
- *	gyp_workspace_cap{workspace,resource}	gauge, 0 for no limit
+ *	gyp_flow_submits_total{workspace,verdict}	flows accepted or
+ *refused gyp_workspace_used{workspace,resource}	gauge, booked by open
+ *runs gyp_workspace_cap{workspace,resource}	gauge, 0 for no limit
  *	gyp_workspace_open_runs{workspace}	gauge
  *	gyp_workspace_waiting_tasks{workspace}	gauge, tasks that could start
  *	gyp_refused_total{reason}		requests refused by the API
--- a/src/data_dir.h
+++ b/src/data_dir.h
@@ -46,7 +46,7 @@
 enum gyp_status gyp_data_dir_list_segments(struct gyp_files *, const char *dir,
     uint64_t first, GArray *numbers, struct gyp_error *);
 
-/* Writes and removes a file of this size; GYP_FULL if it does not fit. */
+/* Writes and removes a file of that size; GYP_FULL if it does not fit. */
 enum gyp_status gyp_data_dir_probe_space(
     struct gyp_files *, const char *dir, size_t bytes, struct gyp_error *);
 
--- a/src/endpoint_speed.c
+++ b/src/endpoint_speed.c
@@ -7,20 +7,20 @@
 /* Runs after which an endpoint's mean counts as much as that of its class. */
 #define PRIOR_RUNS 8
 
-/* Runs after which the mean of a class counts as much as 0. */
+/* Runs after which the mean of a class counts as much as the prior, 0. */
 #define CLASS_PRIOR_RUNS 32
 
 /* Runs over which the mean of a class adapts. */
-#define CLASS_MEMORY 512
+#define CLASS_MEMORY_RUNS 512
 
 /* Maximum number of classes; endpoints of further ones have none. */
 #define CLASSES_MAX 64
 
 /* Runs over which an endpoint's mean adapts; hardware speed changes rarely. */
-#define ROW_MEMORY 32
+#define ENDPOINT_MEMORY_RUNS 32
 
 /* Runs over which the mean of all endpoints adapts: several of each. */
-#define ALL_MEMORY 1024
+#define ALL_MEMORY_RUNS 1024
 
 /*
  * Bound on one run's factor: a task in the long tail of its kind says little
@@ -93,7 +93,7 @@
 	}
 	if (c == NULL)
 		return;
-	c->runs = MIN(c->runs + 1, CLASS_MEMORY);
+	c->runs = MIN(c->runs + 1, CLASS_MEMORY_RUNS);
 	c->mean += (log_ratio - c->mean) / c->runs;
 }
 
@@ -147,10 +147,10 @@
 	struct row_speed *r = touch_row(s, row);
 	double bounded = CLAMP(log_ratio, -log(FACTOR_MAX), log(FACTOR_MAX));
 
-	r->runs = MIN(r->runs + 1, ROW_MEMORY);
+	r->runs = MIN(r->runs + 1, ENDPOINT_MEMORY_RUNS);
 	r->mean += (bounded - r->mean) / r->runs;
 	add_to_class(s, row, bounded);
-	s->runs = MIN(s->runs + 1, ALL_MEMORY);
+	s->runs = MIN(s->runs + 1, ALL_MEMORY_RUNS);
 	s->mean += (shrunk_mean(s, r) - s->mean) / (double)s->runs;
 }
 
--- a/src/entry_calls.c
+++ b/src/entry_calls.c
@@ -158,7 +158,7 @@
 
 /*
  * True if a flow is refused that was sent before: the replica does not know
- * whether a sending that is still under way will be accepted. An earlier one
+ * whether an earlier copy that is still in transit will be accepted. That copy
  * may also have been accepted with a key that is no longer in force.
  */
 static bool
--- a/src/event.h
+++ b/src/event.h
@@ -40,8 +40,9 @@
     __attribute__((format(printf, 3, 4)));
 
 /*
- * Returns a copy of a name that callers or operators chose, without what could
- * be mistaken for another field or line of the log.
+ * Returns a copy of a name that callers or operators chose, in which all
+ * characters but letters, digits and -_./:@+ are replaced by "_": none is
+ * mistaken for the start of another field or line of the log.
  */
 char *gyp_event_name(const char *name);
 
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -290,9 +290,9 @@
 }
 
 /*
- * Ends the runs whose start may have been sent: no lease bounds the others.
- * That of an endpoint which had no run for long is over when its next start is
- * sent.
+ * Ends the runs whose start may have been sent: no lease bounds the others. The
+ * lease of an endpoint that had no run for long has already expired when its
+ * next start is sent.
  */
 static void
 lapse_runs(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -126,7 +126,7 @@
 	uint32_t lease_ms;         /* longest lease that endpoints grant */
 	uint32_t stop_grace_ms;    /* longest time that a stop takes */
 	struct gyp_events *events; /* or NULL */
-	/* For the scheduler of flows: */
+	/* Only for the flow scheduler: */
 	struct gyp_counters *counters; /* or NULL */
 	bool learn_run_times; /* decisions use the forecast of the tables */
 };
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -35,8 +35,8 @@
 	uint64_t bound = first ? 0 : clock_lower_bound(endpoint, f->now);
 
 	/*
-	 * A lower reading is as old as it is too low, or older: it took longer
-	 * to arrive. The earlier one still holds.
+	 * A reading below the bound was delayed on its way by the difference
+	 * or more. The earlier reading still holds.
 	 */
 	if (clock_ms < bound) {
 		endpoint->clock_seen_at = MAX(endpoint->clock_seen_at,
@@ -113,15 +113,17 @@
 }
 
 static uint64_t
-expiry_after(uint64_t from, uint64_t left)
+expiry_after(uint64_t from, uint64_t left_ms)
 {
-	return from + left + left / (GYP_CLOCK_SLOW - 1) + 1 + LEASE_MARGIN_MS;
+	return from + left_ms + left_ms / (GYP_CLOCK_SLOW - 1) + 1 +
+	       LEASE_MARGIN_MS;
 }
 
 /*
- * What earlier leaders granted, and what late calls may grant, is over a lease
- * after the start of the term or the restart. Readings can't shorten this: the
- * first one may have been taken before, and until_ms is derived from it.
+ * Leases that earlier leaders granted, or that late calls may grant, expire at
+ * the latest one lease after the start of the term or the restart. Readings of
+ * the clock cannot shorten this: the first one may have been taken before, and
+ * until_ms is derived from it.
  */
 uint64_t
 gyp_fleet_endpoint_lease_expiry(
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -312,7 +312,7 @@
 	return gyp_res_fits(size, &left);
 }
 
-/* True if a run of that size stays under the cap of the flow's workspace. */
+/* True if a run of that size fits under the cap of the flow's workspace. */
 static bool
 cap_allows(const struct gyp_flow *flow, const struct gyp_res *size)
 {
--- a/src/flow_intake.c
+++ b/src/flow_intake.c
@@ -11,8 +11,8 @@
 
 /*
  * Longest time for which a request may be delayed between an entry and the
- * leader, in ms: callers wait a few seconds, and a broken connection is noticed
- * in less.
+ * leader, in ms: callers wait a few seconds, and a broken connection is
+ * detected sooner.
  */
 #define DELAYED_MAX_MS 15000
 
@@ -26,7 +26,7 @@
 #define RETRY_LEVEL_MIN 0.5
 
 /*
- * Refused flows that are remembered, and for how long in ms: callers come back
+ * Refused flows that are remembered, and for how long in ms: callers retry
  * within GYP_LOAD_SHED_RETRY_MAX_MS.
  */
 #define REFUSED_MAX     20000
@@ -231,7 +231,7 @@
 		if (flow->use == NULL || flow->spec->excess)
 			continue;
 		bucket = &get_workspace(in, flow->use->name)->bucket;
-		bucket->filled_at = MAX(bucket->filled_at, MAX(since, 1));
+		bucket->refilled_at = MAX(bucket->refilled_at, MAX(since, 1));
 		gyp_token_bucket_take(
 		    bucket, flow->use->rate, flow->accepted_ms);
 	}
--- a/src/flow_intake.h
+++ b/src/flow_intake.h
@@ -19,8 +19,8 @@
  *
  *	A refused flow that is submitted again does not compete with new ones:
  *	it takes a token only when at least half of the workspace's tokens are
- *	there. Otherwise a workspace that keeps sending too much would spend its
- *	rate on repeated submissions, and refuse new ones that are within it.
+ *	available. Otherwise a workspace that keeps sending too much would spend
+ *its rate on repeated submissions, and refuse new ones that are within it.
  *
  *	The buckets exist on a leader only. A new leader fills them from the
  *	flows that were accepted lately, which are replicated. Times are cell
--- a/src/flow_json.h
+++ b/src/flow_json.h
@@ -7,7 +7,7 @@
 
 /*
  * NAME
- *	flow_json - parser for flows in JSON, as operators write them
+ *	flow_json - parser for flows in the JSON of the operators' interface
  *
  * DESCRIPTION
  *	The format is described in docs/API.md. Names and units are those of
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -309,7 +309,7 @@
 	}
 }
 
-/* The store waits for space; nothing that it has not synced may be told. */
+/* Suspends the replica: records that are not synced must not take effect. */
 static void
 on_store_full(struct gyp_store_owner *owner, const struct gyp_error *err)
 {
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -225,7 +225,7 @@
 	    text, strlen(text));
 }
 
-/* Claims no outcome: the request may repeat one that was carried out. */
+/* States no outcome: the request may repeat one that was carried out. */
 static void
 refuse_overloaded(struct gyp_http_request *req)
 {
--- a/src/link.c
+++ b/src/link.c
@@ -56,7 +56,7 @@
 	 * or if dialled.
 	 */
 	uint64_t id;
-	bool entry; /* by the hello */
+	bool entry; /* the hello is from an entry */
 	struct gyp_buf in;
 	struct gyp_buf out;
 	/* Latest frame sent while dialling, or NULL; queued after the hello. */
@@ -325,9 +325,12 @@
 	schedule_send(c);
 }
 
-/* Counts a connection that is closed because of a limit, and logs the first. */
+/*
+ * Counts a connection that is closed because of a limit; logs at most one in
+ * REFUSAL_LOG_MS.
+ */
 static void
-count_refusal(struct gyp_links *links, const char *limit)
+report_refusal(struct gyp_links *links, const char *limit)
 {
 	uint64_t now = gyp_clock_ms();
 
@@ -352,7 +355,7 @@
 	if (old != NULL)
 		drop_conn(old);
 	if (hello->entry && links->entries >= links->entries_max) {
-		count_refusal(links, "entries");
+		report_refusal(links, "entries");
 		return false;
 	}
 	c->id = hello->id;
@@ -521,7 +524,7 @@
 	if (fd < 0)
 		return;
 	if (links->accepted->len >= GYP_LINK_ACCEPTED_MAX) {
-		count_refusal(links, "accepted");
+		report_refusal(links, "accepted");
 		close(fd);
 		return;
 	}
--- a/src/link.h
+++ b/src/link.h
@@ -32,8 +32,8 @@
 
 /*
  * Most accepted connections, and how many of them may be from entries. The rest
- * is for replicas: a leader that its followers cannot reach loses the lead, and
- * the next one would be full of entries as well.
+ * is for replicas: a leader that its followers cannot reach loses leadership,
+ * and the connections of the next one would be used up by entries as well.
  */
 #define GYP_LINK_ACCEPTED_MAX 2048
 #define GYP_LINK_ENTRIES_MAX  1792
--- a/src/preempt.h
+++ b/src/preempt.h
@@ -20,10 +20,10 @@
  *	A run can be stopped for work of a lower rank when it saves its
  *	progress in checkpoints or has only just started, is not about to end,
  *	and its flow has slack: a stop must not make other work late. Work
- *	beyond the rate of its workspace needs no slack. Lasting
- *	tasks and gangs are never stopped. On each endpoint, the runs that lose
- *	the least work are stopped. Their resources count as being released, and
- *	as free only after their ends are committed.
+ *	beyond the rate of its workspace needs no slack. Lasting tasks and gangs
+ *	are never stopped. On each endpoint, the runs that lose the least work
+ *	are stopped. Their resources count as being released, and as free only
+ *	after their ends are committed.
  *
  *	The number of runs being stopped at a time is limited, so that a long
  *	queue does not replace all work of the pool at once.
@@ -53,9 +53,8 @@
 struct gyp_res gyp_preempt_releasing(const struct gyp_preempt *, uint32_t row);
 
 /*
- * Returns the resources that stops for work of that rank, see
- * gyp_flow_rank(), could free on the
- * endpoint.
+ * Returns the resources that stops for work of that rank, see gyp_flow_rank(),
+ * could free on the endpoint.
  */
 struct gyp_res gyp_preempt_reclaimable(
     struct gyp_preempt *, uint32_t row, uint32_t rank);
--- a/src/run_forecast.c
+++ b/src/run_forecast.c
@@ -10,7 +10,10 @@
  */
 #define PRIOR_RUNS 2.0
 
-/* Runs of prior weight of the slope 0.5, which favours neither model. */
+/*
+ * The slope assumed before any run is known, and the number of runs that it
+ * counts as; 0.5 favours neither model.
+ */
 #define PRIOR_SLOPE_RUNS 8.0
 #define PRIOR_SLOPE      0.5
 
@@ -18,8 +21,8 @@
  * Runs over which the mean of a kind and the moments of a queue adapt. A queue
  * has several kinds, and a regression needs more runs than a mean.
  */
-#define KIND_MEMORY  32
-#define QUEUE_MEMORY 256
+#define KIND_MEMORY_RUNS  32
+#define QUEUE_MEMORY_RUNS 256
 
 /* Longest forecast, in ms: 100 days. It keeps the conversion defined. */
 #define FORECAST_MAX_MS (100.0 * 24 * 3600 * 1000)
@@ -28,7 +31,7 @@
  * Errors assumed before any is known, as logarithms: a forecast from an
  * estimate alone is often off by a factor of two.
  */
-static const double first_errors[] = {-0.7, -0.3, 0, 0.3, 0.7};
+static const double initial_errors[] = {-0.7, -0.3, 0, 0.3, 0.7};
 
 /* ---- Kinds and queues --------------------------------------------------- */
 
@@ -82,7 +85,7 @@
 	       name_equal(x->queue, y->queue);
 }
 
-/* Number of the power of two, 0 for 0. */
+/* Returns the number of significant bits: one class per power of two. */
 static uint32_t
 log2_class(uint64_t value)
 {
@@ -142,9 +145,9 @@
 		return q;
 	q = g_new0(struct gyp_forecast_queue, 1);
 	q->name = g_strndup(name, GYP_RUN_FORECAST_NAME);
-	for (i = 0; i < G_N_ELEMENTS(first_errors); i++) {
-		gyp_forecast_errors_add(&q->known, first_errors[i]);
-		gyp_forecast_errors_add(&q->fresh, first_errors[i]);
+	for (i = 0; i < G_N_ELEMENTS(initial_errors); i++) {
+		gyp_forecast_errors_add(&q->known, initial_errors[i]);
+		gyp_forecast_errors_add(&q->fresh, initial_errors[i]);
 	}
 	g_hash_table_insert(f->queues, q->name, q);
 	return q;
@@ -220,7 +223,8 @@
 	qsort(e->sorted, e->n, sizeof(e->sorted[0]), by_value);
 }
 
-/* The quantile of both sets together, each element of y with weight weight_y.
+/*
+ * The quantile of both sets together, each element of y with weight weight_y.
  */
 static double
 quantile_of(const struct gyp_forecast_errors *x,
@@ -261,7 +265,7 @@
 static double
 slope_of(const struct gyp_forecast_moments *m)
 {
-	double runs = (double)MIN(m->runs, QUEUE_MEMORY);
+	double runs = (double)MIN(m->runs, QUEUE_MEMORY_RUNS);
 	double slope = PRIOR_SLOPE;
 
 	if (m->variance > 0)
@@ -319,10 +323,10 @@
 {
 	static const struct gyp_forecast_errors none = {.n = 0};
 	const struct gyp_forecast_errors *own = k != NULL ? &k->errors : &none;
-	const struct gyp_forecast_errors *pool =
+	const struct gyp_forecast_errors *prior =
 	    is_known(k) ? &q->known : &q->fresh;
 
-	return quantile_of(own, pool, PRIOR_RUNS / pool->n, quantile);
+	return quantile_of(own, prior, PRIOR_RUNS / prior->n, quantile);
 }
 
 static uint64_t
@@ -362,9 +366,9 @@
 /* ---- Learning ----------------------------------------------------------- */
 
 static double
-weight_of(uint64_t runs, uint64_t memory)
+weight_of(uint64_t runs, uint64_t memory_runs)
 {
-	return 1.0 / (double)MIN(runs, memory);
+	return 1.0 / (double)MIN(runs, memory_runs);
 }
 
 /* Adds one deviation from the means to the variance and covariance. */
@@ -383,7 +387,7 @@
 {
 	struct gyp_forecast_moments *m = &q->moments;
 	double estimate = log_estimate(estimate_ms, m->mean_estimate);
-	double weight = weight_of(++m->runs, QUEUE_MEMORY);
+	double weight = weight_of(++m->runs, QUEUE_MEMORY_RUNS);
 
 	add_deviation(
 	    m, estimate - m->mean_estimate, run - m->mean_run, weight);
@@ -397,13 +401,14 @@
 	struct gyp_forecast_moments *inner = &k->queue->inner;
 	double estimate = log_estimate(estimate_ms,
 	    k->runs > 0 ? k->mean_estimate : k->queue->moments.mean_estimate);
-	double weight = weight_of(++k->runs, KIND_MEMORY);
+	double weight = weight_of(++k->runs, KIND_MEMORY_RUNS);
 
 	k->new_runs++;
 	if (k->runs > 1) {
 		inner->runs++;
 		add_deviation(inner, estimate - k->mean_estimate,
-		    run - k->mean_run, weight_of(inner->runs, QUEUE_MEMORY));
+		    run - k->mean_run,
+		    weight_of(inner->runs, QUEUE_MEMORY_RUNS));
 	}
 	k->mean_estimate += weight * (estimate - k->mean_estimate);
 	k->mean_run += weight * (run - k->mean_run);
@@ -417,7 +422,7 @@
 	double forecast = location + error_of(q, k, 0.5);
 
 	q->error += (fabs(run - forecast) - q->error) *
-		    weight_of(q->moments.runs + 1, QUEUE_MEMORY);
+		    weight_of(q->moments.runs + 1, QUEUE_MEMORY_RUNS);
 	if (is_known(k)) {
 		gyp_forecast_errors_add(&k->errors, run - location);
 		gyp_forecast_errors_add(&q->known, run - location);
--- a/src/run_forecast_int.h
+++ b/src/run_forecast_int.h
@@ -42,10 +42,10 @@
 	char *name;
 	uint32_t kinds;                      /* that refer to it */
 	struct gyp_forecast_moments moments; /* of all runs */
-	struct gyp_forecast_moments inner;   /* relative to means of kinds */
+	struct gyp_forecast_moments inner;   /* around the means of kinds */
 	double error;                        /* mean absolute error */
-	struct gyp_forecast_errors known;    /* for kinds with some runs */
-	struct gyp_forecast_errors fresh;    /* for kinds with hardly any */
+	struct gyp_forecast_errors known;    /* of kinds with 2 runs or more */
+	struct gyp_forecast_errors fresh;    /* of kinds with fewer runs */
 };
 
 struct gyp_forecast_kind {
--- a/src/run_stats.h
+++ b/src/run_stats.h
@@ -129,8 +129,9 @@
     struct gyp_run_stats *, const struct gyp_run_forecast *);
 
 /*
- * The slowdown of the endpoint, 1 if unknown. With a forecast, it is the
- * learned one, times what the latest runs took longer than by the learned one.
+ * The slowdown of the endpoint, 1 if unknown. With a forecast, the learned
+ * slowdown is multiplied by the mean ratio of the latest run times to those
+ * expected with it, if that is above 1.
  */
 double gyp_run_stats_slowdown(const struct gyp_run_stats *, uint32_t row);
 
--- a/src/store_int.h
+++ b/src/store_int.h
@@ -52,6 +52,7 @@
 	GAsyncQueue *results;  /* struct write_result */
 };
 
+/* Updates the segment's highest log index, or the newest vote. */
 void gyp_store_track_record(
     struct gyp_store *, struct segment *, const struct gyp_record *);
 
--- a/src/token_bucket.c
+++ b/src/token_bucket.c
@@ -5,17 +5,17 @@
 #include "token_bucket.h"
 
 /* Tolerance for the rounding of refills, in tokens. */
-#define ROUNDING 1e-6
+#define TOLERANCE_TOKENS 1e-6
 
 static double
 tokens_at(const struct gyp_token_bucket *b, double rate, uint64_t now)
 {
-	double most = MAX(rate, 1);
-	double elapsed_s = (double)(now - MIN(now, b->filled_at)) / 1000;
+	double capacity = MAX(rate, 1);
+	double elapsed_s = (double)(now - MIN(now, b->refilled_at)) / 1000;
 
-	if (b->filled_at == 0)
-		return most;
-	return MIN(b->tokens + elapsed_s * rate, most);
+	if (b->refilled_at == 0)
+		return capacity;
+	return MIN(b->tokens + elapsed_s * rate, capacity);
 }
 
 bool
@@ -23,8 +23,8 @@
 {
 	double tokens = tokens_at(b, rate, now);
 
-	b->filled_at = MAX(MAX(now, 1), b->filled_at);
-	if (tokens < 1 - ROUNDING) {
+	b->refilled_at = MAX(MAX(now, 1), b->refilled_at);
+	if (tokens < 1 - TOLERANCE_TOKENS) {
 		b->tokens = tokens;
 		return false;
 	}
@@ -46,7 +46,7 @@
 	double tokens = tokens_at(b, rate, now);
 	double wait_ms;
 
-	if (tokens >= 1 - ROUNDING)
+	if (tokens >= 1 - TOLERANCE_TOKENS)
 		return 0;
 	wait_ms = rate > 0 ? (1 - tokens) / rate * 1000 : UINT32_MAX;
 	return (uint32_t)MIN(ceil(wait_ms), UINT32_MAX);
--- a/src/token_bucket.h
+++ b/src/token_bucket.h
@@ -19,7 +19,7 @@
 
 struct gyp_token_bucket {
 	double tokens;
-	uint64_t filled_at; /* 0: never used, and therefore full */
+	uint64_t refilled_at; /* 0: never used, and therefore full */
 };
 
 /* Takes a token; false if there is none. rate is per second. */
@@ -30,7 +30,7 @@
 double gyp_token_bucket_level(
     const struct gyp_token_bucket *, double rate, uint64_t now);
 
-/* Time until the next token is there, in ms; 0 if one is. */
+/* Time until a token is available, in ms; 0 if one is. */
 uint32_t gyp_token_bucket_wait_ms(
     const struct gyp_token_bucket *, double rate, uint64_t now);
 
--- a/src/workspace.c
+++ b/src/workspace.c
@@ -101,7 +101,8 @@
 		if (w->name[0] == '\0')
 			error = "a workspace has no name";
 		else if (!isfinite(w->rate) || w->rate < 0)
-			error = "the weight of a workspace is negative";
+			error = "the weight of a workspace is negative or not "
+				"finite";
 		else if (!g_hash_table_add(names, w->name))
 			error = "two workspaces have the same name";
 		else if (!add_keys(owners, w))
--- a/src/workspace.h
+++ b/src/workspace.h
@@ -12,9 +12,10 @@
  *
  * DESCRIPTION
  *	Callers belong to workspaces, which a manifest lists with their API
- *	keys, weights and caps. Keys are compared by their SHA-256 digests, so
- *	that the time of a look-up does not depend on how much of a key is
- *	right, and a process that holds no manifest text holds no key.
+ *	keys, rates and caps. The manifest and the reports call the rate a
+ *	weight. Keys are compared by their SHA-256 digests, so that the time of
+ *	a look-up does not depend on how much of a key is right, and a process
+ *	that holds no manifest text holds no key.
  *
  *	A manifest that has no list of workspaces requires no keys.
  */
@@ -37,7 +38,7 @@
 /*
  * NULL if the workspaces of the manifest are valid, else a description of the
  * error, which holds no key: two have the same name or share a key, or a weight
- * is not a number of at least 0.
+ * is not a finite number of at least 0.
  */
 const char *gyp_workspaces_check(const Gyp__CmdManifest *);
 
--- a/src/workspace_metrics.c
+++ b/src/workspace_metrics.c
@@ -3,9 +3,9 @@
 #include "workspace_metrics.h"
 
 /* Label of the workspaces beyond GYP_WORKSPACES_MEASURED. */
-#define OTHER "other"
+#define OTHER_LABEL "other"
 
-/* Longest name that is a label, in bytes; labels with longer ones don't fit. */
+/* Longest name that is used as a label, in bytes: longer labels do not fit. */
 #define LABEL_NAME_MAX 96
 
 /* Workspaces in a log line, and characters of their names. */
@@ -52,8 +52,8 @@
 	if (strlen(name) <= LABEL_NAME_MAX &&
 	    g_hash_table_size(m->labels) <= GYP_WORKSPACES_MEASURED)
 		return add_label(m, name);
-	*label = OTHER;
-	return g_hash_table_lookup(m->labels, OTHER);
+	*label = OTHER_LABEL;
+	return g_hash_table_lookup(m->labels, OTHER_LABEL);
 }
 
 void
@@ -253,7 +253,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->submits =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	add_label(m, OTHER);
+	add_label(m, OTHER_LABEL);
 	return m;
 }
 
--- a/src/workspace_metrics.h
+++ b/src/workspace_metrics.h
@@ -12,9 +12,9 @@
  *	workspace_metrics - metrics and log line of workspaces
  *
  * DESCRIPTION
- *	Handles this load: a manifest with thousands of workspaces, or one that
- *	changes often. The first GYP_WORKSPACES_MEASURED workspaces that have
- *	flows get a label of their own, which they keep until the process ends,
+ *	Handles these loads: a manifest with thousands of workspaces, and one
+ *	that changes often. The first GYP_WORKSPACES_MEASURED workspaces that
+ *have flows get a label of their own, which they keep until the process ends,
  *	so that their counters never decrease. All others share the label
  *	"other".
  */
@@ -28,7 +28,7 @@
 struct gyp_workspace_metrics *gyp_workspace_metrics_new(struct gyp_counters *);
 void gyp_workspace_metrics_free(struct gyp_workspace_metrics *);
 
-/* Counts a flow that was decided on. */
+/* Counts a flow that was accepted or refused. */
 void gyp_workspace_metrics_submit(
     struct gyp_workspace_metrics *, const char *workspace, const char *verdict);
 
@@ -39,7 +39,7 @@
 void gyp_workspace_metrics_set(
     struct gyp_workspace_metrics *, const GArray *views);
 
-/* Sets all gauges to 0: this process leads no longer. */
+/* Sets all gauges to 0: this process no longer leads. */
 void gyp_workspace_metrics_clear(struct gyp_workspace_metrics *);
 
 /*
--- a/src/workspace_view.h
+++ b/src/workspace_view.h
@@ -21,7 +21,7 @@
 
 struct gyp_workspace_view {
 	const char *name;    /* owned by the tables */
-	double rate;         /* jobs a second; 0: any */
+	double rate;         /* jobs a second, reported as weight; 0: any */
 	struct gyp_res cap;  /* an amount of 0 is no limit */
 	struct gyp_res used; /* booked by open runs */
 	uint32_t open;       /* open runs */
