--- a/src/flow_intake.c
+++ b/src/flow_intake.c
@@ -32,7 +32,8 @@
 
 /*
  * Refused flows that are remembered, and for how long in ms: callers retry
- * within GYP_LOAD_SHED_RETRY_MAX_MS.
+ * within GYP_LOAD_SHED_RETRY_MAX_MS, and their requests may be slow. The limit
+ * bounds the memory under a flood; a flow that is forgotten counts as new.
  */
 #define REFUSED_MAX     20000
 #define REFUSED_KEEP_MS (GYP_LOAD_SHED_RETRY_MAX_MS + 10000)
--- a/src/replica.h
+++ b/src/replica.h
@@ -152,7 +152,7 @@
 	/* Nothing new; the leader has it, or gets it from this follower. */
 	GYP_HEARTBEAT_TAKEN,
 	/* It reports a change, which this leader must commit. */
-	GYP_HEARTBEAT_NEWS,
+	GYP_HEARTBEAT_CHANGED,
 	/* This replica does not lead and may not answer for the leader. */
 	GYP_HEARTBEAT_NO_LEADER
 };
--- a/src/replica_heartbeats.c
+++ b/src/replica_heartbeats.c
@@ -232,7 +232,7 @@
 			    gyp_flow_scheduler_fleet(r->flow_scheduler), r->now,
 			    h->row, reported->born_ms, clock_ms);
 		return is_recorded(h, reported) ? GYP_HEARTBEAT_TAKEN
-						: GYP_HEARTBEAT_NEWS;
+						: GYP_HEARTBEAT_CHANGED;
 	}
 	check_pause(r);
 	if (!may_relay(r, h, reported) || !buffer_heartbeat(r, h, clock_ms))
--- a/test/test_heartbeats.c
+++ b/test/test_heartbeats.c
@@ -61,7 +61,7 @@
 	Gyp__Call call = GYP__CALL__INIT;
 	Gyp__Reply *reply;
 
-	g_assert_cmpint(beat(c, cell_leader(c), e), ==, GYP_HEARTBEAT_NEWS);
+	g_assert_cmpint(beat(c, cell_leader(c), e), ==, GYP_HEARTBEAT_CHANGED);
 	call.id = ++c->calls;
 	call.c_case = GYP__CALL__C_HOST;
 	call.host = &e->host;
