Accepted work beyond a rate ends although the pool stays full

Cause: a flow beyond its workspace's rate ranks behind all others for good, so work within the rates that fills a pool held it back without end, although it had been accepted. Late work moves to the front of its own rank only.

Change: gyp_flow_rank() takes the cell time; five minutes after its acceptance such a flow ranks by its priority, for placement and for preemption. The check of the flow tables compares resources by member, which clang-tidy asks for.

Result: /quotas/excess-waits; the unit tests and clang-tidy pass.

--- a/src/capacity_index.h
+++ b/src/capacity_index.h
@@ -45,6 +45,7 @@
 	struct gyp_flow *flow;
 	struct gyp_flow_unit *unit;
 	enum gyp_slack_state slack;
+	uint32_t rank; /* see gyp_flow_rank() */
 };
 
 struct gyp_capacity_index;
--- a/src/flow.c
+++ b/src/flow.c
@@ -374,11 +374,13 @@
 }
 
 uint32_t
-gyp_flow_rank(const struct gyp_flow *flow)
+gyp_flow_rank(const struct gyp_flow *flow, uint64_t now_ms)
 {
 	uint32_t priority = MIN(flow->spec->queue->priority, EXCESS_RANK - 1);
+	bool behind = flow->spec->excess &&
+		      now_ms < flow->accepted_ms + GYP_FLOW_EXCESS_WAIT_MS;
 
-	return flow->spec->excess ? EXCESS_RANK + priority : priority;
+	return behind ? EXCESS_RANK + priority : priority;
 }
 
 /* ---- Access ------------------------------------------------------------- */
--- a/src/flow.h
+++ b/src/flow.h
@@ -235,11 +235,14 @@
     const struct gyp_flows *, const char *name);
 
 /*
- * Rank of a flow in the order of work, the most urgent first: 0 or more. A flow
- * beyond the rate of its workspace ranks behind all others, whatever the
- * priorities of their queues.
+ * Rank of a flow in the order of work at that cell time, the most urgent first:
+ * 0 or more. A flow beyond the rate of its workspace ranks behind all others,
+ * whatever the priorities of their queues. GYP_FLOW_EXCESS_WAIT_MS after its
+ * acceptance it ranks by its priority, since work within the rates may fill a
+ * pool for good and an accepted flow must end.
  */
-uint32_t gyp_flow_rank(const struct gyp_flow *);
+#define GYP_FLOW_EXCESS_WAIT_MS 300000
+uint32_t gyp_flow_rank(const struct gyp_flow *, uint64_t now_ms);
 
 /*
  * The queue for that HTTP Host header with the longest prefix of path, or NULL.
--- a/src/flow_save.c
+++ b/src/flow_save.c
@@ -252,7 +252,8 @@
 		const struct gyp_workspace_use *use = f->workspaces->pdata[i];
 
 		g_assert(open[i] == use->open);
-		g_assert(memcmp(&sums[i], &use->used, sizeof(sums[i])) == 0);
+		g_assert(gyp_res_fits(&sums[i], &use->used) &&
+			 gyp_res_fits(&use->used, &sums[i]));
 	}
 	g_free(sums);
 	g_free(open);
--- a/src/placer.c
+++ b/src/placer.c
@@ -73,11 +73,9 @@
 by_urgency(gconstpointer a, gconstpointer b)
 {
 	const struct gyp_candidate *x = a, *y = b;
-	uint32_t px = gyp_flow_rank(x->flow);
-	uint32_t py = gyp_flow_rank(y->flow);
 
-	if (px != py)
-		return px < py ? -1 : 1;
+	if (x->rank != y->rank)
+		return x->rank < y->rank ? -1 : 1;
 	if (x->slack != y->slack)
 		return x->slack < y->slack ? -1 : 1;
 	if (x->flow->seq != y->flow->seq)
@@ -118,7 +116,9 @@
 add_candidate(struct gyp_placer *p, struct gyp_flow *flow,
     struct gyp_flow_unit *unit, uint64_t wall_ms)
 {
-	struct gyp_candidate c = {.flow = flow, .unit = unit};
+	uint64_t now_ms = gyp_flows_time(p->flows);
+	struct gyp_candidate c = {
+	    .flow = flow, .unit = unit, .rank = gyp_flow_rank(flow, now_ms)};
 
 	if (!has_waiting(unit) || !gyp_placer_unit_is_due(flow, unit, wall_ms))
 		return;
@@ -128,14 +128,14 @@
 			g_array_append_val(p->prefetch, c);
 		return;
 	}
-	c.slack = gyp_slack_state(
-	    gyp_slack_ms(p->stats, flow, unit, gyp_flows_time(p->flows)));
+	c.slack = gyp_slack_state(gyp_slack_ms(p->stats, flow, unit, now_ms));
 	g_array_append_val(p->units, c);
 }
 
 static void
 find_candidates(struct gyp_placer *p, uint64_t wall_ms)
 {
+	uint64_t now_ms = gyp_flows_time(p->flows);
 	const GList *l;
 	uint32_t i;
 
@@ -147,7 +147,8 @@
 
 		if (!gyp_flow_is_alive(flow))
 			continue;
-		p->least_urgent = MAX(p->least_urgent, gyp_flow_rank(flow));
+		p->least_urgent =
+		    MAX(p->least_urgent, gyp_flow_rank(flow, now_ms));
 		for (i = 0; i < flow->n_units; i++)
 			add_candidate(p, flow, &flow->units[i], wall_ms);
 	}
@@ -561,7 +562,7 @@
 reserve_capacity(
     struct gyp_placer *p, const struct gyp_candidate *c, uint32_t waiting)
 {
-	bool may_preempt = gyp_flow_rank(c->flow) < p->least_urgent &&
+	bool may_preempt = c->rank < p->least_urgent &&
 			   c->slack != GYP_SLACK_LATE &&
 			   !awaits_quick_query(p, c);
 
--- a/src/preempt.c
+++ b/src/preempt.c
@@ -149,8 +149,9 @@
 	const struct gyp_run_view *view;
 	uint64_t up_ms;
 
-	if (gyp_flow_rank(r->flow) <= rank || u->step->lasting ||
-	    u->step->gang || gyp_flow_run_is_unwanted(r->flow, r->task))
+	if (gyp_flow_rank(r->flow, gyp_flows_time(p->flows)) <= rank ||
+	    u->step->lasting || u->step->gang ||
+	    gyp_flow_run_is_unwanted(r->flow, r->task))
 		return false;
 	v->key.flow = r->flow->id;
 	v->key.index = r->task;
--- a/src/reserve.c
+++ b/src/reserve.c
@@ -99,7 +99,7 @@
 	endpoint.count = without_stops;
 	if (may_preempt && without_stops < c->unit->step->count) {
 		reclaimable = gyp_preempt_reclaimable(
-		    preempt, row, gyp_flow_rank(c->flow));
+		    preempt, row, c->rank);
 		have = sum_of(&have, &reclaimable);
 		endpoint.count = gyp_capacity_count_tasks_in(cap, c, &have);
 	}
@@ -154,7 +154,7 @@
 
 	if (need.cpu_milli + need.memory + need.accel > 0) {
 		if (!may_preempt ||
-		    !gyp_preempt_select(preempt, row, gyp_flow_rank(c->flow),
+		    !gyp_preempt_select(preempt, row, c->rank,
 			&need, c->flow->id, &freed))
 			return false;
 		gyp_res_add(&cap->releasing, &freed);
--- a/test/test_quotas.c
+++ b/test/test_quotas.c
@@ -172,6 +172,33 @@
 	placer_fixture_clear(&f);
 }
 
+/*
+ * Guards against accepted work beyond the rate that never runs, since work
+ * within the rates fills the pool for good: when it has waited long enough it
+ * goes by its priority, and is not stopped for work of a lower one.
+ */
+static void
+test_excess_waits(void)
+{
+	struct placer_fixture f;
+	struct gyp_preempt_stop stop;
+
+	placer_fixture_init(&f, 1);
+	f.base.excess = true;
+	submit(&f, "a", 1, 0, flow_fixture_step(6));
+	gyp_flow_get(f.base.flows, 1)->accepted_ms -= GYP_FLOW_EXCESS_WAIT_MS;
+	f.base.excess = false;
+	submit(&f, "b", 2, 7, flow_fixture_step(6));
+	run_and_apply(&f);
+	g_assert_cmpuint(placer_fixture_start(&f, 0)->flow, ==, 1);
+	g_assert_cmpuint(proposed(&f, 1), ==, 6);
+	g_assert_cmpuint(proposed(&f, 2), ==, 4);
+	placer_fixture_confirm(&f);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_false(gyp_placer_pop_stop(f.placer, &stop));
+	placer_fixture_clear(&f);
+}
+
 /* Guards against runs that are stopped for work that its quota holds back. */
 static void
 test_no_stop_over_quota(void)
@@ -473,6 +500,7 @@
 	g_test_add_func("/quotas/gang", test_gang);
 	g_test_add_func("/quotas/side-by-side", test_side_by_side);
 	g_test_add_func("/quotas/excess", test_excess);
+	g_test_add_func("/quotas/excess-waits", test_excess_waits);
 	g_test_add_func("/quotas/no-stop-over-quota", test_no_stop_over_quota);
 	g_test_add_func("/quotas/gang-starves", test_gang_starves);
 	g_test_add_func("/quotas/waiting-work", test_waiting_work);
