--- a/src/reserve.c
+++ b/src/reserve.c
@@ -98,8 +98,7 @@
 	without_stops = gyp_capacity_count_tasks_in(cap, c, &have);
 	endpoint.count = without_stops;
 	if (may_preempt && without_stops < c->unit->step->count) {
-		reclaimable = gyp_preempt_reclaimable(
-		    preempt, row, c->rank);
+		reclaimable = gyp_preempt_reclaimable(preempt, row, c->rank);
 		have = sum_of(&have, &reclaimable);
 		endpoint.count = gyp_capacity_count_tasks_in(cap, c, &have);
 	}
@@ -153,9 +152,8 @@
 	struct gyp_res freed = {0, 0, 0, 0};
 
 	if (need.cpu_milli + need.memory + need.accel > 0) {
-		if (!may_preempt ||
-		    !gyp_preempt_select(preempt, row, c->rank,
-			&need, c->flow->id, &freed))
+		if (!may_preempt || !gyp_preempt_select(preempt, row, c->rank,
+					&need, c->flow->id, &freed))
 			return false;
 		gyp_res_add(&cap->releasing, &freed);
 	}
