Queries about units count claimed capacity again; long polls wait 400 ms

Slow queries left claimed endpoints out, and long polls of 700 ms delay ends whose answer was lost.

Change: claims only lower the score of an endpoint; the poll wait is 400 ms again.

--- a/src/admission_query.c
+++ b/src/admission_query.c
@@ -26,13 +26,6 @@
 #define AVAILABLE_BONUS 100
 #define ALLOWED_BONUS   10
 
-/*
- * A query that takes this long or longer, in ms, names no endpoint whose free
- * capacity is claimed by other queries under way. Quicker ones do: they are
- * answered first.
- */
-#define CLAIMS_COUNT_MS 100
-
 /*
  * Returns the number of endpoints whose naming costs a quarter of the query
  * itself.
@@ -47,32 +40,11 @@
 	return (guint)CLAMP(n, QUERY_ENDPOINTS_MIN, QUERY_ENDPOINTS_MAX);
 }
 
-/* Returns a - b, but at least 0, of each resource. */
-static struct gyp_res
-remaining(const struct gyp_res *a, const struct gyp_res *b)
-{
-	struct gyp_res res = {
-	    .cpu_milli = a->cpu_milli - MIN(a->cpu_milli, b->cpu_milli),
-	    .memory = a->memory - MIN(a->memory, b->memory),
-	    .accel = a->accel - MIN(a->accel, b->accel)};
-
-	return res;
-}
-
-/* Counts the tasks that the endpoint is expected to take after the answer. */
-static uint32_t
-count_unclaimed(const struct gyp_capacity *cap, const struct gyp_candidate *c,
-    const struct gyp_res *claimed)
-{
-	struct gyp_res unclaimed = remaining(&cap->available, claimed);
-
-	if (c->flow->spec->queue->admission_ms < CLAIMS_COUNT_MS ||
-	    gyp_candidate_packs(c))
-		return gyp_capacity_count_tasks(cap, c);
-	return gyp_capacity_count_tasks_in(cap, c, &unclaimed);
-}
-
-/* No penalty for packed tasks: they are to share endpoints. */
+/*
+ * Endpoints that are claimed by other queries come later, but are not left out:
+ * a query that finds no other would have to wait for their answers. No penalty
+ * for packed tasks: they are to share endpoints.
+ */
 static double
 claim_penalty(const struct gyp_capacity *cap, const struct gyp_candidate *c,
     const struct gyp_res *claimed)
@@ -100,7 +72,7 @@
 	    !gyp_capacity_suits(cap, c))
 		return false;
 	claimed = gyp_admission_claimed(a, row);
-	endpoint.count = count_unclaimed(cap, c, &claimed);
+	endpoint.count = gyp_capacity_count_tasks(cap, c);
 	endpoint.allowed_before = state == GYP_ADMISSION_EXPIRED;
 	endpoint.score = gyp_capacity_score(cap, c) -
 			 claim_penalty(cap, c, &claimed) +
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -16,7 +16,7 @@
  * Longest wait of a long poll, in ms. A lost answer delays the ends that it
  * lists by about this much.
  */
-#define POLL_WAIT_MS 700
+#define POLL_WAIT_MS 400
 
 /*
  * Interval of polls, and pause before a start, while an endpoint does not
