test_cell: a seed does the same on arm64 as on x86-64

Two calls drew two random numbers in their arguments, and compilers evaluate these in another order on arm64, so a seed meant another run there. Change: the numbers are drawn in statements of their own, in the order in which x86-64 builds drew them. Not run on x86-64.

--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -143,6 +143,32 @@
 		sim_partition(s, node, -1, SIM_LONG_LEASE_MS + 2000);
 }
 
+/*
+ * In the next two functions each random number is drawn in a statement of its
+ * own: the order of function arguments, and with it what a seed does, differs
+ * between processors.
+ */
+
+/* Fills the disk of the leader or of another replica. */
+static void
+fill_one(struct sim *s, int leader)
+{
+	uint32_t ms = (uint32_t)sim_random(s, 50, 8000);
+	bool of_leader = leader >= 0 && sim_one_in(s, 2);
+
+	sim_fill_disk(
+	    s, of_leader ? leader : sim_random(s, 0, s->n_replicas), ms);
+}
+
+static void
+break_connections_of_two(struct sim *s)
+{
+	int b = random_process(s);
+	int a = random_process(s);
+
+	sim_break_connections(s, a, b);
+}
+
 static void
 inject_faults(struct sim *s)
 {
@@ -171,13 +197,9 @@
 	if (sim_one_in(s, 400))
 		partition_one(s);
 	if (sim_one_in(s, 800))
-		sim_fill_disk(s,
-		    leader >= 0 && sim_one_in(s, 2)
-			? leader
-			: sim_random(s, 0, s->n_replicas),
-		    (uint32_t)sim_random(s, 50, 8000));
+		fill_one(s, leader);
 	if (sim_one_in(s, 100))
-		sim_break_connections(s, random_process(s), random_process(s));
+		break_connections_of_two(s);
 	if (sim_one_in(s, s->worst_clocks ? 4000 : 700)) {
 		int nth = sim_random(s, 0, SIM_ENDPOINTS);
 
