Log lasting tasks that do not run, and what the leader knows about them

Change: lasting_watch scans the tasks of lasting steps once a second and logs lasting-down and lasting-up; gyp_lasting_down and gyp_lasting_outage_seconds count them. gyp_fleet_run_diagnosis() reports on one open run. The counts of endpoints use the functions of the placer; count_endpoints() of admin_preview.c moved to capacity_index.c. Forecast lines moved to run_forecast_log.c. No decision changes.

--- a/src/admin_preview.c
+++ b/src/admin_preview.c
@@ -33,11 +33,6 @@
 	struct gyp_flow *flow;
 };
 
-/* How many endpoints of the pool suit a step, and why the others do not. */
-struct endpoint_counts {
-	uint32_t counts[GYP_MISFIT_SHARING + 1]; /* by enum gyp_misfit */
-};
-
 /* ---- Input -------------------------------------------------------------- */
 
 static const Gyp__FlowQueue *
@@ -114,22 +109,6 @@
 
 /* ---- Steps -------------------------------------------------------------- */
 
-static struct endpoint_counts
-count_endpoints(const struct preview *v, const struct gyp_candidate *c)
-{
-	struct endpoint_counts s = {.counts = {0}};
-	uint32_t row;
-
-	for (row = 0; row < gyp_capacity_index_size(v->capacities); row++) {
-		const struct gyp_host *h = gyp_host_at(v->flows, row);
-
-		if (h != NULL && h->pool == c->flow->pool)
-			s.counts[gyp_capacity_misfit(
-			    gyp_capacity_index_at(v->capacities, row), c)]++;
-	}
-	return s;
-}
-
 static json_t *
 candidates_json(const struct preview *v, const GArray *ranking)
 {
@@ -198,13 +177,14 @@
 {
 	struct gyp_candidate c = {.flow = v->flow, .unit = unit};
 	GArray *ranking = gyp_placer_preview(v->placer, &c);
-	struct endpoint_counts s = count_endpoints(v, &c);
 	uint32_t allowed = gyp_placer_allowance(v->placer, &c);
-	uint32_t suit = s.counts[GYP_MISFIT_NONE];
-	uint32_t full = suit - ranking->len;
+	uint32_t misfits[GYP_MISFITS], suit, full;
 	uint64_t free_tasks = gyp_ranking_total(ranking);
 	json_t *json;
 
+	gyp_capacity_index_count_misfits(v->capacities, &c, misfits);
+	suit = misfits[GYP_MISFIT_NONE];
+	full = suit - ranking->len;
 	gyp_ranking_keep_best(ranking, CANDIDATES_LISTED);
 	json = json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:s,s:o}", "step",
 	    (json_int_t)unit->step_number, "tasks",
@@ -215,11 +195,11 @@
 	    candidates_json(v, ranking));
 	json_object_set_new(json, "ruled_out",
 	    json_pack("{s:I,s:I,s:I,s:I,s:I}", "no_contact",
-		(json_int_t)s.counts[GYP_MISFIT_CONTACT], "failures",
-		(json_int_t)s.counts[GYP_MISFIT_FAILURES], "size",
-		(json_int_t)s.counts[GYP_MISFIT_SIZE], "label",
-		(json_int_t)s.counts[GYP_MISFIT_LABEL], "sharing",
-		(json_int_t)s.counts[GYP_MISFIT_SHARING]));
+		(json_int_t)misfits[GYP_MISFIT_CONTACT], "failures",
+		(json_int_t)misfits[GYP_MISFIT_FAILURES], "size",
+		(json_int_t)misfits[GYP_MISFIT_SIZE], "label",
+		(json_int_t)misfits[GYP_MISFIT_LABEL], "sharing",
+		(json_int_t)misfits[GYP_MISFIT_SHARING]));
 	add_run_time(v, &c, json);
 	g_array_free(ranking, TRUE);
 	return json;
--- a/src/capacity_index.c
+++ b/src/capacity_index.c
@@ -47,8 +47,8 @@
 
 /* ---- Computation -------------------------------------------------------- */
 
-static void
-compute_available(struct gyp_capacity *cap, const struct gyp_host *h)
+void
+gyp_capacity_set_tables(struct gyp_capacity *cap, const struct gyp_host *h)
 {
 	cap->available = h->capacity;
 	cap->available.slots = 0; /* flows use no slots */
@@ -71,7 +71,7 @@
 	cap->releasing = gyp_preempt_releasing(index->preempt, row);
 	if (gyp_fleet_usable(index->fleet, row) &&
 	    cap->state < GYP_RUN_STATS_PROBING)
-		compute_available(cap, gyp_host_at(index->flows, row));
+		gyp_capacity_set_tables(cap, gyp_host_at(index->flows, row));
 }
 
 /*
@@ -231,6 +231,22 @@
 	return gyp_capacity_misfit(cap, c) == GYP_MISFIT_NONE;
 }
 
+void
+gyp_capacity_index_count_misfits(const struct gyp_capacity_index *index,
+    const struct gyp_candidate *c, uint32_t counts[GYP_MISFITS])
+{
+	uint32_t row;
+
+	memset(counts, 0, GYP_MISFITS * sizeof(counts[0]));
+	for (row = 0; row < gyp_capacity_index_size(index); row++) {
+		const struct gyp_host *h = gyp_host_at(index->flows, row);
+
+		if (h != NULL && h->pool == c->flow->pool)
+			counts[gyp_capacity_misfit(
+			    gyp_capacity_index_at(index, row), c)]++;
+	}
+}
+
 /* Counts the open runs of the unit on the endpoint. */
 static uint32_t
 count_open_on(
--- a/src/capacity_index.h
+++ b/src/capacity_index.h
@@ -48,6 +48,12 @@
 	uint32_t rank; /* see gyp_flow_rank() */
 };
 
+/*
+ * Sets the host and what is available and runs there by the tables alone. The
+ * host stays NULL if more is booked than the endpoint has.
+ */
+void gyp_capacity_set_tables(struct gyp_capacity *, const struct gyp_host *);
+
 struct gyp_capacity_index;
 
 struct gyp_capacity_index *gyp_capacity_index_new(const struct gyp_flows *,
@@ -89,12 +95,17 @@
 	GYP_MISFIT_FAILURES, /* quarantined, or its probe is running */
 	GYP_MISFIT_SIZE,     /* too small even when empty */
 	GYP_MISFIT_LABEL,    /* lacks the label of the step */
-	GYP_MISFIT_SHARING   /* serving and filling tasks do not share one */
+	GYP_MISFIT_SHARING,  /* serving and filling tasks do not share one */
+	GYP_MISFITS          /* number of these values */
 };
 
 enum gyp_misfit gyp_capacity_misfit(
     const struct gyp_capacity *, const struct gyp_candidate *);
 
+/* Counts the endpoints of the flow's pool by enum gyp_misfit. */
+void gyp_capacity_index_count_misfits(const struct gyp_capacity_index *,
+    const struct gyp_candidate *, uint32_t counts[GYP_MISFITS]);
+
 /*
  * True when the endpoint may run tasks of the unit, regardless of how much of
  * its capacity is free now.
--- a/src/counters.h
+++ b/src/counters.h
@@ -29,6 +29,10 @@
  *	gyp_refused_total{reason}		requests refused by the API
  *	gyp_run_forecast_error_seconds{queue}	real minus forecast run time,
  *						without its sign
+ *	gyp_lasting_down			gauge, lasting tasks that have
+ *						not run for 1 s or longer
+ *	gyp_lasting_outage_seconds		end of a lasting task's run to
+ *						the confirmation of its next
  *	gyp_link_bytes_total{link,direction}	bytes, with length prefixes
  *	gyp_messages_total{link,direction}	frames
  *	gyp_links_refused_total			connections beyond a limit
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -492,6 +492,13 @@
 	return run != NULL ? &run->view : NULL;
 }
 
+bool
+gyp_fleet_run_is_running(const struct gyp_fleet_run *run)
+{
+	return run->phase == GYP_RUN_CONFIRMED && !run->end_proposed &&
+	       run->stop == GYP_STOP_NONE;
+}
+
 void
 gyp_fleet_each_run(const struct gyp_fleet *f, gyp_fleet_run_fn fn, void *arg)
 {
@@ -502,8 +509,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct gyp_fleet_run *run = value;
 
-		if (run->phase == GYP_RUN_CONFIRMED && !run->end_proposed &&
-		    run->stop == GYP_STOP_NONE)
+		if (gyp_fleet_run_is_running(run))
 			fn(arg, run->flow, run->key.index, run->row,
 			    &run->view);
 	}
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -191,6 +191,30 @@
 const struct gyp_run_view *gyp_fleet_run_view(
     const struct gyp_fleet *, uint64_t flow, uint32_t task);
 
+/* What a leader knows of an open run and its endpoint; for logs. */
+struct gyp_run_diagnosis {
+	const char *endpoint; /* valid until the next command */
+	const char *phase;    /* unsent, starting, confirmed or inherited */
+	const char *stop;     /* none, due, sent or confirmed */
+	const char *call;     /* of this run: none, due or pending */
+	const char *refused;  /* why its start was refused, or NULL */
+	bool running;         /* confirmed, neither stopped nor over */
+	bool began;           /* confirmed once, or of an earlier leader */
+	bool end_proposed;    /* its end is proposed, not committed */
+	uint32_t starts_sent;
+	uint64_t confirmed_at; /* first confirmation to this leader, or 0 */
+	/* Of the endpoint: */
+	uint64_t silent_ms; /* at most since the start of the term */
+	uint32_t failures;  /* consecutive calls without an answer */
+	bool departed;
+	uint64_t lease_left_ms;
+	int64_t restarted_ms_ago; /* -1 if this leader saw no restart */
+};
+
+/* False when the task has no open run. */
+bool gyp_fleet_run_diagnosis(const struct gyp_fleet *, uint64_t flow,
+    uint32_t task, struct gyp_run_diagnosis *);
+
 /* fn must not end runs. */
 void gyp_fleet_each_run(const struct gyp_fleet *, gyp_fleet_run_fn, void *arg);
 
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -222,11 +222,13 @@
 		gyp_fleet_confirm_run(f, run);
 		return;
 	}
-	if (a->end == GYP_FLEET_REFUSED)
+	if (a->end == GYP_FLEET_REFUSED) {
+		run->refused = reason_name(a->reason);
 		gyp_events_add(f->cfg.events, "start-refused",
 		    RUN_ID " reason=%s endpoint=%s starts_sent=%u",
-		    RUN_ARGS(run), reason_name(a->reason),
+		    RUN_ARGS(run), run->refused,
 		    gyp_fleet_endpoint_name(f, run->row), run->starts_sent);
+	}
 	if (a->reason == GYP_REASON_TICKET)
 		record_refused_ticket(f, run);
 	/* An earlier start that was lost may still be carried out. */
--- /dev/null
+++ b/src/fleet_diagnosis.c
@@ -0,0 +1,69 @@
+#include "fleet_int.h"
+
+static const char *
+phase_name(enum gyp_run_phase phase)
+{
+	static const char *const names[] = {[GYP_RUN_UNSENT] = "unsent",
+	    [GYP_RUN_STARTING] = "starting",
+	    [GYP_RUN_CONFIRMED] = "confirmed",
+	    [GYP_RUN_INHERITED] = "inherited"};
+
+	return names[phase];
+}
+
+static const char *
+stop_name(enum gyp_run_stop stop)
+{
+	static const char *const names[] = {[GYP_STOP_NONE] = "none",
+	    [GYP_STOP_DUE] = "due",
+	    [GYP_STOP_SENT] = "sent",
+	    [GYP_STOP_CONFIRMED] = "confirmed"};
+
+	return names[stop];
+}
+
+static const char *
+call_name(const struct gyp_fleet_run *run)
+{
+	if (run->start_pending || run->stop == GYP_STOP_SENT)
+		return "pending";
+	return run->retry_at != 0 ? "due" : "none";
+}
+
+static void
+diagnose_endpoint(const struct gyp_fleet *f,
+    const struct gyp_fleet_endpoint *endpoint, struct gyp_run_diagnosis *d)
+{
+	uint64_t expiry = gyp_fleet_endpoint_lease_expiry(f, endpoint);
+
+	d->endpoint = gyp_fleet_endpoint_name(f, endpoint->row);
+	d->silent_ms = gyp_fleet_endpoint_silence_ms(f, endpoint);
+	d->failures = endpoint->failures;
+	d->departed = endpoint->departed_at != 0;
+	d->lease_left_ms = expiry > f->now ? expiry - f->now : 0;
+	d->restarted_ms_ago = endpoint->restarted_at != 0
+				  ? (int64_t)(f->now - endpoint->restarted_at)
+				  : -1;
+}
+
+bool
+gyp_fleet_run_diagnosis(const struct gyp_fleet *f, uint64_t flow, uint32_t task,
+    struct gyp_run_diagnosis *d)
+{
+	struct gyp_flow_key key = {.flow = flow, .index = task};
+	const struct gyp_fleet_run *run = gyp_fleet_find_run(f, &key);
+
+	if (run == NULL)
+		return false;
+	diagnose_endpoint(f, f->endpoints->pdata[run->row], d);
+	d->phase = phase_name(run->phase);
+	d->stop = stop_name(run->stop);
+	d->call = call_name(run);
+	d->refused = run->refused;
+	d->running = gyp_fleet_run_is_running(run);
+	d->began = run->view.confirmed || run->phase == GYP_RUN_INHERITED;
+	d->end_proposed = run->end_proposed;
+	d->starts_sent = run->starts_sent;
+	d->confirmed_at = run->view.confirmed_at;
+	return true;
+}
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -10,6 +10,7 @@
  * DESCRIPTION
  *	fleet.c			runs, endpoints and the periodic sweep
  *	fleet_calls.c		calls and their answers
+ *	fleet_diagnosis.c	reports on single runs, for logs
  *	fleet_endpoint.c	clocks, leases and incarnations of endpoints
  *	fleet_poll.c		lists of runs and ends
  */
@@ -46,8 +47,9 @@
 	uint64_t stopped_at; /* when the stop was confirmed */
 	uint64_t retry_at;   /* when to send the call again; 0: not due */
 	uint32_t starts_sent;
-	bool start_pending; /* a start is under way */
-	bool end_proposed;  /* its end is proposed, not committed */
+	const char *refused; /* why its start was refused, or NULL */
+	bool start_pending;  /* a start is under way */
+	bool end_proposed;   /* its end is proposed, not committed */
 	char *ticket;
 	struct gyp_run_view view;
 };
@@ -143,6 +145,8 @@
     struct gyp_fleet *, uint32_t row);
 struct gyp_fleet_run *gyp_fleet_find_run(
     const struct gyp_fleet *, const struct gyp_flow_key *);
+/* True if it is confirmed and neither stopped nor over. */
+bool gyp_fleet_run_is_running(const struct gyp_fleet_run *);
 /* Queues the endpoint, so that the next tick sweeps it. */
 void gyp_fleet_mark_dirty(struct gyp_fleet *, struct gyp_fleet_endpoint *);
 /*
--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -2,6 +2,7 @@
 
 #include "admission.h"
 #include "flow_scheduler.h"
+#include "lasting_watch.h"
 #include "msg.h"
 #include "run_stats.h"
 #include "straggler.h"
@@ -12,9 +13,8 @@
 /* Interval of the load line in the log, in ms. */
 #define LOAD_LOG_MS 1000
 
-/* Interval of the forecasts in the log, in ms, and their number. */
-#define FORECAST_LOG_MS  5000
-#define FORECASTS_LOGGED 5
+/* Interval of the forecasts in the log, in ms. */
+#define FORECAST_LOG_MS 5000
 
 /* Interval of the straggler check, in ms. */
 #define STRAGGLER_CHECK_MS 150
@@ -39,6 +39,7 @@
 	struct gyp_admission *admission;
 	struct gyp_placer *placer;
 	struct gyp_run_stats *stats;
+	struct gyp_lasting_watch *lasting;
 	uint64_t check_at;
 	uint64_t load_log_at;
 	uint64_t forecast_log_at;
@@ -201,6 +202,7 @@
 	fs->logged_unit = NULL;
 	record_end(fs, flow, task, row, how);
 	log_end(fs, flow, task);
+	gyp_lasting_watch_ended(fs->lasting, fs->now, flow, task, how);
 	gyp_fleet_run_ended(fs->fleet, flow, task);
 	fs->round_at = 0;
 }
@@ -493,34 +495,6 @@
 	    last->over_cap, last->no_capacity, last->queried);
 }
 
-/* Logs the forecasts of the kinds with the most runs since the last time. */
-static void
-log_forecasts(struct gyp_flow_scheduler *fs)
-{
-	struct gyp_run_forecast_report reports[FORECASTS_LOGGED];
-	uint32_t i, n;
-
-	fs->forecast_log_at = fs->now + FORECAST_LOG_MS;
-	n = gyp_run_forecast_busiest(
-	    gyp_flows_forecast(fs->flows), reports, FORECASTS_LOGGED);
-	for (i = 0; i < n; i++) {
-		const struct gyp_run_forecast_report *r = &reports[i];
-		char *queue = gyp_event_name(r->queue);
-		char *workspace = gyp_event_name(r->workspace);
-		char *image = gyp_event_name(r->image);
-
-		gyp_events_add(fs->events, "run-forecast",
-		    "queue=%s workspace=%s image=%s runs=%" G_GUINT64_FORMAT
-		    " new_runs=%u median_ms=%" G_GUINT64_FORMAT
-		    " p90_ms=%" G_GUINT64_FORMAT " queue_error_percent=%u",
-		    queue, workspace, image, r->runs, r->new_runs, r->median_ms,
-		    r->p90_ms, r->error_percent);
-		g_free(queue);
-		g_free(workspace);
-		g_free(image);
-	}
-}
-
 /* Stops the runs that the placer preempts for more urgent work. */
 static void
 stop_preempted(struct gyp_flow_scheduler *fs)
@@ -550,8 +524,10 @@
 	free_slots = reclaim_slots(fs);
 	if (fs->now >= fs->load_log_at)
 		log_load(fs, free_slots);
-	if (fs->now >= fs->forecast_log_at)
-		log_forecasts(fs);
+	if (fs->now >= fs->forecast_log_at) {
+		fs->forecast_log_at = fs->now + FORECAST_LOG_MS;
+		gyp_run_forecast_log(gyp_flows_forecast(fs->flows), fs->events);
+	}
 	gyp_placer_round(fs->placer, fs->now, wall_ms, free_slots,
 	    g_hash_table_size(fs->slots), cmds, queries);
 	for (i = 0; i < cmds->len; i++)
@@ -575,6 +551,7 @@
 	report_refused_tickets(fs);
 	while ((cmd = gyp_fleet_pop_cmd(fs->fleet)) != NULL)
 		g_queue_push_tail(&fs->cmds, cmd);
+	gyp_lasting_watch_tick(fs->lasting, fs->now, wall_ms);
 	if (place && fs->now >= fs->round_at)
 		place_tasks(fs, wall_ms);
 }
@@ -639,6 +616,20 @@
 
 /* ---- Construction ------------------------------------------------------- */
 
+static struct gyp_lasting_watch *
+new_lasting_watch(const struct gyp_flow_scheduler *fs)
+{
+	const struct gyp_lasting_sources from = {.flows = fs->flows,
+	    .fleet = fs->fleet,
+	    .admission = fs->admission,
+	    .placer = fs->placer,
+	    .stats = fs->stats,
+	    .events = fs->events,
+	    .counters = fs->counters};
+
+	return gyp_lasting_watch_new(&from, fs->now);
+}
+
 struct gyp_flow_scheduler *
 gyp_flow_scheduler_new(const struct gyp_fleet_config *cfg,
     struct gyp_flows *flows, uint64_t now, uint64_t fence)
@@ -662,6 +653,7 @@
 	fs->queue_counts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fs->placer = gyp_placer_new(flows, fs->fleet, fs->admission, fs->stats);
+	fs->lasting = new_lasting_watch(fs);
 	fs->pools = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	fs->slots =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -685,6 +677,7 @@
 		gyp_message_free(query);
 	g_hash_table_destroy(fs->slots);
 	g_hash_table_destroy(fs->pools);
+	gyp_lasting_watch_free(fs->lasting);
 	gyp_placer_free(fs->placer);
 	gyp_admission_free(fs->admission);
 	gyp_run_stats_free(fs->stats);
--- a/src/run_forecast.h
+++ b/src/run_forecast.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "event.h"
 #include "flow.h"
 
 /*
@@ -105,6 +106,9 @@
 uint32_t gyp_run_forecast_busiest(
     struct gyp_run_forecast *, struct gyp_run_forecast_report *, uint32_t n);
 
+/* Logs the kinds with the most runs since the previous report. */
+void gyp_run_forecast_log(struct gyp_run_forecast *, struct gyp_events *);
+
 /* Save returns NULL if nothing is known; restore accepts NULL. */
 Gyp__SnapForecast *gyp_run_forecast_save(const struct gyp_run_forecast *);
 void gyp_run_forecast_restore(
--- a/src/run_forecast_int.h
+++ b/src/run_forecast_int.h
@@ -12,6 +12,7 @@
  *
  * DESCRIPTION
  *	run_forecast.c		learning and forecasts
+ *	run_forecast_log.c	reports in the log
  *	run_forecast_save.c	snapshots
  */
 
