--- a/src/lasting_watch.c
+++ b/src/lasting_watch.c
@@ -56,6 +56,7 @@
 	uint32_t n_down;  /* tasks down for GYP_LASTING_LOGGED_MS */
 	GHashTable *down; /* key -> struct down_task */
 	GArray *overdue;  /* struct overdue_task, of the current scan */
+	const struct gyp_capacity_index *capacities; /* of the current scan */
 };
 
 /* ---- Tasks that are down ------------------------------------------------ */
@@ -209,13 +210,11 @@
 {
 	const struct gyp_admission_unit *u =
 	    gyp_admission_unit(w->from.admission, c->flow, c->unit);
-	const struct gyp_capacity_index *index =
-	    gyp_placer_begin_preview(w->from.placer, w->now);
 	GArray *ranking = gyp_placer_preview(w->from.placer, c);
 	uint32_t misfits[GYP_MISFITS];
 	guint i;
 
-	gyp_capacity_index_count_misfits(index, c, misfits);
+	gyp_capacity_index_count_misfits(w->capacities, c, misfits);
 	n->suits = misfits[GYP_MISFIT_NONE];
 	n->fits = ranking->len;
 	for (i = 0; i < ranking->len; i++) {
@@ -277,6 +276,23 @@
 	    run->restarted_ms_ago, left_out);
 }
 
+static void
+log_task(const struct gyp_lasting_watch *w, const struct overdue_task *o,
+    guint left_out)
+{
+	uint32_t task = o->down->key.index;
+	struct gyp_run_diagnosis run;
+
+	if (gyp_fleet_run_diagnosis(w->from.fleet, o->flow->id, task, &run))
+		log_open(w, o, &run, left_out);
+	else if (o->flow->tasks[task].state == GYP_FLOW_TASK_WAITING)
+		log_waiting(w, o, left_out);
+	else /* An inconsistency: the fleet has each open run. */
+		gyp_events_add(w->from.events, "lasting-down",
+		    TASK_ID " " DOWN " state=open phase=none left_out=%u",
+		    TASK_ARGS(o->down), DOWN_ARGS(w, o), left_out);
+}
+
 static uint64_t
 next_line_ms(uint64_t for_ms)
 {
@@ -309,18 +325,16 @@
 {
 	guint lines = MIN(w->overdue->len, GYP_LASTING_LINES_MAX), i;
 
+	if (lines == 0)
+		return;
+	w->capacities = gyp_placer_begin_preview(w->from.placer, w->now);
 	g_array_sort(w->overdue, by_since);
 	for (i = 0; i < lines; i++) {
 		const struct overdue_task *o =
 		    &g_array_index(w->overdue, struct overdue_task, i);
-		struct gyp_run_diagnosis run;
 
 		o->down->next_line_ms = next_line_ms(w->now - o->down->since);
-		if (gyp_fleet_run_diagnosis(w->from.fleet, o->down->key.flow,
-			o->down->key.index, &run))
-			log_open(w, o, &run, w->overdue->len - lines);
-		else
-			log_waiting(w, o, w->overdue->len - lines);
+		log_task(w, o, w->overdue->len - lines);
 	}
 }
 
