test_lasting_placement: lasting tasks that wait although there is room

Five of the six tests fail on this code. After a disturbance has ended, a lasting task must run within 7 s. Output of build/asan, each test run with -p:

simultaneous-failures: assertion failed (wait_for_open(&f, 1, 1, 60000) <= QUIET_MS + ROOM_MS): (18300 <= 7000) failed-probes: assertion failed (wait_for_open(&f, 1, 1, 60000) <= QUIET_MS + ROOM_MS): (10600 <= 7000) lasting-probe: assertion failed (wait_for_open(&f, 1, 3, 60000) <= QUIET_MS + ROOM_MS): (60000 <= 7000) many-failures-of-task: ok query-finds-memory: assertion failed (f.queries->len == 1): (0 == 1) query-after-failed-entry: assertion failed (failed == 1): (5 == 1)

--- /dev/null
+++ b/test/test_lasting_placement.c
@@ -0,0 +1,296 @@
+#include <glib.h>
+
+#include "flow_scheduler.h"
+#include "placer_fixture.h"
+
+/*
+ * Guards against lasting tasks that wait although endpoints have room for them.
+ * After a disturbance has ended, a lasting task must run within QUIET_MS +
+ * ROOM_MS. Endpoints have 10 processors and 10 GiB.
+ */
+
+/* Time without disturbance, and time with room, after which it must run. */
+#define QUIET_MS 4000
+#define ROOM_MS  3000
+
+/* Time between two rounds, in ms. */
+#define ROUND_MS 50
+
+#define GIBIBYTE (1024ULL * 1024 * 1024)
+
+static Gyp__FlowStep
+lasting_step(uint32_t count)
+{
+	Gyp__FlowStep step = flow_fixture_step(count);
+
+	step.lasting = true;
+	return step;
+}
+
+/* Advances the time of the tables and keeps all endpoints in contact. */
+static void
+advance(struct placer_fixture *f, uint64_t ms)
+{
+	uint32_t row;
+
+	f->base.now += ms;
+	for (row = 0; row < gyp_hosts_size(f->base.flows); row++)
+		gyp_fleet_heartbeat(
+		    f->base.fleet, f->base.now, row, 1, f->base.now);
+}
+
+/*
+ * Runs rounds until the flow has that many open tasks or the time is over.
+ * Returns the time taken; what starts is committed at once.
+ */
+static uint64_t
+wait_for_open(
+    struct placer_fixture *f, uint64_t flow, uint32_t open, uint64_t max_ms)
+{
+	uint64_t begin = f->base.now;
+	guint i, k;
+
+	while (f->base.now < begin + max_ms) {
+		placer_fixture_run_round(f, PLACER_QUERY_SLOTS);
+		placer_fixture_apply(f);
+		for (i = 0; i < f->cmds->len; i++) {
+			const Gyp__CmdFlowStart *s = placer_fixture_start(f, i);
+
+			for (k = 0; k < s->n_runs; k++)
+				gyp_run_stats_started(
+				    f->stats, s->runs[k]->host, f->base.now);
+		}
+		if (gyp_flow_get(f->base.flows, flow)->open >= open)
+			break;
+		advance(f, ROUND_MS);
+	}
+	return f->base.now - begin;
+}
+
+/* ---- Endpoints that failed ---------------------------------------------- */
+
+/*
+ * Two endpoints fail all 14 runs that they have at once, then recover. The sum
+ * of failures must not keep them without a probe until long after.
+ */
+static void
+test_simultaneous_failures(void)
+{
+	struct placer_fixture f;
+	uint32_t row, task;
+
+	placer_fixture_init(&f, 2);
+	for (row = 0; row < 2; row++) {
+		for (task = 0; task < 14; task++)
+			gyp_run_stats_failed(
+			    f.stats, 100 + row * 14 + task, 0, row, f.base.now);
+	}
+	placer_fixture_submit(&f, 1, 1, lasting_step(1));
+	g_assert_cmpuint(
+	    wait_for_open(&f, 1, 1, 60000), <=, QUIET_MS + ROOM_MS);
+	placer_fixture_clear(&f);
+}
+
+/*
+ * Two endpoints fail their probes for a minute, then recover. The next probe
+ * must not be put off until long after.
+ */
+static void
+test_failed_probes(void)
+{
+	struct placer_fixture f;
+	uint32_t row, i;
+
+	placer_fixture_init(&f, 2);
+	for (i = 0; i < 60000 / ROUND_MS; i++) {
+		for (row = 0; row < 2; row++) {
+			if (gyp_run_stats_state(f.stats, row, f.base.now) <
+			    GYP_RUN_STATS_PROBING)
+				gyp_run_stats_failed(
+				    f.stats, 100 + i, row, row, f.base.now);
+		}
+		advance(&f, ROUND_MS);
+	}
+	placer_fixture_submit(&f, 1, 1, lasting_step(1));
+	g_assert_cmpuint(
+	    wait_for_open(&f, 1, 1, 60000), <=, QUIET_MS + ROOM_MS);
+	placer_fixture_clear(&f);
+}
+
+/*
+ * After a quarantine the probe of an endpoint is a lasting task, which does not
+ * end. The endpoint must not stay closed to all other tasks.
+ */
+static void
+test_lasting_probe(void)
+{
+	struct placer_fixture f;
+	uint32_t row, task;
+
+	placer_fixture_init(&f, 2);
+	for (row = 0; row < 2; row++) {
+		for (task = 0; task < GYP_RUN_STATS_FAILURES; task++)
+			gyp_run_stats_failed(
+			    f.stats, 100 + row, task, row, f.base.now);
+	}
+	advance(&f, GYP_RUN_STATS_QUARANTINE_MS);
+	placer_fixture_submit(&f, 1, 1, lasting_step(3));
+	g_assert_cmpuint(
+	    wait_for_open(&f, 1, 2, 60000), <=, QUIET_MS + ROOM_MS);
+	g_assert_cmpuint(
+	    wait_for_open(&f, 1, 3, 60000), <=, QUIET_MS + ROOM_MS);
+	placer_fixture_clear(&f);
+}
+
+/*
+ * A lasting task that has failed often waits, after its next failure, only for
+ * a limited time for an endpoint without failures.
+ */
+static void
+test_many_failures_of_task(void)
+{
+	struct placer_fixture f;
+	uint32_t row;
+
+	placer_fixture_init(&f, 4);
+	placer_fixture_submit(&f, 1, 1, lasting_step(1));
+	gyp_flow_get(f.base.flows, 1)->tasks[0].failures = 50;
+	for (row = 0; row < 4; row++)
+		gyp_run_stats_failed(f.stats, 1, 0, row, f.base.now);
+	g_assert_cmpuint(wait_for_open(&f, 1, 1, 60000), <=, ROOM_MS);
+	placer_fixture_clear(&f);
+}
+
+/* ---- Queries ------------------------------------------------------------ */
+
+/*
+ * Most endpoints have free processors, but no memory; two that have less free
+ * processors have the memory. The query must name these two.
+ */
+static void
+test_query_finds_memory(void)
+{
+	static const guint n_full = 210, n = 212;
+	struct placer_fixture f;
+	Gyp__Res big = GYP__RES__INIT, half = GYP__RES__INIT;
+	Gyp__FlowStep memory_only = flow_fixture_step(n_full);
+	Gyp__FlowStep cpu_only = flow_fixture_step(n - n_full);
+	guint i;
+
+	big.cpu_milli = 100;
+	big.memory = 10 * GIBIBYTE;
+	half.cpu_milli = 5000;
+	memory_only.size = &big;
+	cpu_only.size = &half;
+	placer_fixture_init(&f, n);
+	placer_fixture_submit(&f, 1, 2, memory_only);
+	placer_fixture_submit(&f, 2, 2, cpu_only);
+	for (i = 0; i < n_full; i++)
+		flow_fixture_start(&f.base, 1, i, i, 1, i);
+	for (i = n_full; i < n; i++)
+		flow_fixture_start(&f.base, 2, i - n_full, i - n_full, 1, i);
+	placer_fixture_submit(&f, 3, 1, lasting_step(1));
+	placer_fixture_set_queue(&f, 3, 1, true, 585, 8.45);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.queries->len, ==, 1);
+	placer_fixture_clear(&f);
+}
+
+/* Waits for the next query; returns it and the entry that carries it. */
+static Gyp__Ask *
+next_query(struct gyp_flow_scheduler *fs, uint64_t *now, guint entries,
+    uint64_t *entry)
+{
+	Gyp__Ask *query;
+	guint i, k;
+
+	for (i = 0; i < 100; i++) {
+		*now += ROUND_MS;
+		for (k = 1; k <= entries; k++)
+			gyp_flow_scheduler_offer_entry(fs, *now, k);
+		gyp_fleet_heartbeat(
+		    gyp_flow_scheduler_fleet(fs), *now, 0, 1, *now);
+		gyp_flow_scheduler_round(fs, *now, 0, true);
+		query = gyp_flow_scheduler_pop_query(fs, entry);
+		if (query != NULL)
+			return query;
+	}
+	return NULL;
+}
+
+/* Answers the first poll of the only endpoint. */
+static void
+contact(struct gyp_flow_scheduler *fs, uint64_t now)
+{
+	struct gyp_fleet_call *call;
+
+	gyp_flow_scheduler_round(fs, now, 0, false);
+	while ((call = gyp_flow_scheduler_pop_call(fs)) != NULL) {
+		struct gyp_fleet_answer a = {.call = call->id,
+		    .end = GYP_FLEET_OK,
+		    .has_clock = true,
+		    .clock_ms = now,
+		    .incarnation_start_ms = 1};
+
+		gyp_flow_scheduler_call_answered(fs, now, &a);
+		gyp_fleet_call_free(call);
+	}
+}
+
+/*
+ * The queries of one entry fail, for instance because it does not reach the
+ * admission service. The next query about the task must use another entry.
+ */
+static void
+test_query_after_failed_entry(void)
+{
+	struct gyp_fleet_config cfg = {
+	    .lease_ms = FLOW_FIXTURE_LEASE_MS, .stop_grace_ms = 400};
+	Gyp__FlowStep step = lasting_step(1);
+	struct gyp_flow_scheduler *fs;
+	struct flow_fixture f;
+	Gyp__FlowQueue *queue;
+	uint64_t failing = 0, entry;
+	guint i, failed = 0;
+
+	flow_fixture_init(&f);
+	flow_fixture_add_host(&f, "e0", 1);
+	queue = flow_fixture_submit(&f, 1, &step, 1)->spec->queue;
+	queue->admission = true;
+	queue->admission_ms = 585;
+	queue->admission_each_ms = 8.45;
+	fs = gyp_flow_scheduler_new(&cfg, f.flows, f.now, 1);
+	contact(fs, f.now);
+	for (i = 0; i < 5; i++) {
+		Gyp__Ask *query = next_query(fs, &f.now, 5, &entry);
+		Gyp__Advised answer = GYP__ADVISED__INIT;
+
+		g_assert_nonnull(query);
+		if (failing == 0)
+			failing = entry;
+		failed += entry == failing;
+		answer.id = query->id;
+		gyp_flow_scheduler_query_answered(fs, f.now, entry, &answer);
+		gyp__ask__free_unpacked(query, NULL);
+	}
+	gyp_flow_scheduler_free(fs);
+	flow_fixture_clear(&f);
+	g_assert_cmpuint(failed, ==, 1);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/lasting-placement/simultaneous-failures",
+	    test_simultaneous_failures);
+	g_test_add_func("/lasting-placement/failed-probes", test_failed_probes);
+	g_test_add_func("/lasting-placement/lasting-probe", test_lasting_probe);
+	g_test_add_func("/lasting-placement/many-failures-of-task",
+	    test_many_failures_of_task);
+	g_test_add_func(
+	    "/lasting-placement/query-finds-memory", test_query_finds_memory);
+	g_test_add_func("/lasting-placement/query-after-failed-entry",
+	    test_query_after_failed_entry);
+	return g_test_run();
+}
