cusum: a sum stays bad for at most 4 s after the latest failure

Each failure raised the sum without bound, so that 14 runs that failed at once kept their endpoint out of use, without a probe, for 18.3 s (test_lasting_placement, simultaneous-failures: 18300 ms; it passes now). test_run_stats, test_placer and test_mixed_load pass.

--- a/src/cusum.c
+++ b/src/cusum.c
@@ -26,6 +26,14 @@
 	return s->value * exp2(-(double)(now - s->at) / GYP_CUSUM_HALF_LIFE_MS);
 }
 
+/* The sum that decays to GYP_CUSUM_BAD within GYP_CUSUM_BAD_MAX_MS. */
+static double
+max_sum(void)
+{
+	return GYP_CUSUM_BAD *
+	       exp2((double)GYP_CUSUM_BAD_MAX_MS / GYP_CUSUM_HALF_LIFE_MS);
+}
+
 double
 gyp_cusum_add(struct gyp_cusum *c, uint32_t row, bool failed, uint64_t now)
 {
@@ -38,7 +46,7 @@
 	if (row >= c->rows->len)
 		g_array_set_size(c->rows, row + 1);
 	s = &g_array_index(c->rows, struct sum, row);
-	s->value = MAX(0, decayed(s, now) + step);
+	s->value = CLAMP(decayed(s, now) + step, 0, max_sum());
 	s->mixed = s->value > 0 && (s->mixed || !failed);
 	s->at = now;
 	return s->value;
--- a/src/cusum.h
+++ b/src/cusum.h
@@ -24,6 +24,13 @@
 /* Half-life of a sum, in ms. */
 #define GYP_CUSUM_HALF_LIFE_MS 8000
 
+/*
+ * Longest time for which a sum stays bad after the latest failure, in ms. All
+ * runs of an endpoint may fail at once; without this bound, 14 such failures
+ * kept it from all work for 18 s.
+ */
+#define GYP_CUSUM_BAD_MAX_MS 4000
+
 struct gyp_cusum;
 
 struct gyp_cusum *gyp_cusum_new(void);
