run_stats: a probe that has not failed for 2 s opens its endpoint

A lasting task does not end as done. As the probe of an endpoint after a quarantine it kept the endpoint closed to all other tasks for as long as it ran (test_lasting_placement, lasting-probe: 60000 ms, the end of the test; it passes now). test_run_stats, test_placer and test_mixed_load pass.

--- a/src/run_stats.c
+++ b/src/run_stats.c
@@ -50,7 +50,7 @@
 };
 
 struct gyp_run_stats {
-	GArray *probes; /* uint32_t by row: probes in progress, at most 1 */
+	GArray *probes; /* uint64_t by row: start of the probe, 0: none */
 	struct gyp_health *task_health; /* its jobs are tasks, see task_key() */
 	struct gyp_health *flow_health; /* its jobs are flows */
 	struct gyp_cusum *cusum;
@@ -81,25 +81,25 @@
 	return &g_array_index(rs->slowdowns, double, row);
 }
 
-static uint32_t *
-probes_at(struct gyp_run_stats *rs, uint32_t row)
+static uint64_t *
+probe_at(struct gyp_run_stats *rs, uint32_t row)
 {
 	if (row >= rs->probes->len)
 		g_array_set_size(rs->probes, row + 1);
-	return &g_array_index(rs->probes, uint32_t, row);
+	return &g_array_index(rs->probes, uint64_t, row);
 }
 
 void
 gyp_run_stats_started(struct gyp_run_stats *rs, uint32_t row, uint64_t now)
 {
 	if (gyp_run_stats_state(rs, row, now) == GYP_RUN_STATS_PROBE_DUE)
-		*probes_at(rs, row) += 1;
+		*probe_at(rs, row) = now;
 }
 
 void
 gyp_run_stats_ended(struct gyp_run_stats *rs, uint32_t row)
 {
-	*probes_at(rs, row) = 0;
+	*probe_at(rs, row) = 0;
 }
 
 void
@@ -166,6 +166,19 @@
 	return true;
 }
 
+static enum gyp_run_stats_state
+probation_state(const struct gyp_run_stats *rs, uint32_t row, uint64_t now)
+{
+	uint64_t probe = row < rs->probes->len
+			     ? g_array_index(rs->probes, uint64_t, row)
+			     : 0;
+
+	if (probe == 0)
+		return GYP_RUN_STATS_PROBE_DUE;
+	return now < probe + GYP_RUN_STATS_PROBE_MS ? GYP_RUN_STATS_PROBING
+						    : GYP_RUN_STATS_SUSPECT;
+}
+
 enum gyp_run_stats_state
 gyp_run_stats_state(const struct gyp_run_stats *rs, uint32_t row, uint64_t now)
 {
@@ -178,10 +191,7 @@
 	    (!clear && !gyp_health_may_probe(rs->task_health, row, now)))
 		return GYP_RUN_STATS_BLOCKED;
 	if (gyp_health_on_probation(rs->task_health, row))
-		return row < rs->probes->len &&
-			       g_array_index(rs->probes, uint32_t, row) > 0
-			   ? GYP_RUN_STATS_PROBING
-			   : GYP_RUN_STATS_PROBE_DUE;
+		return probation_state(rs, row, now);
 	return GYP_RUN_STATS_SUSPECT;
 }
 
@@ -360,7 +370,7 @@
 	rs->estimates =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rs->slowdowns = g_array_new(FALSE, FALSE, sizeof(double));
-	rs->probes = g_array_new(FALSE, TRUE, sizeof(uint32_t));
+	rs->probes = g_array_new(FALSE, TRUE, sizeof(uint64_t));
 	return rs;
 }
 
--- a/src/run_stats.h
+++ b/src/run_stats.h
@@ -17,8 +17,9 @@
  *	as in health.h: a few tasks that fail at an endpoint without a success
  *	in between put it into quarantine; a task that fails at several
  *	endpoints where others succeed is itself at fault. After a quarantine
- *	the endpoint gets one run at a time until one succeeds. Endpoints that
- *	fail part of their runs, see cusum.h, are avoided too.
+ *	the endpoint gets one run at a time until one succeeds or has not failed
+ *	for a while. Endpoints that fail part of their runs, see cusum.h, are
+ *	avoided too.
  *
  *	An endpoint's slowdown is a moving mean of the run time of its tasks
  *	divided by the usual run time of their step: 1 is as usual, more is
@@ -36,6 +37,13 @@
 #define GYP_RUN_STATS_WINDOW_MS     5000
 #define GYP_RUN_STATS_QUARANTINE_MS 1500
 
+/*
+ * A probe that has not failed after this long, in ms, opens the endpoint to
+ * other runs, although the next failure still puts it into quarantine: a
+ * lasting task never ends as done.
+ */
+#define GYP_RUN_STATS_PROBE_MS 2000
+
 struct gyp_run_stats;
 
 struct gyp_run_stats *gyp_run_stats_new(void);
