run_stats: no quarantine is longer than 4 s

Failed probes doubled the quarantine up to 24 s, so that an endpoint that had recovered stayed without a probe (test_lasting_placement, failed-probes: 10600 ms; it passes now). test_run_stats, test_placer, test_mixed_load and test_policy pass.

--- a/src/health.c
+++ b/src/health.c
@@ -237,6 +237,14 @@
 	return count >= MIN(limits->failures, GYP_HEALTH_FAILURES_MAX);
 }
 
+static uint64_t
+quarantine_ms(const struct gyp_health_limits *limits, uint32_t backoff)
+{
+	uint64_t ms = (uint64_t)limits->for_ms * backoff;
+
+	return limits->for_max_ms != 0 ? MIN(ms, limits->for_max_ms) : ms;
+}
+
 void
 gyp_health_quarantine(struct gyp_health *h, uint64_t endpoint,
     const struct gyp_health_limits *limits, uint64_t now)
@@ -245,7 +253,7 @@
 
 	if (e->probation)
 		e->backoff = MIN(e->backoff * 2, GYP_HEALTH_BACKOFF_MAX);
-	e->quarantine_until = now + (uint64_t)limits->for_ms * e->backoff;
+	e->quarantine_until = now + quarantine_ms(limits, e->backoff);
 	e->probation = true;
 	e->n_recent = 0;
 }
--- a/src/health.h
+++ b/src/health.h
@@ -31,9 +31,10 @@
 #define GYP_HEALTH_BACKOFF_MAX 16
 
 struct gyp_health_limits {
-	uint32_t failures;  /* of this many jobs make an endpoint faulty */
-	uint32_t within_ms; /* age up to which failures count */
-	uint32_t for_ms;    /* length of a first quarantine */
+	uint32_t failures;   /* of this many jobs make an endpoint faulty */
+	uint32_t within_ms;  /* age up to which failures count */
+	uint32_t for_ms;     /* length of a first quarantine */
+	uint32_t for_max_ms; /* longest quarantine, 0 for no such limit */
 };
 
 struct gyp_health;
--- a/src/policy_faults.c
+++ b/src/policy_faults.c
@@ -43,6 +43,7 @@
 	limits.failures = rule->u.quarantine.failures;
 	limits.within_ms = rule->u.quarantine.within_ms;
 	limits.for_ms = rule->u.quarantine.for_ms;
+	limits.for_max_ms = 0;
 	for (i = 0; i < index_size(p->index); i++) {
 		struct endpoint_view *view = index_at(p->index, i);
 
--- a/src/run_stats.c
+++ b/src/run_stats.c
@@ -62,7 +62,8 @@
 static const struct gyp_health_limits limits = {
     .failures = GYP_RUN_STATS_FAILURES,
     .within_ms = GYP_RUN_STATS_WINDOW_MS,
-    .for_ms = GYP_RUN_STATS_QUARANTINE_MS};
+    .for_ms = GYP_RUN_STATS_QUARANTINE_MS,
+    .for_max_ms = GYP_RUN_STATS_QUARANTINE_MAX_MS};
 
 /* Combines flow and task number, since failures are attributed to tasks. */
 static uint64_t
--- a/src/run_stats.h
+++ b/src/run_stats.h
@@ -37,6 +37,13 @@
 #define GYP_RUN_STATS_WINDOW_MS     5000
 #define GYP_RUN_STATS_QUARANTINE_MS 1500
 
+/*
+ * Longest quarantine, after probes that failed, in ms. In a full service the
+ * endpoints with room are those in quarantine, so an endpoint that has
+ * recovered must soon be probed.
+ */
+#define GYP_RUN_STATS_QUARANTINE_MAX_MS 4000
+
 /*
  * A probe that has not failed after this long, in ms, opens the endpoint to
  * other runs, although the next failure still puts it into quarantine: a
