flow_scheduler: entries whose queries fail are used last

The next query went to the first free entry. An entry that does not reach the admission service is free again first and got the next query about the same unit each time (test_lasting_placement, query-after-failed-entry: 5 of 5; it passes now). test_placer, test_mixed_load and test_quotas pass.

--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -28,6 +28,7 @@
 	uint64_t offered_at;
 	uint64_t query_id; /* 0 if the slot is free */
 	uint64_t queried_at;
+	uint32_t failures; /* failed queries since the last answer */
 };
 
 struct gyp_flow_scheduler {
@@ -264,6 +265,7 @@
 			fs->now >= slot->queried_at + QUERY_TIMEOUT_MS)) {
 			gyp_admission_drop_query(fs->admission, slot->query_id);
 			slot->query_id = 0;
+			slot->failures++;
 		}
 		if (!offered)
 			g_hash_table_iter_remove(&iter);
@@ -273,24 +275,56 @@
 	return n;
 }
 
-static void
-send_queries(struct gyp_flow_scheduler *fs, GPtrArray *queries)
+static gint
+by_failures(gconstpointer a, gconstpointer b)
 {
+	const struct query_slot *x = *(const struct query_slot *const *)a;
+	const struct query_slot *y = *(const struct query_slot *const *)b;
+
+	if (x->failures != y->failures)
+		return x->failures < y->failures ? -1 : 1;
+	if (x->queried_at != y->queried_at)
+		return x->queried_at < y->queried_at ? -1 : 1;
+	return x->entry < y->entry ? -1 : x->entry > y->entry;
+}
+
+/*
+ * Returns the free slots, those of entries whose queries fail last. An entry
+ * that does not reach the admission service is free again soonest, and would
+ * otherwise get the next query about the same unit each time.
+ */
+static GPtrArray *
+rank_free_slots(const struct gyp_flow_scheduler *fs)
+{
+	GPtrArray *slots = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
-	guint i = 0;
 
 	g_hash_table_iter_init(&iter, fs->slots);
-	while (
-	    i < queries->len && g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct query_slot *slot = value;
-		struct sent_query *sent;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((struct query_slot *)value)->query_id == 0)
+			g_ptr_array_add(slots, value);
+	}
+	g_ptr_array_sort(slots, by_failures);
+	return slots;
+}
+
+static void
+send_queries(struct gyp_flow_scheduler *fs, GPtrArray *queries)
+{
+	GPtrArray *slots;
+	guint i;
+
+	if (queries->len == 0)
+		return;
+	slots = rank_free_slots(fs);
+	g_assert(queries->len <= slots->len);
+	for (i = 0; i < queries->len; i++) {
+		struct query_slot *slot = slots->pdata[i];
+		struct sent_query *sent = g_new0(struct sent_query, 1);
 
-		if (slot->query_id != 0)
-			continue;
-		sent = g_new0(struct sent_query, 1);
 		sent->entry = slot->entry;
-		sent->query = queries->pdata[i++];
+		sent->query = queries->pdata[i];
 		slot->query_id = sent->query->id;
 		gyp_events_add(fs->events, "asked",
 		    "ask=%" G_GUINT64_FORMAT " flow=%016" G_GINT64_MODIFIER
@@ -300,7 +334,7 @@
 		slot->queried_at = fs->now;
 		g_queue_push_tail(&fs->queries, sent);
 	}
-	g_assert(i == queries->len);
+	g_ptr_array_free(slots, TRUE);
 }
 
 void
@@ -315,8 +349,10 @@
 	    "took_ms=%" G_GUINT64_FORMAT,
 	    answer->id, answer->ok, answer->n_tickets, answer->valid_ms,
 	    slot != NULL ? fs->now - slot->queried_at : 0);
-	if (slot != NULL && slot->query_id == answer->id)
+	if (slot != NULL && slot->query_id == answer->id) {
 		slot->query_id = 0;
+		slot->failures = answer->ok ? 0 : slot->failures + 1;
+	}
 	gyp_admission_record_answer(fs->admission, fs->now, answer);
 	fs->round_at = 0;
 }
