admission_query: endpoints without room do not use up the comparisons

With 200 endpoints that have free CPU but no memory, those with less free CPU that have room were not compared, and no query was sent (test_lasting_placement, query-finds-memory: 0 queries; it passes now). test_placer, test_mixed_load and test_quotas pass.

--- a/src/admission_query.c
+++ b/src/admission_query.c
@@ -14,8 +14,10 @@
 #define PAUSE_MS 40
 
 /*
- * Most endpoints compared for one query, unless tasks are packed: endpoints
- * come in descending order of free CPU, so the best are among these.
+ * Most endpoints with room compared for one query, unless tasks are packed:
+ * endpoints come in descending order of free CPU, so the best are among these.
+ * Those with free CPU that lack memory, for instance, are not counted: where
+ * memory is scarce, they come before all that have room.
  */
 #define COMPARISONS_MAX (2 * QUERY_ENDPOINTS_MAX)
 
@@ -94,7 +96,7 @@
 	GArray *ranking = gyp_ranking_new();
 	const struct gyp_admission_unit *answers =
 	    gyp_admission_unit(a, c->flow, c->unit);
-	bool any_available = false;
+	guint available = 0;
 	uint32_t row;
 	guint i;
 
@@ -102,16 +104,16 @@
 		bool may_fit = gyp_capacity_index_nth(
 		    capacities, i, c->unit->size.cpu_milli, &row);
 
-		if (!may_fit && (!any_available || ranking->len >= cheap_count))
+		if (!may_fit && (available == 0 || ranking->len >= cheap_count))
 			break;
-		if (ranking->len >= COMPARISONS_MAX && !gyp_candidate_packs(c))
+		if (available >= COMPARISONS_MAX && !gyp_candidate_packs(c))
 			break;
-		any_available |= add_if_unanswered(ranking, a,
+		available += add_if_unanswered(ranking, a,
 		    gyp_capacity_index_at(capacities, row), row,
 		    gyp_admission_state(a, answers, row, now), c);
 	}
 	gyp_capacity_index_add_comparisons(capacities, i);
-	gyp_ranking_keep_best(ranking, any_available ? QUERY_ENDPOINTS_MAX : 0);
+	gyp_ranking_keep_best(ranking, available > 0 ? QUERY_ENDPOINTS_MAX : 0);
 	return ranking;
 }
 
