test_lasting_placement: seeded load of urgent, lasting and batch work

A model of a full pool with an admission service, in virtual time. GYP_SEED, GYP_LOAD, GYP_WATCH, GYP_GONE, GYP_FAILING and GYP_SECONDS change it. Trials with more load still find lasting tasks that wait 3 s and longer while two endpoints have room, also without a disturbance; not explained yet.

--- a/test/test_lasting_placement.c
+++ b/test/test_lasting_placement.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 
 #include "flow_scheduler.h"
+#include "lasting_load.h"
 #include "placer_fixture.h"
 
 /*
@@ -278,6 +279,73 @@
 	g_assert_cmpuint(failed, ==, 1);
 }
 
+/* ---- Load ---------------------------------------------------------------- */
+
+static uint64_t
+setting(const char *name, uint64_t usual)
+{
+	const char *value = g_getenv(name);
+
+	return value != NULL ? g_ascii_strtoull(value, NULL, 10) : usual;
+}
+
+static void
+run_load(struct lasting_load_config *cfg)
+{
+	struct lasting_load_result r;
+
+	cfg->seed = (uint32_t)setting("GYP_SEED", 1);
+	cfg->endpoints = (uint32_t)setting("GYP_ENDPOINTS", 350);
+	cfg->entries = 38;
+	cfg->watch_flows = (uint32_t)setting("GYP_WATCH", 10);
+	cfg->load = (double)setting("GYP_LOAD", 75) / 100;
+	cfg->duration_ms = setting("GYP_SECONDS", 25) * 1000;
+	r = lasting_load_run(cfg);
+	g_print("# seed %u waits %u longest %" G_GUINT64_FORMAT
+		" ms, with room %" G_GUINT64_FORMAT
+		" ms, with the same two %" G_GUINT64_FORMAT
+		" ms, broken %u, refused starts %u, used %u %%\n",
+	    cfg->seed, r.waits, r.longest_ms, r.longest_room_ms,
+	    r.longest_two_ms, r.broken, r.refused_starts, r.used_percent);
+	g_assert_cmpuint(r.broken, ==, 0);
+}
+
+static void
+test_load_quiet(void)
+{
+	struct lasting_load_config cfg = {.seed = 0};
+
+	run_load(&cfg);
+}
+
+static void
+test_load_gone(void)
+{
+	struct lasting_load_config cfg = {
+	    .disturbed_at = 15000, .gone = (uint32_t)setting("GYP_GONE", 30)};
+
+	run_load(&cfg);
+}
+
+static void
+test_load_failing(void)
+{
+	struct lasting_load_config cfg = {.disturbed_at = 15000,
+	    .failing = (uint32_t)setting("GYP_FAILING", 40),
+	    .failing_ms = 5000};
+
+	run_load(&cfg);
+}
+
+static void
+test_load_failing_entries(void)
+{
+	struct lasting_load_config cfg = {
+	    .disturbed_at = 15000, .failing_entries = 3};
+
+	run_load(&cfg);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -292,5 +360,10 @@
 	    "/lasting-placement/query-finds-memory", test_query_finds_memory);
 	g_test_add_func("/lasting-placement/query-after-failed-entry",
 	    test_query_after_failed_entry);
+	g_test_add_func("/lasting-placement/load/quiet", test_load_quiet);
+	g_test_add_func("/lasting-placement/load/gone", test_load_gone);
+	g_test_add_func("/lasting-placement/load/failing", test_load_failing);
+	g_test_add_func("/lasting-placement/load/failing-entries",
+	    test_load_failing_entries);
 	return g_test_run();
 }
