test_raft: committed entries stay on the disk of a replica

Until the leader has sent them again, two lost disks of five lose them, although only one of three copies need remain.

--- a/test/raft_net.h
+++ b/test/raft_net.h
@@ -51,6 +51,12 @@
 	uint64_t known_term; /* term of the replica that first applied it */
 };
 
+/* Committed entries that a replica is known to have on its disk. */
+struct kept_entries {
+	uint64_t id;    /* of the replica */
+	uint64_t index; /* of the last one */
+};
+
 struct net {
 	struct node nodes[NET_SLOTS];
 	GPtrArray *in_flight; /* Gyp__RaftMsg */
@@ -73,6 +79,7 @@
 	GPtrArray *held;     /* Gyp__RaftMsg */
 	GArray *committed;   /* struct committed_entry, from index 1 */
 	GHashTable *leaders; /* term -> id */
+	struct kept_entries kept[NET_SLOTS];
 	uint64_t watched_id; /* for net_watched_is_voter(), 0 for none */
 	GHashTable *configs; /* hashes of committed configurations */
 };
--- a/test/raft_net_check.c
+++ b/test/raft_net_check.c
@@ -103,9 +103,45 @@
 	}
 }
 
+/* Returns the last index up to limit at which n holds the committed entry. */
+static uint64_t
+last_committed_held(const struct net *net, const struct node *n, uint64_t limit)
+{
+	uint64_t snap = gyp_raft_snapshot_index(n->raft);
+	uint64_t i = MIN(limit, net->committed->len - 1);
+
+	while (
+	    i > snap &&
+	    gyp_raft_entry_term(n->raft, i) !=
+		g_array_index(net->committed, struct committed_entry, i).term)
+		i--;
+	return i;
+}
+
+/*
+ * A committed entry that a replica has synced stays in its log, or in its
+ * snapshot, until its disk is lost. Otherwise fewer disks than a majority may
+ * hold the entry.
+ */
+static void
+check_kept(struct net *net, const struct node *n)
+{
+	struct kept_entries *kept = &net->kept[n->slot];
+	uint64_t held =
+	    last_committed_held(net, n, gyp_raft_last_index(n->raft));
+
+	if (kept->id != n->id)
+		kept->index = 0;
+	kept->id = n->id;
+	g_assert_cmpuint(held, >=, kept->index);
+	kept->index = MAX(
+	    kept->index, last_committed_held(net, n, n->raft->persisted_index));
+}
+
 void
 net_check_node(struct net *net, const struct node *n)
 {
 	net_check_leader(net, n);
 	check_lease(net, n);
+	check_kept(net, n);
 }
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -487,6 +487,111 @@
 	net_clear(&net);
 }
 
+/* Starts the replica anew, without any record. */
+static void
+start_empty(struct node *n)
+{
+	gyp_raft_free(n->raft);
+	n->raft = NULL;
+	g_array_set_size(n->disk, 0);
+	net_start(n);
+}
+
+/* Sends it entries 1 to 9 of term 1, and syncs them. */
+static void
+append_nine(struct net *net, struct node *n)
+{
+	Gyp__LogEntry entries[9];
+	Gyp__LogEntry *ptrs[9];
+	Gyp__RaftMsg m = make_message(GYP__RAFT_TYPE__RAFT_APPEND, 2, 1, 0, 0);
+	int i;
+
+	for (i = 0; i < 9; i++) {
+		gyp__log_entry__init(&entries[i]);
+		entries[i].index = (uint64_t)i + 1;
+		entries[i].term = 1;
+		ptrs[i] = &entries[i];
+	}
+	m.n_entries = 9;
+	m.entries = ptrs;
+	gyp_raft_step(n->raft, net->now, &m);
+	n->synced = n->disk->len;
+	gyp_raft_synced(n->raft, net->now, n->synced);
+}
+
+/* Sends it a snapshot at index 5, from a leader of term 2. */
+static void
+send_snapshot(struct net *net, struct node *n)
+{
+	Gyp__Member member = GYP__MEMBER__INIT;
+	Gyp__Member *list[] = {&member};
+	Gyp__Config config = GYP__CONFIG__INIT;
+	Gyp__SnapshotFile file = GYP__SNAPSHOT_FILE__INIT;
+	Gyp__RaftMsg m =
+	    make_message(GYP__RAFT_TYPE__RAFT_SNAPSHOT, 3, 2, 5, 1);
+	uint8_t packed[200];
+
+	member.id = 3;
+	member.voter = true;
+	config.n_members = 1;
+	config.members = list;
+	file.index = 5;
+	file.term = 1;
+	file.config = &config;
+	file.state.len = sizeof(n->hash);
+	file.state.data = (uint8_t *)&g_array_index(
+	    net->committed, struct committed_entry, 5);
+	m.chunk.len = gyp__snapshot_file__pack(&file, packed);
+	m.chunk.data = packed;
+	m.total = m.chunk.len;
+	gyp_raft_step(n->raft, net->now, &m);
+}
+
+/* Fills in the hashes of the entries that append_nine() sends. */
+static void
+set_committed(struct net *net)
+{
+	GBytes *empty = g_bytes_new_static("", 0);
+	struct committed_entry e = {.hash = 0, .term = 1, .known_term = 1};
+	int i;
+
+	for (i = 0; i < 9; i++) {
+		e.hash =
+		    (e.hash ^ e.term ^ g_bytes_hash(empty)) * 0x100000001b3;
+		g_array_append_val(net->committed, e);
+	}
+	g_bytes_unref(empty);
+}
+
+/*
+ * Guards against the loss of entries that this replica acknowledged and that
+ * follow a snapshot which agrees with its log. After a restart its commit index
+ * is low, and a leader that finds an uncommitted entry of an older term sends
+ * it the snapshot. If two more of five disks are lost before the entries are
+ * sent again, no replica has them.
+ */
+static void
+test_snapshot_keeps_entries(void)
+{
+	struct net net;
+	struct node *n = &net.nodes[0];
+
+	net_init(&net, 1);
+	set_committed(&net);
+	start_empty(n);
+	append_nine(&net, n);
+	send_snapshot(&net, n);
+	g_assert_cmpuint(gyp_raft_commit_index(n->raft), >=, 5);
+	g_assert_cmpuint(gyp_raft_last_index(n->raft), ==, 9);
+	g_assert_cmpuint(gyp_raft_entry_term(n->raft, 9), ==, 1);
+
+	n->synced = n->disk->len;
+	net_stop(n);
+	net_start(n);
+	g_assert_cmpuint(gyp_raft_last_index(n->raft), ==, 9);
+	net_clear(&net);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -502,6 +607,8 @@
 	g_test_add_func("/raft/snapshot-resumes", test_snapshot_resumes);
 	g_test_add_func(
 	    "/raft/snapshot-over-unsynced", test_snapshot_over_unsynced);
+	g_test_add_func(
+	    "/raft/snapshot-keeps-entries", test_snapshot_keeps_entries);
 	g_test_add_func("/raft/random", test_random);
 	return g_test_run();
 }
