--- a/src/raft_snap.c
+++ b/src/raft_snap.c
@@ -79,6 +79,22 @@
 	reset_incoming(r, 0, 0);
 }
 
+/*
+ * When the log holds the last entry that the snapshot covers, the two agree up
+ * to it, and all entries up to it are committed. The snapshot is not installed
+ * then: that would drop the entries after it, which this replica may have
+ * acknowledged to an earlier leader.
+ */
+static void
+commit_covered_entries(struct gyp_raft *r, const Gyp__RaftMsg *m)
+{
+	if (m->index <= r->commit || m->index > gyp_raft_last_index(r) ||
+	    gyp_raft_term_at(r, m->index) != m->log_term)
+		return;
+	r->commit = m->index;
+	gyp_raft_apply_committed(r);
+}
+
 void
 gyp_raft_on_snapshot(struct gyp_raft *r, const Gyp__RaftMsg *m)
 {
@@ -89,6 +105,7 @@
 	reply = gyp_raft_make_message(
 	    r, GYP__RAFT_TYPE__RAFT_SNAPSHOT_REPLY, m->from);
 	reply.round = m->round;
+	commit_covered_entries(r, m);
 	if (m->index <= r->commit) {
 		reply.type = GYP__RAFT_TYPE__RAFT_APPEND_REPLY;
 		reply.index = r->commit;
