test_lost_disks: two disks lost while all others lose power

Random runs of nine replicas with five voters; disks sync with a delay and a loss of power drops what is not synced. The test fails if an acknowledged change is gone, or if the cell does not serve 15 s after all are back.

Not run on the code before, nor against a deliberate fault.

--- a/test/members_fixture.c
+++ b/test/members_fixture.c
@@ -49,12 +49,13 @@
 	struct gyp_replica_config cfg = {.address = n->address,
 	    .data_centre = n->data_centre,
 	    .seed = c->seed * 100 + (uint32_t)i,
-	    .election_ms = ELECTION_MS,
+	    .election_ms = c->election_ms != 0 ? c->election_ms : ELECTION_MS,
 	    .heartbeat_ms = 50,
-	    .endpoint_lease_ms = 60000,
+	    .endpoint_lease_ms =
+		c->endpoint_lease_ms != 0 ? c->endpoint_lease_ms : 60000,
 	    .entry_lease_ms = 1500,
 	    .start_window_ms = 800,
-	    .voters = VOTERS,
+	    .voters = c->voters != 0 ? c->voters : VOTERS,
 	    .catch_up_ms = c->catch_up_ms,
 	    .relay_heartbeats_from = c->relay_heartbeats_from,
 	    .compact_bytes = 8 * 1024};
@@ -64,7 +65,8 @@
 		n->disk = g_ptr_array_new_with_free_func(free_record);
 	}
 	cfg.id = n->id;
-	n->boot_records = n->disk->len;
+	n->boot_records = n->synced = n->disk->len;
+	n->sync_at = 0;
 	n->replica = gyp_replica_new(&cfg);
 	load_disk(n);
 }
@@ -76,6 +78,17 @@
 	c->nodes[i].replica = NULL;
 }
 
+void
+cell_cut_power(struct cell *c, int i)
+{
+	struct node *n = &c->nodes[i];
+	gint32 kept = g_rand_int_range(
+	    c->rand, (gint32)n->synced, (gint32)n->disk->len + 1);
+
+	cell_stop(c, i);
+	g_ptr_array_set_size(n->disk, kept);
+}
+
 void
 cell_lose_disk(struct cell *c, int i)
 {
@@ -102,14 +115,26 @@
 }
 
 void
-cell_init(struct cell *c, uint32_t seed, const char *centres)
+cell_prepare(struct cell *c, uint32_t seed)
 {
-	const char *centre;
-
 	memset(c, 0, sizeof(*c));
 	g_queue_init(&c->frames);
 	c->seed = seed;
 	c->now = 5000;
+}
+
+void
+cell_init(struct cell *c, uint32_t seed, const char *centres)
+{
+	cell_prepare(c, seed);
+	cell_populate(c, centres);
+}
+
+void
+cell_populate(struct cell *c, const char *centres)
+{
+	const char *centre;
+
 	for (centre = centres; *centre != '\0'; centre++)
 		cell_add_node(c, *centre);
 	if (c->n > 0)
@@ -184,10 +209,37 @@
 	for (i = 0; i < frame->down->n_replies; i++) {
 		gyp_message_free(c->reply);
 		c->reply = gyp_message_copy(&frame->down->replies[i]->base);
+		if (c->replied != NULL)
+			c->replied(c, frame->down->replies[i]);
 	}
 }
 
-/* Moves a replica's output to the disk and the links; records sync at once. */
+static void collect_output(struct cell *c, int i);
+
+static void
+sync_disk(struct cell *c, int i)
+{
+	struct node *n = &c->nodes[i];
+
+	n->sync_at = 0;
+	n->synced = n->disk->len;
+	gyp_replica_synced(n->replica, c->now, n->synced - n->boot_records);
+	collect_output(c, i);
+}
+
+/* Syncs the disk at once or starts a sync, unless one is under way. */
+static void
+start_sync(struct cell *c, int i)
+{
+	if (c->sync_max_ms == 0)
+		sync_disk(c, i);
+	else if (c->nodes[i].sync_at == 0)
+		c->nodes[i].sync_at =
+		    c->now + (uint64_t)g_rand_int_range(
+				 c->rand, 0, (gint32)c->sync_max_ms + 1);
+}
+
+/* Moves a replica's output to the disk and the links. */
 static void
 collect_output(struct cell *c, int i)
 {
@@ -208,7 +260,8 @@
 		if (out.entry)
 			take_replies(c, frame);
 		c->frames_while_full += n->disk_full && !out.entry;
-		for (to = 0; to < c->n && !out.entry && !n->mute; to++) {
+		for (to = 0; to < c->n && !out.entry && !n->mute && !n->cut;
+		     to++) {
 			if (g_strcmp0(c->nodes[to].address, out.address) == 0)
 				post_frame(
 				    c, to, n->id, g_bytes_ref(out.packed));
@@ -217,11 +270,8 @@
 		g_free(out.address);
 		g_bytes_unref(out.packed);
 	}
-	if (wrote && !n->disk_full) {
-		gyp_replica_synced(
-		    n->replica, c->now, n->disk->len - n->boot_records);
-		collect_output(c, i);
-	}
+	if (wrote && !n->disk_full)
+		start_sync(c, i);
 }
 
 void
@@ -276,7 +326,7 @@
 			g_queue_push_tail(&c->frames, f);
 			continue;
 		}
-		if (c->nodes[f->to].replica != NULL)
+		if (c->nodes[f->to].replica != NULL && !c->nodes[f->to].cut)
 			deliver(c, f);
 		free_frame(f);
 	}
@@ -316,8 +366,10 @@
 	Gyp__Member m = GYP__MEMBER__INIT;
 	int to;
 
-	if (cell_find_member(
-		gyp_raft_members(gyp_replica_raft(n->replica)), n->id) != NULL)
+	if (n->cut ||
+	    (cell_find_member(gyp_raft_members(gyp_replica_raft(n->replica)),
+		 n->id) != NULL &&
+		!gyp_raft_is_leaderless(gyp_replica_raft(n->replica))))
 		return;
 	m.id = n->id;
 	m.address = (char *)n->address;
@@ -342,6 +394,9 @@
 		for (i = 0; i < c->n; i++) {
 			if (c->nodes[i].replica == NULL || c->nodes[i].paused)
 				continue;
+			if (c->nodes[i].sync_at != 0 &&
+			    c->now >= c->nodes[i].sync_at)
+				sync_disk(c, i);
 			gyp_replica_tick(c->nodes[i].replica, c->now);
 			if (c->now % JOIN_MS == 0)
 				request_to_join(c, i);
--- a/test/members_fixture.h
+++ b/test/members_fixture.h
@@ -10,11 +10,12 @@
  *	members_fixture - a cell of whole replicas in one process
  *
  * DESCRIPTION
- *	Links lose nothing and disks sync at once. Tests stop replicas, erase
- *	their disks, add others, and check who is a member and who votes.
+ *	Links lose nothing, and disks sync at once unless a test sets a time.
+ *	Tests stop replicas, cut their power, erase their disks, add others, and
+ *	check who is a member and who votes.
  */
 
-#define NODES       6
+#define NODES       9
 #define VOTERS      3
 #define ELECTION_MS 400
 #define JOIN_MS     500
@@ -27,6 +28,9 @@
 	const char *data_centre;
 	GPtrArray *disk;    /* struct gyp_record */
 	guint boot_records; /* records on the disk at the start */
+	guint synced;       /* records that survive a loss of power */
+	uint64_t sync_at;   /* end of the sync under way, 0 for none */
+	bool cut;           /* all frames to and from it are lost */
 	bool disk_full;     /* records are kept but not synced */
 	bool mute;          /* what it sends is lost */
 	bool paused;        /* does nothing; frames to it wait */
@@ -38,6 +42,11 @@
 	GBytes *packed;
 };
 
+struct cell;
+
+/* Called with each reply to the entry. */
+typedef void (*cell_reply_fn)(struct cell *, const Gyp__Reply *);
+
 struct cell {
 	struct node nodes[NODES];
 	int n;
@@ -47,6 +56,12 @@
 	uint64_t calls; /* id of the latest call of the entry */
 	uint64_t last_replica_id;
 	uint32_t seed;
+	GRand *rand;          /* of sync times and lost records, or NULL */
+	uint32_t sync_max_ms; /* longest time of a sync, 0: at once */
+	uint32_t voters;      /* 0 for VOTERS */
+	uint32_t endpoint_lease_ms;      /* 0 for 60 s */
+	uint32_t election_ms;            /* 0 for ELECTION_MS */
+	cell_reply_fn replied;           /* or NULL */
 	uint32_t catch_up_ms;            /* 0 for the default */
 	uint32_t relay_heartbeats_from;  /* of replicas started from now on */
 	uint32_t frames_while_full;      /* between replicas, from a full one */
@@ -58,6 +73,9 @@
 
 void cell_stop(struct cell *c, int i);
 
+/* Stops it; any prefix of the records that are not synced stays on the disk. */
+void cell_cut_power(struct cell *c, int i);
+
 void cell_lose_disk(struct cell *c, int i);
 
 /* A disk without space; the replica is told, and told when there is space. */
@@ -73,6 +91,10 @@
 /* Each letter of centres adds a replica in the data centre of that name. */
 void cell_init(struct cell *c, uint32_t seed, const char *centres);
 
+/* The two steps of cell_init(); a test may set options in between. */
+void cell_prepare(struct cell *c, uint32_t seed);
+void cell_populate(struct cell *c, const char *centres);
+
 void cell_clear(struct cell *c);
 
 /* Drops all frames that are under way between replicas. */
