test_members: a replica whose old id was demoted can vote again

A voter's disk is lost, its successor joins and is cut off, and a spare gets the vote. The old id stays as a learner at the same address, and pick_spare() skips the successor from then on, as find_predecessor() is not NULL.

Fails at this commit:

test_members -p /members/successor-of-demoted test_members.c:407:test_successor_of_demoted: 'cell_is_voter(&c, c.nodes[lost].id)' should be TRUE

--- a/test/test_members.c
+++ b/test/test_members.c
@@ -370,6 +370,46 @@
 	check_successor(4, true, 1500);
 }
 
+/*
+ * Guards against a replica that can never get a vote again. Its disk is lost,
+ * it joins under a new id and is cut off, so a spare gets the vote of its old
+ * id. The old id stays as a learner at the same address, and must not keep the
+ * replica from replacing the next voter that is lost.
+ */
+static void
+test_successor_of_demoted(void)
+{
+	struct cell c;
+	uint64_t old;
+	int lost, next;
+
+	cell_prepare(&c, 1);
+	c.catch_up_ms = 6000;
+	cell_populate(&c, "abca");
+	cell_settle(&c);
+	lost = (cell_leader(&c) + 1) % VOTERS;
+	old = c.nodes[lost].id;
+	cell_lose_disk(&c, lost);
+	cell_run(&c, 2 * ELECTION_MS);
+	cell_start(&c, lost);
+	while (cell_find_member(cell_members(&c), c.nodes[lost].id) == NULL)
+		cell_run(&c, 10);
+	c.nodes[lost].cut = true;
+	cell_settle(&c);
+	g_assert_false(cell_is_voter(&c, old));
+	g_assert_true(cell_is_voter(&c, c.nodes[3].id));
+
+	c.nodes[lost].cut = false;
+	cell_settle(&c);
+	next = cell_leader(&c) == 3 ? (lost + 1) % VOTERS : 3;
+	cell_stop(&c, next);
+	cell_run(&c, c.catch_up_ms);
+	g_assert_true(cell_is_voter(&c, c.nodes[lost].id));
+	g_assert_false(cell_is_voter(&c, c.nodes[next].id));
+	g_assert_null(cell_find_member(cell_members(&c), old));
+	cell_clear(&c);
+}
+
 /* A replica that missed hundreds of changes receives them as one snapshot. */
 static void
 test_catch_up_by_snapshot(void)
@@ -620,6 +660,8 @@
 	g_test_add_func("/members/many-removals", test_many_removals);
 	g_test_add_func("/members/spare", test_spare);
 	g_test_add_func("/members/successor", test_successor);
+	g_test_add_func(
+	    "/members/successor-of-demoted", test_successor_of_demoted);
 	g_test_add_func("/members/growth", test_catch_up_by_snapshot);
 	g_test_add_func("/members/snapshots-apart", test_snapshots_apart);
 	g_test_add_func("/members/list-of-large-cell", test_list_of_large_cell);
