--- /dev/null
+++ b/test/test_open_runs.c
@@ -0,0 +1,294 @@
+#include <glib.h>
+
+#include "flow_fixture.h"
+
+/*
+ * Open runs that no endpoint has: each must end soon, or its task is not placed
+ * again. The first incarnation of endpoint "a" starts at time 1.
+ */
+
+#define FLOW 0xf1ULL
+
+/*
+ * Longest time from the last call that an endpoint may have carried out until
+ * its runs end, in ms: the lease by the slowest clock, the leader's margin, and
+ * 1500 ms to notice the silence.
+ */
+#define SILENT_END_MS                                                          \
+	(FLOW_FIXTURE_LEASE_MS * GYP_CLOCK_SLOW / (GYP_CLOCK_SLOW - 1) + 100 + \
+	    1500)
+
+/* Time for an undisturbed endpoint to list or end a run, in ms. */
+#define CONTACT_END_MS 1500
+
+struct fixture {
+	struct flow_fixture base;
+	uint32_t a; /* row of the endpoint */
+};
+
+static void
+fixture_init(struct fixture *f)
+{
+	Gyp__FlowStep step = flow_fixture_step(2);
+
+	step.lasting = true;
+	flow_fixture_init(&f->base);
+	f->a = flow_fixture_add_host(&f->base, "a", 1);
+	flow_fixture_contact_all(&f->base);
+	flow_fixture_submit(&f->base, FLOW, &step, 1);
+}
+
+static bool
+is_open(const struct fixture *f, uint32_t task)
+{
+	return gyp_flow_get(f->base.flows, FLOW)->tasks[task].state ==
+	       GYP_FLOW_TASK_OPEN;
+}
+
+/* The next call of that kind within three seconds; other calls are lost. */
+static struct gyp_fleet_call *
+next_call(struct fixture *f, enum gyp_fleet_call_kind kind)
+{
+	struct gyp_fleet_call *call = NULL;
+	int i;
+
+	for (i = 0; i < 300 && call == NULL; i++) {
+		flow_fixture_advance(&f->base, 10);
+		call = flow_fixture_next_call(&f->base, kind);
+	}
+	g_assert_nonnull(call);
+	return call;
+}
+
+static void
+start_run(struct fixture *f, uint32_t task, uint32_t run)
+{
+	flow_fixture_start(&f->base, FLOW, task, task, run, f->a);
+	flow_fixture_answer(
+	    &f->base, next_call(f, GYP_FLEET_START), GYP_FLEET_OK);
+}
+
+/* The endpoint restarts, announces itself and answers a poll. */
+static void
+restart(struct fixture *f, uint64_t incarnation_start_ms)
+{
+	gyp_fleet_heartbeat(f->base.fleet, f->base.now, f->a,
+	    incarnation_start_ms, f->base.now);
+	f->a = flow_fixture_add_host(&f->base, "a", incarnation_start_ms);
+	flow_fixture_answer_poll(&f->base, next_call(f, GYP_FLEET_POLL),
+	    incarnation_start_ms, NULL, 0, NULL, 0);
+}
+
+/*
+ * Answers each call for ms: polls with an empty list of that incarnation if
+ * their result is GYP_FLEET_OK, stops and starts as carried out.
+ */
+static void
+answer_all(struct fixture *f, uint64_t ms, uint64_t incarnation_start_ms,
+    enum gyp_fleet_call_result polls)
+{
+	uint64_t end = f->base.now + ms;
+	struct gyp_fleet_call *call;
+
+	while (f->base.now < end) {
+		flow_fixture_advance(&f->base, 10);
+		while (f->base.now < end &&
+		       (call = gyp_fleet_pop_call(f->base.fleet)) != NULL) {
+			if (call->kind != GYP_FLEET_POLL)
+				flow_fixture_answer(
+				    &f->base, call, GYP_FLEET_OK);
+			else if (polls != GYP_FLEET_OK)
+				flow_fixture_answer(&f->base, call, polls);
+			else
+				flow_fixture_answer_poll(&f->base, call,
+				    incarnation_start_ms, NULL, 0, NULL, 0);
+			flow_fixture_advance(&f->base, 20);
+		}
+	}
+}
+
+/* Loses all calls until the task has no open run, at most for ms. */
+static void
+assert_ends_in_silence(struct fixture *f, uint32_t task, uint64_t ms)
+{
+	uint64_t since = f->base.now;
+	struct gyp_fleet_call *call;
+
+	while (is_open(f, task) && f->base.now < since + 60000) {
+		flow_fixture_advance(&f->base, 10);
+		while ((call = gyp_fleet_pop_call(f->base.fleet)) != NULL)
+			flow_fixture_answer(&f->base, call, GYP_FLEET_LOST);
+	}
+	g_assert_cmpuint(f->base.now - since, <=, ms);
+}
+
+/*
+ * A start is answered by another endpoint at the address, then a heartbeat
+ * shows that the endpoint restarted: the run must not stay open without a call.
+ */
+static void
+test_wrong_endpoint_then_restart(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *start;
+
+	fixture_init(&f);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	start = next_call(&f, GYP_FLEET_START);
+	flow_fixture_answer(&f.base, start, GYP_FLEET_WRONG_ENDPOINT);
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 2, f.base.now);
+	f.a = flow_fixture_add_host(&f.base, "a", 2);
+	answer_all(&f, CONTACT_END_MS, 2, GYP_FLEET_OK);
+	g_assert_false(is_open(&f, 0));
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * An endpoint gets a run after its restart and then is silent for good: the run
+ * must end with its lease, not with one that calls before the restart granted.
+ */
+static void
+test_silent_after_restart(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	restart(&f, 2);
+	start_run(&f, 0, 1);
+	assert_ends_in_silence(&f, 0, SILENT_END_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * A leader is elected 14 s after a restart of an endpoint, hears from it, and
+ * the endpoint is silent from then on: calls from before the restart reach it
+ * for one second at most, so the run must not be held for a further 15 s.
+ */
+static void
+test_next_leader_long_after_restart(void)
+{
+	struct fixture f;
+	struct flow_fixture_run up = {FLOW, 0, 1, 0, 0};
+
+	fixture_init(&f);
+	restart(&f, 2);
+	answer_all(&f, 14000, 2, GYP_FLEET_OK);
+	start_run(&f, 0, 1);
+	flow_fixture_new_leader(&f.base, 2);
+	flow_fixture_answer_poll(
+	    &f.base, next_call(&f, GYP_FLEET_POLL), 2, &up, 1, NULL, 0);
+	assert_ends_in_silence(&f, 0, SILENT_END_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * An endpoint refuses all polls: they grant no lease, so its runs end there and
+ * must not stay open.
+ */
+static void
+test_refused_polls(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_run(&f, 0, 1);
+	answer_all(&f, SILENT_END_MS, 1, GYP_FLEET_REFUSED);
+	g_assert_false(is_open(&f, 0));
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * No poll reaches an endpoint because each is lost with its carrier, while its
+ * heartbeats arrive: its lease ends, so its runs must not stay open.
+ */
+static void
+test_polls_lost_with_carrier(void)
+{
+	struct fixture f;
+	uint64_t since;
+
+	fixture_init(&f);
+	start_run(&f, 0, 1);
+	since = f.base.now;
+	while (f.base.now < since + SILENT_END_MS) {
+		gyp_fleet_heartbeat(
+		    f.base.fleet, f.base.now, f.a, 1, f.base.now);
+		answer_all(&f, 500, 1, GYP_FLEET_CARRIER_LOST);
+	}
+	g_assert_false(is_open(&f, 0));
+	flow_fixture_clear(&f.base);
+}
+
+/* A confirmed run that its endpoint never lists must end. */
+static void
+test_never_listed(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_run(&f, 0, 1);
+	answer_all(&f, CONTACT_END_MS, 1, GYP_FLEET_OK);
+	g_assert_false(is_open(&f, 0));
+	flow_fixture_clear(&f.base);
+}
+
+/* An endpoint restarts while its run is stopped: the run must end. */
+static void
+test_restart_during_stop(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *stop;
+
+	fixture_init(&f);
+	start_run(&f, 0, 1);
+	gyp_fleet_stop_run(f.base.fleet, FLOW, 0);
+	stop = next_call(&f, GYP_FLEET_STOP);
+	flow_fixture_answer(&f.base, stop, GYP_FLEET_OK);
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 2, f.base.now);
+	f.a = flow_fixture_add_host(&f.base, "a", 2);
+	answer_all(&f, CONTACT_END_MS, 2, GYP_FLEET_OK);
+	g_assert_false(is_open(&f, 0));
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * An endpoint announces its shutdown with a start under way and comes back
+ * under its id: the run must be listed or end.
+ */
+static void
+test_back_after_shutdown(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	gyp_fleet_call_free(next_call(&f, GYP_FLEET_START));
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a);
+	flow_fixture_advance(&f.base, 50);
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 2, f.base.now);
+	f.a = flow_fixture_add_host(&f.base, "a", 2);
+	answer_all(&f, CONTACT_END_MS + 1500, 2, GYP_FLEET_OK);
+	g_assert_false(is_open(&f, 0));
+	flow_fixture_clear(&f.base);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/open-runs/wrong-endpoint-then-restart",
+	    test_wrong_endpoint_then_restart);
+	g_test_add_func(
+	    "/open-runs/silent-after-restart", test_silent_after_restart);
+	g_test_add_func("/open-runs/next-leader-long-after-restart",
+	    test_next_leader_long_after_restart);
+	g_test_add_func("/open-runs/refused-polls", test_refused_polls);
+	g_test_add_func(
+	    "/open-runs/polls-lost-with-carrier", test_polls_lost_with_carrier);
+	g_test_add_func("/open-runs/never-listed", test_never_listed);
+	g_test_add_func(
+	    "/open-runs/restart-during-stop", test_restart_during_stop);
+	g_test_add_func(
+	    "/open-runs/back-after-shutdown", test_back_after_shutdown);
+	return g_test_run();
+}
