test_flows: lasting steps in randomised runs (fails)

/flows/lasting asserts that a lasting task that lost its run runs again, from 6 s after it on, within any 3 s in which two endpoints have room for it, if nothing is disturbed in these 3 s and the 4 s before. No randomised run had a lasting step. Bursts of faults are followed by calm times of 8 to 15 s; calls overlap restarts, endpoints are replaced under new ids, other endpoints answer at an address, and an admission service answers late.

The calls that overlap a restart carry no acknowledgement: that is known not to be allowed for, see docs/INVARIANTS.md.

--- a/test/flow_sim.h
+++ b/test/flow_sim.h
@@ -19,6 +19,9 @@
 #define FLOW_SIM_ENDPOINTS 6
 #define FLOW_SIM_LEASE_MS  6000
 
+/* Number of endpoints of runs with lasting steps, see flow_lasting.h. */
+#define FLOW_SIM_LASTING_ENDPOINTS 10
+
 struct flow_sim;
 
 struct flow_sim *flow_sim_new(uint32_t seed, struct gyp_flows *);
@@ -27,6 +30,9 @@
 /* Turns faults on or off; off also reconnects all endpoints. */
 void flow_sim_set_faults(struct flow_sim *, bool on);
 
+/* The number of endpoints. */
+uint32_t flow_sim_size(const struct flow_sim *);
+
 /* Sends a call of the leader and takes ownership of it. */
 void flow_sim_call(struct flow_sim *, uint64_t now, struct gyp_fleet_call *);
 
@@ -49,6 +55,9 @@
 uint64_t flow_sim_cpu(
     const struct flow_sim *, const struct gyp_workspace_use *);
 
+/* Prints the tasks of the oldest active flow that are not done. */
+void flow_sim_print_unended(const struct gyp_flows *);
+
 /* The number of runs started so far. */
 uint64_t flow_sim_starts(const struct flow_sim *);
 
