replica_members: a silent learner leaves when its address is taken

Cause: the first id at an address could stay as a learner for ever, and pick_spare() skips every replica that shares its address with another member. An id stayed when it lost its vote to a spare before its successor had caught up, when its successor's disk was lost too, or when the original disk was back after a start without it. The machine got no vote again from then on.

Change: once no change of votes is due, the leader removes a learner that was silent for an election timeout while another id answers at its address.

Why this is safe: only a member without a vote is removed, and only while no other change is uncommitted, so no commit and no election counts on it. The change that took a vote away was committed by majorities of the old and the new configuration, so the present voters hold all that the removed id holds. A voter is never removed by this rule, however silent it is. add_learner() already removed a silent learner at the same address after the same time.

--- a/src/replica_members.c
+++ b/src/replica_members.c
@@ -44,7 +44,8 @@
 }
 
 /*
- * Returns the member with the same address and another id: its disk was lost.
+ * Returns the first member with the same address and another id. Normally it is
+ * the predecessor, whose disk was lost.
  */
 static Gyp__Member *
 find_predecessor(const Gyp__Config *c, const Gyp__Member *m)
@@ -400,6 +401,48 @@
 	return change_propose(r, &ch);
 }
 
+/* Returns whether a replica with another id answers at the member's address. */
+static bool
+is_address_taken(
+    const struct gyp_replica *r, const Gyp__Config *c, const Gyp__Member *m)
+{
+	size_t i;
+
+	for (i = 0; i < c->n_members; i++) {
+		if (c->members[i]->id != m->id &&
+		    strcmp(c->members[i]->address, m->address) == 0 &&
+		    seen_within(r, c->members[i], r->cfg.election_ms))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Removes a silent learner when a replica with another id answers at its
+ * address: while both are members, the other one is no spare. The older one
+ * stays when it lost its vote to a spare before its successor had caught up,
+ * the newer one when its disk was lost too or the older one's is back. A
+ * learner counts in no majority, so neither commits nor elections depend on it.
+ */
+static bool
+remove_replaced_learner(struct gyp_replica *r, const Gyp__Config *c)
+{
+	size_t i;
+
+	for (i = 0; i < c->n_members; i++) {
+		const Gyp__Member *m = c->members[i];
+		struct change ch;
+
+		if (m->voter || seen_within(r, m, r->cfg.election_ms) ||
+		    !is_address_taken(r, c, m))
+			continue;
+		change_init(&ch, c);
+		change_remove(&ch, m->id);
+		return change_propose(r, &ch);
+	}
+	return false;
+}
+
 /* ---- Removal by operators ----------------------------------------------- */
 
 static void
@@ -619,7 +662,8 @@
 	if (gyp_raft_is_reconfiguring(r->raft))
 		return;
 	finish_removal(r);
-	if (replace_predecessor(r, c) || promote_spare(r, c))
+	if (replace_predecessor(r, c) || promote_spare(r, c) ||
+	    remove_replaced_learner(r, c))
 		return;
 	if (r->join_request != NULL) {
 		add_learner(r, c, r->join_request);
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -410,6 +410,109 @@
 	cell_clear(&c);
 }
 
+/* Counts the members with the address of this node. */
+static guint
+members_at(const struct cell *c, int node)
+{
+	const Gyp__Config *config = cell_members(c);
+	guint n = 0;
+	size_t i;
+
+	for (i = 0; i < config->n_members; i++)
+		n += g_str_equal(
+		    config->members[i]->address, c->nodes[node].address);
+	return n;
+}
+
+/* Starts a replica on a new disk and runs until it is a member. */
+static void
+rejoin(struct cell *c, int node)
+{
+	int tries;
+
+	cell_lose_disk(c, node);
+	cell_run(c, 2 * ELECTION_MS);
+	cell_start(c, node);
+	for (tries = 0; tries < 500; tries++) {
+		if (cell_find_member(cell_members(c), c->nodes[node].id))
+			return;
+		cell_run(c, 10);
+	}
+	g_assert_not_reached();
+}
+
+/*
+ * Guards against an id that stays as a learner after its disk was lost before
+ * it had caught up: its successor at the same address would get no vote again
+ * once it has lost its vote. The first id has its vote or was demoted.
+ */
+static void
+check_disk_lost_twice(bool demoted)
+{
+	struct cell c;
+	uint64_t first;
+	int lost;
+
+	cell_prepare(&c, 1);
+	c.catch_up_ms = 6000;
+	cell_populate(&c, demoted ? "abca" : "abc");
+	cell_settle(&c);
+	lost = (cell_leader(&c) + 1) % VOTERS;
+	first = c.nodes[lost].id;
+	rejoin(&c, lost);
+	if (demoted) {
+		c.nodes[lost].cut = true;
+		cell_settle(&c);
+		c.nodes[lost].cut = false;
+	}
+	g_assert_cmpint(cell_is_voter(&c, first), ==, !demoted);
+	rejoin(&c, lost);
+	cell_settle(&c);
+	g_assert_cmpuint(members_at(&c, lost), ==, 1);
+	cell_assert_centres(&c, "abc");
+	cell_clear(&c);
+}
+
+static void
+test_disk_lost_twice(void)
+{
+	check_disk_lost_twice(false);
+}
+
+static void
+test_disk_lost_twice_demoted(void)
+{
+	check_disk_lost_twice(true);
+}
+
+/*
+ * Guards against a voter that could never get a vote again. Its disk was not
+ * mounted at a start, so an empty one joined under a new id; then the disk is
+ * back, and the new id remains as a learner at the same address.
+ */
+static void
+test_disk_back(void)
+{
+	struct cell c;
+	struct node original;
+	int node;
+
+	cell_init(&c, 1, "abc");
+	cell_settle(&c);
+	node = (cell_leader(&c) + 1) % VOTERS;
+	cell_stop(&c, node);
+	original = c.nodes[node];
+	c.nodes[node].disk = NULL;
+	rejoin(&c, node);
+	cell_lose_disk(&c, node);
+	c.nodes[node] = original;
+	cell_start(&c, node);
+	cell_settle(&c);
+	g_assert_cmpuint(members_at(&c, node), ==, 1);
+	g_assert_true(cell_is_voter(&c, original.id));
+	cell_clear(&c);
+}
+
 /* A replica that missed hundreds of changes receives them as one snapshot. */
 static void
 test_catch_up_by_snapshot(void)
@@ -662,6 +765,10 @@
 	g_test_add_func("/members/successor", test_successor);
 	g_test_add_func(
 	    "/members/successor-of-demoted", test_successor_of_demoted);
+	g_test_add_func("/members/disk-lost-twice", test_disk_lost_twice);
+	g_test_add_func(
+	    "/members/disk-lost-twice-demoted", test_disk_lost_twice_demoted);
+	g_test_add_func("/members/disk-back", test_disk_back);
 	g_test_add_func("/members/growth", test_catch_up_by_snapshot);
 	g_test_add_func("/members/snapshots-apart", test_snapshots_apart);
 	g_test_add_func("/members/list-of-large-cell", test_list_of_large_cell);
