replica_members: a join considers all members at its address

Cause: add_learner() looked at the first member at the address only. While that one is a silent voter, a second id there was neither replaced nor respected: a replica joined although another one answered at its address, and one that loses its disk at each start added a member each time, past LEARNERS_MAX.

Change: a request to join is ignored while any other id answers at the address. Otherwise the change that adds the replica removes all ids without a vote there, so an address has at most one voter and one learner.

Why this is safe: as before, only silent members without a vote are removed, and voters stay until their successor gets the vote. Fewer requests are accepted than before, none more.

--- a/src/replica_members.c
+++ b/src/replica_members.c
@@ -130,7 +130,7 @@
 	ch->next.n_members = c->n_members;
 	for (i = 0; i < c->n_members; i++)
 		ch->next.members[i] = c->members[i];
-	ch->next.removed = g_new(uint64_t, c->n_removed + 1);
+	ch->next.removed = g_new(uint64_t, c->n_removed + c->n_members);
 	ch->next.n_removed = c->n_removed;
 	for (i = 0; i < c->n_removed; i++)
 		ch->next.removed[i] = c->removed[i];
@@ -257,26 +257,53 @@
 	r->join_request = gyp_message_copy(&m->base);
 }
 
+/* Returns whether a replica with another id answers at the member's address. */
+static bool
+is_address_taken(
+    const struct gyp_replica *r, const Gyp__Config *c, const Gyp__Member *m)
+{
+	size_t i;
+
+	for (i = 0; i < c->n_members; i++) {
+		if (c->members[i]->id != m->id &&
+		    strcmp(c->members[i]->address, m->address) == 0 &&
+		    seen_within(r, c->members[i], r->cfg.election_ms))
+			return true;
+	}
+	return false;
+}
+
+/* Removes all members without a vote at the address. */
+static void
+change_remove_learners_at(
+    struct change *ch, const Gyp__Config *c, const char *address)
+{
+	size_t i;
+
+	for (i = 0; i < c->n_members; i++) {
+		if (!c->members[i]->voter &&
+		    strcmp(c->members[i]->address, address) == 0)
+			change_remove(ch, c->members[i]->id);
+	}
+}
+
 /*
- * A predecessor without a vote is removed at once, one with a vote when its
- * successor gets the vote. If the predecessor still answers, two replicas were
+ * Predecessors without a vote are removed at once, one with a vote when its
+ * successor gets the vote. If one of them still answers, two replicas were
  * given the same address, and the request is ignored.
  */
 static void
 add_learner(struct gyp_replica *r, const Gyp__Config *c, const Gyp__Member *m)
 {
-	const Gyp__Member *old = find_predecessor(c, m);
 	struct change ch;
 
-	if (find_id(c, m->id) != NULL)
+	if (find_id(c, m->id) != NULL || is_address_taken(r, c, m))
 		return;
-	if (old != NULL && seen_within(r, old, r->cfg.election_ms))
-		return;
-	if (old == NULL && c->n_members >= r->cfg.voters + LEARNERS_MAX)
+	if (find_predecessor(c, m) == NULL &&
+	    c->n_members >= r->cfg.voters + LEARNERS_MAX)
 		return;
 	change_init(&ch, c);
-	if (old != NULL && !old->voter)
-		change_remove(&ch, old->id);
+	change_remove_learners_at(&ch, c, m->address);
 	change_add(&ch, m);
 	change_propose(r, &ch);
 }
@@ -401,22 +428,6 @@
 	return change_propose(r, &ch);
 }
 
-/* Returns whether a replica with another id answers at the member's address. */
-static bool
-is_address_taken(
-    const struct gyp_replica *r, const Gyp__Config *c, const Gyp__Member *m)
-{
-	size_t i;
-
-	for (i = 0; i < c->n_members; i++) {
-		if (c->members[i]->id != m->id &&
-		    strcmp(c->members[i]->address, m->address) == 0 &&
-		    seen_within(r, c->members[i], r->cfg.election_ms))
-			return true;
-	}
-	return false;
-}
-
 /*
  * Removes a silent learner when a replica with another id answers at its
  * address: while both are members, the other one is no spare. The older one
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -513,6 +513,78 @@
 	cell_clear(&c);
 }
 
+/* Runs until the leader has had an answer of this member. */
+static void
+wait_for_answer(struct cell *c, int node)
+{
+	int tries;
+
+	for (tries = 0; tries < 100; tries++) {
+		const struct gyp_raft *raft =
+		    gyp_replica_raft(c->nodes[cell_leader(c)].replica);
+
+		if (gyp_raft_last_seen(raft, c->nodes[node].id) != 0)
+			return;
+		cell_run(c, 10);
+	}
+	g_assert_not_reached();
+}
+
+/*
+ * Guards against a replica that joins while another one answers at its address.
+ * The oldest id there is a silent voter, the second one has just answered.
+ */
+static void
+test_address_taken(void)
+{
+	struct cell c;
+	uint64_t oldest;
+	int lost;
+
+	cell_prepare(&c, 1);
+	c.election_ms = 5 * ELECTION_MS;
+	cell_populate(&c, "abc");
+	cell_settle(&c);
+	lost = (cell_leader(&c) + 1) % VOTERS;
+	oldest = c.nodes[lost].id;
+	cell_lose_disk(&c, lost);
+	cell_run(&c, 2 * c.election_ms);
+	rejoin(&c, lost);
+	wait_for_answer(&c, lost);
+	cell_lose_disk(&c, lost);
+	cell_start(&c, lost);
+	cell_run(&c, 3 * JOIN_MS);
+	g_assert_true(cell_is_voter(&c, oldest));
+	g_assert_null(cell_find_member(cell_members(&c), c.nodes[lost].id));
+	cell_settle(&c);
+	g_assert_cmpuint(members_at(&c, lost), ==, 1);
+	cell_assert_centres(&c, "abc");
+	cell_clear(&c);
+}
+
+/*
+ * Guards against a list of members that grows without limit while a replica
+ * loses its disk at each start, before it has caught up.
+ */
+static void
+test_disk_lost_often(void)
+{
+	struct cell c;
+	int lost, i;
+
+	cell_init(&c, 1, "abc");
+	cell_settle(&c);
+	lost = (cell_leader(&c) + 1) % VOTERS;
+	for (i = 0; i < 20; i++) {
+		rejoin(&c, lost);
+		g_assert_cmpuint(members_at(&c, lost), <=, 2);
+	}
+	cell_settle(&c);
+	g_assert_cmpuint(members_at(&c, lost), ==, 1);
+	cell_assert_centres(&c, "abc");
+	cell_clear(&c);
+}
+
 /* A replica that missed hundreds of changes receives them as one snapshot. */
 static void
 test_catch_up_by_snapshot(void)
@@ -769,6 +841,8 @@
 	g_test_add_func(
 	    "/members/disk-lost-twice-demoted", test_disk_lost_twice_demoted);
 	g_test_add_func("/members/disk-back", test_disk_back);
+	g_test_add_func("/members/address-taken", test_address_taken);
+	g_test_add_func("/members/disk-lost-often", test_disk_lost_often);
 	g_test_add_func("/members/growth", test_catch_up_by_snapshot);
 	g_test_add_func("/members/snapshots-apart", test_snapshots_apart);
 	g_test_add_func("/members/list-of-large-cell", test_list_of_large_cell);
