data_dir: all new directories above the data directory are synced

Cause: create_dir() synced only the direct parent when several levels were new, and nothing when the directory existed. The program always had the second case: reading the settings creates the data directory first (set_dir() in settings.c), so no parent was ever synced. A power failure could remove the directory with all acknowledged records.

Change: before the identity is written, all directories above are synced, up to the first in which this process cannot have created one. A start that was killed before that finds no identity and syncs them again; stores with an identity do nothing new.

--- a/src/data_dir.c
+++ b/src/data_dir.c
@@ -30,36 +30,16 @@
 
 /* ---- Lock --------------------------------------------------------------- */
 
-/*
- * Syncs the parent directory too: else a power failure could remove the new
- * directory with all its files.
- */
-static enum gyp_status
-create_dir(struct gyp_files *f, const char *dir, struct gyp_error *err)
-{
-	char *parent;
-	enum gyp_status st;
-
-	if (g_file_test(dir, G_FILE_TEST_IS_DIR))
-		return GYP_OK;
-	if (g_mkdir_with_parents(dir, 0700) != 0)
-		return gyp_file_fail(err, "create", dir);
-	parent = g_path_get_dirname(dir);
-	st = gyp_file_sync_dir(f, parent, err);
-	g_free(parent);
-	return st;
-}
-
 enum gyp_status
 gyp_data_dir_lock(
     struct gyp_files *f, const char *dir, int *fd, struct gyp_error *err)
 {
 	struct flock lock = {.l_type = F_WRLCK, .l_whence = SEEK_SET};
-	enum gyp_status st = create_dir(f, dir, err);
+	enum gyp_status st = GYP_OK;
 	char *path;
 
-	if (st != GYP_OK)
-		return st;
+	if (g_mkdir_with_parents(dir, 0700) != 0)
+		return gyp_file_fail(err, "create", dir);
 	path = g_build_filename(dir, "lock", NULL);
 	*fd = f->ops->open(f, path, O_RDWR | O_CREAT);
 	if (*fd < 0)
@@ -141,8 +121,35 @@
 }
 
 /*
- * Writes the first segment before the identity, so that an identity without a
- * log shows that the log was lost: this replica must not vote again.
+ * Syncs all directories above this one, up to the first in which this process
+ * cannot have created any: else a power failure could remove the data directory
+ * with all its files. Those that exist may be new as well: reading the settings
+ * creates them, and an earlier start may have been killed before the sync.
+ */
+static enum gyp_status
+sync_parents(struct gyp_files *f, const char *dir, struct gyp_error *err)
+{
+	char *path = g_canonicalize_filename(dir, NULL);
+	enum gyp_status st = GYP_OK;
+	bool done = false;
+
+	while (!done && st == GYP_OK) {
+		char *parent = g_path_get_dirname(path);
+
+		done = strcmp(parent, path) == 0 || access(parent, W_OK) != 0;
+		if (!done)
+			st = gyp_file_sync_dir(f, parent, err);
+		g_free(path);
+		path = parent;
+	}
+	g_free(path);
+	return st;
+}
+
+/*
+ * Syncs the parent directories first, so that an identity shows that this was
+ * done. Writes the first segment before the identity, so that an identity
+ * without a log shows that the log was lost: this replica must not vote again.
  */
 static enum gyp_status
 create_identity(
@@ -159,6 +166,9 @@
 	if (contains_data(dir))
 		return gyp_fail(
 		    err, GYP_CORRUPT, "%s: holds a log but no identity", dir);
+	st = sync_parents(f, dir, err);
+	if (st != GYP_OK)
+		return st;
 	gyp_wal_put_header(header, &h);
 	st = gyp_file_replace(f, dir, SEGMENT_PREFIX "1", s, err);
 	if (st != GYP_OK)
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -287,6 +287,98 @@
 	remove_dir(dir);
 }
 
+/* The directories that a store at DIR/a/b/c needs, below a test's own. */
+static const char *const new_dirs[] = {"a", "a/b", "a/b/c"};
+
+#define NEW_DIRS G_N_ELEMENTS(new_dirs)
+
+static void
+remove_new_dirs(const char *dir)
+{
+	guint i;
+
+	for (i = NEW_DIRS; i > 0; i--) {
+		char *path = g_build_filename(dir, new_dirs[i - 1], NULL);
+
+		if (g_file_test(path, G_FILE_TEST_IS_DIR)) {
+			if (i == NEW_DIRS)
+				empty_dir(path);
+			g_assert_cmpint(g_rmdir(path), ==, 0);
+		}
+		g_free(path);
+	}
+}
+
+static void
+assert_synced(const struct disk *d, const char *path)
+{
+	struct stat sb;
+
+	g_assert_cmpint(stat(path, &sb), ==, 0);
+	if (!g_hash_table_contains(d->synced, GSIZE_TO_POINTER(sb.st_ino)))
+		g_error("%s was not synced", path);
+}
+
+/*
+ * Opens a store when that many of its directories exist and were not synced;
+ * operation fail_at fails. Returns whether there was such an operation.
+ */
+static bool
+check_new_dirs(const char *dir, guint existing, int fail_at)
+{
+	char *path = g_build_filename(dir, new_dirs[NEW_DIRS - 1], NULL);
+	char *identity = g_build_filename(path, "identity", NULL);
+	struct disk d;
+	struct session r;
+	struct model m;
+	guint i;
+
+	disk_init(&d, FAIL, fail_at);
+	for (i = 0; i < existing; i++) {
+		char *made = g_build_filename(dir, new_dirs[i], NULL);
+
+		g_assert_cmpint(g_mkdir(made, 0700), ==, 0);
+		g_free(made);
+	}
+	session_open(&r, path, &d.base, &m);
+	session_close(&r);
+	if (g_file_test(identity, G_FILE_TEST_EXISTS)) {
+		assert_synced(&d, dir);
+		for (i = 0; i + 1 < NEW_DIRS; i++) {
+			char *made = g_build_filename(dir, new_dirs[i], NULL);
+
+			assert_synced(&d, made);
+			g_free(made);
+		}
+	}
+	remove_new_dirs(dir);
+	g_hash_table_destroy(d.synced);
+	g_free(identity);
+	g_free(path);
+	return d.n_ops >= fail_at;
+}
+
+/*
+ * Guards against a data directory that disappears in a power failure with all
+ * records that were acknowledged, since a directory above it was not synced:
+ * several were new, the process was killed after creating some, or reading the
+ * settings created them.
+ */
+static void
+test_new_dirs(void)
+{
+	char *dir = make_temp_dir();
+	guint existing;
+
+	for (existing = 0; existing <= NEW_DIRS; existing++) {
+		int at = 1;
+
+		while (check_new_dirs(dir, existing, at))
+			at++;
+	}
+	remove_dir(dir);
+}
+
 static void
 test_lock(void)
 {
@@ -315,6 +407,7 @@
 	g_test_add_func("/store/torn-tail", test_torn_tail);
 	g_test_add_func(
 	    "/store/failed-sync-is-final", test_failed_sync_is_final);
+	g_test_add_func("/store/new-dirs", test_new_dirs);
 	g_test_add_func("/store/each-fault", test_each_fault);
 	g_test_add_func("/store/fault-in-recovery", test_fault_in_recovery);
 	g_test_add_func("/store/damage", test_damage);
