--- a/src/placer.c
+++ b/src/placer.c
@@ -1,10 +1,10 @@
 #include <string.h>
 
 #include "admission_prefetch.h"
-#include "admission_query.h"
 #include "endpoint_ranking.h"
 #include "msg.h"
 #include "placer.h"
+#include "query_slots.h"
 #include "quota.h"
 #include "reserve.h"
 
@@ -14,19 +14,6 @@
 /* Most units for which one round reserves capacity. */
 #define RESERVATIONS_MAX 64
 
-/*
- * Queries that take SLOW_QUERY_MS or longer leave one query slot in
- * RESERVED_SLOTS_DIVISOR free for quicker ones.
- */
-#define SLOW_QUERY_MS          100
-#define RESERVED_SLOTS_DIVISOR 5
-
-/*
- * Prefetched queries leave one query slot in PREFETCH_RESERVED_DIVISOR free for
- * units that are ready.
- */
-#define PREFETCH_RESERVED_DIVISOR 3
-
 /* What a round has decided for a workspace. */
 struct workspace_round {
 	struct gyp_res proposed; /* booked by the runs that it proposes */
@@ -552,7 +539,7 @@
 static bool
 awaits_quick_query(const struct gyp_placer *p, const struct gyp_candidate *c)
 {
-	return c->flow->spec->queue->admission_ms < SLOW_QUERY_MS &&
+	return gyp_query_is_quick(c) &&
 	       gyp_admission_has_pending_query(
 		   gyp_admission_unit(p->admission, c->flow, c->unit));
 }
@@ -574,55 +561,17 @@
 	    p->capacities, p->preempt, p->admission, c, waiting, may_preempt);
 }
 
-/*
- * Returns how many of the free query slots a query about the unit may use: slow
- * queries leave some to quick ones.
- */
-static uint32_t
-slots_for(
-    const struct gyp_candidate *c, uint32_t free_slots, uint32_t total_slots)
-{
-	uint32_t reserved =
-	    (total_slots + RESERVED_SLOTS_DIVISOR - 1) / RESERVED_SLOTS_DIVISOR;
-
-	if (c->flow->spec->queue->admission_ms < SLOW_QUERY_MS)
-		return free_slots;
-	return free_slots > reserved ? free_slots - reserved : 0;
-}
-
-/* Adds a query about the unit when a query slot is free for it. */
+/* Adds queries about units that are not ready yet. */
 static void
-query_about(struct gyp_placer *p, const struct gyp_candidate *c, uint32_t tasks,
-    uint32_t free_slots, GPtrArray *queries)
+prefetch_queries(const struct gyp_placer *p, struct gyp_query_slots *slots)
 {
-	Gyp__Ask *query;
-
-	if (queries->len >= free_slots)
-		return;
-	query = gyp_admission_query_new(
-	    p->admission, p->capacities, c, tasks, p->now);
-	if (query != NULL)
-		g_ptr_array_add(queries, query);
-}
-
-/*
- * Adds queries about units that are not ready yet; keeps some of the query
- * slots free for units that become ready.
- */
-static void
-prefetch_queries(struct gyp_placer *p, uint32_t free_slots,
-    uint32_t total_slots, GPtrArray *queries)
-{
-	uint32_t reserved = total_slots / PREFETCH_RESERVED_DIVISOR;
 	guint i;
 
-	for (i = 0;
-	     i < p->prefetch->len && queries->len + reserved < free_slots;
-	     i++) {
+	for (i = 0; i < p->prefetch->len; i++) {
 		const struct gyp_candidate *c =
 		    &g_array_index(p->prefetch, struct gyp_candidate, i);
 
-		query_about(p, c, c->unit->left, free_slots, queries);
+		gyp_query_slots_prefetch(slots, c, c->unit->left);
 	}
 }
 
@@ -642,8 +591,7 @@
 /* Places the unit, and queries about or reserves what it lacks. */
 static void
 schedule_unit(struct gyp_placer *p, const struct gyp_candidate *c,
-    uint32_t free_slots, uint32_t total_slots, GPtrArray *cmds,
-    GPtrArray *queries)
+    struct gyp_query_slots *slots, GPtrArray *cmds)
 {
 	uint32_t tasks = c->unit->left - c->unit->open;
 	uint32_t allowed = allowed_by_cap(p, c), waiting;
@@ -663,8 +611,7 @@
 		return;
 	}
 	p->summary.no_capacity++;
-	query_about(
-	    p, c, waiting, slots_for(c, free_slots, total_slots), queries);
+	gyp_query_slots_use(slots, c, waiting);
 	queried = gyp_admission_has_pending_query(
 	    gyp_admission_unit(p->admission, c->flow, c->unit));
 	p->summary.queried += queried;
@@ -678,6 +625,12 @@
     uint32_t free_slots, uint32_t total_slots, GPtrArray *cmds,
     GPtrArray *queries)
 {
+	struct gyp_query_slots slots = {.admission = p->admission,
+	    .capacities = p->capacities,
+	    .now = now,
+	    .free = free_slots,
+	    .total = total_slots,
+	    .queries = queries};
 	guint i;
 
 	reset_round(p, now);
@@ -689,9 +642,9 @@
 	gyp_capacity_index_begin_round(p->capacities, p->now);
 	for (i = 0; i < p->units->len; i++)
 		schedule_unit(p,
-		    &g_array_index(p->units, struct gyp_candidate, i),
-		    free_slots, total_slots, cmds, queries);
-	prefetch_queries(p, free_slots, total_slots, queries);
+		    &g_array_index(p->units, struct gyp_candidate, i), &slots,
+		    cmds);
+	prefetch_queries(p, &slots);
 }
 
 bool
--- /dev/null
+++ b/src/query_slots.c
@@ -0,0 +1,67 @@
+#include "query_slots.h"
+#include "admission_query.h"
+
+/*
+ * Queries that take SLOW_QUERY_MS or longer leave one query slot in
+ * RESERVED_SLOTS_DIVISOR free for quicker ones.
+ */
+#define SLOW_QUERY_MS          100
+#define RESERVED_SLOTS_DIVISOR 5
+
+/*
+ * Prefetched queries leave one query slot in PREFETCH_RESERVED_DIVISOR free for
+ * units that are ready.
+ */
+#define PREFETCH_RESERVED_DIVISOR 3
+
+bool
+gyp_query_is_quick(const struct gyp_candidate *c)
+{
+	return c->flow->spec->queue->admission_ms < SLOW_QUERY_MS;
+}
+
+/*
+ * Returns how many of the free slots of the round queries about the unit may
+ * use.
+ */
+static uint32_t
+slots_for(const struct gyp_query_slots *s, const struct gyp_candidate *c)
+{
+	uint32_t reserved =
+	    (s->total + RESERVED_SLOTS_DIVISOR - 1) / RESERVED_SLOTS_DIVISOR;
+
+	if (gyp_query_is_quick(c))
+		return s->free;
+	return s->free > reserved ? s->free - reserved : 0;
+}
+
+static void
+add_query(struct gyp_query_slots *s, const struct gyp_candidate *c,
+    uint32_t tasks, uint32_t slots)
+{
+	Gyp__Ask *query;
+
+	if (s->queries->len >= slots)
+		return;
+	query = gyp_admission_query_new(
+	    s->admission, s->capacities, c, tasks, s->now);
+	if (query != NULL)
+		g_ptr_array_add(s->queries, query);
+}
+
+void
+gyp_query_slots_use(
+    struct gyp_query_slots *s, const struct gyp_candidate *c, uint32_t tasks)
+{
+	add_query(s, c, tasks, slots_for(s, c));
+}
+
+void
+gyp_query_slots_prefetch(
+    struct gyp_query_slots *s, const struct gyp_candidate *c, uint32_t tasks)
+{
+	uint32_t reserved = s->total / PREFETCH_RESERVED_DIVISOR;
+
+	if (s->queries->len + reserved < s->free)
+		add_query(s, c, tasks, s->free);
+}
