admission_query: several queries at a time about a lasting unit

A query about a lasting step of 20 tasks named up to 100 endpoints and took up to 1.4 s, while most query slots were free and other work took the room. The endpoints are now divided among up to four queries, as long as tasks wait that the pending ones should not place.

test_lasting_queries without the change: ERROR:test_lasting_queries.c:93:test_one_long_answer: assertion failed (f.queries->len == 4): (1 == 4)

--- a/src/admission.c
+++ b/src/admission.c
@@ -39,7 +39,7 @@
 
 struct gyp_admission_unit {
 	struct gyp_flow_key key;
-	uint32_t pending_queries;
+	struct gyp_admission_pending pending;
 	uint64_t paused_until;
 	GArray *answers;      /* struct endpoint_answer by row */
 	GArray *grants;       /* struct grant */
@@ -199,7 +199,15 @@
 bool
 gyp_admission_has_pending_query(const struct gyp_admission_unit *u)
 {
-	return u != NULL && u->pending_queries > 0;
+	return u != NULL && u->pending.queries > 0;
+}
+
+struct gyp_admission_pending
+gyp_admission_pending(const struct gyp_admission_unit *u)
+{
+	struct gyp_admission_pending none = {.queries = 0};
+
+	return u != NULL ? u->pending : none;
 }
 
 void
@@ -267,6 +275,34 @@
 
 /* ---- Queries ------------------------------------------------------------ */
 
+/* Returns the number of tasks that the endpoints of a query should take. */
+static double
+expected_tasks(const struct query *q)
+{
+	double sum = 0;
+	guint i;
+
+	for (i = 0; i < q->targets->len; i++)
+		sum += target_at(q, i)->expected;
+	return sum;
+}
+
+static void
+add_pending(struct gyp_admission_unit *u, const struct query *q)
+{
+	u->pending.queries++;
+	u->pending.expected += expected_tasks(q);
+}
+
+static void
+remove_pending(struct gyp_admission_unit *u, const struct query *q)
+{
+	u->pending.queries--;
+	u->pending.expected -= expected_tasks(q);
+	if (u->pending.queries == 0)
+		u->pending.expected = 0; /* without rounding errors */
+}
+
 static Gyp__Ask *
 make_query(const struct gyp_admission *a, const struct query *q,
     const struct gyp_flow_unit *unit)
@@ -317,7 +353,7 @@
 	for (i = 0; i < n; i++)
 		ensure_answer(u, targets[i].row)->pending = true;
 	add_claims(a, q);
-	u->pending_queries++;
+	add_pending(u, q);
 	g_hash_table_insert(a->queries, &q->id, q);
 	return make_query(a, q, unit);
 }
@@ -411,7 +447,7 @@
 	for (i = 0; u != NULL && answer != NULL && i < answer->n_tickets; i++)
 		record_ticket(a, u, now, answer->valid_ms, answer->tickets[i]);
 	if (u != NULL) {
-		u->pending_queries--;
+		remove_pending(u, q);
 		update_share(a, q, unanswered, u->grants->len - grants_before);
 	}
 	remove_claims(a, q);
--- a/src/admission.h
+++ b/src/admission.h
@@ -78,6 +78,16 @@
 /* True while a query about the unit, which may be NULL, has no answer yet. */
 bool gyp_admission_has_pending_query(const struct gyp_admission_unit *);
 
+/* The queries about a unit that have no answer yet. */
+struct gyp_admission_pending {
+	uint32_t queries;
+	double expected; /* tasks that their endpoints are expected to take */
+};
+
+/* The unit may be NULL. */
+struct gyp_admission_pending gyp_admission_pending(
+    const struct gyp_admission_unit *);
+
 /*
  * Pauses queries about the unit until the given time; has no effect on a unit
  * that was never queried. gyp_admission_is_paused() accepts NULL.
@@ -93,6 +103,7 @@
 /* An endpoint named in a query. */
 struct gyp_admission_target {
 	uint32_t row;
+	double expected;      /* tasks that the endpoint is expected to take */
 	struct gyp_res claim; /* expected use by the unit once it is allowed */
 };
 
--- a/src/admission_query.c
+++ b/src/admission_query.c
@@ -123,7 +123,7 @@
  * answer that the admission service allows.
  */
 static guint
-count_endpoints(const GArray *ranking, uint32_t waiting, guint cheap_count,
+count_endpoints(const GArray *ranking, double waiting, guint cheap_count,
     double allowed_share)
 {
 	double expected = 0; /* tasks */
@@ -149,8 +149,8 @@
  */
 static void
 fill_targets(const GArray *ranking, const struct gyp_candidate *c,
-    uint32_t waiting, double allowed_share,
-    struct gyp_admission_target *targets, guint n)
+    double waiting, double allowed_share, struct gyp_admission_target *targets,
+    guint n)
 {
 	const struct gyp_res *size = &c->unit->size;
 	double left = waiting;
@@ -163,6 +163,7 @@
 		double tasks = endpoint->count *
 			       (endpoint->allowed_before ? 1 : allowed_share);
 
+		targets[i].expected = tasks;
 		tasks = MIN(tasks, left);
 		left -= tasks;
 		targets[i].row = endpoint->row;
@@ -174,10 +175,33 @@
 	}
 }
 
+/*
+ * Returns how many of n endpoints a query names when further queries name the
+ * others: not fewer than are cheap to name.
+ */
+static guint
+divide_endpoints(guint n, guint cheap_count, uint32_t queries)
+{
+	return MIN(n, MAX(cheap_count, (n + queries - 1) / queries));
+}
+
+/* Returns how many more queries about the unit may be under way. */
+static uint32_t
+queries_left(const struct gyp_candidate *c,
+    const struct gyp_admission_pending *pending, uint32_t waiting)
+{
+	uint32_t most = c->unit->step->lasting ? GYP_LASTING_QUERIES_MAX : 1;
+
+	if (pending->queries >= most ||
+	    (pending->queries > 0 && pending->expected >= waiting))
+		return 0;
+	return most - pending->queries;
+}
+
 Gyp__Ask *
 gyp_admission_query_new(struct gyp_admission *a,
     struct gyp_capacity_index *capacities, const struct gyp_candidate *c,
-    uint32_t waiting, uint64_t now)
+    uint32_t waiting, uint32_t slots, uint64_t now)
 {
 	const struct gyp_admission_unit *answers =
 	    gyp_admission_unit(a, c->flow, c->unit);
@@ -185,16 +209,19 @@
 	struct gyp_admission_target targets[QUERY_ENDPOINTS_MAX];
 	double share =
 	    gyp_admission_allowed_share(a, c->flow->spec->queue->name);
+	struct gyp_admission_pending pending = gyp_admission_pending(answers);
+	uint32_t queries = MIN(slots, queries_left(c, &pending, waiting));
+	double missing = waiting - pending.expected;
 	GArray *ranking;
 	guint n;
 
-	if (!c->flow->spec->queue->admission ||
-	    gyp_admission_has_pending_query(answers) ||
+	if (!c->flow->spec->queue->admission || queries == 0 ||
 	    gyp_admission_is_paused(answers, now))
 		return NULL;
 	ranking = rank_unanswered(a, capacities, c, now, cheap_count);
-	n = count_endpoints(ranking, waiting, cheap_count, share);
-	fill_targets(ranking, c, waiting, share, targets, n);
+	n = count_endpoints(ranking, missing, cheap_count, share);
+	n = divide_endpoints(n, cheap_count, queries);
+	fill_targets(ranking, c, missing, share, targets, n);
 	g_array_free(ranking, TRUE);
 	if (n == 0) {
 		gyp_admission_pause_queries(
--- a/src/admission_query.h
+++ b/src/admission_query.h
@@ -21,14 +21,23 @@
  *	the query itself, it also names some that are full now but may have free
  *	capacity before the ticket expires. No query is sent while no endpoint
  *	has free capacity for a task of the unit.
+ *
+ *	And this one: lasting tasks that lost their runs, all of which must run
+ *	again within seconds. Their endpoints are divided among several queries
+ *	under way at a time, since each answer takes longer with each endpoint
+ *	named, and other work takes the room meanwhile.
  */
 
+/* Most queries under way about a lasting unit; other units have one. */
+#define GYP_LASTING_QUERIES_MAX 4
+
 /*
  * Returns a query about the unit, recorded as pending, or NULL when there is
- * none to send.
+ * none to send. slots is the number of queries about the unit that may still be
+ * sent now, at least 1.
  */
 Gyp__Ask *gyp_admission_query_new(struct gyp_admission *,
     struct gyp_capacity_index *, const struct gyp_candidate *, uint32_t waiting,
-    uint64_t now);
+    uint32_t slots, uint64_t now);
 
 #endif
--- a/src/query_slots.c
+++ b/src/query_slots.c
@@ -35,25 +35,27 @@
 	return s->free > reserved ? s->free - reserved : 0;
 }
 
+/* Adds the queries about the unit that are to be sent now. */
 static void
-add_query(struct gyp_query_slots *s, const struct gyp_candidate *c,
+add_queries(struct gyp_query_slots *s, const struct gyp_candidate *c,
     uint32_t tasks, uint32_t slots)
 {
 	Gyp__Ask *query;
 
-	if (s->queries->len >= slots)
-		return;
-	query = gyp_admission_query_new(
-	    s->admission, s->capacities, c, tasks, s->now);
-	if (query != NULL)
+	while (s->queries->len < slots) {
+		query = gyp_admission_query_new(s->admission, s->capacities, c,
+		    tasks, slots - s->queries->len, s->now);
+		if (query == NULL)
+			return;
 		g_ptr_array_add(s->queries, query);
+	}
 }
 
 void
 gyp_query_slots_use(
     struct gyp_query_slots *s, const struct gyp_candidate *c, uint32_t tasks)
 {
-	add_query(s, c, tasks, slots_for(s, c));
+	add_queries(s, c, tasks, slots_for(s, c));
 }
 
 void
@@ -63,5 +65,5 @@
 	uint32_t reserved = s->total / PREFETCH_RESERVED_DIVISOR;
 
 	if (s->queries->len + reserved < s->free)
-		add_query(s, c, tasks, s->free);
+		add_queries(s, c, tasks, s->free);
 }
--- a/src/query_slots.h
+++ b/src/query_slots.h
@@ -34,7 +34,7 @@
 /* True when queries about the unit are answered sooner than a run stops. */
 bool gyp_query_is_quick(const struct gyp_candidate *);
 
-/* Adds a query about tasks of the unit when a slot is free for it. */
+/* Adds queries about tasks of the unit when slots are free for them. */
 void gyp_query_slots_use(
     struct gyp_query_slots *, const struct gyp_candidate *, uint32_t tasks);
 
--- /dev/null
+++ b/test/test_lasting_queries.c
@@ -0,0 +1,162 @@
+#include <glib.h>
+
+#include "placer_fixture.h"
+
+/*
+ * Guards against lasting tasks that wait for the admission service although
+ * endpoints have room. Endpoints have 10 processors and 10 GiB; each takes one
+ * task. A query takes 585 ms, and 8.45 ms for each endpoint that it names.
+ */
+
+#define QUERY_MS 585
+#define EACH_MS  8.45
+
+/* Endpoints that are named for a quarter of the time of the query itself. */
+#define CHEAP_ENDPOINTS 17
+
+/* Returns a step whose tasks need nine processors; the caller keeps *size. */
+static Gyp__FlowStep
+large_step(uint32_t count, Gyp__Res *size)
+{
+	Gyp__FlowStep step = flow_fixture_step(count);
+
+	gyp__res__init(size);
+	size->cpu_milli = 9000;
+	step.size = size;
+	return step;
+}
+
+static void
+submit(struct placer_fixture *f, uint64_t id, uint32_t priority, uint32_t count,
+    bool lasting)
+{
+	Gyp__Res size;
+	Gyp__FlowStep step = large_step(count, &size);
+
+	step.lasting = lasting;
+	placer_fixture_submit(f, id, priority, step);
+	placer_fixture_set_queue(f, id, priority, true, QUERY_MS, EACH_MS);
+	gyp_flow_get(f->base.flows, id)->spec->queue->ticket_ms = 2500;
+}
+
+static const Gyp__Ask *
+query_at(const struct placer_fixture *f, guint i)
+{
+	return f->queries->pdata[i];
+}
+
+/* Returns the number of endpoints named in all queries of the round. */
+static size_t
+count_named(const struct placer_fixture *f)
+{
+	size_t n = 0;
+	guint i;
+
+	for (i = 0; i < f->queries->len; i++)
+		n += query_at(f, i)->n_endpoints;
+	return n;
+}
+
+/* Returns the number of different endpoints among these. */
+static guint
+count_different(const struct placer_fixture *f)
+{
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+	guint i, n;
+	size_t k;
+
+	for (i = 0; i < f->queries->len; i++) {
+		for (k = 0; k < query_at(f, i)->n_endpoints; k++)
+			g_hash_table_add(names, query_at(f, i)->endpoints[k]);
+	}
+	n = g_hash_table_size(names);
+	g_hash_table_destroy(names);
+	return n;
+}
+
+/* ---- Several queries about a unit ---------------------------------------- */
+
+/*
+ * One query about as many endpoints as 20 tasks need takes more than a second,
+ * while other slots are free: the tasks waited for it, and other work took the
+ * room.
+ */
+static void
+test_one_long_answer(void)
+{
+	struct placer_fixture f;
+	guint i;
+
+	placer_fixture_init(&f, 100);
+	submit(&f, 1, 1, 20, true);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.queries->len, ==, 4);
+	for (i = 0; i < f.queries->len; i++)
+		g_assert_cmpuint(
+		    query_at(&f, i)->n_endpoints, ==, CHEAP_ENDPOINTS);
+	g_assert_cmpuint(count_different(&f), ==, count_named(&f));
+	/* The tasks that the pending queries should place need no others. */
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.queries->len, ==, 0);
+	placer_fixture_clear(&f);
+}
+
+/*
+ * Queries about a unit of which no task waits beyond those that the pending
+ * ones should place would take the slots of other units.
+ */
+static void
+test_needless_queries(void)
+{
+	struct placer_fixture f;
+
+	placer_fixture_init(&f, 100);
+	submit(&f, 1, 1, 7, true);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.queries->len, ==, 2);
+	placer_fixture_clear(&f);
+}
+
+/*
+ * With one slot left, a short query would find less room in the same time than
+ * one about all the endpoints that the tasks need.
+ */
+static void
+test_one_slot(void)
+{
+	struct placer_fixture f;
+
+	placer_fixture_init(&f, 100);
+	submit(&f, 1, 1, 20, true);
+	placer_fixture_run_round(&f, 3); /* two are kept for quick queries */
+	g_assert_cmpuint(f.queries->len, ==, 1);
+	g_assert_cmpuint(count_named(&f), >, 50);
+	placer_fixture_clear(&f);
+}
+
+/* Units of other work keep one query each, so that more units get a slot. */
+static void
+test_other_work(void)
+{
+	struct placer_fixture f;
+
+	placer_fixture_init(&f, 100);
+	submit(&f, 1, 1, 20, false);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.queries->len, ==, 1);
+	g_assert_cmpuint(count_named(&f), >, 50);
+	placer_fixture_clear(&f);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func(
+	    "/lasting-queries/one-long-answer", test_one_long_answer);
+	g_test_add_func(
+	    "/lasting-queries/needless-queries", test_needless_queries);
+	g_test_add_func("/lasting-queries/one-slot", test_one_slot);
+	g_test_add_func("/lasting-queries/other-work", test_other_work);
+	return g_test_run();
+}
