query_holds: room is held for lasting tasks while they are queried about

Less urgent work took the room at the endpoints named while a query was under way. Room at these and at endpoints allowed before is now held until the answer, for as many tasks as wait, by the share that the service allows; never against more urgent work or lasting work of the same rank, and without stopping runs.

test_lasting_queries without the change: ERROR:test_lasting_queries.c:219:test_room_taken_by_batch: assertion failed (start(&f, 2) == 25): (40 == 25) ERROR:test_lasting_queries.c:244:test_room_taken_before_renewal: assertion failed (start(&f, 2) == 35): (40 == 35)

--- a/src/admission.c
+++ b/src/admission.c
@@ -44,6 +44,7 @@
 	GArray *answers;      /* struct endpoint_answer by row */
 	GArray *grants;       /* struct grant */
 	GArray *granted_rows; /* uint32_t, the row of each grant */
+	GArray *pending_rows; /* uint32_t */
 };
 
 struct query {
@@ -79,6 +80,7 @@
 	g_array_free(u->answers, TRUE);
 	g_array_free(u->grants, TRUE);
 	g_array_free(u->granted_rows, TRUE);
+	g_array_free(u->pending_rows, TRUE);
 	g_free(u);
 }
 
@@ -188,6 +190,19 @@
 	return g != NULL && ticket_is_valid(a, g, row, now) ? g->ticket : NULL;
 }
 
+const uint32_t *
+gyp_admission_pending_rows(const struct gyp_admission_unit *u, guint *n)
+{
+	*n = u != NULL ? u->pending_rows->len : 0;
+	return u != NULL ? (const uint32_t *)u->pending_rows->data : NULL;
+}
+
+bool
+gyp_admission_was_allowed(const struct gyp_admission_unit *u, uint32_t row)
+{
+	return grant_of(u, answer_at(u, row)) != NULL;
+}
+
 double
 gyp_admission_allowed_share(const struct gyp_admission *a, const char *queue)
 {
@@ -290,13 +305,31 @@
 static void
 add_pending(struct gyp_admission_unit *u, const struct query *q)
 {
+	guint i;
+
 	u->pending.queries++;
 	u->pending.expected += expected_tasks(q);
+	for (i = 0; i < q->targets->len; i++) {
+		uint32_t row = target_at(q, i)->row;
+
+		ensure_answer(u, row)->pending = true;
+		g_array_append_val(u->pending_rows, row);
+	}
 }
 
 static void
 remove_pending(struct gyp_admission_unit *u, const struct query *q)
 {
+	guint i;
+
+	for (i = 0; i < q->targets->len; i++)
+		ensure_answer(u, target_at(q, i)->row)->pending = false;
+	for (i = u->pending_rows->len; i-- > 0;) {
+		uint32_t row = g_array_index(u->pending_rows, uint32_t, i);
+
+		if (!answer_at(u, row)->pending)
+			g_array_remove_index_fast(u->pending_rows, i);
+	}
 	u->pending.queries--;
 	u->pending.expected -= expected_tasks(q);
 	if (u->pending.queries == 0)
@@ -333,7 +366,6 @@
 {
 	struct gyp_admission_unit *u = find_unit(a, flow, unit);
 	struct query *q = g_new0(struct query, 1);
-	guint i;
 
 	if (u == NULL) {
 		u = g_new0(struct gyp_admission_unit, 1);
@@ -343,6 +375,7 @@
 		u->grants = g_array_new(FALSE, TRUE, sizeof(struct grant));
 		g_array_set_clear_func(u->grants, clear_grant);
 		u->granted_rows = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+		u->pending_rows = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 		g_hash_table_insert(a->units, &u->key, u);
 	}
 	q->id = a->next_id++;
@@ -350,8 +383,6 @@
 	q->targets =
 	    g_array_new(FALSE, FALSE, sizeof(struct gyp_admission_target));
 	g_array_append_vals(q->targets, targets, n);
-	for (i = 0; i < n; i++)
-		ensure_answer(u, targets[i].row)->pending = true;
 	add_claims(a, q);
 	add_pending(u, q);
 	g_hash_table_insert(a->queries, &q->id, q);
@@ -436,7 +467,6 @@
 		struct endpoint_answer *e =
 		    ensure_answer(u, target_at(q, i)->row);
 
-		e->pending = false;
 		if (answer == NULL)
 			continue;
 		unanswered += !e->answered;
--- a/src/admission.h
+++ b/src/admission.h
@@ -61,6 +61,13 @@
 const uint32_t *gyp_admission_granted_rows(
     const struct gyp_admission_unit *, guint *n);
 
+/* The same for the rows that pending queries name. */
+const uint32_t *gyp_admission_pending_rows(
+    const struct gyp_admission_unit *, guint *n);
+
+/* True if the latest answer allowed the row, even if its ticket has expired. */
+bool gyp_admission_was_allowed(const struct gyp_admission_unit *, uint32_t row);
+
 /*
  * Estimated share of endpoints that the admission service allows for steps of
  * the queue.
--- a/src/placer.c
+++ b/src/placer.c
@@ -4,6 +4,7 @@
 #include "endpoint_ranking.h"
 #include "msg.h"
 #include "placer.h"
+#include "query_holds.h"
 #include "query_slots.h"
 #include "quota.h"
 #include "reserve.h"
@@ -32,7 +33,8 @@
 	struct gyp_capacity_index *capacities; /* of this round */
 	GArray *units;    /* struct gyp_candidate, of this round */
 	GArray *prefetch; /* struct gyp_candidate, not ready yet */
-	GPtrArray *runs;  /* Gyp__FlowRun of the unit being placed */
+	struct gyp_query_holds *holds;
+	GPtrArray *runs; /* Gyp__FlowRun of the unit being placed */
 	uint64_t now;
 	uint32_t runs_left; /* runs that this round may still propose */
 	uint32_t reservations;
@@ -544,8 +546,11 @@
 		   gyp_admission_unit(p->admission, c->flow, c->unit));
 }
 
-/* Reserves capacity for tasks that could not be placed. */
-static void
+/*
+ * Reserves capacity for tasks that could not be placed; returns the number of
+ * tasks that have some.
+ */
+static uint32_t
 reserve_capacity(
     struct gyp_placer *p, const struct gyp_candidate *c, uint32_t waiting)
 {
@@ -555,9 +560,9 @@
 
 	if (p->reservations >= RESERVATIONS_MAX ||
 	    (!may_preempt && !c->unit->step->gang))
-		return;
+		return 0;
 	p->reservations++;
-	gyp_reserve(
+	return gyp_reserve(
 	    p->capacities, p->preempt, p->admission, c, waiting, may_preempt);
 }
 
@@ -582,6 +587,7 @@
 	p->now = now;
 	p->runs_left = RUNS_MAX;
 	p->reservations = 0;
+	gyp_query_holds_clear(p->holds);
 	memset(&p->summary, 0, sizeof(p->summary));
 	g_hash_table_remove_all(p->waiting);
 	g_array_set_size(p->workspaces, 0);
@@ -602,6 +608,7 @@
 		add_cap_wait(p, c, tasks);
 		return;
 	}
+	gyp_query_holds_apply(p->holds, c);
 	waiting = place_unit(p, c, cmds);
 	add_waiting(p, c, waiting);
 	add_cap_wait(p, c, tasks - allowed + waiting);
@@ -617,7 +624,8 @@
 	p->summary.queried += queried;
 	note_wait(
 	    p, c, queried ? GYP_PLACER_WAIT_QUERY : GYP_PLACER_WAIT_CAPACITY);
-	reserve_capacity(p, c, waiting);
+	gyp_query_holds_add(
+	    p->holds, c, waiting - reserve_capacity(p, c, waiting));
 }
 
 void
@@ -679,6 +687,7 @@
 	p->capacities = gyp_capacity_index_new(flows, fleet, stats, p->preempt);
 	p->units = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
 	p->prefetch = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
+	p->holds = gyp_query_holds_new(p->capacities, admission);
 	p->workspaces =
 	    g_array_new(FALSE, TRUE, sizeof(struct workspace_round));
 	p->waiting = g_hash_table_new_full(NULL, NULL, NULL, g_free);
@@ -695,6 +704,7 @@
 	gyp_capacity_index_free(p->capacities);
 	g_array_free(p->units, TRUE);
 	g_array_free(p->prefetch, TRUE);
+	gyp_query_holds_free(p->holds);
 	g_array_free(p->workspaces, TRUE);
 	g_hash_table_destroy(p->waiting);
 	g_ptr_array_free(p->runs, TRUE);
--- /dev/null
+++ b/src/query_holds.c
@@ -0,0 +1,155 @@
+#include "query_holds.h"
+#include "endpoint_ranking.h"
+
+/* Most units for which a round holds room. */
+#define HOLDS_MAX 64
+
+/*
+ * Score bonus of an endpoint that was allowed before: it comes before those
+ * without an answer.
+ */
+#define ALLOWED_BONUS 10
+
+/* Tasks of a unit that wait for an answer. */
+struct hold {
+	struct gyp_candidate candidate;
+	uint32_t tasks;
+};
+
+struct gyp_query_holds {
+	struct gyp_capacity_index *capacities;
+	const struct gyp_admission *admission;
+	GArray *holds; /* struct hold, not applied yet, most urgent first */
+};
+
+static void
+add_with_room(const struct gyp_capacity_index *capacities,
+    const struct gyp_admission_unit *answers, const struct gyp_candidate *c,
+    uint32_t row, GArray *ranking)
+{
+	const struct gyp_capacity *cap;
+	struct gyp_ranked_endpoint endpoint = {.row = row};
+
+	if (row >= gyp_capacity_index_size(capacities))
+		return;
+	cap = gyp_capacity_index_at(capacities, row);
+	if (!gyp_capacity_suits(cap, c) || cap->state > GYP_RUN_STATS_SUSPECT)
+		return;
+	endpoint.count = gyp_capacity_count_tasks(cap, c);
+	endpoint.allowed_before = gyp_admission_was_allowed(answers, row);
+	endpoint.score = gyp_capacity_score(cap, c) +
+			 (endpoint.allowed_before ? ALLOWED_BONUS : 0);
+	if (endpoint.count > 0)
+		g_array_append_val(ranking, endpoint);
+}
+
+/* Returns the endpoints with room whose answers or tickets are awaited. */
+static GArray *
+rank_awaited(const struct gyp_capacity_index *capacities,
+    const struct gyp_admission *a, const struct gyp_candidate *c)
+{
+	const struct gyp_admission_unit *answers =
+	    gyp_admission_unit(a, c->flow, c->unit);
+	uint64_t now = gyp_capacity_index_now(capacities);
+	GArray *ranking = gyp_ranking_new();
+	const uint32_t *rows;
+	guint i, n;
+
+	rows = gyp_admission_pending_rows(answers, &n);
+	for (i = 0; i < n; i++)
+		add_with_room(capacities, answers, c, rows[i], ranking);
+	rows = gyp_admission_granted_rows(answers, &n);
+	for (i = 0; i < n; i++) {
+		if (gyp_admission_state(a, answers, rows[i], now) ==
+		    GYP_ADMISSION_EXPIRED)
+			add_with_room(capacities, answers, c, rows[i], ranking);
+	}
+	gyp_ranking_sort(ranking);
+	return ranking;
+}
+
+/*
+ * Holds free capacity for the tasks. The service is expected to allow the usual
+ * share of the endpoints without an answer, so more is held than they need.
+ */
+static void
+hold_room(struct gyp_capacity_index *capacities, const struct gyp_admission *a,
+    const struct gyp_candidate *c, uint32_t tasks)
+{
+	double share =
+	    gyp_admission_allowed_share(a, c->flow->spec->queue->name);
+	GArray *ranking = rank_awaited(capacities, a, c);
+	double expected = 0; /* tasks */
+	guint i;
+
+	for (i = 0; i < ranking->len && expected < tasks; i++) {
+		struct gyp_ranked_endpoint *endpoint =
+		    &g_array_index(ranking, struct gyp_ranked_endpoint, i);
+		struct gyp_capacity *cap =
+		    gyp_capacity_index_at(capacities, endpoint->row);
+
+		while (endpoint->count-- > 0 && expected < tasks) {
+			gyp_res_sub(&cap->available, &c->unit->size);
+			expected += endpoint->allowed_before ? 1 : share;
+		}
+	}
+	g_array_free(ranking, TRUE);
+}
+
+void
+gyp_query_holds_add(
+    struct gyp_query_holds *h, const struct gyp_candidate *c, uint32_t tasks)
+{
+	struct hold hold = {.candidate = *c, .tasks = tasks};
+
+	if (c->unit->step->lasting && !c->unit->step->gang && tasks > 0 &&
+	    c->flow->spec->queue->admission && h->holds->len < HOLDS_MAX)
+		g_array_append_val(h->holds, hold);
+}
+
+void
+gyp_query_holds_apply(
+    struct gyp_query_holds *h, const struct gyp_candidate *next)
+{
+	guint i;
+
+	for (i = 0; i < h->holds->len; i++) {
+		const struct hold *hold =
+		    &g_array_index(h->holds, struct hold, i);
+
+		if (next->unit->step->lasting &&
+		    next->rank <= hold->candidate.rank)
+			break;
+		hold_room(
+		    h->capacities, h->admission, &hold->candidate, hold->tasks);
+	}
+	if (i > 0)
+		g_array_remove_range(h->holds, 0, i);
+}
+
+void
+gyp_query_holds_clear(struct gyp_query_holds *h)
+{
+	g_array_set_size(h->holds, 0);
+}
+
+struct gyp_query_holds *
+gyp_query_holds_new(
+    struct gyp_capacity_index *capacities, const struct gyp_admission *a)
+{
+	struct gyp_query_holds *h = g_new0(struct gyp_query_holds, 1);
+
+	h->capacities = capacities;
+	h->admission = a;
+	h->holds = g_array_new(FALSE, FALSE, sizeof(struct hold));
+	return h;
+}
+
+void
+gyp_query_holds_free(struct gyp_query_holds *h)
+{
+	if (h == NULL)
+		return;
+	g_array_free(h->holds, TRUE);
+	g_free(h);
+}
--- a/test/test_lasting_queries.c
+++ b/test/test_lasting_queries.c
@@ -148,6 +148,152 @@
 	placer_fixture_clear(&f);
 }
 
+/* ---- Room while a query is under way ------------------------------------- */
+
+/* Submits tasks of that priority that need no admission, for all endpoints. */
+static void
+submit_rival(struct placer_fixture *f, uint32_t priority, bool lasting)
+{
+	submit(f, 2, priority, 40, lasting);
+	placer_fixture_set_queue(f, 2, priority, false, 0, 0);
+}
+
+/* Runs a round; returns the number of tasks of the flow that it starts. */
+static size_t
+start(struct placer_fixture *f, uint64_t flow)
+{
+	size_t n = 0;
+	guint i;
+
+	placer_fixture_run_round(f, PLACER_QUERY_SLOTS);
+	for (i = 0; i < f->cmds->len; i++) {
+		if (placer_fixture_start(f, i)->flow == flow)
+			n += placer_fixture_start(f, i)->n_runs;
+	}
+	placer_fixture_apply(f);
+	return n;
+}
+
+/*
+ * Answers the queries of the round: allows every third endpoint, as many as the
+ * service is expected to allow.
+ */
+static void
+allow_a_third(struct placer_fixture *f)
+{
+	guint i, k;
+
+	for (i = 0; i < f->queries->len; i++) {
+		Gyp__Ask *query = f->queries->pdata[i];
+		Gyp__Advised answer = GYP__ADVISED__INIT;
+		Gyp__Ticket tickets[100], *list[100];
+
+		answer.id = query->id;
+		answer.ok = true;
+		answer.valid_ms = 2500;
+		answer.tickets = list;
+		for (k = 0; k < query->n_endpoints; k += 3) {
+			Gyp__Ticket *t = &tickets[answer.n_tickets];
+
+			gyp__ticket__init(t);
+			t->endpoint = query->endpoints[k];
+			t->ticket = "t";
+			list[answer.n_tickets++] = t;
+		}
+		gyp_admission_record_answer(f->admission, f->base.now, &answer);
+	}
+}
+
+/*
+ * Less urgent work took all room at the endpoints named while the query about a
+ * lasting task was under way, each time anew.
+ */
+static void
+test_room_taken_by_batch(void)
+{
+	struct placer_fixture f;
+
+	placer_fixture_init(&f, 40);
+	submit(&f, 1, 1, 5, true);
+	submit_rival(&f, 2, false);
+	g_assert_cmpuint(start(&f, 2), ==, 25);
+	allow_a_third(&f);
+	g_assert_cmpuint(start(&f, 1), ==, 5);
+	placer_fixture_clear(&f);
+}
+
+/*
+ * The same for endpoints whose tickets have expired, all of which are allowed,
+ * and younger work of the same rank that does not last.
+ */
+static void
+test_room_taken_before_renewal(void)
+{
+	struct placer_fixture f;
+	guint i;
+
+	placer_fixture_init(&f, 40);
+	submit(&f, 1, 1, 5, true);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.queries->len, ==, 1);
+	allow_a_third(&f);
+	f.base.now += 3000;
+	for (i = 0; i < 40; i++)
+		gyp_fleet_heartbeat(f.base.fleet, f.base.now, i, 1, f.base.now);
+	submit_rival(&f, 1, false);
+	g_assert_cmpuint(start(&f, 2), ==, 35);
+	for (i = 0; i < f.queries->len; i++)
+		placer_fixture_allow_all(&f, f.queries->pdata[i]);
+	g_assert_cmpuint(start(&f, 1), ==, 5);
+	placer_fixture_clear(&f);
+}
+
+/*
+ * Room is not held against more urgent work, nor against other lasting tasks
+ * that could start at once.
+ */
+static void
+test_room_held_against_others(void)
+{
+	static const struct {
+		uint32_t priority;
+		bool lasting;
+	} rivals[] = {{0, false}, {0, true}, {1, true}};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(rivals); i++) {
+		struct placer_fixture f;
+
+		placer_fixture_init(&f, 40);
+		submit(&f, 1, 1, 5, true);
+		placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+		submit_rival(&f, rivals[i].priority, rivals[i].lasting);
+		g_assert_cmpuint(start(&f, 2), ==, 40);
+		placer_fixture_clear(&f);
+	}
+}
+
+/* No run is stopped at an endpoint that the service may not allow. */
+static void
+test_stops_where_not_allowed(void)
+{
+	struct placer_fixture f;
+	struct gyp_preempt_stop stop;
+	Gyp__Res size;
+	Gyp__FlowStep batch = large_step(39, &size);
+
+	batch.checkpoints = true;
+	placer_fixture_init(&f, 40);
+	placer_fixture_submit(&f, 2, 2, batch);
+	g_assert_cmpuint(start(&f, 2), ==, 39);
+	placer_fixture_confirm(&f);
+	submit(&f, 1, 1, 5, true);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.queries->len, >, 0);
+	g_assert_false(gyp_placer_pop_stop(f.placer, &stop));
+	placer_fixture_clear(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -158,5 +304,13 @@
 	    "/lasting-queries/needless-queries", test_needless_queries);
 	g_test_add_func("/lasting-queries/one-slot", test_one_slot);
 	g_test_add_func("/lasting-queries/other-work", test_other_work);
+	g_test_add_func(
+	    "/lasting-queries/room-taken-by-batch", test_room_taken_by_batch);
+	g_test_add_func("/lasting-queries/room-taken-before-renewal",
+	    test_room_taken_before_renewal);
+	g_test_add_func("/lasting-queries/room-held-against-others",
+	    test_room_held_against_others);
+	g_test_add_func("/lasting-queries/stops-where-not-allowed",
+	    test_stops_where_not_allowed);
 	return g_test_run();
 }
