--- a/src/admission.c
+++ b/src/admission.c
@@ -39,11 +39,12 @@
 
 struct gyp_admission_unit {
 	struct gyp_flow_key key;
-	uint32_t pending_queries;
+	struct gyp_admission_pending pending;
 	uint64_t paused_until;
 	GArray *answers;      /* struct endpoint_answer by row */
 	GArray *grants;       /* struct grant */
 	GArray *granted_rows; /* uint32_t, the row of each grant */
+	GArray *pending_rows; /* uint32_t */
 };
 
 struct query {
@@ -79,6 +80,7 @@
 	g_array_free(u->answers, TRUE);
 	g_array_free(u->grants, TRUE);
 	g_array_free(u->granted_rows, TRUE);
+	g_array_free(u->pending_rows, TRUE);
 	g_free(u);
 }
 
@@ -188,6 +190,19 @@
 	return g != NULL && ticket_is_valid(a, g, row, now) ? g->ticket : NULL;
 }
 
+const uint32_t *
+gyp_admission_pending_rows(const struct gyp_admission_unit *u, guint *n)
+{
+	*n = u != NULL ? u->pending_rows->len : 0;
+	return u != NULL ? (const uint32_t *)u->pending_rows->data : NULL;
+}
+
+bool
+gyp_admission_was_allowed(const struct gyp_admission_unit *u, uint32_t row)
+{
+	return grant_of(u, answer_at(u, row)) != NULL;
+}
+
 double
 gyp_admission_allowed_share(const struct gyp_admission *a, const char *queue)
 {
@@ -199,7 +214,15 @@
 bool
 gyp_admission_has_pending_query(const struct gyp_admission_unit *u)
 {
-	return u != NULL && u->pending_queries > 0;
+	return u != NULL && u->pending.queries > 0;
+}
+
+struct gyp_admission_pending
+gyp_admission_pending(const struct gyp_admission_unit *u)
+{
+	struct gyp_admission_pending none = {.queries = 0};
+
+	return u != NULL ? u->pending : none;
 }
 
 void
@@ -267,6 +290,52 @@
 
 /* ---- Queries ------------------------------------------------------------ */
 
+/* Returns the number of tasks that the endpoints of a query should take. */
+static double
+expected_tasks(const struct query *q)
+{
+	double sum = 0;
+	guint i;
+
+	for (i = 0; i < q->targets->len; i++)
+		sum += target_at(q, i)->expected;
+	return sum;
+}
+
+static void
+add_pending(struct gyp_admission_unit *u, const struct query *q)
+{
+	guint i;
+
+	u->pending.queries++;
+	u->pending.expected += expected_tasks(q);
+	for (i = 0; i < q->targets->len; i++) {
+		uint32_t row = target_at(q, i)->row;
+
+		ensure_answer(u, row)->pending = true;
+		g_array_append_val(u->pending_rows, row);
+	}
+}
+
+static void
+remove_pending(struct gyp_admission_unit *u, const struct query *q)
+{
+	guint i;
+
+	for (i = 0; i < q->targets->len; i++)
+		ensure_answer(u, target_at(q, i)->row)->pending = false;
+	for (i = u->pending_rows->len; i-- > 0;) {
+		uint32_t row = g_array_index(u->pending_rows, uint32_t, i);
+
+		if (!answer_at(u, row)->pending)
+			g_array_remove_index_fast(u->pending_rows, i);
+	}
+	u->pending.queries--;
+	u->pending.expected -= expected_tasks(q);
+	if (u->pending.queries == 0)
+		u->pending.expected = 0; /* without rounding errors */
+}
+
 static Gyp__Ask *
 make_query(const struct gyp_admission *a, const struct query *q,
     const struct gyp_flow_unit *unit)
@@ -297,7 +366,6 @@
 {
 	struct gyp_admission_unit *u = find_unit(a, flow, unit);
 	struct query *q = g_new0(struct query, 1);
-	guint i;
 
 	if (u == NULL) {
 		u = g_new0(struct gyp_admission_unit, 1);
@@ -307,6 +375,7 @@
 		u->grants = g_array_new(FALSE, TRUE, sizeof(struct grant));
 		g_array_set_clear_func(u->grants, clear_grant);
 		u->granted_rows = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+		u->pending_rows = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 		g_hash_table_insert(a->units, &u->key, u);
 	}
 	q->id = a->next_id++;
@@ -314,10 +383,8 @@
 	q->targets =
 	    g_array_new(FALSE, FALSE, sizeof(struct gyp_admission_target));
 	g_array_append_vals(q->targets, targets, n);
-	for (i = 0; i < n; i++)
-		ensure_answer(u, targets[i].row)->pending = true;
 	add_claims(a, q);
-	u->pending_queries++;
+	add_pending(u, q);
 	g_hash_table_insert(a->queries, &q->id, q);
 	return make_query(a, q, unit);
 }
@@ -400,7 +467,6 @@
 		struct endpoint_answer *e =
 		    ensure_answer(u, target_at(q, i)->row);
 
-		e->pending = false;
 		if (answer == NULL)
 			continue;
 		unanswered += !e->answered;
@@ -411,7 +477,7 @@
 	for (i = 0; u != NULL && answer != NULL && i < answer->n_tickets; i++)
 		record_ticket(a, u, now, answer->valid_ms, answer->tickets[i]);
 	if (u != NULL) {
-		u->pending_queries--;
+		remove_pending(u, q);
 		update_share(a, q, unanswered, u->grants->len - grants_before);
 	}
 	remove_claims(a, q);
--- a/src/placer.c
+++ b/src/placer.c
@@ -1,10 +1,11 @@
 #include <string.h>
 
 #include "admission_prefetch.h"
-#include "admission_query.h"
 #include "endpoint_ranking.h"
 #include "msg.h"
 #include "placer.h"
+#include "query_holds.h"
+#include "query_slots.h"
 #include "quota.h"
 #include "reserve.h"
 
@@ -14,19 +15,6 @@
 /* Most units for which one round reserves capacity. */
 #define RESERVATIONS_MAX 64
 
-/*
- * Queries that take SLOW_QUERY_MS or longer leave one query slot in
- * RESERVED_SLOTS_DIVISOR free for quicker ones.
- */
-#define SLOW_QUERY_MS          100
-#define RESERVED_SLOTS_DIVISOR 5
-
-/*
- * Prefetched queries leave one query slot in PREFETCH_RESERVED_DIVISOR free for
- * units that are ready.
- */
-#define PREFETCH_RESERVED_DIVISOR 3
-
 /* What a round has decided for a workspace. */
 struct workspace_round {
 	struct gyp_res proposed; /* booked by the runs that it proposes */
@@ -45,7 +33,8 @@
 	struct gyp_capacity_index *capacities; /* of this round */
 	GArray *units;    /* struct gyp_candidate, of this round */
 	GArray *prefetch; /* struct gyp_candidate, not ready yet */
-	GPtrArray *runs;  /* Gyp__FlowRun of the unit being placed */
+	struct gyp_query_holds *holds;
+	GPtrArray *runs; /* Gyp__FlowRun of the unit being placed */
 	uint64_t now;
 	uint32_t runs_left; /* runs that this round may still propose */
 	uint32_t reservations;
@@ -552,13 +541,16 @@
 static bool
 awaits_quick_query(const struct gyp_placer *p, const struct gyp_candidate *c)
 {
-	return c->flow->spec->queue->admission_ms < SLOW_QUERY_MS &&
+	return gyp_query_is_quick(c) &&
 	       gyp_admission_has_pending_query(
 		   gyp_admission_unit(p->admission, c->flow, c->unit));
 }
 
-/* Reserves capacity for tasks that could not be placed. */
-static void
+/*
+ * Reserves capacity for tasks that could not be placed; returns the number of
+ * tasks that have some.
+ */
+static uint32_t
 reserve_capacity(
     struct gyp_placer *p, const struct gyp_candidate *c, uint32_t waiting)
 {
@@ -568,61 +560,23 @@
 
 	if (p->reservations >= RESERVATIONS_MAX ||
 	    (!may_preempt && !c->unit->step->gang))
-		return;
+		return 0;
 	p->reservations++;
-	gyp_reserve(
+	return gyp_reserve(
 	    p->capacities, p->preempt, p->admission, c, waiting, may_preempt);
 }
 
-/*
- * Returns how many of the free query slots a query about the unit may use: slow
- * queries leave some to quick ones.
- */
-static uint32_t
-slots_for(
-    const struct gyp_candidate *c, uint32_t free_slots, uint32_t total_slots)
-{
-	uint32_t reserved =
-	    (total_slots + RESERVED_SLOTS_DIVISOR - 1) / RESERVED_SLOTS_DIVISOR;
-
-	if (c->flow->spec->queue->admission_ms < SLOW_QUERY_MS)
-		return free_slots;
-	return free_slots > reserved ? free_slots - reserved : 0;
-}
-
-/* Adds a query about the unit when a query slot is free for it. */
-static void
-query_about(struct gyp_placer *p, const struct gyp_candidate *c, uint32_t tasks,
-    uint32_t free_slots, GPtrArray *queries)
-{
-	Gyp__Ask *query;
-
-	if (queries->len >= free_slots)
-		return;
-	query = gyp_admission_query_new(
-	    p->admission, p->capacities, c, tasks, p->now);
-	if (query != NULL)
-		g_ptr_array_add(queries, query);
-}
-
-/*
- * Adds queries about units that are not ready yet; keeps some of the query
- * slots free for units that become ready.
- */
+/* Adds queries about units that are not ready yet. */
 static void
-prefetch_queries(struct gyp_placer *p, uint32_t free_slots,
-    uint32_t total_slots, GPtrArray *queries)
+prefetch_queries(const struct gyp_placer *p, struct gyp_query_slots *slots)
 {
-	uint32_t reserved = total_slots / PREFETCH_RESERVED_DIVISOR;
 	guint i;
 
-	for (i = 0;
-	     i < p->prefetch->len && queries->len + reserved < free_slots;
-	     i++) {
+	for (i = 0; i < p->prefetch->len; i++) {
 		const struct gyp_candidate *c =
 		    &g_array_index(p->prefetch, struct gyp_candidate, i);
 
-		query_about(p, c, c->unit->left, free_slots, queries);
+		gyp_query_slots_prefetch(slots, c, c->unit->left);
 	}
 }
 
@@ -633,6 +587,7 @@
 	p->now = now;
 	p->runs_left = RUNS_MAX;
 	p->reservations = 0;
+	gyp_query_holds_clear(p->holds);
 	memset(&p->summary, 0, sizeof(p->summary));
 	g_hash_table_remove_all(p->waiting);
 	g_array_set_size(p->workspaces, 0);
@@ -642,8 +597,7 @@
 /* Places the unit, and queries about or reserves what it lacks. */
 static void
 schedule_unit(struct gyp_placer *p, const struct gyp_candidate *c,
-    uint32_t free_slots, uint32_t total_slots, GPtrArray *cmds,
-    GPtrArray *queries)
+    struct gyp_query_slots *slots, GPtrArray *cmds)
 {
 	uint32_t tasks = c->unit->left - c->unit->open;
 	uint32_t allowed = allowed_by_cap(p, c), waiting;
@@ -654,6 +608,7 @@
 		add_cap_wait(p, c, tasks);
 		return;
 	}
+	gyp_query_holds_apply(p->holds, c);
 	waiting = place_unit(p, c, cmds);
 	add_waiting(p, c, waiting);
 	add_cap_wait(p, c, tasks - allowed + waiting);
@@ -663,14 +618,14 @@
 		return;
 	}
 	p->summary.no_capacity++;
-	query_about(
-	    p, c, waiting, slots_for(c, free_slots, total_slots), queries);
+	gyp_query_slots_use(slots, c, waiting);
 	queried = gyp_admission_has_pending_query(
 	    gyp_admission_unit(p->admission, c->flow, c->unit));
 	p->summary.queried += queried;
 	note_wait(
 	    p, c, queried ? GYP_PLACER_WAIT_QUERY : GYP_PLACER_WAIT_CAPACITY);
-	reserve_capacity(p, c, waiting);
+	gyp_query_holds_add(
+	    p->holds, c, waiting - reserve_capacity(p, c, waiting));
 }
 
 void
@@ -678,6 +633,12 @@
     uint32_t free_slots, uint32_t total_slots, GPtrArray *cmds,
     GPtrArray *queries)
 {
+	struct gyp_query_slots slots = {.admission = p->admission,
+	    .capacities = p->capacities,
+	    .now = now,
+	    .free = free_slots,
+	    .total = total_slots,
+	    .queries = queries};
 	guint i;
 
 	reset_round(p, now);
@@ -689,9 +650,9 @@
 	gyp_capacity_index_begin_round(p->capacities, p->now);
 	for (i = 0; i < p->units->len; i++)
 		schedule_unit(p,
-		    &g_array_index(p->units, struct gyp_candidate, i),
-		    free_slots, total_slots, cmds, queries);
-	prefetch_queries(p, free_slots, total_slots, queries);
+		    &g_array_index(p->units, struct gyp_candidate, i), &slots,
+		    cmds);
+	prefetch_queries(p, &slots);
 }
 
 bool
@@ -726,6 +687,7 @@
 	p->capacities = gyp_capacity_index_new(flows, fleet, stats, p->preempt);
 	p->units = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
 	p->prefetch = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
+	p->holds = gyp_query_holds_new(p->capacities, admission);
 	p->workspaces =
 	    g_array_new(FALSE, TRUE, sizeof(struct workspace_round));
 	p->waiting = g_hash_table_new_full(NULL, NULL, NULL, g_free);
@@ -742,6 +704,7 @@
 	gyp_capacity_index_free(p->capacities);
 	g_array_free(p->units, TRUE);
 	g_array_free(p->prefetch, TRUE);
+	gyp_query_holds_free(p->holds);
 	g_array_free(p->workspaces, TRUE);
 	g_hash_table_destroy(p->waiting);
 	g_ptr_array_free(p->runs, TRUE);
