fleet: a start that another endpoint answered is sent again

A start that another endpoint answered at the address (421) left its run without a time for the next call, as the endpoint was expected to be removed. A heartbeat of a new incarnation withdraws the departure. The run then had no call under way and none due, and no list could end it, since it was never confirmed. Callers saw a task that counts as running and never runs.

Before: test_open_runs.c:142: test_wrong_endpoint_then_restart: 'is_open(&f, 0)' should be FALSE.

Each unanswered start now has a time for the next one. Stops already had such a time, and confirmed runs become inherited at the restart, so that the next list ends them.

--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -234,7 +234,8 @@
 	/* An earlier start that was lost may still be carried out. */
 	if (a->end == GYP_FLEET_REFUSED || run->starts_sent >= STARTS_MAX)
 		gyp_fleet_request_stop(f, run);
-	else if (a->end != GYP_FLEET_WRONG_ENDPOINT)
+	else
+		/* No retry is sent to an endpoint that has departed. */
 		run->retry_at = f->now + 1;
 }
 
