fleet: polls that are not carried out extend no lease

A poll that the endpoint refused (429, 503) or that was lost with its carrier granted no lease, but the next one moved the end of the lease on record by a whole lease all the same, since the endpoint had not failed to answer. Callers saw tasks that counted as running for as long as this went on, and for a lease after it, though the endpoint had ended their runs.

While the latest poll was not carried out, calls carry the end on record and do not extend it, as after a call without an answer. A start that is confirmed meanwhile does not extend it either. Once the lease is over, the endpoint gets no run until a poll is carried out, and runs whose start was not sent are placed elsewhere: a start would be refused as late. A refused poll is repeated also for an endpoint without runs, as it would get none otherwise (/open-runs/refused-poll-while-idle).

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -184,6 +184,7 @@
 	       endpoint->incarnation_start_ms <= h->spec->born_ms &&
 	       endpoint->contacted && endpoint->clock_at != 0 &&
 	       endpoint->failures == 0 && endpoint->departed_at == 0 &&
+	       !gyp_fleet_endpoint_lacks_lease(f, endpoint) &&
 	       f->now < endpoint->last_seen_at + SILENT_MS;
 }
 
@@ -241,7 +242,8 @@
 	endpoint->last_seen_at = f->now;
 	if (clock_ms != 0)
 		gyp_fleet_endpoint_update_clock(f, endpoint, clock_ms);
-	if (!endpoint->contacted || endpoint->failures > 0) {
+	if (!endpoint->contacted || endpoint->failures > 0 ||
+	    endpoint->poll_failed) {
 		endpoint->poll_due = true;
 		gyp_fleet_mark_dirty(f, endpoint);
 	}
@@ -397,7 +399,8 @@
 	    f->now >=
 		MAX(endpoint->last_seen_at, f->leader_since) + REMOVE_IDLE_MS)
 		propose_removal(f, endpoint);
-	if (endpoint->failures > 0)
+	if (endpoint->failures > 0 ||
+	    gyp_fleet_endpoint_lacks_lease(f, endpoint))
 		end_unsent_runs(f, endpoint);
 	retry_runs(f, endpoint);
 	poll_if_due(f, endpoint);
@@ -456,7 +459,8 @@
 		gyp_fleet_request_stop(f, run);
 	else if (run->phase == GYP_RUN_UNSENT ||
 		 run->phase == GYP_RUN_STARTING) {
-		if (endpoint->failures > 0)
+		if (endpoint->failures > 0 ||
+		    gyp_fleet_endpoint_lacks_lease(f, endpoint))
 			run->retry_at = f->now + UNANSWERED_RETRY_MS;
 		else
 			gyp_fleet_send_start(f, run);
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -79,10 +79,11 @@
 
 /*
  * Returns the end of the lease to send in a call. Extends the lease on record
- * unless the latest call to the endpoint got no answer. The latest end on
- * record may be far ahead, see gyp_fleet_endpoint_update_clock(), but no call
- * grants more than one whole lease from now: the next leader relies on this
- * bound.
+ * unless the latest call to the endpoint got no answer or its latest poll was
+ * not carried out: a poll that was refused, or lost with its carrier, granted
+ * no lease. The latest end on record may be far ahead, see
+ * gyp_fleet_endpoint_update_clock(), but no call grants more than one whole
+ * lease from now: the next leader relies on this bound.
  */
 static uint64_t
 extend_lease(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
@@ -95,7 +96,7 @@
 		  endpoint->clock_at;
 	until = endpoint->clock_ms + elapsed - elapsed / GYP_CLOCK_SLOW +
 		f->cfg.lease_ms;
-	if (endpoint->failures > 0)
+	if (endpoint->failures > 0 || endpoint->poll_failed)
 		return MIN(endpoint->until_ms, until);
 	endpoint->until_ms = MAX(endpoint->until_ms, until);
 	return until;
@@ -330,6 +331,7 @@
     const struct gyp_fleet_pending *p, const struct gyp_fleet_answer *a)
 {
 	endpoint->polls--;
+	endpoint->poll_failed = a->end != GYP_FLEET_OK;
 	if (p->long_poll)
 		endpoint->long_poll = false;
 	gyp_fleet_mark_dirty(f, endpoint);
@@ -339,8 +341,10 @@
 		gyp_fleet_apply_lists(f, endpoint, p, a);
 	else if (a->end == GYP_FLEET_CARRIER_LOST)
 		endpoint->poll_due = true;
-	else if (a->end != GYP_FLEET_LOST)
+	else if (a->end != GYP_FLEET_LOST) {
+		endpoint->poll_due = true;
 		endpoint->next_poll_at = f->now + RETRY_MS;
+	}
 }
 
 /*
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -90,6 +90,7 @@
 	 */
 	endpoint->late_grant_ms = LATE_CALL_MAX_MS;
 	endpoint->listed_at = 0;
+	endpoint->poll_failed = false;
 	endpoint->clock_at = 0;
 	endpoint->until_ms = 0;
 	endpoint->acked = 0;
@@ -140,3 +141,11 @@
 		return inherited;
 	return MAX(inherited, expiry_after(endpoint->clock_at, left));
 }
+
+bool
+gyp_fleet_endpoint_lacks_lease(
+    const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
+{
+	return endpoint->poll_failed &&
+	       f->now >= gyp_fleet_endpoint_lease_expiry(f, endpoint);
+}
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -80,6 +80,7 @@
 	uint64_t restart_call;  /* id of the first call after the restart */
 	bool removal_proposed;
 	uint32_t failures;     /* consecutive calls without an answer */
+	bool poll_failed;      /* the latest poll was not carried out */
 	uint32_t polls;        /* polls under way */
 	bool long_poll;        /* one of these is a long poll */
 	bool poll_due;         /* an immediate poll is due */
@@ -175,6 +176,12 @@
 /* Time from which nothing can run on the endpoint under its lease. */
 uint64_t gyp_fleet_endpoint_lease_expiry(
     const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
+/*
+ * True when its polls fail and its lease is over, so that a start would be
+ * refused as late.
+ */
+bool gyp_fleet_endpoint_lacks_lease(
+    const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
 
 /* fleet_calls.c */
 void gyp_fleet_send_start(struct gyp_fleet *, struct gyp_fleet_run *);
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -527,6 +527,8 @@
     /* a lease longer than usual, granted while a restarted endpoint was silent
      */
     2946799434,
+    /* polls that were lost with their carrier counted as extending a lease */
+    31,
     /* in the simulation: an answer that its endpoint crashed before sending */
     3451910720};
 
--- a/test/test_open_runs.c
+++ b/test/test_open_runs.c
@@ -197,6 +197,27 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * An endpoint without runs refuses one poll: it must be polled again, or it
+ * gets no run once its lease is over.
+ */
+static void
+test_refused_poll_while_idle(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	flow_fixture_new_leader(&f.base, 2);
+	flow_fixture_answer(
+	    &f.base, next_call(&f, GYP_FLEET_POLL), GYP_FLEET_REFUSED);
+	answer_all(&f, SILENT_END_MS, 1, GYP_FLEET_OK);
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 1, f.base.now);
+	g_assert_true(gyp_fleet_usable(f.base.fleet, f.a));
+	start_run(&f, 0, 1);
+	g_assert_true(is_open(&f, 0));
+	flow_fixture_clear(&f.base);
+}
+
 /*
  * No poll reaches an endpoint because each is lost with its carrier, while its
  * heartbeats arrive: its lease ends, so its runs must not stay open.
@@ -283,6 +304,8 @@
 	g_test_add_func("/open-runs/next-leader-long-after-restart",
 	    test_next_leader_long_after_restart);
 	g_test_add_func("/open-runs/refused-polls", test_refused_polls);
+	g_test_add_func(
+	    "/open-runs/refused-poll-while-idle", test_refused_poll_while_idle);
 	g_test_add_func(
 	    "/open-runs/polls-lost-with-carrier", test_polls_lost_with_carrier);
 	g_test_add_func("/open-runs/never-listed", test_never_listed);
