fleet: a new leader counts no late calls that its term refuses

A new leader counted 15 s more than a lease for each endpoint that had restarted within 15 s, from the start of its own term. Callers saw tasks that counted as running for up to 21.5 s when such an endpoint went silent.

It now counts what is left of the 15 s in cell time since the restart was recorded; cell time lags real time, so this errs on the safe side. Once the present incarnation has answered a poll of this leader, it refuses the calls of earlier leaders, whose fence is lower: its lease is over one whole lease after the clock in that answer, or at the latest end that this leader sent. Heartbeats and answers without the start of the incarnation do not show that. Restarts that the leader itself notices are counted as before, since its own late calls have the same fence.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -159,9 +159,9 @@
 	endpoint->poll_due = true;
 	endpoint->incarnation_start_ms = h != NULL ? h->spec->born_ms : 0;
 	/* A call to an earlier incarnation may still be under way. */
-	if (h != NULL &&
-	    gyp_host_restarted_within(f->flows, h, LATE_CALL_MAX_MS))
-		endpoint->late_grant_ms = LATE_CALL_MAX_MS;
+	if (h != NULL)
+		endpoint->late_grant_ms =
+		    gyp_host_restart_left_ms(f->flows, h, LATE_CALL_MAX_MS);
 	endpoint->unacked =
 	    g_array_new(FALSE, FALSE, sizeof(struct gyp_unacked_end));
 	endpoint->runs = g_ptr_array_new();
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -97,8 +97,9 @@
 	until = endpoint->clock_ms + elapsed - elapsed / GYP_CLOCK_SLOW +
 		f->cfg.lease_ms;
 	if (endpoint->failures > 0 || endpoint->poll_failed)
-		return MIN(endpoint->until_ms, until);
+		until = MIN(endpoint->until_ms, until);
 	endpoint->until_ms = MAX(endpoint->until_ms, until);
+	endpoint->sent_until_ms = MAX(endpoint->sent_until_ms, until);
 	return until;
 }
 
@@ -310,6 +311,9 @@
 	endpoint->last_seen_at = f->now;
 	if (a->has_clock)
 		gyp_fleet_endpoint_update_clock(f, endpoint, a->clock_ms);
+	if (a->has_clock && a->end == GYP_FLEET_OK &&
+	    a->incarnation_start_ms != 0)
+		gyp_fleet_endpoint_fenced(f, endpoint, a->clock_ms);
 }
 
 static void
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -89,6 +89,8 @@
 	 * may still reach this one, which then grants a whole lease.
 	 */
 	endpoint->late_grant_ms = LATE_CALL_MAX_MS;
+	endpoint->fenced = false;
+	endpoint->sent_until_ms = 0;
 	endpoint->listed_at = 0;
 	endpoint->poll_failed = false;
 	endpoint->clock_at = 0;
@@ -113,6 +115,19 @@
 	propose_restart(f, endpoint);
 }
 
+void
+gyp_fleet_endpoint_fenced(
+    struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint, uint64_t clock_ms)
+{
+	/* Late calls of this leader, to an earlier incarnation, pass. */
+	if (endpoint->fenced || endpoint->restarted_at != 0)
+		return;
+	endpoint->fenced = true;
+	endpoint->late_grant_ms = 0;
+	endpoint->until_ms =
+	    MAX(endpoint->sent_until_ms, clock_ms + f->cfg.lease_ms);
+}
+
 static uint64_t
 expiry_after(uint64_t from, uint64_t left_ms)
 {
@@ -123,8 +138,8 @@
 /*
  * Leases that earlier leaders granted, or that late calls may grant, expire at
  * the latest one lease after the start of the term or the restart. Readings of
- * the clock cannot shorten this: the first one may have been taken before, and
- * until_ms is derived from it.
+ * the clock cannot shorten this before the endpoint is fenced: the first one
+ * may have been taken before, and until_ms is derived from it.
  */
 uint64_t
 gyp_fleet_endpoint_lease_expiry(
@@ -139,6 +154,8 @@
 
 	if (endpoint->clock_at == 0)
 		return inherited;
+	if (endpoint->fenced)
+		return expiry_after(endpoint->clock_at, left);
 	return MAX(inherited, expiry_after(endpoint->clock_at, left));
 }
 
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -71,13 +71,15 @@
 	uint64_t clock_at;      /* leader's time of that reading; 0: none */
 	uint64_t clock_seen_at; /* leader's time of the latest reading */
 	uint64_t until_ms;      /* latest end of its lease, by its clock */
+	uint64_t sent_until_ms; /* latest end sent to this incarnation */
 	uint64_t late_grant_ms; /* lease that late calls may add, in ms */
-	uint64_t last_seen_at;  /* last answer or heartbeat */
-	uint64_t listed_at;     /* last list of this incarnation; 0: none */
-	uint64_t departed_at;   /* its shutdown, or another endpoint at its
-				   address, was noticed; 0: neither */
-	uint64_t restarted_at;  /* latest restart was noticed; 0: never */
-	uint64_t restart_call;  /* id of the first call after the restart */
+	bool fenced; /* it refuses all calls that could add a late lease */
+	uint64_t last_seen_at; /* last answer or heartbeat */
+	uint64_t listed_at;    /* last list of this incarnation; 0: none */
+	uint64_t departed_at;  /* its shutdown, or another endpoint at its
+				  address, was noticed; 0: neither */
+	uint64_t restarted_at; /* latest restart was noticed; 0: never */
+	uint64_t restart_call; /* id of the first call after the restart */
 	bool removal_proposed;
 	uint32_t failures;     /* consecutive calls without an answer */
 	bool poll_failed;      /* the latest poll was not carried out */
@@ -173,6 +175,13 @@
 /* Handles a new incarnation, which holds no runs of the one before. */
 void gyp_fleet_endpoint_restarted(struct gyp_fleet *,
     struct gyp_fleet_endpoint *, uint64_t incarnation_start_ms);
+/*
+ * Records that the present incarnation carried out a call of this leader when
+ * its clock showed clock_ms: it refuses the calls of earlier leaders from then
+ * on, so they grant no lease beyond one whole lease from that time.
+ */
+void gyp_fleet_endpoint_fenced(
+    struct gyp_fleet *, struct gyp_fleet_endpoint *, uint64_t clock_ms);
 /* Time from which nothing can run on the endpoint under its lease. */
 uint64_t gyp_fleet_endpoint_lease_expiry(
     const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
--- a/src/flow.c
+++ b/src/flow.c
@@ -252,11 +252,15 @@
 	return g_hash_table_lookup(f->host_ids, id);
 }
 
-bool
-gyp_host_restarted_within(
-    const struct gyp_flows *f, const struct gyp_host *h, uint32_t ms)
+uint64_t
+gyp_host_restart_left_ms(
+    const struct gyp_flows *f, const struct gyp_host *h, uint32_t period_ms)
 {
-	return h->spec->reborn_ms != 0 && f->time_ms < h->spec->reborn_ms + ms;
+	uint64_t end = h->spec->reborn_ms + period_ms;
+
+	if (h->spec->reborn_ms == 0 || f->time_ms >= end)
+		return 0;
+	return MIN(end - f->time_ms, period_ms);
 }
 
 /* ---- Time and manifest -------------------------------------------------- */
--- a/src/flow.h
+++ b/src/flow.h
@@ -207,12 +207,12 @@
 struct gyp_host *gyp_host_by_id(const struct gyp_flows *, const char *id);
 
 /*
- * True if a restart of the endpoint, reported or registered, was committed less
- * than ms of cell time before the latest command. False for an endpoint that
- * has not restarted.
+ * What is left, in ms of cell time at the latest command, of a period of that
+ * length since the latest restart of the endpoint that was reported or
+ * registered. 0 for an endpoint that has not restarted.
  */
-bool gyp_host_restarted_within(
-    const struct gyp_flows *, const struct gyp_host *, uint32_t ms);
+uint64_t gyp_host_restart_left_ms(
+    const struct gyp_flows *, const struct gyp_host *, uint32_t period_ms);
 
 /* Cell time of the latest command, 0 for none. */
 uint64_t gyp_flows_time(const struct gyp_flows *);
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -529,6 +529,8 @@
     2946799434,
     /* polls that were lost with their carrier counted as extending a lease */
     31,
+    /* a new leader counted 15 s of late calls that it had fenced off */
+    441,
     /* in the simulation: an answer that its endpoint crashed before sending */
     3451910720};
 
