slack: lasting tasks that lost their runs go before those that never ran

Cause: units of lasting tasks are ordered by age alone within their priority. Change: units with interrupted lasting tasks go first in their priority, and in a unit the interrupted tasks go before those that never ran. Result: /lasting-placement/interrupted-task-first failed before (the older flow got the room: 1 == 2) and passes. test_placer, test_mixed_load, test_quotas, test_lasting_queries, test_lasting_placement and test_lasting_watch pass; the latter expects slack=interrupted where a task has run.

--- a/src/lasting_watch.c
+++ b/src/lasting_watch.c
@@ -160,7 +160,9 @@
 static const char *
 slack_name(enum gyp_slack_state slack)
 {
-	static const char *const names[] = {[GYP_SLACK_STARVING] = "starving",
+	static const char *const names[] = {
+	    [GYP_SLACK_INTERRUPTED] = "interrupted",
+	    [GYP_SLACK_STARVING] = "starving",
 	    [GYP_SLACK_IN_TIME] = "in-time",
 	    [GYP_SLACK_LATE] = "late"};
 
@@ -235,8 +237,7 @@
 	struct gyp_candidate c = {.flow = o->flow,
 	    .unit = o->unit,
 	    .rank = gyp_flow_rank(o->flow, now_ms),
-	    .slack = gyp_slack_state(
-		gyp_slack_ms(w->from.stats, o->flow, o->unit, now_ms))};
+	    .slack = gyp_slack_state(w->from.stats, o->flow, o->unit, now_ms)};
 	struct endpoint_counts n = {.suits = 0};
 
 	count_by_tables(w, &c, &n);
--- a/src/placer.c
+++ b/src/placer.c
@@ -117,7 +117,7 @@
 			g_array_append_val(p->prefetch, c);
 		return;
 	}
-	c.slack = gyp_slack_state(gyp_slack_ms(p->stats, flow, unit, now_ms));
+	c.slack = gyp_slack_state(p->stats, flow, unit, now_ms);
 	g_array_append_val(p->units, c);
 }
 
@@ -426,6 +426,36 @@
 	return NULL;
 }
 
+/*
+ * Collects runs for up to `waiting` tasks of the unit that wait, either those
+ * that are interrupted or the others, and returns how many of them are left.
+ */
+static uint32_t
+collect_runs(struct gyp_placer *p, const struct gyp_candidate *c,
+    GArray *ranking, guint *pos, uint32_t waiting, bool interrupted)
+{
+	const struct gyp_flow_unit *u = c->unit;
+	uint32_t i;
+
+	for (i = u->first; i < u->first + u->step->count && waiting > 0; i++) {
+		const struct gyp_flow_task *t = &c->flow->tasks[i];
+		struct gyp_ranked_endpoint *endpoint;
+
+		if (t->state != GYP_FLOW_TASK_WAITING ||
+		    gyp_slack_is_interrupted(u, t) != interrupted)
+			continue;
+		endpoint = next_endpoint(p, c, i, ranking, pos);
+		if (endpoint == NULL)
+			continue;
+		endpoint->count--;
+		gyp_capacity_book(
+		    gyp_capacity_index_at(p->capacities, endpoint->row), c);
+		collect_run(p, i, endpoint->row);
+		waiting--;
+	}
+	return waiting;
+}
+
 /*
  * Proposes runs for waiting tasks of the unit, as far as the cap allows.
  * Returns the number of allowed tasks for which no endpoint was found. A gang
@@ -438,7 +468,7 @@
 	struct gyp_flow_unit *u = c->unit;
 	uint32_t waiting = allowed_by_cap(p, c);
 	GArray *ranking;
-	uint32_t i, number;
+	uint32_t number;
 	guint pos = 0;
 
 	if (waiting == 0) {
@@ -453,20 +483,8 @@
 		return waiting;
 	}
 	number = next_run(c);
-	for (i = u->first; i < u->first + u->step->count && waiting > 0; i++) {
-		struct gyp_ranked_endpoint *endpoint;
-
-		if (c->flow->tasks[i].state != GYP_FLOW_TASK_WAITING)
-			continue;
-		endpoint = next_endpoint(p, c, i, ranking, &pos);
-		if (endpoint == NULL)
-			continue;
-		endpoint->count--;
-		gyp_capacity_book(
-		    gyp_capacity_index_at(p->capacities, endpoint->row), c);
-		collect_run(p, i, endpoint->row);
-		waiting--;
-	}
+	waiting = collect_runs(p, c, ranking, &pos, waiting, true);
+	waiting = collect_runs(p, c, ranking, &pos, waiting, false);
 	g_array_free(ranking, TRUE);
 	if (u->step->gang && waiting > 0)
 		g_ptr_array_set_size(p->runs, 0);
--- a/src/slack.c
+++ b/src/slack.c
@@ -52,9 +52,35 @@
 	       spec->queue->target_ms - (now_ms + c.remaining);
 }
 
+bool
+gyp_slack_is_interrupted(
+    const struct gyp_flow_unit *unit, const struct gyp_flow_task *task)
+{
+	return unit->step->lasting && task->state == GYP_FLOW_TASK_WAITING &&
+	       task->run > 0;
+}
+
+static bool
+has_interrupted_task(
+    const struct gyp_flow *flow, const struct gyp_flow_unit *unit)
+{
+	uint32_t i;
+
+	for (i = unit->first; i < unit->first + unit->step->count; i++) {
+		if (gyp_slack_is_interrupted(unit, &flow->tasks[i]))
+			return true;
+	}
+	return false;
+}
+
 enum gyp_slack_state
-gyp_slack_state(double slack_ms)
+gyp_slack_state(const struct gyp_run_stats *stats, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *unit, uint64_t now_ms)
 {
+	double slack_ms = gyp_slack_ms(stats, flow, unit, now_ms);
+
+	if (unit->step->lasting && has_interrupted_task(flow, unit))
+		return GYP_SLACK_INTERRUPTED;
 	if (slack_ms >= 0)
 		return GYP_SLACK_IN_TIME;
 	return slack_ms < -GYP_SLACK_STARVE_MS ? GYP_SLACK_STARVING
--- a/src/slack.h
+++ b/src/slack.h
@@ -23,14 +23,20 @@
  *	The objective is set by the queue: a multiple of the longest chain of
  *	dependent steps, plus a fixed time. Run times are those measured so far,
  *	see run_stats.h.
+ *
+ *	And this one: a full service in which lasting tasks lose their runs
+ *while others wait for their first one. Callers rely on those that ran, so they
+ *	go before all other work of their priority.
  */
 
 /* Longest time for which late work is ordered after other work, in ms. */
 #define GYP_SLACK_STARVE_MS 20000
 
 enum gyp_slack_state {
-	GYP_SLACK_STARVING, /* late for too long: ordered first */
-	GYP_SLACK_IN_TIME,  /* also without an objective */
+	GYP_SLACK_INTERRUPTED, /* lasting tasks lost their runs: ordered first
+				*/
+	GYP_SLACK_STARVING,    /* late for too long: ordered next */
+	GYP_SLACK_IN_TIME,     /* also without an objective */
 	GYP_SLACK_LATE
 };
 
@@ -41,7 +47,12 @@
 double gyp_slack_ms(const struct gyp_run_stats *, const struct gyp_flow *,
     const struct gyp_flow_unit *, uint64_t now_ms);
 
-/* Returns the state of a unit with that slack. */
-enum gyp_slack_state gyp_slack_state(double slack_ms);
+/* Returns the state of the unit at cell time now_ms. */
+enum gyp_slack_state gyp_slack_state(const struct gyp_run_stats *,
+    const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t now_ms);
+
+/* True if the lasting task waits for another run, not for its first. */
+bool gyp_slack_is_interrupted(
+    const struct gyp_flow_unit *, const struct gyp_flow_task *);
 
 #endif
--- a/test/test_lasting_placement.c
+++ b/test/test_lasting_placement.c
@@ -162,6 +162,42 @@
 	placer_fixture_clear(&f);
 }
 
+/* ---- Order -------------------------------------------------------------- */
+
+/* Fills nine of the ten processors of the only endpoint, for one task's room.
+ */
+static void
+fill_endpoint(struct placer_fixture *f)
+{
+	placer_fixture_submit(f, 9, 2, flow_fixture_step(9));
+	flow_fixture_start(&f->base, 9, 0, 8, 1, 0);
+}
+
+/*
+ * In a full service a lasting task that lost its run goes before older lasting
+ * tasks that never ran, or it waits until all of those run.
+ */
+static void
+test_interrupted_task_first(void)
+{
+	struct placer_fixture f;
+	const Gyp__CmdFlowStart *s;
+
+	placer_fixture_init(&f, 1);
+	fill_endpoint(&f);
+	placer_fixture_submit(&f, 1, 1, lasting_step(3));
+	placer_fixture_submit(&f, 2, 1, lasting_step(3));
+	flow_fixture_start(&f.base, 2, 2, 2, 1, 0);
+	placer_fixture_end_run(&f, 2, 2, GYP__FLOW_HOW__FLOW_LAPSED);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.cmds->len, ==, 1);
+	s = placer_fixture_start(&f, 0);
+	g_assert_cmpuint(s->flow, ==, 2);
+	g_assert_cmpuint(s->n_runs, ==, 1);
+	g_assert_cmpuint(s->runs[0]->task, ==, 2);
+	placer_fixture_clear(&f);
+}
+
 /* ---- Queries ------------------------------------------------------------ */
 
 /*
@@ -356,6 +392,8 @@
 	g_test_add_func("/lasting-placement/lasting-probe", test_lasting_probe);
 	g_test_add_func("/lasting-placement/many-failures-of-task",
 	    test_many_failures_of_task);
+	g_test_add_func("/lasting-placement/interrupted-task-first",
+	    test_interrupted_task_first);
 	g_test_add_func(
 	    "/lasting-placement/query-finds-memory", test_query_finds_memory);
 	g_test_add_func("/lasting-placement/query-after-failed-entry",
--- a/test/test_lasting_watch.c
+++ b/test/test_lasting_watch.c
@@ -11,7 +11,7 @@
 #define FLOW    0xf1ULL
 #define OUTAGES "gyp_lasting_outage_seconds"
 #define TASK    "flow=00000000000000f1 task=0 "
-#define WAITING "state=waiting rank=1 slack=in-time under_cap=1 avoids=0 "
+#define WAITING "state=waiting rank=1 slack=interrupted under_cap=1 avoids=0 "
 #define NO_END  "last_end=none refused=0 refuse_reason=none "
 
 struct fixture {
