admission_prefetch: tickets for lasting tasks before their lease is over

When an endpoint was gone, its lasting tasks were queried about only after its lease, and waited for the answer. They are now queried about while it is silent, so that the answer comes half the validity of its tickets before the end of the lease. Starts still wait for the committed end of the run.

test_lasting_queries without the change: ERROR:test_lasting_queries.c:428:test_query_after_lease: assertion failed (wait_for_restart(&f, row, &queried_ms) <= ROUND_MS): (750 <= 50)

--- a/src/admission_prefetch.c
+++ b/src/admission_prefetch.c
@@ -1,4 +1,5 @@
 #include "admission_prefetch.h"
+#include "admission_query.h"
 
 /*
  * A step of which no task waits ends soon if the ticket is valid for
@@ -8,6 +9,16 @@
 #define TICKET_MARGIN_FACTOR 2
 #define OPEN_DIVISOR         2
 
+/* An endpoint that is silent for this long is expected to be gone, in ms. */
+#define GONE_SILENT_MS 2000
+
+/*
+ * The answer to a query about tasks on such an endpoint should arrive one part
+ * in TICKET_LEAD_DIVISOR of the validity of its tickets before the lease is
+ * over: the answer may be late by as much, and so may the end of the runs.
+ */
+#define TICKET_LEAD_DIVISOR 2
+
 /* True when the unit has ended or is expected to end soon. */
 static bool
 ends_soon(const struct gyp_run_stats *stats, const struct gyp_flow *flow,
@@ -41,3 +52,34 @@
 	}
 	return unit->step->n_after > 0;
 }
+
+/* Time before the end of a lease at which its tasks are queried about, in ms.
+ */
+static double
+lead_ms(const Gyp__FlowQueue *q)
+{
+	return gyp_admission_query_ms(q) +
+	       (double)q->ticket_ms / TICKET_LEAD_DIVISOR;
+}
+
+uint32_t
+gyp_admission_prefetch_lost_runs(const struct gyp_fleet *fleet,
+    const struct gyp_flow *flow, const struct gyp_flow_unit *unit)
+{
+	double lead = lead_ms(flow->spec->queue);
+	uint32_t i, n = 0;
+
+	if (!flow->spec->queue->admission || !unit->step->lasting ||
+	    unit->step->gang)
+		return 0;
+	for (i = unit->first; i < unit->first + unit->step->count; i++) {
+		const struct gyp_flow_task *t = &flow->tasks[i];
+		uint64_t left_ms;
+
+		if (t->state == GYP_FLOW_TASK_OPEN &&
+		    gyp_fleet_lease_runs_out(
+			fleet, t->row, GONE_SILENT_MS, &left_ms))
+			n += (double)left_ms <= lead;
+	}
+	return n;
+}
--- a/src/admission_prefetch.h
+++ b/src/admission_prefetch.h
@@ -3,6 +3,7 @@
 
 #include <stdbool.h>
 
+#include "fleet.h"
 #include "flow.h"
 #include "run_stats.h"
 
@@ -16,6 +17,11 @@
  *	therefore sent while the preceding steps still run: late enough that the
  *	ticket is still valid when they end, and only on query slots that no
  *	ready unit needs.
+ *
+ *	And this one: an endpoint with lasting tasks is gone without notice.
+ *	Each of them may run elsewhere once its lease there is over, and must
+ *	within seconds from then, most of which a query about so many tasks
+ *	would take. Nothing starts before the end of the run is committed.
  */
 
 /*
@@ -25,4 +31,12 @@
 bool gyp_admission_prefetch_due(const struct gyp_run_stats *,
     const struct gyp_flow *, const struct gyp_flow_unit *);
 
+/*
+ * Returns how many open runs of the unit will be over with the leases of silent
+ * endpoints while tickets requested now are valid; 0 unless the unit lasts and
+ * its queue needs admission, and for gangs.
+ */
+uint32_t gyp_admission_prefetch_lost_runs(const struct gyp_fleet *,
+    const struct gyp_flow *, const struct gyp_flow_unit *);
+
 #endif
--- a/src/admission_query.c
+++ b/src/admission_query.c
@@ -42,6 +42,12 @@
 	return (guint)CLAMP(n, QUERY_ENDPOINTS_MIN, QUERY_ENDPOINTS_MAX);
 }
 
+double
+gyp_admission_query_ms(const Gyp__FlowQueue *q)
+{
+	return q->admission_ms + q->admission_each_ms * cheap_endpoint_count(q);
+}
+
 /*
  * Endpoints that are claimed by other queries come later, but are not left out:
  * a query that finds no other would have to wait for their answers. No penalty
--- a/src/admission_query.h
+++ b/src/admission_query.h
@@ -31,6 +31,9 @@
 /* Most queries under way about a lasting unit; other units have one. */
 #define GYP_LASTING_QUERIES_MAX 4
 
+/* Usual time of a query about as many endpoints as are cheap to name, in ms. */
+double gyp_admission_query_ms(const Gyp__FlowQueue *);
+
 /*
  * Returns a query about the unit, recorded as pending, or NULL when there is
  * none to send. slots is the number of queries about the unit that may still be
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -187,6 +187,14 @@
 /* True when a new run may be placed on the endpoint. */
 bool gyp_fleet_usable(const struct gyp_fleet *, uint32_t row);
 
+/*
+ * True if the endpoint of the row has been silent for silent_ms or longer;
+ * *left_ms is then set to the time until its lease, and with it each of its
+ * runs, is over unless it answers.
+ */
+bool gyp_fleet_lease_runs_out(const struct gyp_fleet *, uint32_t row,
+    uint64_t silent_ms, uint64_t *left_ms);
+
 /* Returns NULL when the task has no open run. */
 const struct gyp_run_view *gyp_fleet_run_view(
     const struct gyp_fleet *, uint64_t flow, uint32_t task);
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -140,3 +140,19 @@
 		return inherited;
 	return MAX(inherited, expiry_after(endpoint->clock_at, left));
 }
+
+bool
+gyp_fleet_lease_runs_out(const struct gyp_fleet *f, uint32_t row,
+    uint64_t silent_ms, uint64_t *left_ms)
+{
+	const struct gyp_fleet_endpoint *endpoint =
+	    row < f->endpoints->len ? f->endpoints->pdata[row] : NULL;
+	uint64_t expiry;
+
+	if (endpoint == NULL ||
+	    gyp_fleet_endpoint_silence_ms(f, endpoint) < silent_ms)
+		return false;
+	expiry = gyp_fleet_endpoint_lease_expiry(f, endpoint);
+	*left_ms = expiry > f->now ? expiry - f->now : 0;
+	return true;
+}
--- a/src/placer.c
+++ b/src/placer.c
@@ -33,6 +33,8 @@
 	struct gyp_capacity_index *capacities; /* of this round */
 	GArray *units;    /* struct gyp_candidate, of this round */
 	GArray *prefetch; /* struct gyp_candidate, not ready yet */
+	GArray *lost;     /* struct gyp_candidate, whose runs are about to
+			     be over with their leases */
 	struct gyp_query_holds *holds;
 	GPtrArray *runs; /* Gyp__FlowRun of the unit being placed */
 	uint64_t now;
@@ -109,6 +111,8 @@
 	struct gyp_candidate c = {
 	    .flow = flow, .unit = unit, .rank = gyp_flow_rank(flow, now_ms)};
 
+	if (gyp_admission_prefetch_lost_runs(p->fleet, flow, unit) > 0)
+		g_array_append_val(p->lost, c);
 	if (!has_waiting(unit) || !gyp_placer_unit_is_due(flow, unit, wall_ms))
 		return;
 	if (!gyp_flow_unit_is_ready(flow, unit)) {
@@ -130,6 +134,7 @@
 
 	g_array_set_size(p->units, 0);
 	g_array_set_size(p->prefetch, 0);
+	g_array_set_size(p->lost, 0);
 	p->least_urgent = 0;
 	for (l = gyp_flows_active(p->flows)->head; l != NULL; l = l->next) {
 		struct gyp_flow *flow = l->data;
@@ -143,6 +148,7 @@
 	}
 	g_array_sort(p->units, by_urgency);
 	g_array_sort(p->prefetch, by_urgency);
+	g_array_sort(p->lost, by_urgency);
 }
 
 /* ---- Caps --------------------------------------------------------------- */
@@ -566,6 +572,30 @@
 	    p->capacities, p->preempt, p->admission, c, waiting, may_preempt);
 }
 
+/*
+ * Adds queries about tasks whose runs are about to be over, unless they have
+ * room at endpoints that are allowed already.
+ */
+static void
+query_about_lost(const struct gyp_placer *p, struct gyp_query_slots *slots)
+{
+	guint i;
+
+	for (i = 0; i < p->lost->len; i++) {
+		const struct gyp_candidate *c =
+		    &g_array_index(p->lost, struct gyp_candidate, i);
+		uint32_t tasks = c->unit->left - c->unit->open +
+				 gyp_admission_prefetch_lost_runs(
+				     p->fleet, c->flow, c->unit);
+		GArray *ranking = rank_endpoints(p, c);
+		uint64_t room = gyp_ranking_total(ranking);
+
+		if (room < tasks)
+			gyp_query_slots_use(slots, c, tasks - (uint32_t)room);
+		g_array_free(ranking, TRUE);
+	}
+}
+
 /* Adds queries about units that are not ready yet. */
 static void
 prefetch_queries(const struct gyp_placer *p, struct gyp_query_slots *slots)
@@ -644,7 +674,7 @@
 	reset_round(p, now);
 	find_candidates(p, wall_ms);
 	p->summary.units = p->units->len;
-	if (p->units->len == 0 && p->prefetch->len == 0)
+	if (p->units->len + p->prefetch->len + p->lost->len == 0)
 		return;
 	gyp_preempt_begin_round(p->preempt, p->now);
 	gyp_capacity_index_begin_round(p->capacities, p->now);
@@ -652,6 +682,7 @@
 		schedule_unit(p,
 		    &g_array_index(p->units, struct gyp_candidate, i), &slots,
 		    cmds);
+	query_about_lost(p, &slots);
 	prefetch_queries(p, &slots);
 }
 
@@ -687,6 +718,7 @@
 	p->capacities = gyp_capacity_index_new(flows, fleet, stats, p->preempt);
 	p->units = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
 	p->prefetch = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
+	p->lost = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
 	p->holds = gyp_query_holds_new(p->capacities, admission);
 	p->workspaces =
 	    g_array_new(FALSE, TRUE, sizeof(struct workspace_round));
@@ -704,6 +736,7 @@
 	gyp_capacity_index_free(p->capacities);
 	g_array_free(p->units, TRUE);
 	g_array_free(p->prefetch, TRUE);
+	g_array_free(p->lost, TRUE);
 	gyp_query_holds_free(p->holds);
 	g_array_free(p->workspaces, TRUE);
 	g_hash_table_destroy(p->waiting);
--- a/test/test_lasting_queries.c
+++ b/test/test_lasting_queries.c
@@ -1,5 +1,6 @@
 #include <glib.h>
 
+#include "msg.h"
 #include "placer_fixture.h"
 
 /*
@@ -11,6 +12,12 @@
 #define QUERY_MS 585
 #define EACH_MS  8.45
 
+/* Time of a query about as many endpoints as are cheap to name, in ms. */
+#define ANSWER_MS 729
+
+/* Time between two rounds, in ms. */
+#define ROUND_MS 50
+
 /* Endpoints that are named for a quarter of the time of the query itself. */
 #define CHEAP_ENDPOINTS 17
 
@@ -294,6 +301,137 @@
 	placer_fixture_clear(&f);
 }
 
+/* ---- Endpoints that are gone --------------------------------------------- */
+
+/* Answers the polls of all endpoints but one with their runs. */
+static void
+answer_polls(struct placer_fixture *f, uint32_t silent_row)
+{
+	struct gyp_fleet_call *call;
+	uint32_t answers;
+
+	/* Each answer is followed by the next poll at once. */
+	for (answers = 0; answers < gyp_hosts_size(f->base.flows); answers++) {
+		struct flow_fixture_run running[1];
+		const struct gyp_host *h;
+		guint i, n;
+
+		call = flow_fixture_next_call(&f->base, GYP_FLEET_POLL);
+		if (call == NULL)
+			return;
+		h = gyp_host_at(f->base.flows, call->row);
+		n = h->runs->len;
+		g_assert_cmpuint(n, <=, G_N_ELEMENTS(running));
+		if (call->row == silent_row) {
+			gyp_fleet_call_free(call);
+			continue;
+		}
+		for (i = 0; i < n; i++) {
+			const struct gyp_host_run *r =
+			    &g_array_index(h->runs, struct gyp_host_run, i);
+
+			running[i].flow = r->flow->id;
+			running[i].index = r->task;
+			running[i].run = r->flow->tasks[r->task].run;
+		}
+		flow_fixture_answer_poll(
+		    &f->base, call, 1, running, n, NULL, 0);
+	}
+}
+
+/* Advances the time by one round; one endpoint stays silent. */
+static void
+advance(struct placer_fixture *f, uint32_t silent_row)
+{
+	uint32_t row;
+
+	flow_fixture_advance(&f->base, ROUND_MS);
+	answer_polls(f, silent_row);
+	for (row = 0; row < gyp_hosts_size(f->base.flows); row++) {
+		if (row != silent_row)
+			gyp_fleet_heartbeat(
+			    f->base.fleet, f->base.now, row, 1, f->base.now);
+	}
+}
+
+/* Starts and confirms a lasting flow of ten tasks; returns one's endpoint. */
+static uint32_t
+run_lasting_flow(struct placer_fixture *f)
+{
+	guint i;
+
+	submit(f, 1, 1, 10, true);
+	placer_fixture_run_round(f, PLACER_QUERY_SLOTS);
+	for (i = 0; i < f->queries->len; i++)
+		placer_fixture_allow_all(f, f->queries->pdata[i]);
+	g_assert_cmpuint(start(f, 1), ==, 10);
+	placer_fixture_confirm(f);
+	return gyp_flow_get(f->base.flows, 1)->tasks[3].row;
+}
+
+/*
+ * Runs rounds until the task that ran on the silent endpoint has another run,
+ * and answers each query when it would be. Returns the time since the end of
+ * the lost run was committed; *queried_ms is the time of the first query before
+ * that.
+ */
+static uint64_t
+wait_for_restart(
+    struct placer_fixture *f, uint32_t silent_row, uint64_t *queried_ms)
+{
+	const struct gyp_flow *flow = gyp_flow_get(f->base.flows, 1);
+	GPtrArray *queries =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)gyp_message_free);
+	uint64_t answer_at = 0, queried_at = 0, ended_at = 0, began;
+	guint i;
+
+	for (began = f->base.now; f->base.now < began + 20000;) {
+		advance(f, silent_row);
+		if (flow->open < 10 && ended_at == 0)
+			ended_at = f->base.now;
+		if (queries->len > 0 && f->base.now >= answer_at) {
+			for (i = 0; i < queries->len; i++)
+				placer_fixture_allow_all(f, queries->pdata[i]);
+			g_ptr_array_set_size(queries, 0);
+		}
+		if (start(f, 1) > 0)
+			break;
+		while (f->queries->len > 0) {
+			if (queries->len == 0)
+				answer_at = f->base.now + ANSWER_MS;
+			if (queried_at == 0)
+				queried_at = f->base.now;
+			g_ptr_array_add(
+			    queries, g_ptr_array_steal_index(f->queries, 0));
+		}
+	}
+	g_ptr_array_free(queries, TRUE);
+	g_assert_cmpuint(ended_at, >, 0);
+	g_assert_cmpuint(queried_at, >, 0);
+	*queried_ms = ended_at - MIN(ended_at, queried_at);
+	return f->base.now - ended_at;
+}
+
+/*
+ * The admission service was queried only when the lease of an endpoint that was
+ * gone was over: its lasting tasks then waited for the answer.
+ */
+static void
+test_query_after_lease(void)
+{
+	struct placer_fixture f;
+	uint64_t queried_ms;
+	uint32_t row;
+
+	placer_fixture_init(&f, 60);
+	row = run_lasting_flow(&f);
+	g_assert_cmpuint(wait_for_restart(&f, row, &queried_ms), <=, ROUND_MS);
+	/* Not so early that the ticket is used up. */
+	g_assert_cmpuint(queried_ms, >=, ANSWER_MS);
+	g_assert_cmpuint(queried_ms, <=, 2300);
+	placer_fixture_clear(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -312,5 +450,7 @@
 	    test_room_held_against_others);
 	g_test_add_func("/lasting-queries/stops-where-not-allowed",
 	    test_stops_where_not_allowed);
+	g_test_add_func(
+	    "/lasting-queries/query-after-lease", test_query_after_lease);
 	return g_test_run();
 }
