--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -166,3 +166,19 @@
 	return endpoint->poll_failed &&
 	       f->now >= gyp_fleet_endpoint_lease_expiry(f, endpoint);
 }
+
+bool
+gyp_fleet_lease_runs_out(const struct gyp_fleet *f, uint32_t row,
+    uint64_t silent_ms, uint64_t *left_ms)
+{
+	const struct gyp_fleet_endpoint *endpoint =
+	    row < f->endpoints->len ? f->endpoints->pdata[row] : NULL;
+	uint64_t expiry;
+
+	if (endpoint == NULL ||
+	    gyp_fleet_endpoint_silence_ms(f, endpoint) < silent_ms)
+		return false;
+	expiry = gyp_fleet_endpoint_lease_expiry(f, endpoint);
+	*left_ms = expiry > f->now ? expiry - f->now : 0;
+	return true;
+}
