fleet: fence off calls from before a restart, by a setting of cells

After a restart that it noticed, a leader counted 15 s more than a lease for that endpoint until the end of its term, since its own calls from before the restart could still extend a lease there. Callers saw tasks that counted as running for up to 21.5 s when the endpoint went silent, also tasks that were placed there long after the restart.

With fence_incarnations = yes the fence number of a call is the term, shifted by 20 bits, plus the number of restarts of the endpoint that this leader noticed. Once the new incarnation has answered a poll with the new number, it refuses all calls with lower ones, so its lease is over one whole lease after the clock in that answer, or at the latest end sent to it. Until then, and without the setting, the 15 s are counted as before: without it no number changes. Numbers stay below 2^53 for terms below 2^33; restarts beyond 2^20 - 1 in a term are counted like those without the setting. Ids of calls keep the plain term.

--- a/src/cell_settings.c
+++ b/src/cell_settings.c
@@ -28,6 +28,8 @@
 	false},
     {"platform", "learn_run_times", &set.learn_run_times, 0, 0,
 	GYP_SETTING_FLAG, false},
+    {"platform", "fence_incarnations", &set.fence_incarnations, 0, 0,
+	GYP_SETTING_FLAG, false},
     {"platform", "relay_heartbeats_from", &set.relay_heartbeats_from, 0,
 	1000000, GYP_SETTING_COUNT, false},
     {"cell", "data_folder", &set.data_folder, 0, 0, GYP_SETTING_DIR, true},
--- a/src/cell_settings.h
+++ b/src/cell_settings.h
@@ -26,6 +26,7 @@
 	uint32_t run_lease_ms;
 	uint32_t stop_grace_ms;
 	bool learn_run_times;
+	bool fence_incarnations;
 	uint32_t relay_heartbeats_from;
 	char *data_folder;
 	char *data_centre;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -29,6 +29,13 @@
  *	endpoint that has not answered yet, a leader counts a whole lease from
  *	the start of its term.
  *
+ *	A call has a fence number; once an endpoint has carried out a call, it
+ *	refuses those with lower numbers. The number is the leader's term, or,
+ *	with fence_incarnations, the term and the count of restarts of this
+ *	endpoint that the leader noticed. Then calls that were sent before a
+ *	restart can extend no lease after the first poll that the new
+ *	incarnation answers. Otherwise they are waited out.
+ *
  *	A poll lists the runs on an endpoint and the runs that ended. When a
  *	run is missing from the list, the leader stops it by its number, so
  *	that the endpoint refuses a start of that number that arrives later.
@@ -126,6 +133,11 @@
 	uint32_t lease_ms;         /* longest lease that endpoints grant */
 	uint32_t stop_grace_ms;    /* longest time that a stop takes */
 	struct gyp_events *events; /* or NULL */
+	/*
+	 * Fence numbers tell apart the incarnations of an endpoint too, see
+	 * above. All leaders of a cell must have it, or none.
+	 */
+	bool fence_incarnations;
 	/* Only for the flow scheduler: */
 	struct gyp_counters *counters; /* or NULL */
 	bool learn_run_times; /* decisions use the forecast of the tables */
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -46,7 +46,8 @@
 	call->row = h->row;
 	call->address = g_strdup(h->spec->address);
 	call->endpoint = g_strdup(h->spec->id);
-	call->fence = f->fence;
+	call->fence =
+	    gyp_fleet_endpoint_fence(f, gyp_fleet_get_endpoint(f, h->row));
 	call->timeout_ms = timeout_ms;
 	p->id = call->id;
 	p->kind = kind;
@@ -282,7 +283,7 @@
 
 static void
 update_contact(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint,
-    const struct gyp_fleet_answer *a)
+    const struct gyp_fleet_pending *p, const struct gyp_fleet_answer *a)
 {
 	if (a->end == GYP_FLEET_CARRIER_LOST) {
 		gyp_fleet_mark_dirty(f, endpoint);
@@ -313,7 +314,7 @@
 		gyp_fleet_endpoint_update_clock(f, endpoint, a->clock_ms);
 	if (a->has_clock && a->end == GYP_FLEET_OK &&
 	    a->incarnation_start_ms != 0)
-		gyp_fleet_endpoint_fenced(f, endpoint, a->clock_ms);
+		gyp_fleet_endpoint_fenced(f, endpoint, p->id, a->clock_ms);
 }
 
 static void
@@ -382,7 +383,7 @@
 	if (endpoint != NULL && is_from_earlier_incarnation(endpoint, p, a))
 		a = &unattributed;
 	if (endpoint != NULL) {
-		update_contact(f, endpoint, a);
+		update_contact(f, endpoint, p, a);
 		if (p->kind == GYP_FLEET_POLL)
 			handle_poll_answer(f, endpoint, p, a);
 		else
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -4,6 +4,13 @@
 /* Added to the end of a lease for the leader's own timers, in ms. */
 #define LEASE_MARGIN_MS 60
 
+/*
+ * Low bits of a fence number that count restarts. JSON numbers are exact below
+ * 2^53, so this leaves 33 bits for the term.
+ */
+#define RESTART_BITS 20
+#define RESTARTS_MAX ((1U << RESTART_BITS) - 1)
+
 static uint64_t
 clock_lower_bound(const struct gyp_fleet_endpoint *endpoint, uint64_t now)
 {
@@ -84,6 +91,7 @@
 	endpoint->departed_at = 0;
 	endpoint->restarted_at = f->now;
 	endpoint->restart_call = f->next_call;
+	endpoint->restarts++;
 	/*
 	 * An unanswered call with a time of the earlier incarnation's clock
 	 * may still reach this one, which then grants a whole lease.
@@ -115,12 +123,31 @@
 	propose_restart(f, endpoint);
 }
 
+uint64_t
+gyp_fleet_endpoint_fence(
+    const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
+{
+	if (!f->cfg.fence_incarnations)
+		return f->fence;
+	return f->fence << RESTART_BITS | MIN(endpoint->restarts, RESTARTS_MAX);
+}
+
+/* True if calls sent before the latest restart have a lower fence number. */
+static bool
+fences_restart(
+    const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
+{
+	return endpoint->restarts == 0 ||
+	       (f->cfg.fence_incarnations &&
+		   endpoint->restarts <= RESTARTS_MAX);
+}
+
 void
-gyp_fleet_endpoint_fenced(
-    struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint, uint64_t clock_ms)
+gyp_fleet_endpoint_fenced(struct gyp_fleet *f,
+    struct gyp_fleet_endpoint *endpoint, uint64_t call, uint64_t clock_ms)
 {
-	/* Late calls of this leader, to an earlier incarnation, pass. */
-	if (endpoint->fenced || endpoint->restarted_at != 0)
+	if (endpoint->fenced || call < endpoint->restart_call ||
+	    !fences_restart(f, endpoint))
 		return;
 	endpoint->fenced = true;
 	endpoint->late_grant_ms = 0;
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -80,6 +80,7 @@
 				  address, was noticed; 0: neither */
 	uint64_t restarted_at; /* latest restart was noticed; 0: never */
 	uint64_t restart_call; /* id of the first call after the restart */
+	uint32_t restarts;     /* that this leader noticed */
 	bool removal_proposed;
 	uint32_t failures;     /* consecutive calls without an answer */
 	bool poll_failed;      /* the latest poll was not carried out */
@@ -175,13 +176,16 @@
 /* Handles a new incarnation, which holds no runs of the one before. */
 void gyp_fleet_endpoint_restarted(struct gyp_fleet *,
     struct gyp_fleet_endpoint *, uint64_t incarnation_start_ms);
+/* Fence number of the next call to the endpoint. */
+uint64_t gyp_fleet_endpoint_fence(
+    const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
 /*
- * Records that the present incarnation carried out a call of this leader when
- * its clock showed clock_ms: it refuses the calls of earlier leaders from then
- * on, so they grant no lease beyond one whole lease from that time.
+ * Records that the present incarnation carried out that call of this leader
+ * when its clock showed clock_ms. It refuses the calls with lower fence numbers
+ * from then on, so they grant no lease beyond one whole lease from that time.
  */
-void gyp_fleet_endpoint_fenced(
-    struct gyp_fleet *, struct gyp_fleet_endpoint *, uint64_t clock_ms);
+void gyp_fleet_endpoint_fenced(struct gyp_fleet *, struct gyp_fleet_endpoint *,
+    uint64_t call, uint64_t clock_ms);
 /* Time from which nothing can run on the endpoint under its lease. */
 uint64_t gyp_fleet_endpoint_lease_expiry(
     const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
--- a/src/fleet_poll.c
+++ b/src/fleet_poll.c
@@ -153,7 +153,7 @@
 	call->row = h->row;
 	call->address = g_strdup(h->spec->address);
 	call->endpoint = g_strdup(h->spec->id);
-	call->fence = f->fence;
+	call->fence = gyp_fleet_endpoint_fence(f, endpoint);
 	call->timeout_ms = 1000;
 	call->give_up_at = f->now + 1000;
 	call->flow = l->flow;
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -497,6 +497,7 @@
 	    .run_lease_ms = set->run_lease_ms,
 	    .stop_grace_ms = set->stop_grace_ms,
 	    .learn_run_times = set->learn_run_times,
+	    .fence_incarnations = set->fence_incarnations,
 	    .relay_heartbeats_from = set->relay_heartbeats_from};
 
 	app->replica = gyp_replica_new(&cfg);
--- a/src/replica.h
+++ b/src/replica.h
@@ -51,6 +51,7 @@
 	/* Followers relay heartbeats from this number of endpoints on. */
 	uint32_t relay_heartbeats_from; /* 0: never */
 	bool learn_run_times;           /* decisions use learned run times */
+	bool fence_incarnations;        /* see struct gyp_fleet_config */
 };
 
 /*
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -491,7 +491,8 @@
 	    .stop_grace_ms = r->cfg.stop_grace_ms,
 	    .events = r->events,
 	    .counters = r->counters,
-	    .learn_run_times = r->cfg.learn_run_times};
+	    .learn_run_times = r->cfg.learn_run_times,
+	    .fence_incarnations = r->cfg.fence_incarnations};
 
 	r->flow_scheduler = gyp_flow_scheduler_new(
 	    &cfg, gyp_state_flows(r->state), r->now, r->leader_term);
--- a/test/flow_fixture.c
+++ b/test/flow_fixture.c
@@ -46,8 +46,9 @@
 void
 flow_fixture_new_leader(struct flow_fixture *f, uint64_t fence)
 {
-	struct gyp_fleet_config cfg = {
-	    .lease_ms = FLOW_FIXTURE_LEASE_MS, .stop_grace_ms = 400};
+	struct gyp_fleet_config cfg = {.lease_ms = FLOW_FIXTURE_LEASE_MS,
+	    .stop_grace_ms = 400,
+	    .fence_incarnations = f->fence_incarnations};
 
 	gyp_fleet_free(f->fleet);
 	f->fleet = gyp_fleet_new(&cfg, f->flows, f->now, fence);
--- a/test/flow_fixture.h
+++ b/test/flow_fixture.h
@@ -24,7 +24,8 @@
 	uint64_t clock_lag_ms; /* age of the clocks in answers */
 	/* Workspace of flows that are submitted; NULL for none. */
 	const char *workspace;
-	bool excess; /* they are beyond its rate */
+	bool excess;             /* they are beyond its rate */
+	bool fence_incarnations; /* of leaders from then on */
 	uint64_t manifest_version;
 };
 
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -11,9 +11,9 @@
  * commit after a delay; a change of leader loses a suffix of them.
  * Half of the runs have workspaces whose caps and keys change, and whose tables
  * come from a snapshot after each change of leader. A third group has lasting
- * steps, see flow_lasting.h.
- * GYP_SEED=n repeats one run, GYP_SECONDS=n runs new random seeds for n
- * seconds.
+ * steps, see flow_lasting.h. Fences tell incarnations apart in that group and
+ * in the even seeds of the others. GYP_SEED=n repeats one run, GYP_SECONDS=n
+ * runs new random seeds for n seconds.
  */
 
 /* Duration of the phase with faults, and of the one without, in ms. */
@@ -50,6 +50,7 @@
 	uint64_t heartbeat_at;
 	uint64_t next_flow;
 	bool faults;
+	bool fence_incarnations;
 	struct flow_lasting *lasting; /* NULL in runs without lasting steps */
 	/* First heartbeat of an endpoint that became reachable; 0: not up. */
 	uint64_t first_beat_at[FLOW_SIM_LASTING_ENDPOINTS];
@@ -179,8 +180,9 @@
 static void
 become_leader(struct fixture *f)
 {
-	struct gyp_fleet_config cfg = {
-	    .lease_ms = FLOW_SIM_LEASE_MS, .stop_grace_ms = 400};
+	struct gyp_fleet_config cfg = {.lease_ms = FLOW_SIM_LEASE_MS,
+	    .stop_grace_ms = 400,
+	    .fence_incarnations = f->fence_incarnations};
 
 	if (f->workspace_rand != NULL)
 		restore_from_snapshot(f);
@@ -469,6 +471,7 @@
 	uint64_t end;
 
 	f.rand = g_rand_new_with_seed(seed);
+	f.fence_incarnations = group == LASTING_RUNS || seed % 2 == 0;
 	if (group == WORKSPACE_RUNS)
 		f.workspace_rand = g_rand_new_with_seed(seed + 2);
 	f.flows = gyp_flows_new();
@@ -531,6 +534,8 @@
     31,
     /* a new leader counted 15 s of late calls that it had fenced off */
     441,
+    /* calls from before a noticed restart were counted for 15 s */
+    15,
     /* in the simulation: an answer that its endpoint crashed before sending */
     3451910720};
 
--- a/test/test_open_runs.c
+++ b/test/test_open_runs.c
@@ -143,6 +143,16 @@
 	flow_fixture_clear(&f.base);
 }
 
+/* As fixture_init(), with fences that tell incarnations apart. */
+static void
+fixture_init_fenced(struct fixture *f)
+{
+	fixture_init(f);
+	f->base.fence_incarnations = true;
+	flow_fixture_new_leader(&f->base, 2);
+	flow_fixture_contact_all(&f->base);
+}
+
 /*
  * An endpoint gets a run after its restart and then is silent for good: the run
  * must end with its lease, not with one that calls before the restart granted.
@@ -152,13 +162,102 @@
 {
 	struct fixture f;
 
-	fixture_init(&f);
+	fixture_init_fenced(&f);
 	restart(&f, 2);
 	start_run(&f, 0, 1);
 	assert_ends_in_silence(&f, 0, SILENT_END_MS);
 	flow_fixture_clear(&f.base);
 }
 
+/* The run must stay open for that long though all calls are lost. */
+static void
+assert_open_in_silence(struct fixture *f, uint32_t task, uint64_t ms)
+{
+	uint64_t end = f->base.now + ms;
+	struct gyp_fleet_call *call;
+
+	while (f->base.now < end) {
+		flow_fixture_advance(&f->base, 10);
+		while ((call = gyp_fleet_pop_call(f->base.fleet)) != NULL)
+			flow_fixture_answer(&f->base, call, GYP_FLEET_LOST);
+	}
+	g_assert_true(is_open(f, task));
+}
+
+/*
+ * Without such fences, a call that was sent before the restart may extend the
+ * lease for 15 s: the task of a run that ends earlier could run twice.
+ */
+static void
+test_silent_without_fences(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	restart(&f, 2);
+	start_run(&f, 0, 1);
+	assert_open_in_silence(&f, 0, 14000 + FLOW_FIXTURE_LEASE_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * A poll that was sent before the restart is answered after it. It has the
+ * lower number, so it fences nothing off: the run must not end early.
+ */
+static void
+test_fenced_by_later_calls_only(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *poll;
+
+	fixture_init_fenced(&f);
+	start_run(&f, 0, 1);
+	poll = next_call(&f, GYP_FLEET_POLL);
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 2, f.base.now);
+	f.a = flow_fixture_add_host(&f.base, "a", 2);
+	flow_fixture_answer_poll(&f.base, poll, 2, NULL, 0, NULL, 0);
+	assert_open_in_silence(&f, 0, 14000 + FLOW_FIXTURE_LEASE_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/* The fence number of the next poll, whose answer shows that incarnation. */
+static uint64_t
+next_fence(struct fixture *f, uint64_t incarnation_start_ms)
+{
+	struct gyp_fleet_call *call = next_call(f, GYP_FLEET_POLL);
+	uint64_t fence = call->fence;
+
+	flow_fixture_answer_poll(
+	    &f->base, call, incarnation_start_ms, NULL, 0, NULL, 0);
+	return fence;
+}
+
+/*
+ * The numbers rise with each restart and each term, and JSON holds them
+ * exactly; without the setting they are the term.
+ */
+static void
+test_fence_numbers(void)
+{
+	struct fixture f;
+	uint64_t last, fence;
+
+	fixture_init_fenced(&f);
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 2, f.base.now);
+	last = next_fence(&f, 2);
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 3, f.base.now);
+	fence = next_fence(&f, 3);
+	g_assert_cmpuint(fence, >, last);
+	flow_fixture_new_leader(&f.base, 3);
+	last = next_fence(&f, 3);
+	g_assert_cmpuint(last, >, fence);
+	g_assert_cmpuint(last, <, 1ULL << 53);
+	f.base.fence_incarnations = false;
+	flow_fixture_new_leader(&f.base, 4);
+	g_assert_cmpuint(next_fence(&f, 3), ==, 4);
+	flow_fixture_clear(&f.base);
+}
+
 /*
  * A leader is elected 14 s after a restart of an endpoint, hears from it, and
  * the endpoint is silent from then on: calls from before the restart reach it
@@ -301,6 +400,11 @@
 	    test_wrong_endpoint_then_restart);
 	g_test_add_func(
 	    "/open-runs/silent-after-restart", test_silent_after_restart);
+	g_test_add_func(
+	    "/open-runs/silent-without-fences", test_silent_without_fences);
+	g_test_add_func("/open-runs/fenced-by-later-calls-only",
+	    test_fenced_by_later_calls_only);
+	g_test_add_func("/open-runs/fence-numbers", test_fence_numbers);
 	g_test_add_func("/open-runs/next-leader-long-after-restart",
 	    test_next_leader_long_after_restart);
 	g_test_add_func("/open-runs/refused-polls", test_refused_polls);
