fleet: an answer from an old address ends nothing

When another endpoint answered a call (421), the leader took the called endpoint as ended, also if the call had gone to an address that the endpoint no longer had. An endpoint that restarted at another address, and whose old address was given to another, could lose its new runs in the tables after 100 ms while they went on: their tasks could run twice. The endpoint was also removed until its next heartbeat. Found by reading.

Before: test_incarnations.c:216: assert_keeps_run: 'gyp_host_at(f->base.flows, f->a)' should not be NULL, in /incarnations/wrong-endpoint-at-old-address.

Such an answer now counts as that of a call lost with its carrier, so that the call is repeated at the present address. A 421 to a call from before a restart already did; /incarnations/wrong-endpoint-before-restart, which passed before, guards that.

Measured: test_incarnations, test_open_runs, test_fleet, test_carriers and test_heartbeats pass.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -41,6 +41,15 @@
 	g_free(run);
 }
 
+static void
+free_pending(gpointer p)
+{
+	struct gyp_fleet_pending *pending = p;
+
+	g_free(pending->address);
+	g_free(pending);
+}
+
 struct gyp_fleet_run *
 gyp_fleet_find_run(const struct gyp_fleet *f, const struct gyp_flow_key *key)
 {
@@ -590,8 +599,8 @@
 	f->endpoints = g_ptr_array_new();
 	f->runs = g_hash_table_new_full(
 	    gyp_flow_key_hash, gyp_flow_key_equal, NULL, free_run);
-	f->pending =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	f->pending = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, free_pending);
 	inherit_runs(f);
 	return f;
 }
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -53,6 +53,7 @@
 	p->kind = kind;
 	p->row = h->row;
 	p->sent_at = f->now;
+	p->address = g_strdup(h->spec->address);
 	p->give_up_at = f->now + timeout_ms + OVERDUE_MS;
 	call->give_up_at = p->give_up_at;
 	g_hash_table_insert(f->pending, &p->id, p);
@@ -366,6 +367,20 @@
 	return p->id < endpoint->restart_call;
 }
 
+/*
+ * True when another endpoint answered at an address that the endpoint no longer
+ * has: this does not show that it has ended.
+ */
+static bool
+is_wrong_at_old_address(const struct gyp_fleet *f,
+    const struct gyp_fleet_pending *p, const struct gyp_fleet_answer *a)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, p->row);
+
+	return a->end == GYP_FLEET_WRONG_ENDPOINT && h != NULL &&
+	       strcmp(h->spec->address, p->address) != 0;
+}
+
 void
 gyp_fleet_handle_answer(
     struct gyp_fleet *f, uint64_t now, const struct gyp_fleet_answer *a)
@@ -380,7 +395,8 @@
 		return;
 	endpoint =
 	    p->row < f->endpoints->len ? f->endpoints->pdata[p->row] : NULL;
-	if (endpoint != NULL && is_from_earlier_incarnation(endpoint, p, a))
+	if (endpoint != NULL && (is_from_earlier_incarnation(endpoint, p, a) ||
+				    is_wrong_at_old_address(f, p, a)))
 		a = &unattributed;
 	if (endpoint != NULL) {
 		update_contact(f, endpoint, p, a);
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -105,6 +105,7 @@
 	uint64_t sent_at;
 	uint64_t give_up_at;
 	bool long_poll;
+	char *address; /* that it was sent to */
 };
 
 struct gyp_refused_ticket {
--- a/test/flow_fixture.c
+++ b/test/flow_fixture.c
@@ -71,8 +71,8 @@
 }
 
 uint32_t
-flow_fixture_add_host(
-    struct flow_fixture *f, const char *id, uint64_t incarnation_start_ms)
+flow_fixture_add_host_at(struct flow_fixture *f, const char *id,
+    uint64_t incarnation_start_ms, const char *address)
 {
 	Gyp__Cmd cmd = GYP__CMD__INIT;
 	Gyp__CmdHost host = GYP__CMD_HOST__INIT;
@@ -83,7 +83,7 @@
 	capacity.accel = 8;
 	host.id = (char *)id;
 	host.born_ms = incarnation_start_ms;
-	host.address = "127.0.0.1:1";
+	host.address = (char *)address;
 	host.pool = "pool";
 	host.rack = "r1";
 	host.capacity = &capacity;
@@ -93,6 +93,14 @@
 	return gyp_host_by_id(f->flows, id)->row;
 }
 
+uint32_t
+flow_fixture_add_host(
+    struct flow_fixture *f, const char *id, uint64_t incarnation_start_ms)
+{
+	return flow_fixture_add_host_at(
+	    f, id, incarnation_start_ms, "127.0.0.1:1");
+}
+
 Gyp__FlowStep
 flow_fixture_step(uint32_t count)
 {
--- a/test/flow_fixture.h
+++ b/test/flow_fixture.h
@@ -39,6 +39,10 @@
 uint32_t flow_fixture_add_host(
     struct flow_fixture *, const char *id, uint64_t incarnation_start_ms);
 
+/* The same with that address; the others have 127.0.0.1:1. */
+uint32_t flow_fixture_add_host_at(struct flow_fixture *, const char *id,
+    uint64_t incarnation_start_ms, const char *address);
+
 /* A step with count tasks of one CPU and 1 GiB each. */
 Gyp__FlowStep flow_fixture_step(uint32_t count);
 
--- a/test/test_incarnations.c
+++ b/test/test_incarnations.c
@@ -208,6 +208,61 @@
 	flow_fixture_clear(&f.base);
 }
 
+/* Task 0 runs at the endpoint, and still does after a departure would count. */
+static void
+assert_keeps_run(struct fixture *f)
+{
+	flow_fixture_advance(&f->base, 300);
+	g_assert_nonnull(gyp_host_at(f->base.flows, f->a));
+	g_assert_cmpint(task_of(f, 0)->state, ==, GYP_FLOW_TASK_OPEN);
+}
+
+/*
+ * An endpoint restarts at another address. The answer of the one that has its
+ * old address now must not end the runs at the new address: their tasks would
+ * run twice.
+ */
+static void
+test_wrong_endpoint_at_old_address(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *poll, *start;
+
+	fixture_init(&f);
+	report_restart(&f, 2);
+	poll = next_call(&f, GYP_FLEET_POLL);
+	f.a = flow_fixture_add_host_at(&f.base, "a", 2, "127.0.0.1:2");
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	start = next_call(&f, GYP_FLEET_START);
+	g_assert_cmpstr(start->address, ==, "127.0.0.1:2");
+	flow_fixture_answer(&f.base, start, GYP_FLEET_OK);
+	flow_fixture_answer(&f.base, poll, GYP_FLEET_WRONG_ENDPOINT);
+	assert_keeps_run(&f);
+	flow_fixture_clear(&f.base);
+}
+
+/* The same for a call from before the restart, at an address that is kept. */
+static void
+test_wrong_endpoint_before_restart(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *poll, *start;
+
+	fixture_init(&f);
+	flow_fixture_start(&f.base, FLOW, 1, 1, 1, f.a);
+	flow_fixture_answer(
+	    &f.base, next_call(&f, GYP_FLEET_START), GYP_FLEET_OK);
+	poll = next_call(&f, GYP_FLEET_POLL);
+	report_restart(&f, 2);
+	f.a = flow_fixture_add_host(&f.base, "a", 2);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 2, f.a);
+	start = next_call(&f, GYP_FLEET_START);
+	flow_fixture_answer(&f.base, start, GYP_FLEET_OK);
+	flow_fixture_answer(&f.base, poll, GYP_FLEET_WRONG_ENDPOINT);
+	assert_keeps_run(&f);
+	flow_fixture_clear(&f.base);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -224,5 +279,9 @@
 	    "/incarnations/next-leader-waits", test_next_leader_waits);
 	g_test_add_func(
 	    "/incarnations/no-ack-after-pause", test_no_ack_after_pause);
+	g_test_add_func("/incarnations/wrong-endpoint-at-old-address",
+	    test_wrong_endpoint_at_old_address);
+	g_test_add_func("/incarnations/wrong-endpoint-before-restart",
+	    test_wrong_endpoint_before_restart);
 	return g_test_run();
 }
