--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -46,12 +46,14 @@
 	call->row = h->row;
 	call->address = g_strdup(h->spec->address);
 	call->endpoint = g_strdup(h->spec->id);
-	call->fence = f->fence;
+	call->fence =
+	    gyp_fleet_endpoint_fence(f, gyp_fleet_get_endpoint(f, h->row));
 	call->timeout_ms = timeout_ms;
 	p->id = call->id;
 	p->kind = kind;
 	p->row = h->row;
 	p->sent_at = f->now;
+	p->address = g_strdup(h->spec->address);
 	p->give_up_at = f->now + timeout_ms + OVERDUE_MS;
 	call->give_up_at = p->give_up_at;
 	g_hash_table_insert(f->pending, &p->id, p);
@@ -282,7 +284,7 @@
 
 static void
 update_contact(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint,
-    const struct gyp_fleet_answer *a)
+    const struct gyp_fleet_pending *p, const struct gyp_fleet_answer *a)
 {
 	if (a->end == GYP_FLEET_CARRIER_LOST) {
 		gyp_fleet_mark_dirty(f, endpoint);
@@ -313,7 +315,7 @@
 		gyp_fleet_endpoint_update_clock(f, endpoint, a->clock_ms);
 	if (a->has_clock && a->end == GYP_FLEET_OK &&
 	    a->incarnation_start_ms != 0)
-		gyp_fleet_endpoint_fenced(f, endpoint, a->clock_ms);
+		gyp_fleet_endpoint_fenced(f, endpoint, p->id, a->clock_ms);
 }
 
 static void
@@ -365,6 +367,20 @@
 	return p->id < endpoint->restart_call;
 }
 
+/*
+ * True when another endpoint answered at an address that the endpoint no longer
+ * has: this does not show that it has ended.
+ */
+static bool
+is_wrong_at_old_address(const struct gyp_fleet *f,
+    const struct gyp_fleet_pending *p, const struct gyp_fleet_answer *a)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, p->row);
+
+	return a->end == GYP_FLEET_WRONG_ENDPOINT && h != NULL &&
+	       strcmp(h->spec->address, p->address) != 0;
+}
+
 void
 gyp_fleet_handle_answer(
     struct gyp_fleet *f, uint64_t now, const struct gyp_fleet_answer *a)
@@ -379,10 +395,11 @@
 		return;
 	endpoint =
 	    p->row < f->endpoints->len ? f->endpoints->pdata[p->row] : NULL;
-	if (endpoint != NULL && is_from_earlier_incarnation(endpoint, p, a))
+	if (endpoint != NULL && (is_from_earlier_incarnation(endpoint, p, a) ||
+				    is_wrong_at_old_address(f, p, a)))
 		a = &unattributed;
 	if (endpoint != NULL) {
-		update_contact(f, endpoint, a);
+		update_contact(f, endpoint, p, a);
 		if (p->kind == GYP_FLEET_POLL)
 			handle_poll_answer(f, endpoint, p, a);
 		else
