placer: interrupted lasting units take turns with their admission queries

Cause: with few query slots free, the oldest interrupted units took all of them, up to four each, again and again. Change: interrupted units of one priority are ordered by the time of their latest query, and a unit gets a second query at a time only while more than half of the slots are free. Result: /lasting-queries/queries-take-turns failed before (flow 1 asked about twice: 1 == 2) and passes. test_placer, test_mixed_load, test_quotas, test_lasting_queries, test_lasting_placement and test_lasting_watch pass.

--- a/src/admission.c
+++ b/src/admission.c
@@ -41,6 +41,7 @@
 	struct gyp_flow_key key;
 	struct gyp_admission_pending pending;
 	uint64_t paused_until;
+	uint64_t asked_at;    /* time of the latest query */
 	GArray *answers;      /* struct endpoint_answer by row */
 	GArray *grants;       /* struct grant */
 	GArray *granted_rows; /* uint32_t, the row of each grant */
@@ -236,6 +237,12 @@
 		u->paused_until = until;
 }
 
+uint64_t
+gyp_admission_asked_at(const struct gyp_admission_unit *u)
+{
+	return u != NULL ? u->asked_at : 0;
+}
+
 bool
 gyp_admission_is_paused(const struct gyp_admission_unit *u, uint64_t now)
 {
@@ -361,7 +368,7 @@
 
 Gyp__Ask *
 gyp_admission_begin_query(struct gyp_admission *a, const struct gyp_flow *flow,
-    const struct gyp_flow_unit *unit,
+    const struct gyp_flow_unit *unit, uint64_t now,
     const struct gyp_admission_target *targets, guint n)
 {
 	struct gyp_admission_unit *u = find_unit(a, flow, unit);
@@ -383,6 +390,7 @@
 	q->targets =
 	    g_array_new(FALSE, FALSE, sizeof(struct gyp_admission_target));
 	g_array_append_vals(q->targets, targets, n);
+	u->asked_at = now;
 	add_claims(a, q);
 	add_pending(u, q);
 	g_hash_table_insert(a->queries, &q->id, q);
--- a/src/admission.h
+++ b/src/admission.h
@@ -119,9 +119,12 @@
  * sent by an entry.
  */
 Gyp__Ask *gyp_admission_begin_query(struct gyp_admission *,
-    const struct gyp_flow *, const struct gyp_flow_unit *,
+    const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t now,
     const struct gyp_admission_target *, guint n);
 
+/* Time of the latest query about the unit, which may be NULL; 0: never. */
+uint64_t gyp_admission_asked_at(const struct gyp_admission_unit *);
+
 /*
  * Sum of what the units with pending queries are expected to use on the
  * endpoint.
--- a/src/admission_query.c
+++ b/src/admission_query.c
@@ -234,5 +234,5 @@
 		    a, c->flow, c->unit, now + PAUSE_MS);
 		return NULL;
 	}
-	return gyp_admission_begin_query(a, c->flow, c->unit, targets, n);
+	return gyp_admission_begin_query(a, c->flow, c->unit, now, targets, n);
 }
--- a/src/capacity_index.h
+++ b/src/capacity_index.h
@@ -45,7 +45,8 @@
 	struct gyp_flow *flow;
 	struct gyp_flow_unit *unit;
 	enum gyp_slack_state slack;
-	uint32_t rank; /* see gyp_flow_rank() */
+	uint32_t rank;     /* see gyp_flow_rank() */
+	uint64_t asked_at; /* see gyp_admission_asked_at() */
 };
 
 /*
--- a/src/placer.c
+++ b/src/placer.c
@@ -60,6 +60,10 @@
 	       spec->first_ms + (uint64_t)u->repetition * spec->interval_ms;
 }
 
+/*
+ * Interrupted units take turns with their queries: by age alone, the oldest
+ * ones would take all query slots until the last of their tasks runs.
+ */
 static gint
 by_urgency(gconstpointer a, gconstpointer b)
 {
@@ -69,6 +73,8 @@
 		return x->rank < y->rank ? -1 : 1;
 	if (x->slack != y->slack)
 		return x->slack < y->slack ? -1 : 1;
+	if (x->slack == GYP_SLACK_INTERRUPTED && x->asked_at != y->asked_at)
+		return x->asked_at < y->asked_at ? -1 : 1;
 	if (x->flow->seq != y->flow->seq)
 		return x->flow->seq < y->flow->seq ? -1 : 1;
 	return x->unit < y->unit ? -1 : x->unit > y->unit;
@@ -122,6 +128,8 @@
 		return;
 	}
 	c.slack = gyp_slack_state(p->stats, flow, unit, now_ms);
+	c.asked_at = gyp_admission_asked_at(
+	    gyp_admission_unit(p->admission, flow, unit));
 	g_array_append_val(p->units, c);
 }
 
--- a/src/query_slots.c
+++ b/src/query_slots.c
@@ -14,6 +14,13 @@
  */
 #define PREFETCH_RESERVED_DIVISOR 3
 
+/*
+ * A unit gets a second query at a time only while more than one slot in
+ * SECOND_QUERY_DIVISOR is free: otherwise other units need the slots for their
+ * first one.
+ */
+#define SECOND_QUERY_DIVISOR 2
+
 bool
 gyp_query_is_quick(const struct gyp_candidate *c)
 {
@@ -35,6 +42,17 @@
 	return s->free > reserved ? s->free - reserved : 0;
 }
 
+static bool
+may_query(const struct gyp_query_slots *s, const struct gyp_candidate *c)
+{
+	const struct gyp_admission_unit *unit =
+	    gyp_admission_unit(s->admission, c->flow, c->unit);
+	uint32_t left = s->free - s->queries->len;
+
+	return !gyp_admission_has_pending_query(unit) ||
+	       left * SECOND_QUERY_DIVISOR > s->total;
+}
+
 /* Adds the queries about the unit that are to be sent now. */
 static void
 add_queries(struct gyp_query_slots *s, const struct gyp_candidate *c,
@@ -42,7 +60,7 @@
 {
 	Gyp__Ask *query;
 
-	while (s->queries->len < slots) {
+	while (s->queries->len < slots && may_query(s, c)) {
 		query = gyp_admission_query_new(s->admission, s->capacities, c,
 		    tasks, slots - s->queries->len, s->now);
 		if (query == NULL)
--- a/src/query_slots.h
+++ b/src/query_slots.h
@@ -17,7 +17,8 @@
  *	Handles this load: more units wait than entries are free to carry a
  *	query each. Units are considered in the order of the round, and slow
  *	queries leave some slots free for quick ones, which are about urgent
- *	work.
+ *	work. A unit gets several queries at a time only while many slots are
+ *	free.
  */
 
 /* The free query slots of a round. */
--- a/test/test_lasting_queries.c
+++ b/test/test_lasting_queries.c
@@ -81,6 +81,46 @@
 	return n;
 }
 
+/* ---- Few slots ----------------------------------------------------------- */
+
+/* Ends the first run of the flow's first task, which was started on e0. */
+static void
+interrupt(struct placer_fixture *f, uint64_t id)
+{
+	flow_fixture_start(&f->base, id, 0, 0, 1, 0);
+	placer_fixture_end_run(f, id, 0, GYP__FLOW_HOW__FLOW_LAPSED);
+}
+
+/*
+ * While few slots are free, the oldest interrupted units took all of them,
+ * again and again, and the others had no query for seconds.
+ */
+static void
+test_queries_take_turns(void)
+{
+	struct placer_fixture f;
+	uint64_t id;
+
+	placer_fixture_init(&f, 200);
+	for (id = 1; id <= 2; id++) {
+		submit(&f, id, 1, 20, true);
+		interrupt(&f, id);
+	}
+	placer_fixture_run_round(&f, 3); /* two are kept for quick queries */
+	g_assert_cmpuint(f.queries->len, ==, 1);
+	g_assert_cmpuint(query_at(&f, 0)->flow, ==, 1);
+	gyp_admission_drop_query(f.admission, query_at(&f, 0)->id);
+	f.base.now += ROUND_MS;
+	placer_fixture_run_round(&f, 3);
+	g_assert_cmpuint(f.queries->len, ==, 1);
+	g_assert_cmpuint(query_at(&f, 0)->flow, ==, 2);
+	f.base.now += ROUND_MS;
+	placer_fixture_run_round(&f, 4);
+	g_assert_cmpuint(f.queries->len, ==, 1);
+	g_assert_cmpuint(query_at(&f, 0)->flow, ==, 1);
+	placer_fixture_clear(&f);
+}
+
 /* ---- Several queries about a unit ---------------------------------------- */
 
 /*
@@ -436,6 +476,8 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func(
+	    "/lasting-queries/queries-take-turns", test_queries_take_turns);
 	g_test_add_func(
 	    "/lasting-queries/one-long-answer", test_one_long_answer);
 	g_test_add_func(
