admission_query: a query names no endpoint twice

Cause: rank_unanswered() went on to the number of rows, empty ones included. Past the last endpoint gyp_capacity_index_nth() leaves the row unchanged, so once endpoints had left, the last one was named again for each of them. Change: the loop ends at the last endpoint.

--- a/src/admission_query.c
+++ b/src/admission_query.c
@@ -106,7 +106,7 @@
 	uint32_t row;
 	guint i;
 
-	for (i = 0; i < gyp_capacity_index_size(capacities); i++) {
+	for (i = 0; i < gyp_capacity_index_count(capacities); i++) {
 		bool may_fit = gyp_capacity_index_nth(
 		    capacities, i, c->unit->size.cpu_milli, &row);
 
--- a/src/capacity_index.c
+++ b/src/capacity_index.c
@@ -158,6 +158,14 @@
 	return index->now;
 }
 
+uint32_t
+gyp_capacity_index_count(struct gyp_capacity_index *index)
+{
+	if (!index->sorted)
+		sort_rows(index);
+	return index->order->len;
+}
+
 bool
 gyp_capacity_index_nth(struct gyp_capacity_index *index, guint i,
     uint64_t cpu_milli, uint32_t *row)
--- a/src/capacity_index.h
+++ b/src/capacity_index.h
@@ -72,6 +72,9 @@
 /* Returns the time of the round. */
 uint64_t gyp_capacity_index_now(const struct gyp_capacity_index *);
 
+/* Number of endpoints in the order of gyp_capacity_index_nth(). */
+uint32_t gyp_capacity_index_count(struct gyp_capacity_index *);
+
 /*
  * Gets the i-th row in descending order of free CPU at the start of the round,
  * to a resolution of half a processor. Returns false when the row certainly has
--- a/test/test_lasting_queries.c
+++ b/test/test_lasting_queries.c
@@ -81,6 +81,26 @@
 	return n;
 }
 
+/*
+ * Rows of endpoints that left are empty. A query that named an endpoint twice
+ * for them would count its room twice.
+ */
+static void
+test_endpoint_named_once(void)
+{
+	struct placer_fixture f;
+
+	placer_fixture_init(&f, 10);
+	gyp_fleet_departed(f.base.fleet, f.base.now, 8);
+	flow_fixture_advance(&f.base, 500);
+	g_assert_cmpuint(gyp_hosts_count(f.base.flows), ==, 9);
+	submit(&f, 1, 1, 20, true);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(count_named(&f), ==, 9);
+	g_assert_cmpuint(count_different(&f), ==, 9);
+	placer_fixture_clear(&f);
+}
+
 /* ---- Few slots ----------------------------------------------------------- */
 
 /* Ends the first run of the flow's first task, which was started on e0. */
@@ -476,6 +496,8 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func(
+	    "/lasting-queries/endpoint-named-once", test_endpoint_named_once);
 	g_test_add_func(
 	    "/lasting-queries/queries-take-turns", test_queries_take_turns);
 	g_test_add_func(
