--- a/src/placer.c
+++ b/src/placer.c
@@ -30,135 +30,18 @@
 	struct gyp_admission *admission;
 	const struct gyp_run_stats *stats;
 	struct gyp_preempt *preempt;
-	struct gyp_capacity_index *capacities; /* of this round */
-	GArray *units;    /* struct gyp_candidate, of this round */
-	GArray *prefetch; /* struct gyp_candidate, not ready yet */
-	GArray *lost;     /* struct gyp_candidate, whose runs are about to
-			     be over with their leases */
+	struct gyp_capacity_index *capacities;    /* of this round */
+	struct gyp_placer_candidates *candidates; /* of this round */
 	struct gyp_query_holds *holds;
 	GPtrArray *runs; /* Gyp__FlowRun of the unit being placed */
 	uint64_t now;
 	uint32_t runs_left; /* runs that this round may still propose */
 	uint32_t reservations;
-	uint32_t least_urgent; /* highest rank of the active flows */
-	GArray *workspaces;    /* struct workspace_round by row */
-	GHashTable *waiting;   /* interned pool -> double, see placer.h */
+	GArray *workspaces;  /* struct workspace_round by row */
+	GHashTable *waiting; /* interned pool -> double, see placer.h */
 	struct gyp_placer_summary summary;
 };
 
-/* ---- Candidates --------------------------------------------------------- */
-
-bool
-gyp_placer_unit_is_due(const struct gyp_flow *flow,
-    const struct gyp_flow_unit *u, uint64_t wall_ms)
-{
-	const Gyp__FlowSpec *spec = flow->spec;
-
-	if (spec->times == 0)
-		return true;
-	return wall_ms >=
-	       spec->first_ms + (uint64_t)u->repetition * spec->interval_ms;
-}
-
-/*
- * Interrupted units take turns with their queries: by age alone, the oldest
- * ones would take all query slots until the last of their tasks runs.
- */
-static gint
-by_urgency(gconstpointer a, gconstpointer b)
-{
-	const struct gyp_candidate *x = a, *y = b;
-
-	if (x->rank != y->rank)
-		return x->rank < y->rank ? -1 : 1;
-	if (x->slack != y->slack)
-		return x->slack < y->slack ? -1 : 1;
-	if (x->slack == GYP_SLACK_INTERRUPTED && x->asked_at != y->asked_at)
-		return x->asked_at < y->asked_at ? -1 : 1;
-	if (x->flow->seq != y->flow->seq)
-		return x->flow->seq < y->flow->seq ? -1 : 1;
-	return x->unit < y->unit ? -1 : x->unit > y->unit;
-}
-
-/* True when tasks of the unit need a run, whether or not the unit is ready. */
-static bool
-has_waiting(const struct gyp_flow_unit *u)
-{
-	return u->left > u->open && !(u->step->gang && u->open > 0);
-}
-
-void
-gyp_placer_count_waiting(const struct gyp_flow *flow, uint64_t wall_ms,
-    uint32_t *waiting, uint32_t *later)
-{
-	uint32_t i;
-
-	*waiting = 0;
-	*later = 0;
-	if (!gyp_flow_is_alive(flow))
-		return;
-	for (i = 0; i < flow->n_units; i++) {
-		const struct gyp_flow_unit *u = &flow->units[i];
-		uint32_t *n = gyp_placer_unit_is_due(flow, u, wall_ms) &&
-				      gyp_flow_unit_is_ready(flow, u)
-				  ? waiting
-				  : later;
-
-		if (has_waiting(u))
-			*n += u->left - u->open;
-	}
-}
-
-static void
-add_candidate(struct gyp_placer *p, struct gyp_flow *flow,
-    struct gyp_flow_unit *unit, uint64_t wall_ms)
-{
-	uint64_t now_ms = gyp_flows_time(p->flows);
-	struct gyp_candidate c = {
-	    .flow = flow, .unit = unit, .rank = gyp_flow_rank(flow, now_ms)};
-
-	if (gyp_admission_prefetch_lost_runs(p->fleet, flow, unit) > 0)
-		g_array_append_val(p->lost, c);
-	if (!has_waiting(unit) || !gyp_placer_unit_is_due(flow, unit, wall_ms))
-		return;
-	if (!gyp_flow_unit_is_ready(flow, unit)) {
-		if (gyp_admission_unit(p->admission, flow, unit) == NULL &&
-		    gyp_admission_prefetch_due(p->stats, flow, unit))
-			g_array_append_val(p->prefetch, c);
-		return;
-	}
-	c.slack = gyp_slack_state(p->stats, flow, unit, now_ms);
-	c.asked_at = gyp_admission_asked_at(
-	    gyp_admission_unit(p->admission, flow, unit));
-	g_array_append_val(p->units, c);
-}
-
-static void
-find_candidates(struct gyp_placer *p, uint64_t wall_ms)
-{
-	uint64_t now_ms = gyp_flows_time(p->flows);
-	const GList *l;
-	uint32_t i;
-
-	g_array_set_size(p->units, 0);
-	g_array_set_size(p->prefetch, 0);
-	g_array_set_size(p->lost, 0);
-	p->least_urgent = 0;
-	for (l = gyp_flows_active(p->flows)->head; l != NULL; l = l->next) {
-		struct gyp_flow *flow = l->data;
-
-		if (!gyp_flow_is_alive(flow))
-			continue;
-		p->least_urgent =
-		    MAX(p->least_urgent, gyp_flow_rank(flow, now_ms));
-		for (i = 0; i < flow->n_units; i++)
-			add_candidate(p, flow, &flow->units[i], wall_ms);
-	}
-	g_array_sort(p->units, by_urgency);
-	g_array_sort(p->prefetch, by_urgency);
-	g_array_sort(p->lost, by_urgency);
-}
-
 /* ---- Caps --------------------------------------------------------------- */
 
 static struct workspace_round *
@@ -586,7 +469,7 @@
 reserve_capacity(
     struct gyp_placer *p, const struct gyp_candidate *c, uint32_t waiting)
 {
-	bool may_preempt = c->rank < p->least_urgent &&
+	bool may_preempt = c->rank < p->candidates->least_urgent &&
 			   c->slack != GYP_SLACK_LATE &&
 			   !awaits_quick_query(p, c);
 
@@ -607,9 +490,9 @@
 {
 	guint i;
 
-	for (i = 0; i < p->lost->len; i++) {
-		const struct gyp_candidate *c =
-		    &g_array_index(p->lost, struct gyp_candidate, i);
+	for (i = 0; i < p->candidates->lost->len; i++) {
+		const struct gyp_candidate *c = &g_array_index(
+		    p->candidates->lost, struct gyp_candidate, i);
 		uint32_t tasks = c->unit->left - c->unit->open +
 				 gyp_admission_prefetch_lost_runs(
 				     p->fleet, c->flow, c->unit);
@@ -628,9 +511,9 @@
 {
 	guint i;
 
-	for (i = 0; i < p->prefetch->len; i++) {
-		const struct gyp_candidate *c =
-		    &g_array_index(p->prefetch, struct gyp_candidate, i);
+	for (i = 0; i < p->candidates->prefetch->len; i++) {
+		const struct gyp_candidate *c = &g_array_index(
+		    p->candidates->prefetch, struct gyp_candidate, i);
 
 		gyp_query_slots_prefetch(slots, c, c->unit->left);
 	}
@@ -698,16 +581,17 @@
 	guint i;
 
 	reset_round(p, now);
-	find_candidates(p, wall_ms);
-	p->summary.units = p->units->len;
-	if (p->units->len + p->prefetch->len + p->lost->len == 0)
+	gyp_placer_candidates_find(p->candidates, wall_ms);
+	p->summary.units = p->candidates->units->len;
+	if (gyp_placer_candidates_are_none(p->candidates))
 		return;
 	gyp_preempt_begin_round(p->preempt, p->now);
 	gyp_capacity_index_begin_round(p->capacities, p->now);
-	for (i = 0; i < p->units->len; i++)
+	for (i = 0; i < p->candidates->units->len; i++)
 		schedule_unit(p,
-		    &g_array_index(p->units, struct gyp_candidate, i), &slots,
-		    cmds);
+		    &g_array_index(
+			p->candidates->units, struct gyp_candidate, i),
+		    &slots, cmds);
 	query_about_lost(p, &slots);
 	prefetch_queries(p, &slots);
 }
@@ -742,9 +626,8 @@
 	p->stats = stats;
 	p->preempt = gyp_preempt_new(flows, fleet, stats);
 	p->capacities = gyp_capacity_index_new(flows, fleet, stats, p->preempt);
-	p->units = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
-	p->prefetch = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
-	p->lost = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
+	p->candidates =
+	    gyp_placer_candidates_new(flows, fleet, admission, stats);
 	p->holds = gyp_query_holds_new(p->capacities, admission);
 	p->workspaces =
 	    g_array_new(FALSE, TRUE, sizeof(struct workspace_round));
@@ -760,9 +643,7 @@
 		return;
 	gyp_preempt_free(p->preempt);
 	gyp_capacity_index_free(p->capacities);
-	g_array_free(p->units, TRUE);
-	g_array_free(p->prefetch, TRUE);
-	g_array_free(p->lost, TRUE);
+	gyp_placer_candidates_free(p->candidates);
 	gyp_query_holds_free(p->holds);
 	g_array_free(p->workspaces, TRUE);
 	g_hash_table_destroy(p->waiting);
--- a/src/placer.h
+++ b/src/placer.h
@@ -10,6 +10,7 @@
 #include "capacity_index.h"
 #include "fleet.h"
 #include "flow.h"
+#include "placer_candidates.h"
 #include "preempt.h"
 #include "run_stats.h"
 
@@ -25,8 +26,8 @@
  *	- wide steps and gangs next to narrow ones: a gang is placed as a whole
  *	  or not at all;
  *	- a slow admission service: queries are sent in the order of the units,
- *	  one per unit at a time, and name the endpoints with the most free
- *	  capacity first;
+ *	  one per unit at a time, more for lasting units while many slots are
+ *	  free, and name the endpoints with the most free capacity first;
  *	- endpoints that fail or become slow: they get no runs, a single probe,
  *	  or fewer runs, see run_stats.h, and for a while a task is not retried
  *	  where it failed.
@@ -91,17 +92,6 @@
 enum gyp_placer_wait gyp_placer_wait(
     const struct gyp_placer *, const struct gyp_workspace_use *);
 
-/*
- * Counts the tasks of the flow that need a run: those that could start now, and
- * those that wait for other steps or for their time.
- */
-void gyp_placer_count_waiting(const struct gyp_flow *, uint64_t wall_ms,
-    uint32_t *waiting, uint32_t *later);
-
-/* True unless the unit is of a repetition that is due later. */
-bool gyp_placer_unit_is_due(
-    const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t wall_ms);
-
 /*
  * Previews of flows that are not in the tables. They propose nothing and change
  * no later round.
