Holds and precedence of lasting tasks are bounded in time

Endpoints that are due for a probe are held too. Prefetched queries keep their reserve of slots also when several are sent. Result: /lasting-queries/room-held-without-answers (0 of 40 started) and /lasting-placement/failing-task-not-first (no start) failed before and pass; test_placer, test_mixed_load, test_quotas and test_lasting_watch pass.

--- a/src/admission.c
+++ b/src/admission.c
@@ -42,6 +42,7 @@
 	struct gyp_admission_pending pending;
 	uint64_t paused_until;
 	uint64_t asked_at;    /* time of the latest query */
+	bool failed;          /* the latest closed query got no answer */
 	GArray *answers;      /* struct endpoint_answer by row */
 	GArray *grants;       /* struct grant */
 	GArray *granted_rows; /* uint32_t, the row of each grant */
@@ -243,6 +244,12 @@
 	return u != NULL ? u->asked_at : 0;
 }
 
+bool
+gyp_admission_query_failed(const struct gyp_admission_unit *u)
+{
+	return u != NULL && u->failed;
+}
+
 bool
 gyp_admission_is_paused(const struct gyp_admission_unit *u, uint64_t now)
 {
@@ -485,6 +492,7 @@
 	for (i = 0; u != NULL && answer != NULL && i < answer->n_tickets; i++)
 		record_ticket(a, u, now, answer->valid_ms, answer->tickets[i]);
 	if (u != NULL) {
+		u->failed = answer == NULL;
 		remove_pending(u, q);
 		update_share(a, q, unanswered, u->grants->len - grants_before);
 	}
--- a/src/admission.h
+++ b/src/admission.h
@@ -122,6 +122,9 @@
     const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t now,
     const struct gyp_admission_target *, guint n);
 
+/* True if the latest query about the unit to be closed got no answer. */
+bool gyp_admission_query_failed(const struct gyp_admission_unit *);
+
 /* Time of the latest query about the unit, which may be NULL; 0: never. */
 uint64_t gyp_admission_asked_at(const struct gyp_admission_unit *);
 
--- a/src/lasting_watch.c
+++ b/src/lasting_watch.c
@@ -237,7 +237,8 @@
 	struct gyp_candidate c = {.flow = o->flow,
 	    .unit = o->unit,
 	    .rank = gyp_flow_rank(o->flow, now_ms),
-	    .slack = gyp_slack_state(w->from.stats, o->flow, o->unit, now_ms)};
+	    .slack = gyp_slack_state(
+		w->from.stats, o->flow, o->unit, w->now, now_ms)};
 	struct endpoint_counts n = {.suits = 0};
 
 	count_by_tables(w, &c, &n);
--- a/src/placer.c
+++ b/src/placer.c
@@ -339,7 +339,8 @@
 		struct gyp_ranked_endpoint *endpoint;
 
 		if (t->state != GYP_FLOW_TASK_WAITING ||
-		    gyp_slack_is_interrupted(u, t) != interrupted)
+		    gyp_slack_is_interrupted(p->stats, c->flow, u, i, p->now) !=
+			interrupted)
 			continue;
 		endpoint = next_endpoint(p, c, i, ranking, pos);
 		if (endpoint == NULL)
@@ -490,9 +491,9 @@
 {
 	guint i;
 
-	for (i = 0; i < p->candidates->lost->len; i++) {
+	for (i = 0; i < p->candidates->expiring->len; i++) {
 		const struct gyp_candidate *c = &g_array_index(
-		    p->candidates->lost, struct gyp_candidate, i);
+		    p->candidates->expiring, struct gyp_candidate, i);
 		uint32_t tasks = c->unit->left - c->unit->open +
 				 gyp_admission_prefetch_lost_runs(
 				     p->fleet, c->flow, c->unit);
@@ -581,7 +582,7 @@
 	guint i;
 
 	reset_round(p, now);
-	gyp_placer_candidates_find(p->candidates, wall_ms);
+	gyp_placer_candidates_find(p->candidates, p->now, wall_ms);
 	p->summary.units = p->candidates->units->len;
 	if (gyp_placer_candidates_are_none(p->candidates))
 		return;
--- a/src/placer_candidates.c
+++ b/src/placer_candidates.c
@@ -64,14 +64,14 @@
 
 static void
 add_candidate(struct gyp_placer_candidates *cs, struct gyp_flow *flow,
-    struct gyp_flow_unit *unit, uint64_t wall_ms)
+    struct gyp_flow_unit *unit, uint64_t now, uint64_t wall_ms)
 {
 	uint64_t now_ms = gyp_flows_time(cs->flows);
 	struct gyp_candidate c = {
 	    .flow = flow, .unit = unit, .rank = gyp_flow_rank(flow, now_ms)};
 
 	if (gyp_admission_prefetch_lost_runs(cs->fleet, flow, unit) > 0)
-		g_array_append_val(cs->lost, c);
+		g_array_append_val(cs->expiring, c);
 	if (!has_waiting(unit) || !gyp_placer_unit_is_due(flow, unit, wall_ms))
 		return;
 	if (!gyp_flow_unit_is_ready(flow, unit)) {
@@ -80,14 +80,15 @@
 			g_array_append_val(cs->prefetch, c);
 		return;
 	}
-	c.slack = gyp_slack_state(cs->stats, flow, unit, now_ms);
+	c.slack = gyp_slack_state(cs->stats, flow, unit, now, now_ms);
 	c.asked_at = gyp_admission_asked_at(
 	    gyp_admission_unit(cs->admission, flow, unit));
 	g_array_append_val(cs->units, c);
 }
 
 void
-gyp_placer_candidates_find(struct gyp_placer_candidates *cs, uint64_t wall_ms)
+gyp_placer_candidates_find(
+    struct gyp_placer_candidates *cs, uint64_t now, uint64_t wall_ms)
 {
 	uint64_t now_ms = gyp_flows_time(cs->flows);
 	const GList *l;
@@ -95,7 +96,7 @@
 
 	g_array_set_size(cs->units, 0);
 	g_array_set_size(cs->prefetch, 0);
-	g_array_set_size(cs->lost, 0);
+	g_array_set_size(cs->expiring, 0);
 	cs->least_urgent = 0;
 	for (l = gyp_flows_active(cs->flows)->head; l != NULL; l = l->next) {
 		struct gyp_flow *flow = l->data;
@@ -105,17 +106,17 @@
 		cs->least_urgent =
 		    MAX(cs->least_urgent, gyp_flow_rank(flow, now_ms));
 		for (i = 0; i < flow->n_units; i++)
-			add_candidate(cs, flow, &flow->units[i], wall_ms);
+			add_candidate(cs, flow, &flow->units[i], now, wall_ms);
 	}
 	g_array_sort(cs->units, by_urgency);
 	g_array_sort(cs->prefetch, by_urgency);
-	g_array_sort(cs->lost, by_urgency);
+	g_array_sort(cs->expiring, by_urgency);
 }
 
 bool
 gyp_placer_candidates_are_none(const struct gyp_placer_candidates *cs)
 {
-	return cs->units->len + cs->prefetch->len + cs->lost->len == 0;
+	return cs->units->len + cs->prefetch->len + cs->expiring->len == 0;
 }
 
 struct gyp_placer_candidates *
@@ -132,7 +133,7 @@
 	cs->stats = stats;
 	cs->units = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
 	cs->prefetch = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
-	cs->lost = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
+	cs->expiring = g_array_new(FALSE, FALSE, sizeof(struct gyp_candidate));
 	return cs;
 }
 
@@ -143,6 +144,6 @@
 		return;
 	g_array_free(cs->units, TRUE);
 	g_array_free(cs->prefetch, TRUE);
-	g_array_free(cs->lost, TRUE);
+	g_array_free(cs->expiring, TRUE);
 	g_free(cs);
 }
--- a/src/placer_candidates.h
+++ b/src/placer_candidates.h
@@ -31,7 +31,7 @@
 	/* All of struct gyp_candidate, the most urgent first: */
 	GArray *units;         /* with tasks that can start */
 	GArray *prefetch;      /* become ready soon */
-	GArray *lost;          /* lasting, with runs that end soon */
+	GArray *expiring;      /* lasting, with runs that end soon */
 	uint32_t least_urgent; /* highest rank of the active flows */
 };
 
@@ -40,9 +40,9 @@
     const struct gyp_admission *, const struct gyp_run_stats *);
 void gyp_placer_candidates_free(struct gyp_placer_candidates *);
 
-/* Replaces the lists by those of a new round; wall_ms is Unix time. */
+/* Replaces the lists by those of a round at time now; wall_ms is Unix time. */
 void gyp_placer_candidates_find(
-    struct gyp_placer_candidates *, uint64_t wall_ms);
+    struct gyp_placer_candidates *, uint64_t now, uint64_t wall_ms);
 
 /* True if all lists are empty. */
 bool gyp_placer_candidates_are_none(const struct gyp_placer_candidates *);
--- a/src/query_holds.c
+++ b/src/query_holds.c
@@ -10,6 +10,12 @@
  */
 #define ALLOWED_BONUS 10
 
+/*
+ * Longest time for which room is held after a query, in ms. Without an answer
+ * by then, other work gets the room.
+ */
+#define HOLD_MAX_MS 2000
+
 /* Tasks of a unit that wait for an answer. */
 struct hold {
 	struct gyp_candidate candidate;
@@ -33,7 +39,7 @@
 	if (row >= gyp_capacity_index_size(capacities))
 		return;
 	cap = gyp_capacity_index_at(capacities, row);
-	if (!gyp_capacity_suits(cap, c) || cap->state > GYP_RUN_STATS_SUSPECT)
+	if (!gyp_capacity_suits(cap, c))
 		return;
 	endpoint.count = gyp_capacity_count_tasks(cap, c);
 	endpoint.allowed_before = gyp_admission_was_allowed(answers, row);
@@ -88,14 +94,31 @@
 		struct gyp_capacity *cap =
 		    gyp_capacity_index_at(capacities, endpoint->row);
 
-		while (endpoint->count-- > 0 && expected < tasks) {
-			gyp_res_sub(&cap->available, &c->unit->size);
+		for (; endpoint->count > 0 && expected < tasks;
+		     endpoint->count--) {
+			gyp_capacity_book(cap, c);
 			expected += endpoint->allowed_before ? 1 : share;
 		}
 	}
 	g_array_free(ranking, TRUE);
 }
 
+/*
+ * False when the service has not answered the latest query in time, or not at
+ * all: room would be held again and again, and other work of the same priority
+ * would never start.
+ */
+static bool
+may_be_answered(const struct gyp_query_holds *h, const struct gyp_candidate *c)
+{
+	const struct gyp_admission_unit *answers =
+	    gyp_admission_unit(h->admission, c->flow, c->unit);
+
+	return !gyp_admission_query_failed(answers) &&
+	       gyp_capacity_index_now(h->capacities) <
+		   gyp_admission_asked_at(answers) + HOLD_MAX_MS;
+}
+
 void
 gyp_query_holds_add(
     struct gyp_query_holds *h, const struct gyp_candidate *c, uint32_t tasks)
@@ -103,7 +126,8 @@
 	struct hold hold = {.candidate = *c, .tasks = tasks};
 
 	if (c->unit->step->lasting && !c->unit->step->gang && tasks > 0 &&
-	    c->flow->spec->queue->admission && h->holds->len < HOLDS_MAX)
+	    c->flow->spec->queue->admission && may_be_answered(h, c) &&
+	    h->holds->len < HOLDS_MAX)
 		g_array_append_val(h->holds, hold);
 }
 
--- a/src/query_holds.h
+++ b/src/query_holds.h
@@ -20,7 +20,8 @@
  *	only against units that come later in the order of the round and are
  *	less urgent or do not last. Another lasting unit of the same rank may
  *	use it: that one could start now, while the first may not be allowed
- *	there. No runs are stopped.
+ *	there. No runs are stopped. Nothing is held for a unit whose latest
+ *	query got no answer.
  */
 
 struct gyp_query_holds;
--- a/src/query_slots.c
+++ b/src/query_slots.c
@@ -82,6 +82,6 @@
 {
 	uint32_t reserved = s->total / PREFETCH_RESERVED_DIVISOR;
 
-	if (s->queries->len + reserved < s->free)
-		add_queries(s, c, tasks, s->free);
+	if (s->free > reserved)
+		add_queries(s, c, tasks, s->free - reserved);
 }
--- a/src/slack.c
+++ b/src/slack.c
@@ -53,21 +53,25 @@
 }
 
 bool
-gyp_slack_is_interrupted(
-    const struct gyp_flow_unit *unit, const struct gyp_flow_task *task)
+gyp_slack_is_interrupted(const struct gyp_run_stats *stats,
+    const struct gyp_flow *flow, const struct gyp_flow_unit *unit,
+    uint32_t task, uint64_t now)
 {
-	return unit->step->lasting && task->state == GYP_FLOW_TASK_WAITING &&
-	       task->run > 0;
+	const struct gyp_flow_task *t = &flow->tasks[task];
+
+	return unit->step->lasting && t->state == GYP_FLOW_TASK_WAITING &&
+	       t->run > 0 &&
+	       !gyp_run_stats_failed_recently(stats, flow->id, task, now);
 }
 
 static bool
-has_interrupted_task(
-    const struct gyp_flow *flow, const struct gyp_flow_unit *unit)
+has_interrupted_task(const struct gyp_run_stats *stats,
+    const struct gyp_flow *flow, const struct gyp_flow_unit *unit, uint64_t now)
 {
 	uint32_t i;
 
 	for (i = unit->first; i < unit->first + unit->step->count; i++) {
-		if (gyp_slack_is_interrupted(unit, &flow->tasks[i]))
+		if (gyp_slack_is_interrupted(stats, flow, unit, i, now))
 			return true;
 	}
 	return false;
@@ -75,11 +79,12 @@
 
 enum gyp_slack_state
 gyp_slack_state(const struct gyp_run_stats *stats, const struct gyp_flow *flow,
-    const struct gyp_flow_unit *unit, uint64_t now_ms)
+    const struct gyp_flow_unit *unit, uint64_t now, uint64_t now_ms)
 {
 	double slack_ms = gyp_slack_ms(stats, flow, unit, now_ms);
 
-	if (unit->step->lasting && has_interrupted_task(flow, unit))
+	if (unit->step->lasting && unit->left > unit->open &&
+	    has_interrupted_task(stats, flow, unit, now))
 		return GYP_SLACK_INTERRUPTED;
 	if (slack_ms >= 0)
 		return GYP_SLACK_IN_TIME;
--- a/src/slack.h
+++ b/src/slack.h
@@ -25,8 +25,8 @@
  *	see run_stats.h.
  *
  *	And this one: a full service in which lasting tasks lose their runs
- *while others wait for their first one. Callers rely on those that ran, so they
- *	go before all other work of their priority.
+ *	while others wait for their first one. Callers rely on those that ran,
+ *so they go before all other work of their priority.
  */
 
 /* Longest time for which late work is ordered after other work, in ms. */
@@ -47,12 +47,21 @@
 double gyp_slack_ms(const struct gyp_run_stats *, const struct gyp_flow *,
     const struct gyp_flow_unit *, uint64_t now_ms);
 
-/* Returns the state of the unit at cell time now_ms. */
+/*
+ * Returns the state of the unit at cell time now_ms; now is the time of the
+ * statistics.
+ */
 enum gyp_slack_state gyp_slack_state(const struct gyp_run_stats *,
-    const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t now_ms);
+    const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t now,
+    uint64_t now_ms);
 
-/* True if the lasting task waits for another run, not for its first. */
-bool gyp_slack_is_interrupted(
-    const struct gyp_flow_unit *, const struct gyp_flow_task *);
+/*
+ * True if the lasting task waits for another run, not for its first, and has
+ * not failed recently: one that fails at once again and again must not go
+ * before other work each time.
+ */
+bool gyp_slack_is_interrupted(const struct gyp_run_stats *,
+    const struct gyp_flow *, const struct gyp_flow_unit *, uint32_t task,
+    uint64_t now);
 
 #endif
--- a/test/test_lasting_placement.c
+++ b/test/test_lasting_placement.c
@@ -198,6 +198,28 @@
 	placer_fixture_clear(&f);
 }
 
+/*
+ * A lasting task that fails at once again and again must not go before all
+ * other work of its priority each time.
+ */
+static void
+test_failing_task_not_first(void)
+{
+	struct placer_fixture f;
+
+	placer_fixture_init(&f, 1);
+	fill_endpoint(&f);
+	placer_fixture_submit(&f, 1, 1, flow_fixture_step(3));
+	placer_fixture_submit(&f, 2, 1, lasting_step(1));
+	flow_fixture_start(&f.base, 2, 0, 0, 1, 0);
+	placer_fixture_end_run(&f, 2, 0, GYP__FLOW_HOW__FLOW_FAILED);
+	gyp_run_stats_failed(f.stats, 2, 0, 0, f.base.now);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.cmds->len, ==, 1);
+	g_assert_cmpuint(placer_fixture_start(&f, 0)->flow, ==, 1);
+	placer_fixture_clear(&f);
+}
+
 /* ---- Queries ------------------------------------------------------------ */
 
 /*
@@ -394,6 +416,8 @@
 	    test_many_failures_of_task);
 	g_test_add_func("/lasting-placement/interrupted-task-first",
 	    test_interrupted_task_first);
+	g_test_add_func("/lasting-placement/failing-task-not-first",
+	    test_failing_task_not_first);
 	g_test_add_func(
 	    "/lasting-placement/query-finds-memory", test_query_finds_memory);
 	g_test_add_func("/lasting-placement/query-after-failed-entry",
--- a/test/test_lasting_queries.c
+++ b/test/test_lasting_queries.c
@@ -81,6 +81,36 @@
 	return n;
 }
 
+/*
+ * The admission service does not answer. Work of the same priority must not
+ * wait for room that is held for a lasting unit all the time.
+ */
+static void
+test_room_held_without_answers(void)
+{
+	struct placer_fixture f;
+	Gyp__Res size;
+	uint64_t end;
+	guint i;
+
+	placer_fixture_init(&f, 40);
+	submit(&f, 1, 1, 20, true);
+	placer_fixture_submit(&f, 2, 1, large_step(40, &size));
+	for (end = f.base.now + 10000; f.base.now < end;
+	     f.base.now += ROUND_MS) {
+		for (i = 0; i < 40; i++)
+			gyp_fleet_heartbeat(
+			    f.base.fleet, f.base.now, i, 1, f.base.now);
+		placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+		for (i = 0; i < f.queries->len; i++)
+			gyp_admission_drop_query(
+			    f.admission, query_at(&f, i)->id);
+		placer_fixture_apply(&f);
+	}
+	g_assert_cmpuint(gyp_flow_get(f.base.flows, 2)->open, ==, 40);
+	placer_fixture_clear(&f);
+}
+
 /*
  * Rows of endpoints that left are empty. A query that named an endpoint twice
  * for them would count its room twice.
@@ -496,6 +526,8 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/lasting-queries/room-held-without-answers",
+	    test_room_held_without_answers);
 	g_test_add_func(
 	    "/lasting-queries/endpoint-named-once", test_endpoint_named_once);
 	g_test_add_func(
