--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -497,7 +497,7 @@
 	net_start(n);
 }
 
-/* Sends it entries 1 to 9 of term 1, and syncs them. */
+/* Sends it entries 1 to 9 of term 1, which are not synced yet. */
 static void
 append_nine(struct net *net, struct node *n)
 {
@@ -515,6 +515,11 @@
 	m.n_entries = 9;
 	m.entries = ptrs;
 	gyp_raft_step(n->raft, net->now, &m);
+}
+
+static void
+sync_all(struct net *net, struct node *n)
+{
 	n->synced = n->disk->len;
 	gyp_raft_synced(n->raft, net->now, n->synced);
 }
@@ -580,6 +585,7 @@
 	set_committed(&net);
 	start_empty(n);
 	append_nine(&net, n);
+	sync_all(&net, n);
 	send_snapshot(&net, n);
 	g_assert_cmpuint(gyp_raft_commit_index(n->raft), >=, 5);
 	g_assert_cmpuint(gyp_raft_last_index(n->raft), ==, 9);
@@ -592,6 +598,30 @@
 	net_clear(&net);
 }
 
+/*
+ * Guards against an acknowledgement of entries that are not on disk yet, when a
+ * snapshot agrees with the log.
+ */
+static void
+test_snapshot_over_unsynced_equal(void)
+{
+	struct net net;
+	struct node *n = &net.nodes[0];
+	guint sent;
+
+	net_init(&net, 1);
+	set_committed(&net);
+	start_empty(n);
+	sent = net.in_flight->len;
+	append_nine(&net, n);
+	send_snapshot(&net, n);
+	g_assert_cmpuint(gyp_raft_commit_index(n->raft), >=, 5);
+	g_assert_cmpuint(net.in_flight->len, ==, sent);
+	sync_all(&net, n);
+	g_assert_cmpuint(net.in_flight->len, >, sent);
+	net_clear(&net);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -609,6 +639,8 @@
 	    "/raft/snapshot-over-unsynced", test_snapshot_over_unsynced);
 	g_test_add_func(
 	    "/raft/snapshot-keeps-entries", test_snapshot_keeps_entries);
+	g_test_add_func("/raft/snapshot-over-unsynced-equal",
+	    test_snapshot_over_unsynced_equal);
 	g_test_add_func("/raft/random", test_random);
 	return g_test_run();
 }
