test_lost_disks: aim losses at the only copies of a change

Losses rarely hit the copies of a change that few replicas held.

Change: in one of three losses all voters but two or three are cut off, a change is sent, and the leader and another of these lose their disks once it is acknowledged or an election timeout is over. A new moment of loss is the return of all replicas after a power cut.

--- a/test/test_lost_disks.c
+++ b/test/test_lost_disks.c
@@ -43,6 +43,7 @@
 	DURING_CHANGE,   /* of the members */
 	DURING_SNAPSHOT, /* just after a snapshot is sent */
 	AFTER_REPAIR,    /* the earliest moment that the promise covers */
+	AFTER_POWER_CUT, /* of all replicas, while they come back */
 	N_MOMENTS
 };
 
@@ -57,6 +58,9 @@
 	uint64_t written_at[NODES]; /* when the disk was new */
 	uint64_t restart_at[NODES]; /* 0 while it runs */
 	uint64_t all_back_at;
+	bool isolated;  /* all voters but holders[] were cut off, or all but one
+			 */
+	int holders[2]; /* the leader and another voter */
 	uint32_t moments[N_MOMENTS]; /* losses at each */
 };
 
@@ -198,11 +202,11 @@
 
 	if (moment == AT_ANY_TIME)
 		run_for(r, (uint32_t)random_int(r, 0, 3000));
-	while (
-	    r->cell.now < end &&
-	    ((moment == AFTER_ACK && r->latest_ack == ack) ||
-		(moment == DURING_CHANGE && !is_changing(r)) ||
-		(moment == DURING_SNAPSHOT && r->cell.snapshots == snapshots)))
+	while (r->cell.now < end &&
+	       ((moment == AFTER_ACK && r->latest_ack == ack) ||
+		   (moment == DURING_CHANGE && !is_changing(r)) ||
+		   ((moment == DURING_SNAPSHOT || moment == AFTER_POWER_CUT) &&
+		       r->cell.snapshots == snapshots)))
 		step(r);
 }
 
@@ -219,6 +223,49 @@
 	run_for(r, (uint32_t)random_int(r, 10, 3000));
 }
 
+static bool
+is_connected(const struct run *r, int i)
+{
+	return r->cell.nodes[i].replica != NULL && !r->cell.nodes[i].cut;
+}
+
+/*
+ * Cuts all voters but the leader and one or two others off, until the leader
+ * and one of these are lost. Nothing may be acknowledged with two copies; with
+ * three, the copy that remains must prevail over the replicas that were cut
+ * off, also when the lost ones return.
+ */
+static void
+isolate_voters(struct run *r)
+{
+	int leader = cell_leader(&r->cell);
+	uint64_t sent, end = r->cell.now + CELL_ELECTION_MS;
+	int others = random_int(r, 1, 3);
+	int i, first = random_int(r, 0, NODES);
+
+	if (leader < 0)
+		return;
+	r->isolated = true;
+	r->holders[0] = r->holders[1] = leader;
+	for (i = first; i < first + NODES; i++) {
+		int node = i % NODES;
+
+		if (node == leader ||
+		    !cell_is_voter(&r->cell, r->cell.nodes[node].id))
+			continue;
+		if (others > 0 && is_connected(r, node)) {
+			others--;
+			r->holders[1] = node;
+		} else {
+			r->cell.nodes[node].cut = true;
+		}
+	}
+	send_change(r);
+	sent = r->cell.calls;
+	while (r->cell.now < end && r->latest_ack < sent)
+		step(r);
+}
+
 /* Returns the replica, other than `except`, whose disk has lasted longest. */
 static int
 find_oldest(const struct run *r, int except)
@@ -242,7 +289,10 @@
 
 	victims[0] = random_int(r, 0, NODES);
 	victims[1] = (victims[0] + random_int(r, 1, NODES)) % NODES;
-	if (mode == 0) {
+	if (r->isolated) {
+		victims[0] = r->holders[0];
+		victims[1] = r->holders[1];
+	} else if (mode == 0) {
 		victims[0] = find_oldest(r, -1);
 		victims[1] = find_oldest(r, victims[0]);
 	} else if (mode == 1 && leader >= 0 && victims[1] != leader) {
@@ -250,6 +300,31 @@
 	}
 }
 
+/* Cuts the power of a replica, unless it has none, and plans its restart. */
+static void
+cut_power(struct run *r, int i)
+{
+	if (r->cell.nodes[i].replica != NULL)
+		cell_cut_power(&r->cell, i);
+	r->restart_at[i] =
+	    r->cell.now + DOWN_MS + (uint64_t)random_int(r, 0, 1500);
+}
+
+/*
+ * Cuts the power of all replicas. They return one by one, and send snapshots
+ * over logs whose entries were acknowledged before.
+ */
+static void
+cut_all_power(struct run *r)
+{
+	int i;
+
+	for (i = 0; i < NODES; i++)
+		cut_power(r, i);
+	cell_drop_frames(&r->cell);
+	run_for(r, DOWN_MS);
+}
+
 /*
  * Loses two disks at once, or none in one of eight cases. The others lose
  * power: all, some, or none.
@@ -262,6 +337,7 @@
 	int others = random_int(r, 0, 8); /* 0: stay up; 1: half of them */
 
 	pick_victims(r, victims);
+	r->isolated = false;
 	for (i = 0; i < NODES; i++) {
 		bool lost = !none_lost && (i == victims[0] || i == victims[1]);
 
@@ -269,11 +345,9 @@
 		if (!lost &&
 		    (others == 0 || (others == 1 && random_int(r, 0, 2) == 0)))
 			continue;
-		cell_cut_power(&r->cell, i);
+		cut_power(r, i);
 		if (lost)
 			cell_lose_disk(&r->cell, i);
-		r->restart_at[i] =
-		    r->cell.now + DOWN_MS + (uint64_t)random_int(r, 0, 1500);
 	}
 	if (others > 1)
 		cell_drop_frames(&r->cell);
@@ -369,7 +443,11 @@
 
 		if (random_int(r, 0, 4) == 0)
 			cut_minority(r);
+		if (moment == AFTER_POWER_CUT)
+			cut_all_power(r);
 		wait_for_moment(r, moment);
+		if (random_int(r, 0, 3) == 0)
+			isolate_voters(r);
 		r->moments[moment]++;
 		lose_disks(r);
 		wait_for_all(r);
@@ -382,10 +460,10 @@
 	g_test_message("seed %u: %" G_GUINT64_FORMAT
 		       " changes sent, %u acknowledged, served after at most "
 		       "%" G_GUINT64_FORMAT
-		       " ms, %u snapshots; moments %u %u %u %u %u",
+		       " ms, %u snapshots; moments %u %u %u %u %u %u",
 	    seed, r->cell.calls, r->acknowledged->len, worst, r->cell.snapshots,
 	    r->moments[0], r->moments[1], r->moments[2], r->moments[3],
-	    r->moments[4]);
+	    r->moments[4], r->moments[5]);
 	cell_clear(&r->cell);
 	g_array_free(r->acknowledged, TRUE);
 	g_rand_free(r->rand);
