--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# A job that an edge machine hands in, after a cut, when its cancelling has been
+# acknowledged. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
+# couldn't run.
+here=$(cd "$(dirname "$0")" && pwd)
+ANNOUNCE=yes
+# shellcheck source=review/common.sh
+. "$here/../common.sh" "$here/../bin/case3"
+start_deployment
+run_case "$here/../bin/case3" "$here/record.txt"
