--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# A worker that replaces another one once the leader is a minute old. Exits with
+# 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+here=$(cd "$(dirname "$0")" && pwd)
+# shellcheck source=review/common.sh
+. "$here/../common.sh" "$here/../bin/case1"
+start_deployment
+run_case "$here/../bin/case1" "$here/record.txt"
