--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,6 +2,13 @@
 # A worker that replaces another one once the leader is a minute old. Exits with
 # 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 here=$(cd "$(dirname "$0")" && pwd)
+# TROUBLE=0: the same without the disruption; the driver reads it.
+export TROUBLE="${TROUBLE:-1}"
+case $TROUBLE in 0 | 1) ;; *)
+	echo "TROUBLE must be 0 or 1" >&2
+	exit 2
+	;;
+esac
 # shellcheck source=review/common.sh
 . "$here/../common.sh" "$here/../bin/case1"
 start_deployment
