fleet: count the silence of an endpoint from its registration at the earliest

Cause: silence was counted from the last answer or heartbeat, 0 for none, but at most from the begin of the term. The same value told the queries about lasting tasks that the lease of a new endpoint ran out, and went into the logs.

Change: the leader notes when it found the endpoint in the tables and counts from there at the earliest. A heartbeat advances the time before it makes the leader's state of an endpoint.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -165,6 +165,7 @@
 		return endpoint;
 	endpoint = g_new0(struct gyp_fleet_endpoint, 1);
 	endpoint->row = row;
+	endpoint->added_at = f->now;
 	endpoint->poll_due = true;
 	endpoint->incarnation_start_ms = h != NULL ? h->spec->born_ms : 0;
 	/* A call to an earlier incarnation may still be under way. */
@@ -241,9 +242,10 @@
 gyp_fleet_heartbeat(struct gyp_fleet *f, uint64_t now, uint32_t row,
     uint64_t incarnation_start_ms, uint64_t clock_ms)
 {
-	struct gyp_fleet_endpoint *endpoint = gyp_fleet_get_endpoint(f, row);
+	struct gyp_fleet_endpoint *endpoint;
 
 	gyp_fleet_advance(f, now);
+	endpoint = gyp_fleet_get_endpoint(f, row);
 	if (incarnation_start_ms < endpoint->incarnation_start_ms)
 		return;
 	if (incarnation_start_ms > endpoint->incarnation_start_ms)
@@ -261,9 +263,10 @@
 void
 gyp_fleet_departed(struct gyp_fleet *f, uint64_t now, uint32_t row)
 {
-	struct gyp_fleet_endpoint *endpoint = gyp_fleet_get_endpoint(f, row);
+	struct gyp_fleet_endpoint *endpoint;
 
 	gyp_fleet_advance(f, now);
+	endpoint = gyp_fleet_get_endpoint(f, row);
 	if (endpoint->departed_at == 0)
 		endpoint->departed_at = f->now;
 }
@@ -405,8 +408,7 @@
 	if (f->now >= gyp_fleet_endpoint_lease_expiry(f, endpoint))
 		lapse_runs(f, endpoint);
 	if (endpoint->runs->len == 0 &&
-	    f->now >=
-		MAX(endpoint->last_seen_at, f->leader_since) + REMOVE_IDLE_MS)
+	    gyp_fleet_endpoint_silence_ms(f, endpoint) >= REMOVE_IDLE_MS)
 		propose_removal(f, endpoint);
 	if (endpoint->failures > 0 ||
 	    gyp_fleet_endpoint_lacks_lease(f, endpoint))
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -224,7 +224,7 @@
 	uint32_t starts_sent;
 	uint64_t confirmed_at; /* first confirmation to this leader, or 0 */
 	/* Of the endpoint: */
-	uint64_t silent_ms; /* at most since the start of the term */
+	uint64_t silent_ms; /* at most since this leader knows it */
 	uint32_t failures;  /* consecutive calls without an answer */
 	bool departed;
 	uint64_t lease_left_ms;
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -23,7 +23,7 @@
 gyp_fleet_endpoint_silence_ms(
     const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
 {
-	return f->now - MAX(endpoint->last_seen_at, f->leader_since);
+	return f->now - MAX(endpoint->last_seen_at, endpoint->added_at);
 }
 
 const char *
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -66,6 +66,7 @@
 struct gyp_fleet_endpoint {
 	uint32_t row;
 	uint64_t incarnation_start_ms;
+	uint64_t added_at;      /* this leader found it in the tables */
 	bool contacted;         /* it has answered this leader */
 	uint64_t clock_ms;      /* reading of its clock, a lower bound */
 	uint64_t clock_at;      /* leader's time of that reading; 0: none */
@@ -74,7 +75,7 @@
 	uint64_t sent_until_ms; /* latest end sent to this incarnation */
 	uint64_t late_grant_ms; /* lease that late calls may add, in ms */
 	bool fenced; /* it refuses all calls that could add a late lease */
-	uint64_t last_seen_at; /* last answer or heartbeat */
+	uint64_t last_seen_at; /* last answer or heartbeat; 0: none */
 	uint64_t listed_at;    /* last list of this incarnation; 0: none */
 	uint64_t departed_at;  /* its shutdown, or another endpoint at its
 				  address, was noticed; 0: neither */
@@ -166,7 +167,7 @@
     Gyp__FlowHow, const char *checkpoint);
 
 /* fleet_endpoint.c */
-/* Time since it was last seen, at most since the term began, in ms. */
+/* Time since it was last seen, or else since this leader knows it, in ms. */
 uint64_t gyp_fleet_endpoint_silence_ms(
     const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
 /* Id of the endpoint, for events. */
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -526,6 +526,74 @@
 	flow_fixture_clear(&f.base);
 }
 
+/* Age of the leader when an endpoint registers, in ms; over a minute. */
+#define OLD_LEADER_MS 70000
+
+/* Silence after which an idle endpoint is removed, in ms. */
+#define IDLE_REMOVED_MS 60000
+
+/*
+ * Guards against endpoints that are refused for good: one that registers with a
+ * leader of more than a minute was removed as silent before its first poll, and
+ * again after each heartbeat.
+ */
+static void
+test_registers_at_old_leader(void)
+{
+	struct fixture f;
+	uint32_t b;
+	int i;
+
+	fixture_init(&f, 1, false);
+	flow_fixture_advance(&f.base, OLD_LEADER_MS);
+	b = flow_fixture_add_host(&f.base, "b", 1);
+	for (i = 0; i < 10; i++) {
+		flow_fixture_advance(&f.base, 150);
+		flow_fixture_contact_all(&f.base);
+		g_assert_nonnull(gyp_host_at(f.base.flows, b));
+	}
+	g_assert_true(gyp_fleet_usable(f.base.fleet, b));
+	flow_fixture_clear(&f.base);
+}
+
+/* An endpoint that registers and is never heard of again is removed. */
+static void
+test_silent_since_registration(void)
+{
+	struct fixture f;
+	uint32_t b;
+
+	fixture_init(&f, 1, false);
+	flow_fixture_advance(&f.base, OLD_LEADER_MS);
+	b = flow_fixture_add_host(&f.base, "b", 1);
+	flow_fixture_advance(&f.base, IDLE_REMOVED_MS - 1000);
+	g_assert_nonnull(gyp_host_at(f.base.flows, b));
+	flow_fixture_advance(&f.base, 2000);
+	g_assert_null(gyp_host_at(f.base.flows, b));
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * An endpoint that registered lately has not been silent for the whole term, so
+ * its lease does not run out.
+ */
+static void
+test_silence_of_new_endpoint(void)
+{
+	struct fixture f;
+	uint64_t left_ms;
+	uint32_t b;
+
+	fixture_init(&f, 1, false);
+	flow_fixture_advance(&f.base, OLD_LEADER_MS);
+	b = flow_fixture_add_host(&f.base, "b", 1);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, b);
+	flow_fixture_advance(&f.base, 100);
+	g_assert_false(
+	    gyp_fleet_lease_runs_out(f.base.fleet, b, 1000, &left_ms));
+	flow_fixture_clear(&f.base);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -552,5 +620,11 @@
 	g_test_add_func("/fleet/cancelled", test_cancelled);
 	g_test_add_func("/fleet/broken-gang", test_broken_gang);
 	g_test_add_func("/fleet/carrier-lost", test_carrier_lost);
+	g_test_add_func(
+	    "/fleet/registers-at-old-leader", test_registers_at_old_leader);
+	g_test_add_func(
+	    "/fleet/silent-since-registration", test_silent_since_registration);
+	g_test_add_func(
+	    "/fleet/silence-of-new-endpoint", test_silence_of_new_endpoint);
 	return g_test_run();
 }
