fleet: a late announcement of a shutdown ends no run of a later incarnation

Cause: the announcement was applied to the present incarnation, whichever had sent it. The start time in its body was not read, and the one that callers of the fleet passed was compared with the tables only, not with what answers had shown since.

Change: an announcement that names an earlier incarnation is ignored. One that names none is a notice: the endpoint gets no new run and is polled 100 ms later; an answer withdraws the notice, silence leaves the runs to their lease, unless the incarnation drained, has been known for 15 s (so that none before it can have sent the announcement) and leaves three calls unanswered.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -27,8 +27,11 @@
 /* An idle endpoint that is silent for this long is removed, in ms. */
 #define REMOVE_IDLE_MS 60000
 
-/* Time from the notice of a shutdown until the runs count as over, in ms. */
-#define DEPARTURE_GRACE_MS 100
+/*
+ * Unanswered calls in a row after which an endpoint that drained and announced
+ * its shutdown has ended.
+ */
+#define ENDED_FAILURES 3
 
 /* ---- Runs --------------------------------------------------------------- */
 
@@ -194,6 +197,7 @@
 	       endpoint->incarnation_start_ms <= h->spec->born_ms &&
 	       endpoint->contacted && endpoint->clock_at != 0 &&
 	       endpoint->failures == 0 && endpoint->departed_at == 0 &&
+	       endpoint->leaving_at == 0 &&
 	       !gyp_fleet_endpoint_lacks_lease(f, endpoint) &&
 	       f->now < endpoint->last_seen_at + SILENT_MS;
 }
@@ -261,14 +265,27 @@
 }
 
 void
-gyp_fleet_departed(struct gyp_fleet *f, uint64_t now, uint32_t row)
+gyp_fleet_departed(struct gyp_fleet *f, uint64_t now, uint32_t row,
+    uint64_t incarnation_start_ms)
 {
 	struct gyp_fleet_endpoint *endpoint;
+	bool outdated;
 
 	gyp_fleet_advance(f, now);
 	endpoint = gyp_fleet_get_endpoint(f, row);
-	if (endpoint->departed_at == 0)
+	outdated = incarnation_start_ms != 0 &&
+		   incarnation_start_ms < endpoint->incarnation_start_ms;
+	gyp_events_add(f->cfg.events, "endpoint-leaves",
+	    "endpoint=%s born_ms=%" G_GUINT64_FORMAT
+	    " present_ms=%" G_GUINT64_FORMAT " outdated=%d runs=%u",
+	    gyp_fleet_endpoint_name(f, row), incarnation_start_ms,
+	    endpoint->incarnation_start_ms, outdated, endpoint->runs->len);
+	if (outdated || endpoint->departed_at != 0)
+		return;
+	if (incarnation_start_ms != 0)
 		endpoint->departed_at = f->now;
+	else if (endpoint->leaving_at == 0)
+		endpoint->leaving_at = f->now;
 }
 
 /* ---- Due work ----------------------------------------------------------- */
@@ -346,6 +363,38 @@
 	}
 }
 
+/*
+ * True if the present incarnation drained, and none before it can have
+ * announced a shutdown that arrives only now.
+ */
+static bool
+drained_without_predecessor(
+    const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
+
+	return h->spec->draining &&
+	       h->spec->born_ms == endpoint->incarnation_start_ms &&
+	       f->now >= MAX(endpoint->added_at, endpoint->restarted_at) +
+			     LATE_CALL_MAX_MS;
+}
+
+/*
+ * Polls an endpoint for which a shutdown of an unknown incarnation was
+ * announced. Its next answer shows that it goes on.
+ */
+static void
+check_leaving(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
+{
+	if (endpoint->leaving_at == 0 ||
+	    f->now < endpoint->leaving_at + DEPARTURE_GRACE_MS)
+		return;
+	endpoint->poll_due = true;
+	if (endpoint->failures >= ENDED_FAILURES &&
+	    drained_without_predecessor(f, endpoint))
+		endpoint->departed_at = f->now;
+}
+
 static void
 poll_if_due(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
 {
@@ -405,6 +454,7 @@
 		}
 		return;
 	}
+	check_leaving(f, endpoint);
 	if (f->now >= gyp_fleet_endpoint_lease_expiry(f, endpoint))
 		lapse_runs(f, endpoint);
 	if (endpoint->runs->len == 0 &&
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -178,8 +178,15 @@
 void gyp_fleet_heartbeat(struct gyp_fleet *, uint64_t now, uint32_t row,
     uint64_t incarnation_start_ms, uint64_t clock_ms);
 
-/* The endpoint announced that it is shutting down. */
-void gyp_fleet_departed(struct gyp_fleet *, uint64_t now, uint32_t row);
+/*
+ * An incarnation of the endpoint announced that it is shutting down.
+ * incarnation_start_ms is its start, or 0 if it is not known. The announcement
+ * may arrive late: that of an earlier incarnation is ignored, and if it is not
+ * known whose it is, the endpoint gets no new run until it has answered a later
+ * call or is over.
+ */
+void gyp_fleet_departed(struct gyp_fleet *, uint64_t now, uint32_t row,
+    uint64_t incarnation_start_ms);
 
 /* Handles the answer to a call, or the report that the call was lost. */
 void gyp_fleet_handle_answer(
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -282,6 +282,21 @@
 		    gyp_fleet_endpoint_silence_ms(f, endpoint));
 }
 
+/* An endpoint that carries out a call so long after the notice goes on. */
+static void
+withdraw_leaving(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint,
+    const struct gyp_fleet_pending *p)
+{
+	if (endpoint->leaving_at == 0 ||
+	    p->sent_at < endpoint->leaving_at + DEPARTURE_GRACE_MS)
+		return;
+	endpoint->leaving_at = 0;
+	gyp_events_add(f->cfg.events, "endpoint-stays",
+	    "endpoint=%s born_ms=%" G_GUINT64_FORMAT,
+	    gyp_fleet_endpoint_name(f, endpoint->row),
+	    endpoint->incarnation_start_ms);
+}
+
 static void
 update_contact(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint,
     const struct gyp_fleet_pending *p, const struct gyp_fleet_answer *a)
@@ -310,6 +325,7 @@
 		    endpoint->failures);
 	endpoint->failures = 0;
 	endpoint->contacted = true;
+	withdraw_leaving(f, endpoint, p);
 	endpoint->last_seen_at = f->now;
 	if (a->has_clock)
 		gyp_fleet_endpoint_update_clock(f, endpoint, a->clock_ms);
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -89,6 +89,7 @@
 	    endpoint->incarnation_start_ms, endpoint->runs->len);
 	endpoint->incarnation_start_ms = incarnation_start_ms;
 	endpoint->departed_at = 0;
+	endpoint->leaving_at = 0;
 	endpoint->restarted_at = f->now;
 	endpoint->restart_call = f->next_call;
 	endpoint->restarts++;
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -79,6 +79,8 @@
 	uint64_t listed_at;    /* last list of this incarnation; 0: none */
 	uint64_t departed_at;  /* its shutdown, or another endpoint at its
 				  address, was noticed; 0: neither */
+	uint64_t leaving_at;   /* a shutdown of an unknown incarnation was
+				  announced; 0: none */
 	uint64_t restarted_at; /* latest restart was noticed; 0: never */
 	uint64_t restart_call; /* id of the first call after the restart */
 	uint32_t restarts;     /* that this leader noticed */
@@ -141,6 +143,9 @@
  */
 #define LATE_CALL_MAX_MS 15000
 
+/* Time from the notice of a shutdown until the runs count as over, in ms. */
+#define DEPARTURE_GRACE_MS 100
+
 /* Shortest time in which an endpoint ends and is restarted, in ms. */
 #define RESTART_MIN_MS 50
 
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -376,11 +376,10 @@
 	Gyp__Cmd cmd = GYP__CMD__INIT;
 
 	if (call->host->gone) {
-		if (h != NULL && (call->host->born_ms == 0 ||
-				     call->host->born_ms == h->spec->born_ms))
+		if (h != NULL)
 			gyp_fleet_departed(
 			    gyp_flow_scheduler_fleet(r->flow_scheduler), r->now,
-			    h->row);
+			    h->row, call->host->born_ms);
 		reply_and_log(r, entry, call->id, GYP__CODE__CODE_OK, "");
 		return;
 	}
--- a/test/flow_fixture.c
+++ b/test/flow_fixture.c
@@ -101,6 +101,20 @@
 	    f, id, incarnation_start_ms, "127.0.0.1:1");
 }
 
+void
+flow_fixture_drain(struct flow_fixture *f, uint32_t row)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdHost *host =
+	    gyp_message_copy(&gyp_host_at(f->flows, row)->spec->base);
+
+	host->draining = true;
+	cmd.c_case = GYP__CMD__C_HOST;
+	cmd.host = host;
+	gyp_flows_apply(f->flows, f->now, &cmd);
+	gyp_message_free(host);
+}
+
 Gyp__FlowStep
 flow_fixture_step(uint32_t count)
 {
--- a/test/flow_fixture.h
+++ b/test/flow_fixture.h
@@ -43,6 +43,9 @@
 uint32_t flow_fixture_add_host_at(struct flow_fixture *, const char *id,
     uint64_t incarnation_start_ms, const char *address);
 
+/* The endpoint's incarnation reports that it drains. */
+void flow_fixture_drain(struct flow_fixture *, uint32_t row);
+
 /* A step with count tasks of one CPU and 1 GiB each. */
 Gyp__FlowStep flow_fixture_step(uint32_t count);
 
--- a/test/test_incarnations.c
+++ b/test/test_incarnations.c
@@ -263,6 +263,151 @@
 	flow_fixture_clear(&f.base);
 }
 
+/* Task 0 runs at incarnation 2 of the endpoint, which has restarted. */
+static void
+run_at_second_incarnation(struct fixture *f)
+{
+	fixture_init(f);
+	report_restart(f, 2);
+	f->a = flow_fixture_add_host(&f->base, "a", 2);
+	flow_fixture_contact_all(&f->base);
+	flow_fixture_start(&f->base, FLOW, 0, 0, 1, f->a);
+	flow_fixture_answer(
+	    &f->base, next_call(f, GYP_FLEET_START), GYP_FLEET_OK);
+}
+
+/*
+ * Guards against tasks that run twice: the announcement of the earlier
+ * incarnation's shutdown was held up, and ended the runs of the present one,
+ * which went on.
+ */
+static void
+test_departure_of_earlier_incarnation(void)
+{
+	struct fixture f;
+
+	run_at_second_incarnation(&f);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 1);
+	assert_keeps_run(&f);
+	flow_fixture_clear(&f.base);
+}
+
+/* The same when only an answer has shown the restart so far. */
+static void
+test_departure_after_unreported_restart(void)
+{
+	struct fixture f;
+	struct flow_fixture_run up = {FLOW, 0, 1, 0, 0};
+
+	fixture_init(&f);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	gyp_fleet_call_free(next_call(&f, GYP_FLEET_START));
+	flow_fixture_answer_poll(
+	    &f.base, next_call(&f, GYP_FLEET_POLL), 2, &up, 1, NULL, 0);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 1);
+	assert_keeps_run(&f);
+	flow_fixture_clear(&f.base);
+}
+
+/* Answers all polls with the run of task 0 for that time. */
+static void
+keep_answering(struct fixture *f, uint64_t ms)
+{
+	struct flow_fixture_run up = {FLOW, 0, 1, 0, 0};
+	uint64_t end = f->base.now + ms;
+
+	while (f->base.now < end) {
+		struct gyp_fleet_call *call;
+
+		flow_fixture_advance(&f->base, 10);
+		call = flow_fixture_next_call(&f->base, GYP_FLEET_POLL);
+		if (call != NULL)
+			flow_fixture_answer_poll(
+			    &f->base, call, 2, &up, 1, NULL, 0);
+	}
+}
+
+/*
+ * An announcement that names no incarnation may be of an earlier one. An
+ * endpoint that still answers a while later has not ended.
+ */
+static void
+test_departure_of_endpoint_that_answers(void)
+{
+	struct fixture f;
+
+	run_at_second_incarnation(&f);
+	keep_answering(&f, 20000);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0);
+	g_assert_false(gyp_fleet_usable(f.base.fleet, f.a));
+	keep_answering(&f, 1000);
+	g_assert_true(gyp_fleet_usable(f.base.fleet, f.a));
+	g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_OPEN);
+	flow_fixture_clear(&f.base);
+}
+
+/* Time until the run of task 0 is over while no call is answered, in ms. */
+static uint64_t
+time_to_end(struct fixture *f)
+{
+	uint64_t since = f->base.now;
+
+	while (task_of(f, 0)->state == GYP_FLOW_TASK_OPEN) {
+		struct gyp_fleet_call *call;
+
+		flow_fixture_advance(&f->base, 100);
+		call = flow_fixture_next_call(&f->base, GYP_FLEET_POLL);
+		if (call != NULL)
+			flow_fixture_answer(&f->base, call, GYP_FLEET_LOST);
+		g_assert_cmpuint(f->base.now, <, since + 30000);
+	}
+	return f->base.now - since;
+}
+
+/*
+ * The same of an endpoint that no longer answers: unless it drained, it may
+ * only be cut off, and its runs are over with its lease.
+ */
+static void
+test_departure_of_silent_endpoint(void)
+{
+	struct fixture f;
+
+	run_at_second_incarnation(&f);
+	keep_answering(&f, 20000);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0);
+	g_assert_cmpuint(time_to_end(&f), >=, FLOW_FIXTURE_LEASE_MS - 500);
+	flow_fixture_clear(&f.base);
+}
+
+/* An endpoint that drained and no longer answers has ended. */
+static void
+test_departure_of_drained_endpoint(void)
+{
+	struct fixture f;
+
+	run_at_second_incarnation(&f);
+	keep_answering(&f, 20000);
+	flow_fixture_drain(&f.base, f.a);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0);
+	g_assert_cmpuint(time_to_end(&f), <=, 2000);
+	g_assert_null(gyp_host_at(f.base.flows, f.a));
+	flow_fixture_clear(&f.base);
+}
+
+/* But an earlier incarnation, which ended lately, may have drained too. */
+static void
+test_departure_soon_after_restart(void)
+{
+	struct fixture f;
+
+	run_at_second_incarnation(&f);
+	flow_fixture_drain(&f.base, f.a);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0);
+	g_assert_cmpuint(time_to_end(&f), >=, FLOW_FIXTURE_LEASE_MS - 500);
+	flow_fixture_clear(&f.base);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -283,5 +428,17 @@
 	    test_wrong_endpoint_at_old_address);
 	g_test_add_func("/incarnations/wrong-endpoint-before-restart",
 	    test_wrong_endpoint_before_restart);
+	g_test_add_func("/incarnations/departure-of-earlier-incarnation",
+	    test_departure_of_earlier_incarnation);
+	g_test_add_func("/incarnations/departure-after-unreported-restart",
+	    test_departure_after_unreported_restart);
+	g_test_add_func("/incarnations/departure-of-endpoint-that-answers",
+	    test_departure_of_endpoint_that_answers);
+	g_test_add_func("/incarnations/departure-of-silent-endpoint",
+	    test_departure_of_silent_endpoint);
+	g_test_add_func("/incarnations/departure-of-drained-endpoint",
+	    test_departure_of_drained_endpoint);
+	g_test_add_func("/incarnations/departure-soon-after-restart",
+	    test_departure_soon_after_restart);
 	return g_test_run();
 }
--- a/test/test_lasting_queries.c
+++ b/test/test_lasting_queries.c
@@ -121,7 +121,7 @@
 	struct placer_fixture f;
 
 	placer_fixture_init(&f, 10);
-	gyp_fleet_departed(f.base.fleet, f.base.now, 8);
+	gyp_fleet_departed(f.base.fleet, f.base.now, 8, 1);
 	flow_fixture_advance(&f.base, 500);
 	g_assert_cmpuint(gyp_hosts_count(f.base.flows), ==, 9);
 	submit(&f, 1, 1, 20, true);
--- a/test/test_open_runs.c
+++ b/test/test_open_runs.c
@@ -383,7 +383,7 @@
 	fixture_init(&f);
 	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
 	gyp_fleet_call_free(next_call(&f, GYP_FLEET_START));
-	gyp_fleet_departed(f.base.fleet, f.base.now, f.a);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 1);
 	flow_fixture_advance(&f.base, 50);
 	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 2, f.base.now);
 	f.a = flow_fixture_add_host(&f.base, "a", 2);
