flows: a cancellation of an unknown flow holds for a submission on its way

Cause: the cancellation of an unknown flow was answered without a record, so a submission that arrived later was a new one. One that had arrived and was not committed yet was passed over in the same way.

Change: the cancellation is a command of the log, answered with 410 after its commit. A flow that arrives later is accepted as cancelled and gets no run; one whose submission is earlier in the log is cancelled. CmdFlowCancel and SnapFlows have new fields; replicas of older versions ignore them.

--- a/src/flow.c
+++ b/src/flow.c
@@ -407,6 +407,13 @@
 	return g_hash_table_size(f->by_id);
 }
 
+bool
+gyp_flows_is_cancelled_early(
+    const struct gyp_flows *f, uint64_t id, const char *workspace)
+{
+	return gyp_early_cancels_has(f->early_cancels, id, workspace);
+}
+
 void
 gyp_flows_list_recent(
     const struct gyp_flows *f, uint64_t since_ms, GPtrArray *list)
@@ -482,6 +489,7 @@
 {
 	free_tables(f);
 	init_tables(f);
+	gyp_early_cancels_clear(f->early_cancels);
 	gyp_run_forecast_clear(f->forecast);
 }
 
@@ -491,6 +499,7 @@
 	struct gyp_flows *f = g_new0(struct gyp_flows, 1);
 
 	init_tables(f);
+	f->early_cancels = gyp_early_cancels_new();
 	f->forecast = gyp_run_forecast_new();
 	return f;
 }
@@ -501,6 +510,7 @@
 	if (f == NULL)
 		return;
 	free_tables(f);
+	gyp_early_cancels_free(f->early_cancels);
 	gyp_run_forecast_free(f->forecast);
 	g_free(f);
 }
--- a/src/flow.h
+++ b/src/flow.h
@@ -28,7 +28,7 @@
  *	gets no run after its last allowed failure; the resources booked on an
  *	endpoint never exceed its capacity; no start raises what the open runs
  *	of a workspace book above its cap; a cancelled or failed flow gets no
- *	new run.
+ *	new run, also if it was cancelled before it was submitted.
  *
  *	Rows of endpoints are never reused, so a row number identifies one
  *	endpoint permanently. Incarnations of an endpoint are distinguished by
@@ -174,7 +174,10 @@
 /* Applies one command at cell time now; false if it is not a flow command. */
 bool gyp_flows_apply(struct gyp_flows *, uint64_t now, const Gyp__Cmd *);
 
-/* Removes flows that ended GYP_FLOW_RETENTION_MS ago or earlier. */
+/*
+ * Removes flows that ended GYP_FLOW_RETENTION_MS ago or earlier, and expired
+ * cancellations of flows that were never submitted.
+ */
 void gyp_flows_drop_expired(struct gyp_flows *, uint64_t now);
 
 /*
@@ -196,6 +199,13 @@
 const GQueue *gyp_flows_active(const struct gyp_flows *);
 uint32_t gyp_flows_count(const struct gyp_flows *);
 
+/*
+ * True if that workspace cancelled a flow of that id before it was submitted,
+ * see early_cancels.h. When the flow arrives, it is cancelled at once.
+ */
+bool gyp_flows_is_cancelled_early(
+    const struct gyp_flows *, uint64_t id, const char *workspace);
+
 /* Appends the flows that were accepted at since_ms of cell time or later. */
 void gyp_flows_list_recent(
     const struct gyp_flows *, uint64_t since_ms, GPtrArray *list);
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -120,6 +120,7 @@
 			f->listener->ops->dropped(f->listener, flow);
 		g_hash_table_remove(f->by_id, &flow->id);
 	}
+	gyp_early_cancels_drop_expired(f->early_cancels, now);
 }
 
 /* ---- Ends of runs ------------------------------------------------------- */
@@ -394,6 +395,22 @@
 
 /* ---- Flows, endpoints, manifest ----------------------------------------- */
 
+/* The workspace whose callers may cancel the flow; "" if all may. */
+static const char *
+owner(const struct gyp_flow *flow)
+{
+	return flow->spec->queue->is_public ? "" : flow->spec->workspace;
+}
+
+static void
+cancel_flow(struct gyp_flows *f, struct gyp_flow *flow, uint64_t now)
+{
+	if (!gyp_flow_is_alive(flow))
+		return;
+	end_flow(f, flow, now, GYP_FLOW_CANCELLED);
+	remove_if_ended(f, flow);
+}
+
 static void
 apply_flow(struct gyp_flows *f, uint64_t now, const Gyp__CmdFlow *cmd)
 {
@@ -410,17 +427,22 @@
 	flow->accepted_ms = now;
 	g_hash_table_insert(f->by_id, &flow->id, flow);
 	g_queue_push_tail(&f->active, flow);
+	if (gyp_early_cancels_has(f->early_cancels, flow->id, owner(flow)))
+		cancel_flow(f, flow, now);
 }
 
 static void
-apply_cancel(struct gyp_flows *f, uint64_t now, uint64_t id)
+apply_cancel(
+    struct gyp_flows *f, uint64_t now, const Gyp__CmdFlowCancel *cancel)
 {
-	struct gyp_flow *flow = gyp_flow_get(f, id);
-
-	if (flow == NULL || !gyp_flow_is_alive(flow))
-		return;
-	end_flow(f, flow, now, GYP_FLOW_CANCELLED);
-	remove_if_ended(f, flow);
+	struct gyp_flow *flow = gyp_flow_get(f, cancel->flow);
+
+	if (cancel->early &&
+	    (flow == NULL || strcmp(owner(flow), cancel->workspace) != 0))
+		gyp_early_cancels_add(
+		    f->early_cancels, now, cancel->flow, cancel->workspace);
+	else if (flow != NULL)
+		cancel_flow(f, flow, now);
 }
 
 /* Endpoints whose first label is the same are of one kind of VM. */
@@ -490,7 +512,7 @@
 		apply_flow(f, now, cmd->flow);
 		return true;
 	case GYP__CMD__C_FLOW_CANCEL:
-		apply_cancel(f, now, cmd->flow_cancel->flow);
+		apply_cancel(f, now, cmd->flow_cancel);
 		return true;
 	case GYP__CMD__C_FLOW_START:
 		apply_start(f, now, cmd->flow_start);
--- a/src/flow_int.h
+++ b/src/flow_int.h
@@ -1,6 +1,7 @@
 #ifndef GYP_FLOW_INT_H
 #define GYP_FLOW_INT_H
 
+#include "early_cancels.h"
 #include "flow.h"
 #include "run_forecast.h"
 
@@ -27,6 +28,7 @@
 	Gyp__CmdManifest *manifest;
 	GPtrArray *workspaces;       /* struct gyp_workspace_use by row */
 	GHashTable *workspace_names; /* name -> struct gyp_workspace_use */
+	struct gyp_early_cancels *early_cancels;
 	struct gyp_run_forecast *forecast;
 };
 
--- a/src/flow_save.c
+++ b/src/flow_save.c
@@ -78,6 +78,7 @@
 
 	gyp__snap_flows__init(snap);
 	snap->next_seq = f->next_seq;
+	gyp_early_cancels_save(f->early_cancels, snap);
 	snap->n_flows = list->len;
 	snap->flows = g_new(Gyp__SnapFlow *, list->len + 1);
 	for (i = 0; i < list->len; i++)
@@ -196,6 +197,7 @@
 			return false;
 	}
 	g_queue_sort(&f->ended, by_end, NULL);
+	gyp_early_cancels_restore(f->early_cancels, snap);
 	gyp_run_forecast_restore(f->forecast, snap->forecast);
 	for (i = 0; i < f->hosts->len; i++) {
 		if (f->hosts->pdata[i] != NULL)
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -145,6 +145,13 @@
 	return NULL;
 }
 
+/* Name of the workspace in commands, "" for none. */
+static char *
+workspace_name(const Gyp__Workspace *ws)
+{
+	return ws != NULL ? ws->name : (char *)"";
+}
+
 /* True if the call has a key of that workspace, which may be NULL. */
 static bool
 is_of_workspace(const struct gyp_replica *r, const Gyp__Call *call,
@@ -236,7 +243,7 @@
 	}
 	spec.id = id;
 	spec.queue = (Gyp__FlowQueue *)q;
-	spec.workspace = ws != NULL ? ws->name : (char *)"";
+	spec.workspace = workspace_name(ws);
 	spec.excess = false;
 	if (earlier != NULL && !is_of_workspace(r, earlier, ws)) {
 		reply_and_log(r, entry, call->id, GYP__CODE__CODE_BUSY,
@@ -269,6 +276,27 @@
 	gyp_replica_propose_call(r, entry, call, &cmd);
 }
 
+/*
+ * The request that submits the flow may still be on its way, here or at another
+ * entry. The caller is told that there is no such flow once it is recorded that
+ * it gets no run.
+ */
+static void
+cancel_unknown_flow(struct gyp_replica *r, uint64_t entry,
+    const Gyp__Call *call, const Gyp__FlowQueue *q, const Gyp__Workspace *ws,
+    uint64_t id)
+{
+	Gyp__CmdFlowCancel cancel = GYP__CMD_FLOW_CANCEL__INIT;
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+
+	cancel.flow = id;
+	cancel.early = true;
+	cancel.workspace = q->is_public ? (char *)"" : workspace_name(ws);
+	cmd.c_case = GYP__CMD__C_FLOW_CANCEL;
+	cmd.flow_cancel = &cancel;
+	gyp_replica_propose_call(r, entry, call, &cmd);
+}
+
 /* Replies and returns false unless access is granted. */
 static bool
 check_access(struct gyp_replica *r, uint64_t entry, uint64_t call,
@@ -316,6 +344,8 @@
 		return;
 	if (call->flow->submit != NULL)
 		submit_flow(r, entry, call, q, ws, id);
+	else if (flow == NULL && call->flow->cancel)
+		cancel_unknown_flow(r, entry, call, q, ws, id);
 	else if (flow == NULL)
 		reply_and_log(r, entry, call->id, GYP__CODE__CODE_RETIRED,
 		    "no such flow");
@@ -346,21 +376,45 @@
 		    flow->spec->excess);
 }
 
+/* True if the call cancelled a flow that is not known. */
+static bool
+is_cancelled_early(
+    const struct gyp_replica *r, const Gyp__Call *call, uint64_t id)
+{
+	const struct gyp_flows *flows = gyp_state_flows(r->state);
+	const Gyp__CmdManifest *m = gyp_flows_manifest(flows);
+	const Gyp__Workspace *ws;
+	const Gyp__FlowQueue *q;
+	const char *rest;
+
+	if (!call->flow->cancel)
+		return false;
+	q = gyp_manifest_queue(m, call->flow->host, call->flow->path, &rest);
+	if (q == NULL)
+		return false;
+	gyp_workspace_access(m, q, &call->flow->key_digest, &ws);
+	return gyp_flows_is_cancelled_early(
+	    flows, id, q->is_public ? "" : workspace_name(ws));
+}
+
 void
 gyp_replica_answer_flow(
     struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
 	const struct gyp_flow *flow = NULL;
-	uint64_t id;
+	uint64_t id = 0;
 
 	if (find_flow_id(call->flow->path, &id))
 		flow = gyp_flow_get(gyp_state_flows(r->state), id);
-	if (flow != NULL) {
+	if (is_cancelled_early(r, call, id)) {
+		reply_and_log(r, entry, call->id, GYP__CODE__CODE_RETIRED,
+		    "no such flow; it gets no run if it is submitted");
+	} else if (flow != NULL) {
 		log_flow_command(r, call, flow);
 		reply_state(r, entry, call->id, flow);
 	} else {
 		reply_and_log(r, entry, call->id, GYP__CODE__CODE_BUSY,
-		    "too many flows are known");
+		    "too many flows or cancellations are on record");
 	}
 	gyp_flow_scheduler_request_round(r->flow_scheduler);
 }
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -1492,6 +1492,51 @@
   assert(message->base.descriptor == &gyp__snap_forecast__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gyp__snap_early_cancel__init
+                     (Gyp__SnapEarlyCancel         *message)
+{
+  static const Gyp__SnapEarlyCancel init_value = GYP__SNAP_EARLY_CANCEL__INIT;
+  *message = init_value;
+}
+size_t gyp__snap_early_cancel__get_packed_size
+                     (const Gyp__SnapEarlyCancel *message)
+{
+  assert(message->base.descriptor == &gyp__snap_early_cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__snap_early_cancel__pack
+                     (const Gyp__SnapEarlyCancel *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__snap_early_cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__snap_early_cancel__pack_to_buffer
+                     (const Gyp__SnapEarlyCancel *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__snap_early_cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__SnapEarlyCancel *
+       gyp__snap_early_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__SnapEarlyCancel *)
+     protobuf_c_message_unpack (&gyp__snap_early_cancel__descriptor,
+                                allocator, len, data);
+}
+void   gyp__snap_early_cancel__free_unpacked
+                     (Gyp__SnapEarlyCancel *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__snap_early_cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gyp__snap_flows__init
                      (Gyp__SnapFlows         *message)
 {
@@ -5167,7 +5212,7 @@
   (ProtobufCMessageInit) gyp__cmd_flow__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_flow_cancel__field_descriptors[1] =
+static const ProtobufCFieldDescriptor gyp__cmd_flow_cancel__field_descriptors[3] =
 {
   {
     "flow",
@@ -5181,14 +5226,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "early",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFlowCancel, early),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspace",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFlowCancel, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd_flow_cancel__field_indices_by_name[] = {
+  1,   /* field[1] = early */
   0,   /* field[0] = flow */
+  2,   /* field[2] = workspace */
 };
 static const ProtobufCIntRange gyp__cmd_flow_cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor gyp__cmd_flow_cancel__descriptor =
 {
@@ -5198,7 +5269,7 @@
   "Gyp__CmdFlowCancel",
   "gyp",
   sizeof(Gyp__CmdFlowCancel),
-  1,
+  3,
   gyp__cmd_flow_cancel__field_descriptors,
   gyp__cmd_flow_cancel__field_indices_by_name,
   1,  gyp__cmd_flow_cancel__number_ranges,
@@ -6429,7 +6500,71 @@
   (ProtobufCMessageInit) gyp__snap_forecast__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__snap_flows__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gyp__snap_early_cancel__field_descriptors[3] =
+{
+  {
+    "flow",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapEarlyCancel, flow),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspace",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapEarlyCancel, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "at_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapEarlyCancel, at_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__snap_early_cancel__field_indices_by_name[] = {
+  2,   /* field[2] = at_ms */
+  0,   /* field[0] = flow */
+  1,   /* field[1] = workspace */
+};
+static const ProtobufCIntRange gyp__snap_early_cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gyp__snap_early_cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.SnapEarlyCancel",
+  "SnapEarlyCancel",
+  "Gyp__SnapEarlyCancel",
+  "gyp",
+  sizeof(Gyp__SnapEarlyCancel),
+  3,
+  gyp__snap_early_cancel__field_descriptors,
+  gyp__snap_early_cancel__field_indices_by_name,
+  1,  gyp__snap_early_cancel__number_ranges,
+  (ProtobufCMessageInit) gyp__snap_early_cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__snap_flows__field_descriptors[6] =
 {
   {
     "flows",
@@ -6491,8 +6626,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "early_cancels",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__SnapFlows, n_early_cancels),
+    offsetof(Gyp__SnapFlows, early_cancels),
+    &gyp__snap_early_cancel__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__snap_flows__field_indices_by_name[] = {
+  5,   /* field[5] = early_cancels */
   0,   /* field[0] = flows */
   4,   /* field[4] = forecast */
   1,   /* field[1] = hosts */
@@ -6502,7 +6650,7 @@
 static const ProtobufCIntRange gyp__snap_flows__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gyp__snap_flows__descriptor =
 {
@@ -6512,7 +6660,7 @@
   "Gyp__SnapFlows",
   "gyp",
   sizeof(Gyp__SnapFlows),
-  5,
+  6,
   gyp__snap_flows__field_descriptors,
   gyp__snap_flows__field_indices_by_name,
   1,  gyp__snap_flows__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -48,6 +48,7 @@
 typedef struct Gyp__SnapForecastKind Gyp__SnapForecastKind;
 typedef struct Gyp__SnapForecastQueue Gyp__SnapForecastQueue;
 typedef struct Gyp__SnapForecast Gyp__SnapForecast;
+typedef struct Gyp__SnapEarlyCancel Gyp__SnapEarlyCancel;
 typedef struct Gyp__SnapFlows Gyp__SnapFlows;
 typedef struct Gyp__Ask Gyp__Ask;
 typedef struct Gyp__Ticket Gyp__Ticket;
@@ -743,10 +744,18 @@
 {
   ProtobufCMessage base;
   uint64_t flow;
+  /*
+   * the flow was not known: record it if need be
+   */
+  protobuf_c_boolean early;
+  /*
+   * of an early one: see early_cancels.h
+   */
+  char *workspace;
 };
 #define GYP__CMD_FLOW_CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_flow_cancel__descriptor) \
-    , 0 }
+    , 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -1000,6 +1009,21 @@
     , 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
+struct  Gyp__SnapEarlyCancel
+{
+  ProtobufCMessage base;
+  uint64_t flow;
+  char *workspace;
+  /*
+   * cell time
+   */
+  uint64_t at_ms;
+};
+#define GYP__SNAP_EARLY_CANCEL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_early_cancel__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Gyp__SnapFlows
 {
   ProtobufCMessage base;
@@ -1013,10 +1037,15 @@
   Gyp__CmdManifest *manifest;
   uint64_t next_seq;
   Gyp__SnapForecast *forecast;
+  /*
+   * oldest first
+   */
+  size_t n_early_cancels;
+  Gyp__SnapEarlyCancel **early_cancels;
 };
 #define GYP__SNAP_FLOWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_flows__descriptor) \
-    , 0,NULL, 0,NULL, NULL, 0, NULL }
+    , 0,NULL, 0,NULL, NULL, 0, NULL, 0,NULL }
 
 
 struct  Gyp__Ask
@@ -1775,7 +1804,7 @@
   size_t n_beats;
   Gyp__HostBeat **beats;
   /*
-   * the follower asks for that
+   * the follower waits for an answer
    */
   protobuf_c_boolean confirm;
 };
@@ -2440,6 +2469,25 @@
 void   gyp__snap_forecast__free_unpacked
                      (Gyp__SnapForecast *message,
                       ProtobufCAllocator *allocator);
+/* Gyp__SnapEarlyCancel methods */
+void   gyp__snap_early_cancel__init
+                     (Gyp__SnapEarlyCancel         *message);
+size_t gyp__snap_early_cancel__get_packed_size
+                     (const Gyp__SnapEarlyCancel   *message);
+size_t gyp__snap_early_cancel__pack
+                     (const Gyp__SnapEarlyCancel   *message,
+                      uint8_t             *out);
+size_t gyp__snap_early_cancel__pack_to_buffer
+                     (const Gyp__SnapEarlyCancel   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__SnapEarlyCancel *
+       gyp__snap_early_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__snap_early_cancel__free_unpacked
+                     (Gyp__SnapEarlyCancel *message,
+                      ProtobufCAllocator *allocator);
 /* Gyp__SnapFlows methods */
 void   gyp__snap_flows__init
                      (Gyp__SnapFlows         *message);
@@ -3149,6 +3197,9 @@
 typedef void (*Gyp__SnapForecast_Closure)
                  (const Gyp__SnapForecast *message,
                   void *closure_data);
+typedef void (*Gyp__SnapEarlyCancel_Closure)
+                 (const Gyp__SnapEarlyCancel *message,
+                  void *closure_data);
 typedef void (*Gyp__SnapFlows_Closure)
                  (const Gyp__SnapFlows *message,
                   void *closure_data);
@@ -3292,6 +3343,7 @@
 extern const ProtobufCMessageDescriptor gyp__snap_forecast_kind__descriptor;
 extern const ProtobufCMessageDescriptor gyp__snap_forecast_queue__descriptor;
 extern const ProtobufCMessageDescriptor gyp__snap_forecast__descriptor;
+extern const ProtobufCMessageDescriptor gyp__snap_early_cancel__descriptor;
 extern const ProtobufCMessageDescriptor gyp__snap_flows__descriptor;
 extern const ProtobufCMessageDescriptor gyp__ask__descriptor;
 extern const ProtobufCMessageDescriptor gyp__ticket__descriptor;
--- a/test/test_refusals.c
+++ b/test/test_refusals.c
@@ -273,6 +273,82 @@
 	entry_fixture_free(fx);
 }
 
+/* ---- Cancellations --------------------------------------------------------
+ */
+
+static void
+cancel(struct entry_fixture *fx, int entry, uint64_t id, const char *key)
+{
+	struct flow_call c;
+	Gyp__Call *call = make_submit(&c, id, key);
+
+	call->flow->submit = NULL;
+	call->flow->cancel = true;
+	g_assert_cmpuint(entry_fixture_call(fx, entry, call, 3000), !=, 0);
+}
+
+static const struct gyp_flow *
+find_flow(const struct entry_fixture *fx, uint64_t id)
+{
+	return gyp_flow_get(
+	    gyp_state_flows(gyp_replica_state(fx->replica)), id);
+}
+
+/*
+ * Guards against a flow that runs after its cancellation was acknowledged: the
+ * request that submits it was still at an entry that was cut off.
+ */
+static void
+test_cancelled_before_submit(void)
+{
+	struct entry_fixture *fx = new_fixture();
+
+	fx->cut_up[0] = true;
+	submit(fx, 0, 1, "kb");
+	entry_fixture_run(fx, 100);
+	cancel(fx, 1, 1, "kb");
+	entry_fixture_run(fx, 100);
+	g_assert_cmpint(last_code(fx, 1), ==, GYP__CODE__CODE_RETIRED);
+	g_assert_false(is_known(fx, 1));
+	reconnect(fx, 0);
+	g_assert_cmpint(last_code(fx, 0), ==, GYP__CODE__CODE_OK);
+	g_assert_cmpint(find_flow(fx, 1)->state, ==, GYP_FLOW_CANCELLED);
+	cancel(fx, 1, 1, "kb");
+	entry_fixture_run(fx, 100);
+	g_assert_cmpint(last_code(fx, 1), ==, GYP__CODE__CODE_OK);
+	entry_fixture_free(fx);
+}
+
+/* The same when the submission has arrived and is not committed yet. */
+static void
+test_cancelled_beside_submit(void)
+{
+	struct entry_fixture *fx = new_fixture();
+
+	submit(fx, 0, 1, "kb");
+	cancel(fx, 1, 1, "kb");
+	entry_fixture_run(fx, 200);
+	g_assert_cmpint(last_code(fx, 0), ==, GYP__CODE__CODE_OK);
+	g_assert_cmpint(last_code(fx, 1), ==, GYP__CODE__CODE_OK);
+	g_assert_cmpint(find_flow(fx, 1)->state, ==, GYP_FLOW_CANCELLED);
+	entry_fixture_free(fx);
+}
+
+/* A workspace cannot cancel what another one submits under the same id. */
+static void
+test_cancelled_by_other_workspace(void)
+{
+	struct entry_fixture *fx = new_fixture();
+
+	cancel(fx, 1, 1, "ka");
+	entry_fixture_run(fx, 100);
+	g_assert_cmpint(last_code(fx, 1), ==, GYP__CODE__CODE_RETIRED);
+	submit(fx, 0, 1, "kb");
+	entry_fixture_run(fx, 100);
+	g_assert_cmpint(find_flow(fx, 1)->state, ==, GYP_FLOW_QUEUED);
+	entry_fixture_free(fx);
+}
+
 /* ---- Delayed requests ---------------------------------------------------- */
 
 static uint64_t
@@ -385,6 +461,38 @@
 	cell_clear(&c);
 }
 
+/* The next leader knows of a cancellation that came before its flow. */
+static void
+test_cancelled_before_new_leader(void)
+{
+	struct keyed_manifest x;
+	struct flow_call f;
+	struct cell c;
+	Gyp__Call *call;
+	const struct gyp_flow *flow;
+
+	cell_init(&c, 3, "abc");
+	cell_settle(&c);
+	g_assert_true(gyp_replica_local_call(c.nodes[cell_leader(&c)].replica,
+	    c.now, make_manifest(&x, 1, KEYS)));
+	cell_run(&c, 100);
+	call = make_submit(&f, 1, "ka");
+	call->flow->submit = NULL;
+	call->flow->cancel = true;
+	cell_send_call(&c, call);
+	cell_run(&c, 100);
+	g_assert_cmpint(c.reply->code, ==, GYP__CODE__CODE_RETIRED);
+	cell_stop(&c, cell_leader(&c));
+	while (cell_leader(&c) < 0)
+		cell_run(&c, 10);
+	g_assert_cmpint(cell_submit(&c, 1, 100), ==, GYP__CODE__CODE_OK);
+	flow = gyp_flow_get(gyp_state_flows(gyp_replica_state(
+				c.nodes[cell_leader(&c)].replica)),
+	    1);
+	g_assert_cmpint(flow->state, ==, GYP_FLOW_CANCELLED);
+	cell_clear(&c);
+}
+
 static void
 test_new_leader(void)
 {
@@ -405,6 +513,14 @@
 	g_test_add_func("/refusals/sent-twice", test_sent_twice);
 	g_test_add_func("/refusals/answer-lost", test_answer_lost);
 	g_test_add_func("/refusals/key-removed", test_key_removed);
+	g_test_add_func(
+	    "/refusals/cancelled-before-submit", test_cancelled_before_submit);
+	g_test_add_func(
+	    "/refusals/cancelled-beside-submit", test_cancelled_beside_submit);
+	g_test_add_func("/refusals/cancelled-by-other-workspace",
+	    test_cancelled_by_other_workspace);
+	g_test_add_func("/refusals/cancelled-before-new-leader",
+	    test_cancelled_before_new_leader);
 	g_test_add_func("/refusals/delayed", test_delayed);
 	g_test_add_func("/refusals/new-leader", test_new_leader);
 	return g_test_run();
