flows: a submission that is sent again is answered by what it was accepted by

Cause: the leader looked for the queue in the newest manifest before it looked for the flow, and the entry passed the refusal on: only 503, 429 and 401 were held back for a call that it had sent more than once.

Change: for a flow that is known, the queue is looked up in the manifest that was in force when the entry received the request: the newest one or the one before it, which the tables keep without its text. Requests received after the change are handled by it. An entry passes on no refusal of a submission that it sent more than once, but for a call without a key.

--- a/src/entry_calls.c
+++ b/src/entry_calls.c
@@ -159,17 +159,19 @@
 /*
  * True if a flow is refused that was sent before: the replica does not know
  * whether an earlier copy that is still in transit will be accepted. That copy
- * may also have been accepted with a key that is no longer in force.
+ * may also have been accepted by a manifest that is no longer in force, with
+ * other routes and keys. A flow without a key is never accepted where one is
+ * required.
  */
 static bool
 is_uncertain_refusal(const struct gyp_call *c, const Gyp__Reply *reply)
 {
 	return c->msg->c_case == GYP__CALL__C_FLOW &&
 	       c->msg->flow->submit != NULL && c->sends > 1 &&
-	       (reply->code == GYP__CODE__CODE_BUSY ||
-		   reply->code == GYP__CODE__CODE_OVER_RATE ||
-		   (reply->code == GYP__CODE__CODE_UNAUTHENTICATED &&
-		       c->msg->flow->key_digest.len > 0));
+	       reply->code != GYP__CODE__CODE_OK &&
+	       reply->code != GYP__CODE__CODE_ACCEPTED &&
+	       (reply->code != GYP__CODE__CODE_UNAUTHENTICATED ||
+		   c->msg->flow->key_digest.len > 0);
 }
 
 void
--- a/src/flow.c
+++ b/src/flow.c
@@ -283,6 +283,14 @@
 	return f->manifest;
 }
 
+const Gyp__CmdManifest *
+gyp_flows_manifest_when(const struct gyp_flows *f, uint64_t ms)
+{
+	if (f->manifest == NULL || ms == 0)
+		return NULL;
+	return ms > f->replaced_ms ? f->manifest : f->replaced;
+}
+
 const Gyp__FlowQueue *
 gyp_manifest_queue(const Gyp__CmdManifest *m, const char *http_host,
     const char *path, const char **rest)
@@ -482,6 +490,9 @@
 	g_ptr_array_free(f->workspaces, TRUE);
 	gyp_message_free(f->manifest);
 	f->manifest = NULL;
+	gyp_message_free(f->replaced);
+	f->replaced = NULL;
+	f->replaced_ms = 0;
 }
 
 void
--- a/src/flow.h
+++ b/src/flow.h
@@ -233,6 +233,14 @@
 /* The newest manifest, or NULL. */
 const Gyp__CmdManifest *gyp_flows_manifest(const struct gyp_flows *);
 
+/*
+ * The newest manifest if it was in force at that cell time, else the one before
+ * it, or NULL if that is not known. Manifests before these two are not known,
+ * so for a time long ago the result may be too new.
+ */
+const Gyp__CmdManifest *gyp_flows_manifest_when(
+    const struct gyp_flows *, uint64_t ms);
+
 /*
  * Workspaces whose flows are in the tables, by row. A workspace that the
  * manifest does not list has no cap.
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -493,12 +493,26 @@
 		h->spec->reborn_ms = now;
 }
 
+/* Keeps the manifest for requests that were received before the change. */
 static void
-apply_manifest(struct gyp_flows *f, const Gyp__CmdManifest *m)
+keep_replaced(struct gyp_flows *f, uint64_t now)
+{
+	gyp_message_free(f->replaced);
+	f->replaced = f->manifest;
+	f->replaced_ms = now;
+	if (f->replaced == NULL)
+		return;
+	g_free(f->replaced->text.data);
+	f->replaced->text.data = NULL;
+	f->replaced->text.len = 0;
+}
+
+static void
+apply_manifest(struct gyp_flows *f, uint64_t now, const Gyp__CmdManifest *m)
 {
 	if (f->manifest != NULL && m->version <= f->manifest->version)
 		return;
-	gyp_message_free(f->manifest);
+	keep_replaced(f, now);
 	f->manifest = gyp_message_copy(&m->base);
 	gyp_flows_refresh_limits(f);
 }
@@ -527,7 +541,7 @@
 		apply_host_reborn(f, now, cmd->host_reborn);
 		return true;
 	case GYP__CMD__C_MANIFEST:
-		apply_manifest(f, cmd->manifest);
+		apply_manifest(f, now, cmd->manifest);
 		return true;
 	default:
 		return false;
--- a/src/flow_int.h
+++ b/src/flow_int.h
@@ -26,6 +26,9 @@
 	GPtrArray *hosts;     /* struct gyp_host by row; NULL if removed */
 	GHashTable *host_ids; /* id -> struct gyp_host */
 	Gyp__CmdManifest *manifest;
+	Gyp__CmdManifest *replaced;  /* the one before, without its text; or
+					NULL, also after a restore */
+	uint64_t replaced_ms;        /* cell time of that change */
 	GPtrArray *workspaces;       /* struct gyp_workspace_use by row */
 	GHashTable *workspace_names; /* name -> struct gyp_workspace_use */
 	struct gyp_early_cancels *early_cancels;
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -84,6 +84,35 @@
 	       parse_flow_id(path + len - FLOW_ID_DIGITS, id);
 }
 
+/*
+ * A flow that was accepted may be submitted again by the entry, as when the
+ * answer was lost, after its route was dropped. Returns the queue by the
+ * manifest at the time when the entry received the request, if the flow is
+ * known, else NULL.
+ */
+static const Gyp__FlowQueue *
+find_queue_of_accepted(
+    const struct gyp_replica *r, const Gyp__Call *call, const char **rest)
+{
+	const struct gyp_flows *flows = gyp_state_flows(r->state);
+	const Gyp__CmdManifest *m =
+	    gyp_flows_manifest_when(flows, call->flow->received_ms);
+	const Gyp__FlowQueue *q;
+	const struct gyp_flow *flow;
+	uint64_t id;
+
+	if (m == NULL || call->flow->submit == NULL)
+		return NULL;
+	q = gyp_manifest_queue(m, call->flow->host, call->flow->path, rest);
+	if (q == NULL || !parse_flow_id(*rest, &id))
+		return NULL;
+	flow = gyp_flow_get(flows, id);
+	return flow != NULL && strcmp(flow->spec->queue->host, q->host) == 0 &&
+		       strcmp(flow->spec->queue->prefix, q->prefix) == 0
+		   ? q
+		   : NULL;
+}
+
 /* Finds the queue of a request; replies and returns NULL when there is none. */
 static const Gyp__FlowQueue *
 find_queue(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call,
@@ -98,7 +127,10 @@
 		    "no manifest yet");
 		return NULL;
 	}
-	q = gyp_manifest_queue(m, call->flow->host, call->flow->path, rest);
+	q = find_queue_of_accepted(r, call, rest);
+	if (q == NULL)
+		q = gyp_manifest_queue(
+		    m, call->flow->host, call->flow->path, rest);
 	if (q == NULL)
 		reply_and_log(r, entry, call->id, GYP__CODE__CODE_NOT_FOUND,
 		    "no such queue");
--- a/test/test_refusals.c
+++ b/test/test_refusals.c
@@ -273,6 +273,104 @@
 	entry_fixture_free(fx);
 }
 
+/* ---- Routes that are dropped --------------------------------------------- */
+
+/* A fixture whose entries have heard the cell time. */
+static struct entry_fixture *
+new_timed_fixture(void)
+{
+	struct entry_fixture *fx = new_fixture();
+
+	entry_fixture_run(fx, 3000);
+	return fx;
+}
+
+/* Commits a manifest in which the queue has that prefix. */
+static void
+move_queue(struct entry_fixture *fx, uint64_t version, const char *prefix)
+{
+	struct keyed_manifest x;
+	const Gyp__Call *call = make_manifest(&x, version, KEYS);
+
+	x.queue.prefix = (char *)prefix;
+	g_assert_true(gyp_replica_local_call(fx->replica, fx->now, call));
+	entry_fixture_run(fx, 100);
+}
+
+/*
+ * Guards against a 404 for a flow that was accepted: the answer was lost in a
+ * cut, and the route was dropped before the entry sent the request again.
+ */
+static void
+test_route_dropped(void)
+{
+	struct entry_fixture *fx = new_timed_fixture();
+
+	fx->cut_down[0] = true;
+	submit(fx, 0, 1, "kb");
+	entry_fixture_run(fx, 100);
+	g_assert_true(is_known(fx, 1));
+	move_queue(fx, 2, "/other/");
+	reconnect(fx, 0);
+	g_assert_cmpint(last_code(fx, 0), ==, GYP__CODE__CODE_OK);
+	entry_fixture_free(fx);
+}
+
+/* The same when another route has a prefix of the flow's path. */
+static void
+test_route_shortened(void)
+{
+	struct entry_fixture *fx = new_timed_fixture();
+
+	fx->cut_down[0] = true;
+	submit(fx, 0, 1, "kb");
+	entry_fixture_run(fx, 100);
+	move_queue(fx, 2, "/");
+	reconnect(fx, 0);
+	g_assert_cmpint(last_code(fx, 0), ==, GYP__CODE__CODE_OK);
+	entry_fixture_free(fx);
+}
+
+/*
+ * A request that is received after the change is handled by it, also for a flow
+ * that was accepted before.
+ */
+static void
+test_route_dropped_before(void)
+{
+	struct entry_fixture *fx = new_timed_fixture();
+
+	submit(fx, 0, 1, "kb");
+	entry_fixture_run(fx, 100);
+	move_queue(fx, 2, "/other/");
+	entry_fixture_run(fx, 2000);
+	submit(fx, 1, 1, "kb");
+	submit(fx, 1, 2, "kb");
+	entry_fixture_run(fx, 100);
+	g_assert_cmpint(last_code(fx, 1), ==, GYP__CODE__CODE_NOT_FOUND);
+	g_assert_false(is_known(fx, 2));
+	entry_fixture_free(fx);
+}
+
+/*
+ * The leader does not know whether an earlier sending is still on its way, so
+ * a refusal of a later one is not passed on.
+ */
+static void
+test_route_dropped_unknown(void)
+{
+	struct entry_fixture *fx = new_timed_fixture();
+
+	fx->cut_up[0] = true;
+	submit(fx, 0, 1, "kb");
+	entry_fixture_run(fx, 100);
+	move_queue(fx, 2, "/other/");
+	reconnect(fx, 0);
+	g_assert_cmpint(last_code(fx, 0), ==, -1);
+	g_assert_false(is_known(fx, 1));
+	entry_fixture_free(fx);
+}
+
 /* ---- Cancellations --------------------------------------------------------
  */
 
@@ -513,6 +611,12 @@
 	g_test_add_func("/refusals/sent-twice", test_sent_twice);
 	g_test_add_func("/refusals/answer-lost", test_answer_lost);
 	g_test_add_func("/refusals/key-removed", test_key_removed);
+	g_test_add_func("/refusals/route-dropped", test_route_dropped);
+	g_test_add_func("/refusals/route-shortened", test_route_shortened);
+	g_test_add_func(
+	    "/refusals/route-dropped-before", test_route_dropped_before);
+	g_test_add_func(
+	    "/refusals/route-dropped-unknown", test_route_dropped_unknown);
 	g_test_add_func(
 	    "/refusals/cancelled-before-submit", test_cancelled_before_submit);
 	g_test_add_func(
