fleet: the next leader knows that an endpoint refuses calls from before a restart

Cause: a call from before a restart may be carried out up to 15 s later and grant a whole lease, unless the incarnation refuses it by its fence number. The leader learns that from the first call that is carried out, but only the time of the restart was committed, so the next leader counted 15 s and a lease.

Change: the leader commits, once per restart, that the incarnation refuses earlier calls; a leader that finds it in the tables counts one lease from the begin of its term. It holds for no later incarnation. CmdHost and CmdHostReborn have new fields; replicas of older versions ignore them and wait longer.

--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -59,18 +59,21 @@
 		    clock_ms + f->cfg.lease_ms + endpoint->late_grant_ms);
 }
 
-/* Records the restart, so that the next leader allows for late calls too. */
+/*
+ * Records the restart, so that the next leader allows for late calls too; or,
+ * with fenced, that it need not.
+ */
 static void
-propose_restart(struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
+propose_incarnation(
+    struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint, bool fenced)
 {
 	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
 	Gyp__Cmd cmd = GYP__CMD__INIT;
 	Gyp__CmdHostReborn restart = GYP__CMD_HOST_REBORN__INIT;
 
-	if (h == NULL || endpoint->incarnation_start_ms <= h->spec->born_ms)
-		return;
 	restart.id = h->spec->id;
 	restart.born_ms = endpoint->incarnation_start_ms;
+	restart.fenced = fenced;
 	cmd.c_case = GYP__CMD__C_HOST_REBORN;
 	cmd.host_reborn = &restart;
 	g_queue_push_tail(&f->cmds, gyp_message_copy(&cmd.base));
@@ -80,6 +83,7 @@
 gyp_fleet_endpoint_restarted(struct gyp_fleet *f,
     struct gyp_fleet_endpoint *endpoint, uint64_t incarnation_start_ms)
 {
+	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
 	guint i;
 
 	gyp_events_add(f->cfg.events, "endpoint-reborn",
@@ -121,7 +125,8 @@
 	}
 	endpoint->poll_due = true;
 	gyp_fleet_mark_dirty(f, endpoint);
-	propose_restart(f, endpoint);
+	if (h != NULL && incarnation_start_ms > h->spec->born_ms)
+		propose_incarnation(f, endpoint, false);
 }
 
 uint64_t
@@ -147,9 +152,15 @@
 gyp_fleet_endpoint_fenced(struct gyp_fleet *f,
     struct gyp_fleet_endpoint *endpoint, uint64_t call, uint64_t clock_ms)
 {
+	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
+
 	if (endpoint->fenced || call < endpoint->restart_call ||
 	    !fences_restart(f, endpoint))
 		return;
+	if (h != NULL &&
+	    (endpoint->restarts > 0 ||
+		gyp_host_restart_left_ms(f->flows, h, LATE_CALL_MAX_MS) > 0))
+		propose_incarnation(f, endpoint, true);
 	endpoint->fenced = true;
 	endpoint->late_grant_ms = 0;
 	endpoint->until_ms =
--- a/src/flow.c
+++ b/src/flow.c
@@ -257,8 +257,10 @@
     const struct gyp_flows *f, const struct gyp_host *h, uint32_t period_ms)
 {
 	uint64_t end = h->spec->reborn_ms + period_ms;
+	uint64_t latest = MAX(h->spec->born_ms, h->spec->seen_born_ms);
 
-	if (h->spec->reborn_ms == 0 || f->time_ms >= end)
+	if (h->spec->reborn_ms == 0 || f->time_ms >= end ||
+	    h->spec->fenced_born_ms >= latest)
 		return 0;
 	return MIN(end - f->time_ms, period_ms);
 }
--- a/src/flow.h
+++ b/src/flow.h
@@ -219,7 +219,8 @@
 /*
  * What is left, in ms of cell time at the latest command, of a period of that
  * length since the latest restart of the endpoint that was reported or
- * registered. 0 for an endpoint that has not restarted.
+ * registered. 0 for an endpoint that has not restarted, and for one that
+ * refuses calls from before its latest restart.
  */
 uint64_t gyp_host_restart_left_ms(
     const struct gyp_flows *, const struct gyp_host *, uint32_t period_ms);
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -457,7 +457,7 @@
 apply_host(struct gyp_flows *f, uint64_t now, const Gyp__CmdHost *cmd)
 {
 	struct gyp_host *h = gyp_host_by_id(f, cmd->id);
-	uint64_t reborn_ms;
+	Gyp__CmdHost *spec;
 
 	if (h == NULL && cmd->gone)
 		return;
@@ -470,11 +470,14 @@
 	}
 	if (cmd->born_ms < h->spec->born_ms)
 		return;
-	reborn_ms = cmd->born_ms > h->spec->born_ms ? now : h->spec->reborn_ms;
+	spec = gyp_message_copy(&cmd->base);
+	spec->reborn_ms =
+	    cmd->born_ms > h->spec->born_ms ? now : h->spec->reborn_ms;
+	spec->seen_born_ms = h->spec->seen_born_ms;
+	spec->fenced_born_ms = h->spec->fenced_born_ms;
 	g_hash_table_steal(f->host_ids, h->spec->id);
 	gyp_message_free(h->spec);
-	h->spec = gyp_message_copy(&cmd->base);
-	h->spec->reborn_ms = reborn_ms;
+	h->spec = spec;
 	h->pool = g_intern_string(h->spec->pool);
 	g_hash_table_insert(f->host_ids, h->spec->id, h);
 	if (cmd->capacity != NULL)
@@ -489,8 +492,16 @@
 {
 	struct gyp_host *h = gyp_host_by_id(f, cmd->id);
 
-	if (h != NULL && cmd->born_ms > h->spec->born_ms)
+	if (h == NULL)
+		return;
+	if (cmd->fenced) {
+		h->spec->fenced_born_ms =
+		    MAX(h->spec->fenced_born_ms, cmd->born_ms);
+		return;
+	}
+	if (cmd->born_ms > h->spec->born_ms)
 		h->spec->reborn_ms = now;
+	h->spec->seen_born_ms = MAX(h->spec->seen_born_ms, cmd->born_ms);
 }
 
 /* Keeps the manifest for requests that were received before the change. */
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -5494,7 +5494,7 @@
   (ProtobufCMessageInit) gyp__cmd_flow_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_host__field_descriptors[11] =
+static const ProtobufCFieldDescriptor gyp__cmd_host__field_descriptors[13] =
 {
   {
     "id",
@@ -5628,6 +5628,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seen_born_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdHost, seen_born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fenced_born_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdHost, fenced_born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd_host__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -5635,17 +5659,19 @@
   7,   /* field[7] = capacity */
   4,   /* field[4] = data_centre */
   8,   /* field[8] = draining */
+  12,   /* field[12] = fenced_born_ms */
   9,   /* field[9] = gone */
   0,   /* field[0] = id */
   6,   /* field[6] = labels */
   3,   /* field[3] = pool */
   5,   /* field[5] = rack */
   10,   /* field[10] = reborn_ms */
+  11,   /* field[11] = seen_born_ms */
 };
 static const ProtobufCIntRange gyp__cmd_host__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor gyp__cmd_host__descriptor =
 {
@@ -5655,14 +5681,14 @@
   "Gyp__CmdHost",
   "gyp",
   sizeof(Gyp__CmdHost),
-  11,
+  13,
   gyp__cmd_host__field_descriptors,
   gyp__cmd_host__field_indices_by_name,
   1,  gyp__cmd_host__number_ranges,
   (ProtobufCMessageInit) gyp__cmd_host__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_host_reborn__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gyp__cmd_host_reborn__field_descriptors[3] =
 {
   {
     "id",
@@ -5688,15 +5714,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fenced",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdHostReborn, fenced),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd_host_reborn__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
+  2,   /* field[2] = fenced */
   0,   /* field[0] = id */
 };
 static const ProtobufCIntRange gyp__cmd_host_reborn__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor gyp__cmd_host_reborn__descriptor =
 {
@@ -5706,7 +5745,7 @@
   "Gyp__CmdHostReborn",
   "gyp",
   sizeof(Gyp__CmdHostReborn),
-  2,
+  3,
   gyp__cmd_host_reborn__field_descriptors,
   gyp__cmd_host_reborn__field_indices_by_name,
   1,  gyp__cmd_host_reborn__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -833,24 +833,37 @@
    * cell time when a restart was recorded
    */
   uint64_t reborn_ms;
+  /*
+   * latest incarnation that answers have shown
+   */
+  uint64_t seen_born_ms;
+  /*
+   * latest one that refuses calls to those before
+   */
+  uint64_t fenced_born_ms;
 };
 #define GYP__CMD_HOST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_host__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0, 0, 0, 0 }
 
 
 /*
- * An endpoint was seen in a new incarnation that it has not announced yet.
+ * What answers have shown of an incarnation of an endpoint: that it exists,
+ * maybe before it is announced, or that it is fenced.
  */
 struct  Gyp__CmdHostReborn
 {
   ProtobufCMessage base;
   char *id;
   uint64_t born_ms;
+  /*
+   * it refuses calls to earlier incarnations
+   */
+  protobuf_c_boolean fenced;
 };
 #define GYP__CMD_HOST_REBORN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_host_reborn__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Gyp__CmdManifest
--- a/test/test_open_runs.c
+++ b/test/test_open_runs.c
@@ -280,6 +280,82 @@
 	flow_fixture_clear(&f.base);
 }
 
+/* Loses all calls for ms. */
+static void
+lose_calls(struct fixture *f, uint64_t ms)
+{
+	uint64_t end = f->base.now + ms;
+	struct gyp_fleet_call *call;
+
+	while (f->base.now < end) {
+		flow_fixture_advance(&f->base, 10);
+		while ((call = gyp_fleet_pop_call(f->base.fleet)) != NULL)
+			flow_fixture_answer(&f->base, call, GYP_FLEET_LOST);
+	}
+}
+
+/*
+ * Guards against lasting tasks that wait for 20 s: an endpoint restarts,
+ * refuses calls from before, gets a run and is lost, and so is the leader. The
+ * next one must not count on late calls.
+ */
+static void
+test_next_leader_of_fenced(void)
+{
+	struct fixture f;
+
+	fixture_init_fenced(&f);
+	restart(&f, 2);
+	start_run(&f, 0, 1);
+	lose_calls(&f, 200);
+	flow_fixture_new_leader(&f.base, 3);
+	assert_ends_in_silence(&f, 0, SILENT_END_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/* The same when the endpoint announces the restart after it answered. */
+static void
+test_next_leader_of_fenced_unannounced(void)
+{
+	struct fixture f;
+
+	fixture_init_fenced(&f);
+	start_run(&f, 0, 1);
+	flow_fixture_answer_poll(
+	    &f.base, next_call(&f, GYP_FLEET_POLL), 2, NULL, 0, NULL, 0);
+	flow_fixture_answer_poll(
+	    &f.base, next_call(&f, GYP_FLEET_POLL), 2, NULL, 0, NULL, 0);
+	f.a = flow_fixture_add_host(&f.base, "a", 2);
+	lose_calls(&f, 200);
+	flow_fixture_new_leader(&f.base, 3);
+	assert_ends_in_silence(&f, 0, SILENT_END_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * An incarnation after the one that refuses earlier calls refuses none yet: the
+ * next leader waits for a late call and its lease.
+ */
+static void
+test_next_leader_of_later_incarnation(void)
+{
+	struct fixture f;
+	uint64_t since;
+
+	fixture_init_fenced(&f);
+	restart(&f, 2);
+	start_run(&f, 0, 1);
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 3, f.base.now);
+	lose_calls(&f, 200);
+	flow_fixture_new_leader(&f.base, 3);
+	since = f.base.now;
+	lose_calls(&f, 2 * FLOW_FIXTURE_LEASE_MS);
+	g_assert_true(is_open(&f, 0));
+	assert_ends_in_silence(&f, 0, 30000);
+	g_assert_cmpuint(f.base.now - since, >=, 2 * FLOW_FIXTURE_LEASE_MS);
+	flow_fixture_clear(&f.base);
+}
+
 /*
  * An endpoint refuses all polls: they grant no lease, so its runs end there and
  * must not stay open.
@@ -407,6 +483,12 @@
 	g_test_add_func("/open-runs/fence-numbers", test_fence_numbers);
 	g_test_add_func("/open-runs/next-leader-long-after-restart",
 	    test_next_leader_long_after_restart);
+	g_test_add_func(
+	    "/open-runs/next-leader-of-fenced", test_next_leader_of_fenced);
+	g_test_add_func("/open-runs/next-leader-of-fenced-unannounced",
+	    test_next_leader_of_fenced_unannounced);
+	g_test_add_func("/open-runs/next-leader-of-later-incarnation",
+	    test_next_leader_of_later_incarnation);
 	g_test_add_func("/open-runs/refused-polls", test_refused_polls);
 	g_test_add_func(
 	    "/open-runs/refused-poll-while-idle", test_refused_poll_while_idle);
