fleet: answers to starts and stops show that an endpoint refuses earlier calls

Seen: test_flows, /flows/lasting: a lasting task waited for 17 s after its endpoint had restarted, answered stops and was lost.

Cause: only answers that name the incarnation counted as a proof that it refuses calls from before its restart, and those to starts and stops name none.

Change: once a restart was noticed, any call that was sent after it and was carried out is such a proof, as it has the higher fence number.

--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -329,8 +329,12 @@
 	endpoint->last_seen_at = f->now;
 	if (a->has_clock)
 		gyp_fleet_endpoint_update_clock(f, endpoint, a->clock_ms);
+	/*
+	 * Answers to starts and stops need not name the incarnation. After a
+	 * restart the call shows it, see gyp_fleet_endpoint_fenced().
+	 */
 	if (a->has_clock && a->end == GYP_FLEET_OK &&
-	    a->incarnation_start_ms != 0)
+	    (a->incarnation_start_ms != 0 || endpoint->restarts > 0))
 		gyp_fleet_endpoint_fenced(f, endpoint, p->id, a->clock_ms);
 }
 
--- a/test/test_open_runs.c
+++ b/test/test_open_runs.c
@@ -280,6 +280,28 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * Guards against a lease that counts as 15 s longer although the answer to a
+ * stop, which names no incarnation, shows that the endpoint refuses calls from
+ * before its restart.
+ */
+static void
+test_fenced_by_stop(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *stop;
+
+	fixture_init_fenced(&f);
+	start_run(&f, 0, 1);
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 2, f.base.now);
+	f.a = flow_fixture_add_host(&f.base, "a", 2);
+	gyp_fleet_stop_run(f.base.fleet, FLOW, 0);
+	stop = next_call(&f, GYP_FLEET_STOP);
+	flow_fixture_answer(&f.base, stop, GYP_FLEET_OK);
+	assert_ends_in_silence(&f, 0, SILENT_END_MS);
+	flow_fixture_clear(&f.base);
+}
+
 /* Loses all calls for ms. */
 static void
 lose_calls(struct fixture *f, uint64_t ms)
@@ -483,6 +505,7 @@
 	g_test_add_func("/open-runs/fence-numbers", test_fence_numbers);
 	g_test_add_func("/open-runs/next-leader-long-after-restart",
 	    test_next_leader_long_after_restart);
+	g_test_add_func("/open-runs/fenced-by-stop", test_fenced_by_stop);
 	g_test_add_func(
 	    "/open-runs/next-leader-of-fenced", test_next_leader_of_fenced);
 	g_test_add_func("/open-runs/next-leader-of-fenced-unannounced",
