fleet: no start is sent to an endpoint that drains

Cause: draining was checked when a run is placed and committed, but not when its start is sent.

Change: a run that is not confirmed ends as lost if its start was never sent, or is stopped by its number, once its endpoint drains or may be shutting down.

Evidence: /fleet/no-start-again-while-draining, no-first-start-while-draining and no-start-after-departure failed before (one start each) and pass now.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -504,6 +504,20 @@
 	}
 }
 
+/* True if the endpoint drains or may be shutting down. */
+static bool
+is_leaving(const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
+
+	return h->spec->draining || h->spec->gone ||
+	       endpoint->leaving_at != 0 || endpoint->departed_at != 0;
+}
+
+/*
+ * At an endpoint that leaves, a run that is not confirmed is stopped: an
+ * earlier start may still be carried out, and a further one might be late.
+ */
 static void
 send_due_call(struct gyp_fleet *f, struct gyp_fleet_run *run)
 {
@@ -520,8 +534,10 @@
 		gyp_fleet_request_stop(f, run);
 	else if (run->phase == GYP_RUN_UNSENT ||
 		 run->phase == GYP_RUN_STARTING) {
-		if (endpoint->failures > 0 ||
-		    gyp_fleet_endpoint_lacks_lease(f, endpoint))
+		if (is_leaving(f, endpoint))
+			gyp_fleet_request_stop(f, run);
+		else if (endpoint->failures > 0 ||
+			 gyp_fleet_endpoint_lacks_lease(f, endpoint))
 			run->retry_at = f->now + UNANSWERED_RETRY_MS;
 		else
 			gyp_fleet_send_start(f, run);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -526,6 +526,74 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * Loses all calls for ms; returns the number of starts among them. Stops are
+ * carried out.
+ */
+static uint32_t
+count_starts(struct fixture *f, uint64_t ms)
+{
+	uint64_t end = f->base.now + ms;
+	struct gyp_fleet_call *call;
+	uint32_t starts = 0;
+
+	while (f->base.now < end) {
+		flow_fixture_advance(&f->base, 10);
+		while ((call = gyp_fleet_pop_call(f->base.fleet)) != NULL) {
+			starts += call->kind == GYP_FLEET_START;
+			flow_fixture_answer(&f->base, call,
+			    call->kind == GYP_FLEET_STOP ? GYP_FLEET_OK
+							 : GYP_FLEET_LOST);
+		}
+	}
+	return starts;
+}
+
+/*
+ * Guards against tasks that begin at an endpoint long after its draining was
+ * acknowledged: a start that got no answer was sent again.
+ */
+static void
+test_no_start_again_while_draining(void)
+{
+	struct fixture f;
+
+	fixture_init(&f, 1, false);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	g_assert_cmpuint(answer_start(&f, GYP_FLEET_CARRIER_LOST), ==, 1);
+	flow_fixture_drain(&f.base, f.a);
+	g_assert_cmpuint(count_starts(&f, 5000), ==, 0);
+	flow_fixture_clear(&f.base);
+}
+
+/* A run that was committed before the draining and not sent ends at once. */
+static void
+test_no_first_start_while_draining(void)
+{
+	struct fixture f;
+
+	fixture_init(&f, 1, false);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	flow_fixture_drain(&f.base, f.a);
+	g_assert_cmpuint(count_starts(&f, 100), ==, 0);
+	g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_WAITING);
+	flow_fixture_clear(&f.base);
+}
+
+/* Nor is a start sent after the notice of a shutdown. */
+static void
+test_no_start_after_departure(void)
+{
+	struct fixture f;
+
+	fixture_init(&f, 1, false);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0);
+	g_assert_cmpuint(count_starts(&f, 100), ==, 0);
+	g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_WAITING);
+	flow_fixture_clear(&f.base);
+}
+
 /* Age of the leader when an endpoint registers, in ms; over a minute. */
 #define OLD_LEADER_MS 70000
 
@@ -620,6 +688,12 @@
 	g_test_add_func("/fleet/cancelled", test_cancelled);
 	g_test_add_func("/fleet/broken-gang", test_broken_gang);
 	g_test_add_func("/fleet/carrier-lost", test_carrier_lost);
+	g_test_add_func("/fleet/no-start-again-while-draining",
+	    test_no_start_again_while_draining);
+	g_test_add_func("/fleet/no-first-start-while-draining",
+	    test_no_first_start_while_draining);
+	g_test_add_func(
+	    "/fleet/no-start-after-departure", test_no_start_after_departure);
 	g_test_add_func(
 	    "/fleet/registers-at-old-leader", test_registers_at_old_leader);
 	g_test_add_func(
