--- a/test/test_pf_json.c
+++ b/test/test_pf_json.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include "msg.h"
 #include "pf_json.h"
 
 /* Bodies that endpoints and other writers send to the control server. */
@@ -34,10 +35,128 @@
 	g_assert_false(decode_departure("{\"born\":", &born_ms));
 }
 
+/* ---- Reports of other writers -------------------------------------------- */
+
+/* A heartbeat with that address, start time, clock and capacity. */
+static char *
+heartbeat(const char *address, const char *born, const char *clock,
+    const char *capacity)
+{
+	return g_strdup_printf("{\"backend\":\"p\",\"address\":\"%s\","
+			       "\"zone\":\"z\",\"state\":\"ready\","
+			       "\"born\":%s,\"clock_ms\":%s,"
+			       "\"labels\":[\"a\",\"r1\"],\"capacity\":%s}",
+	    address, born, clock, capacity);
+}
+
+static bool
+decode_heartbeat(const char *id, const char *body)
+{
+	struct gyp_pf_heartbeat hb;
+	const char *why = NULL;
+	bool ok = gyp_pf_decode_heartbeat(id, body, strlen(body), &hb, &why);
+
+	g_assert_true(ok ? hb.host != NULL : why != NULL && hb.host == NULL);
+	gyp_message_free(hb.host);
+	return ok;
+}
+
+#define ADDRESS  "10.0.0.1:8080"
+#define CAPACITY "{\"cpu\":1000,\"mem_mb\":1}"
+
+/*
+ * Guards against an endpoint that can't be called, or whose incarnation or
+ * clock no real one ever reaches, from a report of another writer.
+ */
+static void
+test_odd_heartbeats(void)
+{
+	static const struct {
+		const char *address, *born, *clock, *capacity;
+		bool ok;
+	} rows[] = {{ADDRESS, "1788277010045", "5", CAPACITY, true},
+	    {"[::1]:65535", "1", "5", CAPACITY, true},
+	    {"10.0.0.1:65536", "1", "5", CAPACITY, false},
+	    {"10.0.0.1:0", "1", "5", CAPACITY, false},
+	    {"10.0.0.1:-1", "1", "5", CAPACITY, false},
+	    {"10.0.0.1:80x", "1", "5", CAPACITY, false},
+	    {"10.0.0.1", "1", "5", CAPACITY, false},
+	    {"10.0.0.256:80", "1", "5", CAPACITY, false},
+	    {"::1:80", "1", "5", CAPACITY, false},
+	    {"some.host:80", "1", "5", CAPACITY, false},
+	    {"10.0.0.1:80/path", "1", "5", CAPACITY, false},
+	    {"10.0.0.1:80\\r\\nX: y", "1", "5", CAPACITY, false},
+	    {ADDRESS, "9007199254740992", "5", CAPACITY, false},
+	    {ADDRESS, "9223372036854775807", "5", CAPACITY, false},
+	    {ADDRESS, "9223372036854775808", "5", CAPACITY, false},
+	    {ADDRESS, "1e999", "5", CAPACITY, false},
+	    {ADDRESS, "1.5", "5", CAPACITY, false},
+	    {ADDRESS, "1", "9007199254740992", CAPACITY, false},
+	    {ADDRESS, "1", "-1", CAPACITY, false},
+	    {ADDRESS, "1", "5", "{\"cpu\":4294967296,\"mem_mb\":1}", false},
+	    {ADDRESS, "1", "5", "{\"cpu\":1,\"mem_mb\":1e300}", false},
+	    {ADDRESS, "1", "5", "[[[[1]]]]", false}};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *body = heartbeat(rows[i].address, rows[i].born,
+		    rows[i].clock, rows[i].capacity);
+
+		if (decode_heartbeat("i-1", body) != rows[i].ok)
+			g_error("row %u: %s", i, body);
+		g_free(body);
+	}
+}
+
+/* Text that is nested n times. */
+static char *
+nested(guint n)
+{
+	GString *s = g_string_new(NULL);
+	guint i;
+
+	for (i = 0; i < n; i++)
+		g_string_append_c(s, '[');
+	for (i = 0; i < n; i++)
+		g_string_append_c(s, ']');
+	return g_string_free(s, FALSE);
+}
+
+/* Guards against a report that fills the memory, the stack or the log. */
+static void
+test_large_heartbeats(void)
+{
+	char *deep = nested(100000);
+	char *id = g_strnfill(5000, 'i');
+	char *body = heartbeat(ADDRESS, "1", "5", CAPACITY);
+	char *label = g_strdup_printf("{\"backend\":\"p\",\"address\":"
+				      "\"" ADDRESS "\",\"state\":\"ready\","
+				      "\"capacity\":{},\"labels\":[\"%s\"]}",
+	    id);
+	char *extra = g_strdup_printf("{\"backend\":\"p\",\"address\":"
+				      "\"" ADDRESS "\",\"state\":\"ready\","
+				      "\"capacity\":{},\"more\":%s}",
+	    deep);
+
+	g_assert_false(decode_heartbeat("i-1", deep));
+	g_assert_false(decode_heartbeat("i-1", extra));
+	g_assert_false(decode_heartbeat(id, body));
+	g_assert_false(decode_heartbeat("", body));
+	g_assert_false(decode_heartbeat("i-1", label));
+	g_assert_true(decode_heartbeat("i-1", body));
+	g_free(deep);
+	g_free(id);
+	g_free(body);
+	g_free(label);
+	g_free(extra);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/pf-json/departure", test_departure);
+	g_test_add_func("/pf-json/odd-heartbeats", test_odd_heartbeats);
+	g_test_add_func("/pf-json/large-heartbeats", test_large_heartbeats);
 	return g_test_run();
 }
