platform: a row that can't be read is left out of an endpoint's lists

Seen: one odd row in a list of runs made the whole answer unreadable. The poll counted as not carried out, so while the row stayed the lease was not renewed and all runs of the endpoint ended.

Cause: a row either failed the whole list or was converted without a check of its range.

Change: rows are checked field by field; those that can't be read are left out and counted in the line unreadable-rows, the others hold.

--- a/src/fleet.h
+++ b/src/fleet.h
@@ -125,6 +125,7 @@
 	uint64_t clock_ms;
 	uint64_t incarnation_start_ms; /* 0 if not in the answer */
 	bool listed;                   /* the answer has the two lists */
+	uint32_t unreadable_rows;      /* of the lists; they are left out */
 	GArray *running;               /* struct gyp_listed_run */
 	GArray *ended;                 /* struct gyp_listed_end */
 };
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -361,6 +361,11 @@
 	if (p->long_poll)
 		endpoint->long_poll = false;
 	gyp_fleet_mark_dirty(f, endpoint);
+	if (a->unreadable_rows > 0)
+		gyp_events_add(f->cfg.events, "unreadable-rows",
+		    "endpoint=%s rows=%u",
+		    gyp_fleet_endpoint_name(f, endpoint->row),
+		    a->unreadable_rows);
 	if (a->end == GYP_FLEET_OK && a->listed &&
 	    (a->incarnation_start_ms == 0 ||
 		a->incarnation_start_ms >= endpoint->incarnation_start_ms))
--- a/src/host_msg.c
+++ b/src/host_msg.c
@@ -119,6 +119,7 @@
 	m->clock_ms = a->clock_ms;
 	m->born_ms = a->incarnation_start_ms;
 	m->listed = a->listed;
+	m->unreadable_rows = a->unreadable_rows;
 	if (!a->listed)
 		return m;
 	m->n_running = a->running->len;
@@ -160,6 +161,7 @@
 	a->clock_ms = m->clock_ms;
 	a->incarnation_start_ms = m->born_ms;
 	a->listed = m->listed;
+	a->unreadable_rows = m->unreadable_rows;
 	a->running = g_array_sized_new(
 	    FALSE, FALSE, sizeof(struct gyp_listed_run), (guint)m->n_running);
 	g_array_set_size(a->running, (guint)m->n_running);
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -7376,7 +7376,7 @@
   (ProtobufCMessageInit) gyp__host_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__host_answer__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gyp__host_answer__field_descriptors[10] =
 {
   {
     "call",
@@ -7486,6 +7486,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unreadable_rows",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__HostAnswer, unreadable_rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__host_answer__field_indices_by_name[] = {
   5,   /* field[5] = born_ms */
@@ -7497,11 +7509,12 @@
   6,   /* field[6] = listed */
   2,   /* field[2] = reason */
   7,   /* field[7] = running */
+  9,   /* field[9] = unreadable_rows */
 };
 static const ProtobufCIntRange gyp__host_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gyp__host_answer__descriptor =
 {
@@ -7511,7 +7524,7 @@
   "Gyp__HostAnswer",
   "gyp",
   sizeof(Gyp__HostAnswer),
-  9,
+  10,
   gyp__host_answer__field_descriptors,
   gyp__host_answer__field_indices_by_name,
   1,  gyp__host_answer__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -1205,10 +1205,11 @@
   Gyp__HostRun **running;
   size_t n_ended;
   Gyp__HostEnd **ended;
+  uint32_t unreadable_rows;
 };
 #define GYP__HOST_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__host_answer__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/test/test_pf_json.c
+++ b/test/test_pf_json.c
@@ -151,6 +151,81 @@
 	g_free(extra);
 }
 
+/* ---- Lists of runs ------------------------------------------------------- */
+
+#define TASK(n) "\"00000000000000a1.0.0." #n "\""
+
+/*
+ * Guards against an endpoint that is given up because of one row, and against a
+ * row that is taken for another run or acknowledges ends that were not listed.
+ */
+static void
+test_odd_rows(void)
+{
+	static const char body[] =
+	    "{\"clock_ms\":5,\"born\":1,\"running\":["
+	    "[" TASK(
+		0) ",1,\"\",0],"
+		   "[" TASK(
+		       1) ",4294967297,\"\",0],"
+			  "[" TASK(
+			      2) ",-1,\"\",0],"
+				 "[" TASK(
+				     3) ",\"1\",\"\",0],"
+					"[\"00000000000000a1.0.0.4294967296\","
+					"1,\"\",0],"
+					"[\"00000000000000a1.0.0.-1\",1,\"\",0]"
+					","
+					"[\"other\",1,\"\",0],[[[[]]]],7,null,{"
+					"},"
+					"[" TASK(
+					    5) ",2,\"\",1e300,-1e300]],"
+					       "\"ended\":["
+					       "[1," TASK(
+						   6) ",1,\"done\",\"\"],"
+						      "[-1," TASK(
+							  7) ",1,\"done\",\"\"]"
+							     ","
+							     "[9007199254740992"
+							     "," TASK(
+								 7) ",1,"
+								    "\"done\","
+								    "\"\"],"
+								    "[2," TASK(
+									7) ",1,"
+									   "\"v"
+									   "ani"
+									   "she"
+									   "d\""
+									   ",\""
+									   "\"]"
+									   ","
+									   "[3"
+									   "," TASK(
+									       8) ",1,\"failed\",\"\"]]}";
+	struct gyp_fleet_answer a = {.end = GYP_FLEET_OK};
+	const struct gyp_listed_run *run;
+	const struct gyp_listed_end *end;
+
+	a.running = g_array_new(FALSE, FALSE, sizeof(struct gyp_listed_run));
+	a.ended = g_array_new(FALSE, FALSE, sizeof(struct gyp_listed_end));
+	g_assert_true(gyp_pf_decode_answer(body, strlen(body), &a));
+	g_assert_true(a.listed);
+	g_assert_cmpuint(a.running->len, ==, 2);
+	run = &g_array_index(a.running, struct gyp_listed_run, 1);
+	g_assert_cmpuint(run->index, ==, 5);
+	g_assert_cmpuint(run->run, ==, 2);
+	g_assert_cmpuint(run->percent, ==, UINT32_MAX);
+	g_assert_cmpuint(run->load, ==, 0);
+	g_assert_cmpuint(a.ended->len, ==, 2);
+	end = &g_array_index(a.ended, struct gyp_listed_end, 1);
+	g_assert_cmpuint(end->number, ==, 3);
+	g_assert_cmpuint(end->run.index, ==, 8);
+	g_assert_cmpuint(a.unreadable_rows, ==, 13);
+	g_array_free(a.running, TRUE);
+	g_array_free(a.ended, TRUE);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -158,5 +233,6 @@
 	g_test_add_func("/pf-json/departure", test_departure);
 	g_test_add_func("/pf-json/odd-heartbeats", test_odd_heartbeats);
 	g_test_add_func("/pf-json/large-heartbeats", test_large_heartbeats);
+	g_test_add_func("/pf-json/odd-rows", test_odd_rows);
 	return g_test_run();
 }
