fleet: poll an endpoint that announced its shutdown three times at most

Seen in review of the diff: an idle endpoint that did not drain, announced its shutdown and ended was polled every 250 ms until it was removed after 60 s; each poll is a call that operators pay for.

Change: three unanswered polls are enough to leave it to its lease.

Evidence: /incarnations/departure-of-idle-endpoint failed before and passes.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -389,9 +389,9 @@
 	if (endpoint->leaving_at == 0 ||
 	    f->now < endpoint->leaving_at + DEPARTURE_GRACE_MS)
 		return;
-	endpoint->poll_due = true;
-	if (endpoint->failures >= ENDED_FAILURES &&
-	    drained_without_predecessor(f, endpoint))
+	if (endpoint->failures < ENDED_FAILURES)
+		endpoint->poll_due = true;
+	else if (drained_without_predecessor(f, endpoint))
 		endpoint->departed_at = f->now;
 }
 
--- a/test/test_incarnations.c
+++ b/test/test_incarnations.c
@@ -380,6 +380,31 @@
 	flow_fixture_clear(&f.base);
 }
 
+/* An idle endpoint that announced its shutdown is not polled for ever. */
+static void
+test_departure_of_idle_endpoint(void)
+{
+	struct fixture f;
+	uint32_t polls = 0;
+	uint64_t end;
+
+	fixture_init(&f);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0);
+	for (end = f.base.now + 20000; f.base.now < end;) {
+		struct gyp_fleet_call *call;
+
+		flow_fixture_advance(&f.base, 10);
+		call = flow_fixture_next_call(&f.base, GYP_FLEET_POLL);
+		if (call == NULL)
+			continue;
+		polls++;
+		flow_fixture_answer(&f.base, call, GYP_FLEET_LOST);
+	}
+	g_assert_cmpuint(polls, >=, 1);
+	g_assert_cmpuint(polls, <=, 4);
+	flow_fixture_clear(&f.base);
+}
+
 /* An endpoint that drained and no longer answers has ended. */
 static void
 test_departure_of_drained_endpoint(void)
@@ -436,6 +461,8 @@
 	    test_departure_of_endpoint_that_answers);
 	g_test_add_func("/incarnations/departure-of-silent-endpoint",
 	    test_departure_of_silent_endpoint);
+	g_test_add_func("/incarnations/departure-of-idle-endpoint",
+	    test_departure_of_idle_endpoint);
 	g_test_add_func("/incarnations/departure-of-drained-endpoint",
 	    test_departure_of_drained_endpoint);
 	g_test_add_func("/incarnations/departure-soon-after-restart",
