flows: a refused start leaves no trace in its tasks

The task runs again after an end that was taken note of (TWICE).

Cause: undo_starts() set back the state of the tasks, not their endpoint, which late ends are compared with.

Change: the endpoints from before are kept and set back; the booking of one start is a function of its own.

Evidence: /fleet/late-done-after-refused-start failed before (the task waits) and passes now; test_flows, test_quotas and test_placer pass.

--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -333,43 +333,59 @@
 	return !u->step->gang || (u->open == 0 && s->n_runs == u->step->count);
 }
 
+/* rows: the endpoints of the runs before, which may still report their ends. */
 static void
 undo_starts(struct gyp_flows *f, struct gyp_flow *flow,
-    const Gyp__CmdFlowStart *s, size_t n)
+    const Gyp__CmdFlowStart *s, const uint32_t *rows, size_t n)
 {
 	size_t i;
 
 	for (i = 0; i < n; i++) {
+		struct gyp_flow_task *t = &flow->tasks[s->runs[i]->task];
+
 		release(f, flow, s->runs[i]->task);
-		flow->tasks[s->runs[i]->task].state = GYP_FLOW_TASK_WAITING;
+		t->state = GYP_FLOW_TASK_WAITING;
+		t->row = rows[i];
 	}
 }
 
+/* Books a run of the task; false if it may not start on that endpoint. */
+static bool
+book_start(struct gyp_flows *f, struct gyp_flow *flow, uint32_t run,
+    uint32_t task, uint32_t row)
+{
+	const struct gyp_res *size;
+
+	if (!task_may_start(flow, task, run))
+		return false;
+	size = &gyp_flow_unit_of(flow, task)->size;
+	if (!host_may_run(gyp_host_at(f, row), flow, size) ||
+	    !cap_allows(flow, size))
+		return false;
+	flow->tasks[task].state = GYP_FLOW_TASK_OPEN;
+	flow->tasks[task].row = row;
+	gyp_flow_book(f, flow, task);
+	return true;
+}
+
 static bool
 book_starts(
     struct gyp_flows *f, struct gyp_flow *flow, const Gyp__CmdFlowStart *s)
 {
+	uint32_t *rows = g_new(uint32_t, s->n_runs);
 	size_t i;
 
 	for (i = 0; i < s->n_runs; i++) {
 		uint32_t task = s->runs[i]->task;
-		struct gyp_host *h = gyp_host_at(f, s->runs[i]->host);
-		const struct gyp_res *size;
 
-		if (!task_may_start(flow, task, s->run)) {
-			undo_starts(f, flow, s, i);
-			return false;
-		}
-		size = &gyp_flow_unit_of(flow, task)->size;
-		if (!host_may_run(h, flow, size) || !cap_allows(flow, size)) {
-			undo_starts(f, flow, s, i);
-			return false;
-		}
-		flow->tasks[task].state = GYP_FLOW_TASK_OPEN;
-		flow->tasks[task].row = s->runs[i]->host;
-		gyp_flow_book(f, flow, task);
+		rows[i] = task < flow->n_tasks ? flow->tasks[task].row : 0;
+		if (!book_start(f, flow, s->run, task, s->runs[i]->host))
+			break;
 	}
-	return true;
+	if (i < s->n_runs)
+		undo_starts(f, flow, s, rows, i);
+	g_free(rows);
+	return i == s->n_runs;
 }
 
 static void
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -413,6 +413,40 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * Guards against a task that is done and runs again: its next start was refused
+ * at the commit, and the end as done of the run before was taken for one at
+ * another endpoint.
+ */
+static void
+test_late_done_after_refused_start(void)
+{
+	struct fixture f;
+	struct flow_fixture_run end = {FLOW, 0, 1, 1, GYP__FLOW_HOW__FLOW_DONE};
+	struct gyp_fleet_call *call;
+	uint32_t b;
+
+	fixture_init(&f, 2, false);
+	b = flow_fixture_add_host(&f.base, "b", 1);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	while (task_of(&f, 0)->state == GYP_FLOW_TASK_OPEN) {
+		flow_fixture_advance(&f.base, 10);
+		while ((call = gyp_fleet_pop_call(f.base.fleet)) != NULL)
+			flow_fixture_answer(&f.base, call, GYP_FLEET_LOST);
+	}
+	flow_fixture_start(&f.base, FLOW, 1, 1, 1, b);
+	flow_fixture_start(&f.base, FLOW, 0, 1, 2, b);
+	g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_WAITING);
+	g_assert_cmpuint(task_of(&f, 0)->run, ==, 1);
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 1, f.base.now);
+	while ((call = next_poll(&f, 2000))->row != f.a)
+		flow_fixture_answer(&f.base, call, GYP_FLEET_LOST);
+	flow_fixture_answer_poll(&f.base, call, 1, NULL, 0, &end, 1);
+	g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_DONE);
+	flow_fixture_clear(&f.base);
+}
+
 /*
  * A run is committed after a call at its endpoint was lost, and the next call
  * is answered: the start must be sent, or the run given up.
@@ -683,6 +717,8 @@
 	g_test_add_func("/fleet/ack-of-earlier-incarnation",
 	    test_ack_of_earlier_incarnation);
 	g_test_add_func("/fleet/late-done", test_late_done);
+	g_test_add_func("/fleet/late-done-after-refused-start",
+	    test_late_done_after_refused_start);
 	g_test_add_func(
 	    "/fleet/start-after-lost-call", test_start_after_lost_call);
 	g_test_add_func("/fleet/cancelled", test_cancelled);
