--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -22,7 +22,8 @@
  *	replica_orders.c starts, stops and queries that entries send
  *	replica_rules.c	versions of the rules and when they are in force
  *	replica_lead.c	a leader's periodic work and its frames to entries
- *	replica_flows.c	flows, their endpoints and the manifest
+ *	replica_flow_requests.c	requests to queues: submit, read, cancel
+ *	replica_flows.c	endpoints, the manifest, and calls to endpoints
  *	replica_heartbeats.c heartbeats of endpoints, at leader and followers
  *	replica_members.c	membership and votes
  *	admin.c		reports for operators, as JSON
@@ -171,15 +172,18 @@
 void gyp_replica_propose_call(
     struct gyp_replica *, uint64_t entry, const Gyp__Call *, const Gyp__Cmd *);
 
-/* replica_flows.c */
+/* replica_flow_requests.c */
 void gyp_replica_handle_flow(
     struct gyp_replica *, uint64_t entry, const Gyp__Call *);
+/* Replies to a submit or cancel whose command was applied. */
+void gyp_replica_answer_flow(
+    struct gyp_replica *, uint64_t entry, const Gyp__Call *);
+
+/* replica_flows.c */
 void gyp_replica_handle_host(
     struct gyp_replica *, uint64_t entry, const Gyp__Call *);
 void gyp_replica_handle_manifest(
     struct gyp_replica *, uint64_t entry, const Gyp__Call *);
-void gyp_replica_answer_flow(
-    struct gyp_replica *, uint64_t entry, const Gyp__Call *);
 void gyp_replica_start_flow_scheduler(struct gyp_replica *);
 void gyp_replica_free_flow_scheduler(struct gyp_replica *);
 /* Handles what an entry's frame reports about its calls as a carrier. */
