--- a/test/test_open_runs.c
+++ b/test/test_open_runs.c
@@ -107,6 +107,20 @@
 	}
 }
 
+/* Loses all calls for ms. */
+static void
+lose_calls(struct fixture *f, uint64_t ms)
+{
+	uint64_t end = f->base.now + ms;
+	struct gyp_fleet_call *call;
+
+	while (f->base.now < end) {
+		flow_fixture_advance(&f->base, 10);
+		while ((call = gyp_fleet_pop_call(f->base.fleet)) != NULL)
+			flow_fixture_answer(&f->base, call, GYP_FLEET_LOST);
+	}
+}
+
 /* Loses all calls until the task has no open run, at most for ms. */
 static void
 assert_ends_in_silence(struct fixture *f, uint32_t task, uint64_t ms)
@@ -173,14 +187,7 @@
 static void
 assert_open_in_silence(struct fixture *f, uint32_t task, uint64_t ms)
 {
-	uint64_t end = f->base.now + ms;
-	struct gyp_fleet_call *call;
-
-	while (f->base.now < end) {
-		flow_fixture_advance(&f->base, 10);
-		while ((call = gyp_fleet_pop_call(f->base.fleet)) != NULL)
-			flow_fixture_answer(&f->base, call, GYP_FLEET_LOST);
-	}
+	lose_calls(f, ms);
 	g_assert_true(is_open(f, task));
 }
 
@@ -302,20 +309,6 @@
 	flow_fixture_clear(&f.base);
 }
 
-/* Loses all calls for ms. */
-static void
-lose_calls(struct fixture *f, uint64_t ms)
-{
-	uint64_t end = f->base.now + ms;
-	struct gyp_fleet_call *call;
-
-	while (f->base.now < end) {
-		flow_fixture_advance(&f->base, 10);
-		while ((call = gyp_fleet_pop_call(f->base.fleet)) != NULL)
-			flow_fixture_answer(&f->base, call, GYP_FLEET_LOST);
-	}
-}
-
 /*
  * Guards against lasting tasks that wait for 20 s: an endpoint restarts,
  * refuses calls from before, gets a run and is lost, and so is the leader. The
