test: shutdowns that are announced late, in the randomised runs of flows

Endpoints that restart announced their shutdown before, half of them; the announcement arrives up to 8 s late and names the earlier incarnation or none. The runs without lasting steps have it, so the seeds of the others stay as they are.

--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -11,9 +11,10 @@
  * commit after a delay; a change of leader loses a suffix of them.
  * Half of the runs have workspaces whose caps and keys change, and whose tables
  * come from a snapshot after each change of leader. A third group has lasting
- * steps, see flow_lasting.h. Fences tell incarnations apart in that group and
- * in the even seeds of the others. GYP_SEED=n repeats one run, GYP_SECONDS=n
- * runs new random seeds for n seconds.
+ * steps, see flow_lasting.h. In the others, announcements of shutdowns arrive
+ * after the endpoint has restarted. Fences tell incarnations apart in that
+ * group and in the even seeds of the others. GYP_SEED=n repeats one run,
+ * GYP_SECONDS=n runs new random seeds for n seconds.
  */
 
 /* Duration of the phase with faults, and of the one without, in ms. */
@@ -30,6 +31,9 @@
 #define FLOWS_MAX    60
 #define HEARTBEAT_MS 1500
 
+/* Longest time by which the announcement of a shutdown is late, in ms. */
+#define DEPARTURE_LATE_MS 8000
+
 /* Number of workspaces, and a cap that lets any single gang start. */
 #define WORKSPACES       3
 #define SUFFICIENT_MILLI 15000
@@ -39,6 +43,13 @@
 	Gyp__Cmd *cmd;
 };
 
+/* The announcement of an incarnation's shutdown, which is on its way. */
+struct departure {
+	uint64_t born_ms;  /* of the latest incarnation that was seen */
+	uint64_t at;       /* when that of the one before arrives; 0: never */
+	uint64_t named_ms; /* the incarnation that it names, or 0 */
+};
+
 struct fixture {
 	struct gyp_flows *flows;
 	struct gyp_flow_scheduler *scheduler;
@@ -57,6 +68,8 @@
 	struct flow_lasting *lasting; /* NULL in runs without lasting steps */
 	/* First heartbeat of an endpoint that became reachable; 0: not up. */
 	uint64_t first_beat_at[FLOW_SIM_LASTING_ENDPOINTS];
+	GRand *departure_rand; /* NULL in a run without departures */
+	struct departure departures[FLOW_SIM_ENDPOINTS];
 	GRand *workspace_rand; /* NULL in a run without workspaces */
 	uint64_t manifest_at;  /* next change of caps and keys */
 	uint64_t manifest_version;
@@ -341,6 +354,45 @@
 		    flow_sim_clock(f->sim, i, f->now));
 }
 
+/* Endpoints that restart announced their shutdown before, half of them. */
+static void
+plan_departure(struct fixture *f, struct departure *d, uint64_t born_ms)
+{
+	if (born_ms == d->born_ms)
+		return;
+	if (d->born_ms != 0 && g_rand_boolean(f->departure_rand)) {
+		d->at = f->now + (uint64_t)g_rand_int_range(
+				     f->departure_rand, 0, DEPARTURE_LATE_MS);
+		d->named_ms =
+		    g_rand_boolean(f->departure_rand) ? d->born_ms : 0;
+	}
+	d->born_ms = born_ms;
+}
+
+/* Delivers late announcements of the shutdowns of earlier incarnations. */
+static void
+deliver_departures(struct fixture *f)
+{
+	uint32_t i;
+
+	for (i = 0; i < flow_sim_size(f->sim); i++) {
+		struct departure *d = &f->departures[i];
+		const struct gyp_host *h;
+		Gyp__CmdHost host;
+
+		flow_sim_describe(f->sim, i, &host);
+		plan_departure(f, d, host.born_ms);
+		if (d->at == 0 || f->now < d->at)
+			continue;
+		d->at = 0;
+		h = gyp_host_by_id(f->flows, host.id);
+		if (h != NULL)
+			gyp_fleet_departed(
+			    gyp_flow_scheduler_fleet(f->scheduler), f->now,
+			    h->row, d->named_ms);
+	}
+}
+
 /* ---- Simulated time ----------------------------------------------------- */
 
 /* Sends the first heartbeats of endpoints that became reachable. */
@@ -387,6 +439,8 @@
 				send_heartbeat(f, i);
 		}
 	}
+	if (f->departure_rand != NULL)
+		deliver_departures(f);
 	if (f->lasting != NULL)
 		run_lasting(f);
 	else if (f->faults && f->now >= f->submit_at &&
@@ -477,6 +531,8 @@
 	f.fence_incarnations = group == LASTING_RUNS || seed % 2 == 0;
 	if (group == WORKSPACE_RUNS)
 		f.workspace_rand = g_rand_new_with_seed(seed + 2);
+	if (group != LASTING_RUNS)
+		f.departure_rand = g_rand_new_with_seed(seed + 3);
 	f.flows = gyp_flows_new();
 	f.sim = flow_sim_new(seed + 1, f.flows);
 	if (group == LASTING_RUNS) {
@@ -518,6 +574,8 @@
 	g_rand_free(f.rand);
 	if (group == WORKSPACE_RUNS)
 		g_rand_free(f.workspace_rand);
+	if (group != LASTING_RUNS)
+		g_rand_free(f.departure_rand);
 }
 
 /* Seeds that once failed, by the fault that they found. */
