fleet: a departure ends no run that the next incarnation may still begin

Seen: test_flows, /flows/random with late announcements: a task runs twice. An endpoint was shut down and restarted under its id; a start that had got no answer was carried out by the new incarnation, while the run had been taken for lost with the departure (TWICE).

At an address that another endpoint has, none can begin.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -310,14 +310,50 @@
 	g_queue_push_tail(&f->cmds, gyp_message_copy(&cmd.base));
 }
 
+/*
+ * True if a start of the run got no answer and may still be carried out, by a
+ * later incarnation of the endpoint. Of an earlier leader's starts only the
+ * confirmation is known.
+ */
+static bool
+may_begin_late(const struct gyp_fleet *f, const struct gyp_fleet_run *run)
+{
+	bool confirmed = run->phase == GYP_RUN_CONFIRMED;
+	uint64_t sent_at =
+	    run->starts_sent > 0 ? run->start_sent_at : f->leader_since;
+
+	if (run->phase == GYP_RUN_UNSENT)
+		return false;
+	return (!confirmed || run->starts_sent > 1) &&
+	       f->now < sent_at + LATE_CALL_MAX_MS;
+}
+
+/*
+ * Ends the runs of an incarnation that ended. Those that may still begin in the
+ * next one stay open until it registers, or its lease would be over. At an
+ * address that another endpoint has, none begins.
+ */
 static void
-end_all_runs(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
+end_departed_runs(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
 {
-	guint i;
+	uint64_t over_at = gyp_fleet_expiry_after(
+	    endpoint->departed_at + LATE_CALL_MAX_MS, f->cfg.lease_ms);
+	guint i, open = 0;
 
-	for (i = 0; i < endpoint->runs->len; i++)
-		gyp_fleet_propose_end(f, endpoint->runs->pdata[i],
-		    GYP__FLOW_HOW__FLOW_LOST, NULL);
+	for (i = 0; i < endpoint->runs->len; i++) {
+		struct gyp_fleet_run *run = endpoint->runs->pdata[i];
+
+		run->may_begin_late =
+		    run->may_begin_late || may_begin_late(f, run);
+		if (run->may_begin_late && f->now < over_at &&
+		    !endpoint->replaced)
+			open++;
+		else
+			gyp_fleet_propose_end(
+			    f, run, GYP__FLOW_HOW__FLOW_LOST, NULL);
+	}
+	if (open == 0)
+		propose_removal(f, endpoint);
 }
 
 /*
@@ -448,10 +484,8 @@
 		return;
 	}
 	if (endpoint->departed_at != 0) {
-		if (f->now >= endpoint->departed_at + DEPARTURE_GRACE_MS) {
-			end_all_runs(f, endpoint);
-			propose_removal(f, endpoint);
-		}
+		if (f->now >= endpoint->departed_at + DEPARTURE_GRACE_MS)
+			end_departed_runs(f, endpoint);
 		return;
 	}
 	check_leaving(f, endpoint);
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -121,6 +121,7 @@
 	run->phase = GYP_RUN_STARTING;
 	run->start_pending = true;
 	run->starts_sent++;
+	run->start_sent_at = f->now;
 }
 
 void
@@ -267,6 +268,7 @@
 {
 	if (endpoint->departed_at == 0)
 		endpoint->departed_at = f->now;
+	endpoint->replaced = true;
 }
 
 static void
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -94,6 +94,7 @@
 	endpoint->incarnation_start_ms = incarnation_start_ms;
 	endpoint->departed_at = 0;
 	endpoint->leaving_at = 0;
+	endpoint->replaced = false;
 	endpoint->restarted_at = f->now;
 	endpoint->restart_call = f->next_call;
 	endpoint->restarts++;
@@ -114,6 +115,7 @@
 	for (i = 0; i < endpoint->runs->len; i++) {
 		struct gyp_fleet_run *run = endpoint->runs->pdata[i];
 
+		run->may_begin_late = false;
 		if (run->phase == GYP_RUN_CONFIRMED)
 			run->phase = GYP_RUN_INHERITED;
 		/* A late start may still begin it in this incarnation. */
@@ -167,8 +169,8 @@
 	    MAX(endpoint->sent_until_ms, clock_ms + f->cfg.lease_ms);
 }
 
-static uint64_t
-expiry_after(uint64_t from, uint64_t left_ms)
+uint64_t
+gyp_fleet_expiry_after(uint64_t from, uint64_t left_ms)
 {
 	return from + left_ms + left_ms / (GYP_CLOCK_SLOW - 1) + 1 +
 	       LEASE_MARGIN_MS;
@@ -185,7 +187,7 @@
     const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
 {
 	uint64_t inherited =
-	    expiry_after(MAX(f->leader_since, endpoint->restarted_at),
+	    gyp_fleet_expiry_after(MAX(f->leader_since, endpoint->restarted_at),
 		f->cfg.lease_ms + endpoint->late_grant_ms);
 	uint64_t left = endpoint->until_ms > endpoint->clock_ms
 			    ? endpoint->until_ms - endpoint->clock_ms
@@ -194,8 +196,8 @@
 	if (endpoint->clock_at == 0)
 		return inherited;
 	if (endpoint->fenced)
-		return expiry_after(endpoint->clock_at, left);
-	return MAX(inherited, expiry_after(endpoint->clock_at, left));
+		return gyp_fleet_expiry_after(endpoint->clock_at, left);
+	return MAX(inherited, gyp_fleet_expiry_after(endpoint->clock_at, left));
 }
 
 bool
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -47,9 +47,11 @@
 	uint64_t stopped_at; /* when the stop was confirmed */
 	uint64_t retry_at;   /* when to send the call again; 0: not due */
 	uint32_t starts_sent;
-	const char *refused; /* why its start was refused, or NULL */
-	bool start_pending;  /* a start is under way */
-	bool end_proposed;   /* its end is proposed, not committed */
+	uint64_t start_sent_at; /* the latest of them */
+	const char *refused;    /* why its start was refused, or NULL */
+	bool may_begin_late;    /* in an incarnation after the departed one */
+	bool start_pending;     /* a start is under way */
+	bool end_proposed;      /* its end is proposed, not committed */
 	char *ticket;
 	struct gyp_run_view view;
 };
@@ -79,6 +81,7 @@
 	uint64_t listed_at;    /* last list of this incarnation; 0: none */
 	uint64_t departed_at;  /* its shutdown, or another endpoint at its
 				  address, was noticed; 0: neither */
+	bool replaced;         /* the latter: its own calls end there */
 	uint64_t leaving_at;   /* a shutdown of an unknown incarnation was
 				  announced; 0: none */
 	uint64_t restarted_at; /* latest restart was noticed; 0: never */
@@ -183,6 +186,11 @@
 /* Handles a new incarnation, which holds no runs of the one before. */
 void gyp_fleet_endpoint_restarted(struct gyp_fleet *,
     struct gyp_fleet_endpoint *, uint64_t incarnation_start_ms);
+/*
+ * Time at which a lease is over by the slowest clock, with margin, of which
+ * left_ms were left by the endpoint's clock at that time of the leader.
+ */
+uint64_t gyp_fleet_expiry_after(uint64_t from, uint64_t left_ms);
 /* Fence number of the next call to the endpoint. */
 uint64_t gyp_fleet_endpoint_fence(
     const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
--- a/test/test_incarnations.c
+++ b/test/test_incarnations.c
@@ -309,6 +309,55 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * Guards against tasks that run twice: a start without an answer may be carried
+ * out by the next incarnation, which runs it.
+ */
+static void
+test_departure_with_unanswered_start(void)
+{
+	struct fixture f;
+	struct flow_fixture_run up = {FLOW, 1, 2, 0, 0};
+
+	fixture_init(&f);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	flow_fixture_answer(
+	    &f.base, next_call(&f, GYP_FLEET_START), GYP_FLEET_OK);
+	flow_fixture_start(&f.base, FLOW, 1, 1, 2, f.a);
+	gyp_fleet_call_free(next_call(&f, GYP_FLEET_START));
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 1);
+	flow_fixture_advance(&f.base, 1400);
+	g_assert_cmpint(task_of(&f, 0)->state, ==, GYP_FLOW_TASK_WAITING);
+	g_assert_cmpint(task_of(&f, 1)->state, ==, GYP_FLOW_TASK_OPEN);
+	report_restart(&f, 2);
+	flow_fixture_add_host(&f.base, "a", 2);
+	flow_fixture_answer_poll(
+	    &f.base, next_call(&f, GYP_FLEET_POLL), 2, &up, 1, NULL, 0);
+	flow_fixture_advance(&f.base, 300);
+	g_assert_cmpint(task_of(&f, 1)->state, ==, GYP_FLOW_TASK_OPEN);
+	flow_fixture_clear(&f.base);
+}
+
+/* If no incarnation follows, such a run ends too. */
+static void
+test_departure_for_good(void)
+{
+	struct fixture f;
+	uint64_t since;
+
+	fixture_init(&f);
+	flow_fixture_start(&f.base, FLOW, 1, 1, 2, f.a);
+	gyp_fleet_call_free(next_call(&f, GYP_FLEET_START));
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 1);
+	since = f.base.now;
+	while (gyp_host_at(f.base.flows, f.a) != NULL) {
+		flow_fixture_advance(&f.base, 100);
+		g_assert_cmpuint(f.base.now, <, since + 25000);
+	}
+	g_assert_cmpint(task_of(&f, 1)->state, ==, GYP_FLOW_TASK_WAITING);
+	flow_fixture_clear(&f.base);
+}
+
 /* Answers all polls with the run of task 0 for that time. */
 static void
 keep_answering(struct fixture *f, uint64_t ms)
@@ -457,6 +506,10 @@
 	    test_departure_of_earlier_incarnation);
 	g_test_add_func("/incarnations/departure-after-unreported-restart",
 	    test_departure_after_unreported_restart);
+	g_test_add_func("/incarnations/departure-with-unanswered-start",
+	    test_departure_with_unanswered_start);
+	g_test_add_func(
+	    "/incarnations/departure-for-good", test_departure_for_good);
 	g_test_add_func("/incarnations/departure-of-endpoint-that-answers",
 	    test_departure_of_endpoint_that_answers);
 	g_test_add_func("/incarnations/departure-of-silent-endpoint",
