fleet: a departure ends only runs that a list has shown in that incarnation

Seen: test_flows, /flows/random: a task runs twice. A start was answered by a new incarnation that had not registered yet; then the announcement of the earlier one arrived, which was the one that the leader knew, and the run was taken for lost with it.

Cause: answers to starts need not name the incarnation, so a confirmation is no proof that the run was in the one that ended.

Change: of a departed incarnation, the runs that no list has shown stay open too, until the next incarnation registers or the lease is over, as for an endpoint that is silent.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -311,42 +311,40 @@
 }
 
 /*
- * True if a start of the run got no answer and may still be carried out, by a
- * later incarnation of the endpoint. Of an earlier leader's starts only the
- * confirmation is known.
+ * True if a later incarnation of the endpoint may have the run, or begin it:
+ * the answer to a start need not tell which one carried it out, only a list
+ * does, and a start that got no answer may still be carried out.
  */
 static bool
-may_begin_late(const struct gyp_fleet *f, const struct gyp_fleet_run *run)
+may_outlast_incarnation(
+    const struct gyp_fleet *f, const struct gyp_fleet_run *run)
 {
-	bool confirmed = run->phase == GYP_RUN_CONFIRMED;
-	uint64_t sent_at =
-	    run->starts_sent > 0 ? run->start_sent_at : f->leader_since;
-
 	if (run->phase == GYP_RUN_UNSENT)
 		return false;
-	return (!confirmed || run->starts_sent > 1) &&
-	       f->now < sent_at + LATE_CALL_MAX_MS;
+	if (run->phase != GYP_RUN_CONFIRMED || run->view.listed_at == 0)
+		return true;
+	return run->starts_sent > 1 &&
+	       f->now < run->start_sent_at + LATE_CALL_MAX_MS;
 }
 
 /*
- * Ends the runs of an incarnation that ended. Those that may still begin in the
- * next one stay open until it registers, or its lease would be over. At an
- * address that another endpoint has, none begins.
+ * Ends the runs of an incarnation that ended. Those that the next one may
+ * have stay open until it registers, or until the lease is over. At an address
+ * that another endpoint has, there is none.
  */
 static void
 end_departed_runs(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
 {
-	uint64_t over_at = gyp_fleet_expiry_after(
-	    endpoint->departed_at + LATE_CALL_MAX_MS, f->cfg.lease_ms);
+	bool lease_over =
+	    f->now >= gyp_fleet_endpoint_lease_expiry(f, endpoint);
 	guint i, open = 0;
 
 	for (i = 0; i < endpoint->runs->len; i++) {
 		struct gyp_fleet_run *run = endpoint->runs->pdata[i];
 
-		run->may_begin_late =
-		    run->may_begin_late || may_begin_late(f, run);
-		if (run->may_begin_late && f->now < over_at &&
-		    !endpoint->replaced)
+		run->may_outlast =
+		    run->may_outlast || may_outlast_incarnation(f, run);
+		if (run->may_outlast && !lease_over && !endpoint->replaced)
 			open++;
 		else
 			gyp_fleet_propose_end(
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -115,7 +115,7 @@
 	for (i = 0; i < endpoint->runs->len; i++) {
 		struct gyp_fleet_run *run = endpoint->runs->pdata[i];
 
-		run->may_begin_late = false;
+		run->may_outlast = false;
 		if (run->phase == GYP_RUN_CONFIRMED)
 			run->phase = GYP_RUN_INHERITED;
 		/* A late start may still begin it in this incarnation. */
@@ -169,8 +169,8 @@
 	    MAX(endpoint->sent_until_ms, clock_ms + f->cfg.lease_ms);
 }
 
-uint64_t
-gyp_fleet_expiry_after(uint64_t from, uint64_t left_ms)
+static uint64_t
+expiry_after(uint64_t from, uint64_t left_ms)
 {
 	return from + left_ms + left_ms / (GYP_CLOCK_SLOW - 1) + 1 +
 	       LEASE_MARGIN_MS;
@@ -187,7 +187,7 @@
     const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
 {
 	uint64_t inherited =
-	    gyp_fleet_expiry_after(MAX(f->leader_since, endpoint->restarted_at),
+	    expiry_after(MAX(f->leader_since, endpoint->restarted_at),
 		f->cfg.lease_ms + endpoint->late_grant_ms);
 	uint64_t left = endpoint->until_ms > endpoint->clock_ms
 			    ? endpoint->until_ms - endpoint->clock_ms
@@ -196,8 +196,8 @@
 	if (endpoint->clock_at == 0)
 		return inherited;
 	if (endpoint->fenced)
-		return gyp_fleet_expiry_after(endpoint->clock_at, left);
-	return MAX(inherited, gyp_fleet_expiry_after(endpoint->clock_at, left));
+		return expiry_after(endpoint->clock_at, left);
+	return MAX(inherited, expiry_after(endpoint->clock_at, left));
 }
 
 bool
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -49,7 +49,7 @@
 	uint32_t starts_sent;
 	uint64_t start_sent_at; /* the latest of them */
 	const char *refused;    /* why its start was refused, or NULL */
-	bool may_begin_late;    /* in an incarnation after the departed one */
+	bool may_outlast;       /* the departed incarnation of its endpoint */
 	bool start_pending;     /* a start is under way */
 	bool end_proposed;      /* its end is proposed, not committed */
 	char *ticket;
@@ -186,11 +186,6 @@
 /* Handles a new incarnation, which holds no runs of the one before. */
 void gyp_fleet_endpoint_restarted(struct gyp_fleet *,
     struct gyp_fleet_endpoint *, uint64_t incarnation_start_ms);
-/*
- * Time at which a lease is over by the slowest clock, with margin, of which
- * left_ms were left by the endpoint's clock at that time of the leader.
- */
-uint64_t gyp_fleet_expiry_after(uint64_t from, uint64_t left_ms);
 /* Fence number of the next call to the endpoint. */
 uint64_t gyp_fleet_endpoint_fence(
     const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -594,7 +594,7 @@
     /* polls that were lost with their carrier counted as extending a lease */
     31,
     /* the incarnation after a shutdown began a run that was taken for lost */
-    1179872217,
+    1179872217, 1659808188,
     /* a new leader counted 15 s of late calls that it had fenced off */
     441,
     /* calls from before a noticed restart were counted for 15 s */
--- a/test/test_incarnations.c
+++ b/test/test_incarnations.c
@@ -317,12 +317,15 @@
 test_departure_with_unanswered_start(void)
 {
 	struct fixture f;
+	struct flow_fixture_run listed = {FLOW, 0, 1, 0, 0};
 	struct flow_fixture_run up = {FLOW, 1, 2, 0, 0};
 
 	fixture_init(&f);
 	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
 	flow_fixture_answer(
 	    &f.base, next_call(&f, GYP_FLEET_START), GYP_FLEET_OK);
+	flow_fixture_answer_poll(
+	    &f.base, next_call(&f, GYP_FLEET_POLL), 1, &listed, 1, NULL, 0);
 	flow_fixture_start(&f.base, FLOW, 1, 1, 2, f.a);
 	gyp_fleet_call_free(next_call(&f, GYP_FLEET_START));
 	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 1);
@@ -338,6 +341,30 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * The same for a start that was answered: by which incarnation is not known
+ * before the run is listed.
+ */
+static void
+test_departure_with_unlisted_run(void)
+{
+	struct fixture f;
+	struct flow_fixture_run up = {FLOW, 0, 1, 0, 0};
+
+	fixture_init(&f);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	flow_fixture_answer(
+	    &f.base, next_call(&f, GYP_FLEET_START), GYP_FLEET_OK);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 1);
+	flow_fixture_advance(&f.base, 1400);
+	report_restart(&f, 2);
+	flow_fixture_add_host(&f.base, "a", 2);
+	flow_fixture_answer_poll(
+	    &f.base, next_call(&f, GYP_FLEET_POLL), 2, &up, 1, NULL, 0);
+	assert_keeps_run(&f);
+	flow_fixture_clear(&f.base);
+}
+
 /* If no incarnation follows, such a run ends too. */
 static void
 test_departure_for_good(void)
@@ -352,7 +379,8 @@
 	since = f.base.now;
 	while (gyp_host_at(f.base.flows, f.a) != NULL) {
 		flow_fixture_advance(&f.base, 100);
-		g_assert_cmpuint(f.base.now, <, since + 25000);
+		g_assert_cmpuint(
+		    f.base.now, <, since + FLOW_FIXTURE_LEASE_MS + 1500);
 	}
 	g_assert_cmpint(task_of(&f, 1)->state, ==, GYP_FLOW_TASK_WAITING);
 	flow_fixture_clear(&f.base);
@@ -508,6 +536,8 @@
 	    test_departure_after_unreported_restart);
 	g_test_add_func("/incarnations/departure-with-unanswered-start",
 	    test_departure_with_unanswered_start);
+	g_test_add_func("/incarnations/departure-with-unlisted-run",
+	    test_departure_with_unlisted_run);
 	g_test_add_func(
 	    "/incarnations/departure-for-good", test_departure_for_good);
 	g_test_add_func("/incarnations/departure-of-endpoint-that-answers",
