--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -76,12 +76,12 @@
 	uint64_t until_ms;      /* latest end of its lease, by its clock */
 	uint64_t sent_until_ms; /* latest end sent to this incarnation */
 	uint64_t late_grant_ms; /* lease that late calls may add, in ms */
-	bool fenced; /* it refuses all calls that could add a late lease */
+	bool fenced;   /* it refuses all calls that could add a late lease */
+	bool replaced; /* another endpoint has its address */
 	uint64_t last_seen_at; /* last answer or heartbeat; 0: none */
 	uint64_t listed_at;    /* last list of this incarnation; 0: none */
 	uint64_t departed_at;  /* its shutdown, or another endpoint at its
 				  address, was noticed; 0: neither */
-	bool replaced;         /* the latter: its own calls end there */
 	uint64_t leaving_at;   /* a shutdown of an unknown incarnation was
 				  announced; 0: none */
 	uint64_t restarted_at; /* latest restart was noticed; 0: never */
