link, gypctl: sockets in a file of their own, one function prints rows

link.c had grown to 718 lines; numeric addresses, socket options, dialling and listening are no part of framing and move to socket.c. The two tables of gypctl were printed by the same loop written twice.

--- a/src/gyp.h
+++ b/src/gyp.h
@@ -86,6 +86,7 @@
 #include "program.h"       /* command line and settings of the daemons */
 #include "reload.h"        /* reloads a settings file */
 #include "settings.h"      /* reads and checks settings files */
+#include "socket.h"        /* numeric addresses and TCP sockets */
 #include "store.h"         /* durable storage of a replica's records */
 #include "timer.h"         /* timers on the event loop */
 
--- a/src/gypctl_views.c
+++ b/src/gypctl_views.c
@@ -70,6 +70,26 @@
 	    (double)capacity / (double)unit);
 }
 
+/* Prints an array of rows; returns the exit code of the request. */
+static int
+print_rows(json_t *rows, int code, const char *const *header, bool sorted,
+    void (*add)(struct gyp_ctl_table *, const json_t *))
+{
+	struct gyp_ctl_table *table;
+	json_t *row;
+	size_t i;
+
+	if (rows == NULL)
+		return code;
+	table = gyp_ctl_table_new(header);
+	json_array_foreach(rows, i, row) add(table, row);
+	if (sorted)
+		gyp_ctl_table_sort(table);
+	gyp_ctl_table_print(table);
+	json_decref(rows);
+	return code;
+}
+
 static void
 add_endpoint(struct gyp_ctl_table *table, const json_t *row)
 {
@@ -89,21 +109,11 @@
 gyp_ctl_endpoints(struct gyp_ctl *ctl, char **args)
 {
 	int code;
-	json_t *json =
+	json_t *rows =
 	    request_json(ctl, "GET", "/v1/admin/endpoints", "", "", &code);
-	struct gyp_ctl_table *table;
-	json_t *row;
-	size_t i;
 
 	(void)args;
-	if (json == NULL)
-		return code;
-	table = gyp_ctl_table_new(endpoint_header);
-	json_array_foreach(json, i, row) add_endpoint(table, row);
-	gyp_ctl_table_sort(table);
-	gyp_ctl_table_print(table);
-	json_decref(json);
-	return code;
+	return print_rows(rows, code, endpoint_header, true, add_endpoint);
 }
 
 int
@@ -163,20 +173,11 @@
 	    "GIB", "ACCEL", "RUNS", "WAITING", "LATER", "ACCEPTED", "EXCESS",
 	    "REFUSED", "NEXT-WAITS-FOR", NULL};
 	int code;
-	json_t *json =
+	json_t *rows =
 	    request_json(ctl, "GET", "/v1/admin/workspaces", "", "", &code);
-	struct gyp_ctl_table *table;
-	json_t *row;
-	size_t i;
 
 	(void)args;
-	if (json == NULL)
-		return code;
-	table = gyp_ctl_table_new(header);
-	json_array_foreach(json, i, row) add_workspace(table, row);
-	gyp_ctl_table_print(table);
-	json_decref(json);
-	return code;
+	return print_rows(rows, code, header, false, add_workspace);
 }
 
 /* ---- Preview ----------------------------------------------------------- */
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -7,7 +7,7 @@
 #include <microhttpd.h>
 
 #include "httpd.h"
-#include "link.h"
+#include "socket.h"
 #include "timer.h"
 
 /* Interval of the check for expired connections, in ms. */
--- a/src/link.c
+++ b/src/link.c
@@ -1,9 +1,6 @@
 #include <sys/socket.h>
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdbool.h>
 #include <string.h>
 #include <unistd.h>
@@ -16,6 +13,7 @@
 #include "log.h"
 #include "loop_deferred.h"
 #include "msg.h"
+#include "socket.h"
 #include "timer.h"
 
 /* Most bytes read from a socket at once. */
@@ -24,15 +22,6 @@
 /* Interval of the sweep, which closes slow or overflowed connections, in ms. */
 #define SWEEP_MS 200
 
-/*
- * A silent peer is detected by keepalive probes (times in seconds), and by the
- * timeout for unacknowledged data (in ms).
- */
-#define KEEPALIVE_IDLE_S     1
-#define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBES     2
-#define UNACKED_TIMEOUT_MS   2000
-
 /* Shortest time between two log lines about refused connections, in ms. */
 #define REFUSAL_LOG_MS 1000
 
@@ -94,40 +83,6 @@
 static void on_io(struct ev_loop *, ev_io *, int);
 static void dial(struct conn *);
 
-gboolean
-gyp_address_parse(
-    const char *address, struct sockaddr_storage *ss, uint32_t *len)
-{
-	struct sockaddr_in *in = (struct sockaddr_in *)ss;
-	struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)ss;
-	const char *colon = strrchr(address, ':');
-	gchar *host;
-	guint64 port;
-	gboolean ok = TRUE;
-
-	if (colon == NULL ||
-	    !g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &port, NULL))
-		return FALSE;
-	memset(ss, 0, sizeof(*ss));
-	if (address[0] == '[' && colon > address + 2 && colon[-1] == ']')
-		host = g_strndup(address + 1, (gsize)(colon - address) - 2);
-	else
-		host = g_strndup(address, (gsize)(colon - address));
-	if (inet_pton(AF_INET, host, &in->sin_addr) == 1) {
-		in->sin_family = AF_INET;
-		in->sin_port = htons((uint16_t)port);
-		*len = sizeof(*in);
-	} else if (inet_pton(AF_INET6, host, &in6->sin6_addr) == 1) {
-		in6->sin6_family = AF_INET6;
-		in6->sin6_port = htons((uint16_t)port);
-		*len = sizeof(*in6);
-	} else {
-		ok = FALSE;
-	}
-	g_free(host);
-	return ok;
-}
-
 /* ---- Sockets ----------------------------------------------------------- */
 
 static void
@@ -260,25 +215,6 @@
 		links->owner->ops->lost(links->owner, c->address);
 }
 
-/* An unreachable peer sends no reset: only kernel timeouts detect it. */
-static void
-set_socket_options(int fd)
-{
-	int on = 1;
-	int idle = KEEPALIVE_IDLE_S;
-	int interval = KEEPALIVE_INTERVAL_S;
-	int probes = KEEPALIVE_PROBES;
-	unsigned timeout = UNACKED_TIMEOUT_MS;
-
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-	setsockopt(
-	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
-}
-
 static void
 dial(struct conn *c)
 {
@@ -287,21 +223,13 @@
 
 	if (!gyp_address_parse(c->address, &ss, &len))
 		return;
-	c->fd =
-	    socket(ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	c->fd = gyp_socket_dial(&ss, len);
 	c->state = CONN_DIALLING;
 	c->state_since = gyp_clock_ms();
-	if (c->fd < 0) {
+	if (c->fd < 0)
 		drop_conn(c);
-		return;
-	}
-	set_socket_options(c->fd);
-	if (connect(c->fd, (struct sockaddr *)&ss, len) != 0 &&
-	    errno != EINPROGRESS) {
-		drop_conn(c);
-		return;
-	}
-	update_events(c);
+	else
+		update_events(c);
 }
 
 /* ---- Frames ------------------------------------------------------------ */
@@ -528,7 +456,7 @@
 		close(fd);
 		return;
 	}
-	set_socket_options(fd);
+	gyp_socket_set_options(fd);
 	c = new_conn(links);
 	c->fd = fd;
 	c->state = CONN_OPEN;
@@ -648,22 +576,12 @@
 gyp_links_listen(
     struct gyp_links *links, const char *address, struct gyp_error *err)
 {
-	struct sockaddr_storage ss;
-	uint32_t len;
-	int on = 1;
-
-	if (!gyp_address_parse(address, &ss, &len))
-		return gyp_fail(
-		    err, GYP_BAD_INPUT, "%s: expected ip:port", address);
-	links->listen_fd =
-	    socket(ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (links->listen_fd < 0)
-		return gyp_fail(err, GYP_IO, "socket: %s", g_strerror(errno));
-	setsockopt(links->listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(links->listen_fd, (struct sockaddr *)&ss, len) != 0 ||
-	    listen(links->listen_fd, SOMAXCONN) != 0)
-		return gyp_fail(err, GYP_IO, "listen on %s: %s", address,
-		    g_strerror(errno));
+	int fd;
+	enum gyp_status status = gyp_socket_listen(address, &fd, err);
+
+	if (status != GYP_OK)
+		return status;
+	links->listen_fd = fd;
 	ev_io_init(&links->listen_io, on_accept, links->listen_fd, EV_READ);
 	links->listen_io.data = links;
 	ev_io_start(links->loop, &links->listen_io);
--- a/src/link.h
+++ b/src/link.h
@@ -114,9 +114,4 @@
  */
 void gyp_links_send_to_id(struct gyp_links *, uint64_t id, GBytes *packed);
 
-/* Parses "ip:port" or "[ip]:port"; returns FALSE unless both are numeric. */
-struct sockaddr_storage;
-gboolean gyp_address_parse(
-    const char *address, struct sockaddr_storage *, uint32_t *len);
-
 #endif
--- a/src/settings.c
+++ b/src/settings.c
@@ -8,8 +8,8 @@
 #include <glib.h>
 #include <ini.h>
 
-#include "link.h"
 #include "settings.h"
+#include "socket.h"
 #include "units.h"
 
 struct parse {
