policy: no quarantine outlives the rule that it was made by

Cause: the state of the endpoint is in the tables, and only the leader's rounds lead back from it. These returned at once if there was no rule.

Change: without the rule, each full round returns quarantined endpoints to work and lifts the limit of one task for those on probation.

Evidence, before: /policy/quarantine-rule-removed "assertion failed (e0->state == GYP_ENDPOINT_ACTIVE): (3 == 1)", 120 s after the removal. After: it passes with the others of test_policy, and test_cell.

--- a/src/policy_faults.c
+++ b/src/policy_faults.c
@@ -30,6 +30,25 @@
 	}
 }
 
+/* No quarantine holds without a rule for it: it may have been removed. */
+static void
+end_quarantines(struct round *round)
+{
+	struct gyp_policy *p = round->policy;
+	uint32_t i;
+
+	for (i = 0; i < index_size(p->index); i++) {
+		struct endpoint_view *view = index_at(p->index, i);
+
+		if (view == NULL)
+			continue;
+		view->probing = false;
+		if (view->ep->state == GYP_ENDPOINT_QUARANTINED)
+			add_transition(round, view, GYP_ENDPOINT_QUARANTINED,
+			    GYP_ENDPOINT_ACTIVE);
+	}
+}
+
 void
 faults_update_endpoints(struct round *round)
 {
@@ -38,8 +57,10 @@
 	struct gyp_health_limits limits;
 	uint32_t i;
 
-	if (rule == NULL)
+	if (rule == NULL) {
+		end_quarantines(round);
 		return;
+	}
 	limits.failures = rule->u.quarantine.failures;
 	limits.within_ms = rule->u.quarantine.within_ms;
 	limits.for_ms = rule->u.quarantine.for_ms;
--- a/test/test_policy.c
+++ b/test/test_policy.c
@@ -478,6 +478,57 @@
 	fixture_free(fx);
 }
 
+#define QUARANTINE_RULE                                                        \
+	"quarantine failures=3 within=60s for=30s # ravi: bad VMs\n"
+
+/* Until e0, which fails all attempts, is quarantined by that rule. */
+static struct fixture *
+new_with_quarantined(const char *rules)
+{
+	struct fixture *fx = fixture_new(rules);
+	const struct gyp_endpoint *e0;
+	uint64_t jobs[4];
+	uint32_t i, k;
+
+	add_endpoints(fx, 1);
+	e0 = gyp_state_endpoint_by_name(fx->state, "e0");
+	for (i = 0; i < 4; i++)
+		jobs[i] = submit_batch(fx, 1, 1000);
+	for (k = 0; k < 40 && e0->state == GYP_ENDPOINT_ACTIVE; k++) {
+		run_round(fx, 500);
+		for (i = 0; i < 4; i++) {
+			if (placed_tasks(fx, jobs[i]) > 0)
+				end_task(fx, jobs[i], 0,
+				    GYP__OUTCOME__OUTCOME_FAILED, false);
+		}
+	}
+	g_assert_cmpint(e0->state, ==, GYP_ENDPOINT_QUARANTINED);
+	for (i = 0; i < 4; i++)
+		cancel(fx, jobs[i], "");
+	return fx;
+}
+
+/*
+ * Guards against an endpoint that gets no work for ever, since the rule by
+ * which it was quarantined was removed meanwhile.
+ */
+static void
+test_quarantine_rule_removed(void)
+{
+	struct fixture *fx = new_with_quarantined(QUARANTINE_RULE);
+	const struct gyp_endpoint *e0 =
+	    gyp_state_endpoint_by_name(fx->state, "e0");
+	uint32_t k;
+
+	set_rules(fx, "");
+	submit_batch(fx, 4, 1000);
+	for (k = 0; k < 120; k++)
+		run_round(fx, 1000);
+	g_assert_cmpint(e0->state, ==, GYP_ENDPOINT_ACTIVE);
+	g_assert_cmpuint(e0->attempts->len, ==, 4);
+	fixture_free(fx);
+}
+
 /*
  * Failures of a job that fails everywhere are not attributed to endpoints, and
  * failures of several jobs at one endpoint are not attributed to the jobs.
@@ -665,6 +716,8 @@
 	g_test_add_func("/policy/spread-and-limits", test_spread_and_limits);
 	g_test_add_func("/policy/two-gangs", test_two_gangs);
 	g_test_add_func("/policy/quarantine", test_quarantine);
+	g_test_add_func(
+	    "/policy/quarantine-rule-removed", test_quarantine_rule_removed);
 	g_test_add_func("/policy/fault-attribution", test_fault_attribution);
 	g_test_add_func("/policy/long-queue", test_long_queue);
 	g_test_add_func("/policy/full-queue", test_full_queue);
