lasting-down says which endpoints sharing and contact leave out

A lasting task that waits while the tables have room may be kept off by tasks that fill, with which serving tasks share no endpoint, or by endpoints that have registered and never answered this leader. The line had neither: both looked like a pool without endpoints that suit. It now ends with sharing= (with capacity by the tables, left out for what they run) and uncontacted= (of the pool; no answer, or no reading of the clock of the present incarnation). The fields before them are unchanged, so room, no_contact and blocked still leave out the endpoints that sharing counts.

--- a/src/fleet.h
+++ b/src/fleet.h
@@ -239,6 +239,12 @@
 	int64_t restarted_ms_ago; /* -1 if this leader saw no restart */
 };
 
+/*
+ * True if the endpoint has answered this leader and the clock of its present
+ * incarnation was read. Until then gyp_fleet_usable() is false; for logs.
+ */
+bool gyp_fleet_is_contacted(const struct gyp_fleet *, uint32_t row);
+
 /* False when the task has no open run. */
 bool gyp_fleet_run_diagnosis(const struct gyp_fleet *, uint64_t flow,
     uint32_t task, struct gyp_run_diagnosis *);
--- a/src/fleet_diagnosis.c
+++ b/src/fleet_diagnosis.c
@@ -46,6 +46,16 @@
 				  : -1;
 }
 
+bool
+gyp_fleet_is_contacted(const struct gyp_fleet *f, uint32_t row)
+{
+	const struct gyp_fleet_endpoint *endpoint =
+	    row < f->endpoints->len ? f->endpoints->pdata[row] : NULL;
+
+	return endpoint != NULL && endpoint->contacted &&
+	       endpoint->clock_at != 0;
+}
+
 bool
 gyp_fleet_run_diagnosis(const struct gyp_fleet *f, uint64_t flow, uint32_t task,
     struct gyp_run_diagnosis *d)
--- a/src/lasting_watch.c
+++ b/src/lasting_watch.c
@@ -39,11 +39,13 @@
 /* Endpoints of the pool of a unit. */
 struct endpoint_counts {
 	uint32_t suits;
-	uint32_t fits;       /* of these, with free capacity for a task */
-	uint32_t room;       /* with capacity for a task by the tables */
-	uint32_t no_contact; /* of the latter */
-	uint32_t blocked;    /* of the latter */
-	uint32_t suspect;    /* of the latter */
+	uint32_t fits;        /* of these, with free capacity for a task */
+	uint32_t room;        /* with capacity for a task by the tables */
+	uint32_t no_contact;  /* of the latter */
+	uint32_t blocked;     /* of the latter */
+	uint32_t suspect;     /* of the latter */
+	uint32_t sharing;     /* with room, but with filling or serving tasks */
+	uint32_t uncontacted; /* see gyp_fleet_is_contacted() */
 	uint32_t admission[GYP_ADMISSION_ALLOWED + 1]; /* of those that fit */
 };
 
@@ -191,13 +193,21 @@
 		const struct gyp_host *h = gyp_host_at(w->from.flows, row);
 		struct gyp_capacity cap = {.host = NULL};
 		enum gyp_run_stats_state state;
+		enum gyp_misfit misfit;
 
 		if (h == NULL || h->spec->draining || h->spec->gone)
 			continue;
+		n->uncontacted += h->pool == c->flow->pool &&
+				  !gyp_fleet_is_contacted(w->from.fleet, row);
 		gyp_capacity_set_tables(&cap, h);
-		if (!gyp_capacity_suits(&cap, c) ||
+		misfit = gyp_capacity_misfit(&cap, c);
+		if ((misfit != GYP_MISFIT_NONE &&
+			misfit != GYP_MISFIT_SHARING) ||
 		    gyp_capacity_count_tasks(&cap, c) == 0)
 			continue;
+		n->sharing += misfit == GYP_MISFIT_SHARING;
+		if (misfit == GYP_MISFIT_SHARING)
+			continue;
 		state = gyp_run_stats_state(w->from.stats, row, w->now);
 		n->room++;
 		n->no_contact += !gyp_fleet_usable(w->from.fleet, row);
@@ -248,7 +258,8 @@
 		    " state=waiting rank=%u slack=%s under_cap=%u avoids=%d "
 		    "admission=%d query=%s suits=%u fits=%u room=%u "
 		    "no_contact=%u blocked=%u suspect=%u unknown=%u pending=%u "
-		    "denied=%u expired=%u allowed=%u left_out=%u",
+		    "denied=%u expired=%u allowed=%u left_out=%u sharing=%u "
+		    "uncontacted=%u",
 	    TASK_ARGS(o->down), DOWN_ARGS(w, o), c.rank, slack_name(c.slack),
 	    gyp_placer_allowance(w->from.placer, &c),
 	    gyp_run_stats_failed_recently(
@@ -259,7 +270,8 @@
 	    n.admission[GYP_ADMISSION_PENDING],
 	    n.admission[GYP_ADMISSION_DENIED],
 	    n.admission[GYP_ADMISSION_EXPIRED],
-	    n.admission[GYP_ADMISSION_ALLOWED], left_out);
+	    n.admission[GYP_ADMISSION_ALLOWED], left_out, n.sharing,
+	    n.uncontacted);
 }
 
 static void
--- a/test/test_lasting_watch.c
+++ b/test/test_lasting_watch.c
@@ -12,6 +12,7 @@
 #define OUTAGES "gyp_lasting_outage_seconds"
 #define TASK    "flow=00000000000000f1 task=0 "
 #define WAITING "state=waiting rank=1 slack=interrupted under_cap=1 avoids=0 "
+#define NO_MORE "sharing=0 uncontacted=0"
 #define NO_END  "last_end=none refused=0 refuse_reason=none "
 
 struct fixture {
@@ -161,7 +162,7 @@
 	    "lasting-down " TASK "step=0 for_ms=1000 run=1 last_end=failed "
 	    "refused=0 refuse_reason=none " WAITING "admission=0 query=none "
 	    "suits=1 fits=1 room=2 no_contact=0 blocked=1 suspect=0 unknown=1 "
-	    "pending=0 denied=0 expired=0 allowed=0 left_out=0");
+	    "pending=0 denied=0 expired=0 allowed=0 left_out=0 " NO_MORE);
 	f->base.base.now += 250;
 	start(f, 2, GYP_FLEET_OK);
 	scan_after(f, 900);
@@ -188,7 +189,33 @@
 	    "lasting-down " TASK "step=0 for_ms=1000 run=3 last_end=stopped "
 	    "refused=2 refuse_reason=ticket " WAITING "admission=1 query=none "
 	    "suits=2 fits=2 room=2 no_contact=0 blocked=0 suspect=0 unknown=2 "
-	    "pending=0 denied=0 expired=0 allowed=0 left_out=0");
+	    "pending=0 denied=0 expired=0 allowed=0 left_out=0 " NO_MORE);
+}
+
+/*
+ * The only endpoints are one with filling tasks and one that has registered and
+ * never answered: the line must tell the two apart.
+ */
+static void
+test_left_out_endpoints(struct fixture *f)
+{
+	struct flow_fixture *base = &f->base.base;
+	Gyp__FlowStep fills = flow_fixture_step(2);
+
+	fills.fills = true;
+	placer_fixture_submit(&f->base, FLOW + 1, 2, fills);
+	flow_fixture_start(base, FLOW + 1, 0, 0, 1, 0);
+	flow_fixture_start(base, FLOW + 1, 1, 1, 1, 1);
+	gyp_flow_get(base->flows, FLOW)->spec->steps[0]->tail_ms = 50;
+	flow_fixture_add_host(base, "e2", 1);
+	scan_after(f, 0);
+	scan_after(f, 1000);
+	expect_line(f,
+	    "lasting-down " TASK "step=0 for_ms=1000 run=0 " NO_END
+	    "state=waiting rank=1 slack=in-time under_cap=1 avoids=0 "
+	    "admission=0 query=none suits=0 fits=0 room=1 no_contact=1 "
+	    "blocked=0 suspect=0 unknown=0 pending=0 denied=0 expired=0 "
+	    "allowed=0 left_out=0 sharing=2 uncontacted=1");
 }
 
 /* Outages between two scans must be counted, without a line each. */
@@ -249,8 +276,9 @@
 			      : 30 - GYP_LASTING_LINES_MAX;
 		for (i = 0; i < n; i++) {
 			g_assert_true(gyp_events_pop(f->events, &e));
-			g_assert_true(g_str_has_suffix(e.fields,
-			    scan == 0 ? " left_out=10" : " left_out=0"));
+			g_assert_true(g_str_has_suffix(
+			    e.fields, scan == 0 ? " left_out=10 " NO_MORE
+						: " left_out=0 " NO_MORE));
 			g_free(e.fields);
 		}
 		expect_line(f, NULL);
@@ -274,6 +302,7 @@
 } scripts[] = {{"/lasting/silent-endpoint", 1, test_silent_endpoint},
     {"/lasting/blocked-endpoints", 1, test_blocked_endpoints},
     {"/lasting/refused-starts", 1, test_refused_starts},
+    {"/lasting/left-out-endpoints", 1, test_left_out_endpoints},
     {"/lasting/short-outages", 1, test_short_outages},
     {"/lasting/new-leader", 1, test_new_leader},
     {"/lasting/lines-are-bounded", 30, test_lines_are_bounded},
