Clear endpoints of filling work for lasting tasks that serve

Cause: filling and serving tasks share no endpoint. Filling tasks book no processor and suit every endpoint without serving tasks, and as one ends the next starts there in the same round. Nothing held an endpoint for the serving task: reservations, holds and preemption skip endpoints that do not suit, and so do admission queries, so the task was not even asked about them.

Now (clearing.h) as many endpoints as the waiting tasks need are held: no filling task starts there, and no later unit gets the room. After 1 s the filling runs on them are stopped, those that lose the least first, within the limit on stops. Queries name such endpoints too, after those with room. Filling work takes what others leave, so its priority does not count. It keeps all other endpoints; lasting runs and gangs are never stopped; tasks that failed within 1.5 s hold nothing.

--- a/src/admission_query.c
+++ b/src/admission_query.c
@@ -28,6 +28,9 @@
 #define AVAILABLE_BONUS 100
 #define ALLOWED_BONUS   10
 
+/* The first is smaller for an endpoint that must be cleared before. */
+#define CLEARED_BONUS 50
+
 /*
  * Returns the number of endpoints whose naming costs a quarter of the query
  * itself.
@@ -62,6 +65,14 @@
 	return (double)claimed->cpu_milli / (cap->host->capacity.cpu_milli + 1);
 }
 
+static double
+available_bonus(uint32_t tasks, bool cleared)
+{
+	if (tasks == 0)
+		return 0;
+	return cleared ? CLEARED_BONUS : AVAILABLE_BONUS;
+}
+
 /*
  * Adds the endpoint to the ranking unless it is unsuitable or its answer is
  * already known or pending. Returns true when it was added and has free
@@ -73,11 +84,12 @@
     enum gyp_admission_state state, const struct gyp_candidate *c)
 {
 	struct gyp_ranked_endpoint endpoint = {.row = row};
+	bool cleared = gyp_capacity_suits_when_cleared(cap, c);
 	struct gyp_res claimed;
 
 	if ((state != GYP_ADMISSION_UNKNOWN &&
 		state != GYP_ADMISSION_EXPIRED) ||
-	    !gyp_capacity_suits(cap, c))
+	    (!cleared && !gyp_capacity_suits(cap, c)))
 		return false;
 	claimed = gyp_admission_claimed(a, row);
 	endpoint.count = gyp_capacity_count_tasks(cap, c);
@@ -85,7 +97,7 @@
 	endpoint.score = gyp_capacity_score(cap, c) -
 			 claim_penalty(cap, c, &claimed) +
 			 (endpoint.allowed_before ? ALLOWED_BONUS : 0) +
-			 (endpoint.count > 0 ? AVAILABLE_BONUS : 0);
+			 available_bonus(endpoint.count, cleared);
 	g_array_append_val(ranking, endpoint);
 	return endpoint.count > 0;
 }
--- a/src/admission_query.h
+++ b/src/admission_query.h
@@ -20,7 +20,9 @@
  *	about half of them each. Where naming an endpoint is cheap compared with
  *	the query itself, it also names some that are full now but may have free
  *	capacity before the ticket expires. No query is sent while no endpoint
- *	has free capacity for a task of the unit.
+ *	has free capacity for a task of the unit. Endpoints that would have to
+ *	be cleared of filling tasks (see clearing.h) count as having it, but
+ *	come after the others.
  *
  *	And this one: lasting tasks that lost their runs, all of which must run
  *	again within seconds. Their endpoints are divided among several queries
--- a/src/capacity_index.c
+++ b/src/capacity_index.c
@@ -72,6 +72,8 @@
 	if (gyp_fleet_usable(index->fleet, row) &&
 	    cap->state < GYP_RUN_STATS_PROBING)
 		gyp_capacity_set_tables(cap, gyp_host_at(index->flows, row));
+	cap->may_clear =
+	    cap->runs_filling && gyp_preempt_may_clear(index->preempt, row);
 }
 
 /*
@@ -239,6 +241,23 @@
 	return gyp_capacity_misfit(cap, c) == GYP_MISFIT_NONE;
 }
 
+bool
+gyp_candidate_clears(const struct gyp_candidate *c)
+{
+	const Gyp__FlowStep *step = c->unit->step;
+
+	return step->lasting && step->tail_ms > 0 && !step->fills &&
+	       !step->gang;
+}
+
+bool
+gyp_capacity_suits_when_cleared(
+    const struct gyp_capacity *cap, const struct gyp_candidate *c)
+{
+	return cap->may_clear && gyp_candidate_clears(c) &&
+	       gyp_capacity_misfit(cap, c) == GYP_MISFIT_SHARING;
+}
+
 void
 gyp_capacity_index_count_misfits(const struct gyp_capacity_index *index,
     const struct gyp_candidate *c, uint32_t counts[GYP_MISFITS])
--- a/src/capacity_index.h
+++ b/src/capacity_index.h
@@ -36,6 +36,7 @@
 	struct gyp_res releasing; /* becomes free when runs being stopped end */
 	bool runs_serving;        /* runs tasks with a bound on tail latency */
 	bool runs_filling;        /* runs tasks that use all spare capacity */
+	bool may_clear; /* of these, all could be stopped, see preempt.h */
 	enum gyp_run_stats_state state;
 	double slowdown;
 };
@@ -117,6 +118,16 @@
 bool gyp_capacity_suits(
     const struct gyp_capacity *, const struct gyp_candidate *);
 
+/* True when endpoints may be cleared of filling tasks for the unit. */
+bool gyp_candidate_clears(const struct gyp_candidate *);
+
+/*
+ * True when the endpoint would suit if the filling tasks there were stopped,
+ * and they may be, see clearing.h.
+ */
+bool gyp_capacity_suits_when_cleared(
+    const struct gyp_capacity *, const struct gyp_candidate *);
+
 /*
  * True when the tasks of the unit are packed on few endpoints, the fullest
  * first.
@@ -129,7 +140,7 @@
 
 /*
  * Returns how many more tasks of the unit the endpoint can take. Requires
- * gyp_capacity_suits().
+ * gyp_capacity_suits() or gyp_capacity_suits_when_cleared().
  */
 uint32_t gyp_capacity_count_tasks(
     const struct gyp_capacity *, const struct gyp_candidate *);
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -28,6 +28,7 @@
 #include "admission_query.h"    /* which endpoints a query names */
 #include "capacity_index.h"     /* free capacity during a placement round */
 #include "carriers.h"           /* assigns the leader's calls to entries */
+#include "clearing.h"           /* endpoints cleared of filling tasks */
 #include "cusum.h"              /* endpoints that fail part of their runs */
 #include "endpoint_ranking.h"   /* endpoints for the tasks of a unit */
 #include "endpoint_speed.h"     /* learned speed of each endpoint */
--- a/src/placer.c
+++ b/src/placer.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "admission_prefetch.h"
+#include "clearing.h"
 #include "endpoint_ranking.h"
 #include "msg.h"
 #include "placer.h"
@@ -33,6 +34,7 @@
 	struct gyp_capacity_index *capacities;    /* of this round */
 	struct gyp_placer_candidates *candidates; /* of this round */
 	struct gyp_query_holds *holds;
+	struct gyp_clearing *clearing;
 	GPtrArray *runs; /* Gyp__FlowRun of the unit being placed */
 	uint64_t now;
 	uint32_t runs_left; /* runs that this round may still propose */
@@ -564,8 +566,9 @@
 	p->summary.queried += queried;
 	note_wait(
 	    p, c, queried ? GYP_PLACER_WAIT_QUERY : GYP_PLACER_WAIT_CAPACITY);
-	gyp_query_holds_add(
-	    p->holds, c, waiting - reserve_capacity(p, c, waiting));
+	waiting -= reserve_capacity(p, c, waiting);
+	gyp_query_holds_add(p->holds, c, waiting);
+	gyp_clearing_add(p->clearing, c, waiting);
 }
 
 void
@@ -588,6 +591,7 @@
 		return;
 	gyp_preempt_begin_round(p->preempt, p->now);
 	gyp_capacity_index_begin_round(p->capacities, p->now);
+	gyp_clearing_begin_round(p->clearing);
 	for (i = 0; i < p->candidates->units->len; i++)
 		schedule_unit(p,
 		    &g_array_index(
@@ -630,6 +634,8 @@
 	p->candidates =
 	    gyp_placer_candidates_new(flows, fleet, admission, stats);
 	p->holds = gyp_query_holds_new(p->capacities, admission);
+	p->clearing =
+	    gyp_clearing_new(p->capacities, p->preempt, admission, stats);
 	p->workspaces =
 	    g_array_new(FALSE, TRUE, sizeof(struct workspace_round));
 	p->waiting = g_hash_table_new_full(NULL, NULL, NULL, g_free);
@@ -646,6 +652,7 @@
 	gyp_capacity_index_free(p->capacities);
 	gyp_placer_candidates_free(p->candidates);
 	gyp_query_holds_free(p->holds);
+	gyp_clearing_free(p->clearing);
 	g_array_free(p->workspaces, TRUE);
 	g_hash_table_destroy(p->waiting);
 	g_ptr_array_free(p->runs, TRUE);
--- a/src/placer.h
+++ b/src/placer.h
@@ -33,7 +33,8 @@
  *	  where it failed.
  *
  *	For tasks that cannot be placed, capacity is reserved (see reserve.h)
- *	and less urgent runs are stopped (see preempt.h).
+ *	and less urgent runs are stopped (see preempt.h). Endpoints are cleared
+ *	of filling work for lasting tasks that serve (see clearing.h).
  *
  *	A round reads the tables, the fleet and the admission state, and returns
  *	commands and admission queries. It changes none of the tables: a
--- a/src/preempt.c
+++ b/src/preempt.c
@@ -140,6 +140,20 @@
 	       (double)min_ms;
 }
 
+/* Fills in all of v but its key. */
+static void
+set_loss(const struct gyp_preempt *p, const struct gyp_host_run *r,
+    const struct gyp_run_view *view, struct victim *v)
+{
+	const struct gyp_flow_unit *u = gyp_flow_unit_of(r->flow, r->task);
+	uint64_t up_ms = p->now - MIN(p->now, view->confirmed_at);
+
+	v->lost_ms = u->step->checkpoints ? 0 : up_ms;
+	v->size = u->size;
+	v->run = r->flow->tasks[r->task].run;
+	v->spared = false;
+}
+
 /* Fills in v; false when the run must not be stopped for that rank. */
 static bool
 init_victim(const struct gyp_preempt *p, const struct gyp_host_run *r,
@@ -147,7 +161,6 @@
 {
 	const struct gyp_flow_unit *u = gyp_flow_unit_of(r->flow, r->task);
 	const struct gyp_run_view *view;
-	uint64_t up_ms;
 
 	if (gyp_flow_rank(r->flow, gyp_flows_time(p->flows)) <= rank ||
 	    u->step->lasting || u->step->gang ||
@@ -160,11 +173,7 @@
 	    view->percent > NEARLY_DONE_PERCENT ||
 	    g_hash_table_contains(p->stopping, &v->key))
 		return false;
-	up_ms = p->now - MIN(p->now, view->confirmed_at);
-	v->lost_ms = u->step->checkpoints ? 0 : up_ms;
-	v->size = u->size;
-	v->run = r->flow->tasks[r->task].run;
-	v->spared = false;
+	set_loss(p, r, view, v);
 	return v->lost_ms < LOST_WORK_MAX_MS &&
 	       (r->flow->spec->excess || has_slack(p, r, u));
 }
@@ -307,6 +316,91 @@
 	return true;
 }
 
+/* ---- Clearing ----------------------------------------------------------- */
+
+/*
+ * Finds the confirmed filling runs on the endpoint that are not being stopped.
+ */
+static void
+find_filling(const struct gyp_preempt *p, uint32_t row)
+{
+	const struct gyp_host *h = gyp_host_at(p->flows, row);
+	guint i;
+
+	g_array_set_size(p->victims, 0);
+	for (i = 0; h != NULL && i < h->runs->len; i++) {
+		const struct gyp_host_run *r =
+		    &g_array_index(h->runs, struct gyp_host_run, i);
+		const struct gyp_run_view *view =
+		    gyp_fleet_run_view(p->fleet, r->flow->id, r->task);
+		struct victim v = {
+		    .key = {.flow = r->flow->id, .index = r->task}};
+
+		if (!gyp_flow_unit_of(r->flow, r->task)->step->fills ||
+		    gyp_flow_run_is_unwanted(r->flow, r->task) ||
+		    view == NULL || !view->confirmed ||
+		    g_hash_table_contains(p->stopping, &v.key))
+			continue;
+		set_loss(p, r, view, &v);
+		g_array_append_val(p->victims, v);
+	}
+}
+
+bool
+gyp_preempt_may_clear(const struct gyp_preempt *p, uint32_t row)
+{
+	const struct gyp_host *h = gyp_host_at(p->flows, row);
+	guint i;
+
+	for (i = 0; h != NULL && i < h->runs->len; i++) {
+		const struct gyp_host_run *r =
+		    &g_array_index(h->runs, struct gyp_host_run, i);
+		const Gyp__FlowStep *step =
+		    gyp_flow_unit_of(r->flow, r->task)->step;
+
+		if (step->fills && (step->lasting || step->gang))
+			return false;
+	}
+	return h != NULL;
+}
+
+double
+gyp_preempt_clearing_cost(const struct gyp_preempt *p, uint32_t row)
+{
+	double sum = 0;
+	guint i;
+
+	find_filling(p, row);
+	for (i = 0; i < p->victims->len; i++) {
+		const struct victim *v =
+		    &g_array_index(p->victims, struct victim, i);
+		const struct gyp_flow *flow =
+		    gyp_flow_get(p->flows, v->key.flow);
+		const Gyp__FlowStep *step =
+		    gyp_flow_unit_of(flow, v->key.index)->step;
+
+		/* Filling runs book no processors, but use them. */
+		sum += (double)v->lost_ms *
+		       (step->size != NULL ? step->size->cpu_milli : 0);
+	}
+	return sum;
+}
+
+void
+gyp_preempt_clear(struct gyp_preempt *p, uint32_t row, uint64_t for_flow)
+{
+	guint i;
+
+	if (row >= p->reclaimable->len)
+		return;
+	find_filling(p, row);
+	for (i = 0; i < p->victims->len &&
+		    g_hash_table_size(p->stopping) < max_stops(p);
+	     i++)
+		stop_victim(p, &g_array_index(p->victims, struct victim, i),
+		    row, for_flow);
+}
+
 bool
 gyp_preempt_pop(struct gyp_preempt *p, struct gyp_preempt_stop *stop)
 {
--- a/src/preempt.h
+++ b/src/preempt.h
@@ -25,6 +25,9 @@
  *	are stopped. Their resources count as being released, and as free only
  *	after their ends are committed.
  *
+ *	Filling runs are besides stopped for lasting tasks that serve, whatever
+ *	their priority and what is lost: see clearing.h, which decides when.
+ *
  *	The number of runs being stopped at a time is limited, so that a long
  *	queue does not replace all work of the pool at once.
  */
@@ -68,6 +71,24 @@
 bool gyp_preempt_select(struct gyp_preempt *, uint32_t row, uint32_t rank,
     const struct gyp_res *need, uint64_t for_flow, struct gyp_res *freed);
 
+/*
+ * True when all filling runs on the endpoint may be stopped for a task that
+ * serves: none of them lasts or is of a gang.
+ */
+bool gyp_preempt_may_clear(const struct gyp_preempt *, uint32_t row);
+
+/*
+ * Work lost if the filling runs on the endpoint that are not being stopped were
+ * stopped, in thousandths of a processor times ms.
+ */
+double gyp_preempt_clearing_cost(const struct gyp_preempt *, uint32_t row);
+
+/*
+ * Stops the filling runs on the endpoint for a flow, as far as the limit on
+ * stops allows. Those that are not confirmed yet are left to a later round.
+ */
+void gyp_preempt_clear(struct gyp_preempt *, uint32_t row, uint64_t for_flow);
+
 /* Pops the next run to stop; false when none is left. */
 bool gyp_preempt_pop(struct gyp_preempt *, struct gyp_preempt_stop *);
 
--- a/test/test_lasting_placement.c
+++ b/test/test_lasting_placement.c
@@ -1,5 +1,6 @@
 #include <glib.h>
 
+#include "clearing.h"
 #include "flow_scheduler.h"
 #include "lasting_load.h"
 #include "placer_fixture.h"
@@ -337,6 +338,139 @@
 	g_assert_cmpuint(failed, ==, 1);
 }
 
+/* ---- Endpoints with filling work ---------------------------------------- */
+
+/* Interval at which each endpoint ends a filling run as done, in ms. */
+#define FILLING_END_MS 500
+
+/* A serving task waits beside a stream of filling work; the queue of each. */
+struct filled_case {
+	uint32_t filling_priority;
+	bool admission; /* of the serving task */
+};
+
+static void
+end_first_filling_run(struct placer_fixture *f, uint32_t row)
+{
+	const struct gyp_host *h = gyp_host_at(f->base.flows, row);
+	guint i;
+
+	for (i = 0; i < h->runs->len; i++) {
+		const struct gyp_host_run *r =
+		    &g_array_index(h->runs, struct gyp_host_run, i);
+
+		if (r->flow->id == 9) {
+			placer_fixture_end_run(
+			    f, 9, r->task, GYP__FLOW_HOW__FLOW_DONE);
+			return;
+		}
+	}
+}
+
+/* Ends what the last round stopped, and answers its queries. */
+static void
+settle_filled(struct placer_fixture *f)
+{
+	struct gyp_preempt_stop stop;
+	guint i;
+
+	while (gyp_placer_pop_stop(f->placer, &stop))
+		placer_fixture_end_run(
+		    f, stop.flow, stop.task, GYP__FLOW_HOW__FLOW_STOPPED);
+	for (i = 0; i < f->queries->len; i++)
+		placer_fixture_allow_all(f, f->queries->pdata[i]);
+	placer_fixture_apply(f);
+	placer_fixture_confirm(f);
+}
+
+/* Runs rounds while filling runs end and others start in their place. */
+static void
+advance_filled(struct placer_fixture *f, uint64_t ms)
+{
+	uint64_t end = f->base.now + ms;
+	uint32_t row;
+
+	while (f->base.now < end &&
+	       (ms == FILLING_END_MS ||
+		   gyp_flow_get(f->base.flows, 1)->open == 0)) {
+		placer_fixture_run_round(f, PLACER_QUERY_SLOTS);
+		settle_filled(f);
+		advance(f, ROUND_MS);
+		for (row = 0; row < gyp_hosts_size(f->base.flows) &&
+			      f->base.now % FILLING_END_MS == 0;
+		     row++)
+			end_first_filling_run(f, row);
+	}
+}
+
+/*
+ * Filling work on all endpoints books no processor, and further filling tasks
+ * start as others end. A task that serves shares no endpoint with it, and must
+ * run all the same; the filling work goes on at the other endpoint.
+ */
+static void
+test_filled_endpoints(gconstpointer arg)
+{
+	const struct filled_case *t = arg;
+	Gyp__FlowStep serves = lasting_step(1);
+	Gyp__FlowStep fills = flow_fixture_step(1000);
+	const struct gyp_host *h;
+	struct placer_fixture f;
+	uint64_t begin;
+
+	serves.tail_ms = 50;
+	fills.fills = true;
+	fills.spread = 4;
+	placer_fixture_init(&f, 2);
+	placer_fixture_submit(&f, 9, t->filling_priority, fills);
+	advance_filled(&f, FILLING_END_MS);
+	/* Filling runs have ended, and others took their place. */
+	g_assert_cmpuint(gyp_flow_get(f.base.flows, 9)->units[0].left, ==, 998);
+	g_assert_cmpuint(gyp_host_at(f.base.flows, 0)->filling, ==, 4);
+	placer_fixture_submit(&f, 1, 1, serves);
+	placer_fixture_set_queue(&f, 1, 1, t->admission, 0, 0);
+	begin = f.base.now;
+	advance_filled(&f, 60000);
+	g_assert_cmpuint(f.base.now - begin, <=, ROOM_MS);
+	advance_filled(&f, FILLING_END_MS);
+	h = gyp_host_at(
+	    f.base.flows, gyp_flow_get(f.base.flows, 1)->tasks[0].row);
+	g_assert_cmpuint(h->serving, ==, 1);
+	g_assert_cmpuint(h->filling, ==, 0);
+	g_assert_cmpuint(gyp_host_at(f.base.flows, 1 - h->row)->filling, ==, 4);
+	placer_fixture_clear(&f);
+}
+
+/*
+ * A serving task that has just failed must not have filling work stopped: if it
+ * fails at once each time, that work would never end.
+ */
+static void
+test_failing_task_clears_nothing(void)
+{
+	Gyp__FlowStep serves = lasting_step(1);
+	Gyp__FlowStep fills = flow_fixture_step(2);
+	struct gyp_preempt_stop stop;
+	struct placer_fixture f;
+	uint64_t end;
+
+	serves.tail_ms = 50;
+	fills.fills = true;
+	placer_fixture_init(&f, 1);
+	placer_fixture_submit(&f, 1, 1, serves);
+	placer_fixture_submit(&f, 9, 2, fills);
+	flow_fixture_start(&f.base, 9, 0, 1, 1, 0);
+	placer_fixture_confirm(&f);
+	end = f.base.now + 10 * GYP_CLEARING_WAIT_MS;
+	while (f.base.now < end) {
+		gyp_run_stats_failed(f.stats, 1, 0, 1, f.base.now);
+		placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+		g_assert_false(gyp_placer_pop_stop(f.placer, &stop));
+		advance(&f, ROUND_MS);
+	}
+	placer_fixture_clear(&f);
+}
+
 /* ---- Load ---------------------------------------------------------------- */
 
 static uint64_t
@@ -404,6 +538,10 @@
 	run_load(&cfg);
 }
 
+static const struct filled_case less_urgent = {2, false};
+static const struct filled_case more_urgent = {0, false};
+static const struct filled_case queried = {2, true};
+
 int
 main(int argc, char **argv)
 {
@@ -422,6 +560,14 @@
 	    "/lasting-placement/query-finds-memory", test_query_finds_memory);
 	g_test_add_func("/lasting-placement/query-after-failed-entry",
 	    test_query_after_failed_entry);
+	g_test_add_data_func("/lasting-placement/filled-endpoints",
+	    &less_urgent, test_filled_endpoints);
+	g_test_add_data_func("/lasting-placement/more-urgent-filling",
+	    &more_urgent, test_filled_endpoints);
+	g_test_add_data_func("/lasting-placement/filled-endpoints-queried",
+	    &queried, test_filled_endpoints);
+	g_test_add_func("/lasting-placement/failing-task-clears-nothing",
+	    test_failing_task_clears_nothing);
 	g_test_add_func("/lasting-placement/load/quiet", test_load_quiet);
 	g_test_add_func("/lasting-placement/load/gone", test_load_gone);
 	g_test_add_func("/lasting-placement/load/failing", test_load_failing);
