health: a failure during a quarantine is no failed probe

Cause: attempts that run beside the failing ones, or that are placed in the round that proposes the quarantine, may fail after it has begun. They were counted as a failed probe once it was over, so the next quarantine, of twice the length, began without a probe. health.h promises one quarantine for each fault.

Change: an endpoint on probation is faulty only by what failed since the end of its quarantine. The other failures are still recorded, as they tell whether a job or an endpoint is at fault.

Evidence, before: /policy/failure-during-quarantine "'gyp_health_is_faulty_endpoint(h, 13, &limits, 560)' should be FALSE". After: it passes with the others of test_policy, and test_cell.

--- a/src/health.c
+++ b/src/health.c
@@ -218,6 +218,19 @@
 	return attributed >= GYP_HEALTH_FAULTY_JOB_ENDPOINTS;
 }
 
+/* Attempts from before a quarantine may fail during it: they are no probes. */
+static bool
+failed_since(const struct endpoint_record *e, uint64_t since)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->n_recent; i++) {
+		if (e->recent[i].failed_at >= since)
+			return true;
+	}
+	return false;
+}
+
 bool
 gyp_health_is_faulty_endpoint(const struct gyp_health *h, uint64_t endpoint,
     const struct gyp_health_limits *limits, uint64_t now)
@@ -230,7 +243,7 @@
 		return false;
 	/* A single failed probe is enough. */
 	if (e->probation)
-		return e->n_recent > 0;
+		return failed_since(e, e->quarantine_until);
 	for (i = 0; i < e->n_recent; i++)
 		count += e->recent[i].failed_at + limits->within_ms >= now &&
 			 !gyp_health_is_faulty_job(h, e->recent[i].job);
--- a/test/test_policy.c
+++ b/test/test_policy.c
@@ -529,6 +529,29 @@
 	fixture_free(fx);
 }
 
+/*
+ * Guards against a second, longer quarantine without a probe: an attempt from
+ * before the first one that fails during it shows nothing new.
+ */
+static void
+test_failure_during_quarantine(void)
+{
+	struct gyp_health *h = gyp_health_new();
+	struct gyp_health_limits limits = {
+	    .failures = 2, .within_ms = 1000, .for_ms = 500};
+
+	gyp_health_record_failure(h, 1, 13, 40);
+	gyp_health_record_failure(h, 2, 13, 50);
+	g_assert_true(gyp_health_is_faulty_endpoint(h, 13, &limits, 60));
+	gyp_health_quarantine(h, 13, &limits, 60);
+	gyp_health_record_failure(h, 3, 13, 100);
+	g_assert_true(gyp_health_may_probe(h, 13, 560));
+	g_assert_false(gyp_health_is_faulty_endpoint(h, 13, &limits, 560));
+	gyp_health_record_failure(h, 4, 13, 570);
+	g_assert_true(gyp_health_is_faulty_endpoint(h, 13, &limits, 570));
+	gyp_health_free(h);
+}
+
 /*
  * Failures of a job that fails everywhere are not attributed to endpoints, and
  * failures of several jobs at one endpoint are not attributed to the jobs.
@@ -718,6 +741,8 @@
 	g_test_add_func("/policy/quarantine", test_quarantine);
 	g_test_add_func(
 	    "/policy/quarantine-rule-removed", test_quarantine_rule_removed);
+	g_test_add_func("/policy/failure-during-quarantine",
+	    test_failure_during_quarantine);
 	g_test_add_func("/policy/fault-attribution", test_fault_attribution);
 	g_test_add_func("/policy/long-queue", test_long_queue);
 	g_test_add_func("/policy/full-queue", test_full_queue);
