policy: a probe that lasts ends the probation of its endpoint

Callers would see jobs that wait for ever beside an endpoint with room: after a quarantine it takes one task, and opens when that one is done. A task of a service is never done. The endpoint stayed closed as well, even to a probe, as long as a task from before the quarantine ran.

Change: an attempt that was placed since the quarantine ended and has run for 10 s counts as a success of the endpoint. Attempts from before are no probes and leave room for one.

Evidence, before: /policy/probe-without-end "assertion failed (e0->attempts->len == 5): (1 == 5)" after 120 s, /policy/probe-beside-older-task "assertion failed (e0->attempts->len == 2): (1 == 2)". After: both pass with the others of test_policy, and test_cell.

--- a/src/health.c
+++ b/src/health.c
@@ -287,6 +287,15 @@
 	return e == NULL || now >= e->quarantine_until;
 }
 
+uint64_t
+gyp_health_quarantine_end(const struct gyp_health *h, uint64_t endpoint)
+{
+	const struct endpoint_record *e =
+	    g_hash_table_lookup(h->endpoints, &endpoint);
+
+	return e != NULL ? e->quarantine_until : 0;
+}
+
 bool
 gyp_health_on_probation(const struct gyp_health *h, uint64_t endpoint)
 {
--- a/src/health.h
+++ b/src/health.h
@@ -15,7 +15,8 @@
  *	endpoint are attributed to the endpoint. Failures of one job at several
  *	endpoints are attributed to the job and then count against no
  *	endpoint. A success clears the failures of the job and of the endpoint,
- *	and ends the endpoint's quarantine and probation.
+ *	and ends the endpoint's quarantine and probation. Some tasks never end:
+ *	a probe that lasts ends the probation too, see GYP_HEALTH_PROBE_MS.
  *
  *	Keeps at most GYP_HEALTH_JOBS_MAX jobs, and GYP_HEALTH_FAILURES_MAX
  *	failures of each endpoint. Times are milliseconds of cell time.
@@ -30,6 +31,9 @@
 /* Longest quarantine, as a multiple of the limit's for_ms. */
 #define GYP_HEALTH_BACKOFF_MAX 16
 
+/* A probe that has run for this long without failing is a success, in ms. */
+#define GYP_HEALTH_PROBE_MS 10000
+
 struct gyp_health_limits {
 	uint32_t failures;   /* of this many jobs make an endpoint faulty */
 	uint32_t within_ms;  /* age up to which failures count */
@@ -66,6 +70,10 @@
 bool gyp_health_may_probe(
     const struct gyp_health *, uint64_t endpoint, uint64_t now);
 
+/* End of the endpoint's latest quarantine, 0 for none. */
+uint64_t gyp_health_quarantine_end(
+    const struct gyp_health *, uint64_t endpoint);
+
 /* True from the start of a quarantine to the next success. */
 bool gyp_health_on_probation(const struct gyp_health *, uint64_t endpoint);
 
--- a/src/policy_faults.c
+++ b/src/policy_faults.c
@@ -10,6 +10,34 @@
 	g_array_append_val(round->out->transitions, transition);
 }
 
+/*
+ * Counts the attempts from before the end of the quarantine. Those that were
+ * placed since are probes; one of them that lasts ends the probation.
+ */
+static void
+check_probes(struct gyp_policy *p, struct endpoint_view *view)
+{
+	uint64_t quarantine_end =
+	    gyp_health_quarantine_end(p->health, view->id);
+	guint i;
+
+	view->tasks_before_probe = 0;
+	for (i = 0; i < view->ep->attempts->len; i++) {
+		const struct gyp_task_ref *ref =
+		    &g_array_index(view->ep->attempts, struct gyp_task_ref, i);
+		uint64_t placed_ms = gyp_state_job(p->state, ref->job)
+					 ->tasks[ref->task]
+					 .changed_ms;
+
+		if (placed_ms < quarantine_end)
+			view->tasks_before_probe++;
+		else if (p->now >= placed_ms + GYP_HEALTH_PROBE_MS)
+			view->probing = false;
+	}
+	if (!view->probing)
+		gyp_health_forget_endpoint(p->health, view->id);
+}
+
 static void
 update_endpoint(struct round *round, struct endpoint_view *view,
     const struct gyp_health_limits *limits)
@@ -27,6 +55,8 @@
 		   gyp_health_may_probe(p->health, view->id, p->now)) {
 		add_transition(
 		    round, view, GYP_ENDPOINT_QUARANTINED, GYP_ENDPOINT_ACTIVE);
+	} else if (view->probing && view->usable) {
+		check_probes(p, view);
 	}
 }
 
--- a/src/policy_index.c
+++ b/src/policy_index.c
@@ -470,7 +470,8 @@
 
 	if (!view->usable || !gyp_res_fits(q->size, &view->available))
 		return false;
-	if (view->tasks >= q->max_tasks || (view->probing && view->tasks > 0))
+	if (view->tasks >= q->max_tasks ||
+	    (view->probing && view->tasks > view->tasks_before_probe))
 		return false;
 	if (q->avoid_failed &&
 	    gyp_health_failed_at(s->policy->health, q->job->id, view->id))
--- a/src/policy_int.h
+++ b/src/policy_int.h
@@ -42,8 +42,9 @@
 	struct gyp_res available;
 	const struct gyp_endpoint *ep;
 	uint32_t tasks;
-	bool usable;         /* active */
-	bool probing;        /* back from quarantine: one task at a time */
+	bool usable;  /* active */
+	bool probing; /* back from quarantine: one task at a time */
+	uint32_t tasks_before_probe; /* placed before the quarantine ended */
 	uint64_t held_for;   /* job of a reservation or eviction, or 0 */
 	uint64_t held_until; /* for evictions only */
 	uint32_t bucket;     /* of the grid; UINT32_MAX for none */
--- a/test/test_policy.c
+++ b/test/test_policy.c
@@ -481,17 +481,14 @@
 #define QUARANTINE_RULE                                                        \
 	"quarantine failures=3 within=60s for=30s # ravi: bad VMs\n"
 
-/* Until e0, which fails all attempts, is quarantined by that rule. */
-static struct fixture *
-new_with_quarantined(const char *rules)
+/* Submits four jobs; endpoint e0 fails them until it is quarantined. */
+static void
+fail_until_quarantined(struct fixture *fx, uint64_t jobs[4])
 {
-	struct fixture *fx = fixture_new(rules);
-	const struct gyp_endpoint *e0;
-	uint64_t jobs[4];
+	const struct gyp_endpoint *e0 =
+	    gyp_state_endpoint_by_name(fx->state, "e0");
 	uint32_t i, k;
 
-	add_endpoints(fx, 1);
-	e0 = gyp_state_endpoint_by_name(fx->state, "e0");
 	for (i = 0; i < 4; i++)
 		jobs[i] = submit_batch(fx, 1, 1000);
 	for (k = 0; k < 40 && e0->state == GYP_ENDPOINT_ACTIVE; k++) {
@@ -503,6 +500,18 @@
 		}
 	}
 	g_assert_cmpint(e0->state, ==, GYP_ENDPOINT_QUARANTINED);
+}
+
+/* A fixture with endpoint e0 only, which is quarantined and idle. */
+static struct fixture *
+new_with_quarantined(const char *rules)
+{
+	struct fixture *fx = fixture_new(rules);
+	uint64_t jobs[4];
+	uint32_t i;
+
+	add_endpoints(fx, 1);
+	fail_until_quarantined(fx, jobs);
 	for (i = 0; i < 4; i++)
 		cancel(fx, jobs[i], "");
 	return fx;
@@ -552,6 +561,62 @@
 	gyp_health_free(h);
 }
 
+/*
+ * Guards against an endpoint that is closed to all others as long as its probe
+ * runs: a task of a service has no end.
+ */
+static void
+test_probe_without_end(void)
+{
+	struct fixture *fx = new_with_quarantined(QUARANTINE_RULE);
+	const struct gyp_endpoint *e0 =
+	    gyp_state_endpoint_by_name(fx->state, "e0");
+	uint32_t k;
+
+	submit(fx, (struct job_params){
+		       GYP__KIND__KIND_WATCHER, "press", "batch", 1, 1000, 0});
+	for (k = 0; k < 120 && e0->attempts->len == 0; k++)
+		run_round(fx, 1000);
+	g_assert_cmpuint(e0->attempts->len, ==, 1);
+	submit_batch(fx, 4, 1000);
+	run_round(fx, 1000);
+	g_assert_cmpuint(e0->attempts->len, ==, 1);
+	for (k = 0; k < 120; k++)
+		run_round(fx, 1000);
+	g_assert_cmpuint(e0->attempts->len, ==, 5);
+	fixture_free(fx);
+}
+
+/*
+ * Guards against an endpoint that gets no probe as long as a task from before
+ * its quarantine runs.
+ */
+static void
+test_probe_beside_older_task(void)
+{
+	struct fixture *fx = fixture_new(QUARANTINE_RULE);
+	const struct gyp_endpoint *e0;
+	uint64_t jobs[4];
+	uint32_t i, k;
+
+	add_endpoints(fx, 1);
+	e0 = gyp_state_endpoint_by_name(fx->state, "e0");
+	submit(fx, (struct job_params){
+		       GYP__KIND__KIND_WATCHER, "press", "batch", 1, 1000, 0});
+	run_round(fx, 500);
+	fail_until_quarantined(fx, jobs);
+	for (i = 0; i < 4; i++)
+		cancel(fx, jobs[i], "");
+	submit_batch(fx, 4, 1000);
+	for (k = 0; k < 40; k++)
+		run_round(fx, 1000);
+	g_assert_cmpuint(e0->attempts->len, ==, 2);
+	for (k = 0; k < 120; k++)
+		run_round(fx, 1000);
+	g_assert_cmpuint(e0->attempts->len, ==, 5);
+	fixture_free(fx);
+}
+
 /*
  * Failures of a job that fails everywhere are not attributed to endpoints, and
  * failures of several jobs at one endpoint are not attributed to the jobs.
@@ -743,6 +808,9 @@
 	    "/policy/quarantine-rule-removed", test_quarantine_rule_removed);
 	g_test_add_func("/policy/failure-during-quarantine",
 	    test_failure_during_quarantine);
+	g_test_add_func("/policy/probe-without-end", test_probe_without_end);
+	g_test_add_func(
+	    "/policy/probe-beside-older-task", test_probe_beside_older_task);
 	g_test_add_func("/policy/fault-attribution", test_fault_attribution);
 	g_test_add_func("/policy/long-queue", test_long_queue);
 	g_test_add_func("/policy/full-queue", test_full_queue);
