entry: an attempt of unknown state is not queried for ever

Operators would see an entry that never ends after SIGTERM, callers nothing. Since a start at an endpoint that was lost is queried every 30 s without end, the entry has an open attempt for good, and a shutdown waits for it. Each lost endpoint leaves some of these in the entry's tables.

Change: once no leader can send the start again, an attempt is dropped whose queries had no answer until their delay reached 30 s, after some 32 s. The leader queries attempts that an endpoint does not list, through changing entries, and ends those of an endpoint that is gone with its lease. Attempts that the entry did not start were dropped at once before.

Evidence, before: /entry/drain-after-lost-endpoint "assertion failed (gyp_entry_open_attempts(fx->entries[0]) == 0): (1 == 0)" after 240 s. After: it passes with the others of test_entry, test_entry_terms and test_cell.

What remains: without a leader, cell time stands still and nothing is dropped.

--- a/src/entry_attempts.c
+++ b/src/entry_attempts.c
@@ -7,7 +7,7 @@
 #define QUERY_DELAY_MIN_MS 500
 #define QUERY_DELAY_MAX_MS 30000
 
-/* Interval of sending due queries and dropping confirmed starts, in ms. */
+/* Interval of sending due queries and dropping old starts, in ms. */
 #define SWEEP_INTERVAL_MS 50
 
 /* Wait for a report to be committed before it is sent again, in ms. */
@@ -271,12 +271,23 @@
 }
 
 /*
- * Keeps a running attempt as long as a leader may send its start again, to
- * prevent a second start. After that, the endpoint reports the end itself, and
- * the leader queries the attempt if necessary.
+ * True if no query of the entry was answered until their delay reached its
+ * maximum: the leader queries the attempt too, or ends it with its endpoint.
+ */
+static bool
+is_given_up(const struct gyp_entry_attempt *a)
+{
+	return a->phase == GYP_PHASE_QUERYING && a->query_at != 0 &&
+	       a->query_delay_ms >= QUERY_DELAY_MAX_MS;
+}
+
+/*
+ * Keeps a running attempt, or one of unknown state, as long as a leader may
+ * send its start again, to prevent a second start. After that, the endpoint
+ * reports the end itself, and the leader queries the attempt if necessary.
  */
 static void
-drop_confirmed_starts(struct gyp_entry_core *e)
+drop_old_starts(struct gyp_entry_core *e)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -285,7 +296,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct gyp_entry_attempt *a = value;
 
-		if (a->phase == GYP_PHASE_RUNNING && a->order->until_ms != 0 &&
+		if ((a->phase == GYP_PHASE_RUNNING || is_given_up(a)) &&
+		    a->order->until_ms != 0 &&
 		    e->cell_time > a->order->until_ms)
 			g_hash_table_iter_remove(&iter);
 	}
@@ -298,7 +310,7 @@
 		return;
 	e->sweep_at = e->now + SWEEP_INTERVAL_MS;
 	send_due_queries(e);
-	drop_confirmed_starts(e);
+	drop_old_starts(e);
 }
 
 uint32_t
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -363,6 +363,31 @@
 	entry_fixture_free(fx);
 }
 
+/*
+ * Guards against an entry that never ends its shutdown: the endpoint of an
+ * attempt was lost, so nothing answers the queries about it.
+ */
+static void
+test_drain_after_lost_endpoint(void)
+{
+	struct entry_fixture *fx = entry_fixture_new();
+	int i;
+
+	entry_fixture_announce(fx, "vm", 8, 1);
+	entry_fixture_submit(fx, 0, "a", REQUEST, 1, false, 5000);
+	entry_fixture_run(fx, 100);
+	entry_fixture_answer_orders(fx, 0, START, GYP_ATTEMPT_UNKNOWN, NULL);
+	gyp_entry_drain(fx->entries[0]);
+	for (i = 0; i < 240 && gyp_entry_open_attempts(fx->entries[0]) > 0;
+	     i++) {
+		entry_fixture_run(fx, 1000);
+		entry_fixture_answer_orders(
+		    fx, 0, QUERY, GYP_ATTEMPT_UNKNOWN, NULL);
+	}
+	g_assert_cmpuint(gyp_entry_open_attempts(fx->entries[0]), ==, 0);
+	entry_fixture_free(fx);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -380,5 +405,7 @@
 	g_test_add_func("/entry/gang-gives-up", test_gang_gives_up);
 	g_test_add_func("/entry/calls-bounded", test_calls_are_bounded);
 	g_test_add_func("/entry/drain", test_drain);
+	g_test_add_func(
+	    "/entry/drain-after-lost-endpoint", test_drain_after_lost_endpoint);
 	return g_test_run();
 }
