test_fleet: an endpoint whose clock was set back is served again

No fault: such an endpoint restarts under a time that is earlier than the one on record, and its heartbeats and answers count as those of an earlier incarnation.

--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -790,6 +790,42 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * Guards against an endpoint that is refused for good: its clock was set back
+ * and it restarted, so its incarnation looks older than the one on record. That
+ * one is removed as silent, and the endpoint registers.
+ */
+static void
+test_restarts_with_earlier_clock(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *call;
+	const struct gyp_host *b;
+	int i;
+
+	fixture_init(&f, 1, false);
+	flow_fixture_add_host(&f.base, "b", 5000);
+	flow_fixture_contact_all(&f.base);
+	for (i = 0; i < (IDLE_REMOVED_MS + 5000) / 1000; i++) {
+		b = gyp_host_by_id(f.base.flows, "b");
+		if (b == NULL)
+			flow_fixture_add_host(&f.base, "b", 4000);
+		else
+			gyp_fleet_heartbeat(
+			    f.base.fleet, f.base.now, b->row, 4000, f.base.now);
+		flow_fixture_advance(&f.base, 1000);
+		while ((call = flow_fixture_next_call(
+			    &f.base, GYP_FLEET_POLL)) != NULL)
+			flow_fixture_answer_poll(
+			    &f.base, call, 4000, NULL, 0, NULL, 0);
+	}
+	b = gyp_host_by_id(f.base.flows, "b");
+	g_assert_nonnull(b);
+	g_assert_cmpuint(b->spec->born_ms, ==, 4000);
+	g_assert_true(gyp_fleet_usable(f.base.fleet, b->row));
+	flow_fixture_clear(&f.base);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -834,5 +870,7 @@
 	    "/fleet/silent-since-registration", test_silent_since_registration);
 	g_test_add_func(
 	    "/fleet/silence-of-new-endpoint", test_silence_of_new_endpoint);
+	g_test_add_func("/fleet/restarts-with-earlier-clock",
+	    test_restarts_with_earlier_clock);
 	return g_test_run();
 }
