A denial by the admission service ends with the endpoint's incarnation

What callers would see: an endpoint that restarts under its id, perhaps as one of another kind, got no task of a step for which it had been denied before, for as long as the leader stayed.

Cause: the answer was kept by row, without the incarnation that it was given for. Grants are bound to theirs.

Now a query notes the incarnations that it names, and the answer holds for these: one that restarts afterwards, or while the query is under way, is asked about again. In the share of endpoints allowed, only those without a grant count as asked anew.

The answers of a unit take 16 bytes for each endpoint instead of 6; its cost was not measured.

--- a/src/admission.c
+++ b/src/admission.c
@@ -28,6 +28,8 @@
 	bool answered;
 	bool allowed;   /* by the latest answer */
 	uint16_t grant; /* index in grants plus one, 0 without a grant */
+	/* Of the endpoint when it was named in the query answered latest. */
+	uint64_t incarnation_start_ms;
 };
 
 /* The latest ticket of an endpoint that may run the unit. */
@@ -52,7 +54,8 @@
 struct query {
 	uint64_t id;
 	struct gyp_flow_key key;
-	GArray *targets; /* struct gyp_admission_target */
+	GArray *targets;      /* struct gyp_admission_target */
+	GArray *incarnations; /* uint64_t, start of that of each target */
 };
 
 struct gyp_admission {
@@ -92,6 +95,7 @@
 	struct query *q = p;
 
 	g_array_free(q->targets, TRUE);
+	g_array_free(q->incarnations, TRUE);
 	g_free(q);
 }
 
@@ -150,6 +154,20 @@
 	       h->spec->born_ms == g->incarnation_start_ms;
 }
 
+/*
+ * True if the answer is about the present incarnation of the endpoint. The next
+ * one may be of another kind and be allowed although this one was denied.
+ */
+static bool
+is_answered(const struct gyp_admission *a, const struct endpoint_answer *e,
+    uint32_t row)
+{
+	const struct gyp_host *h = gyp_host_at(a->flows, row);
+
+	return e->answered && h != NULL &&
+	       h->spec->born_ms == e->incarnation_start_ms;
+}
+
 const struct gyp_admission_unit *
 gyp_admission_unit(const struct gyp_admission *a, const struct gyp_flow *flow,
     const struct gyp_flow_unit *unit)
@@ -170,9 +188,10 @@
 		return GYP_ADMISSION_ALLOWED;
 	if (e->pending)
 		return GYP_ADMISSION_PENDING;
-	if (!e->answered)
-		return GYP_ADMISSION_UNKNOWN;
-	return g != NULL ? GYP_ADMISSION_EXPIRED : GYP_ADMISSION_DENIED;
+	if (g != NULL)
+		return GYP_ADMISSION_EXPIRED;
+	return is_answered(a, e, row) ? GYP_ADMISSION_DENIED
+				      : GYP_ADMISSION_UNKNOWN;
 }
 
 const uint32_t *
@@ -373,6 +392,21 @@
 	return copy;
 }
 
+static void
+set_targets(const struct gyp_admission *a, struct query *q,
+    const struct gyp_admission_target *targets, guint n)
+{
+	guint i;
+
+	q->targets =
+	    g_array_new(FALSE, FALSE, sizeof(struct gyp_admission_target));
+	g_array_append_vals(q->targets, targets, n);
+	q->incarnations = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	for (i = 0; i < n; i++)
+		g_array_append_val(q->incarnations,
+		    gyp_host_at(a->flows, targets[i].row)->spec->born_ms);
+}
+
 Gyp__Ask *
 gyp_admission_begin_query(struct gyp_admission *a, const struct gyp_flow *flow,
     const struct gyp_flow_unit *unit, uint64_t now,
@@ -394,9 +428,7 @@
 	}
 	q->id = a->next_id++;
 	q->key = u->key;
-	q->targets =
-	    g_array_new(FALSE, FALSE, sizeof(struct gyp_admission_target));
-	g_array_append_vals(q->targets, targets, n);
+	set_targets(a, q, targets, n);
 	u->asked_at = now;
 	add_claims(a, q);
 	add_pending(u, q);
@@ -484,8 +516,11 @@
 
 		if (answer == NULL)
 			continue;
-		unanswered += !e->answered;
+		unanswered +=
+		    e->grant == 0 && !is_answered(a, e, target_at(q, i)->row);
 		e->answered = true;
+		e->incarnation_start_ms =
+		    g_array_index(q->incarnations, uint64_t, i);
 		e->allowed = false;
 	}
 	grants_before = u != NULL ? u->grants->len : 0;
--- a/src/admission.h
+++ b/src/admission.h
@@ -16,8 +16,10 @@
  *	Handles this load: the admission service takes one call at a time from
  *	each VM, and each call is slow. Queries are therefore spread over the
  *	entries and name few endpoints, and answers are kept. Whether an
- *	endpoint may run a step does not change; the ticket that proves it is
- *	valid for a limited time and for one incarnation of the endpoint.
+ *	endpoint may run a step does not change in one incarnation of the
+ *	endpoint, which the next one need not share: it may be of another kind.
+ *	The ticket that proves it is valid for a limited time in that
+ *	incarnation.
  *
  *	Each repetition of a step is queried separately. This module does no
  *	I/O: the caller passes the queries to the entries and their answers
--- a/test/test_lasting_queries.c
+++ b/test/test_lasting_queries.c
@@ -245,6 +245,60 @@
 	placer_fixture_clear(&f);
 }
 
+/* ---- Denials ------------------------------------------------------------- */
+
+/* Answers the only query of the round: allows none of its endpoints. */
+static void
+deny_all(struct placer_fixture *f)
+{
+	Gyp__Advised answer = GYP__ADVISED__INIT;
+
+	g_assert_cmpuint(f->queries->len, ==, 1);
+	answer.id = query_at(f, 0)->id;
+	answer.ok = true;
+	gyp_admission_record_answer(f->admission, f->base.now, &answer);
+}
+
+/* The endpoint starts again under its id and answers the leader. */
+static void
+restart_endpoint(struct placer_fixture *f, uint64_t incarnation_start_ms)
+{
+	flow_fixture_add_host(&f->base, "e0", incarnation_start_ms);
+	flow_fixture_contact_all(&f->base);
+	g_assert_true(gyp_fleet_usable(f->base.fleet, 0));
+}
+
+/*
+ * The only endpoint is denied and starts again, perhaps as one of another kind.
+ * The denial was for its earlier incarnation: it must be asked about again, and
+ * so must one that restarts while a query is under way.
+ */
+static void
+test_denied_before_restart(void)
+{
+	struct placer_fixture f;
+
+	placer_fixture_init(&f, 1);
+	submit(&f, 1, 1, 1, true);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	deny_all(&f);
+	f.base.now += 1000;
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.queries->len, ==, 0);
+	restart_endpoint(&f, 2);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.queries->len, ==, 1);
+	restart_endpoint(&f, 3);
+	deny_all(&f);
+	f.base.now += 100;
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	deny_all(&f);
+	f.base.now += 100;
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.queries->len, ==, 0);
+	placer_fixture_clear(&f);
+}
+
 /* ---- Room while a query is under way ------------------------------------- */
 
 /* Submits tasks of that priority that need no admission, for all endpoints. */
@@ -538,6 +592,8 @@
 	    "/lasting-queries/needless-queries", test_needless_queries);
 	g_test_add_func("/lasting-queries/one-slot", test_one_slot);
 	g_test_add_func("/lasting-queries/other-work", test_other_work);
+	g_test_add_func("/lasting-queries/denied-before-restart",
+	    test_denied_before_restart);
 	g_test_add_func(
 	    "/lasting-queries/room-taken-by-batch", test_room_taken_by_batch);
 	g_test_add_func("/lasting-queries/room-taken-before-renewal",
