Slow queries are sent when a single entry is left

What callers would see: while only one VM offers to carry queries, no query of a queue whose admission takes 100 ms or longer is sent, so none of its tasks start, lasting ones included, however much room there is (unknown= and query=none in lasting-down, lanes=1 free_lanes=1 in load).

Cause: slow queries leave a fifth of the slots, rounded up, to quick ones; of one slot that is all. Now a single slot is for both.

--- a/src/query_slots.c
+++ b/src/query_slots.c
@@ -37,7 +37,8 @@
 	uint32_t reserved =
 	    (s->total + RESERVED_SLOTS_DIVISOR - 1) / RESERVED_SLOTS_DIVISOR;
 
-	if (gyp_query_is_quick(c))
+	/* A single slot is for all: slow queries would never be sent. */
+	if (gyp_query_is_quick(c) || s->total == 1)
 		return s->free;
 	return s->free > reserved ? s->free - reserved : 0;
 }
--- a/test/test_lasting_placement.c
+++ b/test/test_lasting_placement.c
@@ -297,6 +297,44 @@
 	}
 }
 
+/* A lasting task whose queries are slow waits beside one endpoint. */
+static struct gyp_flow_scheduler *
+init_queried(struct flow_fixture *f)
+{
+	struct gyp_fleet_config cfg = {
+	    .lease_ms = FLOW_FIXTURE_LEASE_MS, .stop_grace_ms = 400};
+	Gyp__FlowStep step = lasting_step(1);
+	struct gyp_flow_scheduler *fs;
+	Gyp__FlowQueue *queue;
+
+	flow_fixture_init(f);
+	flow_fixture_add_host(f, "e0", 1);
+	queue = flow_fixture_submit(f, 1, &step, 1)->spec->queue;
+	queue->admission = true;
+	queue->admission_ms = 585;
+	queue->admission_each_ms = 8.45;
+	fs = gyp_flow_scheduler_new(&cfg, f->flows, f->now, 1);
+	contact(fs, f->now);
+	return fs;
+}
+
+/* A single entry is left: its slot must not be kept free of slow queries. */
+static void
+test_single_entry(void)
+{
+	struct gyp_flow_scheduler *fs;
+	struct flow_fixture f;
+	uint64_t entry;
+	Gyp__Ask *query;
+
+	fs = init_queried(&f);
+	query = next_query(fs, &f.now, 1, &entry);
+	g_assert_nonnull(query);
+	gyp__ask__free_unpacked(query, NULL);
+	gyp_flow_scheduler_free(fs);
+	flow_fixture_clear(&f);
+}
+
 /*
  * The queries of one entry fail, for instance because it does not reach the
  * admission service. The next query about the task must use another entry.
@@ -304,23 +342,12 @@
 static void
 test_query_after_failed_entry(void)
 {
-	struct gyp_fleet_config cfg = {
-	    .lease_ms = FLOW_FIXTURE_LEASE_MS, .stop_grace_ms = 400};
-	Gyp__FlowStep step = lasting_step(1);
 	struct gyp_flow_scheduler *fs;
 	struct flow_fixture f;
-	Gyp__FlowQueue *queue;
 	uint64_t failing = 0, entry;
 	guint i, failed = 0;
 
-	flow_fixture_init(&f);
-	flow_fixture_add_host(&f, "e0", 1);
-	queue = flow_fixture_submit(&f, 1, &step, 1)->spec->queue;
-	queue->admission = true;
-	queue->admission_ms = 585;
-	queue->admission_each_ms = 8.45;
-	fs = gyp_flow_scheduler_new(&cfg, f.flows, f.now, 1);
-	contact(fs, f.now);
+	fs = init_queried(&f);
 	for (i = 0; i < 5; i++) {
 		Gyp__Ask *query = next_query(fs, &f.now, 5, &entry);
 		Gyp__Advised answer = GYP__ADVISED__INIT;
@@ -560,6 +587,7 @@
 	    "/lasting-placement/query-finds-memory", test_query_finds_memory);
 	g_test_add_func("/lasting-placement/query-after-failed-entry",
 	    test_query_after_failed_entry);
+	g_test_add_func("/lasting-placement/single-entry", test_single_entry);
 	g_test_add_data_func("/lasting-placement/filled-endpoints",
 	    &less_urgent, test_filled_endpoints);
 	g_test_add_data_func("/lasting-placement/more-urgent-filling",
