Reserve nothing on expired tickets for work whose queries get no answer

What callers would see: more urgent work that was allowed at endpoints, whose tickets are over and whose queries get no answer, kept the free room there from all work after it, round after round; a lasting task that needs no query waited beside endpoints with room for as long as the queries failed.

Cause: an endpoint whose ticket is over stays eligible for a reservation while the ticket is renewed, and nothing ended that if the answer never came. Now such an endpoint is eligible only while the latest query about the unit has not failed; endpoints with a valid ticket are as before.

--- a/src/reserve.c
+++ b/src/reserve.c
@@ -52,14 +52,23 @@
 
 /* ---- Ranking ------------------------------------------------------------ */
 
-/* An allowed endpoint stays eligible while its ticket is renewed. */
+/*
+ * An allowed endpoint stays eligible while its ticket is renewed, unless the
+ * latest query got no answer: capacity would be reserved again and again for
+ * tasks that cannot start.
+ */
 static bool
 may_be_allowed(const struct gyp_admission_unit *answers,
     const struct gyp_admission *a, const struct gyp_capacity_index *capacities,
     uint32_t row)
 {
-	return gyp_admission_state(a, answers, row,
-		   gyp_capacity_index_now(capacities)) != GYP_ADMISSION_DENIED;
+	enum gyp_admission_state state = gyp_admission_state(
+	    a, answers, row, gyp_capacity_index_now(capacities));
+
+	if (state == GYP_ADMISSION_ALLOWED)
+		return true;
+	return state != GYP_ADMISSION_DENIED &&
+	       !gyp_admission_query_failed(answers);
 }
 
 /*
--- a/src/reserve.h
+++ b/src/reserve.h
@@ -24,6 +24,8 @@
  *	Reservations are made again in each round, in the order of the units, so
  *	that an older unit never waits for a younger one. A gang reserves
  *	nothing if the endpoints together cannot take all of its tasks.
+ *	Nothing is reserved at endpoints whose tickets are over for a unit whose
+ *	latest query got no answer.
  */
 
 /*
--- a/test/test_lasting_queries.c
+++ b/test/test_lasting_queries.c
@@ -576,6 +576,38 @@
 	placer_fixture_clear(&f);
 }
 
+/*
+ * More urgent work was allowed at the only endpoint, its ticket is over, and
+ * queries about it get no answer any more. The room must not be reserved for it
+ * for good: a lasting task that needs no query must start.
+ */
+static void
+test_reserved_without_answers(void)
+{
+	struct placer_fixture f;
+	guint i, k;
+
+	placer_fixture_init(&f, 1);
+	submit(&f, 1, 0, 1, false);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	placer_fixture_allow_all(&f, query_at(&f, 0));
+	f.base.now += 3000; /* longer than the ticket is valid */
+	submit_rival(&f, 1, true);
+	for (i = 0;
+	     i < 3000 / ROUND_MS && gyp_flow_get(f.base.flows, 2)->open == 0;
+	     i++) {
+		f.base.now += ROUND_MS;
+		gyp_fleet_heartbeat(f.base.fleet, f.base.now, 0, 1, f.base.now);
+		placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+		placer_fixture_apply(&f);
+		for (k = 0; k < f.queries->len; k++)
+			gyp_admission_drop_query(
+			    f.admission, query_at(&f, k)->id);
+	}
+	g_assert_cmpuint(gyp_flow_get(f.base.flows, 2)->open, ==, 1);
+	placer_fixture_clear(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -598,6 +630,8 @@
 	    "/lasting-queries/room-taken-by-batch", test_room_taken_by_batch);
 	g_test_add_func("/lasting-queries/room-taken-before-renewal",
 	    test_room_taken_before_renewal);
+	g_test_add_func("/lasting-queries/reserved-without-answers",
+	    test_reserved_without_answers);
 	g_test_add_func("/lasting-queries/room-held-against-others",
 	    test_room_held_against_others);
 	g_test_add_func("/lasting-queries/stops-where-not-allowed",
