flow_scheduler: entries whose answers are late get queries last

Callers saw: a lasting task that lost its run is placed and its start refused (`ticket`), asked about and refused again, while other entries are quick.

Cause: a ticket is valid from the service's answer on, the leader counts from the receipt of the answer. An entry that passes answers on late counted as a good one, as its answers are ok: entries with the same failures took turns.

Change: the leader knows how long the service takes for a query, so it knows how late an answer is. Free entries whose last answer was late come after those in time, and only before those whose queries fail.

--- a/src/admission_query.c
+++ b/src/admission_query.c
@@ -42,10 +42,16 @@
 	return (guint)CLAMP(n, QUERY_ENDPOINTS_MIN, QUERY_ENDPOINTS_MAX);
 }
 
+double
+gyp_admission_service_ms(const Gyp__FlowQueue *q, size_t n)
+{
+	return q->admission_ms + q->admission_each_ms * (double)n;
+}
+
 double
 gyp_admission_query_ms(const Gyp__FlowQueue *q)
 {
-	return q->admission_ms + q->admission_each_ms * cheap_endpoint_count(q);
+	return gyp_admission_service_ms(q, cheap_endpoint_count(q));
 }
 
 /*
--- a/src/admission_query.h
+++ b/src/admission_query.h
@@ -2,6 +2,7 @@
 #define GYP_ADMISSION_QUERY_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "admission.h"
@@ -31,6 +32,9 @@
 /* Most queries under way about a lasting unit; other units have one. */
 #define GYP_LASTING_QUERIES_MAX 4
 
+/* Time that the service takes for a query about n endpoints, in ms. */
+double gyp_admission_service_ms(const Gyp__FlowQueue *, size_t n);
+
 /* Usual time of a query about as many endpoints as are cheap to name, in ms. */
 double gyp_admission_query_ms(const Gyp__FlowQueue *);
 
--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "admission.h"
+#include "admission_query.h"
 #include "flow_scheduler.h"
 #include "lasting_watch.h"
 #include "msg.h"
@@ -22,12 +23,20 @@
 /* Time for an entry to answer an admission query, in ms. */
 #define QUERY_TIMEOUT_MS 4000
 
+/*
+ * Answers that are late by less than LATE_MS count as in time. Entries are
+ * compared by how late their answers are in units of as much.
+ */
+#define LATE_MS 250
+
 /* An entry that carries admission queries, one at a time. */
 struct query_slot {
 	uint64_t entry;
 	uint64_t offered_at;
 	uint64_t query_id; /* 0 if the slot is free */
 	uint64_t queried_at;
+	uint64_t usual_ms; /* time that the service takes for the query */
+	uint64_t late_ms;  /* what the latest answer took beyond that */
 	uint32_t failures; /* failed queries since the last answer */
 };
 
@@ -278,13 +287,15 @@
 }
 
 static gint
-by_failures(gconstpointer a, gconstpointer b)
+by_usefulness(gconstpointer a, gconstpointer b)
 {
 	const struct query_slot *x = *(const struct query_slot *const *)a;
 	const struct query_slot *y = *(const struct query_slot *const *)b;
 
 	if (x->failures != y->failures)
 		return x->failures < y->failures ? -1 : 1;
+	if (x->late_ms / LATE_MS != y->late_ms / LATE_MS)
+		return x->late_ms < y->late_ms ? -1 : 1;
 	if (x->queried_at != y->queried_at)
 		return x->queried_at < y->queried_at ? -1 : 1;
 	return x->entry < y->entry ? -1 : x->entry > y->entry;
@@ -293,7 +304,8 @@
 /*
  * Returns the free slots, those of entries whose queries fail last. An entry
  * that does not reach the admission service is free again soonest, and would
- * otherwise get the next query about the same unit each time.
+ * otherwise get the next query about the same unit each time. Before them come
+ * those whose answers are late: their tickets may be over when a start arrives.
  */
 static GPtrArray *
 rank_free_slots(const struct gyp_flow_scheduler *fs)
@@ -307,10 +319,20 @@
 		if (((struct query_slot *)value)->query_id == 0)
 			g_ptr_array_add(slots, value);
 	}
-	g_ptr_array_sort(slots, by_failures);
+	g_ptr_array_sort(slots, by_usefulness);
 	return slots;
 }
 
+/* Time that the admission service takes for the query, in ms. */
+static uint64_t
+service_ms(const struct gyp_flow_scheduler *fs, const Gyp__Ask *query)
+{
+	const struct gyp_flow *flow = gyp_flow_get(fs->flows, query->flow);
+
+	return (uint64_t)gyp_admission_service_ms(
+	    flow->spec->queue, query->n_endpoints);
+}
+
 static void
 send_queries(struct gyp_flow_scheduler *fs, GPtrArray *queries)
 {
@@ -328,6 +350,7 @@
 		sent->entry = slot->entry;
 		sent->query = queries->pdata[i];
 		slot->query_id = sent->query->id;
+		slot->usual_ms = service_ms(fs, sent->query);
 		gyp_events_add(fs->events, "asked",
 		    "ask=%" G_GUINT64_FORMAT " flow=%016" G_GINT64_MODIFIER
 		    "x time=%u step=%u endpoints=%zu",
@@ -339,6 +362,15 @@
 	g_ptr_array_free(slots, TRUE);
 }
 
+/* How late the answer is that arrives now, in ms. */
+static uint64_t
+late_ms(const struct query_slot *slot, uint64_t now)
+{
+	uint64_t due = slot->queried_at + slot->usual_ms;
+
+	return now > due ? now - due : 0;
+}
+
 void
 gyp_flow_scheduler_query_answered(struct gyp_flow_scheduler *fs, uint64_t now,
     uint64_t entry, const Gyp__Advised *answer)
@@ -354,6 +386,7 @@
 	if (slot != NULL && slot->query_id == answer->id) {
 		slot->query_id = 0;
 		slot->failures = answer->ok ? 0 : slot->failures + 1;
+		slot->late_ms = late_ms(slot, fs->now);
 	}
 	gyp_admission_record_answer(fs->admission, fs->now, answer);
 	fs->round_at = 0;
--- a/test/lasting_load.c
+++ b/test/lasting_load.c
@@ -56,9 +56,10 @@
 	struct gyp_fleet_call *call;     /* arrives at its endpoint, or */
 	uint64_t poll_until;             /* the call is a poll that waits */
 	struct gyp_fleet_answer *answer; /* arrives at the leader, or */
-	Gyp__Ask *query;                 /* is answered by the service, or */
-	uint64_t entry;
-	Gyp__Cmd *cmd; /* is committed */
+	Gyp__Ask *query;      /* its answer arrives at the leader, or */
+	uint64_t entry;       /* that carries the query */
+	uint64_t answered_at; /* when the service answered it */
+	Gyp__Cmd *cmd;        /* is committed */
 };
 
 /* What is known of a lasting task. */
@@ -109,6 +110,16 @@
 	return (double)(x % 10000) < kinds[kind_of(flow)].allowed * 10000;
 }
 
+static bool
+entry_is_late(const struct load *s, uint64_t entry)
+{
+	return s->now >= s->cfg->late_at && entry <= s->cfg->late_entries;
+}
+
+/*
+ * The service answers; a late entry passes the answer on only late_ms after
+ * that, and the ticket is valid from the service's answer on.
+ */
 static void
 answer_query(struct load *s, const struct event *e)
 {
@@ -120,8 +131,8 @@
 	char ticket[32];
 	size_t i, n = 0;
 
-	g_snprintf(
-	    ticket, sizeof(ticket), "%" G_GUINT64_FORMAT, s->now + TICKET_MS);
+	g_snprintf(ticket, sizeof(ticket), "%" G_GUINT64_FORMAT,
+	    e->answered_at + TICKET_MS);
 	for (i = 0; flow != NULL && i < q->n_endpoints; i++) {
 		const struct gyp_host *h =
 		    gyp_host_by_id(s->flows, q->endpoints[i]);
@@ -695,6 +706,9 @@
 
 		e->query = query;
 		e->entry = entry;
+		e->answered_at = e->at - NETWORK_MS;
+		if (entry_is_late(s, entry))
+			e->at += s->cfg->late_ms;
 	}
 }
 
@@ -792,6 +806,7 @@
 
 	if (cfg->disturbed_at != 0)
 		shifted.disturbed_at += s.now;
+	shifted.late_at += s.now;
 	s.cfg = &shifted;
 	s.rand = g_rand_new_with_seed(cfg->seed);
 	s.flows = gyp_flows_new();
--- a/test/lasting_load.h
+++ b/test/lasting_load.h
@@ -28,6 +28,10 @@
 	uint32_t failing;         /* endpoints that fail all runs at once, */
 	uint64_t failing_ms;      /* for this long */
 	uint32_t failing_entries; /* entries whose queries always fail */
+	/* From late_at on: */
+	uint64_t late_at;
+	uint32_t late_entries; /* entries that pass answers on late, */
+	uint64_t late_ms;      /* by this time */
 };
 
 struct lasting_load_result {
--- a/test/test_lasting_placement.c
+++ b/test/test_lasting_placement.c
@@ -255,6 +255,25 @@
 	placer_fixture_clear(&f);
 }
 
+/* Answers the polls of the only endpoint. */
+static void
+contact(struct gyp_flow_scheduler *fs, uint64_t now)
+{
+	struct gyp_fleet_call *call;
+
+	gyp_flow_scheduler_round(fs, now, 0, false);
+	while ((call = gyp_flow_scheduler_pop_call(fs)) != NULL) {
+		struct gyp_fleet_answer a = {.call = call->id,
+		    .end = GYP_FLEET_OK,
+		    .has_clock = true,
+		    .clock_ms = now,
+		    .incarnation_start_ms = 1};
+
+		gyp_flow_scheduler_call_answered(fs, now, &a);
+		gyp_fleet_call_free(call);
+	}
+}
+
 /* Waits for the next query; returns it and the entry that carries it. */
 static Gyp__Ask *
 next_query(struct gyp_flow_scheduler *fs, uint64_t *now, guint entries,
@@ -267,8 +286,7 @@
 		*now += ROUND_MS;
 		for (k = 1; k <= entries; k++)
 			gyp_flow_scheduler_offer_entry(fs, *now, k);
-		gyp_fleet_heartbeat(
-		    gyp_flow_scheduler_fleet(fs), *now, 0, 1, *now);
+		contact(fs, *now);
 		gyp_flow_scheduler_round(fs, *now, 0, true);
 		query = gyp_flow_scheduler_pop_query(fs, entry);
 		if (query != NULL)
@@ -277,23 +295,35 @@
 	return NULL;
 }
 
-/* Answers the first poll of the only endpoint. */
+/* A flow with one lasting task that needs admission, and an endpoint. */
+struct query_fixture {
+	struct flow_fixture base;
+	struct gyp_flow_scheduler *fs;
+};
+
 static void
-contact(struct gyp_flow_scheduler *fs, uint64_t now)
+query_fixture_init(struct query_fixture *f)
 {
-	struct gyp_fleet_call *call;
+	struct gyp_fleet_config cfg = {
+	    .lease_ms = FLOW_FIXTURE_LEASE_MS, .stop_grace_ms = 400};
+	Gyp__FlowStep step = lasting_step(1);
+	Gyp__FlowQueue *queue;
 
-	gyp_flow_scheduler_round(fs, now, 0, false);
-	while ((call = gyp_flow_scheduler_pop_call(fs)) != NULL) {
-		struct gyp_fleet_answer a = {.call = call->id,
-		    .end = GYP_FLEET_OK,
-		    .has_clock = true,
-		    .clock_ms = now,
-		    .incarnation_start_ms = 1};
+	flow_fixture_init(&f->base);
+	flow_fixture_add_host(&f->base, "e0", 1);
+	queue = flow_fixture_submit(&f->base, 1, &step, 1)->spec->queue;
+	queue->admission = true;
+	queue->admission_ms = 585;
+	queue->admission_each_ms = 8.45;
+	f->fs = gyp_flow_scheduler_new(&cfg, f->base.flows, f->base.now, 1);
+	contact(f->fs, f->base.now);
+}
 
-		gyp_flow_scheduler_call_answered(fs, now, &a);
-		gyp_fleet_call_free(call);
-	}
+static void
+query_fixture_clear(struct query_fixture *f)
+{
+	gyp_flow_scheduler_free(f->fs);
+	flow_fixture_clear(&f->base);
 }
 
 /*
@@ -303,25 +333,13 @@
 static void
 test_query_after_failed_entry(void)
 {
-	struct gyp_fleet_config cfg = {
-	    .lease_ms = FLOW_FIXTURE_LEASE_MS, .stop_grace_ms = 400};
-	Gyp__FlowStep step = lasting_step(1);
-	struct gyp_flow_scheduler *fs;
-	struct flow_fixture f;
-	Gyp__FlowQueue *queue;
+	struct query_fixture f;
 	uint64_t failing = 0, entry;
 	guint i, failed = 0;
 
-	flow_fixture_init(&f);
-	flow_fixture_add_host(&f, "e0", 1);
-	queue = flow_fixture_submit(&f, 1, &step, 1)->spec->queue;
-	queue->admission = true;
-	queue->admission_ms = 585;
-	queue->admission_each_ms = 8.45;
-	fs = gyp_flow_scheduler_new(&cfg, f.flows, f.now, 1);
-	contact(fs, f.now);
+	query_fixture_init(&f);
 	for (i = 0; i < 5; i++) {
-		Gyp__Ask *query = next_query(fs, &f.now, 5, &entry);
+		Gyp__Ask *query = next_query(f.fs, &f.base.now, 5, &entry);
 		Gyp__Advised answer = GYP__ADVISED__INIT;
 
 		g_assert_nonnull(query);
@@ -329,14 +347,51 @@
 			failing = entry;
 		failed += entry == failing;
 		answer.id = query->id;
-		gyp_flow_scheduler_query_answered(fs, f.now, entry, &answer);
+		gyp_flow_scheduler_query_answered(
+		    f.fs, f.base.now, entry, &answer);
 		gyp__ask__free_unpacked(query, NULL);
 	}
-	gyp_flow_scheduler_free(fs);
-	flow_fixture_clear(&f);
+	query_fixture_clear(&f);
 	g_assert_cmpuint(failed, ==, 1);
 }
 
+/*
+ * One entry passes answers on so late that their tickets are of no use. The
+ * next queries about the task must use other entries while some are free.
+ */
+static void
+test_query_after_late_entry(void)
+{
+	struct query_fixture f;
+	uint64_t late = 0, entry;
+	guint i, used = 0;
+
+	query_fixture_init(&f);
+	for (i = 0; i < 12; i++) {
+		Gyp__Ask *query = next_query(f.fs, &f.base.now, 5, &entry);
+		Gyp__Advised answer = GYP__ADVISED__INIT;
+		Gyp__Ticket ticket = GYP__TICKET__INIT, *tickets[] = {&ticket};
+
+		g_assert_nonnull(query);
+		if (late == 0)
+			late = entry;
+		used += entry == late;
+		answer.id = query->id;
+		answer.ok = true;
+		answer.valid_ms = 2000;
+		answer.n_tickets = G_N_ELEMENTS(tickets);
+		answer.tickets = tickets;
+		ticket.endpoint = "e0";
+		ticket.ticket = "t";
+		f.base.now += 600 + (entry == late ? 2000 : 0);
+		gyp_flow_scheduler_query_answered(
+		    f.fs, f.base.now, entry, &answer);
+		gyp__ask__free_unpacked(query, NULL);
+	}
+	query_fixture_clear(&f);
+	g_assert_cmpuint(used, ==, 1);
+}
+
 /* ---- Load ---------------------------------------------------------------- */
 
 static uint64_t
@@ -404,6 +459,19 @@
 	run_load(&cfg);
 }
 
+/* Entries whose answers are late, while endpoints are lost. */
+static void
+test_load_late_entries(void)
+{
+	struct lasting_load_config cfg = {.disturbed_at = 15000,
+	    .gone = (uint32_t)setting("GYP_GONE", 30),
+	    .late_at = 5000,
+	    .late_entries = (uint32_t)setting("GYP_LATE", 12),
+	    .late_ms = setting("GYP_LATE_MS", 2500)};
+
+	run_load(&cfg);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -422,10 +490,14 @@
 	    "/lasting-placement/query-finds-memory", test_query_finds_memory);
 	g_test_add_func("/lasting-placement/query-after-failed-entry",
 	    test_query_after_failed_entry);
+	g_test_add_func("/lasting-placement/query-after-late-entry",
+	    test_query_after_late_entry);
 	g_test_add_func("/lasting-placement/load/quiet", test_load_quiet);
 	g_test_add_func("/lasting-placement/load/gone", test_load_gone);
 	g_test_add_func("/lasting-placement/load/failing", test_load_failing);
 	g_test_add_func("/lasting-placement/load/failing-entries",
 	    test_load_failing_entries);
+	g_test_add_func(
+	    "/lasting-placement/load/late-entries", test_load_late_entries);
 	return g_test_run();
 }
