flow_scheduler: an overdue query about lasting tasks is asked again elsewhere

Callers saw: a lasting task without a run waits 4 s for the answer to a query that is lost with its entry, or 3 s for one that a slow entry holds, while other entries are free and endpoints have room; after two such queries in turn, twice as long.

Cause: the endpoints that a query names count as asked about until its answer or the timeout (4 s), and a unit whose pending queries should place all its tasks gets no other.

Failed before:

test_query_without_answer: assertion failed (f.base.now - asked_at <= ROOM_MS / 2): (4000 <= 1500)

Change: 0.5 s after the service must have answered, the query about a lasting unit is no longer pending and claims nothing, so the next round asks through another entry. Its entry stays in use until the answer or the timeout. A late answer still counts; it doesn't replace the ticket of a later query (overdue-answer). Other units keep one query.

--- a/src/admission.c
+++ b/src/admission.c
@@ -34,6 +34,7 @@
 struct grant {
 	uint64_t incarnation_start_ms;
 	uint64_t valid_until;
+	uint64_t query; /* id, later queries have higher ones */
 	char *ticket;
 };
 
@@ -52,6 +53,7 @@
 struct query {
 	uint64_t id;
 	struct gyp_flow_key key;
+	bool overdue;    /* neither pending nor claiming any more */
 	GArray *targets; /* struct gyp_admission_target */
 };
 
@@ -420,16 +422,21 @@
 	return grant_of(u, e);
 }
 
+/* The answer to an overdue query may arrive after that to a later one. */
 static void
 record_ticket(struct gyp_admission *a, struct gyp_admission_unit *u,
-    uint64_t now, uint32_t valid_ms, const Gyp__Ticket *t)
+    uint64_t now, const Gyp__Advised *answer, const Gyp__Ticket *t)
 {
+	uint32_t valid_ms = answer->valid_ms;
 	const struct gyp_host *h = gyp_host_by_id(a->flows, t->endpoint);
 	struct grant *g;
 
 	if (h == NULL)
 		return;
 	g = ensure_grant(u, h->row);
+	if (g->query > answer->id)
+		return;
+	g->query = answer->id;
 	g->incarnation_start_ms = h->spec->born_ms;
 	g->valid_until =
 	    now +
@@ -462,6 +469,20 @@
 	*share += SHARE_WEIGHT * ((double)allowed / n - *share);
 }
 
+/* From then on the query is neither pending nor claims anything. */
+static void
+stop_waiting(struct gyp_admission *a, struct query *q)
+{
+	struct gyp_admission_unit *u = g_hash_table_lookup(a->units, &q->key);
+
+	if (q->overdue)
+		return;
+	q->overdue = true;
+	if (u != NULL)
+		remove_pending(u, q);
+	remove_claims(a, q);
+}
+
 /*
  * Closes a query. An answer allows exactly those of the queried endpoints for
  * which it has a ticket; without one (NULL), earlier answers stay.
@@ -490,16 +511,24 @@
 	}
 	grants_before = u != NULL ? u->grants->len : 0;
 	for (i = 0; u != NULL && answer != NULL && i < answer->n_tickets; i++)
-		record_ticket(a, u, now, answer->valid_ms, answer->tickets[i]);
+		record_ticket(a, u, now, answer, answer->tickets[i]);
 	if (u != NULL) {
 		u->failed = answer == NULL;
-		remove_pending(u, q);
 		update_share(a, q, unanswered, u->grants->len - grants_before);
 	}
-	remove_claims(a, q);
+	stop_waiting(a, q);
 	g_hash_table_remove(a->queries, &id);
 }
 
+void
+gyp_admission_query_overdue(struct gyp_admission *a, uint64_t query)
+{
+	struct query *q = g_hash_table_lookup(a->queries, &query);
+
+	if (q != NULL)
+		stop_waiting(a, q);
+}
+
 void
 gyp_admission_record_answer(
     struct gyp_admission *a, uint64_t now, const Gyp__Advised *answer)
--- a/src/admission.h
+++ b/src/admission.h
@@ -143,6 +143,12 @@
 void gyp_admission_record_answer(
     struct gyp_admission *, uint64_t now, const Gyp__Advised *);
 
+/*
+ * Lets the endpoints of an overdue query be queried again; its answer is still
+ * recorded when it arrives.
+ */
+void gyp_admission_query_overdue(struct gyp_admission *, uint64_t query);
+
 /* Closes a query that got no answer: its endpoints can be queried again. */
 void gyp_admission_drop_query(struct gyp_admission *, uint64_t query);
 
--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -23,6 +23,12 @@
 /* Time for an entry to answer an admission query, in ms. */
 #define QUERY_TIMEOUT_MS 4000
 
+/*
+ * The answer to a query about a lasting unit is overdue when it takes this much
+ * longer than the service does, in ms.
+ */
+#define OVERDUE_MS 500
+
 /*
  * Answers that are late by less than LATE_MS count as in time. Entries are
  * compared by how late their answers are in units of as much.
@@ -34,6 +40,7 @@
 	uint64_t entry;
 	uint64_t offered_at;
 	uint64_t query_id; /* 0 if the slot is free */
+	bool lasting;      /* it is about a lasting unit */
 	uint64_t queried_at;
 	uint64_t usual_ms; /* time that the service takes for the query */
 	uint64_t late_ms;  /* what the latest answer took beyond that */
@@ -256,7 +263,19 @@
 }
 
 /*
- * Frees slots whose answer is overdue and removes those that were not offered
+ * Lasting tasks must run again within seconds, so their endpoints are queried
+ * about through another entry when one does not answer in time.
+ */
+static void
+give_up_waiting(struct gyp_flow_scheduler *fs, const struct query_slot *slot)
+{
+	if (slot->query_id != 0 && slot->lasting &&
+	    fs->now >= slot->queried_at + slot->usual_ms + OVERDUE_MS)
+		gyp_admission_query_overdue(fs->admission, slot->query_id);
+}
+
+/*
+ * Frees slots whose query has timed out and removes those that were not offered
  * within ROUND_MS. Returns the number of free slots.
  */
 static uint32_t
@@ -271,6 +290,7 @@
 		struct query_slot *slot = value;
 		bool offered = fs->now <= slot->offered_at + ROUND_MS;
 
+		give_up_waiting(fs, slot);
 		if (slot->query_id != 0 &&
 		    (!offered ||
 			fs->now >= slot->queried_at + QUERY_TIMEOUT_MS)) {
@@ -323,14 +343,18 @@
 	return slots;
 }
 
-/* Time that the admission service takes for the query, in ms. */
-static uint64_t
-service_ms(const struct gyp_flow_scheduler *fs, const Gyp__Ask *query)
+/* Records the query in the slot of the entry that carries it. */
+static void
+occupy_slot(const struct gyp_flow_scheduler *fs, struct query_slot *slot,
+    const Gyp__Ask *query)
 {
-	const struct gyp_flow *flow = gyp_flow_get(fs->flows, query->flow);
+	const Gyp__FlowSpec *spec = gyp_flow_get(fs->flows, query->flow)->spec;
 
-	return (uint64_t)gyp_admission_service_ms(
-	    flow->spec->queue, query->n_endpoints);
+	slot->query_id = query->id;
+	slot->lasting = spec->steps[query->step]->lasting;
+	slot->queried_at = fs->now;
+	slot->usual_ms =
+	    (uint64_t)gyp_admission_service_ms(spec->queue, query->n_endpoints);
 }
 
 static void
@@ -349,14 +373,12 @@
 
 		sent->entry = slot->entry;
 		sent->query = queries->pdata[i];
-		slot->query_id = sent->query->id;
-		slot->usual_ms = service_ms(fs, sent->query);
+		occupy_slot(fs, slot, sent->query);
 		gyp_events_add(fs->events, "asked",
 		    "ask=%" G_GUINT64_FORMAT " flow=%016" G_GINT64_MODIFIER
 		    "x time=%u step=%u endpoints=%zu",
 		    sent->query->id, sent->query->flow, sent->query->time,
 		    sent->query->step, sent->query->n_endpoints);
-		slot->queried_at = fs->now;
 		g_queue_push_tail(&fs->queries, sent);
 	}
 	g_ptr_array_free(slots, TRUE);
--- a/test/test_lasting_placement.c
+++ b/test/test_lasting_placement.c
@@ -2,6 +2,7 @@
 
 #include "flow_scheduler.h"
 #include "lasting_load.h"
+#include "msg.h"
 #include "placer_fixture.h"
 
 /*
@@ -355,6 +356,24 @@
 	g_assert_cmpuint(failed, ==, 1);
 }
 
+/* Answers that e0 may run the task, with that ticket. */
+static void
+allow(struct query_fixture *f, uint64_t entry, const Gyp__Ask *query,
+    const char *ticket)
+{
+	Gyp__Advised answer = GYP__ADVISED__INIT;
+	Gyp__Ticket t = GYP__TICKET__INIT, *tickets[] = {&t};
+
+	t.endpoint = "e0";
+	t.ticket = (char *)ticket;
+	answer.id = query->id;
+	answer.ok = true;
+	answer.valid_ms = 2000;
+	answer.n_tickets = G_N_ELEMENTS(tickets);
+	answer.tickets = tickets;
+	gyp_flow_scheduler_query_answered(f->fs, f->base.now, entry, &answer);
+}
+
 /*
  * One entry passes answers on so late that their tickets are of no use. The
  * next queries about the task must use other entries while some are free.
@@ -369,29 +388,94 @@
 	query_fixture_init(&f);
 	for (i = 0; i < 12; i++) {
 		Gyp__Ask *query = next_query(f.fs, &f.base.now, 5, &entry);
-		Gyp__Advised answer = GYP__ADVISED__INIT;
-		Gyp__Ticket ticket = GYP__TICKET__INIT, *tickets[] = {&ticket};
 
 		g_assert_nonnull(query);
 		if (late == 0)
 			late = entry;
 		used += entry == late;
-		answer.id = query->id;
-		answer.ok = true;
-		answer.valid_ms = 2000;
-		answer.n_tickets = G_N_ELEMENTS(tickets);
-		answer.tickets = tickets;
-		ticket.endpoint = "e0";
-		ticket.ticket = "t";
 		f.base.now += 600 + (entry == late ? 2000 : 0);
-		gyp_flow_scheduler_query_answered(
-		    f.fs, f.base.now, entry, &answer);
+		allow(&f, entry, query, "t");
 		gyp__ask__free_unpacked(query, NULL);
 	}
 	query_fixture_clear(&f);
 	g_assert_cmpuint(used, ==, 1);
 }
 
+/*
+ * A query is lost with its entry, which still counts as available for seconds.
+ * The task must not wait for the answer for longer than leaves the time for
+ * another query.
+ */
+static void
+test_query_without_answer(void)
+{
+	struct query_fixture f;
+	Gyp__Ask *first, *second;
+	uint64_t first_entry, second_entry, asked_at;
+
+	query_fixture_init(&f);
+	first = next_query(f.fs, &f.base.now, 5, &first_entry);
+	asked_at = f.base.now;
+	second = next_query(f.fs, &f.base.now, 5, &second_entry);
+	g_assert_nonnull(first);
+	g_assert_nonnull(second);
+	g_assert_cmpuint(second_entry, !=, first_entry);
+	g_assert_cmpuint(f.base.now - asked_at, <=, ROOM_MS / 2);
+	gyp__ask__free_unpacked(first, NULL);
+	gyp__ask__free_unpacked(second, NULL);
+	query_fixture_clear(&f);
+}
+
+/* Runs a round; returns the ticket of the task's start, or NULL. */
+static char *
+ticket_of_start(struct query_fixture *f)
+{
+	struct gyp_fleet_call *call;
+	char *ticket = NULL;
+	Gyp__Cmd *cmd;
+
+	gyp_flow_scheduler_round(f->fs, f->base.now, 0, true);
+	while ((cmd = gyp_flow_scheduler_pop_cmd(f->fs)) != NULL) {
+		gyp_flows_apply(f->base.flows, f->base.now, cmd);
+		gyp_message_free(cmd);
+	}
+	gyp_flow_scheduler_round(f->fs, f->base.now, 0, false);
+	while ((call = gyp_flow_scheduler_pop_call(f->fs)) != NULL) {
+		if (call->kind == GYP_FLEET_START)
+			ticket = g_strdup(call->ticket);
+		gyp_fleet_call_free(call);
+	}
+	return ticket;
+}
+
+/*
+ * The answer to an overdue query is used if it comes first, and does not
+ * replace that to a later query if it comes after it.
+ */
+static void
+test_overdue_answer(gconstpointer arg)
+{
+	bool second_answered = GPOINTER_TO_INT(arg) != 0;
+	struct query_fixture f;
+	Gyp__Ask *first, *second;
+	uint64_t first_entry, second_entry;
+	char *ticket;
+
+	query_fixture_init(&f);
+	first = next_query(f.fs, &f.base.now, 5, &first_entry);
+	second = next_query(f.fs, &f.base.now, 5, &second_entry);
+	g_assert_nonnull(second);
+	if (second_answered)
+		allow(&f, second_entry, second, "second");
+	allow(&f, first_entry, first, "first");
+	ticket = ticket_of_start(&f);
+	g_assert_cmpstr(ticket, ==, second_answered ? "second" : "first");
+	g_free(ticket);
+	gyp__ask__free_unpacked(first, NULL);
+	gyp__ask__free_unpacked(second, NULL);
+	query_fixture_clear(&f);
+}
+
 /* ---- Load ---------------------------------------------------------------- */
 
 static uint64_t
@@ -492,6 +576,12 @@
 	    test_query_after_failed_entry);
 	g_test_add_func("/lasting-placement/query-after-late-entry",
 	    test_query_after_late_entry);
+	g_test_add_func("/lasting-placement/query-without-answer",
+	    test_query_without_answer);
+	g_test_add_data_func("/lasting-placement/overdue-answer/alone",
+	    GINT_TO_POINTER(0), test_overdue_answer);
+	g_test_add_data_func("/lasting-placement/overdue-answer/older",
+	    GINT_TO_POINTER(1), test_overdue_answer);
 	g_test_add_func("/lasting-placement/load/quiet", test_load_quiet);
 	g_test_add_func("/lasting-placement/load/gone", test_load_gone);
 	g_test_add_func("/lasting-placement/load/failing", test_load_failing);
