query_slots: a slot is kept for interrupted lasting units without a query

Callers saw: with many urgent units that wait for answers, a lasting task that lost its run is not asked about at all while they do, however much room endpoints have.

Cause: quick queries of more urgent units may take every free slot of a round, and slow ones, as those about lasting units usually are, must leave a fifth of all slots free. So a lasting unit gets none as long as quick queries hold four fifths of the slots.

Failed before:

test_slot_despite_urgent_work: assertion failed (lasting == 1): (0 == 1)

Change: while an interrupted unit has no query and may have one, one free slot of the round is kept for it. It may be one of those that slow queries leave. As soon as it has a query under way, all slots are for the others again, which the test checks too.

--- a/src/placer.c
+++ b/src/placer.c
@@ -588,6 +588,9 @@
 		return;
 	gyp_preempt_begin_round(p->preempt, p->now);
 	gyp_capacity_index_begin_round(p->capacities, p->now);
+	gyp_query_slots_keep(&slots,
+	    (const struct gyp_candidate *)p->candidates->units->data,
+	    p->candidates->units->len);
 	for (i = 0; i < p->candidates->units->len; i++)
 		schedule_unit(p,
 		    &g_array_index(
--- a/src/query_slots.c
+++ b/src/query_slots.c
@@ -27,19 +27,43 @@
 	return c->flow->spec->queue->admission_ms < SLOW_QUERY_MS;
 }
 
+/* True for an interrupted unit about which nothing is asked yet. */
+static bool
+needs_kept_slot(const struct gyp_query_slots *s, const struct gyp_candidate *c)
+{
+	const struct gyp_admission_unit *unit =
+	    gyp_admission_unit(s->admission, c->flow, c->unit);
+
+	return c->slack == GYP_SLACK_INTERRUPTED &&
+	       c->flow->spec->queue->admission &&
+	       !gyp_admission_has_pending_query(unit) &&
+	       !gyp_admission_is_paused(unit, s->now);
+}
+
+void
+gyp_query_slots_keep(
+    struct gyp_query_slots *s, const struct gyp_candidate *units, guint n)
+{
+	guint i;
+
+	for (i = 0; i < n && s->free > 0 && s->kept == 0; i++)
+		s->kept = needs_kept_slot(s, &units[i]);
+}
+
 /*
  * Returns how many of the free slots of the round queries about the unit may
- * use.
+ * use, together with those of the units before it.
  */
 static uint32_t
 slots_for(const struct gyp_query_slots *s, const struct gyp_candidate *c)
 {
 	uint32_t reserved =
 	    (s->total + RESERVED_SLOTS_DIVISOR - 1) / RESERVED_SLOTS_DIVISOR;
+	uint32_t n = s->free - s->kept;
 
 	if (gyp_query_is_quick(c))
-		return s->free;
-	return s->free > reserved ? s->free - reserved : 0;
+		return n;
+	return n > reserved ? n - reserved : 0;
 }
 
 static bool
@@ -73,6 +97,12 @@
 gyp_query_slots_use(
     struct gyp_query_slots *s, const struct gyp_candidate *c, uint32_t tasks)
 {
+	if (s->kept > 0 && needs_kept_slot(s, c)) {
+		s->kept = 0;
+		add_queries(
+		    s, c, tasks, MAX(slots_for(s, c), s->queries->len + 1));
+		return;
+	}
 	add_queries(s, c, tasks, slots_for(s, c));
 }
 
@@ -80,7 +110,7 @@
 gyp_query_slots_prefetch(
     struct gyp_query_slots *s, const struct gyp_candidate *c, uint32_t tasks)
 {
-	uint32_t reserved = s->total / PREFETCH_RESERVED_DIVISOR;
+	uint32_t reserved = s->total / PREFETCH_RESERVED_DIVISOR + s->kept;
 
 	if (s->free > reserved)
 		add_queries(s, c, tasks, s->free - reserved);
--- a/src/query_slots.h
+++ b/src/query_slots.h
@@ -18,7 +18,8 @@
  *	query each. Units are considered in the order of the round, and slow
  *	queries leave some slots free for quick ones, which are about urgent
  *	work. A unit gets several queries at a time only while many slots are
- *	free.
+ *	free. One slot is kept for interrupted units without a query: their
+ *	tasks must run again within seconds, however much urgent work waits.
  */
 
 /* The free query slots of a round. */
@@ -28,6 +29,7 @@
 	uint64_t now;
 	uint32_t free;
 	uint32_t total;     /* including those in use */
+	uint32_t kept;      /* free, for an interrupted unit without a query */
 	GPtrArray *queries; /* Gyp__Ask to send, at most one for each free slot
 			     */
 };
@@ -35,6 +37,10 @@
 /* True when queries about the unit are answered sooner than a run stops. */
 bool gyp_query_is_quick(const struct gyp_candidate *);
 
+/* Keeps a slot if one of the n units is interrupted and has no query. */
+void gyp_query_slots_keep(
+    struct gyp_query_slots *, const struct gyp_candidate *, guint n);
+
 /* Adds queries about tasks of the unit when slots are free for them. */
 void gyp_query_slots_use(
     struct gyp_query_slots *, const struct gyp_candidate *, uint32_t tasks);
--- a/test/test_lasting_queries.c
+++ b/test/test_lasting_queries.c
@@ -171,6 +171,43 @@
 	placer_fixture_clear(&f);
 }
 
+/*
+ * Quick queries about urgent units took all free slots, round after round: an
+ * interrupted unit had no query while they lasted.
+ */
+static void
+test_slot_despite_urgent_work(void)
+{
+	struct placer_fixture f;
+	uint64_t id;
+	guint round, i, urgent = 0, lasting = 0;
+
+	placer_fixture_init(&f, 40);
+	submit(&f, 1, 1, 20, true);
+	interrupt(&f, 1);
+	for (id = 2; id <= 4; id++) {
+		submit(&f, id, 0, 20, false);
+		placer_fixture_set_queue(&f, id, 0, true, 34, 0.5);
+	}
+	for (round = 0; round < 4; round++) {
+		placer_fixture_run_round(&f, 2);
+		for (i = 0; i < f.queries->len; i++) {
+			if (query_at(&f, i)->flow == 1) {
+				lasting++;
+				continue;
+			}
+			urgent++;
+			gyp_admission_drop_query(
+			    f.admission, query_at(&f, i)->id);
+		}
+		f.base.now += ROUND_MS;
+	}
+	g_assert_cmpuint(lasting, ==, 1);
+	/* Both slots are for urgent work while the query is under way. */
+	g_assert_cmpuint(urgent, ==, 7);
+	placer_fixture_clear(&f);
+}
+
 /* ---- Several queries about a unit ---------------------------------------- */
 
 /*
@@ -532,6 +569,8 @@
 	    "/lasting-queries/endpoint-named-once", test_endpoint_named_once);
 	g_test_add_func(
 	    "/lasting-queries/queries-take-turns", test_queries_take_turns);
+	g_test_add_func("/lasting-queries/slot-despite-urgent-work",
+	    test_slot_despite_urgent_work);
 	g_test_add_func(
 	    "/lasting-queries/one-long-answer", test_one_long_answer);
 	g_test_add_func(
