capacity_index: lasting tasks go to silent endpoints last

Callers saw: a lasting task that waits when endpoints are lost without notice is placed on one of these, although others have room, and then waits until the lease there is over: a whole one from its start on, as the start may have been carried out.

Cause: an endpoint without runs isn't polled, so nothing fails there until something is started. It counts as usable for 4.5 s after its last heartbeat, and one that is lost while it has nothing to do has the most room of all.

Failed before:

test_silent_endpoint_last: assertion failed (placer_fixture_start(&f, 0)->runs[0]->host != 0): (0 != 0)

Change: for lasting tasks an endpoint that hasn't been heard from for 1.5 s comes after all others, in placement and in queries. It is still used when no other has room (silent-endpoint-used, which passed before, too): its heartbeats may only be late.

This leaves the first 1.5 s after the loss, in which nothing tells the endpoint from others.

--- a/src/capacity_index.c
+++ b/src/capacity_index.c
@@ -9,6 +9,14 @@
 #define SUSPECT_PENALTY  0.5
 #define SLOWDOWN_PENALTY 0.4
 
+/*
+ * Lasting tasks go to an endpoint that has been silent for SILENT_MS, more than
+ * a heartbeat's interval, only when no other has room: if it is gone, they wait
+ * until the lease there is over.
+ */
+#define SILENT_MS      1500
+#define SILENT_PENALTY 5
+
 /*
  * Score bonus for the rack that holds the data of the step, also as a share of
  * free CPU.
@@ -64,14 +72,19 @@
 compute_capacity(const struct gyp_capacity_index *index,
     struct gyp_capacity *cap, uint32_t row)
 {
+	uint64_t lease_left_ms;
+
 	memset(cap, 0, sizeof(*cap));
 	cap->round = index->round;
 	cap->state = gyp_run_stats_state(index->stats, row, index->now);
 	cap->slowdown = gyp_run_stats_slowdown(index->stats, row);
 	cap->releasing = gyp_preempt_releasing(index->preempt, row);
-	if (gyp_fleet_usable(index->fleet, row) &&
-	    cap->state < GYP_RUN_STATS_PROBING)
-		gyp_capacity_set_tables(cap, gyp_host_at(index->flows, row));
+	if (!gyp_fleet_usable(index->fleet, row) ||
+	    cap->state >= GYP_RUN_STATS_PROBING)
+		return;
+	gyp_capacity_set_tables(cap, gyp_host_at(index->flows, row));
+	cap->silent = gyp_fleet_lease_runs_out(
+	    index->fleet, row, SILENT_MS, &lease_left_ms);
 }
 
 /*
@@ -334,6 +347,8 @@
 		score += DATA_RACK_BONUS;
 	if (cap->state == GYP_RUN_STATS_SUSPECT)
 		score -= SUSPECT_PENALTY;
+	if (cap->silent && step->lasting)
+		score -= SILENT_PENALTY;
 	return score - (cap->slowdown - 1) * SLOWDOWN_PENALTY;
 }
 
--- a/src/capacity_index.h
+++ b/src/capacity_index.h
@@ -36,6 +36,7 @@
 	struct gyp_res releasing; /* becomes free when runs being stopped end */
 	bool runs_serving;        /* runs tasks with a bound on tail latency */
 	bool runs_filling;        /* runs tasks that use all spare capacity */
+	bool silent;              /* not heard from lately */
 	enum gyp_run_stats_state state;
 	double slowdown;
 };
--- a/test/test_lasting_placement.c
+++ b/test/test_lasting_placement.c
@@ -163,6 +163,53 @@
 	placer_fixture_clear(&f);
 }
 
+/* ---- Endpoints that are lost ----------------------------------------------
+ */
+
+/*
+ * Endpoints without runs are not polled. One of them that is lost still counts
+ * as usable for seconds, and a task that is placed there waits for a whole
+ * lease: it must go elsewhere if there is room.
+ */
+static void
+test_silent_endpoint_last(void)
+{
+	struct placer_fixture f;
+	guint i;
+	uint32_t row;
+
+	placer_fixture_init(&f, 3);
+	for (i = 0; i < 2500 / ROUND_MS; i++) {
+		f.base.now += ROUND_MS;
+		for (row = 1; row < 3; row++)
+			gyp_fleet_heartbeat(
+			    f.base.fleet, f.base.now, row, 1, f.base.now);
+		gyp_fleet_tick(f.base.fleet, f.base.now);
+	}
+	g_assert_true(gyp_fleet_usable(f.base.fleet, 0));
+	placer_fixture_submit(&f, 1, 1, lasting_step(1));
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.cmds->len, ==, 1);
+	g_assert_cmpuint(placer_fixture_start(&f, 0)->runs[0]->host, !=, 0);
+	placer_fixture_clear(&f);
+}
+
+/* With room only at such an endpoint, which may be late, the task goes there.
+ */
+static void
+test_silent_endpoint_used(void)
+{
+	struct placer_fixture f;
+
+	placer_fixture_init(&f, 1);
+	f.base.now += 2500;
+	gyp_fleet_tick(f.base.fleet, f.base.now);
+	placer_fixture_submit(&f, 1, 1, lasting_step(1));
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.cmds->len, ==, 1);
+	placer_fixture_clear(&f);
+}
+
 /* ---- Order -------------------------------------------------------------- */
 
 /* Fills nine of the ten processors of the only endpoint, for one task's room.
@@ -566,6 +613,10 @@
 	g_test_add_func("/lasting-placement/lasting-probe", test_lasting_probe);
 	g_test_add_func("/lasting-placement/many-failures-of-task",
 	    test_many_failures_of_task);
+	g_test_add_func("/lasting-placement/silent-endpoint-last",
+	    test_silent_endpoint_last);
+	g_test_add_func("/lasting-placement/silent-endpoint-used",
+	    test_silent_endpoint_used);
 	g_test_add_func("/lasting-placement/interrupted-task-first",
 	    test_interrupted_task_first);
 	g_test_add_func("/lasting-placement/failing-task-not-first",
