--- a/test/test_lasting_placement.c
+++ b/test/test_lasting_placement.c
@@ -3,6 +3,7 @@
 #include "clearing.h"
 #include "flow_scheduler.h"
 #include "lasting_load.h"
+#include "msg.h"
 #include "placer_fixture.h"
 
 /*
@@ -163,6 +164,100 @@
 	placer_fixture_clear(&f);
 }
 
+/* Ends the task's run as failed, as it does at once at these endpoints. */
+static void
+fail(struct placer_fixture *f, uint64_t flow, uint32_t task)
+{
+	uint32_t row = gyp_flow_get(f->base.flows, flow)->tasks[task].row;
+
+	placer_fixture_end_run(f, flow, task, GYP__FLOW_HOW__FLOW_FAILED);
+	gyp_run_stats_failed(f->stats, flow, task, row, f->base.now);
+}
+
+/*
+ * All endpoints but the last two fail all runs at once, and nothing else runs
+ * that would show it. A lasting task must reach one of those two in time; it
+ * takes some time to start it each time, such as for an admission query.
+ */
+static void
+check_failing_endpoints(guint failing, uint64_t start_ms)
+{
+	struct placer_fixture f;
+	const struct gyp_flow *flow;
+	uint64_t begin;
+	guint starts;
+
+	placer_fixture_init(&f, failing + 2);
+	placer_fixture_submit(&f, 1, 1, lasting_step(1));
+	flow = gyp_flow_get(f.base.flows, 1);
+	begin = f.base.now;
+	for (starts = 1;; starts++) {
+		wait_for_open(&f, 1, 1, 60000);
+		g_assert_cmpuint(flow->open, ==, 1);
+		if (flow->tasks[0].row >= failing)
+			break;
+		advance(&f, start_ms);
+		fail(&f, 1, 0);
+	}
+	g_assert_cmpuint(starts, <=, failing + 1);
+	g_assert_cmpuint(f.base.now - begin, <=, QUIET_MS + ROOM_MS);
+	placer_fixture_clear(&f);
+}
+
+static void
+test_failing_endpoints(void)
+{
+	check_failing_endpoints(20, ROUND_MS);
+	check_failing_endpoints(3, 2000);
+}
+
+/* ---- Endpoints that are lost ----------------------------------------------
+ */
+
+/*
+ * Endpoints without runs are not polled. One of them that is lost still counts
+ * as usable for seconds, and a task that is placed there waits for a whole
+ * lease: it must go elsewhere if there is room.
+ */
+static void
+test_silent_endpoint_last(void)
+{
+	struct placer_fixture f;
+	guint i;
+	uint32_t row;
+
+	placer_fixture_init(&f, 3);
+	for (i = 0; i < 2500 / ROUND_MS; i++) {
+		f.base.now += ROUND_MS;
+		for (row = 1; row < 3; row++)
+			gyp_fleet_heartbeat(
+			    f.base.fleet, f.base.now, row, 1, f.base.now);
+		gyp_fleet_tick(f.base.fleet, f.base.now);
+	}
+	g_assert_true(gyp_fleet_usable(f.base.fleet, 0));
+	placer_fixture_submit(&f, 1, 1, lasting_step(1));
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.cmds->len, ==, 1);
+	g_assert_cmpuint(placer_fixture_start(&f, 0)->runs[0]->host, !=, 0);
+	placer_fixture_clear(&f);
+}
+
+/* With room only at such an endpoint, which may be late, the task goes there.
+ */
+static void
+test_silent_endpoint_used(void)
+{
+	struct placer_fixture f;
+
+	placer_fixture_init(&f, 1);
+	f.base.now += 2500;
+	gyp_fleet_tick(f.base.fleet, f.base.now);
+	placer_fixture_submit(&f, 1, 1, lasting_step(1));
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.cmds->len, ==, 1);
+	placer_fixture_clear(&f);
+}
+
 /* ---- Order -------------------------------------------------------------- */
 
 /* Fills nine of the ten processors of the only endpoint, for one task's room.
@@ -256,6 +351,25 @@
 	placer_fixture_clear(&f);
 }
 
+/* Answers the polls of the only endpoint. */
+static void
+contact(struct gyp_flow_scheduler *fs, uint64_t now)
+{
+	struct gyp_fleet_call *call;
+
+	gyp_flow_scheduler_round(fs, now, 0, false);
+	while ((call = gyp_flow_scheduler_pop_call(fs)) != NULL) {
+		struct gyp_fleet_answer a = {.call = call->id,
+		    .end = GYP_FLEET_OK,
+		    .has_clock = true,
+		    .clock_ms = now,
+		    .incarnation_start_ms = 1};
+
+		gyp_flow_scheduler_call_answered(fs, now, &a);
+		gyp_fleet_call_free(call);
+	}
+}
+
 /* Waits for the next query; returns it and the entry that carries it. */
 static Gyp__Ask *
 next_query(struct gyp_flow_scheduler *fs, uint64_t *now, guint entries,
@@ -268,8 +382,7 @@
 		*now += ROUND_MS;
 		for (k = 1; k <= entries; k++)
 			gyp_flow_scheduler_offer_entry(fs, *now, k);
-		gyp_fleet_heartbeat(
-		    gyp_flow_scheduler_fleet(fs), *now, 0, 1, *now);
+		contact(fs, *now);
 		gyp_flow_scheduler_round(fs, *now, 0, true);
 		query = gyp_flow_scheduler_pop_query(fs, entry);
 		if (query != NULL)
@@ -278,61 +391,50 @@
 	return NULL;
 }
 
-/* Answers the first poll of the only endpoint. */
-static void
-contact(struct gyp_flow_scheduler *fs, uint64_t now)
-{
-	struct gyp_fleet_call *call;
-
-	gyp_flow_scheduler_round(fs, now, 0, false);
-	while ((call = gyp_flow_scheduler_pop_call(fs)) != NULL) {
-		struct gyp_fleet_answer a = {.call = call->id,
-		    .end = GYP_FLEET_OK,
-		    .has_clock = true,
-		    .clock_ms = now,
-		    .incarnation_start_ms = 1};
-
-		gyp_flow_scheduler_call_answered(fs, now, &a);
-		gyp_fleet_call_free(call);
-	}
-}
+/* A flow with one lasting task that needs admission, and an endpoint. */
+struct query_fixture {
+	struct flow_fixture base;
+	struct gyp_flow_scheduler *fs;
+};
 
-/* A lasting task whose queries are slow waits beside one endpoint. */
-static struct gyp_flow_scheduler *
-init_queried(struct flow_fixture *f)
+static void
+query_fixture_init(struct query_fixture *f)
 {
 	struct gyp_fleet_config cfg = {
 	    .lease_ms = FLOW_FIXTURE_LEASE_MS, .stop_grace_ms = 400};
 	Gyp__FlowStep step = lasting_step(1);
-	struct gyp_flow_scheduler *fs;
 	Gyp__FlowQueue *queue;
 
-	flow_fixture_init(f);
-	flow_fixture_add_host(f, "e0", 1);
-	queue = flow_fixture_submit(f, 1, &step, 1)->spec->queue;
+	flow_fixture_init(&f->base);
+	flow_fixture_add_host(&f->base, "e0", 1);
+	queue = flow_fixture_submit(&f->base, 1, &step, 1)->spec->queue;
 	queue->admission = true;
 	queue->admission_ms = 585;
 	queue->admission_each_ms = 8.45;
-	fs = gyp_flow_scheduler_new(&cfg, f->flows, f->now, 1);
-	contact(fs, f->now);
-	return fs;
+	f->fs = gyp_flow_scheduler_new(&cfg, f->base.flows, f->base.now, 1);
+	contact(f->fs, f->base.now);
+}
+
+static void
+query_fixture_clear(struct query_fixture *f)
+{
+	gyp_flow_scheduler_free(f->fs);
+	flow_fixture_clear(&f->base);
 }
 
 /* A single entry is left: its slot must not be kept free of slow queries. */
 static void
 test_single_entry(void)
 {
-	struct gyp_flow_scheduler *fs;
-	struct flow_fixture f;
+	struct query_fixture f;
 	uint64_t entry;
 	Gyp__Ask *query;
 
-	fs = init_queried(&f);
-	query = next_query(fs, &f.now, 1, &entry);
+	query_fixture_init(&f);
+	query = next_query(f.fs, &f.base.now, 1, &entry);
 	g_assert_nonnull(query);
 	gyp__ask__free_unpacked(query, NULL);
-	gyp_flow_scheduler_free(fs);
-	flow_fixture_clear(&f);
+	query_fixture_clear(&f);
 }
 
 /*
@@ -342,14 +444,13 @@
 static void
 test_query_after_failed_entry(void)
 {
-	struct gyp_flow_scheduler *fs;
-	struct flow_fixture f;
+	struct query_fixture f;
 	uint64_t failing = 0, entry;
 	guint i, failed = 0;
 
-	fs = init_queried(&f);
+	query_fixture_init(&f);
 	for (i = 0; i < 5; i++) {
-		Gyp__Ask *query = next_query(fs, &f.now, 5, &entry);
+		Gyp__Ask *query = next_query(f.fs, &f.base.now, 5, &entry);
 		Gyp__Advised answer = GYP__ADVISED__INIT;
 
 		g_assert_nonnull(query);
@@ -357,14 +458,134 @@
 			failing = entry;
 		failed += entry == failing;
 		answer.id = query->id;
-		gyp_flow_scheduler_query_answered(fs, f.now, entry, &answer);
+		gyp_flow_scheduler_query_answered(
+		    f.fs, f.base.now, entry, &answer);
 		gyp__ask__free_unpacked(query, NULL);
 	}
-	gyp_flow_scheduler_free(fs);
-	flow_fixture_clear(&f);
+	query_fixture_clear(&f);
 	g_assert_cmpuint(failed, ==, 1);
 }
 
+/* Answers that e0 may run the task, with that ticket. */
+static void
+allow(struct query_fixture *f, uint64_t entry, const Gyp__Ask *query,
+    const char *ticket)
+{
+	Gyp__Advised answer = GYP__ADVISED__INIT;
+	Gyp__Ticket t = GYP__TICKET__INIT, *tickets[] = {&t};
+
+	t.endpoint = "e0";
+	t.ticket = (char *)ticket;
+	answer.id = query->id;
+	answer.ok = true;
+	answer.valid_ms = 2000;
+	answer.n_tickets = G_N_ELEMENTS(tickets);
+	answer.tickets = tickets;
+	gyp_flow_scheduler_query_answered(f->fs, f->base.now, entry, &answer);
+}
+
+/*
+ * One entry passes answers on so late that their tickets are of no use. The
+ * next queries about the task must use other entries while some are free.
+ */
+static void
+test_query_after_late_entry(void)
+{
+	struct query_fixture f;
+	uint64_t late = 0, entry;
+	guint i, used = 0;
+
+	query_fixture_init(&f);
+	for (i = 0; i < 12; i++) {
+		Gyp__Ask *query = next_query(f.fs, &f.base.now, 5, &entry);
+
+		g_assert_nonnull(query);
+		if (late == 0)
+			late = entry;
+		used += entry == late;
+		f.base.now += 600 + (entry == late ? 2000 : 0);
+		allow(&f, entry, query, "t");
+		gyp__ask__free_unpacked(query, NULL);
+	}
+	query_fixture_clear(&f);
+	g_assert_cmpuint(used, ==, 1);
+}
+
+/*
+ * A query is lost with its entry, which still counts as available for seconds.
+ * The task must not wait for the answer for longer than leaves the time for
+ * another query.
+ */
+static void
+test_query_without_answer(void)
+{
+	struct query_fixture f;
+	Gyp__Ask *first, *second;
+	uint64_t first_entry, second_entry, asked_at;
+
+	query_fixture_init(&f);
+	first = next_query(f.fs, &f.base.now, 5, &first_entry);
+	asked_at = f.base.now;
+	second = next_query(f.fs, &f.base.now, 5, &second_entry);
+	g_assert_nonnull(first);
+	g_assert_nonnull(second);
+	g_assert_cmpuint(second_entry, !=, first_entry);
+	g_assert_cmpuint(f.base.now - asked_at, <=, ROOM_MS / 2);
+	gyp__ask__free_unpacked(first, NULL);
+	gyp__ask__free_unpacked(second, NULL);
+	query_fixture_clear(&f);
+}
+
+/* Runs a round; returns the ticket of the task's start, or NULL. */
+static char *
+ticket_of_start(struct query_fixture *f)
+{
+	struct gyp_fleet_call *call;
+	char *ticket = NULL;
+	Gyp__Cmd *cmd;
+
+	gyp_flow_scheduler_round(f->fs, f->base.now, 0, true);
+	while ((cmd = gyp_flow_scheduler_pop_cmd(f->fs)) != NULL) {
+		gyp_flows_apply(f->base.flows, f->base.now, cmd);
+		gyp_message_free(cmd);
+	}
+	gyp_flow_scheduler_round(f->fs, f->base.now, 0, false);
+	while ((call = gyp_flow_scheduler_pop_call(f->fs)) != NULL) {
+		if (call->kind == GYP_FLEET_START)
+			ticket = g_strdup(call->ticket);
+		gyp_fleet_call_free(call);
+	}
+	return ticket;
+}
+
+/*
+ * The answer to an overdue query is used if it comes first, and does not
+ * replace that to a later query if it comes after it.
+ */
+static void
+test_overdue_answer(gconstpointer arg)
+{
+	bool second_answered = GPOINTER_TO_INT(arg) != 0;
+	struct query_fixture f;
+	Gyp__Ask *first, *second;
+	uint64_t first_entry, second_entry;
+	char *ticket;
+
+	query_fixture_init(&f);
+	first = next_query(f.fs, &f.base.now, 5, &first_entry);
+	second = next_query(f.fs, &f.base.now, 5, &second_entry);
+	g_assert_nonnull(second);
+	if (second_answered)
+		allow(&f, second_entry, second, "second");
+	allow(&f, first_entry, first, "first");
+	ticket = ticket_of_start(&f);
+	g_assert_cmpstr(ticket, ==, second_answered ? "second" : "first");
+	g_free(ticket);
+	gyp__ask__free_unpacked(first, NULL);
+	gyp__ask__free_unpacked(second, NULL);
+	query_fixture_clear(&f);
+}
+
 /* ---- Endpoints with filling work ---------------------------------------- */
 
 /* Interval at which each endpoint ends a filling run as done, in ms. */
@@ -569,6 +790,19 @@
 static const struct filled_case more_urgent = {0, false};
 static const struct filled_case queried = {2, true};
 
+/* Entries whose answers are late, while endpoints are lost. */
+static void
+test_load_late_entries(void)
+{
+	struct lasting_load_config cfg = {.disturbed_at = 15000,
+	    .gone = (uint32_t)setting("GYP_GONE", 30),
+	    .late_at = 5000,
+	    .late_entries = (uint32_t)setting("GYP_LATE", 12),
+	    .late_ms = setting("GYP_LATE_MS", 2500)};
+
+	run_load(&cfg);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -579,6 +813,12 @@
 	g_test_add_func("/lasting-placement/lasting-probe", test_lasting_probe);
 	g_test_add_func("/lasting-placement/many-failures-of-task",
 	    test_many_failures_of_task);
+	g_test_add_func(
+	    "/lasting-placement/failing-endpoints", test_failing_endpoints);
+	g_test_add_func("/lasting-placement/silent-endpoint-last",
+	    test_silent_endpoint_last);
+	g_test_add_func("/lasting-placement/silent-endpoint-used",
+	    test_silent_endpoint_used);
 	g_test_add_func("/lasting-placement/interrupted-task-first",
 	    test_interrupted_task_first);
 	g_test_add_func("/lasting-placement/failing-task-not-first",
@@ -596,10 +836,20 @@
 	    &queried, test_filled_endpoints);
 	g_test_add_func("/lasting-placement/failing-task-clears-nothing",
 	    test_failing_task_clears_nothing);
+	g_test_add_func("/lasting-placement/query-after-late-entry",
+	    test_query_after_late_entry);
+	g_test_add_func("/lasting-placement/query-without-answer",
+	    test_query_without_answer);
+	g_test_add_data_func("/lasting-placement/overdue-answer/alone",
+	    GINT_TO_POINTER(0), test_overdue_answer);
+	g_test_add_data_func("/lasting-placement/overdue-answer/older",
+	    GINT_TO_POINTER(1), test_overdue_answer);
 	g_test_add_func("/lasting-placement/load/quiet", test_load_quiet);
 	g_test_add_func("/lasting-placement/load/gone", test_load_gone);
 	g_test_add_func("/lasting-placement/load/failing", test_load_failing);
 	g_test_add_func("/lasting-placement/load/failing-entries",
 	    test_load_failing_entries);
+	g_test_add_func(
+	    "/lasting-placement/load/late-entries", test_load_late_entries);
 	return g_test_run();
 }
