--- a/test/test_lasting_placement.c
+++ b/test/test_lasting_placement.c
@@ -163,6 +163,53 @@
 	placer_fixture_clear(&f);
 }
 
+/* Ends the task's run as failed, as it does at once at these endpoints. */
+static void
+fail(struct placer_fixture *f, uint64_t flow, uint32_t task)
+{
+	uint32_t row = gyp_flow_get(f->base.flows, flow)->tasks[task].row;
+
+	placer_fixture_end_run(f, flow, task, GYP__FLOW_HOW__FLOW_FAILED);
+	gyp_run_stats_failed(f->stats, flow, task, row, f->base.now);
+}
+
+/*
+ * All endpoints but the last two fail all runs at once, and nothing else runs
+ * that would show it. A lasting task must reach one of those two in time; it
+ * takes some time to start it each time, such as for an admission query.
+ */
+static void
+check_failing_endpoints(guint failing, uint64_t start_ms)
+{
+	struct placer_fixture f;
+	const struct gyp_flow *flow;
+	uint64_t begin;
+	guint starts;
+
+	placer_fixture_init(&f, failing + 2);
+	placer_fixture_submit(&f, 1, 1, lasting_step(1));
+	flow = gyp_flow_get(f.base.flows, 1);
+	begin = f.base.now;
+	for (starts = 1;; starts++) {
+		wait_for_open(&f, 1, 1, 60000);
+		g_assert_cmpuint(flow->open, ==, 1);
+		if (flow->tasks[0].row >= failing)
+			break;
+		advance(&f, start_ms);
+		fail(&f, 1, 0);
+	}
+	g_assert_cmpuint(starts, <=, failing + 1);
+	g_assert_cmpuint(f.base.now - begin, <=, QUIET_MS + ROOM_MS);
+	placer_fixture_clear(&f);
+}
+
+static void
+test_failing_endpoints(void)
+{
+	check_failing_endpoints(20, ROUND_MS);
+	check_failing_endpoints(3, 2000);
+}
+
 /* ---- Endpoints that are lost ----------------------------------------------
  */
 
@@ -613,6 +660,8 @@
 	g_test_add_func("/lasting-placement/lasting-probe", test_lasting_probe);
 	g_test_add_func("/lasting-placement/many-failures-of-task",
 	    test_many_failures_of_task);
+	g_test_add_func(
+	    "/lasting-placement/failing-endpoints", test_failing_endpoints);
 	g_test_add_func("/lasting-placement/silent-endpoint-last",
 	    test_silent_endpoint_last);
 	g_test_add_func("/lasting-placement/silent-endpoint-used",
