lasting_watch: lasting-down says since when the end of a run is proposed

A line with state=open said that an end was proposed, not for how long, so an end that is never applied looked like one under way. New last field end_proposed_ms_ago, 0 if no end is proposed.

Test: /lasting/end-not-applied.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -92,6 +92,7 @@
 	if (run->end_proposed)
 		return;
 	run->end_proposed = true;
+	run->end_proposed_at = f->now;
 	if (how != GYP__FLOW_HOW__FLOW_DONE && h != NULL)
 		gyp_events_add(f->cfg.events, "run-ended",
 		    RUN_ID " how=%s endpoint=%s starts_sent=%u confirmed=%d",
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -229,6 +229,7 @@
 	bool running;         /* confirmed, neither stopped nor over */
 	bool began;           /* confirmed once, or of an earlier leader */
 	bool end_proposed;    /* its end is proposed, not committed */
+	uint64_t end_proposed_ms_ago; /* 0 if it is not */
 	uint32_t starts_sent;
 	uint64_t confirmed_at; /* first confirmation to this leader, or 0 */
 	/* Of the endpoint: */
--- a/src/fleet_diagnosis.c
+++ b/src/fleet_diagnosis.c
@@ -63,6 +63,8 @@
 	d->running = gyp_fleet_run_is_running(run);
 	d->began = run->view.confirmed || run->phase == GYP_RUN_INHERITED;
 	d->end_proposed = run->end_proposed;
+	d->end_proposed_ms_ago =
+	    run->end_proposed ? f->now - run->end_proposed_at : 0;
 	d->starts_sent = run->starts_sent;
 	d->confirmed_at = run->view.confirmed_at;
 	return true;
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -52,6 +52,7 @@
 	bool may_outlast;       /* the departed incarnation of its endpoint */
 	bool start_pending;     /* a start is under way */
 	bool end_proposed;      /* its end is proposed, not committed */
+	uint64_t end_proposed_at;
 	char *ticket;
 	struct gyp_run_view view;
 };
--- a/src/lasting_watch.c
+++ b/src/lasting_watch.c
@@ -271,11 +271,12 @@
 	    " " DOWN " state=open endpoint=%s phase=%s stop=%s call=%s "
 	    "end_proposed=%d starts_sent=%u silent_ms=%" G_GUINT64_FORMAT
 	    " failures=%u departed=%d lease_left_ms=%" G_GUINT64_FORMAT
-	    " restarted_ms_ago=%" G_GINT64_FORMAT " left_out=%u",
+	    " restarted_ms_ago=%" G_GINT64_FORMAT
+	    " left_out=%u end_proposed_ms_ago=%" G_GUINT64_FORMAT,
 	    TASK_ARGS(o->down), DOWN_ARGS(w, o), run->endpoint, run->phase,
 	    run->stop, run->call, run->end_proposed, run->starts_sent,
 	    run->silent_ms, run->failures, run->departed, run->lease_left_ms,
-	    run->restarted_ms_ago, left_out);
+	    run->restarted_ms_ago, left_out, run->end_proposed_ms_ago);
 }
 
 static void
--- a/test/test_lasting_watch.c
+++ b/test/test_lasting_watch.c
@@ -137,7 +137,7 @@
 	    "state=open endpoint=e0 phase=confirmed stop=none call=none "
 	    "end_proposed=0 starts_sent=1 silent_ms=2500 failures=0 departed=0 "
 	    "lease_left_ms=4683 "
-	    "restarted_ms_ago=-1 left_out=0");
+	    "restarted_ms_ago=-1 left_out=0 end_proposed_ms_ago=0");
 	expect_count(f, "gyp_lasting_down", 1);
 }
 
@@ -227,7 +227,7 @@
 	    "state=open endpoint=e0 phase=inherited stop=none call=none "
 	    "end_proposed=0 starts_sent=0 silent_ms=1000 failures=0 departed=0 "
 	    "lease_left_ms=5183 "
-	    "restarted_ms_ago=-1 left_out=0");
+	    "restarted_ms_ago=-1 left_out=0 end_proposed_ms_ago=0");
 	list_run(f, 1);
 	scan_after(f, 1000);
 	expect_line(f, "lasting-up " TASK
@@ -257,6 +257,23 @@
 	}
 }
 
+/* The end of a run was proposed and is not applied: the line says since when.
+ */
+static void
+test_end_not_applied(struct fixture *f)
+{
+	flow_fixture_start(&f->base.base, FLOW, 0, 0, 1, 0);
+	gyp_fleet_stop_run(f->base.base.fleet, FLOW, 0);
+	scan_after(f, 0);
+	scan_after(f, 1000);
+	expect_line(f,
+	    "lasting-down " TASK "step=0 for_ms=1000 run=1 " NO_END
+	    "state=open endpoint=e0 phase=unsent stop=none call=none "
+	    "end_proposed=1 starts_sent=0 silent_ms=1000 failures=0 departed=0 "
+	    "lease_left_ms=6183 "
+	    "restarted_ms_ago=-1 left_out=0 end_proposed_ms_ago=1000");
+}
+
 /* A cancelled flow must not be reported: its tasks need no run. */
 static void
 test_cancelled_flow(struct fixture *f)
@@ -277,6 +294,7 @@
     {"/lasting/short-outages", 1, test_short_outages},
     {"/lasting/new-leader", 1, test_new_leader},
     {"/lasting/lines-are-bounded", 30, test_lines_are_bounded},
+    {"/lasting/end-not-applied", 1, test_end_not_applied},
     {"/lasting/cancelled-flow", 1, test_cancelled_flow}};
 
 static void
