fleet: a run that its endpoint doesn't list ends, even if its stops fail

Seen by callers: a task whose endpoint answers polls, lists it neither as running nor as ended, and refuses its stops (busy, or 4xx), is not placed again for as long as that lasts; each poll extends the lease as well.

Cause: an open run that is to stop ended only after a stop was confirmed. A refused stop is sent again every 250 ms without a bound.

Now a complete list without the run ends it, too, if its poll was sent 15 s (LATE_CALL_MAX_MS) after the last start of this leader and after the begin of its term: no start can be under way then, so nothing can begin it. A list with rows that could not be read proves nothing.

Before, in each of the three tests refused-stops, -inherited, -late-start: test_open_runs.c:511:assert_ends_without_stop: assertion failed (f->base.now - since <= ms): (60000 <= 16500) Without the check for unreadable rows: test_refused_stops_unreadable_row: 'is_open(&f, 0)' should be TRUE

--- a/src/fleet_poll.c
+++ b/src/fleet_poll.c
@@ -237,17 +237,38 @@
 	return false;
 }
 
-/* Handles a run that the endpoint lists neither as running nor as ended. */
+/*
+ * True if no start of a run that is to stop can be carried out after sent_at.
+ * The starts of earlier leaders were sent before this one's term.
+ */
+static bool
+starts_are_over(const struct gyp_fleet *f, const struct gyp_fleet_run *run,
+    uint64_t sent_at)
+{
+	uint64_t last_start = MAX(f->leader_since, run->start_sent_at);
+
+	return !run->start_pending && sent_at >= last_start + LATE_CALL_MAX_MS;
+}
+
+/*
+ * Handles a run that the endpoint lists neither as running nor as ended. After
+ * a confirmed stop no start of it is carried out. A stop may be refused each
+ * time, so the run is over, too, once none can be under way; but a row that was
+ * unreadable may be that of the run.
+ */
 static void
-handle_missing_run(
-    struct gyp_fleet *f, struct gyp_fleet_run *run, uint64_t sent_at)
+handle_missing_run(struct gyp_fleet *f, struct gyp_fleet_run *run,
+    uint64_t sent_at, bool complete)
 {
 	bool should_be_listed =
 	    run->phase == GYP_RUN_INHERITED ||
 	    (run->phase == GYP_RUN_CONFIRMED && run->confirmed_at <= sent_at);
 
-	if (run->stop == GYP_STOP_CONFIRMED && run->stopped_at <= sent_at &&
-	    !run->start_pending)
+	bool stopped = run->stop == GYP_STOP_CONFIRMED &&
+		       run->stopped_at <= sent_at && !run->start_pending;
+
+	if (stopped || (complete && run->stop != GYP_STOP_NONE &&
+			   starts_are_over(f, run, sent_at)))
 		gyp_fleet_propose_end(f, run, GYP__FLOW_HOW__FLOW_LOST, NULL);
 	else if (run->stop == GYP_STOP_NONE && should_be_listed)
 		gyp_fleet_request_stop(f, run);
@@ -269,7 +290,8 @@
 
 		if (!run->end_proposed && !g_hash_table_contains(listed, run) &&
 		    !end_is_listed(endpoint, run))
-			handle_missing_run(f, run, p->sent_at);
+			handle_missing_run(
+			    f, run, p->sent_at, a->unreadable_rows == 0);
 	}
 	g_hash_table_destroy(listed);
 }
--- a/test/test_open_runs.c
+++ b/test/test_open_runs.c
@@ -21,6 +21,9 @@
 /* Time for an undisturbed endpoint to list or end a run, in ms. */
 #define CONTACT_END_MS 1500
 
+/* Longest time until a call without an answer is carried out, in ms. */
+#define LATE_CALL_MS 15000
+
 struct fixture {
 	struct flow_fixture base;
 	uint32_t a; /* row of the endpoint */
@@ -483,6 +486,117 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * Answers polls with empty lists and each stop with that result until the task
+ * has no open run, at most for ms.
+ */
+static void
+assert_ends_without_stop(struct fixture *f, uint32_t task,
+    enum gyp_fleet_call_result stops, uint64_t ms)
+{
+	uint64_t since = f->base.now;
+	struct gyp_fleet_call *call;
+
+	while (is_open(f, task) && f->base.now < since + 60000) {
+		flow_fixture_advance(&f->base, 10);
+		call = gyp_fleet_pop_call(f->base.fleet);
+		if (call == NULL)
+			continue;
+		if (call->kind == GYP_FLEET_POLL)
+			flow_fixture_answer_poll(
+			    &f->base, call, 1, NULL, 0, NULL, 0);
+		else
+			flow_fixture_answer(&f->base, call, stops);
+	}
+	g_assert_cmpuint(f->base.now - since, <=, ms);
+}
+
+/*
+ * Guards against a run that is open without end: its endpoint lists it neither
+ * as running nor as ended, and refuses each stop. Once no start of it can be
+ * under way, the list is proof enough.
+ */
+static void
+test_refused_stops(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_run(&f, 0, 1);
+	assert_ends_without_stop(
+	    &f, 0, GYP_FLEET_REFUSED, LATE_CALL_MS + CONTACT_END_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/* The same for a run that an earlier leader started. */
+static void
+test_refused_stops_inherited(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_run(&f, 0, 1);
+	flow_fixture_new_leader(&f.base, 2);
+	assert_ends_without_stop(
+	    &f, 0, GYP_FLEET_REFUSED, LATE_CALL_MS + CONTACT_END_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * A start without an answer may be carried out for 15 s: until then, a list
+ * without the run doesn't end it, or its task could run twice.
+ */
+static void
+test_refused_stops_late_start(void)
+{
+	struct fixture f;
+	uint64_t sent;
+
+	fixture_init(&f);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	flow_fixture_answer(
+	    &f.base, next_call(&f, GYP_FLEET_START), GYP_FLEET_REFUSED);
+	sent = f.base.now;
+	assert_ends_without_stop(
+	    &f, 0, GYP_FLEET_REFUSED, LATE_CALL_MS + CONTACT_END_MS);
+	g_assert_cmpuint(f.base.now - sent, >=, LATE_CALL_MS - 100);
+	flow_fixture_clear(&f.base);
+}
+
+/* A row that can't be read may be that of the run, so the run isn't over. */
+static void
+test_refused_stops_unreadable_row(void)
+{
+	struct fixture f;
+	struct gyp_fleet_answer a = {.end = GYP_FLEET_REFUSED};
+	struct gyp_fleet_call *call;
+	uint64_t end;
+
+	fixture_init(&f);
+	start_run(&f, 0, 1);
+	end = f.base.now + 2 * LATE_CALL_MS;
+	a.running = g_array_new(FALSE, TRUE, sizeof(struct gyp_listed_run));
+	a.ended = g_array_new(FALSE, TRUE, sizeof(struct gyp_listed_end));
+	while (f.base.now < end) {
+		flow_fixture_advance(&f.base, 10);
+		call = gyp_fleet_pop_call(f.base.fleet);
+		if (call == NULL)
+			continue;
+		a.call = call->id;
+		a.listed = call->kind == GYP_FLEET_POLL;
+		a.end = a.listed ? GYP_FLEET_OK : GYP_FLEET_REFUSED;
+		a.unreadable_rows = a.listed ? 1 : 0;
+		a.has_clock = true;
+		a.clock_ms = f.base.now;
+		gyp_fleet_handle_answer(f.base.fleet, f.base.now, &a);
+		gyp_fleet_call_free(call);
+	}
+	g_assert_true(is_open(&f, 0));
+	g_array_free(a.running, TRUE);
+	g_array_free(a.ended, TRUE);
+	flow_fixture_clear(&f.base);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -515,5 +629,12 @@
 	    "/open-runs/restart-during-stop", test_restart_during_stop);
 	g_test_add_func(
 	    "/open-runs/back-after-shutdown", test_back_after_shutdown);
+	g_test_add_func("/open-runs/refused-stops", test_refused_stops);
+	g_test_add_func(
+	    "/open-runs/refused-stops-inherited", test_refused_stops_inherited);
+	g_test_add_func("/open-runs/refused-stops-late-start",
+	    test_refused_stops_late_start);
+	g_test_add_func("/open-runs/refused-stops-unreadable-row",
+	    test_refused_stops_unreadable_row);
 	return g_test_run();
 }
