fleet: the removal of an endpoint is proposed again if it had no effect

Seen by operators: an endpoint that is gone stays in the tables, and in reports of the service's room, as long as the same leader leads.

Cause: a removal is ignored if the endpoint registers a later incarnation before it is committed. It was noted as proposed for good, so that no later shutdown or silence of the endpoint removed it.

Now it is proposed again after 2 s if it still applies. The command is the same each time, and one for an earlier incarnation has no effect.

Before, /open-runs/removal-without-effect: test_removal_without_effect: 'gyp_host_by_id(f.base.flows, "a")' should be NULL

test_open_runs, test_incarnations, test_fleet, test_cell and test_flows pass.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -27,6 +27,12 @@
 /* An idle endpoint that is silent for this long is removed, in ms. */
 #define REMOVE_IDLE_MS 60000
 
+/*
+ * Pause before the removal of an endpoint is proposed again, in ms: it has no
+ * effect if the endpoint registers before it is committed.
+ */
+#define REMOVAL_RETRY_MS 2000
+
 /*
  * Unanswered calls in a row after which an endpoint that drained and announced
  * its shutdown has ended.
@@ -298,9 +304,11 @@
 	Gyp__Cmd cmd = GYP__CMD__INIT;
 	Gyp__CmdHost host;
 
-	if (h == NULL || h->spec->gone || endpoint->removal_proposed)
+	if (h == NULL || h->spec->gone ||
+	    (endpoint->removal_proposed_at != 0 &&
+		f->now < endpoint->removal_proposed_at + REMOVAL_RETRY_MS))
 		return;
-	endpoint->removal_proposed = true;
+	endpoint->removal_proposed_at = f->now;
 	gyp_events_add(f->cfg.events, "endpoint-gone",
 	    "endpoint=%s runs=%u heard_ms_ago=%" G_GUINT64_FORMAT, h->spec->id,
 	    endpoint->runs->len, gyp_fleet_endpoint_silence_ms(f, endpoint));
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -88,12 +88,12 @@
 	uint64_t restarted_at; /* latest restart was noticed; 0: never */
 	uint64_t restart_call; /* id of the first call after the restart */
 	uint32_t restarts;     /* that this leader noticed */
-	bool removal_proposed;
-	uint32_t failures;     /* consecutive calls without an answer */
-	bool poll_failed;      /* the latest poll was not carried out */
-	uint32_t polls;        /* polls under way */
-	bool long_poll;        /* one of these is a long poll */
-	bool poll_due;         /* an immediate poll is due */
+	uint64_t removal_proposed_at; /* the latest; 0: never */
+	uint32_t failures;            /* consecutive calls without an answer */
+	bool poll_failed;             /* the latest poll was not carried out */
+	uint32_t polls;               /* polls under way */
+	bool long_poll;               /* one of these is a long poll */
+	bool poll_due;                /* an immediate poll is due */
 	bool dirty;            /* its row is in the fleet's dirty queue */
 	uint64_t next_poll_at; /* no poll before this time */
 	uint64_t acked;        /* ends up to this number are committed */
--- a/test/test_open_runs.c
+++ b/test/test_open_runs.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 
 #include "flow_fixture.h"
+#include "msg.h"
 
 /*
  * Open runs that no endpoint has: each must end soon, or its task is not placed
@@ -597,6 +598,49 @@
 	flow_fixture_clear(&f.base);
 }
 
+/* Pops the next command, which the test applies later. */
+static Gyp__Cmd *
+next_cmd(struct fixture *f)
+{
+	Gyp__Cmd *cmd = NULL;
+	int i;
+
+	for (i = 0; i < 300 && cmd == NULL; i++) {
+		f->base.now += 10;
+		gyp_fleet_tick(f->base.fleet, f->base.now);
+		cmd = gyp_fleet_pop_cmd(f->base.fleet);
+	}
+	g_assert_nonnull(cmd);
+	return cmd;
+}
+
+/*
+ * An endpoint shuts down and registers again before its removal is committed,
+ * so the removal has no effect. Its next shutdown must remove it, or the tables
+ * hold an endpoint that is gone as long as this leader leads.
+ */
+static void
+test_removal_without_effect(void)
+{
+	struct fixture f;
+	Gyp__Cmd *removal;
+
+	fixture_init(&f);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 1);
+	removal = next_cmd(&f);
+	g_assert_cmpint(removal->c_case, ==, GYP__CMD__C_HOST);
+	f.a = flow_fixture_add_host(&f.base, "a", 2);
+	gyp_flows_apply(f.base.flows, f.base.now, removal);
+	gyp_message_free(removal);
+	restart(&f, 2);
+	answer_all(&f, CONTACT_END_MS, 2, GYP_FLEET_OK);
+	g_assert_true(gyp_fleet_usable(f.base.fleet, f.a));
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 2);
+	lose_calls(&f, 3000);
+	g_assert_null(gyp_host_by_id(f.base.flows, "a"));
+	flow_fixture_clear(&f.base);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -634,6 +678,8 @@
 	    "/open-runs/refused-stops-inherited", test_refused_stops_inherited);
 	g_test_add_func("/open-runs/refused-stops-late-start",
 	    test_refused_stops_late_start);
+	g_test_add_func(
+	    "/open-runs/removal-without-effect", test_removal_without_effect);
 	g_test_add_func("/open-runs/refused-stops-unreadable-row",
 	    test_refused_stops_unreadable_row);
 	return g_test_run();
