--- a/src/fleet_poll.c
+++ b/src/fleet_poll.c
@@ -265,7 +265,6 @@
 	bool should_be_listed =
 	    run->phase == GYP_RUN_INHERITED ||
 	    (run->phase == GYP_RUN_CONFIRMED && run->confirmed_at <= sent_at);
-
 	bool stopped = run->stop == GYP_STOP_CONFIRMED &&
 		       run->stopped_at <= sent_at && !run->start_pending;
 
