--- a/src/fleet_poll.c
+++ b/src/fleet_poll.c
@@ -192,9 +192,9 @@
 }
 
 /*
- * Updates the runs that the endpoint lists, and stops those that are unwanted
- * and those that are not open there, at most UNKNOWN_STOPS_MAX. Returns the set
- * of struct gyp_fleet_run that are listed and open.
+ * Updates the runs that the endpoint lists and stops those that are not open
+ * there, at most UNKNOWN_STOPS_MAX. Returns the set of struct gyp_fleet_run
+ * that are listed and open.
  */
 static GHashTable *
 handle_running(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint,
@@ -213,8 +213,6 @@
 		if (run != NULL) {
 			g_hash_table_add(listed, run);
 			update_view(f, run, l);
-			if (gyp_flow_run_is_unwanted(run->flow, key.index))
-				gyp_fleet_request_stop(f, run);
 		} else if (unknown++ < UNKNOWN_STOPS_MAX) {
 			stop_unknown_run(f, endpoint, l);
 		}
--- a/src/flow.c
+++ b/src/flow.c
@@ -189,12 +189,6 @@
 	       flow->state == GYP_FLOW_RUNNING;
 }
 
-bool
-gyp_flow_gang_is_done(const struct gyp_flow_unit *u)
-{
-	return u->step->gang && u->left == 0;
-}
-
 bool
 gyp_flow_run_is_unwanted(const struct gyp_flow *flow, uint32_t task)
 {
--- a/src/flow.h
+++ b/src/flow.h
@@ -285,17 +285,9 @@
 /* True if the flow has not completed, failed or been cancelled. */
 bool gyp_flow_is_alive(const struct gyp_flow *);
 
-/*
- * True if the unit is a gang and one of its runs has ended as done. All of its
- * tasks count as done then; the runs that are still open book their resources
- * until they have ended too.
- */
-bool gyp_flow_gang_is_done(const struct gyp_flow_unit *);
-
 /*
  * True if the open run must be stopped: its flow has ended, or another run of
- * its gang has. If that one was done, this one has as a rule ended as well, and
- * is stopped only if a list shows it at work.
+ * its gang has.
  */
 bool gyp_flow_run_is_unwanted(const struct gyp_flow *, uint32_t task);
 
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -69,7 +69,6 @@
 
 /* ---- Ends of flows ------------------------------------------------------ */
 
-/* Open runs of a completed flow are of gangs, and their ends are due. */
 static void
 end_flow(struct gyp_flows *f, struct gyp_flow *flow, uint64_t now,
     enum gyp_flow_state state)
@@ -79,8 +78,6 @@
 	flow->state = state;
 	flow->ended_ms = now;
 	g_queue_push_tail(&f->ended, flow);
-	if (state == GYP_FLOW_COMPLETED)
-		return;
 	for (i = 0; i < flow->n_tasks && f->listener != NULL; i++) {
 		if (flow->tasks[i].state == GYP_FLOW_TASK_OPEN)
 			f->listener->ops->unwanted(f->listener, flow, i);
@@ -139,10 +136,7 @@
 		end_flow(f, flow, now, GYP_FLOW_COMPLETED);
 }
 
-/*
- * One run of a gang that ends as done completes all of its tasks. Its other
- * runs stay open, and booked, until their own ends: see end_done_member().
- */
+/* One run of a gang that ends as done completes all of its tasks. */
 static void
 finish_task(
     struct gyp_flows *f, struct gyp_flow *flow, uint32_t task, uint64_t now)
@@ -154,14 +148,20 @@
 
 	for (i = first; i < last; i++) {
 		struct gyp_flow_task *t = &flow->tasks[i];
+		uint32_t row = t->row;
 
 		if (t->state == GYP_FLOW_TASK_DONE)
 			continue;
-		u->left--;
-		if (t->state == GYP_FLOW_TASK_OPEN)
-			continue;
+		if (t->state == GYP_FLOW_TASK_OPEN && i != task) {
+			release(f, flow, i);
+			if (f->listener != NULL)
+				f->listener->ops->ended(f->listener, flow, i,
+				    row, GYP__FLOW_HOW__FLOW_DONE);
+			drop_host(f, row);
+		}
 		t->state = GYP_FLOW_TASK_DONE;
 		t->changed_ms = now;
+		u->left--;
 	}
 	finish_unit(f, flow, u, now);
 }
@@ -240,26 +240,6 @@
 		    f->forecast, flow, u, end->host, now - start_ms);
 }
 
-/*
- * Ends a run whose gang is done: the endpoint has listed its end or can't run
- * it any more. How it ended changes nothing.
- */
-static void
-end_done_member(struct gyp_flows *f, struct gyp_flow *flow,
-    const Gyp__CmdFlowEnd *end, uint64_t now)
-{
-	struct gyp_flow_task *t = &flow->tasks[end->task];
-
-	release(f, flow, end->task);
-	t->state = GYP_FLOW_TASK_DONE;
-	t->changed_ms = now;
-	if (f->listener != NULL)
-		f->listener->ops->ended(
-		    f->listener, flow, end->task, end->host, end->how);
-	drop_host(f, end->host);
-	remove_if_ended(f, flow);
-}
-
 static void
 apply_end(struct gyp_flows *f, uint64_t now, const Gyp__CmdFlowEnd *end)
 {
@@ -281,10 +261,6 @@
 	}
 	if (t->state != GYP_FLOW_TASK_OPEN)
 		return;
-	if (gyp_flow_gang_is_done(gyp_flow_unit_of(flow, end->task))) {
-		end_done_member(f, flow, end, now);
-		return;
-	}
 	start_ms = first_run_start(t);
 	lasting = gyp_flow_unit_of(flow, end->task)->step->lasting;
 	release(f, flow, end->task);
--- a/src/flow_save.c
+++ b/src/flow_save.c
@@ -104,17 +104,6 @@
 
 /* ---- Restoring ---------------------------------------------------------- */
 
-/* A gang is done once one of its tasks is, see finish_task(). */
-static void
-restore_done(struct gyp_flow *flow, struct gyp_flow_unit *u)
-{
-	if (u->left == 0)
-		return;
-	u->left = u->step->gang ? 0 : u->left - 1;
-	if (u->left == 0)
-		flow->left--;
-}
-
 static bool
 restore_tasks(
     struct gyp_flows *f, struct gyp_flow *flow, const Gyp__SnapFlow *sf)
@@ -133,8 +122,8 @@
 			t->checkpoint = g_strdup(st->checkpoint);
 		if (i == u->first)
 			u->failed_run = st->failed_run;
-		if (t->state == GYP_FLOW_TASK_DONE)
-			restore_done(flow, u);
+		if (t->state == GYP_FLOW_TASK_DONE && --u->left == 0)
+			flow->left--;
 		t->row = st->host;
 		t->changed_ms = st->changed_ms;
 		if (t->state != GYP_FLOW_TASK_OPEN)
--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -118,8 +118,7 @@
 	const struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
 	uint64_t at = flow->tasks[task].changed_ms;
 
-	/* Of a gang that is done, the last run to end. */
-	if (u->left == 0 && u->open == 0)
+	if (u->left == 0)
 		gyp_events_add(fs->events, "step-done",
 		    "flow=%016" G_GINT64_MODIFIER
 		    "x time=%u step=%u tasks=%u age_ms=%" G_GUINT64_FORMAT,
