clearing: runs are stopped only for a task with a valid ticket

Callers of the filling work would see it starve.

Cause: an endpoint counted as allowed although its ticket was over and queries failed.

Now runs are stopped only where the ticket is valid, and an endpoint is held without one only until a query has failed. A held endpoint has a flag of its own; it was said to run serving tasks.

--- a/src/capacity_index.c
+++ b/src/capacity_index.c
@@ -241,7 +241,7 @@
 	 * Tasks that use all spare capacity slow down tasks with a latency
 	 * bound, so the two never share an endpoint.
 	 */
-	if ((step->fills && cap->runs_serving) ||
+	if ((step->fills && (cap->runs_serving || cap->held)) ||
 	    (step->tail_ms > 0 && cap->runs_filling))
 		return GYP_MISFIT_SHARING;
 	return GYP_MISFIT_NONE;
--- a/src/capacity_index.h
+++ b/src/capacity_index.h
@@ -37,7 +37,8 @@
 	bool runs_serving;        /* runs tasks with a bound on tail latency */
 	bool runs_filling;        /* runs tasks that use all spare capacity */
 	bool may_clear;           /* of these, all could be stopped */
-	bool silent;              /* not heard from lately */
+	bool held;   /* no filling task may start, see clearing.h */
+	bool silent; /* not heard from lately */
 	enum gyp_run_stats_state state;
 	double slowdown;
 };
--- a/src/clearing.c
+++ b/src/clearing.c
@@ -106,8 +106,8 @@
 		    h->row >= gyp_capacity_index_size(cl->capacities))
 			g_array_remove_index_fast(cl->held, i);
 		else
-			gyp_capacity_index_at(cl->capacities, h->row)
-			    ->runs_serving = true;
+			gyp_capacity_index_at(cl->capacities, h->row)->held =
+			    true;
 	}
 }
 
@@ -130,7 +130,22 @@
 		g_array_append_val(ranking, endpoint);
 }
 
-/* An allowed endpoint stays eligible while its ticket is renewed. */
+/*
+ * True if the unit may start on the endpoint, or could until its ticket expired
+ * and a query may renew it.
+ */
+static bool
+may_be_allowed(const struct gyp_clearing *cl,
+    const struct gyp_admission_unit *answers, uint32_t row)
+{
+	enum gyp_admission_state state =
+	    gyp_admission_state(cl->admission, answers, row, cl->now);
+
+	return state == GYP_ADMISSION_ALLOWED ||
+	       (state == GYP_ADMISSION_EXPIRED &&
+		   !gyp_admission_query_failed(answers));
+}
+
 static void
 add_allowed_endpoints(const struct gyp_clearing *cl,
     const struct gyp_candidate *c, GArray *ranking)
@@ -143,7 +158,7 @@
 	rows = gyp_admission_granted_rows(answers, &n);
 	for (i = 0; i < n; i++) {
 		if (rows[i] < gyp_capacity_index_size(cl->capacities) &&
-		    gyp_admission_was_allowed(answers, rows[i]))
+		    may_be_allowed(cl, answers, rows[i]))
 			add_endpoint(cl, c, rows[i], ranking);
 	}
 }
@@ -167,6 +182,18 @@
 
 /* ---- Units -------------------------------------------------------------- */
 
+/* Runs are stopped only for a task that can start once they have ended. */
+static bool
+may_stop(const struct gyp_clearing *cl, const struct gyp_candidate *c,
+    const struct waiting_unit *u, uint32_t row)
+{
+	return cl->now >= u->since + GYP_CLEARING_WAIT_MS &&
+	       (!c->flow->spec->queue->admission ||
+		   gyp_admission_state(cl->admission,
+		       gyp_admission_unit(cl->admission, c->flow, c->unit), row,
+		       cl->now) == GYP_ADMISSION_ALLOWED);
+}
+
 /* Counts the waiting tasks of the unit that have not just failed. */
 static uint32_t
 count_tasks(const struct gyp_clearing *cl, const struct gyp_candidate *c)
@@ -204,7 +231,7 @@
 
 		tasks -= n;
 		hold(cl, endpoint->row);
-		if (cl->now >= u->since + GYP_CLEARING_WAIT_MS)
+		if (may_stop(cl, c, u, endpoint->row))
 			gyp_preempt_clear(
 			    cl->preempt, endpoint->row, c->flow->id);
 		while (n-- > 0)
--- a/src/clearing.h
+++ b/src/clearing.h
@@ -29,9 +29,10 @@
  *	Filling work takes what other work leaves, so its priority does not
  *	matter here. It stays on all endpoints that are not held, and no more
  *	are held than the tasks need. Lasting runs and gangs are never stopped;
- *	an endpoint with filling runs of that kind is not cleared. Tasks that
- *	have just failed hold nothing, or one that fails at once each time
- *	would have endpoints cleared again and again.
+ *	an endpoint with filling runs of that kind is not cleared. None is
+ *	stopped while the tasks have no valid ticket for the endpoint. Tasks
+ *	that have just failed hold nothing, so one that fails at once each time
+ *	leaves filling work some time in between.
  */
 
 /* Time for which filling runs may end by themselves, in ms. */
--- a/test/test_lasting_placement.c
+++ b/test/test_lasting_placement.c
@@ -719,6 +719,82 @@
 	placer_fixture_clear(&f);
 }
 
+/* Answers the polls of the only endpoint with the runs that the tables have. */
+static void
+list_runs(struct placer_fixture *f)
+{
+	const struct gyp_host *h = gyp_host_at(f->base.flows, 0);
+	GArray *up = g_array_new(FALSE, TRUE, sizeof(struct flow_fixture_run));
+	struct gyp_fleet_call *call;
+	bool polled = false;
+	guint i;
+
+	for (i = 0; i < h->runs->len; i++) {
+		const struct gyp_host_run *r =
+		    &g_array_index(h->runs, struct gyp_host_run, i);
+		struct flow_fixture_run run = {.flow = r->flow->id,
+		    .index = r->task,
+		    .run = r->flow->tasks[r->task].run};
+
+		g_array_append_val(up, run);
+	}
+	gyp_fleet_tick(f->base.fleet, f->base.now);
+	/* Each answer makes another poll due. */
+	while (!polled && (call = gyp_fleet_pop_call(f->base.fleet)) != NULL) {
+		polled = call->kind == GYP_FLEET_POLL;
+		if (polled)
+			flow_fixture_answer_poll(&f->base, call, 1,
+			    (struct flow_fixture_run *)up->data, up->len, NULL,
+			    0);
+		else if (call->kind == GYP_FLEET_START)
+			flow_fixture_answer(&f->base, call, GYP_FLEET_OK);
+		else
+			gyp_fleet_call_free(call);
+	}
+	g_array_free(up, TRUE);
+}
+
+/*
+ * A serving task was allowed once, and later queries about it get no answer:
+ * filling work must not be stopped for it again and again.
+ */
+static void
+test_no_clearing_without_ticket(void)
+{
+	Gyp__FlowStep serves = lasting_step(1);
+	Gyp__FlowStep fills = flow_fixture_step(1000);
+	struct gyp_preempt_stop stop;
+	struct placer_fixture f;
+	guint i, k;
+
+	serves.tail_ms = 50;
+	fills.fills = true;
+	fills.spread = 4;
+	placer_fixture_init(&f, 1);
+	placer_fixture_submit(&f, 9, 2, fills);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	settle_filled(&f);
+	placer_fixture_submit(&f, 1, 1, serves);
+	placer_fixture_set_queue(&f, 1, 1, true, 0, 0);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	settle_filled(&f);
+	for (i = 0; i < 3000 / ROUND_MS; i++) {
+		advance(&f, ROUND_MS);
+		list_runs(&f);
+	}
+	for (i = 0; i < 30000 / ROUND_MS; i++) {
+		placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+		g_assert_false(gyp_placer_pop_stop(f.placer, &stop));
+		for (k = 0; k < f.queries->len; k++)
+			gyp_admission_drop_query(f.admission,
+			    ((const Gyp__Ask *)f.queries->pdata[k])->id);
+		placer_fixture_apply(&f);
+		list_runs(&f);
+		advance(&f, ROUND_MS);
+	}
+	placer_fixture_clear(&f);
+}
+
 /* ---- Load ---------------------------------------------------------------- */
 
 static uint64_t
@@ -836,6 +912,8 @@
 	    &queried, test_filled_endpoints);
 	g_test_add_func("/lasting-placement/failing-task-clears-nothing",
 	    test_failing_task_clears_nothing);
+	g_test_add_func("/lasting-placement/no-clearing-without-ticket",
+	    test_no_clearing_without_ticket);
 	g_test_add_func("/lasting-placement/query-after-late-entry",
 	    test_query_after_late_entry);
 	g_test_add_func("/lasting-placement/query-without-answer",
