admission: answers to overdue queries are put in order, and overdue ones bounded

- forget-overdue: gyp_res_sub: assertion failed: (gyp_res_fits(r, sum)): the claims of an overdue query were removed again with its flow, an abort of the leader.
- overdue-after-answer: a query that was overdue and then timed out marked the unit as without answers although a later query had one, so no room was held for it.
- overdue-are-bounded: (60 <= 8): a unit whose entries answer nothing sent four queries each half second and took up all of them.
Four overdue ones may be open besides.
- restart-before-answer: (1 == 0): a ticket for an incarnation that has ended counted for the next one, and the start was refused.

Now each answer is kept with the number of its query, a later one is not replaced, and a ticket is of the incarnation that the query named.

--- a/src/admission.c
+++ b/src/admission.c
@@ -28,7 +28,9 @@
 	bool answered;
 	bool allowed;   /* by the latest answer */
 	uint16_t grant; /* index in grants plus one, 0 without a grant */
-	/* Of the endpoint when it was named in the query answered latest. */
+	/* The latest query that was answered, 0 for none, and the endpoint's
+	   incarnation when it was sent. */
+	uint64_t query;
 	uint64_t incarnation_start_ms;
 };
 
@@ -36,7 +38,6 @@
 struct grant {
 	uint64_t incarnation_start_ms;
 	uint64_t valid_until;
-	uint64_t query; /* id, later queries have higher ones */
 	char *ticket;
 };
 
@@ -44,12 +45,13 @@
 	struct gyp_flow_key key;
 	struct gyp_admission_pending pending;
 	uint64_t paused_until;
-	uint64_t asked_at;    /* time of the latest query */
-	bool failed;          /* the latest closed query got no answer */
-	GArray *answers;      /* struct endpoint_answer by row */
-	GArray *grants;       /* struct grant */
-	GArray *granted_rows; /* uint32_t, the row of each grant */
-	GArray *pending_rows; /* uint32_t */
+	uint64_t asked_at; /* time of the latest query */
+	bool failed;       /* a query after answered_query got no answer */
+	uint64_t answered_query; /* the latest one with an answer; 0: none */
+	GArray *answers;         /* struct endpoint_answer by row */
+	GArray *grants;          /* struct grant */
+	GArray *granted_rows;    /* uint32_t, the row of each grant */
+	GArray *pending_rows;    /* uint32_t */
 };
 
 struct query {
@@ -454,27 +456,43 @@
 	return grant_of(u, e);
 }
 
-/* The answer to an overdue query may arrive after that to a later one. */
+/*
+ * Returns the answer about a target of the query to record, or NULL: that to an
+ * overdue query may arrive after that to a later one.
+ */
+static struct endpoint_answer *
+answer_to_record(
+    struct gyp_admission_unit *u, const struct query *q, guint target)
+{
+	struct endpoint_answer *e = ensure_answer(u, target_at(q, target)->row);
+
+	return e->query > q->id ? NULL : e;
+}
+
+static const Gyp__Ticket *
+find_ticket(const Gyp__Advised *answer, const char *endpoint)
+{
+	size_t i;
+
+	for (i = 0; i < answer->n_tickets; i++) {
+		if (strcmp(answer->tickets[i]->endpoint, endpoint) == 0)
+			return answer->tickets[i];
+	}
+	return NULL;
+}
+
 static void
-record_ticket(struct gyp_admission *a, struct gyp_admission_unit *u,
-    uint64_t now, const Gyp__Advised *answer, const Gyp__Ticket *t)
+record_ticket(struct gyp_admission_unit *u, uint32_t row, uint64_t now,
+    uint32_t valid_ms, const char *ticket)
 {
-	uint32_t valid_ms = answer->valid_ms;
-	const struct gyp_host *h = gyp_host_by_id(a->flows, t->endpoint);
-	struct grant *g;
+	struct grant *g = ensure_grant(u, row);
 
-	if (h == NULL)
-		return;
-	g = ensure_grant(u, h->row);
-	if (g->query > answer->id)
-		return;
-	g->query = answer->id;
-	g->incarnation_start_ms = h->spec->born_ms;
+	g->incarnation_start_ms = answer_at(u, row)->incarnation_start_ms;
 	g->valid_until =
 	    now +
 	    (valid_ms > TICKET_MARGIN_MS ? valid_ms - TICKET_MARGIN_MS : 0);
 	g_free(g->ticket);
-	g->ticket = g_strdup(t->ticket);
+	g->ticket = g_strdup(ticket);
 }
 
 /*
@@ -501,57 +519,74 @@
 	*share += SHARE_WEIGHT * ((double)allowed / n - *share);
 }
 
-/* From then on the query is neither pending nor claims anything. */
 static void
-stop_waiting(struct gyp_admission *a, struct query *q)
+stop_waiting(struct gyp_admission *a, struct gyp_admission_unit *u,
+    const struct query *q)
 {
-	struct gyp_admission_unit *u = g_hash_table_lookup(a->units, &q->key);
-
-	if (q->overdue)
-		return;
-	q->overdue = true;
 	if (u != NULL)
 		remove_pending(u, q);
 	remove_claims(a, q);
 }
 
-/*
- * Closes a query. An answer allows exactly those of the queried endpoints for
- * which it has a ticket; without one (NULL), earlier answers stay.
- */
+/* Records what the answer says about a target; true if it is the first one. */
+static bool
+record_target(struct gyp_admission *a, struct gyp_admission_unit *u,
+    const struct query *q, guint target, uint64_t now,
+    const Gyp__Advised *answer)
+{
+	uint32_t row = target_at(q, target)->row;
+	const struct gyp_host *h = gyp_host_at(a->flows, row);
+	struct endpoint_answer *e = answer_to_record(u, q, target);
+	const Gyp__Ticket *ticket;
+	bool first;
+
+	if (e == NULL || h == NULL)
+		return false;
+	first = e->grant == 0 && !is_answered(a, e, row);
+	e->query = q->id;
+	e->incarnation_start_ms =
+	    g_array_index(q->incarnations, uint64_t, target);
+	e->answered = true;
+	e->allowed = false;
+	ticket = find_ticket(answer, h->spec->id);
+	if (ticket != NULL)
+		record_ticket(u, row, now, answer->valid_ms, ticket->ticket);
+	return first;
+}
+
+/* Records an answer. It allows exactly those endpoints with a ticket. */
+static void
+record_answer(struct gyp_admission *a, struct gyp_admission_unit *u,
+    const struct query *q, uint64_t now, const Gyp__Advised *answer)
+{
+	guint first = 0, grants_before = u->grants->len, i;
+
+	for (i = 0; i < q->targets->len; i++)
+		first += record_target(a, u, q, i, now, answer);
+	u->failed = false;
+	u->answered_query = MAX(u->answered_query, q->id);
+	update_share(a, q, first, u->grants->len - grants_before);
+}
+
+/* Closes a query. Without an answer (NULL), earlier ones stay. */
 static void
 close_query(struct gyp_admission *a, uint64_t id, uint64_t now,
     const Gyp__Advised *answer)
 {
-	struct query *q = g_hash_table_lookup(a->queries, &id);
+	const struct query *q = g_hash_table_lookup(a->queries, &id);
 	struct gyp_admission_unit *u;
-	guint unanswered = 0, grants_before;
-	size_t i;
 
 	if (q == NULL)
 		return;
 	u = g_hash_table_lookup(a->units, &q->key);
-	for (i = 0; u != NULL && i < q->targets->len; i++) {
-		struct endpoint_answer *e =
-		    ensure_answer(u, target_at(q, i)->row);
-
-		if (answer == NULL)
-			continue;
-		unanswered +=
-		    e->grant == 0 && !is_answered(a, e, target_at(q, i)->row);
-		e->answered = true;
-		e->incarnation_start_ms =
-		    g_array_index(q->incarnations, uint64_t, i);
-		e->allowed = false;
-	}
-	grants_before = u != NULL ? u->grants->len : 0;
-	for (i = 0; u != NULL && answer != NULL && i < answer->n_tickets; i++)
-		record_ticket(a, u, now, answer, answer->tickets[i]);
-	if (u != NULL) {
-		u->failed = answer == NULL;
-		update_share(a, q, unanswered, u->grants->len - grants_before);
-	}
-	stop_waiting(a, q);
+	if (!q->overdue)
+		stop_waiting(a, u, q);
+	else if (u != NULL)
+		u->pending.overdue--;
+	if (u != NULL && answer != NULL)
+		record_answer(a, u, q, now, answer);
+	else if (u != NULL && q->id > u->answered_query)
+		u->failed = true;
 	g_hash_table_remove(a->queries, &id);
 }
 
@@ -559,9 +594,15 @@
 gyp_admission_query_overdue(struct gyp_admission *a, uint64_t query)
 {
 	struct query *q = g_hash_table_lookup(a->queries, &query);
+	struct gyp_admission_unit *u;
 
-	if (q != NULL)
-		stop_waiting(a, q);
+	if (q == NULL || q->overdue)
+		return;
+	q->overdue = true;
+	u = g_hash_table_lookup(a->units, &q->key);
+	stop_waiting(a, u, q);
+	if (u != NULL)
+		u->pending.overdue++;
 }
 
 void
@@ -603,7 +644,8 @@
 
 		if (q->key.flow != flow)
 			continue;
-		remove_claims(a, q);
+		if (!q->overdue)
+			remove_claims(a, q);
 		g_hash_table_iter_remove(&iter);
 	}
 }
--- a/src/admission.h
+++ b/src/admission.h
@@ -89,7 +89,8 @@
 
 /* The queries about a unit that have no answer yet. */
 struct gyp_admission_pending {
-	uint32_t queries;
+	uint32_t queries; /* but for overdue ones */
+	uint32_t overdue;
 	double expected; /* tasks that their endpoints are expected to take */
 };
 
@@ -124,7 +125,8 @@
     const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t now,
     const struct gyp_admission_target *, guint n);
 
-/* True if the latest query about the unit to be closed got no answer. */
+/* True if a query about the unit got no answer, and no later one has got one.
+ */
 bool gyp_admission_query_failed(const struct gyp_admission_unit *);
 
 /* Time of the latest query about the unit, which may be NULL; 0: never. */
--- a/src/admission_query.c
+++ b/src/admission_query.c
@@ -21,6 +21,9 @@
  */
 #define COMPARISONS_MAX (2 * QUERY_ENDPOINTS_MAX)
 
+/* Overdue queries about a unit besides which it gets as many as usual. */
+#define OVERDUE_MAX 4
+
 /*
  * Score bonuses for an endpoint with free capacity, and for one that was
  * allowed before.
@@ -216,10 +219,12 @@
 {
 	uint32_t most = c->unit->step->lasting ? GYP_LASTING_QUERIES_MAX : 1;
 
-	if (pending->queries >= most ||
+	uint32_t unanswered = pending->queries + pending->overdue;
+
+	if (pending->queries >= most || unanswered >= most + OVERDUE_MAX ||
 	    (pending->queries > 0 && pending->expected >= waiting))
 		return 0;
-	return most - pending->queries;
+	return MIN(most - pending->queries, most + OVERDUE_MAX - unanswered);
 }
 
 Gyp__Ask *
