query_slots: an interrupted unit's query comes first, and no slot is kept

Now the round begins with one query about an interrupted unit that has none under way and for which there is an endpoint to query about; nothing is kept free for it. A single slot is left to the order of the round.

Before: test_first_without_room: assertion failed (urgent > 0): (0 > 0); test_first_with_room: assertion failed (second > 0): (0 > 0). slot-despite-urgent-work passes as before.

--- a/src/placer.c
+++ b/src/placer.c
@@ -508,6 +508,35 @@
 	}
 }
 
+/*
+ * Adds a query about an interrupted unit about which nothing is asked yet,
+ * unless its tasks have room at endpoints that are allowed already.
+ */
+static void
+query_about_interrupted(
+    const struct gyp_placer *p, struct gyp_query_slots *slots)
+{
+	guint i;
+
+	for (i = 0; i < p->candidates->units->len; i++) {
+		const struct gyp_candidate *c = &g_array_index(
+		    p->candidates->units, struct gyp_candidate, i);
+		uint32_t tasks;
+		GArray *ranking;
+		uint64_t room;
+
+		if (!gyp_query_slots_need_first(slots, c))
+			continue;
+		tasks = allowed_by_cap(p, c);
+		ranking = rank_endpoints(p, c);
+		room = gyp_ranking_total(ranking);
+		g_array_free(ranking, TRUE);
+		if (room < tasks &&
+		    gyp_query_slots_use_first(slots, c, tasks - (uint32_t)room))
+			return;
+	}
+}
+
 /* Adds queries about units that are not ready yet. */
 static void
 prefetch_queries(const struct gyp_placer *p, struct gyp_query_slots *slots)
@@ -592,9 +621,7 @@
 	gyp_preempt_begin_round(p->preempt, p->now);
 	gyp_capacity_index_begin_round(p->capacities, p->now);
 	gyp_clearing_begin_round(p->clearing);
-	gyp_query_slots_keep(&slots,
-	    (const struct gyp_candidate *)p->candidates->units->data,
-	    p->candidates->units->len);
+	query_about_interrupted(p, &slots);
 	for (i = 0; i < p->candidates->units->len; i++)
 		schedule_unit(p,
 		    &g_array_index(
--- a/src/query_slots.c
+++ b/src/query_slots.c
@@ -27,29 +27,6 @@
 	return c->flow->spec->queue->admission_ms < SLOW_QUERY_MS;
 }
 
-/* True for an interrupted unit about which nothing is asked yet. */
-static bool
-needs_kept_slot(const struct gyp_query_slots *s, const struct gyp_candidate *c)
-{
-	const struct gyp_admission_unit *unit =
-	    gyp_admission_unit(s->admission, c->flow, c->unit);
-
-	return c->slack == GYP_SLACK_INTERRUPTED &&
-	       c->flow->spec->queue->admission &&
-	       !gyp_admission_has_pending_query(unit) &&
-	       !gyp_admission_is_paused(unit, s->now);
-}
-
-void
-gyp_query_slots_keep(
-    struct gyp_query_slots *s, const struct gyp_candidate *units, guint n)
-{
-	guint i;
-
-	for (i = 0; i < n && s->free > 0 && s->kept == 0; i++)
-		s->kept = needs_kept_slot(s, &units[i]);
-}
-
 /*
  * Returns how many of the free slots of the round queries about the unit may
  * use, together with those of the units before it.
@@ -59,12 +36,11 @@
 {
 	uint32_t reserved =
 	    (s->total + RESERVED_SLOTS_DIVISOR - 1) / RESERVED_SLOTS_DIVISOR;
-	uint32_t n = s->free - s->kept;
 
 	/* A single slot is for all: slow queries would never be sent. */
 	if (gyp_query_is_quick(c) || s->total == 1)
-		return n;
-	return n > reserved ? n - reserved : 0;
+		return s->free;
+	return s->free > reserved ? s->free - reserved : 0;
 }
 
 static bool
@@ -98,20 +74,36 @@
 gyp_query_slots_use(
     struct gyp_query_slots *s, const struct gyp_candidate *c, uint32_t tasks)
 {
-	if (s->kept > 0 && needs_kept_slot(s, c)) {
-		s->kept = 0;
-		add_queries(
-		    s, c, tasks, MAX(slots_for(s, c), s->queries->len + 1));
-		return;
-	}
 	add_queries(s, c, tasks, slots_for(s, c));
 }
 
+bool
+gyp_query_slots_need_first(
+    const struct gyp_query_slots *s, const struct gyp_candidate *c)
+{
+	const struct gyp_admission_unit *unit =
+	    gyp_admission_unit(s->admission, c->flow, c->unit);
+
+	return s->total > 1 && s->free > 0 &&
+	       c->slack == GYP_SLACK_INTERRUPTED &&
+	       c->flow->spec->queue->admission &&
+	       !gyp_admission_has_pending_query(unit) &&
+	       !gyp_admission_is_paused(unit, s->now);
+}
+
+bool
+gyp_query_slots_use_first(
+    struct gyp_query_slots *s, const struct gyp_candidate *c, uint32_t tasks)
+{
+	add_queries(s, c, tasks, 1);
+	return s->queries->len > 0;
+}
+
 void
 gyp_query_slots_prefetch(
     struct gyp_query_slots *s, const struct gyp_candidate *c, uint32_t tasks)
 {
-	uint32_t reserved = s->total / PREFETCH_RESERVED_DIVISOR + s->kept;
+	uint32_t reserved = s->total / PREFETCH_RESERVED_DIVISOR;
 
 	if (s->free > reserved)
 		add_queries(s, c, tasks, s->free - reserved);
--- a/src/query_slots.h
+++ b/src/query_slots.h
@@ -18,8 +18,8 @@
  *	query each. Units are considered in the order of the round, and slow
  *	queries leave some slots free for quick ones, which are about urgent
  *	work. A unit gets several queries at a time only while many slots are
- *	free. One slot is kept for interrupted units without a query: their
- *	tasks must run again within seconds, however much urgent work waits.
+ *	free. One interrupted unit without a query comes first in each round:
+ *	its tasks must run again within seconds, however much urgent work waits.
  */
 
 /* The free query slots of a round. */
@@ -29,7 +29,6 @@
 	uint64_t now;
 	uint32_t free;
 	uint32_t total;     /* including those in use */
-	uint32_t kept;      /* free, for an interrupted unit without a query */
 	GPtrArray *queries; /* Gyp__Ask to send, at most one for each free slot
 			     */
 };
@@ -37,9 +36,16 @@
 /* True when queries about the unit are answered sooner than a run stops. */
 bool gyp_query_is_quick(const struct gyp_candidate *);
 
-/* Keeps a slot if one of the n units is interrupted and has no query. */
-void gyp_query_slots_keep(
-    struct gyp_query_slots *, const struct gyp_candidate *, guint n);
+/* True for an interrupted unit about which nothing is asked yet. */
+bool gyp_query_slots_need_first(
+    const struct gyp_query_slots *, const struct gyp_candidate *);
+
+/*
+ * Adds the first query of the round, about tasks of such a unit, in any free
+ * slot. False if there is no endpoint to query about.
+ */
+bool gyp_query_slots_use_first(
+    struct gyp_query_slots *, const struct gyp_candidate *, uint32_t tasks);
 
 /* Adds queries about tasks of the unit when slots are free for them. */
 void gyp_query_slots_use(
--- a/test/test_lasting_queries.c
+++ b/test/test_lasting_queries.c
@@ -1,5 +1,6 @@
 #include <glib.h>
 
+#include "admission_query.h"
 #include "msg.h"
 #include "placer_fixture.h"
 
@@ -645,6 +646,184 @@
 	placer_fixture_clear(&f);
 }
 
+/* ---- Overdue queries ----------------------------------------------------- */
+
+/* Sends a query about the only unit, and another one once it is overdue. */
+static uint64_t
+query_twice(struct placer_fixture *f)
+{
+	uint64_t first;
+
+	placer_fixture_init(f, 1);
+	submit(f, 1, 1, 1, true);
+	placer_fixture_run_round(f, PLACER_QUERY_SLOTS);
+	first = query_at(f, 0)->id;
+	gyp_admission_query_overdue(f->admission, first);
+	f->base.now += ROUND_MS;
+	placer_fixture_run_round(f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f->queries->len, ==, 1);
+	return first;
+}
+
+/* Its claims were removed when it was overdue: not again with the flow. */
+static void
+test_forget_overdue(void)
+{
+	struct placer_fixture f;
+
+	query_twice(&f);
+	gyp_admission_forget_flow(f.admission, gyp_flow_get(f.base.flows, 1));
+	placer_fixture_clear(&f);
+}
+
+/* An overdue query that is closed after the answer to a later one. */
+static void
+test_overdue_after_answer(void)
+{
+	struct placer_fixture f;
+	uint64_t first = query_twice(&f);
+	const struct gyp_flow *flow = gyp_flow_get(f.base.flows, 1);
+
+	placer_fixture_allow_all(&f, query_at(&f, 0));
+	gyp_admission_drop_query(f.admission, first);
+	g_assert_false(gyp_admission_query_failed(
+	    gyp_admission_unit(f.admission, flow, &flow->units[0])));
+	placer_fixture_clear(&f);
+}
+
+/* Entries that answer nothing must not all be taken up by one unit. */
+static void
+test_overdue_are_bounded(void)
+{
+	struct placer_fixture f;
+	guint i, k, sent = 0;
+
+	placer_fixture_init(&f, 40);
+	submit(&f, 1, 1, 20, true);
+	for (i = 0; i < 20; i++) {
+		guint row;
+
+		for (row = 0; row < 40; row++)
+			gyp_fleet_heartbeat(
+			    f.base.fleet, f.base.now, row, 1, f.base.now);
+		placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+		for (k = 0; k < f.queries->len; k++)
+			gyp_admission_query_overdue(
+			    f.admission, query_at(&f, k)->id);
+		sent += f.queries->len;
+		f.base.now += ROUND_MS;
+	}
+	g_assert_cmpuint(sent, <=, 2 * GYP_LASTING_QUERIES_MAX);
+	placer_fixture_clear(&f);
+}
+
+/* The answer is about the incarnation that the query named, not the next. */
+static void
+test_restart_before_answer(void)
+{
+	struct placer_fixture f;
+
+	placer_fixture_init(&f, 1);
+	submit(&f, 1, 1, 1, true);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	restart_endpoint(&f, 2);
+	placer_fixture_allow_all(&f, query_at(&f, 0));
+	f.base.now += ROUND_MS;
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.cmds->len, ==, 0);
+	g_assert_cmpuint(f.queries->len, ==, 1);
+	placer_fixture_clear(&f);
+}
+
+/* ---- The first query of a round ------------------------------------------ */
+
+/* Runs rounds whose queries fail; counts those about each of two flows. */
+static void
+count_queries(struct placer_fixture *f, uint32_t slots, guint endpoints,
+    uint64_t counted, guint *n)
+{
+	guint i, k, row;
+
+	for (i = 0; i < 200; i++) {
+		for (row = 0; row < endpoints; row++)
+			gyp_fleet_heartbeat(
+			    f->base.fleet, f->base.now, row, 1, f->base.now);
+		placer_fixture_run_round(f, slots);
+		for (k = 0; k < f->queries->len; k++) {
+			*n += query_at(f, k)->flow == counted;
+			gyp_admission_drop_query(
+			    f->admission, query_at(f, k)->id);
+		}
+		f->base.now += ROUND_MS;
+	}
+}
+
+/* Books half of each endpoint for a running task of priority 0. */
+static void
+fill_half(struct placer_fixture *f, guint endpoints)
+{
+	Gyp__Res size;
+	Gyp__FlowStep step = large_step(endpoints, &size);
+	guint i;
+
+	size.cpu_milli = 5000;
+	placer_fixture_submit(f, 9, 0, step);
+	for (i = 0; i < endpoints; i++)
+		flow_fixture_start(&f->base, 9, i, i, 1, i);
+}
+
+/* An interrupted task that has room nowhere takes no slot from other work. */
+static void
+test_first_without_room(void)
+{
+	Gyp__Res size;
+	Gyp__FlowStep big = large_step(1, &size);
+	struct placer_fixture f;
+	guint urgent = 0;
+
+	placer_fixture_init(&f, 1);
+	big.lasting = true;
+	placer_fixture_submit(&f, 1, 1, big);
+	placer_fixture_set_queue(&f, 1, 1, true, QUERY_MS, EACH_MS);
+	interrupt(&f, 1);
+	fill_half(&f, 1);
+	placer_fixture_submit(&f, 2, 0, flow_fixture_step(1));
+	placer_fixture_set_queue(&f, 2, 0, true, 34, 0.5);
+	count_queries(&f, 1, 1, 2, &urgent);
+	g_assert_cmpuint(urgent, >, 0);
+	placer_fixture_clear(&f);
+}
+
+/* Nor does it keep another interrupted task from the first query. */
+static void
+test_first_with_room(void)
+{
+	Gyp__Res size;
+	Gyp__FlowStep big = large_step(1, &size);
+	struct placer_fixture f;
+	guint second = 0, i;
+	uint64_t id;
+
+	placer_fixture_init(&f, 40);
+	size.cpu_milli = 10000; /* a whole endpoint */
+	big.lasting = true;
+	placer_fixture_submit(&f, 1, 1, big);
+	placer_fixture_set_queue(&f, 1, 1, true, QUERY_MS, EACH_MS);
+	interrupt(&f, 1);
+	submit(&f, 2, 1, 1, true);
+	interrupt(&f, 2);
+	placer_fixture_submit(&f, 9, 0, flow_fixture_step(40));
+	for (i = 0; i < 40; i++)
+		flow_fixture_start(&f.base, 9, i, i, 1, i);
+	for (id = 3; id <= 5; id++) {
+		submit(&f, id, 0, 20, false);
+		placer_fixture_set_queue(&f, id, 0, true, 34, 0.5);
+	}
+	count_queries(&f, 2, 40, 2, &second);
+	g_assert_cmpuint(second, >, 0);
+	placer_fixture_clear(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -671,6 +850,17 @@
 	    test_room_taken_before_renewal);
 	g_test_add_func("/lasting-queries/reserved-without-answers",
 	    test_reserved_without_answers);
+	g_test_add_func("/lasting-queries/forget-overdue", test_forget_overdue);
+	g_test_add_func(
+	    "/lasting-queries/overdue-after-answer", test_overdue_after_answer);
+	g_test_add_func(
+	    "/lasting-queries/overdue-are-bounded", test_overdue_are_bounded);
+	g_test_add_func("/lasting-queries/restart-before-answer",
+	    test_restart_before_answer);
+	g_test_add_func(
+	    "/lasting-queries/first-without-room", test_first_without_room);
+	g_test_add_func(
+	    "/lasting-queries/first-with-room", test_first_with_room);
 	g_test_add_func("/lasting-queries/room-held-against-others",
 	    test_room_held_against_others);
 	g_test_add_func("/lasting-queries/stops-where-not-allowed",
