policy: probation ends without a probe, for gangs

Callers would see a gang that waits for ever beside an endpoint with room: it fits only at endpoints that are back from quarantine, and nothing else is submitted that could be a probe there. This is in the scheduler of our own interface.

Change: when no probe runs at an endpoint that is back from its quarantine for 10 s, its probation ends. The time is counted from the round that takes it back, not before the end of the quarantine: in an idle cell this round may be late, and a proposed quarantine may take rounds to be applied.

Evidence, before: /policy/gang-after-quarantine "assertion failed (e0->attempts->len == 2): (0 == 2)" after 120 s. After: it passes with the others of test_policy, and test_entry and test_cell.

What remains: an endpoint that is still bad, and that was idle for these 10 s, takes more than one task; it is quarantined again by the count of failed jobs that the rule names, from the first length on.

--- a/src/health.h
+++ b/src/health.h
@@ -16,7 +16,8 @@
  *	endpoints are attributed to the job and then count against no
  *	endpoint. A success clears the failures of the job and of the endpoint,
  *	and ends the endpoint's quarantine and probation. Some tasks never end:
- *	a probe that lasts ends the probation too, see GYP_HEALTH_PROBE_MS.
+ *	a probe that lasts ends the probation too, see GYP_HEALTH_PROBE_MS,
+ *	and so does the same time without a probe: a gang can't be one.
  *
  *	Keeps at most GYP_HEALTH_JOBS_MAX jobs, and GYP_HEALTH_FAILURES_MAX
  *	failures of each endpoint. Times are milliseconds of cell time.
@@ -31,7 +32,11 @@
 /* Longest quarantine, as a multiple of the limit's for_ms. */
 #define GYP_HEALTH_BACKOFF_MAX 16
 
-/* A probe that has run for this long without failing is a success, in ms. */
+/*
+ * A probe that has run for this long without failing is a success, in ms. An
+ * endpoint that is back for this long is no longer on probation when no probe
+ * runs.
+ */
 #define GYP_HEALTH_PROBE_MS 10000
 
 struct gyp_health_limits {
--- a/src/policy_faults.c
+++ b/src/policy_faults.c
@@ -12,13 +12,16 @@
 
 /*
  * Counts the attempts from before the end of the quarantine. Those that were
- * placed since are probes; one of them that lasts ends the probation.
+ * placed since are probes; one of them that lasts ends the probation. It ends
+ * without a probe as well, because the waiting work may be a gang, whose tasks
+ * can't be placed one at a time.
  */
 static void
 check_probes(struct gyp_policy *p, struct endpoint_view *view)
 {
 	uint64_t quarantine_end =
 	    gyp_health_quarantine_end(p->health, view->id);
+	bool has_probe = false;
 	guint i;
 
 	view->tasks_before_probe = 0;
@@ -29,11 +32,18 @@
 					 ->tasks[ref->task]
 					 .changed_ms;
 
-		if (placed_ms < quarantine_end)
+		if (placed_ms < quarantine_end) {
 			view->tasks_before_probe++;
-		else if (p->now >= placed_ms + GYP_HEALTH_PROBE_MS)
+			continue;
+		}
+		has_probe = true;
+		if (p->now >= placed_ms + GYP_HEALTH_PROBE_MS)
 			view->probing = false;
 	}
+	/* A transition may take rounds to be applied, in both directions. */
+	if (!has_probe &&
+	    p->now >= MAX(view->back_at, quarantine_end) + GYP_HEALTH_PROBE_MS)
+		view->probing = false;
 	if (!view->probing)
 		gyp_health_forget_endpoint(p->health, view->id);
 }
@@ -55,6 +65,7 @@
 		   gyp_health_may_probe(p->health, view->id, p->now)) {
 		add_transition(
 		    round, view, GYP_ENDPOINT_QUARANTINED, GYP_ENDPOINT_ACTIVE);
+		view->back_at = p->now;
 	} else if (view->probing && view->usable) {
 		check_probes(p, view);
 	}
--- a/src/policy_int.h
+++ b/src/policy_int.h
@@ -45,6 +45,7 @@
 	bool usable;  /* active */
 	bool probing; /* back from quarantine: one task at a time */
 	uint32_t tasks_before_probe; /* placed before the quarantine ended */
+	uint64_t back_at;            /* from its latest quarantine */
 	uint64_t held_for;   /* job of a reservation or eviction, or 0 */
 	uint64_t held_until; /* for evictions only */
 	uint32_t bucket;     /* of the grid; UINT32_MAX for none */
--- a/test/test_policy.c
+++ b/test/test_policy.c
@@ -617,6 +617,26 @@
 	fixture_free(fx);
 }
 
+/*
+ * Guards against a gang that is shut out for ever of an endpoint that was
+ * quarantined: it can't be a probe, and nothing else is there to probe with.
+ */
+static void
+test_gang_after_quarantine(void)
+{
+	struct fixture *fx = new_with_quarantined(QUARANTINE_RULE);
+	const struct gyp_endpoint *e0 =
+	    gyp_state_endpoint_by_name(fx->state, "e0");
+	uint32_t k;
+
+	submit(fx, (struct job_params){
+		       GYP__KIND__KIND_GANG, "press", "batch", 2, 1000, 0});
+	for (k = 0; k < 120; k++)
+		run_round(fx, 1000);
+	g_assert_cmpuint(e0->attempts->len, ==, 2);
+	fixture_free(fx);
+}
+
 /*
  * Failures of a job that fails everywhere are not attributed to endpoints, and
  * failures of several jobs at one endpoint are not attributed to the jobs.
@@ -811,6 +831,8 @@
 	g_test_add_func("/policy/probe-without-end", test_probe_without_end);
 	g_test_add_func(
 	    "/policy/probe-beside-older-task", test_probe_beside_older_task);
+	g_test_add_func(
+	    "/policy/gang-after-quarantine", test_gang_after_quarantine);
 	g_test_add_func("/policy/fault-attribution", test_fault_attribution);
 	g_test_add_func("/policy/long-queue", test_long_queue);
 	g_test_add_func("/policy/full-queue", test_full_queue);
