policy: the next probation does not count the tasks of an earlier one

Callers would see several of their tasks fail at once at an endpoint that is back from quarantine and still bad, where one probe is promised.

Cause: the number of tasks from before the quarantine is set in full rounds, at usable endpoints on probation. From the round that takes an endpoint back until the next full round it was the number of an earlier probation: as many tasks more than one were placed there.

Change: the number is set to that of the endpoint's attempts when it goes into quarantine and when it is taken back. At that time all of them are older.

Evidence, before: /policy/second-probation "assertion failed (e0->attempts->len == 1): (4 == 1)". After: it passes with the others of test_policy, and test_entry and test_cell. No test tells the first of the two settings apart, which is for the rest of the round that proposes a quarantine.

What remains: older tasks that end between two full rounds are counted until the second, at most 500 ms later in a cell with waiting work.

--- a/src/policy_faults.c
+++ b/src/policy_faults.c
@@ -58,6 +58,7 @@
 	if (view->usable && gyp_health_is_faulty_endpoint(
 				p->health, view->id, limits, p->now)) {
 		gyp_health_quarantine(p->health, view->id, limits, p->now);
+		view->tasks_before_probe = view->ep->attempts->len;
 		add_transition(
 		    round, view, GYP_ENDPOINT_ACTIVE, GYP_ENDPOINT_QUARANTINED);
 		p->counters.quarantined++;
@@ -66,6 +67,7 @@
 		add_transition(
 		    round, view, GYP_ENDPOINT_QUARANTINED, GYP_ENDPOINT_ACTIVE);
 		view->back_at = p->now;
+		view->tasks_before_probe = view->ep->attempts->len;
 	} else if (view->probing && view->usable) {
 		check_probes(p, view);
 	}
--- a/test/test_policy.c
+++ b/test/test_policy.c
@@ -637,6 +637,49 @@
 	fixture_free(fx);
 }
 
+/*
+ * Guards against several probes at once, one for each task that ran there
+ * during an earlier probation.
+ */
+static void
+test_second_probation(void)
+{
+	struct fixture *fx = fixture_new(QUARANTINE_RULE);
+	const struct gyp_endpoint *e0;
+	uint64_t jobs[4], older;
+	uint32_t i, k;
+
+	add_endpoints(fx, 1);
+	e0 = gyp_state_endpoint_by_name(fx->state, "e0");
+	older = submit(fx, (struct job_params){GYP__KIND__KIND_WATCHER, "press",
+			       "batch", 3, 1000, 0});
+	run_round(fx, 500);
+	g_assert_cmpuint(e0->attempts->len, ==, 3);
+	fail_until_quarantined(fx, jobs);
+	for (k = 0; k < 60 && e0->attempts->len == 3; k++)
+		run_round(fx, 1000);
+	g_assert_cmpuint(e0->attempts->len, ==, 4);
+	run_round(fx, 1000);
+	for (i = 0; i < 4; i++) {
+		if (placed_tasks(fx, jobs[i]) > 0)
+			end_task(fx, jobs[i], 0, GYP__OUTCOME__OUTCOME_FAILED,
+			    false);
+		cancel(fx, jobs[i], "");
+	}
+	run_round(fx, 1000);
+	g_assert_cmpint(e0->state, ==, GYP_ENDPOINT_QUARANTINED);
+	for (i = 0; i < 3; i++)
+		end_task(fx, older, i, GYP__OUTCOME__OUTCOME_FAILED, false);
+	cancel(fx, older, "");
+	for (k = 0; k < 120 && e0->state == GYP_ENDPOINT_QUARANTINED; k++)
+		run_round(fx, 1000);
+	g_assert_cmpint(e0->state, ==, GYP_ENDPOINT_ACTIVE);
+	submit_batch(fx, 5, 1000);
+	run_round(fx, 1);
+	g_assert_cmpuint(e0->attempts->len, ==, 1);
+	fixture_free(fx);
+}
+
 /*
  * Failures of a job that fails everywhere are not attributed to endpoints, and
  * failures of several jobs at one endpoint are not attributed to the jobs.
@@ -833,6 +876,7 @@
 	    "/policy/probe-beside-older-task", test_probe_beside_older_task);
 	g_test_add_func(
 	    "/policy/gang-after-quarantine", test_gang_after_quarantine);
+	g_test_add_func("/policy/second-probation", test_second_probation);
 	g_test_add_func("/policy/fault-attribution", test_fault_attribution);
 	g_test_add_func("/policy/long-queue", test_long_queue);
 	g_test_add_func("/policy/full-queue", test_full_queue);
