entry: the comment on attempts given up says what the code does

Callers see no change, and there is no test: only the comment changes. It said that no query was answered until the delay reached its maximum, but an answer "running" does not reset the delay. That needs no mending: an attempt is dropped only once no leader can send its start again, and one that runs is dropped then without any query.

--- a/src/entry_attempts.c
+++ b/src/entry_attempts.c
@@ -271,8 +271,10 @@
 }
 
 /*
- * True if no query of the entry was answered until their delay reached its
- * maximum: the leader queries the attempt too, or ends it with its endpoint.
+ * True if the state is unknown and the delay of the entry's queries has reached
+ * its maximum. An answer "running" in between does not reset the delay: running
+ * attempts are dropped as well. The leader queries the attempt too, or ends it
+ * with its endpoint.
  */
 static bool
 is_given_up(const struct gyp_entry_attempt *a)
