policy: a test of a quarantine that is applied late

Callers see no change. Counting the time without a probe only from the round that takes an endpoint back would end a probation before its quarantine, when the transition takes some rounds to be applied.

Evidence: /policy/quarantine-applied-late, with MAX(view->back_at, quarantine_end) replaced by view->back_at in a trial, "assertion failed (e0->attempts->len == 1): (4 == 1)". It passes on the code as it is.

--- a/test/test_policy.c
+++ b/test/test_policy.c
@@ -680,6 +680,41 @@
 	fixture_free(fx);
 }
 
+/*
+ * Guards against a probation that ends before the quarantine: the transition
+ * may be applied some rounds after the one that proposes it.
+ */
+static void
+test_quarantine_applied_late(void)
+{
+	struct fixture *fx = fixture_new(QUARANTINE_RULE);
+	const struct gyp_endpoint *e0;
+	uint64_t job;
+	uint32_t i;
+
+	add_endpoints(fx, 1);
+	e0 = gyp_state_endpoint_by_name(fx->state, "e0");
+	run_round(fx, GYP_HEALTH_PROBE_MS);
+	for (i = 0; i < 3; i++) {
+		job = submit_batch(fx, 1, 1000);
+		run_round(fx, 1);
+		g_assert_cmpuint(placed_tasks(fx, job), ==, 1);
+		end_task(fx, job, 0, GYP__OUTCOME__OUTCOME_FAILED, false);
+		cancel(fx, job, "");
+	}
+	for (i = 0; i < 3; i++) {
+		fx->now += 1000;
+		gyp_decision_free(fx->last);
+		fx->last = gyp_decision_new();
+		gyp_policy_decide(fx->policy, fx->now, 512, fx->last);
+		g_assert_cmpuint(fx->last->transitions->len, ==, i == 0);
+	}
+	submit_batch(fx, 4, 1000);
+	run_round(fx, 1000);
+	g_assert_cmpuint(e0->attempts->len, ==, 1);
+	fixture_free(fx);
+}
+
 /*
  * Failures of a job that fails everywhere are not attributed to endpoints, and
  * failures of several jobs at one endpoint are not attributed to the jobs.
@@ -877,6 +912,8 @@
 	g_test_add_func(
 	    "/policy/gang-after-quarantine", test_gang_after_quarantine);
 	g_test_add_func("/policy/second-probation", test_second_probation);
+	g_test_add_func(
+	    "/policy/quarantine-applied-late", test_quarantine_applied_late);
 	g_test_add_func("/policy/fault-attribution", test_fault_attribution);
 	g_test_add_func("/policy/long-queue", test_long_queue);
 	g_test_add_func("/policy/full-queue", test_full_queue);
