fleet: whether an endpoint is silent is a question of its own

capacity_index asked when the lease of an endpoint runs out and threw the answer away. No behaviour changes; test_lasting_placement, test_lasting_queries, test_fleet and test_open_runs pass (asan).

--- a/src/admission_query.c
+++ b/src/admission_query.c
@@ -218,7 +218,6 @@
     const struct gyp_admission_pending *pending, uint32_t waiting)
 {
 	uint32_t most = c->unit->step->lasting ? GYP_LASTING_QUERIES_MAX : 1;
-
 	uint32_t unanswered = pending->queries + pending->overdue;
 
 	if (pending->queries >= most || unanswered >= most + OVERDUE_MAX ||
--- a/src/capacity_index.c
+++ b/src/capacity_index.c
@@ -10,11 +10,11 @@
 #define SLOWDOWN_PENALTY 0.4
 
 /*
- * Lasting tasks go to an endpoint that has been silent for SILENT_MS, more than
- * a heartbeat's interval, only when no other has room: if it is gone, they wait
+ * Lasting tasks go to an endpoint that has been silent for UNHEARD_MS, about a
+ * heartbeat's interval, only when no other has room: if it is gone, they wait
  * until the lease there is over.
  */
-#define SILENT_MS      1500
+#define UNHEARD_MS     1500
 #define SILENT_PENALTY 5
 
 /*
@@ -72,8 +72,6 @@
 compute_capacity(const struct gyp_capacity_index *index,
     struct gyp_capacity *cap, uint32_t row)
 {
-	uint64_t lease_left_ms;
-
 	memset(cap, 0, sizeof(*cap));
 	cap->round = index->round;
 	cap->state = gyp_run_stats_state(index->stats, row, index->now);
@@ -85,8 +83,7 @@
 	gyp_capacity_set_tables(cap, gyp_host_at(index->flows, row));
 	cap->may_clear =
 	    cap->runs_filling && gyp_preempt_may_clear(index->preempt, row);
-	cap->silent = gyp_fleet_lease_runs_out(
-	    index->fleet, row, SILENT_MS, &lease_left_ms);
+	cap->silent = gyp_fleet_is_silent(index->fleet, row, UNHEARD_MS);
 }
 
 /*
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -208,9 +208,15 @@
 bool gyp_fleet_usable(const struct gyp_fleet *, uint32_t row);
 
 /*
- * True if the endpoint of the row has been silent for silent_ms or longer;
- * *left_ms is then set to the time until its lease, and with it each of its
- * runs, is over unless it answers.
+ * True if the endpoint of the row has been silent for silent_ms or longer, at
+ * most since this leader knows it.
+ */
+bool gyp_fleet_is_silent(
+    const struct gyp_fleet *, uint32_t row, uint64_t silent_ms);
+
+/*
+ * The same; *left_ms is then set to the time until its lease, and with it each
+ * of its runs, is over unless it answers.
  */
 bool gyp_fleet_lease_runs_out(const struct gyp_fleet *, uint32_t row,
     uint64_t silent_ms, uint64_t *left_ms);
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -209,17 +209,24 @@
 }
 
 bool
-gyp_fleet_lease_runs_out(const struct gyp_fleet *f, uint32_t row,
-    uint64_t silent_ms, uint64_t *left_ms)
+gyp_fleet_is_silent(const struct gyp_fleet *f, uint32_t row, uint64_t silent_ms)
 {
 	const struct gyp_fleet_endpoint *endpoint =
 	    row < f->endpoints->len ? f->endpoints->pdata[row] : NULL;
+
+	return endpoint != NULL &&
+	       gyp_fleet_endpoint_silence_ms(f, endpoint) >= silent_ms;
+}
+
+bool
+gyp_fleet_lease_runs_out(const struct gyp_fleet *f, uint32_t row,
+    uint64_t silent_ms, uint64_t *left_ms)
+{
 	uint64_t expiry;
 
-	if (endpoint == NULL ||
-	    gyp_fleet_endpoint_silence_ms(f, endpoint) < silent_ms)
+	if (!gyp_fleet_is_silent(f, row, silent_ms))
 		return false;
-	expiry = gyp_fleet_endpoint_lease_expiry(f, endpoint);
+	expiry = gyp_fleet_endpoint_lease_expiry(f, f->endpoints->pdata[row]);
 	*left_ms = expiry > f->now ? expiry - f->now : 0;
 	return true;
 }
