--- a/src/fleet.c
+++ b/src/fleet.c
@@ -81,6 +81,7 @@
 	run->flow = flow;
 	run->run = flow->tasks[task].run;
 	run->row = flow->tasks[task].row;
+	run->opened_at = f->now;
 	g_hash_table_insert(f->runs, &run->key, run);
 	g_ptr_array_add(gyp_fleet_get_endpoint(f, run->row)->runs, run);
 	return run;
@@ -517,6 +518,7 @@
 	if (f->now >= f->next_expire_at) {
 		f->next_expire_at = f->now + EXPIRE_MS;
 		gyp_fleet_expire_calls(f);
+		gyp_fleet_log_unconfirmed(f);
 	}
 	for (i = 0; i < gyp_hosts_size(f->flows); i++) {
 		if (gyp_host_at(f->flows, i) != NULL)
--- a/src/fleet_diagnosis.c
+++ b/src/fleet_diagnosis.c
@@ -1,5 +1,14 @@
 #include "fleet_int.h"
 
+/* Silence of an endpoint from which its runs count as unconfirmed, in ms. */
+#define SILENT_RUN_MS 2000
+
+/* Pause between two lines about one run that does not run, in ms. */
+#define UNCONFIRMED_LINES_MS 1000
+
+/* Most lines about runs that do not run in one scan. */
+#define UNCONFIRMED_LINES_MAX 20
+
 static const char *
 phase_name(enum gyp_run_phase phase)
 {
@@ -79,3 +88,62 @@
 	d->confirmed_at = run->view.confirmed_at;
 	return true;
 }
+
+/* ---- Runs without confirmation ------------------------------------------ */
+
+/*
+ * True if a line about the run is due: it is not known to run, and has been
+ * open for GYP_RUN_LATE_MS or another UNCONFIRMED_LINES_MS since its last line.
+ */
+static bool
+unconfirmed_line_is_due(
+    const struct gyp_fleet *f, const struct gyp_fleet_run *run)
+{
+	if (gyp_fleet_run_is_running(run) &&
+	    !gyp_fleet_is_silent(f, run->row, SILENT_RUN_MS))
+		return false;
+	if (run->unconfirmed_line_at != 0)
+		return f->now >=
+		       run->unconfirmed_line_at + UNCONFIRMED_LINES_MS;
+	return f->now >= run->opened_at + GYP_RUN_LATE_MS;
+}
+
+static void
+log_unconfirmed(const struct gyp_fleet *f, const struct gyp_fleet_run *run)
+{
+	struct gyp_run_diagnosis d;
+
+	if (!gyp_fleet_run_diagnosis(f, run->key.flow, run->key.index, &d))
+		return;
+	gyp_events_add(f->cfg.events, "run-unconfirmed",
+	    RUN_ID " open_ms=%" G_GUINT64_FORMAT
+		   " endpoint=%s phase=%s stop=%s call=%s refused=%s "
+		   "end_proposed=%d starts_sent=%u may_outlast=%d "
+		   "silent_ms=%" G_GUINT64_FORMAT
+		   " failures=%u departed=%d lease_left_ms=%" G_GUINT64_FORMAT
+		   " restarted_ms_ago=%" G_GINT64_FORMAT,
+	    RUN_ARGS(run), f->now - run->opened_at, d.endpoint, d.phase, d.stop,
+	    d.call, d.refused != NULL ? d.refused : "none", d.end_proposed,
+	    d.starts_sent, run->may_outlast, d.silent_ms, d.failures,
+	    d.departed, d.lease_left_ms, d.restarted_ms_ago);
+}
+
+void
+gyp_fleet_log_unconfirmed(struct gyp_fleet *f)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint lines = 0;
+
+	g_hash_table_iter_init(&iter, f->runs);
+	while (lines < UNCONFIRMED_LINES_MAX &&
+	       g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct gyp_fleet_run *run = value;
+
+		if (!unconfirmed_line_is_due(f, run))
+			continue;
+		log_unconfirmed(f, run);
+		run->unconfirmed_line_at = f->now;
+		lines++;
+	}
+}
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -41,6 +41,8 @@
 	struct gyp_flow *flow;
 	uint32_t run;
 	uint32_t row;
+	uint64_t opened_at;           /* when this leader got to know it */
+	uint64_t unconfirmed_line_at; /* its last line of that kind, or 0 */
 	enum gyp_run_phase phase;
 	enum gyp_run_stop stop;
 	uint64_t confirmed_at;
@@ -153,6 +155,9 @@
 /* Shortest time in which an endpoint ends and is restarted, in ms. */
 #define RESTART_MIN_MS 50
 
+/* A run that is not confirmed for this long gets a line in the log, in ms. */
+#define GYP_RUN_LATE_MS 1000
+
 /* fleet.c */
 /* Advances the time; a jump shows that this process was paused. */
 void gyp_fleet_advance(struct gyp_fleet *, uint64_t now);
@@ -216,6 +221,13 @@
 /* Handles calls whose answer is long overdue as lost. */
 void gyp_fleet_expire_calls(struct gyp_fleet *);
 
+/* fleet_diagnosis.c */
+/*
+ * Logs runs that have not run for GYP_RUN_LATE_MS, and again each second, at
+ * most 20 a call.
+ */
+void gyp_fleet_log_unconfirmed(struct gyp_fleet *);
+
 /* fleet_poll.c */
 /* Records that the endpoint confirmed the run. */
 void gyp_fleet_confirm_run(struct gyp_fleet *, struct gyp_fleet_run *);
--- a/src/fleet_poll.c
+++ b/src/fleet_poll.c
@@ -73,6 +73,18 @@
 	    gyp_fleet_endpoint_name(f, endpoint->row));
 }
 
+/* Most tasks end well in their first run: only later runs get a line. */
+static void
+log_done(struct gyp_fleet *f, const struct gyp_fleet_run *run, Gyp__FlowHow how)
+{
+	if (how != GYP__FLOW_HOW__FLOW_DONE || run->run == 1 ||
+	    run->end_proposed)
+		return;
+	gyp_events_add(f->cfg.events, "run-done",
+	    RUN_ID " open_ms=%" G_GUINT64_FORMAT " endpoint=%s", RUN_ARGS(run),
+	    f->now - run->opened_at, gyp_fleet_endpoint_name(f, run->row));
+}
+
 static void
 handle_end(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint,
     const struct gyp_listed_end *e)
@@ -85,10 +97,11 @@
 
 	unacked.late_done = run == NULL && e->how == GYP__FLOW_HOW__FLOW_DONE;
 	g_array_append_val(endpoint->unacked, unacked);
-	if (run != NULL)
+	if (run != NULL) {
+		log_done(f, run, e->how);
 		gyp_fleet_propose_end(f, run, e->how, e->run.checkpoint);
-	else if (unacked.late_done &&
-		 accepts_late_done(f, endpoint, &key, e->run.run))
+	} else if (unacked.late_done &&
+		   accepts_late_done(f, endpoint, &key, e->run.run))
 		propose_late_done(f, endpoint, &key, e->run.run);
 }
 
@@ -164,6 +177,19 @@
 	g_queue_push_tail(&f->calls, call);
 }
 
+static void
+log_late_confirmation(struct gyp_fleet *f, const struct gyp_fleet_run *run)
+{
+	if (f->now < run->opened_at + GYP_RUN_LATE_MS)
+		return;
+	gyp_events_add(f->cfg.events, "run-confirmed",
+	    RUN_ID " open_ms=%" G_GUINT64_FORMAT
+		   " endpoint=%s starts_sent=%u observed=%d",
+	    RUN_ARGS(run), f->now - run->opened_at,
+	    gyp_fleet_endpoint_name(f, run->row), run->starts_sent,
+	    run->view.start_observed);
+}
+
 void
 gyp_fleet_confirm_run(struct gyp_fleet *f, struct gyp_fleet_run *run)
 {
@@ -172,6 +198,7 @@
 	run->view.start_observed = run->phase == GYP_RUN_STARTING;
 	run->phase = GYP_RUN_CONFIRMED;
 	run->confirmed_at = f->now;
+	log_late_confirmation(f, run);
 	if (run->stop == GYP_STOP_NONE)
 		run->retry_at = 0;
 	run->view.confirmed = true;
