--- a/test/flow_fixture.h
+++ b/test/flow_fixture.h
@@ -1,6 +1,7 @@
 #ifndef FLOW_FIXTURE_H
 #define FLOW_FIXTURE_H
 
+#include "event.h"
 #include "fleet.h"
 #include "flow.h"
 
@@ -27,6 +28,7 @@
 	bool excess;             /* they are beyond its rate */
 	bool fence_incarnations; /* of leaders from then on */
 	uint64_t manifest_version;
+	struct gyp_events *events; /* of leaders from then on; may be NULL */
 };
 
 void flow_fixture_init(struct flow_fixture *);
