fleet: a lost run resumes from its last listed checkpoint

Cause: only the list of ended runs set a task's checkpoint. A run that was lost or lapsed with its endpoint has no such row, so its task began anew, although each list of running runs has the latest checkpoint.

Change: the fleet keeps the latest checkpoint that was listed of a run and proposes it with an end as lost or lapsed.

The four tests of /fleet that end in resumes or keeps-earlier failed before: the next start had no checkpoint.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -47,6 +47,7 @@
 	struct gyp_fleet_run *run = p;
 
 	g_free(run->ticket);
+	g_free(run->checkpoint);
 	g_free(run);
 }
 
@@ -110,6 +111,8 @@
 	end.run = run->run;
 	end.host = run->row;
 	end.how = how;
+	if (checkpoint == NULL)
+		checkpoint = run->checkpoint;
 	end.checkpoint = (char *)(checkpoint != NULL ? checkpoint : "");
 	cmd.c_case = GYP__CMD__C_FLOW_END;
 	cmd.flow_end = &end;
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -56,6 +56,7 @@
 	bool end_proposed;      /* its end is proposed, not committed */
 	uint64_t end_proposed_at;
 	char *ticket;
+	char *checkpoint; /* the latest that was listed, or NULL */
 	struct gyp_run_view view;
 };
 
@@ -176,7 +177,10 @@
 void gyp_fleet_request_stop(struct gyp_fleet *, struct gyp_fleet_run *);
 /* Queues the run: the next tick sends the call that is due for it. */
 void gyp_fleet_enqueue_run(struct gyp_fleet *, const struct gyp_fleet_run *);
-/* Proposes the end of the run, unless one was proposed already. */
+/*
+ * Proposes the end of the run, unless one was proposed already. With NULL as
+ * the checkpoint, the next run resumes from the latest one that was listed.
+ */
 void gyp_fleet_propose_end(struct gyp_fleet *, struct gyp_fleet_run *,
     Gyp__FlowHow, const char *checkpoint);
 
--- a/src/fleet_poll.c
+++ b/src/fleet_poll.c
@@ -206,6 +206,17 @@
 	run->view.progress_at = f->now;
 }
 
+/* A list may come before the first checkpoint of a run that resumed. */
+static void
+update_checkpoint(struct gyp_fleet_run *run, const char *checkpoint)
+{
+	if (checkpoint[0] == '\0' ||
+	    g_strcmp0(run->checkpoint, checkpoint) == 0)
+		return;
+	g_free(run->checkpoint);
+	run->checkpoint = g_strdup(checkpoint);
+}
+
 static void
 update_view(struct gyp_fleet *f, struct gyp_fleet_run *run,
     const struct gyp_listed_run *l)
@@ -215,6 +226,7 @@
 		run->view.progress_at = f->now;
 	run->view.percent = l->percent;
 	run->view.load = l->load;
+	update_checkpoint(run, l->checkpoint);
 	run->view.listed_at = f->now;
 }
 
--- a/test/flow_fixture.c
+++ b/test/flow_fixture.c
@@ -279,10 +279,14 @@
 }
 
 static void
-fill_run(struct gyp_listed_run *run, const struct flow_fixture_run *from)
+fill_run(const struct flow_fixture *f, struct gyp_listed_run *run,
+    const struct flow_fixture_run *from)
 {
 	*run = (struct gyp_listed_run){
 	    .flow = from->flow, .index = from->index, .run = from->run};
+	if (f->checkpoint != NULL)
+		g_strlcpy(
+		    run->checkpoint, f->checkpoint, sizeof(run->checkpoint));
 }
 
 void
@@ -303,14 +307,14 @@
 	for (i = 0; i < n_running; i++) {
 		struct gyp_listed_run run;
 
-		fill_run(&run, &running[i]);
+		fill_run(f, &run, &running[i]);
 		g_array_append_val(a.running, run);
 	}
 	for (i = 0; i < n_ended; i++) {
 		struct gyp_listed_end end = {
 		    .number = ended[i].number, .how = ended[i].how};
 
-		fill_run(&end.run, &ended[i]);
+		fill_run(f, &end.run, &ended[i]);
 		g_array_append_val(a.ended, end);
 	}
 	gyp_fleet_handle_answer(f->fleet, f->now, &a);
--- a/test/flow_fixture.h
+++ b/test/flow_fixture.h
@@ -28,6 +28,7 @@
 	bool excess;             /* they are beyond its rate */
 	bool fence_incarnations; /* of leaders from then on */
 	uint64_t manifest_version;
+	const char *checkpoint;    /* of runs in lists; NULL for none */
 	struct gyp_events *events; /* of leaders from then on; may be NULL */
 };
 
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -413,6 +413,126 @@
 	flow_fixture_clear(&f.base);
 }
 
+/* Endpoint "a" lists run 1 of task 0 as running, with that checkpoint. */
+static void
+list_run(struct fixture *f, const char *checkpoint)
+{
+	struct flow_fixture_run up = {FLOW, 0, 1, 0, 0};
+
+	f->base.checkpoint = checkpoint;
+	flow_fixture_answer_poll(
+	    &f->base, next_poll(f, 1000), 1, &up, 1, NULL, 0);
+	f->base.checkpoint = NULL;
+}
+
+/* Loses all calls until the run of task 0 is over. */
+static void
+lose_run(struct fixture *f)
+{
+	struct gyp_fleet_call *call;
+
+	while (task_of(f, 0)->state == GYP_FLOW_TASK_OPEN) {
+		flow_fixture_advance(&f->base, 10);
+		while ((call = gyp_fleet_pop_call(f->base.fleet)) != NULL)
+			flow_fixture_answer(&f->base, call, GYP_FLEET_LOST);
+	}
+}
+
+/* The next start of task 0, at another endpoint, carries that checkpoint. */
+static void
+expect_resumes_from(struct fixture *f, const char *checkpoint)
+{
+	uint32_t b = flow_fixture_add_host(&f->base, "b", 1);
+	struct gyp_fleet_call *call;
+
+	flow_fixture_contact_all(&f->base);
+	flow_fixture_start(&f->base, FLOW, 0, 0, 2, b);
+	flow_fixture_advance(&f->base, 10);
+	call = flow_fixture_next_call(&f->base, GYP_FLEET_START);
+	g_assert_nonnull(call);
+	g_assert_cmpstr(call->checkpoint, ==, checkpoint);
+	gyp_fleet_call_free(call);
+}
+
+/*
+ * Guards against a run that is nearly done, is lost with its endpoint, and is
+ * done again from the start although the endpoint has listed a checkpoint.
+ */
+static void
+test_lapsed_run_resumes(void)
+{
+	struct fixture f;
+
+	fixture_init(&f, 1, false);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	list_run(&f, "c1");
+	list_run(&f, "c2");
+	lose_run(&f);
+	expect_resumes_from(&f, "c2");
+	flow_fixture_clear(&f.base);
+}
+
+/* The same when the endpoint restarts, and no longer lists the run. */
+static void
+test_lost_run_resumes(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *call;
+
+	fixture_init(&f, 1, false);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	list_run(&f, "c1");
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 2, f.base.now);
+	f.a = flow_fixture_add_host(&f.base, "a", 2);
+	while (task_of(&f, 0)->state == GYP_FLOW_TASK_OPEN) {
+		flow_fixture_advance(&f.base, 10);
+		while ((call = gyp_fleet_pop_call(f.base.fleet)) != NULL) {
+			if (call->kind == GYP_FLEET_POLL)
+				flow_fixture_answer_poll(
+				    &f.base, call, 2, NULL, 0, NULL, 0);
+			else
+				flow_fixture_answer(
+				    &f.base, call, GYP_FLEET_OK);
+		}
+	}
+	expect_resumes_from(&f, "c1");
+	flow_fixture_clear(&f.base);
+}
+
+/* The same when the endpoint announces that it ends. */
+static void
+test_departed_run_resumes(void)
+{
+	struct fixture f;
+
+	fixture_init(&f, 1, false);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	list_run(&f, "c1");
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 1);
+	lose_run(&f);
+	expect_resumes_from(&f, "c1");
+	flow_fixture_clear(&f.base);
+}
+
+/* A list without a checkpoint does not discard an earlier one. */
+static void
+test_empty_checkpoint_keeps_earlier(void)
+{
+	struct fixture f;
+
+	fixture_init(&f, 1, false);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	list_run(&f, "c1");
+	list_run(&f, NULL);
+	lose_run(&f);
+	expect_resumes_from(&f, "c1");
+	flow_fixture_clear(&f.base);
+}
+
 /*
  * Guards against a task that is done and runs again: its next start was refused
  * at the commit, and the end as done of the run before was taken for one at
@@ -753,6 +873,12 @@
 	g_test_add_func("/fleet/ack-of-earlier-incarnation",
 	    test_ack_of_earlier_incarnation);
 	g_test_add_func("/fleet/late-done", test_late_done);
+	g_test_add_func("/fleet/lapsed-run-resumes", test_lapsed_run_resumes);
+	g_test_add_func("/fleet/lost-run-resumes", test_lost_run_resumes);
+	g_test_add_func(
+	    "/fleet/departed-run-resumes", test_departed_run_resumes);
+	g_test_add_func("/fleet/empty-checkpoint-keeps-earlier",
+	    test_empty_checkpoint_keeps_earlier);
 	g_test_add_func("/fleet/late-done-after-refused-start",
 	    test_late_done_after_refused_start);
 	g_test_add_func(
