fleet: a lost member of a gang does not take back a later checkpoint

A member whose end is listed as broken may have a later checkpoint than the last list of another member, which is lost after it: with the commit before, the gang then resumed from the earlier one.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -88,6 +88,21 @@
 	return run;
 }
 
+/*
+ * Returns the latest checkpoint that was listed of the run, or NULL. A member
+ * of its gang that has ended before may have ended with a later one.
+ */
+static const char *
+listed_checkpoint(const struct gyp_fleet_run *run)
+{
+	const struct gyp_flow_unit *u =
+	    gyp_flow_unit_of(run->flow, run->key.index);
+
+	if (u->step->gang && u->open < u->step->count)
+		return NULL;
+	return run->checkpoint;
+}
+
 void
 gyp_fleet_propose_end(struct gyp_fleet *f, struct gyp_fleet_run *run,
     Gyp__FlowHow how, const char *checkpoint)
@@ -112,7 +127,7 @@
 	end.host = run->row;
 	end.how = how;
 	if (checkpoint == NULL)
-		checkpoint = run->checkpoint;
+		checkpoint = listed_checkpoint(run);
 	end.checkpoint = (char *)(checkpoint != NULL ? checkpoint : "");
 	cmd.c_case = GYP__CMD__C_FLOW_END;
 	cmd.flow_end = &end;
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -533,6 +533,34 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * Guards against a gang that loses progress: one member ended with a later
+ * checkpoint than was listed of another, which is lost after it.
+ */
+static void
+test_lost_gang_keeps_later_checkpoint(void)
+{
+	struct fixture f;
+	struct flow_fixture_run end = {
+	    FLOW, 1, 1, 1, GYP__FLOW_HOW__FLOW_BROKEN};
+	struct flow_fixture_run up = {FLOW, 0, 1, 0, 0};
+
+	fixture_init(&f, 2, true);
+	flow_fixture_start(&f.base, FLOW, 0, 1, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	list_run(&f, "c1");
+	f.base.checkpoint = "c2";
+	flow_fixture_answer_poll(
+	    &f.base, next_poll(&f, 1000), 1, NULL, 0, &end, 1);
+	f.base.checkpoint = "c1";
+	flow_fixture_answer_poll(
+	    &f.base, next_poll(&f, 1000), 1, &up, 1, NULL, 0);
+	lose_run(&f);
+	g_assert_cmpstr(task_of(&f, 0)->checkpoint, ==, "c2");
+	g_assert_cmpstr(task_of(&f, 1)->checkpoint, ==, "c2");
+	flow_fixture_clear(&f.base);
+}
+
 /*
  * Guards against a task that is done and runs again: its next start was refused
  * at the commit, and the end as done of the run before was taken for one at
@@ -879,6 +907,8 @@
 	    "/fleet/departed-run-resumes", test_departed_run_resumes);
 	g_test_add_func("/fleet/empty-checkpoint-keeps-earlier",
 	    test_empty_checkpoint_keeps_earlier);
+	g_test_add_func("/fleet/lost-gang-keeps-later-checkpoint",
+	    test_lost_gang_keeps_later_checkpoint);
 	g_test_add_func("/fleet/late-done-after-refused-start",
 	    test_late_done_after_refused_start);
 	g_test_add_func(
