--- a/src/fleet.c
+++ b/src/fleet.c
@@ -47,6 +47,7 @@
 	struct gyp_fleet_run *run = p;
 
 	g_free(run->ticket);
+	g_free(run->checkpoint);
 	g_free(run);
 }
 
@@ -81,11 +82,27 @@
 	run->flow = flow;
 	run->run = flow->tasks[task].run;
 	run->row = flow->tasks[task].row;
+	run->opened_at = f->now;
 	g_hash_table_insert(f->runs, &run->key, run);
 	g_ptr_array_add(gyp_fleet_get_endpoint(f, run->row)->runs, run);
 	return run;
 }
 
+/*
+ * Returns the latest checkpoint that was listed of the run, or NULL. A member
+ * of its gang that has ended before may have ended with a later one.
+ */
+static const char *
+listed_checkpoint(const struct gyp_fleet_run *run)
+{
+	const struct gyp_flow_unit *u =
+	    gyp_flow_unit_of(run->flow, run->key.index);
+
+	if (u->step->gang && u->open < u->step->count)
+		return NULL;
+	return run->checkpoint;
+}
+
 void
 gyp_fleet_propose_end(struct gyp_fleet *f, struct gyp_fleet_run *run,
     Gyp__FlowHow how, const char *checkpoint)
@@ -109,6 +126,8 @@
 	end.run = run->run;
 	end.host = run->row;
 	end.how = how;
+	if (checkpoint == NULL)
+		checkpoint = listed_checkpoint(run);
 	end.checkpoint = (char *)(checkpoint != NULL ? checkpoint : "");
 	cmd.c_case = GYP__CMD__C_FLOW_END;
 	cmd.flow_end = &end;
@@ -517,6 +536,7 @@
 	if (f->now >= f->next_expire_at) {
 		f->next_expire_at = f->now + EXPIRE_MS;
 		gyp_fleet_expire_calls(f);
+		gyp_fleet_log_unconfirmed(f);
 	}
 	for (i = 0; i < gyp_hosts_size(f->flows); i++) {
 		if (gyp_host_at(f->flows, i) != NULL)
