placer: tasks of a lost endpoint are queried about before less urgent units

Cause: queries about lasting tasks whose endpoints are silent were added after all waiting units of the round.

Change: the units are walked in one order, and those whose runs are about to be over come after the interrupted ones of their priority.

--- a/src/placer.c
+++ b/src/placer.c
@@ -485,27 +485,56 @@
 }
 
 /*
- * Adds queries about tasks whose runs are about to be over, unless they have
- * room at endpoints that are allowed already.
+ * Adds queries about tasks of the unit whose runs are about to be over, unless
+ * they have room at endpoints that are allowed already.
  */
 static void
-query_about_lost(const struct gyp_placer *p, struct gyp_query_slots *slots)
+query_about_lost_runs(const struct gyp_placer *p, const struct gyp_candidate *c,
+    struct gyp_query_slots *slots)
 {
-	guint i;
+	uint32_t tasks =
+	    c->unit->left - c->unit->open +
+	    gyp_admission_prefetch_lost_runs(p->fleet, c->flow, c->unit);
+	GArray *ranking = rank_endpoints(p, c);
+	uint64_t room = gyp_ranking_total(ranking);
 
-	for (i = 0; i < p->candidates->expiring->len; i++) {
-		const struct gyp_candidate *c = &g_array_index(
-		    p->candidates->expiring, struct gyp_candidate, i);
-		uint32_t tasks = c->unit->left - c->unit->open +
-				 gyp_admission_prefetch_lost_runs(
-				     p->fleet, c->flow, c->unit);
-		GArray *ranking = rank_endpoints(p, c);
-		uint64_t room = gyp_ranking_total(ranking);
-
-		if (room < tasks)
-			gyp_query_slots_use(slots, c, tasks - (uint32_t)room);
-		g_array_free(ranking, TRUE);
+	if (room < tasks)
+		gyp_query_slots_use(slots, c, tasks - (uint32_t)room);
+	g_array_free(ranking, TRUE);
+}
+
+/*
+ * A unit whose runs are about to be over goes after those of its priority that
+ * are interrupted, and before all others.
+ */
+static bool
+lost_goes_before(
+    const struct gyp_candidate *lost, const struct gyp_candidate *c)
+{
+	if (lost->rank != c->rank)
+		return lost->rank < c->rank;
+	return c->slack != GYP_SLACK_INTERRUPTED;
+}
+
+/*
+ * Does this for the units, from the i-th on, that go before the given one, or
+ * for all if it is NULL. Returns the index of the first one left.
+ */
+static guint
+query_about_lost(const struct gyp_placer *p, guint i,
+    const struct gyp_candidate *before, struct gyp_query_slots *slots)
+{
+	const GArray *expiring = p->candidates->expiring;
+
+	for (; i < expiring->len; i++) {
+		const struct gyp_candidate *c =
+		    &g_array_index(expiring, struct gyp_candidate, i);
+
+		if (before != NULL && !lost_goes_before(c, before))
+			break;
+		query_about_lost_runs(p, c, slots);
 	}
+	return i;
 }
 
 /*
@@ -611,7 +640,7 @@
 	    .free = free_slots,
 	    .total = total_slots,
 	    .queries = queries};
-	guint i;
+	guint i, lost = 0;
 
 	reset_round(p, now);
 	gyp_placer_candidates_find(p->candidates, p->now, wall_ms);
@@ -622,12 +651,14 @@
 	gyp_capacity_index_begin_round(p->capacities, p->now);
 	gyp_clearing_begin_round(p->clearing);
 	query_about_interrupted(p, &slots);
-	for (i = 0; i < p->candidates->units->len; i++)
-		schedule_unit(p,
-		    &g_array_index(
-			p->candidates->units, struct gyp_candidate, i),
-		    &slots, cmds);
-	query_about_lost(p, &slots);
+	for (i = 0; i < p->candidates->units->len; i++) {
+		const struct gyp_candidate *c = &g_array_index(
+		    p->candidates->units, struct gyp_candidate, i);
+
+		lost = query_about_lost(p, lost, c, &slots);
+		schedule_unit(p, c, &slots, cmds);
+	}
+	query_about_lost(p, lost, NULL, &slots);
 	prefetch_queries(p, &slots);
 }
 
--- a/test/test_lasting_queries.c
+++ b/test/test_lasting_queries.c
@@ -551,6 +551,20 @@
 	return gyp_flow_get(f->base.flows, 1)->tasks[3].row;
 }
 
+/* The queries of the round about other flows than the first get no answer. */
+static void
+drop_other_queries(struct placer_fixture *f)
+{
+	guint i;
+
+	for (i = f->queries->len; i-- > 0;) {
+		if (query_at(f, i)->flow == 1)
+			continue;
+		gyp_admission_drop_query(f->admission, query_at(f, i)->id);
+		g_ptr_array_remove_index(f->queries, i);
+	}
+}
+
 /*
  * Runs rounds until the task that ran on the silent endpoint has another run,
  * and answers each query when it would be. Returns the time since the end of
@@ -578,6 +592,7 @@
 		}
 		if (start(f, 1) > 0)
 			break;
+		drop_other_queries(f);
 		while (f->queries->len > 0) {
 			if (queries->len == 0)
 				answer_at = f->base.now + ANSWER_MS;
@@ -614,6 +629,27 @@
 	placer_fixture_clear(&f);
 }
 
+/*
+ * In a full service the slow queries about less urgent units took all slots but
+ * those kept for quick ones, and none was left for the tasks of an endpoint
+ * that was gone until its lease was over.
+ */
+static void
+test_query_after_lease_in_full_service(void)
+{
+	struct placer_fixture f;
+	uint64_t queried_ms, id;
+	uint32_t row;
+
+	placer_fixture_init(&f, 60);
+	row = run_lasting_flow(&f);
+	for (id = 2; id <= 12; id++)
+		submit(&f, id, 2, 20, false);
+	g_assert_cmpuint(wait_for_restart(&f, row, &queried_ms), <=, ROUND_MS);
+	g_assert_cmpuint(queried_ms, >=, ANSWER_MS);
+	placer_fixture_clear(&f);
+}
+
 /*
  * More urgent work was allowed at the only endpoint, its ticket is over, and
  * queries about it get no answer any more. The room must not be reserved for it
@@ -867,5 +903,7 @@
 	    test_stops_where_not_allowed);
 	g_test_add_func(
 	    "/lasting-queries/query-after-lease", test_query_after_lease);
+	g_test_add_func("/lasting-queries/query-after-lease-in-full-service",
+	    test_query_after_lease_in_full_service);
 	return g_test_run();
 }
