admission: tasks of silent endpoints are queried about from the silence on

An endpoint that is known to have ended before that had none, and with one query of 0.7 s at a time that allows a third of the endpoints named, 2 s were too short for units that lost several tasks.

What callers saw: the tasks waited for one or more whole queries after the end.

Change: the queries begin when the endpoint counts as expected to be gone (2 s of silence, as before), for tickets that are valid then; before the lease is over, for tickets that are still valid at its end, even if the unit has some that are over before. A cut of less than 2 s causes none; a longer one about one query a unit in 3 s.

Test: /lasting-queries/query-after-early-end failed before with 750 ms from the end of the run to the next start (50 allowed).

--- a/src/admission_prefetch.c
+++ b/src/admission_prefetch.c
@@ -62,16 +62,27 @@
 	       (double)q->ticket_ms / TICKET_LEAD_DIVISOR;
 }
 
-uint32_t
-gyp_admission_prefetch_lost_runs(const struct gyp_fleet *fleet,
+static void
+add_lost_run(struct gyp_lost_runs *lost, uint64_t left_ms, double lead)
+{
+	lost->silent++;
+	if ((double)left_ms > lead)
+		return;
+	lost->ending++;
+	lost->ending_ms = MAX(lost->ending_ms, left_ms);
+}
+
+struct gyp_lost_runs
+gyp_admission_lost_runs(const struct gyp_fleet *fleet,
     const struct gyp_flow *flow, const struct gyp_flow_unit *unit)
 {
 	double lead = lead_ms(flow->spec->queue);
-	uint32_t i, n = 0;
+	struct gyp_lost_runs lost = {.silent = 0};
+	uint32_t i;
 
 	if (!flow->spec->queue->admission || !unit->step->lasting ||
 	    unit->step->gang)
-		return 0;
+		return lost;
 	for (i = unit->first; i < unit->first + unit->step->count; i++) {
 		const struct gyp_flow_task *t = &flow->tasks[i];
 		uint64_t left_ms;
@@ -79,7 +90,7 @@
 		if (t->state == GYP_FLOW_TASK_OPEN &&
 		    gyp_fleet_lease_runs_out(
 			fleet, t->row, GONE_SILENT_MS, &left_ms))
-			n += (double)left_ms <= lead;
+			add_lost_run(&lost, left_ms, lead);
 	}
-	return n;
+	return lost;
 }
--- a/src/admission_prefetch.h
+++ b/src/admission_prefetch.h
@@ -19,9 +19,12 @@
  *	ready unit needs.
  *
  *	And this one: an endpoint with lasting tasks is gone without notice.
- *	Each of them may run elsewhere once its lease there is over, and must
- *	within seconds from then, most of which a query about so many tasks
- *	would take. Nothing starts before the end of the run is committed.
+ *	Each of them may run elsewhere once its lease there is over, or before
+ *	if the endpoint is known to have ended, and must within seconds from
+ *	then, most of which a query about so many tasks would take. Which
+ *	endpoints are allowed is therefore queried once the endpoint is silent,
+ *	and tickets that outlast the lease before it is over. Nothing starts
+ *	before the end of the run is committed.
  */
 
 /*
@@ -31,12 +34,17 @@
 bool gyp_admission_prefetch_due(const struct gyp_run_stats *,
     const struct gyp_flow *, const struct gyp_flow_unit *);
 
+/* Open runs of a unit at endpoints that are expected to be gone. */
+struct gyp_lost_runs {
+	uint32_t silent; /* all of them */
+	uint32_t ending; /* those whose leases are over soon: tickets are due */
+	uint64_t ending_ms; /* until the last lease of these is over */
+};
+
 /*
- * Returns how many open runs of the unit will be over with the leases of silent
- * endpoints while tickets requested now are valid; 0 unless the unit lasts and
- * its queue needs admission, and for gangs.
+ * All are 0 unless the unit lasts and its queue needs admission, and for gangs.
  */
-uint32_t gyp_admission_prefetch_lost_runs(const struct gyp_fleet *,
+struct gyp_lost_runs gyp_admission_lost_runs(const struct gyp_fleet *,
     const struct gyp_flow *, const struct gyp_flow_unit *);
 
 #endif
--- a/src/admission_query.c
+++ b/src/admission_query.c
@@ -112,13 +112,13 @@
 }
 
 /*
- * Returns the endpoints worth querying, best first; none when none of them has
- * free capacity.
+ * Returns the endpoints worth querying for tickets that are needed at that
+ * time, best first; none when none of them has free capacity.
  */
 static GArray *
 rank_unanswered(const struct gyp_admission *a,
     struct gyp_capacity_index *capacities, const struct gyp_candidate *c,
-    uint64_t now, guint cheap_count)
+    uint64_t needed_at, guint cheap_count)
 {
 	GArray *ranking = gyp_ranking_new();
 	const struct gyp_admission_unit *answers =
@@ -137,7 +137,7 @@
 			break;
 		available += add_if_unanswered(ranking, a,
 		    gyp_capacity_index_at(capacities, row), row,
-		    gyp_admission_state(a, answers, row, now), c);
+		    gyp_admission_state(a, answers, row, needed_at), c);
 	}
 	gyp_capacity_index_add_comparisons(capacities, i);
 	gyp_ranking_keep_best(ranking, available > 0 ? QUERY_ENDPOINTS_MAX : 0);
@@ -246,7 +246,8 @@
 	if (!c->flow->spec->queue->admission || queries == 0 ||
 	    gyp_admission_is_paused(answers, now))
 		return NULL;
-	ranking = rank_unanswered(a, capacities, c, now, cheap_count);
+	ranking = rank_unanswered(
+	    a, capacities, c, MAX(now, c->needed_at), cheap_count);
 	n = count_endpoints(ranking, missing, cheap_count, share);
 	n = divide_endpoints(n, cheap_count, queries);
 	fill_targets(ranking, c, missing, share, targets, n);
--- a/src/capacity_index.h
+++ b/src/capacity_index.h
@@ -50,6 +50,8 @@
 	enum gyp_slack_state slack;
 	uint32_t rank;     /* see gyp_flow_rank() */
 	uint64_t asked_at; /* see gyp_admission_asked_at() */
+	/* Time at which tickets are needed, if later than now. */
+	uint64_t needed_at;
 };
 
 /*
--- a/src/placer.c
+++ b/src/placer.c
@@ -169,8 +169,9 @@
 }
 
 /*
- * Checks free capacity before the admission state: few endpoints have free
- * capacity, while each unit has an admission state for many.
+ * Adds those whose tickets are valid when they are needed. Checks free capacity
+ * before the admission state: few endpoints have free capacity, while each unit
+ * has an admission state for many.
  */
 static void
 add_allowed_endpoints(
@@ -188,7 +189,7 @@
 			&gyp_capacity_index_at(p->capacities, rows[i])
 			     ->available) &&
 		    gyp_admission_state(p->admission, answers, rows[i],
-			p->now) == GYP_ADMISSION_ALLOWED)
+			MAX(p->now, c->needed_at)) == GYP_ADMISSION_ALLOWED)
 			add_endpoint(p, c, rows[i], ranking);
 	}
 	gyp_capacity_index_add_comparisons(p->capacities, n);
@@ -485,16 +486,13 @@
 }
 
 /*
- * Adds queries about tasks of the unit whose runs are about to be over, unless
- * they have room at endpoints that are allowed already.
+ * Adds queries about that many tasks of the unit, unless they have room at
+ * endpoints for which it has valid tickets.
  */
 static void
-query_about_lost_runs(const struct gyp_placer *p, const struct gyp_candidate *c,
-    struct gyp_query_slots *slots)
+query_unless_allowed(const struct gyp_placer *p, const struct gyp_candidate *c,
+    uint32_t tasks, struct gyp_query_slots *slots)
 {
-	uint32_t tasks =
-	    c->unit->left - c->unit->open +
-	    gyp_admission_prefetch_lost_runs(p->fleet, c->flow, c->unit);
 	GArray *ranking = rank_endpoints(p, c);
 	uint64_t room = gyp_ranking_total(ranking);
 
@@ -504,8 +502,27 @@
 }
 
 /*
- * A unit whose runs are about to be over goes after those of its priority that
- * are interrupted, and before all others.
+ * Adds queries about tasks of the unit whose runs may be lost. Those whose
+ * leases are over soon need tickets that are still valid then.
+ */
+static void
+query_about_lost_runs(const struct gyp_placer *p, const struct gyp_candidate *c,
+    struct gyp_query_slots *slots)
+{
+	struct gyp_lost_runs lost =
+	    gyp_admission_lost_runs(p->fleet, c->flow, c->unit);
+	uint32_t waiting = c->unit->left - c->unit->open;
+	struct gyp_candidate ending = *c;
+
+	ending.needed_at = p->now + lost.ending_ms;
+	if (lost.ending > 0)
+		query_unless_allowed(p, &ending, waiting + lost.ending, slots);
+	query_unless_allowed(p, c, waiting + lost.silent, slots);
+}
+
+/*
+ * A unit whose runs may be lost goes after those of its priority that are
+ * interrupted, and before all others.
  */
 static bool
 lost_goes_before(
--- a/src/placer_candidates.c
+++ b/src/placer_candidates.c
@@ -70,7 +70,7 @@
 	struct gyp_candidate c = {
 	    .flow = flow, .unit = unit, .rank = gyp_flow_rank(flow, now_ms)};
 
-	if (gyp_admission_prefetch_lost_runs(cs->fleet, flow, unit) > 0)
+	if (gyp_admission_lost_runs(cs->fleet, flow, unit).silent > 0)
 		g_array_append_val(cs->expiring, c);
 	if (!has_waiting(unit) || !gyp_placer_unit_is_due(flow, unit, wall_ms))
 		return;
--- a/src/placer_candidates.h
+++ b/src/placer_candidates.h
@@ -31,7 +31,7 @@
 	/* All of struct gyp_candidate, the most urgent first: */
 	GArray *units;         /* with tasks that can start */
 	GArray *prefetch;      /* become ready soon */
-	GArray *expiring;      /* lasting, with runs that end soon */
+	GArray *expiring;      /* lasting, with runs that may be lost */
 	uint32_t least_urgent; /* highest rank of the active flows */
 };
 
