query_holds: room is held for tasks whose endpoints are silent

Cause: between the answer about tasks of a silent endpoint and the end of their runs the room at the endpoints allowed was free for all: less urgent work took it, and at the end the tasks waited for a stop of that work, or for the next answer.

Change: room for these tasks is held as for tasks that wait for an answer, and also where the unit has a valid ticket.

--- a/src/placer.c
+++ b/src/placer.c
@@ -518,6 +518,7 @@
 	if (lost.ending > 0)
 		query_unless_allowed(p, &ending, waiting + lost.ending, slots);
 	query_unless_allowed(p, c, waiting + lost.silent, slots);
+	gyp_query_holds_add_lost(p->holds, c, lost.silent);
 }
 
 /*
--- a/src/query_holds.h
+++ b/src/query_holds.h
@@ -12,8 +12,11 @@
  *
  * DESCRIPTION
  *	Handles this load: lasting tasks that wait for the answer to an
- *admission query in a nearly full pool. Each time that it came, less urgent
- *work had taken the room at the endpoints allowed.
+ *	admission query in a nearly full pool. Each time that it came, less
+ *	urgent work had taken the room at the endpoints allowed.
+ *
+ *	And this one: the same for tasks whose endpoints are silent, from the
+ *	query about them to the end of their runs.
  *
  *	Room is held at the endpoints that a pending query names, and at those
  *	allowed before whose tickets have expired. It is held for one round, and
@@ -40,6 +43,13 @@
 void gyp_query_holds_add(
     struct gyp_query_holds *, const struct gyp_candidate *, uint32_t tasks);
 
+/*
+ * The same for tasks whose runs are expected to be lost; also holds room at
+ * endpoints for which the unit has a valid ticket.
+ */
+void gyp_query_holds_add_lost(
+    struct gyp_query_holds *, const struct gyp_candidate *, uint32_t tasks);
+
 /*
  * Deducts from the capacities of the round what is held against the next unit
  * and those after it.
--- a/test/test_lasting_queries.c
+++ b/test/test_lasting_queries.c
@@ -568,6 +568,7 @@
 /* What is seen of a task on an endpoint that is silent from now on. */
 struct restart {
 	uint64_t departs_ms; /* time until it is known to have left; 0: never */
+	uint64_t rival_ms;   /* until other work comes for all endpoints */
 	uint64_t ended_ms;   /* until the end of the lost run is committed */
 	uint64_t waited_ms;  /* from then to the next start */
 	uint64_t queried_ms; /* from the first query to that end */
@@ -593,6 +594,8 @@
 		if (r->departs_ms != 0 && f->base.now >= began + r->departs_ms)
 			gyp_fleet_departed(
 			    f->base.fleet, f->base.now, silent_row, 1);
+		if (r->rival_ms != 0 && f->base.now == began + r->rival_ms)
+			submit_rival(f, 2, false);
 		if (flow->open < 10 && ended_at == 0)
 			ended_at = f->base.now;
 		if (queries->len > 0 && f->base.now >= answer_at) {
@@ -686,6 +689,23 @@
 	placer_fixture_clear(&f);
 }
 
+/*
+ * Less urgent work took the room at the endpoints allowed while the lease of an
+ * endpoint that was gone ran out.
+ */
+static void
+test_room_taken_before_end(void)
+{
+	struct placer_fixture f;
+	struct restart r = {.rival_ms = 4000};
+
+	placer_fixture_init(&f, 40);
+	wait_for_restart(&f, run_lasting_flow(&f), &r);
+	g_assert_cmpuint(r.waited_ms, <=, ROUND_MS);
+	g_assert_cmpuint(gyp_flow_get(f.base.flows, 2)->open, >=, 25);
+	placer_fixture_clear(&f);
+}
+
 /*
  * More urgent work was allowed at the only endpoint, its ticket is over, and
  * queries about it get no answer any more. The room must not be reserved for it
@@ -943,5 +963,7 @@
 	    test_query_after_lease_in_full_service);
 	g_test_add_func("/lasting-queries/query-after-early-end",
 	    test_query_after_early_end);
+	g_test_add_func("/lasting-queries/room-taken-before-end",
+	    test_room_taken_before_end);
 	return g_test_run();
 }
