placer: interrupted tasks get room in the order in which they went down

Cause: interrupted units of a priority were ordered by the time of their latest query and then by age of the flow, and the tasks of a unit by their index: how long a task had been down counted nowhere.

What callers saw: of tasks that lost their runs the one of the oldest flow, or the first of its step, ran again first, whichever had been down longest.

Change: the time at which the tables record the end of the last run, which a new leader has too, orders the tasks of a unit, and the units whose queries do not take turns: turns stay as they are, as one unit must not have all slots.

Test: /lasting-placement/longest-down-first failed before (flow 1 in place of 2).

--- a/src/capacity_index.h
+++ b/src/capacity_index.h
@@ -48,8 +48,9 @@
 	struct gyp_flow *flow;
 	struct gyp_flow_unit *unit;
 	enum gyp_slack_state slack;
-	uint32_t rank;     /* see gyp_flow_rank() */
-	uint64_t asked_at; /* see gyp_admission_asked_at() */
+	uint32_t rank;       /* see gyp_flow_rank() */
+	uint64_t asked_at;   /* see gyp_admission_asked_at() */
+	uint64_t down_since; /* see gyp_slack_down_since() */
 	/* Time at which tickets are needed, if later than now. */
 	uint64_t needed_at;
 };
--- a/src/placer.c
+++ b/src/placer.c
@@ -326,34 +326,72 @@
 	return NULL;
 }
 
+/* A task that waits for a run. */
+struct waiting_task {
+	uint32_t index;
+	uint64_t down_since; /* UINT64_MAX unless it is interrupted */
+};
+
+static gint
+by_down_since(gconstpointer a, gconstpointer b)
+{
+	const struct waiting_task *x = a, *y = b;
+
+	if (x->down_since != y->down_since)
+		return x->down_since < y->down_since ? -1 : 1;
+	return x->index < y->index ? -1 : x->index > y->index;
+}
+
 /*
- * Collects runs for up to `waiting` tasks of the unit that wait, either those
- * that are interrupted or the others, and returns how many of them are left.
+ * Returns the waiting tasks of the unit, as struct waiting_task: those that are
+ * interrupted first, and of these the one that has been down longest.
  */
-static uint32_t
-collect_runs(struct gyp_placer *p, const struct gyp_candidate *c,
-    GArray *ranking, guint *pos, uint32_t waiting, bool interrupted)
+static GArray *
+order_waiting_tasks(const struct gyp_placer *p, const struct gyp_candidate *c)
 {
 	const struct gyp_flow_unit *u = c->unit;
+	GArray *tasks = g_array_new(FALSE, FALSE, sizeof(struct waiting_task));
 	uint32_t i;
 
-	for (i = u->first; i < u->first + u->step->count && waiting > 0; i++) {
-		const struct gyp_flow_task *t = &c->flow->tasks[i];
-		struct gyp_ranked_endpoint *endpoint;
+	for (i = u->first; i < u->first + u->step->count; i++) {
+		struct waiting_task t = {.index = i, .down_since = UINT64_MAX};
 
-		if (t->state != GYP_FLOW_TASK_WAITING ||
-		    gyp_slack_is_interrupted(p->stats, c->flow, u, i, p->now) !=
-			interrupted)
+		if (c->flow->tasks[i].state != GYP_FLOW_TASK_WAITING)
 			continue;
-		endpoint = next_endpoint(p, c, i, ranking, pos);
+		if (gyp_slack_is_interrupted(p->stats, c->flow, u, i, p->now))
+			t.down_since = c->flow->tasks[i].changed_ms;
+		g_array_append_val(tasks, t);
+	}
+	g_array_sort(tasks, by_down_since);
+	return tasks;
+}
+
+/*
+ * Collects runs for up to `waiting` tasks of the unit that wait, and returns
+ * how many of them are left.
+ */
+static uint32_t
+collect_runs(struct gyp_placer *p, const struct gyp_candidate *c,
+    GArray *ranking, uint32_t waiting)
+{
+	GArray *tasks = order_waiting_tasks(p, c);
+	guint i, pos = 0;
+
+	for (i = 0; i < tasks->len && waiting > 0; i++) {
+		uint32_t task =
+		    g_array_index(tasks, struct waiting_task, i).index;
+		struct gyp_ranked_endpoint *endpoint =
+		    next_endpoint(p, c, task, ranking, &pos);
+
 		if (endpoint == NULL)
 			continue;
 		endpoint->count--;
 		gyp_capacity_book(
 		    gyp_capacity_index_at(p->capacities, endpoint->row), c);
-		collect_run(p, i, endpoint->row);
+		collect_run(p, task, endpoint->row);
 		waiting--;
 	}
+	g_array_free(tasks, TRUE);
 	return waiting;
 }
 
@@ -370,7 +408,6 @@
 	uint32_t waiting = allowed_by_cap(p, c);
 	GArray *ranking;
 	uint32_t number;
-	guint pos = 0;
 
 	if (waiting == 0) {
 		p->summary.over_cap++;
@@ -384,8 +421,7 @@
 		return waiting;
 	}
 	number = next_run(c);
-	waiting = collect_runs(p, c, ranking, &pos, waiting, true);
-	waiting = collect_runs(p, c, ranking, &pos, waiting, false);
+	waiting = collect_runs(p, c, ranking, waiting);
 	g_array_free(ranking, TRUE);
 	if (u->step->gang && waiting > 0)
 		g_ptr_array_set_size(p->runs, 0);
--- a/src/placer_candidates.c
+++ b/src/placer_candidates.c
@@ -28,6 +28,8 @@
 		return x->slack < y->slack ? -1 : 1;
 	if (x->slack == GYP_SLACK_INTERRUPTED && x->asked_at != y->asked_at)
 		return x->asked_at < y->asked_at ? -1 : 1;
+	if (x->down_since != y->down_since)
+		return x->down_since < y->down_since ? -1 : 1;
 	if (x->flow->seq != y->flow->seq)
 		return x->flow->seq < y->flow->seq ? -1 : 1;
 	return x->unit < y->unit ? -1 : x->unit > y->unit;
@@ -81,6 +83,7 @@
 		return;
 	}
 	c.slack = gyp_slack_state(cs->stats, flow, unit, now, now_ms);
+	c.down_since = gyp_slack_down_since(cs->stats, flow, unit, now);
 	c.asked_at = gyp_admission_asked_at(
 	    gyp_admission_unit(cs->admission, flow, unit));
 	g_array_append_val(cs->units, c);
--- a/src/slack.c
+++ b/src/slack.c
@@ -64,17 +64,20 @@
 	       !gyp_run_stats_failed_recently(stats, flow->id, task, now);
 }
 
-static bool
-has_interrupted_task(const struct gyp_run_stats *stats,
+uint64_t
+gyp_slack_down_since(const struct gyp_run_stats *stats,
     const struct gyp_flow *flow, const struct gyp_flow_unit *unit, uint64_t now)
 {
+	uint64_t since = UINT64_MAX;
 	uint32_t i;
 
+	if (!unit->step->lasting || unit->left == unit->open)
+		return since;
 	for (i = unit->first; i < unit->first + unit->step->count; i++) {
 		if (gyp_slack_is_interrupted(stats, flow, unit, i, now))
-			return true;
+			since = MIN(since, flow->tasks[i].changed_ms);
 	}
-	return false;
+	return since;
 }
 
 enum gyp_slack_state
@@ -83,8 +86,7 @@
 {
 	double slack_ms = gyp_slack_ms(stats, flow, unit, now_ms);
 
-	if (unit->step->lasting && unit->left > unit->open &&
-	    has_interrupted_task(stats, flow, unit, now))
+	if (gyp_slack_down_since(stats, flow, unit, now) != UINT64_MAX)
 		return GYP_SLACK_INTERRUPTED;
 	if (slack_ms >= 0)
 		return GYP_SLACK_IN_TIME;
--- a/src/slack.h
+++ b/src/slack.h
@@ -26,7 +26,8 @@
  *
  *	And this one: a full service in which lasting tasks lose their runs
  *	while others wait for their first one. Callers rely on those that ran,
- *so they go before all other work of their priority.
+ *	so they go before all other work of their priority, those that
+ *	have been down longest first.
  */
 
 /* Longest time for which late work is ordered after other work, in ms. */
@@ -64,4 +65,11 @@
     const struct gyp_flow *, const struct gyp_flow_unit *, uint32_t task,
     uint64_t now);
 
+/*
+ * Returns the cell time at which the longest of these outages of the unit
+ * began, UINT64_MAX if none of its tasks is interrupted.
+ */
+uint64_t gyp_slack_down_since(const struct gyp_run_stats *,
+    const struct gyp_flow *, const struct gyp_flow_unit *, uint64_t now);
+
 #endif
--- a/test/test_lasting_placement.c
+++ b/test/test_lasting_placement.c
@@ -294,6 +294,41 @@
 	placer_fixture_clear(&f);
 }
 
+/* Ends the first run of a task of the flow, some time after the last one. */
+static void
+interrupt_task(struct placer_fixture *f, uint64_t flow, uint32_t task)
+{
+	f->base.now += 100;
+	flow_fixture_start(&f->base, flow, task, task, 1, 0);
+	placer_fixture_end_run(f, flow, task, GYP__FLOW_HOW__FLOW_LAPSED);
+}
+
+/*
+ * Of the tasks that lost their runs, those of the oldest flow got the room, and
+ * of these the first of the step, however long the others had been down.
+ */
+static void
+test_longest_down_first(void)
+{
+	struct placer_fixture f;
+	const Gyp__CmdFlowStart *s;
+
+	placer_fixture_init(&f, 1);
+	fill_endpoint(&f);
+	placer_fixture_submit(&f, 1, 1, lasting_step(3));
+	placer_fixture_submit(&f, 2, 1, lasting_step(3));
+	interrupt_task(&f, 2, 2);
+	interrupt_task(&f, 1, 0);
+	interrupt_task(&f, 2, 0);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	g_assert_cmpuint(f.cmds->len, ==, 1);
+	s = placer_fixture_start(&f, 0);
+	g_assert_cmpuint(s->flow, ==, 2);
+	g_assert_cmpuint(s->n_runs, ==, 1);
+	g_assert_cmpuint(s->runs[0]->task, ==, 2);
+	placer_fixture_clear(&f);
+}
+
 /*
  * A lasting task that fails at once again and again must not go before all
  * other work of its priority each time.
@@ -897,6 +932,8 @@
 	    test_silent_endpoint_used);
 	g_test_add_func("/lasting-placement/interrupted-task-first",
 	    test_interrupted_task_first);
+	g_test_add_func(
+	    "/lasting-placement/longest-down-first", test_longest_down_first);
 	g_test_add_func("/lasting-placement/failing-task-not-first",
 	    test_failing_task_not_first);
 	g_test_add_func(
