--- a/src/placer.c
+++ b/src/placer.c
@@ -169,8 +169,9 @@
 }
 
 /*
- * Checks free capacity before the admission state: few endpoints have free
- * capacity, while each unit has an admission state for many.
+ * Adds those whose tickets are valid when they are needed. Checks free capacity
+ * before the admission state: few endpoints have free capacity, while each unit
+ * has an admission state for many.
  */
 static void
 add_allowed_endpoints(
@@ -188,7 +189,7 @@
 			&gyp_capacity_index_at(p->capacities, rows[i])
 			     ->available) &&
 		    gyp_admission_state(p->admission, answers, rows[i],
-			p->now) == GYP_ADMISSION_ALLOWED)
+			MAX(p->now, c->needed_at)) == GYP_ADMISSION_ALLOWED)
 			add_endpoint(p, c, rows[i], ranking);
 	}
 	gyp_capacity_index_add_comparisons(p->capacities, n);
@@ -325,34 +326,72 @@
 	return NULL;
 }
 
+/* A task that waits for a run. */
+struct waiting_task {
+	uint32_t index;
+	uint64_t down_since; /* UINT64_MAX unless it is interrupted */
+};
+
+static gint
+by_down_since(gconstpointer a, gconstpointer b)
+{
+	const struct waiting_task *x = a, *y = b;
+
+	if (x->down_since != y->down_since)
+		return x->down_since < y->down_since ? -1 : 1;
+	return x->index < y->index ? -1 : x->index > y->index;
+}
+
 /*
- * Collects runs for up to `waiting` tasks of the unit that wait, either those
- * that are interrupted or the others, and returns how many of them are left.
+ * Returns the waiting tasks of the unit, as struct waiting_task: those that are
+ * interrupted first, and of these the one that has been down longest.
  */
-static uint32_t
-collect_runs(struct gyp_placer *p, const struct gyp_candidate *c,
-    GArray *ranking, guint *pos, uint32_t waiting, bool interrupted)
+static GArray *
+order_waiting_tasks(const struct gyp_placer *p, const struct gyp_candidate *c)
 {
 	const struct gyp_flow_unit *u = c->unit;
+	GArray *tasks = g_array_new(FALSE, FALSE, sizeof(struct waiting_task));
 	uint32_t i;
 
-	for (i = u->first; i < u->first + u->step->count && waiting > 0; i++) {
-		const struct gyp_flow_task *t = &c->flow->tasks[i];
-		struct gyp_ranked_endpoint *endpoint;
+	for (i = u->first; i < u->first + u->step->count; i++) {
+		struct waiting_task t = {.index = i, .down_since = UINT64_MAX};
 
-		if (t->state != GYP_FLOW_TASK_WAITING ||
-		    gyp_slack_is_interrupted(p->stats, c->flow, u, i, p->now) !=
-			interrupted)
+		if (c->flow->tasks[i].state != GYP_FLOW_TASK_WAITING)
 			continue;
-		endpoint = next_endpoint(p, c, i, ranking, pos);
+		if (gyp_slack_is_interrupted(p->stats, c->flow, u, i, p->now))
+			t.down_since = c->flow->tasks[i].changed_ms;
+		g_array_append_val(tasks, t);
+	}
+	g_array_sort(tasks, by_down_since);
+	return tasks;
+}
+
+/*
+ * Collects runs for up to `waiting` tasks of the unit that wait, and returns
+ * how many of them are left.
+ */
+static uint32_t
+collect_runs(struct gyp_placer *p, const struct gyp_candidate *c,
+    GArray *ranking, uint32_t waiting)
+{
+	GArray *tasks = order_waiting_tasks(p, c);
+	guint i, pos = 0;
+
+	for (i = 0; i < tasks->len && waiting > 0; i++) {
+		uint32_t task =
+		    g_array_index(tasks, struct waiting_task, i).index;
+		struct gyp_ranked_endpoint *endpoint =
+		    next_endpoint(p, c, task, ranking, &pos);
+
 		if (endpoint == NULL)
 			continue;
 		endpoint->count--;
 		gyp_capacity_book(
 		    gyp_capacity_index_at(p->capacities, endpoint->row), c);
-		collect_run(p, i, endpoint->row);
+		collect_run(p, task, endpoint->row);
 		waiting--;
 	}
+	g_array_free(tasks, TRUE);
 	return waiting;
 }
 
@@ -369,7 +408,6 @@
 	uint32_t waiting = allowed_by_cap(p, c);
 	GArray *ranking;
 	uint32_t number;
-	guint pos = 0;
 
 	if (waiting == 0) {
 		p->summary.over_cap++;
@@ -383,8 +421,7 @@
 		return waiting;
 	}
 	number = next_run(c);
-	waiting = collect_runs(p, c, ranking, &pos, waiting, true);
-	waiting = collect_runs(p, c, ranking, &pos, waiting, false);
+	waiting = collect_runs(p, c, ranking, waiting);
 	g_array_free(ranking, TRUE);
 	if (u->step->gang && waiting > 0)
 		g_ptr_array_set_size(p->runs, 0);
@@ -485,27 +522,73 @@
 }
 
 /*
- * Adds queries about tasks whose runs are about to be over, unless they have
- * room at endpoints that are allowed already.
+ * Adds queries about that many tasks of the unit, unless they have room at
+ * endpoints for which it has valid tickets.
  */
 static void
-query_about_lost(const struct gyp_placer *p, struct gyp_query_slots *slots)
+query_unless_allowed(const struct gyp_placer *p, const struct gyp_candidate *c,
+    uint32_t tasks, struct gyp_query_slots *slots)
 {
-	guint i;
+	GArray *ranking = rank_endpoints(p, c);
+	uint64_t room = gyp_ranking_total(ranking);
 
-	for (i = 0; i < p->candidates->expiring->len; i++) {
-		const struct gyp_candidate *c = &g_array_index(
-		    p->candidates->expiring, struct gyp_candidate, i);
-		uint32_t tasks = c->unit->left - c->unit->open +
-				 gyp_admission_prefetch_lost_runs(
-				     p->fleet, c->flow, c->unit);
-		GArray *ranking = rank_endpoints(p, c);
-		uint64_t room = gyp_ranking_total(ranking);
-
-		if (room < tasks)
-			gyp_query_slots_use(slots, c, tasks - (uint32_t)room);
-		g_array_free(ranking, TRUE);
+	if (room < tasks)
+		gyp_query_slots_use(slots, c, tasks - (uint32_t)room);
+	g_array_free(ranking, TRUE);
+}
+
+/*
+ * Adds queries about tasks of the unit whose runs may be lost. Those whose
+ * leases are over soon need tickets that are still valid then.
+ */
+static void
+query_about_lost_runs(const struct gyp_placer *p, const struct gyp_candidate *c,
+    struct gyp_query_slots *slots)
+{
+	struct gyp_lost_runs lost =
+	    gyp_admission_lost_runs(p->fleet, c->flow, c->unit);
+	uint32_t waiting = c->unit->left - c->unit->open;
+	struct gyp_candidate ending = *c;
+
+	ending.needed_at = p->now + lost.ending_ms;
+	if (lost.ending > 0)
+		query_unless_allowed(p, &ending, waiting + lost.ending, slots);
+	query_unless_allowed(p, c, waiting + lost.silent, slots);
+	gyp_query_holds_add_lost(p->holds, c, lost.silent);
+}
+
+/*
+ * A unit whose runs may be lost goes after those of its priority that are
+ * interrupted, and before all others.
+ */
+static bool
+lost_goes_before(
+    const struct gyp_candidate *lost, const struct gyp_candidate *c)
+{
+	if (lost->rank != c->rank)
+		return lost->rank < c->rank;
+	return c->slack != GYP_SLACK_INTERRUPTED;
+}
+
+/*
+ * Does this for the units, from the i-th on, that go before the given one, or
+ * for all if it is NULL. Returns the index of the first one left.
+ */
+static guint
+query_about_lost(const struct gyp_placer *p, guint i,
+    const struct gyp_candidate *before, struct gyp_query_slots *slots)
+{
+	const GArray *expiring = p->candidates->expiring;
+
+	for (; i < expiring->len; i++) {
+		const struct gyp_candidate *c =
+		    &g_array_index(expiring, struct gyp_candidate, i);
+
+		if (before != NULL && !lost_goes_before(c, before))
+			break;
+		query_about_lost_runs(p, c, slots);
 	}
+	return i;
 }
 
 /*
@@ -611,7 +694,7 @@
 	    .free = free_slots,
 	    .total = total_slots,
 	    .queries = queries};
-	guint i;
+	guint i, lost = 0;
 
 	reset_round(p, now);
 	gyp_placer_candidates_find(p->candidates, p->now, wall_ms);
@@ -622,12 +705,14 @@
 	gyp_capacity_index_begin_round(p->capacities, p->now);
 	gyp_clearing_begin_round(p->clearing);
 	query_about_interrupted(p, &slots);
-	for (i = 0; i < p->candidates->units->len; i++)
-		schedule_unit(p,
-		    &g_array_index(
-			p->candidates->units, struct gyp_candidate, i),
-		    &slots, cmds);
-	query_about_lost(p, &slots);
+	for (i = 0; i < p->candidates->units->len; i++) {
+		const struct gyp_candidate *c = &g_array_index(
+		    p->candidates->units, struct gyp_candidate, i);
+
+		lost = query_about_lost(p, lost, c, &slots);
+		schedule_unit(p, c, &slots, cmds);
+	}
+	query_about_lost(p, lost, NULL, &slots);
 	prefetch_queries(p, &slots);
 }
 
