lasting_watch: outages count from the end of the run, over elections

Cause: the watch of a new leader counted each task that was down at its first scan from the start of its term, although the tables hold when the latest run of a waiting task ended (changed_ms, cell time).

Change: for a task that waits, the watch adds the cell time from the end of its latest run to the latest command before the term, and the time for which the replica had heard of no leader when its term began: cell time stands still between two leaders. It is a lower bound, and no wall clock is part of it, so a step of that clock changes nothing. It counts from the commit of the end: what an endpoint was silent before is known only to the leader that saw it. A task whose run is still open counts from the start of the term as before: the tables do not hold since when its endpoint is silent.

Test: /lasting/waits-over-election failed before (no line at the first scan). test_lasting_watch, test_lasting_placement, test_flows, test_cell, test_fleet, test_open_runs, test_raft, test_members pass under asan.

--- a/src/fleet.h
+++ b/src/fleet.h
@@ -142,6 +142,8 @@
 	/* Only for the flow scheduler: */
 	struct gyp_counters *counters; /* or NULL */
 	bool learn_run_times; /* decisions use the forecast of the tables */
+	/* Time since the latest command in the tables, at least, in ms. */
+	uint64_t tables_age_ms;
 };
 
 /* State of a run according to the answers of its endpoint to this leader. */
--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -708,7 +708,7 @@
 /* ---- Construction ------------------------------------------------------- */
 
 static struct gyp_lasting_watch *
-new_lasting_watch(const struct gyp_flow_scheduler *fs)
+new_lasting_watch(const struct gyp_flow_scheduler *fs, uint64_t tables_age_ms)
 {
 	const struct gyp_lasting_sources from = {.flows = fs->flows,
 	    .fleet = fs->fleet,
@@ -716,7 +716,8 @@
 	    .placer = fs->placer,
 	    .stats = fs->stats,
 	    .events = fs->events,
-	    .counters = fs->counters};
+	    .counters = fs->counters,
+	    .tables_age_ms = tables_age_ms};
 
 	return gyp_lasting_watch_new(&from, fs->now);
 }
@@ -744,7 +745,7 @@
 	fs->queue_counts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fs->placer = gyp_placer_new(flows, fs->fleet, fs->admission, fs->stats);
-	fs->lasting = new_lasting_watch(fs);
+	fs->lasting = new_lasting_watch(fs, cfg->tables_age_ms);
 	fs->pools = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	fs->slots =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
--- a/src/lasting_watch.c
+++ b/src/lasting_watch.c
@@ -51,7 +51,8 @@
 
 struct gyp_lasting_watch {
 	struct gyp_lasting_sources from;
-	uint64_t began; /* start of the term */
+	uint64_t began;    /* start of the term */
+	uint64_t began_ms; /* cell time of the latest command before */
 	uint64_t now;
 	uint64_t scan_at;
 	uint64_t scans;
@@ -89,6 +90,32 @@
 	return d;
 }
 
+/*
+ * When the latest run of a waiting task ended, if that was before this term.
+ * Cell time stands still between two leaders, so the age of the tables at the
+ * start of the term is added.
+ */
+static uint64_t
+waits_since(const struct gyp_lasting_watch *w, const struct gyp_flow_task *t)
+{
+	uint64_t before_ms;
+
+	if (t->run == 0 || t->changed_ms > w->began_ms)
+		return w->now;
+	before_ms = w->began_ms - t->changed_ms + w->from.tables_age_ms;
+	return w->began - MIN(w->began, before_ms);
+}
+
+/* As far as this leader knows. */
+static uint64_t
+open_since(
+    const struct gyp_lasting_watch *w, const struct gyp_run_diagnosis *run)
+{
+	if (w->scans == 1)
+		return w->began;
+	return MAX(w->began, w->now - MIN(w->now, run->silent_ms));
+}
+
 /*
  * Adds the task; run is NULL if it has no open run. A run whose start was never
  * confirmed is none that the task lost.
@@ -97,12 +124,11 @@
 add_down_now(struct gyp_lasting_watch *w, const struct gyp_flow *flow,
     uint32_t task, const struct gyp_run_diagnosis *run)
 {
-	uint64_t silent_ms = run != NULL ? run->silent_ms : 0;
-	uint32_t after_run =
-	    run != NULL && !run->began ? 0 : flow->tasks[task].run;
+	const struct gyp_flow_task *t = &flow->tasks[task];
+	uint64_t since = run != NULL ? open_since(w, run) : waits_since(w, t);
+	uint32_t after_run = run != NULL && !run->began ? 0 : t->run;
 
-	return add_down(w, flow, task,
-	    MAX(w->began, w->now - MIN(w->now, silent_ms)), after_run);
+	return add_down(w, flow, task, since, after_run);
 }
 
 /*
@@ -382,11 +408,8 @@
 			end_outage(w, d, flow->tasks[task].run, &run);
 		return;
 	}
-	if (d == NULL) {
+	if (d == NULL)
 		d = add_down_now(w, flow, task, open ? &run : NULL);
-		if (w->scans == 1)
-			d->since = w->began;
-	}
 	scan_down(w, flow, unit, d);
 }
 
@@ -448,6 +471,7 @@
 
 	w->from = *from;
 	w->began = now;
+	w->began_ms = gyp_flows_time(from->flows);
 	w->now = now;
 	w->down = g_hash_table_new_full(
 	    gyp_flow_key_hash, gyp_flow_key_equal, NULL, g_free);
--- a/src/lasting_watch.h
+++ b/src/lasting_watch.h
@@ -25,9 +25,11 @@
  *
  *	A scan visits the tasks of all lasting steps and logs what the tables,
  *	the fleet and the admission state hold about those that are down. It
- *	changes no decision. Only a leader has a watch, and it starts without
- *	history: a task that is down at the first scan counts as down since the
- *	start of the term.
+ *	changes no decision. Only a leader has a watch. For a task that waits,
+ *	the tables hold when its latest run ended, so the time under earlier
+ *	leaders and the election count too. A task whose run is still open at
+ *	the first scan counts as down since the start of the term: the tables
+ *	do not hold since when its endpoint has been silent.
  */
 
 /* Interval of the scans, in ms. */
@@ -53,6 +55,8 @@
 	const struct gyp_run_stats *stats;
 	struct gyp_events *events;     /* or NULL */
 	struct gyp_counters *counters; /* or NULL */
+	/* Time since the latest command in flows, at least, in ms. */
+	uint64_t tables_age_ms;
 };
 
 struct gyp_lasting_watch *gyp_lasting_watch_new(
--- a/src/raft.h
+++ b/src/raft.h
@@ -158,6 +158,9 @@
  * election timeout.
  */
 bool gyp_raft_has_leader(const struct gyp_raft *);
+
+/* Time of the latest message of another leader, 0 for none. */
+uint64_t gyp_raft_leader_contact(const struct gyp_raft *);
 uint64_t gyp_raft_commit_index(const struct gyp_raft *);
 
 /*
--- a/src/replica.c
+++ b/src/replica.c
@@ -212,6 +212,8 @@
 static void
 drop_leader_state(struct gyp_replica *r)
 {
+	if (r->leading)
+		r->led_until = r->now;
 	r->leading = false;
 	gyp_replica_free_flow_scheduler(r);
 	gyp_policy_detach(r->policy);
@@ -308,6 +310,14 @@
 	check_role(r);
 }
 
+uint64_t
+gyp_replica_leaderless_ms(const struct gyp_replica *r)
+{
+	uint64_t heard = MAX(gyp_raft_leader_contact(r->raft), r->led_until);
+
+	return heard != 0 ? r->now - heard : 0;
+}
+
 uint64_t
 gyp_replica_cell_time(const struct gyp_replica *r)
 {
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -145,6 +145,7 @@
 	    .events = r->events,
 	    .counters = r->counters,
 	    .learn_run_times = r->cfg.learn_run_times,
+	    .tables_age_ms = gyp_replica_leaderless_ms(r),
 	    .fence_incarnations = r->cfg.fence_incarnations};
 
 	r->flow_scheduler = gyp_flow_scheduler_new(
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -114,6 +114,7 @@
 	uint64_t leader_term;
 	uint64_t lead_since;
 	uint64_t time_base;       /* cell time at lead_since */
+	uint64_t led_until;       /* also kept while following; 0: never */
 	GPtrArray *pending_cmds;  /* Gyp__Cmd, owned */
 	uint64_t batch_index;     /* log index of the uncommitted batch, or 0 */
 	GPtrArray *waiting_calls; /* struct gyp_waiting_call */
@@ -148,6 +149,11 @@
 void gyp_replica_advance(struct gyp_replica *, uint64_t now);
 /* The cell time now; leader only. */
 uint64_t gyp_replica_cell_time(const struct gyp_replica *);
+/*
+ * How long this replica has heard of no leader and led no term before the
+ * present one, in ms; 0 if it never did. The tables are older.
+ */
+uint64_t gyp_replica_leaderless_ms(const struct gyp_replica *);
 void gyp_replica_process(struct gyp_replica *);
 const char *gyp_replica_member_address(const struct gyp_replica *, uint64_t id);
 
--- a/test/placer_fixture.c
+++ b/test/placer_fixture.c
@@ -1,16 +1,38 @@
 #include "placer_fixture.h"
 #include "msg.h"
 
+static void
+add_leader_state(struct placer_fixture *f, uint64_t fence)
+{
+	f->admission = gyp_admission_new(f->base.flows, fence);
+	f->stats = gyp_run_stats_new();
+	f->placer = gyp_placer_new(
+	    f->base.flows, f->base.fleet, f->admission, f->stats);
+}
+
+static void
+free_leader_state(struct placer_fixture *f)
+{
+	gyp_placer_free(f->placer);
+	gyp_run_stats_free(f->stats);
+	gyp_admission_free(f->admission);
+}
+
+void
+placer_fixture_new_leader(struct placer_fixture *f, uint64_t fence)
+{
+	free_leader_state(f);
+	flow_fixture_new_leader(&f->base, fence);
+	add_leader_state(f, fence);
+}
+
 void
 placer_fixture_init(struct placer_fixture *f, guint endpoints)
 {
 	guint i;
 
 	flow_fixture_init(&f->base);
-	f->admission = gyp_admission_new(f->base.flows, 1);
-	f->stats = gyp_run_stats_new();
-	f->placer = gyp_placer_new(
-	    f->base.flows, f->base.fleet, f->admission, f->stats);
+	add_leader_state(f, 1);
 	f->cmds = g_ptr_array_new_with_free_func(gyp_message_free);
 	f->queries = g_ptr_array_new_with_free_func(gyp_message_free);
 	for (i = 0; i < endpoints; i++) {
@@ -27,9 +49,7 @@
 {
 	g_ptr_array_free(f->cmds, TRUE);
 	g_ptr_array_free(f->queries, TRUE);
-	gyp_placer_free(f->placer);
-	gyp_run_stats_free(f->stats);
-	gyp_admission_free(f->admission);
+	free_leader_state(f);
 	flow_fixture_clear(&f->base);
 }
 
--- a/test/placer_fixture.h
+++ b/test/placer_fixture.h
@@ -32,6 +32,9 @@
 void placer_fixture_init(struct placer_fixture *, guint endpoints);
 void placer_fixture_clear(struct placer_fixture *);
 
+/* Replaces all that a leader keeps by that of a new leader. */
+void placer_fixture_new_leader(struct placer_fixture *, uint64_t fence);
+
 /* Sets the priority and admission settings of the queue of a flow. */
 void placer_fixture_set_queue(struct placer_fixture *, uint64_t id,
     uint32_t priority, bool admission, double query_ms, double each_ms);
--- a/test/test_lasting_watch.c
+++ b/test/test_lasting_watch.c
@@ -22,8 +22,9 @@
 	struct gyp_lasting_watch *watch;
 };
 
+/* The watch of a leader whose tables got their latest command age_ms ago. */
 static void
-new_watch(struct fixture *f)
+new_watch(struct fixture *f, uint64_t age_ms)
 {
 	const struct gyp_lasting_sources from = {.flows = f->base.base.flows,
 	    .fleet = f->base.base.fleet,
@@ -31,7 +32,8 @@
 	    .placer = f->base.placer,
 	    .stats = f->base.stats,
 	    .events = f->events,
-	    .counters = f->counters};
+	    .counters = f->counters,
+	    .tables_age_ms = age_ms};
 
 	gyp_lasting_watch_free(f->watch);
 	f->watch = gyp_lasting_watch_new(&from, f->base.base.now);
@@ -47,7 +49,7 @@
 	    .events = gyp_events_new(), .counters = gyp_counters_new()};
 	placer_fixture_init(&f->base, 2);
 	placer_fixture_submit(&f->base, FLOW, 1, step);
-	new_watch(f);
+	new_watch(f, 0);
 }
 
 /* Starts task 0 on endpoint e0, which confirms it or refuses its ticket. */
@@ -245,7 +247,7 @@
 {
 	start(f, 1, GYP_FLEET_OK);
 	flow_fixture_new_leader(&f->base.base, 2);
-	new_watch(f);
+	new_watch(f, 0);
 	scan_after(f, 0);
 	expect_line(f, NULL);
 	scan_after(f, 1000);
@@ -262,6 +264,34 @@
 	expect_count(f, OUTAGES, 0);
 }
 
+/*
+ * A task waits since an earlier leader. Its outage must count from the end of
+ * its run, not from the begin of the term.
+ */
+static void
+test_waits_over_election(struct fixture *f)
+{
+	start(f, 1, GYP_FLEET_OK);
+	end_run(f, GYP__FLOW_HOW__FLOW_LAPSED);
+	f->base.base.now += 400;
+	flow_fixture_add_host(&f->base.base, "e2", 1);
+	f->base.base.now += 1500;
+	placer_fixture_new_leader(&f->base, 2);
+	new_watch(f, 1500);
+	scan_after(f, 0);
+	expect_line(f,
+	    "lasting-down " TASK "step=0 for_ms=1900 run=1 " NO_END WAITING
+	    "admission=0 query=none suits=0 fits=0 room=3 no_contact=3 "
+	    "blocked=0 suspect=0 unknown=0 pending=0 denied=0 expired=0 "
+	    "allowed=0 left_out=0 sharing=0 uncontacted=3");
+	flow_fixture_contact_all(&f->base.base); /* takes 100 ms */
+	start(f, 2, GYP_FLEET_OK);
+	scan_after(f, 1000);
+	expect_line(f, "lasting-up " TASK
+		       "down_ms=2000 run=2 after_run=1 refused=0 endpoint=e0");
+	expect_count(f, OUTAGES, 1);
+}
+
 /* Many tasks that are down must not flood the log, and all get their line. */
 static void
 test_lines_are_bounded(struct fixture *f)
@@ -322,6 +352,7 @@
     {"/lasting/left-out-endpoints", 1, test_left_out_endpoints},
     {"/lasting/short-outages", 1, test_short_outages},
     {"/lasting/new-leader", 1, test_new_leader},
+    {"/lasting/waits-over-election", 1, test_waits_over_election},
     {"/lasting/lines-are-bounded", 30, test_lines_are_bounded},
     {"/lasting/end-not-applied", 1, test_end_not_applied},
     {"/lasting/cancelled-flow", 1, test_cancelled_flow}};
