fleet: a new leader knows from the tables how old an incarnation is

Callers saw: tasks of an endpoint that drained and left as planned waited for a whole lease (6.2 s, or 10.3 s) in place of 0.65 s if the leader was younger than 15 s.

Cause: an announcement that names no incarnation ends the runs of a drained endpoint early only if no earlier incarnation can have sent it. For that, the leader counted 15 s from when it found the endpoint in the tables: from the begin of its term. So each leader began this wait anew, although the tables hold when the endpoint restarted last, and runs that started on it long ago.

Change: the wait counts from the restart in the tables, or, if there was none, from the oldest start of a run that is still open there, in cell time, which is never ahead of the real time. For a younger leader, a run that an earlier leader started within the last 15 s stays open until the lease is over: a repeated start may still reach a next incarnation. Wire and tables are unchanged.

Evidence: departure-of-drained-after-election and departure-of-first-after-election failed before (6200 <= 2000) and pass now; departure-after-restart-and-election and departure-after-start-and-election hold the other side. test_incarnations, test_open_runs, test_fleet, test_flows, /flows/lasting and test_lasting_placement pass under asan. The model endpoints of test_flows do not drain, so these runs do not reach the new branch.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -319,19 +319,45 @@
 	g_queue_push_tail(&f->cmds, gyp_message_copy(&cmd.base));
 }
 
+/* Cell time of the start of an open run. */
+static uint64_t
+started_ms(const struct gyp_fleet_run *run)
+{
+	return run->flow->tasks[run->key.index].changed_ms;
+}
+
+/* True if calls from before that cell time are over, or were carried out. */
+static bool
+is_long_ago(const struct gyp_fleet *f, uint64_t ms)
+{
+	return gyp_flows_time(f->flows) >= ms + LATE_CALL_MAX_MS;
+}
+
+/* True if an earlier leader's start of the run may still be on its way. */
+static bool
+earlier_start_may_arrive(
+    const struct gyp_fleet *f, const struct gyp_fleet_run *run)
+{
+	return run->starts_sent == 0 &&
+	       f->now < f->leader_since + LATE_CALL_MAX_MS &&
+	       !is_long_ago(f, started_ms(run));
+}
+
 /*
  * True if a later incarnation of the endpoint may have the run, or begin it:
  * the answer to a start need not tell which one carried it out, only a list
  * does, and a start that got no answer may still be carried out.
  */
 static bool
-may_outlast_incarnation(
-    const struct gyp_fleet *f, const struct gyp_fleet_run *run)
+may_outlast_incarnation(const struct gyp_fleet *f,
+    const struct gyp_fleet_endpoint *endpoint, const struct gyp_fleet_run *run)
 {
 	if (run->phase == GYP_RUN_UNSENT)
 		return false;
 	if (run->phase != GYP_RUN_CONFIRMED || run->view.listed_at == 0)
 		return true;
+	if (endpoint->leaving_at != 0 && earlier_start_may_arrive(f, run))
+		return true;
 	return run->starts_sent > 1 &&
 	       f->now < run->start_sent_at + LATE_CALL_MAX_MS;
 }
@@ -351,8 +377,8 @@
 	for (i = 0; i < endpoint->runs->len; i++) {
 		struct gyp_fleet_run *run = endpoint->runs->pdata[i];
 
-		run->may_outlast =
-		    run->may_outlast || may_outlast_incarnation(f, run);
+		run->may_outlast = run->may_outlast ||
+				   may_outlast_incarnation(f, endpoint, run);
 		if (run->may_outlast && !lease_over && !endpoint->replaced)
 			open++;
 		else
@@ -406,6 +432,40 @@
 	}
 }
 
+/*
+ * Cell time since which the tables have the present incarnation at the latest:
+ * that of its restart, or of the oldest start of a run there.
+ */
+static uint64_t
+registered_ms(
+    const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
+	uint64_t oldest = gyp_flows_time(f->flows);
+	guint i;
+
+	if (h->spec->reborn_ms != 0)
+		return h->spec->reborn_ms;
+	for (i = 0; i < endpoint->runs->len; i++)
+		oldest = MIN(oldest, started_ms(endpoint->runs->pdata[i]));
+	return oldest;
+}
+
+/*
+ * True if no announcement of an earlier incarnation can be on its way: this
+ * leader, or by the tables the one before, has known the present one for long.
+ */
+static bool
+is_known_for_long(
+    const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
+{
+	uint64_t known_at = MAX(endpoint->added_at, endpoint->restarted_at);
+
+	return f->now >= known_at + LATE_CALL_MAX_MS ||
+	       (endpoint->restarted_at == 0 &&
+		   is_long_ago(f, registered_ms(f, endpoint)));
+}
+
 /*
  * True if the present incarnation drained, and none before it can have
  * announced a shutdown that arrives only now.
@@ -418,8 +478,7 @@
 
 	return h->spec->draining &&
 	       h->spec->born_ms == endpoint->incarnation_start_ms &&
-	       f->now >= MAX(endpoint->added_at, endpoint->restarted_at) +
-			     LATE_CALL_MAX_MS;
+	       is_known_for_long(f, endpoint);
 }
 
 /*
--- a/test/test_incarnations.c
+++ b/test/test_incarnations.c
@@ -263,17 +263,29 @@
 	flow_fixture_clear(&f.base);
 }
 
-/* Task 0 runs at incarnation 2 of the endpoint, which has restarted. */
 static void
-run_at_second_incarnation(struct fixture *f)
+start_task(struct fixture *f)
+{
+	flow_fixture_start(&f->base, FLOW, 0, 0, 1, f->a);
+	flow_fixture_answer(
+	    &f->base, next_call(f, GYP_FLEET_START), GYP_FLEET_OK);
+}
+
+static void
+restart(struct fixture *f)
 {
 	fixture_init(f);
 	report_restart(f, 2);
 	f->a = flow_fixture_add_host(&f->base, "a", 2);
 	flow_fixture_contact_all(&f->base);
-	flow_fixture_start(&f->base, FLOW, 0, 0, 1, f->a);
-	flow_fixture_answer(
-	    &f->base, next_call(f, GYP_FLEET_START), GYP_FLEET_OK);
+}
+
+/* Task 0 runs at incarnation 2 of the endpoint, which has restarted. */
+static void
+run_at_second_incarnation(struct fixture *f)
+{
+	restart(f);
+	start_task(f);
 }
 
 /*
@@ -386,10 +398,11 @@
 	flow_fixture_clear(&f.base);
 }
 
-/* Answers all polls with the run of task 0 for that time. */
+/* That incarnation answers all polls with the run of task 0 for that time. */
 static void
-keep_answering(struct fixture *f, uint64_t ms)
+keep_answering_as(struct fixture *f, uint64_t incarnation_start_ms, uint64_t ms)
 {
+	size_t open = task_of(f, 0)->state == GYP_FLOW_TASK_OPEN;
 	struct flow_fixture_run up = {FLOW, 0, 1, 0, 0};
 	uint64_t end = f->base.now + ms;
 
@@ -399,11 +412,17 @@
 		flow_fixture_advance(&f->base, 10);
 		call = flow_fixture_next_call(&f->base, GYP_FLEET_POLL);
 		if (call != NULL)
-			flow_fixture_answer_poll(
-			    &f->base, call, 2, &up, 1, NULL, 0);
+			flow_fixture_answer_poll(&f->base, call,
+			    incarnation_start_ms, &up, open, NULL, 0);
 	}
 }
 
+static void
+keep_answering(struct fixture *f, uint64_t ms)
+{
+	keep_answering_as(f, 2, ms);
+}
+
 /*
  * An announcement that names no incarnation may be of an earlier one. An
  * endpoint that still answers a while later has not ended.
@@ -510,6 +529,74 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * The next leader must not wait for a lease either: the tables hold how long
+ * the incarnation has been known.
+ */
+static void
+test_departure_of_drained_after_election(void)
+{
+	struct fixture f;
+
+	run_at_second_incarnation(&f);
+	keep_answering(&f, 20000);
+	flow_fixture_drain(&f.base, f.a);
+	flow_fixture_new_leader(&f.base, 2);
+	keep_answering(&f, 1000);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0);
+	g_assert_cmpuint(time_to_end(&f), <=, 2000);
+	flow_fixture_clear(&f.base);
+}
+
+/* The same of an endpoint that has never restarted. */
+static void
+test_departure_of_first_after_election(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_task(&f);
+	keep_answering_as(&f, 1, 20000);
+	flow_fixture_drain(&f.base, f.a);
+	flow_fixture_new_leader(&f.base, 2);
+	keep_answering_as(&f, 1, 1000);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0);
+	g_assert_cmpuint(time_to_end(&f), <=, 2000);
+	flow_fixture_clear(&f.base);
+}
+
+/* But an earlier incarnation, which ended lately, may have drained. */
+static void
+test_departure_after_restart_and_election(void)
+{
+	struct fixture f;
+
+	run_at_second_incarnation(&f);
+	flow_fixture_drain(&f.base, f.a);
+	flow_fixture_new_leader(&f.base, 2);
+	keep_answering(&f, 1000);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0);
+	g_assert_cmpuint(time_to_end(&f), >=, FLOW_FIXTURE_LEASE_MS - 500);
+	flow_fixture_clear(&f.base);
+}
+
+/* And a late start by the earlier leader may reach a next incarnation. */
+static void
+test_departure_after_start_and_election(void)
+{
+	struct fixture f;
+
+	restart(&f);
+	keep_answering(&f, 20000);
+	start_task(&f);
+	flow_fixture_drain(&f.base, f.a);
+	flow_fixture_new_leader(&f.base, 2);
+	keep_answering(&f, 1000);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0);
+	g_assert_cmpuint(time_to_end(&f), >=, FLOW_FIXTURE_LEASE_MS - 500);
+	flow_fixture_clear(&f.base);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -550,5 +637,13 @@
 	    test_departure_of_drained_endpoint);
 	g_test_add_func("/incarnations/departure-soon-after-restart",
 	    test_departure_soon_after_restart);
+	g_test_add_func("/incarnations/departure-of-drained-after-election",
+	    test_departure_of_drained_after_election);
+	g_test_add_func("/incarnations/departure-of-first-after-election",
+	    test_departure_of_first_after_election);
+	g_test_add_func("/incarnations/departure-after-restart-and-election",
+	    test_departure_after_restart_and_election);
+	g_test_add_func("/incarnations/departure-after-start-and-election",
+	    test_departure_after_start_and_election);
 	return g_test_run();
 }
