Revert "fleet: a refused stop holds a run of an earlier leader for 15 s of each term"

Traced: a member (flow 28, task 5, run 2) of a gang that is done elsewhere still runs on its endpoint and books nothing.

--- a/src/fleet_poll.c
+++ b/src/fleet_poll.c
@@ -238,16 +238,16 @@
 }
 
 /*
- * True if no start of a run that is to stop can be carried out after a list
- * whose poll was sent at sent_at. The poll has a higher fence number than the
- * starts of earlier leaders, so the endpoint refuses these from then on.
+ * True if no start of a run that is to stop can be carried out after sent_at.
+ * The starts of earlier leaders were sent before this one's term.
  */
 static bool
-starts_are_over(const struct gyp_fleet_run *run, uint64_t sent_at)
+starts_are_over(const struct gyp_fleet *f, const struct gyp_fleet_run *run,
+    uint64_t sent_at)
 {
-	return !run->start_pending &&
-	       (run->starts_sent == 0 ||
-		   sent_at >= run->start_sent_at + LATE_CALL_MAX_MS);
+	uint64_t last_start = MAX(f->leader_since, run->start_sent_at);
+
+	return !run->start_pending && sent_at >= last_start + LATE_CALL_MAX_MS;
 }
 
 /*
@@ -267,7 +267,7 @@
 		       run->stopped_at <= sent_at && !run->start_pending;
 
 	if (stopped || (complete && run->stop != GYP_STOP_NONE &&
-			   starts_are_over(run, sent_at)))
+			   starts_are_over(f, run, sent_at)))
 		gyp_fleet_propose_end(f, run, GYP__FLOW_HOW__FLOW_LOST, NULL);
 	else if (run->stop == GYP_STOP_NONE && should_be_listed)
 		gyp_fleet_request_stop(f, run);
