fleet: end the runs of endpoints that the provider no longer lists

A lasting task whose endpoint is gone for good was without a run until the lease of that endpoint was over, counted anew by each leader: nothing tells a silent endpoint that has ended from one that is cut off. The provider does: the leader now asks for its list of endpoints while one with open runs is silent, and two lists in a row that lack the endpoint end its runs, unless a start of theirs may still arrive. Starts are sent for 5 s after their proposal at most, so that the next leader knows when none can be under way.

Nothing requests the lists yet outside of tests. test_inventory: /inventory/gone and gone-with-leader fail without the new ends: 6.2 s, the lease, instead of 2.5 s at most.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -75,6 +75,7 @@
 add_run(struct gyp_fleet *f, struct gyp_flow *flow, uint32_t task)
 {
 	struct gyp_fleet_run *run = g_new0(struct gyp_fleet_run, 1);
+	struct gyp_fleet_endpoint *endpoint;
 
 	run->key.flow = flow->id;
 	run->key.index = task;
@@ -82,7 +83,10 @@
 	run->run = flow->tasks[task].run;
 	run->row = flow->tasks[task].row;
 	g_hash_table_insert(f->runs, &run->key, run);
-	g_ptr_array_add(gyp_fleet_get_endpoint(f, run->row)->runs, run);
+	endpoint = gyp_fleet_get_endpoint(f, run->row);
+	if (endpoint->runs->len == 0)
+		endpoint->busy_at = f->now;
+	g_ptr_array_add(endpoint->runs, run);
 	return run;
 }
 
@@ -143,9 +147,12 @@
 void
 gyp_fleet_advance(struct gyp_fleet *f, uint64_t now)
 {
-	if (now > f->now + RESTART_MIN_MS)
+	uint64_t elapsed = now > f->now ? now - f->now : 0;
+
+	if (elapsed > RESTART_MIN_MS)
 		f->stale_until = now + RESTART_MIN_MS;
 	f->now = MAX(f->now, now);
+	gyp_fleet_inventory_paused(f, elapsed);
 }
 
 /* ---- Endpoints ---------------------------------------------------------- */
@@ -205,6 +212,7 @@
 	       endpoint->contacted && endpoint->clock_at != 0 &&
 	       endpoint->failures == 0 && endpoint->departed_at == 0 &&
 	       endpoint->leaving_at == 0 &&
+	       !gyp_fleet_endpoint_is_delisted(endpoint) &&
 	       !gyp_fleet_endpoint_lacks_lease(f, endpoint) &&
 	       f->now < endpoint->last_seen_at + SILENT_MS;
 }
@@ -262,6 +270,7 @@
 	if (incarnation_start_ms > endpoint->incarnation_start_ms)
 		gyp_fleet_endpoint_restarted(f, endpoint, incarnation_start_ms);
 	endpoint->last_seen_at = f->now;
+	gyp_fleet_endpoint_heard(endpoint);
 	if (clock_ms != 0)
 		gyp_fleet_endpoint_update_clock(f, endpoint, clock_ms);
 	if (!endpoint->contacted || endpoint->failures > 0 ||
@@ -501,6 +510,8 @@
 	if (endpoint->runs->len == 0 &&
 	    gyp_fleet_endpoint_silence_ms(f, endpoint) >= REMOVE_IDLE_MS)
 		propose_removal(f, endpoint);
+	if (gyp_fleet_endpoint_is_delisted(endpoint))
+		gyp_fleet_end_delisted_runs(f, endpoint);
 	if (endpoint->failures > 0 ||
 	    gyp_fleet_endpoint_lacks_lease(f, endpoint))
 		end_unsent_runs(f, endpoint);
@@ -526,6 +537,7 @@
 		if (f->endpoints->pdata[i] != NULL)
 			sweep_endpoint(f, f->endpoints->pdata[i]);
 	}
+	gyp_fleet_inventory_sweep(f);
 }
 
 /* Sweeps the endpoints that were marked dirty since the last call. */
@@ -575,9 +587,11 @@
 		gyp_fleet_request_stop(f, run);
 	else if (run->phase == GYP_RUN_UNSENT ||
 		 run->phase == GYP_RUN_STARTING) {
-		if (is_leaving(f, endpoint))
+		if (is_leaving(f, endpoint) ||
+		    gyp_fleet_run_age_ms(f, run) >= START_WINDOW_MS)
 			gyp_fleet_request_stop(f, run);
 		else if (endpoint->failures > 0 ||
+			 gyp_fleet_endpoint_is_delisted(endpoint) ||
 			 gyp_fleet_endpoint_lacks_lease(f, endpoint))
 			run->retry_at = f->now + UNANSWERED_RETRY_MS;
 		else
@@ -710,6 +724,8 @@
 	    gyp_flow_key_hash, gyp_flow_key_equal, NULL, free_run);
 	f->pending = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_pending);
+	if (cfg->inventory)
+		f->inventory = gyp_inventory_new(f->next_call);
 	inherit_runs(f);
 	return f;
 }
@@ -729,6 +745,7 @@
 	g_queue_clear_full(&f->to_send, g_free);
 	g_queue_clear(&f->dirty);
 	g_queue_clear_full(&f->refused_tickets, g_free);
+	gyp_inventory_free(f->inventory);
 	g_hash_table_destroy(f->pending);
 	g_hash_table_destroy(f->runs);
 	g_ptr_array_foreach(
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -9,6 +9,7 @@
 #include "counters.h"
 #include "event.h"
 #include "flow.h"
+#include "inventory.h"
 
 /*
  * NAME
@@ -42,6 +43,11 @@
  *	The run counts as lost only after the stop is confirmed and a later
  *	poll does not list it either. An end is acknowledged to the endpoint
  *	once it is committed.
+ *
+ *	With cfg.inventory, the leader requests the provider's list of
+ *	endpoints that exist while one with open runs is silent. An endpoint
+ *	that two lists in a row lack has ended, and the runs that it had end
+ *	before its lease is over, unless a start of theirs may still arrive.
  */
 
 /* An endpoint's clock is slow by at most one part in this. */
@@ -139,6 +145,10 @@
 	 * above. All leaders of a cell must have it, or none.
 	 */
 	bool fence_incarnations;
+	/* Cell time at the start of the term, see gyp_replica_cell_time(). */
+	uint64_t cell_time_ms;
+	/* The provider's list of endpoints can be requested. */
+	bool inventory;
 	/* Only for the flow scheduler: */
 	struct gyp_counters *counters; /* or NULL */
 	bool learn_run_times; /* decisions use the forecast of the tables */
@@ -204,6 +214,14 @@
 void gyp_fleet_call_free(struct gyp_fleet_call *);
 Gyp__Cmd *gyp_fleet_pop_cmd(struct gyp_fleet *);
 
+/*
+ * Pops the number of a request for the provider's list, to be answered through
+ * gyp_fleet_handle_inventory(); false when there is none.
+ */
+bool gyp_fleet_pop_inventory_request(struct gyp_fleet *, uint64_t *request);
+void gyp_fleet_handle_inventory(
+    struct gyp_fleet *, uint64_t now, const struct gyp_inventory_answer *);
+
 /* True when a new run may be placed on the endpoint. */
 bool gyp_fleet_usable(const struct gyp_fleet *, uint32_t row);
 
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -329,6 +329,8 @@
 	endpoint->contacted = true;
 	withdraw_leaving(f, endpoint, p);
 	endpoint->last_seen_at = f->now;
+	endpoint->answered_at = f->now;
+	gyp_fleet_endpoint_heard(endpoint);
 	if (a->has_clock)
 		gyp_fleet_endpoint_update_clock(f, endpoint, a->clock_ms);
 	/*
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -12,6 +12,7 @@
  *	fleet_calls.c		calls and their answers
  *	fleet_diagnosis.c	reports on single runs, for logs
  *	fleet_endpoint.c	clocks, leases and incarnations of endpoints
+ *	fleet_inventory.c	endpoints that the provider no longer lists
  *	fleet_poll.c		lists of runs and ends
  */
 
@@ -70,6 +71,7 @@
 	uint32_t row;
 	uint64_t incarnation_start_ms;
 	uint64_t added_at;      /* this leader found it in the tables */
+	uint64_t busy_at;       /* it got a run while it had none */
 	bool contacted;         /* it has answered this leader */
 	uint64_t clock_ms;      /* reading of its clock, a lower bound */
 	uint64_t clock_at;      /* leader's time of that reading; 0: none */
@@ -80,6 +82,10 @@
 	bool fenced;   /* it refuses all calls that could add a late lease */
 	bool replaced; /* another endpoint has its address */
 	uint64_t last_seen_at; /* last answer or heartbeat; 0: none */
+	uint64_t answered_at;  /* last answer; 0: none */
+	uint32_t unlisted;     /* lists in a row that lack it while silent */
+	uint64_t unlisted_at;  /* when the first of these was requested */
+	bool list_wanted;      /* a list is wanted for it */
 	uint64_t listed_at;    /* last list of this incarnation; 0: none */
 	uint64_t departed_at;  /* its shutdown, or another endpoint at its
 				  address, was noticed; 0: neither */
@@ -129,10 +135,12 @@
 	uint64_t next_sweep_at;
 	uint64_t next_expire_at;
 	uint64_t stale_until; /* answers may be old, see current_ack() */
+	uint64_t resumed_at;  /* latest pause of this process; 0: none */
 	uint64_t next_call;
-	GPtrArray *endpoints; /* struct gyp_fleet_endpoint by row */
-	GHashTable *runs;     /* key -> struct gyp_fleet_run */
-	GHashTable *pending;  /* id -> struct gyp_fleet_pending */
+	struct gyp_inventory *inventory; /* NULL without a provider */
+	GPtrArray *endpoints;            /* struct gyp_fleet_endpoint by row */
+	GHashTable *runs;                /* key -> struct gyp_fleet_run */
+	GHashTable *pending;             /* id -> struct gyp_fleet_pending */
 	GQueue to_send; /* struct gyp_flow_key of runs to send a call for */
 	GQueue dirty;   /* rows of endpoints that the next tick sweeps */
 	GQueue calls;   /* struct gyp_fleet_call */
@@ -147,6 +155,12 @@
  */
 #define LATE_CALL_MAX_MS 15000
 
+/*
+ * Starts of a run are sent for at most this long after its proposal, in ms: no
+ * later leader need wait for one longer than LATE_CALL_MAX_MS after that.
+ */
+#define START_WINDOW_MS 5000
+
 /* Time from the notice of a shutdown until the runs count as over, in ms. */
 #define DEPARTURE_GRACE_MS 100
 
@@ -216,6 +230,22 @@
 /* Handles calls whose answer is long overdue as lost. */
 void gyp_fleet_expire_calls(struct gyp_fleet *);
 
+/* fleet_inventory.c */
+/* Notes that this process was paused: the silence meanwhile says nothing. */
+void gyp_fleet_inventory_paused(struct gyp_fleet *, uint64_t paused_ms);
+/* Requests a list if one is due. */
+void gyp_fleet_inventory_sweep(struct gyp_fleet *);
+/* True if the provider lists the endpoint no longer, so that it has ended. */
+bool gyp_fleet_endpoint_is_delisted(const struct gyp_fleet_endpoint *);
+/* The endpoint was heard from: it exists. */
+void gyp_fleet_endpoint_heard(struct gyp_fleet_endpoint *);
+/* Time since the run was proposed, in ms. */
+uint64_t gyp_fleet_run_age_ms(
+    const struct gyp_fleet *, const struct gyp_fleet_run *);
+/* Ends the runs of a delisted endpoint that nothing can bring back. */
+void gyp_fleet_end_delisted_runs(
+    struct gyp_fleet *, struct gyp_fleet_endpoint *);
+
 /* fleet_poll.c */
 /* Records that the endpoint confirmed the run. */
 void gyp_fleet_confirm_run(struct gyp_fleet *, struct gyp_fleet_run *);
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -40,6 +40,7 @@
 #include "headroom.h"           /* adaptive share kept for urgent work */
 #include "health.h"             /* attributes failures to endpoints or jobs */
 #include "host_msg.h"           /* wire messages of calls at endpoints */
+#include "inventory.h"          /* requests for the provider's list */
 #include "leases.h"             /* the leader's view of endpoint leases */
 #include "load_shed.h"          /* when work beyond a rate is refused */
 #include "placer.h"             /* which task of a flow starts where */
--- a/src/replica.h
+++ b/src/replica.h
@@ -52,6 +52,7 @@
 	uint32_t relay_heartbeats_from; /* 0: never */
 	bool learn_run_times;           /* decisions use learned run times */
 	bool fence_incarnations;        /* see struct gyp_fleet_config */
+	bool inventory;                 /* see struct gyp_fleet_config */
 };
 
 /*
@@ -190,6 +191,14 @@
 void gyp_replica_endpoint_call_answered(
     struct gyp_replica *, uint64_t now, const struct gyp_fleet_answer *);
 
+/*
+ * Pops the number of a request for the provider's list of endpoints; false if
+ * none may be made now. The list is passed to gyp_replica_inventory_answered().
+ */
+bool gyp_replica_pop_inventory_request(struct gyp_replica *, uint64_t *request);
+void gyp_replica_inventory_answered(
+    struct gyp_replica *, uint64_t now, const struct gyp_inventory_answer *);
+
 /* Lines for the log; the caller releases the fields. */
 struct gyp_events *gyp_replica_events(struct gyp_replica *);
 
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -117,6 +117,26 @@
 	gyp_replica_process(r);
 }
 
+bool
+gyp_replica_pop_inventory_request(struct gyp_replica *r, uint64_t *request)
+{
+	return r->flow_scheduler != NULL && gyp_replica_serving(r) &&
+	       gyp_fleet_pop_inventory_request(
+		   gyp_flow_scheduler_fleet(r->flow_scheduler), request);
+}
+
+void
+gyp_replica_inventory_answered(
+    struct gyp_replica *r, uint64_t now, const struct gyp_inventory_answer *a)
+{
+	gyp_replica_advance(r, now);
+	if (r->flow_scheduler == NULL)
+		return;
+	gyp_fleet_handle_inventory(
+	    gyp_flow_scheduler_fleet(r->flow_scheduler), r->now, a);
+	gyp_replica_process(r);
+}
+
 struct gyp_events *
 gyp_replica_events(struct gyp_replica *r)
 {
@@ -145,7 +165,9 @@
 	    .events = r->events,
 	    .counters = r->counters,
 	    .learn_run_times = r->cfg.learn_run_times,
-	    .fence_incarnations = r->cfg.fence_incarnations};
+	    .fence_incarnations = r->cfg.fence_incarnations,
+	    .cell_time_ms = r->time_base,
+	    .inventory = r->cfg.inventory};
 
 	r->flow_scheduler = gyp_flow_scheduler_new(
 	    &cfg, gyp_state_flows(r->state), r->now, r->leader_term);
--- a/test/flow_fixture.c
+++ b/test/flow_fixture.c
@@ -48,7 +48,9 @@
 {
 	struct gyp_fleet_config cfg = {.lease_ms = FLOW_FIXTURE_LEASE_MS,
 	    .stop_grace_ms = 400,
-	    .fence_incarnations = f->fence_incarnations};
+	    .fence_incarnations = f->fence_incarnations,
+	    .cell_time_ms = f->now,
+	    .inventory = f->inventory};
 
 	gyp_fleet_free(f->fleet);
 	f->fleet = gyp_fleet_new(&cfg, f->flows, f->now, fence);
--- a/test/flow_fixture.h
+++ b/test/flow_fixture.h
@@ -26,6 +26,7 @@
 	const char *workspace;
 	bool excess;             /* they are beyond its rate */
 	bool fence_incarnations; /* of leaders from then on */
+	bool inventory;          /* leaders from then on request lists */
 	uint64_t manifest_version;
 };
 
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -198,7 +198,8 @@
 {
 	struct gyp_fleet_config cfg = {.lease_ms = FLOW_SIM_LEASE_MS,
 	    .stop_grace_ms = 400,
-	    .fence_incarnations = f->fence_incarnations};
+	    .fence_incarnations = f->fence_incarnations,
+	    .cell_time_ms = f->now};
 
 	if (f->workspace_rand != NULL)
 		restore_from_snapshot(f);
--- /dev/null
+++ b/test/test_inventory.c
@@ -0,0 +1,507 @@
+#include <string.h>
+
+#include "flow_fixture.h"
+#include "msg.h"
+
+/*
+ * The provider's list of endpoints that exist, and the runs of endpoints that
+ * it no longer has. Endpoint "a" has the runs; "b" answers all its polls.
+ */
+
+#define FLOW 0xf1ULL
+
+/*
+ * Longest time from the last answer of an endpoint that is gone until its runs
+ * end, in ms: the lists need 1.5 s, the lease 6 s.
+ */
+#define GONE_END_MS 2500
+
+/* Time after which no start of an earlier leader can be under way, in ms. */
+#define OLD_RUN_MS 25000
+
+/* Time by which a list may be out of date, in ms. */
+#define LAG_MS 2000
+
+struct fixture {
+	struct flow_fixture base;
+	uint32_t a, b;     /* rows of the endpoints */
+	const char *lists; /* the ids of each list, a letter each */
+	bool partial;      /* lists are not complete */
+	uint32_t requests;
+	bool a_lost, b_lost; /* calls to the endpoint are lost */
+	bool a_runs;         /* "a" lists a run of task 0 */
+	bool b_runs;         /* "b" lists a run of task 1 */
+	uint64_t a_incarnation;
+};
+
+static bool
+is_open(const struct fixture *f, uint32_t task)
+{
+	return gyp_flow_get(f->base.flows, FLOW)->tasks[task].state ==
+	       GYP_FLOW_TASK_OPEN;
+}
+
+static void
+answer_list(struct fixture *f, uint64_t request, const char *names)
+{
+	struct gyp_inventory_answer answer = {
+	    .request = request, .complete = !f->partial, .reason = "test"};
+	GHashTable *ids =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	size_t i;
+
+	for (i = 0; i < strlen(names); i++)
+		g_hash_table_add(ids, g_strndup(&names[i], 1));
+	answer.ids = ids;
+	gyp_fleet_handle_inventory(f->base.fleet, f->base.now, &answer);
+	g_hash_table_destroy(ids);
+}
+
+static void
+answer_call(struct fixture *f, struct gyp_fleet_call *call)
+{
+	bool is_a = call->row == f->a;
+	struct flow_fixture_run up = {FLOW, is_a ? 0 : 1, 1, 0, 0};
+
+	if (is_a ? f->a_lost : f->b_lost)
+		flow_fixture_answer(&f->base, call, GYP_FLEET_LOST);
+	else if (call->kind == GYP_FLEET_POLL)
+		flow_fixture_answer_poll(&f->base, call,
+		    is_a ? f->a_incarnation : 1, &up,
+		    is_a ? f->a_runs : f->b_runs, NULL, 0);
+	else
+		flow_fixture_answer(&f->base, call, GYP_FLEET_OK);
+}
+
+/* Answers two calls and the request that is due. */
+static void
+answer_due(struct fixture *f)
+{
+	struct gyp_fleet_call *call;
+	uint64_t request;
+	int i;
+
+	/* Each answer makes the next poll of the endpoint due. */
+	for (i = 0; i < 2; i++) {
+		call = gyp_fleet_pop_call(f->base.fleet);
+		if (call != NULL)
+			answer_call(f, call);
+	}
+	if (gyp_fleet_pop_inventory_request(f->base.fleet, &request)) {
+		f->requests++;
+		answer_list(f, request, f->lists);
+	}
+}
+
+static void
+play(struct fixture *f, uint64_t ms)
+{
+	uint64_t end = f->base.now + ms;
+
+	while (f->base.now < end) {
+		flow_fixture_advance(&f->base, 10);
+		answer_due(f);
+	}
+}
+
+/* Two endpoints that have been known for a while, and a lasting task. */
+static void
+fixture_init(struct fixture *f)
+{
+	Gyp__FlowStep step = flow_fixture_step(2);
+
+	*f = (struct fixture){.lists = "ab", .a_incarnation = 1};
+	step.lasting = true;
+	flow_fixture_init(&f->base);
+	f->base.inventory = true;
+	flow_fixture_new_leader(&f->base, 1);
+	f->a = flow_fixture_add_host(&f->base, "a", 1);
+	f->b = flow_fixture_add_host(&f->base, "b", 1);
+	flow_fixture_submit(&f->base, FLOW, &step, 1);
+	play(f, 2 * LAG_MS);
+}
+
+/* Task 0 runs on "a", which lists it. */
+static void
+start_on_a(struct fixture *f)
+{
+	flow_fixture_start(&f->base, FLOW, 0, 0, 1, f->a);
+	f->a_runs = true;
+	play(f, 1000);
+	g_assert_true(is_open(f, 0));
+}
+
+/* Task 1 runs on "b", which is polled from then on. */
+static void
+start_on_b(struct fixture *f)
+{
+	flow_fixture_start(&f->base, FLOW, 1, 1, 1, f->b);
+	f->b_runs = true;
+	play(f, 1000);
+	g_assert_true(is_open(f, 1));
+}
+
+/* Plays until the next request for a list was answered. */
+static void
+play_to_list(struct fixture *f)
+{
+	uint32_t before = f->requests;
+
+	while (f->requests == before)
+		play(f, 10);
+}
+
+static void
+end_a(struct fixture *f)
+{
+	f->a_lost = true;
+	f->lists = "b";
+}
+
+static void
+assert_ends(struct fixture *f, uint64_t ms)
+{
+	uint64_t since = f->base.now;
+
+	while (is_open(f, 0) && f->base.now < since + 30000)
+		play(f, 10);
+	g_assert_cmpuint(f->base.now - since, <=, ms);
+}
+
+static void
+assert_stays_open(struct fixture *f)
+{
+	play(f, GONE_END_MS);
+	g_assert_true(is_open(f, 0));
+}
+
+/*
+ * Guards against a lasting task that waits for the lease of an endpoint that is
+ * gone for good, though the provider does not list that any more.
+ */
+static void
+test_gone(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	end_a(&f);
+	assert_ends(&f, GONE_END_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/* The same when the leader is lost with the endpoint. */
+static void
+test_gone_with_leader(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	play(&f, OLD_RUN_MS);
+	end_a(&f);
+	flow_fixture_new_leader(&f.base, 2);
+	assert_ends(&f, GONE_END_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * A start of the earlier leader may still be carried out by a later incarnation
+ * of the endpoint: ended before its lease is over, the task could run twice.
+ */
+static void
+test_young_run_of_earlier_leader(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	end_a(&f);
+	flow_fixture_new_leader(&f.base, 2);
+	assert_stays_open(&f);
+	assert_ends(&f, FLOW_FIXTURE_LEASE_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/* The same for a start of this leader that got no answer. */
+static void
+test_unanswered_start(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	end_a(&f);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	play(&f, 10);
+	assert_stays_open(&f);
+	flow_fixture_clear(&f.base);
+}
+
+/* The same for two starts, of which one was confirmed. */
+static void
+test_repeated_start(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *start = NULL;
+
+	fixture_init(&f);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	while (start == NULL) {
+		flow_fixture_advance(&f.base, 10);
+		start = flow_fixture_next_call(&f.base, GYP_FLEET_START);
+	}
+	flow_fixture_answer(&f.base, start, GYP_FLEET_CARRIER_LOST);
+	f.a_runs = true;
+	play(&f, 3000);
+	end_a(&f);
+	assert_stays_open(&f);
+	flow_fixture_clear(&f.base);
+}
+
+/* An endpoint that is only cut off is listed: its runs must stay open. */
+static void
+test_cut_off(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	f.a_lost = true;
+	play(&f, FLOW_FIXTURE_LEASE_MS - 1500);
+	g_assert_true(is_open(&f, 0));
+	flow_fixture_clear(&f.base);
+}
+
+/* One list without the endpoint is not enough. */
+static void
+test_one_list(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	end_a(&f);
+	play_to_list(&f);
+	f.lists = "ab";
+	assert_stays_open(&f);
+	flow_fixture_clear(&f.base);
+}
+
+/* A list that lacks an endpoint that answers is of no use. */
+static void
+test_list_contradicted(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	flow_fixture_add_host(&f.base, "c", 1);
+	start_on_b(&f);
+	start_on_a(&f);
+	f.a_lost = true;
+	f.lists = "c";
+	assert_stays_open(&f);
+	flow_fixture_clear(&f.base);
+}
+
+/* So is one with none of the endpoints, as an empty one. */
+static void
+test_list_of_none(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	flow_fixture_drain(&f.base, f.b);
+	f.a_lost = true;
+	f.lists = "";
+	assert_stays_open(&f);
+	flow_fixture_clear(&f.base);
+}
+
+/* Lists that fail say nothing. */
+static void
+test_lists_fail(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	end_a(&f);
+	f.partial = true;
+	f.requests = 0;
+	assert_stays_open(&f);
+	g_assert_cmpuint(f.requests, >, 0);
+	flow_fixture_clear(&f.base);
+}
+
+/* A list may be older than the endpoint, which has a run and is cut off. */
+static void
+test_new_endpoint(void)
+{
+	struct fixture f;
+	uint64_t since;
+
+	fixture_init(&f);
+	f.a_incarnation = 2;
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 2, f.base.now);
+	f.a = flow_fixture_add_host(&f.base, "a", 2);
+	since = f.base.now;
+	play(&f, 200);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	f.a_runs = true;
+	play(&f, 300);
+	g_assert_cmpuint(f.base.now, <, since + LAG_MS);
+	end_a(&f);
+	assert_stays_open(&f);
+	flow_fixture_clear(&f.base);
+}
+
+/* A heartbeat after the first of two lists shows that the endpoint exists. */
+static void
+test_heard_between_lists(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	end_a(&f);
+	play_to_list(&f);
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 1, f.base.now);
+	play_to_list(&f);
+	play(&f, 50);
+	g_assert_true(is_open(&f, 0));
+	flow_fixture_clear(&f.base);
+}
+
+/* A list that was under way during a pause of the leader is dropped. */
+static void
+test_paused(void)
+{
+	struct fixture f;
+	uint64_t request;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	end_a(&f);
+	play_to_list(&f);
+	while (!gyp_fleet_pop_inventory_request(f.base.fleet, &request))
+		flow_fixture_advance(&f.base, 10);
+	f.base.now += 1000;
+	answer_list(&f, request, "b");
+	play(&f, 700);
+	g_assert_true(is_open(&f, 0));
+	flow_fixture_clear(&f.base);
+}
+
+/* An endpoint that was heard lately is not ended with another one. */
+static void
+test_heard_lately(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	flow_fixture_add_host(&f.base, "c", 1);
+	start_on_b(&f);
+	start_on_a(&f);
+	end_a(&f);
+	f.lists = "c";
+	play(&f, 400);
+	f.b_lost = true;
+	assert_ends(&f, GONE_END_MS);
+	g_assert_true(is_open(&f, 1));
+	flow_fixture_clear(&f.base);
+}
+
+/* No list is requested while all answer, or without a provider. */
+static void
+test_no_request(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	play(&f, 3000);
+	g_assert_cmpuint(f.requests, ==, 0);
+	f.base.inventory = false;
+	flow_fixture_new_leader(&f.base, 2);
+	end_a(&f);
+	play(&f, 3000);
+	g_assert_cmpuint(f.requests, ==, 0);
+	flow_fixture_clear(&f.base);
+}
+
+/* A cut of seconds costs few requests. */
+static void
+test_few_requests(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	f.a_lost = true;
+	f.requests = 0;
+	play(&f, 5000);
+	g_assert_cmpuint(f.requests, >=, 2);
+	g_assert_cmpuint(f.requests, <=, 5);
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * Guards against a start that is sent long after its run was committed: the
+ * next leader counts on START_WINDOW_MS.
+ */
+static void
+test_start_window(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *call;
+	uint64_t committed;
+	int starts = 0;
+
+	fixture_init(&f);
+	f.lists = "ab";
+	committed = f.base.now;
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	while (is_open(&f, 0) && f.base.now < committed + 15000) {
+		flow_fixture_advance(&f.base, 10);
+		call = gyp_fleet_pop_call(f.base.fleet);
+		if (call != NULL && call->kind == GYP_FLEET_START) {
+			g_assert_cmpuint(f.base.now, <, committed + 5000);
+			starts++;
+			flow_fixture_advance(&f.base, 2000);
+			flow_fixture_answer(
+			    &f.base, call, GYP_FLEET_CARRIER_LOST);
+		} else if (call != NULL) {
+			answer_call(&f, call);
+		}
+	}
+	g_assert_cmpint(starts, ==, 3);
+	flow_fixture_clear(&f.base);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/inventory/gone", test_gone);
+	g_test_add_func("/inventory/gone-with-leader", test_gone_with_leader);
+	g_test_add_func("/inventory/young-run-of-earlier-leader",
+	    test_young_run_of_earlier_leader);
+	g_test_add_func("/inventory/unanswered-start", test_unanswered_start);
+	g_test_add_func("/inventory/repeated-start", test_repeated_start);
+	g_test_add_func("/inventory/cut-off", test_cut_off);
+	g_test_add_func("/inventory/one-list", test_one_list);
+	g_test_add_func("/inventory/list-contradicted", test_list_contradicted);
+	g_test_add_func("/inventory/list-of-none", test_list_of_none);
+	g_test_add_func("/inventory/lists-fail", test_lists_fail);
+	g_test_add_func("/inventory/new-endpoint", test_new_endpoint);
+	g_test_add_func(
+	    "/inventory/heard-between-lists", test_heard_between_lists);
+	g_test_add_func("/inventory/paused", test_paused);
+	g_test_add_func("/inventory/heard-lately", test_heard_lately);
+	g_test_add_func("/inventory/no-request", test_no_request);
+	g_test_add_func("/inventory/few-requests", test_few_requests);
+	g_test_add_func("/inventory/start-window", test_start_window);
+	return g_test_run();
+}
