flow_scheduler: runs that stall over an election are stopped too

Callers saw: a job that never ends. Its task makes no progress at an endpoint that answers polls, as at one that hangs, and the leader has changed since the run started.

Cause: the straggler check left out every run whose start the leader had not seen itself, since it needs the time elapsed for the check of slow runs. So what an earlier leader had started was never judged, by no later leader either, while each poll extended its lease.

Change: such a run is judged for a stall, counted from this leader's first list of it, if the usual run time is known (with learn_run_times it is in the tables). It is still no evidence for or against a slow endpoint. Without a known run time it is left alone: it may be slow and have done much work.

Evidence: /stragglers/stalled-over-election failed before, in a trial also after 60 s ("f.stopped should be TRUE"); /stragglers/stalled and /stragglers/unknown-over-election hold the other sides. test_stragglers, test_run_stats, test_run_forecast, test_placer, test_lasting_placement, test_flows and /flows/lasting pass under asan.

--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -443,6 +443,20 @@
 	return count;
 }
 
+/*
+ * Of a run whose start this leader did not see, it is not known how long it
+ * takes. It may stall all the same, but that shows only if the usual time is
+ * known: a slow run that has done much work must not be stopped.
+ */
+static bool
+is_judged(const struct gyp_flow_unit *u, const struct gyp_run_view *view,
+    uint64_t usual_ms)
+{
+	return !u->step->lasting && !u->step->gang && !u->step->fills &&
+	       view->listed_at > view->confirmed_at &&
+	       (view->start_observed || usual_ms != 0);
+}
+
 static void
 check_run(void *arg, struct gyp_flow *flow, uint32_t task, uint32_t row,
     const struct gyp_run_view *view)
@@ -450,7 +464,8 @@
 	struct gyp_flow_scheduler *fs = arg;
 	const struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
 	struct gyp_straggler_run r = {
-	    .elapsed_ms = view->listed_at - view->confirmed_at,
+	    .elapsed_ms =
+		view->start_observed ? view->listed_at - view->confirmed_at : 0,
 	    .stalled_ms = view->listed_at - view->progress_at,
 	    .percent = view->percent,
 	    .usual_ms =
@@ -459,12 +474,11 @@
 	struct straggler straggler = {
 	    .flow = flow->id, .task = task, .row = row};
 
-	if (u->step->lasting || u->step->gang || u->step->fills ||
-	    !view->start_observed || view->listed_at <= view->confirmed_at)
+	if (!is_judged(u, view, r.usual_ms))
 		return;
 	straggler.verdict = gyp_straggler_classify(&r);
 	straggler.queue_count = queue_count(fs, flow->spec->queue->name);
-	if (r.usual_ms != 0) {
+	if (view->start_observed && r.usual_ms != 0) {
 		count_run(endpoint_count(fs, row), straggler.verdict);
 		count_run(queue_count(fs, flow->spec->queue->name),
 		    straggler.verdict);
--- a/src/straggler.h
+++ b/src/straggler.h
@@ -24,7 +24,7 @@
 };
 
 struct gyp_straggler_run {
-	uint64_t elapsed_ms; /* since it started */
+	uint64_t elapsed_ms; /* since it started; 0 if unknown */
 	uint64_t stalled_ms; /* since its progress last changed */
 	uint32_t percent;    /* done, 0 to 100 */
 	uint64_t usual_ms;   /* of the whole task; 0 if unknown */
