placer: units whose runs may be lost take turns with their queries

Cause: the order of these units had no time of their latest query, so only the age of the flow counted: while few slots are free the oldest unit got each of them until all its tasks had tickets.

What callers saw: with few entries, tasks of younger flows on a lost endpoint would have no query until its lease is over.

Change: the time of the latest query is set for them too.

Test: /lasting-queries/lost-units-take-turns failed before (flow 1 asked about again, in place of 2).

--- a/src/placer_candidates.c
+++ b/src/placer_candidates.c
@@ -14,8 +14,9 @@
 }
 
 /*
- * Interrupted units take turns with their queries: by age alone, the oldest
- * ones would take all query slots until the last of their tasks runs.
+ * Interrupted units, and those whose runs may be lost, take turns with their
+ * queries: by age alone, the oldest ones would take all query slots until the
+ * last of their tasks runs.
  */
 static gint
 by_urgency(gconstpointer a, gconstpointer b)
@@ -64,6 +65,13 @@
 	}
 }
 
+static uint64_t
+asked_at(const struct gyp_placer_candidates *cs, const struct gyp_candidate *c)
+{
+	return gyp_admission_asked_at(
+	    gyp_admission_unit(cs->admission, c->flow, c->unit));
+}
+
 static void
 add_candidate(struct gyp_placer_candidates *cs, struct gyp_flow *flow,
     struct gyp_flow_unit *unit, uint64_t now, uint64_t wall_ms)
@@ -72,8 +80,11 @@
 	struct gyp_candidate c = {
 	    .flow = flow, .unit = unit, .rank = gyp_flow_rank(flow, now_ms)};
 
-	if (gyp_admission_lost_runs(cs->fleet, flow, unit).silent > 0)
+	if (gyp_admission_lost_runs(cs->fleet, flow, unit).silent > 0) {
+		c.slack = GYP_SLACK_INTERRUPTED;
+		c.asked_at = asked_at(cs, &c);
 		g_array_append_val(cs->expiring, c);
+	}
 	if (!has_waiting(unit) || !gyp_placer_unit_is_due(flow, unit, wall_ms))
 		return;
 	if (!gyp_flow_unit_is_ready(flow, unit)) {
@@ -84,8 +95,7 @@
 	}
 	c.slack = gyp_slack_state(cs->stats, flow, unit, now, now_ms);
 	c.down_since = gyp_slack_down_since(cs->stats, flow, unit, now);
-	c.asked_at = gyp_admission_asked_at(
-	    gyp_admission_unit(cs->admission, flow, unit));
+	c.asked_at = asked_at(cs, &c);
 	g_array_append_val(cs->units, c);
 }
 
--- a/test/test_lasting_queries.c
+++ b/test/test_lasting_queries.c
@@ -494,7 +494,7 @@
 
 	/* Each answer is followed by the next poll at once. */
 	for (answers = 0; answers < gyp_hosts_size(f->base.flows); answers++) {
-		struct flow_fixture_run running[1];
+		struct flow_fixture_run running[2];
 		const struct gyp_host *h;
 		guint i, n;
 
@@ -689,6 +689,37 @@
 	placer_fixture_clear(&f);
 }
 
+/*
+ * Two units have a task each on an endpoint that is gone. While a single slot
+ * is free, the older one took it again and again.
+ */
+static void
+test_lost_units_take_turns(void)
+{
+	Gyp__FlowStep step = flow_fixture_step(1);
+	struct placer_fixture f;
+	uint64_t id;
+
+	step.lasting = true;
+	placer_fixture_init(&f, 60);
+	for (id = 1; id <= 2; id++) {
+		placer_fixture_submit(&f, id, 1, step);
+		placer_fixture_set_queue(&f, id, 1, true, QUERY_MS, EACH_MS);
+		flow_fixture_start(&f.base, id, 0, 0, 1, 0);
+	}
+	placer_fixture_confirm(&f);
+	while (!gyp_fleet_is_silent(f.base.fleet, 0, 2000))
+		advance(&f, 0);
+	for (id = 1; id <= 2; id++) {
+		placer_fixture_run_round(&f, 3); /* two are for quick ones */
+		g_assert_cmpuint(f.queries->len, ==, 1);
+		g_assert_cmpuint(query_at(&f, 0)->flow, ==, id);
+		gyp_admission_drop_query(f.admission, query_at(&f, 0)->id);
+		advance(&f, 0);
+	}
+	placer_fixture_clear(&f);
+}
+
 /*
  * Less urgent work took the room at the endpoints allowed while the lease of an
  * endpoint that was gone ran out.
@@ -963,6 +994,8 @@
 	    test_query_after_lease_in_full_service);
 	g_test_add_func("/lasting-queries/query-after-early-end",
 	    test_query_after_early_end);
+	g_test_add_func("/lasting-queries/lost-units-take-turns",
+	    test_lost_units_take_turns);
 	g_test_add_func("/lasting-queries/room-taken-before-end",
 	    test_room_taken_before_end);
 	return g_test_run();
