--- a/src/cell_settings.c
+++ b/src/cell_settings.c
@@ -22,6 +22,7 @@
     {"cell", "join_port", &set.join_port, 1, 65535, GYP_SETTING_COUNT, false},
     {"cell", "first_start", &set.first_start, 0, 0, GYP_SETTING_FLAG, false},
     {"platform", "control", &set.control, 0, 0, GYP_SETTING_ADDRESS, false},
+    {"platform", "provider", &set.provider, 0, 0, GYP_SETTING_ADDRESS, false},
     {"platform", "run_lease", &set.run_lease_ms, 500, 600000, GYP_SETTING_MS,
 	false},
     {"platform", "stop_grace", &set.stop_grace_ms, 1, 60000, GYP_SETTING_MS,
--- a/src/cell_settings.h
+++ b/src/cell_settings.h
@@ -23,6 +23,7 @@
 	uint32_t join_port;
 	bool first_start;
 	char *control;
+	char *provider; /* NULL for none */
 	uint32_t run_lease_ms;
 	uint32_t stop_grace_ms;
 	bool learn_run_times;
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -148,6 +148,26 @@
 	gyp_pf_control_handle_replies(app->control);
 }
 
+static void
+on_inventory(void *arg, const struct gyp_inventory_answer *a)
+{
+	struct app *app = arg;
+
+	gyp_replica_inventory_answered(app->replica, gyp_clock_ms(), a);
+	flush(app);
+}
+
+static void
+request_inventory(struct app *app)
+{
+	uint64_t request;
+
+	if (app->client != NULL &&
+	    gyp_replica_pop_inventory_request(app->replica, &request))
+		gyp_pf_client_request_inventory(
+		    app->client, request, on_inventory);
+}
+
 static void
 on_apply_more(void *arg, uint64_t now)
 {
@@ -180,6 +200,7 @@
 		return;
 	app->flushing = true;
 	send_endpoint_calls(app);
+	request_inventory(app);
 	while (gyp_replica_pop_record(app->replica, &rec)) {
 		gyp_store_append(app->store, &rec);
 		if (rec.data != NULL)
@@ -498,6 +519,7 @@
 	    .stop_grace_ms = set->stop_grace_ms,
 	    .learn_run_times = set->learn_run_times,
 	    .fence_incarnations = set->fence_incarnations,
+	    .inventory = set->provider != NULL,
 	    .relay_heartbeats_from = set->relay_heartbeats_from};
 
 	app->replica = gyp_replica_new(&cfg);
@@ -560,6 +582,7 @@
 		return GYP_OK;
 	app->httpc = gyp_httpc_new(app->loop, app->timers);
 	app->client = gyp_pf_client_new(app->httpc, NULL, app);
+	gyp_pf_client_use_provider(app->client, app->set->provider);
 	app->control = gyp_pf_control_new(
 	    app->replica, app->timers, address, on_control_input, app);
 	app->control_httpd = gyp_httpd_new(app->loop, app->timers,
--- a/test/test_pf_json.c
+++ b/test/test_pf_json.c
@@ -226,6 +226,74 @@
 	g_array_free(a.ended, TRUE);
 }
 
+/* ---- The provider's list --------------------------------------------------
+ */
+
+/* The number of ids, or -1 if the page can't be read. */
+static int
+decode_inventory(const char *body, char **next_token)
+{
+	GHashTable *ids =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	int n = -1;
+
+	if (gyp_pf_decode_inventory(body, strlen(body), ids, next_token)) {
+		n = (int)g_hash_table_size(ids);
+		g_assert_true(n == 0 || g_hash_table_contains(ids, "a"));
+	}
+	g_hash_table_destroy(ids);
+	return n;
+}
+
+/* VMs without an endpoint have no id; the last page has no token. */
+static void
+test_inventory(void)
+{
+	char *token;
+
+	g_assert_cmpint(
+	    decode_inventory("{\"machines\":[{\"id\":\"a\",\"state\":\"up\"},"
+			     "{\"id\":\"\"},{\"id\":null}],"
+			     "\"next_token\":\"t 1\"}",
+		&token),
+	    ==, 1);
+	g_assert_cmpstr(token, ==, "t 1");
+	g_free(token);
+	g_assert_cmpint(decode_inventory("{\"machines\":[]}", &token), ==, 0);
+	g_assert_null(token);
+	g_assert_cmpint(decode_inventory("{\"machines\":[{\"id\":\"a\"}],"
+					 "\"next_token\":null}",
+			    &token),
+	    ==, 1);
+	g_assert_null(token);
+	g_assert_cmpint(
+	    decode_inventory(
+		"{\"machines\":[{\"id\":\"a\"}],\"next_token\":\"\"}", &token),
+	    ==, 1);
+	g_assert_null(token);
+}
+
+/* An odd row may be that of an endpoint, so the page is not complete. */
+static void
+test_odd_inventory(void)
+{
+	static const char *const bodies[] = {"", "[]", "{}",
+	    "{\"machines\":{}}", "{\"machines\":[{}]}", "{\"machines\":[7]}",
+	    "{\"machines\":[{\"id\":7}]}", "{\"machines\":[{\"id\":\"a\"}",
+	    "{\"machines\":[],\"next_token\":7}"};
+	char *token, *body, *id = g_strnfill(256, 'x');
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		g_assert_cmpint(decode_inventory(bodies[i], &token), ==, -1);
+		g_assert_null(token);
+	}
+	body = g_strdup_printf("{\"machines\":[{\"id\":\"%s\"}]}", id);
+	g_assert_cmpint(decode_inventory(body, &token), ==, -1);
+	g_free(body);
+	g_free(id);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -234,5 +302,7 @@
 	g_test_add_func("/pf-json/odd-heartbeats", test_odd_heartbeats);
 	g_test_add_func("/pf-json/large-heartbeats", test_large_heartbeats);
 	g_test_add_func("/pf-json/odd-rows", test_odd_rows);
+	g_test_add_func("/pf-json/inventory", test_inventory);
+	g_test_add_func("/pf-json/odd-inventory", test_odd_inventory);
 	return g_test_run();
 }
