test: a provider's list in the randomised runs; docs: the provider's list

In two of three seeds of test_flows the leader can request a list that is up to 2 s old, is lost or cut short; the model asserts no second run of a task.

--- a/test/flow_sim.c
+++ b/test/flow_sim.c
@@ -530,6 +530,7 @@
 		free_message(p);
 	}
 	expire(s, scheduler);
+	flow_sim_provider_tick(s, scheduler);
 }
 
 /* ---- Construction ------------------------------------------------------- */
@@ -575,6 +576,7 @@
 	s->flows = flows;
 	s->n_endpoints = FLOW_SIM_ENDPOINTS;
 	s->rand = g_rand_new_with_seed(seed);
+	s->provider = flow_sim_provider_new(seed + 5);
 	s->messages = g_ptr_array_new_with_free_func(free_message);
 	s->pending_calls = g_hash_table_new(NULL, NULL);
 	s->done = g_hash_table_new(NULL, NULL);
@@ -593,6 +595,7 @@
 
 	if (s->lasting != NULL)
 		flow_sim_lasting_free(s);
+	flow_sim_provider_free(s->provider);
 	for (i = 0; i < s->n_endpoints; i++) {
 		g_array_free(s->endpoints[i].runs, TRUE);
 		g_array_free(s->endpoints[i].ends, TRUE);
--- a/test/flow_sim.h
+++ b/test/flow_sim.h
@@ -30,6 +30,13 @@
 /* Turns faults on or off; off also reconnects all endpoints. */
 void flow_sim_set_faults(struct flow_sim *, bool on);
 
+/*
+ * Answers a request for the provider's list of endpoints, or loses it. The list
+ * is out of date by FLOW_SIM_LIST_MS at most, and may be cut short.
+ */
+#define FLOW_SIM_LIST_MS 2000
+void flow_sim_request_list(struct flow_sim *, uint64_t now, uint64_t request);
+
 /* The number of endpoints. */
 uint32_t flow_sim_size(const struct flow_sim *);
 
@@ -58,6 +65,9 @@
 /* Prints the tasks of the oldest active flow that are not done. */
 void flow_sim_print_unended(const struct gyp_flows *);
 
+/* The number of lists that were requested so far. */
+uint64_t flow_sim_lists(const struct flow_sim *);
+
 /* The number of runs started so far. */
 uint64_t flow_sim_starts(const struct flow_sim *);
 
--- a/test/flow_sim_int.h
+++ b/test/flow_sim_int.h
@@ -12,6 +12,7 @@
  *	flow_sim_access.c	access to the state, and its output
  *	flow_sim_check.c	invariants of the actual runs
  *	flow_sim_lasting.c	faults and checks of runs with lasting steps
+ *	flow_sim_provider.c	the provider's list of endpoints
  */
 
 #define FLOW_SIM_CPU_MILLI 10000
@@ -66,6 +67,7 @@
 };
 
 struct flow_sim_lasting;
+struct flow_sim_provider;
 
 struct flow_sim {
 	struct gyp_flows *flows;
@@ -76,7 +78,8 @@
 	uint32_t n_endpoints;
 	struct endpoint endpoints[FLOW_SIM_LASTING_ENDPOINTS];
 	struct flow_sim_lasting *lasting; /* NULL in other runs */
-	GPtrArray *messages;              /* struct message */
+	struct flow_sim_provider *provider;
+	GPtrArray *messages;       /* struct message */
 	GHashTable *pending_calls; /* call id -> time at which it times out */
 	GHashTable *done;          /* set of task keys: acknowledged as done */
 	GHashTable *failed;        /* task key -> failures acknowledged */
@@ -129,6 +132,12 @@
 /* True if another endpoint answers at the address of the one with that id. */
 bool flow_sim_lasting_is_wrong(const struct flow_sim *, const char *id);
 
+/* flow_sim_provider.c */
+struct flow_sim_provider *flow_sim_provider_new(uint32_t seed);
+void flow_sim_provider_free(struct flow_sim_provider *);
+/* Publishes the list when that is due, and passes on answers. */
+void flow_sim_provider_tick(struct flow_sim *, struct gyp_flow_scheduler *);
+
 /* flow_sim_check.c */
 /* Aborts the program if the start of a run violates an invariant. */
 void flow_sim_check_start(struct flow_sim *, const struct endpoint *,
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -13,7 +13,8 @@
  * come from a snapshot after each change of leader. A third group has lasting
  * steps, see flow_lasting.h. In the others, announcements of shutdowns arrive
  * after the endpoint has restarted. Fences tell incarnations apart in that
- * group and in the even seeds of the others. GYP_SEED=n repeats one run,
+ * group and in the even seeds of the others. In two of three seeds the leader
+ * can request the provider's list of endpoints. GYP_SEED=n repeats one run,
  * GYP_SECONDS=n runs new random seeds for n seconds.
  */
 
@@ -65,6 +66,7 @@
 	uint64_t next_flow;
 	bool faults;
 	bool fence_incarnations;
+	bool inventory; /* the leader requests the provider's list */
 	struct flow_lasting *lasting; /* NULL in runs without lasting steps */
 	/* First heartbeat of an endpoint that became reachable; 0: not up. */
 	uint64_t first_beat_at[FLOW_SIM_LASTING_ENDPOINTS];
@@ -199,7 +201,8 @@
 	struct gyp_fleet_config cfg = {.lease_ms = FLOW_SIM_LEASE_MS,
 	    .stop_grace_ms = 400,
 	    .fence_incarnations = f->fence_incarnations,
-	    .cell_time_ms = f->now};
+	    .cell_time_ms = f->now,
+	    .inventory = f->inventory};
 
 	if (f->workspace_rand != NULL)
 		restore_from_snapshot(f);
@@ -430,6 +433,7 @@
 {
 	struct gyp_fleet_call *call;
 	Gyp__Cmd *cmd;
+	uint64_t request;
 	uint32_t i;
 	bool idle;
 
@@ -463,6 +467,9 @@
 		propose(f, cmd);
 	while ((call = gyp_flow_scheduler_pop_call(f->scheduler)) != NULL)
 		flow_sim_call(f->sim, f->now, call);
+	if (gyp_fleet_pop_inventory_request(
+		gyp_flow_scheduler_fleet(f->scheduler), &request))
+		flow_sim_request_list(f->sim, f->now, request);
 }
 
 static bool
@@ -534,6 +541,7 @@
 		f.workspace_rand = g_rand_new_with_seed(seed + 2);
 	if (group != LASTING_RUNS)
 		f.departure_rand = g_rand_new_with_seed(seed + 3);
+	f.inventory = seed % 3 != 0;
 	f.flows = gyp_flows_new();
 	f.sim = flow_sim_new(seed + 1, f.flows);
 	if (group == LASTING_RUNS) {
@@ -558,10 +566,11 @@
 	}
 	g_test_message("seed %u: %" G_GUINT64_FORMAT
 		       " flows, %" G_GUINT64_FORMAT
-		       " starts, %" G_GUINT64_FORMAT " leaders",
+		       " starts, %" G_GUINT64_FORMAT
+		       " leaders, %" G_GUINT64_FORMAT " lists",
 	    seed,
 	    f.lasting != NULL ? flow_lasting_flows(f.lasting) : f.next_flow,
-	    flow_sim_starts(f.sim), f.fence);
+	    flow_sim_starts(f.sim), f.fence, flow_sim_lists(f.sim));
 	gyp_flow_scheduler_free(f.scheduler);
 	while (!g_queue_is_empty(&f.pending)) {
 		struct pending *p = g_queue_pop_head(&f.pending);
