--- a/test/test_members.c
+++ b/test/test_members.c
@@ -6,6 +6,7 @@
 #include "bootstrap.h"
 #include "members_fixture.h"
 #include "msg.h"
+#include "replica_int.h"
 
 /* Membership, votes, and catching up after a replica was stopped. */
 
@@ -822,6 +823,58 @@
 	gyp_replica_free(r);
 }
 
+/* The replica that leads, once one does. */
+static const struct gyp_replica *
+next_leader(struct cell *c)
+{
+	int i;
+
+	for (i = 0; i < 2000 && cell_leader(c) < 0; i++)
+		cell_run(c, 10);
+	g_assert_cmpint(cell_leader(c), >=, 0);
+	return c->nodes[cell_leader(c)].replica;
+}
+
+/*
+ * Outages over an election were counted too short: cell time stands still then,
+ * so a new leader must know how old its tables are.
+ */
+static void
+test_tables_age(void)
+{
+	struct cell c;
+	uint64_t lost_at, age_ms;
+
+	cell_init(&c, 1, "abc");
+	cell_settle(&c);
+	lost_at = c.now;
+	cell_stop(&c, cell_leader(&c));
+	age_ms = gyp_replica_leaderless_ms(next_leader(&c));
+	g_assert_cmpuint(age_ms, >=, ELECTION_MS);
+	g_assert_cmpuint(age_ms, <=, c.now - lost_at + ELECTION_MS / 4);
+	cell_clear(&c);
+}
+
+/* The same of a leader that stepped down, with no other one in between. */
+static void
+test_tables_age_of_same_leader(void)
+{
+	struct cell c;
+	uint64_t lost_at, age_ms;
+
+	cell_init(&c, 1, "a");
+	cell_settle(&c);
+	lost_at = c.now;
+	cell_fill_disk(&c, 0);
+	cell_run(&c, 300);
+	g_assert_cmpint(cell_leader(&c), <, 0);
+	cell_free_disk(&c, 0);
+	age_ms = gyp_replica_leaderless_ms(next_leader(&c));
+	g_assert_cmpuint(age_ms, >=, 250);
+	g_assert_cmpuint(age_ms, <=, c.now - lost_at);
+	cell_clear(&c);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -849,5 +902,8 @@
 	g_test_add_func("/members/full-leader", test_full_leader);
 	g_test_add_func("/members/full-majority", test_full_majority);
 	g_test_add_func("/members/full-single", test_full_single);
+	g_test_add_func("/members/tables-age", test_tables_age);
+	g_test_add_func("/members/tables-age-of-same-leader",
+	    test_tables_age_of_same_leader);
 	return g_test_run();
 }
