--- a/src/fleet.c
+++ b/src/fleet.c
@@ -76,6 +76,7 @@
 add_run(struct gyp_fleet *f, struct gyp_flow *flow, uint32_t task)
 {
 	struct gyp_fleet_run *run = g_new0(struct gyp_fleet_run, 1);
+	struct gyp_fleet_endpoint *endpoint;
 
 	run->key.flow = flow->id;
 	run->key.index = task;
@@ -84,7 +85,10 @@
 	run->row = flow->tasks[task].row;
 	run->opened_at = f->now;
 	g_hash_table_insert(f->runs, &run->key, run);
-	g_ptr_array_add(gyp_fleet_get_endpoint(f, run->row)->runs, run);
+	endpoint = gyp_fleet_get_endpoint(f, run->row);
+	if (endpoint->runs->len == 0)
+		endpoint->busy_at = f->now;
+	g_ptr_array_add(endpoint->runs, run);
 	return run;
 }
 
@@ -162,9 +166,12 @@
 void
 gyp_fleet_advance(struct gyp_fleet *f, uint64_t now)
 {
-	if (now > f->now + RESTART_MIN_MS)
+	uint64_t elapsed = now > f->now ? now - f->now : 0;
+
+	if (elapsed > RESTART_MIN_MS)
 		f->stale_until = now + RESTART_MIN_MS;
 	f->now = MAX(f->now, now);
+	gyp_fleet_inventory_paused(f, elapsed);
 }
 
 /* ---- Endpoints ---------------------------------------------------------- */
@@ -224,6 +231,7 @@
 	       endpoint->contacted && endpoint->clock_at != 0 &&
 	       endpoint->failures == 0 && endpoint->departed_at == 0 &&
 	       endpoint->leaving_at == 0 &&
+	       !gyp_fleet_endpoint_is_delisted(endpoint) &&
 	       !gyp_fleet_endpoint_lacks_lease(f, endpoint) &&
 	       f->now < endpoint->last_seen_at + SILENT_MS;
 }
@@ -281,6 +289,7 @@
 	if (incarnation_start_ms > endpoint->incarnation_start_ms)
 		gyp_fleet_endpoint_restarted(f, endpoint, incarnation_start_ms);
 	endpoint->last_seen_at = f->now;
+	gyp_fleet_endpoint_heard(endpoint);
 	if (clock_ms != 0)
 		gyp_fleet_endpoint_update_clock(f, endpoint, clock_ms);
 	if (!endpoint->contacted || endpoint->failures > 0 ||
@@ -338,19 +347,45 @@
 	g_queue_push_tail(&f->cmds, gyp_message_copy(&cmd.base));
 }
 
+/* Cell time of the start of an open run. */
+static uint64_t
+started_ms(const struct gyp_fleet_run *run)
+{
+	return run->flow->tasks[run->key.index].changed_ms;
+}
+
+/* True if calls from before that cell time are over, or were carried out. */
+static bool
+is_long_ago(const struct gyp_fleet *f, uint64_t ms)
+{
+	return gyp_flows_time(f->flows) >= ms + LATE_CALL_MAX_MS;
+}
+
+/* True if an earlier leader's start of the run may still be on its way. */
+static bool
+earlier_start_may_arrive(
+    const struct gyp_fleet *f, const struct gyp_fleet_run *run)
+{
+	return run->starts_sent == 0 &&
+	       f->now < f->leader_since + LATE_CALL_MAX_MS &&
+	       !is_long_ago(f, started_ms(run));
+}
+
 /*
  * True if a later incarnation of the endpoint may have the run, or begin it:
  * the answer to a start need not tell which one carried it out, only a list
  * does, and a start that got no answer may still be carried out.
  */
 static bool
-may_outlast_incarnation(
-    const struct gyp_fleet *f, const struct gyp_fleet_run *run)
+may_outlast_incarnation(const struct gyp_fleet *f,
+    const struct gyp_fleet_endpoint *endpoint, const struct gyp_fleet_run *run)
 {
 	if (run->phase == GYP_RUN_UNSENT)
 		return false;
 	if (run->phase != GYP_RUN_CONFIRMED || run->view.listed_at == 0)
 		return true;
+	if (endpoint->leaving_at != 0 && earlier_start_may_arrive(f, run))
+		return true;
 	return run->starts_sent > 1 &&
 	       f->now < run->start_sent_at + LATE_CALL_MAX_MS;
 }
@@ -370,8 +405,8 @@
 	for (i = 0; i < endpoint->runs->len; i++) {
 		struct gyp_fleet_run *run = endpoint->runs->pdata[i];
 
-		run->may_outlast =
-		    run->may_outlast || may_outlast_incarnation(f, run);
+		run->may_outlast = run->may_outlast ||
+				   may_outlast_incarnation(f, endpoint, run);
 		if (run->may_outlast && !lease_over && !endpoint->replaced)
 			open++;
 		else
@@ -425,6 +460,40 @@
 	}
 }
 
+/*
+ * Cell time since which the tables have the present incarnation at the latest:
+ * that of its restart, or of the oldest start of a run there.
+ */
+static uint64_t
+registered_ms(
+    const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
+	uint64_t oldest = gyp_flows_time(f->flows);
+	guint i;
+
+	if (h->spec->reborn_ms != 0)
+		return h->spec->reborn_ms;
+	for (i = 0; i < endpoint->runs->len; i++)
+		oldest = MIN(oldest, started_ms(endpoint->runs->pdata[i]));
+	return oldest;
+}
+
+/*
+ * True if no announcement of an earlier incarnation can be on its way: this
+ * leader, or by the tables the one before, has known the present one for long.
+ */
+static bool
+is_known_for_long(
+    const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
+{
+	uint64_t known_at = MAX(endpoint->added_at, endpoint->restarted_at);
+
+	return f->now >= known_at + LATE_CALL_MAX_MS ||
+	       (endpoint->restarted_at == 0 &&
+		   is_long_ago(f, registered_ms(f, endpoint)));
+}
+
 /*
  * True if the present incarnation drained, and none before it can have
  * announced a shutdown that arrives only now.
@@ -437,8 +506,7 @@
 
 	return h->spec->draining &&
 	       h->spec->born_ms == endpoint->incarnation_start_ms &&
-	       f->now >= MAX(endpoint->added_at, endpoint->restarted_at) +
-			     LATE_CALL_MAX_MS;
+	       is_known_for_long(f, endpoint);
 }
 
 /*
@@ -520,6 +588,8 @@
 	if (endpoint->runs->len == 0 &&
 	    gyp_fleet_endpoint_silence_ms(f, endpoint) >= REMOVE_IDLE_MS)
 		propose_removal(f, endpoint);
+	if (gyp_fleet_endpoint_is_delisted(endpoint))
+		gyp_fleet_end_delisted_runs(f, endpoint);
 	if (endpoint->failures > 0 ||
 	    gyp_fleet_endpoint_lacks_lease(f, endpoint))
 		end_unsent_runs(f, endpoint);
@@ -546,6 +616,7 @@
 		if (f->endpoints->pdata[i] != NULL)
 			sweep_endpoint(f, f->endpoints->pdata[i]);
 	}
+	gyp_fleet_inventory_sweep(f);
 }
 
 /* Sweeps the endpoints that were marked dirty since the last call. */
@@ -595,9 +666,11 @@
 		gyp_fleet_request_stop(f, run);
 	else if (run->phase == GYP_RUN_UNSENT ||
 		 run->phase == GYP_RUN_STARTING) {
-		if (is_leaving(f, endpoint))
+		if (is_leaving(f, endpoint) ||
+		    gyp_fleet_run_age_ms(f, run) >= START_WINDOW_MS)
 			gyp_fleet_request_stop(f, run);
 		else if (endpoint->failures > 0 ||
+			 gyp_fleet_endpoint_is_delisted(endpoint) ||
 			 gyp_fleet_endpoint_lacks_lease(f, endpoint))
 			run->retry_at = f->now + UNANSWERED_RETRY_MS;
 		else
@@ -730,6 +803,8 @@
 	    gyp_flow_key_hash, gyp_flow_key_equal, NULL, free_run);
 	f->pending = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_pending);
+	if (cfg->inventory)
+		f->inventory = gyp_inventory_new(f->next_call);
 	inherit_runs(f);
 	return f;
 }
@@ -749,6 +824,7 @@
 	g_queue_clear_full(&f->to_send, g_free);
 	g_queue_clear(&f->dirty);
 	g_queue_clear_full(&f->refused_tickets, g_free);
+	gyp_inventory_free(f->inventory);
 	g_hash_table_destroy(f->pending);
 	g_hash_table_destroy(f->runs);
 	g_ptr_array_foreach(
