--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -83,9 +83,7 @@
 	bool replaced; /* another endpoint has its address */
 	uint64_t last_seen_at; /* last answer or heartbeat; 0: none */
 	uint64_t answered_at;  /* last answer; 0: none */
-	uint32_t unlisted;     /* lists in a row that lack it while silent */
-	uint64_t unlisted_at;  /* when the first of these was requested */
-	bool list_wanted;      /* a list is wanted for it */
+	uint64_t unlisted_at;  /* first list that lacks it was requested */
 	uint64_t listed_at;    /* last list of this incarnation; 0: none */
 	uint64_t departed_at;  /* its shutdown, or another endpoint at its
 				  address, was noticed; 0: neither */
@@ -95,12 +93,14 @@
 	uint64_t restart_call; /* id of the first call after the restart */
 	uint32_t restarts;     /* that this leader noticed */
 	uint64_t removal_proposed_at; /* the latest; 0: never */
-	uint32_t failures;            /* consecutive calls without an answer */
-	bool poll_failed;             /* the latest poll was not carried out */
-	uint32_t polls;               /* polls under way */
-	bool long_poll;               /* one of these is a long poll */
-	bool poll_due;                /* an immediate poll is due */
+	uint32_t unlisted;     /* lists in a row that lack it while silent */
+	uint32_t failures;     /* consecutive calls without an answer */
+	bool poll_failed;      /* the latest poll was not carried out */
+	uint32_t polls;        /* polls under way */
+	bool long_poll;        /* one of these is a long poll */
+	bool poll_due;         /* an immediate poll is due */
 	bool dirty;            /* its row is in the fleet's dirty queue */
+	bool list_wanted;      /* a list is wanted for it */
 	uint64_t next_poll_at; /* no poll before this time */
 	uint64_t acked;        /* ends up to this number are committed */
 	uint64_t acked_sent;
