query_holds: room is held only when the lease is over soon

Change: room is held for the tasks whose leases are over within the time of a query and half the validity of a ticket. Queries still begin with the silence.

--- a/src/placer.c
+++ b/src/placer.c
@@ -539,7 +539,9 @@
 
 /*
  * Adds queries about tasks of the unit whose runs may be lost. Those whose
- * leases are over soon need tickets that are still valid then.
+ * leases are over soon need tickets that are still valid then, and room is held
+ * for them: not for the others, which may go on running for longer than work
+ * can be kept from it.
  */
 static void
 query_about_lost_runs(const struct gyp_placer *p, const struct gyp_candidate *c,
@@ -554,7 +556,7 @@
 	if (lost.ending > 0)
 		query_unless_allowed(p, &ending, waiting + lost.ending, slots);
 	query_unless_allowed(p, c, waiting + lost.silent, slots);
-	gyp_query_holds_add_lost(p->holds, c, lost.silent);
+	gyp_query_holds_add_lost(p->holds, c, lost.ending);
 }
 
 /*
--- a/src/query_holds.h
+++ b/src/query_holds.h
@@ -15,8 +15,9 @@
  *	admission query in a nearly full pool. Each time that it came, less
  *	urgent work had taken the room at the endpoints allowed.
  *
- *	And this one: the same for tasks whose endpoints are silent, from the
- *	query about them to the end of their runs.
+ *	And this one: the same for tasks whose endpoints are silent and whose
+ *	leases there are over soon, from the query about them to the end of
+ *	their runs.
  *
  *	Room is held at the endpoints that a pending query names, and at those
  *	allowed before whose tickets have expired. It is held for one round, and
@@ -44,7 +45,7 @@
     struct gyp_query_holds *, const struct gyp_candidate *, uint32_t tasks);
 
 /*
- * The same for tasks whose runs are expected to be lost; also holds room at
+ * The same for tasks whose runs are expected to end soon; also holds room at
  * endpoints for which the unit has a valid ticket.
  */
 void gyp_query_holds_add_lost(
