fleet: a refused stop no longer holds an earlier leader's run for 15 s

Callers saw, where an endpoint answers polls and refuses each stop (busy, 4xx): a task whose run is gone waits until 15 s after the begin of the term, and each new leader begins this wait anew.

Cause: a run that is not listed ends without a confirmed stop only once starts of earlier leaders can no longer be under way, 15 s from the begin of the term. But the poll of this leader has a higher fence number, so from its list on the endpoint refuses such starts.

Change: for a run of which this leader has sent no start, a complete list is proof enough once the endpoint has refused a stop.

Evidence: /open-runs/refused-stops-after-election failed before (15010 <= 3000) and passes; refused-stops-late-start and -unreadable-row hold the other side.

--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -252,6 +252,7 @@
 	    gyp_fleet_get_endpoint(f, run->row);
 
 	if (a->end != GYP_FLEET_OK) {
+		run->stop_refused |= a->end == GYP_FLEET_REFUSED;
 		run->stop = GYP_STOP_DUE;
 		run->retry_at = f->now + RETRY_MS;
 		return;
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -45,6 +45,7 @@
 	enum gyp_run_stop stop;
 	uint64_t confirmed_at;
 	uint64_t stopped_at; /* when the stop was confirmed */
+	bool stop_refused;   /* its endpoint answered a stop and did nothing */
 	uint64_t retry_at;   /* when to send the call again; 0: not due */
 	uint32_t starts_sent;
 	uint64_t start_sent_at; /* the latest of them */
--- a/src/fleet_poll.c
+++ b/src/fleet_poll.c
@@ -238,8 +238,10 @@
 }
 
 /*
- * True if no start of a run that is to stop can be carried out after sent_at.
- * The starts of earlier leaders were sent before this one's term.
+ * True if no start of a run that is to stop can be carried out after a list
+ * whose poll was sent at sent_at. The poll has a higher fence number than the
+ * starts of earlier leaders, so the endpoint refuses these from then on; a stop
+ * that may still be confirmed is waited for nevertheless.
  */
 static bool
 starts_are_over(const struct gyp_fleet *f, const struct gyp_fleet_run *run,
@@ -247,7 +249,10 @@
 {
 	uint64_t last_start = MAX(f->leader_since, run->start_sent_at);
 
-	return !run->start_pending && sent_at >= last_start + LATE_CALL_MAX_MS;
+	if (run->start_pending)
+		return false;
+	return (run->starts_sent == 0 && run->stop_refused) ||
+	       sent_at >= last_start + LATE_CALL_MAX_MS;
 }
 
 /*
--- a/test/test_open_runs.c
+++ b/test/test_open_runs.c
@@ -543,6 +543,22 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * A list made for this leader shows that the endpoint refuses the starts of
+ * earlier ones, so the run must not stay open for 15 s of each leader's term.
+ */
+static void
+test_refused_stops_after_election(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_run(&f, 0, 1);
+	flow_fixture_new_leader(&f.base, 2);
+	assert_ends_without_stop(&f, 0, GYP_FLEET_REFUSED, 2 * CONTACT_END_MS);
+	flow_fixture_clear(&f.base);
+}
+
 /*
  * A start without an answer may be carried out for 15 s: until then, a list
  * without the run doesn't end it, or its task could run twice.
@@ -676,6 +692,8 @@
 	g_test_add_func("/open-runs/refused-stops", test_refused_stops);
 	g_test_add_func(
 	    "/open-runs/refused-stops-inherited", test_refused_stops_inherited);
+	g_test_add_func("/open-runs/refused-stops-after-election",
+	    test_refused_stops_after_election);
 	g_test_add_func("/open-runs/refused-stops-late-start",
 	    test_refused_stops_late_start);
 	g_test_add_func(
