fleet: a run whose start may have been repeated outlasts a departure

Cause: since a new leader counts a start of an earlier leader as over 15 s after its proposal. But starts are repeated for up to START_WINDOW_MS, 5 s, and each may be carried out 15 s late: 20 s, as starts_are_past() counts.

What callers would see: a task runs twice. Leader 1 repeats a start 4 s after the proposal (its first one got no answer and the endpoint was silent meanwhile), the run is listed; 16 s after the proposal the endpoint drains and leader 2 takes over; the announced shutdown ends the run 0.6 s later; the repeated start reaches the next incarnation before a call of leader 2 does.

Change: START_WINDOW_MS is added.

Test: /incarnations/departure-after-repeated-start-and-election failed before (600 >= 5500).

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -361,14 +361,17 @@
 	return gyp_flows_time(f->flows) >= ms + LATE_CALL_MAX_MS;
 }
 
-/* True if an earlier leader's start of the run may still be on its way. */
+/*
+ * True if an earlier leader's start of the run may still be on its way: it is
+ * sent within START_WINDOW_MS of the proposal.
+ */
 static bool
 earlier_start_may_arrive(
     const struct gyp_fleet *f, const struct gyp_fleet_run *run)
 {
 	return run->starts_sent == 0 &&
 	       f->now < f->leader_since + LATE_CALL_MAX_MS &&
-	       !is_long_ago(f, started_ms(run));
+	       !is_long_ago(f, started_ms(run) + START_WINDOW_MS);
 }
 
 /*
--- a/test/test_incarnations.c
+++ b/test/test_incarnations.c
@@ -597,6 +597,29 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * Guards against a task that runs twice: its start was repeated 4 s after the
+ * proposal, is late by up to 15 s, and reaches the next incarnation.
+ */
+static void
+test_departure_after_repeated_start_and_election(void)
+{
+	struct fixture f;
+
+	restart(&f);
+	keep_answering(&f, 20000);
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 2, f.base.now);
+	start_task(&f);
+	keep_answering(&f, 16000);
+	flow_fixture_drain(&f.base, f.a);
+	flow_fixture_new_leader(&f.base, 2);
+	keep_answering(&f, 1000);
+	g_assert_true(task_of(&f, 0)->state == GYP_FLOW_TASK_OPEN);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0);
+	g_assert_cmpuint(time_to_end(&f), >=, FLOW_FIXTURE_LEASE_MS - 500);
+	flow_fixture_clear(&f.base);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -645,5 +668,8 @@
 	    test_departure_after_restart_and_election);
 	g_test_add_func("/incarnations/departure-after-start-and-election",
 	    test_departure_after_start_and_election);
+	g_test_add_func(
+	    "/incarnations/departure-after-repeated-start-and-election",
+	    test_departure_after_repeated_start_and_election);
 	return g_test_run();
 }
