fleet: a gang lost at once keeps its latest checkpoint

Two ends proposed before either is committed, as when an endpoint with two members is lost, both carried one, and the one applied last won, whichever was later.

Change: the first end carries the checkpoint that was listed last of any member; once an end is proposed, those after it carry none.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -93,18 +93,32 @@
 }
 
 /*
- * Returns the latest checkpoint that was listed of the run, or NULL. A member
- * of its gang that has ended before may have ended with a later one.
+ * Returns the latest checkpoint that was listed of the run, or of any member of
+ * its gang, or NULL. A member whose end was proposed before may have ended with
+ * a later one.
  */
 static const char *
-listed_checkpoint(const struct gyp_fleet_run *run)
+listed_checkpoint(const struct gyp_fleet *f, const struct gyp_fleet_run *run)
 {
 	const struct gyp_flow_unit *u =
 	    gyp_flow_unit_of(run->flow, run->key.index);
-
-	if (u->step->gang && u->open < u->step->count)
-		return NULL;
-	return run->checkpoint;
+	const struct gyp_fleet_run *latest = run;
+	struct gyp_flow_key key = run->key;
+
+	if (!u->step->gang)
+		return run->checkpoint;
+	for (key.index = u->first; key.index < u->first + u->step->count;
+	     key.index++) {
+		const struct gyp_fleet_run *m = gyp_fleet_find_run(f, &key);
+
+		if (m == NULL || (m != run && m->end_proposed))
+			return NULL;
+		if (m->checkpoint != NULL &&
+		    (latest->checkpoint == NULL ||
+			m->view.listed_at > latest->view.listed_at))
+			latest = m;
+	}
+	return latest->checkpoint;
 }
 
 void
@@ -131,7 +145,7 @@
 	end.host = run->row;
 	end.how = how;
 	if (checkpoint == NULL)
-		checkpoint = listed_checkpoint(run);
+		checkpoint = listed_checkpoint(f, run);
 	end.checkpoint = (char *)(checkpoint != NULL ? checkpoint : "");
 	cmd.c_case = GYP__CMD__C_FLOW_END;
 	cmd.flow_end = &end;
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -561,6 +561,28 @@
 	flow_fixture_clear(&f.base);
 }
 
+/* The same when both members are lost before either end is committed. */
+static void
+test_gang_lost_at_once_keeps_later_checkpoint(void)
+{
+	struct fixture f;
+	struct flow_fixture_run up[] = {{FLOW, 0, 1, 0, 0}, {FLOW, 1, 1, 0, 0}};
+
+	fixture_init(&f, 2, true);
+	flow_fixture_start(&f.base, FLOW, 0, 1, 1, f.a);
+	answer_start(&f, GYP_FLEET_OK);
+	f.base.checkpoint = "c1";
+	flow_fixture_answer_poll(
+	    &f.base, next_poll(&f, 1000), 1, &up[1], 1, NULL, 0);
+	f.base.checkpoint = "c2";
+	flow_fixture_answer_poll(
+	    &f.base, next_poll(&f, 1000), 1, &up[0], 1, NULL, 0);
+	lose_run(&f);
+	g_assert_cmpstr(task_of(&f, 0)->checkpoint, ==, "c2");
+	g_assert_cmpstr(task_of(&f, 1)->checkpoint, ==, "c2");
+	flow_fixture_clear(&f.base);
+}
+
 /*
  * Guards against a task that is done and runs again: its next start was refused
  * at the commit, and the end as done of the run before was taken for one at
@@ -909,6 +931,8 @@
 	    test_empty_checkpoint_keeps_earlier);
 	g_test_add_func("/fleet/lost-gang-keeps-later-checkpoint",
 	    test_lost_gang_keeps_later_checkpoint);
+	g_test_add_func("/fleet/gang-lost-at-once-keeps-later-checkpoint",
+	    test_gang_lost_at_once_keeps_later_checkpoint);
 	g_test_add_func("/fleet/late-done-after-refused-start",
 	    test_late_done_after_refused_start);
 	g_test_add_func(
