fleet: a departure ends old runs that its leader has not seen listed

Cause: a run that this leader has not seen listed stays open after its endpoint announced its shutdown until the lease is over, as a late start may reach a next incarnation. That also held for runs so old that none can be under way, and no list is requested for an endpoint that has departed: it waited longer than one that fell silent without a word.

What callers would see: a lasting task whose endpoint leaves as a new leader takes over waits for a whole lease from the begin of the term (6.2 or 10.3 s).

Change: such a run ends at once if it was proposed so long ago that each start was over when the announcement, up to 15 s late, was made: 35.4 s. Only with a provider, as all leaders then send starts for START_WINDOW_MS at most.

Test: /inventory/departed-with-leader failed before (6110 <= 2500); young-run-departed-with-leader holds the other side.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -391,16 +391,20 @@
 /*
  * True if a later incarnation of the endpoint may have the run, or begin it:
  * the answer to a start need not tell which one carried it out, only a list
- * does, and a start that got no answer may still be carried out.
+ * does, and a start that got no answer may still be carried out. None does if
+ * all starts of the run were over when the incarnation ended.
  */
 static bool
 may_outlast_incarnation(const struct gyp_fleet *f,
     const struct gyp_fleet_endpoint *endpoint, const struct gyp_fleet_run *run)
 {
+	/* The announcement may have been late. */
+	uint64_t ago_ms = f->now - endpoint->departed_at + LATE_CALL_MAX_MS;
+
 	if (run->phase == GYP_RUN_UNSENT)
 		return false;
 	if (run->phase != GYP_RUN_CONFIRMED || run->view.listed_at == 0)
-		return true;
+		return !gyp_fleet_starts_are_past(f, run, ago_ms);
 	if (endpoint->leaving_at != 0 && earlier_start_may_arrive(f, run))
 		return true;
 	return run->starts_sent > 1 &&
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -258,6 +258,14 @@
 /* Time since the run was proposed, in ms. */
 uint64_t gyp_fleet_run_age_ms(
     const struct gyp_fleet *, const struct gyp_fleet_run *);
+/*
+ * True if no start of the run was carried out after the endpoint ended, which
+ * was at most ago_ms ago, and none will be, by an unknown incarnation either.
+ * Always false without a provider: then earlier leaders may be of a version
+ * that sends starts for longer than START_WINDOW_MS.
+ */
+bool gyp_fleet_starts_are_past(
+    const struct gyp_fleet *, const struct gyp_fleet_run *, uint64_t ago_ms);
 /* Ends the runs of a delisted endpoint that nothing can bring back. */
 void gyp_fleet_end_delisted_runs(
     struct gyp_fleet *, struct gyp_fleet_endpoint *);
--- a/src/fleet_inventory.c
+++ b/src/fleet_inventory.c
@@ -265,15 +265,12 @@
 	return cell_time > started ? cell_time - started : 0;
 }
 
-/*
- * True if no start of the run was carried out after the endpoint ended, and
- * none will be: by an incarnation that the lists did not show yet, or by one
- * that is still to come. ago_ms: time since the state that the lists show.
- */
-static bool
-starts_are_past(
+bool
+gyp_fleet_starts_are_past(
     const struct gyp_fleet *f, const struct gyp_fleet_run *run, uint64_t ago_ms)
 {
+	if (f->inventory == NULL)
+		return false;
 	if (run->starts_sent == 0)
 		return gyp_fleet_run_age_ms(f, run) >= STARTS_OVER_MS + ago_ms;
 	return f->now >= run->start_sent_at + LATE_CALL_MAX_MS + ago_ms;
@@ -304,7 +301,7 @@
 
 		if (run->phase == GYP_RUN_UNSENT ||
 		    was_seen_to_run(endpoint, run) ||
-		    starts_are_past(f, run, ago_ms))
+		    gyp_fleet_starts_are_past(f, run, ago_ms))
 			gyp_fleet_propose_end(
 			    f, run, GYP__FLOW_HOW__FLOW_LOST, NULL);
 	}
--- a/test/test_inventory.c
+++ b/test/test_inventory.c
@@ -19,6 +19,9 @@
 /* Time after which no start of an earlier leader can be under way, in ms. */
 #define OLD_RUN_MS 25000
 
+/* The same before the shutdown that an announcement of up to 15 s ago tells. */
+#define DEPARTED_RUN_MS 36000
+
 /* Time by which a list may be out of date, in ms. */
 #define LAG_MS 2000
 
@@ -206,6 +209,43 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * Guards against a task that waits for the lease because its endpoint announced
+ * its shutdown before it answered the next leader: silent, it would wait less.
+ */
+static void
+test_departed_with_leader(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	play(&f, DEPARTED_RUN_MS);
+	end_a(&f);
+	flow_fixture_new_leader(&f.base, 2);
+	play(&f, 100);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 1);
+	assert_ends(&f, GONE_END_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/* A younger run may have been started late, at a later incarnation. */
+static void
+test_young_run_departed_with_leader(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	play(&f, OLD_RUN_MS);
+	end_a(&f);
+	flow_fixture_new_leader(&f.base, 2);
+	play(&f, 100);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 1);
+	assert_stays_open(&f);
+	flow_fixture_clear(&f.base);
+}
+
 /*
  * A start of the earlier leader may still be carried out by a later incarnation
  * of the endpoint: ended before its lease is over, the task could run twice.
@@ -486,6 +526,10 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/inventory/gone", test_gone);
 	g_test_add_func("/inventory/gone-with-leader", test_gone_with_leader);
+	g_test_add_func(
+	    "/inventory/departed-with-leader", test_departed_with_leader);
+	g_test_add_func("/inventory/young-run-departed-with-leader",
+	    test_young_run_departed_with_leader);
 	g_test_add_func("/inventory/young-run-of-earlier-leader",
 	    test_young_run_of_earlier_leader);
 	g_test_add_func("/inventory/unanswered-start", test_unanswered_start);
