--- a/src/counters.h
+++ b/src/counters.h
@@ -33,8 +33,8 @@
  *						not run for 1 s or longer
  *	gyp_lasting_outage_seconds		end of a lasting task's run to
  *						the confirmation of its next
- *	gyp_inventory_requests_total		lists requested from the
- *provider gyp_inventory_failed_total		of these, not complete
+ *	gyp_inventory_requests_total		lists requested of the provider
+ *	gyp_inventory_failed_total		of these, not complete
  *	gyp_inventory_delisted_total		endpoints found to have ended
  *	gyp_link_bytes_total{link,direction}	bytes, with length prefixes
  *	gyp_messages_total{link,direction}	frames
