fleet: a run that ended right after its start does not wait for the lease

Cause: a run of a delisted endpoint ends early only if a list of the endpoint's runs had shown it. This one was confirmed by the answer to its only start, which does not tell the incarnation: the provider's list may be INVENTORY_LAG_MS old and from before that incarnation.

Change: a list that was requested INVENTORY_LAG_MS after the confirmation and lacks the endpoint shows that this incarnation is over, whichever it was. Lists go on being requested for such runs until one is late enough.

Test: /inventory/gone-after-start failed before (6200 <= 4500); /inventory/started-after-list holds the other side. test_inventory, test_fleet and test_open_runs pass under asan.

--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -85,17 +85,18 @@
 	uint64_t late_grant_ms; /* lease that late calls may add, in ms */
 	bool fenced;   /* it refuses all calls that could add a late lease */
 	bool replaced; /* another endpoint has its address */
-	uint64_t last_seen_at; /* last answer or heartbeat; 0: none */
-	uint64_t answered_at;  /* last answer; 0: none */
-	uint64_t unlisted_at;  /* first list that lacks it was requested */
-	uint64_t listed_at;    /* last list of this incarnation; 0: none */
-	uint64_t departed_at;  /* its shutdown, or another endpoint at its
-				  address, was noticed; 0: neither */
-	uint64_t leaving_at;   /* a shutdown of an unknown incarnation was
-				  announced; 0: none */
-	uint64_t restarted_at; /* latest restart was noticed; 0: never */
-	uint64_t restart_call; /* id of the first call after the restart */
-	uint32_t restarts;     /* that this leader noticed */
+	uint64_t last_seen_at;     /* last answer or heartbeat; 0: none */
+	uint64_t answered_at;      /* last answer; 0: none */
+	uint64_t unlisted_last_at; /* when the latest of these was requested */
+	uint64_t unlisted_at;      /* first list that lacks it was requested */
+	uint64_t listed_at;        /* last list of this incarnation; 0: none */
+	uint64_t departed_at;      /* its shutdown, or another endpoint at its
+				      address, was noticed; 0: neither */
+	uint64_t leaving_at;       /* a shutdown of an unknown incarnation was
+				      announced; 0: none */
+	uint64_t restarted_at;     /* latest restart was noticed; 0: never */
+	uint64_t restart_call;     /* id of the first call after the restart */
+	uint32_t restarts;         /* that this leader noticed */
 	uint64_t removal_proposed_at; /* the latest; 0: never */
 	uint32_t unlisted;     /* lists in a row that lack it while silent */
 	uint32_t failures;     /* consecutive calls without an answer */
--- a/src/fleet_inventory.c
+++ b/src/fleet_inventory.c
@@ -66,12 +66,63 @@
 	return at >= MAX(heard, polled) + INVENTORY_SILENT_MS;
 }
 
+/* True if a list that was requested then would have the endpoint. */
+static bool
+was_known(const struct gyp_fleet_endpoint *endpoint, uint64_t requested_at)
+{
+	return MAX(endpoint->added_at, endpoint->restarted_at) +
+		   INVENTORY_LAG_MS <=
+	       requested_at;
+}
+
+/* True if the only start of the run was answered. */
+static bool
+started_once(const struct gyp_fleet_run *run)
+{
+	return run->starts_sent == 1 && run->phase == GYP_RUN_CONFIRMED;
+}
+
+/*
+ * True if the only start of the run was carried out by an incarnation that the
+ * lists would show if it still existed. The answer to a start need not tell
+ * which one that was; a list of its runs does.
+ */
+static bool
+was_seen_to_run(
+    const struct gyp_fleet_endpoint *endpoint, const struct gyp_fleet_run *run)
+{
+	return started_once(run) &&
+	       was_known(endpoint, endpoint->unlisted_at) &&
+	       (run->view.listed_at != 0 ||
+		   run->confirmed_at + INVENTORY_LAG_MS <=
+		       endpoint->unlisted_last_at);
+}
+
+/* True if a later list can show that a run of a delisted endpoint is over. */
+static bool
+awaits_later_list(const struct gyp_fleet_endpoint *endpoint)
+{
+	guint i;
+
+	if (!was_known(endpoint, endpoint->unlisted_at))
+		return false;
+	for (i = 0; i < endpoint->runs->len; i++) {
+		const struct gyp_fleet_run *run = endpoint->runs->pdata[i];
+
+		if (!run->end_proposed && started_once(run) &&
+		    !was_seen_to_run(endpoint, run))
+			return true;
+	}
+	return false;
+}
+
 static bool
 wants_list(const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
 {
 	return endpoint->runs->len > 0 && endpoint->departed_at == 0 &&
-	       !gyp_fleet_endpoint_is_delisted(endpoint) &&
-	       was_silent(f, endpoint, f->now);
+	       was_silent(f, endpoint, f->now) &&
+	       (!gyp_fleet_endpoint_is_delisted(endpoint) ||
+		   awaits_later_list(endpoint));
 }
 
 void
@@ -117,15 +168,6 @@
 
 /* ---- Lists --------------------------------------------------------------- */
 
-/* True if a list that was requested then would have the endpoint. */
-static bool
-was_known(const struct gyp_fleet_endpoint *endpoint, uint64_t requested_at)
-{
-	return MAX(endpoint->added_at, endpoint->restarted_at) +
-		   INVENTORY_LAG_MS <=
-	       requested_at;
-}
-
 /* True if the endpoint existed when a list without it was requested. */
 static bool
 contradicts(const struct gyp_fleet *f,
@@ -175,10 +217,12 @@
 		endpoint->unlisted = 0;
 		return false;
 	}
-	if (gyp_fleet_endpoint_is_delisted(endpoint) ||
-	    endpoint->runs->len == 0 || endpoint->departed_at != 0 ||
+	if (endpoint->runs->len == 0 || endpoint->departed_at != 0 ||
 	    !was_silent(f, endpoint, requested_at))
 		return false;
+	endpoint->unlisted_last_at = requested_at;
+	if (gyp_fleet_endpoint_is_delisted(endpoint))
+		return false;
 	if (endpoint->unlisted++ == 0)
 		endpoint->unlisted_at = requested_at;
 	if (gyp_fleet_endpoint_is_delisted(endpoint)) {
@@ -276,19 +320,6 @@
 	return f->now >= run->start_sent_at + LATE_CALL_MAX_MS + ago_ms;
 }
 
-/*
- * True if the only start of the run was carried out by an incarnation that the
- * lists would show if it still existed.
- */
-static bool
-was_seen_to_run(
-    const struct gyp_fleet_endpoint *endpoint, const struct gyp_fleet_run *run)
-{
-	return run->starts_sent == 1 && run->phase == GYP_RUN_CONFIRMED &&
-	       run->view.listed_at != 0 &&
-	       was_known(endpoint, endpoint->unlisted_at);
-}
-
 void
 gyp_fleet_end_delisted_runs(
     struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
--- a/test/test_inventory.c
+++ b/test/test_inventory.c
@@ -194,7 +194,50 @@
 	flow_fixture_clear(&f.base);
 }
 
-/* The same when the leader is lost with the endpoint. */
+/* Answers calls until the start of task 0 was answered, and no poll after it.
+ */
+static void
+start_on_a_then_end(struct fixture *f)
+{
+	flow_fixture_start(&f->base, FLOW, 0, 0, 1, f->a);
+	while (gyp_fleet_run_view(f->base.fleet, FLOW, 0)->confirmed_at == 0)
+		play(f, 10);
+	end_a(f);
+}
+
+/*
+ * Guards against a task that waits for the lease because its endpoint was gone
+ * right after it had answered the start: no list of its runs shows the task.
+ */
+static void
+test_gone_after_start(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a_then_end(&f);
+	assert_ends(&f, LAG_MS + GONE_END_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * A list may be as old as LAG_MS, and so from before the incarnation that
+ * answered the start: it ends no run that was confirmed since.
+ */
+static void
+test_started_after_list(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a_then_end(&f);
+	play(&f, LAG_MS - 100);
+	g_assert_cmpuint(f.requests, >=, 2);
+	g_assert_true(is_open(&f, 0));
+	flow_fixture_clear(&f.base);
+}
+
+/* The same as test_gone() when the leader is lost with the endpoint. */
 static void
 test_gone_with_leader(void)
 {
@@ -525,6 +568,9 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/inventory/gone", test_gone);
+	g_test_add_func("/inventory/gone-after-start", test_gone_after_start);
+	g_test_add_func(
+	    "/inventory/started-after-list", test_started_after_list);
 	g_test_add_func("/inventory/gone-with-leader", test_gone_with_leader);
 	g_test_add_func(
 	    "/inventory/departed-with-leader", test_departed_with_leader);
