fleet: an answer whose clock went back is one of a later incarnation

Callers would see: a task runs twice.

Cause: answers to starts and stops name no incarnation. An endpoint restarted under its id after 3.6 s of silence and answered a stop first, with a clock of 70 ms where the earlier incarnation's stood beyond 121,498. The leader took the reading for a delayed one and the endpoint for answering again: it sent starts with an end of the lease by the clock of the earlier incarnation, which the later one shortens to a whole lease from then. By the leader's books the lease was over after 2.7 s, and the task got another run beside the first. Not new: stops to silent endpoints are more frequent since a start is given up after START_WINDOW_MS.

Change: a reading that is below the least that the clock showed when the call was sent can't be of the same incarnation. The restart counts from then, with the lease of late calls, and the endpoint gets no start before a poll has named its incarnation.

--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -300,6 +300,19 @@
 	    endpoint->incarnation_start_ms);
 }
 
+/*
+ * Answers to starts and stops need not name the incarnation. One that is known
+ * by its clock only is called again once a poll has named it.
+ */
+static bool
+is_from_unknown_incarnation(const struct gyp_fleet_endpoint *endpoint,
+    const struct gyp_fleet_pending *p, const struct gyp_fleet_answer *a)
+{
+	return a->incarnation_start_ms == 0 && a->has_clock &&
+	       gyp_fleet_endpoint_clock_restarted(
+		   endpoint, p->sent_at, a->clock_ms);
+}
+
 static void
 update_contact(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint,
     const struct gyp_fleet_pending *p, const struct gyp_fleet_answer *a)
@@ -318,6 +331,12 @@
 		mark_departed(f, endpoint);
 		return;
 	}
+	if (is_from_unknown_incarnation(endpoint, p, a)) {
+		gyp_fleet_endpoint_restarted(
+		    f, endpoint, endpoint->incarnation_start_ms);
+		endpoint->contacted = false;
+		return;
+	}
 	if (a->incarnation_start_ms > endpoint->incarnation_start_ms)
 		gyp_fleet_endpoint_restarted(
 		    f, endpoint, a->incarnation_start_ms);
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -59,6 +59,14 @@
 		    clock_ms + f->cfg.lease_ms + endpoint->late_grant_ms);
 }
 
+bool
+gyp_fleet_endpoint_clock_restarted(const struct gyp_fleet_endpoint *endpoint,
+    uint64_t sent_at, uint64_t clock_ms)
+{
+	return endpoint->clock_at != 0 && sent_at >= endpoint->clock_at &&
+	       clock_ms < clock_lower_bound(endpoint, sent_at);
+}
+
 /*
  * Records the restart, so that the next leader allows for late calls too; or,
  * with fenced, that it need not.
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -209,6 +209,12 @@
 /* Records a reading of the endpoint's clock. */
 void gyp_fleet_endpoint_update_clock(
     struct gyp_fleet *, struct gyp_fleet_endpoint *, uint64_t clock_ms);
+/*
+ * True if the clock in an answer to a call that was sent then shows that a
+ * later incarnation carried it out: the present one's clock was beyond that.
+ */
+bool gyp_fleet_endpoint_clock_restarted(
+    const struct gyp_fleet_endpoint *, uint64_t sent_at, uint64_t clock_ms);
 /* Handles a new incarnation, which holds no runs of the one before. */
 void gyp_fleet_endpoint_restarted(struct gyp_fleet *,
     struct gyp_fleet_endpoint *, uint64_t incarnation_start_ms);
--- a/test/test_open_runs.c
+++ b/test/test_open_runs.c
@@ -291,6 +291,31 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * Guards against a task that runs twice: an endpoint restarted, and the answer
+ * to a stop, which names no incarnation, passed for one of the earlier one. The
+ * endpoint then got starts with a lease by the clock of that one.
+ */
+static void
+test_restart_shown_by_clock(void)
+{
+	struct fixture f;
+	struct gyp_fleet_call *stop;
+	uint64_t left_ms;
+
+	fixture_init_fenced(&f);
+	start_run(&f, 0, 1);
+	lose_calls(&f, 4000);
+	gyp_fleet_stop_run(f.base.fleet, FLOW, 0);
+	stop = next_call(&f, GYP_FLEET_STOP);
+	f.base.clock_lag_ms = f.base.now - 50;
+	flow_fixture_answer(&f.base, stop, GYP_FLEET_OK);
+	g_assert_false(gyp_fleet_usable(f.base.fleet, f.a));
+	g_assert_true(gyp_fleet_lease_runs_out(f.base.fleet, f.a, 0, &left_ms));
+	g_assert_cmpuint(left_ms, >=, FLOW_FIXTURE_LEASE_MS);
+	flow_fixture_clear(&f.base);
+}
+
 /*
  * Guards against a lease that counts as 15 s longer although the answer to a
  * stop, which names no incarnation, shows that the endpoint refuses calls from
@@ -672,6 +697,8 @@
 	g_test_add_func("/open-runs/fence-numbers", test_fence_numbers);
 	g_test_add_func("/open-runs/next-leader-long-after-restart",
 	    test_next_leader_long_after_restart);
+	g_test_add_func(
+	    "/open-runs/restart-shown-by-clock", test_restart_shown_by_clock);
 	g_test_add_func("/open-runs/fenced-by-stop", test_fenced_by_stop);
 	g_test_add_func(
 	    "/open-runs/next-leader-of-fenced", test_next_leader_of_fenced);
