carriers: detours go through few entries

Cause, suspected: since an unanswered endpoint was called through each entry in turn.

Change: detours go through two spare carriers and two others of an endpoint, always the same ones.

Test: /carriers/detours-through-few fails with as many detours as entries (129 <= 5).

--- a/src/carriers.c
+++ b/src/carriers.c
@@ -156,13 +156,15 @@
 	return ranking;
 }
 
+/* Ranks from limit on begin again at the first one. */
 static uint64_t
-id_at_rank(const GPtrArray *ranking, uint32_t rank)
+id_at_rank(const GPtrArray *ranking, uint32_t rank, uint32_t limit)
 {
-	if (ranking->len == 0)
+	uint32_t n = MIN(ranking->len, limit);
+
+	if (n == 0)
 		return 0;
-	return ((const struct carrier *)ranking->pdata[rank % ranking->len])
-	    ->id;
+	return ((const struct carrier *)ranking->pdata[rank % n])->id;
 }
 
 /* Detours go in turn through spare carriers, if any, and other carriers. */
@@ -175,11 +177,14 @@
 	uint64_t entry;
 
 	if (spares->len == 0)
-		entry = id_at_rank(usual, detour);
+		entry =
+		    id_at_rank(usual, detour, GYP_CARRIER_DETOUR_ENTRIES + 1);
 	else if (detour % 2 == 1)
-		entry = id_at_rank(spares, detour / 2);
+		entry =
+		    id_at_rank(spares, detour / 2, GYP_CARRIER_DETOUR_ENTRIES);
 	else
-		entry = id_at_rank(usual, detour / 2);
+		entry = id_at_rank(
+		    usual, detour / 2, GYP_CARRIER_DETOUR_ENTRIES + 1);
 	g_ptr_array_free(usual, TRUE);
 	g_ptr_array_free(spares, TRUE);
 	return entry;
--- a/src/carriers.h
+++ b/src/carriers.h
@@ -46,6 +46,12 @@
 /* Time until the usual carrier of an endpoint is tried again, in ms. */
 #define GYP_CARRIER_DETOUR_MS 5000
 
+/*
+ * Most spare carriers, and most others, through which an endpoint is called on
+ * detours: each keeps a connection to it, and an endpoint takes few.
+ */
+#define GYP_CARRIER_DETOUR_ENTRIES 2
+
 /* Rate limit of the leader's direct calls, per ms, and its largest burst. */
 #define GYP_DIRECT_CALLS_PER_MS 1
 #define GYP_DIRECT_CALLS_MAX    16
--- a/test/test_carriers.c
+++ b/test/test_carriers.c
@@ -160,6 +160,31 @@
 	gyp_carriers_free(f.cs);
 }
 
+/*
+ * Guards against an endpoint that runs out of connections: on detours each of
+ * more than a hundred entries called it in turn, and kept a connection.
+ */
+static void
+test_detours_through_few(void)
+{
+	struct fixture f;
+	GHashTable *used = g_hash_table_new(NULL, NULL);
+	uint64_t entry, i;
+
+	set_up(&f, 9);
+	for (i = 11; i <= 130; i++)
+		gyp_carriers_spare_seen(f.cs, f.now, i);
+	for (i = 0; i < 400; i++) {
+		entry = gyp_carriers_pick(f.cs, f.now, 0);
+		g_hash_table_add(used, GSIZE_TO_POINTER((gsize)entry));
+		leave_unanswered(&f, 100 + i, entry);
+	}
+	g_assert_cmpuint(
+	    g_hash_table_size(used), <=, 2 * GYP_CARRIER_DETOUR_ENTRIES + 1);
+	g_hash_table_destroy(used);
+	gyp_carriers_free(f.cs);
+}
+
 /* A detour keeps its carrier, and ends: the others have more CPU time. */
 static void
 test_detour_ends(void)
@@ -366,6 +391,8 @@
 	g_test_add_func("/carriers/unanswered-call", test_unanswered_call);
 	g_test_add_func("/carriers/endpoint-cut-off-from-carriers",
 	    test_endpoint_cut_off_from_carriers);
+	g_test_add_func(
+	    "/carriers/detours-through-few", test_detours_through_few);
 	g_test_add_func("/carriers/detour-ends", test_detour_ends);
 	g_test_add_func("/carriers/spares-alone", test_spares_alone);
 	g_test_add_func("/carriers/direct-calls", test_direct_calls);
