--- a/src/carriers.c
+++ b/src/carriers.c
@@ -11,7 +11,6 @@
 	uint64_t last_seen_at;
 	uint64_t backoff_until;
 	bool reported_live; /* the last change reported was live */
-	bool spare;         /* makes calls on detours only */
 };
 
 /* A carrier that was lost or is live again. */
@@ -23,7 +22,6 @@
 struct carried_call {
 	uint64_t call;
 	uint64_t entry;
-	uint32_t row;
 	uint64_t give_up_at;
 };
 
@@ -31,8 +29,6 @@
 struct assignment {
 	uint64_t entry;
 	uint64_t generation; /* of the carriers at the time of the choice */
-	uint32_t detour;     /* carriers that were left since; 0: the usual */
-	uint64_t detour_until;
 };
 
 struct gyp_carriers {
@@ -59,7 +55,7 @@
 {
 	struct change *change;
 
-	if (c->reported_live == live || c->spare)
+	if (c->reported_live == live)
 		return;
 	c->reported_live = live;
 	change = g_new(struct change, 1);
@@ -68,8 +64,8 @@
 	g_queue_push_tail(&cs->changes, change);
 }
 
-static void
-record_seen(struct gyp_carriers *cs, uint64_t now, uint64_t entry, bool spare)
+void
+gyp_carriers_seen(struct gyp_carriers *cs, uint64_t now, uint64_t entry)
 {
 	struct carrier *c = g_hash_table_lookup(cs->carriers, &entry);
 
@@ -78,26 +74,13 @@
 		c->id = entry;
 		g_hash_table_insert(cs->carriers, &c->id, c);
 	}
-	c->spare = spare;
-	if (!spare && !is_live(c, now))
+	if (!is_live(c, now))
 		cs->generation++;
 	c->last_seen_at = now;
 	if (is_live(c, now))
 		report_change(cs, c, true);
 }
 
-void
-gyp_carriers_seen(struct gyp_carriers *cs, uint64_t now, uint64_t entry)
-{
-	record_seen(cs, now, entry, false);
-}
-
-void
-gyp_carriers_spare_seen(struct gyp_carriers *cs, uint64_t now, uint64_t entry)
-{
-	record_seen(cs, now, entry, true);
-}
-
 static void
 lose_calls(struct gyp_carriers *cs, uint64_t entry)
 {
@@ -122,109 +105,50 @@
 		lose_calls(cs, entry);
 }
 
-/* ---- Choice ------------------------------------------------------------- */
-
-static gint
-by_weight(gconstpointer a, gconstpointer b, gpointer arg)
-{
-	const struct carrier *x = *(const struct carrier *const *)a;
-	const struct carrier *y = *(const struct carrier *const *)b;
-	uint32_t row = GPOINTER_TO_UINT(arg);
-	uint64_t wx = gyp_rendezvous_weight(x->id, row);
-	uint64_t wy = gyp_rendezvous_weight(y->id, row);
-
-	return wx < wy ? 1 : wx > wy ? -1 : 0;
-}
-
-/* Live carriers of one kind in the order of choice for the row. */
-static GPtrArray *
-rank_carriers(
-    const struct gyp_carriers *cs, uint64_t now, uint32_t row, bool spare)
+static uint64_t
+choose_carrier(const struct gyp_carriers *cs, uint64_t now, uint32_t row)
 {
-	GPtrArray *ranking = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
+	uint64_t best = 0, best_weight = 0;
 
 	g_hash_table_iter_init(&iter, cs->carriers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct carrier *c = value;
+		uint64_t weight = gyp_rendezvous_weight(c->id, row);
 
-		if (c->spare == spare && is_live(c, now))
-			g_ptr_array_add(ranking, value);
+		if (!is_live(c, now) || weight < best_weight)
+			continue;
+		best = c->id;
+		best_weight = weight;
 	}
-	g_ptr_array_sort_with_data(ranking, by_weight, GUINT_TO_POINTER(row));
-	return ranking;
-}
-
-/* Ranks from limit on begin again at the first one. */
-static uint64_t
-id_at_rank(const GPtrArray *ranking, uint32_t rank, uint32_t limit)
-{
-	uint32_t n = MIN(ranking->len, limit);
-
-	if (n == 0)
-		return 0;
-	return ((const struct carrier *)ranking->pdata[rank % n])->id;
-}
-
-/* Detours go in turn through spare carriers, if any, and other carriers. */
-static uint64_t
-choose_carrier(
-    const struct gyp_carriers *cs, uint64_t now, uint32_t row, uint32_t detour)
-{
-	GPtrArray *usual = rank_carriers(cs, now, row, false);
-	GPtrArray *spares = rank_carriers(cs, now, row, true);
-	uint64_t entry;
-
-	if (spares->len == 0)
-		entry =
-		    id_at_rank(usual, detour, GYP_CARRIER_DETOUR_ENTRIES + 1);
-	else if (detour % 2 == 1)
-		entry =
-		    id_at_rank(spares, detour / 2, GYP_CARRIER_DETOUR_ENTRIES);
-	else
-		entry = id_at_rank(
-		    usual, detour / 2, GYP_CARRIER_DETOUR_ENTRIES + 1);
-	g_ptr_array_free(usual, TRUE);
-	g_ptr_array_free(spares, TRUE);
-	return entry;
-}
-
-static struct assignment *
-assignment_of(struct gyp_carriers *cs, uint32_t row)
-{
-	if (row >= cs->assignments->len)
-		g_array_set_size(cs->assignments, row + 1);
-	return &g_array_index(cs->assignments, struct assignment, row);
+	return best;
 }
 
 uint64_t
 gyp_carriers_pick(struct gyp_carriers *cs, uint64_t now, uint32_t row)
 {
-	struct assignment *p = assignment_of(cs, row);
-	bool detour_over = p->detour > 0 && now >= p->detour_until;
+	struct assignment *p;
 
-	if (detour_over)
-		p->detour = 0;
-	else if (p->generation == cs->generation &&
-		 is_live(g_hash_table_lookup(cs->carriers, &p->entry), now))
+	if (row >= cs->assignments->len)
+		g_array_set_size(cs->assignments, row + 1);
+	p = &g_array_index(cs->assignments, struct assignment, row);
+	if (p->generation == cs->generation &&
+	    is_live(g_hash_table_lookup(cs->carriers, &p->entry), now))
 		return p->entry;
-	p->entry = choose_carrier(cs, now, row, p->detour);
+	p->entry = choose_carrier(cs, now, row);
 	p->generation = cs->generation;
 	return p->entry;
 }
 
-/* ---- Calls -------------------------------------------------------------- */
-
 void
 gyp_carriers_sent(struct gyp_carriers *cs, uint64_t now, uint64_t call,
-    uint32_t row, uint32_t timeout_ms, uint64_t entry)
+    uint32_t timeout_ms, uint64_t entry)
 {
 	struct carried_call *c = g_new0(struct carried_call, 1);
 
 	c->call = call;
 	c->entry = entry;
-	c->row = row;
 	c->give_up_at = now + timeout_ms + GYP_CARRIER_TRANSIT_MS;
 	g_hash_table_insert(cs->calls, &c->call, c);
 }
@@ -235,39 +159,6 @@
 	return g_hash_table_remove(cs->calls, &call);
 }
 
-/*
- * Leaves the usual carrier for some time. A call that the carrier made before
- * it was left may fail later.
- */
-static bool
-leave_carrier(
-    struct gyp_carriers *cs, uint64_t now, uint32_t row, uint64_t entry)
-{
-	struct assignment *p = assignment_of(cs, row);
-
-	if (p->entry != entry)
-		return false;
-	if (p->detour == 0)
-		p->detour_until = now + GYP_CARRIER_DETOUR_MS;
-	p->detour++;
-	p->entry = choose_carrier(cs, now, row, p->detour);
-	p->generation = cs->generation;
-	return p->entry != entry;
-}
-
-bool
-gyp_carriers_unanswered(struct gyp_carriers *cs, uint64_t now, uint64_t call)
-{
-	const struct carried_call *c = g_hash_table_lookup(cs->calls, &call);
-	bool left;
-
-	if (c == NULL)
-		return false;
-	left = leave_carrier(cs, now, c->row, c->entry);
-	g_hash_table_remove(cs->calls, &call);
-	return left;
-}
-
 /* ---- Lost calls --------------------------------------------------------- */
 
 static void
--- a/src/carriers.h
+++ b/src/carriers.h
@@ -25,12 +25,6 @@
  *	they elect another leader. So it makes direct calls at a bounded rate,
  *	and calls that still wait go to the carriers that connect.
  *
- *	An endpoint may be cut off from the VMs of the carriers while others
- *	reach it. When a call gets no answer from the endpoint, its next calls
- *	go by detours for a while: in turn through spare carriers and through
- *	the other carriers. Spare carriers are entries that are not meant to
- *	carry calls; they have little CPU time and make no others.
- *
  *	Used by a leader only.
  */
 
@@ -43,15 +37,6 @@
 /* Pause after a carrier leaves a call unanswered, in ms. */
 #define GYP_CARRIER_BACKOFF_MS 1000
 
-/* Time until the usual carrier of an endpoint is tried again, in ms. */
-#define GYP_CARRIER_DETOUR_MS 5000
-
-/*
- * Most spare carriers, and most others, through which an endpoint is called on
- * detours: each keeps a connection to it, and an endpoint takes few.
- */
-#define GYP_CARRIER_DETOUR_ENTRIES 2
-
 /* Rate limit of the leader's direct calls, per ms, and its largest burst. */
 #define GYP_DIRECT_CALLS_PER_MS 1
 #define GYP_DIRECT_CALLS_MAX    16
@@ -64,34 +49,19 @@
 /* Records that a frame from a carrier was received. */
 void gyp_carriers_seen(struct gyp_carriers *, uint64_t now, uint64_t entry);
 
-/* The same for an entry that makes calls on detours only. */
-void gyp_carriers_spare_seen(
-    struct gyp_carriers *, uint64_t now, uint64_t entry);
-
 /* Removes a carrier; its open calls are lost. */
 void gyp_carriers_drop(struct gyp_carriers *, uint64_t entry);
 
 /* The carrier for calls to the endpoint of that row; 0 for none. */
 uint64_t gyp_carriers_pick(struct gyp_carriers *, uint64_t now, uint32_t row);
 
-/*
- * Records that the call to the endpoint of that row was sent to the carrier
- * with that timeout.
- */
+/* Records that the call was sent to the carrier with that timeout. */
 void gyp_carriers_sent(struct gyp_carriers *, uint64_t now, uint64_t call,
-    uint32_t row, uint32_t timeout_ms, uint64_t entry);
+    uint32_t timeout_ms, uint64_t entry);
 
 /* Closes the call; true if it was open. */
 bool gyp_carriers_answered(struct gyp_carriers *, uint64_t call);
 
-/*
- * Closes a call to which the carrier got no answer from the endpoint: the next
- * call to it goes through another carrier, if this one has not been left yet.
- * True if it has to be left now.
- */
-bool gyp_carriers_unanswered(
-    struct gyp_carriers *, uint64_t now, uint64_t call);
-
 /* Pops the next call that was lost with its carrier; false for none. */
 bool gyp_carriers_pop_lost(struct gyp_carriers *, uint64_t now, uint64_t *call);
 
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -242,38 +242,26 @@
 				  (size_t)(end - peer->address) + 1) == 0;
 }
 
-static void
-handle_carried_answer(struct gyp_replica *r, const Gyp__HostAnswer *answer)
-{
-	struct gyp_fleet_answer a;
-
-	gyp_host_msg_to_answer(answer, &a);
-	if (a.end == GYP_FLEET_LOST) {
-		if (gyp_carriers_unanswered(r->carriers, r->now, a.call))
-			gyp_count(
-			    r->counters, "gyp_carrier_detours_total", "", 1);
-	} else
-		gyp_carriers_answered(r->carriers, a.call);
-	gyp_flow_scheduler_call_answered(r->flow_scheduler, r->now, &a);
-	gyp_host_msg_clear(&a);
-}
-
 void
 gyp_replica_handle_carrier(struct gyp_replica *r,
     const struct gyp_entry_peer *peer, const Gyp__EntryUp *up)
 {
 	size_t i;
 
-	if (is_on_same_vm(r, peer))
+	if (!up->carries || is_on_same_vm(r, peer))
 		return;
 	if (up->draining)
 		gyp_carriers_drop(r->carriers, peer->id);
-	else if (up->carries)
-		gyp_carriers_seen(r->carriers, r->now, peer->id);
 	else
-		gyp_carriers_spare_seen(r->carriers, r->now, peer->id);
-	for (i = 0; i < up->n_host_answers; i++)
-		handle_carried_answer(r, up->host_answers[i]);
+		gyp_carriers_seen(r->carriers, r->now, peer->id);
+	for (i = 0; i < up->n_host_answers; i++) {
+		struct gyp_fleet_answer a;
+
+		gyp_carriers_answered(r->carriers, up->host_answers[i]->call);
+		gyp_host_msg_to_answer(up->host_answers[i], &a);
+		gyp_flow_scheduler_call_answered(r->flow_scheduler, r->now, &a);
+		gyp_host_msg_clear(&a);
+	}
 }
 
 static void
@@ -320,7 +308,7 @@
 		return false;
 	peer = gyp_replica_entry_peer(r, entry);
 	gyp_carriers_sent(
-	    r->carriers, r->now, call->id, call->row, call->timeout_ms, entry);
+	    r->carriers, r->now, call->id, call->timeout_ms, entry);
 	g_ptr_array_add(peer->host_calls, gyp_host_msg_from_call(call));
 	peer->frame_due = true;
 	gyp_fleet_call_free(call);
