--- a/src/fleet_diagnosis.c
+++ b/src/fleet_diagnosis.c
@@ -92,15 +92,27 @@
 /* ---- Runs without confirmation ------------------------------------------ */
 
 /*
- * True if a line about the run is due: it is not known to run, and has been
- * open for GYP_RUN_LATE_MS or another UNCONFIRMED_LINES_MS since its last line.
+ * True if the run is not known to run. One whose end is proposed counts once
+ * the commit takes long; one that is being stopped still runs.
+ */
+static bool
+is_unconfirmed(const struct gyp_fleet *f, const struct gyp_fleet_run *run)
+{
+	if (run->end_proposed)
+		return f->now >= run->end_proposed_at + GYP_RUN_LATE_MS;
+	return run->phase != GYP_RUN_CONFIRMED ||
+	       gyp_fleet_is_silent(f, run->row, SILENT_RUN_MS);
+}
+
+/*
+ * True if a line about the run is due: it has been open for GYP_RUN_LATE_MS, or
+ * for another UNCONFIRMED_LINES_MS since its last line.
  */
 static bool
 unconfirmed_line_is_due(
     const struct gyp_fleet *f, const struct gyp_fleet_run *run)
 {
-	if (gyp_fleet_run_is_running(run) &&
-	    !gyp_fleet_is_silent(f, run->row, SILENT_RUN_MS))
+	if (!is_unconfirmed(f, run))
 		return false;
 	if (run->unconfirmed_line_at != 0)
 		return f->now >=
