wire: messages for what a leader knows of ended incarnations, leases and runs

Nothing sends or reads them yet: the parts that do are built side by side and must agree on the numbers of fields. Replicas of earlier versions ignore the commands.

--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -1222,6 +1222,186 @@
   assert(message->base.descriptor == &gyp__cmd_host_reborn__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gyp__cmd_host_ended__init
+                     (Gyp__CmdHostEnded         *message)
+{
+  static const Gyp__CmdHostEnded init_value = GYP__CMD_HOST_ENDED__INIT;
+  *message = init_value;
+}
+size_t gyp__cmd_host_ended__get_packed_size
+                     (const Gyp__CmdHostEnded *message)
+{
+  assert(message->base.descriptor == &gyp__cmd_host_ended__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__cmd_host_ended__pack
+                     (const Gyp__CmdHostEnded *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__cmd_host_ended__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__cmd_host_ended__pack_to_buffer
+                     (const Gyp__CmdHostEnded *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__cmd_host_ended__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__CmdHostEnded *
+       gyp__cmd_host_ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__CmdHostEnded *)
+     protobuf_c_message_unpack (&gyp__cmd_host_ended__descriptor,
+                                allocator, len, data);
+}
+void   gyp__cmd_host_ended__free_unpacked
+                     (Gyp__CmdHostEnded *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__cmd_host_ended__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__cmd_lease_bound__init
+                     (Gyp__CmdLeaseBound         *message)
+{
+  static const Gyp__CmdLeaseBound init_value = GYP__CMD_LEASE_BOUND__INIT;
+  *message = init_value;
+}
+size_t gyp__cmd_lease_bound__get_packed_size
+                     (const Gyp__CmdLeaseBound *message)
+{
+  assert(message->base.descriptor == &gyp__cmd_lease_bound__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__cmd_lease_bound__pack
+                     (const Gyp__CmdLeaseBound *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__cmd_lease_bound__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__cmd_lease_bound__pack_to_buffer
+                     (const Gyp__CmdLeaseBound *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__cmd_lease_bound__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__CmdLeaseBound *
+       gyp__cmd_lease_bound__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__CmdLeaseBound *)
+     protobuf_c_message_unpack (&gyp__cmd_lease_bound__descriptor,
+                                allocator, len, data);
+}
+void   gyp__cmd_lease_bound__free_unpacked
+                     (Gyp__CmdLeaseBound *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__cmd_lease_bound__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__cmd_term_begun__init
+                     (Gyp__CmdTermBegun         *message)
+{
+  static const Gyp__CmdTermBegun init_value = GYP__CMD_TERM_BEGUN__INIT;
+  *message = init_value;
+}
+size_t gyp__cmd_term_begun__get_packed_size
+                     (const Gyp__CmdTermBegun *message)
+{
+  assert(message->base.descriptor == &gyp__cmd_term_begun__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__cmd_term_begun__pack
+                     (const Gyp__CmdTermBegun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__cmd_term_begun__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__cmd_term_begun__pack_to_buffer
+                     (const Gyp__CmdTermBegun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__cmd_term_begun__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__CmdTermBegun *
+       gyp__cmd_term_begun__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__CmdTermBegun *)
+     protobuf_c_message_unpack (&gyp__cmd_term_begun__descriptor,
+                                allocator, len, data);
+}
+void   gyp__cmd_term_begun__free_unpacked
+                     (Gyp__CmdTermBegun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__cmd_term_begun__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gyp__cmd_flow_confirmed__init
+                     (Gyp__CmdFlowConfirmed         *message)
+{
+  static const Gyp__CmdFlowConfirmed init_value = GYP__CMD_FLOW_CONFIRMED__INIT;
+  *message = init_value;
+}
+size_t gyp__cmd_flow_confirmed__get_packed_size
+                     (const Gyp__CmdFlowConfirmed *message)
+{
+  assert(message->base.descriptor == &gyp__cmd_flow_confirmed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__cmd_flow_confirmed__pack
+                     (const Gyp__CmdFlowConfirmed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__cmd_flow_confirmed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__cmd_flow_confirmed__pack_to_buffer
+                     (const Gyp__CmdFlowConfirmed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__cmd_flow_confirmed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__CmdFlowConfirmed *
+       gyp__cmd_flow_confirmed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__CmdFlowConfirmed *)
+     protobuf_c_message_unpack (&gyp__cmd_flow_confirmed__descriptor,
+                                allocator, len, data);
+}
+void   gyp__cmd_flow_confirmed__free_unpacked
+                     (Gyp__CmdFlowConfirmed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__cmd_flow_confirmed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gyp__cmd_manifest__init
                      (Gyp__CmdManifest         *message)
 {
@@ -5494,7 +5674,7 @@
   (ProtobufCMessageInit) gyp__cmd_flow_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_host__field_descriptors[13] =
+static const ProtobufCFieldDescriptor gyp__cmd_host__field_descriptors[16] =
 {
   {
     "id",
@@ -5652,13 +5832,52 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended_born_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdHost, ended_born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bound_born_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdHost, bound_born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bound_over_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdHost, bound_over_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd_host__field_indices_by_name[] = {
   2,   /* field[2] = address */
   1,   /* field[1] = born_ms */
+  14,   /* field[14] = bound_born_ms */
+  15,   /* field[15] = bound_over_ms */
   7,   /* field[7] = capacity */
   4,   /* field[4] = data_centre */
   8,   /* field[8] = draining */
+  13,   /* field[13] = ended_born_ms */
   12,   /* field[12] = fenced_born_ms */
   9,   /* field[9] = gone */
   0,   /* field[0] = id */
@@ -5671,7 +5890,7 @@
 static const ProtobufCIntRange gyp__cmd_host__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor gyp__cmd_host__descriptor =
 {
@@ -5681,7 +5900,7 @@
   "Gyp__CmdHost",
   "gyp",
   sizeof(Gyp__CmdHost),
-  13,
+  16,
   gyp__cmd_host__field_descriptors,
   gyp__cmd_host__field_indices_by_name,
   1,  gyp__cmd_host__number_ranges,
@@ -5752,6 +5971,262 @@
   (ProtobufCMessageInit) gyp__cmd_host_reborn__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gyp__cmd_host_ended__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdHostEnded, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdHostEnded, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__cmd_host_ended__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange gyp__cmd_host_ended__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gyp__cmd_host_ended__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.CmdHostEnded",
+  "CmdHostEnded",
+  "Gyp__CmdHostEnded",
+  "gyp",
+  sizeof(Gyp__CmdHostEnded),
+  2,
+  gyp__cmd_host_ended__field_descriptors,
+  gyp__cmd_host_ended__field_indices_by_name,
+  1,  gyp__cmd_host_ended__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_host_ended__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__cmd_lease_bound__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdLeaseBound, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdLeaseBound, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdLeaseBound, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "withdrawn",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdLeaseBound, withdrawn),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__cmd_lease_bound__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  0,   /* field[0] = id */
+  2,   /* field[2] = left_ms */
+  3,   /* field[3] = withdrawn */
+};
+static const ProtobufCIntRange gyp__cmd_lease_bound__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gyp__cmd_lease_bound__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.CmdLeaseBound",
+  "CmdLeaseBound",
+  "Gyp__CmdLeaseBound",
+  "gyp",
+  sizeof(Gyp__CmdLeaseBound),
+  4,
+  gyp__cmd_lease_bound__field_descriptors,
+  gyp__cmd_lease_bound__field_indices_by_name,
+  1,  gyp__cmd_lease_bound__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_lease_bound__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__cmd_term_begun__field_descriptors[2] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdTermBegun, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "previous_term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdTermBegun, previous_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__cmd_term_begun__field_indices_by_name[] = {
+  1,   /* field[1] = previous_term */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange gyp__cmd_term_begun__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gyp__cmd_term_begun__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.CmdTermBegun",
+  "CmdTermBegun",
+  "Gyp__CmdTermBegun",
+  "gyp",
+  sizeof(Gyp__CmdTermBegun),
+  2,
+  gyp__cmd_term_begun__field_descriptors,
+  gyp__cmd_term_begun__field_indices_by_name,
+  1,  gyp__cmd_term_begun__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_term_begun__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gyp__cmd_flow_confirmed__field_descriptors[4] =
+{
+  {
+    "flow",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFlowConfirmed, flow),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFlowConfirmed, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFlowConfirmed, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFlowConfirmed, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__cmd_flow_confirmed__field_indices_by_name[] = {
+  3,   /* field[3] = born_ms */
+  0,   /* field[0] = flow */
+  2,   /* field[2] = run */
+  1,   /* field[1] = task */
+};
+static const ProtobufCIntRange gyp__cmd_flow_confirmed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gyp__cmd_flow_confirmed__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.CmdFlowConfirmed",
+  "CmdFlowConfirmed",
+  "Gyp__CmdFlowConfirmed",
+  "gyp",
+  sizeof(Gyp__CmdFlowConfirmed),
+  4,
+  gyp__cmd_flow_confirmed__field_descriptors,
+  gyp__cmd_flow_confirmed__field_indices_by_name,
+  1,  gyp__cmd_flow_confirmed__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_flow_confirmed__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gyp__cmd_manifest__field_descriptors[5] =
 {
   {
@@ -5842,7 +6317,7 @@
   (ProtobufCMessageInit) gyp__cmd_manifest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__snap_flow_task__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gyp__snap_flow_task__field_descriptors[8] =
 {
   {
     "state",
@@ -5928,10 +6403,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "confirmed_born_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapFlowTask, confirmed_born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__snap_flow_task__field_indices_by_name[] = {
   6,   /* field[6] = changed_ms */
   4,   /* field[4] = checkpoint */
+  7,   /* field[7] = confirmed_born_ms */
   5,   /* field[5] = failed_run */
   3,   /* field[3] = failures */
   2,   /* field[2] = host */
@@ -5941,7 +6429,7 @@
 static const ProtobufCIntRange gyp__snap_flow_task__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gyp__snap_flow_task__descriptor =
 {
@@ -5951,7 +6439,7 @@
   "Gyp__SnapFlowTask",
   "gyp",
   sizeof(Gyp__SnapFlowTask),
-  7,
+  8,
   gyp__snap_flow_task__field_descriptors,
   gyp__snap_flow_task__field_indices_by_name,
   1,  gyp__snap_flow_task__number_ranges,
@@ -6603,7 +7091,7 @@
   (ProtobufCMessageInit) gyp__snap_early_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__snap_flows__field_descriptors[6] =
+static const ProtobufCFieldDescriptor gyp__snap_flows__field_descriptors[7] =
 {
   {
     "flows",
@@ -6677,8 +7165,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "bounds_term",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapFlows, bounds_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__snap_flows__field_indices_by_name[] = {
+  6,   /* field[6] = bounds_term */
   5,   /* field[5] = early_cancels */
   0,   /* field[0] = flows */
   4,   /* field[4] = forecast */
@@ -6689,7 +7190,7 @@
 static const ProtobufCIntRange gyp__snap_flows__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gyp__snap_flows__descriptor =
 {
@@ -6699,7 +7200,7 @@
   "Gyp__SnapFlows",
   "gyp",
   sizeof(Gyp__SnapFlows),
-  6,
+  7,
   gyp__snap_flows__field_descriptors,
   gyp__snap_flows__field_indices_by_name,
   1,  gyp__snap_flows__number_ranges,
@@ -7698,7 +8199,7 @@
   (ProtobufCMessageInit) gyp__flow_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd__field_descriptors[14] =
+static const ProtobufCFieldDescriptor gyp__cmd__field_descriptors[18] =
 {
   {
     "submit",
@@ -7868,6 +8369,54 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "flow_confirmed",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Cmd, c_case),
+    offsetof(Gyp__Cmd, flow_confirmed),
+    &gyp__cmd_flow_confirmed__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host_ended",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Cmd, c_case),
+    offsetof(Gyp__Cmd, host_ended),
+    &gyp__cmd_host_ended__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_bound",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Cmd, c_case),
+    offsetof(Gyp__Cmd, lease_bound),
+    &gyp__cmd_lease_bound__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term_begun",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Cmd, c_case),
+    offsetof(Gyp__Cmd, term_begun),
+    &gyp__cmd_term_begun__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd__field_indices_by_name[] = {
   5,   /* field[5] = cancel */
@@ -7876,20 +8425,24 @@
   2,   /* field[2] = finish */
   7,   /* field[7] = flow */
   8,   /* field[8] = flow_cancel */
+  14,   /* field[14] = flow_confirmed */
   10,   /* field[10] = flow_end */
   9,   /* field[9] = flow_start */
   11,   /* field[11] = host */
+  15,   /* field[15] = host_ended */
   13,   /* field[13] = host_reborn */
+  16,   /* field[16] = lease_bound */
   12,   /* field[12] = manifest */
   1,   /* field[1] = place */
   6,   /* field[6] = rules */
   0,   /* field[0] = submit */
+  17,   /* field[17] = term_begun */
 };
 static const ProtobufCIntRange gyp__cmd__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 16, 7 },
-  { 0, 14 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor gyp__cmd__descriptor =
 {
@@ -7899,7 +8452,7 @@
   "Gyp__Cmd",
   "gyp",
   sizeof(Gyp__Cmd),
-  14,
+  18,
   gyp__cmd__field_descriptors,
   gyp__cmd__field_indices_by_name,
   2,  gyp__cmd__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -42,6 +42,10 @@
 typedef struct Gyp__CmdFlowEnd Gyp__CmdFlowEnd;
 typedef struct Gyp__CmdHost Gyp__CmdHost;
 typedef struct Gyp__CmdHostReborn Gyp__CmdHostReborn;
+typedef struct Gyp__CmdHostEnded Gyp__CmdHostEnded;
+typedef struct Gyp__CmdLeaseBound Gyp__CmdLeaseBound;
+typedef struct Gyp__CmdTermBegun Gyp__CmdTermBegun;
+typedef struct Gyp__CmdFlowConfirmed Gyp__CmdFlowConfirmed;
 typedef struct Gyp__CmdManifest Gyp__CmdManifest;
 typedef struct Gyp__SnapFlowTask Gyp__SnapFlowTask;
 typedef struct Gyp__SnapFlow Gyp__SnapFlow;
@@ -841,10 +845,22 @@
    * latest one that refuses calls to those before
    */
   uint64_t fenced_born_ms;
+  /*
+   * latest one that has ended for good
+   */
+  uint64_t ended_born_ms;
+  /*
+   * incarnation whose lease is bounded, or 0
+   */
+  uint64_t bound_born_ms;
+  /*
+   * cell time at which that lease is over
+   */
+  uint64_t bound_over_ms;
 };
 #define GYP__CMD_HOST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_host__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -866,6 +882,72 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * That incarnation of the endpoint has ended: it runs nothing and never will.
+ */
+struct  Gyp__CmdHostEnded
+{
+  ProtobufCMessage base;
+  char *id;
+  uint64_t born_ms;
+};
+#define GYP__CMD_HOST_ENDED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_host_ended__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * The lease of a silent incarnation is over left_ms after the cell time of the
+ * command, at the latest: no leader extends it before the bound is withdrawn.
+ */
+struct  Gyp__CmdLeaseBound
+{
+  ProtobufCMessage base;
+  char *id;
+  uint64_t born_ms;
+  uint64_t left_ms;
+  protobuf_c_boolean withdrawn;
+};
+#define GYP__CMD_LEASE_BOUND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_lease_bound__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * Begins the term of a leader that keeps to the bounds of leases. They are
+ * valid only if the leaders of all terms since did.
+ */
+struct  Gyp__CmdTermBegun
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  /*
+   * of the last log entry before the term
+   */
+  uint64_t previous_term;
+};
+#define GYP__CMD_TERM_BEGUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_term_begun__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * The only start of the run was carried out, by that incarnation of its
+ * endpoint: no other one will ever have the run.
+ */
+struct  Gyp__CmdFlowConfirmed
+{
+  ProtobufCMessage base;
+  uint64_t flow;
+  uint32_t task;
+  uint32_t run;
+  uint64_t born_ms;
+};
+#define GYP__CMD_FLOW_CONFIRMED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_flow_confirmed__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 struct  Gyp__CmdManifest
 {
   ProtobufCMessage base;
@@ -904,10 +986,14 @@
    * cell time of the start of an open run, or 0
    */
   uint64_t changed_ms;
+  /*
+   * incarnation that has the open run, or 0
+   */
+  uint64_t confirmed_born_ms;
 };
 #define GYP__SNAP_FLOW_TASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_flow_task__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Gyp__SnapFlow
@@ -1055,10 +1141,14 @@
    */
   size_t n_early_cancels;
   Gyp__SnapEarlyCancel **early_cancels;
+  /*
+   * latest term that kept to the bounds of leases
+   */
+  uint64_t bounds_term;
 };
 #define GYP__SNAP_FLOWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_flows__descriptor) \
-    , 0,NULL, 0,NULL, NULL, 0, NULL, 0,NULL }
+    , 0,NULL, 0,NULL, NULL, 0, NULL, 0,NULL, 0 }
 
 
 struct  Gyp__Ask
@@ -1275,7 +1365,11 @@
   GYP__CMD__C_FLOW_END = 19,
   GYP__CMD__C_HOST = 20,
   GYP__CMD__C_MANIFEST = 21,
-  GYP__CMD__C_HOST_REBORN = 22
+  GYP__CMD__C_HOST_REBORN = 22,
+  GYP__CMD__C_FLOW_CONFIRMED = 23,
+  GYP__CMD__C_HOST_ENDED = 24,
+  GYP__CMD__C_LEASE_BOUND = 25,
+  GYP__CMD__C_TERM_BEGUN = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__CMD__C__CASE)
 } Gyp__Cmd__CCase;
 
@@ -1298,6 +1392,10 @@
     Gyp__CmdHost *host;
     Gyp__CmdManifest *manifest;
     Gyp__CmdHostReborn *host_reborn;
+    Gyp__CmdFlowConfirmed *flow_confirmed;
+    Gyp__CmdHostEnded *host_ended;
+    Gyp__CmdLeaseBound *lease_bound;
+    Gyp__CmdTermBegun *term_begun;
   };
 };
 #define GYP__CMD__INIT \
@@ -2369,6 +2467,82 @@
 void   gyp__cmd_host_reborn__free_unpacked
                      (Gyp__CmdHostReborn *message,
                       ProtobufCAllocator *allocator);
+/* Gyp__CmdHostEnded methods */
+void   gyp__cmd_host_ended__init
+                     (Gyp__CmdHostEnded         *message);
+size_t gyp__cmd_host_ended__get_packed_size
+                     (const Gyp__CmdHostEnded   *message);
+size_t gyp__cmd_host_ended__pack
+                     (const Gyp__CmdHostEnded   *message,
+                      uint8_t             *out);
+size_t gyp__cmd_host_ended__pack_to_buffer
+                     (const Gyp__CmdHostEnded   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__CmdHostEnded *
+       gyp__cmd_host_ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__cmd_host_ended__free_unpacked
+                     (Gyp__CmdHostEnded *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__CmdLeaseBound methods */
+void   gyp__cmd_lease_bound__init
+                     (Gyp__CmdLeaseBound         *message);
+size_t gyp__cmd_lease_bound__get_packed_size
+                     (const Gyp__CmdLeaseBound   *message);
+size_t gyp__cmd_lease_bound__pack
+                     (const Gyp__CmdLeaseBound   *message,
+                      uint8_t             *out);
+size_t gyp__cmd_lease_bound__pack_to_buffer
+                     (const Gyp__CmdLeaseBound   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__CmdLeaseBound *
+       gyp__cmd_lease_bound__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__cmd_lease_bound__free_unpacked
+                     (Gyp__CmdLeaseBound *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__CmdTermBegun methods */
+void   gyp__cmd_term_begun__init
+                     (Gyp__CmdTermBegun         *message);
+size_t gyp__cmd_term_begun__get_packed_size
+                     (const Gyp__CmdTermBegun   *message);
+size_t gyp__cmd_term_begun__pack
+                     (const Gyp__CmdTermBegun   *message,
+                      uint8_t             *out);
+size_t gyp__cmd_term_begun__pack_to_buffer
+                     (const Gyp__CmdTermBegun   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__CmdTermBegun *
+       gyp__cmd_term_begun__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__cmd_term_begun__free_unpacked
+                     (Gyp__CmdTermBegun *message,
+                      ProtobufCAllocator *allocator);
+/* Gyp__CmdFlowConfirmed methods */
+void   gyp__cmd_flow_confirmed__init
+                     (Gyp__CmdFlowConfirmed         *message);
+size_t gyp__cmd_flow_confirmed__get_packed_size
+                     (const Gyp__CmdFlowConfirmed   *message);
+size_t gyp__cmd_flow_confirmed__pack
+                     (const Gyp__CmdFlowConfirmed   *message,
+                      uint8_t             *out);
+size_t gyp__cmd_flow_confirmed__pack_to_buffer
+                     (const Gyp__CmdFlowConfirmed   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__CmdFlowConfirmed *
+       gyp__cmd_flow_confirmed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__cmd_flow_confirmed__free_unpacked
+                     (Gyp__CmdFlowConfirmed *message,
+                      ProtobufCAllocator *allocator);
 /* Gyp__CmdManifest methods */
 void   gyp__cmd_manifest__init
                      (Gyp__CmdManifest         *message);
@@ -3193,6 +3367,18 @@
 typedef void (*Gyp__CmdHostReborn_Closure)
                  (const Gyp__CmdHostReborn *message,
                   void *closure_data);
+typedef void (*Gyp__CmdHostEnded_Closure)
+                 (const Gyp__CmdHostEnded *message,
+                  void *closure_data);
+typedef void (*Gyp__CmdLeaseBound_Closure)
+                 (const Gyp__CmdLeaseBound *message,
+                  void *closure_data);
+typedef void (*Gyp__CmdTermBegun_Closure)
+                 (const Gyp__CmdTermBegun *message,
+                  void *closure_data);
+typedef void (*Gyp__CmdFlowConfirmed_Closure)
+                 (const Gyp__CmdFlowConfirmed *message,
+                  void *closure_data);
 typedef void (*Gyp__CmdManifest_Closure)
                  (const Gyp__CmdManifest *message,
                   void *closure_data);
@@ -3351,6 +3537,10 @@
 extern const ProtobufCMessageDescriptor gyp__cmd_flow_end__descriptor;
 extern const ProtobufCMessageDescriptor gyp__cmd_host__descriptor;
 extern const ProtobufCMessageDescriptor gyp__cmd_host_reborn__descriptor;
+extern const ProtobufCMessageDescriptor gyp__cmd_host_ended__descriptor;
+extern const ProtobufCMessageDescriptor gyp__cmd_lease_bound__descriptor;
+extern const ProtobufCMessageDescriptor gyp__cmd_term_begun__descriptor;
+extern const ProtobufCMessageDescriptor gyp__cmd_flow_confirmed__descriptor;
 extern const ProtobufCMessageDescriptor gyp__cmd_manifest__descriptor;
 extern const ProtobufCMessageDescriptor gyp__snap_flow_task__descriptor;
 extern const ProtobufCMessageDescriptor gyp__snap_flow__descriptor;
