--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -29,9 +29,7 @@
 const char *
 gyp_fleet_endpoint_name(const struct gyp_fleet *f, uint32_t row)
 {
-	const struct gyp_host *h = gyp_host_at(f->flows, row);
-
-	return h != NULL ? h->spec->id : "gone";
+	return gyp_host_name(f->flows, row);
 }
 
 void
--- a/src/flow.c
+++ b/src/flow.c
@@ -234,6 +234,14 @@
 	return row < f->hosts->len ? f->hosts->pdata[row] : NULL;
 }
 
+const char *
+gyp_host_name(const struct gyp_flows *f, uint32_t row)
+{
+	const struct gyp_host *h = gyp_host_at(f, row);
+
+	return h != NULL ? h->spec->id : "gone";
+}
+
 uint32_t
 gyp_hosts_size(const struct gyp_flows *f)
 {
--- a/src/flow.h
+++ b/src/flow.h
@@ -212,6 +212,8 @@
 
 /* The endpoint of a row, or NULL if it was removed. */
 struct gyp_host *gyp_host_at(const struct gyp_flows *, uint32_t row);
+/* Its id, or "gone"; for logs. */
+const char *gyp_host_name(const struct gyp_flows *, uint32_t row);
 uint32_t gyp_hosts_size(const struct gyp_flows *);  /* rows */
 uint32_t gyp_hosts_count(const struct gyp_flows *); /* endpoints */
 struct gyp_host *gyp_host_by_id(const struct gyp_flows *, const char *id);
--- a/src/gyp.h
+++ b/src/gyp.h
@@ -46,6 +46,7 @@
 #include "placer.h"             /* which task of a flow starts where */
 #include "policy.h"             /* placements, evictions and refusals */
 #include "preempt.h"            /* runs stopped for more urgent work */
+#include "query_entries.h"      /* entries that carry admission queries */
 #include "quota.h"              /* what may still start under a cap */
 #include "raft.h"               /* replicated log */
 #include "record.h"             /* records that a replica writes to its disk */
@@ -60,6 +61,7 @@
 #include "slack.h"              /* whether work can meet its objective */
 #include "state.h"              /* tables of jobs, endpoints and rules */
 #include "straggler.h"          /* whether to restart a run elsewhere */
+#include "straggler_check.h"    /* has runs that stall or are slow stopped */
 #include "token_bucket.h"       /* whether events are within a rate */
 #include "trace.h"              /* events of a cell, one per line */
 #include "usage.h"              /* latest measured usage */
