fleet: which incarnation has a lasting run is in the tables

What callers saw: a lasting task waited a whole lease after each election, although the leader knew that its endpoint had ended: the provider no longer listed it, or its shutdown was announced. Two elections made 12 s of it.

Cause: the leader ends such a run at once only if no start of it can be carried out by a later incarnation. The one that sent the only start, had its answer and saw the run in a list knew that; its successors assume, for 22.4 s after the proposal, that another start may be under way (gyp_fleet_starts_are_past()). The run is inherited and was listed since, and earlier_start_may_arrive() holds it for 20 s after its proposal.

Change: the leader commits CmdFlowConfirmed for a run of a lasting step once a list names the incarnation that has it, and no start can be carried out after that list was requested: the only one was answered, or all were sent longer ago than the existing bounds. A confirmed run belongs to that incarnation for good, so may_outlast_incarnation() and was_seen_to_run() no longer hold it, under any leader. A list counts if the incarnation was registered before the run was proposed, by the tables, so a new leader need not know it for 2 s first; a run that is younger waits for a later list. A new leader begins with the latest incarnation that was seen, not only registered: the late announcement of an earlier one must not end the runs of this one.

Why no task runs twice: the command says something that stays true: one start was sent, it was carried out, and this incarnation had it. A start whose answer is missing, or that was repeated, is waited out before the list is requested. The answer to a start names no incarnation and is not enough. A list that is older than the last start could be proves nothing, and is not used. Commands that arrive late name a run that is over, and are ignored.

Two tests of test_inventory said that a young listed run of an earlier leader waits for the lease. Their run had one start, answered and listed, so that was the fault.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -217,7 +217,10 @@
 	endpoint->row = row;
 	endpoint->added_at = f->now;
 	endpoint->poll_due = true;
-	endpoint->incarnation_start_ms = h != NULL ? h->spec->born_ms : 0;
+	/* The latest one may have been seen before its first heartbeat. */
+	if (h != NULL)
+		endpoint->incarnation_start_ms =
+		    MAX(h->spec->born_ms, h->spec->seen_born_ms);
 	/* A call to an earlier incarnation may still be under way. */
 	if (h != NULL)
 		endpoint->late_grant_ms =
@@ -392,7 +395,8 @@
  * True if a later incarnation of the endpoint may have the run, or begin it:
  * the answer to a start need not tell which one carried it out, only a list
  * does, and a start that got no answer may still be carried out. None does if
- * all starts of the run were over when the incarnation ended.
+ * all starts of the run were over when the incarnation ended, or if the tables
+ * say which incarnation has it.
  */
 static bool
 may_outlast_incarnation(const struct gyp_fleet *f,
@@ -400,9 +404,14 @@
 {
 	/* The announcement may have been late. */
 	uint64_t ago_ms = f->now - endpoint->departed_at + LATE_CALL_MAX_MS;
+	uint64_t incarnation = gyp_fleet_run_incarnation(run);
 
 	if (run->phase == GYP_RUN_UNSENT)
 		return false;
+	if (incarnation != 0)
+		return incarnation > endpoint->incarnation_start_ms;
+	if (run->may_outlast)
+		return true;
 	if (run->phase != GYP_RUN_CONFIRMED || run->view.listed_at == 0)
 		return !gyp_fleet_starts_are_past(f, run, ago_ms);
 	if (endpoint->leaving_at != 0 && earlier_start_may_arrive(f, run))
@@ -426,8 +435,7 @@
 	for (i = 0; i < endpoint->runs->len; i++) {
 		struct gyp_fleet_run *run = endpoint->runs->pdata[i];
 
-		run->may_outlast = run->may_outlast ||
-				   may_outlast_incarnation(f, endpoint, run);
+		run->may_outlast = may_outlast_incarnation(f, endpoint, run);
 		if (run->may_outlast && !lease_over && !endpoint->replaced)
 			open++;
 		else
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -44,6 +44,12 @@
  *	poll does not list it either. An end is acknowledged to the endpoint
  *	once it is committed.
  *
+ *	Once no start of a lasting run can be carried out any more, and a list
+ *	shows which incarnation has the run, the leader records that in the
+ *	tables. The run ends with this incarnation, under any leader: when its
+ *	shutdown is announced, a later one is seen, or the provider no longer
+ *	lists the endpoint.
+ *
  *	With cfg.inventory, the leader requests the provider's list of
  *	endpoints that exist while one with open runs is silent. An endpoint
  *	that two lists in a row lack has ended, and the runs that it had end
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -224,6 +224,7 @@
 {
 	run->start_pending = false;
 	if (a->end == GYP_FLEET_OK) {
+		run->start_answered = true;
 		gyp_fleet_confirm_run(f, run);
 		return;
 	}
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -10,6 +10,7 @@
  * DESCRIPTION
  *	fleet.c			runs, endpoints and the periodic sweep
  *	fleet_calls.c		calls and their answers
+ *	fleet_confirmed.c	runs known to belong to one incarnation
  *	fleet_diagnosis.c	reports on single runs, for logs
  *	fleet_endpoint.c	clocks, leases and incarnations of endpoints
  *	fleet_inventory.c	endpoints that the provider no longer lists
@@ -55,6 +56,8 @@
 	const char *refused;    /* why its start was refused, or NULL */
 	bool may_outlast;       /* the departed incarnation of its endpoint */
 	bool start_pending;     /* a start is under way */
+	bool start_answered;    /* one was carried out, by its answer */
+	bool confirm_proposed;  /* CmdFlowConfirmed is proposed */
 	bool end_proposed;      /* its end is proposed, not committed */
 	uint64_t end_proposed_at;
 	char *ticket;
@@ -88,6 +91,7 @@
 	uint64_t last_seen_at;     /* last answer or heartbeat; 0: none */
 	uint64_t answered_at;      /* last answer; 0: none */
 	uint64_t unlisted_last_at; /* when the latest of these was requested */
+	uint64_t unlisted_prev_at; /* when the one before was requested */
 	uint64_t unlisted_at;      /* first list that lacks it was requested */
 	uint64_t listed_at;        /* last list of this incarnation; 0: none */
 	uint64_t departed_at;      /* its shutdown, or another endpoint at its
@@ -247,6 +251,20 @@
 /* Handles calls whose answer is long overdue as lost. */
 void gyp_fleet_expire_calls(struct gyp_fleet *);
 
+/* fleet_confirmed.c */
+/*
+ * The incarnation that has the run, by the tables; 0 if it is not known. No
+ * start of the run is under way then, so no other one will ever have it.
+ */
+uint64_t gyp_fleet_run_incarnation(const struct gyp_fleet_run *);
+/*
+ * Handles a list that has the run, made by that incarnation (0: unknown) for a
+ * poll that was sent at sent_at: proposes to record the incarnation, if no
+ * start of the run can be carried out later.
+ */
+void gyp_fleet_confirm_incarnation(struct gyp_fleet *, struct gyp_fleet_run *,
+    uint64_t incarnation_start_ms, uint64_t sent_at);
+
 /* fleet_diagnosis.c */
 /*
  * Logs runs that have not run for GYP_RUN_LATE_MS, and again each second, at
--- a/src/fleet_inventory.c
+++ b/src/fleet_inventory.c
@@ -10,6 +10,10 @@
 /* Longest time by which a list may be out of date, in ms. */
 #define INVENTORY_LAG_MS 2000
 
+/* The same in cell time, as the clocks of two leaders differ. */
+#define LISTED_RUN_MS                                                          \
+	(INVENTORY_LAG_MS + INVENTORY_LAG_MS / (GYP_CLOCK_SLOW - 1) + 1)
+
 /* Lists in a row that lack an endpoint which has ended. */
 #define INVENTORY_LISTS 2
 
@@ -66,7 +70,7 @@
 	return at >= MAX(heard, polled) + INVENTORY_SILENT_MS;
 }
 
-/* True if a list that was requested then would have the endpoint. */
+/* True if a list that was requested then would have the incarnation. */
 static bool
 was_known(const struct gyp_fleet_endpoint *endpoint, uint64_t requested_at)
 {
@@ -75,6 +79,27 @@
 	       requested_at;
 }
 
+/*
+ * True if a list that was requested then would have the incarnation which has
+ * the run: this leader has known it for long enough, or by the tables it was
+ * registered before the run was proposed.
+ */
+static bool
+would_have_listed(const struct gyp_fleet *f,
+    const struct gyp_fleet_endpoint *endpoint, const struct gyp_fleet_run *run,
+    uint64_t requested_at)
+{
+	const Gyp__CmdHost *spec = gyp_host_at(f->flows, endpoint->row)->spec;
+	const struct gyp_flow_task *t = &run->flow->tasks[run->key.index];
+
+	if (was_known(endpoint, requested_at))
+		return true;
+	return spec->born_ms == gyp_fleet_run_incarnation(run) &&
+	       spec->reborn_ms <= t->changed_ms &&
+	       gyp_fleet_run_age_ms(f, run) >=
+		   LISTED_RUN_MS + (f->now - requested_at);
+}
+
 /* True if the only start of the run was answered. */
 static bool
 started_once(const struct gyp_fleet_run *run)
@@ -88,9 +113,12 @@
  * which one that was; a list of its runs does.
  */
 static bool
-was_seen_to_run(
+was_seen_to_run(const struct gyp_fleet *f,
     const struct gyp_fleet_endpoint *endpoint, const struct gyp_fleet_run *run)
 {
+	if (gyp_fleet_run_incarnation(run) != 0)
+		return would_have_listed(
+		    f, endpoint, run, endpoint->unlisted_prev_at);
 	return started_once(run) &&
 	       was_known(endpoint, endpoint->unlisted_at) &&
 	       (run->view.listed_at != 0 ||
@@ -100,17 +128,19 @@
 
 /* True if a later list can show that a run of a delisted endpoint is over. */
 static bool
-awaits_later_list(const struct gyp_fleet_endpoint *endpoint)
+awaits_later_list(
+    const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
 {
+	bool known = was_known(endpoint, endpoint->unlisted_at);
 	guint i;
 
-	if (!was_known(endpoint, endpoint->unlisted_at))
-		return false;
 	for (i = 0; i < endpoint->runs->len; i++) {
 		const struct gyp_fleet_run *run = endpoint->runs->pdata[i];
+		bool may_show = gyp_fleet_run_incarnation(run) != 0 ||
+				(known && started_once(run));
 
-		if (!run->end_proposed && started_once(run) &&
-		    !was_seen_to_run(endpoint, run))
+		if (may_show && !run->end_proposed &&
+		    !was_seen_to_run(f, endpoint, run))
 			return true;
 	}
 	return false;
@@ -122,7 +152,7 @@
 	return endpoint->runs->len > 0 && endpoint->departed_at == 0 &&
 	       was_silent(f, endpoint, f->now) &&
 	       (!gyp_fleet_endpoint_is_delisted(endpoint) ||
-		   awaits_later_list(endpoint));
+		   awaits_later_list(f, endpoint));
 }
 
 void
@@ -220,6 +250,7 @@
 	if (endpoint->runs->len == 0 || endpoint->departed_at != 0 ||
 	    !was_silent(f, endpoint, requested_at))
 		return false;
+	endpoint->unlisted_prev_at = endpoint->unlisted_last_at;
 	endpoint->unlisted_last_at = requested_at;
 	if (gyp_fleet_endpoint_is_delisted(endpoint))
 		return false;
@@ -331,7 +362,7 @@
 		struct gyp_fleet_run *run = endpoint->runs->pdata[i];
 
 		if (run->phase == GYP_RUN_UNSENT ||
-		    was_seen_to_run(endpoint, run) ||
+		    was_seen_to_run(f, endpoint, run) ||
 		    gyp_fleet_starts_are_past(f, run, ago_ms))
 			gyp_fleet_propose_end(
 			    f, run, GYP__FLOW_HOW__FLOW_LOST, NULL);
--- a/src/fleet_poll.c
+++ b/src/fleet_poll.c
@@ -237,8 +237,9 @@
  */
 static GHashTable *
 handle_running(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint,
-    const GArray *running)
+    const struct gyp_fleet_pending *p, const struct gyp_fleet_answer *a)
 {
+	const GArray *running = a->running;
 	GHashTable *listed = g_hash_table_new(NULL, NULL);
 	guint i, unknown = 0;
 
@@ -252,6 +253,8 @@
 		if (run != NULL) {
 			g_hash_table_add(listed, run);
 			update_view(f, run, l);
+			gyp_fleet_confirm_incarnation(
+			    f, run, a->incarnation_start_ms, p->sent_at);
 		} else if (unknown++ < UNKNOWN_STOPS_MAX) {
 			stop_unknown_run(f, endpoint, l);
 		}
@@ -327,7 +330,7 @@
 	endpoint->listed_at = f->now;
 	handle_ends(f, endpoint, a->ended);
 	gyp_fleet_endpoint_advance_acked(f, endpoint);
-	listed = handle_running(f, endpoint, a->running);
+	listed = handle_running(f, endpoint, p, a);
 	for (i = 0; i < endpoint->runs->len; i++) {
 		struct gyp_fleet_run *run = endpoint->runs->pdata[i];
 
--- a/src/flow.h
+++ b/src/flow.h
@@ -74,6 +74,11 @@
 	uint32_t failures;   /* of a gang: counted at its first task */
 	char *checkpoint;    /* the next run resumes from it, or NULL */
 	uint64_t changed_ms; /* cell time of the latest change */
+	/*
+	 * Incarnation of the endpoint that has the open run: no start of it
+	 * is under way, so no other one will ever have it. 0 if not known.
+	 */
+	uint64_t confirmed_born_ms;
 };
 
 struct gyp_flow_unit {
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -32,6 +32,7 @@
 	struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
 	guint i;
 
+	flow->tasks[task].confirmed_born_ms = 0;
 	u->open--;
 	flow->open--;
 	gyp_res_sub(&h->booked, &u->size);
@@ -409,6 +410,20 @@
 		f->listener->ops->started(f->listener, flow, s->runs[i]->task);
 }
 
+/* A run that has ended, or is not the latest, is not confirmed any more. */
+static void
+apply_confirmed(struct gyp_flows *f, const Gyp__CmdFlowConfirmed *cmd)
+{
+	const struct gyp_flow *flow = gyp_flow_get(f, cmd->flow);
+	struct gyp_flow_task *t;
+
+	if (flow == NULL || cmd->task >= flow->n_tasks)
+		return;
+	t = &flow->tasks[cmd->task];
+	if (t->state == GYP_FLOW_TASK_OPEN && t->run == cmd->run)
+		t->confirmed_born_ms = cmd->born_ms;
+}
+
 /* ---- Flows, endpoints, manifest ----------------------------------------- */
 
 /* The workspace whose callers may cancel the flow; "" if all may. */
@@ -561,6 +576,9 @@
 	case GYP__CMD__C_FLOW_END:
 		apply_end(f, now, cmd->flow_end);
 		return true;
+	case GYP__CMD__C_FLOW_CONFIRMED:
+		apply_confirmed(f, cmd->flow_confirmed);
+		return true;
 	case GYP__CMD__C_HOST:
 		apply_host(f, now, cmd->host);
 		return true;
--- a/src/flow_save.c
+++ b/src/flow_save.c
@@ -21,8 +21,10 @@
 		st->checkpoint = g_strdup(t->checkpoint);
 	if (task == u->first)
 		st->failed_run = u->failed_run;
-	if (t->state == GYP_FLOW_TASK_OPEN)
+	if (t->state == GYP_FLOW_TASK_OPEN) {
 		st->changed_ms = t->changed_ms;
+		st->confirmed_born_ms = t->confirmed_born_ms;
+	}
 	return st;
 }
 
@@ -130,6 +132,7 @@
 			continue;
 		if (gyp_host_at(f, t->row) == NULL)
 			return false;
+		t->confirmed_born_ms = st->confirmed_born_ms;
 		gyp_flow_book(f, flow, i);
 	}
 	return true;
@@ -216,6 +219,8 @@
 	for (i = 0; i < flow->n_tasks; i++) {
 		const struct gyp_flow_task *t = &flow->tasks[i];
 
+		g_assert(t->confirmed_born_ms == 0 ||
+			 t->state == GYP_FLOW_TASK_OPEN);
 		if (t->state != GYP_FLOW_TASK_OPEN)
 			continue;
 		open++;
--- a/test/test_inventory.c
+++ b/test/test_inventory.c
@@ -107,14 +107,14 @@
 	}
 }
 
-/* Two endpoints that have been known for a while, and a lasting task. */
+/* Two endpoints that have been known for a while, and a step of two tasks. */
 static void
-fixture_init(struct fixture *f)
+fixture_init_with(struct fixture *f, bool lasting)
 {
 	Gyp__FlowStep step = flow_fixture_step(2);
 
 	*f = (struct fixture){.lists = "ab", .a_incarnation = 1};
-	step.lasting = true;
+	step.lasting = lasting;
 	flow_fixture_init(&f->base);
 	f->base.inventory = true;
 	flow_fixture_new_leader(&f->base, 1);
@@ -124,6 +124,12 @@
 	play(f, 2 * LAG_MS);
 }
 
+static void
+fixture_init(struct fixture *f)
+{
+	fixture_init_with(f, true);
+}
+
 /* Task 0 runs on "a", which lists it. */
 static void
 start_on_a(struct fixture *f)
@@ -272,13 +278,16 @@
 	flow_fixture_clear(&f.base);
 }
 
-/* A younger run may have been started late, at a later incarnation. */
+/*
+ * A younger run may have been started late, at a later incarnation. That of a
+ * lasting step may not, if the tables say so; see test_confirmed_runs.c.
+ */
 static void
 test_young_run_departed_with_leader(void)
 {
 	struct fixture f;
 
-	fixture_init(&f);
+	fixture_init_with(&f, false);
 	start_on_a(&f);
 	play(&f, OLD_RUN_MS);
 	end_a(&f);
@@ -292,13 +301,14 @@
 /*
  * A start of the earlier leader may still be carried out by a later incarnation
  * of the endpoint: ended before its lease is over, the task could run twice.
+ * The tables do not say that there is none, as the step is not lasting.
  */
 static void
 test_young_run_of_earlier_leader(void)
 {
 	struct fixture f;
 
-	fixture_init(&f);
+	fixture_init_with(&f, false);
 	start_on_a(&f);
 	end_a(&f);
 	flow_fixture_new_leader(&f.base, 2);
