fleet: a confirmed run ends when a later incarnation is seen

What callers saw: a lasting task whose endpoint restarted under its id waited for a list of the new incarnation, a stop, its answer and a second list; if the new one answered no polls, for its lease and 15 s of late calls: 21.5 s.

Cause: the leader did not know which incarnation had carried out the start, so a run could be that of the new one.

A restart that only the clock shows names no incarnation and ends nothing. The other members of a gang are stopped by its end, as before.

Why no task runs twice: the later incarnation began with nothing, and no start of a confirmed run is under way.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -606,6 +606,7 @@
 		free_endpoint(endpoint);
 		return;
 	}
+	gyp_fleet_end_runs_of_earlier(f, endpoint);
 	if (endpoint->departed_at != 0) {
 		if (f->now >= endpoint->departed_at + DEPARTURE_GRACE_MS)
 			end_departed_runs(f, endpoint);
--- a/src/fleet_confirmed.c
+++ b/src/fleet_confirmed.c
@@ -57,3 +57,28 @@
 		return;
 	propose_confirmed(f, run, incarnation_start_ms);
 }
+
+/* True if the incarnation that has the run ended: there is a later one. */
+static bool
+is_of_earlier_incarnation(
+    const struct gyp_fleet_endpoint *endpoint, const struct gyp_fleet_run *run)
+{
+	uint64_t incarnation = gyp_fleet_run_incarnation(run);
+
+	return incarnation != 0 && incarnation < endpoint->incarnation_start_ms;
+}
+
+void
+gyp_fleet_end_runs_of_earlier(
+    struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
+{
+	guint i;
+
+	for (i = 0; i < endpoint->runs->len; i++) {
+		struct gyp_fleet_run *run = endpoint->runs->pdata[i];
+
+		if (is_of_earlier_incarnation(endpoint, run))
+			gyp_fleet_propose_end(
+			    f, run, GYP__FLOW_HOW__FLOW_LOST, NULL);
+	}
+}
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -264,6 +264,9 @@
  */
 void gyp_fleet_confirm_incarnation(struct gyp_fleet *, struct gyp_fleet_run *,
     uint64_t incarnation_start_ms, uint64_t sent_at);
+/* Ends the runs of incarnations before the present one. */
+void gyp_fleet_end_runs_of_earlier(
+    struct gyp_fleet *, struct gyp_fleet_endpoint *);
 
 /* fleet_diagnosis.c */
 /*
--- a/test/test_confirmed_runs.c
+++ b/test/test_confirmed_runs.c
@@ -17,8 +17,9 @@
  */
 #define GONE_END_MS 2500
 
-/* The same from the announcement of a shutdown. */
+/* The same from the announcement of a shutdown, and from a restart. */
 #define DEPARTED_END_MS 250
+#define RESTART_END_MS  50
 
 /* The same for a shutdown that names no incarnation: calls fail first. */
 #define DRAINED_END_MS 1500
@@ -475,6 +476,53 @@
 
 /* ---- Later incarnations ------------------------------------------------- */
 
+/*
+ * Guards against a lasting task that waits for a list of the next incarnation,
+ * a stop and a second list: the one that had its run has ended.
+ */
+static void
+test_later_incarnation(void)
+{
+	struct fixture f;
+
+	init(&f);
+	run_on_a(&f, 0, 1000);
+	f.a_lost = true;
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 2, 10);
+	assert_ends(&f, RESTART_END_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/* The same when the next leader knows of that incarnation from the tables. */
+static void
+test_later_incarnation_in_tables(void)
+{
+	struct fixture f;
+
+	init(&f);
+	run_on_a(&f, 0, 1000);
+	f.a_lost = true;
+	flow_fixture_add_host(&f.base, "a", 2);
+	flow_fixture_new_leader(&f.base, 2);
+	assert_ends(&f, RESTART_END_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/* All runs of a gang that was there are over. */
+static void
+test_later_incarnation_of_gang(void)
+{
+	struct fixture f;
+
+	init_with(&f, true, true);
+	run_on_a(&f, 1, 1000);
+	f.a_lost = true;
+	gyp_fleet_heartbeat(f.base.fleet, f.base.now, f.a, 2, 10);
+	assert_ends(&f, RESTART_END_MS);
+	g_assert_false(is_open(&f, 1));
+	flow_fixture_clear(&f.base);
+}
+
 /*
  * Guards against a task that runs twice: the later incarnation carried out the
  * start, and its answer did not tell so.
@@ -622,6 +670,12 @@
 	g_test_add_func("/confirmed-runs/list-before-late-start",
 	    test_list_before_late_start);
 	g_test_add_func("/confirmed-runs/not-lasting", test_not_lasting);
+	g_test_add_func("/confirmed-runs/later-incarnation-ends-it",
+	    test_later_incarnation);
+	g_test_add_func("/confirmed-runs/later-incarnation-in-tables",
+	    test_later_incarnation_in_tables);
+	g_test_add_func("/confirmed-runs/later-incarnation-of-gang",
+	    test_later_incarnation_of_gang);
 	g_test_add_func("/confirmed-runs/started-by-later-incarnation",
 	    test_started_by_later_incarnation);
 	g_test_add_func("/confirmed-runs/departure-of-earlier-incarnation",
