test_flows: chains of terms, and a check of each confirmed run

The randomised runs had elections in bursts of faults only, 5 to 60 s apart, no announced shutdowns with lasting steps, and no start that the next incarnation carries out and answers in time. A fourth group, /flows/chains-of-terms, has lasting steps and all of these: three terms in five last 0.3 to 2.5 s, an endpoint has a fault at the end of each, half of the leaders begin with restored tables, of which some flows lack what an older version would lose, and one start in a hundred is carried out by the incarnation that begins while it is on its way.

In all groups the simulation checks each CmdFlowConfirmed before it is applied: that incarnation carried out the latest start of the run, and no start of it is on its way, to whichever incarnation.

Two mutants show that it does: confirming a run by the answer to its start alone (seed 1: "run 8 of task 2 is confirmed for an incarnation that does not have it") and after a repeated start (seed 3: "run 1 of task 2 is confirmed, and a start of it is on its way"). test_flows_mutants is test_flows with these, and test/mutants.sh runs it.

An announcement names the endpoint that was seen last, so that it also fits one that was replaced; the other groups draw as before.

--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "fleet_int.h"
+#include "mutant.h"
 
 /*
  * Timeouts of calls, in ms; for a poll, its wait_ms is added. Some endpoints
@@ -226,6 +227,11 @@
 	if (a->end == GYP_FLEET_OK) {
 		run->start_answered = true;
 		gyp_fleet_confirm_run(f, run);
+		if (GYP_MUTANT(CONFIRM_UNLISTED))
+			gyp_fleet_confirm_incarnation(f, run,
+			    gyp_fleet_get_endpoint(f, run->row)
+				->incarnation_start_ms,
+			    f->now);
 		return;
 	}
 	if (a->end == GYP_FLEET_REFUSED) {
--- a/src/fleet_confirmed.c
+++ b/src/fleet_confirmed.c
@@ -1,5 +1,6 @@
 #include "fleet_int.h"
 #include "msg.h"
+#include "mutant.h"
 
 uint64_t
 gyp_fleet_run_incarnation(const struct gyp_fleet_run *run)
@@ -17,7 +18,8 @@
 {
 	if (run->start_pending)
 		return false;
-	if (run->starts_sent == 1 && run->start_answered)
+	if (run->start_answered &&
+	    (run->starts_sent == 1 || GYP_MUTANT(CONFIRM_REPEATED)))
 		return true;
 	return gyp_fleet_starts_are_past(f, run, f->now - at);
 }
--- a/src/mutant.h
+++ b/src/mutant.h
@@ -7,9 +7,9 @@
  *
  * DESCRIPTION
  *	A program built with GYP_MUTANTS contains these faults; gyp_mutant
- *	selects the one that is active. `make mutants` shows that test_cell
- *	catches each. In any other build GYP_MUTANT() is 0 and the compiler
- *	removes the code.
+ *	selects the one that is active. `make mutants` shows that test_cell, or
+ *	test_flows, catches each. In any other build GYP_MUTANT() is 0 and the
+ *	compiler removes the code.
  */
 
 enum gyp_mutant {
@@ -36,6 +36,10 @@
 	GYP_MUTANT_NO_STOP,
 	/* An order stays valid for the next incarnation of an endpoint. */
 	GYP_MUTANT_NO_INCARNATION,
+	/* A start that was answered confirms the run for an incarnation. */
+	GYP_MUTANT_CONFIRM_UNLISTED,
+	/* A run is confirmed although its start was sent again. */
+	GYP_MUTANT_CONFIRM_REPEATED,
 	GYP_MUTANT_COUNT
 };
 
--- a/test/flow_sim.c
+++ b/test/flow_sim.c
@@ -154,6 +154,18 @@
 	r->fails = g_rand_int_range(s->rand, 0, 12) == 0;
 }
 
+static void
+record_started(
+    struct flow_sim *s, const struct endpoint *e, const struct run *r)
+{
+	struct started *started = g_new(struct started, 1);
+
+	started->run = r->run;
+	started->incarnation_start_ms = e->incarnation_start_ms;
+	g_hash_table_insert(s->started, task_key(r->flow, r->task), started);
+	s->starts++;
+}
+
 static enum gyp_fleet_call_result
 handle_start(struct flow_sim *s, struct endpoint *e,
     const struct gyp_fleet_call *c, enum gyp_fleet_reason *reason)
@@ -186,7 +198,7 @@
 	    s, e, flow, task, gyp_flow_unit_of(flow, task)->size.cpu_milli);
 	set_end(s, e, flow, &r);
 	g_array_append_val(e->runs, r);
-	s->starts++;
+	record_started(s, e, &r);
 	return GYP_FLEET_OK;
 }
 
@@ -357,6 +369,8 @@
 		gyp_fleet_call_free(call);
 		return;
 	}
+	if (s->lasting != NULL && call->kind == GYP_FLEET_START)
+		delay += flow_sim_restart_at_start(s, e);
 	/* The call times out and is carried out much later. */
 	if (chance(s, s->lasting != NULL ? LASTING_LATE_PERCENT : 5))
 		delay = (uint64_t)g_rand_int_range(s->rand, LATE_MIN_MS, 12000);
@@ -582,6 +596,7 @@
 	s->done = g_hash_table_new(NULL, NULL);
 	s->failed = g_hash_table_new(NULL, NULL);
 	s->cancelled = g_hash_table_new(NULL, NULL);
+	s->started = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	for (i = 0; i < s->n_endpoints; i++) {
 		init_endpoint(s, i);
 	}
@@ -606,6 +621,7 @@
 	g_hash_table_destroy(s->done);
 	g_hash_table_destroy(s->failed);
 	g_hash_table_destroy(s->cancelled);
+	g_hash_table_destroy(s->started);
 	g_rand_free(s->rand);
 	g_free(s);
 }
--- a/test/flow_sim.h
+++ b/test/flow_sim.h
@@ -13,7 +13,8 @@
  *	the actual runs and abort when an invariant is violated: two runs of a
  *	task at a time, a run after one that was acknowledged as done, runs
  *	that exceed the capacity, a run before the tasks that it depends on,
- *	too many failed runs, a start sent long after a cancellation.
+ *	too many failed runs, a start sent long after a cancellation, a run
+ *	that is confirmed for an incarnation which need not be the only one.
  */
 
 #define FLOW_SIM_ENDPOINTS 6
@@ -52,6 +53,15 @@
 uint64_t flow_sim_clock(const struct flow_sim *, uint32_t i, uint64_t now);
 bool flow_sim_is_up(const struct flow_sim *, uint32_t i);
 
+/*
+ * Aborts the program if the confirmation of a run, which is about to be
+ * committed, is not true: another incarnation has the run, or may still get it.
+ */
+void flow_sim_check_confirmed(struct flow_sim *, const Gyp__CmdFlowConfirmed *);
+
+/* The number of runs that were confirmed. */
+uint64_t flow_sim_confirmed(const struct flow_sim *);
+
 /* Records that the cancellation of the flow was committed. */
 void flow_sim_flow_cancelled(struct flow_sim *, uint64_t now, uint64_t flow);
 
--- a/test/flow_sim_access.c
+++ b/test/flow_sim_access.c
@@ -50,6 +50,12 @@
 	return s->starts;
 }
 
+uint64_t
+flow_sim_confirmed(const struct flow_sim *s)
+{
+	return s->confirmed;
+}
+
 void
 flow_sim_print_unended(const struct gyp_flows *flows)
 {
--- a/test/flow_sim_check.c
+++ b/test/flow_sim_check.c
@@ -48,6 +48,50 @@
 		g_error("endpoint is over its capacity");
 }
 
+/* True if a start of the run is on its way to any incarnation. */
+static bool
+start_is_in_transit(
+    const struct flow_sim *s, const struct gyp_flow *flow, uint32_t task)
+{
+	const struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
+	guint i;
+
+	for (i = 0; i < s->messages->len; i++) {
+		const struct message *p = s->messages->pdata[i];
+		const struct gyp_fleet_call *c = p->call;
+
+		if (c != NULL && c->kind == GYP_FLEET_START &&
+		    c->flow == flow->id && c->repetition == u->repetition &&
+		    c->step == u->step_number && c->index == task - u->first &&
+		    c->run == flow->tasks[task].run)
+			return true;
+	}
+	return false;
+}
+
+void
+flow_sim_check_confirmed(
+    struct flow_sim *s, const Gyp__CmdFlowConfirmed *confirmed)
+{
+	const struct gyp_flow *flow = gyp_flow_get(s->flows, confirmed->flow);
+	const struct gyp_flow_task *t = &flow->tasks[confirmed->task];
+	const struct started *started = g_hash_table_lookup(
+	    s->started, task_key(confirmed->flow, confirmed->task));
+
+	if (t->state != GYP_FLOW_TASK_OPEN || t->run != confirmed->run)
+		return;
+	s->confirmed++;
+	if (started == NULL || started->run != t->run ||
+	    started->incarnation_start_ms != confirmed->born_ms)
+		g_error("run %u of task %u is confirmed for an incarnation "
+			"that does not have it",
+		    t->run, confirmed->task);
+	if (start_is_in_transit(s, flow, confirmed->task))
+		g_error("run %u of task %u is confirmed, and a start of it "
+			"is on its way",
+		    t->run, confirmed->task);
+}
+
 uint64_t
 flow_sim_cpu(const struct flow_sim *s, const struct gyp_workspace_use *use)
 {
--- a/test/flow_sim_int.h
+++ b/test/flow_sim_int.h
@@ -55,6 +55,12 @@
 	uint64_t replace_at;  /* ends for good and is replaced; 0: never */
 };
 
+/* The latest start of a task that an endpoint carried out. */
+struct started {
+	uint32_t run;
+	uint64_t incarnation_start_ms;
+};
+
 /* A call or an answer in transit. */
 struct message {
 	uint64_t at;
@@ -84,6 +90,8 @@
 	GHashTable *done;          /* set of task keys: acknowledged as done */
 	GHashTable *failed;        /* task key -> failures acknowledged */
 	GHashTable *cancelled;     /* flow id -> time */
+	GHashTable *started;       /* task key -> struct started, owned */
+	uint64_t confirmed;        /* runs that were confirmed */
 	uint64_t starts;
 	uint64_t sent_at; /* send time of the call being carried out */
 };
@@ -122,6 +130,12 @@
 void flow_sim_lasting_free(struct flow_sim *);
 /* Ends the bursts of faults. */
 void flow_sim_lasting_end_faults(struct flow_sim *);
+/*
+ * Restarts the endpoint while a start is on its way to it, now and then in runs
+ * with chains of terms, so that the next incarnation carries it out. Returns
+ * how long it is down, in ms, or 0.
+ */
+uint64_t flow_sim_restart_at_start(struct flow_sim *, struct endpoint *);
 /* Injects the faults that are due. */
 void flow_sim_lasting_faults(struct flow_sim *);
 /* Records a disturbance, which ends the calm time. */
--- a/test/flow_sim_lasting.c
+++ b/test/flow_sim_lasting.c
@@ -10,6 +10,13 @@
 /* Time for a new incarnation to be registered: a heartbeat, in ms. */
 #define REGISTER_MS 2000
 
+/*
+ * Share of the starts at which the endpoint restarts, and the longest time that
+ * it is down then, in ms: the start is carried out before it times out.
+ */
+#define RESTART_PERCENT     1
+#define RESTART_DOWN_MAX_MS 130
+
 /* How long an endpoint fails all runs, in ms. */
 #define FAILING_MS 6000
 
@@ -28,7 +35,8 @@
 	uint64_t burst_at; /* next burst of faults */
 	uint64_t burst_until;
 	uint64_t disturbed_at; /* latest disturbance */
-	GHashTable *tasks;     /* task key -> struct lasting_task */
+	bool restarts_at_start;
+	GHashTable *tasks; /* task key -> struct lasting_task */
 	uint64_t lost_runs;
 	uint64_t windows;
 };
@@ -143,6 +151,7 @@
 {
 	s->lasting->burst_at = G_MAXUINT64;
 	s->lasting->burst_until = 0;
+	s->lasting->restarts_at_start = false;
 	flow_sim_lasting_disturbed(s);
 }
 
@@ -161,6 +170,38 @@
 	}
 }
 
+void
+flow_sim_use_restarts_at_start(struct flow_sim *s)
+{
+	s->lasting->restarts_at_start = true;
+}
+
+uint64_t
+flow_sim_restart_at_start(struct flow_sim *s, struct endpoint *e)
+{
+	uint64_t down_ms;
+
+	if (!s->lasting->restarts_at_start || e->replace_at != 0 ||
+	    !draw_percent(s, RESTART_PERCENT))
+		return 0;
+	down_ms = draw_ms(s, 60, RESTART_DOWN_MAX_MS);
+	flow_sim_lasting_disturbed(s);
+	flow_sim_restart(s, e, down_ms);
+	return down_ms;
+}
+
+void
+flow_sim_disturb_endpoint(struct flow_sim *s)
+{
+	struct endpoint *e = &s->endpoints[g_rand_int_range(
+	    s->lasting->rand, 0, (gint32)s->n_endpoints)];
+
+	flow_sim_lasting_disturbed(s);
+	if (is_up(s, e) && s->now >= e->disconnected_until &&
+	    e->replace_at == 0)
+		inject(s, e);
+}
+
 void
 flow_sim_lasting_faults(struct flow_sim *s)
 {
@@ -175,12 +216,7 @@
 	begin_or_end_burst(s);
 	if (s->faults && s->now >= s->fault_at) {
 		s->fault_at = s->now + draw_ms(s, 100, 1500);
-		e = &s->endpoints[g_rand_int_range(
-		    s->lasting->rand, 0, (gint32)s->n_endpoints)];
-		flow_sim_lasting_disturbed(s);
-		if (is_up(s, e) && s->now >= e->disconnected_until &&
-		    e->replace_at == 0)
-			inject(s, e);
+		flow_sim_disturb_endpoint(s);
 	}
 	note_disturbances(s);
 }
--- a/test/flow_sim_lasting.h
+++ b/test/flow_sim_lasting.h
@@ -30,6 +30,15 @@
 /* Records a disturbance of the caller's, as a change of leader. */
 void flow_sim_disturbed(struct flow_sim *);
 
+/*
+ * From now on endpoints restart at times while a start is on its way, until the
+ * faults are turned off.
+ */
+void flow_sim_use_restarts_at_start(struct flow_sim *);
+
+/* A fault of one endpoint, as in a burst, unless it has one already. */
+void flow_sim_disturb_endpoint(struct flow_sim *);
+
 /* True in a burst of faults. */
 bool flow_sim_in_burst(const struct flow_sim *);
 
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Checks that test_cell detects each deliberate fault of src/mutant.h.
+# Checks that test_cell, or test_flows, detects each deliberate fault of
+# src/mutant.h.
 # mutants.sh BIN: tries the recorded seed first, then seeds 1 to 50, as a change
 # of the code may require another seed.
 # mutants.sh BIN --search LAST: finds the first seed of 1 to LAST that detects
@@ -20,14 +21,26 @@
 9 1 a second attempt of a job that is not idempotent
 10 7 cancelled runs continue
 11 10 an order is valid for the next incarnation of an endpoint
+12 1 a start that was answered confirms the run for an incarnation
+13 3 a run is confirmed although its start was sent again
 "
 
+# Runs a test with lasting steps for the faults from number 12 on.
+run_test() {
+	if [ "$1" -ge 12 ]; then
+		GYP_MUTANT=$1 GYP_SEED=$2 "$bin/test_flows_mutants" \
+			-p /flows/chains-of-terms
+	else
+		GYP_MUTANT=$1 GYP_SEED=$2 "$bin/test_cell_mutants"
+	fi
+}
+
 # detected MUTANT SEED: succeeds if the run fails; prints the failed check.
 detected() {
 	local out
-	out=$(GYP_MUTANT=$1 GYP_SEED=$2 "$bin/test_cell_mutants" 2>&1) &&
-		return 1
-	echo "$out" | grep -E 'invariant:|assertion failed' | head -n 1
+	out=$(run_test "$1" "$2" 2>&1) && return 1
+	echo "$out" | grep -E 'invariant:|assertion failed|^\*\* .*ERROR' |
+		head -n 1
 }
 
 first_seed() {
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -5,13 +5,21 @@
 #include "flow_lasting.h"
 #include "flow_sim.h"
 #include "msg.h"
+#include "mutant.h"
+
+#ifdef GYP_MUTANTS
+int gyp_mutant;
+#endif
 
 /*
  * Randomised runs of the flow scheduler against simulated endpoints. Commands
  * commit after a delay; a change of leader loses a suffix of them.
  * Half of the runs have workspaces whose caps and keys change, and whose tables
  * come from a snapshot after each change of leader. A third group has lasting
- * steps, see flow_lasting.h. In the others, announcements of shutdowns arrive
+ * steps, see flow_lasting.h, and a fourth one changes of leader besides that
+ * follow each other closely, each with a fault of an endpoint; some of its
+ * leaders have tables that an older version saved. In the others and in the
+ * fourth, announcements of shutdowns arrive
  * after the endpoint has restarted. Fences tell incarnations apart in that
  * group and in the even seeds of the others. In two of three seeds the leader
  * can request the provider's list of endpoints. GYP_SEED=n repeats one run,
@@ -25,6 +33,11 @@
 
 /* The runs with lasting steps are longer than the others. */
 #define LASTING_SEEDS 40
+#define CHAIN_SEEDS   30
+
+/* Share of the terms that are short, and of snapshots of an older version. */
+#define SHORT_TERM_PERCENT    60
+#define OLDER_VERSION_PERCENT 10
 
 #define STEP_MS      5
 #define COMMIT_MS    15
@@ -46,6 +59,8 @@
 
 /* The announcement of an incarnation's shutdown, which is on its way. */
 struct departure {
+	char id[16];       /* of the latest endpoint that was seen */
+	char leaves[16];   /* id that it names */
 	uint64_t born_ms;  /* of the latest incarnation that was seen */
 	uint64_t at;       /* when that of the one before arrives; 0: never */
 	uint64_t named_ms; /* the incarnation that it names, or 0 */
@@ -71,7 +86,8 @@
 	/* First heartbeat of an endpoint that became reachable; 0: not up. */
 	uint64_t first_beat_at[FLOW_SIM_LASTING_ENDPOINTS];
 	GRand *departure_rand; /* NULL in a run without departures */
-	struct departure departures[FLOW_SIM_ENDPOINTS];
+	struct departure departures[FLOW_SIM_LASTING_ENDPOINTS];
+	GRand *chain_rand;     /* NULL in a run without chains of terms */
 	GRand *workspace_rand; /* NULL in a run without workspaces */
 	uint64_t manifest_at;  /* next change of caps and keys */
 	uint64_t manifest_version;
@@ -127,6 +143,8 @@
 static void
 apply(struct fixture *f, const Gyp__Cmd *cmd)
 {
+	if (cmd->c_case == GYP__CMD__C_FLOW_CONFIRMED)
+		flow_sim_check_confirmed(f->sim, cmd->flow_confirmed);
 	apply_and_check_caps(f, cmd);
 	if (cmd->c_case == GYP__CMD__C_FLOW_CANCEL)
 		flow_sim_flow_cancelled(f->sim, f->now, cmd->flow_cancel->flow);
@@ -195,6 +213,33 @@
 	gyp_flows_check(f->flows);
 }
 
+static bool
+draw_percent(GRand *rand, gint32 percent)
+{
+	return g_rand_int_range(rand, 0, 100) < percent;
+}
+
+/* Some leaders restored a snapshot, which may be of an older version. */
+static void
+restore_in_chain(struct fixture *f)
+{
+	Gyp__SnapFlows *snap;
+	size_t i, j;
+
+	if (!draw_percent(f->chain_rand, 50))
+		return;
+	snap = gyp_flows_save(f->flows);
+	for (i = 0; i < snap->n_flows &&
+		    draw_percent(f->chain_rand, OLDER_VERSION_PERCENT);
+	     i++) {
+		for (j = 0; j < snap->flows[i]->n_tasks; j++)
+			snap->flows[i]->tasks[j]->confirmed_born_ms = 0;
+	}
+	g_assert_true(gyp_flows_restore(f->flows, snap));
+	gyp_message_free(snap);
+	gyp_flows_check(f->flows);
+}
+
 static void
 become_leader(struct fixture *f)
 {
@@ -206,6 +251,8 @@
 
 	if (f->workspace_rand != NULL)
 		restore_from_snapshot(f);
+	if (f->chain_rand != NULL)
+		restore_in_chain(f);
 	f->scheduler =
 	    gyp_flow_scheduler_new(&cfg, f->flows, f->now, ++f->fence);
 }
@@ -360,17 +407,20 @@
 
 /* Endpoints that restart announced their shutdown before, half of them. */
 static void
-plan_departure(struct fixture *f, struct departure *d, uint64_t born_ms)
+plan_departure(
+    struct fixture *f, struct departure *d, const char *id, uint64_t born_ms)
 {
 	if (born_ms == d->born_ms)
 		return;
 	if (d->born_ms != 0 && g_rand_boolean(f->departure_rand)) {
+		g_strlcpy(d->leaves, d->id, sizeof(d->leaves));
 		d->at = f->now + (uint64_t)g_rand_int_range(
 				     f->departure_rand, 0, DEPARTURE_LATE_MS);
 		d->named_ms =
 		    g_rand_boolean(f->departure_rand) ? d->born_ms : 0;
 	}
 	d->born_ms = born_ms;
+	g_strlcpy(d->id, id, sizeof(d->id));
 }
 
 /* Delivers late announcements of the shutdowns of earlier incarnations. */
@@ -385,11 +435,11 @@
 		Gyp__CmdHost host;
 
 		flow_sim_describe(f->sim, i, &host);
-		plan_departure(f, d, host.born_ms);
+		plan_departure(f, d, host.id, host.born_ms);
 		if (d->at == 0 || f->now < d->at)
 			continue;
 		d->at = 0;
-		h = gyp_host_by_id(f->flows, host.id);
+		h = gyp_host_by_id(f->flows, d->leaves);
 		if (h != NULL)
 			gyp_fleet_departed(
 			    gyp_flow_scheduler_fleet(f->scheduler), f->now,
@@ -472,11 +522,32 @@
 		flow_sim_request_list(f->sim, f->now, request);
 }
 
+/* Most terms are short, and an endpoint has a fault at the end of each. */
+static bool
+ends_term_of_chain(struct fixture *f)
+{
+	bool brief = draw_percent(f->chain_rand, SHORT_TERM_PERCENT);
+
+	if (f->now < f->change_at)
+		return false;
+	f->change_at = f->now;
+	if (brief)
+		f->change_at +=
+		    (uint64_t)g_rand_int_range(f->chain_rand, 300, 2500);
+	else
+		f->change_at +=
+		    (uint64_t)g_rand_int_range(f->chain_rand, 6000, 30000);
+	flow_sim_disturb_endpoint(f->sim);
+	return true;
+}
+
 static bool
 leader_changes(struct fixture *f)
 {
 	if (!f->faults || f->scheduler == NULL)
 		return false;
+	if (f->chain_rand != NULL)
+		return ends_term_of_chain(f);
 	if (f->lasting != NULL)
 		return flow_lasting_changes_leader(f->lasting, f->now);
 	if (f->now < f->change_at)
@@ -506,10 +577,16 @@
 	flow_sim_check_lasting(f->sim, f->now, f->scheduler);
 }
 
-enum group { PLAIN_RUNS, WORKSPACE_RUNS, LASTING_RUNS };
+enum group { PLAIN_RUNS, WORKSPACE_RUNS, LASTING_RUNS, CHAIN_RUNS };
+
+static bool
+has_lasting(enum group group)
+{
+	return group == LASTING_RUNS || group == CHAIN_RUNS;
+}
 
 /* Runs of lasting tasks that were lost, and windows judged, over all seeds. */
-static uint64_t lost_runs, judged_windows;
+static uint64_t lost_runs, judged_windows, confirmed_runs;
 
 static void
 end_lasting(struct fixture *f, uint32_t seed)
@@ -522,8 +599,9 @@
 	judged = flow_sim_judged_windows(f->sim);
 	g_test_message("seed %u: %" G_GUINT64_FORMAT
 		       " lasting runs lost, %" G_GUINT64_FORMAT
-		       " windows judged",
-	    seed, lost, judged);
+		       " windows judged, %" G_GUINT64_FORMAT " confirmed",
+	    seed, lost, judged, flow_sim_confirmed(f->sim));
+	confirmed_runs += flow_sim_confirmed(f->sim);
 	lost_runs += lost;
 	judged_windows += judged;
 	flow_lasting_free(f->lasting);
@@ -536,27 +614,31 @@
 	uint64_t end;
 
 	f.rand = g_rand_new_with_seed(seed);
-	f.fence_incarnations = group == LASTING_RUNS || seed % 2 == 0;
+	f.fence_incarnations = has_lasting(group) || seed % 2 == 0;
 	if (group == WORKSPACE_RUNS)
 		f.workspace_rand = g_rand_new_with_seed(seed + 2);
 	if (group != LASTING_RUNS)
 		f.departure_rand = g_rand_new_with_seed(seed + 3);
+	if (group == CHAIN_RUNS)
+		f.chain_rand = g_rand_new_with_seed(seed + 6);
 	f.inventory = seed % 3 != 0;
 	f.flows = gyp_flows_new();
 	f.sim = flow_sim_new(seed + 1, f.flows);
-	if (group == LASTING_RUNS) {
+	if (has_lasting(group)) {
 		flow_sim_use_lasting(f.sim, seed + 3);
 		f.lasting = flow_lasting_new(seed + 4, f.sim);
 	}
+	if (group == CHAIN_RUNS)
+		flow_sim_use_restarts_at_start(f.sim);
 	f.change_at = f.now + 5000;
 	become_leader(&f);
 	flow_sim_set_faults(f.sim, true);
-	end = f.now + (group == LASTING_RUNS ? LASTING_MS : FAULTS_MS);
+	end = f.now + (has_lasting(group) ? LASTING_MS : FAULTS_MS);
 	while (f.now < end)
 		step(&f);
 	f.faults = false;
 	flow_sim_set_faults(f.sim, false);
-	end = f.now + RECOVERY_MS * (group == LASTING_RUNS ? 2 : 1);
+	end = f.now + RECOVERY_MS * (has_lasting(group) ? 2 : 1);
 	while (f.now < end && gyp_flows_active(f.flows)->length > 0)
 		step(&f);
 	if (gyp_flows_active(f.flows)->length > 0) {
@@ -586,6 +668,8 @@
 		g_rand_free(f.workspace_rand);
 	if (group != LASTING_RUNS)
 		g_rand_free(f.departure_rand);
+	if (group == CHAIN_RUNS)
+		g_rand_free(f.chain_rand);
 }
 
 /* Seeds that once failed, by the fault that they found. */
@@ -617,7 +701,11 @@
 {
 	const char *single_seed = g_getenv("GYP_SEED");
 	const char *seconds = g_getenv("GYP_SECONDS");
-	uint32_t seeds = group == LASTING_RUNS ? LASTING_SEEDS : SEEDS;
+	static const uint32_t group_seeds[] = {[PLAIN_RUNS] = SEEDS,
+	    [WORKSPACE_RUNS] = SEEDS,
+	    [LASTING_RUNS] = LASTING_SEEDS,
+	    [CHAIN_RUNS] = CHAIN_SEEDS};
+	uint32_t seeds = group_seeds[group];
 	uint32_t seed;
 	size_t i;
 
@@ -639,7 +727,8 @@
 	}
 	for (seed = 1; seed <= seeds; seed++)
 		run_seed(seed, group);
-	for (i = 0; i < G_N_ELEMENTS(regression_seeds); i++)
+	for (i = 0; group != CHAIN_RUNS && i < G_N_ELEMENTS(regression_seeds);
+	     i++)
 		run_seed(regression_seeds[i], group);
 }
 
@@ -671,12 +760,30 @@
 		g_assert_cmpuint(judged_windows, >, 0);
 }
 
+/*
+ * Guards against a task that runs twice after elections that follow each other
+ * closely: each leader ends the runs that the tables confirm for an incarnation
+ * which has ended.
+ */
+static void
+test_chains_of_terms(void)
+{
+	run_seeds(CHAIN_RUNS);
+	if (g_getenv("GYP_SEED") == NULL)
+		g_assert_cmpuint(confirmed_runs, >, 0);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+#ifdef GYP_MUTANTS
+	if (g_getenv("GYP_MUTANT") != NULL)
+		gyp_mutant = atoi(g_getenv("GYP_MUTANT"));
+#endif
 	g_test_add_func("/flows/random", test_random);
 	g_test_add_func("/flows/workspaces", test_workspaces);
 	g_test_add_func("/flows/lasting", test_lasting);
+	g_test_add_func("/flows/chains-of-terms", test_chains_of_terms);
 	return g_test_run();
 }
