httpc: a start is sent once, also over a kept connection

What it could do: run a task twice. A run is confirmed in the tables, or ended with a delisted endpoint, when its only start was carried out. libcurl sends a request again by itself when a kept connection ends without an answer: then two starts are under way for the one that the leader counts, and the first may be carried out up to 15 s later, by a later incarnation.

Change: requests can be marked once. The callback before a request is sent refuses the second time, and the exchange ends as lost.

Test: /http/sent-once-over-kept-connection, seen failing before: the second request of a pair was answered over a new connection, "assertion failed (result.end == GYP_HTTPC_LOST): (0 == 2)".

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -45,6 +45,8 @@
 	bool body_dropped;
 	bool framed; /* the response's length is declared */
 	uint64_t send_by;
+	bool once;
+	bool sent; /* the request was sent, or a part of it may have been */
 	char state[32];
 	bool reuse;
 	gyp_httpc_fn done;
@@ -80,9 +82,10 @@
 	if (code == CURLE_OK)
 		return x->framed ? GYP_HTTPC_ANSWERED : GYP_HTTPC_LOST;
 	curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &sent);
-	if (sent == 0 && (code == CURLE_COULDNT_CONNECT ||
-			     code == CURLE_OPERATION_TIMEDOUT ||
-			     code == CURLE_ABORTED_BY_CALLBACK))
+	if (sent == 0 && !(x->once && x->sent) &&
+	    (code == CURLE_COULDNT_CONNECT ||
+		code == CURLE_OPERATION_TIMEDOUT ||
+		code == CURLE_ABORTED_BY_CALLBACK))
 		return GYP_HTTPC_NOT_SENT;
 	return GYP_HTTPC_LOST;
 }
@@ -252,12 +255,13 @@
 
 /*
  * Called when the connection is open, before any byte is sent. Aborts a request
- * whose send_by has passed.
+ * whose send_by has passed, and one that must not be sent again: libcurl does
+ * that when a kept connection ends without an answer.
  */
 static int
 on_prereq(void *user, char *ip, char *local_ip, int port, int local_port)
 {
-	const struct exchange *x = user;
+	struct exchange *x = user;
 
 	(void)ip;
 	(void)local_ip;
@@ -265,6 +269,9 @@
 	(void)local_port;
 	if (x->send_by != 0 && gyp_clock_ms() >= x->send_by)
 		return CURL_PREREQFUNC_ABORT;
+	if (x->once && x->sent)
+		return CURL_PREREQFUNC_ABORT;
+	x->sent = true;
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -337,6 +344,7 @@
 	x->reuse = req->reuse;
 	x->response_max = req->response_max;
 	x->send_by = req->send_by;
+	x->once = req->once;
 	x->done = req->done;
 	x->arg = req->arg;
 	x->free_arg = req->free_arg;
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -54,6 +54,11 @@
 	uint32_t timeout_ms; /* of the whole exchange, 0 for none */
 	uint64_t send_by; /* local clock; not sent from then on, 0 for none */
 	bool reuse;       /* may be sent twice: use kept connections */
+	/*
+	 * With reuse: it must not be sent twice. It ends as lost when the peer
+	 * closes a kept connection without an answer.
+	 */
+	bool once;
 	gyp_httpc_fn done;
 	void *arg;
 	/* Frees arg after done, or when the client is freed; may be NULL. */
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -110,26 +110,34 @@
 }
 
 static void
-post(struct fixture *f, struct gyp_httpc *client, const struct server *s,
-    uint64_t send_by, struct result *result)
+post_request(struct fixture *f, struct gyp_httpc *client,
+    const struct server *s, struct gyp_httpc_request req, struct result *result)
 {
 	char *url = g_strdup_printf("http://127.0.0.1:%u/start", s->port);
-	struct gyp_httpc_request req = {.method = "POST",
-	    .url = url,
-	    .body = "work",
-	    .len = 4,
-	    .response_max = 64,
-	    .timeout_ms = 20000,
-	    .send_by = send_by,
-	    .done = on_result,
-	    .arg = result};
 
+	req.method = "POST";
+	req.url = url;
+	req.body = "work";
+	req.len = 4;
+	req.response_max = 64;
+	req.timeout_ms = 20000;
+	req.done = on_result;
+	req.arg = result;
 	result->loop = f->loop;
 	gyp_httpc_send(client, &req);
 	ev_run(f->loop, 0);
 	g_free(url);
 }
 
+static void
+post(struct fixture *f, struct gyp_httpc *client, const struct server *s,
+    uint64_t send_by, struct result *result)
+{
+	struct gyp_httpc_request req = {.send_by = send_by};
+
+	post_request(f, client, s, req, result);
+}
+
 #define COMPLETE "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
 #define CHUNKED                                                                \
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"                \
@@ -166,6 +174,39 @@
 	tear_down(&f);
 }
 
+/*
+ * Guards against a start that the client sends again by itself: the server
+ * closed the kept connection after it had read the start. The leader counts one
+ * start, and the other may be carried out much later.
+ */
+static void
+test_sent_once_over_kept_connection(void)
+{
+	struct fixture f;
+	struct server s = {
+	    .answer = COMPLETE, .len = strlen(COMPLETE), .answered = 1};
+	struct gyp_httpc_request req = {.reuse = true, .once = true};
+	struct result result = {.body = NULL};
+	struct gyp_httpc *client;
+	int i;
+
+	set_up(&f);
+	start_server(&s);
+	client = gyp_httpc_new(f.loop, f.timers);
+	for (i = 1; i <= 9; i += 2) {
+		post_request(&f, client, &s, req, &result);
+		g_assert_cmpint(result.end, ==, GYP_HTTPC_ANSWERED);
+		g_assert_cmpint(g_atomic_int_get(&s.requests), ==, i);
+		post_request(&f, client, &s, req, &result);
+		g_assert_cmpint(result.end, ==, GYP_HTTPC_LOST);
+		g_assert_cmpint(g_atomic_int_get(&s.requests), ==, i + 1);
+	}
+	g_free(result.body);
+	gyp_httpc_free(client);
+	stop_server(&s);
+	tear_down(&f);
+}
+
 /* A request is not sent when send_by passes before the connection is open. */
 static void
 test_not_sent_late(void)
@@ -672,6 +713,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http/sent-once", test_sent_once);
+	g_test_add_func("/http/sent-once-over-kept-connection",
+	    test_sent_once_over_kept_connection);
 	g_test_add_func("/http/not-sent-late", test_not_sent_late);
 	g_test_add_func("/http/truncated-responses", test_truncated_responses);
 	g_test_add_func("/http/malformed-responses", test_malformed_responses);
