fleet, replica: an announced shutdown is committed before it is confirmed

What callers saw: a lasting task waits for its next run although its endpoint announced that it leaves, when the leader that was told is lost right after: each next leader waits for two lists of the provider, or for a lease, from the begin of its own term.

Cause: gyp_replica_handle_host() confirmed the announcement from memory. The endpoint does not announce it again, so the knowledge ended with the term.

Change: an announcement that names the incarnation is proposed as CmdHostEnded and answered once that is committed. It names the incarnation, so it is final, and harmless when late, repeated or out of order; without an incarnation nothing is committed and today's path stays. The tables keep the incarnation and the cell time of the record (CmdHost.ended_ms, new: how old a run was at the shutdown decides whether one of its starts may still be carried out, and the age in a later term would say too much). A new leader treats the endpoint as its predecessor did: no new run, no polls, the ends of runs by end_departed_runs(). The tables decide nothing by it, so replicas of versions that ignore the command stay the same.

The other new tests guard against an end that is taken for that of another incarnation and passed before, too.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -337,6 +337,26 @@
 		endpoint->leaving_at = f->now;
 }
 
+/* Handles the shutdown that the endpoint announced to an earlier leader. */
+static void
+note_recorded_end(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
+	uint64_t cell_time = gyp_fleet_cell_time(f);
+
+	if (endpoint->departed_at != 0 || endpoint->restarts > 0 ||
+	    !gyp_host_has_ended(h))
+		return;
+	endpoint->departed_at = f->now;
+	if (cell_time > h->spec->ended_ms)
+		endpoint->departed_before_ms = cell_time - h->spec->ended_ms;
+	gyp_events_add(f->cfg.events, "endpoint-left-before",
+	    "endpoint=%s born_ms=%" G_GUINT64_FORMAT
+	    " ended_ms_ago=%" G_GUINT64_FORMAT " runs=%u",
+	    h->spec->id, h->spec->ended_born_ms, endpoint->departed_before_ms,
+	    endpoint->runs->len);
+}
+
 /* ---- Due work ----------------------------------------------------------- */
 
 static void
@@ -399,7 +419,8 @@
     const struct gyp_fleet_endpoint *endpoint, const struct gyp_fleet_run *run)
 {
 	/* The announcement may have been late. */
-	uint64_t ago_ms = f->now - endpoint->departed_at + LATE_CALL_MAX_MS;
+	uint64_t ago_ms = f->now - endpoint->departed_at +
+			  endpoint->departed_before_ms + LATE_CALL_MAX_MS;
 
 	if (run->phase == GYP_RUN_UNSENT)
 		return false;
@@ -598,6 +619,7 @@
 		free_endpoint(endpoint);
 		return;
 	}
+	note_recorded_end(f, endpoint);
 	if (endpoint->departed_at != 0) {
 		if (f->now >= endpoint->departed_at + DEPARTURE_GRACE_MS)
 			end_departed_runs(f, endpoint);
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -101,6 +101,7 @@
 	    endpoint->incarnation_start_ms, endpoint->runs->len);
 	endpoint->incarnation_start_ms = incarnation_start_ms;
 	endpoint->departed_at = 0;
+	endpoint->departed_before_ms = 0;
 	endpoint->leaving_at = 0;
 	endpoint->replaced = false;
 	endpoint->restarted_at = f->now;
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -92,11 +92,13 @@
 	uint64_t listed_at;        /* last list of this incarnation; 0: none */
 	uint64_t departed_at;      /* its shutdown, or another endpoint at its
 				      address, was noticed; 0: neither */
-	uint64_t leaving_at;       /* a shutdown of an unknown incarnation was
-				      announced; 0: none */
-	uint64_t restarted_at;     /* latest restart was noticed; 0: never */
-	uint64_t restart_call;     /* id of the first call after the restart */
-	uint32_t restarts;         /* that this leader noticed */
+	uint64_t departed_before_ms; /* the shutdown was announced to an earlier
+					leader, so long before departed_at */
+	uint64_t leaving_at;         /* a shutdown of an unknown incarnation was
+					announced; 0: none */
+	uint64_t restarted_at;       /* latest restart was noticed; 0: never */
+	uint64_t restart_call; /* id of the first call after the restart */
+	uint32_t restarts;     /* that this leader noticed */
 	uint64_t removal_proposed_at; /* the latest; 0: never */
 	uint32_t unlisted;     /* lists in a row that lack it while silent */
 	uint32_t failures;     /* consecutive calls without an answer */
@@ -263,6 +265,8 @@
 bool gyp_fleet_endpoint_is_delisted(const struct gyp_fleet_endpoint *);
 /* The endpoint was heard from: it exists. */
 void gyp_fleet_endpoint_heard(struct gyp_fleet_endpoint *);
+/* Cell time, which stands still between two leaders. */
+uint64_t gyp_fleet_cell_time(const struct gyp_fleet *);
 /* Time since the run was proposed, in ms. */
 uint64_t gyp_fleet_run_age_ms(
     const struct gyp_fleet *, const struct gyp_fleet_run *);
--- a/src/fleet_inventory.c
+++ b/src/fleet_inventory.c
@@ -300,10 +300,16 @@
 
 /* ---- Ends of runs -------------------------------------------------------- */
 
+uint64_t
+gyp_fleet_cell_time(const struct gyp_fleet *f)
+{
+	return f->cfg.cell_time_ms + (f->now - f->leader_since);
+}
+
 uint64_t
 gyp_fleet_run_age_ms(const struct gyp_fleet *f, const struct gyp_fleet_run *run)
 {
-	uint64_t cell_time = f->cfg.cell_time_ms + (f->now - f->leader_since);
+	uint64_t cell_time = gyp_fleet_cell_time(f);
 	uint64_t started = run->flow->tasks[run->key.index].changed_ms;
 
 	return cell_time > started ? cell_time - started : 0;
--- a/src/flow.c
+++ b/src/flow.c
@@ -265,6 +265,14 @@
 	return MIN(end - f->time_ms, period_ms);
 }
 
+bool
+gyp_host_has_ended(const struct gyp_host *h)
+{
+	return h->spec->ended_born_ms != 0 &&
+	       h->spec->ended_born_ms >=
+		   MAX(h->spec->born_ms, h->spec->seen_born_ms);
+}
+
 /* ---- Time and manifest -------------------------------------------------- */
 
 uint64_t
--- a/src/flow.h
+++ b/src/flow.h
@@ -225,6 +225,13 @@
 uint64_t gyp_host_restart_left_ms(
     const struct gyp_flows *, const struct gyp_host *, uint32_t period_ms);
 
+/*
+ * True if the latest incarnation of the endpoint that the tables know announced
+ * its shutdown. The tables still take runs there, as those of replicas that do
+ * not know of it do; no leader starts one.
+ */
+bool gyp_host_has_ended(const struct gyp_host *);
+
 /* Cell time of the latest command, 0 for none. */
 uint64_t gyp_flows_time(const struct gyp_flows *);
 
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -491,6 +491,8 @@
 	    cmd->born_ms > h->spec->born_ms ? now : h->spec->reborn_ms;
 	spec->seen_born_ms = h->spec->seen_born_ms;
 	spec->fenced_born_ms = h->spec->fenced_born_ms;
+	spec->ended_born_ms = h->spec->ended_born_ms;
+	spec->ended_ms = h->spec->ended_ms;
 	g_hash_table_steal(f->host_ids, h->spec->id);
 	gyp_message_free(h->spec);
 	h->spec = spec;
@@ -520,6 +522,19 @@
 	h->spec->seen_born_ms = MAX(h->spec->seen_born_ms, cmd->born_ms);
 }
 
+/* Names the incarnation, so it may be late, repeated or out of order. */
+static void
+apply_host_ended(
+    struct gyp_flows *f, uint64_t now, const Gyp__CmdHostEnded *cmd)
+{
+	struct gyp_host *h = gyp_host_by_id(f, cmd->id);
+
+	if (h == NULL || cmd->born_ms <= h->spec->ended_born_ms)
+		return;
+	h->spec->ended_born_ms = cmd->born_ms;
+	h->spec->ended_ms = now;
+}
+
 /* Keeps the manifest for requests that were received before the change. */
 static void
 keep_replaced(struct gyp_flows *f, uint64_t now)
@@ -567,6 +582,9 @@
 	case GYP__CMD__C_HOST_REBORN:
 		apply_host_reborn(f, now, cmd->host_reborn);
 		return true;
+	case GYP__CMD__C_HOST_ENDED:
+		apply_host_ended(f, now, cmd->host_ended);
+		return true;
 	case GYP__CMD__C_MANIFEST:
 		apply_manifest(f, now, cmd->manifest);
 		return true;
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -5674,7 +5674,7 @@
   (ProtobufCMessageInit) gyp__cmd_flow_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_host__field_descriptors[16] =
+static const ProtobufCFieldDescriptor gyp__cmd_host__field_descriptors[17] =
 {
   {
     "id",
@@ -5868,6 +5868,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdHost, ended_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd_host__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -5878,6 +5890,7 @@
   4,   /* field[4] = data_centre */
   8,   /* field[8] = draining */
   13,   /* field[13] = ended_born_ms */
+  16,   /* field[16] = ended_ms */
   12,   /* field[12] = fenced_born_ms */
   9,   /* field[9] = gone */
   0,   /* field[0] = id */
@@ -5890,7 +5903,7 @@
 static const ProtobufCIntRange gyp__cmd_host__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor gyp__cmd_host__descriptor =
 {
@@ -5900,7 +5913,7 @@
   "Gyp__CmdHost",
   "gyp",
   sizeof(Gyp__CmdHost),
-  16,
+  17,
   gyp__cmd_host__field_descriptors,
   gyp__cmd_host__field_indices_by_name,
   1,  gyp__cmd_host__number_ranges,
--- a/test/flow_fixture.c
+++ b/test/flow_fixture.c
@@ -118,6 +118,20 @@
 	gyp_message_free(host);
 }
 
+void
+flow_fixture_commit_end(
+    struct flow_fixture *f, const char *id, uint64_t incarnation_start_ms)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdHostEnded ended = GYP__CMD_HOST_ENDED__INIT;
+
+	ended.id = (char *)id;
+	ended.born_ms = incarnation_start_ms;
+	cmd.c_case = GYP__CMD__C_HOST_ENDED;
+	cmd.host_ended = &ended;
+	gyp_flows_apply(f->flows, f->now, &cmd);
+}
+
 Gyp__FlowStep
 flow_fixture_step(uint32_t count)
 {
--- a/test/flow_fixture.h
+++ b/test/flow_fixture.h
@@ -50,6 +50,10 @@
 /* The endpoint's incarnation reports that it drains. */
 void flow_fixture_drain(struct flow_fixture *, uint32_t row);
 
+/* Commits that the incarnation of the endpoint of that id has ended. */
+void flow_fixture_commit_end(
+    struct flow_fixture *, const char *id, uint64_t incarnation_start_ms);
+
 /* A step with count tasks of one CPU and 1 GiB each. */
 Gyp__FlowStep flow_fixture_step(uint32_t count);
 
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -373,6 +373,20 @@
 	d->born_ms = born_ms;
 }
 
+/* The end is committed, unless its leader is lost before. */
+static void
+propose_end_of_host(struct fixture *f, const char *id, uint64_t born_ms)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdHostEnded ended = GYP__CMD_HOST_ENDED__INIT;
+
+	ended.id = (char *)id;
+	ended.born_ms = born_ms;
+	cmd.c_case = GYP__CMD__C_HOST_ENDED;
+	cmd.host_ended = &ended;
+	propose(f, gyp_message_copy(&cmd.base));
+}
+
 /* Delivers late announcements of the shutdowns of earlier incarnations. */
 static void
 deliver_departures(struct fixture *f)
@@ -390,10 +404,12 @@
 			continue;
 		d->at = 0;
 		h = gyp_host_by_id(f->flows, host.id);
-		if (h != NULL)
-			gyp_fleet_departed(
-			    gyp_flow_scheduler_fleet(f->scheduler), f->now,
-			    h->row, d->named_ms);
+		if (h == NULL)
+			continue;
+		gyp_fleet_departed(gyp_flow_scheduler_fleet(f->scheduler),
+		    f->now, h->row, d->named_ms);
+		if (d->named_ms != 0)
+			propose_end_of_host(f, host.id, d->named_ms);
 	}
 }
 
--- a/test/test_heartbeats.c
+++ b/test/test_heartbeats.c
@@ -72,6 +72,33 @@
 	gyp_message_free(reply);
 }
 
+/* The endpoint announces the shutdown of its incarnation to the leader. */
+static void
+depart(struct cell *c, struct endpoint *e, uint64_t incarnation_start_ms)
+{
+	Gyp__Call call = GYP__CALL__INIT;
+	Gyp__CmdHost host = GYP__CMD_HOST__INIT;
+
+	host.id = e->id;
+	host.born_ms = incarnation_start_ms;
+	host.gone = true;
+	call.id = ++c->calls;
+	call.c_case = GYP__CALL__C_HOST;
+	call.host = &host;
+	g_assert_true(gyp_replica_local_call(leader(c), c->now, &call));
+}
+
+static bool
+is_answered(const struct cell *c)
+{
+	Gyp__Reply *reply = gyp_replica_pop_local_reply(leader(c));
+	bool answered = reply != NULL;
+
+	if (answered)
+		gyp_message_free(reply);
+	return answered;
+}
+
 static struct gyp_fleet *
 fleet(const struct cell *c)
 {
@@ -164,6 +191,56 @@
 	cell_clear(&c);
 }
 
+/*
+ * Guards against a shutdown that only one leader knows of, which confirmed it
+ * and is lost: its successors would wait for the lease of the endpoint.
+ */
+static void
+test_departure_is_committed(void)
+{
+	struct cell c;
+	struct endpoint e, second;
+	const struct gyp_flows *flows;
+
+	set_up(&c, "abc", 1, &e);
+	endpoint_init(&second, 1);
+	commit(&c, &second);
+	flows = gyp_state_flows(gyp_replica_state(leader(&c)));
+	depart(&c, &second, 7);
+	g_assert_false(is_answered(&c));
+	cell_run(&c, 50);
+	g_assert_true(gyp_host_has_ended(gyp_host_at(flows, 1)));
+	g_assert_true(is_answered(&c));
+	c.nodes[cell_leader(&c)].mute = true;
+	depart(&c, &e, 7);
+	cell_run(&c, 50);
+	g_assert_false(gyp_host_has_ended(gyp_host_at(flows, 0)));
+	g_assert_false(is_answered(&c));
+	c.nodes[cell_leader(&c)].mute = false;
+	cell_run(&c, 500);
+	g_assert_true(is_answered(&c));
+	cell_clear(&c);
+}
+
+/* Without news there is nothing to wait for. */
+static void
+test_departure_without_news(void)
+{
+	struct cell c;
+	struct endpoint e, unknown;
+
+	set_up(&c, "abc", 1, &e);
+	endpoint_init(&unknown, 1);
+	c.nodes[cell_leader(&c)].mute = true;
+	depart(&c, &e, 6);
+	g_assert_true(is_answered(&c));
+	depart(&c, &unknown, 7);
+	g_assert_true(is_answered(&c));
+	depart(&c, &e, 0);
+	g_assert_true(is_answered(&c));
+	cell_clear(&c);
+}
+
 /*
  * Guards against followers that answer with fewer endpoints than the setting:
  * the heartbeats go to the leader as without it.
@@ -392,6 +469,10 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/heartbeats/relay", test_relay);
+	g_test_add_func(
+	    "/heartbeats/departure-is-committed", test_departure_is_committed);
+	g_test_add_func(
+	    "/heartbeats/departure-without-news", test_departure_without_news);
 	g_test_add_func("/heartbeats/confirmed", test_confirmed);
 	g_test_add_func("/heartbeats/below-limit", test_below_limit);
 	g_test_add_func("/heartbeats/no-contact", test_no_contact);
--- a/test/test_inventory.c
+++ b/test/test_inventory.c
@@ -25,6 +25,10 @@
 /* Time by which a list may be out of date, in ms. */
 #define LAG_MS 2000
 
+/* A term that ends before two lists can show that an endpoint is gone, in ms.
+ */
+#define TERM_MS 1000
+
 struct fixture {
 	struct flow_fixture base;
 	uint32_t a, b;     /* rows of the endpoints */
@@ -289,6 +293,163 @@
 	flow_fixture_clear(&f.base);
 }
 
+/* "a" announces its shutdown, which is committed, and ends. */
+static void
+depart_a(struct fixture *f)
+{
+	end_a(f);
+	flow_fixture_commit_end(&f->base, "a", f->a_incarnation);
+	gyp_fleet_departed(f->base.fleet, f->base.now, f->a, f->a_incarnation);
+}
+
+/*
+ * Time until task 0 has no run any more, at most 30 s, while a new leader
+ * begins each term_ms, in ms.
+ */
+static uint64_t
+time_to_end_over_terms(struct fixture *f, uint64_t term_ms)
+{
+	uint64_t since = f->base.now, term, fence = 2;
+
+	while (is_open(f, 0) && f->base.now < since + 30000) {
+		flow_fixture_new_leader(&f->base, fence++);
+		term = f->base.now + term_ms;
+		while (is_open(f, 0) && f->base.now < term)
+			play(f, 10);
+	}
+	return f->base.now - since;
+}
+
+/*
+ * Guards against a task that waits for the lease, or for lists, of each of
+ * several leaders, because only the one before them knew that its endpoint had
+ * announced its shutdown.
+ */
+static void
+test_departed_before_leaders(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	play(&f, DEPARTED_RUN_MS);
+	depart_a(&f);
+	g_assert_cmpuint(time_to_end_over_terms(&f, TERM_MS), <=, 300);
+	play(&f, 100);
+	g_assert_null(gyp_host_at(f.base.flows, f.a));
+	flow_fixture_clear(&f.base);
+}
+
+/* The same when the next leader has its tables from a snapshot. */
+static void
+test_departed_before_snapshot(void)
+{
+	struct fixture f;
+	Gyp__SnapFlows *snap;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	play(&f, DEPARTED_RUN_MS);
+	depart_a(&f);
+	snap = gyp_flows_save(f.base.flows);
+	g_assert_true(gyp_flows_restore(f.base.flows, snap));
+	gyp_message_free(snap);
+	g_assert_cmpuint(time_to_end_over_terms(&f, TERM_MS), <=, 300);
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * A start that was sent before the shutdown may be carried out after it, by a
+ * later incarnation: what counts is the age of the run then, not that in the
+ * term of the next leader.
+ */
+static void
+test_young_run_departed_before_leader(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	f.partial = true;
+	start_on_a(&f);
+	play(&f, DEPARTED_RUN_MS - 3500);
+	depart_a(&f);
+	flow_fixture_new_leader(&f.base, 2);
+	play(&f, 3000);
+	flow_fixture_new_leader(&f.base, 3);
+	assert_stays_open(&f);
+	assert_ends(&f, FLOW_FIXTURE_LEASE_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/*
+ * Guards against an end that is taken for that of a later incarnation, which
+ * runs the task: it would run twice.
+ */
+static void
+test_end_of_earlier_incarnation(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	flow_fixture_commit_end(&f.base, "a", 1);
+	f.a_incarnation = 2;
+	f.a = flow_fixture_add_host(&f.base, "a", 2);
+	flow_fixture_new_leader(&f.base, 2);
+	play(&f, 2 * LAG_MS);
+	g_assert_true(gyp_fleet_usable(f.base.fleet, f.a));
+	start_on_a(&f);
+	flow_fixture_commit_end(&f.base, "a", 1);
+	play(&f, DEPARTED_RUN_MS);
+	flow_fixture_new_leader(&f.base, 3);
+	play(&f, 2000);
+	g_assert_true(is_open(&f, 0));
+	g_assert_true(gyp_fleet_usable(f.base.fleet, f.a));
+	flow_fixture_clear(&f.base);
+}
+
+/* The same when only an answer has shown the later incarnation so far. */
+static void
+test_end_before_unreported_restart(void)
+{
+	struct fixture f;
+	struct flow_fixture_run up = {FLOW, 0, 1, 0, 0};
+	struct gyp_fleet_call *poll = NULL;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	play(&f, DEPARTED_RUN_MS);
+	while (poll == NULL) {
+		flow_fixture_advance(&f.base, 10);
+		poll = gyp_fleet_pop_call(f.base.fleet);
+	}
+	g_assert_cmpuint(poll->row, ==, f.a);
+	g_assert_cmpint(poll->kind, ==, GYP_FLEET_POLL);
+	flow_fixture_answer_poll(&f.base, poll, 2, &up, 1, NULL, 0);
+	flow_fixture_advance(&f.base, 10);
+	flow_fixture_commit_end(&f.base, "a", 1);
+	flow_fixture_new_leader(&f.base, 2);
+	f.a_incarnation = 2;
+	play(&f, 1000);
+	g_assert_true(is_open(&f, 0));
+	flow_fixture_clear(&f.base);
+}
+
+/* An end that names no incarnation is no end of any. */
+static void
+test_end_of_unnamed_incarnation(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	play(&f, DEPARTED_RUN_MS);
+	flow_fixture_commit_end(&f.base, "a", 0);
+	flow_fixture_new_leader(&f.base, 2);
+	play(&f, 1000);
+	g_assert_true(is_open(&f, 0));
+	flow_fixture_clear(&f.base);
+}
+
 /*
  * A start of the earlier leader may still be carried out by a later incarnation
  * of the endpoint: ended before its lease is over, the task could run twice.
@@ -576,6 +737,18 @@
 	    "/inventory/departed-with-leader", test_departed_with_leader);
 	g_test_add_func("/inventory/young-run-departed-with-leader",
 	    test_young_run_departed_with_leader);
+	g_test_add_func(
+	    "/inventory/departed-before-leaders", test_departed_before_leaders);
+	g_test_add_func("/inventory/departed-before-snapshot",
+	    test_departed_before_snapshot);
+	g_test_add_func("/inventory/young-run-departed-before-leader",
+	    test_young_run_departed_before_leader);
+	g_test_add_func("/inventory/end-of-earlier-incarnation",
+	    test_end_of_earlier_incarnation);
+	g_test_add_func("/inventory/end-before-unreported-restart",
+	    test_end_before_unreported_restart);
+	g_test_add_func("/inventory/end-of-unnamed-incarnation",
+	    test_end_of_unnamed_incarnation);
 	g_test_add_func("/inventory/young-run-of-earlier-leader",
 	    test_young_run_of_earlier_leader);
 	g_test_add_func("/inventory/unanswered-start", test_unanswered_start);
