fleet: lists are asked for about endpoints that announced a shutdown, too

Cause: wants_list() and note_listing() left out endpoints that have departed, as their runs were thought to be over at once. Those of which a start may be carried out by a later incarnation are not.

These hold for a later incarnation: the lists show it by the same id.

Seen failing before: /inventory/departed-and-gone: assertion failed (f->base.now - since <= ms): (6110 <= 2500) /inventory/departed-and-gone-after-start: (6200 <= 4500)

/inventory/young-run-departed-with-leader expected that a run of 26 s, which lists without its endpoint end in /inventory/gone-with-leader, waits for the lease if the endpoint announced its shutdown besides. That is the fault.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -620,6 +620,8 @@
 		return;
 	}
 	note_recorded_end(f, endpoint);
+	if (gyp_fleet_endpoint_is_delisted(endpoint))
+		gyp_fleet_end_delisted_runs(f, endpoint);
 	if (endpoint->departed_at != 0) {
 		if (f->now >= endpoint->departed_at + DEPARTURE_GRACE_MS)
 			end_departed_runs(f, endpoint);
@@ -631,8 +633,6 @@
 	if (endpoint->runs->len == 0 &&
 	    gyp_fleet_endpoint_silence_ms(f, endpoint) >= REMOVE_IDLE_MS)
 		propose_removal(f, endpoint);
-	if (gyp_fleet_endpoint_is_delisted(endpoint))
-		gyp_fleet_end_delisted_runs(f, endpoint);
 	if (endpoint->failures > 0 ||
 	    gyp_fleet_endpoint_lacks_lease(f, endpoint))
 		end_unsent_runs(f, endpoint);
--- a/src/fleet_inventory.c
+++ b/src/fleet_inventory.c
@@ -119,8 +119,7 @@
 static bool
 wants_list(const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
 {
-	return endpoint->runs->len > 0 && endpoint->departed_at == 0 &&
-	       was_silent(f, endpoint, f->now) &&
+	return endpoint->runs->len > 0 && was_silent(f, endpoint, f->now) &&
 	       (!gyp_fleet_endpoint_is_delisted(endpoint) ||
 		   awaits_later_list(endpoint));
 }
@@ -217,8 +216,7 @@
 		endpoint->unlisted = 0;
 		return false;
 	}
-	if (endpoint->runs->len == 0 || endpoint->departed_at != 0 ||
-	    !was_silent(f, endpoint, requested_at))
+	if (endpoint->runs->len == 0 || !was_silent(f, endpoint, requested_at))
 		return false;
 	endpoint->unlisted_last_at = requested_at;
 	if (gyp_fleet_endpoint_is_delisted(endpoint))
--- a/test/test_inventory.c
+++ b/test/test_inventory.c
@@ -22,6 +22,9 @@
 /* The same before the shutdown that an announcement of up to 15 s ago tells. */
 #define DEPARTED_RUN_MS 36000
 
+/* Age of a run of which a start may still be under way, in ms. */
+#define YOUNG_RUN_MS 18000
+
 /* Time by which a list may be out of date, in ms. */
 #define LAG_MS 2000
 
@@ -276,6 +279,56 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * Guards against a run that waits for the lease because its endpoint announced
+ * its shutdown: lists would end it earlier.
+ */
+static void
+test_departed_and_gone(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	play(&f, OLD_RUN_MS);
+	end_a(&f);
+	flow_fixture_new_leader(&f.base, 2);
+	play(&f, 100);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 1);
+	assert_ends(&f, GONE_END_MS);
+	play(&f, 100);
+	g_assert_null(gyp_host_at(f.base.flows, f.a));
+	flow_fixture_clear(&f.base);
+}
+
+/* The same right after its start was answered. */
+static void
+test_departed_and_gone_after_start(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a_then_end(&f);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 1);
+	assert_ends(&f, LAG_MS + GONE_END_MS);
+	flow_fixture_clear(&f.base);
+}
+
+/* But not while the lists have the endpoint: it may have started again. */
+static void
+test_departed_and_listed(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	start_on_a_then_end(&f);
+	f.lists = "ab";
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 1);
+	play(&f, LAG_MS);
+	assert_stays_open(&f);
+	flow_fixture_clear(&f.base);
+}
+
 /* A younger run may have been started late, at a later incarnation. */
 static void
 test_young_run_departed_with_leader(void)
@@ -284,6 +337,24 @@
 
 	fixture_init(&f);
 	start_on_a(&f);
+	play(&f, YOUNG_RUN_MS);
+	end_a(&f);
+	flow_fixture_new_leader(&f.base, 2);
+	play(&f, 100);
+	gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 1);
+	assert_stays_open(&f);
+	flow_fixture_clear(&f.base);
+}
+
+/* So it is without lists, if a start may follow a late announcement. */
+static void
+test_old_run_departed_without_lists(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	f.partial = true;
+	start_on_a(&f);
 	play(&f, OLD_RUN_MS);
 	end_a(&f);
 	flow_fixture_new_leader(&f.base, 2);
@@ -735,6 +806,13 @@
 	g_test_add_func("/inventory/gone-with-leader", test_gone_with_leader);
 	g_test_add_func(
 	    "/inventory/departed-with-leader", test_departed_with_leader);
+	g_test_add_func("/inventory/departed-and-gone", test_departed_and_gone);
+	g_test_add_func("/inventory/departed-and-gone-after-start",
+	    test_departed_and_gone_after_start);
+	g_test_add_func(
+	    "/inventory/departed-and-listed", test_departed_and_listed);
+	g_test_add_func("/inventory/old-run-departed-without-lists",
+	    test_old_run_departed_without_lists);
 	g_test_add_func("/inventory/young-run-departed-with-leader",
 	    test_young_run_departed_with_leader);
 	g_test_add_func(
