fleet: a recorded end counts once the endpoint does not answer any more

Change: the next leader starts nothing there, polls the endpoint and takes it for ended after three unanswered calls, as it does for an announcement that names no incarnation. An answer does not withdraw the shutdown, as it does for the latter: the record says whose it is.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -337,23 +337,24 @@
 		endpoint->leaving_at = f->now;
 }
 
-/* Handles the shutdown that the endpoint announced to an earlier leader. */
+/*
+ * Notes the shutdown that the endpoint announced to an earlier leader. If that
+ * did not confirm it, the endpoint may go on for a while.
+ */
 static void
 note_recorded_end(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
 {
 	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
-	uint64_t cell_time = gyp_fleet_cell_time(f);
 
-	if (endpoint->departed_at != 0 || endpoint->restarts > 0 ||
-	    !gyp_host_has_ended(h))
+	if (endpoint->departed_at != 0 || endpoint->leaving_at != 0 ||
+	    !gyp_fleet_endpoint_end_is_recorded(f, endpoint))
 		return;
-	endpoint->departed_at = f->now;
-	if (cell_time > h->spec->ended_ms)
-		endpoint->departed_before_ms = cell_time - h->spec->ended_ms;
-	gyp_events_add(f->cfg.events, "endpoint-left-before",
+	endpoint->leaving_at = f->now;
+	gyp_events_add(f->cfg.events, "endpoint-end-recorded",
 	    "endpoint=%s born_ms=%" G_GUINT64_FORMAT
-	    " ended_ms_ago=%" G_GUINT64_FORMAT " runs=%u",
-	    h->spec->id, h->spec->ended_born_ms, endpoint->departed_before_ms,
+	    " recorded_ms_ago=%" G_GUINT64_FORMAT " runs=%u",
+	    h->spec->id, h->spec->ended_born_ms,
+	    gyp_fleet_endpoint_recorded_ms_ago(f, endpoint),
 	    endpoint->runs->len);
 }
 
@@ -551,9 +552,19 @@
 	       is_known_for_long(f, endpoint);
 }
 
+/* The runs of the present incarnation are over. */
+static void
+depart(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
+{
+	endpoint->departed_at = f->now;
+	endpoint->departed_before_ms =
+	    gyp_fleet_endpoint_recorded_ms_ago(f, endpoint);
+}
+
 /*
  * Polls an endpoint for which a shutdown of an unknown incarnation was
- * announced. Its next answer shows that it goes on.
+ * announced, or one to an earlier leader. Its next answer shows that it goes
+ * on; in the latter case, only for a while.
  */
 static void
 check_leaving(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
@@ -563,8 +574,9 @@
 		return;
 	if (endpoint->failures < ENDED_FAILURES)
 		endpoint->poll_due = true;
-	else if (drained_without_predecessor(f, endpoint))
-		endpoint->departed_at = f->now;
+	else if (gyp_fleet_endpoint_end_is_recorded(f, endpoint) ||
+		 drained_without_predecessor(f, endpoint))
+		depart(f, endpoint);
 }
 
 static void
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -285,13 +285,17 @@
 		    gyp_fleet_endpoint_silence_ms(f, endpoint));
 }
 
-/* An endpoint that carries out a call so long after the notice goes on. */
+/*
+ * An endpoint that carries out a call so long after the notice goes on, unless
+ * the shutdown of this incarnation is recorded: then it will end.
+ */
 static void
 withdraw_leaving(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint,
     const struct gyp_fleet_pending *p)
 {
 	if (endpoint->leaving_at == 0 ||
-	    p->sent_at < endpoint->leaving_at + DEPARTURE_GRACE_MS)
+	    p->sent_at < endpoint->leaving_at + DEPARTURE_GRACE_MS ||
+	    gyp_fleet_endpoint_end_is_recorded(f, endpoint))
 		return;
 	endpoint->leaving_at = 0;
 	gyp_events_add(f->cfg.events, "endpoint-stays",
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -34,6 +34,29 @@
 	return h != NULL ? h->spec->id : "gone";
 }
 
+bool
+gyp_fleet_endpoint_end_is_recorded(
+    const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
+
+	return h != NULL && endpoint->restarts == 0 && gyp_host_has_ended(h) &&
+	       h->spec->ended_born_ms >= endpoint->incarnation_start_ms;
+}
+
+uint64_t
+gyp_fleet_endpoint_recorded_ms_ago(
+    const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
+	uint64_t cell_time = gyp_fleet_cell_time(f);
+
+	if (!gyp_fleet_endpoint_end_is_recorded(f, endpoint) ||
+	    cell_time <= h->spec->ended_ms)
+		return 0;
+	return cell_time - h->spec->ended_ms;
+}
+
 void
 gyp_fleet_endpoint_update_clock(
     struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint, uint64_t clock_ms)
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -92,10 +92,11 @@
 	uint64_t listed_at;        /* last list of this incarnation; 0: none */
 	uint64_t departed_at;      /* its shutdown, or another endpoint at its
 				      address, was noticed; 0: neither */
-	uint64_t departed_before_ms; /* the shutdown was announced to an earlier
-					leader, so long before departed_at */
+	uint64_t departed_before_ms; /* its shutdown was recorded so long
+					before departed_at, or 0 */
 	uint64_t leaving_at;         /* a shutdown of an unknown incarnation was
-					announced; 0: none */
+					announced, or one of this incarnation to an
+					earlier leader; 0: none */
 	uint64_t restarted_at;       /* latest restart was noticed; 0: never */
 	uint64_t restart_call; /* id of the first call after the restart */
 	uint32_t restarts;     /* that this leader noticed */
@@ -208,6 +209,15 @@
     const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
 /* Id of the endpoint, for events. */
 const char *gyp_fleet_endpoint_name(const struct gyp_fleet *, uint32_t row);
+/*
+ * True if the tables hold that the present incarnation announced its shutdown,
+ * and this leader has not seen the endpoint restart.
+ */
+bool gyp_fleet_endpoint_end_is_recorded(
+    const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
+/* Cell time since then, in ms; 0 if it is not recorded. */
+uint64_t gyp_fleet_endpoint_recorded_ms_ago(
+    const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
 /* Records a reading of the endpoint's clock. */
 void gyp_fleet_endpoint_update_clock(
     struct gyp_fleet *, struct gyp_fleet_endpoint *, uint64_t clock_ms);
