fleet, replica: a shutdown without its incarnation is recorded, too

Cause: the leader takes such an announcement for one of the present incarnation if that drained and has been known for 15 s, but only after three unanswered calls, and kept it to itself.

Change: if that holds when the announcement arrives, gyp_fleet_departed() returns the present incarnation, and the announcement is answered once its end is committed. Else it is answered at once as before; if the leader finds out later that the endpoint has ended, it records that then. Runs end no earlier than before: each leader still sees three calls unanswered.

Model endpoints do not drain, so the new attribution is not in them.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -313,30 +313,6 @@
 	}
 }
 
-void
-gyp_fleet_departed(struct gyp_fleet *f, uint64_t now, uint32_t row,
-    uint64_t incarnation_start_ms)
-{
-	struct gyp_fleet_endpoint *endpoint;
-	bool outdated;
-
-	gyp_fleet_advance(f, now);
-	endpoint = gyp_fleet_get_endpoint(f, row);
-	outdated = incarnation_start_ms != 0 &&
-		   incarnation_start_ms < endpoint->incarnation_start_ms;
-	gyp_events_add(f->cfg.events, "endpoint-leaves",
-	    "endpoint=%s born_ms=%" G_GUINT64_FORMAT
-	    " present_ms=%" G_GUINT64_FORMAT " outdated=%d runs=%u",
-	    gyp_fleet_endpoint_name(f, row), incarnation_start_ms,
-	    endpoint->incarnation_start_ms, outdated, endpoint->runs->len);
-	if (outdated || endpoint->departed_at != 0)
-		return;
-	if (incarnation_start_ms != 0)
-		endpoint->departed_at = f->now;
-	else if (endpoint->leaving_at == 0)
-		endpoint->leaving_at = f->now;
-}
-
 /*
  * Notes the shutdown that the endpoint announced to an earlier leader. If that
  * did not confirm it, the endpoint may go on for a while.
@@ -382,6 +358,20 @@
 	g_queue_push_tail(&f->cmds, gyp_message_copy(&cmd.base));
 }
 
+static void
+propose_host_end(struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdHostEnded ended = GYP__CMD_HOST_ENDED__INIT;
+
+	ended.id = h->spec->id;
+	ended.born_ms = endpoint->incarnation_start_ms;
+	cmd.c_case = GYP__CMD__C_HOST_ENDED;
+	cmd.host_ended = &ended;
+	g_queue_push_tail(&f->cmds, gyp_message_copy(&cmd.base));
+}
+
 /* Cell time of the start of an open run. */
 static uint64_t
 started_ms(const struct gyp_fleet_run *run)
@@ -552,13 +542,54 @@
 	       is_known_for_long(f, endpoint);
 }
 
-/* The runs of the present incarnation are over. */
+/*
+ * Handles the announcement of a shutdown that names no incarnation. Returns the
+ * start of the one that it is about, 0 if that is not known.
+ */
+static uint64_t
+note_leaving(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
+{
+	if (endpoint->departed_at == 0 && endpoint->leaving_at == 0)
+		endpoint->leaving_at = f->now;
+	return drained_without_predecessor(f, endpoint)
+		   ? endpoint->incarnation_start_ms
+		   : 0;
+}
+
+uint64_t
+gyp_fleet_departed(struct gyp_fleet *f, uint64_t now, uint32_t row,
+    uint64_t incarnation_start_ms)
+{
+	struct gyp_fleet_endpoint *endpoint;
+	bool outdated;
+
+	gyp_fleet_advance(f, now);
+	endpoint = gyp_fleet_get_endpoint(f, row);
+	outdated = incarnation_start_ms != 0 &&
+		   incarnation_start_ms < endpoint->incarnation_start_ms;
+	gyp_events_add(f->cfg.events, "endpoint-leaves",
+	    "endpoint=%s born_ms=%" G_GUINT64_FORMAT
+	    " present_ms=%" G_GUINT64_FORMAT " outdated=%d runs=%u",
+	    gyp_fleet_endpoint_name(f, row), incarnation_start_ms,
+	    endpoint->incarnation_start_ms, outdated, endpoint->runs->len);
+	if (outdated)
+		return 0;
+	if (incarnation_start_ms == 0)
+		return note_leaving(f, endpoint);
+	if (endpoint->departed_at == 0)
+		endpoint->departed_at = f->now;
+	return incarnation_start_ms;
+}
+
+/* The present incarnation has ended, which later leaders have to know. */
 static void
 depart(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
 {
 	endpoint->departed_at = f->now;
 	endpoint->departed_before_ms =
 	    gyp_fleet_endpoint_recorded_ms_ago(f, endpoint);
+	if (!gyp_fleet_endpoint_end_is_recorded(f, endpoint))
+		propose_host_end(f, endpoint);
 }
 
 /*
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -196,9 +196,10 @@
  * incarnation_start_ms is its start, or 0 if it is not known. The announcement
  * may arrive late: that of an earlier incarnation is ignored, and if it is not
  * known whose it is, the endpoint gets no new run until it has answered a later
- * call or is over.
+ * call or is over. Returns the start of the incarnation that it is about, to be
+ * recorded in the tables; 0 if that is an earlier one or not known.
  */
-void gyp_fleet_departed(struct gyp_fleet *, uint64_t now, uint32_t row,
+uint64_t gyp_fleet_departed(struct gyp_fleet *, uint64_t now, uint32_t row,
     uint64_t incarnation_start_ms);
 
 /* Handles the answer to a call, or the report that the call was lost. */
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -21,36 +21,27 @@
 	gyp_replica_reply(r, entry, &msg);
 }
 
-/* True if the tables do not hold yet that this incarnation has ended. */
-static bool
-is_news_of_end(const struct gyp_host *h, uint64_t incarnation_start_ms)
-{
-	return incarnation_start_ms > h->spec->ended_born_ms &&
-	       incarnation_start_ms >= h->spec->born_ms;
-}
-
 /*
- * An incarnation announces its shutdown. It is not announced again once it is
- * confirmed, so that is committed first, if it tells which incarnation it is.
+ * An endpoint announces its shutdown. It does not announce it again once it is
+ * confirmed, so that is committed first, if it is known which incarnation ends.
  */
 static void
 handle_departure(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
-	const Gyp__CmdHost *departed = call->host;
 	const struct gyp_host *h =
-	    gyp_host_by_id(gyp_state_flows(r->state), departed->id);
+	    gyp_host_by_id(gyp_state_flows(r->state), call->host->id);
 	Gyp__Cmd cmd = GYP__CMD__INIT;
 	Gyp__CmdHostEnded ended = GYP__CMD_HOST_ENDED__INIT;
 
 	if (h != NULL)
-		gyp_fleet_departed(gyp_flow_scheduler_fleet(r->flow_scheduler),
-		    r->now, h->row, departed->born_ms);
-	if (h == NULL || !is_news_of_end(h, departed->born_ms)) {
+		ended.born_ms = gyp_fleet_departed(
+		    gyp_flow_scheduler_fleet(r->flow_scheduler), r->now, h->row,
+		    call->host->born_ms);
+	if (h == NULL || ended.born_ms <= h->spec->ended_born_ms) {
 		reply_ok(r, entry, call->id);
 		return;
 	}
-	ended.id = departed->id;
-	ended.born_ms = departed->born_ms;
+	ended.id = call->host->id;
 	cmd.c_case = GYP__CMD__C_HOST_ENDED;
 	cmd.host_ended = &ended;
 	gyp_replica_propose_call(r, entry, call, &cmd);
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -397,6 +397,7 @@
 		struct departure *d = &f->departures[i];
 		const struct gyp_host *h;
 		Gyp__CmdHost host;
+		uint64_t ended_ms;
 
 		flow_sim_describe(f->sim, i, &host);
 		plan_departure(f, d, host.born_ms);
@@ -406,10 +407,11 @@
 		h = gyp_host_by_id(f->flows, host.id);
 		if (h == NULL)
 			continue;
-		gyp_fleet_departed(gyp_flow_scheduler_fleet(f->scheduler),
-		    f->now, h->row, d->named_ms);
-		if (d->named_ms != 0)
-			propose_end_of_host(f, host.id, d->named_ms);
+		ended_ms =
+		    gyp_fleet_departed(gyp_flow_scheduler_fleet(f->scheduler),
+			f->now, h->row, d->named_ms);
+		if (ended_ms != 0)
+			propose_end_of_host(f, host.id, ended_ms);
 	}
 }
 
--- a/test/test_heartbeats.c
+++ b/test/test_heartbeats.c
@@ -15,6 +15,9 @@
 /* Interval of an endpoint's heartbeats, in ms. */
 #define INTERVAL_MS 1500
 
+/* Time after which no announcement of an earlier incarnation arrives, in ms. */
+#define KNOWN_MS 16000
+
 struct endpoint {
 	char id[8];
 	Gyp__CmdHost host;
@@ -222,6 +225,48 @@
 	cell_clear(&c);
 }
 
+/*
+ * The same for a shutdown that names no incarnation, if it must be the present
+ * one's: that drained, and has been known for long.
+ */
+static void
+test_unnamed_departure_is_committed(void)
+{
+	struct cell c;
+	struct endpoint e;
+	const struct gyp_flows *flows;
+
+	set_up(&c, "abc", 1, &e);
+	e.host.draining = true;
+	commit(&c, &e);
+	cell_run(&c, KNOWN_MS);
+	flows = gyp_state_flows(gyp_replica_state(leader(&c)));
+	depart(&c, &e, 0);
+	g_assert_false(is_answered(&c));
+	cell_run(&c, 50);
+	g_assert_true(gyp_host_has_ended(gyp_host_at(flows, 0)));
+	g_assert_true(is_answered(&c));
+	cell_clear(&c);
+}
+
+/* Before, an earlier incarnation may have announced it. */
+static void
+test_unnamed_departure_of_young(void)
+{
+	struct cell c;
+	struct endpoint e;
+
+	set_up(&c, "abc", 1, &e);
+	e.host.draining = true;
+	commit(&c, &e);
+	depart(&c, &e, 0);
+	g_assert_true(is_answered(&c));
+	cell_run(&c, 50);
+	g_assert_false(gyp_host_has_ended(
+	    gyp_host_at(gyp_state_flows(gyp_replica_state(leader(&c))), 0)));
+	cell_clear(&c);
+}
+
 /* Without news there is nothing to wait for. */
 static void
 test_departure_without_news(void)
@@ -471,6 +516,10 @@
 	g_test_add_func("/heartbeats/relay", test_relay);
 	g_test_add_func(
 	    "/heartbeats/departure-is-committed", test_departure_is_committed);
+	g_test_add_func("/heartbeats/unnamed-departure-is-committed",
+	    test_unnamed_departure_is_committed);
+	g_test_add_func("/heartbeats/unnamed-departure-of-young",
+	    test_unnamed_departure_of_young);
 	g_test_add_func(
 	    "/heartbeats/departure-without-news", test_departure_without_news);
 	g_test_add_func("/heartbeats/confirmed", test_confirmed);
--- a/test/test_inventory.c
+++ b/test/test_inventory.c
@@ -28,6 +28,9 @@
 /* Time by which a list may be out of date, in ms. */
 #define LAG_MS 2000
 
+/* Time after which no announcement of an earlier incarnation arrives, in ms. */
+#define KNOWN_MS 15000
+
 /* A term that ends before two lists can show that an endpoint is gone, in ms.
  */
 #define TERM_MS 1000
@@ -452,6 +455,33 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * Guards against an end that only one leader knows: the endpoint drained and
+ * announced its shutdown without its incarnation, before it was known for long
+ * enough to tell whose shutdown that is.
+ */
+static void
+test_end_found_later(void)
+{
+	struct fixture f;
+	const struct gyp_host *h;
+	bool recorded = false;
+
+	fixture_init(&f);
+	start_on_a(&f);
+	play(&f, KNOWN_MS - 500 - 2 * LAG_MS - 1000);
+	flow_fixture_drain(&f.base, f.a);
+	end_a(&f);
+	g_assert_cmpuint(
+	    gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0), ==, 0);
+	while ((h = gyp_host_at(f.base.flows, f.a)) != NULL) {
+		recorded = recorded || gyp_host_has_ended(h);
+		play(&f, 10);
+	}
+	g_assert_true(recorded);
+	flow_fixture_clear(&f.base);
+}
+
 /*
  * Guards against tasks that run twice: the leader that recorded the end may not
  * have confirmed it, and then the endpoint goes on for a while.
@@ -843,6 +873,7 @@
 	    test_departed_before_snapshot);
 	g_test_add_func("/inventory/young-run-departed-before-leader",
 	    test_young_run_departed_before_leader);
+	g_test_add_func("/inventory/end-found-later", test_end_found_later);
 	g_test_add_func(
 	    "/inventory/departed-unconfirmed", test_departed_unconfirmed);
 	g_test_add_func("/inventory/end-of-earlier-incarnation",
