--- a/src/flow_save.c
+++ b/src/flow_save.c
@@ -21,7 +21,7 @@
 		st->checkpoint = g_strdup(t->checkpoint);
 	if (task == u->first)
 		st->failed_run = u->failed_run;
-	if (t->state == GYP_FLOW_TASK_OPEN)
+	if (t->state != GYP_FLOW_TASK_DONE && t->run > 0)
 		st->changed_ms = t->changed_ms;
 	return st;
 }
--- a/src/lasting_watch.c
+++ b/src/lasting_watch.c
@@ -91,19 +91,42 @@
 }
 
 /*
- * When the latest run of a waiting task ended, if that was before this term.
- * Cell time stands still between two leaders, so the age of the tables at the
- * start of the term is added.
+ * The leader's time of a cell time before the term. Cell time stands still
+ * between two leaders, so the age of the tables at the start of the term is
+ * added.
  */
 static uint64_t
-waits_since(const struct gyp_lasting_watch *w, const struct gyp_flow_task *t)
+time_before_term(const struct gyp_lasting_watch *w, uint64_t cell_ms)
 {
-	uint64_t before_ms;
+	uint64_t before_ms = w->began_ms - cell_ms + w->from.tables_age_ms;
 
+	return w->began - MIN(w->began, before_ms);
+}
+
+/* When the latest run of a waiting task ended, if that was before this term. */
+static uint64_t
+waits_since(const struct gyp_lasting_watch *w, const struct gyp_flow_task *t)
+{
 	if (t->run == 0 || t->changed_ms > w->began_ms)
 		return w->now;
-	before_ms = w->began_ms - t->changed_ms + w->from.tables_age_ms;
-	return w->began - MIN(w->began, before_ms);
+	return time_before_term(w, t->changed_ms);
+}
+
+/*
+ * When the shutdown of the endpoint was recorded, if that was before this term
+ * and the run, which has ended now, was not seen since.
+ */
+static uint64_t
+lost_since(const struct gyp_lasting_watch *w, const struct gyp_flow *flow,
+    uint32_t task, const struct gyp_run_diagnosis *run)
+{
+	const struct gyp_host *h =
+	    gyp_host_at(w->from.flows, flow->tasks[task].row);
+
+	if (run->confirmed_at != 0 || h == NULL || !gyp_host_has_ended(h) ||
+	    h->spec->ended_ms > w->began_ms)
+		return w->now;
+	return time_before_term(w, h->spec->ended_ms);
 }
 
 /* As far as this leader knows. */
@@ -176,6 +199,8 @@
 	}
 	if (d == NULL)
 		d = add_down_now(w, flow, task, &run);
+	if (d->after_run == flow->tasks[task].run)
+		d->since = MIN(d->since, lost_since(w, flow, task, &run));
 	d->last_end = gyp_flow_how_name(how);
 	if (run.refused == NULL)
 		return;
--- a/src/lasting_watch.h
+++ b/src/lasting_watch.h
@@ -29,7 +29,9 @@
  *	the tables hold when its latest run ended, so the time under earlier
  *	leaders and the election count too. A task whose run is still open at
  *	the first scan counts as down since the start of the term: the tables
- *	do not hold since when its endpoint has been silent.
+ *	do not hold since when its endpoint has been silent. If they hold that
+ *	its endpoint announced its shutdown, and the run ends without having
+ *	been seen, it was down since then.
  */
 
 /* Interval of the scans, in ms. */
--- a/test/test_lasting_watch.c
+++ b/test/test_lasting_watch.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 
 #include "lasting_watch.h"
+#include "msg.h"
 #include "placer_fixture.h"
 
 /*
@@ -52,9 +53,10 @@
 	new_watch(f, 0);
 }
 
-/* Starts task 0 on endpoint e0, which confirms it or refuses its ticket. */
+/* Starts task 0 on that endpoint, which confirms it or refuses its ticket. */
 static void
-start(struct fixture *f, uint32_t run, enum gyp_fleet_call_result result)
+start_at(struct fixture *f, uint32_t run, uint32_t row,
+    enum gyp_fleet_call_result result)
 {
 	struct flow_fixture *base = &f->base.base;
 	struct gyp_fleet_answer a = {.end = result,
@@ -63,7 +65,7 @@
 	    .clock_ms = base->now};
 	struct gyp_fleet_call *call;
 
-	flow_fixture_start(base, FLOW, 0, 0, run, 0);
+	flow_fixture_start(base, FLOW, 0, 0, run, row);
 	gyp_fleet_tick(base->fleet, base->now);
 	call = flow_fixture_next_call(base, GYP_FLEET_START);
 	a.call = call->id;
@@ -71,6 +73,12 @@
 	gyp_fleet_call_free(call);
 }
 
+static void
+start(struct fixture *f, uint32_t run, enum gyp_fleet_call_result result)
+{
+	start_at(f, run, 0, result);
+}
+
 static void
 end_run(struct fixture *f, Gyp__FlowHow how)
 {
@@ -264,15 +272,10 @@
 	expect_count(f, OUTAGES, 0);
 }
 
-/*
- * A task waits since an earlier leader. Its outage must count from the end of
- * its run, not from the begin of the term.
- */
+/* The task has waited for 1900 ms when the next leader begins. */
 static void
-test_waits_over_election(struct fixture *f)
+expect_wait_over_election(struct fixture *f)
 {
-	start(f, 1, GYP_FLEET_OK);
-	end_run(f, GYP__FLOW_HOW__FLOW_LAPSED);
 	f->base.base.now += 400;
 	flow_fixture_add_host(&f->base.base, "e2", 1);
 	f->base.base.now += 1500;
@@ -292,6 +295,59 @@
 	expect_count(f, OUTAGES, 1);
 }
 
+/*
+ * A task waits since an earlier leader. Its outage must count from the end of
+ * its run, not from the begin of the term.
+ */
+static void
+test_waits_over_election(struct fixture *f)
+{
+	start(f, 1, GYP_FLEET_OK);
+	end_run(f, GYP__FLOW_HOW__FLOW_LAPSED);
+	expect_wait_over_election(f);
+}
+
+/*
+ * Guards against an outage that a leader whose tables come from a snapshot logs
+ * as long as the cell has existed.
+ */
+static void
+test_waits_over_snapshot(struct fixture *f)
+{
+	Gyp__SnapFlows *snap;
+
+	start(f, 1, GYP_FLEET_OK);
+	end_run(f, GYP__FLOW_HOW__FLOW_LAPSED);
+	snap = gyp_flows_save(f->base.base.flows);
+	g_assert_true(gyp_flows_restore(f->base.base.flows, snap));
+	gyp_message_free(snap);
+	expect_wait_over_election(f);
+}
+
+/*
+ * Guards against an outage that is logged too short: the endpoint of an open
+ * run announced its shutdown to an earlier leader.
+ */
+static void
+test_departed_before_election(struct fixture *f)
+{
+	start(f, 1, GYP_FLEET_OK);
+	flow_fixture_commit_end(&f->base.base, "e0", 1);
+	f->base.base.now += 400;
+	flow_fixture_add_host(&f->base.base, "e2", 1);
+	f->base.base.now += 1500;
+	placer_fixture_new_leader(&f->base, 2);
+	new_watch(f, 1500);
+	scan_after(f, 0);
+	end_run(f, GYP__FLOW_HOW__FLOW_LOST);
+	flow_fixture_contact_all(&f->base.base); /* takes 100 ms */
+	start_at(f, 2, 1, GYP_FLEET_OK);
+	scan_after(f, 1000);
+	expect_line(f, "lasting-up " TASK
+		       "down_ms=2000 run=2 after_run=1 refused=0 endpoint=e1");
+	expect_count(f, OUTAGES, 1);
+}
+
 /* Many tasks that are down must not flood the log, and all get their line. */
 static void
 test_lines_are_bounded(struct fixture *f)
@@ -353,6 +409,8 @@
     {"/lasting/short-outages", 1, test_short_outages},
     {"/lasting/new-leader", 1, test_new_leader},
     {"/lasting/waits-over-election", 1, test_waits_over_election},
+    {"/lasting/waits-over-snapshot", 1, test_waits_over_snapshot},
+    {"/lasting/departed-before-election", 1, test_departed_before_election},
     {"/lasting/lines-are-bounded", 30, test_lines_are_bounded},
     {"/lasting/end-not-applied", 1, test_end_not_applied},
     {"/lasting/cancelled-flow", 1, test_cancelled_flow}};
