admission: the answer to a query of an earlier leader gives its tickets

What callers saw: tasks that wait for the admission service wait longer by a query with each election, and those whose query takes as long as a term wait until the elections end.

Cause: an entry goes on with a query when the leader changes, and sends the answer to the next one. That does not know the query by its id and dropped the answer. Its own query waits behind the other one, as the service handles one call of a VM at a time.

Change: the answer says which unit the query was about (Advised.flow, time, step, new; entries of versions before leave them empty and lose what they lost before). A leader records the tickets of answers with ids from before its term, less the time without a leader, for which they may have been held. Endpoints that restarted within 5 s are left out: the query may have been about the incarnation before. Denied endpoints are not named in an answer and are asked about again.

Seen failing before: /lasting-queries/answers-over-terms, queries of 602 ms and terms of 600 ms: (f.base.now - since <= 2 * SHORT_TERM_MS): (10200 <= 1200). Now the task starts in the second term. /lasting-queries/ restart-before-earlier-answer and earlier-answer-held bound what is recorded, /pf-client/answer-names-unit what the entry sends.

--- a/src/admission.c
+++ b/src/admission.c
@@ -19,6 +19,10 @@
  */
 #define TICKET_MARGIN_MS 200
 
+/* Longest time from a query until its answer arrives at a later leader, in ms.
+ */
+#define EARLIER_QUERY_MS 5000
+
 /*
  * The answer about one endpoint for one unit. Kept small, since a round reads
  * many of them.
@@ -68,7 +72,9 @@
 	GHashTable *queries;        /* id -> struct query */
 	GHashTable *allowed_shares; /* queue name -> double */
 	GArray *claimed; /* struct gyp_res by row, of pending queries */
+	uint64_t first_id;
 	uint64_t next_id;
+	uint64_t held_ms; /* see gyp_admission_new() */
 };
 
 /* ---- Tables ------------------------------------------------------------- */
@@ -121,6 +127,25 @@
 	return g_hash_table_lookup(a->units, &key);
 }
 
+static struct gyp_admission_unit *
+ensure_unit(struct gyp_admission *a, const struct gyp_flow *flow,
+    const struct gyp_flow_unit *unit)
+{
+	struct gyp_admission_unit *u = find_unit(a, flow, unit);
+
+	if (u != NULL)
+		return u;
+	u = g_new0(struct gyp_admission_unit, 1);
+	u->key = key_of(flow, unit);
+	u->answers = g_array_new(FALSE, TRUE, sizeof(struct endpoint_answer));
+	u->grants = g_array_new(FALSE, TRUE, sizeof(struct grant));
+	g_array_set_clear_func(u->grants, clear_grant);
+	u->granted_rows = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	u->pending_rows = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	g_hash_table_insert(a->units, &u->key, u);
+	return u;
+}
+
 static struct endpoint_answer *
 answer_at(const struct gyp_admission_unit *u, uint32_t row)
 {
@@ -416,20 +441,9 @@
     const struct gyp_flow_unit *unit, uint64_t now,
     const struct gyp_admission_target *targets, guint n)
 {
-	struct gyp_admission_unit *u = find_unit(a, flow, unit);
+	struct gyp_admission_unit *u = ensure_unit(a, flow, unit);
 	struct query *q = g_new0(struct query, 1);
 
-	if (u == NULL) {
-		u = g_new0(struct gyp_admission_unit, 1);
-		u->key = key_of(flow, unit);
-		u->answers =
-		    g_array_new(FALSE, TRUE, sizeof(struct endpoint_answer));
-		u->grants = g_array_new(FALSE, TRUE, sizeof(struct grant));
-		g_array_set_clear_func(u->grants, clear_grant);
-		u->granted_rows = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-		u->pending_rows = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-		g_hash_table_insert(a->units, &u->key, u);
-	}
 	q->id = a->next_id++;
 	q->key = u->key;
 	set_targets(a, q, targets, n);
@@ -605,10 +619,65 @@
 		u->pending.overdue++;
 }
 
+/* The unit that the answer says it is about, or NULL. */
+static struct gyp_flow_unit *
+unit_of_answer(const struct gyp_flow *flow, const Gyp__Advised *answer)
+{
+	uint32_t task = gyp_flow_task_at(flow, answer->time, answer->step, 0);
+
+	return task != UINT32_MAX ? gyp_flow_unit_of(flow, task) : NULL;
+}
+
+/*
+ * Records a ticket from an answer to a query of an earlier leader. It is not
+ * known which incarnation of the endpoint the query was about: one that has
+ * restarted lately is left out, and a ticket that is not valid is refused.
+ */
+static void
+record_earlier_ticket(struct gyp_admission *a, struct gyp_admission_unit *u,
+    uint64_t now, const Gyp__Advised *answer, const Gyp__Ticket *ticket)
+{
+	const struct gyp_host *h = gyp_host_by_id(a->flows, ticket->endpoint);
+	const struct endpoint_answer *e;
+
+	if (h == NULL || answer->valid_ms <= a->held_ms ||
+	    (h->spec->reborn_ms != 0 &&
+		gyp_flows_time(a->flows) <
+		    h->spec->reborn_ms + EARLIER_QUERY_MS))
+		return;
+	e = answer_at(u, h->row);
+	if (e != NULL && is_answered(a, e, h->row))
+		return;
+	ensure_answer(u, h->row)->incarnation_start_ms = h->spec->born_ms;
+	record_ticket(u, h->row, now, answer->valid_ms - (uint32_t)a->held_ms,
+	    ticket->ticket);
+}
+
+/* Denied endpoints are not named in an answer, and are asked about again. */
+static void
+record_earlier_answer(
+    struct gyp_admission *a, uint64_t now, const Gyp__Advised *answer)
+{
+	const struct gyp_flow *flow = gyp_flow_get(a->flows, answer->flow);
+	const struct gyp_flow_unit *unit;
+	size_t i;
+
+	if (flow == NULL || !answer->ok ||
+	    (unit = unit_of_answer(flow, answer)) == NULL)
+		return;
+	for (i = 0; i < answer->n_tickets; i++)
+		record_earlier_ticket(a, ensure_unit(a, flow, unit), now,
+		    answer, answer->tickets[i]);
+}
+
 void
 gyp_admission_record_answer(
     struct gyp_admission *a, uint64_t now, const Gyp__Advised *answer)
 {
+	if (answer->id < a->first_id) {
+		record_earlier_answer(a, now, answer);
+		return;
+	}
 	close_query(a, answer->id, now, answer->ok ? answer : NULL);
 }
 
@@ -668,12 +737,14 @@
 }
 
 struct gyp_admission *
-gyp_admission_new(struct gyp_flows *flows, uint64_t first_id)
+gyp_admission_new(struct gyp_flows *flows, uint64_t first_id, uint64_t held_ms)
 {
 	struct gyp_admission *a = g_new0(struct gyp_admission, 1);
 
 	a->flows = flows;
+	a->first_id = first_id;
 	a->next_id = first_id;
+	a->held_ms = held_ms;
 	a->units = g_hash_table_new_full(
 	    gyp_flow_key_hash, gyp_flow_key_equal, NULL, free_unit);
 	a->allowed_shares =
--- a/src/admission.h
+++ b/src/admission.h
@@ -39,8 +39,13 @@
 /* Answers about the endpoints for one unit. */
 struct gyp_admission_unit;
 
-/* Query ids start at first_id; no earlier leader may have used them. */
-struct gyp_admission *gyp_admission_new(struct gyp_flows *, uint64_t first_id);
+/*
+ * Query ids start at first_id; those of earlier leaders are lower. held_ms is
+ * the longest time for which an answer to a query of an earlier leader may have
+ * waited for this one.
+ */
+struct gyp_admission *gyp_admission_new(
+    struct gyp_flows *, uint64_t first_id, uint64_t held_ms);
 void gyp_admission_free(struct gyp_admission *);
 
 /*
@@ -143,7 +148,11 @@
 struct gyp_res gyp_admission_claimed(
     const struct gyp_admission *, uint32_t row);
 
-/* Records the answer to a query; ignores answers to unknown queries. */
+/*
+ * Records the answer to a query. Of an answer to a query of an earlier leader,
+ * it records the tickets, if the answer says what it is about. Ignores answers
+ * to other unknown queries.
+ */
 void gyp_admission_record_answer(
     struct gyp_admission *, uint64_t now, const Gyp__Advised *);
 
--- a/src/flow_scheduler.c
+++ b/src/flow_scheduler.c
@@ -748,7 +748,8 @@
 	fs->counters = cfg->counters;
 	fs->now = now;
 	fs->fleet = gyp_fleet_new(cfg, flows, now, fence);
-	fs->admission = gyp_admission_new(flows, (fence << 32) + 1);
+	fs->admission =
+	    gyp_admission_new(flows, (fence << 32) + 1, cfg->tables_age_ms);
 	fs->stats = gyp_run_stats_new();
 	if (cfg->learn_run_times)
 		gyp_run_stats_use_forecast(
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -7361,7 +7361,7 @@
   (ProtobufCMessageInit) gyp__ticket__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__advised__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gyp__advised__field_descriptors[7] =
 {
   {
     "id",
@@ -7411,17 +7411,56 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "flow",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Advised, flow),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "time",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Advised, time),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Advised, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__advised__field_indices_by_name[] = {
+  4,   /* field[4] = flow */
   0,   /* field[0] = id */
   1,   /* field[1] = ok */
+  6,   /* field[6] = step */
   3,   /* field[3] = tickets */
+  5,   /* field[5] = time */
   2,   /* field[2] = valid_ms */
 };
 static const ProtobufCIntRange gyp__advised__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gyp__advised__descriptor =
 {
@@ -7431,7 +7470,7 @@
   "Gyp__Advised",
   "gyp",
   sizeof(Gyp__Advised),
-  4,
+  7,
   gyp__advised__field_descriptors,
   gyp__advised__field_indices_by_name,
   1,  gyp__advised__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -987,7 +987,7 @@
    */
   uint32_t failed_run;
   /*
-   * cell time of the start of an open run, or 0
+   * cell time of the latest change; 0: no run yet, done
    */
   uint64_t changed_ms;
   /*
@@ -1201,10 +1201,16 @@
   uint32_t valid_ms;
   size_t n_tickets;
   Gyp__Ticket **tickets;
+  /*
+   * these three: what the query was about, if known
+   */
+  uint64_t flow;
+  uint32_t time;
+  uint32_t step;
 };
 #define GYP__ADVISED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__advised__descriptor) \
-    , 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/test/placer_fixture.c
+++ b/test/placer_fixture.c
@@ -4,7 +4,7 @@
 static void
 add_leader_state(struct placer_fixture *f, uint64_t fence)
 {
-	f->admission = gyp_admission_new(f->base.flows, fence);
+	f->admission = gyp_admission_new(f->base.flows, fence, 0);
 	f->stats = gyp_run_stats_new();
 	f->placer = gyp_placer_new(
 	    f->base.flows, f->base.fleet, f->admission, f->stats);
--- a/test/test_lasting_queries.c
+++ b/test/test_lasting_queries.c
@@ -877,6 +877,156 @@
 	placer_fixture_clear(&f);
 }
 
+/* ---- Several leaders ------------------------------------------------------
+ */
+
+/* A term that ends before a query is answered, in ms. */
+#define SHORT_TERM_MS 600
+
+/* A query under way. */
+struct sent_query {
+	uint64_t due;
+	Gyp__Ask *query;
+};
+
+static void
+allow_first(struct placer_fixture *f, const Gyp__Ask *query)
+{
+	Gyp__Advised answer = GYP__ADVISED__INIT;
+	Gyp__Ticket ticket = GYP__TICKET__INIT, *tickets[] = {&ticket};
+
+	ticket.endpoint = query->endpoints[0];
+	ticket.ticket = "t";
+	answer.id = query->id;
+	answer.ok = true;
+	answer.valid_ms = 2500;
+	answer.n_tickets = 1;
+	answer.tickets = tickets;
+	answer.flow = query->flow;
+	answer.time = query->time;
+	answer.step = query->step;
+	gyp_admission_record_answer(f->admission, f->base.now, &answer);
+}
+
+static void
+send_queries(struct placer_fixture *f, GQueue *sent)
+{
+	guint i;
+
+	for (i = 0; i < f->queries->len; i++) {
+		const Gyp__Ask *query = query_at(f, i);
+		struct sent_query *s = g_new0(struct sent_query, 1);
+
+		s->due =
+		    f->base.now +
+		    (uint64_t)(QUERY_MS + EACH_MS * (double)query->n_endpoints);
+		s->query = gyp_message_copy(&query->base);
+		g_queue_push_tail(sent, s);
+	}
+}
+
+static void
+answer_queries(struct placer_fixture *f, GQueue *sent)
+{
+	struct sent_query *s;
+
+	while ((s = g_queue_peek_head(sent)) != NULL && f->base.now >= s->due) {
+		allow_first(f, s->query);
+		gyp_message_free(s->query);
+		g_free(g_queue_pop_head(sent));
+	}
+}
+
+static void
+free_sent(gpointer p)
+{
+	struct sent_query *s = p;
+
+	gyp_message_free(s->query);
+	g_free(s);
+}
+
+/*
+ * Guards against a task that waits while leaders follow each other, because
+ * each of them drops the answer to the query of the one before.
+ */
+static void
+test_answers_over_terms(void)
+{
+	struct placer_fixture f;
+	GQueue sent = G_QUEUE_INIT;
+	const struct gyp_flow *flow;
+	uint64_t since, term_end, fence = 1;
+
+	placer_fixture_init(&f, 2);
+	submit(&f, 1, 1, 1, true);
+	flow = gyp_flow_get(f.base.flows, 1);
+	since = f.base.now;
+	while (flow->open == 0 && f.base.now < since + 10000) {
+		placer_fixture_new_leader(&f, fence++ << 32);
+		term_end = f.base.now + SHORT_TERM_MS;
+		flow_fixture_contact_all(&f.base);
+		while (f.base.now < term_end) {
+			answer_queries(&f, &sent);
+			placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+			send_queries(&f, &sent);
+			placer_fixture_apply(&f);
+			f.base.now += ROUND_MS;
+		}
+	}
+	g_assert_cmpuint(f.base.now - since, <=, 2 * SHORT_TERM_MS);
+	g_queue_clear_full(&sent, free_sent);
+	placer_fixture_clear(&f);
+}
+
+/* The only endpoint and the only unit. */
+static enum gyp_admission_state
+only_state(const struct placer_fixture *f)
+{
+	struct gyp_flow *flow = gyp_flow_get(f->base.flows, 1);
+
+	return gyp_admission_state(f->admission,
+	    gyp_admission_unit(f->admission, flow, &flow->units[0]), 0,
+	    f->base.now);
+}
+
+/*
+ * The earlier leader may have asked about the incarnation before: its ticket
+ * would be refused.
+ */
+static void
+test_restart_before_earlier_answer(void)
+{
+	struct placer_fixture f;
+
+	placer_fixture_init(&f, 1);
+	submit(&f, 1, 1, 1, true);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	restart_endpoint(&f, 2);
+	placer_fixture_new_leader(&f, 1ULL << 32);
+	allow_first(&f, query_at(&f, 0));
+	g_assert_cmpint(only_state(&f), ==, GYP_ADMISSION_UNKNOWN);
+	placer_fixture_clear(&f);
+}
+
+/* An answer may have waited for the election, while its tickets grew old. */
+static void
+test_earlier_answer_held(void)
+{
+	struct placer_fixture f;
+
+	placer_fixture_init(&f, 1);
+	submit(&f, 1, 1, 1, true);
+	placer_fixture_run_round(&f, PLACER_QUERY_SLOTS);
+	gyp_admission_free(f.admission);
+	f.admission = gyp_admission_new(f.base.flows, 1ULL << 32, 2000);
+	allow_first(&f, query_at(&f, 0));
+	g_assert_cmpint(only_state(&f), ==, GYP_ADMISSION_ALLOWED);
+	f.base.now += 500;
+	g_assert_cmpint(only_state(&f), ==, GYP_ADMISSION_EXPIRED);
+	placer_fixture_clear(&f);
+}
+
 /* ---- The first query of a round ------------------------------------------ */
 
 /* Runs rounds whose queries fail; counts those about each of two flows. */
@@ -982,6 +1132,12 @@
 	    "/lasting-queries/one-long-answer", test_one_long_answer);
 	g_test_add_func(
 	    "/lasting-queries/needless-queries", test_needless_queries);
+	g_test_add_func(
+	    "/lasting-queries/answers-over-terms", test_answers_over_terms);
+	g_test_add_func("/lasting-queries/restart-before-earlier-answer",
+	    test_restart_before_earlier_answer);
+	g_test_add_func(
+	    "/lasting-queries/earlier-answer-held", test_earlier_answer_held);
 	g_test_add_func("/lasting-queries/one-slot", test_one_slot);
 	g_test_add_func("/lasting-queries/other-work", test_other_work);
 	g_test_add_func("/lasting-queries/denied-before-restart",
--- a/test/test_pf_client.c
+++ b/test/test_pf_client.c
@@ -96,6 +96,44 @@
 	ev_loop_destroy(loop);
 }
 
+static void
+on_named_answer(void *arg, const Gyp__Advised *a)
+{
+	g_assert_cmpuint(a->id, ==, 9);
+	g_assert_cmpuint(a->flow, ==, 0xf1);
+	g_assert_cmpuint(a->time, ==, 3);
+	g_assert_cmpuint(a->step, ==, 2);
+	*(bool *)arg = true;
+}
+
+/*
+ * Guards against an answer that only the leader that sent the query can use:
+ * it says what it is about.
+ */
+static void
+test_answer_names_unit(void)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct gyp_timers *timers = gyp_timers_new(loop);
+	struct gyp_httpc *httpc = gyp_httpc_new(loop, timers);
+	bool answered = false;
+	struct gyp_pf_client *client =
+	    gyp_pf_client_new(httpc, "127.0.0.1:65536", &answered);
+	Gyp__Ask query = GYP__ASK__INIT;
+
+	query.id = 9;
+	query.flow = 0xf1;
+	query.time = 3;
+	query.step = 2;
+	gyp_pf_client_query_admission(client, &query, on_named_answer);
+	while (!answered)
+		ev_run(loop, EVRUN_ONCE);
+	gyp_httpc_free(httpc);
+	gyp_pf_client_free(client);
+	gyp_timers_free(timers);
+	ev_loop_destroy(loop);
+}
+
 /* A provider that answers the pages of one list, one connection for each. */
 struct provider {
 	int fd;
@@ -217,5 +255,6 @@
 	g_test_add_func("/pf-client/inventory", test_inventory);
 	g_test_add_func(
 	    "/pf-client/inventory-page-fails", test_inventory_page_fails);
+	g_test_add_func("/pf-client/answer-names-unit", test_answer_names_unit);
 	return g_test_run();
 }
