--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -96,11 +96,14 @@
 	uint64_t listed_at;        /* last list of this incarnation; 0: none */
 	uint64_t departed_at;      /* its shutdown, or another endpoint at its
 				      address, was noticed; 0: neither */
-	uint64_t leaving_at;       /* a shutdown of an unknown incarnation was
-				      announced; 0: none */
-	uint64_t restarted_at;     /* latest restart was noticed; 0: never */
-	uint64_t restart_call;     /* id of the first call after the restart */
-	uint32_t restarts;         /* that this leader noticed */
+	uint64_t departed_before_ms; /* its shutdown was recorded so long
+					before departed_at, or 0 */
+	uint64_t leaving_at;         /* a shutdown of an unknown incarnation was
+					announced, or one of this incarnation to an
+					earlier leader; 0: none */
+	uint64_t restarted_at;       /* latest restart was noticed; 0: never */
+	uint64_t restart_call; /* id of the first call after the restart */
+	uint32_t restarts;     /* that this leader noticed */
 	uint64_t removal_proposed_at; /* the latest; 0: never */
 	uint32_t unlisted;     /* lists in a row that lack it while silent */
 	uint32_t failures;     /* consecutive calls without an answer */
@@ -210,6 +213,15 @@
     const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
 /* Id of the endpoint, for events. */
 const char *gyp_fleet_endpoint_name(const struct gyp_fleet *, uint32_t row);
+/*
+ * True if the tables hold that the present incarnation announced its shutdown,
+ * and this leader has not seen the endpoint restart.
+ */
+bool gyp_fleet_endpoint_end_is_recorded(
+    const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
+/* Cell time since then, in ms; 0 if it is not recorded. */
+uint64_t gyp_fleet_endpoint_recorded_ms_ago(
+    const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
 /* Records a reading of the endpoint's clock. */
 void gyp_fleet_endpoint_update_clock(
     struct gyp_fleet *, struct gyp_fleet_endpoint *, uint64_t clock_ms);
@@ -284,6 +296,8 @@
 bool gyp_fleet_endpoint_is_delisted(const struct gyp_fleet_endpoint *);
 /* The endpoint was heard from: it exists. */
 void gyp_fleet_endpoint_heard(struct gyp_fleet_endpoint *);
+/* Cell time, which stands still between two leaders. */
+uint64_t gyp_fleet_cell_time(const struct gyp_fleet *);
 /* Time since the run was proposed, in ms. */
 uint64_t gyp_fleet_run_age_ms(
     const struct gyp_fleet *, const struct gyp_fleet_run *);
--- a/src/fleet_inventory.c
+++ b/src/fleet_inventory.c
@@ -149,8 +149,7 @@
 static bool
 wants_list(const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
 {
-	return endpoint->runs->len > 0 && endpoint->departed_at == 0 &&
-	       was_silent(f, endpoint, f->now) &&
+	return endpoint->runs->len > 0 && was_silent(f, endpoint, f->now) &&
 	       (!gyp_fleet_endpoint_is_delisted(endpoint) ||
 		   awaits_later_list(f, endpoint));
 }
@@ -247,8 +246,7 @@
 		endpoint->unlisted = 0;
 		return false;
 	}
-	if (endpoint->runs->len == 0 || endpoint->departed_at != 0 ||
-	    !was_silent(f, endpoint, requested_at))
+	if (endpoint->runs->len == 0 || !was_silent(f, endpoint, requested_at))
 		return false;
 	endpoint->unlisted_prev_at = endpoint->unlisted_last_at;
 	endpoint->unlisted_last_at = requested_at;
@@ -331,10 +329,16 @@
 
 /* ---- Ends of runs -------------------------------------------------------- */
 
+uint64_t
+gyp_fleet_cell_time(const struct gyp_fleet *f)
+{
+	return f->cfg.cell_time_ms + (f->now - f->leader_since);
+}
+
 uint64_t
 gyp_fleet_run_age_ms(const struct gyp_fleet *f, const struct gyp_fleet_run *run)
 {
-	uint64_t cell_time = f->cfg.cell_time_ms + (f->now - f->leader_since);
+	uint64_t cell_time = gyp_fleet_cell_time(f);
 	uint64_t started = run->flow->tasks[run->key.index].changed_ms;
 
 	return cell_time > started ? cell_time - started : 0;
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -21,20 +21,40 @@
 	gyp_replica_reply(r, entry, &msg);
 }
 
+/*
+ * An endpoint announces its shutdown. It does not announce it again once it is
+ * confirmed, so that is committed first, if it is known which incarnation ends.
+ */
+static void
+handle_departure(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
+{
+	const struct gyp_host *h =
+	    gyp_host_by_id(gyp_state_flows(r->state), call->host->id);
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdHostEnded ended = GYP__CMD_HOST_ENDED__INIT;
+
+	if (h != NULL)
+		ended.born_ms = gyp_fleet_departed(
+		    gyp_flow_scheduler_fleet(r->flow_scheduler), r->now, h->row,
+		    call->host->born_ms);
+	if (h == NULL || ended.born_ms <= h->spec->ended_born_ms) {
+		reply_ok(r, entry, call->id);
+		return;
+	}
+	ended.id = call->host->id;
+	cmd.c_case = GYP__CMD__C_HOST_ENDED;
+	cmd.host_ended = &ended;
+	gyp_replica_propose_call(r, entry, call, &cmd);
+}
+
 void
 gyp_replica_handle_host(
     struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
 {
-	struct gyp_flows *flows = gyp_state_flows(r->state);
-	const struct gyp_host *h = gyp_host_by_id(flows, call->host->id);
 	Gyp__Cmd cmd = GYP__CMD__INIT;
 
 	if (call->host->gone) {
-		if (h != NULL)
-			gyp_fleet_departed(
-			    gyp_flow_scheduler_fleet(r->flow_scheduler), r->now,
-			    h->row, call->host->born_ms);
-		reply_ok(r, entry, call->id);
+		handle_departure(r, entry, call);
 		return;
 	}
 	cmd.c_case = GYP__CMD__C_HOST;
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -857,10 +857,14 @@
    * cell time at which that lease is over
    */
   uint64_t bound_over_ms;
+  /*
+   * cell time when the end was recorded
+   */
+  uint64_t ended_ms;
 };
 #define GYP__CMD_HOST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_host__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -983,7 +987,7 @@
    */
   uint32_t failed_run;
   /*
-   * cell time of the start of an open run, or 0
+   * cell time of the latest change; 0: no run yet, done
    */
   uint64_t changed_ms;
   /*
@@ -1197,10 +1201,16 @@
   uint32_t valid_ms;
   size_t n_tickets;
   Gyp__Ticket **tickets;
+  /*
+   * these three: what the query was about, if known
+   */
+  uint64_t flow;
+  uint32_t time;
+  uint32_t step;
 };
 #define GYP__ADVISED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__advised__descriptor) \
-    , 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
