entry: a carrier that shuts down answers the leader's starts before it ends

Cause: an entry ended 3 ms after SIGTERM, before the frame that says so had reached the leader, and with starts of the leader under way. The leader noticed after 450 ms (carrier-lost lost_calls=3 heard_ms_ago=480) and repeated the starts. A start that was sent twice may still be carried out by a later incarnation of its endpoint, so when that announced its shutdown 11 s later the run was held for a whole lease, 10.3 s.

Change: an entry ends once the leader has echoed the frame that says that it drains, and has the answers to its starts and stops, after a second at the latest. A carrier that drains gets no new calls, but its open starts and stops are no longer counted as lost: they are answered. Its polls are, as repeating one costs nothing.

Tests: /carriers/draining failed with the calls dropped as before (2 == 1 lost), /entry/drained-carrier-answers with a process that ends at once ('is_drained' should be FALSE). test_carriers, test_entry, test_entry_terms pass.

--- a/src/carriers.c
+++ b/src/carriers.c
@@ -10,6 +10,7 @@
 	uint64_t id;
 	uint64_t last_seen_at;
 	uint64_t backoff_until;
+	bool draining;
 	bool reported_live; /* the last change reported was live */
 };
 
@@ -23,6 +24,7 @@
 	uint64_t call;
 	uint64_t entry;
 	uint64_t give_up_at;
+	bool poll;
 };
 
 /* The carrier of an endpoint. */
@@ -46,7 +48,8 @@
 static bool
 is_live(const struct carrier *c, uint64_t now)
 {
-	return c != NULL && now < c->last_seen_at + GYP_CARRIER_SILENT_MS &&
+	return c != NULL && !c->draining &&
+	       now < c->last_seen_at + GYP_CARRIER_SILENT_MS &&
 	       now >= c->backoff_until;
 }
 
@@ -82,7 +85,7 @@
 }
 
 static void
-lose_calls(struct gyp_carriers *cs, uint64_t entry)
+lose_polls(struct gyp_carriers *cs, uint64_t entry)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -91,7 +94,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct carried_call *call = value;
 
-		if (call->entry != entry)
+		if (call->entry != entry || !call->poll)
 			continue;
 		g_array_append_val(cs->lost, call->call);
 		g_hash_table_iter_remove(&iter);
@@ -99,10 +102,18 @@
 }
 
 void
-gyp_carriers_drop(struct gyp_carriers *cs, uint64_t entry)
+gyp_carriers_draining(struct gyp_carriers *cs, uint64_t now, uint64_t entry)
 {
-	if (g_hash_table_remove(cs->carriers, &entry))
-		lose_calls(cs, entry);
+	struct carrier *c = g_hash_table_lookup(cs->carriers, &entry);
+
+	if (c == NULL)
+		return;
+	c->last_seen_at = now;
+	if (c->draining)
+		return;
+	c->draining = true;
+	report_change(cs, c, false);
+	lose_polls(cs, entry);
 }
 
 static uint64_t
@@ -143,12 +154,13 @@
 
 void
 gyp_carriers_sent(struct gyp_carriers *cs, uint64_t now, uint64_t call,
-    uint32_t timeout_ms, uint64_t entry)
+    bool poll, uint32_t timeout_ms, uint64_t entry)
 {
 	struct carried_call *c = g_new0(struct carried_call, 1);
 
 	c->call = call;
 	c->entry = entry;
+	c->poll = poll;
 	c->give_up_at = now + timeout_ms + GYP_CARRIER_TRANSIT_MS;
 	g_hash_table_insert(cs->calls, &c->call, c);
 }
--- a/src/carriers.h
+++ b/src/carriers.h
@@ -16,8 +16,9 @@
  *
  *	A carrier may be stopped, frozen or disconnected. A carrier that was
  *	silent or left a call unanswered gets no calls for a while, and its
- *	open calls are lost: each may still be carried out. With no carrier
- *	left, the leader makes the calls itself.
+ *	open calls are lost: each may still be carried out. One that drains
+ *	gets no calls either, but answers the starts and stops that it has.
+ *	With no carrier left, the leader makes the calls itself.
  *
  *	When all replicas restart at once, the new leader has to poll all
  *	endpoints before any carrier has found it. Opening hundreds of
@@ -49,15 +50,18 @@
 /* Records that a frame from a carrier was received. */
 void gyp_carriers_seen(struct gyp_carriers *, uint64_t now, uint64_t entry);
 
-/* Removes a carrier; its open calls are lost. */
-void gyp_carriers_drop(struct gyp_carriers *, uint64_t entry);
+/*
+ * Records that a frame from a carrier that drains was received. Its open polls
+ * are lost at once.
+ */
+void gyp_carriers_draining(struct gyp_carriers *, uint64_t now, uint64_t entry);
 
 /* The carrier for calls to the endpoint of that row; 0 for none. */
 uint64_t gyp_carriers_pick(struct gyp_carriers *, uint64_t now, uint32_t row);
 
 /* Records that the call was sent to the carrier with that timeout. */
 void gyp_carriers_sent(struct gyp_carriers *, uint64_t now, uint64_t call,
-    uint32_t timeout_ms, uint64_t entry);
+    bool poll, uint32_t timeout_ms, uint64_t entry);
 
 /* Closes the call; true if it was open. */
 bool gyp_carriers_answered(struct gyp_carriers *, uint64_t call);
--- a/src/entry.c
+++ b/src/entry.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "entry_int.h"
+#include "fleet.h"
 #include "msg.h"
 #include "mutant.h"
 
@@ -152,9 +153,15 @@
 
 	if (e->now >= down->round + GYP_ENDPOINT_CALL_MAX_AGE_MS)
 		return;
-	for (i = 0; i < down->n_host_calls; i++)
-		g_queue_push_tail(&e->host_calls,
-		    gyp_message_copy(&down->host_calls[i]->base));
+	for (i = 0; i < down->n_host_calls; i++) {
+		Gyp__HostCall *call =
+		    gyp_message_copy(&down->host_calls[i]->base);
+
+		g_queue_push_tail(&e->host_calls, call);
+		if (call->kind != GYP_FLEET_POLL)
+			g_hash_table_add(
+			    e->carried, g_memdup2(&call->id, sizeof(call->id)));
+	}
 }
 
 static void
@@ -182,6 +189,7 @@
 	e->cell_time = MAX(e->cell_time, down->time_ms);
 	if (down->round != 0)
 		e->lease_end = MAX(e->lease_end, down->round + down->lease_ms);
+	e->confirmed_round = MAX(e->confirmed_round, down->round);
 	store_rules(e, down);
 	for (i = 0; i < down->n_replies; i++)
 		gyp_entry_on_reply(e, down->replies[i]);
@@ -218,6 +226,16 @@
 	return n;
 }
 
+/*
+ * Records that the leader must have the frame that is sent now. Its round is
+ * echoed, but an earlier frame of this millisecond has the same one.
+ */
+static void
+note_last_word(struct gyp_entry_core *e)
+{
+	e->last_word_at = e->sent_at == e->now ? e->now + 1 : e->now;
+}
+
 /* Queues a frame with the calls and answers that fit; returns their number. */
 static guint
 send_frame(struct gyp_entry_core *e)
@@ -256,9 +274,12 @@
 	g_ptr_array_free(list, TRUE);
 	if (answers > 0)
 		g_ptr_array_remove_range(e->host_answers, 0, answers);
+	if (e->draining && (answers > 0 || e->last_word_at == 0))
+		note_last_word(e);
 	e->sent_at = e->now;
 	e->frame_due = false;
-	e->next_frame_at = UINT64_MAX;
+	e->next_frame_at =
+	    e->last_word_at > e->now ? e->last_word_at : UINT64_MAX;
 	return n + answers;
 }
 
@@ -309,6 +330,7 @@
 gyp_entry_endpoint_call_answered(
     struct gyp_entry_core *e, Gyp__HostAnswer *answer)
 {
+	g_hash_table_remove(e->carried, &answer->call);
 	g_ptr_array_add(e->host_answers, answer);
 	e->frame_due = true;
 }
@@ -342,10 +364,24 @@
 void
 gyp_entry_drain(struct gyp_entry_core *e)
 {
+	if (!e->draining)
+		e->drain_since = e->now;
 	e->draining = true;
 	e->frame_due = true;
 }
 
+bool
+gyp_entry_is_drained(const struct gyp_entry_core *e)
+{
+	if (!e->draining)
+		return false;
+	if (e->now >= e->drain_since + GYP_ENTRY_DRAIN_MAX_MS)
+		return true;
+	return g_hash_table_size(e->carried) == 0 &&
+	       e->host_answers->len == 0 && e->last_word_at != 0 &&
+	       e->confirmed_round >= e->last_word_at;
+}
+
 uint64_t
 gyp_entry_rules(const struct gyp_entry_core *e, const char **text)
 {
@@ -372,6 +408,8 @@
 	e->expire_at = UINT64_MAX;
 	e->next_frame_at = UINT64_MAX;
 	e->host_answers = g_ptr_array_new_with_free_func(gyp_message_free);
+	e->carried =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	e->calls = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, gyp_entry_free_call);
 	e->attempts = g_hash_table_new_full(
@@ -400,6 +438,7 @@
 	g_queue_clear_full(&e->unsent, g_free);
 	g_queue_clear_full(&e->queries, gyp_message_free);
 	g_queue_clear_full(&e->host_calls, gyp_message_free);
+	g_hash_table_destroy(e->carried);
 	g_ptr_array_free(e->host_answers, TRUE);
 	g_hash_table_destroy(e->calls);
 	g_hash_table_destroy(e->exchanges);
--- a/src/entry.h
+++ b/src/entry.h
@@ -166,10 +166,18 @@
 
 /*
  * From now on, each frame requests that the leader sends this entry no new
- * start orders.
+ * start orders and no calls at endpoints.
  */
 void gyp_entry_drain(struct gyp_entry_core *);
 
+/*
+ * True once the leader knows that this entry drains and has the answers to the
+ * starts and stops at endpoints that it made, or GYP_ENTRY_DRAIN_MAX_MS after
+ * the begin: until then the process should not end.
+ */
+#define GYP_ENTRY_DRAIN_MAX_MS 1000
+bool gyp_entry_is_drained(const struct gyp_entry_core *);
+
 /*
  * Number of calls without a final answer, and of attempts whose outcome this
  * entry still has to report. Attempts that the endpoint reports itself are not
--- a/src/entry_int.h
+++ b/src/entry_int.h
@@ -72,6 +72,10 @@
 	bool frame_due;     /* a frame is to be sent now */
 	uint64_t next_frame_at; /* latest time of the next frame */
 	bool draining;
+	uint64_t drain_since;
+	uint64_t last_word_at;    /* round of the last frame that the leader
+				     must have before this entry ends; 0: none */
+	uint64_t confirmed_round; /* latest one that a leader echoed */
 	uint64_t next_id;
 	GHashTable *calls; /* id -> struct gyp_call */
 	GQueue unsent;     /* ids of calls to send, oldest first */
@@ -86,6 +90,7 @@
 	GQueue answers;          /* struct gyp_answer */
 	GQueue queries;          /* Gyp__Ask */
 	GQueue host_calls;       /* Gyp__HostCall */
+	GHashTable *carried;     /* ids of starts and stops to answer */
 	GPtrArray *host_answers; /* Gyp__HostAnswer, to be sent */
 	uint64_t rules_version;
 	char *rules;
--- a/src/gyp_entry.c
+++ b/src/gyp_entry.c
@@ -279,7 +279,8 @@
 	if (!app->draining ||
 	    gyp_clock_ms() < app->drain_started_ms + app->linger_ms ||
 	    gyp_entry_open_calls(app->core) > 0 ||
-	    gyp_entry_open_attempts(app->core) > 0)
+	    gyp_entry_open_attempts(app->core) > 0 ||
+	    !gyp_entry_is_drained(app->core))
 		return;
 	if (!app->quiesced)
 		quiesce(app);
--- a/src/replica.c
+++ b/src/replica.c
@@ -382,7 +382,8 @@
 		g_free(peer->address);
 		peer->address = g_strdup(up->address);
 	}
-	peer->frame_due = peer->frame_due || first;
+	/* A process that drains ends when it has this frame's echo. */
+	peer->frame_due = peer->frame_due || first || up->draining;
 	if (peer->frame_due_at == 0)
 		peer->frame_due_at = r->now + IDLE_ANSWER_MS;
 	if (first)
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -251,7 +251,7 @@
 	if (!up->carries || is_on_same_vm(r, peer))
 		return;
 	if (up->draining)
-		gyp_carriers_drop(r->carriers, peer->id);
+		gyp_carriers_draining(r->carriers, r->now, peer->id);
 	else
 		gyp_carriers_seen(r->carriers, r->now, peer->id);
 	for (i = 0; i < up->n_host_answers; i++) {
@@ -307,8 +307,8 @@
 	if (entry == 0)
 		return false;
 	peer = gyp_replica_entry_peer(r, entry);
-	gyp_carriers_sent(
-	    r->carriers, r->now, call->id, call->timeout_ms, entry);
+	gyp_carriers_sent(r->carriers, r->now, call->id,
+	    call->kind == GYP_FLEET_POLL, call->timeout_ms, entry);
 	g_ptr_array_add(peer->host_calls, gyp_host_msg_from_call(call));
 	peer->frame_due = true;
 	gyp_fleet_call_free(call);
--- a/test/test_carriers.c
+++ b/test/test_carriers.c
@@ -84,7 +84,7 @@
 	g_assert_cmpuint(gyp_carriers_pick(f.cs, f.now, 3), ==, 0);
 	gyp_carriers_seen(f.cs, f.now, 7);
 	g_assert_cmpuint(gyp_carriers_pick(f.cs, f.now, 3), ==, 7);
-	gyp_carriers_drop(f.cs, 7);
+	gyp_carriers_draining(f.cs, f.now, 7);
 	g_assert_cmpuint(gyp_carriers_pick(f.cs, f.now, 3), ==, 0);
 	gyp_carriers_free(f.cs);
 }
@@ -100,8 +100,8 @@
 
 	set_up(&f, 3);
 	entry = gyp_carriers_pick(f.cs, f.now, 0);
-	gyp_carriers_sent(f.cs, f.now, 100, 5000, entry);
-	gyp_carriers_sent(f.cs, f.now, 101, 5000, 1 + entry % 3);
+	gyp_carriers_sent(f.cs, f.now, 100, false, 5000, entry);
+	gyp_carriers_sent(f.cs, f.now, 101, false, 5000, 1 + entry % 3);
 	f.now += GYP_CARRIER_SILENT_MS;
 	receive_from_all_except(&f, 3, entry);
 	g_assert_cmpuint(count_lost(&f), ==, 1);
@@ -121,6 +121,31 @@
 	gyp_carriers_free(f.cs);
 }
 
+/*
+ * Starts that a carrier makes while it drains are not lost: a repeated start
+ * would keep the run open for a lease once its endpoint has ended.
+ */
+static void
+test_draining(void)
+{
+	struct fixture f;
+	uint64_t entry;
+
+	set_up(&f, 3);
+	entry = gyp_carriers_pick(f.cs, f.now, 0);
+	gyp_carriers_sent(f.cs, f.now, 100, false, 150, entry);
+	gyp_carriers_sent(f.cs, f.now, 101, true, 650, entry);
+	gyp_carriers_draining(f.cs, f.now, entry);
+	g_assert_cmpuint(gyp_carriers_pick(f.cs, f.now, 0), !=, entry);
+	g_assert_cmpuint(count_lost(&f), ==, 1); /* the poll */
+	g_assert_true(gyp_carriers_answered(f.cs, 100));
+	gyp_carriers_sent(f.cs, f.now, 102, false, 5000, entry);
+	f.now += GYP_CARRIER_SILENT_MS;
+	receive_from_all_except(&f, 3, entry);
+	g_assert_cmpuint(count_lost(&f), ==, 1); /* it is gone */
+	gyp_carriers_free(f.cs);
+}
+
 /* A carrier that sends frames but leaves calls unanswered gets no calls. */
 static void
 test_unanswered_call(void)
@@ -130,7 +155,7 @@
 
 	set_up(&f, 3);
 	entry = gyp_carriers_pick(f.cs, f.now, 0);
-	gyp_carriers_sent(f.cs, f.now, 100, 150, entry);
+	gyp_carriers_sent(f.cs, f.now, 100, false, 150, entry);
 	f.now += 150 + GYP_CARRIER_TRANSIT_MS - 1;
 	receive_from_all_except(&f, 3, 0);
 	g_assert_cmpuint(count_lost(&f), ==, 0);
@@ -291,6 +316,7 @@
 	g_test_add_func("/carriers/spread", test_spread);
 	g_test_add_func("/carriers/no-carriers", test_no_carriers);
 	g_test_add_func("/carriers/frozen", test_frozen);
+	g_test_add_func("/carriers/draining", test_draining);
 	g_test_add_func("/carriers/unanswered-call", test_unanswered_call);
 	g_test_add_func("/carriers/direct-calls", test_direct_calls);
 	g_test_add_func("/carriers/stale-call", test_stale_call);
--- a/test/test_entry_terms.c
+++ b/test/test_entry_terms.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "entry.h"
+#include "fleet.h"
 #include "msg.h"
 
 #define REPLICA_A "127.0.0.1:1"
@@ -211,6 +212,82 @@
 	gyp_entry_free(e);
 }
 
+/* Passes a frame of the leader that echoes a round, with a call or without. */
+static void
+receive_round(
+    struct gyp_entry_core *e, uint64_t now, uint64_t round, Gyp__HostCall *call)
+{
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__EntryDown down = GYP__ENTRY_DOWN__INIT;
+
+	down.term = 3;
+	down.leader = true;
+	down.round = round;
+	down.n_host_calls = call != NULL;
+	down.host_calls = &call;
+	frame.body_case = GYP__FRAME__BODY_DOWN;
+	frame.down = &down;
+	gyp_entry_receive(e, now, REPLICA_A, &frame);
+}
+
+static void
+answer_call(struct gyp_entry_core *e, uint64_t id)
+{
+	Gyp__HostAnswer *answer = g_new(Gyp__HostAnswer, 1);
+
+	gyp__host_answer__init(answer);
+	answer->call = id;
+	gyp_entry_endpoint_call_answered(e, answer);
+}
+
+/*
+ * A carrier that is told to stop ends only when the leader knows it and has the
+ * answers to its starts: else the leader repeats them.
+ */
+static void
+test_drained_carrier_answers(void)
+{
+	struct gyp_entry_core *e = make_entry();
+	Gyp__HostCall start = GYP__HOST_CALL__INIT;
+	Gyp__HostCall poll = GYP__HOST_CALL__INIT;
+
+	start.id = 7;
+	start.kind = GYP_FLEET_START;
+	poll.id = 8;
+	poll.kind = GYP_FLEET_POLL;
+	gyp_entry_tick(e, 1000);
+	receive_round(e, 1010, 1000, &start);
+	receive_round(e, 1010, 1000, &poll);
+	g_assert_false(gyp_entry_is_drained(e));
+	gyp_entry_drain(e);
+	gyp_entry_tick(e, 1020); /* says that it drains */
+	receive_round(e, 1030, 1010, NULL);
+	g_assert_false(gyp_entry_is_drained(e));
+	receive_round(e, 1040, 1020, NULL);
+	g_assert_false(gyp_entry_is_drained(e)); /* the start is open */
+	answer_call(e, 7);
+	gyp_entry_tick(e, 1050);
+	g_assert_false(gyp_entry_is_drained(e));
+	receive_round(e, 1060, 1050, NULL);
+	g_assert_true(gyp_entry_is_drained(e)); /* polls are repeated anyhow */
+	gyp_entry_free(e);
+}
+
+/* Without a leader, a process that is told to stop ends nevertheless. */
+static void
+test_drained_without_leader(void)
+{
+	struct gyp_entry_core *e = make_entry();
+
+	gyp_entry_tick(e, 1000);
+	gyp_entry_drain(e);
+	gyp_entry_tick(e, 1000 + GYP_ENTRY_DRAIN_MAX_MS - 1);
+	g_assert_false(gyp_entry_is_drained(e));
+	gyp_entry_tick(e, 1000 + GYP_ENTRY_DRAIN_MAX_MS);
+	g_assert_true(gyp_entry_is_drained(e));
+	gyp_entry_free(e);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -220,5 +297,9 @@
 	    "/entry/not-leader-keeps-term", test_not_leader_keeps_term);
 	g_test_add_func("/entry/outage", test_outage);
 	g_test_add_func("/entry/wrong-leader-hints", test_wrong_leader_hints);
+	g_test_add_func(
+	    "/entry/drained-carrier-answers", test_drained_carrier_answers);
+	g_test_add_func(
+	    "/entry/drained-without-leader", test_drained_without_leader);
 	return g_test_run();
 }
