carriers: no call is sent over a connection that was closed

Cause: the leader took a carrier for alive until it had been silent for 600 ms, although the closed connection had shown at once that no call reaches it.

Change: the link reports that the connection of an entry was closed, and the carrier gets no call until a frame from it is received. Its open polls are lost at once; starts stay open, as a process that lives answers them after it has connected again.

Tests: /carriers/disconnected (new function), /link/entry-closed.

--- a/src/carriers.c
+++ b/src/carriers.c
@@ -11,6 +11,7 @@
 	uint64_t last_seen_at;
 	uint64_t backoff_until;
 	bool draining;
+	bool connected;
 	bool reported_live; /* the last change reported was live */
 };
 
@@ -48,7 +49,7 @@
 static bool
 is_live(const struct carrier *c, uint64_t now)
 {
-	return c != NULL && !c->draining &&
+	return c != NULL && !c->draining && c->connected &&
 	       now < c->last_seen_at + GYP_CARRIER_SILENT_MS &&
 	       now >= c->backoff_until;
 }
@@ -80,6 +81,7 @@
 	if (!is_live(c, now))
 		cs->generation++;
 	c->last_seen_at = now;
+	c->connected = true;
 	if (is_live(c, now))
 		report_change(cs, c, true);
 }
@@ -116,6 +118,18 @@
 	lose_polls(cs, entry);
 }
 
+void
+gyp_carriers_disconnected(struct gyp_carriers *cs, uint64_t entry)
+{
+	struct carrier *c = g_hash_table_lookup(cs->carriers, &entry);
+
+	if (c == NULL)
+		return;
+	c->connected = false;
+	report_change(cs, c, false);
+	lose_polls(cs, entry);
+}
+
 static uint64_t
 choose_carrier(const struct gyp_carriers *cs, uint64_t now, uint32_t row)
 {
--- a/src/carriers.h
+++ b/src/carriers.h
@@ -56,6 +56,12 @@
  */
 void gyp_carriers_draining(struct gyp_carriers *, uint64_t now, uint64_t entry);
 
+/*
+ * The connection to a carrier was closed: it gets no calls until a frame from
+ * it is received, and its open polls are lost at once.
+ */
+void gyp_carriers_disconnected(struct gyp_carriers *, uint64_t entry);
+
 /* The carrier for calls to the endpoint of that row; 0 for none. */
 uint64_t gyp_carriers_pick(struct gyp_carriers *, uint64_t now, uint32_t row);
 
--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -282,6 +282,15 @@
 	flush(app);
 }
 
+static void
+on_entry_closed(struct gyp_links_owner *owner, uint64_t id)
+{
+	struct app *app = (struct app *)owner;
+
+	gyp_replica_entry_disconnected(app->replica, gyp_clock_ms(), id);
+	gyp_loop_deferred_schedule(app->deferred);
+}
+
 static void
 on_answered(
     struct gyp_links_owner *owner, const char *address, const Gyp__Frame *frame)
@@ -462,6 +471,7 @@
 static const struct gyp_links_owner_ops links_ops = {.received = on_received,
     .answered = on_answered,
     .hello_received = on_hello,
+    .entry_closed = on_entry_closed,
     .opened = on_link_change,
     .lost = on_link_change};
 
--- a/src/link.c
+++ b/src/link.c
@@ -195,6 +195,21 @@
 	    MIN(c->redial_delay_ms * 2, GYP_REDIAL_DELAY_MAX_MS);
 }
 
+static void
+drop_accepted(struct conn *c)
+{
+	struct gyp_links *links = c->links;
+	bool entry = c->entry;
+	uint64_t id = c->id;
+
+	if (g_hash_table_lookup(links->by_id, &id) == c)
+		g_hash_table_remove(links->by_id, &id);
+	links->entries -= entry;
+	g_ptr_array_remove_fast(links->accepted, c);
+	if (entry && links->owner->ops->entry_closed != NULL)
+		links->owner->ops->entry_closed(links->owner, id);
+}
+
 /* Closes a connection. An accepted one is freed, a dialled one redialled. */
 static void
 drop_conn(struct conn *c)
@@ -203,10 +218,7 @@
 	bool was_open = c->state == CONN_OPEN;
 
 	if (c->address == NULL) {
-		if (g_hash_table_lookup(links->by_id, &c->id) == c)
-			g_hash_table_remove(links->by_id, &c->id);
-		links->entries -= c->entry;
-		g_ptr_array_remove_fast(links->accepted, c);
+		drop_accepted(c);
 		return;
 	}
 	close_socket(c);
--- a/src/link.h
+++ b/src/link.h
@@ -75,6 +75,8 @@
 	    struct gyp_links_owner *, const char *address, const Gyp__Frame *);
 	/* A hello arrived on an accepted connection. */
 	void (*hello_received)(struct gyp_links_owner *, const Gyp__Hello *);
+	/* The accepted connection of an entry was closed; may be NULL. */
+	void (*entry_closed)(struct gyp_links_owner *, uint64_t id);
 	/* A dialled connection was opened or lost. */
 	void (*opened)(struct gyp_links_owner *, const char *address);
 	void (*lost)(struct gyp_links_owner *, const char *address);
--- a/src/replica.h
+++ b/src/replica.h
@@ -117,6 +117,10 @@
 void gyp_replica_entry_connected(
     struct gyp_replica *, uint64_t now, uint64_t entry);
 
+/* The connection of an entry was closed. */
+void gyp_replica_entry_disconnected(
+    struct gyp_replica *, uint64_t now, uint64_t entry);
+
 /* All records up to sequence number seq are on the disk. */
 void gyp_replica_synced(struct gyp_replica *, uint64_t now, uint64_t seq);
 
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -264,6 +264,15 @@
 	}
 }
 
+void
+gyp_replica_entry_disconnected(
+    struct gyp_replica *r, uint64_t now, uint64_t entry)
+{
+	gyp_replica_advance(r, now);
+	if (r->carriers != NULL)
+		gyp_carriers_disconnected(r->carriers, entry);
+}
+
 static void
 log_carrier_changes(struct gyp_replica *r, uint32_t lost)
 {
--- a/test/test_carriers.c
+++ b/test/test_carriers.c
@@ -146,6 +146,26 @@
 	gyp_carriers_free(f.cs);
 }
 
+/* No call is sent over a connection that was closed. */
+static void
+test_disconnected(void)
+{
+	struct fixture f;
+	uint64_t entry;
+
+	set_up(&f, 3);
+	entry = gyp_carriers_pick(f.cs, f.now, 0);
+	gyp_carriers_sent(f.cs, f.now, 100, false, 150, entry);
+	gyp_carriers_sent(f.cs, f.now, 101, true, 650, entry);
+	gyp_carriers_disconnected(f.cs, entry);
+	g_assert_cmpuint(gyp_carriers_pick(f.cs, f.now, 0), !=, entry);
+	g_assert_cmpuint(count_lost(&f), ==, 1); /* the poll */
+	receive_from_all_except(&f, 3, 0);
+	g_assert_cmpuint(gyp_carriers_pick(f.cs, f.now, 0), ==, entry);
+	g_assert_true(gyp_carriers_answered(f.cs, 100));
+	gyp_carriers_free(f.cs);
+}
+
 /* A carrier that sends frames but leaves calls unanswered gets no calls. */
 static void
 test_unanswered_call(void)
@@ -317,6 +337,7 @@
 	g_test_add_func("/carriers/no-carriers", test_no_carriers);
 	g_test_add_func("/carriers/frozen", test_frozen);
 	g_test_add_func("/carriers/draining", test_draining);
+	g_test_add_func("/carriers/disconnected", test_disconnected);
 	g_test_add_func("/carriers/unanswered-call", test_unanswered_call);
 	g_test_add_func("/carriers/direct-calls", test_direct_calls);
 	g_test_add_func("/carriers/stale-call", test_stale_call);
--- a/test/test_link.c
+++ b/test/test_link.c
@@ -21,6 +21,7 @@
 	uint16_t port;
 	gint hellos;
 	gint received;
+	gint entries_closed;
 };
 
 static void
@@ -45,8 +46,16 @@
 	(void)address;
 }
 
+static void
+on_entry_closed(struct gyp_links_owner *owner, uint64_t id)
+{
+	g_assert_cmpuint(id, >=, 1000);
+	g_atomic_int_inc(&((struct fixture *)owner)->entries_closed);
+}
+
 static const struct gyp_links_owner_ops ops = {.received = on_received,
     .hello_received = on_hello,
+    .entry_closed = on_entry_closed,
     .opened = on_change,
     .lost = on_change};
 
@@ -290,6 +299,28 @@
 	g_assert_cmpint(g_atomic_int_get(&f->received), ==, n);
 }
 
+/* Only the end of an entry's connection is reported, at once. */
+static void
+close_entry(void *arg)
+{
+	struct fixture *f = arg;
+	int entry = connect_peer(f, 1000, TRUE);
+	int replica = connect_peer(f, 2, FALSE), i;
+
+	await_received(f, 2);
+	close(replica);
+	close(entry);
+	for (i = 0; i < 5000 && g_atomic_int_get(&f->entries_closed) < 1; i++)
+		g_usleep(1000);
+	g_assert_cmpint(g_atomic_int_get(&f->entries_closed), ==, 1);
+}
+
+static void
+test_entry_closed(void)
+{
+	run_in_fixture(close_entry);
+}
+
 /* All entries of a large deployment connect, and after them a replica. */
 static void
 connect_many(void *arg)
@@ -432,6 +463,7 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/link/entry-closed", test_entry_closed);
 	g_test_add_func("/link/garbage", test_garbage);
 	g_test_add_func("/link/slow", test_slow);
 	g_test_add_func("/link/reconnect", test_reconnect);
