raft: a large entry goes to only so many voters at once that the lease stays

Callers saw: with a manifest of 8,400 queues a leader fell out of its lease and terms began by themselves, also where no processor time was counted. Cause: the entry, 3 MB, was sent to all voters at once (four of them, 12 MB on a link of 1 Gbit/s, 100 ms), then to the four learners. Heartbeats wait behind it on the same link, and no voter answered one before it had received, stored and synced the entry; a lease is 160 ms. Change: an entry that is larger than a message (256 KiB) is sent to as many voters at once as the lease can do without, two of four; the next one gets it when one has acknowledged it, or has been silent for an election timeout. Learners get it one by one, once it is committed. Test: /raft/large-entry-leaves-lease, seen failing before: 'count_large_transfers(&net, leader) == 2: (4 == 2)'.

--- a/src/raft_append.c
+++ b/src/raft_append.c
@@ -189,9 +189,11 @@
 gyp_raft_on_append_reply(struct gyp_raft *r, const Gyp__RaftMsg *m)
 {
 	struct gyp_raft_progress *p = gyp_raft_find_peer(r, m->from);
+	bool was_receiving;
 
 	if (r->role != GYP_RAFT_LEADER || m->term != r->term || p == NULL)
 		return;
+	was_receiving = gyp_raft_is_receiving_large(p);
 	p->acked_sent_at = MAX(p->acked_sent_at, MIN(m->round, r->now));
 	p->answered_at = r->now;
 	if (p->inflight > 0)
@@ -211,6 +213,9 @@
 	if (p->match + 1 == p->next)
 		/* All is acknowledged; lost messages would stay counted. */
 		p->inflight = 0;
+	if (was_receiving && !gyp_raft_is_receiving_large(p))
+		/* It is another voter's turn. */
+		gyp_raft_replicate_all(r, false);
 	gyp_raft_advance_commit(r);
 	p = gyp_raft_find_peer(r, m->from);
 	if (r->role != GYP_RAFT_LEADER || p == NULL)
--- a/src/raft_int.h
+++ b/src/raft_int.h
@@ -24,9 +24,10 @@
 	uint64_t match; /* last index known to be on its disk */
 	/* When the latest answered message was sent, by the leader's clock. */
 	uint64_t acked_sent_at;
-	uint64_t sent_at;           /* time of the latest message */
-	uint64_t answered_at;       /* time of the latest answer */
-	uint64_t offset;            /* bytes of the snapshot that it holds */
+	uint64_t sent_at;     /* time of the latest message */
+	uint64_t answered_at; /* time of the latest answer */
+	uint64_t large_index; /* of the latest large entry sent, 0 for none */
+	uint64_t offset;      /* bytes of the snapshot that it holds */
 	uint64_t offset_changed_at; /* time of the latest change of offset */
 	uint32_t inflight;          /* unanswered appends */
 	bool sending_snapshot;
@@ -165,6 +166,9 @@
 void gyp_raft_send_snapshot_chunk(
     struct gyp_raft *, struct gyp_raft_progress *, bool empty);
 
+/* True while the member has not acknowledged a large entry sent to it. */
+bool gyp_raft_is_receiving_large(const struct gyp_raft_progress *);
+
 void gyp_raft_replicate(
     struct gyp_raft *r, struct gyp_raft_progress *p, bool force);
 void gyp_raft_replicate_all(struct gyp_raft *r, bool force);
--- a/src/raft_send.c
+++ b/src/raft_send.c
@@ -176,6 +176,78 @@
 	r->io->ops->send(r->io, p->id, &m);
 }
 
+/* ---- Large entries ------------------------------------------------------ */
+
+bool
+gyp_raft_is_receiving_large(const struct gyp_raft_progress *p)
+{
+	return p->large_index > p->match;
+}
+
+/* An entry that fills a message alone. */
+static bool
+is_large(const struct gyp_raft *r, const struct gyp_log_entry *e)
+{
+	return g_bytes_get_size(e->data) > r->cfg.append_bytes;
+}
+
+/* Voters, or learners, other than p that are receiving a large entry. */
+static guint
+count_receiving(const struct gyp_raft *r, const struct gyp_raft_progress *p)
+{
+	bool voter = gyp_raft_is_voter(r, p->id);
+	guint n = 0, i;
+
+	for (i = 0; i < r->peers->len; i++) {
+		const struct gyp_raft_progress *q =
+		    &g_array_index(r->peers, struct gyp_raft_progress, i);
+
+		n += q != p && gyp_raft_is_voter(r, q->id) == voter &&
+		     gyp_raft_is_receiving_large(q) && !is_unresponsive(r, q);
+	}
+	return n;
+}
+
+static guint
+count_voters(const struct gyp_raft *r)
+{
+	guint n = 0;
+	size_t i;
+
+	for (i = 0; i < r->config->n_members; i++)
+		n += r->config->members[i]->voter;
+	return n;
+}
+
+/*
+ * Heartbeats wait behind a large entry on the same link, so it is sent to only
+ * so many voters at once that the others suffice for the lease. Learners get it
+ * one by one, once it is committed.
+ */
+static bool
+may_send_large(const struct gyp_raft *r, const struct gyp_raft_progress *p,
+    const struct gyp_log_entry *e)
+{
+	guint voters = count_voters(r);
+	guint spare = voters - voters / 2 - 1;
+
+	if (!gyp_raft_is_voter(r, p->id))
+		return e->index <= r->commit && count_receiving(r, p) == 0;
+	return count_receiving(r, p) < MAX(spare, 1);
+}
+
+/* The next entry for a member, or NULL if there is none that may be sent. */
+static struct gyp_log_entry *
+next_entry(const struct gyp_raft *r, const struct gyp_raft_progress *p)
+{
+	struct gyp_log_entry *e = gyp_raft_entry_at(r, p->next);
+
+	return e != NULL && is_large(r, e) && !may_send_large(r, p, e) ? NULL
+								       : e;
+}
+
+/* ---- Appends ------------------------------------------------------------ */
+
 static void
 send_entries(struct gyp_raft *r, struct gyp_raft_progress *p)
 {
@@ -189,8 +261,7 @@
 	m.log_term = gyp_raft_term_at(r, m.index);
 	m.commit = r->commit;
 	m.round = r->now;
-	while (bytes < r->cfg.append_bytes &&
-	       (e = gyp_raft_entry_at(r, p->next)) != NULL) {
+	while (bytes < r->cfg.append_bytes && (e = next_entry(r, p)) != NULL) {
 		Gyp__LogEntry *le = g_new(Gyp__LogEntry, 1);
 		gsize len;
 
@@ -203,6 +274,8 @@
 		g_ptr_array_add(ptrs, le);
 		bytes += len;
 		p->next++;
+		if (is_large(r, e))
+			p->large_index = e->index;
 	}
 	m.n_entries = ptrs->len;
 	m.entries = (Gyp__LogEntry **)ptrs->pdata;
@@ -236,8 +309,7 @@
 			probe(r, p);
 		return;
 	}
-	if (!force &&
-	    (p->inflight >= INFLIGHT_MAX || p->next > gyp_raft_last_index(r)))
+	if (!force && (p->inflight >= INFLIGHT_MAX || next_entry(r, p) == NULL))
 		return;
 	send_entries(r, p);
 }
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -622,6 +622,82 @@
 	net_clear(&net);
 }
 
+/* ---- Large entries ------------------------------------------------------ */
+
+/* Bytes of an entry that is larger than the appends of the net. */
+#define LARGE_BYTES 1000
+
+static bool
+has_large_entry(const Gyp__RaftMsg *m)
+{
+	size_t i;
+
+	for (i = 0; i < m->n_entries; i++) {
+		if (m->entries[i]->data.len >= LARGE_BYTES)
+			return true;
+	}
+	return false;
+}
+
+/* Returns how many voters other than the leader a large entry is sent to. */
+static int
+count_large_transfers(struct net *net, const struct node *leader)
+{
+	bool receives[NET_SLOTS] = {false};
+	int n = 0, i;
+	guint k;
+
+	for (k = 0; k < net->in_flight->len; k++) {
+		const Gyp__RaftMsg *m = net->in_flight->pdata[k];
+
+		for (i = 0; i < NET_SLOTS && has_large_entry(m); i++)
+			receives[i] |= net->nodes[i].id == m->to;
+	}
+	for (i = 0; i < NET_SLOTS; i++) {
+		const Gyp__Member *m = net_member(
+		    gyp_raft_members(leader->raft), net->nodes[i].id);
+
+		n += receives[i] && m != NULL && m->voter;
+	}
+	return n;
+}
+
+/*
+ * Guards against a leader that loses its lease by sending a large entry: it
+ * went to all voters at once, and the heartbeats behind it on their links were
+ * answered only after the whole transfer. Two of the four other voters are
+ * needed for the lease.
+ */
+static void
+test_large_entry_leaves_lease(void)
+{
+	guint32 seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		struct net net;
+		struct node *leader = net_init_settled(&net, seed);
+		GBytes *data =
+		    g_bytes_new_take(g_malloc0(LARGE_BYTES), LARGE_BYTES);
+		uint64_t index;
+		int i;
+
+		net.no_proposals = net.no_compact = true;
+		net_run(&net, 100);
+		index = gyp_raft_propose(
+		    leader->raft, GYP__ENTRY_KIND__ENTRY_BATCH, data);
+		g_bytes_unref(data);
+		g_assert_cmpint(count_large_transfers(&net, leader), ==, 2);
+		for (i = 0; i < 200; i++) {
+			net_step(&net, false);
+			g_assert_cmpint(
+			    count_large_transfers(&net, leader), <=, 2);
+		}
+		for (i = 0; i < NET_SLOTS; i++)
+			g_assert_cmpuint(net.nodes[i].index, >=, index);
+		net_clear(&net);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -641,6 +717,8 @@
 	    "/raft/snapshot-keeps-entries", test_snapshot_keeps_entries);
 	g_test_add_func("/raft/snapshot-over-unsynced-equal",
 	    test_snapshot_over_unsynced_equal);
+	g_test_add_func(
+	    "/raft/large-entry-leaves-lease", test_large_entry_leaves_lease);
 	g_test_add_func("/raft/random", test_random);
 	return g_test_run();
 }
