--- a/src/flow.h
+++ b/src/flow.h
@@ -174,6 +174,10 @@
 /* Applies one command at cell time now; false if it is not a flow command. */
 bool gyp_flows_apply(struct gyp_flows *, uint64_t now, const Gyp__Cmd *);
 
+/* Applies a manifest as gyp_flows_apply() does, and takes it over. */
+void gyp_flows_take_manifest(
+    struct gyp_flows *, uint64_t now, Gyp__CmdManifest *);
+
 /*
  * Removes flows that ended GYP_FLOW_RETENTION_MS ago or earlier, and expired
  * cancellations of flows that were never submitted.
@@ -181,10 +185,13 @@
 void gyp_flows_drop_expired(struct gyp_flows *, uint64_t now);
 
 /*
- * Save packs all tables into a snapshot; restore replaces all tables by it.
- * NULL empties them. Restore returns false if the snapshot is not valid.
+ * Save puts all tables into a snapshot; restore replaces all tables by it. NULL
+ * empties them. Restore returns false if the snapshot is not valid. The
+ * manifest of a saved snapshot is that of the tables, not a copy, and is valid
+ * until another one is applied.
  */
 Gyp__SnapFlows *gyp_flows_save(const struct gyp_flows *);
+void gyp_flows_free_saved(Gyp__SnapFlows *);
 bool gyp_flows_restore(struct gyp_flows *, const Gyp__SnapFlows *);
 
 /*
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -537,10 +537,20 @@
 static void
 apply_manifest(struct gyp_flows *f, uint64_t now, const Gyp__CmdManifest *m)
 {
-	if (f->manifest != NULL && m->version <= f->manifest->version)
+	if (f->manifest == NULL || m->version > f->manifest->version)
+		gyp_flows_take_manifest(f, now, gyp_message_copy(&m->base));
+}
+
+void
+gyp_flows_take_manifest(struct gyp_flows *f, uint64_t now, Gyp__CmdManifest *m)
+{
+	f->time_ms = MAX(f->time_ms, now);
+	if (f->manifest != NULL && m->version <= f->manifest->version) {
+		gyp_message_free(m);
 		return;
+	}
 	keep_replaced(f, now);
-	f->manifest = gyp_message_copy(&m->base);
+	f->manifest = m;
 	gyp_flows_refresh_limits(f);
 }
 
--- a/src/flow_save.c
+++ b/src/flow_save.c
@@ -97,11 +97,18 @@
 		}
 	}
 	if (f->manifest != NULL)
-		snap->manifest = gyp_message_copy(&f->manifest->base);
+		snap->manifest = f->manifest;
 	snap->forecast = gyp_run_forecast_save(f->forecast);
 	return snap;
 }
 
+void
+gyp_flows_free_saved(Gyp__SnapFlows *snap)
+{
+	snap->manifest = NULL; /* of the tables */
+	gyp_message_free(snap);
+}
+
 /* ---- Restoring ---------------------------------------------------------- */
 
 static bool
@@ -174,14 +181,17 @@
 bool
 gyp_flows_restore(struct gyp_flows *f, const Gyp__SnapFlows *snap)
 {
+	Gyp__CmdManifest *manifest = NULL;
 	size_t i;
 
+	/* Copied first: it may be that of the tables. */
+	if (snap != NULL && snap->manifest != NULL)
+		manifest = gyp_message_copy(&snap->manifest->base);
 	gyp_flows_clear(f);
+	f->manifest = manifest;
 	if (snap == NULL)
 		return true;
 	f->next_seq = snap->next_seq;
-	if (snap->manifest != NULL)
-		f->manifest = gyp_message_copy(&snap->manifest->base);
 	for (i = 0; i < snap->n_hosts; i++) {
 		const Gyp__CmdHost *spec = snap->hosts[i];
 		struct gyp_host *h = NULL;
--- a/src/replica.c
+++ b/src/replica.c
@@ -123,8 +123,7 @@
 	data = g_bytes_get_data(e->data, &len);
 	batch = gyp__batch__unpack(NULL, len, data);
 	g_assert(batch != NULL);
-	gyp_state_apply(r->state, batch);
-	gyp__batch__free_unpacked(batch, NULL);
+	gyp_state_take(r->state, batch);
 	gyp_replica_refresh_rules(r, e->index);
 	if (r->leading && r->batch_index == e->index) {
 		r->batch_index = 0;
--- a/src/state.c
+++ b/src/state.c
@@ -493,6 +493,16 @@
 	}
 }
 
+static void
+finish_batch(struct gyp_state *s)
+{
+	drop_expired_jobs(s);
+	gyp_flows_drop_expired(s->flows, s->time_ms);
+#ifdef GYP_CHECKED
+	gyp_state_check(s);
+#endif
+}
+
 void
 gyp_state_apply(struct gyp_state *s, const Gyp__Batch *batch)
 {
@@ -501,11 +511,31 @@
 	s->time_ms = MAX(s->time_ms, batch->time_ms);
 	for (i = 0; i < batch->n_cmds; i++)
 		apply_cmd(s, batch->cmds[i]);
-	drop_expired_jobs(s);
-	gyp_flows_drop_expired(s->flows, s->time_ms);
-#ifdef GYP_CHECKED
-	gyp_state_check(s);
-#endif
+	finish_batch(s);
+}
+
+static void
+take_manifest(struct gyp_state *s, Gyp__Cmd *cmd)
+{
+	gyp_flows_take_manifest(s->flows, s->time_ms, cmd->manifest);
+	cmd->manifest = NULL;
+	cmd->c_case = GYP__CMD__C__NOT_SET;
+}
+
+void
+gyp_state_take(struct gyp_state *s, Gyp__Batch *batch)
+{
+	size_t i;
+
+	s->time_ms = MAX(s->time_ms, batch->time_ms);
+	for (i = 0; i < batch->n_cmds; i++) {
+		if (batch->cmds[i]->c_case == GYP__CMD__C_MANIFEST)
+			take_manifest(s, batch->cmds[i]);
+		else
+			apply_cmd(s, batch->cmds[i]);
+	}
+	finish_batch(s);
+	gyp_message_free(batch);
 }
 
 /* ---- Construction and access ------------------------------------------- */
--- a/src/state.h
+++ b/src/state.h
@@ -183,6 +183,12 @@
 /* Applies one committed batch. */
 void gyp_state_apply(struct gyp_state *, const Gyp__Batch *);
 
+/*
+ * Applies one committed batch, which was unpacked, and frees it. Its manifest
+ * is taken over, as a copy of thousands of queues delays heartbeats.
+ */
+void gyp_state_take(struct gyp_state *, Gyp__Batch *);
+
 /*
  * Packs all tables into a snapshot, and replaces all tables by those of a
  * snapshot. A restore that returns false may leave the tables incomplete.
--- a/src/state_save.c
+++ b/src/state_save.c
@@ -199,7 +199,7 @@
 	bytes = g_malloc(len + 1);
 	gyp__snapshot__pack(&snap, bytes);
 
-	gyp_message_free(snap.flows);
+	gyp_flows_free_saved(snap.flows);
 	for (i = 0; i < jobs->len; i++)
 		free_snap_job(jobs->pdata[i]);
 	g_ptr_array_free(jobs, TRUE);
--- a/test/test_early_cancels.c
+++ b/test/test_early_cancels.c
@@ -32,7 +32,7 @@
 	Gyp__SnapFlows *snap = gyp_flows_save(f->flows);
 
 	g_assert_true(gyp_flows_restore(f->flows, snap));
-	gyp_message_free(snap);
+	gyp_flows_free_saved(snap);
 	flow_fixture_new_leader(f, 2);
 }
 
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -182,7 +182,7 @@
 		used[k] = gyp_workspace_at(f->flows, i)->used.cpu_milli;
 	}
 	g_assert_true(gyp_flows_restore(f->flows, snap));
-	gyp_message_free(snap);
+	gyp_flows_free_saved(snap);
 	for (i = 0; i < gyp_workspaces_size(f->flows); i++) {
 		k = workspace_number(gyp_workspace_at(f->flows, i));
 		f->start_caps[i] = caps[k];
--- a/test/test_quotas.c
+++ b/test/test_quotas.c
@@ -455,7 +455,7 @@
 	flow_fixture_submit(&f, 3, &step, 1);
 	snap = gyp_flows_save(f.flows);
 	g_assert_true(gyp_flows_restore(f.flows, snap));
-	gyp_message_free(snap);
+	gyp_flows_free_saved(snap);
 	flow_fixture_new_leader(&f, 2);
 	g_assert_true(gyp_flow_get(f.flows, 3)->spec->excess);
 	g_assert_false(gyp_flow_get(f.flows, 1)->spec->excess);
--- a/test/test_run_forecast.c
+++ b/test/test_run_forecast.c
@@ -363,7 +363,7 @@
 	flow_fixture_start(&f.base, 1, 0, 0, 1, 0);
 	snap = gyp_flows_save(f.base.flows);
 	g_assert_true(gyp_flows_restore(copy, snap));
-	gyp_message_free(snap);
+	gyp_flows_free_saved(snap);
 	end.flow = 1;
 	end.run = 1;
 	cmd.c_case = GYP__CMD__C_FLOW_END;
--- a/test/test_state.c
+++ b/test/test_state.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include "flow.h"
 #include "msg.h"
 #include "state.h"
 
@@ -307,6 +308,53 @@
 	gyp_state_free(copy);
 }
 
+/* A batch with a manifest of one queue, unpacked. */
+static Gyp__Batch *
+make_manifest_batch(uint64_t version)
+{
+	Gyp__Batch batch = GYP__BATCH__INIT;
+	Gyp__Cmd cmd = GYP__CMD__INIT, *cmds[] = {&cmd};
+	Gyp__CmdManifest m = GYP__CMD_MANIFEST__INIT;
+	Gyp__FlowQueue q = GYP__FLOW_QUEUE__INIT, *queues[] = {&q};
+
+	q.name = "q";
+	m.version = version;
+	m.n_queues = 1;
+	m.queues = queues;
+	cmd.c_case = GYP__CMD__C_MANIFEST;
+	cmd.manifest = &m;
+	batch.n_cmds = 1;
+	batch.cmds = cmds;
+	return gyp_message_copy(&batch.base);
+}
+
+/*
+ * Guards against replicas that are too busy for their heartbeats: each copied a
+ * manifest of thousands of queues when it was committed, and in each snapshot.
+ */
+static void
+test_manifest_is_not_copied(void)
+{
+	struct gyp_state *s = gyp_state_new(NULL);
+	const struct gyp_flows *flows = gyp_state_flows(s);
+	Gyp__Batch *batch = make_manifest_batch(2);
+	const Gyp__CmdManifest *m = batch->cmds[0]->manifest;
+	Gyp__SnapFlows *snap;
+
+	gyp_state_take(s, batch);
+	g_assert_true(gyp_flows_manifest(flows) == m);
+	gyp_state_take(s, make_manifest_batch(2));
+	gyp_state_take(s, make_manifest_batch(1));
+	g_assert_true(gyp_flows_manifest(flows) == m);
+	snap = gyp_flows_save(flows);
+	g_assert_true(snap->manifest == m);
+	gyp_flows_free_saved(snap);
+	g_assert_cmpstr(gyp_flows_manifest(flows)->queues[0]->name, ==, "q");
+	gyp_state_take(s, make_manifest_batch(3));
+	g_assert_cmpuint(gyp_flows_manifest(flows)->version, ==, 3);
+	gyp_state_free(s);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -318,5 +366,7 @@
 	g_test_add_func("/state/late-report", test_late_report);
 	g_test_add_func("/state/drain", test_drain);
 	g_test_add_func("/state/snapshot", test_snapshot);
+	g_test_add_func(
+	    "/state/manifest-is-not-copied", test_manifest_is_not_copied);
 	return g_test_run();
 }
