--- a/src/raft.c
+++ b/src/raft.c
@@ -360,6 +360,12 @@
 	return r->log_bytes;
 }
 
+uint64_t
+gyp_raft_snapshot_bytes(const struct gyp_raft *r)
+{
+	return r->snap_file != NULL ? g_bytes_get_size(r->snap_file) : 0;
+}
+
 uint64_t
 gyp_raft_match_index(const struct gyp_raft *r, uint64_t id)
 {
--- a/src/raft.h
+++ b/src/raft.h
@@ -185,6 +185,9 @@
 /* Bytes of the entries after the last snapshot. */
 uint64_t gyp_raft_log_bytes(const struct gyp_raft *);
 
+/* Bytes of the last snapshot, 0 if there is none. */
+uint64_t gyp_raft_snapshot_bytes(const struct gyp_raft *);
+
 /* The newest configuration, committed or not; never NULL. */
 const Gyp__Config *gyp_raft_members(const struct gyp_raft *);
 
--- a/src/replica.c
+++ b/src/replica.c
@@ -260,13 +260,14 @@
 }
 
 uint64_t
-gyp_replica_compact_limit(const struct gyp_replica_config *cfg)
+gyp_replica_compact_limit(
+    const struct gyp_replica_config *cfg, uint64_t snapshot_bytes)
 {
 	uint64_t weight = gyp_rendezvous_weight(cfg->id, 0) >> 32;
+	uint64_t mean = MAX(cfg->compact_bytes, snapshot_bytes);
 
-	return cfg->compact_bytes / 2 + cfg->compact_bytes /
-					    COMPACT_LIMIT_STEPS *
-					    (weight % COMPACT_LIMIT_STEPS);
+	return mean / 2 +
+	       mean / COMPACT_LIMIT_STEPS * (weight % COMPACT_LIMIT_STEPS);
 }
 
 static void
@@ -274,7 +275,8 @@
 {
 	GBytes *state;
 
-	if (gyp_raft_log_bytes(r->raft) < gyp_replica_compact_limit(&r->cfg))
+	if (gyp_raft_log_bytes(r->raft) < gyp_replica_compact_limit(&r->cfg,
+					      gyp_raft_snapshot_bytes(r->raft)))
 		return;
 	state = gyp_state_save(r->state);
 	gyp_raft_compact(r->raft, gyp_raft_applied_index(r->raft), state);
--- a/src/replica.h
+++ b/src/replica.h
@@ -70,14 +70,19 @@
 };
 
 /*
- * Log size at which this replica makes a snapshot: from a half to three halves
- * of compact_bytes, depending on the replica's id.
+ * Log size at which this replica makes a snapshot, in bytes: from a half to
+ * three halves of compact_bytes, or of its last snapshot if that is larger,
+ * depending on the replica's id.
  *
- * The logs of all replicas grow at the same rate, and a replica does nothing
- * else while it packs a snapshot. Different limits keep the replicas from
- * packing at the same moment.
+ * A replica does nothing else while it packs a snapshot, which takes as long as
+ * the tables are large. With a log of the size of the snapshot this is a fixed
+ * share of its time, also when single entries have megabytes.
+ *
+ * The logs of all replicas grow at the same rate. Different limits keep the
+ * replicas from packing at the same moment.
  */
-uint64_t gyp_replica_compact_limit(const struct gyp_replica_config *);
+uint64_t gyp_replica_compact_limit(
+    const struct gyp_replica_config *, uint64_t snapshot_bytes);
 
 struct gyp_replica;
 
