--- a/src/raft.h
+++ b/src/raft.h
@@ -108,6 +108,13 @@
  */
 void gyp_raft_compact(struct gyp_raft *, uint64_t index, GBytes *state);
 
+/*
+ * To be called before gyp_raft_compact(): sends the applied entries that
+ * members in contact have not been sent yet. False while some of them cannot be
+ * sent; after a compaction these members would need the whole snapshot.
+ */
+bool gyp_raft_prepare_compaction(struct gyp_raft *);
+
 /*
  * Starts a transfer of leadership to the voter with the highest match index
  * among those that answered within two heartbeat intervals; it is sent a
--- a/src/raft_send.c
+++ b/src/raft_send.c
@@ -331,3 +331,22 @@
 			gyp_raft_replicate(r, p, force);
 	}
 }
+
+bool
+gyp_raft_prepare_compaction(struct gyp_raft *r)
+{
+	bool all_sent = true;
+	guint i;
+
+	for (i = 0; i < r->peers->len && r->role == GYP_RAFT_LEADER; i++) {
+		struct gyp_raft_progress *p =
+		    &g_array_index(r->peers, struct gyp_raft_progress, i);
+
+		if (p->sending_snapshot || is_unresponsive(r, p) ||
+		    p->next > r->applied)
+			continue;
+		gyp_raft_replicate(r, p, false);
+		all_sent = all_sent && p->next > r->applied;
+	}
+	return all_sent;
+}
--- a/src/replica.c
+++ b/src/replica.c
@@ -270,13 +270,20 @@
 	       mean / COMPACT_LIMIT_STEPS * (weight % COMPACT_LIMIT_STEPS);
 }
 
+/*
+ * Waits for members that lack the latest entries, but not for ever: a member
+ * may take longer than the log grows.
+ */
 static void
 compact_if_large(struct gyp_replica *r)
 {
+	uint64_t limit = gyp_replica_compact_limit(
+	    &r->cfg, gyp_raft_snapshot_bytes(r->raft));
+	uint64_t bytes = gyp_raft_log_bytes(r->raft);
 	GBytes *state;
 
-	if (gyp_raft_log_bytes(r->raft) < gyp_replica_compact_limit(&r->cfg,
-					      gyp_raft_snapshot_bytes(r->raft)))
+	if (bytes < limit ||
+	    (bytes < 2 * limit && !gyp_raft_prepare_compaction(r->raft)))
 		return;
 	state = gyp_state_save(r->state);
 	gyp_raft_compact(r->raft, gyp_raft_applied_index(r->raft), state);
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -698,6 +698,64 @@
 	}
 }
 
+/* True if the node holds the entry, or a message with it is on its way. */
+static bool
+has_or_gets_entry(const struct net *net, const struct node *n, uint64_t index)
+{
+	bool found = gyp_raft_last_index(n->raft) >= index;
+	guint k;
+
+	for (k = 0; k < net->in_flight->len; k++) {
+		const Gyp__RaftMsg *m = net->in_flight->pdata[k];
+
+		found =
+		    found || (m->to == n->id && m->n_entries > 0 &&
+				 m->entries[m->n_entries - 1]->index >= index);
+	}
+	return found;
+}
+
+/*
+ * Guards against members that are sent megabytes and restore all tables for a
+ * single entry: learners get entries with heartbeats only, and a leader that
+ * dropped the entry before had to send its snapshot.
+ */
+static void
+check_compaction(guint32 seed, size_t bytes)
+{
+	struct net net;
+	struct node *leader = net_init_settled(&net, seed);
+	GBytes *data;
+	uint64_t index;
+	int i;
+
+	net.no_proposals = net.no_compact = true;
+	net_run(&net, 100);
+	data = g_bytes_new_take(g_malloc0(bytes), bytes);
+	index =
+	    gyp_raft_propose(leader->raft, GYP__ENTRY_KIND__ENTRY_BATCH, data);
+	g_bytes_unref(data);
+	for (i = 0; i < 200 && leader->index < index; i++)
+		net_step(&net, false);
+	for (i = 0; i < 200 && !gyp_raft_prepare_compaction(leader->raft); i++)
+		net_step(&net, false);
+	g_assert_cmpint(i, <, 200);
+	for (i = 0; i < NET_SLOTS; i++)
+		g_assert_true(has_or_gets_entry(&net, &net.nodes[i], index));
+	net_clear(&net);
+}
+
+static void
+test_compaction_waits_for_members(void)
+{
+	guint32 seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		check_compaction(seed, 4);
+		check_compaction(seed, LARGE_BYTES);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -719,6 +777,8 @@
 	    test_snapshot_over_unsynced_equal);
 	g_test_add_func(
 	    "/raft/large-entry-leaves-lease", test_large_entry_leaves_lease);
+	g_test_add_func("/raft/compaction-waits-for-members",
+	    test_compaction_waits_for_members);
 	g_test_add_func("/raft/random", test_random);
 	return g_test_run();
 }
