--- a/src/flow.h
+++ b/src/flow.h
@@ -185,10 +185,10 @@
 void gyp_flows_drop_expired(struct gyp_flows *, uint64_t now);
 
 /*
- * Save puts all tables into a snapshot; restore replaces all tables by it. NULL
- * empties them. Restore returns false if the snapshot is not valid. The
- * manifest of a saved snapshot is that of the tables, not a copy, and is valid
- * until another one is applied.
+ * Save puts all tables into a snapshot; restore replaces all tables by one.
+ * NULL empties them. Restore returns false if the snapshot is not valid. A
+ * saved snapshot refers to the tables and is valid until they change, so it
+ * must be copied to be restored to the same tables.
  */
 Gyp__SnapFlows *gyp_flows_save(const struct gyp_flows *);
 void gyp_flows_free_saved(Gyp__SnapFlows *);
--- a/src/flow_save.c
+++ b/src/flow_save.c
@@ -5,12 +5,13 @@
 
 /* ---- Saving ------------------------------------------------------------- */
 
-static Gyp__SnapFlowTask *
-save_task(const struct gyp_flow *flow, uint32_t task)
+/* Strings and specifications of a saved message are those of the tables. */
+
+static void
+save_task(const struct gyp_flow *flow, uint32_t task, Gyp__SnapFlowTask *st)
 {
 	const struct gyp_flow_task *t = &flow->tasks[task];
 	const struct gyp_flow_unit *u = gyp_flow_unit_of(flow, task);
-	Gyp__SnapFlowTask *st = g_new(Gyp__SnapFlowTask, 1);
 
 	gyp__snap_flow_task__init(st);
 	st->state = t->state;
@@ -18,34 +19,54 @@
 	st->host = t->row;
 	st->failures = t->failures;
 	if (t->checkpoint != NULL)
-		st->checkpoint = g_strdup(t->checkpoint);
+		st->checkpoint = t->checkpoint;
 	if (task == u->first)
 		st->failed_run = u->failed_run;
 	if (t->state == GYP_FLOW_TASK_OPEN)
 		st->changed_ms = t->changed_ms;
-	return st;
 }
 
 static Gyp__SnapFlow *
 save_flow(const struct gyp_flow *flow)
 {
 	Gyp__SnapFlow *sf = g_new(Gyp__SnapFlow, 1);
+	Gyp__SnapFlowTask *tasks = g_new(Gyp__SnapFlowTask, flow->n_tasks + 1);
 	uint32_t i;
 
 	gyp__snap_flow__init(sf);
-	sf->spec = gyp_message_copy(&flow->spec->base);
+	sf->spec = flow->spec;
 	sf->state = flow->state;
 	sf->accepted_ms = flow->accepted_ms;
 	sf->ended_ms = flow->ended_ms;
 	sf->seq = flow->seq;
 	sf->begun = flow->begun;
 	sf->n_tasks = flow->n_tasks;
-	sf->tasks = g_new(Gyp__SnapFlowTask *, flow->n_tasks);
-	for (i = 0; i < flow->n_tasks; i++)
-		sf->tasks[i] = save_task(flow, i);
+	sf->tasks = g_new(Gyp__SnapFlowTask *, flow->n_tasks + 1);
+	sf->tasks[0] = tasks; /* also if there are none, for free_flow() */
+	for (i = 0; i < flow->n_tasks; i++) {
+		sf->tasks[i] = &tasks[i];
+		save_task(flow, i, sf->tasks[i]);
+	}
 	return sf;
 }
 
+static void
+free_flow(Gyp__SnapFlow *sf)
+{
+	g_free(sf->tasks[0]); /* all tasks */
+	g_free(sf->tasks);
+	g_free(sf);
+}
+
+static const Gyp__CmdHost no_host = GYP__CMD_HOST__INIT;
+
+/* A row that has no endpoint any more is saved as one without id. */
+static Gyp__CmdHost *
+save_host(const struct gyp_host *h)
+{
+	return h != NULL ? h->spec : (Gyp__CmdHost *)&no_host;
+}
+
 static gint
 by_seq(gconstpointer a, gconstpointer b)
 {
@@ -86,18 +107,9 @@
 	g_ptr_array_free(list, TRUE);
 	snap->n_hosts = f->hosts->len;
 	snap->hosts = g_new(Gyp__CmdHost *, f->hosts->len + 1);
-	for (i = 0; i < f->hosts->len; i++) {
-		const struct gyp_host *h = f->hosts->pdata[i];
-
-		snap->hosts[i] = g_new(Gyp__CmdHost, 1);
-		gyp__cmd_host__init(snap->hosts[i]);
-		if (h != NULL) {
-			g_free(snap->hosts[i]);
-			snap->hosts[i] = gyp_message_copy(&h->spec->base);
-		}
-	}
-	if (f->manifest != NULL)
-		snap->manifest = f->manifest;
+	for (i = 0; i < f->hosts->len; i++)
+		snap->hosts[i] = save_host(f->hosts->pdata[i]);
+	snap->manifest = f->manifest;
 	snap->forecast = gyp_run_forecast_save(f->forecast);
 	return snap;
 }
@@ -105,7 +117,16 @@
 void
 gyp_flows_free_saved(Gyp__SnapFlows *snap)
 {
-	snap->manifest = NULL; /* of the tables */
+	size_t i;
+
+	for (i = 0; i < snap->n_flows; i++)
+		free_flow(snap->flows[i]);
+	g_free(snap->flows);
+	g_free(snap->hosts);
+	snap->n_flows = snap->n_hosts = 0;
+	snap->flows = NULL;
+	snap->hosts = NULL;
+	snap->manifest = NULL;
 	gyp_message_free(snap);
 }
 
@@ -181,17 +202,14 @@
 bool
 gyp_flows_restore(struct gyp_flows *f, const Gyp__SnapFlows *snap)
 {
-	Gyp__CmdManifest *manifest = NULL;
 	size_t i;
 
-	/* Copied first: it may be that of the tables. */
-	if (snap != NULL && snap->manifest != NULL)
-		manifest = gyp_message_copy(&snap->manifest->base);
 	gyp_flows_clear(f);
-	f->manifest = manifest;
 	if (snap == NULL)
 		return true;
 	f->next_seq = snap->next_seq;
+	if (snap->manifest != NULL)
+		f->manifest = gyp_message_copy(&snap->manifest->base);
 	for (i = 0; i < snap->n_hosts; i++) {
 		const Gyp__CmdHost *spec = snap->hosts[i];
 		struct gyp_host *h = NULL;
--- a/test/test_quotas.c
+++ b/test/test_quotas.c
@@ -447,15 +447,17 @@
 {
 	struct flow_fixture f;
 	Gyp__FlowStep step = flow_fixture_step(1);
-	Gyp__SnapFlows *snap;
+	Gyp__SnapFlows *saved, *snap;
 
 	init_tables(&f);
 	check_start(&f, 1, 0, 1, 2);
 	f.excess = true;
 	flow_fixture_submit(&f, 3, &step, 1);
-	snap = gyp_flows_save(f.flows);
+	saved = gyp_flows_save(f.flows);
+	snap = gyp_message_copy(&saved->base);
+	gyp_flows_free_saved(saved);
 	g_assert_true(gyp_flows_restore(f.flows, snap));
-	gyp_flows_free_saved(snap);
+	gyp_message_free(snap);
 	flow_fixture_new_leader(&f, 2);
 	g_assert_true(gyp_flow_get(f.flows, 3)->spec->excess);
 	g_assert_false(gyp_flow_get(f.flows, 1)->spec->excess);
@@ -466,6 +468,25 @@
 	flow_fixture_clear(&f);
 }
 
+/*
+ * Guards against a snapshot that takes longer than a leader's lease: it copied
+ * each specification once more than needed.
+ */
+static void
+test_saved_tables_are_not_copied(void)
+{
+	struct flow_fixture f;
+	Gyp__SnapFlows *snap;
+
+	init_tables(&f);
+	check_start(&f, 1, 0, 1, 2);
+	snap = gyp_flows_save(f.flows);
+	g_assert_true(snap->flows[0]->spec == gyp_flow_get(f.flows, 1)->spec);
+	g_assert_true(snap->hosts[0] == gyp_host_at(f.flows, 0)->spec);
+	gyp_flows_free_saved(snap);
+	flow_fixture_clear(&f);
+}
+
 /*
  * Guards against starts while the use is above a lowered cap, and against a
  * workspace that loses its use when a manifest leaves it out for a while.
@@ -510,6 +531,8 @@
 	g_test_add_func("/quotas/claims", test_claims);
 	g_test_add_func("/quotas/tables-cap", test_tables_cap);
 	g_test_add_func("/quotas/tables-restore", test_tables_restore);
+	g_test_add_func("/quotas/saved-tables-are-not-copied",
+	    test_saved_tables_are_not_copied);
 	g_test_add_func("/quotas/tables-manifest", test_tables_manifest);
 	return g_test_run();
 }
