--- a/src/raft.c
+++ b/src/raft.c
@@ -355,9 +355,9 @@
 }
 
 uint64_t
-gyp_raft_log_bytes(const struct gyp_raft *r)
+gyp_raft_applied_bytes(const struct gyp_raft *r)
 {
-	return r->log_bytes;
+	return r->applied_bytes;
 }
 
 uint64_t
--- a/src/raft.h
+++ b/src/raft.h
@@ -189,8 +189,11 @@
 /* Term of an entry in the log; 0 when it is absent or compacted. */
 uint64_t gyp_raft_entry_term(const struct gyp_raft *, uint64_t index);
 
-/* Bytes of the entries after the last snapshot. */
-uint64_t gyp_raft_log_bytes(const struct gyp_raft *);
+/*
+ * Bytes of the applied entries after the last snapshot, which a snapshot now
+ * would replace.
+ */
+uint64_t gyp_raft_applied_bytes(const struct gyp_raft *);
 
 /* Bytes of the last snapshot, 0 if there is none. */
 uint64_t gyp_raft_snapshot_bytes(const struct gyp_raft *);
--- a/src/raft_append.c
+++ b/src/raft_append.c
@@ -88,6 +88,7 @@
 
 		g_assert(e != NULL);
 		r->applied++;
+		r->applied_bytes += g_bytes_get_size(e->data);
 		r->io->ops->apply(r->io, e);
 		if (r->pending != NULL && r->pending_index <= r->applied)
 			commit_config(r);
--- a/src/raft_int.h
+++ b/src/raft_int.h
@@ -74,7 +74,7 @@
 	bool forced; /* vote requests carry `force`: voters ignore the lease */
 
 	GArray *log; /* struct gyp_log_entry, from index snap_index + 1 */
-	uint64_t log_bytes;
+	uint64_t applied_bytes; /* of the applied entries in the log */
 	uint64_t snap_index;
 	uint64_t snap_term;
 	GBytes *snap_file;
--- a/src/raft_log.c
+++ b/src/raft_log.c
@@ -53,11 +53,6 @@
 void
 gyp_raft_truncate_from(struct gyp_raft *r, uint64_t index)
 {
-	guint i;
-
-	for (i = index - r->snap_index - 1; i < r->log->len; i++)
-		r->log_bytes -= g_bytes_get_size(
-		    g_array_index(r->log, struct gyp_log_entry, i).data);
 	g_array_set_size(r->log, index - r->snap_index - 1);
 	if (r->pending != NULL && r->pending_index >= index)
 		gyp_raft_drop_pending_config(r);
@@ -74,7 +69,6 @@
 	    .data = g_bytes_ref(data)};
 
 	g_array_append_val(r->log, e);
-	r->log_bytes += g_bytes_get_size(data);
 	if (kind == GYP__ENTRY_KIND__ENTRY_CONFIG)
 		gyp_raft_adopt_config(r, &e);
 }
--- a/src/raft_snap.c
+++ b/src/raft_snap.c
@@ -29,7 +29,7 @@
 		return false;
 	}
 	g_array_set_size(r->log, 0);
-	r->log_bytes = 0;
+	r->applied_bytes = 0;
 	gyp_raft_drop_pending_config(r);
 	gyp_raft_set_config(r, gyp_raft_copy_config(file->config));
 	r->config_index = MAX(r->config_index, file->index);
@@ -177,7 +177,7 @@
 
 	drop = (guint)(index - r->snap_index);
 	for (i = 0; i < drop; i++)
-		r->log_bytes -= g_bytes_get_size(
+		r->applied_bytes -= g_bytes_get_size(
 		    g_array_index(r->log, struct gyp_log_entry, i).data);
 	g_array_remove_range(r->log, 0, drop);
 	set_snapshot(r, &file, raw);
--- a/src/replica.c
+++ b/src/replica.c
@@ -264,7 +264,7 @@
     const struct gyp_replica_config *cfg, uint64_t snapshot_bytes)
 {
 	uint64_t weight = gyp_rendezvous_weight(cfg->id, 0) >> 32;
-	uint64_t mean = MAX(cfg->compact_bytes, snapshot_bytes);
+	uint64_t mean = cfg->compact_bytes + snapshot_bytes;
 
 	return mean / 2 +
 	       mean / COMPACT_LIMIT_STEPS * (weight % COMPACT_LIMIT_STEPS);
@@ -279,7 +279,7 @@
 {
 	uint64_t limit = gyp_replica_compact_limit(
 	    &r->cfg, gyp_raft_snapshot_bytes(r->raft));
-	uint64_t bytes = gyp_raft_log_bytes(r->raft);
+	uint64_t bytes = gyp_raft_applied_bytes(r->raft);
 	GBytes *state;
 
 	if (bytes < limit ||
--- a/src/replica.h
+++ b/src/replica.h
@@ -45,7 +45,7 @@
 	uint32_t voters;          /* members with a vote; others are learners */
 	/* Longest time until a lost voter is replaced; 0: default. */
 	uint32_t catch_up_ms;
-	uint64_t compact_bytes; /* mean log size that triggers a snapshot */
+	uint64_t compact_bytes; /* see gyp_replica_compact_limit() */
 	uint32_t run_lease_ms;  /* longest lease of endpoints that run flows */
 	uint32_t stop_grace_ms; /* longest time that a stop takes there */
 	/* Followers relay heartbeats from this number of endpoints on. */
@@ -70,9 +70,9 @@
 };
 
 /*
- * Log size at which this replica makes a snapshot, in bytes: from a half to
- * three halves of compact_bytes, or of its last snapshot if that is larger,
- * depending on the replica's id.
+ * Bytes of applied entries at which this replica makes a snapshot: from a half
+ * to three halves of the sum of compact_bytes and the size of its last
+ * snapshot, depending on the replica's id.
  *
  * A replica does nothing else while it packs a snapshot, which takes as long as
  * the tables are large. With a log of the size of the snapshot this is a fixed
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -698,6 +698,34 @@
 	}
 }
 
+/*
+ * Guards against snapshots that replace nothing: a large entry counted as soon
+ * as it was proposed, and the leader packed a snapshot without it.
+ */
+static void
+test_unapplied_entries_do_not_count(void)
+{
+	struct net net;
+	struct node *leader = net_init_settled(&net, 1);
+	GBytes *data = g_bytes_new_take(g_malloc0(LARGE_BYTES), LARGE_BYTES);
+	uint64_t before, index;
+
+	net.no_proposals = net.no_compact = true;
+	net_run(&net, 100);
+	before = gyp_raft_applied_bytes(leader->raft);
+	index =
+	    gyp_raft_propose(leader->raft, GYP__ENTRY_KIND__ENTRY_BATCH, data);
+	g_bytes_unref(data);
+	g_assert_cmpuint(gyp_raft_applied_bytes(leader->raft), ==, before);
+	net_run(&net, 100);
+	g_assert_cmpuint(leader->index, ==, index);
+	g_assert_cmpuint(
+	    gyp_raft_applied_bytes(leader->raft), ==, before + LARGE_BYTES);
+	net_compact(leader);
+	g_assert_cmpuint(gyp_raft_applied_bytes(leader->raft), ==, 0);
+	net_clear(&net);
+}
+
 /* True if the node holds the entry, or a message with it is on its way. */
 static bool
 has_or_gets_entry(const struct net *net, const struct node *n, uint64_t index)
@@ -777,6 +805,8 @@
 	    test_snapshot_over_unsynced_equal);
 	g_test_add_func(
 	    "/raft/large-entry-leaves-lease", test_large_entry_leaves_lease);
+	g_test_add_func("/raft/unapplied-entries-do-not-count",
+	    test_unapplied_entries_do_not_count);
 	g_test_add_func("/raft/compaction-waits-for-members",
 	    test_compaction_waits_for_members);
 	g_test_add_func("/raft/random", test_random);
