--- a/src/buf.c
+++ b/src/buf.c
@@ -5,6 +5,13 @@
 
 #include "buf.h"
 
+bool
+gyp_slice_equal(struct gyp_slice a, struct gyp_slice b)
+{
+	return a.len == b.len &&
+	       (a.len == 0 || memcmp(a.data, b.data, a.len) == 0);
+}
+
 uint8_t *
 gyp_buf_extend(struct gyp_buf *buf, size_t len)
 {
@@ -34,6 +41,16 @@
 		memmove(buf->data, buf->data + len, buf->len);
 }
 
+void
+gyp_buf_take(struct gyp_buf *buf, size_t *used, size_t len)
+{
+	*used += len;
+	if (buf->len - *used >= *used)
+		return;
+	gyp_buf_consume(buf, *used);
+	*used = 0;
+}
+
 void
 gyp_buf_clear(struct gyp_buf *buf)
 {
--- a/src/buf.h
+++ b/src/buf.h
@@ -1,6 +1,7 @@
 #ifndef GYP_BUF_H
 #define GYP_BUF_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -25,6 +26,8 @@
 	size_t cap;
 };
 
+bool gyp_slice_equal(struct gyp_slice, struct gyp_slice);
+
 /* Appends len bytes. */
 void gyp_buf_append(struct gyp_buf *, const void *, size_t len);
 
@@ -34,6 +37,13 @@
 /* Removes len bytes from the front; len is at most that of the buffer. */
 void gyp_buf_consume(struct gyp_buf *, size_t len);
 
+/*
+ * Takes len bytes from the front of a buffer of which *used are taken already.
+ * Moves the others to the front, and sets *used to 0, only when they are fewer:
+ * a buffer that is emptied in many steps is moved in few of them.
+ */
+void gyp_buf_take(struct gyp_buf *, size_t *used, size_t len);
+
 /* Releases the bytes; the buffer is empty and may be used again. */
 void gyp_buf_clear(struct gyp_buf *);
 
--- a/src/raft.h
+++ b/src/raft.h
@@ -108,6 +108,13 @@
  */
 void gyp_raft_compact(struct gyp_raft *, uint64_t index, GBytes *state);
 
+/*
+ * To be called before gyp_raft_compact(): sends the applied entries that
+ * members in contact have not been sent yet. False while some of them cannot be
+ * sent; after a compaction these members would need the whole snapshot.
+ */
+bool gyp_raft_prepare_compaction(struct gyp_raft *);
+
 /*
  * Starts a transfer of leadership to the voter with the highest match index
  * among those that answered within two heartbeat intervals; it is sent a
@@ -182,8 +189,14 @@
 /* Term of an entry in the log; 0 when it is absent or compacted. */
 uint64_t gyp_raft_entry_term(const struct gyp_raft *, uint64_t index);
 
-/* Bytes of the entries after the last snapshot. */
-uint64_t gyp_raft_log_bytes(const struct gyp_raft *);
+/*
+ * Bytes of the applied entries after the last snapshot, which a snapshot now
+ * would replace.
+ */
+uint64_t gyp_raft_applied_bytes(const struct gyp_raft *);
+
+/* Bytes of the last snapshot, 0 if there is none. */
+uint64_t gyp_raft_snapshot_bytes(const struct gyp_raft *);
 
 /* The newest configuration, committed or not; never NULL. */
 const Gyp__Config *gyp_raft_members(const struct gyp_raft *);
--- a/src/replica.c
+++ b/src/replica.c
@@ -123,8 +123,7 @@
 	data = g_bytes_get_data(e->data, &len);
 	batch = gyp__batch__unpack(NULL, len, data);
 	g_assert(batch != NULL);
-	gyp_state_apply(r->state, batch);
-	gyp__batch__free_unpacked(batch, NULL);
+	gyp_state_take(r->state, batch);
 	gyp_replica_refresh_rules(r, e->index);
 	if (r->leading && r->batch_index == e->index) {
 		r->batch_index = 0;
@@ -261,21 +260,30 @@
 }
 
 uint64_t
-gyp_replica_compact_limit(const struct gyp_replica_config *cfg)
+gyp_replica_compact_limit(
+    const struct gyp_replica_config *cfg, uint64_t snapshot_bytes)
 {
 	uint64_t weight = gyp_rendezvous_weight(cfg->id, 0) >> 32;
+	uint64_t mean = cfg->compact_bytes + snapshot_bytes;
 
-	return cfg->compact_bytes / 2 + cfg->compact_bytes /
-					    COMPACT_LIMIT_STEPS *
-					    (weight % COMPACT_LIMIT_STEPS);
+	return mean / 2 +
+	       mean / COMPACT_LIMIT_STEPS * (weight % COMPACT_LIMIT_STEPS);
 }
 
+/*
+ * Waits for members that lack the latest entries, but not for ever: a member
+ * may take longer than the log grows.
+ */
 static void
 compact_if_large(struct gyp_replica *r)
 {
+	uint64_t limit = gyp_replica_compact_limit(
+	    &r->cfg, gyp_raft_snapshot_bytes(r->raft));
+	uint64_t bytes = gyp_raft_applied_bytes(r->raft);
 	GBytes *state;
 
-	if (gyp_raft_log_bytes(r->raft) < gyp_replica_compact_limit(&r->cfg))
+	if (bytes < limit ||
+	    (bytes < 2 * limit && !gyp_raft_prepare_compaction(r->raft)))
 		return;
 	state = gyp_state_save(r->state);
 	gyp_raft_compact(r->raft, gyp_raft_applied_index(r->raft), state);
--- a/src/replica.h
+++ b/src/replica.h
@@ -45,7 +45,7 @@
 	uint32_t voters;          /* members with a vote; others are learners */
 	/* Longest time until a lost voter is replaced; 0: default. */
 	uint32_t catch_up_ms;
-	uint64_t compact_bytes; /* mean log size that triggers a snapshot */
+	uint64_t compact_bytes; /* see gyp_replica_compact_limit() */
 	uint32_t run_lease_ms;  /* longest lease of endpoints that run flows */
 	uint32_t stop_grace_ms; /* longest time that a stop takes there */
 	/* Followers relay heartbeats from this number of endpoints on. */
@@ -70,14 +70,19 @@
 };
 
 /*
- * Log size at which this replica makes a snapshot: from a half to three halves
- * of compact_bytes, depending on the replica's id.
+ * Bytes of applied entries at which this replica makes a snapshot: from a half
+ * to three halves of the sum of compact_bytes and the size of its last
+ * snapshot, depending on the replica's id.
  *
- * The logs of all replicas grow at the same rate, and a replica does nothing
- * else while it packs a snapshot. Different limits keep the replicas from
- * packing at the same moment.
+ * A replica does nothing else while it packs a snapshot, which takes as long as
+ * the tables are large. With a log of the size of the snapshot this is a fixed
+ * share of its time, also when single entries have megabytes.
+ *
+ * The logs of all replicas grow at the same rate. Different limits keep the
+ * replicas from packing at the same moment.
  */
-uint64_t gyp_replica_compact_limit(const struct gyp_replica_config *);
+uint64_t gyp_replica_compact_limit(
+    const struct gyp_replica_config *, uint64_t snapshot_bytes);
 
 struct gyp_replica;
 
@@ -154,6 +159,15 @@
     struct gyp_replica *, uint64_t now, const Gyp__Call *);
 Gyp__Reply *gyp_replica_pop_local_reply(struct gyp_replica *);
 
+/*
+ * Proposes a manifest of this process and takes it over; false, and the
+ * manifest stays with the caller, when this replica is not serving. Nothing is
+ * proposed if the tables hold a manifest of that version or a higher one. The
+ * proposal has succeeded when they do; it may be lost with the leadership.
+ */
+bool gyp_replica_local_manifest(
+    struct gyp_replica *, uint64_t now, Gyp__CmdManifest *);
+
 enum gyp_heartbeat_result {
 	/* Nothing new; the leader has it, or gets it from this follower. */
 	GYP_HEARTBEAT_TAKEN,
--- a/test/flow_fixture.c
+++ b/test/flow_fixture.c
@@ -43,6 +43,16 @@
     .unwanted = on_unwanted,
     .dropped = on_dropped};
 
+Gyp__SnapFlows *
+flow_fixture_snapshot(const struct gyp_flows *flows)
+{
+	Gyp__SnapFlows *saved = gyp_flows_save(flows);
+	Gyp__SnapFlows *snap = gyp_message_copy(&saved->base);
+
+	gyp_flows_free_saved(saved);
+	return snap;
+}
+
 void
 flow_fixture_new_leader(struct flow_fixture *f, uint64_t fence)
 {
--- a/test/flow_fixture.h
+++ b/test/flow_fixture.h
@@ -36,6 +36,9 @@
 void flow_fixture_init(struct flow_fixture *);
 void flow_fixture_clear(struct flow_fixture *);
 
+/* A copy of the snapshot of the tables, which the caller frees. */
+Gyp__SnapFlows *flow_fixture_snapshot(const struct gyp_flows *);
+
 /* Replaces the fleet by that of a new leader, built from the tables only. */
 void flow_fixture_new_leader(struct flow_fixture *, uint64_t fence);
 
--- a/test/test_confirmed_runs.c
+++ b/test/test_confirmed_runs.c
@@ -183,7 +183,7 @@
 static void
 restore(struct fixture *f, bool older_version)
 {
-	Gyp__SnapFlows *snap = gyp_flows_save(f->base.flows);
+	Gyp__SnapFlows *snap = flow_fixture_snapshot(f->base.flows);
 	size_t i;
 
 	for (i = 0; older_version && i < snap->flows[0]->n_tasks; i++)
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -184,6 +184,17 @@
 	return (uint32_t)(use->name[0] - workspace_names[0][0]);
 }
 
+/* A copy of the snapshot of the tables, which the caller frees. */
+static Gyp__SnapFlows *
+take_snapshot(const struct fixture *f)
+{
+	Gyp__SnapFlows *saved = gyp_flows_save(f->flows);
+	Gyp__SnapFlows *snap = gyp_message_copy(&saved->base);
+
+	gyp_flows_free_saved(saved);
+	return snap;
+}
+
 /*
  * Guards against use of workspaces that a snapshot loses. Rows are numbered in
  * the order of the flows, so they may change.
@@ -191,7 +202,7 @@
 static void
 restore_from_snapshot(struct fixture *f)
 {
-	Gyp__SnapFlows *snap = gyp_flows_save(f->flows);
+	Gyp__SnapFlows *snap = take_snapshot(f);
 	uint32_t caps[WORKSPACES] = {0}, used[WORKSPACES] = {0}, i, k;
 
 	for (i = 0; i < gyp_workspaces_size(f->flows); i++) {
@@ -228,7 +239,7 @@
 
 	if (!draw_percent(f->chain_rand, 50))
 		return;
-	snap = gyp_flows_save(f->flows);
+	snap = take_snapshot(f);
 	for (i = 0; i < snap->n_flows &&
 		    draw_percent(f->chain_rand, OLDER_VERSION_PERCENT);
 	     i++) {
--- a/test/test_inventory.c
+++ b/test/test_inventory.c
@@ -434,7 +434,7 @@
 	start_on_a(&f);
 	play(&f, DEPARTED_RUN_MS);
 	depart_a(&f);
-	snap = gyp_flows_save(f.base.flows);
+	snap = flow_fixture_snapshot(f.base.flows);
 	g_assert_true(gyp_flows_restore(f.base.flows, snap));
 	gyp_message_free(snap);
 	g_assert_cmpuint(time_to_end_over_terms(&f, TERM_MS), <, TERM_MS);
--- a/test/test_lasting_watch.c
+++ b/test/test_lasting_watch.c
@@ -318,7 +318,7 @@
 
 	start(f, 1, GYP_FLEET_OK);
 	end_run(f, GYP__FLOW_HOW__FLOW_LAPSED);
-	snap = gyp_flows_save(f->base.base.flows);
+	snap = flow_fixture_snapshot(f->base.base.flows);
 	g_assert_true(gyp_flows_restore(f->base.base.flows, snap));
 	gyp_message_free(snap);
 	expect_wait_over_election(f);
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -622,6 +622,168 @@
 	net_clear(&net);
 }
 
+/* ---- Large entries ------------------------------------------------------ */
+
+/* Bytes of an entry that is larger than the appends of the net. */
+#define LARGE_BYTES 1000
+
+static bool
+has_large_entry(const Gyp__RaftMsg *m)
+{
+	size_t i;
+
+	for (i = 0; i < m->n_entries; i++) {
+		if (m->entries[i]->data.len >= LARGE_BYTES)
+			return true;
+	}
+	return false;
+}
+
+/* Returns how many voters other than the leader a large entry is sent to. */
+static int
+count_large_transfers(struct net *net, const struct node *leader)
+{
+	bool receives[NET_SLOTS] = {false};
+	int n = 0, i;
+	guint k;
+
+	for (k = 0; k < net->in_flight->len; k++) {
+		const Gyp__RaftMsg *m = net->in_flight->pdata[k];
+
+		for (i = 0; i < NET_SLOTS && has_large_entry(m); i++)
+			receives[i] |= net->nodes[i].id == m->to;
+	}
+	for (i = 0; i < NET_SLOTS; i++) {
+		const Gyp__Member *m = net_member(
+		    gyp_raft_members(leader->raft), net->nodes[i].id);
+
+		n += receives[i] && m != NULL && m->voter;
+	}
+	return n;
+}
+
+/*
+ * Guards against a leader that loses its lease by sending a large entry: it
+ * went to all voters at once, and the heartbeats behind it on their links were
+ * answered only after the whole transfer. Two of the four other voters are
+ * needed for the lease.
+ */
+static void
+test_large_entry_leaves_lease(void)
+{
+	guint32 seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		struct net net;
+		struct node *leader = net_init_settled(&net, seed);
+		GBytes *data =
+		    g_bytes_new_take(g_malloc0(LARGE_BYTES), LARGE_BYTES);
+		uint64_t index;
+		int i;
+
+		net.no_proposals = net.no_compact = true;
+		net_run(&net, 100);
+		index = gyp_raft_propose(
+		    leader->raft, GYP__ENTRY_KIND__ENTRY_BATCH, data);
+		g_bytes_unref(data);
+		g_assert_cmpint(count_large_transfers(&net, leader), ==, 2);
+		for (i = 0; i < 200; i++) {
+			net_step(&net, false);
+			g_assert_cmpint(
+			    count_large_transfers(&net, leader), <=, 2);
+		}
+		for (i = 0; i < NET_SLOTS; i++)
+			g_assert_cmpuint(net.nodes[i].index, >=, index);
+		net_clear(&net);
+	}
+}
+
+/*
+ * Guards against snapshots that replace nothing: a large entry counted as soon
+ * as it was proposed, and the leader packed a snapshot without it.
+ */
+static void
+test_unapplied_entries_do_not_count(void)
+{
+	struct net net;
+	struct node *leader = net_init_settled(&net, 1);
+	GBytes *data = g_bytes_new_take(g_malloc0(LARGE_BYTES), LARGE_BYTES);
+	uint64_t before, index;
+
+	net.no_proposals = net.no_compact = true;
+	net_run(&net, 100);
+	before = gyp_raft_applied_bytes(leader->raft);
+	index =
+	    gyp_raft_propose(leader->raft, GYP__ENTRY_KIND__ENTRY_BATCH, data);
+	g_bytes_unref(data);
+	g_assert_cmpuint(gyp_raft_applied_bytes(leader->raft), ==, before);
+	net_run(&net, 100);
+	g_assert_cmpuint(leader->index, ==, index);
+	g_assert_cmpuint(
+	    gyp_raft_applied_bytes(leader->raft), ==, before + LARGE_BYTES);
+	net_compact(leader);
+	g_assert_cmpuint(gyp_raft_applied_bytes(leader->raft), ==, 0);
+	net_clear(&net);
+}
+
+/* True if the node holds the entry, or a message with it is on its way. */
+static bool
+has_or_gets_entry(const struct net *net, const struct node *n, uint64_t index)
+{
+	bool found = gyp_raft_last_index(n->raft) >= index;
+	guint k;
+
+	for (k = 0; k < net->in_flight->len; k++) {
+		const Gyp__RaftMsg *m = net->in_flight->pdata[k];
+
+		found =
+		    found || (m->to == n->id && m->n_entries > 0 &&
+				 m->entries[m->n_entries - 1]->index >= index);
+	}
+	return found;
+}
+
+/*
+ * Guards against members that are sent megabytes and restore all tables for a
+ * single entry: learners get entries with heartbeats only, and a leader that
+ * dropped the entry before had to send its snapshot.
+ */
+static void
+check_compaction(guint32 seed, size_t bytes)
+{
+	struct net net;
+	struct node *leader = net_init_settled(&net, seed);
+	GBytes *data;
+	uint64_t index;
+	int i;
+
+	net.no_proposals = net.no_compact = true;
+	net_run(&net, 100);
+	data = g_bytes_new_take(g_malloc0(bytes), bytes);
+	index =
+	    gyp_raft_propose(leader->raft, GYP__ENTRY_KIND__ENTRY_BATCH, data);
+	g_bytes_unref(data);
+	for (i = 0; i < 200 && leader->index < index; i++)
+		net_step(&net, false);
+	for (i = 0; i < 200 && !gyp_raft_prepare_compaction(leader->raft); i++)
+		net_step(&net, false);
+	g_assert_cmpint(i, <, 200);
+	for (i = 0; i < NET_SLOTS; i++)
+		g_assert_true(has_or_gets_entry(&net, &net.nodes[i], index));
+	net_clear(&net);
+}
+
+static void
+test_compaction_waits_for_members(void)
+{
+	guint32 seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		check_compaction(seed, 4);
+		check_compaction(seed, LARGE_BYTES);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -641,6 +803,12 @@
 	    "/raft/snapshot-keeps-entries", test_snapshot_keeps_entries);
 	g_test_add_func("/raft/snapshot-over-unsynced-equal",
 	    test_snapshot_over_unsynced_equal);
+	g_test_add_func(
+	    "/raft/large-entry-leaves-lease", test_large_entry_leaves_lease);
+	g_test_add_func("/raft/unapplied-entries-do-not-count",
+	    test_unapplied_entries_do_not_count);
+	g_test_add_func("/raft/compaction-waits-for-members",
+	    test_compaction_waits_for_members);
 	g_test_add_func("/raft/random", test_random);
 	return g_test_run();
 }
