--- a/src/replica.c
+++ b/src/replica.c
@@ -12,8 +12,12 @@
  */
 #define IDLE_ANSWER_MS 60
 
-/* Number of different snapshot limits that replicas can have. */
-#define COMPACT_LIMIT_STEPS 64
+/*
+ * Number of different snapshot limits and delays that replicas can have, and
+ * the difference between two delays, in ms.
+ */
+#define COMPACT_LIMIT_STEPS   64
+#define COMPACT_DELAY_STEP_MS 20
 
 /* ---- Output queues ----------------------------------------------------- */
 
@@ -259,21 +263,43 @@
 	       gyp_raft_has_lease(r->raft, r->now);
 }
 
+/* From 0 to COMPACT_LIMIT_STEPS - 1, depending on the replica's id. */
+static uint64_t
+compact_step(const struct gyp_replica_config *cfg)
+{
+	uint64_t weight = gyp_rendezvous_weight(cfg->id, 0) >> 32;
+
+	return weight % COMPACT_LIMIT_STEPS;
+}
+
 uint64_t
 gyp_replica_compact_limit(
     const struct gyp_replica_config *cfg, uint64_t snapshot_bytes)
 {
-	uint64_t weight = gyp_rendezvous_weight(cfg->id, 0) >> 32;
 	uint64_t mean = cfg->compact_bytes + snapshot_bytes;
 
-	return mean / 2 +
-	       mean / COMPACT_LIMIT_STEPS * (weight % COMPACT_LIMIT_STEPS);
+	return mean / 2 + mean / COMPACT_LIMIT_STEPS * compact_step(cfg);
+}
+
+uint32_t
+gyp_replica_compact_delay_ms(const struct gyp_replica_config *cfg)
+{
+	return (uint32_t)compact_step(cfg) * COMPACT_DELAY_STEP_MS;
 }
 
 /*
- * Waits for members that lack the latest entries, but not for ever: a member
- * may take longer than the log grows.
+ * True if a snapshot must still wait: for its delay, and on a leader for
+ * members that lack the latest entries.
  */
+static bool
+must_delay_snapshot(struct gyp_replica *r)
+{
+	if (r->compact_at == 0)
+		r->compact_at = r->now + gyp_replica_compact_delay_ms(&r->cfg);
+	return r->now < r->compact_at || !gyp_raft_prepare_compaction(r->raft);
+}
+
+/* It waits, but not for ever: the log grows meanwhile. */
 static void
 compact_if_large(struct gyp_replica *r)
 {
@@ -282,9 +308,9 @@
 	uint64_t bytes = gyp_raft_applied_bytes(r->raft);
 	GBytes *state;
 
-	if (bytes < limit ||
-	    (bytes < 2 * limit && !gyp_raft_prepare_compaction(r->raft)))
+	if (bytes < limit || (bytes < 2 * limit && must_delay_snapshot(r)))
 		return;
+	r->compact_at = 0;
 	state = gyp_state_save(r->state);
 	gyp_raft_compact(r->raft, gyp_raft_applied_index(r->raft), state);
 	g_bytes_unref(state);
--- a/src/replica.h
+++ b/src/replica.h
@@ -84,6 +84,13 @@
 uint64_t gyp_replica_compact_limit(
     const struct gyp_replica_config *, uint64_t snapshot_bytes);
 
+/*
+ * How long this replica waits with a snapshot from then on, in ms. An entry of
+ * megabytes brings several replicas to their limits at once, and a leader keeps
+ * its lease only if most of them answer.
+ */
+uint32_t gyp_replica_compact_delay_ms(const struct gyp_replica_config *);
+
 struct gyp_replica;
 
 struct gyp_replica *gyp_replica_new(const struct gyp_replica_config *);
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -99,6 +99,7 @@
 	GQueue out_frames; /* struct gyp_out_frame */
 	GQueue records;    /* struct gyp_record */
 	uint64_t now;
+	uint64_t compact_at; /* when to make the snapshot that is due, or 0 */
 	/* The replica that last sent its address, and that address. */
 	uint64_t last_sender_id;
 	char *last_sender_address;
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -654,6 +654,35 @@
 	check_limits(1 << 20, 5 << 20);
 }
 
+/*
+ * Guards against a leader that loses its lease as several voters are busy: one
+ * entry of megabytes brought them to their limits at the same moment. Of nine
+ * replicas no three make their snapshots within 100 ms.
+ */
+static void
+test_delayed_snapshots_apart(void)
+{
+	struct gyp_replica_config cfg = {.compact_bytes = 4 << 20};
+	uint32_t delays[9], i, k, close_delays;
+
+	for (i = 0; i < G_N_ELEMENTS(delays); i++) {
+		char address[32];
+
+		g_snprintf(address, sizeof(address), "10.%d.0.%d:7500",
+		    (int)i % 4 + 1, (int)i + 14);
+		cfg.id = gyp_bootstrap_id(address);
+		delays[i] = gyp_replica_compact_delay_ms(&cfg);
+		g_assert_cmpuint(delays[i], <, 2000);
+	}
+	for (i = 0; i < G_N_ELEMENTS(delays); i++) {
+		close_delays = 0;
+		for (k = 0; k < G_N_ELEMENTS(delays); k++)
+			close_delays += delays[k] >= delays[i] &&
+					delays[k] < delays[i] + 100;
+		g_assert_cmpuint(close_delays, <, 3);
+	}
+}
+
 /*
  * Guards against a snapshot after each change of a large manifest: entries and
  * snapshots of megabytes reached the limit each time.
@@ -913,6 +942,8 @@
 	g_test_add_func("/members/address-taken", test_address_taken);
 	g_test_add_func("/members/disk-lost-often", test_disk_lost_often);
 	g_test_add_func("/members/growth", test_catch_up_by_snapshot);
+	g_test_add_func(
+	    "/members/delayed-snapshots-apart", test_delayed_snapshots_apart);
 	g_test_add_func("/members/snapshots-apart", test_snapshots_apart);
 	g_test_add_func(
 	    "/members/large-snapshots-are-rare", test_large_snapshots_are_rare);
