fleet: how long an incarnation is known comes from its registration

What callers saw: an endpoint that drained and announced its shutdown waits for a lease under a leader younger than 15 s, if its runs are younger than that, too.

Cause: an announcement without its incarnation counts for the present one only if that has been known for 15 s, and the tables held no time of registration: the oldest start of an open run stood for it.

Change: CmdHost.registered_ms (new), the cell time at which the incarnation was registered; 0 from replicas of earlier versions, then as before. And no announcement counts for the registered incarnation once a later one was seen.

Seen failing before: /incarnations/departure-of-known-after-election: (gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0) == 1): (0 == 1), and without the second part departure-of-seen-after-election: (1 == 0).

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -494,8 +494,9 @@
 }
 
 /*
- * Cell time since which the tables have the present incarnation at the latest:
- * that of its restart, or of the oldest start of a run there.
+ * Cell time since which the tables have the present incarnation at the latest.
+ * If it registered with replicas of an earlier version, that of its restart, or
+ * of the oldest start of a run there.
  */
 static uint64_t
 registered_ms(
@@ -505,6 +506,8 @@
 	uint64_t oldest = gyp_flows_time(f->flows);
 	guint i;
 
+	if (h->spec->registered_ms != 0)
+		return h->spec->registered_ms;
 	if (h->spec->reborn_ms != 0)
 		return h->spec->reborn_ms;
 	for (i = 0; i < endpoint->runs->len; i++)
@@ -529,7 +532,8 @@
 
 /*
  * True if the present incarnation drained, and none before it can have
- * announced a shutdown that arrives only now.
+ * announced a shutdown that arrives only now. A later one that has not
+ * registered yet may have been seen.
  */
 static bool
 drained_without_predecessor(
@@ -539,6 +543,7 @@
 
 	return h->spec->draining &&
 	       h->spec->born_ms == endpoint->incarnation_start_ms &&
+	       h->spec->seen_born_ms <= h->spec->born_ms &&
 	       is_known_for_long(f, endpoint);
 }
 
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -479,6 +479,7 @@
 		return;
 	if (h == NULL) {
 		h = gyp_host_make(f->hosts->len, cmd);
+		h->spec->registered_ms = now;
 		g_ptr_array_add(f->hosts, h);
 		g_hash_table_insert(f->host_ids, h->spec->id, h);
 		gyp_flows_set_speed_class(f, h);
@@ -489,6 +490,8 @@
 	spec = gyp_message_copy(&cmd->base);
 	spec->reborn_ms =
 	    cmd->born_ms > h->spec->born_ms ? now : h->spec->reborn_ms;
+	spec->registered_ms =
+	    cmd->born_ms > h->spec->born_ms ? now : h->spec->registered_ms;
 	spec->seen_born_ms = h->spec->seen_born_ms;
 	spec->fenced_born_ms = h->spec->fenced_born_ms;
 	spec->ended_born_ms = h->spec->ended_born_ms;
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -5674,7 +5674,7 @@
   (ProtobufCMessageInit) gyp__cmd_flow_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_host__field_descriptors[17] =
+static const ProtobufCFieldDescriptor gyp__cmd_host__field_descriptors[18] =
 {
   {
     "id",
@@ -5880,6 +5880,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "registered_ms",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdHost, registered_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd_host__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -5898,12 +5910,13 @@
   3,   /* field[3] = pool */
   5,   /* field[5] = rack */
   10,   /* field[10] = reborn_ms */
+  17,   /* field[17] = registered_ms */
   11,   /* field[11] = seen_born_ms */
 };
 static const ProtobufCIntRange gyp__cmd_host__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor gyp__cmd_host__descriptor =
 {
@@ -5913,7 +5926,7 @@
   "Gyp__CmdHost",
   "gyp",
   sizeof(Gyp__CmdHost),
-  17,
+  18,
   gyp__cmd_host__field_descriptors,
   gyp__cmd_host__field_indices_by_name,
   1,  gyp__cmd_host__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -861,10 +861,14 @@
    * cell time when the end was recorded
    */
   uint64_t ended_ms;
+  /*
+   * cell time when the incarnation was registered
+   */
+  uint64_t registered_ms;
 };
 #define GYP__CMD_HOST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_host__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/test_incarnations.c
+++ b/test/test_incarnations.c
@@ -620,6 +620,65 @@
 	flow_fixture_clear(&f.base);
 }
 
+/*
+ * Guards against a shutdown that a young leader takes for one of an earlier
+ * incarnation, as only young runs show how long this one has been known.
+ */
+static void
+test_departure_of_known_after_election(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	keep_answering(&f, 20000);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	flow_fixture_answer(
+	    &f.base, next_call(&f, GYP_FLEET_START), GYP_FLEET_OK);
+	keep_answering(&f, 1000);
+	flow_fixture_drain(&f.base, f.a);
+	flow_fixture_new_leader(&f.base, 2);
+	g_assert_cmpuint(
+	    gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0), ==, 1);
+	flow_fixture_clear(&f.base);
+}
+
+/* A later incarnation has not been known for as long. */
+static void
+test_departure_of_restarted_after_election(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	keep_answering(&f, 20000);
+	report_restart(&f, 2);
+	flow_fixture_add_host(&f.base, "a", 2);
+	keep_answering_as(&f, 2, 10000);
+	flow_fixture_drain(&f.base, f.a);
+	flow_fixture_new_leader(&f.base, 2);
+	g_assert_cmpuint(
+	    gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0), ==, 0);
+	flow_fixture_clear(&f.base);
+}
+
+/* The same when only an answer to the leader before has shown the later one. */
+static void
+test_departure_of_seen_after_election(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	flow_fixture_start(&f.base, FLOW, 0, 0, 1, f.a);
+	flow_fixture_answer(
+	    &f.base, next_call(&f, GYP_FLEET_START), GYP_FLEET_OK);
+	keep_answering(&f, 20000);
+	flow_fixture_drain(&f.base, f.a);
+	keep_answering_as(&f, 2, 1000);
+	flow_fixture_new_leader(&f.base, 2);
+	g_assert_cmpuint(
+	    gyp_fleet_departed(f.base.fleet, f.base.now, f.a, 0), ==, 0);
+	flow_fixture_clear(&f.base);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -664,6 +723,12 @@
 	    test_departure_of_drained_after_election);
 	g_test_add_func("/incarnations/departure-of-first-after-election",
 	    test_departure_of_first_after_election);
+	g_test_add_func("/incarnations/departure-of-known-after-election",
+	    test_departure_of_known_after_election);
+	g_test_add_func("/incarnations/departure-of-restarted-after-election",
+	    test_departure_of_restarted_after_election);
+	g_test_add_func("/incarnations/departure-of-seen-after-election",
+	    test_departure_of_seen_after_election);
 	g_test_add_func("/incarnations/departure-after-restart-and-election",
 	    test_departure_after_restart_and_election);
 	g_test_add_func("/incarnations/departure-after-start-and-election",
