--- a/src/fleet.c
+++ b/src/fleet.c
@@ -250,6 +250,7 @@
 	       endpoint->leaving_at == 0 &&
 	       !gyp_fleet_endpoint_is_delisted(endpoint) &&
 	       !gyp_fleet_endpoint_lacks_lease(f, endpoint) &&
+	       !gyp_fleet_endpoint_is_bounded(f, endpoint) &&
 	       f->now < endpoint->last_seen_at + SILENT_MS;
 }
 
@@ -502,8 +503,9 @@
 }
 
 /*
- * Cell time since which the tables have the present incarnation at the latest:
- * that of its restart, or of the oldest start of a run there.
+ * Cell time since which the tables have the present incarnation at the latest.
+ * If it registered with replicas of an earlier version, that of its restart, or
+ * of the oldest start of a run there.
  */
 static uint64_t
 registered_ms(
@@ -513,6 +515,8 @@
 	uint64_t oldest = gyp_flows_time(f->flows);
 	guint i;
 
+	if (h->spec->registered_ms != 0)
+		return h->spec->registered_ms;
 	if (h->spec->reborn_ms != 0)
 		return h->spec->reborn_ms;
 	for (i = 0; i < endpoint->runs->len; i++)
@@ -537,7 +541,8 @@
 
 /*
  * True if the present incarnation drained, and none before it can have
- * announced a shutdown that arrives only now.
+ * announced a shutdown that arrives only now. A later one that has not
+ * registered yet may have been seen.
  */
 static bool
 drained_without_predecessor(
@@ -547,6 +552,7 @@
 
 	return h->spec->draining &&
 	       h->spec->born_ms == endpoint->incarnation_start_ms &&
+	       h->spec->seen_born_ms <= h->spec->born_ms &&
 	       is_known_for_long(f, endpoint);
 }
 
@@ -677,6 +683,7 @@
 	if (endpoint->departed_at != 0) {
 		if (f->now >= endpoint->departed_at + DEPARTURE_GRACE_MS)
 			end_departed_runs(f, endpoint);
+		gyp_fleet_bound_sweep(f, endpoint);
 		return;
 	}
 	check_leaving(f, endpoint);
@@ -688,6 +695,7 @@
 	if (endpoint->failures > 0 ||
 	    gyp_fleet_endpoint_lacks_lease(f, endpoint))
 		end_unsent_runs(f, endpoint);
+	gyp_fleet_bound_sweep(f, endpoint);
 	retry_runs(f, endpoint);
 	poll_if_due(f, endpoint);
 }
@@ -707,6 +715,7 @@
 		if (gyp_host_at(f->flows, i) != NULL)
 			gyp_fleet_get_endpoint(f, i);
 	}
+	gyp_fleet_bounds_begin(f);
 	for (i = 0; i < f->endpoints->len; i++) {
 		if (f->endpoints->pdata[i] != NULL)
 			sweep_endpoint(f, f->endpoints->pdata[i]);
@@ -766,6 +775,7 @@
 			gyp_fleet_request_stop(f, run);
 		else if (endpoint->failures > 0 ||
 			 gyp_fleet_endpoint_is_delisted(endpoint) ||
+			 gyp_fleet_endpoint_is_bounded(f, endpoint) ||
 			 gyp_fleet_endpoint_lacks_lease(f, endpoint))
 			run->retry_at = f->now + UNANSWERED_RETRY_MS;
 		else
@@ -900,6 +910,7 @@
 	    g_int64_hash, g_int64_equal, NULL, free_pending);
 	if (cfg->inventory)
 		f->inventory = gyp_inventory_new(f->next_call);
+	f->bounds_applied_before = gyp_flows_bounds_applied(flows);
 	inherit_runs(f);
 	return f;
 }
--- a/src/mutant.h
+++ b/src/mutant.h
@@ -40,6 +40,10 @@
 	GYP_MUTANT_CONFIRM_UNLISTED,
 	/* A run is confirmed although its start was sent again. */
 	GYP_MUTANT_CONFIRM_REPEATED,
+	/* A lease that is bounded in the tables is extended. */
+	GYP_MUTANT_BOUND_EXTENDED,
+	/* Bounds stay valid over a leader of a version without them. */
+	GYP_MUTANT_BOUND_OUTDATED,
 	GYP_MUTANT_COUNT
 };
 
--- a/test/flow_sim_int.h
+++ b/test/flow_sim_int.h
@@ -93,7 +93,8 @@
 	GHashTable *started;       /* task key -> struct started, owned */
 	uint64_t confirmed;        /* runs that were confirmed */
 	uint64_t starts;
-	uint64_t sent_at; /* send time of the call being carried out */
+	uint32_t longest_run_ms; /* of half of the runs; 0: as the others */
+	uint64_t sent_at;        /* send time of the call being carried out */
 };
 
 static inline gpointer
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -23,11 +23,16 @@
 11 10 an order is valid for the next incarnation of an endpoint
 12 1 a start that was answered confirms the run for an incarnation
 13 3 a run is confirmed although its start was sent again
+14 1 a lease that is bounded in the tables is extended
+15 2 a bound stays valid over a leader of a version without bounds
 "
 
-# Runs a test with lasting steps for the faults from number 12 on.
+# Runs the group of test_flows that is made for the faults from number 12 on.
 run_test() {
-	if [ "$1" -ge 12 ]; then
+	if [ "$1" -ge 14 ]; then
+		GYP_MUTANT=$1 GYP_SEED=$2 "$bin/test_flows_mutants" \
+			-p /flows/terms
+	elif [ "$1" -ge 12 ]; then
 		GYP_MUTANT=$1 GYP_SEED=$2 "$bin/test_flows_mutants" \
 			-p /flows/chains-of-terms
 	else
@@ -39,7 +44,7 @@
 detected() {
 	local out
 	out=$(run_test "$1" "$2" 2>&1) && return 1
-	echo "$out" | grep -E 'invariant:|assertion failed|^\*\* .*ERROR' |
+	echo "$out" | grep -E 'invariant:|assertion failed|FATAL-ERROR|^\*\* .*ERROR' |
 		head -n 1
 }
 
