fleet: the lease of a silent endpoint is counted once over any number of terms

A run of an endpoint that was lost stayed open for a whole lease from the begin of each term, so a chain of terms held it for ever.

Cause: a leader counts a whole lease from the begin of its term for an endpoint that has not answered it; what the one before knew of the silence ended with it.

Change: a leader records in the log until when the lease of a silent endpoint can last (CmdLeaseBound), and extends it no more before a withdrawal is applied. The next leaders use the earlier one of that bound and a whole lease. Each leader commits CmdTermBegun with the term of the last log entry before its own: a leader of an earlier version in between breaks the chain, and all bounds are void. Cells without endpoints of flows write no command.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -247,6 +247,7 @@
 	       endpoint->leaving_at == 0 &&
 	       !gyp_fleet_endpoint_is_delisted(endpoint) &&
 	       !gyp_fleet_endpoint_lacks_lease(f, endpoint) &&
+	       !gyp_fleet_endpoint_is_bounded(f, endpoint) &&
 	       f->now < endpoint->last_seen_at + SILENT_MS;
 }
 
@@ -601,6 +602,7 @@
 	if (endpoint->departed_at != 0) {
 		if (f->now >= endpoint->departed_at + DEPARTURE_GRACE_MS)
 			end_departed_runs(f, endpoint);
+		gyp_fleet_bound_sweep(f, endpoint);
 		return;
 	}
 	check_leaving(f, endpoint);
@@ -614,6 +616,7 @@
 	if (endpoint->failures > 0 ||
 	    gyp_fleet_endpoint_lacks_lease(f, endpoint))
 		end_unsent_runs(f, endpoint);
+	gyp_fleet_bound_sweep(f, endpoint);
 	retry_runs(f, endpoint);
 	poll_if_due(f, endpoint);
 }
@@ -633,6 +636,7 @@
 		if (gyp_host_at(f->flows, i) != NULL)
 			gyp_fleet_get_endpoint(f, i);
 	}
+	gyp_fleet_bounds_begin(f);
 	for (i = 0; i < f->endpoints->len; i++) {
 		if (f->endpoints->pdata[i] != NULL)
 			sweep_endpoint(f, f->endpoints->pdata[i]);
@@ -692,6 +696,7 @@
 			gyp_fleet_request_stop(f, run);
 		else if (endpoint->failures > 0 ||
 			 gyp_fleet_endpoint_is_delisted(endpoint) ||
+			 gyp_fleet_endpoint_is_bounded(f, endpoint) ||
 			 gyp_fleet_endpoint_lacks_lease(f, endpoint))
 			run->retry_at = f->now + UNANSWERED_RETRY_MS;
 		else
@@ -826,6 +831,7 @@
 	    g_int64_hash, g_int64_equal, NULL, free_pending);
 	if (cfg->inventory)
 		f->inventory = gyp_inventory_new(f->next_call);
+	f->bounds_applied_before = gyp_flows_bounds_applied(flows);
 	inherit_runs(f);
 	return f;
 }
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -149,6 +149,9 @@
 	uint64_t cell_time_ms;
 	/* The provider's list of endpoints can be requested. */
 	bool inventory;
+	/* Keeps to the bounds of leases in the tables, and records them. */
+	bool lease_bounds;
+	uint64_t previous_term; /* of the last log entry before the term */
 	/* Only for the flow scheduler: */
 	struct gyp_counters *counters; /* or NULL */
 	bool learn_run_times; /* decisions use the forecast of the tables */
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -80,10 +80,11 @@
 }
 
 /*
- * Returns the end of the lease to send in a call. Extends the lease on record
- * unless the latest call to the endpoint got no answer or its latest poll was
- * not carried out: a poll that was refused, or lost with its carrier, granted
- * no lease. The latest end on record may be far ahead, see
+ * Returns the end of the lease to send in a call, 0 for none: a lease that is
+ * bounded in the tables is not extended before that is withdrawn. Extends the
+ * lease on record unless the latest call to the endpoint got no answer or its
+ * latest poll was not carried out: a poll that was refused, or lost with its
+ * carrier, granted no lease. The latest end on record may be far ahead, see
  * gyp_fleet_endpoint_update_clock(), but no call grants more than one whole
  * lease from now: the next leader relies on this bound.
  */
@@ -92,7 +93,8 @@
 {
 	uint64_t elapsed, until;
 
-	if (endpoint->clock_at == 0 || !endpoint->contacted)
+	if (endpoint->clock_at == 0 || !endpoint->contacted ||
+	    gyp_fleet_endpoint_is_bounded(f, endpoint))
 		return 0;
 	elapsed = MIN(f->now, endpoint->clock_seen_at + CLOCK_AGE_MAX_MS) -
 		  endpoint->clock_at;
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -190,8 +190,8 @@
  * the clock cannot shorten this before the endpoint is fenced: the first one
  * may have been taken before, and until_ms is derived from it.
  */
-uint64_t
-gyp_fleet_endpoint_lease_expiry(
+static uint64_t
+counted_expiry(
     const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
 {
 	uint64_t inherited =
@@ -208,6 +208,14 @@
 	return MAX(inherited, expiry_after(endpoint->clock_at, left));
 }
 
+uint64_t
+gyp_fleet_endpoint_lease_expiry(
+    const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
+{
+	return MIN(
+	    counted_expiry(f, endpoint), gyp_fleet_endpoint_bound(f, endpoint));
+}
+
 bool
 gyp_fleet_endpoint_lacks_lease(
     const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -9,6 +9,7 @@
  *
  * DESCRIPTION
  *	fleet.c			runs, endpoints and the periodic sweep
+ *	fleet_bound.c		bounds of leases in the tables
  *	fleet_calls.c		calls and their answers
  *	fleet_diagnosis.c	reports on single runs, for logs
  *	fleet_endpoint.c	clocks, leases and incarnations of endpoints
@@ -98,6 +99,8 @@
 	uint64_t restart_call;     /* id of the first call after the restart */
 	uint32_t restarts;         /* that this leader noticed */
 	uint64_t removal_proposed_at; /* the latest; 0: never */
+	uint64_t bound_cmd;    /* latest command about its bound; 0: none */
+	bool was_bounded;      /* when it was last swept */
 	uint32_t unlisted;     /* lists in a row that lack it while silent */
 	uint32_t failures;     /* consecutive calls without an answer */
 	bool poll_failed;      /* the latest poll was not carried out */
@@ -142,6 +145,9 @@
 	uint64_t stale_until; /* answers may be old, see current_ack() */
 	uint64_t resumed_at;  /* latest pause of this process; 0: none */
 	uint64_t next_call;
+	bool bounds_begun;               /* their term is proposed */
+	uint64_t bounds_proposed;        /* commands about bounds */
+	uint64_t bounds_applied_before;  /* those before this leader */
 	struct gyp_inventory *inventory; /* NULL without a provider */
 	GPtrArray *endpoints;            /* struct gyp_fleet_endpoint by row */
 	GHashTable *runs;                /* key -> struct gyp_fleet_run */
@@ -238,6 +244,24 @@
 bool gyp_fleet_endpoint_lacks_lease(
     const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
 
+/* fleet_bound.c */
+/*
+ * Begins the term in the tables, once, when these have endpoints: the bounds
+ * there stay valid.
+ */
+void gyp_fleet_bounds_begin(struct gyp_fleet *);
+/*
+ * True if the lease of the endpoint must not be extended: the tables bound it,
+ * or that or its withdrawal is proposed.
+ */
+bool gyp_fleet_endpoint_is_bounded(
+    const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
+/* When the lease is over by the bound in the tables; UINT64_MAX: none. */
+uint64_t gyp_fleet_endpoint_bound(
+    const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
+/* Bounds the lease of a silent endpoint; withdraws it when it answers. */
+void gyp_fleet_bound_sweep(struct gyp_fleet *, struct gyp_fleet_endpoint *);
+
 /* fleet_calls.c */
 void gyp_fleet_send_start(struct gyp_fleet *, struct gyp_fleet_run *);
 void gyp_fleet_send_stop(struct gyp_fleet *, struct gyp_fleet_run *);
--- a/src/flow.c
+++ b/src/flow.c
@@ -265,6 +265,18 @@
 	return MIN(end - f->time_ms, period_ms);
 }
 
+uint64_t
+gyp_flows_bounds_term(const struct gyp_flows *f)
+{
+	return f->bounds_term;
+}
+
+uint64_t
+gyp_flows_bounds_applied(const struct gyp_flows *f)
+{
+	return f->bounds_applied;
+}
+
 /* ---- Time and manifest -------------------------------------------------- */
 
 uint64_t
@@ -470,6 +482,7 @@
 init_tables(struct gyp_flows *f)
 {
 	f->next_seq = 1;
+	f->bounds_term = 0;
 	f->by_id = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, gyp_flow_free);
 	f->hosts = g_ptr_array_new_with_free_func(gyp_host_free);
--- a/src/flow.h
+++ b/src/flow.h
@@ -225,6 +225,16 @@
 uint64_t gyp_host_restart_left_ms(
     const struct gyp_flows *, const struct gyp_host *, uint32_t period_ms);
 
+/*
+ * The latest term whose leader keeps to the bounds of leases, as all leaders
+ * have since the oldest of the bounds; 0 if that is not known, and the bounds
+ * are not valid.
+ */
+uint64_t gyp_flows_bounds_term(const struct gyp_flows *);
+
+/* Commands about bounds that this process has applied. */
+uint64_t gyp_flows_bounds_applied(const struct gyp_flows *);
+
 /* Cell time of the latest command, 0 for none. */
 uint64_t gyp_flows_time(const struct gyp_flows *);
 
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -469,6 +469,16 @@
 	    h->spec->n_labels > 0 ? g_str_hash(h->spec->labels[0]) : 0);
 }
 
+/* Voids the bound of an incarnation before that one. */
+static void
+void_bound_before(struct gyp_host *h, uint64_t born_ms)
+{
+	if (h->spec->bound_born_ms >= born_ms)
+		return;
+	h->spec->bound_born_ms = 0;
+	h->spec->bound_over_ms = 0;
+}
+
 static void
 apply_host(struct gyp_flows *f, uint64_t now, const Gyp__CmdHost *cmd)
 {
@@ -479,6 +489,7 @@
 		return;
 	if (h == NULL) {
 		h = gyp_host_make(f->hosts->len, cmd);
+		void_bound_before(h, UINT64_MAX);
 		g_ptr_array_add(f->hosts, h);
 		g_hash_table_insert(f->host_ids, h->spec->id, h);
 		gyp_flows_set_speed_class(f, h);
@@ -491,9 +502,12 @@
 	    cmd->born_ms > h->spec->born_ms ? now : h->spec->reborn_ms;
 	spec->seen_born_ms = h->spec->seen_born_ms;
 	spec->fenced_born_ms = h->spec->fenced_born_ms;
+	spec->bound_born_ms = h->spec->bound_born_ms;
+	spec->bound_over_ms = h->spec->bound_over_ms;
 	g_hash_table_steal(f->host_ids, h->spec->id);
 	gyp_message_free(h->spec);
 	h->spec = spec;
+	void_bound_before(h, cmd->born_ms);
 	h->pool = g_intern_string(h->spec->pool);
 	g_hash_table_insert(f->host_ids, h->spec->id, h);
 	if (cmd->capacity != NULL)
@@ -510,6 +524,7 @@
 
 	if (h == NULL)
 		return;
+	void_bound_before(h, cmd->born_ms);
 	if (cmd->fenced) {
 		h->spec->fenced_born_ms =
 		    MAX(h->spec->fenced_born_ms, cmd->born_ms);
@@ -520,6 +535,57 @@
 	h->spec->seen_born_ms = MAX(h->spec->seen_born_ms, cmd->born_ms);
 }
 
+/* ---- Bounds of leases --------------------------------------------------- */
+
+/*
+ * The bound holds for all incarnations up to the one that it names, so it is
+ * void once a later one is known. The latest one counts: its leader has kept to
+ * the one before.
+ */
+static void
+apply_lease_bound(
+    struct gyp_flows *f, uint64_t now, const Gyp__CmdLeaseBound *cmd)
+{
+	struct gyp_host *h = gyp_host_by_id(f, cmd->id);
+
+	f->bounds_applied++;
+	if (h == NULL ||
+	    cmd->born_ms < MAX(h->spec->born_ms, h->spec->seen_born_ms))
+		return;
+	if (cmd->withdrawn && cmd->born_ms != h->spec->bound_born_ms)
+		return;
+	h->spec->bound_born_ms = cmd->withdrawn ? 0 : cmd->born_ms;
+	h->spec->bound_over_ms = cmd->withdrawn ? 0 : now + cmd->left_ms;
+}
+
+void
+gyp_flows_void_bounds(struct gyp_flows *f)
+{
+	guint i;
+
+	for (i = 0; i < f->hosts->len; i++) {
+		if (f->hosts->pdata[i] != NULL)
+			void_bound_before(f->hosts->pdata[i], UINT64_MAX);
+	}
+}
+
+/*
+ * A leader that does not know the bounds of the leaders before it names no
+ * previous term, and all replicas void them. One that names another term than
+ * these tables have knows bounds that these tables lack, as after a snapshot of
+ * an earlier version: they stay invalid here until a leader voids them all.
+ */
+static void
+apply_term_begun(struct gyp_flows *f, const Gyp__CmdTermBegun *cmd)
+{
+	if (cmd->previous_term != 0 && cmd->previous_term == f->bounds_term) {
+		f->bounds_term = cmd->term;
+		return;
+	}
+	gyp_flows_void_bounds(f);
+	f->bounds_term = cmd->previous_term == 0 ? cmd->term : 0;
+}
+
 /* Keeps the manifest for requests that were received before the change. */
 static void
 keep_replaced(struct gyp_flows *f, uint64_t now)
@@ -567,6 +633,12 @@
 	case GYP__CMD__C_HOST_REBORN:
 		apply_host_reborn(f, now, cmd->host_reborn);
 		return true;
+	case GYP__CMD__C_LEASE_BOUND:
+		apply_lease_bound(f, now, cmd->lease_bound);
+		return true;
+	case GYP__CMD__C_TERM_BEGUN:
+		apply_term_begun(f, cmd->term_begun);
+		return true;
 	case GYP__CMD__C_MANIFEST:
 		apply_manifest(f, now, cmd->manifest);
 		return true;
--- a/src/flow_int.h
+++ b/src/flow_int.h
@@ -20,11 +20,13 @@
 	struct gyp_flows_listener *listener;
 	uint64_t next_seq;
 	uint64_t time_ms;     /* cell time of the latest command, 0 for none */
-	GHashTable *by_id;    /* id -> struct gyp_flow, owned */
-	GQueue active;        /* struct gyp_flow */
-	GQueue ended;         /* struct gyp_flow, by time of their end */
-	GPtrArray *hosts;     /* struct gyp_host by row; NULL if removed */
-	GHashTable *host_ids; /* id -> struct gyp_host */
+	uint64_t bounds_term; /* see gyp_flows_bounds_term() */
+	uint64_t bounds_applied; /* commands about bounds; not replicated */
+	GHashTable *by_id;       /* id -> struct gyp_flow, owned */
+	GQueue active;           /* struct gyp_flow */
+	GQueue ended;            /* struct gyp_flow, by time of their end */
+	GPtrArray *hosts;        /* struct gyp_host by row; NULL if removed */
+	GHashTable *host_ids;    /* id -> struct gyp_host */
 	Gyp__CmdManifest *manifest;
 	Gyp__CmdManifest *replaced;  /* the one before, without its text; or
 					NULL, also after a restore */
@@ -49,6 +51,8 @@
 /* flow_apply.c */
 /* Books the open run of the task on the endpoint in tasks[task].row. */
 void gyp_flow_book(struct gyp_flows *, struct gyp_flow *, uint32_t task);
+/* Voids the bounds of the leases of all endpoints. */
+void gyp_flows_void_bounds(struct gyp_flows *);
 /* Tells the forecast the class of the endpoint. */
 void gyp_flows_set_speed_class(struct gyp_flows *, const struct gyp_host *);
 
--- a/src/flow_save.c
+++ b/src/flow_save.c
@@ -78,6 +78,7 @@
 
 	gyp__snap_flows__init(snap);
 	snap->next_seq = f->next_seq;
+	snap->bounds_term = f->bounds_term;
 	gyp_early_cancels_save(f->early_cancels, snap);
 	snap->n_flows = list->len;
 	snap->flows = g_new(Gyp__SnapFlow *, list->len + 1);
@@ -192,6 +193,10 @@
 		}
 		g_ptr_array_add(f->hosts, h);
 	}
+	/* Snapshots of earlier versions hold outdated bounds, or none. */
+	f->bounds_term = snap->bounds_term;
+	if (f->bounds_term == 0)
+		gyp_flows_void_bounds(f);
 	for (i = 0; i < snap->n_flows; i++) {
 		if (!restore_flow(f, snap->flows[i]))
 			return false;
--- a/src/mutant.h
+++ b/src/mutant.h
@@ -8,8 +8,8 @@
  * DESCRIPTION
  *	A program built with GYP_MUTANTS contains these faults; gyp_mutant
  *	selects the one that is active. `make mutants` shows that test_cell
- *	catches each. In any other build GYP_MUTANT() is 0 and the compiler
- *	removes the code.
+ *	or test_flows catches each. In any other build GYP_MUTANT() is 0 and
+ *	the compiler removes the code.
  */
 
 enum gyp_mutant {
@@ -36,6 +36,10 @@
 	GYP_MUTANT_NO_STOP,
 	/* An order stays valid for the next incarnation of an endpoint. */
 	GYP_MUTANT_NO_INCARNATION,
+	/* A lease that is bounded in the tables is extended. */
+	GYP_MUTANT_BOUND_EXTENDED,
+	/* Bounds stay valid over a leader of a version without them. */
+	GYP_MUTANT_BOUND_OUTDATED,
 	GYP_MUTANT_COUNT
 };
 
--- a/src/raft.c
+++ b/src/raft.c
@@ -309,6 +309,12 @@
 	       r->now < r->leader_contact + r->cfg.election_ms;
 }
 
+uint64_t
+gyp_raft_previous_term(const struct gyp_raft *r)
+{
+	return r->previous_term;
+}
+
 uint64_t
 gyp_raft_leader_contact(const struct gyp_raft *r)
 {
--- a/src/raft.h
+++ b/src/raft.h
@@ -144,6 +144,12 @@
 uint64_t gyp_raft_id(const struct gyp_raft *);
 uint64_t gyp_raft_term(const struct gyp_raft *);
 
+/*
+ * The term of the last log entry before the first one of this leader; 0 for an
+ * empty log. Every leader in between that was ready has an entry in the log.
+ */
+uint64_t gyp_raft_previous_term(const struct gyp_raft *);
+
 /* The id of the leader, which may be this replica; 0 when unknown. */
 uint64_t gyp_raft_leader(const struct gyp_raft *);
 
--- a/src/raft_elect.c
+++ b/src/raft_elect.c
@@ -80,6 +80,7 @@
 		p->acked_sent_at = r->now;
 		p->answered_at = r->now;
 	}
+	r->previous_term = gyp_raft_term_at(r, gyp_raft_last_index(r));
 	gyp_raft_append_noop(r);
 	r->term_start = gyp_raft_last_index(r);
 	r->config_settled_index = r->term_start;
--- a/src/raft_int.h
+++ b/src/raft_int.h
@@ -55,6 +55,7 @@
 
 	enum gyp_raft_role role;
 	uint64_t term;
+	uint64_t previous_term; /* of the last entry before this one led */
 	uint64_t vote;
 	uint64_t leader;
 	uint64_t leader_contact; /* time of the latest message of a leader */
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -168,7 +168,9 @@
 	    .tables_age_ms = gyp_replica_leaderless_ms(r),
 	    .fence_incarnations = r->cfg.fence_incarnations,
 	    .cell_time_ms = r->time_base,
-	    .inventory = r->cfg.inventory};
+	    .inventory = r->cfg.inventory,
+	    .lease_bounds = true,
+	    .previous_term = gyp_raft_previous_term(r->raft)};
 
 	r->flow_scheduler = gyp_flow_scheduler_new(
 	    &cfg, gyp_state_flows(r->state), r->now, r->leader_term);
--- a/test/flow_fixture.c
+++ b/test/flow_fixture.c
@@ -51,9 +51,12 @@
 	    .fence_incarnations = f->fence_incarnations,
 	    .events = f->events,
 	    .cell_time_ms = f->now,
-	    .inventory = f->inventory};
+	    .inventory = f->inventory,
+	    .lease_bounds = f->lease_bounds,
+	    .previous_term = f->term};
 
 	gyp_fleet_free(f->fleet);
+	f->term = fence;
 	f->fleet = gyp_fleet_new(&cfg, f->flows, f->now, fence);
 }
 
--- a/test/flow_fixture.h
+++ b/test/flow_fixture.h
@@ -28,6 +28,8 @@
 	bool excess;             /* they are beyond its rate */
 	bool fence_incarnations; /* of leaders from then on */
 	bool inventory;          /* leaders from then on request lists */
+	bool lease_bounds;       /* leaders from then on keep to bounds */
+	uint64_t term;           /* fence number of the latest leader */
 	uint64_t manifest_version;
 	const char *checkpoint;    /* of runs in lists; NULL for none */
 	struct gyp_events *events; /* of leaders from then on; may be NULL */
