test: chains of elections and leaders of an earlier version in the simulation

/flows/terms runs terms that are mostly shorter than a lease, with commits of up to 1.5 s, leaders lost while a command about a bound is in flight, endpoints cut off with the leader, runs of up to three leases, and in even seeds leaders that neither record nor honour bounds. In all groups commands now have the cell time of their proposal, and cell time stands still between leaders, as in the log. The other groups run with bounds too.

--- a/test/flow_sim.c
+++ b/test/flow_sim.c
@@ -151,6 +151,9 @@
 		return;
 	}
 	r->ends_at = s->now + (uint64_t)g_rand_int_range(s->rand, 100, 3000);
+	if (s->longest_run_ms > 0 && g_rand_boolean(s->rand))
+		r->ends_at = s->now + (uint64_t)g_rand_int_range(s->rand, 3000,
+					  (gint32)s->longest_run_ms);
 	r->fails = g_rand_int_range(s->rand, 0, 12) == 0;
 }
 
@@ -465,6 +468,27 @@
 	}
 }
 
+void
+flow_sim_set_longest_run(struct flow_sim *s, uint32_t ms)
+{
+	s->longest_run_ms = ms;
+}
+
+void
+flow_sim_disconnect_some(struct flow_sim *s)
+{
+	guint i;
+
+	for (i = 0; i < s->n_endpoints; i++) {
+		struct endpoint *e = &s->endpoints[i];
+		uint64_t ms = (uint64_t)g_rand_int_range(s->rand, 500, 12000);
+
+		if (g_rand_boolean(s->rand))
+			e->disconnected_until =
+			    MAX(e->disconnected_until, s->now + ms);
+	}
+}
+
 /*
  * True if a call that was sent before a crash may reach the next incarnation.
  * A start may only if it is refused there: no leader can prevent that a new
--- a/test/flow_sim.h
+++ b/test/flow_sim.h
@@ -30,6 +30,12 @@
 /* Turns faults on or off; off also reconnects all endpoints. */
 void flow_sim_set_faults(struct flow_sim *, bool on);
 
+/* Half of the runs from now on last up to that long, the others 3 s. */
+void flow_sim_set_longest_run(struct flow_sim *, uint32_t ms);
+
+/* Disconnects about half of the endpoints, for 12 s at most. */
+void flow_sim_disconnect_some(struct flow_sim *);
+
 /*
  * Answers a request for the provider's list of endpoints, or loses it. The list
  * is out of date by FLOW_SIM_LIST_MS at most, and may be cut short.
--- a/test/flow_sim_int.h
+++ b/test/flow_sim_int.h
@@ -85,7 +85,8 @@
 	GHashTable *failed;        /* task key -> failures acknowledged */
 	GHashTable *cancelled;     /* flow id -> time */
 	uint64_t starts;
-	uint64_t sent_at; /* send time of the call being carried out */
+	uint32_t longest_run_ms; /* of half of the runs; 0: as the others */
+	uint64_t sent_at;        /* send time of the call being carried out */
 };
 
 static inline gpointer
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Checks that test_cell detects each deliberate fault of src/mutant.h.
+# Checks that test_cell, or the /flows/terms of test_flows, detects each
+# deliberate fault of src/mutant.h.
 # mutants.sh BIN: tries the recorded seed first, then seeds 1 to 50, as a change
 # of the code may require another seed.
 # mutants.sh BIN --search LAST: finds the first seed of 1 to LAST that detects
@@ -7,7 +8,9 @@
 set -u
 bin=$1
 
-# Number in src/mutant.h, seed that detects it, fault.
+# Number in src/mutant.h, seed that detects it, fault. Those from here on are
+# faults of leases that are bounded in the tables.
+bounds=12
 mutants="
 1 4 a start is sent before its commit
 2 567 a lease expires without the bound on clock rates
@@ -20,14 +23,17 @@
 9 1 a second attempt of a job that is not idempotent
 10 7 cancelled runs continue
 11 10 an order is valid for the next incarnation of an endpoint
+12 1 a lease that is bounded in the tables is extended
+13 2 a bound stays valid over a leader of a version without bounds
 "
 
 # detected MUTANT SEED: succeeds if the run fails; prints the failed check.
 detected() {
-	local out
-	out=$(GYP_MUTANT=$1 GYP_SEED=$2 "$bin/test_cell_mutants" 2>&1) &&
+	local out test=(test_cell_mutants)
+	[ "$1" -lt "$bounds" ] || test=(test_flows_mutants -p /flows/terms)
+	out=$(GYP_MUTANT=$1 GYP_SEED=$2 "$bin/${test[0]}" "${test[@]:1}" 2>&1) &&
 		return 1
-	echo "$out" | grep -E 'invariant:|assertion failed' | head -n 1
+	echo "$out" | grep -E 'invariant:|assertion failed|FATAL-ERROR' | head -n 1
 }
 
 first_seed() {
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -5,17 +5,20 @@
 #include "flow_lasting.h"
 #include "flow_sim.h"
 #include "msg.h"
+#include "mutant.h"
 
 /*
  * Randomised runs of the flow scheduler against simulated endpoints. Commands
  * commit after a delay; a change of leader loses a suffix of them.
  * Half of the runs have workspaces whose caps and keys change, and whose tables
  * come from a snapshot after each change of leader. A third group has lasting
- * steps, see flow_lasting.h. In the others, announcements of shutdowns arrive
- * after the endpoint has restarted. Fences tell incarnations apart in that
- * group and in the even seeds of the others. In two of three seeds the leader
- * can request the provider's list of endpoints. GYP_SEED=n repeats one run,
- * GYP_SECONDS=n runs new random seeds for n seconds.
+ * steps, see flow_lasting.h, and a fourth one chains of elections, in the even
+ * seeds with leaders of a version that does not know the bounds of leases. In
+ * the others, announcements of shutdowns arrive after the endpoint has
+ * restarted. Fences tell incarnations apart in that group and in the even seeds
+ * of the others. In two of three seeds the leader can request the provider's
+ * list of endpoints. GYP_SEED=n repeats one run, GYP_SECONDS=n runs new random
+ * seeds for n seconds.
  */
 
 /* Duration of the phase with faults, and of the one without, in ms. */
@@ -26,11 +29,15 @@
 /* The runs with lasting steps are longer than the others. */
 #define LASTING_SEEDS 40
 
-#define STEP_MS      5
-#define COMMIT_MS    15
-#define SEEDS        100
-#define FLOWS_MAX    60
-#define HEARTBEAT_MS 1500
+#define STEP_MS       5
+#define COMMIT_MS     15
+#define COMMIT_MAX_MS 1500 /* of some terms, in chains of elections */
+#define SEEDS         100
+#define FLOWS_MAX     60
+#define HEARTBEAT_MS  1500
+
+/* Longest run in chains of elections, in ms: longer than a lease. */
+#define LONGEST_RUN_MS (3 * FLOW_SIM_LEASE_MS)
 
 /* Longest time by which the announcement of a shutdown is late, in ms. */
 #define DEPARTURE_LATE_MS 8000
@@ -39,8 +46,13 @@
 #define WORKSPACES       3
 #define SUFFICIENT_MILLI 15000
 
+#ifdef GYP_MUTANTS
+int gyp_mutant;
+#endif
+
 struct pending {
 	uint64_t at;
+	uint64_t time_ms; /* cell time of the proposal */
 	Gyp__Cmd *cmd;
 };
 
@@ -59,6 +71,9 @@
 	GQueue pending; /* struct pending */
 	uint64_t now;
 	uint64_t fence;
+	uint64_t time_base; /* cell time at the begin of the term */
+	uint64_t leader_since;
+	uint64_t commit_ms; /* of this term */
 	uint64_t change_at; /* next change of leader */
 	uint64_t leaderless_until;
 	uint64_t submit_at;
@@ -66,7 +81,9 @@
 	uint64_t next_flow;
 	bool faults;
 	bool fence_incarnations;
-	bool inventory; /* the leader requests the provider's list */
+	bool inventory;   /* the leader requests the provider's list */
+	GRand *term_rand; /* NULL in a run without chains of elections */
+	bool mixed;       /* some leaders are of a version without bounds */
 	struct flow_lasting *lasting; /* NULL in runs without lasting steps */
 	/* First heartbeat of an endpoint that became reachable; 0: not up. */
 	uint64_t first_beat_at[FLOW_SIM_LASTING_ENDPOINTS];
@@ -85,13 +102,13 @@
 
 /* Guards against a start that raises the use of a workspace above its cap. */
 static void
-apply_and_check_caps(struct fixture *f, const Gyp__Cmd *cmd)
+apply_and_check_caps(struct fixture *f, uint64_t time_ms, const Gyp__Cmd *cmd)
 {
 	uint32_t before[WORKSPACES], i, n = gyp_workspaces_size(f->flows);
 
 	for (i = 0; i < n; i++)
 		before[i] = gyp_workspace_at(f->flows, i)->used.cpu_milli;
-	gyp_flows_apply(f->flows, f->now, cmd);
+	gyp_flows_apply(f->flows, time_ms, cmd);
 	for (i = 0; i < n; i++) {
 		const struct gyp_workspace_use *use =
 		    gyp_workspace_at(f->flows, i);
@@ -125,22 +142,41 @@
 }
 
 static void
-apply(struct fixture *f, const Gyp__Cmd *cmd)
+apply(struct fixture *f, const struct pending *p)
 {
-	apply_and_check_caps(f, cmd);
+	const Gyp__Cmd *cmd = p->cmd;
+
+	apply_and_check_caps(f, p->time_ms, cmd);
 	if (cmd->c_case == GYP__CMD__C_FLOW_CANCEL)
 		flow_sim_flow_cancelled(f->sim, f->now, cmd->flow_cancel->flow);
 	gyp_flows_check(f->flows);
 }
 
+/* In chains of elections, some leaders are lost with a command about a bound.
+ */
+static void
+plan_loss(struct fixture *f, const Gyp__Cmd *cmd)
+{
+	uint64_t at;
+
+	if (f->term_rand == NULL || cmd->c_case != GYP__CMD__C_LEASE_BOUND ||
+	    g_rand_int_range(f->term_rand, 0, 4) > 0)
+		return;
+	at = f->now + (uint64_t)g_rand_int_range(f->term_rand, STEP_MS,
+			  (gint32)f->commit_ms + STEP_MS);
+	f->change_at = MIN(f->change_at, at);
+}
+
 static void
 propose(struct fixture *f, Gyp__Cmd *cmd)
 {
 	struct pending *p = g_new0(struct pending, 1);
 
-	p->at = f->now + COMMIT_MS;
+	p->at = f->now + f->commit_ms;
+	p->time_ms = f->time_base + f->now - f->leader_since;
 	p->cmd = cmd;
 	g_queue_push_tail(&f->pending, p);
+	plan_loss(f, cmd);
 }
 
 static void
@@ -151,7 +187,7 @@
 	while (
 	    (p = g_queue_peek_head(&f->pending)) != NULL && f->now >= p->at) {
 		g_queue_pop_head(&f->pending);
-		apply(f, p->cmd);
+		apply(f, p);
 		gyp_message_free(p->cmd);
 		g_free(p);
 	}
@@ -201,9 +237,19 @@
 	struct gyp_fleet_config cfg = {.lease_ms = FLOW_SIM_LEASE_MS,
 	    .stop_grace_ms = 400,
 	    .fence_incarnations = f->fence_incarnations,
-	    .cell_time_ms = f->now,
-	    .inventory = f->inventory};
-
+	    .inventory = f->inventory,
+	    .lease_bounds =
+		!f->mixed || g_rand_int_range(f->term_rand, 0, 3) > 0,
+	    .previous_term = f->fence};
+
+	/* Cell time stands still between two leaders. */
+	f->time_base = MAX(gyp_flows_time(f->flows), f->time_base);
+	f->leader_since = f->now;
+	cfg.cell_time_ms = f->time_base;
+	f->commit_ms = COMMIT_MS;
+	if (f->term_rand != NULL && g_rand_boolean(f->term_rand))
+		f->commit_ms = (uint64_t)g_rand_int_range(
+		    f->term_rand, COMMIT_MS, COMMIT_MAX_MS);
 	if (f->workspace_rand != NULL)
 		restore_from_snapshot(f);
 	f->scheduler =
@@ -224,13 +270,19 @@
 	while ((p = g_queue_pop_head(&f->pending)) != NULL) {
 		if (kept > 0) {
 			kept--;
-			apply(f, p->cmd);
+			apply(f, p);
 		}
 		gyp_message_free(p->cmd);
 		g_free(p);
 	}
 	f->leaderless_until =
 	    f->now + (uint64_t)g_rand_int_range(f->rand, 100, 3000);
+	if (f->term_rand == NULL)
+		return;
+	f->leaderless_until =
+	    f->now + (uint64_t)g_rand_int_range(f->term_rand, 50, 600);
+	if (g_rand_boolean(f->term_rand))
+		flow_sim_disconnect_some(f->sim);
 }
 
 /* ---- Callers and endpoints ---------------------------------------------- */
@@ -472,6 +524,17 @@
 		flow_sim_request_list(f->sim, f->now, request);
 }
 
+/* Most terms are shorter than a lease, many of them shorter than a commit. */
+static uint64_t
+next_term_ms(GRand *rand)
+{
+	static const gint32 longest[] = {
+	    4 * COMMIT_MS, 1000, 3000, FLOW_SIM_LEASE_MS, 12000};
+
+	return (uint64_t)g_rand_int_range(rand, STEP_MS,
+	    longest[g_rand_int_range(rand, 0, G_N_ELEMENTS(longest))]);
+}
+
 static bool
 leader_changes(struct fixture *f)
 {
@@ -481,8 +544,11 @@
 		return flow_lasting_changes_leader(f->lasting, f->now);
 	if (f->now < f->change_at)
 		return false;
-	f->change_at =
-	    f->now + (uint64_t)g_rand_int_range(f->rand, 2000, 15000);
+	if (f->term_rand != NULL)
+		f->change_at = f->now + next_term_ms(f->term_rand);
+	else
+		f->change_at =
+		    f->now + (uint64_t)g_rand_int_range(f->rand, 2000, 15000);
 	return true;
 }
 
@@ -506,7 +572,7 @@
 	flow_sim_check_lasting(f->sim, f->now, f->scheduler);
 }
 
-enum group { PLAIN_RUNS, WORKSPACE_RUNS, LASTING_RUNS };
+enum group { PLAIN_RUNS, WORKSPACE_RUNS, LASTING_RUNS, TERM_RUNS };
 
 /* Runs of lasting tasks that were lost, and windows judged, over all seeds. */
 static uint64_t lost_runs, judged_windows;
@@ -532,7 +598,7 @@
 static void
 run_seed(uint32_t seed, enum group group)
 {
-	struct fixture f = {.now = 100000, .faults = true};
+	struct fixture f = {.now = 100000, .time_base = 100000, .faults = true};
 	uint64_t end;
 
 	f.rand = g_rand_new_with_seed(seed);
@@ -541,6 +607,9 @@
 		f.workspace_rand = g_rand_new_with_seed(seed + 2);
 	if (group != LASTING_RUNS)
 		f.departure_rand = g_rand_new_with_seed(seed + 3);
+	if (group == TERM_RUNS)
+		f.term_rand = g_rand_new_with_seed(seed + 6);
+	f.mixed = group == TERM_RUNS && seed % 2 == 0;
 	f.inventory = seed % 3 != 0;
 	f.flows = gyp_flows_new();
 	f.sim = flow_sim_new(seed + 1, f.flows);
@@ -548,6 +617,8 @@
 		flow_sim_use_lasting(f.sim, seed + 3);
 		f.lasting = flow_lasting_new(seed + 4, f.sim);
 	}
+	if (group == TERM_RUNS)
+		flow_sim_set_longest_run(f.sim, LONGEST_RUN_MS);
 	f.change_at = f.now + 5000;
 	become_leader(&f);
 	flow_sim_set_faults(f.sim, true);
@@ -555,6 +626,8 @@
 	while (f.now < end)
 		step(&f);
 	f.faults = false;
+	f.commit_ms = COMMIT_MS;
+	flow_sim_set_longest_run(f.sim, 0);
 	flow_sim_set_faults(f.sim, false);
 	end = f.now + RECOVERY_MS * (group == LASTING_RUNS ? 2 : 1);
 	while (f.now < end && gyp_flows_active(f.flows)->length > 0)
@@ -586,6 +659,8 @@
 		g_rand_free(f.workspace_rand);
 	if (group != LASTING_RUNS)
 		g_rand_free(f.departure_rand);
+	if (group == TERM_RUNS)
+		g_rand_free(f.term_rand);
 }
 
 /* Seeds that once failed, by the fault that they found. */
@@ -655,6 +730,16 @@
 	run_seeds(WORKSPACE_RUNS);
 }
 
+/*
+ * Guards against tasks that run twice because a bound of a lease in the tables
+ * is earlier than the lease, in chains of terms that are shorter than a lease.
+ */
+static void
+test_terms(void)
+{
+	run_seeds(TERM_RUNS);
+}
+
 /*
  * Guards against a lasting task that lost its run and gets no other though
  * endpoints have room.
@@ -674,9 +759,14 @@
 int
 main(int argc, char **argv)
 {
+#ifdef GYP_MUTANTS
+	if (g_getenv("GYP_MUTANT") != NULL)
+		gyp_mutant = atoi(g_getenv("GYP_MUTANT"));
+#endif
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/flows/random", test_random);
 	g_test_add_func("/flows/workspaces", test_workspaces);
+	g_test_add_func("/flows/terms", test_terms);
 	g_test_add_func("/flows/lasting", test_lasting);
 	return g_test_run();
 }
