fleet: announced shutdowns are a file of their own

The functions are the same, four of them have a prefix as fleet.c calls them; no change of behaviour.

--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -12,6 +12,7 @@
  *	fleet_bound.c		bounds of leases in the tables
  *	fleet_calls.c		calls and their answers
  *	fleet_confirmed.c	runs known to belong to one incarnation
+ *	fleet_departure.c	announced shutdowns and what they end
  *	fleet_diagnosis.c	reports on single runs, for logs
  *	fleet_endpoint.c	clocks, leases and incarnations of endpoints
  *	fleet_inventory.c	endpoints that the provider no longer lists
@@ -304,6 +305,29 @@
 void gyp_fleet_end_runs_of_earlier(
     struct gyp_fleet *, struct gyp_fleet_endpoint *);
 
+/* fleet_departure.c */
+/*
+ * Notes the shutdown that the endpoint announced to an earlier leader. If that
+ * did not confirm it, the endpoint may go on for a while.
+ */
+void gyp_fleet_note_recorded_end(
+    struct gyp_fleet *, struct gyp_fleet_endpoint *);
+/*
+ * Polls an endpoint for which a shutdown of an unknown incarnation was
+ * announced, or one to an earlier leader. Its next answer shows that it goes
+ * on; in the latter case, only for a while.
+ */
+void gyp_fleet_check_leaving(struct gyp_fleet *, struct gyp_fleet_endpoint *);
+/*
+ * Ends the runs of an incarnation that ended. Those that the next one may
+ * have stay open until it registers, or until the lease is over. At an address
+ * that another endpoint has, there is none.
+ */
+void gyp_fleet_end_departed_runs(
+    struct gyp_fleet *, struct gyp_fleet_endpoint *);
+/* Has the endpoint removed from the tables, unless that is under way. */
+void gyp_fleet_propose_removal(struct gyp_fleet *, struct gyp_fleet_endpoint *);
+
 /* fleet_diagnosis.c */
 /*
  * Logs runs that have not run for GYP_RUN_LATE_MS, and again each second, at
