--- a/src/raft_send.c
+++ b/src/raft_send.c
@@ -203,7 +203,8 @@
 		    &g_array_index(r->peers, struct gyp_raft_progress, i);
 
 		n += q != p && gyp_raft_is_voter(r, q->id) == voter &&
-		     gyp_raft_is_receiving_large(q) && !is_unresponsive(r, q);
+		     gyp_raft_is_receiving_large(q) && !q->sending_snapshot &&
+		     !is_unresponsive(r, q);
 	}
 	return n;
 }
--- a/test/test_heartbeats.c
+++ b/test/test_heartbeats.c
@@ -509,6 +509,161 @@
 	cell_clear(&c);
 }
 
+/* ---- A shutdown whose confirmation is late ------------------------------- */
+
+/* As in pf_control.c: a call that is not committed by then gets 504, in ms. */
+#define COMMIT_TIMEOUT_MS 900
+
+/* Time for which an endpoint goes on after a shutdown without an answer. */
+#define UNCONFIRMED_MS 3000
+
+#define FLOW 0xf1ULL
+
+/* Run numbers of the only task at each endpoint, 0 for none. */
+static uint32_t runs_at[2];
+
+/* The leader, also while it has no lease. */
+static struct gyp_replica *served;
+
+static void
+answer_poll(struct cell *c, const struct gyp_fleet_call *call)
+{
+	struct gyp_fleet_answer a = {.call = call->id,
+	    .end = GYP_FLEET_OK,
+	    .has_clock = true,
+	    .clock_ms = c->now,
+	    .incarnation_start_ms = 7,
+	    .listed = true};
+	struct gyp_listed_run run = {.flow = FLOW, .run = runs_at[call->row]};
+
+	a.running = g_array_new(FALSE, TRUE, sizeof(run));
+	a.ended = g_array_new(FALSE, TRUE, sizeof(struct gyp_listed_end));
+	if (run.run != 0)
+		g_array_append_val(a.running, run);
+	gyp_replica_endpoint_call_answered(served, c->now, &a);
+	g_array_free(a.running, TRUE);
+	g_array_free(a.ended, TRUE);
+}
+
+/* Both endpoints are up, report that they are, and answer all calls. */
+static void
+serve(struct cell *c, struct endpoint *both[2], uint32_t ms)
+{
+	uint64_t end = c->now + ms;
+	struct gyp_fleet_call *call;
+
+	while (c->now < end) {
+		cell_run(c, 10);
+		if (c->now % 500 == 0) {
+			gyp_replica_heartbeat(
+			    served, c->now, &both[0]->host, c->now);
+			gyp_replica_heartbeat(
+			    served, c->now, &both[1]->host, c->now);
+		}
+		while ((call = gyp_replica_pop_endpoint_call(served)) !=
+		       NULL) {
+			struct gyp_fleet_answer a = {.call = call->id,
+			    .end = GYP_FLEET_OK,
+			    .has_clock = true,
+			    .clock_ms = c->now,
+			    .incarnation_start_ms = 7};
+
+			if (call->kind == GYP_FLEET_START)
+				runs_at[call->row] = call->run;
+			if (call->kind == GYP_FLEET_POLL)
+				answer_poll(c, call);
+			else
+				gyp_replica_endpoint_call_answered(
+				    served, c->now, &a);
+			gyp_fleet_call_free(call);
+		}
+	}
+}
+
+static void
+submit_lasting(struct cell *c)
+{
+	Gyp__Cmd cmd = GYP__CMD__INIT;
+	Gyp__CmdFlow submit = GYP__CMD_FLOW__INIT;
+	Gyp__FlowSpec spec = GYP__FLOW_SPEC__INIT;
+	Gyp__FlowQueue queue = GYP__FLOW_QUEUE__INIT;
+	Gyp__FlowStep step = GYP__FLOW_STEP__INIT, *steps = &step;
+	Gyp__Res need = GYP__RES__INIT;
+
+	need.cpu_milli = 100;
+	step.count = 1;
+	step.size = &need;
+	step.lasting = true;
+	queue.name = "queue";
+	queue.pool = "";
+	queue.attempts = 3;
+	spec.id = FLOW;
+	spec.queue = &queue;
+	spec.n_steps = 1;
+	spec.steps = &steps;
+	submit.spec = &spec;
+	cmd.c_case = GYP__CMD__C_FLOW;
+	cmd.flow = &submit;
+	gyp_replica_propose(leader(c), &cmd);
+}
+
+/* Bytes of a manifest, more than a batch takes beside other commands. */
+#define MANIFEST_BYTES (1024 * 1024)
+
+static void
+change_manifest(uint64_t version, uint64_t now)
+{
+	Gyp__CmdManifest *m = g_new(Gyp__CmdManifest, 1);
+
+	gyp__cmd_manifest__init(m);
+	m->version = version;
+	m->text.data = g_malloc0(MANIFEST_BYTES);
+	m->text.len = MANIFEST_BYTES;
+	g_assert_true(gyp_replica_local_manifest(served, now, m));
+}
+
+/*
+ * Guards against a task that runs twice: the record of a shutdown is committed
+ * after eight changes of the manifest, so that its announcement got 504. The
+ * endpoint then goes on for a while, and the leader must not take it for ended
+ * since the announcement.
+ */
+static void
+test_departure_confirmed_late(void)
+{
+	struct cell c;
+	struct endpoint e, second, *both[2] = {&e, &second};
+	uint64_t term;
+	int at, i;
+
+	set_up(&c, "abc", 100, &e);
+	endpoint_init(&second, 1);
+	second.host.address = "10.1.0.2:1";
+	commit(&c, &second);
+	served = leader(&c);
+	fleet(&c)->cfg.lease_ms = 10000;
+	serve(&c, both, 3000);
+	submit_lasting(&c);
+	serve(&c, both, 3000);
+	g_assert_cmpuint(runs_at[0] + runs_at[1], ==, 1);
+	at = runs_at[1] != 0;
+
+	term = gyp_raft_term(served->raft);
+	c.rand = c.rand != NULL ? c.rand : g_rand_new_with_seed(1);
+	c.sync_max_ms = 250;
+	for (i = 1; i <= 8; i++)
+		change_manifest((uint64_t)i, c.now);
+	depart(&c, at == 0 ? &e : &second, 7);
+	serve(&c, both, COMMIT_TIMEOUT_MS);
+	g_assert_null(gyp_replica_pop_local_reply(served));
+	/* 504 now: the endpoint goes on, and lists its run to all who ask. */
+	serve(&c, both, UNCONFIRMED_MS - COMMIT_TIMEOUT_MS);
+	g_assert_cmpuint(gyp_raft_term(served->raft), ==, term);
+	g_assert_cmpuint(runs_at[at], ==, 1);
+	g_assert_cmpuint(runs_at[1 - at], ==, 0);
+	cell_clear(&c);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -531,5 +686,7 @@
 	g_test_add_func("/heartbeats/paused", test_paused);
 	g_test_add_func("/heartbeats/too-many", test_too_many);
 	g_test_add_func("/heartbeats/malformed", test_malformed);
+	g_test_add_func("/heartbeats/departure-confirmed-late",
+	    test_departure_confirmed_late);
 	return g_test_run();
 }
--- a/test/test_pf_control.c
+++ b/test/test_pf_control.c
@@ -385,6 +385,23 @@
 	g_free(manifest);
 }
 
+/* The same if the first call got 504 before the change was committed. */
+static void
+test_change_repeated_after_timeout(void)
+{
+	struct server s;
+	char *manifest = make_manifest(1, 400, "a");
+
+	start_alone(&s);
+	hold(&s, false, 2);
+	g_assert_cmpint(put(&s, manifest), ==, 504);
+	s.requests = 1;
+	g_assert_cmpint(put(&s, manifest), ==, 200);
+	g_assert_cmpuint(s.changes, ==, 1);
+	stop(&s);
+	g_free(manifest);
+}
+
 /*
  * Guards against a valid change that nobody takes: a leader whose lease had run
  * out for the moment, as after a long iteration of its loop, answered 503.
@@ -435,6 +452,8 @@
 	    "/pf-control/leader-refuses-invalid", test_leader_refuses_invalid);
 	g_test_add_func("/pf-control/repeated-change-is-one-proposal",
 	    test_repeated_change_is_one_proposal);
+	g_test_add_func("/pf-control/change-repeated-after-timeout",
+	    test_change_repeated_after_timeout);
 	g_test_add_func(
 	    "/pf-control/change-waits-for-lease", test_change_waits_for_lease);
 	g_test_add_func(
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -698,6 +698,71 @@
 	}
 }
 
+static uint64_t
+propose_large(struct node *leader)
+{
+	GBytes *data = g_bytes_new_take(g_malloc0(LARGE_BYTES), LARGE_BYTES);
+	uint64_t index =
+	    gyp_raft_propose(leader->raft, GYP__ENTRY_KIND__ENTRY_BATCH, data);
+
+	g_bytes_unref(data);
+	return index;
+}
+
+/* Cuts off the members that a large entry is on its way to. */
+static void
+cut_receivers(struct net *net, const struct node *leader)
+{
+	guint k;
+	int i, j;
+
+	for (k = 0; k < net->in_flight->len; k++) {
+		const Gyp__RaftMsg *m = net->in_flight->pdata[k];
+
+		for (i = 0; i < NET_SLOTS; i++) {
+			if (!has_large_entry(m) || net->nodes[i].id != m->to ||
+			    &net->nodes[i] == leader)
+				continue;
+			for (j = 0; j < NET_SLOTS; j++)
+				net->cut[i][j] = net->cut[j][i] = true;
+		}
+	}
+}
+
+/*
+ * Guards against a large entry that is not committed although a majority could
+ * have it: two of five voters lost the one before, and need a snapshot now,
+ * whose transfer takes long while they answer.
+ */
+static void
+test_large_entry_beside_snapshots(void)
+{
+	struct net net;
+	struct node *leader = net_init_settled(&net, 1);
+	uint64_t index, term;
+	int i;
+
+	net.no_proposals = net.no_compact = true;
+	net_run(&net, 100);
+	term = gyp_raft_term(leader->raft);
+	index = propose_large(leader);
+	cut_receivers(&net, leader);
+	for (i = 0; i < 200; i++)
+		net_step(&net, false);
+	g_assert_cmpuint(leader->index, >=, index);
+	net.state_bytes = 10000 * NET_CHUNK_BYTES; /* the transfer takes long */
+	net_compact(leader);
+	memset(net.cut, 0, sizeof(net.cut));
+	for (i = 0; i < 100; i++)
+		net_step(&net, false);
+	index = propose_large(leader);
+	for (i = 0; i < 200; i++)
+		net_step(&net, false);
+	g_assert_cmpuint(gyp_raft_term(leader->raft), ==, term);
+	g_assert_cmpuint(leader->index, >=, index);
+	net_clear(&net);
+}
+
 /*
  * Guards against snapshots that replace nothing: a large entry counted as soon
  * as it was proposed, and the leader packed a snapshot without it.
@@ -805,6 +870,8 @@
 	    test_snapshot_over_unsynced_equal);
 	g_test_add_func(
 	    "/raft/large-entry-leaves-lease", test_large_entry_leaves_lease);
+	g_test_add_func("/raft/large-entry-beside-snapshots",
+	    test_large_entry_beside_snapshots);
 	g_test_add_func("/raft/unapplied-entries-do-not-count",
 	    test_unapplied_entries_do_not_count);
 	g_test_add_func("/raft/compaction-waits-for-members",
