--- a/src/link.c
+++ b/src/link.c
@@ -207,14 +207,15 @@
 drop_accepted(struct conn *c)
 {
 	struct gyp_links *links = c->links;
+	bool latest = g_hash_table_lookup(links->by_id, &c->id) == c;
 	bool entry = c->entry;
 	uint64_t id = c->id;
 
-	if (g_hash_table_lookup(links->by_id, &id) == c)
+	if (latest)
 		g_hash_table_remove(links->by_id, &id);
 	links->entries -= entry;
 	g_ptr_array_remove_fast(links->accepted, c);
-	if (entry && links->owner->ops->entry_closed != NULL)
+	if (entry && latest && links->owner->ops->entry_closed != NULL)
 		links->owner->ops->entry_closed(links->owner, id);
 }
 
