fleet, replica: an announced shutdown counts once it is confirmed in time

Behind large manifests that took more than 900 ms, the endpoint got 504 and went on: its tasks ran twice.

Change: until it is confirmed the endpoint is only polled and gets no new run. It has ended when the confirmation is sent within 500 ms of the announcement; if it comes later, by three unanswered calls, as under the next leader. The start of an incarnation that was never seen is not recorded: a wrong one would hold for all incarnations of that id.

--- a/src/fleet.h
+++ b/src/fleet.h
@@ -200,6 +200,23 @@
 void gyp_fleet_heartbeat(struct gyp_fleet *, uint64_t now, uint32_t row,
     uint64_t incarnation_start_ms, uint64_t clock_ms);
 
+/*
+ * Records that an announcement which names the incarnation arrived, before it
+ * is confirmed: the endpoint gets no new run, and goes on until then. Returns
+ * the start of the incarnation, to be recorded in the tables; 0 if it is an
+ * earlier one, which is ignored.
+ */
+uint64_t gyp_fleet_announced(struct gyp_fleet *, uint64_t now, uint32_t row,
+    uint64_t incarnation_start_ms);
+
+/*
+ * The announcement is confirmed to the endpoint now. That is as good as
+ * gyp_fleet_departed() unless it comes so late that the endpoint may have given
+ * up waiting and goes on for a while.
+ */
+void gyp_fleet_announcement_confirmed(struct gyp_fleet *, uint64_t now,
+    uint32_t row, uint64_t incarnation_start_ms);
+
 /*
  * An incarnation of the endpoint announced that it is shutting down.
  * incarnation_start_ms is its start, or 0 if it is not known. The announcement
--- a/src/fleet_departure.c
+++ b/src/fleet_departure.c
@@ -7,6 +7,12 @@
  */
 #define REMOVAL_RETRY_MS 2000
 
+/*
+ * An announcement that is confirmed later than this after it arrived may have
+ * been given up by its endpoint, in ms.
+ */
+#define CONFIRMATION_MAX_MS 500
+
 /*
  * Unanswered calls in a row after which an endpoint that drained and announced
  * its shutdown has ended.
@@ -222,6 +228,41 @@
 	return incarnation_start_ms;
 }
 
+uint64_t
+gyp_fleet_announced(struct gyp_fleet *f, uint64_t now, uint32_t row,
+    uint64_t incarnation_start_ms)
+{
+	struct gyp_fleet_endpoint *endpoint;
+
+	gyp_fleet_advance(f, now);
+	endpoint = gyp_fleet_get_endpoint(f, row);
+	if (incarnation_start_ms < endpoint->incarnation_start_ms ||
+	    endpoint->departed_at != 0)
+		return gyp_fleet_departed(f, now, row, incarnation_start_ms);
+	/* No later incarnation was seen, so its start may be wrong. */
+	if (incarnation_start_ms > endpoint->incarnation_start_ms) {
+		gyp_fleet_departed(f, now, row, incarnation_start_ms);
+		return 0;
+	}
+	endpoint->announced_at = f->now;
+	if (endpoint->leaving_at == 0)
+		endpoint->leaving_at = f->now;
+	return incarnation_start_ms;
+}
+
+void
+gyp_fleet_announcement_confirmed(struct gyp_fleet *f, uint64_t now,
+    uint32_t row, uint64_t incarnation_start_ms)
+{
+	struct gyp_fleet_endpoint *endpoint;
+
+	gyp_fleet_advance(f, now);
+	endpoint = gyp_fleet_get_endpoint(f, row);
+	if (endpoint->announced_at != 0 &&
+	    f->now < endpoint->announced_at + CONFIRMATION_MAX_MS)
+		gyp_fleet_departed(f, now, row, incarnation_start_ms);
+}
+
 /* The present incarnation has ended, which later leaders have to know. */
 static void
 depart(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -100,6 +100,8 @@
 				      address, was noticed; 0: neither */
 	uint64_t departed_before_ms; /* its shutdown was recorded so long
 					before departed_at, or 0 */
+	uint64_t announced_at;       /* latest announcement of a shutdown that
+					names its incarnation; 0: none */
 	uint64_t leaving_at;         /* a shutdown of an unknown incarnation was
 					announced, or one of this incarnation to an
 					earlier leader; 0: none */
--- a/test/test_heartbeats.c
+++ b/test/test_heartbeats.c
@@ -560,8 +560,7 @@
 			gyp_replica_heartbeat(
 			    served, c->now, &both[1]->host, c->now);
 		}
-		while ((call = gyp_replica_pop_endpoint_call(served)) !=
-		       NULL) {
+		while ((call = gyp_replica_pop_endpoint_call(served)) != NULL) {
 			struct gyp_fleet_answer a = {.call = call->id,
 			    .end = GYP_FLEET_OK,
 			    .has_clock = true,
