--- a/test/test_heartbeats.c
+++ b/test/test_heartbeats.c
@@ -648,7 +648,8 @@
 	at = runs_at[1] != 0;
 
 	term = gyp_raft_term(served->raft);
-	c.rand = c.rand != NULL ? c.rand : g_rand_new_with_seed(1);
+	g_assert_null(c.rand);
+	c.rand = g_rand_new_with_seed(1);
 	c.sync_max_ms = 250;
 	for (i = 1; i <= 8; i++)
 		change_manifest((uint64_t)i, c.now);
@@ -660,6 +661,8 @@
 	g_assert_cmpuint(gyp_raft_term(served->raft), ==, term);
 	g_assert_cmpuint(runs_at[at], ==, 1);
 	g_assert_cmpuint(runs_at[1 - at], ==, 0);
+	g_rand_free(c.rand);
+	c.rand = NULL;
 	cell_clear(&c);
 }
 
