--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -846,7 +846,7 @@
    */
   uint64_t fenced_born_ms;
   /*
-   * latest one that has ended for good
+   * latest one that announced its shutdown
    */
   uint64_t ended_born_ms;
   /*
@@ -891,7 +891,8 @@
 
 
 /*
- * That incarnation of the endpoint has ended: it runs nothing and never will.
+ * That incarnation of the endpoint announced its shutdown: it ends once that is
+ * confirmed, or gives up waiting for it and ends later.
  */
 struct  Gyp__CmdHostEnded
 {
@@ -940,8 +941,8 @@
 
 
 /*
- * The only start of the run was carried out, by that incarnation of its
- * endpoint: no other one will ever have the run.
+ * That incarnation of the endpoint has the run, and no start of it can be
+ * carried out any more: no other one will ever have it.
  */
 struct  Gyp__CmdFlowConfirmed
 {
