--- a/review/stage-2/lib.sh
+++ b/review/stage-2/lib.sh
@@ -83,6 +83,7 @@
 		learn_run_times = yes
 		fence_incarnations = yes
 		relay_heartbeats_from = 500
+		${PROVIDER:+provider = $PROVIDER}
 	INI
 	cat >"$dir/helper-$1.ini" <<-INI
 		[entry]
@@ -119,6 +120,24 @@
 	run "$1" target/bin/gyp-entry --config "$dir/$1.ini"
 }
 
+# leader: prints the number of the replica that leads.
+leader() {
+	local i answer
+	for i in 0 1 2; do
+		answer=$(NO_REDIRECT=1 "$stage" call GET "$(control "$i")" op \
+		    /api/config)
+		[ "${answer:0:3}" = 200 ] && { echo "$i"; return; }
+	done
+	return 1
+}
+
+# start_provider: its list has the workers that are started after it.
+start_provider() {
+	export UP=$dir/up
+	mkdir "$UP"
+	run provider "$stage" provider "$PROVIDER" "$UP" "$pool"
+}
+
 front() {
 	echo "127.0.0.1:$((base + 20 + $1))"
 }
@@ -192,6 +211,10 @@
 	: >"$record"
 	trap finish EXIT
 	find_base
+	[ -n "${WITH_PROVIDER:-}" ] && {
+		PROVIDER=127.0.4.1:$((base + 90))
+		start_provider
+	}
 	seeds=127.0.0.1:$base,127.0.0.1:$((base + 1)),127.0.0.1:$((base + 2))
 	for i in 0 1 2; do
 		mkdir "$dir/data-$i"
@@ -206,6 +229,6 @@
 	for i in $(seq 1 "$1"); do
 		list+=("127.0.3.1:$((base + 50 + i))")
 	done
-	run workers "$stage" workers "$record" "$pool" \
+	[ "$1" -eq 0 ] || run workers "$stage" workers "$record" "$pool" \
 	    "$(control 0),$(control 1),$(control 2)" "${list[@]}"
 }
--- a/review/stage-2/stage.c
+++ b/review/stage-2/stage.c
@@ -4,6 +4,7 @@
  *
  * SYNOPSIS
  *	stage workers RECORD POOL CONTROL[,CONTROL...] IP:PORT ...
+ *	stage provider IP:PORT DIRECTORY POOL
  *	stage call METHOD IP:PORT HOST PATH [BODY]
  *
  * DESCRIPTION
@@ -17,10 +18,21 @@
  *	task with CHECKPOINT_MS makes a checkpoint of CHECKPOINT_BYTES
  *	characters after each such time of work.
  *
- *	"call" sends one request, follows two redirects, and prints the status
- *	and the body; "000" when there is no answer within 3 s.
+ *	At SIGUSR1 the workers report that they drain, go on for DRAIN_MS after
+ *	the ack, send DELETE and end. With the variable UP set to a directory,
+ *	each worker has a file with its id there as long as it exists.
+ *
+ *	A task whose MAX is 0 lasts: it is at work 100 ms after its start.
+ *
+ *	"provider" answers GET /api/machines with one machine for each file in
+ *	the directory.
+ *
+ *	"call" sends one request, follows two redirects (none if the variable
+ *	NO_REDIRECT is set), and prints the status and the body; "000" when
+ *	there is no answer within 3 s.
  */
 #include <arpa/inet.h>
+#include <dirent.h>
 #include <errno.h>
 #include <jansson.h>
 #include <netinet/tcp.h>
@@ -46,6 +58,7 @@
 #define MEM_MB	       131072
 #define WORKERS_MAX    64
 #define RUNS_MAX       20000
+#define DRAIN_MS       7000 /* after the ack; drain_ms is the least */
 
 struct run {
 	char task[64];
@@ -100,6 +113,7 @@
 static int n_workers;
 static FILE *record;
 static const char *pool;
+static volatile sig_atomic_t draining;
 static char controls[16][64];
 static int n_controls;
 
@@ -266,7 +280,7 @@
 		if (!ok)
 			return 0;
 		status = atoi(m.start + 9);
-		if (status != 307) {
+		if (status != 307 || getenv("NO_REDIRECT") != NULL) {
 			*answer = m.body;
 			return status;
 		}
@@ -388,7 +402,7 @@
 			r->checkpoints++;
 			make_checkpoint(w, r);
 		}
-		if (now >= r->end_at)
+		if (r->end_at != 0 && now >= r->end_at)
 			end_run(w, r, "done");
 	}
 	/* Forget closed rows at the end of the table. */
@@ -487,7 +501,7 @@
 		saved = strtoll(last + 1, NULL, 10);
 	r->checkpoints = (uint32_t)saved;
 	r->began_at = mono_ms() - saved * checkpoint_ms;
-	r->end_at = r->began_at + min;
+	r->end_at = max > 0 ? r->began_at + min : 0;
 	if (max > min)
 		r->end_at += hash(task) % (uint32_t)(max - min);
 	note("start worker=%s task=%s run=%u checkpoint=%s", w->id, task,
@@ -538,8 +552,11 @@
 static int
 percent_of(const struct run *r)
 {
-	return (int)((mono_ms() - r->began_at) * 100 /
-		     (r->end_at - r->began_at + 1));
+	int64_t worked = mono_ms() - r->began_at;
+
+	if (r->end_at == 0)
+		return worked >= 100 ? 100 : 0;
+	return (int)(worked * 100 / (r->end_at - r->began_at + 1));
 }
 
 static int
@@ -665,16 +682,15 @@
 		pthread_detach(t);
 }
 
-static void *
-accept_all(void *arg)
+static int
+listen_at(const char *address)
 {
-	struct worker *w = arg;
 	struct sockaddr_in sin = {.sin_family = AF_INET};
 	char ip[64];
 	char *colon;
 	int one = 1, fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-	snprintf(ip, sizeof(ip), "%s", w->address);
+	snprintf(ip, sizeof(ip), "%s", address);
 	colon = strchr(ip, ':');
 	*colon = '\0';
 	sin.sin_port = htons((uint16_t)atoi(colon + 1));
@@ -682,9 +698,18 @@
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
 	    listen(fd, 128) != 0) {
-		perror(w->address);
+		perror(address);
 		exit(2);
 	}
+	return fd;
+}
+
+static void *
+accept_all(void *arg)
+{
+	struct worker *w = arg;
+	int one = 1, fd = listen_at(w->address);
+
 	for (;;) {
 		struct connection *c = calloc(1, sizeof(*c));
 
@@ -698,6 +723,7 @@
 		    c->fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 		spawn(serve, c);
 	}
+	return NULL;
 }
 
 static char *
@@ -710,7 +736,7 @@
 	o = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},s:[s,s],"
 		      "s:I,s:I,s:I}",
 	    "backend", pool, "address", w->address, "zone", "z-1", "version",
-	    "v1", "slots", 8, "state", "ready", "cold_remaining_ms", 0,
+	    "v1", "slots", 8, "state", draining ? "draining" : "ready", "cold_remaining_ms", 0,
 	    "capacity", "cpu", CPU_MILLI, "mem_mb", MEM_MB, "gpu", 0, "labels",
 	    "a", w->rack, "clock_ms", (json_int_t)clock_of(w), "seq",
 	    (json_int_t)++w->seq, "born", (json_int_t)w->born_ms);
@@ -720,32 +746,90 @@
 	return text;
 }
 
+/* Tries the nodes in turn until one acknowledges; false if none does. */
+static bool
+report(const struct worker *w, const char *method, const char *body)
+{
+	static int next;
+	char path[64], *answer;
+	int tries;
+
+	snprintf(path, sizeof(path), "/api/instances/%s", w->id);
+	for (tries = 0; tries < n_controls; tries++) {
+		int status = request(controls[next], method, controls[next],
+		    path, body, 1000, &answer);
+
+		free(answer);
+		if (status >= 200 && status < 300)
+			return true;
+		next = (next + 1) % n_controls;
+	}
+	return false;
+}
+
+static void
+up_path(const struct worker *w, char *path, size_t size)
+{
+	snprintf(path, size, "%s/%s", getenv("UP"), w->id);
+}
+
+/* The worker leaves: all that runs on it terminates. */
+static void
+leave(struct worker *w)
+{
+	char path[300];
+	int i;
+
+	pthread_mutex_lock(&lock);
+	for (i = 0; i < w->n_runs; i++) {
+		if (w->runs[i].open)
+			note("gone worker=%s task=%s run=%u", w->id,
+			    w->runs[i].task, w->runs[i].number);
+	}
+	pthread_mutex_unlock(&lock);
+	if (getenv("UP") != NULL) {
+		up_path(w, path, sizeof(path));
+		unlink(path);
+	}
+	note("leaves worker=%s acked=%d", w->id, report(w, "DELETE", ""));
+	_exit(0);
+}
+
 static void *
 send_heartbeats(void *arg)
 {
 	struct worker *w = arg;
-	char path[64];
-	int next = 0;
+	int64_t acked_at = 0;
 
-	snprintf(path, sizeof(path), "/api/instances/%s", w->id);
 	for (;;) {
-		char *body = heartbeat_body(w), *answer;
-		int tries, status = 0;
-
-		for (tries = 0; tries < n_controls; tries++) {
-			status = request(controls[next], "PUT", controls[next],
-			    path, body, 1000, &answer);
-			free(answer);
-			if (status >= 200 && status < 300)
+		char *body = heartbeat_body(w);
+		bool drains = draining;
+		bool acked = report(w, "PUT", body);
+		int i;
+
+		free(body);
+		if (drains && acked && acked_at == 0) {
+			acked_at = mono_ms();
+			note("draining worker=%s", w->id);
+		}
+		for (i = 0; i < HEARTBEAT_MS / 10; i++) {
+			usleep(10 * 1000);
+			if (acked_at != 0 && mono_ms() >= acked_at + DRAIN_MS)
+				leave(w);
+			if (draining && !drains)
 				break;
-			next = (next + 1) % n_controls;
 		}
-		free(body);
-		usleep(HEARTBEAT_MS * 1000);
 	}
 	return NULL;
 }
 
+static void
+on_drain(int sig)
+{
+	(void)sig;
+	draining = 1;
+}
+
 static void *
 tick(void *arg)
 {
@@ -788,7 +872,13 @@
 		w->closed = calloc(RUNS_MAX, sizeof(*w->closed));
 		pthread_cond_init(&w->changed, NULL);
 	}
+	signal(SIGUSR1, on_drain);
 	for (i = 0; i < n_workers; i++) {
+		char path[300];
+
+		up_path(&workers[i], path, sizeof(path));
+		if (getenv("UP") != NULL)
+			fclose(fopen(path, "w"));
 		note("worker worker=%s address=%s", workers[i].id,
 		    workers[i].address);
 		spawn(accept_all, &workers[i]);
@@ -798,6 +888,79 @@
 	return 0;
 }
 
+/* ---- Provider ----------------------------------------------------------- */
+
+static json_t *
+list_machines(const char *directory)
+{
+	json_t *list = json_array();
+	DIR *d = opendir(directory);
+	struct dirent *e;
+
+	while (d != NULL && (e = readdir(d)) != NULL) {
+		if (e->d_name[0] != '.')
+			json_array_append_new(list,
+			    json_pack("{s:s+,s:s,s:s,s:s,s:[s],s:{s:i,s:i,s:i},"
+				      "s:s}",
+				"machine_id", "m-", e->d_name, "pool", pool,
+				"state", "up", "zone", "z-1", "labels", "a",
+				"capacity", "cpu", CPU_MILLI, "mem_mb", MEM_MB,
+				"gpu", 0, "id", e->d_name));
+	}
+	if (d != NULL)
+		closedir(d);
+	return list;
+}
+
+struct provider_connection {
+	const char *directory;
+	int fd;
+};
+
+static void *
+serve_provider(void *arg)
+{
+	struct provider_connection c = *(struct provider_connection *)arg;
+	struct message m;
+	char head[256];
+
+	free(arg);
+	while (read_message(c.fd, &m)) {
+		json_t *answer = json_pack(
+		    "{s:o}", "machines", list_machines(c.directory));
+		char *text = json_dumps(answer, JSON_COMPACT);
+
+		json_decref(answer);
+		snprintf(head, sizeof(head),
+		    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+		    "Content-Length: %zu\r\n\r\n",
+		    strlen(text));
+		if (send_all(c.fd, head, strlen(head)))
+			send_all(c.fd, text, strlen(text));
+		free(text);
+		free(m.body);
+	}
+	close(c.fd);
+	return NULL;
+}
+
+static int
+play_provider(char **argv)
+{
+	int fd = listen_at(argv[0]);
+
+	pool = argv[2];
+	for (;;) {
+		struct provider_connection *c = calloc(1, sizeof(*c));
+
+		c->directory = argv[1];
+		c->fd = accept(fd, NULL, NULL);
+		if (c->fd >= 0)
+			spawn(serve_provider, c);
+	}
+	return 0;
+}
+
 static int
 call(int argc, char **argv)
 {
@@ -816,8 +979,10 @@
 	signal(SIGPIPE, SIG_IGN);
 	if (argc >= 6 && strcmp(argv[1], "workers") == 0)
 		return play_workers(argc - 2, argv + 2);
+	if (argc == 5 && strcmp(argv[1], "provider") == 0)
+		return play_provider(argv + 2);
 	if (argc >= 6 && strcmp(argv[1], "call") == 0)
 		return call(argc - 2, argv + 2);
-	fprintf(stderr, "usage: stage workers|call ...\n");
+	fprintf(stderr, "usage: stage workers|provider|call ...\n");
 	return 2;
 }
