--- a/bench/pool.c
+++ b/bench/pool.c
@@ -130,7 +130,8 @@
 	    .has_clock = true,
 	    .clock_ms = p->now,
 	    .incarnation_start_ms = h->spec->born_ms,
-	    .listed = call->kind == GYP_FLEET_POLL};
+	    .listed = call->kind == GYP_FLEET_POLL,
+	    .ends_complete = true};
 	guint i;
 
 	if (call->kind == GYP_FLEET_STOP)
--- a/src/counters.h
+++ b/src/counters.h
@@ -36,6 +36,8 @@
  *	gyp_inventory_requests_total		lists requested of the provider
  *	gyp_inventory_failed_total		of these, not complete
  *	gyp_inventory_delisted_total		endpoints found to have ended
+ *	gyp_incomplete_lists_total		polls that listed only the
+ *						first part of the ends
  *	gyp_link_bytes_total{link,direction}	bytes, with length prefixes
  *	gyp_messages_total{link,direction}	frames
  *	gyp_links_refused_total			connections beyond a limit
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -27,6 +27,13 @@
 /* An idle endpoint that is silent for this long is removed, in ms. */
 #define REMOVE_IDLE_MS 60000
 
+void
+gyp_fleet_count(const struct gyp_fleet *f, const char *name)
+{
+	if (f->cfg.counters != NULL)
+		gyp_count(f->cfg.counters, name, "", 1);
+}
+
 /* ---- Runs --------------------------------------------------------------- */
 
 static void
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -37,8 +37,10 @@
  *	restart can extend no lease after the first poll that the new
  *	incarnation answers. Otherwise they are waited out.
  *
- *	A poll lists the runs on an endpoint and the runs that ended. When a
- *	run is missing from the list, the leader stops it by its number, so
+ *	A poll lists the runs on an endpoint and the runs that ended, the
+ *	latter in parts if there are many; the next part is listed once this
+ *	one is acknowledged. Only complete lists show that a run is missing.
+ *	When one is, the leader stops it by its number, so
  *	that the endpoint refuses a start of that number that arrives later.
  *	The run counts as lost only after the stop is confirmed and a later
  *	poll does not list it either. An end is acknowledged to the endpoint
@@ -138,8 +140,14 @@
 	uint64_t incarnation_start_ms; /* 0 if not in the answer */
 	bool listed;                   /* the answer has the two lists */
 	uint32_t unreadable_rows;      /* of the lists; they are left out */
-	GArray *running;               /* struct gyp_listed_run */
-	GArray *ended;                 /* struct gyp_listed_end */
+	/*
+	 * No run has ended that is not listed. Otherwise the list of ends may
+	 * be the first part of a longer one: it says nothing about runs after
+	 * its last number.
+	 */
+	bool ends_complete;
+	GArray *running; /* struct gyp_listed_run */
+	GArray *ended;   /* struct gyp_listed_end */
 };
 
 struct gyp_fleet_config {
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -192,6 +192,8 @@
 #define GYP_RUN_LATE_MS 1000
 
 /* fleet.c */
+/* Increments a counter without labels. */
+void gyp_fleet_count(const struct gyp_fleet *, const char *name);
 /* Advances the time; a jump shows that this process was paused. */
 void gyp_fleet_advance(struct gyp_fleet *, uint64_t now);
 struct gyp_fleet_endpoint *gyp_fleet_get_endpoint(
--- a/src/fleet_inventory.c
+++ b/src/fleet_inventory.c
@@ -35,13 +35,6 @@
 #define STARTS_MS      (START_WINDOW_MS + LATE_CALL_MAX_MS)
 #define STARTS_OVER_MS (STARTS_MS + STARTS_MS / (GYP_CLOCK_SLOW - 1) + 1)
 
-static void
-count(const struct gyp_fleet *f, const char *name)
-{
-	if (f->cfg.counters != NULL)
-		gyp_count(f->cfg.counters, name, "", 1);
-}
-
 /* ---- Requests ------------------------------------------------------------ */
 
 bool
@@ -182,7 +175,7 @@
 	if (f->inventory == NULL ||
 	    !gyp_inventory_pop_request(f->inventory, request))
 		return false;
-	count(f, "gyp_inventory_requests_total");
+	gyp_fleet_count(f, "gyp_inventory_requests_total");
 	return true;
 }
 
@@ -255,7 +248,7 @@
 	if (endpoint->unlisted++ == 0)
 		endpoint->unlisted_at = requested_at;
 	if (gyp_fleet_endpoint_is_delisted(endpoint)) {
-		count(f, "gyp_inventory_delisted_total");
+		gyp_fleet_count(f, "gyp_inventory_delisted_total");
 		gyp_events_add(f->cfg.events, "endpoint-delisted",
 		    "endpoint=%s runs=%u heard_ms_ago=%" G_GUINT64_FORMAT,
 		    gyp_fleet_endpoint_name(f, endpoint->row),
@@ -312,7 +305,7 @@
 	    !gyp_inventory_close(f->inventory, f->now, a, &requested_at))
 		return;
 	if (!a->complete) {
-		count(f, "gyp_inventory_failed_total");
+		gyp_fleet_count(f, "gyp_inventory_failed_total");
 		gyp_events_add(f->cfg.events, "inventory-failed", "reason=%s",
 		    a->reason != NULL ? a->reason : "unknown");
 		return;
--- a/src/fleet_poll.c
+++ b/src/fleet_poll.c
@@ -298,7 +298,7 @@
 }
 
 /*
- * Handles a run that the endpoint lists neither as running nor as ended. After
+ * Handles a run that complete lists have neither as running nor as ended. After
  * a confirmed stop no start of it is carried out. A stop may be refused each
  * time, so the run is over, too, once none can be under way; but a row that was
  * unreadable may be that of the run.
@@ -320,17 +320,13 @@
 		gyp_fleet_request_stop(f, run);
 }
 
-void
-gyp_fleet_apply_lists(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint,
-    const struct gyp_fleet_pending *p, const struct gyp_fleet_answer *a)
+static void
+handle_missing_runs(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint,
+    GHashTable *listed, const struct gyp_fleet_pending *p,
+    const struct gyp_fleet_answer *a)
 {
-	GHashTable *listed;
 	guint i;
 
-	endpoint->listed_at = f->now;
-	handle_ends(f, endpoint, a->ended);
-	gyp_fleet_endpoint_advance_acked(f, endpoint);
-	listed = handle_running(f, endpoint, p, a);
 	for (i = 0; i < endpoint->runs->len; i++) {
 		struct gyp_fleet_run *run = endpoint->runs->pdata[i];
 
@@ -339,5 +335,34 @@
 			handle_missing_run(
 			    f, run, p->sent_at, a->unreadable_rows == 0);
 	}
+}
+
+/* An incomplete list of ends is rare: it shows a backlog of them. */
+static void
+log_incomplete(struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint,
+    const struct gyp_fleet_answer *a)
+{
+	gyp_fleet_count(f, "gyp_incomplete_lists_total");
+	gyp_events_add(f->cfg.events, "ends-incomplete",
+	    "endpoint=%s ends=%u acked=%" G_GUINT64_FORMAT
+	    " last=%" G_GUINT64_FORMAT " open=%u",
+	    gyp_fleet_endpoint_name(f, endpoint->row), a->ended->len,
+	    endpoint->acked, last_listed_end(endpoint), endpoint->runs->len);
+}
+
+void
+gyp_fleet_apply_lists(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint,
+    const struct gyp_fleet_pending *p, const struct gyp_fleet_answer *a)
+{
+	GHashTable *listed;
+
+	endpoint->listed_at = f->now;
+	handle_ends(f, endpoint, a->ended);
+	gyp_fleet_endpoint_advance_acked(f, endpoint);
+	listed = handle_running(f, endpoint, p, a);
+	if (a->ends_complete)
+		handle_missing_runs(f, endpoint, listed, p, a);
+	else
+		log_incomplete(f, endpoint, a);
 	g_hash_table_destroy(listed);
 }
--- a/src/host_msg.c
+++ b/src/host_msg.c
@@ -120,6 +120,7 @@
 	m->born_ms = a->incarnation_start_ms;
 	m->listed = a->listed;
 	m->unreadable_rows = a->unreadable_rows;
+	m->ends_complete = a->ends_complete;
 	if (!a->listed)
 		return m;
 	m->n_running = a->running->len;
@@ -162,6 +163,7 @@
 	a->incarnation_start_ms = m->born_ms;
 	a->listed = m->listed;
 	a->unreadable_rows = m->unreadable_rows;
+	a->ends_complete = m->ends_complete;
 	a->running = g_array_sized_new(
 	    FALSE, FALSE, sizeof(struct gyp_listed_run), (guint)m->n_running);
 	g_array_set_size(a->running, (guint)m->n_running);
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -7942,7 +7942,7 @@
   (ProtobufCMessageInit) gyp__host_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__host_answer__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gyp__host_answer__field_descriptors[11] =
 {
   {
     "call",
@@ -8064,6 +8064,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ends_complete",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__HostAnswer, ends_complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__host_answer__field_indices_by_name[] = {
   5,   /* field[5] = born_ms */
@@ -8071,6 +8083,7 @@
   4,   /* field[4] = clock_ms */
   1,   /* field[1] = end */
   8,   /* field[8] = ended */
+  10,   /* field[10] = ends_complete */
   3,   /* field[3] = has_clock */
   6,   /* field[6] = listed */
   2,   /* field[2] = reason */
@@ -8080,7 +8093,7 @@
 static const ProtobufCIntRange gyp__host_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gyp__host_answer__descriptor =
 {
@@ -8090,7 +8103,7 @@
   "Gyp__HostAnswer",
   "gyp",
   sizeof(Gyp__HostAnswer),
-  10,
+  11,
   gyp__host_answer__field_descriptors,
   gyp__host_answer__field_indices_by_name,
   1,  gyp__host_answer__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -1311,10 +1311,14 @@
   size_t n_ended;
   Gyp__HostEnd **ended;
   uint32_t unreadable_rows;
+  /*
+   * no run has ended that is not listed
+   */
+  protobuf_c_boolean ends_complete;
 };
 #define GYP__HOST_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__host_answer__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
--- a/test/flow_fixture.c
+++ b/test/flow_fixture.c
@@ -328,7 +328,8 @@
 	    .has_clock = true,
 	    .clock_ms = f->now - f->clock_lag_ms,
 	    .incarnation_start_ms = incarnation_start_ms,
-	    .listed = true};
+	    .listed = true,
+	    .ends_complete = !f->more_ends};
 	size_t i;
 
 	a.running = g_array_new(FALSE, TRUE, sizeof(struct gyp_listed_run));
--- a/test/flow_fixture.h
+++ b/test/flow_fixture.h
@@ -32,6 +32,7 @@
 	uint64_t term;           /* fence number of the latest leader */
 	uint64_t manifest_version;
 	const char *checkpoint;    /* of runs in lists; NULL for none */
+	bool more_ends;            /* lists are the first part of the ends */
 	struct gyp_events *events; /* of leaders from then on; may be NULL */
 };
 
--- a/test/flow_sim.c
+++ b/test/flow_sim.c
@@ -8,6 +8,9 @@
 /* Upper bound of the network delay without faults, in ms. */
 #define NETWORK_DELAY_MAX_MS 4
 
+/* Most ends in a list: so few that endpoints often have more. */
+#define ENDS_LISTED_MAX 2
+
 /* Shortest delay of a late call, in ms. */
 #define LATE_MIN_MS 2000
 
@@ -261,7 +264,8 @@
 		list_run(s, &g_array_index(e->runs, struct run, i), &l);
 		g_array_append_val(a->running, l);
 	}
-	for (i = 0; i < e->ends->len; i++) {
+	a->ends_complete = e->ends->len < ENDS_LISTED_MAX;
+	for (i = 0; i < MIN(e->ends->len, ENDS_LISTED_MAX); i++) {
 		const struct end *end = &g_array_index(e->ends, struct end, i);
 		struct gyp_listed_end l = {
 		    .number = end->number, .how = end->how};
--- a/test/lasting_load.c
+++ b/test/lasting_load.c
@@ -14,8 +14,12 @@
 #define NETWORK_MS 10
 
 #define HEARTBEAT_MS 1000
-#define SAMPLE_MS    50
-#define TICKET_MS    2500
+
+/* Most ends in a list. */
+#define ENDS_LISTED_MAX 500
+
+#define SAMPLE_MS 50
+#define TICKET_MS 2500
 
 /* Time without disturbance, and time with room, see lasting_load.h, in ms. */
 #define QUIET_MS 4000
@@ -282,7 +286,9 @@
 
 		g_array_append_val(a->running, l);
 	}
-	g_array_append_vals(a->ended, e->ends->data, e->ends->len);
+	g_array_append_vals(
+	    a->ended, e->ends->data, MIN(e->ends->len, ENDS_LISTED_MAX));
+	a->ends_complete = e->ends->len < ENDS_LISTED_MAX;
 }
 
 /* Carries out a call; false when it is a poll that goes on waiting. */
--- a/test/test_carriers.c
+++ b/test/test_carriers.c
@@ -299,7 +299,10 @@
 	    .flow = 3, .index = 4, .run = 2, .checkpoint = "c", .percent = 50};
 	struct gyp_listed_end end = {
 	    .number = 8, .run = run, .how = GYP__FLOW_HOW__FLOW_FAILED};
-	struct gyp_fleet_answer a = {.call = 9, .listed = true}, b;
+	struct gyp_fleet_answer a = {.call = 9,
+				    .listed = true,
+				    .ends_complete = true},
+				b;
 	Gyp__HostCall *m = gyp_host_msg_from_call(&call);
 	struct gyp_fleet_call *back = gyp_host_msg_to_call(m);
 	Gyp__HostAnswer *am;
@@ -324,6 +327,7 @@
 	    g_array_index(b.ended, struct gyp_listed_end, 0).number, ==, 8);
 	g_assert_cmpint(g_array_index(b.ended, struct gyp_listed_end, 0).how,
 	    ==, GYP__FLOW_HOW__FLOW_FAILED);
+	g_assert_true(b.ends_complete);
 	gyp_host_msg_clear(&a);
 	gyp_host_msg_clear(&b);
 	gyp_message_free(am);
--- a/test/test_heartbeats.c
+++ b/test/test_heartbeats.c
@@ -533,7 +533,8 @@
 	    .has_clock = true,
 	    .clock_ms = c->now,
 	    .incarnation_start_ms = 7,
-	    .listed = true};
+	    .listed = true,
+	    .ends_complete = true};
 	struct gyp_listed_run run = {.flow = FLOW, .run = runs_at[call->row]};
 
 	a.running = g_array_new(FALSE, TRUE, sizeof(run));
--- a/test/test_open_runs.c
+++ b/test/test_open_runs.c
@@ -628,6 +628,7 @@
 		a.listed = call->kind == GYP_FLEET_POLL;
 		a.end = a.listed ? GYP_FLEET_OK : GYP_FLEET_REFUSED;
 		a.unreadable_rows = a.listed ? 1 : 0;
+		a.ends_complete = true;
 		a.has_clock = true;
 		a.clock_ms = f.base.now;
 		gyp_fleet_handle_answer(f.base.fleet, f.base.now, &a);
--- a/test/test_pf_json.c
+++ b/test/test_pf_json.c
@@ -226,6 +226,50 @@
 	g_array_free(a.ended, TRUE);
 }
 
+/* An answer with n ends and nothing running. */
+static char *
+answer_with_ends(uint32_t n)
+{
+	GString *body =
+	    g_string_new("{\"clock_ms\":5,\"born\":1,\"running\":[],"
+			 "\"ended\":[");
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		g_string_append_printf(body,
+		    "%s[%u,\"00000000000000a1.0.0.%u\",1,\"done\",\"\"]",
+		    i > 0 ? "," : "", i + 1, i);
+	g_string_append(body, "]}");
+	return g_string_free(body, FALSE);
+}
+
+/*
+ * Guards against a task that runs again because its end comes after the most
+ * that an endpoint lists at a time.
+ */
+static void
+test_ends_in_parts(void)
+{
+	static const uint32_t counts[] = {0, 499, 500};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(counts); i++) {
+		struct gyp_fleet_answer a = {.end = GYP_FLEET_OK};
+		char *body = answer_with_ends(counts[i]);
+
+		a.running =
+		    g_array_new(FALSE, FALSE, sizeof(struct gyp_listed_run));
+		a.ended =
+		    g_array_new(FALSE, FALSE, sizeof(struct gyp_listed_end));
+		g_assert_true(gyp_pf_decode_answer(body, strlen(body), &a));
+		g_assert_cmpuint(a.ended->len, ==, counts[i]);
+		g_assert_cmpint(a.ends_complete, ==, counts[i] < 500);
+		g_array_free(a.running, TRUE);
+		g_array_free(a.ended, TRUE);
+		g_free(body);
+	}
+}
+
 /* ---- The provider's list --------------------------------------------------
  */
 
@@ -302,6 +346,7 @@
 	g_test_add_func("/pf-json/odd-heartbeats", test_odd_heartbeats);
 	g_test_add_func("/pf-json/large-heartbeats", test_large_heartbeats);
 	g_test_add_func("/pf-json/odd-rows", test_odd_rows);
+	g_test_add_func("/pf-json/ends-in-parts", test_ends_in_parts);
 	g_test_add_func("/pf-json/inventory", test_inventory);
 	g_test_add_func("/pf-json/odd-inventory", test_odd_inventory);
 	return g_test_run();
--- a/test/test_stragglers.c
+++ b/test/test_stragglers.c
@@ -58,7 +58,8 @@
 	    .has_clock = true,
 	    .clock_ms = f->base.now,
 	    .incarnation_start_ms = 1,
-	    .listed = call->kind == GYP_FLEET_POLL};
+	    .listed = call->kind == GYP_FLEET_POLL,
+	    .ends_complete = true};
 
 	a.running = g_array_new(FALSE, TRUE, sizeof(struct gyp_listed_run));
 	a.ended = g_array_new(FALSE, TRUE, sizeof(struct gyp_listed_end));
