flows: tasks have the digits of the id as the caller wrote them

Callers saw: a job whose id has capital digits was accepted, and endpoints were told to run its tasks under an id that nobody had sent.

Cause: an id is held as a number, and formatted with small digits.

Change: the flow's specification, calls, listed runs and admission queries say which digits are capitals. Ids that differ in nothing else are one job, as before.

--- a/src/admission.c
+++ b/src/admission.c
@@ -400,7 +400,7 @@
 
 static Gyp__Ask *
 make_query(const struct gyp_admission *a, const struct query *q,
-    const struct gyp_flow_unit *unit)
+    const struct gyp_flow *flow, const struct gyp_flow_unit *unit)
 {
 	Gyp__Ask query = GYP__ASK__INIT;
 	GPtrArray *names = g_ptr_array_new();
@@ -412,6 +412,7 @@
 		    gyp_host_at(a->flows, target_at(q, i)->row)->spec->id);
 	query.id = q->id;
 	query.flow = q->key.flow;
+	query.id_capitals = flow->spec->id_capitals;
 	query.time = unit->repetition;
 	query.step = unit->step_number;
 	query.n_endpoints = names->len;
@@ -451,7 +452,7 @@
 	add_claims(a, q);
 	add_pending(u, q);
 	g_hash_table_insert(a->queries, &q->id, q);
-	return make_query(a, q, unit);
+	return make_query(a, q, flow, unit);
 }
 
 static struct grant *
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -80,6 +80,7 @@
 	uint64_t give_up_at; /* the call is useless from this time on */
 	/* All but polls: */
 	uint64_t flow;
+	uint32_t id_capitals; /* of the flow's id, as the caller wrote it */
 	uint32_t repetition, step, index;
 	uint32_t run;
 	/* Starts and polls: end of the lease, endpoint's clock; 0: none. */
@@ -125,6 +126,7 @@
 
 struct gyp_listed_run {
 	uint64_t flow;
+	uint32_t id_capitals; /* of the flow's id */
 	uint32_t repetition, step, index;
 	uint32_t run;
 	char *checkpoint; /* owned by the list, NULL for none */
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -72,6 +72,7 @@
 	    g_hash_table_lookup(f->pending, &call->id);
 
 	call->flow = run->key.flow;
+	call->id_capitals = run->flow->spec->id_capitals;
 	call->repetition = u->repetition;
 	call->step = u->step_number;
 	call->index = run->key.index - u->first;
--- a/src/fleet_poll.c
+++ b/src/fleet_poll.c
@@ -171,6 +171,7 @@
 	call->timeout_ms = 1000;
 	call->give_up_at = f->now + 1000;
 	call->flow = l->flow;
+	call->id_capitals = l->id_capitals;
 	call->repetition = l->repetition;
 	call->step = l->step;
 	call->index = l->index;
--- a/src/flow.c
+++ b/src/flow.c
@@ -546,6 +546,36 @@
 	return f;
 }
 
+bool
+gyp_flow_id_parse(const char *text, uint64_t *id, uint32_t *capitals)
+{
+	uint32_t i;
+
+	if (strlen(text) != GYP_FLOW_ID_DIGITS ||
+	    !g_ascii_string_to_unsigned(text, 16, 0, G_MAXUINT64, id, NULL))
+		return false;
+	*capitals = 0;
+	for (i = 0; i < GYP_FLOW_ID_DIGITS; i++) {
+		if (g_ascii_isupper(text[i]))
+			*capitals |= 1U << i;
+	}
+	return true;
+}
+
+void
+gyp_flow_id_format(
+    uint64_t id, uint32_t capitals, char text[GYP_FLOW_ID_DIGITS + 1])
+{
+	uint32_t i;
+
+	g_snprintf(
+	    text, GYP_FLOW_ID_DIGITS + 1, "%016" G_GINT64_MODIFIER "x", id);
+	for (i = 0; i < GYP_FLOW_ID_DIGITS; i++) {
+		if ((capitals & 1U << i) != 0)
+			text[i] = g_ascii_toupper(text[i]);
+	}
+}
+
 void
 gyp_flows_free(struct gyp_flows *f)
 {
--- a/src/flow.h
+++ b/src/flow.h
@@ -38,6 +38,18 @@
 /* Maximum number of tasks of a flow, over all repetitions. */
 #define GYP_FLOW_TASKS_MAX 20000
 
+/* Length of a flow's id as text, in hexadecimal digits. */
+#define GYP_FLOW_ID_DIGITS 16
+
+/*
+ * Parses an id of exactly GYP_FLOW_ID_DIGITS digits. It is a number; bit i of
+ * *capitals says that digit i from the left is a capital letter, so that the
+ * caller's text can be formatted again.
+ */
+bool gyp_flow_id_parse(const char *text, uint64_t *id, uint32_t *capitals);
+void gyp_flow_id_format(
+    uint64_t id, uint32_t capitals, char text[GYP_FLOW_ID_DIGITS + 1]);
+
 /* How long an ended flow stays in the tables, in ms of cell time. */
 #define GYP_FLOW_RETENTION_MS (10 * 60 * 1000)
 
--- a/src/host_msg.c
+++ b/src/host_msg.c
@@ -27,6 +27,7 @@
 	m->fence = call->fence;
 	m->timeout_ms = call->timeout_ms;
 	m->flow = call->flow;
+	m->id_capitals = call->id_capitals;
 	m->time = call->repetition;
 	m->step = call->step;
 	m->index = call->index;
@@ -59,6 +60,7 @@
 	call->fence = m->fence;
 	call->timeout_ms = m->timeout_ms;
 	call->flow = m->flow;
+	call->id_capitals = m->id_capitals;
 	call->repetition = m->time;
 	call->step = m->step;
 	call->index = m->index;
@@ -82,6 +84,7 @@
 
 	gyp__host_run__init(m);
 	m->flow = run->flow;
+	m->id_capitals = run->id_capitals;
 	m->time = run->repetition;
 	m->step = run->step;
 	m->index = run->index;
@@ -141,6 +144,7 @@
 to_run(const Gyp__HostRun *m, struct gyp_listed_run *run)
 {
 	run->flow = m->flow;
+	run->id_capitals = m->id_capitals;
 	run->repetition = m->time;
 	run->step = m->step;
 	run->index = m->index;
--- a/src/replica_flow_requests.c
+++ b/src/replica_flow_requests.c
@@ -9,9 +9,6 @@
  */
 #define BUSY_RETRY_MS 1000
 
-/* Hexadecimal digits of a flow's id in a path. */
-#define FLOW_ID_DIGITS 16
-
 /* ---- Replies ------------------------------------------------------------ */
 
 /*
@@ -64,8 +61,9 @@
 static bool
 parse_flow_id(const char *text, uint64_t *id)
 {
-	return strlen(text) == FLOW_ID_DIGITS &&
-	       g_ascii_string_to_unsigned(text, 16, 0, G_MAXUINT64, id, NULL);
+	uint32_t capitals;
+
+	return gyp_flow_id_parse(text, id, &capitals);
 }
 
 /* Finds the flow's id at the end of a path, whose queue is not known here. */
@@ -74,8 +72,8 @@
 {
 	size_t len = strlen(path);
 
-	return len >= FLOW_ID_DIGITS &&
-	       parse_flow_id(path + len - FLOW_ID_DIGITS, id);
+	return len >= GYP_FLOW_ID_DIGITS &&
+	       parse_flow_id(path + len - GYP_FLOW_ID_DIGITS, id);
 }
 
 /*
@@ -242,9 +240,11 @@
 	return false;
 }
 
+/* rest is the part of the path behind the queue's prefix. */
 static void
 submit_flow(struct gyp_replica *r, uint64_t entry, const Gyp__Call *call,
-    const Gyp__FlowQueue *q, const Gyp__Workspace *ws, uint64_t id)
+    const Gyp__FlowQueue *q, const Gyp__Workspace *ws, const char *rest,
+    uint64_t id)
 {
 	struct gyp_flows *flows = gyp_state_flows(r->state);
 	const struct gyp_flow *flow = gyp_flow_get(flows, id);
@@ -267,7 +267,7 @@
 		    "too many flows are known");
 		return;
 	}
-	spec.id = id;
+	gyp_flow_id_parse(rest, &spec.id, &spec.id_capitals);
 	spec.queue = (Gyp__FlowQueue *)q;
 	spec.workspace = workspace_name(ws);
 	spec.excess = false;
@@ -369,7 +369,7 @@
 		gyp_workspace_flow_access(m, q, ws, flow->spec)))
 		return;
 	if (call->flow->submit != NULL)
-		submit_flow(r, entry, call, q, ws, id);
+		submit_flow(r, entry, call, q, ws, rest, id);
 	else if (flow == NULL && call->flow->cancel)
 		cancel_unknown_flow(r, entry, call, q, ws, id);
 	else if (flow == NULL)
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -5212,7 +5212,7 @@
   (ProtobufCMessageInit) gyp__workspace__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__flow_spec__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gyp__flow_spec__field_descriptors[10] =
 {
   {
     "id",
@@ -5322,11 +5322,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "id_capitals",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__FlowSpec, id_capitals),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__flow_spec__field_indices_by_name[] = {
   8,   /* field[8] = excess */
   4,   /* field[4] = first_ms */
   0,   /* field[0] = id */
+  9,   /* field[9] = id_capitals */
   5,   /* field[5] = interval_ms */
   1,   /* field[1] = payload */
   6,   /* field[6] = queue */
@@ -5337,7 +5350,7 @@
 static const ProtobufCIntRange gyp__flow_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gyp__flow_spec__descriptor =
 {
@@ -5347,7 +5360,7 @@
   "Gyp__FlowSpec",
   "gyp",
   sizeof(Gyp__FlowSpec),
-  9,
+  10,
   gyp__flow_spec__field_descriptors,
   gyp__flow_spec__field_indices_by_name,
   1,  gyp__flow_spec__number_ranges,
@@ -7233,7 +7246,7 @@
   (ProtobufCMessageInit) gyp__snap_flows__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__ask__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gyp__ask__field_descriptors[6] =
 {
   {
     "id",
@@ -7295,18 +7308,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "id_capitals",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Ask, id_capitals),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__ask__field_indices_by_name[] = {
   4,   /* field[4] = endpoints */
   1,   /* field[1] = flow */
   0,   /* field[0] = id */
+  5,   /* field[5] = id_capitals */
   3,   /* field[3] = step */
   2,   /* field[2] = time */
 };
 static const ProtobufCIntRange gyp__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gyp__ask__descriptor =
 {
@@ -7316,7 +7342,7 @@
   "Gyp__Ask",
   "gyp",
   sizeof(Gyp__Ask),
-  5,
+  6,
   gyp__ask__field_descriptors,
   gyp__ask__field_indices_by_name,
   1,  gyp__ask__number_ranges,
@@ -7490,7 +7516,7 @@
   (ProtobufCMessageInit) gyp__advised__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__host_call__field_descriptors[18] =
+static const ProtobufCFieldDescriptor gyp__host_call__field_descriptors[19] =
 {
   {
     "id",
@@ -7708,6 +7734,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "id_capitals",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__HostCall, id_capitals),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__host_call__field_indices_by_name[] = {
   15,   /* field[15] = acked */
@@ -7717,6 +7755,7 @@
   4,   /* field[4] = fence */
   6,   /* field[6] = flow */
   0,   /* field[0] = id */
+  18,   /* field[18] = id_capitals */
   9,   /* field[9] = index */
   1,   /* field[1] = kind */
   12,   /* field[12] = payload */
@@ -7732,7 +7771,7 @@
 static const ProtobufCIntRange gyp__host_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor gyp__host_call__descriptor =
 {
@@ -7742,14 +7781,14 @@
   "Gyp__HostCall",
   "gyp",
   sizeof(Gyp__HostCall),
-  18,
+  19,
   gyp__host_call__field_descriptors,
   gyp__host_call__field_indices_by_name,
   1,  gyp__host_call__number_ranges,
   (ProtobufCMessageInit) gyp__host_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__host_run__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gyp__host_run__field_descriptors[9] =
 {
   {
     "flow",
@@ -7847,10 +7886,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "id_capitals",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__HostRun, id_capitals),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__host_run__field_indices_by_name[] = {
   5,   /* field[5] = checkpoint */
   0,   /* field[0] = flow */
+  8,   /* field[8] = id_capitals */
   3,   /* field[3] = index */
   7,   /* field[7] = load */
   6,   /* field[6] = percent */
@@ -7861,7 +7913,7 @@
 static const ProtobufCIntRange gyp__host_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gyp__host_run__descriptor =
 {
@@ -7871,7 +7923,7 @@
   "Gyp__HostRun",
   "gyp",
   sizeof(Gyp__HostRun),
-  8,
+  9,
   gyp__host_run__field_descriptors,
   gyp__host_run__field_indices_by_name,
   1,  gyp__host_run__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -728,10 +728,14 @@
    * beyond the workspace's rate when accepted
    */
   protobuf_c_boolean excess;
+  /*
+   * digits of the id, see gyp_flow_id_format()
+   */
+  uint32_t id_capitals;
 };
 #define GYP__FLOW_SPEC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__flow_spec__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, NULL, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, NULL, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Gyp__CmdFlow
@@ -1172,10 +1176,14 @@
   uint32_t step;
   size_t n_endpoints;
   char **endpoints;
+  /*
+   * of the flow
+   */
+  uint32_t id_capitals;
 };
 #define GYP__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__ask__descriptor) \
-    , 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Gyp__Ticket
@@ -1252,10 +1260,14 @@
   uint64_t acked;
   uint32_t wait_ms;
   uint32_t percent;
+  /*
+   * of the flow
+   */
+  uint32_t id_capitals;
 };
 #define GYP__HOST_CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__host_call__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Gyp__HostRun
@@ -1269,10 +1281,14 @@
   char *checkpoint;
   uint32_t percent;
   uint32_t load;
+  /*
+   * of the flow
+   */
+  uint32_t id_capitals;
 };
 #define GYP__HOST_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__host_run__descriptor) \
-    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Gyp__HostEnd
--- a/test/test_carriers.c
+++ b/test/test_carriers.c
@@ -297,6 +297,7 @@
 	    .address = g_strdup("127.0.0.1:9"),
 	    .endpoint = g_strdup("e"),
 	    .flow = 3,
+	    .id_capitals = 5,
 	    .run = 2,
 	    .until_ms = 77,
 	    .payload = g_strdup("work"),
@@ -320,6 +321,7 @@
 	g_assert_cmpstr(back->checkpoint, ==, LONG_TEXT);
 	g_assert_null(back->ticket);
 	g_assert_cmpuint(back->until_ms, ==, 77);
+	g_assert_cmpuint(back->id_capitals, ==, 5);
 	g_assert_cmpint(back->kind, ==, GYP_FLEET_START);
 	gyp_fleet_call_free(back);
 	gyp_message_free(m);
--- a/test/test_pf_json.c
+++ b/test/test_pf_json.c
@@ -298,6 +298,39 @@
 	}
 }
 
+/* Guards against a stop of another task: digits of ids may be capitals. */
+static void
+test_capital_ids(void)
+{
+	static const char task[] = "00aBCdef0000000F.1.2.3";
+	static const char body[] =
+	    "{\"clock_ms\":5,\"born\":1,\"ended\":[],\"running\":"
+	    "[[\"00aBCdef0000000F.1.2.3\",1,\"\",0]]}";
+	struct gyp_fleet_call call = {.kind = GYP_FLEET_STOP};
+	const struct gyp_listed_run *run;
+	struct gyp_fleet_answer a;
+	json_t *sent;
+	char *text;
+
+	gyp_fleet_answer_init(&a, 1);
+	g_assert_true(gyp_pf_decode_answer(body, strlen(body), &a));
+	g_assert_cmpuint(a.running->len, ==, 1);
+	run = &g_array_index(a.running, struct gyp_listed_run, 0);
+	g_assert_cmphex(run->flow, ==, 0x00abcdef0000000fULL);
+	call.flow = run->flow;
+	call.id_capitals = run->id_capitals;
+	call.repetition = run->repetition;
+	call.step = run->step;
+	call.index = run->index;
+	text = gyp_pf_encode_call(&call);
+	sent = json_loads(text, 0, NULL);
+	g_assert_cmpstr(
+	    json_string_value(json_object_get(sent, "task")), ==, task);
+	json_decref(sent);
+	free(text);
+	gyp_fleet_answer_clear(&a);
+}
+
 /* Guards against a start without the text that it should carry. */
 static void
 test_unsendable_text(void)
@@ -431,6 +464,7 @@
 	g_test_add_func("/pf-json/whole-checkpoints", test_whole_checkpoints);
 	g_test_add_func(
 	    "/pf-json/refused-checkpoints", test_refused_checkpoints);
+	g_test_add_func("/pf-json/capital-ids", test_capital_ids);
 	g_test_add_func("/pf-json/unsendable-text", test_unsendable_text);
 	g_test_add_func("/pf-json/ends-in-parts", test_ends_in_parts);
 	g_test_add_func("/pf-json/inventory", test_inventory);
--- a/test/test_refusals.c
+++ b/test/test_refusals.c
@@ -154,6 +154,28 @@
 	entry_fixture_run(fx, 200);
 }
 
+/* Guards against a task that has another name than its caller's id gives it. */
+static void
+test_id_is_kept(void)
+{
+	static const char id[] = "00aBCdef0000000F";
+	struct entry_fixture *fx = new_fixture();
+	struct flow_call c;
+	const struct gyp_flow *flow;
+	char text[GYP_FLOW_ID_DIGITS + 1];
+
+	make_submit(&c, 0, "ka");
+	g_snprintf(c.path, sizeof(c.path), "/q/%s", id);
+	entry_fixture_call(fx, 0, &c.call, 3000);
+	entry_fixture_run(fx, 200);
+	flow = gyp_flow_get(gyp_state_flows(gyp_replica_state(fx->replica)),
+	    0x00abcdef0000000fULL);
+	g_assert_nonnull(flow);
+	gyp_flow_id_format(flow->id, flow->spec->id_capitals, text);
+	g_assert_cmpstr(text, ==, id);
+	entry_fixture_free(fx);
+}
+
 /*
  * Guards against a refusal of a request whose first sending, through this or
  * another entry, is not committed yet and will be accepted.
@@ -625,6 +647,7 @@
 	    test_cancelled_by_other_workspace);
 	g_test_add_func("/refusals/cancelled-before-new-leader",
 	    test_cancelled_before_new_leader);
+	g_test_add_func("/refusals/id-is-kept", test_id_is_kept);
 	g_test_add_func("/refusals/delayed", test_delayed);
 	g_test_add_func("/refusals/new-leader", test_new_leader);
 	return g_test_run();
