--- a/test/test_pf_json.c
+++ b/test/test_pf_json.c
@@ -108,6 +108,24 @@
 	}
 }
 
+/*
+ * Guards against calls that carry another id, or a further header, than the
+ * endpoint has: an id stands in a header of each.
+ */
+static void
+test_odd_ids(void)
+{
+	static const char *const ids[] = {
+	    "", " i-1", "i-1 ", "i 1", "i-1\t", "i-1\r\nX-Other: y", "i-1\x7f"};
+	char *body = heartbeat(ADDRESS, "1", "5", CAPACITY);
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(ids); i++)
+		g_assert_false(decode_heartbeat(ids[i], body));
+	g_assert_true(decode_heartbeat("i-1:\xc3\xbc", body));
+	g_free(body);
+}
+
 /* Text that is nested n times. */
 static char *
 nested(guint n)
@@ -459,6 +477,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/pf-json/departure", test_departure);
 	g_test_add_func("/pf-json/odd-heartbeats", test_odd_heartbeats);
+	g_test_add_func("/pf-json/odd-ids", test_odd_ids);
 	g_test_add_func("/pf-json/large-heartbeats", test_large_heartbeats);
 	g_test_add_func("/pf-json/odd-rows", test_odd_rows);
 	g_test_add_func("/pf-json/whole-checkpoints", test_whole_checkpoints);
