--- a/src/fleet.c
+++ b/src/fleet.c
@@ -511,6 +511,8 @@
 			 gyp_fleet_endpoint_is_bounded(f, endpoint) ||
 			 gyp_fleet_endpoint_lacks_lease(f, endpoint))
 			run->retry_at = f->now + UNANSWERED_RETRY_MS;
+		else if (!gyp_fleet_may_send_start(f, run))
+			run->retry_at = f->now + 1;
 		else
 			gyp_fleet_send_start(f, run);
 	}
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -262,6 +262,7 @@
 	if (a->end == GYP_FLEET_OK) {
 		run->start_answered = true;
 		gyp_fleet_confirm_run(f, run);
+		gyp_fleet_list_soon(f, run);
 		if (GYP_MUTANT(CONFIRM_UNLISTED))
 			gyp_fleet_confirm_incarnation(f, run,
 			    gyp_fleet_get_endpoint(f, run->row)
--- a/src/fleet_departure.c
+++ b/src/fleet_departure.c
@@ -71,14 +71,14 @@
 }
 
 /*
- * True if an earlier leader's start of the run may still be on its way: it is
- * sent within START_WINDOW_MS of the proposal.
+ * True if an earlier leader's start of a listed run may still be on its way: a
+ * further one, sent within START_WINDOW_MS of the proposal.
  */
 static bool
 earlier_start_may_arrive(
     const struct gyp_fleet *f, const struct gyp_fleet_run *run)
 {
-	return run->starts_sent == 0 &&
+	return run->starts_sent == 0 && !gyp_fleet_run_is_sent_once(run) &&
 	       f->now < f->leader_since + LATE_CALL_MAX_MS &&
 	       !is_long_ago(f, started_ms(run) + START_WINDOW_MS);
 }
@@ -87,8 +87,9 @@
  * True if a later incarnation of the endpoint may have the run, or begin it:
  * the answer to a start need not tell which one carried it out, only a list
  * does, and a start that got no answer may still be carried out. None does if
- * all starts of the run were over when the incarnation ended, or if the tables
- * say which incarnation has it.
+ * all starts of the run were over when the incarnation ended, if it listed the
+ * run and the tables say that there was one start, or if they say which
+ * incarnation has it.
  */
 static bool
 may_outlast_incarnation(const struct gyp_fleet *f,
@@ -107,7 +108,7 @@
 		return true;
 	if (run->phase != GYP_RUN_CONFIRMED || run->view.listed_at == 0)
 		return !gyp_fleet_starts_are_past(f, run, ago_ms);
-	if (endpoint->leaving_at != 0 && earlier_start_may_arrive(f, run))
+	if (earlier_start_may_arrive(f, run))
 		return true;
 	return run->starts_sent > 1 &&
 	       f->now < run->start_sent_at + LATE_CALL_MAX_MS;
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -60,6 +60,7 @@
 	bool start_pending;     /* a start is under way */
 	bool start_answered;    /* one was carried out, by its answer */
 	bool confirm_proposed;  /* CmdFlowConfirmed is proposed */
+	bool repeat_proposed;   /* CmdFlowRepeat is proposed */
 	bool end_proposed;      /* its end is proposed, not committed */
 	uint64_t end_proposed_at;
 	char *ticket;
@@ -305,6 +306,19 @@
  */
 void gyp_fleet_confirm_incarnation(struct gyp_fleet *, struct gyp_fleet_run *,
     uint64_t incarnation_start_ms, uint64_t sent_at);
+/*
+ * Has the endpoint of a lasting run list it soon: until then only this leader
+ * knows that the run began.
+ */
+void gyp_fleet_list_soon(struct gyp_fleet *, const struct gyp_fleet_run *);
+/* True if by the tables no start of the run but the first one was sent. */
+bool gyp_fleet_run_is_sent_once(const struct gyp_fleet_run *);
+/*
+ * True if a start of the run may be sent now. Before a further start the tables
+ * must say that there may be more than one; if they don't yet, that is
+ * proposed.
+ */
+bool gyp_fleet_may_send_start(struct gyp_fleet *, struct gyp_fleet_run *);
 /* Ends the runs of incarnations before the present one. */
 void gyp_fleet_end_runs_of_earlier(
     struct gyp_fleet *, struct gyp_fleet_endpoint *);
--- a/src/flow.h
+++ b/src/flow.h
@@ -91,6 +91,12 @@
 	 * is under way, so no other one will ever have it. 0 if not known.
 	 */
 	uint64_t confirmed_born_ms;
+	/*
+	 * One start of the open run was or will be sent, not more, by the
+	 * leader that proposed it. A list that has the run shows that this
+	 * start was carried out, and by whom.
+	 */
+	bool sent_once;
 };
 
 struct gyp_flow_unit {
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -33,6 +33,7 @@
 	guint i;
 
 	flow->tasks[task].confirmed_born_ms = 0;
+	flow->tasks[task].sent_once = false;
 	u->open--;
 	flow->open--;
 	gyp_res_sub(&h->booked, &u->size);
@@ -405,25 +406,47 @@
 
 		t->run = s->run;
 		t->changed_ms = now;
+		t->sent_once = s->sent_once;
 	}
 	for (i = 0; i < s->n_runs && f->listener != NULL; i++)
 		f->listener->ops->started(f->listener, flow, s->runs[i]->task);
 }
 
+/* Returns the task if that is its open run, else NULL. */
+static struct gyp_flow_task *
+find_open_run(
+    const struct gyp_flows *f, uint64_t id, uint32_t task, uint32_t run)
+{
+	const struct gyp_flow *flow = gyp_flow_get(f, id);
+	struct gyp_flow_task *t;
+
+	if (flow == NULL || task >= flow->n_tasks)
+		return NULL;
+	t = &flow->tasks[task];
+	return t->state == GYP_FLOW_TASK_OPEN && t->run == run ? t : NULL;
+}
+
 /* A run that has ended, or is not the latest, is not confirmed any more. */
 static void
 apply_confirmed(struct gyp_flows *f, const Gyp__CmdFlowConfirmed *cmd)
 {
-	const struct gyp_flow *flow = gyp_flow_get(f, cmd->flow);
-	struct gyp_flow_task *t;
+	struct gyp_flow_task *t =
+	    find_open_run(f, cmd->flow, cmd->task, cmd->run);
 
-	if (flow == NULL || cmd->task >= flow->n_tasks)
-		return;
-	t = &flow->tasks[cmd->task];
-	if (t->state == GYP_FLOW_TASK_OPEN && t->run == cmd->run)
+	if (t != NULL)
 		t->confirmed_born_ms = cmd->born_ms;
 }
 
+static void
+apply_repeat(struct gyp_flows *f, const Gyp__CmdFlowRepeat *cmd)
+{
+	struct gyp_flow_task *t =
+	    find_open_run(f, cmd->flow, cmd->task, cmd->run);
+
+	if (t != NULL)
+		t->sent_once = false;
+}
+
 /* ---- Flows, endpoints, manifest ----------------------------------------- */
 
 /* The workspace whose callers may cancel the flow; "" if all may. */
@@ -673,6 +696,9 @@
 	case GYP__CMD__C_FLOW_CONFIRMED:
 		apply_confirmed(f, cmd->flow_confirmed);
 		return true;
+	case GYP__CMD__C_FLOW_REPEAT:
+		apply_repeat(f, cmd->flow_repeat);
+		return true;
 	case GYP__CMD__C_HOST:
 		apply_host(f, now, cmd->host);
 		return true;
--- a/src/flow_save.c
+++ b/src/flow_save.c
@@ -26,6 +26,7 @@
 		st->changed_ms = t->changed_ms;
 	if (t->state == GYP_FLOW_TASK_OPEN)
 		st->confirmed_born_ms = t->confirmed_born_ms;
+	st->sent_once = t->sent_once;
 }
 
 static Gyp__SnapFlow *
@@ -162,6 +163,7 @@
 		if (gyp_host_at(f, t->row) == NULL)
 			return false;
 		t->confirmed_born_ms = st->confirmed_born_ms;
+		t->sent_once = st->sent_once;
 		gyp_flow_book(f, flow, i);
 	}
 	return true;
@@ -252,7 +254,7 @@
 	for (i = 0; i < flow->n_tasks; i++) {
 		const struct gyp_flow_task *t = &flow->tasks[i];
 
-		g_assert(t->confirmed_born_ms == 0 ||
+		g_assert((t->confirmed_born_ms == 0 && !t->sent_once) ||
 			 t->state == GYP_FLOW_TASK_OPEN);
 		if (t->state != GYP_FLOW_TASK_OPEN)
 			continue;
--- a/src/placer.c
+++ b/src/placer.c
@@ -270,6 +270,7 @@
 	start.run = number;
 	start.n_runs = p->runs->len;
 	start.runs = (Gyp__FlowRun **)p->runs->pdata;
+	start.sent_once = true;
 	cmd.c_case = GYP__CMD__C_FLOW_START;
 	cmd.flow_start = &start;
 	g_ptr_array_add(cmds, gyp_message_copy(&cmd.base));
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -1087,6 +1087,51 @@
   assert(message->base.descriptor == &gyp__cmd_flow_start__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gyp__cmd_flow_repeat__init
+                     (Gyp__CmdFlowRepeat         *message)
+{
+  static const Gyp__CmdFlowRepeat init_value = GYP__CMD_FLOW_REPEAT__INIT;
+  *message = init_value;
+}
+size_t gyp__cmd_flow_repeat__get_packed_size
+                     (const Gyp__CmdFlowRepeat *message)
+{
+  assert(message->base.descriptor == &gyp__cmd_flow_repeat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__cmd_flow_repeat__pack
+                     (const Gyp__CmdFlowRepeat *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__cmd_flow_repeat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__cmd_flow_repeat__pack_to_buffer
+                     (const Gyp__CmdFlowRepeat *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__cmd_flow_repeat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__CmdFlowRepeat *
+       gyp__cmd_flow_repeat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__CmdFlowRepeat *)
+     protobuf_c_message_unpack (&gyp__cmd_flow_repeat__descriptor,
+                                allocator, len, data);
+}
+void   gyp__cmd_flow_repeat__free_unpacked
+                     (Gyp__CmdFlowRepeat *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__cmd_flow_repeat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gyp__cmd_flow_end__init
                      (Gyp__CmdFlowEnd         *message)
 {
@@ -5520,7 +5565,7 @@
   (ProtobufCMessageInit) gyp__flow_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd_flow_start__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gyp__cmd_flow_start__field_descriptors[4] =
 {
   {
     "flow",
@@ -5558,16 +5603,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_once",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFlowStart, sent_once),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd_flow_start__field_indices_by_name[] = {
   0,   /* field[0] = flow */
   1,   /* field[1] = run */
   2,   /* field[2] = runs */
+  3,   /* field[3] = sent_once */
 };
 static const ProtobufCIntRange gyp__cmd_flow_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gyp__cmd_flow_start__descriptor =
 {
@@ -5577,13 +5635,77 @@
   "Gyp__CmdFlowStart",
   "gyp",
   sizeof(Gyp__CmdFlowStart),
-  3,
+  4,
   gyp__cmd_flow_start__field_descriptors,
   gyp__cmd_flow_start__field_indices_by_name,
   1,  gyp__cmd_flow_start__number_ranges,
   (ProtobufCMessageInit) gyp__cmd_flow_start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gyp__cmd_flow_repeat__field_descriptors[3] =
+{
+  {
+    "flow",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFlowRepeat, flow),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFlowRepeat, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__CmdFlowRepeat, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__cmd_flow_repeat__field_indices_by_name[] = {
+  0,   /* field[0] = flow */
+  2,   /* field[2] = run */
+  1,   /* field[1] = task */
+};
+static const ProtobufCIntRange gyp__cmd_flow_repeat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gyp__cmd_flow_repeat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.CmdFlowRepeat",
+  "CmdFlowRepeat",
+  "Gyp__CmdFlowRepeat",
+  "gyp",
+  sizeof(Gyp__CmdFlowRepeat),
+  3,
+  gyp__cmd_flow_repeat__field_descriptors,
+  gyp__cmd_flow_repeat__field_indices_by_name,
+  1,  gyp__cmd_flow_repeat__number_ranges,
+  (ProtobufCMessageInit) gyp__cmd_flow_repeat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gyp__cmd_flow_end__field_descriptors[6] =
 {
   {
@@ -6356,7 +6478,7 @@
   (ProtobufCMessageInit) gyp__cmd_manifest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__snap_flow_task__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gyp__snap_flow_task__field_descriptors[9] =
 {
   {
     "state",
@@ -6454,6 +6576,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_once",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__SnapFlowTask, sent_once),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__snap_flow_task__field_indices_by_name[] = {
   6,   /* field[6] = changed_ms */
@@ -6463,12 +6597,13 @@
   3,   /* field[3] = failures */
   2,   /* field[2] = host */
   1,   /* field[1] = run */
+  8,   /* field[8] = sent_once */
   0,   /* field[0] = state */
 };
 static const ProtobufCIntRange gyp__snap_flow_task__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gyp__snap_flow_task__descriptor =
 {
@@ -6478,7 +6613,7 @@
   "Gyp__SnapFlowTask",
   "gyp",
   sizeof(Gyp__SnapFlowTask),
-  8,
+  9,
   gyp__snap_flow_task__field_descriptors,
   gyp__snap_flow_task__field_indices_by_name,
   1,  gyp__snap_flow_task__number_ranges,
@@ -8342,7 +8477,7 @@
   (ProtobufCMessageInit) gyp__flow_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__cmd__field_descriptors[18] =
+static const ProtobufCFieldDescriptor gyp__cmd__field_descriptors[19] =
 {
   {
     "submit",
@@ -8560,6 +8695,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "flow_repeat",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Cmd, c_case),
+    offsetof(Gyp__Cmd, flow_repeat),
+    &gyp__cmd_flow_repeat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__cmd__field_indices_by_name[] = {
   5,   /* field[5] = cancel */
@@ -8570,6 +8717,7 @@
   8,   /* field[8] = flow_cancel */
   14,   /* field[14] = flow_confirmed */
   10,   /* field[10] = flow_end */
+  18,   /* field[18] = flow_repeat */
   9,   /* field[9] = flow_start */
   11,   /* field[11] = host */
   15,   /* field[15] = host_ended */
@@ -8585,7 +8733,7 @@
 {
   { 1, 0 },
   { 16, 7 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor gyp__cmd__descriptor =
 {
@@ -8595,7 +8743,7 @@
   "Gyp__Cmd",
   "gyp",
   sizeof(Gyp__Cmd),
-  18,
+  19,
   gyp__cmd__field_descriptors,
   gyp__cmd__field_indices_by_name,
   2,  gyp__cmd__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -39,6 +39,7 @@
 typedef struct Gyp__CmdFlowCancel Gyp__CmdFlowCancel;
 typedef struct Gyp__FlowRun Gyp__FlowRun;
 typedef struct Gyp__CmdFlowStart Gyp__CmdFlowStart;
+typedef struct Gyp__CmdFlowRepeat Gyp__CmdFlowRepeat;
 typedef struct Gyp__CmdFlowEnd Gyp__CmdFlowEnd;
 typedef struct Gyp__CmdHost Gyp__CmdHost;
 typedef struct Gyp__CmdHostReborn Gyp__CmdHostReborn;
@@ -796,10 +797,30 @@
   uint32_t run;
   size_t n_runs;
   Gyp__FlowRun **runs;
+  /*
+   * The leader sends one start of each run, and commits CmdFlowRepeat before
+   * it sends another one.
+   */
+  protobuf_c_boolean sent_once;
 };
 #define GYP__CMD_FLOW_START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_flow_start__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0 }
+
+
+/*
+ * Further starts of the open run may be sent.
+ */
+struct  Gyp__CmdFlowRepeat
+{
+  ProtobufCMessage base;
+  uint64_t flow;
+  uint32_t task;
+  uint32_t run;
+};
+#define GYP__CMD_FLOW_REPEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__cmd_flow_repeat__descriptor) \
+    , 0, 0, 0 }
 
 
 struct  Gyp__CmdFlowEnd
@@ -1003,10 +1024,14 @@
    * incarnation that has the open run, or 0
    */
   uint64_t confirmed_born_ms;
+  /*
+   * one start of the open run is sent, not more
+   */
+  protobuf_c_boolean sent_once;
 };
 #define GYP__SNAP_FLOW_TASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__snap_flow_task__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Gyp__SnapFlow
@@ -1405,7 +1430,8 @@
   GYP__CMD__C_FLOW_CONFIRMED = 23,
   GYP__CMD__C_HOST_ENDED = 24,
   GYP__CMD__C_LEASE_BOUND = 25,
-  GYP__CMD__C_TERM_BEGUN = 26
+  GYP__CMD__C_TERM_BEGUN = 26,
+  GYP__CMD__C_FLOW_REPEAT = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__CMD__C__CASE)
 } Gyp__Cmd__CCase;
 
@@ -1432,6 +1458,7 @@
     Gyp__CmdHostEnded *host_ended;
     Gyp__CmdLeaseBound *lease_bound;
     Gyp__CmdTermBegun *term_begun;
+    Gyp__CmdFlowRepeat *flow_repeat;
   };
 };
 #define GYP__CMD__INIT \
@@ -2446,6 +2473,25 @@
 void   gyp__cmd_flow_start__free_unpacked
                      (Gyp__CmdFlowStart *message,
                       ProtobufCAllocator *allocator);
+/* Gyp__CmdFlowRepeat methods */
+void   gyp__cmd_flow_repeat__init
+                     (Gyp__CmdFlowRepeat         *message);
+size_t gyp__cmd_flow_repeat__get_packed_size
+                     (const Gyp__CmdFlowRepeat   *message);
+size_t gyp__cmd_flow_repeat__pack
+                     (const Gyp__CmdFlowRepeat   *message,
+                      uint8_t             *out);
+size_t gyp__cmd_flow_repeat__pack_to_buffer
+                     (const Gyp__CmdFlowRepeat   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__CmdFlowRepeat *
+       gyp__cmd_flow_repeat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__cmd_flow_repeat__free_unpacked
+                     (Gyp__CmdFlowRepeat *message,
+                      ProtobufCAllocator *allocator);
 /* Gyp__CmdFlowEnd methods */
 void   gyp__cmd_flow_end__init
                      (Gyp__CmdFlowEnd         *message);
@@ -3394,6 +3440,9 @@
 typedef void (*Gyp__CmdFlowStart_Closure)
                  (const Gyp__CmdFlowStart *message,
                   void *closure_data);
+typedef void (*Gyp__CmdFlowRepeat_Closure)
+                 (const Gyp__CmdFlowRepeat *message,
+                  void *closure_data);
 typedef void (*Gyp__CmdFlowEnd_Closure)
                  (const Gyp__CmdFlowEnd *message,
                   void *closure_data);
@@ -3570,6 +3619,7 @@
 extern const ProtobufCMessageDescriptor gyp__cmd_flow_cancel__descriptor;
 extern const ProtobufCMessageDescriptor gyp__flow_run__descriptor;
 extern const ProtobufCMessageDescriptor gyp__cmd_flow_start__descriptor;
+extern const ProtobufCMessageDescriptor gyp__cmd_flow_repeat__descriptor;
 extern const ProtobufCMessageDescriptor gyp__cmd_flow_end__descriptor;
 extern const ProtobufCMessageDescriptor gyp__cmd_host__descriptor;
 extern const ProtobufCMessageDescriptor gyp__cmd_host_reborn__descriptor;
--- a/test/flow_fixture.c
+++ b/test/flow_fixture.c
@@ -236,6 +236,7 @@
 	start.run = run;
 	start.n_runs = n;
 	start.runs = list;
+	start.sent_once = f->sent_once;
 	cmd.c_case = GYP__CMD__C_FLOW_START;
 	cmd.flow_start = &start;
 	gyp_flows_apply(f->flows, f->now, &cmd);
--- a/test/flow_fixture.h
+++ b/test/flow_fixture.h
@@ -29,7 +29,8 @@
 	bool fence_incarnations; /* of leaders from then on */
 	bool inventory;          /* leaders from then on request lists */
 	bool lease_bounds;       /* leaders from then on keep to bounds */
-	uint64_t term;           /* fence number of the latest leader */
+	bool sent_once; /* runs from then on get one start, see flow.h */
+	uint64_t term;  /* fence number of the latest leader */
 	uint64_t manifest_version;
 	const char *checkpoint;    /* of runs in lists; NULL for none */
 	bool more_ends;            /* lists are the first part of the ends */
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -21,8 +21,8 @@
 9 1 a second attempt of a job that is not idempotent
 10 7 cancelled runs continue
 11 3 an order is valid for the next incarnation of an endpoint
-12 2 a start that was answered confirms the run for an incarnation
-13 3 a run is confirmed although its start was sent again
+12 3 a start that was answered confirms the run for an incarnation
+13 14 a run is confirmed although its start was sent again
 14 1 a lease that is bounded in the tables is extended
 15 2 a bound stays valid over a leader of a version without bounds
 "
--- a/test/test_flows.c
+++ b/test/test_flows.c
@@ -273,8 +273,10 @@
 	for (i = 0; i < snap->n_flows &&
 		    draw_percent(f->chain_rand, OLDER_VERSION_PERCENT);
 	     i++) {
-		for (j = 0; j < snap->flows[i]->n_tasks; j++)
+		for (j = 0; j < snap->flows[i]->n_tasks; j++) {
 			snap->flows[i]->tasks[j]->confirmed_born_ms = 0;
+			snap->flows[i]->tasks[j]->sent_once = false;
+		}
 	}
 	g_assert_true(gyp_flows_restore(f->flows, snap));
 	gyp_message_free(snap);
--- a/test/test_lasting_watch.c
+++ b/test/test_lasting_watch.c
@@ -146,7 +146,7 @@
 	expect_line(f,
 	    "lasting-down " TASK "step=0 for_ms=2500 run=1 " NO_END
 	    "state=open endpoint=e0 phase=confirmed stop=none call=none "
-	    "end_proposed=0 starts_sent=1 silent_ms=2500 failures=0 departed=0 "
+	    "end_proposed=0 starts_sent=1 silent_ms=2500 failures=1 departed=0 "
 	    "lease_left_ms=4683 "
 	    "restarted_ms_ago=-1 left_out=0 end_proposed_ms_ago=0");
 	expect_count(f, "gyp_lasting_down", 1);
