--- a/src/gyp_cell.c
+++ b/src/gyp_cell.c
@@ -20,6 +20,7 @@
 #include "replica.h"
 #include "store.h"
 #include "timer.h"
+#include "wall_clock.h"
 
 /* Interval of join requests, in ms. */
 #define JOIN_INTERVAL_MS 500
@@ -44,6 +45,7 @@
 	struct gyp_httpd *metrics;
 	struct gyp_store *store;
 	struct gyp_replica *replica;
+	struct gyp_wall_clock *wall_clock;
 	struct gyp_httpc *httpc;
 	struct gyp_pf_client *client;
 	struct gyp_pf_control *control;
@@ -380,6 +382,8 @@
 {
 	struct app *app = arg;
 
+	gyp_replica_set_wall_clock(app->replica,
+	    gyp_wall_clock_ms(app->wall_clock, now, gyp_unix_ms()));
 	gyp_replica_tick(app->replica, now);
 	flush(app);
 	if (app->stopping && !gyp_replica_serving(app->replica) &&
@@ -533,6 +537,7 @@
 	    .relay_heartbeats_from = set->relay_heartbeats_from};
 
 	app->replica = gyp_replica_new(&cfg);
+	app->wall_clock = gyp_wall_clock_new();
 }
 
 /* ---- Storage ------------------------------------------------------------- */
@@ -709,6 +714,7 @@
 	if (app.store != NULL)
 		gyp_store_close(app.store);
 	gyp_replica_free(app.replica);
+	gyp_wall_clock_free(app.wall_clock);
 	g_free(app.members);
 	gyp_loop_deferred_free(app.deferred);
 	gyp_timers_free(app.timers);
--- a/src/timer.c
+++ b/src/timer.c
@@ -34,6 +34,15 @@
 	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
 }
 
+uint64_t
+gyp_unix_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
 static gint
 by_due(gconstpointer a, gconstpointer b, gpointer user)
 {
--- a/src/timer.h
+++ b/src/timer.h
@@ -26,6 +26,9 @@
 /* Milliseconds of CLOCK_BOOTTIME. */
 uint64_t gyp_clock_ms(void);
 
+/* Unix time in ms, which may jump; only for wall_clock.h. */
+uint64_t gyp_unix_ms(void);
+
 /* Calls fn every interval_ms until the timer is cancelled. */
 struct gyp_timer *gyp_timer_every(
     struct gyp_timers *, uint32_t interval_ms, gyp_timer_fn, void *arg);
