--- a/src/straggler.c
+++ b/src/straggler.c
@@ -1,11 +1,22 @@
+#include <glib.h>
+
 #include "straggler.h"
 
 /*
  * A run is stalled after STALL_MS + usual time / STALL_DIVISOR ms without
- * progress.
+ * progress; while the usual time is unknown, after STALL_MS and the declared
+ * time of STALL_PERCENTS percent. In no case before it has had STALL_PERCENTS
+ * times its own mean time for one percent.
  */
-#define STALL_MS      900
-#define STALL_DIVISOR 8
+#define STALL_MS       900
+#define STALL_DIVISOR  8
+#define STALL_PERCENTS 4
+
+/* The time without progress is doubled at most so often. */
+#define DOUBLINGS_MAX 8
+
+/* A task that was stopped so often is slow itself, not its endpoint. */
+#define SLOW_STOPS_MAX 2
 
 /* Elapsed time before a run can count as slow, in ms. */
 #define ELAPSED_MIN_MS 400
@@ -32,11 +43,26 @@
  */
 #define SLOW_FACTOR 3
 
+/* Mean time for one percent until the latest progress; 0 if unknown. */
+static uint64_t
+percent_ms(const struct gyp_straggler_run *r)
+{
+	if (r->percent == 0 || r->elapsed_ms <= r->stalled_ms)
+		return 0;
+	return (r->elapsed_ms - r->stalled_ms) / r->percent;
+}
+
 static bool
 is_stalled(const struct gyp_straggler_run *r)
 {
-	uint64_t limit = STALL_MS + r->usual_ms / STALL_DIVISOR;
+	uint64_t limit = STALL_MS;
 
+	if (r->usual_ms != 0)
+		limit += r->usual_ms / STALL_DIVISOR;
+	else
+		limit += r->declared_ms * STALL_PERCENTS / 100;
+	limit = MAX(limit, STALL_PERCENTS * percent_ms(r));
+	limit <<= MIN(r->stops, DOUBLINGS_MAX);
 	return r->percent < 100 && r->stalled_ms >= limit;
 }
 
@@ -46,7 +72,7 @@
 	uint64_t remaining, restart;
 
 	if (r->usual_ms == 0 || r->percent == 0 || r->percent >= 100 ||
-	    r->elapsed_ms < ELAPSED_MIN_MS)
+	    r->elapsed_ms < ELAPSED_MIN_MS || r->stops >= SLOW_STOPS_MAX)
 		return false;
 	if (r->elapsed_ms * 100 / r->percent < SLOW_FACTOR * r->usual_ms)
 		return false;
--- a/src/straggler.h
+++ b/src/straggler.h
@@ -13,6 +13,11 @@
  *	against endpoints that become several times slower. A run is stopped if
  *	it has made no progress for long, or if its remaining work takes much
  *	longer at the present rate than the whole task usually does elsewhere.
+ *	Progress is shown in whole percent, so that of a long task stands for a
+ *	while: how long depends on the usual or declared time of the task and on
+ *	the progress it has made. A task that stalls or is slow on one endpoint
+ *	and on the next is rather a long one: each stop doubles the time that
+ *	its progress may stand, and after two it does not count as slow.
  *	The caller ensures that no second run starts before the first has
  *	ended.
  */
@@ -24,11 +29,13 @@
 };
 
 struct gyp_straggler_run {
-	uint64_t elapsed_ms; /* since it started; 0 if unknown */
-	uint64_t stalled_ms; /* since its progress last changed */
-	uint32_t percent;    /* done, 0 to 100 */
-	uint64_t usual_ms;   /* of the whole task; 0 if unknown */
-	bool checkpoints;    /* another run resumes near this point */
+	uint64_t elapsed_ms;  /* since it started; 0 if unknown */
+	uint64_t stalled_ms;  /* since its progress last changed */
+	uint32_t percent;     /* done, 0 to 100 */
+	uint64_t usual_ms;    /* of the whole task; 0 if unknown */
+	bool checkpoints;     /* another run resumes near this point */
+	uint64_t declared_ms; /* by the caller, of the whole task; 0: none */
+	uint32_t stops; /* of earlier runs of the task, as stalled or slow */
 };
 
 enum gyp_straggler_verdict gyp_straggler_classify(
--- a/src/straggler_check.c
+++ b/src/straggler_check.c
@@ -22,6 +22,7 @@
 	GArray *stragglers;       /* struct straggler, of the current check */
 	GArray *endpoint_counts;  /* struct gyp_straggler_count by row */
 	GHashTable *queue_counts; /* name -> struct gyp_straggler_count */
+	GHashTable *stops; /* struct gyp_flow_key, owned -> stopped runs */
 };
 
 static void
@@ -51,6 +52,40 @@
 	return count;
 }
 
+/* ---- Tasks that were stopped -------------------------------------------- */
+
+static guint
+stops_of(const struct gyp_straggler_check *sc, uint64_t flow, uint32_t task)
+{
+	struct gyp_flow_key key = {.flow = flow, .index = task};
+
+	return GPOINTER_TO_UINT(g_hash_table_lookup(sc->stops, &key));
+}
+
+static void
+add_stop(struct gyp_straggler_check *sc, uint64_t flow, uint32_t task)
+{
+	struct gyp_flow_key key = {.flow = flow, .index = task};
+	guint n = stops_of(sc, flow, task);
+
+	g_hash_table_replace(
+	    sc->stops, g_memdup2(&key, sizeof(key)), GUINT_TO_POINTER(n + 1));
+}
+
+static gboolean
+is_over(gpointer key, gpointer value, gpointer user)
+{
+	const struct gyp_flow_key *k = key;
+	const struct gyp_straggler_check *sc = user;
+	const struct gyp_flow *flow = gyp_flow_get(sc->flows, k->flow);
+
+	(void)value;
+	return flow == NULL || !gyp_flow_is_alive(flow) ||
+	       flow->tasks[k->index].state == GYP_FLOW_TASK_DONE;
+}
+
+/* ---- The check ---------------------------------------------------------- */
+
 /*
  * Of a run whose start this leader did not see, it is not known how long it
  * takes. It may stall all the same, but that shows only if the usual time is
@@ -78,7 +113,9 @@
 	    .percent = view->percent,
 	    .usual_ms =
 		gyp_run_stats_time_ms(sc->stats, flow, u, GYP_RUN_STRAGGLER),
-	    .checkpoints = u->step->checkpoints};
+	    .checkpoints = u->step->checkpoints,
+	    .declared_ms = u->step->estimate_ms,
+	    .stops = stops_of(sc, flow->id, task)};
 	struct straggler straggler = {
 	    .flow = flow->id, .task = task, .row = row};
 
@@ -95,6 +132,20 @@
 		g_array_append_val(sc->stragglers, straggler);
 }
 
+/*
+ * A stall counts against the endpoint if it is the first stop of the task: the
+ * next ones show that the task is a long one.
+ */
+static void
+note_stop(
+    struct gyp_straggler_check *sc, const struct straggler *s, uint64_t now)
+{
+	if (s->verdict == GYP_STRAGGLER_STALLED &&
+	    stops_of(sc, s->flow, s->task) == 0)
+		gyp_run_stats_failed(sc->stats, s->flow, s->task, s->row, now);
+	add_stop(sc, s->flow, s->task);
+}
+
 void
 gyp_straggler_check_tick(struct gyp_straggler_check *sc, uint64_t now)
 {
@@ -107,6 +158,7 @@
 	g_array_set_size(sc->endpoint_counts, 0);
 	g_array_set_size(sc->endpoint_counts, gyp_hosts_size(sc->flows));
 	g_hash_table_remove_all(sc->queue_counts);
+	g_hash_table_foreach_remove(sc->stops, is_over, sc);
 	gyp_fleet_each_run(sc->fleet, check_run, sc);
 	for (i = 0; i < sc->stragglers->len; i++) {
 		const struct straggler *s =
@@ -121,9 +173,7 @@
 		    "x task=%u endpoint=%s why=%s",
 		    s->flow, s->task, gyp_host_name(sc->flows, s->row),
 		    s->verdict == GYP_STRAGGLER_STALLED ? "still" : "slow");
-		if (s->verdict == GYP_STRAGGLER_STALLED)
-			gyp_run_stats_failed(
-			    sc->stats, s->flow, s->task, s->row, now);
+		note_stop(sc, s, now);
 		gyp_fleet_stop_run(sc->fleet, s->flow, s->task);
 	}
 }
@@ -143,6 +193,8 @@
 	    g_array_new(FALSE, TRUE, sizeof(struct gyp_straggler_count));
 	sc->queue_counts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	sc->stops = g_hash_table_new_full(
+	    gyp_flow_key_hash, gyp_flow_key_equal, g_free, NULL);
 	return sc;
 }
 
@@ -154,5 +206,6 @@
 	g_array_free(sc->stragglers, TRUE);
 	g_array_free(sc->endpoint_counts, TRUE);
 	g_hash_table_destroy(sc->queue_counts);
+	g_hash_table_destroy(sc->stops);
 	g_free(sc);
 }
