flows: commands that begin runs have a file of their own

No change of behaviour; the tests of quotas, placement and confirmed runs pass. fleet.h says what the leader relies on since the last changes.

--- a/src/fleet.h
+++ b/src/fleet.h
@@ -39,12 +39,14 @@
  *
  *	A poll lists the runs on an endpoint and the runs that ended, the
  *	latter in parts if there are many; the next part is listed once this
- *	one is acknowledged. Only complete lists show that a run is missing.
- *	When one is, the leader stops it by its number, so
- *	that the endpoint refuses a start of that number that arrives later.
- *	The run counts as lost only after the stop is confirmed and a later
- *	poll does not list it either. An end is acknowledged to the endpoint
- *	once it is committed.
+ *	one is acknowledged. Only complete lists show that a run is missing. The
+ *	leader then stops it by its number, so that the endpoint refuses a start
+ *	of that number that arrives later. The run counts as lost only after the
+ *	stop is confirmed and a later complete list does not have it either. An
+ *	end is acknowledged to the endpoint once it is committed.
+ *
+ *	A leader sends one start of each run, and commits that there may be more
+ *	before it sends another.
  *
  *	Once no start of a lasting run can be carried out any more, and a list
  *	shows which incarnation has the run, the leader records that in the
--- a/src/flow_int.h
+++ b/src/flow_int.h
@@ -13,6 +13,7 @@
  *	flow.c		construction, lookup and the manifest
  *	flow_apply.c	application of committed commands
  *	flow_save.c	snapshots and the check of invariants
+ *	flow_starts.c	commands that begin runs and confirm them
  *	admin_preview.c	makes a flow that is not in the tables
  */
 
@@ -51,9 +52,18 @@
 /* flow_apply.c */
 /* Books the open run of the task on the endpoint in tasks[task].row. */
 void gyp_flow_book(struct gyp_flows *, struct gyp_flow *, uint32_t task);
+/* The inverse of gyp_flow_book(), when the run is over. */
+void gyp_flow_release(struct gyp_flows *, struct gyp_flow *, uint32_t task);
 /* Voids the bounds of the leases of all endpoints. */
 void gyp_flows_void_bounds(struct gyp_flows *);
 /* Tells the forecast the class of the endpoint. */
 void gyp_flows_set_speed_class(struct gyp_flows *, const struct gyp_host *);
 
+/* flow_starts.c: commands that begin a run, and say what is known of it. */
+void gyp_flow_apply_start(
+    struct gyp_flows *, uint64_t now, const Gyp__CmdFlowStart *);
+void gyp_flow_apply_confirmed(
+    struct gyp_flows *, const Gyp__CmdFlowConfirmed *);
+void gyp_flow_apply_repeat(struct gyp_flows *, const Gyp__CmdFlowRepeat *);
+
 #endif
