--- a/test/test_checkpoints.c
+++ b/test/test_checkpoints.c
@@ -188,10 +188,10 @@
 static char *
 long_text(gsize n)
 {
-	char *text = g_malloc0(n + 1);
+	char *head = g_strnfill(n - strlen(TWO_BYTES), 'c');
+	char *text = g_strconcat(head, TWO_BYTES, NULL);
 
-	memset(text, 'c', n);
-	memcpy(text + n - strlen(TWO_BYTES), TWO_BYTES, strlen(TWO_BYTES));
+	g_free(head);
 	return text;
 }
 
