--- a/review/standin-3/leave.c
+++ b/review/standin-3/leave.c
@@ -65,15 +65,15 @@
 	}
 }
 
-/* Reports the drain until it is acknowledged. */
+/* The worker goes on reporting, now as draining, until it ends. */
 static bool
 drain(struct sim_worker *w)
 {
 	int i;
 
-	w->reports = false;
-	sim_sleep(1100); /* a report under way */
+	pthread_mutex_lock(&sim.lock);
 	w->draining = true;
+	pthread_mutex_unlock(&sim.lock);
 	for (i = 0; i < 5; i++) {
 		if (sim_beat(w)) {
 			sim_record("%s: draining is acknowledged", w->id);
