--- a/src/fleet.c
+++ b/src/fleet.c
@@ -241,7 +241,7 @@
 	return endpoint != NULL &&
 	       endpoint->incarnation_start_ms <= h->spec->born_ms &&
 	       endpoint->contacted && endpoint->clock_at != 0 &&
-	       endpoint->failures == 0 && endpoint->departed_at == 0 &&
+	       endpoint->failures == 0 && endpoint->replaced_at == 0 &&
 	       endpoint->leaving_at == 0 &&
 	       !gyp_fleet_endpoint_is_delisted(endpoint) &&
 	       !gyp_fleet_endpoint_lacks_lease(f, endpoint) &&
@@ -413,10 +413,8 @@
 	gyp_fleet_end_runs_of_earlier(f, endpoint);
 	if (gyp_fleet_endpoint_is_delisted(endpoint))
 		gyp_fleet_end_delisted_runs(f, endpoint);
-	if (endpoint->departed_at != 0) {
-		if (f->now >= endpoint->departed_at + DEPARTURE_GRACE_MS)
-			gyp_fleet_end_departed_runs(f, endpoint);
-		gyp_fleet_bound_sweep(f, endpoint);
+	if (endpoint->replaced_at != 0) {
+		gyp_fleet_end_replaced_runs(f, endpoint);
 		return;
 	}
 	gyp_fleet_check_leaving(f, endpoint);
@@ -480,7 +478,7 @@
 	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
 
 	return h->spec->draining || h->spec->gone ||
-	       endpoint->leaving_at != 0 || endpoint->departed_at != 0;
+	       endpoint->leaving_at != 0 || endpoint->replaced_at != 0;
 }
 
 /*
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -50,9 +50,8 @@
  *
  *	Once no start of a lasting run can be carried out any more, and a list
  *	shows which incarnation has the run, the leader records that in the
- *	tables. The run ends with this incarnation, under any leader: when its
- *	shutdown is announced, a later one is seen, or the provider no longer
- *	lists the endpoint.
+ *	tables. The run ends with this incarnation, under any leader: when a
+ *	later one is seen, or the provider no longer lists the endpoint.
  *
  *	With cfg.inventory, the leader requests the provider's list of
  *	endpoints that exist while one with open runs is silent. An endpoint
@@ -226,30 +225,17 @@
 void gyp_fleet_heartbeat(struct gyp_fleet *, uint64_t now, uint32_t row,
     uint64_t incarnation_start_ms, uint64_t clock_ms);
 
-/*
- * Records that an announcement which names the incarnation arrived, before it
- * is confirmed: the endpoint gets no new run, and goes on until then. Returns
- * the start of the incarnation, to be recorded in the tables; 0 if it is an
- * earlier one, which is ignored.
- */
-uint64_t gyp_fleet_announced(struct gyp_fleet *, uint64_t now, uint32_t row,
-    uint64_t incarnation_start_ms);
-
-/*
- * The announcement is confirmed to the endpoint now. That is as good as
- * gyp_fleet_departed() unless it comes so late that the endpoint may have given
- * up waiting and goes on for a while.
- */
-void gyp_fleet_announcement_confirmed(struct gyp_fleet *, uint64_t now,
-    uint32_t row, uint64_t incarnation_start_ms);
-
 /*
  * An incarnation of the endpoint announced that it is shutting down.
  * incarnation_start_ms is its start, or 0 if it is not known. The announcement
- * may arrive late: that of an earlier incarnation is ignored, and if it is not
- * known whose it is, the endpoint gets no new run until it has answered a later
- * call or is over. Returns the start of the incarnation that it is about, to be
- * recorded in the tables; 0 if that is an earlier one or not known.
+ * of an earlier incarnation is ignored. Otherwise the endpoint gets no new run,
+ * and the provider's list is requested as soon as a call to it is lost. None of
+ * its runs ends by the announcement: the endpoint goes on for a while if it
+ * gets no acknowledgement, and whether it got one is not known here. If it is
+ * not known whose announcement it is, an answer to a later call shows that the
+ * endpoint goes on for good. Returns the start of the incarnation that it is
+ * about, to be recorded in the tables; 0 if that is an earlier one or not
+ * known.
  */
 uint64_t gyp_fleet_departed(struct gyp_fleet *, uint64_t now, uint32_t row,
     uint64_t incarnation_start_ms);
@@ -314,7 +300,7 @@
 	/* Of the endpoint: */
 	uint64_t silent_ms; /* at most since this leader knows it */
 	uint32_t failures;  /* consecutive calls without an answer */
-	bool departed;
+	bool departed;      /* announced its shutdown, or was replaced */
 	uint64_t lease_left_ms;
 	int64_t restarted_ms_ago; /* -1 if this leader saw no restart */
 };
--- a/src/fleet_bound.c
+++ b/src/fleet_bound.c
@@ -152,8 +152,6 @@
 {
 	uint64_t since = MAX(endpoint->answered_at, endpoint->added_at);
 
-	if (endpoint->departed_at != 0)
-		return f->now >= endpoint->departed_at + DEPARTURE_GRACE_MS;
 	if (!endpoint->contacted)
 		return endpoint->failures >= BOUND_UNKNOWN_FAILURES &&
 		       f->now >= since + BOUND_UNKNOWN_MS;
@@ -178,7 +176,7 @@
 answers(const struct gyp_fleet_endpoint *endpoint)
 {
 	return endpoint->contacted && endpoint->failures == 0 &&
-	       endpoint->departed_at == 0;
+	       endpoint->replaced_at == 0;
 }
 
 void
--- a/src/fleet_calls.c
+++ b/src/fleet_calls.c
@@ -283,7 +283,6 @@
 	if (a->end == GYP_FLEET_REFUSED || run->starts_sent >= STARTS_MAX)
 		gyp_fleet_request_stop(f, run);
 	else
-		/* No retry is sent to an endpoint that has departed. */
 		run->retry_at = f->now + 1;
 }
 
@@ -308,11 +307,10 @@
 
 /* Another process listens at the endpoint's address, so it has ended. */
 static void
-mark_departed(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
+mark_replaced(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
 {
-	if (endpoint->departed_at == 0)
-		endpoint->departed_at = f->now;
-	endpoint->replaced = true;
+	if (endpoint->replaced_at == 0)
+		endpoint->replaced_at = f->now;
 }
 
 static void
@@ -377,7 +375,7 @@
 		return;
 	}
 	if (a->end == GYP_FLEET_WRONG_ENDPOINT) {
-		mark_departed(f, endpoint);
+		mark_replaced(f, endpoint);
 		return;
 	}
 	if (is_from_unknown_incarnation(endpoint, p, a)) {
--- a/src/fleet_departure.c
+++ b/src/fleet_departure.c
@@ -1,5 +1,6 @@
 #include "fleet_int.h"
 #include "msg.h"
+#include "mutant.h"
 
 /*
  * Pause before the removal of an endpoint is proposed again, in ms: it has no
@@ -8,16 +9,16 @@
 #define REMOVAL_RETRY_MS 2000
 
 /*
- * An announcement that is confirmed later than this after it arrived may have
- * been given up by its endpoint, in ms.
+ * Unanswered calls in a row after which an idle endpoint that drained and
+ * announced its shutdown is removed.
  */
-#define CONFIRMATION_MAX_MS 500
+#define REMOVE_FAILURES 3
 
 /*
- * Unanswered calls in a row after which an endpoint that drained and announced
- * its shutdown has ended.
+ * Pause between two polls of an endpoint that goes on after the notice of its
+ * shutdown, in ms.
  */
-#define ENDED_FAILURES 3
+#define LEAVING_POLL_MS 250
 
 void
 gyp_fleet_propose_removal(
@@ -42,20 +43,6 @@
 	g_queue_push_tail(&f->cmds, gyp_message_copy(&cmd.base));
 }
 
-static void
-propose_host_end(struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
-{
-	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
-	Gyp__Cmd cmd = GYP__CMD__INIT;
-	Gyp__CmdHostEnded ended = GYP__CMD_HOST_ENDED__INIT;
-
-	ended.id = h->spec->id;
-	ended.born_ms = endpoint->incarnation_start_ms;
-	cmd.c_case = GYP__CMD__C_HOST_ENDED;
-	cmd.host_ended = &ended;
-	g_queue_push_tail(&f->cmds, gyp_message_copy(&cmd.base));
-}
-
 /* Cell time of the start of an open run. */
 static uint64_t
 started_ms(const struct gyp_fleet_run *run)
@@ -70,70 +57,39 @@
 	return gyp_flows_time(f->flows) >= ms + LATE_CALL_MAX_MS;
 }
 
-/*
- * True if an earlier leader's start of a listed run may still be on its way: a
- * further one, sent within START_WINDOW_MS of the proposal.
- */
+/* True if the end of each run of the endpoint is proposed. */
 static bool
-earlier_start_may_arrive(
-    const struct gyp_fleet *f, const struct gyp_fleet_run *run)
+all_ends_are_proposed(const struct gyp_fleet_endpoint *endpoint)
 {
-	return run->starts_sent == 0 && !gyp_fleet_run_is_sent_once(run) &&
-	       f->now < f->leader_since + LATE_CALL_MAX_MS &&
-	       !is_long_ago(f, started_ms(run) + START_WINDOW_MS);
+	guint i;
+
+	for (i = 0; i < endpoint->runs->len; i++) {
+		const struct gyp_fleet_run *run = endpoint->runs->pdata[i];
+
+		if (!run->end_proposed)
+			return false;
+	}
+	return true;
 }
 
-/*
- * True if a later incarnation of the endpoint may have the run, or begin it:
- * the answer to a start need not tell which one carried it out, only a list
- * does, and a start that got no answer may still be carried out. None does if
- * all starts of the run were over when the incarnation ended, if it listed the
- * run and the tables say that there was one start, or if they say which
- * incarnation has it.
- */
-static bool
-may_outlast_incarnation(const struct gyp_fleet *f,
-    const struct gyp_fleet_endpoint *endpoint, const struct gyp_fleet_run *run)
+static void
+end_all_runs(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
 {
-	/* The announcement may have been late. */
-	uint64_t ago_ms = f->now - endpoint->departed_at +
-			  endpoint->departed_before_ms + LATE_CALL_MAX_MS;
-	uint64_t incarnation = gyp_fleet_run_incarnation(run);
+	guint i;
 
-	if (run->phase == GYP_RUN_UNSENT)
-		return false;
-	if (incarnation != 0)
-		return incarnation > endpoint->incarnation_start_ms;
-	if (run->may_outlast)
-		return true;
-	if (run->phase != GYP_RUN_CONFIRMED || run->view.listed_at == 0)
-		return !gyp_fleet_starts_are_past(f, run, ago_ms);
-	if (earlier_start_may_arrive(f, run))
-		return true;
-	return run->starts_sent > 1 &&
-	       f->now < run->start_sent_at + LATE_CALL_MAX_MS;
+	for (i = 0; i < endpoint->runs->len; i++)
+		gyp_fleet_propose_end(f, endpoint->runs->pdata[i],
+		    GYP__FLOW_HOW__FLOW_LOST, NULL);
 }
 
 void
-gyp_fleet_end_departed_runs(
+gyp_fleet_end_replaced_runs(
     struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
 {
-	bool lease_over =
-	    f->now >= gyp_fleet_endpoint_lease_expiry(f, endpoint);
-	guint i, open = 0;
-
-	for (i = 0; i < endpoint->runs->len; i++) {
-		struct gyp_fleet_run *run = endpoint->runs->pdata[i];
-
-		run->may_outlast = may_outlast_incarnation(f, endpoint, run);
-		if (run->may_outlast && !lease_over && !endpoint->replaced)
-			open++;
-		else
-			gyp_fleet_propose_end(
-			    f, run, GYP__FLOW_HOW__FLOW_LOST, NULL);
-	}
-	if (open == 0)
-		gyp_fleet_propose_removal(f, endpoint);
+	if (f->now < endpoint->replaced_at + DEPARTURE_GRACE_MS)
+		return;
+	end_all_runs(f, endpoint);
+	gyp_fleet_propose_removal(f, endpoint);
 }
 
 /*
@@ -190,20 +146,6 @@
 	       is_known_for_long(f, endpoint);
 }
 
-/*
- * Handles the announcement of a shutdown that names no incarnation. Returns the
- * start of the one that it is about, 0 if that is not known.
- */
-static uint64_t
-note_leaving(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
-{
-	if (endpoint->departed_at == 0 && endpoint->leaving_at == 0)
-		endpoint->leaving_at = f->now;
-	return drained_without_predecessor(f, endpoint)
-		   ? endpoint->incarnation_start_ms
-		   : 0;
-}
-
 uint64_t
 gyp_fleet_departed(struct gyp_fleet *f, uint64_t now, uint32_t row,
     uint64_t incarnation_start_ms)
@@ -222,57 +164,46 @@
 	    endpoint->incarnation_start_ms, outdated, endpoint->runs->len);
 	if (outdated)
 		return 0;
-	if (incarnation_start_ms == 0)
-		return note_leaving(f, endpoint);
-	if (endpoint->departed_at == 0)
-		endpoint->departed_at = f->now;
-	return incarnation_start_ms;
-}
-
-uint64_t
-gyp_fleet_announced(struct gyp_fleet *f, uint64_t now, uint32_t row,
-    uint64_t incarnation_start_ms)
-{
-	struct gyp_fleet_endpoint *endpoint;
-
-	gyp_fleet_advance(f, now);
-	endpoint = gyp_fleet_get_endpoint(f, row);
-	if (incarnation_start_ms < endpoint->incarnation_start_ms ||
-	    endpoint->departed_at != 0)
-		return gyp_fleet_departed(f, now, row, incarnation_start_ms);
-	/* No later incarnation was seen, so its start may be wrong. */
-	if (incarnation_start_ms > endpoint->incarnation_start_ms) {
-		gyp_fleet_departed(f, now, row, incarnation_start_ms);
-		return 0;
-	}
-	endpoint->announced_at = f->now;
 	if (endpoint->leaving_at == 0)
 		endpoint->leaving_at = f->now;
-	return incarnation_start_ms;
+	if (incarnation_start_ms == 0)
+		return drained_without_predecessor(f, endpoint)
+			   ? endpoint->incarnation_start_ms
+			   : 0;
+	/* No later incarnation was seen, so a later start may be wrong. */
+	return incarnation_start_ms == endpoint->incarnation_start_ms
+		   ? incarnation_start_ms
+		   : 0;
 }
 
-void
-gyp_fleet_announcement_confirmed(struct gyp_fleet *f, uint64_t now,
-    uint32_t row, uint64_t incarnation_start_ms)
+/*
+ * True if the endpoint is to be polled for whether it goes on: it has not
+ * answered since the notice, or not for a while.
+ */
+static bool
+leaving_poll_is_due(
+    const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
 {
-	struct gyp_fleet_endpoint *endpoint;
-
-	gyp_fleet_advance(f, now);
-	endpoint = gyp_fleet_get_endpoint(f, row);
-	if (endpoint->announced_at != 0 &&
-	    f->now < endpoint->announced_at + CONFIRMATION_MAX_MS)
-		gyp_fleet_departed(f, now, row, incarnation_start_ms);
+	if (endpoint->failures >= REMOVE_FAILURES)
+		return false;
+	return !gyp_fleet_endpoint_end_is_recorded(f, endpoint) ||
+	       f->now >= MAX(endpoint->answered_at, endpoint->leaving_at) +
+			     LEAVING_POLL_MS;
 }
 
-/* The present incarnation has ended, which later leaders have to know. */
-static void
-depart(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint)
+/*
+ * True if the endpoint, which has no open run, need not stay in the tables. If
+ * it goes on, it registers anew.
+ */
+static bool
+may_be_forgotten(
+    const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
 {
-	endpoint->departed_at = f->now;
-	endpoint->departed_before_ms =
-	    gyp_fleet_endpoint_recorded_ms_ago(f, endpoint);
-	if (!gyp_fleet_endpoint_end_is_recorded(f, endpoint))
-		propose_host_end(f, endpoint);
+	if (gyp_fleet_endpoint_is_delisted(endpoint))
+		return true;
+	return endpoint->failures >= REMOVE_FAILURES &&
+	       (gyp_fleet_endpoint_end_is_recorded(f, endpoint) ||
+		   drained_without_predecessor(f, endpoint));
 }
 
 void
@@ -282,11 +213,12 @@
 	if (endpoint->leaving_at == 0 ||
 	    f->now < endpoint->leaving_at + DEPARTURE_GRACE_MS)
 		return;
-	if (endpoint->failures < ENDED_FAILURES)
+	if (leaving_poll_is_due(f, endpoint))
 		endpoint->poll_due = true;
-	else if (gyp_fleet_endpoint_end_is_recorded(f, endpoint) ||
-		 drained_without_predecessor(f, endpoint))
-		depart(f, endpoint);
+	if (GYP_MUTANT(ANNOUNCED_END) && endpoint->failures >= REMOVE_FAILURES)
+		end_all_runs(f, endpoint);
+	if (all_ends_are_proposed(endpoint) && may_be_forgotten(f, endpoint))
+		gyp_fleet_propose_removal(f, endpoint);
 }
 
 void
@@ -295,7 +227,7 @@
 {
 	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
 
-	if (endpoint->departed_at != 0 || endpoint->leaving_at != 0 ||
+	if (endpoint->replaced_at != 0 || endpoint->leaving_at != 0 ||
 	    !gyp_fleet_endpoint_end_is_recorded(f, endpoint))
 		return;
 	endpoint->leaving_at = f->now;
--- a/src/fleet_diagnosis.c
+++ b/src/fleet_diagnosis.c
@@ -48,7 +48,7 @@
 	d->endpoint = gyp_fleet_endpoint_name(f, endpoint->row);
 	d->silent_ms = gyp_fleet_endpoint_silence_ms(f, endpoint);
 	d->failures = endpoint->failures;
-	d->departed = endpoint->departed_at != 0;
+	d->departed = endpoint->leaving_at != 0 || endpoint->replaced_at != 0;
 	d->lease_left_ms = expiry > f->now ? expiry - f->now : 0;
 	d->restarted_ms_ago = endpoint->restarted_at != 0
 				  ? (int64_t)(f->now - endpoint->restarted_at)
@@ -130,14 +130,14 @@
 	gyp_events_add(f->cfg.events, "run-unconfirmed",
 	    RUN_ID " open_ms=%" G_GUINT64_FORMAT
 		   " endpoint=%s phase=%s stop=%s call=%s refused=%s "
-		   "end_proposed=%d starts_sent=%u may_outlast=%d "
+		   "end_proposed=%d starts_sent=%u "
 		   "silent_ms=%" G_GUINT64_FORMAT
 		   " failures=%u departed=%d lease_left_ms=%" G_GUINT64_FORMAT
 		   " restarted_ms_ago=%" G_GINT64_FORMAT,
 	    RUN_ARGS(run), f->now - run->opened_at, d.endpoint, d.phase, d.stop,
 	    d.call, d.refused != NULL ? d.refused : "none", d.end_proposed,
-	    d.starts_sent, run->may_outlast, d.silent_ms, d.failures,
-	    d.departed, d.lease_left_ms, d.restarted_ms_ago);
+	    d.starts_sent, d.silent_ms, d.failures, d.departed, d.lease_left_ms,
+	    d.restarted_ms_ago);
 }
 
 void
--- a/src/fleet_endpoint.c
+++ b/src/fleet_endpoint.c
@@ -38,7 +38,10 @@
 {
 	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
 
-	return h != NULL && endpoint->restarts == 0 && gyp_host_has_ended(h) &&
+	/* A restart that only the clock shows is of an unknown incarnation. */
+	if (endpoint->restarts > 0 && !endpoint->contacted)
+		return false;
+	return h != NULL && gyp_host_has_ended(h) &&
 	       h->spec->ended_born_ms >= endpoint->incarnation_start_ms;
 }
 
@@ -121,10 +124,8 @@
 	    gyp_fleet_endpoint_name(f, endpoint->row), incarnation_start_ms,
 	    endpoint->incarnation_start_ms, endpoint->runs->len);
 	endpoint->incarnation_start_ms = incarnation_start_ms;
-	endpoint->departed_at = 0;
-	endpoint->departed_before_ms = 0;
+	endpoint->replaced_at = 0;
 	endpoint->leaving_at = 0;
-	endpoint->replaced = false;
 	endpoint->restarted_at = f->now;
 	endpoint->restart_call = f->next_call;
 	endpoint->restarts++;
@@ -145,7 +146,6 @@
 	for (i = 0; i < endpoint->runs->len; i++) {
 		struct gyp_fleet_run *run = endpoint->runs->pdata[i];
 
-		run->may_outlast = false;
 		if (run->phase == GYP_RUN_CONFIRMED)
 			run->phase = GYP_RUN_INHERITED;
 		/* A late start may still begin it in this incarnation. */
--- a/src/fleet_int.h
+++ b/src/fleet_int.h
@@ -12,7 +12,7 @@
  *	fleet_bound.c		bounds of leases in the tables
  *	fleet_calls.c		calls and their answers
  *	fleet_confirmed.c	runs known to belong to one incarnation
- *	fleet_departure.c	announced shutdowns and what they end
+ *	fleet_departure.c	announced shutdowns, and removal
  *	fleet_diagnosis.c	reports on single runs, for logs
  *	fleet_endpoint.c	clocks, leases and incarnations of endpoints
  *	fleet_inventory.c	endpoints that the provider no longer lists
@@ -56,7 +56,6 @@
 	uint32_t starts_sent;
 	uint64_t start_sent_at; /* the latest of them */
 	const char *refused;    /* why its start was refused, or NULL */
-	bool may_outlast;       /* the departed incarnation of its endpoint */
 	bool start_pending;     /* a start is under way */
 	bool start_answered;    /* one was carried out, by its answer */
 	bool confirm_proposed;  /* CmdFlowConfirmed is proposed */
@@ -89,26 +88,22 @@
 	uint64_t until_ms;      /* latest end of its lease, by its clock */
 	uint64_t sent_until_ms; /* latest end sent to this incarnation */
 	uint64_t late_grant_ms; /* lease that late calls may add, in ms */
-	bool fenced;   /* it refuses all calls that could add a late lease */
-	bool replaced; /* another endpoint has its address */
+	bool fenced; /* it refuses all calls that could add a late lease */
 	uint64_t last_seen_at;     /* last answer or heartbeat; 0: none */
 	uint64_t answered_at;      /* last answer; 0: none */
 	uint64_t unlisted_last_at; /* when the latest of these was requested */
 	uint64_t unlisted_prev_at; /* when the one before was requested */
 	uint64_t unlisted_at;      /* first list that lacks it was requested */
 	uint64_t listed_at;        /* last list of this incarnation; 0: none */
-	uint64_t departed_at;      /* its shutdown, or another endpoint at its
-				      address, was noticed; 0: neither */
-	uint64_t departed_before_ms; /* its shutdown was recorded so long
-					before departed_at, or 0 */
-	uint64_t announced_at;       /* latest announcement of a shutdown that
-					names its incarnation; 0: none */
-	uint64_t leaving_at;         /* a shutdown of an unknown incarnation was
-					announced, or one of this incarnation to an
-					earlier leader; 0: none */
-	uint64_t restarted_at;       /* latest restart was noticed; 0: never */
-	uint64_t restart_call; /* id of the first call after the restart */
-	uint32_t restarts;     /* that this leader noticed */
+	uint64_t replaced_at;      /* another endpoint was found at its
+				      address, so it has ended; 0: never */
+	uint64_t leaving_at;       /* its shutdown was announced, to this
+				      leader or an earlier one: it ends soon,
+				      unless that was of an earlier
+				      incarnation; 0: never */
+	uint64_t restarted_at;     /* latest restart was noticed; 0: never */
+	uint64_t restart_call;     /* id of the first call after the restart */
+	uint32_t restarts;         /* that this leader noticed */
 	uint64_t removal_proposed_at; /* the latest; 0: never */
 	uint64_t bound_cmd;    /* latest command about its bound; 0: none */
 	bool was_bounded;      /* when it was last swept */
@@ -183,7 +178,10 @@
  */
 #define START_WINDOW_MS 5000
 
-/* Time from the notice of a shutdown until the runs count as over, in ms. */
+/*
+ * An answer to a call that was sent less than this long after the notice of a
+ * shutdown may be from before it, in ms.
+ */
 #define DEPARTURE_GRACE_MS 100
 
 /* Shortest time in which an endpoint ends and is restarted, in ms. */
@@ -227,7 +225,7 @@
 const char *gyp_fleet_endpoint_name(const struct gyp_fleet *, uint32_t row);
 /*
  * True if the tables hold that the present incarnation announced its shutdown,
- * and this leader has not seen the endpoint restart.
+ * and it is known which one that is.
  */
 bool gyp_fleet_endpoint_end_is_recorded(
     const struct gyp_fleet *, const struct gyp_fleet_endpoint *);
@@ -331,17 +329,13 @@
 void gyp_fleet_note_recorded_end(
     struct gyp_fleet *, struct gyp_fleet_endpoint *);
 /*
- * Polls an endpoint for which a shutdown of an unknown incarnation was
- * announced, or one to an earlier leader. Its next answer shows that it goes
- * on; in the latter case, only for a while.
+ * Polls an endpoint that announced its shutdown. Whether it has ended, that
+ * does not tell: without an acknowledgement it goes on for a while. Its runs
+ * end as those of a silent endpoint do. It is removed when it has no open run.
  */
 void gyp_fleet_check_leaving(struct gyp_fleet *, struct gyp_fleet_endpoint *);
-/*
- * Ends the runs of an incarnation that ended. Those that the next one may
- * have stay open until it registers, or until the lease is over. At an address
- * that another endpoint has, there is none.
- */
-void gyp_fleet_end_departed_runs(
+/* Ends all runs of an endpoint whose address another one has. */
+void gyp_fleet_end_replaced_runs(
     struct gyp_fleet *, struct gyp_fleet_endpoint *);
 /* Has the endpoint removed from the tables, unless that is under way. */
 void gyp_fleet_propose_removal(struct gyp_fleet *, struct gyp_fleet_endpoint *);
--- a/src/fleet_inventory.c
+++ b/src/fleet_inventory.c
@@ -49,9 +49,21 @@
 	endpoint->unlisted = 0;
 }
 
+/* True if it drains or announced its shutdown, and a call to it was lost. */
+static bool
+may_have_ended(
+    const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint)
+{
+	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
+
+	return (endpoint->leaving_at != 0 ||
+		   (h != NULL && h->spec->draining)) &&
+	       endpoint->failures > 0;
+}
+
 /*
- * True if the endpoint was silent for INVENTORY_SILENT_MS at that time. One
- * without runs is hardly polled.
+ * True if the endpoint was silent at that time: for INVENTORY_SILENT_MS, or at
+ * all if its end is expected. One without runs is hardly polled.
  */
 static bool
 was_silent(const struct gyp_fleet *f, const struct gyp_fleet_endpoint *endpoint,
@@ -60,6 +72,8 @@
 	uint64_t heard = MAX(endpoint->last_seen_at, endpoint->added_at);
 	uint64_t polled = MAX(endpoint->busy_at, f->resumed_at);
 
+	if (may_have_ended(f, endpoint))
+		return at >= MAX(heard, polled);
 	return at >= MAX(heard, polled) + INVENTORY_SILENT_MS;
 }
 
@@ -93,11 +107,19 @@
 		   LISTED_RUN_MS + (f->now - requested_at);
 }
 
-/* True if the only start of the run was answered. */
+/*
+ * True if the only start of the run was carried out: it was answered, or it is
+ * that of an earlier leader and this one has seen the run listed.
+ */
 static bool
 started_once(const struct gyp_fleet_run *run)
 {
-	return run->starts_sent == 1 && run->phase == GYP_RUN_CONFIRMED;
+	if (run->phase != GYP_RUN_CONFIRMED)
+		return false;
+	if (run->starts_sent == 0)
+		return gyp_fleet_run_is_sent_once(run) &&
+		       run->view.listed_at != 0;
+	return run->starts_sent == 1;
 }
 
 /*
@@ -197,7 +219,7 @@
 {
 	const struct gyp_host *h = gyp_host_at(f->flows, endpoint->row);
 
-	return !h->spec->draining && endpoint->departed_at == 0 &&
+	return !h->spec->draining && endpoint->replaced_at == 0 &&
 	       endpoint->leaving_at == 0 && endpoint->answered_at != 0 &&
 	       endpoint->answered_at + INVENTORY_ANSWERED_MS >= requested_at &&
 	       was_known(endpoint, requested_at);
@@ -230,7 +252,7 @@
 	return any ? NULL : "none";
 }
 
-/* Returns true if the list says something new of the endpoint. */
+/* Returns true if the next list is wanted soon. */
 static bool
 note_listing(struct gyp_fleet *f, struct gyp_fleet_endpoint *endpoint,
     bool listed, uint64_t requested_at)
@@ -244,7 +266,8 @@
 	endpoint->unlisted_prev_at = endpoint->unlisted_last_at;
 	endpoint->unlisted_last_at = requested_at;
 	if (gyp_fleet_endpoint_is_delisted(endpoint))
-		return false;
+		return may_have_ended(f, endpoint) &&
+		       awaits_later_list(f, endpoint);
 	if (endpoint->unlisted++ == 0)
 		endpoint->unlisted_at = requested_at;
 	if (gyp_fleet_endpoint_is_delisted(endpoint)) {
--- a/src/mutant.h
+++ b/src/mutant.h
@@ -44,6 +44,8 @@
 	GYP_MUTANT_BOUND_EXTENDED,
 	/* Bounds stay valid over a leader of a version without them. */
 	GYP_MUTANT_BOUND_OUTDATED,
+	/* An endpoint that announced its shutdown counts as ended. */
+	GYP_MUTANT_ANNOUNCED_END,
 	GYP_MUTANT_COUNT
 };
 
--- a/src/replica_calls.c
+++ b/src/replica_calls.c
@@ -597,9 +597,6 @@
 	case GYP__CALL__C_FLOW:
 		gyp_replica_answer_flow(r, entry, call);
 		break;
-	case GYP__CALL__C_HOST:
-		gyp_replica_answer_host(r, entry, call);
-		break;
 	default:
 		reply_code(r, entry, call->id, GYP__CODE__CODE_OK, "");
 		break;
--- a/src/replica_flows.c
+++ b/src/replica_flows.c
@@ -21,21 +21,6 @@
 	gyp_replica_reply(r, entry, &msg);
 }
 
-/*
- * Notes the announcement of a shutdown. Returns the start of the incarnation
- * that ends; 0 if that is an earlier one, or not known.
- */
-static uint64_t
-note_departure(
-    struct gyp_replica *r, const struct gyp_host *h, uint64_t born_ms)
-{
-	struct gyp_fleet *fleet = gyp_flow_scheduler_fleet(r->flow_scheduler);
-
-	if (born_ms == 0 || born_ms <= h->spec->ended_born_ms)
-		return gyp_fleet_departed(fleet, r->now, h->row, born_ms);
-	return gyp_fleet_announced(fleet, r->now, h->row, born_ms);
-}
-
 /*
  * An endpoint announces its shutdown. It does not announce it again once it is
  * confirmed, so that is committed first, if it is known which incarnation ends.
@@ -49,7 +34,9 @@
 	Gyp__CmdHostEnded ended = GYP__CMD_HOST_ENDED__INIT;
 
 	if (h != NULL)
-		ended.born_ms = note_departure(r, h, call->host->born_ms);
+		ended.born_ms = gyp_fleet_departed(
+		    gyp_flow_scheduler_fleet(r->flow_scheduler), r->now, h->row,
+		    call->host->born_ms);
 	if (h == NULL || ended.born_ms <= h->spec->ended_born_ms) {
 		reply_ok(r, entry, call->id);
 		return;
@@ -60,20 +47,6 @@
 	gyp_replica_propose_call(r, entry, call, &cmd);
 }
 
-void
-gyp_replica_answer_host(
-    struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
-{
-	const struct gyp_host *h =
-	    gyp_host_by_id(gyp_state_flows(r->state), call->host->id);
-
-	if (call->host->gone && call->host->born_ms != 0 && h != NULL)
-		gyp_fleet_announcement_confirmed(
-		    gyp_flow_scheduler_fleet(r->flow_scheduler), r->now, h->row,
-		    call->host->born_ms);
-	reply_ok(r, entry, call->id);
-}
-
 void
 gyp_replica_handle_host(
     struct gyp_replica *r, uint64_t entry, const Gyp__Call *call)
--- a/src/replica_int.h
+++ b/src/replica_int.h
@@ -189,9 +189,6 @@
 /* replica_flows.c */
 void gyp_replica_handle_host(
     struct gyp_replica *, uint64_t entry, const Gyp__Call *);
-/* Replies to a registration or departure whose command was applied. */
-void gyp_replica_answer_host(
-    struct gyp_replica *, uint64_t entry, const Gyp__Call *);
 void gyp_replica_handle_manifest(
     struct gyp_replica *, uint64_t entry, const Gyp__Call *);
 void gyp_replica_start_flow_scheduler(struct gyp_replica *);
--- a/test/flow_sim.h
+++ b/test/flow_sim.h
@@ -81,6 +81,32 @@
 /* Prints the tasks of the oldest active flow that are not done. */
 void flow_sim_print_unended(const struct gyp_flows *);
 
+/*
+ * From now on endpoints drain, announce their shutdown and leave, and others
+ * take their places. Some get no acknowledgement and go on for seconds, cut
+ * off.
+ */
+void flow_sim_use_departures(struct flow_sim *, uint32_t seed);
+
+/* The announcement of a shutdown. */
+struct flow_sim_departure {
+	char id[8];
+	uint64_t incarnation_start_ms; /* 0 if it names none */
+};
+
+/* The next announcement that arrives, which the caller frees, or NULL. */
+struct flow_sim_departure *flow_sim_pop_departure(struct flow_sim *);
+
+/* The number of announcements that were not acknowledged. */
+uint64_t flow_sim_departed_in_vain(const struct flow_sim *);
+
+/*
+ * Aborts the program if runs of an endpoint that left are open for longer than
+ * its lease, under the leader to which it reported that it drained.
+ */
+void flow_sim_check_departures(
+    struct flow_sim *, uint64_t now, uint64_t leader_since);
+
 /* The number of lists that were requested so far. */
 uint64_t flow_sim_lists(const struct flow_sim *);
 
--- a/test/flow_sim_access.c
+++ b/test/flow_sim_access.c
@@ -15,6 +15,7 @@
 	host->address = "127.0.0.1:1";
 	host->pool = "pool";
 	host->capacity = &capacity;
+	host->draining = s->endpoints[i].drained_at != 0;
 }
 
 uint64_t
--- a/test/flow_sim_int.h
+++ b/test/flow_sim_int.h
@@ -11,6 +11,7 @@
  *	flow_sim.c		endpoints, messages and faults
  *	flow_sim_access.c	access to the state, and its output
  *	flow_sim_check.c	invariants of the actual runs
+ *	flow_sim_departure.c	endpoints that drain and leave as planned
  *	flow_sim_lasting.c	faults and checks of runs with lasting steps
  *	flow_sim_provider.c	the provider's list of endpoints
  */
@@ -47,8 +48,12 @@
 	GArray *runs;             /* struct run */
 	GArray *ends;             /* struct end */
 	GHashTable *highest_runs; /* task key -> highest run ended or stopped */
+	uint32_t generation; /* number of endpoints before it in this place */
+	/* Only in runs with departures; 0: not at all. */
+	uint64_t drained_at;   /* it reports that it drains since then */
+	uint64_t announces_at; /* it announces its shutdown */
+	uint64_t leaves_at;    /* it ends for good and is replaced */
 	/* Only in runs with lasting steps: */
-	uint32_t generation;  /* number of endpoints before it in this place */
 	bool keeps_address;   /* its address is that of the one before */
 	uint64_t wrong_until; /* another answers at its address until then */
 	uint64_t fails_until; /* it fails all runs until then */
@@ -73,6 +78,7 @@
 };
 
 struct flow_sim_lasting;
+struct flow_sim_departures;
 struct flow_sim_provider;
 
 struct flow_sim {
@@ -83,7 +89,8 @@
 	uint64_t fault_at;
 	uint32_t n_endpoints;
 	struct endpoint endpoints[FLOW_SIM_LASTING_ENDPOINTS];
-	struct flow_sim_lasting *lasting; /* NULL in other runs */
+	struct flow_sim_lasting *lasting;       /* NULL in other runs */
+	struct flow_sim_departures *departures; /* NULL in other runs */
 	struct flow_sim_provider *provider;
 	GPtrArray *messages;       /* struct message */
 	GHashTable *pending_calls; /* call id -> time at which it times out */
@@ -147,6 +154,11 @@
 /* True if another endpoint answers at the address of the one with that id. */
 bool flow_sim_lasting_is_wrong(const struct flow_sim *, const char *id);
 
+/* flow_sim_departure.c; the functions require s->departures. */
+void flow_sim_departures_free(struct flow_sim *);
+/* Endpoints begin to drain, announce their shutdown and leave. */
+void flow_sim_departures_tick(struct flow_sim *);
+
 /* flow_sim_provider.c */
 struct flow_sim_provider *flow_sim_provider_new(uint32_t seed);
 void flow_sim_provider_free(struct flow_sim_provider *);
--- a/test/placer_fixture.c
+++ b/test/placer_fixture.c
@@ -33,6 +33,7 @@
 
 	flow_fixture_init(&f->base);
 	add_leader_state(f, 1);
+	f->silent_is_replaced = false;
 	f->cmds = g_ptr_array_new_with_free_func(gyp_message_free);
 	f->queries = g_ptr_array_new_with_free_func(gyp_message_free);
 	for (i = 0; i < endpoints; i++) {
--- a/test/placer_fixture.h
+++ b/test/placer_fixture.h
@@ -22,8 +22,9 @@
 	struct gyp_admission *admission;
 	struct gyp_run_stats *stats;
 	struct gyp_placer *placer;
-	GPtrArray *cmds;    /* Gyp__Cmd */
-	GPtrArray *queries; /* Gyp__Ask */
+	GPtrArray *cmds;         /* Gyp__Cmd */
+	GPtrArray *queries;      /* Gyp__Ask */
+	bool silent_is_replaced; /* another endpoint has that one's address */
 };
 
 /*
