A team's quota holds back a gang as a whole

What users saw: endpoints are reserved for a gang that the quota of its team keeps from starting, beside a watcher of the team for good; after a minute the work of other teams gets no place there.

Cause: the quota was compared with one task before the search, and with each task of a gang in it. A gang that fails there counts as one for which no endpoint has room, and those get a reservation.

Change: policy_block_reason() gets the number of tasks that start together. The explanation of such a gang names the quota, and an urgent one evicts only work of its own team.

Test: /policy/gang-over-quota, seen failing before (0 of 2 tasks of another team placed).

--- a/src/policy.c
+++ b/src/policy.c
@@ -183,13 +183,19 @@
 		   (double)all.memory * memory + (double)size->memory;
 }
 
+uint32_t
+policy_tasks_at_once(const struct gyp_job *job)
+{
+	return job->spec->kind == GYP__KIND__KIND_GANG ? job->n_queued : 1;
+}
+
 const char *
 policy_block_reason(const struct round *round, const struct queue *queue,
-    const struct gyp_job *job)
+    const struct gyp_job *job, uint32_t tasks)
 {
 	if (queue == NULL)
 		return NULL;
-	if (queue_exceeded_quota(queue->team, &job->size) != NULL)
+	if (queue_exceeded_quota(queue->team, &job->size, tasks) != NULL)
 		return "the team's quota is used up";
 	if (!queue_is_urgent(queue, job) && uses_reserve(round, &job->size))
 		return "the remaining capacity is reserved for urgent work";
@@ -292,7 +298,7 @@
 			continue;
 		wanted++;
 		if (round->out->placements->len >= round->budget ||
-		    policy_block_reason(round, queue, job) != NULL ||
+		    policy_block_reason(round, queue, job, 1) != NULL ||
 		    !policy_place_task(round, queue, job, i))
 			break;
 		round->next_group++;
@@ -367,7 +373,8 @@
 {
 	struct gyp_policy *p = round->policy;
 	bool urgent = queue_is_urgent(queue, job);
-	const char *block_reason = policy_block_reason(round, queue, job);
+	const char *block_reason =
+	    policy_block_reason(round, queue, job, policy_tasks_at_once(job));
 	enum placed_tasks placed;
 
 	if (block_reason != NULL) {
--- a/src/policy_explain.c
+++ b/src/policy_explain.c
@@ -38,7 +38,8 @@
 {
 	g_string_append_printf(
 	    out, "%u of %u tasks wait: ", job->n_queued, job->n_tasks);
-	if (queue_exceeded_quota(queue->team, &job->size) != NULL) {
+	if (queue_exceeded_quota(
+		queue->team, &job->size, policy_tasks_at_once(job)) != NULL) {
 		g_string_append_printf(
 		    out, "team %s is at its quota\n", queue->team->name);
 		add_rule(out, queue->team->quota);
--- a/src/policy_gang.c
+++ b/src/policy_gang.c
@@ -15,7 +15,7 @@
 	/* A gang is placed whole, even if it is larger than the budget. */
 	for (i = 0; i < job->n_tasks; i++) {
 		if (job->tasks[i].state != GYP_TASK_QUEUED ||
-		    policy_block_reason(round, queue, job) != NULL ||
+		    policy_block_reason(round, queue, job, 1) != NULL ||
 		    !policy_place_task(round, queue, job, i)) {
 			policy_undo_placements(round, job, before);
 			return PLACED_NONE;
--- a/src/policy_int.h
+++ b/src/policy_int.h
@@ -198,9 +198,14 @@
  * budget is used up or nothing more fits.
  */
 void queue_run(struct round *);
-/* Returns the quota rule that one more task would exceed, or NULL. */
+/*
+ * Returns the quota rule that so many more tasks of that size would exceed, or
+ * NULL.
+ */
 const struct gyp_rule *queue_exceeded_quota(
-    const struct team *, const struct gyp_res *size);
+    const struct team *, const struct gyp_res *, uint32_t tasks);
+/* Number of tasks of the job that start together: all of a gang, or one. */
+uint32_t policy_tasks_at_once(const struct gyp_job *);
 
 /* policy.c */
 /* How many of a job's queued tasks were placed. */
@@ -215,9 +220,9 @@
 /* Returns the longer of declared and learned run time; 0 for a watcher. */
 uint64_t policy_expected_run_ms(const struct queue *, const struct gyp_job *);
 
-/* Returns why no further task of the job may be placed, or NULL. */
-const char *policy_block_reason(
-    const struct round *, const struct queue *, const struct gyp_job *);
+/* Returns why so many more tasks of the job may not be placed, or NULL. */
+const char *policy_block_reason(const struct round *, const struct queue *,
+    const struct gyp_job *, uint32_t tasks);
 bool policy_place_task(
     struct round *, struct queue *, const struct gyp_job *, uint32_t task);
 void policy_undo_placements(struct round *, const struct gyp_job *, guint len);
--- a/src/policy_preempt.c
+++ b/src/policy_preempt.c
@@ -148,7 +148,8 @@
 preempt_for(struct round *round, struct queue *queue, const struct gyp_job *job)
 {
 	struct gyp_policy *p = round->policy;
-	bool same_team = queue_exceeded_quota(queue->team, &job->size) != NULL;
+	bool same_team = queue_exceeded_quota(queue->team, &job->size,
+			     policy_tasks_at_once(job)) != NULL;
 	uint64_t waited = p->now - job->submitted_ms;
 	uint64_t within = queue->urgent->u.within_ms;
 	struct endpoint_view *view;
--- a/src/policy_queue.c
+++ b/src/policy_queue.c
@@ -283,13 +283,16 @@
 /* ---- One queue --------------------------------------------------------- */
 
 const struct gyp_rule *
-queue_exceeded_quota(const struct team *team, const struct gyp_res *size)
+queue_exceeded_quota(
+    const struct team *team, const struct gyp_res *size, uint32_t tasks)
 {
 	const struct gyp_res *quota = &team->quota->u.quota;
 	struct gyp_res used = team->booked;
 
 	gyp_res_add(&used, &team->proposed);
-	return gyp_quota_count(quota, &used, size, 1) > 0 ? NULL : team->quota;
+	return gyp_quota_count(quota, &used, size, tasks) == tasks
+		   ? NULL
+		   : team->quota;
 }
 
 /* Returns true if the job might be placed now. */
--- a/test/test_policy.c
+++ b/test/test_policy.c
@@ -429,6 +429,35 @@
 	fixture_free(fx);
 }
 
+/*
+ * Guards against endpoints that are reserved for a gang which its team's quota
+ * keeps from starting: beside a watcher it can't, and the work of others would
+ * wait in vain.
+ */
+static void
+test_gang_over_quota(void)
+{
+	struct fixture *fx = fixture_new("quota press cpu=4 # asha: small\n");
+	uint64_t gang, other;
+	int i;
+
+	add_endpoints(fx, 1);
+	submit(fx, (struct job_params){
+		       GYP__KIND__KIND_WATCHER, "press", "batch", 2, 1000, 0});
+	run_round(fx, 1);
+	gang = submit(fx, (struct job_params){GYP__KIND__KIND_GANG, "press",
+			      "batch", 3, 1000, 0});
+	for (i = 0; i < 120; i++)
+		run_round(fx, 1000);
+	other = submit(fx, (struct job_params){GYP__KIND__KIND_BATCH, "crews",
+			       "batch", 2, 1000, 0});
+	for (i = 0; i < 5; i++)
+		run_round(fx, 1000);
+	g_assert_cmpuint(placed_tasks(fx, gang), ==, 0);
+	g_assert_cmpuint(placed_tasks(fx, other), ==, 2);
+	fixture_free(fx);
+}
+
 /* ---- Fault attribution ------------------------------------------------- */
 
 /*
@@ -896,6 +925,7 @@
 	g_test_add_func("/policy/infeasible", test_infeasible);
 	g_test_add_func("/policy/urgent-first", test_urgent_first);
 	g_test_add_func("/policy/shares", test_shares);
+	g_test_add_func("/policy/gang-over-quota", test_gang_over_quota);
 	g_test_add_func("/policy/quota-blocks-its-team-only",
 	    test_quota_blocks_its_team_only);
 	g_test_add_func("/policy/reserve", test_reserve);
