--- a/src/admin_preview.c
+++ b/src/admin_preview.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "admin_int.h"
+#include "cap_hold.h"
 #include "endpoint_ranking.h"
 #include "flow_int.h"
 #include "flow_json.h"
@@ -92,8 +93,10 @@
 	v->use.row = UINT32_MAX;
 	v->use.name = v->ws->name;
 	v->use.cap = gyp_quota_from(v->ws->cap);
-	if (use != NULL)
-		v->use.used = use->used;
+	if (use == NULL)
+		return;
+	v->use.used = use->used;
+	v->use.lasting = use->lasting;
 }
 
 static void
@@ -128,6 +131,20 @@
 	return list;
 }
 
+static const char *
+quota_wait_name(const struct gyp_candidate *c)
+{
+	switch (gyp_cap_fit(c->flow->use, c->unit)) {
+	case GYP_CAP_LASTING:
+		return "quota that lasting tasks of its workspace use";
+	case GYP_CAP_TOO_LOW:
+		return "higher quota";
+	case GYP_CAP_FITS:
+	default:
+		return "quota";
+	}
+}
+
 static const char *
 waits_for(const struct preview *v, const struct gyp_candidate *c,
     uint32_t allowed, uint32_t suit, uint64_t free_tasks)
@@ -139,7 +156,7 @@
 	if (!gyp_placer_unit_is_due(c->flow, c->unit, v->r->wall_ms))
 		return "its due time";
 	if (allowed == 0)
-		return "quota";
+		return quota_wait_name(c);
 	if (suit == 0)
 		return "an endpoint that suits";
 	if (free_tasks == 0 || (step->gang && free_tasks < step->count))
--- a/src/flow.h
+++ b/src/flow.h
@@ -137,10 +137,11 @@
 struct gyp_workspace_use {
 	uint32_t row; /* counted from 0 */
 	char *name;
-	struct gyp_res cap;  /* of the manifest in force */
-	double rate;         /* of that manifest; 0: any */
-	struct gyp_res used; /* booked by open runs */
-	uint32_t open;       /* open runs */
+	struct gyp_res cap;     /* of the manifest in force */
+	double rate;            /* of that manifest; 0: any */
+	struct gyp_res used;    /* booked by open runs */
+	struct gyp_res lasting; /* of these, by runs of lasting tasks */
+	uint32_t open;          /* open runs */
 };
 
 /* An open run on an endpoint. */
--- a/src/flow_apply.c
+++ b/src/flow_apply.c
@@ -18,6 +18,8 @@
 	if (flow->use != NULL) {
 		flow->use->open++;
 		gyp_res_add(&flow->use->used, &u->size);
+		if (u->step->lasting)
+			gyp_res_add(&flow->use->lasting, &u->size);
 	}
 	h->serving += u->step->tail_ms > 0;
 	h->filling += u->step->fills;
@@ -39,6 +41,8 @@
 	if (flow->use != NULL) {
 		flow->use->open--;
 		gyp_res_sub(&flow->use->used, &u->size);
+		if (u->step->lasting)
+			gyp_res_sub(&flow->use->lasting, &u->size);
 	}
 	h->serving -= u->step->tail_ms > 0;
 	h->filling -= u->step->fills;
--- a/src/flow_save.c
+++ b/src/flow_save.c
@@ -266,12 +266,19 @@
 	g_assert(flow->state != GYP_FLOW_COMPLETED || flow->left == 0);
 }
 
+static bool
+are_equal(const struct gyp_res *a, const struct gyp_res *b)
+{
+	return gyp_res_fits(a, b) && gyp_res_fits(b, a);
+}
+
 /* The use of each workspace is the sum over its open runs. */
 static void
 check_workspaces(const struct gyp_flows *f)
 {
 	guint n = f->workspaces->len, i;
 	struct gyp_res *sums = g_new0(struct gyp_res, n + 1);
+	struct gyp_res *lasting = g_new0(struct gyp_res, n + 1);
 	uint32_t *open = g_new0(uint32_t, n + 1);
 	guint row;
 
@@ -282,22 +289,26 @@
 			const struct gyp_host_run *run =
 			    &g_array_index(h->runs, struct gyp_host_run, i);
 			const struct gyp_workspace_use *use = run->flow->use;
+			const struct gyp_flow_unit *u =
+			    gyp_flow_unit_of(run->flow, run->task);
 
 			if (use == NULL)
 				continue;
 			open[use->row]++;
-			gyp_res_add(&sums[use->row],
-			    &gyp_flow_unit_of(run->flow, run->task)->size);
+			gyp_res_add(&sums[use->row], &u->size);
+			if (u->step->lasting)
+				gyp_res_add(&lasting[use->row], &u->size);
 		}
 	}
 	for (i = 0; i < n; i++) {
 		const struct gyp_workspace_use *use = f->workspaces->pdata[i];
 
 		g_assert(open[i] == use->open);
-		g_assert(gyp_res_fits(&sums[i], &use->used) &&
-			 gyp_res_fits(&use->used, &sums[i]));
+		g_assert(are_equal(&sums[i], &use->used));
+		g_assert(are_equal(&lasting[i], &use->lasting));
 	}
 	g_free(sums);
+	g_free(lasting);
 	g_free(open);
 }
 
--- a/src/placer.c
+++ b/src/placer.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "admission_prefetch.h"
+#include "cap_hold.h"
 #include "clearing.h"
 #include "endpoint_ranking.h"
 #include "msg.h"
@@ -18,10 +19,10 @@
 
 /* What a round has decided for a workspace. */
 struct workspace_round {
-	struct gyp_res proposed; /* booked by the runs that it proposes */
-	struct gyp_res waiting;  /* tasks that may start but have no room */
-	double cap_wait_ms;      /* see gyp_placer_cap_wait_ms() */
-	bool held; /* what the cap leaves is for a starving unit */
+	struct gyp_res proposed;  /* booked by the runs that it proposes */
+	struct gyp_res waiting;   /* tasks that may start but have no room */
+	double cap_wait_ms;       /* see gyp_placer_cap_wait_ms() */
+	struct gyp_cap_hold hold; /* for a unit that has waited too long */
 	enum gyp_placer_wait wait;
 };
 
@@ -53,21 +54,24 @@
 	    p->workspaces, struct workspace_round, c->flow->use->row);
 }
 
-/*
- * Keeps what is left under the cap for a unit that has waited too long, if it
- * fits under the cap at all. Otherwise smaller tasks of the workspace could
- * use up what a gang or a large task needs each time that a run ends.
- */
+/* What counts under the workspace's cap, with what this round has proposed. */
+static struct gyp_res
+use_with_proposed(const struct gyp_placer *p, const struct gyp_candidate *c)
+{
+	struct gyp_res used = c->flow->use->used;
+
+	gyp_res_add(&used, &workspace_of(p, c)->proposed);
+	return used;
+}
+
+/* The cap has no room for the unit: keeps some if it has waited too long. */
 static void
 hold_cap(const struct gyp_placer *p, const struct gyp_candidate *c)
 {
-	const struct gyp_res none = {0, 0, 0, 0};
-	uint32_t needed = c->unit->step->gang ? c->unit->step->count : 1;
+	struct gyp_res used = use_with_proposed(p, c);
 
-	if (c->slack == GYP_SLACK_STARVING &&
-	    gyp_quota_count(
-		&c->flow->use->cap, &none, &c->unit->size, needed) == needed)
-		workspace_of(p, c)->held = true;
+	gyp_cap_hold_add(
+	    &workspace_of(p, c)->hold, p->flows, p->stats, c, &used);
 }
 
 /*
@@ -79,26 +83,32 @@
 {
 	uint32_t waiting = c->unit->left - c->unit->open, n;
 	const struct gyp_workspace_use *use = c->flow->use;
+	/* A previewed flow may be of a workspace without flows. */
+	bool is_known = use != NULL && use->row < p->workspaces->len;
 	struct gyp_res used;
 
 	if (use == NULL)
 		return waiting;
-	used = use->used;
-	/* A previewed flow may be of a workspace without flows. */
-	if (use->row < p->workspaces->len) {
-		if (workspace_of(p, c)->held)
-			return 0;
-		gyp_res_add(&used, &workspace_of(p, c)->proposed);
-	}
+	used = is_known ? use_with_proposed(p, c) : use->used;
 	n = gyp_quota_count(&use->cap, &used, &c->unit->size, waiting);
+	if (is_known)
+		n = gyp_cap_hold_count(
+		    &workspace_of(p, c)->hold, p->flows, p->stats, c, n);
 	return c->unit->step->gang && n < waiting ? 0 : n;
 }
 
 static void
 add_proposed(struct gyp_placer *p, const struct gyp_candidate *c, guint runs)
 {
-	while (c->flow->use != NULL && runs-- > 0)
-		gyp_res_add(&workspace_of(p, c)->proposed, &c->unit->size);
+	struct workspace_round *w;
+	guint i;
+
+	if (c->flow->use == NULL)
+		return;
+	w = workspace_of(p, c);
+	gyp_cap_hold_note_start(&w->hold, p->flows, p->stats, c, runs);
+	for (i = 0; i < runs; i++)
+		gyp_res_add(&w->proposed, &c->unit->size);
 }
 
 /*
@@ -115,8 +125,7 @@
 
 	if (use == NULL)
 		return tasks;
-	used = use->used;
-	gyp_res_add(&used, &workspace_of(p, c)->proposed);
+	used = use_with_proposed(p, c);
 	gyp_res_add(&used, &workspace_of(p, c)->waiting);
 	n = gyp_quota_count(&use->cap, &used, &c->unit->size, tasks);
 	for (i = 0; i < n; i++)
@@ -140,6 +149,21 @@
 		w->wait = why;
 }
 
+/* Why a unit waits that its cap keeps from starting in full. */
+static enum gyp_placer_wait
+cap_wait_of(const struct gyp_candidate *c)
+{
+	switch (gyp_cap_fit(c->flow->use, c->unit)) {
+	case GYP_CAP_LASTING:
+		return GYP_PLACER_WAIT_LASTING;
+	case GYP_CAP_TOO_LOW:
+		return GYP_PLACER_WAIT_HIGHER_CAP;
+	case GYP_CAP_FITS:
+	default:
+		return GYP_PLACER_WAIT_CAP;
+	}
+}
+
 enum gyp_placer_wait
 gyp_placer_wait(const struct gyp_placer *p, const struct gyp_workspace_use *use)
 {
@@ -451,12 +475,17 @@
 	*sum += (double)c->unit->size.cpu_milli * tasks * (double)run_ms;
 }
 
-/* Adds the tasks of the unit that this round has not started. */
+/*
+ * Adds the tasks of the unit that this round has not started. Work that doesn't
+ * fit beside lasting runs does not count: others would be refused because of
+ * it, and it would not be done any sooner.
+ */
 static void
 add_cap_wait(
     struct gyp_placer *p, const struct gyp_candidate *c, uint32_t tasks)
 {
-	if (c->flow->use == NULL || c->unit->step->lasting)
+	if (c->flow->use == NULL || c->unit->step->lasting ||
+	    gyp_cap_fit(c->flow->use, c->unit) != GYP_CAP_FITS)
 		return;
 	workspace_of(p, c)->cap_wait_ms +=
 	    tasks * gyp_dominant_share(&c->unit->size, &c->flow->use->cap) *
@@ -671,7 +700,7 @@
 	add_cap_wait(p, c, tasks - allowed + waiting);
 	if (waiting == 0) {
 		if (limited)
-			note_wait(p, c, GYP_PLACER_WAIT_CAP);
+			note_wait(p, c, cap_wait_of(c));
 		return;
 	}
 	p->summary.no_capacity++;
--- a/src/placer.h
+++ b/src/placer.h
@@ -32,6 +32,9 @@
  *	  or fewer runs, see run_stats.h, and for a while a task is not retried
  *	  where it failed.
  *
+ *	For units that the cap of their workspace holds up, room under it is
+ *	kept (see cap_hold.h).
+ *
  *	For tasks that cannot be placed, capacity is reserved (see reserve.h)
  *	and less urgent runs are stopped (see preempt.h). Endpoints are cleared
  *	of filling work for lasting tasks that serve (see clearing.h).
@@ -81,9 +84,11 @@
 /* Why tasks of a workspace that could start have no run. */
 enum gyp_placer_wait {
 	GYP_PLACER_WAIT_NONE,
-	GYP_PLACER_WAIT_CAP,      /* the cap of the workspace */
-	GYP_PLACER_WAIT_CAPACITY, /* endpoints have no room */
-	GYP_PLACER_WAIT_QUERY     /* an admission query is under way */
+	GYP_PLACER_WAIT_CAP,        /* the cap of the workspace */
+	GYP_PLACER_WAIT_LASTING,    /* lasting runs use what it needs of it */
+	GYP_PLACER_WAIT_HIGHER_CAP, /* it needs more than the cap */
+	GYP_PLACER_WAIT_CAPACITY,   /* endpoints have no room */
+	GYP_PLACER_WAIT_QUERY       /* an admission query is under way */
 };
 
 /*
@@ -118,7 +123,8 @@
 
 /*
  * Time in which the workspace could do the work that it had waiting in the
- * latest round, if it used its whole cap, in ms.
+ * latest round, if it used its whole cap, in ms. Work that cannot start beside
+ * its lasting runs is left out.
  */
 double gyp_placer_cap_wait_ms(
     const struct gyp_placer *, const struct gyp_workspace_use *);
--- a/src/workspace_view.c
+++ b/src/workspace_view.c
@@ -111,6 +111,10 @@
 	switch (view->wait) {
 	case GYP_PLACER_WAIT_CAP:
 		return "quota";
+	case GYP_PLACER_WAIT_LASTING:
+		return "quota that lasting tasks use";
+	case GYP_PLACER_WAIT_HIGHER_CAP:
+		return "higher quota";
 	case GYP_PLACER_WAIT_CAPACITY:
 		return "capacity";
 	case GYP_PLACER_WAIT_QUERY:
--- a/test/test_quotas.c
+++ b/test/test_quotas.c
@@ -260,6 +260,180 @@
 	placer_fixture_clear(&f);
 }
 
+/* Submits a flow that has been late for long enough to be starving. */
+static void
+submit_starving(struct placer_fixture *f, uint64_t id, Gyp__FlowStep step)
+{
+	submit(f, "a", id, 0, step);
+	gyp_flow_get(f->base.flows, id)->spec->queue->stretch = 1;
+	gyp_flow_get(f->base.flows, id)->accepted_ms -=
+	    2 * GYP_SLACK_STARVE_MS + step.estimate_ms;
+}
+
+static Gyp__FlowStep
+make_step(uint32_t count, uint32_t cpu_milli, uint32_t estimate_ms, bool gang)
+{
+	Gyp__FlowStep step = flow_fixture_step(count);
+
+	step.size->cpu_milli = cpu_milli;
+	step.estimate_ms = estimate_ms;
+	step.gang = gang;
+	return step;
+}
+
+/*
+ * Starts a flow of tasks of one CPU, as if ago_ms before now. Its runs are
+ * expected to end run_ms after that, or never if that is 0.
+ */
+static void
+start_earlier(struct placer_fixture *f, uint64_t id, uint32_t tasks,
+    uint32_t run_ms, uint64_t ago_ms)
+{
+	Gyp__FlowStep step = make_step(tasks, 1000, run_ms, false);
+	uint32_t i;
+
+	step.lasting = run_ms == 0;
+	submit(f, "a", id, 0, step);
+	run_and_apply(f);
+	g_assert_cmpuint(proposed(f, id), ==, tasks);
+	for (i = 0; i < tasks; i++)
+		gyp_flow_get(f->base.flows, id)->tasks[i].changed_ms -= ago_ms;
+}
+
+/*
+ * Guards against small jobs that never start, because a gang or a large task
+ * of their workspace waits for lasting runs to end: nothing is kept for it.
+ */
+static void
+test_behind_lasting(void)
+{
+	const struct gyp_workspace_use *use;
+	struct placer_fixture f;
+	int gang;
+
+	for (gang = 0; gang < 2; gang++) {
+		placer_fixture_init(&f, 2);
+		set_cap(&f.base, "a", 10000);
+		start_earlier(&f, 1, 4, 0, 60000);
+		use = use_of(&f.base, "a");
+		submit_starving(&f, 2,
+		    gang ? make_step(7, 1000, 60000, true)
+			 : make_step(1, 7000, 60000, false));
+		submit_starving(&f, 3, make_step(8, 1000, 500, true));
+		submit(&f, "a", 4, 0, make_step(6, 1000, 500, false));
+		run_and_apply(&f);
+		g_assert_cmpuint(proposed(&f, 4), ==, 6);
+		g_assert_cmpuint(f.cmds->len, ==, 1);
+		g_assert_cmpint(gyp_placer_wait(f.placer, use), ==,
+		    GYP_PLACER_WAIT_LASTING);
+		g_assert_cmpfloat(gyp_placer_cap_wait_ms(f.placer, use), ==, 0);
+		set_cap(&f.base, "a", 5000);
+		run_and_apply(&f);
+		g_assert_cmpint(gyp_placer_wait(f.placer, use), ==,
+		    GYP_PLACER_WAIT_HIGHER_CAP);
+		placer_fixture_clear(&f);
+	}
+}
+
+/*
+ * Guards against the same behind runs that end in ten minutes: what is over by
+ * then, or fits beside the gang, does not wait; what would delay it does.
+ */
+static void
+test_behind_long_runs(void)
+{
+	struct placer_fixture f;
+	uint32_t task;
+
+	placer_fixture_init(&f, 3);
+	set_cap(&f.base, "a", 10000);
+	start_earlier(&f, 1, 4, 600000, 60000);
+	submit_starving(&f, 2, make_step(8, 1000, 500, true));
+	submit_starving(&f, 3, make_step(8, 1000, 500, true));
+	submit(&f, "a", 4, 0, make_step(2, 1000, 500, false));
+	submit(&f, "a", 5, 0, make_step(4, 1000, 700000, false));
+	submit(&f, "a", 6, 0, make_step(4, 1000, 530000, false));
+	run_and_apply(&f);
+	g_assert_cmpuint(proposed(&f, 2) + proposed(&f, 3), ==, 0);
+	g_assert_cmpuint(proposed(&f, 4), ==, 2);
+	g_assert_cmpuint(proposed(&f, 5), ==, 2);
+	g_assert_cmpuint(proposed(&f, 6), ==, 2);
+	for (task = 0; task < 4; task++)
+		placer_fixture_end_run(&f, 1, task, GYP__FLOW_HOW__FLOW_DONE);
+	for (task = 0; task < 2; task++)
+		placer_fixture_end_run(&f, 4, task, GYP__FLOW_HOW__FLOW_DONE);
+	/* It waits for what went ahead, and no more does so now. */
+	submit(&f, "a", 7, 0, make_step(4, 1000, 600000, false));
+	run_and_apply(&f);
+	g_assert_cmpuint(f.cmds->len, ==, 0);
+	for (task = 0; task < 2; task++)
+		placer_fixture_end_run(&f, 6, task, GYP__FLOW_HOW__FLOW_DONE);
+	run_and_apply(&f);
+	g_assert_cmpuint(proposed(&f, 2), ==, 8);
+	placer_fixture_clear(&f);
+}
+
+/*
+ * Guards against a lasting task that waits for a gang although both fit, and
+ * against one that takes what the gang will need.
+ */
+static void
+test_lasting_beside_gang(void)
+{
+	struct placer_fixture f;
+	Gyp__FlowStep lasting = make_step(5, 1000, 0, false);
+
+	lasting.lasting = true;
+	placer_fixture_init(&f, 3);
+	set_cap(&f.base, "a", 10000);
+	start_earlier(&f, 1, 4, 600000, 60000);
+	submit_starving(&f, 2, make_step(8, 1000, 500, true));
+	submit(&f, "a", 3, 0, lasting);
+	run_and_apply(&f);
+	g_assert_cmpuint(proposed(&f, 2), ==, 0);
+	g_assert_cmpuint(proposed(&f, 3), ==, 2);
+	run_and_apply(&f);
+	g_assert_cmpuint(f.cmds->len, ==, 0);
+	placer_fixture_clear(&f);
+}
+
+/*
+ * Guards against a gang that never starts beside a stream of tasks that all run
+ * much longer than expected: its delay is bounded by one of them.
+ */
+static void
+test_wrong_estimates(void)
+{
+	struct placer_fixture f;
+	uint64_t id, started = 0;
+
+	placer_fixture_init(&f, 2);
+	set_cap(&f.base, "a", 4000);
+	start_earlier(&f, 1, 2, 60000, 0);
+	submit_starving(&f, 2, make_step(3, 1000, 500, true));
+	for (id = 3; id < 9; id++)
+		submit(&f, "a", id, 0, make_step(1, 1000, 100, false));
+	run_and_apply(&f);
+	placer_fixture_end_run(&f, 1, 0, GYP__FLOW_HOW__FLOW_DONE);
+	placer_fixture_end_run(&f, 1, 1, GYP__FLOW_HOW__FLOW_DONE);
+	for (id = 3; id < 9; id++) {
+		struct gyp_flow *flow = gyp_flow_get(f.base.flows, id);
+
+		started += flow->tasks[0].state == GYP_FLOW_TASK_OPEN;
+	}
+	g_assert_cmpuint(started, ==, 2);
+	/* Both are over their time for long: no more of their kind start. */
+	gyp_flow_get(f.base.flows, 3)->tasks[0].changed_ms -= 10000;
+	gyp_flow_get(f.base.flows, 4)->tasks[0].changed_ms -= 10000;
+	gyp_flow_get(f.base.flows, 2)->accepted_ms -= 20000;
+	run_and_apply(&f);
+	g_assert_cmpuint(f.cmds->len, ==, 0);
+	placer_fixture_end_run(&f, 3, 0, GYP__FLOW_HOW__FLOW_DONE);
+	run_and_apply(&f);
+	g_assert_cmpuint(proposed(&f, 2), ==, 3);
+	placer_fixture_clear(&f);
+}
+
 /*
  * Guards against a load estimate that counts the same rest of a quota for each
  * waiting unit: others would be refused for work that cannot start.
@@ -524,6 +698,11 @@
 	g_test_add_func("/quotas/excess-waits", test_excess_waits);
 	g_test_add_func("/quotas/no-stop-over-quota", test_no_stop_over_quota);
 	g_test_add_func("/quotas/gang-starves", test_gang_starves);
+	g_test_add_func("/quotas/behind-lasting", test_behind_lasting);
+	g_test_add_func("/quotas/behind-long-runs", test_behind_long_runs);
+	g_test_add_func(
+	    "/quotas/lasting-beside-gang", test_lasting_beside_gang);
+	g_test_add_func("/quotas/wrong-estimates", test_wrong_estimates);
 	g_test_add_func("/quotas/waiting-work", test_waiting_work);
 	g_test_add_func("/quotas/quota-wait", test_quota_wait);
 	g_test_add_func(
--- a/test/workspaces_ctl.sh
+++ b/test/workspaces_ctl.sh
@@ -153,7 +153,7 @@
 JSON
 [ "$(grep -o '"quota_tasks":[0-9]*' "$dir/shown" | tr '\n' ' ')" = \
     '"quota_tasks":4 "quota_tasks":0 ' ] &&
-    grep -q '"step":1,.*"waits_for":"quota"' "$dir/shown" ||
+    grep -q '"step":1,.*"waits_for":"higher quota"' "$dir/shown" ||
     fail "preview with a cap: $(cat "$dir/shown")"
 # The workspace spends its rate; then a preview is refused with a time.
 sed 's/rota/orchard/' "$dir/flow" >"$dir/flow-2"
