--- a/src/fleet_inventory.c
+++ b/src/fleet_inventory.c
@@ -333,6 +333,10 @@
 		    a->reason != NULL ? a->reason : "unknown");
 		return;
 	}
+	if (a->odd_rows > 0)
+		gyp_events_add(f->cfg.events, "inventory-odd-rows",
+		    "rows=%u listed=%u", a->odd_rows,
+		    g_hash_table_size(a->ids));
 	witness = find_contradiction(f, a->ids, requested_at);
 	if (witness == NULL) {
 		apply_list(f, a->ids, requested_at);
--- a/src/inventory.h
+++ b/src/inventory.h
@@ -33,6 +33,7 @@
 	uint64_t request;
 	bool complete;      /* ids has every endpoint that exists */
 	GHashTable *ids;    /* set of ids, or NULL if not complete */
+	uint32_t odd_rows;  /* rows that name no endpoint, for logs */
 	const char *reason; /* why it is not complete, for logs */
 };
 
