--- a/src/link.c
+++ b/src/link.c
@@ -22,6 +22,9 @@
 /* Interval of the sweep, which closes slow or overflowed connections, in ms. */
 #define SWEEP_MS 200
 
+/* A sweep that is later than this after the one before was held up, in ms. */
+#define STALL_MS (3 * SWEEP_MS)
+
 /* Shortest time between two log lines about refused connections, in ms. */
 #define REFUSAL_LOG_MS 1000
 
@@ -53,6 +56,13 @@
 	GBytes *pending_frame;
 	uint64_t state_since; /* start of the dial, or time of accept */
 	uint64_t frame_since; /* start of an incomplete frame, or 0 */
+	uint64_t heard_at;    /* latest bytes received; the opening at least */
+	uint64_t queued_at;   /* latest frame queued, the same */
+	uint64_t pinged_at;   /* ping without an answer, or 0 */
+	/* Of a dialled address: it answers pings. Of an accepted one: it pings.
+	 */
+	bool pings;
+	bool answered; /* a ping, on this connection */
 	uint32_t redial_delay_ms;
 	bool overflowed; /* queue is full: closed by the next sweep */
 	bool unsent;     /* in links->unsent */
@@ -71,6 +81,7 @@
 	int listen_fd;
 	ev_io listen_io;
 	struct gyp_timer *sweep;
+	uint64_t swept_at;
 	GHashTable *dialled; /* address -> struct conn */
 	GPtrArray *accepted; /* struct conn */
 	guint entries;       /* of accepted: from entries */
@@ -269,11 +280,39 @@
 		return;
 	c->sent.frames++;
 	c->sent.bytes += len + 4;
+	c->queued_at = gyp_clock_ms();
 	gyp_put_u32(gyp_buf_extend(&c->out, 4), (uint32_t)len);
 	gyp_buf_append(&c->out, data, len);
 	schedule_send(c);
 }
 
+static void
+queue_ping(struct conn *c, bool answer)
+{
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__Ping ping = GYP__PING__INIT;
+	GBytes *packed;
+
+	ping.answer = answer;
+	frame.body_case = GYP__FRAME__BODY_PING;
+	frame.ping = &ping;
+	packed = gyp_message_pack(&frame.base);
+	queue_frame(c, packed);
+	g_bytes_unref(packed);
+}
+
+/* The first answer tells the dialler that the peer answers pings at all. */
+static void
+handle_ping(struct conn *c, const Gyp__Ping *ping)
+{
+	if (c->address == NULL && !ping->answer)
+		queue_ping(c, true);
+	if (c->address == NULL || !ping->answer)
+		return;
+	c->pings = true;
+	c->answered = true;
+}
+
 /*
  * Counts a connection that is closed because of a limit; logs at most one in
  * REFUSAL_LOG_MS.
@@ -310,6 +349,9 @@
 	c->id = hello->id;
 	c->entry = hello->entry;
 	links->entries += c->entry;
+	c->pings = hello->pings;
+	if (c->pings)
+		queue_ping(c, true);
 	g_hash_table_insert(links->by_id, &c->id, c);
 	links->owner->ops->hello_received(links->owner, hello);
 	return true;
@@ -321,6 +363,11 @@
 {
 	struct gyp_links_owner *owner = c->links->owner;
 
+	if (frame->body_case == GYP__FRAME__BODY_PING &&
+	    (c->address != NULL || c->id != 0)) {
+		handle_ping(c, frame->ping);
+		return true;
+	}
 	if (c->address != NULL) {
 		owner->ops->answered(owner, c->address, frame);
 		return true;
@@ -383,6 +430,8 @@
 		return true;
 	if (n <= 0)
 		return false;
+	c->heard_at = gyp_clock_ms();
+	c->pinged_at = 0;
 	gyp_buf_append(&c->in, chunk, (size_t)n);
 	return parse_input(c);
 }
@@ -431,6 +480,9 @@
 		return;
 	}
 	c->state = CONN_OPEN;
+	c->heard_at = gyp_clock_ms();
+	c->pinged_at = 0;
+	c->answered = false;
 	c->redial_delay_ms = GYP_REDIAL_DELAY_MIN_MS;
 	queue_frame(c, c->links->hello);
 	if (c->pending_frame != NULL)
@@ -483,10 +535,59 @@
 	c->fd = fd;
 	c->state = CONN_OPEN;
 	c->state_since = gyp_clock_ms();
+	c->heard_at = c->queued_at = c->state_since;
 	g_ptr_array_add(links->accepted, c);
 	update_events(c);
 }
 
+/* ---- Silent connections ------------------------------------------------ */
+
+/*
+ * Pings a quiet connection. One whose peer may not know pings gets none: it is
+ * left to the kernel's time-outs.
+ */
+static void
+ping_if_quiet(struct conn *c, uint64_t now)
+{
+	if (c->address == NULL || c->state != CONN_OPEN || !c->pings ||
+	    c->pinged_at != 0 ||
+	    now < MIN(c->heard_at, c->queued_at) + GYP_PING_AFTER_MS)
+		return;
+	c->pinged_at = now;
+	queue_ping(c, false);
+}
+
+static bool
+is_silent(const struct conn *c, uint64_t now)
+{
+	if (c->state != CONN_OPEN || !c->pings)
+		return false;
+	if (c->address == NULL)
+		return now > c->heard_at + GYP_ACCEPTED_SILENT_MS;
+	return c->pinged_at != 0 && now > c->pinged_at + GYP_PING_TIMEOUT_MS;
+}
+
+static void
+drop_silent(struct conn *c)
+{
+	gyp_log(GYP_LOG_WARNING, "link-silent",
+	    "peer=%s heard_ms_ago=%" G_GUINT64_FORMAT " answered=%d",
+	    c->address != NULL ? c->address : "accepted",
+	    gyp_clock_ms() - c->heard_at, c->answered);
+	/* A peer may have gone back to a version without pings. */
+	c->pings = c->answered;
+	drop_conn(c);
+}
+
+/* This process stood still: what arrived meanwhile has not been read. */
+static void
+restart_silence(struct conn *c, uint64_t now)
+{
+	c->heard_at = now;
+	if (c->pinged_at != 0)
+		c->pinged_at = now;
+}
+
 /* ---- Sweep ------------------------------------------------------------- */
 
 static bool
@@ -529,6 +630,18 @@
 	report_traffic(links, c, &c->sent, "out");
 }
 
+static void
+sweep_conn(struct conn *c, uint64_t now, GPtrArray *closing)
+{
+	report_conn_traffic(c->links, c);
+	if (c->links->swept_at != 0 && now > c->links->swept_at + STALL_MS)
+		restart_silence(c, now);
+	if (must_close(c, now) || is_silent(c, now))
+		g_ptr_array_add(closing, c);
+	else
+		ping_if_quiet(c, now);
+}
+
 static void
 on_sweep(void *arg, uint64_t now)
 {
@@ -538,19 +651,18 @@
 	gpointer value;
 	guint i;
 
-	for (i = 0; i < links->accepted->len; i++) {
-		report_conn_traffic(links, links->accepted->pdata[i]);
-		if (must_close(links->accepted->pdata[i], now))
-			g_ptr_array_add(closing, links->accepted->pdata[i]);
-	}
+	for (i = 0; i < links->accepted->len; i++)
+		sweep_conn(links->accepted->pdata[i], now, closing);
 	g_hash_table_iter_init(&iter, links->dialled);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		report_conn_traffic(links, value);
-		if (must_close(value, now))
-			g_ptr_array_add(closing, value);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		sweep_conn(value, now, closing);
+	links->swept_at = now;
+	for (i = 0; i < closing->len; i++) {
+		if (is_silent(closing->pdata[i], now))
+			drop_silent(closing->pdata[i]);
+		else
+			drop_conn(closing->pdata[i]);
 	}
-	for (i = 0; i < closing->len; i++)
-		drop_conn(closing->pdata[i]);
 	g_ptr_array_free(closing, TRUE);
 }
 
@@ -616,9 +728,11 @@
 {
 	struct gyp_links *links = g_new0(struct gyp_links, 1);
 	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__Hello with_pings = *hello;
 
+	with_pings.pings = true;
 	frame.body_case = GYP__FRAME__BODY_HELLO;
-	frame.hello = (Gyp__Hello *)hello;
+	frame.hello = &with_pings;
 	links->loop = loop;
 	links->timers = timers;
 	links->owner = owner;
--- a/src/link.h
+++ b/src/link.h
@@ -25,6 +25,13 @@
  *	protocols above resend what was lost once it is open again. A
  *	connection is also closed when the peer sends malformed frames, or a
  *	frame too slowly.
+ *
+ *	Handles this trouble: an open connection goes silent for good, and
+ *	something on the way goes on acknowledging its bytes, while new
+ *	connections work. On a connection that is quiet in one direction the
+ *	dialler sends pings, which the other side answers; without an answer,
+ *	or anything else, the connection is closed and dialled anew. Peers of
+ *	versions without pings get none.
  */
 
 /* Most bytes queued on one connection. */
@@ -60,6 +67,17 @@
 /* Timeout from the first to the last byte of a frame, in ms. */
 #define GYP_FRAME_TIMEOUT_MS 30000
 
+/*
+ * A dialled connection on which nothing was received, or sent, for
+ * GYP_PING_AFTER_MS gets a ping, and is closed if nothing is received in the
+ * GYP_PING_TIMEOUT_MS after that. Together they stay below the 3 s after which
+ * callers expect answers again. An accepted one from a peer that pings is
+ * closed after GYP_ACCEPTED_SILENT_MS: its dialler has turned to another.
+ */
+#define GYP_PING_AFTER_MS      500
+#define GYP_PING_TIMEOUT_MS    1500
+#define GYP_ACCEPTED_SILENT_MS 10000
+
 struct gyp_links;
 struct gyp_links_owner;
 
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2572,6 +2572,51 @@
   assert(message->base.descriptor == &gyp__hello__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gyp__ping__init
+                     (Gyp__Ping         *message)
+{
+  static const Gyp__Ping init_value = GYP__PING__INIT;
+  *message = init_value;
+}
+size_t gyp__ping__get_packed_size
+                     (const Gyp__Ping *message)
+{
+  assert(message->base.descriptor == &gyp__ping__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gyp__ping__pack
+                     (const Gyp__Ping *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gyp__ping__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gyp__ping__pack_to_buffer
+                     (const Gyp__Ping *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gyp__ping__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gyp__Ping *
+       gyp__ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gyp__Ping *)
+     protobuf_c_message_unpack (&gyp__ping__descriptor,
+                                allocator, len, data);
+}
+void   gyp__ping__free_unpacked
+                     (Gyp__Ping *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gyp__ping__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gyp__join__init
                      (Gyp__Join         *message)
 {
@@ -9383,7 +9428,7 @@
   (ProtobufCMessageInit) gyp__snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__hello__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gyp__hello__field_descriptors[8] =
 {
   {
     "id",
@@ -9469,6 +9514,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pings",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Hello, pings),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__hello__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -9478,11 +9535,12 @@
   6,   /* field[6] = entry_lease_ms */
   0,   /* field[0] = id */
   4,   /* field[4] = name */
+  7,   /* field[7] = pings */
 };
 static const ProtobufCIntRange gyp__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gyp__hello__descriptor =
 {
@@ -9492,13 +9550,51 @@
   "Gyp__Hello",
   "gyp",
   sizeof(Gyp__Hello),
-  7,
+  8,
   gyp__hello__field_descriptors,
   gyp__hello__field_indices_by_name,
   1,  gyp__hello__number_ranges,
   (ProtobufCMessageInit) gyp__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gyp__ping__field_descriptors[1] =
+{
+  {
+    "answer",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gyp__Ping, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gyp__ping__field_indices_by_name[] = {
+  0,   /* field[0] = answer */
+};
+static const ProtobufCIntRange gyp__ping__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gyp__ping__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gyp.Ping",
+  "Ping",
+  "Gyp__Ping",
+  "gyp",
+  sizeof(Gyp__Ping),
+  1,
+  gyp__ping__field_descriptors,
+  gyp__ping__field_indices_by_name,
+  1,  gyp__ping__number_ranges,
+  (ProtobufCMessageInit) gyp__ping__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gyp__join__field_descriptors[2] =
 {
   {
@@ -11071,7 +11167,7 @@
   (ProtobufCMessageInit) gyp__host_beats__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gyp__frame__field_descriptors[6] =
+static const ProtobufCFieldDescriptor gyp__frame__field_descriptors[7] =
 {
   {
     "hello",
@@ -11145,19 +11241,32 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ping",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gyp__Frame, body_case),
+    offsetof(Gyp__Frame, ping),
+    &gyp__ping__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gyp__frame__field_indices_by_name[] = {
   5,   /* field[5] = beats */
   4,   /* field[4] = down */
   0,   /* field[0] = hello */
   1,   /* field[1] = join */
+  6,   /* field[6] = ping */
   2,   /* field[2] = raft */
   3,   /* field[3] = up */
 };
 static const ProtobufCIntRange gyp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gyp__frame__descriptor =
 {
@@ -11167,7 +11276,7 @@
   "Gyp__Frame",
   "gyp",
   sizeof(Gyp__Frame),
-  6,
+  7,
   gyp__frame__field_descriptors,
   gyp__frame__field_indices_by_name,
   1,  gyp__frame__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -72,6 +72,7 @@
 typedef struct Gyp__SnapRules Gyp__SnapRules;
 typedef struct Gyp__Snapshot Gyp__Snapshot;
 typedef struct Gyp__Hello Gyp__Hello;
+typedef struct Gyp__Ping Gyp__Ping;
 typedef struct Gyp__Join Gyp__Join;
 typedef struct Gyp__Attempt Gyp__Attempt;
 typedef struct Gyp__Beat Gyp__Beat;
@@ -1603,10 +1604,27 @@
    */
   uint32_t endpoint_lease_ms;
   uint32_t entry_lease_ms;
+  /*
+   * the sender wants answers to its pings
+   */
+  protobuf_c_boolean pings;
 };
 #define GYP__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gyp__hello__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * Sent by the dialler of a silent connection; each is answered by one.
+ */
+struct  Gyp__Ping
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean answer;
+};
+#define GYP__PING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gyp__ping__descriptor) \
+    , 0 }
 
 
 /*
@@ -1995,7 +2013,8 @@
   GYP__FRAME__BODY_RAFT = 3,
   GYP__FRAME__BODY_UP = 4,
   GYP__FRAME__BODY_DOWN = 5,
-  GYP__FRAME__BODY_BEATS = 6
+  GYP__FRAME__BODY_BEATS = 6,
+  GYP__FRAME__BODY_PING = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GYP__FRAME__BODY__CASE)
 } Gyp__Frame__BodyCase;
 
@@ -2010,6 +2029,10 @@
     Gyp__EntryUp *up;
     Gyp__EntryDown *down;
     Gyp__HostBeats *beats;
+    /*
+     * handled by link.c
+     */
+    Gyp__Ping *ping;
   };
 };
 #define GYP__FRAME__INIT \
@@ -3100,6 +3123,25 @@
 void   gyp__hello__free_unpacked
                      (Gyp__Hello *message,
                       ProtobufCAllocator *allocator);
+/* Gyp__Ping methods */
+void   gyp__ping__init
+                     (Gyp__Ping         *message);
+size_t gyp__ping__get_packed_size
+                     (const Gyp__Ping   *message);
+size_t gyp__ping__pack
+                     (const Gyp__Ping   *message,
+                      uint8_t             *out);
+size_t gyp__ping__pack_to_buffer
+                     (const Gyp__Ping   *message,
+                      ProtobufCBuffer     *buffer);
+Gyp__Ping *
+       gyp__ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gyp__ping__free_unpacked
+                     (Gyp__Ping *message,
+                      ProtobufCAllocator *allocator);
 /* Gyp__Join methods */
 void   gyp__join__init
                      (Gyp__Join         *message);
@@ -3539,6 +3581,9 @@
 typedef void (*Gyp__Hello_Closure)
                  (const Gyp__Hello *message,
                   void *closure_data);
+typedef void (*Gyp__Ping_Closure)
+                 (const Gyp__Ping *message,
+                  void *closure_data);
 typedef void (*Gyp__Join_Closure)
                  (const Gyp__Join *message,
                   void *closure_data);
@@ -3652,6 +3697,7 @@
 extern const ProtobufCMessageDescriptor gyp__snap_rules__descriptor;
 extern const ProtobufCMessageDescriptor gyp__snapshot__descriptor;
 extern const ProtobufCMessageDescriptor gyp__hello__descriptor;
+extern const ProtobufCMessageDescriptor gyp__ping__descriptor;
 extern const ProtobufCMessageDescriptor gyp__join__descriptor;
 extern const ProtobufCMessageDescriptor gyp__attempt__descriptor;
 extern const ProtobufCMessageDescriptor gyp__beat__descriptor;
--- a/test/test_link.c
+++ b/test/test_link.c
@@ -1,6 +1,7 @@
 #include <sys/resource.h>
 #include <sys/socket.h>
 
+#include <poll.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -485,6 +486,180 @@
 	gyp_buf_clear(&b);
 }
 
+/* ---- Silent peers --------------------------------------------------------
+ */
+
+/* Longest time from the last byte until a silent connection is replaced, ms. */
+#define REPLACED_MS 3000
+
+/* Returns a socket that the links dial, and has them dial it. */
+static int
+listen_to_links(struct fixture *f)
+{
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__EntryUp up = GYP__ENTRY_UP__INIT;
+	GBytes *packed;
+	char address[32];
+	uint16_t port;
+	int fd = raw_listen(&port);
+
+	frame.body_case = GYP__FRAME__BODY_UP;
+	frame.up = &up;
+	packed = gyp_message_pack(&frame.base);
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u", port);
+	gyp_links_send(f->links, address, packed);
+	g_bytes_unref(packed);
+	return fd;
+}
+
+/* Reads the next frame; NULL when the connection is closed. */
+static Gyp__Frame *
+read_frame(int fd)
+{
+	uint8_t head[4], body[1024];
+	uint32_t len;
+
+	if (recv(fd, head, sizeof(head), MSG_WAITALL) != sizeof(head))
+		return NULL;
+	len = gyp_get_u32(head);
+	g_assert_cmpuint(len, <=, sizeof(body));
+	if (recv(fd, body, len, MSG_WAITALL) != (ssize_t)len)
+		return NULL;
+	return gyp__frame__unpack(NULL, len, body);
+}
+
+static void
+send_ping(int fd, bool answer)
+{
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__Ping ping = GYP__PING__INIT;
+	struct gyp_buf b = {NULL, 0, 0};
+
+	ping.answer = answer;
+	frame.body_case = GYP__FRAME__BODY_PING;
+	frame.ping = &ping;
+	append_frame(&b, &frame);
+	g_assert_true(raw_send(fd, b.data, b.len));
+	gyp_buf_clear(&b);
+}
+
+static void
+await_ping(int fd, bool answer)
+{
+	bool found = false;
+
+	while (!found) {
+		Gyp__Frame *frame = read_frame(fd);
+
+		g_assert_nonnull(frame);
+		found = frame->body_case == GYP__FRAME__BODY_PING &&
+			frame->ping->answer == answer;
+		gyp_message_free(frame);
+	}
+}
+
+static int
+accept_within(int listen_fd, int ms)
+{
+	struct pollfd p = {.fd = listen_fd, .events = POLLIN};
+
+	return poll(&p, 1, ms) == 1 ? accept(listen_fd, NULL, NULL) : -1;
+}
+
+static void
+go_silent(void *arg)
+{
+	int listen_fd = *(int *)arg, i;
+	int first = accept_within(listen_fd, REPLACED_MS), second, third;
+
+	send_ping(first, true);
+	/* Answered for longer than the time-out: it stays. */
+	for (i = 0; i < 4; i++) {
+		await_ping(first, false);
+		send_ping(first, true);
+	}
+	g_assert_cmpint(accept_within(listen_fd, 0), ==, -1);
+	second = accept_within(listen_fd, REPLACED_MS);
+	g_assert_cmpint(second, >=, 0);
+	/* It was known to answer, so silence from the start counts too. */
+	third = accept_within(listen_fd, REPLACED_MS);
+	g_assert_cmpint(third, >=, 0);
+	/* It may be of a version without pings by now. */
+	g_assert_cmpint(accept_within(listen_fd, REPLACED_MS), ==, -1);
+	close(first);
+	close(second);
+	close(third);
+}
+
+/*
+ * Guards against connections that go silent for good, while something on the
+ * way acknowledges their bytes and new ones work: they stayed open.
+ */
+static void
+test_silent_peer(void)
+{
+	struct fixture f;
+	int fd;
+
+	set_up(&f);
+	fd = listen_to_links(&f);
+	raw_run_thread(f.loop, go_silent, &fd);
+	tear_down(&f);
+	close(fd);
+}
+
+static void
+never_answer(void *arg)
+{
+	int listen_fd = *(int *)arg;
+	int fd = accept_within(listen_fd, REPLACED_MS);
+
+	g_assert_cmpint(accept_within(listen_fd, REPLACED_MS), ==, -1);
+	close(fd);
+}
+
+/* A peer of a version without pings gets none, and stays connected. */
+static void
+test_peer_without_pings(void)
+{
+	struct fixture f;
+	int fd;
+
+	set_up(&f);
+	fd = listen_to_links(&f);
+	raw_run_thread(f.loop, never_answer, &fd);
+	tear_down(&f);
+	close(fd);
+}
+
+static void
+ping_links(void *arg)
+{
+	const struct fixture *f = arg;
+	Gyp__Frame frame = GYP__FRAME__INIT;
+	Gyp__Hello hello = GYP__HELLO__INIT;
+	struct gyp_buf b = {NULL, 0, 0};
+	int fd = raw_connect(f->port);
+
+	hello.id = 9;
+	hello.pings = true;
+	frame.body_case = GYP__FRAME__BODY_HELLO;
+	frame.hello = &hello;
+	append_frame(&b, &frame);
+	g_assert_true(raw_send(fd, b.data, b.len));
+	gyp_buf_clear(&b);
+	await_ping(fd, true); /* tells that pings are answered */
+	send_ping(fd, false);
+	await_ping(fd, true);
+	close(fd);
+}
+
+static void
+test_answers_pings(void)
+{
+	run_in_fixture(ping_links);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -498,6 +673,9 @@
 	g_test_add_func("/link/many-entries", test_many_entries);
 	g_test_add_func("/link/entries-limit", test_entries_limit);
 	g_test_add_func("/link/open-files", test_open_files);
+	g_test_add_func("/link/silent-peer", test_silent_peer);
+	g_test_add_func("/link/peer-without-pings", test_peer_without_pings);
+	g_test_add_func("/link/answers-pings", test_answers_pings);
 	g_test_add_func("/link/unsent-bytes-stay", test_unsent_bytes_stay);
 	return g_test_run();
 }
