--- a/src/admin_preview.c
+++ b/src/admin_preview.c
@@ -136,7 +136,7 @@
 {
 	switch (gyp_cap_fit(c->flow->use, c->unit)) {
 	case GYP_CAP_LASTING:
-		return "quota that lasting tasks of its workspace use";
+		return "quota that lasting tasks use";
 	case GYP_CAP_TOO_LOW:
 		return "higher quota";
 	case GYP_CAP_FITS:
--- a/src/cap_hold.h
+++ b/src/cap_hold.h
@@ -38,8 +38,7 @@
 enum gyp_cap_fit {
 	GYP_CAP_FITS,    /* once enough runs that are not lasting have ended */
 	GYP_CAP_LASTING, /* not beside the lasting runs of the workspace */
-	GYP_CAP_TOO_LOW  /* its tasks, or one if it is no gang, exceed the cap
-			  */
+	GYP_CAP_TOO_LOW  /* not even alone under the whole cap */
 };
 
 /* The use may be a copy; units of flows without a workspace fit. */
--- a/src/link.c
+++ b/src/link.c
@@ -59,9 +59,7 @@
 	uint64_t heard_at;    /* latest bytes received; the opening at least */
 	uint64_t queued_at;   /* latest frame queued, the same */
 	uint64_t pinged_at;   /* ping without an answer, or 0 */
-	/* Of a dialled address: it answers pings. Of an accepted one: it pings.
-	 */
-	bool pings;
+	bool pings;    /* a dialled peer answers them, an accepted one sends */
 	bool answered; /* a ping, on this connection */
 	uint32_t redial_delay_ms;
 	bool overflowed; /* queue is full: closed by the next sweep */
--- a/test/test_link.c
+++ b/test/test_link.c
@@ -591,23 +591,30 @@
 	close(third);
 }
 
-/*
- * Guards against connections that go silent for good, while something on the
- * way acknowledges their bytes and new ones work: they stayed open.
- */
+/* Runs the work on a socket that the links dial. */
 static void
-test_silent_peer(void)
+run_dialled(void (*work)(void *))
 {
 	struct fixture f;
 	int fd;
 
 	set_up(&f);
 	fd = listen_to_links(&f);
-	raw_run_thread(f.loop, go_silent, &fd);
+	raw_run_thread(f.loop, work, &fd);
 	tear_down(&f);
 	close(fd);
 }
 
+/*
+ * Guards against connections that go silent for good, while something on the
+ * way acknowledges their bytes and new ones work: they stayed open.
+ */
+static void
+test_silent_peer(void)
+{
+	run_dialled(go_silent);
+}
+
 static void
 never_answer(void *arg)
 {
@@ -622,14 +629,7 @@
 static void
 test_peer_without_pings(void)
 {
-	struct fixture f;
-	int fd;
-
-	set_up(&f);
-	fd = listen_to_links(&f);
-	raw_run_thread(f.loop, never_answer, &fd);
-	tear_down(&f);
-	close(fd);
+	run_dialled(never_answer);
 }
 
 static void
